--- /dev/null
+++ b/basilhold/__init__.py
@@ -0,0 +1,5 @@
+"""Cluster scheduler for unlike workloads on one shared pool of VMs."""
+
+__all__ = ["__version__"]
+
+__version__ = "0.1.0"
--- /dev/null
+++ b/basilhold/adapters/__init__.py
@@ -0,0 +1,3 @@
+"""HTTP clients that implement the ports."""
+
+__all__: list[str] = []
--- /dev/null
+++ b/basilhold/config/__init__.py
@@ -0,0 +1,3 @@
+"""Office documents: validation, changes, history, versions in force."""
+
+__all__: list[str] = []
--- /dev/null
+++ b/basilhold/gateway/__init__.py
@@ -0,0 +1,3 @@
+"""HTTP front end for callers and operators."""
+
+__all__: list[str] = []
--- /dev/null
+++ b/basilhold/placement/__init__.py
@@ -0,0 +1,19 @@
+"""Decides which task runs on which worker. Performs no I/O."""
+
+from basilhold.placement.plan import (
+    Eviction,
+    EvictionAction,
+    Explanation,
+    Placement,
+    Plan,
+)
+from basilhold.placement.planner import Planner
+
+__all__ = [
+    "Eviction",
+    "EvictionAction",
+    "Explanation",
+    "Placement",
+    "Plan",
+    "Planner",
+]
--- /dev/null
+++ b/basilhold/ports/__init__.py
@@ -0,0 +1,73 @@
+"""Abstract interfaces to the platform and to upstreams."""
+
+from basilhold.ports.objects import ObjectStore
+from basilhold.ports.table import (
+    ABSENT,
+    Condition,
+    Conflict,
+    Row,
+    ScanPage,
+    StoreError,
+    StoreErrorKind,
+    TableService,
+    Transaction,
+    Write,
+)
+from basilhold.ports.upstreams import (
+    AnswerHead,
+    AnswerSink,
+    SendError,
+    SendPhase,
+    UpstreamClient,
+    UpstreamRequest,
+)
+from basilhold.ports.vms import VmKind, VmList, VmRecord, VmSnapshot, VmState
+from basilhold.ports.workers import (
+    AgentError,
+    AgentErrorKind,
+    RefusalReason,
+    RenewReply,
+    RenewRequest,
+    StartReply,
+    StartRequest,
+    StopReply,
+    TaskReport,
+    WorkerAgent,
+    WorkerReport,
+)
+
+__all__ = [
+    "ABSENT",
+    "AgentError",
+    "AgentErrorKind",
+    "AnswerHead",
+    "AnswerSink",
+    "Condition",
+    "Conflict",
+    "ObjectStore",
+    "RefusalReason",
+    "RenewReply",
+    "RenewRequest",
+    "Row",
+    "ScanPage",
+    "SendError",
+    "SendPhase",
+    "StartReply",
+    "StartRequest",
+    "StopReply",
+    "StoreError",
+    "StoreErrorKind",
+    "TableService",
+    "TaskReport",
+    "Transaction",
+    "UpstreamClient",
+    "UpstreamRequest",
+    "VmKind",
+    "VmList",
+    "VmRecord",
+    "VmSnapshot",
+    "VmState",
+    "WorkerAgent",
+    "WorkerReport",
+    "Write",
+]
--- /dev/null
+++ b/basilhold/programs/__init__.py
@@ -0,0 +1,3 @@
+"""Entry points of the programs."""
+
+__all__: list[str] = []
--- /dev/null
+++ b/basilhold/requests/__init__.py
@@ -0,0 +1,3 @@
+"""Decisions about callers' requests. Performs no I/O."""
+
+__all__: list[str] = []
--- /dev/null
+++ b/basilhold/rpc/__init__.py
@@ -0,0 +1,3 @@
+"""Messages between basilhold processes."""
+
+__all__: list[str] = []
--- /dev/null
+++ b/basilhold/settings/__init__.py
@@ -0,0 +1,3 @@
+"""Settings files."""
+
+__all__: list[str] = []
--- /dev/null
+++ b/basilhold/standins/__init__.py
@@ -0,0 +1,17 @@
+"""Stand-ins for the platform, for tests and for trying the system out."""
+
+from basilhold.standins.faults import StoreFaults
+from basilhold.standins.objects import MemoryObjectStore
+from basilhold.standins.table import MemoryTable
+from basilhold.standins.vms import MemoryVmList
+from basilhold.standins.workers import MemoryWorker, MemoryWorkers, TaskBehaviour
+
+__all__ = [
+    "MemoryObjectStore",
+    "MemoryTable",
+    "MemoryVmList",
+    "MemoryWorker",
+    "MemoryWorkers",
+    "StoreFaults",
+    "TaskBehaviour",
+]
