--- a/basilhold/placement/__init__.py
+++ b/basilhold/placement/__init__.py
@@ -1,5 +1,6 @@
 """Decides which task runs on which worker. Performs no I/O."""
 
+from basilhold.placement.first_fit import FirstFitPlanner
 from basilhold.placement.plan import (
     Eviction,
     EvictionAction,
@@ -13,6 +14,7 @@
     "Eviction",
     "EvictionAction",
     "Explanation",
+    "FirstFitPlanner",
     "Placement",
     "Plan",
     "Planner",
--- /dev/null
+++ b/basilhold/placement/first_fit.py
@@ -0,0 +1,137 @@
+"""Baseline planner: first fit in arrival order."""
+
+from basilhold.core import (
+    Attempt,
+    JobId,
+    JobRecord,
+    Resources,
+    TaskId,
+    TaskState,
+    Team,
+    TeamName,
+    WorkerId,
+    WorkerRecord,
+    make_task_id,
+)
+from basilhold.placement.plan import Explanation, Placement, Plan
+from basilhold.placement.planner import Planner
+from basilhold.ports import TaskReport
+
+__all__ = ["FirstFitPlanner"]
+
+
+class FirstFitPlanner(Planner):
+    """Places tasks in the order of their jobs' arrival on the first worker with room.
+
+    Benchmarks compare against it and tests of other packages use it. It knows no
+    targets, quotas, gangs or evictions; a gang is placed task by task.
+    """
+
+    def __init__(self):
+        self._jobs: dict[JobId, JobRecord] = {}
+        self._workers: dict[WorkerId, WorkerRecord] = {}
+        self._schedulable: dict[WorkerId, bool] = {}
+        self._free: dict[WorkerId, Resources] = {}
+        self._placed: dict[TaskId, WorkerId] = {}
+        self._planned: dict[TaskId, Placement] = {}
+
+    def upsert_worker(self, record: WorkerRecord, schedulable: bool) -> None:
+        """Add or replace a worker."""
+        for task_id in [t for t, w in self._placed.items() if w == record.worker_id]:
+            del self._placed[task_id]
+        for assignment in record.assignments:
+            self._placed[assignment.task_id] = record.worker_id
+        self._workers[record.worker_id] = record
+        self._schedulable[record.worker_id] = schedulable
+        free = record.capacity - record.committed()
+        for placement in self._planned.values():
+            if placement.worker_id == record.worker_id:
+                free = free - placement.resources
+        self._free[record.worker_id] = free
+
+    def remove_worker(self, worker_id: WorkerId) -> None:
+        """Remove a worker."""
+        self._workers.pop(worker_id, None)
+        self._schedulable.pop(worker_id, None)
+        self._free.pop(worker_id, None)
+
+    def upsert_job(self, record: JobRecord) -> None:
+        """Add or replace a job."""
+        self._jobs[record.spec.job_id] = record
+
+    def remove_job(self, job_id: JobId) -> None:
+        """Remove a job."""
+        self._jobs.pop(job_id, None)
+
+    def set_teams(
+        self, teams: tuple[Team, ...], used_elsewhere: dict[TeamName, Resources]
+    ) -> None:
+        """Ignore quotas."""
+
+    def record_usage(
+        self, worker_id: WorkerId, reports: tuple[TaskReport, ...], now_unix_ms: int
+    ) -> None:
+        """Ignore usage."""
+
+    def plan(self, now_unix_ms: int, limit: int) -> Plan:
+        """Return up to `limit` placements in arrival order."""
+        placements: list[Placement] = []
+        for record in self._jobs.values():
+            for index, task in enumerate(record.tasks):
+                if len(placements) == limit:
+                    return Plan(tuple(placements))
+                task_id = make_task_id(record.spec.job_id, index)
+                if task.state is not TaskState.PENDING or self._is_taken(task_id):
+                    continue
+                worker_id = self._first_fit(record.spec.task_resources)
+                if worker_id is None:
+                    break
+                placements.append(self._hold(record, index, task_id, worker_id))
+        return Plan(tuple(placements))
+
+    def confirm(self, placements: tuple[Placement, ...]) -> None:
+        """Turn planned placements into committed ones."""
+        for placement in placements:
+            del self._planned[placement.task_id]
+            self._placed[placement.task_id] = placement.worker_id
+
+    def abandon(self, placements: tuple[Placement, ...]) -> None:
+        """Release planned placements."""
+        for placement in placements:
+            del self._planned[placement.task_id]
+            if placement.worker_id in self._free:
+                free = self._free[placement.worker_id]
+                self._free[placement.worker_id] = free + placement.resources
+
+    def explain(self, job_id: JobId, now_unix_ms: int) -> Explanation:
+        """Return the number of waiting tasks."""
+        record = self._jobs.get(job_id)
+        waiting = len(self._waiting(record)) if record else 0
+        return Explanation(job_id, waiting, "no worker has room", {})
+
+    def _waiting(self, record: JobRecord) -> list[TaskId]:
+        task_ids = (
+            make_task_id(record.spec.job_id, index)
+            for index, task in enumerate(record.tasks)
+            if task.state is TaskState.PENDING
+        )
+        return [task_id for task_id in task_ids if not self._is_taken(task_id)]
+
+    def _is_taken(self, task_id: TaskId) -> bool:
+        return task_id in self._placed or task_id in self._planned
+
+    def _first_fit(self, size: Resources) -> WorkerId | None:
+        for worker_id, free in self._free.items():
+            if self._schedulable[worker_id] and size.fits_in(free):
+                return worker_id
+        return None
+
+    def _hold(
+        self, record: JobRecord, index: int, task_id: TaskId, worker_id: WorkerId
+    ) -> Placement:
+        size = record.spec.task_resources
+        attempt = Attempt(record.tasks[index].attempt + 1)
+        placement = Placement(task_id, attempt, worker_id, size)
+        self._planned[task_id] = placement
+        self._free[worker_id] = self._free[worker_id] - size
+        return placement
