Add TargetPlanner: relative lateness, quotas, gangs, reservations, reclaiming

The worker index groups workers by shape and free resources, and identical waiting tasks share a bucket, so a decision does not scan all workers.

--- a/basilhold/placement/__init__.py
+++ b/basilhold/placement/__init__.py
@@ -9,6 +9,8 @@
     Plan,
 )
 from basilhold.placement.planner import Planner
+from basilhold.placement.random_fit import RandomFitPlanner
+from basilhold.placement.target_planner import TargetPlanner
 
 __all__ = [
     "Eviction",
@@ -18,4 +20,6 @@
     "Placement",
     "Plan",
     "Planner",
+    "RandomFitPlanner",
+    "TargetPlanner",
 ]
--- /dev/null
+++ b/basilhold/placement/explain.py
@@ -0,0 +1,112 @@
+"""Why a job waits."""
+
+from basilhold.core import JobId, Resources, make_task_id
+from basilhold.placement.claims import ClaimBook
+from basilhold.placement.gangs import slots_of
+from basilhold.placement.plan import Explanation
+from basilhold.placement.reservation import Reservation
+from basilhold.placement.shard_state import ShardState
+from basilhold.placement.waiting import Entry, JobState
+from basilhold.placement.workers import WorkerState
+
+__all__ = ["explain_job"]
+
+
+def explain_job(
+    state: ShardState,
+    claims: ClaimBook,
+    reservation: Reservation | None,
+    job_id: JobId,
+    now_unix_ms: int,
+) -> Explanation:
+    """Return why a job waits, and what it lacks on how many workers.
+
+    A worker that lacks several resources counts under each.
+    """
+    job = state.queue.jobs.get(job_id)
+    if job is None:
+        return Explanation(job_id, 0, "the shard has no such job", {})
+    waiting = job.waiting_tasks()
+    if waiting == 0:
+        reason = "cancelled" if job.cancelled else "no task waits"
+        return Explanation(job_id, 0, reason, {})
+    lacking: dict[str, int] = {}
+    for worker in state.workers.values():
+        for lack in _lacks(state, worker, job.entries[0]):
+            lacking[lack] = lacking.get(lack, 0) + 1
+    reason = _reason(state, claims, reservation, job, now_unix_ms)
+    return Explanation(job_id, waiting, reason, lacking)
+
+
+def _lacks(state: ShardState, worker: WorkerState, entry: Entry) -> list[str]:
+    size = entry.job.spec.task_resources
+    if not worker.schedulable:
+        return ["unavailable"]
+    if worker.quarantined_until_unix_ms:
+        return ["quarantined"]
+    if worker.worker_id in entry.bucket.key.avoid:
+        return ["failed here before"]
+    free = worker.free()
+    lacks = []
+    if size.cores_milli > free.cores_milli:
+        lacks.append("cores")
+    if size.memory_bytes > free.memory_bytes:
+        lacks.append("memory")
+    if size.gpus_milli > free.gpus_milli:
+        lacks.append("GPUs")
+    if lacks:
+        return lacks
+    if worker.claims or worker.reserved:
+        return ["reserved"]
+    if size.gpus_milli == 0 and not size.fits_in(state.gpu_guard.spare(worker)):
+        return ["kept for GPU work"]
+    return []
+
+
+def _reason(
+    state: ShardState,
+    claims: ClaimBook,
+    reservation: Reservation | None,
+    job: JobState,
+    now_unix_ms: int,
+) -> str:
+    spec = job.spec
+    size = spec.task_resources
+    if not state.could_run(size):
+        return "no worker of the shard could run a task of this size even when empty"
+    if any(
+        make_task_id(spec.job_id, index) in claims
+        for entry in job.entries
+        for index in entry.indices
+    ):
+        return "waits for victims to give way"
+    if job.is_gang:
+        return _gang_reason(state, reservation, job, now_unix_ms)
+    if any(w.is_open() and w.has_room(size) for w in state.workers.values()):
+        return "a worker has room; waits for its turn"
+    if not state.teams.is_within(spec.team, size):
+        return f"team {spec.team} is above its quota and no capacity is idle"
+    return "no worker has room"
+
+
+def _gang_reason(
+    state: ShardState,
+    reservation: Reservation | None,
+    job: JobState,
+    now_unix_ms: int,
+) -> str:
+    size, count = job.spec.task_resources, job.waiting_tasks()
+    if reservation is not None and reservation.job_id == job.spec.job_id:
+        wait_s = max(0, reservation.start_unix_ms - now_unix_ms) / 1000
+        return f"holds a reservation that starts in about {wait_s:.0f} s"
+    largest = sum(_slots(w.capacity, size) for w in state.workers.values())
+    if largest < count:
+        return f"the gang needs {count} tasks at once and the shard holds {largest}"
+    open_slots = sum(
+        _slots(w.free(), size) for w in state.workers.values() if w.is_open()
+    )
+    return f"the gang needs {count} tasks at once and {open_slots} fit now"
+
+
+def _slots(amount: Resources, size: Resources) -> int:
+    return max(0, slots_of(amount, size))
--- /dev/null
+++ b/basilhold/placement/overuse.py
@@ -0,0 +1,81 @@
+"""Finds tasks that use more than they declared."""
+
+from basilhold.core import Resources, RestartPolicy
+from basilhold.placement.plan import Eviction, EvictionAction
+from basilhold.placement.shard_state import ShardState
+from basilhold.placement.workers import LiveTask, WorkerState
+
+__all__ = ["OveruseWatch"]
+
+_CORES_TOLERANCE = 1.05
+"""Reports average over an interval, so short bursts above the declaration count."""
+
+_HOT_SHARE = 0.95
+"""A worker that reports more than this share of its cores or memory in use gets new
+work last, and its memory is then considered in danger."""
+
+_REPEAT_MS = 30_000
+"""An eviction whose task is still reported after this time is issued again."""
+
+
+class OveruseWatch:
+    """Throttles tasks that exceed their cores and removes those that exceed memory.
+
+    A task that must not be restarted is stopped for its memory only when the worker
+    as a whole is about to run out, because a stop ends it for good.
+    """
+
+    def __init__(self, state: ShardState):
+        self._state = state
+        self._evictions: list[Eviction] = []
+
+    def inspect(self, worker: WorkerState) -> None:
+        """Compare the latest reports of one worker with the declarations."""
+        used = Resources()
+        for live in worker.tasks.values():
+            if live.used is not None and not live.finished:
+                used = used + live.used
+        capacity = worker.capacity
+        memory_short = used.memory_bytes > capacity.memory_bytes * _HOT_SHARE
+        worker.hot = memory_short or (
+            used.cores_milli > capacity.cores_milli * _HOT_SHARE
+        )
+        for live in list(worker.tasks.values()):
+            if live.used is not None and not live.finished and not live.held:
+                self._inspect_task(live, memory_short)
+
+    def take_evictions(self) -> tuple[Eviction, ...]:
+        """Return the evictions found since the last call."""
+        found, self._evictions = tuple(self._evictions), []
+        return found
+
+    def _inspect_task(self, live: LiveTask, memory_short: bool) -> None:
+        now = self._state.now_unix_ms
+        if live.used.memory_bytes > live.size.memory_bytes:
+            if live.evicted_unix_ms and now - live.evicted_unix_ms < _REPEAT_MS:
+                return
+            action = _memory_action(live, memory_short)
+            if action is not None:
+                self._state.mark_evicted(live, live.size)
+                self._add(live, action, 0)
+            return
+        cores_milli = live.size.cores_milli
+        if live.used.cores_milli <= cores_milli * _CORES_TOLERANCE:
+            live.throttled = False
+        elif not live.throttled and not live.evicted_unix_ms:
+            live.throttled = True
+            self._add(live, EvictionAction.THROTTLE, cores_milli)
+
+    def _add(self, live: LiveTask, action: EvictionAction, limit: int) -> None:
+        self._evictions.append(
+            Eviction(live.task_id, live.attempt, live.worker_id, action, None, limit)
+        )
+
+
+def _memory_action(live: LiveTask, memory_short: bool) -> EvictionAction | None:
+    job = live.job
+    if job is None:
+        return EvictionAction.STOP if memory_short else None
+    if job.spec.restart is RestartPolicy.FORBIDDEN:
+        return EvictionAction.STOP if memory_short else None
+    return EvictionAction.CHECKPOINT if job.spec.checkpoint else EvictionAction.STOP
--- /dev/null
+++ b/basilhold/placement/selection.py
@@ -0,0 +1,102 @@
+"""Choice of the worker for one task."""
+
+from collections.abc import Iterator
+
+from basilhold.core import Resources
+from basilhold.placement.shard_state import ShardState
+from basilhold.placement.waiting import BucketKey, JobState
+from basilhold.placement.workers import WorkerState
+
+__all__ = ["choose_worker", "fitting_workers", "open_probe"]
+
+_CANDIDATES_MAX = 8
+"""Feasible workers that are scored per task; more improve packing little."""
+
+_SPREAD_CANDIDATES_MAX = 128
+"""Feasible workers that are looked at to find a rack without tasks of the service."""
+
+
+def fitting_workers(
+    state: ShardState, key: BucketKey, starving: bool
+) -> Iterator[WorkerState]:
+    """Yield the open workers on which a task of the bucket may run."""
+    size = key.size
+    guarded = size.gpus_milli == 0
+    gpu_shapes = not (guarded and state.gpu_guard.gpu_work_waits)
+    for worker in state.free_index.fitting(size, gpu_shapes):
+        if worker.worker_id in key.avoid:
+            continue
+        if (
+            guarded
+            and worker.capacity.gpus_milli
+            and not size.fits_in(state.gpu_guard.spare(worker, starving))
+        ):
+            continue
+        yield worker
+
+
+def choose_worker(
+    state: ShardState, key: BucketKey, job: JobState, starving: bool
+) -> WorkerState | None:
+    """Return the best open worker for a task, or ``None``."""
+    candidates = fitting_workers(state, key, starving)
+    if key.spread:
+        return _least_used_rack(candidates, job)
+    best: WorkerState | None = None
+    best_score = 0.0
+    for seen, worker in enumerate(candidates, 1):
+        score = _score(worker, key.size)
+        if best is None or score < best_score:
+            best, best_score = worker, score
+        if seen == _CANDIDATES_MAX:
+            break
+    return best
+
+
+def open_probe(state: ShardState, key: BucketKey) -> WorkerState | None:
+    """Return a quarantined worker that is due for a probe by this task.
+
+    Urgent tasks, gangs and tasks that cannot be restarted are not used as probes.
+    """
+    if key.gang is not None or not key.restartable:
+        return None
+    for worker_id in state.quarantined:
+        worker = state.workers[worker_id]
+        if (
+            worker.schedulable
+            and worker.quarantined_until_unix_ms <= state.now_unix_ms
+            and worker.probe_task_id is None
+            and worker_id not in key.avoid
+            and worker.has_room(key.size)
+        ):
+            return worker
+    return None
+
+
+def _least_used_rack(
+    candidates: Iterator[WorkerState], job: JobState
+) -> WorkerState | None:
+    counts = job.rack_counts or {}
+    best: WorkerState | None = None
+    best_count = 0
+    for seen, worker in enumerate(candidates, 1):
+        count = counts.get(worker.rack, 0)
+        if best is None or count < best_count:
+            best, best_count = worker, count
+        if count == 0 or seen == _SPREAD_CANDIDATES_MAX:
+            break
+    return best
+
+
+def _score(worker: WorkerState, size: Resources) -> float:
+    """Return how unevenly a placement would leave cores and memory; less is better.
+
+    A worker whose last report shows it close to its capacity comes after all others.
+    """
+    capacity = worker.capacity
+    cores = (worker.free_cores_milli - size.cores_milli) / max(1, capacity.cores_milli)
+    memory = (worker.free_memory_bytes - size.memory_bytes) / max(
+        1, capacity.memory_bytes
+    )
+    uneven = abs(cores - memory) + 0.1 * (cores + memory)
+    return uneven + 10.0 if worker.hot else uneven
--- /dev/null
+++ b/basilhold/placement/shard_state.py
@@ -0,0 +1,390 @@
+"""Workers, live tasks and waiting jobs of one shard."""
+
+from collections import Counter
+
+from sortedcontainers import SortedList
+
+from basilhold.core import (
+    Assignment,
+    InvariantError,
+    JobId,
+    JobRecord,
+    Resources,
+    TaskId,
+    TeamName,
+    WorkerId,
+    WorkerRecord,
+    make_task_id,
+    split_task_id,
+)
+from basilhold.placement.estimates import ClassEstimates
+from basilhold.placement.gpu_guard import GpuGuard
+from basilhold.placement.plan import Placement
+from basilhold.placement.quotas import TeamLedger
+from basilhold.placement.waiting import JobState, WaitingQueue
+from basilhold.placement.worker_index import WorkerIndex
+from basilhold.placement.workers import LiveTask, WorkerState
+
+__all__ = ["ShardState"]
+
+
+class ShardState:
+    """Keeps the indexes consistent while workers, jobs and placements change.
+
+    Every method that changes a worker's free resources checks that they do not
+    become negative, and no task is ever live twice.
+    """
+
+    def __init__(self):
+        self.workers: dict[WorkerId, WorkerState] = {}
+        self.tasks: dict[TaskId, LiveTask] = {}
+        self.queue = WaitingQueue()
+        self.teams = TeamLedger()
+        self.estimates = ClassEstimates()
+        self.gpu_guard = GpuGuard()
+        self.free_index = WorkerIndex()
+        self.reclaim_index = WorkerIndex()
+        self.quarantined: set[WorkerId] = set()
+        self.newest: dict[TeamName, SortedList] = {}
+        self.shapes: Counter[Resources] = Counter()
+        self.releases = 0
+        self.now_unix_ms = 0
+        self._orphans: dict[JobId, dict[int, LiveTask]] = {}
+        self._unplaced_holds: dict[WorkerId, list[LiveTask]] = {}
+
+    def upsert_worker(self, record: WorkerRecord, schedulable: bool) -> None:
+        """Replace what is committed to a worker."""
+        worker = self.workers.get(record.worker_id)
+        if worker is None:
+            worker = self.workers[record.worker_id] = WorkerState(record)
+            self.shapes[record.capacity] += 1
+            for live in self._unplaced_holds.pop(record.worker_id, []):
+                if self.tasks.get(live.task_id) is live:
+                    self._attach(live, worker)
+        worker.rack = record.rack
+        worker.schedulable = schedulable
+        if worker.capacity != record.capacity:
+            worker.take(worker.capacity)
+            worker.give_back(record.capacity)
+            self._uncount_shape(worker.capacity)
+            self.shapes[record.capacity] += 1
+            worker.capacity = record.capacity
+        self._note_quarantine(worker, record.quarantined_until_unix_ms)
+        named = {assignment.task_id for assignment in record.assignments}
+        gone = [
+            live
+            for live in worker.tasks.values()
+            if not live.held and live.task_id not in named
+        ]
+        for live in gone:
+            self.release(live, requeued=True)
+        for assignment in record.assignments:
+            self._commit_assignment(worker, assignment)
+        self.releases += 1
+        self.reindex(worker)
+
+    def remove_worker(self, worker_id: WorkerId) -> None:
+        """Remove a worker and what is committed to it."""
+        worker = self.workers.pop(worker_id, None)
+        if worker is None:
+            return
+        self._uncount_shape(worker.capacity)
+        self.quarantined.discard(worker_id)
+        self.free_index.discard(worker_id)
+        self.reclaim_index.discard(worker_id)
+        for live in worker.tasks.values():
+            if live.held:
+                self._unplaced_holds.setdefault(worker_id, []).append(live)
+            else:
+                self._forget(live, requeued=True)
+        self.releases += 1
+
+    def upsert_job(self, record: JobRecord) -> None:
+        """Replace a job's record and link its live tasks."""
+        job_id = record.spec.job_id
+        job = self.queue.jobs.get(job_id)
+        if job is None:
+            job = self.queue.jobs[job_id] = JobState(record)
+            self.gpu_guard.observe(record.spec.task_resources)
+            for live in self._orphans.pop(job_id, {}).values():
+                self._link(live, job)
+        job.record = record
+        job.spec = record.spec
+        job.cancelled = record.cancel_requested
+        self.queue.mark(job_id)
+
+    def remove_job(self, job_id: JobId) -> None:
+        """Remove a job; its live tasks stay until their worker's record drops them."""
+        job = self.queue.remove(job_id)
+        if job is not None and job.live:
+            self._orphans[job_id] = dict(job.live)
+            for live in job.live.values():
+                self._recount(live)
+                self._reindex_of(live)
+
+    def hold(self, job: JobState, index: int, worker: WorkerState) -> Placement:
+        """Take a worker's resources for a task that is about to be committed."""
+        size = job.spec.task_resources
+        task_id = make_task_id(job.spec.job_id, index)
+        if task_id in self.tasks:
+            raise InvariantError(f"task {task_id} is planned twice")
+        attempt = job.record.tasks[index].attempt + 1
+        live = LiveTask(
+            task_id, index, attempt, worker.worker_id, size, self.now_unix_ms
+        )
+        live.held = True
+        self._attach(live, worker)
+        self._link(live, job)
+        if worker.quarantined_until_unix_ms:
+            worker.probe_task_id = task_id
+        if size.gpus_milli:
+            self.releases += 1
+        self.reindex(worker)
+        return Placement(task_id, attempt, worker.worker_id, size)
+
+    def confirm(self, placement: Placement) -> None:
+        """Count a held task as committed."""
+        live = self.tasks.get(placement.task_id)
+        if live is None or live.attempt != placement.attempt:
+            # The worker's record arrived first and already dropped the task again.
+            return
+        if live.worker_id != placement.worker_id:
+            raise InvariantError(f"task {live.task_id} is confirmed on another worker")
+        live.held = False
+        self._recount(live)
+        self._reindex_of(live)
+
+    def abandon(self, placement: Placement) -> None:
+        """Release a held task."""
+        live = self.tasks.get(placement.task_id)
+        if live is None or not live.held or live.attempt != placement.attempt:
+            return
+        self.release(live, requeued=False)
+        self._reindex_of(live)
+
+    def release(self, live: LiveTask, requeued: bool) -> None:
+        """Give a live task's resources back to its worker."""
+        worker = self.workers.get(live.worker_id)
+        live.finished = True
+        self._recount(live)
+        self._forget(live, requeued)
+        if worker is None:
+            return
+        del worker.tasks[live.task_id]
+        worker.give_back(live.size)
+        if worker.probe_task_id == live.task_id:
+            worker.probe_task_id = None
+        self.releases += 1
+
+    def mark_evicted(self, live: LiveTask, freeing: Resources) -> None:
+        """Record that a task was asked to give way and what that will free."""
+        live.evicted_unix_ms = max(1, self.now_unix_ms)
+        live.freeing = freeing
+        self._recount(live)
+        self._reindex_of(live)
+
+    def clear_evicted(self, live: LiveTask) -> None:
+        """Record that a task that was asked to give way is still there."""
+        live.evicted_unix_ms = 0
+        self._recount(live)
+        self._reindex_of(live)
+
+    def note_checkpoint(self, live: LiveTask, checkpoint_unix_ms: int) -> None:
+        """Record that work up to a time is safe."""
+        if live.newest_key is not None:
+            self._unlist_newest(live)
+        live.checkpoint_unix_ms = checkpoint_unix_ms
+        self._recount(live)
+
+    def mark_finished(self, live: LiveTask) -> None:
+        """Record that a task does not run any more; its row still names it."""
+        live.finished = True
+        self._recount(live)
+        self._reindex_of(live)
+
+    def reindex(self, worker: WorkerState) -> None:
+        """Bring both indexes up to date with a worker."""
+        if worker.is_overcommitted():
+            raise InvariantError(
+                f"worker {worker.worker_id} is committed beyond its capacity: "
+                f"free {worker.free()}"
+            )
+        if not worker.schedulable or worker.quarantined_until_unix_ms:
+            self.free_index.discard(worker.worker_id)
+            self.reclaim_index.discard(worker.worker_id)
+            return
+        cores, memory = worker.free_cores_milli, worker.free_memory_bytes
+        gpus = worker.free_gpus_milli
+        if worker.is_open():
+            self.free_index.put(worker, cores, memory, gpus)
+        else:
+            self.free_index.discard(worker.worker_id)
+        self.reclaim_index.put(
+            worker,
+            cores + worker.reclaimable_cores_milli,
+            memory + worker.reclaimable_memory_bytes,
+            gpus + worker.reclaimable_gpus_milli,
+        )
+
+    def wake_quarantined(self) -> None:
+        """Have blocked work look again at workers whose probe is due."""
+        for worker_id in self.quarantined:
+            worker = self.workers[worker_id]
+            due = worker.quarantined_until_unix_ms <= self.now_unix_ms
+            if due and worker.schedulable and worker.probe_task_id is None:
+                self.releases += 1
+                return
+
+    def update_gpu_wait(self) -> None:
+        """Note whether GPU work waits that some worker could run."""
+        waits = any(
+            self.could_run(bucket.key.size) for bucket in self.queue.gpu_buckets()
+        )
+        if waits != self.gpu_guard.gpu_work_waits:
+            self.gpu_guard.gpu_work_waits = waits
+            self.releases += 1
+
+    def could_run(self, size: Resources) -> bool:
+        """Return whether any worker could run a task of this size when empty."""
+        return any(size.fits_in(capacity) for capacity in self.shapes)
+
+    def _uncount_shape(self, capacity: Resources) -> None:
+        self.shapes[capacity] -= 1
+        if self.shapes[capacity] == 0:
+            del self.shapes[capacity]
+
+    def _note_quarantine(self, worker: WorkerState, until_unix_ms: int) -> None:
+        worker.quarantined_until_unix_ms = until_unix_ms
+        if until_unix_ms:
+            self.quarantined.add(worker.worker_id)
+        else:
+            self.quarantined.discard(worker.worker_id)
+            worker.probe_task_id = None
+
+    def _commit_assignment(self, worker: WorkerState, assignment: Assignment) -> None:
+        live = self.tasks.get(assignment.task_id)
+        if live is not None and live.worker_id != worker.worker_id:
+            raise InvariantError(
+                f"task {live.task_id} is on {live.worker_id} and {worker.worker_id}"
+            )
+        if live is not None and (
+            live.attempt != assignment.attempt or live.size != assignment.resources
+        ):
+            self._resize(live, worker, assignment)
+        elif live is not None:
+            live.held = False
+        else:
+            live = self._adopt(worker, assignment)
+        self._recount(live)
+
+    def _resize(
+        self, live: LiveTask, worker: WorkerState, assignment: Assignment
+    ) -> None:
+        """Take over a new attempt or a throttled size of a known task."""
+        team = live.job.spec.team if live.job is not None else None
+        live.held = True
+        self._recount(live)
+        worker.give_back(live.size)
+        worker.take(assignment.resources)
+        if team is not None:
+            self.teams.subtract(team, live.size)
+            self.teams.add(team, assignment.resources)
+        if live.attempt != assignment.attempt:
+            live.started_unix_ms = self.now_unix_ms
+            live.checkpoint_unix_ms = 0
+            live.finished = False
+        live.evicted_unix_ms = 0
+        live.throttled = False
+        live.attempt = assignment.attempt
+        live.size = assignment.resources
+        live.held = False
+
+    def _adopt(self, worker: WorkerState, assignment: Assignment) -> LiveTask:
+        job_id, index = split_task_id(assignment.task_id)
+        live = LiveTask(
+            assignment.task_id,
+            index,
+            assignment.attempt,
+            worker.worker_id,
+            assignment.resources,
+            self.now_unix_ms,
+        )
+        self._attach(live, worker)
+        job = self.queue.jobs.get(job_id)
+        if job is None:
+            self._orphans.setdefault(job_id, {})[index] = live
+        else:
+            self._link(live, job)
+            self.queue.mark(job_id)
+        return live
+
+    def _attach(self, live: LiveTask, worker: WorkerState) -> None:
+        self.tasks[live.task_id] = live
+        worker.tasks[live.task_id] = live
+        live.rack = worker.rack
+        worker.take(live.size)
+
+    def _link(self, live: LiveTask, job: JobState) -> None:
+        if live.job is not None:
+            self.teams.subtract(live.job.spec.team, live.size)
+        live.job = job
+        job.live[live.index] = live
+        self.teams.add(job.spec.team, live.size)
+        if job.is_service:
+            job.count_rack(live.rack, 1)
+        self._recount(live)
+
+    def _forget(self, live: LiveTask, requeued: bool) -> None:
+        del self.tasks[live.task_id]
+        if live.newest_key is not None:
+            self._unlist_newest(live)
+        job = live.job
+        orphans = self._orphans.get(split_task_id(live.task_id)[0])
+        if orphans is not None and orphans.get(live.index) is live:
+            del orphans[live.index]
+            if not orphans:
+                del self._orphans[split_task_id(live.task_id)[0]]
+        if job is None:
+            return
+        job.live.pop(live.index, None)
+        self.teams.subtract(job.spec.team, live.size)
+        if job.is_service:
+            job.count_rack(live.rack, -1)
+        live.job = None
+        if not job.removed:
+            if requeued:
+                job.note_requeued(live.index, self.now_unix_ms)
+            self.queue.mark(job.spec.job_id)
+
+    def _reindex_of(self, live: LiveTask) -> None:
+        worker = self.workers.get(live.worker_id)
+        if worker is not None:
+            self.reindex(worker)
+
+    def _recount(self, live: LiveTask) -> None:
+        """Bring the lists of tasks that may be reclaimed up to date."""
+        worker = self.workers.get(live.worker_id)
+        if worker is not None:
+            worker.count_reclaimable(live)
+        if live.reclaimable == (live.newest_key is not None):
+            return
+        if live.reclaimable:
+            self._list_newest(live)
+        else:
+            self._unlist_newest(live)
+
+    def _list_newest(self, live: LiveTask) -> None:
+        live.newest_team = live.job.spec.team
+        since = max(live.started_unix_ms, live.checkpoint_unix_ms)
+        live.newest_key = (-since, live.task_id)
+        tasks = self.newest.get(live.newest_team)
+        if tasks is None:
+            tasks = self.newest[live.newest_team] = SortedList()
+        tasks.add(live.newest_key)
+
+    def _unlist_newest(self, live: LiveTask) -> None:
+        tasks = self.newest[live.newest_team]
+        tasks.remove(live.newest_key)
+        live.newest_key = None
+        if not tasks:
+            del self.newest[live.newest_team]
--- /dev/null
+++ b/basilhold/placement/target_planner.py
@@ -0,0 +1,133 @@
+"""Planner that orders work by relative lateness."""
+
+from basilhold.core import (
+    JobId,
+    JobRecord,
+    Resources,
+    Team,
+    TeamName,
+    WorkerId,
+    WorkerRecord,
+)
+from basilhold.placement.claims import ClaimBook
+from basilhold.placement.explain import explain_job
+from basilhold.placement.gang_turns import GangTurns
+from basilhold.placement.overuse import OveruseWatch
+from basilhold.placement.plan import Explanation, Placement, Plan
+from basilhold.placement.planner import Planner
+from basilhold.placement.planning_pass import FitMemo, PlanningPass
+from basilhold.placement.shard_state import ShardState
+from basilhold.placement.workers import LiveTask
+from basilhold.ports import TaskReport
+
+__all__ = ["TargetPlanner"]
+
+
+class TargetPlanner(Planner):
+    """Places the tasks of one shard so that classes meet their target waits.
+
+    Work is ordered by the time waited divided by the target wait, teams within quota
+    first. Urgent work reclaims what it may, gangs start whole, and small work
+    backfills around the reservation of a gang.
+
+    Notes
+    -----
+    A ``THROTTLE`` eviction with ``for_task_id`` frees cores only once the worker's
+    record names the victim with `cores_limit_milli` as its cores. The record of a
+    quarantined worker carries the time of the next probe; from then on the planner
+    gives the worker one task at a time, until a record without quarantine arrives.
+    """
+
+    def __init__(self):
+        self._state = ShardState()
+        self._claims = ClaimBook(self._state)
+        self._gangs = GangTurns(self._state)
+        self._overuse = OveruseWatch(self._state)
+        self._memo = FitMemo()
+
+    def upsert_worker(self, record: WorkerRecord, schedulable: bool) -> None:
+        """Add a worker or replace what is known about it."""
+        self._state.upsert_worker(record, schedulable)
+
+    def remove_worker(self, worker_id: WorkerId) -> None:
+        """Remove a worker that holds no assignments any more."""
+        self._state.remove_worker(worker_id)
+
+    def upsert_job(self, record: JobRecord) -> None:
+        """Add a job or replace what is known about it."""
+        self._state.upsert_job(record)
+
+    def remove_job(self, job_id: JobId) -> None:
+        """Remove a job that is finished, cancelled or moved to another shard."""
+        self._state.remove_job(job_id)
+
+    def set_teams(
+        self, teams: tuple[Team, ...], used_elsewhere: dict[TeamName, Resources]
+    ) -> None:
+        """Replace the teams' quotas and their usage in other shards."""
+        self._state.teams.set_teams(teams, used_elsewhere)
+
+    def record_usage(
+        self, worker_id: WorkerId, reports: tuple[TaskReport, ...], now_unix_ms: int
+    ) -> None:
+        """Learn sizes and run times, and note tasks that outgrow their declaration."""
+        state = self._state
+        state.now_unix_ms = max(state.now_unix_ms, now_unix_ms)
+        worker = state.workers.get(worker_id)
+        if worker is None:
+            return
+        for report in reports:
+            live = worker.tasks.get(report.task_id)
+            if live is not None and not live.held and live.attempt == report.attempt:
+                self._record_report(live, report)
+        self._overuse.inspect(worker)
+
+    def plan(self, now_unix_ms: int, limit: int) -> Plan:
+        """Return up to `limit` placements, and the evictions that are needed.
+
+        A gang of more than `limit` tasks is planned alone and whole.
+        """
+        state = self._state
+        state.now_unix_ms = max(state.now_unix_ms, now_unix_ms)
+        state.queue.refresh()
+        state.wake_quarantined()
+        state.update_gpu_wait()
+        self._gangs.expire()
+        overuse = self._overuse.take_evictions()
+        run = PlanningPass(state, self._claims, self._gangs, self._memo, limit)
+        plan = run.run()
+        return Plan(plan.placements, (*overuse, *plan.evictions))
+
+    def confirm(self, placements: tuple[Placement, ...]) -> None:
+        """Turn planned placements into committed ones."""
+        for placement in placements:
+            self._state.confirm(placement)
+
+    def abandon(self, placements: tuple[Placement, ...]) -> None:
+        """Release planned placements; their tasks are pending again."""
+        for placement in placements:
+            self._state.abandon(placement)
+
+    def explain(self, job_id: JobId, now_unix_ms: int) -> Explanation:
+        """Return why a job's tasks wait."""
+        self._state.queue.refresh()
+        return explain_job(
+            self._state, self._claims, self._gangs.reservation, job_id, now_unix_ms
+        )
+
+    def _record_report(self, live: LiveTask, report: TaskReport) -> None:
+        state, job = self._state, live.job
+        age_ms = state.now_unix_ms - live.started_unix_ms
+        if report.checkpoint_unix_ms > live.checkpoint_unix_ms:
+            state.note_checkpoint(live, report.checkpoint_unix_ms)
+        if not report.running:
+            if not live.finished:
+                state.mark_finished(live)
+                if report.succeeded and job is not None:
+                    state.estimates.record_run(job.spec, age_ms)
+            return
+        live.used = report.used
+        if job is not None:
+            state.estimates.record_use(
+                job.spec.class_name, job.spec.task_resources, report.used, age_ms
+            )
--- /dev/null
+++ b/basilhold/placement/tests/test_target_planner.py
@@ -0,0 +1,266 @@
+import unittest
+
+from basilhold.core import ClassKind, InvariantError, Resources, TaskState, Team
+from basilhold.placement.tests.builders import Shard, job, placed, size
+
+VM = size(32, 128)
+GPU_VM = size(64, 256, 8)
+MINUTE_MS = 60_000
+
+
+class OrderTest(unittest.TestCase):
+    """Guards against work that waits although its class's target is closer."""
+
+    def test_relative_lateness_decides_and_not_arrival(self):
+        shard = Shard(("w1", size(1, 4), "r1"))
+        shard.submit(job("slow", size(1), target_ms=3600_000, submitted=0))
+        shard.submit(job("quick", size(1), target_ms=20_000, submitted=30_000))
+        self.assertEqual(placed(shard.plan(40_000)), {"quick#0": "w1"})
+
+    def test_task_that_fits_nowhere_does_not_block_smaller_ones(self):
+        shard = Shard(("w1", size(4, 16), "r1"))
+        shard.submit(job("first", size(3)))
+        shard.plan(0)
+        shard.submit(job("large", size(3), submitted=1))
+        shard.submit(job("small", size(1), submitted=2))
+        self.assertEqual(placed(shard.plan(10)), {"small#0": "w1"})
+
+    def test_first_come_first_served_within_class_and_team(self):
+        shard = Shard(("w1", size(1, 4), "r1"))
+        shard.submit(job("later", size(1), submitted=20))
+        shard.submit(job("sooner", size(1), submitted=10))
+        self.assertEqual(placed(shard.plan(30)), {"sooner#0": "w1"})
+
+
+class QuotaTest(unittest.TestCase):
+    """Guards against a team that takes what another team's quota promises."""
+
+    def shard_with_two_teams(self) -> Shard:
+        shard = Shard(("w1", size(4, 16), "r1"))
+        quota = size(2, 8)
+        teams = (Team("greedy", quota), Team("modest", quota))
+        shard.planner.set_teams(teams, {})
+        return shard
+
+    def test_team_above_quota_comes_after_team_within(self):
+        shard = self.shard_with_two_teams()
+        shard.submit(job("g", size(1), tasks=4, team="greedy", submitted=0))
+        shard.submit(job("m", size(1), tasks=2, team="modest", submitted=30_000))
+        tasks = sorted(placed(shard.plan(MINUTE_MS)))
+        self.assertEqual(tasks, ["g#0", "g#1", "m#0", "m#1"])
+
+    def test_idle_quota_is_borrowed(self):
+        shard = self.shard_with_two_teams()
+        shard.submit(job("g", size(1), tasks=4, team="greedy"))
+        self.assertEqual(len(shard.plan(0).placements), 4)
+
+    def test_starving_team_above_quota_is_ordered_with_the_others(self):
+        shard = self.shard_with_two_teams()
+        shard.submit(job("g", size(1), tasks=4, team="greedy", submitted=0))
+        late = int(MINUTE_MS * 4.5)
+        shard.submit(job("m", size(1), tasks=2, team="modest", submitted=late))
+        tasks = sorted(placed(shard.plan(late + 1)))
+        self.assertEqual(tasks, ["g#0", "g#1", "g#2", "g#3"])
+
+    def test_usage_in_other_shards_counts(self):
+        shard = self.shard_with_two_teams()
+        teams = (Team("greedy", size(2, 8)), Team("modest", size(4, 16)))
+        shard.planner.set_teams(teams, {"greedy": size(2, 2)})
+        shard.submit(job("g", size(1), tasks=4, team="greedy", submitted=0))
+        shard.submit(job("m", size(1), tasks=4, team="modest", submitted=30_000))
+        tasks = placed(shard.plan(MINUTE_MS))
+        self.assertEqual(sorted(tasks), ["m#0", "m#1", "m#2", "m#3"])
+
+
+class GangTest(unittest.TestCase):
+    """Guards against gangs that start in part, and against idle reserved workers."""
+
+    def test_gang_starts_whole_or_not_at_all(self):
+        shard = Shard(("w1", size(2), "r1"), ("w2", size(2), "r1"))
+        shard.submit(job("gang", size(1, 0.1), tasks=5, kind=ClassKind.GANG))
+        self.assertEqual(shard.plan(0).placements, ())
+        shard.submit(job("fits", size(1, 0.1), tasks=4, kind=ClassKind.GANG))
+        plan = shard.plan(1)
+        self.assertEqual(len(plan.placements), 4)
+        self.assertEqual({t.split("#")[0] for t in placed(plan)}, {"fits"})
+
+    def test_gang_keeps_to_one_rack_that_holds_it(self):
+        workers = [(f"w{i}", size(2, 8), f"r{i // 2}") for i in range(6)]
+        shard = Shard(*workers)
+        shard.submit(job("one", size(2), tasks=1))
+        shard.plan(0)
+        shard.submit(job("gang", size(2), tasks=2, kind=ClassKind.GANG))
+        racks = {
+            dict((w[0], w[2]) for w in workers)[w]
+            for w in placed(shard.plan(1)).values()
+        }
+        self.assertEqual(len(racks), 1)
+
+    def reserved_shard(self) -> Shard:
+        """Return a shard whose gang waits for a task that ends at 100 s."""
+        shard = Shard(("w1", size(4, 16), "r1"), ("w2", size(4, 16), "r1"))
+        shard.submit(job("long", size(2), run_time_ms=100_000))
+        shard.plan(0)
+        shard.submit(job("gang", size(4), tasks=2, kind=ClassKind.GANG))
+        self.assertEqual(shard.plan(1).placements, ())
+        return shard
+
+    def test_short_work_backfills_and_long_work_does_not(self):
+        shard = self.reserved_shard()
+        shard.submit(job("short", size(1), run_time_ms=50_000, submitted=2))
+        shard.submit(job("endless", size(1), run_time_ms=0, submitted=2))
+        shard.submit(job("too-long", size(1), run_time_ms=500_000, submitted=2))
+        self.assertEqual(set(placed(shard.plan(3))), {"short#0"})
+
+    def test_gang_starts_when_its_reservation_is_free(self):
+        shard = self.reserved_shard()
+        shard.end("long#0")
+        self.assertEqual(len(shard.plan(99_000).placements), 2)
+
+    def test_overdue_reservation_is_dropped_and_another_gang_gets_the_turn(self):
+        shard = self.reserved_shard()
+        other = job("other", size(2), tasks=3, kind=ClassKind.GANG, submitted=2)
+        shard.submit(other)
+        self.assertEqual(shard.plan(3).placements, ())
+        overdue = 100_000 + MINUTE_MS + 10
+        self.assertEqual(len(shard.plan(overdue).placements), 3)
+
+    def test_second_gang_without_reservation_does_not_hold_workers(self):
+        shard = self.reserved_shard()
+        shard.submit(job("other", size(4), tasks=2, kind=ClassKind.GANG, submitted=2))
+        shard.plan(3)
+        held = shard.planner.explain("gang", 3).reason
+        other = shard.planner.explain("other", 3).reason
+        self.assertIn("holds a reservation", held)
+        self.assertNotIn("holds a reservation", other)
+
+
+class SpreadTest(unittest.TestCase):
+    """Guards against a service that one rack's failure stops."""
+
+    def test_service_tasks_are_spread_over_racks(self):
+        shard = Shard(*((f"w{i}", VM, f"r{i // 5}") for i in range(20)))
+        shard.submit(job("quote", size(1), tasks=8, kind=ClassKind.SERVICE))
+        racks: dict[int, int] = {}
+        for worker in placed(shard.plan(0)).values():
+            rack = int(worker[1:]) // 5
+            racks[rack] = racks.get(rack, 0) + 1
+        self.assertEqual(racks, {0: 2, 1: 2, 2: 2, 3: 2})
+
+
+class GpuTest(unittest.TestCase):
+    """Guards against GPU workers that are full of work that needs no GPU."""
+
+    def test_fractional_gpus_share_one_worker(self):
+        shard = Shard(("g1", GPU_VM, "r1"))
+        shard.submit(job("half", size(1, 1, 0.5), tasks=17))
+        self.assertEqual(len(shard.plan(0).placements), 16)
+
+    def test_work_without_gpus_stays_off_while_gpu_work_waits(self):
+        shard = Shard(("g1", GPU_VM, "r1"))
+        shard.submit(job("train", size(8, 32, 8)))
+        shard.plan(0)
+        shard.submit(job("train-2", size(8, 32, 8)))
+        shard.submit(job("cpu", size(1), submitted=1))
+        self.assertEqual(shard.plan(2).placements, ())
+        self.assertIn(
+            "kept for GPU work", shard.planner.explain("cpu", 2).lacking_workers
+        )
+
+    def test_free_gpus_keep_the_cores_that_gpu_work_declares(self):
+        shard = Shard(("g1", GPU_VM, "r1"))
+        shard.submit(job("train", size(4, 16, 1), tasks=4))
+        shard.plan(0)
+        shard.submit(job("cpu", size(1, 1), tasks=64))
+        # 64 cores minus 16 in use minus 4 free GPUs times 4 cores.
+        self.assertEqual(len(shard.plan(1).placements), 32)
+        shard.submit(job("more", size(4, 16, 1), tasks=4))
+        self.assertEqual(len(shard.plan(2).placements), 4)
+
+
+class OwnerCallsTest(unittest.TestCase):
+    """Guards against resources or tasks that are lost between plan and commit."""
+
+    def test_abandoned_placements_are_planned_again(self):
+        shard = Shard(("w1", size(2, 8), "r1"))
+        shard.submit(job("a", size(1), tasks=2))
+        plan = shard.planner.plan(0, 10)
+        self.assertEqual(shard.planner.plan(0, 10).placements, ())
+        shard.planner.abandon(plan.placements)
+        self.assertEqual(len(shard.planner.plan(0, 10).placements), 2)
+
+    def test_takeover_with_workers_before_jobs_plans_nothing_twice(self):
+        shard = Shard(("w1", size(4, 16), "r1"))
+        shard.commit("w1", "a#0", size(1))
+        shard.submit(job("a", size(1), tasks=2))
+        self.assertEqual(set(placed(shard.plan(0))), {"a#1"})
+
+    def test_hold_survives_a_record_that_does_not_name_it_yet(self):
+        shard = Shard(("w1", size(2, 8), "r1"))
+        shard.submit(job("a", size(2)))
+        plan = shard.planner.plan(0, 10)
+        shard.planner.upsert_worker(shard.rows["w1"], True)
+        shard.submit(job("b", size(1)))
+        self.assertEqual(shard.planner.plan(1, 10).placements, ())
+        shard.planner.confirm(plan.placements)
+
+    def test_record_beyond_capacity_is_a_broken_invariant(self):
+        shard = Shard(("w1", size(2, 8), "r1"))
+        with self.assertRaises(InvariantError):
+            shard.commit("w1", "a#0", size(3))
+
+    def test_task_on_two_workers_is_a_broken_invariant(self):
+        shard = Shard(("w1", size(2, 8), "r1"), ("w2", size(2, 8), "r1"))
+        shard.commit("w1", "a#0", size(1))
+        with self.assertRaises(InvariantError):
+            shard.commit("w2", "a#0", size(1))
+
+    def test_lost_task_is_queued_again(self):
+        shard = Shard(("w1", size(2, 8), "r1"))
+        shard.submit(job("a", size(1)))
+        shard.plan(0)
+        shard.end("a#0", TaskState.PENDING)
+        plan = shard.plan(5)
+        self.assertEqual([p.attempt for p in plan.placements], [2])
+
+    def test_cancelled_jobs_leave_the_queue(self):
+        shard = Shard(("w1", size(2, 8), "r1"))
+        for number in range(2000):
+            shard.submit(job(f"j{number}", size(1)))
+        for number in range(1999):
+            shard.planner.remove_job(f"j{number}")
+        self.assertEqual(set(placed(shard.plan(1))), {"j1999#0"})
+
+    def test_unschedulable_worker_gets_nothing(self):
+        shard = Shard(("w1", size(2, 8), "r1"))
+        shard.planner.upsert_worker(shard.rows["w1"], False)
+        shard.submit(job("a", size(1)))
+        self.assertEqual(shard.plan(0).placements, ())
+
+    def test_probe_of_a_quarantined_worker_gets_one_task(self):
+        shard = Shard(("w1", size(8, 32), "r1"))
+        shard.rows["w1"].quarantined_until_unix_ms = 30_000
+        shard.planner.upsert_worker(shard.rows["w1"], True)
+        shard.submit(job("a", size(1), tasks=3))
+        self.assertEqual(shard.plan(29_000).placements, ())
+        self.assertEqual(len(shard.plan(30_000).placements), 1)
+        self.assertEqual(shard.plan(31_000).placements, ())
+
+
+class ExplainTest(unittest.TestCase):
+    """Guards against a waiting job without a reason."""
+
+    def test_lacking_resources_are_counted_by_worker(self):
+        shard = Shard(("w1", size(2, 64), "r1"), ("w2", size(8, 2), "r1"))
+        shard.submit(job("a", size(4, 4)))
+        shard.plan(0)
+        explanation = shard.planner.explain("a", 1)
+        self.assertEqual(explanation.lacking_workers, {"cores": 1, "memory": 1})
+        self.assertIn("no worker of the shard could run", explanation.reason)
+
+    def test_team_above_quota_is_named(self):
+        shard = Shard(("w1", size(2, 64), "r1"))
+        shard.planner.set_teams((Team("quotes", Resources(1000, 1 << 30)),), {})
+        shard.submit(job("a", size(1), tasks=3))
+        shard.plan(0)
+        self.assertIn("above its quota", shard.planner.explain("a", 1).reason)
