--- a/basilhold/placement/__init__.py
+++ b/basilhold/placement/__init__.py
@@ -1,6 +1,16 @@
 """Decides which task runs on which worker. Performs no I/O."""
 
+from basilhold.placement.admission import (
+    GANG_TASKS_MAX,
+    Rejection,
+    RejectionKind,
+    WorkerShape,
+    check_admission,
+    split_over_zones,
+)
+from basilhold.placement.estimates import ClassEstimates, DecayingQuantile
 from basilhold.placement.first_fit import FirstFitPlanner
+from basilhold.placement.health import AttemptOutcome, HealthVerdict, WorkerHealth
 from basilhold.placement.plan import (
     Eviction,
     EvictionAction,
@@ -13,13 +23,24 @@
 from basilhold.placement.target_planner import TargetPlanner
 
 __all__ = [
+    "GANG_TASKS_MAX",
+    "AttemptOutcome",
+    "ClassEstimates",
+    "DecayingQuantile",
     "Eviction",
     "EvictionAction",
     "Explanation",
     "FirstFitPlanner",
+    "HealthVerdict",
     "Placement",
     "Plan",
     "Planner",
     "RandomFitPlanner",
+    "Rejection",
+    "RejectionKind",
     "TargetPlanner",
+    "WorkerHealth",
+    "WorkerShape",
+    "check_admission",
+    "split_over_zones",
 ]
--- /dev/null
+++ b/basilhold/placement/admission.py
@@ -0,0 +1,165 @@
+"""Checks a job at submission, and splits services over zones."""
+
+from collections.abc import Mapping
+from enum import Enum
+
+import msgspec
+from expression import Error, Ok, Result
+
+from basilhold.core import (
+    ClassKind,
+    ClassName,
+    JobSpec,
+    Resources,
+    Team,
+    WorkClass,
+    ZoneName,
+)
+from basilhold.placement.gangs import slots_of
+
+__all__ = [
+    "GANG_TASKS_MAX",
+    "Rejection",
+    "RejectionKind",
+    "WorkerShape",
+    "check_admission",
+    "split_over_zones",
+]
+
+GANG_TASKS_MAX = 200
+"""A gang is committed in one transaction, which holds at most 200 placements."""
+
+_QUEUED_TASKS_MAX = 10_000
+"""Bound for a team that the configuration does not name."""
+
+
+class WorkerShape(msgspec.Struct, frozen=True):
+    """Workers of one capacity in one zone, from the VM list."""
+
+    zone: ZoneName
+    capacity: Resources
+    count: int = 1
+
+
+class RejectionKind(Enum):
+    """Why a job is refused."""
+
+    UNKNOWN_CLASS = "unknown-class"
+    INVALID = "invalid"
+    TASK_TOO_LARGE = "task-too-large"
+    GANG_TOO_LARGE = "gang-too-large"
+    QUEUE_FULL = "queue-full"
+
+
+class Rejection(msgspec.Struct, frozen=True):
+    """A refused job. Nothing of it was run or stored."""
+
+    kind: RejectionKind
+    reason: str
+
+
+def check_admission(
+    spec: JobSpec,
+    shapes: tuple[WorkerShape, ...],
+    classes: Mapping[ClassName, WorkClass],
+    team: Team | None,
+    queued_tasks: int,
+) -> Result[None, Rejection]:
+    """Return whether a job may wait, or why it never should.
+
+    Parameters
+    ----------
+    spec : JobSpec
+    shapes : tuple of WorkerShape
+        All live workers, in every zone.
+    classes : mapping of ClassName to WorkClass
+    team : Team, optional
+        The job's team, if the configuration names it.
+    queued_tasks : int
+        Number of the team's tasks that wait.
+    """
+    size = spec.task_resources
+    if spec.class_name not in classes:
+        return _reject(RejectionKind.UNKNOWN_CLASS, f"no class {spec.class_name}")
+    if classes[spec.class_name].kind is ClassKind.REQUEST:
+        return _reject(
+            RejectionKind.INVALID,
+            f"class {spec.class_name} is for requests and not for jobs",
+        )
+    if spec.task_count < 1 or size.is_negative() or size == Resources():
+        return _reject(
+            RejectionKind.INVALID, "a job needs at least one task of a positive size"
+        )
+    if not any(size.fits_in(shape.capacity) for shape in shapes):
+        return _reject(RejectionKind.TASK_TOO_LARGE, _too_large(size, shapes))
+    if spec.kind is ClassKind.GANG:
+        largest = min(GANG_TASKS_MAX, largest_gang(size, shapes))
+        if spec.task_count > largest:
+            return _reject(
+                RejectionKind.GANG_TOO_LARGE,
+                f"a gang of {spec.task_count} such tasks is larger than the "
+                f"{largest} that start together in any zone",
+            )
+    bound = team.queued_tasks_max if team is not None else _QUEUED_TASKS_MAX
+    if queued_tasks + spec.task_count > bound:
+        return _reject(
+            RejectionKind.QUEUE_FULL,
+            f"team {spec.team} has {queued_tasks} waiting tasks of at most {bound}",
+        )
+    return Ok(None)
+
+
+def largest_gang(size: Resources, shapes: tuple[WorkerShape, ...]) -> int:
+    """Return how many tasks of a size the largest zone runs when it is empty."""
+    by_zone: dict[ZoneName, int] = {}
+    for shape in shapes:
+        slots = slots_of(shape.capacity, size) * shape.count
+        by_zone[shape.zone] = by_zone.get(shape.zone, 0) + slots
+    return max(by_zone.values(), default=0)
+
+
+def split_over_zones(
+    task_count: int, slots_by_zone: Mapping[ZoneName, int]
+) -> dict[ZoneName, int]:
+    """Return how many tasks of a service each zone gets.
+
+    Tasks are spread evenly; a zone without enough free slots passes the rest on to
+    the others, and what fits nowhere now is spread evenly again.
+
+    Examples
+    --------
+    >>> split_over_zones(5, {"plovdiv": 10, "haskovo": 1, "ruse": 10})
+    {'plovdiv': 2, 'haskovo': 1, 'ruse': 2}
+    """
+    shares = dict.fromkeys(slots_by_zone, 0)
+    for _ in range(task_count):
+        open_zones = [z for z in shares if shares[z] < slots_by_zone[z]] or list(shares)
+        shares[min(open_zones, key=shares.__getitem__)] += 1
+    return {zone: share for zone, share in shares.items() if share}
+
+
+def _reject(kind: RejectionKind, reason: str) -> Result[None, Rejection]:
+    return Error(Rejection(kind, reason))
+
+
+def _too_large(size: Resources, shapes: tuple[WorkerShape, ...]) -> str:
+    if not shapes:
+        return "the VM list names no worker"
+    limits = (
+        ("cores", size.cores_milli, max(s.capacity.cores_milli for s in shapes), 1000),
+        ("GPUs", size.gpus_milli, max(s.capacity.gpus_milli for s in shapes), 1000),
+        (
+            "GiB of memory",
+            size.memory_bytes,
+            max(s.capacity.memory_bytes for s in shapes),
+            1 << 30,
+        ),
+    )
+    over = [
+        f"{need / unit:g} {name} (largest worker: {most / unit:g})"
+        for name, need, most, unit in limits
+        if need > most
+    ]
+    if not over:
+        return "no single worker has the cores, memory and GPUs of a task together"
+    return f"a task needs {', '.join(over)}"
