--- a/basilhold/settings/__init__.py
+++ b/basilhold/settings/__init__.py
@@ -1,3 +1,52 @@
-"""Settings files."""
+"""Settings of the programs: TOML files that are checked when they are read."""
 
-__all__: list[str] = []
+from basilhold.settings.checks import is_loopback
+from basilhold.settings.errors import EXIT_SETTINGS, SettingsError
+from basilhold.settings.load import (
+    ProcessSettings,
+    Program,
+    load_process_settings,
+    load_settings,
+    parse_settings,
+    read_settings_or_exit,
+)
+from basilhold.settings.model import (
+    EntryVm,
+    Latency,
+    Limits,
+    LocalCell,
+    Operator,
+    Platform,
+    Region,
+    Service,
+    Settings,
+    Timeouts,
+    Tls,
+    WorkerShape,
+    Zone,
+)
+
+__all__ = [
+    "EXIT_SETTINGS",
+    "EntryVm",
+    "Latency",
+    "Limits",
+    "LocalCell",
+    "Operator",
+    "Platform",
+    "ProcessSettings",
+    "Program",
+    "Region",
+    "Service",
+    "Settings",
+    "SettingsError",
+    "Timeouts",
+    "Tls",
+    "WorkerShape",
+    "Zone",
+    "is_loopback",
+    "load_process_settings",
+    "load_settings",
+    "parse_settings",
+    "read_settings_or_exit",
+]
