--- a/basilhold/gateway/__init__.py
+++ b/basilhold/gateway/__init__.py
@@ -1,3 +1,32 @@
 """HTTP front end for callers and operators."""
 
-__all__: list[str] = []
+from basilhold.gateway.answers import CallerSink
+from basilhold.gateway.counters import Count, RequestCounters
+from basilhold.gateway.drain import Drain, DrainEnd, DrainReport
+from basilhold.gateway.handlers import (
+    FrontEnd,
+    StaticCallers,
+    make_application,
+    request_routes,
+)
+from basilhold.gateway.once import OnceKeeper, OnceLimits
+from basilhold.gateway.server import GatewayServer
+from basilhold.gateway.service import RequestService, ServiceParts
+
+__all__ = [
+    "CallerSink",
+    "Count",
+    "Drain",
+    "DrainEnd",
+    "DrainReport",
+    "FrontEnd",
+    "GatewayServer",
+    "OnceKeeper",
+    "OnceLimits",
+    "RequestCounters",
+    "RequestService",
+    "ServiceParts",
+    "StaticCallers",
+    "make_application",
+    "request_routes",
+]
--- /dev/null
+++ b/basilhold/gateway/dispatch.py
@@ -0,0 +1,251 @@
+"""Hands slots to waiting requests."""
+
+import asyncio
+import math
+from collections import Counter
+from collections.abc import Callable
+
+import msgspec
+
+from basilhold.core import Clock, ServiceName, UpstreamId, ZoneName
+from basilhold.gateway.counters import Count, RequestCounters
+from basilhold.requests import (
+    Distance,
+    ProblemKind,
+    QueuedRequest,
+    QueueLimits,
+    RequestQueue,
+    Router,
+    ServiceTimes,
+    SlotHolder,
+    SlotToken,
+    Upstream,
+)
+
+__all__ = ["Dispatcher", "Granted"]
+
+TICK_MS = 10
+"""How often waiting requests are checked for expiry and for recovered upstreams."""
+
+RETRY_AFTER_S_MAX = 30
+
+
+class Granted(msgspec.Struct, frozen=True):
+    """A slot for one request."""
+
+    upstream: Upstream
+    token: SlotToken
+
+
+class Dispatcher:
+    """Queues of one gateway and the slots that they wait for.
+
+    Parameters
+    ----------
+    clock : Clock
+    router : Router
+    holder : SlotHolder
+    times : ServiceTimes
+    limits : QueueLimits
+    counters : RequestCounters
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        router: Router,
+        holder: SlotHolder,
+        times: ServiceTimes,
+        limits: QueueLimits,
+        counters: RequestCounters,
+    ):
+        self._clock = clock
+        self._router = router
+        self._holder = holder
+        self._times = times
+        self._limits = limits
+        self._counters = counters
+        self._queues: dict[ServiceName, RequestQueue] = {}
+        self._home_slot_counts: Counter[ServiceName] = Counter()
+        self._counted: Counter[UpstreamId] = Counter()
+        self._tick: asyncio.TimerHandle | None = None
+        self.on_shortage: Callable[[], None] = lambda: None
+        holder.on_change = self._slots_of_upstream_changed
+
+    def refusal(
+        self, service: ServiceName, queued: QueuedRequest
+    ) -> ProblemKind | None:
+        """Return why a request can't be queued, or ``None``."""
+        queue = self._queue(service)
+        return queue.refusal(
+            queued,
+            self._clock.monotonic_ms(),
+            self._expected_wait_ms(service),
+            self._times.class_ms(service, queued.class_name),
+        )
+
+    async def wait(
+        self, service: ServiceName, queued: QueuedRequest
+    ) -> Granted | ProblemKind:
+        """Wait for a slot, or for the reason why there will be none in time."""
+        queue = self._queue(service)
+        future: asyncio.Future[Granted | ProblemKind]
+        future = asyncio.get_running_loop().create_future()
+        queued.ticket = future
+        queue.add(queued, self._clock.monotonic_ms())
+        self._dispatch(service)
+        if not future.done():
+            self.on_shortage()
+            self._start_tick()
+        try:
+            return await future
+        except asyncio.CancelledError:
+            if not queue.remove(queued) and not future.cancelled():
+                granted = future.result()
+                if isinstance(granted, Granted):
+                    self.give_back(service, queued, granted)
+            raise
+
+    def give_back(
+        self, service: ServiceName, queued: QueuedRequest, granted: Granted
+    ) -> None:
+        """Free a slot after its request has ended."""
+        granted.upstream.in_flight -= 1
+        self._queue(service).ended(queued.team)
+        self._holder.release(granted.token)
+        self._dispatch(service)
+
+    def dispatch_all(self) -> None:
+        """Hand out slots of all services."""
+        for service in self._queues:
+            self._dispatch(service)
+
+    def demand(self, zone: ZoneName) -> tuple[tuple[ServiceName, int], ...]:
+        """Return how many waiting requests could use slots of a zone, by service."""
+        found = []
+        for service, queue in self._queues.items():
+            waiting = len(queue)
+            distance = self._router.distance_of(service, zone)
+            if not waiting or distance is None:
+                continue
+            if distance is Distance.OTHER_REGION:
+                waiting = self._late_count(service, queue)
+            zones = self._router.zone_count(service, distance)
+            if waiting:
+                found.append((service, math.ceil(waiting / zones)))
+        return tuple(found)
+
+    def retry_after_s(self, service: ServiceName) -> int:
+        """Return after how many seconds a refused request can be tried again."""
+        wait_s = math.ceil(self._expected_wait_ms(service) / 1000)
+        return max(1, min(RETRY_AFTER_S_MAX, wait_s))
+
+    def _queue(self, service: ServiceName) -> RequestQueue:
+        queue = self._queues.get(service)
+        if queue is None:
+            queue = self._queues[service] = RequestQueue(self._limits)
+        return queue
+
+    def _home_slots(self, service: ServiceName) -> int:
+        return self._home_slot_counts[service]
+
+    def _expected_wait_ms(self, service: ServiceName) -> float:
+        waiting = len(self._queue(service))
+        slots = self._home_slots(service)
+        if not waiting or not slots:
+            return 0.0
+        return waiting * self._times.service_ms(service) / slots
+
+    def _late_count(self, service: ServiceName, queue: RequestQueue) -> int:
+        """Return how many waiting requests would miss their target in this region."""
+        slots = self._home_slots(service)
+        if not slots:
+            return len(queue)
+        slot_ms = self._times.service_ms(service) / slots
+        now_ms = self._clock.monotonic_ms()
+        waiting = sorted(queue, key=lambda queued: -queued.ratio(now_ms))
+        return sum(
+            now_ms + (position + 1) * slot_ms > queued.arrived_ms + queued.target_ms
+            for position, queued in enumerate(waiting)
+        )
+
+    def _farthest(self, service: ServiceName, head: QueuedRequest) -> Distance:
+        slots = self._home_slots(service)
+        slot_ms = self._times.service_ms(service) / slots if slots else math.inf
+        due_ms = head.arrived_ms + head.target_ms
+        if self._clock.monotonic_ms() + slot_ms > due_ms:
+            return Distance.OTHER_REGION
+        return Distance.SAME_REGION
+
+    def _dispatch(self, service: ServiceName) -> None:
+        queue = self._queue(service)
+        while len(queue):
+            if not self._router.has_usable(service):
+                return
+            for head in queue.heads(self._clock.monotonic_ms()):
+                granted = self._grant(service, head)
+                if granted is not None:
+                    break
+            else:
+                return
+            queue.remove(head)
+            queue.started(head.team)
+            granted.upstream.in_flight += 1
+            granted.upstream.health.started()
+            head.ticket.set_result(granted)
+
+    def _grant(self, service: ServiceName, head: QueuedRequest) -> Granted | None:
+        upstream = self._router.choose(
+            service,
+            self._clock.monotonic_ms(),
+            self._farthest(service, head),
+            head.excluded,
+        )
+        if upstream is None:
+            return None
+        token = self._holder.acquire(upstream.upstream_id, self._clock.unix_ms())
+        return None if token is None else Granted(upstream, token)
+
+    def upstreams_changed(self) -> None:
+        """Match the held slots with a new list of upstreams."""
+        self._home_slot_counts.clear()
+        self._counted.clear()
+        for upstream_id in self._holder.upstream_ids():
+            self._slots_of_upstream_changed(upstream_id)
+        self.dispatch_all()
+
+    def _slots_of_upstream_changed(self, upstream_id: UpstreamId) -> None:
+        self._router.set_idle(upstream_id, self._holder.idle_count(upstream_id))
+        upstream = self._router.find(upstream_id)
+        if upstream is None or upstream.distance is Distance.OTHER_REGION:
+            return
+        held = self._holder.held_count(upstream_id)
+        change = held - self._counted[upstream_id]
+        self._counted[upstream_id] = held
+        self._home_slot_counts[upstream.service] += change
+
+    def _start_tick(self) -> None:
+        if self._tick is None:
+            loop = asyncio.get_running_loop()
+            self._tick = loop.call_later(TICK_MS / 1000, self._run_tick)
+
+    def _run_tick(self) -> None:
+        self._tick = None
+        now_ms = self._clock.monotonic_ms()
+        waiting = 0
+        for service, queue in self._queues.items():
+            self._dispatch(service)
+            for queued, kind in queue.expired(now_ms, self._times.service_ms(service)):
+                queue.remove(queued)
+                queued.ticket.set_result(kind)
+            waiting += len(queue)
+        if waiting:
+            self.on_shortage()
+            self._start_tick()
+
+    def count_attempt(self, upstream: Upstream, size_bytes: int) -> None:
+        """Count an attempt, and its bytes if they cross between regions."""
+        self._counters.counts[Count.ATTEMPTS] += 1
+        if upstream.distance is Distance.OTHER_REGION:
+            self._counters.counts[Count.OTHER_REGION_ATTEMPTS] += 1
+            self._counters.counts[Count.OTHER_REGION_BYTES] += size_bytes
--- /dev/null
+++ b/basilhold/gateway/service.py
@@ -0,0 +1,455 @@
+"""Takes a caller's request through queue, record, slot and upstream."""
+
+import asyncio
+import random
+from collections.abc import Callable, Iterable
+
+import msgspec
+
+from basilhold.core import (
+    ClassKind,
+    Clock,
+    RestartPolicy,
+    ServiceName,
+    UpstreamId,
+    WorkClass,
+    ZoneName,
+)
+from basilhold.gateway.answers import AnswerRecorder, AttemptSink, CallerSink
+from basilhold.gateway.attempts import Attempt, AttemptEnd, AttemptRunner
+from basilhold.gateway.counters import Count, RequestCounters
+from basilhold.gateway.dispatch import Dispatcher
+from basilhold.gateway.once import OnceKeeper, OnceTicket, Replay
+from basilhold.gateway.replay import play_back
+from basilhold.ports import UpstreamClient, VmRecord
+from basilhold.requests import (
+    CallerRequest,
+    ClassDirectory,
+    GatewayIdentity,
+    Outcome,
+    Problem,
+    ProblemKind,
+    QueuedRequest,
+    QueueLimits,
+    RequestEnd,
+    RetryBudget,
+    Router,
+    ServiceTimes,
+    SlotHolder,
+    make_request_key,
+)
+from basilhold.requests.once import fingerprint, may_send
+
+__all__ = ["RequestService", "ServiceParts"]
+
+IDEMPOTENCY_KEY_LENGTH_MAX = 200
+ATTEMPTS_MAX = 3
+SEND_LEAD_MS = 20
+"""Nothing is sent when less than this is left until the deadline."""
+
+
+class ServiceParts(msgspec.Struct):
+    """What a `RequestService` is made of.
+
+    Parameters
+    ----------
+    identity : GatewayIdentity
+    clock : Clock
+    classes : ClassDirectory
+    router : Router
+    holder : SlotHolder
+    client : UpstreamClient
+    once : OnceKeeper
+    rng : random.Random
+    counters : RequestCounters
+    queue_limits : QueueLimits
+    """
+
+    identity: GatewayIdentity
+    clock: Clock
+    classes: ClassDirectory
+    router: Router
+    holder: SlotHolder
+    client: UpstreamClient
+    once: OnceKeeper
+    rng: random.Random
+    counters: RequestCounters = msgspec.field(default_factory=RequestCounters)
+    queue_limits: QueueLimits = QueueLimits()
+
+
+class _Course:
+    """One request on its way through the service."""
+
+    def __init__(
+        self,
+        request: CallerRequest,
+        work_class: WorkClass,
+        queued: QueuedRequest,
+        sink: CallerSink,
+    ):
+        self.request = request
+        self.work_class = work_class
+        self.queued = queued
+        self.sink = sink
+        self.ticket: OnceTicket | None = None
+        self.attempts = 0
+        self.was_sent = False
+        self.last_reason = ""
+        self.upstream_id: UpstreamId | None = None
+
+    @property
+    def is_idempotent(self) -> bool:
+        return self.work_class.restart is RestartPolicy.ALLOWED
+
+
+class RequestService:
+    """Serves the requests of one gateway.
+
+    Parameters
+    ----------
+    parts : ServiceParts
+    """
+
+    def __init__(self, parts: ServiceParts):
+        self._parts = parts
+        self._clock = parts.clock
+        self._times = ServiceTimes()
+        self._retries = RetryBudget(parts.rng)
+        self._dispatcher = Dispatcher(
+            parts.clock,
+            parts.router,
+            parts.holder,
+            self._times,
+            parts.queue_limits,
+            parts.counters,
+        )
+        self._runner = AttemptRunner(
+            parts.clock,
+            parts.router,
+            parts.client,
+            self._dispatcher,
+            self._times,
+            parts.counters,
+        )
+        self._courses: dict[asyncio.Task[RequestEnd], _Course] = {}
+        self._idle = asyncio.Event()
+        self._idle.set()
+        self.stopping = False
+
+    @property
+    def counters(self) -> RequestCounters:
+        """Counts of this gateway."""
+        return self._parts.counters
+
+    @property
+    def retries(self) -> RetryBudget:
+        """Budget of repeated attempts."""
+        return self._retries
+
+    @property
+    def in_flight_count(self) -> int:
+        """Number of requests that have not ended."""
+        return len(self._courses)
+
+    def in_flight_names(self) -> list[str]:
+        """Return a line for each request that has not ended."""
+        return [
+            f"{c.request.method} {c.request.path} of class {c.work_class.name}, "
+            f"upstream {c.upstream_id or 'none'}"
+            for c in self._courses.values()
+        ]
+
+    def set_on_shortage(self, callback: Callable[[], None]) -> None:
+        """Set what is called when requests wait for slots."""
+        self._dispatcher.on_shortage = callback
+
+    def update_upstreams(self, records: Iterable[VmRecord]) -> None:
+        """Replace the list of upstreams by that of the VM list."""
+        self._parts.router.update(records)
+        self._dispatcher.upstreams_changed()
+
+    def slots_changed(self) -> None:
+        """Send waiting requests after slots have arrived."""
+        self._dispatcher.dispatch_all()
+
+    def demand(self, zone: ZoneName) -> tuple[tuple[ServiceName, int], ...]:
+        """Return how many waiting requests could use slots of a zone, by service."""
+        return self._dispatcher.demand(zone)
+
+    async def handle(self, request: CallerRequest, sink: CallerSink) -> RequestEnd:
+        """Serve one request.
+
+        A cancelled call abandons an idempotent request. A non-idempotent one goes on,
+        so that its result is recorded.
+
+        Parameters
+        ----------
+        request : CallerRequest
+        sink : CallerSink
+
+        Returns
+        -------
+        RequestEnd
+            If it holds a problem and the answer was started, the answer is cut.
+        """
+        arrived_ms = self._clock.monotonic_ms()
+        self.counters.counts[Count.REQUESTS] += 1
+        work_class = self._parts.classes.find(request.class_name)
+        problem = self._check(request, work_class)
+        if problem is not None:
+            return self._count_end(_end(problem))
+        course = self._make_course(request, work_class, sink, arrived_ms)
+        task = asyncio.create_task(self._serve(course))
+        self._courses[task] = course
+        self._idle.clear()
+        task.add_done_callback(self._forget)
+        if course.is_idempotent:
+            return self._count_end(await task)
+        return self._count_end(await asyncio.shield(task))
+
+    async def wait_idle(self) -> None:
+        """Wait until no request is in flight and all results are recorded."""
+        await self._idle.wait()
+        await self._parts.once.settle()
+
+    def cut(self) -> list[str]:
+        """Cancel all requests in flight and return a line for each."""
+        names = self.in_flight_names()
+        for task in list(self._courses):
+            task.cancel()
+        return names
+
+    def _forget(self, task: asyncio.Task[RequestEnd]) -> None:
+        del self._courses[task]
+        if not self._courses:
+            self._idle.set()
+        if not task.cancelled():
+            task.exception()
+
+    def _count_end(self, end: RequestEnd) -> RequestEnd:
+        self.counters.outcomes[end.outcome] += 1
+        if end.problem is not None:
+            self.counters.problems[end.problem.kind] += 1
+        if end.replayed:
+            self.counters.counts[Count.REPLAYS] += 1
+        return end
+
+    def _check(
+        self, request: CallerRequest, work_class: WorkClass | None
+    ) -> Problem | None:
+        if self.stopping:
+            return _refusal(ProblemKind.STOPPING, "this gateway is stopping", 1)
+        if work_class is None or work_class.kind is not ClassKind.REQUEST:
+            return _refusal(
+                ProblemKind.UNKNOWN_CLASS,
+                f"no office declares a request class {request.class_name!r}",
+            )
+        service = work_class.service
+        if service is None or not self._parts.router.knows_service(service):
+            return _refusal(
+                ProblemKind.UNKNOWN_SERVICE,
+                f"no upstream serves the service {service!r} of the class",
+            )
+        key = request.idempotency_key
+        if work_class.restart is RestartPolicy.ALLOWED:
+            return None
+        if not key:
+            return _refusal(
+                ProblemKind.KEY_REQUIRED,
+                "requests of this class need an Idempotency-Key",
+            )
+        if len(key) > IDEMPOTENCY_KEY_LENGTH_MAX or not key.isprintable():
+            return _refusal(
+                ProblemKind.KEY_INVALID,
+                f"the Idempotency-Key is not printable or longer than "
+                f"{IDEMPOTENCY_KEY_LENGTH_MAX} characters",
+            )
+        return None
+
+    def _make_course(
+        self,
+        request: CallerRequest,
+        work_class: WorkClass,
+        sink: CallerSink,
+        arrived_ms: float,
+    ) -> _Course:
+        timeout_ms = work_class.timeout_ms
+        if request.timeout_ms is not None:
+            timeout_ms = min(timeout_ms, request.timeout_ms)
+        queued = QueuedRequest(
+            work_class.name,
+            request.team,
+            arrived_ms,
+            work_class.wait_target_ms,
+            arrived_ms + timeout_ms,
+            len(request.body),
+        )
+        return _Course(request, work_class, queued, sink)
+
+    async def _serve(self, course: _Course) -> RequestEnd:
+        service = course.work_class.service
+        refusal = self._dispatcher.refusal(service, course.queued)
+        if refusal is not None:
+            return _end(self._refused(course, refusal))
+        self._retries.count_request()
+        if course.is_idempotent:
+            return await self._run(course)
+        request = course.request
+        opening = await self._parts.once.open(
+            make_request_key(request.team, request.class_name, request.idempotency_key),
+            fingerprint(request),
+            course.queued.deadline_ms,
+        )
+        if isinstance(opening, Problem):
+            return _end(opening)
+        if isinstance(opening, Replay):
+            return await self._play_back(course, opening)
+        course.ticket = opening
+        return await self._run_ticket(course, opening)
+
+    async def _play_back(self, course: _Course, replay: Replay) -> RequestEnd:
+        left_ms = course.queued.deadline_ms - self._clock.monotonic_ms()
+        try:
+            async with asyncio.timeout(left_ms / 1000):
+                return await play_back(replay, self._parts.once.objects, course.sink)
+        except TimeoutError:
+            detail = "the request has run, but the deadline of this repeat has passed"
+            return _end(Problem(ProblemKind.TIMED_OUT, Outcome.RAN, detail, 1))
+
+    async def _run_ticket(self, course: _Course, ticket: OnceTicket) -> RequestEnd:
+        outcome = Outcome.UNKNOWN
+        try:
+            end = await self._run(course)
+            outcome = end.outcome
+            return end
+        finally:
+            # A whole answer was recorded by the attempt itself.
+            if outcome is Outcome.NOT_RUN or (
+                outcome is Outcome.UNKNOWN and not course.was_sent
+            ):
+                self._parts.once.not_run(ticket)
+            elif outcome is Outcome.UNKNOWN:
+                self._parts.once.unknown(ticket)
+
+    async def _run(self, course: _Course) -> RequestEnd:
+        service = course.work_class.service
+        while True:
+            granted = await self._dispatcher.wait(service, course.queued)
+            if isinstance(granted, ProblemKind):
+                return _end(self._refused(course, granted))
+            if not self._may_send(course):
+                self._dispatcher.give_back(service, course.queued, granted)
+                return _end(self._refused(course, ProblemKind.TIMED_OUT))
+            end = await self._attempt(course, granted)
+            if end is not None:
+                return end
+
+    def _may_send(self, course: _Course) -> bool:
+        left_ms = course.queued.deadline_ms - self._clock.monotonic_ms()
+        if left_ms < SEND_LEAD_MS:
+            return False
+        ticket = course.ticket
+        return ticket is None or may_send(ticket.record, self._clock.unix_ms())
+
+    async def _attempt(self, course: _Course, granted) -> RequestEnd | None:
+        """Send a request once; return ``None`` if it is to be sent again."""
+        recorder = None
+        if course.ticket is not None:
+            recorder = AnswerRecorder(
+                self._parts.once.objects,
+                course.ticket.key,
+                course.ticket.record.write_id,
+                self.counters,
+            )
+        sink = AttemptSink(course.sink, recorder)
+        course.attempts += 1
+        course.upstream_id = granted.upstream.upstream_id
+        if course.attempts == 1:
+            waited_ms = self._clock.monotonic_ms() - course.queued.arrived_ms
+            if waited_ms <= course.queued.target_ms:
+                self.counters.counts[Count.ON_TARGET] += 1
+        was_sent = course.was_sent
+        # Set before the first byte can be written, so that a cancelled request is
+        # never reported as not run.
+        course.was_sent = True
+        end = await self._runner.run(
+            Attempt(
+                course.request,
+                service=course.work_class.service,
+                queued=course.queued,
+                granted=granted,
+                sink=sink,
+            )
+        )
+        if end.not_sent:
+            course.was_sent = was_sent
+        if await self._retry(course, end, sink):
+            return None
+        return await self._finish(course, end, sink)
+
+    async def _retry(self, course: _Course, end: AttemptEnd, sink: AttemptSink) -> bool:
+        course.last_reason = end.reason
+        failed = not end.whole or sink.is_server_error
+        if not failed or sink.passed_on or course.attempts >= ATTEMPTS_MAX:
+            return False
+        if not (course.is_idempotent or end.not_sent):
+            return False
+        delay_ms = self._retries.delay_ms(course.attempts)
+        queued = course.queued
+        excluded = queued.excluded | {course.upstream_id}
+        if self._parts.router.of_service(course.work_class.service) <= excluded:
+            return False
+        service_ms = self._times.class_ms(
+            course.work_class.service, course.work_class.name
+        )
+        now_ms = self._clock.monotonic_ms()
+        if now_ms + delay_ms + service_ms > queued.deadline_ms - SEND_LEAD_MS:
+            return False
+        if not self._retries.take():
+            return False
+        self.counters.counts[Count.RETRIES] += 1
+        queued.excluded = excluded
+        await asyncio.sleep(delay_ms / 1000)
+        return True
+
+    async def _finish(
+        self, course: _Course, end: AttemptEnd, sink: AttemptSink
+    ) -> RequestEnd:
+        if end.whole:
+            answer = await sink.complete()
+            if course.ticket is not None and answer is not None:
+                self._parts.once.finish(course.ticket, answer)
+            return RequestEnd(Outcome.RAN)
+        outcome = Outcome.UNKNOWN if course.was_sent else Outcome.NOT_RUN
+        kind = ProblemKind.TIMED_OUT if end.timed_out else ProblemKind.UPSTREAM_FAILED
+        if outcome is Outcome.NOT_RUN:
+            kind = ProblemKind.NO_UPSTREAM
+        return _end(Problem(kind, outcome, end.reason, 1))
+
+    def _refused(self, course: _Course, kind: ProblemKind) -> Problem:
+        outcome = Outcome.UNKNOWN if course.was_sent else Outcome.NOT_RUN
+        detail = _REFUSAL_DETAILS.get(kind, "the request can't be served")
+        if course.last_reason:
+            detail = f"{detail}; the last attempt failed: {course.last_reason}"
+        if kind is ProblemKind.TIMED_OUT and outcome is Outcome.NOT_RUN:
+            kind = ProblemKind.DEADLINE_UNREACHABLE
+        retry_after_s = self._dispatcher.retry_after_s(course.work_class.service)
+        return Problem(kind, outcome, detail, retry_after_s)
+
+
+_REFUSAL_DETAILS = {
+    ProblemKind.QUEUE_FULL: "the queue of the service is full",
+    ProblemKind.DEADLINE_UNREACHABLE: "the request can't be served by its deadline",
+    ProblemKind.OVERLOADED: "the service is overloaded and the class target is missed",
+    ProblemKind.TIMED_OUT: "the deadline has passed",
+}
+
+
+def _refusal(
+    kind: ProblemKind, detail: str, retry_after_s: int | None = None
+) -> Problem:
+    return Problem(kind, Outcome.NOT_RUN, detail, retry_after_s)
+
+
+def _end(problem: Problem) -> RequestEnd:
+    return RequestEnd(problem.outcome, problem)
--- /dev/null
+++ b/basilhold/gateway/tests/fixtures.py
@@ -0,0 +1,214 @@
+"""Fakes and builders shared by the tests of the request path."""
+
+import asyncio
+import contextlib
+import random
+
+from expression import Error, Ok
+
+from basilhold.core import (
+    ClassKind,
+    ClassName,
+    Clock,
+    Epoch,
+    ProcessId,
+    RegionName,
+    RestartPolicy,
+    ServiceName,
+    TeamName,
+    UpstreamId,
+    VmId,
+    WorkClass,
+    ZoneName,
+)
+from basilhold.gateway import (
+    CallerSink,
+    OnceKeeper,
+    RequestCounters,
+    RequestService,
+    ServiceParts,
+)
+from basilhold.ports import VmKind, VmRecord, VmState
+from basilhold.requests import (
+    CallerRequest,
+    ClassDirectory,
+    GatewayIdentity,
+    HeldToken,
+    PeerError,
+    RequestPeers,
+    Router,
+    SlotGrant,
+    SlotHolder,
+    SlotToken,
+)
+from basilhold.standins import (
+    MemoryObjectStore,
+    MemoryTable,
+    MemoryUpstream,
+    MemoryUpstreamClient,
+    MemoryUpstreams,
+)
+from basilhold.testing import VIRTUAL_EPOCH_UNIX_MS
+
+SERVICE = ServiceName("order-desk")
+ZONE = ZoneName("plovdiv")
+REGION = RegionName("thrace")
+FAR_UNIX_MS = VIRTUAL_EPOCH_UNIX_MS + 75 * 60_000
+CLASSES = {
+    "quote": WorkClass(
+        ClassName("quote"), ClassKind.REQUEST, 200, service=SERVICE, timeout_ms=5000
+    ),
+    "order": WorkClass(
+        ClassName("order"),
+        ClassKind.REQUEST,
+        500,
+        restart=RestartPolicy.FORBIDDEN,
+        service=SERVICE,
+        timeout_ms=5000,
+    ),
+}
+
+
+class FakeClasses(ClassDirectory):
+    def __init__(self, classes=CLASSES):
+        self.classes = classes
+
+    def find(self, name):
+        return self.classes.get(name)
+
+
+class FakePeers(RequestPeers):
+    """Asks the keepers of other gateways in the same process."""
+
+    def __init__(self):
+        self.keepers = {}
+        self.unreachable = set()
+
+    async def ask(self, holder, key, wait_ms):
+        keeper = self.keepers.get(holder)
+        if keeper is None or holder in self.unreachable:
+            return Error(PeerError("unreachable"))
+        return Ok(await keeper.ask(key, wait_ms))
+
+
+class RecordingSink(CallerSink):
+    def __init__(self):
+        self.outcome = None
+        self.replayed = False
+        self.head = None
+        self.body = bytearray()
+
+    def set_outcome(self, outcome, replayed):
+        self.outcome = outcome
+        self.replayed = replayed
+
+    async def start(self, head):
+        assert self.head is None, "an answer was started twice"
+        self.head = head
+
+    async def write(self, data):
+        self.body += data
+
+
+def vm_record(upstream_id, state=VmState.LIVE, zone=ZONE, region=REGION):
+    return VmRecord(
+        VmId(upstream_id),
+        VmKind.UPSTREAM,
+        state,
+        region,
+        zone,
+        "rack",
+        "127.0.0.1",
+        8000,
+        service=SERVICE,
+        slots=8,
+        connections=64,
+    )
+
+
+def make_request(class_name="quote", request_id="r1", key=None, **fields):
+    headers = (("X-Request-Id", request_id),)
+    if key is not None:
+        headers += (("Idempotency-Key", key),)
+    return CallerRequest(
+        ClassName(class_name),
+        TeamName(fields.pop("team", "desk")),
+        "POST",
+        "/quotes",
+        headers,
+        fields.pop("body", b"{}"),
+        idempotency_key=key,
+        **fields,
+    )
+
+
+def grant_all(holder, upstream_ids, zone=ZONE, slots=8):
+    tokens = [SlotToken(UpstreamId(u), n) for u in upstream_ids for n in range(slots)]
+    report = holder.next_report(zone)
+    held = tuple(HeldToken(token, FAR_UNIX_MS) for token in tokens)
+    holder.apply(zone, SlotGrant(report.number, Epoch(1), held))
+
+
+class Cell:
+    """Store, upstreams and gateways of one test."""
+
+    def __init__(self, upstream_count=2, seed=0):
+        self.clock = Clock(VIRTUAL_EPOCH_UNIX_MS)
+        self.table = MemoryTable()
+        self.objects = MemoryObjectStore()
+        self.peers = FakePeers()
+        self.upstreams = MemoryUpstreams(seed)
+        self.seed = seed
+        self.ids = [UpstreamId(f"up-{n}") for n in range(upstream_count)]
+        for upstream_id in self.ids:
+            self.upstreams.add(MemoryUpstream(upstream_id, ZONE, REGION))
+
+    @contextlib.asynccontextmanager
+    async def gateway(self, name="gw-0", grant=True, clock=None, limits=None):
+        """Run a gateway that holds all slots of all upstreams."""
+        rng = random.Random(f"{self.seed}/{name}")
+        process_id = ProcessId(name)
+        identity = GatewayIdentity(process_id, VmId(name), ZONE, REGION)
+        counters = RequestCounters()
+        clock = clock or self.clock
+        keeper = OnceKeeper(
+            process_id,
+            clock,
+            self.table,
+            self.objects,
+            self.peers,
+            rng,
+            counters,
+            limits,
+        )
+        self.peers.keepers[process_id] = keeper
+        holder = SlotHolder(identity)
+        parts = ServiceParts(
+            identity,
+            clock,
+            FakeClasses(),
+            Router(ZONE, REGION, rng),
+            holder,
+            MemoryUpstreamClient(self.upstreams, ZONE, REGION),
+            keeper,
+            rng,
+            counters,
+        )
+        async with keeper:
+            service = RequestService(parts)
+            service.parts = parts
+            service.update_upstreams(vm_record(u) for u in self.ids)
+            if grant:
+                grant_all(holder, self.ids)
+            yield service
+
+
+async def call(service, request=None, **fields):
+    sink = RecordingSink()
+    end = await service.handle(request or make_request(**fields), sink)
+    return end, sink
+
+
+async def call_later(delay_s, service, **fields):
+    await asyncio.sleep(delay_s)
+    return await call(service, **fields)
--- /dev/null
+++ b/basilhold/gateway/tests/test_http.py
@@ -0,0 +1,328 @@
+import asyncio
+import contextlib
+import json
+import random
+import time
+import unittest
+
+import msgspec
+from tornado.httpclient import AsyncHTTPClient
+from tornado.netutil import bind_sockets
+
+from basilhold.adapters.upstreams import TornadoUpstreamClient
+from basilhold.core import Clock, ProcessId, TeamName, UpstreamId, VmId
+from basilhold.gateway import (
+    Drain,
+    DrainEnd,
+    FrontEnd,
+    GatewayServer,
+    OnceKeeper,
+    RequestCounters,
+    RequestService,
+    ServiceParts,
+    StaticCallers,
+    make_application,
+)
+from basilhold.gateway.tests.fixtures import (
+    REGION,
+    ZONE,
+    FakeClasses,
+    FakePeers,
+    grant_all,
+    vm_record,
+)
+from basilhold.requests import GatewayIdentity, ProblemKind, Router, SlotHolder
+from basilhold.standins import MemoryObjectStore, MemoryTable, UpstreamServer
+
+HEADERS = {"Authorization": "Bearer secret", "Basilhold-Class": "quote"}
+RAW = b"Host: x\r\nAuthorization: Bearer secret\r\nBasilhold-Class: quote\r\n"
+
+
+class Front:
+    """A gateway with sockets in front of one HTTP upstream."""
+
+    def __init__(self, upstream):
+        rng = random.Random(0)
+        clock = Clock(int(time.time() * 1000))
+        process_id = ProcessId("gw")
+        identity = GatewayIdentity(process_id, VmId("gw"), ZONE, REGION)
+        counters = RequestCounters()
+        self.table = MemoryTable()
+        keeper = OnceKeeper(
+            process_id,
+            clock,
+            self.table,
+            MemoryObjectStore(),
+            FakePeers(),
+            rng,
+            counters,
+        )
+        self.client = TornadoUpstreamClient()
+        holder = SlotHolder(identity)
+        self.parts = ServiceParts(
+            identity,
+            clock,
+            FakeClasses(),
+            Router(ZONE, REGION, rng),
+            holder,
+            self.client,
+            keeper,
+            rng,
+            counters,
+        )
+        self.service = RequestService(self.parts)
+        record = vm_record("up-0")
+        self.service.update_upstreams(
+            [msgspec.structs.replace(record, port=upstream.port)]
+        )
+        self.front = FrontEnd(self.service, StaticCallers({"secret": TeamName("desk")}))
+        self.server = GatewayServer(make_application(self.front), counters=counters)
+        self.counters = counters
+        report_holder = holder
+        grant_all(report_holder, ["up-0"])
+        self.port = 0
+
+    async def raw(self, data, half_close=False):
+        """Send bytes and return all that comes back."""
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+        writer.write(data)
+        if half_close:
+            writer.write_eof()
+        try:
+            async with asyncio.timeout(5):
+                return await reader.read()
+        except ConnectionResetError:
+            return b"reset"
+        finally:
+            writer.close()
+
+    def url(self, path):
+        return f"http://127.0.0.1:{self.port}{path}"
+
+
+@contextlib.asynccontextmanager
+async def running():
+    async with UpstreamServer() as upstream:
+        front = Front(upstream)
+        async with front.parts.once, front.client:
+            sockets = bind_sockets(0, "127.0.0.1")
+            front.port = sockets[0].getsockname()[1]
+            front.server.add_sockets(sockets)
+            try:
+                yield front, upstream
+            finally:
+                front.server.stop()
+                await front.server.close_all_connections()
+
+
+def problem_of(answer):
+    head, _, body = answer.partition(b"\r\n\r\n")
+    status = int(head.split()[1])
+    return status, head.decode().lower(), json.loads(body)
+
+
+class HttpTest(unittest.IsolatedAsyncioTestCase):
+    """Guards the path over real sockets: whole answers, clear refusals."""
+
+    async def fetch(self, front, path="/call/quotes", **options):
+        options.setdefault("headers", HEADERS)
+        client = AsyncHTTPClient(force_instance=True)
+        try:
+            return await client.fetch(front.url(path), raise_error=False, **options)
+        finally:
+            client.close()
+
+    async def test_answers_are_whole_and_matched_over_kept_connections(self):
+        async with running() as (front, upstream):
+            upstream.behaviour.service_ms = 5
+            upstream.behaviour.answer_bytes = 300_000
+            for _ in range(2):
+                answers = await asyncio.gather(
+                    *(
+                        self.fetch(front, headers=HEADERS | {"X-Request-Id": f"r{n}"})
+                        for n in range(12)
+                    )
+                )
+                for n, answer in enumerate(answers):
+                    self.assertEqual(answer.code, 200)
+                    self.assertEqual(answer.headers["Basilhold-Outcome"], "ran")
+                    self.assertEqual(
+                        set(answer.body.split(b"]")), {f"[r{n}".encode(), b""}
+                    )
+            self.assertLessEqual(front.client.open_count(UpstreamId("up-0")), 8)
+            self.assertLessEqual(upstream.state.active_max, 8)
+
+    async def test_cut_answer_resets_the_callers_connection(self):
+        async with running() as (front, upstream):
+            upstream.behaviour.truncate_ratio = 1.0
+            upstream.behaviour.answer_bytes = 1 << 20
+            answer = await front.raw(b"GET /call/q HTTP/1.1\r\n" + RAW + b"\r\n")
+            head, _, body = answer.partition(b"\r\n\r\n")
+            if answer != b"reset":
+                self.assertIn(b"Content-Length: 10", head)
+                self.assertLess(len(body), 1 << 19)
+            upstream.behaviour.answer_bytes = 256
+            answer = await self.fetch(front)
+            self.assertEqual(answer.code, 502)
+            self.assertEqual(answer.headers["Basilhold-Outcome"], "unknown")
+
+    async def test_bad_input_gets_a_problem_document(self):
+        post = b"POST /call/q HTTP/1.1\r\n" + RAW
+        shapes = {
+            ProblemKind.MALFORMED: (
+                b"NONSENSE\r\n\r\n",
+                b"GET /call/q HTTP/1.1\r\nHost : x\r\n\r\n",
+                post
+                + b"Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+                post + b"Content-Length: 3\r\nContent-Length: 3\r\n\r\nabc",
+                post + b"Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd",
+                post + b"Content-Length: +3\r\n\r\nabc",
+                post + b"Content-Length: 3, 3\r\n\r\nabc",
+                post + b"Transfer-Encoding: chunked\r\n\r\nzz\r\n\r\n",
+                post + b"Transfer-Encoding: gzip\r\n\r\n",
+                post + b"Basilhold-Timeout-Ms: -1\r\n\r\n",
+            ),
+            ProblemKind.BODY_TOO_LARGE: (
+                post + b"Content-Length: 9999999\r\n\r\n",
+                post
+                + b"Transfer-Encoding: chunked\r\n\r\n"
+                + 17 * (b"10000\r\n" + bytes(65536) + b"\r\n"),
+            ),
+            ProblemKind.HEADERS_TOO_LARGE: (
+                b"GET /call/q HTTP/1.1\r\nX: " + b"a" * 20_000 + b"\r\n\r\n",
+                b"GET /call/q HTTP/1.1\r\n" + RAW + b"X: a\r\n" * 200 + b"\r\n",
+            ),
+            ProblemKind.UNAUTHENTICATED: (
+                b"GET /call/q HTTP/1.1\r\nHost: x\r\n"
+                b"Authorization: Bearer wrong\r\nConnection: close\r\n\r\n",
+            ),
+        }
+        async with running() as (front, upstream):
+            for kind, requests in shapes.items():
+                for data in requests:
+                    with self.subTest(kind=kind, data=data[:120]):
+                        status, head, body = problem_of(await front.raw(data))
+                        self.assertEqual(status, kind.status)
+                        self.assertEqual(
+                            body["type"], f"urn:basilhold:problem:{kind.value}"
+                        )
+                        self.assertIn("application/problem+json", head)
+                        self.assertIn("basilhold-outcome: not-run", head)
+                self.assertEqual(front.counters.problems[kind], len(requests))
+            self.assertEqual(upstream.state.started_count, 0)
+            self.assertEqual(front.front.bodies_bytes, 0)
+            self.assertEqual((await self.fetch(front)).code, 200)
+
+    async def test_smuggled_request_is_not_served(self):
+        hidden = b"GET /call/hidden HTTP/1.1\r\n" + RAW + b"\r\n"
+        async with running() as (front, upstream):
+            data = (
+                b"POST /call/q HTTP/1.1\r\n"
+                + RAW
+                + b"Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"
+                + hidden
+            )
+            answer = await front.raw(data)
+            self.assertEqual(answer.count(b"HTTP/1.1"), 1)
+            self.assertEqual(upstream.state.started_count, 0)
+
+    async def test_slow_senders_are_refused_and_hold_no_memory(self):
+        async with running() as (front, _upstream):
+            front.front.body_timeout_ms = 100
+            front.server.conn_params.header_timeout = 0.1
+            slow_body = b"POST /call/q HTTP/1.1\r\n" + RAW
+            for data in (
+                slow_body + b"Content-Length: 10\r\n\r\nabc",
+                b"GET /call/q HTTP/1.1\r\nHost: ",
+            ):
+                status, _head, body = problem_of(await front.raw(data))
+                self.assertEqual(status, 408)
+                self.assertEqual(body["outcome"], "not-run")
+            self.assertEqual(front.front.bodies_bytes, 0)
+            self.assertEqual(front.counters.problems[ProblemKind.SENDER_TOO_SLOW], 2)
+
+    async def test_unknown_class_and_path(self):
+        async with running() as (front, _upstream):
+            for path, name in (("/call/q", "nothing"), ("/elsewhere", "quote")):
+                answer = await self.fetch(
+                    front, path, headers=HEADERS | {"Basilhold-Class": name}
+                )
+                self.assertEqual(answer.code, 404)
+                self.assertEqual(answer.headers["Basilhold-Outcome"], "not-run")
+
+    async def test_keyed_request_is_replayed_over_http(self):
+        headers = HEADERS | {"Basilhold-Class": "order", "Idempotency-Key": "o-1"}
+        async with running() as (front, upstream):
+            first = await self.fetch(front, method="POST", body=b"x", headers=headers)
+            again = await self.fetch(front, method="POST", body=b"x", headers=headers)
+            other = await self.fetch(front, method="POST", body=b"y", headers=headers)
+            self.assertEqual(first.code, 200)
+            self.assertEqual(again.body, first.body)
+            self.assertEqual(again.headers["Basilhold-Replayed"], "true")
+            self.assertEqual(other.code, 422)
+            self.assertEqual(upstream.state.started_count, 1)
+
+    async def test_slow_reader_holds_the_answer_back(self):
+        async with running() as (front, upstream):
+            upstream.behaviour.answer_bytes = 32 << 20
+            reader, writer = await asyncio.open_connection(
+                "127.0.0.1", front.port, limit=4096
+            )
+            writer.write(b"GET /call/q HTTP/1.1\r\n" + RAW + b"\r\n")
+            await asyncio.sleep(0.5)
+            bytes_in = front.service.in_flight_count
+            self.assertEqual(bytes_in, 1)
+            self.assertEqual(upstream.state.active, 1)
+            received = 0
+            while received < 32_000_000:
+                data = await reader.read(1 << 20)
+                self.assertTrue(data)
+                received += len(data)
+            writer.close()
+
+
+class DrainTest(unittest.IsolatedAsyncioTestCase):
+    """Guards requests in flight against a planned stop."""
+
+    async def drain(self, service_ms, bound_ms, second_stop=False):
+        async with running() as (front, upstream):
+            upstream.behaviour.service_ms = service_ms
+            returned = []
+
+            async def return_slots():
+                returned.append(True)
+
+            drain = Drain(front.service, front.server.stop, return_slots, 50, bound_ms)
+            front.front.is_ready = lambda: not drain.is_requested
+            request = b"GET /call/q HTTP/1.1\r\n" + RAW + b"Connection: close\r\n\r\n"
+            answer = asyncio.create_task(front.raw(request))
+            stop = asyncio.create_task(drain.run())
+            await asyncio.sleep(0.1)
+            drain.request_stop()
+            ready = await front.raw(
+                b"GET /readyz HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
+            )
+            self.assertIn(b"503", ready.split(b"\r\n")[0])
+            if second_stop:
+                drain.request_stop()
+            report = await stop
+            self.assertEqual(returned, [True])
+            return report, await answer
+
+    async def test_requests_in_flight_finish(self):
+        report, answer = await self.drain(300, 5000)
+        self.assertIs(report.end, DrainEnd.FINISHED)
+        self.assertEqual(report.cut, ())
+        self.assertTrue(answer.startswith(b"HTTP/1.1 200"))
+
+    async def test_second_stop_request_names_what_was_cut(self):
+        report, answer = await self.drain(3000, 5000, second_stop=True)
+        self.assertIs(report.end, DrainEnd.SECOND_REQUEST)
+        self.assertEqual(len(report.cut), 1)
+        self.assertIn("GET /q of class quote", report.cut[0])
+        self.assertFalse(answer.startswith(b"HTTP/1.1 200"))
+
+    async def test_time_bound_ends_the_stop(self):
+        report, _answer = await self.drain(3000, 100)
+        self.assertIs(report.end, DrainEnd.TIME_BOUND)
+        self.assertEqual(len(report.cut), 1)
--- /dev/null
+++ b/basilhold/gateway/tests/test_service.py
@@ -0,0 +1,62 @@
+import asyncio
+
+from basilhold.gateway.tests.fixtures import Cell, call
+from basilhold.requests import Outcome, ProblemKind
+from basilhold.standins import UpstreamBehaviour
+from basilhold.testing import VirtualTimeTestCase
+
+
+class AnswerTest(VirtualTimeTestCase):
+    """Guards against lost, mixed-up and truncated answers."""
+
+    async def test_each_caller_gets_its_own_answer(self):
+        cell = Cell()
+        async with cell.gateway() as service:
+            calls = [call(service, request_id=f"r{n}") for n in range(100)]
+            for n, (end, sink) in enumerate(await asyncio.gather(*calls)):
+                self.assertIs(end.outcome, Outcome.RAN)
+                self.assertIsNone(end.problem)
+                self.assertEqual(sink.head.status, 200)
+                self.assertEqual(
+                    set(bytes(sink.body).split(b"]")), {f"[r{n}".encode(), b""}
+                )
+        cell.upstreams.check()
+
+    async def test_large_answer_is_streamed_whole(self):
+        cell = Cell()
+        cell.upstreams.members["up-0"].behaviour.answer_bytes = 1 << 20
+        cell.upstreams.members["up-1"].behaviour.answer_bytes = 1 << 20
+        async with cell.gateway() as service:
+            end, sink = await call(service)
+        self.assertIsNone(end.problem)
+        self.assertEqual(len(sink.body), int(dict(sink.head.headers)["Content-Length"]))
+
+    async def test_truncated_answer_is_never_passed_on_as_whole(self):
+        for size in (256, 1 << 20):
+            cell = Cell(1)
+            cell.upstreams.members["up-0"].behaviour = UpstreamBehaviour(
+                truncate_ratio=1.0, answer_bytes=size
+            )
+            async with cell.gateway() as service:
+                end, _sink = await call(service)
+            self.assertIs(end.problem.kind, ProblemKind.UPSTREAM_FAILED)
+            self.assertIs(end.outcome, Outcome.UNKNOWN)
+
+    async def test_late_answer_ends_at_the_deadline(self):
+        cell = Cell(1)
+        cell.upstreams.members["up-0"].behaviour.late_ratio = 1.0
+        async with cell.gateway() as service:
+            end, sink = await call(service)
+            now_s = asyncio.get_running_loop().time()
+        self.assertIs(end.problem.kind, ProblemKind.TIMED_OUT)
+        self.assertIs(end.outcome, Outcome.UNKNOWN)
+        self.assertAlmostEqual(now_s, 5.0, delta=0.1)
+        self.assertIsNone(sink.head)
+
+    async def test_refused_connection_is_reported_as_not_run(self):
+        cell = Cell(1)
+        cell.upstreams.members["up-0"].behaviour.refusing = True
+        async with cell.gateway() as service:
+            end, _sink = await call(service)
+        self.assertIs(end.outcome, Outcome.NOT_RUN)
+        self.assertEqual(cell.upstreams.run_counts().total(), 0)
--- a/basilhold/requests/__init__.py
+++ b/basilhold/requests/__init__.py
@@ -1,3 +1,81 @@
 """Decisions about callers' requests. Performs no I/O."""
 
-__all__: list[str] = []
+from basilhold.requests.estimates import ServiceTimes
+from basilhold.requests.health import BreakerState, HealthLimits, UpstreamHealth
+from basilhold.requests.holder import SlotHolder
+from basilhold.requests.interfaces import (
+    CallerDirectory,
+    ClassDirectory,
+    ExchangeError,
+    PeerError,
+    RequestPeers,
+    RequestProgress,
+    SlotExchange,
+)
+from basilhold.requests.model import (
+    CallerRequest,
+    GatewayIdentity,
+    Outcome,
+    Problem,
+    ProblemKind,
+    RequestEnd,
+)
+from basilhold.requests.once import (
+    OnceAnswer,
+    OnceRecord,
+    OnceState,
+    RepeatAction,
+    judge_repeat,
+    make_request_key,
+)
+from basilhold.requests.queue import QueuedRequest, QueueLimits, RequestQueue
+from basilhold.requests.retries import RetryBudget
+from basilhold.requests.routing import Distance, Router, Upstream
+from basilhold.requests.tokens import (
+    CONNECTIONS_PER_TOKEN,
+    HeldToken,
+    ServiceDemand,
+    SlotGrant,
+    SlotReport,
+    SlotToken,
+)
+
+__all__ = [
+    "CONNECTIONS_PER_TOKEN",
+    "BreakerState",
+    "CallerDirectory",
+    "CallerRequest",
+    "ClassDirectory",
+    "Distance",
+    "ExchangeError",
+    "GatewayIdentity",
+    "HealthLimits",
+    "HeldToken",
+    "OnceAnswer",
+    "OnceRecord",
+    "OnceState",
+    "Outcome",
+    "PeerError",
+    "Problem",
+    "ProblemKind",
+    "QueueLimits",
+    "QueuedRequest",
+    "RepeatAction",
+    "RequestEnd",
+    "RequestPeers",
+    "RequestProgress",
+    "RequestQueue",
+    "RetryBudget",
+    "Router",
+    "ServiceDemand",
+    "ServiceTimes",
+    "SlotExchange",
+    "SlotGrant",
+    "SlotHolder",
+    "SlotReport",
+    "SlotToken",
+    "Upstream",
+    "UpstreamHealth",
+    "judge_repeat",
+    "make_request_key",
+]
--- /dev/null
+++ b/basilhold/requests/model.py
@@ -0,0 +1,154 @@
+"""Requests, outcomes and problems."""
+
+from enum import Enum
+
+import msgspec
+
+from basilhold.core import ClassName, ProcessId, RegionName, TeamName, VmId, ZoneName
+
+__all__ = [
+    "CallerRequest",
+    "GatewayIdentity",
+    "Outcome",
+    "Problem",
+    "ProblemKind",
+    "RequestEnd",
+]
+
+
+class Outcome(Enum):
+    """What a caller may conclude about its request.
+
+    ``NOT_RUN`` is certain: no byte of the request was written to an upstream.
+    """
+
+    RAN = "ran"
+    NOT_RUN = "not-run"
+    UNKNOWN = "unknown"
+
+
+class ProblemKind(Enum):
+    """Reason for an answer that the gateway writes itself.
+
+    The value is the last part of the problem document's ``type``.
+    """
+
+    MALFORMED = "malformed-request"
+    UNAUTHENTICATED = "wrong-token"
+    UNKNOWN_CLASS = "unknown-class"
+    UNKNOWN_SERVICE = "unknown-service"
+    KEY_REQUIRED = "idempotency-key-required"
+    KEY_INVALID = "idempotency-key-invalid"
+    KEY_REUSED = "idempotency-key-reused"
+    STILL_RUNNING = "still-running"
+    OUTCOME_UNKNOWN = "outcome-unknown"
+    ANSWER_NOT_KEPT = "answer-not-kept"
+    BODY_TOO_LARGE = "body-too-large"
+    HEADERS_TOO_LARGE = "headers-too-large"
+    SENDER_TOO_SLOW = "sender-too-slow"
+    QUEUE_FULL = "queue-full"
+    DEADLINE_UNREACHABLE = "deadline-unreachable"
+    OVERLOADED = "overloaded"
+    NO_UPSTREAM = "no-upstream"
+    STORE_UNAVAILABLE = "store-unavailable"
+    TOO_MANY_RECORDS = "too-many-records"
+    STOPPING = "gateway-stopping"
+    TIMED_OUT = "timed-out"
+    UPSTREAM_FAILED = "upstream-failed"
+
+    @property
+    def status(self) -> int:
+        """HTTP status of the problem document."""
+        return _STATUS.get(self, 503)
+
+
+_STATUS = {
+    ProblemKind.MALFORMED: 400,
+    ProblemKind.UNAUTHENTICATED: 401,
+    ProblemKind.UNKNOWN_CLASS: 404,
+    ProblemKind.UNKNOWN_SERVICE: 404,
+    ProblemKind.KEY_REQUIRED: 400,
+    ProblemKind.KEY_INVALID: 400,
+    ProblemKind.KEY_REUSED: 422,
+    ProblemKind.STILL_RUNNING: 409,
+    ProblemKind.OUTCOME_UNKNOWN: 409,
+    ProblemKind.ANSWER_NOT_KEPT: 409,
+    ProblemKind.BODY_TOO_LARGE: 413,
+    ProblemKind.HEADERS_TOO_LARGE: 431,
+    ProblemKind.SENDER_TOO_SLOW: 408,
+    ProblemKind.TIMED_OUT: 504,
+    ProblemKind.UPSTREAM_FAILED: 502,
+}
+
+
+class Problem(msgspec.Struct, frozen=True):
+    """An answer that the gateway writes itself.
+
+    Parameters
+    ----------
+    kind : ProblemKind
+    outcome : Outcome
+    detail : str
+        One sentence for the caller.
+    retry_after_s : int, optional
+        Value of ``Retry-After``, in seconds.
+    """
+
+    kind: ProblemKind
+    outcome: Outcome
+    detail: str
+    retry_after_s: int | None = None
+
+
+class CallerRequest(msgspec.Struct, frozen=True):
+    """A whole request of an identified caller.
+
+    Parameters
+    ----------
+    class_name : ClassName
+    team : TeamName
+    method, path : str
+        As sent to the upstream.
+    headers : tuple of (str, str)
+        End-to-end headers that are passed on.
+    body : bytes
+    timeout_ms : int, optional
+        The caller's own deadline, in milliseconds; the class's timeout is the limit.
+    idempotency_key : str, optional
+    """
+
+    class_name: ClassName
+    team: TeamName
+    method: str
+    path: str
+    headers: tuple[tuple[str, str], ...] = ()
+    body: bytes = b""
+    timeout_ms: int | None = None
+    idempotency_key: str | None = None
+
+
+class RequestEnd(msgspec.Struct, frozen=True):
+    """How a request ended.
+
+    Parameters
+    ----------
+    outcome : Outcome
+    problem : Problem, optional
+        What is left to write to the caller. If the answer was started already, it
+        is incomplete and the caller's connection must be aborted.
+    replayed : bool
+        Whether the answer came from an at-most-once record.
+    """
+
+    outcome: Outcome
+    problem: Problem | None = None
+    replayed: bool = False
+
+
+class GatewayIdentity(msgspec.Struct, frozen=True):
+    """Where a gateway runs. The process id is unique for each start."""
+
+    process_id: ProcessId
+    vm_id: VmId
+    zone: ZoneName
+    region: RegionName
--- a/basilhold/standins/__init__.py
+++ b/basilhold/standins/__init__.py
@@ -3,15 +3,27 @@
 from basilhold.standins.faults import StoreFaults
 from basilhold.standins.objects import MemoryObjectStore
 from basilhold.standins.table import MemoryTable
+from basilhold.standins.upstreams import (
+    MemoryUpstream,
+    MemoryUpstreamClient,
+    MemoryUpstreams,
+    UpstreamBehaviour,
+    UpstreamServer,
+)
 from basilhold.standins.vms import MemoryVmList
 from basilhold.standins.workers import MemoryWorker, MemoryWorkers, TaskBehaviour
 
 __all__ = [
     "MemoryObjectStore",
     "MemoryTable",
+    "MemoryUpstream",
+    "MemoryUpstreamClient",
+    "MemoryUpstreams",
     "MemoryVmList",
     "MemoryWorker",
     "MemoryWorkers",
     "StoreFaults",
     "TaskBehaviour",
+    "UpstreamBehaviour",
+    "UpstreamServer",
 ]
