--- /dev/null
+++ b/basilhold/gateway/tests/test_once.py
@@ -0,0 +1,222 @@
+import asyncio
+
+from basilhold.core import Clock, ProcessId
+from basilhold.gateway import Count, OnceLimits
+from basilhold.gateway.tests.fixtures import Cell, call, call_later
+from basilhold.requests import Outcome, ProblemKind
+from basilhold.standins import UpstreamBehaviour
+from basilhold.testing import VIRTUAL_EPOCH_UNIX_MS, VirtualTimeTestCase
+
+ORDER = {"class_name": "order", "request_id": "o-1", "key": "o-1"}
+
+
+class OnceTest(VirtualTimeTestCase):
+    """Guards non-idempotent requests against running twice."""
+
+    def assert_runs(self, cell, count, request_id="o-1"):
+        self.assertEqual(cell.upstreams.run_counts()[request_id], count)
+
+    async def test_repeat_of_a_finished_request_gets_the_same_answer(self):
+        for size in (256, 40 << 10, 3 << 20):
+            cell = Cell(1)
+            cell.upstreams.members["up-0"].behaviour.answer_bytes = size
+            async with cell.gateway("gw-0") as first, cell.gateway("gw-1") as second:
+                _end, sink = await call(first, **ORDER)
+                await asyncio.sleep(0.1)
+                for service in (first, second):
+                    end, repeat = await call(service, **ORDER)
+                    self.assertTrue(end.replayed)
+                    self.assertEqual(repeat.head, sink.head)
+                    self.assertEqual(repeat.body, sink.body)
+            self.assert_runs(cell, 1)
+            self.assertEqual(bool(cell.objects.objects), size > 32 << 10)
+
+    async def test_repeat_of_a_running_request_waits_or_gets_409(self):
+        cell = Cell(1)
+        cell.upstreams.members["up-0"].behaviour.service_ms = 1000
+        async with cell.gateway("gw-0") as first, cell.gateway("gw-1") as second:
+            results = await asyncio.gather(
+                call(first, **ORDER),
+                call_later(0.1, first, **ORDER),
+                call_later(0.1, second, **ORDER),
+                call_later(0.1, second, timeout_ms=200, **ORDER),
+            )
+        ends = [end for end, _ in results]
+        self.assertEqual([end.replayed for end in ends], [False, True, True, False])
+        self.assertIs(ends[3].problem.kind, ProblemKind.STILL_RUNNING)
+        self.assertEqual(ends[3].problem.kind.status, 409)
+        self.assert_runs(cell, 1)
+
+    async def test_gateway_dies_between_send_and_answer(self):
+        cell = Cell(1)
+        cell.upstreams.members["up-0"].behaviour.service_ms = 1000
+        async with cell.gateway("gw-0") as first, cell.gateway("gw-1") as second:
+            running = asyncio.create_task(call(first, **ORDER))
+            await asyncio.sleep(0.3)
+            cell.peers.unreachable.add(ProcessId("gw-0"))
+            end, _sink = await call(second, **ORDER)
+            self.assertIs(end.outcome, Outcome.UNKNOWN)
+            self.assertIs(end.problem.kind, ProblemKind.OUTCOME_UNKNOWN)
+            await running
+        self.assert_runs(cell, 1)
+
+    async def test_lost_reply_to_the_records_write(self):
+        cell = Cell(1)
+        cell.table.faults.lost_reply_ratio = 1.0
+        cell.table.faults.timeout_ms = 100
+        async with cell.gateway() as service:
+            running = asyncio.create_task(call(service, **ORDER))
+            await asyncio.sleep(0.05)
+            cell.table.faults.lost_reply_ratio = 0.0
+            end, _sink = await running
+            self.assertIs(end.outcome, Outcome.RAN)
+            await service.wait_idle()
+            end, _sink = await call(service, **ORDER)
+            self.assertTrue(end.replayed)
+        self.assert_runs(cell, 1)
+
+    async def test_long_store_outage(self):
+        cell = Cell(1)
+        cell.upstreams.members["up-0"].behaviour.service_ms = 500
+        async with cell.gateway("gw-0") as first, cell.gateway("gw-1") as second:
+            running = asyncio.create_task(call(first, **ORDER))
+            await asyncio.sleep(0.2)
+            cell.table.faults.down = True
+            end, _sink = await running
+            self.assertIs(end.outcome, Outcome.RAN)
+            end, _sink = await call(
+                second, class_name="order", request_id="o-2", key="o-2"
+            )
+            self.assertIs(end.problem.kind, ProblemKind.STORE_UNAVAILABLE)
+            self.assertIs(end.outcome, Outcome.NOT_RUN)
+            self.assertEqual(end.problem.kind.status, 503)
+            self.assertTrue(end.problem.retry_after_s)
+            quote, _sink = await call(second)
+            self.assertIs(quote.outcome, Outcome.RAN)
+            await asyncio.sleep(1800)
+            cell.table.faults.down = False
+            await first.wait_idle()
+            end, _sink = await call(second, **ORDER)
+            self.assertTrue(end.replayed)
+        self.assert_runs(cell, 1)
+        self.assert_runs(cell, 0, "o-2")
+
+    async def test_process_that_pauses_for_a_minute_does_not_send(self):
+        cell = Cell(1)
+        cell.table.faults.latency_ms = 100
+        clock = Clock(VIRTUAL_EPOCH_UNIX_MS)
+        async with (
+            cell.gateway("gw-0", clock=clock) as paused,
+            cell.gateway("gw-1") as other,
+        ):
+            running = asyncio.create_task(call(paused, **ORDER))
+            await asyncio.sleep(0.08)
+            # The paused VM's loop stands still while true time passes.
+            clock.adjust(clock.unix_ms() + 60_000)
+            end, _sink = await running
+            self.assertIs(end.outcome, Outcome.NOT_RUN)
+            self.assert_runs(cell, 0)
+            await paused.wait_idle()
+            end, _sink = await call(other, **ORDER)
+            self.assertIs(end.outcome, Outcome.RAN)
+        self.assert_runs(cell, 1)
+
+    async def test_repeat_after_the_deadline_of_a_paused_holder_is_unknown(self):
+        cell = Cell(1)
+        clock = Clock(VIRTUAL_EPOCH_UNIX_MS)
+        cell.upstreams.members["up-0"].behaviour.service_ms = 4000
+        async with (
+            cell.gateway("gw-0") as first,
+            cell.gateway("gw-1", clock=clock) as b,
+        ):
+            running = asyncio.create_task(call(first, **ORDER))
+            await asyncio.sleep(0.2)
+            clock.adjust(clock.unix_ms() + 60_000)
+            end, _sink = await call(b, **ORDER)
+            self.assertIs(end.problem.kind, ProblemKind.OUTCOME_UNKNOWN)
+            await running
+        self.assert_runs(cell, 1)
+
+    async def test_request_that_was_not_sent_can_be_repeated(self):
+        cell = Cell(1)
+        cell.upstreams.members["up-0"].behaviour.refusing = True
+        async with cell.gateway() as service:
+            end, _sink = await call(service, **ORDER)
+            self.assertIs(end.outcome, Outcome.NOT_RUN)
+            cell.upstreams.members["up-0"].behaviour.refusing = False
+            end, _sink = await call(service, **ORDER)
+            self.assertIs(end.outcome, Outcome.RAN)
+            self.assertFalse(end.replayed)
+        self.assert_runs(cell, 1)
+
+    async def test_cut_connection_is_never_retried(self):
+        cell = Cell(4)
+        for upstream in cell.upstreams.members.values():
+            upstream.behaviour = UpstreamBehaviour(cut_ratio=1.0)
+        async with cell.gateway() as service:
+            for _ in range(2):
+                end, _sink = await call(service, **ORDER)
+                self.assertIs(end.outcome, Outcome.UNKNOWN)
+        self.assert_runs(cell, 1)
+
+    async def test_caller_that_leaves_does_not_lose_the_result(self):
+        cell = Cell(1)
+        cell.upstreams.members["up-0"].behaviour.service_ms = 500
+        async with cell.gateway() as service:
+            running = asyncio.create_task(call(service, **ORDER))
+            await asyncio.sleep(0.2)
+            running.cancel()
+            end, _sink = await call(service, **ORDER)
+            self.assertTrue(end.replayed)
+        self.assert_runs(cell, 1)
+
+    async def test_key_reuse_with_another_body_is_refused(self):
+        cell = Cell(1)
+        async with cell.gateway() as service:
+            await call(service, **ORDER)
+            end, _sink = await call(service, body=b"other", **ORDER)
+            self.assertEqual(end.problem.kind.status, 422)
+            end, _sink = await call(service, class_name="order", request_id="o-3")
+            self.assertIs(end.problem.kind, ProblemKind.KEY_REQUIRED)
+
+    async def test_records_cost_less_than_one_write_a_request(self):
+        cell = Cell(20)
+        cell.table.faults.latency_ms = 10
+        async with cell.gateway() as service:
+
+            async def caller(number):
+                for n in range(20):
+                    name = f"o-{number}-{n}"
+                    end, _sink = await call(
+                        service, class_name="order", request_id=name, key=name
+                    )
+                    self.assertIs(end.outcome, Outcome.RAN)
+
+            await asyncio.gather(*(caller(n) for n in range(100)))
+            await service.wait_idle()
+            counts = service.counters.counts
+        self.assertEqual(counts[Count.RECORD_OPERATIONS], 4000)
+        # The target is below one write a request, of the record and the result.
+        self.assertLess(cell.table.write_count, 2000)
+
+    async def test_records_expire_and_are_bounded(self):
+        cell = Cell(1)
+        limits = OnceLimits(keep_ms=3600_000, records_max=100)
+        cell.upstreams.members["up-0"].behaviour.answer_bytes = 600 << 10
+        async with cell.gateway(limits=limits) as service:
+            end, _sink = await call(service, **ORDER)
+            await asyncio.sleep(1)
+            keeper = service.parts.once
+            for bucket in range(256):
+                self.assertEqual(await keeper.sweep(bucket), 0)
+            keeper.records_estimate = 100
+            end, _sink = await call(
+                service, class_name="order", request_id="o-9", key="o-9"
+            )
+            self.assertIs(end.problem.kind, ProblemKind.TOO_MANY_RECORDS)
+            self.assertIs(end.outcome, Outcome.NOT_RUN)
+            await asyncio.sleep(3700)
+            removed = [await keeper.sweep(bucket) for bucket in range(256)]
+            self.assertEqual(sum(removed), 1)
+            self.assertEqual(keeper.records_estimate, 0)
+            self.assertFalse(cell.objects.objects)
