--- a/basilhold/gateway/__init__.py
+++ b/basilhold/gateway/__init__.py
@@ -12,6 +12,7 @@
 from basilhold.gateway.once import OnceKeeper, OnceLimits
 from basilhold.gateway.server import GatewayServer
 from basilhold.gateway.service import RequestService, ServiceParts
+from basilhold.gateway.slots import SlotLoop
 
 __all__ = [
     "CallerSink",
@@ -26,6 +27,7 @@
     "RequestCounters",
     "RequestService",
     "ServiceParts",
+    "SlotLoop",
     "StaticCallers",
     "make_application",
     "request_routes",
--- a/basilhold/gateway/attempts.py
+++ b/basilhold/gateway/attempts.py
@@ -154,6 +154,7 @@
         if end.whole and attempt.sink.is_leaving:
             log_event(UPSTREAM_LEAVING, upstream=upstream.upstream_id)
             self._router.report_leaving(upstream.upstream_id, now_ms + LEAVING_MS)
+            self._dispatcher.on_shortage()
             return
         if end.whole and not attempt.sink.is_server_error:
             upstream.health.succeeded(now_ms)
--- a/basilhold/gateway/once.py
+++ b/basilhold/gateway/once.py
@@ -196,6 +196,23 @@
                 return _unknown("the request's record could not be read in time")
             return _store_unavailable()
 
+    async def look_up(
+        self, key: RequestKey, fingerprint: str, deadline_ms: float
+    ) -> Replay | Problem | None:
+        """Return what a repeat of a request gets, or ``None`` if it has no record."""
+        left_ms = deadline_ms - self._clock.monotonic_ms()
+        try:
+            async with asyncio.timeout(max(0.0, left_ms - ASK_MARGIN_MS) / 1000):
+                read = await self._table.read((record_key(key),))
+                if read.is_error():
+                    return _store_unavailable()
+                row = read.ok.get(record_key(key))
+                if row is None:
+                    return None
+                return await self._judge(key, row, fingerprint, deadline_ms)
+        except TimeoutError:
+            return _unknown("the request's record could not be read in time")
+
     async def _open(
         self,
         key: RequestKey,
--- a/basilhold/gateway/service.py
+++ b/basilhold/gateway/service.py
@@ -289,24 +289,35 @@
     async def _serve(self, course: _Course) -> RequestEnd:
         service = course.work_class.service
         refusal = self._dispatcher.refusal(service, course.queued)
-        if refusal is not None:
-            return _end(self._refused(course, refusal))
-        self._retries.count_request()
         if course.is_idempotent:
+            if refusal is not None:
+                return _end(self._refused(course, refusal))
+            self._retries.count_request()
             return await self._run(course)
-        request = course.request
-        opening = await self._parts.once.open(
-            make_request_key(request.team, request.class_name, request.idempotency_key),
-            fingerprint(request),
-            course.queued.deadline_ms,
-        )
+        opening = await self._open(course, refusal)
         if isinstance(opening, Problem):
             return _end(opening)
         if isinstance(opening, Replay):
             return await self._play_back(course, opening)
         course.ticket = opening
+        self._retries.count_request()
         return await self._run_ticket(course, opening)
 
+    async def _open(
+        self, course: _Course, refusal: ProblemKind | None
+    ) -> OnceTicket | Replay | Problem:
+        request = course.request
+        key = make_request_key(
+            request.team, request.class_name, request.idempotency_key
+        )
+        once = self._parts.once
+        deadline_ms = course.queued.deadline_ms
+        if refusal is None:
+            return await once.open(key, fingerprint(request), deadline_ms)
+        # The refused request may be the repeat of one that has run.
+        earlier = await once.look_up(key, fingerprint(request), deadline_ms)
+        return self._refused(course, refusal) if earlier is None else earlier
+
     async def _play_back(self, course: _Course, replay: Replay) -> RequestEnd:
         left_ms = course.queued.deadline_ms - self._clock.monotonic_ms()
         try:
--- a/basilhold/requests/__init__.py
+++ b/basilhold/requests/__init__.py
@@ -1,5 +1,6 @@
 """Decisions about callers' requests. Performs no I/O."""
 
+from basilhold.requests.allocator import SlotAllocator, Takeover
 from basilhold.requests.estimates import ServiceTimes
 from basilhold.requests.health import BreakerState, HealthLimits, UpstreamHealth
 from basilhold.requests.holder import SlotHolder
@@ -12,6 +13,7 @@
     RequestProgress,
     SlotExchange,
 )
+from basilhold.requests.lender import SlotLender
 from basilhold.requests.model import (
     CallerRequest,
     GatewayIdentity,
@@ -69,11 +71,14 @@
     "Router",
     "ServiceDemand",
     "ServiceTimes",
+    "SlotAllocator",
     "SlotExchange",
     "SlotGrant",
     "SlotHolder",
+    "SlotLender",
     "SlotReport",
     "SlotToken",
+    "Takeover",
     "Upstream",
     "UpstreamHealth",
     "judge_repeat",
--- a/basilhold/requests/holder.py
+++ b/basilhold/requests/holder.py
@@ -39,15 +39,20 @@
     identity : GatewayIdentity
     on_change : callable, optional
         Called with an upstream's id after its number of idle tokens has changed.
+    on_return : callable, optional
+        Called with a zone after a recalled token was given back, so that a report is
+        due at once.
     """
 
     def __init__(
         self,
         identity: GatewayIdentity,
         on_change: Callable[[UpstreamId], None] = lambda upstream_id: None,
+        on_return: Callable[[ZoneName], None] = lambda zone: None,
     ):
         self._identity = identity
         self.on_change = on_change
+        self.on_return = on_return
         self._leases: dict[SlotToken, _Lease] = {}
         self._idle: dict[UpstreamId, list[SlotToken]] = {}
         self._held_counts: dict[UpstreamId, int] = {}
@@ -106,6 +111,7 @@
         lease.in_use = False
         if lease.recalled:
             self._drop(token)
+            self.on_return(lease.zone)
         else:
             self._idle.setdefault(token.upstream_id, []).append(token)
         self.on_change(token.upstream_id)
@@ -116,6 +122,8 @@
         demand: Iterable[tuple[ServiceName, int]] = (),
         wait_ms: int = 0,
         now_unix_ms: int = 0,
+        leaving: bool = False,
+        leaving_upstream_ids: tuple[UpstreamId, ...] = (),
     ) -> SlotReport:
         """Return the next report to the owner of a zone's shard.
 
@@ -136,6 +144,8 @@
             idle_count=sum(not lease.in_use for _, lease in leases),
             demand=tuple(ServiceDemand(s, n) for s, n in demand if n > 0),
             wait_ms=wait_ms,
+            leaving=leaving,
+            leaving_upstream_ids=leaving_upstream_ids,
         )
 
     def apply(self, zone: ZoneName, grant: SlotGrant) -> bool:
--- /dev/null
+++ b/basilhold/requests/ledger.py
@@ -0,0 +1,159 @@
+"""Which gateway holds which slot token, as far as an owner knows."""
+
+from enum import Enum
+
+import msgspec
+
+from basilhold.core import ProcessId, ServiceName, UpstreamId
+from basilhold.requests.tokens import SlotToken
+
+__all__ = ["SlotLedger", "SlotState"]
+
+
+class SlotState(Enum):
+    """What an owner knows about a token.
+
+    ``UNCLAIMED`` tokens may be held by a gateway that has not reported yet; they are
+    frozen.
+    """
+
+    FREE = "free"
+    HELD = "held"
+    UNCLAIMED = "unclaimed"
+
+
+class _Entry(msgspec.Struct):
+    state: SlotState
+    holder: ProcessId | None = None
+    expires_unix_ms: int = 0
+
+
+class SlotLedger:
+    """Tokens of one zone's upstreams, indexed by service and by holder."""
+
+    def __init__(self):
+        self._services: dict[UpstreamId, ServiceName] = {}
+        self._entries: dict[SlotToken, _Entry] = {}
+        self._free: dict[ServiceName, dict[SlotToken, None]] = {}
+        self._held: dict[ProcessId, dict[SlotToken, None]] = {}
+        self._held_counts: dict[tuple[ProcessId, ServiceName], int] = {}
+
+    def add_upstream(
+        self,
+        upstream_id: UpstreamId,
+        service: ServiceName,
+        slots: int,
+        state: SlotState,
+    ) -> None:
+        """Add the tokens of an upstream that are not known yet."""
+        is_new = upstream_id not in self._services
+        self._services[upstream_id] = service
+        for slot in range(slots):
+            token = SlotToken(upstream_id, slot)
+            if token not in self._entries:
+                self._entries[token] = _Entry(state)
+                if state is SlotState.FREE:
+                    self._free.setdefault(service, {})[token] = None
+            elif is_new and self._entries[token].holder is not None:
+                self._recount(self._entries[token].holder)
+
+    def remove_upstream(self, upstream_id: UpstreamId) -> None:
+        """Remove an upstream's free tokens; held ones stay until they are returned."""
+        self._services.pop(upstream_id, None)
+        for token in [t for t in self._entries if t.upstream_id == upstream_id]:
+            for free in self._free.values():
+                free.pop(token, None)
+            entry = self._entries[token]
+            if entry.state is SlotState.FREE:
+                del self._entries[token]
+            elif entry.holder is not None:
+                self._recount(entry.holder)
+
+    def upstream_ids(self) -> frozenset[UpstreamId]:
+        """Return the upstreams."""
+        return frozenset(self._services)
+
+    def service_of(self, token: SlotToken) -> ServiceName | None:
+        """Return the service of a token, or ``None`` if its upstream is gone."""
+        return self._services.get(token.upstream_id)
+
+    def services(self) -> frozenset[ServiceName]:
+        """Return the services that have upstreams."""
+        return frozenset(self._services.values())
+
+    def free(self, service: ServiceName) -> list[SlotToken]:
+        """Return the free tokens of a service."""
+        return list(self._free.get(service, ()))
+
+    def free_count(self, service: ServiceName) -> int:
+        """Return the number of free tokens of a service."""
+        return len(self._free.get(service, ()))
+
+    def held_by(self, holder: ProcessId) -> tuple[SlotToken, ...]:
+        """Return the tokens of a gateway."""
+        return tuple(self._held.get(holder, ()))
+
+    def held_count(self, holder: ProcessId, service: ServiceName) -> int:
+        """Return the number of tokens of a gateway for a service."""
+        return self._held_counts.get((holder, service), 0)
+
+    def slot_count(self, service: ServiceName) -> int:
+        """Return the number of tokens of a service that are free or held."""
+        held = sum(n for (_, s), n in self._held_counts.items() if s == service)
+        return held + self.free_count(service)
+
+    def holder(self, token: SlotToken) -> ProcessId | None:
+        """Return the gateway that holds a token."""
+        entry = self._entries.get(token)
+        return None if entry is None else entry.holder
+
+    def expiry(self, token: SlotToken) -> int:
+        """Return the end of a token's lease as Unix time in milliseconds."""
+        entry = self._entries.get(token)
+        return 0 if entry is None else entry.expires_unix_ms
+
+    def give(self, token: SlotToken, holder: ProcessId, expires_unix_ms: int) -> None:
+        """Record that a gateway holds a token."""
+        entry = self._entries.setdefault(token, _Entry(SlotState.UNCLAIMED))
+        if entry.state is SlotState.FREE:
+            self._free[self._services[token.upstream_id]].pop(token, None)
+        if entry.holder != holder:
+            self._change_count(token, holder, 1)
+        entry.state = SlotState.HELD
+        entry.holder = holder
+        entry.expires_unix_ms = expires_unix_ms
+        self._held.setdefault(holder, {})[token] = None
+
+    def take_back(self, token: SlotToken) -> None:
+        """Record that nobody holds a token any more."""
+        entry = self._entries[token]
+        if entry.holder is not None:
+            self._held[entry.holder].pop(token, None)
+            self._change_count(token, entry.holder, -1)
+        service = self.service_of(token)
+        if service is None:
+            del self._entries[token]
+            return
+        entry.state = SlotState.FREE
+        entry.holder = None
+        self._free.setdefault(service, {})[token] = None
+
+    def unclaimed(self) -> list[SlotToken]:
+        """Return the tokens that may be held by an unknown gateway."""
+        return [t for t, e in self._entries.items() if e.state is SlotState.UNCLAIMED]
+
+    def all_held(self) -> list[SlotToken]:
+        """Return the tokens that known gateways hold."""
+        return [t for held in self._held.values() for t in held]
+
+    def _change_count(self, token: SlotToken, holder: ProcessId, by: int) -> None:
+        service = self.service_of(token)
+        if service is not None:
+            key = (holder, service)
+            self._held_counts[key] = self._held_counts.get(key, 0) + by
+
+    def _recount(self, holder: ProcessId) -> None:
+        for key in [k for k in self._held_counts if k[0] == holder]:
+            del self._held_counts[key]
+        for token in self._held.get(holder, ()):
+            self._change_count(token, holder, 1)
--- a/basilhold/requests/routing.py
+++ b/basilhold/requests/routing.py
@@ -155,6 +155,16 @@
             return True
         return upstream.listed_leaving or now_ms < upstream.leaving_until_ms
 
+    def self_reported_leaving(
+        self, zone: ZoneName, now_ms: float
+    ) -> tuple[UpstreamId, ...]:
+        """Return the upstreams of a zone that have said that they are leaving."""
+        return tuple(
+            u.upstream_id
+            for u in self._upstreams.values()
+            if u.zone == zone and now_ms < u.leaving_until_ms
+        )
+
     def report_leaving(self, upstream_id: UpstreamId, until_ms: float) -> None:
         """Record that an upstream itself has said that it is leaving."""
         upstream = self._upstreams.get(upstream_id)
--- a/basilhold/requests/tokens.py
+++ b/basilhold/requests/tokens.py
@@ -65,6 +65,10 @@
     demand : tuple of ServiceDemand
     wait_ms : int
         How long the owner may keep the reply back if it has nothing to say.
+    leaving : bool
+        The gateway is stopping; it is granted nothing more.
+    leaving_upstream_ids : tuple of UpstreamId
+        Upstreams that have told the gateway that they are leaving.
     """
 
     gateway_id: ProcessId
@@ -76,6 +80,8 @@
     idle_count: int = 0
     demand: tuple[ServiceDemand, ...] = ()
     wait_ms: int = 0
+    leaving: bool = False
+    leaving_upstream_ids: tuple[UpstreamId, ...] = ()
 
 
 class SlotGrant(msgspec.Struct, frozen=True):
