--- a/basilhold/placement/quotas.py
+++ b/basilhold/placement/quotas.py
@@ -34,6 +34,10 @@
         else:
             self._used[team] = rest
 
+    def used_here(self) -> dict[TeamName, Resources]:
+        """Return the usage in this shard by team."""
+        return dict(self._used)
+
     def used(self, team: TeamName) -> Resources:
         """Return a team's usage in the whole cell."""
         used = self._used.get(team, _NOTHING)
--- a/basilhold/placement/target_planner.py
+++ b/basilhold/placement/target_planner.py
@@ -9,6 +9,7 @@
     WorkerId,
     WorkerRecord,
 )
+from basilhold.placement.audit import audit
 from basilhold.placement.claims import ClaimBook
 from basilhold.placement.explain import explain_job
 from basilhold.placement.gang_turns import GangTurns
@@ -115,6 +116,16 @@
             self._state, self._claims, self._gangs.reservation, job_id, now_unix_ms
         )
 
+    def check_invariants(self) -> None:
+        """Compare all bookkeeping with the live tasks.
+
+        Raises
+        ------
+        InvariantError
+            If anything disagrees.
+        """
+        audit(self._state)
+
     def _record_report(self, live: LiveTask, report: TaskReport) -> None:
         state, job = self._state, live.job
         age_ms = state.now_unix_ms - live.started_unix_ms
--- a/basilhold/placement/waiting.py
+++ b/basilhold/placement/waiting.py
@@ -167,6 +167,10 @@
         """Have a job's entries rebuilt before the next pass."""
         self._changed.add(job_id)
 
+    def is_marked(self, job_id: JobId) -> bool:
+        """Return whether a job's entries are still to be rebuilt."""
+        return job_id in self._changed
+
     def remove(self, job_id: JobId) -> JobState | None:
         """Remove a job and its waiting tasks."""
         job = self.jobs.pop(job_id, None)
--- a/basilhold/placement/worker_index.py
+++ b/basilhold/placement/worker_index.py
@@ -91,6 +91,14 @@
         if not cell:
             del shape.cells[key]
 
+    def amounts(self, worker_id: WorkerId) -> Resources | None:
+        """Return a worker's amounts, or ``None`` if it is not present."""
+        position = self._positions.get(worker_id)
+        if position is None:
+            return None
+        shape, key = position
+        return Resources(*shape.cells[key][worker_id][1:])
+
     def fitting(
         self, size: Resources, gpu_shapes: bool = True
     ) -> Iterator[WorkerState]:
