--- a/basilhold/placement/claims.py
+++ b/basilhold/placement/claims.py
@@ -65,7 +65,7 @@
         worker = self._state.workers.get(claim.worker_id)
         if worker is not None:
             worker.claims = len(claims)
-            self._state.releases += 1
+            self._state.note_room(worker)
             self._state.reindex(worker)
 
     def ready(self) -> Iterator[tuple[Claim, WorkerState]]:
--- a/basilhold/placement/gang_turns.py
+++ b/basilhold/placement/gang_turns.py
@@ -40,6 +40,7 @@
             worker = state.workers[worker_id]
             worker.reserved = True
             state.reindex(worker)
+        state.backfill_version += 1
 
     def started(self, job_id: JobId) -> None:
         """Drop the reservation of a gang that has started."""
@@ -108,5 +109,5 @@
             worker = self._state.workers.get(worker_id)
             if worker is not None:
                 worker.reserved = False
+                self._state.note_room(worker)
                 self._state.reindex(worker)
-        self._state.releases += 1
--- a/basilhold/placement/planning_pass.py
+++ b/basilhold/placement/planning_pass.py
@@ -2,7 +2,7 @@
 
 import heapq
 
-from basilhold.core import Resources, make_task_id
+from basilhold.core import make_task_id
 from basilhold.placement.claims import ClaimBook
 from basilhold.placement.gang_turns import GangTurns
 from basilhold.placement.gangs import gather_gang
@@ -12,7 +12,7 @@
 from basilhold.placement.waiting import Bucket, Entry
 from basilhold.placement.workers import WorkerState
 
-__all__ = ["STARVING_RATIO", "FitMemo", "PlanningPass"]
+__all__ = ["STARVING_RATIO", "PlanningPass"]
 
 STARVING_RATIO = 4.0
 """Above this ratio of wait to target, work is ordered as if its team were within
@@ -27,32 +27,6 @@
 _HeapItem = tuple[int, float, int, Bucket]
 
 
-class FitMemo:
-    """Remembers sizes that fit on no open worker until resources are released.
-
-    Sizes with and without GPUs are kept apart, because workers that keep their cores
-    for GPU work refuse only the latter.
-    """
-
-    def __init__(self):
-        self._releases = -1
-        self._failed: dict[tuple[bool, bool], list[Resources]] = {}
-
-    def fails(self, size: Resources, starving: bool, releases: int) -> bool:
-        """Return whether a size that is not larger is known to fit nowhere."""
-        if releases != self._releases:
-            self._releases = releases
-            self._failed.clear()
-        failed = self._failed.get((starving, size.gpus_milli > 0), ())
-        return any(smaller.fits_in(size) for smaller in failed)
-
-    def add(self, size: Resources, starving: bool) -> None:
-        """Remember that a size fits nowhere."""
-        group = (starving, size.gpus_milli > 0)
-        kept = [f for f in self._failed.get(group, ()) if not size.fits_in(f)]
-        self._failed[group] = [*kept, size]
-
-
 class PlanningPass:
     """Takes buckets in order of relative lateness and places their tasks.
 
@@ -66,13 +40,11 @@
         state: ShardState,
         claims: ClaimBook,
         gangs: GangTurns,
-        memo: FitMemo,
         limit: int,
     ):
         self._state = state
         self._claims = claims
         self._gangs = gangs
-        self._memo = memo
         self._limit = limit
         self._now = state.now_unix_ms
         self._reclaims_left = _RECLAIMS_PER_PASS
@@ -100,16 +72,30 @@
         return Plan(tuple(self._placements), tuple(self._evictions))
 
     def _build_heap(self) -> list[_HeapItem]:
-        releases = self._state.releases
+        self._state.unblock_sizes()
         heap = []
         for bucket in self._state.queue.buckets.values():
-            if bucket.blocked_at == releases and self._now < bucket.retry_unix_ms:
+            if self._is_blocked(bucket):
                 continue
             group, ratio = self._rank(bucket)
             heap.append((group, -ratio, len(heap), bucket))
         heapq.heapify(heap)
         return heap
 
+    def _is_blocked(self, bucket: Bucket) -> bool:
+        """Return whether nothing has changed since the bucket found no worker."""
+        state, fit = self._state, bucket.fit
+        if bucket.urgent or bucket.key.gang is not None or state.probe_is_due:
+            return False
+        if (
+            self._gangs.reservation is not None
+            and bucket.backfill_asked_at != state.backfill_version
+        ):
+            return False
+        if not fit.fits_nowhere and bucket.blocked_at != state.releases:
+            return False
+        return fit.fits_nowhere_starving or self._now < bucket.starves_unix_ms
+
     def _rank(self, bucket: Bucket) -> tuple[int, float]:
         """Return the group (lower is earlier) and the relative lateness."""
         ratio = bucket.ratio(self._now)
@@ -137,9 +123,10 @@
     def _block(self, bucket: Bucket, starving: bool) -> None:
         """Skip the bucket until resources are released or it starts to starve."""
         bucket.blocked_at = self._state.releases
+        bucket.backfill_asked_at = self._state.backfill_version
         since = bucket.head().since_unix_ms
         starves_at = since + int(bucket.key.wait_target_ms * STARVING_RATIO) + 1
-        bucket.retry_unix_ms = 1 << 62 if starving else starves_at
+        bucket.starves_unix_ms = 1 << 62 if starving else starves_at
 
     def _find_worker(
         self, bucket: Bucket, entry: Entry, starving: bool
@@ -149,12 +136,13 @@
             probe = open_probe(state, key)
             if probe is not None:
                 return probe
-        if not self._memo.fails(key.size, starving, state.releases):
+        fit = bucket.fit
+        if not (fit.fits_nowhere_starving if starving else fit.fits_nowhere):
             worker = choose_worker(state, key, entry.job, starving)
             if worker is not None:
                 return worker
             if not key.avoid:
-                self._memo.add(key.size, starving)
+                fit.block(starving or key.size.gpus_milli > 0)
         return self._gangs.backfill_worker(key, entry.job, starving)
 
     def _place(self, entry: Entry, index: int, worker: WorkerState) -> None:
@@ -203,7 +191,7 @@
             )
             if workers is not None:
                 return self._start_gang(entry, indices, workers)
-            self._block(bucket, starving)
+            bucket.blocked_at = state.releases
         self._gangs.consider(bucket)
         return False
 
--- a/basilhold/placement/shard_state.py
+++ b/basilhold/placement/shard_state.py
@@ -48,8 +48,11 @@
         self.newest: dict[TeamName, SortedList] = {}
         self.shapes: Counter[Resources] = Counter()
         self.releases = 0
+        self.backfill_version = 0
+        self.probe_is_due = False
         self.now_unix_ms = 0
         self._orphans: dict[JobId, dict[int, LiveTask]] = {}
+        self._grown: set[WorkerId] = set()
         self._unplaced_holds: dict[WorkerId, list[LiveTask]] = {}
 
     def upsert_worker(self, record: WorkerRecord, schedulable: bool) -> None:
@@ -61,6 +64,7 @@
             for live in self._unplaced_holds.pop(record.worker_id, []):
                 if self.tasks.get(live.task_id) is live:
                     self._attach(live, worker)
+        old_free = worker.free() if worker.is_open() else None
         worker.rack = record.rack
         worker.schedulable = schedulable
         if worker.capacity != record.capacity:
@@ -80,7 +84,8 @@
             self.release(live, requeued=True)
         for assignment in record.assignments:
             self._commit_assignment(worker, assignment)
-        self.releases += 1
+        if old_free is None or not worker.free().fits_in(old_free):
+            self.note_room(worker)
         self.reindex(worker)
 
     def remove_worker(self, worker_id: WorkerId) -> None:
@@ -138,7 +143,8 @@
         if worker.quarantined_until_unix_ms:
             worker.probe_task_id = task_id
         if size.gpus_milli:
-            self.releases += 1
+            # With fewer free GPUs, the worker keeps less for GPU work.
+            self.note_room(worker)
         self.reindex(worker)
         return Placement(task_id, attempt, worker.worker_id, size)
 
@@ -174,7 +180,7 @@
         worker.give_back(live.size)
         if worker.probe_task_id == live.task_id:
             worker.probe_task_id = None
-        self.releases += 1
+        self.note_room(worker)
 
     def mark_evicted(self, live: LiveTask, freeing: Resources) -> None:
         """Record that a task was asked to give way and what that will free."""
@@ -226,13 +232,46 @@
             gpus + worker.reclaimable_gpus_milli,
         )
 
+    def note_room(self, worker: WorkerState) -> None:
+        """Have blocked work that fits on a worker look at it again."""
+        self.releases += 1
+        self._grown.add(worker.worker_id)
+        if worker.reserved:
+            self.backfill_version += 1
+
+    def unblock_sizes(self) -> None:
+        """Unblock the sizes that fit on a worker whose free resources grew."""
+        if not self._grown:
+            return
+        grown = [
+            worker.free()
+            for worker_id in self._grown
+            if (worker := self.workers.get(worker_id)) is not None and worker.is_open()
+        ]
+        self._grown.clear()
+        if not grown:
+            return
+        most = Resources(
+            max(free.cores_milli for free in grown),
+            max(free.memory_bytes for free in grown),
+            max(free.gpus_milli for free in grown),
+        )
+        for size, fit in self.queue.fits.items():
+            if (
+                fit.fits_nowhere
+                and size.fits_in(most)
+                and any(size.fits_in(free) for free in grown)
+            ):
+                fit.unblock()
+
     def wake_quarantined(self) -> None:
-        """Have blocked work look again at workers whose probe is due."""
+        """Note whether a quarantined worker is due for a probe."""
+        self.probe_is_due = False
         for worker_id in self.quarantined:
             worker = self.workers[worker_id]
             due = worker.quarantined_until_unix_ms <= self.now_unix_ms
             if due and worker.schedulable and worker.probe_task_id is None:
-                self.releases += 1
+                self.probe_is_due = True
                 return
 
     def update_gpu_wait(self) -> None:
@@ -243,6 +282,9 @@
         if waits != self.gpu_guard.gpu_work_waits:
             self.gpu_guard.gpu_work_waits = waits
             self.releases += 1
+            for size, fit in self.queue.fits.items():
+                if size.gpus_milli == 0:
+                    fit.unblock()
 
     def could_run(self, size: Resources) -> bool:
         """Return whether any worker could run a task of this size when empty."""
--- a/basilhold/placement/target_planner.py
+++ b/basilhold/placement/target_planner.py
@@ -16,7 +16,7 @@
 from basilhold.placement.overuse import OveruseWatch
 from basilhold.placement.plan import Explanation, Placement, Plan
 from basilhold.placement.planner import Planner
-from basilhold.placement.planning_pass import FitMemo, PlanningPass
+from basilhold.placement.planning_pass import PlanningPass
 from basilhold.placement.shard_state import ShardState
 from basilhold.placement.workers import LiveTask
 from basilhold.ports import TaskReport
@@ -44,7 +44,6 @@
         self._claims = ClaimBook(self._state)
         self._gangs = GangTurns(self._state)
         self._overuse = OveruseWatch(self._state)
-        self._memo = FitMemo()
 
     def upsert_worker(self, record: WorkerRecord, schedulable: bool) -> None:
         """Add a worker or replace what is known about it."""
@@ -95,7 +94,7 @@
         state.update_gpu_wait()
         self._gangs.expire()
         overuse = self._overuse.take_evictions()
-        run = PlanningPass(state, self._claims, self._gangs, self._memo, limit)
+        run = PlanningPass(state, self._claims, self._gangs, limit)
         plan = run.run()
         return Plan(plan.placements, (*overuse, *plan.evictions))
 
--- a/basilhold/placement/waiting.py
+++ b/basilhold/placement/waiting.py
@@ -40,6 +40,30 @@
     gang: JobId | None
 
 
+class SizeFit:
+    """Whether a task size is known to fit on no open worker.
+
+    Shared by all buckets of the size, so that a size that fits nowhere is asked for
+    once and not once per task.
+    """
+
+    __slots__ = ("buckets", "fits_nowhere", "fits_nowhere_starving")
+
+    def __init__(self):
+        self.buckets = 0
+        self.fits_nowhere = False
+        self.fits_nowhere_starving = False
+
+    def block(self, starving: bool) -> None:
+        """Record that no open worker has room; starving work may use more of it."""
+        self.fits_nowhere = True
+        self.fits_nowhere_starving |= starving
+
+    def unblock(self) -> None:
+        """Record that a worker may have room again."""
+        self.fits_nowhere = self.fits_nowhere_starving = False
+
+
 class JobState:
     """A job whose record is known."""
 
@@ -119,20 +143,24 @@
     """Interchangeable waiting tasks, ordered by age."""
 
     __slots__ = (
+        "backfill_asked_at",
         "blocked_at",
         "entries",
+        "fit",
         "key",
         "reserve_unix_ms",
-        "retry_unix_ms",
+        "starves_unix_ms",
         "urgent",
     )
 
-    def __init__(self, key: BucketKey):
+    def __init__(self, key: BucketKey, fit: SizeFit):
         self.key = key
+        self.fit = fit
         self.urgent = key.wait_target_ms <= URGENT_TARGET_MS
         self.entries: SortedDict = SortedDict()
         self.blocked_at = -1
-        self.retry_unix_ms = 0
+        self.backfill_asked_at = -1
+        self.starves_unix_ms = 0
         self.reserve_unix_ms = 0
 
     def head(self) -> Entry:
@@ -161,6 +189,7 @@
     def __init__(self):
         self.jobs: dict[JobId, JobState] = {}
         self.buckets: dict[BucketKey, Bucket] = {}
+        self.fits: dict[Resources, SizeFit] = {}
         self._changed: set[JobId] = set()
 
     def mark(self, job_id: JobId) -> None:
@@ -234,11 +263,19 @@
         key = _bucket_key(job, avoid)
         bucket = self.buckets.get(key)
         if bucket is None:
-            bucket = self.buckets[key] = Bucket(key)
+            bucket = self._add_bucket(key)
         entry = Entry(bucket, job, since_unix_ms, indices)
         bucket.entries[entry.sort_key()] = entry
         job.entries.append(entry)
 
+    def _add_bucket(self, key: BucketKey) -> Bucket:
+        fit = self.fits.get(key.size)
+        if fit is None:
+            fit = self.fits[key.size] = SizeFit()
+        fit.buckets += 1
+        bucket = self.buckets[key] = Bucket(key, fit)
+        return bucket
+
     def _drop_entries(self, job: JobState) -> None:
         for entry in job.entries:
             self._drop_entry(entry)
@@ -249,6 +286,9 @@
         del bucket.entries[entry.sort_key()]
         if not bucket.entries:
             del self.buckets[bucket.key]
+            bucket.fit.buckets -= 1
+            if bucket.fit.buckets == 0:
+                del self.fits[bucket.key.size]
 
 
 def _bucket_key(job: JobState, avoid: frozenset[WorkerId]) -> BucketKey:
