--- a/basilhold/placement/target_planner.py
+++ b/basilhold/placement/target_planner.py
@@ -9,13 +9,14 @@
     WorkerId,
     WorkerRecord,
 )
+from basilhold.placement.audit import audit
 from basilhold.placement.claims import ClaimBook
 from basilhold.placement.explain import explain_job
 from basilhold.placement.gang_turns import GangTurns
 from basilhold.placement.overuse import OveruseWatch
 from basilhold.placement.plan import Explanation, Placement, Plan
 from basilhold.placement.planner import Planner
-from basilhold.placement.planning_pass import FitMemo, PlanningPass
+from basilhold.placement.planning_pass import PlanningPass
 from basilhold.placement.shard_state import ShardState
 from basilhold.placement.workers import LiveTask
 from basilhold.ports import TaskReport
@@ -43,7 +44,6 @@
         self._claims = ClaimBook(self._state)
         self._gangs = GangTurns(self._state)
         self._overuse = OveruseWatch(self._state)
-        self._memo = FitMemo()
 
     def upsert_worker(self, record: WorkerRecord, schedulable: bool) -> None:
         """Add a worker or replace what is known about it."""
@@ -94,7 +94,7 @@
         state.update_gpu_wait()
         self._gangs.expire()
         overuse = self._overuse.take_evictions()
-        run = PlanningPass(state, self._claims, self._gangs, self._memo, limit)
+        run = PlanningPass(state, self._claims, self._gangs, limit)
         plan = run.run()
         return Plan(plan.placements, (*overuse, *plan.evictions))
 
@@ -115,6 +115,16 @@
             self._state, self._claims, self._gangs.reservation, job_id, now_unix_ms
         )
 
+    def check_invariants(self) -> None:
+        """Compare all bookkeeping with the live tasks.
+
+        Raises
+        ------
+        InvariantError
+            If anything disagrees.
+        """
+        audit(self._state)
+
     def _record_report(self, live: LiveTask, report: TaskReport) -> None:
         state, job = self._state, live.job
         age_ms = state.now_unix_ms - live.started_unix_ms
