--- a/basilhold/observability/__init__.py
+++ b/basilhold/observability/__init__.py
@@ -6,5 +6,42 @@
     log_event,
     registered_events,
 )
+from basilhold.observability.health import Health, HealthReport, ReadinessCheck
+from basilhold.observability.log_setup import set_up_logging
+from basilhold.observability.metric_catalogue import METRICS, metric
+from basilhold.observability.metrics import (
+    Metric,
+    MetricKind,
+    Metrics,
+    MetricSource,
+    ProcessMetrics,
+)
+from basilhold.observability.pages import (
+    StatusPages,
+    status_application,
+    status_routes,
+)
+from basilhold.observability.state import StateDump, StateSource
 
-__all__ = ["Event", "EventLevel", "log_event", "registered_events"]
+__all__ = [
+    "METRICS",
+    "Event",
+    "EventLevel",
+    "Health",
+    "HealthReport",
+    "Metric",
+    "MetricKind",
+    "MetricSource",
+    "Metrics",
+    "ProcessMetrics",
+    "ReadinessCheck",
+    "StateDump",
+    "StateSource",
+    "StatusPages",
+    "log_event",
+    "metric",
+    "registered_events",
+    "set_up_logging",
+    "status_application",
+    "status_routes",
+]
--- a/basilhold/observability/events.py
+++ b/basilhold/observability/events.py
@@ -1,10 +1,19 @@
 """Numbered log events."""
 
+from collections import Counter
 from enum import Enum
 
 from absl import logging
 
-__all__ = ["Event", "EventLevel", "log_event", "registered_events"]
+__all__ = [
+    "CHECK_FAILED",
+    "STATE_SOURCE_FAILED",
+    "Event",
+    "EventLevel",
+    "event_counts",
+    "log_event",
+    "registered_events",
+]
 
 
 class EventLevel(Enum):
@@ -16,6 +25,7 @@
 
 
 _REGISTRY: dict[int, "Event"] = {}
+_COUNTS: Counter[int] = Counter()
 
 
 class Event:
@@ -56,6 +66,7 @@
     **fields
         Values for the event's template.
     """
+    _COUNTS[event.number] += 1
     text = event.template.format(**fields)
     logging.log(event.level.value, "BH%04d %s", event.number, text)
 
@@ -63,3 +74,22 @@
 def registered_events() -> tuple[Event, ...]:
     """Return all declared events in the order of their numbers."""
     return tuple(_REGISTRY[number] for number in sorted(_REGISTRY))
+
+
+def event_counts() -> dict[int, int]:
+    """Return how often each event was logged by this process."""
+    return dict(_COUNTS)
+
+
+CHECK_FAILED = Event(
+    4300,
+    EventLevel.ERROR,
+    "readiness check {check} failed with {error}; the process is not ready",
+    "Report it; restart the process if it persists.",
+)
+STATE_SOURCE_FAILED = Event(
+    4301,
+    EventLevel.ERROR,
+    "state source {source} failed with {error}; the dump lacks it",
+    "Report it.",
+)
--- /dev/null
+++ b/basilhold/observability/tests/test_pages.py
@@ -0,0 +1,137 @@
+import asyncio
+import json
+import logging
+import re
+import sys
+
+from tornado.testing import AsyncHTTPTestCase, gen_test
+
+from basilhold.observability import (
+    METRICS,
+    Health,
+    Metric,
+    MetricKind,
+    Metrics,
+    MetricSource,
+    ProcessMetrics,
+    ReadinessCheck,
+    StateDump,
+    StatusPages,
+    metric,
+    status_application,
+)
+from basilhold.observability.log_setup import LineFormatter
+
+
+class Check(ReadinessCheck):
+    name = "config"
+
+    def __init__(self):
+        self.answer = "no confirmed configuration"
+
+    def problem(self):
+        if isinstance(self.answer, Exception):
+            raise self.answer
+        return self.answer
+
+
+class Shards(MetricSource):
+    def collect(self, metrics):
+        metrics.set(metric("basilhold_shard_owned"), 1, zone="oslo-a")
+
+
+class StatusPagesTest(AsyncHTTPTestCase):
+    """Guards what load balancers, Prometheus and operators read."""
+
+    def get_app(self):
+        self.check, self.health = Check(), Health("gateway@entry-1")
+        self.health.add_check(self.check)
+        self.metrics = Metrics(METRICS)
+        self.pages = StatusPages(self.health, self.metrics, StateDump())
+        return status_application(self.pages)
+
+    def ready(self):
+        response = self.fetch("/readyz")
+        return response.code, json.loads(response.body)["reasons"]
+
+    def test_readiness_gives_its_reasons(self):
+        self.assertEqual(self.ready(), (503, {"config": "no confirmed configuration"}))
+        self.assertEqual(self.fetch("/healthz").code, 200)
+        self.check.answer = ""
+        self.assertEqual(self.ready(), (200, {}))
+        self.health.draining = True
+        self.assertEqual(self.ready()[0], 503)
+        self.health.draining = False
+        self.check.answer = RuntimeError("x")
+        self.assertIn("RuntimeError", self.ready()[1]["config"])
+
+    def test_broken_invariant_fails_both(self):
+        self.check.answer = ""
+        self.health.fatal = "worker w exceeds its capacity"
+        self.assertEqual(self.ready()[0], 503)
+        response = self.fetch("/healthz")
+        self.assertEqual(response.code, 503)
+        self.assertIn(b"exceeds its capacity", response.body)
+
+    def test_metrics_of_counters_sources_and_the_process(self):
+        requests = metric("basilhold_requests_total")
+        for _ in range(3):
+            self.metrics.add(requests, class_name="quote", outcome="ran")
+        self.metrics.observe(
+            metric("basilhold_request_wait_ratio"), 0.3, class_name="quote"
+        )
+        self.metrics.add_source(Shards())
+        names = ("resident_bytes", "processor_seconds_total", "events_total")
+        process = (metric(f"basilhold_{name}") for name in names)
+        self.metrics.add_source(ProcessMetrics(*process))
+        text = self.fetch("/metrics").body.decode()
+        for line in (
+            'basilhold_requests_total{class_name="quote",outcome="ran"} 3',
+            'basilhold_request_wait_ratio_bucket{class_name="quote",le="0.5"} 1',
+            'basilhold_shard_owned{zone="oslo-a"} 1',
+            "basilhold_ready 0",
+        ):
+            self.assertIn(line, text)
+        resident = re.search(r"^basilhold_resident_bytes (\S+)", text, re.MULTILINE)
+        self.assertGreater(float(resident[1]), 1 << 20)
+
+    def test_label_sets_are_bounded(self):
+        declared = Metric("basilhold_x_total", MetricKind.COUNTER, "x", ("a",))
+        metrics = Metrics([declared], series_max=10)
+        for n in range(100):
+            metrics.add(declared, a=str(n))
+        text = metrics.render()[0].decode()
+        self.assertEqual(text.count("basilhold_x_total{"), 10)
+        self.assertIn('series_dropped_total{metric="basilhold_x_total"} 90', text)
+        with self.assertRaises(ValueError):
+            metrics.add(declared, b="1")
+
+    @gen_test
+    async def test_one_dump_at_a_time(self):
+        entered, release = asyncio.Event(), asyncio.Event()
+
+        async def dump():
+            entered.set()
+            await release.wait()
+            return b"{}"
+
+        self.pages.state.dump = dump
+        first = asyncio.ensure_future(self.http_client.fetch(self.get_url("/state")))
+        await entered.wait()
+        second = await self.http_client.fetch(self.get_url("/state"), raise_error=False)
+        self.assertEqual(second.code, 503)
+        release.set()
+        self.assertEqual((await first).body, b"{}")
+        self.assertFalse(self.pages.dump_running)
+
+    def test_log_records_are_one_line(self):
+        try:
+            raise ValueError("a\nBH4000 started")
+        except ValueError:
+            record = logging.makeLogRecord(
+                {"msg": "x\r\ny\x1b", "levelname": "ERROR", "exc_info": sys.exc_info()}
+            )
+        line = LineFormatter("gateway@entry-1").format(record)
+        self.assertTrue(line.isprintable())
+        self.assertRegex(line, r"^\d{4}-.*Z ERROR gateway@entry-1 x\\r\\ny\\x1b")
+        self.assertIn(r"a\nBH4000 started", line)
--- a/basilhold/settings/model.py
+++ b/basilhold/settings/model.py
@@ -201,7 +201,7 @@
     ] = 1 << 20
     state_dump_bytes: Annotated[
         int, _size("A state dump, in bytes; longer lists are cut.", 1 << 30)
-    ] = 4 << 20
+    ] = 1 << 20
     queued_requests: Annotated[int, _count("Requests that wait in a gateway.")] = 2_000
     queued_request_bytes: Annotated[
         int, _size("Bodies of requests that wait in a gateway, in bytes.")
