--- a/basilhold/adapters/http.py
+++ b/basilhold/adapters/http.py
@@ -13,6 +13,7 @@
 from collections import defaultdict
 from types import TracebackType
 from typing import Self
+from urllib.parse import urlsplit
 
 import msgspec
 from expression import Error, Ok, Result
@@ -40,6 +41,19 @@
     port: int
     tls: bool = False
 
+    @classmethod
+    def of_url(cls, url: str) -> Self:
+        """Return the address in a URL without a path.
+
+        Examples
+        --------
+        >>> HttpAddress.of_url("https://10.0.0.1")
+        HttpAddress(host='10.0.0.1', port=443, tls=True)
+        """
+        parts = urlsplit(url)
+        tls = parts.scheme == "https"
+        return cls(parts.hostname or "", parts.port or (443 if tls else 80), tls)
+
 
 class HttpCall(msgspec.Struct, frozen=True):
     """One request.
@@ -143,7 +157,7 @@
     ----------
     limits : HttpLimits
     tls : ssl.SSLContext, optional
-        Used for addresses with `tls` set.
+        Used for addresses with `tls` set; the system's certificates by default.
     traffic : TrafficSink, optional
     """
 
@@ -154,7 +168,7 @@
         traffic: TrafficSink | None = None,
     ):
         self._limits = limits or HttpLimits()
-        self._tls = tls
+        self._tls = tls or ssl.create_default_context()
         self._traffic = traffic or _NoTraffic()
         self._slots = asyncio.Semaphore(self._limits.connections)
         self._client = TCPClient()
--- a/basilhold/observability/events.py
+++ b/basilhold/observability/events.py
@@ -76,9 +76,9 @@
     return tuple(_REGISTRY[number] for number in sorted(_REGISTRY))
 
 
-def event_counts() -> dict[int, int]:
+def event_counts() -> dict[Event, int]:
     """Return how often each event was logged by this process."""
-    return dict(_COUNTS)
+    return {_REGISTRY[number]: count for number, count in _COUNTS.items()}
 
 
 CHECK_FAILED = Event(
--- a/basilhold/observability/metric_catalogue.py
+++ b/basilhold/observability/metric_catalogue.py
@@ -158,7 +158,7 @@
     Metric(
         "basilhold_sent_bytes_total",
         _COUNTER,
-        "Bytes sent; distance is zone, region or cross-region",
+        "Bytes sent; distance is same-zone, same-region or other-region",
         ("purpose", "distance"),
     ),
     Metric(
@@ -199,7 +199,7 @@
         "basilhold_events_total",
         _COUNTER,
         "Logged events by number, see docs/events.md",
-        ("number",),
+        ("number", "level"),
     ),
 )
 
--- a/basilhold/observability/metrics.py
+++ b/basilhold/observability/metrics.py
@@ -151,5 +151,6 @@
         pages = int(Path("/proc/self/statm").read_text().split()[1])
         metrics.set(self._resident, pages * _PAGE_BYTES)
         metrics.set(self._processor, time.process_time())
-        for number, count in event_counts().items():
-            metrics.set(self._events, count, number=f"{number:04d}")
+        for event, count in event_counts().items():
+            number, level = f"{event.number:04d}", event.level.name
+            metrics.set(self._events, count, number=number, level=level)
--- a/basilhold/settings/checks.py
+++ b/basilhold/settings/checks.py
@@ -139,8 +139,14 @@
             yield Problem(key, "expected a URL such as http://127.0.0.1:8200")
         elif parts.username or parts.password:
             yield Problem(key, "a URL must not contain a user name or password")
+        elif parts.path.strip("/") or parts.query or parts.fragment:
+            yield Problem(key, "the URL must end after host and port")
         elif parts.scheme == "http" and not is_loopback(host):
             yield Problem(key, "plain text is allowed on loopback only; use https")
+    local = all(is_loopback(vm.host) for vm in settings.entry_vms)
+    if settings.platform.agent_scheme == "http" and not local:
+        reason = "plain text is allowed on loopback only; use https"
+        yield Problem("platform.agent_scheme", reason)
 
 
 def _check_operators(settings: Settings) -> Iterator[Problem]:
--- a/basilhold/settings/model.py
+++ b/basilhold/settings/model.py
@@ -21,11 +21,14 @@
     "Zone",
 ]
 
+OFFICE_CHARACTERS_MAX = 32
+"""Longest office name; names of classes and teams start with it."""
 
-def _name(description: str) -> Meta:
+
+def _name(description: str, longest: int = 63) -> Meta:
     return Meta(
         min_length=1,
-        max_length=63,
+        max_length=longest,
         pattern="^[a-z0-9]([a-z0-9-]*[a-z0-9])?$",
         description=description,
     )
@@ -272,7 +275,7 @@
         ),
     ] = "info"
     offices: Annotated[
-        tuple[Annotated[str, _name("")], ...],
+        tuple[Annotated[str, _name("", OFFICE_CHARACTERS_MAX)], ...],
         Meta(min_length=1, description="Names of the offices."),
     ]
     regions: Annotated[tuple[Region, ...], Meta(min_length=1, description="Regions.")]
@@ -295,3 +298,8 @@
         tuple[WorkerShape, ...], Meta(description="Sizes of workers.")
     ] = ()
     local: Annotated[LocalCell, Meta(description="The local cell.")] = LocalCell()
+
+    def secrets(self) -> tuple[str, ...]:
+        """Return the texts that must not appear in logs or dumps."""
+        values = (o.token or o.token_sha256 for o in self.operators)
+        return tuple(value for value in values if value)
--- a/basilhold/settings/tests/test_settings.py
+++ b/basilhold/settings/tests/test_settings.py
@@ -51,7 +51,13 @@
     ("http://127.0.0.1:18200", "http://[::1", "platform.table_url", "URL"),
     ("http://127.0.0.1:18200", "http://10.0.0.1", "platform.table_url", "loopback"),
     ("http://127.0.0.1:18200", "http://u:p@127.0.0.1", "platform.table_url", "pass"),
-    ('office = "thrace-office"', 'office = "x"', "operators[0].office", "offices"),
+    (
+        "http://127.0.0.1:18200",
+        "http://127.0.0.1/v1",
+        "platform.table_url",
+        "end after",
+    ),
+    ('office = "thrace"', 'office = "x"', "operators[0].office", "offices"),
     (f'token = "{TOKEN}"', "", "operators[0]", "exactly one"),
     (f'token = "{TOKEN}"', 'token = "short"', "operators[0].token", "16"),
     (
@@ -89,6 +95,14 @@
                 self.assertTrue(str(error).startswith("t.toml: "))
                 self.assertNotIn(TOKEN, str(error))
 
+    def test_agents_off_loopback_need_https(self):
+        tls = '[tls]\ncertificate_file = "c"\nkey_file = "k"\nca_file = "a"\n'
+        text = TRAKIA.replace('host = "127.0.0.1"', 'host = "10.0.0.1"', 1) + tls
+        error = parse_settings(text, "t.toml").error
+        self.assertEqual(error.key, "platform.agent_scheme")
+        text = text.replace("[platform]", '[platform]\nagent_scheme = "https"')
+        self.assertTrue(parse_settings(text, "t.toml").is_ok())
+
     @settings(max_examples=60, deadline=None)
     @given(st.text(max_size=200))
     def test_any_text_gives_an_error_and_no_exception(self, text):
@@ -118,6 +132,7 @@
         loaded = parse_settings(TRAKIA, "t.toml").ok
         self.assertNotIn(TOKEN, repr(loaded))
         self.assertNotIn(TOKEN, f"{loaded.operators[0]}")
+        self.assertIn(TOKEN, loaded.secrets())
 
 
 class ExampleTest(unittest.TestCase):
@@ -146,17 +161,21 @@
                 document = msgspec.json.decode(data, type=OfficeDocument)
                 self.assertEqual(document.office, office)
                 names += [work_class.name for work_class in document.classes]
+                for entry in document.classes + document.teams:
+                    self.assertTrue(entry.name.startswith(f"{office}."), entry.name)
                 for work_class in document.classes:
                     if work_class.kind is ClassKind.REQUEST:
                         self.assertIn(work_class.service, services)
             self.assertEqual(len(names), len(set(names)))
 
     def test_orders_and_restorations_run_at_most_once(self):
-        forbidden = {"order": "thrace", "crack-inpainting": "bergen"}
-        for name, office in forbidden.items():
-            path = next(EXAMPLES.glob(f"*-{office}-office.json"))
-            document = msgspec.json.decode(path.read_bytes(), type=OfficeDocument)
-            found = next(c for c in document.classes if c.name == name)
+        for name in ("trakia-thrace.order", "fjordlys-bergen.crack-inpainting"):
+            office, _, local_name = name.partition(".")
+            data = (EXAMPLES / f"{office}.json").read_bytes()
+            document = msgspec.json.decode(data, type=OfficeDocument)
+            found = next(
+                c for c in document.classes if c.name.endswith(f".{local_name}")
+            )
             self.assertIs(found.restart, RestartPolicy.FORBIDDEN)
 
     def test_reference_page_is_current(self):
--- a/basilhold/standins/http.py
+++ b/basilhold/standins/http.py
@@ -1,5 +1,6 @@
 """HTTP servers that expose the in-memory stand-ins by the platform protocol."""
 
+import ssl
 from types import TracebackType
 from typing import Any, Self
 
@@ -69,6 +70,8 @@
     port : int
         0 lets the operating system choose.
     host : str
+    tls : ssl.SSLContext, optional
+        Serves HTTPS.
 
     Attributes
     ----------
@@ -79,14 +82,20 @@
     """
 
     def __init__(
-        self, services: PlatformServices, port: int = 0, host: str = "127.0.0.1"
+        self,
+        services: PlatformServices,
+        port: int = 0,
+        host: str = "127.0.0.1",
+        tls: ssl.SSLContext | None = None,
     ):
         self.host = host
         self.request_count = 0
         sockets = bind_sockets(port, host)
         self.port: int = sockets[0].getsockname()[1]
         self._server = HTTPServer(
-            _make_application(services, self), max_body_size=BODY_BYTES_MAX
+            _make_application(services, self),
+            max_body_size=BODY_BYTES_MAX,
+            ssl_options=tls,
         )
         self._server.add_sockets(sockets)
 
