--- a/basilhold/adapters/tests/test_outcomes.py
+++ b/basilhold/adapters/tests/test_outcomes.py
@@ -17,8 +17,14 @@
 )
 from basilhold.adapters.tests.contracts import WORKER, put
 from basilhold.adapters.tests.test_contracts import OneAddress
-from basilhold.core import Attempt, Epoch, TaskId
-from basilhold.ports import AgentErrorKind, StoreErrorKind, Transaction, Write
+from basilhold.core import Attempt, Epoch, TaskId, WorkerId
+from basilhold.ports import (
+    AgentErrorKind,
+    RenewRequest,
+    StoreErrorKind,
+    Transaction,
+    Write,
+)
 from basilhold.standins import MemoryTable, StoreFaults
 from basilhold.standins.http import PlatformServer, PlatformServices
 
@@ -160,6 +166,22 @@
         self.assertGreater(sink.seen[0].sent_bytes, 400)
 
 
+class CostTest(unittest.IsolatedAsyncioTestCase):
+    """Guards the bound of 7 KB/s of control traffic per daemon.
+
+    At the two-year size an owner renews the leases of 220 workers every 10 s, which
+    leaves 7,000 / 22 bytes per renewal.
+    """
+
+    async def test_renewals_of_a_shard_stay_within_the_bound(self):
+        sink = Sink()
+        async with RawServer(b"") as server, HttpPool(traffic=sink) as pool:
+            agent = HttpWorkerAgent(pool, OneAddress(server.address))
+            request = RenewRequest(Epoch(10**6), 1_800_000_000_000, (1 << 64) - 1)
+            await agent.renew(WorkerId("order-desk-plovdiv-0220"), request)
+        self.assertLessEqual(sink.seen[0].sent_bytes, 7_000 / 22)
+
+
 class FaultTest(unittest.IsolatedAsyncioTestCase):
     """Guards the faults of the HTTP stand-ins that randomised runs rely on."""
 
--- a/basilhold/observability/__init__.py
+++ b/basilhold/observability/__init__.py
@@ -8,6 +8,7 @@
 )
 from basilhold.observability.health import Health, HealthReport, ReadinessCheck
 from basilhold.observability.log_setup import set_up_logging
+from basilhold.observability.loop_lag import LoopLagSampler
 from basilhold.observability.metric_catalogue import METRICS, metric
 from basilhold.observability.metrics import (
     Metric,
@@ -18,6 +19,7 @@
 )
 from basilhold.observability.pages import (
     StatusPages,
+    make_status_pages,
     status_application,
     status_routes,
 )
@@ -29,6 +31,7 @@
     "EventLevel",
     "Health",
     "HealthReport",
+    "LoopLagSampler",
     "Metric",
     "MetricKind",
     "MetricSource",
@@ -39,6 +42,7 @@
     "StateSource",
     "StatusPages",
     "log_event",
+    "make_status_pages",
     "metric",
     "registered_events",
     "set_up_logging",
--- a/basilhold/observability/pages.py
+++ b/basilhold/observability/pages.py
@@ -1,14 +1,21 @@
 """The status pages that every daemon serves."""
 
+from collections.abc import Iterable
+
 import msgspec
 from tornado.web import Application, RequestHandler
 
 from basilhold.observability.health import Health, HealthReport
-from basilhold.observability.metric_catalogue import metric
-from basilhold.observability.metrics import Metrics
+from basilhold.observability.metric_catalogue import METRICS, metric
+from basilhold.observability.metrics import Metrics, ProcessMetrics
 from basilhold.observability.state import StateDump
 
-__all__ = ["StatusPages", "status_application", "status_routes"]
+__all__ = [
+    "StatusPages",
+    "make_status_pages",
+    "status_application",
+    "status_routes",
+]
 
 
 class StatusPages(msgspec.Struct):
@@ -29,6 +36,30 @@
     dump_running: bool = False
 
 
+def make_status_pages(
+    process_id: str, dump_bytes_max: int, secrets: Iterable[str]
+) -> StatusPages:
+    """Return pages with all declared metrics and those of the process itself.
+
+    Parameters
+    ----------
+    process_id : str
+    dump_bytes_max : int
+        Bound of a state dump, in bytes.
+    secrets : iterable of str
+        Texts that a dump must not show.
+    """
+    metrics = Metrics(METRICS)
+    metrics.add_source(
+        ProcessMetrics(
+            metric("basilhold_resident_bytes"),
+            metric("basilhold_processor_seconds_total"),
+            metric("basilhold_events_total"),
+        )
+    )
+    return StatusPages(Health(process_id), metrics, StateDump(dump_bytes_max, secrets))
+
+
 class _Page(RequestHandler):
     def initialize(self, pages: StatusPages) -> None:
         self.pages = pages
--- a/basilhold/observability/tests/test_pages.py
+++ b/basilhold/observability/tests/test_pages.py
@@ -7,20 +7,19 @@
 from tornado.testing import AsyncHTTPTestCase, gen_test
 
 from basilhold.observability import (
-    METRICS,
     Health,
+    LoopLagSampler,
     Metric,
     MetricKind,
     Metrics,
     MetricSource,
-    ProcessMetrics,
     ReadinessCheck,
-    StateDump,
-    StatusPages,
+    make_status_pages,
     metric,
     status_application,
 )
 from basilhold.observability.log_setup import LineFormatter
+from basilhold.testing import VirtualTimeTestCase
 
 
 class Check(ReadinessCheck):
@@ -46,8 +45,9 @@
     def get_app(self):
         self.check, self.health = Check(), Health("gateway@entry-1")
         self.health.add_check(self.check)
-        self.metrics = Metrics(METRICS)
-        self.pages = StatusPages(self.health, self.metrics, StateDump())
+        self.pages = make_status_pages("gateway@entry-1", 1 << 20, ())
+        self.pages.health = self.health
+        self.metrics = self.pages.metrics
         return status_application(self.pages)
 
     def ready(self):
@@ -81,9 +81,6 @@
             metric("basilhold_request_wait_ratio"), 0.3, class_name="quote"
         )
         self.metrics.add_source(Shards())
-        names = ("resident_bytes", "processor_seconds_total", "events_total")
-        process = (metric(f"basilhold_{name}") for name in names)
-        self.metrics.add_source(ProcessMetrics(*process))
         text = self.fetch("/metrics").body.decode()
         for line in (
             'basilhold_requests_total{class_name="quote",outcome="ran"} 3',
@@ -135,3 +132,14 @@
         self.assertTrue(line.isprintable())
         self.assertRegex(line, r"^\d{4}-.*Z ERROR gateway@entry-1 x\\r\\ny\\x1b")
         self.assertIn(r"a\nBH4000 started", line)
+
+
+class LoopLagTest(VirtualTimeTestCase):
+    """Guards the sampler: a loop that is on time must not look late."""
+
+    async def test_loop_on_time_has_no_lag(self):
+        pages = make_status_pages("p", 1000, ())
+        async with LoopLagSampler(pages.metrics, metric("basilhold_loop_lag_seconds")):
+            await asyncio.sleep(10.5)
+        text = pages.metrics.render()[0].decode()
+        self.assertIn('basilhold_loop_lag_seconds_bucket{le="0.001"} 10', text)
