--- a/basilhold/settings/__init__.py
+++ b/basilhold/settings/__init__.py
@@ -11,6 +11,7 @@
     read_settings_or_exit,
 )
 from basilhold.settings.model import (
+    Caller,
     EntryVm,
     Latency,
     Limits,
@@ -25,9 +26,11 @@
     WorkerShape,
     Zone,
 )
+from basilhold.settings.tokens import TokenDigests
 
 __all__ = [
     "EXIT_SETTINGS",
+    "Caller",
     "EntryVm",
     "Latency",
     "Limits",
@@ -42,6 +45,7 @@
     "SettingsError",
     "Timeouts",
     "Tls",
+    "TokenDigests",
     "WorkerShape",
     "Zone",
     "is_loopback",
--- a/basilhold/settings/checks.py
+++ b/basilhold/settings/checks.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from basilhold.settings.model import Settings
+from basilhold.settings.model import Caller, Operator, Settings
 
 __all__ = ["Problem", "find_problem", "is_loopback"]
 
@@ -68,6 +68,7 @@
     yield from _duplicates("entry_vms", "id", (v.id for v in settings.entry_vms))
     yield from _duplicates("services", "name", (s.name for s in settings.services))
     yield from _duplicates("operators", "name", (o.name for o in settings.operators))
+    yield from _duplicates("callers", "name", (c.name for c in settings.callers))
     shapes = (shape.name for shape in settings.worker_shapes)
     yield from _duplicates("worker_shapes", "name", shapes)
 
@@ -149,22 +150,29 @@
         yield Problem("platform.agent_scheme", reason)
 
 
-def _check_operators(settings: Settings) -> Iterator[Problem]:
-    for index, operator in enumerate(settings.operators):
-        key = f"operators[{index}]"
-        if (operator.token is None) == (operator.token_sha256 is None):
+def _check_tokens(settings: Settings) -> Iterator[Problem]:
+    yield from _check_bearers("operators", settings.operators)
+    yield from _check_bearers("callers", settings.callers)
+
+
+def _check_bearers(
+    table: str, bearers: tuple[Operator | Caller, ...]
+) -> Iterator[Problem]:
+    for index, bearer in enumerate(bearers):
+        key = f"{table}[{index}]"
+        if (bearer.token is None) == (bearer.token_sha256 is None):
             yield Problem(key, "exactly one of token and token_sha256 must be set")
-        elif operator.token is not None and (
-            len(operator.token) < TOKEN_CHARACTERS_MIN
-            or not re.fullmatch(r"[!-~]+", operator.token)
+        elif bearer.token is not None and (
+            len(bearer.token) < TOKEN_CHARACTERS_MIN
+            or not re.fullmatch(r"[!-~]+", bearer.token)
         ):
             yield Problem(
                 f"{key}.token",
                 f"expected at least {TOKEN_CHARACTERS_MIN} printable ASCII"
                 " characters without spaces",
             )
-        elif operator.token_sha256 is not None and not re.fullmatch(
-            "[0-9a-f]{64}", operator.token_sha256
+        elif bearer.token_sha256 is not None and not re.fullmatch(
+            "[0-9a-f]{64}", bearer.token_sha256
         ):
             yield Problem(f"{key}.token_sha256", "expected 64 hexadecimal digits")
 
@@ -183,6 +191,6 @@
     _check_ports,
     _check_hosts,
     _check_urls,
-    _check_operators,
+    _check_tokens,
     _check_times,
 )
--- a/basilhold/settings/model.py
+++ b/basilhold/settings/model.py
@@ -6,6 +6,7 @@
 from msgspec import Meta
 
 __all__ = [
+    "Caller",
     "EntryVm",
     "Latency",
     "Limits",
@@ -161,6 +162,35 @@
         return f"Operator(name={self.name!r}, office={self.office!r}, token=<hidden>)"
 
 
+class Caller(_Table, kw_only=True):
+    """A token that lets its bearer send requests for a team.
+
+    Exactly one of `token` and `token_sha256` is set.
+    """
+
+    name: Annotated[str, _name("Name of the caller.")]
+    team: Annotated[
+        str,
+        Meta(
+            max_length=127,
+            pattern=r"^[a-z0-9-]+\.[a-z0-9-]+$",
+            description="Team that the requests count for, with its office's prefix.",
+        ),
+    ]
+    token: Annotated[str, _text("The token itself; at least 16 characters.")] | None = (
+        None
+    )
+    token_sha256: (
+        Annotated[
+            str, _text("SHA-256 of the token, as 64 lower-case hexadecimal digits.")
+        ]
+        | None
+    ) = None
+
+    def __repr__(self) -> str:
+        return f"Caller(name={self.name!r}, team={self.team!r}, token=<hidden>)"
+
+
 class Timeouts(_Table, kw_only=True):
     """Time limits."""
 
@@ -291,6 +321,7 @@
     operators: Annotated[
         tuple[Operator, ...], Meta(description="Operators' tokens.")
     ] = ()
+    callers: Annotated[tuple[Caller, ...], Meta(description="Callers' tokens.")] = ()
     timeouts: Annotated[Timeouts, Meta(description="Time limits.")] = Timeouts()
     limits: Annotated[Limits, Meta(description="Other bounds.")] = Limits()
     services: Annotated[tuple[Service, ...], Meta(description="Services.")] = ()
@@ -301,5 +332,5 @@
 
     def secrets(self) -> tuple[str, ...]:
         """Return the texts that must not appear in logs or dumps."""
-        values = (o.token or o.token_sha256 for o in self.operators)
+        values = (o.token or o.token_sha256 for o in (*self.operators, *self.callers))
         return tuple(value for value in values if value)
