--- a/basilhold/accounting/__init__.py
+++ b/basilhold/accounting/__init__.py
@@ -1,3 +1,40 @@
 """Counts of control traffic and the budget of store operations."""
 
-__all__: list[str] = []
+from basilhold.accounting.channels import CountingTransport, purpose_of_method
+from basilhold.accounting.tables import (
+    CountingTableService,
+    OperationCounter,
+    OperationEntry,
+    OperationKind,
+)
+from basilhold.accounting.traffic import (
+    ACK_BYTES,
+    CALL_OVERHEAD_BYTES,
+    HTTP_OVERHEAD_BYTES,
+    MESSAGE_OVERHEAD_BYTES,
+    Distance,
+    HostLocator,
+    Place,
+    Purpose,
+    TrafficCounter,
+    TrafficEntry,
+)
+
+__all__ = [
+    "ACK_BYTES",
+    "CALL_OVERHEAD_BYTES",
+    "HTTP_OVERHEAD_BYTES",
+    "MESSAGE_OVERHEAD_BYTES",
+    "CountingTableService",
+    "CountingTransport",
+    "Distance",
+    "HostLocator",
+    "OperationCounter",
+    "OperationEntry",
+    "OperationKind",
+    "Place",
+    "Purpose",
+    "TrafficCounter",
+    "TrafficEntry",
+    "purpose_of_method",
+]
--- /dev/null
+++ b/basilhold/accounting/tables.py
@@ -0,0 +1,106 @@
+"""Counts of store operations by purpose."""
+
+from collections import Counter
+from enum import Enum
+
+import msgspec
+from expression import Result
+
+from basilhold.ports import Row, ScanPage, StoreError, TableService, Transaction
+
+__all__ = [
+    "CountingTableService",
+    "OperationCounter",
+    "OperationEntry",
+    "OperationKind",
+]
+
+
+class OperationKind(Enum):
+    """Kind of a store operation."""
+
+    READ = "read"
+    WRITE = "write"
+
+
+class OperationEntry(msgspec.Struct, frozen=True):
+    """Operations of one purpose and kind.
+
+    Parameters
+    ----------
+    purpose : str
+    kind : OperationKind
+    count : int
+    failed_count : int
+        Operations without success, conflicts included.
+    """
+
+    purpose: str
+    kind: OperationKind
+    count: int
+    failed_count: int
+
+
+class OperationCounter:
+    """Counts the store operations of one process."""
+
+    def __init__(self):
+        self._counts: Counter[tuple[str, OperationKind]] = Counter()
+        self._failed: Counter[tuple[str, OperationKind]] = Counter()
+
+    def add(self, purpose: str, kind: OperationKind, is_ok: bool) -> None:
+        """Count one operation."""
+        self._counts[purpose, kind] += 1
+        if not is_ok:
+            self._failed[purpose, kind] += 1
+
+    def snapshot(self) -> tuple[OperationEntry, ...]:
+        """Return the counts since the start, for export as metrics."""
+        keys = sorted(self._counts, key=lambda key: (key[0], key[1].value))
+        return tuple(
+            OperationEntry(*key, self._counts[key], self._failed[key]) for key in keys
+        )
+
+    def total(self, kind: OperationKind | None = None) -> int:
+        """Return the number of operations, optionally of one kind."""
+        return sum(
+            count for key, count in self._counts.items() if kind in (None, key[1])
+        )
+
+
+class CountingTableService(TableService):
+    """Counts the operations of one purpose on any table service.
+
+    Parameters
+    ----------
+    inner : TableService
+    counter : OperationCounter
+    purpose : str
+    """
+
+    def __init__(self, inner: TableService, counter: OperationCounter, purpose: str):
+        self._inner = inner
+        self._counter = counter
+        self._purpose = purpose
+
+    async def read(self, keys: tuple[str, ...]) -> Result[dict[str, Row], StoreError]:
+        """Read rows."""
+        return self._count(OperationKind.READ, await self._inner.read(keys))
+
+    async def scan(
+        self, prefix: str, after: str = "", limit: int = 500
+    ) -> Result[ScanPage, StoreError]:
+        """Read a page of rows."""
+        result = await self._inner.scan(prefix, after, limit)
+        return self._count(OperationKind.READ, result)
+
+    async def transact(
+        self, transaction: Transaction
+    ) -> Result[dict[str, int], StoreError]:
+        """Apply a transaction."""
+        result = await self._inner.transact(transaction)
+        return self._count(OperationKind.WRITE, result)
+
+    def _count(self, kind: OperationKind, result: Result) -> Result:
+        self._counter.add(self._purpose, kind, result.is_ok())
+        return result
--- /dev/null
+++ b/basilhold/accounting/traffic.py
@@ -0,0 +1,182 @@
+"""Counts of sent bytes by purpose and distance."""
+
+from collections import Counter
+from collections.abc import Mapping
+from enum import Enum
+
+import msgspec
+
+from basilhold.core import RegionName, ZoneName
+
+__all__ = [
+    "ACK_BYTES",
+    "CALL_OVERHEAD_BYTES",
+    "HTTP_OVERHEAD_BYTES",
+    "MESSAGE_OVERHEAD_BYTES",
+    "Distance",
+    "HostLocator",
+    "Place",
+    "Purpose",
+    "TrafficCounter",
+    "TrafficEntry",
+]
+
+_IP_TCP_BYTES = 52
+"""IPv4 header (20) and TCP header with the timestamp option (32)."""
+
+_TLS_RECORD_BYTES = 22
+"""TLS 1.3 record header (5), content type (1) and authentication tag (16)."""
+
+_HTTP2_FRAME_BYTES = 9
+
+_GRPC_PREFIX_BYTES = 5
+
+MESSAGE_OVERHEAD_BYTES = (
+    _IP_TCP_BYTES + _TLS_RECORD_BYTES + _HTTP2_FRAME_BYTES + _GRPC_PREFIX_BYTES
+)
+"""Estimated bytes around one protobuf message that is sent in a packet of its own."""
+
+ACK_BYTES = _IP_TCP_BYTES
+"""Bytes of the TCP acknowledgement that the receiver of a message sends.
+
+Delayed acknowledgements often ride on other packets, so this is an upper estimate.
+"""
+
+CALL_OVERHEAD_BYTES = 100 + _HTTP2_FRAME_BYTES
+"""Estimated HEADERS frame that opens a call; it shares a packet with the message."""
+
+HTTP_OVERHEAD_BYTES = 250 + _TLS_RECORD_BYTES + 2 * _IP_TCP_BYTES
+"""Estimated request line and headers, TLS record, packet and acknowledgement."""
+
+
+class Distance(Enum):
+    """How far a message travels."""
+
+    SAME_ZONE = "same-zone"
+    SAME_REGION = "same-region"
+    OTHER_REGION = "other-region"
+
+
+class Purpose(Enum):
+    """What a message is for."""
+
+    RELAY = "relay"
+    SLOTS = "slots"
+    JOBS = "jobs"
+    PROBE = "probe"
+    HANDOVER = "handover"
+    KEYED_REQUEST = "keyed-request"
+    OPERATOR = "operator"
+    STORE = "store"
+    OBJECTS = "objects"
+    VM_LIST = "vm-list"
+    WORKERS = "workers"
+    OTHER = "other"
+
+
+class Place(msgspec.Struct, frozen=True):
+    """Zone and region of a host."""
+
+    zone: ZoneName
+    region: RegionName
+
+
+class HostLocator:
+    """Tells the distance from this process to a host.
+
+    A host whose place is not known counts as being in another region, so that
+    traffic on the paid link is never underestimated.
+
+    Parameters
+    ----------
+    own : Place
+    places : mapping of str to Place, optional
+        Place of each known host.
+    """
+
+    def __init__(self, own: Place, places: Mapping[str, Place] | None = None):
+        self._own = own
+        self._places = dict(places or {})
+
+    def learn(self, host: str, place: Place) -> None:
+        """Add or replace the place of a host."""
+        self._places[host] = place
+
+    def distance(self, host: str) -> Distance:
+        """Return the distance to a host."""
+        place = self._places.get(host)
+        if place is None or place.region != self._own.region:
+            return Distance.OTHER_REGION
+        if place.zone != self._own.zone:
+            return Distance.SAME_REGION
+        return Distance.SAME_ZONE
+
+
+class TrafficEntry(msgspec.Struct, frozen=True):
+    """Bytes and messages of one purpose and distance."""
+
+    purpose: Purpose
+    distance: Distance
+    payload_bytes: int
+    overhead_bytes: int
+    messages: int
+
+
+class TrafficCounter:
+    """Counts what one process sends.
+
+    Payload is counted exactly; frames, packets and acknowledgements are estimated by
+    the constants of this module and kept apart from it.
+    """
+
+    def __init__(self):
+        self._payload: Counter[tuple[Purpose, Distance]] = Counter()
+        self._overhead: Counter[tuple[Purpose, Distance]] = Counter()
+        self._messages: Counter[tuple[Purpose, Distance]] = Counter()
+
+    def add_message(
+        self, purpose: Purpose, distance: Distance, payload_bytes: int
+    ) -> None:
+        """Count one message of a call or stream."""
+        key = (purpose, distance)
+        self._payload[key] += payload_bytes
+        self._overhead[key] += MESSAGE_OVERHEAD_BYTES
+        self._messages[key] += 1
+
+    def add_call(self, purpose: Purpose, distance: Distance) -> None:
+        """Count the headers that open a call or answer it."""
+        self._overhead[purpose, distance] += CALL_OVERHEAD_BYTES
+
+    def add_receipt(self, purpose: Purpose, distance: Distance) -> None:
+        """Count the acknowledgement of a message that was received."""
+        self._overhead[purpose, distance] += ACK_BYTES
+
+    def add_http(self, purpose: Purpose, distance: Distance, body_bytes: int) -> None:
+        """Count one HTTP request or response that this process sent."""
+        key = (purpose, distance)
+        self._payload[key] += body_bytes
+        self._overhead[key] += HTTP_OVERHEAD_BYTES
+        self._messages[key] += 1
+
+    def snapshot(self) -> tuple[TrafficEntry, ...]:
+        """Return the counts since the start, for export as metrics."""
+        keys = sorted(
+            self._overhead.keys() | self._payload.keys(),
+            key=lambda key: (key[0].value, key[1].value),
+        )
+        return tuple(
+            TrafficEntry(
+                *key, self._payload[key], self._overhead[key], self._messages[key]
+            )
+            for key in keys
+        )
+
+    def total_bytes(
+        self, distance: Distance | None = None, purpose: Purpose | None = None
+    ) -> int:
+        """Return payload and overhead, optionally of one distance or purpose."""
+        return sum(
+            entry.payload_bytes + entry.overhead_bytes
+            for entry in self.snapshot()
+            if distance in (None, entry.distance) and purpose in (None, entry.purpose)
+        )
--- a/basilhold/membership/__init__.py
+++ b/basilhold/membership/__init__.py
@@ -1,3 +1,19 @@
-"""Which VMs and processes are live, leaving or gone."""
+"""VM list filter, liveness, leaving state, region reader election."""
 
-__all__: list[str] = []
+from basilhold.membership.doubt import is_doubtful_loss
+from basilhold.membership.list_guard import ListGuard
+from basilhold.membership.readers import (
+    ReaderLocation,
+    claim_reader,
+    decode_reader,
+    reader_key,
+)
+
+__all__ = [
+    "ListGuard",
+    "ReaderLocation",
+    "claim_reader",
+    "decode_reader",
+    "is_doubtful_loss",
+    "reader_key",
+]
--- a/basilhold/rpc/messages_grpc.py
+++ b/basilhold/rpc/messages_grpc.py
@@ -22,6 +22,10 @@
     async def PushDocument(self, stream: 'grpclib.server.Stream[basilhold.rpc.messages_pb2.Document, basilhold.rpc.messages_pb2.PushReply]') -> None:
         pass
 
+    @abc.abstractmethod
+    async def AskInForce(self, stream: 'grpclib.server.Stream[basilhold.rpc.messages_pb2.InForceRequest, basilhold.rpc.messages_pb2.InForceReply]') -> None:
+        pass
+
     def __mapping__(self) -> typing.Dict[str, grpclib.const.Handler]:
         return {
             '/basilhold.rpc.Relay/Watch': grpclib.const.Handler(
@@ -36,6 +40,12 @@
                 basilhold.rpc.messages_pb2.Document,
                 basilhold.rpc.messages_pb2.PushReply,
             ),
+            '/basilhold.rpc.Relay/AskInForce': grpclib.const.Handler(
+                self.AskInForce,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                basilhold.rpc.messages_pb2.InForceRequest,
+                basilhold.rpc.messages_pb2.InForceReply,
+            ),
         }
 
 
@@ -54,6 +64,12 @@
             basilhold.rpc.messages_pb2.Document,
             basilhold.rpc.messages_pb2.PushReply,
         )
+        self.AskInForce = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/basilhold.rpc.Relay/AskInForce',
+            basilhold.rpc.messages_pb2.InForceRequest,
+            basilhold.rpc.messages_pb2.InForceReply,
+        )
 
 
 class SchedulerBase(abc.ABC):
--- /dev/null
+++ b/basilhold/rpc/outcomes.py
@@ -0,0 +1,107 @@
+"""Outcomes of calls between basilhold processes."""
+
+import asyncio
+import ssl
+from enum import Enum
+from typing import Any
+
+import msgspec
+from expression import Error, Ok, Result
+from grpclib.const import Status
+from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
+
+__all__ = [
+    "CALL_ERRORS",
+    "Address",
+    "RpcError",
+    "RpcErrorKind",
+    "call",
+    "rpc_error_from",
+]
+
+CALL_ERRORS = (GRPCError, StreamTerminatedError, ProtocolError, OSError, TimeoutError)
+"""Exceptions that a call or a stream raises when the peer or the link fails."""
+
+
+class Address(msgspec.Struct, frozen=True, order=True):
+    """IP number and port of a process."""
+
+    host: str
+    port: int
+
+
+class RpcErrorKind(Enum):
+    """Why a call has no reply.
+
+    After ``UNREACHABLE`` and ``IDENTITY`` the peer's handler did not run. After the
+    other kinds it may have run.
+    """
+
+    UNREACHABLE = "unreachable"
+    IDENTITY = "identity"
+    TIMEOUT = "timeout"
+    BROKEN = "broken"
+    REFUSED = "refused"
+
+
+class RpcError(msgspec.Struct, frozen=True):
+    """A call without a reply."""
+
+    kind: RpcErrorKind
+    reason: str
+
+    @property
+    def may_have_run(self) -> bool:
+        """Whether the peer may have handled the call."""
+        return self.kind not in (RpcErrorKind.UNREACHABLE, RpcErrorKind.IDENTITY)
+
+
+def rpc_error_from(error: BaseException) -> RpcError:
+    """Return the typed form of an exception that a call or stream raised.
+
+    Parameters
+    ----------
+    error : BaseException
+        One of `CALL_ERRORS`.
+    """
+    if isinstance(error, ssl.SSLError):
+        detail = getattr(error, "verify_message", "") or error.reason or str(error)
+        return RpcError(RpcErrorKind.IDENTITY, f"TLS handshake failed: {detail}")
+    if isinstance(error, TimeoutError):
+        return RpcError(RpcErrorKind.TIMEOUT, "no reply before the deadline")
+    if isinstance(error, GRPCError):
+        kind = _kind_of_status(error.status)
+        return RpcError(kind, f"{error.status.name}: {error.message or ''}")
+    if isinstance(error, OSError):
+        return RpcError(RpcErrorKind.UNREACHABLE, str(error) or type(error).__name__)
+    return RpcError(RpcErrorKind.BROKEN, str(error) or type(error).__name__)
+
+
+def _kind_of_status(status: Status) -> RpcErrorKind:
+    if status is Status.DEADLINE_EXCEEDED:
+        return RpcErrorKind.TIMEOUT
+    if status is Status.UNAVAILABLE:
+        return RpcErrorKind.BROKEN
+    return RpcErrorKind.REFUSED
+
+
+async def call(method: Any, request: Any, timeout_s: float) -> Result[Any, RpcError]:
+    """Call a unary method of a generated stub.
+
+    Parameters
+    ----------
+    method : grpclib.client.UnaryUnaryMethod
+    request : google.protobuf.message.Message
+    timeout_s : float
+        Deadline from now, including the time to connect, in seconds.
+
+    Returns
+    -------
+    Result
+        The reply, or why there is none.
+    """
+    try:
+        async with asyncio.timeout(timeout_s):
+            return Ok(await method(request, timeout=timeout_s))
+    except CALL_ERRORS as error:
+        return Error(rpc_error_from(error))
--- /dev/null
+++ b/basilhold/rpc/sockets.py
@@ -0,0 +1,108 @@
+"""Transport over TCP with grpclib."""
+
+import errno
+from collections.abc import Sequence
+
+from expression import Error, Ok, Result
+from grpclib.client import Channel
+from grpclib.server import Server
+
+from basilhold.rpc.outcomes import Address, RpcError, RpcErrorKind
+from basilhold.rpc.tls import TlsContexts, is_loopback
+from basilhold.rpc.transport import CallChannel, RpcServer, Servable, Transport
+
+__all__ = ["GrpcTransport"]
+
+
+class _RefusedChannel:
+    """Channel to an address that must not be reached without TLS."""
+
+    def __init__(self, address: Address):
+        self._address = address
+
+    def request(self, name, cardinality, request_type, reply_type, **_options):
+        """Refuse the call before anything is sent."""
+        raise PermissionError(
+            errno.EPERM, f"plain text to {self._address.host} is not allowed"
+        )
+
+
+class _GrpcServer(RpcServer):
+    def __init__(self, server: Server, address: Address):
+        self._server = server
+        self._address = address
+
+    @property
+    def address(self) -> Address:
+        return self._address
+
+    async def close(self) -> None:
+        self._server.close()
+        await self._server.wait_closed()
+
+
+class GrpcTransport(Transport):
+    """Serves and calls grpclib services over TCP.
+
+    Without TLS contexts only loopback addresses are served and called.
+
+    Parameters
+    ----------
+    tls : TlsContexts, optional
+    """
+
+    def __init__(self, tls: TlsContexts | None = None):
+        self._tls = tls
+        self._channels: dict[Address, Channel] = {}
+        self._servers: list[RpcServer] = []
+
+    async def __aenter__(self) -> "GrpcTransport":
+        return self
+
+    async def __aexit__(self, *_exception) -> None:
+        await self.close()
+
+    def channel(self, address: Address) -> CallChannel:
+        """Return the cached channel to an address."""
+        if self._tls is None and not is_loopback(address.host):
+            return _RefusedChannel(address)
+        channel = self._channels.get(address)
+        if channel is None:
+            tls = self._tls.client if self._tls else None
+            channel = Channel(address.host, address.port, ssl=tls)
+            self._channels[address] = channel
+        return channel
+
+    def forget(self, address: Address) -> None:
+        """Close the channel to an address, so that the next use connects anew."""
+        channel = self._channels.pop(address, None)
+        if channel is not None:
+            channel.close()
+
+    async def serve(
+        self, services: Sequence[Servable], address: Address
+    ) -> Result[RpcServer, RpcError]:
+        """Serve grpclib services on an address."""
+        if self._tls is None and not is_loopback(address.host):
+            reason = f"plain text on {address.host} is not allowed, set TLS files"
+            return Error(RpcError(RpcErrorKind.IDENTITY, reason))
+        server = Server(list(services))
+        tls = self._tls.server if self._tls else None
+        try:
+            await server.start(address.host, address.port, ssl=tls)
+        except OSError as error:
+            return Error(RpcError(RpcErrorKind.UNREACHABLE, str(error)))
+        # grpclib keeps the asyncio server, the only source of a chosen port, private.
+        port = server._server.sockets[0].getsockname()[1]
+        served = _GrpcServer(server, Address(address.host, port))
+        self._servers.append(served)
+        return Ok(served)
+
+    async def close(self) -> None:
+        """Close all channels and servers."""
+        for channel in self._channels.values():
+            channel.close()
+        self._channels.clear()
+        servers, self._servers = self._servers, []
+        for server in servers:
+            await server.close()
