--- a/basilhold/accounting/__init__.py
+++ b/basilhold/accounting/__init__.py
@@ -1,5 +1,12 @@
 """Counts of control traffic and the budget of store operations."""
 
+from basilhold.accounting.budget import (
+    BudgetedTableService,
+    BudgetSettings,
+    BudgetSnapshot,
+    StoreBudget,
+    StorePriority,
+)
 from basilhold.accounting.channels import CountingTransport, purpose_of_method
 from basilhold.accounting.tables import (
     CountingTableService,
@@ -25,6 +32,9 @@
     "CALL_OVERHEAD_BYTES",
     "HTTP_OVERHEAD_BYTES",
     "MESSAGE_OVERHEAD_BYTES",
+    "BudgetSettings",
+    "BudgetSnapshot",
+    "BudgetedTableService",
     "CountingTableService",
     "CountingTransport",
     "Distance",
@@ -34,6 +44,8 @@
     "OperationKind",
     "Place",
     "Purpose",
+    "StoreBudget",
+    "StorePriority",
     "TrafficCounter",
     "TrafficEntry",
     "purpose_of_method",
--- a/basilhold/membership/__init__.py
+++ b/basilhold/membership/__init__.py
@@ -2,6 +2,13 @@
 
 from basilhold.membership.doubt import is_doubtful_loss
 from basilhold.membership.list_guard import ListGuard
+from basilhold.membership.members import (
+    GONE_AFTER_MS,
+    Liveness,
+    MemberChange,
+    Membership,
+    PeerReport,
+)
 from basilhold.membership.readers import (
     ReaderLocation,
     claim_reader,
@@ -10,7 +17,12 @@
 )
 
 __all__ = [
+    "GONE_AFTER_MS",
     "ListGuard",
+    "Liveness",
+    "MemberChange",
+    "Membership",
+    "PeerReport",
     "ReaderLocation",
     "claim_reader",
     "decode_reader",
--- a/basilhold/relay/links.py
+++ b/basilhold/relay/links.py
@@ -128,8 +128,9 @@
             return None
         finally:
             report.cancel()
-            with contextlib.suppress(asyncio.CancelledError, *CALL_ERRORS):
-                await report
+            # Unlike awaiting the task itself, this does not swallow a cancellation of
+            # the link that arrives meanwhile.
+            await asyncio.gather(report, return_exceptions=True)
 
     async def _report(self, stream: Any, reporter: Reporter) -> None:
         while True:
--- a/basilhold/testing/control_cell.py
+++ b/basilhold/testing/control_cell.py
@@ -112,7 +112,7 @@
 }
 TWO_YEARS = _layout(
     _ZONES,
-    {zone: 4 if zone < "zone-3b" else 3 for zones in _ZONES.values() for zone in zones},
+    {zone: 4 if zone < "zone-3a" else 3 for zones in _ZONES.values() for zone in zones},
 )
 """5 regions, 11 zones, 40 entry VMs."""
 
