--- a/basilhold/adapters/upstreams.py
+++ b/basilhold/adapters/upstreams.py
@@ -125,8 +125,13 @@
         deadline = loop.time() + request.timeout_ms / 1000
         stream = self._take_idle(request)
         if stream is None:
+            started = loop.time()
             try:
                 stream = await self._connect(request)
+                if (loop.time() - started) * 1000 > CONNECT_TIMEOUT_MS:
+                    # The process was paused; what it was told before may be wrong.
+                    self._close(request.upstream_id, stream)
+                    raise TimeoutError("the connection took too long")
             except (OSError, StreamClosedError, TimeoutError) as error:
                 reason = f"connection failed: {error or type(error).__name__}"
                 return Error(SendError(SendPhase.NOT_SENT, reason))
--- a/basilhold/gateway/attempts.py
+++ b/basilhold/gateway/attempts.py
@@ -12,6 +12,7 @@
 from basilhold.observability import log_event
 from basilhold.ports import SendError, SendPhase, UpstreamClient, UpstreamRequest
 from basilhold.requests import (
+    LEAVING_MS,
     BreakerState,
     CallerRequest,
     QueuedRequest,
@@ -28,12 +29,6 @@
 until then it still works on the request.
 """
 
-LEAVING_MS = 30_000
-"""How long an upstream's own report that it is leaving is believed.
-
-The VM list shows it by then, or the upstream has stayed.
-"""
-
 TIMEOUT_MEANS = 3.0
 """A timeout counts against the upstream only if it took this many mean times.
 
--- a/basilhold/gateway/dispatch.py
+++ b/basilhold/gateway/dispatch.py
@@ -29,6 +29,13 @@
 
 RETRY_AFTER_S_MAX = 30
 
+PAUSE_MS = 1500
+"""A loop that stood still for this long has missed messages.
+
+An upstream may have left meanwhile, so nothing is sent until the owners were asked.
+Shorter pauses fit into the 3 s in which leaving takes effect.
+"""
+
 
 class Granted(msgspec.Struct, frozen=True):
     """A slot for one request."""
@@ -69,7 +76,10 @@
         self._home_slot_counts: Counter[ServiceName] = Counter()
         self._counted: Counter[UpstreamId] = Counter()
         self._tick: asyncio.TimerHandle | None = None
+        self._beat_ms: float | None = None
+        self._holding = False
         self.on_shortage: Callable[[], None] = lambda: None
+        self.on_pause: Callable[[], None] = lambda: None
         holder.on_change = self._slots_of_upstream_changed
 
     def refusal(
@@ -115,6 +125,29 @@
         self._holder.release(granted.token)
         self._dispatch(service)
 
+    def beat(self) -> None:
+        """Note that the loop runs; called several times a second."""
+        self._check_pause()
+        self._beat_ms = self._clock.monotonic_ms()
+
+    def hold(self) -> None:
+        """Send nothing until `resume`."""
+        self._holding = True
+
+    def resume(self) -> None:
+        """Send requests again."""
+        self._holding = False
+        self.dispatch_all()
+
+    def _check_pause(self) -> None:
+        if self._beat_ms is None or self._holding:
+            return
+        now_ms = self._clock.monotonic_ms()
+        if now_ms - self._beat_ms > PAUSE_MS:
+            self._beat_ms = now_ms
+            self.hold()
+            self.on_pause()
+
     def dispatch_all(self) -> None:
         """Hand out slots of all services."""
         for service in self._queues:
@@ -179,7 +212,8 @@
 
     def _dispatch(self, service: ServiceName) -> None:
         queue = self._queue(service)
-        while len(queue):
+        self._check_pause()
+        while len(queue) and not self._holding:
             if not self._router.has_usable(service):
                 return
             for head in queue.heads(self._clock.monotonic_ms()):
--- a/basilhold/gateway/events.py
+++ b/basilhold/gateway/events.py
@@ -9,6 +9,7 @@
     "DRAIN_STARTED",
     "REQUEST_CUT",
     "RESULT_NOT_RECORDED",
+    "SLOTS_NOT_CONFIRMED",
     "SLOT_EXCHANGE_FAILED",
     "UPSTREAM_BREAKER_OPENED",
     "UPSTREAM_LEAVING",
@@ -53,6 +54,12 @@
 SLOT_EXCHANGE_FAILED = Event(
     1009,
     EventLevel.WARNING,
-    "owner of zone {zone} does not answer slot reports: {reason}",
+    "owner of zone {zone} does not answer slot reports",
     action="Check the zone's scheduler; the gateway goes on with the slots it holds.",
 )
+SLOTS_NOT_CONFIRMED = Event(
+    1010,
+    EventLevel.WARNING,
+    "owners did not confirm the slots within {wait_ms} ms after a pause",
+    action="Check the schedulers, and why this process stood still.",
+)
--- a/basilhold/gateway/service.py
+++ b/basilhold/gateway/service.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 
 import msgspec
 
@@ -159,9 +159,10 @@
             for c in self._courses.values()
         ]
 
-    def set_on_shortage(self, callback: Callable[[], None]) -> None:
-        """Set what is called when requests wait for slots."""
-        self._dispatcher.on_shortage = callback
+    @property
+    def dispatcher(self) -> Dispatcher:
+        """Queues of this gateway."""
+        return self._dispatcher
 
     def update_upstreams(self, records: Iterable[VmRecord]) -> None:
         """Replace the list of upstreams by that of the VM list."""
--- a/basilhold/gateway/slots.py
+++ b/basilhold/gateway/slots.py
@@ -3,10 +3,11 @@
 import asyncio
 import random
 from collections.abc import Callable
+from enum import Enum
 from typing import Self
 
 from basilhold.core import Clock, RegionName, ServiceName, UpstreamId, ZoneName
-from basilhold.gateway.events import SLOT_EXCHANGE_FAILED
+from basilhold.gateway.events import SLOT_EXCHANGE_FAILED, SLOTS_NOT_CONFIRMED
 from basilhold.gateway.service import RequestService
 from basilhold.observability import log_event
 from basilhold.requests import (
@@ -31,9 +32,18 @@
 """Idle slots of another region are given back after this time."""
 
 RETRY_MS = 500
+BEAT_MS = 250
+RECONFIRM_MS = 1500
+"""After a pause, unreachable owners are waited for this long."""
 RETURN_TIMEOUT_MS = 2000
 
 
+class _ReportEnd(Enum):
+    ANSWERED = "answered"
+    ABANDONED = "abandoned"
+    FAILED = "failed"
+
+
 class SlotLoop:
     """Keeps a gateway's slots up to date.
 
@@ -73,17 +83,61 @@
         self._tasks: dict[ZoneName, asyncio.Task[None]] = {}
         self._wakes: dict[ZoneName, asyncio.Event] = {}
         self._limited: set[UpstreamId] = set()
-        service.set_on_shortage(self._wake_all)
+        self._pause_count = 0
+        self._confirmed = asyncio.Condition()
+        self._confirmed_pauses: dict[ZoneName, int] = {}
+        self._beating: asyncio.Task[None] | None = None
+        self._resuming: asyncio.Task[None] | None = None
+        service.dispatcher.on_shortage = self._wake_all
+        service.dispatcher.on_pause = self.resumed
         holder.on_return = self._wake
 
     async def __aenter__(self) -> Self:
         self.refresh()
+        self._beating = asyncio.create_task(self._beat())
         return self
 
     async def __aexit__(self, *exc_info: object) -> None:
-        for task in self._tasks.values():
+        tasks = [*self._tasks.values(), self._beating, self._resuming]
+        running = [task for task in tasks if task is not None]
+        for task in running:
             task.cancel()
-        await asyncio.gather(*self._tasks.values(), return_exceptions=True)
+        await asyncio.gather(*running, return_exceptions=True)
+
+    async def _beat(self) -> None:
+        while True:
+            self._service.dispatcher.beat()
+            await asyncio.sleep(BEAT_MS / 1000)
+
+    def resumed(self) -> None:
+        """Ask the owners which slots are left, after the process stood still.
+
+        Nothing is sent until the owners of this region have answered, or for
+        `RECONFIRM_MS`.
+        """
+        self._pause_count += 1
+        self._service.dispatcher.hold()
+        if self._resuming is not None:
+            self._resuming.cancel()
+        self._resuming = asyncio.create_task(self._reconfirm(self._pause_count))
+
+    async def _reconfirm(self, count: int) -> None:
+        home = [
+            zone
+            for zone, region in self._router.zones().items()
+            if region == self._identity.region
+        ]
+        self._wake_all()
+        try:
+            async with asyncio.timeout(RECONFIRM_MS / 1000), self._confirmed:
+                await self._confirmed.wait_for(
+                    lambda: all(
+                        self._confirmed_pauses.get(zone, 0) >= count for zone in home
+                    )
+                )
+        except TimeoutError:
+            log_event(SLOTS_NOT_CONFIRMED, wait_ms=RECONFIRM_MS)
+        self._service.dispatcher.resume()
 
     def refresh(self) -> None:
         """Start exchanges with the owners of new zones; call it after list changes."""
@@ -93,6 +147,14 @@
                 self._tasks[zone] = asyncio.create_task(self._run(zone, region))
         self._update_limits()
 
+    def failures(self) -> list[BaseException]:
+        """Return the errors that have ended an exchange; programs stop on one."""
+        return [
+            task.exception()
+            for task in self._tasks.values()
+            if task.done() and not task.cancelled() and task.exception() is not None
+        ]
+
     async def return_all(self) -> None:
         """Hand all slots back and stop; for a planned stop."""
         await self.__aexit__()
@@ -108,7 +170,7 @@
             async with asyncio.timeout(RETURN_TIMEOUT_MS / 1000):
                 await self._exchange.exchange(zone, report)
         except TimeoutError:
-            log_event(SLOT_EXCHANGE_FAILED, zone=zone, reason="no reply at the stop")
+            log_event(SLOT_EXCHANGE_FAILED, zone=zone)
 
     def _wake(self, zone: ZoneName) -> None:
         if zone in self._wakes:
@@ -128,11 +190,17 @@
                 demand = self._service.demand(zone)
                 if not demand and not due:
                     continue
-            failure = await self._report(zone, demand)
-            if failure and not failing:
-                log_event(SLOT_EXCHANGE_FAILED, zone=zone, reason=failure)
-            failing = bool(failure)
-            delay_ms = RETRY_MS if failure else REPORT_INTERVAL_MS
+            pauses = self._pause_count
+            end = await self._report(zone, demand)
+            if end is _ReportEnd.ANSWERED:
+                async with self._confirmed:
+                    self._confirmed_pauses[zone] = pauses
+                    self._confirmed.notify_all()
+            failed = end is _ReportEnd.FAILED
+            if failed and not failing:
+                log_event(SLOT_EXCHANGE_FAILED, zone=zone)
+            failing = failed
+            delay_ms = RETRY_MS if failed else REPORT_INTERVAL_MS
             await asyncio.sleep(delay_ms * self._rng.uniform(0.5, 1.0) / 1000)
 
     async def _wait_for_demand(self, zone: ZoneName) -> bool:
@@ -153,12 +221,15 @@
 
     async def _report(
         self, zone: ZoneName, demand: tuple[tuple[ServiceName, int], ...]
-    ) -> str:
-        """Exchange one report and return why it failed, if it did."""
+    ) -> "_ReportEnd":
+        """Exchange one report."""
         wait_ms = DEMAND_WAIT_MS if demand else REPORT_WAIT_MS
+        if self._confirmed_pauses.get(zone, 0) < self._pause_count:
+            wait_ms = 0
         wake = self._wakes[zone]
         wake.clear()
         sent_ms = self._clock.monotonic_ms()
+        pauses = self._pause_count
         leaving = self._router.self_reported_leaving(zone, sent_ms)
         report = self._holder.next_report(
             zone,
@@ -171,10 +242,12 @@
         try:
             while not exchange.done():
                 waking = asyncio.ensure_future(wake.wait())
-                await asyncio.wait(
-                    {exchange, waking}, return_when=asyncio.FIRST_COMPLETED
-                )
-                waking.cancel()
+                try:
+                    await asyncio.wait(
+                        {exchange, waking}, return_when=asyncio.FIRST_COMPLETED
+                    )
+                finally:
+                    waking.cancel()
                 if exchange.done():
                     break
                 wake.clear()
@@ -182,22 +255,24 @@
                 if elapsed_ms < REPORT_INTERVAL_MS:
                     pause_ms = REPORT_INTERVAL_MS - elapsed_ms
                     await asyncio.wait({exchange}, timeout=pause_ms / 1000)
-                if not exchange.done() and self._is_outdated(zone, demand, report):
-                    return ""
+                if exchange.done():
+                    break
+                if pauses != self._pause_count:
+                    return _ReportEnd.ABANDONED
+                if self._is_outdated(zone, demand, report):
+                    return _ReportEnd.ABANDONED
         finally:
             # The reply to an abandoned report is ignored, by its number.
             if not exchange.done():
                 exchange.cancel()
         result = exchange.result()
-        if result.is_error():
-            return result.error.reason
-        if result.ok.refused_epoch:
-            return "the owner has been replaced"
+        if result.is_error() or result.ok.refused_epoch:
+            return _ReportEnd.FAILED
         if self._holder.apply(zone, result.ok):
             wake.set()
         self._update_limits()
         self._service.slots_changed()
-        return ""
+        return _ReportEnd.ANSWERED
 
     def _is_outdated(
         self,
--- a/basilhold/requests/__init__.py
+++ b/basilhold/requests/__init__.py
@@ -32,7 +32,7 @@
 )
 from basilhold.requests.queue import QueuedRequest, QueueLimits, RequestQueue
 from basilhold.requests.retries import RetryBudget
-from basilhold.requests.routing import Distance, Router, Upstream
+from basilhold.requests.routing import LEAVING_MS, Distance, Router, Upstream
 from basilhold.requests.tokens import (
     CONNECTIONS_PER_TOKEN,
     HeldToken,
@@ -44,6 +44,7 @@
 
 __all__ = [
     "CONNECTIONS_PER_TOKEN",
+    "LEAVING_MS",
     "BreakerState",
     "CallerDirectory",
     "CallerRequest",
--- a/basilhold/requests/allocator.py
+++ b/basilhold/requests/allocator.py
@@ -17,6 +17,7 @@
 )
 from basilhold.ports import VmKind, VmRecord, VmState
 from basilhold.requests.ledger import SlotLedger, SlotState
+from basilhold.requests.routing import LEAVING_MS
 from basilhold.requests.tokens import HeldToken, SlotGrant, SlotReport, SlotToken
 
 __all__ = ["SlotAllocator", "Takeover"]
@@ -34,9 +35,6 @@
 RESTART_LINGER_MS = 1000
 """Upstreams see the connections of a process that has ended closed within this time."""
 
-LEAVING_MS = 30_000
-"""How long an upstream's own report that it is leaving is believed."""
-
 RENEW_BEFORE_MS = 10 * 60_000
 """Leases are extended when the horizon has moved by this much."""
 
@@ -60,10 +58,11 @@
 
 
 class _Gateway:
-    def __init__(self, gateway_id: ProcessId, vm_id: VmId, region: RegionName):
-        self.gateway_id = gateway_id
-        self.vm_id = vm_id
-        self.region = region
+    def __init__(self, report: SlotReport):
+        self.gateway_id = report.gateway_id
+        self.vm_id = report.vm_id
+        self.region = report.region
+        self.started_unix_ms = report.started_unix_ms
         self.number = 0
         self.demand: dict[ServiceName, int] = {}
         self.idle: list[SlotToken] = []
@@ -102,6 +101,7 @@
         self._ledger = SlotLedger()
         self._gateways: dict[ProcessId, _Gateway] = {}
         self._reported_vms: set[VmId] = set()
+        self._newest_starts: dict[VmId, int] = {}
         self._gone_since: dict[VmId, int] = {}
         self._all_claimed = takeover is None
         self._horizon_unix_ms = 0
@@ -157,12 +157,16 @@
         """
         if report.epoch > self.epoch:
             return False
+        newest = self._newest_starts.get(report.vm_id, 0)
+        if report.started_unix_ms < newest:
+            return False
         gateway = self._gateway(report, now_unix_ms)
         if report.number <= gateway.number:
             return False
+        # The VM list lags; a report proves that the VM is there.
+        self._gone_since.pop(report.vm_id, None)
         gateway.number = report.number
         gateway.demand = {d.service: d.waiting for d in report.demand}
-        gateway.dead_since_unix_ms = None
         self._reported_vms.add(report.vm_id)
         self._take_holdings(gateway, report)
         for upstream_id in report.leaving_upstream_ids:
@@ -189,7 +193,9 @@
     def reply(self, gateway_id: ProcessId, now_unix_ms: int) -> SlotGrant:
         """Return the reply to a gateway's last report."""
         self._expire(now_unix_ms)
-        gateway = self._gateways[gateway_id]
+        gateway = self._gateways.get(gateway_id)
+        if gateway is None:
+            return SlotGrant(0, self.epoch)
         granted: list[HeldToken] = self._renewals(gateway)
         for service in self._ledger.services():
             granted.extend(self._grant(gateway, service))
@@ -220,8 +226,9 @@
                 # A VM runs one gateway, which binds its port, so the other has ended.
                 if other.vm_id == report.vm_id and other.dead_since_unix_ms is None:
                     other.dead_since_unix_ms = now_unix_ms
-            gateway = _Gateway(report.gateway_id, report.vm_id, report.region)
+            gateway = _Gateway(report)
             self._gateways[report.gateway_id] = gateway
+            self._newest_starts[report.vm_id] = report.started_unix_ms
         return gateway
 
     def _take_holdings(self, gateway: _Gateway, report: SlotReport) -> None:
@@ -243,6 +250,9 @@
             del gateway.recalled[token]
         idle = report.held[len(report.held) - report.idle_count :]
         gateway.idle = [held.token for held in idle if report.idle_count]
+        if any(token in gateway.recalled for token in gateway.idle):
+            # The reply that recalled them was lost.
+            gateway.has_recall_news = True
         self._recall_unlisted()
 
     def _recall_unlisted(self) -> None:
--- a/basilhold/requests/holder.py
+++ b/basilhold/requests/holder.py
@@ -138,6 +138,7 @@
             gateway_id=self._identity.process_id,
             vm_id=self._identity.vm_id,
             region=self._identity.region,
+            started_unix_ms=self._identity.started_unix_ms,
             number=number,
             epoch=self.epoch(zone),
             held=tuple(HeldToken(t, lease.expires_unix_ms) for t, lease in leases),
--- a/basilhold/requests/model.py
+++ b/basilhold/requests/model.py
@@ -146,9 +146,21 @@
 
 
 class GatewayIdentity(msgspec.Struct, frozen=True):
-    """Where a gateway runs. The process id is unique for each start."""
+    """Where a gateway runs.
+
+    Parameters
+    ----------
+    process_id : ProcessId
+        Unique for each start.
+    vm_id : VmId
+    zone : ZoneName
+    region : RegionName
+    started_unix_ms : int
+        Orders the processes that have run on a VM.
+    """
 
     process_id: ProcessId
     vm_id: VmId
     zone: ZoneName
     region: RegionName
+    started_unix_ms: int = 0
--- a/basilhold/requests/routing.py
+++ b/basilhold/requests/routing.py
@@ -10,7 +10,13 @@
 from basilhold.ports import VmKind, VmRecord, VmState
 from basilhold.requests.health import HealthLimits, UpstreamHealth
 
-__all__ = ["Distance", "Router", "Upstream"]
+__all__ = ["LEAVING_MS", "Distance", "Router", "Upstream"]
+
+LEAVING_MS = 300_000
+"""How long an upstream's own report that it is leaving is believed.
+
+By then the VM list shows it, or the upstream has been restarted in place.
+"""
 
 DRAWS_MAX = 8
 """Candidates drawn in one choice before the tier counts as having none.
--- a/basilhold/requests/tokens.py
+++ b/basilhold/requests/tokens.py
@@ -53,6 +53,9 @@
         Unique for each start of a gateway.
     vm_id : VmId
     region : RegionName
+    started_unix_ms : int
+        When the process started. A report from an earlier process of the same VM is
+        a delayed one.
     number : int
         Increases with each report to the same zone. An owner ignores a report whose
         number is not greater than the last: a delayed one could list too few tokens,
@@ -74,6 +77,7 @@
     gateway_id: ProcessId
     vm_id: VmId
     region: RegionName
+    started_unix_ms: int
     number: int
     epoch: Epoch
     held: tuple[HeldToken, ...] = ()
--- /dev/null
+++ b/basilhold/testing/request_cell.py
@@ -0,0 +1,551 @@
+"""A cell of gateways, owners and upstreams in one process, for randomised runs."""
+
+import asyncio
+import contextlib
+import random
+from collections.abc import Callable
+
+import msgspec
+from expression import Error, Ok, Result
+
+from basilhold.core import (
+    ClassKind,
+    ClassName,
+    Clock,
+    Epoch,
+    InvariantError,
+    ProcessId,
+    RegionName,
+    RequestKey,
+    RestartPolicy,
+    ServiceName,
+    UpstreamId,
+    VmId,
+    WorkClass,
+    ZoneName,
+)
+from basilhold.gateway import (
+    OnceKeeper,
+    RequestCounters,
+    RequestService,
+    ServiceParts,
+    SlotLoop,
+)
+from basilhold.ports import (
+    AnswerHead,
+    AnswerSink,
+    Row,
+    ScanPage,
+    SendError,
+    SendPhase,
+    StoreError,
+    TableService,
+    Transaction,
+    UpstreamClient,
+    UpstreamRequest,
+    VmKind,
+    VmRecord,
+    VmState,
+)
+from basilhold.requests import (
+    ClassDirectory,
+    ExchangeError,
+    GatewayIdentity,
+    PeerError,
+    RequestPeers,
+    RequestProgress,
+    Router,
+    SlotAllocator,
+    SlotExchange,
+    SlotGrant,
+    SlotHolder,
+    SlotLender,
+    SlotReport,
+    SlotToken,
+    Takeover,
+)
+from basilhold.standins import (
+    MemoryObjectStore,
+    MemoryTable,
+    MemoryUpstream,
+    MemoryUpstreamClient,
+    MemoryUpstreams,
+)
+from basilhold.testing.virtual_time import VIRTUAL_EPOCH_UNIX_MS
+
+__all__ = ["ORDER", "QUOTE", "SERVICE", "CellGateway", "CellShape", "RequestCell"]
+
+SERVICE = ServiceName("order-desk")
+QUOTE = WorkClass(
+    ClassName("quote"), ClassKind.REQUEST, 200, service=SERVICE, timeout_ms=2000
+)
+ORDER = WorkClass(
+    ClassName("order"),
+    ClassKind.REQUEST,
+    500,
+    restart=RestartPolicy.FORBIDDEN,
+    service=SERVICE,
+    timeout_ms=3000,
+)
+HORIZON_MS = 75 * 60_000
+EXCHANGE_TIMEOUT_MS = 1000
+CONNECT_TIMEOUT_S = 2.0
+
+
+class CellShape(msgspec.Struct, frozen=True):
+    """Sizes of a cell.
+
+    Parameters
+    ----------
+    zones : tuple of (str, str)
+        Zone and region of each.
+    gateways : int
+    upstreams : int
+    slots : int
+    """
+
+    zones: tuple[tuple[str, str], ...] = (
+        ("plovdiv", "thrace"),
+        ("haskovo", "thrace"),
+        ("ruse", "danube"),
+    )
+    gateways: int = 3
+    upstreams: int = 4
+    slots: int = 2
+
+
+class CellClasses(ClassDirectory):
+    """Classes of the cell."""
+
+    def __init__(self, classes: tuple[WorkClass, ...] = (QUOTE, ORDER)):
+        self._classes = {c.name: c for c in classes}
+
+    def find(self, name: ClassName) -> WorkClass | None:
+        """Return a class."""
+        return self._classes.get(name)
+
+
+class _Gate:
+    """Holds all of a gateway's messages back while it is paused or dead."""
+
+    def __init__(self):
+        self._open = asyncio.Event()
+        self._open.set()
+
+    def close(self) -> None:
+        self._open.clear()
+
+    def open(self) -> None:
+        self._open.set()
+
+    async def passed(self) -> None:
+        await self._open.wait()
+
+
+class _GatedTable(TableService):
+    def __init__(self, table: MemoryTable, gate: _Gate):
+        self._table = table
+        self._gate = gate
+
+    async def read(self, keys: tuple[str, ...]) -> Result[dict[str, Row], StoreError]:
+        await self._gate.passed()
+        result = await self._table.read(keys)
+        await self._gate.passed()
+        return result
+
+    async def scan(
+        self, prefix: str, after: str = "", limit: int = 500
+    ) -> Result[ScanPage, StoreError]:
+        await self._gate.passed()
+        return await self._table.scan(prefix, after, limit)
+
+    async def transact(
+        self, transaction: Transaction
+    ) -> Result[dict[str, int], StoreError]:
+        await self._gate.passed()
+        result = await self._table.transact(transaction)
+        await self._gate.passed()
+        return result
+
+
+class _GatedClient(UpstreamClient):
+    def __init__(self, client: UpstreamClient, gate: _Gate):
+        self._client = client
+        self._gate = gate
+
+    async def send(
+        self, request: UpstreamRequest, sink: AnswerSink
+    ) -> Result[AnswerHead, SendError]:
+        loop = asyncio.get_running_loop()
+        started = loop.time()
+        await self._gate.passed()
+        if loop.time() - started > CONNECT_TIMEOUT_S:
+            # The HTTP client gives up in the same way.
+            return Error(SendError(SendPhase.NOT_SENT, "connection took too long"))
+        result = await self._client.send(request, sink)
+        await self._gate.passed()
+        return result
+
+
+class _CellPeers(RequestPeers):
+    def __init__(self, cell: "RequestCell"):
+        self._cell = cell
+
+    async def ask(
+        self, holder: ProcessId, key: RequestKey, wait_ms: int
+    ) -> Result[RequestProgress, PeerError]:
+        gateway = self._cell.gateways.get(holder)
+        if gateway is None or self._cell.peers_unreachable:
+            return Error(PeerError("unreachable"))
+        try:
+            async with asyncio.timeout((wait_ms + 100) / 1000):
+                await gateway.gate.passed()
+                return Ok(await gateway.keeper.ask(key, wait_ms))
+        except TimeoutError:
+            return Error(PeerError("no answer"))
+
+
+class _CellExchange(SlotExchange):
+    """Sends reports to the owners that a gateway knows, and loses some."""
+
+    def __init__(self, cell: "RequestCell", gateway: "CellGateway"):
+        self._cell = cell
+        self._gateway = gateway
+
+    async def exchange(
+        self, zone: ZoneName, report: SlotReport
+    ) -> Result[SlotGrant, ExchangeError]:
+        cell = self._cell
+        await self._gateway.gate.passed()
+        lender = self._gateway.owners.get(zone)
+        lost = cell.rng.random() < cell.exchange_loss_ratio
+        if lender is None or zone in cell.unreachable_owners or lost:
+            if lost and lender is not None:
+                # The report arrives late, and its reply is never seen.
+                cell.spawn(self._deliver_late(lender, report))
+            await asyncio.sleep(EXCHANGE_TIMEOUT_MS / 1000)
+            return Error(ExchangeError("no reply"))
+        await asyncio.sleep(0.001)
+        delivered = cell.spawn(lender.exchange(report))
+        grant = await asyncio.shield(delivered)
+        if cell.rng.random() < cell.exchange_loss_ratio:
+            await asyncio.sleep(EXCHANGE_TIMEOUT_MS / 1000)
+            return Error(ExchangeError("reply lost"))
+        await asyncio.sleep(0.001)
+        await self._gateway.gate.passed()
+        return Ok(grant)
+
+    async def _deliver_late(self, lender: SlotLender, report: SlotReport) -> None:
+        await asyncio.sleep(self._cell.rng.uniform(0.0, 3.0))
+        await lender.exchange(report)
+
+
+class CellGateway:
+    """One gateway of a cell."""
+
+    def __init__(self, cell: "RequestCell", name: str, vm_id: VmId, zone_index: int):
+        zone, region = cell.shape.zones[zone_index % len(cell.shape.zones)]
+        self.cell = cell
+        self.process_id = ProcessId(name)
+        self.vm_id = vm_id
+        self.gate = _Gate()
+        self.owners: dict[ZoneName, SlotLender] = dict(cell.owners)
+        self.clock = cell.clock
+        rng = random.Random(f"{cell.seed}/{name}")
+        identity = GatewayIdentity(
+            self.process_id,
+            vm_id,
+            ZoneName(zone),
+            RegionName(region),
+            cell.clock.unix_ms(),
+        )
+        counters = RequestCounters()
+        self.keeper = OnceKeeper(
+            self.process_id,
+            self.clock,
+            _GatedTable(cell.table, self.gate),
+            cell.objects,
+            _CellPeers(cell),
+            rng,
+            counters,
+        )
+        self.holder = cell.make_holder(identity)
+        client = MemoryUpstreamClient(cell.upstreams, identity.zone, identity.region)
+        router = Router(identity.zone, identity.region, rng)
+        parts = ServiceParts(
+            identity,
+            self.clock,
+            cell.classes,
+            router,
+            self.holder,
+            cell.wrap_client(_GatedClient(client, self.gate)),
+            self.keeper,
+            rng,
+            counters,
+        )
+        self.service = RequestService(parts)
+        self.loop = SlotLoop(
+            identity,
+            self.clock,
+            router,
+            self.holder,
+            self.service,
+            _CellExchange(cell, self),
+            rng,
+        )
+        self.calls: set[asyncio.Task] = set()
+
+    async def start(self) -> None:
+        """Start the gateway with the lists that are in force."""
+        await self.keeper.__aenter__()
+        self.service.update_upstreams(self.cell.records.values())
+        await self.loop.__aenter__()
+
+    def pause(self) -> None:
+        """Hold all messages back, as if the process stood still."""
+        self.gate.close()
+        self.service.dispatcher.hold()
+
+    def resume(self) -> None:
+        """Let the process run on."""
+        self.loop.resumed()
+        self.gate.open()
+
+    async def stop(self) -> None:
+        """End the gateway's tasks."""
+        await self.loop.__aexit__()
+        self.service.cut()
+        await self.keeper.__aexit__()
+
+
+class RequestCell:
+    """Gateways, owners, upstreams and the store of one run.
+
+    Parameters
+    ----------
+    seed : int
+    shape : CellShape, optional
+    make_holder, wrap_client : callable
+        Tests put broken variants in here.
+    """
+
+    def __init__(
+        self,
+        seed: int,
+        shape: CellShape | None = None,
+        make_holder: Callable[[GatewayIdentity], SlotHolder] = SlotHolder,
+        wrap_client: Callable[[UpstreamClient], UpstreamClient] = lambda c: c,
+        classes: tuple[WorkClass, ...] = (QUOTE, ORDER),
+    ):
+        self.seed = seed
+        self.shape = shape or CellShape()
+        self.make_holder = make_holder
+        self.wrap_client = wrap_client
+        self.rng = random.Random(seed)
+        self.clock = Clock(VIRTUAL_EPOCH_UNIX_MS)
+        self.classes = CellClasses(classes)
+        self.table = MemoryTable()
+        self.table.faults.latency_ms = 4
+        self.objects = MemoryObjectStore()
+        self.upstreams = MemoryUpstreams(seed)
+        self.records: dict[UpstreamId, VmRecord] = {}
+        self.owners: dict[ZoneName, SlotLender] = {}
+        self.gateways: dict[ProcessId, CellGateway] = {}
+        self.entry_vms: set[VmId] = set()
+        self.unreachable_owners: set[ZoneName] = set()
+        self.peers_unreachable = False
+        self.exchange_loss_ratio = 0.0
+        self.leaving_since_s: dict[UpstreamId, float] = {}
+        self._tasks: set[asyncio.Task] = set()
+        self._failures: list[BaseException] = []
+        self._gateway_count = 0
+
+    async def start(self) -> None:
+        """Start owners and gateways."""
+        for index in range(self.shape.upstreams):
+            self._add_upstream(index)
+        for zone, region in self.shape.zones:
+            allocator = SlotAllocator(
+                ZoneName(zone),
+                RegionName(region),
+                Epoch(1),
+                longest_deadline_ms=ORDER.timeout_ms,
+            )
+            self.owners[ZoneName(zone)] = SlotLender(allocator, self.clock)
+        self._renew_horizons()
+        self.publish_records()
+        for index in range(self.shape.gateways):
+            await self.add_gateway(VmId(f"entry-{index}"))
+        self.spawn(self._watch())
+
+    async def stop(self) -> None:
+        """End everything."""
+        for gateway in list(self.gateways.values()):
+            await gateway.stop()
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def spawn(self, coroutine) -> asyncio.Task:
+        """Run a coroutine until the cell stops."""
+        task = asyncio.create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._task_done)
+        return task
+
+    def _task_done(self, task: asyncio.Task) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            self._failures.append(task.exception())
+
+    async def add_gateway(self, vm_id: VmId) -> CellGateway:
+        """Start a gateway on a VM."""
+        name = f"gw-{self._gateway_count}"
+        gateway = CellGateway(self, name, vm_id, self._gateway_count)
+        self._gateway_count += 1
+        self.gateways[gateway.process_id] = gateway
+        self.entry_vms.add(vm_id)
+        self._publish_entry_vms()
+        await gateway.start()
+        return gateway
+
+    async def kill(self, gateway: CellGateway) -> None:
+        """End a gateway's process without a farewell."""
+        gateway.gate.close()
+        del self.gateways[gateway.process_id]
+        for task in list(gateway.calls):
+            task.cancel()
+        await gateway.stop()
+
+    def lose_vm(self, vm_id: VmId) -> None:
+        """Remove an entry VM from the VM list."""
+        self.entry_vms.discard(vm_id)
+        self._publish_entry_vms()
+
+    def take_over(self, zone: ZoneName) -> None:
+        """Replace the owner of a zone; gateways learn of it up to 4 s later."""
+        old = self.owners[zone].allocator
+        now_unix_ms = self.clock.unix_ms()
+        horizon = now_unix_ms + HORIZON_MS
+        takeover = Takeover(now_unix_ms, horizon, frozenset(self.entry_vms))
+        allocator = SlotAllocator(
+            zone,
+            RegionName(dict(self.shape.zones)[zone]),
+            Epoch(old.epoch + 1),
+            takeover,
+            longest_deadline_ms=ORDER.timeout_ms,
+        )
+        lender = SlotLender(allocator, self.clock)
+        self.owners[zone] = lender
+        self._renew_horizons()
+        allocator.update_upstreams(self.records.values())
+        allocator.update_entry_vms(frozenset(self.entry_vms), now_unix_ms)
+        for gateway in self.gateways.values():
+            self.spawn(self._tell_owner(gateway, zone, lender))
+
+    async def _tell_owner(
+        self, gateway: CellGateway, zone: ZoneName, lender: SlotLender
+    ) -> None:
+        await asyncio.sleep(self.rng.uniform(0.0, 4.0))
+        if lender.allocator.epoch > gateway.owners[zone].allocator.epoch:
+            gateway.owners[zone] = lender
+            gateway.holder.observe_epoch(zone, lender.allocator.epoch)
+
+    def mark_leaving(self, upstream_id: UpstreamId, listed: bool) -> None:
+        """Let an upstream leave, as seen in the VM list or as it says itself."""
+        self.leaving_since_s[upstream_id] = asyncio.get_running_loop().time()
+        if not listed:
+            self.upstreams.members[upstream_id].behaviour.leaving = True
+            return
+        record = self.records[upstream_id]
+        self.records[upstream_id] = msgspec.structs.replace(
+            record, state=VmState.LEAVING
+        )
+        self.publish_records()
+
+    def publish_records(self) -> None:
+        """Bring the list of upstreams to owners and gateways, up to 1 s later."""
+        records = tuple(self.records.values())
+        for lender in self.owners.values():
+            lender.allocator.update_upstreams(records)
+            lender.notify()
+        for gateway in self.gateways.values():
+            self.spawn(self._tell_records(gateway, records))
+
+    async def _tell_records(
+        self, gateway: CellGateway, records: tuple[VmRecord, ...]
+    ) -> None:
+        await asyncio.sleep(self.rng.uniform(0.0, 1.0))
+        gateway.service.update_upstreams(records)
+        gateway.loop.refresh()
+
+    def _publish_entry_vms(self) -> None:
+        present = frozenset(self.entry_vms)
+        for lender in self.owners.values():
+            lender.allocator.update_entry_vms(present, self.clock.unix_ms())
+
+    def _add_upstream(self, index: int) -> None:
+        zone, region = self.shape.zones[index % len(self.shape.zones)]
+        upstream_id = UpstreamId(f"up-{index}")
+        self.upstreams.add(
+            MemoryUpstream(
+                upstream_id, ZoneName(zone), RegionName(region), self.shape.slots
+            )
+        )
+        self.records[upstream_id] = VmRecord(
+            VmId(upstream_id),
+            VmKind.UPSTREAM,
+            VmState.LIVE,
+            RegionName(region),
+            ZoneName(zone),
+            "rack",
+            "127.0.0.1",
+            8000,
+            service=SERVICE,
+            slots=self.shape.slots,
+            connections=64,
+        )
+
+    def _renew_horizons(self) -> None:
+        for lender in self.owners.values():
+            lender.allocator.set_horizon(self.clock.unix_ms() + HORIZON_MS)
+
+    async def _watch(self) -> None:
+        while True:
+            self._renew_horizons()
+            await asyncio.sleep(5)
+
+    def check(self) -> None:
+        """Check what holds at every moment.
+
+        Raises
+        ------
+        InvariantError
+            If an upstream handled more requests than it has slots, or if two gateways
+            hold one token.
+        """
+        self.upstreams.check()
+        for gateway in self.gateways.values():
+            self._failures.extend(gateway.loop.failures())
+        if self._failures:
+            raise self._failures[0]
+        holders: dict[SlotToken, ProcessId] = {}
+        for gateway in self.gateways.values():
+            for zone in self.owners:
+                for token in gateway.holder.held(zone):
+                    other = holders.setdefault(token, gateway.process_id)
+                    if other != gateway.process_id:
+                        raise InvariantError(
+                            f"slot token {token} is held by {other} and by "
+                            f"{gateway.process_id}"
+                        )
+
+
+@contextlib.asynccontextmanager
+async def running_cell(cell: RequestCell):
+    """Run a cell inside a ``with`` block."""
+    await cell.start()
+    try:
+        yield cell
+    finally:
+        await cell.stop()
