--- /dev/null
+++ b/basilhold/cell/tests/test_cell.py
@@ -0,0 +1,92 @@
+import asyncio
+from pathlib import Path
+
+import msgspec
+
+from basilhold.cell import Cell, make_shape
+from basilhold.core import (
+    ClassName,
+    Clock,
+    OfficeDocument,
+    OfficeName,
+    Resources,
+    TeamName,
+)
+from basilhold.gateway import CallerSink
+from basilhold.operators_api import JobSubmission, OperatorIdentity
+from basilhold.requests import CallerRequest, Outcome
+from basilhold.settings import load_settings
+from basilhold.testing import VIRTUAL_EPOCH_UNIX_MS, VirtualTimeTestCase
+
+EXAMPLES = Path(__file__).parents[3] / "examples"
+
+
+def example_shape(cell):
+    return make_shape(load_settings(EXAMPLES / f"{cell}.toml").ok, distinct_hosts=True)
+
+
+def example_documents(cell):
+    for path in sorted(EXAMPLES.glob(f"{cell}-*.json")):
+        yield msgspec.json.decode(path.read_bytes(), type=OfficeDocument)
+
+
+class RecordingSink(CallerSink):
+    def __init__(self):
+        self.head = None
+        self.body = b""
+        self.outcome = None
+        self.started = False
+
+    def set_outcome(self, outcome, replayed):
+        self.outcome = outcome
+
+    async def start(self, head):
+        self.head = head
+        self.started = True
+
+    async def write(self, data):
+        self.body += data
+
+
+class CellTest(VirtualTimeTestCase):
+    """Guards the whole path through all processes of an entry VM."""
+
+    async def ready_cell(self, cell_name):
+        cell = Cell(example_shape(cell_name), Clock(VIRTUAL_EPOCH_UNIX_MS))
+        for document in example_documents(cell_name):
+            await cell.set_document(document)
+        await cell.__aenter__()
+        async with asyncio.timeout(30):
+            while not all(nodes.is_ready for nodes in cell.entries.values()):
+                await asyncio.sleep(0.1)
+        await asyncio.sleep(10)
+        cell.check()
+        return cell
+
+    async def test_request_and_job_run(self):
+        cell = await self.ready_cell("trakia")
+        nodes = next(iter(cell.entries.values()))
+        sink = RecordingSink()
+        request = CallerRequest(
+            class_name=ClassName("thrace.quote"),
+            team=TeamName("thrace.tramway-sales"),
+            method="GET",
+            path="/quote",
+            headers=(),
+            body=b"",
+        )
+        end = await nodes.gateway.service.handle(request, sink)
+        self.assertIs(end.outcome, Outcome.RAN, end)
+        operator = OperatorIdentity("dispatch", OfficeName("thrace"))
+        submission = JobSubmission(
+            TeamName("thrace.tramway-sales"),
+            ClassName("thrace.stock-forecast"),
+            Resources(1000, 1 << 30, 0),
+            5,
+        )
+        accepted = await nodes.operators.submit(operator, "key-1", submission)
+        self.assertTrue(accepted.is_ok(), accepted)
+        await asyncio.sleep(5)
+        running = sum(len(w.running_tasks()) for w in cell.agents.workers.values())
+        self.assertEqual(running, 5)
+        await cell.__aexit__(None, None, None)
--- /dev/null
+++ b/basilhold/nodes/gateway_node.py
@@ -0,0 +1,223 @@
+"""A gateway process without its HTTP ports."""
+
+import asyncio
+import random
+from collections.abc import Callable
+from typing import Any, Self
+
+import msgspec
+
+from basilhold.core import InvariantError, ProcessId, RequestKey, UpstreamId
+from basilhold.gateway import (
+    OnceKeeper,
+    OnceLimits,
+    RequestCounters,
+    RequestService,
+    ServiceParts,
+    SlotLoop,
+)
+from basilhold.nodes.base import NodeContext, NodePart
+from basilhold.nodes.directory import ConfiguredClasses
+from basilhold.nodes.peers import GrpcRequestPeers, GrpcSlotExchange
+from basilhold.ports import ObjectStore, TableService, UpstreamClient
+from basilhold.requests import (
+    GatewayIdentity,
+    QueueLimits,
+    RequestProgress,
+    Router,
+    SlotHolder,
+)
+from basilhold.requests.once import BUCKET_COUNT
+from basilhold.rpc import Address, messages_pb2
+from basilhold.rpc.messages_grpc import GatewayBase
+
+__all__ = ["GatewayNode", "GatewayPorts"]
+
+SWEEP_INTERVAL_S = 60.0
+"""Time for one bucket of at-most-once records, so one round takes about four hours."""
+
+_PROGRESS = {
+    RequestProgress.NOT_HELD: messages_pb2.REQUEST_PROGRESS_NOT_HELD,
+    RequestProgress.RUNNING: messages_pb2.REQUEST_PROGRESS_RUNNING,
+    RequestProgress.FINISHED: messages_pb2.REQUEST_PROGRESS_FINISHED,
+}
+
+
+class GatewayPorts(msgspec.Struct):
+    """Platform and upstreams as a gateway reaches them.
+
+    Parameters
+    ----------
+    store : TableService
+    objects : ObjectStore
+    upstreams : UpstreamClient
+    set_connection_limit : callable, optional
+        Bounds the connections to an upstream.
+    """
+
+    store: TableService
+    objects: ObjectStore
+    upstreams: UpstreamClient
+    set_connection_limit: Callable[[UpstreamId, int], None] | None = None
+
+
+class _GatewayService(GatewayBase):
+    """Tells other gateways about the keyed requests of this one."""
+
+    def __init__(self, process_id: ProcessId, once: OnceKeeper):
+        self._process_id = process_id
+        self._once = once
+
+    async def AskRequest(self, stream: Any) -> None:  # noqa: N802
+        """Wait for the end of a request, up to the time that the other waits."""
+        message = await stream.recv_message()
+        if message is None:
+            return
+        progress = RequestProgress.NOT_HELD
+        # A gateway that was started again does not hold what its predecessor held.
+        if message.holder_id == self._process_id:
+            key = RequestKey(message.key)
+            progress = await self._once.ask(key, message.wait_ms)
+        reply = messages_pb2.AskRequestReply(progress=_PROGRESS[progress])
+        await stream.send_message(reply)
+
+
+class GatewayNode(NodePart):
+    """Routes callers' requests to upstreams.
+
+    Parameters
+    ----------
+    context : NodeContext
+        Its process id must differ for each start of a gateway.
+    address : Address
+        Where other gateways reach this one.
+    ports : GatewayPorts
+    rng : random.Random
+    once_limits : OnceLimits, optional
+    queue_limits : QueueLimits, optional
+
+    Attributes
+    ----------
+    service : RequestService
+    slots : SlotLoop
+    once : OnceKeeper
+    """
+
+    def __init__(
+        self,
+        context: NodeContext,
+        address: Address,
+        ports: GatewayPorts,
+        rng: random.Random,
+        once_limits: OnceLimits | None = None,
+        queue_limits: QueueLimits | None = None,
+    ):
+        self._context = context
+        self._address = address
+        self._rng = rng
+        self.counters = RequestCounters()
+        identity = GatewayIdentity(
+            context.process_id, context.vm_id, context.zone, context.region
+        )
+        self._router = Router(context.zone, context.region, rng)
+        self._holder = SlotHolder(identity)
+        directory, transport = context.directory, context.transport
+        self.once = OnceKeeper(
+            context.process_id,
+            context.clock,
+            ports.store,
+            ports.objects,
+            GrpcRequestPeers(transport, directory),
+            rng,
+            self.counters,
+            once_limits,
+        )
+        self.service = RequestService(
+            ServiceParts(
+                identity=identity,
+                clock=context.clock,
+                classes=ConfiguredClasses(context.in_force),
+                router=self._router,
+                holder=self._holder,
+                client=ports.upstreams,
+                once=self.once,
+                rng=rng,
+                counters=self.counters,
+                queue_limits=queue_limits or QueueLimits(),
+            )
+        )
+        self.slots = SlotLoop(
+            identity,
+            context.clock,
+            self._router,
+            self._holder,
+            self.service,
+            GrpcSlotExchange(transport, directory),
+            rng,
+            ports.set_connection_limit,
+        )
+        self._vms_version = -1
+        self._failure: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+
+    async def __aenter__(self) -> Self:
+        service = _GatewayService(self._context.process_id, self.once)
+        served = await self._context.transport.serve([service], self._address)
+        if served.is_error():
+            raise OSError(served.error.reason)
+        await self.once.__aenter__()
+        await self.slots.__aenter__()
+        return self
+
+    async def __aexit__(self, exc_type, exc, traceback) -> None:
+        await self.slots.__aexit__(exc_type, exc, traceback)
+        await self.once.__aexit__(exc_type, exc, traceback)
+
+    def vms_changed(self) -> None:
+        """Take the upstreams of a new VM list."""
+        version = self._context.subscription.state.vms.version
+        if version == self._vms_version:
+            return
+        self._vms_version = version
+        self.service.update_upstreams(self._context.directory.upstreams())
+        self.slots.refresh()
+
+    def invariant_broken(self, error: InvariantError) -> None:
+        """Let `run` raise an error that a request has met."""
+        if not self._failure.done():
+            self._failure.set_exception(error)
+
+    async def run(self) -> None:
+        """Run until an invariant is broken."""
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._sweep())
+            group.create_task(self._wait_failed())
+
+    async def _wait_failed(self) -> None:
+        await asyncio.shield(self._failure)
+
+    async def _sweep(self) -> None:
+        """Remove expired records, each gateway from another bucket on."""
+        bucket = self._rng.randrange(BUCKET_COUNT)
+        while True:
+            await asyncio.sleep(SWEEP_INTERVAL_S * self._rng.uniform(0.75, 1.25))
+            await self.once.sweep(bucket)
+            bucket = (bucket + 1) % BUCKET_COUNT
+
+    def state(self) -> dict[str, Any]:
+        """Return what a state dump shows."""
+        return {
+            "in_flight": self.service.in_flight_names(),
+            "slots": {
+                upstream_id: {
+                    "held": self._holder.held_count(upstream_id),
+                    "idle": self._holder.idle_count(upstream_id),
+                }
+                for upstream_id in self._holder.upstream_ids()
+            },
+            "counts": {
+                count.value: value for count, value in self.counters.counts.items()
+            },
+            "problems": {
+                kind.value: value for kind, value in self.counters.problems.items()
+            },
+        }
--- /dev/null
+++ b/basilhold/nodes/operator_backend.py
@@ -0,0 +1,136 @@
+"""Carries out operators' requests on a gateway."""
+
+from collections.abc import Callable
+
+import msgspec
+from expression import Ok, Result
+
+from basilhold.core import JobId, OfficeDocument, OfficeName, WorkerId, ZoneName
+from basilhold.nodes.operator_cell import OperatorCell
+from basilhold.nodes.operator_config import OperatorConfig
+from basilhold.nodes.operator_jobs import OperatorJobs
+from basilhold.operators_api import (
+    Attested,
+    ClassList,
+    ConfigVersions,
+    Explanation,
+    HistoryList,
+    InForce,
+    JobAccepted,
+    JobDetail,
+    JobPage,
+    JobQuery,
+    JobSubmission,
+    OfficeVersion,
+    OperatorBackend,
+    OperatorError,
+    OperatorIdentity,
+    WorkerPage,
+    WorkerQuery,
+)
+
+__all__ = ["GatewayOperatorBackend"]
+
+
+class GatewayOperatorBackend(OperatorBackend):
+    """Passes each request to the part that it concerns.
+
+    Parameters
+    ----------
+    config : OperatorConfig
+    jobs : OperatorJobs
+    cell : OperatorCell
+    own_state : callable
+        Returns the state dump of this process, as JSON.
+    """
+
+    def __init__(
+        self,
+        config: OperatorConfig,
+        jobs: OperatorJobs,
+        cell: OperatorCell,
+        own_state: Callable[[], bytes],
+    ):
+        self._config = config
+        self._jobs = jobs
+        self._cell = cell
+        self._own_state = own_state
+
+    async def classes(self) -> Result[ClassList, OperatorError]:
+        """Return the classes of all offices."""
+        return Ok(self._config.classes())
+
+    async def office(self, office: OfficeName) -> Result[OfficeVersion, OperatorError]:
+        """Return the latest document of an office."""
+        return await self._config.office(office)
+
+    async def apply(
+        self,
+        operator: OperatorIdentity,
+        document: OfficeDocument,
+        expected_version: int,
+    ) -> Result[OfficeVersion, OperatorError]:
+        """Replace the document of the operator's office."""
+        return await self._config.apply(operator, document, expected_version)
+
+    async def history(
+        self, office: OfficeName, limit: int
+    ) -> Result[HistoryList, OperatorError]:
+        """Return the last versions of an office's document."""
+        return await self._config.history(office, limit)
+
+    async def roll_back(
+        self, operator: OperatorIdentity, to_version: int, expected_version: int
+    ) -> Result[OfficeVersion, OperatorError]:
+        """Write an earlier document as a new version."""
+        return await self._config.roll_back(operator, to_version, expected_version)
+
+    async def versions(self) -> Result[ConfigVersions, OperatorError]:
+        """Return the latest version of each office."""
+        return Ok(await self._config.versions())
+
+    async def wait_in_force(
+        self, office: OfficeName, version: int, wait_ms: int
+    ) -> Result[InForce, OperatorError]:
+        """Return once a version is in force everywhere."""
+        return Ok(await self._config.wait_in_force(office, version, wait_ms))
+
+    async def submit(
+        self, operator: OperatorIdentity, key: str, submission: JobSubmission
+    ) -> Result[JobAccepted, OperatorError]:
+        """Store a job."""
+        return await self._jobs.submit(operator, key, submission)
+
+    async def job(self, job_id: JobId) -> Result[JobDetail, OperatorError]:
+        """Return a job and its tasks."""
+        return await self._jobs.job(job_id)
+
+    async def jobs(self, query: JobQuery) -> Result[JobPage, OperatorError]:
+        """Return a page of jobs."""
+        return await self._jobs.jobs(query)
+
+    async def cancel(
+        self, operator: OperatorIdentity, job_id: JobId
+    ) -> Result[JobDetail, OperatorError]:
+        """Mark a job as cancelled."""
+        return await self._jobs.cancel(job_id)
+
+    async def explain(self, job_id: JobId) -> Result[Explanation, OperatorError]:
+        """Return why tasks of a job wait."""
+        return await self._jobs.explain(job_id)
+
+    async def workers(self, query: WorkerQuery) -> Result[WorkerPage, OperatorError]:
+        """Return a page of workers."""
+        return await self._cell.workers(query)
+
+    async def attest_lost(
+        self, operator: OperatorIdentity, worker_id: WorkerId, reason: str
+    ) -> Result[Attested, OperatorError]:
+        """Release the tasks of a worker whose VM is destroyed."""
+        return await self._cell.attest_lost(worker_id)
+
+    async def state(self, zone: ZoneName | None) -> Result[msgspec.Raw, OperatorError]:
+        """Return the state dump of this gateway, or of the shard of a zone."""
+        if zone is None:
+            return Ok(msgspec.Raw(self._own_state()))
+        return await self._cell.shard_state(zone)
