--- a/basilhold/sharding/__init__.py
+++ b/basilhold/sharding/__init__.py
@@ -1,3 +1,55 @@
 """Ownership of shards, commits, worker leases and recovery."""
 
-__all__: list[str] = []
+from basilhold.sharding.health import ConsecutiveFailures, WorkerHealth
+from basilhold.sharding.intake import (
+    Accepted,
+    CancelAnswer,
+    IntakeError,
+    IntakeErrorKind,
+    JobIntake,
+    JobStatus,
+    Submission,
+    make_job_id,
+)
+from basilhold.sharding.owner import ShardOwner
+from basilhold.sharding.ownership import ProcessInfo, ShardInfo, rank_owners
+from basilhold.sharding.peers import (
+    CellView,
+    HandOverState,
+    ProbeAnswer,
+    SchedulerPeers,
+    ShardSummary,
+    TeamUsage,
+    WorkerGrant,
+)
+from basilhold.sharding.rows import ShardRecord, shard_key
+from basilhold.sharding.scheduler import ShardScheduler
+from basilhold.sharding.settings import ShardingSettings
+
+__all__ = [
+    "Accepted",
+    "CancelAnswer",
+    "CellView",
+    "ConsecutiveFailures",
+    "HandOverState",
+    "IntakeError",
+    "IntakeErrorKind",
+    "JobIntake",
+    "JobStatus",
+    "ProbeAnswer",
+    "ProcessInfo",
+    "SchedulerPeers",
+    "ShardInfo",
+    "ShardOwner",
+    "ShardRecord",
+    "ShardScheduler",
+    "ShardSummary",
+    "ShardingSettings",
+    "Submission",
+    "TeamUsage",
+    "WorkerGrant",
+    "WorkerHealth",
+    "make_job_id",
+    "rank_owners",
+    "shard_key",
+]
--- /dev/null
+++ b/basilhold/sharding/owner.py
@@ -0,0 +1,486 @@
+"""Runs one shard: recovery, planning, commits and worker sessions."""
+
+import asyncio
+import random
+from collections.abc import Callable
+
+import msgspec
+
+from basilhold.core import (
+    Clock,
+    Epoch,
+    JobId,
+    JobRecord,
+    Resources,
+    TaskId,
+    TaskState,
+    TeamName,
+    WorkerId,
+    split_task_id,
+)
+from basilhold.observability import log_event
+from basilhold.placement import (
+    Eviction,
+    EvictionAction,
+    Explanation,
+    Placement,
+    Planner,
+)
+from basilhold.ports import TableService, TaskReport, WorkerAgent
+from basilhold.sharding.batch import Batch
+from basilhold.sharding.changes import Change, MoveJob, Release, SetQuarantine
+from basilhold.sharding.committer import CommitDelegate, GroupCommit, OwnershipLost
+from basilhold.sharding.events import (
+    RECOVERED,
+    TASK_OUTCOME_UNKNOWN,
+    WORKER_ATTESTED_LOST,
+    WORKER_CONTACT_LOST,
+    WORKER_REACHED,
+    WORKER_RELEASED,
+)
+from basilhold.sharding.health import WorkerHealth
+from basilhold.sharding.job_feed import JobFeed, JobFeedOwner
+from basilhold.sharding.leases import WorkerLease, inherit
+from basilhold.sharding.ownership import ShardInfo
+from basilhold.sharding.peers import (
+    CellView,
+    HandOverState,
+    ShardSummary,
+    TeamUsage,
+    WorkerGrant,
+)
+from basilhold.sharding.quarantine import Quarantine, QuarantineOwner
+from basilhold.sharding.recovery import load_tables
+from basilhold.sharding.rows import ShardRecord
+from basilhold.sharding.session import (
+    CallLimiters,
+    SessionOwner,
+    StopOrder,
+    WorkerSession,
+)
+from basilhold.sharding.settings import ShardingSettings
+from basilhold.sharding.tables import ShardTables
+from basilhold.sharding.worker_list import WorkerList, WorkerListOwner
+
+__all__ = ["OwnerServices", "ShardOwner"]
+
+_PLAN_INTERVAL_MS = 1_000
+"""Interval of plans while work waits, as reservations and lateness change by time."""
+
+
+class OwnerServices(msgspec.Struct, frozen=True):
+    """What all shards of a process share."""
+
+    store: TableService
+    agents: WorkerAgent
+    clock: Clock
+    cell: CellView
+    settings: ShardingSettings
+    make_planner: Callable[[ShardInfo], Planner]
+    make_health: Callable[[], WorkerHealth]
+
+
+class ShardOwner(
+    CommitDelegate, SessionOwner, JobFeedOwner, QuarantineOwner, WorkerListOwner
+):
+    """One shard that this process owns.
+
+    Parameters
+    ----------
+    shard : ShardInfo
+    record : ShardRecord
+        The shard's row as this process wrote it at its takeover.
+    version : int
+        Version of that row.
+    services : OwnerServices
+    rng : random.Random
+    inherited : ShardRecord or None
+        The predecessor's row; ``None`` if the shard is new.
+    grants : tuple of WorkerGrant
+        Leases that a predecessor that handed over has granted.
+    """
+
+    def __init__(
+        self,
+        shard: ShardInfo,
+        record: ShardRecord,
+        version: int,
+        services: OwnerServices,
+        rng: random.Random,
+        inherited: ShardRecord | None,
+        grants: tuple[WorkerGrant, ...] = (),
+    ):
+        self.shard = shard
+        self.recovered = asyncio.Event()
+        self._record = record
+        self._version = version
+        self._services = services
+        self._rng = rng
+        self._inherited = inherited
+        self._grants = {grant.worker_id: grant.expires_unix_ms for grant in grants}
+        self._planner = services.make_planner(shard)
+        self._limiters = CallLimiters(services.settings.calls_in_flight_max)
+        self._sessions: dict[WorkerId, WorkerSession] = {}
+        self._session_tasks: dict[WorkerId, asyncio.Task] = {}
+        self._group: asyncio.TaskGroup | None = None
+        self._lost = asyncio.Event()
+        self._lost_reason = ""
+        self._moves: dict[JobId, Callable[[MoveJob], None]] = {}
+        self._used_elsewhere: dict[TeamName, Resources] = {}
+        self.tables: ShardTables | None = None
+        self.committer: GroupCommit | None = None
+        self.jobs: JobFeed | None = None
+        self._workers: WorkerList | None = None
+        self._quarantine: Quarantine | None = None
+
+    # Life cycle.
+
+    async def run(self) -> str:
+        """Own the shard until another process does; return the reason.
+
+        Returns an empty string after a planned stop.
+        """
+        reason = ""
+        try:
+            async with asyncio.TaskGroup() as group:
+                self._group = group
+                await self._recover()
+                loops = [
+                    group.create_task(self._tick()),
+                    group.create_task(self.jobs.run()),
+                    group.create_task(self._watch_loss()),
+                ]
+                await self.committer.run()
+                for task in (*loops, *self._session_tasks.values()):
+                    task.cancel()
+        except* OwnershipLost as lost:
+            reason = str(lost.exceptions[0])
+        return reason
+
+    async def _recover(self) -> None:
+        services = self._services
+        tables = await load_tables(
+            services.store, self.shard, self._record, self._version, services.settings
+        )
+        self.tables = tables
+        self.committer = GroupCommit(
+            tables,
+            services.store,
+            services.clock,
+            services.settings,
+            self,
+            self._rng,
+        )
+        self._quarantine = Quarantine(services.make_health(), services.clock, self)
+        self._workers = WorkerList(services.cell, tables, self)
+        self.jobs = JobFeed(
+            tables, services.store, services.clock, services.settings, self
+        )
+        for worker in tables.workers.values():
+            self._quarantine.load(worker.record)
+            self._open_session(worker.record.worker_id, fresh=False)
+        self._workers.update()
+        self.jobs.load_all()
+        self.recovered.set()
+        self.committer.poke()
+        log_event(
+            RECOVERED,
+            zone=self.shard.zone,
+            workers=len(tables.workers),
+            tasks=len(tables.placed),
+            unreached=sum(not s.reachable for s in self._sessions.values()),
+        )
+
+    async def _watch_loss(self) -> None:
+        await self._lost.wait()
+        raise OwnershipLost(self._lost_reason)
+
+    async def _tick(self) -> None:
+        """Do what depends on time alone."""
+        while True:
+            await asyncio.sleep(_PLAN_INTERVAL_MS / 1000)
+            self._workers.update()
+            self._quarantine.update()
+            self.jobs.drop_old()
+            self._planner.set_teams(self._services.cell.teams(), self._used_elsewhere)
+            if self.jobs.has_waiting():
+                self.committer.poke()
+
+    def stop(self, successor: str | None) -> None:
+        """Finish the commit in flight, name the successor and end `run`."""
+        if self.committer is not None:
+            self.committer.stop(successor)
+        else:
+            self.lose("stopped before recovery")
+
+    def hand_over_state(self, sender: str) -> HandOverState:
+        """Return what the successor needs; valid once `run` has returned."""
+        grants = tuple(
+            WorkerGrant(
+                worker_id,
+                max(
+                    session.lease.inherited_until_unix_ms,
+                    session.lease.granted_until_unix_ms,
+                ),
+            )
+            for worker_id, session in self._sessions.items()
+        )
+        return HandOverState(self.shard.zone, self.epoch, sender, grants)
+
+    def lose(self, reason: str) -> None:
+        """End `run`, as the shard has another owner."""
+        self._lost_reason = reason
+        self._lost.set()
+
+    # Sessions.
+
+    def _open_session(self, worker_id: WorkerId, fresh: bool) -> None:
+        services = self._services
+        lease = WorkerLease()
+        if not fresh:
+            horizon_ms = (self._inherited or self._record).horizon_unix_ms
+            lease = inherit(min(self._grants.get(worker_id, horizon_ms), horizon_ms))
+        session = WorkerSession(
+            worker_id,
+            lease,
+            self,
+            services.agents,
+            services.clock,
+            services.settings,
+            self._limiters,
+            random.Random(self._rng.getrandbits(64)),
+        )
+        for assignment in self.tables.workers[worker_id].record.assignments:
+            session.hold(assignment, fresh=False)
+        self._sessions[worker_id] = session
+        self._session_tasks[worker_id] = self._group.create_task(session.run())
+        self.refresh_worker(worker_id)
+
+    def _close_session(self, worker_id: WorkerId) -> None:
+        self._sessions.pop(worker_id, None)
+        task = self._session_tasks.pop(worker_id, None)
+        if task is not None:
+            task.cancel()
+        self._planner.remove_worker(worker_id)
+        self._quarantine.remove(worker_id)
+
+    def refresh_worker(self, worker_id: WorkerId) -> None:
+        """Tell the planner what a worker holds and whether it takes tasks."""
+        worker = self.tables.workers.get(worker_id)
+        if worker is None:
+            return
+        session = self._sessions.get(worker_id)
+        schedulable = (
+            session is not None
+            and session.schedulable
+            and self._workers.is_usable(worker_id)
+            and self._quarantine.admits(worker.record)
+        )
+        self._planner.upsert_worker(worker.record, schedulable)
+        if schedulable and self.committer is not None:
+            self.committer.poke()
+
+    def session(self, worker_id: WorkerId) -> WorkerSession | None:
+        """Return the session with a worker."""
+        return self._sessions.get(worker_id)
+
+    def attest_lost(self, worker_ids: tuple[WorkerId, ...]) -> tuple[WorkerId, ...]:
+        """Treat workers as destroyed, on an operator's word; return those known."""
+        known = tuple(w for w in worker_ids if w in self._sessions)
+        for worker_id in known:
+            log_event(WORKER_ATTESTED_LOST, worker_id=worker_id)
+            self._sessions[worker_id].attest_lost()
+        return known
+
+    # SessionOwner.
+
+    @property
+    def epoch(self) -> Epoch:
+        """Epoch of the shard."""
+        return self._record.epoch
+
+    @property
+    def horizon_unix_ms(self) -> int:
+        """Lease horizon that is known to be in the shard's row."""
+        return self.tables.shard.horizon_unix_ms
+
+    def job_of(self, task_id: TaskId) -> JobRecord | None:
+        """Return the job that a task belongs to."""
+        return self.tables.job_of(task_id)
+
+    def release(self, change: Release) -> None:
+        """Commit the end of an attempt and judge the worker by it."""
+        if change.state is TaskState.UNKNOWN:
+            log_event(
+                TASK_OUTCOME_UNKNOWN,
+                task_id=change.task_id,
+                attempt=change.attempt,
+                reason=change.reason,
+            )
+        self._quarantine.note(change)
+        self.committer.submit(change)
+
+    def submit(self, change: Change) -> None:
+        """Commit a change of other rows."""
+        self.committer.submit(change)
+
+    def fenced_out(self, epoch: Epoch) -> None:
+        """Step down, as a worker has seen a higher epoch."""
+        if epoch > self.epoch:
+            self.lose(f"a worker has seen epoch {epoch}")
+
+    def reachability_changed(self, worker_id: WorkerId) -> None:
+        """Tell the planner whether new tasks may go to a worker."""
+        session = self._sessions.get(worker_id)
+        if session is None:
+            return
+        event = WORKER_REACHED if session.reachable else WORKER_CONTACT_LOST
+        log_event(event, worker_id=worker_id, zone=self.shard.zone)
+        self.refresh_worker(worker_id)
+
+    def usage_reported(
+        self, worker_id: WorkerId, reports: tuple[TaskReport, ...]
+    ) -> None:
+        """Pass a worker's usage on to the planner."""
+        now_ms = self._services.clock.unix_ms()
+        self._planner.record_usage(worker_id, reports, now_ms)
+
+    def lease_expired(self, worker_id: WorkerId, task_count: int) -> None:
+        """Note that the tasks of an unreachable worker are released."""
+        log_event(WORKER_RELEASED, worker_id=worker_id, tasks=task_count)
+
+    # CommitDelegate.
+
+    def plan(self, limit: int) -> tuple[Placement, ...]:
+        """Return placements to commit; evictions are carried out at once."""
+        plan = self._planner.plan(self._services.clock.unix_ms(), limit)
+        for eviction in plan.evictions:
+            self._evict(eviction)
+        kept, excess = self._quarantine.limit_probes(plan.placements)
+        if excess:
+            self._planner.abandon(excess)
+        return kept
+
+    def _evict(self, eviction: Eviction) -> None:
+        session = self._sessions.get(eviction.worker_id)
+        assignment = self.tables.assignment(eviction.task_id)
+        if session is None or assignment is None:
+            return
+        if assignment.attempt != eviction.attempt:
+            return
+        session.order_stop(
+            eviction.task_id,
+            StopOrder(
+                eviction.action,
+                TaskState.PENDING,
+                "evicted",
+                eviction.cores_limit_milli,
+            ),
+        )
+
+    def abandon(self, placements: tuple[Placement, ...]) -> None:
+        """Take back placements that were not committed."""
+        self._planner.abandon(placements)
+
+    def applied(self, batch: Batch) -> None:
+        """Start what was placed and tell the planner what has changed."""
+        self._planner.confirm(batch.placements)
+        for change in batch.changes:
+            if isinstance(change, Release):
+                session = self._sessions.get(change.worker_id)
+                if session is not None:
+                    session.drop(change.task_id, change.attempt)
+            elif isinstance(change, MoveJob):
+                self._moved(change)
+        for worker_id, record in batch.workers.items():
+            if record is None:
+                self._close_session(worker_id)
+            elif worker_id not in self._sessions:
+                self._open_session(worker_id, fresh=True)
+        for placement in batch.placements:
+            self._sessions[placement.worker_id].hold(
+                self.tables.assignment(placement.task_id), fresh=True
+            )
+            self._quarantine.placed(placement.worker_id)
+        placed_only = {p.worker_id for p in batch.placements} - {
+            change.worker_id
+            for change in batch.changes
+            if isinstance(change, Release | SetQuarantine)
+        }
+        for worker_id in batch.workers.keys() - placed_only:
+            self.refresh_worker(worker_id)
+        jobs = dict.fromkeys(batch.jobs)
+        for placement in batch.placements:
+            jobs[split_task_id(placement.task_id)[0]] = None
+        for job_id in jobs:
+            self.jobs.changed(job_id)
+
+    def job_changed(self, job_id: JobId) -> None:
+        """Act on a job's row that a gateway has changed."""
+        self.jobs.changed(job_id)
+
+    def move_job(self, move: MoveJob, announce: Callable[[MoveJob], None]) -> None:
+        """Move a pending job to another shard and tell its owner afterwards."""
+        if move.job_id in self._moves:
+            return
+        self._moves[move.job_id] = announce
+        self._planner.remove_job(move.job_id)
+        self.committer.submit(move)
+
+    def _moved(self, move: MoveJob) -> None:
+        announce = self._moves.pop(move.job_id, None)
+        if announce is not None and move.job_id not in self.tables.jobs:
+            announce(move)
+
+    # JobFeed.
+
+    @property
+    def planner(self) -> Planner:
+        """Planner of the shard."""
+        return self._planner
+
+    def work_waits(self) -> None:
+        """Plan soon, as there is new work."""
+        self.committer.poke()
+
+    def cancel_task(self, task_id: TaskId) -> None:
+        """Stop a committed task of a cancelled job."""
+        worker_id = self.tables.placed.get(task_id)
+        session = self._sessions.get(worker_id) if worker_id else None
+        if session is not None:
+            order = StopOrder(EvictionAction.STOP, TaskState.CANCELLED, "cancelled")
+            session.order_stop(task_id, order)
+
+    # Queries.
+
+    def set_usage_elsewhere(self, used: dict[TeamName, Resources]) -> None:
+        """Replace the teams' usage in other shards."""
+        self._used_elsewhere = used
+
+    def explain(self, job_id: JobId) -> Explanation:
+        """Return why a job's tasks wait."""
+        return self._planner.explain(job_id, self._services.clock.unix_ms())
+
+    def summary(self) -> ShardSummary:
+        """Return what other processes learn about the shard."""
+        free = Resources()
+        usage: dict[TeamName, Resources] = {}
+        if not self.recovered.is_set():
+            return ShardSummary(self.shard.zone, self.epoch, free, 0)
+        for worker_id, worker in self.tables.workers.items():
+            record = worker.record
+            if self._sessions[worker_id].schedulable:
+                free = free + (record.capacity - record.committed())
+            for assignment in record.assignments:
+                job = self.tables.job_of(assignment.task_id)
+                if job is not None:
+                    team = job.spec.team
+                    used = usage.get(team, Resources())
+                    usage[team] = used + assignment.resources
+        return ShardSummary(
+            self.shard.zone,
+            self.epoch,
+            free,
+            self.jobs.waiting_tasks(),
+            tuple(TeamUsage(team, used) for team, used in sorted(usage.items())),
+        )
--- a/basilhold/standins/faults.py
+++ b/basilhold/standins/faults.py
@@ -15,6 +15,7 @@
     LOST_REQUEST = "lost-request"
     LOST_REPLY = "lost-reply"
     REFUSED = "refused"
+    DELAYED = "delayed"
 
 
 class StoreFaults:
@@ -32,8 +33,10 @@
         Time after which a client gives up on a reply.
     down : bool
         Refuses every operation.
-    lost_reply_ratio, lost_request_ratio, refused_ratio : float
+    lost_reply_ratio, lost_request_ratio, refused_ratio, delayed_ratio : float
         Shares of operations with that fate.
+    delay_ms : float
+        Time after which a delayed operation takes effect; its client has given up.
     counts : collections.Counter of StoreFate
         How many operations had each fate.
     """
@@ -46,6 +49,8 @@
         self.lost_reply_ratio = 0.0
         self.lost_request_ratio = 0.0
         self.refused_ratio = 0.0
+        self.delayed_ratio = 0.0
+        self.delay_ms = 3000.0
         self.counts: Counter[StoreFate] = Counter()
 
     def draw(self) -> StoreFate:
@@ -66,6 +71,9 @@
         value -= self.lost_request_ratio
         if value < self.refused_ratio:
             return StoreFate.REFUSED
+        value -= self.refused_ratio
+        if value < self.delayed_ratio:
+            return StoreFate.DELAYED
         return StoreFate.DONE
 
     async def travel(self) -> None:
--- a/basilhold/standins/table.py
+++ b/basilhold/standins/table.py
@@ -1,6 +1,8 @@
 """In-memory table service."""
 
+import asyncio
 from bisect import bisect_right
+from collections.abc import Callable
 
 from expression import Error, Ok, Result
 from sortedcontainers import SortedDict
@@ -35,12 +37,18 @@
     ----------
     read_count, write_count : int
         Operations that reached the service.
+    written_bytes : int
+        Bytes of keys and values in the transactions that were applied.
+    on_applied : callable or None
+        Called with each transaction that was applied.
     """
 
     def __init__(self, faults: StoreFaults | None = None):
         self.faults = faults or StoreFaults()
         self.read_count = 0
         self.write_count = 0
+        self.written_bytes = 0
+        self.on_applied: Callable[[Transaction], None] | None = None
         self._rows: SortedDict[str, Row] = SortedDict()
         self._deleted_versions: dict[str, int] = {}
 
@@ -68,6 +76,11 @@
         if fate is StoreFate.LOST_REQUEST:
             await self.faults.wait_for_timeout()
             return Error(StoreError(StoreErrorKind.UNKNOWN, "no reply"))
+        if fate is StoreFate.DELAYED:
+            loop = asyncio.get_running_loop()
+            loop.call_later(self.faults.delay_ms / 1000, operation)
+            await self.faults.wait_for_timeout()
+            return Error(StoreError(StoreErrorKind.UNKNOWN, "no reply"))
         result = operation()
         if fate is StoreFate.LOST_REPLY:
             await self.faults.wait_for_timeout()
@@ -110,7 +123,13 @@
         conflicts = tuple(self._conflicts(transaction))
         if conflicts:
             return Error(StoreError(StoreErrorKind.CONFLICT, "conflict", conflicts))
-        return Ok({write.key: self._apply(write) for write in transaction.writes})
+        versions = {write.key: self._apply(write) for write in transaction.writes}
+        self.written_bytes += sum(
+            len(write.key) + len(write.value or b"") for write in transaction.writes
+        )
+        if self.on_applied is not None:
+            self.on_applied(transaction)
+        return Ok(versions)
 
     def _conflicts(self, transaction: Transaction):
         for condition in transaction.conditions:
--- a/basilhold/standins/workers.py
+++ b/basilhold/standins/workers.py
@@ -1,6 +1,6 @@
 """In-memory workers that run tasks under leases."""
 
-from enum import Enum
+from collections.abc import Callable
 
 import msgspec
 import xxhash
@@ -36,17 +36,10 @@
     """Return a hash of the tasks that a worker runs, independent of their order."""
     digest = xxhash.xxh64()
     for task_id in sorted(tasks):
-        digest.update(f"{task_id}:{tasks[task_id]};")
+        digest.update(f"{task_id}:{tasks[task_id]};".encode())
     return digest.intdigest()
 
 
-class TaskOutcome(Enum):
-    """How a task on a stand-in ends."""
-
-    SUCCEED = "succeed"
-    FAIL = "fail"
-
-
 class TaskBehaviour(msgspec.Struct, frozen=True):
     """What a task does once it runs.
 
@@ -104,6 +97,10 @@
     behaviours : dict of str to TaskBehaviour
         Behaviour by command; the entry ``""`` is the default.
     fails_everything : bool
+    on_start : callable or None
+        Called with the worker and the request when an attempt starts.
+    start_count : int
+        Attempts started.
     """
 
     def __init__(self, worker_id: WorkerId, capacity: Resources, clock: Clock):
@@ -117,6 +114,18 @@
         self.lease_expires_unix_ms = 0
         self._runs: dict[TaskId, _Run] = {}
         self._last_attempts: dict[TaskId, Attempt] = {}
+        self._started_attempts: dict[TaskId, Attempt] = {}
+        self.on_start: Callable[[MemoryWorker, StartRequest], None] | None = None
+        self.start_count = 0
+
+    def restart(self) -> None:
+        """Lose all runs and the lease, as a VM that is rebooted.
+
+        The highest epoch and the attempts seen are kept: an agent that forgot them
+        would accept delayed messages of earlier owners.
+        """
+        self._runs.clear()
+        self.lease_expires_unix_ms = 0
 
     def running_tasks(self) -> dict[TaskId, Attempt]:
         """Return the attempts that run now."""
@@ -150,10 +159,14 @@
         if refusal:
             return Error(AgentError(AgentErrorKind.REFUSED, refusal, self.epoch))
         self._last_attempts[request.task_id] = request.attempt
+        self._started_attempts[request.task_id] = request.attempt
+        self.start_count += 1
         behaviour = self.behaviours.get(request.command) or self.behaviours[""]
         self._runs[request.task_id] = _Run(request, behaviour, self.clock.unix_ms())
         if not self.committed().fits_in(self.capacity):
             raise InvariantError(f"worker {self.worker_id} exceeds its capacity")
+        if self.on_start is not None:
+            self.on_start(self, request)
         return Ok(reply)
 
     def _refusal(
@@ -173,12 +186,15 @@
     def stop(
         self, epoch: Epoch, task_id: TaskId, attempt: Attempt
     ) -> Result[StopReply, AgentError]:
-        """Stop an attempt and refuse it from now on."""
+        """Stop an attempt and refuse it from now on.
+
+        A repeat gets the same answer as the original.
+        """
         self._advance()
         stale = self._check_epoch(epoch)
         if stale:
             return Error(stale)
-        never_started = self._last_attempts.get(task_id, Attempt(0)) < attempt
+        never_started = self._started_attempts.get(task_id, Attempt(0)) < attempt
         self._last_attempts[task_id] = max(
             attempt, self._last_attempts.get(task_id, Attempt(0))
         )
