--- a/basilhold/sharding/batch.py
+++ b/basilhold/sharding/batch.py
@@ -49,6 +49,8 @@
 NOT_RUN = "not run"
 """`TaskRecord.reason` of a task of which no attempt has started."""
 
+_EARLIER_ATTEMPT = "an earlier attempt may have run"
+
 _BYTES_BOUND = TRANSACTION_BYTES_MAX * 3 // 4
 """Leaves room for keys and conditions, whose bytes are not counted here."""
 
@@ -371,10 +373,12 @@
         state, reason = TaskState.CANCELLED, "cancelled"
     if none_ran and state in (TaskState.PENDING, TaskState.CANCELLED):
         reason = NOT_RUN
+    elif reason == NOT_RUN:
+        reason = _EARLIER_ATTEMPT
     return TaskRecord(state, change.attempt, failed_on, reason)
 
 
 def _cancelled_task(task: TaskRecord) -> TaskRecord:
     none_ran = task.attempt == 0 or task.reason == NOT_RUN
-    reason = NOT_RUN if none_ran else "cancelled; an earlier attempt may have run"
+    reason = NOT_RUN if none_ran else _EARLIER_ATTEMPT
     return TaskRecord(TaskState.CANCELLED, task.attempt, task.failed_on, reason)
--- /dev/null
+++ b/basilhold/sharding/explorer.py
@@ -0,0 +1,632 @@
+"""Explores every interleaving of the commit and lease protocol at small size.
+
+Two schedulers, two workers and two tasks; the second task is at-most-once. Messages
+to the store and to workers may arrive late or never, replies may be lost, a scheduler
+may rest for any time, and leases expire. The decisions are those of `leases`,
+`commit_rules` and `task_rules`; `Rules` names them so that tests can break one.
+"""
+
+from collections import deque
+from collections.abc import Iterator
+from functools import cache
+
+import msgspec
+
+from basilhold.core import (
+    Assignment,
+    Attempt,
+    Resources,
+    RestartPolicy,
+    TaskId,
+    TaskState,
+    WorkerId,
+    ZoneName,
+)
+from basilhold.ports import Condition, Row
+from basilhold.sharding.commit_rules import (
+    SentCommit,
+    Verdict,
+    commit_conditions,
+    judge,
+)
+from basilhold.sharding.leases import (
+    WorkerLease,
+    fence,
+    grant,
+    inherit,
+    is_free,
+    next_expiry,
+)
+from basilhold.sharding.rows import CommitRecord, commit_key, encode, shard_key
+from basilhold.sharding.task_rules import (
+    AttemptPhase,
+    MissingAction,
+    after_lease_expiry,
+    after_stop,
+    when_missing,
+)
+
+__all__ = [
+    "AT_MOST_ONCE_LEASE",
+    "COMMIT_RACES",
+    "RESTARTABLE_LEASE",
+    "Exploration",
+    "Rules",
+    "Scenario",
+    "explore",
+]
+
+ZONE = ZoneName("z")
+TICK_MS = 10_000
+LEASE_MS = TICK_MS
+HORIZON_MS = 2 * TICK_MS
+POLICIES = (RestartPolicy.ALLOWED, RestartPolicy.FORBIDDEN)
+SHARD, COMMIT = shard_key(ZONE), commit_key(ZONE)
+
+
+class Rules:
+    """The decisions that the exploration drives."""
+
+    is_free = staticmethod(is_free)
+    fence = staticmethod(fence)
+    when_missing = staticmethod(when_missing)
+    workers_check_epoch = True
+    starts_need_commit = True
+    unknown_is_not_applied = False
+
+    @staticmethod
+    def conditions(shard_version: int, commit_version: int) -> tuple[Condition, ...]:
+        """Return the conditions of each commit besides those on worker rows."""
+        return commit_conditions(ZONE, shard_version, commit_version)
+
+
+class Scenario(msgspec.Struct, frozen=True):
+    """Bounds of an exploration.
+
+    Parameters
+    ----------
+    ticks : int
+        Time that passes, in units of a worker lease.
+    commits : int
+        Placements begin only until so many transactions were made.
+    placed_task : int or None
+        A task that the first scheduler has committed to the first worker; the other
+        task is left out. By default both tasks are pending.
+    """
+
+    ticks: int
+    commits: int
+    placed_task: int | None = None
+
+
+COMMIT_RACES = Scenario(ticks=0, commits=3)
+"""Both schedulers commit both tasks; no lease expires."""
+
+RESTARTABLE_LEASE = Scenario(ticks=3, commits=2, placed_task=0)
+"""A task that can be restarted moves from one worker and owner to the other."""
+
+AT_MOST_ONCE_LEASE = Scenario(ticks=3, commits=2, placed_task=1)
+"""The same for an at-most-once task."""
+
+
+class Commit(msgspec.Struct, frozen=True):
+    """A transaction that changes one task's assignment on one worker."""
+
+    number: int
+    by: int
+    worker: int
+    task: int
+    attempt: int
+    adds: bool
+    final: bool
+    conditions: tuple[Condition, ...]
+
+
+class Store(msgspec.Struct, frozen=True):
+    """The shard's rows; worker and task rows carry a version each."""
+
+    epoch: int
+    shard_version: int
+    commit_number: int
+    commit_version: int
+    assigned: tuple[tuple[tuple[int, int], ...], ...]
+    versions: tuple[int, ...]
+    attempts: tuple[int, ...]
+    final: tuple[bool, ...]
+
+
+class Scheduler(msgspec.Struct, frozen=True):
+    """What one scheduler knows; epoch 0 if it owns nothing."""
+
+    epoch: int = 0
+    horizon_ms: int = 0
+    store: Store | None = None
+    leases: tuple[WorkerLease, ...] = ()
+    phases: tuple[tuple[int, AttemptPhase], ...] = ()
+    pending: Commit | None = None
+
+
+class Message(msgspec.Struct, frozen=True):
+    """A start or a renewal on its way; `attempt` is 0 for a renewal."""
+
+    epoch: int
+    worker: int
+    until_ms: int
+    task: int = -1
+    attempt: int = 0
+
+
+class Worker(msgspec.Struct, frozen=True):
+    """A worker that follows the platform's contract; it has room for one task."""
+
+    epoch: int = 0
+    lease_ms: int = 0
+    running: tuple[tuple[int, int], ...] = ()
+    last: tuple[int, ...] = (0, 0)
+    started: tuple[int, ...] = (0, 0)
+
+
+class State(msgspec.Struct, frozen=True):
+    """One state of the whole system."""
+
+    tick: int
+    store: Store
+    schedulers: tuple[Scheduler, ...]
+    workers: tuple[Worker, ...]
+    messages: frozenset[Message]
+    commits: frozenset[Commit]
+    starts: tuple[int, ...]
+    next_number: int
+
+
+class Exploration(msgspec.Struct, frozen=True):
+    """Result: the number of states, and the way to a broken guarantee, if any."""
+
+    states: int
+    complete: bool = False
+    violation: str = ""
+    trace: tuple[str, ...] = ()
+
+
+_replace = msgspec.structs.replace
+
+
+def _put(items: tuple, index: int, item) -> tuple:
+    return (*items[:index], item, *items[index + 1 :])
+
+
+def _initial(scenario: Scenario) -> State:
+    store = Store(1, 1, 0, 0, ((), ()), (1, 1), (0, 0), (False, False))
+    phases: tuple[tuple[int, AttemptPhase], ...] = ()
+    if scenario.placed_task is not None:
+        task = scenario.placed_task
+        store = _replace(
+            store,
+            assigned=(((task, 1),), ()),
+            attempts=_put((0, 0), task, 1),
+            final=_put((True, True), task, False),
+        )
+        phases = ((task, AttemptPhase.FRESH),)
+    lease = WorkerLease(fenced=scenario.placed_task is not None)
+    first = Scheduler(1, HORIZON_MS, store, (lease, lease), phases)
+    worker = Worker(epoch=1 if lease.fenced else 0)
+    empty: frozenset = frozenset()
+    return State(
+        0, store, (first, Scheduler()), (worker, worker), empty, empty, (0, 0), 1
+    )
+
+
+@cache
+def _commit_row(number: int, version: int) -> Row:
+    return Row(COMMIT, encode(CommitRecord(str(number), version)), version)
+
+
+def _rows(store: Store) -> dict[str, Row]:
+    rows = {SHARD: Row(SHARD, b"", store.shard_version)}
+    if store.commit_version:
+        rows[COMMIT] = _commit_row(store.commit_number, store.commit_version)
+    for worker, version in enumerate(store.versions):
+        rows[f"w{worker}"] = Row(f"w{worker}", b"", version)
+    return rows
+
+
+def _apply(store: Store, commit: Commit) -> Store:
+    rows = _rows(store)
+    for condition in commit.conditions:
+        row = rows.get(condition.key)
+        if (row.version if row else 0) != condition.version:
+            return store
+    held = store.assigned[commit.worker]
+    if commit.adds:
+        held = (*held, (commit.task, commit.attempt))
+    else:
+        held = tuple(a for a in held if a != (commit.task, commit.attempt))
+    versions = _put(store.versions, commit.worker, store.versions[commit.worker] + 1)
+    final = store.final[commit.task] or commit.final
+    return _replace(
+        store,
+        commit_number=commit.number,
+        commit_version=store.commit_version + 1,
+        assigned=_put(store.assigned, commit.worker, held),
+        versions=versions,
+        attempts=_put(store.attempts, commit.task, commit.attempt),
+        final=_put(store.final, commit.task, final),
+    )
+
+
+class _Explorer:
+    """Produces the successors of a state."""
+
+    def __init__(self, rules: Rules, scenario: Scenario):
+        self._rules = rules
+        self._scenario = scenario
+
+    def successors(self, state: State) -> Iterator[tuple[str, State]]:
+        if state.tick < self._scenario.ticks:
+            yield "tick", self._tick(state)
+        for commit in state.commits:
+            yield from self._deliver_commit(state, commit)
+        for message in state.messages:
+            yield self._deliver(state, message)
+        for index, scheduler in enumerate(state.schedulers):
+            if scheduler.epoch == 0:
+                if index == 1 and state.store.epoch == 1:
+                    yield "claim", self._claim(state, index)
+                continue
+            if scheduler.pending is not None:
+                yield from self._resolve(state, index)
+            else:
+                yield from self._place(state, index)
+            for worker in range(2):
+                yield from self._talk(state, index, worker)
+
+    def _tick(self, state: State) -> State:
+        now_ms = (state.tick + 1) * TICK_MS
+        workers = tuple(
+            worker if now_ms < worker.lease_ms else _replace(worker, running=())
+            for worker in state.workers
+        )
+        # A start that can only be refused as late does not matter any more.
+        messages = frozenset(m for m in state.messages if m.until_ms > now_ms)
+        return _replace(state, tick=state.tick + 1, workers=workers, messages=messages)
+
+    def _claim(self, state: State, index: int) -> State:
+        store = _replace(
+            state.store,
+            epoch=state.store.epoch + 1,
+            shard_version=state.store.shard_version + 1,
+        )
+        horizon_ms = max(HORIZON_MS, state.tick * TICK_MS + HORIZON_MS)
+        phases = tuple(
+            (task, AttemptPhase.SENT) for held in store.assigned for task, _ in held
+        )
+        lease = inherit(HORIZON_MS)
+        owner = Scheduler(store.epoch, horizon_ms, store, (lease, lease), phases)
+        schedulers = _put(state.schedulers, index, owner)
+        return _replace(state, store=store, schedulers=schedulers)
+
+    # Commits.
+
+    def _send(
+        self, state: State, index: int, worker: int, task: int, attempt: int, **kind
+    ) -> State:
+        scheduler = state.schedulers[index]
+        known = scheduler.store
+        conditions = (
+            *self._rules.conditions(known.shard_version, known.commit_version),
+            Condition(f"w{worker}", known.versions[worker]),
+        )
+        commit = Commit(
+            state.next_number,
+            index,
+            worker,
+            task,
+            attempt,
+            kind["adds"],
+            kind.get("final", False),
+            conditions,
+        )
+        return _replace(
+            state,
+            schedulers=_put(
+                state.schedulers, index, _replace(scheduler, pending=commit)
+            ),
+            commits=state.commits | {commit},
+            next_number=state.next_number + 1,
+        )
+
+    def _place(self, state: State, index: int) -> Iterator[tuple[str, State]]:
+        known = state.schedulers[index].store
+        placed = {task for held in known.assigned for task, _ in held}
+        for task in range(2):
+            if task in placed or known.final[task] or known.attempts[task] > 1:
+                continue
+            for worker in range(2):
+                if state.next_number == 1 and worker == 1 and not any(known.attempts):
+                    continue  # The workers are alike.
+                if state.next_number > self._scenario.commits:
+                    continue
+                if not known.assigned[worker]:
+                    attempt = known.attempts[task] + 1
+                    yield (
+                        f"s{index} places t{task} on w{worker}",
+                        self._send(state, index, worker, task, attempt, adds=True),
+                    )
+
+    def _deliver_commit(
+        self, state: State, commit: Commit
+    ) -> Iterator[tuple[str, State]]:
+        store = _apply(state.store, commit)
+        state = _replace(state, store=store, commits=state.commits - {commit})
+        yield f"commit {commit.number} arrives", state
+        scheduler = state.schedulers[commit.by]
+        if scheduler.pending == commit and store.commit_number == commit.number:
+            yield (
+                f"commit {commit.number} is answered",
+                self._settle(state, commit.by, Verdict.APPLIED),
+            )
+
+    def _resolve(self, state: State, index: int) -> Iterator[tuple[str, State]]:
+        commit = state.schedulers[index].pending
+        sent = SentCommit(ZONE, str(commit.number), commit.conditions)
+        verdict = judge(sent, _rows(state.store))
+        if self._rules.unknown_is_not_applied:
+            verdict = Verdict.REBUILD
+        elif not self._rules.starts_need_commit:
+            verdict = Verdict.APPLIED
+        if verdict is Verdict.RESEND and commit in state.commits:
+            return
+        yield (
+            f"s{index} finds commit {commit.number} {verdict.value}",
+            self._settle(state, index, verdict),
+        )
+
+    def _settle(self, state: State, index: int, verdict: Verdict) -> State:
+        scheduler = state.schedulers[index]
+        commit = scheduler.pending
+        if verdict is Verdict.RESEND:
+            return _replace(state, commits=state.commits | {commit})
+        if verdict is Verdict.LOST:
+            return _replace(
+                state, schedulers=_put(state.schedulers, index, Scheduler())
+            )
+        known = scheduler.store
+        phases = dict(scheduler.phases)
+        if verdict is Verdict.APPLIED:
+            conditions = _replace(commit, conditions=())
+            known = _apply(known, conditions)
+            phases.pop(commit.task, None)
+            if commit.adds:
+                phases[commit.task] = AttemptPhase.FRESH
+        else:
+            current = state.store
+            known = _replace(
+                known,
+                commit_version=current.commit_version,
+                versions=current.versions,
+            )
+            if not commit.adds:
+                phases[commit.task] = AttemptPhase.SENT
+        owner = _replace(
+            scheduler,
+            store=known,
+            phases=tuple(sorted(phases.items())),
+            pending=None,
+        )
+        return _replace(state, schedulers=_put(state.schedulers, index, owner))
+
+    # Workers.
+
+    def _talk(
+        self, state: State, index: int, worker: int
+    ) -> Iterator[tuple[str, State]]:
+        scheduler = state.schedulers[index]
+        lease = scheduler.leases[worker]
+        now_ms = state.tick * TICK_MS
+        name = f"s{index}"
+        if not lease.fenced:
+            yield f"{name} asks w{worker}", self._report(state, index, worker)
+        else:
+            expires_ms = next_expiry(now_ms, LEASE_MS, scheduler.horizon_ms)
+            if expires_ms > max(now_ms, lease.granted_until_unix_ms):
+                yield (
+                    f"{name} renews w{worker}",
+                    self._renew(state, index, worker, expires_ms),
+                )
+        for task, attempt in scheduler.store.assigned[worker]:
+            phase = dict(scheduler.phases)[task]
+            yield from self._advance(state, index, worker, task, attempt, phase)
+
+    def _advance(
+        self,
+        state: State,
+        index: int,
+        worker: int,
+        task: int,
+        attempt: int,
+        phase: AttemptPhase,
+    ) -> Iterator[tuple[str, State]]:
+        scheduler = state.schedulers[index]
+        lease = scheduler.leases[worker]
+        now_ms = state.tick * TICK_MS
+        name = f"s{index} t{task}"
+        if phase is AttemptPhase.RELEASING:
+            return
+        action = self._rules.when_missing(phase, POLICIES[task])
+        if lease.fenced and lease.granted_until_unix_ms > now_ms:
+            message = Message(
+                scheduler.epoch, worker, lease.granted_until_unix_ms, task, attempt
+            )
+            if action is MissingAction.START and message not in state.messages:
+                sent = self._set_phase(state, index, task, AttemptPhase.SENT)
+                sent = _replace(sent, messages=sent.messages | {message})
+                yield f"{name} starts on w{worker}", sent
+        if scheduler.pending is not None:
+            return
+        assignment = Assignment(TaskId(str(task)), Attempt(attempt), Resources())
+        worker_id = WorkerId(str(worker))
+        if self._rules.is_free(lease, now_ms):
+            release = after_lease_expiry(assignment, worker_id, phase, POLICIES[task])
+            final = release.state is not TaskState.PENDING
+            sent = self._send(
+                state, index, worker, task, attempt, adds=False, final=final
+            )
+            sent = self._set_phase(sent, index, task, AttemptPhase.RELEASING)
+            yield f"{name} is released from w{worker}", sent
+        if lease.fenced and phase is AttemptPhase.SENT:
+            yield from self._stop(state, index, worker, task, attempt)
+
+    def _set_phase(
+        self, state: State, index: int, task: int, phase: AttemptPhase
+    ) -> State:
+        scheduler = state.schedulers[index]
+        phases = tuple(sorted((dict(scheduler.phases) | {task: phase}).items()))
+        scheduler = _replace(scheduler, phases=phases)
+        return _replace(state, schedulers=_put(state.schedulers, index, scheduler))
+
+    def _accepts(self, worker: Worker, epoch: int) -> bool:
+        return epoch >= worker.epoch or not self._rules.workers_check_epoch
+
+    def _step_down(self, state: State, index: int) -> State:
+        return _replace(state, schedulers=_put(state.schedulers, index, Scheduler()))
+
+    def _report(self, state: State, index: int, number: int) -> State:
+        scheduler, worker = state.schedulers[index], state.workers[number]
+        if not self._accepts(worker, scheduler.epoch):
+            return self._step_down(state, index)
+        lease = self._rules.fence(scheduler.leases[number], worker.lease_ms)
+        phases = dict(scheduler.phases)
+        for run in scheduler.store.assigned[number]:
+            if run in worker.running and phases[run[0]] is AttemptPhase.SENT:
+                phases[run[0]] = AttemptPhase.RUNNING
+        scheduler = _replace(
+            scheduler,
+            leases=_put(scheduler.leases, number, lease),
+            phases=tuple(sorted(phases.items())),
+        )
+        worker = _replace(worker, epoch=max(worker.epoch, scheduler.epoch))
+        return _replace(
+            state,
+            schedulers=_put(state.schedulers, index, scheduler),
+            workers=_put(state.workers, number, worker),
+        )
+
+    def _renew(self, state: State, index: int, worker: int, expires_ms: int) -> State:
+        scheduler = state.schedulers[index]
+        lease = grant(scheduler.leases[worker], expires_ms)
+        leases = _put(scheduler.leases, worker, lease)
+        scheduler = _replace(scheduler, leases=leases)
+        message = Message(scheduler.epoch, worker, expires_ms)
+        return _replace(
+            state,
+            schedulers=_put(state.schedulers, index, scheduler),
+            messages=state.messages | {message},
+        )
+
+    def _stop(
+        self, state: State, index: int, number: int, task: int, attempt: int
+    ) -> Iterator[tuple[str, State]]:
+        scheduler, worker = state.schedulers[index], state.workers[number]
+        if not self._accepts(worker, scheduler.epoch):
+            yield f"s{index} is fenced out", self._step_down(state, index)
+            return
+        never = worker.started[task] < attempt
+        worker = _replace(
+            worker,
+            last=_put(worker.last, task, max(worker.last[task], attempt)),
+            running=tuple(r for r in worker.running if r != (task, attempt)),
+        )
+        assignment = Assignment(TaskId(str(task)), Attempt(attempt), Resources())
+        release = after_stop(
+            assignment, WorkerId(str(number)), POLICIES[task], never, "stop"
+        )
+        final = release.state is not TaskState.PENDING
+        state = _replace(state, workers=_put(state.workers, number, worker))
+        state = self._send(state, index, number, task, attempt, adds=False, final=final)
+        state = self._set_phase(state, index, task, AttemptPhase.RELEASING)
+        yield f"s{index} stops t{task} on w{number}", state
+
+    def _deliver(self, state: State, message: Message) -> tuple[str, State]:
+        worker = state.workers[message.worker]
+        state = _replace(state, messages=state.messages - {message})
+        if not self._accepts(worker, message.epoch):
+            return "message is refused", state
+        worker = _replace(worker, epoch=max(worker.epoch, message.epoch))
+        now_ms = state.tick * TICK_MS
+        if message.attempt == 0:
+            lease_ms = max(worker.lease_ms, message.until_ms)
+            worker = _replace(worker, lease_ms=lease_ms)
+            label = f"renewal reaches w{message.worker}"
+        else:
+            label = f"start of t{message.task} reaches w{message.worker}"
+            late = now_ms >= min(message.until_ms, worker.lease_ms)
+            old = message.attempt <= worker.last[message.task]
+            if not (late or old or worker.running):
+                run = (message.task, message.attempt)
+                worker = _replace(
+                    worker,
+                    running=(run,),
+                    last=_put(worker.last, message.task, message.attempt),
+                    started=_put(worker.started, message.task, message.attempt),
+                )
+                count = state.starts[message.task] + 1
+                state = _replace(state, starts=_put(state.starts, message.task, count))
+        return label, _replace(
+            state, workers=_put(state.workers, message.worker, worker)
+        )
+
+
+def _violation(state: State) -> str:
+    first, second = state.workers
+    for task in range(2):
+        if any(t == task for t, _ in first.running) and any(
+            t == task for t, _ in second.running
+        ):
+            return f"t{task} runs on both workers"
+        holders = [held for held in state.store.assigned if task in dict(held)]
+        if len(holders) > 1:
+            return f"t{task} is committed twice"
+    if state.starts[1] > 1:
+        return "the at-most-once task started twice"
+    if any(len(held) > 1 for held in state.store.assigned):
+        return "a worker is committed beyond its size"
+    return ""
+
+
+def explore(
+    scenario: Scenario, rules: Rules | None = None, states_max: int = 1_000_000
+) -> Exploration:
+    """Visit every reachable state, breadth first, until a guarantee breaks.
+
+    Parameters
+    ----------
+    scenario : Scenario
+    rules : Rules, optional
+    states_max : int
+        Bound on the states visited.
+    """
+    explorer = _Explorer(rules or Rules(), scenario)
+    start = _initial(scenario)
+    came_from: dict[State, tuple[State, str] | None] = {start: None}
+    queue = deque((start,))
+    while queue and len(came_from) < states_max:
+        state = queue.popleft()
+        for label, following in explorer.successors(state):
+            if following in came_from:
+                continue
+            came_from[following] = (state, label)
+            violation = _violation(following)
+            if violation:
+                trace = _trace(came_from, following)
+                return Exploration(len(came_from), False, violation, trace)
+            queue.append(following)
+    return Exploration(len(came_from), complete=not queue)
+
+
+def _trace(came_from: dict, state: State) -> tuple[str, ...]:
+    labels: list[str] = []
+    step = came_from[state]
+    while step is not None:
+        labels.append(step[1])
+        step = came_from[step[0]]
+    return tuple(reversed(labels))
