--- /dev/null
+++ b/basilhold/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks whose bounds are checked by tests."""
--- a/basilhold/config/__init__.py
+++ b/basilhold/config/__init__.py
@@ -30,6 +30,8 @@
     MissingVersion,
     StoredVersion,
     StoreUnavailable,
+    WriteMark,
+    check_change,
 )
 from basilhold.config.validation import Problem, ProblemKind, check_document
 
@@ -56,7 +58,9 @@
     "StoreUnavailable",
     "StoredDocument",
     "StoredVersion",
+    "WriteMark",
     "authorise",
+    "check_change",
     "check_document",
     "decode_document",
     "decode_head",
--- a/basilhold/config/documents.py
+++ b/basilhold/config/documents.py
@@ -18,6 +18,7 @@
     "decode_head",
     "decode_stored",
     "encode_document",
+    "encode_stored",
     "head_key",
     "history_key",
     "history_prefix",
@@ -29,6 +30,9 @@
 DOCUMENT_BYTES_MAX = 1 << 19
 """Longest document accepted, in bytes of JSON."""
 
+_STORED_BYTES_MAX = DOCUMENT_BYTES_MAX + 4096
+"""Bound of a history row's JSON; the head takes a few hundred bytes of it."""
+
 
 class DocumentHead(msgspec.Struct, frozen=True, omit_defaults=True):
     """Value of a ``config/<office>`` row.
@@ -53,19 +57,19 @@
 
 
 class StoredDocument(msgspec.Struct, frozen=True, omit_defaults=True):
-    """Value of a ``config-history/<office>/<n>`` row.
+    """Value of a ``config-history/<office>/<n>`` row, which is compressed JSON.
 
     Parameters
     ----------
     head : DocumentHead
-    compressed : bytes
-        zlib-compressed JSON of the document.
+    document : msgspec.Raw
+        JSON of the document.
     restored_version : int
         Version whose content this one repeats; 0 if the content is new.
     """
 
     head: DocumentHead
-    compressed: bytes
+    document: msgspec.Raw
     restored_version: int = 0
 
 
@@ -117,14 +121,23 @@
         return Error(Unreadable(f"{row.key}: {error}"))
 
 
+def encode_stored(stored: StoredDocument) -> bytes:
+    """Return the value of a history row.
+
+    It is compressed because an office outside the store's region sends it over the
+    paid link.
+    """
+    return zlib.compress(msgspec.json.encode(stored), 9)
+
+
 def decode_stored(row: Row) -> Result[tuple[StoredDocument, bytes], Unreadable]:
     """Return the value of a history row and the document's JSON."""
     try:
-        stored = msgspec.json.decode(row.value, type=StoredDocument)
         inflater = zlib.decompressobj()
-        content = inflater.decompress(stored.compressed, DOCUMENT_BYTES_MAX)
+        content = inflater.decompress(row.value, _STORED_BYTES_MAX)
         if inflater.unconsumed_tail:
             return Error(Unreadable(f"{row.key}: document is too long"))
+        stored = msgspec.json.decode(content, type=StoredDocument)
     except (msgspec.MsgspecError, zlib.error) as error:
         return Error(Unreadable(f"{row.key}: {error}"))
-    return Ok((stored, content))
+    return Ok((stored, bytes(stored.document)))
--- a/basilhold/config/store.py
+++ b/basilhold/config/store.py
@@ -1,7 +1,6 @@
 """Changes of office documents by compare-and-set, and their history."""
 
 import secrets
-import zlib
 from collections.abc import Callable
 from enum import Enum
 
@@ -17,6 +16,7 @@
     decode_document,
     decode_stored,
     encode_document,
+    encode_stored,
     head_key,
     history_key,
     history_prefix,
@@ -45,6 +45,8 @@
     "MissingVersion",
     "StoreUnavailable",
     "StoredVersion",
+    "WriteMark",
+    "check_change",
 ]
 
 ATTEMPTS_MAX = 4
@@ -87,6 +89,24 @@
     document: OfficeDocument
 
 
+class WriteMark(msgspec.Struct, frozen=True):
+    """How a change is recognised in the store.
+
+    Parameters
+    ----------
+    write_id : str
+        Random id of the write.
+    restored_version : int
+        Version whose content is repeated; 0 if the content is new.
+    may_be_applied : bool
+        Whether the change was sent to the store before without a reply.
+    """
+
+    write_id: str
+    restored_version: int = 0
+    may_be_applied: bool = False
+
+
 class InvalidDocument(msgspec.Struct, frozen=True):
     """The document is not accepted; nothing was written."""
 
@@ -162,7 +182,10 @@
         self._make_write_id = make_write_id
 
     async def change(
-        self, request: ChangeRequest, services: frozenset[ServiceName] | None = None
+        self,
+        request: ChangeRequest,
+        services: frozenset[ServiceName] | None = None,
+        mark: WriteMark | None = None,
     ) -> Result[StoredVersion, ChangeError]:
         """Check a change as a whole and apply it by compare-and-set.
 
@@ -171,13 +194,25 @@
         request : ChangeRequest
         services : frozenset of ServiceName, optional
             Services of the cell.
+        mark : WriteMark, optional
+            Given if the change was, or will be, sent by another process too.
 
         Returns
         -------
         Result
             The version that holds the change, or why there is none.
         """
-        return await self._change(request, services, 0)
+        checked = check_change(request, services)
+        if checked.is_error():
+            return Error(checked.error)
+        mark = mark or WriteMark(self._make_write_id())
+        head = DocumentHead(
+            request.base_version + 1,
+            mark.write_id,
+            request.author,
+            self._clock.unix_ms(),
+        )
+        return await self._apply(request, head, mark)
 
     async def roll_back(
         self,
@@ -193,7 +228,8 @@
             return Error(earlier.error)
         document = earlier.ok.document
         request = ChangeRequest(token_office, author, base_version, document)
-        return await self._change(request, services, to_version)
+        mark = WriteMark(self._make_write_id(), to_version)
+        return await self.change(request, services, mark)
 
     async def read(
         self, office: OfficeName
@@ -240,34 +276,15 @@
             versions.append(decoded.ok.info)
         return Ok(tuple(reversed(versions)))
 
-    async def _change(
-        self,
-        request: ChangeRequest,
-        services: frozenset[ServiceName] | None,
-        restored_version: int,
-    ) -> Result[StoredVersion, ChangeError]:
-        office = request.document.office
-        allowed = authorise(request.token_office, office, Access.CHANGE)
-        if allowed.is_error():
-            return Error(allowed.error)
-        problems = check_document(request.document, office, services)
-        if problems:
-            return Error(InvalidDocument(problems))
-        head = DocumentHead(
-            request.base_version + 1,
-            self._make_write_id(),
-            request.author,
-            self._clock.unix_ms(),
-        )
-        return await self._apply(request, head, restored_version)
-
     async def _apply(
-        self, request: ChangeRequest, head: DocumentHead, restored_version: int
+        self, request: ChangeRequest, head: DocumentHead, mark: WriteMark
     ) -> Result[StoredVersion, ChangeError]:
         office = request.document.office
-        transaction = _transaction(request, head, restored_version)
-        accepted = Ok(_accepted(request, head, restored_version))
+        transaction = _transaction(request, head, mark.restored_version)
+        accepted = Ok(_accepted(request, head, mark.restored_version))
         certainty = Certainty.NOT_APPLIED
+        if mark.may_be_applied:
+            certainty = Certainty.UNKNOWN
         reason = ""
         # Sending the same transaction again is safe: both copies require the same
         # version of the row, so at most one of them applies.
@@ -337,16 +354,27 @@
         return Error(ChangeConflict(current.ok, since, proposed))
 
 
+def check_change(
+    request: ChangeRequest, services: frozenset[ServiceName] | None = None
+) -> Result[None, Forbidden | InvalidDocument]:
+    """Check an operator's right to a change, and the document as a whole."""
+    office = request.document.office
+    allowed = authorise(request.token_office, office, Access.CHANGE)
+    if allowed.is_error():
+        return Error(allowed.error)
+    problems = check_document(request.document, office, services)
+    return Error(InvalidDocument(problems)) if problems else Ok(None)
+
+
 def _transaction(
     request: ChangeRequest, head: DocumentHead, restored_version: int
 ) -> Transaction:
     office = request.document.office
-    stored = StoredDocument(
-        head, zlib.compress(encode_document(request.document), 9), restored_version
-    )
+    content = msgspec.Raw(encode_document(request.document))
+    stored = StoredDocument(head, content, restored_version)
     writes = [
         Write(head_key(office), msgspec.json.encode(head)),
-        Write(history_key(office, head.version), msgspec.json.encode(stored)),
+        Write(history_key(office, head.version), encode_stored(stored)),
     ]
     dropped = head.version - HISTORY_LENGTH
     if dropped > 0:
--- a/basilhold/relay/__init__.py
+++ b/basilhold/relay/__init__.py
@@ -1,6 +1,7 @@
 """Streams of configuration, VM list and shard directory within a region."""
 
 from basilhold.relay.acknowledgements import AckBoard, AckSummary, Lagging, covered_name
+from basilhold.relay.changes import ConfigChanger
 from basilhold.relay.documents import DocumentCopy, pack_document, unpack_document
 from basilhold.relay.relay import Relay, RelaySettings
 from basilhold.relay.reports import ProcessIdentity
@@ -11,6 +12,7 @@
 __all__ = [
     "AckBoard",
     "AckSummary",
+    "ConfigChanger",
     "DocumentCopy",
     "Lagging",
     "ProcessIdentity",
--- a/basilhold/relay/relay.py
+++ b/basilhold/relay/relay.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from basilhold.config import ConfigStore, WriteMark
 from basilhold.core import Clock, OfficeName, RegionName
 from basilhold.membership import (
     ReaderLocation,
@@ -26,14 +27,20 @@
 )
 from basilhold.relay import events
 from basilhold.relay.acknowledgements import AckBoard, covered_name
+from basilhold.relay.changes import read_change
 from basilhold.relay.links import WatchLink
 from basilhold.relay.reports import ProcessIdentity, RelaySource, Reporter
-from basilhold.relay.service import InForceAnswerer, RelayService
+from basilhold.relay.service import RelayService, UpperRegion
 from basilhold.relay.state import RelayState, ShardLocation
 from basilhold.relay.store_reader import ReaderSettings, StoreReader
 from basilhold.rpc import Address, RpcError, RpcErrorKind, Transport, call
 from basilhold.rpc.messages_grpc import RelayStub
-from basilhold.rpc.messages_pb2 import InForceReply, InForceRequest
+from basilhold.rpc.messages_pb2 import (
+    ChangeMessage,
+    ChangeReply,
+    InForceReply,
+    InForceRequest,
+)
 
 __all__ = ["Relay", "RelaySettings"]
 
@@ -41,6 +48,7 @@
 """Missing processes that an answer names."""
 
 ASK_TIMEOUT_S = 2.0
+SUBMIT_TIMEOUT_S = 3.0
 
 BACKOFF_MIN_S = 0.1
 BACKOFF_MAX_S = 1.0
@@ -76,7 +84,7 @@
     programs: tuple[str, ...] = ("gateway", "scheduler", "relay")
 
 
-class Relay(InForceAnswerer):
+class Relay(UpperRegion):
     """Passes configuration, VM list and shard directory on inside a region.
 
     Every relay serves streams. The region's reader gets its content from the store,
@@ -115,6 +123,7 @@
         self._settings = settings
         self._transport = transport
         self._table = table
+        self._store = ConfigStore(table, clock)
         self._clock = clock
         self._random = rng or random.Random()
         self.state = RelayState()
@@ -174,6 +183,32 @@
                 return reply.ok
         return self._in_force_reply(office, version, complete=False)
 
+    async def submit_change(self, message: ChangeMessage) -> ChangeReply:
+        """Apply a change, or pass it on to the store's region."""
+        if self._is_top:
+            return await self._apply_change(message)
+        above = self._link.address
+        if above is not None:
+            stub = RelayStub(self._transport.channel(above))
+            reply = await call(stub.SubmitChange, message, SUBMIT_TIMEOUT_S)
+            if reply.is_ok():
+                return reply.ok
+        return ChangeReply(accepted=False)
+
+    async def _apply_change(self, message: ChangeMessage) -> ChangeReply:
+        unpacked = read_change(self.state, message)
+        if unpacked.is_error():
+            return ChangeReply(accepted=False)
+        request, copy = unpacked.ok
+        mark = WriteMark(message.write_id, message.restored_version)
+        changed = await self._store.change(request, None, mark)
+        if changed.is_error():
+            return ChangeReply(accepted=False)
+        self.state.put_document(copy)
+        self._changed()
+        changed_unix_ms = changed.ok.info.changed_unix_ms
+        return ChangeReply(accepted=True, changed_unix_ms=changed_unix_ms)
+
     @property
     def _is_top(self) -> bool:
         return self.is_reader and self._in_store_region
--- a/basilhold/relay/service.py
+++ b/basilhold/relay/service.py
@@ -15,25 +15,31 @@
 from basilhold.relay.state import RelayState
 from basilhold.rpc.messages_grpc import RelayBase
 from basilhold.rpc.messages_pb2 import (
+    ChangeMessage,
+    ChangeReply,
     Document,
     InForceReply,
     PushReply,
     WatchRequest,
 )
 
-__all__ = ["InForceAnswerer", "RelayService"]
+__all__ = ["UpperRegion", "RelayService"]
 
 SUBSCRIBERS_MAX = 500
 """Streams that one relay serves."""
 
 
-class InForceAnswerer(ABC):
-    """Tells where a version is in force."""
+class UpperRegion(ABC):
+    """Answers what only the store's region knows or does."""
 
     @abstractmethod
     async def ask_in_force(self, office: OfficeName, version: int) -> InForceReply:
         """Return whether a version is in force everywhere, and who lacks it."""
 
+    @abstractmethod
+    async def submit_change(self, message: ChangeMessage) -> ChangeReply:
+        """Apply a change in the store's region."""
+
 
 class RelayService(RelayBase):
     """Sends what a relay knows to everybody who watches it.
@@ -45,7 +51,7 @@
     state : RelayState
     board : AckBoard
     clock : Clock
-    answerer : InForceAnswerer
+    upper : UpperRegion
     on_change : callable
         Called after a watcher pushed a document or acknowledged one.
     """
@@ -56,14 +62,14 @@
         state: RelayState,
         board: AckBoard,
         clock: Clock,
-        answerer: InForceAnswerer,
+        upper: UpperRegion,
         on_change,
     ):
         self._region = region
         self._state = state
         self._board = board
         self._clock = clock
-        self._answerer = answerer
+        self._upper = upper
         self._on_change = on_change
         self._wakers: set[asyncio.Event] = set()
 
@@ -118,9 +124,15 @@
             return
         office = OfficeName(request.office)
         await stream.send_message(
-            await self._answerer.ask_in_force(office, request.version)
+            await self._upper.ask_in_force(office, request.version)
         )
 
+    async def SubmitChange(self, stream: Any) -> None:  # noqa: N802
+        """Pass a change on to the store's region."""
+        message = await stream.recv_message()
+        if message is not None:
+            await stream.send_message(await self._upper.submit_change(message))
+
     async def _read(self, stream: Any, subscriber: Subscriber) -> None:
         while (request := await stream.recv_message()) is not None:
             self._take_request(request, subscriber, stream)
--- a/basilhold/relay/subscription.py
+++ b/basilhold/relay/subscription.py
@@ -15,7 +15,12 @@
 from basilhold.relay.state import RelayState
 from basilhold.rpc import Address, RpcErrorKind, Transport, call
 from basilhold.rpc.messages_grpc import RelayStub
-from basilhold.rpc.messages_pb2 import InForceReply, InForceRequest
+from basilhold.rpc.messages_pb2 import (
+    ChangeMessage,
+    ChangeReply,
+    InForceReply,
+    InForceRequest,
+)
 
 __all__ = ["RegionSubscription"]
 
@@ -23,6 +28,7 @@
 BACKOFF_MAX_S = 1.0
 
 ASK_TIMEOUT_S = 3.0
+SUBMIT_TIMEOUT_S = 4.0
 
 STALE_MS = 6000
 """A relay without a confirmation for this long is left for the next one."""
@@ -78,6 +84,7 @@
         self._link = WatchLink(transport, self.state, clock, self._apply)
         self._source = ProcessSource(identity, in_force.versions)
         self._on_vms: list[Callable[[int, Sequence[VmRecord], float], None]] = []
+        self._seen: dict[OfficeName, DocumentCopy] = {}
         self._hold_ms = HOLD_MIN_MS
         self._hold_until_ms = 0.0
         self.unreadable_count = 0
@@ -132,6 +139,16 @@
                 return reply.ok
         return InForceReply(complete=False)
 
+    async def submit_change(self, message: ChangeMessage) -> ChangeReply:
+        """Send a change up the relays; without an answer it is not accepted."""
+        address = self._link.address
+        if address is not None:
+            stub = RelayStub(self._transport.channel(address))
+            reply = await call(stub.SubmitChange, message, SUBMIT_TIMEOUT_S)
+            if reply.is_ok():
+                return reply.ok
+        return ChangeReply(accepted=False)
+
     async def _follow(self, address: Address) -> bool:
         """Follow one relay; return whether it gave anything."""
         reporter = Reporter(self._identity, self._source, self.state, same_region=True)
@@ -162,13 +179,15 @@
         return now_ms < self._hold_until_ms
 
     def _apply(self) -> None:
-        for copy in self.state.documents.values():
-            if copy.version > self.in_force.version(copy.office):
-                document = decode_document(copy.content)
-                if document.is_ok():
-                    self.in_force.apply(copy.version, document.ok)
-                else:
-                    self.unreadable_count += 1
+        for office, copy in self.state.documents.items():
+            if self._seen.get(office) is copy:
+                continue
+            self._seen[office] = copy
+            document = decode_document(copy.content)
+            if document.is_ok():
+                self.in_force.apply(copy.version, document.ok)
+            else:
+                self.unreadable_count += 1
         # A document that cannot be read is not in force, so the rest is not
         # confirmed either.
         is_applied = self.in_force.versions() == self.state.versions()
--- a/basilhold/rpc/messages_grpc.py
+++ b/basilhold/rpc/messages_grpc.py
@@ -26,6 +26,10 @@
     async def AskInForce(self, stream: 'grpclib.server.Stream[basilhold.rpc.messages_pb2.InForceRequest, basilhold.rpc.messages_pb2.InForceReply]') -> None:
         pass
 
+    @abc.abstractmethod
+    async def SubmitChange(self, stream: 'grpclib.server.Stream[basilhold.rpc.messages_pb2.ChangeMessage, basilhold.rpc.messages_pb2.ChangeReply]') -> None:
+        pass
+
     def __mapping__(self) -> typing.Dict[str, grpclib.const.Handler]:
         return {
             '/basilhold.rpc.Relay/Watch': grpclib.const.Handler(
@@ -46,6 +50,12 @@
                 basilhold.rpc.messages_pb2.InForceRequest,
                 basilhold.rpc.messages_pb2.InForceReply,
             ),
+            '/basilhold.rpc.Relay/SubmitChange': grpclib.const.Handler(
+                self.SubmitChange,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                basilhold.rpc.messages_pb2.ChangeMessage,
+                basilhold.rpc.messages_pb2.ChangeReply,
+            ),
         }
 
 
@@ -70,6 +80,12 @@
             basilhold.rpc.messages_pb2.InForceRequest,
             basilhold.rpc.messages_pb2.InForceReply,
         )
+        self.SubmitChange = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/basilhold.rpc.Relay/SubmitChange',
+            basilhold.rpc.messages_pb2.ChangeMessage,
+            basilhold.rpc.messages_pb2.ChangeReply,
+        )
 
 
 class SchedulerBase(abc.ABC):
--- a/basilhold/standins/network.py
+++ b/basilhold/standins/network.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from collections import deque
 from collections.abc import Callable, Sequence
 from typing import Any
 
@@ -104,7 +105,9 @@
         self._network = network
         self._source = source
         self._target = target
+        self._in_order: deque[Any] = deque()
         self._last_arrival_s = 0.0
+        self._latest_s = 0.0
         self._broken = False
         self._held: set[asyncio.Task[None]] = set()
 
@@ -113,7 +116,7 @@
         network.message_count += 1
         if self._broken:
             return
-        if network.is_cut(self._source, self._target):
+        if self._held or network.is_cut(self._source, self._target):
             task = asyncio.ensure_future(self._send_after_heal(item))
             self._held.add(task)
             task.add_done_callback(self._held.discard)
@@ -130,14 +133,27 @@
         arrival_s = max(loop.time() + delay_s, self._last_arrival_s)
         is_message = isinstance(item, bytes)
         if is_message and network.random.random() < network.late_ratio:
-            late_s = network.random.random() * network.late_ms / 1000
-            loop.call_at(arrival_s + late_s, self.queue.put_nowait, item)
+            self._deliver_late(item, arrival_s)
             return
+        if not is_message:
+            # The end of a stream never overtakes its messages.
+            arrival_s = max(arrival_s, self._latest_s + 0.001)
         self._last_arrival_s = arrival_s
-        loop.call_at(arrival_s, self.queue.put_nowait, item)
+        # Timers that are due at the same time run in any order, so each takes the
+        # first item that was sent.
+        self._in_order.append(item)
+        loop.call_at(arrival_s, self._arrive)
         if is_message and network.random.random() < network.duplicate_ratio:
-            late_s = network.random.random() * network.late_ms / 1000
-            loop.call_at(arrival_s + late_s, self.queue.put_nowait, item)
+            self._deliver_late(item, arrival_s)
+
+    def _deliver_late(self, item: bytes, arrival_s: float) -> None:
+        network = self._network
+        late_s = arrival_s + network.random.random() * network.late_ms / 1000
+        self._latest_s = max(self._latest_s, late_s)
+        asyncio.get_running_loop().call_at(late_s, self.queue.put_nowait, item)
+
+    def _arrive(self) -> None:
+        self.queue.put_nowait(self._in_order.popleft())
 
     def break_now(self, error: Exception) -> None:
         """End the pipe; the receiver gets the error."""
--- a/basilhold/testing/control_cell.py
+++ b/basilhold/testing/control_cell.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import random
-from collections.abc import Iterable
 
 import msgspec
 from expression import Error, Result
@@ -39,6 +38,7 @@
     VmState,
 )
 from basilhold.relay import (
+    ConfigChanger,
     ProcessIdentity,
     ReaderSettings,
     RegionSubscription,
@@ -58,8 +58,8 @@
     "ControlProcess",
     "EntryVm",
     "ShardRow",
-    "all_at",
     "decode_shard",
+    "wait_in_force",
 ]
 
 RELAY_PORT = 7000
@@ -138,30 +138,39 @@
 class _RemoteTable(TableService):
     """Table service as seen from one host, behind the network's cuts.
 
-    Counts the bytes that the operations send, both ways, as HTTP with JSON bodies.
+    Counts the bytes of requests and responses as HTTP with JSON bodies.
     """
 
-    def __init__(self, cell: "ControlCell", host: str):
+    def __init__(self, cell: "ControlCell", process: "ControlProcess"):
         self._cell = cell
-        self._host = host
-        self.bytes_sent = 0
+        self._host = process.vm.vm_id
+        self._traffic = process.traffic
+        self._distance = process.locator.distance(STORE_HOST)
 
     async def read(self, keys: tuple[str, ...]) -> Result[dict[str, Row], StoreError]:
-        return await self._run(lambda: self._cell.table.read(keys))
+        return await self._run(keys, lambda: self._cell.table.read(keys))
 
     async def scan(
         self, prefix: str, after: str = "", limit: int = 500
     ) -> Result[ScanPage, StoreError]:
-        return await self._run(lambda: self._cell.table.scan(prefix, after, limit))
+        return await self._run(
+            (prefix, after), lambda: self._cell.table.scan(prefix, after, limit)
+        )
 
     async def transact(
         self, transaction: Transaction
     ) -> Result[dict[str, int], StoreError]:
-        self.bytes_sent += len(msgspec.json.encode(transaction))
-        return await self._run(lambda: self._cell.table.transact(transaction))
+        return await self._run(
+            transaction, lambda: self._cell.table.transact(transaction)
+        )
+
+    def _count(self, content: object) -> None:
+        size_bytes = len(msgspec.json.encode(content))
+        self._traffic.add_http(Purpose.STORE, self._distance, size_bytes)
 
-    async def _run(self, operation) -> Result:
+    async def _run(self, request: object, operation) -> Result:
         cell = self._cell
+        self._count(request)
         timeout_s = cell.table.faults.timeout_ms / 1000
         if not cell.can_reach_store(self._host):
             await asyncio.sleep(timeout_s)
@@ -169,6 +178,7 @@
         latency_s = cell.network.latency_s(self._host, STORE_HOST)
         await asyncio.sleep(latency_s)
         result = await operation()
+        self._count(result.ok if result.is_ok() else result.error)
         if not cell.can_reach_store(self._host):
             await asyncio.sleep(timeout_s)
             return Error(StoreError(StoreErrorKind.UNKNOWN, "no reply"))
@@ -185,10 +195,11 @@
         self.started_at_ms = cell.clock.monotonic_ms()
         self.traffic = TrafficCounter()
         self.operations = OperationCounter()
-        self.remote_table = _RemoteTable(cell, vm.vm_id)
-        self.table = CountingTableService(self.remote_table, self.operations, program)
         places = {other.vm_id: Place(other.zone, other.region) for other in cell.vms}
+        places[STORE_HOST] = Place(ZoneName(""), cell.layout.store_region)
         self.locator = HostLocator(Place(vm.zone, vm.region), places)
+        remote_table = _RemoteTable(cell, self)
+        self.table = CountingTableService(remote_table, self.operations, program)
         self._inner = cell.network.transport(vm.vm_id)
         self.transport = CountingTransport(self._inner, self.traffic, self.locator)
         self.identity = ProcessIdentity(
@@ -301,9 +312,12 @@
         """Return the relays that run."""
         return [p.relay for p in self.processes.values() if p.relay is not None]
 
-    def store_from(self, vm: EntryVm, program: str = "gateway") -> ConfigStore:
-        """Return the store of configuration as a process sees it."""
-        return self.store_class(self.processes[vm.vm_id, program].table, self.clock)
+    def changer(self, process: ControlProcess) -> ConfigChanger:
+        """Return what makes changes at a gateway."""
+        store = self.store_class(process.table, self.clock)
+        return ConfigChanger(
+            store, process.subscription, process.vm.region, self.layout.store_region
+        )
 
     def cut_region(self, region: RegionName) -> None:
         """Cut a region off from all others and from the store."""
@@ -380,8 +394,15 @@
         return (vm.zone, vm.region) if vm else ("", self.layout.store_region)
 
 
-def all_at(
-    processes: Iterable[ControlProcess], office: OfficeName, version: int
-) -> bool:
-    """Whether all processes have a version, or a later one, in force."""
-    return all(p.in_force.version(office) >= version for p in processes)
+async def wait_in_force(cell: ControlCell, office: OfficeName, version: int) -> None:
+    """Wait until every gateway and scheduler has a version, or a later one, in force.
+
+    Processes that start meanwhile are not waited for.
+    """
+    processes = cell.watchers()
+    changed = asyncio.Event()
+    for process in processes:
+        process.in_force.listen(lambda *_: changed.set())
+    while any(p.in_force.version(office) < version for p in processes):
+        await changed.wait()
+        changed.clear()
