--- a/basilhold/relay/acknowledgements.py
+++ b/basilhold/relay/acknowledgements.py
@@ -187,7 +187,12 @@
                 for lag in entry.lagging
                 if lag.office == office and lag.version < version
             ]
-            yield from named or [Lagging(process_id, office, known)]
+            # A relay that did not say who lags may have fallen silent, so everybody
+            # below it is named.
+            names = sorted(entry.covered) or [process_id]
+            yield from named or [
+                Lagging(ProcessId(name), office, known) for name in names
+            ]
 
     def _counted(self) -> Iterable[tuple[ProcessId, _Registration]]:
         for process_id, entry in self._registrations.items():
--- a/basilhold/rpc/sockets.py
+++ b/basilhold/rpc/sockets.py
@@ -1,10 +1,12 @@
 """Transport over TCP with grpclib."""
 
 import errno
+import weakref
 from collections.abc import Sequence
 
 from expression import Error, Ok, Result
 from grpclib.client import Channel
+from grpclib.protocol import H2Protocol
 from grpclib.server import Server
 
 from basilhold.rpc.outcomes import Address, RpcError, RpcErrorKind
@@ -27,6 +29,31 @@
         )
 
 
+class _Listener(Server):
+    """Server that ends its connections when it is closed.
+
+    ``grpclib.server.Server`` only stops to listen, so clients would keep on calling a
+    closed server over connections that are open.
+    """
+
+    def __init__(self, services: Sequence[Servable]):
+        super().__init__(list(services))
+        self._protocols: weakref.WeakSet[H2Protocol] = weakref.WeakSet()
+
+    def _protocol_factory(self) -> H2Protocol:
+        protocol = super()._protocol_factory()
+        self._protocols.add(protocol)
+        return protocol
+
+    def close(self) -> None:
+        super().close()
+        for protocol in self._protocols:
+            # There is no processor while the TLS handshake lasts.
+            processor = getattr(protocol, "processor", None)
+            if processor is not None:
+                processor.close()
+
+
 class _GrpcServer(RpcServer):
     def __init__(self, server: Server, address: Address):
         self._server = server
@@ -86,7 +113,7 @@
         if self._tls is None and not is_loopback(address.host):
             reason = f"plain text on {address.host} is not allowed, set TLS files"
             return Error(RpcError(RpcErrorKind.IDENTITY, reason))
-        server = Server(list(services))
+        server = _Listener(services)
         tls = self._tls.server if self._tls else None
         try:
             await server.start(address.host, address.port, ssl=tls)
--- /dev/null
+++ b/basilhold/rpc/tests/test_sockets.py
@@ -0,0 +1,203 @@
+import asyncio
+import datetime
+import ipaddress
+import tempfile
+import unittest
+from pathlib import Path
+
+from cryptography import x509
+from cryptography.hazmat.primitives import hashes, serialization
+from cryptography.hazmat.primitives.asymmetric import ec
+from cryptography.x509.oid import NameOID
+
+from basilhold.rpc import (
+    Address,
+    GrpcTransport,
+    RpcErrorKind,
+    TlsContexts,
+    TlsFiles,
+    TlsProblemKind,
+    call,
+    check_tls_files,
+)
+from basilhold.rpc.messages_grpc import SchedulerBase, SchedulerStub
+from basilhold.rpc.messages_pb2 import ProbeReply, ProbeRequest
+
+ANY_PORT = Address("127.0.0.1", 0)
+DAY = datetime.timedelta(days=1)
+NOW = datetime.datetime.now(datetime.UTC)
+
+
+class Authority:
+    """Signs certificates for tests."""
+
+    def __init__(self, directory, name):
+        self.directory = Path(directory)
+        self.name = name
+        self._key = ec.generate_private_key(ec.SECP256R1())
+        self._name = x509.Name([x509.NameAttribute(NameOID.COMMON_NAME, name)])
+        certificate = self._sign(self._name, self._key.public_key(), NOW + DAY, True)
+        self.path = self.write(f"{name}.ca", _pem(certificate))
+
+    def issue(self, name, until=NOW + DAY):
+        key = ec.generate_private_key(ec.SECP256R1())
+        subject = x509.Name([x509.NameAttribute(NameOID.COMMON_NAME, name)])
+        certificate = self._sign(subject, key.public_key(), until, False)
+        key_pem = key.private_bytes(
+            serialization.Encoding.PEM,
+            serialization.PrivateFormat.PKCS8,
+            serialization.NoEncryption(),
+        )
+        return TlsFiles(
+            self.write(f"{name}.crt", _pem(certificate)),
+            self.write(f"{name}.key", key_pem),
+            self.path,
+        )
+
+    def _sign(self, subject, public_key, until, is_authority):
+        names = x509.SubjectAlternativeName(
+            [x509.IPAddress(ipaddress.ip_address("127.0.0.1"))]
+        )
+        return (
+            x509.CertificateBuilder()
+            .subject_name(subject)
+            .issuer_name(self._name)
+            .public_key(public_key)
+            .serial_number(x509.random_serial_number())
+            .not_valid_before(NOW - 3 * DAY)
+            .not_valid_after(until)
+            .add_extension(x509.BasicConstraints(is_authority, None), critical=True)
+            .add_extension(names, critical=False)
+            .sign(self._key, hashes.SHA256())
+        )
+
+    def write(self, name, content):
+        path = self.directory / name
+        path.write_bytes(content)
+        return str(path)
+
+
+def _pem(certificate):
+    return certificate.public_bytes(serialization.Encoding.PEM)
+
+
+class ProbeService(SchedulerBase):
+    """Answers probes; the other methods are not used."""
+
+    async def Probe(self, stream):  # noqa: N802
+        request = await stream.recv_message()
+        if request.from_process_id == "slow":
+            await asyncio.sleep(30)
+        await stream.send_message(ProbeReply(process_id="b"))
+
+    async def _unused(self, stream):
+        raise NotImplementedError
+
+    ExchangeSlots = NotifyJobs = Explain = ShardState = HandOver = _unused
+
+
+async def probe(transport, address, name="a", timeout_s=5.0):
+    stub = SchedulerStub(transport.channel(address))
+    return await call(stub.Probe, ProbeRequest(from_process_id=name), timeout_s)
+
+
+async def serve(transport, address=ANY_PORT):
+    return (await transport.serve([ProbeService()], address)).ok
+
+
+class GrpcTransportTest(unittest.IsolatedAsyncioTestCase):
+    """Guards calls over sockets on loopback."""
+
+    async def test_call_reconnects_after_the_server_was_restarted(self):
+        async with GrpcTransport() as server, GrpcTransport() as client:
+            served = await serve(server)
+            self.assertEqual((await probe(client, served.address)).ok.process_id, "b")
+            await served.close()
+            failed = (await probe(client, served.address)).error
+            self.assertIs(failed.kind, RpcErrorKind.UNREACHABLE)
+            self.assertFalse(failed.may_have_run)
+            await serve(server, served.address)
+            self.assertTrue((await probe(client, served.address)).is_ok())
+
+    async def test_deadline(self):
+        async with GrpcTransport() as server, GrpcTransport() as client:
+            served = await serve(server)
+            late = (await probe(client, served.address, "slow", 0.05)).error
+            self.assertIs(late.kind, RpcErrorKind.TIMEOUT)
+            self.assertTrue(late.may_have_run)
+
+    async def test_plain_text_leaves_the_loopback_neither_way(self):
+        async with GrpcTransport() as transport:
+            served = await transport.serve([ProbeService()], Address("0.0.0.0", 0))
+            self.assertIs(served.error.kind, RpcErrorKind.IDENTITY)
+            called = (await probe(transport, Address("10.0.0.1", 1))).error
+            self.assertIn("plain text", called.reason)
+
+
+class TlsTest(unittest.IsolatedAsyncioTestCase):
+    """Guards the ports of peers against processes without the right certificate."""
+
+    def setUp(self):
+        directory = tempfile.TemporaryDirectory()
+        self.addCleanup(directory.cleanup)
+        self.cell = Authority(directory.name, "cell")
+        self.stranger = Authority(directory.name, "stranger")
+
+    async def test_peers_with_certificates_of_the_cell_talk(self):
+        server = GrpcTransport(TlsContexts(self.cell.issue("a")))
+        client = GrpcTransport(TlsContexts(self.cell.issue("b")))
+        async with server, client:
+            served = await serve(server)
+            self.assertTrue((await probe(client, served.address)).is_ok())
+
+    async def test_stranger_and_plain_text_are_refused(self):
+        asyncio.get_running_loop().set_exception_handler(lambda *_: None)
+        files = self.stranger.issue("c")
+        trusting = TlsFiles(files.certificate, files.key, self.cell.path)
+        server = GrpcTransport(TlsContexts(self.cell.issue("a")))
+        clients = [
+            GrpcTransport(TlsContexts(files)),
+            GrpcTransport(TlsContexts(trusting)),
+            GrpcTransport(),
+        ]
+        async with server, clients[0], clients[1], clients[2]:
+            served = await serve(server)
+            for client in clients:
+                self.assertTrue((await probe(client, served.address)).is_error())
+            error = (await probe(clients[0], served.address)).error
+            self.assertIs(error.kind, RpcErrorKind.IDENTITY)
+            self.assertIn("TLS handshake failed", error.reason)
+
+    async def test_certificate_is_replaced_without_a_restart(self):
+        files = self.cell.issue("a", NOW + DAY)
+        contexts = TlsContexts(files)
+        self.assertFalse(contexts.reload_if_changed().ok)
+        self.cell.write("a.key", b"not a key")
+        self.assertTrue(contexts.reload_if_changed().is_error())
+        async with GrpcTransport(contexts) as server:
+            served = await serve(server)
+            async with GrpcTransport(TlsContexts(self.cell.issue("b"))) as client:
+                self.assertTrue((await probe(client, served.address)).is_ok())
+            self.cell.issue("a", NOW + 2 * DAY)
+            self.assertTrue(contexts.reload_if_changed().ok)
+            async with GrpcTransport(TlsContexts(self.cell.issue("c"))) as client:
+                self.assertTrue((await probe(client, served.address)).is_ok())
+
+    def test_files_that_cannot_be_used_are_told_apart(self):
+        good, other = self.cell.issue("good"), self.cell.issue("other")
+        expired = self.cell.issue("expired", NOW - DAY)
+        broken = Path(good.authority).with_name("broken")
+        broken.write_text("no certificate")
+        cases = (
+            (good.certificate, "/nonexistent", good.authority, "MISSING"),
+            (str(broken), good.key, good.authority, "UNREADABLE"),
+            (good.certificate, other.key, good.authority, "MISMATCH"),
+            (expired.certificate, expired.key, good.authority, "EXPIRED"),
+            (good.certificate, good.key, self.stranger.path, "UNTRUSTED"),
+        )
+        self.assertTrue(check_tls_files(good).is_ok())
+        for certificate, key, authority, kind in cases:
+            with self.subTest(kind=kind):
+                problem = check_tls_files(TlsFiles(certificate, key, authority)).error
+                self.assertIs(problem.kind, TlsProblemKind[kind])
+                self.assertTrue(problem.reason)
