--- a/basilhold/accounting/budget.py
+++ b/basilhold/accounting/budget.py
@@ -217,7 +217,9 @@
     def _wake_later(self, loop: asyncio.AbstractEventLoop) -> None:
         if self._timer is not None:
             self._timer.cancel()
-        self._timer = loop.call_at(self._next_at_s, self._wake)
+        # A shorter pause can be below the clock's resolution and would spin.
+        wake_at_s = max(self._next_at_s, loop.time() + 0.001)
+        self._timer = loop.call_at(wake_at_s, self._wake)
 
     def _wake(self) -> None:
         self._timer = None
--- a/basilhold/config/__init__.py
+++ b/basilhold/config/__init__.py
@@ -1,6 +1,18 @@
 """Office documents: validation, changes, history, versions in force."""
 
 from basilhold.config.authority import Access, Forbidden, authorise
+from basilhold.config.changes import (
+    Certainty,
+    ChangeConflict,
+    ChangeError,
+    ChangeRequest,
+    ConfigVersion,
+    InvalidDocument,
+    MissingVersion,
+    StoredVersion,
+    StoreUnavailable,
+    WriteMark,
+)
 from basilhold.config.differences import Difference, find_differences
 from basilhold.config.documents import (
     HISTORY_LENGTH,
@@ -19,20 +31,7 @@
     Currency,
     InForceVersion,
 )
-from basilhold.config.store import (
-    Certainty,
-    ChangeConflict,
-    ChangeError,
-    ChangeRequest,
-    ConfigStore,
-    ConfigVersion,
-    InvalidDocument,
-    MissingVersion,
-    StoredVersion,
-    StoreUnavailable,
-    WriteMark,
-    check_change,
-)
+from basilhold.config.store import ConfigStore, check_change
 from basilhold.config.validation import Problem, ProblemKind, check_document
 
 __all__ = [
--- a/basilhold/relay/events.py
+++ b/basilhold/relay/events.py
@@ -25,7 +25,7 @@
 READER_SUSPECTED = Event(
     3002,
     EventLevel.WARNING,
-    "reader {process_id} of region {region} does not answer: {reason}",
+    "reader {process_id} of region {region} is suspected: {reason}",
     "check the relay on that VM if the event repeats",
 )
 
--- a/basilhold/relay/relay.py
+++ b/basilhold/relay/relay.py
@@ -2,24 +2,16 @@
 
 import asyncio
 import random
-import secrets
-from collections import deque
 from collections.abc import Callable
 
 import msgspec
 
 from basilhold.config import ConfigStore, WriteMark
 from basilhold.core import Clock, OfficeName, RegionName
-from basilhold.membership import (
-    ReaderLocation,
-    claim_reader,
-    decode_reader,
-    reader_key,
-)
+from basilhold.membership import ReaderLocation, decode_reader, reader_key
 from basilhold.observability import log_event
 from basilhold.ports import (
     Row,
-    StoreErrorKind,
     TableService,
     VmKind,
     VmList,
@@ -28,6 +20,7 @@
 from basilhold.relay import events
 from basilhold.relay.acknowledgements import AckBoard, covered_name
 from basilhold.relay.changes import read_change
+from basilhold.relay.election import BACKOFF_MIN_S, Backoff, ReaderElection
 from basilhold.relay.links import WatchLink
 from basilhold.relay.reports import ProcessIdentity, RelaySource, Reporter
 from basilhold.relay.service import RelayService, UpperRegion
@@ -47,20 +40,12 @@
 MISSING_MAX = 32
 """Missing processes that an answer names."""
 
+STALE_READER_MS = 10_000
+"""Age of the last confirmation at which a reader that answers is doubted."""
+
 ASK_TIMEOUT_S = 2.0
 SUBMIT_TIMEOUT_S = 3.0
 
-BACKOFF_MIN_S = 0.1
-BACKOFF_MAX_S = 1.0
-"""Longest pause between attempts.
-
-A region that was cut off applies what it missed within 4 s of the link's return; an
-attempt takes up to 1 s as well.
-"""
-
-CLAIM_WINDOW_MS = 60_000
-CLAIM_PAUSE_MAX_S = 10.0
-
 
 class RelaySettings(msgspec.Struct, frozen=True):
     """Place and duties of a relay.
@@ -69,7 +54,7 @@
     ----------
     identity : ProcessIdentity
     address : Address
-        Address at which the relay serves.
+        Address at which the relay serves; others find it in the reader's row.
     store_region : RegionName
         Region that holds the store.
     reader : ReaderSettings
@@ -142,8 +127,9 @@
             clock,
             self._read_from_store,
         )
-        self._suspected_term = 0
-        self._claims_at_ms: deque[float] = deque()
+        self._election = ReaderElection(
+            identity, settings.address, table, self.state, clock, self._random
+        )
 
     @property
     def is_reader(self) -> bool:
@@ -156,10 +142,9 @@
         served = await self._transport.serve([self.service], self._settings.address)
         if served.is_error():
             raise OSError(served.error.reason)
-        self._address = served.ok.address
-        pause = _Backoff(self._random)
+        pause = Backoff(self._random)
         while True:
-            reader = await self._choose_reader()
+            reader = await self._election.choose()
             if reader is None:
                 await pause.wait()
                 continue
@@ -228,61 +213,6 @@
         self._update_everywhere()
         self.service.notify()
 
-    async def _choose_reader(self) -> ReaderLocation | None:
-        """Return the reader to follow, which may be this relay itself."""
-        region = self._settings.identity.region
-        known = self.state.readers.get(region)
-        if known and known.term > self._suspected_term and not self._is_self(known):
-            return known
-        key = reader_key(region)
-        rows = await self._table.read((key,))
-        if rows.is_error():
-            reason = rows.error.reason
-            log_event(events.STORE_UNREADABLE, reason=reason)
-            # The store cannot confirm a take-over, so the last known reader is tried
-            # again meanwhile.
-            return None if known is None or self._is_self(known) else known
-        row = rows.ok.get(key)
-        reader = decode_reader(row)
-        is_other = reader is not None and not self._is_self(reader)
-        if is_other and reader.term > self._suspected_term:
-            return reader
-        return await self._claim(row)
-
-    async def _claim(self, row: Row | None) -> ReaderLocation | None:
-        await self._pause_before_claim()
-        identity = self._settings.identity
-        claim = ReaderLocation(
-            identity.region,
-            identity.process_id,
-            self._address.host,
-            self._address.port,
-            0,
-            secrets.token_hex(4),
-        )
-        result = await self._table.transact(claim_reader(claim, row))
-        if result.is_error() and result.error.kind is not StoreErrorKind.UNKNOWN:
-            return None
-        rows = await self._table.read((reader_key(identity.region),))
-        if rows.is_error():
-            return None
-        reader = decode_reader(rows.ok.get(reader_key(identity.region)))
-        if reader is not None and reader.write_id == claim.write_id:
-            log_event(events.READER_CLAIMED, region=identity.region, term=reader.term)
-            return reader
-        return None
-
-    async def _pause_before_claim(self) -> None:
-        """Keep two relays that cannot reach each other from claiming in turns."""
-        now_ms = self._clock.monotonic_ms()
-        while self._claims_at_ms and (now_ms - self._claims_at_ms[0] > CLAIM_WINDOW_MS):
-            self._claims_at_ms.popleft()
-        self._claims_at_ms.append(now_ms)
-        recent = len(self._claims_at_ms)
-        if recent > 2:
-            pause_s = min(CLAIM_PAUSE_MAX_S, 2.0 ** (recent - 3))
-            await asyncio.sleep(pause_s * (0.5 + self._random.random() / 2))
-
     async def _follow(self, reader: ReaderLocation) -> None:
         """Follow the region's reader until another one replaces it or it is dead."""
         region = self._settings.identity.region
@@ -293,8 +223,9 @@
             term=reader.term,
         )
         address = Address(reader.host, reader.port)
+        started_ms = self._clock.monotonic_ms()
         failures = 0
-        while self.state.readers[region].term == reader.term:
+        while self._is_worth_following(reader, started_ms):
             reporter = Reporter(
                 self._settings.identity, self._source, self.state, same_region=True
             )
@@ -302,39 +233,41 @@
                 address,
                 reporter,
                 same_region=True,
-                is_wanted=lambda: self.state.readers[region].term == reader.term,
+                is_wanted=lambda: self._is_worth_following(reader, started_ms),
             )
             if error is None:
-                return
+                break
             failures = 1 if self._link.update_count else failures + 1
             # A silent reader, or one that refuses twice, is taken for dead.
             if error.kind is RpcErrorKind.TIMEOUT or failures > 1:
-                self._suspect(reader, error)
+                self._election.suspect(reader, error.reason)
                 return
             await asyncio.sleep(BACKOFF_MIN_S * (0.5 + self._random.random()))
+        if self.state.readers[region].term == reader.term:
+            # If the store can be read from here, the reader itself is cut off;
+            # otherwise the election returns the same reader.
+            self._election.suspect(reader, "it has no confirmation from the store")
 
-    def _suspect(self, reader: ReaderLocation, error: RpcError) -> None:
-        self._suspected_term = reader.term
-        log_event(
-            events.READER_SUSPECTED,
-            process_id=reader.process_id,
-            region=reader.region,
-            reason=error.reason,
-        )
+    def _is_worth_following(self, reader: ReaderLocation, started_ms: float) -> bool:
+        known = self.state.readers[reader.region]
+        return known.term == reader.term and self._is_confirmed(started_ms)
+
+    def _is_confirmed(self, started_ms: float) -> bool:
+        """Whether a stream that started at a time gave a confirmation lately."""
+        confirmed_ms = max(started_ms, self.state.confirmed_at_ms or started_ms)
+        return self._clock.monotonic_ms() - confirmed_ms <= STALE_READER_MS
 
     async def _lead(self) -> None:
         """Read for the region until another relay is its reader."""
         if self._in_store_region:
             await self._store_reader.run(lambda: self.is_reader)
             return
-        pause = _Backoff(self._random)
+        pause = Backoff(self._random)
         upper = self.state.readers.get(self._settings.store_region)
         while self.is_reader:
             if upper is not None:
                 error = await self._follow_upper(upper)
-                if error is None:
-                    return
-                if self._link.update_count:
+                if error is not None and self._link.update_count:
                     pause.reset()
             await pause.wait()
             upper = await self._find_upper()
@@ -344,8 +277,12 @@
             self._settings.identity, self._source, self.state, same_region=False
         )
         address = Address(upper.host, upper.port)
+        started_ms = self._clock.monotonic_ms()
         error = await self._link.run(
-            address, reporter, same_region=False, is_wanted=lambda: self.is_reader
+            address,
+            reporter,
+            same_region=False,
+            is_wanted=lambda: self.is_reader and self._is_confirmed(started_ms),
         )
         if error is not None:
             log_event(
@@ -402,19 +339,3 @@
             missing_count=len(missing),
             complete=complete,
         )
-
-
-class _Backoff:
-    """Pauses that double up to a bound, with jitter."""
-
-    def __init__(self, rng: random.Random):
-        self._random = rng
-        self._pause_s = BACKOFF_MIN_S
-
-    def reset(self) -> None:
-        self._pause_s = BACKOFF_MIN_S
-
-    async def wait(self) -> None:
-        pause_s = self._pause_s * (0.5 + self._random.random() / 2)
-        self._pause_s = min(BACKOFF_MAX_S, self._pause_s * 2)
-        await asyncio.sleep(pause_s)
--- a/basilhold/relay/sender.py
+++ b/basilhold/relay/sender.py
@@ -24,8 +24,22 @@
 PAID_HEARTBEAT_MS = 2000
 """Interval of heartbeats to another region, whose link is paid by the byte."""
 
-_ALIGN_MS = 500
-"""How much earlier a heartbeat may go out to carry a new confirmation."""
+NEWS_GAP_MS = 100
+"""Shortest gap between heartbeats inside a region.
+
+A new confirmation is passed on at once: if every relay on the way held it until its
+next heartbeat, it would be older than 4 s on arrival.
+"""
+
+PAID_NEWS_GAP_MS = 1500
+"""Shortest gap between heartbeats to another region.
+
+It is below the interval, so that a heartbeat goes out with a new confirmation and not
+just before one.
+"""
+
+_LATE_MS = 500
+"""How long a heartbeat waits for a new confirmation."""
 
 
 class Subscriber:
@@ -45,6 +59,7 @@
     def __init__(self, first: WatchRequest, same_region: bool):
         self.process_id = first.process_id
         self._interval_ms = HEARTBEAT_MS if same_region else PAID_HEARTBEAT_MS
+        self._news_gap_ms = NEWS_GAP_MS if same_region else PAID_NEWS_GAP_MS
         self._documents = _versions(first.have)
         self._vm_version = first.vm_list_version
         self._epochs: dict[ZoneName, int] = {}
@@ -86,15 +101,15 @@
         """Return when a heartbeat is due at the latest, in loop milliseconds."""
         if self._sent_at_ms is None:
             return now_ms
-        return self._sent_at_ms + self._interval_ms + _ALIGN_MS
+        return self._sent_at_ms + self._interval_ms + _LATE_MS
 
     def _heartbeat_due(self, state: RelayState, now_ms: float) -> bool:
         if self._sent_at_ms is None:
             return True
         silent_ms = now_ms - self._sent_at_ms
         if state.confirmed_at_ms != self._sent_confirmation_ms:
-            return silent_ms >= self._interval_ms - _ALIGN_MS
-        return silent_ms >= self._interval_ms + _ALIGN_MS
+            return silent_ms >= self._news_gap_ms
+        return silent_ms >= self._interval_ms + _LATE_MS
 
     def _add_content(self, update: WatchUpdate, state: RelayState) -> bool:
         self._add_documents(update, state)
--- a/basilhold/relay/tests/test_cell.py
+++ b/basilhold/relay/tests/test_cell.py
@@ -70,6 +70,18 @@
             await self.change_in_time(cell, THRACE, 1)
             await self.change_in_time(cell, DANUBE, 2)
 
+    async def test_confirmations_stay_young_through_all_relays(self):
+        async with ControlCell(TODAY) as cell:
+            await self.started(cell)
+            oldest_ms = 0
+            for _ in range(600):
+                await asyncio.sleep(0.1)
+                now_ms = cell.clock.monotonic_ms()
+                ages = [p.in_force.confirmed_age_ms(now_ms) for p in cell.watchers()]
+                oldest_ms = max(oldest_ms, *ages)
+            # Two clocks that are 500 ms off each way may add 1 s.
+            self.assertLess(oldest_ms, 1000 * BOUND_S - 1000)
+
     async def test_change_that_is_not_pushed_is_found_by_the_poll(self):
         async with ControlCell(TODAY) as cell:
             await self.started(cell)
@@ -101,6 +113,24 @@
             self.assertNotEqual(self.reader_vm(cell, THRACE), silent)
             await self.change_in_time(cell, THRACE, 1)
 
+    async def test_reader_that_cannot_reach_the_store_is_replaced(self):
+        async with ControlCell(TODAY) as cell:
+            await self.started(cell)
+            cut_off = self.reader_vm(cell, THRACE)
+            cell.network.cut([cut_off.vm_id], ["store"])
+            await asyncio.sleep(30)
+            # The one that is cut off cannot learn that it was replaced.
+            readers = [
+                p.vm
+                for p in cell.processes.values()
+                if p.relay and p.relay.is_reader and p.vm.region == THRACE
+            ]
+            self.assertEqual((len(readers), cut_off in readers), (2, True))
+            now_ms = cell.clock.monotonic_ms()
+            for process in cell.watchers():
+                name = process.identity.process_id
+                self.assertTrue(process.in_force.is_current(now_ms), name)
+
     async def test_cut_region_shows_that_it_is_not_current_and_catches_up(self):
         async with ControlCell(TODAY) as cell:
             await self.started(cell)
