--- a/basilhold/config/store.py
+++ b/basilhold/config/store.py
@@ -1,15 +1,25 @@
 """Changes of office documents by compare-and-set, and their history."""
 
 import secrets
-import zlib
 from collections.abc import Callable
-from enum import Enum
 
 import msgspec
 from expression import Error, Ok, Result
 
 from basilhold.config.authority import Access, Forbidden, authorise
-from basilhold.config.differences import Difference, find_differences
+from basilhold.config.changes import (
+    Certainty,
+    ChangeConflict,
+    ChangeError,
+    ChangeRequest,
+    ConfigVersion,
+    InvalidDocument,
+    MissingVersion,
+    StoredVersion,
+    StoreUnavailable,
+    WriteMark,
+)
+from basilhold.config.differences import find_differences
 from basilhold.config.documents import (
     HISTORY_LENGTH,
     DocumentHead,
@@ -17,12 +27,13 @@
     decode_document,
     decode_stored,
     encode_document,
+    encode_stored,
     head_key,
     history_key,
     history_prefix,
 )
-from basilhold.config.validation import Problem, check_document
-from basilhold.core import Clock, OfficeDocument, OfficeName, ServiceName
+from basilhold.config.validation import check_document
+from basilhold.core import Clock, OfficeName, ServiceName
 from basilhold.ports import (
     ABSENT,
     Condition,
@@ -34,110 +45,12 @@
     Write,
 )
 
-__all__ = [
-    "Certainty",
-    "ChangeConflict",
-    "ChangeError",
-    "ChangeRequest",
-    "ConfigStore",
-    "ConfigVersion",
-    "InvalidDocument",
-    "MissingVersion",
-    "StoreUnavailable",
-    "StoredVersion",
-]
+__all__ = ["ConfigStore", "check_change"]
 
 ATTEMPTS_MAX = 4
 """How often a change without a reply is sent before its outcome stays unknown."""
 
 
-class ConfigVersion(msgspec.Struct, frozen=True):
-    """A version of a document without its content."""
-
-    office: OfficeName
-    version: int
-    author: str
-    changed_unix_ms: int
-    restored_version: int = 0
-
-
-class StoredVersion(msgspec.Struct, frozen=True):
-    """A version of a document."""
-
-    info: ConfigVersion
-    document: OfficeDocument
-
-
-class ChangeRequest(msgspec.Struct, frozen=True):
-    """A change that an operator asks for.
-
-    Parameters
-    ----------
-    token_office : OfficeName
-        Office that the operator's token speaks for.
-    author : str
-    base_version : int
-        Version that the operator edited; 0 for the first document.
-    document : OfficeDocument
-    """
-
-    token_office: OfficeName
-    author: str
-    base_version: int
-    document: OfficeDocument
-
-
-class InvalidDocument(msgspec.Struct, frozen=True):
-    """The document is not accepted; nothing was written."""
-
-    problems: tuple[Problem, ...]
-
-
-class ChangeConflict(msgspec.Struct, frozen=True):
-    """Somebody else changed the document first; nothing was written.
-
-    Parameters
-    ----------
-    current : StoredVersion or None
-        What is stored now.
-    changed_since_base : tuple of Difference
-        From the version that the operator edited to the current one; empty if the
-        base is no longer in the history.
-    proposed : tuple of Difference
-        From the current version to the proposed document.
-    """
-
-    current: StoredVersion | None
-    changed_since_base: tuple[Difference, ...]
-    proposed: tuple[Difference, ...]
-
-
-class Certainty(Enum):
-    """Whether a change may have taken effect."""
-
-    NOT_APPLIED = "not-applied"
-    UNKNOWN = "unknown"
-
-
-class StoreUnavailable(msgspec.Struct, frozen=True):
-    """The store did not do what was asked."""
-
-    certainty: Certainty
-    reason: str
-
-
-class MissingVersion(msgspec.Struct, frozen=True):
-    """The history does not hold the version."""
-
-    office: OfficeName
-    version: int
-
-
-ChangeError = (
-    Forbidden | InvalidDocument | ChangeConflict | StoreUnavailable | MissingVersion
-)
-
-
 class ConfigStore:
     """Reads and changes the offices' documents in the table service.
 
@@ -162,7 +75,10 @@
         self._make_write_id = make_write_id
 
     async def change(
-        self, request: ChangeRequest, services: frozenset[ServiceName] | None = None
+        self,
+        request: ChangeRequest,
+        services: frozenset[ServiceName] | None = None,
+        mark: WriteMark | None = None,
     ) -> Result[StoredVersion, ChangeError]:
         """Check a change as a whole and apply it by compare-and-set.
 
@@ -171,13 +87,25 @@
         request : ChangeRequest
         services : frozenset of ServiceName, optional
             Services of the cell.
+        mark : WriteMark, optional
+            Given if the change was, or will be, sent by another process too.
 
         Returns
         -------
         Result
             The version that holds the change, or why there is none.
         """
-        return await self._change(request, services, 0)
+        checked = check_change(request, services)
+        if checked.is_error():
+            return Error(checked.error)
+        mark = mark or WriteMark(self._make_write_id())
+        head = DocumentHead(
+            request.base_version + 1,
+            mark.write_id,
+            request.author,
+            self._clock.unix_ms(),
+        )
+        return await self._apply(request, head, mark)
 
     async def roll_back(
         self,
@@ -193,7 +121,8 @@
             return Error(earlier.error)
         document = earlier.ok.document
         request = ChangeRequest(token_office, author, base_version, document)
-        return await self._change(request, services, to_version)
+        mark = WriteMark(self._make_write_id(), to_version)
+        return await self.change(request, services, mark)
 
     async def read(
         self, office: OfficeName
@@ -240,34 +169,15 @@
             versions.append(decoded.ok.info)
         return Ok(tuple(reversed(versions)))
 
-    async def _change(
-        self,
-        request: ChangeRequest,
-        services: frozenset[ServiceName] | None,
-        restored_version: int,
-    ) -> Result[StoredVersion, ChangeError]:
-        office = request.document.office
-        allowed = authorise(request.token_office, office, Access.CHANGE)
-        if allowed.is_error():
-            return Error(allowed.error)
-        problems = check_document(request.document, office, services)
-        if problems:
-            return Error(InvalidDocument(problems))
-        head = DocumentHead(
-            request.base_version + 1,
-            self._make_write_id(),
-            request.author,
-            self._clock.unix_ms(),
-        )
-        return await self._apply(request, head, restored_version)
-
     async def _apply(
-        self, request: ChangeRequest, head: DocumentHead, restored_version: int
+        self, request: ChangeRequest, head: DocumentHead, mark: WriteMark
     ) -> Result[StoredVersion, ChangeError]:
         office = request.document.office
-        transaction = _transaction(request, head, restored_version)
-        accepted = Ok(_accepted(request, head, restored_version))
+        transaction = _transaction(request, head, mark.restored_version)
+        accepted = Ok(_accepted(request, head, mark.restored_version))
         certainty = Certainty.NOT_APPLIED
+        if mark.may_be_applied:
+            certainty = Certainty.UNKNOWN
         reason = ""
         # Sending the same transaction again is safe: both copies require the same
         # version of the row, so at most one of them applies.
@@ -337,16 +247,27 @@
         return Error(ChangeConflict(current.ok, since, proposed))
 
 
+def check_change(
+    request: ChangeRequest, services: frozenset[ServiceName] | None = None
+) -> Result[None, Forbidden | InvalidDocument]:
+    """Check an operator's right to a change, and the document as a whole."""
+    office = request.document.office
+    allowed = authorise(request.token_office, office, Access.CHANGE)
+    if allowed.is_error():
+        return Error(allowed.error)
+    problems = check_document(request.document, office, services)
+    return Error(InvalidDocument(problems)) if problems else Ok(None)
+
+
 def _transaction(
     request: ChangeRequest, head: DocumentHead, restored_version: int
 ) -> Transaction:
     office = request.document.office
-    stored = StoredDocument(
-        head, zlib.compress(encode_document(request.document), 9), restored_version
-    )
+    content = msgspec.Raw(encode_document(request.document))
+    stored = StoredDocument(head, content, restored_version)
     writes = [
         Write(head_key(office), msgspec.json.encode(head)),
-        Write(history_key(office, head.version), msgspec.json.encode(stored)),
+        Write(history_key(office, head.version), encode_stored(stored)),
     ]
     dropped = head.version - HISTORY_LENGTH
     if dropped > 0:
