--- /dev/null
+++ b/basilhold/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks with bounds, run as modules."""
--- a/basilhold/placement/gang_turns.py
+++ b/basilhold/placement/gang_turns.py
@@ -1,6 +1,8 @@
 """Decides which gang holds the shard's reservation."""
 
-from basilhold.core import JobId
+from collections.abc import Iterable
+
+from basilhold.core import JobId, WorkerId
 from basilhold.placement.reservation import Reservation, reserve
 from basilhold.placement.shard_state import ShardState
 from basilhold.placement.waiting import Bucket, BucketKey, JobState
@@ -8,8 +10,8 @@
 
 __all__ = ["GangTurns"]
 
-_RETRY_MS = 1_000
-"""Pause after a reservation could not be computed, in milliseconds; it looks at every
+_COMPUTE_INTERVAL_MS = 1_000
+"""Pause between computations of a reservation, in milliseconds; each looks at every
 live task."""
 
 
@@ -19,28 +21,20 @@
     def __init__(self, state: ShardState):
         self._state = state
         self.reservation: Reservation | None = None
+        self._due_unix_ms = 0
+        self._computed_unix_ms = 0
 
     def consider(self, bucket: Bucket) -> None:
         """Reserve capacity for a gang that does not fit, if no other gang holds any."""
         state = self._state
         if self.reservation is not None or state.now_unix_ms < bucket.reserve_unix_ms:
             return
-        found = reserve(
-            state.workers.values(),
-            bucket.key,
-            len(bucket.head().indices),
-            state.estimates,
-            state.now_unix_ms,
-        )
+        found = self._compute(bucket)
         if found is None:
-            bucket.reserve_unix_ms = state.now_unix_ms + _RETRY_MS
+            bucket.reserve_unix_ms = state.now_unix_ms + _COMPUTE_INTERVAL_MS
             return
-        self.reservation = found
-        for worker_id in found.spare:
-            worker = state.workers[worker_id]
-            worker.reserved = True
-            state.reindex(worker)
-        state.backfill_version += 1
+        self._due_unix_ms = found.start_unix_ms
+        self._hold(found)
 
     def started(self, job_id: JobId) -> None:
         """Drop the reservation of a gang that has started."""
@@ -58,7 +52,8 @@
             self._drop()
             return
         target_ms = job.spec.wait_target_ms
-        if state.now_unix_ms <= held.start_unix_ms + target_ms:
+        if state.now_unix_ms <= self._due_unix_ms + target_ms:
+            self._move(job.entries[0].bucket)
             return
         self._drop()
         if any(
@@ -96,6 +91,51 @@
             held.use_spare(worker.worker_id, key.size)
         return worker
 
+    def _move(self, bucket: Bucket) -> None:
+        """Compute the reservation anew when estimates or free capacity have changed.
+
+        Capacity that became free elsewhere serves the gang at once, and workers whose
+        tasks run longer than expected do not stay idle for it. The time at which the
+        reservation counts as overdue stays.
+        """
+        if self._state.now_unix_ms - self._computed_unix_ms < _COMPUTE_INTERVAL_MS:
+            return
+        found = self._compute(bucket)
+        if found is not None:
+            self._hold(found)
+
+    def _compute(self, bucket: Bucket) -> Reservation | None:
+        state = self._state
+        self._computed_unix_ms = state.now_unix_ms
+        return reserve(
+            state.workers.values(),
+            bucket.key,
+            len(bucket.head().indices),
+            state.estimates,
+            state.now_unix_ms,
+        )
+
+    def _hold(self, found: Reservation) -> None:
+        """Replace the reservation and open the workers that it no longer names."""
+        state, old = self._state, self.reservation
+        self.reservation = found
+        for worker_id in found.spare:
+            worker = state.workers[worker_id]
+            if not worker.reserved:
+                worker.reserved = True
+                state.reindex(worker)
+        if old is not None:
+            self._open(set(old.spare) - set(found.spare))
+        state.backfill_version += 1
+
+    def _open(self, worker_ids: Iterable[WorkerId]) -> None:
+        for worker_id in worker_ids:
+            worker = self._state.workers.get(worker_id)
+            if worker is not None:
+                worker.reserved = False
+                self._state.note_room(worker)
+                self._state.reindex(worker)
+
     def _has_lost_worker(self, held: Reservation) -> bool:
         workers = self._state.workers
         return any(
@@ -105,9 +145,4 @@
 
     def _drop(self) -> None:
         held, self.reservation = self.reservation, None
-        for worker_id in held.spare:
-            worker = self._state.workers.get(worker_id)
-            if worker is not None:
-                worker.reserved = False
-                self._state.note_room(worker)
-                self._state.reindex(worker)
+        self._open(held.spare)
