--- a/basilhold/placement/claims.py
+++ b/basilhold/placement/claims.py
@@ -135,10 +135,7 @@
 
     def _candidates(self, key: BucketKey) -> Iterator[WorkerState]:
         state, size = self._state, key.size
-        gpu_shapes = size.gpus_milli > 0 or not any(
-            size.fits_in(capacity) and capacity.gpus_milli == 0
-            for capacity in state.shapes
-        )
+        gpu_shapes = state.may_need_gpu_workers(size)
         seen: set[WorkerId] = set(key.avoid)
         feasible = islice(
             state.reclaim_index.fitting(size, gpu_shapes), _FEASIBLE_MAX + len(seen)
--- a/basilhold/placement/gang_turns.py
+++ b/basilhold/placement/gang_turns.py
@@ -107,8 +107,12 @@
     def _compute(self, bucket: Bucket) -> Reservation | None:
         state = self._state
         self._computed_unix_ms = state.now_unix_ms
+        workers = state.workers.values()
+        if not state.may_need_gpu_workers(bucket.key.size):
+            # GPU workers may refuse the gang at any time, however much they have free.
+            workers = [w for w in workers if w.capacity.gpus_milli == 0]
         return reserve(
-            state.workers.values(),
+            workers,
             bucket.key,
             len(bucket.head().indices),
             state.estimates,
--- a/basilhold/placement/shard_state.py
+++ b/basilhold/placement/shard_state.py
@@ -290,6 +290,13 @@
         """Return whether any worker could run a task of this size when empty."""
         return any(size.fits_in(capacity) for capacity in self.shapes)
 
+    def may_need_gpu_workers(self, size: Resources) -> bool:
+        """Return whether only workers with GPUs could run a task of this size."""
+        return size.gpus_milli > 0 or not any(
+            size.fits_in(capacity) and capacity.gpus_milli == 0
+            for capacity in self.shapes
+        )
+
     def _uncount_shape(self, capacity: Resources) -> None:
         self.shapes[capacity] -= 1
         if self.shapes[capacity] == 0:
--- a/basilhold/placement/tests/test_target_planner.py
+++ b/basilhold/placement/tests/test_target_planner.py
@@ -134,6 +134,15 @@
         self.assertIn("holds a reservation", held)
         self.assertNotIn("holds a reservation", other)
 
+    def test_reservation_ignores_room_that_is_kept_for_gpu_work(self):
+        shard = Shard(("w1", size(4, 16), "r1"), ("g1", GPU_VM, "r2"))
+        shard.submit(job("train", size(1, 1, 8)), job("train-2", size(1, 1, 8)))
+        shard.submit(job("long", size(2), run_time_ms=100_000))
+        shard.plan(0)
+        shard.submit(job("gang", size(2), tasks=2, kind=ClassKind.GANG))
+        shard.plan(1)
+        self.assertIn("in about 100 s", shard.planner.explain("gang", 1).reason)
+
 
 class SpreadTest(unittest.TestCase):
     """Guards against a service that one rack's failure stops."""
