--- a/basilhold/placement/audit.py
+++ b/basilhold/placement/audit.py
@@ -35,6 +35,16 @@
     known = sum(len(job.entries) for job in state.queue.jobs.values())
     if entries != known:
         raise InvariantError(f"{entries} entries in buckets, {known} in jobs")
+    _audit_lanes(state)
+
+
+def _audit_lanes(state: ShardState) -> None:
+    lanes = state.queue.lanes
+    for bucket in state.queue.buckets.values():
+        if lanes.lanes.get(bucket.key.lane) is not bucket.lane:
+            raise InvariantError(f"the lane of bucket {bucket.key} is not listed")
+        if not lanes.is_noted(bucket) and bucket.position not in bucket.lane.order:
+            raise InvariantError(f"bucket {bucket.key} is not in its lane")
 
 
 def _audit_worker(state: ShardState, worker: WorkerState) -> None:
--- a/basilhold/placement/claims.py
+++ b/basilhold/placement/claims.py
@@ -7,10 +7,11 @@
 import msgspec
 
 from basilhold.core import Resources, TaskId, WorkerId, make_task_id
+from basilhold.placement.lanes import LaneKey
 from basilhold.placement.plan import Eviction
 from basilhold.placement.shard_state import ShardState
 from basilhold.placement.victims import VictimSet, choose_victims
-from basilhold.placement.waiting import BucketKey, Entry, JobState
+from basilhold.placement.waiting import Entry, JobState
 from basilhold.placement.workers import LiveTask, WorkerState
 
 __all__ = ["Claim", "ClaimBook"]
@@ -80,13 +81,13 @@
                 self.drop(claim.task_id)
 
     def reclaim(
-        self, key: BucketKey, entry: Entry, index: int, above_quota: bool
+        self, key: LaneKey, entry: Entry, index: int, above_quota: bool
     ) -> list[Eviction] | None:
         """Choose victims for an urgent task and claim what they give back.
 
         Parameters
         ----------
-        key : BucketKey
+        key : LaneKey
         entry : Entry
         index : int
         above_quota : bool
@@ -133,7 +134,7 @@
             for eviction in victims.evictions
         ]
 
-    def _candidates(self, key: BucketKey) -> Iterator[WorkerState]:
+    def _candidates(self, key: LaneKey) -> Iterator[WorkerState]:
         state, size = self._state, key.size
         gpu_shapes = state.may_need_gpu_workers(size)
         seen: set[WorkerId] = set(key.avoid)
--- a/basilhold/placement/explain.py
+++ b/basilhold/placement/explain.py
@@ -44,7 +44,7 @@
         return ["unavailable"]
     if worker.quarantined_until_unix_ms:
         return ["quarantined"]
-    if worker.worker_id in entry.bucket.key.avoid:
+    if worker.worker_id in entry.bucket.lane.key.avoid:
         return ["failed here before"]
     free = worker.free()
     lacks = []
--- a/basilhold/placement/gang_turns.py
+++ b/basilhold/placement/gang_turns.py
@@ -3,9 +3,10 @@
 from collections.abc import Iterable
 
 from basilhold.core import JobId, WorkerId
+from basilhold.placement.lanes import LaneKey
 from basilhold.placement.reservation import Reservation, reserve
 from basilhold.placement.shard_state import ShardState
-from basilhold.placement.waiting import Bucket, BucketKey, JobState
+from basilhold.placement.waiting import Bucket, JobState
 from basilhold.placement.workers import WorkerState
 
 __all__ = ["GangTurns"]
@@ -72,7 +73,7 @@
         return [w for w in workers if w is not None and w.claims == 0]
 
     def backfill_worker(
-        self, key: BucketKey, job: JobState, starving: bool
+        self, key: LaneKey, job: JobState, starving: bool
     ) -> WorkerState | None:
         """Return a reserved worker that a task may use without delaying the gang."""
         held, state = self.reservation, self._state
@@ -108,12 +109,13 @@
         state = self._state
         self._computed_unix_ms = state.now_unix_ms
         workers = state.workers.values()
-        if not state.may_need_gpu_workers(bucket.key.size):
+        if not state.may_need_gpu_workers(bucket.lane.key.size):
             # GPU workers may refuse the gang at any time, however much they have free.
             workers = [w for w in workers if w.capacity.gpus_milli == 0]
         return reserve(
+            bucket.key.gang,
             workers,
-            bucket.key,
+            bucket.lane.key,
             len(bucket.head().indices),
             state.estimates,
             state.now_unix_ms,
--- a/basilhold/placement/gangs.py
+++ b/basilhold/placement/gangs.py
@@ -3,9 +3,9 @@
 from collections.abc import Iterable
 
 from basilhold.core import Resources
+from basilhold.placement.lanes import LaneKey
 from basilhold.placement.selection import fitting_workers
 from basilhold.placement.shard_state import ShardState
-from basilhold.placement.waiting import BucketKey
 from basilhold.placement.workers import WorkerState
 
 __all__ = ["gather_gang", "slots_of"]
@@ -37,7 +37,7 @@
 
 def gather_gang(
     state: ShardState,
-    key: BucketKey,
+    key: LaneKey,
     count: int,
     reserved: Iterable[WorkerState],
     starving: bool,
@@ -47,8 +47,8 @@
     Parameters
     ----------
     state : ShardState
-    key : BucketKey
-        The gang's bucket.
+    key : LaneKey
+        The gang's lane.
     count : int
         Number of tasks that start together.
     reserved : iterable of WorkerState
@@ -72,7 +72,7 @@
 
 def _candidates(
     state: ShardState,
-    key: BucketKey,
+    key: LaneKey,
     reserved: Iterable[WorkerState],
     starving: bool,
 ) -> Iterable[WorkerState]:
--- a/basilhold/placement/planning_pass.py
+++ b/basilhold/placement/planning_pass.py
@@ -1,11 +1,14 @@
 """One pass over the waiting work of a shard."""
 
 import heapq
+from collections.abc import Iterable, Iterator
+from enum import Enum
 
 from basilhold.core import make_task_id
 from basilhold.placement.claims import ClaimBook
 from basilhold.placement.gang_turns import GangTurns
 from basilhold.placement.gangs import gather_gang
+from basilhold.placement.lanes import Lane
 from basilhold.placement.plan import Eviction, Placement, Plan
 from basilhold.placement.selection import choose_worker, open_probe
 from basilhold.placement.shard_state import ShardState
@@ -24,7 +27,17 @@
 _GANG_TRIES_PER_PASS = 16
 """Gangs per pass that are fitted anew, which bounds the pass."""
 
-_HeapItem = tuple[int, float, int, Bucket]
+_PASS_AT_ONCE = float("inf")
+
+_HeapItem = tuple[float, int, Bucket, Iterator | None]
+
+
+class _Group(Enum):
+    """Groups of waiting work, in the order in which a pass serves them."""
+
+    URGENT = "urgent and within quota"
+    WITHIN = "within quota or starving"
+    ABOVE = "above quota"
 
 
 class PlanningPass:
@@ -49,94 +62,124 @@
         self._now = state.now_unix_ms
         self._reclaims_left = _RECLAIMS_PER_PASS
         self._gang_tries_left = _GANG_TRIES_PER_PASS
+        self._sequence = 0
+        self._starving: list[Bucket] = []
+        self._deferred: list[Bucket] = []
         self._placements: list[Placement] = []
         self._evictions: list[Eviction] = []
 
     def run(self) -> Plan:
         """Return the placements and evictions of this pass."""
         self._place_claimed()
-        heap = self._build_heap()
-        sequence = len(heap)
-        while heap and len(self._placements) < self._limit:
-            group, _, _, bucket = heapq.heappop(heap)
-            if not bucket.entries:
-                continue
-            now_group, ratio = self._rank(bucket)
-            if now_group > group:
-                heapq.heappush(heap, (now_group, -ratio, sequence, bucket))
-                sequence += 1
-            elif self._serve(bucket, now_group, ratio) and bucket.entries:
-                group, ratio = self._rank(bucket)
-                heapq.heappush(heap, (group, -ratio, sequence, bucket))
-                sequence += 1
+        self._state.unblock_sizes()
+        lanes = self._state.queue.lanes.lanes.values()
+        self._drain(self._walks(lanes, urgent=True), _Group.URGENT)
+        starving, self._starving = self._starving, []
+        walks = self._walks(lanes, urgent=False)
+        self._drain([*walks, *self._items(starving)], _Group.WITHIN)
+        deferred, self._deferred = self._deferred, []
+        self._drain(self._items(deferred), _Group.ABOVE)
         return Plan(tuple(self._placements), tuple(self._evictions))
 
-    def _build_heap(self) -> list[_HeapItem]:
-        self._state.unblock_sizes()
-        heap = []
-        for bucket in self._state.queue.buckets.values():
-            if self._is_blocked(bucket):
-                continue
-            group, ratio = self._rank(bucket)
-            heap.append((group, -ratio, len(heap), bucket))
+    def _walks(self, lanes: Iterable[Lane], urgent: bool) -> list[_HeapItem]:
+        """Return one heap item per lane that is not blocked, for its first bucket."""
+        items = []
+        for lane in lanes:
+            if lane.urgent is urgent and lane.order and not self._is_blocked(lane):
+                walk = iter(lane.order)
+                bucket = next(walk)[2]
+                items.append(self._item(bucket, walk))
+        return items
+
+    def _items(self, buckets: list[Bucket]) -> list[_HeapItem]:
+        return [self._item(bucket, None) for bucket in buckets if bucket.entries]
+
+    def _item(self, bucket: Bucket, walk: Iterator | None) -> _HeapItem:
+        self._sequence += 1
+        # A bucket that a claim has emptied keeps its place until the walk passes it.
+        ratio = bucket.ratio(self._now) if bucket.entries else _PASS_AT_ONCE
+        return (-ratio, self._sequence, bucket, walk)
+
+    def _drain(self, heap: list[_HeapItem], group: _Group) -> None:
+        """Serve buckets in order of relative lateness until the plan is full."""
         heapq.heapify(heap)
-        return heap
-
-    def _is_blocked(self, bucket: Bucket) -> bool:
-        """Return whether nothing has changed since the bucket found no worker."""
-        state, fit = self._state, bucket.fit
-        if bucket.urgent or bucket.key.gang is not None or state.probe_is_due:
+        while heap and len(self._placements) < self._limit:
+            _, _, bucket, walk = heapq.heappop(heap)
+            if walk is not None and not self._is_blocked(bucket.lane):
+                following = next(walk, None)
+                if following is not None:
+                    heapq.heappush(heap, self._item(following[2], walk))
+            if not bucket.entries:
+                continue
+            ratio = bucket.ratio(self._now)
+            if group is not _Group.ABOVE and not self._is_within(bucket):
+                if ratio <= STARVING_RATIO:
+                    self._deferred.append(bucket)
+                    continue
+                if group is _Group.URGENT:
+                    self._starving.append(bucket)
+                    continue
+            if self._serve(bucket, group, ratio) and bucket.entries:
+                heapq.heappush(heap, self._item(bucket, None))
+
+    def _is_within(self, bucket: Bucket) -> bool:
+        return self._state.teams.is_within(bucket.key.team, bucket.demand())
+
+    def _is_blocked(self, lane: Lane) -> bool:
+        """Return whether nothing has changed since the lane found no worker."""
+        state, fit = self._state, lane.fit
+        if lane.key.gang:
+            return self._gang_tries_left == 0
+        if lane.urgent or state.probe_is_due:
             return False
         if (
             self._gangs.reservation is not None
-            and bucket.backfill_asked_at != state.backfill_version
+            and lane.backfill_asked_at != state.backfill_version
         ):
             return False
-        if not fit.fits_nowhere and bucket.blocked_at != state.releases:
+        if not fit.fits_nowhere and lane.blocked_at != state.releases:
             return False
-        return fit.fits_nowhere_starving or self._now < bucket.starves_unix_ms
+        return fit.fits_nowhere_starving or self._now < lane.starves_unix_ms
 
-    def _rank(self, bucket: Bucket) -> tuple[int, float]:
-        """Return the group (lower is earlier) and the relative lateness."""
-        ratio = bucket.ratio(self._now)
-        if self._state.teams.is_within(bucket.key.team, bucket.demand()):
-            return (0 if bucket.urgent else 1), ratio
-        return (1 if ratio > STARVING_RATIO else 2), ratio
-
-    def _serve(self, bucket: Bucket, group: int, ratio: float) -> bool:
+    def _serve(self, bucket: Bucket, group: _Group, ratio: float) -> bool:
         """Place the bucket's next task or gang; return whether to come back to it."""
         if bucket.key.gang is not None:
             return self._serve_gang(bucket, ratio)
+        lane = bucket.lane
+        if self._is_blocked(lane):
+            return False
         entry = bucket.head()
         index = entry.indices[-1]
         starving = ratio > STARVING_RATIO
-        worker = self._find_worker(bucket, entry, starving)
+        worker = self._find_worker(lane, entry, starving)
         if worker is not None:
             self._place(entry, index, worker)
             return True
-        if bucket.urgent:
-            self._reclaim_for(bucket, above_quota=group == 2)
+        if lane.urgent:
+            self._reclaim_for(bucket, above_quota=group is _Group.ABOVE)
         else:
-            self._block(bucket, starving)
+            self._block(lane, starving)
         return False
 
-    def _block(self, bucket: Bucket, starving: bool) -> None:
-        """Skip the bucket until resources are released or it starts to starve."""
-        bucket.blocked_at = self._state.releases
-        bucket.backfill_asked_at = self._state.backfill_version
-        since = bucket.head().since_unix_ms
-        starves_at = since + int(bucket.key.wait_target_ms * STARVING_RATIO) + 1
-        bucket.starves_unix_ms = 1 << 62 if starving else starves_at
+    def _block(self, lane: Lane, starving: bool) -> None:
+        """Skip the lane until resources are released or its oldest task starves."""
+        lane.blocked_at = self._state.releases
+        lane.backfill_asked_at = self._state.backfill_version
+        lane.starves_unix_ms = 1 << 62
+        if not starving:
+            oldest = lane.order[0][0]
+            target = lane.key.wait_target_ms
+            lane.starves_unix_ms = oldest + int(target * STARVING_RATIO) + 1
 
     def _find_worker(
-        self, bucket: Bucket, entry: Entry, starving: bool
+        self, lane: Lane, entry: Entry, starving: bool
     ) -> WorkerState | None:
-        state, key = self._state, bucket.key
-        if state.quarantined and not bucket.urgent:
+        state, key = self._state, lane.key
+        if state.probe_is_due and not lane.urgent:
             probe = open_probe(state, key)
             if probe is not None:
                 return probe
-        fit = bucket.fit
+        fit = lane.fit
         if not (fit.fits_nowhere_starving if starving else fit.fits_nowhere):
             worker = choose_worker(state, key, entry.job, starving)
             if worker is not None:
@@ -171,27 +214,32 @@
                 if self._reclaims_left == 0:
                     return
                 self._reclaims_left -= 1
-                evictions = self._claims.reclaim(bucket.key, entry, index, above_quota)
+                evictions = self._claims.reclaim(
+                    bucket.lane.key, entry, index, above_quota
+                )
                 if evictions is None:
                     return
                 self._evictions.extend(evictions)
 
     def _serve_gang(self, bucket: Bucket, ratio: float) -> bool:
-        state, entry = self._state, bucket.head()
-        if bucket.blocked_at != state.releases and self._gang_tries_left > 0:
+        state, lane, entry = self._state, bucket.lane, bucket.head()
+        indices = list(reversed(entry.indices))
+        reserved = self._gangs.reserved_workers(bucket.key.gang)
+        fails = (
+            lane.blocked_at == state.releases
+            and len(indices) >= lane.failed_tasks
+            and not reserved
+        )
+        if not fails and self._gang_tries_left > 0:
             self._gang_tries_left -= 1
-            indices = list(reversed(entry.indices))
-            starving = ratio > STARVING_RATIO
             workers = gather_gang(
-                state,
-                bucket.key,
-                len(indices),
-                self._gangs.reserved_workers(bucket.key.gang),
-                starving,
+                state, lane.key, len(indices), reserved, ratio > STARVING_RATIO
             )
             if workers is not None:
                 return self._start_gang(entry, indices, workers)
-            bucket.blocked_at = state.releases
+            if not reserved:
+                lane.blocked_at = state.releases
+                lane.failed_tasks = len(indices)
         self._gangs.consider(bucket)
         return False
 
--- a/basilhold/placement/reservation.py
+++ b/basilhold/placement/reservation.py
@@ -5,7 +5,7 @@
 from basilhold.core import JobId, Resources, WorkerId
 from basilhold.placement.estimates import ClassEstimates
 from basilhold.placement.gangs import slots_of
-from basilhold.placement.waiting import BucketKey
+from basilhold.placement.lanes import LaneKey
 from basilhold.placement.workers import LiveTask, WorkerState
 
 __all__ = ["Reservation", "expected_end_unix_ms", "reserve"]
@@ -38,7 +38,7 @@
     def backfill_worker(
         self,
         workers: dict[WorkerId, WorkerState],
-        key: BucketKey,
+        key: LaneKey,
         now_unix_ms: int,
         run_time_ms: int | None,
     ) -> WorkerState | None:
@@ -90,8 +90,9 @@
 
 
 def reserve(
+    job_id: JobId,
     workers: Iterable[WorkerState],
-    key: BucketKey,
+    key: LaneKey,
     count: int,
     estimates: ClassEstimates,
     now_unix_ms: int,
@@ -126,7 +127,7 @@
                 )
                 for wid, n in taken.items()
             }
-            return Reservation(key.gang, at_unix_ms, spare)
+            return Reservation(job_id, at_unix_ms, spare)
     return None
 
 
--- a/basilhold/placement/selection.py
+++ b/basilhold/placement/selection.py
@@ -3,8 +3,9 @@
 from collections.abc import Iterator
 
 from basilhold.core import Resources
+from basilhold.placement.lanes import LaneKey
 from basilhold.placement.shard_state import ShardState
-from basilhold.placement.waiting import BucketKey, JobState
+from basilhold.placement.waiting import JobState
 from basilhold.placement.workers import WorkerState
 
 __all__ = ["choose_worker", "fitting_workers", "open_probe"]
@@ -17,9 +18,9 @@
 
 
 def fitting_workers(
-    state: ShardState, key: BucketKey, starving: bool
+    state: ShardState, key: LaneKey, starving: bool
 ) -> Iterator[WorkerState]:
-    """Yield the open workers on which a task of the bucket may run."""
+    """Yield the open workers on which a task of the lane may run."""
     size = key.size
     guarded = size.gpus_milli == 0
     gpu_shapes = not (guarded and state.gpu_guard.gpu_work_waits)
@@ -36,7 +37,7 @@
 
 
 def choose_worker(
-    state: ShardState, key: BucketKey, job: JobState, starving: bool
+    state: ShardState, key: LaneKey, job: JobState, starving: bool
 ) -> WorkerState | None:
     """Return the best open worker for a task, or ``None``."""
     candidates = fitting_workers(state, key, starving)
@@ -53,12 +54,12 @@
     return best
 
 
-def open_probe(state: ShardState, key: BucketKey) -> WorkerState | None:
+def open_probe(state: ShardState, key: LaneKey) -> WorkerState | None:
     """Return a quarantined worker that is due for a probe by this task.
 
     Urgent tasks, gangs and tasks that cannot be restarted are not used as probes.
     """
-    if key.gang is not None or not key.restartable:
+    if key.gang or not key.restartable:
         return None
     for worker_id in state.quarantined:
         worker = state.workers[worker_id]
--- a/basilhold/placement/shard_state.py
+++ b/basilhold/placement/shard_state.py
@@ -113,6 +113,8 @@
             self.gpu_guard.observe(record.spec.task_resources)
             for live in self._orphans.pop(job_id, {}).values():
                 self._link(live, job)
+            self.queue.build(job)
+            return
         job.record = record
         job.spec = record.spec
         job.cancelled = record.cancel_requested
@@ -256,7 +258,7 @@
             max(free.memory_bytes for free in grown),
             max(free.gpus_milli for free in grown),
         )
-        for size, fit in self.queue.fits.items():
+        for size, fit in self.queue.lanes.fits.items():
             if (
                 fit.fits_nowhere
                 and size.fits_in(most)
@@ -276,13 +278,11 @@
 
     def update_gpu_wait(self) -> None:
         """Note whether GPU work waits that some worker could run."""
-        waits = any(
-            self.could_run(bucket.key.size) for bucket in self.queue.gpu_buckets()
-        )
+        waits = any(self.could_run(size) for size in self.queue.gpu_sizes())
         if waits != self.gpu_guard.gpu_work_waits:
             self.gpu_guard.gpu_work_waits = waits
             self.releases += 1
-            for size, fit in self.queue.fits.items():
+            for size, fit in self.queue.lanes.fits.items():
                 if size.gpus_milli == 0:
                     fit.unblock()
 
--- a/basilhold/placement/victims.py
+++ b/basilhold/placement/victims.py
@@ -15,6 +15,11 @@
 """A victim keeps at least this share of its cores, so that it still makes progress."""
 
 
+_CHECKPOINT_COST_MS = 5_000
+"""A victim that is checkpointed when it gives way loses at most this much work, in
+milliseconds."""
+
+
 class VictimSet(msgspec.Struct):
     """Victims on one worker.
 
@@ -43,6 +48,8 @@
     """
     job = live.job
     since = max(live.started_unix_ms, live.checkpoint_unix_ms)
+    if job.spec.checkpoint:
+        since = max(since, now_unix_ms - _CHECKPOINT_COST_MS)
     use = estimates.expected_use(job.spec.class_name, live.size)
     share = use.cores_milli + (use.memory_bytes >> 22) + 4 * use.gpus_milli
     members = len(job.live) if job.is_gang else 1
--- a/basilhold/placement/waiting.py
+++ b/basilhold/placement/waiting.py
@@ -7,63 +7,31 @@
 
 from basilhold.core import (
     ClassKind,
-    ClassName,
     JobId,
     JobRecord,
     JobSpec,
     Resources,
+    RestartPolicy,
     TaskState,
     TeamName,
     WorkerId,
 )
+from basilhold.placement.lanes import URGENT_TARGET_MS, Lane, LaneKey, LaneSet
 
 if TYPE_CHECKING:
     from basilhold.placement.workers import LiveTask
 
-__all__ = ["URGENT_TARGET_MS", "Bucket", "Entry", "JobState", "WaitingQueue"]
-
-URGENT_TARGET_MS = 9_100
-"""A class with at most this target wait is urgent, in milliseconds."""
+__all__ = ["Bucket", "Entry", "JobState", "WaitingQueue"]
 
 
 class BucketKey(NamedTuple):
     """What makes waiting tasks interchangeable."""
 
     team: TeamName
-    class_name: ClassName
-    wait_target_ms: int
-    size: Resources
-    run_time_ms: int
-    restartable: bool
-    spread: bool
-    avoid: frozenset[WorkerId]
+    lane: LaneKey
     gang: JobId | None
 
 
-class SizeFit:
-    """Whether a task size is known to fit on no open worker.
-
-    Shared by all buckets of the size, so that a size that fits nowhere is asked for
-    once and not once per task.
-    """
-
-    __slots__ = ("buckets", "fits_nowhere", "fits_nowhere_starving")
-
-    def __init__(self):
-        self.buckets = 0
-        self.fits_nowhere = False
-        self.fits_nowhere_starving = False
-
-    def block(self, starving: bool) -> None:
-        """Record that no open worker has room; starving work may use more of it."""
-        self.fits_nowhere = True
-        self.fits_nowhere_starving |= starving
-
-    def unblock(self) -> None:
-        """Record that a worker may have room again."""
-        self.fits_nowhere = self.fits_nowhere_starving = False
-
-
 class JobState:
     """A job whose record is known."""
 
@@ -142,25 +110,14 @@
 class Bucket:
     """Interchangeable waiting tasks, ordered by age."""
 
-    __slots__ = (
-        "backfill_asked_at",
-        "blocked_at",
-        "entries",
-        "fit",
-        "key",
-        "reserve_unix_ms",
-        "starves_unix_ms",
-        "urgent",
-    )
+    __slots__ = ("entries", "key", "lane", "number", "position", "reserve_unix_ms")
 
-    def __init__(self, key: BucketKey, fit: SizeFit):
+    def __init__(self, key: BucketKey):
         self.key = key
-        self.fit = fit
-        self.urgent = key.wait_target_ms <= URGENT_TARGET_MS
         self.entries: SortedDict = SortedDict()
-        self.blocked_at = -1
-        self.backfill_asked_at = -1
-        self.starves_unix_ms = 0
+        self.lane: Lane | None = None
+        self.number = 0
+        self.position: tuple | None = None
         self.reserve_unix_ms = 0
 
     def head(self) -> Entry:
@@ -170,13 +127,13 @@
     def ratio(self, now_unix_ms: int) -> float:
         """Return the time waited divided by the target wait."""
         since = self.entries.peekitem(0)[0][0]
-        return (now_unix_ms - since) / max(1, self.key.wait_target_ms)
+        return (now_unix_ms - since) / max(1, self.lane.key.wait_target_ms)
 
     def demand(self) -> Resources:
         """Return what the next decision about this bucket needs in total."""
         if self.key.gang is None:
-            return self.key.size
-        return self.key.size.scaled(len(self.head().indices))
+            return self.lane.key.size
+        return self.lane.key.size.scaled(len(self.head().indices))
 
 
 class WaitingQueue:
@@ -189,7 +146,7 @@
     def __init__(self):
         self.jobs: dict[JobId, JobState] = {}
         self.buckets: dict[BucketKey, Bucket] = {}
-        self.fits: dict[Resources, SizeFit] = {}
+        self.lanes = LaneSet()
         self._changed: set[JobId] = set()
 
     def mark(self, job_id: JobId) -> None:
@@ -210,13 +167,18 @@
         return job
 
     def refresh(self) -> None:
-        """Rebuild the entries of the jobs that changed."""
+        """Rebuild the entries of the jobs that changed, and the order of lanes."""
         for job_id in self._changed:
             job = self.jobs.get(job_id)
             if job is not None:
                 self._drop_entries(job)
                 self._build_entries(job)
         self._changed.clear()
+        self.lanes.settle()
+
+    def build(self, job: JobState) -> None:
+        """Build the entries of a new job."""
+        self._build_entries(job)
 
     def take(self, entry: Entry, index: int) -> None:
         """Remove one task from the queue."""
@@ -228,9 +190,11 @@
             self._drop_entry(entry)
             entry.job.entries.remove(entry)
 
-    def gpu_buckets(self) -> Iterator[Bucket]:
-        """Yield the buckets of waiting tasks that need GPUs."""
-        return (b for b in self.buckets.values() if b.key.size.gpus_milli > 0)
+    def gpu_sizes(self) -> Iterator[Resources]:
+        """Yield the sizes of waiting tasks that need GPUs."""
+        for lane in self.lanes.lanes.values():
+            if lane.key.size.gpus_milli and any(b.entries for _, _, b in lane.order):
+                yield lane.key.size
 
     def _build_entries(self, job: JobState) -> None:
         if job.cancelled:
@@ -263,19 +227,13 @@
         key = _bucket_key(job, avoid)
         bucket = self.buckets.get(key)
         if bucket is None:
-            bucket = self._add_bucket(key)
+            bucket = self.buckets[key] = Bucket(key)
+            self.lanes.add(bucket, key.lane)
         entry = Entry(bucket, job, since_unix_ms, indices)
         bucket.entries[entry.sort_key()] = entry
+        self.lanes.note_moved(bucket)
         job.entries.append(entry)
 
-    def _add_bucket(self, key: BucketKey) -> Bucket:
-        fit = self.fits.get(key.size)
-        if fit is None:
-            fit = self.fits[key.size] = SizeFit()
-        fit.buckets += 1
-        bucket = self.buckets[key] = Bucket(key, fit)
-        return bucket
-
     def _drop_entries(self, job: JobState) -> None:
         for entry in job.entries:
             self._drop_entry(entry)
@@ -284,23 +242,21 @@
     def _drop_entry(self, entry: Entry) -> None:
         bucket = entry.bucket
         del bucket.entries[entry.sort_key()]
+        self.lanes.note_moved(bucket)
         if not bucket.entries:
             del self.buckets[bucket.key]
-            bucket.fit.buckets -= 1
-            if bucket.fit.buckets == 0:
-                del self.fits[bucket.key.size]
 
 
 def _bucket_key(job: JobState, avoid: frozenset[WorkerId]) -> BucketKey:
     spec = job.spec
-    return BucketKey(
-        spec.team,
+    lane = LaneKey(
         spec.class_name,
         spec.wait_target_ms,
         spec.task_resources,
         spec.run_time_ms,
-        spec.restart.value == "allowed",
+        spec.restart is RestartPolicy.ALLOWED,
         job.is_service,
         avoid,
-        spec.job_id if job.is_gang else None,
+        job.is_gang,
     )
+    return BucketKey(spec.team, lane, spec.job_id if job.is_gang else None)
