--- a/basilhold/benchmarks/placement_probes.py
+++ b/basilhold/benchmarks/placement_probes.py
@@ -33,7 +33,7 @@
         One entry per placement: the pass's time divided by its placements. A pass
         without placements counts as one entry.
     single_s : list of float
-        Times of passes limited to one placement.
+        Times of passes limited to one placement, after at most one task ended.
     placements : int
     total_s : float
         Time of all calls into the planner, with confirmations and updates.
@@ -121,15 +121,17 @@
             times.total_s += cell.end(max(1, workers // 20), chosen)
             if number % 4 == 0:
                 cell.submit(max(4, workers // 5))
-        single = number % 4 == 3
-        if not _timed_pass(cell, times, _LIMIT, single) and not full:
+        if not _timed_pass(cell, times, single=False) and not full:
             break
+        if full:
+            times.total_s += cell.end(1, chosen)
+        _timed_pass(cell, times, single=True)
     return times
 
 
-def _timed_pass(cell: _Cell, times: DecisionTimes, limit: int, single: bool) -> int:
+def _timed_pass(cell: _Cell, times: DecisionTimes, single: bool) -> int:
     begin = time.perf_counter()
-    plan = cell.planner.plan(_NOW_MS, 1 if single else limit)
+    plan = cell.planner.plan(_NOW_MS, 1 if single else _LIMIT)
     spent = time.perf_counter() - begin
     count = len(plan.placements)
     begin = time.perf_counter()
--- a/basilhold/placement/lanes.py
+++ b/basilhold/placement/lanes.py
@@ -1,5 +1,7 @@
 """Buckets that differ only by team or gang, in order of age."""
 
+import heapq
+from collections.abc import Callable, Iterator
 from typing import TYPE_CHECKING, NamedTuple
 
 from sortedcontainers import SortedList
@@ -70,14 +72,18 @@
         "failed_tasks",
         "fit",
         "key",
+        "number",
         "order",
+        "position",
         "starves_unix_ms",
         "urgent",
     )
 
-    def __init__(self, key: LaneKey, fit: SizeFit):
+    def __init__(self, key: LaneKey, fit: SizeFit, number: int):
         self.key = key
         self.fit = fit
+        self.number = number
+        self.position: tuple | None = None
         self.urgent = key.wait_target_ms <= URGENT_TARGET_MS
         self.order: SortedList = SortedList()
         self.blocked_at = -1
@@ -96,6 +102,7 @@
     def __init__(self):
         self.lanes: dict[LaneKey, Lane] = {}
         self.fits: dict[Resources, SizeFit] = {}
+        self.by_target: dict[int, SortedList] = {}
         self._moved: dict[int, Bucket] = {}
         self._count = 0
 
@@ -107,7 +114,8 @@
             if fit is None:
                 fit = self.fits[key.size] = SizeFit()
             fit.lanes += 1
-            lane = self.lanes[key] = Lane(key, fit)
+            self._count += 1
+            lane = self.lanes[key] = Lane(key, fit, self._count)
         self._count += 1
         bucket.number = self._count
         bucket.lane = lane
@@ -135,10 +143,53 @@
                 bucket.position = position
         # A lane goes only once all its buckets have moved: one may empty as one comes.
         for lane in {id(b.lane): b.lane for b in self._moved.values()}.values():
+            self._place(lane)
             if not lane.order:
                 self._remove(lane)
         self._moved.clear()
 
+    def walk(
+        self, target_ms: int, is_blocked: Callable[[Lane], bool]
+    ) -> Iterator["Bucket"]:
+        """Yield the buckets of one target wait by age, without the blocked lanes.
+
+        Lanes are opened only as far as the caller gets, and left when they become
+        blocked.
+        """
+        lanes = iter(self.by_target[target_ms])
+        heap: list[tuple] = []
+        following = next(lanes, None)
+        while heap or following is not None:
+            while following is not None and (not heap or following[0] <= heap[0][0]):
+                lane = following[2]
+                if not is_blocked(lane):
+                    buckets = iter(lane.order)
+                    heapq.heappush(heap, (*next(buckets), buckets))
+                following = next(lanes, None)
+            if not heap:
+                return
+            _, _, bucket, buckets = heap[0]
+            rest = None if is_blocked(bucket.lane) else next(buckets, None)
+            if rest is None:
+                heapq.heappop(heap)
+            else:
+                heapq.heapreplace(heap, (*rest, buckets))
+            yield bucket
+
+    def _place(self, lane: Lane) -> None:
+        """Bring a lane's position among the lanes of its target up to date."""
+        position = (lane.order[0][0], lane.number, lane) if lane.order else None
+        if position == lane.position:
+            return
+        target = lane.key.wait_target_ms
+        if lane.position is not None:
+            self.by_target[target].remove(lane.position)
+        if position is not None:
+            self.by_target.setdefault(target, SortedList()).add(position)
+        elif not self.by_target[target]:
+            del self.by_target[target]
+        lane.position = position
+
     def _remove(self, lane: Lane) -> None:
         del self.lanes[lane.key]
         lane.fit.lanes -= 1
--- a/basilhold/placement/planning_pass.py
+++ b/basilhold/placement/planning_pass.py
@@ -1,14 +1,14 @@
 """One pass over the waiting work of a shard."""
 
 import heapq
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterator
 from enum import Enum
 
 from basilhold.core import make_task_id
 from basilhold.placement.claims import ClaimBook
 from basilhold.placement.gang_turns import GangTurns
 from basilhold.placement.gangs import gather_gang
-from basilhold.placement.lanes import Lane
+from basilhold.placement.lanes import URGENT_TARGET_MS, Lane
 from basilhold.placement.plan import Eviction, Placement, Plan
 from basilhold.placement.selection import choose_worker, open_probe
 from basilhold.placement.shard_state import ShardState
@@ -72,29 +72,34 @@
         """Return the placements and evictions of this pass."""
         self._place_claimed()
         self._state.unblock_sizes()
-        lanes = self._state.queue.lanes.lanes.values()
-        self._drain(self._walks(lanes, urgent=True), _Group.URGENT)
+        targets = list(self._state.queue.lanes.by_target)
+        urgent = [target for target in targets if target <= URGENT_TARGET_MS]
+        others = [target for target in targets if target > URGENT_TARGET_MS]
+        self._drain(self._walks(urgent), _Group.URGENT)
         starving, self._starving = self._starving, []
-        walks = self._walks(lanes, urgent=False)
-        self._drain([*walks, *self._items(starving)], _Group.WITHIN)
+        items = [*self._walks(others), *self._items(starving)]
+        self._drain(items, _Group.WITHIN)
         deferred, self._deferred = self._deferred, []
         self._drain(self._items(deferred), _Group.ABOVE)
         return Plan(tuple(self._placements), tuple(self._evictions))
 
-    def _walks(self, lanes: Iterable[Lane], urgent: bool) -> list[_HeapItem]:
-        """Return one heap item per lane that is not blocked, for its first bucket."""
+    def _walks(self, targets: list[int]) -> list[_HeapItem]:
+        """Return one heap item per target wait, for its oldest bucket."""
         items = []
-        for lane in lanes:
-            if lane.urgent is urgent and lane.order and not self._is_blocked(lane):
-                walk = iter(lane.order)
-                bucket = next(walk)[2]
-                items.append(self._item(bucket, walk))
+        for target in targets:
+            walk = self._state.queue.lanes.walk(target, self._is_blocked)
+            self._push_next(items, walk)
         return items
 
+    def _push_next(self, heap: list[_HeapItem], walk: Iterator[Bucket]) -> None:
+        bucket = next(walk, None)
+        if bucket is not None:
+            heapq.heappush(heap, self._item(bucket, walk))
+
     def _items(self, buckets: list[Bucket]) -> list[_HeapItem]:
         return [self._item(bucket, None) for bucket in buckets if bucket.entries]
 
-    def _item(self, bucket: Bucket, walk: Iterator | None) -> _HeapItem:
+    def _item(self, bucket: Bucket, walk: Iterator[Bucket] | None) -> _HeapItem:
         self._sequence += 1
         # A bucket that a claim has emptied keeps its place until the walk passes it.
         ratio = bucket.ratio(self._now) if bucket.entries else _PASS_AT_ONCE
@@ -105,22 +110,24 @@
         heapq.heapify(heap)
         while heap and len(self._placements) < self._limit:
             _, _, bucket, walk = heapq.heappop(heap)
-            if walk is not None and not self._is_blocked(bucket.lane):
-                following = next(walk, None)
-                if following is not None:
-                    heapq.heappush(heap, self._item(following[2], walk))
-            if not bucket.entries:
-                continue
-            ratio = bucket.ratio(self._now)
-            if group is not _Group.ABOVE and not self._is_within(bucket):
-                if ratio <= STARVING_RATIO:
-                    self._deferred.append(bucket)
-                    continue
-                if group is _Group.URGENT:
-                    self._starving.append(bucket)
-                    continue
-            if self._serve(bucket, group, ratio) and bucket.entries:
-                heapq.heappush(heap, self._item(bucket, None))
+            if bucket.entries and self._is_due(bucket, group):
+                ratio = bucket.ratio(self._now)
+                if self._serve(bucket, group, ratio) and bucket.entries:
+                    heapq.heappush(heap, self._item(bucket, None))
+            if walk is not None:
+                self._push_next(heap, walk)
+
+    def _is_due(self, bucket: Bucket, group: _Group) -> bool:
+        """Return whether to serve a bucket now, and else keep it for a later group."""
+        if group is _Group.ABOVE or self._is_within(bucket):
+            return True
+        if bucket.ratio(self._now) <= STARVING_RATIO:
+            self._deferred.append(bucket)
+            return False
+        if group is _Group.URGENT:
+            self._starving.append(bucket)
+            return False
+        return True
 
     def _is_within(self, bucket: Bucket) -> bool:
         return self._state.teams.is_within(bucket.key.team, bucket.demand())
--- a/basilhold/placement/target_planner.py
+++ b/basilhold/placement/target_planner.py
@@ -96,6 +96,7 @@
         overuse = self._overuse.take_evictions()
         run = PlanningPass(state, self._claims, self._gangs, limit)
         plan = run.run()
+        state.queue.lanes.settle()
         return Plan(plan.placements, (*overuse, *plan.evictions))
 
     def confirm(self, placements: tuple[Placement, ...]) -> None:
