--- a/basilhold/benchmarks/placement_loop.py
+++ b/basilhold/benchmarks/placement_loop.py
@@ -14,6 +14,7 @@
     JobId,
     JobRecord,
     Resources,
+    RestartPolicy,
     TaskId,
     TaskState,
     WorkerId,
@@ -48,7 +49,7 @@
     victims, urgent_starts : int
     packing : Resources
         Mean committed amounts, in thousandths of the capacity, in `cores_milli`,
-        `memory_bytes` and `gpus_milli`.
+        `memory_bytes` and `gpus_milli`; see `packing_shares`.
     gangs_partial : int
         Gangs that started in part.
     """
@@ -60,6 +61,16 @@
     packing: Resources
     gangs_partial: int
 
+    def mean_met(self) -> float:
+        """Return the mean over classes of the share that met its target."""
+        return sum(self.met.values()) / len(self.met)
+
+    def mean_packing(self) -> float:
+        """Return the mean of the committed shares of cores, memory and GPUs."""
+        packing = self.packing
+        total = packing.cores_milli + packing.memory_bytes + packing.gpus_milli
+        return total / 3_000
+
 
 class _Running(msgspec.Struct):
     placement: Placement
@@ -219,6 +230,9 @@
 
     def _evict(self, running: _Running, eviction: Eviction, now: int) -> None:
         placement = running.placement
+        spec = self._jobs[split_task_id(placement.task_id)[0]].spec
+        assert spec.restart is RestartPolicy.ALLOWED, eviction
+        assert spec.class_name != "urgent", eviction
         if eviction.action is EvictionAction.THROTTLE:
             self._throttle(running, eviction.cores_limit_milli, now)
             return
--- /dev/null
+++ b/basilhold/benchmarks/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests with fixed seeds of the figures that are counts or ratios."""
--- a/basilhold/placement/lanes.py
+++ b/basilhold/placement/lanes.py
@@ -132,7 +132,7 @@
     def settle(self) -> None:
         """Bring the order of the noted buckets up to date."""
         for bucket in self._moved.values():
-            since = bucket.entries.peekitem(0)[0][0] if bucket.entries else None
+            since = bucket.head().since_unix_ms if bucket.count else None
             position = None if since is None else (since, bucket.number, bucket)
             lane = bucket.lane
             if bucket.position != position:
--- a/basilhold/placement/overuse.py
+++ b/basilhold/placement/overuse.py
@@ -45,9 +45,17 @@
                 self._inspect_task(live, memory_short)
 
     def take_evictions(self) -> tuple[Eviction, ...]:
-        """Return the evictions found since the last call."""
-        found, self._evictions = tuple(self._evictions), []
-        return found
+        """Return the evictions found since the last call that still apply."""
+        found, self._evictions = self._evictions, []
+        return tuple(eviction for eviction in found if self._is_current(eviction))
+
+    def _is_current(self, eviction: Eviction) -> bool:
+        live = self._state.tasks.get(eviction.task_id)
+        return (
+            live is not None
+            and live.attempt == eviction.attempt
+            and live.worker_id == eviction.worker_id
+        )
 
     def _inspect_task(self, live: LiveTask, memory_short: bool) -> None:
         now = self._state.now_unix_ms
--- a/basilhold/placement/planning_pass.py
+++ b/basilhold/placement/planning_pass.py
@@ -97,12 +97,12 @@
             heapq.heappush(heap, self._item(bucket, walk))
 
     def _items(self, buckets: list[Bucket]) -> list[_HeapItem]:
-        return [self._item(bucket, None) for bucket in buckets if bucket.entries]
+        return [self._item(bucket, None) for bucket in buckets if bucket.count]
 
     def _item(self, bucket: Bucket, walk: Iterator[Bucket] | None) -> _HeapItem:
         self._sequence += 1
         # A bucket that a claim has emptied keeps its place until the walk passes it.
-        ratio = bucket.ratio(self._now) if bucket.entries else _PASS_AT_ONCE
+        ratio = bucket.ratio(self._now) if bucket.count else _PASS_AT_ONCE
         return (-ratio, self._sequence, bucket, walk)
 
     def _drain(self, heap: list[_HeapItem], group: _Group) -> None:
@@ -110,9 +110,9 @@
         heapq.heapify(heap)
         while heap and len(self._placements) < self._limit:
             _, _, bucket, walk = heapq.heappop(heap)
-            if bucket.entries and self._is_due(bucket, group):
+            if bucket.count and self._is_due(bucket, group):
                 ratio = bucket.ratio(self._now)
-                if self._serve(bucket, group, ratio) and bucket.entries:
+                if self._serve(bucket, group, ratio) and bucket.count:
                     heapq.heappush(heap, self._item(bucket, None))
             if walk is not None:
                 self._push_next(heap, walk)
@@ -202,7 +202,7 @@
         if self._claims:
             self._claims.drop(make_task_id(job.spec.job_id, index))
         self._placements.append(state.hold(job, index, worker))
-        if gpu_bucket is not None and not gpu_bucket.entries:
+        if gpu_bucket is not None and gpu_bucket.count == 0:
             state.update_gpu_wait()
 
     def _place_claimed(self) -> None:
@@ -214,7 +214,7 @@
 
     def _reclaim_for(self, bucket: Bucket, above_quota: bool) -> None:
         """Seek victims for the bucket's tasks until one task finds none."""
-        for entry in list(bucket.entries.values()):
+        for entry in bucket.ordered():
             for index in reversed(list(entry.indices)):
                 if make_task_id(entry.job.spec.job_id, index) in self._claims:
                     continue
--- a/basilhold/placement/tests/test_reclaim.py
+++ b/basilhold/placement/tests/test_reclaim.py
@@ -132,6 +132,13 @@
         self.assertEqual(found, [(EvictionAction.THROTTLE, 2000)])
         self.assertEqual(self.evictions_after(shard, size(6, 1)), [])
 
+    def test_task_that_has_ended_since_its_report_is_not_evicted(self):
+        shard = self.shard_with()
+        report = TaskReport("t#0", 1, True, None, size(1, 5))
+        shard.planner.record_usage("w1", (report,), 20_000)
+        shard.end("t#0")
+        self.assertEqual(shard.plan(20_000).evictions, ())
+
     def test_memory_above_the_declaration_is_checkpointed_or_stopped(self):
         found = self.evictions_after(self.shard_with(checkpoint=True), size(1, 5))
         self.assertEqual(found, [(EvictionAction.CHECKPOINT, 0)])
--- a/basilhold/placement/waiting.py
+++ b/basilhold/placement/waiting.py
@@ -1,10 +1,9 @@
 """Waiting jobs, grouped into buckets of identical tasks."""
 
+import heapq
 from collections.abc import Iterator
 from typing import TYPE_CHECKING, NamedTuple
 
-from sortedcontainers import SortedDict
-
 from basilhold.core import (
     ClassKind,
     JobId,
@@ -92,7 +91,7 @@
 class Entry:
     """Waiting tasks of one job in one bucket, the lowest index last."""
 
-    __slots__ = ("bucket", "indices", "job", "since_unix_ms")
+    __slots__ = ("bucket", "dropped", "indices", "job", "since_unix_ms")
 
     def __init__(
         self, bucket: "Bucket", job: JobState, since_unix_ms: int, indices: list[int]
@@ -101,33 +100,64 @@
         self.job = job
         self.since_unix_ms = since_unix_ms
         self.indices = indices
+        self.dropped = False
 
-    def sort_key(self) -> tuple[int, JobId]:
-        """Return the position in the bucket: first come, first served."""
-        return (self.since_unix_ms, self.job.spec.job_id)
+    def __lt__(self, other: "Entry") -> bool:
+        """Return whether this entry comes first: first come, first served."""
+        if self.since_unix_ms != other.since_unix_ms:
+            return self.since_unix_ms < other.since_unix_ms
+        return self.job.spec.job_id < other.job.spec.job_id
 
 
 class Bucket:
     """Interchangeable waiting tasks, ordered by age."""
 
-    __slots__ = ("entries", "key", "lane", "number", "position", "reserve_unix_ms")
+    __slots__ = (
+        "_heap",
+        "count",
+        "key",
+        "lane",
+        "number",
+        "position",
+        "reserve_unix_ms",
+    )
 
     def __init__(self, key: BucketKey):
         self.key = key
-        self.entries: SortedDict = SortedDict()
+        self.count = 0
         self.lane: Lane | None = None
         self.number = 0
         self.position: tuple | None = None
         self.reserve_unix_ms = 0
+        self._heap: list[Entry] = []
+
+    def add(self, entry: Entry) -> None:
+        """Add an entry."""
+        self.count += 1
+        heapq.heappush(self._heap, entry)
+
+    def drop(self, entry: Entry) -> None:
+        """Remove an entry, in constant time unless many have been removed."""
+        self.count -= 1
+        entry.dropped = True
+        if len(self._heap) > 2 * self.count + 8:
+            self._heap = [e for e in self._heap if not e.dropped]
+            heapq.heapify(self._heap)
 
     def head(self) -> Entry:
         """Return the entry that has waited longest."""
-        return self.entries.peekitem(0)[1]
+        while self._heap[0].dropped:
+            heapq.heappop(self._heap)
+        return self._heap[0]
+
+    def ordered(self) -> list[Entry]:
+        """Return all entries, the one that has waited longest first."""
+        return sorted(entry for entry in self._heap if not entry.dropped)
 
     def ratio(self, now_unix_ms: int) -> float:
         """Return the time waited divided by the target wait."""
-        since = self.entries.peekitem(0)[0][0]
-        return (now_unix_ms - since) / max(1, self.lane.key.wait_target_ms)
+        waited_ms = now_unix_ms - self.head().since_unix_ms
+        return waited_ms / max(1, self.lane.key.wait_target_ms)
 
     def demand(self) -> Resources:
         """Return what the next decision about this bucket needs in total."""
@@ -193,7 +223,7 @@
     def gpu_sizes(self) -> Iterator[Resources]:
         """Yield the sizes of waiting tasks that need GPUs."""
         for lane in self.lanes.lanes.values():
-            if lane.key.size.gpus_milli and any(b.entries for _, _, b in lane.order):
+            if lane.key.size.gpus_milli and any(b.count for _, _, b in lane.order):
                 yield lane.key.size
 
     def _build_entries(self, job: JobState) -> None:
@@ -230,7 +260,7 @@
             bucket = self.buckets[key] = Bucket(key)
             self.lanes.add(bucket, key.lane)
         entry = Entry(bucket, job, since_unix_ms, indices)
-        bucket.entries[entry.sort_key()] = entry
+        bucket.add(entry)
         self.lanes.note_moved(bucket)
         job.entries.append(entry)
 
@@ -241,9 +271,9 @@
 
     def _drop_entry(self, entry: Entry) -> None:
         bucket = entry.bucket
-        del bucket.entries[entry.sort_key()]
+        bucket.drop(entry)
         self.lanes.note_moved(bucket)
-        if not bucket.entries:
+        if bucket.count == 0:
             del self.buckets[bucket.key]
 
 
