--- a/basilhold/placement/claims.py
+++ b/basilhold/placement/claims.py
@@ -136,7 +136,7 @@
 
     def _candidates(self, key: LaneKey) -> Iterator[WorkerState]:
         state, size = self._state, key.size
-        gpu_shapes = state.may_need_gpu_workers(size)
+        gpu_shapes = state.shapes.needs_gpu_workers(size)
         seen: set[WorkerId] = set(key.avoid)
         feasible = islice(
             state.reclaim_index.fitting(size, gpu_shapes), _FEASIBLE_MAX + len(seen)
@@ -156,7 +156,7 @@
     def _newest_workers(self) -> Iterator[WorkerState]:
         state = self._state
         above, within = [], []
-        for team, tasks in state.newest.items():
+        for team, tasks in state.newest.by_team():
             if state.teams.is_within(team):
                 within.append(islice(tasks, _NEWEST_MAX))
             else:
--- a/basilhold/placement/explain.py
+++ b/basilhold/placement/explain.py
@@ -72,7 +72,7 @@
 ) -> str:
     spec = job.spec
     size = spec.task_resources
-    if not state.could_run(size):
+    if not state.shapes.could_run(size):
         return "no worker of the shard could run a task of this size even when empty"
     if any(
         make_task_id(spec.job_id, index) in claims
--- a/basilhold/placement/gang_turns.py
+++ b/basilhold/placement/gang_turns.py
@@ -109,7 +109,7 @@
         state = self._state
         self._computed_unix_ms = state.now_unix_ms
         workers = state.workers.values()
-        if not state.may_need_gpu_workers(bucket.lane.key.size):
+        if not state.shapes.needs_gpu_workers(bucket.lane.key.size):
             # GPU workers may refuse the gang at any time, however much they have free.
             workers = [w for w in workers if w.capacity.gpus_milli == 0]
         return reserve(
--- a/basilhold/placement/shard_state.py
+++ b/basilhold/placement/shard_state.py
@@ -1,9 +1,5 @@
 """Workers, live tasks and waiting jobs of one shard."""
 
-from collections import Counter
-
-from sortedcontainers import SortedList
-
 from basilhold.core import (
     Assignment,
     InvariantError,
@@ -11,7 +7,6 @@
     JobRecord,
     Resources,
     TaskId,
-    TeamName,
     WorkerId,
     WorkerRecord,
     make_task_id,
@@ -19,8 +14,10 @@
 )
 from basilhold.placement.estimates import ClassEstimates
 from basilhold.placement.gpu_guard import GpuGuard
+from basilhold.placement.newest import NewestTasks
 from basilhold.placement.plan import Placement
 from basilhold.placement.quotas import TeamLedger
+from basilhold.placement.shapes import WorkerShapes
 from basilhold.placement.waiting import JobState, WaitingQueue
 from basilhold.placement.worker_index import WorkerIndex
 from basilhold.placement.workers import LiveTask, WorkerState
@@ -45,8 +42,8 @@
         self.free_index = WorkerIndex()
         self.reclaim_index = WorkerIndex()
         self.quarantined: set[WorkerId] = set()
-        self.newest: dict[TeamName, SortedList] = {}
-        self.shapes: Counter[Resources] = Counter()
+        self.newest = NewestTasks()
+        self.shapes = WorkerShapes()
         self.releases = 0
         self.backfill_version = 0
         self.probe_is_due = False
@@ -60,7 +57,7 @@
         worker = self.workers.get(record.worker_id)
         if worker is None:
             worker = self.workers[record.worker_id] = WorkerState(record)
-            self.shapes[record.capacity] += 1
+            self.shapes.add(record.capacity)
             for live in self._unplaced_holds.pop(record.worker_id, []):
                 if self.tasks.get(live.task_id) is live:
                     self._attach(live, worker)
@@ -70,8 +67,8 @@
         if worker.capacity != record.capacity:
             worker.take(worker.capacity)
             worker.give_back(record.capacity)
-            self._uncount_shape(worker.capacity)
-            self.shapes[record.capacity] += 1
+            self.shapes.remove(worker.capacity)
+            self.shapes.add(record.capacity)
             worker.capacity = record.capacity
         self._note_quarantine(worker, record.quarantined_until_unix_ms)
         named = {assignment.task_id for assignment in record.assignments}
@@ -93,7 +90,7 @@
         worker = self.workers.pop(worker_id, None)
         if worker is None:
             return
-        self._uncount_shape(worker.capacity)
+        self.shapes.remove(worker.capacity)
         self.quarantined.discard(worker_id)
         self.free_index.discard(worker_id)
         self.reclaim_index.discard(worker_id)
@@ -199,8 +196,7 @@
 
     def note_checkpoint(self, live: LiveTask, checkpoint_unix_ms: int) -> None:
         """Record that work up to a time is safe."""
-        if live.newest_key is not None:
-            self._unlist_newest(live)
+        self.newest.remove(live)
         live.checkpoint_unix_ms = checkpoint_unix_ms
         self._recount(live)
 
@@ -278,7 +274,7 @@
 
     def update_gpu_wait(self) -> None:
         """Note whether GPU work waits that some worker could run."""
-        waits = any(self.could_run(size) for size in self.queue.gpu_sizes())
+        waits = any(self.shapes.could_run(size) for size in self.queue.gpu_sizes())
         if waits != self.gpu_guard.gpu_work_waits:
             self.gpu_guard.gpu_work_waits = waits
             self.releases += 1
@@ -286,22 +282,6 @@
                 if size.gpus_milli == 0:
                     fit.unblock()
 
-    def could_run(self, size: Resources) -> bool:
-        """Return whether any worker could run a task of this size when empty."""
-        return any(size.fits_in(capacity) for capacity in self.shapes)
-
-    def may_need_gpu_workers(self, size: Resources) -> bool:
-        """Return whether only workers with GPUs could run a task of this size."""
-        return size.gpus_milli > 0 or not any(
-            size.fits_in(capacity) and capacity.gpus_milli == 0
-            for capacity in self.shapes
-        )
-
-    def _uncount_shape(self, capacity: Resources) -> None:
-        self.shapes[capacity] -= 1
-        if self.shapes[capacity] == 0:
-            del self.shapes[capacity]
-
     def _note_quarantine(self, worker: WorkerState, until_unix_ms: int) -> None:
         worker.quarantined_until_unix_ms = until_unix_ms
         if until_unix_ms:
@@ -385,8 +365,7 @@
 
     def _forget(self, live: LiveTask, requeued: bool) -> None:
         del self.tasks[live.task_id]
-        if live.newest_key is not None:
-            self._unlist_newest(live)
+        self.newest.remove(live)
         job = live.job
         orphans = self._orphans.get(split_task_id(live.task_id)[0])
         if orphans is not None and orphans.get(live.index) is live:
@@ -415,25 +394,4 @@
         worker = self.workers.get(live.worker_id)
         if worker is not None:
             worker.count_reclaimable(live)
-        if live.reclaimable == (live.newest_key is not None):
-            return
-        if live.reclaimable:
-            self._list_newest(live)
-        else:
-            self._unlist_newest(live)
-
-    def _list_newest(self, live: LiveTask) -> None:
-        live.newest_team = live.job.spec.team
-        since = max(live.started_unix_ms, live.checkpoint_unix_ms)
-        live.newest_key = (-since, live.task_id)
-        tasks = self.newest.get(live.newest_team)
-        if tasks is None:
-            tasks = self.newest[live.newest_team] = SortedList()
-        tasks.add(live.newest_key)
-
-    def _unlist_newest(self, live: LiveTask) -> None:
-        tasks = self.newest[live.newest_team]
-        tasks.remove(live.newest_key)
-        live.newest_key = None
-        if not tasks:
-            del self.newest[live.newest_team]
+        self.newest.update(live)
