--- a/basilhold/benchmarks/placement_probes.py
+++ b/basilhold/benchmarks/placement_probes.py
@@ -123,7 +123,7 @@
     """
     cell = _Cell(planner, deployment, seed=7)
     workers = len(cell.rows)
-    cell.submit(workers * (16 if full else 8))
+    cell.submit(workers * (40 if full else 8))
     chosen = random.Random(7)
     times = DecisionTimes([], [])
     if full:
--- a/basilhold/placement/gangs.py
+++ b/basilhold/placement/gangs.py
@@ -10,6 +10,8 @@
 
 __all__ = ["gather_gang", "slots_of"]
 
+_SLOTS_MAX = 1 << 20
+
 _SURPLUS = 4
 """Slots are collected up to this multiple of the gang's size before racks are chosen,
 which bounds the search on an empty shard."""
@@ -23,16 +25,14 @@
     >>> slots_of(Resources(4000, 8, 0), Resources(1000, 4, 0))
     2
     """
-    return min(
-        have // need
-        for have, need in (
-            (free.cores_milli, size.cores_milli),
-            (free.memory_bytes, size.memory_bytes),
-            (free.gpus_milli, size.gpus_milli),
-            (1 << 20, 1),
-        )
-        if need > 0
-    )
+    slots = _SLOTS_MAX
+    if size.cores_milli:
+        slots = min(slots, free.cores_milli // size.cores_milli)
+    if size.memory_bytes:
+        slots = min(slots, free.memory_bytes // size.memory_bytes)
+    if size.gpus_milli:
+        slots = min(slots, free.gpus_milli // size.gpus_milli)
+    return slots
 
 
 def gather_gang(
--- a/basilhold/placement/reservation.py
+++ b/basilhold/placement/reservation.py
@@ -1,5 +1,6 @@
 """Reservation of capacity for one gang, and backfill around it."""
 
+import heapq
 from collections.abc import Iterable
 
 from basilhold.core import JobId, Resources, WorkerId
@@ -14,6 +15,12 @@
 """A task past its expected end is expected to run this share of its age longer."""
 
 
+_WORKERS_MIN = 32
+_WORKERS_PER_TASK = 2
+"""Bound on the workers whose live tasks a reservation looks at, which keeps the pass
+short on a large shard: a fixed number, and some more per task of the gang."""
+
+
 class Reservation:
     """Workers that a gang is expected to start on.
 
@@ -102,17 +109,9 @@
     It is ``None`` if too few of the tasks that run now have a known end.
     """
     events: list[tuple[int, WorkerId, int]] = []
-    states: dict[WorkerId, WorkerState] = {}
-    for worker in workers:
-        if (
-            worker.schedulable
-            and worker.quarantined_until_unix_ms == 0
-            and worker.claims == 0
-            and worker.worker_id not in key.avoid
-            and key.size.fits_in(worker.capacity)
-        ):
-            states[worker.worker_id] = worker
-            events.extend(_slot_events(worker, key.size, estimates, now_unix_ms))
+    states = {w.worker_id: w for w in _most_free(workers, key, count)}
+    for worker in states.values():
+        events.extend(_slot_events(worker, key.size, estimates, now_unix_ms))
     events.sort()
     taken: dict[WorkerId, int] = {}
     missing = count
@@ -131,6 +130,34 @@
     return None
 
 
+def _most_free(
+    workers: Iterable[WorkerState], key: LaneKey, count: int
+) -> list[WorkerState]:
+    """Return the workers that need the least more to run a task of the gang."""
+    size = key.size
+    usable = [
+        worker
+        for worker in workers
+        if worker.schedulable
+        and worker.quarantined_until_unix_ms == 0
+        and worker.claims == 0
+        and worker.worker_id not in key.avoid
+        and size.fits_in(worker.capacity)
+    ]
+    bound = _WORKERS_MIN + _WORKERS_PER_TASK * count
+    if len(usable) <= bound:
+        return usable
+
+    def free_share(worker: WorkerState) -> float:
+        return min(
+            worker.free_cores_milli / max(1, size.cores_milli),
+            worker.free_memory_bytes / max(1, size.memory_bytes),
+            worker.free_gpus_milli / size.gpus_milli if size.gpus_milli else 1e9,
+        )
+
+    return heapq.nlargest(bound, usable, key=free_share)
+
+
 def _slot_events(
     worker: WorkerState, size: Resources, estimates: ClassEstimates, now_unix_ms: int
 ) -> list[tuple[int, WorkerId, int]]:
