--- a/basilhold/benchmarks/placement_probes.py
+++ b/basilhold/benchmarks/placement_probes.py
@@ -14,9 +14,16 @@
     TaskId,
     TaskState,
     WorkerId,
+    WorkerRecord,
     split_task_id,
 )
-from basilhold.placement import Placement, Planner, TargetPlanner
+from basilhold.placement import (
+    Eviction,
+    EvictionAction,
+    Placement,
+    Planner,
+    TargetPlanner,
+)
 
 __all__ = [
     "DecisionTimes",
@@ -28,6 +35,7 @@
 
 _NOW_MS = 10_000_000
 _LIMIT = 200
+_FULL = 0.95
 
 
 class DecisionTimes(msgspec.Struct):
@@ -35,9 +43,9 @@
 
     Parameters
     ----------
-    per_placement_s : list of float
-        One entry per placement: the pass's time divided by its placements. A pass
-        without placements counts as one entry.
+    decision_s : list of float
+        One entry per decision, which is a placement or a choice of victims: the
+        pass's time divided by its decisions. A pass without any counts as one entry.
     single_s : list of float
         Times of passes limited to one placement, after at most one task ended.
     placements : int
@@ -46,10 +54,10 @@
         those around passes limited to one placement.
     longest_pass_s : float
     filled : float
-        Share of the cores of plain workers that is committed before the first pass.
+        Share of the cores of plain workers that is committed once nothing more fits.
     """
 
-    per_placement_s: list[float] = []
+    decision_s: list[float] = []
     single_s: list[float] = []
     placements: int = 0
     total_s: float = 0.0
@@ -57,8 +65,8 @@
     filled: float = 0.0
 
     def quantile_ms(self, quantile: float) -> float:
-        """Return a quantile of the time per placement, in milliseconds."""
-        return _quantile_ms(self.per_placement_s, quantile)
+        """Return a quantile of the time per decision, in milliseconds."""
+        return _quantile_ms(self.decision_s, quantile)
 
     def single_quantile_ms(self, quantile: float) -> float:
         """Return a quantile of the time of a pass of one placement, in ms."""
@@ -78,6 +86,8 @@
         self.rows = {row.worker_id: row for row in deployment.workers()}
         self.jobs: dict[str, JobRecord] = {}
         self.running: list[tuple[TaskId, WorkerId]] = []
+        self._used_milli = 0
+        self._plain_milli = deployment.plain_count * deployment.plain.cores_milli
         for row in self.rows.values():
             planner.upsert_worker(row, True)
 
@@ -92,34 +102,77 @@
             added = Assignment(
                 placement.task_id, placement.attempt, placement.resources
             )
-            row.assignments = (*row.assignments, added)
+            self._replace(row, (*row.assignments, added))
             self.running.append((placement.task_id, placement.worker_id))
 
-    def end(self, count: int, chosen: random.Random) -> float:
-        """End random tasks and return the time spent in the planner."""
+    def filled(self) -> float:
+        """Return the committed share of the cores of workers without GPUs."""
+        return self._used_milli / self._plain_milli
+
+    def end(self, chosen: random.Random) -> float:
+        """End a random task and return the time spent in the planner."""
+        at = chosen.randrange(len(self.running))
+        self.running[at], self.running[-1] = self.running[-1], self.running[at]
+        task_id, worker_id = self.running.pop()
+        return self._drop(task_id, worker_id, TaskState.SUCCEEDED)
+
+    def evict(self, evictions: tuple[Eviction, ...]) -> float:
+        """Carry out evictions and return the time spent in the planner."""
         spent = 0.0
-        for _ in range(min(count, len(self.running))):
-            at = chosen.randrange(len(self.running))
-            self.running[at], self.running[-1] = self.running[-1], self.running[at]
-            task_id, worker_id = self.running.pop()
-            job_id, index = split_task_id(task_id)
-            record, row = self.jobs[job_id], self.rows[worker_id]
-            record.tasks[index].state = TaskState.SUCCEEDED
-            row.assignments = tuple(a for a in row.assignments if a.task_id != task_id)
-            begin = time.perf_counter()
-            self.planner.upsert_job(record)
-            self.planner.upsert_worker(row, True)
-            spent += time.perf_counter() - begin
+        for eviction in evictions:
+            pair = (eviction.task_id, eviction.worker_id)
+            if eviction.action is EvictionAction.THROTTLE:
+                spent += self._shrink(eviction)
+            elif pair in self.running:
+                self.running.remove(pair)
+                spent += self._drop(*pair, TaskState.PENDING)
         return spent
 
+    def _drop(self, task_id: TaskId, worker_id: WorkerId, state: TaskState) -> float:
+        job_id, index = split_task_id(task_id)
+        record, row = self.jobs[job_id], self.rows[worker_id]
+        record.tasks[index].state = state
+        self._replace(row, tuple(a for a in row.assignments if a.task_id != task_id))
+        begin = time.perf_counter()
+        self.planner.upsert_job(record)
+        self.planner.upsert_worker(row, True)
+        return time.perf_counter() - begin
+
+    def _shrink(self, eviction: Eviction) -> float:
+        row = self.rows[eviction.worker_id]
+        self._replace(
+            row,
+            tuple(
+                msgspec.structs.replace(
+                    a,
+                    resources=msgspec.structs.replace(
+                        a.resources, cores_milli=eviction.cores_limit_milli
+                    ),
+                )
+                if a.task_id == eviction.task_id
+                else a
+                for a in row.assignments
+            ),
+        )
+        begin = time.perf_counter()
+        self.planner.upsert_worker(row, True)
+        return time.perf_counter() - begin
+
+    def _replace(self, row: WorkerRecord, assignments: tuple[Assignment, ...]) -> None:
+        before = row.committed().cores_milli
+        row.assignments = assignments
+        if row.capacity.gpus_milli == 0:
+            self._used_milli += row.committed().cores_milli - before
+
 
 def decision_times(
     planner: Planner, deployment: Deployment, full: bool, passes: int = 60
 ) -> DecisionTimes:
-    """Measure passes on an empty cell, or on one that is kept 95% full.
+    """Measure passes on an empty cell, or on one that is 95% full before each pass.
 
     The full cell is filled until a backlog of several times its size no longer fits;
-    then some tasks end before each pass.
+    then tasks end before each pass until 95% of the cores are committed. Victims give
+    way before the next pass.
     """
     cell = _Cell(planner, deployment, seed=7)
     workers = len(cell.rows)
@@ -128,16 +181,17 @@
     times = DecisionTimes([], [])
     if full:
         _fill(cell)
-        times.filled = packing_shares(cell.rows.values())[0]
+        times.filled = cell.filled()
     for number in range(passes):
         if full:
-            times.total_s += cell.end(max(10, workers // 20), chosen)
+            while cell.filled() > _FULL:
+                times.total_s += cell.end(chosen)
             if number % 4 == 0:
                 cell.submit(max(4, workers // 5))
         if not _timed_pass(cell, times, single=False) and not full:
             break
         if full:
-            cell.end(1, chosen)
+            cell.end(chosen)
         _timed_pass(cell, times, single=True)
     return times
 
@@ -146,20 +200,24 @@
     begin = time.perf_counter()
     plan = cell.planner.plan(_NOW_MS, 1 if single else _LIMIT)
     spent = time.perf_counter() - begin
-    count = len(plan.placements)
     begin = time.perf_counter()
     cell.planner.confirm(plan.placements)
     confirmed = time.perf_counter() - begin
     cell.commit(plan.placements)
+    evicted = cell.evict(plan.evictions)
     times.longest_pass_s = max(times.longest_pass_s, spent)
+    # A choice of victims for an urgent task is a decision too.
+    claims = {e.for_task_id for e in plan.evictions if e.for_task_id}
+    decisions = len(plan.placements) + len(claims)
+    each = spent / max(1, decisions)
     if single:
         # A gang is placed whole, even above the limit.
-        times.single_s.append(spent / max(1, count))
-        return count
-    times.total_s += spent + confirmed
-    times.placements += count
-    times.per_placement_s.extend([spent / max(1, count)] * max(1, count))
-    return count
+        times.single_s.append(each)
+        return decisions
+    times.total_s += spent + confirmed + evicted
+    times.placements += len(plan.placements)
+    times.decision_s.extend([each] * max(1, decisions))
+    return decisions
 
 
 def _fill(cell: _Cell, passes: int = 10_000) -> None:
--- a/basilhold/placement/claims.py
+++ b/basilhold/placement/claims.py
@@ -19,8 +19,8 @@
 _CLAIM_TIMEOUT_MS = 30_000
 """A claim whose victims have not given way by then is dropped, in milliseconds."""
 
-_NEWEST_MAX = 24
-_FEASIBLE_MAX = 8
+_NEWEST_MAX = 16
+_FEASIBLE_MAX = 4
 """Bounds on the workers that are compared per urgent task. The newest tasks lose the
 least work, so the cheapest victims are among the first of each team's list."""
 
--- a/basilhold/placement/gang_turns.py
+++ b/basilhold/placement/gang_turns.py
@@ -24,11 +24,16 @@
         self.reservation: Reservation | None = None
         self._due_unix_ms = 0
         self._computed_unix_ms = 0
+        self._computed_in_pass = False
 
     def consider(self, bucket: Bucket) -> None:
         """Reserve capacity for a gang that does not fit, if no other gang holds any."""
         state = self._state
-        if self.reservation is not None or state.now_unix_ms < bucket.reserve_unix_ms:
+        if (
+            self.reservation is not None
+            or self._computed_in_pass
+            or state.now_unix_ms < bucket.reserve_unix_ms
+        ):
             return
         found = self._compute(bucket)
         if found is None:
@@ -42,8 +47,9 @@
         if self.reservation is not None and self.reservation.job_id == job_id:
             self._drop()
 
-    def expire(self) -> None:
-        """Drop a reservation that is overdue or has lost its gang or a worker."""
+    def begin_pass(self) -> None:
+        """Begin a pass: drop a reservation that is overdue or has lost its gang."""
+        self._computed_in_pass = False
         held = self.reservation
         if held is None:
             return
@@ -108,6 +114,7 @@
     def _compute(self, bucket: Bucket) -> Reservation | None:
         state = self._state
         self._computed_unix_ms = state.now_unix_ms
+        self._computed_in_pass = True
         workers = state.workers.values()
         if not state.shapes.needs_gpu_workers(bucket.lane.key.size):
             # GPU workers may refuse the gang at any time, however much they have free.
--- a/basilhold/placement/target_planner.py
+++ b/basilhold/placement/target_planner.py
@@ -92,7 +92,7 @@
         state.queue.refresh()
         state.wake_quarantined()
         state.update_gpu_wait()
-        self._gangs.expire()
+        self._gangs.begin_pass()
         overuse = self._overuse.take_evictions()
         run = PlanningPass(state, self._claims, self._gangs, limit)
         plan = run.run()
