--- a/basilhold/placement/first_fit.py
+++ b/basilhold/placement/first_fit.py
@@ -76,7 +76,12 @@
     def plan(self, now_unix_ms: int, limit: int) -> Plan:
         """Return up to `limit` placements in arrival order."""
         placements: list[Placement] = []
+        # Free resources only shrink during a plan, so a size that fitted nowhere is
+        # not tried again.
+        too_large: set[Resources] = set()
         for record in self._jobs.values():
+            if record.spec.task_resources in too_large:
+                continue
             for index, task in enumerate(record.tasks):
                 if len(placements) == limit:
                     return Plan(tuple(placements))
@@ -85,6 +90,7 @@
                     continue
                 worker_id = self._first_fit(record.spec.task_resources)
                 if worker_id is None:
+                    too_large.add(record.spec.task_resources)
                     break
                 placements.append(self._hold(record, index, task_id, worker_id))
         return Plan(tuple(placements))
--- a/basilhold/placement/gpu_guard.py
+++ b/basilhold/placement/gpu_guard.py
@@ -24,11 +24,13 @@
         self.gpu_work_waits = False
         self._cores_per_gpu = 0.0
         self._memory_per_gpu = 0.0
+        self._kept_by_capacity: dict[Resources, tuple[float, float]] = {}
 
     def observe(self, size: Resources) -> None:
         """Learn the need per GPU from a submitted job's task size."""
         if size.gpus_milli <= 0:
             return
+        self._kept_by_capacity.clear()
         self._cores_per_gpu = max(
             self._cores_per_gpu * _FADE, size.cores_milli / size.gpus_milli
         )
@@ -49,9 +51,7 @@
             return Resources()
         if starving:
             return worker.free()
-        capacity = worker.capacity
-        cores = self._kept(self._cores_per_gpu, capacity.cores_milli, gpus)
-        memory = self._kept(self._memory_per_gpu, capacity.memory_bytes, gpus)
+        cores, memory = self._kept(worker.capacity)
         free_gpus = worker.free_gpus_milli
         return Resources(
             max(0, int(worker.free_cores_milli - cores * free_gpus)),
@@ -59,9 +59,34 @@
             0,
         )
 
-    @staticmethod
-    def _kept(learned: float, capacity: int, gpus: int) -> float:
-        proportional = capacity / gpus
-        if learned == 0.0:
-            return proportional * _DEFAULT_SHARE
-        return min(proportional, learned)
+    def allows(self, worker: WorkerState, size: Resources, starving: bool) -> bool:
+        """Return whether a task that fits on a GPU worker may run there.
+
+        Like `spare`, without building the amounts.
+        """
+        if self.gpu_work_waits or starving:
+            return not self.gpu_work_waits
+        cores, memory = self._kept(worker.capacity)
+        free_gpus = worker.free_gpus_milli
+        return (
+            worker.free_cores_milli - cores * free_gpus >= size.cores_milli
+            and worker.free_memory_bytes - memory * free_gpus >= size.memory_bytes
+        )
+
+    def _kept(self, capacity: Resources) -> tuple[float, float]:
+        """Return the cores and memory that a worker keeps per free thousandth GPU."""
+        kept = self._kept_by_capacity.get(capacity)
+        if kept is None:
+            gpus = capacity.gpus_milli
+            kept = (
+                _share(self._cores_per_gpu, capacity.cores_milli / gpus),
+                _share(self._memory_per_gpu, capacity.memory_bytes / gpus),
+            )
+            self._kept_by_capacity[capacity] = kept
+        return kept
+
+
+def _share(learned: float, proportional: float) -> float:
+    if learned == 0.0:
+        return proportional * _DEFAULT_SHARE
+    return min(proportional, learned)
--- a/basilhold/placement/selection.py
+++ b/basilhold/placement/selection.py
@@ -30,7 +30,7 @@
         if (
             guarded
             and worker.capacity.gpus_milli
-            and not size.fits_in(state.gpu_guard.spare(worker, starving))
+            and not state.gpu_guard.allows(worker, size, starving)
         ):
             continue
         yield worker
