--- a/basilhold/benchmarks/__init__.py
+++ b/basilhold/benchmarks/__init__.py
@@ -1,1 +1,1 @@
-"""Benchmarks whose bounds are checked by tests."""
+"""Measurements of the program, each beside its bound and a baseline."""
--- a/basilhold/benchmarks/tests/__init__.py
+++ b/basilhold/benchmarks/tests/__init__.py
@@ -1,1 +1,1 @@
-"""Tests of the benchmarks' bounds."""
+"""Tests of `basilhold.benchmarks`."""
--- a/basilhold/placement/claims.py
+++ b/basilhold/placement/claims.py
@@ -7,10 +7,11 @@
 import msgspec
 
 from basilhold.core import Resources, TaskId, WorkerId, make_task_id
+from basilhold.placement.lanes import LaneKey
 from basilhold.placement.plan import Eviction
 from basilhold.placement.shard_state import ShardState
 from basilhold.placement.victims import VictimSet, choose_victims
-from basilhold.placement.waiting import BucketKey, Entry, JobState
+from basilhold.placement.waiting import Entry, JobState
 from basilhold.placement.workers import LiveTask, WorkerState
 
 __all__ = ["Claim", "ClaimBook"]
@@ -18,8 +19,8 @@
 _CLAIM_TIMEOUT_MS = 30_000
 """A claim whose victims have not given way by then is dropped, in milliseconds."""
 
-_NEWEST_MAX = 24
-_FEASIBLE_MAX = 8
+_NEWEST_MAX = 16
+_FEASIBLE_MAX = 4
 """Bounds on the workers that are compared per urgent task. The newest tasks lose the
 least work, so the cheapest victims are among the first of each team's list."""
 
@@ -80,13 +81,13 @@
                 self.drop(claim.task_id)
 
     def reclaim(
-        self, key: BucketKey, entry: Entry, index: int, above_quota: bool
+        self, key: LaneKey, entry: Entry, index: int, above_quota: bool
     ) -> list[Eviction] | None:
         """Choose victims for an urgent task and claim what they give back.
 
         Parameters
         ----------
-        key : BucketKey
+        key : LaneKey
         entry : Entry
         index : int
         above_quota : bool
@@ -133,12 +134,9 @@
             for eviction in victims.evictions
         ]
 
-    def _candidates(self, key: BucketKey) -> Iterator[WorkerState]:
+    def _candidates(self, key: LaneKey) -> Iterator[WorkerState]:
         state, size = self._state, key.size
-        gpu_shapes = size.gpus_milli > 0 or not any(
-            size.fits_in(capacity) and capacity.gpus_milli == 0
-            for capacity in state.shapes
-        )
+        gpu_shapes = state.shapes.needs_gpu_workers(size)
         seen: set[WorkerId] = set(key.avoid)
         feasible = islice(
             state.reclaim_index.fitting(size, gpu_shapes), _FEASIBLE_MAX + len(seen)
@@ -158,7 +156,7 @@
     def _newest_workers(self) -> Iterator[WorkerState]:
         state = self._state
         above, within = [], []
-        for team, tasks in state.newest.items():
+        for team, tasks in state.newest.by_team():
             if state.teams.is_within(team):
                 within.append(islice(tasks, _NEWEST_MAX))
             else:
--- a/basilhold/placement/explain.py
+++ b/basilhold/placement/explain.py
@@ -44,7 +44,7 @@
         return ["unavailable"]
     if worker.quarantined_until_unix_ms:
         return ["quarantined"]
-    if worker.worker_id in entry.bucket.key.avoid:
+    if worker.worker_id in entry.bucket.lane.key.avoid:
         return ["failed here before"]
     free = worker.free()
     lacks = []
@@ -72,7 +72,7 @@
 ) -> str:
     spec = job.spec
     size = spec.task_resources
-    if not state.could_run(size):
+    if not state.shapes.could_run(size):
         return "no worker of the shard could run a task of this size even when empty"
     if any(
         make_task_id(spec.job_id, index) in claims
--- a/basilhold/placement/gangs.py
+++ b/basilhold/placement/gangs.py
@@ -3,13 +3,15 @@
 from collections.abc import Iterable
 
 from basilhold.core import Resources
+from basilhold.placement.lanes import LaneKey
 from basilhold.placement.selection import fitting_workers
 from basilhold.placement.shard_state import ShardState
-from basilhold.placement.waiting import BucketKey
 from basilhold.placement.workers import WorkerState
 
 __all__ = ["gather_gang", "slots_of"]
 
+_SLOTS_MAX = 1 << 20
+
 _SURPLUS = 4
 """Slots are collected up to this multiple of the gang's size before racks are chosen,
 which bounds the search on an empty shard."""
@@ -23,21 +25,19 @@
     >>> slots_of(Resources(4000, 8, 0), Resources(1000, 4, 0))
     2
     """
-    return min(
-        have // need
-        for have, need in (
-            (free.cores_milli, size.cores_milli),
-            (free.memory_bytes, size.memory_bytes),
-            (free.gpus_milli, size.gpus_milli),
-            (1 << 20, 1),
-        )
-        if need > 0
-    )
+    slots = _SLOTS_MAX
+    if size.cores_milli:
+        slots = min(slots, free.cores_milli // size.cores_milli)
+    if size.memory_bytes:
+        slots = min(slots, free.memory_bytes // size.memory_bytes)
+    if size.gpus_milli:
+        slots = min(slots, free.gpus_milli // size.gpus_milli)
+    return slots
 
 
 def gather_gang(
     state: ShardState,
-    key: BucketKey,
+    key: LaneKey,
     count: int,
     reserved: Iterable[WorkerState],
     starving: bool,
@@ -47,8 +47,8 @@
     Parameters
     ----------
     state : ShardState
-    key : BucketKey
-        The gang's bucket.
+    key : LaneKey
+        The gang's lane.
     count : int
         Number of tasks that start together.
     reserved : iterable of WorkerState
@@ -72,7 +72,7 @@
 
 def _candidates(
     state: ShardState,
-    key: BucketKey,
+    key: LaneKey,
     reserved: Iterable[WorkerState],
     starving: bool,
 ) -> Iterable[WorkerState]:
--- a/basilhold/placement/reservation.py
+++ b/basilhold/placement/reservation.py
@@ -1,11 +1,12 @@
 """Reservation of capacity for one gang, and backfill around it."""
 
+import heapq
 from collections.abc import Iterable
 
 from basilhold.core import JobId, Resources, WorkerId
 from basilhold.placement.estimates import ClassEstimates
 from basilhold.placement.gangs import slots_of
-from basilhold.placement.waiting import BucketKey
+from basilhold.placement.lanes import LaneKey
 from basilhold.placement.workers import LiveTask, WorkerState
 
 __all__ = ["Reservation", "expected_end_unix_ms", "reserve"]
@@ -14,6 +15,12 @@
 """A task past its expected end is expected to run this share of its age longer."""
 
 
+_WORKERS_MIN = 32
+_WORKERS_PER_TASK = 2
+"""Bound on the workers whose live tasks a reservation looks at, which keeps the pass
+short on a large shard: a fixed number, and some more per task of the gang."""
+
+
 class Reservation:
     """Workers that a gang is expected to start on.
 
@@ -38,7 +45,7 @@
     def backfill_worker(
         self,
         workers: dict[WorkerId, WorkerState],
-        key: BucketKey,
+        key: LaneKey,
         now_unix_ms: int,
         run_time_ms: int | None,
     ) -> WorkerState | None:
@@ -90,8 +97,9 @@
 
 
 def reserve(
+    job_id: JobId,
     workers: Iterable[WorkerState],
-    key: BucketKey,
+    key: LaneKey,
     count: int,
     estimates: ClassEstimates,
     now_unix_ms: int,
@@ -101,17 +109,9 @@
     It is ``None`` if too few of the tasks that run now have a known end.
     """
     events: list[tuple[int, WorkerId, int]] = []
-    states: dict[WorkerId, WorkerState] = {}
-    for worker in workers:
-        if (
-            worker.schedulable
-            and worker.quarantined_until_unix_ms == 0
-            and worker.claims == 0
-            and worker.worker_id not in key.avoid
-            and key.size.fits_in(worker.capacity)
-        ):
-            states[worker.worker_id] = worker
-            events.extend(_slot_events(worker, key.size, estimates, now_unix_ms))
+    states = {w.worker_id: w for w in _most_free(workers, key, count)}
+    for worker in states.values():
+        events.extend(_slot_events(worker, key.size, estimates, now_unix_ms))
     events.sort()
     taken: dict[WorkerId, int] = {}
     missing = count
@@ -126,10 +126,38 @@
                 )
                 for wid, n in taken.items()
             }
-            return Reservation(key.gang, at_unix_ms, spare)
+            return Reservation(job_id, at_unix_ms, spare)
     return None
 
 
+def _most_free(
+    workers: Iterable[WorkerState], key: LaneKey, count: int
+) -> list[WorkerState]:
+    """Return the workers that need the least more to run a task of the gang."""
+    size = key.size
+    usable = [
+        worker
+        for worker in workers
+        if worker.schedulable
+        and worker.quarantined_until_unix_ms == 0
+        and worker.claims == 0
+        and worker.worker_id not in key.avoid
+        and size.fits_in(worker.capacity)
+    ]
+    bound = _WORKERS_MIN + _WORKERS_PER_TASK * count
+    if len(usable) <= bound:
+        return usable
+
+    def free_share(worker: WorkerState) -> float:
+        return min(
+            worker.free_cores_milli / max(1, size.cores_milli),
+            worker.free_memory_bytes / max(1, size.memory_bytes),
+            worker.free_gpus_milli / size.gpus_milli if size.gpus_milli else 1e9,
+        )
+
+    return heapq.nlargest(bound, usable, key=free_share)
+
+
 def _slot_events(
     worker: WorkerState, size: Resources, estimates: ClassEstimates, now_unix_ms: int
 ) -> list[tuple[int, WorkerId, int]]:
