--- a/basilhold/gateway/drain.py
+++ b/basilhold/gateway/drain.py
@@ -90,7 +90,7 @@
         service.stopping = True
         if end is DrainEnd.FINISHED:
             end = await self._finish_requests()
-        report = DrainReport(end, self._cut(end))
+        report = DrainReport(end, await self._cut(end))
         await self._return_slots()
         return report
 
@@ -113,11 +113,11 @@
             working.cancel()
             hurried.cancel()
 
-    def _cut(self, end: DrainEnd) -> tuple[str, ...]:
+    async def _cut(self, end: DrainEnd) -> tuple[str, ...]:
         if end is DrainEnd.FINISHED:
             log_event(DRAIN_ENDED)
             return ()
-        cut = tuple(self._service.cut())
+        cut = tuple(await self._service.cut())
         for request in cut:
             log_event(REQUEST_CUT, request=request)
         log_event(DRAIN_CUT, count=len(cut), reason=end.value)
--- a/basilhold/gateway/service.py
+++ b/basilhold/gateway/service.py
@@ -63,6 +63,7 @@
     rng : random.Random
     counters : RequestCounters
     queue_limits : QueueLimits
+    retries : RetryBudget, optional
     """
 
     identity: GatewayIdentity
@@ -75,6 +76,7 @@
     rng: random.Random
     counters: RequestCounters = msgspec.field(default_factory=RequestCounters)
     queue_limits: QueueLimits = QueueLimits()
+    retries: RetryBudget | None = None
 
 
 class _Course:
@@ -114,7 +116,7 @@
         self._parts = parts
         self._clock = parts.clock
         self._times = ServiceTimes()
-        self._retries = RetryBudget(parts.rng)
+        self._retries = parts.retries or RetryBudget(parts.rng)
         self._dispatcher = Dispatcher(
             parts.clock,
             parts.router,
@@ -213,11 +215,13 @@
         await self._idle.wait()
         await self._parts.once.settle()
 
-    def cut(self) -> list[str]:
+    async def cut(self) -> list[str]:
         """Cancel all requests in flight and return a line for each."""
         names = self.in_flight_names()
-        for task in list(self._courses):
+        tasks = list(self._courses)
+        for task in tasks:
             task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
         return names
 
     def _forget(self, task: asyncio.Task[RequestEnd]) -> None:
--- a/basilhold/testing/request_cell.py
+++ b/basilhold/testing/request_cell.py
@@ -219,10 +219,10 @@
         await self._gateway.gate.passed()
         lender = self._gateway.owners.get(zone)
         lost = cell.rng.random() < cell.exchange_loss_ratio
+        if cell.rng.random() < cell.exchange_loss_ratio and lender is not None:
+            # The report or a copy of it arrives late, and the reply is never seen.
+            cell.spawn(self._deliver_late(lender, report))
         if lender is None or zone in cell.unreachable_owners or lost:
-            if lost and lender is not None:
-                # The report arrives late, and its reply is never seen.
-                cell.spawn(self._deliver_late(lender, report))
             await asyncio.sleep(EXCHANGE_TIMEOUT_MS / 1000)
             return Error(ExchangeError("no reply"))
         await asyncio.sleep(0.001)
@@ -263,13 +263,13 @@
         self.keeper = OnceKeeper(
             self.process_id,
             self.clock,
-            _GatedTable(cell.table, self.gate),
+            cell.wrap_table(_GatedTable(cell.table, self.gate)),
             cell.objects,
             _CellPeers(cell),
             rng,
             counters,
         )
-        self.holder = cell.make_holder(identity)
+        self.holder = SlotHolder(identity)
         client = MemoryUpstreamClient(cell.upstreams, identity.zone, identity.region)
         router = Router(identity.zone, identity.region, rng)
         parts = ServiceParts(
@@ -314,7 +314,7 @@
     async def stop(self) -> None:
         """End the gateway's tasks."""
         await self.loop.__aexit__()
-        self.service.cut()
+        await self.service.cut()
         await self.keeper.__aexit__()
 
 
@@ -325,22 +325,25 @@
     ----------
     seed : int
     shape : CellShape, optional
-    make_holder, wrap_client : callable
+    make_allocator, wrap_client, wrap_table : callable
         Tests put broken variants in here.
+    classes : tuple of WorkClass
     """
 
     def __init__(
         self,
         seed: int,
         shape: CellShape | None = None,
-        make_holder: Callable[[GatewayIdentity], SlotHolder] = SlotHolder,
+        make_allocator: Callable[..., SlotAllocator] = SlotAllocator,
         wrap_client: Callable[[UpstreamClient], UpstreamClient] = lambda c: c,
+        wrap_table: Callable[[TableService], TableService] = lambda t: t,
         classes: tuple[WorkClass, ...] = (QUOTE, ORDER),
     ):
         self.seed = seed
         self.shape = shape or CellShape()
-        self.make_holder = make_holder
+        self.make_allocator = make_allocator
         self.wrap_client = wrap_client
+        self.wrap_table = wrap_table
         self.rng = random.Random(seed)
         self.clock = Clock(VIRTUAL_EPOCH_UNIX_MS)
         self.classes = CellClasses(classes)
@@ -365,7 +368,7 @@
         for index in range(self.shape.upstreams):
             self._add_upstream(index)
         for zone, region in self.shape.zones:
-            allocator = SlotAllocator(
+            allocator = self.make_allocator(
                 ZoneName(zone),
                 RegionName(region),
                 Epoch(1),
@@ -428,7 +431,7 @@
         now_unix_ms = self.clock.unix_ms()
         horizon = now_unix_ms + HORIZON_MS
         takeover = Takeover(now_unix_ms, horizon, frozenset(self.entry_vms))
-        allocator = SlotAllocator(
+        allocator = self.make_allocator(
             zone,
             RegionName(dict(self.shape.zones)[zone]),
             Epoch(old.epoch + 1),
@@ -453,10 +456,11 @@
 
     def mark_leaving(self, upstream_id: UpstreamId, listed: bool) -> None:
         """Let an upstream leave, as seen in the VM list or as it says itself."""
-        self.leaving_since_s[upstream_id] = asyncio.get_running_loop().time()
         if not listed:
+            # Counted from its first answer that says so; nobody knows before.
             self.upstreams.members[upstream_id].behaviour.leaving = True
             return
+        self.leaving_since_s[upstream_id] = asyncio.get_running_loop().time()
         record = self.records[upstream_id]
         self.records[upstream_id] = msgspec.structs.replace(
             record, state=VmState.LEAVING
