--- a/basilhold/gateway/__init__.py
+++ b/basilhold/gateway/__init__.py
@@ -10,6 +10,7 @@
     request_routes,
 )
 from basilhold.gateway.once import OnceKeeper, OnceLimits
+from basilhold.gateway.once_sweeper import OnceSweeper
 from basilhold.gateway.server import GatewayServer
 from basilhold.gateway.service import RequestService, ServiceParts
 from basilhold.gateway.slots import SlotLoop
@@ -24,6 +25,7 @@
     "GatewayServer",
     "OnceKeeper",
     "OnceLimits",
+    "OnceSweeper",
     "RequestCounters",
     "RequestService",
     "ServiceParts",
--- a/basilhold/gateway/once.py
+++ b/basilhold/gateway/once.py
@@ -25,13 +25,7 @@
     RequestProgress,
     judge_repeat,
 )
-from basilhold.requests.once import (
-    BUCKET_COUNT,
-    bucket_prefix,
-    chunk_name,
-    is_expired,
-    record_key,
-)
+from basilhold.requests.once import record_key
 
 __all__ = ["OnceKeeper", "OnceLimits", "OnceOpening", "OnceTicket", "Replay"]
 
@@ -397,6 +391,10 @@
             self.records_estimate -= 1
         self._end(ticket.key, RequestProgress.NOT_HELD)
 
+    async def remove_expired(self, row: Row) -> bool:
+        """Remove an expired record in the next batch; return whether it is gone."""
+        return (await self._writer.write(row.key, row.version, None)).is_ok()
+
     def _start_cleanup(self, key: RequestKey, record: OnceRecord) -> None:
         if self._cleanup_count < CLEANUP_MAX:
             self._cleanup_count += 1
@@ -437,41 +435,6 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    async def sweep(self, bucket: int) -> int:
-        """Remove the expired records of a bucket and estimate the number of records.
-
-        Returns
-        -------
-        int
-            Number of removed records.
-        """
-        removed, seen, after = 0, 0, ""
-        while True:
-            page = await self._table.scan(bucket_prefix(bucket), after)
-            if page.is_error():
-                return removed
-            expired = []
-            for row in page.ok.rows:
-                record = msgspec.json.decode(row.value, type=OnceRecord)
-                if is_expired(record, self._clock.unix_ms()):
-                    expired.append((row, record))
-            seen += len(page.ok.rows) - len(expired)
-            removed += sum(
-                await asyncio.gather(*(self._expire(*item) for item in expired))
-            )
-            after = page.ok.next_after
-            if not after:
-                break
-        self.records_estimate = seen * BUCKET_COUNT
-        return removed
-
-    async def _expire(self, row: Row, record: OnceRecord) -> bool:
-        key = RequestKey(row.key.rpartition("/")[2])
-        answer = record.answer
-        for index in range(answer.chunk_count if answer is not None else 0):
-            await self.objects.delete(chunk_name(key, record.write_id, index))
-        return (await self._writer.write(row.key, row.version, None)).is_ok()
-
 
 def _not_run(kind: ProblemKind, detail: str) -> Problem:
     retry_after_s = STORE_RETRY_AFTER_S if kind.status == 503 else None
--- /dev/null
+++ b/basilhold/gateway/once_sweeper.py
@@ -0,0 +1,111 @@
+"""Removes expired at-most-once records and counts the others."""
+
+import asyncio
+import random
+from typing import Self
+
+import msgspec
+
+from basilhold.core import Clock, RequestKey
+from basilhold.gateway.once import OnceKeeper
+from basilhold.ports import ObjectStore, Row, TableService
+from basilhold.requests import OnceRecord
+from basilhold.requests.once import (
+    BUCKET_COUNT,
+    bucket_prefix,
+    chunk_name,
+    is_expired,
+)
+
+__all__ = ["OnceSweeper"]
+
+INTERVAL_MS = 60_000
+"""Six gateways that sweep one of 256 buckets a minute see each about once in 45 min."""
+
+PAGE_ROWS = 100
+"""A row holds up to 44 KB, so a page of 100 rows stays below 5 MB."""
+
+
+class OnceSweeper:
+    """Sweeps one bucket of records after another, in random order.
+
+    Run it on gateways in the store's region only: it reads whole records, which must
+    not cross the paid link.
+
+    Parameters
+    ----------
+    keeper : OnceKeeper
+    table : TableService
+    objects : ObjectStore
+    clock : Clock
+    rng : random.Random
+    """
+
+    def __init__(
+        self,
+        keeper: OnceKeeper,
+        table: TableService,
+        objects: ObjectStore,
+        clock: Clock,
+        rng: random.Random,
+    ):
+        self._keeper = keeper
+        self._table = table
+        self._objects = objects
+        self._clock = clock
+        self._rng = rng
+        self._task: asyncio.Task[None] | None = None
+
+    async def __aenter__(self) -> Self:
+        self._task = asyncio.create_task(self._run())
+        return self
+
+    async def __aexit__(self, *exc_info: object) -> None:
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+
+    async def _run(self) -> None:
+        while True:
+            await asyncio.sleep(INTERVAL_MS * self._rng.uniform(0.5, 1.5) / 1000)
+            await self.sweep(self._rng.randrange(BUCKET_COUNT))
+
+    async def sweep(self, bucket: int) -> int:
+        """Remove the expired records of a bucket and estimate the number of records.
+
+        Returns
+        -------
+        int
+            Number of removed records.
+        """
+        removed, seen, after = 0, 0, ""
+        while True:
+            page = await self._table.scan(bucket_prefix(bucket), after, PAGE_ROWS)
+            if page.is_error():
+                return removed
+            expired = []
+            for row in page.ok.rows:
+                record = msgspec.json.decode(row.value, type=OnceRecord)
+                if is_expired(record, self._clock.unix_ms()):
+                    expired.append((row, record))
+            seen += len(page.ok.rows) - len(expired)
+            removed += sum(
+                await asyncio.gather(*(self._expire(*item) for item in expired))
+            )
+            after = page.ok.next_after
+            if not after:
+                break
+        self._keeper.records_estimate = seen * BUCKET_COUNT
+        return removed
+
+    async def _expire(self, row: Row, record: OnceRecord) -> bool:
+        key = RequestKey(row.key.rpartition("/")[2])
+        answer = record.answer
+        for index in range(answer.chunk_count if answer is not None else 0):
+            deleted = await self._objects.delete(
+                chunk_name(key, record.write_id, index)
+            )
+            if deleted.is_error():
+                # The record stays until its objects are gone.
+                return False
+        return await self._keeper.remove_expired(row)
--- a/basilhold/gateway/service.py
+++ b/basilhold/gateway/service.py
@@ -7,17 +7,19 @@
 import msgspec
 
 from basilhold.core import (
-    ClassKind,
     Clock,
-    RestartPolicy,
     ServiceName,
-    UpstreamId,
-    WorkClass,
     ZoneName,
 )
 from basilhold.gateway.answers import AnswerRecorder, AttemptSink, CallerSink
 from basilhold.gateway.attempts import Attempt, AttemptEnd, AttemptRunner
 from basilhold.gateway.counters import Count, RequestCounters
+from basilhold.gateway.course import (
+    Course,
+    check_request,
+    make_course,
+    refusal_detail,
+)
 from basilhold.gateway.dispatch import Dispatcher
 from basilhold.gateway.once import OnceKeeper, OnceTicket, Replay
 from basilhold.gateway.replay import play_back
@@ -29,7 +31,6 @@
     Outcome,
     Problem,
     ProblemKind,
-    QueuedRequest,
     QueueLimits,
     RequestEnd,
     RetryBudget,
@@ -42,7 +43,6 @@
 
 __all__ = ["RequestService", "ServiceParts"]
 
-IDEMPOTENCY_KEY_LENGTH_MAX = 200
 ATTEMPTS_MAX = 3
 SEND_LEAD_MS = 20
 """Nothing is sent when less than this is left until the deadline."""
@@ -79,31 +79,6 @@
     retries: RetryBudget | None = None
 
 
-class _Course:
-    """One request on its way through the service."""
-
-    def __init__(
-        self,
-        request: CallerRequest,
-        work_class: WorkClass,
-        queued: QueuedRequest,
-        sink: CallerSink,
-    ):
-        self.request = request
-        self.work_class = work_class
-        self.queued = queued
-        self.sink = sink
-        self.ticket: OnceTicket | None = None
-        self.attempts = 0
-        self.was_sent = False
-        self.last_reason = ""
-        self.upstream_id: UpstreamId | None = None
-
-    @property
-    def is_idempotent(self) -> bool:
-        return self.work_class.restart is RestartPolicy.ALLOWED
-
-
 class RequestService:
     """Serves the requests of one gateway.
 
@@ -133,7 +108,7 @@
             self._times,
             parts.counters,
         )
-        self._courses: dict[asyncio.Task[RequestEnd], _Course] = {}
+        self._courses: dict[asyncio.Task[RequestEnd], Course] = {}
         self._idle = asyncio.Event()
         self._idle.set()
         self.stopping = False
@@ -198,11 +173,11 @@
         arrived_ms = self._clock.monotonic_ms()
         self.counters.counts[Count.REQUESTS] += 1
         work_class = self._parts.classes.find(request.class_name)
-        problem = self._check(request, work_class)
+        problem = check_request(request, work_class, self._parts.router, self.stopping)
         if problem is not None:
             return self._count_end(_end(problem))
         self.counters.arrived[work_class.name] += 1
-        course = self._make_course(request, work_class, sink, arrived_ms)
+        course = make_course(request, work_class, sink, arrived_ms)
         task = asyncio.create_task(self._serve(course))
         self._courses[task] = course
         self._idle.clear()
@@ -240,59 +215,7 @@
             self.counters.counts[Count.REPLAYS] += 1
         return end
 
-    def _check(
-        self, request: CallerRequest, work_class: WorkClass | None
-    ) -> Problem | None:
-        if self.stopping:
-            return _refusal(ProblemKind.STOPPING, "this gateway is stopping", 1)
-        if work_class is None or work_class.kind is not ClassKind.REQUEST:
-            return _refusal(
-                ProblemKind.UNKNOWN_CLASS,
-                f"no office declares a request class {request.class_name!r}",
-            )
-        service = work_class.service
-        if service is None or not self._parts.router.knows_service(service):
-            return _refusal(
-                ProblemKind.UNKNOWN_SERVICE,
-                f"no upstream serves the service {service!r} of the class",
-            )
-        key = request.idempotency_key
-        if work_class.restart is RestartPolicy.ALLOWED:
-            return None
-        if not key:
-            return _refusal(
-                ProblemKind.KEY_REQUIRED,
-                "requests of this class need an Idempotency-Key",
-            )
-        if len(key) > IDEMPOTENCY_KEY_LENGTH_MAX or not key.isprintable():
-            return _refusal(
-                ProblemKind.KEY_INVALID,
-                f"the Idempotency-Key is not printable or longer than "
-                f"{IDEMPOTENCY_KEY_LENGTH_MAX} characters",
-            )
-        return None
-
-    def _make_course(
-        self,
-        request: CallerRequest,
-        work_class: WorkClass,
-        sink: CallerSink,
-        arrived_ms: float,
-    ) -> _Course:
-        timeout_ms = work_class.timeout_ms
-        if request.timeout_ms is not None:
-            timeout_ms = min(timeout_ms, request.timeout_ms)
-        queued = QueuedRequest(
-            work_class.name,
-            request.team,
-            arrived_ms,
-            work_class.wait_target_ms,
-            arrived_ms + timeout_ms,
-            len(request.body),
-        )
-        return _Course(request, work_class, queued, sink)
-
-    async def _serve(self, course: _Course) -> RequestEnd:
+    async def _serve(self, course: Course) -> RequestEnd:
         service = course.work_class.service
         refusal = self._dispatcher.refusal(service, course.queued)
         if course.is_idempotent:
@@ -310,7 +233,7 @@
         return await self._run_ticket(course, opening)
 
     async def _open(
-        self, course: _Course, refusal: ProblemKind | None
+        self, course: Course, refusal: ProblemKind | None
     ) -> OnceTicket | Replay | Problem:
         request = course.request
         key = make_request_key(
@@ -324,7 +247,7 @@
         earlier = await once.look_up(key, fingerprint(request), deadline_ms)
         return self._refused(course, refusal) if earlier is None else earlier
 
-    async def _play_back(self, course: _Course, replay: Replay) -> RequestEnd:
+    async def _play_back(self, course: Course, replay: Replay) -> RequestEnd:
         left_ms = course.queued.deadline_ms - self._clock.monotonic_ms()
         try:
             async with asyncio.timeout(left_ms / 1000):
@@ -333,7 +256,7 @@
             detail = "the request has run, but the deadline of this repeat has passed"
             return _end(Problem(ProblemKind.TIMED_OUT, Outcome.RAN, detail, 1))
 
-    async def _run_ticket(self, course: _Course, ticket: OnceTicket) -> RequestEnd:
+    async def _run_ticket(self, course: Course, ticket: OnceTicket) -> RequestEnd:
         outcome = Outcome.UNKNOWN
         try:
             end = await self._run(course)
@@ -348,7 +271,7 @@
             elif outcome is Outcome.UNKNOWN:
                 self._parts.once.unknown(ticket)
 
-    async def _run(self, course: _Course) -> RequestEnd:
+    async def _run(self, course: Course) -> RequestEnd:
         service = course.work_class.service
         while True:
             granted = await self._dispatcher.wait(service, course.queued)
@@ -361,14 +284,14 @@
             if end is not None:
                 return end
 
-    def _may_send(self, course: _Course) -> bool:
+    def _may_send(self, course: Course) -> bool:
         left_ms = course.queued.deadline_ms - self._clock.monotonic_ms()
         if left_ms < SEND_LEAD_MS:
             return False
         ticket = course.ticket
         return ticket is None or may_send(ticket.record, self._clock.unix_ms())
 
-    async def _attempt(self, course: _Course, granted) -> RequestEnd | None:
+    async def _attempt(self, course: Course, granted) -> RequestEnd | None:
         """Send a request once; return ``None`` if it is to be sent again."""
         recorder = None
         if course.ticket is not None:
@@ -404,7 +327,7 @@
             return None
         return await self._finish(course, end, sink)
 
-    async def _retry(self, course: _Course, end: AttemptEnd, sink: AttemptSink) -> bool:
+    async def _retry(self, course: Course, end: AttemptEnd, sink: AttemptSink) -> bool:
         course.last_reason = end.reason
         failed = not end.whole or sink.is_server_error
         if not failed or sink.passed_on or course.attempts >= ATTEMPTS_MAX:
@@ -430,7 +353,7 @@
         return True
 
     async def _finish(
-        self, course: _Course, end: AttemptEnd, sink: AttemptSink
+        self, course: Course, end: AttemptEnd, sink: AttemptSink
     ) -> RequestEnd:
         if end.whole:
             answer = await sink.complete()
@@ -443,9 +366,9 @@
             kind = ProblemKind.NO_UPSTREAM
         return _end(Problem(kind, outcome, end.reason, 1))
 
-    def _refused(self, course: _Course, kind: ProblemKind) -> Problem:
+    def _refused(self, course: Course, kind: ProblemKind) -> Problem:
         outcome = Outcome.UNKNOWN if course.was_sent else Outcome.NOT_RUN
-        detail = _REFUSAL_DETAILS.get(kind, "the request can't be served")
+        detail = refusal_detail(kind)
         if course.last_reason:
             detail = f"{detail}; the last attempt failed: {course.last_reason}"
         if kind is ProblemKind.TIMED_OUT and outcome is Outcome.NOT_RUN:
@@ -454,19 +377,5 @@
         return Problem(kind, outcome, detail, retry_after_s)
 
 
-_REFUSAL_DETAILS = {
-    ProblemKind.QUEUE_FULL: "the queue of the service is full",
-    ProblemKind.DEADLINE_UNREACHABLE: "the request can't be served by its deadline",
-    ProblemKind.OVERLOADED: "the service is overloaded and the class target is missed",
-    ProblemKind.TIMED_OUT: "the deadline has passed",
-}
-
-
-def _refusal(
-    kind: ProblemKind, detail: str, retry_after_s: int | None = None
-) -> Problem:
-    return Problem(kind, Outcome.NOT_RUN, detail, retry_after_s)
-
-
 def _end(problem: Problem) -> RequestEnd:
     return RequestEnd(problem.outcome, problem)
--- a/basilhold/gateway/tests/test_once.py
+++ b/basilhold/gateway/tests/test_once.py
@@ -1,7 +1,8 @@
 import asyncio
+import random
 
 from basilhold.core import Clock, ProcessId
-from basilhold.gateway import Count, OnceLimits
+from basilhold.gateway import Count, OnceLimits, OnceSweeper
 from basilhold.gateway.tests.fixtures import Cell, call, call_later
 from basilhold.requests import Outcome, ProblemKind
 from basilhold.standins import UpstreamBehaviour
@@ -207,8 +208,11 @@
             end, _sink = await call(service, **ORDER)
             await asyncio.sleep(1)
             keeper = service.parts.once
+            sweeper = OnceSweeper(
+                keeper, cell.table, cell.objects, cell.clock, random.Random(0)
+            )
             for bucket in range(256):
-                self.assertEqual(await keeper.sweep(bucket), 0)
+                self.assertEqual(await sweeper.sweep(bucket), 0)
             keeper.records_estimate = 100
             end, _sink = await call(
                 service, class_name="order", request_id="o-9", key="o-9"
@@ -216,7 +220,7 @@
             self.assertIs(end.problem.kind, ProblemKind.TOO_MANY_RECORDS)
             self.assertIs(end.outcome, Outcome.NOT_RUN)
             await asyncio.sleep(3700)
-            removed = [await keeper.sweep(bucket) for bucket in range(256)]
+            removed = [await sweeper.sweep(bucket) for bucket in range(256)]
             self.assertEqual(sum(removed), 1)
             self.assertEqual(keeper.records_estimate, 0)
             self.assertFalse(cell.objects.objects)
--- /dev/null
+++ b/basilhold/gateway/tests/test_slots.py
@@ -0,0 +1,52 @@
+import asyncio
+
+from basilhold.core import VmId
+from basilhold.testing import VirtualTimeTestCase
+from basilhold.testing.request_cell import (
+    SERVICE,
+    CellShape,
+    RequestCell,
+    running_cell,
+)
+
+SHAPE = CellShape(zones=(("plovdiv", "thrace"),), gateways=7, upstreams=20, slots=8)
+
+
+class SlotLoopTest(VirtualTimeTestCase):
+    """Guards against idle slots that another gateway waits for."""
+
+    def held(self, gateway):
+        return sum(gateway.holder.held_count(u) for u in gateway.cell.records)
+
+    async def test_idle_slots_are_usable_elsewhere_within_a_second(self):
+        async with running_cell(RequestCell(1, SHAPE)) as cell:
+            await asyncio.sleep(10)
+            gateway = next(iter(cell.gateways.values()))
+            before = self.held(gateway)
+            gateway.service.demand = lambda zone: ((SERVICE, 100),)
+            gateway.service.dispatcher.on_shortage()
+            await asyncio.sleep(1.0)
+            cell.check()
+            self.assertGreaterEqual(self.held(gateway), min(160, before + 90))
+
+    async def test_gateway_that_joins_gets_slots_and_one_that_stops_gives_back(self):
+        async with running_cell(RequestCell(2, SHAPE)) as cell:
+            await asyncio.sleep(10)
+            joined = await cell.add_gateway(VmId("new"))
+            await asyncio.sleep(10)
+            self.assertGreaterEqual(self.held(joined), 5)
+            await joined.loop.return_all()
+            self.assertEqual(self.held(joined), 0)
+            del cell.gateways[joined.process_id]
+            await asyncio.sleep(6)
+            total = sum(self.held(g) for g in cell.gateways.values())
+            self.assertEqual(total, 160)
+            cell.check()
+
+    async def test_unreachable_owner_leaves_the_slots_in_use(self):
+        async with running_cell(RequestCell(3, SHAPE)) as cell:
+            await asyncio.sleep(10)
+            cell.unreachable_owners.update(cell.owners)
+            await asyncio.sleep(600)
+            total = sum(self.held(g) for g in cell.gateways.values())
+            self.assertEqual(total, 160)
--- /dev/null
+++ b/basilhold/requests/tests/test_routing.py
@@ -0,0 +1,143 @@
+import random
+import unittest
+
+import msgspec
+
+from basilhold.core import RegionName, ServiceName, UpstreamId, VmId, ZoneName
+from basilhold.ports import VmKind, VmRecord, VmState
+from basilhold.requests import (
+    BreakerState,
+    Distance,
+    HealthLimits,
+    RetryBudget,
+    Router,
+    UpstreamHealth,
+)
+
+SERVICE = ServiceName("s")
+
+
+def record(name, zone="z1", region="r1", state=VmState.LIVE):
+    return VmRecord(
+        VmId(name),
+        VmKind.UPSTREAM,
+        state,
+        RegionName(region),
+        ZoneName(zone),
+        "rack",
+        "127.0.0.1",
+        1,
+        service=SERVICE,
+        slots=8,
+    )
+
+
+class RouterTest(unittest.TestCase):
+    """Guards the paid link, and callers against bad and leaving upstreams."""
+
+    def make(self, *records):
+        router = Router(ZoneName("z1"), RegionName("r1"), random.Random(0))
+        router.update(records)
+        for item in records:
+            router.set_idle(UpstreamId(item.vm_id), 8)
+        return router
+
+    def test_nearest_first(self):
+        near, mid, far = record("a"), record("b", "z2"), record("c", "z3", "r2")
+        router = self.make(near, mid, far)
+        self.assertEqual(router.choose(SERVICE, 0).upstream_id, "a")
+        router.set_idle(UpstreamId("a"), 0)
+        self.assertEqual(router.choose(SERVICE, 0).upstream_id, "b")
+        router.set_idle(UpstreamId("b"), 0)
+        self.assertIsNone(router.choose(SERVICE, 0, Distance.SAME_REGION))
+        self.assertEqual(router.choose(SERVICE, 0).upstream_id, "c")
+
+    def test_leaving_upstream_gets_no_new_work(self):
+        router = self.make(record("a"), record("b"))
+        router.report_leaving(UpstreamId("a"), 1000)
+        router.update([record("a"), record("b", state=VmState.LEAVING)])
+        self.assertIsNone(router.choose(SERVICE, 0))
+        self.assertEqual(router.choose(SERVICE, 1001).upstream_id, "a")
+
+    def test_upstream_that_fails_fast_attracts_no_traffic(self):
+        router = self.make(*(record(f"u{n}") for n in range(4)))
+        counts = {}
+        for now_ms in range(0, 60_000, 10):
+            upstream = router.choose(SERVICE, now_ms)
+            counts[upstream.upstream_id] = counts.get(upstream.upstream_id, 0) + 1
+            upstream.health.started()
+            if upstream.upstream_id == "u0":
+                upstream.health.failed(now_ms)
+            else:
+                upstream.health.succeeded(now_ms)
+        self.assertLess(counts["u0"], 0.01 * sum(counts.values()))
+
+    def test_replaced_upstream_starts_anew(self):
+        router = self.make(record("a"))
+        router.find(UpstreamId("a")).health.failed(0)
+        moved = msgspec.structs.replace(record("a"), port=2)
+        router.update([moved])
+        self.assertEqual(router.find(UpstreamId("a")).health.failure_rate, 0)
+
+
+class HealthTest(unittest.TestCase):
+    """Guards recovering upstreams against a rush, and callers against probes."""
+
+    def make(self):
+        return UpstreamHealth(HealthLimits(), random.Random(0))
+
+    def test_one_probe_then_slow_start(self):
+        health = self.make()
+        for _ in range(5):
+            health.failed(0)
+        self.assertIs(health.state, BreakerState.OPEN)
+        self.assertEqual(health.weight(500), 0)
+        self.assertEqual(health.weight(1300), 1)
+        health.started()
+        self.assertEqual(health.weight(1300), 0)
+        health.succeeded(1300)
+        self.assertLessEqual(health.weight(1300), 0.1)
+        self.assertEqual(health.weight(1300 + 10_000), 1)
+
+    def test_delay_before_a_probe_doubles_up_to_its_bound(self):
+        health = self.make()
+        for _ in range(5):
+            health.failed(0)
+        delays = []
+        for _ in range(8):
+            now_ms = health.open_until_ms
+            health.started()
+            health.failed(now_ms)
+            delays.append(health.open_until_ms - now_ms)
+        self.assertGreater(delays[1], delays[0])
+        self.assertLessEqual(max(delays), 30_000 * 1.25)
+
+    def test_abandoned_probe_does_not_block_the_upstream(self):
+        health = self.make()
+        for _ in range(5):
+            health.failed(0)
+        health.started()
+        health.abandoned(2000)
+        self.assertEqual(health.weight(2000 + 30_000), 1)
+
+
+class RetryBudgetTest(unittest.TestCase):
+    """Guards against retry storms."""
+
+    def test_budget_is_a_tenth_at_any_moment(self):
+        budget = RetryBudget(random.Random(0))
+        for _ in range(1000):
+            budget.count_request()
+            while budget.take():
+                pass
+            self.assertLessEqual(budget.retry_count, 0.1 * budget.request_count)
+        self.assertEqual(budget.retry_count, 100)
+
+    def test_quiet_time_does_not_pay_for_a_burst(self):
+        budget = RetryBudget(random.Random(0))
+        for _ in range(10_000):
+            budget.count_request()
+        taken = 0
+        while budget.take():
+            taken += 1
+        self.assertEqual(taken, 10)
