--- a/basilhold/gateway/__init__.py
+++ b/basilhold/gateway/__init__.py
@@ -3,13 +3,10 @@
 from basilhold.gateway.answers import CallerSink
 from basilhold.gateway.counters import Count, RequestCounters
 from basilhold.gateway.drain import Drain, DrainEnd, DrainReport
-from basilhold.gateway.handlers import (
-    FrontEnd,
-    StaticCallers,
-    make_application,
-    request_routes,
-)
-from basilhold.gateway.once import OnceKeeper, OnceLimits
+from basilhold.gateway.front import FrontEnd, StaticCallers
+from basilhold.gateway.handlers import make_application, request_routes
+from basilhold.gateway.once import OnceKeeper
+from basilhold.gateway.once_results import OnceLimits
 from basilhold.gateway.once_sweeper import OnceSweeper
 from basilhold.gateway.server import GatewayServer
 from basilhold.gateway.service import RequestService, ServiceParts
--- a/basilhold/gateway/course.py
+++ b/basilhold/gateway/course.py
@@ -2,7 +2,7 @@
 
 from basilhold.core import ClassKind, RestartPolicy, UpstreamId, WorkClass
 from basilhold.gateway.answers import CallerSink
-from basilhold.gateway.once import OnceTicket
+from basilhold.gateway.once_results import OnceTicket
 from basilhold.requests import (
     CallerRequest,
     Outcome,
--- a/basilhold/gateway/handlers.py
+++ b/basilhold/gateway/handlers.py
@@ -1,22 +1,18 @@
 """HTTP handlers for callers."""
 
 import asyncio
-import hmac
 import socket
 import struct
-from collections.abc import Callable, Mapping
 
-import msgspec
 from tornado.iostream import StreamClosedError
 from tornado.web import Application, RequestHandler, stream_request_body
 
 from basilhold.core import ClassName, InvariantError, TeamName
 from basilhold.gateway.answers import CallerSink
+from basilhold.gateway.front import FrontEnd
 from basilhold.gateway.problems import OUTCOME_HEADER, PROBLEM_TYPE, encode_problem
-from basilhold.gateway.service import RequestService
 from basilhold.ports import AnswerHead
 from basilhold.requests import (
-    CallerDirectory,
     CallerRequest,
     Outcome,
     Problem,
@@ -26,9 +22,7 @@
 
 __all__ = [
     "CallHandler",
-    "FrontEnd",
     "ReadyHandler",
-    "StaticCallers",
     "UnknownPathHandler",
     "make_application",
     "request_routes",
@@ -54,57 +48,6 @@
 _NOT_FORWARDED = _HOP_BY_HOP | {"authorization", "content-length", "host"}
 
 
-class StaticCallers(CallerDirectory):
-    """Callers' tokens from the settings.
-
-    Parameters
-    ----------
-    teams : mapping of str to TeamName
-        Team of each token.
-    """
-
-    def __init__(self, teams: Mapping[str, TeamName]):
-        self._teams = [(token.encode(), team) for token, team in teams.items()]
-
-    def identify(self, token: str) -> TeamName | None:
-        """Return the team of a token; the time taken does not depend on the token."""
-        given = token.encode("utf-8", "surrogateescape")
-        found = None
-        for known, team in self._teams:
-            if hmac.compare_digest(known, given):
-                found = team
-        return found
-
-
-class FrontEnd(msgspec.Struct):
-    """What the handlers share.
-
-    Parameters
-    ----------
-    service : RequestService
-    callers : CallerDirectory
-    is_ready : callable
-        Whether the load balancer may send callers here.
-    on_invariant_error : callable
-        Stops the process after an `InvariantError`.
-    body_bytes_max : int
-        Largest body of one request, in bytes.
-    bodies_bytes_max : int
-        Sum of the bodies in memory, in bytes.
-    body_timeout_ms : int
-        Time that a sender has for the body, in milliseconds.
-    """
-
-    service: RequestService
-    callers: CallerDirectory
-    is_ready: Callable[[], bool] = lambda: True
-    on_invariant_error: Callable[[InvariantError], None] = lambda error: None
-    body_bytes_max: int = 1 << 20
-    bodies_bytes_max: int = 8 << 20
-    body_timeout_ms: int = 10_000
-    bodies_bytes: int = 0
-
-
 class _HttpCallerSink(CallerSink):
     """Writes an answer to the caller as fast as the caller reads it."""
 
@@ -115,12 +58,16 @@
 
     def set_outcome(self, outcome: Outcome, replayed: bool) -> None:
         """Set the headers that the gateway adds."""
+        if self.gone:
+            return
         self._handler.set_header(OUTCOME_HEADER, outcome.value)
         if replayed:
             self._handler.set_header("Basilhold-Replayed", "true")
 
     async def start(self, head: AnswerHead) -> None:
         """Set status and headers."""
+        if self.gone:
+            return
         self.started = True
         handler = self._handler
         handler.set_status(head.status)
@@ -215,6 +162,7 @@
         self._team: TeamName | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._task: asyncio.Task[RequestEnd] | None = None
+        self._sink = _HttpCallerSink(self)
 
     def prepare(self) -> None:
         """Check what can be checked before the body arrives."""
@@ -242,6 +190,7 @@
     def on_connection_close(self) -> None:
         """Abandon the request of a caller that has left."""
         self._free_body()
+        self._sink.gone = True
         if self._task is not None:
             self._task.cancel()
         super().on_connection_close()
@@ -253,14 +202,20 @@
     async def _call(self, path: str) -> None:
         if self._timer is not None:
             self._timer.cancel()
-        sink = _HttpCallerSink(self)
+        sink = self._sink
         request = self._make_request(path)
         self._task = asyncio.create_task(self._front.service.handle(request, sink))
         try:
             end = await self._task
         except asyncio.CancelledError:
             # The caller has left, or the gateway has cut the request at its stop.
-            self._abort()
+            if sink.gone or sink.started:
+                self._abort()
+            else:
+                detail = "the gateway has stopped before the request ended"
+                self.write_problem(
+                    Problem(ProblemKind.STOPPING, Outcome.UNKNOWN, detail, 1)
+                )
             return
         except InvariantError as error:
             self._abort()
@@ -285,6 +240,7 @@
 
     def _abort(self) -> None:
         """Reset the connection, so that a cut answer never looks whole."""
+        self._sink.gone = True
         stream = self.request.connection.stream
         if stream is None or stream.closed():
             return
--- a/basilhold/gateway/once.py
+++ b/basilhold/gateway/once.py
@@ -10,6 +10,15 @@
 from basilhold.core import Clock, ProcessId, RequestKey
 from basilhold.gateway.counters import Count, RequestCounters
 from basilhold.gateway.events import RESULT_NOT_RECORDED
+from basilhold.gateway.once_results import (
+    OnceLimits,
+    OnceOpening,
+    OnceTicket,
+    Replay,
+    not_run_problem,
+    store_unavailable_problem,
+    unknown_problem,
+)
 from basilhold.gateway.once_writer import OnceWriter, WriteError, WriteErrorKind
 from basilhold.observability import log_event
 from basilhold.ports import ABSENT, ObjectStore, Row, TableService
@@ -27,53 +36,13 @@
 )
 from basilhold.requests.once import record_key
 
-__all__ = ["OnceKeeper", "OnceLimits", "OnceOpening", "OnceTicket", "Replay"]
+__all__ = ["OnceKeeper"]
 
 FINISH_DELAY_MS_MAX = 2000
 CLEANUP_MAX = 1000
 ASK_MARGIN_MS = 50
 """Part of a repeat's time that is left for reading the result and answering."""
 
-STORE_RETRY_AFTER_S = 2
-
-
-class OnceLimits(msgspec.Struct, frozen=True):
-    """Bounds of the at-most-once records.
-
-    Parameters
-    ----------
-    keep_ms : int
-        How long a record is kept, in milliseconds.
-    records_max : int
-        New keyed requests are refused above this number of records in the cell.
-    unrecorded_max, unrecorded_bytes_max : int
-        Results that wait for the store to return.
-    """
-
-    keep_ms: int = 24 * 3600 * 1000
-    records_max: int = 2_000_000
-    unrecorded_max: int = 500
-    unrecorded_bytes_max: int = 4 << 20
-
-
-class OnceTicket(msgspec.Struct, frozen=True):
-    """The right to run a keyed request."""
-
-    key: RequestKey
-    version: int
-    record: OnceRecord
-
-
-class Replay(msgspec.Struct, frozen=True):
-    """The stored answer of a finished request."""
-
-    key: RequestKey
-    write_id: str
-    answer: OnceAnswer
-
-
-OnceOpening = OnceTicket | Replay | Problem
-
 
 class _Sighting:
     """Whether a record of another submission with the same key was seen.
@@ -177,7 +146,7 @@
             The caller's deadline on the loop's clock, in milliseconds.
         """
         if self.records_estimate >= self._limits.records_max:
-            return _not_run(
+            return not_run_problem(
                 ProblemKind.TOO_MANY_RECORDS, "too many keyed requests are recorded"
             )
         left_ms = deadline_ms - self._clock.monotonic_ms()
@@ -187,8 +156,8 @@
                 return await self._open(key, fingerprint, deadline_ms, sighting)
         except TimeoutError:
             if sighting.other_seen:
-                return _unknown("the request's record could not be read in time")
-            return _store_unavailable()
+                return unknown_problem("the request's record could not be read in time")
+            return store_unavailable_problem()
 
     async def look_up(
         self, key: RequestKey, fingerprint: str, deadline_ms: float
@@ -199,13 +168,13 @@
             async with asyncio.timeout(max(0.0, left_ms - ASK_MARGIN_MS) / 1000):
                 read = await self._table.read((record_key(key),))
                 if read.is_error():
-                    return _store_unavailable()
+                    return store_unavailable_problem()
                 row = read.ok.get(record_key(key))
                 if row is None:
                     return None
                 return await self._judge(key, row, fingerprint, deadline_ms)
         except TimeoutError:
-            return _unknown("the request's record could not be read in time")
+            return unknown_problem("the request's record could not be read in time")
 
     async def _open(
         self,
@@ -222,16 +191,16 @@
                     return waited
                 read = await self._table.read((record_key(key),))
                 if read.is_error():
-                    return _unknown("the request's record can't be read")
+                    return unknown_problem("the request's record can't be read")
                 row = read.ok.get(record_key(key))
             else:
                 begun = await self._begin(key, fingerprint, deadline_ms)
                 if begun.is_ok():
                     return begun.ok
                 if begun.error.kind is WriteErrorKind.CONFLICT_UNREAD:
-                    return _unknown("the request's record can't be read")
+                    return unknown_problem("the request's record can't be read")
                 if begun.error.kind is not WriteErrorKind.CONFLICT:
-                    return _store_unavailable()
+                    return store_unavailable_problem()
                 row = begun.error.row
             sighting.other_seen = row is not None
             if row is None:
@@ -280,7 +249,7 @@
         record = msgspec.json.decode(row.value, type=OnceRecord)
         action = judge_repeat(record, fingerprint, self._clock.unix_ms())
         if action is RepeatAction.REJECT_REUSE:
-            return _not_run(
+            return not_run_problem(
                 ProblemKind.KEY_REUSED,
                 "the idempotency key was used for a different request",
             )
@@ -293,7 +262,7 @@
                 "the request has run, but its answer could not be kept",
             )
         if action is RepeatAction.REPORT_UNKNOWN:
-            return _unknown("the request was not confirmed before its deadline")
+            return unknown_problem("the request was not confirmed before its deadline")
         return await self._ask(key, record, fingerprint, deadline_ms)
 
     async def _ask(
@@ -308,13 +277,13 @@
             return waited
         read = await self._table.read((record_key(key),))
         if read.is_error():
-            return _unknown("the request's record can't be read")
+            return unknown_problem("the request's record can't be read")
         row = read.ok.get(record_key(key))
         if row is None:
             return None
         latest = msgspec.json.decode(row.value, type=OnceRecord)
         if latest.write_id == record.write_id and latest.state is OnceState.RUNNING:
-            return _unknown("the gateway that held the request does not know it")
+            return unknown_problem("the gateway that held the request does not know it")
         return await self._judge(key, row, fingerprint, deadline_ms)
 
     async def _wait_for_holder(
@@ -327,7 +296,9 @@
         else:
             asked = await self._peers.ask(holder, key, wait_ms)
             if asked.is_error():
-                return _unknown("the gateway that holds the request can't be reached")
+                return unknown_problem(
+                    "the gateway that holds the request can't be reached"
+                )
             progress = asked.ok
         if progress is RequestProgress.RUNNING:
             return Problem(
@@ -434,19 +405,3 @@
         task = asyncio.create_task(coroutine)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
-
-
-def _not_run(kind: ProblemKind, detail: str) -> Problem:
-    retry_after_s = STORE_RETRY_AFTER_S if kind.status == 503 else None
-    return Problem(kind, Outcome.NOT_RUN, detail, retry_after_s)
-
-
-def _store_unavailable() -> Problem:
-    return _not_run(
-        ProblemKind.STORE_UNAVAILABLE,
-        "this submission was not run, because its record could not be written",
-    )
-
-
-def _unknown(detail: str) -> Problem:
-    return Problem(ProblemKind.OUTCOME_UNKNOWN, Outcome.UNKNOWN, detail)
--- a/basilhold/gateway/replay.py
+++ b/basilhold/gateway/replay.py
@@ -1,7 +1,7 @@
 """Answers a repeat of a finished request from its record."""
 
 from basilhold.gateway.answers import CallerSink
-from basilhold.gateway.once import Replay
+from basilhold.gateway.once_results import Replay
 from basilhold.ports import AnswerHead, ObjectStore
 from basilhold.requests import Outcome, Problem, ProblemKind, RequestEnd
 from basilhold.requests.once import chunk_name
--- a/basilhold/gateway/service.py
+++ b/basilhold/gateway/service.py
@@ -21,7 +21,8 @@
     refusal_detail,
 )
 from basilhold.gateway.dispatch import Dispatcher
-from basilhold.gateway.once import OnceKeeper, OnceTicket, Replay
+from basilhold.gateway.once import OnceKeeper
+from basilhold.gateway.once_results import OnceTicket, Replay
 from basilhold.gateway.replay import play_back
 from basilhold.ports import UpstreamClient, VmRecord
 from basilhold.requests import (
--- a/basilhold/requests/__init__.py
+++ b/basilhold/requests/__init__.py
@@ -1,6 +1,7 @@
 """Decisions about callers' requests. Performs no I/O."""
 
-from basilhold.requests.allocator import SlotAllocator, Takeover
+from basilhold.requests.allocator import SlotAllocator
+from basilhold.requests.borrowers import Takeover
 from basilhold.requests.estimates import RateWindow, ServiceTimes
 from basilhold.requests.health import BreakerState, HealthLimits, UpstreamHealth
 from basilhold.requests.holder import SlotHolder
--- a/basilhold/requests/allocator.py
+++ b/basilhold/requests/allocator.py
@@ -3,8 +3,6 @@
 import math
 from collections.abc import Iterable
 
-import msgspec
-
 from basilhold.core import (
     CLOCK_ERROR_MS,
     Epoch,
@@ -16,11 +14,12 @@
     ZoneName,
 )
 from basilhold.ports import VmKind, VmRecord, VmState
+from basilhold.requests.borrowers import Borrower, Takeover
 from basilhold.requests.ledger import SlotLedger, SlotState
 from basilhold.requests.routing import LEAVING_MS
 from basilhold.requests.tokens import HeldToken, SlotGrant, SlotReport, SlotToken
 
-__all__ = ["SlotAllocator", "Takeover"]
+__all__ = ["SlotAllocator"]
 
 GONE_MS = 30_000
 """A gateway is gone once the VM list has not shown its VM for this long."""
@@ -39,38 +38,6 @@
 """Leases are extended when the horizon has moved by this much."""
 
 
-class Takeover(msgspec.Struct, frozen=True):
-    """What a successor knows about its predecessor.
-
-    Parameters
-    ----------
-    at_unix_ms : int
-        When the successor's epoch was written.
-    predecessor_horizon_unix_ms : int
-        Latest expiry that the predecessor can have granted.
-    entry_vm_ids : frozenset of VmId
-        VMs whose gateways may hold tokens.
-    """
-
-    at_unix_ms: int
-    predecessor_horizon_unix_ms: int
-    entry_vm_ids: frozenset[VmId]
-
-
-class _Gateway:
-    def __init__(self, report: SlotReport):
-        self.gateway_id = report.gateway_id
-        self.vm_id = report.vm_id
-        self.region = report.region
-        self.started_unix_ms = report.started_unix_ms
-        self.number = 0
-        self.demand: dict[ServiceName, int] = {}
-        self.idle: list[SlotToken] = []
-        self.recalled: dict[SlotToken, None] = {}
-        self.has_recall_news = False
-        self.dead_since_unix_ms: int | None = None
-
-
 class SlotAllocator:
     """Lends the slots of one zone's upstreams to gateways.
 
@@ -99,7 +66,7 @@
         self._takeover = takeover
         self._longest_deadline_ms = longest_deadline_ms
         self._ledger = SlotLedger()
-        self._gateways: dict[ProcessId, _Gateway] = {}
+        self._gateways: dict[ProcessId, Borrower] = {}
         self._reported_vms: set[VmId] = set()
         self._newest_starts: dict[VmId, int] = {}
         self._gone_since: dict[VmId, int] = {}
@@ -219,19 +186,19 @@
         """Return how many tokens may be held by gateways that have not reported."""
         return len(self._ledger.unclaimed())
 
-    def _gateway(self, report: SlotReport, now_unix_ms: int) -> _Gateway:
+    def _gateway(self, report: SlotReport, now_unix_ms: int) -> Borrower:
         gateway = self._gateways.get(report.gateway_id)
         if gateway is None:
             for other in self._gateways.values():
                 # A VM runs one gateway, which binds its port, so the other has ended.
                 if other.vm_id == report.vm_id and other.dead_since_unix_ms is None:
                     other.dead_since_unix_ms = now_unix_ms
-            gateway = _Gateway(report)
+            gateway = Borrower(report)
             self._gateways[report.gateway_id] = gateway
             self._newest_starts[report.vm_id] = report.started_unix_ms
         return gateway
 
-    def _take_holdings(self, gateway: _Gateway, report: SlotReport) -> None:
+    def _take_holdings(self, gateway: Borrower, report: SlotReport) -> None:
         reported = {held.token: held for held in report.held}
         for token in self._ledger.held_by(gateway.gateway_id):
             if token not in reported:
@@ -261,12 +228,12 @@
                 if self._ledger.service_of(token) is None:
                     self._recall(gateway, token)
 
-    def _recall(self, gateway: _Gateway, token: SlotToken) -> None:
+    def _recall(self, gateway: Borrower, token: SlotToken) -> None:
         if token not in gateway.recalled:
             gateway.recalled[token] = None
             gateway.has_recall_news = True
 
-    def _renewals(self, gateway: _Gateway) -> list[HeldToken]:
+    def _renewals(self, gateway: Borrower) -> list[HeldToken]:
         due = self._horizon_unix_ms - RENEW_BEFORE_MS
         renewed = []
         for token in self._ledger.held_by(gateway.gateway_id):
@@ -275,7 +242,7 @@
                 renewed.append(HeldToken(token, self._horizon_unix_ms))
         return renewed
 
-    def _share(self, service: ServiceName, gateway: _Gateway) -> int:
+    def _share(self, service: ServiceName, gateway: Borrower) -> int:
         """Return how many slots of a service a gateway has when nobody is short.
 
         Gateways of other regions have none, so that they exchange no reports over
@@ -287,13 +254,13 @@
             return 0
         return math.ceil(self._ledger.slot_count(service) / len(members))
 
-    def _live(self) -> list[_Gateway]:
+    def _live(self) -> list[Borrower]:
         return [g for g in self._gateways.values() if g.dead_since_unix_ms is None]
 
-    def _demanders(self, service: ServiceName) -> list[_Gateway]:
+    def _demanders(self, service: ServiceName) -> list[Borrower]:
         return [g for g in self._live() if g.demand.get(service)]
 
-    def _grant_count(self, gateway: _Gateway, service: ServiceName) -> int:
+    def _grant_count(self, gateway: Borrower, service: ServiceName) -> int:
         free = self._ledger.free_count(service)
         if not free or not self._may_lend:
             return 0
@@ -306,7 +273,7 @@
         held = self._ledger.held_count(gateway.gateway_id, service)
         return max(0, min(free, self._share(service, gateway) - held))
 
-    def _grant(self, gateway: _Gateway, service: ServiceName) -> list[HeldToken]:
+    def _grant(self, gateway: Borrower, service: ServiceName) -> list[HeldToken]:
         count = self._grant_count(gateway, service)
         if not count:
             return []
@@ -343,7 +310,7 @@
         )
 
     def _recall_idle(
-        self, service: ServiceName, demanders: list[_Gateway], unmet: int
+        self, service: ServiceName, demanders: list[Borrower], unmet: int
     ) -> int:
         others = [g for g in self._live() if g not in demanders]
         others.sort(key=lambda g: -len(g.idle))
@@ -358,7 +325,7 @@
                     unmet -= 1
         return unmet
 
-    def _recall_excess(self, service: ServiceName, demanders: list[_Gateway]) -> None:
+    def _recall_excess(self, service: ServiceName, demanders: list[Borrower]) -> None:
         """Recall slots in use, so that all gateways with waiting requests get some."""
         total = self._ledger.slot_count(service)
         held = {
--- a/basilhold/testing/request_cell.py
+++ b/basilhold/testing/request_cell.py
@@ -6,7 +6,6 @@
 from collections.abc import Callable
 
 import msgspec
-from expression import Error, Ok, Result
 
 from basilhold.core import (
     ClassKind,
@@ -16,7 +15,6 @@
     InvariantError,
     ProcessId,
     RegionName,
-    RequestKey,
     RestartPolicy,
     ServiceName,
     UpstreamId,
@@ -32,35 +30,19 @@
     SlotLoop,
 )
 from basilhold.ports import (
-    AnswerHead,
-    AnswerSink,
-    Row,
-    ScanPage,
-    SendError,
-    SendPhase,
-    StoreError,
     TableService,
-    Transaction,
     UpstreamClient,
-    UpstreamRequest,
     VmKind,
     VmRecord,
     VmState,
 )
 from basilhold.requests import (
     ClassDirectory,
-    ExchangeError,
     GatewayIdentity,
-    PeerError,
-    RequestPeers,
-    RequestProgress,
     Router,
     SlotAllocator,
-    SlotExchange,
-    SlotGrant,
     SlotHolder,
     SlotLender,
-    SlotReport,
     SlotToken,
     Takeover,
 )
@@ -71,6 +53,13 @@
     MemoryUpstreamClient,
     MemoryUpstreams,
 )
+from basilhold.testing.request_links import (
+    CellExchange,
+    CellPeers,
+    Gate,
+    GatedClient,
+    GatedTable,
+)
 from basilhold.testing.virtual_time import VIRTUAL_EPOCH_UNIX_MS
 
 __all__ = ["ORDER", "QUOTE", "SERVICE", "CellGateway", "CellShape", "RequestCell"]
@@ -88,8 +77,6 @@
     timeout_ms=3000,
 )
 HORIZON_MS = 75 * 60_000
-EXCHANGE_TIMEOUT_MS = 1000
-CONNECT_TIMEOUT_S = 2.0
 
 
 class CellShape(msgspec.Struct, frozen=True):
@@ -125,121 +112,6 @@
         return self._classes.get(name)
 
 
-class _Gate:
-    """Holds all of a gateway's messages back while it is paused or dead."""
-
-    def __init__(self):
-        self._open = asyncio.Event()
-        self._open.set()
-
-    def close(self) -> None:
-        self._open.clear()
-
-    def open(self) -> None:
-        self._open.set()
-
-    async def passed(self) -> None:
-        await self._open.wait()
-
-
-class _GatedTable(TableService):
-    def __init__(self, table: MemoryTable, gate: _Gate):
-        self._table = table
-        self._gate = gate
-
-    async def read(self, keys: tuple[str, ...]) -> Result[dict[str, Row], StoreError]:
-        await self._gate.passed()
-        result = await self._table.read(keys)
-        await self._gate.passed()
-        return result
-
-    async def scan(
-        self, prefix: str, after: str = "", limit: int = 500
-    ) -> Result[ScanPage, StoreError]:
-        await self._gate.passed()
-        return await self._table.scan(prefix, after, limit)
-
-    async def transact(
-        self, transaction: Transaction
-    ) -> Result[dict[str, int], StoreError]:
-        await self._gate.passed()
-        result = await self._table.transact(transaction)
-        await self._gate.passed()
-        return result
-
-
-class _GatedClient(UpstreamClient):
-    def __init__(self, client: UpstreamClient, gate: _Gate):
-        self._client = client
-        self._gate = gate
-
-    async def send(
-        self, request: UpstreamRequest, sink: AnswerSink
-    ) -> Result[AnswerHead, SendError]:
-        loop = asyncio.get_running_loop()
-        started = loop.time()
-        await self._gate.passed()
-        if loop.time() - started > CONNECT_TIMEOUT_S:
-            # The HTTP client gives up in the same way.
-            return Error(SendError(SendPhase.NOT_SENT, "connection took too long"))
-        result = await self._client.send(request, sink)
-        await self._gate.passed()
-        return result
-
-
-class _CellPeers(RequestPeers):
-    def __init__(self, cell: "RequestCell"):
-        self._cell = cell
-
-    async def ask(
-        self, holder: ProcessId, key: RequestKey, wait_ms: int
-    ) -> Result[RequestProgress, PeerError]:
-        gateway = self._cell.gateways.get(holder)
-        if gateway is None or self._cell.peers_unreachable:
-            return Error(PeerError("unreachable"))
-        try:
-            async with asyncio.timeout((wait_ms + 100) / 1000):
-                await gateway.gate.passed()
-                return Ok(await gateway.keeper.ask(key, wait_ms))
-        except TimeoutError:
-            return Error(PeerError("no answer"))
-
-
-class _CellExchange(SlotExchange):
-    """Sends reports to the owners that a gateway knows, and loses some."""
-
-    def __init__(self, cell: "RequestCell", gateway: "CellGateway"):
-        self._cell = cell
-        self._gateway = gateway
-
-    async def exchange(
-        self, zone: ZoneName, report: SlotReport
-    ) -> Result[SlotGrant, ExchangeError]:
-        cell = self._cell
-        await self._gateway.gate.passed()
-        lender = self._gateway.owners.get(zone)
-        lost = cell.rng.random() < cell.exchange_loss_ratio
-        if cell.rng.random() < cell.exchange_loss_ratio and lender is not None:
-            # The report or a copy of it arrives late, and the reply is never seen.
-            cell.spawn(self._deliver_late(lender, report))
-        if lender is None or zone in cell.unreachable_owners or lost:
-            await asyncio.sleep(EXCHANGE_TIMEOUT_MS / 1000)
-            return Error(ExchangeError("no reply"))
-        await asyncio.sleep(0.001)
-        delivered = cell.spawn(lender.exchange(report))
-        grant = await asyncio.shield(delivered)
-        if cell.rng.random() < cell.exchange_loss_ratio:
-            await asyncio.sleep(EXCHANGE_TIMEOUT_MS / 1000)
-            return Error(ExchangeError("reply lost"))
-        await asyncio.sleep(0.001)
-        await self._gateway.gate.passed()
-        return Ok(grant)
-
-    async def _deliver_late(self, lender: SlotLender, report: SlotReport) -> None:
-        await asyncio.sleep(self._cell.rng.uniform(0.0, 3.0))
-        await lender.exchange(report)
-
-
 class CellGateway:
     """One gateway of a cell."""
 
@@ -248,7 +120,7 @@
         self.cell = cell
         self.process_id = ProcessId(name)
         self.vm_id = vm_id
-        self.gate = _Gate()
+        self.gate = Gate()
         self.owners: dict[ZoneName, SlotLender] = dict(cell.owners)
         self.clock = cell.clock
         rng = random.Random(f"{cell.seed}/{name}")
@@ -263,9 +135,9 @@
         self.keeper = OnceKeeper(
             self.process_id,
             self.clock,
-            cell.wrap_table(_GatedTable(cell.table, self.gate)),
+            cell.wrap_table(GatedTable(cell.table, self.gate)),
             cell.objects,
-            _CellPeers(cell),
+            CellPeers(cell),
             rng,
             counters,
         )
@@ -278,7 +150,7 @@
             cell.classes,
             router,
             self.holder,
-            cell.wrap_client(_GatedClient(client, self.gate)),
+            cell.wrap_client(GatedClient(client, self.gate)),
             self.keeper,
             rng,
             counters,
@@ -290,7 +162,7 @@
             router,
             self.holder,
             self.service,
-            _CellExchange(cell, self),
+            CellExchange(cell, self),
             rng,
         )
         self.calls: set[asyncio.Task] = set()
