--- a/basilhold/rpc/messages_grpc.py
+++ b/basilhold/rpc/messages_grpc.py
@@ -22,6 +22,10 @@
     async def PushDocument(self, stream: 'grpclib.server.Stream[basilhold.rpc.messages_pb2.Document, basilhold.rpc.messages_pb2.PushReply]') -> None:
         pass
 
+    @abc.abstractmethod
+    async def AskInForce(self, stream: 'grpclib.server.Stream[basilhold.rpc.messages_pb2.InForceRequest, basilhold.rpc.messages_pb2.InForceReply]') -> None:
+        pass
+
     def __mapping__(self) -> typing.Dict[str, grpclib.const.Handler]:
         return {
             '/basilhold.rpc.Relay/Watch': grpclib.const.Handler(
@@ -36,6 +40,12 @@
                 basilhold.rpc.messages_pb2.Document,
                 basilhold.rpc.messages_pb2.PushReply,
             ),
+            '/basilhold.rpc.Relay/AskInForce': grpclib.const.Handler(
+                self.AskInForce,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                basilhold.rpc.messages_pb2.InForceRequest,
+                basilhold.rpc.messages_pb2.InForceReply,
+            ),
         }
 
 
@@ -54,6 +64,12 @@
             basilhold.rpc.messages_pb2.Document,
             basilhold.rpc.messages_pb2.PushReply,
         )
+        self.AskInForce = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/basilhold.rpc.Relay/AskInForce',
+            basilhold.rpc.messages_pb2.InForceRequest,
+            basilhold.rpc.messages_pb2.InForceReply,
+        )
 
 
 class SchedulerBase(abc.ABC):
@@ -74,6 +90,10 @@
     async def ShardState(self, stream: 'grpclib.server.Stream[basilhold.rpc.messages_pb2.ShardStateRequest, basilhold.rpc.messages_pb2.JsonReply]') -> None:
         pass
 
+    @abc.abstractmethod
+    async def AttestLost(self, stream: 'grpclib.server.Stream[basilhold.rpc.messages_pb2.AttestLostRequest, basilhold.rpc.messages_pb2.AttestLostReply]') -> None:
+        pass
+
     @abc.abstractmethod
     async def HandOver(self, stream: 'grpclib.server.Stream[basilhold.rpc.messages_pb2.HandOverRequest, basilhold.rpc.messages_pb2.HandOverReply]') -> None:
         pass
@@ -108,6 +128,12 @@
                 basilhold.rpc.messages_pb2.ShardStateRequest,
                 basilhold.rpc.messages_pb2.JsonReply,
             ),
+            '/basilhold.rpc.Scheduler/AttestLost': grpclib.const.Handler(
+                self.AttestLost,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                basilhold.rpc.messages_pb2.AttestLostRequest,
+                basilhold.rpc.messages_pb2.AttestLostReply,
+            ),
             '/basilhold.rpc.Scheduler/HandOver': grpclib.const.Handler(
                 self.HandOver,
                 grpclib.const.Cardinality.UNARY_UNARY,
@@ -150,6 +176,12 @@
             basilhold.rpc.messages_pb2.ShardStateRequest,
             basilhold.rpc.messages_pb2.JsonReply,
         )
+        self.AttestLost = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/basilhold.rpc.Scheduler/AttestLost',
+            basilhold.rpc.messages_pb2.AttestLostRequest,
+            basilhold.rpc.messages_pb2.AttestLostReply,
+        )
         self.HandOver = grpclib.client.UnaryUnaryMethod(
             channel,
             '/basilhold.rpc.Scheduler/HandOver',
