--- a/basilhold/gateway/__init__.py
+++ b/basilhold/gateway/__init__.py
@@ -3,13 +3,11 @@
 from basilhold.gateway.answers import CallerSink
 from basilhold.gateway.counters import Count, RequestCounters
 from basilhold.gateway.drain import Drain, DrainEnd, DrainReport
-from basilhold.gateway.handlers import (
-    FrontEnd,
-    StaticCallers,
-    make_application,
-    request_routes,
-)
-from basilhold.gateway.once import OnceKeeper, OnceLimits
+from basilhold.gateway.front import FrontEnd, StaticCallers
+from basilhold.gateway.handlers import make_application, request_routes
+from basilhold.gateway.once import OnceKeeper
+from basilhold.gateway.once_results import OnceLimits
+from basilhold.gateway.once_sweeper import OnceSweeper
 from basilhold.gateway.server import GatewayServer
 from basilhold.gateway.service import RequestService, ServiceParts
 from basilhold.gateway.slots import SlotLoop
@@ -24,6 +22,7 @@
     "GatewayServer",
     "OnceKeeper",
     "OnceLimits",
+    "OnceSweeper",
     "RequestCounters",
     "RequestService",
     "ServiceParts",
--- a/basilhold/testing/request_cell.py
+++ b/basilhold/testing/request_cell.py
@@ -6,7 +6,6 @@
 from collections.abc import Callable
 
 import msgspec
-from expression import Error, Ok, Result
 
 from basilhold.core import (
     ClassKind,
@@ -16,7 +15,6 @@
     InvariantError,
     ProcessId,
     RegionName,
-    RequestKey,
     RestartPolicy,
     ServiceName,
     UpstreamId,
@@ -32,35 +30,19 @@
     SlotLoop,
 )
 from basilhold.ports import (
-    AnswerHead,
-    AnswerSink,
-    Row,
-    ScanPage,
-    SendError,
-    SendPhase,
-    StoreError,
     TableService,
-    Transaction,
     UpstreamClient,
-    UpstreamRequest,
     VmKind,
     VmRecord,
     VmState,
 )
 from basilhold.requests import (
     ClassDirectory,
-    ExchangeError,
     GatewayIdentity,
-    PeerError,
-    RequestPeers,
-    RequestProgress,
     Router,
     SlotAllocator,
-    SlotExchange,
-    SlotGrant,
     SlotHolder,
     SlotLender,
-    SlotReport,
     SlotToken,
     Takeover,
 )
@@ -71,6 +53,13 @@
     MemoryUpstreamClient,
     MemoryUpstreams,
 )
+from basilhold.testing.request_links import (
+    CellExchange,
+    CellPeers,
+    Gate,
+    GatedClient,
+    GatedTable,
+)
 from basilhold.testing.virtual_time import VIRTUAL_EPOCH_UNIX_MS
 
 __all__ = ["ORDER", "QUOTE", "SERVICE", "CellGateway", "CellShape", "RequestCell"]
@@ -88,8 +77,6 @@
     timeout_ms=3000,
 )
 HORIZON_MS = 75 * 60_000
-EXCHANGE_TIMEOUT_MS = 1000
-CONNECT_TIMEOUT_S = 2.0
 
 
 class CellShape(msgspec.Struct, frozen=True):
@@ -125,121 +112,6 @@
         return self._classes.get(name)
 
 
-class _Gate:
-    """Holds all of a gateway's messages back while it is paused or dead."""
-
-    def __init__(self):
-        self._open = asyncio.Event()
-        self._open.set()
-
-    def close(self) -> None:
-        self._open.clear()
-
-    def open(self) -> None:
-        self._open.set()
-
-    async def passed(self) -> None:
-        await self._open.wait()
-
-
-class _GatedTable(TableService):
-    def __init__(self, table: MemoryTable, gate: _Gate):
-        self._table = table
-        self._gate = gate
-
-    async def read(self, keys: tuple[str, ...]) -> Result[dict[str, Row], StoreError]:
-        await self._gate.passed()
-        result = await self._table.read(keys)
-        await self._gate.passed()
-        return result
-
-    async def scan(
-        self, prefix: str, after: str = "", limit: int = 500
-    ) -> Result[ScanPage, StoreError]:
-        await self._gate.passed()
-        return await self._table.scan(prefix, after, limit)
-
-    async def transact(
-        self, transaction: Transaction
-    ) -> Result[dict[str, int], StoreError]:
-        await self._gate.passed()
-        result = await self._table.transact(transaction)
-        await self._gate.passed()
-        return result
-
-
-class _GatedClient(UpstreamClient):
-    def __init__(self, client: UpstreamClient, gate: _Gate):
-        self._client = client
-        self._gate = gate
-
-    async def send(
-        self, request: UpstreamRequest, sink: AnswerSink
-    ) -> Result[AnswerHead, SendError]:
-        loop = asyncio.get_running_loop()
-        started = loop.time()
-        await self._gate.passed()
-        if loop.time() - started > CONNECT_TIMEOUT_S:
-            # The HTTP client gives up in the same way.
-            return Error(SendError(SendPhase.NOT_SENT, "connection took too long"))
-        result = await self._client.send(request, sink)
-        await self._gate.passed()
-        return result
-
-
-class _CellPeers(RequestPeers):
-    def __init__(self, cell: "RequestCell"):
-        self._cell = cell
-
-    async def ask(
-        self, holder: ProcessId, key: RequestKey, wait_ms: int
-    ) -> Result[RequestProgress, PeerError]:
-        gateway = self._cell.gateways.get(holder)
-        if gateway is None or self._cell.peers_unreachable:
-            return Error(PeerError("unreachable"))
-        try:
-            async with asyncio.timeout((wait_ms + 100) / 1000):
-                await gateway.gate.passed()
-                return Ok(await gateway.keeper.ask(key, wait_ms))
-        except TimeoutError:
-            return Error(PeerError("no answer"))
-
-
-class _CellExchange(SlotExchange):
-    """Sends reports to the owners that a gateway knows, and loses some."""
-
-    def __init__(self, cell: "RequestCell", gateway: "CellGateway"):
-        self._cell = cell
-        self._gateway = gateway
-
-    async def exchange(
-        self, zone: ZoneName, report: SlotReport
-    ) -> Result[SlotGrant, ExchangeError]:
-        cell = self._cell
-        await self._gateway.gate.passed()
-        lender = self._gateway.owners.get(zone)
-        lost = cell.rng.random() < cell.exchange_loss_ratio
-        if lender is None or zone in cell.unreachable_owners or lost:
-            if lost and lender is not None:
-                # The report arrives late, and its reply is never seen.
-                cell.spawn(self._deliver_late(lender, report))
-            await asyncio.sleep(EXCHANGE_TIMEOUT_MS / 1000)
-            return Error(ExchangeError("no reply"))
-        await asyncio.sleep(0.001)
-        delivered = cell.spawn(lender.exchange(report))
-        grant = await asyncio.shield(delivered)
-        if cell.rng.random() < cell.exchange_loss_ratio:
-            await asyncio.sleep(EXCHANGE_TIMEOUT_MS / 1000)
-            return Error(ExchangeError("reply lost"))
-        await asyncio.sleep(0.001)
-        await self._gateway.gate.passed()
-        return Ok(grant)
-
-    async def _deliver_late(self, lender: SlotLender, report: SlotReport) -> None:
-        await asyncio.sleep(self._cell.rng.uniform(0.0, 3.0))
-        await lender.exchange(report)
-
-
 class CellGateway:
     """One gateway of a cell."""
 
@@ -248,7 +120,7 @@
         self.cell = cell
         self.process_id = ProcessId(name)
         self.vm_id = vm_id
-        self.gate = _Gate()
+        self.gate = Gate()
         self.owners: dict[ZoneName, SlotLender] = dict(cell.owners)
         self.clock = cell.clock
         rng = random.Random(f"{cell.seed}/{name}")
@@ -263,13 +135,13 @@
         self.keeper = OnceKeeper(
             self.process_id,
             self.clock,
-            _GatedTable(cell.table, self.gate),
+            cell.wrap_table(GatedTable(cell.table, self.gate)),
             cell.objects,
-            _CellPeers(cell),
+            CellPeers(cell),
             rng,
             counters,
         )
-        self.holder = cell.make_holder(identity)
+        self.holder = SlotHolder(identity)
         client = MemoryUpstreamClient(cell.upstreams, identity.zone, identity.region)
         router = Router(identity.zone, identity.region, rng)
         parts = ServiceParts(
@@ -278,7 +150,7 @@
             cell.classes,
             router,
             self.holder,
-            cell.wrap_client(_GatedClient(client, self.gate)),
+            cell.wrap_client(GatedClient(client, self.gate)),
             self.keeper,
             rng,
             counters,
@@ -290,7 +162,7 @@
             router,
             self.holder,
             self.service,
-            _CellExchange(cell, self),
+            CellExchange(cell, self),
             rng,
         )
         self.calls: set[asyncio.Task] = set()
@@ -314,7 +186,7 @@
     async def stop(self) -> None:
         """End the gateway's tasks."""
         await self.loop.__aexit__()
-        self.service.cut()
+        await self.service.cut()
         await self.keeper.__aexit__()
 
 
@@ -325,22 +197,25 @@
     ----------
     seed : int
     shape : CellShape, optional
-    make_holder, wrap_client : callable
+    make_allocator, wrap_client, wrap_table : callable
         Tests put broken variants in here.
+    classes : tuple of WorkClass
     """
 
     def __init__(
         self,
         seed: int,
         shape: CellShape | None = None,
-        make_holder: Callable[[GatewayIdentity], SlotHolder] = SlotHolder,
+        make_allocator: Callable[..., SlotAllocator] = SlotAllocator,
         wrap_client: Callable[[UpstreamClient], UpstreamClient] = lambda c: c,
+        wrap_table: Callable[[TableService], TableService] = lambda t: t,
         classes: tuple[WorkClass, ...] = (QUOTE, ORDER),
     ):
         self.seed = seed
         self.shape = shape or CellShape()
-        self.make_holder = make_holder
+        self.make_allocator = make_allocator
         self.wrap_client = wrap_client
+        self.wrap_table = wrap_table
         self.rng = random.Random(seed)
         self.clock = Clock(VIRTUAL_EPOCH_UNIX_MS)
         self.classes = CellClasses(classes)
@@ -365,7 +240,7 @@
         for index in range(self.shape.upstreams):
             self._add_upstream(index)
         for zone, region in self.shape.zones:
-            allocator = SlotAllocator(
+            allocator = self.make_allocator(
                 ZoneName(zone),
                 RegionName(region),
                 Epoch(1),
@@ -428,7 +303,7 @@
         now_unix_ms = self.clock.unix_ms()
         horizon = now_unix_ms + HORIZON_MS
         takeover = Takeover(now_unix_ms, horizon, frozenset(self.entry_vms))
-        allocator = SlotAllocator(
+        allocator = self.make_allocator(
             zone,
             RegionName(dict(self.shape.zones)[zone]),
             Epoch(old.epoch + 1),
@@ -453,10 +328,11 @@
 
     def mark_leaving(self, upstream_id: UpstreamId, listed: bool) -> None:
         """Let an upstream leave, as seen in the VM list or as it says itself."""
-        self.leaving_since_s[upstream_id] = asyncio.get_running_loop().time()
         if not listed:
+            # Counted from its first answer that says so; nobody knows before.
             self.upstreams.members[upstream_id].behaviour.leaving = True
             return
+        self.leaving_since_s[upstream_id] = asyncio.get_running_loop().time()
         record = self.records[upstream_id]
         self.records[upstream_id] = msgspec.structs.replace(
             record, state=VmState.LEAVING
