--- a/basilhold/cell/cell.py
+++ b/basilhold/cell/cell.py
@@ -1,5 +1,6 @@
 """A cell over in-memory stand-ins of the platform."""
 
+import asyncio
 from collections.abc import Callable
 from typing import Self
 
@@ -10,6 +11,7 @@
 from basilhold.config import ChangeRequest, ConfigStore
 from basilhold.core import (
     Clock,
+    InvariantError,
     OfficeDocument,
     RegionName,
     UpstreamId,
@@ -122,6 +124,17 @@
         self.entries[vm_id] = nodes
         return await nodes.__aenter__()
 
+    async def wait_ready(self, timeout_s: float = 30.0) -> None:
+        """Wait until every entry VM takes callers.
+
+        Raises
+        ------
+        TimeoutError
+        """
+        waits = (nodes.wait_ready() for nodes in self.entries.values())
+        async with asyncio.timeout(timeout_s):
+            await asyncio.gather(*waits)
+
     async def stop_entry(self, vm_id: VmId) -> None:
         """Stop the processes of an entry VM as planned."""
         await self.entries.pop(vm_id).__aexit__(None, None, None)
@@ -147,8 +160,8 @@
         """
         for nodes in self.entries.values():
             nodes.check()
-        for error in self.upstreams.errors:
-            raise error
+        for error in (*self.upstreams.errors, *self.network.handler_errors):
+            raise InvariantError(repr(error)) from error
 
     def _add_vm(self, record: VmRecord) -> None:
         if record.kind is VmKind.WORKER:
--- a/basilhold/cell/entry.py
+++ b/basilhold/cell/entry.py
@@ -21,6 +21,10 @@
 from basilhold.nodes.context import follow_changes, make_context
 from basilhold.nodes.directory import EntryPorts, make_process_id
 from basilhold.nodes.gateway_node import GatewayNode, GatewayPorts
+from basilhold.nodes.operator_backend import (
+    GatewayOperatorBackend,
+    make_operator_backend,
+)
 from basilhold.nodes.relay_node import RelayNode
 from basilhold.nodes.scheduler_node import SchedulerNode
 from basilhold.nodes.store import ProcessStore
@@ -37,6 +41,9 @@
 __all__ = ["EntryNodes", "EntryPlatform"]
 
 
+READY_INTERVAL_S = 0.1
+
+
 class EntryPlatform(msgspec.Struct):
     """The platform as the processes of an entry VM reach it.
 
@@ -105,6 +112,7 @@
         self.relay = self._make_relay()
         self.scheduler = self._make_scheduler()
         self.gateway = self._make_gateway()
+        self.operators = self._make_operators()
         self._nodes: tuple[NodePart, ...] = (self.relay, self.scheduler, self.gateway)
 
     async def __aenter__(self) -> Self:
@@ -153,6 +161,11 @@
         """Whether the load balancer may send callers here."""
         return self._gateway_context.in_force.is_ready
 
+    async def wait_ready(self) -> None:
+        """Wait until the load balancer may send callers here."""
+        while not self.is_ready:  # noqa: ASYNC110
+            await asyncio.sleep(READY_INTERVAL_S)
+
     def state(self) -> dict[str, Any]:
         """Return what a state dump shows."""
         return {
@@ -214,6 +227,14 @@
             seed=self._rng.getrandbits(32),
         )
 
+    def _make_operators(self) -> GatewayOperatorBackend:
+        return make_operator_backend(
+            self._gateway_context,
+            self._store("operators"),
+            self._shape.services,
+            lambda: msgspec.json.encode(self.state()),
+        )
+
     def _make_gateway(self) -> GatewayNode:
         entry = self.entry
         process_id = make_process_id("gateway", entry.vm_id)
--- a/basilhold/cell/shape.py
+++ b/basilhold/cell/shape.py
@@ -31,6 +31,7 @@
     entries : tuple of EntryPorts
     vms : tuple of VmRecord
         Entry VMs, workers and upstreams.
+    services : frozenset of ServiceName
     offices : tuple of OfficeName
     regions : tuple of RegionName
     store_region : RegionName
@@ -40,6 +41,7 @@
 
     entries: tuple[EntryPorts, ...]
     vms: tuple[VmRecord, ...]
+    services: frozenset[ServiceName]
     offices: tuple[OfficeName, ...]
     regions: tuple[RegionName, ...]
     store_region: RegionName
@@ -89,6 +91,7 @@
     return CellShape(
         entries=entries,
         vms=vms,
+        services=frozenset(ServiceName(service.name) for service in settings.services),
         offices=tuple(OfficeName(office) for office in settings.offices),
         regions=tuple(RegionName(region.name) for region in settings.regions),
         store_region=RegionName(settings.store_region),
--- a/basilhold/cell/tests/test_cell.py
+++ b/basilhold/cell/tests/test_cell.py
@@ -56,10 +56,8 @@
         for document in example_documents(cell_name):
             await cell.set_document(document)
         await cell.__aenter__()
-        async with asyncio.timeout(30):
-            while not all(nodes.is_ready for nodes in cell.entries.values()):
-                await asyncio.sleep(0.1)
-        await asyncio.sleep(10)
+        await cell.wait_ready()
+        await asyncio.sleep(5)
         cell.check()
         return cell
 
--- a/basilhold/nodes/operator_backend.py
+++ b/basilhold/nodes/operator_backend.py
@@ -5,10 +5,20 @@
 import msgspec
 from expression import Ok, Result
 
-from basilhold.core import JobId, OfficeDocument, OfficeName, WorkerId, ZoneName
+from basilhold.config import ConfigStore
+from basilhold.core import (
+    JobId,
+    OfficeDocument,
+    OfficeName,
+    ServiceName,
+    WorkerId,
+    ZoneName,
+)
+from basilhold.nodes.base import NodeContext
 from basilhold.nodes.operator_cell import OperatorCell
 from basilhold.nodes.operator_config import OperatorConfig
 from basilhold.nodes.operator_jobs import OperatorJobs
+from basilhold.nodes.peers import GrpcSchedulerPeers
 from basilhold.operators_api import (
     Attested,
     ClassList,
@@ -28,8 +38,10 @@
     WorkerPage,
     WorkerQuery,
 )
+from basilhold.ports import TableService
+from basilhold.sharding import JobIntake
 
-__all__ = ["GatewayOperatorBackend"]
+__all__ = ["GatewayOperatorBackend", "make_operator_backend"]
 
 
 class GatewayOperatorBackend(OperatorBackend):
@@ -134,3 +146,37 @@
         if zone is None:
             return Ok(msgspec.Raw(self._own_state()))
         return await self._cell.shard_state(zone)
+
+
+def make_operator_backend(
+    context: NodeContext,
+    store: TableService,
+    services: frozenset[ServiceName],
+    own_state: Callable[[], bytes],
+) -> GatewayOperatorBackend:
+    """Return the backend of a gateway.
+
+    Parameters
+    ----------
+    context : NodeContext
+    store : TableService
+    services : frozenset of ServiceName
+        Services of the cell.
+    own_state : callable
+        Returns the state dump of this process, as JSON.
+    """
+    clock, directory, transport = context.clock, context.directory, context.transport
+    config = OperatorConfig(
+        ConfigStore(store, clock), context.in_force, context.subscription, services
+    )
+    jobs = OperatorJobs(
+        clock,
+        store,
+        JobIntake(store),
+        context.in_force,
+        directory,
+        GrpcSchedulerPeers(transport, directory),
+        transport,
+    )
+    cell = OperatorCell(clock, store, directory, transport)
+    return GatewayOperatorBackend(config, jobs, cell, own_state)
--- a/basilhold/nodes/peers.py
+++ b/basilhold/nodes/peers.py
@@ -108,6 +108,7 @@
         TeamUsage(
             TeamName(team.team),
             Resources(team.cores_milli, team.memory_bytes, team.gpus_milli),
+            team.waiting_tasks,
         )
         for team in message.team_usage
     )
--- a/basilhold/nodes/scheduler_service.py
+++ b/basilhold/nodes/scheduler_service.py
@@ -108,6 +108,7 @@
                 cores_milli=usage.used.cores_milli,
                 memory_bytes=usage.used.memory_bytes,
                 gpus_milli=usage.used.gpus_milli,
+                waiting_tasks=usage.waiting_tasks,
             )
             for usage in summary.team_usage
         ],
--- a/basilhold/nodes/slot_lending.py
+++ b/basilhold/nodes/slot_lending.py
@@ -67,7 +67,7 @@
 
     def frozen_count(self) -> int:
         """Return the number of tokens that nobody may use."""
-        return sum(len_.allocator.frozen_count for len_ in self._lenders.values())
+        return sum(lender.allocator.frozen_count() for lender in self._lenders.values())
 
     def _make_lender(self, zone: ZoneName, owner: ShardOwner) -> SlotLender:
         inherited = owner.inherited
--- a/basilhold/sharding/owner.py
+++ b/basilhold/sharding/owner.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 from collections.abc import Callable
+from typing import Any
 
 import msgspec
 
@@ -302,7 +303,13 @@
     @property
     def horizon_unix_ms(self) -> int:
         """Lease horizon that is known to be in the shard's row."""
-        return self.tables.shard.horizon_unix_ms
+        record = self.tables.shard if self.tables is not None else self._record
+        return record.horizon_unix_ms
+
+    @property
+    def inherited(self) -> ShardRecord | None:
+        """Row of the predecessor; ``None`` if the shard is new."""
+        return self._inherited
 
     def job_of(self, task_id: TaskId) -> JobRecord | None:
         """Return the job that a task belongs to."""
@@ -461,6 +468,27 @@
         """Return why a job's tasks wait."""
         return self._planner.explain(job_id, self._services.clock.unix_ms())
 
+    def state(self) -> dict[str, Any]:
+        """Return what a state dump shows."""
+        if self.tables is None:
+            return {"epoch": self.epoch, "recovered": False}
+        return {
+            "epoch": self.epoch,
+            "recovered": self.recovered.is_set(),
+            "horizon_unix_ms": self.horizon_unix_ms,
+            "jobs": len(self.tables.jobs),
+            "tasks_placed": len(self.tables.placed),
+            "workers": {
+                worker_id: {
+                    "schedulable": self._sessions[worker_id].schedulable,
+                    "reachable": self._sessions[worker_id].reachable,
+                    "assignments": len(worker.record.assignments),
+                }
+                for worker_id, worker in self.tables.workers.items()
+                if worker_id in self._sessions
+            },
+        }
+
     def summary(self) -> ShardSummary:
         """Return what other processes learn about the shard."""
         free = Resources()
--- a/basilhold/sharding/peers.py
+++ b/basilhold/sharding/peers.py
@@ -29,10 +29,11 @@
 
 
 class TeamUsage(msgspec.Struct, frozen=True):
-    """What a team uses in one shard."""
+    """What a team uses in one shard, and how many of its tasks wait there."""
 
     team: TeamName
     used: Resources
+    waiting_tasks: int = 0
 
 
 class ShardSummary(msgspec.Struct, frozen=True):
