Add the gateway, scheduler, relay and local programs

Each daemon reads one settings file, serves status pages and drains on a signal. basilhold-local runs a cell in one process, or only the stand-ins of the platform for daemons that run as processes.

--- a/basilhold/cell/shape.py
+++ b/basilhold/cell/shape.py
@@ -14,10 +14,11 @@
     ZoneName,
 )
 from basilhold.nodes.directory import EntryPorts
+from basilhold.nodes.entries import entry_ports
 from basilhold.ports import VmKind, VmRecord, VmState
 from basilhold.settings import Settings
 
-__all__ = ["CellShape", "entry_ports", "make_shape"]
+__all__ = ["CellShape", "make_shape"]
 
 AGENT_PORT = 9000
 UPSTREAM_PORT = 8080
@@ -53,23 +54,6 @@
         return tuple(record for record in self.vms if record.kind is kind)
 
 
-def entry_ports(settings: Settings) -> tuple[EntryPorts, ...]:
-    """Return the entry VMs of the settings."""
-    regions = {zone.name: zone.region for zone in settings.zones}
-    return tuple(
-        EntryPorts(
-            VmId(vm.id),
-            ZoneName(vm.zone),
-            RegionName(regions[vm.zone]),
-            vm.host,
-            vm.gateway_port,
-            vm.scheduler_port,
-            vm.relay_port,
-        )
-        for vm in settings.entry_vms
-    )
-
-
 def make_shape(settings: Settings, distinct_hosts: bool = False) -> CellShape:
     """Return the VMs that the settings describe.
 
--- a/basilhold/programs/events.py
+++ b/basilhold/programs/events.py
@@ -3,6 +3,8 @@
 from basilhold.observability import Event, EventLevel
 
 __all__ = [
+    "CLOCK_MOVED",
+    "TLS_PROBLEM",
     "DAEMON_DRAINING",
     "DAEMON_STARTED",
     "DAEMON_STOPPED",
@@ -25,3 +27,15 @@
     "{name} stops because an invariant does not hold: {error}",
     "Keep the state dump that follows in the log and report it as a fault.",
 )
+CLOCK_MOVED = Event(
+    4906,
+    EventLevel.WARNING,
+    "{name}: the clock moved by {moved_ms} ms",
+    "Check the VM's time synchronisation; leases rely on the configured clock error.",
+)
+TLS_PROBLEM = Event(
+    4907,
+    EventLevel.ERROR,
+    "{name}: the new key files cannot be used: {reason}",
+    "Replace the key files; the process goes on with the old ones until they expire.",
+)
--- a/basilhold/programs/lifecycle.py
+++ b/basilhold/programs/lifecycle.py
@@ -32,6 +32,7 @@
 
     OK = 0
     DRAIN_CUT = 1
+    UNAVAILABLE = 69
     INVARIANT_BROKEN = 70
     SETTINGS_INVALID = 78
 
--- a/basilhold/rpc/tests/test_sockets.py
+++ b/basilhold/rpc/tests/test_sockets.py
@@ -94,6 +94,7 @@
         raise NotImplementedError
 
     ExchangeSlots = NotifyJobs = Explain = ShardState = HandOver = _unused
+    AttestLost = _unused
 
 
 async def probe(transport, address, name="a", timeout_s=5.0):
