--- a/basilhold/gateway/__init__.py
+++ b/basilhold/gateway/__init__.py
@@ -11,6 +11,7 @@
 from basilhold.gateway.server import GatewayServer
 from basilhold.gateway.service import RequestService, ServiceParts
 from basilhold.gateway.slots import SlotLoop
+from basilhold.gateway.status import RequestMetrics, RequestState
 
 __all__ = [
     "CallerSink",
@@ -24,7 +25,9 @@
     "OnceLimits",
     "OnceSweeper",
     "RequestCounters",
+    "RequestMetrics",
     "RequestService",
+    "RequestState",
     "ServiceParts",
     "SlotLoop",
     "StaticCallers",
--- a/basilhold/gateway/counters.py
+++ b/basilhold/gateway/counters.py
@@ -1,12 +1,17 @@
 """Counts of the request path."""
 
-from collections import Counter
+from collections import Counter, deque
 from enum import Enum
 
+import msgspec
+
 from basilhold.core import ClassName
 from basilhold.requests import Outcome, ProblemKind
 
-__all__ = ["Count", "RequestCounters"]
+__all__ = ["Count", "RequestCounters", "WaitRatio"]
+
+WAIT_RATIOS_MAX = 10_000
+"""Ratios kept between two readings of the metrics; the oldest are dropped first."""
 
 
 class Count(Enum):
@@ -26,6 +31,13 @@
     ANSWERS_NOT_KEPT = "answers-not-kept"
 
 
+class WaitRatio(msgspec.Struct, frozen=True):
+    """How long a request waited, relative to the target of its class."""
+
+    class_name: ClassName
+    ratio: float
+
+
 class RequestCounters:
     """Counters of one gateway, read by metrics and the state dump."""
 
@@ -35,6 +47,13 @@
         self.problems: Counter[ProblemKind] = Counter()
         self.arrived: Counter[ClassName] = Counter()
         self.on_target: Counter[ClassName] = Counter()
+        self.class_outcomes: dict[ClassName, Counter[Outcome]] = {}
+        self.wait_ratios: deque[WaitRatio] = deque(maxlen=WAIT_RATIOS_MAX)
+
+    def count_end(self, class_name: ClassName, outcome: Outcome) -> None:
+        """Count a request that has ended."""
+        self.outcomes[outcome] += 1
+        self.class_outcomes.setdefault(class_name, Counter())[outcome] += 1
 
     def snapshot(self) -> dict[str, int]:
         """Return all counts by name."""
--- a/basilhold/gateway/dispatch.py
+++ b/basilhold/gateway/dispatch.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from basilhold.core import Clock, ServiceName, UpstreamId, ZoneName
+from basilhold.core import ClassName, Clock, ServiceName, UpstreamId, ZoneName
 from basilhold.gateway.counters import Count, RequestCounters
 from basilhold.requests import (
     Distance,
@@ -179,6 +179,13 @@
                 found.append((service, math.ceil(waiting / zones)))
         return tuple(found)
 
+    def queued_counts(self) -> Counter[ClassName]:
+        """Return the number of waiting requests by class."""
+        counts: Counter[ClassName] = Counter()
+        for queue in self._queues.values():
+            counts.update(queue.class_counts())
+        return counts
+
     def retry_after_s(self, service: ServiceName) -> int:
         """Return after how many seconds a refused request can be tried again."""
         wait_s = math.ceil(self._expected_wait_ms(service) / 1000)
--- a/basilhold/gateway/handlers.py
+++ b/basilhold/gateway/handlers.py
@@ -11,6 +11,7 @@
 from basilhold.gateway.answers import CallerSink
 from basilhold.gateway.front import FrontEnd
 from basilhold.gateway.problems import OUTCOME_HEADER, PROBLEM_TYPE, encode_problem
+from basilhold.gateway.service import UNKNOWN_CLASS
 from basilhold.ports import AnswerHead
 from basilhold.requests import (
     CallerRequest,
@@ -318,7 +319,7 @@
     def _refuse(self, problem: Problem) -> None:
         counters = self._front.service.counters
         counters.problems[problem.kind] += 1
-        counters.outcomes[problem.outcome] += 1
+        counters.count_end(UNKNOWN_CLASS, problem.outcome)
         self.set_header("Connection", "close")
         self.write_problem(problem)
 
--- a/basilhold/gateway/service.py
+++ b/basilhold/gateway/service.py
@@ -7,13 +7,14 @@
 import msgspec
 
 from basilhold.core import (
+    ClassName,
     Clock,
     ServiceName,
     ZoneName,
 )
 from basilhold.gateway.answers import AnswerRecorder, AttemptSink, CallerSink
 from basilhold.gateway.attempts import Attempt, AttemptEnd, AttemptRunner
-from basilhold.gateway.counters import Count, RequestCounters
+from basilhold.gateway.counters import Count, RequestCounters, WaitRatio
 from basilhold.gateway.course import (
     Course,
     check_request,
@@ -45,6 +46,9 @@
 __all__ = ["RequestService", "ServiceParts"]
 
 ATTEMPTS_MAX = 3
+UNKNOWN_CLASS = ClassName("unknown")
+"""Stands in the counts for class names that no office declares."""
+
 SEND_LEAD_MS = 20
 """Nothing is sent when less than this is left until the deadline."""
 
@@ -176,7 +180,7 @@
         work_class = self._parts.classes.find(request.class_name)
         problem = check_request(request, work_class, self._parts.router, self.stopping)
         if problem is not None:
-            return self._count_end(_end(problem))
+            return self._count_end(UNKNOWN_CLASS, _end(problem))
         self.counters.arrived[work_class.name] += 1
         course = make_course(request, work_class, sink, arrived_ms)
         task = asyncio.create_task(self._serve(course))
@@ -184,8 +188,8 @@
         self._idle.clear()
         task.add_done_callback(self._forget)
         if course.is_idempotent:
-            return self._count_end(await task)
-        return self._count_end(await asyncio.shield(task))
+            return self._count_end(work_class.name, await task)
+        return self._count_end(work_class.name, await asyncio.shield(task))
 
     async def wait_idle(self) -> None:
         """Wait until no request is in flight and all results are recorded."""
@@ -208,8 +212,8 @@
         if not task.cancelled():
             task.exception()
 
-    def _count_end(self, end: RequestEnd) -> RequestEnd:
-        self.counters.outcomes[end.outcome] += 1
+    def _count_end(self, class_name: ClassName, end: RequestEnd) -> RequestEnd:
+        self.counters.count_end(class_name, end.outcome)
         if end.problem is not None:
             self.counters.problems[end.problem.kind] += 1
         if end.replayed:
@@ -307,7 +311,10 @@
         course.upstream_id = granted.upstream.upstream_id
         if course.attempts == 1:
             waited_ms = self._clock.monotonic_ms() - course.queued.arrived_ms
-            if waited_ms <= course.queued.target_ms:
+            name = course.work_class.name
+            ratio = waited_ms / course.queued.target_ms
+            self.counters.wait_ratios.append(WaitRatio(name, ratio))
+            if ratio <= 1:
                 self.counters.on_target[course.work_class.name] += 1
         was_sent = course.was_sent
         # Set before the first byte can be written, so that a cancelled request is
--- a/basilhold/requests/queue.py
+++ b/basilhold/requests/queue.py
@@ -120,6 +120,10 @@
         for lane in self._lanes.values():
             yield from lane
 
+    def class_counts(self) -> Counter[ClassName]:
+        """Return the number of waiting requests by class."""
+        return self._class_counts.copy()
+
     @property
     def size_bytes(self) -> int:
         """Sum of the waiting requests' bodies, in bytes."""
--- a/basilhold/requests/routing.py
+++ b/basilhold/requests/routing.py
@@ -8,7 +8,7 @@
 
 from basilhold.core import RegionName, ServiceName, UpstreamId, ZoneName
 from basilhold.ports import VmKind, VmRecord, VmState
-from basilhold.requests.health import HealthLimits, UpstreamHealth
+from basilhold.requests.health import BreakerState, HealthLimits, UpstreamHealth
 
 __all__ = ["LEAVING_MS", "Distance", "Router", "Upstream"]
 
@@ -146,6 +146,17 @@
         distances = self._zone_distances.get(service, {}).values()
         return sum((d is Distance.OTHER_REGION) == remote for d in distances)
 
+    def services(self) -> tuple[ServiceName, ...]:
+        """Return the services that have or had upstreams."""
+        return tuple(self._by_service)
+
+    def open_breakers(self, service: ServiceName) -> int:
+        """Return how many upstreams of a service have an open circuit breaker."""
+        return sum(
+            self._upstreams[u].health.state is not BreakerState.CLOSED
+            for u in self._by_service.get(service, ())
+        )
+
     def has_usable(self, service: ServiceName) -> bool:
         """Return whether any upstream of a service has an idle token."""
         return any(self.usable_count(service, distance) for distance in Distance)
