--- a/basilhold/gateway/slots.py
+++ b/basilhold/gateway/slots.py
@@ -160,6 +160,7 @@
         await self.__aexit__()
         for zone in self._tasks:
             self._holder.return_idle(zone)
+        self._update_limits()
         await asyncio.gather(*(self._say_goodbye(zone) for zone in self._tasks))
 
     async def _say_goodbye(self, zone: ZoneName) -> None:
@@ -231,6 +232,8 @@
         sent_ms = self._clock.monotonic_ms()
         pauses = self._pause_count
         leaving = self._router.self_reported_leaving(zone, sent_ms)
+        # Connections of returned tokens are closed before the owner lends them again.
+        self._update_limits()
         report = self._holder.next_report(
             zone,
             demand,
