--- a/basilhold/gateway/dispatch.py
+++ b/basilhold/gateway/dispatch.py
@@ -28,6 +28,12 @@
 TICK_MS = 10
 """How often waiting requests are checked for expiry and for recovered upstreams."""
 
+WHOLE_TICKS = 10
+"""Every tenth tick looks at all waiting requests, the others at the oldest ones.
+
+Looking at 2,000 requests took 0.6 ms, which is 6% of a core at each tick.
+"""
+
 RETRY_AFTER_S_MAX = 30
 
 PAUSE_MS = 1500
@@ -77,6 +83,7 @@
         self._home_slot_counts: Counter[ServiceName] = Counter()
         self._counted: Counter[UpstreamId] = Counter()
         self._tick: asyncio.TimerHandle | None = None
+        self._tick_count = 0
         self._missed_targets: dict[ServiceName, RateWindow] = {}
         self._late_counts: dict[ServiceName, tuple[float, int]] = {}
         self._beat_ms: float | None = None
@@ -321,9 +328,12 @@
         self._tick = None
         now_ms = self._clock.monotonic_ms()
         waiting = 0
+        self._tick_count += 1
+        whole = self._tick_count % WHOLE_TICKS == 0
         for service, queue in self._queues.items():
             self._dispatch(service)
-            for queued, kind in queue.expired(now_ms, self._times.service_ms(service)):
+            service_ms = self._times.service_ms(service)
+            for queued, kind in queue.expired(now_ms, service_ms, whole):
                 self._refuse(queue, queued, kind)
             waiting += len(queue)
         if waiting:
--- a/basilhold/gateway/drain.py
+++ b/basilhold/gateway/drain.py
@@ -27,10 +27,21 @@
 
 
 class DrainReport(msgspec.Struct, frozen=True):
-    """Result of a stop, with a line for each request that was cut."""
+    """Result of a stop.
+
+    Parameters
+    ----------
+    end : DrainEnd
+    cut : tuple of str
+        A line for each request that was cut.
+    unrecorded_count : int
+        Results of keyed requests that the store did not take; their callers have
+        their answers, and repeats get the outcome unknown.
+    """
 
     end: DrainEnd
     cut: tuple[str, ...] = ()
+    unrecorded_count: int = 0
 
 
 class Drain:
@@ -90,7 +101,8 @@
         service.stopping = True
         if end is DrainEnd.FINISHED:
             end = await self._finish_requests()
-        report = DrainReport(end, await self._cut(end))
+        unrecorded_count = service.unrecorded_count
+        report = DrainReport(end, await self._cut(end), unrecorded_count)
         await self._return_slots()
         return report
 
--- a/basilhold/gateway/once.py
+++ b/basilhold/gateway/once.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from collections.abc import Coroutine
 from typing import Self
 
 import msgspec
@@ -101,6 +102,7 @@
         self._writer = OnceWriter(table, counters)
         self._held: dict[RequestKey, _Held] = {}
         self._tasks: set[asyncio.Task[None]] = set()
+        self._cleanups: set[asyncio.Task[None]] = set()
         self._unrecorded_count = 0
         self._unrecorded_bytes = 0
         self._cleanup_count = 0
@@ -111,11 +113,17 @@
         return self
 
     async def __aexit__(self, *exc_info: object) -> None:
-        for task in list(self._tasks):
+        tasks = self._tasks | self._cleanups
+        for task in tasks:
             task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await asyncio.gather(*tasks, return_exceptions=True)
         await self._writer.__aexit__(*exc_info)
 
+    @property
+    def unrecorded_count(self) -> int:
+        """Number of results that wait to be recorded."""
+        return self._unrecorded_count
+
     async def settle(self) -> None:
         """Wait until every result is recorded or dropped."""
         while self._tasks:
@@ -369,7 +377,7 @@
     def _start_cleanup(self, key: RequestKey, record: OnceRecord) -> None:
         if self._cleanup_count < CLEANUP_MAX:
             self._cleanup_count += 1
-            self._spawn(self._clean_up(key, record))
+            self._spawn(self._clean_up(key, record), self._cleanups)
 
     async def _clean_up(self, key: RequestKey, record: OnceRecord) -> None:
         """Remove a record that was perhaps written and certainly not used."""
@@ -401,7 +409,12 @@
             held.progress = progress
             held.done.set()
 
-    def _spawn(self, coroutine) -> None:
+    def _spawn(
+        self,
+        coroutine: Coroutine[None, None, None],
+        tasks: set[asyncio.Task[None]] | None = None,
+    ) -> None:
+        tasks = self._tasks if tasks is None else tasks
         task = asyncio.create_task(coroutine)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        tasks.add(task)
+        task.add_done_callback(tasks.discard)
--- a/basilhold/gateway/service.py
+++ b/basilhold/gateway/service.py
@@ -133,6 +133,11 @@
         """Number of requests that have not ended."""
         return len(self._courses)
 
+    @property
+    def unrecorded_count(self) -> int:
+        """Number of results of keyed requests that wait for the store."""
+        return self._parts.once.unrecorded_count
+
     def in_flight_names(self) -> list[str]:
         """Return a line for each request that has not ended."""
         return [
--- a/basilhold/gateway/tests/test_slots.py
+++ b/basilhold/gateway/tests/test_slots.py
@@ -50,3 +50,27 @@
             await asyncio.sleep(600)
             total = sum(self.held(g) for g in cell.gateways.values())
             self.assertEqual(total, 160)
+
+    async def test_idle_gateways_exchange_nothing_between_regions(self):
+        async with running_cell(RequestCell(4)) as cell:
+            await asyncio.sleep(120)
+            self.assertEqual(cell.other_region_reports, 0)
+
+    async def test_slots_of_another_region_are_lent_and_returned(self):
+        async with running_cell(RequestCell(5)) as cell:
+            await asyncio.sleep(10)
+            away = next(
+                g for g in cell.gateways.values() if g.identity.region == "thrace"
+            )
+            demand = [((SERVICE, 2),)]
+            away.service.demand = lambda zone: demand[0] if zone == "ruse" else ()
+            away.service.dispatcher.on_shortage()
+            await asyncio.sleep(1.0)
+            self.assertGreaterEqual(len(away.holder.held("ruse")), 1)
+            demand[0] = ()
+            away.service.dispatcher.on_shortage()
+            await asyncio.sleep(5.0)
+            self.assertEqual(len(away.holder.held("ruse")), 0)
+            reports = cell.other_region_reports
+            await asyncio.sleep(60)
+            self.assertEqual(cell.other_region_reports, reports)
--- a/basilhold/requests/queue.py
+++ b/basilhold/requests/queue.py
@@ -195,14 +195,27 @@
         return heads
 
     def expired(
-        self, now_ms: float, service_ms: float
+        self, now_ms: float, service_ms: float, whole: bool = True
     ) -> list[tuple[QueuedRequest, ProblemKind]]:
-        """Return the waiting requests that are to be refused now."""
+        """Return the waiting requests that are to be refused now.
+
+        Parameters
+        ----------
+        now_ms : float
+        service_ms : float
+            Expected service time, in milliseconds.
+        whole : bool
+            Whether all requests are looked at. Otherwise each class and team is left
+            at its first request in time, which misses only callers' own deadlines.
+        """
         refused = []
-        for request in self:
-            kind = self.late_refusal(request, now_ms, service_ms)
-            if kind is not None:
-                refused.append((request, kind))
+        for lane in self._lanes.values():
+            for request in lane:
+                kind = self.late_refusal(request, now_ms, service_ms)
+                if kind is not None:
+                    refused.append((request, kind))
+                elif not whole:
+                    break
         return refused
 
     def late_refusal(
--- a/basilhold/testing/request_cell.py
+++ b/basilhold/testing/request_cell.py
@@ -131,6 +131,7 @@
             RegionName(region),
             cell.clock.unix_ms(),
         )
+        self.identity = identity
         counters = RequestCounters()
         self.keeper = OnceKeeper(
             self.process_id,
@@ -230,6 +231,7 @@
         self.unreachable_owners: set[ZoneName] = set()
         self.peers_unreachable = False
         self.exchange_loss_ratio = 0.0
+        self.other_region_reports = 0
         self.leaving_since_s: dict[UpstreamId, float] = {}
         self._tasks: set[asyncio.Task] = set()
         self._failures: list[BaseException] = []
--- a/basilhold/testing/request_links.py
+++ b/basilhold/testing/request_links.py
@@ -148,6 +148,8 @@
         cell = self._cell
         await self._gateway.gate.passed()
         lender = self._gateway.owners.get(zone)
+        if dict(cell.shape.zones)[zone] != report.region:
+            cell.other_region_reports += 1
         lost = cell.rng.random() < cell.exchange_loss_ratio
         if cell.rng.random() < cell.exchange_loss_ratio and lender is not None:
             # The report or a copy of it arrives late, and the reply is never seen.
