--- a/basilhold/gateway/answers.py
+++ b/basilhold/gateway/answers.py
@@ -21,8 +21,11 @@
 A cut answer of this size can still be replaced by a retry or a problem document.
 """
 
-CHUNK_BYTES = 512 << 10
-CHUNKS_MAX = 512
+CHUNK_BYTES = 128 << 10
+"""With all 160 slots of 20 upstreams in use by one gateway, parts of this size take
+20 MB, which is what a daemon has for its state."""
+
+CHUNKS_MAX = 2048
 
 RETRYABLE_STATUSES = frozenset({500, 502, 503, 504})
 
--- a/basilhold/gateway/service.py
+++ b/basilhold/gateway/service.py
@@ -49,6 +49,9 @@
 UNKNOWN_CLASS = ClassName("unknown")
 """Stands in the counts for class names that no office declares."""
 
+REPLAYS_MAX = 16
+"""Stored answers that are read at a time; each takes 128 KiB."""
+
 SEND_LEAD_MS = 20
 """Nothing is sent when less than this is left until the deadline."""
 
@@ -116,6 +119,7 @@
         self._courses: dict[asyncio.Task[RequestEnd], Course] = {}
         self._idle = asyncio.Event()
         self._idle.set()
+        self._replays = asyncio.Semaphore(REPLAYS_MAX)
         self.stopping = False
 
     @property
@@ -260,7 +264,7 @@
     async def _play_back(self, course: Course, replay: Replay) -> RequestEnd:
         left_ms = course.queued.deadline_ms - self._clock.monotonic_ms()
         try:
-            async with asyncio.timeout(left_ms / 1000):
+            async with asyncio.timeout(left_ms / 1000), self._replays:
                 return await play_back(replay, self._parts.once.objects, course.sink)
         except TimeoutError:
             detail = "the request has run, but the deadline of this repeat has passed"
