--- a/basilhold/gateway/dispatch.py
+++ b/basilhold/gateway/dispatch.py
@@ -10,6 +10,7 @@
 from basilhold.core import ClassName, Clock, ServiceName, UpstreamId, ZoneName
 from basilhold.gateway.counters import Count, RequestCounters
 from basilhold.requests import (
+    BreakerState,
     Distance,
     ProblemKind,
     QueuedRequest,
@@ -45,10 +46,19 @@
 
 
 class Granted(msgspec.Struct, frozen=True):
-    """A slot for one request."""
+    """A slot for one request.
+
+    Parameters
+    ----------
+    upstream : Upstream
+    token : SlotToken
+    is_probe : bool
+        Whether the request tests an upstream whose circuit breaker was open.
+    """
 
     upstream: Upstream
     token: SlotToken
+    is_probe: bool = False
 
 
 class Dispatcher:
@@ -136,6 +146,10 @@
         self, service: ServiceName, queued: QueuedRequest, granted: Granted
     ) -> None:
         """Free a slot after its request has ended."""
+        health = granted.upstream.health
+        if granted.is_probe and health.state is BreakerState.PROBING:
+            # The request ended without a result, for example before it was sent.
+            health.abandoned(self._clock.monotonic_ms())
         granted.upstream.in_flight -= 1
         self._queue(service).ended(queued.team)
         self._holder.release(granted.token)
@@ -299,7 +313,10 @@
         if upstream is None:
             return None
         token = self._holder.acquire(upstream.upstream_id, self._clock.unix_ms())
-        return None if token is None else Granted(upstream, token)
+        if token is None:
+            return None
+        is_probe = upstream.health.state is BreakerState.OPEN
+        return Granted(upstream, token, is_probe)
 
     def upstreams_changed(self) -> None:
         """Match the held slots with a new list of upstreams."""
--- a/basilhold/gateway/tests/test_service.py
+++ b/basilhold/gateway/tests/test_service.py
@@ -1,7 +1,7 @@
 import asyncio
 
-from basilhold.gateway.tests.fixtures import Cell, call
-from basilhold.requests import Outcome, ProblemKind
+from basilhold.gateway.tests.fixtures import SERVICE, Cell, call
+from basilhold.requests import BreakerState, Outcome, ProblemKind, QueuedRequest
 from basilhold.standins import UpstreamBehaviour
 from basilhold.testing import VirtualTimeTestCase
 
@@ -60,3 +60,23 @@
             end, _sink = await call(service)
         self.assertIs(end.outcome, Outcome.NOT_RUN)
         self.assertEqual(cell.upstreams.run_counts().total(), 0)
+
+
+class ProbeTest(VirtualTimeTestCase):
+    """Guards against a circuit breaker that stays open after an unused probe."""
+
+    async def test_probe_that_is_not_sent_is_followed_by_another(self):
+        cell = Cell(1)
+        async with cell.gateway() as service:
+            health = service.parts.router.find(cell.ids[0]).health
+            for _ in range(5):
+                health.failed(0)
+            await asyncio.sleep(2)
+            queued = QueuedRequest("quote", "desk", 2000, 200, 7000)
+            granted = await service.dispatcher.wait(SERVICE, queued)
+            self.assertIs(health.state, BreakerState.PROBING)
+            service.dispatcher.give_back(SERVICE, queued, granted)
+            self.assertIs(health.state, BreakerState.OPEN)
+            await asyncio.sleep(2)
+            end, _sink = await call(service)
+            self.assertIs(end.outcome, Outcome.RAN)
