--- a/basilhold/gateway/answers.py
+++ b/basilhold/gateway/answers.py
@@ -158,10 +158,13 @@
         if len(self._held) > HOLD_BYTES_MAX:
             await self._pass_on()
 
-    async def complete(self) -> OnceAnswer | None:
-        """Pass the rest of a whole answer on and return what is to be recorded."""
+    async def complete(self) -> None:
+        """Pass on what is left of a whole answer."""
         if not self.passed_on:
             await self._pass_on()
+
+    async def record(self) -> OnceAnswer | None:
+        """Return what is to be recorded of a whole answer, if anything is."""
         if self._recorder is None or self.head is None:
             return None
         return await self._recorder.end(self.head)
--- a/basilhold/gateway/service.py
+++ b/basilhold/gateway/service.py
@@ -49,6 +49,9 @@
 UNKNOWN_CLASS = ClassName("unknown")
 """Stands in the counts for class names that no office declares."""
 
+READ_MS_MIN = 1000
+"""Time that a caller has to read an answer of up to 64 KiB, even at its deadline."""
+
 REPLAYS_MAX = 16
 """Stored answers that are read at a time; each takes 128 KiB."""
 
@@ -373,16 +376,28 @@
         self, course: Course, end: AttemptEnd, sink: AttemptSink
     ) -> RequestEnd:
         if end.whole:
-            answer = await sink.complete()
+            problem = await self._pass_on(course, sink)
+            answer = await sink.record()
             if course.ticket is not None and answer is not None:
                 self._parts.once.finish(course.ticket, answer)
-            return RequestEnd(Outcome.RAN)
+            return RequestEnd(Outcome.RAN, problem)
         outcome = Outcome.UNKNOWN if course.was_sent else Outcome.NOT_RUN
         kind = ProblemKind.TIMED_OUT if end.timed_out else ProblemKind.UPSTREAM_FAILED
         if outcome is Outcome.NOT_RUN:
             kind = ProblemKind.NO_UPSTREAM
         return _end(Problem(kind, outcome, end.reason, 1))
 
+    async def _pass_on(self, course: Course, sink: AttemptSink) -> Problem | None:
+        """Pass an answer on; a caller that does not read it is not waited for."""
+        left_ms = course.queued.deadline_ms - self._clock.monotonic_ms()
+        try:
+            async with asyncio.timeout(max(left_ms, READ_MS_MIN) / 1000):
+                await sink.complete()
+        except TimeoutError:
+            detail = "the request has run, but its answer was not read in time"
+            return Problem(ProblemKind.TIMED_OUT, Outcome.RAN, detail)
+        return None
+
     def _refused(self, course: Course, kind: ProblemKind) -> Problem:
         outcome = Outcome.UNKNOWN if course.was_sent else Outcome.NOT_RUN
         detail = refusal_detail(kind)
--- a/basilhold/gateway/tests/test_service.py
+++ b/basilhold/gateway/tests/test_service.py
@@ -1,6 +1,12 @@
 import asyncio
 
-from basilhold.gateway.tests.fixtures import SERVICE, Cell, call
+from basilhold.gateway.tests.fixtures import (
+    SERVICE,
+    Cell,
+    RecordingSink,
+    call,
+    make_request,
+)
 from basilhold.requests import BreakerState, Outcome, ProblemKind, QueuedRequest
 from basilhold.standins import UpstreamBehaviour
 from basilhold.testing import VirtualTimeTestCase
@@ -61,6 +67,22 @@
         self.assertIs(end.outcome, Outcome.NOT_RUN)
         self.assertEqual(cell.upstreams.run_counts().total(), 0)
 
+    async def test_caller_that_does_not_read_is_not_waited_for(self):
+        cell = Cell(1)
+        sink = RecordingSink()
+
+        async def stall(data):
+            await asyncio.sleep(3600)
+
+        sink.write = stall
+        async with cell.gateway() as service:
+            end = await service.handle(make_request("order", key="k"), sink)
+            self.assertIs(end.outcome, Outcome.RAN)
+            self.assertIs(end.problem.kind, ProblemKind.TIMED_OUT)
+            self.assertLess(asyncio.get_running_loop().time(), 6.1)
+            end, _sink = await call(service, class_name="order", key="k")
+            self.assertTrue(end.replayed)
+
 
 class ProbeTest(VirtualTimeTestCase):
     """Guards against a circuit breaker that stays open after an unused probe."""
