--- a/basilhold/placement/overuse.py
+++ b/basilhold/placement/overuse.py
@@ -5,7 +5,7 @@
 from basilhold.placement.shard_state import ShardState
 from basilhold.placement.workers import LiveTask, WorkerState
 
-__all__ = ["OveruseWatch"]
+__all__ = ["EVICTION_TIMEOUT_MS", "OveruseWatch"]
 
 _CORES_TOLERANCE = 1.05
 """Reports average over an interval, so short bursts above the declaration count."""
@@ -14,8 +14,9 @@
 """A worker that reports more than this share of its cores or memory in use gets new
 work last, and its memory is then considered in danger."""
 
-_REPEAT_MS = 30_000
-"""An eviction whose task is still reported after this time is issued again."""
+EVICTION_TIMEOUT_MS = 30_000
+"""A task that still runs this long after its eviction was issued counts as not evicted,
+in milliseconds: the message may have been lost."""
 
 
 class OveruseWatch:
@@ -58,9 +59,8 @@
         )
 
     def _inspect_task(self, live: LiveTask, memory_short: bool) -> None:
-        now = self._state.now_unix_ms
         if live.used.memory_bytes > live.size.memory_bytes:
-            if live.evicted_unix_ms and now - live.evicted_unix_ms < _REPEAT_MS:
+            if live.evicted_unix_ms:
                 return
             action = _memory_action(live, memory_short)
             if action is not None:
--- a/basilhold/placement/target_planner.py
+++ b/basilhold/placement/target_planner.py
@@ -13,7 +13,7 @@
 from basilhold.placement.claims import ClaimBook
 from basilhold.placement.explain import explain_job
 from basilhold.placement.gang_turns import GangTurns
-from basilhold.placement.overuse import OveruseWatch
+from basilhold.placement.overuse import EVICTION_TIMEOUT_MS, OveruseWatch
 from basilhold.placement.plan import Explanation, Placement, Plan
 from basilhold.placement.planner import Planner
 from basilhold.placement.planning_pass import PlanningPass
@@ -137,6 +137,11 @@
                 if report.succeeded and job is not None:
                     state.estimates.record_run(job.spec, age_ms)
             return
+        if (
+            live.evicted_unix_ms
+            and state.now_unix_ms - live.evicted_unix_ms > EVICTION_TIMEOUT_MS
+        ):
+            state.clear_evicted(live)
         live.used = report.used
         if job is not None:
             state.estimates.record_use(
--- a/basilhold/placement/tests/test_reclaim.py
+++ b/basilhold/placement/tests/test_reclaim.py
@@ -94,6 +94,15 @@
         shard = self.full_shard(job("batch", size(4, 16), tasks=2), teams=teams)
         self.assertEqual(self.urgent(shard, team="rush").evictions, ())
 
+    def test_victim_that_still_runs_after_30_s_is_asked_again(self):
+        shard = self.full_shard(job("batch", size(8, 32)))
+        self.assertEqual(len(self.urgent(shard).evictions), 1)
+        report = TaskReport("batch#0", 1, True, None, size(1, 1))
+        shard.planner.record_usage("w1", (report,), 80_000)
+        self.assertEqual(shard.plan(80_000).evictions, ())
+        shard.planner.record_usage("w1", (report,), 91_000)
+        self.assertEqual(len(shard.plan(91_000).evictions), 1)
+
     def test_cancelled_urgent_task_gives_its_claim_back(self):
         shard = self.full_shard(job("batch", size(4, 16), tasks=2))
         plan = self.urgent(shard)
