--- a/basilhold/sharding/explorer.py
+++ b/basilhold/sharding/explorer.py
@@ -47,9 +47,11 @@
 )
 
 __all__ = [
-    "AT_MOST_ONCE_LEASE",
+    "AT_MOST_ONCE_EXPIRY",
     "COMMIT_RACES",
-    "RESTARTABLE_LEASE",
+    "EXPIRY",
+    "FENCING",
+    "START_RACES",
     "Exploration",
     "Rules",
     "Scenario",
@@ -59,8 +61,6 @@
 ZONE = ZoneName("z")
 TICK_MS = 10_000
 LEASE_MS = TICK_MS
-HORIZON_MS = 2 * TICK_MS
-POLICIES = (RestartPolicy.ALLOWED, RestartPolicy.FORBIDDEN)
 SHARD, COMMIT = shard_key(ZONE), commit_key(ZONE)
 
 
@@ -70,6 +70,7 @@
     is_free = staticmethod(is_free)
     fence = staticmethod(fence)
     when_missing = staticmethod(when_missing)
+    policies = (RestartPolicy.ALLOWED, RestartPolicy.FORBIDDEN)
     workers_check_epoch = True
     starts_need_commit = True
     unknown_is_not_applied = False
@@ -91,23 +92,43 @@
         Placements begin only until so many transactions were made.
     placed_task : int or None
         A task that the first scheduler has committed to the first worker; the other
-        task is left out. By default both tasks are pending.
+        task is left out.
+    pending : tuple of int
+        The tasks that wait, if none is placed.
+    talk : bool
+        Whether schedulers talk to workers.
+    horizon_ticks : int
+        Lease horizon of each owner, from its takeover.
     """
 
     ticks: int
     commits: int
     placed_task: int | None = None
+    pending: tuple[int, ...] = (0, 1)
+    talk: bool = True
+    horizon_ticks: int = 1
 
+    @property
+    def horizon_ms(self) -> int:
+        """How far ahead an owner may grant leases."""
+        return self.horizon_ticks * TICK_MS
 
-COMMIT_RACES = Scenario(ticks=0, commits=3)
-"""Both schedulers commit both tasks; no lease expires."""
 
-RESTARTABLE_LEASE = Scenario(ticks=3, commits=2, placed_task=0)
-"""A task that can be restarted moves from one worker and owner to the other."""
+COMMIT_RACES = Scenario(ticks=0, commits=5, talk=False)
+"""Both schedulers commit both tasks; nothing is started."""
 
-AT_MOST_ONCE_LEASE = Scenario(ticks=3, commits=2, placed_task=1)
+START_RACES = Scenario(ticks=0, commits=4, pending=(0,))
+"""Both schedulers commit and start one task; no lease expires."""
+
+EXPIRY = Scenario(ticks=2, commits=2, placed_task=0)
+"""A task moves to the other worker once the first owner's horizon has passed."""
+
+AT_MOST_ONCE_EXPIRY = Scenario(ticks=2, commits=2, placed_task=1)
 """The same for an at-most-once task."""
 
+FENCING = Scenario(ticks=1, commits=2, placed_task=0, horizon_ticks=2)
+"""The first owner may still grant leases after the second has fenced a worker."""
+
 
 class Commit(msgspec.Struct, frozen=True):
     """A transaction that changes one task's assignment on one worker."""
@@ -197,6 +218,8 @@
 
 def _initial(scenario: Scenario) -> State:
     store = Store(1, 1, 0, 0, ((), ()), (1, 1), (0, 0), (False, False))
+    final = tuple(task not in scenario.pending for task in range(2))
+    store = _replace(store, final=final)
     phases: tuple[tuple[int, AttemptPhase], ...] = ()
     if scenario.placed_task is not None:
         task = scenario.placed_task
@@ -207,9 +230,9 @@
             final=_put((True, True), task, False),
         )
         phases = ((task, AttemptPhase.FRESH),)
-    lease = WorkerLease(fenced=scenario.placed_task is not None)
-    first = Scheduler(1, HORIZON_MS, store, (lease, lease), phases)
-    worker = Worker(epoch=1 if lease.fenced else 0)
+    lease = WorkerLease(fenced=True)
+    first = Scheduler(1, scenario.horizon_ms, store, (lease, lease), phases)
+    worker = Worker(epoch=1)
     empty: frozenset = frozenset()
     return State(
         0, store, (first, Scheduler()), (worker, worker), empty, empty, (0, 0), 1
@@ -278,7 +301,38 @@
             else:
                 yield from self._place(state, index)
             for worker in range(2):
-                yield from self._talk(state, index, worker)
+                if self._scenario.talk or not scheduler.leases[worker].fenced:
+                    yield from self._talk(state, index, worker)
+
+    def without_dead_messages(self, state: State) -> State:
+        """Drop messages that can have no effect any more; versions only grow."""
+        rows = _rows(state.store)
+        commits = frozenset(
+            commit
+            for commit in state.commits
+            if all(
+                condition.version >= (rows[condition.key].version)
+                for condition in commit.conditions
+                if condition.key in rows
+            )
+        )
+        messages = frozenset(
+            message
+            for message in state.messages
+            if self._matters(state.workers[message.worker], message, state.tick)
+        )
+        if commits == state.commits and messages == state.messages:
+            return state
+        return _replace(state, commits=commits, messages=messages)
+
+    def _matters(self, worker: Worker, message: Message, tick: int) -> bool:
+        if not self._accepts(worker, message.epoch) or (
+            message.until_ms <= tick * TICK_MS
+        ):
+            return False
+        if message.attempt == 0:
+            return message.until_ms > worker.lease_ms
+        return message.attempt > worker.last[message.task]
 
     def _tick(self, state: State) -> State:
         now_ms = (state.tick + 1) * TICK_MS
@@ -286,9 +340,7 @@
             worker if now_ms < worker.lease_ms else _replace(worker, running=())
             for worker in state.workers
         )
-        # A start that can only be refused as late does not matter any more.
-        messages = frozenset(m for m in state.messages if m.until_ms > now_ms)
-        return _replace(state, tick=state.tick + 1, workers=workers, messages=messages)
+        return _replace(state, tick=state.tick + 1, workers=workers)
 
     def _claim(self, state: State, index: int) -> State:
         store = _replace(
@@ -296,11 +348,12 @@
             epoch=state.store.epoch + 1,
             shard_version=state.store.shard_version + 1,
         )
-        horizon_ms = max(HORIZON_MS, state.tick * TICK_MS + HORIZON_MS)
+        inherited_ms = self._scenario.horizon_ms
+        horizon_ms = state.tick * TICK_MS + self._scenario.horizon_ms
         phases = tuple(
             (task, AttemptPhase.SENT) for held in store.assigned for task, _ in held
         )
-        lease = inherit(HORIZON_MS)
+        lease = inherit(inherited_ms)
         owner = Scheduler(store.epoch, horizon_ms, store, (lease, lease), phases)
         schedulers = _put(state.schedulers, index, owner)
         return _replace(state, store=store, schedulers=schedulers)
@@ -346,7 +399,8 @@
                     continue  # The workers are alike.
                 if state.next_number > self._scenario.commits:
                     continue
-                if not known.assigned[worker]:
+                lease = state.schedulers[index].leases[worker]
+                if not known.assigned[worker] and lease.fenced:
                     attempt = known.attempts[task] + 1
                     yield (
                         f"s{index} places t{task} on w{worker}",
@@ -426,7 +480,7 @@
         name = f"s{index}"
         if not lease.fenced:
             yield f"{name} asks w{worker}", self._report(state, index, worker)
-        else:
+        elif scheduler.store.assigned[worker]:
             expires_ms = next_expiry(now_ms, LEASE_MS, scheduler.horizon_ms)
             if expires_ms > max(now_ms, lease.granted_until_unix_ms):
                 yield (
@@ -452,12 +506,14 @@
         name = f"s{index} t{task}"
         if phase is AttemptPhase.RELEASING:
             return
-        action = self._rules.when_missing(phase, POLICIES[task])
+        action = self._rules.when_missing(phase, self._rules.policies[task])
         if lease.fenced and lease.granted_until_unix_ms > now_ms:
             message = Message(
                 scheduler.epoch, worker, lease.granted_until_unix_ms, task, attempt
             )
-            if action is MissingAction.START and message not in state.messages:
+            if action is MissingAction.START and self._matters(
+                state.workers[worker], message, state.tick
+            ):
                 sent = self._set_phase(state, index, task, AttemptPhase.SENT)
                 sent = _replace(sent, messages=sent.messages | {message})
                 yield f"{name} starts on w{worker}", sent
@@ -466,7 +522,9 @@
         assignment = Assignment(TaskId(str(task)), Attempt(attempt), Resources())
         worker_id = WorkerId(str(worker))
         if self._rules.is_free(lease, now_ms):
-            release = after_lease_expiry(assignment, worker_id, phase, POLICIES[task])
+            release = after_lease_expiry(
+                assignment, worker_id, phase, self._rules.policies[task]
+            )
             final = release.state is not TaskState.PENDING
             sent = self._send(
                 state, index, worker, task, attempt, adds=False, final=final
@@ -538,7 +596,7 @@
         )
         assignment = Assignment(TaskId(str(task)), Attempt(attempt), Resources())
         release = after_stop(
-            assignment, WorkerId(str(number)), POLICIES[task], never, "stop"
+            assignment, WorkerId(str(number)), self._rules.policies[task], never, "stop"
         )
         final = release.state is not TaskState.PENDING
         state = _replace(state, workers=_put(state.workers, number, worker))
@@ -611,7 +669,8 @@
     queue = deque((start,))
     while queue and len(came_from) < states_max:
         state = queue.popleft()
-        for label, following in explorer.successors(state):
+        for label, raw in explorer.successors(state):
+            following = explorer.without_dead_messages(raw)
             if following in came_from:
                 continue
             came_from[following] = (state, label)
@@ -630,3 +689,21 @@
         labels.append(step[1])
         step = came_from[step[0]]
     return tuple(reversed(labels))
+
+
+def main() -> None:
+    """Explore all scenarios and print the number of states of each."""
+    for name in (
+        "COMMIT_RACES",
+        "START_RACES",
+        "EXPIRY",
+        "AT_MOST_ONCE_EXPIRY",
+        "FENCING",
+    ):
+        found = explore(globals()[name])
+        print(f"{name}: {found.states} states, complete: {found.complete}", end="")
+        print(f", {found.violation}: {found.trace}" if found.violation else "")
+
+
+if __name__ == "__main__":
+    main()
