--- a/basilhold/sharding/explorer.py
+++ b/basilhold/sharding/explorer.py
@@ -8,7 +8,6 @@
 
 from collections import deque
 from collections.abc import Iterator
-from functools import cache
 
 import msgspec
 
@@ -20,24 +19,43 @@
     TaskId,
     TaskState,
     WorkerId,
-    ZoneName,
 )
-from basilhold.ports import Condition, Row
+from basilhold.ports import Condition
 from basilhold.sharding.commit_rules import (
     SentCommit,
     Verdict,
     commit_conditions,
     judge,
 )
+from basilhold.sharding.explorer_model import (
+    AT_MOST_ONCE_EXPIRY,
+    COMMIT_RACES,
+    EXPIRY,
+    FENCING,
+    LEASE_MS,
+    START_RACES,
+    TICK_MS,
+    ZONE,
+    Commit,
+    Exploration,
+    Message,
+    Scenario,
+    Scheduler,
+    State,
+    Worker,
+    apply_commit,
+    find_violation,
+    initial_state,
+    put,
+    store_rows,
+)
 from basilhold.sharding.leases import (
-    WorkerLease,
     fence,
     grant,
     inherit,
     is_free,
     next_expiry,
 )
-from basilhold.sharding.rows import CommitRecord, commit_key, encode, shard_key
 from basilhold.sharding.task_rules import (
     AttemptPhase,
     MissingAction,
@@ -58,10 +76,7 @@
     "explore",
 ]
 
-ZONE = ZoneName("z")
-TICK_MS = 10_000
-LEASE_MS = TICK_MS
-SHARD, COMMIT = shard_key(ZONE), commit_key(ZONE)
+_replace = msgspec.structs.replace
 
 
 class Rules:
@@ -81,202 +96,6 @@
         return commit_conditions(ZONE, shard_version, commit_version)
 
 
-class Scenario(msgspec.Struct, frozen=True):
-    """Bounds of an exploration.
-
-    Parameters
-    ----------
-    ticks : int
-        Time that passes, in units of a worker lease.
-    commits : int
-        Placements begin only until so many transactions were made.
-    placed_task : int or None
-        A task that the first scheduler has committed to the first worker; the other
-        task is left out.
-    pending : tuple of int
-        The tasks that wait, if none is placed.
-    talk : bool
-        Whether schedulers talk to workers.
-    horizon_ticks : int
-        Lease horizon of each owner, from its takeover.
-    """
-
-    ticks: int
-    commits: int
-    placed_task: int | None = None
-    pending: tuple[int, ...] = (0, 1)
-    talk: bool = True
-    horizon_ticks: int = 1
-
-    @property
-    def horizon_ms(self) -> int:
-        """How far ahead an owner may grant leases."""
-        return self.horizon_ticks * TICK_MS
-
-
-COMMIT_RACES = Scenario(ticks=0, commits=5, talk=False)
-"""Both schedulers commit both tasks; nothing is started."""
-
-START_RACES = Scenario(ticks=0, commits=4, pending=(0,))
-"""Both schedulers commit and start one task; no lease expires."""
-
-EXPIRY = Scenario(ticks=2, commits=2, placed_task=0)
-"""A task moves to the other worker once the first owner's horizon has passed."""
-
-AT_MOST_ONCE_EXPIRY = Scenario(ticks=2, commits=2, placed_task=1)
-"""The same for an at-most-once task."""
-
-FENCING = Scenario(ticks=1, commits=2, placed_task=0, horizon_ticks=2)
-"""The first owner may still grant leases after the second has fenced a worker."""
-
-
-class Commit(msgspec.Struct, frozen=True):
-    """A transaction that changes one task's assignment on one worker."""
-
-    number: int
-    by: int
-    worker: int
-    task: int
-    attempt: int
-    adds: bool
-    final: bool
-    conditions: tuple[Condition, ...]
-
-
-class Store(msgspec.Struct, frozen=True):
-    """The shard's rows; worker and task rows carry a version each."""
-
-    epoch: int
-    shard_version: int
-    commit_number: int
-    commit_version: int
-    assigned: tuple[tuple[tuple[int, int], ...], ...]
-    versions: tuple[int, ...]
-    attempts: tuple[int, ...]
-    final: tuple[bool, ...]
-
-
-class Scheduler(msgspec.Struct, frozen=True):
-    """What one scheduler knows; epoch 0 if it owns nothing."""
-
-    epoch: int = 0
-    horizon_ms: int = 0
-    store: Store | None = None
-    leases: tuple[WorkerLease, ...] = ()
-    phases: tuple[tuple[int, AttemptPhase], ...] = ()
-    pending: Commit | None = None
-
-
-class Message(msgspec.Struct, frozen=True):
-    """A start or a renewal on its way; `attempt` is 0 for a renewal."""
-
-    epoch: int
-    worker: int
-    until_ms: int
-    task: int = -1
-    attempt: int = 0
-
-
-class Worker(msgspec.Struct, frozen=True):
-    """A worker that follows the platform's contract; it has room for one task."""
-
-    epoch: int = 0
-    lease_ms: int = 0
-    running: tuple[tuple[int, int], ...] = ()
-    last: tuple[int, ...] = (0, 0)
-    started: tuple[int, ...] = (0, 0)
-
-
-class State(msgspec.Struct, frozen=True):
-    """One state of the whole system."""
-
-    tick: int
-    store: Store
-    schedulers: tuple[Scheduler, ...]
-    workers: tuple[Worker, ...]
-    messages: frozenset[Message]
-    commits: frozenset[Commit]
-    starts: tuple[int, ...]
-    next_number: int
-
-
-class Exploration(msgspec.Struct, frozen=True):
-    """Result: the number of states, and the way to a broken guarantee, if any."""
-
-    states: int
-    complete: bool = False
-    violation: str = ""
-    trace: tuple[str, ...] = ()
-
-
-_replace = msgspec.structs.replace
-
-
-def _put(items: tuple, index: int, item) -> tuple:
-    return (*items[:index], item, *items[index + 1 :])
-
-
-def _initial(scenario: Scenario) -> State:
-    store = Store(1, 1, 0, 0, ((), ()), (1, 1), (0, 0), (False, False))
-    final = tuple(task not in scenario.pending for task in range(2))
-    store = _replace(store, final=final)
-    phases: tuple[tuple[int, AttemptPhase], ...] = ()
-    if scenario.placed_task is not None:
-        task = scenario.placed_task
-        store = _replace(
-            store,
-            assigned=(((task, 1),), ()),
-            attempts=_put((0, 0), task, 1),
-            final=_put((True, True), task, False),
-        )
-        phases = ((task, AttemptPhase.FRESH),)
-    lease = WorkerLease(fenced=True)
-    first = Scheduler(1, scenario.horizon_ms, store, (lease, lease), phases)
-    worker = Worker(epoch=1)
-    empty: frozenset = frozenset()
-    return State(
-        0, store, (first, Scheduler()), (worker, worker), empty, empty, (0, 0), 1
-    )
-
-
-@cache
-def _commit_row(number: int, version: int) -> Row:
-    return Row(COMMIT, encode(CommitRecord(str(number), version)), version)
-
-
-def _rows(store: Store) -> dict[str, Row]:
-    rows = {SHARD: Row(SHARD, b"", store.shard_version)}
-    if store.commit_version:
-        rows[COMMIT] = _commit_row(store.commit_number, store.commit_version)
-    for worker, version in enumerate(store.versions):
-        rows[f"w{worker}"] = Row(f"w{worker}", b"", version)
-    return rows
-
-
-def _apply(store: Store, commit: Commit) -> Store:
-    rows = _rows(store)
-    for condition in commit.conditions:
-        row = rows.get(condition.key)
-        if (row.version if row else 0) != condition.version:
-            return store
-    held = store.assigned[commit.worker]
-    if commit.adds:
-        held = (*held, (commit.task, commit.attempt))
-    else:
-        held = tuple(a for a in held if a != (commit.task, commit.attempt))
-    versions = _put(store.versions, commit.worker, store.versions[commit.worker] + 1)
-    final = store.final[commit.task] or commit.final
-    return _replace(
-        store,
-        commit_number=commit.number,
-        commit_version=store.commit_version + 1,
-        assigned=_put(store.assigned, commit.worker, held),
-        versions=versions,
-        attempts=_put(store.attempts, commit.task, commit.attempt),
-        final=_put(store.final, commit.task, final),
-    )
-
-
 class _Explorer:
     """Produces the successors of a state."""
 
@@ -306,7 +125,7 @@
 
     def without_dead_messages(self, state: State) -> State:
         """Drop messages that can have no effect any more; versions only grow."""
-        rows = _rows(state.store)
+        rows = store_rows(state.store)
         commits = frozenset(
             commit
             for commit in state.commits
@@ -355,7 +174,7 @@
         )
         lease = inherit(inherited_ms)
         owner = Scheduler(store.epoch, horizon_ms, store, (lease, lease), phases)
-        schedulers = _put(state.schedulers, index, owner)
+        schedulers = put(state.schedulers, index, owner)
         return _replace(state, store=store, schedulers=schedulers)
 
     # Commits.
@@ -381,7 +200,7 @@
         )
         return _replace(
             state,
-            schedulers=_put(
+            schedulers=put(
                 state.schedulers, index, _replace(scheduler, pending=commit)
             ),
             commits=state.commits | {commit},
@@ -410,7 +229,7 @@
     def _deliver_commit(
         self, state: State, commit: Commit
     ) -> Iterator[tuple[str, State]]:
-        store = _apply(state.store, commit)
+        store = apply_commit(state.store, commit)
         state = _replace(state, store=store, commits=state.commits - {commit})
         yield f"commit {commit.number} arrives", state
         scheduler = state.schedulers[commit.by]
@@ -423,7 +242,7 @@
     def _resolve(self, state: State, index: int) -> Iterator[tuple[str, State]]:
         commit = state.schedulers[index].pending
         sent = SentCommit(ZONE, str(commit.number), commit.conditions)
-        verdict = judge(sent, _rows(state.store))
+        verdict = judge(sent, store_rows(state.store))
         if self._rules.unknown_is_not_applied:
             verdict = Verdict.REBUILD
         elif not self._rules.starts_need_commit:
@@ -441,14 +260,12 @@
         if verdict is Verdict.RESEND:
             return _replace(state, commits=state.commits | {commit})
         if verdict is Verdict.LOST:
-            return _replace(
-                state, schedulers=_put(state.schedulers, index, Scheduler())
-            )
+            return _replace(state, schedulers=put(state.schedulers, index, Scheduler()))
         known = scheduler.store
         phases = dict(scheduler.phases)
         if verdict is Verdict.APPLIED:
             conditions = _replace(commit, conditions=())
-            known = _apply(known, conditions)
+            known = apply_commit(known, conditions)
             phases.pop(commit.task, None)
             if commit.adds:
                 phases[commit.task] = AttemptPhase.FRESH
@@ -467,7 +284,7 @@
             phases=tuple(sorted(phases.items())),
             pending=None,
         )
-        return _replace(state, schedulers=_put(state.schedulers, index, owner))
+        return _replace(state, schedulers=put(state.schedulers, index, owner))
 
     # Workers.
 
@@ -540,13 +357,13 @@
         scheduler = state.schedulers[index]
         phases = tuple(sorted((dict(scheduler.phases) | {task: phase}).items()))
         scheduler = _replace(scheduler, phases=phases)
-        return _replace(state, schedulers=_put(state.schedulers, index, scheduler))
+        return _replace(state, schedulers=put(state.schedulers, index, scheduler))
 
     def _accepts(self, worker: Worker, epoch: int) -> bool:
         return epoch >= worker.epoch or not self._rules.workers_check_epoch
 
     def _step_down(self, state: State, index: int) -> State:
-        return _replace(state, schedulers=_put(state.schedulers, index, Scheduler()))
+        return _replace(state, schedulers=put(state.schedulers, index, Scheduler()))
 
     def _report(self, state: State, index: int, number: int) -> State:
         scheduler, worker = state.schedulers[index], state.workers[number]
@@ -559,25 +376,25 @@
                 phases[run[0]] = AttemptPhase.RUNNING
         scheduler = _replace(
             scheduler,
-            leases=_put(scheduler.leases, number, lease),
+            leases=put(scheduler.leases, number, lease),
             phases=tuple(sorted(phases.items())),
         )
         worker = _replace(worker, epoch=max(worker.epoch, scheduler.epoch))
         return _replace(
             state,
-            schedulers=_put(state.schedulers, index, scheduler),
-            workers=_put(state.workers, number, worker),
+            schedulers=put(state.schedulers, index, scheduler),
+            workers=put(state.workers, number, worker),
         )
 
     def _renew(self, state: State, index: int, worker: int, expires_ms: int) -> State:
         scheduler = state.schedulers[index]
         lease = grant(scheduler.leases[worker], expires_ms)
-        leases = _put(scheduler.leases, worker, lease)
+        leases = put(scheduler.leases, worker, lease)
         scheduler = _replace(scheduler, leases=leases)
         message = Message(scheduler.epoch, worker, expires_ms)
         return _replace(
             state,
-            schedulers=_put(state.schedulers, index, scheduler),
+            schedulers=put(state.schedulers, index, scheduler),
             messages=state.messages | {message},
         )
 
@@ -591,7 +408,7 @@
         never = worker.started[task] < attempt
         worker = _replace(
             worker,
-            last=_put(worker.last, task, max(worker.last[task], attempt)),
+            last=put(worker.last, task, max(worker.last[task], attempt)),
             running=tuple(r for r in worker.running if r != (task, attempt)),
         )
         assignment = Assignment(TaskId(str(task)), Attempt(attempt), Resources())
@@ -599,7 +416,7 @@
             assignment, WorkerId(str(number)), self._rules.policies[task], never, "stop"
         )
         final = release.state is not TaskState.PENDING
-        state = _replace(state, workers=_put(state.workers, number, worker))
+        state = _replace(state, workers=put(state.workers, number, worker))
         state = self._send(state, index, number, task, attempt, adds=False, final=final)
         state = self._set_phase(state, index, task, AttemptPhase.RELEASING)
         yield f"s{index} stops t{task} on w{number}", state
@@ -624,33 +441,16 @@
                 worker = _replace(
                     worker,
                     running=(run,),
-                    last=_put(worker.last, message.task, message.attempt),
-                    started=_put(worker.started, message.task, message.attempt),
+                    last=put(worker.last, message.task, message.attempt),
+                    started=put(worker.started, message.task, message.attempt),
                 )
                 count = state.starts[message.task] + 1
-                state = _replace(state, starts=_put(state.starts, message.task, count))
+                state = _replace(state, starts=put(state.starts, message.task, count))
         return label, _replace(
-            state, workers=_put(state.workers, message.worker, worker)
+            state, workers=put(state.workers, message.worker, worker)
         )
 
 
-def _violation(state: State) -> str:
-    first, second = state.workers
-    for task in range(2):
-        if any(t == task for t, _ in first.running) and any(
-            t == task for t, _ in second.running
-        ):
-            return f"t{task} runs on both workers"
-        holders = [held for held in state.store.assigned if task in dict(held)]
-        if len(holders) > 1:
-            return f"t{task} is committed twice"
-    if state.starts[1] > 1:
-        return "the at-most-once task started twice"
-    if any(len(held) > 1 for held in state.store.assigned):
-        return "a worker is committed beyond its size"
-    return ""
-
-
 def explore(
     scenario: Scenario, rules: Rules | None = None, states_max: int = 1_000_000
 ) -> Exploration:
@@ -664,7 +464,7 @@
         Bound on the states visited.
     """
     explorer = _Explorer(rules or Rules(), scenario)
-    start = _initial(scenario)
+    start = initial_state(scenario)
     came_from: dict[State, tuple[State, str] | None] = {start: None}
     queue = deque((start,))
     while queue and len(came_from) < states_max:
@@ -674,7 +474,7 @@
             if following in came_from:
                 continue
             came_from[following] = (state, label)
-            violation = _violation(following)
+            violation = find_violation(following)
             if violation:
                 trace = _trace(came_from, following)
                 return Exploration(len(came_from), False, violation, trace)
