--- a/basilhold/sharding/scheduler.py
+++ b/basilhold/sharding/scheduler.py
@@ -4,25 +4,19 @@
 import random
 from collections.abc import Callable
 
-import msgspec
 from expression import Result
 
 from basilhold.core import (
     Clock,
     InvariantError,
     JobId,
-    ProcessId,
-    Resources,
-    TeamName,
     WorkerId,
     ZoneName,
 )
 from basilhold.observability import log_event
 from basilhold.placement import Explanation, Planner
 from basilhold.ports import (
-    ABSENT,
     Condition,
-    Row,
     StoreError,
     StoreErrorKind,
     TableService,
@@ -36,12 +30,10 @@
 from basilhold.sharding.health import ConsecutiveFailures, WorkerHealth
 from basilhold.sharding.owner import OwnerServices, ShardOwner
 from basilhold.sharding.ownership import (
-    Observation,
     ProcessInfo,
     ShardInfo,
     claim,
     rank_owners,
-    should_claim,
 )
 from basilhold.sharding.peers import (
     CellView,
@@ -52,6 +44,7 @@
 )
 from basilhold.sharding.rows import ShardRecord, decode, encode, shard_key
 from basilhold.sharding.settings import ShardingSettings
+from basilhold.sharding.watch import SeenShard, ShardWatch
 
 __all__ = ["ShardScheduler"]
 
@@ -59,15 +52,6 @@
 """Longest wait for the last commit of a planned stop."""
 
 
-class _Seen(msgspec.Struct):
-    """A shard's row as last read, and the probes of its owner."""
-
-    record: ShardRecord | None = None
-    version: int = ABSENT
-    since_ms: float = 0.0
-    failed_probes: int = 0
-
-
 class ShardScheduler:
     """Owns the shards that fall to this process and takes over those of dead ones.
 
@@ -116,12 +100,9 @@
         self._rng = random.Random(f"{me.process_id}:{seed}")
         self._owners: dict[ZoneName, ShardOwner] = {}
         self._owner_tasks: dict[ZoneName, asyncio.Task] = {}
-        self._seen: dict[ZoneName, _Seen] = {}
-        self._summaries: dict[ZoneName, tuple[ProcessId, ShardSummary]] = {}
+        self._shard_watch = ShardWatch(me, store, clock, peers, self._settings)
         self._notices: set[asyncio.Task] = set()
-        self._read_due_ms = 0.0
         self._peers_due_ms = 0.0
-        self._store_answers = False
         self._stopping = False
         self._failure: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         self._loop_task: asyncio.Task | None = None
@@ -190,9 +171,9 @@
         shard = self._shard(state.zone)
         if shard is None or self._stopping or state.zone in self._owners:
             return False
-        if not await self._read_rows((shard,)):
+        if not await self._shard_watch.read_rows((shard,)):
             return False
-        seen = self._seen[state.zone]
+        seen = self._shard_watch.seen(state.zone)
         record = seen.record
         if (
             record is None
@@ -268,102 +249,27 @@
             await asyncio.sleep(max(wait_ms, 1) / 1000)
 
     async def _watch(self) -> None:
-        now_ms = self._clock.monotonic_ms()
         shards = tuple(s for s in self._cell.shards() if s.zone not in self._owners)
-        if shards and now_ms >= self._read_due_ms:
-            self._read_due_ms = now_ms + self._settings.directory_interval_ms
-            await self._read_rows(shards)
-        await self._probe_owners(shards)
+        await self._shard_watch.update(shards)
         await asyncio.gather(*(self._consider(shard) for shard in shards))
+        now_ms = self._clock.monotonic_ms()
         if self._owners and now_ms >= self._peers_due_ms:
             self._peers_due_ms = now_ms + self._settings.directory_interval_ms
-            await self._ask_owners()
-            self._move_jobs()
-
-    async def _read_rows(self, shards: tuple[ShardInfo, ...]) -> bool:
-        keys = tuple(shard_key(shard.zone) for shard in shards)
-        result = await self._store.read(keys)
-        self._store_answers = result.is_ok()
-        if result.is_error():
-            return False
-        now_ms = self._clock.monotonic_ms()
-        for shard in shards:
-            row = result.ok.get(shard_key(shard.zone))
-            self._note_row(shard.zone, row, now_ms)
-        return True
-
-    def _note_row(self, zone: ZoneName, row: Row | None, now_ms: float) -> None:
-        version = row.version if row else ABSENT
-        seen = self._seen.get(zone)
-        if seen is not None and seen.version == version:
-            return
-        record = decode(row.value, ShardRecord) if row else None
-        failed = 0
-        if seen and seen.record and record and seen.record.epoch == record.epoch:
-            failed = seen.failed_probes
-        self._seen[zone] = _Seen(record, version, now_ms, failed)
-
-    def _rank(self, shard: ShardInfo) -> int:
-        """Return this process's place among the possible owners."""
-        seen = self._seen[shard.zone]
-        current = seen.record.owner if seen.record else None
-        candidates = tuple(
-            process
-            for process in (*self._peers.processes(), self.me)
-            if process.process_id != current or process == self.me
-        )
-        ids = [process.process_id for process in rank_owners(shard, candidates)]
-        return list(dict.fromkeys(ids)).index(self.me.process_id)
-
-    async def _probe_owners(self, shards: tuple[ShardInfo, ...]) -> None:
-        """Probe the owners of the shards for which this process is the standby."""
-        owners: dict[ProcessId, list[_Seen]] = {}
-        for shard in shards:
-            seen = self._seen.get(shard.zone)
-            if seen is None or seen.record is None or self._rank(shard) > 0:
-                continue
-            if seen.record.owner != self.me.process_id:
-                owners.setdefault(seen.record.owner, []).append(seen)
-        await asyncio.gather(
-            *(self._probe(process_id, seen) for process_id, seen in owners.items())
-        )
-
-    async def _probe(self, process_id: ProcessId, watched: list[_Seen]) -> None:
-        answer = await self._peers.probe(process_id)
-        for seen in watched:
-            owns = answer is not None and any(
-                summary.zone == seen.record.zone and summary.epoch == seen.record.epoch
-                for summary in answer.shards
-            )
-            seen.failed_probes = 0 if owns else seen.failed_probes + 1
-        for summary in answer.shards if answer else ():
-            self._summaries[summary.zone] = (process_id, summary)
+            await self._shard_watch.ask_owners(self.summaries())
+            self._use_summaries()
 
     async def _consider(self, shard: ShardInfo) -> None:
         """Claim a shard if its owner is dead; the row is read again first."""
-        if not self._is_due(shard) or not await self._read_rows((shard,)):
+        watch = self._shard_watch
+        if not watch.is_due(shard) or not await watch.read_rows((shard,)):
             return
-        if self._is_due(shard):
-            await self._claim(shard, self._seen[shard.zone], ())
-
-    def _is_due(self, shard: ShardInfo) -> bool:
-        seen = self._seen.get(shard.zone)
-        if seen is None or self._stopping:
-            return False
-        observation = Observation(
-            seen.record,
-            self._clock.monotonic_ms() - seen.since_ms,
-            seen.failed_probes,
-            self._rank(shard),
-            self._store_answers,
-            seen.record is not None and seen.record.owner == self.me.process_id,
-        )
-        return should_claim(observation, self._clock.unix_ms(), self._settings)
+        if watch.is_due(shard) and not self._stopping:
+            await self._claim(shard, watch.seen(shard.zone), ())
 
     # Taking over.
 
     async def _claim(
-        self, shard: ShardInfo, seen: _Seen, grants: tuple[WorkerGrant, ...]
+        self, shard: ShardInfo, seen: SeenShard, grants: tuple[WorkerGrant, ...]
     ) -> bool:
         claim_id = f"{self._rng.getrandbits(96):024x}"
         record = claim(
@@ -381,6 +287,7 @@
         result = await self._store.transact(transaction)
         version = await self._claimed_version(result, key, claim_id)
         if version is None or shard.zone in self._owners:
+            self._shard_watch.forget(shard.zone)
             return False
         previous = seen.record.owner if seen.record else "nobody"
         log_event(SHARD_TAKEN, zone=shard.zone, epoch=record.epoch, previous=previous)
@@ -410,7 +317,6 @@
         if result.is_ok():
             return result.ok[key]
         if result.error.kind is not StoreErrorKind.UNKNOWN:
-            self._read_due_ms = 0.0
             return None
         read = await self._store.read((key,))
         row = read.ok.get(key) if read.is_ok() else None
@@ -425,47 +331,24 @@
         finally:
             if self._owners.get(zone) is owner and not self._stopping:
                 del self._owners[zone]
-                self._seen.pop(zone, None)
-                self._read_due_ms = 0.0
+                self._shard_watch.forget(zone)
         if reason:
             log_event(SHARD_LOST, zone=zone, epoch=owner.epoch, reason=reason)
 
     # Other owners.
 
-    async def _ask_owners(self) -> None:
-        """Learn the free capacity and the teams' usage in other shards."""
-        others = {
-            seen.record.owner
-            for zone, seen in self._seen.items()
-            if seen.record is not None and zone not in self._owners
-        }
-        for process_id in sorted(others - {self.me.process_id}):
-            answer = await self._peers.probe(process_id)
-            for summary in answer.shards if answer else ():
-                self._summaries[summary.zone] = (process_id, summary)
-        for zone, owner in self._owners.items():
-            self._summaries[zone] = (self.me.process_id, owner.summary())
-        for zone, owner in self._owners.items():
-            owner.set_usage_elsewhere(self._usage_elsewhere(zone))
-
-    def _usage_elsewhere(self, zone: ZoneName) -> dict[TeamName, Resources]:
-        used: dict[TeamName, Resources] = {}
-        for other, (_, summary) in self._summaries.items():
-            if other != zone:
-                for usage in summary.team_usage:
-                    used[usage.team] = used.get(usage.team, Resources()) + usage.used
-        return used
-
-    def _move_jobs(self) -> None:
-        """Offer jobs that wait too long to a zone that has room for them."""
-        free = {zone: summary.free for zone, (_, summary) in self._summaries.items()}
+    def _use_summaries(self) -> None:
+        """Pass usage on, and offer jobs that wait too long to a zone with room."""
+        watch = self._shard_watch
+        now_ms = self._clock.monotonic_ms()
         for zone, owner in self._owners.items():
             if not owner.recovered.is_set():
                 continue
-            elsewhere = {other: room for other, room in free.items() if other != zone}
-            now_ms = self._clock.monotonic_ms()
-            waiting = owner.jobs.waiting_jobs()
-            for move in pick_moves(owner.tables, waiting, elsewhere, now_ms):
+            owner.set_usage_elsewhere(watch.usage_elsewhere(zone))
+            free = watch.free_elsewhere(zone)
+            for move in pick_moves(
+                owner.tables, owner.jobs.waiting_jobs(), free, now_ms
+            ):
                 owner.move_job(move, self._announce_move)
 
     def _announce_move(self, move: MoveJob) -> None:
@@ -473,10 +356,10 @@
         if owner is not None:
             owner.jobs.notify((move.job_id,))
             return
-        entry = self._summaries.get(move.to_zone)
-        if entry is not None:
+        process_id = self._shard_watch.owner_of(move.to_zone)
+        if process_id is not None:
             task = asyncio.create_task(
-                self._peers.notify_jobs(entry[0], (move.job_id,))
+                self._peers.notify_jobs(process_id, (move.job_id,))
             )
             self._notices.add(task)
             task.add_done_callback(self._notices.discard)
