--- a/basilhold/sharding/explorer.py
+++ b/basilhold/sharding/explorer.py
@@ -8,7 +8,6 @@
 
 from collections import deque
 from collections.abc import Iterator
-from functools import cache
 
 import msgspec
 
@@ -20,24 +19,43 @@
     TaskId,
     TaskState,
     WorkerId,
-    ZoneName,
 )
-from basilhold.ports import Condition, Row
+from basilhold.ports import Condition
 from basilhold.sharding.commit_rules import (
     SentCommit,
     Verdict,
     commit_conditions,
     judge,
 )
+from basilhold.sharding.explorer_model import (
+    AT_MOST_ONCE_EXPIRY,
+    COMMIT_RACES,
+    EXPIRY,
+    FENCING,
+    LEASE_MS,
+    START_RACES,
+    TICK_MS,
+    ZONE,
+    Commit,
+    Exploration,
+    Message,
+    Scenario,
+    Scheduler,
+    State,
+    Worker,
+    apply_commit,
+    find_violation,
+    initial_state,
+    put,
+    store_rows,
+)
 from basilhold.sharding.leases import (
-    WorkerLease,
     fence,
     grant,
     inherit,
     is_free,
     next_expiry,
 )
-from basilhold.sharding.rows import CommitRecord, commit_key, encode, shard_key
 from basilhold.sharding.task_rules import (
     AttemptPhase,
     MissingAction,
@@ -47,21 +65,18 @@
 )
 
 __all__ = [
-    "AT_MOST_ONCE_LEASE",
+    "AT_MOST_ONCE_EXPIRY",
     "COMMIT_RACES",
-    "RESTARTABLE_LEASE",
+    "EXPIRY",
+    "FENCING",
+    "START_RACES",
     "Exploration",
     "Rules",
     "Scenario",
     "explore",
 ]
 
-ZONE = ZoneName("z")
-TICK_MS = 10_000
-LEASE_MS = TICK_MS
-HORIZON_MS = 2 * TICK_MS
-POLICIES = (RestartPolicy.ALLOWED, RestartPolicy.FORBIDDEN)
-SHARD, COMMIT = shard_key(ZONE), commit_key(ZONE)
+_replace = msgspec.structs.replace
 
 
 class Rules:
@@ -70,6 +85,7 @@
     is_free = staticmethod(is_free)
     fence = staticmethod(fence)
     when_missing = staticmethod(when_missing)
+    policies = (RestartPolicy.ALLOWED, RestartPolicy.FORBIDDEN)
     workers_check_epoch = True
     starts_need_commit = True
     unknown_is_not_applied = False
@@ -80,180 +96,6 @@
         return commit_conditions(ZONE, shard_version, commit_version)
 
 
-class Scenario(msgspec.Struct, frozen=True):
-    """Bounds of an exploration.
-
-    Parameters
-    ----------
-    ticks : int
-        Time that passes, in units of a worker lease.
-    commits : int
-        Placements begin only until so many transactions were made.
-    placed_task : int or None
-        A task that the first scheduler has committed to the first worker; the other
-        task is left out. By default both tasks are pending.
-    """
-
-    ticks: int
-    commits: int
-    placed_task: int | None = None
-
-
-COMMIT_RACES = Scenario(ticks=0, commits=3)
-"""Both schedulers commit both tasks; no lease expires."""
-
-RESTARTABLE_LEASE = Scenario(ticks=3, commits=2, placed_task=0)
-"""A task that can be restarted moves from one worker and owner to the other."""
-
-AT_MOST_ONCE_LEASE = Scenario(ticks=3, commits=2, placed_task=1)
-"""The same for an at-most-once task."""
-
-
-class Commit(msgspec.Struct, frozen=True):
-    """A transaction that changes one task's assignment on one worker."""
-
-    number: int
-    by: int
-    worker: int
-    task: int
-    attempt: int
-    adds: bool
-    final: bool
-    conditions: tuple[Condition, ...]
-
-
-class Store(msgspec.Struct, frozen=True):
-    """The shard's rows; worker and task rows carry a version each."""
-
-    epoch: int
-    shard_version: int
-    commit_number: int
-    commit_version: int
-    assigned: tuple[tuple[tuple[int, int], ...], ...]
-    versions: tuple[int, ...]
-    attempts: tuple[int, ...]
-    final: tuple[bool, ...]
-
-
-class Scheduler(msgspec.Struct, frozen=True):
-    """What one scheduler knows; epoch 0 if it owns nothing."""
-
-    epoch: int = 0
-    horizon_ms: int = 0
-    store: Store | None = None
-    leases: tuple[WorkerLease, ...] = ()
-    phases: tuple[tuple[int, AttemptPhase], ...] = ()
-    pending: Commit | None = None
-
-
-class Message(msgspec.Struct, frozen=True):
-    """A start or a renewal on its way; `attempt` is 0 for a renewal."""
-
-    epoch: int
-    worker: int
-    until_ms: int
-    task: int = -1
-    attempt: int = 0
-
-
-class Worker(msgspec.Struct, frozen=True):
-    """A worker that follows the platform's contract; it has room for one task."""
-
-    epoch: int = 0
-    lease_ms: int = 0
-    running: tuple[tuple[int, int], ...] = ()
-    last: tuple[int, ...] = (0, 0)
-    started: tuple[int, ...] = (0, 0)
-
-
-class State(msgspec.Struct, frozen=True):
-    """One state of the whole system."""
-
-    tick: int
-    store: Store
-    schedulers: tuple[Scheduler, ...]
-    workers: tuple[Worker, ...]
-    messages: frozenset[Message]
-    commits: frozenset[Commit]
-    starts: tuple[int, ...]
-    next_number: int
-
-
-class Exploration(msgspec.Struct, frozen=True):
-    """Result: the number of states, and the way to a broken guarantee, if any."""
-
-    states: int
-    complete: bool = False
-    violation: str = ""
-    trace: tuple[str, ...] = ()
-
-
-_replace = msgspec.structs.replace
-
-
-def _put(items: tuple, index: int, item) -> tuple:
-    return (*items[:index], item, *items[index + 1 :])
-
-
-def _initial(scenario: Scenario) -> State:
-    store = Store(1, 1, 0, 0, ((), ()), (1, 1), (0, 0), (False, False))
-    phases: tuple[tuple[int, AttemptPhase], ...] = ()
-    if scenario.placed_task is not None:
-        task = scenario.placed_task
-        store = _replace(
-            store,
-            assigned=(((task, 1),), ()),
-            attempts=_put((0, 0), task, 1),
-            final=_put((True, True), task, False),
-        )
-        phases = ((task, AttemptPhase.FRESH),)
-    lease = WorkerLease(fenced=scenario.placed_task is not None)
-    first = Scheduler(1, HORIZON_MS, store, (lease, lease), phases)
-    worker = Worker(epoch=1 if lease.fenced else 0)
-    empty: frozenset = frozenset()
-    return State(
-        0, store, (first, Scheduler()), (worker, worker), empty, empty, (0, 0), 1
-    )
-
-
-@cache
-def _commit_row(number: int, version: int) -> Row:
-    return Row(COMMIT, encode(CommitRecord(str(number), version)), version)
-
-
-def _rows(store: Store) -> dict[str, Row]:
-    rows = {SHARD: Row(SHARD, b"", store.shard_version)}
-    if store.commit_version:
-        rows[COMMIT] = _commit_row(store.commit_number, store.commit_version)
-    for worker, version in enumerate(store.versions):
-        rows[f"w{worker}"] = Row(f"w{worker}", b"", version)
-    return rows
-
-
-def _apply(store: Store, commit: Commit) -> Store:
-    rows = _rows(store)
-    for condition in commit.conditions:
-        row = rows.get(condition.key)
-        if (row.version if row else 0) != condition.version:
-            return store
-    held = store.assigned[commit.worker]
-    if commit.adds:
-        held = (*held, (commit.task, commit.attempt))
-    else:
-        held = tuple(a for a in held if a != (commit.task, commit.attempt))
-    versions = _put(store.versions, commit.worker, store.versions[commit.worker] + 1)
-    final = store.final[commit.task] or commit.final
-    return _replace(
-        store,
-        commit_number=commit.number,
-        commit_version=store.commit_version + 1,
-        assigned=_put(store.assigned, commit.worker, held),
-        versions=versions,
-        attempts=_put(store.attempts, commit.task, commit.attempt),
-        final=_put(store.final, commit.task, final),
-    )
-
-
 class _Explorer:
     """Produces the successors of a state."""
 
@@ -278,7 +120,38 @@
             else:
                 yield from self._place(state, index)
             for worker in range(2):
-                yield from self._talk(state, index, worker)
+                if self._scenario.talk or not scheduler.leases[worker].fenced:
+                    yield from self._talk(state, index, worker)
+
+    def without_dead_messages(self, state: State) -> State:
+        """Drop messages that can have no effect any more; versions only grow."""
+        rows = store_rows(state.store)
+        commits = frozenset(
+            commit
+            for commit in state.commits
+            if all(
+                condition.version >= (rows[condition.key].version)
+                for condition in commit.conditions
+                if condition.key in rows
+            )
+        )
+        messages = frozenset(
+            message
+            for message in state.messages
+            if self._matters(state.workers[message.worker], message, state.tick)
+        )
+        if commits == state.commits and messages == state.messages:
+            return state
+        return _replace(state, commits=commits, messages=messages)
+
+    def _matters(self, worker: Worker, message: Message, tick: int) -> bool:
+        if not self._accepts(worker, message.epoch) or (
+            message.until_ms <= tick * TICK_MS
+        ):
+            return False
+        if message.attempt == 0:
+            return message.until_ms > worker.lease_ms
+        return message.attempt > worker.last[message.task]
 
     def _tick(self, state: State) -> State:
         now_ms = (state.tick + 1) * TICK_MS
@@ -286,9 +159,7 @@
             worker if now_ms < worker.lease_ms else _replace(worker, running=())
             for worker in state.workers
         )
-        # A start that can only be refused as late does not matter any more.
-        messages = frozenset(m for m in state.messages if m.until_ms > now_ms)
-        return _replace(state, tick=state.tick + 1, workers=workers, messages=messages)
+        return _replace(state, tick=state.tick + 1, workers=workers)
 
     def _claim(self, state: State, index: int) -> State:
         store = _replace(
@@ -296,13 +167,14 @@
             epoch=state.store.epoch + 1,
             shard_version=state.store.shard_version + 1,
         )
-        horizon_ms = max(HORIZON_MS, state.tick * TICK_MS + HORIZON_MS)
+        inherited_ms = self._scenario.horizon_ms
+        horizon_ms = state.tick * TICK_MS + self._scenario.horizon_ms
         phases = tuple(
             (task, AttemptPhase.SENT) for held in store.assigned for task, _ in held
         )
-        lease = inherit(HORIZON_MS)
+        lease = inherit(inherited_ms)
         owner = Scheduler(store.epoch, horizon_ms, store, (lease, lease), phases)
-        schedulers = _put(state.schedulers, index, owner)
+        schedulers = put(state.schedulers, index, owner)
         return _replace(state, store=store, schedulers=schedulers)
 
     # Commits.
@@ -328,7 +200,7 @@
         )
         return _replace(
             state,
-            schedulers=_put(
+            schedulers=put(
                 state.schedulers, index, _replace(scheduler, pending=commit)
             ),
             commits=state.commits | {commit},
@@ -346,7 +218,8 @@
                     continue  # The workers are alike.
                 if state.next_number > self._scenario.commits:
                     continue
-                if not known.assigned[worker]:
+                lease = state.schedulers[index].leases[worker]
+                if not known.assigned[worker] and lease.fenced:
                     attempt = known.attempts[task] + 1
                     yield (
                         f"s{index} places t{task} on w{worker}",
@@ -356,7 +229,7 @@
     def _deliver_commit(
         self, state: State, commit: Commit
     ) -> Iterator[tuple[str, State]]:
-        store = _apply(state.store, commit)
+        store = apply_commit(state.store, commit)
         state = _replace(state, store=store, commits=state.commits - {commit})
         yield f"commit {commit.number} arrives", state
         scheduler = state.schedulers[commit.by]
@@ -369,7 +242,7 @@
     def _resolve(self, state: State, index: int) -> Iterator[tuple[str, State]]:
         commit = state.schedulers[index].pending
         sent = SentCommit(ZONE, str(commit.number), commit.conditions)
-        verdict = judge(sent, _rows(state.store))
+        verdict = judge(sent, store_rows(state.store))
         if self._rules.unknown_is_not_applied:
             verdict = Verdict.REBUILD
         elif not self._rules.starts_need_commit:
@@ -387,14 +260,12 @@
         if verdict is Verdict.RESEND:
             return _replace(state, commits=state.commits | {commit})
         if verdict is Verdict.LOST:
-            return _replace(
-                state, schedulers=_put(state.schedulers, index, Scheduler())
-            )
+            return _replace(state, schedulers=put(state.schedulers, index, Scheduler()))
         known = scheduler.store
         phases = dict(scheduler.phases)
         if verdict is Verdict.APPLIED:
             conditions = _replace(commit, conditions=())
-            known = _apply(known, conditions)
+            known = apply_commit(known, conditions)
             phases.pop(commit.task, None)
             if commit.adds:
                 phases[commit.task] = AttemptPhase.FRESH
@@ -413,7 +284,7 @@
             phases=tuple(sorted(phases.items())),
             pending=None,
         )
-        return _replace(state, schedulers=_put(state.schedulers, index, owner))
+        return _replace(state, schedulers=put(state.schedulers, index, owner))
 
     # Workers.
 
@@ -426,7 +297,7 @@
         name = f"s{index}"
         if not lease.fenced:
             yield f"{name} asks w{worker}", self._report(state, index, worker)
-        else:
+        elif scheduler.store.assigned[worker]:
             expires_ms = next_expiry(now_ms, LEASE_MS, scheduler.horizon_ms)
             if expires_ms > max(now_ms, lease.granted_until_unix_ms):
                 yield (
@@ -452,12 +323,14 @@
         name = f"s{index} t{task}"
         if phase is AttemptPhase.RELEASING:
             return
-        action = self._rules.when_missing(phase, POLICIES[task])
+        action = self._rules.when_missing(phase, self._rules.policies[task])
         if lease.fenced and lease.granted_until_unix_ms > now_ms:
             message = Message(
                 scheduler.epoch, worker, lease.granted_until_unix_ms, task, attempt
             )
-            if action is MissingAction.START and message not in state.messages:
+            if action is MissingAction.START and self._matters(
+                state.workers[worker], message, state.tick
+            ):
                 sent = self._set_phase(state, index, task, AttemptPhase.SENT)
                 sent = _replace(sent, messages=sent.messages | {message})
                 yield f"{name} starts on w{worker}", sent
@@ -466,7 +339,9 @@
         assignment = Assignment(TaskId(str(task)), Attempt(attempt), Resources())
         worker_id = WorkerId(str(worker))
         if self._rules.is_free(lease, now_ms):
-            release = after_lease_expiry(assignment, worker_id, phase, POLICIES[task])
+            release = after_lease_expiry(
+                assignment, worker_id, phase, self._rules.policies[task]
+            )
             final = release.state is not TaskState.PENDING
             sent = self._send(
                 state, index, worker, task, attempt, adds=False, final=final
@@ -482,13 +357,13 @@
         scheduler = state.schedulers[index]
         phases = tuple(sorted((dict(scheduler.phases) | {task: phase}).items()))
         scheduler = _replace(scheduler, phases=phases)
-        return _replace(state, schedulers=_put(state.schedulers, index, scheduler))
+        return _replace(state, schedulers=put(state.schedulers, index, scheduler))
 
     def _accepts(self, worker: Worker, epoch: int) -> bool:
         return epoch >= worker.epoch or not self._rules.workers_check_epoch
 
     def _step_down(self, state: State, index: int) -> State:
-        return _replace(state, schedulers=_put(state.schedulers, index, Scheduler()))
+        return _replace(state, schedulers=put(state.schedulers, index, Scheduler()))
 
     def _report(self, state: State, index: int, number: int) -> State:
         scheduler, worker = state.schedulers[index], state.workers[number]
@@ -501,25 +376,25 @@
                 phases[run[0]] = AttemptPhase.RUNNING
         scheduler = _replace(
             scheduler,
-            leases=_put(scheduler.leases, number, lease),
+            leases=put(scheduler.leases, number, lease),
             phases=tuple(sorted(phases.items())),
         )
         worker = _replace(worker, epoch=max(worker.epoch, scheduler.epoch))
         return _replace(
             state,
-            schedulers=_put(state.schedulers, index, scheduler),
-            workers=_put(state.workers, number, worker),
+            schedulers=put(state.schedulers, index, scheduler),
+            workers=put(state.workers, number, worker),
         )
 
     def _renew(self, state: State, index: int, worker: int, expires_ms: int) -> State:
         scheduler = state.schedulers[index]
         lease = grant(scheduler.leases[worker], expires_ms)
-        leases = _put(scheduler.leases, worker, lease)
+        leases = put(scheduler.leases, worker, lease)
         scheduler = _replace(scheduler, leases=leases)
         message = Message(scheduler.epoch, worker, expires_ms)
         return _replace(
             state,
-            schedulers=_put(state.schedulers, index, scheduler),
+            schedulers=put(state.schedulers, index, scheduler),
             messages=state.messages | {message},
         )
 
@@ -533,15 +408,15 @@
         never = worker.started[task] < attempt
         worker = _replace(
             worker,
-            last=_put(worker.last, task, max(worker.last[task], attempt)),
+            last=put(worker.last, task, max(worker.last[task], attempt)),
             running=tuple(r for r in worker.running if r != (task, attempt)),
         )
         assignment = Assignment(TaskId(str(task)), Attempt(attempt), Resources())
         release = after_stop(
-            assignment, WorkerId(str(number)), POLICIES[task], never, "stop"
+            assignment, WorkerId(str(number)), self._rules.policies[task], never, "stop"
         )
         final = release.state is not TaskState.PENDING
-        state = _replace(state, workers=_put(state.workers, number, worker))
+        state = _replace(state, workers=put(state.workers, number, worker))
         state = self._send(state, index, number, task, attempt, adds=False, final=final)
         state = self._set_phase(state, index, task, AttemptPhase.RELEASING)
         yield f"s{index} stops t{task} on w{number}", state
@@ -566,33 +441,16 @@
                 worker = _replace(
                     worker,
                     running=(run,),
-                    last=_put(worker.last, message.task, message.attempt),
-                    started=_put(worker.started, message.task, message.attempt),
+                    last=put(worker.last, message.task, message.attempt),
+                    started=put(worker.started, message.task, message.attempt),
                 )
                 count = state.starts[message.task] + 1
-                state = _replace(state, starts=_put(state.starts, message.task, count))
+                state = _replace(state, starts=put(state.starts, message.task, count))
         return label, _replace(
-            state, workers=_put(state.workers, message.worker, worker)
+            state, workers=put(state.workers, message.worker, worker)
         )
 
 
-def _violation(state: State) -> str:
-    first, second = state.workers
-    for task in range(2):
-        if any(t == task for t, _ in first.running) and any(
-            t == task for t, _ in second.running
-        ):
-            return f"t{task} runs on both workers"
-        holders = [held for held in state.store.assigned if task in dict(held)]
-        if len(holders) > 1:
-            return f"t{task} is committed twice"
-    if state.starts[1] > 1:
-        return "the at-most-once task started twice"
-    if any(len(held) > 1 for held in state.store.assigned):
-        return "a worker is committed beyond its size"
-    return ""
-
-
 def explore(
     scenario: Scenario, rules: Rules | None = None, states_max: int = 1_000_000
 ) -> Exploration:
@@ -606,16 +464,17 @@
         Bound on the states visited.
     """
     explorer = _Explorer(rules or Rules(), scenario)
-    start = _initial(scenario)
+    start = initial_state(scenario)
     came_from: dict[State, tuple[State, str] | None] = {start: None}
     queue = deque((start,))
     while queue and len(came_from) < states_max:
         state = queue.popleft()
-        for label, following in explorer.successors(state):
+        for label, raw in explorer.successors(state):
+            following = explorer.without_dead_messages(raw)
             if following in came_from:
                 continue
             came_from[following] = (state, label)
-            violation = _violation(following)
+            violation = find_violation(following)
             if violation:
                 trace = _trace(came_from, following)
                 return Exploration(len(came_from), False, violation, trace)
@@ -630,3 +489,21 @@
         labels.append(step[1])
         step = came_from[step[0]]
     return tuple(reversed(labels))
+
+
+def main() -> None:
+    """Explore all scenarios and print the number of states of each."""
+    for name in (
+        "COMMIT_RACES",
+        "START_RACES",
+        "EXPIRY",
+        "AT_MOST_ONCE_EXPIRY",
+        "FENCING",
+    ):
+        found = explore(globals()[name])
+        print(f"{name}: {found.states} states, complete: {found.complete}", end="")
+        print(f", {found.violation}: {found.trace}" if found.violation else "")
+
+
+if __name__ == "__main__":
+    main()
