--- a/basilhold/config/tests/randomised.py
+++ b/basilhold/config/tests/randomised.py
@@ -106,7 +106,7 @@
         self.proposed: set[bytes] = set()
         self.disturbed_until_ms = dict.fromkeys(cell.layout.regions, 0.0)
         self.applied: dict[tuple[int, OfficeName], int] = {}
-        self.tasks: set[asyncio.Task[None]] = set()
+        self.tasks: dict[asyncio.Task[None], None] = {}
         self.in_calm = False
 
     def require(self, condition: bool, text: str) -> None:
@@ -155,7 +155,7 @@
 
     def spawn(self, work) -> None:
         task = asyncio.ensure_future(work)
-        self.tasks.add(task)
+        self.tasks[task] = None
 
     async def _check_for(self, duration_s: float) -> None:
         clock = self.cell.clock
@@ -165,7 +165,7 @@
             self.cell.check()
             self._check_deadlines()
             for task in [task for task in self.tasks if task.done()]:
-                self.tasks.discard(task)
+                self.tasks.pop(task, None)
                 task.result()
 
     def _check_deadlines(self) -> None:
--- a/basilhold/relay/service.py
+++ b/basilhold/relay/service.py
@@ -71,7 +71,8 @@
         self._clock = clock
         self._upper = upper
         self._on_change = on_change
-        self._wakers: set[asyncio.Event] = set()
+        # A dict keeps the order, so that runs on a virtual clock repeat.
+        self._wakers: dict[asyncio.Event, None] = {}
 
     @property
     def subscriber_count(self) -> int:
@@ -92,7 +93,7 @@
             return
         subscriber = Subscriber(first, first.region == self._region)
         waker = asyncio.Event()
-        self._wakers.add(waker)
+        self._wakers[waker] = None
         self._take_request(first, subscriber, stream)
         tasks = [
             asyncio.ensure_future(self._read(stream, subscriber)),
@@ -103,7 +104,7 @@
             for task in done:
                 task.result()
         finally:
-            self._wakers.discard(waker)
+            self._wakers.pop(waker, None)
             self._board.end_stream(first.process_id, stream, self._clock.monotonic_ms())
             await _stop(tasks)
 
--- a/basilhold/relay/tests/test_cell.py
+++ b/basilhold/relay/tests/test_cell.py
@@ -152,6 +152,16 @@
             await asyncio.sleep(BOUND_S)
             self.assertTrue((await asked.ask_in_force(NORTH, 1)).everywhere)
 
+    async def test_process_ends_when_it_is_stopped_together_with_its_relay(self):
+        async with ControlCell(TODAY) as cell:
+            await self.started(cell)
+            for vm in cell.vms:
+                # A stream that ends at the same moment must not swallow the
+                # cancellation of the process.
+                async with asyncio.timeout(1):
+                    await cell.kill(vm, "relay")
+                    await cell.kill(vm, "gateway")
+
     async def test_stopped_process_is_named_until_it_is_back(self):
         async with ControlCell(TODAY) as cell:
             await self.started(cell)
--- a/basilhold/standins/network.py
+++ b/basilhold/standins/network.py
@@ -59,6 +59,7 @@
         self.handler_errors: list[Exception] = []
         self.servers: dict[Address, _MemoryServer] = {}
         self._latency_ms = latency_ms or (lambda _a, _b: 0.0)
+        self.background: set[asyncio.Task[None]] = set()
         self._cuts: set[frozenset[str]] = set()
         self._healed = asyncio.Event()
         self._next_port = 20_000
@@ -182,27 +183,43 @@
         self.up = _Pipe(network, client, server)
         self.down = _Pipe(network, server, client)
         self.handler: asyncio.Task[None] | None = None
-        self.owners: list[set[_Connection]] = []
+        self.owners: list[dict[_Connection, None]] = []
 
-    def open_for(self, connections: "set[_Connection]") -> None:
-        connections.add(self)
+    def open_for(self, connections: "dict[_Connection, None]") -> None:
+        connections[self] = None
         self.owners.append(connections)
 
     def break_from(self, host: str) -> None:
-        """End the stream because one side went away.
+        """End the stream because the process at one side went away.
 
-        The other side learns of it only if no cut lies between them.
+        The other side learns of it once no cut lies between them, because the
+        operating system repeats the end of a connection like its data.
         """
-        error = StreamTerminatedError("Connection lost")
-        seen = not self.network.is_cut(self.client, self.server)
-        if seen or host == self.client:
-            self.down.break_now(error)
-        if seen or host == self.server:
-            self.up.break_now(error)
-            if self.handler is not None:
-                self.handler.cancel()
         for connections in self.owners:
-            connections.discard(self)
+            connections.pop(self, None)
+        if host == self.client:
+            self.down.break_now(StreamTerminatedError("Connection lost"))
+        else:
+            self._break_server()
+        if not self.network.is_cut(self.client, self.server):
+            self._break_both()
+        else:
+            task = asyncio.ensure_future(self._break_after_heal())
+            self.network.background.add(task)
+            task.add_done_callback(self.network.background.discard)
+
+    async def _break_after_heal(self) -> None:
+        await self.network.wait_for_path(self.client, self.server)
+        self._break_both()
+
+    def _break_both(self) -> None:
+        self.down.break_now(StreamTerminatedError("Connection lost"))
+        self._break_server()
+
+    def _break_server(self) -> None:
+        self.up.break_now(StreamTerminatedError("Connection lost"))
+        if self.handler is not None:
+            self.handler.cancel()
 
 
 class _Peer:
@@ -298,7 +315,7 @@
         for service in services:
             self.handlers.update(service.__mapping__())
         self._address = address
-        self.connections: set[_Connection] = set()
+        self.connections: dict[_Connection, None] = {}
 
     @property
     def address(self) -> Address:
@@ -344,7 +361,7 @@
     def __init__(self, network: MemoryNetwork, host: str):
         self.network = network
         self.host = host
-        self._connections: set[_Connection] = set()
+        self._connections: dict[_Connection, None] = {}
         self._servers: list[_MemoryServer] = []
 
     def channel(self, address: Address) -> _MemoryChannel:
