--- a/basilhold/accounting/__init__.py
+++ b/basilhold/accounting/__init__.py
@@ -8,6 +8,7 @@
     StorePriority,
 )
 from basilhold.accounting.channels import CountingTransport, purpose_of_method
+from basilhold.accounting.http import CountingHttpClient
 from basilhold.accounting.tables import (
     CountingTableService,
     OperationCounter,
@@ -35,6 +36,7 @@
     "BudgetSettings",
     "BudgetSnapshot",
     "BudgetedTableService",
+    "CountingHttpClient",
     "CountingTableService",
     "CountingTransport",
     "Distance",
--- a/basilhold/accounting/tests/test_counters.py
+++ b/basilhold/accounting/tests/test_counters.py
@@ -1,7 +1,10 @@
+from tornado.httpclient import HTTPRequest
+
 from basilhold.accounting import (
     ACK_BYTES,
     CALL_OVERHEAD_BYTES,
     MESSAGE_OVERHEAD_BYTES,
+    CountingHttpClient,
     CountingTableService,
     CountingTransport,
     Distance,
@@ -66,6 +69,21 @@
         locator.learn("b", Place("z2", "r1"))
         self.assertIs(locator.distance("b"), Distance.SAME_REGION)
 
+    async def test_http_requests_of_adapters(self):
+        class Client:
+            async def fetch(self, request, **_options):
+                return request
+
+        counter = TrafficCounter()
+        locator = HostLocator(Place("z1", "r1"), {"10.0.0.1": Place("z1", "r1")})
+        client = CountingHttpClient(Client(), counter, locator, Purpose.WORKERS)
+        url = "http://10.0.0.1:90/renew"
+        await client.fetch(HTTPRequest(url, method="POST", body=b"abc"))
+        await client.fetch(url, method="POST", body="defg")
+        (entry,) = counter.snapshot()
+        self.assertEqual((entry.payload_bytes, entry.messages), (7, 2))
+        self.assertIs(entry.distance, Distance.SAME_ZONE)
+
     async def test_totals_by_distance_and_purpose(self):
         counter = TrafficCounter()
         counter.add_http(Purpose.STORE, Distance.OTHER_REGION, 10)
--- a/basilhold/relay/acknowledgements.py
+++ b/basilhold/relay/acknowledgements.py
@@ -97,9 +97,6 @@
             )
             entry = _Registration(stream, silence_ms)
             self._registrations[process_id] = entry
-        if request.leaving:
-            del self._registrations[process_id]
-            return
         entry.heard_at_ms = now_ms
         entry.process_count = max(1, request.process_count)
         for version in request.in_force:
