--- a/basilhold/config/tests/randomised.py
+++ b/basilhold/config/tests/randomised.py
@@ -1,8 +1,8 @@
 """Randomised runs of the configuration's path from the operator to every process.
 
 Operators of both offices race each other while the store loses replies or is down,
-regions are cut off, processes die, and messages arrive late or twice. The invariants
-are asserted while the run goes on:
+regions are cut off, VMs pause, processes die, and messages arrive late or twice. The
+invariants are asserted while the run goes on:
 
 * a process never applies a version that is not greater than its last one, nor a
   content that was not written as that version;
@@ -104,6 +104,8 @@
         self.accepted: dict[tuple[OfficeName, int], _Accepted] = {}
         self.newest: dict[OfficeName, int] = {}
         self.proposed: set[bytes] = set()
+        self.isolated_until_ms: dict[str, float] = {}
+        self.is_cut = False
         self.disturbed_until_ms = dict.fromkeys(cell.layout.regions, 0.0)
         self.applied: dict[tuple[int, OfficeName], int] = {}
         self.tasks: dict[asyncio.Task[None], None] = {}
@@ -174,8 +176,11 @@
             self.summary.deadline_checks += 1
             if process.in_force.versions() == self.newest:
                 continue
-            disturbed_ms = self.disturbed_until_ms[process.vm.region]
-            since_ms = max(disturbed_ms, process.started_at_ms)
+            since_ms = max(
+                self.disturbed_until_ms[process.vm.region],
+                self.isolated_until_ms.get(process.vm.vm_id, 0.0),
+                process.started_at_ms,
+            )
             is_current = process.in_force.is_current(now_ms)
             for change in self.accepted.values():
                 self._check_change(process, change, since_ms, now_ms, is_current)
@@ -238,6 +243,7 @@
             self._outage,
             self._lost_replies,
             self._cut,
+            self._isolate,
             self._restart_relay,
             self._restart_gateway,
             self._unordered,
@@ -277,20 +283,42 @@
         faults.lost_reply_ratio = faults.lost_request_ratio = 0.0
 
     async def _cut(self) -> None:
-        if self.cell.network.is_cut("ruse-0", "store"):
+        if self.is_cut:
             return
+        self.is_cut = True
         self.cell.cut_region(RegionName("danube"))
         await self._for_a_while((RegionName("danube"),), 0.5, 7)
         self.cell.network.heal()
+        self.is_cut = False
+
+    async def _isolate(self) -> None:
+        """Pause a VM: others get neither its messages nor the end of its streams."""
+        if self.is_cut:
+            return
+        self.is_cut = True
+        vm = self.random.choice(self.cell.vms)
+        self._disturbed_by_relay(vm)
+        others = [other.vm_id for other in self.cell.vms if other != vm]
+        self.cell.network.cut([vm.vm_id], [*others, "store"])
+        duration_s = self.random.uniform(0.5, 7)
+        until_ms = self.cell.clock.monotonic_ms() + duration_s * 1000
+        self.isolated_until_ms[vm.vm_id] = until_ms
+        await asyncio.sleep(duration_s)
+        self.cell.network.heal()
+        self.is_cut = False
+
+    def _disturbed_by_relay(self, vm: EntryVm) -> None:
+        """Count the 4 s of the processes that a relay serves from now on."""
+        is_store_region = vm.region == self.cell.layout.store_region
+        regions = self.cell.layout.regions if is_store_region else (vm.region,)
+        self._disturbed(regions)
 
     async def _restart_relay(self) -> None:
         vm = self.random.choice(self.cell.vms)
         if (vm.vm_id, "relay") not in self.cell.processes:
             return
         await self.cell.kill(vm, "relay")
-        regions = self.cell.layout.regions
-        is_store_region = vm.region == self.cell.layout.store_region
-        self._disturbed(regions if is_store_region else (vm.region,))
+        self._disturbed_by_relay(vm)
         await asyncio.sleep(self.random.uniform(0.1, 4))
         self.start(vm, "relay")
 
--- a/basilhold/relay/links.py
+++ b/basilhold/relay/links.py
@@ -30,8 +30,12 @@
 Heartbeats come every second, so this is two missed ones and a half.
 """
 
-PAID_SILENCE_S = 5.0
-"""Silence after which the stream to another region is opened anew."""
+PAID_SILENCE_S = 3.2
+"""Silence after which the stream to another region is opened anew.
+
+Heartbeats come at most 2.5 s apart. A longer wait would not leave time to find the
+next reader and get a change within 4 s of its acceptance.
+"""
 
 
 class WatchLink:
--- a/basilhold/relay/relay.py
+++ b/basilhold/relay/relay.py
@@ -127,6 +127,7 @@
             clock,
             self._read_from_store,
         )
+        self._logged_term = 0
         self._election = ReaderElection(
             identity, settings.address, table, self.state, clock, self._random
         )
@@ -148,12 +149,16 @@
             if reader is None:
                 await pause.wait()
                 continue
-            pause.reset()
             self.state.put_reader(reader)
             if self._is_self(reader):
                 await self._lead()
             else:
                 await self._follow(reader)
+            if self._link.update_count:
+                pause.reset()
+            else:
+                # While the store is down a dead reader is chosen again and again.
+                await pause.wait()
 
     async def ask_in_force(self, office: OfficeName, version: int) -> InForceReply:
         """Return whether a version is in force everywhere, and who lacks it."""
@@ -216,12 +221,7 @@
     async def _follow(self, reader: ReaderLocation) -> None:
         """Follow the region's reader until another one replaces it or it is dead."""
         region = self._settings.identity.region
-        log_event(
-            events.READER_CHANGED,
-            region=region,
-            process_id=reader.process_id,
-            term=reader.term,
-        )
+        self._log_change(reader)
         address = Address(reader.host, reader.port)
         started_ms = self._clock.monotonic_ms()
         failures = 0
@@ -248,6 +248,16 @@
             # otherwise the election returns the same reader.
             self._election.suspect(reader, "it has no confirmation from the store")
 
+    def _log_change(self, reader: ReaderLocation) -> None:
+        if reader.term != self._logged_term:
+            self._logged_term = reader.term
+            log_event(
+                events.READER_CHANGED,
+                region=reader.region,
+                process_id=reader.process_id,
+                term=reader.term,
+            )
+
     def _is_worth_following(self, reader: ReaderLocation, started_ms: float) -> bool:
         known = self.state.readers[reader.region]
         return known.term == reader.term and self._is_confirmed(started_ms)
--- a/basilhold/relay/tests/test_cell.py
+++ b/basilhold/relay/tests/test_cell.py
@@ -202,6 +202,20 @@
             self.assertTrue(restarted.in_force.is_ready)
             self.assertEqual(restarted.in_force.version(NORTH), 1)
 
+    async def test_dead_reader_during_an_outage_is_tried_at_a_bounded_rate(self):
+        async with ControlCell(TODAY) as cell:
+            await self.started(cell)
+            cell.table.faults.down = True
+            await cell.kill(self.reader_vm(cell, THRACE), "relay")
+            await asyncio.sleep(10)
+            before = cell.store_operations()
+            await asyncio.sleep(20)
+            relays = len(cell.relays())
+            self.assertLess((cell.store_operations() - before) / 20, 3 * relays)
+            cell.table.faults.down = False
+            await asyncio.sleep(BOUND_S)
+            await self.change_in_time(cell, THRACE, 1)
+
     async def test_messages_held_behind_a_cut_do_not_look_fresh(self):
         async with ControlCell(TODAY) as cell:
             await self.started(cell)
