Tell whether a change may have reached the store; fix a false alarm

The randomised runs kept the last applied version under id(process), which Python reuses for a process that is started again. The check now keeps its versions with the process's listener and is equally strict.

--- a/basilhold/config/tests/randomised.py
+++ b/basilhold/config/tests/randomised.py
@@ -107,7 +107,6 @@
         self.isolated_until_ms: dict[str, float] = {}
         self.is_cut = False
         self.disturbed_until_ms = dict.fromkeys(cell.layout.regions, 0.0)
-        self.applied: dict[tuple[int, OfficeName], int] = {}
         self.tasks: dict[asyncio.Task[None], None] = {}
         self.in_calm = False
 
@@ -120,15 +119,16 @@
     def watch(self, process: ControlProcess) -> None:
         """Check each document that a process puts in force."""
 
+        applied: dict[OfficeName, int] = {}
+
         def check(office, entry) -> None:
-            key = (id(process), office)
-            last = self.applied.get(key, 0)
+            last = applied.get(office, 0)
             name = process.identity.process_id
             self.require(
                 entry.version > last,
                 f"{name} applied version {entry.version} of {office} after {last}",
             )
-            self.applied[key] = entry.version
+            applied[office] = entry.version
             self.require(
                 msgspec.json.encode(entry.document) in self.proposed,
                 f"{name} applied a document of {office} that nobody proposed",
--- a/basilhold/relay/changes.py
+++ b/basilhold/relay/changes.py
@@ -67,12 +67,15 @@
         if checked.is_error():
             return Error(checked.error)
         write_id = secrets.token_hex(8)
+        may_be_applied = False
         if self._is_remote:
             message = self._message(request, write_id, restored_version)
             reply = await self._subscription.submit_change(message)
-            if reply.accepted:
-                return Ok(_accepted(request, reply.changed_unix_ms, restored_version))
-        mark = WriteMark(write_id, restored_version, may_be_applied=self._is_remote)
+            if reply.is_ok() and reply.ok.accepted:
+                changed_unix_ms = reply.ok.changed_unix_ms
+                return Ok(_accepted(request, changed_unix_ms, restored_version))
+            may_be_applied = reply.is_ok() or reply.error.may_have_run
+        mark = WriteMark(write_id, restored_version, may_be_applied)
         changed = await self._store.change(request, services, mark)
         if changed.is_ok():
             self._subscription.push(changed.ok.info.version, request.document)
--- a/basilhold/relay/subscription.py
+++ b/basilhold/relay/subscription.py
@@ -4,6 +4,8 @@
 import random
 from collections.abc import Callable, Sequence
 
+from expression import Error, Result
+
 from basilhold.config import ConfigInForce, decode_document, encode_document
 from basilhold.core import Clock, OfficeDocument, OfficeName
 from basilhold.observability import log_event
@@ -13,7 +15,7 @@
 from basilhold.relay.links import WatchLink
 from basilhold.relay.reports import ProcessIdentity, ProcessSource, Reporter
 from basilhold.relay.state import RelayState
-from basilhold.rpc import Address, RpcErrorKind, Transport, call
+from basilhold.rpc import Address, RpcError, RpcErrorKind, Transport, call
 from basilhold.rpc.messages_grpc import RelayStub
 from basilhold.rpc.messages_pb2 import (
     ChangeMessage,
@@ -139,15 +141,15 @@
                 return reply.ok
         return InForceReply(complete=False)
 
-    async def submit_change(self, message: ChangeMessage) -> ChangeReply:
-        """Send a change up the relays; without an answer it is not accepted."""
+    async def submit_change(
+        self, message: ChangeMessage
+    ) -> Result[ChangeReply, RpcError]:
+        """Send a change up the relays."""
         address = self._link.address
-        if address is not None:
-            stub = RelayStub(self._transport.channel(address))
-            reply = await call(stub.SubmitChange, message, SUBMIT_TIMEOUT_S)
-            if reply.is_ok():
-                return reply.ok
-        return ChangeReply(accepted=False)
+        if address is None:
+            return Error(RpcError(RpcErrorKind.UNREACHABLE, "no relay is followed"))
+        stub = RelayStub(self._transport.channel(address))
+        return await call(stub.SubmitChange, message, SUBMIT_TIMEOUT_S)
 
     async def _follow(self, address: Address) -> bool:
         """Follow one relay; return whether it gave anything."""
