--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,11 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: setup test lint format generate
+SETTINGS ?= examples/trakia.toml
+SEED ?= 1
+SECONDS ?= 600
+
+.PHONY: setup test lint format generate demo run bench capacity soak
 
 setup: $(STAMP)
 
@@ -25,6 +29,21 @@
 test: setup
 	$(BIN)/python -m nose2
 
+# Runs a local cell from each example with real HTTP requests and jobs.
+demo: setup
+	$(BIN)/python -m basilhold.demo examples/trakia.toml examples/fjordlys.toml
+
+# Runs a local cell until Ctrl-C, which drains it.
+run: setup
+	$(BIN)/basilhold-local run --settings $(SETTINGS)
+
+bench: setup
+	$(BIN)/python -m basilhold.benchmarks
+
+# Measures the slopes again and rewrites the tables of docs/CAPACITY.md.
+capacity: setup
+	$(BIN)/python -m basilhold.capacity --write
+
 # Regenerates the committed protobuf code; needs the development dependencies only.
 generate: setup
 	PATH="$(BIN):$$PATH" $(BIN)/python -m grpc_tools.protoc -I. --python_out=. --pyi_out=. --grpclib_python_out=. \
--- a/basilhold/cell/entry.py
+++ b/basilhold/cell/entry.py
@@ -16,6 +16,7 @@
     TrafficCounter,
 )
 from basilhold.cell.shape import CellShape
+from basilhold.config import ConfigInForce
 from basilhold.core import Clock, InvariantError, ProcessId
 from basilhold.nodes.base import NodePart
 from basilhold.nodes.context import follow_changes, make_context
@@ -161,6 +162,10 @@
         """Whether the load balancer may send callers here."""
         return self._gateway_context.in_force.is_ready
 
+    def configurations(self) -> tuple[ConfigInForce, ...]:
+        """Return the configuration in force in each process."""
+        return (self._gateway_context.in_force, self._scheduler_context.in_force)
+
     async def wait_ready(self) -> None:
         """Wait until the load balancer may send callers here."""
         while not self.is_ready:  # noqa: ASYNC110
--- a/basilhold/programs/gateway.py
+++ b/basilhold/programs/gateway.py
@@ -149,3 +149,7 @@
 
 
 main = main_command(Program.GATEWAY, GatewayDaemon)
+
+
+if __name__ == "__main__":
+    main()
--- a/basilhold/programs/local.py
+++ b/basilhold/programs/local.py
@@ -139,3 +139,7 @@
         click.echo(f"basilhold-local: {error}", err=True)
         code = ExitCode.UNAVAILABLE
     sys.exit(code)
+
+
+if __name__ == "__main__":
+    main()
--- a/basilhold/programs/relay.py
+++ b/basilhold/programs/relay.py
@@ -57,3 +57,7 @@
 
 
 main = main_command(Program.RELAY, RelayDaemon)
+
+
+if __name__ == "__main__":
+    main()
--- a/basilhold/programs/scheduler.py
+++ b/basilhold/programs/scheduler.py
@@ -82,3 +82,7 @@
 
 
 main = main_command(Program.SCHEDULER, SchedulerDaemon)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/basilhold/programs/tests/processes.py
@@ -0,0 +1,73 @@
+"""Starts the programs as processes for tests, on loopback ports that are free."""
+
+import asyncio
+import re
+import signal
+import socket
+import sys
+from pathlib import Path
+
+ROOT = Path(__file__).parents[3]
+_PORT = re.compile(r"(?P<key>\w+_port) = \d+")
+_URL_PORT = re.compile(r"(?P<head>_url = \"http://127.0.0.1:)\d+")
+STOP_TIMEOUT_S = 30
+
+
+def free_ports(count):
+    """Return ports that were free a moment ago."""
+    sockets = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
+    ports = [entry.getsockname()[1] for entry in sockets]
+    for entry in sockets:
+        entry.close()
+    return ports
+
+
+def write_settings(folder, cell):
+    """Copy an example deployment with free ports and return the settings' path."""
+    examples = ROOT / "examples"
+    text = (examples / f"{cell}.toml").read_text()
+    count = len(_PORT.findall(text)) + len(_URL_PORT.findall(text))
+    ports = iter(free_ports(count))
+    text = _PORT.sub(lambda match: f"{match['key']} = {next(ports)}", text)
+    text = _URL_PORT.sub(lambda match: f"{match['head']}{next(ports)}", text)
+    text = re.sub(r"\[timeouts\]\n", "[timeouts]\ndrain_grace_ms = 0\n", text)
+    if "[timeouts]" not in text:
+        text += "\n[timeouts]\ndrain_grace_ms = 0\n"
+    path = Path(folder) / f"{cell}.toml"
+    path.write_text(text)
+    for document in examples.glob(f"{cell}-*.json"):
+        (path.parent / document.name).write_bytes(document.read_bytes())
+    return path
+
+
+class Processes:
+    """Processes that a test started; ends those that still run."""
+
+    def __init__(self):
+        self._running = {}
+
+    async def start(self, name, module, *arguments):
+        """Start ``python -m module``."""
+        self._running[name] = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            module,
+            *arguments,
+            stdout=asyncio.subprocess.DEVNULL,
+            stderr=asyncio.subprocess.DEVNULL,
+            cwd=ROOT,
+        )
+
+    async def stop(self, name):
+        """Send SIGTERM and return the exit code."""
+        process = self._running.pop(name)
+        process.send_signal(signal.SIGTERM)
+        async with asyncio.timeout(STOP_TIMEOUT_S):
+            return await process.wait()
+
+    async def close(self):
+        """Kill what still runs."""
+        for process in self._running.values():
+            if process.returncode is None:
+                process.kill()
+            await process.wait()
--- a/basilhold/standins/upstreams.py
+++ b/basilhold/standins/upstreams.py
@@ -36,6 +36,9 @@
 """Header of a 503 answer by which an upstream says that it takes no new work."""
 
 ID_HEADER = "X-Request-Id"
+SERVICE_TIME_HEADER = "X-Service-Time-Ms"
+"""Header by which a test sets the service time of one request over HTTP."""
+
 CHUNK_BYTES = 16 << 10
 
 
@@ -400,7 +403,9 @@
             self.finish()
             return
         fate = behaviour.draw(server.rng)
-        await asyncio.sleep(behaviour.duration_ms(fate, server.rng) / 1000)
+        duration_ms = behaviour.duration_ms(fate, server.rng)
+        wanted_ms = self.request.headers.get(SERVICE_TIME_HEADER)
+        await asyncio.sleep(float(wanted_ms or duration_ms) / 1000)
         stream = self.request.connection.stream
         if fate is UpstreamFate.CUT:
             self._finished = True
--- a/basilhold/standins/vms.py
+++ b/basilhold/standins/vms.py
@@ -54,6 +54,10 @@
             self._current.pop(vm_id, None)
         self._publish()
 
+    def records(self) -> tuple[VmRecord, ...]:
+        """Return the VMs as they are now, without the lag."""
+        return tuple(self._current.values())
+
     async def read(self) -> Result[VmSnapshot, StoreError]:
         """Return the list as it was `lag_ms` ago."""
         self.read_count += 1
