--- a/basilhold/benchmarks/placement_loop.py
+++ b/basilhold/benchmarks/placement_loop.py
@@ -34,6 +34,7 @@
     EvictionAction.THROTTLE: 100,
 }
 _PASSES_PER_TICK = 4
+_NEVER = 1 << 62
 
 
 class LoopResult(msgspec.Struct):
@@ -48,8 +49,8 @@
         Share of the tasks that started within the class's target.
     victims, urgent_starts : int
     packing : Resources
-        Mean committed amounts, in thousandths of the capacity, in `cores_milli`,
-        `memory_bytes` and `gpus_milli`; see `packing_shares`.
+        Mean amounts of tasks that run, in thousandths of the capacity; see
+        `packing_shares`.
     gangs_partial : int
         Gangs that started in part.
     """
@@ -78,8 +79,10 @@
     ends_ms: int
 
 
-def packing_shares(rows: Iterable[WorkerRecord]) -> tuple[float, float, float]:
-    """Return the committed shares of cores, memory and GPUs.
+def packing_shares(
+    rows: Iterable[WorkerRecord], idle: frozenset[TaskId] = frozenset()
+) -> tuple[float, float, float]:
+    """Return the committed shares of cores, memory and GPUs, without idle tasks.
 
     Cores and memory count on workers without GPUs, and GPUs on the others: that is
     what each kind of worker is there for.
@@ -87,10 +90,15 @@
     used, plain, gpu = Resources(), Resources(), Resources()
     gpu_used = Resources()
     for row in rows:
+        busy = row.committed()
+        if idle:
+            for assignment in row.assignments:
+                if assignment.task_id in idle:
+                    busy = busy - assignment.resources
         if row.capacity.gpus_milli:
-            gpu, gpu_used = gpu + row.capacity, gpu_used + row.committed()
+            gpu, gpu_used = gpu + row.capacity, gpu_used + busy
         else:
-            plain, used = plain + row.capacity, used + row.committed()
+            plain, used = plain + row.capacity, used + busy
     return (
         used.cores_milli / max(1, plain.cores_milli),
         used.memory_bytes / max(1, plain.memory_bytes),
@@ -124,6 +132,7 @@
     ):
         self._planner = planner
         self._duration_ms = duration_ms
+        planner.set_teams(deployment.quotas(), {})
         generator = WorkloadGenerator(deployment, seed)
         self._arrivals = list(generator.arrivals(load, duration_ms))
         self._rows = {row.worker_id: row for row in deployment.workers()}
@@ -189,15 +198,33 @@
             if record.spec.kind is ClassKind.GANG:
                 gangs[job_id] += 1
             self._first_start.setdefault(task_id, now)
-            ends = now + self._left_ms.get(task_id, self._run_ms[job_id])
-            self._running[task_id] = _Running(placement, now, ends)
-            self._push(ends, "end", task_id, placement.attempt)
+            self._running[task_id] = _Running(placement, now, _NEVER)
+            if record.spec.kind is not ClassKind.GANG:
+                self._begin(task_id, now)
         for job_id, count in gangs.items():
             record = self._jobs[job_id]
+            self._begin_gang(record, now)
             first = all(task.attempt <= 1 for task in record.tasks)
             self._gangs_partial += first and count != record.spec.task_count
         self._planner.confirm(placements)
 
+    def _begin(self, task_id: TaskId, now: int) -> None:
+        """Let a task that has all it needs run to its end."""
+        running = self._running[task_id]
+        job_id, _ = split_task_id(task_id)
+        running.ends_ms = now + self._left_ms.get(task_id, self._run_ms[job_id])
+        self._push(running.ends_ms, "end", task_id, running.placement.attempt)
+
+    def _begin_gang(self, record: JobRecord, now: int) -> None:
+        """Let a gang run once all its tasks have started; until then they wait."""
+        job_id = record.spec.job_id
+        task_ids = [make_task_id(job_id, n) for n in range(record.spec.task_count)]
+        if all(task_id in self._first_start for task_id in task_ids):
+            for task_id in task_ids:
+                running = self._running.get(task_id)
+                if running is not None and running.ends_ms == _NEVER:
+                    self._begin(task_id, now)
+
     def _handle_events(self, now: int) -> None:
         while self._events and self._events[0][0] <= now:
             at, _, what, task_id, attempt, eviction = heapq.heappop(self._events)
@@ -236,7 +263,7 @@
         if eviction.action is EvictionAction.THROTTLE:
             self._throttle(running, eviction.cores_limit_milli, now)
             return
-        if eviction.action is EvictionAction.CHECKPOINT:
+        if eviction.action is EvictionAction.CHECKPOINT and running.ends_ms != _NEVER:
             self._left_ms[placement.task_id] = max(1, running.ends_ms - now)
         self._drop(running)
         job_id, _ = split_task_id(placement.task_id)
@@ -246,7 +273,8 @@
         old = running.placement
         size = msgspec.structs.replace(old.resources, cores_milli=limit)
         slower = old.resources.cores_milli / limit
-        running.ends_ms = now + int((running.ends_ms - now) * slower)
+        if running.ends_ms != _NEVER:
+            running.ends_ms = now + int((running.ends_ms - now) * slower)
         running.placement = msgspec.structs.replace(old, resources=size)
         row = self._rows[old.worker_id]
         row.assignments = tuple(
@@ -294,7 +322,13 @@
 
     def _sample_packing(self) -> None:
         self._samples += 1
-        shares = packing_shares(self._rows.values())
+        # Tasks of a gang that has started in part hold their workers idle.
+        idle = frozenset(
+            task_id
+            for task_id, running in self._running.items()
+            if running.ends_ms == _NEVER
+        )
+        shares = packing_shares(self._rows.values(), idle)
         self._packing = [a + b for a, b in zip(self._packing, shares, strict=True)]
 
     def _result(self) -> LoopResult:
--- a/basilhold/benchmarks/placement_workload.py
+++ b/basilhold/benchmarks/placement_workload.py
@@ -15,6 +15,7 @@
     Resources,
     RestartPolicy,
     TaskRecord,
+    Team,
     TeamName,
     WorkerId,
     WorkerRecord,
@@ -51,6 +52,16 @@
     memory_per_core_gib: tuple[float, ...]
     teams: int
 
+    def quotas(self) -> tuple[Team, ...]:
+        """Return teams whose equal quotas add up to the whole capacity."""
+        capacity = self.plain.scaled(self.plain_count) + self.gpu.scaled(self.gpu_count)
+        quota = Resources(
+            capacity.cores_milli // self.teams,
+            capacity.memory_bytes // self.teams,
+            capacity.gpus_milli // self.teams,
+        )
+        return tuple(Team(TeamName(f"team-{n}"), quota) for n in range(self.teams))
+
     def workers(self) -> list[WorkerRecord]:
         """Return empty workers, plain ones in racks of 5 and GPU ones of 3."""
         zone = ZoneName("zone")
--- a/basilhold/placement/gang_turns.py
+++ b/basilhold/placement/gang_turns.py
@@ -138,7 +138,7 @@
                 worker.reserved = True
                 state.reindex(worker)
         if old is not None:
-            self._open(set(old.spare) - set(found.spare))
+            self._open([name for name in old.spare if name not in found.spare])
         state.backfill_version += 1
 
     def _open(self, worker_ids: Iterable[WorkerId]) -> None:
--- a/basilhold/placement/shard_state.py
+++ b/basilhold/placement/shard_state.py
@@ -41,7 +41,7 @@
         self.gpu_guard = GpuGuard()
         self.free_index = WorkerIndex()
         self.reclaim_index = WorkerIndex()
-        self.quarantined: set[WorkerId] = set()
+        self.quarantined: dict[WorkerId, None] = {}
         self.newest = NewestTasks()
         self.shapes = WorkerShapes()
         self.releases = 0
@@ -92,7 +92,7 @@
         if worker is None:
             return
         self.shapes.remove(worker.capacity)
-        self.quarantined.discard(worker_id)
+        self.quarantined.pop(worker_id, None)
         self.free_index.discard(worker_id)
         self.reclaim_index.discard(worker_id)
         for live in worker.tasks.values():
@@ -286,9 +286,9 @@
     def _note_quarantine(self, worker: WorkerState, until_unix_ms: int) -> None:
         worker.quarantined_until_unix_ms = until_unix_ms
         if until_unix_ms:
-            self.quarantined.add(worker.worker_id)
+            self.quarantined[worker.worker_id] = None
         else:
-            self.quarantined.discard(worker.worker_id)
+            self.quarantined.pop(worker.worker_id, None)
             worker.probe_task_id = None
 
     def _commit_assignment(self, worker: WorkerState, assignment: Assignment) -> None:
--- a/basilhold/placement/waiting.py
+++ b/basilhold/placement/waiting.py
@@ -177,11 +177,12 @@
         self.jobs: dict[JobId, JobState] = {}
         self.buckets: dict[BucketKey, Bucket] = {}
         self.lanes = LaneSet()
-        self._changed: set[JobId] = set()
+        # A dict keeps the order of the calls, so that runs can be repeated.
+        self._changed: dict[JobId, None] = {}
 
     def mark(self, job_id: JobId) -> None:
         """Have a job's entries rebuilt before the next pass."""
-        self._changed.add(job_id)
+        self._changed[job_id] = None
 
     def is_marked(self, job_id: JobId) -> bool:
         """Return whether a job's entries are still to be rebuilt."""
@@ -190,7 +191,7 @@
     def remove(self, job_id: JobId) -> JobState | None:
         """Remove a job and its waiting tasks."""
         job = self.jobs.pop(job_id, None)
-        self._changed.discard(job_id)
+        self._changed.pop(job_id, None)
         if job is not None:
             job.removed = True
             self._drop_entries(job)
