--- a/basilhold/placement/tests/test_target_planner.py
+++ b/basilhold/placement/tests/test_target_planner.py
@@ -32,6 +32,18 @@
         self.assertEqual(placed(shard.plan(30)), {"sooner#0": "w1"})
 
 
+class RepeatableTest(unittest.TestCase):
+    """Guards against runs with one seed that differ by the hashes of job ids."""
+
+    def test_equal_work_is_placed_in_the_order_of_the_owners_calls(self):
+        shard = Shard(("w1", size(64, 256), "r1"))
+        records = [job(f"j{n}", size(1), team=f"team-{n}") for n in range(40)]
+        shard.submit(*records)
+        shard.submit(*reversed(records))
+        expected = [f"j{n}#0" for n in reversed(range(40))]
+        self.assertEqual(list(placed(shard.plan(1))), expected)
+
+
 class QuotaTest(unittest.TestCase):
     """Guards against a team that takes what another team's quota promises."""
 
