--- a/basilhold/placement/admission.py
+++ b/basilhold/placement/admission.py
@@ -78,7 +78,6 @@
     queued_tasks : int
         Number of the team's tasks that wait.
     """
-    size = spec.task_resources
     if spec.class_name not in classes:
         return _reject(RejectionKind.UNKNOWN_CLASS, f"no class {spec.class_name}")
     if classes[spec.class_name].kind is ClassKind.REQUEST:
@@ -86,6 +85,20 @@
             RejectionKind.INVALID,
             f"class {spec.class_name} is for requests and not for jobs",
         )
+    bound = team.queued_tasks_max if team is not None else _QUEUED_TASKS_MAX
+    size_check = _check_size(spec, shapes)
+    if size_check.is_error() or queued_tasks + spec.task_count <= bound:
+        return size_check
+    return _reject(
+        RejectionKind.QUEUE_FULL,
+        f"team {spec.team} has {queued_tasks} waiting tasks of at most {bound}",
+    )
+
+
+def _check_size(
+    spec: JobSpec, shapes: tuple[WorkerShape, ...]
+) -> Result[None, Rejection]:
+    size = spec.task_resources
     if spec.task_count < 1 or size.is_negative() or size == Resources():
         return _reject(
             RejectionKind.INVALID, "a job needs at least one task of a positive size"
@@ -100,12 +113,6 @@
                 f"a gang of {spec.task_count} such tasks is larger than the "
                 f"{largest} that start together in any zone",
             )
-    bound = team.queued_tasks_max if team is not None else _QUEUED_TASKS_MAX
-    if queued_tasks + spec.task_count > bound:
-        return _reject(
-            RejectionKind.QUEUE_FULL,
-            f"team {spec.team} has {queued_tasks} waiting tasks of at most {bound}",
-        )
     return Ok(None)
 
 
--- a/basilhold/placement/victims.py
+++ b/basilhold/placement/victims.py
@@ -40,6 +40,27 @@
     cost: tuple[float, float, int]
 
 
+_NOTHING = Resources()
+
+
+class _Victim:
+    """A task that may be chosen, and how it would give way."""
+
+    __slots__ = ("action", "cores_limit_milli", "freed", "live", "lost", "within_quota")
+
+    def __init__(self, live: LiveTask, within_quota: bool, lost: float):
+        self.live = live
+        self.within_quota = within_quota
+        self.lost = lost
+        self.action = EvictionAction.STOP
+        self.freed = _NOTHING
+        self.cores_limit_milli = 0
+
+    def rank(self) -> tuple[bool, float, int]:
+        """Order: above quota, then least lost work, then longest target."""
+        return (self.within_quota, self.lost, -self.live.job.spec.wait_target_ms)
+
+
 def lost_work(live: LiveTask, estimates: ClassEstimates, now_unix_ms: int) -> float:
     """Return the work since the last checkpoint, in worker-milliseconds.
 
@@ -78,44 +99,62 @@
         Whether victims must belong to teams above quota.
     now_unix_ms : int
     """
-    ranked = []
-    for live in worker.tasks.values():
-        if not live.reclaimable:
-            continue
-        within = is_within_quota(live)
-        if within and only_above_quota:
-            continue
-        lost = lost_work(live, estimates, now_unix_ms)
-        ranked.append((within, lost, -live.job.spec.wait_target_ms, live))
-    ranked.sort(key=lambda item: item[:3])
-    chosen = []
-    for item in ranked:
-        if missing.fits_in(Resources()):
+    candidates = _ranked(
+        worker, estimates, is_within_quota, only_above_quota, now_unix_ms
+    )
+    chosen: list[_Victim] = []
+    for candidate in candidates:
+        if missing.fits_in(_NOTHING):
             break
-        action, freed, limit = _action(item[3], missing)
+        action, freed, limit = _action(candidate.live, missing)
         if _helps(freed, missing):
-            chosen.append((item, action, freed, limit))
+            candidate.action, candidate.freed = action, freed
+            candidate.cores_limit_milli = limit
+            chosen.append(candidate)
             missing = missing - freed
-    if not missing.fits_in(Resources()):
+    if not missing.fits_in(_NOTHING):
         return None
-    chosen = _without_surplus(chosen, missing)
+    return _victim_set(worker, _without_surplus(chosen, missing))
+
+
+def _ranked(
+    worker: WorkerState,
+    estimates: ClassEstimates,
+    is_within_quota: Callable[[LiveTask], bool],
+    only_above_quota: bool,
+    now_unix_ms: int,
+) -> list[_Victim]:
+    """Return the tasks that may be victims, the cheapest first."""
+    candidates = []
+    for live in worker.tasks.values():
+        if not live.reclaimable:
+            continue
+        within = is_within_quota(live)
+        if not (within and only_above_quota):
+            lost = lost_work(live, estimates, now_unix_ms)
+            candidates.append(_Victim(live, within, lost))
+    candidates.sort(key=_Victim.rank)
+    return candidates
+
+
+def _victim_set(worker: WorkerState, chosen: list[_Victim]) -> VictimSet:
     cost = (
-        sum(item[1] for item, *_ in chosen if item[0]),
-        sum(item[1] for item, *_ in chosen),
-        max((item[2] for item, *_ in chosen), default=0),
+        sum(victim.lost for victim in chosen if victim.within_quota),
+        sum(victim.lost for victim in chosen),
+        max((-victim.live.job.spec.wait_target_ms for victim in chosen), default=0),
     )
     evictions = [
         Eviction(
-            item[3].task_id,
-            item[3].attempt,
+            victim.live.task_id,
+            victim.live.attempt,
             worker.worker_id,
-            action,
+            victim.action,
             None,
-            limit,
+            victim.cores_limit_milli,
         )
-        for item, action, _, limit in chosen
+        for victim in chosen
     ]
-    return VictimSet(worker, evictions, [freed for _, _, freed, _ in chosen], cost)
+    return VictimSet(worker, evictions, [victim.freed for victim in chosen], cost)
 
 
 def _action(
@@ -145,12 +184,12 @@
     )
 
 
-def _without_surplus(chosen: list, missing: Resources) -> list:
+def _without_surplus(chosen: list[_Victim], missing: Resources) -> list[_Victim]:
     """Drop victims, the dearest first, that the others make unnecessary."""
     kept = list(chosen)
     for candidate in reversed(chosen):
-        without = missing + candidate[2]
-        if len(kept) > 1 and without.fits_in(Resources()):
+        without = missing + candidate.freed
+        if len(kept) > 1 and without.fits_in(_NOTHING):
             kept.remove(candidate)
             missing = without
     return kept
