--- a/basilhold/placement/shard_state.py
+++ b/basilhold/placement/shard_state.py
@@ -81,7 +81,9 @@
         for live in gone:
             self.release(live, requeued=True)
         for assignment in record.assignments:
-            self._commit_assignment(worker, assignment)
+            live = worker.tasks.get(assignment.task_id)
+            if live is None or live.held or not live.matches(assignment):
+                self._commit_assignment(worker, assignment)
         if old_free is None or not worker.free().fits_in(old_free):
             self.note_room(worker)
         self.reindex(worker)
@@ -368,11 +370,8 @@
         del self.tasks[live.task_id]
         self.newest.remove(live)
         job = live.job
-        orphans = self._orphans.get(split_task_id(live.task_id)[0])
-        if orphans is not None and orphans.get(live.index) is live:
-            del orphans[live.index]
-            if not orphans:
-                del self._orphans[split_task_id(live.task_id)[0]]
+        if job is None or job.removed:
+            self._forget_orphan(live)
         if job is None:
             return
         job.live.pop(live.index, None)
@@ -385,6 +384,14 @@
                 job.note_requeued(live.index, self.now_unix_ms)
             self.queue.mark(job.spec.job_id)
 
+    def _forget_orphan(self, live: LiveTask) -> None:
+        job_id, index = split_task_id(live.task_id)
+        orphans = self._orphans.get(job_id)
+        if orphans is not None and orphans.get(index) is live:
+            del orphans[index]
+            if not orphans:
+                del self._orphans[job_id]
+
     def _reindex_of(self, live: LiveTask) -> None:
         worker = self.workers.get(live.worker_id)
         if worker is not None:
--- a/basilhold/placement/workers.py
+++ b/basilhold/placement/workers.py
@@ -1,6 +1,7 @@
 """Workers and live tasks as the planner sees them."""
 
 from basilhold.core import (
+    Assignment,
     Attempt,
     Resources,
     RestartPolicy,
@@ -82,6 +83,10 @@
         self.reclaimable = False
         self.used: Resources | None = None
 
+    def matches(self, assignment: Assignment) -> bool:
+        """Return whether a worker's row names this attempt with this size."""
+        return self.attempt == assignment.attempt and self.size == assignment.resources
+
     def may_be_reclaimed(self) -> bool:
         """Return whether urgent work may take this task's resources."""
         job = self.job
