--- a/basilhold/sharding/intake.py
+++ b/basilhold/sharding/intake.py
@@ -1,40 +1,33 @@
 """Accepts jobs on behalf of gateways."""
 
 import asyncio
-import hashlib
 import random
 from collections import deque
 from collections.abc import Mapping
-from enum import Enum
 
-import msgspec
 from expression import Error, Ok, Result
 
-from basilhold.core import (
-    JobId,
-    JobRecord,
-    JobSpec,
-    OfficeName,
-    TaskRecord,
-    ZoneName,
-)
-from basilhold.ports import (
-    ABSENT,
-    Condition,
-    Row,
-    StoreError,
-    StoreErrorKind,
-    TableService,
-    Transaction,
-    Write,
-)
-from basilhold.sharding.rows import (
-    JobIndexRecord,
-    decode,
-    encode,
-    job_index_key,
-    job_key,
+from basilhold.core import JobId, JobRecord, ZoneName
+from basilhold.ports import Row, StoreError, StoreErrorKind, TableService, Transaction
+from basilhold.sharding.intake_rows import (
+    BATCH_BYTES_MAX,
+    Accepted,
+    CancelAnswer,
+    IntakeError,
+    IntakeErrorKind,
+    IntakePlan,
+    JobStatus,
+    PendingCall,
+    Submission,
+    answer_calls,
+    answer_repeat,
+    find_problem,
+    make_job_id,
+    part_id,
+    plan_cancel,
+    plan_create,
 )
+from basilhold.sharding.rows import JobIndexRecord, decode, job_index_key, job_key
 
 __all__ = [
     "Accepted",
@@ -49,107 +42,12 @@
 ]
 
 _OPERATIONS_MAX = 480
-_BYTES_MAX = 700_000
 _ATTEMPTS_MAX = 4
 """Tries of one batch after conflicts or lost replies."""
 
 _READS_MAX = 3
 
 
-def make_job_id(office: OfficeName, idempotency_key: str) -> JobId:
-    """Return the id of the job that an office submits under a key.
-
-    Examples
-    --------
-    >>> make_job_id("oslo", "plate-17") == make_job_id("oslo", "plate-17")
-    True
-    >>> make_job_id("oslo", "plate-17") == make_job_id("bergen", "plate-17")
-    False
-    """
-    digest = hashlib.sha256(f"{office}\0{idempotency_key}".encode()).hexdigest()
-    return JobId(f"{office}-{digest[:20]}")
-
-
-def part_id(job_id: JobId, zone: ZoneName) -> JobId:
-    """Return the id of the part of a split job that belongs to a zone."""
-    return JobId(f"{job_id}@{zone}")
-
-
-class Submission(msgspec.Struct, frozen=True):
-    """A job and the zones that take its tasks.
-
-    Parameters
-    ----------
-    spec : JobSpec
-        Its id comes from `make_job_id`.
-    tasks_by_zone : dict of ZoneName to int
-        One zone for all tasks, or several for a service.
-    """
-
-    spec: JobSpec
-    tasks_by_zone: dict[ZoneName, int]
-
-
-class Accepted(msgspec.Struct, frozen=True):
-    """The job is in the store. `repeated` tells that it was there before."""
-
-    job_id: JobId
-    repeated: bool
-    parts: tuple[JobId, ...] = ()
-
-
-class IntakeErrorKind(Enum):
-    """Why a submission or cancellation has no certain effect.
-
-    ``NOT_RUN``: nothing was stored, the job does not run. ``UNKNOWN``: the store did
-    not tell; a repeat under the same key is safe and names the same job.
-    ``DIFFERENT``: the key was used before for a job with another content.
-    """
-
-    NOT_RUN = "not-run"
-    UNKNOWN = "unknown"
-    DIFFERENT = "different"
-    NOT_FOUND = "not-found"
-    INVALID = "invalid"
-
-
-class IntakeError(msgspec.Struct, frozen=True):
-    """A refused submission, cancellation or query."""
-
-    kind: IntakeErrorKind
-    reason: str = ""
-
-
-class JobStatus(msgspec.Struct, frozen=True):
-    """A job's rows; several for a job that was split."""
-
-    job_id: JobId
-    parts: tuple[JobRecord, ...]
-
-
-class CancelAnswer(msgspec.Struct, frozen=True):
-    """The cancel mark is stored; the owner stops what runs."""
-
-    job_id: JobId
-    zones: tuple[ZoneName, ...]
-
-
-class _Pending(msgspec.Struct):
-    """A submission or cancellation that waits for a transaction."""
-
-    submission: Submission | None
-    job_id: JobId
-    done: asyncio.Future
-
-
-class _Plan(msgspec.Struct):
-    """One attempt to store a batch."""
-
-    conditions: list[Condition]
-    writes: list[Write]
-    size_bytes: int = 0
-
-
 class JobIntake:
     """Stores jobs and cancel marks, many in one transaction.
 
@@ -169,7 +67,7 @@
         self._store = store
         self._window_ms = window_ms
         self._rng = random.Random(seed)
-        self._queue: deque[_Pending] = deque()
+        self._queue: deque[PendingCall] = deque()
         self._task: asyncio.Task | None = None
 
     async def submit(self, submission: Submission) -> Result[Accepted, IntakeError]:
@@ -179,7 +77,7 @@
         ----------
         submission : Submission
         """
-        problem = _problem(submission)
+        problem = find_problem(submission)
         if problem:
             return Error(IntakeError(IntakeErrorKind.INVALID, problem))
         return await self._enqueue(submission, submission.spec.job_id)
@@ -201,7 +99,7 @@
 
     async def _enqueue(self, submission: Submission | None, job_id: JobId):
         done = asyncio.get_running_loop().create_future()
-        self._queue.append(_Pending(submission, job_id, done))
+        self._queue.append(PendingCall(submission, job_id, done))
         if self._task is None or self._task.done():
             self._task = asyncio.create_task(self._drain())
         return await done
@@ -211,9 +109,9 @@
         while self._queue:
             await self._run_batch(self._take_batch())
 
-    def _take_batch(self) -> list[_Pending]:
+    def _take_batch(self) -> list[PendingCall]:
         """Return calls that fit in one transaction, each job once."""
-        batch: list[_Pending] = []
+        batch: list[PendingCall] = []
         job_ids: set[JobId] = set()
         operations = size_bytes = 0
         while self._queue:
@@ -225,14 +123,14 @@
             # Conditions and writes of the index row and of each part's rows.
             operations += 2 + 4 * parts
             size_bytes += parts * 700 + 60 * task_count
-            full = operations > _OPERATIONS_MAX or size_bytes > _BYTES_MAX
+            full = operations > _OPERATIONS_MAX or size_bytes > BATCH_BYTES_MAX
             if batch and (full or pending.job_id in job_ids):
                 break
             job_ids.add(pending.job_id)
             batch.append(self._queue.popleft())
         return batch
 
-    async def _run_batch(self, batch: list[_Pending]) -> None:
+    async def _run_batch(self, batch: list[PendingCall]) -> None:
         kind = IntakeErrorKind.NOT_RUN
         reason = "too many conflicts"
         sent_job_ids: set[JobId] = set()
@@ -244,7 +142,7 @@
             if read.is_error():
                 reason = read.error.reason
                 continue
-            plan = _Plan([], [])
+            plan = IntakePlan([], [])
             waiting = self._prepare(open_calls, read.ok, sent_job_ids, plan)
             if not waiting:
                 return
@@ -253,7 +151,7 @@
             if result.is_error() and result.error.kind is StoreErrorKind.NOT_APPLIED:
                 result = await self._store.transact(transaction)
             if result.is_ok():
-                _answer(waiting, repeated=False)
+                answer_calls(waiting, repeated=False)
                 return
             reason = result.error.reason
             if result.error.kind is StoreErrorKind.UNKNOWN:
@@ -269,24 +167,24 @@
 
     def _prepare(
         self,
-        calls: list[_Pending],
+        calls: list[PendingCall],
         found: Mapping[JobId, tuple[Row, ...]],
         sent_job_ids: set[JobId],
-        plan: _Plan,
-    ) -> list[tuple[_Pending, tuple[ZoneName, ...]]]:
+        plan: IntakePlan,
+    ) -> list[tuple[PendingCall, tuple[ZoneName, ...]]]:
         """Answer what needs no write and plan the rest."""
-        waiting: list[tuple[_Pending, tuple[ZoneName, ...]]] = []
+        waiting: list[tuple[PendingCall, tuple[ZoneName, ...]]] = []
         for pending in calls:
             rows = found.get(pending.job_id, ())
             if pending.submission is None:
-                zones = _plan_cancel(pending, rows, plan)
+                zones = plan_cancel(pending, rows, plan)
                 if zones is not None:
                     waiting.append((pending, zones))
             elif rows:
                 ours = pending.job_id in sent_job_ids
-                _answer_repeat(pending, rows, ours)
+                answer_repeat(pending, rows, ours)
             else:
-                _plan_create(pending.submission, plan)
+                plan_create(pending.submission, plan)
                 waiting.append((pending, tuple(pending.submission.tasks_by_zone)))
         return waiting
 
@@ -347,108 +245,3 @@
                 for job_id, parts in part_ids.items()
             }
         )
-
-
-def _problem(submission: Submission) -> str:
-    counts = submission.tasks_by_zone
-    if not counts or any(count < 1 for count in counts.values()):
-        return "each zone needs at least one task"
-    if sum(counts.values()) != submission.spec.task_count:
-        return "the zones' tasks do not add up to the job's"
-    if submission.spec.task_count * 60 + 2000 > _BYTES_MAX:
-        return "the job has too many tasks for one row"
-    return ""
-
-
-def _parts(submission: Submission) -> dict[ZoneName, JobRecord]:
-    """Return the job rows of a submission by zone."""
-    spec = submission.spec
-    split = len(submission.tasks_by_zone) > 1
-    return {
-        zone: JobRecord(
-            msgspec.structs.replace(
-                spec,
-                job_id=part_id(spec.job_id, zone) if split else spec.job_id,
-                task_count=count,
-            ),
-            [TaskRecord() for _ in range(count)],
-        )
-        for zone, count in submission.tasks_by_zone.items()
-    }
-
-
-def _plan_create(submission: Submission, plan: _Plan) -> None:
-    parts = _parts(submission)
-    split = len(parts) > 1
-    index = {submission.spec.job_id: JobIndexRecord(next(iter(parts)))}
-    if split:
-        part_ids = tuple(record.spec.job_id for record in parts.values())
-        index = {submission.spec.job_id: JobIndexRecord(parts=part_ids)}
-        index |= {r.spec.job_id: JobIndexRecord(zone) for zone, r in parts.items()}
-    for job_id, entry in index.items():
-        plan.conditions.append(Condition(job_index_key(job_id), ABSENT))
-        plan.writes.append(Write(job_index_key(job_id), encode(entry)))
-    for zone, record in parts.items():
-        key = job_key(zone, record.spec.job_id)
-        plan.conditions.append(Condition(key, ABSENT))
-        plan.writes.append(Write(key, encode(record)))
-
-
-def _plan_cancel(
-    pending: _Pending, rows: tuple[Row, ...], plan: _Plan
-) -> tuple[ZoneName, ...] | None:
-    """Plan the marks of a job; ``None`` if the call is answered already."""
-    if not rows:
-        error = IntakeError(IntakeErrorKind.NOT_FOUND)
-        pending.done.set_result(Error(error))
-        return None
-    zones = tuple(ZoneName(row.key.split("/")[1]) for row in rows)
-    open_rows = []
-    for row in rows:
-        record = decode(row.value, JobRecord)
-        finished = all(task.state.is_final for task in record.tasks)
-        if not (record.cancel_requested or finished):
-            open_rows.append((row, record))
-    if not open_rows:
-        pending.done.set_result(Ok(CancelAnswer(pending.job_id, zones)))
-        return None
-    for row, record in open_rows:
-        record.cancel_requested = True
-        plan.conditions.append(Condition(row.key, row.version))
-        plan.writes.append(Write(row.key, encode(record)))
-    return zones
-
-
-def _answer_repeat(pending: _Pending, rows: tuple[Row, ...], ours: bool) -> None:
-    """Answer a submission whose job is stored already.
-
-    `submitted_unix_ms` differs between repeats and is not compared.
-    """
-    records = [decode(row.value, JobRecord) for row in rows]
-    stored = records[0].spec
-    wanted = msgspec.structs.replace(
-        pending.submission.spec,
-        job_id=stored.job_id,
-        task_count=sum(record.spec.task_count for record in records),
-        submitted_unix_ms=stored.submitted_unix_ms,
-    )
-    stored = msgspec.structs.replace(stored, task_count=wanted.task_count)
-    if stored != wanted or pending.submission.spec.task_count != wanted.task_count:
-        error = IntakeError(IntakeErrorKind.DIFFERENT, "the key names another job")
-        pending.done.set_result(Error(error))
-        return
-    parts = tuple(record.spec.job_id for record in records if len(records) > 1)
-    pending.done.set_result(Ok(Accepted(pending.job_id, not ours, parts)))
-
-
-def _answer(
-    waiting: list[tuple[_Pending, tuple[ZoneName, ...]]], repeated: bool
-) -> None:
-    for pending, zones in waiting:
-        if pending.submission is None:
-            pending.done.set_result(Ok(CancelAnswer(pending.job_id, zones)))
-            continue
-        parts: tuple[JobId, ...] = ()
-        if len(zones) > 1:
-            parts = tuple(part_id(pending.job_id, zone) for zone in zones)
-        pending.done.set_result(Ok(Accepted(pending.job_id, repeated, parts)))
--- a/basilhold/sharding/owner.py
+++ b/basilhold/sharding/owner.py
@@ -39,14 +39,12 @@
 from basilhold.sharding.events import (
     RECOVERED,
     TASK_OUTCOME_UNKNOWN,
-    WORKER_ATTESTED_LOST,
     WORKER_CONTACT_LOST,
     WORKER_REACHED,
     WORKER_RELEASED,
 )
 from basilhold.sharding.health import WorkerHealth
 from basilhold.sharding.job_feed import JobFeed, JobFeedOwner
-from basilhold.sharding.leases import WorkerLease, inherit
 from basilhold.sharding.ownership import ShardInfo
 from basilhold.sharding.peers import (
     CellView,
@@ -58,12 +56,8 @@
 from basilhold.sharding.quarantine import Quarantine, QuarantineOwner
 from basilhold.sharding.recovery import load_tables
 from basilhold.sharding.rows import ShardRecord
-from basilhold.sharding.session import (
-    CallLimiters,
-    SessionOwner,
-    StopOrder,
-    WorkerSession,
-)
+from basilhold.sharding.session import SessionOwner, StopOrder, WorkerSession
+from basilhold.sharding.sessions import SessionSet
 from basilhold.sharding.settings import ShardingSettings
 from basilhold.sharding.tables import ShardTables
 from basilhold.sharding.worker_list import WorkerList, WorkerListOwner
@@ -122,12 +116,16 @@
         self._version = version
         self._services = services
         self._rng = rng
-        self._inherited = inherited
-        self._grants = {grant.worker_id: grant.expires_unix_ms for grant in grants}
         self._planner = services.make_planner(shard)
-        self._limiters = CallLimiters(services.settings.calls_in_flight_max)
-        self._sessions: dict[WorkerId, WorkerSession] = {}
-        self._session_tasks: dict[WorkerId, asyncio.Task] = {}
+        self._sessions = SessionSet(
+            self,
+            services.agents,
+            services.clock,
+            services.settings,
+            rng,
+            (inherited or record).horizon_unix_ms,
+            grants,
+        )
         self._group: asyncio.TaskGroup | None = None
         self._sizes: dict[WorkerId, Resources] = {}
         self._lost = asyncio.Event()
@@ -158,8 +156,9 @@
                     group.create_task(self._watch_loss()),
                 ]
                 await self.committer.run()
-                for task in (*loops, *self._session_tasks.values()):
+                for task in loops:
                     task.cancel()
+                self._sessions.cancel()
         except* OwnershipLost as lost:
             reason = str(lost.exceptions[0])
         return reason
@@ -222,17 +221,9 @@
 
     def hand_over_state(self, sender: str) -> HandOverState:
         """Return what the successor needs; valid once `run` has returned."""
-        grants = tuple(
-            WorkerGrant(
-                worker_id,
-                max(
-                    session.lease.inherited_until_unix_ms,
-                    session.lease.granted_until_unix_ms,
-                ),
-            )
-            for worker_id, session in self._sessions.items()
+        return HandOverState(
+            self.shard.zone, self.epoch, sender, self._sessions.grants()
         )
-        return HandOverState(self.shard.zone, self.epoch, sender, grants)
 
     def lose(self, reason: str) -> None:
         """End `run`, as the shard has another owner."""
@@ -242,32 +233,12 @@
     # Sessions.
 
     def _open_session(self, worker_id: WorkerId, fresh: bool) -> None:
-        services = self._services
-        lease = WorkerLease()
-        if not fresh:
-            horizon_ms = (self._inherited or self._record).horizon_unix_ms
-            lease = inherit(min(self._grants.get(worker_id, horizon_ms), horizon_ms))
-        session = WorkerSession(
-            worker_id,
-            lease,
-            self,
-            services.agents,
-            services.clock,
-            services.settings,
-            self._limiters,
-            random.Random(self._rng.getrandbits(64)),
-        )
-        for assignment in self.tables.workers[worker_id].record.assignments:
-            session.hold(assignment, fresh=False)
-        self._sessions[worker_id] = session
-        self._session_tasks[worker_id] = self._group.create_task(session.run())
+        record = self.tables.workers[worker_id].record
+        self._sessions.open(record, fresh, self._group)
         self.refresh_worker(worker_id)
 
     def _close_session(self, worker_id: WorkerId) -> None:
-        self._sessions.pop(worker_id, None)
-        task = self._session_tasks.pop(worker_id, None)
-        if task is not None:
-            task.cancel()
+        self._sessions.close(worker_id)
         self._sizes.pop(worker_id, None)
         self._planner.remove_worker(worker_id)
         self._quarantine.remove(worker_id)
@@ -299,11 +270,7 @@
 
     def attest_lost(self, worker_ids: tuple[WorkerId, ...]) -> tuple[WorkerId, ...]:
         """Treat workers as destroyed, on an operator's word; return those known."""
-        known = tuple(w for w in worker_ids if w in self._sessions)
-        for worker_id in known:
-            log_event(WORKER_ATTESTED_LOST, worker_id=worker_id)
-            self._sessions[worker_id].attest_lost()
-        return known
+        return self._sessions.attest_lost(worker_ids)
 
     # SessionOwner.
 
@@ -477,24 +444,15 @@
 
     def summary(self) -> ShardSummary:
         """Return what other processes learn about the shard."""
-        free = Resources()
-        usage: dict[TeamName, Resources] = {}
         if not self.recovered.is_set():
-            return ShardSummary(self.shard.zone, self.epoch, free, 0)
-        for worker_id, worker in self.tables.workers.items():
-            record = worker.record
-            if self._sessions[worker_id].schedulable:
-                free = free + (record.capacity - record.committed())
-            for assignment in record.assignments:
-                job = self.tables.job_of(assignment.task_id)
-                if job is not None:
-                    team = job.spec.team
-                    used = usage.get(team, Resources())
-                    usage[team] = used + assignment.resources
+            return ShardSummary(self.shard.zone, self.epoch, Resources(), 0)
+        schedulable = {s.worker_id for s in self._sessions.values() if s.schedulable}
+        free = self.tables.free(schedulable)
+        usage = self.tables.usage()
         return ShardSummary(
             self.shard.zone,
             self.epoch,
             free,
             self.jobs.waiting_tasks(),
-            tuple(TeamUsage(team, used) for team, used in sorted(usage.items())),
+            tuple(TeamUsage(team, used) for team, used in usage.items()),
         )
--- a/basilhold/sharding/tables.py
+++ b/basilhold/sharding/tables.py
@@ -1,13 +1,17 @@
 """The rows of one shard as its owner knows them."""
 
+from collections.abc import Container
+
 import msgspec
 
 from basilhold.core import (
     Assignment,
     JobId,
     JobRecord,
+    Resources,
     TaskId,
     TaskState,
+    TeamName,
     WorkerId,
     WorkerRecord,
     ZoneName,
@@ -127,6 +131,25 @@
             and f"{job_id}#{index}" not in self.placed
         ]
 
+    def free(self, worker_ids: Container[WorkerId]) -> Resources:
+        """Return what is not committed on some of the workers."""
+        total = Resources()
+        for worker_id, worker in self.workers.items():
+            if worker_id in worker_ids:
+                total = total + worker.record.capacity - worker.record.committed()
+        return total
+
+    def usage(self) -> dict[TeamName, Resources]:
+        """Return what is committed to each team, in the order of the names."""
+        used: dict[TeamName, Resources] = {}
+        for worker in self.workers.values():
+            for assignment in worker.record.assignments:
+                job = self.job_of(assignment.task_id)
+                if job is not None:
+                    team = job.spec.team
+                    used[team] = used.get(team, Resources()) + assignment.resources
+        return dict(sorted(used.items()))
+
     def worker_key(self, worker_id: WorkerId) -> str:
         """Return the key of a worker of this shard."""
         return worker_key(self.zone, worker_id)
