--- a/basilhold/sharding/tests/test_failures.py
+++ b/basilhold/sharding/tests/test_failures.py
@@ -363,6 +363,54 @@
         self.assertEqual(record.capacity, small.capacity)
         await self.close()
 
+    async def test_zone_loss(self):
+        """All tasks of a lost zone are held or moved by leases, with few writes."""
+        cell = await self.open(zones={ZONE: 6})
+        job_id = await self.place("long", 12)
+        for worker in cell.workers.values():
+            worker.reachable = False
+            worker.restart()
+        cell.view.vms.clear()
+        writes = cell.table.write_count
+        await asyncio.sleep(60)
+        self.assertEqual(self.states(job_id), [TaskState.PENDING] * 12)
+        self.assertEqual(cell.monitor.starts.total(), 12)
+        for number in range(3):
+            cell.add_worker(ZONE, 100 + number)
+        for worker in list(cell.workers.values())[-3:]:
+            cell.monitor.watch(worker)
+        await asyncio.sleep(10)
+        self.assertEqual(sum(len(t) for t in cell.running().values()), 12)
+        self.assertLess(cell.table.write_count - writes, 70 / 5 + 15)
+        await self.close()
+
+    async def test_slow_store(self):
+        """A store that takes 3 s for each operation must not cost ownership."""
+        cell = await self.open()
+        owner = cell.owner_name(ZONE)
+        cell.table.faults.latency_ms = 3_000
+        specs = [make_spec(f"j{n}", 2, command="short") for n in range(4)]
+        await asyncio.gather(*(cell.submit(spec, ZONE) for spec in specs))
+        await asyncio.sleep(60)
+        self.assertEqual(cell.unfinished(), [])
+        self.assertEqual(cell.owner_name(ZONE), owner)
+        await self.close()
+
+    async def test_outage_longer_than_the_horizon_stops_tasks(self):
+        """No lease may be granted beyond the horizon in the shard's row."""
+        cell = await self.open(settings=ShardingSettings(horizon_ms=60_000))
+        await self.place("long", 2)
+        horizon_ms = cell.clock.unix_ms() + 60_000
+        cell.table.faults.down = True
+        await asyncio.sleep(75)
+        self.assertEqual(sum(len(t) for t in cell.running().values()), 0)
+        for worker in cell.workers.values():
+            self.assertLessEqual(worker.lease_expires_unix_ms, horizon_ms)
+        cell.table.faults.down = False
+        await asyncio.sleep(20)
+        self.assertEqual(sum(len(t) for t in cell.running().values()), 2)
+        await self.close()
+
     async def test_worker_restart_starts_tasks_again(self):
         """A rebooted worker's tasks must not be believed to run."""
         cell = await self.open()
