--- a/basilhold/sharding/attempts.py
+++ b/basilhold/sharding/attempts.py
@@ -11,8 +11,6 @@
     Assignment,
     Attempt,
     Clock,
-    Epoch,
-    JobRecord,
     RestartPolicy,
     TaskId,
     TaskRecord,
@@ -36,6 +34,7 @@
     WorkerLease,
     is_free,
 )
+from basilhold.sharding.session_owner import SessionOwner, StopOrder
 from basilhold.sharding.settings import ShardingSettings
 from basilhold.sharding.task_rules import (
     AttemptPhase,
@@ -46,59 +45,12 @@
     when_missing,
 )
 
-__all__ = ["AttemptKeeper", "SessionOwner", "StopOrder"]
+__all__ = ["AttemptKeeper"]
 
 _CAPACITY_REFUSALS_MAX = 3
 """Starts refused for capacity, a retry apart, before a task is placed again."""
 
 
-class StopOrder(msgspec.Struct, frozen=True):
-    """Why and how an attempt is stopped."""
-
-    action: EvictionAction
-    state: TaskState
-    reason: str
-    cores_limit_milli: int = 0
-
-
-class SessionOwner(ABC):
-    """What a session asks of and tells the shard's owner."""
-
-    @property
-    @abstractmethod
-    def epoch(self) -> Epoch:
-        """Epoch of the shard."""
-
-    @property
-    @abstractmethod
-    def horizon_unix_ms(self) -> int:
-        """Lease horizon that is known to be in the shard's row."""
-
-    @abstractmethod
-    def job_of(self, task_id: TaskId) -> JobRecord | None:
-        """Return the job that a task belongs to."""
-
-    @abstractmethod
-    def release(self, change: Release) -> None:
-        """Commit the end of an attempt."""
-
-    @abstractmethod
-    def fenced_out(self, epoch: Epoch) -> None:
-        """Step down, as a worker has seen a higher epoch."""
-
-    @abstractmethod
-    def reachability_changed(self, worker_id: WorkerId) -> None:
-        """Tell the planner whether new tasks may go to a worker."""
-
-    @abstractmethod
-    def usage_reported(self, report: WorkerReport) -> None:
-        """Take in a worker's usage and size."""
-
-    @abstractmethod
-    def lease_expired(self, worker_id: WorkerId, task_count: int) -> None:
-        """Note that the tasks of an unreachable worker are released."""
-
-
 class _Held(msgspec.Struct):
     """A committed attempt on the worker."""
 
--- a/basilhold/sharding/committer.py
+++ b/basilhold/sharding/committer.py
@@ -169,7 +169,8 @@
     def _assemble(self) -> Batch | None:
         """Return the next batch; without placements while the store is silent."""
         tables, settings = self._tables, self._settings
-        transaction_id = f"{self._rng.getrandbits(96):024x}"
+        # The epoch keeps ids apart from those of an earlier owner with equal seeds.
+        transaction_id = f"{tables.shard.epoch}-{self._rng.getrandbits(96):024x}"
         builder = BatchBuilder(tables, transaction_id)
         silent = self._silent_since_ms is not None
         now_ms = self._clock.monotonic_ms()
--- a/basilhold/sharding/job_feed.py
+++ b/basilhold/sharding/job_feed.py
@@ -160,6 +160,16 @@
         else:
             self._waiting.pop(job_id, None)
 
+    def placed(self, job_id: JobId) -> None:
+        """Note that tasks of a job were committed, which the planner knows."""
+        job = self._tables.jobs.get(job_id)
+        if job is None:
+            return
+        if job.record.cancel_requested:
+            self.changed(job_id)
+        elif job_id in self._waiting and not self._tables.pending_indexes(job_id):
+            del self._waiting[job_id]
+
     def _cancel(self, job_id: JobId, has_pending: bool) -> None:
         self._owner.planner.remove_job(job_id)
         self._waiting.pop(job_id, None)
--- a/basilhold/sharding/owner.py
+++ b/basilhold/sharding/owner.py
@@ -56,7 +56,8 @@
 from basilhold.sharding.quarantine import Quarantine, QuarantineOwner
 from basilhold.sharding.recovery import load_tables
 from basilhold.sharding.rows import ShardRecord
-from basilhold.sharding.session import SessionOwner, StopOrder, WorkerSession
+from basilhold.sharding.session import WorkerSession
+from basilhold.sharding.session_owner import SessionOwner, StopOrder
 from basilhold.sharding.sessions import SessionSet
 from basilhold.sharding.settings import ShardingSettings
 from basilhold.sharding.tables import ShardTables
@@ -390,11 +391,12 @@
         }
         for worker_id in batch.workers.keys() - placed_only:
             self.refresh_worker(worker_id)
-        jobs = dict.fromkeys(batch.jobs)
-        for placement in batch.placements:
-            jobs[split_task_id(placement.task_id)[0]] = None
-        for job_id in jobs:
+        for job_id in batch.jobs:
             self.jobs.changed(job_id)
+        placed = (split_task_id(p.task_id)[0] for p in batch.placements)
+        for job_id in dict.fromkeys(placed):
+            if job_id not in batch.jobs:
+                self.jobs.placed(job_id)
 
     def job_changed(self, job_id: JobId) -> None:
         """Act on a job's row that a gateway has changed."""
--- a/basilhold/sharding/scheduler.py
+++ b/basilhold/sharding/scheduler.py
@@ -271,7 +271,7 @@
     async def _claim(
         self, shard: ShardInfo, seen: SeenShard, grants: tuple[WorkerGrant, ...]
     ) -> bool:
-        claim_id = f"{self._rng.getrandbits(96):024x}"
+        claim_id = f"{seen.version}-{self._rng.getrandbits(96):024x}"
         record = claim(
             shard,
             seen.record,
--- a/basilhold/sharding/session.py
+++ b/basilhold/sharding/session.py
@@ -18,7 +18,7 @@
     WorkerAgent,
     WorkerReport,
 )
-from basilhold.sharding.attempts import AttemptKeeper, SessionOwner, StopOrder
+from basilhold.sharding.attempts import AttemptKeeper
 from basilhold.sharding.leases import (
     WorkerLease,
     fence,
@@ -27,10 +27,11 @@
     mark_lost,
     next_expiry,
 )
+from basilhold.sharding.session_owner import SessionOwner
 from basilhold.sharding.settings import ShardingSettings
 from basilhold.sharding.task_hash import hash_tasks
 
-__all__ = ["CallLimiters", "SessionOwner", "StopOrder", "WorkerSession"]
+__all__ = ["CallLimiters", "WorkerSession"]
 
 
 class CallLimiters:
--- a/basilhold/sharding/sessions.py
+++ b/basilhold/sharding/sessions.py
@@ -6,11 +6,11 @@
 from basilhold.core import Clock, WorkerId, WorkerRecord
 from basilhold.observability import log_event
 from basilhold.ports import WorkerAgent
-from basilhold.sharding.attempts import SessionOwner
 from basilhold.sharding.events import WORKER_ATTESTED_LOST
 from basilhold.sharding.leases import WorkerLease, inherit
 from basilhold.sharding.peers import WorkerGrant
 from basilhold.sharding.session import CallLimiters, WorkerSession
+from basilhold.sharding.session_owner import SessionOwner
 from basilhold.sharding.settings import ShardingSettings
 
 __all__ = ["SessionSet"]
--- a/basilhold/sharding/watch.py
+++ b/basilhold/sharding/watch.py
@@ -164,8 +164,8 @@
             for zone, seen in self._seen.items()
             if seen.record is not None and zone not in own_zones
         }
-        for process_id in sorted(others - {self._me.process_id}):
-            await self._ask(process_id)
+        asked = sorted(others - {self._me.process_id})
+        await asyncio.gather(*(self._ask(process_id) for process_id in asked))
         for summary in mine:
             self._summaries[summary.zone] = (self._me.process_id, summary)
 
