--- a/basilhold/testing/sharding_runs.py
+++ b/basilhold/testing/sharding_runs.py
@@ -50,6 +50,11 @@
         self.rng = random.Random(seed)
         settings = ShardingSettings(horizon_ms=90_000)
         zones = {ZONE: self.rng.randint(2, 5)}
+        self.wait_target_ms = 600_000
+        if seed % 4 == 1:
+            # Waiting jobs move to the other shard.
+            zones = {ZONE: 1, "ruse": self.rng.randint(2, 3)}
+            self.wait_target_ms = 6_000
         names = {f"s{n}": "haskovo" for n in range(self.rng.randint(2, 3))}
         clock_error_ms = 500 if seed % 3 == 0 else 0
         self.cell = CellHarness(seed, zones, names, settings, clock_error_ms)
@@ -83,7 +88,13 @@
             command = self.rng.choice(("short", "short", "medium", "fails"))
             if command == "fails" and self.rng.random() < 0.7:
                 command = "medium"
-            spec = make_spec(f"j{number}", self.rng.randint(1, 4), restart, command)
+            spec = make_spec(
+                f"j{number}",
+                self.rng.randint(1, 4),
+                restart,
+                command,
+                wait_target_ms=self.wait_target_ms,
+            )
             result = await self.cell.submit(spec, ZONE, self.rng.random() < 0.9)
             outcome = "ok" if result.is_ok() else result.error.kind.value
             self.note(f"submit {spec.job_id} {command} {restart.value}: {outcome}")
@@ -331,6 +342,10 @@
     run.note(f"settled after {waited_s} s")
     await cell.close()
     cell.monitor.check_end()
+    run.counts["jobs moved to another shard"] = sum(
+        f"job/{ZONE}/{job_id}" not in cell.table.read_now((f"job/{ZONE}/{job_id}",)).ok
+        for job_id in cell.job_ids
+    )
     for job_id in cell.job_ids:
         states = [f"{t.state.value}:{t.attempt}" for t in cell.job(job_id).tasks]
         run.note(f"{job_id} {' '.join(states)}")
