Do not hold a region without a reachable relay to the 4 s bound

The time counts from the first relay in reach; the check of processes that claim to be current is unchanged.

--- a/basilhold/config/tests/randomised.py
+++ b/basilhold/config/tests/randomised.py
@@ -170,8 +170,22 @@
                 self.tasks.pop(task, None)
                 task.result()
 
+    def _note_regions_without_relay(self, now_ms: float) -> None:
+        """Processes of a region without a relay in reach are not connected."""
+        served = {
+            vm.region
+            for vm in self.cell.vms
+            if (vm.vm_id, "relay") in self.cell.processes
+            and self.isolated_until_ms.get(vm.vm_id, 0.0) <= now_ms
+        }
+        if self.cell.layout.store_region in served:
+            self._disturbed(set(self.cell.layout.regions) - served)
+        else:
+            self._disturbed(self.cell.layout.regions)
+
     def _check_deadlines(self) -> None:
         now_ms = self.cell.clock.monotonic_ms()
+        self._note_regions_without_relay(now_ms)
         for process in self.cell.watchers():
             self.summary.deadline_checks += 1
             if process.in_force.versions() == self.newest:
