--- a/basilhold/cell/cell.py
+++ b/basilhold/cell/cell.py
@@ -19,6 +19,7 @@
     WorkerId,
     ZoneName,
 )
+from basilhold.nodes.directory import EntryPorts
 from basilhold.ports import UpstreamClient, VmKind, VmRecord
 from basilhold.rpc import Transport
 from basilhold.standins import (
@@ -48,10 +49,14 @@
         Returns the client of a gateway in a zone and a region.
     make_transport : callable, optional
         Returns the transport of a process on a host.
+    adapt_platform : callable, optional
+        Returns the platform as the processes of an entry VM reach it, for faults of
+        single VMs; called for each start.
     """
 
     make_upstream_client: Callable[[ZoneName, RegionName], UpstreamClient] | None = None
     make_transport: Callable[[str], Transport] | None = None
+    adapt_platform: Callable[[EntryPorts, EntryPlatform], EntryPlatform] | None = None
 
 
 class Cell:
@@ -116,7 +121,7 @@
         nodes = EntryNodes(
             entry,
             self.shape,
-            self._platform(entry.host, entry.zone, entry.region),
+            self._platform(entry),
             self.clock,
             self._seed,
             self._start_count,
@@ -172,17 +177,19 @@
             upstream_id = UpstreamId(record.vm_id)
             self.upstreams.add(MemoryUpstream(upstream_id, record.zone, record.region))
 
-    def _platform(self, host: str, zone: ZoneName, region: RegionName) -> EntryPlatform:
+    def _platform(self, entry: EntryPorts) -> EntryPlatform:
         make_client = self._parts.make_upstream_client or self._memory_client
         make_transport = self._parts.make_transport or self.network.transport
-        return EntryPlatform(
+        platform = EntryPlatform(
             self.table,
             self.objects,
             self.vm_list,
             self.agents,
-            lambda: make_client(zone, region),
-            lambda: make_transport(host),
+            lambda: make_client(entry.zone, entry.region),
+            lambda: make_transport(entry.host),
         )
+        adapt = self._parts.adapt_platform
+        return adapt(entry, platform) if adapt else platform
 
     def _memory_client(self, zone: ZoneName, region: RegionName) -> UpstreamClient:
         return MemoryUpstreamClient(
--- a/basilhold/cell/entry.py
+++ b/basilhold/cell/entry.py
@@ -17,7 +17,7 @@
 )
 from basilhold.cell.shape import CellShape
 from basilhold.core import Clock, InvariantError, ProcessId
-from basilhold.nodes.base import NodePart
+from basilhold.nodes.base import NodeContext, NodePart
 from basilhold.nodes.context import follow_changes, make_context
 from basilhold.nodes.directory import EntryPorts, make_process_id
 from basilhold.nodes.gateway_node import GatewayNode, GatewayPorts
@@ -156,6 +156,11 @@
             if task.done() and not task.cancelled() and task.exception():
                 raise InvariantError(f"{self.entry.vm_id}: {task.exception()!r}")
 
+    @property
+    def contexts(self) -> tuple[NodeContext, ...]:
+        """What the scheduler and the gateway know about the cell."""
+        return (self._scheduler_context, self._gateway_context)
+
     @property
     def is_ready(self) -> bool:
         """Whether the load balancer may send callers here."""
@@ -246,6 +251,7 @@
             self._platform.objects,
             client,
             getattr(client, "set_connection_limit", None),
+            sweeps_records=entry.region == self._shape.store_region,
         )
         address = Address(entry.host, entry.gateway_port)
         return GatewayNode(self._gateway_context, address, ports, self._rng)
--- a/basilhold/cell/tests/test_cell.py
+++ b/basilhold/cell/tests/test_cell.py
@@ -85,6 +85,10 @@
         accepted = await nodes.operators.submit(operator, "key-1", submission)
         self.assertTrue(accepted.is_ok(), accepted)
         await asyncio.sleep(5)
+        # Long enough that each gateway sweeps expired records; a sweep that fails
+        # would end its process.
+        await asyncio.sleep(100)
+        cell.check()
         running = sum(len(w.running_tasks()) for w in cell.agents.workers.values())
         self.assertEqual(running, 5)
         await cell.__aexit__(None, None, None)
--- a/basilhold/nodes/gateway_node.py
+++ b/basilhold/nodes/gateway_node.py
@@ -11,6 +11,7 @@
 from basilhold.gateway import (
     OnceKeeper,
     OnceLimits,
+    OnceSweeper,
     RequestCounters,
     RequestService,
     ServiceParts,
@@ -27,15 +28,11 @@
     Router,
     SlotHolder,
 )
-from basilhold.requests.once import BUCKET_COUNT
 from basilhold.rpc import Address, messages_pb2
 from basilhold.rpc.messages_grpc import GatewayBase
 
 __all__ = ["GatewayNode", "GatewayPorts"]
 
-SWEEP_INTERVAL_S = 60.0
-"""Time for one bucket of at-most-once records, so one round takes about four hours."""
-
 _PROGRESS = {
     RequestProgress.NOT_HELD: messages_pb2.REQUEST_PROGRESS_NOT_HELD,
     RequestProgress.RUNNING: messages_pb2.REQUEST_PROGRESS_RUNNING,
@@ -53,12 +50,16 @@
     upstreams : UpstreamClient
     set_connection_limit : callable, optional
         Bounds the connections to an upstream.
+    sweeps_records : bool
+        Whether this gateway removes expired at-most-once records. Only gateways in
+        the store's region do, because sweeping reads whole records.
     """
 
     store: TableService
     objects: ObjectStore
     upstreams: UpstreamClient
     set_connection_limit: Callable[[UpstreamId, int], None] | None = None
+    sweeps_records: bool = False
 
 
 class _GatewayService(GatewayBase):
@@ -114,7 +115,6 @@
     ):
         self._context = context
         self._address = address
-        self._rng = rng
         self.counters = RequestCounters()
         identity = GatewayIdentity(
             context.process_id, context.vm_id, context.zone, context.region
@@ -132,6 +132,11 @@
             self.counters,
             once_limits,
         )
+        self._sweeper: OnceSweeper | None = None
+        if ports.sweeps_records:
+            self._sweeper = OnceSweeper(
+                self.once, ports.store, ports.objects, context.clock, rng
+            )
         self.service = RequestService(
             ServiceParts(
                 identity=identity,
@@ -166,9 +171,13 @@
             raise OSError(served.error.reason)
         await self.once.__aenter__()
         await self.slots.__aenter__()
+        if self._sweeper is not None:
+            await self._sweeper.__aenter__()
         return self
 
     async def __aexit__(self, exc_type, exc, traceback) -> None:
+        if self._sweeper is not None:
+            await self._sweeper.__aexit__(exc_type, exc, traceback)
         await self.slots.__aexit__(exc_type, exc, traceback)
         await self.once.__aexit__(exc_type, exc, traceback)
 
@@ -188,21 +197,8 @@
 
     async def run(self) -> None:
         """Run until an invariant is broken."""
-        async with asyncio.TaskGroup() as group:
-            group.create_task(self._sweep())
-            group.create_task(self._wait_failed())
-
-    async def _wait_failed(self) -> None:
         await asyncio.shield(self._failure)
 
-    async def _sweep(self) -> None:
-        """Remove expired records, each gateway from another bucket on."""
-        bucket = self._rng.randrange(BUCKET_COUNT)
-        while True:
-            await asyncio.sleep(SWEEP_INTERVAL_S * self._rng.uniform(0.75, 1.25))
-            await self.once.sweep(bucket)
-            bucket = (bucket + 1) % BUCKET_COUNT
-
     def state(self) -> dict[str, Any]:
         """Return what a state dump shows."""
         return {
--- a/basilhold/programs/gateway.py
+++ b/basilhold/programs/gateway.py
@@ -60,6 +60,7 @@
                 self.objects(),
                 self._client,
                 self._client.set_connection_limit,
+                sweeps_records=self._context.region == settings.store_region,
             ),
             self.rng,
             OnceLimits(
