--- /dev/null
+++ b/basilhold/soak/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the soak runs."""
--- a/basilhold/standins/network.py
+++ b/basilhold/standins/network.py
@@ -1,6 +1,7 @@
 """In-memory network that connects grpclib services without sockets."""
 
 import asyncio
+import contextvars
 import random
 from collections import deque
 from collections.abc import Callable, Sequence
@@ -143,7 +144,8 @@
         # Timers that are due at the same time run in any order, so each takes the
         # first item that was sent.
         self._in_order.append(item)
-        loop.call_at(arrival_s, self._arrive)
+        # A message under way does not depend on its sender, which may be paused.
+        loop.call_at(arrival_s, self._arrive, context=contextvars.Context())
         if is_message and network.random.random() < network.duplicate_ratio:
             self._deliver_late(item, arrival_s)
 
@@ -151,7 +153,9 @@
         network = self._network
         late_s = arrival_s + network.random.random() * network.late_ms / 1000
         self._latest_s = max(self._latest_s, late_s)
-        asyncio.get_running_loop().call_at(late_s, self.queue.put_nowait, item)
+        asyncio.get_running_loop().call_at(
+            late_s, self.queue.put_nowait, item, context=contextvars.Context()
+        )
 
     def _arrive(self) -> None:
         self.queue.put_nowait(self._in_order.popleft())
@@ -315,6 +319,7 @@
         for service in services:
             self.handlers.update(service.__mapping__())
         self._address = address
+        self._context = contextvars.copy_context()
         self.connections: dict[_Connection, None] = {}
 
     @property
@@ -322,9 +327,11 @@
         return self._address
 
     def start(self, connection: _Connection, name: str) -> None:
-        """Run the handler of a method for a new stream."""
+        """Run the handler of a method for a new stream, as part of the server."""
         connection.open_for(self.connections)
-        connection.handler = asyncio.ensure_future(self._run(connection, name))
+        connection.handler = asyncio.get_running_loop().create_task(
+            self._run(connection, name), context=self._context.copy()
+        )
 
     async def _run(self, connection: _Connection, name: str) -> None:
         handler = self.handlers.get(name)
--- a/basilhold/standins/upstreams.py
+++ b/basilhold/standins/upstreams.py
@@ -4,6 +4,7 @@
 import contextlib
 import random
 from collections import Counter
+from collections.abc import Callable
 from enum import Enum
 from typing import Self
 
@@ -134,8 +135,10 @@
     run_counts : collections.Counter of str
         How often the request with an id has started to run.
     started_count : int
-    leaving_starts : int
-        Requests that arrived while the upstream was leaving.
+    leaving_starts : list of float
+        Loop times of requests that arrived while the upstream was leaving.
+    on_run : callable or None
+        Called with the upstream and the request's id when a request starts to run.
     """
 
     def __init__(
@@ -156,6 +159,7 @@
         self.run_counts: Counter[str] = Counter()
         self.started_count = 0
         self.leaving_starts: list[float] = []
+        self.on_run: Callable[[MemoryUpstream, str], None] | None = None
 
     def enter(self, request_id: str) -> None:
         """Start to handle a request.
@@ -177,6 +181,8 @@
             self.leaving_starts.append(asyncio.get_running_loop().time())
         else:
             self.run_counts[request_id] += 1
+            if self.on_run is not None:
+                self.on_run(self, request_id)
 
     def leave(self) -> None:
         """Stop to handle a request."""
--- a/basilhold/standins/vms.py
+++ b/basilhold/standins/vms.py
@@ -59,8 +59,12 @@
         self.read_count += 1
         if self.down:
             return Error(StoreError(StoreErrorKind.NOT_APPLIED, "service unavailable"))
+        return Ok(self.shown())
+
+    def shown(self) -> VmSnapshot:
+        """Return the list that readers get now."""
         self._show_due()
-        return Ok(self._shown)
+        return self._shown
 
     def _publish(self) -> None:
         self._version += 1
