--- a/basilhold/demo/__main__.py
+++ b/basilhold/demo/__main__.py
@@ -62,4 +62,5 @@
     sys.exit(0 if all_held else 1)
 
 
-main()
+if __name__ == "__main__":
+    main()
--- a/basilhold/sharding/owner.py
+++ b/basilhold/sharding/owner.py
@@ -118,6 +118,7 @@
         self._version = version
         self._services = services
         self._rng = rng
+        self._inherited = inherited
         self._planner = services.make_planner(shard)
         self._sessions = SessionSet(
             self,
