--- a/basilhold/gateway/tests/test_service.py
+++ b/basilhold/gateway/tests/test_service.py
@@ -5,6 +5,7 @@
     Cell,
     RecordingSink,
     call,
+    grant_all,
     make_request,
 )
 from basilhold.requests import BreakerState, Outcome, ProblemKind, QueuedRequest
@@ -102,3 +103,23 @@
             await asyncio.sleep(2)
             end, _sink = await call(service)
             self.assertIs(end.outcome, Outcome.RAN)
+
+
+class LeavingCallerTest(VirtualTimeTestCase):
+    """Guards the queue against callers that leave as they are served or refused."""
+
+    async def test_cancelled_request_is_not_granted_a_slot(self):
+        cell = Cell(1)
+        async with cell.gateway(grant=False) as service:
+            queued = QueuedRequest("quote", "desk", 0, 200, 5000)
+            waiting = asyncio.create_task(service.dispatcher.wait(SERVICE, queued))
+            await asyncio.sleep(0.1)
+            # The future is cancelled, but the task has not removed the request yet.
+            waiting.cancel()
+            grant_all(service.parts.holder, cell.ids)
+            service.slots_changed()
+            await asyncio.wait({waiting})
+            self.assertTrue(waiting.cancelled())
+            self.assertEqual(service.parts.holder.idle_count(cell.ids[0]), 8)
+            end, _sink = await call(service)
+            self.assertIs(end.outcome, Outcome.RAN)
--- a/basilhold/gateway/tests/test_slots.py
+++ b/basilhold/gateway/tests/test_slots.py
@@ -1,8 +1,10 @@
 import asyncio
 
 from basilhold.core import VmId
+from basilhold.requests import QueuedRequest
 from basilhold.testing import VirtualTimeTestCase
 from basilhold.testing.request_cell import (
+    QUOTE,
     SERVICE,
     CellShape,
     RequestCell,
@@ -74,3 +76,33 @@
             reports = cell.other_region_reports
             await asyncio.sleep(60)
             self.assertEqual(cell.other_region_reports, reports)
+
+
+class PauseTest(VirtualTimeTestCase):
+    """Guards upstreams that left while a gateway stood still (fuzz seed 503)."""
+
+    async def test_nothing_is_sent_after_a_pause_until_the_owners_answered(self):
+        async with running_cell(RequestCell(6, SHAPE)) as cell:
+            await asyncio.sleep(10)
+            gateway = next(iter(cell.gateways.values()))
+            dispatcher = gateway.service.dispatcher
+            cell.unreachable_owners.update(cell.owners)
+            gateway.loop.resumed()
+            queued = QueuedRequest(QUOTE.name, "desk", 10_000, 5000, 20_000)
+            waiting = asyncio.create_task(dispatcher.wait(SERVICE, queued))
+            await asyncio.sleep(1.0)
+            self.assertFalse(waiting.done())
+            cell.unreachable_owners.clear()
+            await asyncio.sleep(2.0)
+            self.assertTrue(waiting.done())
+
+    async def test_long_gap_between_beats_is_noticed(self):
+        async with running_cell(RequestCell(7, SHAPE)) as cell:
+            await asyncio.sleep(1)
+            gateway = next(iter(cell.gateways.values()))
+            dispatcher = gateway.service.dispatcher
+            pauses = []
+            dispatcher.on_pause = lambda: pauses.append(True)
+            dispatcher._beat_ms -= 5000
+            dispatcher.beat()
+            self.assertEqual(pauses, [True])
--- a/basilhold/requests/tests/test_allocator.py
+++ b/basilhold/requests/tests/test_allocator.py
@@ -181,3 +181,11 @@
         gateway.holder.return_idle(ZONE)
         self.assertFalse(allocator.report(gateway.report(leaving=True), 0))
         self.assertEqual(other.exchange(allocator), 16)
+
+    def test_gateway_that_is_gone_while_its_report_waits_gets_an_empty_reply(self):
+        allocator = make_allocator()
+        gone, other = Gateway("g1"), Gateway("g2")
+        allocator.report(gone.report(), 0)
+        allocator.update_entry_vms(frozenset({"g2"}), 0)
+        other.exchange(allocator, 30_001)
+        self.assertEqual(allocator.reply(gone.id, 30_001).granted, ())
