Give every size of gang its turn to be tried

Gangs that did not fit used up the tries of each pass, and gangs behind them were never tried: 11 GPU workers stayed empty beside 696 waiting gang tasks. Decision times are CPU time, so other programs on the machine do not count.

--- a/basilhold/benchmarks/placement_probes.py
+++ b/basilhold/benchmarks/placement_probes.py
@@ -134,10 +134,10 @@
         record, row = self.jobs[job_id], self.rows[worker_id]
         record.tasks[index].state = state
         self._replace(row, tuple(a for a in row.assignments if a.task_id != task_id))
-        begin = time.perf_counter()
+        begin = time.thread_time()
         self.planner.upsert_job(record)
         self.planner.upsert_worker(row, True)
-        return time.perf_counter() - begin
+        return time.thread_time() - begin
 
     def _shrink(self, eviction: Eviction) -> float:
         row = self.rows[eviction.worker_id]
@@ -155,9 +155,9 @@
                 for a in row.assignments
             ),
         )
-        begin = time.perf_counter()
+        begin = time.thread_time()
         self.planner.upsert_worker(row, True)
-        return time.perf_counter() - begin
+        return time.thread_time() - begin
 
     def _replace(self, row: WorkerRecord, assignments: tuple[Assignment, ...]) -> None:
         before = row.committed().cores_milli
@@ -198,12 +198,12 @@
 
 
 def _timed_pass(cell: _Cell, times: DecisionTimes, single: bool) -> int:
-    begin = time.perf_counter()
+    begin = time.thread_time()
     plan = cell.planner.plan(_NOW_MS, 1 if single else _LIMIT)
-    spent = time.perf_counter() - begin
-    begin = time.perf_counter()
+    spent = time.thread_time() - begin
+    begin = time.thread_time()
     cell.planner.confirm(plan.placements)
-    confirmed = time.perf_counter() - begin
+    confirmed = time.thread_time() - begin
     cell.commit(plan.placements)
     evicted = cell.evict(plan.evictions)
     times.longest_pass_s = max(times.longest_pass_s, spent)
@@ -301,11 +301,11 @@
     _fill(cell)
     started = {split_task_id(task_id)[0] for task_id, _ in cell.running}
     waiting = [job_id for job_id in cell.jobs if job_id not in started][:jobs]
-    begin = time.perf_counter()
+    begin = time.thread_time()
     for job_id in waiting:
         cell.planner.remove_job(job_id)
     cell.planner.plan(_NOW_MS, _LIMIT)
-    return 1000 * (time.perf_counter() - begin)
+    return 1000 * (time.thread_time() - begin)
 
 
 def _quantile_ms(samples: list[float], quantile: float) -> float:
--- a/basilhold/placement/gang_turns.py
+++ b/basilhold/placement/gang_turns.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable
 
 from basilhold.core import JobId, WorkerId
-from basilhold.placement.lanes import LaneKey
+from basilhold.placement.lanes import LaneKey, SizeFit
 from basilhold.placement.reservation import Reservation, reserve
 from basilhold.placement.shard_state import ShardState
 from basilhold.placement.waiting import Bucket, JobState
@@ -25,6 +25,9 @@
         self._due_unix_ms = 0
         self._computed_unix_ms = 0
         self._computed_in_pass = False
+        self._pass = 0
+        self._round = 0
+        self._round_is_unfinished = False
 
     def consider(self, bucket: Bucket) -> None:
         """Reserve capacity for a gang that does not fit, if no other gang holds any."""
@@ -42,6 +45,33 @@
         self._due_unix_ms = found.start_unix_ms
         self._hold(found)
 
+    def may_try(self, fit: SizeFit, tasks: int) -> bool:
+        """Return whether a gang of some tasks of a size is worth a try in this pass.
+
+        It is not if a gang that is no larger has failed since resources were last
+        released, or if the size had its turn in an earlier pass of this round.
+        """
+        if (
+            fit.gang_failed_at == self._state.releases
+            and tasks >= fit.gang_failed_tasks
+        ):
+            return False
+        return fit.gang_round != self._round or fit.gang_pass == self._pass
+
+    def note_try(self, fit: SizeFit, is_last: bool) -> None:
+        """Note that a gang of a size is tried; after the last, the pass tries no more.
+
+        The round then goes on in the next pass with the sizes that had no turn, so
+        gangs that do not fit never keep later ones from being tried.
+        """
+        fit.gang_round, fit.gang_pass = self._round, self._pass
+        self._round_is_unfinished |= is_last
+
+    def note_failed(self, fit: SizeFit, tasks: int) -> None:
+        """Note that a gang of some tasks of a size does not fit now."""
+        fit.gang_failed_at = self._state.releases
+        fit.gang_failed_tasks = tasks
+
     def started(self, job_id: JobId) -> None:
         """Drop the reservation of a gang that has started."""
         if self.reservation is not None and self.reservation.job_id == job_id:
@@ -50,6 +80,10 @@
     def begin_pass(self) -> None:
         """Begin a pass: drop a reservation that is overdue or has lost its gang."""
         self._computed_in_pass = False
+        self._pass += 1
+        if not self._round_is_unfinished:
+            self._round += 1
+        self._round_is_unfinished = False
         held = self.reservation
         if held is None:
             return
--- a/basilhold/placement/lanes.py
+++ b/basilhold/placement/lanes.py
@@ -37,12 +37,24 @@
     once and not once per task.
     """
 
-    __slots__ = ("fits_nowhere", "fits_nowhere_starving", "lanes")
+    __slots__ = (
+        "fits_nowhere",
+        "fits_nowhere_starving",
+        "gang_failed_at",
+        "gang_failed_tasks",
+        "gang_pass",
+        "gang_round",
+        "lanes",
+    )
 
     def __init__(self):
         self.lanes = 0
         self.fits_nowhere = False
         self.fits_nowhere_starving = False
+        self.gang_failed_at = -1
+        self.gang_failed_tasks = 0
+        self.gang_pass = -1
+        self.gang_round = -1
 
     def block(self, starving: bool) -> None:
         """Record that no open worker has room; starving work may use more of it."""
@@ -69,7 +81,6 @@
     __slots__ = (
         "backfill_asked_at",
         "blocked_at",
-        "failed_tasks",
         "fit",
         "key",
         "number",
@@ -89,7 +100,6 @@
         self.blocked_at = -1
         self.backfill_asked_at = -1
         self.starves_unix_ms = 0
-        self.failed_tasks = 0
 
 
 class LaneSet:
--- a/basilhold/placement/planning_pass.py
+++ b/basilhold/placement/planning_pass.py
@@ -253,21 +253,17 @@
         state, lane, entry = self._state, bucket.lane, bucket.head()
         indices = list(reversed(entry.indices))
         reserved = self._gangs.reserved_workers(bucket.key.gang)
-        fails = (
-            lane.blocked_at == state.releases
-            and len(indices) >= lane.failed_tasks
-            and not reserved
-        )
-        if not fails and self._gang_tries_left > 0:
+        may_try = reserved or self._gangs.may_try(lane.fit, len(indices))
+        if may_try and self._gang_tries_left > 0:
             self._gang_tries_left -= 1
+            self._gangs.note_try(lane.fit, is_last=self._gang_tries_left == 0)
             workers = gather_gang(
                 state, lane.key, len(indices), reserved, ratio > STARVING_RATIO
             )
             if workers is not None:
                 return self._start_gang(entry, indices, workers)
-            if not reserved:
-                lane.blocked_at = state.releases
-                lane.failed_tasks = len(indices)
+            if not reserved and not lane.key.avoid:
+                self._gangs.note_failed(lane.fit, len(indices))
         self._gangs.consider(bucket)
         return False
 
--- a/basilhold/placement/tests/test_target_planner.py
+++ b/basilhold/placement/tests/test_target_planner.py
@@ -143,6 +143,24 @@
         }
         self.assertEqual(len(racks), 1)
 
+    def test_gangs_that_do_not_fit_never_keep_a_later_one_from_its_turn(self):
+        shard = Shard(("w1", size(8, 32), "r1"), ("w2", size(2, 32), "r1"))
+        shard.submit(job("fill", size(4)))
+        shard.plan(0)
+        for number in range(60):
+            big = size(4 - number / 100)
+            shard.submit(
+                job(f"big{number}", big, tasks=2, kind=ClassKind.GANG, submitted=1)
+            )
+        shard.submit(job("small", size(2), tasks=2, kind=ClassKind.GANG, submitted=9))
+        started: set[str] = set()
+        for step in range(6):
+            # Something is released before each pass, so nothing stays known to fail.
+            shard.submit(job(f"s{step}", size(0.1, 0.1), submitted=10))
+            started.update(placed(shard.plan(10 + step)))
+            shard.end(f"s{step}#0")
+        self.assertIn("small#0", started)
+
     def reserved_shard(self) -> Shard:
         """Return a shard whose gang waits for a task that ends at 100 s."""
         shard = Shard(("w1", size(4, 16), "r1"), ("w2", size(4, 16), "r1"))
