--- a/basilhold/sharding/__init__.py
+++ b/basilhold/sharding/__init__.py
@@ -25,6 +25,7 @@
 from basilhold.sharding.rows import ShardRecord, shard_key
 from basilhold.sharding.scheduler import ShardScheduler
 from basilhold.sharding.settings import ShardingSettings
+from basilhold.sharding.state import ShardState, WorkerState
 
 __all__ = [
     "Accepted",
@@ -43,12 +44,14 @@
     "ShardOwner",
     "ShardRecord",
     "ShardScheduler",
+    "ShardState",
     "ShardSummary",
     "ShardingSettings",
     "Submission",
     "TeamUsage",
     "WorkerGrant",
     "WorkerHealth",
+    "WorkerState",
     "make_job_id",
     "rank_owners",
     "shard_key",
--- a/basilhold/sharding/owner.py
+++ b/basilhold/sharding/owner.py
@@ -60,6 +60,7 @@
 from basilhold.sharding.session_owner import SessionOwner, StopOrder
 from basilhold.sharding.sessions import SessionSet
 from basilhold.sharding.settings import ShardingSettings
+from basilhold.sharding.state import ShardState
 from basilhold.sharding.tables import ShardTables
 from basilhold.sharding.worker_list import WorkerList, WorkerListOwner
 
@@ -444,6 +445,26 @@
         """Return why a job's tasks wait."""
         return self._planner.explain(job_id, self._services.clock.unix_ms())
 
+    def state(self) -> ShardState:
+        """Return what an operator sees of the shard."""
+        if not self.recovered.is_set():
+            return ShardState(self.shard.zone, self.epoch, False)
+        return ShardState(
+            self.shard.zone,
+            self.epoch,
+            True,
+            self.horizon_unix_ms,
+            self.committer.store_answers,
+            self.committer.commit_count,
+            self.committer.placement_count,
+            self.committer.waiting_changes,
+            self.jobs.waiting_tasks(),
+            tuple(
+                session.state(self.tables.workers[session.worker_id].record)
+                for session in self._sessions.values()
+            ),
+        )
+
     def summary(self) -> ShardSummary:
         """Return what other processes learn about the shard."""
         if not self.recovered.is_set():
--- a/basilhold/sharding/scheduler.py
+++ b/basilhold/sharding/scheduler.py
@@ -44,6 +44,7 @@
 )
 from basilhold.sharding.rows import ShardRecord, decode, encode, shard_key
 from basilhold.sharding.settings import ShardingSettings
+from basilhold.sharding.state import ShardState
 from basilhold.sharding.watch import SeenShard, ShardWatch
 
 __all__ = ["ShardScheduler"]
@@ -159,6 +160,11 @@
                 return owner.explain(job_id)
         return None
 
+    def shard_state(self, zone: ZoneName) -> ShardState | None:
+        """Return what an operator sees of a shard of this process."""
+        owner = self._owners.get(zone)
+        return owner.state() if owner else None
+
     def attest_lost(
         self, zone: ZoneName, worker_ids: tuple[WorkerId, ...]
     ) -> tuple[WorkerId, ...]:
--- a/basilhold/sharding/session.py
+++ b/basilhold/sharding/session.py
@@ -9,6 +9,7 @@
 from basilhold.core import (
     Clock,
     WorkerId,
+    WorkerRecord,
 )
 from basilhold.ports import (
     AgentError,
@@ -29,6 +30,7 @@
 )
 from basilhold.sharding.session_owner import SessionOwner
 from basilhold.sharding.settings import ShardingSettings
+from basilhold.sharding.state import WorkerState
 from basilhold.sharding.task_hash import hash_tasks
 
 __all__ = ["CallLimiters", "WorkerSession"]
@@ -100,6 +102,21 @@
         """Whether new tasks may be placed on the worker."""
         return self.reachable and self.lease.fenced
 
+    def state(self, record: WorkerRecord) -> WorkerState:
+        """Return what is known about the worker; `record` is its committed row."""
+        lease = self.lease
+        return WorkerState(
+            self.worker_id,
+            self.reachable,
+            lease.fenced,
+            max(lease.inherited_until_unix_ms, lease.granted_until_unix_ms),
+            record.committed(),
+            record.capacity,
+            len(record.assignments),
+            len(self.running()),
+            record.quarantined_until_unix_ms,
+        )
+
     def is_gone(self) -> bool:
         """Return whether the worker is unreachable and its lease has expired."""
         return not self.reachable and is_free(self.lease, self._clock.unix_ms())
--- a/basilhold/sharding/tests/test_cell.py
+++ b/basilhold/sharding/tests/test_cell.py
@@ -36,6 +36,19 @@
         self.assertEqual(set(cell.monitor.starts.values()), {1})
         await cell.close()
 
+    async def test_state_for_operators(self):
+        cell = CellHarness()
+        await cell.start()
+        await asyncio.sleep(2)
+        await cell.submit(make_spec("j", 14), "plovdiv")
+        await asyncio.sleep(2)
+        scheduler = cell.processes[cell.owner_name("plovdiv")].scheduler
+        state = scheduler.shard_state("plovdiv")
+        self.assertEqual((state.placements, state.waiting_tasks), (12, 2))
+        self.assertEqual([worker.running for worker in state.workers], [4, 4, 4])
+        self.assertIsNone(scheduler.shard_state("ruse"))
+        await cell.close()
+
     async def test_cancelled_pending_task_is_reported_as_not_run(self):
         cell = CellHarness()
         await cell.start()
