--- a/basilhold/sharding/owner.py
+++ b/basilhold/sharding/owner.py
@@ -4,10 +4,7 @@
 import random
 from collections.abc import Callable
 
-import msgspec
-
 from basilhold.core import (
-    Clock,
     Epoch,
     JobId,
     JobRecord,
@@ -16,26 +13,22 @@
     TaskState,
     TeamName,
     WorkerId,
-    split_task_id,
 )
 from basilhold.observability import log_event
 from basilhold.placement import (
-    Eviction,
     EvictionAction,
     Explanation,
-    Placement,
     Planner,
 )
-from basilhold.ports import TableService, WorkerAgent, WorkerReport
-from basilhold.sharding.batch import Batch
+from basilhold.ports import WorkerReport
 from basilhold.sharding.changes import (
     Change,
     MoveJob,
     Release,
     SetCapacity,
-    SetQuarantine,
 )
-from basilhold.sharding.committer import CommitDelegate, GroupCommit, OwnershipLost
+from basilhold.sharding.committer import GroupCommit, OwnershipLost
+from basilhold.sharding.effects import BatchEffects, OwnerServices
 from basilhold.sharding.events import (
     RECOVERED,
     TASK_OUTCOME_UNKNOWN,
@@ -43,11 +36,9 @@
     WORKER_REACHED,
     WORKER_RELEASED,
 )
-from basilhold.sharding.health import WorkerHealth
 from basilhold.sharding.job_feed import JobFeed, JobFeedOwner
 from basilhold.sharding.ownership import ShardInfo
 from basilhold.sharding.peers import (
-    CellView,
     HandOverState,
     ShardSummary,
     TeamUsage,
@@ -59,7 +50,6 @@
 from basilhold.sharding.session import WorkerSession
 from basilhold.sharding.session_owner import SessionOwner, StopOrder
 from basilhold.sharding.sessions import SessionSet
-from basilhold.sharding.settings import ShardingSettings
 from basilhold.sharding.state import ShardState
 from basilhold.sharding.tables import ShardTables
 from basilhold.sharding.worker_list import WorkerList, WorkerListOwner
@@ -70,20 +60,8 @@
 """Interval of plans while work waits, as reservations and lateness change by time."""
 
 
-class OwnerServices(msgspec.Struct, frozen=True):
-    """What all shards of a process share."""
-
-    store: TableService
-    agents: WorkerAgent
-    clock: Clock
-    cell: CellView
-    settings: ShardingSettings
-    make_planner: Callable[[ShardInfo], Planner]
-    make_health: Callable[[], WorkerHealth]
-
-
 class ShardOwner(
-    CommitDelegate, SessionOwner, JobFeedOwner, QuarantineOwner, WorkerListOwner
+    BatchEffects, SessionOwner, JobFeedOwner, QuarantineOwner, WorkerListOwner
 ):
     """One shard that this process owns.
 
@@ -332,90 +310,6 @@
         """Note that the tasks of an unreachable worker are released."""
         log_event(WORKER_RELEASED, worker_id=worker_id, tasks=task_count)
 
-    # CommitDelegate.
-
-    def plan(self, limit: int) -> tuple[Placement, ...]:
-        """Return placements to commit; evictions are carried out at once."""
-        plan = self._planner.plan(self._services.clock.unix_ms(), limit)
-        for eviction in plan.evictions:
-            self._evict(eviction)
-        kept, excess = self._quarantine.limit_probes(plan.placements)
-        if excess:
-            self._planner.abandon(excess)
-        return kept
-
-    def _evict(self, eviction: Eviction) -> None:
-        session = self._sessions.get(eviction.worker_id)
-        assignment = self.tables.assignment(eviction.task_id)
-        if session is None or assignment is None:
-            return
-        if assignment.attempt != eviction.attempt:
-            return
-        session.order_stop(
-            eviction.task_id,
-            StopOrder(
-                eviction.action,
-                TaskState.PENDING,
-                "evicted",
-                eviction.cores_limit_milli,
-            ),
-        )
-
-    def abandon(self, placements: tuple[Placement, ...]) -> None:
-        """Take back placements that were not committed."""
-        self._planner.abandon(placements)
-
-    def applied(self, batch: Batch) -> None:
-        """Start what was placed and tell the planner what has changed."""
-        self._planner.confirm(batch.placements)
-        for change in batch.changes:
-            if isinstance(change, Release):
-                session = self._sessions.get(change.worker_id)
-                if session is not None:
-                    session.drop(change.task_id, change.attempt)
-            elif isinstance(change, MoveJob):
-                self._moved(change)
-        for worker_id, record in batch.workers.items():
-            if record is None:
-                self._close_session(worker_id)
-            elif worker_id not in self._sessions:
-                self._open_session(worker_id, fresh=True)
-        for placement in batch.placements:
-            self._sessions[placement.worker_id].hold(
-                self.tables.assignment(placement.task_id), fresh=True
-            )
-            self._quarantine.placed(placement.worker_id)
-        placed_only = {p.worker_id for p in batch.placements} - {
-            change.worker_id
-            for change in batch.changes
-            if isinstance(change, Release | SetCapacity | SetQuarantine)
-        }
-        for worker_id in batch.workers.keys() - placed_only:
-            self.refresh_worker(worker_id)
-        for job_id in batch.jobs:
-            self.jobs.changed(job_id)
-        placed = (split_task_id(p.task_id)[0] for p in batch.placements)
-        for job_id in dict.fromkeys(placed):
-            if job_id not in batch.jobs:
-                self.jobs.placed(job_id)
-
-    def job_changed(self, job_id: JobId) -> None:
-        """Act on a job's row that a gateway has changed."""
-        self.jobs.changed(job_id)
-
-    def move_job(self, move: MoveJob, announce: Callable[[MoveJob], None]) -> None:
-        """Move a pending job to another shard and tell its owner afterwards."""
-        if move.job_id in self._moves:
-            return
-        self._moves[move.job_id] = announce
-        self._planner.remove_job(move.job_id)
-        self.committer.submit(move)
-
-    def _moved(self, move: MoveJob) -> None:
-        announce = self._moves.pop(move.job_id, None)
-        if announce is not None and move.job_id not in self.tables.jobs:
-            announce(move)
-
     # JobFeed.
 
     @property
--- a/basilhold/standins/tests/test_table.py
+++ b/basilhold/standins/tests/test_table.py
@@ -1,3 +1,5 @@
+import asyncio
+
 from basilhold.ports import Condition, StoreErrorKind, Transaction, Write
 from basilhold.standins import MemoryTable
 from basilhold.testing import VirtualTimeTestCase
@@ -26,6 +28,15 @@
         table.faults.lost_reply_ratio = 0.0
         self.assertIn("a", (await table.read(("a",))).ok)
 
+    async def test_delayed_write_takes_effect_after_its_client_gave_up(self):
+        table = MemoryTable()
+        table.faults.delayed_ratio = 1.0
+        result = await table.transact(put("a", 0))
+        self.assertIs(result.error.kind, StoreErrorKind.UNKNOWN)
+        self.assertNotIn("a", table.read_now(("a",)).ok)
+        await asyncio.sleep(3)
+        self.assertIn("a", table.read_now(("a",)).ok)
+
     async def test_created_again_row_has_a_new_version(self):
         table = MemoryTable()
         await table.transact(put("a", 0))
--- a/basilhold/standins/tests/test_workers.py
+++ b/basilhold/standins/tests/test_workers.py
@@ -39,6 +39,24 @@
         await asyncio.sleep(30)
         self.assertEqual(worker.running_tasks(), {})
 
+    async def test_repeated_stop_gets_the_same_answer(self):
+        worker = self.leased_worker()
+        answers = [worker.stop(Epoch(1), TASK, Attempt(1)).ok for _ in range(2)]
+        self.assertEqual([a.never_started for a in answers], [True, True])
+        worker.start(start(attempt=2))
+        answers = [worker.stop(Epoch(1), TASK, Attempt(2)).ok for _ in range(2)]
+        self.assertEqual([a.never_started for a in answers], [False, False])
+
+    async def test_restart_keeps_the_fence(self):
+        worker = self.leased_worker()
+        worker.report(Epoch(2), ())
+        worker.start(start(epoch=2))
+        worker.restart()
+        self.assertEqual(worker.running_tasks(), {})
+        self.assertIs(worker.start(start()).error.reason, RefusalReason.STALE_EPOCH)
+        again = worker.start(start(epoch=2, attempt=2))
+        self.assertIs(again.error.reason, RefusalReason.NO_LEASE)
+
     async def test_refuses_what_exceeds_its_capacity(self):
         worker = self.leased_worker()
         worker.start(start())
