--- a/basilhold/sharding/tests/test_monitor.py
+++ b/basilhold/sharding/tests/test_monitor.py
@@ -4,6 +4,7 @@
 from absl import logging
 
 from basilhold.core import InvariantError, RestartPolicy
+from basilhold.ports import RenewRequest
 from basilhold.sharding import attempts
 from basilhold.sharding.task_rules import MissingAction
 from basilhold.standins import MemoryWorker
@@ -42,6 +43,16 @@
         with mock.patch.object(attempts, "is_free", lambda lease, now_ms: True):
             await self.expect(cell, "runs on")
 
+    async def test_violation_of_a_late_message_is_not_lost(self):
+        cell, worker = await self.open()
+        other = next(w for w in cell.workers.values() if w is not worker)
+        request = next(iter(worker._runs.values())).request
+        other.renew(RenewRequest(request.epoch, cell.clock.unix_ms() + 30_000, 0))
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda *_: None)
+        loop.call_later(1, other.start, request)
+        await self.expect(cell, "runs on")
+
     async def test_at_most_once_task_started_again(self):
         cell, worker = await self.open(RestartPolicy.FORBIDDEN)
         with (
--- a/basilhold/standins/workers.py
+++ b/basilhold/standins/workers.py
@@ -163,10 +163,10 @@
         self.start_count += 1
         behaviour = self.behaviours.get(request.command) or self.behaviours[""]
         self._runs[request.task_id] = _Run(request, behaviour, self.clock.unix_ms())
-        if not self.committed().fits_in(self.capacity):
-            raise InvariantError(f"worker {self.worker_id} exceeds its capacity")
         if self.on_start is not None:
             self.on_start(self, request)
+        if not self.committed().fits_in(self.capacity):
+            raise InvariantError(f"worker {self.worker_id} exceeds its capacity")
         return Ok(reply)
 
     def _refusal(
--- a/basilhold/testing/cell.py
+++ b/basilhold/testing/cell.py
@@ -265,7 +265,8 @@
         del self.processes[ProcessId(name)]
 
     async def close(self) -> None:
-        """End all processes and raise what they failed with."""
+        """End all processes and raise what was broken."""
+        self.monitor.raise_violation()
         for name in list(self.processes):
             process = self.processes[name]
             if process.scheduler.failure is not None:
--- a/basilhold/testing/monitor.py
+++ b/basilhold/testing/monitor.py
@@ -39,10 +39,13 @@
     ----------
     starts : collections.Counter of TaskId
         How often each task has started.
+    violations : list of str
+        Broken guarantees, in the order in which they were noticed.
     """
 
     def __init__(self, table: MemoryTable, workers: dict[WorkerId, MemoryWorker]):
         self.starts: Counter[TaskId] = Counter()
+        self.violations: list[str] = []
         self._table = table
         self._workers = workers
         self._restart: dict[JobId, RestartPolicy] = {}
@@ -52,6 +55,21 @@
         for worker in workers.values():
             self.watch(worker)
 
+    def _fail(self, text: str) -> None:
+        """Keep the violation, as a late message's error only reaches the log."""
+        self.violations.append(text)
+        raise InvariantError(text)
+
+    def raise_violation(self) -> None:
+        """Raise the first violation that was noticed, if any.
+
+        Raises
+        ------
+        InvariantError
+        """
+        if self.violations:
+            raise InvariantError(self.violations[0])
+
     def watch(self, worker: MemoryWorker) -> None:
         """Watch a worker that was added later."""
         worker.on_start = self._check_start
@@ -64,14 +82,14 @@
             self._restart.get(job_id) is RestartPolicy.FORBIDDEN
             and self.starts[task_id] > 1
         ):
-            raise InvariantError(f"at-most-once task {task_id} started twice")
+            self._fail(f"at-most-once task {task_id} started twice")
         for other in self._workers.values():
             if other is not worker and task_id in other.running_tasks():
-                raise InvariantError(
+                self._fail(
                     f"task {task_id} runs on {other.worker_id} and {worker.worker_id}"
                 )
         if not worker.committed().fits_in(worker.capacity):
-            raise InvariantError(f"worker {worker.worker_id} exceeds its capacity")
+            self._fail(f"worker {worker.worker_id} exceeds its capacity")
 
     def _check_rows(self, transaction: Transaction) -> None:
         written = [w for w in transaction.writes if w.key.startswith("worker/")]
@@ -90,11 +108,11 @@
     def _check_worker_row(self, key: str, value: bytes) -> None:
         record = msgspec.json.decode(value, type=WorkerRecord)
         if not record.committed().fits_in(record.capacity):
-            raise InvariantError(f"row {key} exceeds the worker's capacity")
+            self._fail(f"row {key} exceeds the worker's capacity")
         task_ids = tuple(assignment.task_id for assignment in record.assignments)
         for task_id in task_ids:
             if task_id in self._placed:
-                raise InvariantError(
+                self._fail(
                     f"task {task_id} is committed in {self._placed[task_id]} and {key}"
                 )
             self._placed[task_id] = key
@@ -107,6 +125,7 @@
         ------
         InvariantError
         """
+        self.raise_violation()
         page = self._table.scan_now("job/", limit=100_000).ok
         for row in page.rows:
             record = msgspec.json.decode(row.value, type=JobRecord)
@@ -117,6 +136,6 @@
     def _check_task(self, task_id: TaskId, state: TaskState, reason: str) -> None:
         count = self.starts[task_id]
         if reason == _NOT_RUN and state.is_final and count:
-            raise InvariantError(f"task {task_id} is reported as not run, but ran")
+            self._fail(f"task {task_id} is reported as not run, but ran")
         if state is TaskState.SUCCEEDED and not count:
-            raise InvariantError(f"task {task_id} is reported as succeeded, unstarted")
+            self._fail(f"task {task_id} is reported as succeeded, unstarted")
--- a/basilhold/testing/sharding_runs.py
+++ b/basilhold/testing/sharding_runs.py
@@ -334,6 +334,7 @@
     await asyncio.gather(*tasks)
     waited_s = 0
     while cell.unfinished() or waited_s < 5:
+        cell.monitor.raise_violation()
         if waited_s >= _SETTLE_BOUND_S:
             await cell.close()
             raise InvariantError(f"jobs {cell.unfinished()} do not finish")
