Keep a batch of submissions going when one of its callers leaves

A cancelled call's future was answered, so the batch's task ended with InvalidStateError and its other callers waited for ever.

--- a/basilhold/sharding/intake.py
+++ b/basilhold/sharding/intake.py
@@ -204,7 +204,8 @@
         self._queue.append(_Pending(submission, job_id, done))
         if self._task is None or self._task.done():
             self._task = asyncio.create_task(self._drain())
-        return await done
+        # The call of a caller that leaves stays in its batch until it is answered.
+        return await asyncio.shield(done)
 
     async def _drain(self) -> None:
         await asyncio.sleep(self._window_ms / 1000)
--- a/basilhold/sharding/tests/test_intake.py
+++ b/basilhold/sharding/tests/test_intake.py
@@ -51,6 +51,16 @@
         )
         self.assertEqual([a.ok.repeated for a in answers], [False, True, True])
 
+    async def test_caller_that_leaves_does_not_end_the_batch_of_others(self):
+        self.table.faults.latency_ms = 100
+        intake = JobIntake(self.table)
+        leaving = asyncio.create_task(intake.submit(submission("leaves")))
+        staying = asyncio.create_task(intake.submit(submission("stays")))
+        await asyncio.sleep(0.15)
+        leaving.cancel()
+        async with asyncio.timeout(5):
+            self.assertTrue((await staying).is_ok())
+
     async def test_two_gateways_store_one_job(self):
         answers = await asyncio.gather(
             *(JobIntake(self.table).submit(submission("k")) for _ in range(4))
