--- a/basilhold/soak/run.py
+++ b/basilhold/soak/run.py
@@ -125,6 +125,7 @@
         ------
         SoakError
         """
+        asyncio.get_running_loop().set_exception_handler(self._task_failed)
         work = asyncio.create_task(self._work())
         try:
             await self._watch(work)
@@ -138,6 +139,11 @@
                 vm.gate.resume()
         return self._result()
 
+    def _task_failed(self, _loop, context: dict[str, Any]) -> None:
+        """Take note of an error that no task has waited for."""
+        if context.get("exception") is not None:
+            self.soak.guarantees.fail(f"a task ended by {context['exception']!r}")
+
     async def _watch(self, work: asyncio.Task) -> None:
         loop = asyncio.get_running_loop()
         next_sample_s = 0.0
