--- a/basilhold/soak/faults.py
+++ b/basilhold/soak/faults.py
@@ -11,7 +11,7 @@
 
 __all__ = ["FAULTS", "FaultInjector"]
 
-PAUSE_BETWEEN_S = 30.0
+PAUSE_BETWEEN_S = 15.0
 HOLD_MAX_S = 60.0
 STORE_OUTAGE_MAX_S = 3600.0
 STORE_LATENCY_MS = 4.0
@@ -42,7 +42,7 @@
 
     async def run(self, seconds: float) -> None:
         """Apply faults for a time: first one at a time, then up to three."""
-        starts_s = (0.0, seconds / 3, 2 * seconds / 3)
+        starts_s = (0.0, seconds / 6, seconds / 3)
         injectors = [asyncio.create_task(self._inject(s, seconds)) for s in starts_s]
         await asyncio.sleep(seconds)
         self._ending.set()
--- a/basilhold/soak/load.py
+++ b/basilhold/soak/load.py
@@ -30,7 +30,7 @@
 __all__ = ["Load"]
 
 REQUEST_INTERVAL_S = 0.2
-JOB_INTERVAL_S = 4.0
+JOB_INTERVAL_S = 2.0
 CHANGE_INTERVAL_S = 20.0
 CANCEL_INTERVAL_S = 15.0
 SERVICES_MAX = 30
@@ -242,14 +242,14 @@
     def _submission(self, office: OfficeName, work_class: WorkClass) -> JobSubmission:
         rng = self._rng
         team = rng.choice(self._documents[office].teams)
-        count, gpus = rng.randint(1, 6), 0
+        count, gpus = rng.randint(1, 10), 0
         if work_class.kind is ClassKind.SERVICE:
             count = rng.randint(1, 3)
         if work_class.kind is ClassKind.GANG:
             count = rng.randint(2, 4)
         if team.quota.gpus_milli and rng.random() < 0.5:
             gpus = 1000 * rng.randint(1, 3)
-        size = Resources(500 * rng.randint(1, 10), (1 << 28) * rng.randint(1, 16), gpus)
+        size = Resources(500 * rng.randint(1, 16), (1 << 28) * rng.randint(1, 16), gpus)
         if rng.random() < 0.04:
             # Such a job can never run and is to be rejected.
             size = msgspec.structs.replace(size, cores_milli=1_000_000)
@@ -371,6 +371,6 @@
     def _edit(self, document: OfficeDocument) -> OfficeDocument:
         index = self._rng.randrange(len(document.teams))
         teams = list(document.teams)
-        bound = 10_000 + self._rng.randint(0, 1_000_000)
+        bound = self._rng.randint(10_000, 1_000_000)
         teams[index] = msgspec.structs.replace(teams[index], queued_tasks_max=bound)
         return msgspec.structs.replace(document, teams=tuple(teams))
