Follow the membership filter in routing and slot lending; make changes through the relays

Routing, owners and slot lending now use Membership, which doubts a sudden loss, in place of the raw VM list. The gateway's slot exchanges, timers and task groups stop the process on a broken invariant; before, an error in a timer was only logged (test_lifecycle shows it).

--- a/basilhold/cell/entry.py
+++ b/basilhold/cell/entry.py
@@ -108,6 +108,7 @@
         self._start_number = start_number
         self._transports: list[Transport] = []
         self._tasks: list[asyncio.Task[None]] = []
+        self._budgets: dict[str, StoreBudget] = {}
         self.traffic = TrafficCounter()
         self.operations = OperationCounter()
         self.relay = self._make_relay()
@@ -192,8 +193,8 @@
         self._transports.append(transport)
         return transport
 
-    def _store(self, purpose: str) -> TableService:
-        budget = StoreBudget(rng=self._rng)
+    def _store(self, program: str, purpose: str) -> TableService:
+        budget = self._budgets.setdefault(program, StoreBudget(rng=self._rng))
         return ProcessStore(self._platform.table, budget, self.operations, purpose)
 
     def _context(self, program: str, process_id: ProcessId):
@@ -219,7 +220,7 @@
         return RelayNode(
             settings,
             self._transport(),
-            self._store("relay"),
+            self._store("relay", "relay"),
             self._platform.vm_list,
             self._clock,
             self._rng,
@@ -232,7 +233,7 @@
         return SchedulerNode(
             self._scheduler_context,
             Address(entry.host, entry.scheduler_port),
-            self._store("scheduler"),
+            self._store("scheduler", "sharding"),
             self._platform.agents,
             seed=self._rng.getrandbits(32),
         )
@@ -240,8 +241,9 @@
     def _make_operators(self) -> GatewayOperatorBackend:
         return make_operator_backend(
             self._gateway_context,
-            self._store("operators"),
+            self._store("gateway", "operators"),
             self._shape.services,
+            self._shape.store_region,
             lambda: msgspec.json.encode(self.state()),
         )
 
@@ -252,7 +254,7 @@
         self._gateway_context = self._context("gateway", unique_id)
         client = self._platform.make_upstream_client()
         ports = GatewayPorts(
-            self._store("gateway"),
+            self._store("gateway", "requests"),
             self._platform.objects,
             client,
             getattr(client, "set_connection_limit", None),
--- a/basilhold/nodes/context.py
+++ b/basilhold/nodes/context.py
@@ -52,6 +52,7 @@
         rng,
     )
     directory = CellDirectory(entries, subscription.state, in_force)
+    subscription.listen_vms(directory.apply_list)
     return NodeContext(
         process_id=process_id,
         vm_id=entry.vm_id,
--- a/basilhold/nodes/directory.py
+++ b/basilhold/nodes/directory.py
@@ -1,5 +1,7 @@
 """What a process knows about the cell: settings, VM list, shards and classes."""
 
+from collections.abc import Sequence
+
 import msgspec
 
 from basilhold.config import ConfigInForce
@@ -13,6 +15,7 @@
     WorkerId,
     ZoneName,
 )
+from basilhold.membership import Liveness, Membership
 from basilhold.ports import VmKind, VmRecord, VmState
 from basilhold.relay import RelayState
 from basilhold.requests import ClassDirectory
@@ -87,6 +90,11 @@
     state : RelayState
         As received from the relay.
     in_force : ConfigInForce
+
+    Attributes
+    ----------
+    revision : int
+        Grows with each change of the VMs.
     """
 
     def __init__(
@@ -98,13 +106,26 @@
         self._entries = {entry.vm_id: entry for entry in entries}
         self._state = state
         self._in_force = in_force
-        self._version = -1
+        self._membership = Membership()
+        self._was_doubted = False
         self._workers: dict[ZoneName, tuple[VmRecord, ...]] = {}
         self._upstreams: tuple[VmRecord, ...] = ()
+        self._entry_records: tuple[VmRecord, ...] = ()
+        self.revision = 0
+
+    def apply_list(
+        self, version: int, records: Sequence[VmRecord], confirmed_at_ms: float
+    ) -> None:
+        """Take over a VM list, or confirm the one that is known."""
+        membership = self._membership
+        membership.apply_list(version, records, confirmed_at_ms)
+        changed = bool(membership.take_changes())
+        if changed or membership.is_doubted != self._was_doubted:
+            self._was_doubted = membership.is_doubted
+            self._index()
 
     def shards(self) -> tuple[ShardInfo, ...]:
         """Return the availability zones that have workers or upstreams."""
-        self._index()
         regions = {record.zone: record.region for record in self._upstreams}
         for zone, records in self._workers.items():
             regions[zone] = records[0].region
@@ -112,12 +133,10 @@
 
     def workers(self, zone: ZoneName) -> tuple[VmRecord, ...]:
         """Return the workers of a zone."""
-        self._index()
         return self._workers.get(zone, ())
 
     def all_workers(self) -> tuple[VmRecord, ...]:
         """Return the workers of all zones."""
-        self._index()
         return tuple(record for zone in self._workers.values() for record in zone)
 
     def worker(self, worker_id: WorkerId) -> VmRecord | None:
@@ -127,7 +146,6 @@
 
     def upstreams(self) -> tuple[VmRecord, ...]:
         """Return the upstreams of all zones."""
-        self._index()
         return self._upstreams
 
     def teams(self) -> tuple[Team, ...]:
@@ -135,27 +153,25 @@
         return tuple(self._in_force.teams())
 
     def live_entries(self) -> tuple[EntryPorts, ...]:
-        """Return the entry VMs that the VM list shows as live.
+        """Return the entry VMs that take part.
 
         Before the first VM list arrives, these are all of the settings.
         """
-        records = self._state.vms.records
-        if not records:
+        if not self.revision:
             return tuple(self._entries.values())
         return tuple(
-            self._entries[vm_id]
-            for vm_id, record in records.items()
-            if record.kind is VmKind.ENTRY
-            and record.state is VmState.LIVE
-            and vm_id in self._entries
+            self._entries[record.vm_id]
+            for record in self._entry_records
+            if record.state is VmState.LIVE and record.vm_id in self._entries
         )
 
-    def listed_entry_vms(self) -> frozenset[VmId]:
-        """Return all entry VMs of the VM list, also those that are leaving."""
+    def remaining_entry_vms(self) -> frozenset[VmId]:
+        """Return the entry VMs that are not proved gone."""
+        states = (Liveness.LIVE, Liveness.LEAVING, Liveness.ABSENT)
         return frozenset(
-            vm_id
-            for vm_id, record in self._state.vms.records.items()
-            if record.kind is VmKind.ENTRY
+            record.vm_id
+            for liveness in states
+            for record in self._membership.members(VmKind.ENTRY, liveness)
         )
 
     def schedulers(self) -> tuple[ProcessInfo, ...]:
@@ -193,16 +209,22 @@
         return shard.address if shard else None
 
     def _index(self) -> None:
-        vms = self._state.vms
-        if vms.version == self._version:
-            return
-        self._version = vms.version
+        self.revision += 1
         workers: dict[ZoneName, list[VmRecord]] = {}
-        upstreams: list[VmRecord] = []
-        for record in vms.records.values():
-            if record.kind is VmKind.WORKER:
-                workers.setdefault(record.zone, []).append(record)
-            elif record.kind is VmKind.UPSTREAM:
-                upstreams.append(record)
+        for record in self._believed(VmKind.WORKER):
+            workers.setdefault(record.zone, []).append(record)
         self._workers = {zone: tuple(records) for zone, records in workers.items()}
-        self._upstreams = tuple(upstreams)
+        self._upstreams = self._believed(VmKind.UPSTREAM)
+        self._entry_records = self._believed(VmKind.ENTRY)
+
+    def _believed(self, kind: VmKind) -> tuple[VmRecord, ...]:
+        """Return the VMs that take part; the losses of a doubted list do not count."""
+        membership = self._membership
+        leaving = tuple(
+            msgspec.structs.replace(record, state=VmState.LEAVING)
+            for record in membership.members(kind, Liveness.LEAVING)
+        )
+        records = membership.members(kind) + leaving
+        if membership.is_doubted:
+            records += membership.members(kind, Liveness.ABSENT)
+        return records
--- a/basilhold/nodes/gateway_node.py
+++ b/basilhold/nodes/gateway_node.py
@@ -7,19 +7,28 @@
 
 import msgspec
 
-from basilhold.core import InvariantError, ProcessId, RequestKey, UpstreamId
+from basilhold.core import (
+    Epoch,
+    InvariantError,
+    ProcessId,
+    RequestKey,
+    UpstreamId,
+)
 from basilhold.gateway import (
     OnceKeeper,
     OnceLimits,
     OnceSweeper,
     RequestCounters,
+    RequestMetrics,
     RequestService,
+    RequestState,
     ServiceParts,
     SlotLoop,
 )
 from basilhold.nodes.base import NodeContext, NodePart
 from basilhold.nodes.directory import ConfiguredClasses
 from basilhold.nodes.peers import GrpcRequestPeers, GrpcSlotExchange
+from basilhold.observability import MetricSource
 from basilhold.ports import ObjectStore, TableService, UpstreamClient
 from basilhold.requests import (
     GatewayIdentity,
@@ -33,6 +42,8 @@
 
 __all__ = ["GatewayNode", "GatewayPorts"]
 
+CHECK_INTERVAL_S = 1.0
+
 _PROGRESS = {
     RequestProgress.NOT_HELD: messages_pb2.REQUEST_PROGRESS_NOT_HELD,
     RequestProgress.RUNNING: messages_pb2.REQUEST_PROGRESS_RUNNING,
@@ -117,7 +128,11 @@
         self._address = address
         self.counters = RequestCounters()
         identity = GatewayIdentity(
-            context.process_id, context.vm_id, context.zone, context.region
+            context.process_id,
+            context.vm_id,
+            context.zone,
+            context.region,
+            context.clock.unix_ms(),
         )
         self._router = Router(context.zone, context.region, rng)
         self._holder = SlotHolder(identity)
@@ -161,7 +176,7 @@
             rng,
             ports.set_connection_limit,
         )
-        self._vms_version = -1
+        self._vms_revision = 0
         self._failure: asyncio.Future[None] = asyncio.get_running_loop().create_future()
 
     async def __aenter__(self) -> Self:
@@ -182,11 +197,13 @@
         await self.once.__aexit__(exc_type, exc, traceback)
 
     def vms_changed(self) -> None:
-        """Take the upstreams of a new VM list."""
-        version = self._context.subscription.state.vms.version
-        if version == self._vms_version:
+        """Take the shard directory, and the upstreams of a new VM list."""
+        for zone, shard in self._context.subscription.state.shards.items():
+            self._holder.observe_epoch(zone, Epoch(shard.epoch))
+        revision = self._context.directory.revision
+        if revision == self._vms_revision:
             return
-        self._vms_version = version
+        self._vms_revision = revision
         self.service.update_upstreams(self._context.directory.upstreams())
         self.slots.refresh()
 
@@ -197,23 +214,24 @@
 
     async def run(self) -> None:
         """Run until an invariant is broken."""
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._watch_slots())
+            group.create_task(self._wait_failed())
+
+    async def _wait_failed(self) -> None:
         await asyncio.shield(self._failure)
 
+    async def _watch_slots(self) -> None:
+        """Raise what has ended an exchange of slots."""
+        while True:
+            for failure in self.slots.failures():
+                raise failure
+            await asyncio.sleep(CHECK_INTERVAL_S)
+
+    def metric_source(self) -> MetricSource:
+        """Return the source of the metrics of requests."""
+        return RequestMetrics(self.service, self._router, self._holder, self.once)
+
     def state(self) -> dict[str, Any]:
         """Return what a state dump shows."""
-        return {
-            "in_flight": self.service.in_flight_names(),
-            "slots": {
-                upstream_id: {
-                    "held": self._holder.held_count(upstream_id),
-                    "idle": self._holder.idle_count(upstream_id),
-                }
-                for upstream_id in self._holder.upstream_ids()
-            },
-            "counts": {
-                count.value: value for count, value in self.counters.counts.items()
-            },
-            "problems": {
-                kind.value: value for kind, value in self.counters.problems.items()
-            },
-        }
+        return RequestState(self.service, self._router, self._holder).state()
--- a/basilhold/nodes/operator_backend.py
+++ b/basilhold/nodes/operator_backend.py
@@ -10,6 +10,7 @@
     JobId,
     OfficeDocument,
     OfficeName,
+    RegionName,
     ServiceName,
     WorkerId,
     ZoneName,
@@ -39,6 +40,7 @@
     WorkerQuery,
 )
 from basilhold.ports import TableService
+from basilhold.relay import ConfigChanger
 from basilhold.sharding import JobIntake
 
 __all__ = ["GatewayOperatorBackend", "make_operator_backend"]
@@ -152,6 +154,7 @@
     context: NodeContext,
     store: TableService,
     services: frozenset[ServiceName],
+    store_region: RegionName,
     own_state: Callable[[], bytes],
 ) -> GatewayOperatorBackend:
     """Return the backend of a gateway.
@@ -162,12 +165,17 @@
     store : TableService
     services : frozenset of ServiceName
         Services of the cell.
+    store_region : RegionName
     own_state : callable
         Returns the state dump of this process, as JSON.
     """
     clock, directory, transport = context.clock, context.directory, context.transport
+    config_store = ConfigStore(store, clock)
+    changer = ConfigChanger(
+        config_store, context.subscription, context.region, store_region
+    )
     config = OperatorConfig(
-        ConfigStore(store, clock), context.in_force, context.subscription, services
+        config_store, changer, context.in_force, context.subscription, services
     )
     jobs = OperatorJobs(
         clock,
--- a/basilhold/nodes/operator_config.py
+++ b/basilhold/nodes/operator_config.py
@@ -30,7 +30,7 @@
     OperatorErrorKind,
     OperatorIdentity,
 )
-from basilhold.relay import RegionSubscription
+from basilhold.relay import ConfigChanger, RegionSubscription
 
 __all__ = ["OperatorConfig"]
 
@@ -44,6 +44,7 @@
     Parameters
     ----------
     store : ConfigStore
+    changer : ConfigChanger
     in_force : ConfigInForce
     subscription : RegionSubscription
     services : frozenset of ServiceName
@@ -53,11 +54,13 @@
     def __init__(
         self,
         store: ConfigStore,
+        changer: ConfigChanger,
         in_force: ConfigInForce,
         subscription: RegionSubscription,
         services: frozenset[ServiceName],
     ):
         self._store = store
+        self._changer = changer
         self._in_force = in_force
         self._subscription = subscription
         self._services = services
@@ -89,13 +92,13 @@
         request = ChangeRequest(
             operator.office, operator.name, expected_version, document
         )
-        return self._changed(await self._store.change(request, self._services))
+        return self._changed(await self._changer.change(request, self._services))
 
     async def roll_back(
         self, operator: OperatorIdentity, to_version: int, expected_version: int
     ) -> Result[OfficeVersion, OperatorError]:
         """Write an earlier document as a new version."""
-        result = await self._store.roll_back(
+        result = await self._changer.roll_back(
             operator.office, operator.name, expected_version, to_version, self._services
         )
         return self._changed(result)
@@ -140,14 +143,13 @@
         lagging = tuple(ProcessId(name) for name in reply.missing)
         return InForce(office, version, reply.everywhere, lagging=lagging)
 
+    @staticmethod
     def _changed(
-        self, result: Result[StoredVersion, ChangeError]
+        result: Result[StoredVersion, ChangeError],
     ) -> Result[OfficeVersion, OperatorError]:
         if result.is_error():
             return Error(_describe(result.error))
-        stored = result.ok
-        self._subscription.push(stored.info.version, stored.document)
-        return Ok(_view(stored))
+        return Ok(_view(result.ok))
 
 
 def _view(stored: StoredVersion) -> OfficeVersion:
--- a/basilhold/nodes/scheduler_node.py
+++ b/basilhold/nodes/scheduler_node.py
@@ -104,7 +104,7 @@
         return {
             "owned_zones": self.scheduler.owned_zones(),
             "shards": {
-                zone: self.scheduler.owner(zone).state()
+                zone: msgspec.to_builtins(self.scheduler.shard_state(zone))
                 for zone in self.scheduler.owned_zones()
             },
             "summaries": msgspec.to_builtins(self.scheduler.summaries()),
--- a/basilhold/nodes/scheduler_service.py
+++ b/basilhold/nodes/scheduler_service.py
@@ -58,8 +58,8 @@
     async def ShardState(self, stream: Any) -> None:  # noqa: N802
         """Return the state of a shard that this process owns."""
         message = await _receive(stream)
-        owner = self._scheduler.owner(ZoneName(message.zone))
-        content = msgspec.json.encode(owner.state()) if owner else b""
+        state = self._scheduler.shard_state(ZoneName(message.zone))
+        content = msgspec.json.encode(state) if state else b""
         await stream.send_message(messages_pb2.JsonReply(content=content))
 
     async def AttestLost(self, stream: Any) -> None:  # noqa: N802
--- a/basilhold/nodes/slot_lending.py
+++ b/basilhold/nodes/slot_lending.py
@@ -76,7 +76,7 @@
             takeover = Takeover(
                 self._clock.unix_ms(),
                 inherited.horizon_unix_ms,
-                self._directory.listed_entry_vms(),
+                self._directory.remaining_entry_vms(),
             )
         allocator = SlotAllocator(
             zone,
@@ -84,6 +84,7 @@
             owner.epoch,
             takeover,
             self._longest_deadline_ms,
+            gone_ms=0,
         )
         return SlotLender(allocator, self._clock)
 
@@ -97,6 +98,6 @@
             if record.zone == zone and record.state is VmState.LIVE
         )
         allocator.update_entry_vms(
-            self._directory.listed_entry_vms(), self._clock.unix_ms()
+            self._directory.remaining_entry_vms(), self._clock.unix_ms()
         )
         lender.notify()
--- a/basilhold/programs/gateway.py
+++ b/basilhold/programs/gateway.py
@@ -10,7 +10,7 @@
 from tornado.web import Application
 
 from basilhold.adapters.upstreams import TornadoUpstreamClient
-from basilhold.core import InvariantError, ProcessId, ServiceName
+from basilhold.core import InvariantError, ProcessId, RegionName, ServiceName
 from basilhold.gateway import (
     Drain,
     FrontEnd,
@@ -56,7 +56,7 @@
             self._context,
             Address(process.vm.host, process.vm.gateway_port),
             GatewayPorts(
-                self.table("gateway"),
+                self.table("requests"),
                 self.objects(),
                 self._client,
                 self._client.set_connection_limit,
@@ -69,6 +69,7 @@
             ),
         )
         self.pages.state.add_source(NodeState("gateway", self._node))
+        self.pages.metrics.add_source(self._node.metric_source())
         self._front = FrontEnd(
             service=self._node.service,
             callers=ConfiguredCallers(settings.callers),
@@ -134,6 +135,7 @@
             self._context,
             self.table("operators"),
             services,
+            RegionName(settings.store_region),
             lambda: msgspec.json.encode(self._node.state()),
         )
         context = OperatorContext(
--- a/basilhold/programs/lifecycle.py
+++ b/basilhold/programs/lifecycle.py
@@ -92,24 +92,59 @@
     loop = asyncio.get_running_loop()
     for number in _STOP_SIGNALS:
         loop.add_signal_handler(number, on_signal)
+    broken: asyncio.Future[None] = loop.create_future()
+
+    def on_loop_error(failed_loop, context) -> None:
+        error = context.get("exception")
+        if isinstance(error, InvariantError) and not broken.done():
+            broken.set_exception(error)
+        failed_loop.default_exception_handler(context)
+
+    # Timers and callbacks have no task that could pass an error on.
+    loop.set_exception_handler(on_loop_error)
     async with daemon:
         log_event(DAEMON_STARTED, name=daemon.name)
         running = asyncio.create_task(daemon.run())
         stopping = asyncio.create_task(stop.wait())
         try:
-            await asyncio.wait({running, stopping}, return_when=asyncio.FIRST_COMPLETED)
+            await asyncio.wait(
+                {running, stopping, broken}, return_when=asyncio.FIRST_COMPLETED
+            )
+            if broken.done():
+                broken.result()
             if running.done():
                 running.result()
                 raise InvariantError(f"{daemon.name}: the main task ended by itself")
             log_event(DAEMON_DRAINING, name=daemon.name)
             return _exit_code(daemon, await daemon.drain(abort))
-        except InvariantError as error:
-            _dump(daemon, error)
+        except (InvariantError, ExceptionGroup) as error:
+            invariant = find_invariant_error(error)
+            if invariant is None:
+                raise
+            _dump(daemon, invariant)
             return ExitCode.INVARIANT_BROKEN
         finally:
             stopping.cancel()
             running.cancel()
-            await asyncio.gather(running, stopping, return_exceptions=True)
+            broken.cancel()
+            await asyncio.gather(running, stopping, broken, return_exceptions=True)
+
+
+def find_invariant_error(error: BaseException) -> InvariantError | None:
+    """Return the broken invariant in an error or in a group of errors.
+
+    Examples
+    --------
+    >>> group = ExceptionGroup("tasks", [OSError(), InvariantError("two leases")])
+    >>> find_invariant_error(group)
+    InvariantError('two leases')
+    """
+    if isinstance(error, InvariantError):
+        return error
+    if isinstance(error, BaseExceptionGroup):
+        found = (find_invariant_error(inner) for inner in error.exceptions)
+        return next((inner for inner in found if inner), None)
+    return None
 
 
 def _exit_code(daemon: Daemon, cut: tuple[str, ...]) -> ExitCode:
--- a/basilhold/programs/scheduler.py
+++ b/basilhold/programs/scheduler.py
@@ -48,7 +48,7 @@
         self._node = SchedulerNode(
             self._context,
             Address(process.vm.host, process.vm.scheduler_port),
-            self.table("scheduler"),
+            self.table("sharding"),
             agents,
             seed=self.rng.getrandbits(32),
         )
--- a/basilhold/programs/tests/test_lifecycle.py
+++ b/basilhold/programs/tests/test_lifecycle.py
@@ -10,7 +10,8 @@
 class FakeDaemon(Daemon):
     name = "fake"
 
-    def __init__(self, signals, fails=False, drain_waits=False):
+    def __init__(self, signals, fails=False, drain_waits=False, timer_fails=False):
+        self.timer_fails = timer_fails
         self.signals = signals
         self.fails = fails
         self.drain_waits = drain_waits
@@ -24,13 +25,22 @@
         self.closed = True
 
     async def run(self):
+        if self.timer_fails:
+            asyncio.get_running_loop().call_soon(self.break_invariant)
         if self.fails:
-            raise InvariantError("two leases on one task")
+            async with asyncio.TaskGroup() as group:
+                group.create_task(self.fail())
         for number in self.signals:
             os.kill(os.getpid(), number)
             await asyncio.sleep(0)
         await asyncio.Event().wait()
 
+    async def fail(self):
+        raise InvariantError("two leases on one task")
+
+    def break_invariant(self):
+        raise InvariantError("a slot was released twice")
+
     async def drain(self, abort):
         if not self.drain_waits:
             return ()
@@ -62,3 +72,8 @@
             self.assertEqual(run_daemon(lambda: daemon), ExitCode.INVARIANT_BROKEN)
         self.assertEqual(daemon.dumps, 1)
         self.assertIn('{"requests": 1}', logs.output[1])
+
+    def test_broken_invariant_in_a_timer_stops_the_process(self):
+        daemon = FakeDaemon([], timer_fails=True)
+        with self.assertLogs("absl", "ERROR"):
+            self.assertEqual(run_daemon(lambda: daemon), ExitCode.INVARIANT_BROKEN)
--- a/basilhold/requests/allocator.py
+++ b/basilhold/requests/allocator.py
@@ -50,6 +50,9 @@
         None if no predecessor can have lent tokens.
     longest_deadline_ms : int
         Longest timeout of any class, in milliseconds.
+    gone_ms : int
+        Absence after which an entry VM is gone, in milliseconds; 0 if the caller of
+        `update_entry_vms` leaves out only VMs that are proved gone.
     """
 
     def __init__(
@@ -59,12 +62,14 @@
         epoch: Epoch,
         takeover: Takeover | None = None,
         longest_deadline_ms: int = 60_000,
+        gone_ms: int = GONE_MS,
     ):
         self.zone = zone
         self._region = region
         self.epoch = epoch
         self._takeover = takeover
         self._longest_deadline_ms = longest_deadline_ms
+        self._gone_ms = gone_ms
         self._ledger = SlotLedger()
         self._gateways: dict[ProcessId, Borrower] = {}
         self._reported_vms: set[VmId] = set()
@@ -391,7 +396,7 @@
 
     def _is_gone(self, vm_id: VmId, now_unix_ms: int) -> bool:
         since = self._gone_since.get(vm_id)
-        return since is not None and now_unix_ms - since >= GONE_MS
+        return since is not None and now_unix_ms - since >= self._gone_ms
 
     def _free_unclaimed(self, now_unix_ms: int, margin_ms: int) -> None:
         takeover = self._takeover
