Say unknown instead of not-run for keyed work that cannot be looked up

Cause: while the store was down, a repeat of an order that had run was refused with not-run, so a caller could have ordered anew under another key. The same held at a stopping gateway, at the bound of records, for refusals before the body was read, and for repeats of accepted jobs. Ruled out: telling first submissions from repeats, which no gateway can without the record.

--- a/basilhold/gateway/course.py
+++ b/basilhold/gateway/course.py
@@ -1,5 +1,7 @@
 """One request on its way through a gateway, and the checks at its start."""
 
+import msgspec
+
 from basilhold.core import ClassKind, RestartPolicy, UpstreamId, WorkClass
 from basilhold.gateway.answers import CallerSink
 from basilhold.gateway.once_results import OnceTicket
@@ -12,7 +14,13 @@
     Router,
 )
 
-__all__ = ["Course", "check_request", "make_course", "refusal_detail"]
+__all__ = [
+    "Course",
+    "check_request",
+    "make_course",
+    "refusal_detail",
+    "without_lookup",
+]
 
 IDEMPOTENCY_KEY_LENGTH_MAX = 200
 
@@ -80,6 +88,18 @@
     return None
 
 
+def without_lookup(problem: Problem, idempotency_key: str | None) -> Problem:
+    """Return the refusal of a request whose at-most-once record was not looked up.
+
+    A keyed submission can be the repeat of one that has run, so that ``not-run`` is
+    not certain for the request.
+    """
+    certain_kinds = (ProblemKind.KEY_REQUIRED, ProblemKind.KEY_INVALID)
+    if not idempotency_key or problem.kind in certain_kinds:
+        return problem
+    return msgspec.structs.replace(problem, outcome=Outcome.UNKNOWN)
+
+
 def make_course(
     request: CallerRequest,
     work_class: WorkClass,
--- a/basilhold/gateway/handlers.py
+++ b/basilhold/gateway/handlers.py
@@ -9,6 +9,7 @@
 
 from basilhold.core import ClassName, InvariantError, TeamName
 from basilhold.gateway.answers import CallerSink
+from basilhold.gateway.course import without_lookup
 from basilhold.gateway.front import FrontEnd
 from basilhold.gateway.problems import OUTCOME_HEADER, PROBLEM_TYPE, encode_problem
 from basilhold.gateway.service import UNKNOWN_CLASS
@@ -317,6 +318,8 @@
             self._refuse(Problem(ProblemKind.SENDER_TOO_SLOW, Outcome.NOT_RUN, detail))
 
     def _refuse(self, problem: Problem) -> None:
+        key = self.request.headers.get("Idempotency-Key")
+        problem = without_lookup(problem, key)
         counters = self._front.service.counters
         counters.problems[problem.kind] += 1
         counters.count_end(UNKNOWN_CLASS, problem.outcome)
--- a/basilhold/gateway/once.py
+++ b/basilhold/gateway/once.py
@@ -154,6 +154,10 @@
             The caller's deadline on the loop's clock, in milliseconds.
         """
         if self.records_estimate >= self._limits.records_max:
+            # A repeat of a recorded request still gets its result.
+            earlier = await self.look_up(key, fingerprint, deadline_ms)
+            if earlier is not None:
+                return earlier
             return not_run_problem(
                 ProblemKind.TOO_MANY_RECORDS, "too many keyed requests are recorded"
             )
--- a/basilhold/gateway/once_results.py
+++ b/basilhold/gateway/once_results.py
@@ -63,10 +63,17 @@
 
 
 def store_unavailable_problem() -> Problem:
-    """Return the answer to a submission whose record could not be written."""
-    return not_run_problem(
+    """Return the answer to a submission whose record could not be looked up.
+
+    The submission itself was not run, but an earlier one with the same key may have
+    been, and both are the same request to the caller.
+    """
+    return Problem(
         ProblemKind.STORE_UNAVAILABLE,
-        "this submission was not run, because its record could not be written",
+        Outcome.UNKNOWN,
+        "this submission was not run, but whether an earlier one with the same"
+        " Idempotency-Key has run cannot be looked up now; repeat it with the same key",
+        STORE_RETRY_AFTER_S,
     )
 
 
--- a/basilhold/gateway/service.py
+++ b/basilhold/gateway/service.py
@@ -20,6 +20,7 @@
     check_request,
     make_course,
     refusal_detail,
+    without_lookup,
 )
 from basilhold.gateway.dispatch import Dispatcher
 from basilhold.gateway.once import OnceKeeper
@@ -192,6 +193,7 @@
         work_class = self._parts.classes.find(request.class_name)
         problem = check_request(request, work_class, self._parts.router, self.stopping)
         if problem is not None:
+            problem = without_lookup(problem, request.idempotency_key)
             return self._count_end(UNKNOWN_CLASS, _end(problem))
         self.counters.arrived[work_class.name] += 1
         course = make_course(request, work_class, sink, arrived_ms)
--- a/basilhold/nodes/operator_jobs.py
+++ b/basilhold/nodes/operator_jobs.py
@@ -61,7 +61,8 @@
 CALL_TIMEOUT_S = 2.0
 
 _ERROR_KINDS = {
-    IntakeErrorKind.NOT_RUN: OperatorErrorKind.UNAVAILABLE,
+    # An earlier submission with the same key may have been stored.
+    IntakeErrorKind.NOT_RUN: OperatorErrorKind.UNKNOWN,
     IntakeErrorKind.UNKNOWN: OperatorErrorKind.UNKNOWN,
     IntakeErrorKind.DIFFERENT: OperatorErrorKind.REJECTED,
     IntakeErrorKind.NOT_FOUND: OperatorErrorKind.NOT_FOUND,
@@ -110,12 +111,13 @@
         work_class = self._in_force.work_class(submission.class_name)
         if work_class is None:
             detail = f"no class {submission.class_name} is in force"
-            return Error(OperatorError(OperatorErrorKind.REJECTED, detail))
+            rejected = OperatorError(OperatorErrorKind.REJECTED, detail)
+            return await self._reject(make_job_id(operator.office, key), rejected)
         spec = self._spec(operator, key, submission, work_class)
         await self._refresh_summaries()
         rejected = self._check(spec)
         if rejected is not None:
-            return Error(rejected)
+            return await self._reject(spec.job_id, rejected)
         tasks_by_zone = choose_zones(
             spec, self._directory.all_workers(), self._summaries
         )
@@ -187,6 +189,17 @@
         shown = tuple(WaitReason(text, count) for text, count in reasons.items())
         return Ok(Explanation(job_id, waiting, shown))
 
+    async def _reject(
+        self, job_id: JobId, rejected: OperatorError
+    ) -> Result[JobAccepted, OperatorError]:
+        """Refuse a submission unless it repeats one that was accepted."""
+        status = await self._intake.status(job_id)
+        if status.is_ok():
+            return Ok(JobAccepted(job_id, repeated=True))
+        if status.error.kind is IntakeErrorKind.NOT_FOUND:
+            return Error(rejected)
+        return Error(_describe(status.error))
+
     def _spec(
         self,
         operator: OperatorIdentity,
