--- a/basilhold/soak/checks.py
+++ b/basilhold/soak/checks.py
@@ -85,6 +85,7 @@
             upstream.on_run = self._ran
         self.jobs: dict[str, JobRecord] = {}
         self.specs: dict[JobId, JobSpec] = {}
+        self._part_keys: dict[JobId, set[str]] = {}
         self.accepted_jobs: dict[JobId, float] = {}
         self.changes: dict[OfficeName, list[_Change]] = {}
         self.connected_since_s: dict[str, float] = {}
@@ -156,13 +157,17 @@
         created = {record.spec.job_id for record in written.values()}
         for key in deleted:
             old = self.jobs.pop(key, None)
-            if old is None or old.spec.job_id in created:
+            if old is None:
+                continue
+            self._part_keys[_whole_id(old)].discard(key)
+            if old.spec.job_id in created:
                 continue
             if any(not task.state.is_final for task in old.tasks):
                 self.fail(f"unfinished job {key} was deleted")
         for key, record in written.items():
             self._note_states(key, self.jobs.get(key), record)
             self.jobs[key] = record
+            self._part_keys.setdefault(_whole_id(record), set()).add(key)
             self.specs[record.spec.job_id] = record.spec
 
     def _note_states(self, key: str, old: JobRecord | None, new: JobRecord) -> None:
@@ -180,16 +185,9 @@
     def accepted(self, job_id: JobId) -> None:
         """Take note that a submission was reported as accepted."""
         self.accepted_jobs.setdefault(job_id, self._now_s())
-        if not self._parts(job_id):
+        if not self._part_keys.get(job_id):
             self.fail(f"job {job_id} was accepted and is not in the store")
 
-    def _parts(self, job_id: JobId) -> list[JobRecord]:
-        return [
-            record
-            for record in self.jobs.values()
-            if record.spec.job_id.partition("@")[0] == job_id
-        ]
-
     def unsettled(self) -> list[Unsettled]:
         """Return the tasks of accepted jobs that neither ended nor run."""
         running = {
@@ -197,8 +195,7 @@
             for worker in self._cell.agents.workers.values()
             for task_id in worker.running_tasks()
         }
-        known = {r.spec.job_id.partition("@")[0] for r in self.jobs.values()}
-        lost = sorted(self.accepted_jobs.keys() - known)
+        lost = sorted(j for j in self.accepted_jobs if not self._part_keys.get(j))
         found = [Unsettled(f"{job_id}, which was lost", 0) for job_id in lost]
         for key, record in sorted(self.jobs.items()):
             is_service = record.spec.kind is ClassKind.SERVICE
@@ -381,3 +378,8 @@
     def _workers(self) -> list[MemoryWorker]:
         workers: dict[WorkerId, MemoryWorker] = self._cell.agents.workers
         return [worker for worker in workers.values() if worker.reachable]
+
+
+def _whole_id(record: JobRecord) -> JobId:
+    """Return the id under which a caller knows a job or its part."""
+    return JobId(record.spec.job_id.partition("@")[0])
