--- a/basilhold/requests/ledger.py
+++ b/basilhold/requests/ledger.py
@@ -77,9 +77,9 @@
         """Return the service of a token, or ``None`` if its upstream is gone."""
         return self._services.get(token.upstream_id)
 
-    def services(self) -> frozenset[ServiceName]:
-        """Return the services that have upstreams."""
-        return frozenset(self._services.values())
+    def services(self) -> tuple[ServiceName, ...]:
+        """Return the services that have upstreams, in an order that runs repeat."""
+        return tuple(dict.fromkeys(self._services.values()))
 
     def free(self, service: ServiceName) -> list[SlotToken]:
         """Return the free tokens of a service."""
--- a/basilhold/requests/routing.py
+++ b/basilhold/requests/routing.py
@@ -103,7 +103,7 @@
         self._limits = limits or HealthLimits()
         self._upstreams: dict[UpstreamId, Upstream] = {}
         self._usable: dict[tuple[ServiceName, Distance], _IndexedSet] = {}
-        self._by_service: dict[ServiceName, set[UpstreamId]] = {}
+        self._by_service: dict[ServiceName, dict[UpstreamId, None]] = {}
         self._zone_distances: dict[ServiceName, dict[ZoneName, Distance]] = {}
 
     def update(self, records: Iterable[VmRecord]) -> None:
@@ -272,12 +272,12 @@
             health=UpstreamHealth(self._limits, self._rng),
             listed_leaving=leaving,
         )
-        self._by_service.setdefault(record.service, set()).add(upstream_id)
+        self._by_service.setdefault(record.service, {})[upstream_id] = None
 
     def _forget(self, upstream_id: UpstreamId) -> None:
         upstream = self._upstreams.pop(upstream_id)
         self._tier(upstream.service, upstream.distance).discard(upstream_id)
-        self._by_service[upstream.service].discard(upstream_id)
+        self._by_service[upstream.service].pop(upstream_id, None)
 
     def _distance(self, record: VmRecord) -> Distance:
         if record.zone == self._zone:
