--- a/basilhold/soak/__main__.py
+++ b/basilhold/soak/__main__.py
@@ -10,7 +10,7 @@
 
 from basilhold.programs.lifecycle import ExitCode
 from basilhold.soak.faults import FAULTS
-from basilhold.soak.report import summarise, write_plot
+from basilhold.soak.report import summarise
 from basilhold.soak.run import SoakError, SoakOptions, run_soak
 
 HASH_SEED = "0"
@@ -49,6 +49,9 @@
         sys.exit(ExitCode.INVARIANT_BROKEN)
     click.echo(summarise(result))
     if out is not None:
+        # Importing matplotlib takes a second, so runs without a plot go without it.
+        from basilhold.soak.plot import write_plot
+
         name = f"soak-{cell}-{seed}"
         write_plot(result, out / f"{name}.png")
         _write_events(result.record.events, out / f"{name}.log")
