--- a/basilhold/soak/load.py
+++ b/basilhold/soak/load.py
@@ -249,6 +249,9 @@
             count = rng.randint(2, 4)
         if team.quota.gpus_milli and rng.random() < 0.5:
             gpus = 1000 * rng.randint(1, 3)
+        if work_class.kind is ClassKind.SERVICE:
+            # Services keep what they hold, and all must fit at the end.
+            gpus = 1000 * (gpus > 0 and rng.random() < 0.2)
         size = Resources(500 * rng.randint(1, 16), (1 << 28) * rng.randint(1, 16), gpus)
         if rng.random() < 0.04:
             # Such a job can never run and is to be rejected.
