Let a gang run again whose tasks have failed on several workers

A gang avoided every worker on which any of its tasks had failed. With few workers of a size (two or three GPU workers in a zone) it soon found none and waited for ever, being moved between zones, instead of failing as section 7.6 says. Now it avoids only the workers on which all of its tasks have failed, once they have failed on three.

--- a/basilhold/placement/tests/test_health.py
+++ b/basilhold/placement/tests/test_health.py
@@ -1,6 +1,9 @@
 import unittest
 
+from basilhold.core import Attempt, ClassKind, WorkerId
 from basilhold.placement import AttemptOutcome, WorkerHealth
+from basilhold.placement.tests.builders import Shard, placed, size
+from basilhold.placement.tests.builders import job as make_job
 
 FAILED, SUCCEEDED = AttemptOutcome.FAILED, AttemptOutcome.SUCCEEDED
 
@@ -79,3 +82,30 @@
         outgrew = AttemptOutcome.OUTGREW
         verdicts = [health.record(w, "a#0", outgrew, 0) for w in ("w1", "w2", "w3")]
         self.assertEqual([v.task_failed for v in verdicts], [False, False, True])
+
+
+class FailedGangTest(unittest.TestCase):
+    """Guards gangs against waiting for ever after their tasks have failed."""
+
+    def plan_after_failures(self, *failed_on):
+        shard = Shard(*((f"w{n}", size(8), "r1") for n in range(3)))
+        gang = make_job("gang", size(1), tasks=len(failed_on), kind=ClassKind.GANG)
+        for task, names in zip(gang.tasks, failed_on, strict=True):
+            task.failed_on = tuple(WorkerId(name) for name in names)
+            task.attempt = Attempt(1)
+        shard.submit(gang)
+        return placed(shard.plan(1000))
+
+    def test_gang_avoids_a_worker_on_which_one_task_failed(self):
+        found = self.plan_after_failures(("w0",), ())
+        self.assertEqual(len(found), 2)
+        self.assertNotIn("w0", found.values())
+
+    def test_gang_that_failed_everywhere_runs_again(self):
+        found = self.plan_after_failures(("w0",), ("w1",), ("w2",))
+        self.assertEqual(len(found), 3)
+
+    def test_worker_on_which_all_tasks_failed_is_still_avoided(self):
+        found = self.plan_after_failures(("w0", "w1"), ("w0", "w2"))
+        self.assertEqual(len(found), 2)
+        self.assertNotIn("w0", found.values())
--- a/basilhold/placement/waiting.py
+++ b/basilhold/placement/waiting.py
@@ -22,6 +22,9 @@
 
 __all__ = ["Bucket", "Entry", "JobState", "WaitingQueue"]
 
+_GANG_FAILED_WORKERS_MAX = 3
+"""The number of workers on which a task may fail (section 7.6)."""
+
 
 class BucketKey(NamedTuple):
     """What makes waiting tasks interchangeable."""
@@ -232,19 +235,21 @@
         groups: dict[tuple, list[int]] = {}
         requeued = job.requeued_unix_ms or {}
         tasks = job.record.tasks
-        gang_avoid: set[WorkerId] = set()
+        gang_failures: list[frozenset[WorkerId]] = []
         for index in range(len(tasks) - 1, -1, -1):
             task = tasks[index]
             if task.state is not TaskState.PENDING or index in job.live:
                 continue
             since = max(job.spec.submitted_unix_ms, requeued.get(index, 0))
             if job.is_gang:
-                gang_avoid.update(task.failed_on)
+                gang_failures.append(frozenset(task.failed_on))
                 groups.setdefault((job.spec.submitted_unix_ms, ()), []).append(index)
             else:
                 groups.setdefault((since, task.failed_on), []).append(index)
         for (since, failed_on), indices in groups.items():
-            avoid = frozenset(gang_avoid if job.is_gang else failed_on)
+            avoid = frozenset(failed_on)
+            if job.is_gang:
+                avoid = _gang_avoids(gang_failures)
             self._add_entry(job, since, avoid, indices)
 
     def _add_entry(
@@ -290,3 +295,16 @@
         job.is_gang,
     )
     return BucketKey(spec.team, lane, spec.job_id if job.is_gang else None)
+
+
+def _gang_avoids(failures: list[frozenset[WorkerId]]) -> frozenset[WorkerId]:
+    """Return the workers that a gang avoids, from where each of its tasks failed.
+
+    A gang whose tasks failed on several workers is itself at fault, as a task is that
+    failed on three. If it kept avoiding all of them, it would soon find no worker and
+    wait for ever, instead of failing.
+    """
+    any_failed = frozenset().union(*failures)
+    if len(any_failed) < _GANG_FAILED_WORKERS_MAX:
+        return any_failed
+    return frozenset.intersection(*failures)
