--- a/Makefile
+++ b/Makefile
@@ -6,6 +6,7 @@
 SETTINGS ?= examples/trakia.toml
 SEED ?= 1
 SECONDS ?= 600
+CELL ?= trakia
 
 .PHONY: setup test lint format generate demo run bench capacity soak
 
@@ -44,6 +45,10 @@
 capacity: setup
 	$(BIN)/python -m basilhold.capacity --write
 
+# Runs a whole cell with load and faults; writes the plot and the event log to out/soak.
+soak: setup
+	$(BIN)/python -m basilhold.soak --seed $(SEED) --seconds $(SECONDS) --cell $(CELL) --out out/soak
+
 # Regenerates the committed protobuf code; needs the development dependencies only.
 generate: setup
 	PATH="$(BIN):$$PATH" $(BIN)/python -m grpc_tools.protoc -I. --python_out=. --pyi_out=. --grpclib_python_out=. \
