--- /dev/null
+++ b/basilhold/capacity/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of `basilhold.capacity`."""
