--- a/basilhold/capacity/cell_probes.py
+++ b/basilhold/capacity/cell_probes.py
@@ -42,10 +42,8 @@
     service=SERVICE,
     timeout_ms=120_000,
 )
-ZONES = 2
 SERVICE_MS = 1_000.0
 SETTLE_S = 20
-LARGE = 1 << 30
 
 
 class CellTraffic(msgspec.Struct, frozen=True):
@@ -77,22 +75,22 @@
         return
 
 
-def _zone(number: int) -> ZoneName:
-    return ZoneName(f"zone-{number % ZONES}")
+def _zone(number: int, zones: int) -> ZoneName:
+    return ZoneName(f"zone-{number % zones}")
 
 
-def _entry(number: int) -> EntryPorts:
+def _entry(number: int, zones: int) -> EntryPorts:
     host, vm_id = f"10.0.0.{number + 1}", VmId(f"entry-{number}")
-    return EntryPorts(vm_id, _zone(number), REGION, host, 7002, 7003, 7004)
+    return EntryPorts(vm_id, _zone(number, zones), REGION, host, 7002, 7003, 7004)
 
 
-def _upstream(number: int) -> VmRecord:
+def _upstream(number: int, zones: int) -> VmRecord:
     return VmRecord(
         VmId(f"desk-{number}"),
         VmKind.UPSTREAM,
         VmState.LIVE,
         REGION,
-        _zone(number),
+        _zone(number, zones),
         "rack",
         "127.0.0.1",
         8080,
@@ -115,22 +113,25 @@
     )
 
 
-def _shape(entries: int, upstreams: int) -> CellShape:
-    ports = tuple(_entry(number) for number in range(entries))
-    vms = (*map(_entry_record, ports), *map(_upstream, range(upstreams)))
+def _shape(entries: int, upstreams: int, zones: int) -> CellShape:
+    ports = tuple(_entry(number, zones) for number in range(entries))
+    lent = (_upstream(number, zones) for number in range(upstreams))
+    vms = (*map(_entry_record, ports), *lent)
     return CellShape(
         ports, vms, frozenset([SERVICE]), (OFFICE,), (REGION,), REGION, 1.0, 30.0
     )
 
 
-async def _start(entries: int, upstreams: int) -> Cell:
-    cell = Cell(_shape(entries, upstreams), Clock(VIRTUAL_EPOCH_UNIX_MS))
+async def _start(
+    entries: int, upstreams: int, zones: int = 2, settle_s: int = SETTLE_S
+) -> Cell:
+    cell = Cell(_shape(entries, upstreams, zones), Clock(VIRTUAL_EPOCH_UNIX_MS))
     for upstream in cell.upstreams.members.values():
         upstream.behaviour.service_ms = SERVICE_MS
     await cell.set_document(OfficeDocument(OFFICE, (CLASS,), (TEAM,)))
     await cell.__aenter__()
     await cell.wait_ready()
-    await asyncio.sleep(SETTLE_S)
+    await asyncio.sleep(settle_s)
     return cell
 
 
@@ -154,11 +155,13 @@
     return sums
 
 
-async def _cell(entries: int, upstreams: int, busy: bool, seconds: int) -> CellTraffic:
-    cell = await _start(entries, upstreams)
+async def _cell(
+    entries: int, upstreams: int, busy: bool, seconds: int, zones: int, settle_s: int
+) -> CellTraffic:
+    cell = await _start(entries, upstreams, zones, settle_s)
     callers = 2 * 8 * upstreams if busy else 0
     tasks = [asyncio.create_task(_call_forever(cell, n)) for n in range(callers)]
-    await asyncio.sleep(SETTLE_S if busy else 0)
+    await asyncio.sleep(settle_s if busy else 0)
     before = _sums(cell)
     await asyncio.sleep(seconds)
     after = _sums(cell)
@@ -182,13 +185,18 @@
 
 
 def measure_cell(
-    entries: int, upstreams: int, busy: bool, seconds: int = 30
+    entries: int,
+    upstreams: int,
+    busy: bool,
+    seconds: int = 30,
+    zones: int = 2,
+    settle_s: int = SETTLE_S,
 ) -> CellTraffic:
-    """Measure a cell of one region with two zones.
+    """Measure a cell of one region.
 
     A busy cell has twice as many requests waiting or running as there are slots.
     """
-    return run_virtual(_cell(entries, upstreams, busy, seconds))
+    return run_virtual(_cell(entries, upstreams, busy, seconds, zones, settle_s))
 
 
 async def _queued_memory(requests: int) -> float:
--- a/basilhold/capacity/measure.py
+++ b/basilhold/capacity/measure.py
@@ -28,7 +28,14 @@
 )
 from basilhold.capacity.slopes import Slope, make_slope
 
-__all__ = ["FULL", "Measurements", "Sizes", "measure_all", "measure_counts"]
+__all__ = [
+    "FULL",
+    "Measurements",
+    "Sizes",
+    "measure_all",
+    "measure_counts",
+    "measure_memory",
+]
 
 TASKS_PER_WORKER = 8
 WAITING_PER_WORKER = 40
@@ -41,13 +48,15 @@
     ----------
     workers, starts, tasks, jobs, shards : tuple of int
         Of one shard; the shards of an idle cell.
-    entries_per_zone, gateways, upstreams, vms : tuple of int
+    entries_per_zone, gateways, upstreams, probed_zones, vms : tuple of int
     requests_per_s : tuple of int
         Keyed requests of one gateway.
     waiting : tuple of int
         Requests that wait for a slot.
-    steady_s, churn_s, cell_s : int
+    steady_s, churn_s, cell_s, settle_s, relay_s : int
         Lengths of runs on the virtual clock.
+    relay_zones : int
+        Zones of the cell in which relays are measured.
     """
 
     workers: tuple[int, ...] = (55, 110, 220)
@@ -58,12 +67,16 @@
     entries_per_zone: tuple[int, ...] = (1, 2, 3)
     gateways: tuple[int, ...] = (3, 5, 7)
     upstreams: tuple[int, ...] = (9, 18, 27)
+    probed_zones: tuple[int, ...] = (2, 4, 6)
     vms: tuple[int, ...] = (300, 1_200, 2_400)
     requests_per_s: tuple[int, ...] = (10, 100, 1_000)
     waiting: tuple[int, ...] = (100, 200, 400)
     steady_s: int = 120
     churn_s: int = 30
     cell_s: int = 15
+    settle_s: int = 20
+    relay_s: int = 60
+    relay_zones: int = 11
 
 
 FULL = Sizes()
@@ -112,6 +125,7 @@
     ("received_bytes", "B/s", True),
     ("store_writes", "/s", True),
     ("store_reads", "/s", True),
+    ("written_bytes", "B/s", True),
     ("cpu_ms", "ms/s", False),
 )
 
@@ -198,32 +212,54 @@
 
 def _slots(sizes: Sizes) -> dict[str, Slope]:
     most, few = sizes.upstreams[-1], sizes.gateways[0]
-    idle = [(n, measure_cell(n, most, False, sizes.cell_s)) for n in sizes.gateways]
-    busy = [(n, measure_cell(n, most, True, sizes.cell_s)) for n in sizes.gateways]
+    idle = [
+        (n, measure_cell(n, most, False, sizes.cell_s, settle_s=sizes.settle_s))
+        for n in sizes.gateways
+    ]
+    busy = [
+        (n, measure_cell(n, most, True, sizes.cell_s, settle_s=sizes.settle_s))
+        for n in sizes.gateways
+    ]
     by_upstream = [
-        (n, measure_cell(few, n, True, sizes.cell_s)) for n in sizes.upstreams
+        (n, measure_cell(few, n, True, sizes.cell_s, settle_s=sizes.settle_s))
+        for n in sizes.upstreams
     ]
     idle_by_upstream = [
-        (n, measure_cell(few, n, False, sizes.cell_s)) for n in sizes.upstreams
+        (n, measure_cell(few, n, False, sizes.cell_s, settle_s=sizes.settle_s))
+        for n in sizes.upstreams
     ]
     slots = (("slot_messages", "/s", True), ("slot_bytes", "B/s", True))
-    others = (
-        ("probe_messages", "/s", True),
-        ("probe_bytes", "B/s", True),
-        ("relay_bytes", "B/s", True),
-    )
     return {
-        **_fields("idle", "entry VM", idle, (*slots, *others)),
+        **_fields("idle", "entry VM", idle, (*slots, ("relay_bytes", "B/s", True))),
         **_fields("busy", "entry VM", busy, slots),
         **_fields("idle by upstream", "upstream", idle_by_upstream, slots),
         **_fields("busy by upstream", "upstream", by_upstream, slots),
     }
 
 
+def _probes(sizes: Sizes) -> dict[str, Slope]:
+    entries = sizes.probed_zones[-1]
+    loads = [
+        (n, measure_cell(entries, n, False, sizes.cell_s, n, sizes.settle_s))
+        for n in sizes.probed_zones
+    ]
+    messages = [(n, load.probe_messages * entries) for n, load in loads]
+    sent = [(n, load.probe_bytes * entries) for n, load in loads]
+    return {
+        "probes messages": make_slope("probes: messages", "/s", "shard", messages),
+        "probes bytes": make_slope("probes: bytes", "B/s", "shard", sent),
+    }
+
+
 def _relays(sizes: Sizes) -> dict[str, Slope]:
-    layouts = [entry_layout(n) for n in sizes.entries_per_zone]
-    loads = [(len(layout.vms), measure_relays(layout)) for layout in layouts]
-    changes = [(len(layout.vms), measure_vm_change(layout)) for layout in layouts]
+    layouts = [entry_layout(n, sizes.relay_zones) for n in sizes.entries_per_zone]
+    loads = [
+        (len(layout.vms), measure_relays(layout, sizes.relay_s)) for layout in layouts
+    ]
+    changes = [
+        (len(layout.vms), measure_vm_change(layout, sizes.relay_s // 3))
+        for layout in layouts
+    ]
     config = [
         (len(layout.vms), measure_change(layout, True, seconds=10))
         for layout in layouts
@@ -249,36 +285,44 @@
 
 def _lists(sizes: Sizes) -> dict[str, Slope]:
     pairs = [(n, measure_list(n)) for n in sizes.vms]
-    names = (("size_bytes", "B", True), ("decode_ms", "ms", False))
+    names = (
+        ("size_bytes", "B", True),
+        ("decode_ms", "ms", False),
+        ("memory_kb", "KB", False),
+    )
     return _fields("VM list", "VM", pairs, names)
 
 
-def _gateway(sizes: Sizes) -> dict[str, Slope]:
-    return {
-        **_values(
-            "writes per keyed request",
-            "writes",
-            "keyed request per second",
-            sizes.requests_per_s,
-            measure_once_writes,
-        ),
-        **_values(
-            "queued requests",
-            "KB",
-            "waiting request",
-            sizes.waiting,
-            measure_queued_memory,
-            False,
-        ),
-    }
+def _keyed(sizes: Sizes) -> dict[str, Slope]:
+    return _values(
+        "writes per keyed request",
+        "writes",
+        "keyed request per second",
+        sizes.requests_per_s,
+        measure_once_writes,
+    )
+
+
+def _queued(sizes: Sizes) -> dict[str, Slope]:
+    return _values(
+        "queued requests",
+        "KB",
+        "waiting request",
+        sizes.waiting,
+        measure_queued_memory,
+        False,
+    )
 
 
 def measure_counts(sizes: Sizes) -> dict[str, Slope]:
-    """Measure all slopes over stand-ins."""
-    slopes: dict[str, Slope] = {}
-    for part in (_shard, _shard_rows, _memory, _slots, _relays, _lists, _gateway):
-        slopes.update(part(sizes))
-    return slopes
+    """Measure counts on the virtual clock, with the processor time beside them."""
+    parts = (_shard, _shard_rows, _slots, _probes, _relays, _lists, _keyed)
+    return {key: slope for part in parts for key, slope in part(sizes).items()}
+
+
+def measure_memory(sizes: Sizes) -> dict[str, Slope]:
+    """Measure memory by `tracemalloc`, and the planner's time."""
+    return _memory(sizes) | _queued(sizes)
 
 
 def _daemon_slopes(report: DaemonReport) -> dict[str, Slope]:
@@ -298,7 +342,7 @@
     daemons = measure_daemons()
     figures = {figure.name: figure.value for figure in measure_placements()}
     return Measurements(
-        measure_counts(FULL) | _daemon_slopes(daemons),
+        measure_counts(FULL) | measure_memory(FULL) | _daemon_slopes(daemons),
         daemons,
         figures["store writes per second at 3,000 placements per second"],
         f"{os.cpu_count()} cores, {platform.system()} {platform.machine()}, "
--- a/basilhold/capacity/relay_probes.py
+++ b/basilhold/capacity/relay_probes.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import time
+import tracemalloc
 
 import msgspec
 
@@ -53,16 +54,25 @@
         JSON of the whole list.
     decode_ms : float
         Processor time to decode it.
+    memory_kb : float
+        Memory of the decoded list.
     """
 
     size_bytes: int
     decode_ms: float
+    memory_kb: float
 
 
-def entry_layout(per_zone: int) -> CellLayout:
-    """Return the two-year layout with this many entry VMs in each zone, at most 3."""
+def entry_layout(per_zone: int, zones: int = 11) -> CellLayout:
+    """Return the two-year layout with this many entry VMs in each zone, at most 3.
+
+    Only the first zones are kept.
+    """
+    kept = sorted({vm.zone for vm in TWO_YEARS.vms})[:zones]
     chosen = tuple(
-        vm for vm in TWO_YEARS.vms if int(vm.vm_id.rsplit("-", 1)[1]) < per_zone
+        vm
+        for vm in TWO_YEARS.vms
+        if vm.zone in kept and int(vm.vm_id.rsplit("-", 1)[1]) < per_zone
     )
     return msgspec.structs.replace(TWO_YEARS, vms=chosen)
 
@@ -153,4 +163,10 @@
     for _ in range(DECODE_ROUNDS):
         msgspec.json.decode(data, type=VmSnapshot)
     taken_s = time.process_time() - began_s
-    return ListCost(len(data), taken_s * 1000 / DECODE_ROUNDS)
+    tracemalloc.start()
+    before, _ = tracemalloc.get_traced_memory()
+    snapshot = msgspec.json.decode(data, type=VmSnapshot)
+    memory_kb = (tracemalloc.get_traced_memory()[0] - before) / 1000
+    tracemalloc.stop()
+    del snapshot
+    return ListCost(len(data), taken_s * 1000 / DECODE_ROUNDS, memory_kb)
--- a/basilhold/capacity/shard_probes.py
+++ b/basilhold/capacity/shard_probes.py
@@ -35,8 +35,8 @@
     exchanges, sent_bytes, received_bytes : float
         Exchanges with workers.
     store_writes, store_reads : float
-    scanned_bytes : float
-        Bytes of the job rows that scans return.
+    written_bytes : float
+        Bytes of keys and values in the owner's transactions.
     cpu_ms : float
         Processor time of owner, workers and store together.
     starts : float
@@ -47,7 +47,7 @@
     received_bytes: float
     store_writes: float
     store_reads: float
-    scanned_bytes: float
+    written_bytes: float
     cpu_ms: float
     starts: float
 
@@ -75,16 +75,20 @@
     return sum(len(row.key) + len(row.value) for row in rows)
 
 
-async def _submit(cell: CountedShard, name: str, tasks: int) -> tuple[int, int, float]:
-    """Submit without latency; return the writes, reads and seconds that it took."""
+async def _submit(
+    cell: CountedShard, name: str, tasks: int
+) -> tuple[int, int, int, float]:
+    """Submit without latency; return its writes, reads, written bytes and seconds."""
     table, faults = cell.table, cell.table.faults
     latency_ms, faults.latency_ms = faults.latency_ms, 0.0
-    writes, reads, cpu_s = table.write_count, table.read_count, time.process_time()
+    writes, reads, written = table.write_count, table.read_count, table.written_bytes
+    cpu_s = time.process_time()
     await cell.submit_tasks(name, tasks, "short")
     faults.latency_ms = latency_ms
     return (
         table.write_count - writes,
         table.read_count - reads,
+        table.written_bytes - written,
         time.process_time() - cpu_s,
     )
 
@@ -94,22 +98,22 @@
     count, table = cell.messages, cell.table
     first = msgspec.structs.replace(count)
     writes, reads = table.write_count, table.read_count
+    written = table.written_bytes
     started, cpu_s = cell.monitor.starts.total(), time.process_time()
     for second in range(seconds):
         if starts_per_s:
             taken = await _submit(cell, f"churn-{second}", starts_per_s)
             writes, reads = writes + taken[0], reads + taken[1]
-            cpu_s += taken[2]
+            written, cpu_s = written + taken[2], cpu_s + taken[3]
         await asyncio.sleep(1)
     cpu_s = time.process_time() - cpu_s
-    scans = seconds * 1000 / cell.settings.job_scan_ms
     return ShardLoad(
         (count.exchanges - first.exchanges) / seconds,
         (count.sent_bytes - first.sent_bytes) / seconds,
         (count.received_bytes - first.received_bytes) / seconds,
         (table.write_count - writes) / seconds,
         (table.read_count - reads) / seconds,
-        _job_row_bytes(cell) * scans / seconds,
+        (table.written_bytes - written) / seconds,
         cpu_s * 1000 / seconds,
         (cell.monitor.starts.total() - started) / seconds,
     )
