--- a/basilhold/soak/checks.py
+++ b/basilhold/soak/checks.py
@@ -94,7 +94,6 @@
         self._not_run: set[str] = set()
         self._keyed_runs: Counter[str] = Counter()
         self._shown_version = -1
-        self._said_leaving: dict[UpstreamId, float] = {}
 
     def _now_s(self) -> float:
         return asyncio.get_running_loop().time()
@@ -279,7 +278,7 @@
     def sent(self, vm_id: str, request: UpstreamRequest) -> None:
         """Check a request that a gateway sends."""
         upstream_id = request.upstream_id
-        since_s = self.leaving_since_s.get(upstream_id)
+        since_s = self._leaving_since(upstream_id)
         connected_s = self.connected_since_s.get(vm_id)
         if since_s is None or connected_s is None:
             return
@@ -290,6 +289,16 @@
                 "the bound for leaving upstreams"
             )
 
+    def _leaving_since(self, upstream_id: UpstreamId) -> float | None:
+        """Return since when the list or the upstream itself says that it leaves."""
+        shown_s = self.leaving_since_s.get(upstream_id)
+        upstream = self._cell.upstreams.members[upstream_id]
+        said_s = None
+        if upstream.behaviour.leaving and upstream.leaving_starts:
+            said_s = upstream.leaving_starts[0]
+        known = [since_s for since_s in (shown_s, said_s) if since_s is not None]
+        return min(known, default=None)
+
     # G8.
 
     def _take_change(self, key: str, value: bytes) -> None:
--- a/basilhold/soak/faults.py
+++ b/basilhold/soak/faults.py
@@ -364,20 +364,22 @@
 
 
 async def _upstream_leaves(injector: FaultInjector) -> bool:
-    """Let an upstream leave: the list shows it, or it says so itself, or both."""
+    """Let upstreams leave: the list shows it, and half of them say so before."""
     soak, rng = injector.soak, injector.rng
     upstreams = injector.pick_upstreams()[:3]
     ids = [VmId(upstream.upstream_id) for upstream in upstreams]
     says_so = rng.random() < 0.5
     for upstream in upstreams:
+        upstream.leaving_starts.clear()
         upstream.behaviour.leaving = says_so
-    if not says_so or rng.random() < 0.7:
-        for vm_id in ids:
-            record = soak.records[vm_id]
-            soak.cell.vm_list.put(record)
-            soak.cell.vm_list.mark_leaving(vm_id)
-        await injector.hold(rng.uniform(10.0, 30.0))
-        soak.cell.vm_list.remove(*ids)
+    if says_so:
+        # The list shows it later, because it lags.
+        await injector.hold(rng.uniform(0.0, 30.0))
+    for vm_id in ids:
+        soak.cell.vm_list.put(soak.records[vm_id])
+        soak.cell.vm_list.mark_leaving(vm_id)
+    await injector.hold(rng.uniform(10.0, 30.0))
+    soak.cell.vm_list.remove(*ids)
     await injector.hold_fault()
     for upstream in upstreams:
         upstream.behaviour.leaving = False
