--- a/basilhold/soak/plot.py
+++ b/basilhold/soak/plot.py
@@ -31,7 +31,7 @@
     waits.set_yscale("log")
     waits.set_ylabel("waiting time / target")
     if record.waits:
-        waits.legend(fontsize=7, loc="upper left")
+        waits.legend(fontsize=7, loc="center left", bbox_to_anchor=(1.0, 0.5))
     times = [sample.at_s for sample in record.samples]
     packing.plot(times, [100 * sample.packing for sample in record.samples])
     packing.set_ylabel("cores in use [%]")
