Set the metrics of scheduler, relay and configuration in every daemon

The scheduler measures commits in a wrapper of its store and waits in a wrapper of its planner, so the sharding package is unchanged.

--- a/basilhold/accounting/tables.py
+++ b/basilhold/accounting/tables.py
@@ -1,6 +1,7 @@
 """Counts of store operations by purpose."""
 
-from collections import Counter
+import asyncio
+from collections import Counter, deque
 from enum import Enum
 
 import msgspec
@@ -11,11 +12,16 @@
 __all__ = [
     "CountingTableService",
     "OperationCounter",
+    "OperationDuration",
     "OperationEntry",
     "OperationKind",
 ]
 
 
+DURATIONS_MAX = 10_000
+"""Durations kept until the metrics are read; older ones are dropped."""
+
+
 class OperationKind(Enum):
     """Kind of a store operation."""
 
@@ -41,12 +47,26 @@
     failed_count: int
 
 
+class OperationDuration(msgspec.Struct, frozen=True):
+    """Duration of one store operation, in seconds."""
+
+    kind: OperationKind
+    duration_s: float
+
+
 class OperationCounter:
-    """Counts the store operations of one process."""
+    """Counts the store operations of one process.
+
+    Attributes
+    ----------
+    durations : deque of OperationDuration
+        Emptied by whoever exports them.
+    """
 
     def __init__(self):
         self._counts: Counter[tuple[str, OperationKind]] = Counter()
         self._failed: Counter[tuple[str, OperationKind]] = Counter()
+        self.durations: deque[OperationDuration] = deque(maxlen=DURATIONS_MAX)
 
     def add(self, purpose: str, kind: OperationKind, is_ok: bool) -> None:
         """Count one operation."""
@@ -85,22 +105,32 @@
 
     async def read(self, keys: tuple[str, ...]) -> Result[dict[str, Row], StoreError]:
         """Read rows."""
-        return self._count(OperationKind.READ, await self._inner.read(keys))
+        started_s = _now_s()
+        result = await self._inner.read(keys)
+        return self._count(OperationKind.READ, result, started_s)
 
     async def scan(
         self, prefix: str, after: str = "", limit: int = 500
     ) -> Result[ScanPage, StoreError]:
         """Read a page of rows."""
+        started_s = _now_s()
         result = await self._inner.scan(prefix, after, limit)
-        return self._count(OperationKind.READ, result)
+        return self._count(OperationKind.READ, result, started_s)
 
     async def transact(
         self, transaction: Transaction
     ) -> Result[dict[str, int], StoreError]:
         """Apply a transaction."""
+        started_s = _now_s()
         result = await self._inner.transact(transaction)
-        return self._count(OperationKind.WRITE, result)
+        return self._count(OperationKind.WRITE, result, started_s)
 
-    def _count(self, kind: OperationKind, result: Result) -> Result:
+    def _count(self, kind: OperationKind, result: Result, started_s: float) -> Result:
         self._counter.add(self._purpose, kind, result.is_ok())
+        duration = OperationDuration(kind, _now_s() - started_s)
+        self._counter.durations.append(duration)
         return result
+
+
+def _now_s() -> float:
+    return asyncio.get_running_loop().time()
--- a/basilhold/cell/entry.py
+++ b/basilhold/cell/entry.py
@@ -108,7 +108,7 @@
         self._start_number = start_number
         self._transports: list[Transport] = []
         self._tasks: list[asyncio.Task[None]] = []
-        self._budgets: dict[str, StoreBudget] = {}
+        self.budgets: dict[str, StoreBudget] = {}
         self.traffic = TrafficCounter()
         self.operations = OperationCounter()
         self.relay = self._make_relay()
@@ -194,7 +194,7 @@
         return transport
 
     def _store(self, program: str, purpose: str) -> TableService:
-        budget = self._budgets.setdefault(program, StoreBudget(rng=self._rng))
+        budget = self.budgets.setdefault(program, StoreBudget(rng=self._rng))
         return ProcessStore(self._platform.table, budget, self.operations, purpose)
 
     def _context(self, program: str, process_id: ProcessId):
--- a/basilhold/nodes/directory.py
+++ b/basilhold/nodes/directory.py
@@ -124,6 +124,11 @@
             self._was_doubted = membership.is_doubted
             self._index()
 
+    @property
+    def is_vm_list_doubted(self) -> bool:
+        """Whether the losses of the VM list are not believed."""
+        return self._membership.is_doubted
+
     def shards(self) -> tuple[ShardInfo, ...]:
         """Return the availability zones that have workers or upstreams."""
         regions = {record.zone: record.region for record in self._upstreams}
--- a/basilhold/nodes/gateway_node.py
+++ b/basilhold/nodes/gateway_node.py
@@ -26,6 +26,7 @@
     SlotLoop,
 )
 from basilhold.nodes.base import NodeContext, NodePart
+from basilhold.nodes.control_metrics import ConfigMetrics
 from basilhold.nodes.directory import ConfiguredClasses
 from basilhold.nodes.peers import GrpcRequestPeers, GrpcSlotExchange
 from basilhold.observability import MetricSource
@@ -228,9 +229,10 @@
                 raise failure
             await asyncio.sleep(CHECK_INTERVAL_S)
 
-    def metric_source(self) -> MetricSource:
-        """Return the source of the metrics of requests."""
-        return RequestMetrics(self.service, self._router, self._holder, self.once)
+    def metric_sources(self) -> tuple[MetricSource, ...]:
+        """Return the sources of the metrics of requests and configuration."""
+        requests = RequestMetrics(self.service, self._router, self._holder, self.once)
+        return (ConfigMetrics(self._context), requests)
 
     def state(self) -> dict[str, Any]:
         """Return what a state dump shows."""
--- a/basilhold/nodes/relay_node.py
+++ b/basilhold/nodes/relay_node.py
@@ -8,6 +8,8 @@
 
 from basilhold.core import Clock, InvariantError
 from basilhold.nodes.base import NodePart
+from basilhold.nodes.control_metrics import RelayMetrics, SpreadWatch
+from basilhold.observability import MetricSource
 from basilhold.ports import Row, TableService, VmList
 from basilhold.relay import Relay, RelaySettings, ShardLocation
 from basilhold.rpc import Address, Transport
@@ -15,6 +17,9 @@
 
 __all__ = ["RelayNode", "decode_shard"]
 
+SPREAD_INTERVAL_S = 0.25
+"""Precision of the measured time until a version is in force everywhere."""
+
 
 def decode_shard(row: Row) -> ShardLocation | None:
     """Return the location in a ``shard/`` row, or ``None`` if it has none."""
@@ -53,6 +58,8 @@
         self.relay = Relay(
             settings, transport, store, vm_list, decode_shard, clock, rng
         )
+        self._clock = clock
+        self._spread = SpreadWatch(self.relay, clock)
         self._task: asyncio.Task[None] | None = None
 
     async def __aenter__(self) -> Self:
@@ -65,9 +72,23 @@
 
     async def run(self) -> None:
         """Run until the relay ends, which it does only by an error."""
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._watch_spread())
+            group.create_task(self._watch_relay())
+
+    def metric_sources(self) -> tuple[MetricSource, ...]:
+        """Return the source of the metrics of the relay."""
+        return (RelayMetrics(self.relay, self._spread, self._clock),)
+
+    async def _watch_relay(self) -> None:
         await asyncio.shield(self._task)
         raise InvariantError("the relay ended by itself")
 
+    async def _watch_spread(self) -> None:
+        while True:
+            self._spread.update()
+            await asyncio.sleep(SPREAD_INTERVAL_S)
+
     def state(self) -> dict[str, Any]:
         """Return what a state dump shows."""
         state = self.relay.state
--- a/basilhold/nodes/scheduler_node.py
+++ b/basilhold/nodes/scheduler_node.py
@@ -1,6 +1,7 @@
 """A scheduler process without its program."""
 
 import asyncio
+from collections import deque
 from collections.abc import Callable
 from typing import Any, Self
 
@@ -8,10 +9,19 @@
 
 from basilhold.core import Clock
 from basilhold.nodes.base import NodeContext, NodePart
+from basilhold.nodes.commit_watch import (
+    KEPT_MAX,
+    CommitWatch,
+    ObservedPlanner,
+    TaskWait,
+)
+from basilhold.nodes.control_metrics import ConfigMetrics
 from basilhold.nodes.peers import GrpcSchedulerPeers
+from basilhold.nodes.scheduler_metrics import SchedulerMetrics, ShardHistory
 from basilhold.nodes.scheduler_service import SchedulerService
 from basilhold.nodes.slot_lending import SlotLending
-from basilhold.placement import TargetPlanner
+from basilhold.observability import MetricSource
+from basilhold.placement import Planner
 from basilhold.ports import TableService, WorkerAgent
 from basilhold.rpc import Address
 from basilhold.sharding import (
@@ -61,20 +71,23 @@
             address.host,
             address.port,
         )
+        self._commits = CommitWatch(store, context.clock)
+        self._waits: deque[TaskWait] = deque(maxlen=KEPT_MAX)
         self.scheduler = ShardScheduler(
             me,
-            store,
+            self._commits,
             agents,
             context.clock,
             GrpcSchedulerPeers(context.transport, context.directory),
             context.directory,
-            make_planner(context.clock),
+            make_planner(context.clock, self._waits),
             sharding,
             seed=seed,
         )
         self.lending = SlotLending(
             self.scheduler, context.directory, context.clock, longest_deadline_ms
         )
+        self._history = ShardHistory(self.scheduler)
         self._service = SchedulerService(
             context.process_id, self.scheduler, self.lending
         )
@@ -99,6 +112,20 @@
         """Hand all shards over."""
         await self.scheduler.stop()
 
+    def metric_sources(self) -> tuple[MetricSource, ...]:
+        """Return the sources of the metrics of shards and configuration."""
+        context = self._context
+        shards = SchedulerMetrics(
+            self.scheduler,
+            self._history,
+            self._commits,
+            self._waits,
+            self.lending,
+            context.directory,
+            context.clock,
+        )
+        return (ConfigMetrics(context), shards)
+
     def state(self) -> dict[str, Any]:
         """Return what a state dump shows."""
         return {
@@ -114,13 +141,16 @@
     async def _refresh(self) -> None:
         while True:
             self.lending.refresh()
+            self._history.update()
             await asyncio.sleep(REFRESH_INTERVAL_S)
 
 
-def make_planner(clock: Clock) -> Callable[[ShardInfo], TargetPlanner]:
+def make_planner(
+    clock: Clock, waits: deque[TaskWait]
+) -> Callable[[ShardInfo], Planner]:
     """Return the maker of shards' planners."""
 
-    def make(shard: ShardInfo) -> TargetPlanner:
-        return TargetPlanner()
+    def make(shard: ShardInfo) -> Planner:
+        return ObservedPlanner(clock, waits)
 
     return make
--- a/basilhold/nodes/slot_lending.py
+++ b/basilhold/nodes/slot_lending.py
@@ -2,7 +2,7 @@
 
 from expression import Error, Ok, Result
 
-from basilhold.core import Clock, ZoneName
+from basilhold.core import Clock, ServiceName, ZoneName
 from basilhold.nodes.directory import CellDirectory
 from basilhold.ports import VmState
 from basilhold.requests import (
@@ -69,6 +69,21 @@
         """Return the number of tokens that nobody may use."""
         return sum(lender.allocator.frozen_count() for lender in self._lenders.values())
 
+    def frozen_by_service(self) -> dict[ServiceName, int]:
+        """Return the number of tokens that nobody may use, by service.
+
+        Services of the owned zones without such tokens are included.
+        """
+        frozen = {
+            record.service: 0
+            for record in self._directory.upstreams()
+            if record.zone in self._lenders and record.service
+        }
+        for lender in self._lenders.values():
+            for service, count in lender.allocator.frozen_by_service().items():
+                frozen[service] = frozen.get(service, 0) + count
+        return frozen
+
     def _make_lender(self, zone: ZoneName, owner: ShardOwner) -> SlotLender:
         inherited = owner.inherited
         takeover = None
--- a/basilhold/observability/metric_catalogue.py
+++ b/basilhold/observability/metric_catalogue.py
@@ -113,7 +113,7 @@
     Metric(
         "basilhold_task_wait_ratio",
         _HISTOGRAM,
-        "Time a task waited until its start, relative to the target of its class",
+        "Time a task waited until its first placement, relative to its class's target",
         ("class_name",),
         _RATIO_BUCKETS,
     ),
--- a/basilhold/programs/gateway.py
+++ b/basilhold/programs/gateway.py
@@ -69,7 +69,7 @@
             ),
         )
         self.pages.state.add_source(NodeState("gateway", self._node))
-        self.pages.metrics.add_source(self._node.metric_source())
+        self.add_metrics(self._node.metric_sources())
         self._front = FrontEnd(
             service=self._node.service,
             callers=ConfiguredCallers(settings.callers),
--- a/basilhold/programs/node_metrics.py
+++ b/basilhold/programs/node_metrics.py
@@ -44,6 +44,11 @@
                 metrics.add(
                     operations, self._grown(key, total), outcome=outcome, **labels
                 )
+        durations = self._operations.durations
+        while durations:
+            entry = durations.popleft()
+            declared = metric("basilhold_store_seconds")
+            metrics.observe(declared, entry.duration_s, kind=entry.kind.value)
         budget = metric("basilhold_store_budget_per_second")
         metrics.set(budget, self._budget.rate_per_s)
 
--- a/basilhold/programs/process.py
+++ b/basilhold/programs/process.py
@@ -7,6 +7,7 @@
 import sys
 import time
 from abc import abstractmethod
+from collections.abc import Iterable
 from pathlib import Path
 from typing import Any, Self
 
@@ -38,6 +39,7 @@
 from basilhold.nodes.store import ProcessStore
 from basilhold.observability import (
     LoopLagSampler,
+    MetricSource,
     ReadinessCheck,
     StateSource,
     log_event,
@@ -179,6 +181,11 @@
         own = self.process.vm_id
         return next(entry for entry in self.entries if entry.vm_id == own)
 
+    def add_metrics(self, sources: Iterable[MetricSource]) -> None:
+        """Export the metrics of a node."""
+        for source in sources:
+            self.pages.metrics.add_source(source)
+
     def table(self, purpose: str) -> TableService:
         """Return the table service within the process's budget."""
         settings = self.process.settings
--- a/basilhold/programs/relay.py
+++ b/basilhold/programs/relay.py
@@ -40,6 +40,7 @@
             self.rng,
         )
         self.pages.state.add_source(NodeState("relay", self._node))
+        self.add_metrics(self._node.metric_sources())
 
     async def __aenter__(self) -> Self:
         await super().__aenter__()
--- a/basilhold/programs/scheduler.py
+++ b/basilhold/programs/scheduler.py
@@ -53,6 +53,7 @@
             seed=self.rng.getrandbits(32),
         )
         self.pages.state.add_source(NodeState("scheduler", self._node))
+        self.add_metrics(self._node.metric_sources())
 
     async def __aenter__(self) -> Self:
         await super().__aenter__()
--- a/basilhold/programs/tests/test_daemons.py
+++ b/basilhold/programs/tests/test_daemons.py
@@ -13,6 +13,14 @@
 DAEMONS = ("relay", "scheduler", "gateway")
 START_TIMEOUT_S = 60
 
+DAEMON_METRICS = (
+    "basilhold_clock_adjustment_seconds",
+    "basilhold_config_current",
+    "basilhold_loop_lag_seconds_count",
+    "basilhold_ready",
+    "basilhold_sent_bytes_total",
+)
+
 
 class DaemonsTest(unittest.IsolatedAsyncioTestCase):
     """Guards the whole path through separate processes over TCP."""
@@ -122,4 +130,5 @@
                 response = await self.fetch(port, path)
                 self.assertEqual(response.code, 200, (daemon, path))
             metrics = await self.fetch(port, "/metrics")
-            self.assertIn(b"basilhold_sent_bytes_total{", metrics.body, daemon)
+            for name in DAEMON_METRICS:
+                self.assertRegex(metrics.body.decode(), rf"(?m)^{name}\b", daemon)
--- a/basilhold/relay/relay.py
+++ b/basilhold/relay/relay.py
@@ -138,6 +138,11 @@
         reader = self.state.readers.get(self._settings.identity.region)
         return reader is not None and self._is_self(reader)
 
+    @property
+    def reads_store(self) -> bool:
+        """Whether this relay is the reader of the store's region."""
+        return self._is_top
+
     async def run(self) -> None:
         """Serve and follow until cancelled."""
         served = await self._transport.serve([self.service], self._settings.address)
--- a/basilhold/requests/allocator.py
+++ b/basilhold/requests/allocator.py
@@ -1,6 +1,7 @@
 """Owner's side of the slot token protocol."""
 
 import math
+from collections import Counter
 from collections.abc import Iterable
 
 from basilhold.core import (
@@ -191,6 +192,11 @@
         """Return how many tokens may be held by gateways that have not reported."""
         return len(self._ledger.unclaimed())
 
+    def frozen_by_service(self) -> dict[ServiceName, int]:
+        """Return `frozen_count` by service."""
+        services = (self._ledger.service_of(t) for t in self._ledger.unclaimed())
+        return dict(Counter(service for service in services if service is not None))
+
     def _gateway(self, report: SlotReport, now_unix_ms: int) -> Borrower:
         gateway = self._gateways.get(report.gateway_id)
         if gateway is None:
