Show how many processes have a version in force

The relay's answer carries the number of processes that should have it. If the store's region could not be asked, no counts are shown. The worker list leaves the lease out: only the owner knows it, and asking every owner would send whole shard states over the paid link.

--- a/basilhold/nodes/operator_config.py
+++ b/basilhold/nodes/operator_config.py
@@ -141,7 +141,14 @@
     async def _spread(self, office: OfficeName, version: int) -> InForce:
         reply = await self._subscription.ask_in_force(office, version)
         lagging = tuple(ProcessId(name) for name in reply.missing)
-        return InForce(office, version, reply.everywhere, lagging=lagging)
+        if not reply.complete:
+            # The counts of one region would look like those of the whole cell.
+            return InForce(office, version, False, lagging=lagging, complete=False)
+        expected = reply.expected_count
+        acknowledged = max(expected - reply.missing_count, 0)
+        return InForce(
+            office, version, reply.everywhere, acknowledged, expected, lagging
+        )
 
     @staticmethod
     def _changed(
--- a/basilhold/operators_api/bodies.py
+++ b/basilhold/operators_api/bodies.py
@@ -118,6 +118,9 @@
         Processes that have acknowledged it, and all known ones.
     lagging : tuple of ProcessId
         Some of the processes that have not.
+    complete : bool
+        False if the store's region could not be asked. The counts are then 0, and
+        `lagging` is what the gateway's own region knows.
     """
 
     office: OfficeName
@@ -126,6 +129,7 @@
     acknowledged: int = 0
     expected: int = 0
     lagging: tuple[ProcessId, ...] = ()
+    complete: bool = True
 
 
 class ConfigVersions(msgspec.Struct, frozen=True):
@@ -226,7 +230,10 @@
 
 
 class WorkerState(Enum):
-    """State of a worker as its owner sees it."""
+    """State of a worker by the VM list and its row.
+
+    The shard's state shows which workers their owner reaches, and their leases.
+    """
 
     LIVE = "live"
     LEAVING = "leaving"
@@ -244,7 +251,6 @@
     capacity: Resources
     committed: Resources
     task_count: int = 0
-    lease_expires_unix_ms: int = 0
 
 
 class WorkerPage(msgspec.Struct, frozen=True):
--- a/basilhold/operators_api/tests/fakes.py
+++ b/basilhold/operators_api/tests/fakes.py
@@ -72,6 +72,7 @@
         self.error = None
         self.calls = []
         self.waits_until_in_force = 0
+        self.store_region_answers = True
 
     def _give(self, name, value=None, *arguments):
         self.calls.append((name, *arguments))
@@ -128,6 +129,8 @@
     async def versions(self):
         offices = tuple(
             InForce(office, self._latest(office).version, True, 3, 3)
+            if self.store_region_answers
+            else InForce(office, self._latest(office).version, False, complete=False)
             for office in self.versions_by_office
         )
         return self._give("versions", ConfigVersions(offices))
--- a/basilhold/programs/ctl_config.py
+++ b/basilhold/programs/ctl_config.py
@@ -26,6 +26,7 @@
 """Time for which a gateway holds one request of a wait, in milliseconds."""
 
 RETRY_PAUSE_S = 1.0
+NOT_ASKED = "the store's region could not be asked"
 DOCUMENT_BYTES_MAX = 1 << 20
 
 office_option = click.option("--office", help="Office; that of the token by default.")
@@ -242,6 +243,8 @@
 
 
 def _progress_text(value: InForce) -> str:
+    if not value.complete:
+        return f"{value.office} version {value.version}: {NOT_ASKED}"
     text = (
         f"{value.office} version {value.version}: in force in"
         f" {value.acknowledged} of {value.expected} processes"
@@ -297,10 +300,14 @@
 
 
 def _in_force_row(entry: InForce) -> tuple[str, ...]:
+    in_force, processes = "unknown", NOT_ASKED
+    if entry.complete:
+        in_force = "yes" if entry.in_force else "no"
+        processes = f"{entry.acknowledged}/{entry.expected}"
     return (
         entry.office,
         str(entry.version),
-        "yes" if entry.in_force else "no",
-        f"{entry.acknowledged}/{entry.expected}",
+        in_force,
+        processes,
         ", ".join(entry.lagging) or "-",
     )
--- a/basilhold/programs/ctl_workers.py
+++ b/basilhold/programs/ctl_workers.py
@@ -8,7 +8,7 @@
 from basilhold.core import WorkerId
 from basilhold.operators_api import AttestBody, Attested, WorkerPage
 from basilhold.programs.ctl_client import path_of
-from basilhold.programs.ctl_output import Table, format_resources, format_time
+from basilhold.programs.ctl_output import Table, format_resources
 from basilhold.programs.ctl_session import CtlSession, pass_session
 
 __all__ = ["show_state", "workers_group"]
@@ -28,7 +28,7 @@
     """List workers in the order of their ids."""
     query = urlencode({"zone": zone, "after": after, "limit": limit})
     value = session.client.get(f"{path_of('workers')}?{query}", WorkerPage)
-    columns = ("worker", "zone", "rack", "state", "size", "committed", "lease until")
+    columns = ("worker", "zone", "rack", "state", "size", "committed", "tasks")
     rows = tuple(
         (
             worker.worker_id,
@@ -37,7 +37,7 @@
             worker.state.value,
             format_resources(worker.capacity),
             format_resources(worker.committed),
-            format_time(worker.lease_expires_unix_ms),
+            str(worker.task_count),
         )
         for worker in value.workers
     )
--- a/basilhold/programs/tests/test_ctl.py
+++ b/basilhold/programs/tests/test_ctl.py
@@ -156,6 +156,12 @@
         self.assertTrue(json.loads(waited.stdout)["in_force"])
         self.assertEqual(waited.stderr.count("2 of 3 processes, missing relay@b"), 1)
 
+    def test_unreachable_store_region_is_not_shown_as_a_count(self):
+        self.backend.store_region_answers = False
+        table = self.run_ctl("config versions", output="table").stdout
+        self.assertRegex(table, r"bergen-office +0 +unknown +the store's region could")
+        self.assertNotIn("0/0", table)
+
     def test_completion_scripts(self):
         for shell in ("bash", "zsh", "fish"):
             self.assertIn("basilholdctl", self.run_ctl(f"completion {shell}").stdout)
--- a/basilhold/relay/relay.py
+++ b/basilhold/relay/relay.py
@@ -345,7 +345,8 @@
     ) -> InForceReply:
         self.board.advance(self._clock.monotonic_ms())
         name = self._settings.identity.name
-        missing = list(self.board.missing(office, version, name, self._expected()))
+        expected = self._expected()
+        missing = list(self.board.missing(office, version, name, expected))
         if self.state.version(office) < version:
             missing.insert(0, f"{name} (has version {self.state.version(office)})")
         return InForceReply(
@@ -353,4 +354,5 @@
             missing=missing[:MISSING_MAX],
             missing_count=len(missing),
             complete=complete,
+            expected_count=len(self.board.summary(name, {}).covered.union(expected)),
         )
