--- a/basilhold/cell/tests/test_cell.py
+++ b/basilhold/cell/tests/test_cell.py
@@ -10,6 +10,7 @@
     OfficeDocument,
     OfficeName,
     Resources,
+    TaskState,
     TeamName,
 )
 from basilhold.gateway import CallerSink
@@ -85,6 +86,10 @@
         accepted = await nodes.operators.submit(operator, "key-1", submission)
         self.assertTrue(accepted.is_ok(), accepted)
         await asyncio.sleep(5)
+        # The row of the job, which is older, says pending and attempt 0.
+        detail = (await nodes.operators.job(accepted.ok.job_id)).ok
+        shown = {(task.state, task.attempt) for task in detail.tasks}
+        self.assertEqual(shown, {(TaskState.RUNNING, 1)})
         # Long enough that each gateway sweeps expired records; a sweep that fails
         # would end its process.
         await asyncio.sleep(100)
--- a/basilhold/nodes/operator_jobs.py
+++ b/basilhold/nodes/operator_jobs.py
@@ -8,6 +8,7 @@
 
 from basilhold.config import ConfigInForce
 from basilhold.core import (
+    Attempt,
     Clock,
     JobId,
     JobRecord,
@@ -69,6 +70,13 @@
 }
 
 
+class PlacedTask(msgspec.Struct, frozen=True):
+    """Where a task is committed, and by which attempt."""
+
+    worker_id: WorkerId
+    attempt: Attempt
+
+
 class OperatorJobs:
     """Submits, shows, cancels and explains jobs.
 
@@ -274,8 +282,8 @@
                 return msgspec.json.decode(reply.ok.content, type=PlannerExplanation)
         return None
 
-    async def _placed_tasks(self, job_ids: set[JobId]) -> dict[TaskId, WorkerId]:
-        placed: dict[TaskId, WorkerId] = {}
+    async def _placed_tasks(self, job_ids: set[JobId]) -> dict[TaskId, PlacedTask]:
+        placed: dict[TaskId, PlacedTask] = {}
         after = ""
         while True:
             page = await self._table.scan("worker/", after)
@@ -285,20 +293,24 @@
                 record = msgspec.json.decode(row.value, type=WorkerRecord)
                 for assignment in record.assignments:
                     if assignment.task_id.rpartition("#")[0] in job_ids:
-                        placed[assignment.task_id] = record.worker_id
+                        placed[assignment.task_id] = PlacedTask(
+                            record.worker_id, assignment.attempt
+                        )
             after = page.ok.next_after
             if not after:
                 return placed
 
 
-def _task_views(part: JobRecord, placed: dict[TaskId, WorkerId]) -> list[TaskView]:
+def _task_views(part: JobRecord, placed: dict[TaskId, PlacedTask]) -> list[TaskView]:
     views = []
     for index, task in enumerate(part.tasks):
-        worker_id = placed.get(make_task_id(part.spec.job_id, index))
-        state = task.state
-        if worker_id is not None and state is TaskState.PENDING:
-            state = TaskState.RUNNING
-        views.append(TaskView(index, state, task.attempt, worker_id, task.reason))
+        place = placed.get(make_task_id(part.spec.job_id, index))
+        state, attempt = task.state, task.attempt
+        if place is not None and state is TaskState.PENDING:
+            # The job's row is not written when a task is placed.
+            state, attempt = TaskState.RUNNING, place.attempt
+        worker_id = place.worker_id if place else None
+        views.append(TaskView(index, state, attempt, worker_id, task.reason))
     return views
 
 
