--- a/basilhold/cell/tests/test_replacement.py
+++ b/basilhold/cell/tests/test_replacement.py
@@ -24,7 +24,12 @@
 OPERATOR = OperatorIdentity("dispatch", OfficeName("thrace"))
 TEAM = TeamName("thrace.tramway-sales")
 GRACE_MS = 5000
-REQUEST_INTERVAL_S = 0.05
+REQUEST_INTERVAL_S = 0.02
+SERVICE_MS = 800.0
+"""Long enough that requests are in flight whenever a gateway stops accepting."""
+
+NOTICE_S = 4.9
+"""Time until the load balancer sends nothing more, shortly before the grace ends."""
 TASKS_PER_JOB = 3
 SETTLE_S = 90
 
@@ -32,8 +37,8 @@
 class LoadBalancer:
     """Sends requests in turn to the entry VMs that are not being stopped.
 
-    A VM that is being stopped still gets requests for a part of the grace period, as
-    a load balancer notices it late.
+    A VM that is being stopped still gets requests until shortly before the end of the
+    grace period, as a load balancer notices it late.
     """
 
     def __init__(self, cell):
@@ -86,18 +91,20 @@
 
     async def replace(self, cell, balancer, vm_id):
         nodes = cell.entries[vm_id]
+        in_flight = []
         drain = Drain(
             nodes.gateway.service,
-            lambda: None,
+            lambda: in_flight.append(nodes.gateway.service.in_flight_count),
             nodes.gateway.slots.return_all,
             grace_ms=GRACE_MS,
             bound_ms=60_000,
         )
         drain.request_stop()
         draining = asyncio.create_task(drain.run())
-        await asyncio.sleep(GRACE_MS / 2000)
+        await asyncio.sleep(NOTICE_S)
         balancer.excluded.add(vm_id)
         report = await draining
+        self.assertGreater(in_flight[0], 0, "the stop has nothing to wait for")
         self.assertEqual((report.end, report.cut), (DrainEnd.FINISHED, ()), vm_id)
         await cell.stop_entry(vm_id)
         await asyncio.sleep(10)
@@ -134,6 +141,8 @@
         cell = Cell(example_shape("trakia"), Clock(VIRTUAL_EPOCH_UNIX_MS))
         for document in example_documents("trakia"):
             await cell.set_document(document)
+        for upstream in cell.upstreams.members.values():
+            upstream.behaviour.service_ms = SERVICE_MS
         await cell.__aenter__()
         await cell.wait_ready()
         await asyncio.sleep(5)
--- a/basilhold/observability/tests/test_documents.py
+++ b/basilhold/observability/tests/test_documents.py
@@ -38,6 +38,12 @@
         for alert in alerts:
             self.assertRegex(headings, rf"\b{alert}\b")
 
+    def test_index_lists_every_page_once(self):
+        docs = ROOT / "docs"
+        listed = re.findall(r"\]\(([^)]+)\)", (docs / "README.md").read_text())
+        pages = {str(page.relative_to(docs)) for page in docs.rglob("*.md")}
+        self.assertEqual(sorted(listed), sorted(pages - {"README.md"}))
+
     def test_links_of_the_readme_exist(self):
         for target in re.findall(r"\]\(([^)]+)\)", (ROOT / "README.md").read_text()):
             self.assertTrue((ROOT / target).exists(), target)
