--- a/basilhold/cell/tests/test_metrics.py
+++ b/basilhold/cell/tests/test_metrics.py
@@ -171,7 +171,9 @@
         self.first.gateway.service.stopping = False
         names = {}
         for program in self.pages:
-            names[program] = exported(self.render(program))
+            text = self.render(program)
+            names[program] = exported(text)
+            getattr(self, f"check_{program}")(text)
             # The daemons of a VM share one counter here, which a reading empties.
             await asyncio.sleep(5)
         self.assertEqual(names["gateway"], EVERY_DAEMON | GATEWAY)
@@ -181,6 +183,22 @@
         self.assertEqual(set().union(*names.values()) | SET_BY_DAEMONS, declared)
         await self.stop()
 
+    def check_gateway(self, text):
+        rejected = sample(text, "basilhold_requests_rejected_total")
+        self.assertEqual(sum(rejected.values()), 1, rejected)
+
+    def check_scheduler(self, text):
+        unknown = sample(text, "basilhold_tasks_unknown_total")
+        self.assertEqual(unknown, {'{class_name="thrace.nightly-billing"}': 1})
+
+    def check_relay(self, text):
+        """The change was measured once, by the relay that reads the store."""
+        measured = sample(text, "basilhold_config_spread_seconds_count")
+        in_bound = sample(text, "basilhold_config_spread_seconds_bucket")
+        self.assertEqual(sum(measured.values()), 1, measured)
+        # G8: in force everywhere within 4 s.
+        self.assertEqual(in_bound['{le="4.0"}'], 1, in_bound)
+
     async def test_values_follow_the_shards(self):
         await self.start()
         await self.submit("thrace.stock-forecast", 5)
