--- a/basilhold/cell/entry.py
+++ b/basilhold/cell/entry.py
@@ -110,7 +110,7 @@
         self._start_number = start_number
         self._transports: list[Transport] = []
         self._tasks: list[asyncio.Task[None]] = []
-        self._budgets: dict[str, StoreBudget] = {}
+        self.budgets: dict[str, StoreBudget] = {}
         self.traffic = TrafficCounter()
         self.operations = OperationCounter()
         self.relay = self._make_relay()
@@ -196,7 +196,7 @@
         return transport
 
     def _store(self, program: str, purpose: str) -> TableService:
-        budget = self._budgets.setdefault(program, StoreBudget(rng=self._rng))
+        budget = self.budgets.setdefault(program, StoreBudget(rng=self._rng))
         near = self.entry.region == self._shape.store_region
         distance = Distance.SAME_REGION if near else Distance.OTHER_REGION
         table = StoreTraffic(self._platform.table, self.traffic, distance)
--- a/basilhold/relay/relay.py
+++ b/basilhold/relay/relay.py
@@ -138,6 +138,11 @@
         reader = self.state.readers.get(self._settings.identity.region)
         return reader is not None and self._is_self(reader)
 
+    @property
+    def reads_store(self) -> bool:
+        """Whether this relay is the reader of the store's region."""
+        return self._is_top
+
     async def run(self) -> None:
         """Serve and follow until cancelled."""
         served = await self._transport.serve([self.service], self._settings.address)
@@ -340,7 +345,8 @@
     ) -> InForceReply:
         self.board.advance(self._clock.monotonic_ms())
         name = self._settings.identity.name
-        missing = list(self.board.missing(office, version, name, self._expected()))
+        expected = self._expected()
+        missing = list(self.board.missing(office, version, name, expected))
         if self.state.version(office) < version:
             missing.insert(0, f"{name} (has version {self.state.version(office)})")
         return InForceReply(
@@ -348,4 +354,5 @@
             missing=missing[:MISSING_MAX],
             missing_count=len(missing),
             complete=complete,
+            expected_count=len(self.board.summary(name, {}).covered.union(expected)),
         )
