--- a/basilhold/sharding/tests/randomised.py
+++ b/basilhold/sharding/tests/randomised.py
@@ -7,7 +7,7 @@
 from absl import logging
 
 from basilhold.core import InvariantError
-from basilhold.testing.sharding_runs import run_seed
+from basilhold.testing.sharding_runs import RunPlanner, run_seed
 
 
 def main(arguments: list[str] | None = None) -> int:
@@ -15,6 +15,13 @@
     parser = argparse.ArgumentParser(description="randomised runs of sharding")
     parser.add_argument("--seeds", type=int, default=200)
     parser.add_argument("--first", type=int, default=0)
+    parser.add_argument(
+        "--planner",
+        type=RunPlanner,
+        choices=tuple(RunPlanner),
+        default=RunPlanner.FIRST_FIT,
+        metavar="{" + ",".join(planner.value for planner in RunPlanner) + "}",
+    )
     options = parser.parse_args(arguments)
     logging.set_verbosity(logging.FATAL)
     began_s = time.monotonic()
@@ -23,7 +30,7 @@
     starts = 0
     for seed in range(options.first, options.first + options.seeds):
         try:
-            result = run_seed(seed)
+            result = run_seed(seed, options.planner)
         except InvariantError as error:
             failed.append(seed)
             print(f"seed {seed}: {error}")
--- a/basilhold/testing/cell.py
+++ b/basilhold/testing/cell.py
@@ -44,7 +44,7 @@
 from basilhold.testing.monitor import InvariantMonitor
 from basilhold.testing.virtual_time import VIRTUAL_EPOCH_UNIX_MS
 
-__all__ = ["CellHarness", "HarnessProcess", "make_spec"]
+__all__ = ["TASK_SIZE", "CellHarness", "HarnessProcess", "make_spec"]
 
 WORKER_SIZE = Resources(4_000, 8 << 30, 0)
 TASK_SIZE = Resources(1_000, 1 << 30, 0)
@@ -84,6 +84,7 @@
     def __init__(self, zones: Iterable[ZoneName]):
         self.zones = tuple(ShardInfo(zone, REGION) for zone in zones)
         self.vms: dict[WorkerId, VmRecord] = {}
+        self.team_list: tuple[Team, ...] = ()
 
     def shards(self) -> tuple[ShardInfo, ...]:
         """Return the shards."""
@@ -94,8 +95,8 @@
         return tuple(vm for vm in self.vms.values() if vm.zone == zone)
 
     def teams(self) -> tuple[Team, ...]:
-        """Return no teams."""
-        return ()
+        """Return the teams."""
+        return self.team_list
 
 
 class HarnessPeers(SchedulerPeers):
--- a/basilhold/testing/sharding_runs.py
+++ b/basilhold/testing/sharding_runs.py
@@ -4,15 +4,28 @@
 import random
 from collections import Counter
 from collections.abc import Awaitable, Callable
+from enum import Enum
 
 import msgspec
 
-from basilhold.core import InvariantError, JobId, Resources, RestartPolicy, WorkerId
+from basilhold.core import (
+    ClassKind,
+    InvariantError,
+    JobId,
+    JobSpec,
+    Resources,
+    RestartPolicy,
+    Team,
+    TeamName,
+    WorkerId,
+)
+from basilhold.placement import FirstFitPlanner, Planner, TargetPlanner
 from basilhold.sharding import ShardingSettings
-from basilhold.testing.cell import CellHarness, make_spec
+from basilhold.standins import TaskBehaviour
+from basilhold.testing.cell import TASK_SIZE, CellHarness, make_spec
 from basilhold.testing.virtual_time import run_virtual
 
-__all__ = ["FAULTS", "RunResult", "run_seed"]
+__all__ = ["FAULTS", "RunPlanner", "RunResult", "run_seed"]
 
 ZONE = "plovdiv"
 _FAULT_PHASE_S = 150
@@ -20,6 +33,20 @@
 """After the last fault ends, horizons (90 s), quarantines (30 s and more) and run
 times must pass before all jobs are finished."""
 
+_URGENT_TARGET_MS = 5_000
+_TEAMS = (
+    Team(TeamName("track"), Resources(8_000, 16 << 30, 0)),
+    Team(TeamName("depot"), Resources(1_000, 1 << 30, 0)),
+)
+"""The second quota holds one task, so that a team is above it in every run."""
+
+
+class RunPlanner(Enum):
+    """Planner of a run; the planner of production also gets jobs of all kinds."""
+
+    FIRST_FIT = "first-fit"
+    TARGET = "target"
+
 
 class RunResult(msgspec.Struct):
     """What a run did.
@@ -45,8 +72,10 @@
 class _Run:
     """One run: a cell, its workload and the faults."""
 
-    def __init__(self, seed: int):
+    def __init__(self, seed: int, planner: RunPlanner):
         self.seed = seed
+        self.planner = planner
+        self.planners: list[Planner] = []
         self.rng = random.Random(seed)
         settings = ShardingSettings(horizon_ms=90_000)
         zones = {ZONE: self.rng.randint(2, 5)}
@@ -57,12 +86,70 @@
             self.wait_target_ms = 6_000
         names = {f"s{n}": "haskovo" for n in range(self.rng.randint(2, 3))}
         clock_error_ms = 500 if seed % 3 == 0 else 0
-        self.cell = CellHarness(seed, zones, names, settings, clock_error_ms)
+        self.cell = CellHarness(
+            seed,
+            zones,
+            names,
+            settings,
+            clock_error_ms,
+            lambda shard: self._make_planner(),
+        )
+        if planner is RunPlanner.TARGET:
+            self.cell.view.team_list = _TEAMS
+            for worker in self.cell.workers.values():
+                _add_overuse(worker.behaviours)
         self.counts: Counter[str] = Counter()
         if clock_error_ms:
             self.counts["clock error"] += 1
         self.log: list[str] = []
 
+    def _make_planner(self) -> Planner:
+        if self.planner is RunPlanner.FIRST_FIT:
+            return FirstFitPlanner()
+        planner = TargetPlanner()
+        self.planners.append(planner)
+        return planner
+
+    def check_planners(self) -> None:
+        """Raise what is inconsistent in the planners, old owners' included."""
+        for planner in self.planners:
+            planner.check_invariants()
+
+    def _make_mixed_spec(self, number: int, restart: RestartPolicy, command: str):
+        """Return a service, a batch or a gang; some urgent, some with wrong sizes."""
+        rng = self.rng
+        kind = rng.choice((ClassKind.SERVICE, ClassKind.BATCH, ClassKind.GANG))
+        if command == "medium" and rng.random() < 0.3:
+            command = rng.choice(("memory-hungry", "cores-hungry"))
+        spec = make_spec(
+            f"j{number}",
+            rng.randint(1, 4),
+            restart,
+            command,
+            kind,
+            TASK_SIZE.scaled(rng.choice((1, 1, 2)) if kind is ClassKind.BATCH else 1),
+            _URGENT_TARGET_MS if rng.random() < 0.3 else self.wait_target_ms,
+        )
+        return msgspec.structs.replace(
+            spec,
+            team=rng.choice(_TEAMS).name,
+            checkpoint=rng.random() < 0.3,
+            submitted_unix_ms=self.cell.clock.unix_ms(),
+            run_time_ms=rng.choice((0, 3_000, 25_000)),
+        )
+
+    def make_spec(self, number: int, restart: RestartPolicy, command: str) -> JobSpec:
+        """Return the next job of the workload."""
+        if self.planner is RunPlanner.TARGET:
+            return self._make_mixed_spec(number, restart, command)
+        return make_spec(
+            f"j{number}",
+            self.rng.randint(1, 4),
+            restart,
+            command,
+            wait_target_ms=self.wait_target_ms,
+        )
+
     def note(self, text: str) -> None:
         self.log.append(f"{self.cell.clock.unix_ms()} {text}")
 
@@ -88,13 +175,7 @@
             command = self.rng.choice(("short", "short", "medium", "fails"))
             if command == "fails" and self.rng.random() < 0.7:
                 command = "medium"
-            spec = make_spec(
-                f"j{number}",
-                self.rng.randint(1, 4),
-                restart,
-                command,
-                wait_target_ms=self.wait_target_ms,
-            )
+            spec = self.make_spec(number, restart, command)
             result = await self.cell.submit(spec, ZONE, self.rng.random() < 0.9)
             outcome = "ok" if result.is_ok() else result.error.kind.value
             self.note(f"submit {spec.job_id} {command} {restart.value}: {outcome}")
@@ -107,6 +188,17 @@
         self.cell.notify(job_id)
 
 
+def _add_overuse(behaviours: dict[str, TaskBehaviour]) -> None:
+    """Add commands that use twice what they declare of one resource."""
+    cores, memory = TASK_SIZE.cores_milli, TASK_SIZE.memory_bytes
+    behaviours["memory-hungry"] = TaskBehaviour(
+        25_000, False, Resources(cores, 2 * memory, 0)
+    )
+    behaviours["cores-hungry"] = TaskBehaviour(
+        25_000, False, Resources(2 * cores, memory, 0)
+    )
+
+
 async def _kill(run: _Run) -> None:
     process = run.pick_process()
     if process is None:
@@ -323,8 +415,8 @@
         run.note(f"end of {name}")
 
 
-async def _run(seed: int) -> RunResult:
-    run = _Run(seed)
+async def _run(seed: int, planner: RunPlanner) -> RunResult:
+    run = _Run(seed, planner)
     names = tuple(run.rng.sample(sorted(FAULTS), 1 + seed % 2))
     cell = run.cell
     await cell.start()
@@ -343,6 +435,7 @@
     run.note(f"settled after {waited_s} s")
     await cell.close()
     cell.monitor.check_end()
+    run.check_planners()
     run.counts["jobs moved to another shard"] = sum(
         f"job/{ZONE}/{job_id}" not in cell.table.read_now((f"job/{ZONE}/{job_id}",)).ok
         for job_id in cell.job_ids
@@ -357,7 +450,7 @@
     return RunResult(seed, names, run.log, dict(counts), cell.monitor.starts.total())
 
 
-def run_seed(seed: int) -> RunResult:
+def run_seed(seed: int, planner: RunPlanner = RunPlanner.FIRST_FIT) -> RunResult:
     """Run one seed.
 
     Raises
@@ -365,4 +458,4 @@
     InvariantError
         A guarantee does not hold, or the jobs did not finish after the faults ended.
     """
-    return run_virtual(_run(seed))
+    return run_virtual(_run(seed, planner))
