Let placement's WorkerHealth decide on quarantine, and commit throttled sizes

The sharding health judge and its probes are removed: the planner reads the quarantine from the worker's row and probes. A task that fits on fewer than three workers fails for good after all of them, since the planner tries no worker twice.

--- a/basilhold/placement/first_fit.py
+++ b/basilhold/placement/first_fit.py
@@ -24,7 +24,8 @@
     """Places tasks in the order of their jobs' arrival on the first worker with room.
 
     Benchmarks compare against it and tests of other packages use it. It knows no
-    targets, quotas, gangs or evictions; a gang is placed task by task.
+    targets, quotas, gangs or evictions; a gang is placed task by task. A quarantined
+    worker gets one task at a time once the quarantine has passed.
     """
 
     def __init__(self):
@@ -34,6 +35,8 @@
         self._free: dict[WorkerId, Resources] = {}
         self._placed: dict[TaskId, WorkerId] = {}
         self._planned: dict[TaskId, Placement] = {}
+        self._probes: dict[WorkerId, TaskId] = {}
+        self._now_unix_ms = 0
 
     def upsert_worker(self, record: WorkerRecord, schedulable: bool) -> None:
         """Add or replace a worker."""
@@ -54,6 +57,7 @@
         self._workers.pop(worker_id, None)
         self._schedulable.pop(worker_id, None)
         self._free.pop(worker_id, None)
+        self._probes.pop(worker_id, None)
 
     def upsert_job(self, record: JobRecord) -> None:
         """Add or replace a job."""
@@ -75,6 +79,7 @@
 
     def plan(self, now_unix_ms: int, limit: int) -> Plan:
         """Return up to `limit` placements in arrival order."""
+        self._now_unix_ms = now_unix_ms
         placements: list[Placement] = []
         # Free resources only shrink during a plan, so a size that fitted nowhere is
         # not tried again.
@@ -128,10 +133,18 @@
 
     def _first_fit(self, size: Resources) -> WorkerId | None:
         for worker_id, free in self._free.items():
-            if self._schedulable[worker_id] and size.fits_in(free):
+            if self._takes_work(worker_id) and size.fits_in(free):
                 return worker_id
         return None
 
+    def _takes_work(self, worker_id: WorkerId) -> bool:
+        until_ms = self._workers[worker_id].quarantined_until_unix_ms
+        if not self._schedulable[worker_id] or not until_ms:
+            return self._schedulable[worker_id]
+        probe = self._probes.get(worker_id)
+        probes = probe is not None and self._is_taken(probe)
+        return self._now_unix_ms >= until_ms and not probes
+
     def _hold(
         self, record: JobRecord, index: int, task_id: TaskId, worker_id: WorkerId
     ) -> Placement:
@@ -139,5 +152,7 @@
         attempt = Attempt(record.tasks[index].attempt + 1)
         placement = Placement(task_id, attempt, worker_id, size)
         self._planned[task_id] = placement
+        if self._workers[worker_id].quarantined_until_unix_ms:
+            self._probes[worker_id] = task_id
         self._free[worker_id] = self._free[worker_id] - size
         return placement
--- a/basilhold/placement/planner.py
+++ b/basilhold/placement/planner.py
@@ -27,8 +27,8 @@
         record : WorkerRecord
             As committed, including the assignments.
         schedulable : bool
-            Whether new tasks may go there: false while the worker is leaving,
-            quarantined or unreachable.
+            Whether new tasks may go there: false while the worker is leaving or
+            unreachable. A quarantine is read from the record.
         """
 
     @abstractmethod
--- a/basilhold/sharding/__init__.py
+++ b/basilhold/sharding/__init__.py
@@ -1,6 +1,5 @@
 """Ownership of shards, commits, worker leases and recovery."""
 
-from basilhold.sharding.health import ConsecutiveFailures, WorkerHealth
 from basilhold.sharding.intake import (
     Accepted,
     CancelAnswer,
@@ -31,7 +30,6 @@
     "Accepted",
     "CancelAnswer",
     "CellView",
-    "ConsecutiveFailures",
     "HandOverState",
     "IntakeError",
     "IntakeErrorKind",
@@ -50,7 +48,6 @@
     "Submission",
     "TeamUsage",
     "WorkerGrant",
-    "WorkerHealth",
     "WorkerState",
     "make_job_id",
     "rank_owners",
--- a/basilhold/sharding/attempts.py
+++ b/basilhold/sharding/attempts.py
@@ -29,7 +29,7 @@
     WorkerAgent,
     WorkerReport,
 )
-from basilhold.sharding.changes import Release
+from basilhold.sharding.changes import Release, Throttle
 from basilhold.sharding.leases import (
     WorkerLease,
     is_free,
@@ -41,6 +41,7 @@
     MissingAction,
     after_end,
     after_lease_expiry,
+    after_outgrowing,
     after_stop,
     when_missing,
 )
@@ -127,6 +128,12 @@
             del self._held[task_id]
             self._stops.pop(task_id, None)
 
+    def resize(self, assignment: Assignment) -> None:
+        """Take over the size in the worker's row of a throttled attempt."""
+        held = self._held.get(assignment.task_id)
+        if held is not None and held.assignment.attempt == assignment.attempt:
+            held.assignment = assignment
+
     def order_stop(self, task_id: TaskId, order: StopOrder) -> None:
         """Stop a task; a cancellation replaces an eviction."""
         if task_id not in self._held:
@@ -205,6 +212,7 @@
                     self._restart(assignment.task_id),
                     task.succeeded,
                     self._settings.task_failures_max,
+                    self._owner.failed_workers_max(assignment.task_id),
                 ),
             )
 
@@ -218,7 +226,8 @@
             await asyncio.gather(*(self._start(held) for held in due))
 
     def _start_is_due(self, held: _Held) -> bool:
-        if held.assignment.task_id in self._stops:
+        order = self._stops.get(held.assignment.task_id)
+        if order is not None and order.action is not EvictionAction.THROTTLE:
             return False
         if held.phase not in (AttemptPhase.FRESH, AttemptPhase.SENT):
             return False
@@ -286,7 +295,10 @@
             self._release_confirmed(held, True, order)
             return
         if order.action is EvictionAction.THROTTLE:
-            await self._throttle(assignment, order)
+            # A limit is only certain for an attempt that runs: a start that arrived
+            # after it would take the whole size again.
+            if held.phase is AttemptPhase.RUNNING:
+                await self._throttle(assignment, order)
             return
         call = self._agents.stop
         if order.action is EvictionAction.CHECKPOINT:
@@ -301,7 +313,24 @@
         )
         if result.is_ok() and held.phase is not AttemptPhase.RELEASING:
             reply: StopReply = result.ok
-            self._release_confirmed(held, reply.never_started, order)
+            if order.outgrew and not reply.never_started:
+                self._release_outgrown(held)
+            else:
+                self._release_confirmed(held, reply.never_started, order)
+
+    def _release_outgrown(self, held: _Held) -> None:
+        restart = self._restart(held.assignment.task_id)
+        self._release(
+            held,
+            after_outgrowing(
+                held.assignment,
+                self.worker_id,
+                self._task(held.assignment.task_id),
+                restart,
+                self._settings.task_failures_max,
+                self._owner.failed_workers_max(held.assignment.task_id),
+            ),
+        )
 
     async def _throttle(self, assignment: Assignment, order: StopOrder) -> None:
         result = await self._call(
@@ -313,8 +342,19 @@
                 order.cores_limit_milli,
             )
         )
-        if result.is_ok():
-            self._stops.pop(assignment.task_id, None)
+        if result.is_error():
+            return
+        if self._stops.get(assignment.task_id) is order:
+            del self._stops[assignment.task_id]
+        if order.for_urgent_task:
+            self._owner.throttled(
+                Throttle(
+                    assignment.task_id,
+                    assignment.attempt,
+                    self.worker_id,
+                    order.cores_limit_milli,
+                )
+            )
 
     def _release_unreachable(self) -> None:
         """Release what cannot run on an unreachable worker."""
--- a/basilhold/sharding/batch.py
+++ b/basilhold/sharding/batch.py
@@ -31,6 +31,7 @@
     RemoveWorker,
     SetCapacity,
     SetQuarantine,
+    Throttle,
 )
 from basilhold.sharding.commit_rules import SentCommit, commit_conditions
 from basilhold.sharding.rows import (
@@ -194,6 +195,8 @@
     def _change_has_room(self, change: Change) -> bool:
         size = 512
         match change:
+            case Throttle():
+                size += self._worker_bytes(change.worker_id)
             case Release():
                 job = self._tables.job_of(change.task_id)
                 size += self._worker_bytes(change.worker_id)
@@ -241,6 +244,16 @@
                 self._move_job(change)
             case DropJob():
                 self._drop_job(change.job_id)
+            case Throttle():
+                self._throttle(change)
+
+    def _throttle(self, change: Throttle) -> None:
+        worker = self._worker(change.worker_id)
+        if worker is None or not _holds(worker, change):
+            return
+        kept = tuple(_throttled(a, change) for a in worker.assignments)
+        if kept != worker.assignments:
+            self._put_worker(msgspec.structs.replace(worker, assignments=kept))
 
     def _release(self, change: Release) -> None:
         worker = self._worker(change.worker_id)
@@ -357,7 +370,18 @@
         )
 
 
-def _holds(worker: WorkerRecord, change: Release) -> bool:
+def _throttled(assignment: Assignment, change: Throttle) -> Assignment:
+    size = assignment.resources
+    if (
+        assignment.task_id != change.task_id
+        or size.cores_milli <= change.cores_limit_milli
+    ):
+        return assignment
+    size = msgspec.structs.replace(size, cores_milli=change.cores_limit_milli)
+    return msgspec.structs.replace(assignment, resources=size)
+
+
+def _holds(worker: WorkerRecord, change: Release | Throttle) -> bool:
     return any(
         assignment.task_id == change.task_id and assignment.attempt == change.attempt
         for assignment in worker.assignments
--- a/basilhold/sharding/changes.py
+++ b/basilhold/sharding/changes.py
@@ -27,6 +27,7 @@
     "RemoveWorker",
     "SetCapacity",
     "SetQuarantine",
+    "Throttle",
 ]
 
 
@@ -45,6 +46,8 @@
         The attempt failed by itself.
     never_started : bool
         The worker confirmed that the attempt did not start.
+    outgrew : bool
+        The attempt was stopped because it used more memory than declared.
     """
 
     task_id: TaskId
@@ -54,6 +57,16 @@
     reason: str = ""
     failed: bool = False
     never_started: bool = False
+    outgrew: bool = False
+
+
+class Throttle(msgspec.Struct, frozen=True):
+    """A worker has limited a victim's cores, so its row commits no more than that."""
+
+    task_id: TaskId
+    attempt: Attempt
+    worker_id: WorkerId
+    cores_limit_milli: int
 
 
 class CancelPending(msgspec.Struct, frozen=True):
@@ -113,4 +126,5 @@
     | RemoveWorker
     | MoveJob
     | DropJob
+    | Throttle
 )
--- a/basilhold/sharding/effects.py
+++ b/basilhold/sharding/effects.py
@@ -10,12 +10,15 @@
     JobId,
     TaskState,
     WorkerId,
+    make_task_id,
     split_task_id,
 )
 from basilhold.placement import (
     Eviction,
+    EvictionAction,
     Placement,
     Planner,
+    WorkerHealth,
 )
 from basilhold.ports import TableService, WorkerAgent
 from basilhold.sharding.batch import Batch
@@ -24,9 +27,9 @@
     Release,
     SetCapacity,
     SetQuarantine,
+    Throttle,
 )
 from basilhold.sharding.committer import CommitDelegate, GroupCommit
-from basilhold.sharding.health import WorkerHealth
 from basilhold.sharding.job_feed import JobFeed
 from basilhold.sharding.ownership import ShardInfo
 from basilhold.sharding.peers import (
@@ -85,10 +88,7 @@
         plan = self._planner.plan(self._services.clock.unix_ms(), limit)
         for eviction in plan.evictions:
             self._evict(eviction)
-        kept, excess = self._quarantine.limit_probes(plan.placements)
-        if excess:
-            self._planner.abandon(excess)
-        return kept
+        return plan.placements
 
     def _evict(self, eviction: Eviction) -> None:
         session = self._sessions.get(eviction.worker_id)
@@ -104,6 +104,9 @@
                 TaskState.PENDING,
                 "evicted",
                 eviction.cores_limit_milli,
+                eviction.for_task_id is not None,
+                eviction.for_task_id is None
+                and eviction.action is not EvictionAction.THROTTLE,
             ),
         )
 
@@ -119,6 +122,8 @@
                 session = self._sessions.get(change.worker_id)
                 if session is not None:
                     session.drop(change.task_id, change.attempt)
+            elif isinstance(change, Throttle):
+                self._resize(change)
             elif isinstance(change, MoveJob):
                 self._moved(change)
         for worker_id, record in batch.workers.items():
@@ -130,21 +135,29 @@
             self._sessions[placement.worker_id].hold(
                 self.tables.assignment(placement.task_id), fresh=True
             )
-            self._quarantine.placed(placement.worker_id)
         placed_only = {p.worker_id for p in batch.placements} - {
             change.worker_id
             for change in batch.changes
-            if isinstance(change, Release | SetCapacity | SetQuarantine)
+            if isinstance(change, Release | SetCapacity | SetQuarantine | Throttle)
         }
         for worker_id in batch.workers.keys() - placed_only:
             self.refresh_worker(worker_id)
-        for job_id in batch.jobs:
+        for job_id, job in batch.jobs.items():
             self.jobs.changed(job_id)
+            if job is not None and job.cancel_requested:
+                for index in range(len(job.tasks)):
+                    self._quarantine.forget_task(make_task_id(job_id, index))
         placed = (split_task_id(p.task_id)[0] for p in batch.placements)
         for job_id in dict.fromkeys(placed):
             if job_id not in batch.jobs:
                 self.jobs.placed(job_id)
 
+    def _resize(self, change: Throttle) -> None:
+        session = self._sessions.get(change.worker_id)
+        assignment = self.tables.assignment(change.task_id)
+        if session is not None and assignment is not None:
+            session.resize(assignment)
+
     def job_changed(self, job_id: JobId) -> None:
         """Act on a job's row that a gateway has changed."""
         self.jobs.changed(job_id)
--- a/basilhold/sharding/owner.py
+++ b/basilhold/sharding/owner.py
@@ -13,6 +13,7 @@
     TaskState,
     TeamName,
     WorkerId,
+    split_task_id,
 )
 from basilhold.observability import log_event
 from basilhold.placement import (
@@ -26,6 +27,7 @@
     MoveJob,
     Release,
     SetCapacity,
+    Throttle,
 )
 from basilhold.sharding.committer import GroupCommit, OwnershipLost
 from basilhold.sharding.effects import BatchEffects, OwnerServices
@@ -52,6 +54,7 @@
 from basilhold.sharding.sessions import SessionSet
 from basilhold.sharding.state import ShardState
 from basilhold.sharding.tables import ShardTables
+from basilhold.sharding.task_rules import FAILED_WORKERS_MAX
 from basilhold.sharding.worker_list import WorkerList, WorkerListOwner
 
 __all__ = ["OwnerServices", "ShardOwner"]
@@ -187,7 +190,6 @@
         while True:
             await asyncio.sleep(_PLAN_INTERVAL_MS / 1000)
             self._workers.update()
-            self._quarantine.update()
             self.jobs.drop_old()
             self._planner.set_teams(self._services.cell.teams(), self._used_elsewhere)
             if self.jobs.has_waiting():
@@ -216,6 +218,7 @@
     def _open_session(self, worker_id: WorkerId, fresh: bool) -> None:
         record = self.tables.workers[worker_id].record
         self._sessions.open(record, fresh, self._group)
+        self._quarantine.set_worker_count(len(self.tables.workers))
         self.refresh_worker(worker_id)
 
     def _close_session(self, worker_id: WorkerId) -> None:
@@ -223,6 +226,7 @@
         self._sizes.pop(worker_id, None)
         self._planner.remove_worker(worker_id)
         self._quarantine.remove(worker_id)
+        self._quarantine.set_worker_count(len(self.tables.workers))
 
     def refresh_worker(self, worker_id: WorkerId) -> None:
         """Tell the planner what a worker holds and whether it takes tasks."""
@@ -239,7 +243,6 @@
             and session.schedulable
             and not resized
             and self._workers.is_usable(worker_id)
-            and self._quarantine.admits(worker.record)
         )
         self._planner.upsert_worker(worker.record, schedulable)
         if schedulable and self.committer is not None:
@@ -284,9 +287,23 @@
                 attempt=change.attempt,
                 reason=change.reason,
             )
-        self._quarantine.note(change)
+        job = self.tables.job_of(change.task_id)
+        failed_on = ()
+        if job is not None:
+            failed_on = job.tasks[split_task_id(change.task_id)[1]].failed_on
+        self._quarantine.note(change, failed_on)
         self.committer.submit(change)
 
+    def throttled(self, change: Throttle) -> None:
+        """Commit the smaller size of a victim that was throttled."""
+        self.committer.submit(change)
+
+    def failed_workers_max(self, task_id: TaskId) -> int:
+        """Return on how many different workers a task may fail."""
+        job = self.tables.job_of(task_id)
+        size = job.spec.task_resources if job else Resources()
+        return max(1, min(FAILED_WORKERS_MAX, self.tables.count_fitting(size)))
+
     def submit(self, change: Change) -> None:
         """Commit a change of other rows."""
         self.committer.submit(change)
--- a/basilhold/sharding/scheduler.py
+++ b/basilhold/sharding/scheduler.py
@@ -14,7 +14,7 @@
     ZoneName,
 )
 from basilhold.observability import log_event
-from basilhold.placement import Explanation, Planner
+from basilhold.placement import Explanation, Planner, WorkerHealth
 from basilhold.ports import (
     Condition,
     StoreError,
@@ -27,7 +27,6 @@
 from basilhold.sharding.balance import pick_moves
 from basilhold.sharding.changes import MoveJob
 from basilhold.sharding.events import SHARD_HANDED_OVER, SHARD_LOST, SHARD_TAKEN
-from basilhold.sharding.health import ConsecutiveFailures, WorkerHealth
 from basilhold.sharding.owner import OwnerServices, ShardOwner
 from basilhold.sharding.ownership import (
     ProcessInfo,
@@ -86,7 +85,7 @@
         cell: CellView,
         make_planner: Callable[[ShardInfo], Planner],
         settings: ShardingSettings | None = None,
-        make_health: Callable[[], WorkerHealth] = ConsecutiveFailures,
+        make_health: Callable[[], WorkerHealth] = WorkerHealth,
         seed: int = 0,
     ):
         self.me = me
--- a/basilhold/sharding/session_owner.py
+++ b/basilhold/sharding/session_owner.py
@@ -15,18 +15,34 @@
 from basilhold.ports import (
     WorkerReport,
 )
-from basilhold.sharding.changes import Release
+from basilhold.sharding.changes import Release, Throttle
 
 __all__ = ["SessionOwner", "StopOrder"]
 
 
 class StopOrder(msgspec.Struct, frozen=True):
-    """Why and how an attempt is stopped."""
+    """Why and how an attempt is stopped.
+
+    Parameters
+    ----------
+    action : EvictionAction
+    state : TaskState
+    reason : str
+    cores_limit_milli : int
+        Limit of a ``THROTTLE``.
+    for_urgent_task : bool
+        What the victim gives up is committed to an urgent task, so a throttled victim's
+        row shrinks. Otherwise a throttle limits a task to its declaration.
+    outgrew : bool
+        The task used more memory than it declared.
+    """
 
     action: EvictionAction
     state: TaskState
     reason: str
     cores_limit_milli: int = 0
+    for_urgent_task: bool = False
+    outgrew: bool = False
 
 
 class SessionOwner(ABC):
@@ -50,6 +66,14 @@
     def release(self, change: Release) -> None:
         """Commit the end of an attempt."""
 
+    @abstractmethod
+    def throttled(self, change: Throttle) -> None:
+        """Commit the smaller size of a victim that was throttled."""
+
+    @abstractmethod
+    def failed_workers_max(self, task_id: TaskId) -> int:
+        """Return on how many different workers a task may fail."""
+
     @abstractmethod
     def fenced_out(self, epoch: Epoch) -> None:
         """Step down, as a worker has seen a higher epoch."""
--- a/basilhold/sharding/tables.py
+++ b/basilhold/sharding/tables.py
@@ -131,6 +131,12 @@
             and f"{job_id}#{index}" not in self.placed
         ]
 
+    def count_fitting(self, size: Resources) -> int:
+        """Return the number of workers that could run a task when empty."""
+        return sum(
+            size.fits_in(worker.record.capacity) for worker in self.workers.values()
+        )
+
     def free(self, worker_ids: Container[WorkerId]) -> Resources:
         """Return what is not committed on some of the workers."""
         total = Resources()
--- a/basilhold/sharding/task_rules.py
+++ b/basilhold/sharding/task_rules.py
@@ -14,6 +14,7 @@
     "MissingAction",
     "after_end",
     "after_lease_expiry",
+    "after_outgrowing",
     "after_stop",
     "when_missing",
 ]
@@ -69,8 +70,18 @@
     restart: RestartPolicy,
     succeeded: bool,
     failures_max: int,
+    workers_max: int = FAILED_WORKERS_MAX,
 ) -> Release:
-    """Return the release of an attempt that ended by itself."""
+    """Return the release of an attempt that ended by itself.
+
+    Parameters
+    ----------
+    failures_max : int
+        Failures, on any workers, after which the task fails for good.
+    workers_max : int
+        Different workers on which the task may fail: fewer than usual if it fits on
+        fewer, since the planner does not try a worker again.
+    """
     release = Release(
         assignment.task_id, assignment.attempt, worker_id, TaskState.SUCCEEDED
     )
@@ -79,7 +90,7 @@
     failed_on = (*task.failed_on, worker_id)
     for_good = (
         restart is RestartPolicy.FORBIDDEN
-        or len(set(failed_on)) >= FAILED_WORKERS_MAX
+        or len(set(failed_on)) >= workers_max
         or len(failed_on) >= failures_max
     )
     state = TaskState.FAILED if for_good else TaskState.PENDING
@@ -87,6 +98,26 @@
     return msgspec.structs.replace(release, state=state, reason=reason, failed=True)
 
 
+def after_outgrowing(
+    assignment: Assignment,
+    worker_id: WorkerId,
+    task: TaskRecord,
+    restart: RestartPolicy,
+    failures_max: int,
+    workers_max: int,
+) -> Release:
+    """Return the release of a started attempt that was stopped for its memory.
+
+    It counts like a failure of the task, so that the task does not start for ever.
+    """
+    if restart is RestartPolicy.FORBIDDEN:
+        return after_stop(assignment, worker_id, restart, False, "outgrew its memory")
+    release = after_end(
+        assignment, worker_id, task, restart, False, failures_max, workers_max
+    )
+    return msgspec.structs.replace(release, reason="outgrew its memory", outgrew=True)
+
+
 def after_stop(
     assignment: Assignment,
     worker_id: WorkerId,
--- a/basilhold/standins/workers.py
+++ b/basilhold/standins/workers.py
@@ -212,10 +212,22 @@
             run.checkpoint_unix_ms = self.clock.unix_ms()
         return self.stop(epoch, task_id, attempt)
 
-    def throttle(self, epoch: Epoch) -> Result[None, AgentError]:
-        """Accept a limit; the stand-in does not model its effect."""
+    def throttle(
+        self, epoch: Epoch, task_id: TaskId, attempt: Attempt, cores_milli: int
+    ) -> Result[None, AgentError]:
+        """Limit an attempt's cores, which leaves the rest to other tasks."""
+        self._advance()
         stale = self._check_epoch(epoch)
-        return Error(stale) if stale else Ok(None)
+        if stale:
+            return Error(stale)
+        run = self._runs.get(task_id)
+        if run and run.running and run.request.attempt == attempt:
+            held = run.request.resources
+            limited = msgspec.structs.replace(
+                held, cores_milli=min(held.cores_milli, cores_milli)
+            )
+            run.request = msgspec.structs.replace(run.request, resources=limited)
+        return Ok(None)
 
     def renew(self, request: RenewRequest) -> Result[RenewReply, AgentError]:
         """Extend the lease; never shortens it."""
@@ -322,7 +334,10 @@
         cores_milli: int,
     ) -> Result[None, AgentError]:
         """Limit an attempt's cores."""
-        return self._call(worker_id, lambda worker: worker.throttle(epoch))
+        return self._call(
+            worker_id,
+            lambda worker: worker.throttle(epoch, task_id, attempt, cores_milli),
+        )
 
     async def renew(
         self, worker_id: WorkerId, request: RenewRequest
--- a/basilhold/testing/links.py
+++ b/basilhold/testing/links.py
@@ -231,7 +231,10 @@
         cores_milli: int,
     ) -> Result[None, AgentError]:
         """Limit an attempt's cores."""
-        return await self._call(worker_id, lambda worker: worker.throttle(epoch))
+        return await self._call(
+            worker_id,
+            lambda worker: worker.throttle(epoch, task_id, attempt, cores_milli),
+        )
 
     async def renew(
         self, worker_id: WorkerId, request: RenewRequest
--- a/basilhold/testing/sharding_runs.py
+++ b/basilhold/testing/sharding_runs.py
@@ -19,7 +19,13 @@
     TeamName,
     WorkerId,
 )
-from basilhold.placement import FirstFitPlanner, Planner, TargetPlanner
+from basilhold.placement import (
+    FirstFitPlanner,
+    Placement,
+    Plan,
+    Planner,
+    TargetPlanner,
+)
 from basilhold.sharding import ShardingSettings
 from basilhold.standins import TaskBehaviour
 from basilhold.testing.cell import TASK_SIZE, CellHarness, make_spec
@@ -48,6 +54,42 @@
     TARGET = "target"
 
 
+class _CheckedPlanner(TargetPlanner):
+    """Checks the owner's calls, and counts evictions by what they are for."""
+
+    def __init__(self, counts: Counter[str]):
+        super().__init__()
+        self._counts = counts
+        self._open: set[Placement] = set()
+
+    def plan(self, now_unix_ms: int, limit: int) -> Plan:
+        """Plan, if the placements of the last plan were settled."""
+        if self._open:
+            raise InvariantError(f"{len(self._open)} placements were not settled")
+        plan = super().plan(now_unix_ms, limit)
+        self._open.update(plan.placements)
+        for eviction in plan.evictions:
+            cause = "urgent work" if eviction.for_task_id else "overuse"
+            self._counts[f"{eviction.action.value} for {cause}"] += 1
+        return plan
+
+    def confirm(self, placements: tuple[Placement, ...]) -> None:
+        """Confirm placements of the last plan."""
+        self._settle(placements)
+        super().confirm(placements)
+
+    def abandon(self, placements: tuple[Placement, ...]) -> None:
+        """Abandon placements of the last plan."""
+        self._settle(placements)
+        super().abandon(placements)
+
+    def _settle(self, placements: tuple[Placement, ...]) -> None:
+        for placement in placements:
+            if placement not in self._open:
+                raise InvariantError(f"{placement.task_id} was settled twice")
+            self._open.discard(placement)
+
+
 class RunResult(msgspec.Struct):
     """What a run did.
 
@@ -75,9 +117,12 @@
     def __init__(self, seed: int, planner: RunPlanner):
         self.seed = seed
         self.planner = planner
-        self.planners: list[Planner] = []
+        self.planners: list[TargetPlanner] = []
         self.rng = random.Random(seed)
         settings = ShardingSettings(horizon_ms=90_000)
+        if planner is RunPlanner.TARGET:
+            # Reports must arrive while tasks of 25 s run, or no overuse is seen.
+            settings = ShardingSettings(horizon_ms=90_000, usage_interval_ms=10_000)
         zones = {ZONE: self.rng.randint(2, 5)}
         self.wait_target_ms = 600_000
         if seed % 4 == 1:
@@ -106,7 +151,7 @@
     def _make_planner(self) -> Planner:
         if self.planner is RunPlanner.FIRST_FIT:
             return FirstFitPlanner()
-        planner = TargetPlanner()
+        planner = _CheckedPlanner(self.counts)
         self.planners.append(planner)
         return planner
 
