--- a/basilhold/placement/admission.py
+++ b/basilhold/placement/admission.py
@@ -15,7 +15,7 @@
     WorkClass,
     ZoneName,
 )
-from basilhold.placement.gangs import slots_of
+from basilhold.placement.shapes import slots_of
 
 __all__ = [
     "GANG_TASKS_MAX",
--- a/basilhold/placement/explain.py
+++ b/basilhold/placement/explain.py
@@ -2,9 +2,9 @@
 
 from basilhold.core import JobId, Resources, make_task_id
 from basilhold.placement.claims import ClaimBook
-from basilhold.placement.gangs import slots_of
 from basilhold.placement.plan import Explanation
 from basilhold.placement.reservation import Reservation
+from basilhold.placement.shapes import slots_of
 from basilhold.placement.shard_state import ShardState
 from basilhold.placement.waiting import Entry, JobState
 from basilhold.placement.workers import WorkerState
--- a/basilhold/placement/gangs.py
+++ b/basilhold/placement/gangs.py
@@ -5,36 +5,17 @@
 from basilhold.core import Resources
 from basilhold.placement.lanes import LaneKey
 from basilhold.placement.selection import fitting_workers
+from basilhold.placement.shapes import slots_of
 from basilhold.placement.shard_state import ShardState
 from basilhold.placement.workers import WorkerState
 
-__all__ = ["gather_gang", "slots_of"]
-
-_SLOTS_MAX = 1 << 20
+__all__ = ["gather_gang"]
 
 _SURPLUS = 4
 """Slots are collected up to this multiple of the gang's size before racks are chosen,
 which bounds the search on an empty shard."""
 
 
-def slots_of(free: Resources, size: Resources) -> int:
-    """Return how many tasks of a size fit in an amount.
-
-    Examples
-    --------
-    >>> slots_of(Resources(4000, 8, 0), Resources(1000, 4, 0))
-    2
-    """
-    slots = _SLOTS_MAX
-    if size.cores_milli:
-        slots = min(slots, free.cores_milli // size.cores_milli)
-    if size.memory_bytes:
-        slots = min(slots, free.memory_bytes // size.memory_bytes)
-    if size.gpus_milli:
-        slots = min(slots, free.gpus_milli // size.gpus_milli)
-    return slots
-
-
 def gather_gang(
     state: ShardState,
     key: LaneKey,
--- a/basilhold/placement/reservation.py
+++ b/basilhold/placement/reservation.py
@@ -5,8 +5,8 @@
 
 from basilhold.core import JobId, Resources, WorkerId
 from basilhold.placement.estimates import ClassEstimates
-from basilhold.placement.gangs import slots_of
 from basilhold.placement.lanes import LaneKey
+from basilhold.placement.shapes import slots_of
 from basilhold.placement.workers import LiveTask, WorkerState
 
 __all__ = ["Reservation", "expected_end_unix_ms", "reserve"]
--- a/basilhold/placement/shapes.py
+++ b/basilhold/placement/shapes.py
@@ -4,7 +4,27 @@
 
 from basilhold.core import Resources
 
-__all__ = ["WorkerShapes"]
+__all__ = ["WorkerShapes", "slots_of"]
+
+_SLOTS_MAX = 1 << 20
+
+
+def slots_of(free: Resources, size: Resources) -> int:
+    """Return how many tasks of a size fit in an amount.
+
+    Examples
+    --------
+    >>> slots_of(Resources(4000, 8, 0), Resources(1000, 4, 0))
+    2
+    """
+    slots = _SLOTS_MAX
+    if size.cores_milli:
+        slots = min(slots, free.cores_milli // size.cores_milli)
+    if size.memory_bytes:
+        slots = min(slots, free.memory_bytes // size.memory_bytes)
+    if size.gpus_milli:
+        slots = min(slots, free.gpus_milli // size.gpus_milli)
+    return slots
 
 
 class WorkerShapes:
--- a/basilhold/placement/shard_state.py
+++ b/basilhold/placement/shard_state.py
@@ -17,7 +17,7 @@
 from basilhold.placement.newest import NewestTasks
 from basilhold.placement.plan import Placement
 from basilhold.placement.quotas import TeamLedger
-from basilhold.placement.shapes import WorkerShapes
+from basilhold.placement.shapes import WorkerShapes, slots_of
 from basilhold.placement.waiting import JobState, WaitingQueue
 from basilhold.placement.worker_index import WorkerIndex
 from basilhold.placement.workers import LiveTask, WorkerState
@@ -35,7 +35,7 @@
     def __init__(self):
         self.workers: dict[WorkerId, WorkerState] = {}
         self.tasks: dict[TaskId, LiveTask] = {}
-        self.queue = WaitingQueue()
+        self.queue = WaitingQueue(self._may_avoid)
         self.teams = TeamLedger()
         self.estimates = ClassEstimates()
         self.gpu_guard = GpuGuard()
@@ -59,6 +59,7 @@
         if worker is None:
             worker = self.workers[record.worker_id] = WorkerState(record)
             self.shapes.add(record.capacity)
+            self.queue.mark_retried()
             for live in self._unplaced_holds.pop(record.worker_id, []):
                 if self.tasks.get(live.task_id) is live:
                     self._attach(live, worker)
@@ -71,6 +72,7 @@
             self.shapes.remove(worker.capacity)
             self.shapes.add(record.capacity)
             worker.capacity = record.capacity
+            self.queue.mark_retried()
         self._note_quarantine(worker, record.quarantined_until_unix_ms)
         named = {assignment.task_id for assignment in record.assignments}
         gone = [
@@ -94,6 +96,7 @@
         if worker is None:
             return
         self.shapes.remove(worker.capacity)
+        self.queue.mark_retried()
         self.quarantined.pop(worker_id, None)
         self.free_index.discard(worker_id)
         self.reclaim_index.discard(worker_id)
@@ -265,6 +268,21 @@
             ):
                 fit.unblock()
 
+    def _may_avoid(
+        self, size: Resources, count: int, avoid: frozenset[WorkerId]
+    ) -> bool:
+        """Return whether tasks could run without some workers if the rest were empty.
+
+        Otherwise tasks that have failed on those would wait for ever: a gang whose
+        tasks failed on different workers, or work whose other workers are gone.
+        """
+        for worker in self.workers.values():
+            if worker.worker_id not in avoid:
+                count -= slots_of(worker.capacity, size)
+                if count <= 0:
+                    return True
+        return False
+
     def wake_quarantined(self) -> None:
         """Note whether a quarantined worker is due for a probe."""
         self.probe_is_due = False
--- a/basilhold/placement/tests/test_target_planner.py
+++ b/basilhold/placement/tests/test_target_planner.py
@@ -321,6 +321,35 @@
         self.assertEqual(shard.plan(31_000).placements, ())
 
 
+class RetryTest(unittest.TestCase):
+    """Guards against a task that has failed and then waits for ever."""
+
+    def fail(self, shard, task_id, worker):
+        name, index = task_id.split("#")
+        task = shard.jobs[name].tasks[int(index)]
+        task.failed_on = (*task.failed_on, worker)
+        shard.end(task_id, TaskState.PENDING)
+
+    def test_gang_that_failed_on_all_workers_is_tried_again(self):
+        shard = Shard(("w1", size(2, 8), "r1"), ("w2", size(2, 8), "r1"))
+        shard.submit(job("g", size(1), tasks=3, kind=ClassKind.GANG))
+        for task_id, worker in placed(shard.plan(0)).items():
+            self.fail(shard, task_id, worker)
+        self.assertEqual(len(shard.plan(1).placements), 3)
+
+    def test_worker_is_tried_again_once_the_others_are_gone(self):
+        shard = Shard(("w1", size(2, 8), "r1"), ("w2", size(2, 8), "r1"))
+        shard.submit(job("b", size(2)))
+        first = placed(shard.plan(0))["b#0"]
+        other = "w2" if first == "w1" else "w1"
+        shard.planner.upsert_worker(shard.rows[other], False)
+        self.fail(shard, "b#0", first)
+        self.assertEqual(placed(shard.plan(1)), {})
+        shard.planner.remove_worker(other)
+        self.assertEqual(placed(shard.plan(2)), {"b#0": first})
+        shard.planner.check_invariants()
+
+
 class ExplainTest(unittest.TestCase):
     """Guards against a waiting job without a reason."""
 
--- a/basilhold/placement/waiting.py
+++ b/basilhold/placement/waiting.py
@@ -1,7 +1,7 @@
 """Waiting jobs, grouped into buckets of identical tasks."""
 
 import heapq
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from typing import TYPE_CHECKING, NamedTuple
 
 from basilhold.core import (
@@ -171,12 +171,19 @@
 
     Changed jobs are only marked; their entries are rebuilt once, before the next
     pass, so a burst of cancellations costs one pass.
+
+    Parameters
+    ----------
+    may_avoid : callable
+        Whether a number of tasks of one size could run without some workers.
     """
 
-    def __init__(self):
+    def __init__(self, may_avoid: Callable[[Resources, int, frozenset], bool]):
         self.jobs: dict[JobId, JobState] = {}
         self.buckets: dict[BucketKey, Bucket] = {}
         self.lanes = LaneSet()
+        self._may_avoid = may_avoid
+        self._retried: dict[JobId, None] = {}
         # A dict keeps the order of the calls, so that runs can be repeated.
         self._changed: dict[JobId, None] = {}
 
@@ -184,6 +191,10 @@
         """Have a job's entries rebuilt before the next pass."""
         self._changed[job_id] = None
 
+    def mark_retried(self) -> None:
+        """Have the jobs with failed tasks rebuilt, as the workers have changed."""
+        self._changed.update(self._retried)
+
     def is_marked(self, job_id: JobId) -> bool:
         """Return whether a job's entries are still to be rebuilt."""
         return job_id in self._changed
@@ -192,6 +203,7 @@
         """Remove a job and its waiting tasks."""
         job = self.jobs.pop(job_id, None)
         self._changed.pop(job_id, None)
+        self._retried.pop(job_id, None)
         if job is not None:
             job.removed = True
             self._drop_entries(job)
@@ -244,8 +256,14 @@
                 groups.setdefault((job.spec.submitted_unix_ms, ()), []).append(index)
             else:
                 groups.setdefault((since, task.failed_on), []).append(index)
+        self._retried.pop(job.spec.job_id, None)
         for (since, failed_on), indices in groups.items():
             avoid = frozenset(gang_avoid if job.is_gang else failed_on)
+            if avoid:
+                self._retried[job.spec.job_id] = None
+                count = len(indices) if job.is_gang else 1
+                if not self._may_avoid(job.spec.task_resources, count, avoid):
+                    avoid = frozenset()
             self._add_entry(job, since, avoid, indices)
 
     def _add_entry(
--- a/basilhold/sharding/batch.py
+++ b/basilhold/sharding/batch.py
@@ -113,23 +113,33 @@
         deferred, refused : list of Placement
             Deferred ones fit in a later batch; refused ones contradict the tables.
         """
+        units = self._units(placements)
         deferred: list[Placement] = []
         refused: list[Placement] = []
+        for unit in units:
+            if deferred or not self._has_room(unit):
+                deferred.extend(unit)
+            elif self._contradicts(unit):
+                refused.extend(unit)
+            else:
+                self._place(unit)
+        return deferred, refused
+
+    def _units(self, placements: Sequence[Placement]) -> list[list[Placement]]:
+        """Return what is committed together, the largest first.
+
+        A large gang behind single tasks would be deferred again and again, as long as
+        those take the room that it lacks.
+        """
+        units: list[list[Placement]] = []
         for job_id, group in groupby(
             placements, key=lambda placement: split_task_id(placement.task_id)[0]
         ):
             members = list(group)
             job = self._tables.jobs.get(job_id)
             whole = job is not None and job.record.spec.kind is ClassKind.GANG
-            units = [members] if whole else [[member] for member in members]
-            for unit in units:
-                if deferred or not self._has_room(unit):
-                    deferred.extend(unit)
-                elif self._contradicts(unit):
-                    refused.extend(unit)
-                else:
-                    self._place(unit)
-        return deferred, refused
+            units += [members] if whole else [[member] for member in members]
+        return sorted(units, key=len, reverse=True)
 
     def _has_room(self, unit: list[Placement]) -> bool:
         new = {p.worker_id for p in unit} - self._workers.keys()
--- a/basilhold/sharding/owner.py
+++ b/basilhold/sharding/owner.py
@@ -326,6 +326,10 @@
         """Pass a worker's usage on to the planner, and commit its size if new."""
         now_ms = self._services.clock.unix_ms()
         self._planner.record_usage(report.worker_id, report.tasks, now_ms)
+        if report.tasks:
+            # A plan carries the evictions of tasks that exceed their declaration, also
+            # while no work waits.
+            self.committer.poke()
         if self._sizes.get(report.worker_id) != report.capacity:
             self._sizes[report.worker_id] = report.capacity
             self.refresh_worker(report.worker_id)
--- a/basilhold/sharding/tests/test_batch.py
+++ b/basilhold/sharding/tests/test_batch.py
@@ -1,6 +1,7 @@
 import unittest
 
 from basilhold.core import (
+    Assignment,
     ClassKind,
     JobRecord,
     Resources,
@@ -54,6 +55,40 @@
         self.assertGreater(len(batch.changes), 20)
         self.assertEqual(len(batch.changes) + len(deferred), 200)
 
+    def test_gang_of_200_behind_single_tasks_is_committed_whole(self):
+        """Single tasks that come first must not push a large gang out each time."""
+        tables = make_tables(260, 100)
+        gang = make_spec("gang", 200, kind=ClassKind.GANG)
+        record = JobRecord(gang, [TaskRecord() for _ in range(200)])
+        singles = [place(j, 0, 200 + n % 60) for n, j in enumerate(tables.jobs)]
+        tables.jobs[gang.job_id] = VersionedJob(record, 1)
+        members = [place(gang.job_id, n, n) for n in range(200)]
+        builder = BatchBuilder(tables, "t")
+        builder.set_shard(tables.shard)
+        deferred, refused = builder.add_placements([*singles, *members])
+        self.assertEqual(refused, [])
+        batch = builder.build()
+        self.assertLessEqual(set(members), set(batch.placements))
+        self.assertFalse(set(members) & set(deferred))
+
+    def test_gang_of_200_fits_on_busy_workers(self):
+        """A gang that no transaction holds would wait for ever."""
+        big = Resources(64_000, 256 << 30, 0)
+        tables = make_tables(220, 220, 16, size=big)
+        for number, job_id in enumerate(list(tables.jobs)):
+            held = tuple(Assignment(f"{job_id}#{n}", 1, TASK_SIZE) for n in range(16))
+            row = WorkerRecord(f"w{number}", "z", "r", big, held)
+            tables.set_worker(row, 1)
+        gang = make_spec("gang", 200, kind=ClassKind.GANG)
+        record = JobRecord(gang, [TaskRecord() for _ in range(200)])
+        tables.jobs[gang.job_id] = VersionedJob(record, 1)
+        builder = BatchBuilder(tables, "t")
+        members = [place(gang.job_id, n, n) for n in range(200)]
+        self.assertEqual(builder.add_placements(members), ([], []))
+        values = builder.build().transaction.writes
+        size = sum(len(write.value or b"") for write in values)
+        self.assertLess(size, TRANSACTION_BYTES_MAX)
+
     def test_bytes_are_bounded(self):
         big = Resources(10**9, 1 << 50, 0)
         tables = make_tables(200, 1, 20_000, size=big)
--- a/basilhold/sharding/tests/test_randomised.py
+++ b/basilhold/sharding/tests/test_randomised.py
@@ -2,7 +2,15 @@
 
 from absl import logging
 
-from basilhold.testing.sharding_runs import FAULTS, run_seed
+from basilhold.testing.sharding_runs import FAULTS, RunPlanner, run_seed
+
+
+def planner_of(seed):
+    """Return the planner of a seed; a third runs the planner of production.
+
+    Kinds of cells repeat every 12 seeds, so each kind runs with both planners.
+    """
+    return RunPlanner.TARGET if seed % 36 < 12 else RunPlanner.FIRST_FIT
 
 
 class RandomisedTest(unittest.TestCase):
@@ -16,9 +24,11 @@
         taken = set()
         for seed in range(300):
             with self.subTest(seed=seed):
-                taken.update(run_seed(seed).faults)
+                taken.update(run_seed(seed, planner_of(seed)).faults)
         self.assertEqual(taken, set(FAULTS), "not every fault took part")
 
     def test_equal_seeds_give_equal_logs(self):
         for seed in (3, 8, 21):
-            self.assertEqual(run_seed(seed), run_seed(seed))
+            for planner in RunPlanner:
+                first, second = (run_seed(seed, planner) for _ in range(2))
+                self.assertEqual(first, second)
