--- a/basilhold/placement/__init__.py
+++ b/basilhold/placement/__init__.py
@@ -11,6 +11,7 @@
 from basilhold.placement.estimates import ClassEstimates, DecayingQuantile
 from basilhold.placement.first_fit import FirstFitPlanner
 from basilhold.placement.health import AttemptOutcome, HealthVerdict, WorkerHealth
+from basilhold.placement.lanes import URGENT_TARGET_MS
 from basilhold.placement.plan import (
     Eviction,
     EvictionAction,
@@ -23,6 +24,7 @@
 from basilhold.placement.target_planner import TargetPlanner
 
 __all__ = [
+    "URGENT_TARGET_MS",
     "GANG_TASKS_MAX",
     "AttemptOutcome",
     "ClassEstimates",
--- a/basilhold/sharding/attempts.py
+++ b/basilhold/sharding/attempts.py
@@ -58,6 +58,7 @@
     assignment: Assignment
     phase: AttemptPhase
     capacity_refusals: int = 0
+    running_since_ms: float | None = None
 
 
 class AttemptKeeper(ABC):
@@ -148,6 +149,22 @@
         """Number of committed attempts."""
         return len(self._held)
 
+    def has_overdue_end(self) -> bool:
+        """Return whether a task should have ended by its declared run time."""
+        now_ms = self._clock.monotonic_ms()
+        return any(
+            held.running_since_ms is not None
+            and held.phase is AttemptPhase.RUNNING
+            and (job := self._owner.job_of(task_id)) is not None
+            and 0 < job.spec.run_time_ms <= now_ms - held.running_since_ms
+            for task_id, held in self._held.items()
+        )
+
+    def _note_running(self, held: _Held) -> None:
+        held.phase = AttemptPhase.RUNNING
+        if held.running_since_ms is None:
+            held.running_since_ms = self._clock.monotonic_ms()
+
     def running(self) -> dict[TaskId, Attempt]:
         """Return the attempts that the worker is known to run."""
         return {
@@ -199,7 +216,7 @@
                 )
                 await self._stop(held, self._stops.get(assignment.task_id, order))
         elif task.running:
-            held.phase = AttemptPhase.RUNNING
+            self._note_running(held)
         elif task.succeeded is None:
             self._release_stopped(held, "stopped by the worker")
         else:
@@ -251,7 +268,7 @@
         if held.phase is not AttemptPhase.SENT:
             return
         if result.is_ok():
-            held.phase = AttemptPhase.RUNNING
+            self._note_running(held)
         elif result.error.kind is AgentErrorKind.REFUSED:
             await self._start_refused(held, result.error.reason, first)
 
--- a/basilhold/sharding/committer.py
+++ b/basilhold/sharding/committer.py
@@ -325,6 +325,7 @@
                 if job is not None and tables.jobs.pop(job_id, None):
                     changed.add(key)
                     log_event(JOB_ROW_MISSING, job_id=job_id, zone=tables.zone)
+                    self._delegate.job_changed(job_id)
             elif row.version > tables.job_version(job_id):
                 changed.add(key)
                 tables.load_job(row)
--- a/basilhold/sharding/job_feed.py
+++ b/basilhold/sharding/job_feed.py
@@ -5,7 +5,7 @@
 from collections import deque
 
 from basilhold.core import Clock, JobId, TaskId, make_task_id
-from basilhold.placement import Planner
+from basilhold.placement import URGENT_TARGET_MS, Planner
 from basilhold.ports import TableService
 from basilhold.sharding.changes import CancelPending, Change, DropJob
 from basilhold.sharding.recovery import scan_rows
@@ -86,6 +86,13 @@
         """Return whether any task waits for a worker."""
         return bool(self._waiting)
 
+    def has_urgent_waiting(self) -> bool:
+        """Return whether a task of an urgent class waits for a worker."""
+        return any(
+            self._tables.jobs[job_id].record.spec.wait_target_ms <= URGENT_TARGET_MS
+            for job_id in self._waiting
+        )
+
     def waiting_tasks(self) -> int:
         """Return the number of tasks that wait for a worker."""
         return sum(len(self._tables.pending_indexes(j)) for j in self._waiting)
--- a/basilhold/sharding/owner.py
+++ b/basilhold/sharding/owner.py
@@ -192,6 +192,8 @@
             self._workers.update()
             self.jobs.drop_old()
             self._planner.set_teams(self._services.cell.teams(), self._used_elsewhere)
+            if self.jobs.has_urgent_waiting():
+                self._sessions.contact_early()
             if self.jobs.has_waiting():
                 self.committer.poke()
 
--- a/basilhold/sharding/session.py
+++ b/basilhold/sharding/session.py
@@ -88,6 +88,7 @@
         self._limiters = limiters
         self._rng = rng
         self._usage_due_ms = 0.0
+        self._contacted_at_ms = 0.0
 
     def attest_lost(self) -> None:
         """Treat the worker's leases as expired, as its VM is destroyed."""
@@ -121,6 +122,19 @@
         """Return whether the worker is unreachable and its lease has expired."""
         return not self.reachable and is_free(self.lease, self._clock.unix_ms())
 
+    @property
+    def contacted_at_ms(self) -> float:
+        """Loop time of the last lease renewal or report."""
+        return self._contacted_at_ms
+
+    def contact_early(self) -> None:
+        """Renew the lease now, which also tells about ends of tasks.
+
+        It takes the place of the next regular renewal.
+        """
+        self._contact_due_ms = self._clock.monotonic_ms()
+        self._wake.set()
+
     # The conversation.
 
     async def run(self) -> None:
@@ -153,6 +167,7 @@
     async def _contact(self) -> None:
         """Renew the lease, after a report if the task lists may differ."""
         now_ms = self._clock.monotonic_ms()
+        self._contacted_at_ms = now_ms
         interval_ms = self._settings.renew_worker_ms
         self._contact_due_ms = now_ms + interval_ms * self._rng.uniform(0.95, 1.0)
         if now_ms >= self._usage_due_ms:
--- a/basilhold/sharding/sessions.py
+++ b/basilhold/sharding/sessions.py
@@ -15,6 +15,12 @@
 
 __all__ = ["SessionSet"]
 
+_EARLY_CONTACTS_MAX = 2
+"""Early contacts a second and shard. 220 workers are contacted 22 times a second."""
+
+_EARLY_CONTACT_GAP_MS = 2_000
+"""Least time between the last contact with a worker and an early one."""
+
 
 class SessionSet:
     """Opens and closes the sessions with a shard's workers.
@@ -104,6 +110,24 @@
         if task is not None:
             task.cancel()
 
+    def contact_early(self) -> None:
+        """Ask a few workers for ends of tasks, those with overdue ends first.
+
+        Called once a second while urgent work waits. The bounds keep the extra
+        messages below a tenth of the renewals of 220 workers.
+        """
+        now_ms = self._clock.monotonic_ms()
+        candidates = [
+            session
+            for session in self._sessions.values()
+            if session.schedulable
+            and session.running()
+            and now_ms - session.contacted_at_ms >= _EARLY_CONTACT_GAP_MS
+        ]
+        candidates.sort(key=lambda s: (not s.has_overdue_end(), s.contacted_at_ms))
+        for session in candidates[:_EARLY_CONTACTS_MAX]:
+            session.contact_early()
+
     def cancel(self) -> None:
         """End all sessions; no message is sent afterwards."""
         for task in self._tasks.values():
--- a/basilhold/standins/workers.py
+++ b/basilhold/standins/workers.py
@@ -63,13 +63,14 @@
     def __init__(self, request: StartRequest, behaviour: TaskBehaviour, now_ms: int):
         self.request = request
         self.behaviour = behaviour
+        self.declared = request.resources
         self.started_unix_ms = now_ms
         self.running = True
         self.succeeded: bool | None = None
         self.checkpoint_unix_ms = 0
 
     def report(self) -> TaskReport:
-        used = self.behaviour.used or self.request.resources
+        used = self.behaviour.used or self.declared
         return TaskReport(
             self.request.task_id,
             self.request.attempt,
