--- a/basilhold/sharding/batch.py
+++ b/basilhold/sharding/batch.py
@@ -31,6 +31,7 @@
     RemoveWorker,
     SetCapacity,
     SetQuarantine,
+    Throttle,
 )
 from basilhold.sharding.commit_rules import SentCommit, commit_conditions
 from basilhold.sharding.rows import (
@@ -112,23 +113,33 @@
         deferred, refused : list of Placement
             Deferred ones fit in a later batch; refused ones contradict the tables.
         """
+        units = self._units(placements)
         deferred: list[Placement] = []
         refused: list[Placement] = []
+        for unit in units:
+            if deferred or not self._has_room(unit):
+                deferred.extend(unit)
+            elif self._contradicts(unit):
+                refused.extend(unit)
+            else:
+                self._place(unit)
+        return deferred, refused
+
+    def _units(self, placements: Sequence[Placement]) -> list[list[Placement]]:
+        """Return what is committed together, the largest first.
+
+        A large gang behind single tasks would be deferred again and again, as long as
+        those take the room that it lacks.
+        """
+        units: list[list[Placement]] = []
         for job_id, group in groupby(
             placements, key=lambda placement: split_task_id(placement.task_id)[0]
         ):
             members = list(group)
             job = self._tables.jobs.get(job_id)
             whole = job is not None and job.record.spec.kind is ClassKind.GANG
-            units = [members] if whole else [[member] for member in members]
-            for unit in units:
-                if deferred or not self._has_room(unit):
-                    deferred.extend(unit)
-                elif self._contradicts(unit):
-                    refused.extend(unit)
-                else:
-                    self._place(unit)
-        return deferred, refused
+            units += [members] if whole else [[member] for member in members]
+        return sorted(units, key=len, reverse=True)
 
     def _has_room(self, unit: list[Placement]) -> bool:
         new = {p.worker_id for p in unit} - self._workers.keys()
@@ -194,6 +205,8 @@
     def _change_has_room(self, change: Change) -> bool:
         size = 512
         match change:
+            case Throttle():
+                size += self._worker_bytes(change.worker_id)
             case Release():
                 job = self._tables.job_of(change.task_id)
                 size += self._worker_bytes(change.worker_id)
@@ -241,6 +254,16 @@
                 self._move_job(change)
             case DropJob():
                 self._drop_job(change.job_id)
+            case Throttle():
+                self._throttle(change)
+
+    def _throttle(self, change: Throttle) -> None:
+        worker = self._worker(change.worker_id)
+        if worker is None or not _holds(worker, change):
+            return
+        kept = tuple(_throttled(a, change) for a in worker.assignments)
+        if kept != worker.assignments:
+            self._put_worker(msgspec.structs.replace(worker, assignments=kept))
 
     def _release(self, change: Release) -> None:
         worker = self._worker(change.worker_id)
@@ -357,7 +380,18 @@
         )
 
 
-def _holds(worker: WorkerRecord, change: Release) -> bool:
+def _throttled(assignment: Assignment, change: Throttle) -> Assignment:
+    size = assignment.resources
+    if (
+        assignment.task_id != change.task_id
+        or size.cores_milli <= change.cores_limit_milli
+    ):
+        return assignment
+    size = msgspec.structs.replace(size, cores_milli=change.cores_limit_milli)
+    return msgspec.structs.replace(assignment, resources=size)
+
+
+def _holds(worker: WorkerRecord, change: Release | Throttle) -> bool:
     return any(
         assignment.task_id == change.task_id and assignment.attempt == change.attempt
         for assignment in worker.assignments
--- a/basilhold/standins/workers.py
+++ b/basilhold/standins/workers.py
@@ -63,13 +63,14 @@
     def __init__(self, request: StartRequest, behaviour: TaskBehaviour, now_ms: int):
         self.request = request
         self.behaviour = behaviour
+        self.declared = request.resources
         self.started_unix_ms = now_ms
         self.running = True
         self.succeeded: bool | None = None
         self.checkpoint_unix_ms = 0
 
     def report(self) -> TaskReport:
-        used = self.behaviour.used or self.request.resources
+        used = self.behaviour.used or self.declared
         return TaskReport(
             self.request.task_id,
             self.request.attempt,
@@ -212,10 +213,22 @@
             run.checkpoint_unix_ms = self.clock.unix_ms()
         return self.stop(epoch, task_id, attempt)
 
-    def throttle(self, epoch: Epoch) -> Result[None, AgentError]:
-        """Accept a limit; the stand-in does not model its effect."""
+    def throttle(
+        self, epoch: Epoch, task_id: TaskId, attempt: Attempt, cores_milli: int
+    ) -> Result[None, AgentError]:
+        """Limit an attempt's cores, which leaves the rest to other tasks."""
+        self._advance()
         stale = self._check_epoch(epoch)
-        return Error(stale) if stale else Ok(None)
+        if stale:
+            return Error(stale)
+        run = self._runs.get(task_id)
+        if run and run.running and run.request.attempt == attempt:
+            held = run.request.resources
+            limited = msgspec.structs.replace(
+                held, cores_milli=min(held.cores_milli, cores_milli)
+            )
+            run.request = msgspec.structs.replace(run.request, resources=limited)
+        return Ok(None)
 
     def renew(self, request: RenewRequest) -> Result[RenewReply, AgentError]:
         """Extend the lease; never shortens it."""
@@ -322,7 +335,10 @@
         cores_milli: int,
     ) -> Result[None, AgentError]:
         """Limit an attempt's cores."""
-        return self._call(worker_id, lambda worker: worker.throttle(epoch))
+        return self._call(
+            worker_id,
+            lambda worker: worker.throttle(epoch, task_id, attempt, cores_milli),
+        )
 
     async def renew(
         self, worker_id: WorkerId, request: RenewRequest
