--- a/basilhold/capacity/daemon_probe.py
+++ b/basilhold/capacity/daemon_probe.py
@@ -6,7 +6,7 @@
 
 from basilhold.capacity.daemons import DAEMONS, DaemonUse, EntryVmDaemons
 
-__all__ = ["DaemonReport", "measure_daemons"]
+__all__ = ["DaemonReport", "IdleDaemons", "measure_daemons", "measure_idle_daemons"]
 
 REQUEST_COUNTS = (500, 1_000, 2_000)
 TASK_COUNTS = (100, 200, 400)
@@ -43,6 +43,25 @@
     pages: dict[str, tuple[int, float]]
 
 
+class IdleDaemons(msgspec.Struct, frozen=True):
+    """What the programs use while no task starts and no request comes.
+
+    Parameters
+    ----------
+    scheduler_ms, relay_ms, gateway_ms : float
+        Processor time per second.
+    scheduler_kb, relay_kb, gateway_kb : float
+        Resident size.
+    """
+
+    scheduler_ms: float
+    relay_ms: float
+    gateway_ms: float
+    scheduler_kb: float
+    relay_kb: float
+    gateway_kb: float
+
+
 async def _idle_cores(daemons: EntryVmDaemons, seconds: float) -> dict[str, float]:
     before = daemons.use()
     await asyncio.sleep(seconds)
@@ -101,6 +120,29 @@
     )
 
 
+async def _measure_idle(workers: int, seconds: float) -> IdleDaemons:
+    async with EntryVmDaemons(workers) as daemons:
+        # The first lease renewals and reports are over by then.
+        await asyncio.sleep(5)
+        cores = await _idle_cores(daemons, seconds)
+        use = daemons.use()
+    ms = {daemon: cores[daemon] * 1000 for daemon in DAEMONS}
+    kb = {daemon: use[daemon].resident_kb for daemon in DAEMONS}
+    return IdleDaemons(
+        ms["scheduler"],
+        ms["relay"],
+        ms["gateway"],
+        kb["scheduler"],
+        kb["relay"],
+        kb["gateway"],
+    )
+
+
+def measure_idle_daemons(workers: int, seconds: float = 20) -> IdleDaemons:
+    """Measure idle programs with a number of workers; takes real time."""
+    return asyncio.run(_measure_idle(workers, seconds))
+
+
 def measure_daemons(idle_s: float = 10) -> DaemonReport:
     """Measure the programs as processes; takes real time."""
     return asyncio.run(_measure(idle_s))
--- a/basilhold/capacity/daemons.py
+++ b/basilhold/capacity/daemons.py
@@ -55,20 +55,33 @@
     """Stand-ins of the platform and one entry VM's programs, on loopback.
 
     An asynchronous context manager; it ends the processes that it started, by id.
+    The entry VM's scheduler owns all shards, as no other entry VM runs.
+
+    Parameters
+    ----------
+    workers : int
+        Workers of the first shape; the example's second shape adds 7.
     """
 
-    def __init__(self):
+    def __init__(self, workers: int = 20):
         self._folder = tempfile.TemporaryDirectory()
         self._settings = write_settings(self._folder.name, "trakia")
+        text, shape, shapes = self._settings.read_text().partition("[[worker_shapes]]")
+        shapes = shapes.replace("count = 20\n", f"count = {workers}\n", 1)
+        self._settings.write_text(text + shape + shapes)
         self._vm = load_settings(self._settings).ok.entry_vms[0]
         self._processes: dict[str, asyncio.subprocess.Process] = {}
         self._client = SimpleAsyncHTTPClient(force_instance=True, max_clients=64)
 
     async def __aenter__(self) -> Self:
-        await self._start("platform", "local", "platform")
-        for daemon in DAEMONS:
-            await self._start(daemon, daemon, "--vm", VM)
-        await self.wait_until(self._takes_requests)
+        try:
+            await self._start("platform", "local", "platform")
+            for daemon in DAEMONS:
+                await self._start(daemon, daemon, "--vm", VM)
+            await self.wait_until(self._takes_requests)
+        except BaseException:
+            await self._stop()
+            raise
         return self
 
     async def __aexit__(
@@ -77,6 +90,9 @@
         exc: BaseException | None,
         traceback: TracebackType | None,
     ) -> None:
+        await self._stop()
+
+    async def _stop(self) -> None:
         for process in reversed(self._processes.values()):
             if process.returncode is None:
                 process.terminate()
@@ -112,9 +128,14 @@
         Raises
         ------
         TimeoutError
+        RuntimeError
+            If a program ends; at the start, another process may have taken its port.
         """
         async with asyncio.timeout(START_TIMEOUT_S):
-            while not await condition():  # noqa: ASYNC110
+            while not await condition():
+                for name, process in self._processes.items():
+                    if process.returncode is not None:
+                        raise RuntimeError(f"{name} ended with {process.returncode}")
                 await asyncio.sleep(0.1)
 
     async def fetch(
--- a/basilhold/capacity/measure.py
+++ b/basilhold/capacity/measure.py
@@ -8,7 +8,11 @@
 from basilhold.benchmarks.control import measure_change
 from basilhold.benchmarks.sharding import measure_placements
 from basilhold.capacity.cell_probes import measure_cell, measure_queued_memory
-from basilhold.capacity.daemon_probe import DaemonReport, measure_daemons
+from basilhold.capacity.daemon_probe import (
+    DaemonReport,
+    measure_daemons,
+    measure_idle_daemons,
+)
 from basilhold.capacity.once_probe import measure_once_writes
 from basilhold.capacity.planner_probe import measure_planner
 from basilhold.capacity.relay_probes import (
@@ -39,6 +43,8 @@
 
 TASKS_PER_WORKER = 8
 WAITING_PER_WORKER = 40
+PROCESS_WORKERS = (110, 440, 880)
+"""Large enough that the clock tick of 10 ms hardly matters in 20 s."""
 
 
 class Sizes(msgspec.Struct, frozen=True):
@@ -337,12 +343,25 @@
     }
 
 
+def _idle_daemons() -> dict[str, Slope]:
+    pairs = [(n, measure_idle_daemons(n)) for n in PROCESS_WORKERS]
+    names = [
+        (f"{daemon}_{kind}", unit, False)
+        for daemon in ("scheduler", "relay", "gateway")
+        for kind, unit in (("ms", "ms/s"), ("kb", "KB"))
+    ]
+    return _fields("processes", "worker", pairs, names)
+
+
 def measure_all() -> Measurements:
     """Measure everything; takes a few minutes."""
     daemons = measure_daemons()
     figures = {figure.name: figure.value for figure in measure_placements()}
     return Measurements(
-        measure_counts(FULL) | measure_memory(FULL) | _daemon_slopes(daemons),
+        measure_counts(FULL)
+        | measure_memory(FULL)
+        | _daemon_slopes(daemons)
+        | _idle_daemons(),
         daemons,
         figures["store writes per second at 3,000 placements per second"],
         f"{os.cpu_count()} cores, {platform.system()} {platform.machine()}, "
--- a/basilhold/capacity/roles.py
+++ b/basilhold/capacity/roles.py
@@ -9,6 +9,7 @@
     "RoleLoad",
     "ShardPeak",
     "role_loads",
+    "scheduler_cores",
     "shard_peak",
     "slot_message_bytes",
     "slot_messages_per_s",
@@ -60,7 +61,6 @@
     scan_bytes, written_bytes : float
         Rows of the scans and of the transactions, per second.
     store_writes, store_reads : float
-    cores : float
     memory_mb : float
     """
 
@@ -70,7 +70,6 @@
     written_bytes: float
     store_writes: float
     store_reads: float
-    cores: float
     memory_mb: float
 
 
@@ -100,11 +99,24 @@
         data.slopes["churn store_writes"].at(starts),
         data.slopes["churn store_reads"].at(starts)
         + finished / SCAN_PAGE_ROWS / SCAN_S,
-        load("cpu_ms") / 1000,
         memory_kb / 1000,
     )
 
 
+def scheduler_cores(data: Measurements, size: TwoYearSize, starts: float) -> float:
+    """Return the processor time per second of a scheduler that owns one shard.
+
+    Parameters
+    ----------
+    data : Measurements
+    size : TwoYearSize
+    starts : float
+        Task starts per second.
+    """
+    idle_ms = data.slopes["processes scheduler_ms"].at(size.workers_per_shard)
+    return (idle_ms + data.slopes["scheduler time"].per_unit * starts) / 1000
+
+
 def slot_message_bytes(data: Measurements, upstreams: float) -> float:
     """Return the mean bytes of a report or grant, which names the tokens held."""
     idle = "idle by upstream slot_"
@@ -143,7 +155,7 @@
         f"{size.waiting_tasks_per_shard} waiting tasks, "
         f"{size.finished_jobs_per_shard:.0f} finished jobs; the VM list",
         peak.exchanges + probes,
-        peak.cores + data.daemons.idle_cores["scheduler"],
+        scheduler_cores(data, size, starts=size.starts_per_shard),
         idle + peak.memory_mb + _list_mb(data, size),
         peak.store_writes + peak.store_reads + DIRECTORY_READS_PER_S,
         peak.worker_bytes + peak.scan_bytes + peak.written_bytes + probe_bytes,
@@ -175,14 +187,13 @@
     changes = slopes["VM change"].at(size.entry_vms) * size.list_changes_per_s
     streams = slopes["relays reader_bytes"].at(size.entry_vms)
     idle = data.daemons.idle["relay"].resident_kb / 1000
-    decode_s = slopes["VM list decode_ms"].at(vms) / 1000
     return RoleLoad(
         "relay",
         f"reader of the store's region: {vms} VMs twice (last and new list), "
         f"{size.shards} shard locations, 2 documents, streams to the region's "
         "processes and to 4 relays",
         slopes["relays reader_messages"].at(size.entry_vms),
-        data.daemons.idle_cores["relay"] + decode_s,
+        slopes["processes relay_ms"].at(vms) / 1000,
         idle + 2 * _list_mb(data, size),
         slopes["relays store_operations"].at(size.entry_vms),
         streams + changes + slopes["VM list size_bytes"].at(vms),
--- a/basilhold/capacity/tables.py
+++ b/basilhold/capacity/tables.py
@@ -92,7 +92,6 @@
         ("rows written in commits", f"{peak.written_bytes / 1000:.1f} KB/s"),
         ("store writes", f"{peak.store_writes:.2f} /s"),
         ("store reads", f"{peak.store_reads:.2f} /s"),
-        ("processor, workers' and store's part included", f"{peak.cores * 100:.2f}%"),
         ("memory of the owner's state", f"{peak.memory_mb:.1f} MB"),
     )
     return _table(("one shard at peak", "figure"), rows)
--- a/basilhold/capacity/verdicts.py
+++ b/basilhold/capacity/verdicts.py
@@ -11,6 +11,7 @@
     TASKS_PER_JOB,
     RoleLoad,
     role_loads,
+    scheduler_cores,
     shard_peak,
 )
 from basilhold.capacity.size import Bounds, TwoYearSize
@@ -63,6 +64,24 @@
     yield Verdict("relay: streams without the VM list", streams, limit, "KB/s")
 
 
+def _scheduler(
+    data: Measurements, size: TwoYearSize, bounds: Bounds, load: RoleLoad
+) -> Iterator[Verdict]:
+    second_mb = (load.resident_mb or 0) + shard_peak(data, size).memory_mb
+    yield Verdict(
+        "scheduler: resident memory with a second shard",
+        second_mb,
+        bounds.daemon_resident_mb,
+        "MB",
+    )
+    yield Verdict(
+        "scheduler: processor without task starts",
+        scheduler_cores(data, size, starts=0) * 100,
+        bounds.daemon_cores * 100,
+        "% of a core",
+    )
+
+
 def _times(data: Measurements, size: TwoYearSize, bounds: Bounds) -> Iterator[Verdict]:
     wait = data.slopes["urgent wait"].at(size.workers_per_shard)
     yield Verdict(
@@ -111,6 +130,7 @@
     daemons = (verdict for load in loads for verdict in _daemon(load, bounds))
     return (
         *daemons,
+        *_scheduler(data, size, bounds, loads[1]),
         *_idle_traffic(data, size, bounds),
         *_times(data, size, bounds),
         *_store(data, size, bounds),
