--- a/basilhold/placement/health.py
+++ b/basilhold/placement/health.py
@@ -25,7 +25,8 @@
 _QUARANTINED_SHARE_MAX = 0.25
 """Share of the workers that may be quarantined at once. When more workers fail, the
 fault is likely in the work or in something shared, and quarantine would only take
-capacity from work that runs."""
+capacity from work that runs. The only worker of a shard is never quarantined: work
+that must not be a probe would wait for ever."""
 
 
 class AttemptOutcome(Enum):
@@ -196,6 +197,7 @@
         if self._worker_count == 0:
             return False
         bound = max(1, int(self._worker_count * _QUARANTINED_SHARE_MAX))
+        bound = min(bound, self._worker_count - 1)
         return len(self._quarantined) >= bound
 
     def _clear_task(self, task_id: TaskId, tried: set[WorkerId]) -> None:
--- a/basilhold/placement/shard_state.py
+++ b/basilhold/placement/shard_state.py
@@ -274,10 +274,11 @@
         """Return whether tasks could run without some workers if the rest were empty.
 
         Otherwise tasks that have failed on those would wait for ever: a gang whose
-        tasks failed on different workers, or work whose other workers are gone.
+        tasks failed on different workers, or work whose other workers are gone or
+        quarantined, since a gang never probes a worker.
         """
         for worker in self.workers.values():
-            if worker.worker_id not in avoid:
+            if worker.worker_id not in avoid and not worker.quarantined_until_unix_ms:
                 count -= slots_of(worker.capacity, size)
                 if count <= 0:
                     return True
@@ -304,6 +305,8 @@
                     fit.unblock()
 
     def _note_quarantine(self, worker: WorkerState, until_unix_ms: int) -> None:
+        if bool(worker.quarantined_until_unix_ms) != bool(until_unix_ms):
+            self.queue.mark_retried()
         worker.quarantined_until_unix_ms = until_unix_ms
         if until_unix_ms:
             self.quarantined[worker.worker_id] = None
--- a/basilhold/placement/tests/test_health.py
+++ b/basilhold/placement/tests/test_health.py
@@ -74,6 +74,13 @@
         held = [w for w in range(20) if health.quarantined_until_unix_ms(f"w{w}")]
         self.assertEqual(len(held), 5)
 
+    def test_only_worker_is_not_quarantined(self):
+        """Gangs, urgent and at-most-once work never probe, so none would ever run."""
+        health = WorkerHealth()
+        health.set_worker_count(1)
+        verdict = self.fail(health, "w", "a#0", "b#0", "c#0", "d#0")
+        self.assertFalse(verdict.quarantine_changed)
+
     def test_memory_overuse_stops_the_task_and_spares_the_workers(self):
         health = WorkerHealth()
         outgrew = AttemptOutcome.OUTGREW
--- a/basilhold/placement/tests/test_target_planner.py
+++ b/basilhold/placement/tests/test_target_planner.py
@@ -337,6 +337,19 @@
             self.fail(shard, task_id, worker)
         self.assertEqual(len(shard.plan(1).placements), 3)
 
+    def test_gang_does_not_wait_for_a_quarantined_worker(self):
+        """Only a probe ends a quarantine, and a gang is never one."""
+        shard = Shard(("w1", size(2, 8), "r1"), ("w2", size(2, 8), "r1"))
+        shard.submit(job("g", size(1), tasks=2, kind=ClassKind.GANG))
+        first = placed(shard.plan(0))
+        for task_id, worker in first.items():
+            self.fail(shard, task_id, worker)
+        other = {"w1", "w2"} - set(first.values())
+        for worker in other:
+            shard.rows[worker].quarantined_until_unix_ms = 1
+            shard.planner.upsert_worker(shard.rows[worker], True)
+        self.assertEqual(len(shard.plan(10).placements), 2)
+
     def test_worker_is_tried_again_once_the_others_are_gone(self):
         shard = Shard(("w1", size(2, 8), "r1"), ("w2", size(2, 8), "r1"))
         shard.submit(job("b", size(2)))
