--- a/basilhold/placement/tests/test_target_planner.py
+++ b/basilhold/placement/tests/test_target_planner.py
@@ -305,6 +305,22 @@
             shard.planner.remove_job(f"j{number}")
         self.assertEqual(set(placed(shard.plan(1))), {"j1999#0"})
 
+    def test_job_may_be_removed_before_its_placements_are_settled(self):
+        """A job that is cancelled or moved while its batch is in flight."""
+        shard = Shard(("w1", size(2, 8), "r1"))
+        for settle in (shard.planner.confirm, shard.planner.abandon):
+            shard.submit(job("j", size(2)))
+            plan = shard.planner.plan(0, 200)
+            self.assertEqual(len(plan.placements), 1)
+            shard.planner.remove_job("j")
+            settle(plan.placements)
+            shard.planner.check_invariants()
+            # The row names the task only if its batch was applied, and then drops it.
+            shard.planner.upsert_worker(shard.rows["w1"], True)
+            shard.planner.check_invariants()
+        shard.submit(job("other", size(2)))
+        self.assertEqual(placed(shard.plan(1)), {"other#0": "w1"})
+
     def test_unschedulable_worker_gets_nothing(self):
         shard = Shard(("w1", size(2, 8), "r1"))
         shard.planner.upsert_worker(shard.rows["w1"], False)
