--- a/basilhold/placement/tests/test_target_planner.py
+++ b/basilhold/placement/tests/test_target_planner.py
@@ -305,6 +305,22 @@
             shard.planner.remove_job(f"j{number}")
         self.assertEqual(set(placed(shard.plan(1))), {"j1999#0"})
 
+    def test_job_may_be_removed_before_its_placements_are_settled(self):
+        """A job that is cancelled or moved while its batch is in flight."""
+        shard = Shard(("w1", size(2, 8), "r1"))
+        for settle in (shard.planner.confirm, shard.planner.abandon):
+            shard.submit(job("j", size(2)))
+            plan = shard.planner.plan(0, 200)
+            self.assertEqual(len(plan.placements), 1)
+            shard.planner.remove_job("j")
+            settle(plan.placements)
+            shard.planner.check_invariants()
+            # The row names the task only if its batch was applied, and then drops it.
+            shard.planner.upsert_worker(shard.rows["w1"], True)
+            shard.planner.check_invariants()
+        shard.submit(job("other", size(2)))
+        self.assertEqual(placed(shard.plan(1)), {"other#0": "w1"})
+
     def test_unschedulable_worker_gets_nothing(self):
         shard = Shard(("w1", size(2, 8), "r1"))
         shard.planner.upsert_worker(shard.rows["w1"], False)
@@ -337,6 +353,19 @@
             self.fail(shard, task_id, worker)
         self.assertEqual(len(shard.plan(1).placements), 3)
 
+    def test_gang_does_not_wait_for_a_quarantined_worker(self):
+        """Only a probe ends a quarantine, and a gang is never one."""
+        shard = Shard(("w1", size(2, 8), "r1"), ("w2", size(2, 8), "r1"))
+        shard.submit(job("g", size(1), tasks=2, kind=ClassKind.GANG))
+        first = placed(shard.plan(0))
+        for task_id, worker in first.items():
+            self.fail(shard, task_id, worker)
+        other = {"w1", "w2"} - set(first.values())
+        for worker in other:
+            shard.rows[worker].quarantined_until_unix_ms = 1
+            shard.planner.upsert_worker(shard.rows[worker], True)
+        self.assertEqual(len(shard.plan(10).placements), 2)
+
     def test_worker_is_tried_again_once_the_others_are_gone(self):
         shard = Shard(("w1", size(2, 8), "r1"), ("w2", size(2, 8), "r1"))
         shard.submit(job("b", size(2)))
