--- a/basilhold/testing/sharding_runs.py
+++ b/basilhold/testing/sharding_runs.py
@@ -9,26 +9,26 @@
 import msgspec
 
 from basilhold.core import (
-    ClassKind,
     InvariantError,
     JobId,
     JobSpec,
     Resources,
     RestartPolicy,
-    Team,
-    TeamName,
     WorkerId,
 )
 from basilhold.placement import (
     FirstFitPlanner,
-    Placement,
-    Plan,
     Planner,
     TargetPlanner,
 )
 from basilhold.sharding import ShardingSettings
-from basilhold.standins import TaskBehaviour
-from basilhold.testing.cell import TASK_SIZE, CellHarness, make_spec
+from basilhold.testing.cell import CellHarness, make_spec
+from basilhold.testing.sharding_workload import (
+    TEAMS,
+    CheckedPlanner,
+    add_overuse,
+    make_mixed_spec,
+)
 from basilhold.testing.virtual_time import run_virtual
 
 __all__ = ["FAULTS", "RunPlanner", "RunResult", "run_seed"]
@@ -39,13 +39,6 @@
 """After the last fault ends, horizons (90 s), quarantines (30 s and more) and run
 times must pass before all jobs are finished."""
 
-_URGENT_TARGET_MS = 5_000
-_TEAMS = (
-    Team(TeamName("track"), Resources(8_000, 16 << 30, 0)),
-    Team(TeamName("depot"), Resources(1_000, 1 << 30, 0)),
-)
-"""The second quota holds one task, so that a team is above it in every run."""
-
 
 class RunPlanner(Enum):
     """Planner of a run; the planner of production also gets jobs of all kinds."""
@@ -54,42 +47,6 @@
     TARGET = "target"
 
 
-class _CheckedPlanner(TargetPlanner):
-    """Checks the owner's calls, and counts evictions by what they are for."""
-
-    def __init__(self, counts: Counter[str]):
-        super().__init__()
-        self._counts = counts
-        self._open: set[Placement] = set()
-
-    def plan(self, now_unix_ms: int, limit: int) -> Plan:
-        """Plan, if the placements of the last plan were settled."""
-        if self._open:
-            raise InvariantError(f"{len(self._open)} placements were not settled")
-        plan = super().plan(now_unix_ms, limit)
-        self._open.update(plan.placements)
-        for eviction in plan.evictions:
-            cause = "urgent work" if eviction.for_task_id else "overuse"
-            self._counts[f"{eviction.action.value} for {cause}"] += 1
-        return plan
-
-    def confirm(self, placements: tuple[Placement, ...]) -> None:
-        """Confirm placements of the last plan."""
-        self._settle(placements)
-        super().confirm(placements)
-
-    def abandon(self, placements: tuple[Placement, ...]) -> None:
-        """Abandon placements of the last plan."""
-        self._settle(placements)
-        super().abandon(placements)
-
-    def _settle(self, placements: tuple[Placement, ...]) -> None:
-        for placement in placements:
-            if placement not in self._open:
-                raise InvariantError(f"{placement.task_id} was settled twice")
-            self._open.discard(placement)
-
-
 class RunResult(msgspec.Struct):
     """What a run did.
 
@@ -140,9 +97,9 @@
             lambda shard: self._make_planner(),
         )
         if planner is RunPlanner.TARGET:
-            self.cell.view.team_list = _TEAMS
+            self.cell.view.team_list = TEAMS
             for worker in self.cell.workers.values():
-                _add_overuse(worker.behaviours)
+                add_overuse(worker.behaviours)
         self.counts: Counter[str] = Counter()
         if clock_error_ms:
             self.counts["clock error"] += 1
@@ -151,7 +108,7 @@
     def _make_planner(self) -> Planner:
         if self.planner is RunPlanner.FIRST_FIT:
             return FirstFitPlanner()
-        planner = _CheckedPlanner(self.counts)
+        planner = CheckedPlanner(self.counts)
         self.planners.append(planner)
         return planner
 
@@ -160,40 +117,15 @@
         for planner in self.planners:
             planner.check_invariants()
 
-    def _make_mixed_spec(self, number: int, restart: RestartPolicy, command: str):
-        """Return a service, a batch or a gang; some urgent, some with wrong sizes."""
-        rng = self.rng
-        kind = rng.choice((ClassKind.SERVICE, ClassKind.BATCH, ClassKind.GANG))
-        if command == "medium" and rng.random() < 0.3:
-            command = rng.choice(("memory-hungry", "cores-hungry"))
-        spec = make_spec(
-            f"j{number}",
-            rng.randint(1, 4),
-            restart,
-            command,
-            kind,
-            TASK_SIZE.scaled(rng.choice((1, 1, 2)) if kind is ClassKind.BATCH else 1),
-            _URGENT_TARGET_MS if rng.random() < 0.3 else self.wait_target_ms,
-        )
-        return msgspec.structs.replace(
-            spec,
-            team=rng.choice(_TEAMS).name,
-            checkpoint=rng.random() < 0.3,
-            submitted_unix_ms=self.cell.clock.unix_ms(),
-            run_time_ms=rng.choice((0, 3_000, 25_000)),
-        )
-
     def make_spec(self, number: int, restart: RestartPolicy, command: str) -> JobSpec:
         """Return the next job of the workload."""
-        if self.planner is RunPlanner.TARGET:
-            return self._make_mixed_spec(number, restart, command)
-        return make_spec(
-            f"j{number}",
-            self.rng.randint(1, 4),
-            restart,
-            command,
-            wait_target_ms=self.wait_target_ms,
+        count = self.rng.randint(1, 4) if self.planner is RunPlanner.FIRST_FIT else 1
+        spec = make_spec(
+            f"j{number}", count, restart, command, wait_target_ms=self.wait_target_ms
         )
+        if self.planner is RunPlanner.FIRST_FIT:
+            return spec
+        return make_mixed_spec(self.rng, spec, self.cell.clock.unix_ms())
 
     def note(self, text: str) -> None:
         self.log.append(f"{self.cell.clock.unix_ms()} {text}")
@@ -233,17 +165,6 @@
         self.cell.notify(job_id)
 
 
-def _add_overuse(behaviours: dict[str, TaskBehaviour]) -> None:
-    """Add commands that use twice what they declare of one resource."""
-    cores, memory = TASK_SIZE.cores_milli, TASK_SIZE.memory_bytes
-    behaviours["memory-hungry"] = TaskBehaviour(
-        25_000, False, Resources(cores, 2 * memory, 0)
-    )
-    behaviours["cores-hungry"] = TaskBehaviour(
-        25_000, False, Resources(2 * cores, memory, 0)
-    )
-
-
 async def _kill(run: _Run) -> None:
     process = run.pick_process()
     if process is None:
