Move waiting jobs only to zones where one worker has room; publish waiting tasks of teams

Change: owners publish the free resources of their emptiest workers and the waiting tasks of each team. test_balance fails before and passes after.

--- a/basilhold/nodes/peers.py
+++ b/basilhold/nodes/peers.py
@@ -116,7 +116,11 @@
         message.free_cores_milli, message.free_memory_bytes, message.free_gpus_milli
     )
     zone, epoch = ZoneName(message.zone), Epoch(message.epoch)
-    return ShardSummary(zone, epoch, free, message.waiting_tasks, usage)
+    largest_free = tuple(
+        Resources(room.cores_milli, room.memory_bytes, room.gpus_milli)
+        for room in message.largest_free
+    )
+    return ShardSummary(zone, epoch, free, message.waiting_tasks, usage, largest_free)
 
 
 class GrpcSlotExchange(SlotExchange):
--- a/basilhold/nodes/scheduler_service.py
+++ b/basilhold/nodes/scheduler_service.py
@@ -112,4 +112,12 @@
             )
             for usage in summary.team_usage
         ],
+        largest_free=[
+            messages_pb2.ResourceAmount(
+                cores_milli=room.cores_milli,
+                memory_bytes=room.memory_bytes,
+                gpus_milli=room.gpus_milli,
+            )
+            for room in summary.largest_free
+        ],
     )
--- a/basilhold/sharding/job_feed.py
+++ b/basilhold/sharding/job_feed.py
@@ -2,9 +2,9 @@
 
 import asyncio
 from abc import ABC, abstractmethod
-from collections import deque
+from collections import Counter, deque
 
-from basilhold.core import Clock, JobId, TaskId, make_task_id
+from basilhold.core import Clock, JobId, TaskId, TeamName, make_task_id
 from basilhold.placement import URGENT_TARGET_MS, Planner
 from basilhold.ports import TableService
 from basilhold.sharding.changes import CancelPending, Change, DropJob
@@ -97,6 +97,16 @@
         """Return the number of tasks that wait for a worker."""
         return sum(len(self._tables.pending_indexes(j)) for j in self._waiting)
 
+    def waiting_by_team(self) -> Counter[TeamName]:
+        """Return the number of waiting tasks of each team."""
+        waiting: Counter[TeamName] = Counter()
+        for job_id in self._waiting:
+            job = self._tables.jobs.get(job_id)
+            if job is not None:
+                count = len(self._tables.pending_indexes(job_id))
+                waiting[job.record.spec.team] += count
+        return waiting
+
     def waiting_jobs(self) -> dict[JobId, float]:
         """Return the jobs with waiting tasks and since when, in loop time (ms)."""
         return dict(self._waiting)
--- a/basilhold/sharding/owner.py
+++ b/basilhold/sharding/owner.py
@@ -396,10 +396,16 @@
         schedulable = {s.worker_id for s in self._sessions.values() if s.schedulable}
         free = self.tables.free(schedulable)
         usage = self.tables.usage()
+        waiting = self.jobs.waiting_by_team()
+        teams = sorted(usage.keys() | waiting.keys())
         return ShardSummary(
             self.shard.zone,
             self.epoch,
             free,
-            self.jobs.waiting_tasks(),
-            tuple(TeamUsage(team, used) for team, used in usage.items()),
+            waiting.total(),
+            tuple(
+                TeamUsage(team, usage.get(team, Resources()), waiting[team])
+                for team in teams
+            ),
+            self.tables.largest_free(schedulable),
         )
--- a/basilhold/sharding/peers.py
+++ b/basilhold/sharding/peers.py
@@ -37,13 +37,27 @@
 
 
 class ShardSummary(msgspec.Struct, frozen=True):
-    """What an owner publishes about its shard."""
+    """What an owner publishes about its shard.
+
+    Parameters
+    ----------
+    zone : ZoneName
+    epoch : Epoch
+    free : Resources
+        Sum over all workers that take tasks.
+    waiting_tasks : int
+    team_usage : tuple of TeamUsage
+    largest_free : tuple of Resources
+        Free resources of the workers with most cores, memory and GPUs free. A task
+        may fit in the sum without fitting on any one worker.
+    """
 
     zone: ZoneName
     epoch: Epoch
     free: Resources
     waiting_tasks: int
     team_usage: tuple[TeamUsage, ...] = ()
+    largest_free: tuple[Resources, ...] = ()
 
 
 class ProbeAnswer(msgspec.Struct, frozen=True):
--- a/basilhold/sharding/scheduler.py
+++ b/basilhold/sharding/scheduler.py
@@ -350,9 +350,9 @@
             if not owner.recovered.is_set():
                 continue
             owner.set_usage_elsewhere(watch.usage_elsewhere(zone))
-            free = watch.free_elsewhere(zone)
+            others = watch.summaries_elsewhere(zone)
             for move in pick_moves(
-                owner.tables, owner.jobs.waiting_jobs(), free, now_ms
+                owner.tables, owner.jobs.waiting_jobs(), others, now_ms
             ):
                 owner.move_job(move, self._announce_move)
 
--- a/basilhold/sharding/tables.py
+++ b/basilhold/sharding/tables.py
@@ -145,6 +145,22 @@
                 total = total + worker.record.capacity - worker.record.committed()
         return total
 
+    def largest_free(self, worker_ids: Container[WorkerId]) -> tuple[Resources, ...]:
+        """Return the free resources of the workers that have most of each resource."""
+        free = [
+            worker.record.capacity - worker.record.committed()
+            for worker_id, worker in self.workers.items()
+            if worker_id in worker_ids
+        ]
+        if not free:
+            return ()
+        largest = {
+            max(free, key=lambda r: (r.gpus_milli, r.cores_milli, r.memory_bytes)),
+            max(free, key=lambda r: (r.cores_milli, r.memory_bytes)),
+            max(free, key=lambda r: (r.memory_bytes, r.cores_milli)),
+        }
+        return tuple(sorted(largest, key=lambda r: (r.gpus_milli, r.cores_milli)))
+
     def usage(self) -> dict[TeamName, Resources]:
         """Return what is committed to each team, in the order of the names."""
         used: dict[TeamName, Resources] = {}
--- a/basilhold/sharding/watch.py
+++ b/basilhold/sharding/watch.py
@@ -187,10 +187,10 @@
         entry = self._summaries.get(zone)
         return entry[0] if entry else None
 
-    def free_elsewhere(self, zone: ZoneName) -> dict[ZoneName, Resources]:
-        """Return the free capacity of the other shards."""
+    def summaries_elsewhere(self, zone: ZoneName) -> dict[ZoneName, ShardSummary]:
+        """Return what the owners of the other shards published last."""
         return {
-            other: summary.free
+            other: summary
             for other, (_, summary) in self._summaries.items()
             if other != zone
         }
