Bound operators' requests at 10 s

Cause: while the store is down, the store budget falls to its lowest rate, and submissions with their retries share it. Ruled out: lost messages, as the same calls ended after the outage.

Change: the operators' backend ends each request after timeouts.operator_ms with the outcome unknown and Retry-After; a repeat with the same key names the same job.

--- a/basilhold/cell/tests/test_cell.py
+++ b/basilhold/cell/tests/test_cell.py
@@ -14,7 +14,11 @@
     TeamName,
 )
 from basilhold.gateway import CallerSink
-from basilhold.operators_api import JobSubmission, OperatorIdentity
+from basilhold.operators_api import (
+    JobSubmission,
+    OperatorErrorKind,
+    OperatorIdentity,
+)
 from basilhold.requests import CallerRequest, Outcome
 from basilhold.settings import load_settings
 from basilhold.testing import VIRTUAL_EPOCH_UNIX_MS, VirtualTimeTestCase
@@ -97,3 +101,33 @@
         running = sum(len(w.running_tasks()) for w in cell.agents.workers.values())
         self.assertEqual(running, 5)
         await cell.__aexit__(None, None, None)
+
+    async def test_submission_while_the_store_is_down_ends_with_unknown(self):
+        cell = await self.ready_cell("trakia")
+        backend = next(iter(cell.entries.values())).operators
+        operator = OperatorIdentity("dispatch", OfficeName("thrace"))
+        submission = JobSubmission(
+            TeamName("thrace.tramway-sales"),
+            ClassName("thrace.stock-forecast"),
+            Resources(1000, 1 << 30, 0),
+        )
+        accepted = await backend.submit(operator, "key-1", submission)
+        cell.table.faults.down = True
+        await asyncio.sleep(30)
+        started_s = asyncio.get_running_loop().time()
+        # The store budget is at its lowest rate, which many submissions share.
+        repeats = await asyncio.gather(
+            *(backend.submit(operator, "key-1", submission) for _ in range(40)),
+            *(backend.office(operator.office) for _ in range(40)),
+        )
+        taken_s = asyncio.get_running_loop().time() - started_s
+        # The job is stored, so "not run" would be false.
+        for repeat in repeats[:40]:
+            self.assertIs(repeat.error.kind, OperatorErrorKind.UNKNOWN)
+        self.assertLessEqual(taken_s, 10)
+        cell.table.faults.down = False
+        await asyncio.sleep(30)
+        repeat = await backend.submit(operator, "key-1", submission)
+        self.assertEqual(repeat.ok.job_id, accepted.ok.job_id)
+        self.assertTrue(repeat.ok.repeated)
+        await cell.__aexit__(None, None, None)
--- a/basilhold/nodes/operator_backend.py
+++ b/basilhold/nodes/operator_backend.py
@@ -1,9 +1,11 @@
 """Carries out operators' requests on a gateway."""
 
-from collections.abc import Callable
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import TypeVar
 
 import msgspec
-from expression import Ok, Result
+from expression import Error, Ok, Result
 
 from basilhold.config import ConfigStore
 from basilhold.core import (
@@ -35,6 +37,7 @@
     OfficeVersion,
     OperatorBackend,
     OperatorError,
+    OperatorErrorKind,
     OperatorIdentity,
     WorkerPage,
     WorkerQuery,
@@ -45,6 +48,11 @@
 
 __all__ = ["GatewayOperatorBackend", "make_operator_backend"]
 
+OPERATOR_TIMEOUT_MS = 10_000
+RETRY_AFTER_S = 5
+
+T = TypeVar("T")
+
 
 class GatewayOperatorBackend(OperatorBackend):
     """Passes each request to the part that it concerns.
@@ -56,6 +64,9 @@
     cell : OperatorCell
     own_state : callable
         Returns the state dump of this process, as JSON.
+    timeout_ms : int
+        Bound of each request, in milliseconds. While the store is down, its retries
+        would otherwise keep an operator waiting for more than 20 s.
     """
 
     def __init__(
@@ -64,7 +75,9 @@
         jobs: OperatorJobs,
         cell: OperatorCell,
         own_state: Callable[[], bytes],
+        timeout_ms: int = OPERATOR_TIMEOUT_MS,
     ):
+        self._timeout_s = timeout_ms / 1000
         self._config = config
         self._jobs = jobs
         self._cell = cell
@@ -76,7 +89,7 @@
 
     async def office(self, office: OfficeName) -> Result[OfficeVersion, OperatorError]:
         """Return the latest document of an office."""
-        return await self._config.office(office)
+        return await self._bounded(self._config.office(office))
 
     async def apply(
         self,
@@ -85,19 +98,23 @@
         expected_version: int,
     ) -> Result[OfficeVersion, OperatorError]:
         """Replace the document of the operator's office."""
-        return await self._config.apply(operator, document, expected_version)
+        return await self._bounded(
+            self._config.apply(operator, document, expected_version)
+        )
 
     async def history(
         self, office: OfficeName, limit: int
     ) -> Result[HistoryList, OperatorError]:
         """Return the last versions of an office's document."""
-        return await self._config.history(office, limit)
+        return await self._bounded(self._config.history(office, limit))
 
     async def roll_back(
         self, operator: OperatorIdentity, to_version: int, expected_version: int
     ) -> Result[OfficeVersion, OperatorError]:
         """Write an earlier document as a new version."""
-        return await self._config.roll_back(operator, to_version, expected_version)
+        return await self._bounded(
+            self._config.roll_back(operator, to_version, expected_version)
+        )
 
     async def versions(self) -> Result[ConfigVersions, OperatorError]:
         """Return the latest version of each office."""
@@ -113,41 +130,55 @@
         self, operator: OperatorIdentity, key: str, submission: JobSubmission
     ) -> Result[JobAccepted, OperatorError]:
         """Store a job."""
-        return await self._jobs.submit(operator, key, submission)
+        return await self._bounded(self._jobs.submit(operator, key, submission))
 
     async def job(self, job_id: JobId) -> Result[JobDetail, OperatorError]:
         """Return a job and its tasks."""
-        return await self._jobs.job(job_id)
+        return await self._bounded(self._jobs.job(job_id))
 
     async def jobs(self, query: JobQuery) -> Result[JobPage, OperatorError]:
         """Return a page of jobs."""
-        return await self._jobs.jobs(query)
+        return await self._bounded(self._jobs.jobs(query))
 
     async def cancel(
         self, operator: OperatorIdentity, job_id: JobId
     ) -> Result[JobDetail, OperatorError]:
         """Mark a job as cancelled."""
-        return await self._jobs.cancel(job_id)
+        return await self._bounded(self._jobs.cancel(job_id))
 
     async def explain(self, job_id: JobId) -> Result[Explanation, OperatorError]:
         """Return why tasks of a job wait."""
-        return await self._jobs.explain(job_id)
+        return await self._bounded(self._jobs.explain(job_id))
 
     async def workers(self, query: WorkerQuery) -> Result[WorkerPage, OperatorError]:
         """Return a page of workers."""
-        return await self._cell.workers(query)
+        return await self._bounded(self._cell.workers(query))
 
     async def attest_lost(
         self, operator: OperatorIdentity, worker_id: WorkerId, reason: str
     ) -> Result[Attested, OperatorError]:
         """Release the tasks of a worker whose VM is destroyed."""
-        return await self._cell.attest_lost(worker_id)
+        return await self._bounded(self._cell.attest_lost(worker_id))
 
     async def state(self, zone: ZoneName | None) -> Result[msgspec.Raw, OperatorError]:
         """Return the state dump of this gateway, or of the shard of a zone."""
         if zone is None:
             return Ok(msgspec.Raw(self._own_state()))
-        return await self._cell.shard_state(zone)
+        return await self._bounded(self._cell.shard_state(zone))
+
+    async def _bounded(
+        self, work: Awaitable[Result[T, OperatorError]]
+    ) -> Result[T, OperatorError]:
+        try:
+            async with asyncio.timeout(self._timeout_s):
+                return await work
+        except TimeoutError:
+            detail = f"no result within {self._timeout_s:g} s; the store may be down"
+            return Error(
+                OperatorError(
+                    OperatorErrorKind.UNKNOWN, detail, retry_after_s=RETRY_AFTER_S
+                )
+            )
 
 
 def make_operator_backend(
@@ -156,6 +187,7 @@
     services: frozenset[ServiceName],
     store_region: RegionName,
     own_state: Callable[[], bytes],
+    timeout_ms: int = OPERATOR_TIMEOUT_MS,
 ) -> GatewayOperatorBackend:
     """Return the backend of a gateway.
 
@@ -168,6 +200,8 @@
     store_region : RegionName
     own_state : callable
         Returns the state dump of this process, as JSON.
+    timeout_ms : int
+        Bound of each request, in milliseconds.
     """
     clock, directory, transport = context.clock, context.directory, context.transport
     config_store = ConfigStore(store, clock)
@@ -187,4 +221,4 @@
         transport,
     )
     cell = OperatorCell(clock, store, directory, transport)
-    return GatewayOperatorBackend(config, jobs, cell, own_state)
+    return GatewayOperatorBackend(config, jobs, cell, own_state, timeout_ms)
--- a/basilhold/programs/gateway.py
+++ b/basilhold/programs/gateway.py
@@ -137,6 +137,7 @@
             services,
             RegionName(settings.store_region),
             lambda: msgspec.json.encode(self._node.state()),
+            settings.timeouts.operator_ms,
         )
         context = OperatorContext(
             backend,
