--- a/basilhold/placement/explain.py
+++ b/basilhold/placement/explain.py
@@ -31,10 +31,13 @@
         reason = "cancelled" if job.cancelled else "no task waits"
         return Explanation(job_id, 0, reason, {})
     lacking: dict[str, int] = {}
+    has_room = False
     for worker in state.workers.values():
-        for lack in _lacks(state, worker, job.entries[0]):
+        lacks = _lacks(state, worker, job.entries[0])
+        has_room = has_room or not lacks
+        for lack in lacks:
             lacking[lack] = lacking.get(lack, 0) + 1
-    reason = _reason(state, claims, reservation, job, now_unix_ms)
+    reason = _reason(state, claims, reservation, job, now_unix_ms, has_room)
     return Explanation(job_id, waiting, reason, lacking)
 
 
@@ -69,6 +72,7 @@
     reservation: Reservation | None,
     job: JobState,
     now_unix_ms: int,
+    has_room: bool,
 ) -> str:
     spec = job.spec
     size = spec.task_resources
@@ -82,7 +86,7 @@
         return "waits for victims to give way"
     if job.is_gang:
         return _gang_reason(state, reservation, job, now_unix_ms)
-    if any(w.is_open() and w.has_room(size) for w in state.workers.values()):
+    if has_room:
         return "a worker has room; waits for its turn"
     if not state.teams.is_within(spec.team, size):
         return f"team {spec.team} is above its quota and no capacity is idle"
--- a/basilhold/placement/tests/test_target_planner.py
+++ b/basilhold/placement/tests/test_target_planner.py
@@ -240,6 +240,7 @@
         self.assertIn(
             "kept for GPU work", shard.planner.explain("cpu", 2).lacking_workers
         )
+        self.assertEqual(shard.planner.explain("cpu", 2).reason, "no worker has room")
 
     def test_free_gpus_keep_the_cores_that_gpu_work_declares(self):
         shard = Shard(("g1", GPU_VM, "r1"))
--- a/basilhold/programs/ctl_jobs.py
+++ b/basilhold/programs/ctl_jobs.py
@@ -103,7 +103,7 @@
     """Show what the waiting tasks of a job lack, and on how many workers."""
     value = session.client.get(path_of("jobs", job_id, "explain"), Explanation)
     rows = tuple(
-        (str(reason.worker_count), reason.reason) for reason in value.reasons
+        (str(reason.worker_count or "-"), reason.reason) for reason in value.reasons
     ) or (("0", f"nothing is lacking; {value.waiting_tasks} tasks wait"),)
     session.print(value, Table(("workers", "reason"), rows))
 
