Serve the status pages over TLS where key files are set, and reload all certificates

The status ports answered in plain text off loopback as well, and a reload left the callers' and operators' ports with the old certificate. test_daemons runs the real programs with key files: requests and status pages over TLS, peers over mutual TLS, and plain text refused on every port.

--- a/basilhold/programs/gateway.py
+++ b/basilhold/programs/gateway.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import secrets
-import ssl
 from typing import Self
 
 import msgspec
@@ -25,22 +24,13 @@
 from basilhold.operators_api import OperatorContext, TokenTable, operator_routes
 from basilhold.programs.process import NodeState, ProcessDaemon, main_command
 from basilhold.rpc import Address
-from basilhold.settings import ProcessSettings, Program, Tls
+from basilhold.settings import ProcessSettings, Program
 
-__all__ = ["main", "server_tls"]
+__all__ = ["main"]
 
 START_ID_BYTES = 4
 
 
-def server_tls(tls: Tls | None) -> ssl.SSLContext | None:
-    """Return the context of ports whose clients show tokens and no certificates."""
-    if tls is None:
-        return None
-    context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
-    context.load_cert_chain(tls.certificate_file, tls.key_file)
-    return context
-
-
 class GatewayDaemon(ProcessDaemon):
     """Serves callers and operators."""
 
@@ -78,14 +68,15 @@
             body_bytes_max=settings.limits.request_body_bytes,
             bodies_bytes_max=settings.limits.queued_request_bytes,
         )
-        options = server_tls(settings.tls)
         self._caller_server = GatewayServer(
-            make_application(self._front), self._node.counters, ssl_options=options
+            make_application(self._front),
+            self._node.counters,
+            ssl_options=self.public_tls,
         )
         self._operator_server = HTTPServer(
             self._operator_application(),
             max_body_size=settings.limits.operator_body_bytes,
-            ssl_options=options,
+            ssl_options=self.public_tls,
         )
 
     async def __aenter__(self) -> Self:
--- a/basilhold/programs/process.py
+++ b/basilhold/programs/process.py
@@ -4,6 +4,7 @@
 import contextlib
 import random
 import secrets
+import ssl
 import sys
 import time
 from abc import abstractmethod
@@ -119,6 +120,7 @@
         self.operations = OperationCounter()
         self.budget = StoreBudget(rng=self.rng)
         self.tls = _make_tls(settings.tls)
+        self.public_tls = server_tls(settings.tls)
         self.entries = entry_ports(settings)
         self.locator = self._make_locator()
         limits = HttpLimits(
@@ -151,7 +153,9 @@
         self._stack.push_async_callback(self.transport.close)
         lag = LoopLagSampler(self.pages.metrics, metric("basilhold_loop_lag_seconds"))
         await self._stack.enter_async_context(lag)
-        self._status_server = HTTPServer(status_application(self.pages))
+        self._status_server = HTTPServer(
+            status_application(self.pages), ssl_options=self.public_tls
+        )
         self._status_server.listen(self._status_port, self.process.vm.host)
         self._stack.push_async_callback(self._status_server.close_all_connections)
         self._stack.callback(self._status_server.stop)
@@ -240,6 +244,9 @@
             result = self.tls.reload_if_changed()
             if result.is_error():
                 log_event(TLS_PROBLEM, name=self.name, reason=result.error.reason)
+            elif result.ok:
+                files = self.tls.files
+                self.public_tls.load_cert_chain(files.certificate, files.key)
             await asyncio.sleep(TLS_INTERVAL_S)
 
 
@@ -247,6 +254,15 @@
     return time.time_ns() // 1_000_000
 
 
+def server_tls(tls: Tls | None) -> ssl.SSLContext | None:
+    """Return the context of ports whose clients show tokens and no certificates."""
+    if tls is None:
+        return None
+    context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
+    context.load_cert_chain(tls.certificate_file, tls.key_file)
+    return context
+
+
 def tls_files(tls: Tls) -> TlsFiles:
     """Return the files that the settings name."""
     return TlsFiles(tls.certificate_file, tls.key_file, tls.ca_file)
--- a/basilhold/programs/tests/processes.py
+++ b/basilhold/programs/tests/processes.py
@@ -22,8 +22,11 @@
     return ports
 
 
-def write_settings(folder, cell):
-    """Copy an example deployment with free ports and return the settings' path."""
+def write_settings(folder, cell, tls=None):
+    """Copy an example deployment with free ports and return the settings' path.
+
+    `tls` are the files of all processes.
+    """
     examples = ROOT / "examples"
     text = (examples / f"{cell}.toml").read_text()
     count = len(_PORT.findall(text)) + len(_URL_PORT.findall(text))
@@ -33,6 +36,11 @@
     text = re.sub(r"\[timeouts\]\n", "[timeouts]\ndrain_grace_ms = 0\n", text)
     if "[timeouts]" not in text:
         text += "\n[timeouts]\ndrain_grace_ms = 0\n"
+    if tls is not None:
+        text += (
+            f'\n[tls]\ncertificate_file = "{tls.certificate}"\n'
+            f'key_file = "{tls.key}"\nca_file = "{tls.authority}"\n'
+        )
     path = Path(folder) / f"{cell}.toml"
     path.write_text(text)
     for document in examples.glob(f"{cell}-*.json"):
--- a/basilhold/programs/tests/test_daemons.py
+++ b/basilhold/programs/tests/test_daemons.py
@@ -3,10 +3,11 @@
 import tempfile
 import unittest
 
-from tornado.httpclient import HTTPRequest
+from tornado.httpclient import HTTPError, HTTPRequest
 from tornado.simple_httpclient import SimpleAsyncHTTPClient
 
 from basilhold.programs.tests.processes import Processes, write_settings
+from basilhold.rpc.tests.certificates import Authority
 from basilhold.settings import load_settings
 
 VM = "entry-plovdiv-1"
@@ -22,13 +23,20 @@
 )
 
 
-class DaemonsTest(unittest.IsolatedAsyncioTestCase):
-    """Guards the whole path through separate processes over TCP."""
+class DaemonsFixture(unittest.IsolatedAsyncioTestCase):
+    """Starts the platform's stand-ins and the daemons of one entry VM."""
+
+    scheme = "http"
+    authority_path = None
+
+    def make_tls(self, folder):
+        return None
 
     async def asyncSetUp(self):
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
-        self.path = write_settings(folder.name, "trakia")
+        tls = self.make_tls(folder.name)
+        self.path = write_settings(folder.name, "trakia", tls)
         self.vm = load_settings(self.path).ok.entry_vms[0]
         self.processes = Processes()
         self.addAsyncCleanup(self.processes.close)
@@ -48,10 +56,11 @@
 
     async def fetch(self, port, path, method="GET", body=None, **headers):
         request = HTTPRequest(
-            f"http://127.0.0.1:{port}{path}",
+            f"{self.scheme}://127.0.0.1:{port}{path}",
             method,
             {name.replace("_", "-"): value for name, value in headers.items()},
             body,
+            ca_certs=self.authority_path,
         )
         try:
             return await self.client.fetch(request, raise_error=False)
@@ -79,6 +88,10 @@
         response = await self.call("thrace.quote", "warm-up")
         return response is not None and response.code == 200
 
+
+class DaemonsTest(DaemonsFixture):
+    """Guards the whole path through separate processes over TCP."""
+
     async def job(self, job_id):
         response = await self.fetch(
             self.vm.operator_port,
@@ -132,3 +145,26 @@
             metrics = await self.fetch(port, "/metrics")
             for name in DAEMON_METRICS:
                 self.assertRegex(metrics.body.decode(), rf"(?m)^{name}\b", daemon)
+
+
+class TlsDaemonsTest(DaemonsFixture):
+    """Guards against ports that answer in plain text although key files are set."""
+
+    scheme = "https"
+
+    def make_tls(self, folder):
+        files = Authority(folder, "authority").issue("entry")
+        self.authority_path = files.authority
+        return files
+
+    async def test_all_ports_speak_tls_only(self):
+        await self.wait_until(self.takes_requests)
+        for daemon in DAEMONS:
+            port = getattr(self.vm, f"{daemon}_status_port")
+            self.assertEqual((await self.fetch(port, "/readyz")).code, 200, daemon)
+        self.scheme = "http"
+        ports = [self.vm.caller_port, self.vm.operator_port]
+        ports += [getattr(self.vm, f"{daemon}_status_port") for daemon in DAEMONS]
+        for port in ports:
+            with self.assertRaises((HTTPError, OSError)):
+                await self.client.fetch(f"http://127.0.0.1:{port}/readyz")
