--- a/basilhold/nodes/gateway_node.py
+++ b/basilhold/nodes/gateway_node.py
@@ -127,8 +127,10 @@
     ):
         self._context = context
         self._address = address
+        self._ports = ports
+        self._rng = rng
         self.counters = RequestCounters()
-        identity = GatewayIdentity(
+        self._identity = GatewayIdentity(
             context.process_id,
             context.vm_id,
             context.zone,
@@ -136,49 +138,58 @@
             context.clock.unix_ms(),
         )
         self._router = Router(context.zone, context.region, rng)
-        self._holder = SlotHolder(identity)
-        directory, transport = context.directory, context.transport
-        self.once = OnceKeeper(
+        self._holder = SlotHolder(self._identity)
+        self.once = self._make_once(once_limits)
+        self._sweeper: OnceSweeper | None = None
+        if ports.sweeps_records:
+            self._sweeper = OnceSweeper(
+                self.once, ports.store, ports.objects, context.clock, rng
+            )
+        self.service = self._make_service(queue_limits or QueueLimits())
+        self.slots = self._make_slots()
+        self._vms_revision = 0
+        self._failure: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+
+    def _make_once(self, limits: OnceLimits | None) -> OnceKeeper:
+        context, ports = self._context, self._ports
+        return OnceKeeper(
             context.process_id,
             context.clock,
             ports.store,
             ports.objects,
-            GrpcRequestPeers(transport, directory),
-            rng,
+            GrpcRequestPeers(context.transport, context.directory),
+            self._rng,
             self.counters,
-            once_limits,
+            limits,
         )
-        self._sweeper: OnceSweeper | None = None
-        if ports.sweeps_records:
-            self._sweeper = OnceSweeper(
-                self.once, ports.store, ports.objects, context.clock, rng
-            )
-        self.service = RequestService(
-            ServiceParts(
-                identity=identity,
-                clock=context.clock,
-                classes=ConfiguredClasses(context.in_force),
-                router=self._router,
-                holder=self._holder,
-                client=ports.upstreams,
-                once=self.once,
-                rng=rng,
-                counters=self.counters,
-                queue_limits=queue_limits or QueueLimits(),
-            )
+
+    def _make_service(self, queue_limits: QueueLimits) -> RequestService:
+        parts = ServiceParts(
+            identity=self._identity,
+            clock=self._context.clock,
+            classes=ConfiguredClasses(self._context.in_force),
+            router=self._router,
+            holder=self._holder,
+            client=self._ports.upstreams,
+            once=self.once,
+            rng=self._rng,
+            counters=self.counters,
+            queue_limits=queue_limits,
         )
-        self.slots = SlotLoop(
-            identity,
+        return RequestService(parts)
+
+    def _make_slots(self) -> SlotLoop:
+        context = self._context
+        return SlotLoop(
+            self._identity,
             context.clock,
             self._router,
             self._holder,
             self.service,
-            GrpcSlotExchange(transport, directory),
-            rng,
-            ports.set_connection_limit,
+            GrpcSlotExchange(context.transport, context.directory),
+            self._rng,
+            self._ports.set_connection_limit,
         )
-        self._vms_revision = 0
-        self._failure: asyncio.Future[None] = asyncio.get_running_loop().create_future()
 
     async def __aenter__(self) -> Self:
         service = _GatewayService(self._context.process_id, self.once)
