Use workers again whose VMs came back while their rows were being removed

Cause: while commits were held up, the list of workers queued a removal on every update. Ruled out: the planner, which had no workers, and the doubt about sudden losses, which had ended.

Change: one removal at a time, and a deleted row may be added again.

--- a/basilhold/sharding/owner.py
+++ b/basilhold/sharding/owner.py
@@ -229,6 +229,7 @@
         self._planner.remove_worker(worker_id)
         self._quarantine.remove(worker_id)
         self._quarantine.set_worker_count(len(self.tables.workers))
+        self._workers.note_removed(worker_id)
 
     def refresh_worker(self, worker_id: WorkerId) -> None:
         """Tell the planner what a worker holds and whether it takes tasks."""
--- a/basilhold/sharding/worker_list.py
+++ b/basilhold/sharding/worker_list.py
@@ -53,6 +53,7 @@
         self._usable: set[WorkerId] = set()
         self._listed: dict[WorkerId, VmRecord] = {}
         self._added: set[WorkerId] = set()
+        self._removing: set[WorkerId] = set()
         self._unreliable = False
         self._starting = True
 
@@ -60,6 +61,11 @@
         """Return whether a worker is listed as live."""
         return worker_id in self._usable
 
+    def note_removed(self, worker_id: WorkerId) -> None:
+        """Take note that a worker's row was deleted, so that it may be added again."""
+        self._added.discard(worker_id)
+        self._removing.discard(worker_id)
+
     def update(self) -> None:
         """Take in the list as it is now."""
         zone = self._tables.zone
@@ -107,8 +113,9 @@
     def _remove_gone(self) -> None:
         for worker_id, worker in self._tables.workers.items():
             if worker_id in self._listed or worker.record.assignments:
-                continue
-            if self._is_gone(worker_id):
+                self._removing.discard(worker_id)
+            elif worker_id not in self._removing and self._is_gone(worker_id):
+                self._removing.add(worker_id)
                 self._owner.submit(RemoveWorker(worker_id))
 
     def _set_usable(self, usable: set[WorkerId]) -> None:
