Refresh the slot lenders on a slot report only after a change of ownership

Each report read the whole VM list again, although a timer and every relay update do the same; reports come up to ten times a second from each gateway under demand. Behaviour is unchanged: a report still never meets a lender of another epoch.

Measured (idle Trakia cell, refreshes of all schedulers together): 23.4 a second before, 21.0 after; the rest are the timer and the relay updates. Not measured under demand. Cell and requests tests print 41 passed, 0 failed.

--- a/basilhold/nodes/slot_lending.py
+++ b/basilhold/nodes/slot_lending.py
@@ -46,12 +46,25 @@
         self, zone: ZoneName, report: SlotReport
     ) -> Result[SlotGrant, str]:
         """Answer a gateway's report; an error if this process is not the owner."""
-        self.refresh()
-        lender = self._lenders.get(zone)
+        lender = self._current_lender(zone)
         if lender is None:
             return Error(f"this process does not own zone {zone}")
         return Ok(await lender.exchange(report))
 
+    def _current_lender(self, zone: ZoneName) -> SlotLender | None:
+        """Return the lender of the epoch that this process owns now.
+
+        A refresh reads the whole VM list, so a report causes one only after a change
+        of ownership; other changes arrive by the timer and with each relay update.
+        """
+        owner = self._scheduler.owner(zone)
+        lender = self._lenders.get(zone)
+        owned_epoch = owner.epoch if owner else None
+        known_epoch = lender.allocator.epoch if lender else None
+        if owned_epoch != known_epoch:
+            self.refresh()
+        return self._lenders.get(zone)
+
     def refresh(self) -> None:
         """Follow changes of ownership, upstreams and entry VMs."""
         owned = {
