--- a/basilhold/platform/node.py
+++ b/basilhold/platform/node.py
@@ -14,7 +14,7 @@
 from absl import logging
 
 from basilhold.adapters import HttpLimits, HttpPool
-from basilhold.core import Clock, ProcessId
+from basilhold.core import Clock, ProcessId, RegionName
 from basilhold.observability import log_event, set_up_logging
 from basilhold.platform.bodies import decode_configuration
 from basilhold.platform.callers import CallerServer, make_ready_server
@@ -38,9 +38,10 @@
 from basilhold.workflows.owner import OwnerPorts
 from basilhold.workflows.ownership import SuspendAwareClock
 from basilhold.workflows.peer_http import HttpPeers, make_peer_server
+from basilhold.workflows.peers import Member
 from basilhold.workflows.routes import QueueTable
 from basilhold.workflows.rows import Incarnation
-from basilhold.workflows.stewardship import Member, Stewardship
+from basilhold.workflows.stewardship import Stewardship
 from basilhold.workflows.worker_link import LinkLimits
 
 __all__ = ["NodeDaemon", "main"]
@@ -95,11 +96,12 @@
         self._store = store
         endpoint = f"{settings.ip}:{settings.port_range[0]}"
         peers = HttpPeers(self._pool)
+        region = RegionName(settings.region)
         advice = PlatformAdvice(
             self._pool, address_of(settings.advice or settings.platform.address)
         )
         spread = SpreadAdvice(
-            endpoint, advice, peers, lambda: self.stewardship.endpoints()
+            endpoint, advice, peers, lambda: self.stewardship.members(), region
         )
         ports = OwnerPorts(
             store,
@@ -113,7 +115,7 @@
         self.stewardship = Stewardship(
             ports,
             BootClock(),
-            Member(ProcessId(settings.node), endpoint),
+            Member(ProcessId(settings.node), endpoint, region),
             Incarnation(secrets.token_hex(8)),
             LinkLimits(hold_ms, int(min(HOLD_WAIT_MAX_MS, hold_ms / 6))),
             lambda: self._queues.services if self._queues else (),
@@ -174,7 +176,7 @@
         return {
             "node": self.name,
             "configuration": self._queues.version if self._queues else 0,
-            "endpoints": self.stewardship.endpoints(),
+            "members": [member.endpoint for member in self.stewardship.members()],
         }
 
     def _is_ready(self) -> bool:
--- a/basilhold/platform/runners.py
+++ b/basilhold/platform/runners.py
@@ -32,7 +32,7 @@
 
 __all__ = ["PlatformAdvice", "PlatformRegistry", "PlatformRunners", "address_of"]
 
-ORDER_TIMEOUT_MS = 700
+ORDER_TIMEOUT_MS = 500
 """A round trip between regions takes 60 ms; an order without a reply by then is
 unlikely to get one."""
 
--- a/basilhold/workflows/advice_spread.py
+++ b/basilhold/workflows/advice_spread.py
@@ -9,10 +9,10 @@
 
 from expression import Error, Result
 
-from basilhold.core import JobId, WorkerId
+from basilhold.core import JobId, RegionName, WorkerId
 from basilhold.ports.runners import Admission, AdviceService
 from basilhold.workflows.model import QueuePolicy
-from basilhold.workflows.peers import PeerCalls
+from basilhold.workflows.peers import Member, PeerCalls
 
 __all__ = ["SpreadAdvice"]
 
@@ -23,7 +23,14 @@
 FAILED_TURN_MS = 3_000.0
 """How long a peer that did not answer gets no questions."""
 
-SHARED_TURN_PENALTY_MS = 5.0
+LONG_QUESTION_MS = 120.0
+"""Questions that take longer use only half of the turns, so that quick ones of urgent
+work need not wait behind them."""
+
+FAR_PENALTY_MS = 65.0
+"""Round trip to a machine in another region."""
+
+NEAR_PENALTY_MS = 3.0
 
 
 class SpreadAdvice(AdviceService):
@@ -35,8 +42,10 @@
     local : AdviceService
         Asks from this machine.
     peers : PeerCalls
-    endpoints : callable
-        Returns the endpoints of the processes that are alive, own included.
+    members : callable
+        Returns the processes that are alive, own included.
+    region : RegionName
+        Of this machine.
     """
 
     def __init__(
@@ -44,12 +53,14 @@
         own_endpoint: str,
         local: AdviceService,
         peers: PeerCalls,
-        endpoints: Callable[[], list[str]],
+        members: Callable[[], list[Member]],
+        region: RegionName,
     ):
         self._own = own_endpoint
         self._local = local
         self._peers = peers
-        self._endpoints = endpoints
+        self._members = members
+        self._region = region
         self._free_at_ms: dict[str, float] = {}
         self._failed_until_ms: dict[str, float] = {}
 
@@ -63,11 +74,11 @@
     ) -> Result[Admission, str]:
         """Return which of the named workers may run the step."""
         now_ms = asyncio.get_running_loop().time() * 1000
-        endpoint = self._choose(now_ms)
+        answer_ms = policy.advice.answer_ms(len(workers)) if policy.advice else 0.0
+        endpoint = self._choose(now_ms, answer_ms)
         begin_ms = max(now_ms, self._free_at_ms.get(endpoint, 0.0))
         if begin_ms - now_ms > BACKLOG_MAX_MS:
             return Error("all turns are taken")
-        answer_ms = policy.advice.answer_ms(len(workers)) if policy.advice else 0.0
         self._free_at_ms[endpoint] = begin_ms + answer_ms
         if endpoint == self._own:
             return await self._local.ask(job_id, occurrence, step, workers, policy)
@@ -79,17 +90,30 @@
             self._failed_until_ms[endpoint] = now_ms + FAILED_TURN_MS
         return result
 
-    def _choose(self, now_ms: float) -> str:
-        usable = [
-            endpoint
-            for endpoint in self._endpoints()
-            if endpoint == self._own
-            or self._failed_until_ms.get(endpoint, 0.0) <= now_ms
-        ] or [self._own]
-        return min(
-            usable,
-            key=lambda endpoint: (
-                max(now_ms, self._free_at_ms.get(endpoint, 0.0))
-                + (0.0 if endpoint == self._own else SHARED_TURN_PENALTY_MS)
-            ),
-        )
+    def _choose(self, now_ms: float, answer_ms: float) -> str:
+        """Return where the answer is expected soonest."""
+        members = [
+            member
+            for member in self._members()
+            if self._failed_until_ms.get(member.endpoint, 0.0) <= now_ms
+        ]
+        members.sort(key=lambda member: member.endpoint)
+        half = (len(members) + 1) // 2
+        is_long = answer_ms > LONG_QUESTION_MS
+        best, best_ms = self._own, float("inf")
+        for place, member in enumerate(members):
+            if is_long and place >= half:
+                break
+            expected_ms = max(now_ms, self._free_at_ms.get(member.endpoint, 0.0))
+            expected_ms += self._distance_ms(member)
+            if place < half and not is_long:
+                # Turns that other owners may use for long questions are second best.
+                expected_ms += FAR_PENALTY_MS
+            if expected_ms < best_ms:
+                best, best_ms = member.endpoint, expected_ms
+        return best
+
+    def _distance_ms(self, member: Member) -> float:
+        if member.endpoint == self._own:
+            return 0.0
+        return NEAR_PENALTY_MS if member.region == self._region else FAR_PENALTY_MS
--- a/basilhold/workflows/events.py
+++ b/basilhold/workflows/events.py
@@ -51,6 +51,11 @@
 RUN_PREEMPTED = Event(
     5024, EventLevel.INFO, "task={task} run={run} worker={worker} stopped for {reason}"
 )
+RUN_OVERDUE = Event(
+    5025,
+    EventLevel.INFO,
+    "task={task} run={run} worker={worker} overdue after_ms={after_ms}; restarting it",
+)
 ADVICE_RECEIVED = Event(
     5030,
     EventLevel.INFO,
--- a/basilhold/workflows/owner.py
+++ b/basilhold/workflows/owner.py
@@ -21,7 +21,7 @@
     TaskRunners,
 )
 from basilhold.workflows import events
-from basilhold.workflows.admissions import AdmissionBook
+from basilhold.workflows.admissions import AdmissionBook, StepKey
 from basilhold.workflows.backlog import Backlog
 from basilhold.workflows.model import QueueName, WorkflowSpec, task_name
 from basilhold.workflows.ownership import VALID_MS, CommitOutcome, Lease
@@ -36,8 +36,9 @@
 )
 from basilhold.workflows.recovery import load_workflows, place_assigned
 from basilhold.workflows.rows import jobs_prefix, parse_jobs_key, progress_key
+from basilhold.workflows.stragglers import RunTimes, find_stragglers
 from basilhold.workflows.tasks import TaskSet
-from basilhold.workflows.worker_link import LinkLimits, WorkerLink
+from basilhold.workflows.worker_link import LinkLimits, Look, WorkerLink
 
 __all__ = ["LeaseLostError", "OwnerPorts", "ServiceOwner"]
 
@@ -118,6 +119,7 @@
         self._visible: dict[JobId, WorkflowState] = {}
         self._backlog = Backlog()
         self._book = AdmissionBook()
+        self._times = RunTimes()
         self._dirty: dict[JobId, Workflow] = {}
         self._starts: list[Placement] = []
         self._links: dict[WorkerId, WorkerLink] = {}
@@ -336,8 +338,9 @@
 
     def _plan(self) -> Plan:
         now_ms = self._clock.monotonic_ms()
-        steps = self._backlog.ready(self._clock.unix_ms())
-        return plan(steps, self.pool, self._book, now_ms)
+        now_unix_ms = self._clock.unix_ms()
+        steps = self._backlog.ready(now_unix_ms)
+        return plan(steps, self.pool, self._book, now_ms, now_unix_ms)
 
     def _apply_plan(self, decided: Plan) -> None:
         for placement in decided.placements:
@@ -519,6 +522,7 @@
                     run.stop_confirmed = True
                     run.stage = RunStage.RUNNING
                     run.confirmed_ms = self._clock.monotonic_ms()
+                    self._refresh(worker)
                     return
                 if outcome is CallOutcome.ABSENT or worker.gone:
                     return
@@ -526,17 +530,31 @@
         finally:
             run.stopping = False
 
+    def _refresh(self, worker: Worker) -> None:
+        """Read a worker's lists now: the next regular look may wait for an end."""
+        link = self._links.get(worker.worker_id)
+        if link is not None:
+            self._tasks.start(self._guard(self._look_once(link)))
+
+    async def _look_once(self, link: WorkerLink) -> None:
+        self._take_look(link, await link.look(self._clock, at_once=True))
+
     def _call_of(self, run: Run) -> RunnerCall:
         return RunnerCall(run.key.job_id, run.key.task, run.number, self._lease.epoch)
 
     # Ends.
 
-    def _apply_end(self, worker: Worker, key: RunKey, end: RunEnd) -> None:
+    def _apply_end(
+        self, worker: Worker, key: RunKey, end: RunEnd, run: Run | None = None
+    ) -> None:
         workflow = self._workflows.get(key.job_id)
         if workflow is None or not workflow.has_task(key.task):
             return
         step = workflow.spec.steps[key.task.step]
         now_ms = self._clock.monotonic_ms()
+        if run is not None and end.kind is EndKind.DONE and run.confirmed_ms:
+            step_key = StepKey(key.job_id, key.task.occurrence, key.task.step)
+            self._times.record(step_key, step, worker, now_ms - run.started_ms)
         if end.kind in (EndKind.DONE, EndKind.FAILED):
             failed = end.kind is EndKind.FAILED
             if worker.note_end(failed, now_ms, AVOID_MS):
@@ -576,6 +594,7 @@
     def _end_workflow(self, workflow: Workflow) -> None:
         self._backlog.remove(workflow)
         self._book.forget_job(workflow.job_id)
+        self._times.forget_job(workflow.job_id)
         for key, task in workflow.assigned():
             run = self.pool.run_of(task.worker_id, RunKey(workflow.job_id, key))
             if run is not None:
@@ -635,24 +654,7 @@
     async def _serve_link(self, link: WorkerLink) -> None:
         worker = link.worker
         try:
-            while True:
-                step = await link.look(self._clock)
-                if step.fenced:
-                    raise LeaseLostError("a worker has seen a higher epoch")
-                if step.lost:
-                    self._worker_lost(worker, step.lost)
-                    return
-                for run in step.unknown:
-                    self._stop_unknown(worker, run)
-                for key, end in step.ends:
-                    self._apply_end(worker, key, end)
-                for run in list(worker.runs.values()):
-                    if run.stop_wanted and not run.stop_confirmed:
-                        self._stop(worker, run)
-                if step.first or step.ends:
-                    self._plan_event.set()
-                if step.ends:
-                    self._dirty_event.set()
+            while self._take_look(link, await link.look(self._clock)):
                 if worker.gone and not worker.runs:
                     self._drop_worker(worker)
                     return
@@ -660,6 +662,28 @@
             if self._links.get(worker.worker_id) is link:
                 del self._links[worker.worker_id]
 
+    def _take_look(self, link: WorkerLink, look: Look) -> bool:
+        """Apply what a look has shown; return whether the worker is still there."""
+        worker = link.worker
+        if look.fenced:
+            raise LeaseLostError("a worker has seen a higher epoch")
+        if look.lost:
+            if not link.closed:
+                self._worker_lost(worker, look.lost)
+            return False
+        for listed in look.unknown:
+            self._stop_unknown(worker, listed)
+        for ended in look.ends:
+            self._apply_end(worker, ended.key, ended.end, ended.run)
+        for run in list(worker.runs.values()):
+            if run.stop_wanted and not run.stop_confirmed:
+                self._stop(worker, run)
+        if look.first or look.ends:
+            self._plan_event.set()
+        if look.ends:
+            self._dirty_event.set()
+        return True
+
     def _stop_unknown(self, worker: Worker, listed) -> None:
         workflow = self._workflows.get(listed.key.job_id)
         step = None
@@ -695,8 +719,8 @@
             runs=len(worker.runs),
         )
         self._drop_worker(worker)
-        for key, end in remove_lost(worker):
-            self._apply_end(worker, key, end)
+        for ended in remove_lost(worker):
+            self._apply_end(worker, ended.key, ended.end)
         self._plan_event.set()
 
     def _drop_worker(self, worker: Worker) -> None:
@@ -751,5 +775,25 @@
                 unlinked = worker.worker_id not in self._links
                 if unlinked and now_ms > worker.held_until_ms:
                     self._worker_lost(worker, "its lease has lapsed")
+            self._stop_stragglers(now_ms)
             if self._backlog.has_waiting():
                 self._plan_event.set()
+
+    def _stop_stragglers(self, now_ms: float) -> None:
+        found, slow = find_stragglers(self.pool, self._times, now_ms)
+        for worker_id in slow:
+            worker = self.pool.workers[worker_id]
+            worker.avoid_until_ms = max(worker.avoid_until_ms, now_ms + AVOID_MS)
+        for straggler in found:
+            run = straggler.run
+            key = run.key.task
+            step_key = StepKey(run.key.job_id, key.occurrence, key.step)
+            if self._times.note_restart(step_key, key.index):
+                log_event(
+                    events.RUN_OVERDUE,
+                    task=task_name(run.key.job_id, key),
+                    run=run.number,
+                    worker=straggler.worker.worker_id,
+                    after_ms=round(now_ms - run.started_ms),
+                )
+                self._stop(straggler.worker, run)
--- a/basilhold/workflows/peers.py
+++ b/basilhold/workflows/peers.py
@@ -6,12 +6,12 @@
 import msgspec
 from expression import Result
 
-from basilhold.core import JobId, ServiceName, WorkerId
+from basilhold.core import JobId, ProcessId, RegionName, ServiceName, WorkerId
 from basilhold.ports.runners import Admission
 from basilhold.workflows.model import QueueName, QueuePolicy, WorkflowSpec
 from basilhold.workflows.progress import WorkflowState
 
-__all__ = ["PeerCalls", "PeerService", "StateAnswer", "StoreOutcome"]
+__all__ = ["Member", "PeerCalls", "PeerService", "StateAnswer", "StoreOutcome"]
 
 
 class StoreOutcome(Enum):
@@ -25,6 +25,15 @@
     UNKNOWN = "unknown"
 
 
+class Member(msgspec.Struct, frozen=True):
+    """A process of the deployment; `beat` makes each renewal of its row a change."""
+
+    process_id: ProcessId
+    endpoint: str
+    region: RegionName = RegionName("")
+    beat: int = 0
+
+
 class StateAnswer(msgspec.Struct, frozen=True):
     """Answer of an owner; `state` is ``None`` if it does not know the workflow."""
 
--- a/basilhold/workflows/planner.py
+++ b/basilhold/workflows/planner.py
@@ -22,7 +22,22 @@
 """Score of a worker away from the step's data, above any packing score."""
 
 PREEMPTION_STOP_MAX = 8
-"""Most runs that are stopped for one task."""
+"""Most runs that are stopped on one worker for one step."""
+
+PREEMPT_SLACK_MS = 800.0
+"""A stop takes up to 400 ms, and a start another round trip and a commit."""
+
+START_BY_TOLERANCE_MS = 250.0
+"""Estimates of run times are rough; a step this late may still end in time."""
+
+SPEED_WEIGHT = 0.3
+"""How much a worker's speed counts against how tightly a task fits."""
+
+LATE_FACTOR = 3.0
+"""A workflow that ends later than this many objectives earns nothing."""
+
+LATE_RANK = 1.5
+HOPELESS_RANK = 10.0
 
 
 class ReadyStep(msgspec.Struct):
@@ -34,8 +49,9 @@
     occurrence, number : int
     keys : list of TaskKey
         Its waiting tasks.
-    due_unix_ms : float
-        When the workflow has to end to meet its objective.
+    begin_unix_ms, due_unix_ms : float
+        When the workflow was submitted or due, and when it has to end to meet its
+        objective.
     start_by_unix_ms : float
         When the step has to start for that.
     """
@@ -44,6 +60,7 @@
     occurrence: int
     number: int
     keys: list[TaskKey]
+    begin_unix_ms: float
     due_unix_ms: float
     start_by_unix_ms: float
 
@@ -103,7 +120,9 @@
     begin_ms = spec.due_unix_ms(occurrence) or spec.submitted_unix_ms
     due_ms = begin_ms + objective_ms(spec)
     chain_ms = _chain_from(spec.steps, number)
-    return ReadyStep(workflow, occurrence, number, keys, due_ms, due_ms - chain_ms)
+    return ReadyStep(
+        workflow, occurrence, number, keys, begin_ms, due_ms, due_ms - chain_ms
+    )
 
 
 def _chain_from(steps: tuple[StepSpec, ...], number: int) -> float:
@@ -117,7 +136,11 @@
 
 
 def plan(
-    steps: list[ReadyStep], pool: Pool, book: AdmissionBook, now_ms: float
+    steps: list[ReadyStep],
+    pool: Pool,
+    book: AdmissionBook,
+    now_ms: float,
+    now_unix_ms: float,
 ) -> Plan:
     """Place waiting tasks; the placements are reserved in the pool.
 
@@ -126,43 +149,68 @@
     steps : list of ReadyStep
     pool : Pool
     book : AdmissionBook
-    now_ms : float
-        Time of the loop's clock, in milliseconds.
+    now_ms, now_unix_ms : float
+        The loop's clock and Unix time, in milliseconds.
 
     Returns
     -------
     Plan
     """
-    planner = _Pass(pool, book, now_ms)
-    for step in sorted(steps, key=lambda s: (s.priority, s.start_by_unix_ms)):
+    planner = _Pass(pool, book, now_ms, now_unix_ms)
+    for step in sorted(steps, key=lambda s: (rank(s, now_unix_ms), s.start_by_unix_ms)):
         planner.place(step)
     return planner.result
 
 
+def rank(step: ReadyStep, now_unix_ms: float) -> float:
+    """Return the place of a step in the order; lower comes first.
+
+    A step that cannot end in time any more is worth a fraction per core of what it
+    was, so it yields to timely work of the next priorities.
+    """
+    if now_unix_ms <= step.start_by_unix_ms + START_BY_TOLERANCE_MS:
+        return step.priority
+    objective = step.due_unix_ms - step.begin_unix_ms
+    too_late = step.start_by_unix_ms + (LATE_FACTOR - 1) * objective
+    if now_unix_ms <= too_late:
+        return step.priority + LATE_RANK
+    return step.priority + HOPELESS_RANK
+
+
 class _Pass:
     """One pass over the waiting steps."""
 
-    def __init__(self, pool: Pool, book: AdmissionBook, now_ms: float):
+    def __init__(
+        self, pool: Pool, book: AdmissionBook, now_ms: float, now_unix_ms: float
+    ):
         self._book = book
         self._now_ms = now_ms
+        self._now_unix_ms = now_unix_ms
         self._usable = pool.usable(now_ms)
         self._claimed: dict[WorkerId, Resources] = {}
         self.result = Plan([], [], [])
 
     def place(self, step: ReadyStep) -> None:
-        """Place what fits of a step, or ask about it."""
+        """Place what fits of a step, ask about it, and claim room for the rest."""
         fits = [w for w in self._usable if w.is_admissible(step.spec)]
         if not fits:
             return
         if step.workflow.spec.policy.advice is None:
             self._place_on(step, fits, None)
+            self._claim_or_preempt(step, fits)
             return
         known = self._book.step(step.key)
         ticketed = [w for w in fits if known.ticket(w.worker_id, self._now_ms)]
         if ticketed:
             self._place_on(step, ticketed, known)
-        if step.keys and not known.asking and self._now_ms >= known.retry_ms:
+        if not step.keys:
+            return
+        if not known.admitted and not known.refused:
             self._ask(step, fits, known)
+            return
+        admitted = [w for w in fits if w.worker_id not in known.refused]
+        claimed = self._claim_or_preempt(step, admitted)
+        self._ask(step, claimed, known)
 
     def _place_on(
         self, step: ReadyStep, workers: list[Worker], known: StepAdmission | None
@@ -179,22 +227,21 @@
         if step.spec.gang and len(placed) < len(step.keys):
             for placement in placed:
                 placement.worker.remove(RunKey(step.workflow.job_id, placement.key))
-            placed = []
+            return
         self.result.placements.extend(placed)
-        if len(placed) < len(step.keys):
-            self._preempt(step, workers, len(step.keys) - len(placed))
         del step.keys[: len(placed)]
 
     def _choose(
         self, step: ReadyStep, key: TaskKey, workers: list[Worker]
     ) -> Worker | None:
         spec = step.spec
+        size = spec.reserved()
         failed_on = step.workflow.task(key).failed_on
         best, best_score = None, 0.0
         for worker in workers:
-            if not spec.reserved().fits_in(self._room(worker)):
+            if not size.fits_in(self._room(worker)):
                 continue
-            if spec.per_worker_max and self._is_full(step, worker):
+            if spec.per_worker_max and self._left_on(step, worker) <= 0:
                 continue
             score = _packing_score(worker, spec)
             if spec.rack and worker.info.rack != spec.rack:
@@ -209,70 +256,156 @@
         claimed = self._claimed.get(worker.worker_id)
         return worker.free - claimed if claimed else worker.free
 
-    def _is_full(self, step: ReadyStep, worker: Worker) -> bool:
+    def _left_on(self, step: ReadyStep, worker: Worker) -> int:
+        """Return how many more tasks of a step a worker may run."""
+        if not step.spec.per_worker_max:
+            return len(step.keys)
         job_id = step.workflow.job_id
         count = worker.count_of_step(job_id, step.occurrence, step.number)
-        return count >= step.spec.per_worker_max
-
-    def _ask(self, step: ReadyStep, fits: list[Worker], known: StepAdmission) -> None:
-        open_workers = [w for w in fits if w.worker_id not in known.refused]
-        first = not known.admitted and not known.refused
-        if not first:
-            open_workers = [
-                w
-                for w in open_workers
-                if step.spec.reserved().fits_in(self._room(w))
-                and not known.ticket(w.worker_id, self._now_ms)
-            ]
-        if not open_workers:
+        return step.spec.per_worker_max - count
+
+    def _ask(
+        self, step: ReadyStep, workers: list[Worker], known: StepAdmission
+    ) -> None:
+        if known.asking or self._now_ms < known.retry_ms or not workers:
             return
-        open_workers.sort(key=lambda w: -w.free.cores_milli)
-        names = tuple(w.worker_id for w in open_workers[:WORKERS_ASKED_MAX])
+        unticketed = [w for w in workers if not known.ticket(w.worker_id, self._now_ms)]
+        if not unticketed:
+            return
+        unticketed.sort(key=lambda w: -w.free.cores_milli)
+        names = tuple(w.worker_id for w in unticketed[:WORKERS_ASKED_MAX])
         self.result.questions.append(Question(step, names))
 
-    def _preempt(self, step: ReadyStep, workers: list[Worker], count: int) -> None:
-        """Stop cheaper runs of lower priority for tasks that do not fit."""
-        if step.spec.gang:
-            count = len(step.keys)
+    def _claim_or_preempt(self, step: ReadyStep, workers: list[Worker]) -> list[Worker]:
+        """Keep room for a step's waiting tasks from the steps after it.
+
+        Returns
+        -------
+        list of Worker
+            Those that have room now.
+        """
+        needed = len(step.keys)
+        free = self._free_slots(step, workers, needed)
+        count = sum(free.values())
+        enough = count >= needed
+        if count and (enough or not step.spec.gang):
+            self._claim(step, free)
+            if enough:
+                return [w for w in workers if w.worker_id in free]
+        if step.spec.gang or self._is_urgent(step):
+            self._preempt(step, workers, free, needed)
+        if step.spec.gang and not enough:
+            return []
+        return [w for w in workers if w.worker_id in free]
+
+    def _free_slots(
+        self, step: ReadyStep, workers: list[Worker], needed: int
+    ) -> dict[WorkerId, int]:
+        """Return how many tasks fit on each worker, up to the number needed."""
+        size = step.spec.reserved()
+        slots: dict[WorkerId, int] = {}
+        for worker in sorted(workers, key=lambda w: _packing_score(w, step.spec)):
+            if needed <= 0:
+                break
+            most = min(needed, self._left_on(step, worker))
+            count = _times(self._room(worker), size, most)
+            if count > 0:
+                slots[worker.worker_id] = count
+                needed -= count
+        return slots
+
+    def _claim(self, step: ReadyStep, slots: dict[WorkerId, int]) -> None:
+        size = step.spec.reserved()
+        for worker_id, count in slots.items():
+            claimed = self._claimed.get(worker_id, Resources())
+            self._claimed[worker_id] = claimed + size.scaled(count)
+
+    def _is_urgent(self, step: ReadyStep) -> bool:
+        """Return whether a step misses its objective unless others make room."""
+        slack_ms = step.start_by_unix_ms - self._now_unix_ms
+        return -START_BY_TOLERANCE_MS < slack_ms < PREEMPT_SLACK_MS
+
+    def _preempt(
+        self,
+        step: ReadyStep,
+        workers: list[Worker],
+        free: dict[WorkerId, int],
+        needed: int,
+    ) -> None:
+        """Stop runs of lower priority for the tasks that do not fit."""
+        missing = needed if step.spec.gang else needed - sum(free.values())
+        choices: list[tuple[Worker, int, list[Run]]] = []
+        for worker in sorted(workers, key=lambda w: -w.free.cores_milli):
+            if missing <= 0:
+                break
+            count, victims = self._victims(step, worker, missing)
+            if count:
+                choices.append((worker, count, victims))
+                missing -= count
+        if step.spec.gang and missing > 0:
+            self._drain_for(step, workers)
+            return
+        size = step.spec.reserved()
+        for worker, count, victims in choices:
+            claimed = self._claimed.get(worker.worker_id, Resources())
+            self._claimed[worker.worker_id] = claimed + size.scaled(count)
+            for run in victims:
+                run.stop_wanted = True
+                self.result.preemptions.append(Preemption(worker, run, step))
+
+    def _drain_for(self, step: ReadyStep, workers: list[Worker]) -> None:
+        """Keep new work of later steps off the workers that a gang will get."""
+        size = step.spec.reserved()
+        missing = len(step.keys)
         for worker in sorted(workers, key=lambda w: -w.free.cores_milli):
-            if count <= 0:
+            if missing <= 0:
                 return
-            count -= self._preempt_on(step, worker, count)
-
-    def _preempt_on(self, step: ReadyStep, worker: Worker, count: int) -> int:
-        """Claim room on a worker for up to `count` tasks; return for how many."""
+            capacity = worker.info.capacity
+            count = _times(capacity, size, min(missing, self._left_on(step, worker)))
+            if count:
+                claimed = self._claimed.get(worker.worker_id, Resources())
+                self._claimed[worker.worker_id] = claimed + size.scaled(count)
+                missing -= count
+
+    def _victims(
+        self, step: ReadyStep, worker: Worker, most: int
+    ) -> tuple[int, list[Run]]:
+        """Return how many tasks fit on a worker once some runs have stopped."""
         size = step.spec.reserved()
-        room = self._room(worker)
-        stopping = [run for run in worker.runs.values() if run.stop_wanted]
-        for run in stopping:
-            room = room + run.reserved
-        victims = sorted(
+        have = self._room(worker)
+        for run in worker.runs.values():
+            if run.stop_wanted:
+                have = have + run.reserved
+        candidates = sorted(
             (run for run in worker.runs.values() if _may_stop(run, step)),
             key=lambda run: (-run.priority, self._now_ms - _saved_ms(run)),
         )
-        if step.spec.per_worker_max:
-            count = min(count, step.spec.per_worker_max)
-        served = 0
-        while served < count:
-            needed = size
-            chosen: list[Run] = []
-            have = room
-            for run in victims:
-                if needed.fits_in(have) or len(chosen) == PREEMPTION_STOP_MAX:
-                    break
-                chosen.append(run)
-                have = have + run.reserved
-            if not needed.fits_in(have):
-                return served
-            for run in chosen:
-                victims.remove(run)
-                run.stop_wanted = True
-                self.result.preemptions.append(Preemption(worker, run, step))
-            room = have - size
-            claimed = self._claimed.get(worker.worker_id, Resources())
-            self._claimed[worker.worker_id] = claimed + size
-            served += 1
-        return served
+        most = min(most, self._left_on(step, worker))
+        victims: list[Run] = []
+        count = _times(have, size, most)
+        for run in candidates[:PREEMPTION_STOP_MAX]:
+            if count >= most:
+                break
+            have = have + run.reserved
+            victims.append(run)
+            count = _times(have, size, most)
+        # Victims after the last one that made room for a task would stop for nothing.
+        while victims and _times(have - victims[-1].reserved, size, most) == count:
+            have = have - victims.pop().reserved
+        return count, victims
+
+
+def _times(room: Resources, size: Resources, most: int) -> int:
+    """Return how often a size fits, at most `most` times."""
+    count = most
+    for have, need in (
+        (room.cores_milli, size.cores_milli),
+        (room.memory_bytes, size.memory_bytes),
+        (room.gpus_milli, size.gpus_milli),
+    ):
+        if need:
+            count = min(count, have // need)
+    return max(0, count)
 
 
 def _make_run(step: ReadyStep, key: TaskKey, now_ms: float) -> Run:
@@ -317,4 +450,4 @@
     score = left.cores_milli / max(1, capacity.cores_milli)
     if capacity.gpus_milli and not step.size.gpus_milli:
         score += 0.5
-    return 0.5 * score * worker.work_ratio
+    return 0.5 * score + SPEED_WEIGHT * worker.work_ratio
--- a/basilhold/workflows/pool.py
+++ b/basilhold/workflows/pool.py
@@ -11,9 +11,10 @@
 from basilhold.workflows.progress import EndKind, RunEnd
 
 __all__ = [
-    "Listing",
+    "EndedRun",
     "ListedEnd",
     "ListedRun",
+    "Listing",
     "Pool",
     "Run",
     "RunKey",
@@ -257,18 +258,26 @@
         return worker.runs.get(key) if worker else None
 
 
+class EndedRun(msgspec.Struct):
+    """The end of a run; `run` is ``None`` if it had been given up before."""
+
+    key: RunKey
+    end: RunEnd
+    run: Run | None = None
+
+
 class Reconciled(msgspec.Struct):
     """What a listing changed.
 
     Parameters
     ----------
-    ends : list of (RunKey, RunEnd)
+    ends : list of EndedRun
         Ends to apply to the workflows, in order.
     unknown : list of ListedRun
         Runs that the owner did not place; they have to be stopped or adopted.
     """
 
-    ends: list[tuple[RunKey, RunEnd]]
+    ends: list[EndedRun]
     unknown: list[ListedRun]
 
 
@@ -304,12 +313,13 @@
         if run is not None and run.number <= ended.end.run:
             worker.remove(ended.key)
             listed_keys.discard(ended.key)
-        result.ends.append((ended.key, ended.end))
+        same = run is not None and run.number == ended.end.run
+        result.ends.append(EndedRun(ended.key, ended.end, run if same else None))
     for key, run in list(worker.runs.items()):
         if key not in listed_keys and _is_absent(run, listing, asked_ms):
             worker.remove(key)
             end = RunEnd(key.task, run.number, EndKind.LOST, run.checkpoint)
-            result.ends.append((key, end))
+            result.ends.append(EndedRun(key, end))
     return result
 
 
@@ -339,10 +349,11 @@
     return run.confirmed_ms < asked_ms
 
 
-def remove_lost(worker: Worker) -> Iterable[tuple[RunKey, RunEnd]]:
+def remove_lost(worker: Worker) -> Iterable[EndedRun]:
     """Remove all runs of a worker whose lease has lapsed or that has restarted."""
     for key, run in list(worker.runs.items()):
         if run.stage is RunStage.COMMITTING:
             continue
         worker.remove(key)
-        yield key, RunEnd(key.task, run.number, EndKind.LOST, run.checkpoint)
+        end = RunEnd(key.task, run.number, EndKind.LOST, run.checkpoint)
+        yield EndedRun(key, end)
--- a/basilhold/workflows/stewardship.py
+++ b/basilhold/workflows/stewardship.py
@@ -18,13 +18,13 @@
     claim_delay_ms,
     try_claim,
 )
-from basilhold.workflows.peers import PeerCalls
+from basilhold.workflows.peers import Member, PeerCalls
 from basilhold.workflows.recovery import scan_all
 from basilhold.workflows.rows import OWNERS_PREFIX, Incarnation
 from basilhold.workflows.tasks import TaskSet
 from basilhold.workflows.worker_link import LinkLimits
 
-__all__ = ["Member", "Stewardship"]
+__all__ = ["Stewardship"]
 
 POLL_INTERVAL_MS = 350
 """Time between two looks at the owners; a released service waits this long."""
@@ -37,14 +37,6 @@
 _MEMBERS_PREFIX = f"{OWNERS_PREFIX}members/"
 
 
-class Member(msgspec.Struct, frozen=True):
-    """A process of the deployment; `beat` makes each renewal a change."""
-
-    process_id: ProcessId
-    endpoint: str
-    beat: int = 0
-
-
 class Stewardship:
     """Watches the owners of all services and claims those without one.
 
@@ -110,14 +102,16 @@
             return ""
         return view.record.endpoint
 
-    def endpoints(self) -> list[str]:
-        """Return the endpoints of the processes that are alive, own included."""
+    def members(self) -> list[Member]:
+        """Return the processes that are alive, this one first."""
         now_ms = self._ports.clock.monotonic_ms()
-        found = {self._member.endpoint}
-        for member, seen_ms in self._members.values():
-            if now_ms - seen_ms < MEMBER_LAPSE_MS:
-                found.add(member.endpoint)
-        return sorted(found)
+        others = [
+            member
+            for member, seen_ms in self._members.values()
+            if now_ms - seen_ms < MEMBER_LAPSE_MS
+            and member.process_id != self._member.process_id
+        ]
+        return [self._member, *others]
 
     # The loop.
 
@@ -158,8 +152,8 @@
             task.cancel()
         await asyncio.gather(*releases, return_exceptions=True)
         if releases:
-            others = (e for e in self.endpoints() if e != self._member.endpoint)
-            await asyncio.gather(*(self._peers.released(e) for e in others))
+            others = self.members()[1:]
+            await asyncio.gather(*(self._peers.released(m.endpoint) for m in others))
 
     async def _look(self) -> None:
         asked_ms = self._ports.clock.monotonic_ms()
--- a/basilhold/workflows/worker_link.py
+++ b/basilhold/workflows/worker_link.py
@@ -7,8 +7,7 @@
 from basilhold.core import Clock
 from basilhold.ports.runners import CallOutcome, HoldCall, TaskRunners
 from basilhold.workflows.ownership import Lease
-from basilhold.workflows.pool import ListedRun, RunKey, Worker, reconcile
-from basilhold.workflows.progress import RunEnd
+from basilhold.workflows.pool import EndedRun, ListedRun, Worker, reconcile
 
 __all__ = ["LinkLimits", "Look", "WorkerLink"]
 
@@ -60,7 +59,7 @@
     first: bool = False
     fenced: bool = False
     lost: str = ""
-    ends: list[tuple[RunKey, RunEnd]] = []
+    ends: list[EndedRun] = []
     unknown: list[ListedRun] = []
 
 
@@ -86,6 +85,7 @@
         self._limits = limits
         self._acknowledged = asyncio.Event()
         self._failures = 0
+        self._newest_asked_ms = 0.0
 
     def note_lease(self, now_ms: float, lease_ms: float) -> None:
         """Note that an order sent now may extend the worker's lease."""
@@ -98,28 +98,45 @@
             self.worker.acknowledged = processed
         self._acknowledged.set()
 
-    async def look(self, clock: Clock) -> Look:
-        """Renew the lease and read the lists once."""
+    async def look(self, clock: Clock, at_once: bool = False) -> Look:
+        """Renew the lease and read the lists once.
+
+        Parameters
+        ----------
+        clock : Clock
+        at_once : bool
+            Look beside the regular looks, without waiting for an end.
+        """
         worker = self.worker
-        await self._wait_for_commit()
+        if not at_once:
+            await self._wait_for_commit()
         if self.closed:
             return Look(lost="it was replaced")
         asked_ms = clock.monotonic_ms()
         if not self._lease.is_valid():
+            if at_once:
+                return Look()
             await asyncio.sleep(RETRY_MS / 1000)
             return self._check_lapse(clock)
         until_ms = 0.0
-        if worker.clock_ms:
+        # A renewal without a reply may have taken effect. Repeating it would put off
+        # the moment from which nothing can run on the worker any more.
+        if worker.clock_ms and not self._failures:
             until_ms = worker.clock_at(asked_ms) + self._limits.lease_ms
             self.note_lease(asked_ms, self._limits.lease_ms)
         call = HoldCall(
-            self._lease.epoch, worker.acknowledged, until_ms, self._wait_ms()
+            self._lease.epoch,
+            worker.acknowledged,
+            until_ms,
+            0 if at_once else self._wait_ms(),
         )
         result = await self._runners.hold(worker, call)
         now_ms = clock.monotonic_ms()
         if self.closed:
             return Look(lost="it was replaced")
         if result.is_error():
+            if at_once:
+                return Look(fenced=result.error is CallOutcome.FENCED)
             return await self._after_failure(result.error, clock)
         self._failures = 0
         listing = result.ok
@@ -128,6 +145,10 @@
             and listing.born_unix_ms != worker.info.born_unix_ms
         ):
             return Look(lost="it has restarted")
+        if asked_ms < self._newest_asked_ms:
+            # A look that was asked for later has overtaken this one.
+            return Look()
+        self._newest_asked_ms = asked_ms
         first = not worker.listed
         changed = reconcile(worker, listing, asked_ms, now_ms)
         return Look(first=first, ends=changed.ends, unknown=changed.unknown)
