--- a/basilhold/platform/callers.py
+++ b/basilhold/platform/callers.py
@@ -24,9 +24,6 @@
 DEADLINE_MARGIN_MS = 250.0
 """An answer has to reach the caller before its deadline, over up to 60 ms."""
 
-RETRY_AFTER_S = "1"
-"""A submission is refused while the store does not answer; it is tried each second."""
-
 BODY_BYTES_MAX = 1 << 18
 BODY_TIMEOUT_S = 5.0
 IDLE_TIMEOUT_S = 30.0
@@ -144,7 +141,7 @@
             status=status,
             reason=reason,
         )
-        self.set_header("Retry-After", RETRY_AFTER_S)
+        self.set_header("Retry-After", str(self._server.front.retry_after_s()))
         self._reply(status, {"error": reason})
 
     def _reply(self, status: int, body: dict) -> None:
--- a/basilhold/platform/runners.py
+++ b/basilhold/platform/runners.py
@@ -317,6 +317,10 @@
         self._pool = pool
         self._address = address
 
+    def is_available(self, policy: QueuePolicy, worker_count: int) -> bool:
+        """Return true: the turns of this machine are not tracked here."""
+        return True
+
     async def ask(
         self,
         job_id: JobId,
--- a/basilhold/ports/runners.py
+++ b/basilhold/ports/runners.py
@@ -130,6 +130,10 @@
 class AdviceService(ABC):
     """Decides which workers may run a step."""
 
+    @abstractmethod
+    def is_available(self, policy: QueuePolicy, worker_count: int) -> bool:
+        """Return whether a question asked now would be answered soon."""
+
     @abstractmethod
     async def ask(
         self,
--- a/basilhold/workflows/advice_spread.py
+++ b/basilhold/workflows/advice_spread.py
@@ -7,7 +7,7 @@
 import asyncio
 from collections.abc import Callable
 
-from expression import Error, Result
+from expression import Result
 
 from basilhold.core import JobId, RegionName, WorkerId
 from basilhold.ports.runners import Admission, AdviceService
@@ -16,9 +16,9 @@
 
 __all__ = ["SpreadAdvice"]
 
-BACKLOG_MAX_MS = 2_000.0
-"""Questions that would wait longer than this are not asked yet; a ticket from then on
-would be valid for less than the time already waited."""
+BACKLOG_MAX_MS = 500.0
+"""Questions that would wait longer for their turn are not asked yet; by then the room
+that they are asked for may be gone."""
 
 FAILED_TURN_MS = 3_000.0
 """How long a peer that did not answer gets no questions."""
@@ -64,6 +64,12 @@
         self._free_at_ms: dict[str, float] = {}
         self._failed_until_ms: dict[str, float] = {}
 
+    def is_available(self, policy: QueuePolicy, worker_count: int) -> bool:
+        """Return whether a turn is free soon."""
+        now_ms = asyncio.get_running_loop().time() * 1000
+        endpoint = self._choose(now_ms, _answer_ms(policy, worker_count))
+        return self._free_at_ms.get(endpoint, 0.0) - now_ms <= BACKLOG_MAX_MS
+
     async def ask(
         self,
         job_id: JobId,
@@ -74,11 +80,9 @@
     ) -> Result[Admission, str]:
         """Return which of the named workers may run the step."""
         now_ms = asyncio.get_running_loop().time() * 1000
-        answer_ms = policy.advice.answer_ms(len(workers)) if policy.advice else 0.0
+        answer_ms = _answer_ms(policy, len(workers))
         endpoint = self._choose(now_ms, answer_ms)
         begin_ms = max(now_ms, self._free_at_ms.get(endpoint, 0.0))
-        if begin_ms - now_ms > BACKLOG_MAX_MS:
-            return Error("all turns are taken")
         self._free_at_ms[endpoint] = begin_ms + answer_ms
         if endpoint == self._own:
             return await self._local.ask(job_id, occurrence, step, workers, policy)
@@ -117,3 +121,7 @@
         if member.endpoint == self._own:
             return 0.0
         return NEAR_PENALTY_MS if member.region == self._region else FAR_PENALTY_MS
+
+
+def _answer_ms(policy: QueuePolicy, worker_count: int) -> float:
+    return policy.advice.answer_ms(worker_count) if policy.advice else 0.0
--- a/basilhold/workflows/front.py
+++ b/basilhold/workflows/front.py
@@ -25,9 +25,17 @@
 
 __all__ = ["Existence", "WorkflowFront"]
 
-STORE_TRIES_MS = 350.0
-"""How long a submission that is certainly not stored is tried again. A caller that is
-refused later than a quarter of its objective could have gone elsewhere sooner."""
+STORE_TRIES_MS = 250.0
+UNKNOWN_TRIES_MS = 700.0
+"""How long a submission is tried again that is certainly not stored, and one that may
+be. A caller that is told later than a quarter of its objective could have tried
+elsewhere sooner."""
+
+OUTAGE_MS = 900.0
+"""A store that has not answered this long is taken as down; it is asked every 350 ms."""
+
+RETRY_AFTER_MAX_S = 4
+"""Callers try a few times; in a long outage they should not use up their tries."""
 
 RETRY_MS = 50.0
 NOTIFY_TRIES = 2
@@ -111,18 +119,33 @@
         transaction = Transaction(
             (Condition(key, ABSENT),), (Write(key, msgspec.json.encode(spec)),)
         )
-        give_up_ms = self._clock.monotonic_ms() + STORE_TRIES_MS
+        begin_ms = self._clock.monotonic_ms()
+        if self._outage_ms():
+            return StoreOutcome.NOT_STORED
         unknown = False
         while True:
             result = await self._table.transact(transaction)
             if result.is_ok() or result.error.kind is StoreErrorKind.CONFLICT:
                 return StoreOutcome.STORED
             unknown = unknown or result.error.kind is StoreErrorKind.UNKNOWN
-            limit_ms = deadline_ms if unknown else min(deadline_ms, give_up_ms)
+            tries_ms = UNKNOWN_TRIES_MS if unknown else STORE_TRIES_MS
+            limit_ms = min(deadline_ms, begin_ms + tries_ms)
             if self._clock.monotonic_ms() + RETRY_MS > limit_ms:
                 return StoreOutcome.UNKNOWN if unknown else StoreOutcome.NOT_STORED
             await asyncio.sleep(RETRY_MS / 1000)
 
+    def _outage_ms(self) -> float:
+        """Return how long the store has been down; 0 if it answers."""
+        age_ms = self._clock.monotonic_ms() - self._stewardship.store_answered_ms
+        return age_ms if age_ms > OUTAGE_MS else 0.0
+
+    def retry_after_s(self) -> int:
+        """Return when a refused caller should come back, in seconds.
+
+        The longer an outage lasts, the longer it is likely to go on.
+        """
+        return max(1, min(RETRY_AFTER_MAX_S, round(self._outage_ms() / 1000)))
+
     def _notify(self, spec: WorkflowSpec) -> None:
         local = self._stewardship.local_owner(spec.policy.service)
         if local is not None:
--- a/basilhold/workflows/owner.py
+++ b/basilhold/workflows/owner.py
@@ -139,8 +139,12 @@
         return self._lease.service
 
     def is_current(self) -> bool:
-        """Return whether answers about workflows are up to date."""
-        return self.loaded and self._lease.is_valid()
+        """Return whether answers about workflows are up to date.
+
+        While the store does not answer, nobody can take over, and the last known
+        states hold.
+        """
+        return self.loaded and not self._lease.is_lost
 
     def state(self, job_id: JobId) -> WorkflowState | None:
         """Return the stored state of a workflow, or ``None`` if it is not known."""
@@ -346,9 +350,7 @@
         for placement in decided.placements:
             self._assign(placement)
         for question in decided.questions:
-            known = self._book.step(question.step.key)
-            known.asking = True
-            self._tasks.start(self._guard(self._ask(question)))
+            self._begin_question(question)
         for preemption in decided.preemptions:
             run = preemption.run
             log_event(
@@ -376,6 +378,15 @@
             queued_ms=round(self._clock.unix_ms() - workflow.spec.submitted_unix_ms),
         )
 
+    def _begin_question(self, question: Question) -> None:
+        step = question.step
+        policy = step.workflow.spec.policy
+        if not self._ports.advice.is_available(policy, len(question.workers)):
+            # The next pass asks again, in the order of that moment.
+            return
+        self._book.step(step.key).asking = True
+        self._tasks.start(self._guard(self._ask(question)))
+
     async def _ask(self, question: Question) -> None:
         step = question.step
         known = self._book.step(step.key)
--- a/basilhold/workflows/ownership.py
+++ b/basilhold/workflows/ownership.py
@@ -164,6 +164,11 @@
         """Return whether the process may still act as the owner."""
         return not self._lost and self._clock.now_ms() - self._renewed_ms < VALID_MS
 
+    @property
+    def is_lost(self) -> bool:
+        """Whether another process is known to own the service."""
+        return self._lost
+
     def age_ms(self) -> float:
         """Return the time since the last renewal, in milliseconds."""
         return self._clock.now_ms() - self._renewed_ms
--- a/basilhold/workflows/planner.py
+++ b/basilhold/workflows/planner.py
@@ -30,7 +30,8 @@
 START_BY_TOLERANCE_MS = 250.0
 """Estimates of run times are rough; a step this late may still end in time."""
 
-SPEED_WEIGHT = 0.3
+SPEED_WEIGHT = 0.1
+URGENT_SPEED_WEIGHT = 0.3
 """How much a worker's speed counts against how tightly a task fits."""
 
 LATE_FACTOR = 3.0
@@ -188,6 +189,7 @@
         self._now_unix_ms = now_unix_ms
         self._usable = pool.usable(now_ms)
         self._claimed: dict[WorkerId, Resources] = {}
+        self._asked: dict[WorkerId, Resources] = {}
         self.result = Plan([], [], [])
 
     def place(self, step: ReadyStep) -> None:
@@ -206,12 +208,32 @@
         if not step.keys:
             return
         if not known.admitted and not known.refused:
-            self._ask(step, fits, known)
+            if self._may_find_room(step, fits):
+                self._ask(step, fits, known)
             return
         admitted = [w for w in fits if w.worker_id not in known.refused]
         claimed = self._claim_or_preempt(step, admitted)
         self._ask(step, claimed, known)
 
+    def _may_find_room(self, step: ReadyStep, workers: list[Worker]) -> bool:
+        """Return whether an answer could be used before its tickets expire.
+
+        Room that steps before this one ask about is taken, although some of it will
+        not be admitted for them; placements are not held up by that.
+        """
+        needed = len(step.keys)
+        slots = self._free_slots(step, workers, needed, self._asked)
+        count = sum(slots.values())
+        if count >= needed or (count and not step.spec.gang):
+            size = step.spec.reserved()
+            for worker_id, times in slots.items():
+                asked = self._asked.get(worker_id, Resources())
+                self._asked[worker_id] = asked + size.scaled(times)
+            return True
+        if not (step.spec.gang or self._is_urgent(step)) or self._is_late(step):
+            return False
+        return any(self._victims(step, worker, 1)[0] for worker in workers)
+
     def _place_on(
         self, step: ReadyStep, workers: list[Worker], known: StepAdmission | None
     ) -> None:
@@ -243,7 +265,7 @@
                 continue
             if spec.per_worker_max and self._left_on(step, worker) <= 0:
                 continue
-            score = _packing_score(worker, spec)
+            score = _packing_score(worker, spec, step.priority == 0)
             if spec.rack and worker.info.rack != spec.rack:
                 score += FAR_PENALTY
             if worker.worker_id in failed_on:
@@ -292,14 +314,19 @@
             self._claim(step, free)
             if enough:
                 return [w for w in workers if w.worker_id in free]
-        if step.spec.gang or self._is_urgent(step):
+        may_preempt = step.spec.gang or self._is_urgent(step)
+        if may_preempt and not self._is_late(step):
             self._preempt(step, workers, free, needed)
         if step.spec.gang and not enough:
             return []
         return [w for w in workers if w.worker_id in free]
 
     def _free_slots(
-        self, step: ReadyStep, workers: list[Worker], needed: int
+        self,
+        step: ReadyStep,
+        workers: list[Worker],
+        needed: int,
+        taken: dict[WorkerId, Resources] | None = None,
     ) -> dict[WorkerId, int]:
         """Return how many tasks fit on each worker, up to the number needed."""
         size = step.spec.reserved()
@@ -308,7 +335,10 @@
             if needed <= 0:
                 break
             most = min(needed, self._left_on(step, worker))
-            count = _times(self._room(worker), size, most)
+            room = self._room(worker)
+            if taken and worker.worker_id in taken:
+                room = room - taken[worker.worker_id]
+            count = _times(room, size, most)
             if count > 0:
                 slots[worker.worker_id] = count
                 needed -= count
@@ -320,6 +350,9 @@
             claimed = self._claimed.get(worker_id, Resources())
             self._claimed[worker_id] = claimed + size.scaled(count)
 
+    def _is_late(self, step: ReadyStep) -> bool:
+        return rank(step, self._now_unix_ms) > step.priority
+
     def _is_urgent(self, step: ReadyStep) -> bool:
         """Return whether a step misses its objective unless others make room."""
         slack_ms = step.start_by_unix_ms - self._now_unix_ms
@@ -440,7 +473,7 @@
     return run.checkpoint_ms or run.started_ms
 
 
-def _packing_score(worker: Worker, step: StepSpec) -> float:
+def _packing_score(worker: Worker, step: StepSpec, urgent: bool = False) -> float:
     """Return how much a placement leaves free, from 0 (nothing) to 1.
 
     Work without GPUs goes to workers without GPUs first.
@@ -450,4 +483,5 @@
     score = left.cores_milli / max(1, capacity.cores_milli)
     if capacity.gpus_milli and not step.size.gpus_milli:
         score += 0.5
-    return 0.5 * score + SPEED_WEIGHT * worker.work_ratio
+    weight = URGENT_SPEED_WEIGHT if urgent else SPEED_WEIGHT
+    return 0.5 * score + weight * worker.work_ratio
