--- /dev/null
+++ b/basilhold/standins/runners.py
@@ -0,0 +1,485 @@
+"""In-memory agents that run the tasks of workflows, and a monitor of the guarantees."""
+
+import asyncio
+import contextlib
+import random
+
+import msgspec
+from expression import Error, Ok, Result
+
+from basilhold.core import JobId, Resources, WorkerId
+from basilhold.ports.runners import (
+    Admission,
+    AdviceService,
+    CallOutcome,
+    HoldCall,
+    Registry,
+    RunnerCall,
+    StartCall,
+    TaskRunners,
+)
+from basilhold.workflows.model import QueuePolicy, TaskKey, WorkflowSpec
+from basilhold.workflows.pool import (
+    ListedEnd,
+    ListedRun,
+    Listing,
+    RunKey,
+    Worker,
+    WorkerInfo,
+)
+from basilhold.workflows.progress import EndKind, RunEnd
+
+__all__ = [
+    "MemoryAdvice",
+    "MemoryRegistry",
+    "MemoryRunner",
+    "MemoryRunners",
+    "RunnerFaults",
+]
+
+LEASE_MAX_MS = 6_000.0
+STOP_MS = 200.0
+GANG_MS = 3_000.0
+TRAVEL_MS = 1.0
+NO_REPLY_MS = 500.0
+
+
+class RunnerFaults(msgspec.Struct):
+    """Shares of orders that go wrong.
+
+    Parameters
+    ----------
+    lost_reply : float
+        Carried out, without a reply.
+    late : float
+        No reply, and carried out 2 to 12 s later.
+    refused : float
+        Nothing was done, and the reply says so.
+    failed : float
+        Share of the runs that fail.
+    """
+
+    lost_reply: float = 0.0
+    late: float = 0.0
+    refused: float = 0.0
+    failed: float = 0.0
+
+
+class _Run(msgspec.Struct):
+    number: int
+    size: Resources
+    gang: bool
+    timer: asyncio.TimerHandle | None = None
+    stopping: bool = False
+
+
+class MemoryRunner:
+    """One worker's agent.
+
+    Parameters
+    ----------
+    info : WorkerInfo
+    monitor : MemoryRunners
+    """
+
+    def __init__(self, info: WorkerInfo, monitor: "MemoryRunners"):
+        self.info = info
+        self.up = True
+        self.cut = False
+        self.frozen = False
+        self.runs: dict[RunKey, _Run] = {}
+        self.ended: list[ListedEnd] = []
+        self.has_ended = asyncio.Event()
+        self._monitor = monitor
+        self._fence = 0
+        self._sequence = 0
+        self._born_s = asyncio.get_running_loop().time()
+        self._until_ms = 0.0
+        self._lapsed_s = -1.0
+        self._ended_s: dict[int, float] = {}
+        self._lapse: asyncio.TimerHandle | None = None
+        self._stopped: dict[RunKey, int] = {}
+
+    def clock_ms(self) -> float:
+        """Return this incarnation's own clock."""
+        return (asyncio.get_running_loop().time() - self._born_s) * 1000 + 1_000
+
+    def used(self) -> Resources:
+        """Return what the runs take."""
+        total = Resources()
+        for run in self.runs.values():
+            total = total + run.size
+        return total
+
+    def crash(self) -> None:
+        """End everything at once."""
+        self.up = False
+        if self._lapse is not None:
+            self._lapse.cancel()
+        runs = dict(self.runs)
+        self.runs.clear()
+        for key, run in runs.items():
+            if run.timer is not None:
+                run.timer.cancel()
+            if run.gang:
+                self._monitor.break_gang(key, run.number)
+
+    def check_fence(self, epoch: int) -> bool:
+        """Return whether an order with this epoch is obeyed."""
+        self._fence = max(self._fence, epoch)
+        return epoch == self._fence
+
+    def extend(self, until_ms: float) -> None:
+        """Extend the lease of everything that runs here."""
+        until_ms = min(until_ms, self.clock_ms() + LEASE_MAX_MS)
+        if until_ms <= self._until_ms:
+            return
+        self._until_ms = until_ms
+        if self._lapse is not None:
+            self._lapse.cancel()
+        delay_s = (until_ms - self.clock_ms()) / 1000
+        self._lapse = asyncio.get_running_loop().call_later(delay_s, self._end_all)
+
+    def _end_all(self) -> None:
+        self._lapsed_s = asyncio.get_running_loop().time()
+        for key in list(self.runs):
+            self.end(key, EndKind.LAPSED)
+
+    def start(self, call: StartCall) -> CallOutcome:
+        """Carry out a start."""
+        key = RunKey(call.run.job_id, call.run.task)
+        if not self.check_fence(call.run.epoch):
+            return CallOutcome.FENCED
+        if call.until_clock_ms <= self.clock_ms():
+            return CallOutcome.LATE
+        known = self.runs.get(key)
+        if known is not None and known.number == call.run.run:
+            self.extend(call.until_clock_ms)
+            return CallOutcome.DONE
+        if known is not None or self._stopped.get(key, 0) >= call.run.run:
+            return CallOutcome.OLD_RUN
+        step = self._monitor.check_start(self, call)
+        self.runs[key] = run = _Run(call.run.run, step.reserved(), step.gang)
+        self.extend(call.until_clock_ms)
+        self._monitor.begin(self, key, run)
+        return CallOutcome.DONE
+
+    def stop(self, call: RunnerCall) -> CallOutcome:
+        """Carry out a stop."""
+        if not self.check_fence(call.epoch):
+            return CallOutcome.FENCED
+        key = RunKey(call.job_id, call.task)
+        self._stopped[key] = max(self._stopped.get(key, 0), call.run)
+        run = self.runs.get(key)
+        if run is not None and run.number <= call.run and not run.stopping:
+            run.stopping = True
+            loop = asyncio.get_running_loop()
+            loop.call_later(STOP_MS / 1000, self._end_stopped, key, run)
+        return CallOutcome.DONE
+
+    def _end_stopped(self, key: RunKey, run: _Run) -> None:
+        if self.runs.get(key) is run:
+            self.end(key, EndKind.STOPPED)
+
+    def end(self, key: RunKey, kind: EndKind) -> None:
+        """End a run and list its end."""
+        run = self.runs.pop(key)
+        if run.timer is not None:
+            run.timer.cancel()
+        self._stopped[key] = max(self._stopped.get(key, 0), run.number)
+        self._sequence += 1
+        if run.gang and kind is not EndKind.DONE:
+            self._monitor.break_gang(key, run.number)
+        end = RunEnd(key.task, run.number, kind)
+        self._ended_s[self._sequence] = asyncio.get_running_loop().time()
+        self.ended.append(ListedEnd(self._sequence, key, end))
+        self.has_ended.set()
+        self._monitor.note_end(key, kind)
+
+    def hold(self, call: HoldCall) -> Result[Listing, CallOutcome]:
+        """Carry out a hold."""
+        if not self.check_fence(call.epoch):
+            return Error(CallOutcome.FENCED)
+        if call.until_clock_ms:
+            self.extend(call.until_clock_ms)
+        for ended in self.ended:
+            # An owner cannot know of an end before it has concluded that the lease
+            # has lapsed, so such an end does not bind it.
+            in_lease = self._ended_s[ended.sequence] > self._lapsed_s
+            if ended.sequence <= call.acknowledged and in_lease:
+                self._monitor.note_acknowledged(ended)
+        self.ended = [e for e in self.ended if e.sequence > call.acknowledged]
+        running = tuple(
+            ListedRun(key, run.number, "", 100, 0.0) for key, run in self.runs.items()
+        )
+        born = self.info.born_unix_ms
+        return Ok(Listing(self.clock_ms(), born, running, tuple(self.ended[:500])))
+
+
+class MemoryRunners(TaskRunners):
+    """Calls to in-memory agents; collects broken guarantees in `violations`.
+
+    Gang members that waited in vain are in `alone_s`: whether that is a broken
+    guarantee depends on the faults near that time.
+
+    Parameters
+    ----------
+    rng : random.Random
+    faults : RunnerFaults, optional
+    """
+
+    def __init__(self, rng: random.Random, faults: RunnerFaults | None = None):
+        self.rng = rng
+        self.faults = faults or RunnerFaults()
+        self.runners: dict[WorkerId, MemoryRunner] = {}
+        self.specs: dict[JobId, WorkflowSpec] = {}
+        self.cancelled_s: dict[JobId, float] = {}
+        self.violations: list[str] = []
+        self.alone_s: list[tuple[float, RunKey]] = []
+        self.start_count = 0
+        self._done: set[RunKey] = set()
+        self._done_acknowledged: set[RunKey] = set()
+        self._gangs: dict[tuple, dict[RunKey, MemoryRunner]] = {}
+
+    def add(self, info: WorkerInfo) -> MemoryRunner:
+        """Start an agent."""
+        runner = self.runners[info.worker_id] = MemoryRunner(info, self)
+        return runner
+
+    # Checks.
+
+    def check_start(self, runner: MemoryRunner, call: StartCall):
+        """Compare a start with the guarantees; return its step."""
+        self.start_count += 1
+        key = RunKey(call.run.job_id, call.run.task)
+        spec = self.specs[key.job_id]
+        step = spec.steps[key.task.step]
+        now_s = asyncio.get_running_loop().time()
+        for other in self.runners.values():
+            if other.up and key in other.runs:
+                self.violations.append(f"{key} runs twice")
+        if key in self._done_acknowledged:
+            self.violations.append(f"{key} starts after its end was acknowledged")
+        used = runner.used() + step.reserved()
+        if not used.fits_in(runner.info.capacity):
+            self.violations.append(f"{runner.info.worker_id} is over its capacity")
+        for before in step.after:
+            for index in range(spec.steps[before].task_count):
+                earlier = TaskKey(key.task.occurrence, before, index)
+                if RunKey(key.job_id, earlier) not in self._done:
+                    self.violations.append(f"{key} starts before {earlier} is done")
+        if now_s > self.cancelled_s.get(key.job_id, 1e18) + 3.0:
+            self.violations.append(f"{key} starts after it was cancelled")
+        return step
+
+    def note_end(self, key: RunKey, kind: EndKind) -> None:
+        """Note how a run ended."""
+        if kind is EndKind.DONE:
+            self._done.add(key)
+        if kind is EndKind.ALONE:
+            self.alone_s.append((asyncio.get_running_loop().time(), key))
+
+    def note_acknowledged(self, ended: ListedEnd) -> None:
+        """Note that an end was acknowledged."""
+        if ended.end.kind is EndKind.DONE:
+            self._done_acknowledged.add(ended.key)
+
+    # Work.
+
+    def begin(self, runner: MemoryRunner, key: RunKey, run: _Run) -> None:
+        """Let a run work, or wait for its gang."""
+        step = self.specs[key.job_id].steps[key.task.step]
+        loop = asyncio.get_running_loop()
+        if not step.gang:
+            self._work(runner, key, run, step.estimate_ms)
+            return
+        members = self._gangs.setdefault(_gang_of(key, run.number), {})
+        members[key] = runner
+        if len(members) < step.task_count:
+            run.timer = loop.call_later(
+                GANG_MS / 1000, self._end_alone, runner, key, run
+            )
+            return
+        for member, where in members.items():
+            waiting = where.runs.get(member)
+            if waiting is not None and waiting.timer is not None:
+                waiting.timer.cancel()
+        delay_s = step.estimate_ms * self.rng.uniform(0.7, 1.4) / 1000
+        loop.call_later(delay_s, self._end_gang, members, run.number)
+
+    def _end_gang(self, members: dict[RunKey, MemoryRunner], number: int) -> None:
+        """End a whole gang as done, if all of its members still run."""
+        present = [
+            (key, runner)
+            for key, runner in members.items()
+            if key in runner.runs and runner.runs[key].number == number
+        ]
+        if len(present) == len(members):
+            for key, runner in present:
+                runner.end(key, EndKind.DONE)
+
+    def break_gang(self, key: RunKey, number: int) -> None:
+        """End the other members of a gang that lost one."""
+        for other, runner in self._gangs.get(_gang_of(key, number), {}).items():
+            run = runner.runs.get(other)
+            if other != key and run is not None and run.number == number:
+                runner.end(other, EndKind.BROKEN)
+
+    def _end_alone(self, runner: MemoryRunner, key: RunKey, run: _Run) -> None:
+        if runner.runs.get(key) is run and not run.stopping:
+            runner.end(key, EndKind.ALONE)
+
+    def _work(
+        self, runner: MemoryRunner, key: RunKey, run: _Run, estimate_ms: float
+    ) -> None:
+        if self.specs[key.job_id].steps[key.task.step].long_running:
+            return
+        failed = self.rng.random() < self.faults.failed
+        kind = EndKind.FAILED if failed else EndKind.DONE
+        delay_s = estimate_ms * self.rng.uniform(0.7, 1.4) / 1000
+        loop = asyncio.get_running_loop()
+        run.timer = loop.call_later(delay_s, self._end_work, runner, key, run, kind)
+
+    def _end_work(
+        self, runner: MemoryRunner, key: RunKey, run: _Run, kind: EndKind
+    ) -> None:
+        if runner.runs.get(key) is not run:
+            return
+        if runner.frozen:
+            loop = asyncio.get_running_loop()
+            run.timer = loop.call_later(1.0, self._end_work, runner, key, run, kind)
+            return
+        runner.end(key, kind)
+
+    # Calls.
+
+    async def start(self, worker: Worker, call: StartCall) -> CallOutcome:
+        """Start a run."""
+        return await self._order(worker, lambda runner: runner.start(call))
+
+    async def stop(self, worker: Worker, call: RunnerCall) -> CallOutcome:
+        """Stop a run."""
+        return await self._order(worker, lambda runner: runner.stop(call))
+
+    async def pace(self, worker: Worker, call: RunnerCall, percent: int) -> CallOutcome:
+        """Accept a pace."""
+        return await self._order(worker, lambda runner: CallOutcome.DONE)
+
+    async def _order(self, worker: Worker, action) -> CallOutcome:
+        runner = self._find(worker)
+        if runner is None or runner.cut:
+            await asyncio.sleep(NO_REPLY_MS / 1000)
+            return CallOutcome.UNKNOWN
+        await asyncio.sleep(TRAVEL_MS / 1000)
+        drawn = self.rng.random()
+        if drawn < self.faults.refused:
+            return CallOutcome.UNAVAILABLE
+        drawn -= self.faults.refused
+        if drawn < self.faults.late:
+            delay_s = self.rng.uniform(2.0, 12.0)
+            loop = asyncio.get_running_loop()
+            loop.call_later(delay_s, lambda: runner.up and action(runner))
+            await asyncio.sleep(NO_REPLY_MS / 1000)
+            return CallOutcome.UNKNOWN
+        if not runner.up:
+            return CallOutcome.UNKNOWN
+        outcome = action(runner)
+        if drawn - self.faults.late < self.faults.lost_reply:
+            await asyncio.sleep(NO_REPLY_MS / 1000)
+            return CallOutcome.UNKNOWN
+        await asyncio.sleep(TRAVEL_MS / 1000)
+        return outcome
+
+    async def hold(
+        self, worker: Worker, call: HoldCall
+    ) -> Result[Listing, CallOutcome]:
+        """Renew the lease and return what runs and has ended."""
+        runner = self._find(worker)
+        await asyncio.sleep(TRAVEL_MS / 1000)
+        if runner is None or runner.cut or not runner.up:
+            await asyncio.sleep(NO_REPLY_MS / 1000)
+            return Error(CallOutcome.UNKNOWN)
+        result = runner.hold(call)
+        if result.is_error():
+            return result
+        if not runner.ended and call.wait_ms:
+            runner.has_ended.clear()
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(call.wait_ms / 1000):
+                    await runner.has_ended.wait()
+        if runner.cut or not runner.up:
+            return Error(CallOutcome.UNKNOWN)
+        await asyncio.sleep(TRAVEL_MS / 1000)
+        quiet = msgspec.structs.replace(call, until_clock_ms=0.0)
+        return runner.hold(quiet)
+
+    def _find(self, worker: Worker) -> MemoryRunner | None:
+        runner = self.runners.get(worker.worker_id)
+        if runner is None or runner.info.endpoint != worker.info.endpoint:
+            return None
+        return runner
+
+
+def _gang_of(key: RunKey, number: int) -> tuple:
+    """Return what the members of one run of a gang have in common."""
+    return key.job_id, key.task.occurrence, key.task.step, number
+
+
+class MemoryRegistry(Registry):
+    """Registrations of in-memory agents.
+
+    Parameters
+    ----------
+    runners : MemoryRunners
+    service : str
+    """
+
+    def __init__(self, runners: MemoryRunners, service: str):
+        self._runners = runners
+        self._service = service
+
+    async def read(self) -> Result[dict[WorkerId, tuple[str, WorkerInfo]], str]:
+        """Return the agents that are up."""
+        await asyncio.sleep(TRAVEL_MS / 1000)
+        return Ok(
+            {
+                worker_id: (self._service, runner.info)
+                for worker_id, runner in self._runners.runners.items()
+                if runner.up
+            }
+        )
+
+
+class MemoryAdvice(AdviceService):
+    """Admits a fixed share of the workers for each step.
+
+    Parameters
+    ----------
+    share : float
+    """
+
+    def __init__(self, share: float = 0.6):
+        self._share = share
+        self.question_count = 0
+
+    def is_available(self, policy: QueuePolicy, worker_count: int) -> bool:
+        """Return true."""
+        return True
+
+    async def ask(
+        self,
+        job_id: JobId,
+        occurrence: int,
+        step: int,
+        workers: tuple[WorkerId, ...],
+        policy: QueuePolicy,
+    ) -> Result[Admission, str]:
+        """Return which of the named workers may run the step."""
+        self.question_count += 1
+        await asyncio.sleep(policy.advice.answer_ms(len(workers)) / 1000)
+        rng = random.Random(f"{job_id}.{occurrence}.{step}")
+        ranked = sorted(
+            workers, key=lambda w: random.Random(f"{job_id}{step}{w}").random()
+        )
+        count = max(2, round(self._share * len(ranked)))
+        return Ok(Admission({w: f"{rng.random()}" for w in ranked[:count]}))
--- /dev/null
+++ b/basilhold/testing/workflow_cell.py
@@ -0,0 +1,301 @@
+"""Several processes that own and serve workflows, in one event loop.
+
+Callers submit to any process; faults cut processes from the store, kill them, and
+crash, cut or freeze workers. `MemoryRunners` collects broken guarantees.
+"""
+
+import asyncio
+import random
+
+import msgspec
+from expression import Error, Result
+
+from basilhold.core import (
+    Clock,
+    ProcessId,
+    RegionName,
+    Resources,
+    ServiceName,
+    WorkerId,
+)
+from basilhold.ports import ChangeFeed, StoreError, StoreErrorKind, TableService
+from basilhold.ports.runners import Admission
+from basilhold.standins.faults import StoreFaults
+from basilhold.standins.feed_table import FeedTable
+from basilhold.standins.runners import (
+    MemoryAdvice,
+    MemoryRegistry,
+    MemoryRunners,
+    RunnerFaults,
+)
+from basilhold.testing.virtual_time import VIRTUAL_EPOCH_UNIX_MS
+from basilhold.workflows.front import WorkflowFront
+from basilhold.workflows.model import (
+    AdvicePolicy,
+    QueueName,
+    QueuePolicy,
+    StepSpec,
+    WorkflowSpec,
+)
+from basilhold.workflows.owner import OwnerPorts
+from basilhold.workflows.ownership import SuspendAwareClock
+from basilhold.workflows.peers import Member, PeerCalls, StateAnswer, StoreOutcome
+from basilhold.workflows.pool import WorkerInfo
+from basilhold.workflows.rows import Incarnation
+from basilhold.workflows.stewardship import Stewardship
+from basilhold.workflows.worker_link import LinkLimits
+
+__all__ = ["SERVICE", "WorkflowCell", "WorkflowProcess", "make_spec"]
+
+SERVICE = ServiceName("desk")
+POLICY = QueuePolicy(
+    QueueName("quotes"), SERVICE, 0, 4, 2.0, 500.0, AdvicePolicy(20.0, 0.2, 2_000.0)
+)
+UNREACHABLE_MS = 300.0
+
+
+class LoopClock(SuspendAwareClock):
+    """The loop's clock; a frozen process sees it jump."""
+
+    def now_ms(self) -> float:
+        """Return the loop's time in milliseconds."""
+        return asyncio.get_running_loop().time() * 1000
+
+
+class _ProcessTable(TableService, ChangeFeed):
+    """The table as one process reaches it."""
+
+    def __init__(self, table: FeedTable):
+        self._table = table
+        self.cut = False
+
+    async def _guard(self, call) -> Result:
+        if self.cut:
+            call.close()
+            await asyncio.sleep(UNREACHABLE_MS / 1000)
+            return Error(StoreError(StoreErrorKind.NOT_APPLIED, "unreachable"))
+        return await call
+
+    async def read(self, keys):
+        """Read rows."""
+        return await self._guard(self._table.read(keys))
+
+    async def scan(self, prefix, after="", limit=500):
+        """Scan rows."""
+        return await self._guard(self._table.scan(prefix, after, limit))
+
+    async def transact(self, transaction):
+        """Apply a transaction."""
+        return await self._guard(self._table.transact(transaction))
+
+    async def changes(self, prefix, after, wait_ms):
+        """Read changes."""
+        return await self._guard(self._table.changes(prefix, after, wait_ms))
+
+
+class _CellPeers(PeerCalls):
+    """Calls between the processes of a cell."""
+
+    def __init__(self, cell: "WorkflowCell"):
+        self._cell = cell
+
+    async def _front(self, endpoint: str) -> WorkflowFront | None:
+        await asyncio.sleep(0.001)
+        process = self._cell.processes.get(endpoint)
+        return process.front if process is not None else None
+
+    async def submitted(self, endpoint, spec) -> bool:
+        """Tell an owner of a stored workflow."""
+        front = await self._front(endpoint)
+        if front is not None:
+            front.submitted(spec)
+        return front is not None
+
+    async def cancelled(self, endpoint, service, job_id) -> bool:
+        """Tell an owner of a stored cancellation."""
+        front = await self._front(endpoint)
+        if front is not None:
+            front.cancelled(service, job_id)
+        return front is not None
+
+    async def released(self, endpoint) -> bool:
+        """Tell a peer of a release."""
+        front = await self._front(endpoint)
+        if front is not None:
+            front.released()
+        return front is not None
+
+    async def state(self, endpoint, service, job_id) -> StateAnswer:
+        """Ask an owner for a state."""
+        front = await self._front(endpoint)
+        return (
+            StateAnswer(False) if front is None else front.state_here(service, job_id)
+        )
+
+    async def waiting(self, endpoint, service, queue) -> int | None:
+        """Ask an owner for a queue's length."""
+        front = await self._front(endpoint)
+        return None if front is None else front.waiting(service, queue)
+
+    async def store(self, endpoint, spec) -> StoreOutcome:
+        """Let a peer store a workflow."""
+        front = await self._front(endpoint)
+        return StoreOutcome.NOT_STORED if front is None else await front.store(spec)
+
+    async def advise(
+        self, endpoint, job_id, occurrence, step, workers, policy
+    ) -> Result[Admission, str]:
+        """Let a peer ask for advice."""
+        front = await self._front(endpoint)
+        if front is None:
+            return Error("no such process")
+        return await front.advise(job_id, occurrence, step, workers, policy)
+
+
+class WorkflowProcess:
+    """One process of a cell.
+
+    Parameters
+    ----------
+    cell : WorkflowCell
+    name : str
+    """
+
+    def __init__(self, cell: "WorkflowCell", name: str):
+        self.name = name
+        self.table = _ProcessTable(cell.table)
+        clock = Clock(
+            VIRTUAL_EPOCH_UNIX_MS + int(asyncio.get_running_loop().time() * 1000)
+        )
+        self.clock = clock
+        peers = _CellPeers(cell)
+        ports = OwnerPorts(
+            self.table,
+            self.table,
+            cell.runners,
+            MemoryRegistry(cell.runners, SERVICE),
+            cell.advice,
+            clock,
+        )
+        self.stewardship = Stewardship(
+            ports,
+            LoopClock(),
+            Member(ProcessId(name), name, RegionName("r")),
+            Incarnation(f"{name}-{cell.rng.random()}"),
+            LinkLimits(6_000, 1_000),
+            lambda: (SERVICE,),
+            random.Random(cell.rng.random()),
+            peers,
+        )
+        self.front = WorkflowFront(
+            self.table, self.stewardship, peers, cell.advice, clock
+        )
+        self._task = asyncio.create_task(self.stewardship.run())
+
+    async def kill(self) -> None:
+        """End the process at once."""
+        self._task.cancel()
+        await asyncio.gather(self._task, return_exceptions=True)
+        await self.front.close()
+
+    async def stop(self) -> None:
+        """End the process gracefully."""
+        await self.stewardship.stop()
+        await self.kill()
+
+
+class WorkflowCell:
+    """A store, workers and processes; an asynchronous context manager.
+
+    Parameters
+    ----------
+    seed : int
+    process_count, worker_count : int
+    faults : RunnerFaults, optional
+    store_faults : StoreFaults, optional
+    """
+
+    def __init__(
+        self,
+        seed: int = 0,
+        process_count: int = 3,
+        worker_count: int = 6,
+        faults: RunnerFaults | None = None,
+        store_faults: StoreFaults | None = None,
+    ):
+        self.rng = random.Random(seed)
+        self.table = FeedTable(store_faults)
+        self.runners = MemoryRunners(random.Random(seed + 1), faults)
+        self.advice = MemoryAdvice()
+        self.processes: dict[str, WorkflowProcess] = {}
+        self._process_count = process_count
+        self._worker_count = worker_count
+        self._born = 1
+
+    async def __aenter__(self) -> "WorkflowCell":
+        for number in range(self._worker_count):
+            self.start_worker(f"w{number}")
+        for number in range(self._process_count):
+            self.start_process(f"p{number}")
+        return self
+
+    async def __aexit__(self, exc_type, exc, traceback) -> None:
+        for process in list(self.processes.values()):
+            await process.kill()
+
+    def start_process(self, name: str) -> WorkflowProcess:
+        """Start a process."""
+        process = self.processes[name] = WorkflowProcess(self, name)
+        return process
+
+    async def kill_process(self, name: str) -> None:
+        """Kill a process."""
+        await self.processes.pop(name).kill()
+
+    def start_worker(self, name: str) -> None:
+        """Start a new incarnation of a worker."""
+        self._born += 1
+        info = WorkerInfo(
+            WorkerId(name),
+            f"{name}:80",
+            self._born,
+            Resources(16_000, 64 << 30, 4_000),
+            f"rack{int(name[1:]) % 2}",
+        )
+        self.runners.add(info)
+
+    def owner_name(self) -> str:
+        """Return the process that owns the service; empty if none does."""
+        for name, process in self.processes.items():
+            if process.stewardship.local_owner(SERVICE) is not None:
+                return name
+        return ""
+
+    async def submit(self, spec: WorkflowSpec) -> StoreOutcome:
+        """Submit through any process."""
+        self.runners.specs[spec.job_id] = spec
+        name = self.rng.choice(sorted(self.processes))
+        process = self.processes[name]
+        deadline_ms = process.clock.monotonic_ms() + 2_500
+        spec = msgspec.structs.replace(spec, submitted_unix_ms=process.clock.unix_ms())
+        return await process.front.submit(spec, deadline_ms)
+
+
+def make_spec(
+    number: int, rng: random.Random, policy: QueuePolicy = POLICY
+) -> WorkflowSpec:
+    """Return a random workflow of up to three steps."""
+    steps = []
+    for place in range(rng.randint(1, 3)):
+        gang = rng.random() < 0.25
+        steps.append(
+            StepSpec(
+                rng.randint(1, 3 if gang else 6),
+                Resources(rng.choice((1_000, 2_000, 4_000)), 1 << 30, 0),
+                rng.uniform(200, 1_500),
+                (place - 1,) if place else (),
+                gang=gang,
+                checkpointing=rng.random() < 0.5,
+            )
+        )
+    return WorkflowSpec(f"{number:016x}", policy, "payload", tuple(steps), 0.0)
--- /dev/null
+++ b/basilhold/testing/workflow_runs.py
@@ -0,0 +1,287 @@
+"""Randomised runs of workflows under faults, on the virtual clock.
+
+Run ``python -m basilhold.testing.workflow_runs --seeds N --first S`` for more seeds.
+"""
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable
+
+import click
+import msgspec
+
+from basilhold.standins.faults import StoreFaults
+from basilhold.standins.runners import RunnerFaults
+from basilhold.testing.virtual_time import run_virtual
+from basilhold.testing.workflow_cell import WorkflowCell, make_spec
+from basilhold.workflows.peers import StoreOutcome
+from basilhold.workflows.progress import WorkflowState
+
+__all__ = ["RunReport", "run_seed"]
+
+WORKFLOWS = 40
+LOAD_S = 25.0
+FAULT_REACH_S = 17.0
+"""The longest fault takes 9 s, and its machines are undisturbed 4 s after it; a gang
+waits 3 s for its members."""
+
+SETTLE_S = 60.0
+"""Without faults, the remaining work ends within this time."""
+
+
+class RunReport(msgspec.Struct):
+    """Outcome of a run.
+
+    Parameters
+    ----------
+    violations : list of str
+        Broken guarantees.
+    faults : list of str
+        What was done, for the report of a failure.
+    accepted, completed : int
+        Workflows.
+    starts : int
+        Runs that were started.
+    """
+
+    violations: list[str]
+    faults: list[str]
+    accepted: int
+    completed: int
+    starts: int
+
+
+class _Run:
+    """One run of a seed."""
+
+    def __init__(self, cell: WorkflowCell, seed: int):
+        self.cell = cell
+        self.rng = random.Random(seed)
+        self.late_orders = cell.runners.faults.late > 0
+        self.faults: list[str] = []
+        self.fault_s: list[float] = []
+        self.accepted: list = []
+        self.refused: list = []
+        self.cancelled: set = set()
+
+    async def load(self) -> None:
+        """Submit workflows, and cancel some of them."""
+        for number in range(WORKFLOWS):
+            spec = make_spec(number, self.rng)
+            outcome = await self.cell.submit(spec)
+            if outcome is StoreOutcome.STORED:
+                self.accepted.append(spec)
+                if self.rng.random() < 0.1:
+                    await self._cancel(spec)
+            elif outcome is StoreOutcome.NOT_STORED:
+                self.refused.append(spec)
+            await asyncio.sleep(self.rng.expovariate(WORKFLOWS / LOAD_S))
+
+    async def _cancel(self, spec) -> None:
+        name = self.rng.choice(sorted(self.cell.processes))
+        process = self.cell.processes[name]
+        deadline_ms = process.clock.monotonic_ms() + 2_500
+        await process.front.cancel(spec.policy, spec.job_id, deadline_ms)
+        self.cancelled.add(spec.job_id)
+
+    async def trouble(self) -> None:
+        """Cause faults one after another, some of them overlapping."""
+        kinds: list[Callable[[], Awaitable[None]]] = [
+            self._kill_owner,
+            self._kill_any,
+            self._kill_all,
+            self._cut_owner,
+            self._store_down,
+            self._compact,
+            self._crash_worker,
+            self._restart_worker,
+            self._cut_worker,
+            self._freeze_worker,
+            self._release_owner,
+        ]
+        end_s = asyncio.get_running_loop().time() + LOAD_S
+        async with asyncio.TaskGroup() as group:
+            while asyncio.get_running_loop().time() < end_s:
+                await asyncio.sleep(self.rng.uniform(0.5, 4.0))
+                kind = self.rng.choice(kinds)
+                now_s = asyncio.get_running_loop().time()
+                self.fault_s.append(now_s)
+                self.faults.append(f"{now_s:.2f} s {kind.__name__}")
+                group.create_task(kind())
+
+    async def _restart(self, name: str, after_s: float) -> None:
+        await asyncio.sleep(after_s)
+        if name not in self.cell.processes:
+            self.cell.start_process(name)
+
+    async def _kill(self, names: list[str], after_s: float) -> None:
+        for name in names:
+            if name in self.cell.processes:
+                await self.cell.kill_process(name)
+        for name in names:
+            await self._restart(name, after_s)
+
+    async def _kill_owner(self) -> None:
+        owner = self.cell.owner_name()
+        if owner and len(self.cell.processes) > 1:
+            await self._kill([owner], self.rng.uniform(0.2, 4.0))
+
+    async def _kill_any(self) -> None:
+        if len(self.cell.processes) > 1:
+            name = self.rng.choice(sorted(self.cell.processes))
+            await self._kill([name], self.rng.uniform(0.2, 4.0))
+
+    async def _kill_all(self) -> None:
+        names = sorted(self.cell.processes)
+        keep = names[0]
+        await self._kill(names[1:], 0.5)
+        # Callers need one process to submit to, so the last is replaced at once.
+        if keep in self.cell.processes:
+            await self.cell.kill_process(keep)
+        await self._restart(keep, 0.0)
+
+    async def _release_owner(self) -> None:
+        owner = self.cell.owner_name()
+        if owner and len(self.cell.processes) > 1:
+            await self.cell.processes.pop(owner).stop()
+            await self._restart(owner, 1.0)
+
+    async def _cut_owner(self) -> None:
+        owner = self.cell.owner_name()
+        if not owner:
+            return
+        process = self.cell.processes[owner]
+        process.table.cut = True
+        await asyncio.sleep(self.rng.uniform(1.0, 9.0))
+        process.table.cut = False
+
+    async def _store_down(self) -> None:
+        self.cell.table.faults.down = True
+        await asyncio.sleep(self.rng.uniform(0.5, 5.0))
+        self.cell.table.faults.down = False
+
+    async def _compact(self) -> None:
+        self.cell.table.compact()
+
+    def _any_worker(self):
+        return self.cell.runners.runners[
+            self.rng.choice(sorted(self.cell.runners.runners))
+        ]
+
+    async def _crash_worker(self) -> None:
+        runner = self._any_worker()
+        runner.crash()
+        await asyncio.sleep(self.rng.uniform(5.0, 8.0))
+        self.cell.start_worker(runner.info.worker_id)
+
+    async def _restart_worker(self) -> None:
+        runner = self._any_worker()
+        runner.crash()
+        self.cell.start_worker(runner.info.worker_id)
+
+    async def _cut_worker(self) -> None:
+        runner = self._any_worker()
+        runner.cut = True
+        await asyncio.sleep(self.rng.uniform(1.0, 9.0))
+        runner.cut = False
+
+    async def _freeze_worker(self) -> None:
+        runner = self._any_worker()
+        runner.frozen = True
+        await asyncio.sleep(self.rng.uniform(2.0, 6.0))
+        runner.frozen = False
+
+    async def settle(self) -> None:
+        """End all faults and wait for the remaining work."""
+        self.cell.table.faults.down = False
+        for ratio in ("lost_reply_ratio", "lost_request_ratio", "delayed_ratio"):
+            setattr(self.cell.table.faults, ratio, 0.0)
+        self.cell.runners.faults.late = 0.0
+        for process in self.cell.processes.values():
+            process.table.cut = False
+        await asyncio.sleep(SETTLE_S)
+
+    def _is_disturbed(self, time_s: float) -> bool:
+        """Return whether lost orders or a fault may have kept a gang apart."""
+        if self.cell.runners.faults.lost_reply or self.late_orders:
+            return True
+        return any(s < time_s < s + FAULT_REACH_S for s in self.fault_s)
+
+    async def check(self) -> RunReport:
+        """Compare what callers see with what they were promised."""
+        violations = list(self.cell.runners.violations)
+        process = next(iter(self.cell.processes.values()))
+        completed = 0
+        for spec in self.accepted:
+            existence, state = await process.front.state(spec.policy, spec.job_id)
+            if state is WorkflowState.COMPLETED:
+                completed += 1
+            elif state is WorkflowState.CANCELLED and spec.job_id in self.cancelled:
+                continue
+            elif (
+                state is not WorkflowState.FAILED or not self.cell.runners.faults.failed
+            ):
+                violations.append(f"{spec.job_id} is {existence.value}, {state}")
+        for runner in self.cell.runners.runners.values():
+            violations.extend(
+                f"{key} still runs on {runner.info.worker_id}" for key in runner.runs
+            )
+        violations.extend(
+            f"{key} waited alone for its gang"
+            for alone_s, key in self.cell.runners.alone_s
+            if not self._is_disturbed(alone_s)
+        )
+        report = RunReport(violations, self.faults, len(self.accepted), completed, 0)
+        report.starts = self.cell.runners.start_count
+        return report
+
+
+async def _run(seed: int) -> RunReport:
+    rng = random.Random(seed)
+    store_faults = StoreFaults(seed)
+    store_faults.latency_ms = rng.choice((1.0, 4.0, 60.0))
+    store_faults.lost_reply_ratio = rng.choice((0.0, 0.02))
+    store_faults.lost_request_ratio = rng.choice((0.0, 0.01))
+    store_faults.delayed_ratio = rng.choice((0.0, 0.01))
+    faults = RunnerFaults(
+        lost_reply=rng.choice((0.0, 0.03)),
+        late=rng.choice((0.0, 0.05)),
+        refused=rng.choice((0.0, 0.02)),
+    )
+    async with WorkflowCell(seed, 3, 6, faults, store_faults) as cell:
+        run = _Run(cell, seed)
+        await asyncio.sleep(2.0)
+        async with asyncio.TaskGroup() as group:
+            group.create_task(run.load())
+            group.create_task(run.trouble())
+        await run.settle()
+        return await run.check()
+
+
+def run_seed(seed: int) -> RunReport:
+    """Run one seed on a new loop with a virtual clock."""
+    return run_virtual(_run(seed))
+
+
+@click.command()
+@click.option("--seeds", default=20, help="Number of seeds.")
+@click.option("--first", default=0, help="First seed.")
+def main(seeds: int, first: int) -> None:
+    """Run seeds and report those that break a guarantee."""
+    failed = 0
+    for seed in range(first, first + seeds):
+        report = run_seed(seed)
+        failed += bool(report.violations)
+        click.echo(
+            f"seed {seed}: {report.accepted} accepted, {report.completed} completed, "
+            f"{report.starts} starts, {len(report.violations)} violations"
+        )
+        for line in report.violations[:5]:
+            click.echo(f"  {line}")
+        if report.violations:
+            click.echo("  " + "; ".join(report.faults))
+    click.echo(f"{seeds - failed} passed, {failed} failed")
+
+
+if __name__ == "__main__":
+    main()
--- a/basilhold/workflows/front.py
+++ b/basilhold/workflows/front.py
@@ -32,7 +32,7 @@
 elsewhere sooner."""
 
 OUTAGE_MS = 900.0
-"""A store that has not answered this long is taken as down; it is asked every 350 ms."""
+"""A store that has not answered this long is down; it is asked every 350 ms."""
 
 RETRY_AFTER_MAX_S = 4
 """Callers try a few times; in a long outage they should not use up their tries."""
--- a/basilhold/workflows/owner.py
+++ b/basilhold/workflows/owner.py
@@ -26,7 +26,18 @@
 from basilhold.workflows.model import QueueName, WorkflowSpec, task_name
 from basilhold.workflows.ownership import VALID_MS, CommitOutcome, Lease
 from basilhold.workflows.planner import Placement, Plan, Question, plan
-from basilhold.workflows.pool import Pool, Run, RunKey, RunStage, Worker, remove_lost
+from basilhold.workflows.pool import (
+    Listing,
+    Pool,
+    Run,
+    RunKey,
+    RunStage,
+    Worker,
+    WorkerInfo,
+    carry_over,
+    reconcile,
+    remove_lost,
+)
 from basilhold.workflows.progress import (
     EndKind,
     RunEnd,
@@ -645,12 +656,12 @@
 
     def _update_worker(self, worker_id, info) -> None:
         worker = self.pool.workers.get(worker_id)
-        if worker is not None and worker.info.born_unix_ms not in (
-            0,
-            info.born_unix_ms,
-        ):
-            self._worker_lost(worker, "it has restarted")
-            worker = None
+        if worker is not None and info.born_unix_ms < worker.info.born_unix_ms:
+            # The worker's own list told of a newer incarnation before the registry.
+            return
+        if worker is not None and 0 < worker.info.born_unix_ms < info.born_unix_ms:
+            self._replace_incarnation(worker, info)
+            return
         if worker is None:
             worker = self.pool.workers[worker_id] = Worker(info)
         elif worker.info != info:
@@ -658,9 +669,7 @@
             worker.info = info
         worker.gone = False
         if worker_id not in self._links:
-            link = WorkerLink(worker, self._ports.runners, self._lease, self._limits)
-            self._links[worker_id] = link
-            self._tasks.start(self._guard(self._serve_link(link)))
+            self._open_link(worker)
 
     async def _serve_link(self, link: WorkerLink) -> None:
         worker = link.worker
@@ -678,6 +687,10 @@
         worker = link.worker
         if look.fenced:
             raise LeaseLostError("a worker has seen a higher epoch")
+        if look.restarted is not None:
+            if not link.closed:
+                self._take_restart(worker, look.restarted)
+            return False
         if look.lost:
             if not link.closed:
                 self._worker_lost(worker, look.lost)
@@ -734,6 +747,28 @@
             self._apply_end(worker, ended.key, ended.end)
         self._plan_event.set()
 
+    def _take_restart(self, worker: Worker, listing: Listing) -> None:
+        """Go on with a new incarnation whose lists have been read."""
+        info = msgspec.structs.replace(worker.info, born_unix_ms=listing.born_unix_ms)
+        successor = self._replace_incarnation(worker, info)
+        now_ms = self._clock.monotonic_ms()
+        changed = reconcile(successor, listing, now_ms, now_ms)
+        link = self._links[successor.worker_id]
+        self._take_look(link, Look(ends=changed.ends, unknown=changed.unknown))
+
+    def _replace_incarnation(self, worker: Worker, info: WorkerInfo) -> Worker:
+        successor = Worker(info)
+        carry_over(worker, successor)
+        self._worker_lost(worker, "it has restarted")
+        self.pool.workers[info.worker_id] = successor
+        self._open_link(successor)
+        return successor
+
+    def _open_link(self, worker: Worker) -> None:
+        link = WorkerLink(worker, self._ports.runners, self._lease, self._limits)
+        self._links[worker.worker_id] = link
+        self._tasks.start(self._guard(self._serve_link(link)))
+
     def _drop_worker(self, worker: Worker) -> None:
         worker.gone = True
         if self.pool.workers.get(worker.worker_id) is worker:
@@ -807,4 +842,13 @@
                     worker=straggler.worker.worker_id,
                     after_ms=round(now_ms - run.started_ms),
                 )
+                self._avoid_for_task(run, straggler.worker)
                 self._stop(straggler.worker, run)
+
+    def _avoid_for_task(self, run: Run, worker: Worker) -> None:
+        """Let a task's next run start elsewhere if another worker can run it."""
+        workflow = self._workflows.get(run.key.job_id)
+        if workflow is not None:
+            avoided = workflow.task(run.key.task).avoided
+            if worker.worker_id not in avoided:
+                avoided.append(worker.worker_id)
--- a/basilhold/workflows/planner.py
+++ b/basilhold/workflows/planner.py
@@ -258,7 +258,7 @@
     ) -> Worker | None:
         spec = step.spec
         size = spec.reserved()
-        failed_on = step.workflow.task(key).failed_on
+        avoided = step.workflow.task(key).avoided
         best, best_score = None, 0.0
         for worker in workers:
             if not size.fits_in(self._room(worker)):
@@ -268,7 +268,7 @@
             score = _packing_score(worker, spec, step.priority == 0)
             if spec.rack and worker.info.rack != spec.rack:
                 score += FAR_PENALTY
-            if worker.worker_id in failed_on:
+            if worker.worker_id in avoided:
                 score += 2 * FAR_PENALTY
             if best is None or score < best_score:
                 best, best_score = worker, score
--- a/basilhold/workflows/pool.py
+++ b/basilhold/workflows/pool.py
@@ -1,5 +1,6 @@
 """The workers of a service as their owner knows them, and what runs on them. Pure."""
 
+import math
 from collections.abc import Iterable
 from enum import Enum
 from typing import NamedTuple
@@ -21,6 +22,9 @@
     "RunStage",
     "Worker",
     "WorkerInfo",
+    "carry_over",
+    "reconcile",
+    "remove_lost",
 ]
 
 FAILED_RUNS_MAX = 3
@@ -94,6 +98,8 @@
     stopping : bool
     stop_wanted, stop_confirmed : bool
         The run must end; the worker has confirmed the stop.
+    listed : bool
+        The worker's own list has shown the run.
     percent : int
         Pace at which it works.
     usage : float
@@ -112,6 +118,7 @@
     stopping: bool = False
     stop_wanted: bool = False
     stop_confirmed: bool = False
+    listed: bool = False
     percent: int = 100
     usage: float = 0.0
     checkpoint: str = ""
@@ -336,6 +343,7 @@
     if listed.checkpoint and listed.checkpoint != run.checkpoint:
         run.checkpoint = listed.checkpoint
         run.checkpoint_ms = now_ms
+    run.listed = True
     run.percent = listed.percent
     run.usage = listed.usage
 
@@ -349,6 +357,24 @@
     return run.confirmed_ms < asked_ms
 
 
+def carry_over(old: Worker, new: Worker) -> None:
+    """Move the runs that may exist on a new incarnation of a worker to it.
+
+    An incarnation has the address of the one before, so an order that was under way
+    may have reached either of the two. The runs are stopped: once the new incarnation
+    has confirmed that, they cannot start there any more.
+    """
+    for key, run in list(old.runs.items()):
+        if run.listed or run.stage is RunStage.COMMITTING:
+            continue
+        old.remove(key)
+        run.stage = RunStage.UNCERTAIN
+        run.until_clock_ms = math.inf
+        run.stop_wanted = True
+        run.stop_confirmed = False
+        new.add(run)
+
+
 def remove_lost(worker: Worker) -> Iterable[EndedRun]:
     """Remove all runs of a worker whose lease has lapsed or that has restarted."""
     for key, run in list(worker.runs.items()):
--- a/basilhold/workflows/progress.py
+++ b/basilhold/workflows/progress.py
@@ -79,8 +79,8 @@
         Where the task is assigned.
     checkpoint : str
         Newest known checkpoint; empty if there is none.
-    failed_on : list of WorkerId
-        Workers on which runs failed.
+    avoided : list of WorkerId
+        Workers on which runs failed or were too slow.
     failed_run : RunNumber
         Last run of a gang that counted as failed; kept by its first task.
     """
@@ -90,7 +90,7 @@
     failures: int = 0
     worker_id: WorkerId = WorkerId("")
     checkpoint: str = ""
-    failed_on: list[WorkerId] = []
+    avoided: list[WorkerId] = []
     failed_run: RunNumber = RunNumber(0)
 
 
@@ -137,7 +137,7 @@
         """Return the progress of a task, which callers may change."""
         task = self._tasks.get(key)
         if task is None:
-            task = self._tasks[key] = TaskProgress(failed_on=[])
+            task = self._tasks[key] = TaskProgress(avoided=[])
         return task
 
     def has_task(self, key: TaskKey) -> bool:
@@ -256,8 +256,8 @@
         if step.gang:
             key = TaskKey(key.occurrence, key.step, 0)
         task = self.task(key)
-        if worker_id not in task.failed_on:
-            task.failed_on.append(worker_id)
+        if worker_id not in task.avoided:
+            task.avoided.append(worker_id)
         # Several members of a gang may fail in one run, which counts once.
         if step.gang and task.failed_run == end.run:
             return
--- /dev/null
+++ b/basilhold/workflows/tests/test_owner.py
@@ -0,0 +1,164 @@
+"""An owner and its workers under single faults."""
+
+import asyncio
+import random
+
+import msgspec
+
+from basilhold.core import Resources
+from basilhold.standins.runners import RunnerFaults
+from basilhold.testing import VirtualTimeTestCase
+from basilhold.testing.workflow_cell import SERVICE, WorkflowCell, make_spec
+from basilhold.workflows.model import StepSpec
+from basilhold.workflows.peers import StoreOutcome
+from basilhold.workflows.progress import WorkflowState
+
+
+def spec_of(number, *steps, **changes):
+    spec = make_spec(number, random.Random(0))
+    return msgspec.structs.replace(spec, steps=steps, **changes)
+
+
+def step_of(count=1, estimate_ms=500.0, **changes):
+    return StepSpec(count, Resources(1_000, 1 << 20, 0), estimate_ms, **changes)
+
+
+class OwnerTest(VirtualTimeTestCase):
+    """Each test names the failure that it guards against."""
+
+    async def state(self, cell, spec):
+        process = next(iter(cell.processes.values()))
+        return (await process.front.state(spec.policy, spec.job_id))[1]
+
+    async def test_steps_run_in_order_to_the_end(self):
+        # Guards against a workflow that stops after its first step.
+        spec = spec_of(1, step_of(3), step_of(2, after=(0,)))
+        async with WorkflowCell() as cell:
+            await asyncio.sleep(1)
+            self.assertIs(await cell.submit(spec), StoreOutcome.STORED)
+            await asyncio.sleep(5)
+            self.assertIs(await self.state(cell, spec), WorkflowState.COMPLETED)
+            self.assertEqual(cell.runners.violations, [])
+
+    async def test_repeated_submission_is_one_workflow(self):
+        # Guards against a caller's retry running the work again.
+        spec = spec_of(1, step_of())
+        async with WorkflowCell() as cell:
+            await asyncio.sleep(1)
+            for _ in range(3):
+                self.assertIs(await cell.submit(spec), StoreOutcome.STORED)
+            await asyncio.sleep(4)
+            self.assertEqual(cell.runners.start_count, 1)
+
+    async def test_unreachable_worker_gives_up_its_tasks(self):
+        # Guards against renewals without a reply that put off the lapse for ever.
+        spec = spec_of(1, step_of(estimate_ms=4_000.0))
+        async with WorkflowCell(worker_count=2) as cell:
+            await asyncio.sleep(1)
+            await cell.submit(spec)
+            await asyncio.sleep(0.5)
+            (busy,) = [r for r in cell.runners.runners.values() if r.runs]
+            busy.crash()
+            await asyncio.sleep(14)
+            self.assertIs(await self.state(cell, spec), WorkflowState.COMPLETED)
+
+    async def test_gone_worker_of_a_stored_assignment_does_not_stop_the_owner(self):
+        # Guards against orders to a worker whose address a successor does not know.
+        spec = spec_of(1, step_of(estimate_ms=20_000.0))
+        async with WorkflowCell(worker_count=1) as cell:
+            await asyncio.sleep(1)
+            await cell.submit(spec)
+            await asyncio.sleep(0.5)
+            cell.runners.runners.popitem()[1].crash()
+            process = cell.processes["p0"]
+            await process.front.cancel(
+                spec.policy, spec.job_id, process.clock.monotonic_ms() + 1_000
+            )
+            await cell.kill_process(cell.owner_name())
+            await asyncio.sleep(20)
+            self.assertTrue(cell.owner_name())
+            self.assertIs(await self.state(cell, spec), WorkflowState.CANCELLED)
+
+    async def test_cancelled_workflow_leaves_no_run(self):
+        # Guards against tasks that run on after a confirmed cancellation.
+        spec = spec_of(1, step_of(4, 30_000.0, long_running=True))
+        async with WorkflowCell() as cell:
+            await asyncio.sleep(1)
+            await cell.submit(spec)
+            await asyncio.sleep(1)
+            process = cell.processes["p0"]
+            await process.front.cancel(
+                spec.policy, spec.job_id, process.clock.monotonic_ms() + 1_000
+            )
+            await asyncio.sleep(2)
+            runs = [r.runs for r in cell.runners.runners.values() if r.runs]
+            self.assertEqual(runs, [])
+            self.assertIs(await self.state(cell, spec), WorkflowState.CANCELLED)
+
+    async def test_failures_end_a_workflow_after_its_budget(self):
+        # Guards against a task that is started for ever.
+        spec = spec_of(1, step_of())
+        async with WorkflowCell(faults=RunnerFaults(failed=1.0)) as cell:
+            await asyncio.sleep(1)
+            await cell.submit(spec)
+            await asyncio.sleep(10)
+            self.assertIs(await self.state(cell, spec), WorkflowState.FAILED)
+            self.assertEqual(cell.runners.start_count, spec.policy.failures_max)
+
+    async def test_standing_still_worker_loses_its_task(self):
+        # Guards against a task that waits for a worker which stands still.
+        spec = spec_of(1, step_of(estimate_ms=400.0))
+        async with WorkflowCell(worker_count=2) as cell:
+            await asyncio.sleep(1)
+            await cell.submit(spec)
+            await asyncio.sleep(0.1)
+            (busy,) = [r for r in cell.runners.runners.values() if r.runs]
+            busy.frozen = True
+            await asyncio.sleep(6)
+            self.assertIs(await self.state(cell, spec), WorkflowState.COMPLETED)
+            self.assertEqual(cell.runners.violations, [])
+
+    async def test_successor_takes_over_within_the_leases(self):
+        # Guards against a takeover that outlasts the workers' leases and loses work.
+        spec = spec_of(1, step_of(4, 9_000.0))
+        async with WorkflowCell() as cell:
+            await asyncio.sleep(1)
+            await cell.submit(spec)
+            await asyncio.sleep(1)
+            await cell.kill_process(cell.owner_name())
+            await asyncio.sleep(14)
+            self.assertIs(await self.state(cell, spec), WorkflowState.COMPLETED)
+            self.assertEqual(cell.runners.start_count, 4)
+
+    async def test_owner_cut_from_the_store_is_replaced(self):
+        # Guards against two owners that both start tasks.
+        spec = spec_of(1, step_of(4, 1_000.0))
+        async with WorkflowCell() as cell:
+            await asyncio.sleep(1)
+            owner = cell.owner_name()
+            cell.processes[owner].table.cut = True
+            await asyncio.sleep(4)
+            others = [n for n in cell.processes if n != owner]
+            owned = [cell.processes[n].stewardship.local_owner(SERVICE) for n in others]
+            self.assertEqual(sum(o is not None for o in owned), 1)
+            process = cell.processes[others[0]]
+            cell.runners.specs[spec.job_id] = spec
+            await process.front.submit(spec, process.clock.monotonic_ms() + 2_000)
+            await asyncio.sleep(5)
+            self.assertEqual(cell.runners.violations, [])
+            self.assertEqual(cell.runners.start_count, 4)
+
+    async def test_outage_is_refused_at_once(self):
+        # Guards against callers that are held while the store is known to be down.
+        async with WorkflowCell() as cell:
+            await asyncio.sleep(1)
+            cell.table.faults.down = True
+            await asyncio.sleep(2)
+            begin_s = asyncio.get_running_loop().time()
+            outcome = await cell.submit(spec_of(1, step_of()))
+            took_s = asyncio.get_running_loop().time() - begin_s
+            self.assertIs(outcome, StoreOutcome.NOT_STORED)
+            self.assertLess(took_s, 0.3)
+            await asyncio.sleep(1)
+            front = cell.processes["p0"].front
+            self.assertEqual(front.retry_after_s(), 3)
--- a/basilhold/workflows/worker_link.py
+++ b/basilhold/workflows/worker_link.py
@@ -7,7 +7,7 @@
 from basilhold.core import Clock
 from basilhold.ports.runners import CallOutcome, HoldCall, TaskRunners
 from basilhold.workflows.ownership import Lease
-from basilhold.workflows.pool import EndedRun, ListedRun, Worker, reconcile
+from basilhold.workflows.pool import EndedRun, ListedRun, Listing, Worker, reconcile
 
 __all__ = ["LinkLimits", "Look", "WorkerLink"]
 
@@ -52,6 +52,8 @@
         The worker has seen a higher epoch.
     lost : str
         Why nothing runs on this incarnation any more; empty if it may.
+    restarted : Listing, optional
+        What a newer incarnation has listed.
     ends, unknown : list
         See `Reconciled`.
     """
@@ -59,6 +61,7 @@
     first: bool = False
     fenced: bool = False
     lost: str = ""
+    restarted: Listing | None = None
     ends: list[EndedRun] = []
     unknown: list[ListedRun] = []
 
@@ -126,7 +129,9 @@
             self.note_lease(asked_ms, self._limits.lease_ms)
         call = HoldCall(
             self._lease.epoch,
-            worker.acknowledged,
+            # A failed look may mean that a new incarnation answers next, whose ends
+            # are numbered from 1 again.
+            0 if self._failures else worker.acknowledged,
             until_ms,
             0 if at_once else self._wait_ms(),
         )
@@ -144,7 +149,7 @@
             worker.info.born_unix_ms
             and listing.born_unix_ms != worker.info.born_unix_ms
         ):
-            return Look(lost="it has restarted")
+            return Look(restarted=listing)
         if asked_ms < self._newest_asked_ms:
             # A look that was asked for later has overtaken this one.
             return Look()
