--- a/basilhold/observability/tests/test_catalogue.py
+++ b/basilhold/observability/tests/test_catalogue.py
@@ -28,6 +28,8 @@
             "operators_api": 4,
             "observability": 4,
             "accounting": 5,
+            "workflows": 6,
+            "platform": 6,
         }
         for entry in declared_events():
             package = entry.package.split(".")[1]
--- a/basilhold/platform/node.py
+++ b/basilhold/platform/node.py
@@ -42,7 +42,7 @@
 from basilhold.workflows.routes import QueueTable
 from basilhold.workflows.rows import Incarnation
 from basilhold.workflows.stewardship import Stewardship
-from basilhold.workflows.worker_link import LinkLimits
+from basilhold.workflows.worker_link import OwnerLimits
 
 __all__ = ["NodeDaemon", "main"]
 
@@ -57,9 +57,15 @@
 HOLD_WAIT_MAX_MS = 1_000
 """Below a sixth of the longest lease, so that several renewals may fail."""
 
+FORGET_FACTOR = 1.25
+"""A workflow's state may be asked for until `status_s` after its end."""
+
 READY_STORE_AGE_MS = 2_500
 """A process that has not reached the store for this long leaves callers to others."""
 
+WIDE_LINK_MBPS = 100.0
+SMALL_MACHINE_MS = 600.0
+
 DRAIN_SERVE_S = 2.4
 """The platform notices after two failed probes, one each second, that a process takes
 no more callers."""
@@ -112,15 +118,18 @@
             self._clock,
         )
         hold_ms = settings.bounds.hold_max_ms
+        wait_ms = int(min(HOLD_WAIT_MAX_MS, hold_ms / 6))
+        forget_ms = settings.bounds.status_s * 1000 * FORGET_FACTOR
         self.stewardship = Stewardship(
             ports,
             BootClock(),
             Member(ProcessId(settings.node), endpoint, region),
             Incarnation(secrets.token_hex(8)),
-            LinkLimits(hold_ms, int(min(HOLD_WAIT_MAX_MS, hold_ms / 6))),
+            OwnerLimits(hold_ms, wait_ms, forget_ms),
             lambda: self._queues.services if self._queues else (),
             random.Random(secrets.randbits(64)),
             peers,
+            _handicap_ms(settings),
         )
         self.front = WorkflowFront(store, self.stewardship, peers, advice, self._clock)
         self._callers = CallerServer(self.front, lambda: self._queues, self._clock)
@@ -237,6 +246,17 @@
             log_event(CONFIGURATION_CHANGED, version=queues.version)
 
 
+def _handicap_ms(settings: PlatformSettings) -> float:
+    """Return how long a small machine leaves the ownership of services to others.
+
+    An owner reads all rows at a takeover and speaks to every worker.
+    """
+    limits = settings.limits
+    core_share = min(1.0, limits.cpu_share * limits.cores)
+    link_share = min(1.0, limits.link_mbps / WIDE_LINK_MBPS)
+    return SMALL_MACHINE_MS * (2.0 - core_share - link_share)
+
+
 def main() -> int:
     """Run the process that the platform's settings describe."""
     result = read_settings()
--- a/basilhold/platform/settings.py
+++ b/basilhold/platform/settings.py
@@ -28,6 +28,14 @@
     harm_ms: float = 4_000
 
 
+class _Limits(msgspec.Struct):
+    """`cpu_share` is the share of a processor that is `cores` times as fast."""
+
+    cpu_share: float = 1.0
+    cores: float = 1.0
+    link_mbps: float = 1_000.0
+
+
 class _Address(msgspec.Struct):
     address: str = ""
 
@@ -42,8 +50,9 @@
     ip, zone, region : str
     port_range : tuple of int
         First and last port for traffic between our processes.
-    listen, bounds, platform : Struct
-        Listening addresses, figures of the rules, address of the store.
+    listen, bounds, limits, platform : Struct
+        Listening addresses, figures of the rules, size of the machine, address of the
+        store.
     advice : str
         ``host:port`` of the advice service; empty if there is none.
     """
@@ -55,6 +64,7 @@
     listen: _Listen
     platform: _Address
     region: str = ""
+    limits: _Limits = msgspec.field(default_factory=_Limits)
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
     advice: str = ""
 
--- a/basilhold/testing/workflow_cell.py
+++ b/basilhold/testing/workflow_cell.py
@@ -43,7 +43,7 @@
 from basilhold.workflows.pool import WorkerInfo
 from basilhold.workflows.rows import Incarnation
 from basilhold.workflows.stewardship import Stewardship
-from basilhold.workflows.worker_link import LinkLimits
+from basilhold.workflows.worker_link import OwnerLimits
 
 __all__ = ["SERVICE", "WorkflowCell", "WorkflowProcess", "make_spec"]
 
@@ -182,7 +182,7 @@
             LoopClock(),
             Member(ProcessId(name), name, RegionName("r")),
             Incarnation(f"{name}-{cell.rng.random()}"),
-            LinkLimits(6_000, 1_000),
+            OwnerLimits(6_000, 1_000),
             lambda: (SERVICE,),
             random.Random(cell.rng.random()),
             peers,
--- a/basilhold/workflows/advice_spread.py
+++ b/basilhold/workflows/advice_spread.py
@@ -7,6 +7,7 @@
 import asyncio
 from collections.abc import Callable
 
+import xxhash
 from expression import Result
 
 from basilhold.core import JobId, RegionName, WorkerId
@@ -27,6 +28,10 @@
 """Questions that take longer use only half of the turns, so that quick ones of urgent
 work need not wait behind them."""
 
+EXCESS_WEIGHT = 0.4
+"""How fast the delays that other owners' questions cause are learnt."""
+
+EXCESS_HALF_LIFE_MS = 1_500.0
 FAR_PENALTY_MS = 65.0
 """Round trip to a machine in another region."""
 
@@ -63,6 +68,7 @@
         self._region = region
         self._free_at_ms: dict[str, float] = {}
         self._failed_until_ms: dict[str, float] = {}
+        self._excess_ms: dict[str, float] = {}
 
     def is_available(self, policy: QueuePolicy, worker_count: int) -> bool:
         """Return whether a turn is free soon."""
@@ -85,15 +91,23 @@
         begin_ms = max(now_ms, self._free_at_ms.get(endpoint, 0.0))
         self._free_at_ms[endpoint] = begin_ms + answer_ms
         if endpoint == self._own:
-            return await self._local.ask(job_id, occurrence, step, workers, policy)
-        result = await self._peers.advise(
-            endpoint, job_id, occurrence, step, workers, policy
-        )
-        if result.is_error():
-            now_ms = asyncio.get_running_loop().time() * 1000
-            self._failed_until_ms[endpoint] = now_ms + FAILED_TURN_MS
+            result = await self._local.ask(job_id, occurrence, step, workers, policy)
+        else:
+            result = await self._peers.advise(
+                endpoint, job_id, occurrence, step, workers, policy
+            )
+        self._learn(endpoint, begin_ms + answer_ms, result.is_error())
         return result
 
+    def _learn(self, endpoint: str, expected_ms: float, failed: bool) -> None:
+        """Note how much later than expected a machine has answered."""
+        now_ms = asyncio.get_running_loop().time() * 1000
+        known_ms = self._excess_ms.get(endpoint, 0.0)
+        excess_ms = max(0.0, now_ms - expected_ms)
+        self._excess_ms[endpoint] = known_ms + EXCESS_WEIGHT * (excess_ms - known_ms)
+        if failed:
+            self._failed_until_ms[endpoint] = now_ms + FAILED_TURN_MS
+
     def _choose(self, now_ms: float, answer_ms: float) -> str:
         """Return where the answer is expected soonest."""
         members = [
@@ -104,19 +118,29 @@
         members.sort(key=lambda member: member.endpoint)
         half = (len(members) + 1) // 2
         is_long = answer_ms > LONG_QUESTION_MS
+        shared, quick = members[:half], members[half:]
         best, best_ms = self._own, float("inf")
-        for place, member in enumerate(members):
-            if is_long and place >= half:
-                break
+        for member in sorted(shared if is_long else members, key=self._preference):
             expected_ms = max(now_ms, self._free_at_ms.get(member.endpoint, 0.0))
             expected_ms += self._distance_ms(member)
-            if place < half and not is_long:
+            expected_ms += self._excess_now_ms(member.endpoint, now_ms)
+            if quick and not is_long and member in shared:
                 # Turns that other owners may use for long questions are second best.
                 expected_ms += FAR_PENALTY_MS
             if expected_ms < best_ms:
                 best, best_ms = member.endpoint, expected_ms
         return best
 
+    def _preference(self, member: Member) -> int:
+        """Return this owner's order of equal turns, which differs between owners."""
+        return xxhash.xxh32_intdigest(f"{self._own} {member.endpoint}".encode())
+
+    def _excess_now_ms(self, endpoint: str, now_ms: float) -> float:
+        """Return the learnt delay, which fades while a machine is not asked."""
+        idle_ms = max(0.0, now_ms - self._free_at_ms.get(endpoint, 0.0))
+        fading = 0.5 ** (idle_ms / EXCESS_HALF_LIFE_MS)
+        return self._excess_ms.get(endpoint, 0.0) * fading
+
     def _distance_ms(self, member: Member) -> float:
         if member.endpoint == self._own:
             return 0.0
--- a/basilhold/workflows/ownership.py
+++ b/basilhold/workflows/ownership.py
@@ -102,7 +102,11 @@
 
 
 def claim_delay_ms(
-    round_trip_ms: float, owned_services: int, is_empty: bool, jitter: float
+    round_trip_ms: float,
+    owned_services: int,
+    handicap_ms: float,
+    is_empty: bool,
+    jitter: float,
 ) -> float:
     """Return how long a process leaves a claim to better candidates.
 
@@ -112,12 +116,14 @@
         To the store: an owner commits before each start.
     owned_services : int
         How many services the process owns already.
+    handicap_ms : float
+        For a machine that is small or has a narrow link.
     is_empty : bool
         Whether the service has no owner at all.
     jitter : float
         Between 0 and 1.
     """
-    delay_ms = CLAIM_DELAY_PER_ROUND_TRIP * min(round_trip_ms, 80.0)
+    delay_ms = handicap_ms + CLAIM_DELAY_PER_ROUND_TRIP * min(round_trip_ms, 80.0)
     delay_ms += CLAIM_DELAY_PER_SERVICE_MS * owned_services
     return delay_ms + jitter * (100.0 if is_empty else 60.0)
 
--- a/basilhold/workflows/planner.py
+++ b/basilhold/workflows/planner.py
@@ -330,8 +330,13 @@
     ) -> dict[WorkerId, int]:
         """Return how many tasks fit on each worker, up to the number needed."""
         size = step.spec.reserved()
+        avoided = step.workflow.task(step.keys[0]).avoided
         slots: dict[WorkerId, int] = {}
-        for worker in sorted(workers, key=lambda w: _packing_score(w, step.spec)):
+        ranked = sorted(
+            workers,
+            key=lambda w: (w.worker_id in avoided, _packing_score(w, step.spec)),
+        )
+        for worker in ranked:
             if needed <= 0:
                 break
             most = min(needed, self._left_on(step, worker))
--- a/basilhold/workflows/pool.py
+++ b/basilhold/workflows/pool.py
@@ -209,12 +209,12 @@
 
     def takes_work(self, now_ms: float) -> bool:
         """Return whether new runs may be placed here."""
-        return (
-            self.listed
-            and not self.gone
-            and not self.info.draining
-            and now_ms >= self.avoid_until_ms
-        )
+        if not self.listed or self.gone or self.info.draining:
+            return False
+        if now_ms < self.avoid_until_ms:
+            return False
+        # A worker that failed everything lately proves itself with one run.
+        return self.failed_runs < FAILED_RUNS_MAX or not self.runs
 
     def has_room(self, step: StepSpec) -> bool:
         """Return whether one task of a step fits now."""
@@ -246,7 +246,7 @@
         if self.failed_runs < FAILED_RUNS_MAX:
             return False
         self.avoid_until_ms = now_ms + avoid_ms
-        return True
+        return self.failed_runs == FAILED_RUNS_MAX
 
 
 class Pool:
--- a/basilhold/workflows/stewardship.py
+++ b/basilhold/workflows/stewardship.py
@@ -22,7 +22,7 @@
 from basilhold.workflows.recovery import scan_all
 from basilhold.workflows.rows import OWNERS_PREFIX, Incarnation
 from basilhold.workflows.tasks import TaskSet
-from basilhold.workflows.worker_link import LinkLimits
+from basilhold.workflows.worker_link import OwnerLimits
 
 __all__ = ["Stewardship"]
 
@@ -47,11 +47,13 @@
     member : Member
         This process.
     incarnation : Incarnation
-    limits : LinkLimits
+    limits : OwnerLimits
     services : callable
         Returns the services of the newest configuration.
     rng : random.Random
     peers : PeerCalls
+    handicap_ms : float
+        How much longer this process leaves claims to others.
     """
 
     def __init__(
@@ -60,10 +62,11 @@
         suspend_clock: SuspendAwareClock,
         member: Member,
         incarnation: Incarnation,
-        limits: LinkLimits,
+        limits: OwnerLimits,
         services: Callable[[], tuple[ServiceName, ...]],
         rng: random.Random,
         peers: PeerCalls,
+        handicap_ms: float = 0.0,
     ):
         self._ports = ports
         self._suspend_clock = suspend_clock
@@ -73,6 +76,7 @@
         self._services = services
         self._rng = rng
         self._peers = peers
+        self._handicap_ms = handicap_ms
         self._views: dict[ServiceName, OwnerView] = {}
         self._claim_at_ms: dict[ServiceName, float] = {}
         self._owners: dict[ServiceName, ServiceOwner] = {}
@@ -226,6 +230,7 @@
             delay_ms = claim_delay_ms(
                 self._round_trip_ms,
                 len(self._owners),
+                self._handicap_ms,
                 view.record is None,
                 self._rng.random(),
             )
--- a/basilhold/workflows/worker_link.py
+++ b/basilhold/workflows/worker_link.py
@@ -1,6 +1,7 @@
 """Keeps the lease of one worker and reads its lists."""
 
 import asyncio
+from collections.abc import Callable
 
 import msgspec
 
@@ -9,7 +10,7 @@
 from basilhold.workflows.ownership import Lease
 from basilhold.workflows.pool import EndedRun, ListedRun, Listing, Worker, reconcile
 
-__all__ = ["LinkLimits", "Look", "WorkerLink"]
+__all__ = ["OwnerLimits", "Look", "WorkerLink"]
 
 CLOCK_DRIFT = 1.03
 """A worker's clock may be 2% slow."""
@@ -22,8 +23,8 @@
 lease without acknowledging them."""
 
 
-class LinkLimits(msgspec.Struct, frozen=True):
-    """Bounds of workers' leases.
+class OwnerLimits(msgspec.Struct, frozen=True):
+    """Bounds of an owner.
 
     Parameters
     ----------
@@ -31,10 +32,13 @@
         Longest lease, on the worker's clock.
     wait_ms : int
         How long a worker may wait for an end before it replies.
+    forget_after_ms : float
+        How long the rows of a workflow are kept after its end.
     """
 
     lease_ms: float
     wait_ms: int
+    forget_after_ms: float = 150_000.0
 
     def lapse_ms(self) -> float:
         """Return the time after which a lease that was asked for now has lapsed."""
@@ -75,14 +79,15 @@
     runners : TaskRunners
     lease : Lease
         Of the service's owner.
-    limits : LinkLimits
+    limits : OwnerLimits
     """
 
     def __init__(
-        self, worker: Worker, runners: TaskRunners, lease: Lease, limits: LinkLimits
+        self, worker: Worker, runners: TaskRunners, lease: Lease, limits: OwnerLimits
     ):
         self.worker = worker
         self.closed = False
+        self.on_look: Callable[[Look], object] = lambda look: None
         self._runners = runners
         self._lease = lease
         self._limits = limits
