--- a/basilhold/observability/__init__.py
+++ b/basilhold/observability/__init__.py
@@ -7,7 +7,11 @@
     registered_events,
 )
 from basilhold.observability.health import Health, HealthReport, ReadinessCheck
-from basilhold.observability.log_setup import set_up_logging
+from basilhold.observability.log_setup import (
+    BoundedOutput,
+    log_to_output,
+    set_up_logging,
+)
 from basilhold.observability.loop_lag import LoopLagSampler
 from basilhold.observability.metric_catalogue import METRICS, metric
 from basilhold.observability.metrics import (
@@ -27,6 +31,7 @@
 
 __all__ = [
     "METRICS",
+    "BoundedOutput",
     "Event",
     "EventLevel",
     "Health",
@@ -42,6 +47,7 @@
     "StateSource",
     "StatusPages",
     "log_event",
+    "log_to_output",
     "make_status_pages",
     "metric",
     "registered_events",
--- a/basilhold/observability/log_setup.py
+++ b/basilhold/observability/log_setup.py
@@ -1,11 +1,17 @@
 """Logging of a process: absl, one line per event."""
 
+import contextlib
 import logging as python_logging
+import os
 import time
+from collections.abc import Callable
 
 from absl import logging
 
-__all__ = ["LineFormatter", "set_up_logging"]
+__all__ = ["BoundedOutput", "LineFormatter", "log_to_output", "set_up_logging"]
+
+LINES_PER_SECOND_MAX = 2_000
+"""About 0.4 MB a second; a cell at its peak writes a tenth of it."""
 
 _LEVELS = {
     "debug": logging.DEBUG,
@@ -60,3 +66,66 @@
     # Access lines of tornado and protocol notes of the libraries are not events.
     for name in ("tornado.access", "tornado.general", "hpack", "h2", "grpclib"):
         python_logging.getLogger(name).setLevel(python_logging.ERROR)
+
+
+class BoundedOutput:
+    """A text stream that never blocks and bounds its volume.
+
+    Lines beyond the bound, and lines that the reader of a pipe does not take, are
+    dropped and counted; the next line that is written tells how many.
+
+    Parameters
+    ----------
+    descriptor : int
+        An open file descriptor; it is set to non-blocking mode.
+    lines_per_second_max : int
+    clock : callable
+        Returns a steady time in seconds.
+    """
+
+    def __init__(
+        self,
+        descriptor: int,
+        lines_per_second_max: int = LINES_PER_SECOND_MAX,
+        clock: Callable[[], float] = time.monotonic,
+    ):
+        os.set_blocking(descriptor, False)
+        self._descriptor = descriptor
+        self._lines_max = lines_per_second_max
+        self._clock = clock
+        self._second = -1
+        self._lines = 0
+        self._untold = 0
+        self.dropped_count = 0
+
+    def write(self, text: str) -> int:
+        """Write a line, or drop it."""
+        second = int(self._clock())
+        if second != self._second:
+            self._second, self._lines = second, 0
+        if self._lines >= self._lines_max:
+            self._drop()
+            return len(text)
+        self._lines += 1
+        if self._untold:
+            text = f"{self._untold} log lines were dropped\n{text}"
+        data = text.encode()
+        with contextlib.suppress(BlockingIOError):
+            written = os.write(self._descriptor, data)
+            if written == len(data):
+                self._untold = 0
+                return len(text)
+        self._drop()
+        return len(text)
+
+    def flush(self) -> None:
+        """Do nothing: lines are written at once."""
+
+    def _drop(self) -> None:
+        self.dropped_count += 1
+        self._untold += 1
+
+
+def log_to_output(output: BoundedOutput) -> None:
+    """Send the lines of `set_up_logging` to another stream."""
+    logging.get_absl_handler().python_handler.stream = output
--- a/basilhold/observability/metric_catalogue.py
+++ b/basilhold/observability/metric_catalogue.py
@@ -193,6 +193,47 @@
         _GAUGE,
         "Last difference between the process's and the system's clock",
     ),
+    # Workflows on the users' platform.
+    Metric(
+        "basilhold_workflow_seconds",
+        _HISTOGRAM,
+        "Time from the submission of a workflow to its end, by state",
+        ("service", "state"),
+        _SECONDS_BUCKETS,
+    ),
+    Metric(
+        "basilhold_workflow_start_wait_seconds",
+        _HISTOGRAM,
+        "Time from the submission of a workflow to the assignment of a task",
+        ("service",),
+        _SECONDS_BUCKETS,
+    ),
+    Metric(
+        "basilhold_workflow_runs_total",
+        _COUNTER,
+        "Ended runs of tasks; outcome is done, failed, stopped, lapsed, broken, alone "
+        "or lost",
+        ("service", "outcome"),
+    ),
+    Metric(
+        "basilhold_workflow_advice_seconds",
+        _HISTOGRAM,
+        "Time until a question about admissible workers was answered",
+        ("service",),
+        _SECONDS_BUCKETS,
+    ),
+    Metric(
+        "basilhold_workflow_commit_seconds",
+        _HISTOGRAM,
+        "Duration of a commit of an owner",
+        ("service",),
+        _SECONDS_BUCKETS,
+    ),
+    Metric(
+        "basilhold_log_lines_dropped_total",
+        _COUNTER,
+        "Log lines dropped because the log was not read or grew too fast",
+    ),
     Metric("basilhold_resident_bytes", _GAUGE, "Resident memory"),
     Metric("basilhold_processor_seconds_total", _COUNTER, "Processor time used"),
     Metric(
--- /dev/null
+++ b/basilhold/observability/tests/test_log_setup.py
@@ -0,0 +1,34 @@
+import os
+import unittest
+
+from basilhold.observability import BoundedOutput
+
+
+class BoundedOutputTest(unittest.TestCase):
+    """Guards against a log that blocks the process or grows without bound."""
+
+    def setUp(self):
+        self.reader, self.writer = os.pipe()
+        self.addCleanup(os.close, self.reader)
+        self.addCleanup(os.close, self.writer)
+        self.now_s = 0.0
+
+    def make(self, lines_max=3):
+        return BoundedOutput(self.writer, lines_max, lambda: self.now_s)
+
+    def test_lines_beyond_the_bound_are_dropped_and_told(self):
+        output = self.make()
+        for number in range(5):
+            output.write(f"line {number}\n")
+        self.now_s = 1.0
+        output.write("line 5\n")
+        text = os.read(self.reader, 4096).decode().splitlines()
+        expected = ["line 0", "line 1", "line 2", "2 log lines were dropped", "line 5"]
+        self.assertEqual(text, expected)
+        self.assertEqual(output.dropped_count, 2)
+
+    def test_pipe_that_nobody_reads_does_not_block(self):
+        output = self.make(10_000)
+        for _ in range(200):
+            output.write("x" * 1_000 + "\n")
+        self.assertGreater(output.dropped_count, 0)
--- a/basilhold/platform/node.py
+++ b/basilhold/platform/node.py
@@ -11,11 +11,21 @@
 
 import msgspec
 import uvloop
-from absl import logging
+from tornado.httpserver import HTTPServer
 
 from basilhold.adapters import HttpLimits, HttpPool
 from basilhold.core import Clock, ProcessId, RegionName
-from basilhold.observability import log_event, set_up_logging
+from basilhold.observability import (
+    BoundedOutput,
+    Metrics,
+    MetricSource,
+    log_event,
+    log_to_output,
+    make_status_pages,
+    metric,
+    set_up_logging,
+    status_application,
+)
 from basilhold.platform.bodies import decode_configuration
 from basilhold.platform.callers import CallerServer, make_ready_server
 from basilhold.platform.events import (
@@ -63,6 +73,7 @@
 READY_STORE_AGE_MS = 2_500
 """A process that has not reached the store for this long leaves callers to others."""
 
+STATE_DUMP_BYTES_MAX = 1 << 20
 WIDE_LINK_MBPS = 100.0
 SMALL_MACHINE_MS = 600.0
 
@@ -82,21 +93,37 @@
         return time.clock_gettime(time.CLOCK_BOOTTIME) * 1000
 
 
+class _LogMetrics(MetricSource):
+    """Tells how many log lines were dropped."""
+
+    def __init__(self, output: BoundedOutput):
+        self._output = output
+
+    def collect(self, metrics: Metrics) -> None:
+        """Set the current value."""
+        dropped = metric("basilhold_log_lines_dropped_total")
+        metrics.set(dropped, self._output.dropped_count)
+
+
 class NodeDaemon(Daemon):
     """Serves callers and, where it holds the lease, owns services.
 
     Parameters
     ----------
     settings : PlatformSettings
+    output : BoundedOutput
+        Where log lines go.
     """
 
-    def __init__(self, settings: PlatformSettings):
+    def __init__(self, settings: PlatformSettings, output: BoundedOutput):
         self._settings = settings
         self._clock = Clock(int(time.time() * 1000))
         self._pool = HttpPool(
             HttpLimits(CONNECTIONS_MAX, CONNECT_TIMEOUT_MS, idle_ms=20_000)
         )
         self._queues: QueueTable | None = None
+        self._pages = make_status_pages(settings.node, STATE_DUMP_BYTES_MAX, ())
+        self._pages.metrics.add_source(_LogMetrics(output))
         self._draining = False
         store = PlatformStore(self._pool, address_of(settings.platform.address))
         self._store = store
@@ -116,6 +143,7 @@
             PlatformRegistry(store),
             spread,
             self._clock,
+            self._pages.metrics,
         )
         hold_ms = settings.bounds.hold_max_ms
         wait_ms = int(min(HOLD_WAIT_MAX_MS, hold_ms / 6))
@@ -135,6 +163,7 @@
         self._callers = CallerServer(self.front, lambda: self._queues, self._clock)
         self._ready = make_ready_server(self._is_ready)
         self._peer_server = make_peer_server(self.front)
+        self._status = HTTPServer(status_application(self._pages))
 
     @property
     def name(self) -> str:
@@ -145,6 +174,7 @@
         settings = self._settings
         host, port = settings.ip, settings.port_range[0]
         self._peer_server.listen(port, host)
+        self._status.listen(settings.port_range[1], host)
         for server, endpoint in (
             (self._ready, settings.listen.ready),
             (self._callers.server, settings.listen.front),
@@ -156,7 +186,8 @@
         return self
 
     async def __aexit__(self, exc_type, exc, traceback) -> None:
-        for server in (self._ready, self._callers.server, self._peer_server):
+        servers = (self._ready, self._callers.server, self._peer_server, self._status)
+        for server in servers:
             server.stop()
         await self.front.close()
         self._pool.close()
@@ -265,8 +296,9 @@
         return ExitCode.SETTINGS_INVALID
     settings = result.ok
     set_up_logging("info", settings.node)
-    logging.get_absl_handler().python_handler.stream = sys.stdout
-    return run_daemon(lambda: NodeDaemon(settings), uvloop.new_event_loop)
+    output = BoundedOutput(sys.stdout.fileno())
+    log_to_output(output)
+    return run_daemon(lambda: NodeDaemon(settings, output), uvloop.new_event_loop)
 
 
 if __name__ == "__main__":
--- a/basilhold/testing/workflow_cell.py
+++ b/basilhold/testing/workflow_cell.py
@@ -18,6 +18,7 @@
     ServiceName,
     WorkerId,
 )
+from basilhold.observability import METRICS, Metrics
 from basilhold.ports import ChangeFeed, StoreError, StoreErrorKind, TableService
 from basilhold.ports.runners import Admission
 from basilhold.standins.faults import StoreFaults
@@ -176,6 +177,7 @@
             MemoryRegistry(cell.runners, SERVICE),
             cell.advice,
             clock,
+            Metrics(METRICS),
         )
         self.stewardship = Stewardship(
             ports,
--- a/basilhold/workflows/commits.py
+++ b/basilhold/workflows/commits.py
@@ -108,8 +108,11 @@
         ]
         states = {job_id: workflow.state for job_id, workflow in batch.items()}
         ends = {link: link.worker.processed for link in self._state.links.values()}
+        begin_ms = self._state.clock.monotonic_ms()
         if await self._state.lease.commit(tuple(writes)) is CommitOutcome.LOST:
             raise LeaseLostError("a commit found another owner")
+        took_ms = self._state.clock.monotonic_ms() - begin_ms
+        self._state.observe("basilhold_workflow_commit_seconds", took_ms)
         self._state.visible.update(states)
         for placement in starts:
             self._send_start(placement)
--- a/basilhold/workflows/orders.py
+++ b/basilhold/workflows/orders.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from basilhold.observability import log_event
+from basilhold.observability import log_event, metric
 from basilhold.ports.runners import CallOutcome, RunnerCall, StartCall
 from basilhold.workflows import events
 from basilhold.workflows.admissions import StepKey
@@ -190,6 +190,11 @@
         was_final = workflow.state.is_final
         if not workflow.apply_end(end, self._state.clock.unix_ms()):
             return
+        self._state.ports.metrics.add(
+            metric("basilhold_workflow_runs_total"),
+            service=self._state.service,
+            outcome=end.kind.value,
+        )
         log_event(
             events.RUN_ENDED,
             task=task_name(key.job_id, key.task),
@@ -233,11 +238,15 @@
             if run is not None:
                 self.stop(self._state.pool.workers[task.worker_id], run)
         self.committer.mark(workflow)
+        took_ms = workflow.ended_unix_ms - workflow.spec.submitted_unix_ms
+        self._state.observe(
+            "basilhold_workflow_seconds", took_ms, state=workflow.state.value
+        )
         log_event(
             events.WORKFLOW_ENDED,
             job=workflow.job_id,
             state=workflow.state.value,
-            after_ms=round(workflow.ended_unix_ms - workflow.spec.submitted_unix_ms),
+            after_ms=round(took_ms),
         )
 
 
--- a/basilhold/workflows/owner.py
+++ b/basilhold/workflows/owner.py
@@ -224,15 +224,15 @@
         workflow.assign(placement.key, run.number, worker.worker_id)
         self._state.backlog.taken(workflow, placement.key)
         self._committer.start_after_commit(placement)
+        queued_ms = self._state.clock.unix_ms() - workflow.spec.submitted_unix_ms
+        self._state.observe("basilhold_workflow_start_wait_seconds", queued_ms)
         log_event(
             events.RUN_ASSIGNED,
             task=task_name(workflow.job_id, placement.key),
             run=run.number,
             worker=worker.worker_id,
             free=worker.free.cores_milli,
-            queued_ms=round(
-                self._state.clock.unix_ms() - workflow.spec.submitted_unix_ms
-            ),
+            queued_ms=round(queued_ms),
         )
 
     def _begin_question(self, question: Question) -> None:
@@ -260,6 +260,7 @@
         finally:
             known.asking = False
         now_ms = self._state.clock.monotonic_ms()
+        self._state.observe("basilhold_workflow_advice_seconds", now_ms - asked_ms)
         if answer.is_error():
             known.retry_ms = now_ms + RETRY_ADVICE_MS
             log_event(
--- a/basilhold/workflows/owner_state.py
+++ b/basilhold/workflows/owner_state.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from basilhold.core import Clock, JobId, ServiceName, WorkerId
+from basilhold.observability import Metrics, metric
 from basilhold.ports import ChangeFeed, TableService
 from basilhold.ports.runners import AdviceService, Registry, TaskRunners
 from basilhold.workflows.admissions import AdmissionBook
@@ -34,6 +35,7 @@
     registry: Registry
     advice: AdviceService
     clock: Clock
+    metrics: Metrics
 
 
 class OwnerState:
@@ -67,6 +69,13 @@
         """The service."""
         return self.lease.service
 
+    def observe(self, name: str, milliseconds: float, **labels: str) -> None:
+        """Add a duration to one of the service's histograms."""
+        declared = metric(name)
+        self.ports.metrics.observe(
+            declared, milliseconds / 1000, service=self.service, **labels
+        )
+
     def start(self, coroutine: Coroutine[Any, Any, None]) -> asyncio.Task[Any]:
         """Run a part of the owner; its failure ends the owner."""
         return self.tasks.start(self._guard(coroutine))
