--- a/basilhold/workflows/admissions.py
+++ b/basilhold/workflows/admissions.py
@@ -6,9 +6,11 @@
 
 __all__ = ["AdmissionBook", "StepAdmission", "StepKey"]
 
-TICKET_MARGIN_MS = 250.0
-"""A ticket is not used this shortly before it expires: the start has to be stored
-and sent first, over up to 60 ms of round trip."""
+TICKET_MARGIN_MS = 150.0
+"""A ticket is not used this shortly before it expires, and before the time that a
+commit takes: the start has to be stored and sent first."""
+
+COMMIT_WEIGHT = 0.3
 
 
 class StepKey(msgspec.Struct, frozen=True):
@@ -49,6 +51,11 @@
 
     def __init__(self):
         self._steps: dict[StepKey, StepAdmission] = {}
+        self._commit_ms = 20.0
+
+    def note_commit(self, took_ms: float) -> None:
+        """Learn how long an assignment takes to be stored."""
+        self._commit_ms += COMMIT_WEIGHT * (took_ms - self._commit_ms)
 
     def step(self, key: StepKey) -> StepAdmission:
         """Return what is known about a step."""
@@ -67,7 +74,8 @@
     ) -> None:
         """Note an answer that arrived now."""
         known = self.step(key)
-        until_ms = now_ms + valid_ms - TICKET_MARGIN_MS
+        # An assignment may wait for the commit before its own.
+        until_ms = now_ms + valid_ms - TICKET_MARGIN_MS - 2 * self._commit_ms
         for worker_id in asked:
             if worker_id in tickets:
                 known.admitted.add(worker_id)
--- a/basilhold/workflows/commits.py
+++ b/basilhold/workflows/commits.py
@@ -113,6 +113,7 @@
             raise LeaseLostError("a commit found another owner")
         took_ms = self._state.clock.monotonic_ms() - begin_ms
         self._state.observe("basilhold_workflow_commit_seconds", took_ms)
+        self._state.book.note_commit(took_ms)
         self._state.visible.update(states)
         for placement in starts:
             self._send_start(placement)
--- a/basilhold/workflows/planner.py
+++ b/basilhold/workflows/planner.py
@@ -5,6 +5,8 @@
 external service must admit is asked about only while a worker has room for it.
 """
 
+import math
+
 import msgspec
 
 from basilhold.core import Resources, WorkerId
@@ -27,6 +29,7 @@
 PREEMPT_SLACK_MS = 800.0
 """A stop takes up to 400 ms, and a start another round trip and a commit."""
 
+SOON_MARGIN_MS = 300.0
 START_BY_TOLERANCE_MS = 250.0
 """Estimates of run times are rough; a step this late may still end in time."""
 
@@ -213,6 +216,8 @@
             return
         admitted = [w for w in fits if w.worker_id not in known.refused]
         claimed = self._claim_or_preempt(step, admitted)
+        if not claimed and step.spec.gang and self._has_room_soon(step, admitted):
+            claimed = admitted
         self._ask(step, claimed, known)
 
     def _may_find_room(self, step: ReadyStep, workers: list[Worker]) -> bool:
@@ -321,6 +326,23 @@
             return []
         return [w for w in workers if w.worker_id in free]
 
+    def _has_room_soon(self, step: ReadyStep, workers: list[Worker]) -> bool:
+        """Return whether a gang will have room when an answer arrives.
+
+        Workers that a gang waits for would stand empty while it asks for new tickets.
+        """
+        policy = step.workflow.spec.policy.advice
+        horizon_ms = self._now_ms + policy.answer_ms(len(workers)) + SOON_MARGIN_MS
+        size = step.spec.reserved()
+        missing = len(step.keys)
+        for worker in workers:
+            room = worker.free
+            for run in worker.runs.values():
+                if run.stop_wanted or _expected_end_ms(run, worker) <= horizon_ms:
+                    room = room + run.reserved
+            missing -= _times(room, size, min(missing, self._left_on(step, worker)))
+        return missing <= 0
+
     def _free_slots(
         self,
         step: ReadyStep,
@@ -433,6 +455,12 @@
         return count, victims
 
 
+def _expected_end_ms(run: Run, worker: Worker) -> float:
+    if run.step is None or run.step.long_running:
+        return math.inf
+    return run.started_ms + run.step.estimate_ms * worker.work_ratio
+
+
 def _times(room: Resources, size: Resources, most: int) -> int:
     """Return how often a size fits, at most `most` times."""
     count = most
--- a/basilhold/workflows/recovery.py
+++ b/basilhold/workflows/recovery.py
@@ -12,7 +12,7 @@
 from basilhold.workflows.pool import Pool, Run, RunKey, RunStage, Worker, WorkerInfo
 from basilhold.workflows.progress import Workflow
 from basilhold.workflows.rows import (
-    jobs_prefix,
+    jobs_prefixes,
     parse_jobs_key,
     progress_key,
     progress_prefix,
@@ -84,12 +84,14 @@
 
 async def load_workflows(table: TableService, service: ServiceName) -> Loaded:
     """Return all workflows of a service with their progress."""
-    (submitted, version), (progress, _) = await asyncio.gather(
-        scan_all(table, jobs_prefix(service)),
-        scan_all(table, progress_prefix(service)),
+    # Submissions are read first: progress exists only for those that are stored.
+    parts = await asyncio.gather(
+        *(scan_all(table, prefix) for prefix in jobs_prefixes(service))
     )
+    progress, _ = await scan_all(table, progress_prefix(service))
+    submitted = [row for rows, _ in parts for row in rows]
     progress_rows = {row.key: row for row in progress}
-    loaded = Loaded([], set(), version)
+    loaded = Loaded([], set(), min(version for _, version in parts))
     for row in submitted:
         job_id, is_cancel = parse_jobs_key(row.key)
         if is_cancel:
--- a/basilhold/workflows/rows.py
+++ b/basilhold/workflows/rows.py
@@ -11,6 +11,7 @@
     "OwnerRecord",
     "cancel_key",
     "jobs_prefix",
+    "jobs_prefixes",
     "owner_key",
     "progress_key",
     "progress_prefix",
@@ -22,6 +23,9 @@
 
 OWNERS_PREFIX = "owners/"
 JOBS_PREFIX = "jobs/"
+JOB_SHARDS = 16
+"""Parts over which a service's submissions are spread."""
+
 _CANCEL_SUFFIX = ".cancel"
 
 
@@ -56,13 +60,23 @@
 
 
 def jobs_prefix(service: ServiceName) -> str:
-    """Return the prefix of a service's submitted workflows and cancellations."""
-    return f"{JOBS_PREFIX}{service}/"
+    """Return what all keys of a service's submissions and cancellations begin with."""
+    return f"{JOBS_PREFIX}{service}."
+
+
+def jobs_prefixes(service: ServiceName) -> list[str]:
+    """Return the prefixes of all parts with submissions of a service.
+
+    Transactions of one part are applied one after another, so submissions are spread:
+    in a slow store they would wait for each other and for the owner's commits.
+    """
+    return [f"{jobs_prefix(service)}{shard:x}/" for shard in range(JOB_SHARDS)]
 
 
 def spec_key(service: ServiceName, job_id: JobId) -> str:
     """Return the key of a submitted workflow."""
-    return f"{JOBS_PREFIX}{service}/{job_id}"
+    shard = int(job_id[-1], 16) % JOB_SHARDS
+    return f"{jobs_prefix(service)}{shard:x}/{job_id}"
 
 
 def cancel_key(service: ServiceName, job_id: JobId) -> str:
@@ -85,7 +99,7 @@
 
     Examples
     --------
-    >>> parse_jobs_key("jobs/inspect/00ff.cancel")
+    >>> parse_jobs_key("jobs/inspect.f/00ff.cancel")
     ('00ff', True)
     """
     name = key.rsplit("/", 1)[1]
