--- a/basilhold/platform/store.py
+++ b/basilhold/platform/store.py
@@ -27,7 +27,9 @@
 CALL_TIMEOUT_MS = 1_200
 """A slow store takes 280 ms for a transaction; a silent channel is given up here."""
 
-CONNECT_TIMEOUT_MS = 500
+ROWS_MAX = 500
+"""Most rows in a reply."""
+
 _STATUS_CONFLICT = 412
 _STATUS_GONE = 410
 
@@ -100,17 +102,25 @@
 
     async def _read_one(self, key: str) -> Result[ScanPage, StoreError]:
         table, part, name = _split(key)
-        # The range excludes its end; no key lies between a key and itself plus NUL.
-        return await self._range(table, part, name, name + "\x00", 1)
+        result = await self._range(table, part, name, 1)
+        if result.is_error():
+            return result
+        return Ok(ScanPage(tuple(row for row in result.ok.rows if row.key == key)))
 
     async def scan(
         self, prefix: str, after: str = "", limit: int = 500
     ) -> Result[ScanPage, StoreError]:
         """Return rows of a prefix ``table/`` or ``table/part/``."""
         table, part, _ = _split(prefix)
-        if prefix.count("/") > 1:
-            return await self._range(table, part, _split(after)[2], "", limit)
-        return await self._scan_table(table)
+        if prefix.count("/") < 2:
+            return await self._scan_table(table)
+        # The range includes its first key, which is the last one of the page before.
+        wanted = min(limit + 1, ROWS_MAX) if after else limit
+        result = await self._range(table, part, _split(after)[2], wanted)
+        if result.is_error() or not after:
+            return result
+        rows = tuple(row for row in result.ok.rows if row.key != after)
+        return Ok(ScanPage(rows, result.ok.next_after, result.ok.version))
 
     async def _scan_table(self, table: str) -> Result[ScanPage, StoreError]:
         """Return all rows of a table with few parts, as of the first page."""
@@ -122,7 +132,7 @@
         rows: list[Row] = []
         version = listed.get("ver", 0)
         for part in listed.get("parts", ()):
-            page = await self._range(table, part, "", "", 500)
+            page = await self._range(table, part, "", ROWS_MAX)
             if page.is_error():
                 return page
             version = min(version or page.ok.version, page.ok.version)
@@ -130,13 +140,11 @@
         return Ok(ScanPage(tuple(rows), "", version))
 
     async def _range(
-        self, table: str, part: str, after: str, target: str, limit: int
+        self, table: str, part: str, first: str, limit: int
     ) -> Result[ScanPage, StoreError]:
         query: dict[str, Any] = {"table": table, "part": part, "limit": limit}
-        if after:
-            query["from"] = after if target else after + "\x00"
-        if target:
-            query["target"] = target
+        if first:
+            query["from"] = first
         result = await self._get(f"/-/rows-get?{urlencode(query)}", CALL_TIMEOUT_MS)
         if result.is_error():
             return result
--- /dev/null
+++ b/basilhold/platform/tests/test_bodies.py
@@ -0,0 +1,89 @@
+import tempfile
+import unittest
+from pathlib import Path
+
+import msgspec
+
+from basilhold.platform.bodies import decode_configuration, decode_workflow
+from basilhold.platform.settings import read_settings
+from basilhold.workflows.model import QueuePolicy
+
+POLICY = QueuePolicy("q", "desk")
+
+SETTINGS = """
+node = "front-1"
+ip = "10.1.0.30"
+zone = "plovdiv"
+port_range = [7380, 7395]
+a_new_field = 1
+[listen]
+front = "10.1.0.30:8149"
+ready = "10.1.0.30:8141"
+[platform]
+address = "10.200.1.7:8142"
+[bounds]
+hold_max_ms = 6000
+"""
+
+
+class BodiesTest(unittest.TestCase):
+    """Guards against input that is misread or disturbs the process."""
+
+    def decode(self, body):
+        return decode_workflow("00ff00ff00ff00ff", POLICY, body, 1_000.0)
+
+    def test_step_in_our_units(self):
+        body = (
+            b'{"spec":"x","steps":[{"count":4,"cpu":500,"mem_mb":256},{"count":2,'
+            b'"cpu":2000,"mem_mb":1024,"gpu":1,"after":[0],"gang":true,"fill_count":1}]}'
+        )
+        first, second = self.decode(body).ok.steps
+        self.assertEqual(first.size.memory_bytes, 256 << 20)
+        self.assertEqual(second.size.gpus_milli, 1_000)
+        self.assertTrue(second.gang)
+        self.assertEqual(second.reserved().cores_milli, 0)
+        self.assertEqual(second.after, (0,))
+
+    def test_bad_jobs_are_refused_with_a_reason(self):
+        bodies = [
+            b"",
+            b"[]",
+            b'{"steps":[]}',
+            b'{"steps":[{"count":0}]}',
+            b'{"steps":[{"count":-1}]}',
+            b'{"steps":[{"count":1,"cpu":-5}]}',
+            b'{"steps":[{"count":1,"after":[0]}]}',
+            b'{"steps":[{"count":1,"after":[3]}]}',
+            b'{"steps":[{"count":1}],"repeat_count":100000}',
+            b'{"steps":[{"count":1}],"spec":"' + b"x" * 4_001 + b'"}',
+            b"\xff\xfe",
+        ]
+        for body in bodies:
+            with self.subTest(body=body[:40]):
+                self.assertTrue(self.decode(body).error)
+
+    def test_configuration(self):
+        value = (
+            b'{"version":7,"routes":[{"name":"r","host":"h.example","path_prefix":"/a/",'
+            b'"service":"desk","priority":1,"max_attempts":3,"stretch":2.2,"more":[1],'
+            b'"target_latency_ms":1200,"advice":{"decide_ms":1,"each_ms":2,"valid_ms":3}}],'
+            b'"services":[{"name":"desk"}],"limits":{"max_body_bytes":99}}'
+        )
+        table = decode_configuration(value)
+        policy = table.find("h.example:80", "/a/b").policy
+        self.assertEqual((policy.priority, policy.failures_max), (1, 3))
+        self.assertEqual(policy.advice.valid_ms, 3)
+        self.assertEqual((table.version, table.body_bytes_max), (7, 99))
+        with self.assertRaises(msgspec.DecodeError):
+            decode_configuration(b'{"version":"x"}')
+
+    def test_settings(self):
+        with tempfile.TemporaryDirectory() as directory:
+            path = Path(directory) / "settings.toml"
+            path.write_text(SETTINGS)
+            settings = read_settings(str(path)).ok
+            self.assertEqual(settings.port_range, (7380, 7395))
+            self.assertEqual(settings.bounds.hold_max_ms, 6_000)
+            path.write_text('node = "x"\n')
+            self.assertIn("missing required field", read_settings(str(path)).error)
+            self.assertTrue(read_settings(str(path.with_name("none"))).error)
--- /dev/null
+++ b/basilhold/platform/tests/test_runners.py
@@ -0,0 +1,101 @@
+import unittest
+
+from basilhold.adapters import HttpPool
+from basilhold.core import Epoch, JobId, Resources, WorkerId
+from basilhold.platform.runners import PlatformAdvice, PlatformRunners, address_of
+from basilhold.platform.tests.platform_http import PlatformHttp
+from basilhold.ports.runners import CallOutcome, HoldCall, RunnerCall, StartCall
+from basilhold.workflows.model import AdvicePolicy, QueuePolicy, RunNumber, TaskKey
+from basilhold.workflows.pool import Worker, WorkerInfo
+from basilhold.workflows.progress import EndKind
+
+RUN = RunnerCall(JobId("5c0e7a21d94b36f8"), TaskKey(0, 1, 17), RunNumber(2), Epoch(7))
+
+
+class RunnersTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against replies of runners that are taken for others."""
+
+    async def asyncSetUp(self):
+        self.platform = self.enterContext(PlatformHttp())
+        self.pool = await self.enterAsyncContext(HttpPool())
+        self.runners = PlatformRunners(self.pool)
+        info = WorkerInfo(WorkerId("i-7f"), self.platform.endpoint, 1, Resources())
+        self.worker = Worker(info)
+
+    async def test_start_is_spelled_as_the_platform_does(self):
+        self.platform.replies["/-/run-start"] = (200, {"clock_ms": 5})
+        call = StartCall(RUN, "text", 486000.7, "00b", "t-1")
+        outcome = await self.runners.start(self.worker, call)
+        self.assertIs(outcome, CallOutcome.DONE)
+        path, headers, body = self.platform.calls[0]
+        self.assertEqual(path, "/-/run-start")
+        self.assertEqual(headers["X-Expect-Instance"], "i-7f")
+        expected = {
+            "task": "5c0e7a21d94b36f8.0.1.17",
+            "run": 2,
+            "spec": "text",
+            "until_ms": 486000,
+            "fence": 7,
+            "checkpoint": "00b",
+            "ticket": "t-1",
+        }
+        self.assertEqual(body, expected)
+
+    async def test_outcomes(self):
+        cases = [
+            ((409, {"reason": "fence"}), CallOutcome.FENCED),
+            ((409, {"reason": "old"}), CallOutcome.OLD_RUN),
+            ((409, {"reason": "late"}), CallOutcome.LATE),
+            ((409, {"reason": "room"}), CallOutcome.NO_ROOM),
+            ((409, {"reason": "ticket"}), CallOutcome.BAD_TICKET),
+            ((400, {}), CallOutcome.REJECTED),
+            ((421, {}), CallOutcome.ABSENT),
+            ((429, {}), CallOutcome.UNAVAILABLE),
+            ((503, {}), CallOutcome.UNAVAILABLE),
+            ((0, {}), CallOutcome.UNKNOWN),
+        ]
+        for reply, expected in cases:
+            with self.subTest(reply=reply):
+                self.platform.replies["/-/run-stop"] = reply
+                outcome = await self.runners.stop(self.worker, RUN)
+                self.assertIs(outcome, expected)
+
+    async def test_lists(self):
+        name = "5c0e7a21d94b36f8.0.1.17"
+        self.platform.replies["/-/hold"] = (
+            200,
+            {
+                "clock_ms": 482113,
+                "born": 99,
+                "running": [[name, 2, "00b", 41, 12]],
+                "finished": [[58, name, 1, "lapsed", ""]],
+            },
+        )
+        call = HoldCall(Epoch(7), 57, 486000.0, 1_000)
+        listing = (await self.runners.hold(self.worker, call)).ok
+        self.assertEqual((listing.clock_ms, listing.born_unix_ms), (482113, 99))
+        self.assertEqual(listing.running[0].key.task, TaskKey(0, 1, 17))
+        self.assertEqual(listing.running[0].percent, 41)
+        self.assertIs(listing.ended[0].end.kind, EndKind.LAPSED)
+        body = self.platform.calls[0][2]
+        self.assertEqual(body["acked_through"], 57)
+        self.assertEqual(body["wait_ms"], 1_000)
+
+    async def test_unreadable_lists_are_no_lists(self):
+        for body in ({"running": []}, {"clock_ms": 1, "running": [["x", 1]]}):
+            self.platform.replies["/-/hold"] = (200, body)
+            result = await self.runners.hold(self.worker, HoldCall(Epoch(1), 0))
+            self.assertIs(result.error, CallOutcome.UNKNOWN)
+
+    async def test_advice(self):
+        reply = {"admitted": [["i-7f", "c81e"]], "valid_ms": 3000}
+        self.platform.replies["/-/advise"] = (200, reply)
+        advice = PlatformAdvice(self.pool, address_of(self.platform.endpoint))
+        policy = QueuePolicy("q", "s", advice=AdvicePolicy(1, 1, 1))
+        workers = (WorkerId("i-7f"), WorkerId("i-80"))
+        answer = await advice.ask(JobId("00ff"), 0, 1, workers, policy)
+        self.assertEqual(answer.ok.tickets, {"i-7f": "c81e"})
+        self.assertEqual(self.platform.calls[0][2]["step"], "00ff.0.1")
+        self.platform.replies["/-/advise"] = (429, {})
+        answer = await advice.ask(JobId("00ff"), 0, 1, workers, policy)
+        self.assertEqual(answer.error, "status 429")
--- /dev/null
+++ b/basilhold/platform/tests/test_store.py
@@ -0,0 +1,87 @@
+import unittest
+
+from basilhold.adapters import HttpPool
+from basilhold.platform.runners import PlatformRegistry, address_of
+from basilhold.platform.store import PlatformStore
+from basilhold.platform.tests.platform_http import PlatformHttp
+from basilhold.ports import ABSENT, Condition, StoreErrorKind, Transaction, Write
+
+KEY = "jobs/desk.0/00f0"
+
+
+def put(key, value, version=ABSENT):
+    return Transaction((Condition(key, version),), (Write(key, value),))
+
+
+class StoreTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against outcomes of the store that are taken for others."""
+
+    async def asyncSetUp(self):
+        self.platform = self.enterContext(PlatformHttp())
+        pool = await self.enterAsyncContext(HttpPool())
+        self.store = PlatformStore(pool, address_of(self.platform.endpoint))
+
+    async def test_write_read_and_scan(self):
+        written = await self.store.transact(put(KEY, b"one"))
+        self.assertEqual(written.ok, {KEY: 1})
+        self.assertEqual(
+            (await self.store.read((KEY, "jobs/x/y"))).ok[KEY].value, b"one"
+        )
+        await self.store.transact(put("jobs/desk.0/00f1", b"two"))
+        await self.store.transact(put("jobs/desk.1/00f1", b"three"))
+        page = (await self.store.scan("jobs/desk.0/", limit=1)).ok
+        self.assertEqual([row.value for row in page.rows], [b"one"])
+        rest = (await self.store.scan("jobs/desk.0/", page.next_after)).ok
+        self.assertEqual([row.value for row in rest.rows], [b"two"])
+        whole = (await self.store.scan("jobs/")).ok
+        self.assertEqual(len(whole.rows), 3)
+
+    async def test_failed_condition_tells_the_version(self):
+        await self.store.transact(put(KEY, b"one"))
+        error = (await self.store.transact(put(KEY, b"two"))).error
+        self.assertIs(error.kind, StoreErrorKind.CONFLICT)
+        self.assertEqual(error.conflicts[0].actual_version, 1)
+
+    async def test_transaction_over_parts_says_so(self):
+        both = Transaction((), (Write("a/p/x", b"1"), Write("a/q/x", b"2")))
+        self.assertTrue((await self.store.transact(both)).is_ok())
+
+    async def test_refusal_is_certain_and_silence_is_not(self):
+        for status in (429, 503):
+            self.platform.replies["/-/rows-tx"] = (status, {})
+            error = (await self.store.transact(put(KEY, b"one"))).error
+            self.assertIs(error.kind, StoreErrorKind.NOT_APPLIED)
+        self.platform.replies["/-/rows-tx"] = (0, {})
+        error = (await self.store.transact(put(KEY, b"one"))).error
+        self.assertIs(error.kind, StoreErrorKind.UNKNOWN)
+
+    async def test_changes_and_lost_history(self):
+        await self.store.transact(put(KEY, b"one"))
+        await self.store.transact(Transaction((), (Write(KEY, None),)))
+        changes = (await self.store.changes("jobs/desk.", 0, 0)).ok
+        self.assertEqual([row.value for row in changes.rows], [b"one"])
+        self.assertEqual(changes.deleted, (KEY,))
+        self.platform.compacted = 2
+        self.assertFalse((await self.store.changes("jobs/desk.", 0, 0)).ok.complete)
+
+    async def test_registrations_of_other_writers_are_left_out(self):
+        good = (
+            b'{"service":"desk","address":"10.0.0.1:80","state":"ready",'
+            b'"capacity":{"cpu":4000,"mem_mb":1024,"gpu":2},"labels":["a","r1"],"born":7}'
+        )
+        entries = {
+            "i-1": good,
+            "i-2": b"\xff\x00",
+            "i-3": b'{"service":"desk","address":"10.0.0.1:80","state":"odd"}',
+            "i-4": b'{"service":"desk","state":"ready"}',
+            "i-5": b'{"service":7,"address":"10.0.0.1:80","state":"ready"}',
+            "i-6": b'{"service":"desk","address":"nowhere","state":"ready"}',
+        }
+        for name, value in entries.items():
+            self.platform.put("servers", "", name, value)
+        found = (await PlatformRegistry(self.store).read()).ok
+        self.assertEqual(list(found), ["i-1"])
+        service, info = found["i-1"]
+        self.assertEqual((service, info.rack, info.born_unix_ms), ("desk", "r1", 7))
+        self.assertEqual(info.capacity.gpus_milli, 2_000)
+        self.assertEqual(info.capacity.memory_bytes, 1 << 30)
--- a/basilhold/workflows/events.py
+++ b/basilhold/workflows/events.py
@@ -51,6 +51,11 @@
 RUN_PREEMPTED = Event(
     6024, EventLevel.INFO, "task={task} run={run} worker={worker} stopped for {reason}"
 )
+RUN_PACED = Event(
+    6026,
+    EventLevel.INFO,
+    "task={task} worker={worker} paced to {percent} percent: {outcome}",
+)
 RUN_OVERDUE = Event(
     6025,
     EventLevel.INFO,
--- a/basilhold/workflows/orders.py
+++ b/basilhold/workflows/orders.py
@@ -9,6 +9,7 @@
 from basilhold.workflows.commits import Committer
 from basilhold.workflows.model import StepSpec, TaskKey, task_name
 from basilhold.workflows.owner_state import LeaseLostError, OwnerState
+from basilhold.workflows.pacing import PaceChange, pace_changes
 from basilhold.workflows.planner import Placement
 from basilhold.workflows.pool import Run, RunKey, RunStage, Worker
 from basilhold.workflows.progress import EndKind, RunEnd, TaskStage, Workflow
@@ -154,6 +155,23 @@
         finally:
             run.stopping = False
 
+    def adjust_pace(self, worker: Worker) -> None:
+        """Slow or speed up work on spare cores, by what serving tasks show."""
+        for change in pace_changes(worker):
+            self._state.start(self._pace(worker, change))
+
+    async def _pace(self, worker: Worker, change: PaceChange) -> None:
+        # A pace that gets no reply is seen in the next list, and asked for again.
+        call = self._call_of(change.run)
+        outcome = await self._state.ports.runners.pace(worker, call, change.percent)
+        log_event(
+            events.RUN_PACED,
+            task=task_name(change.run.key.job_id, change.run.key.task),
+            worker=worker.worker_id,
+            percent=change.percent,
+            outcome=outcome.value,
+        )
+
     def refresh(self, worker: Worker) -> None:
         """Read a worker's lists now: the next regular look may wait for an end."""
         link = self._state.links.get(worker.worker_id)
--- a/basilhold/workflows/roster.py
+++ b/basilhold/workflows/roster.py
@@ -122,6 +122,7 @@
         for run in list(worker.runs.values()):
             if run.stop_wanted and not run.stop_confirmed:
                 self._orders.stop(worker, run)
+        self._orders.adjust_pace(worker)
         if look.first or look.ends:
             self._state.plan_event.set()
         if look.ends:
