--- a/basilhold/workflows/planner.py
+++ b/basilhold/workflows/planner.py
@@ -11,15 +11,17 @@
 
 from basilhold.core import Resources, WorkerId
 from basilhold.workflows.admissions import AdmissionBook, StepAdmission, StepKey
-from basilhold.workflows.model import StepSpec, TaskKey, objective_ms
+from basilhold.workflows.model import (
+    WORKERS_PER_QUESTION,
+    StepSpec,
+    TaskKey,
+    objective_ms,
+)
 from basilhold.workflows.pool import Pool, Run, RunKey, Worker
 from basilhold.workflows.progress import Workflow
 
 __all__ = ["Placement", "Plan", "Preemption", "Question", "ReadyStep", "plan"]
 
-WORKERS_ASKED_MAX = 30
-"""Most workers named in a question; the service's time grows with each of them."""
-
 FAR_PENALTY = 2.0
 """Score of a worker away from the step's data, above any packing score."""
 
@@ -31,7 +33,9 @@
 
 SOON_MARGIN_MS = 300.0
 START_BY_TOLERANCE_MS = 250.0
-"""Estimates of run times are rough; a step this late may still end in time."""
+ESTIMATE_ERROR = 0.25
+"""Estimates of run times are rough; a step that is late by this share of its chain may
+still end in time."""
 
 SPEED_WEIGHT = 0.1
 URGENT_SPEED_WEIGHT = 0.3
@@ -172,7 +176,9 @@
     A step that cannot end in time any more is worth a fraction per core of what it
     was, so it yields to timely work of the next priorities.
     """
-    if now_unix_ms <= step.start_by_unix_ms + START_BY_TOLERANCE_MS:
+    chain_ms = step.due_unix_ms - step.start_by_unix_ms
+    tolerance_ms = START_BY_TOLERANCE_MS + ESTIMATE_ERROR * chain_ms
+    if now_unix_ms <= step.start_by_unix_ms + tolerance_ms:
         return step.priority
     objective = step.due_unix_ms - step.begin_unix_ms
     too_late = step.start_by_unix_ms + (LATE_FACTOR - 1) * objective
@@ -300,7 +306,7 @@
         if not unticketed:
             return
         unticketed.sort(key=lambda w: -w.free.cores_milli)
-        names = tuple(w.worker_id for w in unticketed[:WORKERS_ASKED_MAX])
+        names = tuple(w.worker_id for w in unticketed[:WORKERS_PER_QUESTION])
         self.result.questions.append(Question(step, names))
 
     def _claim_or_preempt(self, step: ReadyStep, workers: list[Worker]) -> list[Worker]:
--- a/basilhold/workflows/stewardship.py
+++ b/basilhold/workflows/stewardship.py
@@ -79,6 +79,7 @@
         self._handicap_ms = handicap_ms
         self._views: dict[ServiceName, OwnerView] = {}
         self._claim_at_ms: dict[ServiceName, float] = {}
+        self._owned_when_scheduled: dict[ServiceName, int] = {}
         self._owners: dict[ServiceName, ServiceOwner] = {}
         self._leases: dict[ServiceName, Lease] = {}
         self._members: dict[ProcessId, tuple[Member, float]] = {}
@@ -235,9 +236,13 @@
                 self._rng.random(),
             )
             self._claim_at_ms[service] = now_ms + (0.0 if own else delay_ms)
+            self._owned_when_scheduled[service] = len(self._owners)
         if now_ms < self._claim_at_ms[service]:
             return
         del self._claim_at_ms[service]
+        if len(self._owners) > self._owned_when_scheduled.get(service, 0):
+            # Another service was claimed meanwhile; the next look weighs that.
+            return
         await self._claim(service, view)
 
     async def _claim(self, service: ServiceName, view: OwnerView) -> None:
