--- a/basilhold/workflows/planner.py
+++ b/basilhold/workflows/planner.py
@@ -199,6 +199,7 @@
         self._usable = pool.usable(now_ms)
         self._claimed: dict[WorkerId, Resources] = {}
         self._asked: dict[WorkerId, Resources] = {}
+        self._drained: dict[WorkerId, list[tuple[int, Resources]]] = {}
         self.result = Plan([], [], [])
 
     def place(self, step: ReadyStep) -> None:
@@ -272,7 +273,7 @@
         avoided = step.workflow.task(key).avoided
         best, best_score = None, 0.0
         for worker in workers:
-            if not size.fits_in(self._room(worker)):
+            if not size.fits_in(self._room(worker, step)):
                 continue
             if spec.per_worker_max and self._left_on(step, worker) <= 0:
                 continue
@@ -285,9 +286,15 @@
                 best, best_score = worker, score
         return best
 
-    def _room(self, worker: Worker) -> Resources:
+    def _room(self, worker: Worker, step: ReadyStep) -> Resources:
+        room = worker.free
         claimed = self._claimed.get(worker.worker_id)
-        return worker.free - claimed if claimed else worker.free
+        if claimed:
+            room = room - claimed
+        for priority, size in self._drained.get(worker.worker_id, ()):
+            if priority < step.priority:
+                room = room - size
+        return room
 
     def _left_on(self, step: ReadyStep, worker: Worker) -> int:
         """Return how many more tasks of a step a worker may run."""
@@ -368,7 +375,7 @@
             if needed <= 0:
                 break
             most = min(needed, self._left_on(step, worker))
-            room = self._room(worker)
+            room = self._room(worker, step)
             if taken and worker.worker_id in taken:
                 room = room - taken[worker.worker_id]
             count = _times(room, size, most)
@@ -420,7 +427,11 @@
                 self.result.preemptions.append(Preemption(worker, run, step))
 
     def _drain_for(self, step: ReadyStep, workers: list[Worker]) -> None:
-        """Keep new work of later steps off the workers that a gang will get."""
+        """Keep new work of lower priority off the workers that a gang will get.
+
+        Work of the same priority may still use them: one gang that waits for a whole
+        worker must not keep smaller ones from its parts.
+        """
         size = step.spec.reserved()
         missing = len(step.keys)
         for worker in sorted(workers, key=lambda w: -w.free.cores_milli):
@@ -429,8 +440,8 @@
             capacity = worker.info.capacity
             count = _times(capacity, size, min(missing, self._left_on(step, worker)))
             if count:
-                claimed = self._claimed.get(worker.worker_id, Resources())
-                self._claimed[worker.worker_id] = claimed + size.scaled(count)
+                drained = self._drained.setdefault(worker.worker_id, [])
+                drained.append((step.priority, size.scaled(count)))
                 missing -= count
 
     def _victims(
@@ -438,7 +449,7 @@
     ) -> tuple[int, list[Run]]:
         """Return how many tasks fit on a worker once some runs have stopped."""
         size = step.spec.reserved()
-        have = self._room(worker)
+        have = self._room(worker, step)
         for run in worker.runs.values():
             if run.stop_wanted:
                 have = have + run.reserved
--- /dev/null
+++ b/basilhold/workflows/tests/test_planner.py
@@ -0,0 +1,136 @@
+"""Which steps start, wait, ask and preempt, without an owner or a network."""
+
+import unittest
+
+from basilhold.core import JobId, Resources, WorkerId
+from basilhold.workflows.admissions import AdmissionBook, StepKey
+from basilhold.workflows.model import AdvicePolicy, QueuePolicy, StepSpec, WorkflowSpec
+from basilhold.workflows.planner import plan, ready_step
+from basilhold.workflows.pool import Pool, RunStage, Worker, WorkerInfo
+from basilhold.workflows.progress import Workflow
+
+NOW_MS = 10_000.0
+ADVICE = AdvicePolicy(20.0, 0.2, 2_000.0)
+
+
+def policy_of(priority, advice=None):
+    return QueuePolicy(f"q{priority}", "s", priority, 3, 2.0, 1_000.0, advice)
+
+
+class PlannerTest(unittest.TestCase):
+    """Each test names the load or the failure that it is about."""
+
+    def setUp(self):
+        self.pool = Pool()
+        self.book = AdmissionBook()
+        self.count = 0
+
+    def add_worker(self, name, cores=8_000, gpus=0):
+        size = Resources(cores, 1 << 30, gpus)
+        worker = Worker(WorkerInfo(WorkerId(name), "h:1", 1, size))
+        worker.listed = True
+        self.pool.workers[worker.worker_id] = worker
+        return worker
+
+    def step(
+        self, cores, count=1, priority=1, advice=None, submitted_ms=NOW_MS, **more
+    ):
+        self.count += 1
+        step = StepSpec(count, Resources(cores), 1_000.0, **more)
+        policy = policy_of(priority, advice)
+        job_id = JobId(f"{self.count:016x}")
+        workflow = Workflow(WorkflowSpec(job_id, policy, "", (step,), submitted_ms))
+        return ready_step(workflow, 0, 0, workflow.step_keys(0, 0))
+
+    def plan(self, *steps):
+        return plan(list(steps), self.pool, self.book, NOW_MS, NOW_MS)
+
+    def run_on(self, worker, step, priority):
+        decided = self.plan(step)
+        for placement in decided.placements:
+            run = next(r for r in worker.runs.values() if r.key.task == placement.key)
+            run.stage = RunStage.RUNNING
+            run.priority = priority
+
+    def admit(self, step, *workers):
+        key = StepKey(step.workflow.job_id, 0, 0)
+        tickets = {WorkerId(name): "t" for name in workers}
+        self.book.record(key, tuple(self.pool.workers), tickets, 2_000.0, NOW_MS)
+
+    def test_capacity_is_never_exceeded(self):
+        worker = self.add_worker("a")
+        decided = self.plan(self.step(3_000, count=5))
+        self.assertEqual(len(decided.placements), 2)
+        self.assertEqual(worker.free.cores_milli, 2_000)
+
+    def test_urgent_steps_come_first(self):
+        self.add_worker("a", 4_000)
+        low, high = self.step(4_000, priority=2), self.step(4_000, priority=0)
+        (placement,) = self.plan(low, high).placements
+        self.assertIs(placement.step, high)
+
+    def test_late_step_yields_to_timely_work_of_the_next_priority(self):
+        self.add_worker("a", 4_000)
+        late = self.step(4_000, priority=0, submitted_ms=NOW_MS - 5_000)
+        timely = self.step(4_000, priority=1)
+        (placement,) = self.plan(late, timely).placements
+        self.assertIs(placement.step, timely)
+
+    def test_gang_starts_whole_or_not_at_all(self):
+        self.add_worker("a", 4_000)
+        gang = self.step(3_000, count=2, gang=True)
+        self.assertEqual(self.plan(gang).placements, [])
+        self.add_worker("b", 4_000)
+        self.assertEqual(len(self.plan(gang).placements), 2)
+
+    def test_gang_waiting_for_a_worker_does_not_block_its_own_priority(self):
+        worker = self.add_worker("a", 8_000)
+        self.run_on(worker, self.step(4_000), 1)
+        wide = self.step(4_000, count=2, gang=True, submitted_ms=NOW_MS - 100)
+        small, low = self.step(4_000, gang=True), self.step(1_000, priority=2)
+        decided = self.plan(wide, small, low)
+        self.assertEqual([p.step for p in decided.placements], [small])
+
+    def test_gang_preempts_lower_priority_only_if_that_makes_room(self):
+        worker = self.add_worker("a", 8_000)
+        self.run_on(worker, self.step(4_000, priority=2), 2)
+        self.run_on(worker, self.step(4_000, priority=1), 1)
+        self.assertEqual(self.plan(self.step(8_000, gang=True)).preemptions, [])
+        (preemption,) = self.plan(self.step(4_000, gang=True)).preemptions
+        self.assertEqual(preemption.run.priority, 2)
+
+    def test_no_question_without_room(self):
+        worker = self.add_worker("a", 4_000)
+        self.run_on(worker, self.step(4_000, priority=1), 1)
+        self.assertEqual(self.plan(self.step(4_000, advice=ADVICE)).questions, [])
+
+    def test_two_steps_do_not_ask_for_the_same_room(self):
+        self.add_worker("a", 4_000)
+        first, second = (self.step(4_000, advice=ADVICE) for _ in range(2))
+        self.assertEqual([q.step for q in self.plan(first, second).questions], [first])
+
+    def test_only_admitted_workers_are_used(self):
+        self.add_worker("a")
+        self.add_worker("b")
+        step = self.step(1_000, count=3, advice=ADVICE)
+        self.admit(step, "b")
+        decided = self.plan(step)
+        self.assertEqual({p.worker.worker_id for p in decided.placements}, {"b"})
+        self.assertEqual({p.ticket for p in decided.placements}, {"t"})
+
+    def test_step_limits_of_a_worker(self):
+        self.add_worker("a")
+        self.add_worker("b")
+        decided = self.plan(self.step(1_000, count=6, per_worker_max=2))
+        self.assertEqual(len(decided.placements), 4)
+        self.assertEqual(self.plan(self.step(1_000, label="gpu")).placements, [])
+
+    def test_draining_and_failing_workers_get_nothing(self):
+        worker = self.add_worker("a")
+        worker.avoid_until_ms = NOW_MS + 1
+        self.assertEqual(self.plan(self.step(1_000)).placements, [])
+        worker.avoid_until_ms = 0.0
+        worker.failed_runs = 3
+        self.assertEqual(len(self.plan(self.step(1_000)).placements), 1)
+        # One run proves whether it works again; the next waits for its outcome.
+        self.assertEqual(self.plan(self.step(1_000)).placements, [])
