--- a/basilhold/workflows/planner.py
+++ b/basilhold/workflows/planner.py
@@ -209,7 +209,8 @@
             return
         if step.workflow.spec.policy.advice is None:
             self._place_on(step, fits, None)
-            self._claim_or_preempt(step, fits)
+            if step.keys:
+                self._claim_or_preempt(step, fits)
             return
         known = self._book.step(step.key)
         ticketed = [w for w in fits if known.ticket(w.worker_id, self._now_ms)]
--- a/basilhold/workflows/tests/test_planner.py
+++ b/basilhold/workflows/tests/test_planner.py
@@ -6,7 +6,7 @@
 from basilhold.workflows.admissions import AdmissionBook, StepKey
 from basilhold.workflows.model import AdvicePolicy, QueuePolicy, StepSpec, WorkflowSpec
 from basilhold.workflows.planner import plan, ready_step
-from basilhold.workflows.pool import Pool, RunStage, Worker, WorkerInfo
+from basilhold.workflows.pool import Pool, RunKey, RunStage, Worker, WorkerInfo
 from basilhold.workflows.progress import Workflow
 
 NOW_MS = 10_000.0
@@ -45,12 +45,10 @@
     def plan(self, *steps):
         return plan(list(steps), self.pool, self.book, NOW_MS, NOW_MS)
 
-    def run_on(self, worker, step, priority):
-        decided = self.plan(step)
-        for placement in decided.placements:
-            run = next(r for r in worker.runs.values() if r.key.task == placement.key)
+    def run_on(self, worker, step):
+        for placement in self.plan(step).placements:
+            run = worker.runs[RunKey(step.workflow.job_id, placement.key)]
             run.stage = RunStage.RUNNING
-            run.priority = priority
 
     def admit(self, step, *workers):
         key = StepKey(step.workflow.job_id, 0, 0)
@@ -85,7 +83,7 @@
 
     def test_gang_waiting_for_a_worker_does_not_block_its_own_priority(self):
         worker = self.add_worker("a", 8_000)
-        self.run_on(worker, self.step(4_000), 1)
+        self.run_on(worker, self.step(4_000))
         wide = self.step(4_000, count=2, gang=True, submitted_ms=NOW_MS - 100)
         small, low = self.step(4_000, gang=True), self.step(1_000, priority=2)
         decided = self.plan(wide, small, low)
@@ -93,15 +91,15 @@
 
     def test_gang_preempts_lower_priority_only_if_that_makes_room(self):
         worker = self.add_worker("a", 8_000)
-        self.run_on(worker, self.step(4_000, priority=2), 2)
-        self.run_on(worker, self.step(4_000, priority=1), 1)
+        self.run_on(worker, self.step(4_000, priority=2))
+        self.run_on(worker, self.step(4_000, priority=1))
         self.assertEqual(self.plan(self.step(8_000, gang=True)).preemptions, [])
         (preemption,) = self.plan(self.step(4_000, gang=True)).preemptions
         self.assertEqual(preemption.run.priority, 2)
 
     def test_no_question_without_room(self):
         worker = self.add_worker("a", 4_000)
-        self.run_on(worker, self.step(4_000, priority=1), 1)
+        self.run_on(worker, self.step(4_000, priority=1))
         self.assertEqual(self.plan(self.step(4_000, advice=ADVICE)).questions, [])
 
     def test_two_steps_do_not_ask_for_the_same_room(self):
