--- a/basilhold/workflows/events.py
+++ b/basilhold/workflows/events.py
@@ -75,9 +75,7 @@
 WORKER_AVOIDED = Event(
     6041, EventLevel.WARNING, "worker={worker} avoided: {failures} failed runs in a row"
 )
-DEPENDENCY_LOST = Event(
-    6050, EventLevel.WARNING, "{dependency} does not answer: {reason}"
-)
+DEPENDENCY_LOST = Event(6050, EventLevel.WARNING, "{dependency} does not answer")
 DEPENDENCY_BACK = Event(
     6051, EventLevel.INFO, "{dependency} answers again after {after_ms} ms"
 )
--- a/basilhold/workflows/stewardship.py
+++ b/basilhold/workflows/stewardship.py
@@ -88,6 +88,7 @@
         self._member_renewed_ms = -1e9
         self._tasks = TaskSet()
         self._stopping = False
+        self._store_lost_ms: float | None = None
         self._poke = asyncio.Event()
         self.store_answered_ms = -1e9
 
@@ -165,11 +166,13 @@
         rows = await self._read_rows()
         now_ms = self._ports.clock.monotonic_ms()
         if rows is None:
+            self._note_store_lost(asked_ms)
             # A store that does not answer says nothing about the owners.
             for view in self._views.values():
                 view.since_ms = now_ms
             self._claim_at_ms.clear()
             return
+        self._note_store_back(now_ms)
         self.store_answered_ms = now_ms
         round_trip_ms = now_ms - asked_ms
         self._round_trip_ms += 0.3 * (round_trip_ms - self._round_trip_ms)
@@ -181,6 +184,17 @@
             await self._consider_claim(service, view, now_ms)
         await self._renew_member(now_ms)
 
+    def _note_store_lost(self, asked_ms: float) -> None:
+        if self._store_lost_ms is None:
+            self._store_lost_ms = asked_ms
+            log_event(events.DEPENDENCY_LOST, dependency="store")
+
+    def _note_store_back(self, now_ms: float) -> None:
+        if self._store_lost_ms is not None:
+            after_ms = round(now_ms - self._store_lost_ms)
+            log_event(events.DEPENDENCY_BACK, dependency="store", after_ms=after_ms)
+            self._store_lost_ms = None
+
     async def _read_rows(self) -> list[Row] | None:
         """Return changed rows, all rows at first, or ``None`` without an answer."""
         if self._version < 0:
