--- a/basilhold/cell/tests/test_metrics.py
+++ b/basilhold/cell/tests/test_metrics.py
@@ -26,6 +26,16 @@
 }
 """Set outside of the nodes; basilhold/programs/tests/test_daemons.py checks them."""
 
+SET_ON_THE_USERS_PLATFORM = {
+    "basilhold_log_lines_dropped_total",
+    "basilhold_workflow_advice_seconds",
+    "basilhold_workflow_commit_seconds",
+    "basilhold_workflow_runs_total",
+    "basilhold_workflow_seconds",
+    "basilhold_workflow_start_wait_seconds",
+}
+"""The tests of basilhold/workflows and basilhold/platform check them."""
+
 EVERY_DAEMON = {
     "basilhold_config_current",
     "basilhold_config_version",
@@ -180,7 +190,8 @@
         self.assertEqual(names["scheduler"], EVERY_DAEMON | SCHEDULER)
         self.assertEqual(names["relay"], EVERY_DAEMON | RELAY)
         declared = {entry.name for entry in METRICS}
-        self.assertEqual(set().union(*names.values()) | SET_BY_DAEMONS, declared)
+        elsewhere = SET_BY_DAEMONS | SET_ON_THE_USERS_PLATFORM
+        self.assertEqual(set().union(*names.values()) | elsewhere, declared)
         await self.stop()
 
     def check_gateway(self, text):
--- a/basilhold/platform/node.py
+++ b/basilhold/platform/node.py
@@ -54,7 +54,7 @@
 from basilhold.workflows.stewardship import Stewardship
 from basilhold.workflows.worker_link import OwnerLimits
 
-__all__ = ["NodeDaemon", "main"]
+__all__ = ["LogMetrics", "NodeDaemon", "main"]
 
 CONNECTIONS_MAX = 600
 """Exchanges at a time; each worker has one that waits for an end."""
@@ -93,7 +93,7 @@
         return time.clock_gettime(time.CLOCK_BOOTTIME) * 1000
 
 
-class _LogMetrics(MetricSource):
+class LogMetrics(MetricSource):
     """Tells how many log lines were dropped."""
 
     def __init__(self, output: BoundedOutput):
@@ -123,7 +123,7 @@
         )
         self._queues: QueueTable | None = None
         self._pages = make_status_pages(settings.node, STATE_DUMP_BYTES_MAX, ())
-        self._pages.metrics.add_source(_LogMetrics(output))
+        self._pages.metrics.add_source(LogMetrics(output))
         self._draining = False
         store = PlatformStore(self._pool, address_of(settings.platform.address))
         self._store = store
--- /dev/null
+++ b/basilhold/platform/tests/test_log_metrics.py
@@ -0,0 +1,21 @@
+import os
+import unittest
+
+from basilhold.observability import METRICS, BoundedOutput, Metrics
+from basilhold.platform.node import LogMetrics
+
+
+class LogMetricsTest(unittest.TestCase):
+    """Guards against log lines that are lost without a trace."""
+
+    def test_dropped_log_lines_are_told(self):
+        reader, writer = os.pipe()
+        self.addCleanup(os.close, reader)
+        self.addCleanup(os.close, writer)
+        output = BoundedOutput(writer, 1, lambda: 0.0)
+        for _ in range(3):
+            output.write("line\n")
+        metrics = Metrics(METRICS)
+        metrics.add_source(LogMetrics(output))
+        text = metrics.render()[0].decode()
+        self.assertRegex(text, r"(?m)^basilhold_log_lines_dropped_total\S* 2")
--- a/basilhold/testing/workflow_cell.py
+++ b/basilhold/testing/workflow_cell.py
@@ -170,6 +170,7 @@
         )
         self.clock = clock
         peers = _CellPeers(cell)
+        self.metrics = Metrics(METRICS)
         ports = OwnerPorts(
             self.table,
             self.table,
@@ -177,7 +178,7 @@
             MemoryRegistry(cell.runners, SERVICE),
             cell.advice,
             clock,
-            Metrics(METRICS),
+            self.metrics,
         )
         self.stewardship = Stewardship(
             ports,
