Draw the write ids of a cell's documents from its seed

Ruled out by runs: the order of sets (the hash seed is fixed), address randomisation (the same difference with it off), wall-clock reads (all messages between processes were equal; only one read of the store differed). The new test of the cell fails without the change.

--- a/basilhold/cell/cell.py
+++ b/basilhold/cell/cell.py
@@ -1,6 +1,7 @@
 """A cell over in-memory stand-ins of the platform."""
 
 import asyncio
+import random
 from collections.abc import Callable
 from typing import Self
 
@@ -87,6 +88,7 @@
         self.shape = shape
         self.clock = clock
         self._seed = seed
+        self._rng = random.Random(f"{seed}:documents")
         self._parts = parts or CellParts()
         self._start_count = 0
         self.table = MemoryTable(StoreFaults(seed))
@@ -150,12 +152,16 @@
 
     async def set_document(self, document: OfficeDocument) -> int:
         """Store an office's document as its operator would and return its version."""
-        store = ConfigStore(self.table, self.clock)
+        store = ConfigStore(self.table, self.clock, self._make_write_id)
         current = (await store.read(document.office)).ok
         base = current.info.version if current else 0
         request = ChangeRequest(document.office, "cell", base, document)
         return (await store.change(request)).ok.info.version
 
+    def _make_write_id(self) -> str:
+        # Stored versions are compressed, so their size depends on the id.
+        return f"{self._rng.getrandbits(64):016x}"
+
     def check(self) -> None:
         """Raise what has ended a process or was violated at an upstream.
 
--- a/basilhold/cell/tests/test_cell.py
+++ b/basilhold/cell/tests/test_cell.py
@@ -66,6 +66,22 @@
         cell.check()
         return cell
 
+    async def test_same_seed_stores_the_same_versions(self):
+        # Stored versions are compressed: with random write ids their size, and with
+        # it the bytes that a run counts, differed from run to run.
+        stored = []
+        for seed in (1, 1, 2):
+            cell = Cell(
+                example_shape("trakia"), Clock(VIRTUAL_EPOCH_UNIX_MS), seed=seed
+            )
+            for document in example_documents("trakia"):
+                await cell.set_document(document)
+            page = (await cell.table.scan("config-history/")).ok
+            stored.append([row.value for row in page.rows])
+        self.assertTrue(stored[0])
+        self.assertEqual(stored[0], stored[1])
+        self.assertNotEqual(stored[0], stored[2])
+
     async def test_request_and_job_run(self):
         cell = await self.ready_cell("trakia")
         nodes = next(iter(cell.entries.values()))
