Name spare workers and known admissions in later questions

Cause: after the first question a step asked only about the workers that it would take now, for one task about one worker. Ruled out: a lost owner, a full pool, a failing store; the log shows one owner and one question after the other with asked=1 admitted=0. A later question now names workers that are known to be admitted first, and as many spare ones with room as lengthen the answer by at most 15%.

--- a/basilhold/workflows/planner.py
+++ b/basilhold/workflows/planner.py
@@ -32,6 +32,11 @@
 """A stop takes up to 400 ms, and a start another round trip and a commit."""
 
 SOON_MARGIN_MS = 300.0
+
+SPARE_ANSWER_SHARE = 0.15
+"""How much longer an answer may take for workers beyond those that are needed. Asking
+again after a refusal takes the whole answering time."""
+
 START_BY_TOLERANCE_MS = 250.0
 ESTIMATE_ERROR = 0.25
 """Estimates of run times are rough; a step that is late by this share of its chain may
@@ -222,11 +227,11 @@
             if self._may_find_room(step, fits):
                 self._ask(step, fits, known)
             return
-        admitted = [w for w in fits if w.worker_id not in known.refused]
-        claimed = self._claim_or_preempt(step, admitted)
-        if not claimed and step.spec.gang and self._has_room_soon(step, admitted):
-            claimed = admitted
-        self._ask(step, claimed, known)
+        possible = [w for w in fits if w.worker_id not in known.refused]
+        claimed = self._claim_or_preempt(step, possible, known)
+        if not claimed and step.spec.gang and self._has_room_soon(step, possible):
+            claimed = possible
+        self._ask(step, claimed, known, possible)
 
     def _may_find_room(self, step: ReadyStep, workers: list[Worker]) -> bool:
         """Return whether an answer could be used before its tickets expire.
@@ -306,27 +311,74 @@
         return step.spec.per_worker_max - count
 
     def _ask(
-        self, step: ReadyStep, workers: list[Worker], known: StepAdmission
+        self,
+        step: ReadyStep,
+        workers: list[Worker],
+        known: StepAdmission,
+        spares: list[Worker] | None = None,
     ) -> None:
+        """Ask about workers, and about some spare ones in case those are refused."""
         if known.asking or self._now_ms < known.retry_ms or not workers:
             return
         unticketed = [w for w in workers if not known.ticket(w.worker_id, self._now_ms)]
         if not unticketed:
             return
         unticketed.sort(key=lambda w: -w.free.cores_milli)
-        names = tuple(w.worker_id for w in unticketed[:WORKERS_PER_QUESTION])
-        self.result.questions.append(Question(step, names))
+        names = [w.worker_id for w in unticketed]
+        names += self._spare_names(step, known, spares or [], names)
+        question = Question(step, tuple(names[:WORKERS_PER_QUESTION]))
+        self.result.questions.append(question)
+
+    def _spare_names(
+        self,
+        step: ReadyStep,
+        known: StepAdmission,
+        workers: list[Worker],
+        named: list[WorkerId],
+    ) -> list[WorkerId]:
+        """Return more workers with room, as many as cost little beside the answer."""
+        policy = step.workflow.spec.policy.advice
+        most = WORKERS_PER_QUESTION
+        if policy.each_ms > 0:
+            share_ms = SPARE_ANSWER_SHARE * policy.decide_ms
+            most = min(most, int(share_ms / policy.each_ms))
+        size = step.spec.reserved()
+        spares = [
+            w
+            for w in workers
+            if w.worker_id not in named
+            and not known.ticket(w.worker_id, self._now_ms)
+            and size.fits_in(self._room(w, step))
+        ]
+        spares.sort(
+            key=lambda w: (w.worker_id not in known.admitted, -w.free.cores_milli)
+        )
+        return [w.worker_id for w in spares[:most]]
 
-    def _claim_or_preempt(self, step: ReadyStep, workers: list[Worker]) -> list[Worker]:
+    def _claim_or_preempt(
+        self,
+        step: ReadyStep,
+        workers: list[Worker],
+        known: StepAdmission | None = None,
+    ) -> list[Worker]:
         """Keep room for a step's waiting tasks from the steps after it.
 
+        Workers that are known to be admitted come first.
+
         Returns
         -------
         list of Worker
             Those that have room now.
         """
         needed = len(step.keys)
-        free = self._free_slots(step, workers, needed)
+        if known is not None:
+            admitted = [w for w in workers if w.worker_id in known.admitted]
+            free = self._free_slots(step, admitted, needed)
+            others = [w for w in workers if w.worker_id not in known.admitted]
+            missing = needed - sum(free.values())
+            free |= self._free_slots(step, others, missing)
+        else:
+            free = self._free_slots(step, workers, needed)
         count = sum(free.values())
         enough = count >= needed
         if count and (enough or not step.spec.gang):
--- a/basilhold/workflows/tests/test_planner.py
+++ b/basilhold/workflows/tests/test_planner.py
@@ -116,6 +116,30 @@
         self.assertEqual({p.worker.worker_id for p in decided.placements}, {"b"})
         self.assertEqual({p.ticket for p in decided.placements}, {"t"})
 
+    def test_second_question_names_more_workers_than_needed(self):
+        # A question about the one needed worker was refused ten times on end, each
+        # after 0.9 s, while 125 other workers had room: a task that lasts stood still.
+        for number in range(12):
+            self.add_worker(f"w{number:02}", 8_000 if number < 11 else 1_000)
+        step = self.step(2_000, advice=AdvicePolicy(150.0, 2.2, 2_000.0))
+        key = StepKey(step.workflow.job_id, 0, 0)
+        self.book.record(key, (WorkerId("w00"),), {}, 2_000.0, NOW_MS)
+        (question,) = self.plan(step).questions
+        self.assertEqual(len(question.workers), 10)
+        self.assertNotIn("w00", question.workers)
+        self.assertNotIn("w11", question.workers)
+
+    def test_worker_known_to_be_admitted_is_asked_about_first(self):
+        for name in ("a", "b", "c"):
+            self.add_worker(name)
+        self.add_worker("d", 16_000)
+        step = self.step(2_000, advice=AdvicePolicy(0.0, 5.0, 2_000.0))
+        key = StepKey(step.workflow.job_id, 0, 0)
+        asked = (WorkerId("a"), WorkerId("d"))
+        self.book.record(key, asked, {WorkerId("d"): "t"}, 100.0, NOW_MS)
+        (question,) = self.plan(step).questions
+        self.assertEqual(question.workers, ("d",))
+
     def test_step_limits_of_a_worker(self):
         self.add_worker("a")
         self.add_worker("b")
