Keep each row of progress below the store's bound

Cause, found by reading the code: a workflow's progress was one row of any length, about 41 KB at 1,000 tasks and 419 KB at the accepted 10,000, while the store takes 65,536 bytes as base64. The commit was refused as invalid and repeated for ever, so one wide job stopped its whole service. Progress is now kept in chunks of 64 tasks, of which only changed ones are written. A submission that no row holds is refused with 400. A commit that the store calls invalid ends the lease with event 6061; an unexpected 5xx counts as unknown, not as invalid. A refusal or advice that cannot be read no longer ends the owner, and a checkpoint above 256 characters is not kept. Deleting an old workflow takes several commits where its rows exceed one, its submission last. The stand-in of the store now refuses such rows; the test of a workflow of 1,800 tasks with a killed owner stays RUNNING on the code before and completes now.

--- a/basilhold/platform/bodies.py
+++ b/basilhold/platform/bodies.py
@@ -11,6 +11,7 @@
     StepSpec,
     WorkflowSpec,
 )
+from basilhold.workflows.progress import ROW_BYTES_MAX
 from basilhold.workflows.routes import QueueRoute, QueueTable
 
 __all__ = ["decode_configuration", "decode_workflow"]
@@ -129,9 +130,23 @@
 
 
 def decode_workflow(
-    job_id: JobId, policy: QueuePolicy, body: bytes, now_unix_ms: float
+    job_id: JobId,
+    policy: QueuePolicy,
+    body: bytes,
+    now_unix_ms: float,
+    row_bytes_max: int = ROW_BYTES_MAX,
 ) -> Result[WorkflowSpec, str]:
-    """Return the submitted workflow, or why it cannot be accepted."""
+    """Return the submitted workflow, or why it cannot be accepted.
+
+    Parameters
+    ----------
+    job_id : JobId
+    policy : QueuePolicy
+    body : bytes
+    now_unix_ms : float
+    row_bytes_max : int
+        Largest value of a row in the store, which has to hold the workflow.
+    """
     try:
         job = _JOB.decode(body)
     except msgspec.DecodeError as error:
@@ -139,18 +154,19 @@
     problem = _problem(job)
     if problem:
         return Error(problem)
-    return Ok(
-        WorkflowSpec(
-            job_id,
-            policy,
-            job.spec,
-            tuple(_step(step) for step in job.steps),
-            now_unix_ms,
-            job.first_ms,
-            job.interval_ms,
-            job.repeat_count,
-        )
+    spec = WorkflowSpec(
+        job_id,
+        policy,
+        job.spec,
+        tuple(_step(step) for step in job.steps),
+        now_unix_ms,
+        job.first_ms,
+        job.interval_ms,
+        job.repeat_count,
     )
+    if len(msgspec.json.encode(spec)) > row_bytes_max:
+        return Error(f"a job has at most {row_bytes_max} bytes when it is stored")
+    return Ok(spec)
 
 
 def _problem(job: _JobBody) -> str:
--- a/basilhold/platform/callers.py
+++ b/basilhold/platform/callers.py
@@ -67,7 +67,13 @@
             return
         clock = self._server.clock
         policy = self._route.policy
-        decoded = decode_workflow(job_id, policy, self.request.body, clock.unix_ms())
+        decoded = decode_workflow(
+            job_id,
+            policy,
+            self.request.body,
+            clock.unix_ms(),
+            self._server.row_bytes_max,
+        )
         if decoded.is_error():
             self._reply(400, {"error": decoded.error})
             return
@@ -158,6 +164,8 @@
     queues : callable
         Returns the newest configuration, or ``None`` before the first.
     clock : Clock
+    row_bytes_max : int
+        Largest value of a row in the store.
     """
 
     def __init__(
@@ -165,8 +173,10 @@
         front: WorkflowFront,
         queues: Callable[[], QueueTable | None],
         clock: Clock,
+        row_bytes_max: int,
     ):
         self.front = front
+        self.row_bytes_max = row_bytes_max
         self.queues = queues
         self.clock = clock
         self.in_flight = 0
--- a/basilhold/platform/node.py
+++ b/basilhold/platform/node.py
@@ -153,14 +153,16 @@
             BootClock(),
             Member(ProcessId(settings.node), endpoint, region),
             Incarnation(secrets.token_hex(8)),
-            OwnerLimits(hold_ms, wait_ms, forget_ms),
+            OwnerLimits(hold_ms, wait_ms, forget_ms, settings.row_bytes_max),
             lambda: self._queues.services if self._queues else (),
             random.Random(secrets.randbits(64)),
             peers,
             _handicap_ms(settings),
         )
         self.front = WorkflowFront(store, self.stewardship, peers, advice, self._clock)
-        self._callers = CallerServer(self.front, lambda: self._queues, self._clock)
+        self._callers = CallerServer(
+            self.front, lambda: self._queues, self._clock, settings.row_bytes_max
+        )
         self._ready = make_ready_server(self._is_ready)
         self._peer_server = make_peer_server(self.front)
         self._status = HTTPServer(status_application(self._pages))
--- a/basilhold/platform/runners.py
+++ b/basilhold/platform/runners.py
@@ -36,6 +36,9 @@
 """A round trip between regions takes 60 ms; an order without a reply by then is
 unlikely to get one."""
 
+CHECKPOINT_MAX = 256
+"""Longest checkpoint that is stored, in characters; the platform's have 16."""
+
 HOLD_MARGIN_MS = 700
 ADVICE_TIMEOUT_MS = 3_500
 """A question may wait for its turn."""
@@ -194,7 +197,10 @@
     if reply.status == 200:
         return CallOutcome.DONE
     if reply.status == 409:
-        reason = _REFUSAL.decode(reply.body).reason
+        try:
+            reason = _REFUSAL.decode(reply.body).reason
+        except msgspec.DecodeError:
+            return CallOutcome.REJECTED
         return _OUTCOMES.get(reason, CallOutcome.REJECTED)
     if reply.status == 421:
         return CallOutcome.ABSENT
@@ -208,18 +214,23 @@
     return RunKey(JobId(job_id), TaskKey(int(occurrence), int(step), int(index)))
 
 
+def _short(checkpoint: str) -> str:
+    """Return a checkpoint, or an empty string for one that would not fit our rows."""
+    return checkpoint if checkpoint and len(checkpoint) <= CHECKPOINT_MAX else ""
+
+
 def _listing(reply: _HoldReply) -> Listing:
     running = []
     for name, run, checkpoint, percent, *usage in reply.running:
         figure = float(usage[0]) if usage else 0.0
         key = _parse_name(name)
         running.append(
-            ListedRun(key, RunNumber(run), checkpoint or "", int(percent), figure)
+            ListedRun(key, RunNumber(run), _short(checkpoint), int(percent), figure)
         )
     ended = []
     for number, name, run, how, checkpoint in reply.finished:
         key = _parse_name(name)
-        end = RunEnd(key.task, RunNumber(run), EndKind(how), checkpoint or "")
+        end = RunEnd(key.task, RunNumber(run), EndKind(how), _short(checkpoint))
         ended.append(ListedEnd(number, key, end))
     return Listing(reply.clock_ms, reply.born, tuple(running), tuple(ended))
 
@@ -344,5 +355,8 @@
             return Error(result.error.reason)
         if result.ok.status != 200:
             return Error(f"status {result.ok.status}")
-        reply = msgspec.json.decode(result.ok.body, type=_AdviceReply)
+        try:
+            reply = msgspec.json.decode(result.ok.body, type=_AdviceReply)
+        except msgspec.DecodeError as error:
+            return Error(f"the reply cannot be read: {error}")
         return Ok(Admission({WorkerId(i): ticket for i, ticket in reply.admitted}))
--- a/basilhold/platform/settings.py
+++ b/basilhold/platform/settings.py
@@ -36,8 +36,11 @@
     link_mbps: float = 1_000.0
 
 
-class _Address(msgspec.Struct):
+class _Store(msgspec.Struct):
+    """`row_bytes` bounds a row's value as base64."""
+
     address: str = ""
+    row_bytes: int = 65_536
 
 
 class PlatformSettings(msgspec.Struct):
@@ -51,8 +54,8 @@
     port_range : tuple of int
         First and last port for traffic between our processes.
     listen, bounds, limits, platform : Struct
-        Listening addresses, figures of the rules, size of the machine, address of the
-        store.
+        Listening addresses, figures of the rules, size of the machine, address and
+        limits of the store.
     advice : str
         ``host:port`` of the advice service; empty if there is none.
     """
@@ -62,12 +65,17 @@
     zone: str
     port_range: tuple[int, int]
     listen: _Listen
-    platform: _Address
+    platform: _Store
     region: str = ""
     limits: _Limits = msgspec.field(default_factory=_Limits)
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
     advice: str = ""
 
+    @property
+    def row_bytes_max(self) -> int:
+        """Largest value of a row in the store, in bytes."""
+        return self.platform.row_bytes // 4 * 3
+
 
 def read_settings(path: str | None = None) -> Result[PlatformSettings, str]:
     """Return the settings in the file that the environment names."""
--- a/basilhold/platform/store.py
+++ b/basilhold/platform/store.py
@@ -215,8 +215,12 @@
         if status in (200, _STATUS_CONFLICT, _STATUS_GONE):
             return result
         # Refusals for load or for an outage say that nothing was done.
-        refused = status in (429, 503, 507)
-        kind = StoreErrorKind.NOT_APPLIED if refused else StoreErrorKind.INVALID
+        if status in (429, 503, 507):
+            kind = StoreErrorKind.NOT_APPLIED
+        elif status >= 500:
+            kind = StoreErrorKind.UNKNOWN
+        else:
+            kind = StoreErrorKind.INVALID
         return Error(StoreError(kind, f"status {status}"))
 
 
--- a/basilhold/platform/tests/test_bodies.py
+++ b/basilhold/platform/tests/test_bodies.py
@@ -62,6 +62,14 @@
             with self.subTest(body=body[:40]):
                 self.assertTrue(self.decode(body).error)
 
+    def test_job_that_no_row_holds_is_refused(self):
+        # A row above the store's bound was tried again for ever.
+        step = b'{"count":1,"image":"' + b"x" * 1_000 + b'"}'
+        steps = b",".join([step] * 60)
+        self.assertTrue(self.decode(b'{"steps":[' + steps + b"]}").error)
+        few = b",".join([step] * 40)
+        self.assertTrue(self.decode(b'{"steps":[' + few + b"]}").is_ok())
+
     def test_configuration(self):
         value = (
             b'{"version":7,"routes":[{"name":"r","host":"h.example","path_prefix":"/a/",'
--- a/basilhold/platform/tests/test_runners.py
+++ b/basilhold/platform/tests/test_runners.py
@@ -48,6 +48,7 @@
             ((409, {"reason": "late"}), CallOutcome.LATE),
             ((409, {"reason": "room"}), CallOutcome.NO_ROOM),
             ((409, {"reason": "ticket"}), CallOutcome.BAD_TICKET),
+            ((409, {"reason": 5}), CallOutcome.REJECTED),
             ((400, {}), CallOutcome.REJECTED),
             ((421, {}), CallOutcome.ABSENT),
             ((429, {}), CallOutcome.UNAVAILABLE),
--- a/basilhold/standins/feed_table.py
+++ b/basilhold/standins/feed_table.py
@@ -1,6 +1,6 @@
 """In-memory table service with one version counter and a feed of changes."""
 
-from expression import Ok, Result
+from expression import Error, Ok, Result
 
 from basilhold.ports import (
     ABSENT,
@@ -9,6 +9,8 @@
     Row,
     ScanPage,
     StoreError,
+    StoreErrorKind,
+    Transaction,
     Write,
 )
 from basilhold.standins.faults import StoreFaults
@@ -17,6 +19,10 @@
 __all__ = ["FeedTable"]
 
 
+ROW_BYTES_MAX = 49_152
+"""Largest value of a row: 65,536 bytes as base64."""
+
+
 class FeedTable(MemoryTable, ChangeFeed):
     """Table service whose versions come from one counter.
 
@@ -36,6 +42,16 @@
         self._history.clear()
         self._history_from = self._version
 
+    def transact_now(
+        self, transaction: Transaction
+    ) -> Result[dict[str, int], StoreError]:
+        """Apply a transaction, unless a row is too large."""
+        for write in transaction.writes:
+            if len(write.value or b"") > ROW_BYTES_MAX:
+                reason = f"{write.key} has {len(write.value)} bytes"
+                return Error(StoreError(StoreErrorKind.INVALID, reason))
+        return super().transact_now(transaction)
+
     def scan_now(
         self, prefix: str, after: str = "", limit: int = 500
     ) -> Result[ScanPage, StoreError]:
--- a/basilhold/workflows/commits.py
+++ b/basilhold/workflows/commits.py
@@ -3,13 +3,16 @@
 import asyncio
 import contextlib
 from collections.abc import Callable
+from typing import NamedTuple
+
+import msgspec
 
 from basilhold.core import JobId
 from basilhold.ports import Write
 from basilhold.workflows.owner_state import LeaseLostError, OwnerState
 from basilhold.workflows.ownership import CommitOutcome
 from basilhold.workflows.planner import Placement
-from basilhold.workflows.progress import Workflow
+from basilhold.workflows.progress import Workflow, WorkflowState
 from basilhold.workflows.rows import cancel_key, progress_key, spec_key
 
 __all__ = ["Committer"]
@@ -30,6 +33,21 @@
 FORGET_ROWS_MAX = 30
 
 
+class _ChunkKey(NamedTuple):
+    """Names one row of a workflow's progress."""
+
+    job_id: JobId
+    chunk: int
+
+
+class _Batch(msgspec.Struct):
+    """What one commit stores."""
+
+    keys: list[_ChunkKey] = []
+    writes: tuple[Write, ...] = ()
+    states: dict[JobId, WorkflowState] = {}
+
+
 class Committer:
     """Commits progress in batches, one after another.
 
@@ -46,14 +64,15 @@
     def __init__(self, state: OwnerState, send_start: Callable[[Placement], None]):
         self._state = state
         self._send_start = send_start
-        self._dirty: dict[JobId, Workflow] = {}
+        self._dirty: dict[_ChunkKey, Workflow] = {}
         self._starts: list[Placement] = []
         self._lock = asyncio.Lock()
         self._wake = asyncio.Event()
 
     def mark(self, workflow: Workflow) -> None:
         """Store a workflow's progress with the next commit."""
-        self._dirty[workflow.job_id] = workflow
+        for chunk in workflow.take_changed():
+            self._dirty[_ChunkKey(workflow.job_id, chunk)] = workflow
         self._wake.set()
 
     def start_after_commit(self, placement: Placement) -> None:
@@ -80,41 +99,45 @@
         """Give up the lease with a last commit; return whether it was stored."""
         async with self._lock:
             await self._state.tasks.cancel()
-            changed = list(self._dirty.values())[:ROWS_PER_COMMIT]
-            writes = tuple(self._write_of(workflow) for workflow in changed)
-            outcome = await self._state.lease.commit(writes, released=True)
+            batch = self._take_batch()
+            outcome = await self._state.lease.commit(batch.writes, released=True)
         return outcome is CommitOutcome.DONE
 
-    async def _commit_batch(self) -> None:
-        self._wake.clear()
-        batch: dict[JobId, Workflow] = {}
-        writes: list[Write] = []
+    def _take_batch(self) -> "_Batch":
+        """Return as many changes as one commit holds."""
+        batch = _Batch()
+        limits = self._state.limits
         size = 0
-        for job_id, workflow in self._dirty.items():
-            write = self._write_of(workflow)
-            if writes and size + len(write.value) > BYTES_PER_COMMIT:
+        for key, workflow in self._dirty.items():
+            value = workflow.encode(key.chunk, limits.row_bytes_max)
+            size += len(value)
+            full = size > BYTES_PER_COMMIT or len(batch.keys) == ROWS_PER_COMMIT
+            if batch.keys and full:
                 break
-            if len(writes) == ROWS_PER_COMMIT:
-                break
-            size += len(write.value)
-            writes.append(write)
-            batch[job_id] = workflow
-        for job_id in batch:
-            del self._dirty[job_id]
+            name = progress_key(self._state.service, key.job_id, key.chunk)
+            batch.writes += (Write(name, value),)
+            batch.keys.append(key)
+            if not key.chunk:
+                batch.states[key.job_id] = workflow.state
+        for key in batch.keys:
+            del self._dirty[key]
+        return batch
+
+    async def _commit_batch(self) -> None:
+        self._wake.clear()
+        batch = self._take_batch()
         whole = not self._dirty
-        starts = [p for p in self._starts if p.step.workflow.job_id not in self._dirty]
-        self._starts = [
-            p for p in self._starts if p.step.workflow.job_id in self._dirty
-        ]
-        states = {job_id: workflow.state for job_id, workflow in batch.items()}
+        unstored = {key.job_id for key in self._dirty}
+        starts = [p for p in self._starts if p.step.workflow.job_id not in unstored]
+        self._starts = [p for p in self._starts if p.step.workflow.job_id in unstored]
         ends = {link: link.worker.processed for link in self._state.links.values()}
         begin_ms = self._state.clock.monotonic_ms()
-        if await self._state.lease.commit(tuple(writes)) is CommitOutcome.LOST:
+        if await self._state.lease.commit(batch.writes) is CommitOutcome.LOST:
             raise LeaseLostError("a commit found another owner")
         took_ms = self._state.clock.monotonic_ms() - begin_ms
         self._state.observe("basilhold_workflow_commit_seconds", took_ms)
         self._state.book.note_commit(took_ms)
-        self._state.visible.update(states)
+        self._state.visible.update(batch.states)
         for placement in starts:
             self._send_start(placement)
         if whole:
@@ -127,30 +150,35 @@
         """Delete the rows of workflows that ended long ago."""
         while True:
             await asyncio.sleep(FORGET_INTERVAL_MS / 1000)
+            unstored = {key.job_id for key in self._dirty}
             before_ms = self._state.clock.unix_ms() - self._state.limits.forget_after_ms
             old = [
-                workflow.job_id
+                workflow
                 for workflow in self._state.workflows.values()
                 if workflow.state.is_final
                 and workflow.ended_unix_ms < before_ms
-                and workflow.job_id not in self._dirty
+                and workflow.job_id not in unstored
                 and not workflow.assigned()
             ][:FORGET_ROWS_MAX]
             if not old:
                 continue
-            writes: list[Write] = []
-            for job_id in old:
-                writes.append(Write(progress_key(self._state.service, job_id), None))
-                writes.append(Write(spec_key(self._state.service, job_id), None))
-                writes.append(Write(cancel_key(self._state.service, job_id), None))
-            async with self._lock:
-                outcome = await self._state.lease.commit(tuple(writes))
-            if outcome is CommitOutcome.LOST:
-                raise LeaseLostError("a commit found another owner")
-            for job_id in old:
-                del self._state.workflows[job_id]
-                self._state.visible.pop(job_id, None)
-
-    def _write_of(self, workflow: Workflow) -> Write:
-        key = progress_key(self._state.service, workflow.job_id)
-        return Write(key, workflow.encode())
+            writes = [Write(key, None) for w in old for key in self._keys_of(w)]
+            for first in range(0, len(writes), ROWS_PER_COMMIT):
+                piece = tuple(writes[first : first + ROWS_PER_COMMIT])
+                async with self._lock:
+                    outcome = await self._state.lease.commit(piece)
+                if outcome is CommitOutcome.LOST:
+                    raise LeaseLostError("a commit found another owner")
+            for workflow in old:
+                del self._state.workflows[workflow.job_id]
+                self._state.visible.pop(workflow.job_id, None)
+
+    def _keys_of(self, workflow: Workflow) -> list[str]:
+        """Return the keys of a workflow; its submission, which leads to the rest, last.
+
+        An interrupted deletion is thus taken up again by the next owner.
+        """
+        service, job_id = self._state.service, workflow.job_id
+        chunks = range(workflow.chunk_count - 1, -1, -1)
+        keys = [progress_key(service, job_id, chunk) for chunk in chunks]
+        return [*keys, cancel_key(service, job_id), spec_key(service, job_id)]
--- a/basilhold/workflows/events.py
+++ b/basilhold/workflows/events.py
@@ -85,3 +85,10 @@
     "row {key} cannot be read: {reason}; it is left alone",
     "Report it.",
 )
+COMMIT_INVALID = Event(
+    6061,
+    EventLevel.ERROR,
+    "service={service} the store refused a commit of {rows} rows for good: {reason}; "
+    "the service is given up",
+    "Report it.",
+)
--- a/basilhold/workflows/owner.py
+++ b/basilhold/workflows/owner.py
@@ -353,6 +353,4 @@
         """Let a task's next run start elsewhere if another worker can run it."""
         workflow = self._state.workflows.get(run.key.job_id)
         if workflow is not None:
-            avoided = workflow.task(run.key.task).avoided
-            if worker.worker_id not in avoided:
-                avoided.append(worker.worker_id)
+            workflow.avoid(run.key.task, worker.worker_id)
--- a/basilhold/workflows/ownership.py
+++ b/basilhold/workflows/ownership.py
@@ -13,6 +13,7 @@
 from expression import Error, Ok, Result
 
 from basilhold.core import Epoch, ProcessId, ServiceName
+from basilhold.observability import log_event
 from basilhold.ports import (
     ABSENT,
     Condition,
@@ -22,6 +23,7 @@
     Transaction,
     Write,
 )
+from basilhold.workflows import events
 from basilhold.workflows.rows import Incarnation, OwnerRecord, owner_key
 
 __all__ = [
@@ -188,7 +190,8 @@
     ) -> CommitOutcome:
         """Apply writes and renew the lease.
 
-        Waits until the outcome is known, however long the store does not answer.
+        Waits until the outcome is known, however long the store does not answer. A
+        transaction that the store calls invalid ends the lease.
         """
         record = msgspec.structs.replace(
             self.record, sequence=self.record.sequence + 1, released=released
@@ -210,6 +213,15 @@
                 if unknown and await self._was_applied(record, first_sent_ms):
                     return CommitOutcome.DONE
                 break
+            if kind is StoreErrorKind.INVALID:
+                # Repeating it would block the service for good.
+                log_event(
+                    events.COMMIT_INVALID,
+                    service=self.service,
+                    rows=len(transaction.writes),
+                    reason=result.error.reason,
+                )
+                break
             if kind is StoreErrorKind.UNKNOWN:
                 unknown = True
             elif not unknown:
--- a/basilhold/workflows/progress.py
+++ b/basilhold/workflows/progress.py
@@ -9,6 +9,8 @@
 from basilhold.workflows.model import RunNumber, TaskKey, WorkflowSpec
 
 __all__ = [
+    "CHUNK_TASKS",
+    "ROW_BYTES_MAX",
     "EndKind",
     "RunEnd",
     "TaskProgress",
@@ -18,6 +20,14 @@
 ]
 
 
+CHUNK_TASKS = 64
+"""Tasks in one row of progress. At 500 bytes a task, with the longest ids and
+checkpoints, a chunk stays below the smallest row that a store must take."""
+
+ROW_BYTES_MAX = 49_152
+"""Largest value of a row that every store takes: 65,536 bytes as base64."""
+
+
 class TaskStage(Enum):
     """Where a task stands. `ASSIGNED` is stored before the start is sent."""
 
@@ -123,6 +133,13 @@
         self.state = WorkflowState.QUEUED
         self.ended_unix_ms = 0.0
         self._tasks: dict[TaskKey, TaskProgress] = {}
+        self._chunk_keys: dict[int, list[TaskKey]] = {}
+        self._changed: set[int] = set()
+        self._offsets: list[int] = []
+        self._width = 0
+        for step in spec.steps:
+            self._offsets.append(self._width)
+            self._width += step.task_count
         self._open: dict[tuple[int, int], int] = {}
         for occurrence in range(spec.occurrence_count):
             for number, step in enumerate(spec.steps):
@@ -134,12 +151,40 @@
         return self.spec.job_id
 
     def task(self, key: TaskKey) -> TaskProgress:
-        """Return the progress of a task, which callers may change."""
+        """Return the progress of a task."""
         task = self._tasks.get(key)
         if task is None:
-            task = self._tasks[key] = TaskProgress(avoided=[])
+            task = TaskProgress(avoided=[])
+            self._add(key, task)
         return task
 
+    def _add(self, key: TaskKey, task: TaskProgress) -> None:
+        self._tasks[key] = task
+        self._chunk_keys.setdefault(self.chunk_of(key), []).append(key)
+
+    def chunk_of(self, key: TaskKey) -> int:
+        """Return the chunk of the progress that holds a task."""
+        place = key.occurrence * self._width + self._offsets[key.step] + key.index
+        return place // CHUNK_TASKS
+
+    @property
+    def chunk_count(self) -> int:
+        """Number of chunks of the progress."""
+        return -(-self._width * self.spec.occurrence_count // CHUNK_TASKS)
+
+    def take_changed(self) -> list[int]:
+        """Return the chunks that changed since the last call, the first one first."""
+        changed = sorted(self._changed)
+        self._changed.clear()
+        return changed
+
+    def avoid(self, key: TaskKey, worker_id: WorkerId) -> None:
+        """Let a task's next runs start elsewhere if another worker can run it."""
+        avoided = self.task(key).avoided
+        if worker_id not in avoided:
+            avoided.append(worker_id)
+            self._changed.add(self.chunk_of(key))
+
     def has_task(self, key: TaskKey) -> bool:
         """Return whether the specification names the task."""
         steps = self.spec.steps
@@ -153,11 +198,6 @@
         """Return whether all tasks of a step are done."""
         return self._open[occurrence, step] == 0
 
-    def done_steps(self, occurrence: int) -> frozenset[int]:
-        """Return the steps of an occurrence whose tasks are all done."""
-        count = len(self.spec.steps)
-        return frozenset(i for i in range(count) if self.step_done(occurrence, i))
-
     def ready_steps(self, now_unix_ms: float) -> Iterator[tuple[int, int]]:
         """Yield occurrence and number of the steps whose tasks may run now."""
         if self.state.is_final:
@@ -202,8 +242,10 @@
         task.stage = TaskStage.ASSIGNED
         task.run = run
         task.worker_id = worker_id
+        self._changed.add(self.chunk_of(key))
         if self.state is WorkflowState.QUEUED:
             self.state = WorkflowState.RUNNING
+            self._changed.add(0)
 
     def next_run(self, keys: list[TaskKey]) -> RunNumber:
         """Return a run number above all earlier runs of the tasks."""
@@ -218,6 +260,7 @@
         task = self.task(end.key)
         if task.stage is not TaskStage.ASSIGNED or task.run != end.run:
             return False
+        self._changed.add(self.chunk_of(end.key))
         if self.state.is_final:
             task.stage = TaskStage.PENDING
             return True
@@ -244,6 +287,7 @@
                 task.stage = TaskStage.DONE
                 task.worker_id = WorkerId("")
                 task.checkpoint = ""
+                self._changed.add(self.chunk_of(key))
                 self._open[key.occurrence, key.step] -= 1
         if not any(self._open.values()):
             self._end(WorkflowState.COMPLETED, now_unix_ms)
@@ -256,13 +300,13 @@
         if step.gang:
             key = TaskKey(key.occurrence, key.step, 0)
         task = self.task(key)
-        if worker_id not in task.avoided:
-            task.avoided.append(worker_id)
+        self.avoid(key, worker_id)
         # Several members of a gang may fail in one run, which counts once.
         if step.gang and task.failed_run == end.run:
             return
         task.failed_run = end.run
         task.failures += 1
+        self._changed.add(self.chunk_of(key))
         if not step.long_running and task.failures >= self.spec.policy.failures_max:
             self._end(WorkflowState.FAILED, now_unix_ms)
 
@@ -276,39 +320,55 @@
     def _end(self, state: WorkflowState, now_unix_ms: float) -> None:
         self.state = state
         self.ended_unix_ms = now_unix_ms
+        self._changed.add(0)
 
     def _step(self, key: TaskKey):
         return self.spec.steps[key.step]
 
-    def encode(self) -> bytes:
-        """Return the row that holds the progress."""
-        stored = _StoredWorkflow(self.state, [], self.ended_unix_ms)
-        if not self.state.is_final:
-            stored.tasks = [
-                _StoredTask(key.occurrence, key.step, key.index, task)
-                for key, task in self._tasks.items()
-                if task.run
-            ]
-        else:
+    def encode(self, chunk: int = 0, bytes_max: int = ROW_BYTES_MAX) -> bytes:
+        """Return the row that holds a chunk of the progress.
+
+        Parameters
+        ----------
+        chunk : int
+            The first one also holds the state.
+        bytes_max : int
+            A longer row leaves out which workers the tasks avoid.
+        """
+        stored = _StoredWorkflow()
+        if not chunk:
+            stored.state, stored.ended_unix_ms = self.state, self.ended_unix_ms
+        for key in self._chunk_keys.get(chunk, ()):
+            task = self._tasks[key]
             # Tasks that still run have to be stopped, also by a successor.
-            stored.tasks = [
-                _StoredTask(key.occurrence, key.step, key.index, task)
-                for key, task in self.assigned()
-            ]
+            if task.stage is TaskStage.ASSIGNED or (
+                task.run and not self.state.is_final
+            ):
+                entry = _StoredTask(key.occurrence, key.step, key.index, task)
+                stored.tasks.append(entry)
+        row = msgspec.json.encode(stored)
+        if len(row) <= bytes_max:
+            return row
+        for entry in stored.tasks:
+            entry.task = msgspec.structs.replace(entry.task, avoided=[])
         return msgspec.json.encode(stored)
 
     @classmethod
-    def decode(cls, spec: WorkflowSpec, row: bytes) -> "Workflow":
-        """Return the workflow with the progress of a row."""
-        stored = _DECODER.decode(row)
+    def decode(cls, spec: WorkflowSpec, rows: list[bytes]) -> "Workflow":
+        """Return the workflow with the progress of its rows, the first one first."""
         workflow = cls(spec)
-        workflow.state = stored.state
-        workflow.ended_unix_ms = stored.ended_unix_ms
-        for entry in stored.tasks:
-            key = TaskKey(entry.occurrence, entry.step, entry.index)
-            workflow._tasks[key] = entry.task
-            if entry.task.stage is TaskStage.DONE:
-                workflow._open[key.occurrence, key.step] -= 1
+        for row in rows:
+            stored = _DECODER.decode(row)
+            if stored.state is not WorkflowState.QUEUED:
+                workflow.state = stored.state
+                workflow.ended_unix_ms = stored.ended_unix_ms
+            for entry in stored.tasks:
+                key = TaskKey(entry.occurrence, entry.step, entry.index)
+                if not workflow.has_task(key):
+                    continue
+                workflow._add(key, entry.task)
+                if entry.task.stage is TaskStage.DONE:
+                    workflow._open[key.occurrence, key.step] -= 1
         return workflow
 
 
--- a/basilhold/workflows/recovery.py
+++ b/basilhold/workflows/recovery.py
@@ -14,7 +14,7 @@
 from basilhold.workflows.rows import (
     jobs_prefixes,
     parse_jobs_key,
-    progress_key,
+    parse_progress_key,
     progress_prefix,
 )
 
@@ -90,23 +90,36 @@
     )
     progress, _ = await scan_all(table, progress_prefix(service))
     submitted = [row for rows, _ in parts for row in rows]
-    progress_rows = {row.key: row for row in progress}
+    chunks = _progress_chunks(progress)
     loaded = Loaded([], set(), min(version for _, version in parts))
     for row in submitted:
         job_id, is_cancel = parse_jobs_key(row.key)
         if is_cancel:
             loaded.cancelled.add(job_id)
             continue
-        workflow = _decode(row, progress_rows.get(progress_key(service, job_id)))
+        workflow = _decode(row, chunks.get(job_id, {}))
         if workflow is not None:
             loaded.workflows.append(workflow)
     return loaded
 
 
-def _decode(row: Row, progress: Row | None) -> Workflow | None:
+def _progress_chunks(rows: list[Row]) -> dict[JobId, dict[int, bytes]]:
+    """Return the chunks of each workflow's progress."""
+    chunks: dict[JobId, dict[int, bytes]] = {}
+    for row in rows:
+        try:
+            job_id, chunk = parse_progress_key(row.key)
+        except ValueError as error:
+            log_event(events.BAD_ROW, key=row.key, reason=error)
+            continue
+        chunks.setdefault(job_id, {})[chunk] = row.value
+    return chunks
+
+
+def _decode(row: Row, chunks: dict[int, bytes]) -> Workflow | None:
     try:
         spec = msgspec.json.decode(row.value, type=WorkflowSpec)
-        return Workflow.decode(spec, progress.value) if progress else Workflow(spec)
+        return Workflow.decode(spec, [chunks[chunk] for chunk in sorted(chunks)])
     except msgspec.DecodeError as error:
         log_event(events.BAD_ROW, key=row.key, reason=error)
         return None
--- a/basilhold/workflows/rows.py
+++ b/basilhold/workflows/rows.py
@@ -13,6 +13,7 @@
     "jobs_prefix",
     "jobs_prefixes",
     "owner_key",
+    "parse_progress_key",
     "progress_key",
     "progress_prefix",
     "spec_key",
@@ -89,9 +90,28 @@
     return f"progress/{service}/"
 
 
-def progress_key(service: ServiceName, job_id: JobId) -> str:
-    """Return the key of a workflow's progress."""
-    return f"progress/{service}/{job_id}"
+def progress_key(service: ServiceName, job_id: JobId, chunk: int = 0) -> str:
+    """Return the key of a chunk of a workflow's progress; the first holds its state.
+
+    Examples
+    --------
+    >>> progress_key("inspect", "00ff", 2)
+    'progress/inspect/00ff.2'
+    """
+    key = f"progress/{service}/{job_id}"
+    return f"{key}.{chunk}" if chunk else key
+
+
+def parse_progress_key(key: str) -> tuple[JobId, int]:
+    """Return the workflow and the chunk of a key under `progress_prefix`.
+
+    Raises
+    ------
+    ValueError
+        If the key is none of ours.
+    """
+    job_id, _, chunk = key.rsplit("/", 1)[1].partition(".")
+    return JobId(job_id), int(chunk or 0)
 
 
 def parse_jobs_key(key: str) -> tuple[JobId, bool]:
--- a/basilhold/workflows/tests/test_owner.py
+++ b/basilhold/workflows/tests/test_owner.py
@@ -40,6 +40,21 @@
             self.assertIs(await self.state(cell, spec), WorkflowState.COMPLETED)
             self.assertEqual(cell.runners.violations, [])
 
+    async def test_wide_workflow_fits_the_rows_of_the_store(self):
+        # A row of progress above the store's bound stopped all work of the service.
+        spec = spec_of(1, step_of(900, 300.0), step_of(900, 300.0, after=(0,)))
+        small = spec_of(2, step_of())
+        async with WorkflowCell(worker_count=6) as cell:
+            await asyncio.sleep(1)
+            await cell.submit(spec)
+            await asyncio.sleep(5)
+            await cell.submit(small)
+            await cell.kill_process(cell.owner_name())
+            await asyncio.sleep(60)
+            self.assertIs(await self.state(cell, spec), WorkflowState.COMPLETED)
+            self.assertIs(await self.state(cell, small), WorkflowState.COMPLETED)
+            self.assertEqual(cell.runners.violations, [])
+
     async def test_repeated_submission_is_one_workflow(self):
         # Guards against a caller's retry running the work again.
         spec = spec_of(1, step_of())
--- /dev/null
+++ b/basilhold/workflows/tests/test_progress.py
@@ -0,0 +1,102 @@
+"""Rows of progress, and the lease that commits them."""
+
+import random
+import unittest
+
+from expression import Error, Ok
+
+from basilhold.core import Epoch, ProcessId, Resources, ServiceName, WorkerId
+from basilhold.ports import StoreError, StoreErrorKind, TableService, Write
+from basilhold.testing import VirtualTimeTestCase
+from basilhold.testing.workflow_cell import LoopClock, make_spec
+from basilhold.workflows.model import RunNumber, StepSpec, TaskKey, WorkflowSpec
+from basilhold.workflows.ownership import CommitOutcome, Lease
+from basilhold.workflows.progress import (
+    CHUNK_TASKS,
+    ROW_BYTES_MAX,
+    EndKind,
+    RunEnd,
+    TaskStage,
+    Workflow,
+    WorkflowState,
+)
+from basilhold.workflows.rows import Incarnation, OwnerRecord
+
+
+def workflow_of(*counts, occurrences=0):
+    policy = make_spec(1, random.Random(0)).policy
+    steps = tuple(StepSpec(count, Resources(1)) for count in counts)
+    return Workflow(WorkflowSpec("00ff", policy, "", steps, 0.0, 1.0, 1.0, occurrences))
+
+
+def rows_of(workflow):
+    return [workflow.encode(chunk) for chunk in range(workflow.chunk_count)]
+
+
+class ProgressTest(unittest.TestCase):
+    """Guards against progress that a successor reads otherwise than it was."""
+
+    def test_rows_hold_every_task(self):
+        workflow = workflow_of(100, 70, occurrences=2)
+        self.assertEqual(workflow.chunk_count, -(-340 // CHUNK_TASKS))
+        done, runs = TaskKey(0, 0, 99), TaskKey(1, 1, 69)
+        for key in (done, runs):
+            workflow.assign(key, RunNumber(3), WorkerId("w"))
+        workflow.apply_end(RunEnd(done, RunNumber(3), EndKind.DONE), 0.0)
+        read = Workflow.decode(workflow.spec, rows_of(workflow))
+        self.assertIs(read.state, WorkflowState.RUNNING)
+        self.assertIs(read.task(done).stage, TaskStage.DONE)
+        self.assertEqual(read.task(runs).worker_id, "w")
+        self.assertEqual([key for key, _ in read.assigned()], [runs])
+
+    def test_only_changed_rows_are_written(self):
+        workflow = workflow_of(3 * CHUNK_TASKS)
+        self.assertEqual(workflow.take_changed(), [])
+        last = TaskKey(0, 0, 3 * CHUNK_TASKS - 1)
+        workflow.assign(last, RunNumber(1), WorkerId("w"))
+        self.assertEqual(workflow.take_changed(), [0, 2])
+        workflow.apply_end(RunEnd(last, RunNumber(1), EndKind.FAILED), 0.0)
+        self.assertEqual(workflow.take_changed(), [2])
+        workflow.cancel(0.0)
+        self.assertEqual(workflow.take_changed(), [0])
+
+    def test_longest_names_stay_below_the_bound(self):
+        # A row above the store's bound is refused for good.
+        workflow = workflow_of(CHUNK_TASKS)
+        for index in range(CHUNK_TASKS):
+            key = TaskKey(0, 0, index)
+            for number in range(20):
+                workflow.avoid(key, WorkerId(f"{number:0200}"))
+            workflow.assign(key, RunNumber(10**6), WorkerId("w" * 200))
+            workflow.task(key).checkpoint = "c" * 256
+        self.assertLess(len(workflow.encode()), ROW_BYTES_MAX)
+        read = Workflow.decode(workflow.spec, rows_of(workflow))
+        self.assertEqual(len(read.assigned()), CHUNK_TASKS)
+
+
+class _InvalidTable(TableService):
+    def __init__(self):
+        self.calls = 0
+
+    async def read(self, keys):
+        return Ok({})
+
+    async def scan(self, prefix, after="", limit=500):
+        raise AssertionError
+
+    async def transact(self, transaction):
+        self.calls += 1
+        return Error(StoreError(StoreErrorKind.INVALID, "status 400"))
+
+
+class InvalidCommitTest(VirtualTimeTestCase):
+    """Guards against a commit that is repeated for ever though it never can succeed."""
+
+    async def test_invalid_commit_ends_the_lease(self):
+        table = _InvalidTable()
+        record = OwnerRecord(ProcessId("p"), "h:1", Epoch(1), 0, Incarnation("i"))
+        lease = Lease(table, LoopClock(), ServiceName("desk"), record, 1, 0.0)
+        outcome = await lease.commit((Write("progress/desk/1", b"x"),))
+        self.assertIs(outcome, CommitOutcome.LOST)
+        self.assertTrue(lease.is_lost)
+        self.assertEqual(table.calls, 1)
--- a/basilhold/workflows/worker_link.py
+++ b/basilhold/workflows/worker_link.py
@@ -9,6 +9,7 @@
 from basilhold.ports.runners import CallOutcome, HoldCall, TaskRunners
 from basilhold.workflows.ownership import Lease
 from basilhold.workflows.pool import EndedRun, ListedRun, Listing, Worker, reconcile
+from basilhold.workflows.progress import ROW_BYTES_MAX
 
 __all__ = ["OwnerLimits", "Look", "WorkerLink"]
 
@@ -34,11 +35,14 @@
         How long a worker may wait for an end before it replies.
     forget_after_ms : float
         How long the rows of a workflow are kept after its end.
+    row_bytes_max : int
+        Largest value of a row that the store takes.
     """
 
     lease_ms: float
     wait_ms: int
     forget_after_ms: float = 150_000.0
+    row_bytes_max: int = ROW_BYTES_MAX
 
     def lapse_ms(self) -> float:
         """Return the time after which a lease that was asked for now has lapsed."""
