Renew the tickets of the step whose turn is next before its worker is free

Cause: a gang whose tickets had expired asked again only once it seemed to have room by the declared run times, which are off by up to nine tenths; every gang that waited for a worker did so at the same time, and long questions had half of the turns. Ruled out: missing room (GPUs in use about nine tenths of what they could be), lost answers (no failed question). Room that will be free is now promised to one waiting step at a time, in their order; that step asks from 0.6 of the declared run time on and renews tickets that would expire before an answer. Long questions use 70% of the turns.

--- a/basilhold/workflows/advice_spread.py
+++ b/basilhold/workflows/advice_spread.py
@@ -25,8 +25,12 @@
 """How long a peer that did not answer gets no questions."""
 
 LONG_QUESTION_MS = 120.0
-"""Questions that take longer use only half of the turns, so that quick ones of urgent
-work need not wait behind them."""
+"""Questions that take longer leave some turns to quick ones of urgent work."""
+
+QUICK_TURNS_SHARE = 0.3
+"""Share of the turns, rounded down but at least one of several, that is kept for quick
+questions. They need a fifth of a turn in the calm; long ones filled half of the turns on
+loaded days, and waited up to 1.4 s beside idle ones."""
 
 EXCESS_WEIGHT = 0.4
 """How fast the delays that other owners' questions cause are learnt."""
@@ -116,9 +120,10 @@
             if self._failed_until_ms.get(member.endpoint, 0.0) <= now_ms
         ]
         members.sort(key=lambda member: member.endpoint)
-        half = (len(members) + 1) // 2
+        kept = max(1, int(QUICK_TURNS_SHARE * len(members)))
+        split = max(1, len(members) - kept)
         is_long = answer_ms > LONG_QUESTION_MS
-        shared, quick = members[:half], members[half:]
+        shared, quick = members[:split], members[split:]
         best, best_ms = self._own, float("inf")
         for member in sorted(shared if is_long else members, key=self._preference):
             expected_ms = max(now_ms, self._free_at_ms.get(member.endpoint, 0.0))
--- a/basilhold/workflows/planner.py
+++ b/basilhold/workflows/planner.py
@@ -33,6 +33,10 @@
 
 SOON_MARGIN_MS = 300.0
 
+EARLY_END_SHARE = 0.6
+"""Estimates are off by up to nine tenths; a step whose turn is next asks again from
+this share of the estimate on."""
+
 SPARE_ANSWER_SHARE = 0.15
 """How much longer an answer may take for workers beyond those that are needed. Asking
 again after a refusal takes the whole answering time."""
@@ -204,6 +208,7 @@
         self._usable = pool.usable(now_ms)
         self._claimed: dict[WorkerId, Resources] = {}
         self._asked: dict[WorkerId, Resources] = {}
+        self._promised: dict[WorkerId, Resources] = {}
         self._drained: dict[WorkerId, list[tuple[int, Resources]]] = {}
         self.result = Plan([], [], [])
 
@@ -215,7 +220,7 @@
         if step.workflow.spec.policy.advice is None:
             self._place_on(step, fits, None)
             if step.keys:
-                self._claim_or_preempt(step, fits)
+                self._claim(step, fits, None)
             return
         known = self._book.step(step.key)
         ticketed = [w for w in fits if known.ticket(w.worker_id, self._now_ms)]
@@ -228,10 +233,7 @@
                 self._ask(step, fits, known)
             return
         possible = [w for w in fits if w.worker_id not in known.refused]
-        claimed = self._claim_or_preempt(step, possible, known)
-        if not claimed and step.spec.gang and self._has_room_soon(step, possible):
-            claimed = possible
-        self._ask(step, claimed, known, possible)
+        self._ask(step, self._claim(step, possible, known), known, possible)
 
     def _may_find_room(self, step: ReadyStep, workers: list[Worker]) -> bool:
         """Return whether an answer could be used before its tickets expire.
@@ -320,7 +322,9 @@
         """Ask about workers, and about some spare ones in case those are refused."""
         if known.asking or self._now_ms < known.retry_ms or not workers:
             return
-        unticketed = [w for w in workers if not known.ticket(w.worker_id, self._now_ms)]
+        # A ticket that expires before an answer can arrive is renewed now.
+        until_ms = self._now_ms + step.workflow.spec.policy.advice.answer_ms(1)
+        unticketed = [w for w in workers if not known.ticket(w.worker_id, until_ms)]
         if not unticketed:
             return
         unticketed.sort(key=lambda w: -w.free.cores_milli)
@@ -336,7 +340,10 @@
         workers: list[Worker],
         named: list[WorkerId],
     ) -> list[WorkerId]:
-        """Return more workers with room, as many as cost little beside the answer."""
+        """Return more workers, as many as cost little beside the answer.
+
+        Which workers are admitted does not change, so those without room come last.
+        """
         policy = step.workflow.spec.policy.advice
         most = WORKERS_PER_QUESTION
         if policy.each_ms > 0:
@@ -346,20 +353,19 @@
         spares = [
             w
             for w in workers
-            if w.worker_id not in named
-            and not known.ticket(w.worker_id, self._now_ms)
-            and size.fits_in(self._room(w, step))
+            if w.worker_id not in named and not known.ticket(w.worker_id, self._now_ms)
         ]
         spares.sort(
-            key=lambda w: (w.worker_id not in known.admitted, -w.free.cores_milli)
+            key=lambda w: (
+                not size.fits_in(self._room(w, step)),
+                w.worker_id not in known.admitted,
+                -w.free.cores_milli,
+            )
         )
         return [w.worker_id for w in spares[:most]]
 
-    def _claim_or_preempt(
-        self,
-        step: ReadyStep,
-        workers: list[Worker],
-        known: StepAdmission | None = None,
+    def _claim(
+        self, step: ReadyStep, workers: list[Worker], known: StepAdmission | None
     ) -> list[Worker]:
         """Keep room for a step's waiting tasks from the steps after it.
 
@@ -368,46 +374,67 @@
         Returns
         -------
         list of Worker
-            Those that have room now.
+            Those that have room now or, if there are none, when an answer arrives.
         """
         needed = len(step.keys)
-        if known is not None:
-            admitted = [w for w in workers if w.worker_id in known.admitted]
-            free = self._free_slots(step, admitted, needed)
-            others = [w for w in workers if w.worker_id not in known.admitted]
-            missing = needed - sum(free.values())
-            free |= self._free_slots(step, others, missing)
-        else:
-            free = self._free_slots(step, workers, needed)
+        admitted = known.admitted if known else ()
+        first = [w for w in workers if w.worker_id in admitted]
+        others = [w for w in workers if w.worker_id not in admitted]
+        free = self._free_slots(step, first, needed)
+        free |= self._free_slots(step, others, needed - sum(free.values()))
         count = sum(free.values())
         enough = count >= needed
-        if count and (enough or not step.spec.gang):
-            self._claim(step, free)
-            if enough:
-                return [w for w in workers if w.worker_id in free]
+        usable = count > 0 and (enough or not step.spec.gang)
+        if usable:
+            self._claim_slots(step, free)
+        own: dict[WorkerId, Resources] = {}
         may_preempt = step.spec.gang or self._is_urgent(step)
-        if may_preempt and not self._is_late(step):
-            self._preempt(step, workers, free, needed)
-        if step.spec.gang and not enough:
-            return []
-        return [w for w in workers if w.worker_id in free]
+        if not enough and may_preempt and not self._is_late(step):
+            own = self._preempt(step, workers, free, needed)
+        if usable:
+            return [w for w in workers if w.worker_id in free]
+        return self._promise(step, first + others, own) if known else []
+
+    def _promise(
+        self, step: ReadyStep, workers: list[Worker], own: dict[WorkerId, Resources]
+    ) -> list[Worker]:
+        """Return workers that will have room for a step when an answer arrives.
 
-    def _has_room_soon(self, step: ReadyStep, workers: list[Worker]) -> bool:
-        """Return whether a gang will have room when an answer arrives.
+        A worker would stand empty while the step asks for new tickets. Room is
+        promised to one step at a time, in their order.
 
-        Workers that a gang waits for would stand empty while it asks for new tickets.
+        Parameters
+        ----------
+        step : ReadyStep
+        workers : list of Worker
+        own : dict
+            Room that was claimed for this step in this pass.
         """
         policy = step.workflow.spec.policy.advice
         horizon_ms = self._now_ms + policy.answer_ms(len(workers)) + SOON_MARGIN_MS
         size = step.spec.reserved()
         missing = len(step.keys)
+        slots: dict[WorkerId, int] = {}
         for worker in workers:
+            if missing <= 0:
+                break
             room = worker.free
             for run in worker.runs.values():
-                if run.stop_wanted or _expected_end_ms(run, worker) <= horizon_ms:
+                if run.stop_wanted or _early_end_ms(run, worker) <= horizon_ms:
                     room = room + run.reserved
-            missing -= _times(room, size, min(missing, self._left_on(step, worker)))
-        return missing <= 0
+            taken = self._claimed.get(worker.worker_id, Resources())
+            taken = taken + self._promised.get(worker.worker_id, Resources())
+            room = room - taken + own.get(worker.worker_id, Resources())
+            count = _times(room, size, min(missing, self._left_on(step, worker)))
+            if count:
+                slots[worker.worker_id] = count
+                missing -= count
+        if not slots or (step.spec.gang and missing > 0):
+            return []
+        for worker_id, count in slots.items():
+            promised = self._promised.get(worker_id, Resources())
+            self._promised[worker_id] = promised + size.scaled(count)
+        return [w for w in workers if w.worker_id in slots]
 
     def _free_slots(
         self,
@@ -437,7 +464,7 @@
                 needed -= count
         return slots
 
-    def _claim(self, step: ReadyStep, slots: dict[WorkerId, int]) -> None:
+    def _claim_slots(self, step: ReadyStep, slots: dict[WorkerId, int]) -> None:
         size = step.spec.reserved()
         for worker_id, count in slots.items():
             claimed = self._claimed.get(worker_id, Resources())
@@ -457,8 +484,14 @@
         workers: list[Worker],
         free: dict[WorkerId, int],
         needed: int,
-    ) -> None:
-        """Stop runs of lower priority for the tasks that do not fit."""
+    ) -> dict[WorkerId, Resources]:
+        """Stop runs of lower priority for the tasks that do not fit.
+
+        Returns
+        -------
+        dict of WorkerId to Resources
+            Room that is claimed for the step.
+        """
         missing = needed if step.spec.gang else needed - sum(free.values())
         choices: list[tuple[Worker, int, list[Run]]] = []
         for worker in sorted(workers, key=lambda w: -w.free.cores_milli):
@@ -470,14 +503,17 @@
                 missing -= count
         if step.spec.gang and missing > 0:
             self._drain_for(step, workers)
-            return
+            return {}
         size = step.spec.reserved()
+        own: dict[WorkerId, Resources] = {}
         for worker, count, victims in choices:
+            own[worker.worker_id] = size.scaled(count)
             claimed = self._claimed.get(worker.worker_id, Resources())
-            self._claimed[worker.worker_id] = claimed + size.scaled(count)
+            self._claimed[worker.worker_id] = claimed + own[worker.worker_id]
             for run in victims:
                 run.stop_wanted = True
                 self.result.preemptions.append(Preemption(worker, run, step))
+        return own
 
     def _drain_for(self, step: ReadyStep, workers: list[Worker]) -> None:
         """Keep new work of lower priority off the workers that a gang will get.
@@ -525,10 +561,12 @@
         return count, victims
 
 
-def _expected_end_ms(run: Run, worker: Worker) -> float:
+def _early_end_ms(run: Run, worker: Worker) -> float:
+    """Return when a run may have ended, by a rough estimate."""
     if run.step is None or run.step.long_running:
         return math.inf
-    return run.started_ms + run.step.estimate_ms * worker.work_ratio
+    expected_ms = run.step.estimate_ms * worker.work_ratio
+    return run.started_ms + EARLY_END_SHARE * expected_ms
 
 
 def _times(room: Resources, size: Resources, most: int) -> int:
--- a/basilhold/workflows/tests/test_planner.py
+++ b/basilhold/workflows/tests/test_planner.py
@@ -140,6 +140,21 @@
         (question,) = self.plan(step).questions
         self.assertEqual(question.workers, ("d",))
 
+    def test_next_gang_renews_its_tickets_before_a_worker_is_free(self):
+        # A worker stood empty for the 0.6 s that a gang needed for a new ticket, in
+        # each run of 3.6 s. Later gangs do not ask about the same room.
+        worker = self.add_worker("a", 8_000)
+        running = self.step(8_000)
+        self.run_on(worker, running)
+        advice = AdvicePolicy(600.0, 8.0, 2_000.0)
+        steps = [self.step(8_000, gang=True, advice=advice) for _ in range(2)]
+        for step in steps:
+            key = StepKey(step.workflow.job_id, 0, 0)
+            tickets = {WorkerId("a"): "t"}
+            self.book.record(key, (WorkerId("a"),), tickets, 100.0, NOW_MS)
+        (question,) = self.plan(*steps).questions
+        self.assertIs(question.step, steps[0])
+
     def test_step_limits_of_a_worker(self):
         self.add_worker("a")
         self.add_worker("b")
