--- a/basilhold/workflows/relayed_table.py
+++ b/basilhold/workflows/relayed_table.py
@@ -45,6 +45,10 @@
 """A peer relays while the store has answered it this recently; it asks each 350 ms."""
 
 PROBE_INTERVAL_MS = 400
+SLOW_PEER_MS = 250.0
+SILENT_PEER_MS = 3_000.0
+"""A peer that took this long to fail may be dead, and is not asked for a while."""
+
 OUTAGE_PAUSE_MS = 500.0
 """How long peers are left alone once none of them reaches the store either."""
 
@@ -96,8 +100,8 @@
         self._answered_ms = -1e9
         self._lost_ms: float | None = None
         self._no_peers_until_ms = -1e9
-        self._relayed = False
-        self._last_peer = ""
+        self._helper = ""
+        self._silent_until_ms: dict[str, float] = {}
 
     async def close(self) -> None:
         """Stop looking for the store."""
@@ -165,12 +169,12 @@
         lost_ms = self._clock.monotonic_ms()
         logged = False
         while (await self._direct(ReadCall((PROBE_KEY,)))).is_error():
-            if self._relayed and not logged:
-                log_event(events.STORE_RELAYED, peer=self._last_peer, reason=reason)
+            if self._helper and not logged:
+                log_event(events.STORE_RELAYED, peer=self._helper, reason=reason)
                 logged = True
             await asyncio.sleep(PROBE_INTERVAL_MS / 1000)
         self._lost_ms = None
-        self._relayed = False
+        self._helper = ""
         if logged:
             after_ms = round(self._clock.monotonic_ms() - lost_ms)
             log_event(events.STORE_DIRECT, after_ms=after_ms)
@@ -180,20 +184,29 @@
             return Error(_REFUSED)
         result: Result[Any, StoreError] = Error(_REFUSED)
         for endpoint in self._peer_order()[:PEERS_TRIED_MAX]:
+            asked_ms = self._clock.monotonic_ms()
             result = await self._peers.store_call(endpoint, call)
             if _is_final(call, result):
-                self._last_peer, self._relayed = endpoint, True
+                self._helper = endpoint if self._lost_ms is not None else ""
                 return result
-        self._last_peer = ""
+            now_ms = self._clock.monotonic_ms()
+            if now_ms - asked_ms > SLOW_PEER_MS:
+                self._silent_until_ms[endpoint] = now_ms + SILENT_PEER_MS
+        self._helper = ""
         self._no_peers_until_ms = self._clock.monotonic_ms() + OUTAGE_PAUSE_MS
         return result
 
     def _peer_order(self) -> list[str]:
         """Return the peers to ask, the one that helped last and near ones first."""
-        others = self._members()[1:]
+        now_ms = self._clock.monotonic_ms()
+        others = [
+            member
+            for member in self._members()[1:]
+            if self._silent_until_ms.get(member.endpoint, 0.0) <= now_ms
+        ]
         self._rng.shuffle(others)
         others.sort(
-            key=lambda m: (m.endpoint != self._last_peer, m.region != self._region)
+            key=lambda m: (m.endpoint != self._helper, m.region != self._region)
         )
         return [member.endpoint for member in others]
 
--- a/basilhold/workflows/tests/test_relayed_table.py
+++ b/basilhold/workflows/tests/test_relayed_table.py
@@ -59,9 +59,11 @@
     def __init__(self, table):
         self.table = table
         self.calls = 0
+        self.delay_s = 0.0
 
     async def store_call(self, endpoint, call):
         self.calls += 1
+        await asyncio.sleep(self.delay_s)
         if self.table is None:
             return Error(StoreError(StoreErrorKind.NOT_APPLIED, "no store here"))
         if isinstance(call, TransactCall):
@@ -78,7 +80,7 @@
         self.direct = FailingTable()
         self.peers = CountingPeers(peer_table)
         members = [Member(ProcessId(n), n, RegionName("r")) for n in ("me", "x", "y")]
-        table = RelayedTable(
+        return RelayedTable(
             self.direct,
             self.direct,
             self.peers,
@@ -87,7 +89,6 @@
             Clock(0),
             random.Random(0),
         )
-        return table
 
     async def test_refused_call_is_relayed_until_the_store_answers(self):
         table = self.make(FeedTable())
@@ -118,6 +119,19 @@
             await table.read(("k",))
         self.assertLessEqual(self.peers.calls, 2)
 
+    async def test_dead_peers_do_not_hold_up_a_store_that_is_back(self):
+        # An owner took up work 0.9 s after the store was back: each call first waited
+        # for peers that had died.
+        table = self.make(None)
+        self.peers.delay_s = 0.5
+        self.direct.kind = StoreErrorKind.NOT_APPLIED
+        await table.read(("k",))
+        await asyncio.sleep(1)
+        self.direct.kind = None
+        begin_s = asyncio.get_running_loop().time()
+        self.assertTrue((await table.read(("k",))).is_ok())
+        self.assertLess(asyncio.get_running_loop().time() - begin_s, 0.1)
+
     async def test_peer_without_the_store_serves_nobody(self):
         table = self.make(None)
         call = ReadCall(("k",))
