Wait for no ends in a call that acknowledges earlier ones

A worker that had started anew under its id, with ends numbered from 1, listed and forgot its own ends under that number before they were read, and their tasks ran again. An acknowledgement is now sent once, in a call that does not wait; refreshes of one worker share a look while one is under way, which pays for the added calls.

--- a/basilhold/testing/workflow_runs.py
+++ b/basilhold/testing/workflow_runs.py
@@ -28,6 +28,11 @@
 SETTLE_S = 60.0
 """Without faults, the remaining work ends within this time."""
 
+SETTLE_CHECK_S = 2.0
+
+RELAYS_RATIO = 0.5
+"""Share of the runs in which processes that lose the store reach their peers."""
+
 
 class RunReport(msgspec.Struct):
     """Outcome of a run.
@@ -199,7 +204,22 @@
         self.cell.runners.faults.late = 0.0
         for process in self.cell.processes.values():
             process.table.cut = False
-        await asyncio.sleep(SETTLE_S)
+        end_s = asyncio.get_running_loop().time() + SETTLE_S
+        while asyncio.get_running_loop().time() < end_s:
+            await asyncio.sleep(SETTLE_CHECK_S)
+            if await self._is_settled():
+                return
+
+    async def _is_settled(self) -> bool:
+        """Return whether all workflows have ended and nothing runs."""
+        if any(runner.runs for runner in self.cell.runners.runners.values()):
+            return False
+        front = next(iter(self.cell.processes.values())).front
+        for spec in self.accepted:
+            state = (await front.state(spec.policy, spec.job_id))[1]
+            if state is None or not state.is_final:
+                return False
+        return True
 
     def _is_disturbed(self, time_s: float) -> bool:
         """Return whether lost orders or a fault may have kept a gang apart."""
@@ -236,7 +256,7 @@
         return report
 
 
-async def _run(seed: int) -> RunReport:
+async def _run(seed: int, relays: bool | None) -> RunReport:
     rng = random.Random(seed)
     store_faults = StoreFaults(seed)
     store_faults.latency_ms = rng.choice((1.0, 4.0, 60.0))
@@ -248,7 +268,9 @@
         late=rng.choice((0.0, 0.05)),
         refused=rng.choice((0.0, 0.02)),
     )
-    async with WorkflowCell(seed, 3, 6, faults, store_faults) as cell:
+    if relays is None:
+        relays = rng.random() < RELAYS_RATIO
+    async with WorkflowCell(seed, 3, 6, faults, store_faults, relays) as cell:
         run = _Run(cell, seed)
         await asyncio.sleep(2.0)
         async with asyncio.TaskGroup() as group:
@@ -258,9 +280,9 @@
         return await run.check()
 
 
-def run_seed(seed: int) -> RunReport:
+def run_seed(seed: int, relays: bool | None = None) -> RunReport:
     """Run one seed on a new loop with a virtual clock."""
-    return run_virtual(_run(seed))
+    return run_virtual(_run(seed, relays))
 
 
 @click.command()
--- a/basilhold/workflows/orders.py
+++ b/basilhold/workflows/orders.py
@@ -13,7 +13,6 @@
 from basilhold.workflows.planner import Placement
 from basilhold.workflows.pool import Run, RunKey, RunStage, Worker
 from basilhold.workflows.progress import EndKind, RunEnd, TaskStage, Workflow
-from basilhold.workflows.worker_link import WorkerLink
 
 __all__ = ["AVOID_MS", "Orders"]
 
@@ -176,11 +175,7 @@
         """Read a worker's lists now: the next regular look may wait for an end."""
         link = self._state.links.get(worker.worker_id)
         if link is not None:
-            self._state.start(self._look_once(link))
-
-    async def _look_once(self, link: WorkerLink) -> None:
-        look = await link.look(self._state.clock, at_once=True)
-        link.on_look(look)
+            self._state.start(link.refresh(self._state.clock))
 
     def _call_of(self, run: Run) -> RunnerCall:
         return RunnerCall(
--- /dev/null
+++ b/basilhold/workflows/tests/test_worker_link.py
@@ -0,0 +1,65 @@
+"""What a look at a worker asks for."""
+
+import asyncio
+
+from expression import Ok
+
+from basilhold.core import Clock, Epoch, ProcessId, Resources, ServiceName, WorkerId
+from basilhold.ports.runners import TaskRunners
+from basilhold.standins.feed_table import FeedTable
+from basilhold.testing import VirtualTimeTestCase
+from basilhold.testing.workflow_cell import LoopClock
+from basilhold.workflows.ownership import Lease
+from basilhold.workflows.pool import Listing, Worker, WorkerInfo
+from basilhold.workflows.rows import Incarnation, OwnerRecord
+from basilhold.workflows.worker_link import OwnerLimits, WorkerLink
+
+INFO = WorkerInfo(WorkerId("w"), "h:1", 7, Resources(1_000))
+
+
+class RecordingRunners(TaskRunners):
+    """Answers looks, and keeps what they asked for."""
+
+    def __init__(self):
+        self.calls = []
+
+    async def hold(self, worker, call):
+        self.calls.append(call)
+        await asyncio.sleep(0.1)
+        return Ok(Listing(1_000.0, INFO.born_unix_ms, (), ()))
+
+    start = stop = pace = None
+
+
+class WorkerLinkTest(VirtualTimeTestCase):
+    """Guards against ends that a worker forgets before they were read."""
+
+    def make(self, runners):
+        record = OwnerRecord(ProcessId("p"), "h:2", Epoch(1), 0, Incarnation("i"))
+        service = ServiceName("desk")
+        lease = Lease(
+            FeedTable(), LoopClock(), service, record, 1, LoopClock().now_ms()
+        )
+        return WorkerLink(Worker(INFO), runners, lease, OwnerLimits(6_000, 1_000))
+
+    async def test_acknowledgement_does_not_wait_and_is_sent_once(self):
+        # A worker that started anew while a call with an acknowledgement waited there
+        # forgot its own ends of the same numbers; their tasks ran again.
+        runners = RecordingRunners()
+        link = self.make(runners)
+        clock = Clock(0)
+        await link.look(clock)
+        link.worker.processed = 5
+        link.acknowledge(5)
+        for _ in range(2):
+            await link.look(clock)
+        asked = [(call.acknowledged, call.wait_ms) for call in runners.calls]
+        self.assertEqual(asked, [(0, 0), (5, 0), (0, 1_000)])
+
+    async def test_refreshes_under_way_are_shared(self):
+        # Each stop of a burst asked for lists of its own, four at a time.
+        runners = RecordingRunners()
+        link = self.make(runners)
+        clock = Clock(0)
+        await asyncio.gather(*(link.refresh(clock) for _ in range(6)))
+        self.assertEqual(len(runners.calls), 2)
--- a/basilhold/workflows/worker_link.py
+++ b/basilhold/workflows/worker_link.py
@@ -98,6 +98,9 @@
         self._acknowledged = asyncio.Event()
         self._failures = 0
         self._newest_asked_ms = 0.0
+        self._told = 0
+        self._refreshing = False
+        self._refresh_again = False
 
     def note_lease(self, now_ms: float, lease_ms: float) -> None:
         """Note that an order sent now may extend the worker's lease."""
@@ -110,6 +113,21 @@
             self.worker.acknowledged = processed
         self._acknowledged.set()
 
+    async def refresh(self, clock: Clock) -> None:
+        """Look at the worker at once; calls while one is under way share the next."""
+        if self._refreshing:
+            self._refresh_again = True
+            return
+        self._refreshing = True
+        try:
+            while True:
+                self._refresh_again = False
+                self.on_look(await self.look(clock, at_once=True))
+                if not self._refresh_again:
+                    return
+        finally:
+            self._refreshing = False
+
     async def look(self, clock: Clock, at_once: bool = False) -> Look:
         """Renew the lease and read the lists once.
 
@@ -136,14 +154,10 @@
         if worker.clock_ms and not self._failures:
             until_ms = worker.clock_at(asked_ms) + self._limits.lease_ms
             self.note_lease(asked_ms, self._limits.lease_ms)
-        call = HoldCall(
-            self._lease.epoch,
-            # A failed look may mean that a new incarnation answers next, whose ends
-            # are numbered from 1 again.
-            0 if self._failures else worker.acknowledged,
-            until_ms,
-            0 if at_once else self._wait_ms(),
-        )
+        acknowledged = self._new_acknowledgement()
+        # While a call waits, a new incarnation could list ends of the same numbers.
+        wait_ms = 0 if at_once or acknowledged else self._wait_ms()
+        call = HoldCall(self._lease.epoch, acknowledged, until_ms, wait_ms)
         result = await self._runners.hold(worker, call)
         now_ms = clock.monotonic_ms()
         if self.closed:
@@ -159,6 +173,7 @@
             and listing.born_unix_ms != worker.info.born_unix_ms
         ):
             return Look(restarted=listing)
+        self._told = max(self._told, acknowledged)
         if asked_ms < self._newest_asked_ms:
             # A look that was asked for later has overtaken this one.
             return Look()
@@ -167,6 +182,16 @@
         changed = reconcile(worker, listing, asked_ms, now_ms)
         return Look(first=first, ends=changed.ends, unknown=changed.unknown)
 
+    def _new_acknowledgement(self) -> int:
+        """Return up to which number the worker may forget ends; 0 for nothing new.
+
+        A failed look may mean that a new incarnation answers next, whose ends are
+        numbered from 1 again.
+        """
+        if self._failures or self.worker.acknowledged <= self._told:
+            return 0
+        return self.worker.acknowledged
+
     def _wait_ms(self) -> int:
         unread = self.worker.processed > self.worker.acknowledged
         if not self.worker.listed or unread:
