Let only owners know all processes

Cause, found by reading: each process renewed its row in the table of the owners, and each read all changes of that table every 350 ms. With N processes that is N/8 rows a second to N readers: about 23 KB/s in all at 35 machines, 1.7 MB/s at 300 and 110 MB/s at 2,400. The rows are now in a table of their own. Owners scan it every 3 s; the others read up to 16 of them, to reach the store through them. Above 64 processes only 64 look at the owners every 350 ms, the others once a second. The owner record tells how many there are.

--- a/basilhold/workflows/front.py
+++ b/basilhold/workflows/front.py
@@ -40,8 +40,8 @@
 be. A caller that is told later than a quarter of its objective could have tried
 elsewhere sooner."""
 
-OUTAGE_MS = 900.0
-"""A store that has not answered this long is down; it is asked every 350 ms."""
+OUTAGE_POLLS = 2.6
+"""A store that has not answered for this many looks at the owners is down."""
 
 RETRY_AFTER_MAX_S = 4
 """Callers try a few times; in a long outage they should not use up their tries."""
@@ -141,7 +141,8 @@
     def _outage_ms(self) -> float:
         """Return how long the store has been down; 0 if it answers."""
         age_ms = self._clock.monotonic_ms() - self._stewardship.store_answered_ms
-        return age_ms if age_ms > OUTAGE_MS else 0.0
+        limit_ms = OUTAGE_POLLS * self._stewardship.poll_interval_ms()
+        return age_ms if age_ms > limit_ms else 0.0
 
     def retry_after_s(self) -> int:
         """Return when a refused caller should come back, in seconds.
--- a/basilhold/workflows/ownership.py
+++ b/basilhold/workflows/ownership.py
@@ -162,6 +162,7 @@
         self._lost = False
         self.service = service
         self.record = record
+        self.member_count = 0
 
     @property
     def epoch(self) -> Epoch:
@@ -194,7 +195,10 @@
         transaction that the store calls invalid ends the lease.
         """
         record = msgspec.structs.replace(
-            self.record, sequence=self.record.sequence + 1, released=released
+            self.record,
+            sequence=self.record.sequence + 1,
+            released=released,
+            member_count=self.member_count,
         )
         transaction = Transaction(
             (Condition(self._key, self._version),),
--- a/basilhold/workflows/relayed_table.py
+++ b/basilhold/workflows/relayed_table.py
@@ -41,8 +41,9 @@
 PEERS_TRIED_MAX = 2
 """Peers asked for one call: with three of ten peers dead, nine calls in ten succeed."""
 
-FRESH_MS = 800.0
-"""A peer relays while the store has answered it this recently; it asks each 350 ms."""
+FRESH_MS = 1_300.0
+"""A peer relays while the store has answered it this recently; it asks once a second at
+least."""
 
 PROBE_INTERVAL_MS = 400
 SLOW_PEER_MS = 250.0
--- a/basilhold/workflows/rows.py
+++ b/basilhold/workflows/rows.py
@@ -45,6 +45,8 @@
     incarnation : Incarnation
     released : bool
         The holder has stopped and sends nothing any more.
+    member_count : int
+        Processes of the deployment that the holder knows.
     """
 
     holder: ProcessId
@@ -53,6 +55,7 @@
     sequence: int
     incarnation: Incarnation
     released: bool = False
+    member_count: int = 0
 
 
 def owner_key(service: ServiceName) -> str:
--- a/basilhold/workflows/stewardship.py
+++ b/basilhold/workflows/stewardship.py
@@ -4,12 +4,13 @@
 import random
 from collections.abc import Callable
 
-import msgspec
+import xxhash
 
-from basilhold.core import ProcessId, ServiceName
+from basilhold.core import ServiceName
 from basilhold.observability import log_event
-from basilhold.ports import Row, Transaction, Write
+from basilhold.ports import Row
 from basilhold.workflows import events
+from basilhold.workflows.members import MemberList
 from basilhold.workflows.owner import LeaseLostError, OwnerPorts, ServiceOwner
 from basilhold.workflows.ownership import (
     Lease,
@@ -29,12 +30,13 @@
 POLL_INTERVAL_MS = 350
 """Time between two looks at the owners; a released service waits this long."""
 
-MEMBER_RENEW_MS = 8_000
-MEMBER_LAPSE_MS = 25_000
-"""A member that did not renew its row for three intervals is taken as gone."""
+FAR_POLL_INTERVAL_MS = 1_000
+WATCHERS_MAX = 64
+"""In a deployment of more processes only so many look often; these take over. Each look
+is a read of the store, which all processes share."""
 
 RELEASE_TIMEOUT_MS = 1_500
-_MEMBERS_PREFIX = f"{OWNERS_PREFIX}members/"
+TOLD_OF_RELEASE_MAX = 64
 
 
 class Stewardship:
@@ -82,10 +84,9 @@
         self._owned_when_scheduled: dict[ServiceName, int] = {}
         self._owners: dict[ServiceName, ServiceOwner] = {}
         self._leases: dict[ServiceName, Lease] = {}
-        self._members: dict[ProcessId, tuple[Member, float]] = {}
+        self._members = MemberList(ports.table, ports.clock, member)
         self._version = -1
         self._round_trip_ms = 1.0
-        self._member_renewed_ms = -1e9
         self._tasks = TaskSet()
         self._stopping = False
         self._store_lost_ms: float | None = None
@@ -109,15 +110,16 @@
         return view.record.endpoint
 
     def members(self) -> list[Member]:
-        """Return the processes that are alive, this one first."""
-        now_ms = self._ports.clock.monotonic_ms()
-        others = [
-            member
-            for member, seen_ms in self._members.values()
-            if now_ms - seen_ms < MEMBER_LAPSE_MS
-            and member.process_id != self._member.process_id
-        ]
-        return [self._member, *others]
+        """Return the processes that are known to be alive, this one first."""
+        return self._members.alive()
+
+    def poll_interval_ms(self) -> int:
+        """Return the time between two looks at the owners."""
+        count = self._members.count
+        if self._owners or count <= WATCHERS_MAX:
+            return POLL_INTERVAL_MS
+        place = xxhash.xxh32_intdigest(self._member.process_id.encode()) % count
+        return POLL_INTERVAL_MS if place < WATCHERS_MAX else FAR_POLL_INTERVAL_MS
 
     # The loop.
 
@@ -137,7 +139,7 @@
 
     async def _wait_for_next_look(self) -> None:
         now_ms = self._ports.clock.monotonic_ms()
-        wait_ms = float(POLL_INTERVAL_MS)
+        wait_ms = float(self.poll_interval_ms())
         for claim_at_ms in self._claim_at_ms.values():
             wait_ms = min(wait_ms, max(claim_at_ms - now_ms, 1.0))
         try:
@@ -158,7 +160,7 @@
             task.cancel()
         await asyncio.gather(*releases, return_exceptions=True)
         if releases:
-            others = self.members()[1:]
+            others = self.members()[1 : TOLD_OF_RELEASE_MAX + 1]
             await asyncio.gather(*(self._peers.released(m.endpoint) for m in others))
 
     async def _look(self) -> None:
@@ -182,7 +184,9 @@
             view = self._views.setdefault(service, OwnerView(since_ms=now_ms))
             self._check_own(service, view)
             await self._consider_claim(service, view, now_ms)
-        await self._renew_member(now_ms)
+        await self._members.refresh(bool(self._owners))
+        for lease in self._leases.values():
+            lease.member_count = self._members.count
 
     def _note_store_lost(self, asked_ms: float) -> None:
         if self._store_lost_ms is None:
@@ -216,14 +220,12 @@
         return list(result.ok.rows)
 
     def _take_row(self, row: Row, now_ms: float) -> None:
-        if row.key.startswith(_MEMBERS_PREFIX):
-            member = msgspec.json.decode(row.value, type=Member)
-            self._members[member.process_id] = (member, now_ms)
-            return
         service = ServiceName(row.key.split("/")[1])
         view = self._views.setdefault(service, OwnerView())
         if row.version > view.version:
             view.update(row, now_ms)
+            if view.record is not None:
+                self._members.published_count = view.record.member_count
 
     def _check_own(self, service: ServiceName, view: OwnerView) -> None:
         lease = self._leases.get(service)
@@ -296,12 +298,3 @@
         finally:
             self._owners.pop(service, None)
             self._leases.pop(service, None)
-
-    async def _renew_member(self, now_ms: float) -> None:
-        if now_ms - self._member_renewed_ms < MEMBER_RENEW_MS:
-            return
-        member = msgspec.structs.replace(self._member, beat=int(now_ms))
-        key = f"{_MEMBERS_PREFIX}{member.process_id}"
-        write = Write(key, msgspec.json.encode(member))
-        if (await self._ports.table.transact(Transaction((), (write,)))).is_ok():
-            self._member_renewed_ms = now_ms
--- /dev/null
+++ b/basilhold/workflows/tests/test_members.py
@@ -0,0 +1,63 @@
+"""Who knows which processes."""
+
+import asyncio
+
+from basilhold.core import Clock, ProcessId
+from basilhold.standins.feed_table import FeedTable
+from basilhold.testing import VirtualTimeTestCase
+from basilhold.testing.workflow_cell import WorkflowCell
+from basilhold.workflows.members import LAPSE_RENEWALS, RENEW_MS, SAMPLE, MemberList
+from basilhold.workflows.peers import Member
+from basilhold.workflows.stewardship import FAR_POLL_INTERVAL_MS, POLL_INTERVAL_MS
+
+
+class MembersTest(VirtualTimeTestCase):
+    """Guards against reads of the store that grow with the square of the machines."""
+
+    def make(self, table, number):
+        name = f"m{number:04}"
+        return MemberList(table, Clock(0), Member(ProcessId(name), name))
+
+    async def fill(self, count):
+        table = FeedTable()
+        lists = [self.make(table, number) for number in range(count)]
+        for members in lists:
+            await members.refresh(False)
+        return table, lists
+
+    async def test_owner_knows_all_and_others_a_few(self):
+        _, lists = await self.fill(700)
+        await lists[0].refresh(True)
+        self.assertEqual(len(lists[0].alive()), 700)
+        await asyncio.sleep(16)
+        await lists[300].refresh(False)
+        self.assertEqual(len(lists[300].alive()), SAMPLE + 1)
+
+    async def test_last_one_of_the_order_knows_the_first_ones(self):
+        # Machines without a peer could not reach the store through one.
+        _, lists = await self.fill(40)
+        await lists[39].refresh(False)
+        names = [member.process_id for member in lists[39].alive()]
+        self.assertEqual(names[:3], ["m0039", "m0000", "m0001"])
+
+    async def test_silent_member_lapses(self):
+        _, lists = await self.fill(3)
+        await lists[0].refresh(True)
+        await asyncio.sleep(LAPSE_RENEWALS * RENEW_MS / 1000 + 1)
+        await lists[1].refresh(False)
+        await lists[0].refresh(True)
+        self.assertEqual([m.process_id for m in lists[0].alive()], ["m0000", "m0001"])
+
+    async def test_few_look_often_where_there_are_many(self):
+        async with WorkflowCell() as cell:
+            await asyncio.sleep(5)
+            owner = cell.owner_name()
+            stewards = {n: p.stewardship for n, p in cell.processes.items()}
+            self.assertEqual(stewards[owner].poll_interval_ms(), POLL_INTERVAL_MS)
+            for number in range(2_000):
+                await self.make(cell.table, number).refresh(False)
+            await asyncio.sleep(5)
+            self.assertEqual(stewards[owner].poll_interval_ms(), POLL_INTERVAL_MS)
+            for name, steward in stewards.items():
+                if name != owner:
+                    self.assertEqual(steward.poll_interval_ms(), FAR_POLL_INTERVAL_MS)
