Read states from the store while their owner is silent

Cause: on machines that were cut off from the owner, each caller's question for a state waited 0.6 s for the owner before the store was read. An owner that took 0.4 s is now left alone for 2 s.

--- a/basilhold/testing/workflow_cell.py
+++ b/basilhold/testing/workflow_cell.py
@@ -97,13 +97,14 @@
 
 
 class _CellPeers(PeerCalls):
-    """Calls between the processes of a cell."""
+    """Calls between the processes of a cell; `delay_s` is how long each one takes."""
 
     def __init__(self, cell: "WorkflowCell"):
         self._cell = cell
+        self.delay_s = 0.001
 
     async def _front(self, endpoint: str) -> WorkflowFront | None:
-        await asyncio.sleep(0.001)
+        await asyncio.sleep(self.delay_s)
         process = self._cell.processes.get(endpoint)
         return process.front if process is not None else None
 
--- a/basilhold/workflows/front.py
+++ b/basilhold/workflows/front.py
@@ -53,6 +53,11 @@
 
 STATE_TRIES = 3
 
+SLOW_OWNER_MS = 400.0
+SILENT_OWNER_MS = 2_000.0
+"""An owner that took this long to answer, or did not, is not asked for a while: the
+store has the states too, a commit later."""
+
 
 class Existence(Enum):
     """Whether a workflow exists."""
@@ -90,6 +95,7 @@
         self._advice = advice
         self._clock = clock
         self._final: dict[JobId, WorkflowState] = {}
+        self._silent_until_ms: dict[str, float] = {}
         self._tasks = TaskSet()
 
     async def close(self) -> None:
@@ -188,9 +194,14 @@
         if local is not None:
             return self.state_here(service, job_id)
         endpoint = self._stewardship.remote_owner(service)
-        if not endpoint:
+        now_ms = self._clock.monotonic_ms()
+        if not endpoint or now_ms < self._silent_until_ms.get(endpoint, 0.0):
             return StateAnswer(False)
-        return await self._peers.state(endpoint, service, job_id)
+        answer = await self._peers.state(endpoint, service, job_id)
+        if self._clock.monotonic_ms() - now_ms > SLOW_OWNER_MS:
+            until_ms = self._clock.monotonic_ms() + SILENT_OWNER_MS
+            self._silent_until_ms = {endpoint: until_ms}
+        return answer
 
     async def _read_state(
         self, service: ServiceName, job_id: JobId
