Halve the processor time of a pass of the planner

The owner was the busiest process by far (0.39 cores). A pass over 48 waiting steps and 126 workers took 38 ms, twice what it took before room was promised in order: each step summed up the ending runs of each worker, and sorted workers without room. Sums are now kept for a pass, and workers without room are left out first.

--- a/basilhold/workflows/planner.py
+++ b/basilhold/workflows/planner.py
@@ -13,6 +13,7 @@
 from basilhold.workflows.admissions import AdmissionBook, StepAdmission, StepKey
 from basilhold.workflows.model import (
     WORKERS_PER_QUESTION,
+    AdvicePolicy,
     StepSpec,
     TaskKey,
     objective_ms,
@@ -209,6 +210,7 @@
         self._claimed: dict[WorkerId, Resources] = {}
         self._asked: dict[WorkerId, Resources] = {}
         self._promised: dict[WorkerId, Resources] = {}
+        self._ending_rooms: dict[AdvicePolicy, dict[WorkerId, Resources]] = {}
         self._drained: dict[WorkerId, list[tuple[int, Resources]]] = {}
         self.result = Plan([], [], [])
 
@@ -410,18 +412,16 @@
         own : dict
             Room that was claimed for this step in this pass.
         """
-        policy = step.workflow.spec.policy.advice
-        horizon_ms = self._now_ms + policy.answer_ms(len(workers)) + SOON_MARGIN_MS
         size = step.spec.reserved()
         missing = len(step.keys)
         slots: dict[WorkerId, int] = {}
         for worker in workers:
             if missing <= 0:
                 break
-            room = worker.free
-            for run in worker.runs.values():
-                if run.stop_wanted or _early_end_ms(run, worker) <= horizon_ms:
-                    room = room + run.reserved
+            ending = self._ending(worker, step.workflow.spec.policy.advice)
+            if worker.free.cores_milli + ending.cores_milli < size.cores_milli:
+                continue
+            room = worker.free + ending
             taken = self._claimed.get(worker.worker_id, Resources())
             taken = taken + self._promised.get(worker.worker_id, Resources())
             room = room - taken + own.get(worker.worker_id, Resources())
@@ -436,6 +436,20 @@
             self._promised[worker_id] = promised + size.scaled(count)
         return [w for w in workers if w.worker_id in slots]
 
+    def _ending(self, worker: Worker, advice: AdvicePolicy) -> Resources:
+        """Return the room of a worker's runs that may end before an answer arrives."""
+        known = self._ending_rooms.setdefault(advice, {})
+        ending = known.get(worker.worker_id)
+        if ending is None:
+            answer_ms = advice.answer_ms(WORKERS_PER_QUESTION)
+            horizon_ms = self._now_ms + answer_ms + SOON_MARGIN_MS
+            ending = Resources()
+            for run in worker.runs.values():
+                if run.stop_wanted or _early_end_ms(run, worker) <= horizon_ms:
+                    ending = ending + run.reserved
+            known[worker.worker_id] = ending
+        return ending
+
     def _free_slots(
         self,
         step: ReadyStep,
@@ -447,17 +461,19 @@
         size = step.spec.reserved()
         avoided = step.workflow.task(step.keys[0]).avoided
         slots: dict[WorkerId, int] = {}
-        ranked = sorted(
-            workers,
-            key=lambda w: (w.worker_id in avoided, _packing_score(w, step.spec)),
-        )
-        for worker in ranked:
-            if needed <= 0:
-                break
-            most = min(needed, self._left_on(step, worker))
+        roomy: list[tuple[bool, float, Worker, Resources]] = []
+        for worker in workers if needed > 0 else ():
             room = self._room(worker, step)
             if taken and worker.worker_id in taken:
                 room = room - taken[worker.worker_id]
+            if size.fits_in(room):
+                score = _packing_score(worker, step.spec)
+                roomy.append((worker.worker_id in avoided, score, worker, room))
+        roomy.sort(key=lambda entry: entry[:2])
+        for _, _, worker, room in roomy:
+            if needed <= 0:
+                break
+            most = min(needed, self._left_on(step, worker))
             count = _times(room, size, most)
             if count > 0:
                 slots[worker.worker_id] = count
@@ -510,6 +526,8 @@
             own[worker.worker_id] = size.scaled(count)
             claimed = self._claimed.get(worker.worker_id, Resources())
             self._claimed[worker.worker_id] = claimed + own[worker.worker_id]
+            for known in self._ending_rooms.values():
+                known.pop(worker.worker_id, None)
             for run in victims:
                 run.stop_wanted = True
                 self.result.preemptions.append(Preemption(worker, run, step))
