Give waiting steps a module of their own, and scan rows in one place

ReadyStep, its deadlines and its rank move to ready_steps; scan_once returns a result and scan_all repeats it. An unused field of the HTTP connection goes, and the front's advice is typed. No behaviour changes but that a scan that fails starts again from its first page.

--- a/basilhold/adapters/http.py
+++ b/basilhold/adapters/http.py
@@ -330,7 +330,6 @@
         self._done: asyncio.Future[bool] | None = None
         self._head_bytes = 0
         self._complete = False
-        self._no_body = False
         self._has_length = False
         self.closed = False
 
--- a/basilhold/platform/runners.py
+++ b/basilhold/platform/runners.py
@@ -28,7 +28,7 @@
     WorkerInfo,
 )
 from basilhold.workflows.progress import EndKind, RunEnd
-from basilhold.workflows.recovery import scan_page_rows
+from basilhold.workflows.recovery import scan_once
 
 __all__ = ["PlatformAdvice", "PlatformRegistry", "PlatformRunners", "address_of"]
 
@@ -266,11 +266,11 @@
 
     async def read(self) -> Result[dict[WorkerId, tuple[str, WorkerInfo]], str]:
         """Return service and registration of each runner that can be used."""
-        rows = await scan_page_rows(self._table, "servers//")
-        if rows is None:
-            return Error("the store does not answer")
+        scanned = await scan_once(self._table, "servers//")
+        if scanned.is_error():
+            return Error(scanned.error.reason)
         found = {}
-        for row in rows:
+        for row in scanned.ok[0]:
             worker_id = WorkerId(row.key.split("/", 2)[2])
             entry = _decode_entry(row.value)
             if entry is not None:
--- a/basilhold/workflows/backlog.py
+++ b/basilhold/workflows/backlog.py
@@ -4,8 +4,8 @@
 
 from basilhold.core import JobId
 from basilhold.workflows.model import TaskKey
-from basilhold.workflows.planner import ReadyStep, ready_step
 from basilhold.workflows.progress import Workflow
+from basilhold.workflows.ready_steps import ReadyStep, ready_step
 
 __all__ = ["Backlog"]
 
--- a/basilhold/workflows/front.py
+++ b/basilhold/workflows/front.py
@@ -7,7 +7,7 @@
 import msgspec
 from expression import Result
 
-from basilhold.core import Clock, JobId, ServiceName
+from basilhold.core import Clock, JobId, ServiceName, WorkerId
 from basilhold.observability import log_event
 from basilhold.ports import (
     ABSENT,
@@ -17,6 +17,7 @@
     Transaction,
     Write,
 )
+from basilhold.ports.runners import Admission, AdviceService
 from basilhold.workflows import events
 from basilhold.workflows.model import QueueName, QueuePolicy, WorkflowSpec
 from basilhold.workflows.peers import (
@@ -86,7 +87,7 @@
         table: RelayedTable,
         stewardship: Stewardship,
         peers: PeerCalls,
-        advice,
+        advice: AdviceService,
         clock: Clock,
     ):
         self._table = table
@@ -302,6 +303,13 @@
         """Call the store for a peer that does not reach it."""
         return await self._table.serve(call)
 
-    async def advise(self, job_id, occurrence, step, workers, policy):
+    async def advise(
+        self,
+        job_id: JobId,
+        occurrence: int,
+        step: int,
+        workers: tuple[WorkerId, ...],
+        policy: QueuePolicy,
+    ) -> Result[Admission, str]:
         """Ask the advice service from this machine."""
         return await self._advice.ask(job_id, occurrence, step, workers, policy)
--- a/basilhold/workflows/members.py
+++ b/basilhold/workflows/members.py
@@ -10,6 +10,7 @@
 from basilhold.core import Clock, ProcessId
 from basilhold.ports import Row, TableService, Transaction, Write
 from basilhold.workflows.peers import Member
+from basilhold.workflows.recovery import scan_once
 
 __all__ = ["MemberList"]
 
@@ -26,7 +27,6 @@
 
 READ_ALL_MS = 3_000.0
 READ_SAMPLE_MS = 15_000.0
-PAGE_ROWS = 500
 _PREFIX = "members/all/"
 
 
@@ -98,18 +98,11 @@
             self._renewed_ms = now_ms
 
     async def _read_all(self) -> None:
-        rows: list[Row] = []
-        after = ""
-        while True:
-            page = await self._table.scan(_PREFIX, after, PAGE_ROWS)
-            if page.is_error():
-                # The next look at the owners reads again.
-                return
-            rows.extend(page.ok.rows)
-            after = page.ok.next_after
-            if not after:
-                break
-        self._take(rows)
+        scanned = await scan_once(self._table, _PREFIX)
+        if scanned.is_error():
+            # The next look at the owners reads again.
+            return
+        self._take(scanned.ok[0])
         self._has_all = True
 
     async def _read_sample(self) -> None:
--- a/basilhold/workflows/planner.py
+++ b/basilhold/workflows/planner.py
@@ -10,18 +10,17 @@
 import msgspec
 
 from basilhold.core import Resources, WorkerId
-from basilhold.workflows.admissions import AdmissionBook, StepAdmission, StepKey
+from basilhold.workflows.admissions import AdmissionBook, StepAdmission
 from basilhold.workflows.model import (
     WORKERS_PER_QUESTION,
     AdvicePolicy,
     StepSpec,
     TaskKey,
-    objective_ms,
 )
 from basilhold.workflows.pool import Pool, Run, RunKey, Worker
-from basilhold.workflows.progress import Workflow
+from basilhold.workflows.ready_steps import START_BY_TOLERANCE_MS, ReadyStep, rank
 
-__all__ = ["Placement", "Plan", "Preemption", "Question", "ReadyStep", "plan"]
+__all__ = ["Placement", "Plan", "Preemption", "Question", "plan"]
 
 FAR_PENALTY = 2.0
 """Score of a worker away from the step's data, above any packing score."""
@@ -42,61 +41,11 @@
 """How much longer an answer may take for workers beyond those that are needed. Asking
 again after a refusal takes the whole answering time."""
 
-START_BY_TOLERANCE_MS = 250.0
-ESTIMATE_ERROR = 0.25
-"""Estimates of run times are rough; a step that is late by this share of its chain may
-still end in time."""
 
 SPEED_WEIGHT = 0.1
 URGENT_SPEED_WEIGHT = 0.3
 """How much a worker's speed counts against how tightly a task fits."""
 
-LATE_FACTOR = 3.0
-"""A workflow that ends later than this many objectives earns nothing."""
-
-LATE_RANK = 1.5
-HOPELESS_RANK = 10.0
-
-
-class ReadyStep(msgspec.Struct):
-    """A step with tasks that wait.
-
-    Parameters
-    ----------
-    workflow : Workflow
-    occurrence, number : int
-    keys : list of TaskKey
-        Its waiting tasks.
-    begin_unix_ms, due_unix_ms : float
-        When the workflow was submitted or due, and when it has to end to meet its
-        objective.
-    start_by_unix_ms : float
-        When the step has to start for that.
-    """
-
-    workflow: Workflow
-    occurrence: int
-    number: int
-    keys: list[TaskKey]
-    begin_unix_ms: float
-    due_unix_ms: float
-    start_by_unix_ms: float
-
-    @property
-    def spec(self) -> StepSpec:
-        """The step."""
-        return self.workflow.spec.steps[self.number]
-
-    @property
-    def key(self) -> StepKey:
-        """Name of the step."""
-        return StepKey(self.workflow.job_id, self.occurrence, self.number)
-
-    @property
-    def priority(self) -> int:
-        """Priority of the queue."""
-        return self.workflow.spec.policy.priority
-
 
 class Placement(msgspec.Struct):
     """A task and where it starts."""
@@ -130,29 +79,6 @@
     preemptions: list[Preemption]
 
 
-def ready_step(
-    workflow: Workflow, occurrence: int, number: int, keys: list[TaskKey]
-) -> ReadyStep:
-    """Return a step with its deadlines."""
-    spec = workflow.spec
-    begin_ms = spec.due_unix_ms(occurrence) or spec.submitted_unix_ms
-    due_ms = begin_ms + objective_ms(spec)
-    chain_ms = _chain_from(spec.steps, number)
-    return ReadyStep(
-        workflow, occurrence, number, keys, begin_ms, due_ms, due_ms - chain_ms
-    )
-
-
-def _chain_from(steps: tuple[StepSpec, ...], number: int) -> float:
-    """Return the longest chain of estimates that begins with a step."""
-    tails = [step.estimate_ms for step in steps]
-    for later in range(len(steps) - 1, -1, -1):
-        for before in steps[later].after:
-            length = steps[before].estimate_ms + tails[later]
-            tails[before] = max(tails[before], length)
-    return tails[number]
-
-
 def plan(
     steps: list[ReadyStep],
     pool: Pool,
@@ -180,23 +106,6 @@
     return planner.result
 
 
-def rank(step: ReadyStep, now_unix_ms: float) -> float:
-    """Return the place of a step in the order; lower comes first.
-
-    A step that cannot end in time any more is worth a fraction per core of what it
-    was, so it yields to timely work of the next priorities.
-    """
-    chain_ms = step.due_unix_ms - step.start_by_unix_ms
-    tolerance_ms = START_BY_TOLERANCE_MS + ESTIMATE_ERROR * chain_ms
-    if now_unix_ms <= step.start_by_unix_ms + tolerance_ms:
-        return step.priority
-    objective = step.due_unix_ms - step.begin_unix_ms
-    too_late = step.start_by_unix_ms + (LATE_FACTOR - 1) * objective
-    if now_unix_ms <= too_late:
-        return step.priority + LATE_RANK
-    return step.priority + HOPELESS_RANK
-
-
 class _Pass:
     """One pass over the waiting steps."""
 
--- a/basilhold/workflows/recovery.py
+++ b/basilhold/workflows/recovery.py
@@ -3,10 +3,11 @@
 import asyncio
 
 import msgspec
+from expression import Ok, Result
 
 from basilhold.core import JobId, Resources, ServiceName
 from basilhold.observability import log_event
-from basilhold.ports import Row, TableService
+from basilhold.ports import Row, StoreError, TableService
 from basilhold.workflows import events
 from basilhold.workflows.model import WorkflowSpec
 from basilhold.workflows.pool import Pool, Run, RunKey, RunStage, Worker, WorkerInfo
@@ -23,7 +24,7 @@
     "load_workflows",
     "place_assigned",
     "scan_all",
-    "scan_page_rows",
+    "scan_once",
 ]
 
 SCAN_RETRY_MS = 150
@@ -46,11 +47,12 @@
     version: int
 
 
-async def scan_all(table: TableService, prefix: str) -> tuple[list[Row], int]:
-    """Return all rows of a prefix, retrying until the store answers.
+async def scan_once(
+    table: TableService, prefix: str
+) -> Result[tuple[list[Row], int], StoreError]:
+    """Return all rows of a prefix, with the version of the first page.
 
-    The version is that of the first page, so that changes during the scan are read
-    again from the feed.
+    Changes during the scan are thus read again from the feed.
     """
     rows: list[Row] = []
     after = ""
@@ -58,28 +60,22 @@
     while True:
         result = await table.scan(prefix, after)
         if result.is_error():
-            await asyncio.sleep(SCAN_RETRY_MS / 1000)
-            continue
+            return result
         if version < 0:
             version = result.ok.version
         rows.extend(result.ok.rows)
         after = result.ok.next_after
         if not after:
-            return rows, version
+            return Ok((rows, version))
 
 
-async def scan_page_rows(table: TableService, prefix: str) -> list[Row] | None:
-    """Return all rows of a prefix, or ``None`` if the store does not answer."""
-    rows: list[Row] = []
-    after = ""
+async def scan_all(table: TableService, prefix: str) -> tuple[list[Row], int]:
+    """Return all rows of a prefix, retrying until the store answers."""
     while True:
-        result = await table.scan(prefix, after)
-        if result.is_error():
-            return None
-        rows.extend(result.ok.rows)
-        after = result.ok.next_after
-        if not after:
-            return rows
+        result = await scan_once(table, prefix)
+        if result.is_ok():
+            return result.ok
+        await asyncio.sleep(SCAN_RETRY_MS / 1000)
 
 
 async def load_workflows(table: TableService, service: ServiceName) -> Loaded:
--- a/basilhold/workflows/tests/test_planner.py
+++ b/basilhold/workflows/tests/test_planner.py
@@ -5,9 +5,10 @@
 from basilhold.core import JobId, Resources, WorkerId
 from basilhold.workflows.admissions import AdmissionBook, StepKey
 from basilhold.workflows.model import AdvicePolicy, QueuePolicy, StepSpec, WorkflowSpec
-from basilhold.workflows.planner import plan, ready_step
+from basilhold.workflows.planner import plan
 from basilhold.workflows.pool import Pool, RunKey, RunStage, Worker, WorkerInfo
 from basilhold.workflows.progress import Workflow
+from basilhold.workflows.ready_steps import ready_step
 
 NOW_MS = 10_000.0
 ADVICE = AdvicePolicy(20.0, 0.2, 2_000.0)
