Tell in the state dump who owns what, and what an owner holds

Cause: the dump of the program on the users' platform named the members only; an operator could not tell from it which process owned a service, whether its lease was valid, and which workers it did not reach. The test fails without the change.

--- a/basilhold/platform/node.py
+++ b/basilhold/platform/node.py
@@ -230,7 +230,8 @@
         return {
             "node": self.name,
             "configuration": self._queues.version if self._queues else 0,
-            "members": [member.endpoint for member in self.stewardship.members()],
+            "in_flight": self._callers.in_flight,
+            "services": self.stewardship.describe(),
         }
 
     def _is_ready(self) -> bool:
--- a/basilhold/workflows/owner.py
+++ b/basilhold/workflows/owner.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+from typing import Any
 
 import msgspec
 
@@ -129,6 +130,23 @@
         if workflow.cancel(self._state.clock.unix_ms()):
             self._orders.end_workflow(workflow)
 
+    def describe(self) -> dict[str, Any]:
+        """Return what operators ask for first, for a dump of the state."""
+        state = self._state
+        workers = state.pool.workers.values()
+        return {
+            "epoch": state.lease.epoch,
+            "valid": state.lease.is_valid(),
+            "commit_age_ms": round(state.lease.age_ms()),
+            "workers": len(workers),
+            "unreached_workers": [w.worker_id for w in workers if not w.listed],
+            "draining_workers": [w.worker_id for w in workers if w.info.draining],
+            "runs": sum(len(w.runs) for w in workers),
+            "free_cores_milli": sum(w.free.cores_milli for w in workers),
+            "workflows": len(state.workflows),
+            "active_workflows": sum(1 for _ in state.backlog.active()),
+        }
+
     # The owner's life.
 
     async def run(self, reason: str) -> None:
--- a/basilhold/workflows/stewardship.py
+++ b/basilhold/workflows/stewardship.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 from collections.abc import Callable
+from typing import Any
 
 import xxhash
 
@@ -113,6 +114,17 @@
         """Return the processes that are known to be alive, this one first."""
         return self._members.alive()
 
+    def describe(self) -> dict[str, Any]:
+        """Return who owns what, for a dump of the state."""
+        owners = {
+            service: view.record.holder
+            for service, view in self._views.items()
+            if view.record is not None
+        }
+        owned = {name: owner.describe() for name, owner in self._owners.items()}
+        members = [member.endpoint for member in self.members()]
+        return {"owners": owners, "owned": owned, "members": members}
+
     def poll_interval_ms(self) -> int:
         """Return the time between two looks at the owners."""
         count = self._members.count
--- a/basilhold/workflows/tests/test_owner.py
+++ b/basilhold/workflows/tests/test_owner.py
@@ -73,6 +73,23 @@
                 self.assertIs(state, WorkflowState.COMPLETED)
             self.assertLess(asyncio.get_running_loop().time() - begin_s, 0.8)
 
+    async def test_dump_tells_what_the_owner_holds(self):
+        # Guards against a dump from which an operator cannot tell who is at work.
+        spec = spec_of(1, step_of(2, 5_000.0))
+        async with WorkflowCell() as cell:
+            await asyncio.sleep(1)
+            await cell.submit(spec)
+            await asyncio.sleep(1)
+            owner = cell.owner_name()
+            dump = cell.processes[owner].stewardship.describe()
+            self.assertEqual(dump["owners"], {SERVICE: owner})
+            owned = dump["owned"][SERVICE]
+            self.assertEqual((owned["runs"], owned["active_workflows"]), (2, 1))
+            self.assertEqual(owned["unreached_workers"], [])
+            self.assertTrue(owned["valid"])
+            other = next(p for n, p in cell.processes.items() if n != owner)
+            self.assertEqual(other.stewardship.describe()["owned"], {})
+
     async def test_repeated_submission_is_one_workflow(self):
         # Guards against a caller's retry running the work again.
         spec = spec_of(1, step_of())
