Tell a distant store from a slow one when services are claimed

Ruled out: a lost notice of the release, a small machine. The shortest round trip of a process is used now.

--- a/basilhold/workflows/stewardship.py
+++ b/basilhold/workflows/stewardship.py
@@ -1,6 +1,7 @@
 """Which process owns which service, and the owners that this process runs."""
 
 import asyncio
+import math
 import random
 from collections.abc import Callable
 from typing import Any
@@ -87,7 +88,7 @@
         self._leases: dict[ServiceName, Lease] = {}
         self._members = MemberList(ports.table, ports.clock, member)
         self._version = -1
-        self._round_trip_ms = 1.0
+        self._round_trip_ms = math.inf
         self._tasks = TaskSet()
         self._stopping = False
         self._store_lost_ms: float | None = None
@@ -189,7 +190,8 @@
         self._note_store_back(now_ms)
         self.store_answered_ms = now_ms
         round_trip_ms = now_ms - asked_ms
-        self._round_trip_ms += 0.3 * (round_trip_ms - self._round_trip_ms)
+        # The shortest one tells how far the store is; a slow store is slow for all.
+        self._round_trip_ms = min(self._round_trip_ms, round_trip_ms)
         for row in rows:
             self._take_row(row, now_ms)
         for service in self._services():
--- a/basilhold/workflows/tests/test_owner.py
+++ b/basilhold/workflows/tests/test_owner.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from basilhold.core import Resources
+from basilhold.standins.faults import StoreFaults
 from basilhold.standins.runners import RunnerFaults
 from basilhold.testing import VirtualTimeTestCase
 from basilhold.testing.workflow_cell import SERVICE, WorkflowCell, make_spec
@@ -90,6 +91,21 @@
             other = next(p for n, p in cell.processes.items() if n != owner)
             self.assertEqual(other.stewardship.describe()["owned"], {})
 
+    async def test_release_in_a_slow_store_is_taken_up_at_once(self):
+        # A slow store looked like a distant one: all candidates waited 1.2 s for a
+        # nearer one, and a machine of the other region was as likely to come first.
+        async with WorkflowCell(store_faults=StoreFaults()) as cell:
+            cell.table.faults.latency_ms = 4.0
+            await asyncio.sleep(3)
+            cell.table.faults.latency_ms = 140.0
+            await asyncio.sleep(5)
+            await cell.processes.pop(cell.owner_name()).stop()
+            begin_s = asyncio.get_running_loop().time()
+            while not cell.owner_name():
+                await asyncio.sleep(0.01)
+            took_s = asyncio.get_running_loop().time() - begin_s
+            self.assertLess(took_s, 1.5)
+
     async def test_repeated_submission_is_one_workflow(self):
         # Guards against a caller's retry running the work again.
         spec = spec_of(1, step_of())
