Send a relayed transaction once, and tell a failed peer from one that did nothing

Cause: a call to a peer was marked as repeatable, so the connection pool sent a relayed transaction again on a fresh connection. The second copy found the effect of the first and reported a conflict, and the owner gave up its lease. A peer that answered 500 counted as "not applied", although it may have applied the transaction before it failed.

Ruled out: the store itself, which applies each copy under its condition; no rule was broken by it.

Before: the two new tests fail (conflict instead of unknown; not applied instead of unknown). After: both pass.

--- a/basilhold/workflows/peer_http.py
+++ b/basilhold/workflows/peer_http.py
@@ -108,6 +108,7 @@
         body: msgspec.Struct,
         reply_type,
         timeout_ms: int = PEER_TIMEOUT_MS,
+        repeatable: bool = True,
     ) -> Result[msgspec.Struct, bool]:
         """Return the reply, or whether the request may have arrived."""
         host, port = endpoint.rsplit(":", 1)
@@ -117,13 +118,14 @@
             f"/peer/{name}",
             msgspec.json.encode(body),
             timeout_ms,
-            repeatable=True,
+            repeatable=repeatable,
         )
         result = await self._pool.run(call)
         if result.is_error():
             return Error(result.error.sent)
         if result.ok.status != 200:
-            return Error(False)
+            # A peer that failed may have done a part before.
+            return Error(result.ok.status >= 500)
         try:
             return Ok(msgspec.json.decode(result.ok.body, type=reply_type))
         except msgspec.DecodeError:
@@ -167,7 +169,11 @@
         timeout_ms = STORE_TIMEOUT_MS
         if isinstance(call, ChangesCall):
             timeout_ms += call.wait_ms
-        result = await self._call(endpoint, "table", call, _StoreReply, timeout_ms)
+        # A second copy of a transaction would find the effect of the first.
+        repeatable = not isinstance(call, TransactCall)
+        result = await self._call(
+            endpoint, "table", call, _StoreReply, timeout_ms, repeatable
+        )
         if result.is_error():
             kind = StoreErrorKind.UNKNOWN if result.error else _NOT_APPLIED
             return Error(StoreError(kind, "the peer did not answer"))
@@ -204,10 +210,6 @@
         """Set what the calls are served by; tornado calls this for each request."""
         self._service = service
 
-    def log_exception(self, typ, value, tb) -> None:
-        """Leave errors to the process's log."""
-        super().log_exception(typ, value, tb)
-
     async def post(self, name: str) -> None:
         """Serve a call."""
         handler = getattr(self, f"_serve_{name}", None)
--- a/basilhold/workflows/tests/test_relayed_table.py
+++ b/basilhold/workflows/tests/test_relayed_table.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import re
 import socket
 import unittest
 
@@ -170,6 +171,7 @@
 
     def __init__(self, table):
         self.table = table
+        self.fails = False
 
     async def run_store_call(self, call):
         if isinstance(call, ReadCall):
@@ -178,7 +180,10 @@
             return self.table.scan_now(call.prefix, call.after, call.limit)
         if isinstance(call, ChangesCall):
             return self.table.changes_now(call.prefix, call.after)
-        return self.table.transact_now(call.transaction)
+        result = self.table.transact_now(call.transaction)
+        if self.fails:
+            raise RuntimeError("told to fail")
+        return result
 
 
 class PeerStoreCallTest(unittest.IsolatedAsyncioTestCase):
@@ -186,7 +191,8 @@
 
     async def asyncSetUp(self):
         self.table = FeedTable()
-        server = make_peer_server(Front(self.table))
+        self.front = Front(self.table)
+        server = make_peer_server(self.front)
         listening = socket.create_server(("127.0.0.1", 0))
         listening.setblocking(False)
         server.add_socket(listening)
@@ -215,6 +221,37 @@
         self.assertIs(result.error.kind, StoreErrorKind.CONFLICT)
         self.assertEqual(result.error.conflicts, (Conflict("a/b/c", 0, 1),))
 
+    async def test_transaction_is_not_sent_again_on_a_new_connection(self):
+        # The pool's second copy found the effect of the first, and the conflict made
+        # an owner give up its lease.
+        requests = []
+
+        async def serve(reader, writer):
+            while head := await reader.readuntil(b"\r\n\r\n"):
+                length = int(re.search(rb"Content-Length: (\d+)", head)[1])
+                requests.append(await reader.readexactly(length))
+                if b"transact" in requests[-1]:
+                    break
+                reply = b'{"value":{}}'
+                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % 12)
+                writer.write(reply)
+            writer.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        self.addAsyncCleanup(server.wait_closed)
+        self.addCleanup(server.close)
+        endpoint = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        self.assertTrue((await self.peers.store_call(endpoint, ReadCall(()))).is_ok())
+        result = await self.peers.store_call(endpoint, TransactCall(PUT))
+        self.assertIs(result.error.kind, StoreErrorKind.UNKNOWN)
+        self.assertEqual(len(requests), 2)
+
+    async def test_peer_that_fails_may_have_applied_a_transaction(self):
+        # A reply of 500 was taken for "not applied", also after the store had applied.
+        self.front.fails = True
+        result = await self.peers.store_call(self.endpoint, TransactCall(PUT))
+        self.assertIs(result.error.kind, StoreErrorKind.UNKNOWN)
+
     async def test_peer_that_is_gone_has_done_nothing(self):
         result = await self.peers.store_call("127.0.0.1:1", ReadCall(("k",)))
         self.assertIs(result.error.kind, StoreErrorKind.NOT_APPLIED)
