Wait after a failed question before an evacuation asks again

Cause: the evacuation of long-running tasks looked only for an open question, so a question that failed was repeated ten times a second. Both callers now ask StepAdmission.may_ask.

Ruled out: the planner, which already observed the pause.

Before: the new test has nothing to call; the loop repeated at each check of due times.

--- a/basilhold/workflows/admissions.py
+++ b/basilhold/workflows/admissions.py
@@ -40,6 +40,10 @@
     asking: bool = False
     retry_ms: float = 0.0
 
+    def may_ask(self, now_ms: float) -> bool:
+        """Return whether a question may be sent: none is open or failed just now."""
+        return not self.asking and now_ms >= self.retry_ms
+
     def ticket(self, worker_id: WorkerId, now_ms: float) -> str:
         """Return a ticket that can be used now, or an empty string."""
         ticket, until_ms = self.tickets.get(worker_id, ("", 0.0))
--- a/basilhold/workflows/owner.py
+++ b/basilhold/workflows/owner.py
@@ -405,7 +405,7 @@
                 continue
             key = run.key.task
             step = ready_step(workflow, key.occurrence, key.step, [key])
-            if not state.book.step(step.key).asking:
+            if state.book.step(step.key).may_ask(now_ms):
                 names = [w.worker_id for w in evacuation.targets]
                 names = names[:WORKERS_PER_QUESTION]
                 self._begin_question(Question(step, tuple(names)))
--- a/basilhold/workflows/planner.py
+++ b/basilhold/workflows/planner.py
@@ -2,7 +2,8 @@
 
 The planner answers a backlog of unlike steps on uneven workers. Steps are served by
 priority and, within one, by how soon they must start to end in time. A step that an
-external service must admit is asked about only while a worker has room for it.
+external service must admit is asked about first while a worker has room for it, and
+again while one has room or will have it when the answer arrives.
 """
 
 import math
@@ -231,7 +232,7 @@
         spares: list[Worker] | None = None,
     ) -> None:
         """Ask about workers, and about some spare ones in case those are refused."""
-        if known.asking or self._now_ms < known.retry_ms or not workers:
+        if not workers or not known.may_ask(self._now_ms):
             return
         # A ticket that expires before an answer can arrive is renewed now.
         until_ms = self._now_ms + step.workflow.spec.policy.advice.answer_ms(1)
--- a/basilhold/workflows/tests/test_evacuation.py
+++ b/basilhold/workflows/tests/test_evacuation.py
@@ -66,6 +66,15 @@
         self.add_worker("b", 4_000)
         self.assertEqual(len(self.find()), 1)
 
+    def test_failed_question_is_not_repeated_at_once(self):
+        # The owner looked only for an open question, and asked ten times a second.
+        known = self.book.step(STEP_KEY)
+        self.assertTrue(known.may_ask(NOW_MS))
+        known.retry_ms = NOW_MS + 300
+        self.assertFalse(known.may_ask(NOW_MS))
+        known.retry_ms, known.asking = 0.0, True
+        self.assertFalse(known.may_ask(NOW_MS))
+
     def test_work_that_ends_by_itself_stays(self):
         self.leaving.runs.clear()
         self.run_task(self.leaving, 0, StepSpec(1, Resources(4_000)))
