Take test ports outside the range of outgoing connections

Cause: a port that was free a moment ago could be given to an outgoing connection before the program listened on it.

Ruled out: two programs of one run with the same port, as all came from one call.

--- a/basilhold/platform/tests/node_processes.py
+++ b/basilhold/platform/tests/node_processes.py
@@ -1,19 +1,18 @@
 """The real program as processes of this machine, and the way of each to the store."""
 
 import asyncio
-import contextlib
 import os
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
 from enum import Enum
 from pathlib import Path
 
+from basilhold.programs.tests.processes import ROOT, free_ports
+
 __all__ = ["NodeProcess", "PathMode", "StorePath"]
 
-ROOT = Path(__file__).parents[3]
 CHUNK_BYTES = 1 << 16
 DELAY_S = 0.08
 CLOSE_TIMEOUT_S = 2.0
@@ -120,15 +119,6 @@
         raise EOFError
 
 
-def _free_ports(count: int) -> list[int]:
-    """Return ports that nobody listens at."""
-    with contextlib.ExitStack() as stack:
-        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
-        for each in sockets:
-            each.bind(("127.0.0.1", 0))
-        return [each.getsockname()[1] for each in sockets]
-
-
 class NodeProcess:
     """One machine: its settings, its way to the store, and its process.
 
@@ -143,7 +133,7 @@
     def __init__(self, name: str, path: StorePath, directory: Path):
         self.name = name
         self.path = path
-        self.front_port, self.ready_port, peer_port, status_port = _free_ports(4)
+        self.front_port, self.ready_port, peer_port, status_port = free_ports(4)
         self._settings = directory / f"{name}.toml"
         self._log = directory / f"{name}.log"
         self._process: subprocess.Popen | None = None
--- a/basilhold/programs/tests/processes.py
+++ b/basilhold/programs/tests/processes.py
@@ -1,6 +1,7 @@
 """Starts the programs as processes for tests, on loopback ports that are free."""
 
 import asyncio
+import os
 import re
 import signal
 import socket
@@ -12,13 +13,36 @@
 _URL_PORT = re.compile(r"(?P<head>_url = \"http://127.0.0.1:)\d+")
 STOP_TIMEOUT_S = 30
 
+FIRST_PORT, LAST_PORT = 12_000, 32_000
+"""Below the ports that the system gives to outgoing connections, any of which could
+take one before the program listens."""
+
+PORTS_PER_RUN = 97
+"""Distance between the first ports of test runs with successive process ids."""
+
+
+def _ports():
+    """Yield ports in turn, from a place that differs between test runs."""
+    span = LAST_PORT - FIRST_PORT
+    place = os.getpid() * PORTS_PER_RUN
+    while True:
+        yield FIRST_PORT + place % span
+        place += 1
+
+
+_CANDIDATES = _ports()
+
 
 def free_ports(count):
-    """Return ports that were free a moment ago."""
-    sockets = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
-    ports = [entry.getsockname()[1] for entry in sockets]
-    for entry in sockets:
-        entry.close()
+    """Return ports that were free a moment ago, and that no connection is given."""
+    ports = []
+    while len(ports) < count:
+        port = next(_CANDIDATES)
+        try:
+            socket.create_server(("127.0.0.1", port)).close()
+        except OSError:
+            continue
+        ports.append(port)
     return ports
 
 
