Keep deadlines and ages in the time of the store's clock

Cause: a job's submission was the Unix time of the machine that took it, and the owner compared it with its own, adjusted once a second. A time of day that jumps by 2.4 s made timely work late or put it behind later work, started repeated jobs 2.4 s early, and let ended jobs be forgotten too soon.

SharedTime follows the steady clock that each reply of the store shows, also in replies through a peer. Order, objectives, lateness and forgetting use it. Unix time is needed for due times only: it is the store's time plus the median of the differences that all processes store with their membership rows. A submission whose process does not know the store's time yet counts from when its owner sees it. The store adapter decodes each reply in one place.

Ruled out: the median of the machines' Unix times alone, which still jumps for work that was stamped by a machine before; a filter for jumps on each machine, which cannot tell a jump from a correction.

--- a/basilhold/platform/bodies.py
+++ b/basilhold/platform/bodies.py
@@ -133,7 +133,7 @@
     job_id: JobId,
     policy: QueuePolicy,
     body: bytes,
-    now_unix_ms: float,
+    submitted_ms: float,
     row_bytes_max: int = ROW_BYTES_MAX,
 ) -> Result[WorkflowSpec, str]:
     """Return the submitted workflow, or why it cannot be accepted.
@@ -143,7 +143,8 @@
     job_id : JobId
     policy : QueuePolicy
     body : bytes
-    now_unix_ms : float
+    submitted_ms : float
+        Time of the store's clock; 0 if it is not known.
     row_bytes_max : int
         Largest value of a row in the store, which has to hold the workflow.
     """
@@ -159,7 +160,7 @@
         policy,
         job.spec,
         tuple(_step(step) for step in job.steps),
-        now_unix_ms,
+        submitted_ms,
         job.first_ms,
         job.interval_ms,
         job.repeat_count,
--- a/basilhold/platform/callers.py
+++ b/basilhold/platform/callers.py
@@ -65,13 +65,12 @@
         job_id = self._job_id()
         if job_id is None:
             return
-        clock = self._server.clock
         policy = self._route.policy
         decoded = decode_workflow(
             job_id,
             policy,
             self.request.body,
-            clock.unix_ms(),
+            self._server.front.shared_ms() or 0.0,
             self._server.row_bytes_max,
         )
         if decoded.is_error():
--- a/basilhold/platform/node.py
+++ b/basilhold/platform/node.py
@@ -52,6 +52,7 @@
 from basilhold.workflows.relayed_table import RelayedTable
 from basilhold.workflows.routes import QueueTable
 from basilhold.workflows.rows import Incarnation
+from basilhold.workflows.shared_time import SharedTime
 from basilhold.workflows.stewardship import Stewardship
 from basilhold.workflows.worker_link import LEASE_MAX_MS, OwnerLimits
 
@@ -119,6 +120,7 @@
     def __init__(self, settings: PlatformSettings, output: BoundedOutput):
         self._settings = settings
         self._clock = Clock(int(time.time() * 1000))
+        shared_time = SharedTime(self._clock)
         self._pool = HttpPool(
             HttpLimits(CONNECTIONS_MAX, CONNECT_TIMEOUT_MS, idle_ms=20_000)
         )
@@ -127,9 +129,11 @@
         self._pages.metrics.add_source(LogMetrics(output))
         self._draining = False
         endpoint = f"{settings.ip}:{settings.port_range[0]}"
-        peers = HttpPeers(self._pool)
+        peers = HttpPeers(self._pool, shared_time)
         region = RegionName(settings.region)
-        direct = PlatformStore(self._pool, address_of(settings.platform.address))
+        direct = PlatformStore(
+            self._pool, address_of(settings.platform.address), shared_time
+        )
         rng = random.Random(secrets.randbits(64))
         store = RelayedTable(
             direct,
@@ -154,6 +158,7 @@
             PlatformRegistry(store),
             spread,
             self._clock,
+            shared_time,
             self._pages.metrics,
         )
         hold_ms = min(settings.bounds.hold_max_ms, LEASE_MAX_MS)
@@ -170,7 +175,9 @@
             peers,
             _handicap_ms(settings),
         )
-        self.front = WorkflowFront(store, self.stewardship, peers, advice, self._clock)
+        self.front = WorkflowFront(
+            store, self.stewardship, peers, advice, self._clock, shared_time
+        )
         self._callers = CallerServer(
             self.front, lambda: self._queues, self._clock, settings.row_bytes_max
         )
--- a/basilhold/platform/store.py
+++ b/basilhold/platform/store.py
@@ -21,6 +21,7 @@
     TableService,
     Transaction,
 )
+from basilhold.workflows.shared_time import SharedTime
 
 __all__ = ["PlatformStore"]
 
@@ -45,20 +46,24 @@
     deleted: bool = False
 
 
-class _WireRows(msgspec.Struct):
-    """`ver` is the store's newest version, not a row's."""
+class _WireReply(msgspec.Struct):
+    """`ver` is the store's newest version, `now_ms` its steady clock."""
 
     rows: list[_WireRow] = []
+    parts: list[str] = []
     has_more: bool = False
     ver: int = 0
+    now_ms: float = 0.0
 
 
-class _WireApplied(msgspec.Struct):
-    ver: int = 0
+class _Answer(msgspec.Struct):
+    """A reply of the store that could be read."""
+
+    status: int
+    body: _WireReply
 
 
-_ROWS = msgspec.json.Decoder(_WireRows)
-_APPLIED = msgspec.json.Decoder(_WireApplied)
+_REPLY = msgspec.json.Decoder(_WireReply)
 
 
 def _split(key: str) -> tuple[str, str, str]:
@@ -72,7 +77,12 @@
 
 
 def _row(row: _WireRow) -> Row:
-    return Row(_join(row), base64.b64decode(row.value), row.ver)
+    try:
+        value = base64.b64decode(row.value)
+    except ValueError:
+        # One unreadable row must not hide the others; its reader rejects it as empty.
+        value = b""
+    return Row(_join(row), value, row.ver)
 
 
 class PlatformStore(TableService, ChangeFeed):
@@ -84,11 +94,14 @@
     ----------
     pool : HttpPool
     address : HttpAddress
+    time : SharedTime
+        Learns the store's time from its replies.
     """
 
-    def __init__(self, pool: HttpPool, address: HttpAddress):
+    def __init__(self, pool: HttpPool, address: HttpAddress, time: SharedTime):
         self._pool = pool
         self._address = address
+        self._time = time
 
     async def read(self, keys: tuple[str, ...]) -> Result[dict[str, Row], StoreError]:
         """Return the rows that exist among `keys`, each read by itself."""
@@ -128,10 +141,10 @@
         result = await self._get(f"/-/rows-parts?{query}", CALL_TIMEOUT_MS)
         if result.is_error():
             return result
-        listed = msgspec.json.decode(result.ok.body)
+        listed = result.ok.body
         rows: list[Row] = []
-        version = listed.get("ver", 0)
-        for part in listed.get("parts", ()):
+        version = listed.ver
+        for part in listed.parts:
             page = await self._range(table, part, "", ROWS_MAX)
             if page.is_error():
                 return page
@@ -148,7 +161,7 @@
         result = await self._get(f"/-/rows-get?{urlencode(query)}", CALL_TIMEOUT_MS)
         if result.is_error():
             return result
-        page = _ROWS.decode(result.ok.body)
+        page = result.ok.body
         rows = tuple(_row(row) for row in page.rows)
         next_after = rows[-1].key if page.has_more and rows else ""
         return Ok(ScanPage(rows, next_after, page.ver))
@@ -165,7 +178,7 @@
             return result
         if result.ok.status == _STATUS_GONE:
             return Ok(Changes(complete=False))
-        page = _ROWS.decode(result.ok.body)
+        page = result.ok.body
         found = [row for row in page.rows if _join(row).startswith(prefix)]
         rows = tuple(_row(row) for row in found if not row.deleted)
         deleted = tuple(_join(row) for row in found if row.deleted)
@@ -180,10 +193,9 @@
         result = await self._run(call)
         if result.is_error():
             return result
-        reply = result.ok
-        if reply.status == _STATUS_CONFLICT:
-            return Error(_conflict(transaction, reply))
-        version = _APPLIED.decode(reply.body).ver
+        if result.ok.status == _STATUS_CONFLICT:
+            return Error(_conflict(transaction, result.ok.body))
+        version = result.ok.body.ver
         return Ok(
             {
                 write.key: 0 if write.value is None else version
@@ -193,7 +205,7 @@
 
     async def _get(
         self, path: str, timeout_ms: int, gone_is_ok: bool = False
-    ) -> Result[HttpReply, StoreError]:
+    ) -> Result[_Answer, StoreError]:
         call = HttpCall(
             self._address, "GET", path, timeout_ms=timeout_ms, repeatable=True
         )
@@ -205,15 +217,18 @@
             return Error(StoreError(StoreErrorKind.INVALID, reason))
         return result
 
-    async def _run(self, call: HttpCall) -> Result[HttpReply, StoreError]:
+    async def _run(self, call: HttpCall) -> Result[_Answer, StoreError]:
+        sent_ms = self._time.local_ms()
         result = await self._pool.run(call)
         if result.is_error():
             sent = result.error.sent
             kind = StoreErrorKind.UNKNOWN if sent else StoreErrorKind.NOT_APPLIED
             return Error(StoreError(kind, result.error.reason))
         status = result.ok.status
-        if status in (200, _STATUS_CONFLICT, _STATUS_GONE):
-            return result
+        if status == _STATUS_GONE:
+            return Ok(_Answer(status, _WireReply()))
+        if status in (200, _STATUS_CONFLICT):
+            return self._read_reply(result.ok, sent_ms)
         # Refusals for load or for an outage say that nothing was done.
         if status in (429, 503, 507):
             kind = StoreErrorKind.NOT_APPLIED
@@ -223,6 +238,19 @@
             kind = StoreErrorKind.INVALID
         return Error(StoreError(kind, f"status {status}"))
 
+    def _read_reply(
+        self, reply: HttpReply, sent_ms: float
+    ) -> Result[_Answer, StoreError]:
+        """Return what a reply says; a transaction may have taken effect if nothing."""
+        try:
+            body = _REPLY.decode(reply.body)
+        except msgspec.DecodeError as error:
+            reason = f"the reply cannot be read: {error}"
+            return Error(StoreError(StoreErrorKind.UNKNOWN, reason))
+        if body.now_ms:
+            self._time.observe(body.now_ms, sent_ms, self._time.local_ms())
+        return Ok(_Answer(reply.status, body))
+
 
 def _transaction_body(transaction: Transaction) -> dict[str, Any]:
     parts = set()
@@ -248,8 +276,8 @@
     return {"table": table, "part": part, "key": name}
 
 
-def _conflict(transaction: Transaction, reply: HttpReply) -> StoreError:
-    actual = {_join(row): row.ver for row in _ROWS.decode(reply.body).rows}
+def _conflict(transaction: Transaction, reply: _WireReply) -> StoreError:
+    actual = {_join(row): row.ver for row in reply.rows}
     conflicts = tuple(
         Conflict(c.key, c.version, actual.get(c.key, 0))
         for c in transaction.conditions
--- a/basilhold/platform/tests/platform_http.py
+++ b/basilhold/platform/tests/platform_http.py
@@ -2,6 +2,7 @@
 
 import base64
 import json
+import time
 from collections.abc import Callable
 from typing import Any
 
@@ -9,7 +10,10 @@
 from tornado.netutil import bind_sockets
 from tornado.web import Application, RequestHandler
 
-__all__ = ["PlatformHttp"]
+__all__ = ["STORE_EPOCH_MS", "PlatformHttp"]
+
+STORE_EPOCH_MS = 5_000_000_000.0
+"""Far from any clock of the tests' machine."""
 
 
 class PlatformHttp:
@@ -63,6 +67,13 @@
         self.history.append((self.version, name, self.rows[name][0]))
         return self.version
 
+    def _head(self) -> dict:
+        return {"ver": self.version, "now_ms": self.clock_ms()}
+
+    def clock_ms(self) -> float:
+        """Return the store's steady clock."""
+        return STORE_EPOCH_MS + time.monotonic() * 1000
+
     # Calls of the store.
 
     def rows_tx(self, body: dict) -> tuple[int, dict]:
@@ -76,7 +87,11 @@
             name = (entry["table"], entry["part"], entry["key"])
             if self.rows.get(name, ("", 0))[1] != entry["ver"]:
                 found = [self._row(n) for n in self._names(body) if n in self.rows]
-                return 412, {"rows": found, "ver": self.version, "now_ms": 1}
+                return 412, {
+                    "rows": found,
+                    "ver": self.version,
+                    "now_ms": self.clock_ms(),
+                }
         self.version += 1
         for entry in body["puts"]:
             name = (entry["table"], entry["part"], entry["key"])
@@ -86,7 +101,7 @@
             name = (entry["table"], entry["part"], entry["key"])
             self.rows.pop(name, None)
             self.history.append((self.version, name, None))
-        return 200, {"ver": self.version, "now_ms": 1}
+        return 200, {**self._head()}
 
     def _names(self, body: dict):
         return [(e["table"], e["part"], e["key"]) for e in body["expected"]]
@@ -108,14 +123,14 @@
             if same and after and before:
                 found.append(self._row((table, part, key)))
         more = len(found) > limit
-        return 200, {"rows": found[:limit], "has_more": more, "ver": self.version}
+        return 200, {"rows": found[:limit], "has_more": more, **self._head()}
 
     def rows_parts(self, query: Callable[[str], str]) -> tuple[int, dict]:
         """Return the parts of a table."""
         parts = sorted(
             {part for table, part, _ in self.rows if table == query("table")}
         )
-        return 200, {"parts": parts, "ver": self.version}
+        return 200, {"parts": parts, **self._head()}
 
     def rows_feed(self, query: Callable[[str], str]) -> tuple[int, dict]:
         """Return the changes of a table."""
@@ -129,7 +144,7 @@
                 rows.append(
                     row | ({"deleted": True} if value is None else {"value": value})
                 )
-        return 200, {"rows": rows, "ver": self.version}
+        return 200, {"rows": rows, **self._head()}
 
 
 class _Handler(RequestHandler):
--- a/basilhold/platform/tests/process_soak.py
+++ b/basilhold/platform/tests/process_soak.py
@@ -130,8 +130,7 @@
     async def _caller(self) -> None:
         job_id = JobId(f"{self.rng.getrandbits(64):016x}")
         body = self._job()
-        now_unix_ms = 0.0
-        spec = decode_workflow(job_id, _POLICY, body, now_unix_ms).ok
+        spec = decode_workflow(job_id, _POLICY, body, 0.0).ok
         self.platform.runners.specs[job_id] = spec
         unknown = False
         for _ in range(5):
--- a/basilhold/platform/tests/test_store.py
+++ b/basilhold/platform/tests/test_store.py
@@ -1,10 +1,12 @@
 import unittest
 
 from basilhold.adapters import HttpPool
+from basilhold.core import Clock
 from basilhold.platform.runners import PlatformRegistry, address_of
 from basilhold.platform.store import PlatformStore
 from basilhold.platform.tests.platform_http import PlatformHttp
 from basilhold.ports import ABSENT, Condition, StoreErrorKind, Transaction, Write
+from basilhold.workflows.shared_time import SharedTime
 
 KEY = "jobs/desk.0/00f0"
 
@@ -19,7 +21,9 @@
     async def asyncSetUp(self):
         self.platform = self.enterContext(PlatformHttp())
         pool = await self.enterAsyncContext(HttpPool())
-        self.store = PlatformStore(pool, address_of(self.platform.endpoint))
+        self.time = SharedTime(Clock(0))
+        address = address_of(self.platform.endpoint)
+        self.store = PlatformStore(pool, address, self.time)
 
     async def test_write_read_and_scan(self):
         written = await self.store.transact(put(KEY, b"one"))
@@ -55,6 +59,13 @@
         error = (await self.store.transact(put(KEY, b"one"))).error
         self.assertIs(error.kind, StoreErrorKind.UNKNOWN)
 
+    async def test_replies_show_the_store_s_clock(self):
+        self.assertFalse(self.time.is_known)
+        await self.store.scan("jobs/desk.0/")
+        self.assertTrue(self.time.is_known)
+        difference_ms = self.time.now_ms() - self.platform.clock_ms()
+        self.assertLess(abs(difference_ms), 1_000.0)
+
     async def test_changes_and_lost_history(self):
         await self.store.transact(put(KEY, b"one"))
         await self.store.transact(Transaction((), (Write(KEY, None),)))
--- a/basilhold/testing/workflow_cell.py
+++ b/basilhold/testing/workflow_cell.py
@@ -45,6 +45,7 @@
 from basilhold.workflows.pool import WorkerInfo
 from basilhold.workflows.relayed_table import RelayedTable
 from basilhold.workflows.rows import Incarnation
+from basilhold.workflows.shared_time import SharedTime
 from basilhold.workflows.stewardship import Stewardship
 from basilhold.workflows.worker_link import OwnerLimits
 
@@ -55,6 +56,8 @@
     QueueName("quotes"), SERVICE, 0, 4, 2.0, 500.0, AdvicePolicy(20.0, 0.2, 2_000.0)
 )
 UNREACHABLE_MS = 300.0
+STORE_EPOCH_MS = 5_000_000.0
+"""Time of the store's clock at the begin of a run."""
 
 
 class LoopClock(SuspendAwareClock):
@@ -68,8 +71,9 @@
 class _ProcessTable(TableService, ChangeFeed):
     """The table as one process reaches it."""
 
-    def __init__(self, table: FeedTable):
+    def __init__(self, table: FeedTable, time: SharedTime):
         self._table = table
+        self._time = time
         self.cut = False
 
     async def _guard(self, call) -> Result:
@@ -77,7 +81,11 @@
             call.close()
             await asyncio.sleep(UNREACHABLE_MS / 1000)
             return Error(StoreError(StoreErrorKind.NOT_APPLIED, "unreachable"))
-        return await call
+        sent_ms = asyncio.get_running_loop().time() * 1000
+        result = await call
+        received_ms = asyncio.get_running_loop().time() * 1000
+        self._time.observe(STORE_EPOCH_MS + received_ms, sent_ms, received_ms)
+        return result
 
     async def read(self, keys):
         """Read rows."""
@@ -169,11 +177,12 @@
 
     def __init__(self, cell: "WorkflowCell", name: str):
         self.name = name
-        self.table = _ProcessTable(cell.table)
         clock = Clock(
             VIRTUAL_EPOCH_UNIX_MS + int(asyncio.get_running_loop().time() * 1000)
         )
         self.clock = clock
+        shared_time = SharedTime(clock)
+        self.table = _ProcessTable(cell.table, shared_time)
         peers = _CellPeers(cell)
         self.metrics = Metrics(METRICS)
         region = RegionName("r")
@@ -193,6 +202,7 @@
             MemoryRegistry(cell.runners, SERVICE),
             cell.advice,
             clock,
+            shared_time,
             self.metrics,
         )
         self.stewardship = Stewardship(
@@ -206,7 +216,7 @@
             peers,
         )
         self.front = WorkflowFront(
-            self.store, self.stewardship, peers, cell.advice, clock
+            self.store, self.stewardship, peers, cell.advice, clock, shared_time
         )
         self._task = asyncio.create_task(self.stewardship.run())
 
@@ -300,7 +310,9 @@
         name = self.rng.choice(sorted(self.processes))
         process = self.processes[name]
         deadline_ms = process.clock.monotonic_ms() + 2_500
-        spec = msgspec.structs.replace(spec, submitted_unix_ms=process.clock.unix_ms())
+        spec = msgspec.structs.replace(
+            spec, submitted_ms=process.front.shared_ms() or 0.0
+        )
         return await process.front.submit(spec, deadline_ms)
 
 
--- a/basilhold/workflows/backlog.py
+++ b/basilhold/workflows/backlog.py
@@ -6,6 +6,7 @@
 from basilhold.workflows.model import TaskKey
 from basilhold.workflows.progress import Workflow
 from basilhold.workflows.ready_steps import ReadyStep, ready_step
+from basilhold.workflows.shared_time import Instant
 
 __all__ = ["Backlog"]
 
@@ -53,7 +54,7 @@
         """Return whether any task waits, ready or not."""
         return any(any(steps.values()) for steps in self._waiting.values())
 
-    def ready(self, now_unix_ms: float) -> list[ReadyStep]:
+    def ready(self, instant: Instant) -> list[ReadyStep]:
         """Return the steps that have waiting tasks and may run now.
 
         A gang is ready only while none of its tasks is assigned.
@@ -61,11 +62,15 @@
         steps: list[ReadyStep] = []
         for job_id, workflow in self._active.items():
             waiting = self._waiting[job_id]
-            for occurrence, number in workflow.ready_steps(now_unix_ms):
+            for occurrence, number in workflow.ready_steps(instant.unix_ms):
                 indexes = waiting[occurrence, number]
                 spec = workflow.spec.steps[number]
                 if not indexes or (spec.gang and len(indexes) < spec.task_count):
                     continue
                 keys = [TaskKey(occurrence, number, i) for i in sorted(indexes)]
-                steps.append(ready_step(workflow, occurrence, number, keys))
+                steps.append(
+                    ready_step(
+                        workflow, occurrence, number, keys, instant.unix_offset_ms
+                    )
+                )
         return steps
--- a/basilhold/workflows/commits.py
+++ b/basilhold/workflows/commits.py
@@ -151,12 +151,12 @@
         while True:
             await asyncio.sleep(FORGET_INTERVAL_MS / 1000)
             unstored = {key.job_id for key in self._dirty}
-            before_ms = self._state.clock.unix_ms() - self._state.limits.forget_after_ms
+            before_ms = self._state.time.now_ms() - self._state.limits.forget_after_ms
             old = [
                 workflow
                 for workflow in self._state.workflows.values()
                 if workflow.state.is_final
-                and workflow.ended_unix_ms < before_ms
+                and workflow.ended_ms < before_ms
                 and workflow.job_id not in unstored
                 and not workflow.assigned()
             ][:FORGET_ROWS_MAX]
--- a/basilhold/workflows/front.py
+++ b/basilhold/workflows/front.py
@@ -30,6 +30,7 @@
 from basilhold.workflows.progress import WorkflowState, decode_state
 from basilhold.workflows.relayed_table import RelayedTable
 from basilhold.workflows.rows import cancel_key, progress_key, spec_key
+from basilhold.workflows.shared_time import SharedTime
 from basilhold.workflows.stewardship import Stewardship
 from basilhold.workflows.tasks import TaskSet
 
@@ -80,6 +81,7 @@
     advice : AdviceService
         Asks from this machine.
     clock : Clock
+    time : SharedTime
     """
 
     def __init__(
@@ -89,12 +91,14 @@
         peers: PeerCalls,
         advice: AdviceService,
         clock: Clock,
+        time: SharedTime,
     ):
         self._table = table
         self._stewardship = stewardship
         self._peers = peers
         self._advice = advice
         self._clock = clock
+        self._time = time
         self._final: dict[JobId, WorkflowState] = {}
         self._silent_until_ms: dict[str, float] = {}
         self._tasks = TaskSet()
@@ -299,6 +303,10 @@
             return None
         return local.waiting(queue)
 
+    def shared_ms(self) -> float | None:
+        """Return the time of the store's clock, or ``None`` if it is not known."""
+        return self._time.now_ms() if self._time.is_known else None
+
     async def run_store_call(self, call: StoreCall) -> Result[Any, StoreError]:
         """Call the store for a peer that does not reach it."""
         return await self._table.serve(call)
--- a/basilhold/workflows/members.py
+++ b/basilhold/workflows/members.py
@@ -11,6 +11,7 @@
 from basilhold.ports import Row, TableService, Transaction, Write
 from basilhold.workflows.peers import Member
 from basilhold.workflows.recovery import scan_once
+from basilhold.workflows.shared_time import SharedTime
 
 __all__ = ["MemberList"]
 
@@ -39,10 +40,15 @@
     clock : Clock
     member : Member
         This process.
+    time : SharedTime
+        Learns the differences of Unix time that the processes see.
     """
 
-    def __init__(self, table: TableService, clock: Clock, member: Member):
+    def __init__(
+        self, table: TableService, clock: Clock, member: Member, time: SharedTime
+    ):
         self._table = table
+        self._time = time
         self._clock = clock
         self._member = member
         self._seen: dict[ProcessId, tuple[Member, float]] = {}
@@ -91,7 +97,10 @@
         return max(RENEW_MS, RENEW_MS_EACH * count)
 
     async def _renew(self, now_ms: float) -> None:
-        member = msgspec.structs.replace(self._member, beat=int(now_ms))
+        offset_ms = self._time.own_unix_offset_ms() if self._time.is_known else None
+        member = msgspec.structs.replace(
+            self._member, beat=int(now_ms), unix_offset_ms=offset_ms
+        )
         key = f"{_PREFIX}{member.process_id}"
         write = Write(key, msgspec.json.encode(member))
         if (await self._table.transact(Transaction((), (write,)))).is_ok():
@@ -130,3 +139,12 @@
             unchanged = known is not None and known.beat == member.beat
             seen[member.process_id] = (member, seen_ms if unchanged else now_ms)
         self._seen = seen
+        self._compare_clocks()
+
+    def _compare_clocks(self) -> None:
+        offsets = [
+            member.unix_offset_ms
+            for member in self.alive()[1:]
+            if member.unix_offset_ms is not None
+        ]
+        self._time.set_unix_offsets([self._time.own_unix_offset_ms(), *offsets])
--- a/basilhold/workflows/model.py
+++ b/basilhold/workflows/model.py
@@ -143,7 +143,8 @@
     payload : str
         Passed to the workers as it is.
     steps : tuple of StepSpec
-    submitted_unix_ms : float
+    submitted_ms : float
+        Time of the store's clock at submission; 0 if that was not known there.
     first_due_unix_ms, interval_ms : float
         Due times of a repeated workflow.
     repeat_count : int
@@ -154,7 +155,7 @@
     policy: QueuePolicy
     payload: str
     steps: tuple[StepSpec, ...]
-    submitted_unix_ms: float
+    submitted_ms: float = 0.0
     first_due_unix_ms: float = 0.0
     interval_ms: float = 0.0
     repeat_count: int = 0
--- a/basilhold/workflows/orders.py
+++ b/basilhold/workflows/orders.py
@@ -201,7 +201,7 @@
         step = workflow.spec.steps[key.task.step]
         self._note_worker(worker, key, step, end, run)
         was_final = workflow.state.is_final
-        if not workflow.apply_end(end, self._state.clock.unix_ms()):
+        if not workflow.apply_end(end, self._state.time.now_ms()):
             return
         self._state.ports.metrics.add(
             metric("basilhold_workflow_runs_total"),
@@ -251,7 +251,7 @@
             if run is not None:
                 self.stop(self._state.pool.workers[task.worker_id], run)
         self.committer.mark(workflow)
-        took_ms = workflow.ended_unix_ms - workflow.spec.submitted_unix_ms
+        took_ms = workflow.ended_ms - workflow.spec.submitted_ms
         self._state.observe(
             "basilhold_workflow_seconds", took_ms, state=workflow.state.value
         )
--- a/basilhold/workflows/owner.py
+++ b/basilhold/workflows/owner.py
@@ -108,7 +108,7 @@
         """Take over a workflow whose row is stored."""
         if spec.job_id in self._state.workflows:
             return
-        workflow = Workflow(spec)
+        workflow = Workflow(self._with_submission(spec))
         self._state.workflows[spec.job_id] = workflow
         self._state.visible[spec.job_id] = workflow.state
         if spec.job_id in self._early_cancels:
@@ -118,6 +118,13 @@
         self._state.backlog.add(workflow)
         self._state.plan_event.set()
 
+    def _with_submission(self, spec: WorkflowSpec) -> WorkflowSpec:
+        """Return a specification with the time of its submission, at the latest now."""
+        now_ms = self._state.time.now_ms()
+        if 0.0 < spec.submitted_ms <= now_ms:
+            return spec
+        return msgspec.structs.replace(spec, submitted_ms=now_ms)
+
     def cancel(self, job_id: JobId) -> None:
         """Cancel a workflow whose cancellation is stored."""
         workflow = self._state.workflows.get(job_id)
@@ -127,7 +134,7 @@
             self._cancel(workflow)
 
     def _cancel(self, workflow: Workflow) -> None:
-        if workflow.cancel(self._state.clock.unix_ms()):
+        if workflow.cancel(self._state.time.now_ms()):
             self._orders.end_workflow(workflow)
 
     def describe(self) -> dict[str, Any]:
@@ -192,6 +199,7 @@
         self._feed_version = loaded.version
         now_ms = self._state.clock.monotonic_ms()
         for workflow in loaded.workflows:
+            workflow.spec = self._with_submission(workflow.spec)
             self._state.workflows[workflow.job_id] = workflow
             self._state.visible[workflow.job_id] = workflow.state
             if not workflow.state.is_final:
@@ -232,9 +240,9 @@
 
     def _plan(self) -> Plan:
         now_ms = self._state.clock.monotonic_ms()
-        now_unix_ms = self._state.clock.unix_ms()
-        steps = self._state.backlog.ready(now_unix_ms)
-        return plan(steps, self._state.pool, self._state.book, now_ms, now_unix_ms)
+        instant = self._state.time.read()
+        steps = self._state.backlog.ready(instant)
+        return plan(steps, self._state.pool, self._state.book, now_ms, instant.now_ms)
 
     def _apply_plan(self, decided: Plan) -> None:
         for placement in decided.placements:
@@ -258,7 +266,7 @@
         workflow.assign(placement.key, run.number, worker.worker_id)
         self._state.backlog.taken(workflow, placement.key)
         self._committer.start_after_commit(placement)
-        queued_ms = self._state.clock.unix_ms() - workflow.spec.submitted_unix_ms
+        queued_ms = self._state.time.now_ms() - workflow.spec.submitted_ms
         self._state.observe("basilhold_workflow_start_wait_seconds", queued_ms)
         log_event(
             events.RUN_ASSIGNED,
--- a/basilhold/workflows/owner_state.py
+++ b/basilhold/workflows/owner_state.py
@@ -15,6 +15,7 @@
 from basilhold.workflows.ownership import Lease
 from basilhold.workflows.pool import Pool
 from basilhold.workflows.progress import Workflow, WorkflowState
+from basilhold.workflows.shared_time import SharedTime
 from basilhold.workflows.stragglers import RunTimes
 from basilhold.workflows.tasks import TaskSet
 from basilhold.workflows.worker_link import OwnerLimits, WorkerLink
@@ -35,6 +36,7 @@
     registry: Registry
     advice: AdviceService
     clock: Clock
+    time: SharedTime
     metrics: Metrics
 
 
@@ -53,6 +55,7 @@
         self.lease = lease
         self.limits = limits
         self.clock = ports.clock
+        self.time = ports.time
         self.workflows: dict[JobId, Workflow] = {}
         self.visible: dict[JobId, WorkflowState] = {}
         self.backlog = Backlog()
--- a/basilhold/workflows/peer_http.py
+++ b/basilhold/workflows/peer_http.py
@@ -26,6 +26,7 @@
     StoreCall,
     TransactCall,
 )
+from basilhold.workflows.shared_time import SharedTime
 
 __all__ = ["HttpPeers", "make_peer_server"]
 
@@ -69,10 +70,14 @@
 
 
 class _StoreReply(msgspec.Struct):
-    """`value` is what the call returns, unless there is an error."""
+    """`value` is what the call returns, unless there is an error.
+
+    `shared_ms` is the time of the store's clock, where the peer knows it.
+    """
 
     value: msgspec.Raw = msgspec.Raw(b"null")
     error: StoreError | None = None
+    shared_ms: float | None = None
 
 
 class _Advised(msgspec.Struct):
@@ -96,10 +101,13 @@
     Parameters
     ----------
     pool : HttpPool
+    time : SharedTime
+        Learns the store's time from peers that reach it.
     """
 
-    def __init__(self, pool: HttpPool):
+    def __init__(self, pool: HttpPool, time: SharedTime):
         self._pool = pool
+        self._time = time
 
     async def _call(
         self,
@@ -171,12 +179,15 @@
             timeout_ms += call.wait_ms
         # A second copy of a transaction would find the effect of the first.
         repeatable = not isinstance(call, TransactCall)
+        sent_ms = self._time.local_ms()
         result = await self._call(
             endpoint, "table", call, _StoreReply, timeout_ms, repeatable
         )
         if result.is_error():
             kind = StoreErrorKind.UNKNOWN if result.error else _NOT_APPLIED
             return Error(StoreError(kind, "the peer did not answer"))
+        if result.ok.shared_ms is not None:
+            self._time.observe(result.ok.shared_ms, sent_ms, self._time.local_ms())
         if result.ok.error is not None:
             return Error(result.ok.error)
         try:
@@ -251,7 +262,8 @@
         result = await self._service.run_store_call(call)
         if result.is_error():
             return _StoreReply(error=result.error)
-        return _StoreReply(msgspec.Raw(msgspec.json.encode(result.ok)))
+        value = msgspec.Raw(msgspec.json.encode(result.ok))
+        return _StoreReply(value, shared_ms=self._service.shared_ms())
 
     async def _serve_advise(self, body: bytes) -> _Advised:
         call = msgspec.json.decode(body, type=_AdviceBody)
--- a/basilhold/workflows/peers.py
+++ b/basilhold/workflows/peers.py
@@ -39,12 +39,25 @@
 
 
 class Member(msgspec.Struct, frozen=True):
-    """A process of the deployment; `beat` makes each renewal of its row a change."""
+    """A process of the deployment.
+
+    Parameters
+    ----------
+    process_id : ProcessId
+    endpoint : str
+        ``host:port`` at which it serves its peers.
+    region : RegionName
+    beat : int
+        Makes each renewal of the row a change.
+    unix_offset_ms : float, optional
+        Its Unix time minus the store's; ``None`` if it does not know the store's.
+    """
 
     process_id: ProcessId
     endpoint: str
     region: RegionName = RegionName("")
     beat: int = 0
+    unix_offset_ms: float | None = None
 
 
 class StateAnswer(msgspec.Struct, frozen=True):
@@ -109,6 +122,10 @@
     def waiting(self, service: ServiceName, queue: QueueName) -> int | None:
         """Return how many workflows wait if this process owns the service."""
 
+    @abstractmethod
+    def shared_ms(self) -> float | None:
+        """Return the time of the store's clock, or ``None`` if it is not known."""
+
     @abstractmethod
     async def run_store_call(self, call: StoreCall) -> Result[Any, StoreError]:
         """Call the store for a peer that does not reach it."""
--- a/basilhold/workflows/planner.py
+++ b/basilhold/workflows/planner.py
@@ -85,7 +85,7 @@
     pool: Pool,
     book: AdmissionBook,
     now_ms: float,
-    now_unix_ms: float,
+    shared_ms: float,
 ) -> Plan:
     """Place waiting tasks; the placements are reserved in the pool.
 
@@ -94,15 +94,15 @@
     steps : list of ReadyStep
     pool : Pool
     book : AdmissionBook
-    now_ms, now_unix_ms : float
-        The loop's clock and Unix time, in milliseconds.
+    now_ms, shared_ms : float
+        The loop's clock and the store's, in milliseconds.
 
     Returns
     -------
     Plan
     """
-    planner = _Pass(pool, book, now_ms, now_unix_ms)
-    for step in sorted(steps, key=lambda s: (rank(s, now_unix_ms), s.start_by_unix_ms)):
+    planner = _Pass(pool, book, now_ms, shared_ms)
+    for step in sorted(steps, key=lambda s: (rank(s, shared_ms), s.start_by_ms)):
         planner.place(step)
     return planner.result
 
@@ -111,11 +111,11 @@
     """One pass over the waiting steps."""
 
     def __init__(
-        self, pool: Pool, book: AdmissionBook, now_ms: float, now_unix_ms: float
+        self, pool: Pool, book: AdmissionBook, now_ms: float, shared_ms: float
     ):
         self._book = book
         self._now_ms = now_ms
-        self._now_unix_ms = now_unix_ms
+        self._shared_ms = shared_ms
         self._usable = pool.usable(now_ms)
         self._claimed: dict[WorkerId, Resources] = {}
         self._asked: dict[WorkerId, Resources] = {}
@@ -397,11 +397,11 @@
             self._claimed[worker_id] = claimed + size.scaled(count)
 
     def _is_late(self, step: ReadyStep) -> bool:
-        return rank(step, self._now_unix_ms) > step.priority
+        return rank(step, self._shared_ms) > step.priority
 
     def _is_urgent(self, step: ReadyStep) -> bool:
         """Return whether a step misses its objective unless others make room."""
-        slack_ms = step.start_by_unix_ms - self._now_unix_ms
+        slack_ms = step.start_by_ms - self._shared_ms
         return -START_BY_TOLERANCE_MS < slack_ms < PREEMPT_SLACK_MS
 
     def _preempt(
--- a/basilhold/workflows/progress.py
+++ b/basilhold/workflows/progress.py
@@ -114,7 +114,7 @@
 class _StoredWorkflow(msgspec.Struct, omit_defaults=True):
     state: WorkflowState = WorkflowState.QUEUED
     tasks: list[_StoredTask] = []
-    ended_unix_ms: float = 0.0
+    ended_ms: float = 0.0
 
 
 _DECODER = msgspec.json.Decoder(_StoredWorkflow)
@@ -131,7 +131,7 @@
     def __init__(self, spec: WorkflowSpec):
         self.spec = spec
         self.state = WorkflowState.QUEUED
-        self.ended_unix_ms = 0.0
+        self.ended_ms = 0.0
         self._tasks: dict[TaskKey, TaskProgress] = {}
         self._chunk_keys: dict[int, list[TaskKey]] = {}
         self._changed: set[int] = set()
@@ -251,7 +251,7 @@
         """Return a run number above all earlier runs of the tasks."""
         return RunNumber(max(self.task(key).run for key in keys) + 1)
 
-    def apply_end(self, end: RunEnd, now_unix_ms: float) -> bool:
+    def apply_end(self, end: RunEnd, now_ms: float) -> bool:
         """Apply the end of a task's current run; return whether anything changed.
 
         Ends of earlier runs are ignored: their outcome was decided when the task was
@@ -265,7 +265,7 @@
             task.stage = TaskStage.PENDING
             return True
         if end.kind is EndKind.DONE and not self._step(end.key).long_running:
-            self._finish(end, now_unix_ms)
+            self._finish(end, now_ms)
             return True
         if end.checkpoint:
             task.checkpoint = end.checkpoint
@@ -273,10 +273,10 @@
         task.stage = TaskStage.PENDING
         task.worker_id = WorkerId("")
         if end.kind is EndKind.FAILED:
-            self._count_failure(end, worker_id, now_unix_ms)
+            self._count_failure(end, worker_id, now_ms)
         return True
 
-    def _finish(self, end: RunEnd, now_unix_ms: float) -> None:
+    def _finish(self, end: RunEnd, now_ms: float) -> None:
         # One member's end as done stands for its whole gang.
         keys = [end.key]
         if self._step(end.key).gang:
@@ -290,11 +290,9 @@
                 self._changed.add(self.chunk_of(key))
                 self._open[key.occurrence, key.step] -= 1
         if not any(self._open.values()):
-            self._end(WorkflowState.COMPLETED, now_unix_ms)
+            self._end(WorkflowState.COMPLETED, now_ms)
 
-    def _count_failure(
-        self, end: RunEnd, worker_id: WorkerId, now_unix_ms: float
-    ) -> None:
+    def _count_failure(self, end: RunEnd, worker_id: WorkerId, now_ms: float) -> None:
         step = self._step(end.key)
         key = end.key
         if step.gang:
@@ -308,18 +306,18 @@
         task.failures += 1
         self._changed.add(self.chunk_of(key))
         if not step.long_running and task.failures >= self.spec.policy.failures_max:
-            self._end(WorkflowState.FAILED, now_unix_ms)
+            self._end(WorkflowState.FAILED, now_ms)
 
-    def cancel(self, now_unix_ms: float) -> bool:
+    def cancel(self, now_ms: float) -> bool:
         """Cancel the workflow; return whether it had not ended."""
         if self.state.is_final:
             return False
-        self._end(WorkflowState.CANCELLED, now_unix_ms)
+        self._end(WorkflowState.CANCELLED, now_ms)
         return True
 
-    def _end(self, state: WorkflowState, now_unix_ms: float) -> None:
+    def _end(self, state: WorkflowState, now_ms: float) -> None:
         self.state = state
-        self.ended_unix_ms = now_unix_ms
+        self.ended_ms = now_ms
         self._changed.add(0)
 
     def _step(self, key: TaskKey):
@@ -337,7 +335,7 @@
         """
         stored = _StoredWorkflow()
         if not chunk:
-            stored.state, stored.ended_unix_ms = self.state, self.ended_unix_ms
+            stored.state, stored.ended_ms = self.state, self.ended_ms
         for key in self._chunk_keys.get(chunk, ()):
             task = self._tasks[key]
             # Tasks that still run have to be stopped, also by a successor.
@@ -361,7 +359,7 @@
             stored = _DECODER.decode(row)
             if stored.state is not WorkflowState.QUEUED:
                 workflow.state = stored.state
-                workflow.ended_unix_ms = stored.ended_unix_ms
+                workflow.ended_ms = stored.ended_ms
             for entry in stored.tasks:
                 key = TaskKey(entry.occurrence, entry.step, entry.index)
                 if not workflow.has_task(key):
--- a/basilhold/workflows/ready_steps.py
+++ b/basilhold/workflows/ready_steps.py
@@ -29,10 +29,10 @@
     occurrence, number : int
     keys : list of TaskKey
         Its waiting tasks.
-    begin_unix_ms, due_unix_ms : float
+    begin_ms, due_ms : float
         When the workflow was submitted or due, and when it has to end to meet its
-        objective.
-    start_by_unix_ms : float
+        objective; times of the store's clock.
+    start_by_ms : float
         When the step has to start for that.
     """
 
@@ -40,9 +40,9 @@
     occurrence: int
     number: int
     keys: list[TaskKey]
-    begin_unix_ms: float
-    due_unix_ms: float
-    start_by_unix_ms: float
+    begin_ms: float
+    due_ms: float
+    start_by_ms: float
 
     @property
     def spec(self) -> StepSpec:
@@ -61,11 +61,26 @@
 
 
 def ready_step(
-    workflow: Workflow, occurrence: int, number: int, keys: list[TaskKey]
+    workflow: Workflow,
+    occurrence: int,
+    number: int,
+    keys: list[TaskKey],
+    unix_offset_ms: float = 0.0,
 ) -> ReadyStep:
-    """Return a step with its deadlines."""
+    """Return a step with its deadlines.
+
+    Parameters
+    ----------
+    workflow : Workflow
+    occurrence, number : int
+    keys : list of TaskKey
+    unix_offset_ms : float
+        Unix time minus the store's.
+    """
     spec = workflow.spec
-    begin_ms = spec.due_unix_ms(occurrence) or spec.submitted_unix_ms
+    begin_ms = spec.submitted_ms
+    if spec.repeat_count:
+        begin_ms = spec.due_unix_ms(occurrence) - unix_offset_ms
     due_ms = begin_ms + objective_ms(spec)
     chain_ms = _chain_from(spec.steps, number)
     return ReadyStep(
@@ -83,18 +98,18 @@
     return tails[number]
 
 
-def rank(step: ReadyStep, now_unix_ms: float) -> float:
+def rank(step: ReadyStep, now_ms: float) -> float:
     """Return the place of a step in the order; lower comes first.
 
     A step that cannot end in time any more is worth a fraction per core of what it
     was, so it yields to timely work of the next priorities.
     """
-    chain_ms = step.due_unix_ms - step.start_by_unix_ms
+    chain_ms = step.due_ms - step.start_by_ms
     tolerance_ms = START_BY_TOLERANCE_MS + ESTIMATE_ERROR * chain_ms
-    if now_unix_ms <= step.start_by_unix_ms + tolerance_ms:
+    if now_ms <= step.start_by_ms + tolerance_ms:
         return step.priority
-    objective = step.due_unix_ms - step.begin_unix_ms
-    too_late = step.start_by_unix_ms + (LATE_FACTOR - 1) * objective
-    if now_unix_ms <= too_late:
+    objective = step.due_ms - step.begin_ms
+    too_late = step.start_by_ms + (LATE_FACTOR - 1) * objective
+    if now_ms <= too_late:
         return step.priority + LATE_RANK
     return step.priority + HOPELESS_RANK
--- a/basilhold/workflows/stewardship.py
+++ b/basilhold/workflows/stewardship.py
@@ -86,7 +86,7 @@
         self._owned_when_scheduled: dict[ServiceName, int] = {}
         self._owners: dict[ServiceName, ServiceOwner] = {}
         self._leases: dict[ServiceName, Lease] = {}
-        self._members = MemberList(ports.table, ports.clock, member)
+        self._members = MemberList(ports.table, ports.clock, member, ports.time)
         self._version = -1
         self._round_trip_ms = math.inf
         self._tasks = TaskSet()
--- a/basilhold/workflows/tests/test_members.py
+++ b/basilhold/workflows/tests/test_members.py
@@ -8,6 +8,7 @@
 from basilhold.testing.workflow_cell import WorkflowCell
 from basilhold.workflows.members import LAPSE_RENEWALS, RENEW_MS, SAMPLE, MemberList
 from basilhold.workflows.peers import Member
+from basilhold.workflows.shared_time import SharedTime
 from basilhold.workflows.stewardship import FAR_POLL_INTERVAL_MS, POLL_INTERVAL_MS
 
 
@@ -16,7 +17,10 @@
 
     def make(self, table, number):
         name = f"m{number:04}"
-        return MemberList(table, Clock(0), Member(ProcessId(name), name))
+        clock = Clock(0)
+        return MemberList(
+            table, clock, Member(ProcessId(name), name), SharedTime(clock)
+        )
 
     async def fill(self, count):
         table = FeedTable()
--- a/basilhold/workflows/tests/test_relayed_table.py
+++ b/basilhold/workflows/tests/test_relayed_table.py
@@ -34,6 +34,7 @@
 )
 from basilhold.workflows.progress import WorkflowState
 from basilhold.workflows.relayed_table import RelayedTable
+from basilhold.workflows.shared_time import SharedTime
 from basilhold.workflows.tests.test_owner import spec_of, step_of
 
 PUT = Transaction((Condition("a/b/c", 0),), (Write("a/b/c", b"\xff"),))
@@ -173,6 +174,9 @@
         self.table = table
         self.fails = False
 
+    def shared_ms(self):
+        return 1_000_000.0
+
     async def run_store_call(self, call):
         if isinstance(call, ReadCall):
             return self.table.read_now(call.keys)
@@ -198,7 +202,9 @@
         server.add_socket(listening)
         self.addCleanup(server.stop)
         self.endpoint = f"127.0.0.1:{listening.getsockname()[1]}"
-        self.peers = HttpPeers(await self.enterAsyncContext(HttpPool()))
+        self.peers = HttpPeers(
+            await self.enterAsyncContext(HttpPool()), SharedTime(Clock(0))
+        )
 
     async def test_calls_return_what_the_store_did(self):
         calls = [
