Let no malformed message or unexpected error end a process or a service

The row is logged and left alone; the loops run again after an error (event 6062). A service whose owner record cannot be read is not claimed, as its epoch is not known. - A registration with a port above 65,535, or a host that cannot be encoded, raised in each owner of the service in turn. Such registrations are left out, as are ids that cannot be sent in a header, and the HTTP pool reports such addresses as unreachable. - A reply of 500 or 504 to an order was taken for "not started", and the task was started elsewhere. Its outcome is unknown now: the run is stopped first.

Ruled out: bodies of callers and of peers, which were decoded safely. A list of runs with one malformed entry is still rejected whole, on purpose: an entry left out would look like a run that does not exist.

Also: absl closes its log stream at exit, which BoundedOutput did not allow.

--- a/basilhold/adapters/http.py
+++ b/basilhold/adapters/http.py
@@ -250,7 +250,8 @@
                 )
         except TimeoutError:
             return Error("timed out while connecting")
-        except OSError as error:
+        except (OSError, ValueError, OverflowError) as error:
+            # The last two come from hosts and ports that no system accepts.
             return Error(f"cannot connect: {error}")
         return Ok(connection)
 
--- a/basilhold/observability/log_setup.py
+++ b/basilhold/observability/log_setup.py
@@ -121,6 +121,9 @@
     def flush(self) -> None:
         """Do nothing: lines are written at once."""
 
+    def close(self) -> None:
+        """Do nothing: the descriptor belongs to the process."""
+
     def _drop(self) -> None:
         self.dropped_count += 1
         self._untold += 1
--- a/basilhold/platform/node.py
+++ b/basilhold/platform/node.py
@@ -54,6 +54,7 @@
 from basilhold.workflows.rows import Incarnation
 from basilhold.workflows.shared_time import SharedTime
 from basilhold.workflows.stewardship import Stewardship
+from basilhold.workflows.tasks import run_again
 from basilhold.workflows.worker_link import LEASE_MAX_MS, OwnerLimits
 
 __all__ = ["LogMetrics", "NodeDaemon", "main"]
@@ -216,7 +217,13 @@
     async def run(self) -> None:
         """Run until cancelled."""
         async with asyncio.TaskGroup() as group:
-            group.create_task(self._watch_configuration())
+            group.create_task(
+                run_again(
+                    "the watch of the configuration",
+                    self._watch_configuration,
+                    CONFIGURATION_RETRY_MS,
+                )
+            )
             group.create_task(self.stewardship.run())
             group.create_task(self._follow_clock())
 
--- a/basilhold/platform/runners.py
+++ b/basilhold/platform/runners.py
@@ -1,6 +1,8 @@
 """The platform's runners, their registrations and the advice service."""
 
 import math
+import re
+from ipaddress import ip_address
 
 import msgspec
 from expression import Error, Ok, Result
@@ -44,8 +46,11 @@
 """A question may wait for its turn."""
 
 MIB = 1 << 20
+PORT_MAX = 65_535
 GPU_MILLI = 1_000
 
+_WORKER_ID = re.compile(r"[!-~]+")
+
 _OUTCOMES = {
     "fence": CallOutcome.FENCED,
     "old": CallOutcome.OLD_RUN,
@@ -206,7 +211,8 @@
         return CallOutcome.ABSENT
     if reply.status in (429, 503):
         return CallOutcome.UNAVAILABLE
-    return CallOutcome.REJECTED
+    # A runner that failed on the way may have carried the order out.
+    return CallOutcome.UNKNOWN if reply.status >= 500 else CallOutcome.REJECTED
 
 
 def _parse_name(name: str) -> RunKey:
@@ -273,7 +279,8 @@
         for row in scanned.ok[0]:
             worker_id = WorkerId(row.key.split("/", 2)[2])
             entry = _decode_entry(row.value)
-            if entry is not None:
+            # The id becomes a header of each call.
+            if entry is not None and _WORKER_ID.fullmatch(worker_id):
                 found[worker_id] = (entry.service, _info(worker_id, entry))
         return Ok(found)
 
@@ -282,9 +289,12 @@
     """Return a registration, or ``None`` for one of another writer."""
     try:
         entry = msgspec.json.decode(value, type=_EntryBody)
-        address_of(entry.address)
+        address = address_of(entry.address)
+        ip_address(address.host)
     except (msgspec.DecodeError, ValueError):
         return None
+    if not 0 < address.port <= PORT_MAX:
+        return None
     return entry if entry.state in ("ready", "draining") else None
 
 
--- a/basilhold/platform/tests/test_runners.py
+++ b/basilhold/platform/tests/test_runners.py
@@ -41,6 +41,13 @@
         }
         self.assertEqual(body, expected)
 
+    async def test_address_that_no_system_accepts_is_no_exception(self):
+        # The exception ended the owner, and each of its successors.
+        for endpoint in ("127.0.0.1:99999", "a..b:80", "\x00:80", "127.0.0.1:-1"):
+            info = WorkerInfo(WorkerId("i-7f"), endpoint, 1, Resources())
+            outcome = await self.runners.stop(Worker(info), RUN)
+            self.assertIs(outcome, CallOutcome.UNAVAILABLE)
+
     async def test_outcomes(self):
         cases = [
             ((409, {"reason": "fence"}), CallOutcome.FENCED),
@@ -53,6 +60,8 @@
             ((421, {}), CallOutcome.ABSENT),
             ((429, {}), CallOutcome.UNAVAILABLE),
             ((503, {}), CallOutcome.UNAVAILABLE),
+            ((500, {}), CallOutcome.UNKNOWN),
+            ((504, {}), CallOutcome.UNKNOWN),
             ((0, {}), CallOutcome.UNKNOWN),
         ]
         for reply, expected in cases:
--- a/basilhold/platform/tests/test_store.py
+++ b/basilhold/platform/tests/test_store.py
@@ -59,6 +59,27 @@
         error = (await self.store.transact(put(KEY, b"one"))).error
         self.assertIs(error.kind, StoreErrorKind.UNKNOWN)
 
+    async def test_reply_that_cannot_be_read_is_no_exception(self):
+        # The exception ended the loop that watches owners, and with it the process.
+        for reply in (b"", b"<html>", b"[1]", {"ver": "x"}, {"rows": [{"value": 7}]}):
+            for path in ("rows-tx", "rows-get", "rows-feed", "rows-parts"):
+                self.platform.replies[f"/-/{path}"] = (200, reply)
+            for result in (
+                await self.store.transact(put(KEY, b"one")),
+                await self.store.read((KEY,)),
+                await self.store.scan("jobs/"),
+                await self.store.changes("jobs/", 0, 0),
+            ):
+                # A transaction may have been applied before its reply was spoilt.
+                self.assertIs(result.error.kind, StoreErrorKind.UNKNOWN)
+
+    async def test_unreadable_value_hides_no_other_row(self):
+        self.platform.put("servers", "", "w1", b"{}")
+        self.platform.put("servers", "", "w2", b"{}")
+        self.platform.rows["servers", "", "w1"] = ("abc", 1)
+        rows = (await self.store.scan("servers//")).ok.rows
+        self.assertEqual([row.value for row in rows], [b"", b"{}"])
+
     async def test_replies_show_the_store_s_clock(self):
         self.assertFalse(self.time.is_known)
         await self.store.scan("jobs/desk.0/")
@@ -87,6 +108,9 @@
             "i-4": b'{"service":"desk","state":"ready"}',
             "i-5": b'{"service":7,"address":"10.0.0.1:80","state":"ready"}',
             "i-6": b'{"service":"desk","address":"nowhere","state":"ready"}',
+            "i-7": b'{"service":"desk","address":"10.0.0.1:99999","state":"ready"}',
+            "i-8": b'{"service":"desk","address":"a..b:80","state":"ready"}',
+            "i-9\r\nX: y": good,
         }
         for name, value in entries.items():
             self.platform.put("servers", "", name, value)
--- a/basilhold/workflows/events.py
+++ b/basilhold/workflows/events.py
@@ -98,6 +98,12 @@
     "row {key} cannot be read: {reason}; it is left alone",
     "Report it.",
 )
+LOOP_FAILED = Event(
+    6062,
+    EventLevel.ERROR,
+    "{loop} failed and runs again: {error}",
+    "Report it with the lines before it.",
+)
 COMMIT_INVALID = Event(
     6061,
     EventLevel.ERROR,
--- a/basilhold/workflows/front.py
+++ b/basilhold/workflows/front.py
@@ -219,7 +219,11 @@
             return Existence.ABSENT, None
         if progress not in result.ok:
             return Existence.EXISTS, WorkflowState.QUEUED
-        state = decode_state(result.ok[progress].value)
+        try:
+            state = decode_state(result.ok[progress].value)
+        except msgspec.DecodeError as error:
+            log_event(events.BAD_ROW, key=progress, reason=error)
+            return Existence.UNKNOWN, None
         self._remember(job_id, state)
         return Existence.EXISTS, state
 
--- a/basilhold/workflows/members.py
+++ b/basilhold/workflows/members.py
@@ -8,7 +8,9 @@
 import msgspec
 
 from basilhold.core import Clock, ProcessId
+from basilhold.observability import log_event
 from basilhold.ports import Row, TableService, Transaction, Write
+from basilhold.workflows import events
 from basilhold.workflows.peers import Member
 from basilhold.workflows.recovery import scan_once
 from basilhold.workflows.shared_time import SharedTime
@@ -134,7 +136,11 @@
         self._read_ms = now_ms
         seen: dict[ProcessId, tuple[Member, float]] = {}
         for row in rows:
-            member = msgspec.json.decode(row.value, type=Member)
+            try:
+                member = msgspec.json.decode(row.value, type=Member)
+            except msgspec.DecodeError as error:
+                log_event(events.BAD_ROW, key=row.key, reason=error)
+                continue
             known, seen_ms = self._seen.get(member.process_id, (None, now_ms))
             unchanged = known is not None and known.beat == member.beat
             seen[member.process_id] = (member, seen_ms if unchanged else now_ms)
--- a/basilhold/workflows/ownership.py
+++ b/basilhold/workflows/ownership.py
@@ -84,12 +84,19 @@
     since_ms: float = 0.0
 
     def update(self, row: Row | None, now_ms: float) -> None:
-        """Take over the row as it was read."""
+        """Take over the row as it was read.
+
+        A row that cannot be read is logged; the record before it stays.
+        """
         version = row.version if row else ABSENT
-        if version != self.version:
-            self.version = version
-            self.since_ms = now_ms
+        if version == self.version:
+            return
+        self.version = version
+        self.since_ms = now_ms
+        try:
             self.record = _DECODER.decode(row.value) if row else None
+        except msgspec.DecodeError as error:
+            log_event(events.BAD_ROW, key=row.key, reason=error)
 
     def is_claimable(self, holder: ProcessId, now_ms: float) -> bool:
         """Return whether the owner is gone, as far as the row shows.
@@ -98,6 +105,9 @@
         ended before the caller started.
         """
         record = self.record
+        if record is None and self.version != ABSENT:
+            # The epoch of the last owner is not known, so no higher one can be chosen.
+            return False
         if record is None or record.released or record.holder == holder:
             return True
         return now_ms - self.since_ms >= TAKEOVER_MS
--- a/basilhold/workflows/stewardship.py
+++ b/basilhold/workflows/stewardship.py
@@ -24,7 +24,7 @@
 from basilhold.workflows.peers import Member, PeerCalls
 from basilhold.workflows.recovery import scan_all
 from basilhold.workflows.rows import OWNERS_PREFIX, Incarnation
-from basilhold.workflows.tasks import TaskSet
+from basilhold.workflows.tasks import TaskSet, run_again
 from basilhold.workflows.worker_link import OwnerLimits
 
 __all__ = ["Stewardship"]
@@ -38,6 +38,7 @@
 is a read of the store, which all processes share."""
 
 RELEASE_TIMEOUT_MS = 1_500
+ERROR_REST_MS = 300
 TOLD_OF_RELEASE_MAX = 64
 
 
@@ -141,7 +142,7 @@
         try:
             while True:
                 if not self._stopping:
-                    await self._look()
+                    await run_again("the look at the owners", self._look, ERROR_REST_MS)
                 await self._wait_for_next_look()
         finally:
             await self._tasks.cancel()
@@ -177,6 +178,14 @@
             await asyncio.gather(*(self._peers.released(m.endpoint) for m in others))
 
     async def _look(self) -> None:
+        try:
+            await self._look_at_owners()
+        except Exception:
+            # Rows may have been read and not been taken over.
+            self._version = -1
+            raise
+
+    async def _look_at_owners(self) -> None:
         asked_ms = self._ports.clock.monotonic_ms()
         rows = await self._read_rows()
         now_ms = self._ports.clock.monotonic_ms()
--- a/basilhold/workflows/tasks.py
+++ b/basilhold/workflows/tasks.py
@@ -1,10 +1,36 @@
-"""A set of asyncio tasks with one owner."""
+"""Asyncio tasks with one owner, and loops that outlive unexpected errors."""
 
 import asyncio
-from collections.abc import Coroutine
+from collections.abc import Awaitable, Callable, Coroutine
 from typing import Any
 
-__all__ = ["TaskSet"]
+from basilhold.observability import log_event
+from basilhold.workflows.events import LOOP_FAILED
+
+__all__ = ["TaskSet", "run_again"]
+
+
+async def run_again(
+    name: str, run: Callable[[], Awaitable[None]], pause_ms: float
+) -> None:
+    """Run a loop, and again after each unexpected error, until it returns.
+
+    Parameters
+    ----------
+    name : str
+        Names the loop in the log.
+    run : callable
+    pause_ms : float
+        Rest after an error.
+    """
+    while True:
+        try:
+            await run()
+        except Exception as error:
+            log_event(LOOP_FAILED, loop=name, error=repr(error))
+            await asyncio.sleep(pause_ms / 1000)
+        else:
+            return
 
 
 class TaskSet:
--- a/basilhold/workflows/tests/test_members.py
+++ b/basilhold/workflows/tests/test_members.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from basilhold.core import Clock, ProcessId
+from basilhold.ports import Transaction, Write
 from basilhold.standins.feed_table import FeedTable
 from basilhold.testing import VirtualTimeTestCase
 from basilhold.testing.workflow_cell import WorkflowCell
@@ -29,6 +30,32 @@
             await members.refresh(False)
         return table, lists
 
+    async def test_row_that_cannot_be_read_ends_no_process(self):
+        # The exception ended the loop that watches owners, and with it the process.
+        async with WorkflowCell(process_count=3) as cell:
+            await asyncio.sleep(2)
+            before = cell.owner_name()
+            for key in ("members/all/junk", "owners/other/owner"):
+                cell.table.transact_now(Transaction((), (Write(key, b"\xff"),)))
+            await asyncio.sleep(10)
+            await cell.kill_process(before)
+            await asyncio.sleep(10)
+            self.assertIn(cell.owner_name(), cell.processes)
+
+    async def test_unexpected_error_ends_no_process(self):
+        # Guards against an error of one look that ends all looks.
+        async with WorkflowCell(process_count=2) as cell:
+            await asyncio.sleep(2)
+            before = cell.owner_name()
+            (other,) = (n for n in cell.processes if n != before)
+            members = cell.processes[other].stewardship._members
+            refresh, members.refresh = members.refresh, None
+            await asyncio.sleep(3)
+            members.refresh = refresh
+            await cell.kill_process(before)
+            await asyncio.sleep(10)
+            self.assertEqual(cell.owner_name(), other)
+
     async def test_owner_knows_all_and_others_a_few(self):
         _, lists = await self.fill(700)
         await lists[0].refresh(True)
