Let refused callers return within their own time limit

Cause: in an outage of the store Retry-After grew to 4 s.

Retry-After now leaves three tries within the time that X-Deadline-Ms tells, and grows only for callers that wait longer.

Ruled out: holding submissions until the store is back, as their answer would come later without being more certain; acknowledging jobs that are not stored.

The assertion of test_outage_is_refused_at_once stays for callers with 60 s, and two are added.

--- a/basilhold/platform/callers.py
+++ b/basilhold/platform/callers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import math
 import re
 from collections.abc import Callable
 
@@ -130,13 +131,16 @@
         self._reply(400, {"error": "a job's id has 16 hexadecimal digits"})
         return None
 
-    def _deadline_ms(self) -> float:
+    def _time_left_ms(self) -> float:
         try:
             given_ms = float(self.request.headers.get(DEADLINE_HEADER, ""))
         except ValueError:
-            given_ms = DEADLINE_DEFAULT_MS
+            given_ms = math.nan
+        return given_ms if math.isfinite(given_ms) else DEADLINE_DEFAULT_MS
+
+    def _deadline_ms(self) -> float:
         now_ms = self._server.clock.monotonic_ms()
-        return now_ms + max(0.0, given_ms - DEADLINE_MARGIN_MS)
+        return now_ms + max(0.0, self._time_left_ms() - DEADLINE_MARGIN_MS)
 
     def _refuse(self, status: int, reason: str) -> None:
         log_event(
@@ -146,7 +150,10 @@
             status=status,
             reason=reason,
         )
-        self.set_header("Retry-After", str(self._server.front.retry_after_s()))
+        time_left_ms = self._time_left_ms()
+        self.set_header(
+            "Retry-After", str(self._server.front.retry_after_s(time_left_ms))
+        )
         self._reply(status, {"error": reason})
 
     def _reply(self, status: int, body: dict) -> None:
--- a/basilhold/workflows/front.py
+++ b/basilhold/workflows/front.py
@@ -48,6 +48,9 @@
 RETRY_AFTER_MAX_S = 4
 """Callers try a few times; in a long outage they should not use up their tries."""
 
+TRIES_IN_TIME = 3
+"""Tries that a caller shall have before it gives up."""
+
 RETRY_MS = 50.0
 NOTIFY_TRIES = 2
 FINAL_STATES_MAX = 20_000
@@ -155,12 +158,20 @@
         limit_ms = OUTAGE_POLLS * self._stewardship.poll_interval_ms()
         return age_ms if age_ms > limit_ms else 0.0
 
-    def retry_after_s(self) -> int:
+    def retry_after_s(self, time_left_ms: float) -> int:
         """Return when a refused caller should come back, in seconds.
 
-        The longer an outage lasts, the longer it is likely to go on.
+        The longer an outage lasts, the longer it is likely to go on. A caller that
+        waits beyond its own time limit is lost, also if the outage has ended.
+
+        Parameters
+        ----------
+        time_left_ms : float
+            Time after which the caller gives up.
         """
-        return max(1, min(RETRY_AFTER_MAX_S, round(self._outage_ms() / 1000)))
+        in_time_s = int(time_left_ms / TRIES_IN_TIME / 1000)
+        outage_s = round(self._outage_ms() / 1000)
+        return max(1, min(RETRY_AFTER_MAX_S, outage_s, in_time_s))
 
     def _notify(self, spec: WorkflowSpec) -> None:
         local = self._stewardship.local_owner(spec.policy.service)
--- a/basilhold/workflows/tests/test_owner.py
+++ b/basilhold/workflows/tests/test_owner.py
@@ -243,4 +243,44 @@
             self.assertLess(took_s, 0.3)
             await asyncio.sleep(1)
             front = cell.processes["p0"].front
-            self.assertEqual(front.retry_after_s(), 3)
+            self.assertEqual(front.retry_after_s(60_000), 3)
+            self.assertEqual(front.retry_after_s(6_500), 2)
+            self.assertEqual(front.retry_after_s(3_000), 1)
+
+    async def test_callers_return_before_they_give_up(self):
+        # Callers who wait for 3 s were told to return after 3 s or 4 s, and were lost
+        # also if the outage ended a moment after their first try.
+        patience_s, outage_s = 3.0, 5.0
+        loop = asyncio.get_running_loop()
+        accepted = {}
+
+        async def call(cell, spec):
+            begin_s = loop.time()
+            while True:
+                outcome = await cell.submit(spec)
+                if outcome is StoreOutcome.STORED:
+                    accepted[spec.job_id] = loop.time() - begin_s
+                    return
+                left_ms = (begin_s + patience_s - loop.time()) * 1000
+                front = cell.processes["p0"].front
+                wait_s = front.retry_after_s(left_ms)
+                if wait_s * 1000 >= left_ms:
+                    return
+                await asyncio.sleep(wait_s)
+
+        async with WorkflowCell(process_count=2, worker_count=2) as cell:
+            await asyncio.sleep(2)
+            cell.table.faults.down = True
+            begin_s = loop.time()
+            callers, late = [], []
+            for number in range(1, 50):
+                spec = spec_of(number, step_of())
+                callers.append(asyncio.create_task(call(cell, spec)))
+                # A look at the owners must find the store, then one try be left.
+                if loop.time() - begin_s > outage_s - patience_s + 1.5:
+                    late.append(spec.job_id)
+                await asyncio.sleep(0.1)
+            cell.table.faults.down = False
+            await asyncio.gather(*callers)
+            self.assertEqual([job_id for job_id in late if job_id not in accepted], [])
+            self.assertGreater(len(late), 10)
