Stop each run for one step only, on workers that admit it and lose least

- Stops are chosen by the work that they lose for each task: a run with checkpoints saves one when it is stopped, others lose all since their start.
- Only admitted workers are emptied.
A gang that these could not hold asks about more, also without free room.
- Reservations keep the room of the workers chosen for a step until it starts, from work of the same or lower priority; more urgent work may take it.

--- a/basilhold/workflows/orders.py
+++ b/basilhold/workflows/orders.py
@@ -245,6 +245,7 @@
         """Stop what still runs of a workflow that has ended."""
         self._state.backlog.remove(workflow)
         self._state.book.forget_job(workflow.job_id)
+        self._state.reservations.forget_job(workflow.job_id)
         self._state.times.forget_job(workflow.job_id)
         for key, task in workflow.assigned():
             run = self._state.pool.run_of(task.worker_id, RunKey(workflow.job_id, key))
--- a/basilhold/workflows/owner.py
+++ b/basilhold/workflows/owner.py
@@ -242,7 +242,15 @@
         now_ms = self._state.clock.monotonic_ms()
         instant = self._state.time.read()
         steps = self._state.backlog.ready(instant)
-        return plan(steps, self._state.pool, self._state.book, now_ms, instant.now_ms)
+        state = self._state
+        return plan(
+            steps,
+            state.pool,
+            state.book,
+            state.reservations,
+            now_ms,
+            instant.now_ms,
+        )
 
     def _apply_plan(self, decided: Plan) -> None:
         for placement in decided.placements:
--- a/basilhold/workflows/owner_state.py
+++ b/basilhold/workflows/owner_state.py
@@ -14,6 +14,7 @@
 from basilhold.workflows.backlog import Backlog
 from basilhold.workflows.ownership import Lease
 from basilhold.workflows.pool import Pool
+from basilhold.workflows.preemption import Reservations
 from basilhold.workflows.progress import Workflow, WorkflowState
 from basilhold.workflows.shared_time import SharedTime
 from basilhold.workflows.stragglers import RunTimes
@@ -60,6 +61,7 @@
         self.visible: dict[JobId, WorkflowState] = {}
         self.backlog = Backlog()
         self.book = AdmissionBook()
+        self.reservations = Reservations()
         self.times = RunTimes()
         self.pool = Pool()
         self.links: dict[WorkerId, WorkerLink] = {}
--- a/basilhold/workflows/planner.py
+++ b/basilhold/workflows/planner.py
@@ -11,7 +11,7 @@
 import msgspec
 
 from basilhold.core import Resources, WorkerId
-from basilhold.workflows.admissions import AdmissionBook, StepAdmission
+from basilhold.workflows.admissions import AdmissionBook, StepAdmission, StepKey
 from basilhold.workflows.model import (
     WORKERS_PER_QUESTION,
     AdvicePolicy,
@@ -19,16 +19,21 @@
     TaskKey,
 )
 from basilhold.workflows.pool import Pool, Run, RunKey, Worker
+from basilhold.workflows.preemption import (
+    Offer,
+    Preemption,
+    Reservations,
+    choose_offers,
+    count_fitting,
+    find_offer,
+)
 from basilhold.workflows.ready_steps import START_BY_TOLERANCE_MS, ReadyStep, rank
 
-__all__ = ["Placement", "Plan", "Preemption", "Question", "plan"]
+__all__ = ["Placement", "Plan", "Question", "plan"]
 
 FAR_PENALTY = 2.0
 """Score of a worker away from the step's data, above any packing score."""
 
-PREEMPTION_STOP_MAX = 8
-"""Most runs that are stopped on one worker for one step."""
-
 PREEMPT_SLACK_MS = 800.0
 """A stop takes up to 400 ms, and a start another round trip and a commit."""
 
@@ -64,14 +69,6 @@
     workers: tuple[WorkerId, ...]
 
 
-class Preemption(msgspec.Struct):
-    """A run that is stopped so that a step of higher priority can start."""
-
-    worker: Worker
-    run: Run
-    step: ReadyStep
-
-
 class Plan(msgspec.Struct):
     """Outcome of one pass."""
 
@@ -84,6 +81,7 @@
     steps: list[ReadyStep],
     pool: Pool,
     book: AdmissionBook,
+    reservations: Reservations,
     now_ms: float,
     shared_ms: float,
 ) -> Plan:
@@ -94,6 +92,8 @@
     steps : list of ReadyStep
     pool : Pool
     book : AdmissionBook
+    reservations : Reservations
+        Room that earlier passes have kept for steps; updated.
     now_ms, shared_ms : float
         The loop's clock and the store's, in milliseconds.
 
@@ -101,7 +101,7 @@
     -------
     Plan
     """
-    planner = _Pass(pool, book, now_ms, shared_ms)
+    planner = _Pass(pool, book, reservations, now_ms, shared_ms)
     for step in sorted(steps, key=lambda s: (rank(s, shared_ms), s.start_by_ms)):
         planner.place(step)
     return planner.result
@@ -111,9 +111,15 @@
     """One pass over the waiting steps."""
 
     def __init__(
-        self, pool: Pool, book: AdmissionBook, now_ms: float, shared_ms: float
+        self,
+        pool: Pool,
+        book: AdmissionBook,
+        reservations: Reservations,
+        now_ms: float,
+        shared_ms: float,
     ):
         self._book = book
+        self._reservations = reservations
         self._now_ms = now_ms
         self._shared_ms = shared_ms
         self._usable = pool.usable(now_ms)
@@ -122,10 +128,17 @@
         self._promised: dict[WorkerId, Resources] = {}
         self._ending_rooms: dict[AdvicePolicy, dict[WorkerId, Resources]] = {}
         self._drained: dict[WorkerId, list[tuple[int, Resources]]] = {}
+        self._settled: set[StepKey] = set()
         self.result = Plan([], [], [])
 
     def place(self, step: ReadyStep) -> None:
         """Place what fits of a step, ask about it, and claim room for the rest."""
+        self._place(step)
+        if not step.keys:
+            self._reservations.drop(step.key)
+        self._settled.add(step.key)
+
+    def _place(self, step: ReadyStep) -> None:
         fits = [w for w in self._usable if w.is_admissible(step.spec)]
         if not fits:
             return
@@ -164,7 +177,7 @@
             return True
         if not (step.spec.gang or self._is_urgent(step)) or self._is_late(step):
             return False
-        return any(self._victims(step, worker, 1)[0] for worker in workers)
+        return any(self._offer(step, worker, 1) for worker in workers)
 
     def _place_on(
         self, step: ReadyStep, workers: list[Worker], known: StepAdmission | None
@@ -211,6 +224,9 @@
         claimed = self._claimed.get(worker.worker_id)
         if claimed:
             room = room - claimed
+        kept = self._reservations.kept_from(step, worker.worker_id, self._settled)
+        if kept:
+            room = room - kept
         for priority, size in self._drained.get(worker.worker_id, ()):
             if priority < step.priority:
                 room = room - size
@@ -301,11 +317,33 @@
             self._claim_slots(step, free)
         own: dict[WorkerId, Resources] = {}
         may_preempt = step.spec.gang or self._is_urgent(step)
-        if not enough and may_preempt and not self._is_late(step):
-            own = self._preempt(step, workers, free, needed)
+        may_preempt = may_preempt and not self._is_late(step)
+        if enough and step.spec.gang:
+            self._reservations.set(step, free)
+        elif not enough and may_preempt:
+            # A stop on a worker that is then refused would free room for nobody.
+            own = self._preempt(step, first if known else workers, free, needed)
+        else:
+            self._reservations.drop(step.key)
         if usable:
             return [w for w in workers if w.worker_id in free]
-        return self._promise(step, first + others, own) if known else []
+        if not known:
+            return []
+        promised = self._promise(step, first + others, own)
+        if promised or self._is_enough_if_empty(step, first):
+            return promised
+        return others if may_preempt else []
+
+    def _is_enough_if_empty(self, step: ReadyStep, workers: list[Worker]) -> bool:
+        """Return whether a step could start if its priority had the workers alone."""
+        size = step.spec.reserved()
+        needed = len(step.keys) if step.spec.gang else 1
+        for worker in workers:
+            most = min(needed, self._left_on(step, worker))
+            needed -= count_fitting(worker.info.capacity, size, most)
+            if needed <= 0:
+                return True
+        return False
 
     def _promise(
         self, step: ReadyStep, workers: list[Worker], own: dict[WorkerId, Resources]
@@ -335,7 +373,7 @@
             taken = self._claimed.get(worker.worker_id, Resources())
             taken = taken + self._promised.get(worker.worker_id, Resources())
             room = room - taken + own.get(worker.worker_id, Resources())
-            count = _times(room, size, min(missing, self._left_on(step, worker)))
+            count = count_fitting(room, size, min(missing, self._left_on(step, worker)))
             if count:
                 slots[worker.worker_id] = count
                 missing -= count
@@ -371,20 +409,24 @@
         size = step.spec.reserved()
         avoided = step.workflow.task(step.keys[0]).avoided
         slots: dict[WorkerId, int] = {}
-        roomy: list[tuple[bool, float, Worker, Resources]] = []
+        roomy: list[tuple[tuple[bool, bool], float, Worker, Resources]] = []
         for worker in workers if needed > 0 else ():
             room = self._room(worker, step)
             if taken and worker.worker_id in taken:
                 room = room - taken[worker.worker_id]
             if size.fits_in(room):
                 score = _packing_score(worker, step.spec)
-                roomy.append((worker.worker_id in avoided, score, worker, room))
+                second = (
+                    worker.worker_id in avoided,
+                    not self._reservations.is_kept(step, worker.worker_id),
+                )
+                roomy.append((second, score, worker, room))
         roomy.sort(key=lambda entry: entry[:2])
         for _, _, worker, room in roomy:
             if needed <= 0:
                 break
             most = min(needed, self._left_on(step, worker))
-            count = _times(room, size, most)
+            count = count_fitting(room, size, most)
             if count > 0:
                 slots[worker.worker_id] = count
                 needed -= count
@@ -419,28 +461,36 @@
             Room that is claimed for the step.
         """
         missing = needed if step.spec.gang else needed - sum(free.values())
-        choices: list[tuple[Worker, int, list[Run]]] = []
-        for worker in sorted(workers, key=lambda w: -w.free.cores_milli):
-            if missing <= 0:
-                break
-            count, victims = self._victims(step, worker, missing)
-            if count:
-                choices.append((worker, count, victims))
-                missing -= count
-        if step.spec.gang and missing > 0:
+        offers = [self._offer(step, worker, missing) for worker in workers]
+        chosen = choose_offers(
+            step,
+            (offer for offer in offers if offer is not None),
+            missing,
+            self._reservations,
+        )
+        if step.spec.gang and sum(offer.task_count for offer in chosen) < missing:
+            self._reservations.drop(step.key)
             self._drain_for(step, workers)
             return {}
         size = step.spec.reserved()
         own: dict[WorkerId, Resources] = {}
-        for worker, count, victims in choices:
-            own[worker.worker_id] = size.scaled(count)
-            claimed = self._claimed.get(worker.worker_id, Resources())
-            self._claimed[worker.worker_id] = claimed + own[worker.worker_id]
+        kept: dict[WorkerId, int] = {}
+        for offer in chosen:
+            if offer.task_count > missing:
+                # The last worker need not stop as much as it could.
+                offer = self._offer(step, offer.worker, missing)
+            missing -= offer.task_count
+            worker_id = offer.worker.worker_id
+            kept[worker_id] = offer.task_count
+            own[worker_id] = size.scaled(offer.task_count)
+            claimed = self._claimed.get(worker_id, Resources())
+            self._claimed[worker_id] = claimed + own[worker_id]
             for known in self._ending_rooms.values():
-                known.pop(worker.worker_id, None)
-            for run in victims:
+                known.pop(worker_id, None)
+            for run in offer.victims:
                 run.stop_wanted = True
-                self.result.preemptions.append(Preemption(worker, run, step))
+                self.result.preemptions.append(Preemption(offer.worker, run, step))
+        self._reservations.set(step, kept)
         return own
 
     def _drain_for(self, step: ReadyStep, workers: list[Worker]) -> None:
@@ -455,38 +505,18 @@
             if missing <= 0:
                 return
             capacity = worker.info.capacity
-            count = _times(capacity, size, min(missing, self._left_on(step, worker)))
+            count = count_fitting(
+                capacity, size, min(missing, self._left_on(step, worker))
+            )
             if count:
                 drained = self._drained.setdefault(worker.worker_id, [])
                 drained.append((step.priority, size.scaled(count)))
                 missing -= count
 
-    def _victims(
-        self, step: ReadyStep, worker: Worker, most: int
-    ) -> tuple[int, list[Run]]:
-        """Return how many tasks fit on a worker once some runs have stopped."""
-        size = step.spec.reserved()
-        have = self._room(worker, step)
-        for run in worker.runs.values():
-            if run.stop_wanted:
-                have = have + run.reserved
-        candidates = sorted(
-            (run for run in worker.runs.values() if _may_stop(run, step)),
-            key=lambda run: (-run.priority, self._now_ms - _saved_ms(run)),
-        )
+    def _offer(self, step: ReadyStep, worker: Worker, most: int) -> Offer | None:
+        """Return what a worker can offer once some of its runs have stopped."""
         most = min(most, self._left_on(step, worker))
-        victims: list[Run] = []
-        count = _times(have, size, most)
-        for run in candidates[:PREEMPTION_STOP_MAX]:
-            if count >= most:
-                break
-            have = have + run.reserved
-            victims.append(run)
-            count = _times(have, size, most)
-        # Victims after the last one that made room for a task would stop for nothing.
-        while victims and _times(have - victims[-1].reserved, size, most) == count:
-            have = have - victims.pop().reserved
-        return count, victims
+        return find_offer(step, worker, self._room(worker, step), most, self._now_ms)
 
 
 def _early_end_ms(run: Run, worker: Worker) -> float:
@@ -497,19 +527,6 @@
     return run.started_ms + EARLY_END_SHARE * expected_ms
 
 
-def _times(room: Resources, size: Resources, most: int) -> int:
-    """Return how often a size fits, at most `most` times."""
-    count = most
-    for have, need in (
-        (room.cores_milli, size.cores_milli),
-        (room.memory_bytes, size.memory_bytes),
-        (room.gpus_milli, size.gpus_milli),
-    ):
-        if need:
-            count = min(count, have // need)
-    return max(0, count)
-
-
 def _make_run(step: ReadyStep, key: TaskKey, now_ms: float) -> Run:
     spec = step.spec
     number = step.workflow.next_run(
@@ -526,22 +543,6 @@
     )
 
 
-def _may_stop(run: Run, step: ReadyStep) -> bool:
-    spec = run.step
-    return (
-        spec is not None
-        and run.priority > step.priority
-        and not run.stop_wanted
-        and not spec.gang
-        and not spec.long_running
-        and not spec.uses_spare_cores
-    )
-
-
-def _saved_ms(run: Run) -> float:
-    return run.checkpoint_ms or run.started_ms
-
-
 def _packing_score(worker: Worker, step: StepSpec, urgent: bool = False) -> float:
     """Return how much a placement leaves free, from 0 (nothing) to 1.
 
--- a/basilhold/workflows/tests/test_planner.py
+++ b/basilhold/workflows/tests/test_planner.py
@@ -7,6 +7,7 @@
 from basilhold.workflows.model import AdvicePolicy, QueuePolicy, StepSpec, WorkflowSpec
 from basilhold.workflows.planner import plan
 from basilhold.workflows.pool import Pool, RunKey, RunStage, Worker, WorkerInfo
+from basilhold.workflows.preemption import Reservations
 from basilhold.workflows.progress import Workflow
 from basilhold.workflows.ready_steps import ready_step
 
@@ -24,6 +25,7 @@
     def setUp(self):
         self.pool = Pool()
         self.book = AdmissionBook()
+        self.reservations = Reservations()
         self.count = 0
 
     def add_worker(self, name, cores=8_000, gpus=0):
@@ -44,7 +46,14 @@
         return ready_step(workflow, 0, 0, workflow.step_keys(0, 0))
 
     def plan(self, *steps):
-        return plan(list(steps), self.pool, self.book, NOW_MS, NOW_MS)
+        return plan(
+            list(steps),
+            self.pool,
+            self.book,
+            self.reservations,
+            NOW_MS,
+            NOW_MS,
+        )
 
     def run_on(self, worker, step):
         for placement in self.plan(step).placements:
@@ -98,6 +107,89 @@
         (preemption,) = self.plan(self.step(4_000, gang=True)).preemptions
         self.assertEqual(preemption.run.priority, 2)
 
+    def test_gang_stops_no_more_runs_in_later_passes(self):
+        # Each pass chose the workers with most free cores anew. A gang of three tasks
+        # stopped 60 runs on 18 workers within a second, and every gang did so.
+        for number in range(6):
+            worker = self.add_worker(f"w{number}", 8_000)
+            self.run_on(worker, self.step(8_000 - number, priority=2))
+        gang = self.step(8_000, count=2, gang=True)
+        stopped = [p.worker for p in self.plan(gang).preemptions]
+        self.assertEqual(len(stopped), 2)
+        # Other workers have more free room by the next pass.
+        for worker in self.pool.workers.values():
+            if worker not in stopped:
+                worker.free = worker.free + Resources(500)
+        self.assertEqual(self.plan(gang).preemptions, [])
+        # One of the two stops is confirmed before the other.
+        stopped[0].remove(next(iter(stopped[0].runs)))
+        self.assertEqual(self.plan(gang).preemptions, [])
+
+    def test_gang_keeps_the_room_that_was_made_for_it(self):
+        # Room that runs were stopped for went to the next gang, and its own to work
+        # of lower priority, so that both stopped more runs.
+        workers = [self.add_worker(f"w{number}", 8_000) for number in range(4)]
+        for worker in workers:
+            self.run_on(worker, self.step(8_000, priority=2))
+        first = self.step(8_000, count=2, gang=True)
+        made = [p.worker for p in self.plan(first).preemptions]
+        for worker in made:
+            worker.remove(next(iter(worker.runs)))
+            break
+        sooner = self.step(8_000, gang=True, submitted_ms=NOW_MS - 500)
+        low = self.step(8_000, priority=2)
+        decided = self.plan(first, sooner, low)
+        self.assertEqual(decided.placements, [])
+        self.assertNotIn(decided.preemptions[0].worker, made)
+        self.assertEqual(len(decided.preemptions), 1)
+        made[1].remove(next(iter(made[1].runs)))
+        decided = self.plan(first, sooner, low)
+        self.assertEqual([p.step for p in decided.placements], [first, first])
+        self.assertEqual(decided.preemptions, [])
+
+    def test_urgent_work_takes_room_that_is_kept_for_less_urgent(self):
+        worker = self.add_worker("a", 8_000)
+        self.run_on(worker, self.step(8_000, priority=2))
+        self.plan(self.step(8_000, gang=True))
+        worker.remove(next(iter(worker.runs)))
+        (placement,) = self.plan(self.step(4_000, priority=0)).placements
+        self.assertIs(placement.worker, worker)
+
+    def test_preemption_takes_the_worker_that_loses_least(self):
+        old, saved, young = (self.add_worker(name, 8_000) for name in "abc")
+        self.run_on(old, self.step(8_000, priority=2))
+        self.run_on(saved, self.step(8_000, priority=2, checkpointing=True))
+        self.run_on(young, self.step(8_000, priority=2))
+        for worker, age_ms in ((old, 3_000), (saved, 2_000), (young, 200)):
+            for run in worker.runs.values():
+                run.started_ms = NOW_MS - age_ms
+        decided = self.plan(self.step(8_000, count=2, gang=True))
+        self.assertEqual([p.worker for p in decided.preemptions], [saved, young])
+
+    def test_no_run_stops_on_a_worker_that_may_refuse(self):
+        # Three in ten workers are admitted; runs were stopped on the others too.
+        for name, cores in (("a", 8_000), ("b", 8_000), ("c", 8_500)):
+            worker = self.add_worker(name, cores)
+            self.run_on(worker, self.step(8_000, priority=2))
+        gang = self.step(8_000, gang=True, advice=ADVICE)
+        key = StepKey(gang.workflow.job_id, 0, 0)
+        asked = (WorkerId("a"), WorkerId("b"))
+        self.book.record(key, asked, {WorkerId("b"): "t"}, 2_000.0, NOW_MS)
+        (preemption,) = self.plan(gang).preemptions
+        self.assertEqual(preemption.worker.worker_id, "b")
+
+    def test_gang_asks_about_more_workers_if_too_few_are_admitted(self):
+        for name in "abc":
+            worker = self.add_worker(name, 8_000)
+            self.run_on(worker, self.step(8_000, priority=2))
+        gang = self.step(8_000, count=2, gang=True, advice=ADVICE)
+        key = StepKey(gang.workflow.job_id, 0, 0)
+        asked = (WorkerId("a"), WorkerId("b"))
+        self.book.record(key, asked, {WorkerId("b"): "t"}, 2_000.0, NOW_MS)
+        decided = self.plan(gang)
+        self.assertEqual(decided.preemptions, [])
+        self.assertEqual([q.workers for q in decided.questions], [(WorkerId("c"),)])
+
     def test_no_question_without_room(self):
         worker = self.add_worker("a", 4_000)
         self.run_on(worker, self.step(4_000, priority=1))
