Take the longest stop of a run from the settings

Cause: a step counted as urgent when it had to start within 800 ms, which allowed for a stop of 400 ms. Deployments have 200 to 900 ms.

Ruled out: learning it from stops, which are rare where it matters first.

--- a/basilhold/platform/settings.py
+++ b/basilhold/platform/settings.py
@@ -20,9 +20,13 @@
 
 
 class _Bounds(msgspec.Struct):
-    """`hold_max_ms` is the longest lease; SIGKILL follows `grace_s` after SIGTERM."""
+    """`hold_max_ms` is the longest lease, `stop_ms` the longest stop of a run.
+
+    SIGKILL follows `grace_s` after SIGTERM.
+    """
 
     hold_max_ms: float = 6_000
+    stop_ms: float = 400
     grace_s: float = 6.0
     status_s: float = 120.0
     harm_ms: float = 4_000
--- a/basilhold/workflows/owner.py
+++ b/basilhold/workflows/owner.py
@@ -250,6 +250,7 @@
             state.reservations,
             now_ms,
             instant.now_ms,
+            state.limits.stop_ms,
         )
 
     def _apply_plan(self, decided: Plan) -> None:
--- a/basilhold/workflows/planner.py
+++ b/basilhold/workflows/planner.py
@@ -34,8 +34,8 @@
 FAR_PENALTY = 2.0
 """Score of a worker away from the step's data, above any packing score."""
 
-PREEMPT_SLACK_MS = 800.0
-"""A stop takes up to 400 ms, and a start another round trip and a commit."""
+START_OVERHEAD_MS = 400.0
+"""After a stop, a start takes a look at the worker, a commit and a round trip."""
 
 SOON_MARGIN_MS = 300.0
 
@@ -84,6 +84,7 @@
     reservations: Reservations,
     now_ms: float,
     shared_ms: float,
+    stop_ms: float,
 ) -> Plan:
     """Place waiting tasks; the placements are reserved in the pool.
 
@@ -96,12 +97,14 @@
         Room that earlier passes have kept for steps; updated.
     now_ms, shared_ms : float
         The loop's clock and the store's, in milliseconds.
+    stop_ms : float
+        How long a stop of a run may take.
 
     Returns
     -------
     Plan
     """
-    planner = _Pass(pool, book, reservations, now_ms, shared_ms)
+    planner = _Pass(pool, book, reservations, now_ms, shared_ms, stop_ms)
     for step in sorted(steps, key=lambda s: (rank(s, shared_ms), s.start_by_ms)):
         planner.place(step)
     return planner.result
@@ -117,11 +120,13 @@
         reservations: Reservations,
         now_ms: float,
         shared_ms: float,
+        stop_ms: float,
     ):
         self._book = book
         self._reservations = reservations
         self._now_ms = now_ms
         self._shared_ms = shared_ms
+        self._stop_ms = stop_ms
         self._usable = pool.usable(now_ms)
         self._claimed: dict[WorkerId, Resources] = {}
         self._asked: dict[WorkerId, Resources] = {}
@@ -444,7 +449,8 @@
     def _is_urgent(self, step: ReadyStep) -> bool:
         """Return whether a step misses its objective unless others make room."""
         slack_ms = step.start_by_ms - self._shared_ms
-        return -START_BY_TOLERANCE_MS < slack_ms < PREEMPT_SLACK_MS
+        soon_ms = self._stop_ms + START_OVERHEAD_MS
+        return -START_BY_TOLERANCE_MS < slack_ms < soon_ms
 
     def _preempt(
         self,
--- a/basilhold/workflows/tests/test_planner.py
+++ b/basilhold/workflows/tests/test_planner.py
@@ -45,7 +45,7 @@
         workflow = Workflow(WorkflowSpec(job_id, policy, "", (step,), submitted_ms))
         return ready_step(workflow, 0, 0, workflow.step_keys(0, 0))
 
-    def plan(self, *steps):
+    def plan(self, *steps, stop_ms=400.0):
         return plan(
             list(steps),
             self.pool,
@@ -53,6 +53,7 @@
             self.reservations,
             NOW_MS,
             NOW_MS,
+            stop_ms,
         )
 
     def run_on(self, worker, step):
@@ -147,6 +148,16 @@
         self.assertEqual([p.step for p in decided.placements], [first, first])
         self.assertEqual(decided.preemptions, [])
 
+    def test_urgency_counts_the_time_of_a_stop(self):
+        # Where a stop takes 900 ms, work that must start within 1.1 s is late unless
+        # others make room now; a bound that suits one deployment let it be late.
+        worker = self.add_worker("a", 8_000)
+        self.run_on(worker, self.step(8_000, priority=2))
+        # Twice a chain of 1 s, and 1 s more: it has to start within 2 s.
+        step = self.step(8_000, priority=0, submitted_ms=NOW_MS - 900)
+        self.assertEqual(self.plan(step, stop_ms=200.0).preemptions, [])
+        self.assertEqual(len(self.plan(step, stop_ms=900.0).preemptions), 1)
+
     def test_urgent_work_takes_room_that_is_kept_for_less_urgent(self):
         worker = self.add_worker("a", 8_000)
         self.run_on(worker, self.step(8_000, priority=2))
--- a/basilhold/workflows/worker_link.py
+++ b/basilhold/workflows/worker_link.py
@@ -42,12 +42,15 @@
         How long the rows of a workflow are kept after its end.
     row_bytes_max : int
         Largest value of a row that the store takes.
+    stop_ms : float
+        Longest time that a worker takes to stop a run.
     """
 
     lease_ms: float
     wait_ms: int
     forget_after_ms: float = 150_000.0
     row_bytes_max: int = ROW_BYTES_MAX
+    stop_ms: float = 400.0
 
     def lapse_ms(self) -> float:
         """Return the time after which a lease that was asked for now has lapsed."""
