Send a transaction through a peer too when the store falls silent

Cause: a channel to the store that falls silent was given up after 1.2 s. A submission waited as long and got 504, after which callers do not try again.

A transaction with a condition that has no reply after 300 ms and twice the usual time is sent through a peer as well. Either copy applies once; a conflict or a refusal after two copies is an unknown outcome, which owners and submissions already resolve by reading their own effect back. Transactions without conditions are still sent once, and a store that is slow for all gets no second copies.

Ruled out: a shorter time limit, which a slow store exceeds, and which leaves the outcome unknown all the same.

--- a/basilhold/testing/workflow_cell.py
+++ b/basilhold/testing/workflow_cell.py
@@ -56,6 +56,7 @@
     QueueName("quotes"), SERVICE, 0, 4, 2.0, 500.0, AdvicePolicy(20.0, 0.2, 2_000.0)
 )
 UNREACHABLE_MS = 300.0
+SILENCE_MS = 1_200.0
 STORE_EPOCH_MS = 5_000_000.0
 """Time of the store's clock at the begin of a run."""
 
@@ -69,12 +70,21 @@
 
 
 class _ProcessTable(TableService, ChangeFeed):
-    """The table as one process reaches it."""
+    """The table as one process reaches it.
+
+    Attributes
+    ----------
+    cut : bool
+        Calls do not arrive.
+    silent : bool
+        Calls arrive and have their effect, but no reply comes back.
+    """
 
     def __init__(self, table: FeedTable, time: SharedTime):
         self._table = table
         self._time = time
         self.cut = False
+        self.silent = False
 
     async def _guard(self, call) -> Result:
         if self.cut:
@@ -83,6 +93,9 @@
             return Error(StoreError(StoreErrorKind.NOT_APPLIED, "unreachable"))
         sent_ms = asyncio.get_running_loop().time() * 1000
         result = await call
+        if self.silent:
+            await asyncio.sleep(SILENCE_MS / 1000)
+            return Error(StoreError(StoreErrorKind.UNKNOWN, "timed out"))
         received_ms = asyncio.get_running_loop().time() * 1000
         self._time.observe(STORE_EPOCH_MS + received_ms, sent_ms, received_ms)
         return result
--- a/basilhold/testing/workflow_runs.py
+++ b/basilhold/testing/workflow_runs.py
@@ -13,7 +13,11 @@
 from basilhold.standins.faults import StoreFaults
 from basilhold.standins.runners import RunnerFaults
 from basilhold.testing.virtual_time import run_virtual
-from basilhold.testing.workflow_cell import WorkflowCell, make_spec
+from basilhold.testing.workflow_cell import (
+    WorkflowCell,
+    WorkflowProcess,
+    make_spec,
+)
 from basilhold.workflows.peers import StoreOutcome
 from basilhold.workflows.progress import WorkflowState
 
@@ -61,6 +65,7 @@
 
     def __init__(self, cell: WorkflowCell, seed: int):
         self.cell = cell
+        self.seed = seed
         self.rng = random.Random(seed)
         self.late_orders = cell.runners.faults.late > 0
         self.faults: list[str] = []
@@ -114,6 +119,34 @@
                 self.faults.append(f"{now_s:.2f} s {kind.__name__}")
                 group.create_task(kind())
 
+    async def disturb(self) -> None:
+        """Let clocks jump and paths fall silent, beside all other faults."""
+        rng = random.Random(f"{self.seed} clocks and paths")
+        end_s = asyncio.get_running_loop().time() + LOAD_S
+        async with asyncio.TaskGroup() as group:
+            while asyncio.get_running_loop().time() < end_s:
+                await asyncio.sleep(rng.uniform(1.0, 6.0))
+                names = sorted(self.cell.processes)
+                process = self.cell.processes[rng.choice(names)]
+                if rng.random() < 0.5:
+                    jump = self._jump(process, rng.uniform(-6_000.0, 6_000.0))
+                    group.create_task(jump)
+                else:
+                    silence = self._silence(process, rng.uniform(0.2, 6.0))
+                    group.create_task(silence)
+
+    async def _jump(self, process: WorkflowProcess, by_ms: float) -> None:
+        """Let the time of day of a machine jump, and later jump back."""
+        process.clock.adjust(int(process.clock.unix_ms() + by_ms))
+        await asyncio.sleep(3.0)
+        process.clock.adjust(int(process.clock.unix_ms() - by_ms))
+
+    async def _silence(self, process: WorkflowProcess, for_s: float) -> None:
+        """Let a process get no replies of the store, whose effects last."""
+        process.table.silent = True
+        await asyncio.sleep(for_s)
+        process.table.silent = False
+
     async def _restart(self, name: str, after_s: float) -> None:
         await asyncio.sleep(after_s)
         if name not in self.cell.processes:
@@ -203,7 +236,7 @@
             setattr(self.cell.table.faults, ratio, 0.0)
         self.cell.runners.faults.late = 0.0
         for process in self.cell.processes.values():
-            process.table.cut = False
+            process.table.cut = process.table.silent = False
         end_s = asyncio.get_running_loop().time() + SETTLE_S
         while asyncio.get_running_loop().time() < end_s:
             await asyncio.sleep(SETTLE_CHECK_S)
@@ -256,7 +289,7 @@
         return report
 
 
-async def _run(seed: int, relays: bool | None) -> RunReport:
+async def _run(seed: int, relays: bool | None, silences: bool) -> RunReport:
     rng = random.Random(seed)
     store_faults = StoreFaults(seed)
     store_faults.latency_ms = rng.choice((1.0, 4.0, 60.0))
@@ -276,23 +309,39 @@
         async with asyncio.TaskGroup() as group:
             group.create_task(run.load())
             group.create_task(run.trouble())
+            if silences:
+                group.create_task(run.disturb())
         await run.settle()
         return await run.check()
 
 
-def run_seed(seed: int, relays: bool | None = None) -> RunReport:
-    """Run one seed on a new loop with a virtual clock."""
-    return run_virtual(_run(seed, relays))
+def run_seed(
+    seed: int, relays: bool | None = None, silences: bool = False
+) -> RunReport:
+    """Run one seed on a new loop with a virtual clock.
+
+    Parameters
+    ----------
+    seed : int
+    relays : bool, optional
+        Whether processes reach the store through their peers; drawn if not given.
+    silences : bool
+        Whether clocks jump and ways to the store fall silent, beside other faults.
+    """
+    return run_virtual(_run(seed, relays, silences))
 
 
 @click.command()
 @click.option("--seeds", default=20, help="Number of seeds.")
 @click.option("--first", default=0, help="First seed.")
-def main(seeds: int, first: int) -> None:
+@click.option(
+    "--silences", is_flag=True, help="Let clocks jump and ways fall silent too."
+)
+def main(seeds: int, first: int, silences: bool) -> None:
     """Run seeds and report those that break a guarantee."""
     failed = 0
     for seed in range(first, first + seeds):
-        report = run_seed(seed)
+        report = run_seed(seed, silences=silences)
         failed += bool(report.violations)
         click.echo(
             f"seed {seed}: {report.accepted} accepted, {report.completed} completed, "
--- a/basilhold/workflows/relayed_table.py
+++ b/basilhold/workflows/relayed_table.py
@@ -50,6 +50,14 @@
 SILENT_PEER_MS = 3_000.0
 """A peer that took this long to fail may be dead, and is not asked for a while."""
 
+HEDGE_MIN_MS = 300.0
+HEDGE_FACTOR = 2.0
+"""A transaction without a reply is sent through a peer too after this time and as many
+times the usual one. A channel that has fallen silent is given up after 1.2 s only; all
+starts of a service would wait for that."""
+
+USUAL_WEIGHT = 0.1
+
 OUTAGE_PAUSE_MS = 500.0
 """How long peers are left alone once none of them reaches the store either."""
 
@@ -64,7 +72,8 @@
     """Calls the store directly or, while that fails, through a peer.
 
     A transaction that reaches the store twice, by both ways, applies once if it has a
-    condition on what it writes; owners and submissions see to that.
+    condition on what it writes. Only such ones are sent by both; the copy that comes
+    second finds the effect of the first, so a conflict is then an unknown outcome.
 
     Parameters
     ----------
@@ -103,6 +112,7 @@
         self._no_peers_until_ms = -1e9
         self._helper = ""
         self._silent_until_ms: dict[str, float] = {}
+        self._usual_ms = 0.0
 
     async def close(self) -> None:
         """Stop looking for the store."""
@@ -141,7 +151,10 @@
             relayed = await self._relay(call)
             if _is_final(call, relayed):
                 return relayed
-        result = await self._direct(call)
+        if isinstance(call, TransactCall) and call.transaction.conditions:
+            result = await self._hedge(call)
+        else:
+            result = await self._direct(call)
         if result.is_ok() or result.error.kind not in _WITHOUT_ANSWER:
             return result
         self._note_lost(result.error.reason)
@@ -151,6 +164,28 @@
         relayed = await self._relay(call)
         return relayed if _is_final(call, relayed) else result
 
+    async def _hedge(self, call: TransactCall) -> Result[Any, StoreError]:
+        """Apply a transaction directly, and through a peer too if that takes long."""
+        begin_ms = self._clock.monotonic_ms()
+        direct = asyncio.ensure_future(self._direct(call))
+        wait_ms = HEDGE_MIN_MS + HEDGE_FACTOR * self._usual_ms
+        try:
+            await asyncio.wait({direct}, timeout=wait_ms / 1000)
+            if direct.done():
+                return direct.result()
+            relayed = asyncio.ensure_future(self._relay(call))
+            try:
+                result = await _first_answer(direct, relayed)
+            finally:
+                await _cancel(relayed)
+            if result.is_ok() and not direct.done():
+                self._note_lost("silent")
+            return result
+        finally:
+            await _cancel(direct)
+            took_ms = self._clock.monotonic_ms() - begin_ms
+            self._usual_ms += USUAL_WEIGHT * (took_ms - self._usual_ms)
+
     def _direct(self, call: StoreCall) -> Awaitable[Result[Any, StoreError]]:
         return self._note_answer(_call(self._table, self._feed, call))
 
@@ -224,6 +259,28 @@
     return table.transact(call.transaction)
 
 
+async def _first_answer(
+    direct: asyncio.Future[Result[Any, StoreError]],
+    relayed: asyncio.Future[Result[Any, StoreError]],
+) -> Result[Any, StoreError]:
+    """Return the outcome of a transaction that was sent by two ways."""
+    await asyncio.wait({direct, relayed}, return_when=asyncio.FIRST_COMPLETED)
+    first, second = (direct, relayed) if direct.done() else (relayed, direct)
+    result = first.result()
+    if result.is_error() and result.error.kind in _WITHOUT_ANSWER:
+        result = await second
+    if result.is_error() and result.error.kind is not StoreErrorKind.INVALID:
+        # Either copy may have been applied, or may be applied yet.
+        reason = f"sent by two ways: {result.error.reason}"
+        return Error(StoreError(StoreErrorKind.UNKNOWN, reason))
+    return result
+
+
+async def _cancel(future: asyncio.Future[Any]) -> None:
+    future.cancel()
+    await asyncio.gather(future, return_exceptions=True)
+
+
 def _is_final(call: StoreCall, result: Result[Any, StoreError]) -> bool:
     """Return whether a result stands, so that no other way should be tried."""
     if result.is_ok():
--- a/basilhold/workflows/tests/test_random_runs.py
+++ b/basilhold/workflows/tests/test_random_runs.py
@@ -13,6 +13,9 @@
 WITHOUT_PEERS_SEEDS = range(10)
 """Runs in which no process reaches the store through another."""
 
+SILENCE_SEEDS = range(60_000, 60_040)
+"""Runs in which clocks jump, and calls to the store take effect without a reply."""
+
 FAILED_ONCE = {
     11: "a lapsed lease does not bind an owner to an end that it could not know",
     22: "a start reached a restarted worker and ran beside its replacement",
@@ -28,8 +31,8 @@
 class RandomRunsTest(unittest.TestCase):
     """Guards against tasks that run twice, too early, too often or never again."""
 
-    def check(self, seed, relays=None):
-        report = run_seed(seed, relays)
+    def check(self, seed, relays=None, silences=False):
+        report = run_seed(seed, relays, silences)
         self.assertEqual(report.violations, [], "; ".join(report.faults))
         self.assertGreater(report.accepted, 0)
         self.assertGreater(report.starts, 0)
@@ -44,6 +47,11 @@
             with self.subTest(seed=seed, cause=cause):
                 self.check(seed, relays=False)
 
+    def test_seeds_with_silences(self):
+        for seed in SILENCE_SEEDS:
+            with self.subTest(seed=seed):
+                self.check(seed, silences=True)
+
     def test_seeds_without_peers(self):
         for seed in WITHOUT_PEERS_SEEDS:
             with self.subTest(seed=seed):
