Name as many workers in a question as a wide step needs

Cause: a question named 30 workers at most. Gangs asked three to five times, half a second and more each, before they could start; their tickets last for 2 s. Workers were also named by their free cores, for steps that need GPUs too.

A question now names as many workers as the step needs room on, by the share of workers that the queue's policy has admitted so far, from 30 up to the 100 that the service takes; those with room for most tasks come first.

Ruled out: several questions at once for one step, which take the same turns with the fixed part each.

Both new tests fail before.

--- a/basilhold/workflows/admissions.py
+++ b/basilhold/workflows/admissions.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from basilhold.core import JobId, WorkerId
+from basilhold.workflows.model import QueueName
 
 __all__ = ["AdmissionBook", "StepAdmission", "StepKey"]
 
@@ -12,6 +13,12 @@
 
 COMMIT_WEIGHT = 0.3
 
+ADMITTED_WEIGHT = 0.1
+ADMITTED_AT_FIRST = 0.5
+ADMITTED_MIN = 0.1
+"""Share of the workers that a queue's policy admits: how fast it is learnt, what is
+assumed before, and what it is taken for at least."""
+
 
 class StepKey(msgspec.Struct, frozen=True):
     """Names one occurrence of a step."""
@@ -56,6 +63,16 @@
     def __init__(self):
         self._steps: dict[StepKey, StepAdmission] = {}
         self._commit_ms = 20.0
+        self._admitted: dict[QueueName, float] = {}
+
+    def admitted_share(self, queue: QueueName) -> float:
+        """Return which share of the workers a queue's policy admits."""
+        return max(self._admitted.get(queue, ADMITTED_AT_FIRST), ADMITTED_MIN)
+
+    def note_share(self, queue: QueueName, asked: int, admitted: int) -> None:
+        """Learn from an answer about workers that had not been asked about before."""
+        known = self._admitted.get(queue, ADMITTED_AT_FIRST)
+        self._admitted[queue] = known + ADMITTED_WEIGHT * (admitted / asked - known)
 
     def note_commit(self, took_ms: float) -> None:
         """Learn how long an assignment takes to be stored."""
--- a/basilhold/workflows/owner.py
+++ b/basilhold/workflows/owner.py
@@ -322,6 +322,9 @@
             )
         else:
             tickets = answer.ok.tickets
+            if not known.admitted and not known.refused:
+                asked, admitted = len(question.workers), len(tickets)
+                self._state.book.note_share(policy.name, asked, admitted)
             self._state.book.record(
                 step.key, question.workers, tickets, policy.advice.valid_ms, now_ms
             )
--- a/basilhold/workflows/planner.py
+++ b/basilhold/workflows/planner.py
@@ -43,6 +43,9 @@
 """Estimates are off by up to nine tenths; a step whose turn is next asks again from
 this share of the estimate on."""
 
+NAMES_MAX = 100
+"""Most workers that the external service takes in one question."""
+
 SPARE_ANSWER_SHARE = 0.15
 """How much longer an answer may take for workers beyond those that are needed. Asking
 again after a refusal takes the whole answering time."""
@@ -260,11 +263,49 @@
         unticketed = [w for w in workers if not known.ticket(w.worker_id, until_ms)]
         if not unticketed:
             return
-        unticketed.sort(key=lambda w: -w.free.cores_milli)
+        size = step.spec.reserved()
+        needed = len(step.keys)
+        slots = {
+            w.worker_id: count_fitting(self._room(w, step), size, needed)
+            for w in unticketed
+        }
+        unticketed.sort(key=lambda w: (-slots[w.worker_id], -w.free.cores_milli))
         names = [w.worker_id for w in unticketed]
+        most = self._question_size(step, unticketed, slots)
         names += self._spare_names(step, known, spares or [], names)
-        question = Question(step, tuple(names[:WORKERS_PER_QUESTION]))
-        self.result.questions.append(question)
+        self.result.questions.append(Question(step, tuple(names[:most])))
+
+    def _question_size(
+        self, step: ReadyStep, workers: list[Worker], slots: dict[WorkerId, int]
+    ) -> int:
+        """Return how many workers to name, so that enough of them are admitted.
+
+        A wide step that names too few asks again, and each question costs the fixed
+        part of the answering time.
+
+        Parameters
+        ----------
+        step : ReadyStep
+        workers : list of Worker
+            In the order in which they are named.
+        slots : dict
+            How many tasks fit on each worker now.
+        """
+        size = step.spec.reserved()
+        missing = len(step.keys)
+        count = 0
+        for worker in workers:
+            if missing <= 0:
+                break
+            fitting = slots[worker.worker_id]
+            # A gang waits for room on workers that are full now.
+            if not fitting and step.spec.gang:
+                fitting = count_fitting(worker.info.capacity, size, missing)
+            missing -= fitting
+            count += fitting > 0
+        share = self._book.admitted_share(step.workflow.spec.policy.name)
+        wanted = math.ceil(count / share)
+        return min(max(wanted, WORKERS_PER_QUESTION), NAMES_MAX)
 
     def _spare_names(
         self,
--- a/basilhold/workflows/tests/test_planner.py
+++ b/basilhold/workflows/tests/test_planner.py
@@ -2,6 +2,8 @@
 
 import unittest
 
+import msgspec
+
 from basilhold.core import JobId, Resources, WorkerId
 from basilhold.workflows.admissions import AdmissionBook, StepKey
 from basilhold.workflows.model import AdvicePolicy, QueuePolicy, StepSpec, WorkflowSpec
@@ -233,6 +235,36 @@
         self.assertNotIn("w00", question.workers)
         self.assertNotIn("w11", question.workers)
 
+    def test_wide_gang_names_as_many_workers_as_it_needs(self):
+        # Gangs of 20 tasks asked about 30 workers, of which nine were admitted, three
+        # to five times on end; each question took half a second and more.
+        for number in range(120):
+            self.add_worker(f"w{number:03}", 8_000)
+        gang = self.step(8_000, count=20, gang=True, advice=ADVICE)
+        queue = gang.workflow.spec.policy.name
+        for _ in range(60):
+            self.book.note_share(queue, 30, 9)
+        (question,) = self.plan(gang).questions
+        self.assertGreaterEqual(len(question.workers), 66)
+        self.assertLessEqual(len(question.workers), 100)
+        small = self.step(8_000, count=2, gang=True, advice=ADVICE)
+        (question,) = self.plan(small).questions
+        self.assertEqual(len(question.workers), 30)
+
+    def test_question_names_workers_with_room_first(self):
+        # Workers with many free cores and no free GPU were named before others.
+        for number in range(40):
+            gpus = 4_000 if number < 5 else 0
+            worker = self.add_worker(f"w{number:02}", 8_000, gpus=4_000)
+            worker.free = Resources(6_000 if gpus else 7_000, 1 << 30, gpus)
+        step = self.step(1_000, count=20, advice=ADVICE)
+        step.workflow.spec = msgspec.structs.replace(
+            step.workflow.spec,
+            steps=(StepSpec(20, Resources(1_000, 0, 1_000), 1_000.0),),
+        )
+        (question,) = self.plan(step).questions
+        self.assertEqual(set(question.workers[:5]), {f"w0{n}" for n in range(5)})
+
     def test_worker_known_to_be_admitted_is_asked_about_first(self):
         for name in ("a", "b", "c"):
             self.add_worker(name)
