--- a/basilhold/workflows/owner.py
+++ b/basilhold/workflows/owner.py
@@ -24,9 +24,10 @@
 from basilhold.workflows.orders import AVOID_MS, Orders
 from basilhold.workflows.owner_state import LeaseLostError, OwnerPorts, OwnerState
 from basilhold.workflows.ownership import VALID_MS, Lease
-from basilhold.workflows.planner import Placement, Plan, Question, plan
+from basilhold.workflows.planner import Placement, Plan, plan
 from basilhold.workflows.pool import Pool, Run, RunKey, Worker
 from basilhold.workflows.progress import Workflow, WorkflowState
+from basilhold.workflows.questions import Question
 from basilhold.workflows.ready_steps import ready_step
 from basilhold.workflows.recovery import load_workflows, place_assigned
 from basilhold.workflows.roster import Roster
--- a/basilhold/workflows/planner.py
+++ b/basilhold/workflows/planner.py
@@ -27,9 +27,10 @@
     count_fitting,
     find_offer,
 )
+from basilhold.workflows.questions import Question, make_question
 from basilhold.workflows.ready_steps import START_BY_TOLERANCE_MS, ReadyStep, rank
 
-__all__ = ["Placement", "Plan", "Question", "plan"]
+__all__ = ["Placement", "Plan", "plan"]
 
 FAR_PENALTY = 2.0
 """Score of a worker away from the step's data, above any packing score."""
@@ -43,14 +44,6 @@
 """Estimates are off by up to nine tenths; a step whose turn is next asks again from
 this share of the estimate on."""
 
-NAMES_MAX = 100
-"""Most workers that the external service takes in one question."""
-
-SPARE_ANSWER_SHARE = 0.15
-"""How much longer an answer may take for workers beyond those that are needed. Asking
-again after a refusal takes the whole answering time."""
-
-
 SPEED_WEIGHT = 0.1
 URGENT_SPEED_WEIGHT = 0.3
 """How much a worker's speed counts against how tightly a task fits."""
@@ -65,13 +58,6 @@
     ticket: str
 
 
-class Question(msgspec.Struct):
-    """A step and the workers that the external service is asked about."""
-
-    step: ReadyStep
-    workers: tuple[WorkerId, ...]
-
-
 class Plan(msgspec.Struct):
     """Outcome of one pass."""
 
@@ -258,85 +244,17 @@
         """Ask about workers, and about some spare ones in case those are refused."""
         if not workers or not known.may_ask(self._now_ms):
             return
-        # A ticket that expires before an answer can arrive is renewed now.
-        until_ms = self._now_ms + step.workflow.spec.policy.advice.answer_ms(1)
-        unticketed = [w for w in workers if not known.ticket(w.worker_id, until_ms)]
-        if not unticketed:
-            return
-        size = step.spec.reserved()
-        needed = len(step.keys)
-        slots = {
-            w.worker_id: count_fitting(self._room(w, step), size, needed)
-            for w in unticketed
-        }
-        unticketed.sort(key=lambda w: (-slots[w.worker_id], -w.free.cores_milli))
-        names = [w.worker_id for w in unticketed]
-        most = self._question_size(step, unticketed, slots)
-        names += self._spare_names(step, known, spares or [], names)
-        self.result.questions.append(Question(step, tuple(names[:most])))
-
-    def _question_size(
-        self, step: ReadyStep, workers: list[Worker], slots: dict[WorkerId, int]
-    ) -> int:
-        """Return how many workers to name, so that enough of them are admitted.
-
-        A wide step that names too few asks again, and each question costs the fixed
-        part of the answering time.
-
-        Parameters
-        ----------
-        step : ReadyStep
-        workers : list of Worker
-            In the order in which they are named.
-        slots : dict
-            How many tasks fit on each worker now.
-        """
-        size = step.spec.reserved()
-        missing = len(step.keys)
-        count = 0
-        for worker in workers:
-            if missing <= 0:
-                break
-            fitting = slots[worker.worker_id]
-            # A gang waits for room on workers that are full now.
-            if not fitting and step.spec.gang:
-                fitting = count_fitting(worker.info.capacity, size, missing)
-            missing -= fitting
-            count += fitting > 0
-        share = self._book.admitted_share(step.workflow.spec.policy.name)
-        wanted = math.ceil(count / share)
-        return min(max(wanted, WORKERS_PER_QUESTION), NAMES_MAX)
-
-    def _spare_names(
-        self,
-        step: ReadyStep,
-        known: StepAdmission,
-        workers: list[Worker],
-        named: list[WorkerId],
-    ) -> list[WorkerId]:
-        """Return more workers, as many as cost little beside the answer.
-
-        Which workers are admitted does not change, so those without room come last.
-        """
-        policy = step.workflow.spec.policy.advice
-        most = WORKERS_PER_QUESTION
-        if policy.each_ms > 0:
-            share_ms = SPARE_ANSWER_SHARE * policy.decide_ms
-            most = min(most, int(share_ms / policy.each_ms))
-        size = step.spec.reserved()
-        spares = [
-            w
-            for w in workers
-            if w.worker_id not in named and not known.ticket(w.worker_id, self._now_ms)
-        ]
-        spares.sort(
-            key=lambda w: (
-                not size.fits_in(self._room(w, step)),
-                w.worker_id not in known.admitted,
-                -w.free.cores_milli,
-            )
+        question = make_question(
+            step,
+            workers,
+            spares or [],
+            lambda worker: self._room(worker, step),
+            known,
+            self._book.admitted_share(step.workflow.spec.policy.name),
+            self._now_ms,
         )
-        return [w.worker_id for w in spares[:most]]
+        if question is not None:
+            self.result.questions.append(question)
 
     def _claim(
         self, step: ReadyStep, workers: list[Worker], known: StepAdmission | None
