Answer requests that are cut or fail with an unknown outcome, not with 500

Tornado answers so when a handler is cancelled, which happens to requests that are still waiting for the store when the process ends its drain. The job may have been stored, and 500 is not an answer after which callers ask again under the same id. It is 504 now, also after an unexpected error.

A script with a plain handler showed the 500 at the end of the loop.

Also: a reply to a transaction without a version is an unknown outcome; taken for version 0 it would end the lease with the next commit.

--- a/basilhold/platform/callers.py
+++ b/basilhold/platform/callers.py
@@ -121,6 +121,17 @@
         else:
             self._reply(504, {"error": "it is not known whether the job is cancelled"})
 
+    def send_error(self, status_code: int = 500, **kwargs) -> None:
+        """Answer a request that failed, or was cut as the process ends.
+
+        Tornado would send 500. What the request asked for may have been done, so the
+        answer is the one after which callers ask again under the same id.
+        """
+        if status_code == 500 and not self._headers_written:
+            self._reply(504, {"error": "the outcome is not known"})
+            return
+        super().send_error(status_code, **kwargs)
+
     def _rest(self) -> str:
         return self.request.path[len(self._route.path_prefix) :]
 
--- a/basilhold/platform/store.py
+++ b/basilhold/platform/store.py
@@ -196,6 +196,10 @@
         if result.ok.status == _STATUS_CONFLICT:
             return Error(_conflict(transaction, result.ok.body))
         version = result.ok.body.ver
+        if not version:
+            # Taken for "no such row", it would end the lease with the next commit.
+            reason = "the reply names no version"
+            return Error(StoreError(StoreErrorKind.UNKNOWN, reason))
         return Ok(
             {
                 write.key: 0 if write.value is None else version
--- a/basilhold/platform/tests/test_store.py
+++ b/basilhold/platform/tests/test_store.py
@@ -73,6 +73,12 @@
                 # A transaction may have been applied before its reply was spoilt.
                 self.assertIs(result.error.kind, StoreErrorKind.UNKNOWN)
 
+    async def test_reply_without_a_version_is_no_success(self):
+        # Guards against a lease that takes its own row for absent.
+        self.platform.replies["/-/rows-tx"] = (200, {})
+        result = await self.store.transact(put(KEY, b"one"))
+        self.assertIs(result.error.kind, StoreErrorKind.UNKNOWN)
+
     async def test_unreadable_value_hides_no_other_row(self):
         self.platform.put("servers", "", "w1", b"{}")
         self.platform.put("servers", "", "w2", b"{}")
