Ask about a gang's workers in questions that are answered side by side

Each takes half a second and more, whatever it names, while the turns of other machines are unused; a gang asked four to eight times.

Change: a gang names eight admitted workers for each one that it needs, in up to five questions at a time, each so long that its names lengthen the answer by six tenths of the fixed part. No run is stopped for a gang before all answers are in, as a later one may admit a worker with room.

--- a/basilhold/workflows/admissions.py
+++ b/basilhold/workflows/admissions.py
@@ -36,7 +36,10 @@
     admitted, refused : set of WorkerId
     tickets : dict of WorkerId to (str, float)
         Ticket and time of the loop's clock until which it is used, in milliseconds.
-    asking : bool
+    open_questions : int
+        Questions that wait for their answer.
+    unanswered : set of WorkerId
+        Workers named in open questions of which nothing is known yet.
     retry_ms : float
         Time before which the service is not asked again after a failed call.
     """
@@ -44,12 +47,29 @@
     admitted: set[WorkerId] = msgspec.field(default_factory=set)
     refused: set[WorkerId] = msgspec.field(default_factory=set)
     tickets: dict[WorkerId, tuple[str, float]] = msgspec.field(default_factory=dict)
-    asking: bool = False
+    open_questions: int = 0
+    unanswered: set[WorkerId] = msgspec.field(default_factory=set)
     retry_ms: float = 0.0
 
+    @property
+    def is_unknown(self) -> bool:
+        """Whether nothing is known about any worker."""
+        return not self.admitted and not self.refused
+
     def may_ask(self, now_ms: float) -> bool:
-        """Return whether a question may be sent: none is open or failed just now."""
-        return not self.asking and now_ms >= self.retry_ms
+        """Return whether questions may be sent: none is open or failed just now."""
+        return not self.open_questions and now_ms >= self.retry_ms
+
+    def question_sent(self, workers: tuple[WorkerId, ...]) -> None:
+        """Note that a question waits for its answer."""
+        self.open_questions += 1
+        known = self.admitted | self.refused
+        self.unanswered.update(w for w in workers if w not in known)
+
+    def question_closed(self, workers: tuple[WorkerId, ...]) -> None:
+        """Note that a question was answered or has failed."""
+        self.open_questions -= 1
+        self.unanswered.difference_update(workers)
 
     def ticket(self, worker_id: WorkerId, now_ms: float) -> str:
         """Return a ticket that can be used now, or an empty string."""
--- a/basilhold/workflows/owner.py
+++ b/basilhold/workflows/owner.py
@@ -293,7 +293,7 @@
         if not self._state.ports.advice.is_available(policy, len(question.workers)):
             # The next pass asks again, in the order of that moment.
             return
-        self._state.book.step(step.key).asking = True
+        self._state.book.step(step.key).question_sent(question.workers)
         self._state.start(self._ask(question))
 
     async def _ask(self, question: Question) -> None:
@@ -310,7 +310,7 @@
                 policy,
             )
         finally:
-            known.asking = False
+            known.question_closed(question.workers)
         now_ms = self._state.clock.monotonic_ms()
         self._state.observe("basilhold_workflow_advice_seconds", now_ms - asked_ms)
         if answer.is_error():
@@ -323,7 +323,8 @@
             )
         else:
             tickets = answer.ok.tickets
-            if not known.admitted and not known.refused:
+            answered = known.admitted | known.refused
+            if answered.isdisjoint(question.workers):
                 asked, admitted = len(question.workers), len(tickets)
                 self._state.book.note_share(policy.name, asked, admitted)
             self._state.book.record(
--- a/basilhold/workflows/planner.py
+++ b/basilhold/workflows/planner.py
@@ -27,7 +27,7 @@
     count_fitting,
     find_offer,
 )
-from basilhold.workflows.questions import Question, make_question
+from basilhold.workflows.questions import Question, make_questions
 from basilhold.workflows.ready_steps import START_BY_TOLERANCE_MS, ReadyStep, rank
 
 __all__ = ["Placement", "Plan", "plan"]
@@ -147,7 +147,7 @@
             self._place_on(step, ticketed, known)
         if not step.keys:
             return
-        if not known.admitted and not known.refused:
+        if known.is_unknown:
             if self._may_find_room(step, fits):
                 self._ask(step, fits, known)
             return
@@ -244,7 +244,7 @@
         """Ask about workers, and about some spare ones in case those are refused."""
         if not workers or not known.may_ask(self._now_ms):
             return
-        question = make_question(
+        self.result.questions += make_questions(
             step,
             workers,
             spares or [],
@@ -253,8 +253,6 @@
             self._book.admitted_share(step.workflow.spec.policy.name),
             self._now_ms,
         )
-        if question is not None:
-            self.result.questions.append(question)
 
     def _claim(
         self, step: ReadyStep, workers: list[Worker], known: StepAdmission | None
@@ -282,6 +280,9 @@
         own: dict[WorkerId, Resources] = {}
         may_preempt = step.spec.gang or self._is_urgent(step)
         may_preempt = may_preempt and not self._is_late(step)
+        if step.spec.gang and known and known.unanswered:
+            # Answers that are still to come may admit workers with more room.
+            may_preempt = False
         if enough and step.spec.gang:
             self._reservations.set(step, free)
         elif not enough and may_preempt:
--- a/basilhold/workflows/questions.py
+++ b/basilhold/workflows/questions.py
@@ -1,7 +1,9 @@
-"""Which workers a question to the external service names. Pure.
+"""Which workers the questions to the external service name. Pure.
 
-This answers policies that admit a part of the workers: a question names those with
-room first, enough of them that a wide step need not ask again, and some spare ones.
+This answers policies that admit a part of the workers, and answer more slowly the more
+of them a question names. Workers with room are named first, and enough of them that a
+step need not ask again. A gang needs several whole workers at a time, so it asks about
+many more than it needs, in questions that are answered side by side.
 """
 
 import math
@@ -11,16 +13,27 @@
 
 from basilhold.core import Resources, WorkerId
 from basilhold.workflows.admissions import StepAdmission
-from basilhold.workflows.model import WORKERS_PER_QUESTION
+from basilhold.workflows.model import WORKERS_PER_QUESTION, AdvicePolicy
 from basilhold.workflows.pool import Worker
 from basilhold.workflows.preemption import count_fitting
 from basilhold.workflows.ready_steps import ReadyStep
 
-__all__ = ["Question", "make_question"]
+__all__ = ["Question", "make_questions"]
 
 NAMES_MAX = 100
 """Most workers that the external service takes in one question."""
 
+QUESTIONS_MAX = 5
+"""Most questions of one step that are open at a time."""
+
+NAMES_ANSWER_SHARE = 0.6
+"""A question is divided while its names lengthen the answer by more than this share of
+the fixed part, which each further question costs again."""
+
+GANG_CHOICE = 8
+"""Admitted workers for each one that a gang needs, among which those are chosen that
+have room or lose least by a stop."""
+
 SPARE_ANSWER_SHARE = 0.15
 """How much longer an answer may take for workers beyond those that are needed. Asking
 again after a refusal takes the whole answering time."""
@@ -33,7 +46,7 @@
     workers: tuple[WorkerId, ...]
 
 
-def make_question(
+def make_questions(
     step: ReadyStep,
     workers: list[Worker],
     spares: list[Worker],
@@ -41,8 +54,8 @@
     known: StepAdmission,
     admitted_share: float,
     now_ms: float,
-) -> Question | None:
-    """Return a question, or ``None`` if all workers have tickets that last.
+) -> list[Question]:
+    """Return the questions to send now; none if all workers have tickets that last.
 
     Parameters
     ----------
@@ -59,15 +72,15 @@
     now_ms : float
         Time of the loop's clock, in milliseconds.
     """
+    policy = step.workflow.spec.policy.advice
     # A ticket that expires before an answer can arrive is renewed now.
-    until_ms = now_ms + step.workflow.spec.policy.advice.answer_ms(1)
+    until_ms = now_ms + policy.answer_ms(1)
     unticketed = [w for w in workers if not known.ticket(w.worker_id, until_ms)]
     if not unticketed:
-        return None
+        return []
     size, needed = step.spec.reserved(), len(step.keys)
     slots = {w.worker_id: count_fitting(room_of(w), size, needed) for w in unticketed}
     unticketed.sort(key=lambda w: (-slots[w.worker_id], -w.free.cores_milli))
-    most = _question_size(step, unticketed, slots, admitted_share)
     names = [w.worker_id for w in unticketed]
     named = set(names)
     others = [
@@ -76,10 +89,31 @@
         if w.worker_id not in named and not known.ticket(w.worker_id, now_ms)
     ]
     names += _spare_names(step, others, room_of, known)
-    return Question(step, tuple(names[:most]))
+    most = _name_count(step, unticketed, slots, admitted_share)
+    return [Question(step, part) for part in _divide(names[:most], policy)]
+
 
+def _divide(names: list[WorkerId], policy: AdvicePolicy) -> list[tuple[WorkerId, ...]]:
+    """Return the names in parts of about equal size, the first ones first.
 
-def _question_size(
+    Examples
+    --------
+    >>> policy = AdvicePolicy(decide_ms=500.0, each_ms=5.0)
+    >>> [len(part) for part in _divide([f"w{i}" for i in range(176)], policy)]
+    [59, 59, 58]
+    >>> [len(part) for part in _divide(["w1", "w2"], policy)]
+    [2]
+    """
+    part_size = NAMES_MAX
+    if policy.each_ms > 0:
+        part_size = int(NAMES_ANSWER_SHARE * policy.decide_ms / policy.each_ms)
+    part_size = min(max(part_size, WORKERS_PER_QUESTION), NAMES_MAX)
+    count = min(math.ceil(len(names) / part_size), QUESTIONS_MAX)
+    size = math.ceil(len(names) / count)
+    return [tuple(names[i : i + size]) for i in range(0, len(names), size)]
+
+
+def _name_count(
     step: ReadyStep,
     workers: list[Worker],
     slots: dict[WorkerId, int],
@@ -87,9 +121,6 @@
 ) -> int:
     """Return how many workers to name, so that enough of them are admitted.
 
-    A wide step that names too few asks again, and each question costs the fixed part
-    of the answering time.
-
     Parameters
     ----------
     step : ReadyStep
@@ -111,6 +142,9 @@
             fitting = count_fitting(worker.info.capacity, size, missing)
         missing -= fitting
         count += fitting > 0
+    if step.spec.gang:
+        wanted = math.ceil(GANG_CHOICE * count / admitted_share)
+        return min(max(wanted, WORKERS_PER_QUESTION), QUESTIONS_MAX * NAMES_MAX)
     wanted = math.ceil(count / admitted_share)
     return min(max(wanted, WORKERS_PER_QUESTION), NAMES_MAX)
 
