--- a/basilhold/workflows/owner.py
+++ b/basilhold/workflows/owner.py
@@ -249,7 +249,6 @@
             state.pool,
             state.book,
             state.reservations,
-            state.demand,
             now_ms,
             instant.now_ms,
             state.limits.stop_ms,
--- a/basilhold/workflows/owner_state.py
+++ b/basilhold/workflows/owner_state.py
@@ -13,7 +13,6 @@
 from basilhold.workflows.admissions import AdmissionBook
 from basilhold.workflows.backlog import Backlog
 from basilhold.workflows.ownership import Lease
-from basilhold.workflows.packing import Demand
 from basilhold.workflows.pool import Pool
 from basilhold.workflows.preemption import Reservations
 from basilhold.workflows.progress import Workflow, WorkflowState
@@ -63,7 +62,6 @@
         self.backlog = Backlog()
         self.book = AdmissionBook()
         self.reservations = Reservations()
-        self.demand = Demand()
         self.times = RunTimes()
         self.pool = Pool()
         self.links: dict[WorkerId, WorkerLink] = {}
--- a/basilhold/workflows/planner.py
+++ b/basilhold/workflows/planner.py
@@ -15,9 +15,9 @@
 from basilhold.workflows.model import (
     WORKERS_PER_QUESTION,
     AdvicePolicy,
+    StepSpec,
     TaskKey,
 )
-from basilhold.workflows.packing import Demand, packing_score
 from basilhold.workflows.pool import Pool, Run, RunKey, Worker
 from basilhold.workflows.preemption import (
     Offer,
@@ -44,6 +44,10 @@
 """Estimates are off by up to nine tenths; a step whose turn is next asks again from
 this share of the estimate on."""
 
+SPEED_WEIGHT = 0.1
+URGENT_SPEED_WEIGHT = 0.3
+"""How much a worker's speed counts against how tightly a task fits."""
+
 
 class Placement(msgspec.Struct):
     """A task and where it starts."""
@@ -67,7 +71,6 @@
     pool: Pool,
     book: AdmissionBook,
     reservations: Reservations,
-    demand: Demand,
     now_ms: float,
     shared_ms: float,
     stop_ms: float,
@@ -81,8 +84,6 @@
     book : AdmissionBook
     reservations : Reservations
         Room that earlier passes have kept for steps; updated.
-    demand : Demand
-        Sizes of the tasks that earlier passes have placed; updated.
     now_ms, shared_ms : float
         The loop's clock and the store's, in milliseconds.
     stop_ms : float
@@ -92,7 +93,7 @@
     -------
     Plan
     """
-    planner = _Pass(pool, book, reservations, demand, now_ms, shared_ms, stop_ms)
+    planner = _Pass(pool, book, reservations, now_ms, shared_ms, stop_ms)
     for step in sorted(steps, key=lambda s: (rank(s, shared_ms), s.start_by_ms)):
         planner.place(step)
     return planner.result
@@ -106,15 +107,12 @@
         pool: Pool,
         book: AdmissionBook,
         reservations: Reservations,
-        demand: Demand,
         now_ms: float,
         shared_ms: float,
         stop_ms: float,
     ):
         self._book = book
         self._reservations = reservations
-        self._demand = demand
-        self._shapes = demand.shapes(now_ms)
         self._now_ms = now_ms
         self._shared_ms = shared_ms
         self._stop_ms = stop_ms
@@ -179,12 +177,10 @@
         self, step: ReadyStep, workers: list[Worker], known: StepAdmission | None
     ) -> None:
         placed: list[Placement] = []
-        scores: dict[WorkerId, float] = {}
         for key in step.keys:
-            worker = self._choose(step, key, workers, scores)
+            worker = self._choose(step, key, workers)
             if worker is None:
                 break
-            scores.pop(worker.worker_id)
             run = _make_run(step, key, self._now_ms)
             worker.add(run)
             ticket = known.ticket(worker.worker_id, self._now_ms) if known else ""
@@ -194,52 +190,29 @@
                 placement.worker.remove(RunKey(step.workflow.job_id, placement.key))
             return
         self.result.placements.extend(placed)
-        queue = step.workflow.spec.policy.name
-        for _ in placed:
-            self._demand.note(queue, step.spec, self._now_ms)
         del step.keys[: len(placed)]
 
     def _choose(
-        self,
-        step: ReadyStep,
-        key: TaskKey,
-        workers: list[Worker],
-        scores: dict[WorkerId, float],
+        self, step: ReadyStep, key: TaskKey, workers: list[Worker]
     ) -> Worker | None:
-        """Return the best worker for a task.
-
-        Parameters
-        ----------
-        step : ReadyStep
-        key : TaskKey
-        workers : list of Worker
-        scores : dict of WorkerId to float
-            Scores for the step's tasks that are known to hold; filled in.
-        """
+        spec = step.spec
+        size = spec.reserved()
         avoided = step.workflow.task(key).avoided
-        best, best_score = None, math.inf
+        best, best_score = None, 0.0
         for worker in workers:
-            score = scores.get(worker.worker_id)
-            if score is None:
-                score = scores[worker.worker_id] = self._score(step, worker)
+            if not size.fits_in(self._room(worker, step)):
+                continue
+            if spec.per_worker_max and self._left_on(step, worker) <= 0:
+                continue
+            score = _packing_score(worker, spec, step.priority == 0)
+            if spec.rack and worker.info.rack != spec.rack:
+                score += FAR_PENALTY
             if worker.worker_id in avoided:
                 score += 2 * FAR_PENALTY
-            if score < best_score:
+            if best is None or score < best_score:
                 best, best_score = worker, score
         return best
 
-    def _score(self, step: ReadyStep, worker: Worker) -> float:
-        """Return how bad a worker is for a task; infinity if it cannot take one."""
-        spec = step.spec
-        if not spec.reserved().fits_in(self._room(worker, step)):
-            return math.inf
-        if spec.per_worker_max and self._left_on(step, worker) <= 0:
-            return math.inf
-        score = packing_score(worker, spec, self._shapes, step.priority == 0)
-        if spec.rack and worker.info.rack != spec.rack:
-            score += FAR_PENALTY
-        return score
-
     def _room(self, worker: Worker, step: ReadyStep) -> Resources:
         room = worker.free
         claimed = self._claimed.get(worker.worker_id)
@@ -407,7 +380,7 @@
             if taken and worker.worker_id in taken:
                 room = room - taken[worker.worker_id]
             if size.fits_in(room):
-                score = packing_score(worker, step.spec, self._shapes)
+                score = _packing_score(worker, step.spec)
                 second = (
                     worker.worker_id in avoided,
                     not self._reservations.is_kept(step, worker.worker_id),
@@ -534,3 +507,17 @@
         checkpoint=step.workflow.task(key).checkpoint,
         priority=step.priority,
     )
+
+
+def _packing_score(worker: Worker, step: StepSpec, urgent: bool = False) -> float:
+    """Return how much a placement leaves free, from 0 (nothing) to 1.
+
+    Work without GPUs goes to workers without GPUs first.
+    """
+    left = worker.free - step.reserved()
+    capacity = worker.info.capacity
+    score = left.cores_milli / max(1, capacity.cores_milli)
+    if capacity.gpus_milli and not step.size.gpus_milli:
+        score += 0.5
+    weight = URGENT_SPEED_WEIGHT if urgent else SPEED_WEIGHT
+    return 0.5 * score + weight * worker.work_ratio
