--- a/basilhold/standins/runners.py
+++ b/basilhold/standins/runners.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import random
+from collections import Counter
 
 import msgspec
 from expression import Error, Ok, Result
@@ -71,6 +72,9 @@
     gang: bool
     timer: asyncio.TimerHandle | None = None
     stopping: bool = False
+    begun_s: float = 0.0
+    takes_s: float = 0.0
+    done_share: float = 0.0
 
 
 class MemoryRunner:
@@ -164,6 +168,8 @@
             return CallOutcome.OLD_RUN
         step = self._monitor.check_start(self, call)
         self.runs[key] = run = _Run(call.run.run, step.reserved(), step.gang)
+        run.begun_s = asyncio.get_running_loop().time()
+        run.done_share = float(call.checkpoint or 0.0)
         self.extend(call.until_clock_ms)
         self._monitor.begin(self, key, run)
         return CallOutcome.DONE
@@ -194,7 +200,10 @@
         self._sequence += 1
         if run.gang and kind is not EndKind.DONE:
             self._monitor.break_gang(key, run.number)
-        end = RunEnd(key.task, run.number, kind)
+        checkpoint = ""
+        if kind is not EndKind.DONE:
+            checkpoint = self._monitor.note_cut_short(key, run)
+        end = RunEnd(key.task, run.number, kind, checkpoint)
         self._ended_s[self._sequence] = asyncio.get_running_loop().time()
         self.ended.append(ListedEnd(self._sequence, key, end))
         self.has_ended.set()
@@ -230,11 +239,25 @@
     ----------
     rng : random.Random
     faults : RunnerFaults, optional
+
+    Attributes
+    ----------
+    saves_work : bool
+        Whether runs with checkpoints go on where they were stopped.
+    lost_core_s : float
+        Work of runs that ended early and was not saved, in core-seconds.
+    end_counts : Counter of EndKind
+    done_s : dict of RunKey to float
+        When tasks have ended as done.
     """
 
     def __init__(self, rng: random.Random, faults: RunnerFaults | None = None):
         self.rng = rng
         self.faults = faults or RunnerFaults()
+        self.saves_work = False
+        self.lost_core_s = 0.0
+        self.end_counts: Counter[EndKind] = Counter()
+        self.done_s: dict[RunKey, float] = {}
         self.runners: dict[WorkerId, MemoryRunner] = {}
         self.specs: dict[JobId, WorkflowSpec] = {}
         self.cancelled_s: dict[JobId, float] = {}
@@ -281,11 +304,22 @@
 
     def note_end(self, key: RunKey, kind: EndKind) -> None:
         """Note how a run ended."""
+        self.end_counts[kind] += 1
         if kind is EndKind.DONE:
             self._done.add(key)
+            self.done_s.setdefault(key, asyncio.get_running_loop().time())
         if kind is EndKind.ALONE:
             self.alone_s.append((asyncio.get_running_loop().time(), key))
 
+    def note_cut_short(self, key: RunKey, run: _Run) -> str:
+        """Count the work that a run has lost; return its checkpoint."""
+        step = self.specs[key.job_id].steps[key.task.step]
+        worked_s = asyncio.get_running_loop().time() - run.begun_s
+        if self.saves_work and step.checkpointing and run.takes_s:
+            return f"{min(1.0, run.done_share + worked_s / run.takes_s):.4f}"
+        self.lost_core_s += worked_s * run.size.cores_milli / 1000
+        return ""
+
     def note_acknowledged(self, ended: ListedEnd) -> None:
         """Note that an end was acknowledged."""
         if ended.end.kind is EndKind.DONE:
@@ -343,7 +377,8 @@
             return
         failed = self.rng.random() < self.faults.failed
         kind = EndKind.FAILED if failed else EndKind.DONE
-        delay_s = estimate_ms * self.rng.uniform(0.7, 1.4) / 1000
+        run.takes_s = estimate_ms * self.rng.uniform(0.7, 1.4) / 1000
+        delay_s = run.takes_s * (1.0 - run.done_share)
         loop = asyncio.get_running_loop()
         run.timer = loop.call_later(delay_s, self._end_work, runner, key, run, kind)
 
