--- a/basilhold/workflow_report/__main__.py
+++ b/basilhold/workflow_report/__main__.py
@@ -3,9 +3,15 @@
 from pathlib import Path
 
 import click
+import msgspec
 
 from basilhold.workflow_report.records import read_lines
-from basilhold.workflow_report.table import summarise, write_table
+from basilhold.workflow_report.table import (
+    summarise,
+    summarise_windows,
+    write_table,
+    write_windows,
+)
 
 __all__ = ["main"]
 
@@ -14,8 +20,10 @@
 @click.argument(
     "logs", nargs=-1, required=True, type=click.Path(exists=True, dir_okay=False)
 )
+@click.option("--windows", is_flag=True, help="Add a line for each two seconds.")
+@click.option("--json", "as_json", is_flag=True, help="Print the figures as JSON.")
 @click.option("--plot", type=click.Path(dir_okay=False), help="Write a plot as PNG.")
-def main(logs: tuple[str, ...], plot: str | None) -> None:
+def main(logs: tuple[str, ...], windows: bool, as_json: bool, plot: str | None) -> None:
     """Tell from the logs of all machines where each queue's time went."""
     lines = (
         line
@@ -23,7 +31,15 @@
         for line in Path(log).read_text(errors="replace").splitlines()
     )
     records = read_lines(lines)
-    click.echo(write_table(summarise(records.values())))
+    summaries = summarise(records.values())
+    by_window = summarise_windows(records.values()) if windows else []
+    if as_json:
+        figures = {"queues": summaries, "windows": by_window}
+        click.echo(msgspec.json.encode(figures))
+    else:
+        click.echo(write_table(summaries))
+        if by_window:
+            click.echo(write_windows(by_window))
     if plot:
         from basilhold.workflow_report.plot import write_plot
 
--- a/basilhold/workflow_report/plot.py
+++ b/basilhold/workflow_report/plot.py
@@ -6,7 +6,7 @@
 
 import matplotlib
 
-from basilhold.workflow_report.records import WorkflowRecord
+from basilhold.workflow_report.records import STAGES, WorkflowRecord
 
 matplotlib.use("Agg")
 
@@ -14,7 +14,6 @@
 
 __all__ = ["write_plot"]
 
-STAGES = ("to the first start", "to the last start", "to the end")
 WINDOW_S = 2.0
 
 
--- a/basilhold/workflow_report/records.py
+++ b/basilhold/workflow_report/records.py
@@ -9,7 +9,7 @@
 
 from basilhold.workflows import events
 
-__all__ = ["WorkflowRecord", "read_lines"]
+__all__ = ["STAGES", "WorkflowRecord", "read_lines"]
 
 _LINE = re.compile(
     r"\s*(?:(?P<seconds>-?\d+\.\d+) .*?)?"
@@ -20,15 +20,29 @@
 _STARTED = events.RUN_ASSIGNED.number
 _RUN_ENDED = events.RUN_ENDED.number
 _STOPPED = events.RUN_PREEMPTED.number
+_NOT_STARTED = events.RUN_NOT_STARTED.number
 _ANSWERED = events.ADVICE_RECEIVED.number
 
 _JOB = re.compile(r"\bjob=(\w+)")
 _TASK = re.compile(r"\btask=(\w+)\.\d+\.\d+\.\d+ run=\d+")
 _STOPPED_FOR = re.compile(r"stopped for (\w+)")
 _QUEUE = re.compile(r"\bqueue=(\S+)")
+_OUTCOME = re.compile(r" start (\S+)$")
 _ENDED = re.compile(r"\bended (?:state=)?(\w+)")
 
 
+STAGES = (
+    "to the first answer",
+    "to the first start",
+    "to the last start",
+    "to the end",
+)
+"""Stages of a workflow; those without advice have their first answer at once."""
+
+SOON_S = 2.0
+"""A workflow for which others were stopped should start within this time."""
+
+
 class WorkflowRecord(msgspec.Struct):
     """What the log tells about one workflow; times in seconds.
 
@@ -40,8 +54,10 @@
         Answers of the advice service, and starts of runs.
     run_ends : Counter of str
         Runs by how they ended.
-    stops_caused : int
-        Runs of others that were stopped so that this one could start.
+    not_started : Counter of str
+        Starts that workers did not carry out, by outcome.
+    stops_s : list of float
+        Stops of others' runs so that this one could start.
     ended_s : float, optional
     state : str
         Final state; empty if the workflow has not ended.
@@ -52,12 +68,13 @@
     answers_s: list[float] = []
     starts_s: list[float] = []
     run_ends: Counter = msgspec.field(default_factory=Counter)
-    stops_caused: int = 0
+    not_started: Counter = msgspec.field(default_factory=Counter)
+    stops_s: list[float] = []
     ended_s: float | None = None
     state: str = ""
 
-    def stages_s(self) -> tuple[float, float, float] | None:
-        """Return the times to the first start, to the last one, and to the end.
+    def stages_s(self) -> tuple[float, float, float, float] | None:
+        """Return the durations of the stages named in `STAGES`.
 
         Returns
         -------
@@ -67,7 +84,21 @@
         if self.state != "completed" or not self.starts_s or self.ended_s is None:
             return None
         first_s, last_s = min(self.starts_s), max(self.starts_s)
-        return first_s - self.accepted_s, last_s - first_s, self.ended_s - last_s
+        answered_s = min(self.answers_s, default=self.accepted_s)
+        answered_s = min(max(answered_s, self.accepted_s), first_s)
+        return (
+            answered_s - self.accepted_s,
+            first_s - answered_s,
+            last_s - first_s,
+            self.ended_s - last_s,
+        )
+
+    def useless_stops(self) -> int:
+        """Return after how many stops of others no run of this one started soon."""
+        return sum(
+            not any(0.0 <= start_s - stop_s <= SOON_S for start_s in self.starts_s)
+            for stop_s in self.stops_s
+        )
 
 
 def read_lines(lines: Iterable[str]) -> dict[str, WorkflowRecord]:
@@ -110,7 +141,7 @@
     job, queue = _JOB.search(text), _QUEUE.search(text)
     if not job or not queue:
         return
-    known = records.setdefault(job[1], WorkflowRecord(queue[1], time_s, [], []))
+    known = records.setdefault(job[1], WorkflowRecord(queue[1], time_s))
     # A caller's second try is accepted too.
     known.accepted_s = min(known.accepted_s, time_s)
 
@@ -134,6 +165,9 @@
         ended = _ENDED.search(text)
         record.run_ends[ended[1] if ended else ""] += 1
     elif event == _STOPPED:
-        record.stops_caused += 1
+        record.stops_s.append(time_s)
+    elif event == _NOT_STARTED:
+        outcome = _OUTCOME.search(text)
+        record.not_started[outcome[1] if outcome else ""] += 1
     elif event == _ANSWERED:
         record.answers_s.append(time_s)
