Keep the room made for a gang while spare workers are asked about

Cause: a renewal of tickets names spare workers too, of which nothing is known. While it was open, the step was taken for one that still explores, and its reservations were dropped; the room went to other work, and the answer was followed by new stops.

--- a/basilhold/workflows/planner.py
+++ b/basilhold/workflows/planner.py
@@ -281,8 +281,9 @@
         may_preempt = step.spec.gang or self._is_urgent(step)
         may_preempt = may_preempt and not self._is_late(step)
         if step.spec.gang and known and known.unanswered:
-            # Answers that are still to come may admit workers with more room.
-            may_preempt = False
+            # Answers that are still to come may admit workers with more room. Room that
+            # was made before is kept meanwhile.
+            may_preempt = may_preempt and self._reservations.has(step.key)
         if enough and step.spec.gang:
             self._reservations.set(step, free)
         elif not enough and may_preempt:
--- a/basilhold/workflows/preemption.py
+++ b/basilhold/workflows/preemption.py
@@ -102,6 +102,10 @@
         for key in [key for key in self._steps if key.job_id == job_id]:
             self.drop(key)
 
+    def has(self, key: StepKey) -> bool:
+        """Return whether any room is kept for a step."""
+        return key in self._steps
+
     def is_kept(self, step: ReadyStep, worker_id: WorkerId) -> bool:
         """Return whether a worker keeps room for a step."""
         return worker_id in self._steps.get(step.key, ())
--- a/basilhold/workflows/tests/test_planner.py
+++ b/basilhold/workflows/tests/test_planner.py
@@ -276,6 +276,30 @@
         (preemption,) = self.plan(gang).preemptions
         self.assertEqual(preemption.worker.worker_id, "a")
 
+    def test_gang_keeps_its_room_while_spare_workers_are_asked_about(self):
+        # Each renewal of tickets named spare workers too. While it was open, the room
+        # that had been made went to others, and its answer was followed by new stops.
+        names = (WorkerId("a"), WorkerId("b"))
+        for name in names:
+            worker = self.add_worker(name, 8_000)
+            self.run_on(worker, self.step(8_000, priority=2))
+        gang = self.step(8_000, count=2, gang=True, advice=ADVICE)
+        known = self.book.step(gang.key)
+        tickets = dict.fromkeys(names, "t")
+        self.book.record(gang.key, names, tickets, 2_000.0, NOW_MS)
+        stops = self.plan(gang).preemptions
+        self.assertEqual(len(stops), 2)
+        stops[0].worker.remove(stops[0].run.key)
+        known.tickets.clear()
+        known.question_sent((*names, WorkerId("spare")))
+        low = self.step(8_000, priority=2)
+        self.assertEqual(self.plan(gang, low).placements, [])
+        stops[1].worker.remove(stops[1].run.key)
+        known.question_closed((*names, WorkerId("spare")))
+        self.book.record(gang.key, names, tickets, 2_000.0, NOW_MS)
+        placements = self.plan(gang, low).placements
+        self.assertEqual([p.step for p in placements], [gang, gang])
+
     def test_question_names_workers_with_room_first(self):
         # Workers with many free cores and no free GPU were named before others.
         for number in range(40):
