Leave kept room to gangs where urgent work fits elsewhere

Hypothesis: in a burst of quick quotes gangs stop batch after batch of runs, as each batch's room goes to the next quotes: best fit sends these to the room just made.

Change: urgent work prefers workers on which it fits beside kept room. It still takes that room if there is no other.

test_urgent_work_leaves_room_that_is_kept_if_it_can fails without it.

--- a/basilhold/workflows/planner.py
+++ b/basilhold/workflows/planner.py
@@ -35,6 +35,10 @@
 FAR_PENALTY = 2.0
 """Score of a worker away from the step's data, above any packing score."""
 
+KEPT_PENALTY = 1.0
+"""Score of a worker whose room is kept for a less urgent step, above any packing
+score: runs were stopped to make it, and would be stopped elsewhere again."""
+
 START_OVERHEAD_MS = 400.0
 """After a stop, a start takes a look at the worker, a commit and a round trip."""
 
@@ -205,6 +209,8 @@
             if spec.per_worker_max and self._left_on(step, worker) <= 0:
                 continue
             score = _packing_score(worker, spec, step.priority == 0)
+            if self._takes_kept_room(step, worker):
+                score += KEPT_PENALTY
             if spec.rack and worker.info.rack != spec.rack:
                 score += FAR_PENALTY
             if worker.worker_id in avoided:
@@ -226,6 +232,13 @@
                 room = room - size
         return room
 
+    def _takes_kept_room(self, step: ReadyStep, worker: Worker) -> bool:
+        """Return whether a task would take room that less urgent steps wait for."""
+        kept = self._reservations.kept_for_later(step, worker.worker_id)
+        if kept is None:
+            return False
+        return not step.spec.reserved().fits_in(self._room(worker, step) - kept)
+
     def _left_on(self, step: ReadyStep, worker: Worker) -> int:
         """Return how many more tasks of a step a worker may run."""
         if not step.spec.per_worker_max:
--- a/basilhold/workflows/preemption.py
+++ b/basilhold/workflows/preemption.py
@@ -122,18 +122,30 @@
         settled : container of StepKey
             Steps that have claimed their room in another way.
         """
-        kept = self._workers.get(worker_id)
-        if not kept:
-            return None
-        total = None
         key = step.key
-        for other, reservation in kept.items():
-            if other == key or other in settled:
-                continue
-            if reservation.priority <= step.priority:
-                size = reservation.size
-                total = size if total is None else total + size
-        return total
+        return _total(
+            reservation.size
+            for other, reservation in self._workers.get(worker_id, {}).items()
+            if other != key
+            and other not in settled
+            and reservation.priority <= step.priority
+        )
+
+    def kept_for_later(self, step: ReadyStep, worker_id: WorkerId) -> Resources | None:
+        """Return the room of a worker that is kept for less urgent steps than one."""
+        return _total(
+            reservation.size
+            for reservation in self._workers.get(worker_id, {}).values()
+            if reservation.priority > step.priority
+        )
+
+
+def _total(sizes: Iterable[Resources]) -> Resources | None:
+    """Return the sum of sizes, or ``None`` if there are none."""
+    total = None
+    for size in sizes:
+        total = size if total is None else total + size
+    return total
 
 
 def count_fitting(room: Resources, size: Resources, most: int) -> int:
--- a/basilhold/workflows/tests/test_planner.py
+++ b/basilhold/workflows/tests/test_planner.py
@@ -169,6 +169,17 @@
         (placement,) = self.plan(self.step(4_000, priority=0)).placements
         self.assertIs(placement.worker, worker)
 
+    def test_urgent_work_leaves_room_that_is_kept_if_it_can(self):
+        # Small urgent work took the room that runs had been stopped for, as it was the
+        # tightest, and the gang stopped more runs elsewhere.
+        made = self.add_worker("a", 8_000)
+        self.run_on(made, self.step(8_000, priority=2))
+        self.plan(self.step(8_000, gang=True))
+        made.remove(next(iter(made.runs)))
+        other = self.add_worker("b", 16_000)
+        (placement,) = self.plan(self.step(4_000, priority=0)).placements
+        self.assertIs(placement.worker, other)
+
     def test_preemption_takes_the_worker_that_loses_least(self):
         old, saved, young = (self.add_worker(name, 8_000) for name in "abc")
         self.run_on(old, self.step(8_000, priority=2))
