Stop no run for another while a commit stalls

What they had made before is kept.

test_outage_stops_no_run_for_a_gang and test_no_run_stops_while_nothing_can_start fail without it.

--- a/basilhold/workflows/commits.py
+++ b/basilhold/workflows/commits.py
@@ -20,6 +20,10 @@
 RENEW_MS = 600
 """Longest time between two commits; `TAKEOVER_MS` allows for three missed ones."""
 
+STALL_MS = 600.0
+"""Above the time of a commit in a slow store; one that takes longer waits for a store
+that does not answer."""
+
 COMMIT_INTERVAL_MS = 20
 """Shortest time between two commits: each call to the store is paid for."""
 
@@ -66,9 +70,16 @@
         self._send_start = send_start
         self._dirty: dict[_ChunkKey, Workflow] = {}
         self._starts: list[Placement] = []
+        self._sent_ms: float | None = None
         self._lock = asyncio.Lock()
         self._wake = asyncio.Event()
 
+    def is_stalled(self) -> bool:
+        """Return whether a commit takes so long that starts are held up by it."""
+        if self._sent_ms is None:
+            return False
+        return self._state.clock.monotonic_ms() - self._sent_ms > STALL_MS
+
     def mark(self, workflow: Workflow) -> None:
         """Store a workflow's progress with the next commit."""
         for chunk in workflow.take_changed():
@@ -131,8 +142,10 @@
         starts = [p for p in self._starts if p.step.workflow.job_id not in unstored]
         self._starts = [p for p in self._starts if p.step.workflow.job_id in unstored]
         ends = {link: link.worker.processed for link in self._state.links.values()}
-        begin_ms = self._state.clock.monotonic_ms()
-        if await self._state.lease.commit(batch.writes) is CommitOutcome.LOST:
+        begin_ms = self._sent_ms = self._state.clock.monotonic_ms()
+        outcome = await self._state.lease.commit(batch.writes)
+        self._sent_ms = None
+        if outcome is CommitOutcome.LOST:
             raise LeaseLostError("a commit found another owner")
         took_ms = self._state.clock.monotonic_ms() - begin_ms
         self._state.observe("basilhold_workflow_commit_seconds", took_ms)
--- a/basilhold/workflows/owner.py
+++ b/basilhold/workflows/owner.py
@@ -252,6 +252,8 @@
             now_ms,
             instant.now_ms,
             state.limits.stop_ms,
+            # A stop frees room that nothing can start in before the next commit.
+            may_stop=not self._committer.is_stalled(),
         )
 
     def _apply_plan(self, decided: Plan) -> None:
--- a/basilhold/workflows/planner.py
+++ b/basilhold/workflows/planner.py
@@ -78,6 +78,7 @@
     now_ms: float,
     shared_ms: float,
     stop_ms: float,
+    may_stop: bool = True,
 ) -> Plan:
     """Place waiting tasks; the placements are reserved in the pool.
 
@@ -92,12 +93,14 @@
         The loop's clock and the store's, in milliseconds.
     stop_ms : float
         How long a stop of a run may take.
+    may_stop : bool
+        Whether runs may be stopped for others.
 
     Returns
     -------
     Plan
     """
-    planner = _Pass(pool, book, reservations, now_ms, shared_ms, stop_ms)
+    planner = _Pass(pool, book, reservations, now_ms, shared_ms, stop_ms, may_stop)
     for step in sorted(steps, key=lambda s: (rank(s, shared_ms), s.start_by_ms)):
         planner.place(step)
     return planner.result
@@ -114,7 +117,9 @@
         now_ms: float,
         shared_ms: float,
         stop_ms: float,
+        may_stop: bool,
     ):
+        self._may_stop = may_stop
         self._book = book
         self._reservations = reservations
         self._now_ms = now_ms
@@ -297,12 +302,14 @@
             # Answers that are still to come may admit workers with more room. Room that
             # was made before is kept meanwhile.
             may_preempt = may_preempt and self._reservations.has(step.key)
+        if not self._may_stop:
+            may_preempt = False
         if enough and step.spec.gang:
             self._reservations.set(step, free)
         elif not enough and may_preempt:
             # A stop on a worker that is then refused would free room for nobody.
             own = self._preempt(step, first if known else workers, free, needed)
-        else:
+        elif self._may_stop:
             self._reservations.drop(step.key)
         if usable:
             return [w for w in workers if w.worker_id in free]
--- a/basilhold/workflows/tests/test_owner.py
+++ b/basilhold/workflows/tests/test_owner.py
@@ -12,9 +12,9 @@
 from basilhold.standins.runners import MemoryRegistry, RunnerFaults
 from basilhold.testing import VirtualTimeTestCase
 from basilhold.testing.workflow_cell import SERVICE, WorkflowCell, make_spec
-from basilhold.workflows.model import StepSpec
+from basilhold.workflows.model import AdvicePolicy, StepSpec
 from basilhold.workflows.peers import StoreOutcome
-from basilhold.workflows.progress import WorkflowState
+from basilhold.workflows.progress import EndKind, WorkflowState
 
 
 def spec_of(number, *steps, **changes):
@@ -284,6 +284,34 @@
             self.assertEqual(cell.runners.violations, [])
             self.assertEqual(cell.runners.start_count, 4)
 
+    async def test_outage_stops_no_run_for_a_gang(self):
+        # A gang that was stored just before an outage took the room of runs that then
+        # stood still until the store was back.
+        whole = Resources(16_000, 1 << 20, 0)
+        filling = spec_of(1, StepSpec(6, whole, 9_000.0))
+        gang = spec_of(2, StepSpec(2, whole, 500.0, gang=True))
+        low = msgspec.structs.replace(filling.policy, priority=2)
+        patient = msgspec.structs.replace(
+            gang.policy,
+            target_latency_ms=20_000.0,
+            advice=AdvicePolicy(1_500.0, 0.0, 4_000.0),
+        )
+        filling = msgspec.structs.replace(filling, policy=low)
+        gang = msgspec.structs.replace(gang, policy=patient)
+        async with WorkflowCell() as cell:
+            await asyncio.sleep(1)
+            await cell.submit(filling)
+            await asyncio.sleep(1)
+            await cell.submit(gang)
+            await asyncio.sleep(0.1)
+            cell.table.faults.down = True
+            await asyncio.sleep(2)
+            self.assertEqual(cell.runners.end_counts[EndKind.STOPPED], 0)
+            cell.table.faults.down = False
+            await asyncio.sleep(4)
+            self.assertGreater(cell.runners.end_counts[EndKind.STOPPED], 0)
+            self.assertEqual(cell.runners.violations, [])
+
     async def test_outage_is_refused_at_once(self):
         # Guards against callers that are held while the store is known to be down.
         async with WorkflowCell() as cell:
--- a/basilhold/workflows/tests/test_planner.py
+++ b/basilhold/workflows/tests/test_planner.py
@@ -48,7 +48,7 @@
         workflow = Workflow(WorkflowSpec(job_id, policy, "", (step,), submitted_ms))
         return ready_step(workflow, 0, 0, workflow.step_keys(0, 0))
 
-    def plan(self, *steps, stop_ms=400.0):
+    def plan(self, *steps, stop_ms=400.0, may_stop=True):
         return plan(
             list(steps),
             self.pool,
@@ -57,6 +57,7 @@
             NOW_MS,
             NOW_MS,
             stop_ms,
+            may_stop,
         )
 
     def run_on(self, worker, step):
@@ -271,6 +272,20 @@
         self.assertGreaterEqual(count, 30)
         self.assertLessEqual(count, 60)
 
+    def test_no_run_stops_while_nothing_can_start(self):
+        # In an outage of the store gangs stopped runs for room in which no start could
+        # be committed for seconds. What they had made before is kept.
+        worker = self.add_worker("a", 8_000)
+        self.run_on(worker, self.step(8_000, priority=2))
+        gang = self.step(8_000, gang=True)
+        self.assertEqual(self.plan(gang, may_stop=False).preemptions, [])
+        (preemption,) = self.plan(gang).preemptions
+        self.assertEqual(self.plan(gang, may_stop=False).preemptions, [])
+        self.assertTrue(self.reservations.has(gang.key))
+        worker.remove(preemption.run.key)
+        (placement,) = self.plan(gang, self.step(8_000, priority=2)).placements
+        self.assertIs(placement.step, gang)
+
     def test_gang_does_not_stop_runs_before_all_answers_are_in(self):
         # Each answer of several questions may admit workers that need no stop.
         for name in "ab":
