Let an owner go on after an outage in which its lease ran out

Cause: in an outage of 4.2 s the lease of an owner runs out.

test_owner_may_go_on_after_an_outage fails without it.

--- a/basilhold/workflows/stewardship.py
+++ b/basilhold/workflows/stewardship.py
@@ -118,9 +118,13 @@
         return view.record.endpoint
 
     def owns(self, service: ServiceName) -> bool:
-        """Return whether this process holds the lease of a service."""
+        """Return whether this process holds the lease of a service, or may renew it.
+
+        After an outage of the store the lease of its owner has run out, and the owner
+        renews it with its next commit unless another process comes first.
+        """
         lease = self._leases.get(service)
-        return lease is not None and lease.is_valid()
+        return lease is not None and not lease.is_lost
 
     def members(self) -> list[Member]:
         """Return the processes that are known to be alive, this one first."""
--- a/basilhold/workflows/tests/test_owner.py
+++ b/basilhold/workflows/tests/test_owner.py
@@ -266,6 +266,20 @@
                 cell.processes[owner].stewardship.local_owner(SERVICE), before
             )
 
+    async def test_owner_may_go_on_after_an_outage(self):
+        # In an outage of 4.2 s the lease ran out, the owner told its peers so, and was
+        # replaced in the second in which it would have renewed its lease.
+        async with WorkflowCell() as cell:
+            await asyncio.sleep(3)
+            owner = cell.processes[cell.owner_name()]
+            before = owner.stewardship.local_owner(SERVICE)
+            cell.table.faults.down = True
+            await asyncio.sleep(5)
+            self.assertTrue(owner.front.owns(SERVICE))
+            cell.table.faults.down = False
+            await asyncio.sleep(3)
+            self.assertIs(owner.stewardship.local_owner(SERVICE), before)
+
     async def test_owner_cut_from_the_store_is_replaced(self):
         # Guards against two owners that both start tasks.
         spec = spec_of(1, step_of(4, 1_000.0))
