--- a/basilhold/workflow_trials/variants.py
+++ b/basilhold/workflow_trials/variants.py
@@ -33,8 +33,87 @@
         yield
 
 
+@contextmanager
+def no_reservations() -> Iterator[None]:
+    """Keep no room for steps from one pass to the next."""
+    name = "basilhold.workflows.preemption.Reservations.set"
+    with patch(name, lambda reservations, step, counts: None):
+        yield
+
+
+@contextmanager
+def urgent_work_takes_kept_room() -> Iterator[None]:
+    """Let urgent work take room that is kept for less urgent steps like any other."""
+    with patch("basilhold.workflows.planner.KEPT_PENALTY", 0.0):
+        yield
+
+
+@contextmanager
+def no_drain() -> Iterator[None]:
+    """Keep new work on the workers that a gang waits for."""
+    with patch("basilhold.workflows.planner._Pass._drain_for", lambda *_: None):
+        yield
+
+
+@contextmanager
+def no_promises() -> Iterator[None]:
+    """Renew no ticket before a worker has room."""
+    with patch("basilhold.workflows.planner._Pass._promise", lambda *_: []):
+        yield
+
+
+@contextmanager
+def no_spares() -> Iterator[None]:
+    """Name no more workers in a question than the step wants to use."""
+    with patch("basilhold.workflows.questions._spare_names", lambda *_: []):
+        yield
+
+
+@contextmanager
+def late_work_keeps_its_rank() -> Iterator[None]:
+    """Order steps by priority and deadline alone."""
+    with (
+        patch("basilhold.workflows.ready_steps.LATE_RANK", 0.0),
+        patch("basilhold.workflows.ready_steps.HOPELESS_RANK", 0.0),
+    ):
+        yield
+
+
+@contextmanager
+def speed_does_not_count() -> Iterator[None]:
+    """Place tasks by how tightly they fit alone."""
+    with (
+        patch("basilhold.workflows.planner.SPEED_WEIGHT", 0.0),
+        patch("basilhold.workflows.planner.URGENT_SPEED_WEIGHT", 0.0),
+    ):
+        yield
+
+
+@contextmanager
+def half_the_choice() -> Iterator[None]:
+    """Ask about half as many workers for a gang."""
+    with patch("basilhold.workflows.questions.GANG_CHOICE", 4):
+        yield
+
+
+@contextmanager
+def double_the_choice() -> Iterator[None]:
+    """Ask about twice as many workers for a gang."""
+    with patch("basilhold.workflows.questions.GANG_CHOICE", 16):
+        yield
+
+
 VARIANTS: dict[str, Variant] = {
     "as-built": as_built,
     "one-question": one_question_at_a_time,
+    "half-choice": half_the_choice,
+    "double-choice": double_the_choice,
     "no-stops": no_stops,
+    "no-reservations": no_reservations,
+    "kept-room-taken": urgent_work_takes_kept_room,
+    "no-drain": no_drain,
+    "no-promises": no_promises,
+    "no-spares": no_spares,
+    "no-late-rank": late_work_keeps_its_rank,
+    "no-speed": speed_does_not_count,
 }
--- a/basilhold/workflows/tests/test_random_runs.py
+++ b/basilhold/workflows/tests/test_random_runs.py
@@ -1,11 +1,14 @@
 """Randomised runs of workflows under faults, with fixed seeds."""
 
+import asyncio
 import unittest
 from unittest.mock import patch
 
+from basilhold.testing import workflow_cell
 from basilhold.testing.workflow_runs import run_seed
 from basilhold.workflows import owner
 from basilhold.workflows.commits import Committer
+from basilhold.workflows.peers import Presence
 from basilhold.workflows.worker_link import WorkerLink
 
 SEEDS = range(200)
@@ -16,6 +19,9 @@
 SILENCE_SEEDS = range(60_000, 60_040)
 """Runs in which clocks jump, and calls to the store take effect without a reply."""
 
+MUTE_SEEDS = range(70_000, 70_020)
+"""Runs in which owners that are at work never answer whether they are."""
+
 FAILED_ONCE = {
     11: "a lapsed lease does not bind an owner to an end that it could not know",
     22: "a start reached a restarted worker and ran beside its replacement",
@@ -52,6 +58,17 @@
             with self.subTest(seed=seed):
                 self.check(seed, silences=True)
 
+    def test_seeds_with_holders_that_do_not_answer(self):
+        # An owner that is taken for gone while it is at work must not harm.
+        async def silent(peers, endpoint, service):
+            await asyncio.sleep(0.3)
+            return Presence.SILENT
+
+        with patch.object(workflow_cell._CellPeers, "presence", silent):
+            for seed in MUTE_SEEDS:
+                with self.subTest(seed=seed):
+                    self.check(seed, silences=True)
+
     def test_seeds_without_peers(self):
         for seed in WITHOUT_PEERS_SEEDS:
             with self.subTest(seed=seed):
