--- a/basilhold/workflows/planner.py
+++ b/basilhold/workflows/planner.py
@@ -119,7 +119,7 @@
         stop_ms: float,
         may_stop: bool,
     ):
-        self._may_stop = may_stop
+        self._stops_allowed = may_stop
         self._book = book
         self._reservations = reservations
         self._now_ms = now_ms
@@ -296,20 +296,13 @@
         if usable:
             self._claim_slots(step, free)
         own: dict[WorkerId, Resources] = {}
-        may_preempt = step.spec.gang or self._is_urgent(step)
-        may_preempt = may_preempt and not self._is_late(step)
-        if step.spec.gang and known and known.unanswered:
-            # Answers that are still to come may admit workers with more room. Room that
-            # was made before is kept meanwhile.
-            may_preempt = may_preempt and self._reservations.has(step.key)
-        if not self._may_stop:
-            may_preempt = False
+        may_preempt = self._may_preempt(step, known)
         if enough and step.spec.gang:
             self._reservations.set(step, free)
         elif not enough and may_preempt:
             # A stop on a worker that is then refused would free room for nobody.
             own = self._preempt(step, first if known else workers, free, needed)
-        elif self._may_stop:
+        elif self._stops_allowed:
             self._reservations.drop(step.key)
         if usable:
             return [w for w in workers if w.worker_id in free]
@@ -320,6 +313,18 @@
             return promised
         return others if may_preempt else []
 
+    def _may_preempt(self, step: ReadyStep, known: StepAdmission | None) -> bool:
+        """Return whether runs of lower priority may be stopped for a step now."""
+        if not self._stops_allowed or self._is_late(step):
+            return False
+        if not step.spec.gang:
+            return self._is_urgent(step)
+        if known is not None and known.unanswered:
+            # Answers that are still to come may admit workers with more room. Room that
+            # was made before is kept meanwhile.
+            return self._reservations.has(step.key)
+        return True
+
     def _is_enough_if_empty(self, step: ReadyStep, workers: list[Worker]) -> bool:
         """Return whether a step could start if its priority had the workers alone."""
         size = step.spec.reserved()
