Test what a process is told about the holder of a lease

CountingPeers lacked the new call, so that test_relayed_table could not run; found when reading which classes implement PeerCalls. Calls over real sockets tell an owner from another process, and both from a peer that is gone or fails.

--- a/basilhold/workflows/tests/test_relayed_table.py
+++ b/basilhold/workflows/tests/test_relayed_table.py
@@ -21,12 +21,13 @@
 )
 from basilhold.standins.feed_table import FeedTable
 from basilhold.testing import VirtualTimeTestCase
-from basilhold.testing.workflow_cell import WorkflowCell
+from basilhold.testing.workflow_cell import SERVICE, WorkflowCell
 from basilhold.workflows.peer_http import HttpPeers, make_peer_server
 from basilhold.workflows.peers import (
     ChangesCall,
     Member,
     PeerCalls,
+    Presence,
     ReadCall,
     ScanCall,
     StoreOutcome,
@@ -72,7 +73,7 @@
             return self.table.transact_now(call.transaction)
         return Ok({"relayed": Row("relayed", b"", 1)})
 
-    submitted = cancelled = released = state = waiting = advise = None
+    submitted = cancelled = released = presence = state = waiting = advise = None
 
 
 class RelayedTableTest(VirtualTimeTestCase):
@@ -191,6 +192,11 @@
     def shared_ms(self):
         return 1_000_000.0
 
+    def owns(self, service):
+        if self.fails:
+            raise RuntimeError("told to fail")
+        return service == SERVICE
+
     async def run_store_call(self, call):
         if isinstance(call, ReadCall):
             return self.table.read_now(call.keys)
@@ -272,6 +278,14 @@
         result = await self.peers.store_call(self.endpoint, TransactCall(PUT))
         self.assertIs(result.error.kind, StoreErrorKind.UNKNOWN)
 
+    async def test_presence_tells_an_owner_from_others_and_from_silence(self):
+        presence = self.peers.presence
+        self.assertIs(await presence(self.endpoint, SERVICE), Presence.OWNER)
+        self.assertIs(await presence(self.endpoint, "another"), Presence.OTHER)
+        self.assertIs(await presence("127.0.0.1:1", SERVICE), Presence.SILENT)
+        self.front.fails = True
+        self.assertIs(await presence(self.endpoint, SERVICE), Presence.SILENT)
+
     async def test_peer_that_is_gone_has_done_nothing(self):
         result = await self.peers.store_call("127.0.0.1:1", ReadCall(("k",)))
         self.assertIs(result.error.kind, StoreErrorKind.NOT_APPLIED)
