--- a/basilhold/workflow_trials/load.py
+++ b/basilhold/workflow_trials/load.py
@@ -60,25 +60,61 @@
     admitted_share: float
 
 
-def _policy(name: str, priority: int, *figures: float, advice: AdvicePolicy):
-    stretch, target_ms = figures
+def _policy(
+    name: str,
+    priority: int,
+    stretch: float,
+    target_latency_ms: float,
+    advice: AdvicePolicy,
+) -> QueuePolicy:
+    service = ServiceName("desk")
     return QueuePolicy(
-        QueueName(name), ServiceName("desk"), priority, 3, stretch, target_ms, advice
+        QueueName(name), service, priority, 3, stretch, target_latency_ms, advice
     )
 
 
 QUEUES = (
     QueueLoad(
-        _policy("wide", 1, 2.2, 1_200, advice=AdvicePolicy(340.0, 4.9, 2_000.0)),
-        *(0.0154, 1.2, 20, 60, 18_000, 26 << 30, 4_000, 0.9, 1.0, 0.5, 0.3),
+        _policy("wide", 1, 2.2, 1_200, AdvicePolicy(340.0, 4.9, 2_000.0)),
+        per_worker_s=0.0154,
+        steps_mean=1.2,
+        width_mean=20,
+        width_max=60,
+        cores_milli=18_000,
+        memory_bytes=26 << 30,
+        work_ms=4_000,
+        estimate_error=0.9,
+        gang_share=1.0,
+        saving_share=0.5,
+        admitted_share=0.3,
     ),
     QueueLoad(
-        _policy("fill", 2, 4.0, 3_000, advice=AdvicePolicy(100.0, 1.4, 2_000.0)),
-        *(0.0255, 1.5, 25, 60, 6_900, 10 << 30, 2_700, 0.5, 0.0, 0.8, 0.45),
+        _policy("fill", 2, 4.0, 3_000, AdvicePolicy(100.0, 1.4, 2_000.0)),
+        per_worker_s=0.0255,
+        steps_mean=1.5,
+        width_mean=25,
+        width_max=60,
+        cores_milli=6_900,
+        memory_bytes=10 << 30,
+        work_ms=2_700,
+        estimate_error=0.5,
+        gang_share=0.0,
+        saving_share=0.8,
+        admitted_share=0.45,
     ),
     QueueLoad(
-        _policy("quick", 0, 1.5, 600, advice=AdvicePolicy(11.0, 0.16, 2_000.0)),
-        *(0.228, 1.0, 3, 10, 9_900, 10 << 30, 1_000, 0.5, 0.3, 0.0, 0.7),
+        _policy("quick", 0, 1.5, 600, AdvicePolicy(11.0, 0.16, 2_000.0)),
+        per_worker_s=0.228,
+        steps_mean=1.0,
+        width_mean=3,
+        width_max=10,
+        cores_milli=9_900,
+        memory_bytes=10 << 30,
+        work_ms=1_000,
+        estimate_error=0.5,
+        gang_share=0.3,
+        saving_share=0.0,
+        admitted_share=0.7,
     ),
 )
 
