Log that a holder was found gone

A takeover before the 2 s of an unchanged row had no line that told why. Event 6004 has the epoch, the endpoint, what it answered and the age of the last renewal.

--- a/basilhold/workflows/stewardship.py
+++ b/basilhold/workflows/stewardship.py
@@ -298,6 +298,15 @@
             self._asking.discard(service)
         if presence is not Presence.OWNER and view.version == version:
             view.holder_gone = True
+            unchanged_ms = self._ports.clock.monotonic_ms() - view.since_ms
+            log_event(
+                events.HOLDER_GONE,
+                service=service,
+                epoch=view.record.epoch,
+                endpoint=endpoint,
+                presence=presence.value,
+                unchanged_ms=round(unchanged_ms),
+            )
             self._poke.set()
 
     async def _consider_claim(
