--- a/basilhold/workflows/events.py
+++ b/basilhold/workflows/events.py
@@ -25,8 +25,8 @@
 HOLDER_GONE = Event(
     6004,
     EventLevel.INFO,
-    "service={service} epoch={epoch} may be claimed: presence={presence} at {endpoint}, "
-    "lease not renewed for {unchanged_ms} ms",
+    "service={service} epoch={epoch} may be claimed: presence={presence} at "
+    "{endpoint}, lease not renewed for {unchanged_ms} ms",
 )
 WORKFLOW_ACCEPTED = Event(
     6010, EventLevel.INFO, "job={job} queue={queue} service={service} stored"
