--- a/basilhold/workflow_trials/advice.py
+++ b/basilhold/workflow_trials/advice.py
@@ -26,15 +26,12 @@
     Attributes
     ----------
     question_count : int
-    busy_s : float
-        Sum of the answering times.
     """
 
     def __init__(self, machine_count: int, admitted_shares: dict[QueueName, float]):
         self._free_at_s = [0.0] * machine_count
         self._shares = admitted_shares
         self.question_count = 0
-        self.busy_s = 0.0
 
     def is_available(self, policy: QueuePolicy, worker_count: int) -> bool:
         """Return whether a machine can ask soon."""
@@ -56,7 +53,6 @@
         ready_s = max(now_s, self._free_at_s[machine]) + answer_s
         self._free_at_s[machine] = ready_s
         self.question_count += 1
-        self.busy_s += answer_s
         await asyncio.sleep(ready_s - now_s)
         share = self._shares[policy.name]
         return Ok(
--- a/basilhold/workflow_trials/trial.py
+++ b/basilhold/workflow_trials/trial.py
@@ -44,16 +44,12 @@
 
     Parameters
     ----------
-    count, in_time : int
-        Workflows, and those that completed within their objective.
     worth : float
         Share of the work that earned its worth; late work earns a fifth.
     median_s : float
         Of the time from the submission to the end.
     """
 
-    count: int
-    in_time: int
     worth: float
     median_s: float
 
@@ -67,8 +63,6 @@
     stopped, lost_core_s : float
         Runs that were stopped, and their work that was not saved, in core-seconds.
     questions : int
-    advice_s : float
-        Sum of the answering times.
     violations : list of str
         Broken guarantees.
     """
@@ -77,7 +71,6 @@
     stopped: int
     lost_core_s: float
     questions: int
-    advice_s: float
     violations: list[str]
 
     @property
@@ -144,7 +137,6 @@
         runners.end_counts[EndKind.STOPPED],
         runners.lost_core_s,
         advice.question_count,
-        advice.busy_s,
         runners.violations,
     )
 
@@ -159,7 +151,6 @@
     runners: MemoryRunners, arrivals: list[Arrival], submitted_s: dict[JobId, float]
 ) -> QueueResult:
     owed = earned = 0.0
-    in_time = 0
     took_s = []
     for arrival in arrivals:
         spec = arrival.actual
@@ -172,12 +163,9 @@
             continue
         took_s.append(ended_s - submitted_s[spec.job_id])
         objectives = took_s[-1] * 1000 / objective_ms(spec)
-        in_time += objectives <= 1.0
         if objectives <= LATE_FACTOR:
             earned += work * (1.0 if objectives <= 1.0 else LATE_WORTH)
-    return QueueResult(
-        len(arrivals), in_time, earned / owed, statistics.median(took_s or [0.0])
-    )
+    return QueueResult(earned / owed, statistics.median(took_s or [0.0]))
 
 
 def _ended_s(runners: MemoryRunners, spec: WorkflowSpec) -> float | None:
