--- a/basilhold/platform/callers.py
+++ b/basilhold/platform/callers.py
@@ -13,7 +13,7 @@
 from basilhold.observability import log_event
 from basilhold.platform.bodies import decode_workflow
 from basilhold.workflows import events
-from basilhold.workflows.front import Existence, WorkflowFront
+from basilhold.workflows.frontend import Existence, WorkflowFrontend
 from basilhold.workflows.peers import StoreOutcome
 from basilhold.workflows.progress import WorkflowState
 from basilhold.workflows.routes import QueueRoute, QueueTable
@@ -177,7 +177,7 @@
 
     Parameters
     ----------
-    front : WorkflowFront
+    front : WorkflowFrontend
     queues : callable
         Returns the newest configuration, or ``None`` before the first.
     clock : Clock
@@ -187,7 +187,7 @@
 
     def __init__(
         self,
-        front: WorkflowFront,
+        front: WorkflowFrontend,
         queues: Callable[[], QueueTable | None],
         clock: Clock,
         row_bytes_max: int,
--- a/basilhold/platform/node.py
+++ b/basilhold/platform/node.py
@@ -44,10 +44,10 @@
 from basilhold.platform.store import PlatformStore
 from basilhold.programs.lifecycle import Daemon, ExitCode, run_daemon
 from basilhold.workflows.advice_spread import SpreadAdvice
-from basilhold.workflows.front import WorkflowFront
+from basilhold.workflows.frontend import WorkflowFrontend
 from basilhold.workflows.owner import OwnerPorts
 from basilhold.workflows.ownership import SuspendAwareClock
-from basilhold.workflows.peer_http import HttpPeers, make_peer_server
+from basilhold.workflows.peer_http import HttpPeerClient, make_peer_server
 from basilhold.workflows.peers import Member
 from basilhold.workflows.relayed_table import RelayedTable
 from basilhold.workflows.routes import QueueTable
@@ -130,7 +130,7 @@
         self._pages.metrics.add_source(LogMetrics(output))
         self._draining = False
         endpoint = f"{settings.ip}:{settings.port_range[0]}"
-        peers = HttpPeers(self._pool, shared_time)
+        peers = HttpPeerClient(self._pool, shared_time)
         region = RegionName(settings.region)
         direct = PlatformStore(
             self._pool, address_of(settings.platform.address), shared_time
@@ -187,7 +187,7 @@
             peers,
             _handicap_ms(settings),
         )
-        self.front = WorkflowFront(
+        self.front = WorkflowFrontend(
             store, self.stewardship, peers, advice, self._clock, shared_time
         )
         self._callers = CallerServer(
--- a/basilhold/testing/workflow_cell.py
+++ b/basilhold/testing/workflow_cell.py
@@ -31,7 +31,7 @@
     RunnerFaults,
 )
 from basilhold.testing.virtual_time import VIRTUAL_EPOCH_UNIX_MS
-from basilhold.workflows.front import WorkflowFront
+from basilhold.workflows.frontend import WorkflowFrontend
 from basilhold.workflows.model import (
     AdvicePolicy,
     QueueName,
@@ -43,9 +43,9 @@
 from basilhold.workflows.ownership import SuspendAwareClock
 from basilhold.workflows.peers import (
     Member,
-    PeerCalls,
-    Presence,
-    StateAnswer,
+    OwnershipReply,
+    PeerClient,
+    StateReply,
     StoreOutcome,
 )
 from basilhold.workflows.pool import WorkerInfo
@@ -123,57 +123,57 @@
         return await self._guard(self._table.changes(prefix, after, wait_ms))
 
 
-class _CellPeers(PeerCalls):
+class _CellPeers(PeerClient):
     """Calls between the processes of a cell; `delay_s` is how long each one takes."""
 
     def __init__(self, cell: "WorkflowCell"):
         self._cell = cell
         self.delay_s = 0.001
 
-    async def _front(self, endpoint: str) -> WorkflowFront | None:
+    async def _front(self, endpoint: str) -> WorkflowFrontend | None:
         await asyncio.sleep(self.delay_s)
         process = self._cell.processes.get(endpoint)
         return process.front if process is not None else None
 
-    async def submitted(self, endpoint, spec) -> bool:
+    async def notify_submitted(self, endpoint, spec) -> bool:
         """Tell an owner of a stored workflow."""
         front = await self._front(endpoint)
         if front is not None:
-            front.submitted(spec)
+            front.on_submitted(spec)
         return front is not None
 
-    async def cancelled(self, endpoint, service, job_id) -> bool:
+    async def notify_cancelled(self, endpoint, service, job_id) -> bool:
         """Tell an owner of a stored cancellation."""
         front = await self._front(endpoint)
         if front is not None:
-            front.cancelled(service, job_id)
+            front.on_cancelled(service, job_id)
         return front is not None
 
-    async def released(self, endpoint) -> bool:
+    async def notify_released(self, endpoint) -> bool:
         """Tell a peer of a release."""
         front = await self._front(endpoint)
         if front is not None:
-            front.released()
+            front.on_released()
         return front is not None
 
-    async def presence(self, endpoint, service) -> Presence:
+    async def query_ownership(self, endpoint, service) -> OwnershipReply:
         """Ask a process whether it owns a service."""
         front = await self._front(endpoint)
         if front is None:
-            return Presence.SILENT
-        return Presence.OWNER if front.owns(service) else Presence.OTHER
+            return OwnershipReply.NO_REPLY
+        return OwnershipReply.OWNER if front.owns(service) else OwnershipReply.NOT_OWNER
 
-    async def state(self, endpoint, service, job_id) -> StateAnswer:
+    async def state(self, endpoint, service, job_id) -> StateReply:
         """Ask an owner for a state."""
         front = await self._front(endpoint)
         return (
-            StateAnswer(False) if front is None else front.state_here(service, job_id)
+            StateReply(False) if front is None else front.local_state(service, job_id)
         )
 
-    async def waiting(self, endpoint, service, queue) -> int | None:
+    async def queue_length(self, endpoint, service, queue) -> int | None:
         """Ask an owner for a queue's length."""
         front = await self._front(endpoint)
-        return None if front is None else front.waiting(service, queue)
+        return None if front is None else front.local_queue_length(service, queue)
 
     async def store_call(self, endpoint, call) -> Result[Any, StoreError]:
         """Let a peer call the store."""
@@ -241,7 +241,7 @@
             random.Random(cell.rng.random()),
             peers,
         )
-        self.front = WorkflowFront(
+        self.front = WorkflowFrontend(
             self.store, self.stewardship, peers, cell.advice, clock, shared_time
         )
         self._task = asyncio.create_task(self.stewardship.run())
--- a/basilhold/workflows/advice_spread.py
+++ b/basilhold/workflows/advice_spread.py
@@ -13,7 +13,7 @@
 from basilhold.core import JobId, RegionName, WorkerId
 from basilhold.ports.runners import Admission, AdviceService
 from basilhold.workflows.model import QueuePolicy
-from basilhold.workflows.peers import Member, PeerCalls
+from basilhold.workflows.peers import Member, PeerClient
 
 __all__ = ["SpreadAdvice"]
 
@@ -50,7 +50,7 @@
     own_endpoint : str
     local : AdviceService
         Asks from this machine.
-    peers : PeerCalls
+    peers : PeerClient
     members : callable
         Returns the processes that are alive, own included.
     region : RegionName
@@ -61,7 +61,7 @@
         self,
         own_endpoint: str,
         local: AdviceService,
-        peers: PeerCalls,
+        peers: PeerClient,
         members: Callable[[], list[Member]],
         region: RegionName,
     ):
--- a/basilhold/workflows/commits.py
+++ b/basilhold/workflows/commits.py
@@ -164,7 +164,7 @@
         while True:
             await asyncio.sleep(FORGET_INTERVAL_MS / 1000)
             unstored = {key.job_id for key in self._dirty}
-            before_ms = self._state.time.now_ms() - self._state.limits.forget_after_ms
+            before_ms = self._state.time.now_ms() - self._state.limits.retention_ms
             old = [
                 workflow
                 for workflow in self._state.workflows.values()
--- a/basilhold/workflows/front.py
+++ b/basilhold/workflows/frontend.py
@@ -21,9 +21,9 @@
 from basilhold.workflows import events
 from basilhold.workflows.model import QueueName, QueuePolicy, WorkflowSpec
 from basilhold.workflows.peers import (
-    PeerCalls,
+    PeerClient,
     PeerService,
-    StateAnswer,
+    StateReply,
     StoreCall,
     StoreOutcome,
 )
@@ -34,7 +34,7 @@
 from basilhold.workflows.stewardship import Stewardship
 from basilhold.workflows.tasks import TaskSet
 
-__all__ = ["Existence", "WorkflowFront"]
+__all__ = ["Existence", "WorkflowFrontend"]
 
 STORE_TRIES_MS = 250.0
 UNKNOWN_TRIES_MS = 700.0
@@ -78,7 +78,7 @@
     UNKNOWN = "unknown"
 
 
-class WorkflowFront(PeerService):
+class WorkflowFrontend(PeerService):
     """Serves callers and peers from one process.
 
     Parameters
@@ -86,7 +86,7 @@
     table : RelayedTable
     stewardship : Stewardship
         Knows the owners, and holds those of this process.
-    peers : PeerCalls
+    peers : PeerClient
     advice : AdviceService
         Asks from this machine.
     clock : Clock
@@ -97,7 +97,7 @@
         self,
         table: RelayedTable,
         stewardship: Stewardship,
-        peers: PeerCalls,
+        peers: PeerClient,
         advice: AdviceService,
         clock: Clock,
         time: SharedTime,
@@ -192,7 +192,7 @@
         # The owner also reads the feed, so a lost notice only costs time.
         for _ in range(NOTIFY_TRIES):
             endpoint = self._stewardship.remote_owner(spec.policy.service)
-            if endpoint and await self._peers.submitted(endpoint, spec):
+            if endpoint and await self._peers.notify_submitted(endpoint, spec):
                 return
             await asyncio.sleep(RETRY_MS / 1000)
 
@@ -213,14 +213,14 @@
             await asyncio.sleep(RETRY_MS / 1000)
         return Existence.UNKNOWN, None
 
-    async def _ask_owner(self, service: ServiceName, job_id: JobId) -> StateAnswer:
+    async def _ask_owner(self, service: ServiceName, job_id: JobId) -> StateReply:
         local = self._stewardship.local_owner(service)
         if local is not None:
-            return self.state_here(service, job_id)
+            return self.local_state(service, job_id)
         endpoint = self._stewardship.remote_owner(service)
         now_ms = self._clock.monotonic_ms()
         if not endpoint or now_ms < self._silent_until_ms.get(endpoint, 0.0):
-            return StateAnswer(False)
+            return StateReply(False)
         answer = await self._peers.state(endpoint, service, job_id)
         if self._clock.monotonic_ms() - now_ms > SLOW_OWNER_MS:
             until_ms = self._clock.monotonic_ms() + SILENT_OWNER_MS
@@ -280,35 +280,37 @@
             return
         for _ in range(NOTIFY_TRIES):
             endpoint = self._stewardship.remote_owner(service)
-            if endpoint and await self._peers.cancelled(endpoint, service, job_id):
+            if endpoint and await self._peers.notify_cancelled(
+                endpoint, service, job_id
+            ):
                 return
             await asyncio.sleep(RETRY_MS / 1000)
 
     async def queue_length(self, policy: QueuePolicy) -> int | None:
         """Return how many workflows of a queue wait, or ``None`` if unknown."""
-        local = self.waiting(policy.service, policy.name)
+        local = self.local_queue_length(policy.service, policy.name)
         if local is not None:
             return local
         endpoint = self._stewardship.remote_owner(policy.service)
         if not endpoint:
             return None
-        return await self._peers.waiting(endpoint, policy.service, policy.name)
+        return await self._peers.queue_length(endpoint, policy.service, policy.name)
 
     # Peers.
 
-    def submitted(self, spec: WorkflowSpec) -> None:
+    def on_submitted(self, spec: WorkflowSpec) -> None:
         """Take note of a stored workflow."""
         local = self._stewardship.local_owner(spec.policy.service)
         if local is not None:
             local.submit(spec)
 
-    def cancelled(self, service: ServiceName, job_id: JobId) -> None:
+    def on_cancelled(self, service: ServiceName, job_id: JobId) -> None:
         """Take note of a stored cancellation."""
         local = self._stewardship.local_owner(service)
         if local is not None:
             local.cancel(job_id)
 
-    def released(self) -> None:
+    def on_released(self) -> None:
         """Look for a released service at once."""
         self._stewardship.look_now()
 
@@ -316,14 +318,14 @@
         """Return whether this process holds the lease of a service."""
         return self._stewardship.owns(service)
 
-    def state_here(self, service: ServiceName, job_id: JobId) -> StateAnswer:
+    def local_state(self, service: ServiceName, job_id: JobId) -> StateReply:
         """Return the state of a workflow if this process owns its service."""
         local = self._stewardship.local_owner(service)
         if local is None or not local.is_current():
-            return StateAnswer(False)
-        return StateAnswer(True, local.state(job_id))
+            return StateReply(False)
+        return StateReply(True, local.state(job_id))
 
-    def waiting(self, service: ServiceName, queue: QueueName) -> int | None:
+    def local_queue_length(self, service: ServiceName, queue: QueueName) -> int | None:
         """Return how many workflows wait if this process owns the service."""
         local = self._stewardship.local_owner(service)
         if local is None or not local.is_current():
--- a/basilhold/workflows/orders.py
+++ b/basilhold/workflows/orders.py
@@ -57,7 +57,7 @@
         now_ms = self._state.clock.monotonic_ms()
         run.stage = RunStage.STARTING
         run.until_clock_ms = worker.clock_at(now_ms) + START_WINDOW_MS
-        link.note_lease(now_ms, START_WINDOW_MS)
+        link.extend_lease_bound(now_ms, START_WINDOW_MS)
         call = StartCall(
             self._call_of(run),
             workflow.spec.payload,
--- a/basilhold/workflows/owner.py
+++ b/basilhold/workflows/owner.py
@@ -16,7 +16,7 @@
 from basilhold.workflows.admissions import StepKey
 from basilhold.workflows.evacuation import find_evacuations
 from basilhold.workflows.model import (
-    WORKERS_PER_QUESTION,
+    WORKERS_PER_ADVICE_REQUEST,
     QueueName,
     WorkflowSpec,
     task_name,
@@ -210,7 +210,9 @@
             self.cancel(job_id)
         for worker in self._state.pool.workers.values():
             # The last owner may have renewed the worker's lease until its own ended.
-            worker.held_until_ms = now_ms + VALID_MS + self._state.limits.lapse_ms()
+            worker.held_until_ms = (
+                now_ms + VALID_MS + self._state.limits.lease_expiry_ms()
+            )
             worker.gone = True
         await self._roster.read()
         self.loaded = True
@@ -431,7 +433,7 @@
             step = ready_step(workflow, key.occurrence, key.step, [key])
             if state.book.step(step.key).may_ask(now_ms):
                 names = [w.worker_id for w in evacuation.targets]
-                names = names[:WORKERS_PER_QUESTION]
+                names = names[:WORKERS_PER_ADVICE_REQUEST]
                 self._begin_question(Question(step, tuple(names)))
 
     def _avoid_for_task(self, run: Run, worker: Worker) -> None:
--- a/basilhold/workflows/peer_http.py
+++ b/basilhold/workflows/peer_http.py
@@ -18,18 +18,18 @@
 from basilhold.workflows.model import QueueName, QueuePolicy, WorkflowSpec
 from basilhold.workflows.peers import (
     ChangesCall,
-    PeerCalls,
+    OwnershipReply,
+    PeerClient,
     PeerService,
-    Presence,
     ReadCall,
     ScanCall,
-    StateAnswer,
+    StateReply,
     StoreCall,
     TransactCall,
 )
 from basilhold.workflows.shared_time import SharedTime
 
-__all__ = ["HttpPeers", "make_peer_server"]
+__all__ = ["HttpPeerClient", "make_peer_server"]
 
 PEER_TIMEOUT_MS = 600
 """Round trips between regions take 60 ms; a peer that needs ten is not asked on."""
@@ -107,7 +107,7 @@
 }
 
 
-class HttpPeers(PeerCalls):
+class HttpPeerClient(PeerClient):
     """Calls to peers.
 
     Parameters
@@ -151,38 +151,40 @@
         except msgspec.DecodeError:
             return Error(True)
 
-    async def submitted(self, endpoint: str, spec: WorkflowSpec) -> bool:
+    async def notify_submitted(self, endpoint: str, spec: WorkflowSpec) -> bool:
         """Tell an owner of a stored workflow."""
         return (await self._call(endpoint, "submitted", spec, _Heard)).is_ok()
 
-    async def cancelled(
+    async def notify_cancelled(
         self, endpoint: str, service: ServiceName, job_id: JobId
     ) -> bool:
         """Tell an owner of a stored cancellation."""
         body = _JobBody(service, job_id)
         return (await self._call(endpoint, "cancelled", body, _Heard)).is_ok()
 
-    async def released(self, endpoint: str) -> bool:
+    async def notify_released(self, endpoint: str) -> bool:
         """Tell a peer that this process has released its services."""
         return (await self._call(endpoint, "released", _Heard(), _Heard)).is_ok()
 
-    async def presence(self, endpoint: str, service: ServiceName) -> Presence:
+    async def query_ownership(
+        self, endpoint: str, service: ServiceName
+    ) -> OwnershipReply:
         """Ask a process whether it owns a service."""
         body = _ServiceBody(service)
         result = await self._call(endpoint, "owns", body, _Owns, PRESENCE_TIMEOUT_MS)
         if result.is_error():
-            return Presence.SILENT
-        return Presence.OWNER if result.ok.owns else Presence.OTHER
+            return OwnershipReply.NO_REPLY
+        return OwnershipReply.OWNER if result.ok.owns else OwnershipReply.NOT_OWNER
 
     async def state(
         self, endpoint: str, service: ServiceName, job_id: JobId
-    ) -> StateAnswer:
+    ) -> StateReply:
         """Ask an owner for a workflow's state."""
         body = _JobBody(service, job_id)
-        result = await self._call(endpoint, "state", body, StateAnswer)
-        return result.ok if result.is_ok() else StateAnswer(False)
+        result = await self._call(endpoint, "state", body, StateReply)
+        return result.ok if result.is_ok() else StateReply(False)
 
-    async def waiting(
+    async def queue_length(
         self, endpoint: str, service: ServiceName, queue: QueueName
     ) -> int | None:
         """Ask an owner for the number of waiting workflows."""
@@ -257,29 +259,29 @@
         self.finish(msgspec.json.encode(reply))
 
     async def _serve_submitted(self, body: bytes) -> _Heard:
-        self._service.submitted(msgspec.json.decode(body, type=WorkflowSpec))
+        self._service.on_submitted(msgspec.json.decode(body, type=WorkflowSpec))
         return _Heard()
 
     async def _serve_cancelled(self, body: bytes) -> _Heard:
         call = msgspec.json.decode(body, type=_JobBody)
-        self._service.cancelled(call.service, call.job_id)
+        self._service.on_cancelled(call.service, call.job_id)
         return _Heard()
 
     async def _serve_released(self, body: bytes) -> _Heard:
-        self._service.released()
+        self._service.on_released()
         return _Heard()
 
     async def _serve_owns(self, body: bytes) -> _Owns:
         call = msgspec.json.decode(body, type=_ServiceBody)
         return _Owns(self._service.owns(call.service))
 
-    async def _serve_state(self, body: bytes) -> StateAnswer:
+    async def _serve_state(self, body: bytes) -> StateReply:
         call = msgspec.json.decode(body, type=_JobBody)
-        return self._service.state_here(call.service, call.job_id)
+        return self._service.local_state(call.service, call.job_id)
 
     async def _serve_waiting(self, body: bytes) -> _Waiting:
         call = msgspec.json.decode(body, type=_QueueBody)
-        return _Waiting(self._service.waiting(call.service, call.queue))
+        return _Waiting(self._service.local_queue_length(call.service, call.queue))
 
     async def _serve_table(self, body: bytes) -> _StoreReply:
         call = msgspec.json.decode(body, type=StoreCall)
--- a/basilhold/workflows/peers.py
+++ b/basilhold/workflows/peers.py
@@ -16,12 +16,12 @@
 __all__ = [
     "ChangesCall",
     "Member",
-    "PeerCalls",
+    "PeerClient",
     "PeerService",
-    "Presence",
+    "OwnershipReply",
     "ReadCall",
     "ScanCall",
-    "StateAnswer",
+    "StateReply",
     "StoreCall",
     "StoreOutcome",
     "TransactCall",
@@ -39,15 +39,15 @@
     UNKNOWN = "unknown"
 
 
-class Presence(Enum):
+class OwnershipReply(Enum):
     """What a process says when it is asked whether it owns a service.
 
-    `SILENT` means that it did not answer in time.
+    `NO_REPLY` means that it did not answer in time.
     """
 
     OWNER = "owner"
-    OTHER = "other"
-    SILENT = "silent"
+    NOT_OWNER = "other"
+    NO_REPLY = "silent"
 
 
 class Member(msgspec.Struct, frozen=True):
@@ -75,7 +75,7 @@
     unix_offset_ms: float | None = None
 
 
-class StateAnswer(msgspec.Struct, frozen=True):
+class StateReply(msgspec.Struct, frozen=True):
     """Answer of an owner; `state` is ``None`` if it does not know the workflow."""
 
     current: bool
@@ -118,15 +118,15 @@
     """What a process does for its peers."""
 
     @abstractmethod
-    def submitted(self, spec: WorkflowSpec) -> None:
+    def on_submitted(self, spec: WorkflowSpec) -> None:
         """Take note of a stored workflow."""
 
     @abstractmethod
-    def cancelled(self, service: ServiceName, job_id: JobId) -> None:
+    def on_cancelled(self, service: ServiceName, job_id: JobId) -> None:
         """Take note of a stored cancellation."""
 
     @abstractmethod
-    def released(self) -> None:
+    def on_released(self) -> None:
         """Take note that a peer has released its services."""
 
     @abstractmethod
@@ -134,11 +134,11 @@
         """Return whether this process holds the lease of a service."""
 
     @abstractmethod
-    def state_here(self, service: ServiceName, job_id: JobId) -> StateAnswer:
+    def local_state(self, service: ServiceName, job_id: JobId) -> StateReply:
         """Return the state of a workflow if this process owns its service."""
 
     @abstractmethod
-    def waiting(self, service: ServiceName, queue: QueueName) -> int | None:
+    def local_queue_length(self, service: ServiceName, queue: QueueName) -> int | None:
         """Return how many workflows wait if this process owns the service."""
 
     @abstractmethod
@@ -161,35 +161,37 @@
         """Ask the advice service from this process's machine."""
 
 
-class PeerCalls(ABC):
+class PeerClient(ABC):
     """Calls to the peers at an endpoint, ``host:port``."""
 
     @abstractmethod
-    async def submitted(self, endpoint: str, spec: WorkflowSpec) -> bool:
+    async def notify_submitted(self, endpoint: str, spec: WorkflowSpec) -> bool:
         """Tell an owner of a stored workflow; return whether it has heard."""
 
     @abstractmethod
-    async def cancelled(
+    async def notify_cancelled(
         self, endpoint: str, service: ServiceName, job_id: JobId
     ) -> bool:
         """Tell an owner of a stored cancellation; return whether it has heard."""
 
     @abstractmethod
-    async def released(self, endpoint: str) -> bool:
+    async def notify_released(self, endpoint: str) -> bool:
         """Tell a peer that this process has released its services."""
 
     @abstractmethod
-    async def presence(self, endpoint: str, service: ServiceName) -> Presence:
+    async def query_ownership(
+        self, endpoint: str, service: ServiceName
+    ) -> OwnershipReply:
         """Ask a process whether it owns a service."""
 
     @abstractmethod
     async def state(
         self, endpoint: str, service: ServiceName, job_id: JobId
-    ) -> StateAnswer:
+    ) -> StateReply:
         """Ask an owner for a workflow's state."""
 
     @abstractmethod
-    async def waiting(
+    async def queue_length(
         self, endpoint: str, service: ServiceName, queue: QueueName
     ) -> int | None:
         """Ask an owner for the number of waiting workflows."""
--- a/basilhold/workflows/planner.py
+++ b/basilhold/workflows/planner.py
@@ -13,7 +13,7 @@
 from basilhold.core import Resources, WorkerId
 from basilhold.workflows.admissions import AdmissionBook, StepAdmission, StepKey
 from basilhold.workflows.model import (
-    WORKERS_PER_QUESTION,
+    WORKERS_PER_ADVICE_REQUEST,
     AdvicePolicy,
     StepSpec,
     TaskKey,
@@ -380,7 +380,7 @@
         known = self._ending_rooms.setdefault(advice, {})
         ending = known.get(worker.worker_id)
         if ending is None:
-            answer_ms = advice.answer_ms(WORKERS_PER_QUESTION)
+            answer_ms = advice.answer_ms(WORKERS_PER_ADVICE_REQUEST)
             horizon_ms = self._now_ms + answer_ms + SOON_MARGIN_MS
             ending = Resources()
             for run in worker.runs.values():
--- a/basilhold/workflows/questions.py
+++ b/basilhold/workflows/questions.py
@@ -13,7 +13,7 @@
 
 from basilhold.core import Resources, WorkerId
 from basilhold.workflows.admissions import StepAdmission
-from basilhold.workflows.model import WORKERS_PER_QUESTION, AdvicePolicy
+from basilhold.workflows.model import WORKERS_PER_ADVICE_REQUEST, AdvicePolicy
 from basilhold.workflows.pool import Worker
 from basilhold.workflows.preemption import count_fitting
 from basilhold.workflows.ready_steps import ReadyStep
@@ -107,7 +107,7 @@
     part_size = NAMES_MAX
     if policy.each_ms > 0:
         part_size = int(NAMES_ANSWER_SHARE * policy.decide_ms / policy.each_ms)
-    part_size = min(max(part_size, WORKERS_PER_QUESTION), NAMES_MAX)
+    part_size = min(max(part_size, WORKERS_PER_ADVICE_REQUEST), NAMES_MAX)
     count = min(math.ceil(len(names) / part_size), QUESTIONS_MAX)
     size = math.ceil(len(names) / count)
     return [tuple(names[i : i + size]) for i in range(0, len(names), size)]
@@ -144,9 +144,9 @@
         count += fitting > 0
     if step.spec.gang:
         wanted = math.ceil(GANG_CHOICE * count / admitted_share)
-        return min(max(wanted, WORKERS_PER_QUESTION), QUESTIONS_MAX * NAMES_MAX)
+        return min(max(wanted, WORKERS_PER_ADVICE_REQUEST), QUESTIONS_MAX * NAMES_MAX)
     wanted = math.ceil(count / admitted_share)
-    return min(max(wanted, WORKERS_PER_QUESTION), NAMES_MAX)
+    return min(max(wanted, WORKERS_PER_ADVICE_REQUEST), NAMES_MAX)
 
 
 def _spare_names(
@@ -160,7 +160,7 @@
     Which workers are admitted does not change, so those without room come last.
     """
     policy = step.workflow.spec.policy.advice
-    most = WORKERS_PER_QUESTION
+    most = WORKERS_PER_ADVICE_REQUEST
     if policy.each_ms > 0:
         share_ms = SPARE_ANSWER_SHARE * policy.decide_ms
         most = min(most, int(share_ms / policy.each_ms))
--- a/basilhold/workflows/relayed_table.py
+++ b/basilhold/workflows/relayed_table.py
@@ -28,7 +28,7 @@
 from basilhold.workflows.peers import (
     ChangesCall,
     Member,
-    PeerCalls,
+    PeerClient,
     ReadCall,
     ScanCall,
     StoreCall,
@@ -75,7 +75,7 @@
     table : TableService
     feed : ChangeFeed
         The store as this machine reaches it.
-    peers : PeerCalls
+    peers : PeerClient
     members : callable
         Returns the processes that are alive, this one first.
     region : RegionName
@@ -88,7 +88,7 @@
         self,
         table: TableService,
         feed: ChangeFeed,
-        peers: PeerCalls,
+        peers: PeerClient,
         members: Callable[[], list[Member]],
         region: RegionName,
         clock: Clock,
--- a/basilhold/workflows/roster.py
+++ b/basilhold/workflows/roster.py
@@ -21,7 +21,7 @@
     reconcile,
     remove_lost,
 )
-from basilhold.workflows.worker_link import Look, WorkerLink
+from basilhold.workflows.worker_link import PollResult, WorkerLink
 
 __all__ = ["Roster"]
 
@@ -94,7 +94,7 @@
     async def _serve_link(self, link: WorkerLink) -> None:
         worker = link.worker
         try:
-            while self._take_look(link, await link.look(self._state.clock)):
+            while self._take_look(link, await link.poll(self._state.clock)):
                 if worker.gone and not worker.runs:
                     self._drop_worker(worker)
                     return
@@ -102,7 +102,7 @@
             if self._state.links.get(worker.worker_id) is link:
                 del self._state.links[worker.worker_id]
 
-    def _take_look(self, link: WorkerLink, look: Look) -> bool:
+    def _take_look(self, link: WorkerLink, look: PollResult) -> bool:
         """Apply what a look has shown; return whether the worker is still there."""
         worker = link.worker
         if look.fenced:
@@ -174,7 +174,7 @@
         now_ms = self._state.clock.monotonic_ms()
         changed = reconcile(successor, listing, now_ms, now_ms)
         link = self._state.links[successor.worker_id]
-        self._take_look(link, Look(ends=changed.ends, unknown=changed.unknown))
+        self._take_look(link, PollResult(ends=changed.ends, unknown=changed.unknown))
 
     def _replace_incarnation(self, worker: Worker, info: WorkerInfo) -> Worker:
         successor = Worker(info)
@@ -187,7 +187,7 @@
     def _open_link(self, worker: Worker) -> None:
         state = self._state
         link = WorkerLink(worker, state.ports.runners, state.lease, state.limits)
-        link.on_look = lambda look: self._take_look(link, look)
+        link.on_poll = lambda look: self._take_look(link, look)
         self._state.links[worker.worker_id] = link
         self._state.start(self._serve_link(link))
 
--- a/basilhold/workflows/stewardship.py
+++ b/basilhold/workflows/stewardship.py
@@ -21,7 +21,7 @@
     claim_delay_ms,
     try_claim,
 )
-from basilhold.workflows.peers import Member, PeerCalls, Presence
+from basilhold.workflows.peers import Member, OwnershipReply, PeerClient
 from basilhold.workflows.recovery import scan_all
 from basilhold.workflows.rows import OWNERS_PREFIX, Incarnation
 from basilhold.workflows.tasks import TaskSet, run_again
@@ -60,7 +60,7 @@
     services : callable
         Returns the services of the newest configuration.
     rng : random.Random
-    peers : PeerCalls
+    peers : PeerClient
     handicap_ms : float
         How much longer this process leaves claims to others.
     """
@@ -74,7 +74,7 @@
         limits: OwnerLimits,
         services: Callable[[], tuple[ServiceName, ...]],
         rng: random.Random,
-        peers: PeerCalls,
+        peers: PeerClient,
         handicap_ms: float = 0.0,
     ):
         self._ports = ports
@@ -189,7 +189,9 @@
         await asyncio.gather(*releases, return_exceptions=True)
         if releases:
             others = self.members()[1 : TOLD_OF_RELEASE_MAX + 1]
-            await asyncio.gather(*(self._peers.released(m.endpoint) for m in others))
+            await asyncio.gather(
+                *(self._peers.notify_released(m.endpoint) for m in others)
+            )
 
     async def _look(self) -> None:
         try:
@@ -291,12 +293,12 @@
             for attempt in range(PRESENCE_TRIES):
                 if attempt:
                     await asyncio.sleep(PRESENCE_PAUSE_MS / 1000)
-                presence = await self._peers.presence(endpoint, service)
-                if presence is not Presence.SILENT:
+                presence = await self._peers.query_ownership(endpoint, service)
+                if presence is not OwnershipReply.NO_REPLY:
                     break
         finally:
             self._asking.discard(service)
-        if presence is not Presence.OWNER and view.version == version:
+        if presence is not OwnershipReply.OWNER and view.version == version:
             view.holder_gone = True
             unchanged_ms = self._ports.clock.monotonic_ms() - view.since_ms
             log_event(
--- a/basilhold/workflows/tests/test_random_runs.py
+++ b/basilhold/workflows/tests/test_random_runs.py
@@ -8,7 +8,7 @@
 from basilhold.testing.workflow_runs import run_seed
 from basilhold.workflows import owner
 from basilhold.workflows.commits import Committer
-from basilhold.workflows.peers import Presence
+from basilhold.workflows.peers import OwnershipReply
 from basilhold.workflows.worker_link import WorkerLink
 
 SEEDS = range(200)
@@ -62,9 +62,9 @@
         # An owner that is taken for gone while it is at work must not harm.
         async def silent(peers, endpoint, service):
             await asyncio.sleep(0.3)
-            return Presence.SILENT
+            return OwnershipReply.NO_REPLY
 
-        with patch.object(workflow_cell._CellPeers, "presence", silent):
+        with patch.object(workflow_cell._CellPeers, "query_ownership", silent):
             for seed in MUTE_SEEDS:
                 with self.subTest(seed=seed):
                     self.check(seed, silences=True)
--- a/basilhold/workflows/tests/test_relayed_table.py
+++ b/basilhold/workflows/tests/test_relayed_table.py
@@ -22,12 +22,12 @@
 from basilhold.standins.feed_table import FeedTable
 from basilhold.testing import VirtualTimeTestCase
 from basilhold.testing.workflow_cell import SERVICE, WorkflowCell
-from basilhold.workflows.peer_http import HttpPeers, make_peer_server
+from basilhold.workflows.peer_http import HttpPeerClient, make_peer_server
 from basilhold.workflows.peers import (
     ChangesCall,
     Member,
-    PeerCalls,
-    Presence,
+    OwnershipReply,
+    PeerClient,
     ReadCall,
     ScanCall,
     StoreOutcome,
@@ -56,7 +56,7 @@
         return Error(StoreError(self.kind, "told to fail"))
 
 
-class CountingPeers(PeerCalls):
+class CountingPeers(PeerClient):
     """A peer that reaches the store, or does not."""
 
     def __init__(self, table):
@@ -73,7 +73,8 @@
             return self.table.transact_now(call.transaction)
         return Ok({"relayed": Row("relayed", b"", 1)})
 
-    submitted = cancelled = released = presence = state = waiting = advise = None
+    notify_submitted = notify_cancelled = notify_released = None
+    query_ownership = state = queue_length = advise = None
 
 
 class RelayedTableTest(VirtualTimeTestCase):
@@ -222,7 +223,7 @@
         server.add_socket(listening)
         self.addCleanup(server.stop)
         self.endpoint = f"127.0.0.1:{listening.getsockname()[1]}"
-        self.peers = HttpPeers(
+        self.peers = HttpPeerClient(
             await self.enterAsyncContext(HttpPool()), SharedTime(Clock(0))
         )
 
@@ -279,12 +280,14 @@
         self.assertIs(result.error.kind, StoreErrorKind.UNKNOWN)
 
     async def test_presence_tells_an_owner_from_others_and_from_silence(self):
-        presence = self.peers.presence
-        self.assertIs(await presence(self.endpoint, SERVICE), Presence.OWNER)
-        self.assertIs(await presence(self.endpoint, "another"), Presence.OTHER)
-        self.assertIs(await presence("127.0.0.1:1", SERVICE), Presence.SILENT)
+        presence = self.peers.query_ownership
+        self.assertIs(await presence(self.endpoint, SERVICE), OwnershipReply.OWNER)
+        self.assertIs(
+            await presence(self.endpoint, "another"), OwnershipReply.NOT_OWNER
+        )
+        self.assertIs(await presence("127.0.0.1:1", SERVICE), OwnershipReply.NO_REPLY)
         self.front.fails = True
-        self.assertIs(await presence(self.endpoint, SERVICE), Presence.SILENT)
+        self.assertIs(await presence(self.endpoint, SERVICE), OwnershipReply.NO_REPLY)
 
     async def test_peer_that_is_gone_has_done_nothing(self):
         result = await self.peers.store_call("127.0.0.1:1", ReadCall(("k",)))
--- a/basilhold/workflows/tests/test_shared_time.py
+++ b/basilhold/workflows/tests/test_shared_time.py
@@ -138,7 +138,7 @@
             for process in cell.processes.values():
                 limits = process.stewardship._limits
                 process.stewardship._limits = msgspec.structs.replace(
-                    limits, forget_after_ms=5_000.0
+                    limits, retention_ms=5_000.0
                 )
             await asyncio.sleep(2)
             spec = self.spec()
--- a/basilhold/workflows/tests/test_worker_link.py
+++ b/basilhold/workflows/tests/test_worker_link.py
@@ -48,11 +48,11 @@
         runners = RecordingRunners()
         link = self.make(runners)
         clock = Clock(0)
-        await link.look(clock)
+        await link.poll(clock)
         link.worker.processed = 5
         link.acknowledge(5)
         for _ in range(2):
-            await link.look(clock)
+            await link.poll(clock)
         asked = [(call.acknowledged, call.wait_ms) for call in runners.calls]
         self.assertEqual(asked, [(0, 0), (5, 0), (0, 1_000)])
 
--- a/basilhold/workflows/worker_link.py
+++ b/basilhold/workflows/worker_link.py
@@ -11,7 +11,7 @@
 from basilhold.workflows.pool import EndedRun, ListedRun, Listing, Worker, reconcile
 from basilhold.workflows.progress import ROW_BYTES_MAX
 
-__all__ = ["LEASE_MAX_MS", "Look", "OwnerLimits", "WorkerLink"]
+__all__ = ["LEASE_MAX_MS", "PollResult", "OwnerLimits", "WorkerLink"]
 
 CLOCK_DRIFT = 1.03
 """A worker's clock may be 2% slow."""
@@ -38,7 +38,7 @@
         Longest lease, on the worker's clock.
     wait_ms : int
         How long a worker may wait for an end before it replies.
-    forget_after_ms : float
+    retention_ms : float
         How long the rows of a workflow are kept after its end.
     row_bytes_max : int
         Largest value of a row that the store takes.
@@ -48,16 +48,16 @@
 
     lease_ms: float
     wait_ms: int
-    forget_after_ms: float = 150_000.0
+    retention_ms: float = 150_000.0
     row_bytes_max: int = ROW_BYTES_MAX
     stop_ms: float = 400.0
 
-    def lapse_ms(self) -> float:
+    def lease_expiry_ms(self) -> float:
         """Return the time after which a lease that was asked for now has lapsed."""
         return self.lease_ms * CLOCK_DRIFT + LAPSE_MARGIN_MS
 
 
-class Look(msgspec.Struct):
+class PollResult(msgspec.Struct):
     """What one look at a worker has shown.
 
     Parameters
@@ -99,7 +99,7 @@
     ):
         self.worker = worker
         self.closed = False
-        self.on_look: Callable[[Look], object] = lambda look: None
+        self.on_poll: Callable[[PollResult], object] = lambda look: None
         self._runners = runners
         self._lease = lease
         self._limits = limits
@@ -110,7 +110,7 @@
         self._refreshing = False
         self._refresh_again = False
 
-    def note_lease(self, now_ms: float, lease_ms: float) -> None:
+    def extend_lease_bound(self, now_ms: float, lease_ms: float) -> None:
         """Note that an order sent now may extend the worker's lease."""
         until_ms = now_ms + lease_ms * CLOCK_DRIFT + LAPSE_MARGIN_MS
         self.worker.held_until_ms = max(self.worker.held_until_ms, until_ms)
@@ -130,13 +130,13 @@
         try:
             while True:
                 self._refresh_again = False
-                self.on_look(await self.look(clock, at_once=True))
+                self.on_poll(await self.poll(clock, at_once=True))
                 if not self._refresh_again:
                     return
         finally:
             self._refreshing = False
 
-    async def look(self, clock: Clock, at_once: bool = False) -> Look:
+    async def poll(self, clock: Clock, at_once: bool = False) -> PollResult:
         """Renew the lease and read the lists once.
 
         Parameters
@@ -149,11 +149,11 @@
         if not at_once:
             await self._wait_for_commit()
         if self.closed:
-            return Look(lost="it was replaced")
+            return PollResult(lost="it was replaced")
         asked_ms = clock.monotonic_ms()
         if not self._lease.is_valid():
             if at_once:
-                return Look()
+                return PollResult()
             await asyncio.sleep(RETRY_MS / 1000)
             return self._check_lapse(clock)
         until_ms = 0.0
@@ -161,7 +161,7 @@
         # the moment from which nothing can run on the worker any more.
         if worker.clock_ms and not self._failures:
             until_ms = worker.clock_at(asked_ms) + self._limits.lease_ms
-            self.note_lease(asked_ms, self._limits.lease_ms)
+            self.extend_lease_bound(asked_ms, self._limits.lease_ms)
         acknowledged = self._new_acknowledgement()
         # While a call waits, a new incarnation could list ends of the same numbers.
         wait_ms = 0 if at_once or acknowledged else self._wait_ms()
@@ -169,10 +169,10 @@
         result = await self._runners.hold(worker, call)
         now_ms = clock.monotonic_ms()
         if self.closed:
-            return Look(lost="it was replaced")
+            return PollResult(lost="it was replaced")
         if result.is_error():
             if at_once:
-                return Look(fenced=result.error is CallOutcome.FENCED)
+                return PollResult(fenced=result.error is CallOutcome.FENCED)
             return await self._after_failure(result.error, clock)
         self._failures = 0
         listing = result.ok
@@ -180,15 +180,15 @@
             worker.info.born_unix_ms
             and listing.born_unix_ms != worker.info.born_unix_ms
         ):
-            return Look(restarted=listing)
+            return PollResult(restarted=listing)
         self._told = max(self._told, acknowledged)
         if asked_ms < self._newest_asked_ms:
             # A look that was asked for later has overtaken this one.
-            return Look()
+            return PollResult()
         self._newest_asked_ms = asked_ms
         first = not worker.listed
         changed = reconcile(worker, listing, asked_ms, now_ms)
-        return Look(first=first, ends=changed.ends, unknown=changed.unknown)
+        return PollResult(first=first, ends=changed.ends, unknown=changed.unknown)
 
     def _new_acknowledgement(self) -> int:
         """Return up to which number the worker may forget ends; 0 for nothing new.
@@ -216,17 +216,17 @@
         except TimeoutError:
             pass
 
-    async def _after_failure(self, outcome: CallOutcome, clock: Clock) -> Look:
+    async def _after_failure(self, outcome: CallOutcome, clock: Clock) -> PollResult:
         if outcome is CallOutcome.FENCED:
-            return Look(fenced=True)
+            return PollResult(fenced=True)
         if outcome is CallOutcome.ABSENT:
-            return Look(lost="another worker has its address")
+            return PollResult(lost="another worker has its address")
         self._failures += 1
         self.worker.listed = False
         await asyncio.sleep(min(RETRY_MS * self._failures, RETRY_MAX_MS) / 1000)
         return self._check_lapse(clock)
 
-    def _check_lapse(self, clock: Clock) -> Look:
+    def _check_lapse(self, clock: Clock) -> PollResult:
         if clock.monotonic_ms() > self.worker.held_until_ms and self.worker.runs:
-            return Look(lost="its lease has lapsed")
-        return Look()
+            return PollResult(lost="its lease has lapsed")
+        return PollResult()
