--- a/basilhold/workflows/frontend.py
+++ b/basilhold/workflows/frontend.py
@@ -108,7 +108,7 @@
         self._advice = advice
         self._clock = clock
         self._time = time
-        self._final: dict[JobId, WorkflowState] = {}
+        self._final_states: dict[JobId, WorkflowState] = {}
         self._silent_until_ms: dict[str, float] = {}
         self._tasks = TaskSet()
 
@@ -200,8 +200,8 @@
         self, policy: QueuePolicy, job_id: JobId
     ) -> tuple[Existence, WorkflowState | None]:
         """Return whether a workflow exists, and its state."""
-        if job_id in self._final:
-            return Existence.EXISTS, self._final[job_id]
+        if job_id in self._final_states:
+            return Existence.EXISTS, self._final_states[job_id]
         for _ in range(STATE_TRIES):
             answer = await self._ask_owner(policy.service, job_id)
             if answer.current and answer.state is not None:
@@ -249,9 +249,9 @@
     def _remember(self, job_id: JobId, state: WorkflowState) -> None:
         if not state.is_final:
             return
-        while len(self._final) >= FINAL_STATES_MAX:
-            del self._final[next(iter(self._final))]
-        self._final[job_id] = state
+        while len(self._final_states) >= FINAL_STATES_MAX:
+            del self._final_states[next(iter(self._final_states))]
+        self._final_states[job_id] = state
 
     async def cancel(
         self, policy: QueuePolicy, job_id: JobId, deadline_ms: float
--- a/basilhold/workflows/tests/test_owner.py
+++ b/basilhold/workflows/tests/test_owner.py
@@ -71,7 +71,7 @@
             front._peers.delay_s = 0.6
             begin_s = asyncio.get_running_loop().time()
             for _ in range(3):
-                front._final.clear()
+                front._final_states.clear()
                 state = (await front.state(spec.policy, spec.job_id))[1]
                 self.assertIs(state, WorkflowState.COMPLETED)
             self.assertLess(asyncio.get_running_loop().time() - begin_s, 0.8)
--- a/basilhold/workflows/tests/test_shared_time.py
+++ b/basilhold/workflows/tests/test_shared_time.py
@@ -148,7 +148,7 @@
             self.jump(cell, [owner], 6_000)
             await asyncio.sleep(2.5)
             front = cell.processes[owner].front
-            front._final.clear()
+            front._final_states.clear()
             state = (await front.state(spec.policy, spec.job_id))[1]
             self.assertIs(state, WorkflowState.COMPLETED)
             await asyncio.sleep(8)
