--- a/basilhold/workflows/frontend.py
+++ b/basilhold/workflows/frontend.py
@@ -1,4 +1,4 @@
-"""What callers ask for: submissions, states, cancellations and queue lengths."""
+"""Requests of callers: submissions, states, cancellations and queue lengths."""
 
 import asyncio
 from enum import Enum
@@ -36,38 +36,40 @@
 
 __all__ = ["Existence", "WorkflowFrontend"]
 
-STORE_TRIES_MS = 250.0
-UNKNOWN_TRIES_MS = 700.0
-"""How long a submission is tried again that is certainly not stored, and one that may
-be. A caller that is told later than a quarter of its objective could have tried
-elsewhere sooner."""
+NOT_STORED_RETRY_MS = 250.0
+UNKNOWN_RETRY_MS = 700.0
+"""How long a submission is retried if it is certainly not stored, and if it may be. A
+caller that is rejected later than after a quarter of its objective could have been
+served sooner elsewhere."""
 
 OUTAGE_POLLS = 2.6
-"""A store that has not answered for this many looks at the owners is down."""
+"""Polls of the owners without a reply after which the store is considered down."""
 
-SLOW_CALLS = 2.0
-SLOW_MAX_MS = 600.0
-"""Calls that a look at the owners may wait for in a slow store, and how long that may
-put off the refusal of callers. In a store that answers more slowly still, submissions
-end with an unknown outcome, after which callers cannot ask again at once."""
+OUTAGE_LATENCIES = 2.0
+OUTAGE_LATENCY_MAX_MS = 600.0
+"""Latencies of a slow store that are added to the time without a reply after which the
+store is considered down, and the maximum of that addition. With a store that is slower
+still, submissions end with an unknown outcome, after which callers cannot retry at
+once."""
 
 RETRY_AFTER_MAX_S = 4
-"""Callers try a few times; in a long outage they should not use up their tries."""
+"""Maximum delay that callers are asked to wait. Callers make only a few attempts, which
+a longer outage should not exhaust."""
 
-TRIES_IN_TIME = 3
-"""Tries that a caller shall have before it gives up."""
+CALLER_ATTEMPTS = 3
+"""Attempts that should fit into the time after which a caller gives up."""
 
-RETRY_MS = 50.0
-NOTIFY_TRIES = 2
+RETRY_DELAY_MS = 50.0
+NOTIFY_ATTEMPTS = 2
 FINAL_STATES_MAX = 20_000
-"""Final states that a process remembers, about 100 bytes each."""
+"""Maximum number of cached final states, of about 100 bytes each."""
 
-STATE_TRIES = 3
+STATE_ATTEMPTS = 3
 
 SLOW_OWNER_MS = 400.0
-SILENT_OWNER_MS = 2_000.0
-"""An owner that took this long to answer, or did not, is not asked for a while: the
-store has the states too, a commit later."""
+SLOW_OWNER_PAUSE_MS = 2_000.0
+"""An owner that took more than `SLOW_OWNER_MS` to reply, or did not reply, is skipped
+for `SLOW_OWNER_PAUSE_MS`. The store has the states too, one commit later."""
 
 
 class Existence(Enum):
@@ -79,18 +81,22 @@
 
 
 class WorkflowFrontend(PeerService):
-    """Serves callers and peers from one process.
+    """Serves requests of callers and calls of peers in one process.
 
     Parameters
     ----------
     table : RelayedTable
+        Store of the workflows.
     stewardship : Stewardship
-        Knows the owners, and holds those of this process.
+        Locates the owners of services and runs the owners of this process.
     peers : PeerClient
+        Client for calls to other processes.
     advice : AdviceService
-        Asks from this machine.
+        Client of the advice service on this machine.
     clock : Clock
+        Clock of this process.
     time : SharedTime
+        Estimate of the store's time.
     """
 
     def __init__(
@@ -109,23 +115,24 @@
         self._clock = clock
         self._time = time
         self._final_states: dict[JobId, WorkflowState] = {}
-        self._silent_until_ms: dict[str, float] = {}
+        self._skip_until_ms: dict[str, float] = {}
         self._tasks = TaskSet()
 
     async def close(self) -> None:
-        """Cancel notices that are under way."""
+        """Cancel pending notices to owners."""
         await self._tasks.cancel()
 
-    # Callers.
+    # Requests of callers.
 
     async def submit(self, spec: WorkflowSpec, deadline_ms: float) -> StoreOutcome:
-        """Store a workflow and tell the owner of its service.
+        """Store a workflow and notify the owner of its service.
 
         Parameters
         ----------
         spec : WorkflowSpec
+            Workflow to store.
         deadline_ms : float
-            Time of the loop's clock until which the outcome is awaited.
+            Monotonic time in milliseconds after which the submission is not retried.
         """
         outcome = await self._store(spec, deadline_ms)
         if outcome is StoreOutcome.STORED:
@@ -135,7 +142,7 @@
                 queue=spec.policy.name,
                 service=spec.policy.service,
             )
-            self._notify(spec)
+            self._announce(spec)
         return outcome
 
     async def _store(self, spec: WorkflowSpec, deadline_ms: float) -> StoreOutcome:
@@ -152,80 +159,91 @@
             if result.is_ok() or result.error.kind is StoreErrorKind.CONFLICT:
                 return StoreOutcome.STORED
             unknown = unknown or result.error.kind is StoreErrorKind.UNKNOWN
-            tries_ms = UNKNOWN_TRIES_MS if unknown else STORE_TRIES_MS
-            limit_ms = min(deadline_ms, begin_ms + tries_ms)
-            if self._clock.monotonic_ms() + RETRY_MS > limit_ms:
+            retry_ms = UNKNOWN_RETRY_MS if unknown else NOT_STORED_RETRY_MS
+            limit_ms = min(deadline_ms, begin_ms + retry_ms)
+            if self._clock.monotonic_ms() + RETRY_DELAY_MS > limit_ms:
                 return StoreOutcome.UNKNOWN if unknown else StoreOutcome.NOT_STORED
-            await asyncio.sleep(RETRY_MS / 1000)
+            await asyncio.sleep(RETRY_DELAY_MS / 1000)
 
     def _outage_ms(self) -> float:
-        """Return how long the store has been down; 0 if it answers, however slowly."""
-        answered_ms = max(self._stewardship.store_answered_ms, self._table.answered_ms)
-        age_ms = self._clock.monotonic_ms() - answered_ms
+        """Return how long the store has been down, in milliseconds.
+
+        Returns 0 if the store replies, however slowly.
+        """
+        last_reply_ms = max(
+            self._stewardship.store_answered_ms, self._table.last_reply_ms
+        )
+        age_ms = self._clock.monotonic_ms() - last_reply_ms
         limit_ms = OUTAGE_POLLS * self._stewardship.poll_interval_ms()
-        limit_ms += min(SLOW_CALLS * self._table.usual_ms, SLOW_MAX_MS)
+        limit_ms += min(
+            OUTAGE_LATENCIES * self._table.typical_latency_ms, OUTAGE_LATENCY_MAX_MS
+        )
         return age_ms if age_ms > limit_ms else 0.0
 
     def retry_after_s(self, time_left_ms: float) -> int:
-        """Return when a refused caller should come back, in seconds.
+        """Return the delay after which a rejected caller should retry, in seconds.
 
-        The longer an outage lasts, the longer it is likely to go on. A caller that
-        waits beyond its own time limit is lost, also if the outage has ended.
+        The delay grows with the duration of the outage: the longer it has lasted, the
+        longer it is likely to continue. It leaves time for several attempts, because a
+        caller that waits beyond its own time limit fails even if the outage has ended.
 
         Parameters
         ----------
         time_left_ms : float
-            Time after which the caller gives up.
+            Time after which the caller gives up, in milliseconds.
         """
-        in_time_s = int(time_left_ms / TRIES_IN_TIME / 1000)
+        deadline_s = int(time_left_ms / CALLER_ATTEMPTS / 1000)
         outage_s = round(self._outage_ms() / 1000)
-        return max(1, min(RETRY_AFTER_MAX_S, outage_s, in_time_s))
+        return max(1, min(RETRY_AFTER_MAX_S, outage_s, deadline_s))
 
-    def _notify(self, spec: WorkflowSpec) -> None:
+    def _announce(self, spec: WorkflowSpec) -> None:
         local = self._stewardship.local_owner(spec.policy.service)
         if local is not None:
             local.submit(spec)
             return
-        self._tasks.start(self._tell_owner(spec))
+        self._tasks.start(self._notify_owner(spec))
 
-    async def _tell_owner(self, spec: WorkflowSpec) -> None:
-        # The owner also reads the feed, so a lost notice only costs time.
-        for _ in range(NOTIFY_TRIES):
+    async def _notify_owner(self, spec: WorkflowSpec) -> None:
+        # The owner also reads the change feed, so a lost notice only delays it.
+        for _ in range(NOTIFY_ATTEMPTS):
             endpoint = self._stewardship.remote_owner(spec.policy.service)
             if endpoint and await self._peers.notify_submitted(endpoint, spec):
                 return
-            await asyncio.sleep(RETRY_MS / 1000)
+            await asyncio.sleep(RETRY_DELAY_MS / 1000)
 
     async def state(
         self, policy: QueuePolicy, job_id: JobId
     ) -> tuple[Existence, WorkflowState | None]:
-        """Return whether a workflow exists, and its state."""
+        """Return whether a workflow exists, and its state.
+
+        The state is ``None`` unless the workflow exists.
+        """
         if job_id in self._final_states:
             return Existence.EXISTS, self._final_states[job_id]
-        for _ in range(STATE_TRIES):
-            answer = await self._ask_owner(policy.service, job_id)
-            if answer.current and answer.state is not None:
-                self._remember(job_id, answer.state)
-                return Existence.EXISTS, answer.state
+        for _ in range(STATE_ATTEMPTS):
+            reply = await self._request_state(policy.service, job_id)
+            if reply.current and reply.state is not None:
+                self._cache_final_state(job_id, reply.state)
+                return Existence.EXISTS, reply.state
             existence, state = await self._read_state(policy.service, job_id)
             if existence is not Existence.UNKNOWN:
                 return existence, state
-            await asyncio.sleep(RETRY_MS / 1000)
+            await asyncio.sleep(RETRY_DELAY_MS / 1000)
         return Existence.UNKNOWN, None
 
-    async def _ask_owner(self, service: ServiceName, job_id: JobId) -> StateReply:
+    async def _request_state(self, service: ServiceName, job_id: JobId) -> StateReply:
         local = self._stewardship.local_owner(service)
         if local is not None:
             return self.local_state(service, job_id)
         endpoint = self._stewardship.remote_owner(service)
         now_ms = self._clock.monotonic_ms()
-        if not endpoint or now_ms < self._silent_until_ms.get(endpoint, 0.0):
+        if not endpoint or now_ms < self._skip_until_ms.get(endpoint, 0.0):
             return StateReply(False)
-        answer = await self._peers.state(endpoint, service, job_id)
+        reply = await self._peers.state(endpoint, service, job_id)
         if self._clock.monotonic_ms() - now_ms > SLOW_OWNER_MS:
-            until_ms = self._clock.monotonic_ms() + SILENT_OWNER_MS
-            self._silent_until_ms = {endpoint: until_ms}
-        return answer
+            until_ms = self._clock.monotonic_ms() + SLOW_OWNER_PAUSE_MS
+            self._skip_until_ms = {endpoint: until_ms}
+        return reply
 
     async def _read_state(
         self, service: ServiceName, job_id: JobId
@@ -243,10 +261,10 @@
         except msgspec.DecodeError as error:
             log_event(events.BAD_ROW, key=progress, reason=error)
             return Existence.UNKNOWN, None
-        self._remember(job_id, state)
+        self._cache_final_state(job_id, state)
         return Existence.EXISTS, state
 
-    def _remember(self, job_id: JobId, state: WorkflowState) -> None:
+    def _cache_final_state(self, job_id: JobId, state: WorkflowState) -> None:
         if not state.is_final:
             return
         while len(self._final_states) >= FINAL_STATES_MAX:
@@ -256,7 +274,23 @@
     async def cancel(
         self, policy: QueuePolicy, job_id: JobId, deadline_ms: float
     ) -> Existence:
-        """Store a cancellation; return whether the workflow exists."""
+        """Store a cancellation.
+
+        Parameters
+        ----------
+        policy : QueuePolicy
+            Policy of the workflow's queue.
+        job_id : JobId
+            Workflow to cancel.
+        deadline_ms : float
+            Monotonic time in milliseconds after which the store is not tried again.
+
+        Returns
+        -------
+        Existence
+            `EXISTS` if the cancellation is stored, `ABSENT` if there is no such
+            workflow, `UNKNOWN` if the store did not confirm it in time.
+        """
         service = policy.service
         key = cancel_key(service, job_id)
         write = Transaction((), (Write(key, b"{}"),))
@@ -267,27 +301,27 @@
                     return Existence.ABSENT
                 if (await self._table.transact(write)).is_ok():
                     break
-            if self._clock.monotonic_ms() + RETRY_MS > deadline_ms:
+            if self._clock.monotonic_ms() + RETRY_DELAY_MS > deadline_ms:
                 return Existence.UNKNOWN
-            await asyncio.sleep(RETRY_MS / 1000)
-        self._tasks.start(self._tell_cancelled(service, job_id))
+            await asyncio.sleep(RETRY_DELAY_MS / 1000)
+        self._tasks.start(self._announce_cancelled(service, job_id))
         return Existence.EXISTS
 
-    async def _tell_cancelled(self, service: ServiceName, job_id: JobId) -> None:
+    async def _announce_cancelled(self, service: ServiceName, job_id: JobId) -> None:
         local = self._stewardship.local_owner(service)
         if local is not None:
             local.cancel(job_id)
             return
-        for _ in range(NOTIFY_TRIES):
+        for _ in range(NOTIFY_ATTEMPTS):
             endpoint = self._stewardship.remote_owner(service)
             if endpoint and await self._peers.notify_cancelled(
                 endpoint, service, job_id
             ):
                 return
-            await asyncio.sleep(RETRY_MS / 1000)
+            await asyncio.sleep(RETRY_DELAY_MS / 1000)
 
     async def queue_length(self, policy: QueuePolicy) -> int | None:
-        """Return how many workflows of a queue wait, or ``None`` if unknown."""
+        """Return the number of queued workflows, or ``None`` if it is unknown."""
         local = self.local_queue_length(policy.service, policy.name)
         if local is not None:
             return local
@@ -296,22 +330,22 @@
             return None
         return await self._peers.queue_length(endpoint, policy.service, policy.name)
 
-    # Peers.
+    # Calls of peers.
 
     def on_submitted(self, spec: WorkflowSpec) -> None:
-        """Take note of a stored workflow."""
+        """Submit a stored workflow to the local owner of its service, if any."""
         local = self._stewardship.local_owner(spec.policy.service)
         if local is not None:
             local.submit(spec)
 
     def on_cancelled(self, service: ServiceName, job_id: JobId) -> None:
-        """Take note of a stored cancellation."""
+        """Cancel a workflow at the local owner of its service, if any."""
         local = self._stewardship.local_owner(service)
         if local is not None:
             local.cancel(job_id)
 
     def on_released(self) -> None:
-        """Look for a released service at once."""
+        """Poll the owners at once, to find the released services."""
         self._stewardship.look_now()
 
     def owns(self, service: ServiceName) -> bool:
@@ -319,25 +353,25 @@
         return self._stewardship.owns(service)
 
     def local_state(self, service: ServiceName, job_id: JobId) -> StateReply:
-        """Return the state of a workflow if this process owns its service."""
+        """Return the state of a workflow, if this process owns its service."""
         local = self._stewardship.local_owner(service)
         if local is None or not local.is_current():
             return StateReply(False)
         return StateReply(True, local.state(job_id))
 
     def local_queue_length(self, service: ServiceName, queue: QueueName) -> int | None:
-        """Return how many workflows wait if this process owns the service."""
+        """Return the number of queued workflows, or ``None`` if not the owner."""
         local = self._stewardship.local_owner(service)
         if local is None or not local.is_current():
             return None
         return local.waiting(queue)
 
     def shared_ms(self) -> float | None:
-        """Return the time of the store's clock, or ``None`` if it is not known."""
+        """Return the store's time in milliseconds, or ``None`` if it is not known."""
         return self._time.now_ms() if self._time.is_known else None
 
     async def run_store_call(self, call: StoreCall) -> Result[Any, StoreError]:
-        """Call the store for a peer that does not reach it."""
+        """Execute a store call for a peer that cannot reach the store."""
         return await self._table.serve(call)
 
     async def advise(
@@ -348,5 +382,5 @@
         workers: tuple[WorkerId, ...],
         policy: QueuePolicy,
     ) -> Result[Admission, str]:
-        """Ask the advice service from this machine."""
+        """Request advice from this machine for a peer."""
         return await self._advice.ask(job_id, occurrence, step, workers, policy)
--- a/basilhold/workflows/members.py
+++ b/basilhold/workflows/members.py
@@ -1,8 +1,9 @@
-"""The processes of a deployment, as their rows in the store show them.
+"""Membership of a deployment, read from the rows that its processes keep in the store.
 
-Owners know all processes, to spread questions over their machines. The others know a
-few, to reach the store through them; if all knew all, the bytes read would grow with
-the square of their number.
+A process that owns a service reads all members, because it spreads advice requests
+over their machines. The other processes read a small sample, through which they can
+reach the store: if every process read every row, the bytes read would grow with the
+square of the number of processes.
 """
 
 import msgspec
@@ -17,33 +18,42 @@
 
 __all__ = ["MemberList"]
 
-RENEW_MS = 8_000.0
-RENEW_MS_EACH = 10.0
-"""A row is renewed each 8 s, or less often where there are many: at most 100 rows are
-written a second."""
+RENEW_INTERVAL_MIN_MS = 8_000.0
+RENEW_INTERVAL_PER_MEMBER_MS = 10.0
+"""Each process renews its row every 8 s, or every 10 ms times the number of members if
+that is longer, so that all of them together write at most 100 rows per second."""
 
-LAPSE_RENEWALS = 3.1
-"""A member that did not renew its row for three intervals is taken as gone."""
+EXPIRY_RENEWALS = 3.1
+"""Renewal intervals after which a member whose row has not changed is considered dead;
+it has then missed three renewals."""
 
-SAMPLE = 16
-"""Members that a process knows that owns nothing."""
+SAMPLE_SIZE = 16
+"""Number of other members that a process without a service reads."""
 
-READ_ALL_MS = 3_000.0
-READ_SAMPLE_MS = 15_000.0
+READ_ALL_INTERVAL_MS = 3_000.0
+READ_SAMPLE_INTERVAL_MS = 15_000.0
 _PREFIX = "members/all/"
 
 
 class MemberList:
-    """Reads the rows of other processes and renews the own one.
+    """Renews this process's membership row and reads those of other processes.
 
     Parameters
     ----------
     table : TableService
+        Store that holds the membership rows.
     clock : Clock
+        Clock of this process.
     member : Member
         This process.
     time : SharedTime
-        Learns the differences of Unix time that the processes see.
+        Receives the Unix time offsets that the members report.
+
+    Attributes
+    ----------
+    published_count : int
+        Number of members that the owners have published; used while this process
+        has read only a sample of them.
     """
 
     def __init__(
@@ -54,49 +64,56 @@
         self._clock = clock
         self._member = member
         self._seen: dict[ProcessId, tuple[Member, float]] = {}
-        self._renewed_ms = -1e9
-        self._read_ms = -1e9
-        self._has_all = False
+        self._last_renewed_ms = -1e9
+        self._last_read_ms = -1e9
+        self._knows_all = False
         self.published_count = 0
 
     @property
     def count(self) -> int:
-        """How many processes there are, as far as this one knows."""
+        """Estimated number of live processes, including this one."""
         known = len(self.alive())
-        return known if self._has_all else max(known, self.published_count)
+        return known if self._knows_all else max(known, self.published_count)
 
     def alive(self) -> list[Member]:
-        """Return the processes that are known to be alive, this one first."""
+        """Return the members whose rows have not expired, this process first."""
         now_ms = self._clock.monotonic_ms()
-        lapse_ms = LAPSE_RENEWALS * self._renew_interval_ms(len(self._seen))
+        expiry_ms = EXPIRY_RENEWALS * self._renew_interval_ms(len(self._seen))
         others = [
             member
             for member, seen_ms in self._seen.values()
-            if now_ms - seen_ms < lapse_ms
+            if now_ms - seen_ms < expiry_ms
             and member.process_id != self._member.process_id
         ]
         return [self._member, *others]
 
-    async def refresh(self, everybody: bool) -> None:
-        """Renew the own row and read the others', each when it is due.
+    async def refresh(self, all_members: bool) -> None:
+        """Renew the own row and read other rows, each if its interval has passed.
+
+        A failure of the store is ignored; the next call tries again.
 
         Parameters
         ----------
-        everybody : bool
-            Whether this process needs to know all others.
+        all_members : bool
+            Whether to read the rows of all members instead of a sample.
         """
         now_ms = self._clock.monotonic_ms()
-        if now_ms - self._renewed_ms >= self._renew_interval_ms(self.count):
+        if now_ms - self._last_renewed_ms >= self._renew_interval_ms(self.count):
             await self._renew(now_ms)
-        # Machines that start together do not find each other's rows at once.
-        few = len(self._seen) < SAMPLE
-        interval_ms = READ_ALL_MS if everybody or few else READ_SAMPLE_MS
-        due = now_ms - self._read_ms >= interval_ms
-        if due or (everybody and not self._has_all):
-            await (self._read_all() if everybody else self._read_sample())
+        # Processes that start together have not all written their rows at the first
+        # read, so the short interval applies until enough rows have been found.
+        knows_few = len(self._seen) < SAMPLE_SIZE
+        interval_ms = (
+            READ_ALL_INTERVAL_MS
+            if all_members or knows_few
+            else READ_SAMPLE_INTERVAL_MS
+        )
+        is_due = now_ms - self._last_read_ms >= interval_ms
+        if is_due or (all_members and not self._knows_all):
+            await (self._read_all() if all_members else self._read_sample())
 
     def _renew_interval_ms(self, count: int) -> float:
-        return max(RENEW_MS, RENEW_MS_EACH * count)
+        return max(RENEW_INTERVAL_MIN_MS, RENEW_INTERVAL_PER_MEMBER_MS * count)
 
     async def _renew(self, now_ms: float) -> None:
         offset_ms = self._time.own_unix_offset_ms() if self._time.is_known else None
@@ -106,34 +123,34 @@
         key = f"{_PREFIX}{member.process_id}"
         write = Write(key, msgspec.json.encode(member))
         if (await self._table.transact(Transaction((), (write,)))).is_ok():
-            self._renewed_ms = now_ms
+            self._last_renewed_ms = now_ms
 
     async def _read_all(self) -> None:
         scanned = await scan_once(self._table, _PREFIX)
         if scanned.is_error():
-            # The next look at the owners reads again.
+            # The next refresh reads again.
             return
-        self._take(scanned.ok[0])
-        self._has_all = True
+        self._update_seen(scanned.ok[0])
+        self._knows_all = True
 
     async def _read_sample(self) -> None:
-        """Read the rows that follow the own one, in a circle."""
+        """Read the rows that follow the own key, wrapping around at the last key."""
         own_key = f"{_PREFIX}{self._member.process_id}"
-        page = await self._table.scan(_PREFIX, own_key, SAMPLE)
+        page = await self._table.scan(_PREFIX, own_key, SAMPLE_SIZE)
         if page.is_error():
             return
         rows = list(page.ok.rows)
-        if len(rows) < SAMPLE:
-            page = await self._table.scan(_PREFIX, "", SAMPLE - len(rows))
+        if len(rows) < SAMPLE_SIZE:
+            page = await self._table.scan(_PREFIX, "", SAMPLE_SIZE - len(rows))
             if page.is_error():
                 return
             rows.extend(page.ok.rows)
-        self._take(rows)
-        self._has_all = False
+        self._update_seen(rows)
+        self._knows_all = False
 
-    def _take(self, rows: list[Row]) -> None:
+    def _update_seen(self, rows: list[Row]) -> None:
         now_ms = self._clock.monotonic_ms()
-        self._read_ms = now_ms
+        self._last_read_ms = now_ms
         seen: dict[ProcessId, tuple[Member, float]] = {}
         for row in rows:
             try:
@@ -145,9 +162,9 @@
             unchanged = known is not None and known.beat == member.beat
             seen[member.process_id] = (member, seen_ms if unchanged else now_ms)
         self._seen = seen
-        self._compare_clocks()
+        self._update_unix_offsets()
 
-    def _compare_clocks(self) -> None:
+    def _update_unix_offsets(self) -> None:
         offsets = [
             member.unix_offset_ms
             for member in self.alive()[1:]
--- a/basilhold/workflows/peer_http.py
+++ b/basilhold/workflows/peer_http.py
@@ -1,7 +1,7 @@
-"""Calls between processes over HTTP, with bodies in JSON.
+"""Calls between processes over HTTP, with JSON bodies.
 
-A call costs a tenth of the processor time of one through grpclib, and each start of a
-task needs several.
+A call takes a tenth of the processor time of a call through grpclib, and each task
+start needs several calls.
 """
 
 from typing import Any
@@ -32,17 +32,18 @@
 __all__ = ["HttpPeerClient", "make_peer_server"]
 
 PEER_TIMEOUT_MS = 600
-"""Round trips between regions take 60 ms; a peer that needs ten is not asked on."""
+"""Timeout of a call: ten times the round-trip time between regions, 60 ms."""
 
-PRESENCE_TIMEOUT_MS = 300
-"""A process that takes longer to tell whether it owns a service serves nobody."""
+OWNERSHIP_TIMEOUT_MS = 300
+"""Timeout of an ownership query; a process that takes longer cannot serve requests."""
 
 STORE_TIMEOUT_MS = 1_000
-"""A slow store takes 280 ms; an owner whose peer does not answer tries another one
-before others take over its service."""
+"""Timeout of a store call through a peer. A slow store takes 280 ms to reply, and an
+owner has to be able to try a second peer before another process takes over its
+service."""
 
 ADVICE_TIMEOUT_MS = 4_000
-"""Questions wait for their turn at the advice service."""
+"""Timeout of an advice request, which may queue for the advice service."""
 
 BODY_BYTES_MAX = 2 << 20
 
@@ -65,7 +66,7 @@
     policy: QueuePolicy
 
 
-class _Heard(msgspec.Struct):
+class _Acknowledgement(msgspec.Struct):
     heard: bool = True
 
 
@@ -73,18 +74,25 @@
     service: ServiceName
 
 
-class _Owns(msgspec.Struct):
+class _OwnsReply(msgspec.Struct):
     owns: bool
 
 
-class _Waiting(msgspec.Struct):
+class _WaitingReply(msgspec.Struct):
     count: int | None
 
 
 class _StoreReply(msgspec.Struct):
-    """`value` is what the call returns, unless there is an error.
+    """Reply to a store call.
 
-    `shared_ms` is the time of the store's clock, where the peer knows it.
+    Parameters
+    ----------
+    value : msgspec.Raw
+        Encoded result of the call; ``null`` if there is an error.
+    error : StoreError, optional
+        Why the call failed.
+    shared_ms : float, optional
+        The store's time in milliseconds; ``None`` if the peer does not know it.
     """
 
     value: msgspec.Raw = msgspec.Raw(b"null")
@@ -92,14 +100,14 @@
     shared_ms: float | None = None
 
 
-class _Advised(msgspec.Struct):
+class _AdviceReply(msgspec.Struct):
     admission: Admission | None
     reason: str = ""
 
 
 _NOT_APPLIED = StoreErrorKind.NOT_APPLIED
 
-_REPLIES = {
+_REPLY_TYPES = {
     ReadCall: dict[str, Row],
     ScanCall: ScanPage,
     ChangesCall: Changes,
@@ -108,13 +116,14 @@
 
 
 class HttpPeerClient(PeerClient):
-    """Calls to peers.
+    """Client for calls to peers over HTTP.
 
     Parameters
     ----------
     pool : HttpPool
+        Connections to the peers.
     time : SharedTime
-        Learns the store's time from peers that reach it.
+        Updated from the store's time in replies to store calls.
     """
 
     def __init__(self, pool: HttpPool, time: SharedTime):
@@ -130,7 +139,13 @@
         timeout_ms: int = PEER_TIMEOUT_MS,
         repeatable: bool = True,
     ) -> Result[msgspec.Struct, bool]:
-        """Return the reply, or whether the request may have arrived."""
+        """Send a request.
+
+        Returns
+        -------
+        Result
+            The decoded reply, or whether the peer may have processed the request.
+        """
         host, port = endpoint.rsplit(":", 1)
         call = HttpCall(
             HttpAddress(host, int(port)),
@@ -144,7 +159,7 @@
         if result.is_error():
             return Error(result.error.sent)
         if result.ok.status != 200:
-            # A peer that failed may have done a part before.
+            # With a 5xx status, the peer may have executed part of the call.
             return Error(result.ok.status >= 500)
         try:
             return Ok(msgspec.json.decode(result.ok.body, type=reply_type))
@@ -152,26 +167,30 @@
             return Error(True)
 
     async def notify_submitted(self, endpoint: str, spec: WorkflowSpec) -> bool:
-        """Tell an owner of a stored workflow."""
-        return (await self._call(endpoint, "submitted", spec, _Heard)).is_ok()
+        """Notify an owner of a stored workflow; return whether it acknowledged."""
+        return (await self._call(endpoint, "submitted", spec, _Acknowledgement)).is_ok()
 
     async def notify_cancelled(
         self, endpoint: str, service: ServiceName, job_id: JobId
     ) -> bool:
-        """Tell an owner of a stored cancellation."""
+        """Notify an owner of a stored cancellation; return whether it acknowledged."""
         body = _JobBody(service, job_id)
-        return (await self._call(endpoint, "cancelled", body, _Heard)).is_ok()
+        return (await self._call(endpoint, "cancelled", body, _Acknowledgement)).is_ok()
 
     async def notify_released(self, endpoint: str) -> bool:
-        """Tell a peer that this process has released its services."""
-        return (await self._call(endpoint, "released", _Heard(), _Heard)).is_ok()
+        """Notify a peer that this process has released its services."""
+        return (
+            await self._call(endpoint, "released", _Acknowledgement(), _Acknowledgement)
+        ).is_ok()
 
     async def query_ownership(
         self, endpoint: str, service: ServiceName
     ) -> OwnershipReply:
         """Ask a process whether it owns a service."""
         body = _ServiceBody(service)
-        result = await self._call(endpoint, "owns", body, _Owns, PRESENCE_TIMEOUT_MS)
+        result = await self._call(
+            endpoint, "owns", body, _OwnsReply, OWNERSHIP_TIMEOUT_MS
+        )
         if result.is_error():
             return OwnershipReply.NO_REPLY
         return OwnershipReply.OWNER if result.ok.owns else OwnershipReply.NOT_OWNER
@@ -179,7 +198,7 @@
     async def state(
         self, endpoint: str, service: ServiceName, job_id: JobId
     ) -> StateReply:
-        """Ask an owner for a workflow's state."""
+        """Request the state of a workflow from the owner of its service."""
         body = _JobBody(service, job_id)
         result = await self._call(endpoint, "state", body, StateReply)
         return result.ok if result.is_ok() else StateReply(False)
@@ -187,19 +206,19 @@
     async def queue_length(
         self, endpoint: str, service: ServiceName, queue: QueueName
     ) -> int | None:
-        """Ask an owner for the number of waiting workflows."""
+        """Request the number of queued workflows; ``None`` if there is no answer."""
         body = _QueueBody(service, queue)
-        result = await self._call(endpoint, "waiting", body, _Waiting)
+        result = await self._call(endpoint, "waiting", body, _WaitingReply)
         return result.ok.count if result.is_ok() else None
 
     async def store_call(
         self, endpoint: str, call: StoreCall
     ) -> Result[Any, StoreError]:
-        """Let a peer call the store."""
+        """Execute a store call through a peer."""
         timeout_ms = STORE_TIMEOUT_MS
         if isinstance(call, ChangesCall):
             timeout_ms += call.wait_ms
-        # A second copy of a transaction would find the effect of the first.
+        # A repeated transaction would conflict with the effect of its first copy.
         repeatable = not isinstance(call, TransactCall)
         sent_ms = self._time.local_ms()
         result = await self._call(
@@ -207,13 +226,15 @@
         )
         if result.is_error():
             kind = StoreErrorKind.UNKNOWN if result.error else _NOT_APPLIED
-            return Error(StoreError(kind, "the peer did not answer"))
+            return Error(StoreError(kind, "peer did not reply"))
         if result.ok.shared_ms is not None:
             self._time.observe(result.ok.shared_ms, sent_ms, self._time.local_ms())
         if result.ok.error is not None:
             return Error(result.ok.error)
         try:
-            return Ok(msgspec.json.decode(result.ok.value, type=_REPLIES[type(call)]))
+            return Ok(
+                msgspec.json.decode(result.ok.value, type=_REPLY_TYPES[type(call)])
+            )
         except msgspec.DecodeError as error:
             return Error(StoreError(StoreErrorKind.UNKNOWN, str(error)))
 
@@ -226,25 +247,30 @@
         workers: tuple[WorkerId, ...],
         policy: QueuePolicy,
     ) -> Result[Admission, str]:
-        """Let a peer ask the advice service."""
+        """Request advice through a peer's machine."""
         body = _AdviceBody(job_id, occurrence, step, workers, policy)
-        result = await self._call(endpoint, "advise", body, _Advised, ADVICE_TIMEOUT_MS)
+        result = await self._call(
+            endpoint, "advise", body, _AdviceReply, ADVICE_TIMEOUT_MS
+        )
         if result.is_error():
-            return Error("the peer did not answer")
+            return Error("peer did not reply")
         if result.ok.admission is None:
             return Error(result.ok.reason)
         return Ok(result.ok.admission)
 
 
 class _PeerHandler(RequestHandler):
-    """Decodes one call of a peer and encodes the reply."""
+    """Decodes a peer's call, executes it and encodes the reply."""
 
     def initialize(self, service: PeerService) -> None:
-        """Set what the calls are served by; tornado calls this for each request."""
+        """Set the service that executes calls; tornado calls this per request."""
         self._service = service
 
     async def post(self, name: str) -> None:
-        """Serve a call."""
+        """Serve the call `name`.
+
+        The status is 404 for an unknown call and 400 for an undecodable body.
+        """
         handler = getattr(self, f"_serve_{name}", None)
         if handler is None:
             self.set_status(404)
@@ -258,30 +284,30 @@
         self.set_header("Content-Type", "application/json")
         self.finish(msgspec.json.encode(reply))
 
-    async def _serve_submitted(self, body: bytes) -> _Heard:
+    async def _serve_submitted(self, body: bytes) -> _Acknowledgement:
         self._service.on_submitted(msgspec.json.decode(body, type=WorkflowSpec))
-        return _Heard()
+        return _Acknowledgement()
 
-    async def _serve_cancelled(self, body: bytes) -> _Heard:
+    async def _serve_cancelled(self, body: bytes) -> _Acknowledgement:
         call = msgspec.json.decode(body, type=_JobBody)
         self._service.on_cancelled(call.service, call.job_id)
-        return _Heard()
+        return _Acknowledgement()
 
-    async def _serve_released(self, body: bytes) -> _Heard:
+    async def _serve_released(self, body: bytes) -> _Acknowledgement:
         self._service.on_released()
-        return _Heard()
+        return _Acknowledgement()
 
-    async def _serve_owns(self, body: bytes) -> _Owns:
+    async def _serve_owns(self, body: bytes) -> _OwnsReply:
         call = msgspec.json.decode(body, type=_ServiceBody)
-        return _Owns(self._service.owns(call.service))
+        return _OwnsReply(self._service.owns(call.service))
 
     async def _serve_state(self, body: bytes) -> StateReply:
         call = msgspec.json.decode(body, type=_JobBody)
         return self._service.local_state(call.service, call.job_id)
 
-    async def _serve_waiting(self, body: bytes) -> _Waiting:
+    async def _serve_waiting(self, body: bytes) -> _WaitingReply:
         call = msgspec.json.decode(body, type=_QueueBody)
-        return _Waiting(self._service.local_queue_length(call.service, call.queue))
+        return _WaitingReply(self._service.local_queue_length(call.service, call.queue))
 
     async def _serve_table(self, body: bytes) -> _StoreReply:
         call = msgspec.json.decode(body, type=StoreCall)
@@ -291,18 +317,18 @@
         value = msgspec.Raw(msgspec.json.encode(result.ok))
         return _StoreReply(value, shared_ms=self._service.shared_ms())
 
-    async def _serve_advise(self, body: bytes) -> _Advised:
+    async def _serve_advise(self, body: bytes) -> _AdviceReply:
         call = msgspec.json.decode(body, type=_AdviceBody)
         result = await self._service.advise(
             call.job_id, call.occurrence, call.step, call.workers, call.policy
         )
         if result.is_error():
-            return _Advised(None, result.error)
-        return _Advised(result.ok)
+            return _AdviceReply(None, result.error)
+        return _AdviceReply(result.ok)
 
 
 def make_peer_server(service: PeerService) -> HTTPServer:
-    """Return a server of peers' calls that does not listen yet."""
+    """Return an HTTP server for calls of peers; it has no listening socket yet."""
     routes = [(r"/peer/([a-z]+)", _PeerHandler, {"service": service})]
     application = Application(routes, log_function=lambda handler: None)
     return HTTPServer(application, max_body_size=BODY_BYTES_MAX)
--- a/basilhold/workflows/peers.py
+++ b/basilhold/workflows/peers.py
@@ -1,4 +1,4 @@
-"""Calls between the processes of a deployment."""
+"""Interfaces and messages of the calls between the processes of a deployment."""
 
 from abc import ABC, abstractmethod
 from enum import Enum
@@ -31,7 +31,8 @@
 class StoreOutcome(Enum):
     """Whether a workflow or a cancellation was stored.
 
-    `NOT_STORED` is certain; after `UNKNOWN` it may be stored now or later.
+    `NOT_STORED` means that it was certainly not stored. After `UNKNOWN` it may have
+    been stored already, or may still be.
     """
 
     STORED = "stored"
@@ -40,9 +41,9 @@
 
 
 class OwnershipReply(Enum):
-    """What a process says when it is asked whether it owns a service.
+    """Reply of a process that was asked whether it owns a service.
 
-    `NO_REPLY` means that it did not answer in time.
+    `NO_REPLY` means that no reply arrived within the timeout.
     """
 
     OWNER = "owner"
@@ -51,20 +52,23 @@
 
 
 class Member(msgspec.Struct, frozen=True):
-    """A process of the deployment.
+    """A process of the deployment, as stored in its membership row.
 
     Parameters
     ----------
     process_id : ProcessId
+        Unique identifier of the process.
     endpoint : str
-        ``host:port`` at which it serves its peers.
+        ``host:port`` at which the process serves its peers.
     region : RegionName
+        Region of its machine; empty if unknown.
     beat : int
-        Makes each renewal of the row a change.
+        Heartbeat value that differs in each renewal of the row.
     wide_link : bool
-        Its machine's link carries large transactions of others quickly.
+        Whether its machine has enough bandwidth to relay large transactions quickly.
     unix_offset_ms : float, optional
-        Its Unix time minus the store's; ``None`` if it does not know the store's.
+        The process's Unix time minus the store's time, in milliseconds; ``None`` if
+        the process does not know the store's time.
     """
 
     process_id: ProcessId
@@ -76,20 +80,28 @@
 
 
 class StateReply(msgspec.Struct, frozen=True):
-    """Answer of an owner; `state` is ``None`` if it does not know the workflow."""
+    """Reply to a request for the state of a workflow.
+
+    Parameters
+    ----------
+    current : bool
+        Whether the process that replied owns the service and its state is current.
+    state : WorkflowState, optional
+        ``None`` if the owner does not know the workflow.
+    """
 
     current: bool
     state: WorkflowState | None = None
 
 
 class ReadCall(msgspec.Struct, frozen=True, tag="read"):
-    """A read of some rows."""
+    """Reads rows by key."""
 
     keys: tuple[str, ...]
 
 
 class ScanCall(msgspec.Struct, frozen=True, tag="scan"):
-    """A scan of rows."""
+    """Lists up to `limit` rows of a key prefix, starting after a key."""
 
     prefix: str
     after: str
@@ -97,7 +109,17 @@
 
 
 class ChangesCall(msgspec.Struct, frozen=True, tag="changes"):
-    """A look at the changes after a version."""
+    """Reads the changes of a key prefix after a version.
+
+    Parameters
+    ----------
+    prefix : str
+        Prefix of the keys.
+    after : int
+        Version after which changes are returned.
+    wait_ms : int
+        Time to wait for a change if there is none yet, in milliseconds.
+    """
 
     prefix: str
     after: int
@@ -105,29 +127,29 @@
 
 
 class TransactCall(msgspec.Struct, frozen=True, tag="transact"):
-    """A transaction."""
+    """Applies a transaction."""
 
     transaction: Transaction
 
 
 StoreCall = ReadCall | ScanCall | ChangesCall | TransactCall
-"""A call to the store that a peer makes for a process which does not reach it."""
+"""Store call that a peer executes for a process that cannot reach the store."""
 
 
 class PeerService(ABC):
-    """What a process does for its peers."""
+    """Calls that a process serves for its peers."""
 
     @abstractmethod
     def on_submitted(self, spec: WorkflowSpec) -> None:
-        """Take note of a stored workflow."""
+        """Handle the notice that a workflow has been stored."""
 
     @abstractmethod
     def on_cancelled(self, service: ServiceName, job_id: JobId) -> None:
-        """Take note of a stored cancellation."""
+        """Handle the notice that a cancellation has been stored."""
 
     @abstractmethod
     def on_released(self) -> None:
-        """Take note that a peer has released its services."""
+        """Handle the notice that a peer has released its services."""
 
     @abstractmethod
     def owns(self, service: ServiceName) -> bool:
@@ -135,19 +157,19 @@
 
     @abstractmethod
     def local_state(self, service: ServiceName, job_id: JobId) -> StateReply:
-        """Return the state of a workflow if this process owns its service."""
+        """Return the state of a workflow, if this process owns its service."""
 
     @abstractmethod
     def local_queue_length(self, service: ServiceName, queue: QueueName) -> int | None:
-        """Return how many workflows wait if this process owns the service."""
+        """Return the number of queued workflows, or ``None`` if not the owner."""
 
     @abstractmethod
     def shared_ms(self) -> float | None:
-        """Return the time of the store's clock, or ``None`` if it is not known."""
+        """Return the store's time in milliseconds, or ``None`` if it is not known."""
 
     @abstractmethod
     async def run_store_call(self, call: StoreCall) -> Result[Any, StoreError]:
-        """Call the store for a peer that does not reach it."""
+        """Execute a store call for a peer that cannot reach the store."""
 
     @abstractmethod
     async def advise(
@@ -158,25 +180,38 @@
         workers: tuple[WorkerId, ...],
         policy: QueuePolicy,
     ) -> Result[Admission, str]:
-        """Ask the advice service from this process's machine."""
+        """Request advice from this process's machine.
+
+        Returns
+        -------
+        Result of Admission
+            Workers that the advice service admits for the step, or the reason why
+            there is no answer.
+        """
 
 
 class PeerClient(ABC):
-    """Calls to the peers at an endpoint, ``host:port``."""
+    """Client for calls to peers, each addressed by its endpoint, ``host:port``."""
 
     @abstractmethod
     async def notify_submitted(self, endpoint: str, spec: WorkflowSpec) -> bool:
-        """Tell an owner of a stored workflow; return whether it has heard."""
+        """Notify an owner of a stored workflow; return whether it acknowledged."""
 
     @abstractmethod
     async def notify_cancelled(
         self, endpoint: str, service: ServiceName, job_id: JobId
     ) -> bool:
-        """Tell an owner of a stored cancellation; return whether it has heard."""
+        """Notify an owner of a stored cancellation; return whether it acknowledged."""
 
     @abstractmethod
     async def notify_released(self, endpoint: str) -> bool:
-        """Tell a peer that this process has released its services."""
+        """Notify a peer that this process has released its services.
+
+        Returns
+        -------
+        bool
+            Whether the peer acknowledged the notice.
+        """
 
     @abstractmethod
     async def query_ownership(
@@ -188,19 +223,19 @@
     async def state(
         self, endpoint: str, service: ServiceName, job_id: JobId
     ) -> StateReply:
-        """Ask an owner for a workflow's state."""
+        """Request the state of a workflow from the owner of its service."""
 
     @abstractmethod
     async def queue_length(
         self, endpoint: str, service: ServiceName, queue: QueueName
     ) -> int | None:
-        """Ask an owner for the number of waiting workflows."""
+        """Request the number of queued workflows; ``None`` if there is no answer."""
 
     @abstractmethod
     async def store_call(
         self, endpoint: str, call: StoreCall
     ) -> Result[Any, StoreError]:
-        """Let a peer call the store."""
+        """Execute a store call through a peer."""
 
     @abstractmethod
     async def advise(
@@ -212,4 +247,10 @@
         workers: tuple[WorkerId, ...],
         policy: QueuePolicy,
     ) -> Result[Admission, str]:
-        """Let a peer ask the advice service."""
+        """Request advice through a peer's machine.
+
+        Returns
+        -------
+        Result of Admission
+            See `PeerService.advise`.
+        """
--- a/basilhold/workflows/relayed_table.py
+++ b/basilhold/workflows/relayed_table.py
@@ -1,8 +1,8 @@
-"""The table service, reached through a peer where this machine does not reach it.
+"""Table service that relays calls through a peer while this machine cannot reach it.
 
-A store that refuses one machine, or is cut off from it, often serves the others. An
-owner on such a machine would stop for a whole takeover, and its callers be refused.
-Answers load: machines that lose the store while it serves the rest.
+A store that rejects one machine's calls, or is partitioned from it, often still serves
+other machines. Without a relay, an owner on that machine would stop until another
+process has taken over its service, and its callers would be rejected.
 """
 
 import asyncio
@@ -38,50 +38,58 @@
 
 __all__ = ["RelayedTable"]
 
-PEERS_TRIED_MAX = 2
-"""Peers asked for one call: with three of ten peers dead, nine calls in ten succeed."""
+PEER_ATTEMPTS_MAX = 2
+"""Peers tried for one call. With two attempts and three of ten peers dead, nine calls
+in ten succeed."""
 
-FRESH_MS = 1_300.0
-"""A peer relays while the store has answered it this recently; it asks once a second at
-least."""
+REPLY_AGE_MAX_MS = 1_300.0
+"""A peer relays calls only if the store has replied to it within this time. It calls
+the store at least once a second."""
 
 PROBE_INTERVAL_MS = 400
 SLOW_PEER_MS = 250.0
-SILENT_PEER_MS = 3_000.0
-"""A peer that took this long to fail may be dead, and is not asked for a while."""
+SLOW_PEER_PAUSE_MS = 3_000.0
+"""A peer whose call failed after more than `SLOW_PEER_MS` may be dead, and is skipped
+for `SLOW_PEER_PAUSE_MS`."""
 
-USUAL_WEIGHT = 0.2
-"""How fast a usual time that has become shorter is learnt; a longer one is taken at
-once."""
+LATENCY_DECREASE_WEIGHT = 0.2
+"""Weight of a new latency below the running average; a higher latency replaces the
+average at once."""
 
 OUTAGE_PAUSE_MS = 500.0
-"""How long peers are left alone once none of them reaches the store either."""
+"""How long no peer is tried after all attempts through peers have failed."""
 
 PROBE_KEY = "owners//probe"
-"""A row that need not exist; reading it shows that the store answers."""
+"""Key read to check that the store replies; the row need not exist."""
 
-_WITHOUT_ANSWER = (StoreErrorKind.NOT_APPLIED, StoreErrorKind.UNKNOWN)
-_REFUSED = StoreError(StoreErrorKind.NOT_APPLIED, "the store does not answer here")
+_NO_REPLY_KINDS = (StoreErrorKind.NOT_APPLIED, StoreErrorKind.UNKNOWN)
+_UNREACHABLE = StoreError(
+    StoreErrorKind.NOT_APPLIED, "store is unreachable from this machine"
+)
 
 
 class RelayedTable(TableService, ChangeFeed):
     """Calls the store directly or, while that fails, through a peer.
 
-    A transaction that reaches the store twice, by both ways, applies once if it has a
-    condition on what it writes; owners and submissions see to that.
+    A transaction may reach the store twice, directly and through a peer. It is applied
+    only once if it has a condition on the rows that it writes, as those of owners and
+    submissions have.
 
     Parameters
     ----------
     table : TableService
     feed : ChangeFeed
-        The store as this machine reaches it.
+        Direct clients of the store.
     peers : PeerClient
+        Client for calls to peers.
     members : callable
-        Returns the processes that are alive, this one first.
+        Returns the live members, this process first.
     region : RegionName
-        Of this machine.
+        Region of this machine.
     clock : Clock
+        Clock of this process.
     rng : random.Random
+        Shuffles the peers.
     """
 
     def __init__(
@@ -102,25 +110,25 @@
         self._clock = clock
         self._rng = rng
         self._tasks = TaskSet()
-        self._answered_ms = -1e9
-        self._lost_ms: float | None = None
-        self._no_peers_until_ms = -1e9
-        self._helper = ""
-        self._silent_until_ms: dict[str, float] = {}
-        self._usual_ms = 0.0
+        self._last_reply_ms = -1e9
+        self._unreachable_since_ms: float | None = None
+        self._relay_paused_until_ms = -1e9
+        self._relay_endpoint = ""
+        self._skip_until_ms: dict[str, float] = {}
+        self._typical_latency_ms = 0.0
 
     @property
-    def answered_ms(self) -> float:
-        """Time of the loop's clock at which the store last answered directly."""
-        return self._answered_ms
+    def last_reply_ms(self) -> float:
+        """Monotonic time of the store's last direct reply, in milliseconds."""
+        return self._last_reply_ms
 
     @property
-    def usual_ms(self) -> float:
-        """Time that a call takes, as far as the last answers tell."""
-        return self._usual_ms
+    def typical_latency_ms(self) -> float:
+        """Running average of the latency of direct calls, in milliseconds."""
+        return self._typical_latency_ms
 
     async def close(self) -> None:
-        """Stop looking for the store."""
+        """Stop probing the store."""
         await self._tasks.cancel()
 
     async def read(self, keys: tuple[str, ...]) -> Result[dict[str, Row], StoreError]:
@@ -130,13 +138,16 @@
     async def scan(
         self, prefix: str, after: str = "", limit: int = 500
     ) -> Result[ScanPage, StoreError]:
-        """Return rows of a prefix."""
+        """Return up to `limit` rows of a prefix whose keys follow `after`."""
         return await self._run(ScanCall(prefix, after, limit))
 
     async def changes(
         self, prefix: str, after: int, wait_ms: int
     ) -> Result[Changes, StoreError]:
-        """Return the changes of a prefix after a version."""
+        """Return the changes of a prefix after a version.
+
+        Waits up to `wait_ms` milliseconds for a change if there is none yet.
+        """
         return await self._run(ChangesCall(prefix, after, wait_ms))
 
     async def transact(
@@ -146,97 +157,105 @@
         return await self._run(TransactCall(transaction))
 
     async def serve(self, call: StoreCall) -> Result[Any, StoreError]:
-        """Run a peer's call, if the store has answered this machine lately."""
-        if self._clock.monotonic_ms() - self._answered_ms > FRESH_MS:
-            return Error(_REFUSED)
+        """Execute a peer's call, unless the store has not replied here recently."""
+        if self._clock.monotonic_ms() - self._last_reply_ms > REPLY_AGE_MAX_MS:
+            return Error(_UNREACHABLE)
         return await self._direct(call)
 
     async def _run(self, call: StoreCall) -> Result[Any, StoreError]:
-        if self._lost_ms is not None:
+        if self._unreachable_since_ms is not None:
             relayed = await self._relay(call)
             if _is_final(call, relayed):
                 return relayed
         result = await self._direct(call)
-        if result.is_ok() or result.error.kind not in _WITHOUT_ANSWER:
+        if result.is_ok() or result.error.kind not in _NO_REPLY_KINDS:
             return result
-        self._note_lost(result.error.reason)
+        self._mark_unreachable(result.error.reason)
         if _is_final(call, result):
-            # Whether a transaction without a reply was applied is for the caller.
+            # The caller has to find out whether a transaction without a reply was
+            # applied.
             return result
         relayed = await self._relay(call)
         return relayed if _is_final(call, relayed) else result
 
     def _direct(self, call: StoreCall) -> Awaitable[Result[Any, StoreError]]:
-        return self._note_answer(call, _call(self._table, self._feed, call))
+        return self._record_reply(call, _call_store(self._table, self._feed, call))
 
-    async def _note_answer(
-        self, call: StoreCall, answer: Awaitable[Result[Any, StoreError]]
+    async def _record_reply(
+        self, call: StoreCall, reply: Awaitable[Result[Any, StoreError]]
     ) -> Result:
         begin_ms = self._clock.monotonic_ms()
-        result = await answer
-        if result.is_ok() or result.error.kind not in _WITHOUT_ANSWER:
-            self._answered_ms = self._clock.monotonic_ms()
+        result = await reply
+        if result.is_ok() or result.error.kind not in _NO_REPLY_KINDS:
+            self._last_reply_ms = self._clock.monotonic_ms()
             if not (isinstance(call, ChangesCall) and call.wait_ms):
-                self._note_time(self._answered_ms - begin_ms)
+                self._record_latency(self._last_reply_ms - begin_ms)
         return result
 
-    def _note_time(self, took_ms: float) -> None:
-        weight = 1.0 if took_ms > self._usual_ms else USUAL_WEIGHT
-        self._usual_ms += weight * (took_ms - self._usual_ms)
+    def _record_latency(self, latency_ms: float) -> None:
+        weight = (
+            1.0 if latency_ms > self._typical_latency_ms else LATENCY_DECREASE_WEIGHT
+        )
+        self._typical_latency_ms += weight * (latency_ms - self._typical_latency_ms)
 
-    def _note_lost(self, reason: str) -> None:
-        if self._lost_ms is None:
-            self._lost_ms = self._clock.monotonic_ms()
+    def _mark_unreachable(self, reason: str) -> None:
+        if self._unreachable_since_ms is None:
+            self._unreachable_since_ms = self._clock.monotonic_ms()
             self._tasks.start(self._probe(reason))
 
     async def _probe(self, reason: str) -> None:
-        """Ask the store directly until it answers."""
-        lost_ms = self._clock.monotonic_ms()
+        """Call the store directly until it replies."""
+        begin_ms = self._clock.monotonic_ms()
         logged = False
         while (await self._direct(ReadCall((PROBE_KEY,)))).is_error():
-            if self._helper and not logged:
-                log_event(events.STORE_RELAYED, peer=self._helper, reason=reason)
+            if self._relay_endpoint and not logged:
+                log_event(
+                    events.STORE_RELAYED, peer=self._relay_endpoint, reason=reason
+                )
                 logged = True
             await asyncio.sleep(PROBE_INTERVAL_MS / 1000)
-        self._lost_ms = None
-        self._helper = ""
+        self._unreachable_since_ms = None
+        self._relay_endpoint = ""
         if logged:
-            after_ms = round(self._clock.monotonic_ms() - lost_ms)
+            after_ms = round(self._clock.monotonic_ms() - begin_ms)
             log_event(events.STORE_DIRECT, after_ms=after_ms)
 
     async def _relay(self, call: StoreCall) -> Result[Any, StoreError]:
-        if self._clock.monotonic_ms() < self._no_peers_until_ms:
-            return Error(_REFUSED)
-        result: Result[Any, StoreError] = Error(_REFUSED)
-        for endpoint in self._peer_order()[:PEERS_TRIED_MAX]:
-            asked_ms = self._clock.monotonic_ms()
+        if self._clock.monotonic_ms() < self._relay_paused_until_ms:
+            return Error(_UNREACHABLE)
+        result: Result[Any, StoreError] = Error(_UNREACHABLE)
+        for endpoint in self._peer_order()[:PEER_ATTEMPTS_MAX]:
+            begin_ms = self._clock.monotonic_ms()
             result = await self._peers.store_call(endpoint, call)
             if _is_final(call, result):
-                self._helper = endpoint if self._lost_ms is not None else ""
+                self._relay_endpoint = (
+                    endpoint if self._unreachable_since_ms is not None else ""
+                )
                 return result
             now_ms = self._clock.monotonic_ms()
-            if now_ms - asked_ms > SLOW_PEER_MS:
-                self._silent_until_ms[endpoint] = now_ms + SILENT_PEER_MS
-        self._helper = ""
-        self._no_peers_until_ms = self._clock.monotonic_ms() + OUTAGE_PAUSE_MS
+            if now_ms - begin_ms > SLOW_PEER_MS:
+                self._skip_until_ms[endpoint] = now_ms + SLOW_PEER_PAUSE_MS
+        self._relay_endpoint = ""
+        self._relay_paused_until_ms = self._clock.monotonic_ms() + OUTAGE_PAUSE_MS
         return result
 
     def _peer_order(self) -> list[str]:
-        """Return the peers to ask, the one that helped last first.
+        """Return the endpoints of peers in the order in which to try them.
 
-        Of the others come those in the own region first, and of these those with wide
-        links: the commits of an owner of many workers fill a narrow one.
+        The peer that relayed last comes first, then peers in the own region, and among
+        those peers with a wide link: the commits of an owner of many workers saturate a
+        narrow one.
         """
         now_ms = self._clock.monotonic_ms()
         others = [
             member
             for member in self._members()[1:]
-            if self._silent_until_ms.get(member.endpoint, 0.0) <= now_ms
+            if self._skip_until_ms.get(member.endpoint, 0.0) <= now_ms
         ]
         self._rng.shuffle(others)
         others.sort(
             key=lambda m: (
-                m.endpoint != self._helper,
+                m.endpoint != self._relay_endpoint,
                 m.region != self._region,
                 not m.wide_link,
             )
@@ -244,7 +263,7 @@
         return [member.endpoint for member in others]
 
 
-def _call(
+def _call_store(
     table: TableService, feed: ChangeFeed, call: StoreCall
 ) -> Awaitable[Result[Any, StoreError]]:
     if isinstance(call, ReadCall):
@@ -257,7 +276,7 @@
 
 
 def _is_final(call: StoreCall, result: Result[Any, StoreError]) -> bool:
-    """Return whether a result stands, so that no other way should be tried."""
+    """Return whether a result is final, so that no other path should be tried."""
     if result.is_ok():
         return True
     if result.error.kind is StoreErrorKind.UNKNOWN:
--- a/basilhold/workflows/shared_time.py
+++ b/basilhold/workflows/shared_time.py
@@ -1,10 +1,10 @@
-"""Time on which all processes of a deployment agree.
+"""Time shared by all processes of a deployment.
 
-Machines' time of day may jump by seconds, and processes compare times that others have
-stored. Deadlines and ages are therefore kept in the time of the store's steady clock,
-which its replies show. Unix time, for work that is due at a time of day, is the store's
-time plus the median of the differences that the processes see; the jump of a minority
-does not move it.
+The system clock of a machine may jump by seconds, and processes compare times that
+others have stored. Deadlines and ages are therefore kept in the time of the store's
+monotonic clock, which its replies carry. Unix time, needed for work that is due at a
+time of day, is the store's time plus the median of the offsets that the processes
+measure, so that jumps of a minority of system clocks do not affect it.
 """
 
 import statistics
@@ -15,19 +15,19 @@
 
 __all__ = ["Instant", "SharedTime"]
 
-CLOCK_DRIFT = 0.01
-"""Two steady clocks differ by less than this share of the time that has passed."""
+CLOCK_DRIFT_MAX = 0.01
+"""Maximum relative drift between two monotonic clocks."""
 
 
 class Instant(NamedTuple):
-    """A moment.
+    """A point in time.
 
     Parameters
     ----------
     now_ms : float
-        Time of the store's clock, in milliseconds.
+        Store's time, in milliseconds.
     unix_offset_ms : float
-        Unix time minus the store's, in milliseconds.
+        Unix time minus the store's time, in milliseconds.
     """
 
     now_ms: float
@@ -40,70 +40,82 @@
 
 
 class SharedTime:
-    """Follows the store's clock.
+    """Estimates the store's time from its replies.
 
     Parameters
     ----------
     clock : Clock
-        Of this process.
+        Clock of this process.
     """
 
     def __init__(self, clock: Clock):
         self._clock = clock
-        self._low_ms = 0.0
-        self._high_ms = 0.0
+        self._offset_low_ms = 0.0
+        self._offset_high_ms = 0.0
         self._observed_ms: float | None = None
         self._unix_offset_ms: float | None = None
 
     @property
     def is_known(self) -> bool:
-        """Whether the store's clock has been seen."""
+        """Whether a reply with the store's time has been received."""
         return self._observed_ms is not None
 
     def local_ms(self) -> float:
-        """Return the time of the loop's clock, in milliseconds."""
+        """Return the monotonic time of this process, in milliseconds."""
         return self._clock.monotonic_ms()
 
     def observe(self, store_ms: float, sent_ms: float, received_ms: float) -> None:
-        """Learn from a reply.
+        """Update the estimate from a reply of the store.
 
         Parameters
         ----------
         store_ms : float
-            Time of the store's clock in the reply.
+            Store's time in the reply, in milliseconds.
         sent_ms, received_ms : float
-            Times of the loop's clock around the call, in milliseconds.
+            Monotonic times of this process before and after the call, in milliseconds.
         """
-        low_ms, high_ms = store_ms - received_ms, store_ms - sent_ms
+        offset_low_ms, offset_high_ms = store_ms - received_ms, store_ms - sent_ms
         if self._observed_ms is not None:
-            drift_ms = CLOCK_DRIFT * max(0.0, received_ms - self._observed_ms)
-            known_low_ms = self._low_ms - drift_ms
-            known_high_ms = self._high_ms + drift_ms
-            # The loop's clock does not count suspension: what was known before may
-            # contradict the reply, which then stands alone.
-            if known_low_ms <= high_ms and low_ms <= known_high_ms:
-                low_ms = max(low_ms, known_low_ms)
-                high_ms = min(high_ms, known_high_ms)
-        self._low_ms, self._high_ms = low_ms, high_ms
+            drift_ms = CLOCK_DRIFT_MAX * max(0.0, received_ms - self._observed_ms)
+            known_offset_low_ms = self._offset_low_ms - drift_ms
+            known_offset_high_ms = self._offset_high_ms + drift_ms
+            # The monotonic clock does not advance while the machine is suspended. The
+            # previous bounds may then contradict the reply and are discarded.
+            if (
+                known_offset_low_ms <= offset_high_ms
+                and offset_low_ms <= known_offset_high_ms
+            ):
+                offset_low_ms = max(offset_low_ms, known_offset_low_ms)
+                offset_high_ms = min(offset_high_ms, known_offset_high_ms)
+        self._offset_low_ms, self._offset_high_ms = offset_low_ms, offset_high_ms
         self._observed_ms = received_ms
 
     def now_ms(self) -> float:
-        """Return the time of the store's clock, in milliseconds.
+        """Return the estimated store's time, in milliseconds.
 
-        Before the first reply this is the loop's clock.
+        Before the first reply, this is the monotonic time of this process.
         """
-        return self._clock.monotonic_ms() + (self._low_ms + self._high_ms) / 2
+        return (
+            self._clock.monotonic_ms()
+            + (self._offset_low_ms + self._offset_high_ms) / 2
+        )
 
     def own_unix_offset_ms(self) -> float:
-        """Return this machine's Unix time minus the store's, in milliseconds."""
+        """Return this machine's Unix time minus the store's time, in milliseconds."""
         return self._clock.unix_ms() - self.now_ms()
 
     def set_unix_offsets(self, offsets_ms: Iterable[float]) -> None:
-        """Take over the differences that the processes of the deployment see."""
+        """Set the offset of Unix time to the median of the processes' offsets.
+
+        Parameters
+        ----------
+        offsets_ms : iterable of float
+            Unix time minus the store's time on each process, in milliseconds.
+        """
         self._unix_offset_ms = statistics.median(offsets_ms)
 
     def read(self) -> Instant:
-        """Return the present moment."""
+        """Return the current time."""
         offset_ms = self._unix_offset_ms
         if offset_ms is None:
             offset_ms = self.own_unix_offset_ms()
--- a/basilhold/workflows/tests/test_members.py
+++ b/basilhold/workflows/tests/test_members.py
@@ -1,4 +1,4 @@
-"""Who knows which processes."""
+"""Tests of the membership rows."""
 
 import asyncio
 
@@ -7,14 +7,19 @@
 from basilhold.standins.feed_table import FeedTable
 from basilhold.testing import VirtualTimeTestCase
 from basilhold.testing.workflow_cell import WorkflowCell
-from basilhold.workflows.members import LAPSE_RENEWALS, RENEW_MS, SAMPLE, MemberList
+from basilhold.workflows.members import (
+    EXPIRY_RENEWALS,
+    RENEW_INTERVAL_MIN_MS,
+    SAMPLE_SIZE,
+    MemberList,
+)
 from basilhold.workflows.peers import Member
 from basilhold.workflows.shared_time import SharedTime
 from basilhold.workflows.stewardship import FAR_POLL_INTERVAL_MS, POLL_INTERVAL_MS
 
 
 class MembersTest(VirtualTimeTestCase):
-    """Guards against reads of the store that grow with the square of the machines."""
+    """Guards against store reads that grow with the square of the member count."""
 
     def make(self, table, number):
         name = f"m{number:04}"
@@ -30,8 +35,8 @@
             await members.refresh(False)
         return table, lists
 
-    async def test_row_that_cannot_be_read_ends_no_process(self):
-        # The exception ended the loop that watches owners, and with it the process.
+    async def test_undecodable_row_does_not_stop_a_process(self):
+        # The decoding error ended the loop that polls owners, and with it the process.
         async with WorkflowCell(process_count=3) as cell:
             await asyncio.sleep(2)
             before = cell.owner_name()
@@ -42,8 +47,8 @@
             await asyncio.sleep(10)
             self.assertIn(cell.owner_name(), cell.processes)
 
-    async def test_unexpected_error_ends_no_process(self):
-        # Guards against an error of one look that ends all looks.
+    async def test_unexpected_error_does_not_stop_polling(self):
+        # Guards against an error in one poll of the owners that ends all later polls.
         async with WorkflowCell(process_count=2) as cell:
             await asyncio.sleep(2)
             before = cell.owner_name()
@@ -56,30 +61,30 @@
             await asyncio.sleep(10)
             self.assertEqual(cell.owner_name(), other)
 
-    async def test_owner_knows_all_and_others_a_few(self):
+    async def test_owner_reads_all_members_and_others_a_sample(self):
         _, lists = await self.fill(700)
         await lists[0].refresh(True)
         self.assertEqual(len(lists[0].alive()), 700)
         await asyncio.sleep(16)
         await lists[300].refresh(False)
-        self.assertEqual(len(lists[300].alive()), SAMPLE + 1)
+        self.assertEqual(len(lists[300].alive()), SAMPLE_SIZE + 1)
 
-    async def test_last_one_of_the_order_knows_the_first_ones(self):
-        # Machines without a peer could not reach the store through one.
+    async def test_sample_wraps_around_at_the_last_key(self):
+        # A process that knows no peer cannot reach the store through one.
         _, lists = await self.fill(40)
         await lists[39].refresh(False)
         names = [member.process_id for member in lists[39].alive()]
         self.assertEqual(names[:3], ["m0039", "m0000", "m0001"])
 
-    async def test_silent_member_lapses(self):
+    async def test_member_that_stops_renewing_expires(self):
         _, lists = await self.fill(3)
         await lists[0].refresh(True)
-        await asyncio.sleep(LAPSE_RENEWALS * RENEW_MS / 1000 + 1)
+        await asyncio.sleep(EXPIRY_RENEWALS * RENEW_INTERVAL_MIN_MS / 1000 + 1)
         await lists[1].refresh(False)
         await lists[0].refresh(True)
         self.assertEqual([m.process_id for m in lists[0].alive()], ["m0000", "m0001"])
 
-    async def test_few_look_often_where_there_are_many(self):
+    async def test_only_owners_poll_often_in_a_large_deployment(self):
         async with WorkflowCell() as cell:
             await asyncio.sleep(5)
             owner = cell.owner_name()
--- a/basilhold/workflows/tests/test_relayed_table.py
+++ b/basilhold/workflows/tests/test_relayed_table.py
@@ -1,4 +1,4 @@
-"""The store through a peer."""
+"""Tests of store calls relayed through a peer."""
 
 import asyncio
 import random
@@ -38,11 +38,11 @@
 from basilhold.workflows.shared_time import SharedTime
 from basilhold.workflows.tests.test_owner import spec_of, step_of
 
-PUT = Transaction((Condition("a/b/c", 0),), (Write("a/b/c", b"\xff"),))
+INSERT = Transaction((Condition("a/b/c", 0),), (Write("a/b/c", b"\xff"),))
 
 
 class FailingTable(FeedTable):
-    """Answers as a test tells it; `kind` is how calls fail, if they do."""
+    """Store whose calls fail with the error `kind`, unless that is ``None``."""
 
     def __init__(self):
         super().__init__()
@@ -53,11 +53,11 @@
         self.calls += 1
         if self.kind is None:
             return operation()
-        return Error(StoreError(self.kind, "told to fail"))
+        return Error(StoreError(self.kind, "injected failure"))
 
 
-class CountingPeers(PeerClient):
-    """A peer that reaches the store, or does not."""
+class FakePeerClient(PeerClient):
+    """Client of peers that relay calls to `table`, or fail if it is ``None``."""
 
     def __init__(self, table):
         self.table = table
@@ -68,7 +68,7 @@
         self.calls += 1
         await asyncio.sleep(self.delay_s)
         if self.table is None:
-            return Error(StoreError(StoreErrorKind.NOT_APPLIED, "no store here"))
+            return Error(StoreError(StoreErrorKind.NOT_APPLIED, "store unreachable"))
         if isinstance(call, TransactCall):
             return self.table.transact_now(call.transaction)
         return Ok({"relayed": Row("relayed", b"", 1)})
@@ -78,11 +78,11 @@
 
 
 class RelayedTableTest(VirtualTimeTestCase):
-    """Guards against a machine that stops for want of its own way to the store."""
+    """Guards against an owner that stops because its machine cannot reach the store."""
 
     def make(self, peer_table):
         self.direct = FailingTable()
-        self.peers = CountingPeers(peer_table)
+        self.peers = FakePeerClient(peer_table)
         members = [Member(ProcessId(n), n, RegionName("r")) for n in ("me", "x", "y")]
         return RelayedTable(
             self.direct,
@@ -94,10 +94,10 @@
             random.Random(0),
         )
 
-    async def test_refused_call_is_relayed_until_the_store_answers(self):
+    async def test_calls_are_relayed_until_the_store_replies(self):
         table = self.make(FeedTable())
         self.direct.kind = StoreErrorKind.NOT_APPLIED
-        self.assertTrue((await table.transact(PUT)).is_ok())
+        self.assertTrue((await table.transact(INSERT)).is_ok())
         calls = self.direct.calls
         self.assertIn("relayed", (await table.read(("k",))).ok)
         self.assertLessEqual(self.direct.calls, calls + 1)
@@ -106,40 +106,41 @@
         self.assertEqual((await table.read(("k",))).ok, {})
 
     async def test_transaction_without_a_reply_is_not_sent_twice(self):
-        # The caller decides whether to repeat it: a second copy may find its own
-        # effect and be taken for a conflict with another owner.
+        # Only the caller can decide whether to repeat it: a second copy conflicts with
+        # the effect of the first, which looks like a write by another owner.
         table = self.make(FeedTable())
         self.direct.kind = StoreErrorKind.UNKNOWN
-        result = await table.transact(PUT)
+        result = await table.transact(INSERT)
         self.assertIs(result.error.kind, StoreErrorKind.UNKNOWN)
         self.assertEqual(self.peers.calls, 0)
-        self.assertTrue((await table.transact(PUT)).is_ok())
+        self.assertTrue((await table.transact(INSERT)).is_ok())
 
-    async def test_near_peer_with_a_wide_link_is_asked_first(self):
-        # Commits of 100 KB took 0.5 s through a machine with 5 Mbit/s, and all starts
-        # of the service waited for them.
+    async def test_peer_in_the_region_with_a_wide_link_is_tried_first(self):
+        # Commits of 100 KB took 0.5 s through a machine with a link of 5 Mbit/s, and
+        # delayed all task starts of the service.
         table = self.make(FeedTable())
-        here, there = RegionName("r"), RegionName("s")
+        near, far = RegionName("r"), RegionName("s")
         table._members = lambda: [
-            Member(ProcessId("me"), "me", here),
-            Member(ProcessId("a"), "a", there, wide_link=True),
-            *(Member(ProcessId(f"b{n}"), f"b{n}", here) for n in range(8)),
-            Member(ProcessId("c"), "c", here, wide_link=True),
+            Member(ProcessId("me"), "me", near),
+            Member(ProcessId("a"), "a", far, wide_link=True),
+            *(Member(ProcessId(f"b{n}"), f"b{n}", near) for n in range(8)),
+            Member(ProcessId("c"), "c", near, wide_link=True),
         ]
         order = table._peer_order()
         self.assertEqual((order[0], order[-1]), ("c", "a"))
 
-    async def test_outage_is_not_multiplied_by_the_peers(self):
-        # In an outage each call would become three, all of which are paid for.
+    async def test_outage_does_not_multiply_calls(self):
+        # Otherwise each call during an outage would become three, each of which
+        # is charged for.
         table = self.make(None)
         self.direct.kind = StoreErrorKind.NOT_APPLIED
         for _ in range(20):
             await table.read(("k",))
         self.assertLessEqual(self.peers.calls, 2)
 
-    async def test_dead_peers_do_not_hold_up_a_store_that_is_back(self):
-        # An owner took up work 0.9 s after the store was back: each call first waited
-        # for peers that had died.
+    async def test_dead_peers_do_not_delay_calls_after_an_outage(self):
+        # An owner resumed work only 0.9 s after the store had recovered, because each
+        # call first waited for dead peers.
         table = self.make(None)
         self.peers.delay_s = 0.5
         self.direct.kind = StoreErrorKind.NOT_APPLIED
@@ -150,7 +151,7 @@
         self.assertTrue((await table.read(("k",))).is_ok())
         self.assertLess(asyncio.get_running_loop().time() - begin_s, 0.1)
 
-    async def test_peer_without_the_store_serves_nobody(self):
+    async def test_peer_without_a_recent_store_reply_rejects_calls(self):
         table = self.make(None)
         call = ReadCall(("k",))
         self.assertTrue((await table.serve(call)).is_error())
@@ -161,9 +162,9 @@
 
 
 class RelayingCellTest(VirtualTimeTestCase):
-    """Guards against a takeover, and refused callers, where peers reach the store."""
+    """Guards against takeovers and rejected callers while peers can reach the store."""
 
-    async def test_owner_that_the_store_refuses_works_on(self):
+    async def test_owner_without_store_access_continues(self):
         spec = spec_of(1, step_of(4, 500.0), step_of(2, 500.0, after=(0,)))
         async with WorkflowCell() as cell:
             await asyncio.sleep(1)
@@ -183,8 +184,8 @@
             self.assertEqual(cell.runners.violations, [])
 
 
-class Front:
-    """Runs the calls of peers against a table."""
+class FakePeerService:
+    """Executes the calls of peers on a table; `fails` injects errors."""
 
     def __init__(self, table):
         self.table = table
@@ -195,7 +196,7 @@
 
     def owns(self, service):
         if self.fails:
-            raise RuntimeError("told to fail")
+            raise RuntimeError("injected failure")
         return service == SERVICE
 
     async def run_store_call(self, call):
@@ -207,17 +208,17 @@
             return self.table.changes_now(call.prefix, call.after)
         result = self.table.transact_now(call.transaction)
         if self.fails:
-            raise RuntimeError("told to fail")
+            raise RuntimeError("injected failure")
         return result
 
 
 class PeerStoreCallTest(unittest.IsolatedAsyncioTestCase):
-    """Guards against replies of peers that are taken for others."""
+    """Guards against replies of peers that are decoded or interpreted wrongly."""
 
     async def asyncSetUp(self):
         self.table = FeedTable()
-        self.front = Front(self.table)
-        server = make_peer_server(self.front)
+        self.service = FakePeerService(self.table)
+        server = make_peer_server(self.service)
         listening = socket.create_server(("127.0.0.1", 0))
         listening.setblocking(False)
         server.add_socket(listening)
@@ -227,30 +228,30 @@
             await self.enterAsyncContext(HttpPool()), SharedTime(Clock(0))
         )
 
-    async def test_calls_return_what_the_store_did(self):
+    async def test_calls_return_the_results_of_the_store(self):
         calls = [
-            TransactCall(PUT),
+            TransactCall(INSERT),
             ReadCall(("a/b/c",)),
             ScanCall("a/b/", "", 10),
             ChangesCall("a/", 0, 0),
         ]
-        front = Front(self.table)
+        service = FakePeerService(self.table)
         for call in calls:
             with self.subTest(call=call):
                 result = await self.peers.store_call(self.endpoint, call)
                 if not isinstance(call, TransactCall):
-                    self.assertEqual(result, await front.run_store_call(call))
+                    self.assertEqual(result, await service.run_store_call(call))
                 self.assertTrue(result.is_ok())
 
     async def test_conflict_keeps_its_versions(self):
-        await self.peers.store_call(self.endpoint, TransactCall(PUT))
-        result = await self.peers.store_call(self.endpoint, TransactCall(PUT))
+        await self.peers.store_call(self.endpoint, TransactCall(INSERT))
+        result = await self.peers.store_call(self.endpoint, TransactCall(INSERT))
         self.assertIs(result.error.kind, StoreErrorKind.CONFLICT)
         self.assertEqual(result.error.conflicts, (Conflict("a/b/c", 0, 1),))
 
     async def test_transaction_is_not_sent_again_on_a_new_connection(self):
-        # The pool's second copy found the effect of the first, and the conflict made
-        # an owner give up its lease.
+        # The connection pool resent the transaction, which conflicted with its first
+        # copy; the conflict made an owner give up its lease.
         requests = []
 
         async def serve(reader, writer):
@@ -269,26 +270,25 @@
         self.addCleanup(server.close)
         endpoint = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
         self.assertTrue((await self.peers.store_call(endpoint, ReadCall(()))).is_ok())
-        result = await self.peers.store_call(endpoint, TransactCall(PUT))
+        result = await self.peers.store_call(endpoint, TransactCall(INSERT))
         self.assertIs(result.error.kind, StoreErrorKind.UNKNOWN)
         self.assertEqual(len(requests), 2)
 
-    async def test_peer_that_fails_may_have_applied_a_transaction(self):
-        # A reply of 500 was taken for "not applied", also after the store had applied.
-        self.front.fails = True
-        result = await self.peers.store_call(self.endpoint, TransactCall(PUT))
+    async def test_error_of_a_peer_leaves_a_transaction_unknown(self):
+        # Status 500 was interpreted as "not applied", even if the store had applied the
+        # transaction.
+        self.service.fails = True
+        result = await self.peers.store_call(self.endpoint, TransactCall(INSERT))
         self.assertIs(result.error.kind, StoreErrorKind.UNKNOWN)
 
-    async def test_presence_tells_an_owner_from_others_and_from_silence(self):
-        presence = self.peers.query_ownership
-        self.assertIs(await presence(self.endpoint, SERVICE), OwnershipReply.OWNER)
-        self.assertIs(
-            await presence(self.endpoint, "another"), OwnershipReply.NOT_OWNER
-        )
-        self.assertIs(await presence("127.0.0.1:1", SERVICE), OwnershipReply.NO_REPLY)
-        self.front.fails = True
-        self.assertIs(await presence(self.endpoint, SERVICE), OwnershipReply.NO_REPLY)
+    async def test_ownership_query_distinguishes_owner_other_and_no_reply(self):
+        query = self.peers.query_ownership
+        self.assertIs(await query(self.endpoint, SERVICE), OwnershipReply.OWNER)
+        self.assertIs(await query(self.endpoint, "another"), OwnershipReply.NOT_OWNER)
+        self.assertIs(await query("127.0.0.1:1", SERVICE), OwnershipReply.NO_REPLY)
+        self.service.fails = True
+        self.assertIs(await query(self.endpoint, SERVICE), OwnershipReply.NO_REPLY)
 
-    async def test_peer_that_is_gone_has_done_nothing(self):
+    async def test_refused_connection_means_not_applied(self):
         result = await self.peers.store_call("127.0.0.1:1", ReadCall(("k",)))
         self.assertIs(result.error.kind, StoreErrorKind.NOT_APPLIED)
--- a/basilhold/workflows/tests/test_shared_time.py
+++ b/basilhold/workflows/tests/test_shared_time.py
@@ -1,4 +1,4 @@
-"""Time that no jump of a machine's time of day moves."""
+"""Tests of the shared time and of its independence from system clock jumps."""
 
 import asyncio
 import random
@@ -14,29 +14,29 @@
 from basilhold.workflows.shared_time import SharedTime
 
 JUMP_MS = 2_400
-EARLY_MS = 250
-"""A repeated workflow may start this much before its time, never more."""
+EARLY_MAX_MS = 250
+"""Maximum time by which an occurrence of a repeated workflow may start early."""
 
 POLICY = QueuePolicy(QueueName("quotes"), SERVICE, 0, 3, 2.0, 60_000.0)
 
 
 class SharedTimeTest(VirtualTimeTestCase):
-    """The estimate of the store's clock."""
+    """Tests of the estimate of the store's time."""
 
-    async def test_reply_bounds_the_store_s_clock(self):
+    async def test_replies_bound_the_store_time(self):
         time = SharedTime(Clock(0))
         self.assertFalse(time.is_known)
         time.observe(9_040.0, 0.0, 60.0)
         self.assertLess(abs(time.now_ms() - time.local_ms() - 9_000.0), 61.0)
-        # A quick reply tells more than a slow one, also after that.
+        # A fast reply gives tighter bounds, which a later slow reply does not widen.
         time.observe(9_101.0, 100.0, 102.0)
         time.observe(9_150.0, 110.0, 400.0)
         self.assertLess(abs(time.now_ms() - time.local_ms() - 9_000.0), 5.0)
 
-    async def test_suspension_is_noticed_with_the_next_reply(self):
+    async def test_suspension_is_detected_by_the_next_reply(self):
         time = SharedTime(Clock(0))
         time.observe(9_001.0, 0.0, 2.0)
-        # The machine slept for 3 s, which its own steady clock did not count.
+        # The machine was suspended for 3 s, which its monotonic clock does not count.
         time.observe(13_001.0, 1_000.0, 1_002.0)
         self.assertLess(abs(time.now_ms() - time.local_ms() - 12_000.0), 2.0)
 
@@ -51,7 +51,7 @@
 
 
 class ClockJumpTest(VirtualTimeTestCase):
-    """A full pool of workers while a third of the machines jump and jump back."""
+    """Tests with a full pool while the clocks of a third of the machines jump."""
 
     def setUp(self):
         self.number = 0
@@ -77,24 +77,28 @@
         )
         cell.runners.specs[spec.job_id] = spec
 
-    async def first_starts(self, cell, seconds):
-        """Return jobs by the time of their first start, in milliseconds."""
+    async def record_first_starts(self, cell, seconds):
+        """Return the first start of each occurrence, in monotonic milliseconds.
+
+        Runs for a number of seconds; keys are pairs of job and occurrence.
+        """
         loop = asyncio.get_running_loop()
-        found = {}
+        first_starts = {}
         end_s = loop.time() + seconds
         while loop.time() < end_s:
             for key in cell.runners.started:
                 name = (key.job_id, key.task.occurrence)
-                found.setdefault(name, loop.time() * 1000)
+                first_starts.setdefault(name, loop.time() * 1000)
             await asyncio.sleep(0.005)
-        return found
+        return first_starts
 
-    async def test_order_of_a_full_pool_is_that_of_submission(self):
-        # Jobs of machines that were 2.4 s ahead waited behind later ones.
+    async def test_full_pool_starts_jobs_in_order_of_submission(self):
+        # Jobs submitted through machines whose clocks were 2.4 s ahead started after
+        # jobs that were submitted later.
         async with WorkflowCell(process_count=6, worker_count=1) as cell:
             await asyncio.sleep(5)
             jumping = ["p1", "p4"]
-            watch = asyncio.create_task(self.first_starts(cell, 25))
+            recording = asyncio.create_task(self.record_first_starts(cell, 25))
             specs = []
             for number in range(12):
                 if number == 2:
@@ -105,12 +109,12 @@
                 specs.append(spec)
                 await self.submit_through(cell, f"p{number % 6}", spec)
                 await asyncio.sleep(0.05)
-            found = await watch
-            order = sorted(found, key=found.get)
+            first_starts = await recording
+            order = sorted(first_starts, key=first_starts.get)
             self.assertEqual([name for name, _ in order], [s.job_id for s in specs])
 
-    async def test_no_occurrence_starts_early_or_late(self):
-        # An owner whose time of day jumped ahead started occurrences 2.4 s early.
+    async def test_occurrences_start_on_time(self):
+        # An owner whose system clock jumped ahead started occurrences 2.4 s early.
         async with WorkflowCell(process_count=6, worker_count=4) as cell:
             await asyncio.sleep(2)
             now_ms = asyncio.get_running_loop().time() * 1000
@@ -122,18 +126,18 @@
             others = [name for name in sorted(cell.processes) if name != owner]
             await self.submit_through(cell, others[0], spec)
             self.jump(cell, [owner, others[0]], JUMP_MS)
-            watch = asyncio.create_task(self.first_starts(cell, 16))
+            recording = asyncio.create_task(self.record_first_starts(cell, 16))
             await asyncio.sleep(8)
             self.jump(cell, [owner, others[0]], -2 * JUMP_MS)
-            found = await watch
+            first_starts = await recording
             for occurrence in range(4):
                 due_ms = first_ms - VIRTUAL_EPOCH_UNIX_MS + occurrence * 3_000.0
-                late_ms = found[spec.job_id, occurrence] - due_ms
-                self.assertGreater(late_ms, -EARLY_MS)
+                late_ms = first_starts[spec.job_id, occurrence] - due_ms
+                self.assertGreater(late_ms, -EARLY_MAX_MS)
                 self.assertLess(late_ms, 1_000.0)
 
-    async def test_ended_workflow_is_kept_as_long_as_told(self):
-        # A jump ahead made states disappear before their time.
+    async def test_ended_workflow_is_kept_for_the_retention_time(self):
+        # A jump of the owner's system clock removed states before the retention ended.
         async with WorkflowCell(process_count=3, worker_count=2) as cell:
             for process in cell.processes.values():
                 limits = process.stewardship._limits
