Rename ports, list filter and log output to terms of the field

Names such as ListGuard, AnswerHead and HoldCall did not say what they stand for. The modules membership/doubt.py and membership/list_guard.py are moved; no behaviour changes.

--- a/basilhold/adapters/tests/test_upstreams.py
+++ b/basilhold/adapters/tests/test_upstreams.py
@@ -4,13 +4,13 @@
 
 from basilhold.adapters.upstreams import TornadoUpstreamClient
 from basilhold.core import UpstreamId
-from basilhold.ports import AnswerSink, SendPhase, UpstreamRequest
+from basilhold.ports import ResponseSink, SendPhase, UpstreamRequest
 from basilhold.standins import UpstreamBehaviour, UpstreamServer
 
 UPSTREAM = UpstreamId("u")
 
 
-class Sink(AnswerSink):
+class Sink(ResponseSink):
     def __init__(self):
         self.head = None
         self.body = bytearray()
--- a/basilhold/adapters/upstreams.py
+++ b/basilhold/adapters/upstreams.py
@@ -18,8 +18,8 @@
 
 from basilhold.core import UpstreamId
 from basilhold.ports import (
-    AnswerHead,
-    AnswerSink,
+    ResponseHead,
+    ResponseSink,
     SendError,
     SendPhase,
     UpstreamClient,
@@ -41,10 +41,10 @@
 class _AnswerReader(HTTPMessageDelegate):
     """Passes one answer to a sink and finds out whether it is whole."""
 
-    def __init__(self, sink: AnswerSink, method: str):
+    def __init__(self, sink: ResponseSink, method: str):
         self._sink = sink
         self._method = method
-        self.head: AnswerHead | None = None
+        self.head: ResponseHead | None = None
         self.whole = False
         self.aborted = False
         self.keep_alive = False
@@ -65,7 +65,7 @@
             raise HTTPInputError("the answer has several lengths")
         connection = headers.get("Connection", "").lower()
         self.keep_alive = start_line.version == "HTTP/1.1" and connection != "close"
-        self.head = AnswerHead(status, tuple(headers.get_all()))
+        self.head = ResponseHead(status, tuple(headers.get_all()))
         await self._sink.start(self.head)
 
     async def data_received(self, chunk: bytes) -> None:
@@ -118,8 +118,8 @@
         self._close_idle(upstream_id, limit)
 
     async def send(
-        self, request: UpstreamRequest, sink: AnswerSink
-    ) -> Result[AnswerHead, SendError]:
+        self, request: UpstreamRequest, sink: ResponseSink
+    ) -> Result[ResponseHead, SendError]:
         """Send a request and pass the answer on."""
         loop = asyncio.get_running_loop()
         deadline = loop.time() + request.timeout_ms / 1000
--- a/basilhold/benchmarks/request_load.py
+++ b/basilhold/benchmarks/request_load.py
@@ -29,7 +29,7 @@
     RequestService,
     ServiceParts,
 )
-from basilhold.ports import AnswerHead, VmKind, VmRecord, VmState
+from basilhold.ports import ResponseHead, VmKind, VmRecord, VmState
 from basilhold.requests import (
     CallerRequest,
     ClassDirectory,
@@ -189,7 +189,7 @@
     def set_outcome(self, outcome: Outcome, replayed: bool) -> None:
         return
 
-    async def start(self, head: AnswerHead) -> None:
+    async def start(self, head: ResponseHead) -> None:
         self.status = head.status
 
     async def write(self, data: bytes) -> None:
--- a/basilhold/benchmarks/requests.py
+++ b/basilhold/benchmarks/requests.py
@@ -46,7 +46,7 @@
     StaticCallers,
     make_application,
 )
-from basilhold.ports import AnswerHead, AnswerSink, UpstreamRequest, VmRecord
+from basilhold.ports import ResponseHead, ResponseSink, UpstreamRequest, VmRecord
 from basilhold.ports import VmKind as Kind
 from basilhold.ports import VmState as State
 from basilhold.requests import (
@@ -257,8 +257,8 @@
         raise NotImplementedError
 
 
-class _NullSink(AnswerSink):
-    async def start(self, head: AnswerHead) -> None:
+class _NullSink(ResponseSink):
+    async def start(self, head: ResponseHead) -> None:
         return
 
     async def write(self, data: bytes) -> None:
--- a/basilhold/gateway/answers.py
+++ b/basilhold/gateway/answers.py
@@ -6,7 +6,7 @@
 from basilhold.gateway.counters import Count, RequestCounters
 from basilhold.gateway.events import ANSWER_NOT_KEPT
 from basilhold.observability import log_event
-from basilhold.ports import AnswerHead, AnswerSink, ObjectStore
+from basilhold.ports import ObjectStore, ResponseHead, ResponseSink
 from basilhold.requests import OnceAnswer, Outcome
 from basilhold.requests.once import INLINE_ANSWER_BYTES_MAX, chunk_name
 
@@ -30,7 +30,7 @@
 RETRYABLE_STATUSES = frozenset({500, 502, 503, 504})
 
 
-class CallerSink(AnswerSink):
+class CallerSink(ResponseSink):
     """The caller's side of one request."""
 
     @abstractmethod
@@ -75,7 +75,7 @@
             await self._put(bytes(self._buffer[:CHUNK_BYTES]))
             del self._buffer[:CHUNK_BYTES]
 
-    async def end(self, head: AnswerHead) -> OnceAnswer:
+    async def end(self, head: ResponseHead) -> OnceAnswer:
         """Return the answer after its last part."""
         if self._chunk_count == 0 and len(self._buffer) <= INLINE_ANSWER_BYTES_MAX:
             return OnceAnswer(
@@ -109,7 +109,7 @@
         log_event(ANSWER_NOT_KEPT, reason=reason)
 
 
-class AttemptSink(AnswerSink):
+class AttemptSink(ResponseSink):
     """Receives the answer of one attempt and passes it on.
 
     Parameters
@@ -126,7 +126,7 @@
         self._caller = caller
         self._recorder = recorder
         self._held = bytearray()
-        self.head: AnswerHead | None = None
+        self.head: ResponseHead | None = None
         self.passed_on = False
         self.size_bytes = 0
 
@@ -142,7 +142,7 @@
         """Whether the upstream has failed the request."""
         return self.head is not None and self.head.status in RETRYABLE_STATUSES
 
-    async def start(self, head: AnswerHead) -> None:
+    async def start(self, head: ResponseHead) -> None:
         """Receive status and headers."""
         self.head = head
 
--- a/basilhold/gateway/handlers.py
+++ b/basilhold/gateway/handlers.py
@@ -13,7 +13,7 @@
 from basilhold.gateway.front import FrontEnd
 from basilhold.gateway.problems import OUTCOME_HEADER, PROBLEM_TYPE, encode_problem
 from basilhold.gateway.service import UNKNOWN_CLASS
-from basilhold.ports import AnswerHead
+from basilhold.ports import ResponseHead
 from basilhold.requests import (
     CallerRequest,
     Outcome,
@@ -66,7 +66,7 @@
         if replayed:
             self._handler.set_header("Basilhold-Replayed", "true")
 
-    async def start(self, head: AnswerHead) -> None:
+    async def start(self, head: ResponseHead) -> None:
         """Set status and headers."""
         if self.gone:
             return
--- a/basilhold/gateway/replay.py
+++ b/basilhold/gateway/replay.py
@@ -2,7 +2,7 @@
 
 from basilhold.gateway.answers import CallerSink
 from basilhold.gateway.once_results import Replay
-from basilhold.ports import AnswerHead, ObjectStore
+from basilhold.ports import ObjectStore, ResponseHead
 from basilhold.requests import Outcome, Problem, ProblemKind, RequestEnd
 from basilhold.requests.once import chunk_name
 
@@ -20,7 +20,7 @@
         With a problem if the answer can't be read to its end.
     """
     answer = replay.answer
-    head = AnswerHead(answer.status, answer.headers)
+    head = ResponseHead(answer.status, answer.headers)
     first = answer.body
     if answer.chunk_count:
         read = await objects.get(chunk_name(replay.key, replay.write_id, 0))
--- a/basilhold/membership/__init__.py
+++ b/basilhold/membership/__init__.py
@@ -1,7 +1,6 @@
 """VM list filter, liveness, leaving state, region reader election."""
 
-from basilhold.membership.doubt import is_doubtful_loss
-from basilhold.membership.list_guard import ListGuard
+from basilhold.membership.list_filter import VmListFilter
 from basilhold.membership.members import (
     GONE_AFTER_MS,
     Liveness,
@@ -15,10 +14,11 @@
     decode_reader,
     reader_key,
 )
+from basilhold.membership.suspect_loss import is_suspect_loss
 
 __all__ = [
     "GONE_AFTER_MS",
-    "ListGuard",
+    "VmListFilter",
     "Liveness",
     "MemberChange",
     "Membership",
@@ -26,6 +26,6 @@
     "ReaderLocation",
     "claim_reader",
     "decode_reader",
-    "is_doubtful_loss",
+    "is_suspect_loss",
     "reader_key",
 ]
--- a/basilhold/membership/list_guard.py
+++ b/basilhold/membership/list_filter.py
@@ -5,16 +5,16 @@
 import msgspec
 
 from basilhold.core import VmId
-from basilhold.membership.doubt import is_doubtful_loss
+from basilhold.membership.suspect_loss import is_suspect_loss
 from basilhold.ports import VmRecord, VmSnapshot
 
-__all__ = ["ListGuard"]
+__all__ = ["VmListFilter"]
 
 HOLD_MS = 30_000
 """How long a much smaller list is held back."""
 
 
-class ListGuard:
+class VmListFilter:
     """Keeps a wrong or flapping VM list from being sent to every region.
 
     It only saves traffic. Whether a VM is gone is decided by each process, which
@@ -41,7 +41,7 @@
         listed = {record.vm_id for record in snapshot.records}
         missing = [record for vm_id, record in known.items() if vm_id not in listed]
         whole = msgspec.structs.replace(snapshot, version=snapshot.version * 2 + 1)
-        if not is_doubtful_loss(missing, known.values()):
+        if not is_suspect_loss(missing, known.values()):
             self._doubtful_since_ms = None
             return whole
         if self._doubtful_since_ms is None:
--- a/basilhold/membership/members.py
+++ b/basilhold/membership/members.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from basilhold.core import ServiceName, VmId
-from basilhold.membership.doubt import is_doubtful_loss
+from basilhold.membership.suspect_loss import is_suspect_loss
 from basilhold.ports import VmKind, VmRecord, VmState
 
 __all__ = ["GONE_AFTER_MS", "Liveness", "MemberChange", "Membership", "PeerReport"]
@@ -93,7 +93,7 @@
         self.doubt_count = 0
 
     @property
-    def is_doubted(self) -> bool:
+    def is_list_suspect(self) -> bool:
         """Whether the list lacks so many VMs that its losses are not believed."""
         return self._is_doubted
 
@@ -219,7 +219,7 @@
         ]
         known = [member.record for member in self._members.values()]
         was_doubted = self._is_doubted
-        self._is_doubted = is_doubtful_loss(missing, known)
+        self._is_doubted = is_suspect_loss(missing, known)
         if self._is_doubted and not was_doubted:
             self.doubt_count += 1
         if was_doubted and not self._is_doubted:
--- a/basilhold/membership/doubt.py
+++ b/basilhold/membership/suspect_loss.py
@@ -5,7 +5,7 @@
 
 from basilhold.ports import VmRecord, VmState
 
-__all__ = ["is_doubtful_loss"]
+__all__ = ["is_suspect_loss"]
 
 DOUBT_RATIO = 1 / 3
 """Loss of a larger share of the VMs at once is doubted (section 7.3)."""
@@ -14,7 +14,7 @@
 """Fewer lost VMs are believed; in a small group even one is a large share."""
 
 
-def is_doubtful_loss(missing: Collection[VmRecord], known: Iterable[VmRecord]) -> bool:
+def is_suspect_loss(missing: Collection[VmRecord], known: Iterable[VmRecord]) -> bool:
     """Whether a list that lacks some of the known VMs is doubted.
 
     The share is taken of all VMs and of each kind, so that a list that lacks only
--- a/basilhold/membership/tests/test_members.py
+++ b/basilhold/membership/tests/test_members.py
@@ -4,10 +4,10 @@
 
 from basilhold.core import ServiceName, VmId
 from basilhold.membership import (
-    ListGuard,
     Liveness,
     Membership,
     PeerReport,
+    VmListFilter,
     members,
 )
 from basilhold.ports import VmKind, VmRecord, VmSnapshot, VmState
@@ -91,7 +91,7 @@
             with self.subTest(count=len(shown)):
                 lists = Lists()
                 lists.run(600, shown)
-                self.assertTrue(lists.membership.is_doubted)
+                self.assertTrue(lists.membership.is_list_suspect)
                 for index in range(12):
                     self.assertIsNot(lists.liveness(index), Liveness.GONE)
                 lists.run(1)
@@ -176,7 +176,7 @@
             self.assertEqual(run_random(seed), [], f"seed {seed}")
 
     def test_trusting_every_list_is_caught(self):
-        with mock.patch.object(members, "is_doubtful_loss", lambda *_: False):
+        with mock.patch.object(members, "is_suspect_loss", lambda *_: False):
             self.assertTrue(any(run_random(seed) for seed in range(10)))
 
 
@@ -184,7 +184,7 @@
     """Guards the paid link against lists that flap."""
 
     def test_sudden_loss_is_held_and_released_under_new_versions(self):
-        guard, known = ListGuard(), {vm(i).vm_id: vm(i) for i in range(12)}
+        guard, known = VmListFilter(), {vm(i).vm_id: vm(i) for i in range(12)}
         held = guard.check(VmSnapshot(5, ()), known, 0)
         self.assertEqual((held.version, len(held.records)), (10, 12))
         back = guard.check(VmSnapshot(6, tuple(known.values())), known, 1000)
--- a/basilhold/nodes/directory.py
+++ b/basilhold/nodes/directory.py
@@ -120,14 +120,14 @@
         membership = self._membership
         membership.apply_list(version, records, confirmed_at_ms)
         changed = bool(membership.take_changes())
-        if changed or membership.is_doubted != self._was_doubted:
-            self._was_doubted = membership.is_doubted
+        if changed or membership.is_list_suspect != self._was_doubted:
+            self._was_doubted = membership.is_list_suspect
             self._index()
 
     @property
     def is_vm_list_doubted(self) -> bool:
         """Whether the losses of the VM list are not believed."""
-        return self._membership.is_doubted
+        return self._membership.is_list_suspect
 
     def shards(self) -> tuple[ShardInfo, ...]:
         """Return the availability zones that have workers or upstreams."""
@@ -230,6 +230,6 @@
             for record in membership.members(kind, Liveness.LEAVING)
         )
         records = membership.members(kind) + leaving
-        if membership.is_doubted:
+        if membership.is_list_suspect:
             records += membership.members(kind, Liveness.ABSENT)
         return records
--- a/basilhold/observability/__init__.py
+++ b/basilhold/observability/__init__.py
@@ -9,7 +9,7 @@
 from basilhold.observability.health import Health, HealthReport, ReadinessCheck
 from basilhold.observability.log_setup import (
     BoundedOutput,
-    log_to_output,
+    set_log_output,
     set_up_logging,
 )
 from basilhold.observability.loop_lag import LoopLagSampler
@@ -47,7 +47,7 @@
     "StateSource",
     "StatusPages",
     "log_event",
-    "log_to_output",
+    "set_log_output",
     "make_status_pages",
     "metric",
     "registered_events",
--- a/basilhold/observability/log_setup.py
+++ b/basilhold/observability/log_setup.py
@@ -8,7 +8,7 @@
 
 from absl import logging
 
-__all__ = ["BoundedOutput", "LineFormatter", "log_to_output", "set_up_logging"]
+__all__ = ["BoundedOutput", "LineFormatter", "set_log_output", "set_up_logging"]
 
 LINES_PER_SECOND_MAX = 2_000
 """About 0.4 MB a second; a cell at its peak writes a tenth of it."""
@@ -129,6 +129,6 @@
         self._untold += 1
 
 
-def log_to_output(output: BoundedOutput) -> None:
+def set_log_output(output: BoundedOutput) -> None:
     """Send the lines of `set_up_logging` to another stream."""
     logging.get_absl_handler().python_handler.stream = output
--- a/basilhold/platform/node.py
+++ b/basilhold/platform/node.py
@@ -20,9 +20,9 @@
     Metrics,
     MetricSource,
     log_event,
-    log_to_output,
     make_status_pages,
     metric,
+    set_log_output,
     set_up_logging,
     status_application,
 )
@@ -337,7 +337,7 @@
     settings = result.ok
     set_up_logging("info", settings.node)
     output = BoundedOutput(sys.stdout.fileno())
-    log_to_output(output)
+    set_log_output(output)
     return run_daemon(lambda: NodeDaemon(settings, output), uvloop.new_event_loop)
 
 
--- a/basilhold/platform/runners.py
+++ b/basilhold/platform/runners.py
@@ -14,11 +14,11 @@
     Admission,
     AdviceService,
     CallOutcome,
-    HoldCall,
-    Registry,
+    RenewLeaseCall,
     RunnerCall,
     StartCall,
     TaskRunners,
+    WorkerRegistry,
 )
 from basilhold.workflows.model import QueuePolicy, RunNumber, TaskKey, task_name
 from basilhold.workflows.pool import (
@@ -149,8 +149,8 @@
         body = _PaceBody(_name(call), call.run, percent, call.epoch)
         return await self._order(worker, "/-/pace", body)
 
-    async def hold(
-        self, worker: Worker, call: HoldCall
+    async def renew_lease(
+        self, worker: Worker, call: RenewLeaseCall
     ) -> Result[Listing, CallOutcome]:
         """Renew the lease and return what runs and has ended."""
         body = _HoldBody(
@@ -259,7 +259,7 @@
     born: int = 0
 
 
-class PlatformRegistry(Registry):
+class PlatformRegistry(WorkerRegistry):
     """Registrations of runners in the store.
 
     Parameters
--- a/basilhold/platform/tests/fake_platform.py
+++ b/basilhold/platform/tests/fake_platform.py
@@ -13,7 +13,7 @@
 
 from basilhold.core import Epoch, JobId, Resources, WorkerId
 from basilhold.platform.tests.platform_http import PlatformHttp
-from basilhold.ports.runners import CallOutcome, HoldCall, RunnerCall, StartCall
+from basilhold.ports.runners import CallOutcome, RenewLeaseCall, RunnerCall, StartCall
 from basilhold.standins.runners import MemoryRunner, MemoryRunners, RunnerFaults
 from basilhold.workflows.model import RunNumber, TaskKey, task_name
 from basilhold.workflows.pool import Worker, WorkerInfo
@@ -262,13 +262,13 @@
         self._answer(outcome, {"clock_ms": runner.clock_ms()})
 
     async def _hold(self, worker: Worker, body: dict) -> None:
-        call = HoldCall(
+        call = RenewLeaseCall(
             Epoch(body["fence"]),
             body["acked_through"],
             body.get("until_ms", 0),
             body.get("wait_ms", 0),
         )
-        result = await self._runners.hold(worker, call)
+        result = await self._runners.renew_lease(worker, call)
         if result.is_error():
             self._answer(result.error, {})
             return
--- a/basilhold/platform/tests/test_runners.py
+++ b/basilhold/platform/tests/test_runners.py
@@ -4,7 +4,7 @@
 from basilhold.core import Epoch, JobId, Resources, WorkerId
 from basilhold.platform.runners import PlatformAdvice, PlatformRunners, address_of
 from basilhold.platform.tests.platform_http import PlatformHttp
-from basilhold.ports.runners import CallOutcome, HoldCall, RunnerCall, StartCall
+from basilhold.ports.runners import CallOutcome, RenewLeaseCall, RunnerCall, StartCall
 from basilhold.workflows.model import AdvicePolicy, QueuePolicy, RunNumber, TaskKey
 from basilhold.workflows.pool import Worker, WorkerInfo
 from basilhold.workflows.progress import EndKind
@@ -81,8 +81,8 @@
                 "finished": [[58, name, 1, "lapsed", ""]],
             },
         )
-        call = HoldCall(Epoch(7), 57, 486000.0, 1_000)
-        listing = (await self.runners.hold(self.worker, call)).ok
+        call = RenewLeaseCall(Epoch(7), 57, 486000.0, 1_000)
+        listing = (await self.runners.renew_lease(self.worker, call)).ok
         self.assertEqual((listing.clock_ms, listing.born_unix_ms), (482113, 99))
         self.assertEqual(listing.running[0].key.task, TaskKey(0, 1, 17))
         self.assertEqual(listing.running[0].percent, 41)
@@ -94,7 +94,9 @@
     async def test_unreadable_lists_are_no_lists(self):
         for body in ({"running": []}, {"clock_ms": 1, "running": [["x", 1]]}):
             self.platform.replies["/-/hold"] = (200, body)
-            result = await self.runners.hold(self.worker, HoldCall(Epoch(1), 0))
+            result = await self.runners.renew_lease(
+                self.worker, RenewLeaseCall(Epoch(1), 0)
+            )
             self.assertIs(result.error, CallOutcome.UNKNOWN)
 
     async def test_advice(self):
--- a/basilhold/ports/__init__.py
+++ b/basilhold/ports/__init__.py
@@ -16,8 +16,8 @@
     Write,
 )
 from basilhold.ports.upstreams import (
-    AnswerHead,
-    AnswerSink,
+    ResponseHead,
+    ResponseSink,
     SendError,
     SendPhase,
     UpstreamClient,
@@ -42,8 +42,8 @@
     "ABSENT",
     "AgentError",
     "AgentErrorKind",
-    "AnswerHead",
-    "AnswerSink",
+    "ResponseHead",
+    "ResponseSink",
     "ChangeFeed",
     "Changes",
     "Condition",
--- a/basilhold/ports/runners.py
+++ b/basilhold/ports/runners.py
@@ -14,8 +14,8 @@
     "Admission",
     "AdviceService",
     "CallOutcome",
-    "HoldCall",
-    "Registry",
+    "RenewLeaseCall",
+    "WorkerRegistry",
     "RunnerCall",
     "StartCall",
     "TaskRunners",
@@ -71,7 +71,7 @@
     ticket: str = ""
 
 
-class HoldCall(msgspec.Struct, frozen=True):
+class RenewLeaseCall(msgspec.Struct, frozen=True):
     """Renews the lease of everything on a worker and asks for its lists.
 
     Parameters
@@ -107,13 +107,13 @@
         """Let a run work at a share of its speed."""
 
     @abstractmethod
-    async def hold(
-        self, worker: Worker, call: HoldCall
+    async def renew_lease(
+        self, worker: Worker, call: RenewLeaseCall
     ) -> Result[Listing, CallOutcome]:
         """Renew the lease and return what runs and has ended."""
 
 
-class Registry(ABC):
+class WorkerRegistry(ABC):
     """Registrations of workers."""
 
     @abstractmethod
--- a/basilhold/ports/upstreams.py
+++ b/basilhold/ports/upstreams.py
@@ -9,8 +9,8 @@
 from basilhold.core import UpstreamId
 
 __all__ = [
-    "AnswerHead",
-    "AnswerSink",
+    "ResponseHead",
+    "ResponseSink",
     "SendError",
     "SendPhase",
     "UpstreamClient",
@@ -43,7 +43,7 @@
     timeout_ms: int
 
 
-class AnswerHead(msgspec.Struct, frozen=True):
+class ResponseHead(msgspec.Struct, frozen=True):
     """Status and headers of an answer."""
 
     status: int
@@ -69,11 +69,11 @@
     timed_out: bool = False
 
 
-class AnswerSink(ABC):
+class ResponseSink(ABC):
     """Receives an answer as it arrives; each call may wait for the reader."""
 
     @abstractmethod
-    async def start(self, head: AnswerHead) -> None:
+    async def start(self, head: ResponseHead) -> None:
         """Receive status and headers, once and before any data."""
 
     @abstractmethod
@@ -86,8 +86,8 @@
 
     @abstractmethod
     async def send(
-        self, request: UpstreamRequest, sink: AnswerSink
-    ) -> Result[AnswerHead, SendError]:
+        self, request: UpstreamRequest, sink: ResponseSink
+    ) -> Result[ResponseHead, SendError]:
         """Send a request and pass the answer on.
 
         Returns
--- a/basilhold/relay/store_reader.py
+++ b/basilhold/relay/store_reader.py
@@ -8,7 +8,7 @@
 
 from basilhold.config import decode_head, decode_stored, head_key, history_key
 from basilhold.core import Clock, OfficeName, RegionName
-from basilhold.membership import ListGuard, decode_reader, reader_key
+from basilhold.membership import VmListFilter, decode_reader, reader_key
 from basilhold.ports import Row, StoreError, StoreErrorKind, TableService, VmList
 from basilhold.relay.documents import DocumentCopy
 from basilhold.relay.state import RelayState, ShardLocation
@@ -71,7 +71,7 @@
         self._state = state
         self._clock = clock
         self._on_change = on_change
-        self._guard = ListGuard()
+        self._guard = VmListFilter()
         self.unreadable_count = 0
 
     async def run(self, is_wanted: Callable[[], bool]) -> None:
--- a/basilhold/soak/links.py
+++ b/basilhold/soak/links.py
@@ -12,9 +12,9 @@
 from basilhold.core import RegionName, UpstreamId, WorkerId
 from basilhold.nodes.directory import EntryPorts
 from basilhold.ports import (
-    AnswerHead,
-    AnswerSink,
     ObjectStore,
+    ResponseHead,
+    ResponseSink,
     Row,
     ScanPage,
     SendError,
@@ -203,15 +203,15 @@
         return await self._link.call_store(self._inner.read)
 
 
-class _LinkedSink(AnswerSink):
+class _LinkedSink(ResponseSink):
     """Holds an answer back while its path is cut."""
 
-    def __init__(self, link: EntryLink, region: RegionName, inner: AnswerSink):
+    def __init__(self, link: EntryLink, region: RegionName, inner: ResponseSink):
         self._link = link
         self._region = region
         self._inner = inner
 
-    async def start(self, head: AnswerHead) -> None:
+    async def start(self, head: ResponseHead) -> None:
         await self._pass()
         await self._inner.start(head)
 
@@ -230,8 +230,8 @@
         self._inner = inner
 
     async def send(
-        self, request: UpstreamRequest, sink: AnswerSink
-    ) -> Result[AnswerHead, SendError]:
+        self, request: UpstreamRequest, sink: ResponseSink
+    ) -> Result[ResponseHead, SendError]:
         link = self._link
         region = link.region_of_upstream(request.upstream_id)
         if link.is_dead or link.partition.is_cut(link.entry.region, region):
--- a/basilhold/soak/load.py
+++ b/basilhold/soak/load.py
@@ -23,7 +23,7 @@
     OperatorErrorKind,
     OperatorIdentity,
 )
-from basilhold.ports import AnswerHead
+from basilhold.ports import ResponseHead
 from basilhold.requests import CallerRequest, Outcome, RequestEnd
 from basilhold.soak.soak_cell import RunningVm, SoakCell
 
@@ -49,13 +49,13 @@
 
     def __init__(self):
         self.outcome: Outcome | None = None
-        self.head: AnswerHead | None = None
+        self.head: ResponseHead | None = None
         self.body = bytearray()
 
     def set_outcome(self, outcome: Outcome, replayed: bool) -> None:
         self.outcome = outcome
 
-    async def start(self, head: AnswerHead) -> None:
+    async def start(self, head: ResponseHead) -> None:
         self.head = head
 
     async def write(self, data: bytes) -> None:
--- a/basilhold/standins/runners.py
+++ b/basilhold/standins/runners.py
@@ -13,11 +13,11 @@
     Admission,
     AdviceService,
     CallOutcome,
-    HoldCall,
-    Registry,
+    RenewLeaseCall,
     RunnerCall,
     StartCall,
     TaskRunners,
+    WorkerRegistry,
 )
 from basilhold.workflows.model import QueuePolicy, TaskKey, WorkflowSpec
 from basilhold.workflows.pool import (
@@ -209,7 +209,7 @@
         self.has_ended.set()
         self._monitor.note_end(key, kind)
 
-    def hold(self, call: HoldCall) -> Result[Listing, CallOutcome]:
+    def hold(self, call: RenewLeaseCall) -> Result[Listing, CallOutcome]:
         """Carry out a hold."""
         if not self.check_fence(call.epoch):
             return Error(CallOutcome.FENCED)
@@ -432,8 +432,8 @@
         await asyncio.sleep(TRAVEL_MS / 1000)
         return outcome
 
-    async def hold(
-        self, worker: Worker, call: HoldCall
+    async def renew_lease(
+        self, worker: Worker, call: RenewLeaseCall
     ) -> Result[Listing, CallOutcome]:
         """Renew the lease and return what runs and has ended."""
         runner = self._find(worker)
@@ -467,7 +467,7 @@
     return key.job_id, key.task.occurrence, key.task.step, number
 
 
-class MemoryRegistry(Registry):
+class MemoryRegistry(WorkerRegistry):
     """Registrations of in-memory agents.
 
     Parameters
--- a/basilhold/standins/upstreams.py
+++ b/basilhold/standins/upstreams.py
@@ -16,8 +16,8 @@
 
 from basilhold.core import InvariantError, RegionName, UpstreamId, ZoneName
 from basilhold.ports import (
-    AnswerHead,
-    AnswerSink,
+    ResponseHead,
+    ResponseSink,
     SendError,
     SendPhase,
     UpstreamClient,
@@ -260,8 +260,8 @@
         self._region_latency_ms = region_latency_ms
 
     async def send(
-        self, request: UpstreamRequest, sink: AnswerSink
-    ) -> Result[AnswerHead, SendError]:
+        self, request: UpstreamRequest, sink: ResponseSink
+    ) -> Result[ResponseHead, SendError]:
         """Send a request and pass the answer on."""
         upstream = self._upstreams.members.get(request.upstream_id)
         if upstream is None or upstream.behaviour.refusing:
@@ -295,13 +295,13 @@
         self,
         upstream: MemoryUpstream,
         request: UpstreamRequest,
-        sink: AnswerSink,
+        sink: ResponseSink,
         latency_ms: float,
-    ) -> Result[AnswerHead, SendError]:
+    ) -> Result[ResponseHead, SendError]:
         rng = self._upstreams.rng
         behaviour = upstream.behaviour
         if behaviour.leaving:
-            head = AnswerHead(
+            head = ResponseHead(
                 503,
                 (
                     ("Connection", "close"),
@@ -319,7 +319,7 @@
             return Error(SendError(SendPhase.SENT, "connection cut"))
         status = 500 if fate is UpstreamFate.FAIL else 200
         body = answer_body(_request_id(request), behaviour.answer_bytes)
-        head = AnswerHead(status, (("Content-Length", str(len(body))),))
+        head = ResponseHead(status, (("Content-Length", str(len(body))),))
         await asyncio.sleep(latency_ms / 1000)
         await sink.start(head)
         if fate is UpstreamFate.TRUNCATE:
--- a/basilhold/testing/request_fuzz.py
+++ b/basilhold/testing/request_fuzz.py
@@ -17,7 +17,7 @@
 
 from basilhold.core import InvariantError, TeamName, UpstreamId
 from basilhold.gateway import CallerSink
-from basilhold.ports import AnswerHead
+from basilhold.ports import ResponseHead
 from basilhold.requests import CallerRequest, Outcome, ProblemKind, RequestEnd
 from basilhold.standins import UpstreamBehaviour
 from basilhold.testing.request_cell import ORDER, QUOTE, CellGateway, RequestCell
@@ -58,14 +58,14 @@
         self._may_stall = may_stall
         self._rng = rng
         self.outcome: Outcome | None = None
-        self.head: AnswerHead | None = None
+        self.head: ResponseHead | None = None
         self.body = bytearray()
 
     def set_outcome(self, outcome: Outcome, replayed: bool) -> None:
         """Take the reported outcome."""
         self.outcome = outcome
 
-    async def start(self, head: AnswerHead) -> None:
+    async def start(self, head: ResponseHead) -> None:
         """Take status and headers."""
         if self.head is not None:
             raise InvariantError("an answer was started twice")
--- a/basilhold/testing/request_links.py
+++ b/basilhold/testing/request_links.py
@@ -7,8 +7,8 @@
 
 from basilhold.core import ProcessId, RequestKey, ZoneName
 from basilhold.ports import (
-    AnswerHead,
-    AnswerSink,
+    ResponseHead,
+    ResponseSink,
     Row,
     ScanPage,
     SendError,
@@ -99,8 +99,8 @@
         self._gate = gate
 
     async def send(
-        self, request: UpstreamRequest, sink: AnswerSink
-    ) -> Result[AnswerHead, SendError]:
+        self, request: UpstreamRequest, sink: ResponseSink
+    ) -> Result[ResponseHead, SendError]:
         """Send a request."""
         loop = asyncio.get_running_loop()
         started = loop.time()
--- a/basilhold/workflows/tests/test_worker_link.py
+++ b/basilhold/workflows/tests/test_worker_link.py
@@ -23,7 +23,7 @@
     def __init__(self):
         self.calls = []
 
-    async def hold(self, worker, call):
+    async def renew_lease(self, worker, call):
         self.calls.append(call)
         await asyncio.sleep(0.1)
         return Ok(Listing(1_000.0, INFO.born_unix_ms, (), ()))
--- a/basilhold/workflows/worker_link.py
+++ b/basilhold/workflows/worker_link.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from basilhold.core import Clock
-from basilhold.ports.runners import CallOutcome, HoldCall, TaskRunners
+from basilhold.ports.runners import CallOutcome, RenewLeaseCall, TaskRunners
 from basilhold.workflows.ownership import Lease
 from basilhold.workflows.pool import EndedRun, ListedRun, Listing, Worker, reconcile
 from basilhold.workflows.progress import ROW_BYTES_MAX
@@ -165,8 +165,8 @@
         acknowledged = self._new_acknowledgement()
         # While a call waits, a new incarnation could list ends of the same numbers.
         wait_ms = 0 if at_once or acknowledged else self._wait_ms()
-        call = HoldCall(self._lease.epoch, acknowledged, until_ms, wait_ms)
-        result = await self._runners.hold(worker, call)
+        call = RenewLeaseCall(self._lease.epoch, acknowledged, until_ms, wait_ms)
+        result = await self._runners.renew_lease(worker, call)
         now_ms = clock.monotonic_ms()
         if self.closed:
             return Look(lost="it was replaced")
