Reword the documentation of basilhold.core

Several ids and records had no description, and some comments used words that only this project gives a meaning. Doc comments now follow numpydoc.

--- a/basilhold/__init__.py
+++ b/basilhold/__init__.py
@@ -1,4 +1,4 @@
-"""Cluster scheduler for unlike workloads on one shared pool of VMs."""
+"""Cluster scheduler for mixed workloads on a shared pool of VMs."""
 
 __all__ = ["__version__"]
 
--- a/basilhold/core/__init__.py
+++ b/basilhold/core/__init__.py
@@ -1,4 +1,4 @@
-"""Shared vocabulary: ids, resources, clock, classes, jobs and outcomes."""
+"""Types that all packages share: ids, resources, clock, classes and jobs."""
 
 from basilhold.core.clock import CLOCK_ERROR_MS, Clock
 from basilhold.core.errors import InvariantError
--- a/basilhold/core/clock.py
+++ b/basilhold/core/clock.py
@@ -5,22 +5,22 @@
 __all__ = ["CLOCK_ERROR_MS", "Clock"]
 
 CLOCK_ERROR_MS = 500
-"""Largest difference between a machine's clock and true time, in milliseconds."""
+"""Largest assumed offset of a machine's clock from true time, in milliseconds."""
 
 
 class Clock:
-    """Maps the event loop's clock to Unix time.
+    """Maps the event loop's monotonic clock to Unix time.
 
-    Tests pause and advance the loop; all code reads time through this class or
-    through ``loop.time()``.
+    All code reads time through this class or through ``loop.time()``, so that tests
+    can pause and advance the clock.
 
     Parameters
     ----------
     anchor_unix_ms : int
-        Unix time that corresponds to the loop's time at construction, in
-        milliseconds. Programs pass the operating system's time.
+        Unix time at construction, in milliseconds. Programs pass the operating
+        system's time.
     loop : asyncio.AbstractEventLoop, optional
-        Loop to read. The running loop by default.
+        Loop whose clock is read. The running loop by default.
     """
 
     def __init__(
@@ -30,18 +30,28 @@
         self._offset_ms = anchor_unix_ms - self._loop.time() * 1000
 
     def monotonic_ms(self) -> float:
-        """Return the loop's time in milliseconds."""
+        """Return the event loop's time in milliseconds."""
         return self._loop.time() * 1000
 
     def unix_ms(self) -> int:
-        """Return the Unix time in milliseconds."""
+        """Return the current Unix time in milliseconds."""
         return int(self._loop.time() * 1000 + self._offset_ms)
 
     def adjust(self, unix_ms: int) -> int:
-        """Set the Unix time and return by how many milliseconds it moved.
+        """Set the current Unix time.
 
-        A suspended VM stops the loop's clock but not true time, so programs call
-        this once a second with the operating system's time.
+        The loop's clock stops while a VM is suspended, so programs call this once a
+        second with the operating system's time.
+
+        Parameters
+        ----------
+        unix_ms : int
+            Unix time in milliseconds.
+
+        Returns
+        -------
+        int
+            Difference from the previous time, in milliseconds.
         """
         moved_ms = unix_ms - self.unix_ms()
         self._offset_ms += moved_ms
--- a/basilhold/core/errors.py
+++ b/basilhold/core/errors.py
@@ -1,11 +1,11 @@
-"""Errors that stop a process."""
+"""Exceptions that end a process."""
 
 __all__ = ["InvariantError"]
 
 
 class InvariantError(Exception):
-    """A guarantee of the system does not hold.
+    """Raised when an invariant of the system is violated.
 
-    Every other failure is an outcome and is returned as a value. The program that
-    catches this error writes its state dump and exits.
+    All other failures are returned as values. A program that catches this exception
+    writes a state dump and exits.
     """
--- a/basilhold/core/ids.py
+++ b/basilhold/core/ids.py
@@ -1,4 +1,4 @@
-"""Identifier types."""
+"""Types of identifiers."""
 
 from typing import NewType
 
@@ -23,13 +23,24 @@
 ]
 
 Attempt = NewType("Attempt", int)
+"""Number of a start of a task, from 1."""
+
 ClassName = NewType("ClassName", str)
+
 Epoch = NewType("Epoch", int)
+"""Number that increases with each owner of a shard; workers reject lower ones."""
+
 JobId = NewType("JobId", str)
+
 OfficeName = NewType("OfficeName", str)
+"""Name of a group of operators that owns one configuration document."""
+
 ProcessId = NewType("ProcessId", str)
 RegionName = NewType("RegionName", str)
+
 RequestKey = NewType("RequestKey", str)
+"""Idempotency key of a request."""
+
 ServiceName = NewType("ServiceName", str)
 TaskId = NewType("TaskId", str)
 TeamName = NewType("TeamName", str)
@@ -40,7 +51,7 @@
 
 
 def make_task_id(job_id: JobId, index: int) -> TaskId:
-    """Return the id of task number `index` of a job.
+    """Return the id of the task with the given index in a job.
 
     Examples
     --------
@@ -51,7 +62,12 @@
 
 
 def split_task_id(task_id: TaskId) -> tuple[JobId, int]:
-    """Return the job id and the index that make up a task id.
+    """Split a task id into the job id and the index of the task.
+
+    Raises
+    ------
+    ValueError
+        If the text after the last ``#`` is not a number.
 
     Examples
     --------
--- a/basilhold/core/model.py
+++ b/basilhold/core/model.py
@@ -1,4 +1,4 @@
-"""Classes of work, jobs, tasks and the rows that hold them."""
+"""Classes of work, jobs, tasks, and the rows in which they are stored."""
 
 from enum import Enum
 
@@ -33,7 +33,11 @@
 
 
 class ClassKind(Enum):
-    """What a class of work consists of."""
+    """Kind of work in a class.
+
+    ``REQUEST`` classes are requests that upstreams answer. The tasks of the other
+    kinds run on workers; the tasks of a ``GANG`` job all start together.
+    """
 
     REQUEST = "request"
     SERVICE = "service"
@@ -42,14 +46,14 @@
 
 
 class RestartPolicy(Enum):
-    """Whether a task that may have started can be started again."""
+    """Whether a task that may already have started can be started again."""
 
     ALLOWED = "allowed"
     FORBIDDEN = "forbidden"
 
 
 class TaskState(Enum):
-    """State of one task, as far as the shard's owner knows."""
+    """State of a task as known to the scheduler that owns its shard."""
 
     PENDING = "pending"
     ASSIGNED = "assigned"
@@ -61,7 +65,7 @@
 
     @property
     def is_final(self) -> bool:
-        """Whether the task will never run again."""
+        """Whether the task will not run again."""
         return self in _FINAL_STATES
 
 
@@ -73,7 +77,7 @@
 class WorkClass(
     msgspec.Struct, frozen=True, forbid_unknown_fields=True, omit_defaults=True
 ):
-    """A class of work and its target.
+    """A class of work and its scheduling target.
 
     Parameters
     ----------
@@ -81,15 +85,16 @@
         Unique within a cell.
     kind : ClassKind
     wait_target_ms : int
-        How long work of the class may wait before it starts, in milliseconds.
+        Target for the time from submission to start, in milliseconds.
     restart : RestartPolicy
-        ``FORBIDDEN`` marks the class as non-idempotent.
+        ``FORBIDDEN`` if work of the class is not idempotent.
     checkpoint : bool
-        Whether its tasks can be checkpointed and resumed.
+        Whether tasks of the class can be checkpointed and resumed.
     service : ServiceName, optional
-        Service whose upstreams answer requests of the class (kind ``REQUEST``).
+        Service whose upstreams answer requests of the class. Only for classes of kind
+        ``REQUEST``.
     timeout_ms : int
-        Deadline of one request from its arrival, in milliseconds.
+        Time from the arrival of a request to its deadline, in milliseconds.
     """
 
     name: ClassName
@@ -102,15 +107,15 @@
 
 
 class Team(msgspec.Struct, frozen=True, forbid_unknown_fields=True, omit_defaults=True):
-    """A team and its quota.
+    """A group of users that share a quota.
 
     Parameters
     ----------
     name : TeamName
     quota : Resources
-        What the team may use even when others wait.
+        Resources that the team may use even while work of other teams waits.
     queued_tasks_max : int
-        Submissions above this number of waiting tasks are refused.
+        Submissions that would exceed this number of waiting tasks are rejected.
     """
 
     name: TeamName
@@ -119,7 +124,14 @@
 
 
 class OfficeDocument(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """The configuration that one office owns."""
+    """Configuration document of one office, a group of operators.
+
+    Parameters
+    ----------
+    office : OfficeName
+    classes : tuple of WorkClass
+    teams : tuple of Team
+    """
 
     office: OfficeName
     classes: tuple[WorkClass, ...] = ()
@@ -129,29 +141,32 @@
 class JobSpec(
     msgspec.Struct, frozen=True, forbid_unknown_fields=True, omit_defaults=True
 ):
-    """What a caller or operator submitted.
+    """A job as submitted by a caller or operator.
 
     Parameters
     ----------
     job_id : JobId
-        Derived from the office and the submission's idempotency key, so that a
-        repeated submission names the same job.
-    office, team, class_name : str
-        Where the job belongs.
+        Derived from the office and the idempotency key of the submission, so that a
+        repeated submission yields the same id.
+    office : OfficeName
+    team : TeamName
+    class_name : ClassName
     kind : ClassKind
         Kind of the class at submission.
     wait_target_ms : int
-        Target of the class at submission, in milliseconds.
+        Wait target of the class at submission, in milliseconds.
     task_count : int
     task_resources : Resources
-        Declared size of each task.
+        Declared resources of each task.
+    submitted_unix_ms : int
+        Unix time of the submission, in milliseconds.
     run_time_ms : int
         Declared run time of a task, in milliseconds; 0 if unknown or unbounded.
-    submitted_unix_ms : int
     restart : RestartPolicy
     checkpoint : bool
+        Whether the tasks can be checkpointed and resumed.
     command : str
-        Passed to the worker as it is.
+        Passed to the worker unchanged.
     """
 
     job_id: JobId
@@ -170,19 +185,19 @@
 
 
 class TaskRecord(msgspec.Struct, omit_defaults=True):
-    """Progress of one task, as stored in its job's row.
+    """Progress of one task, stored in the row of its job.
 
     Parameters
     ----------
     state : TaskState
-        Only ``PENDING`` and final states are stored; a task is assigned if a
-        worker's row names it.
+        Only ``PENDING`` and final states are stored. A task is assigned if the row
+        of a worker contains it.
     attempt : Attempt
-        Number of the last attempt that was committed; 0 before the first.
+        Number of the last committed attempt; 0 before the first.
     failed_on : tuple of WorkerId
         Workers on which an attempt failed.
     reason : str
-        Why the state is final.
+        Reason for a final state.
     """
 
     state: TaskState = TaskState.PENDING
@@ -192,7 +207,7 @@
 
 
 class JobRecord(msgspec.Struct, omit_defaults=True):
-    """Value of a ``job/<zone>/<job>`` row."""
+    """Value of a ``job/<zone>/<job>`` row of the store."""
 
     spec: JobSpec
     tasks: list[TaskRecord]
@@ -200,7 +215,7 @@
 
 
 class Assignment(msgspec.Struct, frozen=True, omit_defaults=True):
-    """A task that is committed to a worker."""
+    """An attempt of a task that is committed to a worker."""
 
     task_id: TaskId
     attempt: Attempt
@@ -208,10 +223,21 @@
 
 
 class WorkerRecord(msgspec.Struct, omit_defaults=True):
-    """Value of a ``worker/<zone>/<worker>`` row.
+    """Value of a ``worker/<zone>/<worker>`` row of the store.
+
+    The row contains all assignments of one VM, so a single conditional write ensures
+    that they do not exceed its capacity.
 
-    The row holds the whole commitment of one VM, so one conditional write keeps it
-    within its capacity.
+    Parameters
+    ----------
+    worker_id : WorkerId
+    zone : ZoneName
+    rack : str
+    capacity : Resources
+    assignments : tuple of Assignment
+    quarantined_until_unix_ms : int
+        Unix time in milliseconds until which the worker is quarantined after
+        failures; 0 if it is not.
     """
 
     worker_id: WorkerId
@@ -222,7 +248,7 @@
     quarantined_until_unix_ms: int = 0
 
     def committed(self) -> Resources:
-        """Return the sum of the assignments' resources."""
+        """Return the total resources of all assignments."""
         total = Resources()
         for assignment in self.assignments:
             total = total + assignment.resources
--- a/basilhold/core/resources.py
+++ b/basilhold/core/resources.py
@@ -1,4 +1,4 @@
-"""Amounts of cores, memory and GPUs."""
+"""Amounts of processor cores, memory and GPUs."""
 
 from typing import Self
 
@@ -8,7 +8,7 @@
 
 
 class Resources(msgspec.Struct, frozen=True, forbid_unknown_fields=True, gc=False):
-    """An amount of each resource of a VM.
+    """An amount of each type of resource of a VM.
 
     Parameters
     ----------
@@ -17,7 +17,7 @@
     memory_bytes : int
         Memory, in bytes.
     gpus_milli : int
-        Accelerators, in thousandths of a GPU.
+        GPUs, in thousandths of a GPU.
 
     Examples
     --------
@@ -48,7 +48,7 @@
         )
 
     def scaled(self, factor: int) -> "Resources":
-        """Return this amount multiplied by a whole number."""
+        """Return this amount multiplied by `factor`."""
         return Resources(
             self.cores_milli * factor,
             self.memory_bytes * factor,
@@ -56,7 +56,7 @@
         )
 
     def fits_in(self, free: Self) -> bool:
-        """Return whether every component is at most that of `free`."""
+        """Return whether no component exceeds that of `free`."""
         return (
             self.cores_milli <= free.cores_milli
             and self.memory_bytes <= free.memory_bytes
@@ -64,5 +64,5 @@
         )
 
     def is_negative(self) -> bool:
-        """Return whether any component is below zero."""
+        """Return whether any component is negative."""
         return self.cores_milli < 0 or self.memory_bytes < 0 or self.gpus_milli < 0
--- a/basilhold/core/tests/test_model.py
+++ b/basilhold/core/tests/test_model.py
@@ -15,9 +15,9 @@
 
 
 class WorkerRecordTest(unittest.TestCase):
-    """Guards against a commitment that is lost or changed by its encoding."""
+    """Guards against assignments that are lost or changed by serialization."""
 
-    def test_committed_sums_assignments_after_a_round_trip(self):
+    def test_committed_is_sum_of_assignments_after_round_trip(self):
         record = WorkerRecord(
             WorkerId("w1"),
             ZoneName("plovdiv"),
@@ -34,10 +34,10 @@
 
 
 class TaskStateTest(unittest.TestCase):
-    """Guards against a final task that is taken for one that may run again."""
+    """Guards against finished tasks that are scheduled again."""
 
-    def test_only_waiting_and_running_states_are_not_final(self):
-        open_states = {state for state in TaskState if not state.is_final}
+    def test_only_pending_assigned_and_running_are_not_final(self):
+        active_states = {state for state in TaskState if not state.is_final}
         self.assertEqual(
-            open_states, {TaskState.PENDING, TaskState.ASSIGNED, TaskState.RUNNING}
+            active_states, {TaskState.PENDING, TaskState.ASSIGNED, TaskState.RUNNING}
         )
