Reword basilhold.membership

Lists were "doubted", "held" and "believed", which readers had to learn first. A list is now suspect or withheld, observations are recorded, and doc comments state units.

--- a/basilhold/core/ids.py
+++ b/basilhold/core/ids.py
@@ -39,7 +39,7 @@
 RegionName = NewType("RegionName", str)
 
 RequestKey = NewType("RequestKey", str)
-"""Idempotency key of a request."""
+"""Id of a request that has an idempotency key."""
 
 ServiceName = NewType("ServiceName", str)
 TaskId = NewType("TaskId", str)
--- a/basilhold/membership/__init__.py
+++ b/basilhold/membership/__init__.py
@@ -1,4 +1,4 @@
-"""VM list filter, liveness, leaving state, region reader election."""
+"""Liveness of VMs, VM list filter, and election of the reader of a region."""
 
 from basilhold.membership.list_filter import VmListFilter
 from basilhold.membership.members import (
--- a/basilhold/membership/list_filter.py
+++ b/basilhold/membership/list_filter.py
@@ -1,4 +1,4 @@
-"""Holds back VM lists that are suddenly much smaller."""
+"""Filter for VM lists that shrink suddenly."""
 
 from collections.abc import Mapping
 
@@ -10,43 +10,57 @@
 
 __all__ = ["VmListFilter"]
 
-HOLD_MS = 30_000
-"""How long a much smaller list is held back."""
+WITHHOLDING_MAX_MS = 30_000
+"""Longest time for which a suspect list is withheld, in milliseconds."""
 
 
 class VmListFilter:
-    """Keeps a wrong or flapping VM list from being sent to every region.
+    """Prevents a wrong or flapping VM list from being sent to all regions.
 
-    It only saves traffic. Whether a VM is gone is decided by each process, which
-    doubts such a list however long it lasts.
+    The filter only reduces traffic. Each process decides for itself whether a VM is
+    gone, and treats such a list as suspect regardless of how long it persists.
 
     Attributes
     ----------
-    held_count : int
-        Lists that were held back.
+    withheld_count : int
+        Number of lists that were withheld.
     """
 
     def __init__(self):
-        self._doubtful_since_ms: float | None = None
-        self.held_count = 0
+        self._suspect_since_ms: float | None = None
+        self.withheld_count = 0
 
     def check(
         self, snapshot: VmSnapshot, known: Mapping[VmId, VmRecord], now_ms: float
     ) -> VmSnapshot:
-        """Return the list to pass on.
+        """Return the list to send.
 
-        Its version is twice the platform's, and one more if nothing was held back, so
-        that releasing what was held is a new version too.
+        If the loss of VMs is suspect, the missing VMs are added to the list. The
+        returned version is twice the platform's version, plus one if no VM was added,
+        so that the later release of a withheld list is a new version as well.
+
+        Parameters
+        ----------
+        snapshot : VmSnapshot
+            List as read from the platform.
+        known : mapping of VmId to VmRecord
+            VMs of the last list that was sent.
+        now_ms : float
+            Time of the event loop's clock, in milliseconds.
+
+        Returns
+        -------
+        VmSnapshot
         """
         listed = {record.vm_id for record in snapshot.records}
         missing = [record for vm_id, record in known.items() if vm_id not in listed]
-        whole = msgspec.structs.replace(snapshot, version=snapshot.version * 2 + 1)
+        unchanged = msgspec.structs.replace(snapshot, version=snapshot.version * 2 + 1)
         if not is_suspect_loss(missing, known.values()):
-            self._doubtful_since_ms = None
-            return whole
-        if self._doubtful_since_ms is None:
-            self._doubtful_since_ms = now_ms
-        if now_ms - self._doubtful_since_ms >= HOLD_MS:
-            return whole
-        self.held_count += 1
+            self._suspect_since_ms = None
+            return unchanged
+        if self._suspect_since_ms is None:
+            self._suspect_since_ms = now_ms
+        if now_ms - self._suspect_since_ms >= WITHHOLDING_MAX_MS:
+            return unchanged
+        self.withheld_count += 1
         return VmSnapshot(snapshot.version * 2, (*snapshot.records, *missing))
--- a/basilhold/membership/members.py
+++ b/basilhold/membership/members.py
@@ -1,4 +1,4 @@
-"""Which VMs are live, leaving or gone."""
+"""Liveness of the VMs of a cell."""
 
 from collections import OrderedDict
 from collections.abc import Iterable, Sequence
@@ -13,26 +13,32 @@
 __all__ = ["GONE_AFTER_MS", "Liveness", "MemberChange", "Membership", "PeerReport"]
 
 GONE_AFTER_MS = 30_000
-"""Absence after which a VM is gone (section 7.3); tokens and leases rely on it."""
+"""Absence after which a VM is considered gone, in milliseconds.
 
-CONTINUITY_MS = 10_000
-"""Longest gap between confirmations of the list.
+Slot tokens and leases depend on this value (design.md, section 7.3).
+"""
+
+CONFIRMATION_GAP_MAX_MS = 10_000
+"""Longest gap between confirmations of the list, in milliseconds.
 
-What happened to a VM in a longer gap is not known, so its absence counts anew.
+The state of VMs during a longer gap is unknown, so their absence is measured anew.
 """
 
-LEAVING_HOLD_MS = 60_000
-"""How long a VM's own word that it leaves outweighs a lagging list."""
+LEAVING_NOTICE_MS = 60_000
+"""Time in milliseconds for which a VM's own leaving notice overrides the list.
+
+The list lags and may still show the VM as live.
+"""
 
-GONE_KEPT = 10_000
-"""VMs that are remembered after they are gone."""
+GONE_VMS_MAX = 10_000
+"""Number of VMs that are remembered after they are gone."""
 
 
 class Liveness(Enum):
-    """What is known about a VM.
+    """Liveness of a VM as known to this process.
 
-    ``ABSENT`` is a VM that the list lacks and that is not yet proved gone; it gets
-    no new work and nothing of it is given away.
+    ``ABSENT`` means that the VM is missing from the list but not yet considered gone.
+    It gets no new work, and its tokens and leases are not reassigned.
     """
 
     LIVE = "live"
@@ -42,7 +48,7 @@
 
 
 class MemberChange(msgspec.Struct, frozen=True):
-    """A change of one VM; `old` is None for a new one."""
+    """Change of the liveness of a VM; `old` is None for a new VM."""
 
     record: VmRecord
     old: Liveness | None
@@ -50,14 +56,14 @@
 
 
 class PeerReport(msgspec.Struct, frozen=True):
-    """What another process saw of a VM.
+    """Reachability of a VM as observed by another process.
 
     Parameters
     ----------
     vm_id : VmId
     is_reachable : bool
     age_ms : float
-        Time since it was seen, in milliseconds.
+        Time since the observation, in milliseconds.
     """
 
     vm_id: VmId
@@ -72,14 +78,20 @@
         self.absent_since_ms: float | None = None
         self.contact_at_ms: float | None = None
         self.unreachable_at_ms: float | None = None
-        self.said_leaving_at_ms: float | None = None
+        self.leaving_notice_at_ms: float | None = None
 
 
 class Membership:
-    """Combines the lagging VM list with direct and reported evidence.
+    """Liveness of VMs, derived from the VM list and from observed reachability.
+
+    The VM list lags and may be wrong, so it is combined with observations of this
+    process and of its peers. Changes are collected until `take_changes` is called.
+    All times are in milliseconds of the event loop's clock.
 
-    All times are milliseconds of the event loop's clock. Changes are collected until
-    `take_changes`.
+    Attributes
+    ----------
+    suspect_list_count : int
+        How often the list has become suspect.
     """
 
     def __init__(self):
@@ -89,85 +101,86 @@
         self._changes: list[MemberChange] = []
         self._confirmed_at_ms: float | None = None
         self._continuous_since_ms = 0.0
-        self._is_doubted = False
-        self.doubt_count = 0
+        self._is_list_suspect = False
+        self.suspect_list_count = 0
 
     @property
     def is_list_suspect(self) -> bool:
-        """Whether the list lacks so many VMs that its losses are not believed."""
-        return self._is_doubted
+        """Whether the list lacks so many VMs that absence from it is no evidence."""
+        return self._is_list_suspect
 
     def apply_list(
         self, version: int, records: Sequence[VmRecord], confirmed_at_ms: float
     ) -> None:
-        """Take over a list, or confirm the one that is known.
+        """Apply a new VM list, or confirm the current one.
 
         Parameters
         ----------
         version : int
-            A lower version than the last one is ignored, as are older confirmations.
+            A call with a lower version than the last one, or with an earlier
+            `confirmed_at_ms`, is ignored.
         records : sequence of VmRecord
         confirmed_at_ms : float
-            When the platform was asked for the list.
+            Time at which the list was requested from the platform.
         """
         last_ms = self._confirmed_at_ms
         if version < self._version or (
             last_ms is not None and confirmed_at_ms < last_ms
         ):
             return
-        if last_ms is None or confirmed_at_ms - last_ms > CONTINUITY_MS:
-            self._restart_absences(confirmed_at_ms)
+        if last_ms is None or confirmed_at_ms - last_ms > CONFIRMATION_GAP_MAX_MS:
+            self._restart_absence_periods(confirmed_at_ms)
         self._confirmed_at_ms = confirmed_at_ms
         if version > self._version:
             self._version = version
-            self._take_records(records, confirmed_at_ms)
-        self._assess_doubt(confirmed_at_ms)
-        self._decide()
+            self._update_records(records, confirmed_at_ms)
+        self._update_suspicion(confirmed_at_ms)
+        self._update_liveness()
 
-    def note_contact(self, vm_id: VmId, now_ms: float) -> None:
-        """Take note that a VM answered or sent something."""
+    def record_contact(self, vm_id: VmId, now_ms: float) -> None:
+        """Record that a VM replied or sent a message."""
         member = self._members.get(vm_id)
         if member is not None:
             member.contact_at_ms = max(member.contact_at_ms or now_ms, now_ms)
 
-    def note_unreachable(self, vm_id: VmId, now_ms: float) -> None:
-        """Take note that a VM did not answer, or that its lease ran out."""
+    def record_unreachable(self, vm_id: VmId, now_ms: float) -> None:
+        """Record that a VM did not reply, or that its lease expired."""
         member = self._members.get(vm_id)
         if member is not None:
             member.unreachable_at_ms = max(member.unreachable_at_ms or now_ms, now_ms)
-            self._decide()
+            self._update_liveness()
 
-    def note_leaving(self, vm_id: VmId, now_ms: float) -> None:
-        """Take note that a VM said itself that it leaves, before the list shows it."""
+    def record_leaving(self, vm_id: VmId, now_ms: float) -> None:
+        """Record that a VM announced its shutdown, before the list shows it."""
         member = self._members.get(vm_id)
         if member is not None:
-            member.said_leaving_at_ms = now_ms
-            self._decide()
+            member.leaving_notice_at_ms = now_ms
+            self._update_liveness()
 
-    def note_peer_reports(self, reports: Iterable[PeerReport], now_ms: float) -> None:
-        """Take note of what other processes saw."""
+    def record_peer_reports(self, reports: Iterable[PeerReport], now_ms: float) -> None:
+        """Record observations of other processes."""
         for report in reports:
-            seen_at_ms = now_ms - report.age_ms
+            observed_at_ms = now_ms - report.age_ms
             if report.is_reachable:
-                self.note_contact(report.vm_id, seen_at_ms)
+                self.record_contact(report.vm_id, observed_at_ms)
             else:
-                self.note_unreachable(report.vm_id, seen_at_ms)
+                self.record_unreachable(report.vm_id, observed_at_ms)
 
     def liveness(self, vm_id: VmId) -> Liveness | None:
-        """Return what is known about a VM; None if too little is.
+        """Return the liveness of a VM, or None if it cannot be determined.
 
-        A VM that no list named since this process started counts as gone after the
-        lists lacked it for 30 s.
+        A VM that was in no list since this process started is considered gone once
+        lists without it were confirmed for 30 s.
         """
         member = self._members.get(vm_id)
         if member is not None:
             return member.liveness
         if vm_id in self._gone:
             return Liveness.GONE
-        if self._confirmed_at_ms is None or self._is_doubted:
+        if self._confirmed_at_ms is None or self._is_list_suspect:
             return None
-        watched_ms = self._confirmed_at_ms - self._continuous_since_ms
-        return Liveness.GONE if watched_ms >= GONE_AFTER_MS else None
+        observed_ms = self._confirmed_at_ms - self._continuous_since_ms
+        return Liveness.GONE if observed_ms >= GONE_AFTER_MS else None
 
     def members(
         self,
@@ -175,7 +188,15 @@
         liveness: Liveness = Liveness.LIVE,
         service: ServiceName | None = None,
     ) -> tuple[VmRecord, ...]:
-        """Return the VMs of a kind and liveness, optionally of one service."""
+        """Return the VMs with the given kind and liveness.
+
+        Parameters
+        ----------
+        kind : VmKind
+        liveness : Liveness
+        service : ServiceName, optional
+            Return only VMs of this service.
+        """
         return tuple(
             member.record
             for member in self._members.values()
@@ -185,11 +206,11 @@
         )
 
     def take_changes(self) -> tuple[MemberChange, ...]:
-        """Return the changes since the last call."""
+        """Return the changes since the last call and clear them."""
         changes, self._changes = tuple(self._changes), []
         return changes
 
-    def _take_records(
+    def _update_records(
         self, records: Sequence[VmRecord], confirmed_at_ms: float
     ) -> None:
         listed = set()
@@ -205,30 +226,30 @@
             if vm_id not in listed and member.absent_since_ms is None:
                 member.absent_since_ms = confirmed_at_ms
 
-    def _restart_absences(self, since_ms: float) -> None:
+    def _restart_absence_periods(self, since_ms: float) -> None:
         self._continuous_since_ms = since_ms
         for member in self._members.values():
             if member.absent_since_ms is not None:
                 member.absent_since_ms = since_ms
 
-    def _assess_doubt(self, now_ms: float) -> None:
+    def _update_suspicion(self, now_ms: float) -> None:
         missing = [
             member.record
             for member in self._members.values()
             if member.absent_since_ms is not None
         ]
         known = [member.record for member in self._members.values()]
-        was_doubted = self._is_doubted
-        self._is_doubted = is_suspect_loss(missing, known)
-        if self._is_doubted and not was_doubted:
-            self.doubt_count += 1
-        if was_doubted and not self._is_doubted:
-            # Absence under a list that was not believed proves nothing.
-            self._restart_absences(now_ms)
-
-    def _decide(self) -> None:
+        was_suspect = self._is_list_suspect
+        self._is_list_suspect = is_suspect_loss(missing, known)
+        if self._is_list_suspect and not was_suspect:
+            self.suspect_list_count += 1
+        if was_suspect and not self._is_list_suspect:
+            # Absence from a suspect list is no evidence that a VM is gone.
+            self._restart_absence_periods(now_ms)
+
+    def _update_liveness(self) -> None:
         for vm_id, member in list(self._members.items()):
-            new = self._assess(member)
+            new = self._current_liveness(member)
             if new is member.liveness:
                 continue
             self._changes.append(MemberChange(member.record, member.liveness, new))
@@ -236,28 +257,33 @@
             if new is Liveness.GONE:
                 del self._members[vm_id]
                 self._gone[vm_id] = member.record
-                while len(self._gone) > GONE_KEPT:
+                while len(self._gone) > GONE_VMS_MAX:
                     self._gone.popitem(last=False)
 
-    def _assess(self, member: _Member) -> Liveness:
+    def _current_liveness(self, member: _Member) -> Liveness:
         now_ms = self._confirmed_at_ms
         if member.absent_since_ms is None:
-            said_ms = member.said_leaving_at_ms
-            is_held = said_ms is not None and now_ms - said_ms < LEAVING_HOLD_MS
-            is_leaving = member.record.state is VmState.LEAVING or is_held
+            notice_ms = member.leaving_notice_at_ms
+            has_notice = (
+                notice_ms is not None and now_ms - notice_ms < LEAVING_NOTICE_MS
+            )
+            is_leaving = member.record.state is VmState.LEAVING or has_notice
             return Liveness.LEAVING if is_leaving else Liveness.LIVE
         if now_ms - member.absent_since_ms < GONE_AFTER_MS:
             return Liveness.ABSENT
         contact_ms = member.contact_at_ms
         if contact_ms is not None and now_ms - contact_ms < GONE_AFTER_MS:
             return Liveness.ABSENT
-        if self._is_doubted and not _is_proved(member):
+        if self._is_list_suspect and not _is_confirmed_down(member):
             return Liveness.ABSENT
         return Liveness.GONE
 
 
-def _is_proved(member: _Member) -> bool:
-    """Whether direct evidence shows that an absent VM does not run."""
+def _is_confirmed_down(member: _Member) -> bool:
+    """Return whether an absent VM was unreachable since its last contact.
+
+    Only observations since the VM disappeared from the list count.
+    """
     unreachable_ms = member.unreachable_at_ms
     if unreachable_ms is None or unreachable_ms < member.absent_since_ms:
         return False
--- a/basilhold/membership/readers.py
+++ b/basilhold/membership/readers.py
@@ -1,7 +1,8 @@
-"""Choice of the active relay of a region by compare-and-set on its row.
+"""Election of the reader of a region by compare-and-set on a row of the store.
 
-The row is written only when the reader changes. Its liveness shows on the streams of
-the other relays of the region, so an idle region costs no store operations.
+The reader is the active relay of the region. The row is written only when the reader
+changes; the other relays of the region detect its failure on their streams from it, so
+that an idle region needs no store operations.
 """
 
 import msgspec
@@ -13,7 +14,7 @@
 
 
 class ReaderLocation(msgspec.Struct, frozen=True):
-    """Value of a ``reader/<region>`` row.
+    """Value of a ``reader/<region>`` row: the address of the reader.
 
     Parameters
     ----------
@@ -22,10 +23,10 @@
     host : str
     port : int
     term : int
-        Increases with each change of the reader.
+        Number that increases with each change of the reader.
     write_id : str
-        Random id of the write, by which a relay recognises its claim after a lost
-        reply.
+        Random id of the write, by which a relay recognises its own claim if the
+        reply to the write was lost.
     """
 
     region: RegionName
@@ -37,12 +38,12 @@
 
 
 def reader_key(region: RegionName) -> str:
-    """Return the key of a region's reader row."""
+    """Return the key of the row that names the reader of a region."""
     return f"reader/{region}"
 
 
 def decode_reader(row: Row | None) -> ReaderLocation | None:
-    """Return the value of a reader row; None if there is none or it is unreadable."""
+    """Return the decoded row, or None if it is missing or cannot be decoded."""
     if row is None:
         return None
     try:
@@ -57,9 +58,10 @@
     Parameters
     ----------
     claim : ReaderLocation
-        Its term is replaced by the one after the row's term.
+        Location of the relay. Its term is ignored; the new term follows that of the
+        row.
     row : Row or None
-        The row as last read; the claim fails if it changed since.
+        The row as last read. The transaction fails if it has changed since.
     """
     known = decode_reader(row)
     version = row.version if row else ABSENT
--- a/basilhold/membership/suspect_loss.py
+++ b/basilhold/membership/suspect_loss.py
@@ -1,4 +1,4 @@
-"""When the loss of VMs in the list is not believed."""
+"""Plausibility check of VMs that disappear from the VM list."""
 
 from collections import Counter
 from collections.abc import Collection, Iterable
@@ -7,25 +7,29 @@
 
 __all__ = ["is_suspect_loss"]
 
-DOUBT_RATIO = 1 / 3
-"""Loss of a larger share of the VMs at once is doubted (section 7.3)."""
+SUSPECT_LOSS_RATIO = 1 / 3
+"""Loss of a larger share of the VMs at once is suspect (design.md, section 7.3)."""
 
-LOSS_MIN = 3
-"""Fewer lost VMs are believed; in a small group even one is a large share."""
+SUSPECT_LOSS_MIN = 3
+"""Smallest number of lost VMs that can be suspect.
+
+In a small group, even one VM is a large share.
+"""
 
 
 def is_suspect_loss(missing: Collection[VmRecord], known: Iterable[VmRecord]) -> bool:
-    """Whether a list that lacks some of the known VMs is doubted.
+    """Return whether the VM list lacks an implausibly large share of the known VMs.
 
-    The share is taken of all VMs and of each kind, so that a list that lacks only
-    the entry VMs is doubted as well. VMs that were leaving are expected to go.
+    The share is computed over all VMs and for each kind, so that a list that lacks
+    only the entry VMs is suspect as well. VMs that were leaving do not count as lost,
+    unless all known VMs are missing.
 
     Parameters
     ----------
     missing : collection of VmRecord
-        Known VMs that are absent from the list and not yet gone.
+        Known VMs that are absent from the list and not yet considered gone.
     known : iterable of VmRecord
-        All VMs that are not yet gone, the missing ones included.
+        All VMs that are not yet considered gone, including the missing ones.
     """
     known = list(known)
     if missing and len(missing) == len(known):
@@ -36,6 +40,6 @@
     groups = [(len(lost), len(known))]
     groups += [(count, known_by_kind[kind]) for kind, count in lost_by_kind.items()]
     return any(
-        lost_count >= LOSS_MIN and lost_count > known_count * DOUBT_RATIO
+        lost_count >= SUSPECT_LOSS_MIN and lost_count > known_count * SUSPECT_LOSS_RATIO
         for lost_count, known_count in groups
     )
