Reword basilhold.observability

Log event 4301 and the texts for repeated names, draining and a second state dump are reworded; their numbers, fields and status codes stay.

--- a/basilhold/observability/__init__.py
+++ b/basilhold/observability/__init__.py
@@ -1,4 +1,4 @@
-"""Log events, metrics, state dumps and health endpoints."""
+"""Log events, metrics, state dumps and status endpoints of a process."""
 
 from basilhold.observability.events import (
     Event,
--- a/basilhold/observability/events.py
+++ b/basilhold/observability/events.py
@@ -1,4 +1,4 @@
-"""Numbered log events."""
+"""Log events, each with a stable number."""
 
 from collections import Counter
 from enum import Enum
@@ -6,7 +6,7 @@
 from absl import logging
 
 __all__ = [
-    "CHECK_FAILED",
+    "READINESS_CHECK_FAILED",
     "STATE_SOURCE_FAILED",
     "Event",
     "EventLevel",
@@ -17,7 +17,7 @@
 
 
 class EventLevel(Enum):
-    """Severity of an event."""
+    """Severity of a log event."""
 
     INFO = logging.INFO
     WARNING = logging.WARNING
@@ -29,7 +29,7 @@
 
 
 class Event:
-    """A kind of log line with a number that does not change between releases.
+    """A type of log line, with a number that does not change between releases.
 
     Parameters
     ----------
@@ -37,19 +37,20 @@
         Unique among all events.
     level : EventLevel
     template : str
-        ``str.format`` template; its fields are the keyword arguments of `log_event`.
+        ``str.format`` template of the text. Its fields are passed to `log_event` as
+        keyword arguments.
     action : str
-        What an operator does about it; empty if nothing.
+        What an operator should do about the event; empty if nothing.
 
     Raises
     ------
     ValueError
-        If the number is taken.
+        If another event has the same number.
     """
 
     def __init__(self, number: int, level: EventLevel, template: str, action: str = ""):
         if number in _REGISTRY:
-            raise ValueError(f"event number {number} is used twice")
+            raise ValueError(f"event number {number} is already in use")
         self.number = number
         self.level = level
         self.template = template
@@ -58,13 +59,18 @@
 
 
 def log_event(event: Event, **fields: object) -> None:
-    """Write one log line for an event.
+    """Log one line for an event and count it.
 
     Parameters
     ----------
     event : Event
     **fields
-        Values for the event's template.
+        Values for the fields of the event's template.
+
+    Raises
+    ------
+    KeyError
+        If a value for a field of the template is missing.
     """
     _COUNTS[event.number] += 1
     text = event.template.format(**fields)
@@ -72,16 +78,16 @@
 
 
 def registered_events() -> tuple[Event, ...]:
-    """Return all declared events in the order of their numbers."""
+    """Return all declared events, sorted by number."""
     return tuple(_REGISTRY[number] for number in sorted(_REGISTRY))
 
 
 def event_counts() -> dict[Event, int]:
-    """Return how often each event was logged by this process."""
+    """Return how often this process has logged each event."""
     return {_REGISTRY[number]: count for number, count in _COUNTS.items()}
 
 
-CHECK_FAILED = Event(
+READINESS_CHECK_FAILED = Event(
     4300,
     EventLevel.ERROR,
     "readiness check {check} failed with {error}; the process is not ready",
@@ -90,6 +96,6 @@
 STATE_SOURCE_FAILED = Event(
     4301,
     EventLevel.ERROR,
-    "state source {source} failed with {error}; the dump lacks it",
+    "state source {source} failed with {error}; it is missing from the dump",
     "Report it.",
 )
--- a/basilhold/observability/health.py
+++ b/basilhold/observability/health.py
@@ -1,36 +1,37 @@
-"""Readiness and liveness of a process."""
+"""Liveness and readiness of a process."""
 
 from abc import ABC, abstractmethod
 
 import msgspec
 
-from basilhold.observability.events import CHECK_FAILED, log_event
+from basilhold.observability.events import READINESS_CHECK_FAILED, log_event
 
 __all__ = ["Health", "HealthReport", "ReadinessCheck"]
 
 
 class ReadinessCheck(ABC):
-    """A condition that must hold before a process gets work."""
+    """A condition that must be met before a process receives work."""
 
     @property
     @abstractmethod
     def name(self) -> str:
-        """Name of the check, unique in a process."""
+        """Name of the check; unique in a process."""
 
     @abstractmethod
     def problem(self) -> str:
-        """Return why the process is not ready, or an empty text if it is."""
+        """Return why the process is not ready, or an empty string if it is."""
 
 
 class HealthReport(msgspec.Struct, frozen=True):
-    """Body of ``/healthz`` and ``/readyz``.
+    """Response body of ``/healthz`` and ``/readyz``.
 
     Parameters
     ----------
     ok : bool
+        Whether the process is live or ready, respectively.
     process_id : str
     reasons : dict of str to str
-        Problem by name of the check.
+        Problems, by name of the failed check.
     """
 
     ok: bool
@@ -39,7 +40,7 @@
 
 
 class Health:
-    """Collects the checks of a process.
+    """Liveness and readiness of a process, derived from its checks.
 
     Parameters
     ----------
@@ -48,10 +49,10 @@
     Attributes
     ----------
     draining : bool
-        Set when a planned stop begins.
+        Set when a planned shutdown begins; ``/readyz`` then fails.
     fatal : str
-        Set when the process cannot go on, for example because an invariant is
-        broken; ``/healthz`` then fails.
+        Description of an error after which the process cannot continue, such as a
+        violated invariant. If set, ``/healthz`` and ``/readyz`` fail.
     """
 
     def __init__(self, process_id: str):
@@ -61,7 +62,7 @@
         self.fatal = ""
 
     def add_check(self, check: ReadinessCheck) -> None:
-        """Include a check.
+        """Add a check.
 
         Raises
         ------
@@ -69,29 +70,29 @@
             If another check has the same name.
         """
         if check.name in self._checks:
-            raise ValueError(f"readiness check {check.name} is added twice")
+            raise ValueError(f"readiness check {check.name} was already added")
         self._checks[check.name] = check
 
     def liveness(self) -> HealthReport:
-        """Return whether the process works at all."""
+        """Return whether the process can continue to run."""
         reasons = {"fatal": self.fatal} if self.fatal else {}
         return HealthReport(not reasons, self._process_id, reasons)
 
     def readiness(self) -> HealthReport:
-        """Return whether the process can be given work, and if not, why."""
+        """Return whether the process can receive work, and the reasons if not."""
         reasons = dict(self.liveness().reasons)
         if self.draining:
-            reasons["drain"] = "a planned stop is in progress"
+            reasons["drain"] = "a planned shutdown is in progress"
         for name, check in self._checks.items():
-            problem = _run(check)
+            problem = _run_check(check)
             if problem:
                 reasons[name] = problem
         return HealthReport(not reasons, self._process_id, reasons)
 
 
-def _run(check: ReadinessCheck) -> str:
+def _run_check(check: ReadinessCheck) -> str:
     try:
         return check.problem()
-    except Exception as error:  # a faulty check must not count as passed
-        log_event(CHECK_FAILED, check=check.name, error=repr(error))
-        return f"the check failed with {type(error).__name__}"
+    except Exception as error:  # an exception must not count as success
+        log_event(READINESS_CHECK_FAILED, check=check.name, error=repr(error))
+        return f"the check raised {type(error).__name__}"
--- a/basilhold/observability/loop_lag.py
+++ b/basilhold/observability/loop_lag.py
@@ -1,4 +1,4 @@
-"""Lateness of the event loop."""
+"""Measurement of the lag of the event loop."""
 
 import asyncio
 from types import TracebackType
@@ -10,15 +10,18 @@
 
 
 class LoopLagSampler:
-    """Observes how late a timer fires; an asynchronous context manager.
+    """Asynchronous context manager that records the lag of the event loop.
+
+    The lag is the delay with which a periodic timer fires.
 
     Parameters
     ----------
     metrics : Metrics
     lag : Metric
-        Histogram, in seconds.
+        Histogram of the lag, in seconds.
     interval_s : float
-        One wake-up per second costs well under 0.1% of a core.
+        Interval of the timer, in seconds. A wake-up per second uses well under 0.1%
+        of a core.
     """
 
     def __init__(self, metrics: Metrics, lag: Metric, interval_s: float = 1.0):
@@ -44,6 +47,6 @@
     async def _run(self) -> None:
         loop = asyncio.get_running_loop()
         while True:
-            due = loop.time() + self._interval_s
+            due_s = loop.time() + self._interval_s
             await asyncio.sleep(self._interval_s)
-            self._metrics.observe(self._lag, max(0.0, loop.time() - due))
+            self._metrics.observe(self._lag, max(0.0, loop.time() - due_s))
--- a/basilhold/observability/metric_catalogue.py
+++ b/basilhold/observability/metric_catalogue.py
@@ -1,4 +1,4 @@
-"""All metrics, declared in one place.
+"""Declarations of all metrics.
 
 The table of ``docs/operators/runbook.md`` and the rules of ``examples/alerts.yaml``
 are tested against this module.
@@ -248,7 +248,12 @@
 
 
 def metric(name: str) -> Metric:
-    """Return a declared metric.
+    """Return the declared metric with the given name.
+
+    Raises
+    ------
+    KeyError
+        If no such metric is declared.
 
     Examples
     --------
--- a/basilhold/observability/metrics.py
+++ b/basilhold/observability/metrics.py
@@ -1,4 +1,4 @@
-"""Metrics of a process, rendered by aioprometheus."""
+"""Metrics of a process, rendered with aioprometheus."""
 
 import math
 import os
@@ -33,12 +33,14 @@
     Parameters
     ----------
     name : str
-        Starts with ``basilhold_``; ends with the unit, or ``_total`` for counters.
+        Starts with ``basilhold_`` and ends with the unit, or ``_total`` for counters.
     kind : MetricKind
     help : str
+        Description that is exported with the metric.
     labels : tuple of str
+        Names of the labels.
     buckets : tuple of float
-        Upper bounds of a histogram, without infinity.
+        Upper bounds of the buckets of a histogram, without infinity.
     """
 
     name: str
@@ -49,7 +51,7 @@
 
 
 class MetricSource(ABC):
-    """Sets metrics when they are read, so that hot paths need not."""
+    """Sets metrics when they are read, to keep the cost out of hot paths."""
 
     @abstractmethod
     def collect(self, metrics: "Metrics") -> None:
@@ -59,14 +61,15 @@
 class Metrics:
     """The metrics of one process.
 
-    The number of label sets per metric is bounded: values of labels may come from
-    callers. Values beyond the bound are dropped and counted.
+    The number of time series per metric is limited, because values of labels may come
+    from callers. Values of further series are dropped and counted.
 
     Parameters
     ----------
     declared : iterable of Metric
-        All metrics that may be set.
+        All metrics that can be set.
     series_max : int
+        Largest number of time series per metric.
     """
 
     def __init__(
@@ -75,7 +78,9 @@
         self._registry = Registry()
         self._series_max = series_max
         self._sources: list[MetricSource] = []
-        self._collectors = {metric.name: self._make(metric) for metric in declared}
+        self._collectors = {
+            metric.name: self._create_collector(metric) for metric in declared
+        }
         self._seen: dict[str, set[tuple[str, ...]]] = {}
         self._dropped = Counter(
             "basilhold_metric_series_dropped_total",
@@ -83,7 +88,7 @@
             registry=self._registry,
         )
 
-    def _make(self, metric: Metric) -> Counter | Gauge | Histogram:
+    def _create_collector(self, metric: Metric) -> Counter | Gauge | Histogram:
         if metric.kind is MetricKind.COUNTER:
             return Counter(metric.name, metric.help, registry=self._registry)
         if metric.kind is MetricKind.GAUGE:
@@ -94,27 +99,45 @@
         )
 
     def add_source(self, source: MetricSource) -> None:
-        """Ask a source for its values before each rendering."""
+        """Add a source whose values are collected before each rendering."""
         self._sources.append(source)
 
     def add(self, metric: Metric, amount: float = 1, **labels: str) -> None:
-        """Add to a counter."""
-        if self._admit(metric, labels):
+        """Increase a counter.
+
+        Raises
+        ------
+        ValueError
+            If the names of the labels are not those of the metric.
+        """
+        if self._accept_series(metric, labels):
             self._collectors[metric.name].add(labels, amount)
 
     def set(self, metric: Metric, value: float, **labels: str) -> None:
-        """Set a gauge, or the total of a counter that is kept elsewhere."""
-        if self._admit(metric, labels):
+        """Set a gauge, or a counter whose total is maintained elsewhere.
+
+        Raises
+        ------
+        ValueError
+            If the names of the labels are not those of the metric.
+        """
+        if self._accept_series(metric, labels):
             self._collectors[metric.name].set(labels, value)
 
     def observe(self, metric: Metric, value: float, **labels: str) -> None:
-        """Add a value to a histogram."""
-        if self._admit(metric, labels):
+        """Add a value to a histogram.
+
+        Raises
+        ------
+        ValueError
+            If the names of the labels are not those of the metric.
+        """
+        if self._accept_series(metric, labels):
             self._collectors[metric.name].observe(labels, float(value))
 
-    def _admit(self, metric: Metric, labels: dict[str, str]) -> bool:
+    def _accept_series(self, metric: Metric, labels: dict[str, str]) -> bool:
         if labels.keys() != set(metric.labels):
-            raise ValueError(f"{metric.name} has the labels {metric.labels}")
+            raise ValueError(f"{metric.name} requires the labels {metric.labels}")
         seen = self._seen.setdefault(metric.name, set())
         key = tuple(labels[label] for label in metric.labels)
         if key in seen:
@@ -126,19 +149,36 @@
         return True
 
     def render(self, accept: str = "") -> tuple[bytes, dict[str, str]]:
-        """Return the metrics in a format that `accept` allows, and its headers."""
+        """Collect and render all metrics.
+
+        Parameters
+        ----------
+        accept : str
+            Value of the ``Accept`` header of the request, by which the format is
+            selected.
+
+        Returns
+        -------
+        content : bytes
+        headers : dict of str to str
+            HTTP headers that describe the content.
+        """
         for source in self._sources:
             source.collect(self)
         return render(self._registry, [accept] if accept else [])
 
 
 class ProcessMetrics(MetricSource):
-    """Sets what every process reports about itself.
+    """Sets the metrics that each process reports about itself.
 
     Parameters
     ----------
-    resident, processor, events : Metric
-        Resident memory in bytes, processor time in seconds, logged events.
+    resident : Metric
+        Resident memory, in bytes.
+    processor : Metric
+        Processor time, in seconds.
+    events : Metric
+        Number of logged events.
     """
 
     def __init__(self, resident: Metric, processor: Metric, events: Metric):
--- a/basilhold/observability/pages.py
+++ b/basilhold/observability/pages.py
@@ -1,4 +1,4 @@
-"""The status pages that every daemon serves."""
+"""HTTP endpoints for health, metrics and state, which every daemon serves."""
 
 from collections.abc import Iterable
 
@@ -19,7 +19,7 @@
 
 
 class StatusPages(msgspec.Struct):
-    """What the pages show.
+    """Data that the status endpoints of a process serve.
 
     Parameters
     ----------
@@ -27,7 +27,8 @@
     metrics : Metrics
     state : StateDump
     dump_running : bool
-        One dump runs at a time, so that requests for it cannot pile up.
+        Whether a state dump is being created. Only one runs at a time, so that
+        requests for dumps cannot accumulate.
     """
 
     health: Health
@@ -39,15 +40,17 @@
 def make_status_pages(
     process_id: str, dump_bytes_max: int, secrets: Iterable[str]
 ) -> StatusPages:
-    """Return pages with all declared metrics and those of the process itself.
+    """Create status pages with all declared metrics.
+
+    The metrics of the process itself are collected as well.
 
     Parameters
     ----------
     process_id : str
     dump_bytes_max : int
-        Bound of a state dump, in bytes.
+        Size limit of a state dump, in bytes.
     secrets : iterable of str
-        Texts that a dump must not show.
+        Strings that are hidden in state dumps.
     """
     metrics = Metrics(METRICS)
     metrics.add_source(
@@ -60,7 +63,7 @@
     return StatusPages(Health(process_id), metrics, StateDump(dump_bytes_max, secrets))
 
 
-class _Page(RequestHandler):
+class _StatusHandler(RequestHandler):
     def initialize(self, pages: StatusPages) -> None:
         self.pages = pages
 
@@ -73,17 +76,17 @@
         self.finish(msgspec.json.encode(report))
 
 
-class _HealthPage(_Page):
+class _HealthHandler(_StatusHandler):
     def get(self) -> None:
         self.write_report(self.pages.health.liveness())
 
 
-class _ReadyPage(_Page):
+class _ReadinessHandler(_StatusHandler):
     def get(self) -> None:
         self.write_report(self.pages.health.readiness())
 
 
-class _MetricsPage(_Page):
+class _MetricsHandler(_StatusHandler):
     def get(self) -> None:
         ready = self.pages.health.readiness().ok
         self.pages.metrics.set(metric("basilhold_ready"), int(ready))
@@ -94,12 +97,12 @@
         self.finish(content)
 
 
-class _StatePage(_Page):
+class _StateHandler(_StatusHandler):
     async def get(self) -> None:
         if self.pages.dump_running:
             self.set_status(503)
             self.set_header("Retry-After", "1")
-            self.finish(b"another state dump is running; repeat in a second\n")
+            self.finish(b"another state dump is in progress; retry in 1 s\n")
             return
         self.pages.dump_running = True
         try:
@@ -111,16 +114,16 @@
 
 
 def status_routes(pages: StatusPages) -> list[tuple]:
-    """Return the routes of the pages."""
+    """Return the tornado routes of the status endpoints."""
     handlers = {
-        "/healthz": _HealthPage,
-        "/readyz": _ReadyPage,
-        "/metrics": _MetricsPage,
-        "/state": _StatePage,
+        "/healthz": _HealthHandler,
+        "/readyz": _ReadinessHandler,
+        "/metrics": _MetricsHandler,
+        "/state": _StateHandler,
     }
     return [(path, handler, {"pages": pages}) for path, handler in handlers.items()]
 
 
 def status_application(pages: StatusPages) -> Application:
-    """Return an application that serves only the pages."""
+    """Return a tornado application that serves only the status endpoints."""
     return Application(status_routes(pages), log_function=lambda handler: None)
--- a/basilhold/observability/tests/test_catalogue.py
+++ b/basilhold/observability/tests/test_catalogue.py
@@ -4,9 +4,9 @@
 
 
 class CatalogueTest(unittest.TestCase):
-    """Guards against log lines that operators cannot look up."""
+    """Guards against log events that are missing from the documentation."""
 
-    def test_page_is_current(self):
+    def test_document_is_up_to_date(self):
         self.assertEqual(
             CATALOGUE_PATH.read_text(),
             render(),
--- a/basilhold/observability/tests/test_documents.py
+++ b/basilhold/observability/tests/test_documents.py
@@ -11,7 +11,7 @@
 
 
 class RunbookTest(unittest.TestCase):
-    """Guards operators against alerts and metrics that do not exist."""
+    """Guards against documented alerts and metrics that do not exist."""
 
     def test_table_lists_exactly_the_declared_metrics(self):
         rows = re.findall(r"^\| `(basilhold_\w+)` \| (\w+) \| (.*?) \|", RUNBOOK, re.M)
@@ -32,7 +32,7 @@
             labels = set(re.findall(r"(\w+)(?:=~|!=|=)", selector))
             self.assertLessEqual(labels, labels_by_name[base], name)
 
-    def test_every_alert_has_a_section(self):
+    def test_every_alert_has_a_section_in_the_runbook(self):
         alerts = re.findall(r"- alert: (\w+)", ALERTS)
         headings = " ".join(re.findall(r"^### (.*)$", RUNBOOK, re.M))
         for alert in alerts:
--- a/basilhold/observability/tests/test_pages.py
+++ b/basilhold/observability/tests/test_pages.py
@@ -22,65 +22,67 @@
 from basilhold.testing import VirtualTimeTestCase
 
 
-class Check(ReadinessCheck):
+class ConfigCheck(ReadinessCheck):
     name = "config"
 
     def __init__(self):
-        self.answer = "no confirmed configuration"
+        self.problem_or_error = "no confirmed configuration"
 
     def problem(self):
-        if isinstance(self.answer, Exception):
-            raise self.answer
-        return self.answer
+        if isinstance(self.problem_or_error, Exception):
+            raise self.problem_or_error
+        return self.problem_or_error
 
 
-class Shards(MetricSource):
+class ShardMetrics(MetricSource):
     def collect(self, metrics):
         metrics.set(metric("basilhold_shard_owned"), 1, zone="oslo-a")
 
 
 class StatusPagesTest(AsyncHTTPTestCase):
-    """Guards what load balancers, Prometheus and operators read."""
+    """Guards the endpoints that load balancers, Prometheus and operators use."""
 
     def get_app(self):
-        self.check, self.health = Check(), Health("gateway@entry-1")
+        self.check, self.health = ConfigCheck(), Health("gateway@entry-1")
         self.health.add_check(self.check)
         self.pages = make_status_pages("gateway@entry-1", 1 << 20, ())
         self.pages.health = self.health
         self.metrics = self.pages.metrics
         return status_application(self.pages)
 
-    def ready(self):
+    def fetch_readiness(self):
         response = self.fetch("/readyz")
         return response.code, json.loads(response.body)["reasons"]
 
-    def test_readiness_gives_its_reasons(self):
-        self.assertEqual(self.ready(), (503, {"config": "no confirmed configuration"}))
+    def test_readiness_includes_reasons(self):
+        self.assertEqual(
+            self.fetch_readiness(), (503, {"config": "no confirmed configuration"})
+        )
         self.assertEqual(self.fetch("/healthz").code, 200)
-        self.check.answer = ""
-        self.assertEqual(self.ready(), (200, {}))
+        self.check.problem_or_error = ""
+        self.assertEqual(self.fetch_readiness(), (200, {}))
         self.health.draining = True
-        self.assertEqual(self.ready()[0], 503)
+        self.assertEqual(self.fetch_readiness()[0], 503)
         self.health.draining = False
-        self.check.answer = RuntimeError("x")
-        self.assertIn("RuntimeError", self.ready()[1]["config"])
+        self.check.problem_or_error = RuntimeError("x")
+        self.assertIn("RuntimeError", self.fetch_readiness()[1]["config"])
 
-    def test_broken_invariant_fails_both(self):
-        self.check.answer = ""
+    def test_violated_invariant_fails_liveness_and_readiness(self):
+        self.check.problem_or_error = ""
         self.health.fatal = "worker w exceeds its capacity"
-        self.assertEqual(self.ready()[0], 503)
+        self.assertEqual(self.fetch_readiness()[0], 503)
         response = self.fetch("/healthz")
         self.assertEqual(response.code, 503)
         self.assertIn(b"exceeds its capacity", response.body)
 
-    def test_metrics_of_counters_sources_and_the_process(self):
+    def test_metrics_include_counters_sources_and_the_process(self):
         requests = metric("basilhold_requests_total")
         for _ in range(3):
             self.metrics.add(requests, class_name="quote", outcome="ran")
         self.metrics.observe(
             metric("basilhold_request_wait_ratio"), 0.3, class_name="quote"
         )
-        self.metrics.add_source(Shards())
+        self.metrics.add_source(ShardMetrics())
         text = self.fetch("/metrics").body.decode()
         for line in (
             'basilhold_requests_total{class_name="quote",outcome="ran"} 3',
@@ -92,7 +94,7 @@
         resident = re.search(r"^basilhold_resident_bytes (\S+)", text, re.MULTILINE)
         self.assertGreater(float(resident[1]), 1 << 20)
 
-    def test_label_sets_are_bounded(self):
+    def test_number_of_series_is_limited(self):
         declared = Metric("basilhold_x_total", MetricKind.COUNTER, "x", ("a",))
         metrics = Metrics([declared], series_max=10)
         for n in range(100):
@@ -104,7 +106,7 @@
             metrics.add(declared, b="1")
 
     @gen_test
-    async def test_one_dump_at_a_time(self):
+    async def test_only_one_dump_runs_at_a_time(self):
         entered, release = asyncio.Event(), asyncio.Event()
 
         async def dump():
@@ -121,7 +123,7 @@
         self.assertEqual((await first).body, b"{}")
         self.assertFalse(self.pages.dump_running)
 
-    def test_log_records_are_one_line(self):
+    def test_log_records_are_formatted_as_one_line(self):
         try:
             raise ValueError("a\nBH4000 started")
         except ValueError:
@@ -135,9 +137,9 @@
 
 
 class LoopLagTest(VirtualTimeTestCase):
-    """Guards the sampler: a loop that is on time must not look late."""
+    """Guards against reported lag of an event loop that is not delayed."""
 
-    async def test_loop_on_time_has_no_lag(self):
+    async def test_undelayed_loop_has_no_lag(self):
         pages = make_status_pages("p", 1000, ())
         async with LoopLagSampler(pages.metrics, metric("basilhold_loop_lag_seconds")):
             await asyncio.sleep(10.5)
--- a/basilhold/observability/tests/test_state.py
+++ b/basilhold/observability/tests/test_state.py
@@ -13,12 +13,12 @@
 TOKEN = "very-secret-operator-token"
 VALUES = st.recursive(
     st.none() | st.booleans() | st.integers() | st.floats() | st.text() | st.binary(),
-    lambda inner: st.lists(inner) | st.dictionaries(st.text(), inner),
+    lambda element: st.lists(element) | st.dictionaries(st.text(), element),
     max_leaves=30,
 )
 
 
-class Source(StateSource):
+class FixedSource(StateSource):
     def __init__(self, name, value):
         self._name, self._value = name, value
 
@@ -35,14 +35,14 @@
 def make_dump(size_max=1 << 20, secrets=(TOKEN,), **values):
     dump = StateDump(size_max, secrets)
     for name, value in values.items():
-        dump.add_source(Source(name, value))
+        dump.add_source(FixedSource(name, value))
     return dump
 
 
 class StateDumpTest(VirtualTimeTestCase):
-    """Guards against dumps that fail, exhaust memory or show a token."""
+    """Guards against state dumps that fail, exhaust memory or reveal tokens."""
 
-    async def test_all_kinds_of_values(self):
+    async def test_all_types_of_values(self):
         value = {
             TaskState.PENDING: Resources(1, 2, 3),
             "deque": deque([1, 2]),
@@ -51,33 +51,33 @@
             "bytes": b"abc",
             "object": object,
         }
-        shown = json.loads(await make_dump(shard=value).dump())["shard"]
+        decoded = json.loads(await make_dump(shard=value).dump())["shard"]
         self.assertEqual(
-            shown["pending"], {"cores_milli": 1, "memory_bytes": 2, "gpus_milli": 3}
+            decoded["pending"], {"cores_milli": 1, "memory_bytes": 2, "gpus_milli": 3}
         )
-        self.assertEqual((shown["deque"], shown["set"]), ([1, 2], [7]))
-        self.assertEqual((shown["state"], shown["bytes"]), ("failed", "3 bytes"))
+        self.assertEqual((decoded["deque"], decoded["set"]), ([1, 2], [7]))
+        self.assertEqual((decoded["state"], decoded["bytes"]), ("failed", "3 bytes"))
 
-    async def test_long_lists_say_how_much_was_left_out(self):
+    async def test_truncated_collections_state_the_number_of_omitted_entries(self):
         tasks = [Resources(n, n, n) for n in range(50_000)]
         dump = make_dump(20_000, tasks=tasks, workers={str(n): n for n in range(9_000)})
         data = await dump.dump()
         self.assertLessEqual(len(data), 20_000)
-        shown = json.loads(data)
-        kept = len(shown["tasks"]) - 1
+        decoded = json.loads(data)
+        kept = len(decoded["tasks"]) - 1
         self.assertGreater(kept, 50)
-        self.assertEqual(shown["tasks"][-1], {"left_out": 50_000 - kept})
+        self.assertEqual(decoded["tasks"][-1], {"left_out": 50_000 - kept})
         self.assertEqual(
-            shown["workers"]["left_out"], 9_000 - len(shown["workers"]) + 1
+            decoded["workers"]["left_out"], 9_000 - len(decoded["workers"]) + 1
         )
 
-    async def test_nested_lists_stay_within_memory(self):
-        inner = [0] * 5_000
-        data = await make_dump(50_000, grid=[inner] * 5_000).dump()
+    async def test_dump_of_nested_lists_is_limited(self):
+        element = [0] * 5_000
+        data = await make_dump(50_000, grid=[element] * 5_000).dump()
         self.assertLessEqual(len(data), 50_000)
         self.assertIn(b"left_out", data)
 
-    async def test_endless_and_deep_values(self):
+    async def test_recursive_and_long_values_are_truncated(self):
         loop = []
         loop.append(loop)
         data = await make_dump(loop=loop, text="x" * 9_000).dump()
@@ -97,25 +97,25 @@
         data = await make_dump(gateway=value).dump()
         self.assertNotIn(TOKEN.encode(), data)
         self.assertNotIn(b"Basic abc", data)
-        shown = json.loads(data)["gateway"]
-        self.assertEqual(shown["token"], 17, "numbers of slot tokens are no secret")
+        decoded = json.loads(data)["gateway"]
+        self.assertEqual(decoded["token"], 17, "numbers of slot tokens are not secret")
 
-    async def test_faulty_source_does_not_hide_the_others(self):
-        shown = json.loads(await make_dump(a=RuntimeError("x"), b=[1]).dump())
-        self.assertEqual(shown, {"a": {"error": "RuntimeError"}, "b": [1]})
+    async def test_error_in_one_source_does_not_affect_others(self):
+        decoded = json.loads(await make_dump(a=RuntimeError("x"), b=[1]).dump())
+        self.assertEqual(decoded, {"a": {"error": "RuntimeError"}, "b": [1]})
 
-    def test_dump_of_an_exiting_process_is_the_same(self):
+    def test_synchronous_dump_equals_asynchronous_dump(self):
         dump = make_dump(a=[1, 2], b={"c": None})
         self.assertEqual(dump.dump_now(), run_virtual(dump.dump()))
 
-    def test_name_used_twice(self):
+    def test_duplicate_name_is_rejected(self):
         dump = make_dump(a=1)
         with self.assertRaises(ValueError):
-            dump.add_source(Source("a", 2))
+            dump.add_source(FixedSource("a", 2))
 
     @settings(max_examples=60, deadline=None)
     @given(VALUES, st.integers(200, 2_000))
-    def test_any_state_gives_json_within_the_bound(self, value, size_max):
+    def test_any_state_yields_json_within_the_limit(self, value, size_max):
         data = make_dump(size_max, a=value, b=value).dump_now()
         self.assertLessEqual(len(data), size_max)
         self.assertEqual(set(msgspec.json.decode(data)), {"a", "b"})
