--- a/basilhold/observability/health.py
+++ b/basilhold/observability/health.py
@@ -49,7 +49,7 @@
     Attributes
     ----------
     draining : bool
-        Set when a planned shutdown begins; ``/readyz`` then fails.
+        Set when a planned stop begins; ``/readyz`` then fails.
     fatal : str
         Description of an error after which the process cannot continue, such as a
         violated invariant. If set, ``/healthz`` and ``/readyz`` fail.
@@ -82,7 +82,7 @@
         """Return whether the process can receive work, and the reasons if not."""
         reasons = dict(self.liveness().reasons)
         if self.draining:
-            reasons["drain"] = "a planned shutdown is in progress"
+            reasons["drain"] = "a planned stop is in progress"
         for name, check in self._checks.items():
             problem = _run_check(check)
             if problem:
@@ -95,4 +95,4 @@
         return check.problem()
     except Exception as error:  # an exception must not count as success
         log_event(READINESS_CHECK_FAILED, check=check.name, error=repr(error))
-        return f"the check raised {type(error).__name__}"
+        return f"the check failed with {type(error).__name__}"
--- a/basilhold/observability/pages.py
+++ b/basilhold/observability/pages.py
@@ -102,7 +102,7 @@
         if self.pages.dump_running:
             self.set_status(503)
             self.set_header("Retry-After", "1")
-            self.finish(b"another state dump is in progress; retry in 1 s\n")
+            self.finish(b"another state dump is running; repeat in a second\n")
             return
         self.pages.dump_running = True
         try:
