Document fields and errors of basilhold.ports

The ports are what an adapter's author reads first, but units, the meaning of epochs and the guarantees of failed calls were partly missing. Only doc comments change.

--- a/basilhold/ports/__init__.py
+++ b/basilhold/ports/__init__.py
@@ -1,4 +1,4 @@
-"""Abstract interfaces to the platform and to upstreams."""
+"""Abstract interfaces (ports) to the platform and to upstreams."""
 
 from basilhold.ports.objects import ObjectStore
 from basilhold.ports.table import (
--- a/basilhold/ports/objects.py
+++ b/basilhold/ports/objects.py
@@ -1,4 +1,4 @@
-"""Port of the platform's object store."""
+"""Port to the platform's object store."""
 
 from abc import ABC, abstractmethod
 
@@ -10,7 +10,10 @@
 
 
 class ObjectStore(ABC):
-    """Named immutable objects."""
+    """Stores objects, which are sequences of bytes, under names.
+
+    All methods return errors of the store as `StoreError`.
+    """
 
     @abstractmethod
     async def put(self, name: str, data: bytes) -> Result[None, StoreError]:
@@ -22,4 +25,4 @@
 
     @abstractmethod
     async def delete(self, name: str) -> Result[None, StoreError]:
-        """Delete an object; deleting a missing one succeeds."""
+        """Delete an object. Deleting an object that does not exist succeeds."""
--- a/basilhold/ports/runners.py
+++ b/basilhold/ports/runners.py
@@ -1,4 +1,4 @@
-"""Ports of the agents that run the tasks of workflows, and of what surrounds them."""
+"""Ports to the agents that run tasks of workflows, their registry, and advice."""
 
 from abc import ABC, abstractmethod
 from enum import Enum
@@ -23,10 +23,11 @@
 
 
 class CallOutcome(Enum):
-    """Outcome of a call to a worker's agent.
+    """Outcome of a call to the agent of a worker.
 
-    `DONE` also covers repeats. All others but `UNKNOWN` are certain: the call did
-    nothing. `ABSENT` means that another incarnation or another worker answered.
+    ``DONE`` is also the outcome of a repeated call. ``UNKNOWN`` means that the call may
+    have taken effect; all other outcomes guarantee that it had no effect. ``ABSENT``
+    means that a different worker or incarnation of the agent replied.
     """
 
     DONE = "done"
@@ -42,7 +43,16 @@
 
 
 class RunnerCall(msgspec.Struct, frozen=True):
-    """Names one run on a worker, and the epoch of who orders."""
+    """Identifies a run on a worker and the owner that makes a call about it.
+
+    Parameters
+    ----------
+    job_id : JobId
+    task : TaskKey
+    run : RunNumber
+    epoch : Epoch
+        Epoch of the calling owner.
+    """
 
     job_id: JobId
     task: TaskKey
@@ -51,17 +61,21 @@
 
 
 class StartCall(msgspec.Struct, frozen=True):
-    """Starts a run.
+    """Arguments of a call that starts a run.
 
     Parameters
     ----------
     run : RunnerCall
     payload : str
+        Payload of the workflow, passed to the agent unchanged.
     until_clock_ms : float
-        Worker's clock up to which the start may take effect, and up to which at
-        least everything on the worker is held.
+        Time of the worker's clock, in milliseconds, until which the start may take
+        effect. The lease of everything on the worker is extended to at least this
+        time.
     checkpoint : str
+        Checkpoint from which the run resumes; empty if there is none.
     ticket : str
+        Permission of the advice service; empty if none is required.
     """
 
     run: RunnerCall
@@ -72,17 +86,20 @@
 
 
 class RenewLeaseCall(msgspec.Struct, frozen=True):
-    """Renews the lease of everything on a worker and asks for its lists.
+    """Arguments of a call that renews the lease on a worker and lists its runs.
 
     Parameters
     ----------
     epoch : Epoch
     acknowledged : int
-        Ends up to this number are forgotten.
+        Ends of runs up to this sequence number are acknowledged, so that the worker
+        forgets them.
     until_clock_ms : float
-        New end of the lease on the worker's clock; 0 leaves it.
+        New expiry of the lease of everything on the worker, as time of the worker's
+        clock in milliseconds; 0 leaves the expiry unchanged.
     wait_ms : int
-        How long the worker may wait for an end before it replies.
+        Longest time that the worker may wait for the end of a run before it replies,
+        in milliseconds.
     """
 
     epoch: Epoch
@@ -92,7 +109,7 @@
 
 
 class TaskRunners(ABC):
-    """Calls to the agents of workers."""
+    """Client of the agents that run tasks on workers."""
 
     @abstractmethod
     async def start(self, worker: Worker, call: StartCall) -> CallOutcome:
@@ -100,39 +117,58 @@
 
     @abstractmethod
     async def stop(self, worker: Worker, call: RunnerCall) -> CallOutcome:
-        """Stop a run, or prevent its start from taking effect."""
+        """Stop a run, or prevent its start if that has not yet taken effect."""
 
     @abstractmethod
     async def pace(self, worker: Worker, call: RunnerCall, percent: int) -> CallOutcome:
-        """Let a run work at a share of its speed."""
+        """Throttle a run to `percent` of its full speed."""
 
     @abstractmethod
     async def renew_lease(
         self, worker: Worker, call: RenewLeaseCall
     ) -> Result[Listing, CallOutcome]:
-        """Renew the lease and return what runs and has ended."""
+        """Renew the lease on a worker; return its running and ended runs."""
 
 
 class WorkerRegistry(ABC):
-    """Registrations of workers."""
+    """Access to the registrations of workers."""
 
     @abstractmethod
     async def read(self) -> Result[dict[WorkerId, tuple[str, WorkerInfo]], str]:
-        """Return service name and registration of each worker that can be used."""
+        """Return the registrations of all usable workers.
+
+        Returns
+        -------
+        Result
+            Service name and registration by worker, or the reason of a failure.
+        """
 
 
 class Admission(msgspec.Struct, frozen=True):
-    """Workers that may run a step, each with a ticket for its starts."""
+    """Workers that may run a step of a workflow.
+
+    Parameters
+    ----------
+    tickets : dict of WorkerId to str
+        Ticket that authorises starts of the step on the worker.
+    """
 
     tickets: dict[WorkerId, str]
 
 
 class AdviceService(ABC):
-    """Decides which workers may run a step."""
+    """External service that decides which workers may run a step of a workflow."""
 
     @abstractmethod
     def is_available(self, policy: QueuePolicy, worker_count: int) -> bool:
-        """Return whether a question asked now would be answered soon."""
+        """Return whether a request for advice made now would be answered soon.
+
+        Parameters
+        ----------
+        policy : QueuePolicy
+        worker_count : int
+            Number of workers that the request would name.
+        """
 
     @abstractmethod
     async def ask(
@@ -143,4 +179,20 @@
         workers: tuple[WorkerId, ...],
         policy: QueuePolicy,
     ) -> Result[Admission, str]:
-        """Return which of the named workers may run the step."""
+        """Return which of the given workers may run a step.
+
+        Parameters
+        ----------
+        job_id : JobId
+        occurrence : int
+            Index of the occurrence of a repeated workflow.
+        step : int
+            Index of the step in the workflow.
+        workers : tuple of WorkerId
+        policy : QueuePolicy
+
+        Returns
+        -------
+        Result
+            The admitted workers, or the reason of a failure.
+        """
--- a/basilhold/ports/table.py
+++ b/basilhold/ports/table.py
@@ -1,4 +1,4 @@
-"""Port of the platform's transactional table service."""
+"""Port to the platform's transactional table service."""
 
 from abc import ABC, abstractmethod
 from enum import Enum
@@ -24,14 +24,25 @@
 ]
 
 ABSENT = 0
-"""Version of a row that does not exist."""
+"""Version that denotes a row that does not exist."""
 
 TRANSACTION_OPERATIONS_MAX = 512
+"""Largest number of conditions and writes in a transaction."""
+
 TRANSACTION_BYTES_MAX = 1 << 20
+"""Largest size of a transaction, in bytes."""
 
 
 class Row(msgspec.Struct, frozen=True):
-    """A key, its value and the number of times it was written."""
+    """A row of the table service.
+
+    Parameters
+    ----------
+    key : str
+    value : bytes
+    version : int
+        Number of times the row was written.
+    """
 
     key: str
     value: bytes
@@ -39,21 +50,21 @@
 
 
 class Condition(msgspec.Struct, frozen=True):
-    """Requires a row to have a version; `ABSENT` requires it not to exist."""
+    """Condition that a row has a version, or does not exist if that is `ABSENT`."""
 
     key: str
     version: int
 
 
 class Write(msgspec.Struct, frozen=True):
-    """Sets a row's value, or deletes the row if the value is ``None``."""
+    """Write of a value to a row, or deletion of the row if the value is ``None``."""
 
     key: str
     value: bytes | None
 
 
 class Transaction(msgspec.Struct, frozen=True):
-    """Conditions and writes that apply whole or not at all.
+    """Writes that are applied atomically if all conditions are met.
 
     Parameters
     ----------
@@ -66,7 +77,16 @@
 
 
 class Conflict(msgspec.Struct, frozen=True):
-    """A row whose version did not match, as it was at that moment."""
+    """Version mismatch that made a transaction fail.
+
+    Parameters
+    ----------
+    key : str
+    expected_version : int
+        Version that the condition requires.
+    actual_version : int
+        Version of the row when the condition was evaluated.
+    """
 
     key: str
     expected_version: int
@@ -74,10 +94,11 @@
 
 
 class StoreErrorKind(Enum):
-    """Why an operation on the table service did not succeed.
+    """Type of failure of an operation on the table service.
 
-    ``NOT_APPLIED`` is certain: the service refused the operation or it was never
-    sent. ``UNKNOWN`` means that no reply came, so a write may have taken effect.
+    ``NOT_APPLIED`` guarantees that the operation had no effect: the service rejected
+    it, or it was never sent. ``UNKNOWN`` means that no reply was received, so a write
+    may have been applied.
     """
 
     CONFLICT = "conflict"
@@ -95,10 +116,17 @@
 
 
 class ScanPage(msgspec.Struct, frozen=True, omit_defaults=True):
-    """Rows in key order; `next_after` is empty on the last page.
+    """One page of a scan.
 
-    `version` is that of the whole table service, where it has one: changes after it
-    can be read from a `ChangeFeed`.
+    Parameters
+    ----------
+    rows : tuple of Row
+        Sorted by key.
+    next_after : str
+        Value of `after` for the next page; empty on the last page.
+    version : int
+        Version of the whole table service, if it has one. Later changes can be read
+        from a `ChangeFeed`.
     """
 
     rows: tuple[Row, ...]
@@ -112,13 +140,14 @@
     Parameters
     ----------
     rows : tuple of Row
-        In the order of the changes.
+        Changed rows, in the order of the changes.
     deleted : tuple of str
         Keys of deleted rows.
     version : int
-        Where to continue.
+        Version after which to continue.
     complete : bool
-        False if the requested history is gone; the rows have to be scanned.
+        False if the history after the requested version is no longer available, so
+        that the rows must be scanned instead.
     """
 
     rows: tuple[Row, ...] = ()
@@ -128,34 +157,48 @@
 
 
 class ChangeFeed(ABC):
-    """Changes of rows, as they happen."""
+    """Feed of changes of rows."""
 
     @abstractmethod
     async def changes(
         self, prefix: str, after: int, wait_ms: int
     ) -> Result[Changes, StoreError]:
-        """Return the changes after a version, waiting for one up to `wait_ms`."""
+        """Return the changes after a version, or wait for one.
+
+        Parameters
+        ----------
+        prefix : str
+            Prefix of the keys of the rows.
+        after : int
+            Version of the table service after which changes are returned.
+        wait_ms : int
+            Longest time to wait for a change, in milliseconds.
+        """
 
 
 class TableService(ABC):
-    """Transactional rows with versions."""
+    """Table of versioned rows with transactions.
+
+    All methods return errors of the service as `StoreError`.
+    """
 
     @abstractmethod
     async def read(self, keys: tuple[str, ...]) -> Result[dict[str, Row], StoreError]:
-        """Return the rows that exist among `keys`, from one point in time."""
+        """Return the existing rows among `keys`, in one consistent snapshot."""
 
     @abstractmethod
     async def scan(
         self, prefix: str, after: str = "", limit: int = 500
     ) -> Result[ScanPage, StoreError]:
-        """Return up to `limit` rows whose keys start with `prefix`.
+        """Return the rows whose keys start with `prefix`, one page at a time.
 
         Parameters
         ----------
         prefix : str
         after : str
-            Only keys greater than this one are returned.
+            Only rows with keys greater than this one are returned.
         limit : int
+            Largest number of rows of a page.
         """
 
     @abstractmethod
--- a/basilhold/ports/upstreams.py
+++ b/basilhold/ports/upstreams.py
@@ -1,4 +1,4 @@
-"""Port through which requests are sent to upstreams."""
+"""Port to upstreams, to which requests of callers are sent."""
 
 from abc import ABC, abstractmethod
 from enum import Enum
@@ -19,7 +19,7 @@
 
 
 class UpstreamRequest(msgspec.Struct, frozen=True):
-    """A request to one upstream.
+    """An HTTP request to one upstream.
 
     Parameters
     ----------
@@ -30,7 +30,7 @@
     headers : tuple of (str, str)
     body : bytes
     timeout_ms : int
-        Time left until the request's deadline, in milliseconds.
+        Time until the deadline of the request, in milliseconds.
     """
 
     upstream_id: UpstreamId
@@ -44,16 +44,17 @@
 
 
 class ResponseHead(msgspec.Struct, frozen=True):
-    """Status and headers of an answer."""
+    """Status code and headers of a response."""
 
     status: int
     headers: tuple[tuple[str, str], ...]
 
 
 class SendPhase(Enum):
-    """How far a failed request got.
+    """Phase in which a request failed.
 
-    After ``NOT_SENT`` it is certain that the upstream received no byte of it.
+    ``NOT_SENT`` guarantees that the upstream received no byte of the request.
+    ``ANSWERING`` means that part of the response had been received.
     """
 
     NOT_SENT = "not-sent"
@@ -62,7 +63,15 @@
 
 
 class SendError(msgspec.Struct, frozen=True):
-    """A request without a whole answer."""
+    """Failure of a request, for which no complete response was received.
+
+    Parameters
+    ----------
+    phase : SendPhase
+    reason : str
+    timed_out : bool
+        Whether the deadline of the request had passed.
+    """
 
     phase: SendPhase
     reason: str
@@ -70,15 +79,18 @@
 
 
 class ResponseSink(ABC):
-    """Receives an answer as it arrives; each call may wait for the reader."""
+    """Receives a response as it arrives.
+
+    Each call may block until the reader of the response can accept more data.
+    """
 
     @abstractmethod
     async def start(self, head: ResponseHead) -> None:
-        """Receive status and headers, once and before any data."""
+        """Receive the status and headers. Called once, before `write`."""
 
     @abstractmethod
     async def write(self, data: bytes) -> None:
-        """Receive part of the body; returns when the reader can take more."""
+        """Receive part of the body. Returns once the reader can accept more."""
 
 
 class UpstreamClient(ABC):
@@ -88,11 +100,11 @@
     async def send(
         self, request: UpstreamRequest, sink: ResponseSink
     ) -> Result[ResponseHead, SendError]:
-        """Send a request and pass the answer on.
+        """Send a request and pass the response on to `sink`.
 
         Returns
         -------
         Result
-            The head once the whole body has arrived. A body that ends early is an
-            error of phase ``ANSWERING``.
+            Status and headers, once the whole body has been received. A truncated body
+            is an error of phase ``ANSWERING``.
         """
--- a/basilhold/ports/vms.py
+++ b/basilhold/ports/vms.py
@@ -1,4 +1,4 @@
-"""Port of the platform's VM list."""
+"""Port to the platform's VM list."""
 
 from abc import ABC, abstractmethod
 from enum import Enum
@@ -13,7 +13,11 @@
 
 
 class VmKind(Enum):
-    """What a VM does for the cell."""
+    """Role of a VM in the cell.
+
+    Basilhold's processes run on ``ENTRY`` VMs, tasks on ``WORKER`` VMs, and servers
+    that answer requests on ``UPSTREAM`` VMs.
+    """
 
     ENTRY = "entry"
     WORKER = "worker"
@@ -21,31 +25,35 @@
 
 
 class VmState(Enum):
-    """State that the platform reports for a VM."""
+    """State of a VM as reported by the platform."""
 
     LIVE = "live"
     LEAVING = "leaving"
 
 
 class VmRecord(msgspec.Struct, frozen=True, omit_defaults=True):
-    """One VM of the platform's list.
+    """A VM in the platform's list.
 
     Parameters
     ----------
     vm_id : VmId
     kind : VmKind
     state : VmState
-    region, zone, rack : str
+    region : RegionName
+    zone : ZoneName
+    rack : str
     host : str
-        IP number.
+        IP address.
     port : int
         Port of the worker agent or of the upstream's HTTP server.
     capacity : Resources
-        Size of a worker.
+        Capacity of a worker.
     service : ServiceName, optional
-        Service that an upstream belongs to.
-    slots, connections : int
-        Requests that an upstream handles at a time, and its connection limit.
+        Service to which an upstream belongs.
+    slots : int
+        Number of requests that an upstream processes concurrently.
+    connections : int
+        Largest number of connections to an upstream.
     """
 
     vm_id: VmId
@@ -63,15 +71,18 @@
 
 
 class VmSnapshot(msgspec.Struct, frozen=True):
-    """The whole list at one version."""
+    """Complete VM list with its version."""
 
     version: int
     records: tuple[VmRecord, ...]
 
 
 class VmList(ABC):
-    """The platform's lagging list of VMs that are live or leaving."""
+    """Access to the platform's list of live and leaving VMs.
+
+    The list is eventually consistent and may lag behind the state of the VMs.
+    """
 
     @abstractmethod
     async def read(self) -> Result[VmSnapshot, StoreError]:
-        """Return the list as the platform sees it now."""
+        """Return the current list of the platform."""
--- a/basilhold/ports/workers.py
+++ b/basilhold/ports/workers.py
@@ -1,4 +1,4 @@
-"""Port of the platform's worker agent."""
+"""Port to the platform's agents on workers."""
 
 from abc import ABC, abstractmethod
 from enum import Enum
@@ -24,7 +24,7 @@
 
 
 class RefusalReason(Enum):
-    """Why a worker refused a message. A refused start did not run."""
+    """Reason why a worker refused a call. A refused start has no effect."""
 
     STALE_EPOCH = "stale-epoch"
     LATE = "late"
@@ -34,9 +34,9 @@
 
 
 class AgentErrorKind(Enum):
-    """Why a call to a worker failed.
+    """Type of failure of a call to a worker.
 
-    After ``UNREACHABLE`` it is unknown whether the call took effect.
+    ``UNREACHABLE`` means that it is unknown whether the call took effect.
     """
 
     REFUSED = "refused"
@@ -44,7 +44,16 @@
 
 
 class AgentError(msgspec.Struct, frozen=True, omit_defaults=True):
-    """A failed call to a worker."""
+    """Failure of a call to a worker.
+
+    Parameters
+    ----------
+    kind : AgentErrorKind
+    reason : RefusalReason, optional
+        Only for calls that were refused.
+    epoch : Epoch
+        Highest epoch that the worker has seen, if it refused the call.
+    """
 
     kind: AgentErrorKind
     reason: RefusalReason | None = None
@@ -52,18 +61,20 @@
 
 
 class StartRequest(msgspec.Struct, frozen=True):
-    """Starts one attempt of a task.
+    """Request to start an attempt of a task.
 
     Parameters
     ----------
     epoch : Epoch
-        Epoch of the shard; the worker refuses one below the highest it has seen.
+        Epoch of the shard. The worker refuses epochs below the highest that it has
+        seen.
     task_id : TaskId
     attempt : Attempt
     resources : Resources
     not_after_unix_ms : int
-        The worker refuses the start after this time, in milliseconds.
+        Unix time in milliseconds after which the worker refuses the start.
     command : str
+        Command to run.
     """
 
     epoch: Epoch
@@ -75,21 +86,40 @@
 
 
 class StartReply(msgspec.Struct, frozen=True):
-    """The attempt runs or has run. Repeats of a start get the same reply."""
+    """Confirmation that an attempt is running or has run.
+
+    Repeated requests for the same start receive the same reply.
+    """
 
     task_id: TaskId
     attempt: Attempt
 
 
 class StopReply(msgspec.Struct, frozen=True):
-    """The task does not run. `never_started` is certain if set."""
+    """Confirmation that an attempt does not run.
+
+    Parameters
+    ----------
+    task_id : TaskId
+    never_started : bool
+        If true, the attempt has certainly not started. If false, it may have started.
+    """
 
     task_id: TaskId
     never_started: bool
 
 
 class RenewRequest(msgspec.Struct, frozen=True):
-    """Extends the worker's lease, which covers all its tasks."""
+    """Request to extend the lease of a worker, which covers all its tasks.
+
+    Parameters
+    ----------
+    epoch : Epoch
+    expires_unix_ms : int
+        New expiry of the lease, as Unix time in milliseconds.
+    tasks_hash : int
+        Hash of the tasks that the worker should be running.
+    """
 
     epoch: Epoch
     expires_unix_ms: int
@@ -97,13 +127,19 @@
 
 
 class RenewReply(msgspec.Struct, frozen=True):
-    """`hash_matches` tells whether the worker runs exactly the hashed tasks."""
+    """Reply to a `RenewRequest`.
+
+    Parameters
+    ----------
+    hash_matches : bool
+        Whether the worker runs exactly the tasks of the request's hash.
+    """
 
     hash_matches: bool
 
 
 class TaskReport(msgspec.Struct, frozen=True, omit_defaults=True):
-    """One attempt on a worker.
+    """State of an attempt on a worker.
 
     Parameters
     ----------
@@ -111,11 +147,11 @@
     attempt : Attempt
     running : bool
     succeeded : bool, optional
-        Outcome once it does not run any more; ``None`` if it was stopped.
+        Outcome of an attempt that has ended; ``None`` if it was stopped.
     used : Resources
-        Usage, which lags.
+        Resources in use, reported with a delay.
     checkpoint_unix_ms : int
-        Time of the last checkpoint; 0 if there is none.
+        Unix time of the last checkpoint, in milliseconds; 0 if there is none.
     """
 
     task_id: TaskId
@@ -127,9 +163,18 @@
 
 
 class WorkerReport(msgspec.Struct, frozen=True):
-    """Everything that a worker runs and has finished but not yet been told to forget.
+    """Running attempts of a worker, and ended ones that it was not yet told to forget.
+
+    By answering a report request with a new epoch, a worker fences all older epochs.
 
-    Accepting a report request with a new epoch fences all older epochs.
+    Parameters
+    ----------
+    worker_id : WorkerId
+    epoch : Epoch
+    capacity : Resources
+    lease_expires_unix_ms : int
+        Expiry of the lease, as Unix time in milliseconds.
+    tasks : tuple of TaskReport
     """
 
     worker_id: WorkerId
@@ -140,10 +185,10 @@
 
 
 class WorkerAgent(ABC):
-    """Calls to the platform's agent on workers.
+    """Client of the platform's agents on workers.
 
-    Every call carries the epoch of the shard and fails with ``STALE_EPOCH`` if the
-    worker has seen a higher one.
+    Each call contains the epoch of the shard, and is refused with ``STALE_EPOCH`` if
+    the worker has seen a higher one. All methods return errors as `AgentError`.
     """
 
     @abstractmethod
@@ -156,13 +201,13 @@
     async def stop(
         self, worker_id: WorkerId, epoch: Epoch, task_id: TaskId, attempt: Attempt
     ) -> Result[StopReply, AgentError]:
-        """Stop an attempt, or prevent it from starting if it has not arrived yet."""
+        """Stop an attempt, or prevent its start if that has not yet arrived."""
 
     @abstractmethod
     async def checkpoint(
         self, worker_id: WorkerId, epoch: Epoch, task_id: TaskId, attempt: Attempt
     ) -> Result[StopReply, AgentError]:
-        """Save an attempt's state and stop it."""
+        """Save the state of an attempt and stop it."""
 
     @abstractmethod
     async def throttle(
@@ -173,13 +218,13 @@
         attempt: Attempt,
         cores_milli: int,
     ) -> Result[None, AgentError]:
-        """Limit an attempt to a number of thousandths of a core."""
+        """Limit the processor time of an attempt to `cores_milli` / 1000 cores."""
 
     @abstractmethod
     async def renew(
         self, worker_id: WorkerId, request: RenewRequest
     ) -> Result[RenewReply, AgentError]:
-        """Extend the worker's lease."""
+        """Extend the lease of a worker."""
 
     @abstractmethod
     async def report(
@@ -188,4 +233,12 @@
         epoch: Epoch,
         forget: tuple[tuple[TaskId, Attempt], ...] = (),
     ) -> Result[WorkerReport, AgentError]:
-        """Return the worker's tasks after dropping the finished ones in `forget`."""
+        """Return the attempts on a worker.
+
+        Parameters
+        ----------
+        worker_id : WorkerId
+        epoch : Epoch
+        forget : tuple of (TaskId, Attempt)
+            Ended attempts that the worker forgets before it replies.
+        """
