Rename the runners' client, reader claims and synchronous dumps

basilhold/membership/readers.py claim_reader make_reader_claim basilhold/membership/list_filter.py VmListFilter.check VmListFilter.apply basilhold/observability/state.py StateDump.dump_now StateDump.dump_sync basilhold/ports/runners.py TaskRunners RunnerClient

--- a/basilhold/membership/__init__.py
+++ b/basilhold/membership/__init__.py
@@ -10,8 +10,8 @@
 )
 from basilhold.membership.readers import (
     ReaderLocation,
-    claim_reader,
     decode_reader,
+    make_reader_claim,
     reader_key,
 )
 from basilhold.membership.suspect_loss import is_suspect_loss
@@ -24,7 +24,7 @@
     "Membership",
     "PeerReport",
     "ReaderLocation",
-    "claim_reader",
+    "make_reader_claim",
     "decode_reader",
     "is_suspect_loss",
     "reader_key",
--- a/basilhold/membership/list_filter.py
+++ b/basilhold/membership/list_filter.py
@@ -30,7 +30,7 @@
         self._suspect_since_ms: float | None = None
         self.withheld_count = 0
 
-    def check(
+    def apply(
         self, snapshot: VmSnapshot, known: Mapping[VmId, VmRecord], now_ms: float
     ) -> VmSnapshot:
         """Return the list to send.
--- a/basilhold/membership/readers.py
+++ b/basilhold/membership/readers.py
@@ -10,7 +10,7 @@
 from basilhold.core import ProcessId, RegionName
 from basilhold.ports import ABSENT, Condition, Row, Transaction, Write
 
-__all__ = ["ReaderLocation", "claim_reader", "decode_reader", "reader_key"]
+__all__ = ["ReaderLocation", "make_reader_claim", "decode_reader", "reader_key"]
 
 
 class ReaderLocation(msgspec.Struct, frozen=True):
@@ -52,7 +52,7 @@
         return None
 
 
-def claim_reader(claim: ReaderLocation, row: Row | None) -> Transaction:
+def make_reader_claim(claim: ReaderLocation, row: Row | None) -> Transaction:
     """Return the transaction that makes a relay the reader of its region.
 
     Parameters
--- a/basilhold/membership/tests/test_members.py
+++ b/basilhold/membership/tests/test_members.py
@@ -185,10 +185,10 @@
 
     def test_suspect_list_is_withheld_and_released_under_new_versions(self):
         list_filter, known = VmListFilter(), {vm(i).vm_id: vm(i) for i in range(12)}
-        withheld = list_filter.check(VmSnapshot(5, ()), known, 0)
+        withheld = list_filter.apply(VmSnapshot(5, ()), known, 0)
         self.assertEqual((withheld.version, len(withheld.records)), (10, 12))
-        recovered = list_filter.check(VmSnapshot(6, tuple(known.values())), known, 1000)
+        recovered = list_filter.apply(VmSnapshot(6, tuple(known.values())), known, 1000)
         self.assertEqual(recovered.version, 13)
-        list_filter.check(VmSnapshot(7, ()), known, 2000)
-        released = list_filter.check(VmSnapshot(7, ()), known, 32_000)
+        list_filter.apply(VmSnapshot(7, ()), known, 2000)
+        released = list_filter.apply(VmSnapshot(7, ()), known, 32_000)
         self.assertEqual((released.version, released.records), (15, ()))
--- a/basilhold/observability/state.py
+++ b/basilhold/observability/state.py
@@ -98,7 +98,7 @@
             await asyncio.sleep(0)
         return _join(encoded_sources)
 
-    def dump_now(self) -> bytes:
+    def dump_sync(self) -> bytes:
         """Return a dump synchronously, for a process that is about to exit."""
         encoded_sources: list[bytes] = []
         for step in self._source_steps(encoded_sources):
--- a/basilhold/observability/tests/test_state.py
+++ b/basilhold/observability/tests/test_state.py
@@ -106,7 +106,7 @@
 
     def test_synchronous_dump_equals_asynchronous_dump(self):
         dump = make_dump(a=[1, 2], b={"c": None})
-        self.assertEqual(dump.dump_now(), run_virtual(dump.dump()))
+        self.assertEqual(dump.dump_sync(), run_virtual(dump.dump()))
 
     def test_duplicate_name_is_rejected(self):
         dump = make_dump(a=1)
@@ -116,6 +116,6 @@
     @settings(max_examples=60, deadline=None)
     @given(VALUES, st.integers(200, 2_000))
     def test_any_state_yields_json_within_the_limit(self, value, size_max):
-        data = make_dump(size_max, a=value, b=value).dump_now()
+        data = make_dump(size_max, a=value, b=value).dump_sync()
         self.assertLessEqual(len(data), size_max)
         self.assertEqual(set(msgspec.json.decode(data)), {"a", "b"})
--- a/basilhold/platform/runners.py
+++ b/basilhold/platform/runners.py
@@ -16,8 +16,8 @@
     CallOutcome,
     RenewLeaseCall,
     RunnerCall,
+    RunnerClient,
     StartCall,
-    TaskRunners,
     WorkerRegistry,
 )
 from basilhold.workflows.model import QueuePolicy, RunNumber, TaskKey, task_name
@@ -115,7 +115,7 @@
 _HOLD = msgspec.json.Decoder(_HoldReply)
 
 
-class PlatformRunners(TaskRunners):
+class PlatformRunners(RunnerClient):
     """Calls to runners.
 
     Parameters
--- a/basilhold/ports/runners.py
+++ b/basilhold/ports/runners.py
@@ -18,7 +18,7 @@
     "WorkerRegistry",
     "RunnerCall",
     "StartCall",
-    "TaskRunners",
+    "RunnerClient",
 ]
 
 
@@ -108,7 +108,7 @@
     wait_ms: int = 0
 
 
-class TaskRunners(ABC):
+class RunnerClient(ABC):
     """Client of the agents that run tasks on workers."""
 
     @abstractmethod
--- a/basilhold/programs/process.py
+++ b/basilhold/programs/process.py
@@ -177,7 +177,7 @@
 
     def state(self) -> dict[str, Any]:
         """Return the process's state for a dump."""
-        return {"dump": self.pages.state.dump_now().decode()}
+        return {"dump": self.pages.state.dump_sync().decode()}
 
     @property
     def entry(self) -> EntryPorts:
--- a/basilhold/relay/election.py
+++ b/basilhold/relay/election.py
@@ -8,8 +8,8 @@
 from basilhold.core import Clock
 from basilhold.membership import (
     ReaderLocation,
-    claim_reader,
     decode_reader,
+    make_reader_claim,
     reader_key,
 )
 from basilhold.observability import log_event
@@ -138,7 +138,7 @@
             0,
             secrets.token_hex(4),
         )
-        result = await self._table.transact(claim_reader(claim, row))
+        result = await self._table.transact(make_reader_claim(claim, row))
         if result.is_error() and result.error.kind is not StoreErrorKind.UNKNOWN:
             return None
         # The reply may be lost, so the row tells who won.
--- a/basilhold/relay/store_reader.py
+++ b/basilhold/relay/store_reader.py
@@ -123,7 +123,7 @@
         snapshot = await self._vm_list.read()
         if snapshot.is_error():
             return Error(snapshot.error)
-        checked = self._guard.check(snapshot.ok, self._state.vms.records, started_ms)
+        checked = self._guard.apply(snapshot.ok, self._state.vms.records, started_ms)
         self._state.vms.replace(checked.version, checked.records)
         self._state.confirm_vms(started_ms)
         return Ok(None)
--- a/basilhold/standins/runners.py
+++ b/basilhold/standins/runners.py
@@ -15,8 +15,8 @@
     CallOutcome,
     RenewLeaseCall,
     RunnerCall,
+    RunnerClient,
     StartCall,
-    TaskRunners,
     WorkerRegistry,
 )
 from basilhold.workflows.model import QueuePolicy, TaskKey, WorkflowSpec
@@ -229,7 +229,7 @@
         return Ok(Listing(self.clock_ms(), born, running, tuple(self.ended[:500])))
 
 
-class MemoryRunners(TaskRunners):
+class MemoryRunners(RunnerClient):
     """Calls to in-memory agents; collects broken guarantees in `violations`.
 
     Gang members that waited in vain are in `alone_s`: whether that is a broken
--- a/basilhold/workflows/owner_state.py
+++ b/basilhold/workflows/owner_state.py
@@ -9,7 +9,7 @@
 from basilhold.core import Clock, JobId, ServiceName, WorkerId
 from basilhold.observability import Metrics, metric
 from basilhold.ports import ChangeFeed, TableService
-from basilhold.ports.runners import AdviceService, TaskRunners, WorkerRegistry
+from basilhold.ports.runners import AdviceService, RunnerClient, WorkerRegistry
 from basilhold.workflows.admissions import AdmissionBook
 from basilhold.workflows.backlog import Backlog
 from basilhold.workflows.ownership import Lease
@@ -33,7 +33,7 @@
 
     table: TableService
     feed: ChangeFeed
-    runners: TaskRunners
+    runners: RunnerClient
     registry: WorkerRegistry
     advice: AdviceService
     clock: Clock
--- a/basilhold/workflows/tests/test_worker_link.py
+++ b/basilhold/workflows/tests/test_worker_link.py
@@ -5,7 +5,7 @@
 from expression import Ok
 
 from basilhold.core import Clock, Epoch, ProcessId, Resources, ServiceName, WorkerId
-from basilhold.ports.runners import TaskRunners
+from basilhold.ports.runners import RunnerClient
 from basilhold.standins.feed_table import FeedTable
 from basilhold.testing import VirtualTimeTestCase
 from basilhold.testing.workflow_cell import LoopClock
@@ -17,7 +17,7 @@
 INFO = WorkerInfo(WorkerId("w"), "h:1", 7, Resources(1_000))
 
 
-class RecordingRunners(TaskRunners):
+class RecordingRunners(RunnerClient):
     """Answers looks, and keeps what they asked for."""
 
     def __init__(self):
--- a/basilhold/workflows/worker_link.py
+++ b/basilhold/workflows/worker_link.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from basilhold.core import Clock
-from basilhold.ports.runners import CallOutcome, RenewLeaseCall, TaskRunners
+from basilhold.ports.runners import CallOutcome, RenewLeaseCall, RunnerClient
 from basilhold.workflows.ownership import Lease
 from basilhold.workflows.pool import EndedRun, ListedRun, Listing, Worker, reconcile
 from basilhold.workflows.progress import ROW_BYTES_MAX
@@ -88,14 +88,14 @@
     Parameters
     ----------
     worker : Worker
-    runners : TaskRunners
+    runners : RunnerClient
     lease : Lease
         Of the service's owner.
     limits : OwnerLimits
     """
 
     def __init__(
-        self, worker: Worker, runners: TaskRunners, lease: Lease, limits: OwnerLimits
+        self, worker: Worker, runners: RunnerClient, lease: Lease, limits: OwnerLimits
     ):
         self.worker = worker
         self.closed = False
