--- a/basilhold/membership/__init__.py
+++ b/basilhold/membership/__init__.py
@@ -18,14 +18,14 @@
 
 __all__ = [
     "GONE_AFTER_MS",
-    "VmListFilter",
     "Liveness",
     "MemberChange",
     "Membership",
     "PeerReport",
     "ReaderLocation",
-    "make_reader_claim",
+    "VmListFilter",
     "decode_reader",
     "is_suspect_loss",
+    "make_reader_claim",
     "reader_key",
 ]
--- a/basilhold/membership/readers.py
+++ b/basilhold/membership/readers.py
@@ -10,7 +10,7 @@
 from basilhold.core import ProcessId, RegionName
 from basilhold.ports import ABSENT, Condition, Row, Transaction, Write
 
-__all__ = ["ReaderLocation", "make_reader_claim", "decode_reader", "reader_key"]
+__all__ = ["ReaderLocation", "decode_reader", "make_reader_claim", "reader_key"]
 
 
 class ReaderLocation(msgspec.Struct, frozen=True):
--- a/basilhold/observability/log_setup.py
+++ b/basilhold/observability/log_setup.py
@@ -140,8 +140,5 @@
 
 
 def set_log_output(output: BoundedOutput) -> None:
-    """Redirect the log to another stream.
-
-    Call this after `set_up_logging`.
-    """
+    """Write the log to another stream instead of standard error."""
     logging.get_absl_handler().python_handler.stream = output
--- a/basilhold/observability/state.py
+++ b/basilhold/observability/state.py
@@ -48,7 +48,7 @@
 
     @abstractmethod
     def state(self) -> Any:
-        """Return structs, mappings, sequences, sets and scalar values.
+        """Return the state as structs, mappings, sequences, sets and scalar values.
 
         The value is encoded immediately and not modified, so that large collections
         need not be copied.
--- a/basilhold/ports/runners.py
+++ b/basilhold/ports/runners.py
@@ -15,10 +15,10 @@
     "AdviceService",
     "CallOutcome",
     "RenewLeaseCall",
-    "WorkerRegistry",
     "RunnerCall",
-    "StartCall",
     "RunnerClient",
+    "StartCall",
+    "WorkerRegistry",
 ]
 
 
@@ -75,7 +75,7 @@
     checkpoint : str
         Checkpoint from which the run resumes; empty if there is none.
     ticket : str
-        Permission of the advice service; empty if none is required.
+        Permission of the advice service; empty if there is none.
     """
 
     run: RunnerCall
