--- a/basilhold/observability/__init__.py
+++ b/basilhold/observability/__init__.py
@@ -1,4 +1,4 @@
-"""Log events, metrics, state dumps and health endpoints."""
+"""Log events, metrics, state dumps and status endpoints of a process."""
 
 from basilhold.observability.events import (
     Event,
@@ -9,7 +9,7 @@
 from basilhold.observability.health import Health, HealthReport, ReadinessCheck
 from basilhold.observability.log_setup import (
     BoundedOutput,
-    log_to_output,
+    set_log_output,
     set_up_logging,
 )
 from basilhold.observability.loop_lag import LoopLagSampler
@@ -47,10 +47,10 @@
     "StateSource",
     "StatusPages",
     "log_event",
-    "log_to_output",
     "make_status_pages",
     "metric",
     "registered_events",
+    "set_log_output",
     "set_up_logging",
     "status_application",
     "status_routes",
