Reword the workflow model, routes and the worker link

Doc comments left out units and parameters, and the worker link spoke of looks and questions. They now describe leases, polls and advice requests in the usual terms, and internal names follow.

--- a/basilhold/workflows/__init__.py
+++ b/basilhold/workflows/__init__.py
@@ -1,1 +1,1 @@
-"""Workflows: jobs of dependent steps, and the owners that run them."""
+"""Workflows, which are jobs of dependent steps, and the owners that run them."""
--- a/basilhold/workflows/model.py
+++ b/basilhold/workflows/model.py
@@ -1,4 +1,4 @@
-"""Workflows: jobs whose steps depend on each other."""
+"""Data model of workflows, which are jobs with dependent steps."""
 
 from typing import NewType
 
@@ -19,23 +19,23 @@
 ]
 
 WORKERS_PER_ADVICE_REQUEST = 30
-"""Workers named in the question that an objective allows for each step."""
+"""Number of workers in the advice request that the objective allows for per step."""
 
 QueueName = NewType("QueueName", str)
 RunNumber = NewType("RunNumber", int)
 
 
 class AdvicePolicy(msgspec.Struct, frozen=True):
-    """What a question about admissible workers costs, in milliseconds.
+    """Response time of the advice service, which decides on admissible workers.
 
     Parameters
     ----------
     decide_ms : float
-        Fixed part of the answering time.
+        Fixed part of the response time, in milliseconds.
     each_ms : float
-        Part for each worker that is named.
+        Additional response time per worker in the request, in milliseconds.
     valid_ms : float
-        How long a ticket can be used.
+        Time for which a ticket from a response is valid, in milliseconds.
     """
 
     decide_ms: float = 0.0
@@ -43,26 +43,28 @@
     valid_ms: float = 0.0
 
     def answer_ms(self, worker_count: int) -> float:
-        """Return the answering time for a number of workers, in milliseconds."""
+        """Return the response time for a number of workers, in milliseconds."""
         return self.decide_ms + self.each_ms * worker_count
 
 
 class QueuePolicy(msgspec.Struct, frozen=True):
-    """How a queue's workflows are treated.
+    """Scheduling policy of the workflows of a queue.
 
     Parameters
     ----------
     name : QueueName
+        Name of the queue.
     service : ServiceName
         Pool of workers that run the queue's tasks.
     priority : int
-        0 comes first.
+        Priority of the workflows; 0 is the highest.
     failures_max : int
-        A task that failed this often fails its workflow.
+        Number of failures of one task after which its workflow fails.
     stretch, target_latency_ms : float
-        The objective is `stretch` times the longest chain of work plus the target.
+        The latency objective of a workflow is `stretch` times the run time of its
+        critical path plus `target_latency_ms`, in milliseconds.
     advice : AdvicePolicy, optional
-        Set where an external service decides which workers may run a step.
+        Set if an external service decides which workers may run a step.
     """
 
     name: QueueName
@@ -75,37 +77,44 @@
 
 
 class StepSpec(msgspec.Struct, frozen=True, omit_defaults=True):
-    """Equal tasks that start once the steps named in `after` are done.
+    """Group of identical tasks that start after other steps have completed.
 
     Parameters
     ----------
     task_count : int
+        Number of tasks.
     size : Resources
+        Resources that each task uses.
     estimate_ms : float
-        Declared run time of a task; rough.
+        Rough run time of a task as declared by the caller, in milliseconds.
     after : tuple of int
+        Indices of the steps that have to complete first.
     gang : bool
-        The tasks work only while all of them run, and end together.
+        Whether the tasks make progress only while all of them run, and end together.
     same_rack_preferred : bool
-        The tasks are slower if they are spread over racks.
+        Whether the tasks are slower if they are spread over racks.
     label : str
         Label that the worker must have; empty for any worker.
     rack : str
         Rack that holds the step's data; empty if there is none.
     per_worker_max : int
-        Most tasks of the step on one worker; 0 for no limit.
+        Maximum number of tasks of the step on one worker; 0 for no limit.
     copies_allowed : bool
-        Several runs of one task may run at a time.
+        Whether several runs of one task may execute at the same time.
     long_running : bool
-        The tasks run until the workflow is cancelled.
+        Whether the tasks run until the workflow is cancelled.
     checkpointing : bool
+        Whether the tasks save a checkpoint when they are stopped, so that no work is
+        lost.
     image : str
+        Image that the tasks run.
     latency_target_ms : float
-        Bound of the tail latency of what a long-running task serves; 0 for none.
+        Upper bound of the tail latency of requests served by a long-running task, in
+        milliseconds; 0 for none.
     uses_spare_cores : bool
-        The cores of the tasks do not count against a worker's capacity.
+        Whether the cores of the tasks do not count against a worker's capacity.
     unavailable_max : int
-        Most tasks that may be interrupted at a time; 0 for no limit.
+        Maximum number of tasks that may be interrupted at a time; 0 for no limit.
     """
 
     task_count: int
@@ -126,29 +135,33 @@
     unavailable_max: int = 0
 
     def reserved(self) -> Resources:
-        """Return what a task takes of a worker's capacity."""
+        """Return the part of a worker's capacity that a task reserves."""
         if self.uses_spare_cores:
             return Resources(0, self.size.memory_bytes, self.size.gpus_milli)
         return self.size
 
 
 class WorkflowSpec(msgspec.Struct, frozen=True, omit_defaults=True):
-    """A submitted workflow, as stored.
+    """Submitted workflow, as stored.
 
     Parameters
     ----------
     job_id : JobId
+        Unique identifier of the workflow.
     policy : QueuePolicy
         Policy of the queue at submission.
     payload : str
-        Passed to the workers as it is.
+        Data passed to the workers unchanged.
     steps : tuple of StepSpec
+        Steps of the workflow.
     submitted_ms : float
-        Time of the store's clock at submission; 0 if that was not known there.
+        Store's time at submission, in milliseconds; 0 if the process that accepted the
+        workflow did not know it.
     first_due_unix_ms, interval_ms : float
-        Due times of a repeated workflow.
+        Unix time at which the first occurrence of a repeated workflow is due, and the
+        interval between occurrences, in milliseconds.
     repeat_count : int
-        Number of occurrences; 0 for a workflow that runs once, at once.
+        Number of occurrences; 0 for a workflow that runs once, immediately.
     """
 
     job_id: JobId
@@ -162,18 +175,31 @@
 
     @property
     def occurrence_count(self) -> int:
-        """How often the steps run."""
+        """Number of times that the steps run."""
         return max(1, self.repeat_count)
 
     def due_unix_ms(self, occurrence: int) -> float:
-        """Return when an occurrence may start; 0 if it may start at once."""
+        """Return the Unix time in milliseconds at which an occurrence is due.
+
+        Returns 0 if it may start immediately.
+        """
         if not self.repeat_count:
             return 0.0
         return self.first_due_unix_ms + occurrence * self.interval_ms
 
 
 class TaskKey(msgspec.Struct, frozen=True, order=True):
-    """Names one task of a workflow."""
+    """Identifies one task of a workflow.
+
+    Parameters
+    ----------
+    occurrence : int
+        Occurrence of a repeated workflow, from 0.
+    step : int
+        Index of the step.
+    index : int
+        Index of the task in the step.
+    """
 
     occurrence: int
     step: int
@@ -181,7 +207,7 @@
 
 
 def task_name(job_id: JobId, key: TaskKey) -> str:
-    """Return the name under which workers know a task.
+    """Return the name that identifies a task to workers.
 
     Examples
     --------
@@ -192,7 +218,7 @@
 
 
 def objective_ms(spec: WorkflowSpec) -> float:
-    """Return the time within which a workflow should end, in milliseconds.
+    """Return the latency objective of a workflow, in milliseconds.
 
     Examples
     --------
@@ -203,11 +229,14 @@
     1300.0
     """
     policy = spec.policy
-    return policy.stretch * _chain_ms(spec) + policy.target_latency_ms
+    return policy.stretch * _critical_path_ms(spec) + policy.target_latency_ms
+
 
+def _critical_path_ms(spec: WorkflowSpec) -> float:
+    """Return the estimated run time of the critical path, in milliseconds.
 
-def _chain_ms(spec: WorkflowSpec) -> float:
-    """Return the longest chain of estimates, with a question about each step."""
+    It includes one advice request per step, if the queue requires advice.
+    """
     advice = spec.policy.advice
     advice_ms = advice.answer_ms(WORKERS_PER_ADVICE_REQUEST) if advice else 0.0
     ends: list[float] = []
--- a/basilhold/workflows/routes.py
+++ b/basilhold/workflows/routes.py
@@ -1,4 +1,4 @@
-"""Queues by host and path prefix. Pure."""
+"""Lookup of queues by host and path prefix, without I/O."""
 
 import msgspec
 
@@ -9,7 +9,7 @@
 
 
 class QueueRoute(msgspec.Struct, frozen=True):
-    """Where a queue's workflows are submitted."""
+    """Host and path prefix at which workflows of a queue are submitted."""
 
     host: str
     path_prefix: str
@@ -17,14 +17,18 @@
 
 
 class QueueTable:
-    """One version of the queues.
+    """Queues and services of one version of the configuration.
 
     Parameters
     ----------
     version : int
+        Version of the configuration.
     routes : tuple of QueueRoute
+        Routes of all queues.
     body_bytes_max : int
+        Maximum size of a submitted body, in bytes.
     services : tuple of ServiceName
+        All services.
     """
 
     def __init__(
@@ -40,11 +44,14 @@
         self._by_host: dict[str, list[QueueRoute]] = {}
         for route in routes:
             self._by_host.setdefault(route.host.lower(), []).append(route)
-        for found in self._by_host.values():
-            found.sort(key=lambda route: -len(route.path_prefix))
+        for host_routes in self._by_host.values():
+            host_routes.sort(key=lambda route: -len(route.path_prefix))
 
     def find(self, host: str, path: str) -> QueueRoute | None:
-        """Return the route with the longest prefix of a path.
+        """Return the route of a host with the longest matching path prefix.
+
+        Host names are compared without their port and regardless of case. Returns
+        ``None`` if no route matches.
 
         Examples
         --------
@@ -55,8 +62,8 @@
         >>> table.find("h", "/b/1") is None
         True
         """
-        name = host.rsplit(":", 1)[0].lower() if ":" in host else host.lower()
-        for route in self._by_host.get(name, ()):
+        host_name = host.rsplit(":", 1)[0].lower() if ":" in host else host.lower()
+        for route in self._by_host.get(host_name, ()):
             if path.startswith(route.path_prefix):
                 return route
         return None
--- a/basilhold/workflows/tests/test_worker_link.py
+++ b/basilhold/workflows/tests/test_worker_link.py
@@ -1,4 +1,4 @@
-"""What a look at a worker asks for."""
+"""Tests of the calls that a poll of a worker makes."""
 
 import asyncio
 
@@ -18,7 +18,7 @@
 
 
 class RecordingRunners(RunnerClient):
-    """Answers looks, and keeps what they asked for."""
+    """Replies to polls and records their calls."""
 
     def __init__(self):
         self.calls = []
@@ -32,7 +32,7 @@
 
 
 class WorkerLinkTest(VirtualTimeTestCase):
-    """Guards against ends that a worker forgets before they were read."""
+    """Guards against run ends that a worker discards before they are read."""
 
     def make(self, runners):
         record = OwnerRecord(ProcessId("p"), "h:2", Epoch(1), 0, Incarnation("i"))
@@ -43,8 +43,8 @@
         return WorkerLink(Worker(INFO), runners, lease, OwnerLimits(6_000, 1_000))
 
     async def test_acknowledgement_does_not_wait_and_is_sent_once(self):
-        # A worker that started anew while a call with an acknowledgement waited there
-        # forgot its own ends of the same numbers; their tasks ran again.
+        # A worker that restarted while a call with an acknowledgement was waiting
+        # discarded its new run ends with the same numbers, and their tasks ran again.
         runners = RecordingRunners()
         link = self.make(runners)
         clock = Clock(0)
@@ -53,11 +53,12 @@
         link.acknowledge(5)
         for _ in range(2):
             await link.poll(clock)
-        asked = [(call.acknowledged, call.wait_ms) for call in runners.calls]
-        self.assertEqual(asked, [(0, 0), (5, 0), (0, 1_000)])
+        requested = [(call.acknowledged, call.wait_ms) for call in runners.calls]
+        self.assertEqual(requested, [(0, 0), (5, 0), (0, 1_000)])
 
-    async def test_refreshes_under_way_are_shared(self):
-        # Each stop of a burst asked for lists of its own, four at a time.
+    async def test_concurrent_refreshes_share_a_poll(self):
+        # In a burst of stops, each stop requested the run lists separately, with four
+        # requests at a time.
         runners = RecordingRunners()
         link = self.make(runners)
         clock = Clock(0)
--- a/basilhold/workflows/worker_link.py
+++ b/basilhold/workflows/worker_link.py
@@ -1,4 +1,4 @@
-"""Keeps the lease of one worker and reads its lists."""
+"""Link of an owner to one worker: renews the worker's lease and reads its run lists."""
 
 import asyncio
 from collections.abc import Callable
@@ -13,37 +13,38 @@
 
 __all__ = ["LEASE_MAX_MS", "PollResult", "OwnerLimits", "WorkerLink"]
 
-CLOCK_DRIFT = 1.03
-"""A worker's clock may be 2% slow."""
+CLOCK_DRIFT_FACTOR = 1.03
+"""Allowance for the rate of a worker's clock, which may be 2% slow."""
 
-LAPSE_MARGIN_MS = 100.0
+LEASE_MARGIN_MS = 100.0
 LEASE_MAX_MS = 6_500.0
-"""Longest lease of a worker. A long-running task is to run again 9 s after its worker
-has gone in silence, and an answer about another worker takes a second; takeovers by
-another owner end within 4 s."""
+"""Maximum lease of a worker. A long-running task has to run again within 9 s after its
+worker has failed without notice, of which the advice request for another worker takes
+1 s. Takeovers by another owner end within 4 s."""
 
-RETRY_MS = 200.0
-RETRY_MAX_MS = 1_000.0
-ACKNOWLEDGE_WAIT_MS = 800.0
-"""How long a link waits for a commit of the ends it has read, before it renews the
-lease without acknowledging them."""
+RETRY_DELAY_MS = 200.0
+RETRY_DELAY_MAX_MS = 1_000.0
+COMMIT_WAIT_MS = 800.0
+"""How long a link waits for the commit of the run ends that it has read, before it
+renews the lease without acknowledging them."""
 
 
 class OwnerLimits(msgspec.Struct, frozen=True):
-    """Bounds of an owner.
+    """Time and size limits of an owner.
 
     Parameters
     ----------
     lease_ms : float
-        Longest lease, on the worker's clock.
+        Maximum lease of a worker, in milliseconds of the worker's clock.
     wait_ms : int
-        How long a worker may wait for an end before it replies.
+        How long a worker may wait for the end of a run before it replies, in
+        milliseconds.
     retention_ms : float
-        How long the rows of a workflow are kept after its end.
+        How long the rows of a workflow are kept after its end, in milliseconds.
     row_bytes_max : int
-        Largest value of a row that the store takes.
+        Maximum size of a row's value in the store, in bytes.
     stop_ms : float
-        Longest time that a worker takes to stop a run.
+        Maximum time that a worker takes to stop a run, in milliseconds.
     """
 
     lease_ms: float
@@ -53,25 +54,28 @@
     stop_ms: float = 400.0
 
     def lease_expiry_ms(self) -> float:
-        """Return the time after which a lease that was asked for now has lapsed."""
-        return self.lease_ms * CLOCK_DRIFT + LAPSE_MARGIN_MS
+        """Return the time after which a lease requested now has certainly expired.
+
+        In milliseconds of the owner's clock.
+        """
+        return self.lease_ms * CLOCK_DRIFT_FACTOR + LEASE_MARGIN_MS
 
 
 class PollResult(msgspec.Struct):
-    """What one look at a worker has shown.
+    """Result of one poll of a worker.
 
     Parameters
     ----------
     first : bool
-        The worker's lists were read for the first time.
+        Whether the worker's run lists were read for the first time.
     fenced : bool
-        The worker has seen a higher epoch.
+        Whether the worker rejected the call because it has seen a higher epoch.
     lost : str
-        Why nothing runs on this incarnation any more; empty if it may.
+        Why no task can be running on this incarnation any more; empty if one may be.
     restarted : Listing, optional
-        What a newer incarnation has listed.
+        Run lists of a newer incarnation of the worker.
     ends, unknown : list
-        See `Reconciled`.
+        Ended and unknown runs; see `Reconciled`.
     """
 
     first: bool = False
@@ -83,15 +87,25 @@
 
 
 class WorkerLink:
-    """Looks at one incarnation of a worker again and again.
+    """Polls one incarnation of a worker.
 
     Parameters
     ----------
     worker : Worker
+        State of the worker, updated by each poll.
     runners : RunnerClient
+        Client for calls to workers.
     lease : Lease
-        Of the service's owner.
+        Lease of the service's owner.
     limits : OwnerLimits
+        Limits of the owner.
+
+    Attributes
+    ----------
+    closed : bool
+        Whether the owner no longer uses this link.
+    on_poll : callable
+        Called with the `PollResult` of each poll that `refresh` makes.
     """
 
     def __init__(
@@ -99,79 +113,90 @@
     ):
         self.worker = worker
         self.closed = False
-        self.on_poll: Callable[[PollResult], object] = lambda look: None
+        self.on_poll: Callable[[PollResult], object] = lambda result: None
         self._runners = runners
         self._lease = lease
         self._limits = limits
         self._acknowledged = asyncio.Event()
         self._failures = 0
-        self._newest_asked_ms = 0.0
-        self._told = 0
+        self._newest_request_ms = 0.0
+        self._sent_acknowledgement = 0
         self._refreshing = False
-        self._refresh_again = False
+        self._refresh_requested = False
 
     def extend_lease_bound(self, now_ms: float, lease_ms: float) -> None:
-        """Note that an order sent now may extend the worker's lease."""
-        until_ms = now_ms + lease_ms * CLOCK_DRIFT + LAPSE_MARGIN_MS
+        """Record that a call sent at `now_ms` may extend the worker's lease.
+
+        Parameters
+        ----------
+        now_ms : float
+            Monotonic time of this process, in milliseconds.
+        lease_ms : float
+            Lease that the call grants, in milliseconds of the worker's clock.
+        """
+        until_ms = now_ms + lease_ms * CLOCK_DRIFT_FACTOR + LEASE_MARGIN_MS
         self.worker.held_until_ms = max(self.worker.held_until_ms, until_ms)
 
     def acknowledge(self, processed: int) -> None:
-        """Allow the worker to forget ends up to a number, which are stored."""
+        """Allow the worker to discard run ends up to a number, which are committed."""
         if processed > self.worker.acknowledged:
             self.worker.acknowledged = processed
         self._acknowledged.set()
 
     async def refresh(self, clock: Clock) -> None:
-        """Look at the worker at once; calls while one is under way share the next."""
+        """Poll the worker at once; calls during such a poll share the next one."""
         if self._refreshing:
-            self._refresh_again = True
+            self._refresh_requested = True
             return
         self._refreshing = True
         try:
             while True:
-                self._refresh_again = False
-                self.on_poll(await self.poll(clock, at_once=True))
-                if not self._refresh_again:
+                self._refresh_requested = False
+                self.on_poll(await self.poll(clock, immediate=True))
+                if not self._refresh_requested:
                     return
         finally:
             self._refreshing = False
 
-    async def poll(self, clock: Clock, at_once: bool = False) -> PollResult:
-        """Renew the lease and read the lists once.
+    async def poll(self, clock: Clock, immediate: bool = False) -> PollResult:
+        """Renew the lease and read the run lists once.
 
         Parameters
         ----------
         clock : Clock
-        at_once : bool
-            Look beside the regular looks, without waiting for an end.
+            Clock of this process.
+        immediate : bool
+            Whether to poll in addition to the regular polls, without waiting for a
+            commit or for the end of a run.
         """
         worker = self.worker
-        if not at_once:
+        if not immediate:
             await self._wait_for_commit()
         if self.closed:
-            return PollResult(lost="it was replaced")
-        asked_ms = clock.monotonic_ms()
+            return PollResult(lost="the link was closed")
+        sent_ms = clock.monotonic_ms()
         if not self._lease.is_valid():
-            if at_once:
+            if immediate:
                 return PollResult()
-            await asyncio.sleep(RETRY_MS / 1000)
-            return self._check_lapse(clock)
+            await asyncio.sleep(RETRY_DELAY_MS / 1000)
+            return self._check_expiry(clock)
         until_ms = 0.0
-        # A renewal without a reply may have taken effect. Repeating it would put off
-        # the moment from which nothing can run on the worker any more.
+        # A renewal without a reply may have taken effect. Repeating it would delay the
+        # time after which no task can be running on the worker.
         if worker.clock_ms and not self._failures:
-            until_ms = worker.clock_at(asked_ms) + self._limits.lease_ms
-            self.extend_lease_bound(asked_ms, self._limits.lease_ms)
+            until_ms = worker.clock_at(sent_ms) + self._limits.lease_ms
+            self.extend_lease_bound(sent_ms, self._limits.lease_ms)
         acknowledged = self._new_acknowledgement()
-        # While a call waits, a new incarnation could list ends of the same numbers.
-        wait_ms = 0 if at_once or acknowledged else self._wait_ms()
+        # While a call waits at the worker, a new incarnation could list run ends with
+        # the same numbers, so a call with an acknowledgement does not wait.
+        wait_ms = 0 if immediate or acknowledged else self._wait_ms()
         call = RenewLeaseCall(self._lease.epoch, acknowledged, until_ms, wait_ms)
         result = await self._runners.renew_lease(worker, call)
         now_ms = clock.monotonic_ms()
         if self.closed:
-            return PollResult(lost="it was replaced")
+            return PollResult(lost="the link was closed")
         if result.is_error():
-            if at_once:
+            if immediate:
                 return PollResult(fenced=result.error is CallOutcome.FENCED)
             return await self._after_failure(result.error, clock)
         self._failures = 0
@@ -181,28 +206,28 @@
             and listing.born_unix_ms != worker.info.born_unix_ms
         ):
             return PollResult(restarted=listing)
-        self._told = max(self._told, acknowledged)
-        if asked_ms < self._newest_asked_ms:
-            # A look that was asked for later has overtaken this one.
+        self._sent_acknowledgement = max(self._sent_acknowledgement, acknowledged)
+        if sent_ms < self._newest_request_ms:
+            # A poll that was sent later has already returned.
             return PollResult()
-        self._newest_asked_ms = asked_ms
+        self._newest_request_ms = sent_ms
         first = not worker.listed
-        changed = reconcile(worker, listing, asked_ms, now_ms)
+        changed = reconcile(worker, listing, sent_ms, now_ms)
         return PollResult(first=first, ends=changed.ends, unknown=changed.unknown)
 
     def _new_acknowledgement(self) -> int:
-        """Return up to which number the worker may forget ends; 0 for nothing new.
+        """Return the number up to which the worker may discard run ends.
 
-        A failed look may mean that a new incarnation answers next, whose ends are
-        numbered from 1 again.
+        Returns 0 if there is nothing new to acknowledge, or after a failed poll: the
+        next reply may come from a new incarnation, which numbers its run ends from 1.
         """
-        if self._failures or self.worker.acknowledged <= self._told:
+        if self._failures or self.worker.acknowledged <= self._sent_acknowledgement:
             return 0
         return self.worker.acknowledged
 
     def _wait_ms(self) -> int:
-        unread = self.worker.processed > self.worker.acknowledged
-        if not self.worker.listed or unread:
+        uncommitted = self.worker.processed > self.worker.acknowledged
+        if not self.worker.listed or uncommitted:
             return 0
         return self._limits.wait_ms
 
@@ -211,7 +236,7 @@
             return
         self._acknowledged.clear()
         try:
-            async with asyncio.timeout(ACKNOWLEDGE_WAIT_MS / 1000):
+            async with asyncio.timeout(COMMIT_WAIT_MS / 1000):
                 await self._acknowledged.wait()
         except TimeoutError:
             pass
@@ -223,10 +248,12 @@
             return PollResult(lost="another worker has its address")
         self._failures += 1
         self.worker.listed = False
-        await asyncio.sleep(min(RETRY_MS * self._failures, RETRY_MAX_MS) / 1000)
-        return self._check_lapse(clock)
+        await asyncio.sleep(
+            min(RETRY_DELAY_MS * self._failures, RETRY_DELAY_MAX_MS) / 1000
+        )
+        return self._check_expiry(clock)
 
-    def _check_lapse(self, clock: Clock) -> PollResult:
+    def _check_expiry(self, clock: Clock) -> PollResult:
         if clock.monotonic_ms() > self.worker.held_until_ms and self.worker.runs:
             return PollResult(lost="its lease has lapsed")
         return PollResult()
