--- a/basilhold/platform/node.py
+++ b/basilhold/platform/node.py
@@ -53,8 +53,8 @@
 from basilhold.workflows.routes import QueueTable
 from basilhold.workflows.rows import Incarnation
 from basilhold.workflows.shared_time import SharedTime
-from basilhold.workflows.stewardship import Stewardship
-from basilhold.workflows.tasks import run_again
+from basilhold.workflows.stewardship import OwnershipManager
+from basilhold.workflows.tasks import restart_on_error
 from basilhold.workflows.worker_link import LEASE_MAX_MS, OwnerLimits
 
 __all__ = ["LogMetrics", "NodeDaemon", "main"]
@@ -140,7 +140,7 @@
             direct,
             direct,
             peers,
-            lambda: self.stewardship.members(),
+            lambda: self.ownership_manager.members(),
             region,
             self._clock,
             rng,
@@ -150,7 +150,7 @@
             self._pool, address_of(settings.advice or settings.platform.address)
         )
         spread = SpreadAdvice(
-            endpoint, advice, peers, lambda: self.stewardship.members(), region
+            endpoint, advice, peers, lambda: self.ownership_manager.members(), region
         )
         ports = OwnerPorts(
             store,
@@ -165,7 +165,7 @@
         hold_ms = min(settings.bounds.hold_max_ms, LEASE_MAX_MS)
         wait_ms = int(min(HOLD_WAIT_MAX_MS, hold_ms / 6))
         forget_ms = settings.bounds.status_s * 1000 * FORGET_FACTOR
-        self.stewardship = Stewardship(
+        self.ownership_manager = OwnershipManager(
             ports,
             BootClock(),
             Member(
@@ -188,7 +188,7 @@
             _handicap_ms(settings),
         )
         self.front = WorkflowFront(
-            store, self.stewardship, peers, advice, self._clock, shared_time
+            store, self.ownership_manager, peers, advice, self._clock, shared_time
         )
         self._callers = CallerServer(
             self.front, lambda: self._queues, self._clock, settings.row_bytes_max
@@ -229,20 +229,20 @@
         """Run until cancelled."""
         async with asyncio.TaskGroup() as group:
             group.create_task(
-                run_again(
+                restart_on_error(
                     "the watch of the configuration",
                     self._watch_configuration,
                     CONFIGURATION_RETRY_MS,
                 )
             )
-            group.create_task(self.stewardship.run())
+            group.create_task(self.ownership_manager.run())
             group.create_task(self._follow_clock())
 
     async def drain(self, abort: asyncio.Event) -> tuple[str, ...]:
         """Release the services, then serve callers until others take them."""
         self._draining = True
         self._callers.closing = True
-        await self.stewardship.stop()
+        await self.ownership_manager.stop()
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(DRAIN_SERVE_S):
                 await abort.wait()
@@ -256,13 +256,13 @@
             "node": self.name,
             "configuration": self._queues.version if self._queues else 0,
             "in_flight": self._callers.in_flight,
-            "services": self.stewardship.describe(),
+            "services": self.ownership_manager.describe(),
         }
 
     def _is_ready(self) -> bool:
         if self._draining or self._queues is None:
             return False
-        age_ms = self._clock.monotonic_ms() - self.stewardship.store_answered_ms
+        age_ms = self._clock.monotonic_ms() - self.ownership_manager.last_store_reply_ms
         return age_ms < READY_STORE_AGE_MS
 
     def _reload(self) -> None:
--- a/basilhold/testing/workflow_cell.py
+++ b/basilhold/testing/workflow_cell.py
@@ -52,7 +52,7 @@
 from basilhold.workflows.relayed_table import RelayedTable
 from basilhold.workflows.rows import Incarnation
 from basilhold.workflows.shared_time import SharedTime
-from basilhold.workflows.stewardship import Stewardship
+from basilhold.workflows.stewardship import OwnershipManager
 from basilhold.workflows.worker_link import OwnerLimits
 
 __all__ = ["SERVICE", "WorkflowCell", "WorkflowProcess", "make_spec"]
@@ -216,7 +216,7 @@
             self.table,
             self.table,
             peers,
-            lambda: self.stewardship.members() if cell.relays else [],
+            lambda: self.ownership_manager.members() if cell.relays else [],
             region,
             clock,
             random.Random(cell.rng.random()),
@@ -231,7 +231,7 @@
             shared_time,
             self.metrics,
         )
-        self.stewardship = Stewardship(
+        self.ownership_manager = OwnershipManager(
             ports,
             LoopClock(),
             Member(ProcessId(name), name, region),
@@ -242,9 +242,9 @@
             peers,
         )
         self.front = WorkflowFront(
-            self.store, self.stewardship, peers, cell.advice, clock, shared_time
+            self.store, self.ownership_manager, peers, cell.advice, clock, shared_time
         )
-        self._task = asyncio.create_task(self.stewardship.run())
+        self._task = asyncio.create_task(self.ownership_manager.run())
 
     async def kill(self) -> None:
         """End the process at once."""
@@ -255,7 +255,7 @@
 
     async def stop(self) -> None:
         """End the process gracefully."""
-        await self.stewardship.stop()
+        await self.ownership_manager.stop()
         await self.kill()
 
 
@@ -329,7 +329,7 @@
     def owner_name(self) -> str:
         """Return the process that owns the service; empty if none does."""
         for name, process in self.processes.items():
-            if process.stewardship.local_owner(SERVICE) is not None:
+            if process.ownership_manager.local_owner(SERVICE) is not None:
                 return name
         return ""
 
--- a/basilhold/workflows/backlog.py
+++ b/basilhold/workflows/backlog.py
@@ -23,7 +23,7 @@
         self._active[workflow.job_id] = workflow
         self._waiting[workflow.job_id] = {
             (occurrence, number): {
-                key.index for key in workflow.pending_keys(occurrence, number)
+                key.index for key in workflow.pending_task_keys(occurrence, number)
             }
             for occurrence in range(workflow.spec.occurrence_count)
             for number in range(len(workflow.spec.steps))
--- a/basilhold/workflows/front.py
+++ b/basilhold/workflows/front.py
@@ -31,8 +31,8 @@
 from basilhold.workflows.relayed_table import RelayedTable
 from basilhold.workflows.rows import cancel_key, progress_key, spec_key
 from basilhold.workflows.shared_time import SharedTime
-from basilhold.workflows.stewardship import Stewardship
-from basilhold.workflows.tasks import TaskSet
+from basilhold.workflows.stewardship import OwnershipManager
+from basilhold.workflows.tasks import BackgroundTasks
 
 __all__ = ["Existence", "WorkflowFront"]
 
@@ -84,7 +84,7 @@
     Parameters
     ----------
     table : RelayedTable
-    stewardship : Stewardship
+    ownership_manager : OwnershipManager
         Knows the owners, and holds those of this process.
     peers : PeerCalls
     advice : AdviceService
@@ -96,21 +96,21 @@
     def __init__(
         self,
         table: RelayedTable,
-        stewardship: Stewardship,
+        ownership_manager: OwnershipManager,
         peers: PeerCalls,
         advice: AdviceService,
         clock: Clock,
         time: SharedTime,
     ):
         self._table = table
-        self._stewardship = stewardship
+        self._ownership_manager = ownership_manager
         self._peers = peers
         self._advice = advice
         self._clock = clock
         self._time = time
         self._final: dict[JobId, WorkflowState] = {}
         self._silent_until_ms: dict[str, float] = {}
-        self._tasks = TaskSet()
+        self._tasks = BackgroundTasks()
 
     async def close(self) -> None:
         """Cancel notices that are under way."""
@@ -160,9 +160,11 @@
 
     def _outage_ms(self) -> float:
         """Return how long the store has been down; 0 if it answers, however slowly."""
-        answered_ms = max(self._stewardship.store_answered_ms, self._table.answered_ms)
+        answered_ms = max(
+            self._ownership_manager.last_store_reply_ms, self._table.answered_ms
+        )
         age_ms = self._clock.monotonic_ms() - answered_ms
-        limit_ms = OUTAGE_POLLS * self._stewardship.poll_interval_ms()
+        limit_ms = OUTAGE_POLLS * self._ownership_manager.poll_interval_ms()
         limit_ms += min(SLOW_CALLS * self._table.usual_ms, SLOW_MAX_MS)
         return age_ms if age_ms > limit_ms else 0.0
 
@@ -182,7 +184,7 @@
         return max(1, min(RETRY_AFTER_MAX_S, outage_s, in_time_s))
 
     def _notify(self, spec: WorkflowSpec) -> None:
-        local = self._stewardship.local_owner(spec.policy.service)
+        local = self._ownership_manager.local_owner(spec.policy.service)
         if local is not None:
             local.submit(spec)
             return
@@ -191,7 +193,9 @@
     async def _tell_owner(self, spec: WorkflowSpec) -> None:
         # The owner also reads the feed, so a lost notice only costs time.
         for _ in range(NOTIFY_TRIES):
-            endpoint = self._stewardship.remote_owner(spec.policy.service)
+            endpoint = self._ownership_manager.remote_owner_endpoint(
+                spec.policy.service
+            )
             if endpoint and await self._peers.submitted(endpoint, spec):
                 return
             await asyncio.sleep(RETRY_MS / 1000)
@@ -214,10 +218,10 @@
         return Existence.UNKNOWN, None
 
     async def _ask_owner(self, service: ServiceName, job_id: JobId) -> StateAnswer:
-        local = self._stewardship.local_owner(service)
+        local = self._ownership_manager.local_owner(service)
         if local is not None:
             return self.state_here(service, job_id)
-        endpoint = self._stewardship.remote_owner(service)
+        endpoint = self._ownership_manager.remote_owner_endpoint(service)
         now_ms = self._clock.monotonic_ms()
         if not endpoint or now_ms < self._silent_until_ms.get(endpoint, 0.0):
             return StateAnswer(False)
@@ -274,12 +278,12 @@
         return Existence.EXISTS
 
     async def _tell_cancelled(self, service: ServiceName, job_id: JobId) -> None:
-        local = self._stewardship.local_owner(service)
+        local = self._ownership_manager.local_owner(service)
         if local is not None:
             local.cancel(job_id)
             return
         for _ in range(NOTIFY_TRIES):
-            endpoint = self._stewardship.remote_owner(service)
+            endpoint = self._ownership_manager.remote_owner_endpoint(service)
             if endpoint and await self._peers.cancelled(endpoint, service, job_id):
                 return
             await asyncio.sleep(RETRY_MS / 1000)
@@ -289,7 +293,7 @@
         local = self.waiting(policy.service, policy.name)
         if local is not None:
             return local
-        endpoint = self._stewardship.remote_owner(policy.service)
+        endpoint = self._ownership_manager.remote_owner_endpoint(policy.service)
         if not endpoint:
             return None
         return await self._peers.waiting(endpoint, policy.service, policy.name)
@@ -298,37 +302,37 @@
 
     def submitted(self, spec: WorkflowSpec) -> None:
         """Take note of a stored workflow."""
-        local = self._stewardship.local_owner(spec.policy.service)
+        local = self._ownership_manager.local_owner(spec.policy.service)
         if local is not None:
             local.submit(spec)
 
     def cancelled(self, service: ServiceName, job_id: JobId) -> None:
         """Take note of a stored cancellation."""
-        local = self._stewardship.local_owner(service)
+        local = self._ownership_manager.local_owner(service)
         if local is not None:
             local.cancel(job_id)
 
     def released(self) -> None:
         """Look for a released service at once."""
-        self._stewardship.look_now()
+        self._ownership_manager.poll_now()
 
     def owns(self, service: ServiceName) -> bool:
         """Return whether this process holds the lease of a service."""
-        return self._stewardship.owns(service)
+        return self._ownership_manager.owns(service)
 
     def state_here(self, service: ServiceName, job_id: JobId) -> StateAnswer:
         """Return the state of a workflow if this process owns its service."""
-        local = self._stewardship.local_owner(service)
+        local = self._ownership_manager.local_owner(service)
         if local is None or not local.is_current():
             return StateAnswer(False)
-        return StateAnswer(True, local.state(job_id))
+        return StateAnswer(True, local.workflow_state(job_id))
 
     def waiting(self, service: ServiceName, queue: QueueName) -> int | None:
         """Return how many workflows wait if this process owns the service."""
-        local = self._stewardship.local_owner(service)
+        local = self._ownership_manager.local_owner(service)
         if local is None or not local.is_current():
             return None
-        return local.waiting(queue)
+        return local.unstarted_count(queue)
 
     def shared_ms(self) -> float | None:
         """Return the time of the store's clock, or ``None`` if it is not known."""
--- a/basilhold/workflows/owner.py
+++ b/basilhold/workflows/owner.py
@@ -93,11 +93,11 @@
         """
         return self.loaded and not self._state.lease.is_lost
 
-    def state(self, job_id: JobId) -> WorkflowState | None:
+    def workflow_state(self, job_id: JobId) -> WorkflowState | None:
         """Return the stored state of a workflow, or ``None`` if it is not known."""
         return self._state.visible.get(job_id)
 
-    def waiting(self, queue: QueueName) -> int:
+    def unstarted_count(self, queue: QueueName) -> int:
         """Return the number of a queue's workflows of which no task has started."""
         return sum(
             1
--- a/basilhold/workflows/owner_state.py
+++ b/basilhold/workflows/owner_state.py
@@ -18,7 +18,7 @@
 from basilhold.workflows.progress import Workflow, WorkflowState
 from basilhold.workflows.shared_time import SharedTime
 from basilhold.workflows.stragglers import RunTimes
-from basilhold.workflows.tasks import TaskSet
+from basilhold.workflows.tasks import BackgroundTasks
 from basilhold.workflows.worker_link import OwnerLimits, WorkerLink
 
 __all__ = ["LeaseLostError", "OwnerPorts", "OwnerState"]
@@ -66,7 +66,7 @@
         self.pool = Pool()
         self.links: dict[WorkerId, WorkerLink] = {}
         self.plan_event = asyncio.Event()
-        self.tasks = TaskSet()
+        self.tasks = BackgroundTasks()
         self.failure: asyncio.Future[None] = asyncio.get_running_loop().create_future()
 
     @property
--- a/basilhold/workflows/planner.py
+++ b/basilhold/workflows/planner.py
@@ -521,8 +521,8 @@
 
 def _make_run(step: ReadyStep, key: TaskKey, now_ms: float) -> Run:
     spec = step.spec
-    number = step.workflow.next_run(
-        step.workflow.step_keys(key.occurrence, key.step) if spec.gang else [key]
+    number = step.workflow.next_run_number(
+        step.workflow.task_keys(key.occurrence, key.step) if spec.gang else [key]
     )
     return Run(
         RunKey(step.workflow.job_id, key),
--- a/basilhold/workflows/progress.py
+++ b/basilhold/workflows/progress.py
@@ -211,16 +211,16 @@
                 if all(self.step_done(occurrence, before) for before in step.after):
                     yield occurrence, number
 
-    def step_keys(self, occurrence: int, step: int) -> list[TaskKey]:
+    def task_keys(self, occurrence: int, step: int) -> list[TaskKey]:
         """Return the keys of all tasks of a step."""
         count = self.spec.steps[step].task_count
         return [TaskKey(occurrence, step, index) for index in range(count)]
 
-    def pending_keys(self, occurrence: int, step: int) -> list[TaskKey]:
+    def pending_task_keys(self, occurrence: int, step: int) -> list[TaskKey]:
         """Return the tasks of a step that wait for a worker."""
         return [
             key
-            for key in self.step_keys(occurrence, step)
+            for key in self.task_keys(occurrence, step)
             if self.task(key).stage is TaskStage.PENDING
         ]
 
@@ -247,7 +247,7 @@
             self.state = WorkflowState.RUNNING
             self._changed.add(0)
 
-    def next_run(self, keys: list[TaskKey]) -> RunNumber:
+    def next_run_number(self, keys: list[TaskKey]) -> RunNumber:
         """Return a run number above all earlier runs of the tasks."""
         return RunNumber(max(self.task(key).run for key in keys) + 1)
 
@@ -280,7 +280,7 @@
         # One member's end as done stands for its whole gang.
         keys = [end.key]
         if self._step(end.key).gang:
-            keys = self.step_keys(end.key.occurrence, end.key.step)
+            keys = self.task_keys(end.key.occurrence, end.key.step)
         for key in keys:
             task = self.task(key)
             if task.stage is not TaskStage.DONE:
--- a/basilhold/workflows/relayed_table.py
+++ b/basilhold/workflows/relayed_table.py
@@ -34,7 +34,7 @@
     StoreCall,
     TransactCall,
 )
-from basilhold.workflows.tasks import TaskSet
+from basilhold.workflows.tasks import BackgroundTasks
 
 __all__ = ["RelayedTable"]
 
@@ -101,7 +101,7 @@
         self._region = region
         self._clock = clock
         self._rng = rng
-        self._tasks = TaskSet()
+        self._tasks = BackgroundTasks()
         self._answered_ms = -1e9
         self._lost_ms: float | None = None
         self._no_peers_until_ms = -1e9
--- a/basilhold/workflows/stewardship.py
+++ b/basilhold/workflows/stewardship.py
@@ -24,15 +24,15 @@
 from basilhold.workflows.peers import Member, PeerCalls, Presence
 from basilhold.workflows.recovery import scan_all
 from basilhold.workflows.rows import OWNERS_PREFIX, Incarnation
-from basilhold.workflows.tasks import TaskSet, run_again
+from basilhold.workflows.tasks import BackgroundTasks, restart_on_error
 from basilhold.workflows.worker_link import OwnerLimits
 
-__all__ = ["Stewardship"]
+__all__ = ["OwnershipManager"]
 
 POLL_INTERVAL_MS = 350
 """Time between two looks at the owners; a released service waits this long."""
 
-FAR_POLL_INTERVAL_MS = 1_000
+SLOW_POLL_INTERVAL_MS = 1_000
 WATCHERS_MAX = 64
 """In a deployment of more processes only so many look often; these take over. Each look
 is a read of the store, which all processes share."""
@@ -46,7 +46,7 @@
 TOLD_OF_RELEASE_MAX = 64
 
 
-class Stewardship:
+class OwnershipManager:
     """Watches the owners of all services and claims those without one.
 
     Parameters
@@ -95,11 +95,11 @@
         self._members = MemberList(ports.table, ports.clock, member, ports.time)
         self._version = -1
         self._round_trip_ms = math.inf
-        self._tasks = TaskSet()
+        self._tasks = BackgroundTasks()
         self._stopping = False
         self._store_lost_ms: float | None = None
         self._poke = asyncio.Event()
-        self.store_answered_ms = -1e9
+        self.last_store_reply_ms = -1e9
 
     # What others ask.
 
@@ -108,7 +108,7 @@
         owner = self._owners.get(service)
         return owner if owner is not None and owner.loaded else None
 
-    def remote_owner(self, service: ServiceName) -> str:
+    def remote_owner_endpoint(self, service: ServiceName) -> str:
         """Return the endpoint of a service's owner; empty if it is unknown or here."""
         view = self._views.get(service)
         if view is None or view.record is None or view.record.released:
@@ -147,7 +147,7 @@
         if self._owners or count <= WATCHERS_MAX:
             return POLL_INTERVAL_MS
         place = xxhash.xxh32_intdigest(self._member.process_id.encode()) % count
-        return POLL_INTERVAL_MS if place < WATCHERS_MAX else FAR_POLL_INTERVAL_MS
+        return POLL_INTERVAL_MS if place < WATCHERS_MAX else SLOW_POLL_INTERVAL_MS
 
     # The loop.
 
@@ -156,12 +156,14 @@
         try:
             while True:
                 if not self._stopping:
-                    await run_again("the look at the owners", self._look, ERROR_REST_MS)
+                    await restart_on_error(
+                        "the look at the owners", self._look, ERROR_REST_MS
+                    )
                 await self._wait_for_next_look()
         finally:
             await self._tasks.cancel()
 
-    def look_now(self) -> None:
+    def poll_now(self) -> None:
         """Look at the owners at once: one of them has released its service."""
         self._poke.set()
 
@@ -212,7 +214,7 @@
             self._claim_at_ms.clear()
             return
         self._note_store_back(now_ms)
-        self.store_answered_ms = now_ms
+        self.last_store_reply_ms = now_ms
         round_trip_ms = now_ms - asked_ms
         # The shortest one tells how far the store is; a slow store is slow for all.
         self._round_trip_ms = min(self._round_trip_ms, round_trip_ms)
--- a/basilhold/workflows/tasks.py
+++ b/basilhold/workflows/tasks.py
@@ -7,10 +7,10 @@
 from basilhold.observability import log_event
 from basilhold.workflows.events import LOOP_FAILED
 
-__all__ = ["TaskSet", "run_again"]
+__all__ = ["BackgroundTasks", "restart_on_error"]
 
 
-async def run_again(
+async def restart_on_error(
     name: str, run: Callable[[], Awaitable[None]], pause_ms: float
 ) -> None:
     """Run a loop, and again after each unexpected error, until it returns.
@@ -33,7 +33,7 @@
             return
 
 
-class TaskSet:
+class BackgroundTasks:
     """Keeps references to running tasks and cancels them together."""
 
     def __init__(self):
--- a/basilhold/workflows/tests/test_members.py
+++ b/basilhold/workflows/tests/test_members.py
@@ -10,7 +10,7 @@
 from basilhold.workflows.members import LAPSE_RENEWALS, RENEW_MS, SAMPLE, MemberList
 from basilhold.workflows.peers import Member
 from basilhold.workflows.shared_time import SharedTime
-from basilhold.workflows.stewardship import FAR_POLL_INTERVAL_MS, POLL_INTERVAL_MS
+from basilhold.workflows.stewardship import POLL_INTERVAL_MS, SLOW_POLL_INTERVAL_MS
 
 
 class MembersTest(VirtualTimeTestCase):
@@ -48,7 +48,7 @@
             await asyncio.sleep(2)
             before = cell.owner_name()
             (other,) = (n for n in cell.processes if n != before)
-            members = cell.processes[other].stewardship._members
+            members = cell.processes[other].ownership_manager._members
             refresh, members.refresh = members.refresh, None
             await asyncio.sleep(3)
             members.refresh = refresh
@@ -83,7 +83,7 @@
         async with WorkflowCell() as cell:
             await asyncio.sleep(5)
             owner = cell.owner_name()
-            stewards = {n: p.stewardship for n, p in cell.processes.items()}
+            stewards = {n: p.ownership_manager for n, p in cell.processes.items()}
             self.assertEqual(stewards[owner].poll_interval_ms(), POLL_INTERVAL_MS)
             for number in range(2_000):
                 await self.make(cell.table, number).refresh(False)
@@ -91,4 +91,4 @@
             self.assertEqual(stewards[owner].poll_interval_ms(), POLL_INTERVAL_MS)
             for name, steward in stewards.items():
                 if name != owner:
-                    self.assertEqual(steward.poll_interval_ms(), FAR_POLL_INTERVAL_MS)
+                    self.assertEqual(steward.poll_interval_ms(), SLOW_POLL_INTERVAL_MS)
--- a/basilhold/workflows/tests/test_owner.py
+++ b/basilhold/workflows/tests/test_owner.py
@@ -84,14 +84,14 @@
             await cell.submit(spec)
             await asyncio.sleep(1)
             owner = cell.owner_name()
-            dump = cell.processes[owner].stewardship.describe()
+            dump = cell.processes[owner].ownership_manager.describe()
             self.assertEqual(dump["owners"], {SERVICE: owner})
             owned = dump["owned"][SERVICE]
             self.assertEqual((owned["runs"], owned["active_workflows"]), (2, 1))
             self.assertEqual(owned["unreached_workers"], [])
             self.assertTrue(owned["valid"])
             other = next(p for n, p in cell.processes.items() if n != owner)
-            self.assertEqual(other.stewardship.describe()["owned"], {})
+            self.assertEqual(other.ownership_manager.describe()["owned"], {})
 
     async def test_release_in_a_slow_store_is_taken_up_at_once(self):
         # A slow store looked like a distant one: all candidates waited 1.2 s for a
@@ -256,14 +256,14 @@
         async with WorkflowCell(relays=False) as cell:
             await asyncio.sleep(3)
             owner = cell.owner_name()
-            before = cell.processes[owner].stewardship.local_owner(SERVICE)
+            before = cell.processes[owner].ownership_manager.local_owner(SERVICE)
             cell.processes[owner].table.cut = True
             await asyncio.sleep(0.9)
             cell.processes[owner].table.cut = False
             await asyncio.sleep(2)
             self.assertEqual(cell.owner_name(), owner)
             self.assertIs(
-                cell.processes[owner].stewardship.local_owner(SERVICE), before
+                cell.processes[owner].ownership_manager.local_owner(SERVICE), before
             )
 
     async def test_owner_may_go_on_after_an_outage(self):
@@ -272,13 +272,13 @@
         async with WorkflowCell() as cell:
             await asyncio.sleep(3)
             owner = cell.processes[cell.owner_name()]
-            before = owner.stewardship.local_owner(SERVICE)
+            before = owner.ownership_manager.local_owner(SERVICE)
             cell.table.faults.down = True
             await asyncio.sleep(5)
             self.assertTrue(owner.front.owns(SERVICE))
             cell.table.faults.down = False
             await asyncio.sleep(3)
-            self.assertIs(owner.stewardship.local_owner(SERVICE), before)
+            self.assertIs(owner.ownership_manager.local_owner(SERVICE), before)
 
     async def test_owner_cut_from_the_store_is_replaced(self):
         # Guards against two owners that both start tasks.
@@ -289,7 +289,9 @@
             cell.processes[owner].table.cut = True
             await asyncio.sleep(4)
             others = [n for n in cell.processes if n != owner]
-            owned = [cell.processes[n].stewardship.local_owner(SERVICE) for n in others]
+            owned = [
+                cell.processes[n].ownership_manager.local_owner(SERVICE) for n in others
+            ]
             self.assertEqual(sum(o is not None for o in owned), 1)
             process = cell.processes[others[0]]
             cell.runners.specs[spec.job_id] = spec
--- a/basilhold/workflows/tests/test_planner.py
+++ b/basilhold/workflows/tests/test_planner.py
@@ -46,7 +46,7 @@
         policy = policy_of(priority, advice)
         job_id = JobId(f"{self.count:016x}")
         workflow = Workflow(WorkflowSpec(job_id, policy, "", (step,), submitted_ms))
-        return ready_step(workflow, 0, 0, workflow.step_keys(0, 0))
+        return ready_step(workflow, 0, 0, workflow.task_keys(0, 0))
 
     def plan(self, *steps, stop_ms=400.0, may_stop=True):
         return plan(
--- a/basilhold/workflows/tests/test_shared_time.py
+++ b/basilhold/workflows/tests/test_shared_time.py
@@ -136,8 +136,8 @@
         # A jump ahead made states disappear before their time.
         async with WorkflowCell(process_count=3, worker_count=2) as cell:
             for process in cell.processes.values():
-                limits = process.stewardship._limits
-                process.stewardship._limits = msgspec.structs.replace(
+                limits = process.ownership_manager._limits
+                process.ownership_manager._limits = msgspec.structs.replace(
                     limits, forget_after_ms=5_000.0
                 )
             await asyncio.sleep(2)
@@ -154,7 +154,7 @@
             await asyncio.sleep(8)
             self.assertEqual(
                 cell.processes[owner]
-                .stewardship.local_owner(SERVICE)
+                .ownership_manager.local_owner(SERVICE)
                 .describe()["workflows"],
                 0,
             )
