Name the modules of the owner after what they hold

"stewardship", "roster", "orders" were private terms, "ownership", "tasks" and "commits" ambiguous beside leases of workers, tasks of workflows and the class that commits. Modules moved, imports follow:

basilhold/workflows/stewardship.py stewardship ownership_manager basilhold/workflows/ownership.py ownership owner_lease basilhold/workflows/roster.py roster worker_tracker basilhold/workflows/orders.py orders run_controller basilhold/workflows/tasks.py tasks background_tasks basilhold/workflows/commits.py commits committer

--- a/basilhold/platform/node.py
+++ b/basilhold/platform/node.py
@@ -44,17 +44,17 @@
 from basilhold.platform.store import PlatformStore
 from basilhold.programs.lifecycle import Daemon, ExitCode, run_daemon
 from basilhold.workflows.advice_spread import SpreadAdvice
+from basilhold.workflows.background_tasks import restart_on_error
 from basilhold.workflows.front import WorkflowFront
 from basilhold.workflows.owner import OwnerPorts
-from basilhold.workflows.ownership import SuspendAwareClock
+from basilhold.workflows.owner_lease import SuspendAwareClock
+from basilhold.workflows.ownership_manager import OwnershipManager
 from basilhold.workflows.peer_http import HttpPeers, make_peer_server
 from basilhold.workflows.peers import Member
 from basilhold.workflows.relayed_table import RelayedTable
 from basilhold.workflows.routes import QueueTable
 from basilhold.workflows.rows import Incarnation
 from basilhold.workflows.shared_time import SharedTime
-from basilhold.workflows.stewardship import OwnershipManager
-from basilhold.workflows.tasks import restart_on_error
 from basilhold.workflows.worker_link import LEASE_MAX_MS, OwnerLimits
 
 __all__ = ["LogMetrics", "NodeDaemon", "main"]
--- a/basilhold/testing/workflow_cell.py
+++ b/basilhold/testing/workflow_cell.py
@@ -40,7 +40,8 @@
     WorkflowSpec,
 )
 from basilhold.workflows.owner import OwnerPorts
-from basilhold.workflows.ownership import SuspendAwareClock
+from basilhold.workflows.owner_lease import SuspendAwareClock
+from basilhold.workflows.ownership_manager import OwnershipManager
 from basilhold.workflows.peers import (
     Member,
     PeerCalls,
@@ -52,7 +53,6 @@
 from basilhold.workflows.relayed_table import RelayedTable
 from basilhold.workflows.rows import Incarnation
 from basilhold.workflows.shared_time import SharedTime
-from basilhold.workflows.stewardship import OwnershipManager
 from basilhold.workflows.worker_link import OwnerLimits
 
 __all__ = ["SERVICE", "WorkflowCell", "WorkflowProcess", "make_spec"]
--- a/basilhold/workflows/commits.py
+++ b/basilhold/workflows/committer.py
@@ -9,8 +9,8 @@
 
 from basilhold.core import JobId
 from basilhold.ports import Write
+from basilhold.workflows.owner_lease import CommitOutcome
 from basilhold.workflows.owner_state import LeaseLostError, OwnerState
-from basilhold.workflows.ownership import CommitOutcome
 from basilhold.workflows.planner import Placement
 from basilhold.workflows.progress import Workflow, WorkflowState
 from basilhold.workflows.rows import cancel_key, progress_key, spec_key
--- a/basilhold/workflows/front.py
+++ b/basilhold/workflows/front.py
@@ -19,7 +19,9 @@
 )
 from basilhold.ports.runners import Admission, AdviceService
 from basilhold.workflows import events
+from basilhold.workflows.background_tasks import BackgroundTasks
 from basilhold.workflows.model import QueueName, QueuePolicy, WorkflowSpec
+from basilhold.workflows.ownership_manager import OwnershipManager
 from basilhold.workflows.peers import (
     PeerCalls,
     PeerService,
@@ -31,8 +33,6 @@
 from basilhold.workflows.relayed_table import RelayedTable
 from basilhold.workflows.rows import cancel_key, progress_key, spec_key
 from basilhold.workflows.shared_time import SharedTime
-from basilhold.workflows.stewardship import OwnershipManager
-from basilhold.workflows.tasks import BackgroundTasks
 
 __all__ = ["Existence", "WorkflowFront"]
 
--- a/basilhold/workflows/owner.py
+++ b/basilhold/workflows/owner.py
@@ -21,19 +21,19 @@
     WorkflowSpec,
     task_name,
 )
-from basilhold.workflows.orders import AVOID_MS, Orders
+from basilhold.workflows.owner_lease import VALID_MS, Lease
 from basilhold.workflows.owner_state import LeaseLostError, OwnerPorts, OwnerState
-from basilhold.workflows.ownership import VALID_MS, Lease
 from basilhold.workflows.planner import Placement, Plan, plan
 from basilhold.workflows.pool import Pool, Run, RunKey, Worker
 from basilhold.workflows.progress import Workflow, WorkflowState
 from basilhold.workflows.questions import Question
 from basilhold.workflows.ready_steps import ready_step
 from basilhold.workflows.recovery import load_workflows, place_assigned
-from basilhold.workflows.roster import Roster
 from basilhold.workflows.rows import jobs_prefix, parse_jobs_key
+from basilhold.workflows.run_controller import AVOID_MS, Orders
 from basilhold.workflows.stragglers import find_stragglers
 from basilhold.workflows.worker_link import OwnerLimits
+from basilhold.workflows.worker_tracker import Roster
 
 __all__ = ["LeaseLostError", "OwnerPorts", "ServiceOwner"]
 
--- a/basilhold/workflows/owner_state.py
+++ b/basilhold/workflows/owner_state.py
@@ -11,14 +11,14 @@
 from basilhold.ports import ChangeFeed, TableService
 from basilhold.ports.runners import AdviceService, Registry, TaskRunners
 from basilhold.workflows.admissions import AdmissionBook
+from basilhold.workflows.background_tasks import BackgroundTasks
 from basilhold.workflows.backlog import Backlog
-from basilhold.workflows.ownership import Lease
+from basilhold.workflows.owner_lease import Lease
 from basilhold.workflows.pool import Pool
 from basilhold.workflows.preemption import Reservations
 from basilhold.workflows.progress import Workflow, WorkflowState
 from basilhold.workflows.shared_time import SharedTime
 from basilhold.workflows.stragglers import RunTimes
-from basilhold.workflows.tasks import BackgroundTasks
 from basilhold.workflows.worker_link import OwnerLimits, WorkerLink
 
 __all__ = ["LeaseLostError", "OwnerPorts", "OwnerState"]
--- a/basilhold/workflows/stewardship.py
+++ b/basilhold/workflows/ownership_manager.py
@@ -12,9 +12,10 @@
 from basilhold.observability import log_event
 from basilhold.ports import Row
 from basilhold.workflows import events
+from basilhold.workflows.background_tasks import BackgroundTasks, restart_on_error
 from basilhold.workflows.members import MemberList
 from basilhold.workflows.owner import LeaseLostError, OwnerPorts, ServiceOwner
-from basilhold.workflows.ownership import (
+from basilhold.workflows.owner_lease import (
     Lease,
     OwnerView,
     SuspendAwareClock,
@@ -24,7 +25,6 @@
 from basilhold.workflows.peers import Member, PeerCalls, Presence
 from basilhold.workflows.recovery import scan_all
 from basilhold.workflows.rows import OWNERS_PREFIX, Incarnation
-from basilhold.workflows.tasks import BackgroundTasks, restart_on_error
 from basilhold.workflows.worker_link import OwnerLimits
 
 __all__ = ["OwnershipManager"]
--- a/basilhold/workflows/relayed_table.py
+++ b/basilhold/workflows/relayed_table.py
@@ -25,6 +25,7 @@
     Transaction,
 )
 from basilhold.workflows import events
+from basilhold.workflows.background_tasks import BackgroundTasks
 from basilhold.workflows.peers import (
     ChangesCall,
     Member,
@@ -34,7 +35,6 @@
     StoreCall,
     TransactCall,
 )
-from basilhold.workflows.tasks import BackgroundTasks
 
 __all__ = ["RelayedTable"]
 
--- a/basilhold/workflows/orders.py
+++ b/basilhold/workflows/run_controller.py
@@ -6,7 +6,7 @@
 from basilhold.ports.runners import CallOutcome, RunnerCall, StartCall
 from basilhold.workflows import events
 from basilhold.workflows.admissions import StepKey
-from basilhold.workflows.commits import Committer
+from basilhold.workflows.committer import Committer
 from basilhold.workflows.model import StepSpec, TaskKey, task_name
 from basilhold.workflows.owner_state import LeaseLostError, OwnerState
 from basilhold.workflows.pacing import PaceChange, pace_changes
--- a/basilhold/workflows/tests/test_members.py
+++ b/basilhold/workflows/tests/test_members.py
@@ -8,9 +8,12 @@
 from basilhold.testing import VirtualTimeTestCase
 from basilhold.testing.workflow_cell import WorkflowCell
 from basilhold.workflows.members import LAPSE_RENEWALS, RENEW_MS, SAMPLE, MemberList
+from basilhold.workflows.ownership_manager import (
+    POLL_INTERVAL_MS,
+    SLOW_POLL_INTERVAL_MS,
+)
 from basilhold.workflows.peers import Member
 from basilhold.workflows.shared_time import SharedTime
-from basilhold.workflows.stewardship import POLL_INTERVAL_MS, SLOW_POLL_INTERVAL_MS
 
 
 class MembersTest(VirtualTimeTestCase):
--- a/basilhold/workflows/tests/test_progress.py
+++ b/basilhold/workflows/tests/test_progress.py
@@ -10,7 +10,7 @@
 from basilhold.testing import VirtualTimeTestCase
 from basilhold.testing.workflow_cell import LoopClock, make_spec
 from basilhold.workflows.model import RunNumber, StepSpec, TaskKey, WorkflowSpec
-from basilhold.workflows.ownership import CommitOutcome, Lease
+from basilhold.workflows.owner_lease import CommitOutcome, Lease
 from basilhold.workflows.progress import (
     CHUNK_TASKS,
     ROW_BYTES_MAX,
--- a/basilhold/workflows/tests/test_random_runs.py
+++ b/basilhold/workflows/tests/test_random_runs.py
@@ -7,7 +7,7 @@
 from basilhold.testing import workflow_cell
 from basilhold.testing.workflow_runs import run_seed
 from basilhold.workflows import owner
-from basilhold.workflows.commits import Committer
+from basilhold.workflows.committer import Committer
 from basilhold.workflows.peers import Presence
 from basilhold.workflows.worker_link import WorkerLink
 
--- a/basilhold/workflows/tests/test_worker_link.py
+++ b/basilhold/workflows/tests/test_worker_link.py
@@ -9,7 +9,7 @@
 from basilhold.standins.feed_table import FeedTable
 from basilhold.testing import VirtualTimeTestCase
 from basilhold.testing.workflow_cell import LoopClock
-from basilhold.workflows.ownership import Lease
+from basilhold.workflows.owner_lease import Lease
 from basilhold.workflows.pool import Listing, Worker, WorkerInfo
 from basilhold.workflows.rows import Incarnation, OwnerRecord
 from basilhold.workflows.worker_link import OwnerLimits, WorkerLink
--- a/basilhold/workflows/worker_link.py
+++ b/basilhold/workflows/worker_link.py
@@ -7,7 +7,7 @@
 
 from basilhold.core import Clock
 from basilhold.ports.runners import CallOutcome, HoldCall, TaskRunners
-from basilhold.workflows.ownership import Lease
+from basilhold.workflows.owner_lease import Lease
 from basilhold.workflows.pool import EndedRun, ListedRun, Listing, Worker, reconcile
 from basilhold.workflows.progress import ROW_BYTES_MAX
 
--- a/basilhold/workflows/roster.py
+++ b/basilhold/workflows/worker_tracker.py
@@ -8,7 +8,6 @@
 from basilhold.observability import log_event
 from basilhold.workflows import events
 from basilhold.workflows.model import task_name
-from basilhold.workflows.orders import Orders
 from basilhold.workflows.owner_state import LeaseLostError, OwnerState
 from basilhold.workflows.pool import (
     ListedRun,
@@ -21,6 +20,7 @@
     reconcile,
     remove_lost,
 )
+from basilhold.workflows.run_controller import Orders
 from basilhold.workflows.worker_link import Look, WorkerLink
 
 __all__ = ["Roster"]
