--- a/basilhold/workflows/background_tasks.py
+++ b/basilhold/workflows/background_tasks.py
@@ -11,7 +11,7 @@
 
 
 async def restart_on_error(
-    name: str, run: Callable[[], Awaitable[None]], pause_ms: float
+    name: str, run: Callable[[], Awaitable[None]], delay_ms: float
 ) -> None:
     """Run a loop, and again after each unexpected error, until it returns.
 
@@ -28,7 +28,7 @@
             await run()
         except Exception as error:
             log_event(LOOP_FAILED, loop=name, error=repr(error))
-            await asyncio.sleep(pause_ms / 1000)
+            await asyncio.sleep(delay_ms / 1000)
         else:
             return
 
--- a/basilhold/workflows/committer.py
+++ b/basilhold/workflows/committer.py
@@ -17,14 +17,14 @@
 
 __all__ = ["Committer"]
 
-RENEW_MS = 600
+COMMIT_INTERVAL_MAX_MS = 600
 """Longest time between two commits; `TAKEOVER_MS` allows for three missed ones."""
 
-STALL_MS = 600.0
+STALLED_COMMIT_MS = 600.0
 """Above the time of a commit in a slow store; one that takes longer waits for a store
 that does not answer."""
 
-COMMIT_INTERVAL_MS = 20
+COMMIT_INTERVAL_MIN_MS = 20
 """Shortest time between two commits: each call to the store is paid for."""
 
 ROWS_PER_COMMIT = 90
@@ -33,11 +33,11 @@
 BYTES_PER_COMMIT = 600_000
 """Below the store's bound of 1 MB in a transaction, encoded as base64."""
 
-FORGET_INTERVAL_MS = 2_000
-FORGET_ROWS_MAX = 30
+EXPIRY_INTERVAL_MS = 2_000
+EXPIRED_WORKFLOWS_MAX = 30
 
 
-class _ChunkKey(NamedTuple):
+class _ProgressChunk(NamedTuple):
     """Names one row of a workflow's progress."""
 
     job_id: JobId
@@ -47,7 +47,7 @@
 class _Batch(msgspec.Struct):
     """What one commit stores."""
 
-    keys: list[_ChunkKey] = []
+    keys: list[_ProgressChunk] = []
     writes: tuple[Write, ...] = ()
     states: dict[JobId, WorkflowState] = {}
 
@@ -68,7 +68,7 @@
     def __init__(self, state: OwnerState, send_start: Callable[[Placement], None]):
         self._state = state
         self._send_start = send_start
-        self._dirty: dict[_ChunkKey, Workflow] = {}
+        self._dirty: dict[_ProgressChunk, Workflow] = {}
         self._starts: list[Placement] = []
         self._sent_ms: float | None = None
         self._lock = asyncio.Lock()
@@ -78,43 +78,43 @@
         """Return whether a commit takes so long that starts are held up by it."""
         if self._sent_ms is None:
             return False
-        return self._state.clock.monotonic_ms() - self._sent_ms > STALL_MS
+        return self._state.clock.monotonic_ms() - self._sent_ms > STALLED_COMMIT_MS
 
-    def mark(self, workflow: Workflow) -> None:
+    def mark_dirty(self, workflow: Workflow) -> None:
         """Store a workflow's progress with the next commit."""
-        for chunk in workflow.take_changed():
-            self._dirty[_ChunkKey(workflow.job_id, chunk)] = workflow
+        for chunk in workflow.take_changed_chunks():
+            self._dirty[_ProgressChunk(workflow.job_id, chunk)] = workflow
         self._wake.set()
 
     def start_after_commit(self, placement: Placement) -> None:
         """Send a start once its assignment is stored."""
         self._starts.append(placement)
-        self.mark(placement.step.workflow)
+        self.mark_dirty(placement.step.workflow)
 
-    def acknowledge_soon(self) -> None:
+    def request_commit(self) -> None:
         """Commit even if nothing has changed, so that ends are acknowledged."""
         self._wake.set()
 
     async def run(self) -> None:
         """Commit, and renew the lease, until cancelled."""
         while True:
-            remaining_ms = RENEW_MS - self._state.lease.age_ms()
+            remaining_ms = COMMIT_INTERVAL_MAX_MS - self._state.lease.age_ms()
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(max(remaining_ms, 1.0) / 1000):
                     await self._wake.wait()
             async with self._lock:
                 await self._commit_batch()
-            await asyncio.sleep(COMMIT_INTERVAL_MS / 1000)
+            await asyncio.sleep(COMMIT_INTERVAL_MIN_MS / 1000)
 
     async def release(self) -> bool:
         """Give up the lease with a last commit; return whether it was stored."""
         async with self._lock:
-            await self._state.tasks.cancel()
-            batch = self._take_batch()
+            await self._state.background_tasks.cancel()
+            batch = self._collect_batch()
             outcome = await self._state.lease.commit(batch.writes, released=True)
         return outcome is CommitOutcome.DONE
 
-    def _take_batch(self) -> "_Batch":
+    def _collect_batch(self) -> "_Batch":
         """Return as many changes as one commit holds."""
         batch = _Batch()
         limits = self._state.limits
@@ -136,8 +136,8 @@
 
     async def _commit_batch(self) -> None:
         self._wake.clear()
-        batch = self._take_batch()
-        whole = not self._dirty
+        batch = self._collect_batch()
+        is_complete = not self._dirty
         unstored = {key.job_id for key in self._dirty}
         starts = [p for p in self._starts if p.step.workflow.job_id not in unstored]
         self._starts = [p for p in self._starts if p.step.workflow.job_id in unstored]
@@ -149,44 +149,46 @@
             raise LeaseLostError("a commit found another owner")
         took_ms = self._state.clock.monotonic_ms() - begin_ms
         self._state.observe("basilhold_workflow_commit_seconds", took_ms)
-        self._state.book.note_commit(took_ms)
-        self._state.visible.update(batch.states)
+        self._state.admissions.note_commit(took_ms)
+        self._state.committed_states.update(batch.states)
         for placement in starts:
             self._send_start(placement)
-        if whole:
+        if is_complete:
             for link, processed in ends.items():
                 link.acknowledge(processed)
         if self._dirty:
             self._wake.set()
 
-    async def forget_old(self) -> None:
+    async def delete_expired(self) -> None:
         """Delete the rows of workflows that ended long ago."""
         while True:
-            await asyncio.sleep(FORGET_INTERVAL_MS / 1000)
+            await asyncio.sleep(EXPIRY_INTERVAL_MS / 1000)
             unstored = {key.job_id for key in self._dirty}
             before_ms = self._state.time.now_ms() - self._state.limits.forget_after_ms
-            old = [
+            expired = [
                 workflow
                 for workflow in self._state.workflows.values()
                 if workflow.state.is_final
                 and workflow.ended_ms < before_ms
                 and workflow.job_id not in unstored
                 and not workflow.assigned()
-            ][:FORGET_ROWS_MAX]
-            if not old:
+            ][:EXPIRED_WORKFLOWS_MAX]
+            if not expired:
                 continue
-            writes = [Write(key, None) for w in old for key in self._keys_of(w)]
-            for first in range(0, len(writes), ROWS_PER_COMMIT):
-                piece = tuple(writes[first : first + ROWS_PER_COMMIT])
+            writes = [
+                Write(key, None) for w in expired for key in self._deletion_keys(w)
+            ]
+            for start in range(0, len(writes), ROWS_PER_COMMIT):
+                chunk = tuple(writes[start : start + ROWS_PER_COMMIT])
                 async with self._lock:
-                    outcome = await self._state.lease.commit(piece)
+                    outcome = await self._state.lease.commit(chunk)
                 if outcome is CommitOutcome.LOST:
                     raise LeaseLostError("a commit found another owner")
-            for workflow in old:
+            for workflow in expired:
                 del self._state.workflows[workflow.job_id]
-                self._state.visible.pop(workflow.job_id, None)
+                self._state.committed_states.pop(workflow.job_id, None)
 
-    def _keys_of(self, workflow: Workflow) -> list[str]:
+    def _deletion_keys(self, workflow: Workflow) -> list[str]:
         """Return the keys of a workflow; its submission, which leads to the rest, last.
 
         An interrupted deletion is thus taken up again by the next owner.
--- a/basilhold/workflows/owner.py
+++ b/basilhold/workflows/owner.py
@@ -21,36 +21,36 @@
     WorkflowSpec,
     task_name,
 )
-from basilhold.workflows.owner_lease import VALID_MS, Lease
+from basilhold.workflows.owner_lease import LEASE_VALIDITY_MS, Lease
 from basilhold.workflows.owner_state import LeaseLostError, OwnerPorts, OwnerState
 from basilhold.workflows.planner import Placement, Plan, plan
 from basilhold.workflows.pool import Pool, Run, RunKey, Worker
 from basilhold.workflows.progress import Workflow, WorkflowState
 from basilhold.workflows.questions import Question
 from basilhold.workflows.ready_steps import ready_step
-from basilhold.workflows.recovery import load_workflows, place_assigned
+from basilhold.workflows.recovery import load_workflows, restore_assignments
 from basilhold.workflows.rows import jobs_prefix, parse_jobs_key
-from basilhold.workflows.run_controller import AVOID_MS, Orders
+from basilhold.workflows.run_controller import AVOID_FAILING_WORKER_MS, RunController
 from basilhold.workflows.stragglers import find_stragglers
 from basilhold.workflows.worker_link import OwnerLimits
-from basilhold.workflows.worker_tracker import Roster
+from basilhold.workflows.worker_tracker import WorkerTracker
 
 __all__ = ["LeaseLostError", "OwnerPorts", "ServiceOwner"]
 
-FEED_INTERVAL_MS = 1_000
+FEED_POLL_INTERVAL_MS = 1_000
 """Submissions and cancellations are also sent to the owner directly; the feed finds
 those whose message was lost."""
 
 PLAN_DELAY_MS = 2.0
 """Ends and submissions often come in groups."""
 
-PLAN_REST = 1.5
+PLAN_PAUSE_FACTOR = 1.5
 """Rest after a pass, as a multiple of its time: a pass over a long backlog on many
 workers takes tens of milliseconds, and commits and looks must not wait for one after
 the other."""
 
-RETRY_ADVICE_MS = 300.0
-DUE_CHECK_MS = 100
+ADVICE_RETRY_MS = 300.0
+DUE_CHECK_INTERVAL_MS = 100
 """Repeated workflows may start up to 250 ms early, never more."""
 
 
@@ -66,9 +66,9 @@
 
     def __init__(self, ports: OwnerPorts, lease: Lease, limits: OwnerLimits):
         self._state = OwnerState(ports, lease, limits)
-        self._orders = Orders(self._state)
-        self._committer = self._orders.committer
-        self._roster = Roster(self._state, self._orders)
+        self._run_controller = RunController(self._state)
+        self._committer = self._run_controller.committer
+        self._worker_tracker = WorkerTracker(self._state, self._run_controller)
         self._early_cancels: set[JobId] = set()
         self._feed_version = 0
         self.loaded = False
@@ -95,7 +95,7 @@
 
     def workflow_state(self, job_id: JobId) -> WorkflowState | None:
         """Return the stored state of a workflow, or ``None`` if it is not known."""
-        return self._state.visible.get(job_id)
+        return self._state.committed_states.get(job_id)
 
     def unstarted_count(self, queue: QueueName) -> int:
         """Return the number of a queue's workflows of which no task has started."""
@@ -109,9 +109,9 @@
         """Take over a workflow whose row is stored."""
         if spec.job_id in self._state.workflows:
             return
-        workflow = Workflow(self._with_submission(spec))
+        workflow = Workflow(self._with_submission_time(spec))
         self._state.workflows[spec.job_id] = workflow
-        self._state.visible[spec.job_id] = workflow.state
+        self._state.committed_states[spec.job_id] = workflow.state
         if spec.job_id in self._early_cancels:
             self._early_cancels.discard(spec.job_id)
             self._cancel(workflow)
@@ -119,7 +119,7 @@
         self._state.backlog.add(workflow)
         self._state.plan_event.set()
 
-    def _with_submission(self, spec: WorkflowSpec) -> WorkflowSpec:
+    def _with_submission_time(self, spec: WorkflowSpec) -> WorkflowSpec:
         """Return a specification with the time of its submission, at the latest now."""
         now_ms = self._state.time.now_ms()
         if 0.0 < spec.submitted_ms <= now_ms:
@@ -136,7 +136,7 @@
 
     def _cancel(self, workflow: Workflow) -> None:
         if workflow.cancel(self._state.time.now_ms()):
-            self._orders.end_workflow(workflow)
+            self._run_controller.finalize_workflow(workflow)
 
     def describe(self) -> dict[str, Any]:
         """Return what operators ask for first, for a dump of the state."""
@@ -167,8 +167,8 @@
         state = self._state
         try:
             # The lease is renewed while the rows are read, however long that takes.
-            state.start(self._committer.run())
-            loading = state.start(self._load(reason))
+            state.spawn(self._committer.run())
+            loading = state.spawn(self._load(reason))
             await asyncio.wait(
                 {loading, state.failure}, return_when=asyncio.FIRST_COMPLETED
             )
@@ -176,16 +176,16 @@
                 state.failure.result()
             for coroutine in (
                 self._plan_loop(),
-                self._roster.run(),
+                self._worker_tracker.run(),
                 self._feed_loop(),
-                self._due_loop(),
-                self._committer.forget_old(),
+                self._periodic_check_loop(),
+                self._committer.delete_expired(),
             ):
-                state.start(coroutine)
+                state.spawn(coroutine)
             await state.failure
         finally:
-            state.lease.give_up()
-            await state.tasks.cancel()
+            state.lease.invalidate()
+            await state.background_tasks.cancel()
 
     async def release(self) -> None:
         """Give the service to a successor after a last commit."""
@@ -193,26 +193,28 @@
         if await self._committer.release():
             epoch = self._state.lease.epoch
             log_event(events.OWNER_RELEASED, service=self._state.service, epoch=epoch)
-        self._state.fail("released")
+        self._state.fail_lease_lost("released")
 
     async def _load(self, reason: str) -> None:
         loaded = await load_workflows(self._state.ports.table, self._state.service)
         self._feed_version = loaded.version
         now_ms = self._state.clock.monotonic_ms()
         for workflow in loaded.workflows:
-            workflow.spec = self._with_submission(workflow.spec)
+            workflow.spec = self._with_submission_time(workflow.spec)
             self._state.workflows[workflow.job_id] = workflow
-            self._state.visible[workflow.job_id] = workflow.state
+            self._state.committed_states[workflow.job_id] = workflow.state
             if not workflow.state.is_final:
                 self._state.backlog.add(workflow)
-        assigned = place_assigned(self._state.pool, loaded.workflows, now_ms)
+        assigned = restore_assignments(self._state.pool, loaded.workflows, now_ms)
         for job_id in loaded.cancelled:
             self.cancel(job_id)
         for worker in self._state.pool.workers.values():
             # The last owner may have renewed the worker's lease until its own ended.
-            worker.held_until_ms = now_ms + VALID_MS + self._state.limits.lapse_ms()
+            worker.held_until_ms = (
+                now_ms + LEASE_VALIDITY_MS + self._state.limits.lapse_ms()
+            )
             worker.gone = True
-        await self._roster.read()
+        await self._worker_tracker.refresh_registrations()
         self.loaded = True
         log_event(
             events.OWNER_CLAIMED,
@@ -227,17 +229,17 @@
     # Planning.
 
     async def _plan_loop(self) -> None:
-        rest_ms = PLAN_DELAY_MS
+        pause_ms = PLAN_DELAY_MS
         while True:
             await self._state.plan_event.wait()
-            await asyncio.sleep(rest_ms / 1000)
+            await asyncio.sleep(pause_ms / 1000)
             self._state.plan_event.clear()
             if not self._state.lease.is_valid():
                 continue
             begin_ms = self._state.clock.monotonic_ms()
             self._apply_plan(self._plan())
             took_ms = self._state.clock.monotonic_ms() - begin_ms
-            rest_ms = max(PLAN_DELAY_MS, PLAN_REST * took_ms)
+            pause_ms = max(PLAN_DELAY_MS, PLAN_PAUSE_FACTOR * took_ms)
 
     def _plan(self) -> Plan:
         now_ms = self._state.clock.monotonic_ms()
@@ -247,7 +249,7 @@
         return plan(
             steps,
             state.pool,
-            state.book,
+            state.admissions,
             state.reservations,
             now_ms,
             instant.now_ms,
@@ -260,7 +262,7 @@
         for placement in decided.placements:
             self._assign(placement)
         for question in decided.questions:
-            self._begin_question(question)
+            self._request_advice(question)
         for preemption in decided.preemptions:
             run = preemption.run
             log_event(
@@ -270,7 +272,7 @@
                 worker=preemption.worker.worker_id,
                 reason=preemption.step.workflow.job_id,
             )
-            self._orders.stop(preemption.worker, run)
+            self._run_controller.stop(preemption.worker, run)
 
     def _assign(self, placement: Placement) -> None:
         workflow, worker = placement.step.workflow, placement.worker
@@ -289,18 +291,18 @@
             queued_ms=round(queued_ms),
         )
 
-    def _begin_question(self, question: Question) -> None:
+    def _request_advice(self, question: Question) -> None:
         step = question.step
         policy = step.workflow.spec.policy
         if not self._state.ports.advice.is_available(policy, len(question.workers)):
             # The next pass asks again, in the order of that moment.
             return
-        self._state.book.step(step.key).question_sent(question.workers)
-        self._state.start(self._ask(question))
+        self._state.admissions.step(step.key).question_sent(question.workers)
+        self._state.spawn(self._await_advice(question))
 
-    async def _ask(self, question: Question) -> None:
+    async def _await_advice(self, question: Question) -> None:
         step = question.step
-        known = self._state.book.step(step.key)
+        advice_state = self._state.admissions.step(step.key)
         asked_ms = self._state.clock.monotonic_ms()
         policy = step.workflow.spec.policy
         try:
@@ -312,11 +314,11 @@
                 policy,
             )
         finally:
-            known.question_closed(question.workers)
+            advice_state.question_closed(question.workers)
         now_ms = self._state.clock.monotonic_ms()
         self._state.observe("basilhold_workflow_advice_seconds", now_ms - asked_ms)
         if answer.is_error():
-            known.retry_ms = now_ms + RETRY_ADVICE_MS
+            advice_state.retry_ms = now_ms + ADVICE_RETRY_MS
             log_event(
                 events.ADVICE_FAILED,
                 job=step.workflow.job_id,
@@ -325,11 +327,11 @@
             )
         else:
             tickets = answer.ok.tickets
-            answered = known.admitted | known.refused
+            answered = advice_state.admitted | advice_state.refused
             if answered.isdisjoint(question.workers):
                 asked, admitted = len(question.workers), len(tickets)
-                self._state.book.note_share(policy.name, asked, admitted)
-            self._state.book.record(
+                self._state.admissions.note_share(policy.name, asked, admitted)
+            self._state.admissions.record(
                 step.key, question.workers, tickets, policy.advice.valid_ms, now_ms
             )
             log_event(
@@ -347,7 +349,7 @@
     async def _feed_loop(self) -> None:
         prefix = jobs_prefix(self._state.service)
         while True:
-            await asyncio.sleep(FEED_INTERVAL_MS / 1000)
+            await asyncio.sleep(FEED_POLL_INTERVAL_MS / 1000)
             result = await self._state.ports.feed.changes(prefix, self._feed_version, 0)
             if result.is_error():
                 continue
@@ -363,9 +365,9 @@
                 continue
             self._feed_version = result.ok.version
             for row in result.ok.rows:
-                self._take_row(row)
+                self._apply_feed_row(row)
 
-    def _take_row(self, row: Row) -> None:
+    def _apply_feed_row(self, row: Row) -> None:
         job_id, is_cancel = parse_jobs_key(row.key)
         if is_cancel:
             self.cancel(job_id)
@@ -377,27 +379,29 @@
             return
         self.submit(spec)
 
-    async def _due_loop(self) -> None:
+    async def _periodic_check_loop(self) -> None:
         """Look regularly for occurrences that are due and workers that come back."""
         while True:
-            await asyncio.sleep(DUE_CHECK_MS / 1000)
+            await asyncio.sleep(DUE_CHECK_INTERVAL_MS / 1000)
             now_ms = self._state.clock.monotonic_ms()
-            self._roster.drop_lapsed(now_ms)
+            self._worker_tracker.remove_expired_workers(now_ms)
             self._stop_stragglers(now_ms)
             self._evacuate(now_ms)
             if self._state.backlog.has_waiting():
                 self._state.plan_event.set()
 
     def _stop_stragglers(self, now_ms: float) -> None:
-        found, slow = find_stragglers(self._state.pool, self._state.times, now_ms)
+        found, slow = find_stragglers(self._state.pool, self._state.run_times, now_ms)
         for worker_id in slow:
             worker = self._state.pool.workers[worker_id]
-            worker.avoid_until_ms = max(worker.avoid_until_ms, now_ms + AVOID_MS)
+            worker.avoid_until_ms = max(
+                worker.avoid_until_ms, now_ms + AVOID_FAILING_WORKER_MS
+            )
         for straggler in found:
             run = straggler.run
             key = run.key.task
             step_key = StepKey(run.key.job_id, key.occurrence, key.step)
-            if self._state.times.note_restart(step_key, key.index):
+            if self._state.run_times.note_restart(step_key, key.index):
                 log_event(
                     events.RUN_OVERDUE,
                     task=task_name(run.key.job_id, key),
@@ -405,15 +409,15 @@
                     worker=straggler.worker.worker_id,
                     after_ms=round(now_ms - run.started_ms),
                 )
-                self._avoid_for_task(run, straggler.worker)
-                self._orders.stop(straggler.worker, run)
+                self._avoid_worker_for_task(run, straggler.worker)
+                self._run_controller.stop(straggler.worker, run)
 
     def _evacuate(self, now_ms: float) -> None:
         """Move long-running tasks off the workers that are about to go."""
         state = self._state
         if not state.lease.is_valid():
             return
-        for evacuation in find_evacuations(state.pool, state.book, now_ms):
+        for evacuation in find_evacuations(state.pool, state.admissions, now_ms):
             run, worker = evacuation.run, evacuation.worker
             workflow = state.workflows.get(run.key.job_id)
             if workflow is None:
@@ -425,17 +429,17 @@
                     run=run.number,
                     worker=worker.worker_id,
                 )
-                self._orders.stop(worker, run)
+                self._run_controller.stop(worker, run)
                 continue
             key = run.key.task
             step = ready_step(workflow, key.occurrence, key.step, [key])
-            if state.book.step(step.key).may_ask(now_ms):
+            if state.admissions.step(step.key).may_ask(now_ms):
                 names = [w.worker_id for w in evacuation.targets]
                 names = names[:WORKERS_PER_QUESTION]
-                self._begin_question(Question(step, tuple(names)))
+                self._request_advice(Question(step, tuple(names)))
 
-    def _avoid_for_task(self, run: Run, worker: Worker) -> None:
+    def _avoid_worker_for_task(self, run: Run, worker: Worker) -> None:
         """Let a task's next run start elsewhere if another worker can run it."""
         workflow = self._state.workflows.get(run.key.job_id)
         if workflow is not None:
-            workflow.avoid(run.key.task, worker.worker_id)
+            workflow.avoid_worker(run.key.task, worker.worker_id)
--- a/basilhold/workflows/owner_lease.py
+++ b/basilhold/workflows/owner_lease.py
@@ -35,23 +35,23 @@
     "try_claim",
 ]
 
-TAKEOVER_MS = 2_000
+TAKEOVER_AFTER_MS = 2_000
 """How long an owner record must be unchanged, in a store that answers, before others
 may claim it. Work survives on the workers for at least 5 s without an owner."""
 
-SUSPECT_MS = 650
+SUSPECT_AFTER_MS = 650
 """How long an owner record must be unchanged before its holder is asked, and may be
 claimed if that does not own the service any more. Just above the time between two
 renewals. The condition of the claim and the epoch make a claim safe, not the wait."""
 
-VALID_MS = 4_000
+LEASE_VALIDITY_MS = 4_000
 """How long an owner acts after its last renewal, by a clock that counts suspension. A
 successor that cannot reach a worker waits this long and one lease of the worker."""
 
-RETRY_MS = 60
-RETRY_MAX_MS = 400
+RETRY_DELAY_MS = 60
+RETRY_DELAY_MAX_MS = 400
 CLAIM_DELAY_PER_ROUND_TRIP = 15.0
-CLAIM_DELAY_PER_SERVICE_MS = 400.0
+CLAIM_DELAY_PER_OWNED_SERVICE_MS = 400.0
 
 _DECODER = msgspec.json.Decoder(OwnerRecord)
 
@@ -88,8 +88,8 @@
 
     record: OwnerRecord | None = None
     version: int = ABSENT
-    since_ms: float = 0.0
-    holder_gone: bool = False
+    unchanged_since_ms: float = 0.0
+    is_holder_gone: bool = False
 
     def update(self, row: Row | None, now_ms: float) -> None:
         """Take over the row as it was read.
@@ -100,8 +100,8 @@
         if version == self.version:
             return
         self.version = version
-        self.since_ms = now_ms
-        self.holder_gone = False
+        self.unchanged_since_ms = now_ms
+        self.is_holder_gone = False
         try:
             self.record = _DECODER.decode(row.value) if row else None
         except msgspec.DecodeError as error:
@@ -119,22 +119,24 @@
             return False
         if record is None or record.released or record.holder == holder:
             return True
-        unchanged_ms = now_ms - self.since_ms
-        return unchanged_ms >= (SUSPECT_MS if self.holder_gone else TAKEOVER_MS)
+        unchanged_ms = now_ms - self.unchanged_since_ms
+        return unchanged_ms >= (
+            SUSPECT_AFTER_MS if self.is_holder_gone else TAKEOVER_AFTER_MS
+        )
 
     def is_suspect(self, now_ms: float) -> bool:
         """Return whether the holder should be asked if it still owns the service."""
         record = self.record
-        if record is None or record.released or self.holder_gone:
+        if record is None or record.released or self.is_holder_gone:
             return False
-        return now_ms - self.since_ms >= SUSPECT_MS
+        return now_ms - self.unchanged_since_ms >= SUSPECT_AFTER_MS
 
 
 def claim_delay_ms(
     round_trip_ms: float,
     owned_services: int,
-    handicap_ms: float,
-    is_empty: bool,
+    penalty_ms: float,
+    has_no_owner: bool,
     jitter: float,
 ) -> float:
     """Return how long a process leaves a claim to better candidates.
@@ -152,9 +154,9 @@
     jitter : float
         Between 0 and 1.
     """
-    delay_ms = handicap_ms + CLAIM_DELAY_PER_ROUND_TRIP * min(round_trip_ms, 80.0)
-    delay_ms += CLAIM_DELAY_PER_SERVICE_MS * owned_services
-    return delay_ms + jitter * (100.0 if is_empty else 60.0)
+    delay_ms = penalty_ms + CLAIM_DELAY_PER_ROUND_TRIP * min(round_trip_ms, 80.0)
+    delay_ms += CLAIM_DELAY_PER_OWNED_SERVICE_MS * owned_services
+    return delay_ms + jitter * (100.0 if has_no_owner else 60.0)
 
 
 class Lease:
@@ -198,7 +200,10 @@
 
     def is_valid(self) -> bool:
         """Return whether the process may still act as the owner."""
-        return not self._lost and self._clock.now_ms() - self._renewed_ms < VALID_MS
+        return (
+            not self._lost
+            and self._clock.now_ms() - self._renewed_ms < LEASE_VALIDITY_MS
+        )
 
     @property
     def is_lost(self) -> bool:
@@ -209,7 +214,7 @@
         """Return the time since the last renewal, in milliseconds."""
         return self._clock.now_ms() - self._renewed_ms
 
-    def give_up(self) -> None:
+    def invalidate(self) -> None:
         """Act as the owner no more."""
         self._lost = True
 
@@ -232,16 +237,16 @@
             (Write(self._key, msgspec.json.encode(record)), *writes),
         )
         first_sent_ms = self._clock.now_ms()
-        unknown = False
-        delay_ms = RETRY_MS
+        outcome_unknown = False
+        delay_ms = RETRY_DELAY_MS
         while not self._lost:
             result = await self._table.transact(transaction)
             if result.is_ok():
-                self._apply(record, result.ok[self._key], first_sent_ms)
+                self._record_renewal(record, result.ok[self._key], first_sent_ms)
                 return CommitOutcome.DONE
             kind = result.error.kind
             if kind is StoreErrorKind.CONFLICT:
-                if unknown and await self._was_applied(record, first_sent_ms):
+                if outcome_unknown and await self._was_applied(record, first_sent_ms):
                     return CommitOutcome.DONE
                 break
             if kind is StoreErrorKind.INVALID:
@@ -254,15 +259,17 @@
                 )
                 break
             if kind is StoreErrorKind.UNKNOWN:
-                unknown = True
-            elif not unknown:
+                outcome_unknown = True
+            elif not outcome_unknown:
                 first_sent_ms = self._clock.now_ms()
             await asyncio.sleep(delay_ms / 1000)
-            delay_ms = min(2 * delay_ms, RETRY_MAX_MS)
+            delay_ms = min(2 * delay_ms, RETRY_DELAY_MAX_MS)
         self._lost = True
         return CommitOutcome.LOST
 
-    def _apply(self, record: OwnerRecord, version: int, sent_ms: float) -> None:
+    def _record_renewal(
+        self, record: OwnerRecord, version: int, sent_ms: float
+    ) -> None:
         self.record = record
         self._version = version
         self._renewed_ms = sent_ms
@@ -275,9 +282,9 @@
                 row = result.ok.get(self._key)
                 if row is None or _DECODER.decode(row.value) != record:
                     return False
-                self._apply(record, row.version, sent_ms)
+                self._record_renewal(record, row.version, sent_ms)
                 return True
-            await asyncio.sleep(RETRY_MAX_MS / 1000)
+            await asyncio.sleep(RETRY_DELAY_MAX_MS / 1000)
         return False
 
 
--- a/basilhold/workflows/owner_state.py
+++ b/basilhold/workflows/owner_state.py
@@ -58,15 +58,15 @@
         self.clock = ports.clock
         self.time = ports.time
         self.workflows: dict[JobId, Workflow] = {}
-        self.visible: dict[JobId, WorkflowState] = {}
+        self.committed_states: dict[JobId, WorkflowState] = {}
         self.backlog = Backlog()
-        self.book = AdmissionBook()
+        self.admissions = AdmissionBook()
         self.reservations = Reservations()
-        self.times = RunTimes()
+        self.run_times = RunTimes()
         self.pool = Pool()
         self.links: dict[WorkerId, WorkerLink] = {}
         self.plan_event = asyncio.Event()
-        self.tasks = BackgroundTasks()
+        self.background_tasks = BackgroundTasks()
         self.failure: asyncio.Future[None] = asyncio.get_running_loop().create_future()
 
     @property
@@ -81,18 +81,18 @@
             declared, milliseconds / 1000, service=self.service, **labels
         )
 
-    def start(self, coroutine: Coroutine[Any, Any, None]) -> asyncio.Task[Any]:
+    def spawn(self, coroutine: Coroutine[Any, Any, None]) -> asyncio.Task[Any]:
         """Run a part of the owner; its failure ends the owner."""
-        return self.tasks.start(self._guard(coroutine))
+        return self.background_tasks.start(self._run_guarded(coroutine))
 
-    async def _guard(self, coroutine: Coroutine[Any, Any, None]) -> None:
+    async def _run_guarded(self, coroutine: Coroutine[Any, Any, None]) -> None:
         try:
             await coroutine
         except Exception as error:
             if not self.failure.done():
                 self.failure.set_exception(error)
 
-    def fail(self, reason: str) -> None:
+    def fail_lease_lost(self, reason: str) -> None:
         """End the owner because the lease is lost."""
         if not self.failure.done():
             self.failure.set_exception(LeaseLostError(reason))
--- a/basilhold/workflows/ownership_manager.py
+++ b/basilhold/workflows/ownership_manager.py
@@ -23,7 +23,7 @@
     try_claim,
 )
 from basilhold.workflows.peers import Member, PeerCalls, Presence
-from basilhold.workflows.recovery import scan_all
+from basilhold.workflows.recovery import scan_with_retries
 from basilhold.workflows.rows import OWNERS_PREFIX, Incarnation
 from basilhold.workflows.worker_link import OwnerLimits
 
@@ -33,17 +33,17 @@
 """Time between two looks at the owners; a released service waits this long."""
 
 SLOW_POLL_INTERVAL_MS = 1_000
-WATCHERS_MAX = 64
+FAST_POLLERS_MAX = 64
 """In a deployment of more processes only so many look often; these take over. Each look
 is a read of the store, which all processes share."""
 
-PRESENCE_TRIES = 2
-PRESENCE_PAUSE_MS = 100
+PROBE_ATTEMPTS = 2
+PROBE_RETRY_DELAY_MS = 100
 """A holder that does not answer is asked twice: one reply may be lost or late."""
 
 RELEASE_TIMEOUT_MS = 1_500
-ERROR_REST_MS = 300
-TOLD_OF_RELEASE_MAX = 64
+ERROR_BACKOFF_MS = 300
+RELEASE_NOTICES_MAX = 64
 
 
 class OwnershipManager:
@@ -75,7 +75,7 @@
         services: Callable[[], tuple[ServiceName, ...]],
         rng: random.Random,
         peers: PeerCalls,
-        handicap_ms: float = 0.0,
+        claim_penalty_ms: float = 0.0,
     ):
         self._ports = ports
         self._suspend_clock = suspend_clock
@@ -85,20 +85,20 @@
         self._services = services
         self._rng = rng
         self._peers = peers
-        self._handicap_ms = handicap_ms
+        self._claim_penalty_ms = claim_penalty_ms
         self._views: dict[ServiceName, OwnerView] = {}
         self._claim_at_ms: dict[ServiceName, float] = {}
         self._owned_when_scheduled: dict[ServiceName, int] = {}
         self._owners: dict[ServiceName, ServiceOwner] = {}
-        self._asking: set[ServiceName] = set()
+        self._probing: set[ServiceName] = set()
         self._leases: dict[ServiceName, Lease] = {}
         self._members = MemberList(ports.table, ports.clock, member, ports.time)
         self._version = -1
         self._round_trip_ms = math.inf
         self._tasks = BackgroundTasks()
         self._stopping = False
-        self._store_lost_ms: float | None = None
-        self._poke = asyncio.Event()
+        self._store_failed_ms: float | None = None
+        self._wake_event = asyncio.Event()
         self.last_store_reply_ms = -1e9
 
     # What others ask.
@@ -144,10 +144,10 @@
     def poll_interval_ms(self) -> int:
         """Return the time between two looks at the owners."""
         count = self._members.count
-        if self._owners or count <= WATCHERS_MAX:
+        if self._owners or count <= FAST_POLLERS_MAX:
             return POLL_INTERVAL_MS
         place = xxhash.xxh32_intdigest(self._member.process_id.encode()) % count
-        return POLL_INTERVAL_MS if place < WATCHERS_MAX else SLOW_POLL_INTERVAL_MS
+        return POLL_INTERVAL_MS if place < FAST_POLLERS_MAX else SLOW_POLL_INTERVAL_MS
 
     # The loop.
 
@@ -157,27 +157,27 @@
             while True:
                 if not self._stopping:
                     await restart_on_error(
-                        "the look at the owners", self._look, ERROR_REST_MS
+                        "the look at the owners", self._poll, ERROR_BACKOFF_MS
                     )
-                await self._wait_for_next_look()
+                await self._wait_for_next_poll()
         finally:
             await self._tasks.cancel()
 
     def poll_now(self) -> None:
         """Look at the owners at once: one of them has released its service."""
-        self._poke.set()
+        self._wake_event.set()
 
-    async def _wait_for_next_look(self) -> None:
+    async def _wait_for_next_poll(self) -> None:
         now_ms = self._ports.clock.monotonic_ms()
         wait_ms = float(self.poll_interval_ms())
         for claim_at_ms in self._claim_at_ms.values():
             wait_ms = min(wait_ms, max(claim_at_ms - now_ms, 1.0))
         try:
             async with asyncio.timeout(wait_ms / 1000):
-                await self._poke.wait()
+                await self._wake_event.wait()
         except TimeoutError:
             pass
-        self._poke.clear()
+        self._wake_event.clear()
 
     async def stop(self) -> None:
         """Release all services before the process ends."""
@@ -190,62 +190,62 @@
             task.cancel()
         await asyncio.gather(*releases, return_exceptions=True)
         if releases:
-            others = self.members()[1 : TOLD_OF_RELEASE_MAX + 1]
+            others = self.members()[1 : RELEASE_NOTICES_MAX + 1]
             await asyncio.gather(*(self._peers.released(m.endpoint) for m in others))
 
-    async def _look(self) -> None:
+    async def _poll(self) -> None:
         try:
-            await self._look_at_owners()
+            await self._poll_owner_records()
         except Exception:
             # Rows may have been read and not been taken over.
             self._version = -1
             raise
 
-    async def _look_at_owners(self) -> None:
+    async def _poll_owner_records(self) -> None:
         asked_ms = self._ports.clock.monotonic_ms()
         rows = await self._read_rows()
         now_ms = self._ports.clock.monotonic_ms()
         if rows is None:
-            self._note_store_lost(asked_ms)
+            self._note_store_failure(asked_ms)
             # A store that does not answer says nothing about the owners.
             for view in self._views.values():
-                view.since_ms = now_ms
-                view.holder_gone = False
+                view.unchanged_since_ms = now_ms
+                view.is_holder_gone = False
             self._claim_at_ms.clear()
             return
-        self._note_store_back(now_ms)
+        self._note_store_recovery(now_ms)
         self.last_store_reply_ms = now_ms
         round_trip_ms = now_ms - asked_ms
         # The shortest one tells how far the store is; a slow store is slow for all.
         self._round_trip_ms = min(self._round_trip_ms, round_trip_ms)
         for row in rows:
-            self._take_row(row, now_ms)
+            self._apply_owner_row(row, now_ms)
         for service in self._services():
-            view = self._views.setdefault(service, OwnerView(since_ms=now_ms))
-            self._check_own(service, view)
-            self._ask_suspect(service, view, now_ms)
-            await self._consider_claim(service, view, now_ms)
+            view = self._views.setdefault(service, OwnerView(unchanged_since_ms=now_ms))
+            self._check_own_lease(service, view)
+            self._probe_suspect(service, view, now_ms)
+            await self._claim_if_due(service, view, now_ms)
         await self._members.refresh(bool(self._owners))
         for lease in self._leases.values():
             lease.member_count = self._members.count
 
-    def _note_store_lost(self, asked_ms: float) -> None:
-        if self._store_lost_ms is None:
-            self._store_lost_ms = asked_ms
+    def _note_store_failure(self, asked_ms: float) -> None:
+        if self._store_failed_ms is None:
+            self._store_failed_ms = asked_ms
             log_event(events.DEPENDENCY_LOST, dependency="store")
 
-    def _note_store_back(self, now_ms: float) -> None:
-        if self._store_lost_ms is not None:
-            after_ms = round(now_ms - self._store_lost_ms)
+    def _note_store_recovery(self, now_ms: float) -> None:
+        if self._store_failed_ms is not None:
+            after_ms = round(now_ms - self._store_failed_ms)
             log_event(events.DEPENDENCY_BACK, dependency="store", after_ms=after_ms)
-            self._store_lost_ms = None
+            self._store_failed_ms = None
 
     async def _read_rows(self) -> list[Row] | None:
         """Return changed rows, all rows at first, or ``None`` without an answer."""
         if self._version < 0:
             try:
                 async with asyncio.timeout(1.0):
-                    rows, self._version = await scan_all(
+                    rows, self._version = await scan_with_retries(
                         self._ports.table, OWNERS_PREFIX
                     )
             except TimeoutError:
@@ -260,7 +260,7 @@
         self._version = result.ok.version
         return list(result.ok.rows)
 
-    def _take_row(self, row: Row, now_ms: float) -> None:
+    def _apply_owner_row(self, row: Row, now_ms: float) -> None:
         service = ServiceName(row.key.split("/")[1])
         view = self._views.setdefault(service, OwnerView())
         if row.version > view.version:
@@ -268,39 +268,39 @@
             if view.record is not None:
                 self._members.published_count = view.record.member_count
 
-    def _check_own(self, service: ServiceName, view: OwnerView) -> None:
+    def _check_own_lease(self, service: ServiceName, view: OwnerView) -> None:
         lease = self._leases.get(service)
         if lease is None or view.record is None:
             return
         if view.record.epoch > lease.epoch:
-            lease.give_up()
+            lease.invalidate()
 
-    def _ask_suspect(
+    def _probe_suspect(
         self, service: ServiceName, view: OwnerView, now_ms: float
     ) -> None:
         """Ask the holder of a lease that is not renewed whether it is still there."""
-        if service in self._owners or service in self._asking:
+        if service in self._owners or service in self._probing:
             return
         if view.is_suspect(now_ms):
-            self._asking.add(service)
-            self._tasks.start(self._ask_holder(service, view, view.record.endpoint))
+            self._probing.add(service)
+            self._tasks.start(self._probe_holder(service, view, view.record.endpoint))
 
-    async def _ask_holder(
+    async def _probe_holder(
         self, service: ServiceName, view: OwnerView, endpoint: str
     ) -> None:
         version = view.version
         try:
-            for attempt in range(PRESENCE_TRIES):
+            for attempt in range(PROBE_ATTEMPTS):
                 if attempt:
-                    await asyncio.sleep(PRESENCE_PAUSE_MS / 1000)
+                    await asyncio.sleep(PROBE_RETRY_DELAY_MS / 1000)
                 presence = await self._peers.presence(endpoint, service)
                 if presence is not Presence.SILENT:
                     break
         finally:
-            self._asking.discard(service)
+            self._probing.discard(service)
         if presence is not Presence.OWNER and view.version == version:
-            view.holder_gone = True
-            unchanged_ms = self._ports.clock.monotonic_ms() - view.since_ms
+            view.is_holder_gone = True
+            unchanged_ms = self._ports.clock.monotonic_ms() - view.unchanged_since_ms
             log_event(
                 events.HOLDER_GONE,
                 service=service,
@@ -309,9 +309,9 @@
                 presence=presence.value,
                 unchanged_ms=round(unchanged_ms),
             )
-            self._poke.set()
+            self._wake_event.set()
 
-    async def _consider_claim(
+    async def _claim_if_due(
         self, service: ServiceName, view: OwnerView, now_ms: float
     ) -> None:
         if service in self._owners or not view.is_claimable(
@@ -324,7 +324,7 @@
             delay_ms = claim_delay_ms(
                 self._round_trip_ms,
                 len(self._owners),
-                self._handicap_ms,
+                self._claim_penalty_ms,
                 view.record is None,
                 self._rng.random(),
             )
--- a/basilhold/workflows/progress.py
+++ b/basilhold/workflows/progress.py
@@ -136,14 +136,14 @@
         self._chunk_keys: dict[int, list[TaskKey]] = {}
         self._changed: set[int] = set()
         self._offsets: list[int] = []
-        self._width = 0
+        self._tasks_per_occurrence = 0
         for step in spec.steps:
-            self._offsets.append(self._width)
-            self._width += step.task_count
-        self._open: dict[tuple[int, int], int] = {}
+            self._offsets.append(self._tasks_per_occurrence)
+            self._tasks_per_occurrence += step.task_count
+        self._unfinished: dict[tuple[int, int], int] = {}
         for occurrence in range(spec.occurrence_count):
             for number, step in enumerate(spec.steps):
-                self._open[occurrence, number] = step.task_count
+                self._unfinished[occurrence, number] = step.task_count
 
     @property
     def job_id(self) -> JobId:
@@ -155,30 +155,36 @@
         task = self._tasks.get(key)
         if task is None:
             task = TaskProgress(avoided=[])
-            self._add(key, task)
+            self._add_task(key, task)
         return task
 
-    def _add(self, key: TaskKey, task: TaskProgress) -> None:
+    def _add_task(self, key: TaskKey, task: TaskProgress) -> None:
         self._tasks[key] = task
         self._chunk_keys.setdefault(self.chunk_of(key), []).append(key)
 
     def chunk_of(self, key: TaskKey) -> int:
         """Return the chunk of the progress that holds a task."""
-        place = key.occurrence * self._width + self._offsets[key.step] + key.index
-        return place // CHUNK_TASKS
+        position = (
+            key.occurrence * self._tasks_per_occurrence
+            + self._offsets[key.step]
+            + key.index
+        )
+        return position // CHUNK_TASKS
 
     @property
     def chunk_count(self) -> int:
         """Number of chunks of the progress."""
-        return -(-self._width * self.spec.occurrence_count // CHUNK_TASKS)
+        return -(
+            -self._tasks_per_occurrence * self.spec.occurrence_count // CHUNK_TASKS
+        )
 
-    def take_changed(self) -> list[int]:
+    def take_changed_chunks(self) -> list[int]:
         """Return the chunks that changed since the last call, the first one first."""
         changed = sorted(self._changed)
         self._changed.clear()
         return changed
 
-    def avoid(self, key: TaskKey, worker_id: WorkerId) -> None:
+    def avoid_worker(self, key: TaskKey, worker_id: WorkerId) -> None:
         """Let a task's next runs start elsewhere if another worker can run it."""
         avoided = self.task(key).avoided
         if worker_id not in avoided:
@@ -194,9 +200,9 @@
             and 0 <= key.index < steps[key.step].task_count
         )
 
-    def step_done(self, occurrence: int, step: int) -> bool:
+    def is_step_done(self, occurrence: int, step: int) -> bool:
         """Return whether all tasks of a step are done."""
-        return self._open[occurrence, step] == 0
+        return self._unfinished[occurrence, step] == 0
 
     def ready_steps(self, now_unix_ms: float) -> Iterator[tuple[int, int]]:
         """Yield occurrence and number of the steps whose tasks may run now."""
@@ -206,9 +212,9 @@
             if now_unix_ms < self.spec.due_unix_ms(occurrence):
                 return
             for number, step in enumerate(self.spec.steps):
-                if self.step_done(occurrence, number):
+                if self.is_step_done(occurrence, number):
                     continue
-                if all(self.step_done(occurrence, before) for before in step.after):
+                if all(self.is_step_done(occurrence, before) for before in step.after):
                     yield occurrence, number
 
     def task_keys(self, occurrence: int, step: int) -> list[TaskKey]:
@@ -265,7 +271,7 @@
             task.stage = TaskStage.PENDING
             return True
         if end.kind is EndKind.DONE and not self._step(end.key).long_running:
-            self._finish(end, now_ms)
+            self._complete_task(end, now_ms)
             return True
         if end.checkpoint:
             task.checkpoint = end.checkpoint
@@ -276,7 +282,7 @@
             self._count_failure(end, worker_id, now_ms)
         return True
 
-    def _finish(self, end: RunEnd, now_ms: float) -> None:
+    def _complete_task(self, end: RunEnd, now_ms: float) -> None:
         # One member's end as done stands for its whole gang.
         keys = [end.key]
         if self._step(end.key).gang:
@@ -288,8 +294,8 @@
                 task.worker_id = WorkerId("")
                 task.checkpoint = ""
                 self._changed.add(self.chunk_of(key))
-                self._open[key.occurrence, key.step] -= 1
-        if not any(self._open.values()):
+                self._unfinished[key.occurrence, key.step] -= 1
+        if not any(self._unfinished.values()):
             self._end(WorkflowState.COMPLETED, now_ms)
 
     def _count_failure(self, end: RunEnd, worker_id: WorkerId, now_ms: float) -> None:
@@ -298,7 +304,7 @@
         if step.gang:
             key = TaskKey(key.occurrence, key.step, 0)
         task = self.task(key)
-        self.avoid(key, worker_id)
+        self.avoid_worker(key, worker_id)
         # Several members of a gang may fail in one run, which counts once.
         if step.gang and task.failed_run == end.run:
             return
@@ -364,9 +370,9 @@
                 key = TaskKey(entry.occurrence, entry.step, entry.index)
                 if not workflow.has_task(key):
                     continue
-                workflow._add(key, entry.task)
+                workflow._add_task(key, entry.task)
                 if entry.task.stage is TaskStage.DONE:
-                    workflow._open[key.occurrence, key.step] -= 1
+                    workflow._unfinished[key.occurrence, key.step] -= 1
         return workflow
 
 
--- a/basilhold/workflows/recovery.py
+++ b/basilhold/workflows/recovery.py
@@ -20,17 +20,17 @@
 )
 
 __all__ = [
-    "Loaded",
+    "StoredWorkflows",
     "load_workflows",
-    "place_assigned",
-    "scan_all",
+    "restore_assignments",
+    "scan_with_retries",
     "scan_once",
 ]
 
-SCAN_RETRY_MS = 150
+SCAN_RETRY_INTERVAL_MS = 150
 
 
-class Loaded(msgspec.Struct):
+class StoredWorkflows(msgspec.Struct):
     """The stored workflows of a service.
 
     Parameters
@@ -69,31 +69,31 @@
             return Ok((rows, version))
 
 
-async def scan_all(table: TableService, prefix: str) -> tuple[list[Row], int]:
+async def scan_with_retries(table: TableService, prefix: str) -> tuple[list[Row], int]:
     """Return all rows of a prefix, retrying until the store answers."""
     while True:
         result = await scan_once(table, prefix)
         if result.is_ok():
             return result.ok
-        await asyncio.sleep(SCAN_RETRY_MS / 1000)
+        await asyncio.sleep(SCAN_RETRY_INTERVAL_MS / 1000)
 
 
-async def load_workflows(table: TableService, service: ServiceName) -> Loaded:
+async def load_workflows(table: TableService, service: ServiceName) -> StoredWorkflows:
     """Return all workflows of a service with their progress."""
     # Submissions are read first: progress exists only for those that are stored.
     parts = await asyncio.gather(
-        *(scan_all(table, prefix) for prefix in jobs_prefixes(service))
+        *(scan_with_retries(table, prefix) for prefix in jobs_prefixes(service))
     )
-    progress, _ = await scan_all(table, progress_prefix(service))
+    progress, _ = await scan_with_retries(table, progress_prefix(service))
     submitted = [row for rows, _ in parts for row in rows]
     chunks = _progress_chunks(progress)
-    loaded = Loaded([], set(), min(version for _, version in parts))
+    loaded = StoredWorkflows([], set(), min(version for _, version in parts))
     for row in submitted:
         job_id, is_cancel = parse_jobs_key(row.key)
         if is_cancel:
             loaded.cancelled.add(job_id)
             continue
-        workflow = _decode(row, chunks.get(job_id, {}))
+        workflow = _decode_workflow(row, chunks.get(job_id, {}))
         if workflow is not None:
             loaded.workflows.append(workflow)
     return loaded
@@ -112,7 +112,7 @@
     return chunks
 
 
-def _decode(row: Row, chunks: dict[int, bytes]) -> Workflow | None:
+def _decode_workflow(row: Row, chunks: dict[int, bytes]) -> Workflow | None:
     try:
         spec = msgspec.json.decode(row.value, type=WorkflowSpec)
         return Workflow.decode(spec, [chunks[chunk] for chunk in sorted(chunks)])
@@ -121,7 +121,7 @@
         return None
 
 
-def place_assigned(pool: Pool, workflows: list[Workflow], now_ms: float) -> int:
+def restore_assignments(pool: Pool, workflows: list[Workflow], now_ms: float) -> int:
     """Reserve what stored assignments may still use; return their number.
 
     The workers' own lists decide later which of the runs exist.
--- a/basilhold/workflows/run_controller.py
+++ b/basilhold/workflows/run_controller.py
@@ -14,20 +14,20 @@
 from basilhold.workflows.pool import Run, RunKey, RunStage, Worker
 from basilhold.workflows.progress import EndKind, RunEnd, TaskStage, Workflow
 
-__all__ = ["AVOID_MS", "Orders"]
+__all__ = ["AVOID_FAILING_WORKER_MS", "RunController"]
 
-START_WINDOW_MS = 1_900
+START_VALID_MS = 1_900
 """A start that takes effect later than this is refused by the worker as late."""
 
-STOP_RETRY_MS = 150
-AVOID_MS = 2_500
+STOP_RETRY_INTERVAL_MS = 150
+AVOID_FAILING_WORKER_MS = 2_500
 """How long a worker whose runs fail gets no new work."""
 
-REFUSED_AVOID_MS = 500
+AVOID_REFUSING_WORKER_MS = 500
 """How long a worker that has refused a start gets no new work."""
 
 
-class Orders:
+class RunController:
     """Starts and stops runs, and applies their ends.
 
     Parameters
@@ -40,7 +40,7 @@
         self.committer = Committer(state, self._send_start)
 
     def _send_start(self, placement: Placement) -> None:
-        self._state.start(self._start(placement))
+        self._state.spawn(self._start(placement))
 
     async def _start(self, placement: Placement) -> None:
         workflow, worker = placement.step.workflow, placement.worker
@@ -48,18 +48,18 @@
         if run is None or run.stage is not RunStage.COMMITTING:
             return
         if run.stop_wanted or workflow.state.is_final:
-            self._release(worker, run)
+            self._return_unstarted(worker, run)
             return
         link = self._state.links.get(worker.worker_id)
         if not self._state.lease.is_valid() or link is None or worker.gone:
-            self._release(worker, run)
+            self._return_unstarted(worker, run)
             return
         now_ms = self._state.clock.monotonic_ms()
         run.stage = RunStage.STARTING
-        run.until_clock_ms = worker.clock_at(now_ms) + START_WINDOW_MS
-        link.note_lease(now_ms, START_WINDOW_MS)
+        run.until_clock_ms = worker.clock_at(now_ms) + START_VALID_MS
+        link.note_lease(now_ms, START_VALID_MS)
         call = StartCall(
-            self._call_of(run),
+            self._runner_call(run),
             workflow.spec.payload,
             run.until_clock_ms,
             run.checkpoint,
@@ -68,9 +68,9 @@
         outcome = await self._state.ports.runners.start(worker, call)
         if run.key not in worker.runs or worker.runs[run.key] is not run:
             return
-        self._after_start(placement, run, outcome)
+        self._handle_start_outcome(placement, run, outcome)
 
-    def _after_start(
+    def _handle_start_outcome(
         self, placement: Placement, run: Run, outcome: CallOutcome
     ) -> None:
         worker = placement.worker
@@ -96,28 +96,30 @@
             self._stop_gang(run.key, _is_gang(run), run)
             return
         if outcome is CallOutcome.BAD_TICKET:
-            self._state.book.drop_ticket(placement.step.key, worker.worker_id)
+            self._state.admissions.drop_ticket(placement.step.key, worker.worker_id)
         elif outcome in (CallOutcome.UNAVAILABLE, CallOutcome.NO_ROOM):
-            worker.avoid_until_ms = self._state.clock.monotonic_ms() + REFUSED_AVOID_MS
-        self._release(worker, run)
+            worker.avoid_until_ms = (
+                self._state.clock.monotonic_ms() + AVOID_REFUSING_WORKER_MS
+            )
+        self._return_unstarted(worker, run)
 
-    def _release(self, worker: Worker, run: Run) -> None:
+    def _return_unstarted(self, worker: Worker, run: Run) -> None:
         """Return a task whose run certainly never started to the waiting ones."""
         worker.remove(run.key)
         end = RunEnd(run.key.task, run.number, EndKind.LOST, run.checkpoint)
         self.apply_end(worker, run.key, end)
         self._stop_gang(run.key, _is_gang(run), run)
 
-    def _stop_gang(self, key: RunKey, step_gang: bool, but: Run | None) -> None:
+    def _stop_gang(self, key: RunKey, is_gang: bool, excluded: Run | None) -> None:
         """Stop a gang of which a member ended or did not start, to restart it whole."""
         workflow = self._state.workflows.get(key.job_id)
-        if workflow is None or not step_gang:
+        if workflow is None or not is_gang:
             return
         for other, task in workflow.assigned():
             if not _same_step(other, key.task):
                 continue
             run = self._state.pool.run_of(task.worker_id, RunKey(key.job_id, other))
-            if run is not None and run is not but and not run.stop_wanted:
+            if run is not None and run is not excluded and not run.stop_wanted:
                 self.stop(self._state.pool.workers[task.worker_id], run)
 
     def stop(self, worker: Worker, run: Run) -> None:
@@ -130,13 +132,13 @@
             # Where the worker is, is not known; its first look stops the run.
             return
         run.stopping = True
-        self._state.start(self._run_stop(worker, run))
+        self._state.spawn(self._stop_until_confirmed(worker, run))
 
-    async def _run_stop(self, worker: Worker, run: Run) -> None:
+    async def _stop_until_confirmed(self, worker: Worker, run: Run) -> None:
         try:
             while worker.runs.get(run.key) is run and self._state.lease.is_valid():
                 outcome = await self._state.ports.runners.stop(
-                    worker, self._call_of(run)
+                    worker, self._runner_call(run)
                 )
                 if outcome is CallOutcome.FENCED:
                     raise LeaseLostError("a worker has seen a higher epoch")
@@ -146,22 +148,22 @@
                     run.stop_confirmed = True
                     run.stage = RunStage.RUNNING
                     run.confirmed_ms = self._state.clock.monotonic_ms()
-                    self.refresh(worker)
+                    self.refresh_worker(worker)
                     return
                 if outcome is CallOutcome.ABSENT or worker.gone:
                     return
-                await asyncio.sleep(STOP_RETRY_MS / 1000)
+                await asyncio.sleep(STOP_RETRY_INTERVAL_MS / 1000)
         finally:
             run.stopping = False
 
     def adjust_pace(self, worker: Worker) -> None:
         """Slow or speed up work on spare cores, by what serving tasks show."""
         for change in pace_changes(worker):
-            self._state.start(self._pace(worker, change))
+            self._state.spawn(self._set_pace(worker, change))
 
-    async def _pace(self, worker: Worker, change: PaceChange) -> None:
+    async def _set_pace(self, worker: Worker, change: PaceChange) -> None:
         # A pace that gets no reply is seen in the next list, and asked for again.
-        call = self._call_of(change.run)
+        call = self._runner_call(change.run)
         outcome = await self._state.ports.runners.pace(worker, call, change.percent)
         log_event(
             events.RUN_PACED,
@@ -171,13 +173,13 @@
             outcome=outcome.value,
         )
 
-    def refresh(self, worker: Worker) -> None:
+    def refresh_worker(self, worker: Worker) -> None:
         """Read a worker's lists now: the next regular look may wait for an end."""
         link = self._state.links.get(worker.worker_id)
         if link is not None:
-            self._state.start(link.refresh(self._state.clock))
+            self._state.spawn(link.refresh(self._state.clock))
 
-    def _call_of(self, run: Run) -> RunnerCall:
+    def _runner_call(self, run: Run) -> RunnerCall:
         return RunnerCall(
             run.key.job_id, run.key.task, run.number, self._state.lease.epoch
         )
@@ -199,7 +201,7 @@
         if workflow is None or not workflow.has_task(key.task):
             return
         step = workflow.spec.steps[key.task.step]
-        self._note_worker(worker, key, step, end, run)
+        self._update_worker_statistics(worker, key, step, end, run)
         was_final = workflow.state.is_final
         if not workflow.apply_end(end, self._state.time.now_ms()):
             return
@@ -216,51 +218,53 @@
             kind=end.kind.value,
         )
         if workflow.state.is_final and not was_final:
-            self.end_workflow(workflow)
+            self.finalize_workflow(workflow)
         elif workflow.task(key.task).stage is TaskStage.PENDING:
             self._state.backlog.returned(workflow, key.task)
             if end.kind is not EndKind.DONE:
                 self._stop_gang(key, step.gang, None)
-        self.committer.mark(workflow)
+        self.committer.mark_dirty(workflow)
         self._state.plan_event.set()
 
-    def _note_worker(
+    def _update_worker_statistics(
         self, worker: Worker, key: RunKey, step: StepSpec, end: RunEnd, run: Run | None
     ) -> None:
         """Learn from an end how fast and how sound its worker is."""
         now_ms = self._state.clock.monotonic_ms()
         if run is not None and end.kind is EndKind.DONE and run.confirmed_ms:
             step_key = StepKey(key.job_id, key.task.occurrence, key.task.step)
-            self._state.times.record(step_key, step, worker, now_ms - run.started_ms)
+            self._state.run_times.record(
+                step_key, step, worker, now_ms - run.started_ms
+            )
         if end.kind in (EndKind.DONE, EndKind.FAILED):
             failed = end.kind is EndKind.FAILED
-            if worker.note_end(failed, now_ms, AVOID_MS):
+            if worker.note_end(failed, now_ms, AVOID_FAILING_WORKER_MS):
                 log_event(
                     events.WORKER_AVOIDED,
                     worker=worker.worker_id,
                     failures=worker.failed_runs,
                 )
 
-    def end_workflow(self, workflow: Workflow) -> None:
+    def finalize_workflow(self, workflow: Workflow) -> None:
         """Stop what still runs of a workflow that has ended."""
         self._state.backlog.remove(workflow)
-        self._state.book.forget_job(workflow.job_id)
+        self._state.admissions.forget_job(workflow.job_id)
         self._state.reservations.forget_job(workflow.job_id)
-        self._state.times.forget_job(workflow.job_id)
+        self._state.run_times.forget_job(workflow.job_id)
         for key, task in workflow.assigned():
             run = self._state.pool.run_of(task.worker_id, RunKey(workflow.job_id, key))
             if run is not None:
                 self.stop(self._state.pool.workers[task.worker_id], run)
-        self.committer.mark(workflow)
-        took_ms = workflow.ended_ms - workflow.spec.submitted_ms
+        self.committer.mark_dirty(workflow)
+        duration_ms = workflow.ended_ms - workflow.spec.submitted_ms
         self._state.observe(
-            "basilhold_workflow_seconds", took_ms, state=workflow.state.value
+            "basilhold_workflow_seconds", duration_ms, state=workflow.state.value
         )
         log_event(
             events.WORKFLOW_ENDED,
             job=workflow.job_id,
             state=workflow.state.value,
-            after_ms=round(took_ms),
+            after_ms=round(duration_ms),
         )
 
 
--- a/basilhold/workflows/tests/test_progress.py
+++ b/basilhold/workflows/tests/test_progress.py
@@ -51,14 +51,14 @@
 
     def test_only_changed_rows_are_written(self):
         workflow = workflow_of(3 * CHUNK_TASKS)
-        self.assertEqual(workflow.take_changed(), [])
+        self.assertEqual(workflow.take_changed_chunks(), [])
         last = TaskKey(0, 0, 3 * CHUNK_TASKS - 1)
         workflow.assign(last, RunNumber(1), WorkerId("w"))
-        self.assertEqual(workflow.take_changed(), [0, 2])
+        self.assertEqual(workflow.take_changed_chunks(), [0, 2])
         workflow.apply_end(RunEnd(last, RunNumber(1), EndKind.FAILED), 0.0)
-        self.assertEqual(workflow.take_changed(), [2])
+        self.assertEqual(workflow.take_changed_chunks(), [2])
         workflow.cancel(0.0)
-        self.assertEqual(workflow.take_changed(), [0])
+        self.assertEqual(workflow.take_changed_chunks(), [0])
 
     def test_longest_names_stay_below_the_bound(self):
         # A row above the store's bound is refused for good.
@@ -66,7 +66,7 @@
         for index in range(CHUNK_TASKS):
             key = TaskKey(0, 0, index)
             for number in range(20):
-                workflow.avoid(key, WorkerId(f"{number:0200}"))
+                workflow.avoid_worker(key, WorkerId(f"{number:0200}"))
             workflow.assign(key, RunNumber(10**6), WorkerId("w" * 200))
             workflow.task(key).checkpoint = "c" * 256
         self.assertLess(len(workflow.encode()), ROW_BYTES_MAX)
--- a/basilhold/workflows/tests/test_random_runs.py
+++ b/basilhold/workflows/tests/test_random_runs.py
@@ -93,7 +93,9 @@
             self.assert_caught()
 
     def test_successor_that_forgets_stored_assignments(self):
-        with patch.object(owner, "place_assigned", lambda pool, workflows, now_ms: 0):
+        with patch.object(
+            owner, "restore_assignments", lambda pool, workflows, now_ms: 0
+        ):
             self.assert_caught()
 
     def test_end_acknowledged_before_it_is_stored(self):
--- a/basilhold/workflows/worker_tracker.py
+++ b/basilhold/workflows/worker_tracker.py
@@ -20,16 +20,16 @@
     reconcile,
     remove_lost,
 )
-from basilhold.workflows.run_controller import Orders
+from basilhold.workflows.run_controller import RunController
 from basilhold.workflows.worker_link import Look, WorkerLink
 
-__all__ = ["Roster"]
+__all__ = ["WorkerTracker"]
 
-REGISTRY_INTERVAL_MS = 700
+REGISTRY_POLL_INTERVAL_MS = 700
 """A worker that leaves must get no new work after 3 s."""
 
 
-class Roster:
+class WorkerTracker:
     """Follows the registrations of workers and what each of them lists.
 
     Parameters
@@ -38,24 +38,24 @@
     orders : Orders
     """
 
-    def __init__(self, state: OwnerState, orders: Orders):
+    def __init__(self, state: OwnerState, run_controller: RunController):
         self._state = state
-        self._orders = orders
+        self._run_controller = run_controller
 
     async def run(self) -> None:
         """Read the registrations regularly until cancelled."""
         while True:
-            await asyncio.sleep(REGISTRY_INTERVAL_MS / 1000)
-            await self.read()
+            await asyncio.sleep(REGISTRY_POLL_INTERVAL_MS / 1000)
+            await self.refresh_registrations()
 
-    def drop_lapsed(self, now_ms: float) -> None:
+    def remove_expired_workers(self, now_ms: float) -> None:
         """Give up unregistered workers whose leases have certainly lapsed."""
         for worker in list(self._state.pool.workers.values()):
             unlinked = worker.worker_id not in self._state.links
             if unlinked and now_ms > worker.held_until_ms:
-                self._worker_lost(worker, "its lease has lapsed")
+                self._handle_worker_loss(worker, "its lease has lapsed")
 
-    async def read(self) -> None:
+    async def refresh_registrations(self) -> None:
         """Read the registrations once."""
         result = await self._state.ports.registry.read()
         if result.is_error():
@@ -71,7 +71,7 @@
             if worker_id not in registered:
                 worker.gone = True
                 if not worker.runs:
-                    self._drop_worker(worker)
+                    self._remove_worker(worker)
         self._state.plan_event.set()
 
     def _update_worker(self, worker_id: WorkerId, info: WorkerInfo) -> None:
@@ -91,42 +91,42 @@
         if worker_id not in self._state.links:
             self._open_link(worker)
 
-    async def _serve_link(self, link: WorkerLink) -> None:
+    async def _poll_worker(self, link: WorkerLink) -> None:
         worker = link.worker
         try:
-            while self._take_look(link, await link.look(self._state.clock)):
+            while self._apply_poll(link, await link.look(self._state.clock)):
                 if worker.gone and not worker.runs:
-                    self._drop_worker(worker)
+                    self._remove_worker(worker)
                     return
         finally:
             if self._state.links.get(worker.worker_id) is link:
                 del self._state.links[worker.worker_id]
 
-    def _take_look(self, link: WorkerLink, look: Look) -> bool:
+    def _apply_poll(self, link: WorkerLink, look: Look) -> bool:
         """Apply what a look has shown; return whether the worker is still there."""
         worker = link.worker
         if look.fenced:
             raise LeaseLostError("a worker has seen a higher epoch")
         if look.restarted is not None:
             if not link.closed:
-                self._take_restart(worker, look.restarted)
+                self._handle_restart(worker, look.restarted)
             return False
         if look.lost:
             if not link.closed:
-                self._worker_lost(worker, look.lost)
+                self._handle_worker_loss(worker, look.lost)
             return False
         for listed in look.unknown:
             self._stop_unknown(worker, listed)
         for ended in look.ends:
-            self._orders.apply_end(worker, ended.key, ended.end, ended.run)
+            self._run_controller.apply_end(worker, ended.key, ended.end, ended.run)
         for run in list(worker.runs.values()):
             if run.stop_wanted and not run.stop_confirmed:
-                self._orders.stop(worker, run)
-        self._orders.adjust_pace(worker)
+                self._run_controller.stop(worker, run)
+        self._run_controller.adjust_pace(worker)
         if look.first or look.ends:
             self._state.plan_event.set()
         if look.ends:
-            self._orders.committer.acknowledge_soon()
+            self._run_controller.committer.request_commit()
         return True
 
     def _stop_unknown(self, worker: Worker, listed: ListedRun) -> None:
@@ -152,9 +152,9 @@
             confirmed_ms=self._state.clock.monotonic_ms(),
         )
         worker.add(run)
-        self._orders.stop(worker, run)
+        self._run_controller.stop(worker, run)
 
-    def _worker_lost(self, worker: Worker, reason: str) -> None:
+    def _handle_worker_loss(self, worker: Worker, reason: str) -> None:
         """Conclude that nothing runs on a worker any more."""
         log_event(
             events.WORKER_LOST,
@@ -162,24 +162,24 @@
             reason=reason,
             runs=len(worker.runs),
         )
-        self._drop_worker(worker)
+        self._remove_worker(worker)
         for ended in remove_lost(worker):
-            self._orders.apply_end(worker, ended.key, ended.end)
+            self._run_controller.apply_end(worker, ended.key, ended.end)
         self._state.plan_event.set()
 
-    def _take_restart(self, worker: Worker, listing: Listing) -> None:
+    def _handle_restart(self, worker: Worker, listing: Listing) -> None:
         """Go on with a new incarnation whose lists have been read."""
         info = msgspec.structs.replace(worker.info, born_unix_ms=listing.born_unix_ms)
         successor = self._replace_incarnation(worker, info)
         now_ms = self._state.clock.monotonic_ms()
         changed = reconcile(successor, listing, now_ms, now_ms)
         link = self._state.links[successor.worker_id]
-        self._take_look(link, Look(ends=changed.ends, unknown=changed.unknown))
+        self._apply_poll(link, Look(ends=changed.ends, unknown=changed.unknown))
 
     def _replace_incarnation(self, worker: Worker, info: WorkerInfo) -> Worker:
         successor = Worker(info)
         carry_over(worker, successor)
-        self._worker_lost(worker, "it has restarted")
+        self._handle_worker_loss(worker, "it has restarted")
         self._state.pool.workers[info.worker_id] = successor
         self._open_link(successor)
         return successor
@@ -187,11 +187,11 @@
     def _open_link(self, worker: Worker) -> None:
         state = self._state
         link = WorkerLink(worker, state.ports.runners, state.lease, state.limits)
-        link.on_look = lambda look: self._take_look(link, look)
+        link.on_look = lambda look: self._apply_poll(link, look)
         self._state.links[worker.worker_id] = link
-        self._state.start(self._serve_link(link))
+        self._state.spawn(self._poll_worker(link))
 
-    def _drop_worker(self, worker: Worker) -> None:
+    def _remove_worker(self, worker: Worker) -> None:
         worker.gone = True
         if self._state.pool.workers.get(worker.worker_id) is worker:
             del self._state.pool.workers[worker.worker_id]
