Reword the comments of the owner, its lease and its commits

Comments told things figuratively or assumed private terms. Doc comments now say what each part does to one who opens it for the first time, with parameters, units and errors; reasons behind constants are kept.

--- a/basilhold/workflows/committer.py
+++ b/basilhold/workflows/committer.py
@@ -1,4 +1,4 @@
-"""Stores what an owner decides, before it acts on it."""
+"""Commits the decisions of an owner to the store before they take effect."""
 
 import asyncio
 import contextlib
@@ -18,34 +18,48 @@
 __all__ = ["Committer"]
 
 COMMIT_INTERVAL_MAX_MS = 600
-"""Longest time between two commits; `TAKEOVER_MS` allows for three missed ones."""
+"""Longest time between two commits, each of which renews the lease;
+`TAKEOVER_AFTER_MS` allows for three missed ones."""
 
 STALLED_COMMIT_MS = 600.0
-"""Above the time of a commit in a slow store; one that takes longer waits for a store
-that does not answer."""
+"""Duration above which a commit counts as stalled. A commit in a slow store takes less,
+so a stalled commit means that the store does not answer."""
 
 COMMIT_INTERVAL_MIN_MS = 20
-"""Shortest time between two commits: each call to the store is paid for."""
+"""Shortest time between two commits, as each call to the store has a cost."""
 
 ROWS_PER_COMMIT = 90
-"""Below the store's bound of 100 entries in a transaction."""
+"""Most rows in one commit; the store accepts 100 entries in a transaction."""
 
 BYTES_PER_COMMIT = 600_000
-"""Below the store's bound of 1 MB in a transaction, encoded as base64."""
+"""Most bytes in one commit; the store accepts 1 MB in a transaction, with values
+encoded as base64."""
 
 EXPIRY_INTERVAL_MS = 2_000
+"""Interval at which the rows of expired workflows are deleted."""
+
 EXPIRED_WORKFLOWS_MAX = 30
+"""Most workflows that are deleted in one interval."""
 
 
 class _ProgressChunk(NamedTuple):
-    """Names one row of a workflow's progress."""
+    """Identifies one row of a workflow's progress."""
 
     job_id: JobId
     chunk: int
 
 
 class _Batch(msgspec.Struct):
-    """What one commit stores."""
+    """Contents of one commit.
+
+    Parameters
+    ----------
+    keys : list of _ProgressChunk
+        Rows of progress that `writes` store.
+    writes : tuple of Write
+    states : dict of JobId to WorkflowState
+        States of workflows that the commit stores.
+    """
 
     keys: list[_ProgressChunk] = []
     writes: tuple[Write, ...] = ()
@@ -53,16 +67,16 @@
 
 
 class Committer:
-    """Commits progress in batches, one after another.
+    """Commits the progress of workflows in batches, one at a time.
 
-    A start is sent after the commit of its assignment, and ends are acknowledged after
-    the commit of their effects.
+    A start request is sent after the commit of its assignment, and outcomes of runs are
+    acknowledged to workers after the commit of their effects.
 
     Parameters
     ----------
     state : OwnerState
     send_start : callable
-        Sends a start whose assignment is stored.
+        Sends the start request of a placement whose assignment is stored.
     """
 
     def __init__(self, state: OwnerState, send_start: Callable[[Placement], None]):
@@ -75,28 +89,37 @@
         self._wake = asyncio.Event()
 
     def is_stalled(self) -> bool:
-        """Return whether a commit takes so long that starts are held up by it."""
+        """Return whether the commit in progress exceeds `STALLED_COMMIT_MS`."""
         if self._sent_ms is None:
             return False
         return self._state.clock.monotonic_ms() - self._sent_ms > STALLED_COMMIT_MS
 
     def mark_dirty(self, workflow: Workflow) -> None:
-        """Store a workflow's progress with the next commit."""
+        """Mark a workflow's changed progress to be stored with the next commit."""
         for chunk in workflow.take_changed_chunks():
             self._dirty[_ProgressChunk(workflow.job_id, chunk)] = workflow
         self._wake.set()
 
     def start_after_commit(self, placement: Placement) -> None:
-        """Send a start once its assignment is stored."""
+        """Send the start request of a placement once its assignment is stored."""
         self._starts.append(placement)
         self.mark_dirty(placement.step.workflow)
 
     def request_commit(self) -> None:
-        """Commit even if nothing has changed, so that ends are acknowledged."""
+        """Commit soon even without changes, so that outcomes are acknowledged.
+
+        Outcomes that change no workflow have to be acknowledged too.
+        """
         self._wake.set()
 
     async def run(self) -> None:
-        """Commit, and renew the lease, until cancelled."""
+        """Commit changes and renew the lease until cancelled.
+
+        Raises
+        ------
+        LeaseLostError
+            If a commit found another owner.
+        """
         while True:
             remaining_ms = COMMIT_INTERVAL_MAX_MS - self._state.lease.age_ms()
             with contextlib.suppress(TimeoutError):
@@ -107,7 +130,7 @@
             await asyncio.sleep(COMMIT_INTERVAL_MIN_MS / 1000)
 
     async def release(self) -> bool:
-        """Give up the lease with a last commit; return whether it was stored."""
+        """Release the lease with a last commit; return whether it was stored."""
         async with self._lock:
             await self._state.background_tasks.cancel()
             batch = self._collect_batch()
@@ -115,7 +138,7 @@
         return outcome is CommitOutcome.DONE
 
     def _collect_batch(self) -> "_Batch":
-        """Return as many changes as one commit holds."""
+        """Return a batch of pending changes that fits into one commit."""
         batch = _Batch()
         limits = self._state.limits
         size = 0
@@ -141,7 +164,9 @@
         unstored = {key.job_id for key in self._dirty}
         starts = [p for p in self._starts if p.step.workflow.job_id not in unstored]
         self._starts = [p for p in self._starts if p.step.workflow.job_id in unstored]
-        ends = {link: link.worker.processed for link in self._state.links.values()}
+        processed_by_link = {
+            link: link.worker.processed for link in self._state.links.values()
+        }
         begin_ms = self._sent_ms = self._state.clock.monotonic_ms()
         outcome = await self._state.lease.commit(batch.writes)
         self._sent_ms = None
@@ -154,13 +179,19 @@
         for placement in starts:
             self._send_start(placement)
         if is_complete:
-            for link, processed in ends.items():
+            for link, processed in processed_by_link.items():
                 link.acknowledge(processed)
         if self._dirty:
             self._wake.set()
 
     async def delete_expired(self) -> None:
-        """Delete the rows of workflows that ended long ago."""
+        """Delete the rows of workflows that ended long ago, until cancelled.
+
+        Raises
+        ------
+        LeaseLostError
+            If a commit found another owner.
+        """
         while True:
             await asyncio.sleep(EXPIRY_INTERVAL_MS / 1000)
             unstored = {key.job_id for key in self._dirty}
@@ -179,9 +210,9 @@
                 Write(key, None) for w in expired for key in self._deletion_keys(w)
             ]
             for start in range(0, len(writes), ROWS_PER_COMMIT):
-                chunk = tuple(writes[start : start + ROWS_PER_COMMIT])
+                batch = tuple(writes[start : start + ROWS_PER_COMMIT])
                 async with self._lock:
-                    outcome = await self._state.lease.commit(chunk)
+                    outcome = await self._state.lease.commit(batch)
                 if outcome is CommitOutcome.LOST:
                     raise LeaseLostError("a commit found another owner")
             for workflow in expired:
@@ -189,9 +220,10 @@
                 self._state.committed_states.pop(workflow.job_id, None)
 
     def _deletion_keys(self, workflow: Workflow) -> list[str]:
-        """Return the keys of a workflow; its submission, which leads to the rest, last.
+        """Return the keys of a workflow's rows in the order of deletion.
 
-        An interrupted deletion is thus taken up again by the next owner.
+        The submission comes last, as the other rows are found through it. The next
+        owner can therefore resume an interrupted deletion.
         """
         service, job_id = self._state.service, workflow.job_id
         chunks = range(workflow.chunk_count - 1, -1, -1)
--- a/basilhold/workflows/owner.py
+++ b/basilhold/workflows/owner.py
@@ -1,7 +1,9 @@
-"""The owner of a service: decides about its workflows and keeps their rows.
+"""The owner of a service: schedules its workflows and persists their progress.
 
-A start is stored before it is sent, and an end before it is acknowledged. A successor
-therefore knows every run that may exist, and no stored end is lost.
+An assignment is committed to the store before the start request is sent to the worker,
+and the outcome of a run is committed before it is acknowledged to the worker. The next
+owner after a failover therefore knows every run that may exist, and no outcome that was
+committed is lost.
 """
 
 import asyncio
@@ -38,20 +40,24 @@
 __all__ = ["LeaseLostError", "OwnerPorts", "ServiceOwner"]
 
 FEED_POLL_INTERVAL_MS = 1_000
-"""Submissions and cancellations are also sent to the owner directly; the feed finds
-those whose message was lost."""
+"""Interval at which the change feed is polled. Submissions and cancellations are also
+sent to the owner directly; the feed recovers those whose message was lost."""
 
 PLAN_DELAY_MS = 2.0
-"""Ends and submissions often come in groups."""
+"""Delay before a planning pass, so that submissions and outcomes of runs that arrive
+together are handled in one pass."""
 
 PLAN_PAUSE_FACTOR = 1.5
-"""Rest after a pass, as a multiple of its time: a pass over a long backlog on many
-workers takes tens of milliseconds, and commits and looks must not wait for one after
-the other."""
+"""Pause after a planning pass, as a multiple of its duration. A pass over a long
+backlog on many workers takes tens of milliseconds; the pause lets commits and polls of
+workers run between passes."""
 
 ADVICE_RETRY_MS = 300.0
+"""Delay before a failed request to the advice service is repeated."""
+
 DUE_CHECK_INTERVAL_MS = 100
-"""Repeated workflows may start up to 250 ms early, never more."""
+"""Interval of the periodic checks. Occurrences of repeated workflows may start up to
+250 ms early, never more."""
 
 
 class ServiceOwner:
@@ -60,8 +66,16 @@
     Parameters
     ----------
     ports : OwnerPorts
+        Interfaces to the store, the workers and the advice service.
     lease : Lease
+        Lease of the service, held by this process.
     limits : OwnerLimits
+        Bounds on leases, rows and waiting times.
+
+    Attributes
+    ----------
+    loaded : bool
+        Whether the stored workflows have been loaded.
     """
 
     def __init__(self, ports: OwnerPorts, lease: Lease, limits: OwnerLimits):
@@ -73,11 +87,11 @@
         self._feed_version = 0
         self.loaded = False
 
-    # What peers ask for.
+    # Requests from callers and peers.
 
     @property
     def service(self) -> ServiceName:
-        """The service."""
+        """Name of the service."""
         return self._state.service
 
     @property
@@ -86,19 +100,19 @@
         return self._state.pool
 
     def is_current(self) -> bool:
-        """Return whether answers about workflows are up to date.
+        """Return whether the known states of workflows are authoritative.
 
-        While the store does not answer, nobody can take over, and the last known
-        states hold.
+        This holds during an outage of the store too: no other process can take over
+        then, so the last known states remain valid.
         """
         return self.loaded and not self._state.lease.is_lost
 
     def workflow_state(self, job_id: JobId) -> WorkflowState | None:
-        """Return the stored state of a workflow, or ``None`` if it is not known."""
+        """Return the committed state of a workflow, or ``None`` if it is unknown."""
         return self._state.committed_states.get(job_id)
 
     def unstarted_count(self, queue: QueueName) -> int:
-        """Return the number of a queue's workflows of which no task has started."""
+        """Return the number of a queue's active workflows without a started task."""
         return sum(
             1
             for workflow in self._state.backlog.active()
@@ -106,7 +120,7 @@
         )
 
     def submit(self, spec: WorkflowSpec) -> None:
-        """Take over a workflow whose row is stored."""
+        """Add a workflow whose specification is stored; repeated calls are ignored."""
         if spec.job_id in self._state.workflows:
             return
         workflow = Workflow(self._with_submission_time(spec))
@@ -120,14 +134,17 @@
         self._state.plan_event.set()
 
     def _with_submission_time(self, spec: WorkflowSpec) -> WorkflowSpec:
-        """Return a specification with the time of its submission, at the latest now."""
+        """Return the specification with a submission time, which is at most now."""
         now_ms = self._state.time.now_ms()
         if 0.0 < spec.submitted_ms <= now_ms:
             return spec
         return msgspec.structs.replace(spec, submitted_ms=now_ms)
 
     def cancel(self, job_id: JobId) -> None:
-        """Cancel a workflow whose cancellation is stored."""
+        """Cancel a workflow whose cancellation is stored.
+
+        A cancellation that arrives before the workflow's submission is remembered.
+        """
         workflow = self._state.workflows.get(job_id)
         if workflow is None:
             self._early_cancels.add(job_id)
@@ -139,7 +156,7 @@
             self._run_controller.finalize_workflow(workflow)
 
     def describe(self) -> dict[str, Any]:
-        """Return what operators ask for first, for a dump of the state."""
+        """Return a summary of the owner's state for the operator's state dump."""
         state = self._state
         workers = state.pool.workers.values()
         return {
@@ -155,18 +172,25 @@
             "active_workflows": sum(1 for _ in state.backlog.active()),
         }
 
-    # The owner's life.
+    # Lifecycle.
 
     async def run(self, reason: str) -> None:
-        """Load the rows and serve until the lease is lost.
+        """Load the stored workflows and run them until the lease is lost.
+
+        Parameters
+        ----------
+        reason : str
+            Why the service was claimed; for the log.
 
         Raises
         ------
         LeaseLostError
+            If another process owns the service, or may own it.
         """
         state = self._state
         try:
-            # The lease is renewed while the rows are read, however long that takes.
+            # The committer renews the lease while the rows are read, which may take
+            # longer than the lease is valid.
             state.spawn(self._committer.run())
             loading = state.spawn(self._load(reason))
             await asyncio.wait(
@@ -188,7 +212,7 @@
             await state.background_tasks.cancel()
 
     async def release(self) -> None:
-        """Give the service to a successor after a last commit."""
+        """Release the service with a last commit, so that it can be claimed at once."""
         self.loaded = False
         if await self._committer.release():
             epoch = self._state.lease.epoch
@@ -209,7 +233,8 @@
         for job_id in loaded.cancelled:
             self.cancel(job_id)
         for worker in self._state.pool.workers.values():
-            # The last owner may have renewed the worker's lease until its own ended.
+            # The previous owner may have renewed the worker's lease until its own lease
+            # expired.
             worker.held_until_ms = (
                 now_ms + LEASE_VALIDITY_MS + self._state.limits.lapse_ms()
             )
@@ -254,16 +279,17 @@
             now_ms,
             instant.now_ms,
             state.limits.stop_ms,
-            # A stop frees room that nothing can start in before the next commit.
+            # While a commit is stalled, nothing can start on capacity that a preemption
+            # would free.
             may_stop=not self._committer.is_stalled(),
         )
 
-    def _apply_plan(self, decided: Plan) -> None:
-        for placement in decided.placements:
+    def _apply_plan(self, new_plan: Plan) -> None:
+        for placement in new_plan.placements:
             self._assign(placement)
-        for question in decided.questions:
+        for question in new_plan.questions:
             self._request_advice(question)
-        for preemption in decided.preemptions:
+        for preemption in new_plan.preemptions:
             run = preemption.run
             log_event(
                 events.RUN_PREEMPTED,
@@ -295,7 +321,7 @@
         step = question.step
         policy = step.workflow.spec.policy
         if not self._state.ports.advice.is_available(policy, len(question.workers)):
-            # The next pass asks again, in the order of that moment.
+            # The next planning pass retries, in the order that applies then.
             return
         self._state.admissions.step(step.key).question_sent(question.workers)
         self._state.spawn(self._await_advice(question))
@@ -344,7 +370,7 @@
             )
         self._state.plan_event.set()
 
-    # Submissions and due times.
+    # Change feed and periodic checks.
 
     async def _feed_loop(self) -> None:
         prefix = jobs_prefix(self._state.service)
@@ -380,7 +406,10 @@
         self.submit(spec)
 
     async def _periodic_check_loop(self) -> None:
-        """Look regularly for occurrences that are due and workers that come back."""
+        """Check periodically for expired workers, stragglers and draining workers.
+
+        Plans again if tasks wait, as occurrences may be due and workers usable again.
+        """
         while True:
             await asyncio.sleep(DUE_CHECK_INTERVAL_MS / 1000)
             now_ms = self._state.clock.monotonic_ms()
@@ -391,13 +420,15 @@
                 self._state.plan_event.set()
 
     def _stop_stragglers(self, now_ms: float) -> None:
-        found, slow = find_stragglers(self._state.pool, self._state.run_times, now_ms)
-        for worker_id in slow:
+        stragglers, slow_workers = find_stragglers(
+            self._state.pool, self._state.run_times, now_ms
+        )
+        for worker_id in slow_workers:
             worker = self._state.pool.workers[worker_id]
             worker.avoid_until_ms = max(
                 worker.avoid_until_ms, now_ms + AVOID_FAILING_WORKER_MS
             )
-        for straggler in found:
+        for straggler in stragglers:
             run = straggler.run
             key = run.key.task
             step_key = StepKey(run.key.job_id, key.occurrence, key.step)
@@ -413,7 +444,7 @@
                 self._run_controller.stop(straggler.worker, run)
 
     def _evacuate(self, now_ms: float) -> None:
-        """Move long-running tasks off the workers that are about to go."""
+        """Move long-running tasks off draining workers."""
         state = self._state
         if not state.lease.is_valid():
             return
@@ -439,7 +470,7 @@
                 self._request_advice(Question(step, tuple(names)))
 
     def _avoid_worker_for_task(self, run: Run, worker: Worker) -> None:
-        """Let a task's next run start elsewhere if another worker can run it."""
+        """Prefer other workers for the next run of a task."""
         workflow = self._state.workflows.get(run.key.job_id)
         if workflow is not None:
             workflow.avoid_worker(run.key.task, worker.worker_id)
--- a/basilhold/workflows/owner_lease.py
+++ b/basilhold/workflows/owner_lease.py
@@ -1,8 +1,9 @@
-"""Ownership of a service: a stored lease with a fencing token.
+"""Lease on the ownership of a service, stored with a fencing token.
 
-The owner record changes with every commit of the owner, so a commit also renews the
-lease and is conditional on it. A commit whose reply was lost is repeated unchanged
-until its outcome is known; a copy that takes effect later fails its condition.
+Every commit of an owner updates the owner record and is conditional on its version. A
+commit therefore renews the lease, and fails once another process has claimed it. A
+commit whose reply was lost is repeated unchanged until its outcome is known; a
+duplicate that takes effect later fails the condition.
 """
 
 import asyncio
@@ -36,21 +37,27 @@
 ]
 
 TAKEOVER_AFTER_MS = 2_000
-"""How long an owner record must be unchanged, in a store that answers, before others
-may claim it. Work survives on the workers for at least 5 s without an owner."""
+"""How long an owner record must be unchanged, in a store that answers, before other
+processes may claim it. Workers keep their runs for at least 5 s without an owner."""
 
 SUSPECT_AFTER_MS = 650
-"""How long an owner record must be unchanged before its holder is asked, and may be
-claimed if that does not own the service any more. Just above the time between two
-renewals. The condition of the claim and the epoch make a claim safe, not the wait."""
+"""How long an owner record must be unchanged before its holder is probed. The lease may
+be claimed if the holder no longer owns the service. The value is just above the time
+between two renewals. Safety does not depend on it: it comes from the claim's condition
+and from the epoch."""
 
 LEASE_VALIDITY_MS = 4_000
-"""How long an owner acts after its last renewal, by a clock that counts suspension. A
-successor that cannot reach a worker waits this long and one lease of the worker."""
+"""How long a lease is valid after its last renewal, by a clock that advances while the
+machine is suspended. A successor that cannot reach a worker waits for this time plus
+one lease of the worker."""
 
 RETRY_DELAY_MS = 60
+"""Delay before the first retry of a commit; it doubles with each further one."""
+
 RETRY_DELAY_MAX_MS = 400
 CLAIM_DELAY_PER_ROUND_TRIP = 15.0
+"""Delay of a claim as a multiple of the round-trip time to the store."""
+
 CLAIM_DELAY_PER_OWNED_SERVICE_MS = 400.0
 
 _DECODER = msgspec.json.Decoder(OwnerRecord)
@@ -61,7 +68,7 @@
 
     @abstractmethod
     def now_ms(self) -> float:
-        """Return the time in milliseconds."""
+        """Return the time in milliseconds since an arbitrary origin."""
 
 
 class CommitOutcome(Enum):
@@ -72,18 +79,19 @@
 
 
 class OwnerView(msgspec.Struct):
-    """What a process knows about a service's owner.
+    """The owner record of a service as last read by this process.
 
     Parameters
     ----------
     record : OwnerRecord, optional
         ``None`` before the first claim.
     version : int
-        Version of the row.
-    since_ms : float
-        Time from which the row was seen unchanged in a store that answered.
-    holder_gone : bool
-        Whether the holder was asked since then, and does not own the service any more.
+        Version of the row; `ABSENT` if there is none.
+    unchanged_since_ms : float
+        Time of the monotonic clock since which the row was unchanged in a store that
+        answered.
+    is_holder_gone : bool
+        Whether the holder was probed since then and does not own the service any more.
     """
 
     record: OwnerRecord | None = None
@@ -92,9 +100,9 @@
     is_holder_gone: bool = False
 
     def update(self, row: Row | None, now_ms: float) -> None:
-        """Take over the row as it was read.
+        """Update the view from the row as read from the store.
 
-        A row that cannot be read is logged; the record before it stays.
+        A row that cannot be decoded is logged, and the previous record is kept.
         """
         version = row.version if row else ABSENT
         if version == self.version:
@@ -108,14 +116,22 @@
             log_event(events.BAD_ROW, key=row.key, reason=error)
 
     def is_claimable(self, holder: ProcessId, now_ms: float) -> bool:
-        """Return whether the owner is gone, as far as the row shows.
+        """Return whether a process may claim the lease.
 
-        A record that names the caller is one of its own earlier incarnations, which
-        ended before the caller started.
+        A record that names the process itself is from an earlier incarnation of it,
+        which ended before this one started.
+
+        Parameters
+        ----------
+        holder : ProcessId
+            Process that would claim the lease.
+        now_ms : float
+            Time of the monotonic clock.
         """
         record = self.record
         if record is None and self.version != ABSENT:
-            # The epoch of the last owner is not known, so no higher one can be chosen.
+            # The row cannot be decoded, so the epoch of the last owner is unknown and
+            # no higher one can be chosen.
             return False
         if record is None or record.released or record.holder == holder:
             return True
@@ -125,7 +141,7 @@
         )
 
     def is_suspect(self, now_ms: float) -> bool:
-        """Return whether the holder should be asked if it still owns the service."""
+        """Return whether to ask the holder if it still owns the service."""
         record = self.record
         if record is None or record.released or self.is_holder_gone:
             return False
@@ -139,20 +155,26 @@
     has_no_owner: bool,
     jitter: float,
 ) -> float:
-    """Return how long a process leaves a claim to better candidates.
+    """Return how long a process delays a claim in favour of better candidates.
 
     Parameters
     ----------
     round_trip_ms : float
-        To the store: an owner commits before each start.
+        Round-trip time to the store. An owner commits before each start, so a process
+        near the store is preferred; times above 80 ms count as 80 ms.
     owned_services : int
-        How many services the process owns already.
-    handicap_ms : float
-        For a machine that is small or has a narrow link.
-    is_empty : bool
-        Whether the service has no owner at all.
+        Number of services that the process owns already.
+    penalty_ms : float
+        Additional delay for a machine that is small or has a narrow link.
+    has_no_owner : bool
+        Whether the service never had an owner.
     jitter : float
-        Between 0 and 1.
+        Random number between 0 and 1.
+
+    Returns
+    -------
+    float
+        Delay in milliseconds.
     """
     delay_ms = penalty_ms + CLAIM_DELAY_PER_ROUND_TRIP * min(round_trip_ms, 80.0)
     delay_ms += CLAIM_DELAY_PER_OWNED_SERVICE_MS * owned_services
@@ -160,7 +182,9 @@
 
 
 class Lease:
-    """A held lease; commits go through it one after another.
+    """A lease held by this process, through which the owner commits.
+
+    Commits must not overlap.
 
     Parameters
     ----------
@@ -172,6 +196,11 @@
         Version of the row that holds `record`.
     claimed_ms : float
         Time of `clock` at which the claim was sent.
+
+    Attributes
+    ----------
+    member_count : int
+        Number of processes of the deployment, which is stored with each commit.
     """
 
     def __init__(
@@ -199,7 +228,7 @@
         return self.record.epoch
 
     def is_valid(self) -> bool:
-        """Return whether the process may still act as the owner."""
+        """Return whether the lease is neither lost nor expired."""
         return (
             not self._lost
             and self._clock.now_ms() - self._renewed_ms < LEASE_VALIDITY_MS
@@ -215,16 +244,27 @@
         return self._clock.now_ms() - self._renewed_ms
 
     def invalidate(self) -> None:
-        """Act as the owner no more."""
+        """Mark the lease as lost, so that the process stops acting as the owner."""
         self._lost = True
 
     async def commit(
         self, writes: tuple[Write, ...], released: bool = False
     ) -> CommitOutcome:
-        """Apply writes and renew the lease.
+        """Store writes and renew the lease in one transaction.
+
+        The transaction is retried until its outcome is known, however long the store
+        does not answer. The lease is lost if another process has claimed it, or if the
+        store rejects the transaction as invalid.
 
-        Waits until the outcome is known, however long the store does not answer. A
-        transaction that the store calls invalid ends the lease.
+        Parameters
+        ----------
+        writes : tuple of Write
+        released : bool
+            Mark the lease as released, so that it can be claimed at once.
+
+        Returns
+        -------
+        CommitOutcome
         """
         record = msgspec.structs.replace(
             self.record,
@@ -250,7 +290,7 @@
                     return CommitOutcome.DONE
                 break
             if kind is StoreErrorKind.INVALID:
-                # Repeating it would block the service for good.
+                # A retry would fail in the same way and block the service for good.
                 log_event(
                     events.COMMIT_INVALID,
                     service=self.service,
@@ -275,7 +315,7 @@
         self._renewed_ms = sent_ms
 
     async def _was_applied(self, record: OwnerRecord, sent_ms: float) -> bool:
-        """Return whether an attempt without a reply took effect."""
+        """Return whether an earlier attempt without a reply took effect."""
         while not self._lost:
             result = await self._table.read((self._key,))
             if result.is_ok():
@@ -299,7 +339,26 @@
 ) -> Result[Lease, str]:
     """Claim a service whose record is claimable.
 
-    A claim without a reply is found by its incarnation at the next look at the row.
+    If the reply of a claim that took effect is lost, the next poll finds a record of
+    this process, which it may claim again at once.
+
+    Parameters
+    ----------
+    table : TableService
+    clock : SuspendAwareClock
+    service : ServiceName
+    view : OwnerView
+        Record that the claim replaces; the claim fails if it has changed since.
+    holder : ProcessId
+        This process.
+    endpoint : str
+        ``host:port`` at which this process serves its peers.
+    incarnation : Incarnation
+
+    Returns
+    -------
+    Result
+        The lease, or the reason of the failure.
     """
     key = owner_key(service)
     epoch = Epoch(view.record.epoch + 1 if view.record else 1)
--- a/basilhold/workflows/owner_state.py
+++ b/basilhold/workflows/owner_state.py
@@ -1,4 +1,4 @@
-"""What the parts of a service's owner share."""
+"""State that the components of a service's owner share."""
 
 import asyncio
 from collections.abc import Coroutine
@@ -29,7 +29,26 @@
 
 
 class OwnerPorts(msgspec.Struct):
-    """What an owner speaks to."""
+    """Interfaces to the systems outside an owner.
+
+    Parameters
+    ----------
+    table : TableService
+        The store.
+    feed : ChangeFeed
+        Changes of rows in the store.
+    runners : TaskRunners
+        Starts, stops and lists runs on workers.
+    registry : Registry
+        Registrations of workers.
+    advice : AdviceService
+        Decides which workers may run a step.
+    clock : Clock
+        Monotonic clock of the process.
+    time : SharedTime
+        Time that the processes of the deployment share.
+    metrics : Metrics
+    """
 
     table: TableService
     feed: ChangeFeed
@@ -49,6 +68,29 @@
     ports : OwnerPorts
     lease : Lease
     limits : OwnerLimits
+
+    Attributes
+    ----------
+    workflows : dict of JobId to Workflow
+        All stored workflows of the service with their newest progress.
+    committed_states : dict of JobId to WorkflowState
+        States as last committed, which callers may see.
+    backlog : Backlog
+        Active workflows and their waiting tasks.
+    admissions : AdmissionBook
+        Answers of the advice service.
+    reservations : Reservations
+        Capacity that is kept free for steps.
+    run_times : RunTimes
+        Observed run times, from which stragglers are found.
+    pool : Pool
+        Workers of the service and their runs.
+    links : dict of WorkerId to WorkerLink
+        Links to the registered workers.
+    plan_event : asyncio.Event
+        Requests a planning pass.
+    failure : asyncio.Future
+        Fails with the first exception of a background task, which ends the owner.
     """
 
     def __init__(self, ports: OwnerPorts, lease: Lease, limits: OwnerLimits):
@@ -71,18 +113,27 @@
 
     @property
     def service(self) -> ServiceName:
-        """The service."""
+        """Name of the service."""
         return self.lease.service
 
     def observe(self, name: str, milliseconds: float, **labels: str) -> None:
-        """Add a duration to one of the service's histograms."""
+        """Add a duration to a histogram of the service.
+
+        Parameters
+        ----------
+        name : str
+            Name of the metric, which counts seconds.
+        milliseconds : float
+        **labels : str
+            Labels beside the service.
+        """
         declared = metric(name)
         self.ports.metrics.observe(
             declared, milliseconds / 1000, service=self.service, **labels
         )
 
     def spawn(self, coroutine: Coroutine[Any, Any, None]) -> asyncio.Task[Any]:
-        """Run a part of the owner; its failure ends the owner."""
+        """Run a coroutine in the background; an exception in it ends the owner."""
         return self.background_tasks.start(self._run_guarded(coroutine))
 
     async def _run_guarded(self, coroutine: Coroutine[Any, Any, None]) -> None:
--- a/basilhold/workflows/recovery.py
+++ b/basilhold/workflows/recovery.py
@@ -1,4 +1,4 @@
-"""Reads the stored workflows of a service when an owner takes over."""
+"""Loads the stored workflows of a service when a new owner starts."""
 
 import asyncio
 
@@ -28,6 +28,7 @@
 ]
 
 SCAN_RETRY_INTERVAL_MS = 150
+"""Delay before a failed scan is repeated."""
 
 
 class StoredWorkflows(msgspec.Struct):
@@ -39,7 +40,8 @@
     cancelled : set of JobId
         Workflows with a stored cancellation.
     version : int
-        Version of the store from which changes of submissions are to be read.
+        Version of the store after which the feed's changes of submissions are still to
+        be applied.
     """
 
     workflows: list[Workflow]
@@ -50,9 +52,20 @@
 async def scan_once(
     table: TableService, prefix: str
 ) -> Result[tuple[list[Row], int], StoreError]:
-    """Return all rows of a prefix, with the version of the first page.
+    """Return all rows under a prefix, and the version at which the scan began.
 
-    Changes during the scan are thus read again from the feed.
+    A scan reads several pages. Changes made after the first page are therefore read
+    again from the feed.
+
+    Parameters
+    ----------
+    table : TableService
+    prefix : str
+
+    Returns
+    -------
+    Result
+        Rows and version, or the error of the first page that could not be read.
     """
     rows: list[Row] = []
     after = ""
@@ -70,7 +83,7 @@
 
 
 async def scan_with_retries(table: TableService, prefix: str) -> tuple[list[Row], int]:
-    """Return all rows of a prefix, retrying until the store answers."""
+    """Scan a prefix as `scan_once` does, retrying until the store answers."""
     while True:
         result = await scan_once(table, prefix)
         if result.is_ok():
@@ -79,8 +92,11 @@
 
 
 async def load_workflows(table: TableService, service: ServiceName) -> StoredWorkflows:
-    """Return all workflows of a service with their progress."""
-    # Submissions are read first: progress exists only for those that are stored.
+    """Return all stored workflows of a service with their progress.
+
+    Rows that cannot be decoded are logged and skipped.
+    """
+    # Submissions are read before progress, which exists only for stored submissions.
     parts = await asyncio.gather(
         *(scan_with_retries(table, prefix) for prefix in jobs_prefixes(service))
     )
@@ -100,7 +116,7 @@
 
 
 def _progress_chunks(rows: list[Row]) -> dict[JobId, dict[int, bytes]]:
-    """Return the chunks of each workflow's progress."""
+    """Return the rows of progress by workflow and number of the chunk."""
     chunks: dict[JobId, dict[int, bytes]] = {}
     for row in rows:
         try:
@@ -122,9 +138,17 @@
 
 
 def restore_assignments(pool: Pool, workflows: list[Workflow], now_ms: float) -> int:
-    """Reserve what stored assignments may still use; return their number.
+    """Reserve capacity for the runs of stored assignments; return their number.
+
+    Which of the runs exist is decided later by the lists that the workers return.
 
-    The workers' own lists decide later which of the runs exist.
+    Parameters
+    ----------
+    pool : Pool
+        Gets the runs, and the workers that are not registered.
+    workflows : list of Workflow
+    now_ms : float
+        Time of the monotonic clock, taken as the start of the runs.
     """
     count = 0
     for workflow in workflows:
--- a/basilhold/workflows/run_controller.py
+++ b/basilhold/workflows/run_controller.py
@@ -1,4 +1,4 @@
-"""Orders to workers, and what the ends of runs change."""
+"""Starts and stops runs on workers, and applies the outcomes of runs."""
 
 import asyncio
 
@@ -17,22 +17,29 @@
 __all__ = ["AVOID_FAILING_WORKER_MS", "RunController"]
 
 START_VALID_MS = 1_900
-"""A start that takes effect later than this is refused by the worker as late."""
+"""How long a start request is valid; the worker rejects one that arrives later."""
 
 STOP_RETRY_INTERVAL_MS = 150
+"""Delay before an unconfirmed stop request is repeated."""
+
 AVOID_FAILING_WORKER_MS = 2_500
-"""How long a worker whose runs fail gets no new work."""
+"""How long a worker with repeated failed runs gets no new work."""
 
 AVOID_REFUSING_WORKER_MS = 500
-"""How long a worker that has refused a start gets no new work."""
+"""How long a worker that refused a start request gets no new work."""
 
 
 class RunController:
-    """Starts and stops runs, and applies their ends.
+    """Starts and stops runs, and applies their outcomes to workflows.
 
     Parameters
     ----------
     state : OwnerState
+
+    Attributes
+    ----------
+    committer : Committer
+        Stores progress before it takes effect.
     """
 
     def __init__(self, state: OwnerState):
@@ -104,14 +111,26 @@
         self._return_unstarted(worker, run)
 
     def _return_unstarted(self, worker: Worker, run: Run) -> None:
-        """Return a task whose run certainly never started to the waiting ones."""
+        """Return a task to the backlog whose run is known not to have started."""
         worker.remove(run.key)
         end = RunEnd(run.key.task, run.number, EndKind.LOST, run.checkpoint)
         self.apply_end(worker, run.key, end)
         self._stop_gang(run.key, _is_gang(run), run)
 
     def _stop_gang(self, key: RunKey, is_gang: bool, excluded: Run | None) -> None:
-        """Stop a gang of which a member ended or did not start, to restart it whole."""
+        """Stop all runs of a gang after one ended or did not start.
+
+        A gang makes progress only as a whole, so its tasks are restarted together.
+
+        Parameters
+        ----------
+        key : RunKey
+            Task whose run ended or did not start.
+        is_gang : bool
+            Whether the task's step is a gang; nothing happens otherwise.
+        excluded : Run, optional
+            Run that is not stopped.
+        """
         workflow = self._state.workflows.get(key.job_id)
         if workflow is None or not is_gang:
             return
@@ -123,13 +142,14 @@
                 self.stop(self._state.pool.workers[task.worker_id], run)
 
     def stop(self, worker: Worker, run: Run) -> None:
-        """Stop a run, again and again until the worker confirms it."""
+        """Stop a run, repeating the request until the worker confirms it."""
         run.stop_wanted = True
         if run.stage is RunStage.COMMITTING or run.stopping or run.stop_confirmed:
-            # A run that was not sent yet is released when its turn to start comes.
+            # A run whose start was not sent yet is dropped when it would be sent.
             return
         if worker.worker_id not in self._state.links:
-            # Where the worker is, is not known; its first look stops the run.
+            # The worker's address is unknown until it is registered. The first poll
+            # of the worker then stops the run.
             return
         run.stopping = True
         self._state.spawn(self._stop_until_confirmed(worker, run))
@@ -143,8 +163,8 @@
                 if outcome is CallOutcome.FENCED:
                     raise LeaseLostError("a worker has seen a higher epoch")
                 if outcome is CallOutcome.DONE:
-                    # A list that is asked for from now on shows the run, or its end,
-                    # or that it never started and never will.
+                    # A list that is requested from now on contains the run or its
+                    # outcome, or else the run never started and never will.
                     run.stop_confirmed = True
                     run.stage = RunStage.RUNNING
                     run.confirmed_ms = self._state.clock.monotonic_ms()
@@ -157,12 +177,13 @@
             run.stopping = False
 
     def adjust_pace(self, worker: Worker) -> None:
-        """Slow or speed up work on spare cores, by what serving tasks show."""
+        """Adjust the pace of runs on spare cores to the latency of serving tasks."""
         for change in pace_changes(worker):
             self._state.spawn(self._set_pace(worker, change))
 
     async def _set_pace(self, worker: Worker, change: PaceChange) -> None:
-        # A pace that gets no reply is seen in the next list, and asked for again.
+        # A request without a reply is not retried here: the next list shows the pace
+        # in effect, and a new request is made if that is not the wanted one.
         call = self._runner_call(change.run)
         outcome = await self._state.ports.runners.pace(worker, call, change.percent)
         log_event(
@@ -174,7 +195,7 @@
         )
 
     def refresh_worker(self, worker: Worker) -> None:
-        """Read a worker's lists now: the next regular look may wait for an end."""
+        """Poll a worker at once, as the pending poll may wait until a run ends."""
         link = self._state.links.get(worker.worker_id)
         if link is not None:
             self._state.spawn(link.refresh(self._state.clock))
@@ -187,13 +208,18 @@
     def apply_end(
         self, worker: Worker, key: RunKey, end: RunEnd, run: Run | None = None
     ) -> None:
-        """Apply the end of a run to its workflow.
+        """Apply the outcome of a run to its workflow.
+
+        Outcomes of unknown tasks are ignored.
 
         Parameters
         ----------
         worker : Worker
+            Worker on which the run was placed.
         key : RunKey
+            Task of the run.
         end : RunEnd
+            How the run ended.
         run : Run, optional
             The run, if it was still expected on the worker.
         """
@@ -229,7 +255,7 @@
     def _update_worker_statistics(
         self, worker: Worker, key: RunKey, step: StepSpec, end: RunEnd, run: Run | None
     ) -> None:
-        """Learn from an end how fast and how sound its worker is."""
+        """Update the run times and failure count of a worker from a run's outcome."""
         now_ms = self._state.clock.monotonic_ms()
         if run is not None and end.kind is EndKind.DONE and run.confirmed_ms:
             step_key = StepKey(key.job_id, key.task.occurrence, key.task.step)
@@ -246,7 +272,7 @@
                 )
 
     def finalize_workflow(self, workflow: Workflow) -> None:
-        """Stop what still runs of a workflow that has ended."""
+        """Stop the remaining runs of a workflow that has ended, and log its end."""
         self._state.backlog.remove(workflow)
         self._state.admissions.forget_job(workflow.job_id)
         self._state.reservations.forget_job(workflow.job_id)
--- a/basilhold/workflows/worker_tracker.py
+++ b/basilhold/workflows/worker_tracker.py
@@ -1,4 +1,4 @@
-"""The workers of a service: registrations, links, incarnations and losses."""
+"""Tracks the workers of a service: registrations, polls, restarts and losses."""
 
 import asyncio
 
@@ -26,16 +26,18 @@
 __all__ = ["WorkerTracker"]
 
 REGISTRY_POLL_INTERVAL_MS = 700
-"""A worker that leaves must get no new work after 3 s."""
+"""Interval at which the registrations are read. A worker that leaves must get no new
+work after 3 s."""
 
 
 class WorkerTracker:
-    """Follows the registrations of workers and what each of them lists.
+    """Tracks the registered workers of a service and the runs that each one lists.
 
     Parameters
     ----------
     state : OwnerState
-    orders : Orders
+    run_controller : RunController
+        Stops runs and applies the outcomes that workers report.
     """
 
     def __init__(self, state: OwnerState, run_controller: RunController):
@@ -43,20 +45,20 @@
         self._run_controller = run_controller
 
     async def run(self) -> None:
-        """Read the registrations regularly until cancelled."""
+        """Read the registrations periodically until cancelled."""
         while True:
             await asyncio.sleep(REGISTRY_POLL_INTERVAL_MS / 1000)
             await self.refresh_registrations()
 
     def remove_expired_workers(self, now_ms: float) -> None:
-        """Give up unregistered workers whose leases have certainly lapsed."""
+        """Remove workers without a link whose leases have certainly expired."""
         for worker in list(self._state.pool.workers.values()):
             unlinked = worker.worker_id not in self._state.links
             if unlinked and now_ms > worker.held_until_ms:
                 self._handle_worker_loss(worker, "its lease has lapsed")
 
     async def refresh_registrations(self) -> None:
-        """Read the registrations once."""
+        """Read the registrations once; nothing changes if they cannot be read."""
         result = await self._state.ports.registry.read()
         if result.is_error():
             return
@@ -77,7 +79,7 @@
     def _update_worker(self, worker_id: WorkerId, info: WorkerInfo) -> None:
         worker = self._state.pool.workers.get(worker_id)
         if worker is not None and info.born_unix_ms < worker.info.born_unix_ms:
-            # The worker's own list told of a newer incarnation before the registry.
+            # The worker itself has already reported a newer incarnation.
             return
         if worker is not None and 0 < worker.info.born_unix_ms < info.born_unix_ms:
             self._replace_incarnation(worker, info)
@@ -103,7 +105,13 @@
                 del self._state.links[worker.worker_id]
 
     def _apply_poll(self, link: WorkerLink, look: Look) -> bool:
-        """Apply what a look has shown; return whether the worker is still there."""
+        """Apply the result of a poll; return whether to go on polling this incarnation.
+
+        Raises
+        ------
+        LeaseLostError
+            If the worker has seen a higher epoch.
+        """
         worker = link.worker
         if look.fenced:
             raise LeaseLostError("a worker has seen a higher epoch")
@@ -135,7 +143,8 @@
         if workflow is not None and workflow.has_task(listed.key.task):
             step = workflow.spec.steps[listed.key.task.step]
         if listed.key in worker.runs:
-            # Another run of the task is expected here; its capacity is counted.
+            # Another run of the task is expected on this worker, and its capacity is
+            # already reserved.
             return
         log_event(
             events.RUN_UNKNOWN,
@@ -155,7 +164,7 @@
         self._run_controller.stop(worker, run)
 
     def _handle_worker_loss(self, worker: Worker, reason: str) -> None:
-        """Conclude that nothing runs on a worker any more."""
+        """Remove a worker on which nothing can run any more, and end its runs."""
         log_event(
             events.WORKER_LOST,
             worker=worker.worker_id,
@@ -168,7 +177,7 @@
         self._state.plan_event.set()
 
     def _handle_restart(self, worker: Worker, listing: Listing) -> None:
-        """Go on with a new incarnation whose lists have been read."""
+        """Replace a worker by a newer incarnation whose lists have been read."""
         info = msgspec.structs.replace(worker.info, born_unix_ms=listing.born_unix_ms)
         successor = self._replace_incarnation(worker, info)
         now_ms = self._state.clock.monotonic_ms()
