Reword the log events and progress of workflows, and the claims of services

Log texts and comments were figurative, as "silence of the last owner" or "left alone". Events keep their numbers, levels and fields, and the parts that the workflow report reads.

--- a/basilhold/workflows/background_tasks.py
+++ b/basilhold/workflows/background_tasks.py
@@ -1,4 +1,4 @@
-"""Asyncio tasks with one owner, and loops that outlive unexpected errors."""
+"""Groups of asyncio tasks, and loops that are restarted after unexpected errors."""
 
 import asyncio
 from collections.abc import Awaitable, Callable, Coroutine
@@ -13,15 +13,16 @@
 async def restart_on_error(
     name: str, run: Callable[[], Awaitable[None]], delay_ms: float
 ) -> None:
-    """Run a loop, and again after each unexpected error, until it returns.
+    """Run a loop until it returns, restarting it after each unexpected exception.
 
     Parameters
     ----------
     name : str
-        Names the loop in the log.
+        Name of the loop in the log.
     run : callable
-    pause_ms : float
-        Rest after an error.
+        Returns the awaitable of one run.
+    delay_ms : float
+        Delay before a restart, in milliseconds.
     """
     while True:
         try:
@@ -34,20 +35,23 @@
 
 
 class BackgroundTasks:
-    """Keeps references to running tasks and cancels them together."""
+    """A group of asyncio tasks that are cancelled together.
+
+    It keeps references to the tasks, as the event loop alone holds only weak ones.
+    """
 
     def __init__(self):
         self._tasks: set[asyncio.Task[Any]] = set()
 
     def start(self, coroutine: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
-        """Start a task that belongs to the set."""
+        """Start a task that belongs to the group."""
         task = asyncio.create_task(coroutine)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
         return task
 
     async def cancel(self) -> None:
-        """Cancel all tasks but the caller's and wait until they have ended."""
+        """Cancel all tasks except the current one and wait until they have ended."""
         tasks = [t for t in self._tasks if t is not asyncio.current_task()]
         for task in tasks:
             task.cancel()
--- a/basilhold/workflows/committer.py
+++ b/basilhold/workflows/committer.py
@@ -118,7 +118,7 @@
         Raises
         ------
         LeaseLostError
-            If a commit found another owner.
+            If the lease was lost during a commit.
         """
         while True:
             remaining_ms = COMMIT_INTERVAL_MAX_MS - self._state.lease.age_ms()
@@ -171,7 +171,7 @@
         outcome = await self._state.lease.commit(batch.writes)
         self._sent_ms = None
         if outcome is CommitOutcome.LOST:
-            raise LeaseLostError("a commit found another owner")
+            raise LeaseLostError("the lease was lost during a commit")
         took_ms = self._state.clock.monotonic_ms() - begin_ms
         self._state.observe("basilhold_workflow_commit_seconds", took_ms)
         self._state.admissions.note_commit(took_ms)
@@ -190,7 +190,7 @@
         Raises
         ------
         LeaseLostError
-            If a commit found another owner.
+            If the lease was lost during a commit.
         """
         while True:
             await asyncio.sleep(EXPIRY_INTERVAL_MS / 1000)
@@ -214,7 +214,7 @@
                 async with self._lock:
                     outcome = await self._state.lease.commit(batch)
                 if outcome is CommitOutcome.LOST:
-                    raise LeaseLostError("a commit found another owner")
+                    raise LeaseLostError("the lease was lost during a commit")
             for workflow in expired:
                 del self._state.workflows[workflow.job_id]
                 self._state.committed_states.pop(workflow.job_id, None)
--- a/basilhold/workflows/events.py
+++ b/basilhold/workflows/events.py
@@ -5,21 +5,21 @@
 OWNER_CLAIMED = Event(
     6000,
     EventLevel.INFO,
-    "service={service} epoch={epoch} owned after {reason}; workflows={workflows} "
+    "service={service} epoch={epoch} claimed: {reason}; workflows={workflows} "
     "assigned={assigned}",
 )
 OWNER_LOST = Event(
     6001,
     EventLevel.WARNING,
-    "service={service} epoch={epoch} not owned any more: {reason}",
+    "service={service} epoch={epoch} no longer owned: {reason}",
 )
 OWNER_RELEASED = Event(
-    6002, EventLevel.INFO, "service={service} epoch={epoch} released before a stop"
+    6002, EventLevel.INFO, "service={service} epoch={epoch} released at shutdown"
 )
 OWNER_FAILED = Event(
     6003,
     EventLevel.ERROR,
-    "service={service} the owner stopped with {error}; another process takes over",
+    "service={service} owner failed: {error}; another process takes over",
     "Report it.",
 )
 HOLDER_GONE = Event(
@@ -60,7 +60,7 @@
 RUN_PACED = Event(
     6026,
     EventLevel.INFO,
-    "task={task} worker={worker} paced to {percent} percent: {outcome}",
+    "task={task} worker={worker} pace set to {percent} percent: {outcome}",
 )
 RUN_OVERDUE = Event(
     6025,
@@ -70,7 +70,7 @@
 RUN_EVACUATED = Event(
     6027,
     EventLevel.INFO,
-    "task={task} run={run} worker={worker} is draining; the task moves",
+    "task={task} run={run} worker={worker} is draining; moving the task",
 )
 ADVICE_RECEIVED = Event(
     6030,
@@ -78,13 +78,15 @@
     "job={job} step={step} asked={asked} admitted={admitted} after_ms={after_ms}",
 )
 ADVICE_FAILED = Event(
-    6031, EventLevel.INFO, "job={job} step={step} no advice: {reason}"
+    6031, EventLevel.INFO, "job={job} step={step} advice request failed: {reason}"
 )
 WORKER_LOST = Event(
     6040, EventLevel.WARNING, "worker={worker} lost: {reason}; runs={runs}"
 )
 WORKER_AVOIDED = Event(
-    6041, EventLevel.WARNING, "worker={worker} avoided: {failures} failed runs in a row"
+    6041,
+    EventLevel.WARNING,
+    "worker={worker} avoided after {failures} consecutive failed runs",
 )
 DEPENDENCY_LOST = Event(6050, EventLevel.WARNING, "{dependency} does not answer")
 DEPENDENCY_BACK = Event(
@@ -93,27 +95,27 @@
 STORE_RELAYED = Event(
     6052,
     EventLevel.WARNING,
-    "the store is reached through {peer}, as it does not answer here: {reason}",
+    "store unreachable from this machine, relaying through {peer}: {reason}",
 )
 STORE_DIRECT = Event(
-    6053, EventLevel.INFO, "the store answers here again after {after_ms} ms"
+    6053, EventLevel.INFO, "store reachable from this machine again after {after_ms} ms"
 )
 BAD_ROW = Event(
     6060,
     EventLevel.ERROR,
-    "row {key} cannot be read: {reason}; it is left alone",
+    "row {key} cannot be decoded and is skipped: {reason}",
     "Report it.",
 )
 LOOP_FAILED = Event(
     6062,
     EventLevel.ERROR,
-    "{loop} failed and runs again: {error}",
+    "{loop} failed and is restarted: {error}",
     "Report it with the lines before it.",
 )
 COMMIT_INVALID = Event(
     6061,
     EventLevel.ERROR,
-    "service={service} the store refused a commit of {rows} rows for good: {reason}; "
-    "the service is given up",
+    "service={service} the store rejected a commit of {rows} rows as invalid: "
+    "{reason}; the lease is given up",
     "Report it.",
 )
--- a/basilhold/workflows/ownership_manager.py
+++ b/basilhold/workflows/ownership_manager.py
@@ -1,4 +1,4 @@
-"""Which process owns which service, and the owners that this process runs."""
+"""Claims services without an owner, and runs the owners of claimed services."""
 
 import asyncio
 import math
@@ -30,39 +30,55 @@
 __all__ = ["OwnershipManager"]
 
 POLL_INTERVAL_MS = 350
-"""Time between two looks at the owners; a released service waits this long."""
+"""Interval at which the owner records are polled; a released service may wait this long
+for its next owner."""
 
 SLOW_POLL_INTERVAL_MS = 1_000
+"""Interval of processes that are not among the fast pollers."""
+
 FAST_POLLERS_MAX = 64
-"""In a deployment of more processes only so many look often; these take over. Each look
-is a read of the store, which all processes share."""
+"""Number of processes that poll at the short interval in a larger deployment, and that
+therefore take over. Each poll is a read of the store, which all processes share."""
 
 PROBE_ATTEMPTS = 2
 PROBE_RETRY_DELAY_MS = 100
-"""A holder that does not answer is asked twice: one reply may be lost or late."""
+"""A holder that does not answer is probed twice, as one reply may be lost or late."""
 
 RELEASE_TIMEOUT_MS = 1_500
+"""How long a process that stops waits for the release of its services."""
+
 ERROR_BACKOFF_MS = 300
+"""Delay before polling is restarted after an unexpected error."""
+
 RELEASE_NOTICES_MAX = 64
+"""Most processes that are notified of a release."""
 
 
 class OwnershipManager:
-    """Watches the owners of all services and claims those without one.
+    """Polls the owner records of all services and claims services without an owner.
 
     Parameters
     ----------
     ports : OwnerPorts
     suspend_clock : SuspendAwareClock
+        Measures the validity of leases.
     member : Member
         This process.
     incarnation : Incarnation
+        This lifetime of the process.
     limits : OwnerLimits
     services : callable
         Returns the services of the newest configuration.
     rng : random.Random
+        Source of the jitter of claims.
     peers : PeerCalls
-    handicap_ms : float
-        How much longer this process leaves claims to others.
+    claim_penalty_ms : float
+        Additional delay of this process's claims.
+
+    Attributes
+    ----------
+    last_store_reply_ms : float
+        Time of the monotonic clock at which the store last answered a poll.
     """
 
     def __init__(
@@ -101,15 +117,18 @@
         self._wake_event = asyncio.Event()
         self.last_store_reply_ms = -1e9
 
-    # What others ask.
+    # Queries.
 
     def local_owner(self, service: ServiceName) -> ServiceOwner | None:
-        """Return the owner of a service if this process runs it."""
+        """Return the owner of a service if this process runs it and it is loaded."""
         owner = self._owners.get(service)
         return owner if owner is not None and owner.loaded else None
 
     def remote_owner_endpoint(self, service: ServiceName) -> str:
-        """Return the endpoint of a service's owner; empty if it is unknown or here."""
+        """Return the endpoint of a service's owner in another process.
+
+        It is empty if the owner is unknown or is this process.
+        """
         view = self._views.get(service)
         if view is None or view.record is None or view.record.released:
             return ""
@@ -118,20 +137,20 @@
         return view.record.endpoint
 
     def owns(self, service: ServiceName) -> bool:
-        """Return whether this process holds the lease of a service, or may renew it.
+        """Return whether this process holds a service's lease or may still renew it.
 
-        After an outage of the store the lease of its owner has run out, and the owner
-        renews it with its next commit unless another process comes first.
+        A lease that has expired during an outage of the store is renewed with the
+        owner's next commit, unless another process has claimed the service by then.
         """
         lease = self._leases.get(service)
         return lease is not None and not lease.is_lost
 
     def members(self) -> list[Member]:
-        """Return the processes that are known to be alive, this one first."""
+        """Return the processes that are believed to be alive, this one first."""
         return self._members.alive()
 
     def describe(self) -> dict[str, Any]:
-        """Return who owns what, for a dump of the state."""
+        """Return the owners of all services and the members, for the state dump."""
         owners = {
             service: view.record.holder
             for service, view in self._views.items()
@@ -142,29 +161,33 @@
         return {"owners": owners, "owned": owned, "members": members}
 
     def poll_interval_ms(self) -> int:
-        """Return the time between two looks at the owners."""
+        """Return the interval at which this process polls the owner records.
+
+        Processes that own a service, and about `FAST_POLLERS_MAX` others that a hash of
+        their ids selects, poll at the short interval.
+        """
         count = self._members.count
         if self._owners or count <= FAST_POLLERS_MAX:
             return POLL_INTERVAL_MS
-        place = xxhash.xxh32_intdigest(self._member.process_id.encode()) % count
-        return POLL_INTERVAL_MS if place < FAST_POLLERS_MAX else SLOW_POLL_INTERVAL_MS
+        rank = xxhash.xxh32_intdigest(self._member.process_id.encode()) % count
+        return POLL_INTERVAL_MS if rank < FAST_POLLERS_MAX else SLOW_POLL_INTERVAL_MS
 
-    # The loop.
+    # Polling and claims.
 
     async def run(self) -> None:
-        """Watch and claim until cancelled."""
+        """Poll the owner records and claim services until cancelled."""
         try:
             while True:
                 if not self._stopping:
                     await restart_on_error(
-                        "the look at the owners", self._poll, ERROR_BACKOFF_MS
+                        "polling of the owner records", self._poll, ERROR_BACKOFF_MS
                     )
                 await self._wait_for_next_poll()
         finally:
             await self._tasks.cancel()
 
     def poll_now(self) -> None:
-        """Look at the owners at once: one of them has released its service."""
+        """Poll the owner records at once, as an owner has released its service."""
         self._wake_event.set()
 
     async def _wait_for_next_poll(self) -> None:
@@ -180,7 +203,7 @@
         self._wake_event.clear()
 
     async def stop(self) -> None:
-        """Release all services before the process ends."""
+        """Release all services, and notify the other processes, before shutdown."""
         self._stopping = True
         owners = list(self._owners.values())
         releases = [asyncio.create_task(owner.release()) for owner in owners]
@@ -197,7 +220,7 @@
         try:
             await self._poll_owner_records()
         except Exception:
-            # Rows may have been read and not been taken over.
+            # Rows may have been read but not applied; read all of them again.
             self._version = -1
             raise
 
@@ -207,7 +230,8 @@
         now_ms = self._ports.clock.monotonic_ms()
         if rows is None:
             self._note_store_failure(asked_ms)
-            # A store that does not answer says nothing about the owners.
+            # Without an answer nothing is known about renewals, so the time for which a
+            # record was unchanged starts anew.
             for view in self._views.values():
                 view.unchanged_since_ms = now_ms
                 view.is_holder_gone = False
@@ -216,7 +240,8 @@
         self._note_store_recovery(now_ms)
         self.last_store_reply_ms = now_ms
         round_trip_ms = now_ms - asked_ms
-        # The shortest one tells how far the store is; a slow store is slow for all.
+        # The minimum measures the distance to the store; a slow store slows down all
+        # processes alike.
         self._round_trip_ms = min(self._round_trip_ms, round_trip_ms)
         for row in rows:
             self._apply_owner_row(row, now_ms)
@@ -241,7 +266,11 @@
             self._store_failed_ms = None
 
     async def _read_rows(self) -> list[Row] | None:
-        """Return changed rows, all rows at first, or ``None`` without an answer."""
+        """Return the owner records that changed since the last poll.
+
+        Returns all rows on the first poll and after a gap in the feed, and ``None`` if
+        the store does not answer.
+        """
         if self._version < 0:
             try:
                 async with asyncio.timeout(1.0):
@@ -278,7 +307,7 @@
     def _probe_suspect(
         self, service: ServiceName, view: OwnerView, now_ms: float
     ) -> None:
-        """Ask the holder of a lease that is not renewed whether it is still there."""
+        """Probe the holder of a lease that is not being renewed."""
         if service in self._owners or service in self._probing:
             return
         if view.is_suspect(now_ms):
@@ -320,7 +349,9 @@
             self._claim_at_ms.pop(service, None)
             return
         if service not in self._claim_at_ms:
-            own = view.record and view.record.holder == self._member.process_id
+            is_own_record = (
+                view.record and view.record.holder == self._member.process_id
+            )
             delay_ms = claim_delay_ms(
                 self._round_trip_ms,
                 len(self._owners),
@@ -328,13 +359,14 @@
                 view.record is None,
                 self._rng.random(),
             )
-            self._claim_at_ms[service] = now_ms + (0.0 if own else delay_ms)
+            self._claim_at_ms[service] = now_ms + (0.0 if is_own_record else delay_ms)
             self._owned_when_scheduled[service] = len(self._owners)
         if now_ms < self._claim_at_ms[service]:
             return
         del self._claim_at_ms[service]
         if len(self._owners) > self._owned_when_scheduled.get(service, 0):
-            # Another service was claimed meanwhile; the next look weighs that.
+            # Another service was claimed since the delay was chosen; the next poll
+            # chooses a longer one.
             return
         await self._claim(service, view)
 
@@ -342,7 +374,9 @@
         reason = "no earlier owner"
         if view.record is not None:
             reason = (
-                "a release" if view.record.released else "silence of the last owner"
+                "released by the previous owner"
+                if view.record.released
+                else "lease of the previous owner not renewed"
             )
         result = await try_claim(
             self._ports.table,
--- a/basilhold/workflows/progress.py
+++ b/basilhold/workflows/progress.py
@@ -1,4 +1,7 @@
-"""Progress of one workflow: the state of its tasks and how ends change it. Pure."""
+"""Progress of a workflow: the stages of its tasks and the effects of runs' outcomes.
+
+The module performs no I/O.
+"""
 
 from collections.abc import Iterator
 from enum import Enum
@@ -21,15 +24,15 @@
 
 
 CHUNK_TASKS = 64
-"""Tasks in one row of progress. At 500 bytes a task, with the longest ids and
-checkpoints, a chunk stays below the smallest row that a store must take."""
+"""Number of tasks in one row of progress. A task takes 500 bytes with the longest ids
+and checkpoints, so a chunk fits into the smallest row that a store has to accept."""
 
 ROW_BYTES_MAX = 49_152
-"""Largest value of a row that every store takes: 65,536 bytes as base64."""
+"""Largest value of a row that every store accepts, in bytes: 65,536 as base64."""
 
 
 class TaskStage(Enum):
-    """Where a task stands. `ASSIGNED` is stored before the start is sent."""
+    """Stage of a task. `ASSIGNED` is stored before the start request is sent."""
 
     PENDING = 0
     ASSIGNED = 1
@@ -37,7 +40,7 @@
 
 
 class WorkflowState(Enum):
-    """State of a workflow as callers see it."""
+    """State of a workflow that callers see."""
 
     QUEUED = "queued"
     RUNNING = "running"
@@ -47,15 +50,17 @@
 
     @property
     def is_final(self) -> bool:
-        """Whether no task of the workflow will start again."""
+        """Whether the workflow has ended, so that none of its tasks starts again."""
         return self not in (WorkflowState.QUEUED, WorkflowState.RUNNING)
 
 
 class EndKind(Enum):
     """How a run ended on its worker.
 
-    `FAILED` counts against the task; `BROKEN` and `ALONE` are ends of gang members
-    whose gang was not whole; `LOST` is concluded by the owner, not reported.
+    Only `FAILED` counts as a failure of the task. `LAPSED` means that the worker ended
+    the run because its lease had expired. `BROKEN` and `ALONE` are outcomes of gang tasks
+    whose gang was incomplete. `LOST` is concluded by the owner and not reported by the
+    worker.
     """
 
     DONE = "done"
@@ -68,7 +73,16 @@
 
 
 class RunEnd(msgspec.Struct, frozen=True):
-    """The end of one run."""
+    """Outcome of one run.
+
+    Parameters
+    ----------
+    key : TaskKey
+    run : RunNumber
+    kind : EndKind
+    checkpoint : str
+        Newest checkpoint of the run; empty if there is none.
+    """
 
     key: TaskKey
     run: RunNumber
@@ -85,14 +99,15 @@
     run : RunNumber
         Number of the last run; 0 before the first.
     failures : int
+        Number of failed runs.
     worker_id : WorkerId
-        Where the task is assigned.
+        Worker to which the task is assigned.
     checkpoint : str
         Newest known checkpoint; empty if there is none.
     avoided : list of WorkerId
-        Workers on which runs failed or were too slow.
+        Workers on which runs failed or were too slow; other ones are preferred.
     failed_run : RunNumber
-        Last run of a gang that counted as failed; kept by its first task.
+        Last run of a gang that was counted as failed; set on its first task only.
     """
 
     stage: TaskStage = TaskStage.PENDING
@@ -123,9 +138,18 @@
 class Workflow:
     """A workflow and the progress of its tasks.
 
+    The progress is stored in chunks of `CHUNK_TASKS` tasks, one row each, so that a
+    commit writes only the chunks that have changed.
+
     Parameters
     ----------
     spec : WorkflowSpec
+
+    Attributes
+    ----------
+    state : WorkflowState
+    ended_ms : float
+        Time of the store's clock at the end; 0 while the workflow is active.
     """
 
     def __init__(self, spec: WorkflowSpec):
@@ -151,7 +175,7 @@
         return self.spec.job_id
 
     def task(self, key: TaskKey) -> TaskProgress:
-        """Return the progress of a task."""
+        """Return the progress of a task, creating it at first use."""
         task = self._tasks.get(key)
         if task is None:
             task = TaskProgress(avoided=[])
@@ -163,7 +187,7 @@
         self._chunk_keys.setdefault(self.chunk_of(key), []).append(key)
 
     def chunk_of(self, key: TaskKey) -> int:
-        """Return the chunk of the progress that holds a task."""
+        """Return the number of the chunk that stores a task's progress."""
         position = (
             key.occurrence * self._tasks_per_occurrence
             + self._offsets[key.step]
@@ -179,20 +203,20 @@
         )
 
     def take_changed_chunks(self) -> list[int]:
-        """Return the chunks that changed since the last call, the first one first."""
+        """Return the chunks that changed since the last call, in ascending order."""
         changed = sorted(self._changed)
         self._changed.clear()
         return changed
 
     def avoid_worker(self, key: TaskKey, worker_id: WorkerId) -> None:
-        """Let a task's next runs start elsewhere if another worker can run it."""
+        """Prefer other workers for the next runs of a task."""
         avoided = self.task(key).avoided
         if worker_id not in avoided:
             avoided.append(worker_id)
             self._changed.add(self.chunk_of(key))
 
     def has_task(self, key: TaskKey) -> bool:
-        """Return whether the specification names the task."""
+        """Return whether the specification contains the task."""
         steps = self.spec.steps
         return (
             0 <= key.occurrence < self.spec.occurrence_count
@@ -205,7 +229,7 @@
         return self._unfinished[occurrence, step] == 0
 
     def ready_steps(self, now_unix_ms: float) -> Iterator[tuple[int, int]]:
-        """Yield occurrence and number of the steps whose tasks may run now."""
+        """Yield occurrence and number of the unfinished steps that may run now."""
         if self.state.is_final:
             return
         for occurrence in range(self.spec.occurrence_count):
@@ -223,7 +247,7 @@
         return [TaskKey(occurrence, step, index) for index in range(count)]
 
     def pending_task_keys(self, occurrence: int, step: int) -> list[TaskKey]:
-        """Return the tasks of a step that wait for a worker."""
+        """Return the keys of a step's tasks that wait for a worker."""
         return [
             key
             for key in self.task_keys(occurrence, step)
@@ -231,7 +255,7 @@
         ]
 
     def assigned(self) -> list[tuple[TaskKey, TaskProgress]]:
-        """Return the tasks that may run on a worker."""
+        """Return the tasks that are assigned to a worker, with their progress."""
         return [
             (key, task)
             for key, task in self._tasks.items()
@@ -243,7 +267,7 @@
         return any(task.run for task in self._tasks.values())
 
     def assign(self, key: TaskKey, run: RunNumber, worker_id: WorkerId) -> None:
-        """Note that a run is about to start on a worker."""
+        """Assign a task to a worker, on which the given run is about to start."""
         task = self.task(key)
         task.stage = TaskStage.ASSIGNED
         task.run = run
@@ -254,14 +278,14 @@
             self._changed.add(0)
 
     def next_run_number(self, keys: list[TaskKey]) -> RunNumber:
-        """Return a run number above all earlier runs of the tasks."""
+        """Return a number above those of all earlier runs of the given tasks."""
         return RunNumber(max(self.task(key).run for key in keys) + 1)
 
     def apply_end(self, end: RunEnd, now_ms: float) -> bool:
-        """Apply the end of a task's current run; return whether anything changed.
+        """Apply the outcome of a task's current run; return whether anything changed.
 
-        Ends of earlier runs are ignored: their outcome was decided when the task was
-        released from them.
+        Outcomes of earlier runs are ignored, as those were concluded when the task
+        became pending again.
         """
         task = self.task(end.key)
         if task.stage is not TaskStage.ASSIGNED or task.run != end.run:
@@ -283,7 +307,7 @@
         return True
 
     def _complete_task(self, end: RunEnd, now_ms: float) -> None:
-        # One member's end as done stands for its whole gang.
+        # A gang is done as soon as one of its tasks is.
         keys = [end.key]
         if self._step(end.key).gang:
             keys = self.task_keys(end.key.occurrence, end.key.step)
@@ -305,7 +329,7 @@
             key = TaskKey(key.occurrence, key.step, 0)
         task = self.task(key)
         self.avoid_worker(key, worker_id)
-        # Several members of a gang may fail in one run, which counts once.
+        # Several tasks of a gang may fail in one run, which counts as one failure.
         if step.gang and task.failed_run == end.run:
             return
         task.failed_run = end.run
@@ -315,7 +339,7 @@
             self._end(WorkflowState.FAILED, now_ms)
 
     def cancel(self, now_ms: float) -> bool:
-        """Cancel the workflow; return whether it had not ended."""
+        """Cancel the workflow; return false if it had already ended."""
         if self.state.is_final:
             return False
         self._end(WorkflowState.CANCELLED, now_ms)
@@ -330,21 +354,27 @@
         return self.spec.steps[key.step]
 
     def encode(self, chunk: int = 0, bytes_max: int = ROW_BYTES_MAX) -> bytes:
-        """Return the row that holds a chunk of the progress.
+        """Return the encoded row of one chunk of the progress.
 
         Parameters
         ----------
         chunk : int
-            The first one also holds the state.
+            Number of the chunk; chunk 0 also stores the state.
         bytes_max : int
-            A longer row leaves out which workers the tasks avoid.
+            Row size above which the lists of avoided workers are left out.
+
+        Returns
+        -------
+        bytes
+            May still exceed `bytes_max` without these lists.
         """
         stored = _StoredWorkflow()
         if not chunk:
             stored.state, stored.ended_ms = self.state, self.ended_ms
         for key in self._chunk_keys.get(chunk, ()):
             task = self._tasks[key]
-            # Tasks that still run have to be stopped, also by a successor.
+            # Assignments of an ended workflow are stored too, as the next owner has to
+            # stop their runs.
             if task.stage is TaskStage.ASSIGNED or (
                 task.run and not self.state.is_final
             ):
@@ -359,7 +389,19 @@
 
     @classmethod
     def decode(cls, spec: WorkflowSpec, rows: list[bytes]) -> "Workflow":
-        """Return the workflow with the progress of its rows, the first one first."""
+        """Return a workflow with stored progress.
+
+        Parameters
+        ----------
+        spec : WorkflowSpec
+        rows : list of bytes
+            Rows of progress in ascending order of their chunks.
+
+        Raises
+        ------
+        msgspec.DecodeError
+            If a row cannot be decoded.
+        """
         workflow = cls(spec)
         for row in rows:
             stored = _DECODER.decode(row)
@@ -377,5 +419,11 @@
 
 
 def decode_state(row: bytes) -> WorkflowState:
-    """Return the state in a progress row."""
+    """Return the state stored in the row of chunk 0.
+
+    Raises
+    ------
+    msgspec.DecodeError
+        If the row cannot be decoded.
+    """
     return _DECODER.decode(row).state
--- a/basilhold/workflows/rows.py
+++ b/basilhold/workflows/rows.py
@@ -1,4 +1,4 @@
-"""Keys and records of the rows that hold workflows and their owners."""
+"""Keys of the rows that store workflows and their owners, and the owner record."""
 
 from typing import NewType
 
@@ -20,33 +20,35 @@
 ]
 
 Incarnation = NewType("Incarnation", str)
-"""Random id of one run of a process."""
+"""Random id of one lifetime of a process, which changes when it restarts."""
 
 OWNERS_PREFIX = "owners/"
 JOBS_PREFIX = "jobs/"
 JOB_SHARDS = 16
-"""Parts over which a service's submissions are spread."""
+"""Number of shards over which a service's submissions are spread."""
 
 _CANCEL_SUFFIX = ".cancel"
 
 
 class OwnerRecord(msgspec.Struct, frozen=True, omit_defaults=True):
-    """Who decides about a service's workflows.
+    """Stored lease on the ownership of a service.
 
     Parameters
     ----------
     holder : ProcessId
+        Process that owns the service.
     endpoint : str
         ``host:port`` at which the holder serves its peers.
     epoch : Epoch
-        Fencing token; rises with each change of the holder.
+        Fencing token, which increases with each claim.
     sequence : int
         Number of the holder's last commit.
     incarnation : Incarnation
+        Lifetime of the holder in which it claimed the service.
     released : bool
-        The holder has stopped and sends nothing any more.
+        The holder has released the lease and sends no further requests.
     member_count : int
-        Processes of the deployment that the holder knows.
+        Number of processes of the deployment that the holder knows.
     """
 
     holder: ProcessId
@@ -64,37 +66,39 @@
 
 
 def jobs_prefix(service: ServiceName) -> str:
-    """Return what all keys of a service's submissions and cancellations begin with."""
+    """Return the common prefix of a service's submissions and cancellations."""
     return f"{JOBS_PREFIX}{service}."
 
 
 def jobs_prefixes(service: ServiceName) -> list[str]:
-    """Return the prefixes of all parts with submissions of a service.
+    """Return the prefixes of all shards with a service's submissions.
 
-    Transactions of one part are applied one after another, so submissions are spread:
-    in a slow store they would wait for each other and for the owner's commits.
+    The store applies transactions on one shard one after another. In a slow store,
+    submissions in a single shard would wait for each other and for the owner's commits.
     """
     return [f"{jobs_prefix(service)}{shard:x}/" for shard in range(JOB_SHARDS)]
 
 
 def spec_key(service: ServiceName, job_id: JobId) -> str:
-    """Return the key of a submitted workflow."""
+    """Return the key of a workflow's stored specification."""
     shard = int(job_id[-1], 16) % JOB_SHARDS
     return f"{jobs_prefix(service)}{shard:x}/{job_id}"
 
 
 def cancel_key(service: ServiceName, job_id: JobId) -> str:
-    """Return the key that marks a workflow as cancelled."""
+    """Return the key of the row that marks a workflow as cancelled."""
     return spec_key(service, job_id) + _CANCEL_SUFFIX
 
 
 def progress_prefix(service: ServiceName) -> str:
-    """Return the prefix of the progress rows of a service."""
+    """Return the common prefix of a service's progress rows."""
     return f"progress/{service}/"
 
 
 def progress_key(service: ServiceName, job_id: JobId, chunk: int = 0) -> str:
-    """Return the key of a chunk of a workflow's progress; the first holds its state.
+    """Return the key of one chunk of a workflow's progress.
+
+    Chunk 0 also stores the state of the workflow.
 
     Examples
     --------
@@ -111,14 +115,14 @@
     Raises
     ------
     ValueError
-        If the key is none of ours.
+        If the key does not end in the number of a chunk.
     """
     job_id, _, chunk = key.rsplit("/", 1)[1].partition(".")
     return JobId(job_id), int(chunk or 0)
 
 
 def parse_jobs_key(key: str) -> tuple[JobId, bool]:
-    """Return the workflow of a key under `jobs_prefix`, and whether it is a mark.
+    """Return the workflow of a key under `jobs_prefix`, and if it is a cancellation.
 
     Examples
     --------
--- a/basilhold/workflows/worker_tracker.py
+++ b/basilhold/workflows/worker_tracker.py
@@ -55,7 +55,7 @@
         for worker in list(self._state.pool.workers.values()):
             unlinked = worker.worker_id not in self._state.links
             if unlinked and now_ms > worker.held_until_ms:
-                self._handle_worker_loss(worker, "its lease has lapsed")
+                self._handle_worker_loss(worker, "its lease has expired")
 
     async def refresh_registrations(self) -> None:
         """Read the registrations once; nothing changes if they cannot be read."""
