--- a/basilhold/membership/__init__.py
+++ b/basilhold/membership/__init__.py
@@ -1,7 +1,6 @@
-"""VM list filter, liveness, leaving state, region reader election."""
+"""Liveness of VMs, VM list filter, and election of the reader of a region."""
 
-from basilhold.membership.doubt import is_doubtful_loss
-from basilhold.membership.list_guard import ListGuard
+from basilhold.membership.list_filter import VmListFilter
 from basilhold.membership.members import (
     GONE_AFTER_MS,
     Liveness,
@@ -11,21 +10,22 @@
 )
 from basilhold.membership.readers import (
     ReaderLocation,
-    claim_reader,
     decode_reader,
+    make_reader_claim,
     reader_key,
 )
+from basilhold.membership.suspect_loss import is_suspect_loss
 
 __all__ = [
     "GONE_AFTER_MS",
-    "ListGuard",
     "Liveness",
     "MemberChange",
     "Membership",
     "PeerReport",
     "ReaderLocation",
-    "claim_reader",
+    "VmListFilter",
     "decode_reader",
-    "is_doubtful_loss",
+    "is_suspect_loss",
+    "make_reader_claim",
     "reader_key",
 ]
--- a/basilhold/workflows/owner_state.py
+++ b/basilhold/workflows/owner_state.py
@@ -9,7 +9,7 @@
 from basilhold.core import Clock, JobId, ServiceName, WorkerId
 from basilhold.observability import Metrics, metric
 from basilhold.ports import ChangeFeed, TableService
-from basilhold.ports.runners import AdviceService, Registry, TaskRunners
+from basilhold.ports.runners import AdviceService, RunnerClient, WorkerRegistry
 from basilhold.workflows.admissions import AdmissionBook
 from basilhold.workflows.background_tasks import BackgroundTasks
 from basilhold.workflows.backlog import Backlog
@@ -37,9 +37,9 @@
         The store.
     feed : ChangeFeed
         Changes of rows in the store.
-    runners : TaskRunners
+    runners : RunnerClient
         Starts, stops and lists runs on workers.
-    registry : Registry
+    registry : WorkerRegistry
         Registrations of workers.
     advice : AdviceService
         Decides which workers may run a step.
@@ -52,8 +52,8 @@
 
     table: TableService
     feed: ChangeFeed
-    runners: TaskRunners
-    registry: Registry
+    runners: RunnerClient
+    registry: WorkerRegistry
     advice: AdviceService
     clock: Clock
     time: SharedTime
--- a/basilhold/workflows/worker_link.py
+++ b/basilhold/workflows/worker_link.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from basilhold.core import Clock
-from basilhold.ports.runners import CallOutcome, HoldCall, TaskRunners
+from basilhold.ports.runners import CallOutcome, RenewLeaseCall, RunnerClient
 from basilhold.workflows.owner_lease import Lease
 from basilhold.workflows.pool import EndedRun, ListedRun, Listing, Worker, reconcile
 from basilhold.workflows.progress import ROW_BYTES_MAX
@@ -88,14 +88,14 @@
     Parameters
     ----------
     worker : Worker
-    runners : TaskRunners
+    runners : RunnerClient
     lease : Lease
         Of the service's owner.
     limits : OwnerLimits
     """
 
     def __init__(
-        self, worker: Worker, runners: TaskRunners, lease: Lease, limits: OwnerLimits
+        self, worker: Worker, runners: RunnerClient, lease: Lease, limits: OwnerLimits
     ):
         self.worker = worker
         self.closed = False
@@ -165,8 +165,8 @@
         acknowledged = self._new_acknowledgement()
         # While a call waits, a new incarnation could list ends of the same numbers.
         wait_ms = 0 if at_once or acknowledged else self._wait_ms()
-        call = HoldCall(self._lease.epoch, acknowledged, until_ms, wait_ms)
-        result = await self._runners.hold(worker, call)
+        call = RenewLeaseCall(self._lease.epoch, acknowledged, until_ms, wait_ms)
+        result = await self._runners.renew_lease(worker, call)
         now_ms = clock.monotonic_ms()
         if self.closed:
             return Look(lost="it was replaced")
