--- a/basilhold/workflows/frontend.py
+++ b/basilhold/workflows/frontend.py
@@ -19,7 +19,9 @@
 )
 from basilhold.ports.runners import Admission, AdviceService
 from basilhold.workflows import events
+from basilhold.workflows.background_tasks import BackgroundTasks
 from basilhold.workflows.model import QueueName, QueuePolicy, WorkflowSpec
+from basilhold.workflows.ownership_manager import OwnershipManager
 from basilhold.workflows.peers import (
     PeerClient,
     PeerService,
@@ -31,8 +33,6 @@
 from basilhold.workflows.relayed_table import RelayedTable
 from basilhold.workflows.rows import cancel_key, progress_key, spec_key
 from basilhold.workflows.shared_time import SharedTime
-from basilhold.workflows.stewardship import Stewardship
-from basilhold.workflows.tasks import TaskSet
 
 __all__ = ["Existence", "WorkflowFrontend"]
 
@@ -87,7 +87,7 @@
     ----------
     table : RelayedTable
         Store of the workflows.
-    stewardship : Stewardship
+    ownership_manager : OwnershipManager
         Locates the owners of services and runs the owners of this process.
     peers : PeerClient
         Client for calls to other processes.
@@ -102,21 +102,21 @@
     def __init__(
         self,
         table: RelayedTable,
-        stewardship: Stewardship,
+        ownership_manager: OwnershipManager,
         peers: PeerClient,
         advice: AdviceService,
         clock: Clock,
         time: SharedTime,
     ):
         self._table = table
-        self._stewardship = stewardship
+        self._ownership_manager = ownership_manager
         self._peers = peers
         self._advice = advice
         self._clock = clock
         self._time = time
         self._final_states: dict[JobId, WorkflowState] = {}
         self._skip_until_ms: dict[str, float] = {}
-        self._tasks = TaskSet()
+        self._tasks = BackgroundTasks()
 
     async def close(self) -> None:
         """Cancel pending notices to owners."""
@@ -171,10 +171,10 @@
         Returns 0 if the store replies, however slowly.
         """
         last_reply_ms = max(
-            self._stewardship.store_answered_ms, self._table.last_reply_ms
+            self._ownership_manager.last_store_reply_ms, self._table.last_reply_ms
         )
         age_ms = self._clock.monotonic_ms() - last_reply_ms
-        limit_ms = OUTAGE_POLLS * self._stewardship.poll_interval_ms()
+        limit_ms = OUTAGE_POLLS * self._ownership_manager.poll_interval_ms()
         limit_ms += min(
             OUTAGE_LATENCIES * self._table.typical_latency_ms, OUTAGE_LATENCY_MAX_MS
         )
@@ -197,7 +197,7 @@
         return max(1, min(RETRY_AFTER_MAX_S, outage_s, deadline_s))
 
     def _announce(self, spec: WorkflowSpec) -> None:
-        local = self._stewardship.local_owner(spec.policy.service)
+        local = self._ownership_manager.local_owner(spec.policy.service)
         if local is not None:
             local.submit(spec)
             return
@@ -206,7 +206,9 @@
     async def _notify_owner(self, spec: WorkflowSpec) -> None:
         # The owner also reads the change feed, so a lost notice only delays it.
         for _ in range(NOTIFY_ATTEMPTS):
-            endpoint = self._stewardship.remote_owner(spec.policy.service)
+            endpoint = self._ownership_manager.remote_owner_endpoint(
+                spec.policy.service
+            )
             if endpoint and await self._peers.notify_submitted(endpoint, spec):
                 return
             await asyncio.sleep(RETRY_DELAY_MS / 1000)
@@ -232,10 +234,10 @@
         return Existence.UNKNOWN, None
 
     async def _request_state(self, service: ServiceName, job_id: JobId) -> StateReply:
-        local = self._stewardship.local_owner(service)
+        local = self._ownership_manager.local_owner(service)
         if local is not None:
             return self.local_state(service, job_id)
-        endpoint = self._stewardship.remote_owner(service)
+        endpoint = self._ownership_manager.remote_owner_endpoint(service)
         now_ms = self._clock.monotonic_ms()
         if not endpoint or now_ms < self._skip_until_ms.get(endpoint, 0.0):
             return StateReply(False)
@@ -308,12 +310,12 @@
         return Existence.EXISTS
 
     async def _announce_cancelled(self, service: ServiceName, job_id: JobId) -> None:
-        local = self._stewardship.local_owner(service)
+        local = self._ownership_manager.local_owner(service)
         if local is not None:
             local.cancel(job_id)
             return
         for _ in range(NOTIFY_ATTEMPTS):
-            endpoint = self._stewardship.remote_owner(service)
+            endpoint = self._ownership_manager.remote_owner_endpoint(service)
             if endpoint and await self._peers.notify_cancelled(
                 endpoint, service, job_id
             ):
@@ -325,7 +327,7 @@
         local = self.local_queue_length(policy.service, policy.name)
         if local is not None:
             return local
-        endpoint = self._stewardship.remote_owner(policy.service)
+        endpoint = self._ownership_manager.remote_owner_endpoint(policy.service)
         if not endpoint:
             return None
         return await self._peers.queue_length(endpoint, policy.service, policy.name)
@@ -334,37 +336,37 @@
 
     def on_submitted(self, spec: WorkflowSpec) -> None:
         """Submit a stored workflow to the local owner of its service, if any."""
-        local = self._stewardship.local_owner(spec.policy.service)
+        local = self._ownership_manager.local_owner(spec.policy.service)
         if local is not None:
             local.submit(spec)
 
     def on_cancelled(self, service: ServiceName, job_id: JobId) -> None:
         """Cancel a workflow at the local owner of its service, if any."""
-        local = self._stewardship.local_owner(service)
+        local = self._ownership_manager.local_owner(service)
         if local is not None:
             local.cancel(job_id)
 
     def on_released(self) -> None:
         """Poll the owners at once, to find the released services."""
-        self._stewardship.look_now()
+        self._ownership_manager.poll_now()
 
     def owns(self, service: ServiceName) -> bool:
         """Return whether this process holds the lease of a service."""
-        return self._stewardship.owns(service)
+        return self._ownership_manager.owns(service)
 
     def local_state(self, service: ServiceName, job_id: JobId) -> StateReply:
         """Return the state of a workflow, if this process owns its service."""
-        local = self._stewardship.local_owner(service)
+        local = self._ownership_manager.local_owner(service)
         if local is None or not local.is_current():
             return StateReply(False)
-        return StateReply(True, local.state(job_id))
+        return StateReply(True, local.workflow_state(job_id))
 
     def local_queue_length(self, service: ServiceName, queue: QueueName) -> int | None:
         """Return the number of queued workflows, or ``None`` if not the owner."""
-        local = self._stewardship.local_owner(service)
+        local = self._ownership_manager.local_owner(service)
         if local is None or not local.is_current():
             return None
-        return local.waiting(queue)
+        return local.unstarted_count(queue)
 
     def shared_ms(self) -> float | None:
         """Return the store's time in milliseconds, or ``None`` if it is not known."""
--- a/basilhold/workflows/recovery.py
+++ b/basilhold/workflows/recovery.py
@@ -1,4 +1,4 @@
-"""Reads the stored workflows of a service when an owner takes over."""
+"""Loads the stored workflows of a service when a new owner starts."""
 
 import asyncio
 
@@ -20,17 +20,18 @@
 )
 
 __all__ = [
-    "Loaded",
+    "StoredWorkflows",
     "load_workflows",
-    "place_assigned",
-    "scan_all",
+    "restore_assignments",
+    "scan_with_retries",
     "scan_once",
 ]
 
-SCAN_RETRY_MS = 150
+SCAN_RETRY_INTERVAL_MS = 150
+"""Delay before a failed scan is repeated."""
 
 
-class Loaded(msgspec.Struct):
+class StoredWorkflows(msgspec.Struct):
     """The stored workflows of a service.
 
     Parameters
@@ -39,7 +40,8 @@
     cancelled : set of JobId
         Workflows with a stored cancellation.
     version : int
-        Version of the store from which changes of submissions are to be read.
+        Version of the store after which the feed's changes of submissions are still to
+        be applied.
     """
 
     workflows: list[Workflow]
@@ -50,9 +52,20 @@
 async def scan_once(
     table: TableService, prefix: str
 ) -> Result[tuple[list[Row], int], StoreError]:
-    """Return all rows of a prefix, with the version of the first page.
+    """Return all rows under a prefix, and the version at which the scan began.
 
-    Changes during the scan are thus read again from the feed.
+    A scan reads several pages. Changes made after the first page are therefore read
+    again from the feed.
+
+    Parameters
+    ----------
+    table : TableService
+    prefix : str
+
+    Returns
+    -------
+    Result
+        Rows and version, or the error of the first page that could not be read.
     """
     rows: list[Row] = []
     after = ""
@@ -69,38 +82,41 @@
             return Ok((rows, version))
 
 
-async def scan_all(table: TableService, prefix: str) -> tuple[list[Row], int]:
-    """Return all rows of a prefix, retrying until the store answers."""
+async def scan_with_retries(table: TableService, prefix: str) -> tuple[list[Row], int]:
+    """Scan a prefix as `scan_once` does, retrying until the store answers."""
     while True:
         result = await scan_once(table, prefix)
         if result.is_ok():
             return result.ok
-        await asyncio.sleep(SCAN_RETRY_MS / 1000)
+        await asyncio.sleep(SCAN_RETRY_INTERVAL_MS / 1000)
+
 
+async def load_workflows(table: TableService, service: ServiceName) -> StoredWorkflows:
+    """Return all stored workflows of a service with their progress.
 
-async def load_workflows(table: TableService, service: ServiceName) -> Loaded:
-    """Return all workflows of a service with their progress."""
-    # Submissions are read first: progress exists only for those that are stored.
+    Rows that cannot be decoded are logged and skipped.
+    """
+    # Submissions are read before progress, which exists only for stored submissions.
     parts = await asyncio.gather(
-        *(scan_all(table, prefix) for prefix in jobs_prefixes(service))
+        *(scan_with_retries(table, prefix) for prefix in jobs_prefixes(service))
     )
-    progress, _ = await scan_all(table, progress_prefix(service))
+    progress, _ = await scan_with_retries(table, progress_prefix(service))
     submitted = [row for rows, _ in parts for row in rows]
     chunks = _progress_chunks(progress)
-    loaded = Loaded([], set(), min(version for _, version in parts))
+    loaded = StoredWorkflows([], set(), min(version for _, version in parts))
     for row in submitted:
         job_id, is_cancel = parse_jobs_key(row.key)
         if is_cancel:
             loaded.cancelled.add(job_id)
             continue
-        workflow = _decode(row, chunks.get(job_id, {}))
+        workflow = _decode_workflow(row, chunks.get(job_id, {}))
         if workflow is not None:
             loaded.workflows.append(workflow)
     return loaded
 
 
 def _progress_chunks(rows: list[Row]) -> dict[JobId, dict[int, bytes]]:
-    """Return the chunks of each workflow's progress."""
+    """Return the rows of progress by workflow and number of the chunk."""
     chunks: dict[JobId, dict[int, bytes]] = {}
     for row in rows:
         try:
@@ -112,7 +128,7 @@
     return chunks
 
 
-def _decode(row: Row, chunks: dict[int, bytes]) -> Workflow | None:
+def _decode_workflow(row: Row, chunks: dict[int, bytes]) -> Workflow | None:
     try:
         spec = msgspec.json.decode(row.value, type=WorkflowSpec)
         return Workflow.decode(spec, [chunks[chunk] for chunk in sorted(chunks)])
@@ -121,10 +137,18 @@
         return None
 
 
-def place_assigned(pool: Pool, workflows: list[Workflow], now_ms: float) -> int:
-    """Reserve what stored assignments may still use; return their number.
+def restore_assignments(pool: Pool, workflows: list[Workflow], now_ms: float) -> int:
+    """Reserve capacity for the runs of stored assignments; return their number.
+
+    Which of the runs exist is decided later by the lists that the workers return.
 
-    The workers' own lists decide later which of the runs exist.
+    Parameters
+    ----------
+    pool : Pool
+        Gets the runs, and the workers that are not registered.
+    workflows : list of Workflow
+    now_ms : float
+        Time of the monotonic clock, taken as the start of the runs.
     """
     count = 0
     for workflow in workflows:
