--- a/basilhold/workflows/tests/test_owner.py
+++ b/basilhold/workflows/tests/test_owner.py
@@ -17,12 +17,12 @@
 from basilhold.workflows.progress import EndKind, WorkflowState
 
 
-def spec_of(number, *steps, **changes):
+def make_workflow(number, *steps, **changes):
     spec = make_spec(number, random.Random(0))
     return msgspec.structs.replace(spec, steps=steps, **changes)
 
 
-def step_of(count=1, estimate_ms=500.0, **changes):
+def make_step(count=1, estimate_ms=500.0, **changes):
     return StepSpec(count, Resources(1_000, 1 << 20, 0), estimate_ms, **changes)
 
 
@@ -35,7 +35,7 @@
 
     async def test_steps_run_in_order_to_the_end(self):
         # Guards against a workflow that stops after its first step.
-        spec = spec_of(1, step_of(3), step_of(2, after=(0,)))
+        spec = make_workflow(1, make_step(3), make_step(2, after=(0,)))
         async with WorkflowCell() as cell:
             await asyncio.sleep(1)
             self.assertIs(await cell.submit(spec), StoreOutcome.STORED)
@@ -45,8 +45,10 @@
 
     async def test_wide_workflow_fits_the_rows_of_the_store(self):
         # A row of progress above the store's bound stopped all work of the service.
-        spec = spec_of(1, step_of(900, 300.0), step_of(900, 300.0, after=(0,)))
-        small = spec_of(2, step_of())
+        spec = make_workflow(
+            1, make_step(900, 300.0), make_step(900, 300.0, after=(0,))
+        )
+        small = make_workflow(2, make_step())
         async with WorkflowCell(worker_count=6) as cell:
             await asyncio.sleep(1)
             await cell.submit(spec)
@@ -61,7 +63,7 @@
     async def test_state_does_not_wait_for_a_silent_owner_each_time(self):
         # On machines that were cut off from the owner each caller waited 0.6 s longer
         # for a state that the store has.
-        spec = spec_of(1, step_of())
+        spec = make_workflow(1, make_step())
         async with WorkflowCell() as cell:
             await asyncio.sleep(1)
             await cell.submit(spec)
@@ -78,7 +80,7 @@
 
     async def test_dump_tells_what_the_owner_holds(self):
         # Guards against a dump from which an operator cannot tell who is at work.
-        spec = spec_of(1, step_of(2, 5_000.0))
+        spec = make_workflow(1, make_step(2, 5_000.0))
         async with WorkflowCell() as cell:
             await asyncio.sleep(1)
             await cell.submit(spec)
@@ -110,7 +112,7 @@
 
     async def test_repeated_submission_is_one_workflow(self):
         # Guards against a caller's retry running the work again.
-        spec = spec_of(1, step_of())
+        spec = make_workflow(1, make_step())
         async with WorkflowCell() as cell:
             await asyncio.sleep(1)
             for _ in range(3):
@@ -120,7 +122,7 @@
 
     async def test_unreachable_worker_gives_up_its_tasks(self):
         # Guards against renewals without a reply that put off the lapse for ever.
-        spec = spec_of(1, step_of(estimate_ms=4_000.0))
+        spec = make_workflow(1, make_step(estimate_ms=4_000.0))
         async with WorkflowCell(worker_count=2) as cell:
             await asyncio.sleep(1)
             await cell.submit(spec)
@@ -133,7 +135,7 @@
     async def test_short_silence_of_a_worker_costs_no_work(self):
         # Guards against work that is given up, or started elsewhere, though its worker
         # was only unreachable or unregistered for less than its lease.
-        spec = spec_of(1, step_of(1, 9_000.0))
+        spec = make_workflow(1, make_step(1, 9_000.0))
         async with WorkflowCell(worker_count=2) as cell:
             await asyncio.sleep(1)
             await cell.submit(spec)
@@ -158,7 +160,7 @@
 
     async def test_gone_worker_of_a_stored_assignment_does_not_stop_the_owner(self):
         # Guards against orders to a worker whose address a successor does not know.
-        spec = spec_of(1, step_of(estimate_ms=20_000.0))
+        spec = make_workflow(1, make_step(estimate_ms=20_000.0))
         async with WorkflowCell(worker_count=1) as cell:
             await asyncio.sleep(1)
             await cell.submit(spec)
@@ -175,7 +177,7 @@
 
     async def test_cancelled_workflow_leaves_no_run(self):
         # Guards against tasks that run on after a confirmed cancellation.
-        spec = spec_of(1, step_of(4, 30_000.0, long_running=True))
+        spec = make_workflow(1, make_step(4, 30_000.0, long_running=True))
         async with WorkflowCell() as cell:
             await asyncio.sleep(1)
             await cell.submit(spec)
@@ -192,7 +194,7 @@
     async def test_long_running_task_leaves_a_draining_worker(self):
         # A task on a worker that was emptied and taken away was missed for 12 s, until
         # its lease had lapsed.
-        spec = spec_of(1, step_of(1, 30_000.0, long_running=True))
+        spec = make_workflow(1, make_step(1, 30_000.0, long_running=True))
         async with WorkflowCell(worker_count=4) as cell:
             await asyncio.sleep(1)
             await cell.submit(spec)
@@ -207,7 +209,7 @@
 
     async def test_failures_end_a_workflow_after_its_budget(self):
         # Guards against a task that is started for ever.
-        spec = spec_of(1, step_of())
+        spec = make_workflow(1, make_step())
         async with WorkflowCell(faults=RunnerFaults(failed=1.0)) as cell:
             await asyncio.sleep(1)
             await cell.submit(spec)
@@ -217,7 +219,7 @@
 
     async def test_standing_still_worker_loses_its_task(self):
         # Guards against a task that waits for a worker which stands still.
-        spec = spec_of(1, step_of(estimate_ms=400.0))
+        spec = make_workflow(1, make_step(estimate_ms=400.0))
         async with WorkflowCell(worker_count=2) as cell:
             await asyncio.sleep(1)
             await cell.submit(spec)
@@ -230,7 +232,7 @@
 
     async def test_successor_takes_over_within_the_leases(self):
         # Guards against a takeover that outlasts the workers' leases and loses work.
-        spec = spec_of(1, step_of(4, 9_000.0))
+        spec = make_workflow(1, make_step(4, 9_000.0))
         async with WorkflowCell() as cell:
             await asyncio.sleep(1)
             await cell.submit(spec)
@@ -282,7 +284,7 @@
 
     async def test_owner_cut_from_the_store_is_replaced(self):
         # Guards against two owners that both start tasks.
-        spec = spec_of(1, step_of(4, 1_000.0))
+        spec = make_workflow(1, make_step(4, 1_000.0))
         async with WorkflowCell(relays=False) as cell:
             await asyncio.sleep(1)
             owner = cell.owner_name()
@@ -304,8 +306,8 @@
         # A gang that was stored just before an outage took the room of runs that then
         # stood still until the store was back.
         whole = Resources(16_000, 1 << 20, 0)
-        filling = spec_of(1, StepSpec(6, whole, 9_000.0))
-        gang = spec_of(2, StepSpec(2, whole, 500.0, gang=True))
+        filling = make_workflow(1, StepSpec(6, whole, 9_000.0))
+        gang = make_workflow(2, StepSpec(2, whole, 500.0, gang=True))
         low = msgspec.structs.replace(filling.policy, priority=2)
         patient = msgspec.structs.replace(
             gang.policy,
@@ -335,7 +337,7 @@
             cell.table.faults.down = True
             await asyncio.sleep(2)
             begin_s = asyncio.get_running_loop().time()
-            outcome = await cell.submit(spec_of(1, step_of()))
+            outcome = await cell.submit(make_workflow(1, make_step()))
             took_s = asyncio.get_running_loop().time() - begin_s
             self.assertIs(outcome, StoreOutcome.NOT_STORED)
             self.assertLess(took_s, 0.3)
@@ -353,7 +355,7 @@
             cell.table.faults.latency_ms = 450.0
             outcomes = []
             for number in range(1, 40):
-                outcomes.append(await cell.submit(spec_of(number, step_of())))
+                outcomes.append(await cell.submit(make_workflow(number, make_step())))
                 await asyncio.sleep(0.25)
             self.assertEqual(set(outcomes), {StoreOutcome.STORED})
 
@@ -397,7 +399,7 @@
             begin_s = loop.time()
             callers, late = [], []
             for number in range(1, 50):
-                spec = spec_of(number, step_of())
+                spec = make_workflow(number, make_step())
                 callers.append(asyncio.create_task(call(cell, spec)))
                 # A look at the owners must find the store, then one try be left.
                 if loop.time() - begin_s > outage_s - patience_s + 1.5:
--- a/basilhold/workflows/tests/test_relayed_table.py
+++ b/basilhold/workflows/tests/test_relayed_table.py
@@ -36,7 +36,7 @@
 from basilhold.workflows.progress import WorkflowState
 from basilhold.workflows.relayed_table import RelayedTable
 from basilhold.workflows.shared_time import SharedTime
-from basilhold.workflows.tests.test_owner import spec_of, step_of
+from basilhold.workflows.tests.test_owner import make_step, make_workflow
 
 PUT = Transaction((Condition("a/b/c", 0),), (Write("a/b/c", b"\xff"),))
 
@@ -163,7 +163,7 @@
     """Guards against a takeover, and refused callers, where peers reach the store."""
 
     async def test_owner_that_the_store_refuses_works_on(self):
-        spec = spec_of(1, step_of(4, 500.0), step_of(2, 500.0, after=(0,)))
+        spec = make_workflow(1, make_step(4, 500.0), make_step(2, 500.0, after=(0,)))
         async with WorkflowCell() as cell:
             await asyncio.sleep(1)
             owner = cell.owner_name()
