--- a/basilhold/workflows/owner_lease.py
+++ b/basilhold/workflows/owner_lease.py
@@ -55,10 +55,13 @@
 """Delay before the first retry of a commit; it doubles with each further one."""
 
 RETRY_DELAY_MAX_MS = 400
+"""Longest delay between retries of a commit."""
+
 CLAIM_DELAY_PER_ROUND_TRIP = 15.0
 """Delay of a claim as a multiple of the round-trip time to the store."""
 
 CLAIM_DELAY_PER_OWNED_SERVICE_MS = 400.0
+"""Delay of a claim for each service that the process owns already."""
 
 _DECODER = msgspec.json.Decoder(OwnerRecord)
 
--- a/basilhold/workflows/ownership_manager.py
+++ b/basilhold/workflows/ownership_manager.py
@@ -41,9 +41,11 @@
 therefore take over. Each poll is a read of the store, which all processes share."""
 
 PROBE_ATTEMPTS = 2
-PROBE_RETRY_DELAY_MS = 100
 """A holder that does not answer is probed twice, as one reply may be lost or late."""
 
+PROBE_RETRY_DELAY_MS = 100
+"""Delay before the second probe."""
+
 RELEASE_TIMEOUT_MS = 1_500
 """How long a process that stops waits for the release of its services."""
 
@@ -187,7 +189,7 @@
             await self._tasks.cancel()
 
     def poll_now(self) -> None:
-        """Poll the owner records at once, as an owner has released its service."""
+        """Poll the owner records at once, after an owner has released its service."""
         self._wake_event.set()
 
     async def _wait_for_next_poll(self) -> None:
@@ -225,11 +227,11 @@
             raise
 
     async def _poll_owner_records(self) -> None:
-        asked_ms = self._ports.clock.monotonic_ms()
+        sent_ms = self._ports.clock.monotonic_ms()
         rows = await self._read_rows()
         now_ms = self._ports.clock.monotonic_ms()
         if rows is None:
-            self._note_store_failure(asked_ms)
+            self._note_store_failure(sent_ms)
             # Without an answer nothing is known about renewals, so the time for which a
             # record was unchanged starts anew.
             for view in self._views.values():
@@ -239,7 +241,7 @@
             return
         self._note_store_recovery(now_ms)
         self.last_store_reply_ms = now_ms
-        round_trip_ms = now_ms - asked_ms
+        round_trip_ms = now_ms - sent_ms
         # The minimum measures the distance to the store; a slow store slows down all
         # processes alike.
         self._round_trip_ms = min(self._round_trip_ms, round_trip_ms)
@@ -254,9 +256,9 @@
         for lease in self._leases.values():
             lease.member_count = self._members.count
 
-    def _note_store_failure(self, asked_ms: float) -> None:
+    def _note_store_failure(self, sent_ms: float) -> None:
         if self._store_failed_ms is None:
-            self._store_failed_ms = asked_ms
+            self._store_failed_ms = sent_ms
             log_event(events.DEPENDENCY_LOST, dependency="store")
 
     def _note_store_recovery(self, now_ms: float) -> None:
