--- a/basilhold/platform/node.py
+++ b/basilhold/platform/node.py
@@ -43,7 +43,7 @@
 from basilhold.platform.settings import PlatformSettings, read_settings
 from basilhold.platform.store import PlatformStore
 from basilhold.programs.lifecycle import Daemon, ExitCode, run_daemon
-from basilhold.workflows.advice_spread import SpreadAdvice
+from basilhold.workflows.advice_balancer import AdviceBalancer
 from basilhold.workflows.front import WorkflowFront
 from basilhold.workflows.owner import OwnerPorts
 from basilhold.workflows.ownership import SuspendAwareClock
@@ -149,7 +149,7 @@
         advice = PlatformAdvice(
             self._pool, address_of(settings.advice or settings.platform.address)
         )
-        spread = SpreadAdvice(
+        spread = AdviceBalancer(
             endpoint, advice, peers, lambda: self.stewardship.members(), region
         )
         ports = OwnerPorts(
--- a/basilhold/workflow_trials/variants.py
+++ b/basilhold/workflow_trials/variants.py
@@ -18,10 +18,10 @@
 @contextmanager
 def one_question_at_a_time() -> Iterator[None]:
     """Ask about as many workers as a gang needs, in one question after the other."""
-    module = "basilhold.workflows.questions"
+    module = "basilhold.workflows.advice_queries"
     with (
-        patch(f"{module}.QUESTIONS_MAX", 1),
-        patch(f"{module}.GANG_CHOICE", 1),
+        patch(f"{module}.OPEN_QUERIES_MAX", 1),
+        patch(f"{module}.GANG_CANDIDATES_FACTOR", 1),
     ):
         yield
 
@@ -36,7 +36,7 @@
 @contextmanager
 def no_reservations() -> Iterator[None]:
     """Keep no room for steps from one pass to the next."""
-    name = "basilhold.workflows.preemption.Reservations.set"
+    name = "basilhold.workflows.preemption.Reservations.replace"
     with patch(name, lambda reservations, step, counts: None):
         yield
 
@@ -44,28 +44,33 @@
 @contextmanager
 def urgent_work_takes_kept_room() -> Iterator[None]:
     """Let urgent work take room that is kept for less urgent steps like any other."""
-    with patch("basilhold.workflows.planner.KEPT_PENALTY", 0.0):
+    with patch("basilhold.workflows.planner.RESERVED_PENALTY", 0.0):
         yield
 
 
 @contextmanager
 def no_drain() -> Iterator[None]:
     """Keep new work on the workers that a gang waits for."""
-    with patch("basilhold.workflows.planner._Pass._drain_for", lambda *_: None):
+    with patch(
+        "basilhold.workflows.planner._PlanningPass._withhold_workers", lambda *_: None
+    ):
         yield
 
 
 @contextmanager
 def no_promises() -> Iterator[None]:
     """Renew no ticket before a worker has room."""
-    with patch("basilhold.workflows.planner._Pass._promise", lambda *_: []):
+    with patch(
+        "basilhold.workflows.planner._PlanningPass._claim_ending_capacity",
+        lambda *_: [],
+    ):
         yield
 
 
 @contextmanager
 def no_spares() -> Iterator[None]:
     """Name no more workers in a question than the step wants to use."""
-    with patch("basilhold.workflows.questions._spare_names", lambda *_: []):
+    with patch("basilhold.workflows.advice_queries._spare_worker_ids", lambda *_: []):
         yield
 
 
@@ -74,7 +79,7 @@
     """Order steps by priority and deadline alone."""
     with (
         patch("basilhold.workflows.ready_steps.LATE_RANK", 0.0),
-        patch("basilhold.workflows.ready_steps.HOPELESS_RANK", 0.0),
+        patch("basilhold.workflows.ready_steps.WORTHLESS_RANK", 0.0),
     ):
         yield
 
@@ -92,14 +97,14 @@
 @contextmanager
 def half_the_choice() -> Iterator[None]:
     """Ask about half as many workers for a gang."""
-    with patch("basilhold.workflows.questions.GANG_CHOICE", 4):
+    with patch("basilhold.workflows.advice_queries.GANG_CANDIDATES_FACTOR", 4):
         yield
 
 
 @contextmanager
 def double_the_choice() -> Iterator[None]:
     """Ask about twice as many workers for a gang."""
-    with patch("basilhold.workflows.questions.GANG_CHOICE", 16):
+    with patch("basilhold.workflows.advice_queries.GANG_CANDIDATES_FACTOR", 16):
         yield
 
 
--- a/basilhold/workflows/admissions.py
+++ b/basilhold/workflows/admissions.py
@@ -5,7 +5,7 @@
 from basilhold.core import JobId, WorkerId
 from basilhold.workflows.model import QueueName
 
-__all__ = ["AdmissionBook", "StepAdmission", "StepKey"]
+__all__ = ["AdmissionRecords", "StepAdmission", "StepKey"]
 
 TICKET_MARGIN_MS = 150.0
 """A ticket is not used this shortly before it expires, and before the time that a
@@ -36,7 +36,7 @@
     admitted, refused : set of WorkerId
     tickets : dict of WorkerId to (str, float)
         Ticket and time of the loop's clock until which it is used, in milliseconds.
-    open_questions : int
+    open_queries : int
         Questions that wait for their answer.
     unanswered : set of WorkerId
         Workers named in open questions of which nothing is known yet.
@@ -47,7 +47,7 @@
     admitted: set[WorkerId] = msgspec.field(default_factory=set)
     refused: set[WorkerId] = msgspec.field(default_factory=set)
     tickets: dict[WorkerId, tuple[str, float]] = msgspec.field(default_factory=dict)
-    open_questions: int = 0
+    open_queries: int = 0
     unanswered: set[WorkerId] = msgspec.field(default_factory=set)
     retry_ms: float = 0.0
 
@@ -58,17 +58,17 @@
 
     def may_ask(self, now_ms: float) -> bool:
         """Return whether questions may be sent: none is open or failed just now."""
-        return not self.open_questions and now_ms >= self.retry_ms
+        return not self.open_queries and now_ms >= self.retry_ms
 
-    def question_sent(self, workers: tuple[WorkerId, ...]) -> None:
+    def query_sent(self, workers: tuple[WorkerId, ...]) -> None:
         """Note that a question waits for its answer."""
-        self.open_questions += 1
+        self.open_queries += 1
         known = self.admitted | self.refused
         self.unanswered.update(w for w in workers if w not in known)
 
-    def question_closed(self, workers: tuple[WorkerId, ...]) -> None:
+    def query_closed(self, workers: tuple[WorkerId, ...]) -> None:
         """Note that a question was answered or has failed."""
-        self.open_questions -= 1
+        self.open_queries -= 1
         self.unanswered.difference_update(workers)
 
     def ticket(self, worker_id: WorkerId, now_ms: float) -> str:
@@ -77,7 +77,7 @@
         return ticket if now_ms < until_ms else ""
 
 
-class AdmissionBook:
+class AdmissionRecords:
     """Answers about all steps of a service."""
 
     def __init__(self):
@@ -89,12 +89,14 @@
         """Return which share of the workers a queue's policy admits."""
         return max(self._admitted.get(queue, ADMITTED_AT_FIRST), ADMITTED_MIN)
 
-    def note_share(self, queue: QueueName, asked: int, admitted: int) -> None:
+    def update_admitted_share(
+        self, queue: QueueName, asked: int, admitted: int
+    ) -> None:
         """Learn from an answer about workers that had not been asked about before."""
         known = self._admitted.get(queue, ADMITTED_AT_FIRST)
         self._admitted[queue] = known + ADMITTED_WEIGHT * (admitted / asked - known)
 
-    def note_commit(self, took_ms: float) -> None:
+    def update_commit_time(self, took_ms: float) -> None:
         """Learn how long an assignment takes to be stored."""
         self._commit_ms += COMMIT_WEIGHT * (took_ms - self._commit_ms)
 
@@ -128,7 +130,7 @@
         """Forget a ticket that a worker did not accept."""
         self.step(key).tickets.pop(worker_id, None)
 
-    def forget_job(self, job_id: JobId) -> None:
+    def remove_job(self, job_id: JobId) -> None:
         """Forget a workflow that has ended."""
         for key in [key for key in self._steps if key.job_id == job_id]:
             del self._steps[key]
--- a/basilhold/workflows/advice_spread.py
+++ b/basilhold/workflows/advice_balancer.py
@@ -15,7 +15,7 @@
 from basilhold.workflows.model import QueuePolicy
 from basilhold.workflows.peers import Member, PeerCalls
 
-__all__ = ["SpreadAdvice"]
+__all__ = ["AdviceBalancer"]
 
 BACKLOG_MAX_MS = 500.0
 """Questions that would wait longer for their turn are not asked yet; by then the room
@@ -42,7 +42,7 @@
 NEAR_PENALTY_MS = 3.0
 
 
-class SpreadAdvice(AdviceService):
+class AdviceBalancer(AdviceService):
     """Asks from the machine whose turn is free soonest.
 
     Parameters
--- a/basilhold/workflows/questions.py
+++ b/basilhold/workflows/advice_queries.py
@@ -13,40 +13,40 @@
 
 from basilhold.core import Resources, WorkerId
 from basilhold.workflows.admissions import StepAdmission
-from basilhold.workflows.model import WORKERS_PER_QUESTION, AdvicePolicy
+from basilhold.workflows.model import WORKERS_PER_QUERY, AdvicePolicy
 from basilhold.workflows.pool import Worker
 from basilhold.workflows.preemption import count_fitting
 from basilhold.workflows.ready_steps import ReadyStep
 
-__all__ = ["Question", "make_questions"]
+__all__ = ["AdviceQuery", "make_queries"]
 
-NAMES_MAX = 100
+QUERY_WORKERS_MAX = 100
 """Most workers that the external service takes in one question."""
 
-QUESTIONS_MAX = 5
+OPEN_QUERIES_MAX = 5
 """Most questions of one step that are open at a time."""
 
-NAMES_ANSWER_SHARE = 0.6
+SPLIT_ANSWER_FRACTION = 0.6
 """A question is divided while its names lengthen the answer by more than this share of
 the fixed part, which each further question costs again."""
 
-GANG_CHOICE = 8
+GANG_CANDIDATES_FACTOR = 8
 """Admitted workers for each one that a gang needs, among which those are chosen that
 have room or lose least by a stop."""
 
-SPARE_ANSWER_SHARE = 0.15
+SPARE_ANSWER_FRACTION = 0.15
 """How much longer an answer may take for workers beyond those that are needed. Asking
 again after a refusal takes the whole answering time."""
 
 
-class Question(msgspec.Struct):
+class AdviceQuery(msgspec.Struct):
     """A step and the workers that the external service is asked about."""
 
     step: ReadyStep
     workers: tuple[WorkerId, ...]
 
 
-def make_questions(
+def make_queries(
     step: ReadyStep,
     workers: list[Worker],
     spares: list[Worker],
@@ -54,7 +54,7 @@
     known: StepAdmission,
     admitted_share: float,
     now_ms: float,
-) -> list[Question]:
+) -> list[AdviceQuery]:
     """Return the questions to send now; none if all workers have tickets that last.
 
     Parameters
@@ -88,9 +88,9 @@
         for w in spares
         if w.worker_id not in named and not known.ticket(w.worker_id, now_ms)
     ]
-    names += _spare_names(step, others, room_of, known)
+    names += _spare_worker_ids(step, others, room_of, known)
     most = _name_count(step, unticketed, slots, admitted_share)
-    return [Question(step, part) for part in _divide(names[:most], policy)]
+    return [AdviceQuery(step, part) for part in _divide(names[:most], policy)]
 
 
 def _divide(names: list[WorkerId], policy: AdvicePolicy) -> list[tuple[WorkerId, ...]]:
@@ -104,11 +104,11 @@
     >>> [len(part) for part in _divide(["w1", "w2"], policy)]
     [2]
     """
-    part_size = NAMES_MAX
+    part_size = QUERY_WORKERS_MAX
     if policy.each_ms > 0:
-        part_size = int(NAMES_ANSWER_SHARE * policy.decide_ms / policy.each_ms)
-    part_size = min(max(part_size, WORKERS_PER_QUESTION), NAMES_MAX)
-    count = min(math.ceil(len(names) / part_size), QUESTIONS_MAX)
+        part_size = int(SPLIT_ANSWER_FRACTION * policy.decide_ms / policy.each_ms)
+    part_size = min(max(part_size, WORKERS_PER_QUERY), QUERY_WORKERS_MAX)
+    count = min(math.ceil(len(names) / part_size), OPEN_QUERIES_MAX)
     size = math.ceil(len(names) / count)
     return [tuple(names[i : i + size]) for i in range(0, len(names), size)]
 
@@ -143,13 +143,13 @@
         missing -= fitting
         count += fitting > 0
     if step.spec.gang:
-        wanted = math.ceil(GANG_CHOICE * count / admitted_share)
-        return min(max(wanted, WORKERS_PER_QUESTION), QUESTIONS_MAX * NAMES_MAX)
+        wanted = math.ceil(GANG_CANDIDATES_FACTOR * count / admitted_share)
+        return min(max(wanted, WORKERS_PER_QUERY), OPEN_QUERIES_MAX * QUERY_WORKERS_MAX)
     wanted = math.ceil(count / admitted_share)
-    return min(max(wanted, WORKERS_PER_QUESTION), NAMES_MAX)
+    return min(max(wanted, WORKERS_PER_QUERY), QUERY_WORKERS_MAX)
 
 
-def _spare_names(
+def _spare_worker_ids(
     step: ReadyStep,
     workers: list[Worker],
     room_of: Callable[[Worker], Resources],
@@ -160,9 +160,9 @@
     Which workers are admitted does not change, so those without room come last.
     """
     policy = step.workflow.spec.policy.advice
-    most = WORKERS_PER_QUESTION
+    most = WORKERS_PER_QUERY
     if policy.each_ms > 0:
-        share_ms = SPARE_ANSWER_SHARE * policy.decide_ms
+        share_ms = SPARE_ANSWER_FRACTION * policy.decide_ms
         most = min(most, int(share_ms / policy.each_ms))
     size = step.spec.reserved()
     ranked = sorted(
--- a/basilhold/workflows/backlog.py
+++ b/basilhold/workflows/backlog.py
@@ -5,7 +5,7 @@
 from basilhold.core import JobId
 from basilhold.workflows.model import TaskKey
 from basilhold.workflows.progress import Workflow
-from basilhold.workflows.ready_steps import ReadyStep, ready_step
+from basilhold.workflows.ready_steps import ReadyStep, make_ready_step
 from basilhold.workflows.shared_time import Instant
 
 __all__ = ["Backlog"]
@@ -34,19 +34,19 @@
         self._active.pop(workflow.job_id, None)
         self._waiting.pop(workflow.job_id, None)
 
-    def taken(self, workflow: Workflow, key: TaskKey) -> None:
+    def mark_assigned(self, workflow: Workflow, key: TaskKey) -> None:
         """Note that a task was assigned."""
         waiting = self._waiting.get(workflow.job_id)
         if waiting is not None:
             waiting[key.occurrence, key.step].discard(key.index)
 
-    def returned(self, workflow: Workflow, key: TaskKey) -> None:
+    def mark_waiting(self, workflow: Workflow, key: TaskKey) -> None:
         """Note that a task waits again."""
         waiting = self._waiting.get(workflow.job_id)
         if waiting is not None:
             waiting[key.occurrence, key.step].add(key.index)
 
-    def active(self) -> Iterable[Workflow]:
+    def active_workflows(self) -> Iterable[Workflow]:
         """Return the workflows that have not ended."""
         return self._active.values()
 
@@ -54,7 +54,7 @@
         """Return whether any task waits, ready or not."""
         return any(any(steps.values()) for steps in self._waiting.values())
 
-    def ready(self, instant: Instant) -> list[ReadyStep]:
+    def ready_steps(self, instant: Instant) -> list[ReadyStep]:
         """Return the steps that have waiting tasks and may run now.
 
         A gang is ready only while none of its tasks is assigned.
@@ -69,7 +69,7 @@
                     continue
                 keys = [TaskKey(occurrence, number, i) for i in sorted(indexes)]
                 steps.append(
-                    ready_step(
+                    make_ready_step(
                         workflow, occurrence, number, keys, instant.unix_offset_ms
                     )
                 )
--- a/basilhold/workflows/commits.py
+++ b/basilhold/workflows/commits.py
@@ -141,7 +141,9 @@
         unstored = {key.job_id for key in self._dirty}
         starts = [p for p in self._starts if p.step.workflow.job_id not in unstored]
         self._starts = [p for p in self._starts if p.step.workflow.job_id in unstored]
-        ends = {link: link.worker.processed for link in self._state.links.values()}
+        ends = {
+            link: link.worker.processed_sequence for link in self._state.links.values()
+        }
         begin_ms = self._sent_ms = self._state.clock.monotonic_ms()
         outcome = await self._state.lease.commit(batch.writes)
         self._sent_ms = None
@@ -149,7 +151,7 @@
             raise LeaseLostError("a commit found another owner")
         took_ms = self._state.clock.monotonic_ms() - begin_ms
         self._state.observe("basilhold_workflow_commit_seconds", took_ms)
-        self._state.book.note_commit(took_ms)
+        self._state.admissions.update_commit_time(took_ms)
         self._state.visible.update(batch.states)
         for placement in starts:
             self._send_start(placement)
--- a/basilhold/workflows/evacuation.py
+++ b/basilhold/workflows/evacuation.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from basilhold.core import Resources, WorkerId
-from basilhold.workflows.admissions import AdmissionBook, StepKey
+from basilhold.workflows.admissions import AdmissionRecords, StepKey
 from basilhold.workflows.pool import Pool, Run, RunStage, Worker
 
 __all__ = ["Evacuation", "find_evacuations"]
@@ -38,22 +38,22 @@
 
 
 def find_evacuations(
-    pool: Pool, book: AdmissionBook, now_ms: float
+    pool: Pool, book: AdmissionRecords, now_ms: float
 ) -> list[Evacuation]:
     """Return the long-running tasks on draining workers for which others have room.
 
     Parameters
     ----------
     pool : Pool
-    book : AdmissionBook
+    book : AdmissionRecords
     now_ms : float
         Time of the loop's clock, in milliseconds.
     """
     found: list[Evacuation] = []
     taken: dict[WorkerId, Resources] = {}
-    usable = pool.usable(now_ms)
+    usable = pool.accepting_workers(now_ms)
     for worker in pool.workers.values():
-        if not worker.info.draining or worker.gone:
+        if not worker.info.draining or worker.unregistered:
             continue
         if not worker.draining_since_ms:
             worker.draining_since_ms = now_ms
--- a/basilhold/workflows/model.py
+++ b/basilhold/workflows/model.py
@@ -18,7 +18,7 @@
     "task_name",
 ]
 
-WORKERS_PER_QUESTION = 30
+WORKERS_PER_QUERY = 30
 """Workers named in the question that an objective allows for each step."""
 
 QueueName = NewType("QueueName", str)
@@ -209,7 +209,7 @@
 def _chain_ms(spec: WorkflowSpec) -> float:
     """Return the longest chain of estimates, with a question about each step."""
     advice = spec.policy.advice
-    advice_ms = advice.answer_ms(WORKERS_PER_QUESTION) if advice else 0.0
+    advice_ms = advice.answer_ms(WORKERS_PER_QUERY) if advice else 0.0
     ends: list[float] = []
     for number, step in enumerate(spec.steps):
         start_ms = max((ends[i] for i in step.after if i < number), default=0.0)
--- a/basilhold/workflows/orders.py
+++ b/basilhold/workflows/orders.py
@@ -9,7 +9,7 @@
 from basilhold.workflows.commits import Committer
 from basilhold.workflows.model import StepSpec, TaskKey, task_name
 from basilhold.workflows.owner_state import LeaseLostError, OwnerState
-from basilhold.workflows.pacing import PaceChange, pace_changes
+from basilhold.workflows.pacing import PaceChange, find_pace_changes
 from basilhold.workflows.planner import Placement
 from basilhold.workflows.pool import Run, RunKey, RunStage, Worker
 from basilhold.workflows.progress import EndKind, RunEnd, TaskStage, Workflow
@@ -51,7 +51,7 @@
             self._release(worker, run)
             return
         link = self._state.links.get(worker.worker_id)
-        if not self._state.lease.is_valid() or link is None or worker.gone:
+        if not self._state.lease.is_valid() or link is None or worker.unregistered:
             self._release(worker, run)
             return
         now_ms = self._state.clock.monotonic_ms()
@@ -96,7 +96,7 @@
             self._stop_gang(run.key, _is_gang(run), run)
             return
         if outcome is CallOutcome.BAD_TICKET:
-            self._state.book.drop_ticket(placement.step.key, worker.worker_id)
+            self._state.admissions.drop_ticket(placement.step.key, worker.worker_id)
         elif outcome in (CallOutcome.UNAVAILABLE, CallOutcome.NO_ROOM):
             worker.avoid_until_ms = self._state.clock.monotonic_ms() + REFUSED_AVOID_MS
         self._release(worker, run)
@@ -116,7 +116,7 @@
         for other, task in workflow.assigned():
             if not _same_step(other, key.task):
                 continue
-            run = self._state.pool.run_of(task.worker_id, RunKey(key.job_id, other))
+            run = self._state.pool.find_run(task.worker_id, RunKey(key.job_id, other))
             if run is not None and run is not but and not run.stop_wanted:
                 self.stop(self._state.pool.workers[task.worker_id], run)
 
@@ -148,7 +148,7 @@
                     run.confirmed_ms = self._state.clock.monotonic_ms()
                     self.refresh(worker)
                     return
-                if outcome is CallOutcome.ABSENT or worker.gone:
+                if outcome is CallOutcome.ABSENT or worker.unregistered:
                     return
                 await asyncio.sleep(STOP_RETRY_MS / 1000)
         finally:
@@ -156,7 +156,7 @@
 
     def adjust_pace(self, worker: Worker) -> None:
         """Slow or speed up work on spare cores, by what serving tasks show."""
-        for change in pace_changes(worker):
+        for change in find_pace_changes(worker):
             self._state.start(self._pace(worker, change))
 
     async def _pace(self, worker: Worker, change: PaceChange) -> None:
@@ -218,7 +218,7 @@
         if workflow.state.is_final and not was_final:
             self.end_workflow(workflow)
         elif workflow.task(key.task).stage is TaskStage.PENDING:
-            self._state.backlog.returned(workflow, key.task)
+            self._state.backlog.mark_waiting(workflow, key.task)
             if end.kind is not EndKind.DONE:
                 self._stop_gang(key, step.gang, None)
         self.committer.mark(workflow)
@@ -231,10 +231,12 @@
         now_ms = self._state.clock.monotonic_ms()
         if run is not None and end.kind is EndKind.DONE and run.confirmed_ms:
             step_key = StepKey(key.job_id, key.task.occurrence, key.task.step)
-            self._state.times.record(step_key, step, worker, now_ms - run.started_ms)
+            self._state.run_times.record(
+                step_key, step, worker, now_ms - run.started_ms
+            )
         if end.kind in (EndKind.DONE, EndKind.FAILED):
             failed = end.kind is EndKind.FAILED
-            if worker.note_end(failed, now_ms, AVOID_MS):
+            if worker.record_outcome(failed, now_ms, AVOID_MS):
                 log_event(
                     events.WORKER_AVOIDED,
                     worker=worker.worker_id,
@@ -244,11 +246,13 @@
     def end_workflow(self, workflow: Workflow) -> None:
         """Stop what still runs of a workflow that has ended."""
         self._state.backlog.remove(workflow)
-        self._state.book.forget_job(workflow.job_id)
-        self._state.reservations.forget_job(workflow.job_id)
-        self._state.times.forget_job(workflow.job_id)
+        self._state.admissions.remove_job(workflow.job_id)
+        self._state.reservations.remove_job(workflow.job_id)
+        self._state.run_times.remove_job(workflow.job_id)
         for key, task in workflow.assigned():
-            run = self._state.pool.run_of(task.worker_id, RunKey(workflow.job_id, key))
+            run = self._state.pool.find_run(
+                task.worker_id, RunKey(workflow.job_id, key)
+            )
             if run is not None:
                 self.stop(self._state.pool.workers[task.worker_id], run)
         self.committer.mark(workflow)
--- a/basilhold/workflows/owner.py
+++ b/basilhold/workflows/owner.py
@@ -14,9 +14,10 @@
 from basilhold.ports import Row
 from basilhold.workflows import events
 from basilhold.workflows.admissions import StepKey
+from basilhold.workflows.advice_queries import AdviceQuery
 from basilhold.workflows.evacuation import find_evacuations
 from basilhold.workflows.model import (
-    WORKERS_PER_QUESTION,
+    WORKERS_PER_QUERY,
     QueueName,
     WorkflowSpec,
     task_name,
@@ -27,8 +28,7 @@
 from basilhold.workflows.planner import Placement, Plan, plan
 from basilhold.workflows.pool import Pool, Run, RunKey, Worker
 from basilhold.workflows.progress import Workflow, WorkflowState
-from basilhold.workflows.questions import Question
-from basilhold.workflows.ready_steps import ready_step
+from basilhold.workflows.ready_steps import make_ready_step
 from basilhold.workflows.recovery import load_workflows, place_assigned
 from basilhold.workflows.roster import Roster
 from basilhold.workflows.rows import jobs_prefix, parse_jobs_key
@@ -101,7 +101,7 @@
         """Return the number of a queue's workflows of which no task has started."""
         return sum(
             1
-            for workflow in self._state.backlog.active()
+            for workflow in self._state.backlog.active_workflows()
             if workflow.spec.policy.name == queue and not workflow.has_started()
         )
 
@@ -152,7 +152,7 @@
             "runs": sum(len(w.runs) for w in workers),
             "free_cores_milli": sum(w.free.cores_milli for w in workers),
             "workflows": len(state.workflows),
-            "active_workflows": sum(1 for _ in state.backlog.active()),
+            "active_workflows": sum(1 for _ in state.backlog.active_workflows()),
         }
 
     # The owner's life.
@@ -210,8 +210,8 @@
             self.cancel(job_id)
         for worker in self._state.pool.workers.values():
             # The last owner may have renewed the worker's lease until its own ended.
-            worker.held_until_ms = now_ms + VALID_MS + self._state.limits.lapse_ms()
-            worker.gone = True
+            worker.lease_expires_ms = now_ms + VALID_MS + self._state.limits.lapse_ms()
+            worker.unregistered = True
         await self._roster.read()
         self.loaded = True
         log_event(
@@ -242,24 +242,24 @@
     def _plan(self) -> Plan:
         now_ms = self._state.clock.monotonic_ms()
         instant = self._state.time.read()
-        steps = self._state.backlog.ready(instant)
+        steps = self._state.backlog.ready_steps(instant)
         state = self._state
         return plan(
             steps,
             state.pool,
-            state.book,
+            state.admissions,
             state.reservations,
             now_ms,
             instant.now_ms,
             state.limits.stop_ms,
             # A stop frees room that nothing can start in before the next commit.
-            may_stop=not self._committer.is_stalled(),
+            may_preempt=not self._committer.is_stalled(),
         )
 
     def _apply_plan(self, decided: Plan) -> None:
         for placement in decided.placements:
             self._assign(placement)
-        for question in decided.questions:
+        for question in decided.queries:
             self._begin_question(question)
         for preemption in decided.preemptions:
             run = preemption.run
@@ -276,7 +276,7 @@
         workflow, worker = placement.step.workflow, placement.worker
         run = worker.runs[RunKey(workflow.job_id, placement.key)]
         workflow.assign(placement.key, run.number, worker.worker_id)
-        self._state.backlog.taken(workflow, placement.key)
+        self._state.backlog.mark_assigned(workflow, placement.key)
         self._committer.start_after_commit(placement)
         queued_ms = self._state.time.now_ms() - workflow.spec.submitted_ms
         self._state.observe("basilhold_workflow_start_wait_seconds", queued_ms)
@@ -289,18 +289,18 @@
             queued_ms=round(queued_ms),
         )
 
-    def _begin_question(self, question: Question) -> None:
+    def _begin_question(self, question: AdviceQuery) -> None:
         step = question.step
         policy = step.workflow.spec.policy
         if not self._state.ports.advice.is_available(policy, len(question.workers)):
             # The next pass asks again, in the order of that moment.
             return
-        self._state.book.step(step.key).question_sent(question.workers)
+        self._state.admissions.step(step.key).query_sent(question.workers)
         self._state.start(self._ask(question))
 
-    async def _ask(self, question: Question) -> None:
+    async def _ask(self, question: AdviceQuery) -> None:
         step = question.step
-        known = self._state.book.step(step.key)
+        known = self._state.admissions.step(step.key)
         asked_ms = self._state.clock.monotonic_ms()
         policy = step.workflow.spec.policy
         try:
@@ -312,7 +312,7 @@
                 policy,
             )
         finally:
-            known.question_closed(question.workers)
+            known.query_closed(question.workers)
         now_ms = self._state.clock.monotonic_ms()
         self._state.observe("basilhold_workflow_advice_seconds", now_ms - asked_ms)
         if answer.is_error():
@@ -328,8 +328,10 @@
             answered = known.admitted | known.refused
             if answered.isdisjoint(question.workers):
                 asked, admitted = len(question.workers), len(tickets)
-                self._state.book.note_share(policy.name, asked, admitted)
-            self._state.book.record(
+                self._state.admissions.update_admitted_share(
+                    policy.name, asked, admitted
+                )
+            self._state.admissions.record(
                 step.key, question.workers, tickets, policy.advice.valid_ms, now_ms
             )
             log_event(
@@ -389,7 +391,7 @@
                 self._state.plan_event.set()
 
     def _stop_stragglers(self, now_ms: float) -> None:
-        found, slow = find_stragglers(self._state.pool, self._state.times, now_ms)
+        found, slow = find_stragglers(self._state.pool, self._state.run_times, now_ms)
         for worker_id in slow:
             worker = self._state.pool.workers[worker_id]
             worker.avoid_until_ms = max(worker.avoid_until_ms, now_ms + AVOID_MS)
@@ -397,7 +399,7 @@
             run = straggler.run
             key = run.key.task
             step_key = StepKey(run.key.job_id, key.occurrence, key.step)
-            if self._state.times.note_restart(step_key, key.index):
+            if self._state.run_times.count_restart(step_key, key.index):
                 log_event(
                     events.RUN_OVERDUE,
                     task=task_name(run.key.job_id, key),
@@ -413,7 +415,7 @@
         state = self._state
         if not state.lease.is_valid():
             return
-        for evacuation in find_evacuations(state.pool, state.book, now_ms):
+        for evacuation in find_evacuations(state.pool, state.admissions, now_ms):
             run, worker = evacuation.run, evacuation.worker
             workflow = state.workflows.get(run.key.job_id)
             if workflow is None:
@@ -428,11 +430,11 @@
                 self._orders.stop(worker, run)
                 continue
             key = run.key.task
-            step = ready_step(workflow, key.occurrence, key.step, [key])
-            if state.book.step(step.key).may_ask(now_ms):
+            step = make_ready_step(workflow, key.occurrence, key.step, [key])
+            if state.admissions.step(step.key).may_ask(now_ms):
                 names = [w.worker_id for w in evacuation.targets]
-                names = names[:WORKERS_PER_QUESTION]
-                self._begin_question(Question(step, tuple(names)))
+                names = names[:WORKERS_PER_QUERY]
+                self._begin_question(AdviceQuery(step, tuple(names)))
 
     def _avoid_for_task(self, run: Run, worker: Worker) -> None:
         """Let a task's next run start elsewhere if another worker can run it."""
--- a/basilhold/workflows/owner_state.py
+++ b/basilhold/workflows/owner_state.py
@@ -10,7 +10,7 @@
 from basilhold.observability import Metrics, metric
 from basilhold.ports import ChangeFeed, TableService
 from basilhold.ports.runners import AdviceService, Registry, TaskRunners
-from basilhold.workflows.admissions import AdmissionBook
+from basilhold.workflows.admissions import AdmissionRecords
 from basilhold.workflows.backlog import Backlog
 from basilhold.workflows.ownership import Lease
 from basilhold.workflows.pool import Pool
@@ -60,9 +60,9 @@
         self.workflows: dict[JobId, Workflow] = {}
         self.visible: dict[JobId, WorkflowState] = {}
         self.backlog = Backlog()
-        self.book = AdmissionBook()
+        self.admissions = AdmissionRecords()
         self.reservations = Reservations()
-        self.times = RunTimes()
+        self.run_times = RunTimes()
         self.pool = Pool()
         self.links: dict[WorkerId, WorkerLink] = {}
         self.plan_event = asyncio.Event()
--- a/basilhold/workflows/pacing.py
+++ b/basilhold/workflows/pacing.py
@@ -8,7 +8,7 @@
 
 from basilhold.workflows.pool import Run, RunStage, Worker
 
-__all__ = ["PaceChange", "pace_changes"]
+__all__ = ["PaceChange", "find_pace_changes"]
 
 SLOW_DOWN_FACTOR = 0.5
 STOP_BELOW_PERCENT = 30
@@ -27,14 +27,14 @@
     percent: int
 
 
-def pace_changes(worker: Worker) -> list[PaceChange]:
+def find_pace_changes(worker: Worker) -> list[PaceChange]:
     """Return the runs of a worker whose pace should change.
 
     Examples
     --------
     >>> from basilhold.core import Resources
     >>> from basilhold.workflows.pool import WorkerInfo
-    >>> pace_changes(Worker(WorkerInfo("w", "h:1", 1, Resources())))
+    >>> find_pace_changes(Worker(WorkerInfo("w", "h:1", 1, Resources())))
     []
     """
     runs = [run for run in worker.runs.values() if run.stage is RunStage.RUNNING]
--- a/basilhold/workflows/planner.py
+++ b/basilhold/workflows/planner.py
@@ -11,40 +11,40 @@
 import msgspec
 
 from basilhold.core import Resources, WorkerId
-from basilhold.workflows.admissions import AdmissionBook, StepAdmission, StepKey
+from basilhold.workflows.admissions import AdmissionRecords, StepAdmission, StepKey
+from basilhold.workflows.advice_queries import AdviceQuery, make_queries
 from basilhold.workflows.model import (
-    WORKERS_PER_QUESTION,
+    WORKERS_PER_QUERY,
     AdvicePolicy,
     StepSpec,
     TaskKey,
 )
 from basilhold.workflows.pool import Pool, Run, RunKey, Worker
 from basilhold.workflows.preemption import (
-    Offer,
     Preemption,
+    PreemptionOption,
     Reservations,
-    choose_offers,
+    choose_options,
     count_fitting,
-    find_offer,
+    find_option,
 )
-from basilhold.workflows.questions import Question, make_questions
 from basilhold.workflows.ready_steps import START_BY_TOLERANCE_MS, ReadyStep, rank
 
 __all__ = ["Placement", "Plan", "plan"]
 
-FAR_PENALTY = 2.0
+OTHER_RACK_PENALTY = 2.0
 """Score of a worker away from the step's data, above any packing score."""
 
-KEPT_PENALTY = 1.0
+RESERVED_PENALTY = 1.0
 """Score of a worker whose room is kept for a less urgent step, above any packing
 score: runs were stopped to make it, and would be stopped elsewhere again."""
 
 START_OVERHEAD_MS = 400.0
 """After a stop, a start takes a look at the worker, a commit and a round trip."""
 
-SOON_MARGIN_MS = 300.0
+ENDING_MARGIN_MS = 300.0
 
-EARLY_END_SHARE = 0.6
+EARLY_END_FRACTION = 0.6
 """Estimates are off by up to nine tenths; a step whose turn is next asks again from
 this share of the estimate on."""
 
@@ -66,19 +66,19 @@
     """Outcome of one pass."""
 
     placements: list[Placement]
-    questions: list[Question]
+    queries: list[AdviceQuery]
     preemptions: list[Preemption]
 
 
 def plan(
     steps: list[ReadyStep],
     pool: Pool,
-    book: AdmissionBook,
+    book: AdmissionRecords,
     reservations: Reservations,
     now_ms: float,
     shared_ms: float,
     stop_ms: float,
-    may_stop: bool = True,
+    may_preempt: bool = True,
 ) -> Plan:
     """Place waiting tasks; the placements are reserved in the pool.
 
@@ -86,7 +86,7 @@
     ----------
     steps : list of ReadyStep
     pool : Pool
-    book : AdmissionBook
+    book : AdmissionRecords
     reservations : Reservations
         Room that earlier passes have kept for steps; updated.
     now_ms, shared_ms : float
@@ -100,19 +100,21 @@
     -------
     Plan
     """
-    planner = _Pass(pool, book, reservations, now_ms, shared_ms, stop_ms, may_stop)
+    planner = _PlanningPass(
+        pool, book, reservations, now_ms, shared_ms, stop_ms, may_preempt
+    )
     for step in sorted(steps, key=lambda s: (rank(s, shared_ms), s.start_by_ms)):
         planner.place(step)
     return planner.result
 
 
-class _Pass:
+class _PlanningPass:
     """One pass over the waiting steps."""
 
     def __init__(
         self,
         pool: Pool,
-        book: AdmissionBook,
+        book: AdmissionRecords,
         reservations: Reservations,
         now_ms: float,
         shared_ms: float,
@@ -125,7 +127,7 @@
         self._now_ms = now_ms
         self._shared_ms = shared_ms
         self._stop_ms = stop_ms
-        self._usable = pool.usable(now_ms)
+        self._usable = pool.accepting_workers(now_ms)
         self._claimed: dict[WorkerId, Resources] = {}
         self._asked: dict[WorkerId, Resources] = {}
         self._promised: dict[WorkerId, Resources] = {}
@@ -138,7 +140,7 @@
         """Place what fits of a step, ask about it, and claim room for the rest."""
         self._place(step)
         if not step.keys:
-            self._reservations.drop(step.key)
+            self._reservations.release(step.key)
         self._settled.add(step.key)
 
     def _place(self, step: ReadyStep) -> None:
@@ -215,11 +217,11 @@
                 continue
             score = _packing_score(worker, spec, step.priority == 0)
             if self._takes_kept_room(step, worker):
-                score += KEPT_PENALTY
+                score += RESERVED_PENALTY
             if spec.rack and worker.info.rack != spec.rack:
-                score += FAR_PENALTY
+                score += OTHER_RACK_PENALTY
             if worker.worker_id in avoided:
-                score += 2 * FAR_PENALTY
+                score += 2 * OTHER_RACK_PENALTY
             if best is None or score < best_score:
                 best, best_score = worker, score
         return best
@@ -229,7 +231,9 @@
         claimed = self._claimed.get(worker.worker_id)
         if claimed:
             room = room - claimed
-        kept = self._reservations.kept_from(step, worker.worker_id, self._settled)
+        kept = self._reservations.reserved_for_others(
+            step, worker.worker_id, self._settled
+        )
         if kept:
             room = room - kept
         for priority, size in self._drained.get(worker.worker_id, ()):
@@ -239,7 +243,7 @@
 
     def _takes_kept_room(self, step: ReadyStep, worker: Worker) -> bool:
         """Return whether a task would take room that less urgent steps wait for."""
-        kept = self._reservations.kept_for_later(step, worker.worker_id)
+        kept = self._reservations.reserved_for_lower_priority(step, worker.worker_id)
         if kept is None:
             return False
         return not step.spec.reserved().fits_in(self._room(worker, step) - kept)
@@ -262,7 +266,7 @@
         """Ask about workers, and about some spare ones in case those are refused."""
         if not workers or not known.may_ask(self._now_ms):
             return
-        self.result.questions += make_questions(
+        self.result.queries += make_queries(
             step,
             workers,
             spares or [],
@@ -298,17 +302,17 @@
         own: dict[WorkerId, Resources] = {}
         may_preempt = self._may_preempt(step, known)
         if enough and step.spec.gang:
-            self._reservations.set(step, free)
+            self._reservations.replace(step, free)
         elif not enough and may_preempt:
             # A stop on a worker that is then refused would free room for nobody.
             own = self._preempt(step, first if known else workers, free, needed)
         elif self._stops_allowed:
-            self._reservations.drop(step.key)
+            self._reservations.release(step.key)
         if usable:
             return [w for w in workers if w.worker_id in free]
         if not known:
             return []
-        promised = self._promise(step, first + others, own)
+        promised = self._claim_ending_capacity(step, first + others, own)
         if promised or self._is_enough_if_empty(step, first):
             return promised
         return others if may_preempt else []
@@ -336,7 +340,7 @@
                 return True
         return False
 
-    def _promise(
+    def _claim_ending_capacity(
         self, step: ReadyStep, workers: list[Worker], own: dict[WorkerId, Resources]
     ) -> list[Worker]:
         """Return workers that will have room for a step when an answer arrives.
@@ -380,8 +384,8 @@
         known = self._ending_rooms.setdefault(advice, {})
         ending = known.get(worker.worker_id)
         if ending is None:
-            answer_ms = advice.answer_ms(WORKERS_PER_QUESTION)
-            horizon_ms = self._now_ms + answer_ms + SOON_MARGIN_MS
+            answer_ms = advice.answer_ms(WORKERS_PER_QUERY)
+            horizon_ms = self._now_ms + answer_ms + ENDING_MARGIN_MS
             ending = Resources()
             for run in worker.runs.values():
                 if run.stop_wanted or _early_end_ms(run, worker) <= horizon_ms:
@@ -409,7 +413,7 @@
                 score = _packing_score(worker, step.spec)
                 second = (
                     worker.worker_id in avoided,
-                    not self._reservations.is_kept(step, worker.worker_id),
+                    not self._reservations.includes(step, worker.worker_id),
                 )
                 roomy.append((second, score, worker, room))
         roomy.sort(key=lambda entry: entry[:2])
@@ -454,15 +458,15 @@
         """
         missing = needed if step.spec.gang else needed - sum(free.values())
         offers = [self._offer(step, worker, missing) for worker in workers]
-        chosen = choose_offers(
+        chosen = choose_options(
             step,
             (offer for offer in offers if offer is not None),
             missing,
             self._reservations,
         )
         if step.spec.gang and sum(offer.task_count for offer in chosen) < missing:
-            self._reservations.drop(step.key)
-            self._drain_for(step, workers)
+            self._reservations.release(step.key)
+            self._withhold_workers(step, workers)
             return {}
         size = step.spec.reserved()
         own: dict[WorkerId, Resources] = {}
@@ -482,10 +486,10 @@
             for run in offer.victims:
                 run.stop_wanted = True
                 self.result.preemptions.append(Preemption(offer.worker, run, step))
-        self._reservations.set(step, kept)
+        self._reservations.replace(step, kept)
         return own
 
-    def _drain_for(self, step: ReadyStep, workers: list[Worker]) -> None:
+    def _withhold_workers(self, step: ReadyStep, workers: list[Worker]) -> None:
         """Keep new work of lower priority off the workers that a gang will get.
 
         Work of the same priority may still use them: one gang that waits for a whole
@@ -505,18 +509,20 @@
                 drained.append((step.priority, size.scaled(count)))
                 missing -= count
 
-    def _offer(self, step: ReadyStep, worker: Worker, most: int) -> Offer | None:
+    def _offer(
+        self, step: ReadyStep, worker: Worker, most: int
+    ) -> PreemptionOption | None:
         """Return what a worker can offer once some of its runs have stopped."""
         most = min(most, self._left_on(step, worker))
-        return find_offer(step, worker, self._room(worker, step), most, self._now_ms)
+        return find_option(step, worker, self._room(worker, step), most, self._now_ms)
 
 
 def _early_end_ms(run: Run, worker: Worker) -> float:
     """Return when a run may have ended, by a rough estimate."""
     if run.step is None or run.step.long_running:
         return math.inf
-    expected_ms = run.step.estimate_ms * worker.work_ratio
-    return run.started_ms + EARLY_END_SHARE * expected_ms
+    expected_ms = run.step.estimate_ms * worker.run_time_ratio
+    return run.started_ms + EARLY_END_FRACTION * expected_ms
 
 
 def _make_run(step: ReadyStep, key: TaskKey, now_ms: float) -> Run:
@@ -546,4 +552,4 @@
     if capacity.gpus_milli and not step.size.gpus_milli:
         score += 0.5
     weight = URGENT_SPEED_WEIGHT if urgent else SPEED_WEIGHT
-    return 0.5 * score + weight * worker.work_ratio
+    return 0.5 * score + weight * worker.run_time_ratio
--- a/basilhold/workflows/pool.py
+++ b/basilhold/workflows/pool.py
@@ -22,9 +22,9 @@
     "RunStage",
     "Worker",
     "WorkerInfo",
-    "carry_over",
+    "transfer_runs",
     "reconcile",
-    "remove_lost",
+    "remove_lost_runs",
 ]
 
 FAILED_RUNS_MAX = 3
@@ -182,15 +182,15 @@
         self.runs: dict[RunKey, Run] = {}
         self.free = info.capacity
         self.listed = False
-        self.gone = False
+        self.unregistered = False
         self.listed_ms = 0.0
         self.clock_ms = 0.0
-        self.held_until_ms = 0.0
-        self.acknowledged = 0
-        self.processed = 0
+        self.lease_expires_ms = 0.0
+        self.acknowledged_sequence = 0
+        self.processed_sequence = 0
         self.failed_runs = 0
         self.avoid_until_ms = 0.0
-        self.work_ratio = 1.0
+        self.run_time_ratio = 1.0
         self.draining_since_ms = 0.0
 
     def clock_at(self, now_ms: float) -> float:
@@ -209,9 +209,9 @@
             self.free = self.free + run.reserved
         return run
 
-    def takes_work(self, now_ms: float) -> bool:
+    def accepts_runs(self, now_ms: float) -> bool:
         """Return whether new runs may be placed here."""
-        if not self.listed or self.gone or self.info.draining:
+        if not self.listed or self.unregistered or self.info.draining:
             return False
         if now_ms < self.avoid_until_ms:
             return False
@@ -238,7 +238,7 @@
             and key.task.occurrence == occurrence
         )
 
-    def note_end(self, failed: bool, now_ms: float, avoid_ms: float) -> bool:
+    def record_outcome(self, failed: bool, now_ms: float, avoid_ms: float) -> bool:
         """Count the outcome of a run; return whether the worker becomes avoided."""
         if not failed:
             self.failed_runs = 0
@@ -257,11 +257,11 @@
     def __init__(self):
         self.workers: dict[WorkerId, Worker] = {}
 
-    def usable(self, now_ms: float) -> list[Worker]:
+    def accepting_workers(self, now_ms: float) -> list[Worker]:
         """Return the workers that take new runs."""
-        return [w for w in self.workers.values() if w.takes_work(now_ms)]
+        return [w for w in self.workers.values() if w.accepts_runs(now_ms)]
 
-    def run_of(self, worker_id: WorkerId, key: RunKey) -> Run | None:
+    def find_run(self, worker_id: WorkerId, key: RunKey) -> Run | None:
         """Return a task's run on a worker."""
         worker = self.workers.get(worker_id)
         return worker.runs.get(key) if worker else None
@@ -313,11 +313,11 @@
     listed_keys = set()
     for listed in listing.running:
         listed_keys.add(listed.key)
-        _note_running(worker, listed, now_ms, result)
+        _apply_listed_run(worker, listed, now_ms, result)
     for ended in listing.ended:
-        if ended.sequence <= worker.processed:
+        if ended.sequence <= worker.processed_sequence:
             continue
-        worker.processed = ended.sequence
+        worker.processed_sequence = ended.sequence
         run = worker.runs.get(ended.key)
         if run is not None and run.number <= ended.end.run:
             worker.remove(ended.key)
@@ -325,14 +325,14 @@
         same = run is not None and run.number == ended.end.run
         result.ends.append(EndedRun(ended.key, ended.end, run if same else None))
     for key, run in list(worker.runs.items()):
-        if key not in listed_keys and _is_absent(run, listing, asked_ms):
+        if key not in listed_keys and _is_lost(run, listing, asked_ms):
             worker.remove(key)
             end = RunEnd(key.task, run.number, EndKind.LOST, run.checkpoint)
             result.ends.append(EndedRun(key, end))
     return result
 
 
-def _note_running(
+def _apply_listed_run(
     worker: Worker, listed: ListedRun, now_ms: float, result: Reconciled
 ) -> None:
     run = worker.runs.get(listed.key)
@@ -350,7 +350,7 @@
     run.usage = listed.usage
 
 
-def _is_absent(run: Run, listing: Listing, asked_ms: float) -> bool:
+def _is_lost(run: Run, listing: Listing, asked_ms: float) -> bool:
     """Return whether a run that is not listed cannot run there any more."""
     if run.stage is RunStage.COMMITTING or run.stage is RunStage.STARTING:
         return False
@@ -359,7 +359,7 @@
     return run.confirmed_ms < asked_ms
 
 
-def carry_over(old: Worker, new: Worker) -> None:
+def transfer_runs(old: Worker, new: Worker) -> None:
     """Move the runs that may exist on a new incarnation of a worker to it.
 
     An incarnation has the address of the one before, so an order that was under way
@@ -377,7 +377,7 @@
         new.add(run)
 
 
-def remove_lost(worker: Worker) -> Iterable[EndedRun]:
+def remove_lost_runs(worker: Worker) -> Iterable[EndedRun]:
     """Remove all runs of a worker whose lease has lapsed or that has restarted."""
     for key, run in list(worker.runs.items()):
         if run.stage is RunStage.COMMITTING:
--- a/basilhold/workflows/preemption.py
+++ b/basilhold/workflows/preemption.py
@@ -15,12 +15,12 @@
 from basilhold.workflows.ready_steps import ReadyStep
 
 __all__ = [
-    "Offer",
+    "PreemptionOption",
     "Preemption",
     "Reservations",
-    "choose_offers",
+    "choose_options",
     "count_fitting",
-    "find_offer",
+    "find_option",
 ]
 
 STOPS_PER_WORKER_MAX = 8
@@ -41,7 +41,7 @@
     step: ReadyStep
 
 
-class Offer(msgspec.Struct):
+class PreemptionOption(msgspec.Struct):
     """Room that a worker has for a step once some of its runs have stopped.
 
     Parameters
@@ -79,9 +79,9 @@
         self._steps: dict[StepKey, set[WorkerId]] = {}
         self._workers: dict[WorkerId, dict[StepKey, _Reservation]] = {}
 
-    def set(self, step: ReadyStep, task_counts: dict[WorkerId, int]) -> None:
+    def replace(self, step: ReadyStep, task_counts: dict[WorkerId, int]) -> None:
         """Replace what is kept for a step by room for some tasks on each worker."""
-        self.drop(step.key)
+        self.release(step.key)
         size = step.spec.reserved()
         for worker_id, count in task_counts.items():
             kept = _Reservation(step.priority, size.scaled(count))
@@ -89,7 +89,7 @@
         if task_counts:
             self._steps[step.key] = set(task_counts)
 
-    def drop(self, key: StepKey) -> None:
+    def release(self, key: StepKey) -> None:
         """Keep nothing more for a step."""
         for worker_id in self._steps.pop(key, ()):
             kept = self._workers[worker_id]
@@ -97,20 +97,20 @@
             if not kept:
                 del self._workers[worker_id]
 
-    def forget_job(self, job_id: JobId) -> None:
+    def remove_job(self, job_id: JobId) -> None:
         """Keep nothing more for a workflow that has ended."""
         for key in [key for key in self._steps if key.job_id == job_id]:
-            self.drop(key)
+            self.release(key)
 
     def has(self, key: StepKey) -> bool:
         """Return whether any room is kept for a step."""
         return key in self._steps
 
-    def is_kept(self, step: ReadyStep, worker_id: WorkerId) -> bool:
+    def includes(self, step: ReadyStep, worker_id: WorkerId) -> bool:
         """Return whether a worker keeps room for a step."""
         return worker_id in self._steps.get(step.key, ())
 
-    def kept_from(
+    def reserved_for_others(
         self, step: ReadyStep, worker_id: WorkerId, settled: Container[StepKey]
     ) -> Resources | None:
         """Return the room of a worker that a step must leave to others.
@@ -131,7 +131,9 @@
             and reservation.priority <= step.priority
         )
 
-    def kept_for_later(self, step: ReadyStep, worker_id: WorkerId) -> Resources | None:
+    def reserved_for_lower_priority(
+        self, step: ReadyStep, worker_id: WorkerId
+    ) -> Resources | None:
         """Return the room of a worker that is kept for less urgent steps than one."""
         return _total(
             reservation.size
@@ -167,9 +169,9 @@
     return max(0, count)
 
 
-def find_offer(
+def find_option(
     step: ReadyStep, worker: Worker, room: Resources, most: int, now_ms: float
-) -> Offer | None:
+) -> PreemptionOption | None:
     """Return what a worker can offer to a step, or ``None`` if that is nothing.
 
     Parameters
@@ -205,22 +207,25 @@
     if not count:
         return None
     cost = sum(_cost(run, now_ms) for run in victims)
-    return Offer(worker, count, victims, cost)
+    return PreemptionOption(worker, count, victims, cost)
 
 
-def choose_offers(
-    step: ReadyStep, offers: Iterable[Offer], needed: int, reservations: Reservations
-) -> list[Offer]:
+def choose_options(
+    step: ReadyStep,
+    offers: Iterable[PreemptionOption],
+    needed: int,
+    reservations: Reservations,
+) -> list[PreemptionOption]:
     """Return the offers that cost least for each task, up to the tasks needed.
 
     Workers that keep room for the step come first, so that later passes choose the
     same ones.
     """
-    chosen: list[Offer] = []
+    chosen: list[PreemptionOption] = []
     by_cost = sorted(
         offers,
         key=lambda o: (
-            not reservations.is_kept(step, o.worker.worker_id),
+            not reservations.includes(step, o.worker.worker_id),
             o.cost / min(o.task_count, needed),
             -o.worker.free.cores_milli,
         ),
--- a/basilhold/workflows/ready_steps.py
+++ b/basilhold/workflows/ready_steps.py
@@ -6,7 +6,7 @@
 from basilhold.workflows.model import StepSpec, TaskKey, objective_ms
 from basilhold.workflows.progress import Workflow
 
-__all__ = ["START_BY_TOLERANCE_MS", "ReadyStep", "rank", "ready_step"]
+__all__ = ["START_BY_TOLERANCE_MS", "ReadyStep", "rank", "make_ready_step"]
 
 START_BY_TOLERANCE_MS = 250.0
 ESTIMATE_ERROR = 0.25
@@ -17,7 +17,7 @@
 """A workflow that ends later than this many objectives earns nothing."""
 
 LATE_RANK = 1.5
-HOPELESS_RANK = 10.0
+WORTHLESS_RANK = 10.0
 
 
 class ReadyStep(msgspec.Struct):
@@ -60,7 +60,7 @@
         return self.workflow.spec.policy.priority
 
 
-def ready_step(
+def make_ready_step(
     workflow: Workflow,
     occurrence: int,
     number: int,
@@ -112,4 +112,4 @@
     too_late = step.start_by_ms + (LATE_FACTOR - 1) * objective
     if now_ms <= too_late:
         return step.priority + LATE_RANK
-    return step.priority + HOPELESS_RANK
+    return step.priority + WORTHLESS_RANK
--- a/basilhold/workflows/roster.py
+++ b/basilhold/workflows/roster.py
@@ -17,9 +17,9 @@
     RunStage,
     Worker,
     WorkerInfo,
-    carry_over,
     reconcile,
-    remove_lost,
+    remove_lost_runs,
+    transfer_runs,
 )
 from basilhold.workflows.worker_link import Look, WorkerLink
 
@@ -52,7 +52,7 @@
         """Give up unregistered workers whose leases have certainly lapsed."""
         for worker in list(self._state.pool.workers.values()):
             unlinked = worker.worker_id not in self._state.links
-            if unlinked and now_ms > worker.held_until_ms:
+            if unlinked and now_ms > worker.lease_expires_ms:
                 self._worker_lost(worker, "its lease has lapsed")
 
     async def read(self) -> None:
@@ -69,7 +69,7 @@
             self._update_worker(worker_id, info)
         for worker_id, worker in list(self._state.pool.workers.items()):
             if worker_id not in registered:
-                worker.gone = True
+                worker.unregistered = True
                 if not worker.runs:
                     self._drop_worker(worker)
         self._state.plan_event.set()
@@ -87,7 +87,7 @@
         elif worker.info != info:
             worker.free = worker.free + info.capacity - worker.info.capacity
             worker.info = info
-        worker.gone = False
+        worker.unregistered = False
         if worker_id not in self._state.links:
             self._open_link(worker)
 
@@ -95,7 +95,7 @@
         worker = link.worker
         try:
             while self._take_look(link, await link.look(self._state.clock)):
-                if worker.gone and not worker.runs:
+                if worker.unregistered and not worker.runs:
                     self._drop_worker(worker)
                     return
         finally:
@@ -163,7 +163,7 @@
             runs=len(worker.runs),
         )
         self._drop_worker(worker)
-        for ended in remove_lost(worker):
+        for ended in remove_lost_runs(worker):
             self._orders.apply_end(worker, ended.key, ended.end)
         self._state.plan_event.set()
 
@@ -178,7 +178,7 @@
 
     def _replace_incarnation(self, worker: Worker, info: WorkerInfo) -> Worker:
         successor = Worker(info)
-        carry_over(worker, successor)
+        transfer_runs(worker, successor)
         self._worker_lost(worker, "it has restarted")
         self._state.pool.workers[info.worker_id] = successor
         self._open_link(successor)
@@ -192,7 +192,7 @@
         self._state.start(self._serve_link(link))
 
     def _drop_worker(self, worker: Worker) -> None:
-        worker.gone = True
+        worker.unregistered = True
         if self._state.pool.workers.get(worker.worker_id) is worker:
             del self._state.pool.workers[worker.worker_id]
         link = self._state.links.get(worker.worker_id)
--- a/basilhold/workflows/stragglers.py
+++ b/basilhold/workflows/stragglers.py
@@ -44,7 +44,7 @@
         times.append(ms)
         if expected_ms > 0:
             ratio = min(max(ms / expected_ms, RATIO_MIN), RATIO_MAX)
-            worker.work_ratio += RATIO_WEIGHT * (ratio - worker.work_ratio)
+            worker.run_time_ratio += RATIO_WEIGHT * (ratio - worker.run_time_ratio)
 
     def expected_ms(self, key: StepKey, step: StepSpec) -> float:
         """Return how long a task of a step is expected to run, in milliseconds."""
@@ -60,13 +60,13 @@
             expected_ms *= ESTIMATE_FACTOR
         return OVERDUE_FACTOR * expected_ms + OVERDUE_MARGIN_MS
 
-    def note_restart(self, key: StepKey, index: int) -> bool:
+    def count_restart(self, key: StepKey, index: int) -> bool:
         """Count a restart; return whether it is allowed."""
         count = self._restarts.get((key, index), 0)
         self._restarts[key, index] = count + 1
         return count < RESTARTS_MAX
 
-    def forget_job(self, job_id: JobId) -> None:
+    def remove_job(self, job_id: JobId) -> None:
         """Forget a workflow that has ended."""
         for key in [key for key in self._steps if key.job_id == job_id]:
             del self._steps[key]
--- a/basilhold/workflows/tests/test_advice_spread.py
+++ b/basilhold/workflows/tests/test_advice_balancer.py
@@ -7,7 +7,7 @@
 from basilhold.core import ProcessId, RegionName, WorkerId
 from basilhold.ports.runners import Admission, AdviceService
 from basilhold.testing import VirtualTimeTestCase
-from basilhold.workflows.advice_spread import SpreadAdvice
+from basilhold.workflows.advice_balancer import AdviceBalancer
 from basilhold.workflows.model import AdvicePolicy, QueuePolicy
 from basilhold.workflows.peers import Member
 
@@ -56,7 +56,7 @@
             Member(ProcessId(name), name, RegionName("r")) for name in self.turns
         ]
         peers = Peers(self.turns)
-        return SpreadAdvice(
+        return AdviceBalancer(
             own, self.turns[own], peers, lambda: members, RegionName("r")
         )
 
--- a/basilhold/workflows/tests/test_evacuation.py
+++ b/basilhold/workflows/tests/test_evacuation.py
@@ -3,7 +3,7 @@
 import unittest
 
 from basilhold.core import JobId, Resources, WorkerId
-from basilhold.workflows.admissions import AdmissionBook, StepKey
+from basilhold.workflows.admissions import AdmissionRecords, StepKey
 from basilhold.workflows.evacuation import TICKET_WAIT_MS, find_evacuations
 from basilhold.workflows.model import RunNumber, StepSpec, TaskKey
 from basilhold.workflows.pool import Pool, Run, RunKey, RunStage, Worker, WorkerInfo
@@ -18,7 +18,7 @@
 
     def setUp(self):
         self.pool = Pool()
-        self.book = AdmissionBook()
+        self.book = AdmissionRecords()
         self.leaving = self.add_worker("leaving", draining=True)
         self.run_task(self.leaving, 0)
 
@@ -72,7 +72,7 @@
         self.assertTrue(known.may_ask(NOW_MS))
         known.retry_ms = NOW_MS + 300
         self.assertFalse(known.may_ask(NOW_MS))
-        known.retry_ms, known.open_questions = 0.0, 1
+        known.retry_ms, known.open_queries = 0.0, 1
         self.assertFalse(known.may_ask(NOW_MS))
 
     def test_work_that_ends_by_itself_stays(self):
--- a/basilhold/workflows/tests/test_pacing.py
+++ b/basilhold/workflows/tests/test_pacing.py
@@ -2,7 +2,7 @@
 
 from basilhold.core import JobId, Resources, WorkerId
 from basilhold.workflows.model import RunNumber, StepSpec, TaskKey
-from basilhold.workflows.pacing import pace_changes
+from basilhold.workflows.pacing import find_pace_changes
 from basilhold.workflows.pool import Run, RunKey, RunStage, Worker, WorkerInfo
 
 SERVING = StepSpec(1, Resources(1_000), long_running=True, latency_target_ms=100.0)
@@ -26,7 +26,7 @@
     def percents(self, worker, looks):
         seen = []
         for _ in range(looks):
-            for change in pace_changes(worker):
+            for change in find_pace_changes(worker):
                 change.run.percent = change.percent
             seen.append(next(iter(worker.runs.values())).percent)
         return seen
@@ -44,7 +44,7 @@
 
     def test_serving_tasks_are_never_paced(self):
         worker = make_worker(150.0, 100)
-        steps = {change.run.step for change in pace_changes(worker)}
+        steps = {change.run.step for change in find_pace_changes(worker)}
         self.assertEqual(steps, {FILL})
 
     def test_work_without_neighbours_goes_at_full_speed(self):
--- a/basilhold/workflows/tests/test_planner.py
+++ b/basilhold/workflows/tests/test_planner.py
@@ -5,13 +5,13 @@
 import msgspec
 
 from basilhold.core import JobId, Resources, WorkerId
-from basilhold.workflows.admissions import AdmissionBook, StepKey
+from basilhold.workflows.admissions import AdmissionRecords, StepKey
 from basilhold.workflows.model import AdvicePolicy, QueuePolicy, StepSpec, WorkflowSpec
 from basilhold.workflows.planner import plan
 from basilhold.workflows.pool import Pool, RunKey, RunStage, Worker, WorkerInfo
 from basilhold.workflows.preemption import Reservations
 from basilhold.workflows.progress import Workflow
-from basilhold.workflows.ready_steps import ready_step
+from basilhold.workflows.ready_steps import make_ready_step
 
 NOW_MS = 10_000.0
 ADVICE = AdvicePolicy(20.0, 0.2, 2_000.0)
@@ -27,7 +27,7 @@
 
     def setUp(self):
         self.pool = Pool()
-        self.book = AdmissionBook()
+        self.book = AdmissionRecords()
         self.reservations = Reservations()
         self.count = 0
 
@@ -46,7 +46,7 @@
         policy = policy_of(priority, advice)
         job_id = JobId(f"{self.count:016x}")
         workflow = Workflow(WorkflowSpec(job_id, policy, "", (step,), submitted_ms))
-        return ready_step(workflow, 0, 0, workflow.step_keys(0, 0))
+        return make_ready_step(workflow, 0, 0, workflow.step_keys(0, 0))
 
     def plan(self, *steps, stop_ms=400.0, may_stop=True):
         return plan(
@@ -214,17 +214,17 @@
         self.book.record(key, asked, {WorkerId("b"): "t"}, 2_000.0, NOW_MS)
         decided = self.plan(gang)
         self.assertEqual(decided.preemptions, [])
-        self.assertEqual([q.workers for q in decided.questions], [(WorkerId("c"),)])
+        self.assertEqual([q.workers for q in decided.queries], [(WorkerId("c"),)])
 
     def test_no_question_without_room(self):
         worker = self.add_worker("a", 4_000)
         self.run_on(worker, self.step(4_000, priority=1))
-        self.assertEqual(self.plan(self.step(4_000, advice=ADVICE)).questions, [])
+        self.assertEqual(self.plan(self.step(4_000, advice=ADVICE)).queries, [])
 
     def test_two_steps_do_not_ask_for_the_same_room(self):
         self.add_worker("a", 4_000)
         first, second = (self.step(4_000, advice=ADVICE) for _ in range(2))
-        self.assertEqual([q.step for q in self.plan(first, second).questions], [first])
+        self.assertEqual([q.step for q in self.plan(first, second).queries], [first])
 
     def test_only_admitted_workers_are_used(self):
         self.add_worker("a")
@@ -243,7 +243,7 @@
         step = self.step(2_000, advice=AdvicePolicy(150.0, 2.2, 2_000.0))
         key = StepKey(step.workflow.job_id, 0, 0)
         self.book.record(key, (WorkerId("w00"),), {}, 2_000.0, NOW_MS)
-        (question,) = self.plan(step).questions
+        (question,) = self.plan(step).queries
         self.assertEqual(len(question.workers), 10)
         self.assertNotIn("w00", question.workers)
         self.assertNotIn("w11", question.workers)
@@ -256,8 +256,8 @@
         gang = self.step(8_000, count=20, gang=True, advice=SLOW_ADVICE)
         queue = gang.workflow.spec.policy.name
         for _ in range(60):
-            self.book.note_share(queue, 30, 9)
-        questions = self.plan(gang).questions
+            self.book.update_admitted_share(queue, 30, 9)
+        questions = self.plan(gang).queries
         names = [name for question in questions for name in question.workers]
         self.assertEqual(set(names), set(self.pool.workers))
         self.assertEqual(len(names), len(set(names)))
@@ -266,7 +266,7 @@
         self.assertLess(SLOW_ADVICE.answer_ms(longest), 2 * SLOW_ADVICE.answer_ms(30))
         self.assertLessEqual(len(questions), 5)
         small = self.step(8_000, count=2, gang=True, advice=SLOW_ADVICE)
-        questions = self.plan(small).questions
+        questions = self.plan(small).queries
         self.assertLessEqual(len(questions), 2)
         count = sum(len(question.workers) for question in questions)
         self.assertGreaterEqual(count, 30)
@@ -294,11 +294,11 @@
         gang = self.step(8_000, gang=True, advice=ADVICE)
         known = self.book.step(gang.key)
         for name in "ab":
-            known.question_sent((WorkerId(name),))
+            known.query_sent((WorkerId(name),))
         self.book.record(gang.key, (WorkerId("a"),), {"a": "t"}, 2_000.0, NOW_MS)
-        known.question_closed((WorkerId("a"),))
+        known.query_closed((WorkerId("a"),))
         self.assertEqual(self.plan(gang).preemptions, [])
-        known.question_closed((WorkerId("b"),))
+        known.query_closed((WorkerId("b"),))
         (preemption,) = self.plan(gang).preemptions
         self.assertEqual(preemption.worker.worker_id, "a")
 
@@ -317,11 +317,11 @@
         self.assertEqual(len(stops), 2)
         stops[0].worker.remove(stops[0].run.key)
         known.tickets.clear()
-        known.question_sent((*names, WorkerId("spare")))
+        known.query_sent((*names, WorkerId("spare")))
         low = self.step(8_000, priority=2)
         self.assertEqual(self.plan(gang, low).placements, [])
         stops[1].worker.remove(stops[1].run.key)
-        known.question_closed((*names, WorkerId("spare")))
+        known.query_closed((*names, WorkerId("spare")))
         self.book.record(gang.key, names, tickets, 2_000.0, NOW_MS)
         placements = self.plan(gang, low).placements
         self.assertEqual([p.step for p in placements], [gang, gang])
@@ -337,7 +337,7 @@
             step.workflow.spec,
             steps=(StepSpec(20, Resources(1_000, 0, 1_000), 1_000.0),),
         )
-        (question,) = self.plan(step).questions
+        (question,) = self.plan(step).queries
         self.assertEqual(set(question.workers[:5]), {f"w0{n}" for n in range(5)})
 
     def test_worker_known_to_be_admitted_is_asked_about_first(self):
@@ -348,7 +348,7 @@
         key = StepKey(step.workflow.job_id, 0, 0)
         asked = (WorkerId("a"), WorkerId("d"))
         self.book.record(key, asked, {WorkerId("d"): "t"}, 100.0, NOW_MS)
-        (question,) = self.plan(step).questions
+        (question,) = self.plan(step).queries
         self.assertEqual(question.workers, ("d",))
 
     def test_next_gang_renews_its_tickets_before_a_worker_is_free(self):
@@ -363,7 +363,7 @@
             key = StepKey(step.workflow.job_id, 0, 0)
             tickets = {WorkerId("a"): "t"}
             self.book.record(key, (WorkerId("a"),), tickets, 100.0, NOW_MS)
-        (question,) = self.plan(*steps).questions
+        (question,) = self.plan(*steps).queries
         self.assertIs(question.step, steps[0])
 
     def test_step_limits_of_a_worker(self):
--- a/basilhold/workflows/tests/test_random_runs.py
+++ b/basilhold/workflows/tests/test_random_runs.py
@@ -98,7 +98,7 @@
 
     def test_end_acknowledged_before_it_is_stored(self):
         def acknowledge(link):
-            link.acknowledge(link.worker.processed)
+            link.acknowledge(link.worker.processed_sequence)
             return original(link)
 
         original = WorkerLink._wait_for_commit
--- a/basilhold/workflows/tests/test_worker_link.py
+++ b/basilhold/workflows/tests/test_worker_link.py
@@ -49,7 +49,7 @@
         link = self.make(runners)
         clock = Clock(0)
         await link.look(clock)
-        link.worker.processed = 5
+        link.worker.processed_sequence = 5
         link.acknowledge(5)
         for _ in range(2):
             await link.look(clock)
--- a/basilhold/workflows/worker_link.py
+++ b/basilhold/workflows/worker_link.py
@@ -113,12 +113,12 @@
     def note_lease(self, now_ms: float, lease_ms: float) -> None:
         """Note that an order sent now may extend the worker's lease."""
         until_ms = now_ms + lease_ms * CLOCK_DRIFT + LAPSE_MARGIN_MS
-        self.worker.held_until_ms = max(self.worker.held_until_ms, until_ms)
+        self.worker.lease_expires_ms = max(self.worker.lease_expires_ms, until_ms)
 
     def acknowledge(self, processed: int) -> None:
         """Allow the worker to forget ends up to a number, which are stored."""
-        if processed > self.worker.acknowledged:
-            self.worker.acknowledged = processed
+        if processed > self.worker.acknowledged_sequence:
+            self.worker.acknowledged_sequence = processed
         self._acknowledged.set()
 
     async def refresh(self, clock: Clock) -> None:
@@ -196,18 +196,18 @@
         A failed look may mean that a new incarnation answers next, whose ends are
         numbered from 1 again.
         """
-        if self._failures or self.worker.acknowledged <= self._told:
+        if self._failures or self.worker.acknowledged_sequence <= self._told:
             return 0
-        return self.worker.acknowledged
+        return self.worker.acknowledged_sequence
 
     def _wait_ms(self) -> int:
-        unread = self.worker.processed > self.worker.acknowledged
+        unread = self.worker.processed_sequence > self.worker.acknowledged_sequence
         if not self.worker.listed or unread:
             return 0
         return self._limits.wait_ms
 
     async def _wait_for_commit(self) -> None:
-        if self.worker.processed <= self.worker.acknowledged:
+        if self.worker.processed_sequence <= self.worker.acknowledged_sequence:
             return
         self._acknowledged.clear()
         try:
@@ -227,6 +227,6 @@
         return self._check_lapse(clock)
 
     def _check_lapse(self, clock: Clock) -> Look:
-        if clock.monotonic_ms() > self.worker.held_until_ms and self.worker.runs:
+        if clock.monotonic_ms() > self.worker.lease_expires_ms and self.worker.runs:
             return Look(lost="its lease has lapsed")
         return Look()
