Reword the pool, admissions, ready steps and backlog of workflows

Doc comments were terse or figurative and did not explain attributes, units and constants to a first reader. They do now; local names follow the terms of the field.

--- a/basilhold/workflows/admissions.py
+++ b/basilhold/workflows/admissions.py
@@ -1,4 +1,8 @@
-"""What is known about the workers that may run a step. Pure."""
+"""Answers of the advice service about the workers that may run a step.
+
+The advice service is an external service that decides which workers are admitted to
+run a step, and returns a ticket for each of them. The module performs no I/O.
+"""
 
 import msgspec
 
@@ -8,20 +12,21 @@
 __all__ = ["AdmissionRecords", "StepAdmission", "StepKey"]
 
 TICKET_MARGIN_MS = 150.0
-"""A ticket is not used this shortly before it expires, and before the time that a
-commit takes: the start has to be stored and sent first."""
+"""Safety margin before the expiry of a ticket. The time that commits take is subtracted
+as well, since a start has to be stored and sent before the ticket expires."""
 
-COMMIT_WEIGHT = 0.3
+COMMIT_TIME_WEIGHT = 0.3
+"""Weight of a new measurement in the moving average of commit times."""
 
-ADMITTED_WEIGHT = 0.1
-ADMITTED_AT_FIRST = 0.5
-ADMITTED_MIN = 0.1
-"""Share of the workers that a queue's policy admits: how fast it is learnt, what is
-assumed before, and what it is taken for at least."""
+ADMITTED_SHARE_WEIGHT = 0.1
+ADMITTED_SHARE_INITIAL = 0.5
+ADMITTED_SHARE_MIN = 0.1
+"""Estimate of the share of workers that a queue's policy admits: weight of a new answer
+in the moving average, value before the first answer, and lower bound."""
 
 
 class StepKey(msgspec.Struct, frozen=True):
-    """Names one occurrence of a step."""
+    """Identifies one occurrence of a step."""
 
     job_id: JobId
     occurrence: int
@@ -29,19 +34,24 @@
 
 
 class StepAdmission(msgspec.Struct):
-    """Answers about one step. Which workers are admitted does not change.
+    """Answers of the advice service about one step.
+
+    The service never changes its decision about a worker, so `admitted` and `refused`
+    stay valid after tickets have expired.
 
     Parameters
     ----------
     admitted, refused : set of WorkerId
     tickets : dict of WorkerId to (str, float)
-        Ticket and time of the loop's clock until which it is used, in milliseconds.
+        Ticket, and time of the event loop's clock until which it may be used, in
+        milliseconds.
     open_queries : int
-        Questions that wait for their answer.
+        Queries that have not been answered yet.
     unanswered : set of WorkerId
-        Workers named in open questions of which nothing is known yet.
+        Workers in open queries that are neither admitted nor refused so far.
     retry_ms : float
-        Time before which the service is not asked again after a failed call.
+        Time of the event loop's clock before which no query is sent, in milliseconds;
+        set after a failed query.
     """
 
     admitted: set[WorkerId] = msgspec.field(default_factory=set)
@@ -53,59 +63,71 @@
 
     @property
     def is_unknown(self) -> bool:
-        """Whether nothing is known about any worker."""
+        """Whether no worker is known to be admitted or refused."""
         return not self.admitted and not self.refused
 
     def may_ask(self, now_ms: float) -> bool:
-        """Return whether questions may be sent: none is open or failed just now."""
+        """Return whether queries may be sent: none is open and none failed recently."""
         return not self.open_queries and now_ms >= self.retry_ms
 
     def query_sent(self, workers: tuple[WorkerId, ...]) -> None:
-        """Note that a question waits for its answer."""
+        """Record that a query about some workers was sent."""
         self.open_queries += 1
-        known = self.admitted | self.refused
-        self.unanswered.update(w for w in workers if w not in known)
+        decided = self.admitted | self.refused
+        self.unanswered.update(w for w in workers if w not in decided)
 
     def query_closed(self, workers: tuple[WorkerId, ...]) -> None:
-        """Note that a question was answered or has failed."""
+        """Record that a query about some workers was answered or has failed."""
         self.open_queries -= 1
         self.unanswered.difference_update(workers)
 
     def ticket(self, worker_id: WorkerId, now_ms: float) -> str:
-        """Return a ticket that can be used now, or an empty string."""
+        """Return a worker's ticket that may be used now, or an empty string."""
         ticket, until_ms = self.tickets.get(worker_id, ("", 0.0))
         return ticket if now_ms < until_ms else ""
 
 
 class AdmissionRecords:
-    """Answers about all steps of a service."""
+    """Answers of the advice service about all steps of a service's workflows."""
 
     def __init__(self):
         self._steps: dict[StepKey, StepAdmission] = {}
         self._commit_ms = 20.0
-        self._admitted: dict[QueueName, float] = {}
+        self._admitted_shares: dict[QueueName, float] = {}
 
     def admitted_share(self, queue: QueueName) -> float:
-        """Return which share of the workers a queue's policy admits."""
-        return max(self._admitted.get(queue, ADMITTED_AT_FIRST), ADMITTED_MIN)
+        """Return the estimated share of workers that a queue's policy admits."""
+        return max(
+            self._admitted_shares.get(queue, ADMITTED_SHARE_INITIAL), ADMITTED_SHARE_MIN
+        )
 
     def update_admitted_share(
         self, queue: QueueName, asked: int, admitted: int
     ) -> None:
-        """Learn from an answer about workers that had not been asked about before."""
-        known = self._admitted.get(queue, ADMITTED_AT_FIRST)
-        self._admitted[queue] = known + ADMITTED_WEIGHT * (admitted / asked - known)
+        """Update the estimated share from an answer.
+
+        Parameters
+        ----------
+        queue : QueueName
+        asked, admitted : int
+            Number of workers in the query, none of them known before, and how many of
+            them were admitted.
+        """
+        share = self._admitted_shares.get(queue, ADMITTED_SHARE_INITIAL)
+        self._admitted_shares[queue] = share + ADMITTED_SHARE_WEIGHT * (
+            admitted / asked - share
+        )
 
     def update_commit_time(self, took_ms: float) -> None:
-        """Learn how long an assignment takes to be stored."""
-        self._commit_ms += COMMIT_WEIGHT * (took_ms - self._commit_ms)
+        """Update the average time in which an assignment is stored, in milliseconds."""
+        self._commit_ms += COMMIT_TIME_WEIGHT * (took_ms - self._commit_ms)
 
     def step(self, key: StepKey) -> StepAdmission:
-        """Return what is known about a step."""
-        known = self._steps.get(key)
-        if known is None:
-            known = self._steps[key] = StepAdmission()
-        return known
+        """Return the answers about a step."""
+        admission = self._steps.get(key)
+        if admission is None:
+            admission = self._steps[key] = StepAdmission()
+        return admission
 
     def record(
         self,
@@ -115,22 +137,35 @@
         valid_ms: float,
         now_ms: float,
     ) -> None:
-        """Note an answer that arrived now."""
-        known = self.step(key)
-        # An assignment may wait for the commit before its own.
+        """Record an answer that has just arrived.
+
+        Parameters
+        ----------
+        key : StepKey
+        asked : tuple of WorkerId
+            Workers named in the query.
+        tickets : dict of WorkerId to str
+            Tickets of the admitted workers; all other workers were refused.
+        valid_ms : float
+            Lifetime of the tickets, in milliseconds.
+        now_ms : float
+            Time of the event loop's clock, in milliseconds.
+        """
+        admission = self.step(key)
+        # An assignment may have to wait for the preceding commit, hence two commits.
         until_ms = now_ms + valid_ms - TICKET_MARGIN_MS - 2 * self._commit_ms
         for worker_id in asked:
             if worker_id in tickets:
-                known.admitted.add(worker_id)
-                known.tickets[worker_id] = (tickets[worker_id], until_ms)
+                admission.admitted.add(worker_id)
+                admission.tickets[worker_id] = (tickets[worker_id], until_ms)
             else:
-                known.refused.add(worker_id)
+                admission.refused.add(worker_id)
 
     def drop_ticket(self, key: StepKey, worker_id: WorkerId) -> None:
-        """Forget a ticket that a worker did not accept."""
+        """Discard a ticket that a worker has rejected."""
         self.step(key).tickets.pop(worker_id, None)
 
     def remove_job(self, job_id: JobId) -> None:
-        """Forget a workflow that has ended."""
+        """Discard the answers about a workflow that has ended."""
         for key in [key for key in self._steps if key.job_id == job_id]:
             del self._steps[key]
--- a/basilhold/workflows/backlog.py
+++ b/basilhold/workflows/backlog.py
@@ -1,4 +1,7 @@
-"""Steps of active workflows with tasks that wait. Pure."""
+"""Waiting tasks of the active workflows of a service.
+
+The module performs no I/O.
+"""
 
 from collections.abc import Iterable
 
@@ -12,14 +15,14 @@
 
 
 class Backlog:
-    """Active workflows and which of their tasks wait for a worker."""
+    """Active workflows and the tasks of them that wait for a worker."""
 
     def __init__(self):
         self._active: dict[JobId, Workflow] = {}
         self._waiting: dict[JobId, dict[tuple[int, int], set[int]]] = {}
 
     def add(self, workflow: Workflow) -> None:
-        """Add a workflow that has not ended."""
+        """Add an active workflow with its pending tasks."""
         self._active[workflow.job_id] = workflow
         self._waiting[workflow.job_id] = {
             (occurrence, number): {
@@ -35,13 +38,13 @@
         self._waiting.pop(workflow.job_id, None)
 
     def mark_assigned(self, workflow: Workflow, key: TaskKey) -> None:
-        """Note that a task was assigned."""
+        """Record that a task was assigned to a worker."""
         waiting = self._waiting.get(workflow.job_id)
         if waiting is not None:
             waiting[key.occurrence, key.step].discard(key.index)
 
     def mark_waiting(self, workflow: Workflow, key: TaskKey) -> None:
-        """Note that a task waits again."""
+        """Record that a task waits for a worker again."""
         waiting = self._waiting.get(workflow.job_id)
         if waiting is not None:
             waiting[key.occurrence, key.step].add(key.index)
@@ -51,13 +54,18 @@
         return self._active.values()
 
     def has_waiting(self) -> bool:
-        """Return whether any task waits, ready or not."""
+        """Return whether any task waits, even if its step may not run yet."""
         return any(any(steps.values()) for steps in self._waiting.values())
 
     def ready_steps(self, instant: Instant) -> list[ReadyStep]:
-        """Return the steps that have waiting tasks and may run now.
+        """Return the steps that may run now and have waiting tasks.
+
+        A gang step is ready only while none of its tasks is assigned.
 
-        A gang is ready only while none of its tasks is assigned.
+        Parameters
+        ----------
+        instant : Instant
+            Current time.
         """
         steps: list[ReadyStep] = []
         for job_id, workflow in self._active.items():
--- a/basilhold/workflows/pool.py
+++ b/basilhold/workflows/pool.py
@@ -1,4 +1,7 @@
-"""The workers of a service as their owner knows them, and what runs on them. Pure."""
+"""State of a service's workers and their runs, as known to the service's owner.
+
+The module performs no I/O.
+"""
 
 import math
 from collections.abc import Iterable
@@ -28,31 +31,31 @@
 ]
 
 FAILED_RUNS_MAX = 3
-"""Consecutive failed runs after which a worker gets no new work for a while."""
+"""Consecutive failed runs after which a worker temporarily receives no new runs."""
 
 
 class RunKey(NamedTuple):
-    """Names a task among all workflows of a service."""
+    """Identifies a task among all workflows of a service."""
 
     job_id: JobId
     task: TaskKey
 
 
 class WorkerInfo(msgspec.Struct, frozen=True):
-    """What a worker's registration says.
+    """Registration of a worker.
 
     Parameters
     ----------
     worker_id : WorkerId
     endpoint : str
-        ``host:port`` of its agent.
+        ``host:port`` of the worker's agent.
     born_unix_ms : int
-        Start of this incarnation.
+        Unix time at which this incarnation of the worker started, in milliseconds.
     capacity : Resources
     rack : str
     labels : frozenset of str
     draining : bool
-        The worker leaves and takes no new work.
+        Whether the worker is being decommissioned and accepts no new runs.
     zone : str
     """
 
@@ -67,9 +70,11 @@
 
 
 class RunStage(Enum):
-    """Where a run stands, as far as the owner knows.
+    """Stage of a run, as known to the owner.
 
-    `UNCERTAIN` means that a start got no reply and may still take effect.
+    `COMMITTING` runs wait until their assignment is stored, and `STARTING` runs for the
+    reply to their start call. `UNCERTAIN` means that a start call got no reply and may
+    still take effect.
     """
 
     COMMITTING = "committing"
@@ -86,25 +91,35 @@
     key : RunKey
     number : RunNumber
     reserved : Resources
-        What it takes of the worker's capacity.
+        Capacity of the worker that the run occupies.
     step : StepSpec, optional
         ``None`` for a run of an unknown workflow.
     stage : RunStage
     started_ms, confirmed_ms : float
-        Times of the loop's clock at which the start was decided, and at which the
-        worker confirmed or listed the run first.
+        Time of the event loop's clock at which the start was decided, and at which the
+        worker first confirmed or listed the run, in milliseconds.
     until_clock_ms : float
-        Worker's clock after which an unanswered start can no longer take effect.
+        Time of the worker's clock, in milliseconds, after which an unanswered start can
+        no longer take effect.
     stopping : bool
-    stop_wanted, stop_confirmed : bool
-        The run must end; the worker has confirmed the stop.
+        Whether stop calls are being sent.
+    stop_wanted : bool
+        Whether the run must end.
+    stop_confirmed : bool
+        Whether the worker has confirmed the stop.
     listed : bool
-        The worker's own list has shown the run.
+        Whether a listing of the worker has contained the run.
     percent : int
-        Pace at which it works.
+        Share of full speed at which the run works, in percent.
     usage : float
-        Tail latency of a serving task in milliseconds, else cores in use.
+        Tail latency of a serving task in milliseconds; for other tasks, cores in use.
     checkpoint : str
+        Latest checkpoint; empty if there is none.
+    checkpoint_ms : float
+        Time of the event loop's clock at which the checkpoint was first listed, in
+        milliseconds.
+    priority : int
+        Priority of the queue at the start; 0 is the highest.
     """
 
     key: RunKey
@@ -127,7 +142,7 @@
 
 
 class ListedRun(msgspec.Struct, frozen=True):
-    """A run in a worker's list."""
+    """A run in a worker's listing."""
 
     key: RunKey
     number: RunNumber
@@ -137,7 +152,10 @@
 
 
 class ListedEnd(msgspec.Struct, frozen=True):
-    """An end in a worker's list, numbered per incarnation from 1."""
+    """An ended run in a worker's listing.
+
+    `sequence` numbers the ends of one incarnation of the worker, starting at 1.
+    """
 
     sequence: int
     key: RunKey
@@ -145,16 +163,17 @@
 
 
 class Listing(msgspec.Struct, frozen=True):
-    """Reply of a worker: everything that runs and has ended there.
+    """Reply of a worker that lists all its running and ended runs.
 
     Parameters
     ----------
     clock_ms : float
-        Worker's own clock.
+        Time of the worker's own clock, in milliseconds.
     born_unix_ms : int
+        Unix time at which the worker's incarnation started, in milliseconds.
     running : tuple of ListedRun
     ended : tuple of ListedEnd
-        Ends that were not acknowledged yet.
+        Ended runs that the owner has not acknowledged yet.
     """
 
     clock_ms: float
@@ -164,7 +183,7 @@
 
 
 class Worker:
-    """A worker with its runs.
+    """A worker and its runs.
 
     Parameters
     ----------
@@ -173,11 +192,37 @@
     Attributes
     ----------
     worker_id : WorkerId
+    runs : dict of RunKey to Run
+    free : Resources
+        Capacity that no run occupies.
+    listed : bool
+        Whether a listing of this incarnation has been processed.
+    unregistered : bool
+        Whether the worker is no longer registered or has been removed from the pool.
+    listed_ms, clock_ms : float
+        Time of the event loop's clock at the last listing, and time of the worker's
+        clock in that listing, in milliseconds.
+    lease_expires_ms : float
+        Time of the event loop's clock up to which the lease on the worker may last, in
+        milliseconds.
+    acknowledged_sequence, processed_sequence : int
+        Last ended run that may be acknowledged to the worker, and last one processed.
+    failed_runs : int
+        Consecutive failed runs.
+    avoid_until_ms : float
+        Time of the event loop's clock before which no runs are placed here, in
+        milliseconds.
+    run_time_ratio : float
+        Moving average of actual to expected run times; above 1 for a slow worker.
+    draining_since_ms : float
+        Time of the event loop's clock at which the owner noticed that the worker is
+        draining, in milliseconds; 0 if it has not.
     """
 
     def __init__(self, info: WorkerInfo):
         self.info = info
-        # The planner compares ids often; an attribute costs a third of a property.
+        # An attribute, since the planner compares ids often and a property takes three
+        # times as long.
         self.worker_id = info.worker_id
         self.runs: dict[RunKey, Run] = {}
         self.free = info.capacity
@@ -194,42 +239,42 @@
         self.draining_since_ms = 0.0
 
     def clock_at(self, now_ms: float) -> float:
-        """Return the worker's clock at a time of the loop's clock."""
+        """Return the worker's clock at a time of the event loop's, in milliseconds."""
         return self.clock_ms + (now_ms - self.listed_ms)
 
     def add(self, run: Run) -> None:
-        """Reserve capacity for a run."""
+        """Add a run and allocate its capacity."""
         self.runs[run.key] = run
         self.free = self.free - run.reserved
 
     def remove(self, key: RunKey) -> Run | None:
-        """Release a run's capacity."""
+        """Remove a run, if there is one, and free its capacity."""
         run = self.runs.pop(key, None)
         if run is not None:
             self.free = self.free + run.reserved
         return run
 
     def accepts_runs(self, now_ms: float) -> bool:
-        """Return whether new runs may be placed here."""
+        """Return whether new runs may be placed on this worker."""
         if not self.listed or self.unregistered or self.info.draining:
             return False
         if now_ms < self.avoid_until_ms:
             return False
-        # A worker that failed everything lately proves itself with one run.
+        # After repeated failures, a worker gets one run at a time until one succeeds.
         return self.failed_runs < FAILED_RUNS_MAX or not self.runs
 
     def has_room(self, step: StepSpec) -> bool:
-        """Return whether one task of a step fits now."""
+        """Return whether one task of a step fits into the free capacity."""
         return step.reserved().fits_in(self.free)
 
     def is_admissible(self, step: StepSpec) -> bool:
-        """Return whether a step's tasks could run here if the worker were empty."""
+        """Return whether a task of a step could run here if the worker were idle."""
         if step.label and step.label not in self.info.labels:
             return False
         return step.reserved().fits_in(self.info.capacity)
 
     def count_of_step(self, job_id: JobId, occurrence: int, step: int) -> int:
-        """Return how many tasks of a step run here."""
+        """Return the number of a step's tasks on this worker."""
         return sum(
             1
             for key in self.runs
@@ -239,7 +284,21 @@
         )
 
     def record_outcome(self, failed: bool, now_ms: float, avoid_ms: float) -> bool:
-        """Count the outcome of a run; return whether the worker becomes avoided."""
+        """Record the outcome of a run and avoid the worker after repeated failures.
+
+        Parameters
+        ----------
+        failed : bool
+        now_ms : float
+            Time of the event loop's clock, in milliseconds.
+        avoid_ms : float
+            Time for which a failing worker gets no new runs, in milliseconds.
+
+        Returns
+        -------
+        bool
+            Whether this failure is the one that reached `FAILED_RUNS_MAX`.
+        """
         if not failed:
             self.failed_runs = 0
             self.avoid_until_ms = 0.0
@@ -258,17 +317,17 @@
         self.workers: dict[WorkerId, Worker] = {}
 
     def accepting_workers(self, now_ms: float) -> list[Worker]:
-        """Return the workers that take new runs."""
+        """Return the workers that accept new runs."""
         return [w for w in self.workers.values() if w.accepts_runs(now_ms)]
 
     def find_run(self, worker_id: WorkerId, key: RunKey) -> Run | None:
-        """Return a task's run on a worker."""
+        """Return a task's run on a worker, or ``None``."""
         worker = self.workers.get(worker_id)
         return worker.runs.get(key) if worker else None
 
 
 class EndedRun(msgspec.Struct):
-    """The end of a run; `run` is ``None`` if it had been given up before."""
+    """End of a run; `run` is ``None`` if the owner no longer tracked that run."""
 
     key: RunKey
     end: RunEnd
@@ -276,14 +335,14 @@
 
 
 class Reconciled(msgspec.Struct):
-    """What a listing changed.
+    """Changes found in a listing.
 
     Parameters
     ----------
     ends : list of EndedRun
-        Ends to apply to the workflows, in order.
+        Ends to apply to the workflows, in this order.
     unknown : list of ListedRun
-        Runs that the owner did not place; they have to be stopped or adopted.
+        Runs that the owner does not track; the caller has to stop or adopt them.
     """
 
     ends: list[EndedRun]
@@ -293,14 +352,16 @@
 def reconcile(
     worker: Worker, listing: Listing, asked_ms: float, now_ms: float
 ) -> Reconciled:
-    """Bring a worker's runs in line with its own list.
+    """Update a worker's runs from its own listing.
 
     Parameters
     ----------
     worker : Worker
+        Updated.
     listing : Listing
     asked_ms, now_ms : float
-        Times of the loop's clock at which the list was asked for and arrived.
+        Times of the event loop's clock at which the listing was requested and at which
+        it arrived, in milliseconds.
 
     Returns
     -------
@@ -351,7 +412,7 @@
 
 
 def _is_lost(run: Run, listing: Listing, asked_ms: float) -> bool:
-    """Return whether a run that is not listed cannot run there any more."""
+    """Return whether a run that is missing from a listing can no longer run."""
     if run.stage is RunStage.COMMITTING or run.stage is RunStage.STARTING:
         return False
     if run.stage is RunStage.UNCERTAIN:
@@ -360,11 +421,11 @@
 
 
 def transfer_runs(old: Worker, new: Worker) -> None:
-    """Move the runs that may exist on a new incarnation of a worker to it.
+    """Transfer runs that may exist on a new incarnation of a worker to it.
 
-    An incarnation has the address of the one before, so an order that was under way
-    may have reached either of the two. The runs are stopped: once the new incarnation
-    has confirmed that, they cannot start there any more.
+    A new incarnation has the address of the previous one, so a start call in transit
+    may have reached either of the two. The transferred runs are marked to be stopped;
+    once the new incarnation has confirmed the stop, they can no longer start there.
     """
     for key, run in list(old.runs.items()):
         if run.listed or run.stage is RunStage.COMMITTING:
@@ -378,7 +439,10 @@
 
 
 def remove_lost_runs(worker: Worker) -> Iterable[EndedRun]:
-    """Remove all runs of a worker whose lease has lapsed or that has restarted."""
+    """Remove and yield the runs of a worker that lost its lease or has restarted.
+
+    Runs whose assignment is not stored yet remain.
+    """
     for key, run in list(worker.runs.items()):
         if run.stage is RunStage.COMMITTING:
             continue
--- a/basilhold/workflows/ready_steps.py
+++ b/basilhold/workflows/ready_steps.py
@@ -1,4 +1,7 @@
-"""Steps that wait, their deadlines and their order. Pure."""
+"""Steps that are ready to run, their deadlines and the order in which they are placed.
+
+The module performs no I/O.
+"""
 
 import msgspec
 
@@ -9,31 +12,40 @@
 __all__ = ["START_BY_TOLERANCE_MS", "ReadyStep", "rank", "make_ready_step"]
 
 START_BY_TOLERANCE_MS = 250.0
+"""Delay after its latest start time up to which a step still counts as on time."""
+
 ESTIMATE_ERROR = 0.25
-"""Estimates of run times are rough; a step that is late by this share of its chain may
-still end in time."""
+"""Assumed relative error of estimated run times. A step that is late by this share of
+its critical path may still end in time."""
 
 LATE_FACTOR = 3.0
-"""A workflow that ends later than this many objectives earns nothing."""
+"""A workflow that takes longer than this multiple of the time that its objective allows
+has no value."""
 
 LATE_RANK = 1.5
 WORTHLESS_RANK = 10.0
+"""Added to the priority of a step that will miss its objective, and of one that will
+end too late to have any value."""
 
 
 class ReadyStep(msgspec.Struct):
-    """A step with tasks that wait.
+    """A step that may run now and has waiting tasks.
 
     Parameters
     ----------
     workflow : Workflow
     occurrence, number : int
+        Occurrence of a repeated workflow, and index of the step in the workflow.
     keys : list of TaskKey
-        Its waiting tasks.
-    begin_ms, due_ms : float
-        When the workflow was submitted or due, and when it has to end to meet its
-        objective; times of the store's clock.
+        Waiting tasks of the step.
+    begin_ms : float
+        Time at which the workflow was submitted or, if it is repeated, at which the
+        occurrence may start. This and the following times are of the store's clock, in
+        milliseconds.
+    due_ms : float
+        Time by which the workflow has to end to meet its objective.
     start_by_ms : float
-        When the step has to start for that.
+        Latest start of the step with which the workflow can end by `due_ms`.
     """
 
     workflow: Workflow
@@ -46,17 +58,17 @@
 
     @property
     def spec(self) -> StepSpec:
-        """The step."""
+        """Specification of the step."""
         return self.workflow.spec.steps[self.number]
 
     @property
     def key(self) -> StepKey:
-        """Name of the step."""
+        """Key of this occurrence of the step."""
         return StepKey(self.workflow.job_id, self.occurrence, self.number)
 
     @property
     def priority(self) -> int:
-        """Priority of the queue."""
+        """Priority of the workflow's queue; 0 is the highest."""
         return self.workflow.spec.policy.priority
 
 
@@ -67,49 +79,56 @@
     keys: list[TaskKey],
     unix_offset_ms: float = 0.0,
 ) -> ReadyStep:
-    """Return a step with its deadlines.
+    """Return a ready step with its deadlines.
 
     Parameters
     ----------
     workflow : Workflow
     occurrence, number : int
     keys : list of TaskKey
+        Waiting tasks of the step.
     unix_offset_ms : float
-        Unix time minus the store's.
+        Unix time minus the time of the store's clock, in milliseconds.
     """
     spec = workflow.spec
     begin_ms = spec.submitted_ms
     if spec.repeat_count:
         begin_ms = spec.due_unix_ms(occurrence) - unix_offset_ms
     due_ms = begin_ms + objective_ms(spec)
-    chain_ms = _chain_from(spec.steps, number)
+    critical_path_ms = _critical_path_ms(spec.steps, number)
     return ReadyStep(
-        workflow, occurrence, number, keys, begin_ms, due_ms, due_ms - chain_ms
+        workflow, occurrence, number, keys, begin_ms, due_ms, due_ms - critical_path_ms
     )
 
 
-def _chain_from(steps: tuple[StepSpec, ...], number: int) -> float:
-    """Return the longest chain of estimates that begins with a step."""
-    tails = [step.estimate_ms for step in steps]
-    for later in range(len(steps) - 1, -1, -1):
-        for before in steps[later].after:
-            length = steps[before].estimate_ms + tails[later]
-            tails[before] = max(tails[before], length)
-    return tails[number]
+def _critical_path_ms(steps: tuple[StepSpec, ...], number: int) -> float:
+    """Return the estimated time of the longest path of dependent steps from a step."""
+    path_times = [step.estimate_ms for step in steps]
+    for successor in range(len(steps) - 1, -1, -1):
+        for predecessor in steps[successor].after:
+            path_ms = steps[predecessor].estimate_ms + path_times[successor]
+            path_times[predecessor] = max(path_times[predecessor], path_ms)
+    return path_times[number]
 
 
 def rank(step: ReadyStep, now_ms: float) -> float:
-    """Return the place of a step in the order; lower comes first.
+    """Return the sort key of a step; lower ranks are placed first.
+
+    A step that can no longer end in time has only a fraction of its value per core, so
+    steps of the next lower priority that are on time are placed first.
 
-    A step that cannot end in time any more is worth a fraction per core of what it
-    was, so it yields to timely work of the next priorities.
+    Parameters
+    ----------
+    step : ReadyStep
+    now_ms : float
+        Time of the store's clock, in milliseconds.
     """
-    chain_ms = step.due_ms - step.start_by_ms
-    tolerance_ms = START_BY_TOLERANCE_MS + ESTIMATE_ERROR * chain_ms
+    critical_path_ms = step.due_ms - step.start_by_ms
+    tolerance_ms = START_BY_TOLERANCE_MS + ESTIMATE_ERROR * critical_path_ms
     if now_ms <= step.start_by_ms + tolerance_ms:
         return step.priority
-    objective = step.due_ms - step.begin_ms
-    too_late = step.start_by_ms + (LATE_FACTOR - 1) * objective
-    if now_ms <= too_late:
+    objective_time_ms = step.due_ms - step.begin_ms
+    worthless_after_ms = step.start_by_ms + (LATE_FACTOR - 1) * objective_time_ms
+    if now_ms <= worthless_after_ms:
         return step.priority + LATE_RANK
     return step.priority + WORTHLESS_RANK
