--- a/basilhold/workflows/evacuation.py
+++ b/basilhold/workflows/evacuation.py
@@ -1,7 +1,7 @@
-"""Which long-running tasks leave a worker that is about to go. Pure.
+"""Choice of the long-running tasks to move off workers that are being decommissioned.
 
-Answers workers that are emptied and taken away: a task that stays until the worker has
-gone is missed only when its lease has lapsed, several seconds later.
+The loss of a task that stays until its worker is shut down is noticed only when the
+worker's lease has lapsed, several seconds later. The module performs no I/O.
 """
 
 import msgspec
@@ -13,22 +13,22 @@
 __all__ = ["Evacuation", "find_evacuations"]
 
 TICKET_WAIT_MS = 1_500.0
-"""How long a task waits for tickets elsewhere before it is stopped without; workers go
-as soon as 2 s after their notice."""
+"""Time after which a task on a draining worker is stopped even if it has no ticket for
+another worker. Workers may shut down 2 s after they are marked as draining."""
 
 
 class Evacuation(msgspec.Struct):
-    """A run that should leave its worker.
+    """A run that should be moved off its worker.
 
     Parameters
     ----------
     worker : Worker
     run : Run
     targets : list of Worker
-        Where its task may run next, as far as is known.
+        Workers that have capacity for the task and have not been refused for it.
     may_stop : bool
-        Whether the task could start elsewhere at once, or the worker may go too soon
-        to wait for that.
+        Whether the run may be stopped now: its task has a ticket for one of the targets
+        or has waited `TICKET_WAIT_MS` for one.
     """
 
     worker: Worker
@@ -38,50 +38,55 @@
 
 
 def find_evacuations(
-    pool: Pool, book: AdmissionRecords, now_ms: float
+    pool: Pool, admissions: AdmissionRecords, now_ms: float
 ) -> list[Evacuation]:
-    """Return the long-running tasks on draining workers for which others have room.
+    """Return the long-running tasks on draining workers that fit on other workers.
 
     Parameters
     ----------
     pool : Pool
-    book : AdmissionRecords
+        The time at which a worker was first seen draining is updated.
+    admissions : AdmissionRecords
     now_ms : float
-        Time of the loop's clock, in milliseconds.
+        Time of the event loop's clock, in milliseconds.
     """
-    found: list[Evacuation] = []
-    taken: dict[WorkerId, Resources] = {}
-    usable = pool.accepting_workers(now_ms)
+    evacuations: list[Evacuation] = []
+    claimed: dict[WorkerId, Resources] = {}
+    accepting = pool.accepting_workers(now_ms)
     for worker in pool.workers.values():
         if not worker.info.draining or worker.unregistered:
             continue
         if not worker.draining_since_ms:
             worker.draining_since_ms = now_ms
-        waited = now_ms - worker.draining_since_ms > TICKET_WAIT_MS
+        wait_expired = now_ms - worker.draining_since_ms > TICKET_WAIT_MS
         for run in worker.runs.values():
-            if not _is_leaving(run):
+            if not _must_move(run):
                 continue
             key = run.key.task
-            known = book.step(StepKey(run.key.job_id, key.occurrence, key.step))
+            admission = admissions.step(
+                StepKey(run.key.job_id, key.occurrence, key.step)
+            )
             targets = [
                 other
-                for other in usable
+                for other in accepting
                 if other.is_admissible(run.step)
-                and other.worker_id not in known.refused
+                and other.worker_id not in admission.refused
                 and run.reserved.fits_in(
-                    other.free - taken.get(other.worker_id, Resources())
+                    other.free - claimed.get(other.worker_id, Resources())
                 )
             ]
             if not targets:
                 continue
-            ticketed = [t for t in targets if known.ticket(t.worker_id, now_ms)]
-            first = (ticketed or targets)[0].worker_id
-            taken[first] = taken.get(first, Resources()) + run.reserved
-            found.append(Evacuation(worker, run, targets, bool(ticketed) or waited))
-    return found
+            ticketed = [t for t in targets if admission.ticket(t.worker_id, now_ms)]
+            target_id = (ticketed or targets)[0].worker_id
+            claimed[target_id] = claimed.get(target_id, Resources()) + run.reserved
+            evacuations.append(
+                Evacuation(worker, run, targets, bool(ticketed) or wait_expired)
+            )
+    return evacuations
 
 
-def _is_leaving(run: Run) -> bool:
+def _must_move(run: Run) -> bool:
     return (
         run.step is not None
         and run.step.long_running
--- a/basilhold/workflows/pacing.py
+++ b/basilhold/workflows/pacing.py
@@ -1,7 +1,8 @@
-"""How fast work that uses spare cores may go beside tasks that serve users. Pure.
+"""Throttling of runs on spare cores beside serving tasks.
 
-Work on spare cores slows serving tasks on the same worker by amounts that depend on the
-images and change within seconds, so it is slowed by what the tail latencies show.
+Runs on spare cores slow the serving tasks on the same worker by an amount that depends
+on the images and changes within seconds, so their pace is controlled by the measured
+tail latencies of the serving tasks. The module performs no I/O.
 """
 
 import msgspec
@@ -12,23 +13,26 @@
 
 SLOW_DOWN_FACTOR = 0.5
 STOP_BELOW_PERCENT = 30
-"""Three looks, one a second at least, take a run from full speed to a standstill; harm
-is tolerated for 4 s."""
+"""Factor by which a run is slowed down, and pace below which it is paused instead.
+
+Three updates, at least one a second, pause a run that worked at full speed. Latencies
+above the target are tolerated for 4 s."""
 
 SPEED_UP_PERCENT = 20
-COMFORT_RATIO = 0.75
-"""Below this share of the target, there is room for more."""
+SPEED_UP_BELOW_RATIO = 0.75
+"""Increase of the pace, in percent of full speed, and ratio of tail latency to target
+below which the pace is increased."""
 
 
 class PaceChange(msgspec.Struct):
-    """A run and the share of its speed at which it should go on."""
+    """A run and its new pace in percent of full speed; 0 pauses it."""
 
     run: Run
     percent: int
 
 
 def find_pace_changes(worker: Worker) -> list[PaceChange]:
-    """Return the runs of a worker whose pace should change.
+    """Return the changes of pace that a worker's runs on spare cores need.
 
     Examples
     --------
@@ -38,24 +42,27 @@
     []
     """
     runs = [run for run in worker.runs.values() if run.stage is RunStage.RUNNING]
-    fills = [run for run in runs if run.step and run.step.uses_spare_cores]
-    if not fills:
+    spare_core_runs = [run for run in runs if run.step and run.step.uses_spare_cores]
+    if not spare_core_runs:
         return []
-    serving = [
+    latency_ratios = [
         run.usage / run.step.latency_target_ms
         for run in runs
         if run.step and run.step.latency_target_ms
     ]
-    strain = max(serving, default=0.0)
-    changes = [PaceChange(run, _next_percent(run.percent, strain)) for run in fills]
+    worst_ratio = max(latency_ratios, default=0.0)
+    changes = [
+        PaceChange(run, _next_percent(run.percent, worst_ratio))
+        for run in spare_core_runs
+    ]
     return [change for change in changes if change.percent != change.run.percent]
 
 
-def _next_percent(percent: int, strain: float) -> int:
-    """Return the next pace at a ratio of tail latency to target."""
-    if strain > 1.0:
-        slower = int(percent * SLOW_DOWN_FACTOR)
-        return slower if slower >= STOP_BELOW_PERCENT else 0
-    if strain < COMFORT_RATIO:
+def _next_percent(percent: int, latency_ratio: float) -> int:
+    """Return the next pace of a run, given the ratio of tail latency to target."""
+    if latency_ratio > 1.0:
+        reduced = int(percent * SLOW_DOWN_FACTOR)
+        return reduced if reduced >= STOP_BELOW_PERCENT else 0
+    if latency_ratio < SPEED_UP_BELOW_RATIO:
         return min(100, percent + SPEED_UP_PERCENT)
     return percent
--- a/basilhold/workflows/planner.py
+++ b/basilhold/workflows/planner.py
@@ -1,9 +1,10 @@
-"""Which task starts where. Pure.
+"""Placement of waiting tasks on workers.
 
-The planner answers a backlog of unlike steps on uneven workers. Steps are served by
-priority and, within one, by how soon they must start to end in time. A step that an
-external service must admit is asked about first while a worker has room for it, and
-again while one has room or will have it when the answer arrives.
+The planner places a backlog of heterogeneous steps on heterogeneous workers. Steps are
+ordered by priority and, within one priority, by the latest start with which they can
+still end in time. For a step that an external advice service must admit, queries are
+sent once a worker has capacity for it, and again while a worker has capacity or will
+have it when the answer arrives. The module performs no I/O.
 """
 
 import math
@@ -33,28 +34,35 @@
 __all__ = ["Placement", "Plan", "plan"]
 
 OTHER_RACK_PENALTY = 2.0
-"""Score of a worker away from the step's data, above any packing score."""
+"""Score of a worker outside the rack of the step's data; above any packing score."""
 
 RESERVED_PENALTY = 1.0
-"""Score of a worker whose room is kept for a less urgent step, above any packing
-score: runs were stopped to make it, and would be stopped elsewhere again."""
+"""Score of a worker whose capacity is reserved for a step of lower priority; above any
+packing score. Runs were stopped to free that capacity, and if it is used, further runs
+will be stopped elsewhere."""
 
 START_OVERHEAD_MS = 400.0
-"""After a stop, a start takes a look at the worker, a commit and a round trip."""
+"""Time from a stop to the next start: reading the worker's listing, a commit and a
+round trip."""
 
 ENDING_MARGIN_MS = 300.0
+"""Time after the expected answer up to which capacity that becomes free is included."""
 
 EARLY_END_FRACTION = 0.6
-"""Estimates are off by up to nine tenths; a step whose turn is next asks again from
-this share of the estimate on."""
+"""Share of its estimated run time after which a run may end. Estimates are off by up to
+nine tenths, so the next step in the order renews its tickets this early."""
 
 SPEED_WEIGHT = 0.1
 URGENT_SPEED_WEIGHT = 0.3
-"""How much a worker's speed counts against how tightly a task fits."""
+"""Weight of a worker's speed relative to the capacity that a placement leaves free, for
+normal work and for work of priority 0."""
 
 
 class Placement(msgspec.Struct):
-    """A task and where it starts."""
+    """A task and the worker on which it starts.
+
+    `ticket` is empty if the queue's policy needs none.
+    """
 
     step: ReadyStep
     key: TaskKey
@@ -63,7 +71,7 @@
 
 
 class Plan(msgspec.Struct):
-    """Outcome of one pass."""
+    """Decisions of one planning pass."""
 
     placements: list[Placement]
     queries: list[AdviceQuery]
@@ -73,128 +81,143 @@
 def plan(
     steps: list[ReadyStep],
     pool: Pool,
-    book: AdmissionRecords,
+    admissions: AdmissionRecords,
     reservations: Reservations,
     now_ms: float,
-    shared_ms: float,
+    store_ms: float,
     stop_ms: float,
     may_preempt: bool = True,
 ) -> Plan:
-    """Place waiting tasks; the placements are reserved in the pool.
+    """Plan placements, queries to the advice service and preemptions.
 
     Parameters
     ----------
     steps : list of ReadyStep
+        Placed tasks are removed from their `keys`.
     pool : Pool
-    book : AdmissionRecords
+        Placed runs are added to its workers, and runs to be stopped are marked.
+    admissions : AdmissionRecords
     reservations : Reservations
-        Room that earlier passes have kept for steps; updated.
-    now_ms, shared_ms : float
-        The loop's clock and the store's, in milliseconds.
+        Capacity that earlier passes have reserved for steps; updated.
+    now_ms, store_ms : float
+        Times of the event loop's clock and of the store's clock, in milliseconds.
     stop_ms : float
-        How long a stop of a run may take.
-    may_stop : bool
-        Whether runs may be stopped for others.
+        Time that stopping a run may take, in milliseconds.
+    may_preempt : bool
+        Whether runs may be stopped so that steps of higher priority can start.
 
     Returns
     -------
     Plan
     """
-    planner = _PlanningPass(
-        pool, book, reservations, now_ms, shared_ms, stop_ms, may_preempt
+    planning_pass = _PlanningPass(
+        pool, admissions, reservations, now_ms, store_ms, stop_ms, may_preempt
     )
-    for step in sorted(steps, key=lambda s: (rank(s, shared_ms), s.start_by_ms)):
-        planner.place(step)
-    return planner.result
+    for step in sorted(steps, key=lambda s: (rank(s, store_ms), s.start_by_ms)):
+        planning_pass.plan_step(step)
+    return planning_pass.result
 
 
 class _PlanningPass:
-    """One pass over the waiting steps."""
+    """One pass over the ready steps.
+
+    The parameters are those of `plan`.
+    """
 
     def __init__(
         self,
         pool: Pool,
-        book: AdmissionRecords,
+        admissions: AdmissionRecords,
         reservations: Reservations,
         now_ms: float,
-        shared_ms: float,
+        store_ms: float,
         stop_ms: float,
-        may_stop: bool,
+        may_preempt: bool,
     ):
-        self._stops_allowed = may_stop
-        self._book = book
+        self._preemption_allowed = may_preempt
+        self._admissions = admissions
         self._reservations = reservations
         self._now_ms = now_ms
-        self._shared_ms = shared_ms
+        self._store_ms = store_ms
         self._stop_ms = stop_ms
-        self._usable = pool.accepting_workers(now_ms)
+        self._workers = pool.accepting_workers(now_ms)
+        # Capacity claimed by steps that were planned earlier in this pass.
         self._claimed: dict[WorkerId, Resources] = {}
-        self._asked: dict[WorkerId, Resources] = {}
-        self._promised: dict[WorkerId, Resources] = {}
-        self._ending_rooms: dict[AdvicePolicy, dict[WorkerId, Resources]] = {}
-        self._drained: dict[WorkerId, list[tuple[int, Resources]]] = {}
-        self._settled: set[StepKey] = set()
+        # Free capacity for which steps without any answer have sent queries.
+        self._queried: dict[WorkerId, Resources] = {}
+        # Claimed capacity that becomes free by the time an answer arrives.
+        self._ending_claimed: dict[WorkerId, Resources] = {}
+        # Cache of the capacity of runs that end by the time an answer arrives.
+        self._ending_capacities: dict[AdvicePolicy, dict[WorkerId, Resources]] = {}
+        # Capacity withheld from steps of lower priority than the one given with it.
+        self._withheld: dict[WorkerId, list[tuple[int, Resources]]] = {}
+        self._planned: set[StepKey] = set()
         self.result = Plan([], [], [])
 
-    def place(self, step: ReadyStep) -> None:
-        """Place what fits of a step, ask about it, and claim room for the rest."""
-        self._place(step)
+    def plan_step(self, step: ReadyStep) -> None:
+        """Place tasks of a step, send queries, and claim capacity for the rest."""
+        self._plan_step(step)
         if not step.keys:
             self._reservations.release(step.key)
-        self._settled.add(step.key)
+        self._planned.add(step.key)
 
-    def _place(self, step: ReadyStep) -> None:
-        fits = [w for w in self._usable if w.is_admissible(step.spec)]
-        if not fits:
+    def _plan_step(self, step: ReadyStep) -> None:
+        suitable = [w for w in self._workers if w.is_admissible(step.spec)]
+        if not suitable:
             return
         if step.workflow.spec.policy.advice is None:
-            self._place_on(step, fits, None)
+            self._place_on(step, suitable, None)
             if step.keys:
-                self._claim(step, fits, None)
+                self._claim(step, suitable, None)
             return
-        known = self._book.step(step.key)
-        ticketed = [w for w in fits if known.ticket(w.worker_id, self._now_ms)]
+        admission = self._admissions.step(step.key)
+        ticketed = [w for w in suitable if admission.ticket(w.worker_id, self._now_ms)]
         if ticketed:
-            self._place_on(step, ticketed, known)
+            self._place_on(step, ticketed, admission)
         if not step.keys:
             return
-        if known.is_unknown:
-            if self._may_find_room(step, fits):
-                self._ask(step, fits, known)
+        if admission.is_unknown:
+            if self._may_use_answer(step, suitable):
+                self._send_queries(step, suitable, admission)
             return
-        possible = [w for w in fits if w.worker_id not in known.refused]
-        self._ask(step, self._claim(step, possible, known), known, possible)
+        possible = [w for w in suitable if w.worker_id not in admission.refused]
+        self._send_queries(
+            step, self._claim(step, possible, admission), admission, possible
+        )
 
-    def _may_find_room(self, step: ReadyStep, workers: list[Worker]) -> bool:
+    def _may_use_answer(self, step: ReadyStep, workers: list[Worker]) -> bool:
         """Return whether an answer could be used before its tickets expire.
 
-        Room that steps before this one ask about is taken, although some of it will
-        not be admitted for them; placements are not held up by that.
+        Capacity about which earlier steps have sent queries counts as taken here,
+        although they will be refused some of it. Placements ignore these queries.
         """
         needed = len(step.keys)
-        slots = self._free_slots(step, workers, needed, self._asked)
+        slots = self._free_slots(step, workers, needed, self._queried)
         count = sum(slots.values())
         if count >= needed or (count and not step.spec.gang):
             size = step.spec.reserved()
-            for worker_id, times in slots.items():
-                asked = self._asked.get(worker_id, Resources())
-                self._asked[worker_id] = asked + size.scaled(times)
+            for worker_id, task_count in slots.items():
+                queried = self._queried.get(worker_id, Resources())
+                self._queried[worker_id] = queried + size.scaled(task_count)
             return True
         if not (step.spec.gang or self._is_urgent(step)) or self._is_late(step):
             return False
-        return any(self._offer(step, worker, 1) for worker in workers)
+        return any(self._find_option(step, worker, 1) for worker in workers)
 
     def _place_on(
-        self, step: ReadyStep, workers: list[Worker], known: StepAdmission | None
+        self, step: ReadyStep, workers: list[Worker], admission: StepAdmission | None
     ) -> None:
+        """Place as many tasks of a step as fit; a gang wholly or not at all."""
         placed: list[Placement] = []
         for key in step.keys:
-            worker = self._choose(step, key, workers)
+            worker = self._choose_worker(step, key, workers)
             if worker is None:
                 break
             run = _make_run(step, key, self._now_ms)
             worker.add(run)
-            ticket = known.ticket(worker.worker_id, self._now_ms) if known else ""
+            ticket = (
+                admission.ticket(worker.worker_id, self._now_ms) if admission else ""
+            )
             placed.append(Placement(step, key, worker, ticket))
         if step.spec.gang and len(placed) < len(step.keys):
             for placement in placed:
@@ -203,20 +226,21 @@
         self.result.placements.extend(placed)
         del step.keys[: len(placed)]
 
-    def _choose(
+    def _choose_worker(
         self, step: ReadyStep, key: TaskKey, workers: list[Worker]
     ) -> Worker | None:
+        """Return the worker with the lowest score for a task, or ``None``."""
         spec = step.spec
         size = spec.reserved()
         avoided = step.workflow.task(key).avoided
         best, best_score = None, 0.0
         for worker in workers:
-            if not size.fits_in(self._room(worker, step)):
+            if not size.fits_in(self._available(worker, step)):
                 continue
-            if spec.per_worker_max and self._left_on(step, worker) <= 0:
+            if spec.per_worker_max and self._remaining_on(step, worker) <= 0:
                 continue
             score = _packing_score(worker, spec, step.priority == 0)
-            if self._takes_kept_room(step, worker):
+            if self._uses_reserved_capacity(step, worker):
                 score += RESERVED_PENALTY
             if spec.rack and worker.info.rack != spec.rack:
                 score += OTHER_RACK_PENALTY
@@ -226,134 +250,161 @@
                 best, best_score = worker, score
         return best
 
-    def _room(self, worker: Worker, step: ReadyStep) -> Resources:
-        room = worker.free
+    def _available(self, worker: Worker, step: ReadyStep) -> Resources:
+        """Return the free capacity of a worker that a step may use."""
+        available = worker.free
         claimed = self._claimed.get(worker.worker_id)
         if claimed:
-            room = room - claimed
-        kept = self._reservations.reserved_for_others(
-            step, worker.worker_id, self._settled
+            available = available - claimed
+        reserved = self._reservations.reserved_for_others(
+            step, worker.worker_id, self._planned
         )
-        if kept:
-            room = room - kept
-        for priority, size in self._drained.get(worker.worker_id, ()):
+        if reserved:
+            available = available - reserved
+        for priority, size in self._withheld.get(worker.worker_id, ()):
             if priority < step.priority:
-                room = room - size
-        return room
+                available = available - size
+        return available
 
-    def _takes_kept_room(self, step: ReadyStep, worker: Worker) -> bool:
-        """Return whether a task would take room that less urgent steps wait for."""
-        kept = self._reservations.reserved_for_lower_priority(step, worker.worker_id)
-        if kept is None:
+    def _uses_reserved_capacity(self, step: ReadyStep, worker: Worker) -> bool:
+        """Return whether a task would use capacity reserved for lower priorities."""
+        reserved = self._reservations.reserved_for_lower_priority(
+            step, worker.worker_id
+        )
+        if reserved is None:
             return False
-        return not step.spec.reserved().fits_in(self._room(worker, step) - kept)
+        return not step.spec.reserved().fits_in(
+            self._available(worker, step) - reserved
+        )
 
-    def _left_on(self, step: ReadyStep, worker: Worker) -> int:
-        """Return how many more tasks of a step a worker may run."""
+    def _remaining_on(self, step: ReadyStep, worker: Worker) -> int:
+        """Return how many more tasks of a step may run on a worker."""
         if not step.spec.per_worker_max:
             return len(step.keys)
         job_id = step.workflow.job_id
         count = worker.count_of_step(job_id, step.occurrence, step.number)
         return step.spec.per_worker_max - count
 
-    def _ask(
+    def _send_queries(
         self,
         step: ReadyStep,
         workers: list[Worker],
-        known: StepAdmission,
+        admission: StepAdmission,
         spares: list[Worker] | None = None,
     ) -> None:
-        """Ask about workers, and about some spare ones in case those are refused."""
-        if not workers or not known.may_ask(self._now_ms):
+        """Add queries about workers, and about some spares in case they are refused."""
+        if not workers or not admission.may_ask(self._now_ms):
             return
         self.result.queries += make_queries(
             step,
             workers,
             spares or [],
-            lambda worker: self._room(worker, step),
-            known,
-            self._book.admitted_share(step.workflow.spec.policy.name),
+            lambda worker: self._available(worker, step),
+            admission,
+            self._admissions.admitted_share(step.workflow.spec.policy.name),
             self._now_ms,
         )
 
     def _claim(
-        self, step: ReadyStep, workers: list[Worker], known: StepAdmission | None
+        self, step: ReadyStep, workers: list[Worker], admission: StepAdmission | None
     ) -> list[Worker]:
-        """Keep room for a step's waiting tasks from the steps after it.
+        """Claim capacity for a step's waiting tasks against later steps of the pass.
 
-        Workers that are known to be admitted come first.
+        Admitted workers are used first. Runs are stopped if capacity is missing and
+        the step may preempt.
+
+        Parameters
+        ----------
+        step : ReadyStep
+        workers : list of Worker
+            Workers that may run the step and were not refused.
+        admission : StepAdmission, optional
+            ``None`` if the step needs no tickets.
 
         Returns
         -------
         list of Worker
-            Those that have room now or, if there are none, when an answer arrives.
+            Workers to query. These have capacity now or, if there are none, when an
+            answer arrives. A step for which the admitted workers can never suffice, but
+            which may preempt, gets the workers without a decision.
         """
         needed = len(step.keys)
-        admitted = known.admitted if known else ()
-        first = [w for w in workers if w.worker_id in admitted]
-        others = [w for w in workers if w.worker_id not in admitted]
-        free = self._free_slots(step, first, needed)
-        free |= self._free_slots(step, others, needed - sum(free.values()))
-        count = sum(free.values())
+        admitted_ids = admission.admitted if admission else ()
+        admitted = [w for w in workers if w.worker_id in admitted_ids]
+        others = [w for w in workers if w.worker_id not in admitted_ids]
+        slots = self._free_slots(step, admitted, needed)
+        slots |= self._free_slots(step, others, needed - sum(slots.values()))
+        count = sum(slots.values())
         enough = count >= needed
         usable = count > 0 and (enough or not step.spec.gang)
         if usable:
-            self._claim_slots(step, free)
-        own: dict[WorkerId, Resources] = {}
-        may_preempt = self._may_preempt(step, known)
+            self._claim_slots(step, slots)
+        preempted: dict[WorkerId, Resources] = {}
+        may_preempt = self._may_preempt(step, admission)
         if enough and step.spec.gang:
-            self._reservations.replace(step, free)
+            self._reservations.replace(step, slots)
         elif not enough and may_preempt:
-            # A stop on a worker that is then refused would free room for nobody.
-            own = self._preempt(step, first if known else workers, free, needed)
-        elif self._stops_allowed:
+            # Only admitted workers, since capacity freed on a worker that is refused
+            # later is useless to the step.
+            preempted = self._preempt(
+                step, admitted if admission else workers, slots, needed
+            )
+        elif self._preemption_allowed:
             self._reservations.release(step.key)
         if usable:
-            return [w for w in workers if w.worker_id in free]
-        if not known:
+            return [w for w in workers if w.worker_id in slots]
+        if not admission:
             return []
-        promised = self._claim_ending_capacity(step, first + others, own)
-        if promised or self._is_enough_if_empty(step, first):
-            return promised
+        ending = self._claim_ending_capacity(step, admitted + others, preempted)
+        if ending or self._is_enough_if_idle(step, admitted):
+            return ending
         return others if may_preempt else []
 
-    def _may_preempt(self, step: ReadyStep, known: StepAdmission | None) -> bool:
+    def _may_preempt(self, step: ReadyStep, admission: StepAdmission | None) -> bool:
         """Return whether runs of lower priority may be stopped for a step now."""
-        if not self._stops_allowed or self._is_late(step):
+        if not self._preemption_allowed or self._is_late(step):
             return False
         if not step.spec.gang:
             return self._is_urgent(step)
-        if known is not None and known.unanswered:
-            # Answers that are still to come may admit workers with more room. Room that
-            # was made before is kept meanwhile.
+        if admission is not None and admission.unanswered:
+            # Open queries may still admit workers with more free capacity. Capacity
+            # that was freed for the step before stays reserved meanwhile.
             return self._reservations.has(step.key)
         return True
 
-    def _is_enough_if_empty(self, step: ReadyStep, workers: list[Worker]) -> bool:
-        """Return whether a step could start if its priority had the workers alone."""
+    def _is_enough_if_idle(self, step: ReadyStep, workers: list[Worker]) -> bool:
+        """Return whether a step could start if the workers were idle."""
         size = step.spec.reserved()
         needed = len(step.keys) if step.spec.gang else 1
         for worker in workers:
-            most = min(needed, self._left_on(step, worker))
-            needed -= count_fitting(worker.info.capacity, size, most)
+            limit = min(needed, self._remaining_on(step, worker))
+            needed -= count_fitting(worker.info.capacity, size, limit)
             if needed <= 0:
                 return True
         return False
 
     def _claim_ending_capacity(
-        self, step: ReadyStep, workers: list[Worker], own: dict[WorkerId, Resources]
+        self,
+        step: ReadyStep,
+        workers: list[Worker],
+        preempted: dict[WorkerId, Resources],
     ) -> list[Worker]:
-        """Return workers that will have room for a step when an answer arrives.
+        """Claim capacity that becomes free for a step by the time an answer arrives.
 
-        A worker would stand empty while the step asks for new tickets. Room is
-        promised to one step at a time, in their order.
+        Renewing tickets early avoids that a worker is idle while the step waits for an
+        answer. In the order of the steps, each capacity is claimed by one step only.
 
         Parameters
         ----------
         step : ReadyStep
         workers : list of Worker
-        own : dict
-            Room that was claimed for this step in this pass.
+        preempted : dict of WorkerId to Resources
+            Capacity that this pass claimed for the step by preemption.
+
+        Returns
+        -------
+        list of Worker
+            Workers with claimed capacity; empty if a gang does not fit wholly.
         """
         size = step.spec.reserved()
         missing = len(step.keys)
@@ -361,28 +412,30 @@
         for worker in workers:
             if missing <= 0:
                 break
-            ending = self._ending(worker, step.workflow.spec.policy.advice)
+            ending = self._ending_capacity(worker, step.workflow.spec.policy.advice)
             if worker.free.cores_milli + ending.cores_milli < size.cores_milli:
                 continue
-            room = worker.free + ending
+            available = worker.free + ending
             taken = self._claimed.get(worker.worker_id, Resources())
-            taken = taken + self._promised.get(worker.worker_id, Resources())
-            room = room - taken + own.get(worker.worker_id, Resources())
-            count = count_fitting(room, size, min(missing, self._left_on(step, worker)))
+            taken = taken + self._ending_claimed.get(worker.worker_id, Resources())
+            available = available - taken + preempted.get(worker.worker_id, Resources())
+            count = count_fitting(
+                available, size, min(missing, self._remaining_on(step, worker))
+            )
             if count:
                 slots[worker.worker_id] = count
                 missing -= count
         if not slots or (step.spec.gang and missing > 0):
             return []
         for worker_id, count in slots.items():
-            promised = self._promised.get(worker_id, Resources())
-            self._promised[worker_id] = promised + size.scaled(count)
+            claimed = self._ending_claimed.get(worker_id, Resources())
+            self._ending_claimed[worker_id] = claimed + size.scaled(count)
         return [w for w in workers if w.worker_id in slots]
 
-    def _ending(self, worker: Worker, advice: AdvicePolicy) -> Resources:
-        """Return the room of a worker's runs that may end before an answer arrives."""
-        known = self._ending_rooms.setdefault(advice, {})
-        ending = known.get(worker.worker_id)
+    def _ending_capacity(self, worker: Worker, advice: AdvicePolicy) -> Resources:
+        """Return the capacity of a worker's runs that may end before an answer."""
+        cache = self._ending_capacities.setdefault(advice, {})
+        ending = cache.get(worker.worker_id)
         if ending is None:
             answer_ms = advice.answer_ms(WORKERS_PER_QUERY)
             horizon_ms = self._now_ms + answer_ms + ENDING_MARGIN_MS
@@ -390,7 +443,7 @@
             for run in worker.runs.values():
                 if run.stop_wanted or _early_end_ms(run, worker) <= horizon_ms:
                     ending = ending + run.reserved
-            known[worker.worker_id] = ending
+            cache[worker.worker_id] = ending
         return ending
 
     def _free_slots(
@@ -400,100 +453,133 @@
         needed: int,
         taken: dict[WorkerId, Resources] | None = None,
     ) -> dict[WorkerId, int]:
-        """Return how many tasks fit on each worker, up to the number needed."""
+        """Return how many tasks fit on each worker, up to the number needed.
+
+        Workers that the task avoids come last, those with reservations for the step
+        first, and then those that fit most tightly.
+
+        Parameters
+        ----------
+        step : ReadyStep
+        workers : list of Worker
+        needed : int
+            Number of tasks to fit.
+        taken : dict of WorkerId to Resources, optional
+            Capacity that counts as taken in addition.
+
+        Returns
+        -------
+        dict of WorkerId to int
+            Workers on which at least one task fits.
+        """
         size = step.spec.reserved()
         avoided = step.workflow.task(step.keys[0]).avoided
         slots: dict[WorkerId, int] = {}
-        roomy: list[tuple[tuple[bool, bool], float, Worker, Resources]] = []
+        candidates: list[tuple[tuple[bool, bool], float, Worker, Resources]] = []
         for worker in workers if needed > 0 else ():
-            room = self._room(worker, step)
+            available = self._available(worker, step)
             if taken and worker.worker_id in taken:
-                room = room - taken[worker.worker_id]
-            if size.fits_in(room):
+                available = available - taken[worker.worker_id]
+            if size.fits_in(available):
                 score = _packing_score(worker, step.spec)
-                second = (
+                preference = (
                     worker.worker_id in avoided,
                     not self._reservations.includes(step, worker.worker_id),
                 )
-                roomy.append((second, score, worker, room))
-        roomy.sort(key=lambda entry: entry[:2])
-        for _, _, worker, room in roomy:
+                candidates.append((preference, score, worker, available))
+        candidates.sort(key=lambda entry: entry[:2])
+        for _, _, worker, available in candidates:
             if needed <= 0:
                 break
-            most = min(needed, self._left_on(step, worker))
-            count = count_fitting(room, size, most)
+            limit = min(needed, self._remaining_on(step, worker))
+            count = count_fitting(available, size, limit)
             if count > 0:
                 slots[worker.worker_id] = count
                 needed -= count
         return slots
 
     def _claim_slots(self, step: ReadyStep, slots: dict[WorkerId, int]) -> None:
+        """Claim capacity for a number of tasks on each worker."""
         size = step.spec.reserved()
         for worker_id, count in slots.items():
             claimed = self._claimed.get(worker_id, Resources())
             self._claimed[worker_id] = claimed + size.scaled(count)
 
     def _is_late(self, step: ReadyStep) -> bool:
-        return rank(step, self._shared_ms) > step.priority
+        """Return whether a step can no longer end in time, as far as is estimated."""
+        return rank(step, self._store_ms) > step.priority
 
     def _is_urgent(self, step: ReadyStep) -> bool:
-        """Return whether a step misses its objective unless others make room."""
-        slack_ms = step.start_by_ms - self._shared_ms
-        soon_ms = self._stop_ms + START_OVERHEAD_MS
-        return -START_BY_TOLERANCE_MS < slack_ms < soon_ms
+        """Return whether a step misses its objective unless runs are stopped now."""
+        slack_ms = step.start_by_ms - self._store_ms
+        preemption_ms = self._stop_ms + START_OVERHEAD_MS
+        return -START_BY_TOLERANCE_MS < slack_ms < preemption_ms
 
     def _preempt(
         self,
         step: ReadyStep,
         workers: list[Worker],
-        free: dict[WorkerId, int],
+        slots: dict[WorkerId, int],
         needed: int,
     ) -> dict[WorkerId, Resources]:
         """Stop runs of lower priority for the tasks that do not fit.
 
+        If that cannot make enough capacity for a gang, none is stopped, and workers are
+        withheld from lower priorities instead.
+
+        Parameters
+        ----------
+        step : ReadyStep
+        workers : list of Worker
+            Workers on which runs may be stopped.
+        slots : dict of WorkerId to int
+            Number of tasks that fit on each worker without stops.
+        needed : int
+            Number of waiting tasks.
+
         Returns
         -------
         dict of WorkerId to Resources
-            Room that is claimed for the step.
+            Capacity that was claimed for the step.
         """
-        missing = needed if step.spec.gang else needed - sum(free.values())
-        offers = [self._offer(step, worker, missing) for worker in workers]
+        missing = needed if step.spec.gang else needed - sum(slots.values())
+        options = [self._find_option(step, worker, missing) for worker in workers]
         chosen = choose_options(
             step,
-            (offer for offer in offers if offer is not None),
+            (option for option in options if option is not None),
             missing,
             self._reservations,
         )
-        if step.spec.gang and sum(offer.task_count for offer in chosen) < missing:
+        if step.spec.gang and sum(option.task_count for option in chosen) < missing:
             self._reservations.release(step.key)
             self._withhold_workers(step, workers)
             return {}
         size = step.spec.reserved()
-        own: dict[WorkerId, Resources] = {}
-        kept: dict[WorkerId, int] = {}
-        for offer in chosen:
-            if offer.task_count > missing:
-                # The last worker need not stop as much as it could.
-                offer = self._offer(step, offer.worker, missing)
-            missing -= offer.task_count
-            worker_id = offer.worker.worker_id
-            kept[worker_id] = offer.task_count
-            own[worker_id] = size.scaled(offer.task_count)
+        preempted: dict[WorkerId, Resources] = {}
+        reserved: dict[WorkerId, int] = {}
+        for option in chosen:
+            if option.task_count > missing:
+                # The last worker may need fewer stops than its option includes.
+                option = self._find_option(step, option.worker, missing)
+            missing -= option.task_count
+            worker_id = option.worker.worker_id
+            reserved[worker_id] = option.task_count
+            preempted[worker_id] = size.scaled(option.task_count)
             claimed = self._claimed.get(worker_id, Resources())
-            self._claimed[worker_id] = claimed + own[worker_id]
-            for known in self._ending_rooms.values():
-                known.pop(worker_id, None)
-            for run in offer.victims:
+            self._claimed[worker_id] = claimed + preempted[worker_id]
+            for cache in self._ending_capacities.values():
+                cache.pop(worker_id, None)
+            for run in option.victims:
                 run.stop_wanted = True
-                self.result.preemptions.append(Preemption(offer.worker, run, step))
-        self._reservations.replace(step, kept)
-        return own
+                self.result.preemptions.append(Preemption(option.worker, run, step))
+        self._reservations.replace(step, reserved)
+        return preempted
 
     def _withhold_workers(self, step: ReadyStep, workers: list[Worker]) -> None:
-        """Keep new work of lower priority off the workers that a gang will get.
+        """Withhold the workers that a gang will get from work of lower priority.
 
-        Work of the same priority may still use them: one gang that waits for a whole
-        worker must not keep smaller ones from its parts.
+        Work of the same priority may still use them, so that a gang that waits for a
+        whole worker does not block smaller gangs from parts of it.
         """
         size = step.spec.reserved()
         missing = len(step.keys)
@@ -502,23 +588,29 @@
                 return
             capacity = worker.info.capacity
             count = count_fitting(
-                capacity, size, min(missing, self._left_on(step, worker))
+                capacity, size, min(missing, self._remaining_on(step, worker))
             )
             if count:
-                drained = self._drained.setdefault(worker.worker_id, [])
-                drained.append((step.priority, size.scaled(count)))
+                withheld = self._withheld.setdefault(worker.worker_id, [])
+                withheld.append((step.priority, size.scaled(count)))
                 missing -= count
 
-    def _offer(
-        self, step: ReadyStep, worker: Worker, most: int
+    def _find_option(
+        self, step: ReadyStep, worker: Worker, limit: int
     ) -> PreemptionOption | None:
-        """Return what a worker can offer once some of its runs have stopped."""
-        most = min(most, self._left_on(step, worker))
-        return find_option(step, worker, self._room(worker, step), most, self._now_ms)
+        """Return how a worker can make capacity for up to `limit` tasks by stops."""
+        limit = min(limit, self._remaining_on(step, worker))
+        return find_option(
+            step, worker, self._available(worker, step), limit, self._now_ms
+        )
 
 
 def _early_end_ms(run: Run, worker: Worker) -> float:
-    """Return when a run may have ended, by a rough estimate."""
+    """Return the earliest expected end of a run.
+
+    It is a time of the event loop's clock in milliseconds, infinite for a run that is
+    not expected to end.
+    """
     if run.step is None or run.step.long_running:
         return math.inf
     expected_ms = run.step.estimate_ms * worker.run_time_ratio
@@ -526,6 +618,7 @@
 
 
 def _make_run(step: ReadyStep, key: TaskKey, now_ms: float) -> Run:
+    """Return a new run of a task; the runs of a gang share one number."""
     spec = step.spec
     number = step.workflow.next_run(
         step.workflow.step_keys(key.occurrence, key.step) if spec.gang else [key]
@@ -542,9 +635,18 @@
 
 
 def _packing_score(worker: Worker, step: StepSpec, urgent: bool = False) -> float:
-    """Return how much a placement leaves free, from 0 (nothing) to 1.
+    """Return the score of a placement; lower is better.
+
+    The score grows with the share of the worker's cores that stays free and with the
+    worker's relative run time, and is higher for tasks without GPUs on workers with
+    GPUs, so that such tasks use other workers first.
 
-    Work without GPUs goes to workers without GPUs first.
+    Parameters
+    ----------
+    worker : Worker
+    step : StepSpec
+    urgent : bool
+        Whether the worker's speed gets the higher weight.
     """
     left = worker.free - step.reserved()
     capacity = worker.info.capacity
--- a/basilhold/workflows/preemption.py
+++ b/basilhold/workflows/preemption.py
@@ -1,8 +1,9 @@
-"""Which runs are stopped so that a step of higher priority can start. Pure.
+"""Choice of the runs that are stopped so that a step of higher priority can start.
 
-This answers a pool that is full of work of lower priority. A stop costs the work that
-was not saved and the time in which the room stands empty, so a step takes the workers
-where least is lost, and first those on which runs are already being stopped.
+It applies when the pool is full of work of lower priority. Stopping a run loses its
+unsaved work and leaves its capacity unused until the next start, so the workers with
+the lowest cost are chosen, after those on which runs are already being stopped for the
+step. The module performs no I/O.
 """
 
 from collections.abc import Container, Iterable
@@ -24,13 +25,13 @@
 ]
 
 STOPS_PER_WORKER_MAX = 8
-"""Most runs that are stopped on one worker for one step."""
+"""Maximum number of runs that are stopped on one worker for one step."""
 
 STOP_COST_MS = 500.0
-"""Time for which the room of a stopped run is not used."""
+"""Time for which the capacity of a stopped run is unused."""
 
 GPU_CORES = 8
-"""Cores that one GPU is worth."""
+"""Number of cores that cost as much as one GPU."""
 
 
 class Preemption(msgspec.Struct):
@@ -42,15 +43,15 @@
 
 
 class PreemptionOption(msgspec.Struct):
-    """Room that a worker has for a step once some of its runs have stopped.
+    """Capacity that a worker has for a step once some of its runs have stopped.
 
     Parameters
     ----------
     worker : Worker
     task_count : int
-        Tasks of the step that fit then.
+        Number of the step's tasks that fit then.
     victims : list of Run
-        Runs that are yet to be stopped; empty if all of them are being stopped.
+        Runs that still have to be stopped; empty if enough are being stopped already.
     cost : float
         Work that the stops lose, in core-seconds.
     """
@@ -62,17 +63,18 @@
 
 
 class _Reservation(msgspec.Struct):
-    """Tasks of a step that a worker keeps room for."""
+    """Capacity of one worker that is reserved for a step."""
 
     priority: int
     size: Resources
 
 
 class Reservations:
-    """Room that is kept for steps whose other room, or tickets, are yet to come.
+    """Capacity reserved for steps that wait for more capacity or for tickets.
 
-    Without it, room that was made for one step would go to the next step in the order,
-    and the first would stop runs elsewhere.
+    Reservations last from one planning pass to the next. Without them, capacity that
+    was freed for one step would go to the next step in the order, and the first step
+    would stop further runs elsewhere.
     """
 
     def __init__(self):
@@ -80,61 +82,80 @@
         self._workers: dict[WorkerId, dict[StepKey, _Reservation]] = {}
 
     def replace(self, step: ReadyStep, task_counts: dict[WorkerId, int]) -> None:
-        """Replace what is kept for a step by room for some tasks on each worker."""
+        """Replace the reservations of a step.
+
+        Parameters
+        ----------
+        step : ReadyStep
+        task_counts : dict of WorkerId to int
+            Number of tasks for which each worker's capacity is reserved.
+        """
         self.release(step.key)
         size = step.spec.reserved()
         for worker_id, count in task_counts.items():
-            kept = _Reservation(step.priority, size.scaled(count))
-            self._workers.setdefault(worker_id, {})[step.key] = kept
+            reservation = _Reservation(step.priority, size.scaled(count))
+            self._workers.setdefault(worker_id, {})[step.key] = reservation
         if task_counts:
             self._steps[step.key] = set(task_counts)
 
     def release(self, key: StepKey) -> None:
-        """Keep nothing more for a step."""
+        """Release all capacity reserved for a step."""
         for worker_id in self._steps.pop(key, ()):
-            kept = self._workers[worker_id]
-            del kept[key]
-            if not kept:
+            reservations = self._workers[worker_id]
+            del reservations[key]
+            if not reservations:
                 del self._workers[worker_id]
 
     def remove_job(self, job_id: JobId) -> None:
-        """Keep nothing more for a workflow that has ended."""
+        """Release all capacity reserved for a workflow that has ended."""
         for key in [key for key in self._steps if key.job_id == job_id]:
             self.release(key)
 
     def has(self, key: StepKey) -> bool:
-        """Return whether any room is kept for a step."""
+        """Return whether any capacity is reserved for a step."""
         return key in self._steps
 
     def includes(self, step: ReadyStep, worker_id: WorkerId) -> bool:
-        """Return whether a worker keeps room for a step."""
+        """Return whether capacity of a worker is reserved for a step."""
         return worker_id in self._steps.get(step.key, ())
 
     def reserved_for_others(
-        self, step: ReadyStep, worker_id: WorkerId, settled: Container[StepKey]
+        self, step: ReadyStep, worker_id: WorkerId, planned: Container[StepKey]
     ) -> Resources | None:
-        """Return the room of a worker that a step must leave to others.
+        """Return the capacity of a worker that a step must leave to other steps.
 
         Parameters
         ----------
         step : ReadyStep
         worker_id : WorkerId
-        settled : container of StepKey
-            Steps that have claimed their room in another way.
+        planned : container of StepKey
+            Steps already planned in this pass, which have claimed their capacity there;
+            their reservations are ignored.
+
+        Returns
+        -------
+        Resources, optional
+            ``None`` if nothing is reserved.
         """
         key = step.key
         return _total(
             reservation.size
             for other, reservation in self._workers.get(worker_id, {}).items()
             if other != key
-            and other not in settled
+            and other not in planned
             and reservation.priority <= step.priority
         )
 
     def reserved_for_lower_priority(
         self, step: ReadyStep, worker_id: WorkerId
     ) -> Resources | None:
-        """Return the room of a worker that is kept for less urgent steps than one."""
+        """Return the capacity of a worker reserved for steps of lower priority.
+
+        Returns
+        -------
+        Resources, optional
+            ``None`` if nothing is reserved.
+        """
         return _total(
             reservation.size
             for reservation in self._workers.get(worker_id, {}).values()
@@ -150,91 +171,120 @@
     return total
 
 
-def count_fitting(room: Resources, size: Resources, most: int) -> int:
-    """Return how often a size fits, at most `most` times.
+def count_fitting(available: Resources, size: Resources, limit: int) -> int:
+    """Return how many tasks of a size fit into the available capacity.
+
+    Parameters
+    ----------
+    available : Resources
+    size : Resources
+        Resources of one task.
+    limit : int
+        Largest number to return.
 
     Examples
     --------
     >>> count_fitting(Resources(9_000, 4 << 30), Resources(2_000, 1 << 30), 8)
     4
     """
-    count = most
-    for have, need in (
-        (room.cores_milli, size.cores_milli),
-        (room.memory_bytes, size.memory_bytes),
-        (room.gpus_milli, size.gpus_milli),
+    count = limit
+    for amount, needed in (
+        (available.cores_milli, size.cores_milli),
+        (available.memory_bytes, size.memory_bytes),
+        (available.gpus_milli, size.gpus_milli),
     ):
-        if need:
-            count = min(count, have // need)
+        if needed:
+            count = min(count, amount // needed)
     return max(0, count)
 
 
 def find_option(
-    step: ReadyStep, worker: Worker, room: Resources, most: int, now_ms: float
+    step: ReadyStep, worker: Worker, available: Resources, limit: int, now_ms: float
 ) -> PreemptionOption | None:
-    """Return what a worker can offer to a step, or ``None`` if that is nothing.
+    """Return how a worker can make capacity for a step.
 
     Parameters
     ----------
     step : ReadyStep
     worker : Worker
-    room : Resources
-        What is free on the worker for this step now.
-    most : int
-        Tasks of the step that may start there.
+    available : Resources
+        Capacity of the worker that is available to the step now.
+    limit : int
+        Maximum number of the step's tasks that may start there.
     now_ms : float
-        Time of the loop's clock, in milliseconds.
+        Time of the event loop's clock, in milliseconds.
+
+    Returns
+    -------
+    PreemptionOption, optional
+        ``None`` if no task fits even after stops.
     """
     size = step.spec.reserved()
     for run in worker.runs.values():
         if run.stop_wanted:
-            room = room + run.reserved
+            available = available + run.reserved
     candidates = sorted(
         (run for run in worker.runs.values() if _may_stop(run, step)),
         key=lambda run: (-run.priority, _lost_ms(run, now_ms)),
     )
     victims: list[Run] = []
-    count = count_fitting(room, size, most)
+    count = count_fitting(available, size, limit)
     for run in candidates[:STOPS_PER_WORKER_MAX]:
-        if count >= most:
+        if count >= limit:
             break
-        room = room + run.reserved
+        available = available + run.reserved
         victims.append(run)
-        count = count_fitting(room, size, most)
-    # Victims after the last one that made room for a task would stop for nothing.
-    while victims and count_fitting(room - victims[-1].reserved, size, most) == count:
-        room = room - victims.pop().reserved
+        count = count_fitting(available, size, limit)
+    # Drop trailing victims whose capacity is too small for another task.
+    while (
+        victims
+        and count_fitting(available - victims[-1].reserved, size, limit) == count
+    ):
+        available = available - victims.pop().reserved
     if not count:
         return None
-    cost = sum(_cost(run, now_ms) for run in victims)
+    cost = sum(_stop_cost(run, now_ms) for run in victims)
     return PreemptionOption(worker, count, victims, cost)
 
 
 def choose_options(
     step: ReadyStep,
-    offers: Iterable[PreemptionOption],
+    options: Iterable[PreemptionOption],
     needed: int,
     reservations: Reservations,
 ) -> list[PreemptionOption]:
-    """Return the offers that cost least for each task, up to the tasks needed.
+    """Return the options with the lowest cost per task that together fit the tasks.
 
-    Workers that keep room for the step come first, so that later passes choose the
-    same ones.
+    Workers with reservations for the step come first, so that later passes choose the
+    same workers.
+
+    Parameters
+    ----------
+    step : ReadyStep
+    options : iterable of PreemptionOption
+    needed : int
+        Number of tasks that need capacity.
+    reservations : Reservations
+
+    Returns
+    -------
+    list of PreemptionOption
+        All options if they do not suffice.
     """
     chosen: list[PreemptionOption] = []
     by_cost = sorted(
-        offers,
-        key=lambda o: (
-            not reservations.includes(step, o.worker.worker_id),
-            o.cost / min(o.task_count, needed),
-            -o.worker.free.cores_milli,
+        options,
+        key=lambda option: (
+            not reservations.includes(step, option.worker.worker_id),
+            option.cost / min(option.task_count, needed),
+            -option.worker.free.cores_milli,
         ),
     )
-    for offer in by_cost:
+    for option in by_cost:
         if needed <= 0:
             break
-        chosen.append(offer)
-        needed -= offer.task_count
+        chosen.append(option)
+        needed -= option.task_count
     return chosen
 
 
@@ -251,13 +301,17 @@
 
 
 def _lost_ms(run: Run, now_ms: float) -> float:
-    """Return the work that a stop loses; a run with checkpoints saves one at a stop."""
+    """Return the work that a stop loses, in milliseconds of run time.
+
+    A run with checkpoints saves one when it is stopped and loses nothing.
+    """
     if run.step is not None and run.step.checkpointing:
         return 0.0
     return max(0.0, now_ms - run.started_ms)
 
 
-def _cost(run: Run, now_ms: float) -> float:
+def _stop_cost(run: Run, now_ms: float) -> float:
+    """Return the cost of stopping a run, in core-seconds."""
     size = run.reserved
     cores = (size.cores_milli + GPU_CORES * size.gpus_milli) / 1000
     return cores * (_lost_ms(run, now_ms) + STOP_COST_MS) / 1000
--- a/basilhold/workflows/stragglers.py
+++ b/basilhold/workflows/stragglers.py
@@ -1,7 +1,8 @@
-"""Finds runs that take far longer than they should. Pure.
+"""Detection of stragglers: runs that take far longer than expected.
 
-A worker that has become slow or stands still keeps its leases and reports no end. Its
-runs are stopped and start again elsewhere while their workflow can still end in time.
+A worker that has become slow or hangs keeps its leases and reports no ends. Its runs
+are stopped and restarted on other workers while their workflows can still end in time.
+The module performs no I/O.
 """
 
 import statistics
@@ -16,58 +17,76 @@
 __all__ = ["RunTimes", "Straggler", "find_stragglers"]
 
 OVERDUE_FACTOR = 2.2
-"""Tasks of one step differ by half in size; a sound worker exceeds this rarely."""
+"""Multiple of the expected run time after which a run is overdue. Sizes of the tasks of
+one step differ by half, so a healthy worker rarely exceeds this."""
 
 OVERDUE_MARGIN_MS = 500.0
+"""Time added to the multiple of the expected run time."""
+
 ESTIMATE_FACTOR = 1.6
-"""How far a declared estimate is trusted before tasks of the step have ended."""
+"""Additional factor for the declared estimate, which is used until enough tasks of the
+step have ended."""
 
 SIBLINGS_MIN = 3
+"""Number of ended tasks of a step from which on their median run time is expected."""
+
 RESTARTS_MAX = 2
-"""A task that is slow wherever it runs is not restarted for ever."""
+"""Maximum number of restarts of a task, as a task may be slow on every worker."""
 
 RATIO_WEIGHT = 0.2
+"""Weight of a new run time in a worker's `run_time_ratio`."""
+
 RATIO_MIN, RATIO_MAX = 0.3, 8.0
+"""Bounds of the ratio that one run time contributes."""
 
 
 class RunTimes:
-    """Run times of done tasks, by step, and how fast each worker is."""
+    """Run times of completed tasks and number of restarts, by step."""
 
     def __init__(self):
         self._steps: dict[StepKey, list[float]] = {}
         self._restarts: dict[tuple[StepKey, int], int] = {}
 
-    def record(self, key: StepKey, step: StepSpec, worker: Worker, ms: float) -> None:
-        """Note that a task has ended as done."""
+    def record(
+        self, key: StepKey, step: StepSpec, worker: Worker, run_time_ms: float
+    ) -> None:
+        """Record the run time of a completed task and update its worker's ratio."""
         times = self._steps.setdefault(key, [])
         expected_ms = self.expected_ms(key, step)
-        times.append(ms)
+        times.append(run_time_ms)
         if expected_ms > 0:
-            ratio = min(max(ms / expected_ms, RATIO_MIN), RATIO_MAX)
+            ratio = min(max(run_time_ms / expected_ms, RATIO_MIN), RATIO_MAX)
             worker.run_time_ratio += RATIO_WEIGHT * (ratio - worker.run_time_ratio)
 
     def expected_ms(self, key: StepKey, step: StepSpec) -> float:
-        """Return how long a task of a step is expected to run, in milliseconds."""
+        """Return the expected run time of a step's tasks, in milliseconds."""
         times = self._steps.get(key, ())
         if len(times) >= SIBLINGS_MIN:
             return statistics.median(times)
         return step.estimate_ms
 
     def limit_ms(self, key: StepKey, step: StepSpec) -> float:
-        """Return after which time a run is overdue, in milliseconds."""
+        """Return the run time after which a run is overdue, in milliseconds."""
         expected_ms = self.expected_ms(key, step)
         if len(self._steps.get(key, ())) < SIBLINGS_MIN:
             expected_ms *= ESTIMATE_FACTOR
         return OVERDUE_FACTOR * expected_ms + OVERDUE_MARGIN_MS
 
     def count_restart(self, key: StepKey, index: int) -> bool:
-        """Count a restart; return whether it is allowed."""
+        """Count a restart of a task and return whether it is allowed.
+
+        Parameters
+        ----------
+        key : StepKey
+        index : int
+            Index of the task in its step.
+        """
         count = self._restarts.get((key, index), 0)
         self._restarts[key, index] = count + 1
         return count < RESTARTS_MAX
 
     def remove_job(self, job_id: JobId) -> None:
-        """Forget a workflow that has ended."""
+        """Discard the records of a workflow that has ended."""
         for key in [key for key in self._steps if key.job_id == job_id]:
             del self._steps[key]
         for key in [key for key in self._restarts if key[0].job_id == job_id]:
@@ -75,41 +94,47 @@
 
 
 class Straggler(msgspec.Struct):
-    """A run that should be stopped so that its task starts elsewhere."""
+    """A run that should be stopped so that its task restarts on another worker."""
 
     worker: Worker
     run: Run
 
 
 def find_stragglers(
-    pool: Pool, times: RunTimes, now_ms: float
+    pool: Pool, run_times: RunTimes, now_ms: float
 ) -> tuple[list[Straggler], list[WorkerId]]:
-    """Return the overdue runs, and the workers on which several runs are overdue.
+    """Return the overdue runs and the slow workers.
 
     Parameters
     ----------
     pool : Pool
-    times : RunTimes
+    run_times : RunTimes
     now_ms : float
-        Time of the loop's clock, in milliseconds.
+        Time of the event loop's clock, in milliseconds.
+
+    Returns
+    -------
+    stragglers : list of Straggler
+    slow_workers : list of WorkerId
+        Workers on which at least two runs are overdue.
     """
-    found: list[Straggler] = []
-    slow: list[WorkerId] = []
+    stragglers: list[Straggler] = []
+    slow_workers: list[WorkerId] = []
     for worker in pool.workers.values():
         overdue = [
-            run for run in worker.runs.values() if _is_overdue(run, times, now_ms)
+            run for run in worker.runs.values() if _is_overdue(run, run_times, now_ms)
         ]
-        found.extend(Straggler(worker, run) for run in overdue)
+        stragglers.extend(Straggler(worker, run) for run in overdue)
         if len(overdue) >= 2:
-            slow.append(worker.worker_id)
-    return found, slow
+            slow_workers.append(worker.worker_id)
+    return stragglers, slow_workers
 
 
-def _is_overdue(run: Run, times: RunTimes, now_ms: float) -> bool:
+def _is_overdue(run: Run, run_times: RunTimes, now_ms: float) -> bool:
     step = run.step
     if step is None or step.long_running or step.gang or step.uses_spare_cores:
         return False
     if run.stop_wanted or run.stage is not RunStage.RUNNING or not run.confirmed_ms:
         return False
     key = StepKey(run.key.job_id, run.key.task.occurrence, run.key.task.step)
-    return now_ms - run.started_ms > times.limit_ms(key, step)
+    return now_ms - run.started_ms > run_times.limit_ms(key, step)
