--- a/basilhold/workflows/advice_balancer.py
+++ b/basilhold/workflows/advice_balancer.py
@@ -1,7 +1,8 @@
-"""Spreads questions to the advice service over the machines.
+"""Load balancing of queries to the advice service over the machines.
 
-The service answers one question at a time for each calling machine, so questions of
-one machine queue while the turns of others are unused.
+The service processes one query at a time for each calling machine. Queries that are all
+sent from one machine queue up there while the service could process queries from other
+machines.
 """
 
 import asyncio
@@ -18,43 +19,49 @@
 __all__ = ["AdviceBalancer"]
 
 BACKLOG_MAX_MS = 500.0
-"""Questions that would wait longer for their turn are not asked yet; by then the room
-that they are asked for may be gone."""
+"""Queries that would queue for longer are not sent yet, as the capacity for which they
+are sent may be taken by the time of the answer."""
 
-FAILED_TURN_MS = 3_000.0
-"""How long a peer that did not answer gets no questions."""
+FAILED_PAUSE_MS = 3_000.0
+"""Time for which a machine gets no queries after a failed one."""
 
-LONG_QUESTION_MS = 120.0
-"""Questions that take longer leave some turns to quick ones of urgent work."""
+LONG_QUERY_MS = 120.0
+"""Queries that take longer leave some machines to the quick queries of urgent work."""
 
-QUICK_TURNS_SHARE = 0.3
-"""Share of the turns, rounded down but at least one, that is kept for quick questions.
-These need half of a turn on the loaded days; long ones filled half of the turns and
-waited up to 1.4 s beside idle ones."""
+QUICK_MACHINES_SHARE = 0.3
+"""Share of the machines, rounded down but at least one, reserved for quick queries. On
+the loaded days, quick queries take half the time of one machine. Long queries occupied
+half of the machines and queued for up to 1.4 s while other machines were idle."""
 
-EXCESS_WEIGHT = 0.4
-"""How fast the delays that other owners' questions cause are learnt."""
+DELAY_WEIGHT = 0.4
+"""Weight of a new measurement in the moving average of a machine's extra delay, which
+the queries of other owners cause."""
 
-EXCESS_HALF_LIFE_MS = 1_500.0
-FAR_PENALTY_MS = 65.0
+DELAY_HALF_LIFE_MS = 1_500.0
+"""Half-life of the extra delay of a machine that is not used."""
+
+OTHER_REGION_PENALTY_MS = 65.0
 """Round trip to a machine in another region."""
 
-NEAR_PENALTY_MS = 3.0
+SAME_REGION_PENALTY_MS = 3.0
+"""Round trip to another machine in the same region."""
 
 
 class AdviceBalancer(AdviceService):
-    """Asks from the machine whose turn is free soonest.
+    """Sends each query from the machine on which the answer is expected soonest.
 
     Parameters
     ----------
     own_endpoint : str
+        Endpoint of this process.
     local : AdviceService
-        Asks from this machine.
+        Sends queries from this machine.
     peers : PeerCalls
+        Lets other processes send queries from their machines.
     members : callable
-        Returns the processes that are alive, own included.
+        Returns the live processes, including this one.
     region : RegionName
-        Of this machine.
+        Region of this machine.
     """
 
     def __init__(
@@ -65,20 +72,20 @@
         members: Callable[[], list[Member]],
         region: RegionName,
     ):
-        self._own = own_endpoint
+        self._own_endpoint = own_endpoint
         self._local = local
         self._peers = peers
         self._members = members
         self._region = region
-        self._free_at_ms: dict[str, float] = {}
-        self._failed_until_ms: dict[str, float] = {}
-        self._excess_ms: dict[str, float] = {}
+        self._idle_at_ms: dict[str, float] = {}
+        self._paused_until_ms: dict[str, float] = {}
+        self._extra_delay_ms: dict[str, float] = {}
 
     def is_available(self, policy: QueuePolicy, worker_count: int) -> bool:
-        """Return whether a turn is free soon."""
+        """Return whether a query sent now would queue for at most `BACKLOG_MAX_MS`."""
         now_ms = asyncio.get_running_loop().time() * 1000
-        endpoint = self._choose(now_ms, _answer_ms(policy, worker_count))
-        return self._free_at_ms.get(endpoint, 0.0) - now_ms <= BACKLOG_MAX_MS
+        endpoint = self._choose_endpoint(now_ms, _answer_ms(policy, worker_count))
+        return self._idle_at_ms.get(endpoint, 0.0) - now_ms <= BACKLOG_MAX_MS
 
     async def ask(
         self,
@@ -88,69 +95,96 @@
         workers: tuple[WorkerId, ...],
         policy: QueuePolicy,
     ) -> Result[Admission, str]:
-        """Return which of the named workers may run the step."""
+        """Return which of the workers may run the step, or the reason of a failure."""
         now_ms = asyncio.get_running_loop().time() * 1000
         answer_ms = _answer_ms(policy, len(workers))
-        endpoint = self._choose(now_ms, answer_ms)
-        begin_ms = max(now_ms, self._free_at_ms.get(endpoint, 0.0))
-        self._free_at_ms[endpoint] = begin_ms + answer_ms
-        if endpoint == self._own:
+        endpoint = self._choose_endpoint(now_ms, answer_ms)
+        begin_ms = max(now_ms, self._idle_at_ms.get(endpoint, 0.0))
+        self._idle_at_ms[endpoint] = begin_ms + answer_ms
+        if endpoint == self._own_endpoint:
             result = await self._local.ask(job_id, occurrence, step, workers, policy)
         else:
             result = await self._peers.advise(
                 endpoint, job_id, occurrence, step, workers, policy
             )
-        self._learn(endpoint, begin_ms + answer_ms, result.is_error())
+        self._record_answer(endpoint, begin_ms + answer_ms, result.is_error())
         return result
 
-    def _learn(self, endpoint: str, expected_ms: float, failed: bool) -> None:
-        """Note how much later than expected a machine has answered."""
+    def _record_answer(self, endpoint: str, expected_ms: float, failed: bool) -> None:
+        """Update the extra delay of a machine from an answer that has just arrived.
+
+        Parameters
+        ----------
+        endpoint : str
+        expected_ms : float
+            Time of the event loop's clock at which the answer was expected, in
+            milliseconds.
+        failed : bool
+        """
         now_ms = asyncio.get_running_loop().time() * 1000
-        known_ms = self._excess_ms.get(endpoint, 0.0)
-        excess_ms = max(0.0, now_ms - expected_ms)
-        self._excess_ms[endpoint] = known_ms + EXCESS_WEIGHT * (excess_ms - known_ms)
+        average_ms = self._extra_delay_ms.get(endpoint, 0.0)
+        delay_ms = max(0.0, now_ms - expected_ms)
+        self._extra_delay_ms[endpoint] = average_ms + DELAY_WEIGHT * (
+            delay_ms - average_ms
+        )
         if failed:
-            self._failed_until_ms[endpoint] = now_ms + FAILED_TURN_MS
-
-    def _choose(self, now_ms: float, answer_ms: float) -> str:
-        """Return where the answer is expected soonest."""
+            self._paused_until_ms[endpoint] = now_ms + FAILED_PAUSE_MS
+
+    def _choose_endpoint(self, now_ms: float, answer_ms: float) -> str:
+        """Return the endpoint from which an answer is expected soonest.
+
+        Parameters
+        ----------
+        now_ms : float
+            Time of the event loop's clock, in milliseconds.
+        answer_ms : float
+            Time that the service takes for the answer, in milliseconds.
+        """
         members = [
             member
             for member in self._members()
-            if self._failed_until_ms.get(member.endpoint, 0.0) <= now_ms
+            if self._paused_until_ms.get(member.endpoint, 0.0) <= now_ms
         ]
         members.sort(key=lambda member: member.endpoint)
-        kept = max(1, int(QUICK_TURNS_SHARE * len(members)))
-        split = max(1, len(members) - kept)
-        is_long = answer_ms > LONG_QUESTION_MS
-        shared, quick = members[:split], members[split:]
-        best, best_ms = self._own, float("inf")
-        for member in sorted(shared if is_long else members, key=self._preference):
-            expected_ms = max(now_ms, self._free_at_ms.get(member.endpoint, 0.0))
-            expected_ms += self._distance_ms(member)
-            expected_ms += self._excess_now_ms(member.endpoint, now_ms)
-            if quick and not is_long and member in shared:
-                # Turns that other owners may use for long questions are second best.
-                expected_ms += FAR_PENALTY_MS
+        quick_count = max(1, int(QUICK_MACHINES_SHARE * len(members)))
+        split = max(1, len(members) - quick_count)
+        is_long = answer_ms > LONG_QUERY_MS
+        shared, quick_only = members[:split], members[split:]
+        best, best_ms = self._own_endpoint, float("inf")
+        for member in sorted(shared if is_long else members, key=self._tie_break):
+            expected_ms = max(now_ms, self._idle_at_ms.get(member.endpoint, 0.0))
+            expected_ms += self._round_trip_ms(member)
+            expected_ms += self._decayed_delay_ms(member.endpoint, now_ms)
+            if quick_only and not is_long and member in shared:
+                # Quick queries avoid machines that may process other owners' long ones.
+                expected_ms += OTHER_REGION_PENALTY_MS
             if expected_ms < best_ms:
                 best, best_ms = member.endpoint, expected_ms
         return best
 
-    def _preference(self, member: Member) -> int:
-        """Return this owner's order of equal turns, which differs between owners."""
-        return xxhash.xxh32_intdigest(f"{self._own} {member.endpoint}".encode())
-
-    def _excess_now_ms(self, endpoint: str, now_ms: float) -> float:
-        """Return the learnt delay, which fades while a machine is not asked."""
-        idle_ms = max(0.0, now_ms - self._free_at_ms.get(endpoint, 0.0))
-        fading = 0.5 ** (idle_ms / EXCESS_HALF_LIFE_MS)
-        return self._excess_ms.get(endpoint, 0.0) * fading
-
-    def _distance_ms(self, member: Member) -> float:
-        if member.endpoint == self._own:
+    def _tie_break(self, member: Member) -> int:
+        """Return a sort key of equally fast machines that differs between owners."""
+        return xxhash.xxh32_intdigest(
+            f"{self._own_endpoint} {member.endpoint}".encode()
+        )
+
+    def _decayed_delay_ms(self, endpoint: str, now_ms: float) -> float:
+        """Return a machine's extra delay, which decays while it is not used."""
+        idle_ms = max(0.0, now_ms - self._idle_at_ms.get(endpoint, 0.0))
+        decay = 0.5 ** (idle_ms / DELAY_HALF_LIFE_MS)
+        return self._extra_delay_ms.get(endpoint, 0.0) * decay
+
+    def _round_trip_ms(self, member: Member) -> float:
+        """Return the round trip to a process, in milliseconds."""
+        if member.endpoint == self._own_endpoint:
             return 0.0
-        return NEAR_PENALTY_MS if member.region == self._region else FAR_PENALTY_MS
+        return (
+            SAME_REGION_PENALTY_MS
+            if member.region == self._region
+            else OTHER_REGION_PENALTY_MS
+        )
 
 
 def _answer_ms(policy: QueuePolicy, worker_count: int) -> float:
+    """Return the answering time that a policy allows for, in milliseconds."""
     return policy.advice.answer_ms(worker_count) if policy.advice else 0.0
--- a/basilhold/workflows/planner.py
+++ b/basilhold/workflows/planner.py
@@ -637,9 +637,9 @@
 def _packing_score(worker: Worker, step: StepSpec, urgent: bool = False) -> float:
     """Return the score of a placement; lower is better.
 
-    The score grows with the share of the worker's cores that stays free and with the
-    worker's relative run time, and is higher for tasks without GPUs on workers with
-    GPUs, so that such tasks use other workers first.
+    The score grows with the share of the worker's cores that stays free, from 0 to 1,
+    and with the worker's relative run time. It is higher for tasks without GPUs on
+    workers with GPUs, so that such tasks use other workers first.
 
     Parameters
     ----------
