--- a/basilhold/workflows/tests/test_evacuation.py
+++ b/basilhold/workflows/tests/test_evacuation.py
@@ -1,4 +1,4 @@
-"""Which tasks leave a draining worker, and when."""
+"""Tests of the choice of tasks to move off draining workers."""
 
 import unittest
 
@@ -14,13 +14,13 @@
 
 
 class EvacuationTest(unittest.TestCase):
-    """Guards against tasks that stay until their worker has gone, or go too early."""
+    """Guards against tasks that move off a worker too early or after its shutdown."""
 
     def setUp(self):
         self.pool = Pool()
-        self.book = AdmissionRecords()
-        self.leaving = self.add_worker("leaving", draining=True)
-        self.run_task(self.leaving, 0)
+        self.admissions = AdmissionRecords()
+        self.draining = self.add_worker("draining", draining=True)
+        self.run_task(self.draining, 0)
 
     def add_worker(self, name, cores=8_000, draining=False):
         size = Resources(cores)
@@ -33,50 +33,53 @@
         key = RunKey(JobId("1"), TaskKey(0, 0, index))
         worker.add(Run(key, RunNumber(1), step.size, step, RunStage.RUNNING))
 
-    def find(self, now_ms=NOW_MS):
-        return find_evacuations(self.pool, self.book, now_ms)
+    def find_evacuations(self, now_ms=NOW_MS):
+        return find_evacuations(self.pool, self.admissions, now_ms)
 
-    def test_task_stays_while_no_other_worker_has_room(self):
-        self.add_worker("full", 1_000)
-        self.add_worker("going", draining=True)
-        self.assertEqual(self.find(), [])
+    def test_task_stays_while_no_other_worker_has_capacity(self):
+        self.add_worker("small", 1_000)
+        self.add_worker("other-draining", draining=True)
+        self.assertEqual(self.find_evacuations(), [])
 
-    def test_task_waits_for_a_ticket_before_it_stops(self):
+    def test_task_is_not_stopped_before_it_has_a_ticket(self):
         self.add_worker("b")
-        (evacuation,) = self.find()
+        (evacuation,) = self.find_evacuations()
         self.assertFalse(evacuation.may_stop)
-        name = WorkerId("b")
-        self.book.record(STEP_KEY, (name,), {name: "t"}, 2_000.0, NOW_MS)
-        (evacuation,) = self.find()
+        worker_id = WorkerId("b")
+        self.admissions.record(
+            STEP_KEY, (worker_id,), {worker_id: "t"}, 2_000.0, NOW_MS
+        )
+        (evacuation,) = self.find_evacuations()
         self.assertTrue(evacuation.may_stop)
 
-    def test_task_does_not_wait_longer_than_the_worker_may_stay(self):
+    def test_task_is_stopped_without_a_ticket_before_its_worker_shuts_down(self):
         self.add_worker("b")
-        self.find()
-        (evacuation,) = self.find(NOW_MS + TICKET_WAIT_MS + 1)
+        self.find_evacuations()
+        (evacuation,) = self.find_evacuations(NOW_MS + TICKET_WAIT_MS + 1)
         self.assertTrue(evacuation.may_stop)
 
-    def test_refused_worker_is_no_place_to_go(self):
+    def test_refused_worker_is_no_target(self):
         self.add_worker("b")
-        self.book.record(STEP_KEY, (WorkerId("b"),), {}, 2_000.0, NOW_MS)
-        self.assertEqual(self.find(), [])
+        self.admissions.record(STEP_KEY, (WorkerId("b"),), {}, 2_000.0, NOW_MS)
+        self.assertEqual(self.find_evacuations(), [])
 
-    def test_two_tasks_do_not_leave_for_the_same_room(self):
-        self.run_task(self.leaving, 1)
+    def test_two_tasks_do_not_move_to_the_same_capacity(self):
+        self.run_task(self.draining, 1)
         self.add_worker("b", 4_000)
-        self.assertEqual(len(self.find()), 1)
-
-    def test_failed_question_is_not_repeated_at_once(self):
-        # The owner looked only for an open question, and asked ten times a second.
-        known = self.book.step(STEP_KEY)
-        self.assertTrue(known.may_ask(NOW_MS))
-        known.retry_ms = NOW_MS + 300
-        self.assertFalse(known.may_ask(NOW_MS))
-        known.retry_ms, known.open_queries = 0.0, 1
-        self.assertFalse(known.may_ask(NOW_MS))
-
-    def test_work_that_ends_by_itself_stays(self):
-        self.leaving.runs.clear()
-        self.run_task(self.leaving, 0, StepSpec(1, Resources(4_000)))
+        self.assertEqual(len(self.find_evacuations()), 1)
+
+    def test_failed_query_is_not_repeated_at_once(self):
+        # If only open queries prevent a new one, a failing query is repeated ten times
+        # a second.
+        admission = self.admissions.step(STEP_KEY)
+        self.assertTrue(admission.may_ask(NOW_MS))
+        admission.retry_ms = NOW_MS + 300
+        self.assertFalse(admission.may_ask(NOW_MS))
+        admission.retry_ms, admission.open_queries = 0.0, 1
+        self.assertFalse(admission.may_ask(NOW_MS))
+
+    def test_task_that_is_not_long_running_stays(self):
+        self.draining.runs.clear()
+        self.run_task(self.draining, 0, StepSpec(1, Resources(4_000)))
         self.add_worker("b")
-        self.assertEqual(self.find(), [])
+        self.assertEqual(self.find_evacuations(), [])
