--- a/basilhold/ports/__init__.py
+++ b/basilhold/ports/__init__.py
@@ -1,4 +1,4 @@
-"""Abstract interfaces to the platform and to upstreams."""
+"""Abstract interfaces (ports) to the platform and to upstreams."""
 
 from basilhold.ports.objects import ObjectStore
 from basilhold.ports.table import (
@@ -16,8 +16,8 @@
     Write,
 )
 from basilhold.ports.upstreams import (
-    AnswerHead,
-    AnswerSink,
+    ResponseHead,
+    ResponseSink,
     SendError,
     SendPhase,
     UpstreamClient,
@@ -42,8 +42,6 @@
     "ABSENT",
     "AgentError",
     "AgentErrorKind",
-    "AnswerHead",
-    "AnswerSink",
     "ChangeFeed",
     "Changes",
     "Condition",
@@ -52,6 +50,8 @@
     "RefusalReason",
     "RenewReply",
     "RenewRequest",
+    "ResponseHead",
+    "ResponseSink",
     "Row",
     "ScanPage",
     "SendError",
--- a/basilhold/ports/upstreams.py
+++ b/basilhold/ports/upstreams.py
@@ -1,4 +1,4 @@
-"""Port through which requests are sent to upstreams."""
+"""Port to upstreams, to which requests of callers are sent."""
 
 from abc import ABC, abstractmethod
 from enum import Enum
@@ -9,8 +9,8 @@
 from basilhold.core import UpstreamId
 
 __all__ = [
-    "AnswerHead",
-    "AnswerSink",
+    "ResponseHead",
+    "ResponseSink",
     "SendError",
     "SendPhase",
     "UpstreamClient",
@@ -19,7 +19,7 @@
 
 
 class UpstreamRequest(msgspec.Struct, frozen=True):
-    """A request to one upstream.
+    """An HTTP request to one upstream.
 
     Parameters
     ----------
@@ -30,7 +30,7 @@
     headers : tuple of (str, str)
     body : bytes
     timeout_ms : int
-        Time left until the request's deadline, in milliseconds.
+        Time until the deadline of the request, in milliseconds.
     """
 
     upstream_id: UpstreamId
@@ -43,17 +43,18 @@
     timeout_ms: int
 
 
-class AnswerHead(msgspec.Struct, frozen=True):
-    """Status and headers of an answer."""
+class ResponseHead(msgspec.Struct, frozen=True):
+    """Status code and headers of a response."""
 
     status: int
     headers: tuple[tuple[str, str], ...]
 
 
 class SendPhase(Enum):
-    """How far a failed request got.
+    """Phase in which a request failed.
 
-    After ``NOT_SENT`` it is certain that the upstream received no byte of it.
+    ``NOT_SENT`` guarantees that the upstream received no byte of the request.
+    ``ANSWERING`` means that part of the response had been received.
     """
 
     NOT_SENT = "not-sent"
@@ -62,23 +63,34 @@
 
 
 class SendError(msgspec.Struct, frozen=True):
-    """A request without a whole answer."""
+    """Failure of a request, for which no complete response was received.
+
+    Parameters
+    ----------
+    phase : SendPhase
+    reason : str
+    timed_out : bool
+        Whether the deadline of the request had passed.
+    """
 
     phase: SendPhase
     reason: str
     timed_out: bool = False
 
 
-class AnswerSink(ABC):
-    """Receives an answer as it arrives; each call may wait for the reader."""
+class ResponseSink(ABC):
+    """Receives a response as it arrives.
+
+    Each call may block until the reader of the response can accept more data.
+    """
 
     @abstractmethod
-    async def start(self, head: AnswerHead) -> None:
-        """Receive status and headers, once and before any data."""
+    async def start(self, head: ResponseHead) -> None:
+        """Receive the status and headers. Called once, before `write`."""
 
     @abstractmethod
     async def write(self, data: bytes) -> None:
-        """Receive part of the body; returns when the reader can take more."""
+        """Receive part of the body. Returns once the reader can accept more."""
 
 
 class UpstreamClient(ABC):
@@ -86,13 +98,13 @@
 
     @abstractmethod
     async def send(
-        self, request: UpstreamRequest, sink: AnswerSink
-    ) -> Result[AnswerHead, SendError]:
-        """Send a request and pass the answer on.
+        self, request: UpstreamRequest, sink: ResponseSink
+    ) -> Result[ResponseHead, SendError]:
+        """Send a request and pass the response on to `sink`.
 
         Returns
         -------
         Result
-            The head once the whole body has arrived. A body that ends early is an
-            error of phase ``ANSWERING``.
+            Status and headers, once the whole body has been received. A truncated body
+            is an error of phase ``ANSWERING``.
         """
