--- a/basilhold/workflows/tests/test_evacuation.py
+++ b/basilhold/workflows/tests/test_evacuation.py
@@ -33,40 +33,40 @@
         key = RunKey(JobId("1"), TaskKey(0, 0, index))
         worker.add(Run(key, RunNumber(1), step.size, step, RunStage.RUNNING))
 
-    def find_evacuations(self, now_ms=NOW_MS):
+    def find(self, now_ms=NOW_MS):
         return find_evacuations(self.pool, self.admissions, now_ms)
 
     def test_task_stays_while_no_other_worker_has_capacity(self):
         self.add_worker("small", 1_000)
         self.add_worker("other-draining", draining=True)
-        self.assertEqual(self.find_evacuations(), [])
+        self.assertEqual(self.find(), [])
 
     def test_task_is_not_stopped_before_it_has_a_ticket(self):
         self.add_worker("b")
-        (evacuation,) = self.find_evacuations()
+        (evacuation,) = self.find()
         self.assertFalse(evacuation.may_stop)
         worker_id = WorkerId("b")
         self.admissions.record(
             STEP_KEY, (worker_id,), {worker_id: "t"}, 2_000.0, NOW_MS
         )
-        (evacuation,) = self.find_evacuations()
+        (evacuation,) = self.find()
         self.assertTrue(evacuation.may_stop)
 
     def test_task_is_stopped_without_a_ticket_before_its_worker_shuts_down(self):
         self.add_worker("b")
-        self.find_evacuations()
-        (evacuation,) = self.find_evacuations(NOW_MS + TICKET_WAIT_MS + 1)
+        self.find()
+        (evacuation,) = self.find(NOW_MS + TICKET_WAIT_MS + 1)
         self.assertTrue(evacuation.may_stop)
 
     def test_refused_worker_is_no_target(self):
         self.add_worker("b")
         self.admissions.record(STEP_KEY, (WorkerId("b"),), {}, 2_000.0, NOW_MS)
-        self.assertEqual(self.find_evacuations(), [])
+        self.assertEqual(self.find(), [])
 
     def test_two_tasks_do_not_move_to_the_same_capacity(self):
         self.run_task(self.draining, 1)
         self.add_worker("b", 4_000)
-        self.assertEqual(len(self.find_evacuations()), 1)
+        self.assertEqual(len(self.find()), 1)
 
     def test_failed_query_is_not_repeated_at_once(self):
         # If only open queries prevent a new one, a failing query is repeated ten times
@@ -82,4 +82,4 @@
         self.draining.runs.clear()
         self.run_task(self.draining, 0, StepSpec(1, Resources(4_000)))
         self.add_worker("b")
-        self.assertEqual(self.find_evacuations(), [])
+        self.assertEqual(self.find(), [])
