--- a/basilhold/workflows/ownership.py
+++ b/basilhold/workflows/owner_lease.py
@@ -1,8 +1,9 @@
-"""Ownership of a service: a stored lease with a fencing token.
+"""Lease on the ownership of a service, stored with a fencing token.
 
-The owner record changes with every commit of the owner, so a commit also renews the
-lease and is conditional on it. A commit whose reply was lost is repeated unchanged
-until its outcome is known; a copy that takes effect later fails its condition.
+Every commit of an owner updates the owner record and is conditional on its version. A
+commit therefore renews the lease, and fails once another process has claimed it. A
+commit whose reply was lost is repeated unchanged until its outcome is known; a
+duplicate that takes effect later fails the condition.
 """
 
 import asyncio
@@ -35,23 +36,29 @@
     "try_claim",
 ]
 
-TAKEOVER_MS = 2_000
-"""How long an owner record must be unchanged, in a store that answers, before others
-may claim it. Work survives on the workers for at least 5 s without an owner."""
+TAKEOVER_AFTER_MS = 2_000
+"""How long an owner record must be unchanged, in a store that answers, before other
+processes may claim it. Workers keep their runs for at least 5 s without an owner."""
 
-SUSPECT_MS = 650
-"""How long an owner record must be unchanged before its holder is asked, and may be
-claimed if that does not own the service any more. Just above the time between two
-renewals. The condition of the claim and the epoch make a claim safe, not the wait."""
+SUSPECT_AFTER_MS = 650
+"""How long an owner record must be unchanged before its holder is probed. The lease may
+be claimed if the holder no longer owns the service. The value is just above the time
+between two renewals. Safety does not depend on it: it comes from the claim's condition
+and from the epoch."""
 
-VALID_MS = 4_000
-"""How long an owner acts after its last renewal, by a clock that counts suspension. A
-successor that cannot reach a worker waits this long and one lease of the worker."""
+LEASE_VALIDITY_MS = 4_000
+"""How long a lease is valid after its last renewal, by a clock that advances while the
+machine is suspended. A successor that cannot reach a worker waits for this time plus
+one lease of the worker."""
 
-RETRY_MS = 60
-RETRY_MAX_MS = 400
+RETRY_DELAY_MS = 60
+"""Delay before the first retry of a commit; it doubles with each further one."""
+
+RETRY_DELAY_MAX_MS = 400
 CLAIM_DELAY_PER_ROUND_TRIP = 15.0
-CLAIM_DELAY_PER_SERVICE_MS = 400.0
+"""Delay of a claim as a multiple of the round-trip time to the store."""
+
+CLAIM_DELAY_PER_OWNED_SERVICE_MS = 400.0
 
 _DECODER = msgspec.json.Decoder(OwnerRecord)
 
@@ -61,7 +68,7 @@
 
     @abstractmethod
     def now_ms(self) -> float:
-        """Return the time in milliseconds."""
+        """Return the time in milliseconds since an arbitrary origin."""
 
 
 class CommitOutcome(Enum):
@@ -72,93 +79,112 @@
 
 
 class OwnerView(msgspec.Struct):
-    """What a process knows about a service's owner.
+    """The owner record of a service as last read by this process.
 
     Parameters
     ----------
     record : OwnerRecord, optional
         ``None`` before the first claim.
     version : int
-        Version of the row.
-    since_ms : float
-        Time from which the row was seen unchanged in a store that answered.
-    holder_gone : bool
-        Whether the holder was asked since then, and does not own the service any more.
+        Version of the row; `ABSENT` if there is none.
+    unchanged_since_ms : float
+        Time of the monotonic clock since which the row was unchanged in a store that
+        answered.
+    is_holder_gone : bool
+        Whether the holder was probed since then and does not own the service any more.
     """
 
     record: OwnerRecord | None = None
     version: int = ABSENT
-    since_ms: float = 0.0
-    holder_gone: bool = False
+    unchanged_since_ms: float = 0.0
+    is_holder_gone: bool = False
 
     def update(self, row: Row | None, now_ms: float) -> None:
-        """Take over the row as it was read.
+        """Update the view from the row as read from the store.
 
-        A row that cannot be read is logged; the record before it stays.
+        A row that cannot be decoded is logged, and the previous record is kept.
         """
         version = row.version if row else ABSENT
         if version == self.version:
             return
         self.version = version
-        self.since_ms = now_ms
-        self.holder_gone = False
+        self.unchanged_since_ms = now_ms
+        self.is_holder_gone = False
         try:
             self.record = _DECODER.decode(row.value) if row else None
         except msgspec.DecodeError as error:
             log_event(events.BAD_ROW, key=row.key, reason=error)
 
     def is_claimable(self, holder: ProcessId, now_ms: float) -> bool:
-        """Return whether the owner is gone, as far as the row shows.
+        """Return whether a process may claim the lease.
+
+        A record that names the process itself is from an earlier incarnation of it,
+        which ended before this one started.
 
-        A record that names the caller is one of its own earlier incarnations, which
-        ended before the caller started.
+        Parameters
+        ----------
+        holder : ProcessId
+            Process that would claim the lease.
+        now_ms : float
+            Time of the monotonic clock.
         """
         record = self.record
         if record is None and self.version != ABSENT:
-            # The epoch of the last owner is not known, so no higher one can be chosen.
+            # The row cannot be decoded, so the epoch of the last owner is unknown and
+            # no higher one can be chosen.
             return False
         if record is None or record.released or record.holder == holder:
             return True
-        unchanged_ms = now_ms - self.since_ms
-        return unchanged_ms >= (SUSPECT_MS if self.holder_gone else TAKEOVER_MS)
+        unchanged_ms = now_ms - self.unchanged_since_ms
+        return unchanged_ms >= (
+            SUSPECT_AFTER_MS if self.is_holder_gone else TAKEOVER_AFTER_MS
+        )
 
     def is_suspect(self, now_ms: float) -> bool:
-        """Return whether the holder should be asked if it still owns the service."""
+        """Return whether to ask the holder if it still owns the service."""
         record = self.record
-        if record is None or record.released or self.holder_gone:
+        if record is None or record.released or self.is_holder_gone:
             return False
-        return now_ms - self.since_ms >= SUSPECT_MS
+        return now_ms - self.unchanged_since_ms >= SUSPECT_AFTER_MS
 
 
 def claim_delay_ms(
     round_trip_ms: float,
     owned_services: int,
-    handicap_ms: float,
-    is_empty: bool,
+    penalty_ms: float,
+    has_no_owner: bool,
     jitter: float,
 ) -> float:
-    """Return how long a process leaves a claim to better candidates.
+    """Return how long a process delays a claim in favour of better candidates.
 
     Parameters
     ----------
     round_trip_ms : float
-        To the store: an owner commits before each start.
+        Round-trip time to the store. An owner commits before each start, so a process
+        near the store is preferred; times above 80 ms count as 80 ms.
     owned_services : int
-        How many services the process owns already.
-    handicap_ms : float
-        For a machine that is small or has a narrow link.
-    is_empty : bool
-        Whether the service has no owner at all.
+        Number of services that the process owns already.
+    penalty_ms : float
+        Additional delay for a machine that is small or has a narrow link.
+    has_no_owner : bool
+        Whether the service never had an owner.
     jitter : float
-        Between 0 and 1.
+        Random number between 0 and 1.
+
+    Returns
+    -------
+    float
+        Delay in milliseconds.
     """
-    delay_ms = handicap_ms + CLAIM_DELAY_PER_ROUND_TRIP * min(round_trip_ms, 80.0)
-    delay_ms += CLAIM_DELAY_PER_SERVICE_MS * owned_services
-    return delay_ms + jitter * (100.0 if is_empty else 60.0)
+    delay_ms = penalty_ms + CLAIM_DELAY_PER_ROUND_TRIP * min(round_trip_ms, 80.0)
+    delay_ms += CLAIM_DELAY_PER_OWNED_SERVICE_MS * owned_services
+    return delay_ms + jitter * (100.0 if has_no_owner else 60.0)
 
 
 class Lease:
-    """A held lease; commits go through it one after another.
+    """A lease held by this process, through which the owner commits.
+
+    Commits must not overlap.
 
     Parameters
     ----------
@@ -170,6 +196,11 @@
         Version of the row that holds `record`.
     claimed_ms : float
         Time of `clock` at which the claim was sent.
+
+    Attributes
+    ----------
+    member_count : int
+        Number of processes of the deployment, which is stored with each commit.
     """
 
     def __init__(
@@ -197,8 +228,11 @@
         return self.record.epoch
 
     def is_valid(self) -> bool:
-        """Return whether the process may still act as the owner."""
-        return not self._lost and self._clock.now_ms() - self._renewed_ms < VALID_MS
+        """Return whether the lease is neither lost nor expired."""
+        return (
+            not self._lost
+            and self._clock.now_ms() - self._renewed_ms < LEASE_VALIDITY_MS
+        )
 
     @property
     def is_lost(self) -> bool:
@@ -209,17 +243,28 @@
         """Return the time since the last renewal, in milliseconds."""
         return self._clock.now_ms() - self._renewed_ms
 
-    def give_up(self) -> None:
-        """Act as the owner no more."""
+    def invalidate(self) -> None:
+        """Mark the lease as lost, so that the process stops acting as the owner."""
         self._lost = True
 
     async def commit(
         self, writes: tuple[Write, ...], released: bool = False
     ) -> CommitOutcome:
-        """Apply writes and renew the lease.
+        """Store writes and renew the lease in one transaction.
 
-        Waits until the outcome is known, however long the store does not answer. A
-        transaction that the store calls invalid ends the lease.
+        The transaction is retried until its outcome is known, however long the store
+        does not answer. The lease is lost if another process has claimed it, or if the
+        store rejects the transaction as invalid.
+
+        Parameters
+        ----------
+        writes : tuple of Write
+        released : bool
+            Mark the lease as released, so that it can be claimed at once.
+
+        Returns
+        -------
+        CommitOutcome
         """
         record = msgspec.structs.replace(
             self.record,
@@ -232,20 +277,20 @@
             (Write(self._key, msgspec.json.encode(record)), *writes),
         )
         first_sent_ms = self._clock.now_ms()
-        unknown = False
-        delay_ms = RETRY_MS
+        outcome_unknown = False
+        delay_ms = RETRY_DELAY_MS
         while not self._lost:
             result = await self._table.transact(transaction)
             if result.is_ok():
-                self._apply(record, result.ok[self._key], first_sent_ms)
+                self._record_renewal(record, result.ok[self._key], first_sent_ms)
                 return CommitOutcome.DONE
             kind = result.error.kind
             if kind is StoreErrorKind.CONFLICT:
-                if unknown and await self._was_applied(record, first_sent_ms):
+                if outcome_unknown and await self._was_applied(record, first_sent_ms):
                     return CommitOutcome.DONE
                 break
             if kind is StoreErrorKind.INVALID:
-                # Repeating it would block the service for good.
+                # A retry would fail in the same way and block the service for good.
                 log_event(
                     events.COMMIT_INVALID,
                     service=self.service,
@@ -254,30 +299,32 @@
                 )
                 break
             if kind is StoreErrorKind.UNKNOWN:
-                unknown = True
-            elif not unknown:
+                outcome_unknown = True
+            elif not outcome_unknown:
                 first_sent_ms = self._clock.now_ms()
             await asyncio.sleep(delay_ms / 1000)
-            delay_ms = min(2 * delay_ms, RETRY_MAX_MS)
+            delay_ms = min(2 * delay_ms, RETRY_DELAY_MAX_MS)
         self._lost = True
         return CommitOutcome.LOST
 
-    def _apply(self, record: OwnerRecord, version: int, sent_ms: float) -> None:
+    def _record_renewal(
+        self, record: OwnerRecord, version: int, sent_ms: float
+    ) -> None:
         self.record = record
         self._version = version
         self._renewed_ms = sent_ms
 
     async def _was_applied(self, record: OwnerRecord, sent_ms: float) -> bool:
-        """Return whether an attempt without a reply took effect."""
+        """Return whether an earlier attempt without a reply took effect."""
         while not self._lost:
             result = await self._table.read((self._key,))
             if result.is_ok():
                 row = result.ok.get(self._key)
                 if row is None or _DECODER.decode(row.value) != record:
                     return False
-                self._apply(record, row.version, sent_ms)
+                self._record_renewal(record, row.version, sent_ms)
                 return True
-            await asyncio.sleep(RETRY_MAX_MS / 1000)
+            await asyncio.sleep(RETRY_DELAY_MAX_MS / 1000)
         return False
 
 
@@ -292,7 +339,26 @@
 ) -> Result[Lease, str]:
     """Claim a service whose record is claimable.
 
-    A claim without a reply is found by its incarnation at the next look at the row.
+    If the reply of a claim that took effect is lost, the next poll finds a record of
+    this process, which it may claim again at once.
+
+    Parameters
+    ----------
+    table : TableService
+    clock : SuspendAwareClock
+    service : ServiceName
+    view : OwnerView
+        Record that the claim replaces; the claim fails if it has changed since.
+    holder : ProcessId
+        This process.
+    endpoint : str
+        ``host:port`` at which this process serves its peers.
+    incarnation : Incarnation
+
+    Returns
+    -------
+    Result
+        The lease, or the reason of the failure.
     """
     key = owner_key(service)
     epoch = Epoch(view.record.epoch + 1 if view.record else 1)
--- a/basilhold/workflows/owner_state.py
+++ b/basilhold/workflows/owner_state.py
@@ -1,4 +1,4 @@
-"""What the parts of a service's owner share."""
+"""State that the components of a service's owner share."""
 
 import asyncio
 from collections.abc import Coroutine
@@ -11,14 +11,14 @@
 from basilhold.ports import ChangeFeed, TableService
 from basilhold.ports.runners import AdviceService, RunnerClient, WorkerRegistry
 from basilhold.workflows.admissions import AdmissionRecords
+from basilhold.workflows.background_tasks import BackgroundTasks
 from basilhold.workflows.backlog import Backlog
-from basilhold.workflows.ownership import Lease
+from basilhold.workflows.owner_lease import Lease
 from basilhold.workflows.pool import Pool
 from basilhold.workflows.preemption import Reservations
 from basilhold.workflows.progress import Workflow, WorkflowState
 from basilhold.workflows.shared_time import SharedTime
 from basilhold.workflows.stragglers import RunTimes
-from basilhold.workflows.tasks import TaskSet
 from basilhold.workflows.worker_link import OwnerLimits, WorkerLink
 
 __all__ = ["LeaseLostError", "OwnerPorts", "OwnerState"]
@@ -29,7 +29,26 @@
 
 
 class OwnerPorts(msgspec.Struct):
-    """What an owner speaks to."""
+    """Interfaces to the systems outside an owner.
+
+    Parameters
+    ----------
+    table : TableService
+        The store.
+    feed : ChangeFeed
+        Changes of rows in the store.
+    runners : RunnerClient
+        Starts, stops and lists runs on workers.
+    registry : WorkerRegistry
+        Registrations of workers.
+    advice : AdviceService
+        Decides which workers may run a step.
+    clock : Clock
+        Monotonic clock of the process.
+    time : SharedTime
+        Time that the processes of the deployment share.
+    metrics : Metrics
+    """
 
     table: TableService
     feed: ChangeFeed
@@ -49,6 +68,29 @@
     ports : OwnerPorts
     lease : Lease
     limits : OwnerLimits
+
+    Attributes
+    ----------
+    workflows : dict of JobId to Workflow
+        All stored workflows of the service with their newest progress.
+    committed_states : dict of JobId to WorkflowState
+        States as last committed, which callers may see.
+    backlog : Backlog
+        Active workflows and their waiting tasks.
+    admissions : AdmissionRecords
+        Answers of the advice service.
+    reservations : Reservations
+        Capacity that is kept free for steps.
+    run_times : RunTimes
+        Observed run times, from which stragglers are found.
+    pool : Pool
+        Workers of the service and their runs.
+    links : dict of WorkerId to WorkerLink
+        Links to the registered workers.
+    plan_event : asyncio.Event
+        Requests a planning pass.
+    failure : asyncio.Future
+        Fails with the first exception of a background task, which ends the owner.
     """
 
     def __init__(self, ports: OwnerPorts, lease: Lease, limits: OwnerLimits):
@@ -58,7 +100,7 @@
         self.clock = ports.clock
         self.time = ports.time
         self.workflows: dict[JobId, Workflow] = {}
-        self.visible: dict[JobId, WorkflowState] = {}
+        self.committed_states: dict[JobId, WorkflowState] = {}
         self.backlog = Backlog()
         self.admissions = AdmissionRecords()
         self.reservations = Reservations()
@@ -66,33 +108,42 @@
         self.pool = Pool()
         self.links: dict[WorkerId, WorkerLink] = {}
         self.plan_event = asyncio.Event()
-        self.tasks = TaskSet()
+        self.background_tasks = BackgroundTasks()
         self.failure: asyncio.Future[None] = asyncio.get_running_loop().create_future()
 
     @property
     def service(self) -> ServiceName:
-        """The service."""
+        """Name of the service."""
         return self.lease.service
 
     def observe(self, name: str, milliseconds: float, **labels: str) -> None:
-        """Add a duration to one of the service's histograms."""
+        """Add a duration to a histogram of the service.
+
+        Parameters
+        ----------
+        name : str
+            Name of the metric, which counts seconds.
+        milliseconds : float
+        **labels : str
+            Labels beside the service.
+        """
         declared = metric(name)
         self.ports.metrics.observe(
             declared, milliseconds / 1000, service=self.service, **labels
         )
 
-    def start(self, coroutine: Coroutine[Any, Any, None]) -> asyncio.Task[Any]:
-        """Run a part of the owner; its failure ends the owner."""
-        return self.tasks.start(self._guard(coroutine))
+    def spawn(self, coroutine: Coroutine[Any, Any, None]) -> asyncio.Task[Any]:
+        """Run a coroutine in the background; an exception in it ends the owner."""
+        return self.background_tasks.start(self._run_guarded(coroutine))
 
-    async def _guard(self, coroutine: Coroutine[Any, Any, None]) -> None:
+    async def _run_guarded(self, coroutine: Coroutine[Any, Any, None]) -> None:
         try:
             await coroutine
         except Exception as error:
             if not self.failure.done():
                 self.failure.set_exception(error)
 
-    def fail(self, reason: str) -> None:
+    def fail_lease_lost(self, reason: str) -> None:
         """End the owner because the lease is lost."""
         if not self.failure.done():
             self.failure.set_exception(LeaseLostError(reason))
--- a/basilhold/workflows/stewardship.py
+++ b/basilhold/workflows/ownership_manager.py
@@ -1,4 +1,4 @@
-"""Which process owns which service, and the owners that this process runs."""
+"""Claims services without an owner, and runs the owners of claimed services."""
 
 import asyncio
 import math
@@ -12,9 +12,10 @@
 from basilhold.observability import log_event
 from basilhold.ports import Row
 from basilhold.workflows import events
+from basilhold.workflows.background_tasks import BackgroundTasks, restart_on_error
 from basilhold.workflows.members import MemberList
 from basilhold.workflows.owner import LeaseLostError, OwnerPorts, ServiceOwner
-from basilhold.workflows.ownership import (
+from basilhold.workflows.owner_lease import (
     Lease,
     OwnerView,
     SuspendAwareClock,
@@ -22,47 +23,62 @@
     try_claim,
 )
 from basilhold.workflows.peers import Member, PeerCalls, Presence
-from basilhold.workflows.recovery import scan_all
+from basilhold.workflows.recovery import scan_with_retries
 from basilhold.workflows.rows import OWNERS_PREFIX, Incarnation
-from basilhold.workflows.tasks import TaskSet, run_again
 from basilhold.workflows.worker_link import OwnerLimits
 
-__all__ = ["Stewardship"]
+__all__ = ["OwnershipManager"]
 
 POLL_INTERVAL_MS = 350
-"""Time between two looks at the owners; a released service waits this long."""
+"""Interval at which the owner records are polled; a released service may wait this long
+for its next owner."""
 
-FAR_POLL_INTERVAL_MS = 1_000
-WATCHERS_MAX = 64
-"""In a deployment of more processes only so many look often; these take over. Each look
-is a read of the store, which all processes share."""
+SLOW_POLL_INTERVAL_MS = 1_000
+"""Interval of processes that are not among the fast pollers."""
 
-PRESENCE_TRIES = 2
-PRESENCE_PAUSE_MS = 100
-"""A holder that does not answer is asked twice: one reply may be lost or late."""
+FAST_POLLERS_MAX = 64
+"""Number of processes that poll at the short interval in a larger deployment, and that
+therefore take over. Each poll is a read of the store, which all processes share."""
+
+PROBE_ATTEMPTS = 2
+PROBE_RETRY_DELAY_MS = 100
+"""A holder that does not answer is probed twice, as one reply may be lost or late."""
 
 RELEASE_TIMEOUT_MS = 1_500
-ERROR_REST_MS = 300
-TOLD_OF_RELEASE_MAX = 64
+"""How long a process that stops waits for the release of its services."""
+
+ERROR_BACKOFF_MS = 300
+"""Delay before polling is restarted after an unexpected error."""
 
+RELEASE_NOTICES_MAX = 64
+"""Most processes that are notified of a release."""
 
-class Stewardship:
-    """Watches the owners of all services and claims those without one.
+
+class OwnershipManager:
+    """Polls the owner records of all services and claims services without an owner.
 
     Parameters
     ----------
     ports : OwnerPorts
     suspend_clock : SuspendAwareClock
+        Measures the validity of leases.
     member : Member
         This process.
     incarnation : Incarnation
+        This lifetime of the process.
     limits : OwnerLimits
     services : callable
         Returns the services of the newest configuration.
     rng : random.Random
+        Source of the jitter of claims.
     peers : PeerCalls
-    handicap_ms : float
-        How much longer this process leaves claims to others.
+    claim_penalty_ms : float
+        Additional delay of this process's claims.
+
+    Attributes
+    ----------
+    last_store_reply_ms : float
+        Time of the monotonic clock at which the store last answered a poll.
     """
 
     def __init__(
@@ -75,7 +91,7 @@
         services: Callable[[], tuple[ServiceName, ...]],
         rng: random.Random,
         peers: PeerCalls,
-        handicap_ms: float = 0.0,
+        claim_penalty_ms: float = 0.0,
     ):
         self._ports = ports
         self._suspend_clock = suspend_clock
@@ -85,31 +101,34 @@
         self._services = services
         self._rng = rng
         self._peers = peers
-        self._handicap_ms = handicap_ms
+        self._claim_penalty_ms = claim_penalty_ms
         self._views: dict[ServiceName, OwnerView] = {}
         self._claim_at_ms: dict[ServiceName, float] = {}
         self._owned_when_scheduled: dict[ServiceName, int] = {}
         self._owners: dict[ServiceName, ServiceOwner] = {}
-        self._asking: set[ServiceName] = set()
+        self._probing: set[ServiceName] = set()
         self._leases: dict[ServiceName, Lease] = {}
         self._members = MemberList(ports.table, ports.clock, member, ports.time)
         self._version = -1
         self._round_trip_ms = math.inf
-        self._tasks = TaskSet()
+        self._tasks = BackgroundTasks()
         self._stopping = False
-        self._store_lost_ms: float | None = None
-        self._poke = asyncio.Event()
-        self.store_answered_ms = -1e9
+        self._store_failed_ms: float | None = None
+        self._wake_event = asyncio.Event()
+        self.last_store_reply_ms = -1e9
 
-    # What others ask.
+    # Queries.
 
     def local_owner(self, service: ServiceName) -> ServiceOwner | None:
-        """Return the owner of a service if this process runs it."""
+        """Return the owner of a service if this process runs it and it is loaded."""
         owner = self._owners.get(service)
         return owner if owner is not None and owner.loaded else None
 
-    def remote_owner(self, service: ServiceName) -> str:
-        """Return the endpoint of a service's owner; empty if it is unknown or here."""
+    def remote_owner_endpoint(self, service: ServiceName) -> str:
+        """Return the endpoint of a service's owner in another process.
+
+        It is empty if the owner is unknown or is this process.
+        """
         view = self._views.get(service)
         if view is None or view.record is None or view.record.released:
             return ""
@@ -118,20 +137,20 @@
         return view.record.endpoint
 
     def owns(self, service: ServiceName) -> bool:
-        """Return whether this process holds the lease of a service, or may renew it.
+        """Return whether this process holds a service's lease or may still renew it.
 
-        After an outage of the store the lease of its owner has run out, and the owner
-        renews it with its next commit unless another process comes first.
+        A lease that has expired during an outage of the store is renewed with the
+        owner's next commit, unless another process has claimed the service by then.
         """
         lease = self._leases.get(service)
         return lease is not None and not lease.is_lost
 
     def members(self) -> list[Member]:
-        """Return the processes that are known to be alive, this one first."""
+        """Return the processes that are believed to be alive, this one first."""
         return self._members.alive()
 
     def describe(self) -> dict[str, Any]:
-        """Return who owns what, for a dump of the state."""
+        """Return the owners of all services and the members, for the state dump."""
         owners = {
             service: view.record.holder
             for service, view in self._views.items()
@@ -142,43 +161,49 @@
         return {"owners": owners, "owned": owned, "members": members}
 
     def poll_interval_ms(self) -> int:
-        """Return the time between two looks at the owners."""
+        """Return the interval at which this process polls the owner records.
+
+        Processes that own a service, and about `FAST_POLLERS_MAX` others that a hash of
+        their ids selects, poll at the short interval.
+        """
         count = self._members.count
-        if self._owners or count <= WATCHERS_MAX:
+        if self._owners or count <= FAST_POLLERS_MAX:
             return POLL_INTERVAL_MS
-        place = xxhash.xxh32_intdigest(self._member.process_id.encode()) % count
-        return POLL_INTERVAL_MS if place < WATCHERS_MAX else FAR_POLL_INTERVAL_MS
+        rank = xxhash.xxh32_intdigest(self._member.process_id.encode()) % count
+        return POLL_INTERVAL_MS if rank < FAST_POLLERS_MAX else SLOW_POLL_INTERVAL_MS
 
-    # The loop.
+    # Polling and claims.
 
     async def run(self) -> None:
-        """Watch and claim until cancelled."""
+        """Poll the owner records and claim services until cancelled."""
         try:
             while True:
                 if not self._stopping:
-                    await run_again("the look at the owners", self._look, ERROR_REST_MS)
-                await self._wait_for_next_look()
+                    await restart_on_error(
+                        "polling of the owner records", self._poll, ERROR_BACKOFF_MS
+                    )
+                await self._wait_for_next_poll()
         finally:
             await self._tasks.cancel()
 
-    def look_now(self) -> None:
-        """Look at the owners at once: one of them has released its service."""
-        self._poke.set()
+    def poll_now(self) -> None:
+        """Poll the owner records at once, as an owner has released its service."""
+        self._wake_event.set()
 
-    async def _wait_for_next_look(self) -> None:
+    async def _wait_for_next_poll(self) -> None:
         now_ms = self._ports.clock.monotonic_ms()
         wait_ms = float(self.poll_interval_ms())
         for claim_at_ms in self._claim_at_ms.values():
             wait_ms = min(wait_ms, max(claim_at_ms - now_ms, 1.0))
         try:
             async with asyncio.timeout(wait_ms / 1000):
-                await self._poke.wait()
+                await self._wake_event.wait()
         except TimeoutError:
             pass
-        self._poke.clear()
+        self._wake_event.clear()
 
     async def stop(self) -> None:
-        """Release all services before the process ends."""
+        """Release all services, and notify the other processes, before shutdown."""
         self._stopping = True
         owners = list(self._owners.values())
         releases = [asyncio.create_task(owner.release()) for owner in owners]
@@ -188,62 +213,68 @@
             task.cancel()
         await asyncio.gather(*releases, return_exceptions=True)
         if releases:
-            others = self.members()[1 : TOLD_OF_RELEASE_MAX + 1]
+            others = self.members()[1 : RELEASE_NOTICES_MAX + 1]
             await asyncio.gather(*(self._peers.released(m.endpoint) for m in others))
 
-    async def _look(self) -> None:
+    async def _poll(self) -> None:
         try:
-            await self._look_at_owners()
+            await self._poll_owner_records()
         except Exception:
-            # Rows may have been read and not been taken over.
+            # Rows may have been read but not applied; read all of them again.
             self._version = -1
             raise
 
-    async def _look_at_owners(self) -> None:
+    async def _poll_owner_records(self) -> None:
         asked_ms = self._ports.clock.monotonic_ms()
         rows = await self._read_rows()
         now_ms = self._ports.clock.monotonic_ms()
         if rows is None:
-            self._note_store_lost(asked_ms)
-            # A store that does not answer says nothing about the owners.
+            self._note_store_failure(asked_ms)
+            # Without an answer nothing is known about renewals, so the time for which a
+            # record was unchanged starts anew.
             for view in self._views.values():
-                view.since_ms = now_ms
-                view.holder_gone = False
+                view.unchanged_since_ms = now_ms
+                view.is_holder_gone = False
             self._claim_at_ms.clear()
             return
-        self._note_store_back(now_ms)
-        self.store_answered_ms = now_ms
+        self._note_store_recovery(now_ms)
+        self.last_store_reply_ms = now_ms
         round_trip_ms = now_ms - asked_ms
-        # The shortest one tells how far the store is; a slow store is slow for all.
+        # The minimum measures the distance to the store; a slow store slows down all
+        # processes alike.
         self._round_trip_ms = min(self._round_trip_ms, round_trip_ms)
         for row in rows:
-            self._take_row(row, now_ms)
+            self._apply_owner_row(row, now_ms)
         for service in self._services():
-            view = self._views.setdefault(service, OwnerView(since_ms=now_ms))
-            self._check_own(service, view)
-            self._ask_suspect(service, view, now_ms)
-            await self._consider_claim(service, view, now_ms)
+            view = self._views.setdefault(service, OwnerView(unchanged_since_ms=now_ms))
+            self._check_own_lease(service, view)
+            self._probe_suspect(service, view, now_ms)
+            await self._claim_if_due(service, view, now_ms)
         await self._members.refresh(bool(self._owners))
         for lease in self._leases.values():
             lease.member_count = self._members.count
 
-    def _note_store_lost(self, asked_ms: float) -> None:
-        if self._store_lost_ms is None:
-            self._store_lost_ms = asked_ms
+    def _note_store_failure(self, asked_ms: float) -> None:
+        if self._store_failed_ms is None:
+            self._store_failed_ms = asked_ms
             log_event(events.DEPENDENCY_LOST, dependency="store")
 
-    def _note_store_back(self, now_ms: float) -> None:
-        if self._store_lost_ms is not None:
-            after_ms = round(now_ms - self._store_lost_ms)
+    def _note_store_recovery(self, now_ms: float) -> None:
+        if self._store_failed_ms is not None:
+            after_ms = round(now_ms - self._store_failed_ms)
             log_event(events.DEPENDENCY_BACK, dependency="store", after_ms=after_ms)
-            self._store_lost_ms = None
+            self._store_failed_ms = None
 
     async def _read_rows(self) -> list[Row] | None:
-        """Return changed rows, all rows at first, or ``None`` without an answer."""
+        """Return the owner records that changed since the last poll.
+
+        Returns all rows on the first poll and after a gap in the feed, and ``None`` if
+        the store does not answer.
+        """
         if self._version < 0:
             try:
                 async with asyncio.timeout(1.0):
-                    rows, self._version = await scan_all(
+                    rows, self._version = await scan_with_retries(
                         self._ports.table, OWNERS_PREFIX
                     )
             except TimeoutError:
@@ -258,7 +289,7 @@
         self._version = result.ok.version
         return list(result.ok.rows)
 
-    def _take_row(self, row: Row, now_ms: float) -> None:
+    def _apply_owner_row(self, row: Row, now_ms: float) -> None:
         service = ServiceName(row.key.split("/")[1])
         view = self._views.setdefault(service, OwnerView())
         if row.version > view.version:
@@ -266,39 +297,39 @@
             if view.record is not None:
                 self._members.published_count = view.record.member_count
 
-    def _check_own(self, service: ServiceName, view: OwnerView) -> None:
+    def _check_own_lease(self, service: ServiceName, view: OwnerView) -> None:
         lease = self._leases.get(service)
         if lease is None or view.record is None:
             return
         if view.record.epoch > lease.epoch:
-            lease.give_up()
+            lease.invalidate()
 
-    def _ask_suspect(
+    def _probe_suspect(
         self, service: ServiceName, view: OwnerView, now_ms: float
     ) -> None:
-        """Ask the holder of a lease that is not renewed whether it is still there."""
-        if service in self._owners or service in self._asking:
+        """Probe the holder of a lease that is not being renewed."""
+        if service in self._owners or service in self._probing:
             return
         if view.is_suspect(now_ms):
-            self._asking.add(service)
-            self._tasks.start(self._ask_holder(service, view, view.record.endpoint))
+            self._probing.add(service)
+            self._tasks.start(self._probe_holder(service, view, view.record.endpoint))
 
-    async def _ask_holder(
+    async def _probe_holder(
         self, service: ServiceName, view: OwnerView, endpoint: str
     ) -> None:
         version = view.version
         try:
-            for attempt in range(PRESENCE_TRIES):
+            for attempt in range(PROBE_ATTEMPTS):
                 if attempt:
-                    await asyncio.sleep(PRESENCE_PAUSE_MS / 1000)
+                    await asyncio.sleep(PROBE_RETRY_DELAY_MS / 1000)
                 presence = await self._peers.presence(endpoint, service)
                 if presence is not Presence.SILENT:
                     break
         finally:
-            self._asking.discard(service)
+            self._probing.discard(service)
         if presence is not Presence.OWNER and view.version == version:
-            view.holder_gone = True
-            unchanged_ms = self._ports.clock.monotonic_ms() - view.since_ms
+            view.is_holder_gone = True
+            unchanged_ms = self._ports.clock.monotonic_ms() - view.unchanged_since_ms
             log_event(
                 events.HOLDER_GONE,
                 service=service,
@@ -307,9 +338,9 @@
                 presence=presence.value,
                 unchanged_ms=round(unchanged_ms),
             )
-            self._poke.set()
+            self._wake_event.set()
 
-    async def _consider_claim(
+    async def _claim_if_due(
         self, service: ServiceName, view: OwnerView, now_ms: float
     ) -> None:
         if service in self._owners or not view.is_claimable(
@@ -318,21 +349,24 @@
             self._claim_at_ms.pop(service, None)
             return
         if service not in self._claim_at_ms:
-            own = view.record and view.record.holder == self._member.process_id
+            is_own_record = (
+                view.record and view.record.holder == self._member.process_id
+            )
             delay_ms = claim_delay_ms(
                 self._round_trip_ms,
                 len(self._owners),
-                self._handicap_ms,
+                self._claim_penalty_ms,
                 view.record is None,
                 self._rng.random(),
             )
-            self._claim_at_ms[service] = now_ms + (0.0 if own else delay_ms)
+            self._claim_at_ms[service] = now_ms + (0.0 if is_own_record else delay_ms)
             self._owned_when_scheduled[service] = len(self._owners)
         if now_ms < self._claim_at_ms[service]:
             return
         del self._claim_at_ms[service]
         if len(self._owners) > self._owned_when_scheduled.get(service, 0):
-            # Another service was claimed meanwhile; the next look weighs that.
+            # Another service was claimed since the delay was chosen; the next poll
+            # chooses a longer one.
             return
         await self._claim(service, view)
 
@@ -340,7 +374,9 @@
         reason = "no earlier owner"
         if view.record is not None:
             reason = (
-                "a release" if view.record.released else "silence of the last owner"
+                "released by the previous owner"
+                if view.record.released
+                else "lease of the previous owner not renewed"
             )
         result = await try_claim(
             self._ports.table,
--- a/basilhold/workflows/planner.py
+++ b/basilhold/workflows/planner.py
@@ -620,8 +620,8 @@
 def _make_run(step: ReadyStep, key: TaskKey, now_ms: float) -> Run:
     """Return a new run of a task; the runs of a gang share one number."""
     spec = step.spec
-    number = step.workflow.next_run(
-        step.workflow.step_keys(key.occurrence, key.step) if spec.gang else [key]
+    number = step.workflow.next_run_number(
+        step.workflow.task_keys(key.occurrence, key.step) if spec.gang else [key]
     )
     return Run(
         RunKey(step.workflow.job_id, key),
--- a/basilhold/workflows/tests/test_random_runs.py
+++ b/basilhold/workflows/tests/test_random_runs.py
@@ -7,7 +7,7 @@
 from basilhold.testing import workflow_cell
 from basilhold.testing.workflow_runs import run_seed
 from basilhold.workflows import owner
-from basilhold.workflows.commits import Committer
+from basilhold.workflows.committer import Committer
 from basilhold.workflows.peers import Presence
 from basilhold.workflows.worker_link import WorkerLink
 
@@ -93,7 +93,9 @@
             self.assert_caught()
 
     def test_successor_that_forgets_stored_assignments(self):
-        with patch.object(owner, "place_assigned", lambda pool, workflows, now_ms: 0):
+        with patch.object(
+            owner, "restore_assignments", lambda pool, workflows, now_ms: 0
+        ):
             self.assert_caught()
 
     def test_end_acknowledged_before_it_is_stored(self):
--- a/basilhold/workflows/roster.py
+++ b/basilhold/workflows/worker_tracker.py
@@ -1,4 +1,4 @@
-"""The workers of a service: registrations, links, incarnations and losses."""
+"""Tracks the workers of a service: registrations, polls, restarts and losses."""
 
 import asyncio
 
@@ -8,7 +8,6 @@
 from basilhold.observability import log_event
 from basilhold.workflows import events
 from basilhold.workflows.model import task_name
-from basilhold.workflows.orders import Orders
 from basilhold.workflows.owner_state import LeaseLostError, OwnerState
 from basilhold.workflows.pool import (
     ListedRun,
@@ -21,42 +20,45 @@
     remove_lost_runs,
     transfer_runs,
 )
+from basilhold.workflows.run_controller import RunController
 from basilhold.workflows.worker_link import Look, WorkerLink
 
-__all__ = ["Roster"]
+__all__ = ["WorkerTracker"]
 
-REGISTRY_INTERVAL_MS = 700
-"""A worker that leaves must get no new work after 3 s."""
+REGISTRY_POLL_INTERVAL_MS = 700
+"""Interval at which the registrations are read. A worker that leaves must get no new
+work after 3 s."""
 
 
-class Roster:
-    """Follows the registrations of workers and what each of them lists.
+class WorkerTracker:
+    """Tracks the registered workers of a service and the runs that each one lists.
 
     Parameters
     ----------
     state : OwnerState
-    orders : Orders
+    run_controller : RunController
+        Stops runs and applies the outcomes that workers report.
     """
 
-    def __init__(self, state: OwnerState, orders: Orders):
+    def __init__(self, state: OwnerState, run_controller: RunController):
         self._state = state
-        self._orders = orders
+        self._run_controller = run_controller
 
     async def run(self) -> None:
-        """Read the registrations regularly until cancelled."""
+        """Read the registrations periodically until cancelled."""
         while True:
-            await asyncio.sleep(REGISTRY_INTERVAL_MS / 1000)
-            await self.read()
+            await asyncio.sleep(REGISTRY_POLL_INTERVAL_MS / 1000)
+            await self.refresh_registrations()
 
-    def drop_lapsed(self, now_ms: float) -> None:
-        """Give up unregistered workers whose leases have certainly lapsed."""
+    def remove_expired_workers(self, now_ms: float) -> None:
+        """Remove workers without a link whose leases have certainly expired."""
         for worker in list(self._state.pool.workers.values()):
             unlinked = worker.worker_id not in self._state.links
             if unlinked and now_ms > worker.lease_expires_ms:
-                self._worker_lost(worker, "its lease has lapsed")
+                self._handle_worker_loss(worker, "its lease has expired")
 
-    async def read(self) -> None:
-        """Read the registrations once."""
+    async def refresh_registrations(self) -> None:
+        """Read the registrations once; nothing changes if they cannot be read."""
         result = await self._state.ports.registry.read()
         if result.is_error():
             return
@@ -71,13 +73,13 @@
             if worker_id not in registered:
                 worker.unregistered = True
                 if not worker.runs:
-                    self._drop_worker(worker)
+                    self._remove_worker(worker)
         self._state.plan_event.set()
 
     def _update_worker(self, worker_id: WorkerId, info: WorkerInfo) -> None:
         worker = self._state.pool.workers.get(worker_id)
         if worker is not None and info.born_unix_ms < worker.info.born_unix_ms:
-            # The worker's own list told of a newer incarnation before the registry.
+            # The worker itself has already reported a newer incarnation.
             return
         if worker is not None and 0 < worker.info.born_unix_ms < info.born_unix_ms:
             self._replace_incarnation(worker, info)
@@ -91,42 +93,48 @@
         if worker_id not in self._state.links:
             self._open_link(worker)
 
-    async def _serve_link(self, link: WorkerLink) -> None:
+    async def _poll_worker(self, link: WorkerLink) -> None:
         worker = link.worker
         try:
-            while self._take_look(link, await link.look(self._state.clock)):
+            while self._apply_poll(link, await link.look(self._state.clock)):
                 if worker.unregistered and not worker.runs:
-                    self._drop_worker(worker)
+                    self._remove_worker(worker)
                     return
         finally:
             if self._state.links.get(worker.worker_id) is link:
                 del self._state.links[worker.worker_id]
 
-    def _take_look(self, link: WorkerLink, look: Look) -> bool:
-        """Apply what a look has shown; return whether the worker is still there."""
+    def _apply_poll(self, link: WorkerLink, look: Look) -> bool:
+        """Apply the result of a poll; return whether to go on polling this incarnation.
+
+        Raises
+        ------
+        LeaseLostError
+            If the worker has seen a higher epoch.
+        """
         worker = link.worker
         if look.fenced:
             raise LeaseLostError("a worker has seen a higher epoch")
         if look.restarted is not None:
             if not link.closed:
-                self._take_restart(worker, look.restarted)
+                self._handle_restart(worker, look.restarted)
             return False
         if look.lost:
             if not link.closed:
-                self._worker_lost(worker, look.lost)
+                self._handle_worker_loss(worker, look.lost)
             return False
         for listed in look.unknown:
             self._stop_unknown(worker, listed)
         for ended in look.ends:
-            self._orders.apply_end(worker, ended.key, ended.end, ended.run)
+            self._run_controller.apply_end(worker, ended.key, ended.end, ended.run)
         for run in list(worker.runs.values()):
             if run.stop_wanted and not run.stop_confirmed:
-                self._orders.stop(worker, run)
-        self._orders.adjust_pace(worker)
+                self._run_controller.stop(worker, run)
+        self._run_controller.adjust_pace(worker)
         if look.first or look.ends:
             self._state.plan_event.set()
         if look.ends:
-            self._orders.committer.acknowledge_soon()
+            self._run_controller.committer.request_commit()
         return True
 
     def _stop_unknown(self, worker: Worker, listed: ListedRun) -> None:
@@ -135,7 +143,8 @@
         if workflow is not None and workflow.has_task(listed.key.task):
             step = workflow.spec.steps[listed.key.task.step]
         if listed.key in worker.runs:
-            # Another run of the task is expected here; its capacity is counted.
+            # Another run of the task is expected on this worker, and its capacity is
+            # already reserved.
             return
         log_event(
             events.RUN_UNKNOWN,
@@ -152,34 +161,34 @@
             confirmed_ms=self._state.clock.monotonic_ms(),
         )
         worker.add(run)
-        self._orders.stop(worker, run)
+        self._run_controller.stop(worker, run)
 
-    def _worker_lost(self, worker: Worker, reason: str) -> None:
-        """Conclude that nothing runs on a worker any more."""
+    def _handle_worker_loss(self, worker: Worker, reason: str) -> None:
+        """Remove a worker on which nothing can run any more, and end its runs."""
         log_event(
             events.WORKER_LOST,
             worker=worker.worker_id,
             reason=reason,
             runs=len(worker.runs),
         )
-        self._drop_worker(worker)
+        self._remove_worker(worker)
         for ended in remove_lost_runs(worker):
-            self._orders.apply_end(worker, ended.key, ended.end)
+            self._run_controller.apply_end(worker, ended.key, ended.end)
         self._state.plan_event.set()
 
-    def _take_restart(self, worker: Worker, listing: Listing) -> None:
-        """Go on with a new incarnation whose lists have been read."""
+    def _handle_restart(self, worker: Worker, listing: Listing) -> None:
+        """Replace a worker by a newer incarnation whose lists have been read."""
         info = msgspec.structs.replace(worker.info, born_unix_ms=listing.born_unix_ms)
         successor = self._replace_incarnation(worker, info)
         now_ms = self._state.clock.monotonic_ms()
         changed = reconcile(successor, listing, now_ms, now_ms)
         link = self._state.links[successor.worker_id]
-        self._take_look(link, Look(ends=changed.ends, unknown=changed.unknown))
+        self._apply_poll(link, Look(ends=changed.ends, unknown=changed.unknown))
 
     def _replace_incarnation(self, worker: Worker, info: WorkerInfo) -> Worker:
         successor = Worker(info)
         transfer_runs(worker, successor)
-        self._worker_lost(worker, "it has restarted")
+        self._handle_worker_loss(worker, "it has restarted")
         self._state.pool.workers[info.worker_id] = successor
         self._open_link(successor)
         return successor
@@ -187,11 +196,11 @@
     def _open_link(self, worker: Worker) -> None:
         state = self._state
         link = WorkerLink(worker, state.ports.runners, state.lease, state.limits)
-        link.on_look = lambda look: self._take_look(link, look)
+        link.on_look = lambda look: self._apply_poll(link, look)
         self._state.links[worker.worker_id] = link
-        self._state.start(self._serve_link(link))
+        self._state.spawn(self._poll_worker(link))
 
-    def _drop_worker(self, worker: Worker) -> None:
+    def _remove_worker(self, worker: Worker) -> None:
         worker.unregistered = True
         if self._state.pool.workers.get(worker.worker_id) is worker:
             del self._state.pool.workers[worker.worker_id]
