Reword the platform's daemon, callers' server and request decoders

Comments, log texts and names used terms of their own, and units and return values were left to the reader. State what each part does and in which unit, and name constants and methods after their role: limits of the drain, the readiness probe, lease polls and claim delays.

--- a/basilhold/platform/__init__.py
+++ b/basilhold/platform/__init__.py
@@ -1,5 +1,5 @@
-"""Translates between basilhold and the platform of its users.
+"""Adapters between basilhold and the platform on which its users run it.
 
-Nothing outside this package knows the platform's names. Wire fields are decoded here
-once, into types of the product.
+This is the only package that knows the platform's endpoints, field names and units. It
+decodes wire messages into the types of `basilhold.core` and `basilhold.workflows`.
 """
--- a/basilhold/platform/bodies.py
+++ b/basilhold/platform/bodies.py
@@ -1,4 +1,4 @@
-"""Bodies of callers' requests and of the operator's configuration."""
+"""Decoders of submitted jobs and of the operator's configuration document."""
 
 import msgspec
 from expression import Error, Ok, Result
@@ -16,19 +16,21 @@
 
 __all__ = ["decode_configuration", "decode_workflow"]
 
-MIB = 1 << 20
-GPU_MILLI = 1_000
+BYTES_PER_MIB = 1 << 20
+MILLI_GPUS_PER_GPU = 1_000
 PAYLOAD_BYTES_MAX = 4_000
 STEPS_MAX = 100
 TASKS_MAX = 10_000
-"""Bounds of one submission; the platform's jobs have up to 5 steps of 84 tasks."""
+"""Limits of one submission. The platform's jobs have up to 5 steps of 84 tasks."""
 
 
 class _StepBody(msgspec.Struct):
-    """A step as callers write it; absent fields are 0, false or empty.
+    """A step of a submitted job; absent fields are 0, false or empty.
 
-    `fill_count` is a flag: the step's cores do not count. `target_ms` bounds a tail
-    latency, and `may_miss` counts tasks.
+    `cpu` is in thousandths of a core, `mem_mb` in MiB and `gpu` in whole GPUs.
+    `fill_count` is a flag despite its name: the cores of the step do not count against
+    the capacity of a worker. `target_ms` is the upper bound of a tail latency, and
+    `may_miss` the number of tasks that may be interrupted at a time.
     """
 
     count: int
@@ -52,6 +54,8 @@
 
 
 class _JobBody(msgspec.Struct):
+    """A submitted job; `spec` is the payload of its tasks."""
+
     steps: tuple[_StepBody, ...]
     spec: str = ""
     first_ms: float = 0.0
@@ -60,12 +64,16 @@
 
 
 class _AdviceBody(msgspec.Struct):
+    """Response time of the advice service and lifetime of its tickets."""
+
     decide_ms: float = 0.0
     each_ms: float = 0.0
     valid_ms: float = 0.0
 
 
 class _RouteBody(msgspec.Struct):
+    """A queue: host and path prefix of its jobs, and its policy."""
+
     name: str
     host: str
     path_prefix: str
@@ -92,32 +100,43 @@
     limits: _LimitsBody = msgspec.field(default_factory=_LimitsBody)
 
 
-_JOB = msgspec.json.Decoder(_JobBody)
-_CONFIGURATION = msgspec.json.Decoder(_ConfigurationBody)
+_JOB_DECODER = msgspec.json.Decoder(_JobBody)
+_CONFIGURATION_DECODER = msgspec.json.Decoder(_ConfigurationBody)
 
 
 def decode_configuration(value: bytes) -> QueueTable:
-    """Return the queues of the operator's document.
+    """Decode the operator's configuration document.
+
+    Parameters
+    ----------
+    value : bytes
+        The document, as JSON.
+
+    Returns
+    -------
+    QueueTable
 
     Raises
     ------
     msgspec.DecodeError
-        If the document cannot be read.
+        If the document is not valid JSON, or a field is missing or of a wrong type.
     """
-    body = _CONFIGURATION.decode(value)
+    body = _CONFIGURATION_DECODER.decode(value)
     routes = tuple(
-        QueueRoute(route.host, route.path_prefix, _policy(route))
+        QueueRoute(route.host, route.path_prefix, _make_queue_policy(route))
         for route in body.routes
     )
     services = tuple(ServiceName(service.name) for service in body.services)
     return QueueTable(body.version, routes, body.limits.max_body_bytes, services)
 
 
-def _policy(route: _RouteBody) -> QueuePolicy:
+def _make_queue_policy(route: _RouteBody) -> QueuePolicy:
     advice = None
     if route.advice is not None:
-        asked = route.advice
-        advice = AdvicePolicy(asked.decide_ms, asked.each_ms, asked.valid_ms)
+        advice_body = route.advice
+        advice = AdvicePolicy(
+            advice_body.decide_ms, advice_body.each_ms, advice_body.valid_ms
+        )
     return QueuePolicy(
         QueueName(route.name),
         ServiceName(route.service),
@@ -136,30 +155,38 @@
     submitted_ms: float,
     row_bytes_max: int = ROW_BYTES_MAX,
 ) -> Result[WorkflowSpec, str]:
-    """Return the submitted workflow, or why it cannot be accepted.
+    """Decode and validate a submitted job.
 
     Parameters
     ----------
     job_id : JobId
     policy : QueuePolicy
+        Policy of the queue to which the job was submitted.
     body : bytes
+        Body of the caller's request, as JSON.
     submitted_ms : float
-        Time of the store's clock; 0 if it is not known.
+        Time of the submission on the store's clock, in milliseconds; 0 if unknown.
     row_bytes_max : int
-        Largest value of a row in the store, which has to hold the workflow.
+        Largest value of a row in the store, in bytes. The encoded workflow is stored
+        in one row and has to fit.
+
+    Returns
+    -------
+    Result of (WorkflowSpec, str)
+        The workflow, or the reason why the job is rejected.
     """
     try:
-        job = _JOB.decode(body)
+        job = _JOB_DECODER.decode(body)
     except msgspec.DecodeError as error:
         return Error(f"the body cannot be read: {error}")
-    problem = _problem(job)
+    problem = _find_problem(job)
     if problem:
         return Error(problem)
     spec = WorkflowSpec(
         job_id,
         policy,
         job.spec,
-        tuple(_step(step) for step in job.steps),
+        tuple(_make_step_spec(step) for step in job.steps),
         submitted_ms,
         job.first_ms,
         job.interval_ms,
@@ -170,7 +197,8 @@
     return Ok(spec)
 
 
-def _problem(job: _JobBody) -> str:
+def _find_problem(job: _JobBody) -> str:
+    """Return why a job is invalid, or an empty string if it is valid."""
     if not 0 < len(job.steps) <= STEPS_MAX:
         return f"a job has 1 to {STEPS_MAX} steps"
     if len(job.spec.encode()) > PAYLOAD_BYTES_MAX:
@@ -186,10 +214,10 @@
     return ""
 
 
-def _step(step: _StepBody) -> StepSpec:
+def _make_step_spec(step: _StepBody) -> StepSpec:
     return StepSpec(
         step.count,
-        Resources(step.cpu, step.mem_mb * MIB, step.gpu * GPU_MILLI),
+        Resources(step.cpu, step.mem_mb * BYTES_PER_MIB, step.gpu * MILLI_GPUS_PER_GPU),
         step.estimate_ms,
         step.after,
         step.gang,
--- a/basilhold/platform/callers.py
+++ b/basilhold/platform/callers.py
@@ -1,4 +1,4 @@
-"""The callers' interface over HTTP, and the readiness probe."""
+"""HTTP servers for callers and for the platform's readiness probe."""
 
 import asyncio
 import contextlib
@@ -18,12 +18,12 @@
 from basilhold.workflows.progress import WorkflowState
 from basilhold.workflows.routes import QueueRoute, QueueTable
 
-__all__ = ["CallerServer", "make_ready_server"]
+__all__ = ["CallerServer", "make_readiness_server"]
 
 DEADLINE_HEADER = "X-Deadline-Ms"
-DEADLINE_DEFAULT_MS = 3_000.0
-DEADLINE_MARGIN_MS = 250.0
-"""An answer has to reach the caller before its deadline, over up to 60 ms."""
+DEFAULT_TIMEOUT_MS = 3_000.0
+RESPONSE_MARGIN_MS = 250.0
+"""Time reserved for the response to reach the caller, over a link of up to 60 ms."""
 
 BODY_BYTES_MAX = 1 << 18
 BODY_TIMEOUT_S = 5.0
@@ -34,39 +34,39 @@
 
 
 class _JobHandler(RequestHandler):
-    """One request of a caller."""
+    """Handles one request of a caller: submit, query or cancel a job."""
 
     def initialize(self, server: "CallerServer") -> None:
-        """Set what the request is served by; tornado calls this for each request."""
+        """Store the server; tornado calls this for each request."""
         self._server = server
-        self._route: QueueRoute | None = None
+        self._queue_route: QueueRoute | None = None
 
     async def prepare(self) -> None:
-        """Find the queue; answer at once where there is none."""
-        self._server.begin()
+        """Look up the queue of the request; reply with an error if there is none."""
+        self._server.on_request_start()
         if self._server.closing:
             self.set_header("Connection", "close")
-        table = self._server.queues()
+        table = self._server.queue_table()
         if table is None:
-            self._refuse(503, "no configuration yet")
+            self._reply_unavailable(503, "no configuration yet")
             return
-        self._route = table.find(self.request.host, self.request.path)
-        if self._route is None:
+        self._queue_route = table.find(self.request.host, self.request.path)
+        if self._queue_route is None:
             self._reply(404, {"error": "no such queue"})
 
     def on_finish(self) -> None:
-        """Count the request as answered."""
-        self._server.end()
+        """Record that the request is finished."""
+        self._server.on_request_end()
 
     def on_connection_close(self) -> None:
-        """Leave what is under way: a submission may be stored already."""
+        """Let the request run on: a submission may already be stored."""
 
     async def post(self) -> None:
         """Submit a job."""
         job_id = self._job_id()
         if job_id is None:
             return
-        policy = self._route.policy
+        policy = self._queue_route.policy
         decoded = decode_workflow(
             job_id,
             policy,
@@ -81,30 +81,30 @@
         if outcome is StoreOutcome.STORED:
             self._reply(200, {})
         elif outcome is StoreOutcome.NOT_STORED:
-            self._refuse(503, "the store does not answer")
+            self._reply_unavailable(503, "the store does not answer")
         else:
             self._reply(504, {"error": "it is not known whether the job is stored"})
 
     async def get(self) -> None:
-        """Return a job's state, or how many jobs of the queue wait."""
+        """Return a job's state, or the number of waiting jobs of a queue."""
         front = self._server.front
-        if self._rest() == "":
-            count = await front.queue_length(self._route.policy)
+        if self._path_suffix() == "":
+            count = await front.queue_length(self._queue_route.policy)
             if count is None:
-                self._refuse(503, "the queue's owner does not answer")
+                self._reply_unavailable(503, "the queue's owner does not answer")
             else:
                 self._reply(200, {"waiting": count})
             return
         job_id = self._job_id()
         if job_id is None:
             return
-        existence, state = await front.state(self._route.policy, job_id)
+        existence, state = await front.state(self._queue_route.policy, job_id)
         if existence is Existence.EXISTS:
             self._reply(200, {"state": _STATE_NAMES[state]})
         elif existence is Existence.ABSENT:
             self._reply(410, {"error": "no such job"})
         else:
-            self._refuse(503, "neither the owner nor the store answers")
+            self._reply_unavailable(503, "neither the owner nor the store answers")
 
     async def delete(self) -> None:
         """Cancel a job."""
@@ -112,7 +112,7 @@
         if job_id is None:
             return
         existence = await self._server.front.cancel(
-            self._route.policy, job_id, self._deadline_ms()
+            self._queue_route.policy, job_id, self._deadline_ms()
         )
         if existence is Existence.EXISTS:
             self._reply(200, {})
@@ -122,48 +122,50 @@
             self._reply(504, {"error": "it is not known whether the job is cancelled"})
 
     def send_error(self, status_code: int = 500, **kwargs) -> None:
-        """Answer a request that failed, or was cut as the process ends.
+        """Reply to a request that failed, or was cancelled as the process ends.
 
-        Tornado would send 500. What the request asked for may have been done, so the
-        answer is the one after which callers ask again under the same id.
+        Tornado would send 500. The operation may have taken effect, so the reply is
+        504, after which callers repeat the request with the same job id.
         """
         if status_code == 500 and not self._headers_written:
             self._reply(504, {"error": "the outcome is not known"})
             return
         super().send_error(status_code, **kwargs)
 
-    def _rest(self) -> str:
-        return self.request.path[len(self._route.path_prefix) :]
+    def _path_suffix(self) -> str:
+        return self.request.path[len(self._queue_route.path_prefix) :]
 
     def _job_id(self) -> JobId | None:
-        name = self._rest()
-        if _JOB_ID.fullmatch(name):
-            return JobId(name)
+        suffix = self._path_suffix()
+        if _JOB_ID.fullmatch(suffix):
+            return JobId(suffix)
         self._reply(400, {"error": "a job's id has 16 hexadecimal digits"})
         return None
 
-    def _time_left_ms(self) -> float:
+    def _timeout_ms(self) -> float:
+        """Return the time limit of the caller, or the default, in milliseconds."""
         try:
-            given_ms = float(self.request.headers.get(DEADLINE_HEADER, ""))
+            timeout_ms = float(self.request.headers.get(DEADLINE_HEADER, ""))
         except ValueError:
-            given_ms = math.nan
-        return given_ms if math.isfinite(given_ms) else DEADLINE_DEFAULT_MS
+            timeout_ms = math.nan
+        return timeout_ms if math.isfinite(timeout_ms) else DEFAULT_TIMEOUT_MS
 
     def _deadline_ms(self) -> float:
         now_ms = self._server.clock.monotonic_ms()
-        return now_ms + max(0.0, self._time_left_ms() - DEADLINE_MARGIN_MS)
+        return now_ms + max(0.0, self._timeout_ms() - RESPONSE_MARGIN_MS)
 
-    def _refuse(self, status: int, reason: str) -> None:
+    def _reply_unavailable(self, status: int, reason: str) -> None:
+        """Reply with an error and the delay after which the caller may retry."""
         log_event(
             events.WORKFLOW_REFUSED,
             job=self.request.path.rsplit("/", 1)[-1],
-            queue=self._route.policy.name if self._route else "",
+            queue=self._queue_route.policy.name if self._queue_route else "",
             status=status,
             reason=reason,
         )
-        time_left_ms = self._time_left_ms()
+        timeout_ms = self._timeout_ms()
         self.set_header(
-            "Retry-After", str(self._server.front.retry_after_s(time_left_ms))
+            "Retry-After", str(self._server.front.retry_after_s(timeout_ms))
         )
         self._reply(status, {"error": reason})
 
@@ -173,28 +175,38 @@
 
 
 class CallerServer:
-    """Serves callers.
+    """HTTP server through which callers submit, query and cancel jobs.
 
     Parameters
     ----------
     front : WorkflowFront
-    queues : callable
-        Returns the newest configuration, or ``None`` before the first.
+        Carries out the requests.
+    queue_table : callable
+        Returns the newest configuration, or ``None`` before the first one is read.
     clock : Clock
     row_bytes_max : int
-        Largest value of a row in the store.
+        Largest value of a row in the store, in bytes.
+
+    Attributes
+    ----------
+    in_flight : int
+        Number of requests that are being handled.
+    closing : bool
+        If true, each response asks its caller to close the connection.
+    server : HTTPServer
+        Does not listen yet.
     """
 
     def __init__(
         self,
         front: WorkflowFront,
-        queues: Callable[[], QueueTable | None],
+        queue_table: Callable[[], QueueTable | None],
         clock: Clock,
         row_bytes_max: int,
     ):
         self.front = front
         self.row_bytes_max = row_bytes_max
-        self.queues = queues
+        self.queue_table = queue_table
         self.clock = clock
         self.in_flight = 0
         self.closing = False
@@ -211,36 +223,58 @@
             idle_connection_timeout=IDLE_TIMEOUT_S,
         )
 
-    def begin(self) -> None:
-        """Count a request that is being served."""
+    def on_request_start(self) -> None:
+        """Record that the handling of a request begins."""
         self.in_flight += 1
         self._idle.clear()
 
-    def end(self) -> None:
-        """Count a request as answered."""
+    def on_request_end(self) -> None:
+        """Record that a request is finished."""
         self.in_flight -= 1
         if not self.in_flight:
             self._idle.set()
 
     async def wait_idle(self, timeout_s: float) -> int:
-        """Wait until all requests are answered; return how many are not."""
+        """Wait until no request is in flight.
+
+        Parameters
+        ----------
+        timeout_s : float
+            Longest wait, in seconds.
+
+        Returns
+        -------
+        int
+            Number of requests that are still in flight.
+        """
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(timeout_s):
                 await self._idle.wait()
         return self.in_flight
 
 
-class _ReadyHandler(RequestHandler):
+class _ReadinessHandler(RequestHandler):
     def initialize(self, is_ready: Callable[[], bool]) -> None:
-        """Set what decides; tornado calls this for each request."""
+        """Store the readiness check; tornado calls this for each request."""
         self._is_ready = is_ready
 
     def get(self) -> None:
-        """Answer the platform's probe."""
+        """Reply to a readiness probe with 200 if ready, else with 503."""
         self.set_status(200 if self._is_ready() else 503)
 
 
-def make_ready_server(is_ready: Callable[[], bool]) -> HTTPServer:
-    """Return a server of readiness probes that does not listen yet."""
-    routes = [(r"/-/ready", _ReadyHandler, {"is_ready": is_ready})]
+def make_readiness_server(is_ready: Callable[[], bool]) -> HTTPServer:
+    """Create the server that answers readiness probes.
+
+    Parameters
+    ----------
+    is_ready : callable
+        Returns whether the process can serve callers.
+
+    Returns
+    -------
+    HTTPServer
+        Does not listen yet.
+    """
+    routes = [(r"/-/ready", _ReadinessHandler, {"is_ready": is_ready})]
     return HTTPServer(Application(routes, log_function=lambda handler: None))
--- a/basilhold/platform/events.py
+++ b/basilhold/platform/events.py
@@ -1,20 +1,20 @@
-"""Log events of the program on the platform."""
+"""Log events of the program that runs on the platform's machines."""
 
 from basilhold.observability.events import Event, EventLevel
 
 CONFIGURATION_CHANGED = Event(
-    6100, EventLevel.INFO, "configuration version={version} in force"
+    6100, EventLevel.INFO, "configuration version={version} applied"
 )
-CONFIGURATION_BAD = Event(
+CONFIGURATION_INVALID = Event(
     6101,
     EventLevel.ERROR,
-    "the configuration cannot be read: {reason}; the last one stays in force",
-    "Correct the document.",
+    "configuration is invalid: {reason}; keeping the previous one",
+    "Correct the configuration document.",
 )
-SETTINGS_READ = Event(6102, EventLevel.INFO, "settings read again for {node}")
-SETTINGS_BAD = Event(
+SETTINGS_READ = Event(6102, EventLevel.INFO, "settings file of {node} was read again")
+SETTINGS_INVALID = Event(
     6103,
     EventLevel.ERROR,
-    "the settings cannot be read: {reason}; the last ones stay in force",
+    "settings file is invalid: {reason}; keeping the previous settings",
     "Correct the settings file.",
 )
--- a/basilhold/platform/node.py
+++ b/basilhold/platform/node.py
@@ -1,4 +1,4 @@
-"""The program that runs on each machine of the platform."""
+"""Program that runs basilhold on each machine of the platform."""
 
 import asyncio
 import contextlib
@@ -27,11 +27,11 @@
     status_application,
 )
 from basilhold.platform.bodies import decode_configuration
-from basilhold.platform.callers import CallerServer, make_ready_server
+from basilhold.platform.callers import CallerServer, make_readiness_server
 from basilhold.platform.events import (
-    CONFIGURATION_BAD,
     CONFIGURATION_CHANGED,
-    SETTINGS_BAD,
+    CONFIGURATION_INVALID,
+    SETTINGS_INVALID,
     SETTINGS_READ,
 )
 from basilhold.platform.runners import (
@@ -59,86 +59,107 @@
 
 __all__ = ["LogMetrics", "NodeDaemon", "main"]
 
-CONNECTIONS_MAX = 600
-"""Exchanges at a time; each worker has one that waits for an end."""
+EXCHANGES_MAX = 600
+"""Limit of concurrent HTTP exchanges. Each worker takes up one, a long poll that waits
+for the end of a run."""
 
 CONNECT_TIMEOUT_MS = 500
-CONFIGURATION_WAIT_MS = 1_200
-"""A configuration is in force within 3 s, also if one channel has fallen silent."""
+CONFIGURATION_POLL_MS = 1_200
+"""Duration of a long poll of the configuration. A new version has to be applied within
+3 s, also if one connection has stopped responding."""
 
 CONFIGURATION_RETRY_MS = 200
-HOLD_WAIT_MAX_MS = 1_000
-"""Below a sixth of the longest lease, so that several renewals may fail."""
+LEASE_POLL_MAX_MS = 1_000
+"""Longest long poll of a worker, which renews its lease. It is also limited to a sixth
+of the lease, so that several renewals may fail before the lease expires."""
 
-FORGET_FACTOR = 1.25
-"""A workflow's state may be asked for until `status_s` after its end."""
+STATUS_RETENTION_FACTOR = 1.25
+"""Margin on `status_s`, the time after its end for which callers may query the state of
+a workflow."""
 
-READY_STORE_AGE_MS = 2_500
-"""A process that has not reached the store for this long leaves callers to others."""
+READY_STORE_SILENCE_MAX_MS = 2_500
+"""A process without a reply from the store for this long fails its readiness probe, so
+that the platform sends callers to other machines."""
 
 STATE_DUMP_BYTES_MAX = 1 << 20
-WIDE_LINK_MBPS = 100.0
-SMALL_MACHINE_MS = 600.0
+WIDE_LINK_MBPS_MIN = 100.0
 
-DRAIN_SERVE_S = 2.4
-"""The platform notices after two failed probes, one each second, that a process takes
-no more callers."""
+CLAIM_DELAY_PER_RESOURCE_MS = 600.0
+"""Delay of ownership claims for a machine that lacks a core or a wide link entirely;
+proportionally less for a part of it."""
 
-DRAIN_END_S = 1.5
-SUSPEND_CHECK_MS = 1_000
+DRAIN_SERVING_S = 2.4
+"""The platform probes once a second and stops sending callers to a process after two
+failed probes. Until then the process keeps serving them."""
+
+DRAIN_FINISH_S = 1.5
+"""Time for the remaining requests to finish before the process ends."""
+CLOCK_ADJUST_INTERVAL_MS = 1_000
 
 
 class BootClock(SuspendAwareClock):
-    """The kernel's clock that counts suspension."""
+    """The kernel's boot-time clock, which includes the time of suspension."""
 
     def now_ms(self) -> float:
-        """Return the time since boot in milliseconds."""
+        """Return the time since boot, in milliseconds."""
         return time.clock_gettime(time.CLOCK_BOOTTIME) * 1000
 
 
 class LogMetrics(MetricSource):
-    """Tells how many log lines were dropped."""
+    """Metric of the log lines that were dropped because the output was blocked.
+
+    Parameters
+    ----------
+    log_output : BoundedOutput
+    """
 
-    def __init__(self, output: BoundedOutput):
-        self._output = output
+    def __init__(self, log_output: BoundedOutput):
+        self._log_output = log_output
 
     def collect(self, metrics: Metrics) -> None:
-        """Set the current value."""
+        """Set the current number of dropped lines."""
         dropped = metric("basilhold_log_lines_dropped_total")
-        metrics.set(dropped, self._output.dropped_count)
+        metrics.set(dropped, self._log_output.dropped_count)
 
 
 class NodeDaemon(Daemon):
-    """Serves callers and, where it holds the lease, owns services.
+    """Serves callers, and schedules the services whose ownership lease it holds.
 
     Parameters
     ----------
     settings : PlatformSettings
-    output : BoundedOutput
-        Where log lines go.
+    log_output : BoundedOutput
+        Writes the log lines.
+
+    Attributes
+    ----------
+    stewardship : Stewardship
+        Claims and releases the ownership of services.
+    front : WorkflowFront
+        Carries out the requests of callers and peers.
     """
 
-    def __init__(self, settings: PlatformSettings, output: BoundedOutput):
+    def __init__(self, settings: PlatformSettings, log_output: BoundedOutput):
         self._settings = settings
         self._clock = Clock(int(time.time() * 1000))
         shared_time = SharedTime(self._clock)
         self._pool = HttpPool(
-            HttpLimits(CONNECTIONS_MAX, CONNECT_TIMEOUT_MS, idle_ms=20_000)
+            HttpLimits(EXCHANGES_MAX, CONNECT_TIMEOUT_MS, idle_ms=20_000)
         )
-        self._queues: QueueTable | None = None
-        self._pages = make_status_pages(settings.node, STATE_DUMP_BYTES_MAX, ())
-        self._pages.metrics.add_source(LogMetrics(output))
+        self._queue_table: QueueTable | None = None
+        self._status_pages = make_status_pages(settings.node, STATE_DUMP_BYTES_MAX, ())
+        self._status_pages.metrics.add_source(LogMetrics(log_output))
         self._draining = False
         endpoint = f"{settings.ip}:{settings.port_range[0]}"
         peers = HttpPeers(self._pool, shared_time)
         region = RegionName(settings.region)
-        direct = PlatformStore(
+        direct_store = PlatformStore(
             self._pool, address_of(settings.platform.address), shared_time
         )
         rng = random.Random(secrets.randbits(64))
         store = RelayedTable(
-            direct,
-            direct,
+            direct_store,
+            direct_store,
             peers,
             lambda: self.stewardship.members(),
             region,
@@ -149,7 +170,7 @@
         advice = PlatformAdvice(
             self._pool, address_of(settings.advice or settings.platform.address)
         )
-        spread = SpreadAdvice(
+        spread_advice = SpreadAdvice(
             endpoint, advice, peers, lambda: self.stewardship.members(), region
         )
         ports = OwnerPorts(
@@ -157,14 +178,14 @@
             store,
             PlatformRunners(self._pool),
             PlatformRegistry(store),
-            spread,
+            spread_advice,
             self._clock,
             shared_time,
-            self._pages.metrics,
+            self._status_pages.metrics,
         )
-        hold_ms = min(settings.bounds.hold_max_ms, LEASE_MAX_MS)
-        wait_ms = int(min(HOLD_WAIT_MAX_MS, hold_ms / 6))
-        forget_ms = settings.bounds.status_s * 1000 * FORGET_FACTOR
+        lease_ms = min(settings.bounds.hold_max_ms, LEASE_MAX_MS)
+        poll_ms = int(min(LEASE_POLL_MAX_MS, lease_ms / 6))
+        retention_ms = settings.bounds.status_s * 1000 * STATUS_RETENTION_FACTOR
         self.stewardship = Stewardship(
             ports,
             BootClock(),
@@ -172,30 +193,30 @@
                 ProcessId(settings.node),
                 endpoint,
                 region,
-                wide_link=settings.limits.link_mbps >= WIDE_LINK_MBPS,
+                wide_link=settings.limits.link_mbps >= WIDE_LINK_MBPS_MIN,
             ),
             Incarnation(secrets.token_hex(8)),
             OwnerLimits(
-                hold_ms,
-                wait_ms,
-                forget_ms,
+                lease_ms,
+                poll_ms,
+                retention_ms,
                 settings.row_bytes_max,
                 settings.bounds.stop_ms,
             ),
-            lambda: self._queues.services if self._queues else (),
+            lambda: self._queue_table.services if self._queue_table else (),
             rng,
             peers,
-            _handicap_ms(settings),
+            _small_machine_delay_ms(settings),
         )
         self.front = WorkflowFront(
             store, self.stewardship, peers, advice, self._clock, shared_time
         )
-        self._callers = CallerServer(
-            self.front, lambda: self._queues, self._clock, settings.row_bytes_max
+        self._caller_server = CallerServer(
+            self.front, lambda: self._queue_table, self._clock, settings.row_bytes_max
         )
-        self._ready = make_ready_server(self._is_ready)
+        self._readiness_server = make_readiness_server(self._is_ready)
         self._peer_server = make_peer_server(self.front)
-        self._status = HTTPServer(status_application(self._pages))
+        self._status_server = HTTPServer(status_application(self._status_pages))
 
     @property
     def name(self) -> str:
@@ -206,10 +227,10 @@
         settings = self._settings
         host, port = settings.ip, settings.port_range[0]
         self._peer_server.listen(port, host)
-        self._status.listen(settings.port_range[1], host)
+        self._status_server.listen(settings.port_range[1], host)
         for server, endpoint in (
-            (self._ready, settings.listen.ready),
-            (self._callers.server, settings.listen.front),
+            (self._readiness_server, settings.listen.ready),
+            (self._caller_server.server, settings.listen.front),
         ):
             address = address_of(endpoint)
             server.listen(address.port, address.host)
@@ -218,7 +239,12 @@
         return self
 
     async def __aexit__(self, exc_type, exc, traceback) -> None:
-        servers = (self._ready, self._callers.server, self._peer_server, self._status)
+        servers = (
+            self._readiness_server,
+            self._caller_server.server,
+            self._peer_server,
+            self._status_server,
+        )
         for server in servers:
             server.stop()
         await self.front.close()
@@ -226,64 +252,78 @@
         self._pool.close()
 
     async def run(self) -> None:
-        """Run until cancelled."""
+        """Run the background loops until cancelled."""
         async with asyncio.TaskGroup() as group:
             group.create_task(
                 run_again(
-                    "the watch of the configuration",
+                    "configuration watch",
                     self._watch_configuration,
                     CONFIGURATION_RETRY_MS,
                 )
             )
             group.create_task(self.stewardship.run())
-            group.create_task(self._follow_clock())
+            group.create_task(self._adjust_clock())
 
     async def drain(self, abort: asyncio.Event) -> tuple[str, ...]:
-        """Release the services, then serve callers until others take them."""
+        """Release the services, and serve callers until they go to other machines.
+
+        Parameters
+        ----------
+        abort : asyncio.Event
+            Ends the wait for the platform early.
+
+        Returns
+        -------
+        tuple of str
+            Description of the requests that did not finish; empty if all did.
+        """
         self._draining = True
-        self._callers.closing = True
+        self._caller_server.closing = True
         await self.stewardship.stop()
         with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(DRAIN_SERVE_S):
+            async with asyncio.timeout(DRAIN_SERVING_S):
                 await abort.wait()
-        self._callers.server.stop()
-        cut = await self._callers.wait_idle(DRAIN_END_S)
-        return (f"{cut} requests",) if cut else ()
+        self._caller_server.server.stop()
+        unfinished = await self._caller_server.wait_idle(DRAIN_FINISH_S)
+        return (f"{unfinished} requests",) if unfinished else ()
 
     def state(self) -> dict[str, Any]:
-        """Return the process's state for a dump."""
+        """Return the state of the process for a state dump."""
         return {
             "node": self.name,
-            "configuration": self._queues.version if self._queues else 0,
-            "in_flight": self._callers.in_flight,
+            "configuration": self._queue_table.version if self._queue_table else 0,
+            "in_flight": self._caller_server.in_flight,
             "services": self.stewardship.describe(),
         }
 
     def _is_ready(self) -> bool:
-        if self._draining or self._queues is None:
+        if self._draining or self._queue_table is None:
             return False
-        age_ms = self._clock.monotonic_ms() - self.stewardship.store_answered_ms
-        return age_ms < READY_STORE_AGE_MS
+        silence_ms = self._clock.monotonic_ms() - self.stewardship.store_answered_ms
+        return silence_ms < READY_STORE_SILENCE_MAX_MS
 
     def _reload(self) -> None:
+        """Check the settings file and log the result; nothing is applied."""
         result = read_settings()
         if result.is_error():
-            log_event(SETTINGS_BAD, reason=result.error)
+            log_event(SETTINGS_INVALID, reason=result.error)
         else:
             log_event(SETTINGS_READ, node=result.ok.node)
 
-    async def _follow_clock(self) -> None:
+    async def _adjust_clock(self) -> None:
+        """Set the clock to Unix time repeatedly; the loop's clock omits suspension."""
         while True:
-            await asyncio.sleep(SUSPEND_CHECK_MS / 1000)
+            await asyncio.sleep(CLOCK_ADJUST_INTERVAL_MS / 1000)
             self._clock.adjust(int(time.time() * 1000))
 
     async def _watch_configuration(self) -> None:
+        """Apply each new version; read the document again if history was dropped."""
         version = -1
         while True:
             if version < 0:
                 version = await self._read_configuration()
                 continue
-            result = await self._store.changes("op//", version, CONFIGURATION_WAIT_MS)
+            result = await self._store.changes("op//", version, CONFIGURATION_POLL_MS)
             if result.is_error():
                 await asyncio.sleep(CONFIGURATION_RETRY_MS / 1000)
                 continue
@@ -293,52 +333,60 @@
             version = result.ok.version
             for row in result.ok.rows:
                 if row.key == "op//config":
-                    self._take_configuration(row.value)
+                    self._apply_configuration(row.value)
 
     async def _read_configuration(self) -> int:
-        """Read the document; return the version to watch from, or -1."""
+        """Read and apply the configuration document.
+
+        Returns
+        -------
+        int
+            Version of the store from which to watch for changes; -1 on failure.
+        """
         result = await self._store.scan("op//")
         if result.is_error():
             await asyncio.sleep(CONFIGURATION_RETRY_MS / 1000)
             return -1
         for row in result.ok.rows:
             if row.key == "op//config":
-                self._take_configuration(row.value)
+                self._apply_configuration(row.value)
         return result.ok.version
 
-    def _take_configuration(self, value: bytes) -> None:
+    def _apply_configuration(self, value: bytes) -> None:
+        """Apply a configuration document if it is valid and newer."""
         try:
-            queues = decode_configuration(value)
+            queue_table = decode_configuration(value)
         except msgspec.DecodeError as error:
-            log_event(CONFIGURATION_BAD, reason=error)
+            log_event(CONFIGURATION_INVALID, reason=error)
             return
-        if self._queues is None or queues.version > self._queues.version:
-            self._queues = queues
-            log_event(CONFIGURATION_CHANGED, version=queues.version)
+        if self._queue_table is None or queue_table.version > self._queue_table.version:
+            self._queue_table = queue_table
+            log_event(CONFIGURATION_CHANGED, version=queue_table.version)
 
 
-def _handicap_ms(settings: PlatformSettings) -> float:
-    """Return how long a small machine leaves the ownership of services to others.
+def _small_machine_delay_ms(settings: PlatformSettings) -> float:
+    """Return how long a small machine delays its claims of ownership, in milliseconds.
 
-    An owner reads all rows at a takeover and speaks to every worker.
+    An owner reads all rows at a takeover and exchanges messages with every worker, so
+    machines with more cores and bandwidth should claim first.
     """
     limits = settings.limits
-    core_share = min(1.0, limits.cpu_share * limits.cores)
-    link_share = min(1.0, limits.link_mbps / WIDE_LINK_MBPS)
-    return SMALL_MACHINE_MS * (2.0 - core_share - link_share)
+    core_ratio = min(1.0, limits.cpu_share * limits.cores)
+    link_ratio = min(1.0, limits.link_mbps / WIDE_LINK_MBPS_MIN)
+    return CLAIM_DELAY_PER_RESOURCE_MS * (2.0 - core_ratio - link_ratio)
 
 
 def main() -> int:
-    """Run the process that the platform's settings describe."""
+    """Run the daemon with the platform's settings; return the exit code."""
     result = read_settings()
     if result.is_error():
         print(f"basilhold: {result.error}", file=sys.stderr)
         return ExitCode.SETTINGS_INVALID
     settings = result.ok
     set_up_logging("info", settings.node)
-    output = BoundedOutput(sys.stdout.fileno())
-    log_to_output(output)
-    return run_daemon(lambda: NodeDaemon(settings, output), uvloop.new_event_loop)
+    log_output = BoundedOutput(sys.stdout.fileno())
+    log_to_output(log_output)
+    return run_daemon(lambda: NodeDaemon(settings, log_output), uvloop.new_event_loop)
 
 
 if __name__ == "__main__":
