Reword the platform's runner, settings and store clients

Name them after what they encode or decode, call messages to runners commands, and describe the settings one by one.

--- a/basilhold/platform/node.py
+++ b/basilhold/platform/node.py
@@ -38,7 +38,7 @@
     PlatformAdvice,
     PlatformRegistry,
     PlatformRunners,
-    address_of,
+    parse_endpoint,
 )
 from basilhold.platform.settings import PlatformSettings, read_settings
 from basilhold.platform.store import PlatformStore
@@ -154,7 +154,7 @@
         peers = HttpPeers(self._pool, shared_time)
         region = RegionName(settings.region)
         direct_store = PlatformStore(
-            self._pool, address_of(settings.platform.address), shared_time
+            self._pool, parse_endpoint(settings.platform.address), shared_time
         )
         rng = random.Random(secrets.randbits(64))
         store = RelayedTable(
@@ -168,7 +168,7 @@
         )
         self._store = store
         advice = PlatformAdvice(
-            self._pool, address_of(settings.advice or settings.platform.address)
+            self._pool, parse_endpoint(settings.advice or settings.platform.address)
         )
         spread_advice = SpreadAdvice(
             endpoint, advice, peers, lambda: self.stewardship.members(), region
@@ -232,7 +232,7 @@
             (self._readiness_server, settings.listen.ready),
             (self._caller_server.server, settings.listen.front),
         ):
-            address = address_of(endpoint)
+            address = parse_endpoint(endpoint)
             server.listen(address.port, address.host)
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGHUP, self._reload)
--- a/basilhold/platform/runners.py
+++ b/basilhold/platform/runners.py
@@ -1,4 +1,7 @@
-"""The platform's runners, their registrations and the advice service."""
+"""Clients of the platform's runners, their registrations and the advice service.
+
+A runner is the agent on a worker that executes tasks.
+"""
 
 import math
 import re
@@ -32,26 +35,28 @@
 from basilhold.workflows.progress import EndKind, RunEnd
 from basilhold.workflows.recovery import scan_once
 
-__all__ = ["PlatformAdvice", "PlatformRegistry", "PlatformRunners", "address_of"]
+__all__ = ["PlatformAdvice", "PlatformRegistry", "PlatformRunners", "parse_endpoint"]
+
+COMMAND_TIMEOUT_MS = 500
+"""Timeout of a start, stop or pace command. A round trip between regions takes 60 ms,
+so a later reply is unlikely."""
 
-ORDER_TIMEOUT_MS = 500
-"""A round trip between regions takes 60 ms; an order without a reply by then is
-unlikely to get one."""
+CHECKPOINT_LENGTH_MAX = 256
+"""Longest checkpoint that is stored, in characters; those of the platform have 16."""
 
-CHECKPOINT_MAX = 256
-"""Longest checkpoint that is stored, in characters; the platform's have 16."""
+LEASE_RENEWAL_MARGIN_MS = 700
+"""Time beyond its long poll that a lease renewal may take."""
 
-HOLD_MARGIN_MS = 700
 ADVICE_TIMEOUT_MS = 3_500
-"""A question may wait for its turn."""
+"""The advice service handles one request of each machine at a time; others queue."""
 
-MIB = 1 << 20
+BYTES_PER_MIB = 1 << 20
 PORT_MAX = 65_535
-GPU_MILLI = 1_000
+MILLI_GPUS_PER_GPU = 1_000
 
 _WORKER_ID = re.compile(r"[!-~]+")
 
-_OUTCOMES = {
+_REJECTION_OUTCOMES = {
     "fence": CallOutcome.FENCED,
     "old": CallOutcome.OLD_RUN,
     "late": CallOutcome.LATE,
@@ -60,13 +65,25 @@
 }
 
 
-def address_of(endpoint: str) -> HttpAddress:
-    """Return the address in ``host:port``."""
+def parse_endpoint(endpoint: str) -> HttpAddress:
+    """Parse an endpoint of the form ``host:port``.
+
+    Raises
+    ------
+    ValueError
+        If the port is missing or not an integer.
+    """
     host, port = endpoint.rsplit(":", 1)
     return HttpAddress(host, int(port))
 
 
 class _StartBody(msgspec.Struct, omit_defaults=True):
+    """Command to start a run.
+
+    `until_ms` is the runner's clock up to which the start may take effect, `spec` the
+    task's payload and `fence` the owner's epoch.
+    """
+
     task: str
     run: int
     spec: str
@@ -76,13 +93,17 @@
     ticket: str = ""
 
 
-class _OrderBody(msgspec.Struct):
+class _StopBody(msgspec.Struct):
+    """Command to stop a run."""
+
     task: str
     run: int
     fence: int
 
 
 class _PaceBody(msgspec.Struct):
+    """Command to run a task at `percent` of its full speed."""
+
     task: str
     run: int
     percent: int
@@ -90,7 +111,11 @@
 
 
 class _HoldBody(msgspec.Struct, omit_defaults=True):
-    """`acked_through` makes the runner forget ends up to this number."""
+    """Renewal of a lease; a long poll of up to `wait_ms` for the end of a run.
+
+    The runner drops the ends up to number `acked_through` from its list. `until_ms` is
+    the new end of the lease on the runner's clock; 0 leaves it unchanged.
+    """
 
     fence: int
     acked_through: int
@@ -99,7 +124,12 @@
 
 
 class _HoldReply(msgspec.Struct):
-    """`running` rows are task, run, checkpoint, percent and a usage figure."""
+    """Runs on a runner, and those that have ended.
+
+    Rows of `running` hold task, run, checkpoint, pace in percent and, optionally, the
+    usage. Rows of `finished` hold number, task, run, kind of end and checkpoint. `born`
+    is the Unix time of the runner's start, in milliseconds.
+    """
 
     clock_ms: float
     running: list[list] = []
@@ -107,16 +137,18 @@
     born: int = 0
 
 
-class _Refusal(msgspec.Struct):
+class _Rejection(msgspec.Struct):
+    """Body of a reply with status 409."""
+
     reason: str = ""
 
 
-_REFUSAL = msgspec.json.Decoder(_Refusal)
-_HOLD = msgspec.json.Decoder(_HoldReply)
+_REJECTION_DECODER = msgspec.json.Decoder(_Rejection)
+_HOLD_REPLY_DECODER = msgspec.json.Decoder(_HoldReply)
 
 
 class PlatformRunners(TaskRunners):
-    """Calls to runners.
+    """Client of the runners.
 
     Parameters
     ----------
@@ -129,7 +161,7 @@
     async def start(self, worker: Worker, call: StartCall) -> CallOutcome:
         """Start a run."""
         body = _StartBody(
-            _name(call.run),
+            _format_task_name(call.run),
             call.run.run,
             call.payload,
             math.floor(call.until_clock_ms),
@@ -137,54 +169,58 @@
             call.checkpoint,
             call.ticket,
         )
-        return await self._order(worker, "/-/run-start", body)
+        return await self._send_command(worker, "/-/run-start", body)
 
     async def stop(self, worker: Worker, call: RunnerCall) -> CallOutcome:
         """Stop a run."""
-        body = _OrderBody(_name(call), call.run, call.epoch)
-        return await self._order(worker, "/-/run-stop", body)
+        body = _StopBody(_format_task_name(call), call.run, call.epoch)
+        return await self._send_command(worker, "/-/run-stop", body)
 
     async def pace(self, worker: Worker, call: RunnerCall, percent: int) -> CallOutcome:
-        """Let a run work at a share of its speed."""
-        body = _PaceBody(_name(call), call.run, percent, call.epoch)
-        return await self._order(worker, "/-/pace", body)
+        """Set the speed of a run, in percent of its full speed."""
+        body = _PaceBody(_format_task_name(call), call.run, percent, call.epoch)
+        return await self._send_command(worker, "/-/pace", body)
 
     async def hold(
         self, worker: Worker, call: HoldCall
     ) -> Result[Listing, CallOutcome]:
-        """Renew the lease and return what runs and has ended."""
+        """Renew the lease and return the runs that are running or have ended.
+
+        The reply may take `wait_ms` of the call, as the runner waits for an end. An
+        unreadable reply is `CallOutcome.UNKNOWN`.
+        """
         body = _HoldBody(
             call.epoch,
             call.acknowledged,
             math.floor(call.until_clock_ms),
             call.wait_ms,
         )
-        timeout_ms = call.wait_ms + HOLD_MARGIN_MS
-        result = await self._send(worker, "/-/hold", body, timeout_ms)
+        timeout_ms = call.wait_ms + LEASE_RENEWAL_MARGIN_MS
+        result = await self._post(worker, "/-/hold", body, timeout_ms)
         if result.is_error():
             return Error(CallOutcome.UNKNOWN)
-        outcome = _outcome(result.ok)
+        outcome = _decode_outcome(result.ok)
         if outcome is not CallOutcome.DONE:
             return Error(outcome)
         try:
-            return Ok(_listing(_HOLD.decode(result.ok.body)))
+            return Ok(_make_listing(_HOLD_REPLY_DECODER.decode(result.ok.body)))
         except (msgspec.DecodeError, ValueError, TypeError, IndexError):
             return Error(CallOutcome.UNKNOWN)
 
-    async def _order(
+    async def _send_command(
         self, worker: Worker, path: str, body: msgspec.Struct
     ) -> CallOutcome:
-        result = await self._send(worker, path, body, ORDER_TIMEOUT_MS)
+        result = await self._post(worker, path, body, COMMAND_TIMEOUT_MS)
         if result.is_error():
-            failed = CallOutcome.UNKNOWN if result.error.sent else None
-            return failed or CallOutcome.UNAVAILABLE
-        return _outcome(result.ok)
+            outcome = CallOutcome.UNKNOWN if result.error.sent else None
+            return outcome or CallOutcome.UNAVAILABLE
+        return _decode_outcome(result.ok)
 
-    async def _send(
+    async def _post(
         self, worker: Worker, path: str, body: msgspec.Struct, timeout_ms: int
     ):
         call = HttpCall(
-            address_of(worker.info.endpoint),
+            parse_endpoint(worker.info.endpoint),
             "POST",
             path,
             msgspec.json.encode(body),
@@ -194,61 +230,78 @@
         return await self._pool.run(call)
 
 
-def _name(call: RunnerCall) -> str:
+def _format_task_name(call: RunnerCall) -> str:
     return task_name(call.job_id, call.task)
 
 
-def _outcome(reply: HttpReply) -> CallOutcome:
+def _decode_outcome(reply: HttpReply) -> CallOutcome:
     if reply.status == 200:
         return CallOutcome.DONE
     if reply.status == 409:
         try:
-            reason = _REFUSAL.decode(reply.body).reason
+            reason = _REJECTION_DECODER.decode(reply.body).reason
         except msgspec.DecodeError:
             return CallOutcome.REJECTED
-        return _OUTCOMES.get(reason, CallOutcome.REJECTED)
+        return _REJECTION_OUTCOMES.get(reason, CallOutcome.REJECTED)
     if reply.status == 421:
         return CallOutcome.ABSENT
     if reply.status in (429, 503):
         return CallOutcome.UNAVAILABLE
-    # A runner that failed on the way may have carried the order out.
+    # The runner may have executed the command before it failed.
     return CallOutcome.UNKNOWN if reply.status >= 500 else CallOutcome.REJECTED
 
 
-def _parse_name(name: str) -> RunKey:
+def _parse_task_name(name: str) -> RunKey:
+    """Parse a task name, ``job.occurrence.step.index``.
+
+    Raises
+    ------
+    ValueError
+        If the name is malformed.
+    """
     job_id, occurrence, step, index = name.split(".")
     return RunKey(JobId(job_id), TaskKey(int(occurrence), int(step), int(index)))
 
 
-def _short(checkpoint: str) -> str:
-    """Return a checkpoint, or an empty string for one that would not fit our rows."""
-    return checkpoint if checkpoint and len(checkpoint) <= CHECKPOINT_MAX else ""
+def _limit_checkpoint(checkpoint: str) -> str:
+    """Return a checkpoint, or an empty string if it is too long to be stored."""
+    return checkpoint if checkpoint and len(checkpoint) <= CHECKPOINT_LENGTH_MAX else ""
 
 
-def _listing(reply: _HoldReply) -> Listing:
+def _make_listing(reply: _HoldReply) -> Listing:
     running = []
     for name, run, checkpoint, percent, *usage in reply.running:
-        figure = float(usage[0]) if usage else 0.0
-        key = _parse_name(name)
+        usage_value = float(usage[0]) if usage else 0.0
+        key = _parse_task_name(name)
         running.append(
-            ListedRun(key, RunNumber(run), _short(checkpoint), int(percent), figure)
+            ListedRun(
+                key,
+                RunNumber(run),
+                _limit_checkpoint(checkpoint),
+                int(percent),
+                usage_value,
+            )
         )
     ended = []
-    for number, name, run, how, checkpoint in reply.finished:
-        key = _parse_name(name)
-        end = RunEnd(key.task, RunNumber(run), EndKind(how), _short(checkpoint))
+    for number, name, run, kind, checkpoint in reply.finished:
+        key = _parse_task_name(name)
+        end = RunEnd(
+            key.task, RunNumber(run), EndKind(kind), _limit_checkpoint(checkpoint)
+        )
         ended.append(ListedEnd(number, key, end))
     return Listing(reply.clock_ms, reply.born, tuple(running), tuple(ended))
 
 
 class _CapacityBody(msgspec.Struct, frozen=True):
+    """Thousandths of cores, MiB of memory and whole GPUs of a worker."""
+
     cpu: int = 0
     mem_mb: int = 0
     gpu: int = 0
 
 
-class _EntryBody(msgspec.Struct):
-    """A runner's own registration; `labels` are its kind and its rack."""
+class _RegistrationBody(msgspec.Struct):
+    """Registration that a runner has written; `labels` are its kind and its rack."""
 
     service: str
     address: str
@@ -265,73 +318,98 @@
     Parameters
     ----------
     table : TableService
+        Table service of the store.
     """
 
     def __init__(self, table: TableService):
         self._table = table
 
     async def read(self) -> Result[dict[WorkerId, tuple[str, WorkerInfo]], str]:
-        """Return service and registration of each runner that can be used."""
+        """Return the service and the registration of each usable runner.
+
+        Registrations that cannot be read are left out.
+
+        Returns
+        -------
+        Result of (dict, str)
+            Service name and `WorkerInfo` by worker id, or why the scan failed.
+        """
         scanned = await scan_once(self._table, "servers//")
         if scanned.is_error():
             return Error(scanned.error.reason)
-        found = {}
+        registrations = {}
         for row in scanned.ok[0]:
             worker_id = WorkerId(row.key.split("/", 2)[2])
-            entry = _decode_entry(row.value)
-            # The id becomes a header of each call.
-            if entry is not None and _WORKER_ID.fullmatch(worker_id):
-                found[worker_id] = (entry.service, _info(worker_id, entry))
-        return Ok(found)
+            registration = _decode_registration(row.value)
+            # The id is sent as a header of each call, so it must be printable ASCII.
+            if registration is not None and _WORKER_ID.fullmatch(worker_id):
+                registrations[worker_id] = (
+                    registration.service,
+                    _make_worker_info(worker_id, registration),
+                )
+        return Ok(registrations)
+
 
+def _decode_registration(value: bytes) -> _RegistrationBody | None:
+    """Decode a registration.
 
-def _decode_entry(value: bytes) -> _EntryBody | None:
-    """Return a registration, or ``None`` for one of another writer."""
+    Other programs may write to the table too. Returns ``None`` if the row is malformed,
+    the address is not usable or the runner is neither ready nor draining.
+    """
     try:
-        entry = msgspec.json.decode(value, type=_EntryBody)
-        address = address_of(entry.address)
+        registration = msgspec.json.decode(value, type=_RegistrationBody)
+        address = parse_endpoint(registration.address)
         ip_address(address.host)
     except (msgspec.DecodeError, ValueError):
         return None
     if not 0 < address.port <= PORT_MAX:
         return None
-    return entry if entry.state in ("ready", "draining") else None
+    return registration if registration.state in ("ready", "draining") else None
 
 
-def _info(worker_id: WorkerId, entry: _EntryBody) -> WorkerInfo:
+def _make_worker_info(
+    worker_id: WorkerId, registration: _RegistrationBody
+) -> WorkerInfo:
     capacity = Resources(
-        entry.capacity.cpu, entry.capacity.mem_mb * MIB, entry.capacity.gpu * GPU_MILLI
+        registration.capacity.cpu,
+        registration.capacity.mem_mb * BYTES_PER_MIB,
+        registration.capacity.gpu * MILLI_GPUS_PER_GPU,
     )
-    rack = entry.labels[1] if len(entry.labels) > 1 else ""
+    rack = registration.labels[1] if len(registration.labels) > 1 else ""
     return WorkerInfo(
         worker_id,
-        entry.address,
-        entry.born,
+        registration.address,
+        registration.born,
         capacity,
         rack,
-        frozenset(entry.labels),
-        entry.state == "draining",
-        entry.zone,
+        frozenset(registration.labels),
+        registration.state == "draining",
+        registration.zone,
     )
 
 
 class _AdviceBody(msgspec.Struct):
+    """Request for the workers that may run a step."""
+
     step: str
     workers: tuple[str, ...]
 
 
 class _AdviceReply(msgspec.Struct):
+    """Admitted workers with their tickets, valid for `valid_ms`."""
+
     admitted: list[tuple[str, str]] = []
     valid_ms: float = 0.0
 
 
 class PlatformAdvice(AdviceService):
-    """The advice service, asked from this machine.
+    """Client of the advice service.
 
     Parameters
     ----------
     pool : HttpPool
     address : HttpAddress
+        Address of the advice service.
     """
 
     def __init__(self, pool: HttpPool, address: HttpAddress):
@@ -339,7 +417,7 @@
         self._address = address
 
     def is_available(self, policy: QueuePolicy, worker_count: int) -> bool:
-        """Return true: the turns of this machine are not tracked here."""
+        """Return true: requests in progress from this machine are not tracked here."""
         return True
 
     async def ask(
@@ -350,7 +428,7 @@
         workers: tuple[WorkerId, ...],
         policy: QueuePolicy,
     ) -> Result[Admission, str]:
-        """Return which of the named workers may run the step."""
+        """Return which of the given workers may run the step, or why it is unknown."""
         body = _AdviceBody(f"{job_id}.{occurrence}.{step}", workers)
         call = HttpCall(
             self._address,
--- a/basilhold/platform/settings.py
+++ b/basilhold/platform/settings.py
@@ -1,4 +1,4 @@
-"""The settings file that the platform writes for each process."""
+"""Reader of the settings file that the platform writes for each process."""
 
 import os
 import tomllib
@@ -10,19 +10,31 @@
 __all__ = ["SETTINGS_VARIABLE", "PlatformSettings", "read_settings"]
 
 SETTINGS_VARIABLE = "BASILHOLD_CONFIG"
+"""Environment variable with the path of the settings file."""
 
 
 class _Listen(msgspec.Struct):
-    """`front` takes callers, `ready` answers readiness probes."""
+    """Endpoints, ``host:port``: `front` for callers, `ready` for readiness probes."""
 
     front: str
     ready: str
 
 
 class _Bounds(msgspec.Struct):
-    """`hold_max_ms` is the longest lease, `stop_ms` the longest stop of a run.
+    """Time limits that the platform sets.
 
-    SIGKILL follows `grace_s` after SIGTERM.
+    Parameters
+    ----------
+    hold_max_ms : float
+        Longest lease of a worker.
+    stop_ms : float
+        Longest time that a worker takes to stop a run.
+    grace_s : float
+        Time between SIGTERM and SIGKILL.
+    status_s : float
+        Time after its end for which the state of a job can be queried.
+    harm_ms : float
+        Not used.
     """
 
     hold_max_ms: float = 6_000
@@ -33,7 +45,17 @@
 
 
 class _Limits(msgspec.Struct):
-    """`cpu_share` is the share of a processor that is `cores` times as fast."""
+    """Resources of the machine.
+
+    Parameters
+    ----------
+    cpu_share : float
+        Share of the processor that the process gets.
+    cores : float
+        Speed of the processor, in cores.
+    link_mbps : float
+        Bandwidth of the network link, in Mbit/s.
+    """
 
     cpu_share: float = 1.0
     cores: float = 1.0
@@ -41,25 +63,33 @@
 
 
 class _Store(msgspec.Struct):
-    """`row_bytes` bounds a row's value as base64."""
+    """The metadata store.
+
+    Parameters
+    ----------
+    address : str
+        ``host:port`` of the store.
+    row_bytes : int
+        Largest value of a row, in bytes of its base64 encoding.
+    """
 
     address: str = ""
     row_bytes: int = 65_536
 
 
 class PlatformSettings(msgspec.Struct):
-    """What the platform tells a process. Unknown fields are ignored.
+    """Settings of one process. Unknown fields in the file are ignored.
 
     Parameters
     ----------
     node : str
-        Name of the machine; a restarted process has the same.
+        Name of the machine, which does not change if the process restarts.
     ip, zone, region : str
     port_range : tuple of int
-        First and last port for traffic between our processes.
+        First and last port for traffic between basilhold's processes.
     listen, bounds, limits, platform : Struct
-        Listening addresses, figures of the rules, size of the machine, address and
-        limits of the store.
+        Listening addresses; time limits; resources of the machine; address and limits
+        of the store.
     advice : str
         ``host:port`` of the advice service; empty if there is none.
     """
@@ -77,17 +107,29 @@
 
     @property
     def row_bytes_max(self) -> int:
-        """Largest value of a row in the store, in bytes."""
+        """Largest value of a row in the store, in bytes before base64 encoding."""
         return self.platform.row_bytes // 4 * 3
 
 
 def read_settings(path: str | None = None) -> Result[PlatformSettings, str]:
-    """Return the settings in the file that the environment names."""
+    """Read the settings file.
+
+    Parameters
+    ----------
+    path : str, optional
+        Path of the file; by default that in the environment variable
+        `SETTINGS_VARIABLE`.
+
+    Returns
+    -------
+    Result of (PlatformSettings, str)
+        The settings, or why they cannot be read.
+    """
     path = path or os.environ.get(SETTINGS_VARIABLE, "")
     if not path:
         return Error(f"{SETTINGS_VARIABLE} is not set")
     try:
-        fields = tomllib.loads(Path(path).read_text())
-        return Ok(msgspec.convert(fields, PlatformSettings, strict=False))
+        document = tomllib.loads(Path(path).read_text())
+        return Ok(msgspec.convert(document, PlatformSettings, strict=False))
     except (OSError, tomllib.TOMLDecodeError, msgspec.ValidationError) as error:
         return Error(f"{path}: {error}")
--- a/basilhold/platform/store.py
+++ b/basilhold/platform/store.py
@@ -1,4 +1,4 @@
-"""The platform's metadata store as table service and change feed."""
+"""Client of the platform's metadata store: table service and change feed."""
 
 import asyncio
 import base64
@@ -26,17 +26,22 @@
 __all__ = ["PlatformStore"]
 
 CALL_TIMEOUT_MS = 1_200
-"""A slow store takes 280 ms for a transaction; a silent channel is given up here."""
+"""A slow store takes 280 ms for a transaction. A call without a reply is abandoned
+after this time."""
 
-ROWS_MAX = 500
-"""Most rows in a reply."""
+ROWS_PER_REPLY_MAX = 500
+"""Largest number of rows in a reply."""
 
 _STATUS_CONFLICT = 412
 _STATUS_GONE = 410
 
 
 class _WireRow(msgspec.Struct, omit_defaults=True):
-    """A row of a reply. `part` groups rows that share transactions."""
+    """A row in a reply.
+
+    `part` is the transaction scope of the row, `ver` the version of its last write, and
+    `value` is encoded in base64.
+    """
 
     table: str = ""
     part: str = ""
@@ -47,7 +52,7 @@
 
 
 class _WireReply(msgspec.Struct):
-    """`ver` is the store's newest version, `now_ms` its steady clock."""
+    """Body of a reply, with the store's newest version and its steady clock."""
 
     rows: list[_WireRow] = []
     parts: list[str] = []
@@ -56,55 +61,56 @@
     now_ms: float = 0.0
 
 
-class _Answer(msgspec.Struct):
-    """A reply of the store that could be read."""
+class _StoreReply(msgspec.Struct):
+    """A decoded reply of the store, with its HTTP status."""
 
     status: int
     body: _WireReply
 
 
-_REPLY = msgspec.json.Decoder(_WireReply)
+_REPLY_DECODER = msgspec.json.Decoder(_WireReply)
 
 
-def _split(key: str) -> tuple[str, str, str]:
-    """Return table, part and key of one of our keys, ``table/part/key``."""
+def _split_key(key: str) -> tuple[str, str, str]:
+    """Split a row key, ``table/part/key``; absent elements are empty."""
     table, part, name = (*key.split("/", 2), "", "")[:3]
     return table, part, name
 
 
-def _join(row: _WireRow) -> str:
+def _join_key(row: _WireRow) -> str:
     return f"{row.table}/{row.part}/{row.key}"
 
 
-def _row(row: _WireRow) -> Row:
+def _decode_row(row: _WireRow) -> Row:
     try:
         value = base64.b64decode(row.value)
     except ValueError:
-        # One unreadable row must not hide the others; its reader rejects it as empty.
+        # One undecodable row must not hide the others; readers reject an empty value.
         value = b""
-    return Row(_join(row), value, row.ver)
+    return Row(_join_key(row), value, row.ver)
 
 
 class PlatformStore(TableService, ChangeFeed):
-    """Rows of the platform's store.
+    """Client of the platform's metadata store.
 
-    Our key ``table/part/key`` names a row; rows of one transaction share a part.
+    A row key has the form ``table/part/key``. Transactions on rows of several parts are
+    marked as such in the request.
 
     Parameters
     ----------
     pool : HttpPool
     address : HttpAddress
     time : SharedTime
-        Learns the store's time from its replies.
+        Is updated with the store's clock from each reply.
     """
 
-    def __init__(self, pool: HttpPool, address: HttpAddress, time: SharedTime):
+    def __init__(self, pool: HttpPool, address: HttpAddress, shared_time: SharedTime):
         self._pool = pool
         self._address = address
-        self._time = time
+        self._shared_time = shared_time
 
     async def read(self, keys: tuple[str, ...]) -> Result[dict[str, Row], StoreError]:
-        """Return the rows that exist among `keys`, each read by itself."""
+        """Return those rows of `keys` that exist; each is read in a separate call."""
         results = await asyncio.gather(*(self._read_one(key) for key in keys))
         rows: dict[str, Row] = {}
         for result in results:
@@ -114,8 +120,8 @@
         return Ok(rows)
 
     async def _read_one(self, key: str) -> Result[ScanPage, StoreError]:
-        table, part, name = _split(key)
-        result = await self._range(table, part, name, 1)
+        table, part, name = _split_key(key)
+        result = await self._read_range(table, part, name, 1)
         if result.is_error():
             return result
         return Ok(ScanPage(tuple(row for row in result.ok.rows if row.key == key)))
@@ -123,82 +129,118 @@
     async def scan(
         self, prefix: str, after: str = "", limit: int = 500
     ) -> Result[ScanPage, StoreError]:
-        """Return rows of a prefix ``table/`` or ``table/part/``."""
-        table, part, _ = _split(prefix)
+        """Return the rows with a prefix, ``table/`` or ``table/part/``.
+
+        Parameters
+        ----------
+        prefix : str
+        after : str
+            Key after which to start; only used for a prefix with a part.
+        limit : int
+            Largest number of rows; only used for a prefix with a part.
+        """
+        table, part, _ = _split_key(prefix)
         if prefix.count("/") < 2:
             return await self._scan_table(table)
-        # The range includes its first key, which is the last one of the page before.
-        wanted = min(limit + 1, ROWS_MAX) if after else limit
-        result = await self._range(table, part, _split(after)[2], wanted)
+        # The store's range includes `after`; request one more row, and drop that one.
+        row_limit = min(limit + 1, ROWS_PER_REPLY_MAX) if after else limit
+        result = await self._read_range(table, part, _split_key(after)[2], row_limit)
         if result.is_error() or not after:
             return result
         rows = tuple(row for row in result.ok.rows if row.key != after)
         return Ok(ScanPage(rows, result.ok.next_after, result.ok.version))
 
     async def _scan_table(self, table: str) -> Result[ScanPage, StoreError]:
-        """Return all rows of a table with few parts, as of the first page."""
+        """Return all rows of a table with few parts.
+
+        The version is the oldest one of the replies, so that a feed from there misses
+        no change made in the meantime.
+        """
         query = urlencode({"table": table})
         result = await self._get(f"/-/rows-parts?{query}", CALL_TIMEOUT_MS)
         if result.is_error():
             return result
-        listed = result.ok.body
+        parts_reply = result.ok.body
         rows: list[Row] = []
-        version = listed.ver
-        for part in listed.parts:
-            page = await self._range(table, part, "", ROWS_MAX)
+        version = parts_reply.ver
+        for part in parts_reply.parts:
+            page = await self._read_range(table, part, "", ROWS_PER_REPLY_MAX)
             if page.is_error():
                 return page
             version = min(version or page.ok.version, page.ok.version)
             rows.extend(page.ok.rows)
         return Ok(ScanPage(tuple(rows), "", version))
 
-    async def _range(
-        self, table: str, part: str, first: str, limit: int
+    async def _read_range(
+        self, table: str, part: str, first_key: str, limit: int
     ) -> Result[ScanPage, StoreError]:
         query: dict[str, Any] = {"table": table, "part": part, "limit": limit}
-        if first:
-            query["from"] = first
+        if first_key:
+            query["from"] = first_key
         result = await self._get(f"/-/rows-get?{urlencode(query)}", CALL_TIMEOUT_MS)
         if result.is_error():
             return result
         page = result.ok.body
-        rows = tuple(_row(row) for row in page.rows)
+        rows = tuple(_decode_row(row) for row in page.rows)
         next_after = rows[-1].key if page.has_more and rows else ""
         return Ok(ScanPage(rows, next_after, page.ver))
 
     async def changes(
         self, prefix: str, after: int, wait_ms: int
     ) -> Result[Changes, StoreError]:
-        """Return the changes of a table, restricted to a prefix."""
-        table = _split(prefix)[0]
+        """Return the changes of rows with a prefix; a long poll.
+
+        Parameters
+        ----------
+        prefix : str
+            Begins with the table, ``table/``.
+        after : int
+            Version after which to return changes.
+        wait_ms : int
+            How long the store waits for a change, in milliseconds.
+
+        Returns
+        -------
+        Result of (Changes, StoreError)
+            Not `complete` if the store has dropped the history after that version.
+        """
+        table = _split_key(prefix)[0]
         query = urlencode({"table": table, "after": after, "wait_ms": wait_ms})
         timeout_ms = wait_ms + CALL_TIMEOUT_MS
-        result = await self._get(f"/-/rows-feed?{query}", timeout_ms, gone_is_ok=True)
+        result = await self._get(f"/-/rows-feed?{query}", timeout_ms, gone_allowed=True)
         if result.is_error():
             return result
         if result.ok.status == _STATUS_GONE:
             return Ok(Changes(complete=False))
         page = result.ok.body
-        found = [row for row in page.rows if _join(row).startswith(prefix)]
-        rows = tuple(_row(row) for row in found if not row.deleted)
-        deleted = tuple(_join(row) for row in found if row.deleted)
+        matching = [row for row in page.rows if _join_key(row).startswith(prefix)]
+        rows = tuple(_decode_row(row) for row in matching if not row.deleted)
+        deleted = tuple(_join_key(row) for row in matching if row.deleted)
         return Ok(Changes(rows, deleted, page.ver))
 
     async def transact(
         self, transaction: Transaction
     ) -> Result[dict[str, int], StoreError]:
-        """Apply a transaction; it is sent at most once."""
-        body = msgspec.json.encode(_transaction_body(transaction))
+        """Apply a transaction; it is sent at most once.
+
+        Returns
+        -------
+        Result of (dict, StoreError)
+            New version of each written row by key, 0 for deleted ones. The error is
+            `StoreErrorKind.UNKNOWN` if the transaction may have taken effect.
+        """
+        body = msgspec.json.encode(_encode_transaction(transaction))
         call = HttpCall(self._address, "POST", "/-/rows-tx", body, CALL_TIMEOUT_MS)
-        result = await self._run(call)
+        result = await self._call(call)
         if result.is_error():
             return result
         if result.ok.status == _STATUS_CONFLICT:
-            return Error(_conflict(transaction, result.ok.body))
+            return Error(_make_conflict_error(transaction, result.ok.body))
         version = result.ok.body.ver
         if not version:
-            # Taken for "no such row", it would end the lease with the next commit.
-            reason = "the reply names no version"
+            # Version 0 means "no such row": the owner's next commit would fail its
+            # condition and so end the lease.
+            reason = "the reply has no version"
             return Error(StoreError(StoreErrorKind.UNKNOWN, reason))
         return Ok(
             {
@@ -208,21 +250,21 @@
         )
 
     async def _get(
-        self, path: str, timeout_ms: int, gone_is_ok: bool = False
-    ) -> Result[_Answer, StoreError]:
+        self, path: str, timeout_ms: int, gone_allowed: bool = False
+    ) -> Result[_StoreReply, StoreError]:
         call = HttpCall(
             self._address, "GET", path, timeout_ms=timeout_ms, repeatable=True
         )
-        result = await self._run(call)
+        result = await self._call(call)
         if result.is_ok() and result.ok.status != 200:
-            if gone_is_ok and result.ok.status == _STATUS_GONE:
+            if gone_allowed and result.ok.status == _STATUS_GONE:
                 return result
             reason = f"status {result.ok.status}"
             return Error(StoreError(StoreErrorKind.INVALID, reason))
         return result
 
-    async def _run(self, call: HttpCall) -> Result[_Answer, StoreError]:
-        sent_ms = self._time.local_ms()
+    async def _call(self, call: HttpCall) -> Result[_StoreReply, StoreError]:
+        sent_ms = self._shared_time.local_ms()
         result = await self._pool.run(call)
         if result.is_error():
             sent = result.error.sent
@@ -230,10 +272,10 @@
             return Error(StoreError(kind, result.error.reason))
         status = result.ok.status
         if status == _STATUS_GONE:
-            return Ok(_Answer(status, _WireReply()))
+            return Ok(_StoreReply(status, _WireReply()))
         if status in (200, _STATUS_CONFLICT):
-            return self._read_reply(result.ok, sent_ms)
-        # Refusals for load or for an outage say that nothing was done.
+            return self._decode_reply(result.ok, sent_ms)
+        # With these statuses, for overload or an outage, nothing has been applied.
         if status in (429, 503, 507):
             kind = StoreErrorKind.NOT_APPLIED
         elif status >= 500:
@@ -242,53 +284,59 @@
             kind = StoreErrorKind.INVALID
         return Error(StoreError(kind, f"status {status}"))
 
-    def _read_reply(
+    def _decode_reply(
         self, reply: HttpReply, sent_ms: float
-    ) -> Result[_Answer, StoreError]:
-        """Return what a reply says; a transaction may have taken effect if nothing."""
+    ) -> Result[_StoreReply, StoreError]:
+        """Decode a reply and pass on the store's clock.
+
+        The outcome of a call with an undecodable reply is unknown, as a transaction may
+        have taken effect.
+        """
         try:
-            body = _REPLY.decode(reply.body)
+            body = _REPLY_DECODER.decode(reply.body)
         except msgspec.DecodeError as error:
             reason = f"the reply cannot be read: {error}"
             return Error(StoreError(StoreErrorKind.UNKNOWN, reason))
         if body.now_ms:
-            self._time.observe(body.now_ms, sent_ms, self._time.local_ms())
-        return Ok(_Answer(reply.status, body))
+            self._shared_time.observe(
+                body.now_ms, sent_ms, self._shared_time.local_ms()
+            )
+        return Ok(_StoreReply(reply.status, body))
 
 
-def _transaction_body(transaction: Transaction) -> dict[str, Any]:
+def _encode_transaction(transaction: Transaction) -> dict[str, Any]:
     parts = set()
     expected, puts, remove = [], [], []
     for condition in transaction.conditions:
-        expected.append(_name(condition.key) | {"ver": condition.version})
-        parts.add(_split(condition.key)[1])
+        expected.append(_encode_key(condition.key) | {"ver": condition.version})
+        parts.add(_split_key(condition.key)[1])
     for write in transaction.writes:
-        parts.add(_split(write.key)[1])
+        parts.add(_split_key(write.key)[1])
         if write.value is None:
-            remove.append(_name(write.key))
+            remove.append(_encode_key(write.key))
         else:
             value = base64.b64encode(write.value).decode()
-            puts.append(_name(write.key) | {"value": value})
+            puts.append(_encode_key(write.key) | {"value": value})
     body: dict[str, Any] = {"expected": expected, "puts": puts, "remove": remove}
     if len(parts) > 1:
         body["cross_shard"] = True
     return body
 
 
-def _name(key: str) -> dict[str, Any]:
-    table, part, name = _split(key)
+def _encode_key(key: str) -> dict[str, Any]:
+    table, part, name = _split_key(key)
     return {"table": table, "part": part, "key": name}
 
 
-def _conflict(transaction: Transaction, reply: _WireReply) -> StoreError:
-    actual = {_join(row): row.ver for row in reply.rows}
+def _make_conflict_error(transaction: Transaction, reply: _WireReply) -> StoreError:
+    actual = {_join_key(row): row.ver for row in reply.rows}
     conflicts = tuple(
-        Conflict(c.key, c.version, actual.get(c.key, 0))
-        for c in transaction.conditions
-        if _differs(c, actual)
+        Conflict(condition.key, condition.version, actual.get(condition.key, 0))
+        for condition in transaction.conditions
+        if _is_violated(condition, actual)
     )
     return StoreError(StoreErrorKind.CONFLICT, "a condition failed", conflicts)
 
 
-def _differs(condition: Condition, actual: dict[str, int]) -> bool:
+def _is_violated(condition: Condition, actual: dict[str, int]) -> bool:
     return actual.get(condition.key, 0) != condition.version
--- a/basilhold/platform/tests/test_runners.py
+++ b/basilhold/platform/tests/test_runners.py
@@ -2,7 +2,7 @@
 
 from basilhold.adapters import HttpPool
 from basilhold.core import Epoch, JobId, Resources, WorkerId
-from basilhold.platform.runners import PlatformAdvice, PlatformRunners, address_of
+from basilhold.platform.runners import PlatformAdvice, PlatformRunners, parse_endpoint
 from basilhold.platform.tests.platform_http import PlatformHttp
 from basilhold.ports.runners import CallOutcome, HoldCall, RunnerCall, StartCall
 from basilhold.workflows.model import AdvicePolicy, QueuePolicy, RunNumber, TaskKey
@@ -100,7 +100,7 @@
     async def test_advice(self):
         reply = {"admitted": [["i-7f", "c81e"]], "valid_ms": 3000}
         self.platform.replies["/-/advise"] = (200, reply)
-        advice = PlatformAdvice(self.pool, address_of(self.platform.endpoint))
+        advice = PlatformAdvice(self.pool, parse_endpoint(self.platform.endpoint))
         policy = QueuePolicy("q", "s", advice=AdvicePolicy(1, 1, 1))
         workers = (WorkerId("i-7f"), WorkerId("i-80"))
         answer = await advice.ask(JobId("00ff"), 0, 1, workers, policy)
--- a/basilhold/platform/tests/test_store.py
+++ b/basilhold/platform/tests/test_store.py
@@ -2,7 +2,7 @@
 
 from basilhold.adapters import HttpPool
 from basilhold.core import Clock
-from basilhold.platform.runners import PlatformRegistry, address_of
+from basilhold.platform.runners import PlatformRegistry, parse_endpoint
 from basilhold.platform.store import PlatformStore
 from basilhold.platform.tests.platform_http import PlatformHttp
 from basilhold.ports import ABSENT, Condition, StoreErrorKind, Transaction, Write
@@ -22,7 +22,7 @@
         self.platform = self.enterContext(PlatformHttp())
         pool = await self.enterAsyncContext(HttpPool())
         self.time = SharedTime(Clock(0))
-        address = address_of(self.platform.endpoint)
+        address = parse_endpoint(self.platform.endpoint)
         self.store = PlatformStore(pool, address, self.time)
 
     async def test_write_read_and_scan(self):
