--- a/basilhold/platform/tests/fake_platform.py
+++ b/basilhold/platform/tests/fake_platform.py
@@ -1,6 +1,6 @@
-"""A platform on loopback: store, advice and runners over HTTP, with faults.
+"""A platform on loopback: store, advice service and runners over HTTP, with faults.
 
-The runners are `basilhold.standins` agents, which check the guarantees.
+The runners are agents of `basilhold.standins`, which check the guarantees for tasks.
 """
 
 import asyncio
@@ -12,21 +12,21 @@
 from tornado.web import Application, RequestHandler
 
 from basilhold.core import Epoch, JobId, Resources, WorkerId
-from basilhold.platform.tests.platform_http import PlatformHttp
+from basilhold.platform.tests.stub_platform import StubPlatform
 from basilhold.ports.runners import CallOutcome, HoldCall, RunnerCall, StartCall
 from basilhold.standins.runners import MemoryRunner, MemoryRunners, RunnerFaults
 from basilhold.workflows.model import RunNumber, TaskKey, task_name
 from basilhold.workflows.pool import Worker, WorkerInfo
 
-__all__ = ["SERVICE", "FakePlatform", "StoreTrouble"]
+__all__ = ["SERVICE", "FakePlatform", "StoreFaults"]
 
 SERVICE = "desk"
-MIB = 1 << 20
-ADMITTED_SHARE = 0.7
-ALWAYS_ADMITTED = "i-0"
-TICKET_MS = 2_000
+BYTES_PER_MIB = 1 << 20
+ADMISSION_RATE = 0.7
+ALWAYS_ADMITTED_RUNNER = "i-0"
+TICKET_VALID_MS = 2_000
 
-_REASONS = {
+_REJECTION_REASONS = {
     CallOutcome.FENCED: "fence",
     CallOutcome.LATE: "late",
     CallOutcome.OLD_RUN: "old",
@@ -34,47 +34,56 @@
 }
 
 
-class StoreTrouble:
-    """How the store behaves; shares are of its calls.
+class StoreFaults:
+    """Faults of the store.
 
     Attributes
     ----------
-    down : bool
-        Everything is refused.
-    lost_reply : float
-        Calls that take effect and are not answered.
+    unavailable : bool
+        All requests are rejected with status 503.
+    lost_reply_rate : float
+        Share of the requests that take effect but get no reply, from 0 to 1.
     delay_s : float
+        Delay before each request is handled, in seconds.
     """
 
     def __init__(self):
-        self.down = False
-        self.lost_reply = 0.0
+        self.unavailable = False
+        self.lost_reply_rate = 0.0
         self.delay_s = 0.0
 
 
-class FakePlatform(PlatformHttp):
-    """Store and advice on one port, and each runner on its own.
+class FakePlatform(StubPlatform):
+    """Store and advice service on one port, and each runner on a port of its own.
 
     Parameters
     ----------
     seed : int
+        Seed of the faults.
     runner_count : int
     faults : RunnerFaults
+        Faults of the runners.
+
+    Attributes
+    ----------
+    store_faults : StoreFaults
+    runners : MemoryRunners
+        Collects violated guarantees.
     """
 
     def __init__(self, seed: int, runner_count: int, faults: RunnerFaults):
         super().__init__()
         self.rng = random.Random(seed)
-        self.trouble = StoreTrouble()
+        self.store_faults = StoreFaults()
         self.runners = MemoryRunners(random.Random(seed + 1), faults)
-        self._count = runner_count
-        self._born = 1
-        self._servers: dict[str, HTTPServer] = {}
-        self._ports: dict[str, int] = {}
-        self._changed = asyncio.Event()
+        self._runner_count = runner_count
+        self._last_start_unix_ms = 1
+        self._runner_servers: dict[str, HTTPServer] = {}
+        self._runner_ports: dict[str, int] = {}
+        self._change_event = asyncio.Event()
 
     def application(self) -> Application:
-        """Return what serves the store and the advice."""
+        """Return the web application of the store and the advice service."""
         return Application(
             [
                 (r"/-/advise", _AdviceHandler, {"platform": self}),
@@ -94,73 +103,73 @@
             "max_attempts": 8,
             "stretch": 3.0,
             "target_latency_ms": 1000,
-            "advice": {"decide_ms": 5, "each_ms": 0.1, "valid_ms": TICKET_MS},
+            "advice": {"decide_ms": 5, "each_ms": 0.1, "valid_ms": TICKET_VALID_MS},
         }
         config = {"version": 1, "routes": [route], "services": [{"name": SERVICE}]}
         self.put("op", "", "config", json.dumps(config).encode())
-        for number in range(self._count):
+        for number in range(self._runner_count):
             self.start_runner(f"i-{number}")
         return self
 
     def __exit__(self, exc_type, exc, traceback) -> None:
         super().__exit__(exc_type, exc, traceback)
-        for server in self._servers.values():
+        for server in self._runner_servers.values():
             server.stop()
 
     def put(self, table: str, part: str, key: str, value: bytes) -> int:
         """Write a row; return its version."""
         version = super().put(table, part, key, value)
-        self.wake()
+        self.notify_change()
         return version
 
-    def wake(self) -> None:
-        """Answer the calls that wait for changes."""
-        self._changed.set()
-        self._changed = asyncio.Event()
+    def notify_change(self) -> None:
+        """Let the long polls for changes reply."""
+        self._change_event.set()
+        self._change_event = asyncio.Event()
 
     async def wait_for_change(self, timeout_s: float) -> None:
-        """Wait until a row changes."""
+        """Wait until a row changes or the timeout has passed."""
         try:
             async with asyncio.timeout(timeout_s):
-                await self._changed.wait()
+                await self._change_event.wait()
         except TimeoutError:
             pass
 
     def start_runner(self, name: str) -> MemoryRunner:
-        """Start a new incarnation of a runner and register it."""
-        self._born += 1
-        if name not in self._ports:
+        """Start a new incarnation of a runner, on the same port, and register it."""
+        self._last_start_unix_ms += 1
+        if name not in self._runner_ports:
             sockets = bind_sockets(0, "127.0.0.1")
-            self._ports[name] = sockets[0].getsockname()[1]
+            self._runner_ports[name] = sockets[0].getsockname()[1]
             routes = [
                 (r"/-/([a-z-]+)", _RunnerHandler, {"platform": self, "name": name})
             ]
             server = HTTPServer(Application(routes, log_function=lambda handler: None))
             server.add_sockets(sockets)
-            self._servers[name] = server
-        address = f"127.0.0.1:{self._ports[name]}"
+            self._runner_servers[name] = server
+        address = f"127.0.0.1:{self._runner_ports[name]}"
         info = WorkerInfo(
             WorkerId(name),
             address,
-            self._born,
+            self._last_start_unix_ms,
             Resources(16_000, 64 << 30, 4_000),
             "r1",
         )
         runner = self.runners.add(info)
-        entry = {
+        registration = {
             "service": SERVICE,
             "address": address,
             "zone": "a",
             "state": "ready",
             "capacity": {"cpu": 16_000, "mem_mb": 64 << 10, "gpu": 4},
             "labels": ["kind", "r1"],
-            "born": self._born,
+            "born": self._last_start_unix_ms,
         }
-        self.put("servers", "", name, json.dumps(entry).encode())
+        self.put("servers", "", name, json.dumps(registration).encode())
         return runner
 
     def crash_runner(self, name: str) -> None:
-        """End everything that runs on a runner; it answers no more."""
+        """End all runs of a runner, which then stops replying."""
         self.runners.runners[WorkerId(name)].crash()
 
 
@@ -168,46 +177,49 @@
     def initialize(self, platform: FakePlatform) -> None:
         self._platform = platform
 
-    def _query(self, name: str) -> str:
+    def _query_argument(self, name: str) -> str:
         return self.get_argument(name, "")
 
     async def get(self) -> None:
-        """Serve a reading call."""
+        """Reply to a read, or to a long poll for changes."""
         platform = self._platform
-        if not await self._admit():
+        if not await self._check_available():
             return
         path = self.request.path
         if path == "/-/rows-feed":
-            status, reply = platform.rows_feed(self._query)
+            status, reply = platform.rows_feed(self._query_argument)
             if status == 200 and not reply["rows"]:
-                await platform.wait_for_change(int(self._query("wait_ms") or 0) / 1000)
-                status, reply = platform.rows_feed(self._query)
+                await platform.wait_for_change(
+                    int(self._query_argument("wait_ms") or 0) / 1000
+                )
+                status, reply = platform.rows_feed(self._query_argument)
         elif path == "/-/rows-get":
-            status, reply = platform.rows_get(self._query)
+            status, reply = platform.rows_get(self._query_argument)
         else:
-            status, reply = platform.rows_parts(self._query)
-        self._answer(status, reply)
+            status, reply = platform.rows_parts(self._query_argument)
+        self._reply(status, reply)
 
     async def post(self) -> None:
-        """Serve a transaction."""
-        if not await self._admit():
+        """Apply a transaction."""
+        if not await self._check_available():
             return
         status, reply = self._platform.rows_tx(json.loads(self.request.body))
-        self._platform.wake()
-        self._answer(status, reply)
-
-    async def _admit(self) -> bool:
-        trouble = self._platform.trouble
-        if trouble.delay_s:
-            await asyncio.sleep(trouble.delay_s)
-        if trouble.down:
+        self._platform.notify_change()
+        self._reply(status, reply)
+
+    async def _check_available(self) -> bool:
+        """Apply delay and outage; return whether to handle the request."""
+        faults = self._platform.store_faults
+        if faults.delay_s:
+            await asyncio.sleep(faults.delay_s)
+        if faults.unavailable:
             self.set_status(503)
             self.finish({})
-        return not trouble.down
+        return not faults.unavailable
 
-    def _answer(self, status: int, reply: dict) -> None:
-        if self._platform.rng.random() < self._platform.trouble.lost_reply:
-            _cut(self)
+    def _reply(self, status: int, reply: dict) -> None:
+        if self._platform.rng.random() < self._platform.store_faults.lost_reply_rate:
+            _close_without_reply(self)
             return
         self.set_status(status)
         self.finish(reply)
@@ -218,18 +230,18 @@
         self._platform = platform
 
     def post(self) -> None:
-        """Answer which runners may run a step; the same ones each time.
+        """Admit runners for a step; the same ones each time.
 
-        One runner is admitted for every step, so that each job can be done.
+        One runner is admitted for every step, so that each job can be completed.
         """
         body = json.loads(self.request.body)
         admitted = [
             [name, f"t-{name}"]
             for name in body["workers"]
-            if name == ALWAYS_ADMITTED
-            or random.Random(f"{body['step']} {name}").random() < ADMITTED_SHARE
+            if name == ALWAYS_ADMITTED_RUNNER
+            or random.Random(f"{body['step']} {name}").random() < ADMISSION_RATE
         ]
-        self.finish({"admitted": admitted, "valid_ms": TICKET_MS})
+        self.finish({"admitted": admitted, "valid_ms": TICKET_VALID_MS})
 
 
 class _RunnerHandler(RequestHandler):
@@ -237,16 +249,16 @@
         self._runners = platform.runners
         self._name = WorkerId(name)
 
-    async def post(self, call: str) -> None:
-        """Serve an order or a look."""
+    async def post(self, operation: str) -> None:
+        """Execute a command or renew a lease."""
         body = json.loads(self.request.body)
         runner = self._runners.runners[self._name]
         worker = Worker(runner.info)
-        if call == "hold":
+        if operation == "hold":
             await self._hold(worker, body)
             return
-        run = _run_of(body)
-        if call == "run-start":
+        run = _decode_run(body)
+        if operation == "run-start":
             start = StartCall(
                 run,
                 body["spec"],
@@ -255,11 +267,11 @@
                 body.get("ticket", ""),
             )
             outcome = await self._runners.start(worker, start)
-        elif call == "run-stop":
+        elif operation == "run-stop":
             outcome = await self._runners.stop(worker, run)
         else:
             outcome = await self._runners.pace(worker, run, body["percent"])
-        self._answer(outcome, {"clock_ms": runner.clock_ms()})
+        self._reply(outcome, {"clock_ms": runner.clock_ms()})
 
     async def _hold(self, worker: Worker, body: dict) -> None:
         call = HoldCall(
@@ -270,7 +282,7 @@
         )
         result = await self._runners.hold(worker, call)
         if result.is_error():
-            self._answer(result.error, {})
+            self._reply(result.error, {})
             return
         listing = result.ok
         running = [
@@ -285,28 +297,28 @@
             )
         reply = {"clock_ms": listing.clock_ms, "born": listing.born_unix_ms}
         reply |= {"running": running, "finished": finished}
-        self._answer(CallOutcome.DONE, reply)
+        self._reply(CallOutcome.DONE, reply)
 
-    def _answer(self, outcome: CallOutcome, reply: dict) -> None:
+    def _reply(self, outcome: CallOutcome, reply: dict) -> None:
         if outcome is CallOutcome.UNKNOWN:
-            _cut(self)
+            _close_without_reply(self)
         elif outcome is CallOutcome.DONE:
             self.finish(reply)
-        elif outcome in _REASONS:
+        elif outcome in _REJECTION_REASONS:
             self.set_status(409)
-            self.finish(reply | {"reason": _REASONS[outcome]})
+            self.finish(reply | {"reason": _REJECTION_REASONS[outcome]})
         else:
             self.set_status(503)
             self.finish({})
 
 
-def _run_of(body: dict) -> RunnerCall:
+def _decode_run(body: dict) -> RunnerCall:
     job_id, occurrence, step, index = body["task"].split(".")
     key = TaskKey(int(occurrence), int(step), int(index))
     return RunnerCall(JobId(job_id), key, RunNumber(body["run"]), Epoch(body["fence"]))
 
 
-def _cut(handler: RequestHandler) -> None:
-    """Close the connection without an answer."""
+def _close_without_reply(handler: RequestHandler) -> None:
+    """Close the connection without a reply."""
     handler._finished = True
     handler.request.connection.stream.close()
--- a/basilhold/platform/tests/node_processes.py
+++ b/basilhold/platform/tests/node_processes.py
@@ -1,4 +1,4 @@
-"""The real program as processes of this machine, and the way of each to the store."""
+"""Processes of the real program on this machine, each with a proxy to the store."""
 
 import asyncio
 import os
@@ -11,10 +11,10 @@
 
 from basilhold.programs.tests.processes import ROOT, free_ports
 
-__all__ = ["NodeProcess", "PathMode", "StorePath"]
+__all__ = ["NodeProcess", "ProxyMode", "StoreProxy"]
 
 CHUNK_BYTES = 1 << 16
-DELAY_S = 0.08
+FORWARD_DELAY_S = 0.08
 CLOSE_TIMEOUT_S = 2.0
 
 SETTINGS = """
@@ -25,7 +25,7 @@
 port_range = [{peer_port}, {status_port}]
 advice = "127.0.0.1:{store_port}"
 [listen]
-front = "127.0.0.1:{front_port}"
+front = "127.0.0.1:{caller_port}"
 ready = "127.0.0.1:{ready_port}"
 [platform]
 address = "127.0.0.1:{store_port}"
@@ -34,26 +34,31 @@
 """
 
 
-class PathMode(Enum):
-    """What the way to the store does to bytes."""
+class ProxyMode(Enum):
+    """What a proxy does with the data of its connections.
 
-    PASS = "pass"
+    `RESET` aborts connections, `DROP` discards data in both directions and
+    `DROP_REPLIES` discards only that from the store.
+    """
+
+    FORWARD = "forward"
     DELAY = "delay"
     RESET = "reset"
-    SILENT = "silent"
-    NO_REPLIES = "no-replies"
+    DROP = "drop"
+    DROP_REPLIES = "drop-replies"
 
 
-class StorePath:
+class StoreProxy:
     """A loopback proxy between one process and the store.
 
     Parameters
     ----------
     target_port : int
+        Port of the store.
     """
 
     def __init__(self, target_port: int):
-        self.mode = PathMode.PASS
+        self.mode = ProxyMode.FORWARD
         self.port = 0
         self._target_port = target_port
         self._server: asyncio.Server | None = None
@@ -61,91 +66,104 @@
         self._tasks: set[asyncio.Task] = set()
 
     async def open(self) -> None:
-        """Listen."""
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        """Listen on a free port."""
+        self._server = await asyncio.start_server(
+            self._serve_connection, "127.0.0.1", 0
+        )
         self.port = self._server.sockets[0].getsockname()[1]
 
     async def close(self) -> None:
         """Stop listening and end all connections."""
         self._server.close()
-        self.set_mode(PathMode.RESET)
+        self.set_mode(ProxyMode.RESET)
         if self._tasks:
             await asyncio.wait(self._tasks, timeout=CLOSE_TIMEOUT_S)
 
-    def set_mode(self, mode: PathMode) -> None:
-        """Change what happens to connections, also to open ones."""
+    def set_mode(self, mode: ProxyMode) -> None:
+        """Set the mode of all connections, also of open ones."""
         self.mode = mode
-        if mode is PathMode.RESET:
+        if mode is ProxyMode.RESET:
             for writer in list(self._writers):
                 writer.transport.abort()
 
-    async def _serve(
+    async def _serve_connection(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        if self.mode is PathMode.RESET:
+        if self.mode is ProxyMode.RESET:
             writer.transport.abort()
             return
         task = asyncio.current_task()
         self._tasks.add(task)
         try:
-            there, back = await asyncio.open_connection("127.0.0.1", self._target_port)
-            self._writers |= {writer, back}
+            store_reader, store_writer = await asyncio.open_connection(
+                "127.0.0.1", self._target_port
+            )
+            self._writers |= {writer, store_writer}
             try:
                 async with asyncio.TaskGroup() as group:
-                    group.create_task(self._pump(reader, back, PathMode.SILENT))
-                    group.create_task(self._pump(there, writer, PathMode.NO_REPLIES))
+                    group.create_task(
+                        self._forward(reader, store_writer, ProxyMode.DROP)
+                    )
+                    group.create_task(
+                        self._forward(store_reader, writer, ProxyMode.DROP_REPLIES)
+                    )
             finally:
-                self._writers -= {writer, back}
+                self._writers -= {writer, store_writer}
                 writer.close()
-                back.close()
+                store_writer.close()
         except* (OSError, EOFError):
             pass
         finally:
             self._tasks.discard(task)
 
-    async def _pump(
+    async def _forward(
         self,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
-        swallowed: PathMode,
+        drop_mode: ProxyMode,
     ) -> None:
         while data := await reader.read(CHUNK_BYTES):
-            if self.mode is PathMode.DELAY:
-                await asyncio.sleep(DELAY_S)
-            # What a silent way has swallowed is lost, also once it passes again.
-            if self.mode not in (PathMode.SILENT, swallowed):
+            if self.mode is ProxyMode.DELAY:
+                await asyncio.sleep(FORWARD_DELAY_S)
+            # Discarded data is never delivered, also not after a return to forwarding.
+            if self.mode not in (ProxyMode.DROP, drop_mode):
                 writer.write(data)
                 await writer.drain()
         raise EOFError
 
 
 class NodeProcess:
-    """One machine: its settings, its way to the store, and its process.
+    """One machine: its settings, its proxy to the store, and its process.
 
     Parameters
     ----------
     name : str
-    path : StorePath
+    store_proxy : StoreProxy
     directory : Path
-        For the settings and the log.
+        Directory of the settings file and the log.
+
+    Attributes
+    ----------
+    exit_violations : int
+        How often the process exited unexpectedly, or did not exit in time.
     """
 
-    def __init__(self, name: str, path: StorePath, directory: Path):
+    def __init__(self, name: str, store_proxy: StoreProxy, directory: Path):
         self.name = name
-        self.path = path
-        self.front_port, self.ready_port, peer_port, status_port = free_ports(4)
+        self.store_proxy = store_proxy
+        self.caller_port, self.ready_port, peer_port, status_port = free_ports(4)
         self._settings = directory / f"{name}.toml"
         self._log = directory / f"{name}.log"
         self._process: subprocess.Popen | None = None
-        self.own_ends = 0
+        self.exit_violations = 0
         self._settings.write_text(
             SETTINGS.format(
                 name=name,
-                front_port=self.front_port,
+                caller_port=self.caller_port,
                 ready_port=self.ready_port,
                 peer_port=peer_port,
                 status_port=status_port,
-                store_port=path.port,
+                store_port=store_proxy.port,
             )
         )
 
@@ -166,43 +184,43 @@
                 stderr=log,
             )
 
-    def send(self, number: signal.Signals) -> None:
-        """Send a signal to this process, if it still runs."""
+    def send_signal(self, signal_number: signal.Signals) -> None:
+        """Send a signal to the process; an earlier exit counts as a violation."""
         if self.is_running:
-            self._process.send_signal(number)
+            self._process.send_signal(signal_number)
         else:
-            self.own_ends += 1
+            self.exit_violations += 1
 
-    async def wait_ended(self, timeout_s: float) -> None:
-        """Wait until the process has ended; kill it if it does not."""
+    async def wait_for_exit(self, timeout_s: float) -> None:
+        """Wait until the process has exited; after the timeout, kill it."""
         try:
             async with asyncio.timeout(timeout_s):
                 while self.is_running:
                     await asyncio.sleep(0.05)
         except TimeoutError:
-            self.own_ends += 1
+            self.exit_violations += 1
             self._process.kill()
         self._process.wait()
 
-    async def restart(self, number: signal.Signals, pause_s: float) -> None:
-        """End the process with a signal and start it again."""
-        self.send(number)
-        await self.wait_ended(10.0)
+    async def restart(self, signal_number: signal.Signals, pause_s: float) -> None:
+        """End the process with a signal and start it again after a pause."""
+        self.send_signal(signal_number)
+        await self.wait_for_exit(10.0)
         await asyncio.sleep(pause_s)
         self.start()
 
-    def end(self) -> None:
-        """End the process for good."""
+    def kill(self) -> None:
+        """Kill the process, also if it is paused."""
         if self._process is not None:
             self._process.send_signal(signal.SIGCONT)
             self._process.kill()
             self._process.wait()
 
     def log_lines(self) -> list[str]:
-        """Return what the process has written."""
+        """Return the lines of the process's log."""
         return self._log.read_text(errors="replace").splitlines()
 
 
 def scratch_directory() -> tempfile.TemporaryDirectory:
-    """Return a directory for settings and logs."""
+    """Return a temporary directory for settings and logs."""
     return tempfile.TemporaryDirectory(prefix="basilhold-")
--- a/basilhold/platform/tests/process_soak.py
+++ b/basilhold/platform/tests/process_soak.py
@@ -1,8 +1,8 @@
-"""A soak of the real program: processes, loopback proxies, signals and a fake platform.
+"""A soak test of the real program: processes, proxies, signals and a fake platform.
 
-Run ``python -m basilhold.platform.tests.process_soak --seeds 50`` for fresh seeds. It
-ends only processes that it started. What happens at a given moment depends on the
-machine, so a seed fixes the faults and the load, not the run.
+Run ``python -m basilhold.platform.tests.process_soak --seeds 50`` for new seeds. It
+ends only processes that it started. The timing depends on the machine, so a seed
+determines the sequence of faults and of jobs, but not the run.
 """
 
 import asyncio
@@ -21,8 +21,8 @@
 from basilhold.platform.tests.fake_platform import SERVICE, FakePlatform
 from basilhold.platform.tests.node_processes import (
     NodeProcess,
-    PathMode,
-    StorePath,
+    ProxyMode,
+    StoreProxy,
     scratch_directory,
 )
 from basilhold.standins.runners import RunnerFaults
@@ -30,14 +30,15 @@
 
 __all__ = ["SoakReport", "run_soak"]
 
-NODES = 3
-RUNNERS = 5
+NODE_COUNT = 3
+RUNNER_COUNT = 5
 JOBS_PER_S = 3.0
-START_S = 30.0
-"""Longest wait until the processes are ready; they start within 1 s when idle."""
+START_TIMEOUT_S = 30.0
+"""Limit for the processes to become ready. On an idle machine they start within 1 s."""
 
-SETTLE_S = 120.0
-"""Without faults the work ends within 20 s; a busy machine takes longer."""
+SETTLE_TIMEOUT_S = 120.0
+"""Limit for all jobs to end after the faults. Without faults this takes up to 20 s, and
+longer on a busy machine."""
 
 CALL_TIMEOUT_S = 3.0
 _POLICY = QueuePolicy(
@@ -46,14 +47,18 @@
 
 
 class SoakReport(msgspec.Struct):
-    """Outcome of a soak.
+    """Result of a soak test.
 
     Parameters
     ----------
     violations : list of str
-        Broken promises, as runners and callers saw them.
+        Violated guarantees, as observed by runners and callers.
     faults : list of str
-    accepted, completed, cancelled, starts : int
+        Time and kind of each injected fault.
+    accepted, completed, cancelled : int
+        Numbers of jobs.
+    run_starts : int
+        Number of runs that runners have started.
     """
 
     violations: list[str]
@@ -61,10 +66,12 @@
     accepted: int = 0
     completed: int = 0
     cancelled: int = 0
-    starts: int = 0
+    run_starts: int = 0
 
 
-class _Soak:
+class _ProcessSoak:
+    """Nodes, callers and faults of one soak test."""
+
     def __init__(self, seed: int, directory: Path):
         self.rng = random.Random(seed)
         faults = RunnerFaults(
@@ -72,39 +79,39 @@
             late=self.rng.choice((0.0, 0.03)),
             refused=self.rng.choice((0.0, 0.03)),
         )
-        self.platform = FakePlatform(seed, RUNNERS, faults)
+        self.platform = FakePlatform(seed, RUNNER_COUNT, faults)
         self.directory = directory
         self.nodes: list[NodeProcess] = []
         self.client = AsyncHTTPClient(max_clients=200)
         self.faults: list[str] = []
         self.accepted: set[JobId] = set()
-        self.refused: set[JobId] = set()
+        self.rejected: set[JobId] = set()
         self.cancelled: set[JobId] = set()
         self.violations: list[str] = []
 
     async def open(self) -> None:
-        for number in range(NODES):
-            path = StorePath(self.platform.port)
-            await path.open()
-            node = NodeProcess(f"node-{number}", path, self.directory)
+        for number in range(NODE_COUNT):
+            proxy = StoreProxy(self.platform.port)
+            await proxy.open()
+            node = NodeProcess(f"node-{number}", proxy, self.directory)
             self.nodes.append(node)
             node.start()
-        async with asyncio.timeout(START_S):
+        async with asyncio.timeout(START_TIMEOUT_S):
             for node in self.nodes:
                 while not await self._is_ready(node):
                     await asyncio.sleep(0.1)
 
     async def close(self) -> None:
         for node in self.nodes:
-            node.end()
-            await node.path.close()
+            node.kill()
+            await node.store_proxy.close()
         self.client.close()
 
     async def _is_ready(self, node: NodeProcess) -> bool:
-        reply = await self._call(node.ready_port, "GET", "/-/ready")
+        reply = await self._fetch(node.ready_port, "GET", "/-/ready")
         return reply is not None and reply.code == 200
 
-    async def _call(self, port: int, method: str, path: str, body: bytes = b""):
+    async def _fetch(self, port: int, method: str, path: str, body: bytes = b""):
         request = HTTPRequest(
             f"http://127.0.0.1:{port}{path}",
             method,
@@ -117,46 +124,48 @@
         except (OSError, HTTPError):
             return None
 
-    # Load.
+    # Jobs.
 
     async def load(self, seconds: float) -> None:
-        """Submit jobs from callers that try again, and cancel some."""
+        """Submit jobs, with retries, and cancel some of them."""
         end_s = asyncio.get_running_loop().time() + seconds
         async with asyncio.TaskGroup() as group:
             while asyncio.get_running_loop().time() < end_s:
-                group.create_task(self._caller())
+                group.create_task(self._run_caller())
                 await asyncio.sleep(self.rng.expovariate(JOBS_PER_S))
 
-    async def _caller(self) -> None:
+    async def _run_caller(self) -> None:
         job_id = JobId(f"{self.rng.getrandbits(64):016x}")
-        body = self._job()
+        body = self._make_job_body()
         spec = decode_workflow(job_id, _POLICY, body, 0.0).ok
         self.platform.runners.specs[job_id] = spec
-        unknown = False
+        outcome_unknown = False
         for _ in range(5):
             node = self.rng.choice(self.nodes)
-            reply = await self._call(node.front_port, "POST", f"/jobs/{job_id}", body)
+            reply = await self._fetch(node.caller_port, "POST", f"/jobs/{job_id}", body)
             if reply is not None and reply.code == 200:
                 self.accepted.add(job_id)
                 break
-            unknown = unknown or reply is None or reply.code not in (429, 503)
+            outcome_unknown = (
+                outcome_unknown or reply is None or reply.code not in (429, 503)
+            )
             await asyncio.sleep(self.rng.uniform(0.2, 1.0))
         else:
-            if not unknown:
-                self.refused.add(job_id)
+            if not outcome_unknown:
+                self.rejected.add(job_id)
             return
         if self.rng.random() < 0.1:
             await asyncio.sleep(self.rng.uniform(0.0, 2.0))
-            await self._cancel(job_id)
+            await self._cancel_job(job_id)
 
-    async def _cancel(self, job_id: JobId) -> None:
+    async def _cancel_job(self, job_id: JobId) -> None:
         self.cancelled.add(job_id)
         node = self.rng.choice(self.nodes)
-        await self._call(node.front_port, "DELETE", f"/jobs/{job_id}")
+        await self._fetch(node.caller_port, "DELETE", f"/jobs/{job_id}")
 
-    def _job(self) -> bytes:
+    def _make_job_body(self) -> bytes:
         steps = []
-        for place in range(self.rng.randint(1, 3)):
+        for index in range(self.rng.randint(1, 3)):
             gang = self.rng.random() < 0.2
             step = {
                 "count": self.rng.randint(1, 3 if gang else 5),
@@ -165,128 +174,140 @@
                 "estimate_ms": self.rng.randint(100, 1_000),
                 "gang": gang,
             }
-            if place:
-                step["after"] = [place - 1]
+            if index:
+                step["after"] = [index - 1]
             steps.append(step)
         return json.dumps({"spec": "x", "steps": steps}).encode()
 
     # Faults.
 
-    async def trouble(self, seconds: float) -> None:
-        """Cause faults in overlapping series."""
-        kinds: list[Callable[[], Awaitable[None]]] = [
-            self._kill,
-            self._terminate,
-            self._pause,
-            self._path,
-            self._store,
+    async def inject_faults(self, seconds: float) -> None:
+        """Inject faults, which may overlap."""
+        fault_kinds: list[Callable[[], Awaitable[None]]] = [
+            self._kill_node,
+            self._terminate_node,
+            self._pause_node,
+            self._disturb_store_proxy,
+            self._disturb_store,
             self._crash_runner,
-            self._cut_runner,
-            self._kill_all,
+            self._disconnect_runner,
+            self._kill_all_nodes,
         ]
         loop = asyncio.get_running_loop()
-        begin_s = loop.time()
+        start_s = loop.time()
         async with asyncio.TaskGroup() as group:
-            while loop.time() < begin_s + seconds:
+            while loop.time() < start_s + seconds:
                 await asyncio.sleep(self.rng.uniform(0.5, 2.5))
-                kind = self.rng.choice(kinds)
-                self.faults.append(f"{loop.time() - begin_s:.1f} s {kind.__name__}")
+                kind = self.rng.choice(fault_kinds)
+                self.faults.append(f"{loop.time() - start_s:.1f} s {kind.__name__}")
                 group.create_task(kind())
 
-    async def _kill(self) -> None:
+    async def _kill_node(self) -> None:
         node = self.rng.choice(self.nodes)
-        await self._restart(node, signal.SIGKILL)
+        await self._restart_node(node, signal.SIGKILL)
 
-    async def _restart(self, node: NodeProcess, number: signal.Signals) -> None:
-        # A node is disturbed by one fault of its process at a time.
+    async def _restart_node(
+        self, node: NodeProcess, signal_number: signal.Signals
+    ) -> None:
+        # At most one fault of the process itself at a time.
         if node.is_running:
-            await node.restart(number, self.rng.uniform(0.1, 2.0))
+            await node.restart(signal_number, self.rng.uniform(0.1, 2.0))
 
-    async def _terminate(self) -> None:
-        await self._restart(self.rng.choice(self.nodes), signal.SIGTERM)
+    async def _terminate_node(self) -> None:
+        await self._restart_node(self.rng.choice(self.nodes), signal.SIGTERM)
 
-    async def _kill_all(self) -> None:
-        await asyncio.gather(*(self._restart(n, signal.SIGKILL) for n in self.nodes))
+    async def _kill_all_nodes(self) -> None:
+        await asyncio.gather(
+            *(self._restart_node(n, signal.SIGKILL) for n in self.nodes)
+        )
 
-    async def _pause(self) -> None:
+    async def _pause_node(self) -> None:
         node = self.rng.choice(self.nodes)
-        node.send(signal.SIGSTOP) if node.is_running else None
+        node.send_signal(signal.SIGSTOP) if node.is_running else None
         await asyncio.sleep(self.rng.uniform(0.5, 5.0))
-        node.send(signal.SIGCONT) if node.is_running else None
+        node.send_signal(signal.SIGCONT) if node.is_running else None
 
-    async def _path(self) -> None:
+    async def _disturb_store_proxy(self) -> None:
         node = self.rng.choice(self.nodes)
-        node.path.set_mode(self.rng.choice(list(PathMode)))
+        node.store_proxy.set_mode(self.rng.choice(list(ProxyMode)))
         await asyncio.sleep(self.rng.uniform(0.5, 5.0))
-        node.path.set_mode(PathMode.PASS)
+        node.store_proxy.set_mode(ProxyMode.FORWARD)
 
-    async def _store(self) -> None:
-        trouble = self.platform.trouble
+    async def _disturb_store(self) -> None:
+        faults = self.platform.store_faults
         kind = self.rng.choice(("down", "lost", "slow", "compact"))
         if kind == "compact":
-            self.platform.compacted = self.platform.version
+            self.platform.compacted_version = self.platform.version
             return
-        trouble.down = kind == "down"
-        trouble.lost_reply = 0.2 if kind == "lost" else 0.0
-        trouble.delay_s = 0.2 if kind == "slow" else 0.0
+        faults.unavailable = kind == "down"
+        faults.lost_reply_rate = 0.2 if kind == "lost" else 0.0
+        faults.delay_s = 0.2 if kind == "slow" else 0.0
         await asyncio.sleep(self.rng.uniform(0.5, 4.0))
-        trouble.down, trouble.lost_reply, trouble.delay_s = False, 0.0, 0.0
+        faults.unavailable, faults.lost_reply_rate, faults.delay_s = False, 0.0, 0.0
 
     async def _crash_runner(self) -> None:
-        name = f"i-{self.rng.randrange(RUNNERS)}"
+        name = f"i-{self.rng.randrange(RUNNER_COUNT)}"
         self.platform.crash_runner(name)
         await asyncio.sleep(self.rng.uniform(0.2, 4.0))
         self.platform.start_runner(name)
 
-    async def _cut_runner(self) -> None:
-        name = WorkerId(f"i-{self.rng.randrange(RUNNERS)}")
+    async def _disconnect_runner(self) -> None:
+        name = WorkerId(f"i-{self.rng.randrange(RUNNER_COUNT)}")
         runner = self.platform.runners.runners[name]
         runner.cut = True
         await asyncio.sleep(self.rng.uniform(0.5, 6.0))
         runner.cut = False
 
-    # The end.
+    # Checks.
 
     async def settle(self) -> None:
-        """End all faults, and wait until all jobs have ended and nothing runs."""
+        """End all faults, then wait until all jobs have ended and no run is active."""
         for node in self.nodes:
-            node.path.set_mode(PathMode.PASS)
+            node.store_proxy.set_mode(ProxyMode.FORWARD)
             if not node.is_running:
                 node.start()
         self.platform.runners.faults.late = 0.0
-        left = set(self.accepted)
+        unfinished = set(self.accepted)
         try:
-            async with asyncio.timeout(SETTLE_S):
-                while left or any(
+            async with asyncio.timeout(SETTLE_TIMEOUT_S):
+                while unfinished or any(
                     r.runs for r in self.platform.runners.runners.values()
                 ):
-                    left = {job for job in left if not await self._has_ended(job)}
+                    unfinished = {
+                        job for job in unfinished if not await self._check_ended(job)
+                    }
                     await asyncio.sleep(0.2)
         except TimeoutError:
-            self.violations.extend(f"{job} has not ended" for job in sorted(left))
+            self.violations.extend(f"{job} has not ended" for job in sorted(unfinished))
 
-    async def _has_ended(self, job_id: JobId) -> bool:
+    async def _check_ended(self, job_id: JobId) -> bool:
+        """Return whether a job has ended, and record violations of its state."""
         node = self.rng.choice(self.nodes)
-        reply = await self._call(node.front_port, "GET", f"/jobs/{job_id}")
+        reply = await self._fetch(node.caller_port, "GET", f"/jobs/{job_id}")
         if reply is None or reply.code != 200:
             if reply is not None and reply.code == 410:
-                self.violations.append(f"{job_id} was accepted and is not known")
+                self.violations.append(f"{job_id} was accepted but does not exist")
                 return True
             return False
         state = json.loads(reply.body)["state"]
         if state == "failed" or (state == "cancelled" and job_id not in self.cancelled):
-            self.violations.append(f"{job_id} is shown as {state}")
+            self.violations.append(f"{job_id} has the unexpected state {state}")
         return state in ("completed", "cancelled", "failed")
 
     def report(self) -> SoakReport:
-        """Return what runners and callers have seen."""
+        """Return the violations and counts so far."""
         runners = self.platform.runners
         violations = [*self.violations, *runners.violations]
         started = {key.job_id for key in runners.started}
-        violations.extend(f"{j} was refused and ran" for j in self.refused & started)
+        violations.extend(
+            f"{job} was rejected but ran" for job in self.rejected & started
+        )
         for node in self.nodes:
-            if node.own_ends:
-                violations.append(f"{node.name} ended by itself {node.own_ends} times")
+            if node.exit_violations:
+                violations.append(
+                    f"{node.name} exited unexpectedly or not in time, "
+                    f"{node.exit_violations} times"
+                )
         completed = len(self.accepted - self.cancelled)
         return SoakReport(
             violations,
@@ -299,13 +320,13 @@
 
 
 async def _run(seed: int, seconds: float, directory: Path) -> SoakReport:
-    soak = _Soak(seed, directory)
+    soak = _ProcessSoak(seed, directory)
     with soak.platform:
         try:
             await soak.open()
             async with asyncio.TaskGroup() as group:
                 group.create_task(soak.load(seconds))
-                group.create_task(soak.trouble(seconds))
+                group.create_task(soak.inject_faults(seconds))
             await soak.settle()
             return soak.report()
         finally:
@@ -313,7 +334,16 @@
 
 
 def run_soak(seed: int, seconds: float, directory: Path | None = None) -> SoakReport:
-    """Run one seed; settings and logs are kept if a directory is given."""
+    """Run the soak test with one seed.
+
+    Parameters
+    ----------
+    seed : int
+    seconds : float
+        Duration of the load and the faults.
+    directory : Path, optional
+        Where to keep settings and logs; by default they are deleted.
+    """
     if directory is not None:
         return asyncio.run(_run(seed, seconds, directory))
     with scratch_directory() as scratch:
@@ -323,10 +353,12 @@
 @click.command()
 @click.option("--seeds", default=1, help="Number of seeds.")
 @click.option("--first", type=int, help="First seed; a random one by default.")
-@click.option("--seconds", default=15.0, help="Load of each seed, in seconds.")
+@click.option(
+    "--seconds", default=15.0, help="Duration of the load of each seed, in seconds."
+)
 @click.option("--out", type=click.Path(path_type=Path), help="Directory for logs.")
 def main(seeds: int, first: int | None, seconds: float, out: Path | None) -> None:
-    """Run seeds and report those that break a promise."""
+    """Run seeds and report those that violate a guarantee."""
     failed = 0
     first = random.SystemRandom().randrange(1 << 30) if first is None else first
     for seed in range(first, first + seeds):
@@ -338,7 +370,7 @@
         failed += bool(report.violations)
         click.echo(
             f"seed {seed}: {report.accepted} accepted, {report.cancelled} cancelled, "
-            f"{report.starts} starts, {len(report.violations)} violations"
+            f"{report.run_starts} starts, {len(report.violations)} violations"
         )
         for line in report.violations[:5]:
             click.echo(f"  {line}")
--- a/basilhold/platform/tests/test_bodies.py
+++ b/basilhold/platform/tests/test_bodies.py
@@ -27,12 +27,12 @@
 
 
 class BodiesTest(unittest.TestCase):
-    """Guards against input that is misread or disturbs the process."""
+    """Guards against input that is decoded wrongly or raises unexpected exceptions."""
 
     def decode(self, body):
         return decode_workflow("00ff00ff00ff00ff", POLICY, body, 1_000.0)
 
-    def test_step_in_our_units(self):
+    def test_step_is_converted_to_internal_units(self):
         body = (
             b'{"spec":"x","steps":[{"count":4,"cpu":500,"mem_mb":256},{"count":2,'
             b'"cpu":2000,"mem_mb":1024,"gpu":1,"after":[0],"gang":true,"fill_count":1}]}'
@@ -44,7 +44,7 @@
         self.assertEqual(second.reserved().cores_milli, 0)
         self.assertEqual(second.after, (0,))
 
-    def test_bad_jobs_are_refused_with_a_reason(self):
+    def test_invalid_jobs_are_rejected_with_a_reason(self):
         bodies = [
             b"",
             b"[]",
@@ -62,15 +62,15 @@
             with self.subTest(body=body[:40]):
                 self.assertTrue(self.decode(body).error)
 
-    def test_job_that_no_row_holds_is_refused(self):
-        # A row above the store's bound was tried again for ever.
+    def test_job_larger_than_a_row_is_rejected(self):
+        # The store rejects rows above its limit, and such a write was retried forever.
         step = b'{"count":1,"image":"' + b"x" * 1_000 + b'"}'
         steps = b",".join([step] * 60)
         self.assertTrue(self.decode(b'{"steps":[' + steps + b"]}").error)
-        few = b",".join([step] * 40)
-        self.assertTrue(self.decode(b'{"steps":[' + few + b"]}").is_ok())
+        fewer_steps = b",".join([step] * 40)
+        self.assertTrue(self.decode(b'{"steps":[' + fewer_steps + b"]}").is_ok())
 
-    def test_configuration(self):
+    def test_configuration_is_decoded(self):
         value = (
             b'{"version":7,"routes":[{"name":"r","host":"h.example","path_prefix":"/a/",'
             b'"service":"desk","priority":1,"max_attempts":3,"stretch":2.2,"more":[1],'
@@ -85,7 +85,7 @@
         with self.assertRaises(msgspec.DecodeError):
             decode_configuration(b'{"version":"x"}')
 
-    def test_settings(self):
+    def test_settings_are_read(self):
         with tempfile.TemporaryDirectory() as directory:
             path = Path(directory) / "settings.toml"
             path.write_text(SETTINGS)
--- a/basilhold/platform/tests/test_callers.py
+++ b/basilhold/platform/tests/test_callers.py
@@ -1,4 +1,4 @@
-"""What callers are told when a request does not come to its end."""
+"""Replies to callers whose request fails or is cancelled."""
 
 import asyncio
 import socket
@@ -15,28 +15,28 @@
 JOB = b'{"spec":"x","steps":[{"count":1,"cpu":1}]}'
 
 
-class StuckFront:
-    """Takes a submission, and does not know its outcome yet."""
+class BlockedFront:
+    """A `WorkflowFront` whose submissions block, or raise `error` if it is set."""
 
     def __init__(self):
-        self.entered = asyncio.Event()
+        self.submission_started = asyncio.Event()
         self.error = None
 
     def shared_ms(self):
         return 1.0
 
     async def submit(self, spec, deadline_ms):
-        self.entered.set()
+        self.submission_started.set()
         if self.error is not None:
             raise self.error
         await asyncio.sleep(60)
 
 
-class CallersTest(unittest.IsolatedAsyncioTestCase):
-    """Guards against answers that say more than is known."""
+class CallerServerTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against replies that claim a certain outcome where it is unknown."""
 
     async def asyncSetUp(self):
-        self.front = StuckFront()
+        self.front = BlockedFront()
         table = QueueTable(1, (QueueRoute("h", "/q/", POLICY),), 1 << 18, ("desk",))
         self.callers = CallerServer(self.front, lambda: table, Clock(0), 49_152)
         listening = socket.create_server(("127.0.0.1", 0))
@@ -51,11 +51,11 @@
         writer.write(REQUEST % (len(JOB), JOB))
         return reader
 
-    async def test_submission_cut_as_the_process_ends_is_unknown(self):
-        # Cancelled handlers answered 500, which is neither "not accepted" nor an
-        # outcome after which a caller asks again.
+    async def test_submission_cancelled_at_shutdown_gets_504(self):
+        # Cancelled handlers replied 500, which callers take neither for a rejection nor
+        # for an unknown outcome, after which they retry.
         reader = await self.post()
-        await self.front.entered.wait()
+        await self.front.submission_started.wait()
         (handler,) = (
             task
             for task in asyncio.all_tasks()
@@ -64,7 +64,7 @@
         handler.cancel()
         self.assertIn(b" 504 ", await reader.readline())
 
-    async def test_unexpected_error_is_an_unknown_outcome(self):
-        self.front.error = RuntimeError("told to fail")
+    async def test_unexpected_error_gets_504(self):
+        self.front.error = RuntimeError("injected failure")
         reader = await self.post()
         self.assertIn(b" 504 ", await reader.readline())
--- a/basilhold/platform/tests/test_log_metrics.py
+++ b/basilhold/platform/tests/test_log_metrics.py
@@ -6,9 +6,9 @@
 
 
 class LogMetricsTest(unittest.TestCase):
-    """Guards against log lines that are lost without a trace."""
+    """Guards against log lines that are dropped without being counted."""
 
-    def test_dropped_log_lines_are_told(self):
+    def test_dropped_log_lines_are_counted(self):
         reader, writer = os.pipe()
         self.addCleanup(os.close, reader)
         self.addCleanup(os.close, writer)
--- a/basilhold/platform/tests/test_process_soak.py
+++ b/basilhold/platform/tests/test_process_soak.py
@@ -1,4 +1,4 @@
-"""The real program as processes, end to end."""
+"""End-to-end test of the real program as separate processes."""
 
 import unittest
 
@@ -9,14 +9,14 @@
 
 
 class ProcessSoakTest(unittest.TestCase):
-    """Guards against a program that works in one event loop only.
+    """Guards against a program that works only within a single event loop.
 
-    What happens at a given moment depends on the machine; the promises that are
-    checked do not, and the waits end with their condition.
+    The timing depends on the machine, but the checked guarantees do not, and each wait
+    ends when its condition holds.
     """
 
-    def test_promises_hold_under_faults(self):
+    def test_guarantees_hold_under_faults(self):
         report = run_soak(SEED, SECONDS)
         self.assertEqual(report.violations, [], "; ".join(report.faults))
         self.assertGreater(report.accepted, 0)
-        self.assertGreater(report.starts, 0)
+        self.assertGreater(report.run_starts, 0)
--- a/basilhold/platform/tests/test_runners.py
+++ b/basilhold/platform/tests/test_runners.py
@@ -3,7 +3,7 @@
 from basilhold.adapters import HttpPool
 from basilhold.core import Epoch, JobId, Resources, WorkerId
 from basilhold.platform.runners import PlatformAdvice, PlatformRunners, parse_endpoint
-from basilhold.platform.tests.platform_http import PlatformHttp
+from basilhold.platform.tests.stub_platform import StubPlatform
 from basilhold.ports.runners import CallOutcome, HoldCall, RunnerCall, StartCall
 from basilhold.workflows.model import AdvicePolicy, QueuePolicy, RunNumber, TaskKey
 from basilhold.workflows.pool import Worker, WorkerInfo
@@ -13,21 +13,21 @@
 
 
 class RunnersTest(unittest.IsolatedAsyncioTestCase):
-    """Guards against replies of runners that are taken for others."""
+    """Guards against replies of runners that are decoded to a wrong outcome."""
 
     async def asyncSetUp(self):
-        self.platform = self.enterContext(PlatformHttp())
+        self.platform = self.enterContext(StubPlatform())
         self.pool = await self.enterAsyncContext(HttpPool())
         self.runners = PlatformRunners(self.pool)
         info = WorkerInfo(WorkerId("i-7f"), self.platform.endpoint, 1, Resources())
         self.worker = Worker(info)
 
-    async def test_start_is_spelled_as_the_platform_does(self):
-        self.platform.replies["/-/run-start"] = (200, {"clock_ms": 5})
+    async def test_start_command_has_the_wire_format(self):
+        self.platform.canned_replies["/-/run-start"] = (200, {"clock_ms": 5})
         call = StartCall(RUN, "text", 486000.7, "00b", "t-1")
         outcome = await self.runners.start(self.worker, call)
         self.assertIs(outcome, CallOutcome.DONE)
-        path, headers, body = self.platform.calls[0]
+        path, headers, body = self.platform.recorded_posts[0]
         self.assertEqual(path, "/-/run-start")
         self.assertEqual(headers["X-Expect-Instance"], "i-7f")
         expected = {
@@ -41,14 +41,14 @@
         }
         self.assertEqual(body, expected)
 
-    async def test_address_that_no_system_accepts_is_no_exception(self):
-        # The exception ended the owner, and each of its successors.
+    async def test_invalid_address_is_unavailable(self):
+        # An exception stopped the owner of the service, then each of its successors.
         for endpoint in ("127.0.0.1:99999", "a..b:80", "\x00:80", "127.0.0.1:-1"):
             info = WorkerInfo(WorkerId("i-7f"), endpoint, 1, Resources())
             outcome = await self.runners.stop(Worker(info), RUN)
             self.assertIs(outcome, CallOutcome.UNAVAILABLE)
 
-    async def test_outcomes(self):
+    async def test_statuses_map_to_outcomes(self):
         cases = [
             ((409, {"reason": "fence"}), CallOutcome.FENCED),
             ((409, {"reason": "old"}), CallOutcome.OLD_RUN),
@@ -66,13 +66,13 @@
         ]
         for reply, expected in cases:
             with self.subTest(reply=reply):
-                self.platform.replies["/-/run-stop"] = reply
+                self.platform.canned_replies["/-/run-stop"] = reply
                 outcome = await self.runners.stop(self.worker, RUN)
                 self.assertIs(outcome, expected)
 
-    async def test_lists(self):
+    async def test_lease_renewal_returns_listing(self):
         name = "5c0e7a21d94b36f8.0.1.17"
-        self.platform.replies["/-/hold"] = (
+        self.platform.canned_replies["/-/hold"] = (
             200,
             {
                 "clock_ms": 482113,
@@ -87,25 +87,25 @@
         self.assertEqual(listing.running[0].key.task, TaskKey(0, 1, 17))
         self.assertEqual(listing.running[0].percent, 41)
         self.assertIs(listing.ended[0].end.kind, EndKind.LAPSED)
-        body = self.platform.calls[0][2]
+        body = self.platform.recorded_posts[0][2]
         self.assertEqual(body["acked_through"], 57)
         self.assertEqual(body["wait_ms"], 1_000)
 
-    async def test_unreadable_lists_are_no_lists(self):
+    async def test_undecodable_listing_is_an_unknown_outcome(self):
         for body in ({"running": []}, {"clock_ms": 1, "running": [["x", 1]]}):
-            self.platform.replies["/-/hold"] = (200, body)
+            self.platform.canned_replies["/-/hold"] = (200, body)
             result = await self.runners.hold(self.worker, HoldCall(Epoch(1), 0))
             self.assertIs(result.error, CallOutcome.UNKNOWN)
 
-    async def test_advice(self):
+    async def test_advice_request_and_reply(self):
         reply = {"admitted": [["i-7f", "c81e"]], "valid_ms": 3000}
-        self.platform.replies["/-/advise"] = (200, reply)
+        self.platform.canned_replies["/-/advise"] = (200, reply)
         advice = PlatformAdvice(self.pool, parse_endpoint(self.platform.endpoint))
         policy = QueuePolicy("q", "s", advice=AdvicePolicy(1, 1, 1))
         workers = (WorkerId("i-7f"), WorkerId("i-80"))
-        answer = await advice.ask(JobId("00ff"), 0, 1, workers, policy)
-        self.assertEqual(answer.ok.tickets, {"i-7f": "c81e"})
-        self.assertEqual(self.platform.calls[0][2]["step"], "00ff.0.1")
-        self.platform.replies["/-/advise"] = (429, {})
-        answer = await advice.ask(JobId("00ff"), 0, 1, workers, policy)
-        self.assertEqual(answer.error, "status 429")
+        result = await advice.ask(JobId("00ff"), 0, 1, workers, policy)
+        self.assertEqual(result.ok.tickets, {"i-7f": "c81e"})
+        self.assertEqual(self.platform.recorded_posts[0][2]["step"], "00ff.0.1")
+        self.platform.canned_replies["/-/advise"] = (429, {})
+        result = await advice.ask(JobId("00ff"), 0, 1, workers, policy)
+        self.assertEqual(result.error, "status 429")
--- a/basilhold/platform/tests/test_store.py
+++ b/basilhold/platform/tests/test_store.py
@@ -4,35 +4,35 @@
 from basilhold.core import Clock
 from basilhold.platform.runners import PlatformRegistry, parse_endpoint
 from basilhold.platform.store import PlatformStore
-from basilhold.platform.tests.platform_http import PlatformHttp
+from basilhold.platform.tests.stub_platform import StubPlatform
 from basilhold.ports import ABSENT, Condition, StoreErrorKind, Transaction, Write
 from basilhold.workflows.shared_time import SharedTime
 
 KEY = "jobs/desk.0/00f0"
 
 
-def put(key, value, version=ABSENT):
+def make_put(key, value, version=ABSENT):
     return Transaction((Condition(key, version),), (Write(key, value),))
 
 
 class StoreTest(unittest.IsolatedAsyncioTestCase):
-    """Guards against outcomes of the store that are taken for others."""
+    """Guards against replies of the store that are decoded to a wrong outcome."""
 
     async def asyncSetUp(self):
-        self.platform = self.enterContext(PlatformHttp())
+        self.platform = self.enterContext(StubPlatform())
         pool = await self.enterAsyncContext(HttpPool())
-        self.time = SharedTime(Clock(0))
+        self.shared_time = SharedTime(Clock(0))
         address = parse_endpoint(self.platform.endpoint)
-        self.store = PlatformStore(pool, address, self.time)
+        self.store = PlatformStore(pool, address, self.shared_time)
 
     async def test_write_read_and_scan(self):
-        written = await self.store.transact(put(KEY, b"one"))
+        written = await self.store.transact(make_put(KEY, b"one"))
         self.assertEqual(written.ok, {KEY: 1})
         self.assertEqual(
             (await self.store.read((KEY, "jobs/x/y"))).ok[KEY].value, b"one"
         )
-        await self.store.transact(put("jobs/desk.0/00f1", b"two"))
-        await self.store.transact(put("jobs/desk.1/00f1", b"three"))
+        await self.store.transact(make_put("jobs/desk.0/00f1", b"two"))
+        await self.store.transact(make_put("jobs/desk.1/00f1", b"three"))
         page = (await self.store.scan("jobs/desk.0/", limit=1)).ok
         self.assertEqual([row.value for row in page.rows], [b"one"])
         rest = (await self.store.scan("jobs/desk.0/", page.next_after)).ok
@@ -40,75 +40,75 @@
         whole = (await self.store.scan("jobs/")).ok
         self.assertEqual(len(whole.rows), 3)
 
-    async def test_failed_condition_tells_the_version(self):
-        await self.store.transact(put(KEY, b"one"))
-        error = (await self.store.transact(put(KEY, b"two"))).error
+    async def test_conflict_reports_the_actual_version(self):
+        await self.store.transact(make_put(KEY, b"one"))
+        error = (await self.store.transact(make_put(KEY, b"two"))).error
         self.assertIs(error.kind, StoreErrorKind.CONFLICT)
         self.assertEqual(error.conflicts[0].actual_version, 1)
 
-    async def test_transaction_over_parts_says_so(self):
-        both = Transaction((), (Write("a/p/x", b"1"), Write("a/q/x", b"2")))
-        self.assertTrue((await self.store.transact(both)).is_ok())
+    async def test_transaction_across_parts_is_marked(self):
+        transaction = Transaction((), (Write("a/p/x", b"1"), Write("a/q/x", b"2")))
+        self.assertTrue((await self.store.transact(transaction)).is_ok())
 
-    async def test_refusal_is_certain_and_silence_is_not(self):
+    async def test_rejection_is_certain_and_lost_reply_is_not(self):
         for status in (429, 503):
-            self.platform.replies["/-/rows-tx"] = (status, {})
-            error = (await self.store.transact(put(KEY, b"one"))).error
+            self.platform.canned_replies["/-/rows-tx"] = (status, {})
+            error = (await self.store.transact(make_put(KEY, b"one"))).error
             self.assertIs(error.kind, StoreErrorKind.NOT_APPLIED)
-        self.platform.replies["/-/rows-tx"] = (0, {})
-        error = (await self.store.transact(put(KEY, b"one"))).error
+        self.platform.canned_replies["/-/rows-tx"] = (0, {})
+        error = (await self.store.transact(make_put(KEY, b"one"))).error
         self.assertIs(error.kind, StoreErrorKind.UNKNOWN)
 
-    async def test_reply_that_cannot_be_read_is_no_exception(self):
-        # The exception ended the loop that watches owners, and with it the process.
+    async def test_undecodable_reply_is_an_unknown_outcome(self):
+        # An exception ended the loop that watches the owners, and so the process.
         for reply in (b"", b"<html>", b"[1]", {"ver": "x"}, {"rows": [{"value": 7}]}):
             for path in ("rows-tx", "rows-get", "rows-feed", "rows-parts"):
-                self.platform.replies[f"/-/{path}"] = (200, reply)
+                self.platform.canned_replies[f"/-/{path}"] = (200, reply)
             for result in (
-                await self.store.transact(put(KEY, b"one")),
+                await self.store.transact(make_put(KEY, b"one")),
                 await self.store.read((KEY,)),
                 await self.store.scan("jobs/"),
                 await self.store.changes("jobs/", 0, 0),
             ):
-                # A transaction may have been applied before its reply was spoilt.
+                # The transaction may have been applied although its reply is corrupt.
                 self.assertIs(result.error.kind, StoreErrorKind.UNKNOWN)
 
-    async def test_reply_without_a_version_is_no_success(self):
-        # Guards against a lease that takes its own row for absent.
-        self.platform.replies["/-/rows-tx"] = (200, {})
-        result = await self.store.transact(put(KEY, b"one"))
+    async def test_reply_without_a_version_is_an_unknown_outcome(self):
+        # Guards against an owner that takes its own lease row for absent.
+        self.platform.canned_replies["/-/rows-tx"] = (200, {})
+        result = await self.store.transact(make_put(KEY, b"one"))
         self.assertIs(result.error.kind, StoreErrorKind.UNKNOWN)
 
-    async def test_unreadable_value_hides_no_other_row(self):
+    async def test_undecodable_value_does_not_hide_other_rows(self):
         self.platform.put("servers", "", "w1", b"{}")
         self.platform.put("servers", "", "w2", b"{}")
         self.platform.rows["servers", "", "w1"] = ("abc", 1)
         rows = (await self.store.scan("servers//")).ok.rows
         self.assertEqual([row.value for row in rows], [b"", b"{}"])
 
-    async def test_replies_show_the_store_s_clock(self):
-        self.assertFalse(self.time.is_known)
+    async def test_replies_update_the_shared_time(self):
+        self.assertFalse(self.shared_time.is_known)
         await self.store.scan("jobs/desk.0/")
-        self.assertTrue(self.time.is_known)
-        difference_ms = self.time.now_ms() - self.platform.clock_ms()
+        self.assertTrue(self.shared_time.is_known)
+        difference_ms = self.shared_time.now_ms() - self.platform.clock_ms()
         self.assertLess(abs(difference_ms), 1_000.0)
 
-    async def test_changes_and_lost_history(self):
-        await self.store.transact(put(KEY, b"one"))
+    async def test_changes_and_dropped_history(self):
+        await self.store.transact(make_put(KEY, b"one"))
         await self.store.transact(Transaction((), (Write(KEY, None),)))
         changes = (await self.store.changes("jobs/desk.", 0, 0)).ok
         self.assertEqual([row.value for row in changes.rows], [b"one"])
         self.assertEqual(changes.deleted, (KEY,))
-        self.platform.compacted = 2
+        self.platform.compacted_version = 2
         self.assertFalse((await self.store.changes("jobs/desk.", 0, 0)).ok.complete)
 
-    async def test_registrations_of_other_writers_are_left_out(self):
-        good = (
+    async def test_malformed_registrations_are_ignored(self):
+        valid_entry = (
             b'{"service":"desk","address":"10.0.0.1:80","state":"ready",'
             b'"capacity":{"cpu":4000,"mem_mb":1024,"gpu":2},"labels":["a","r1"],"born":7}'
         )
         entries = {
-            "i-1": good,
+            "i-1": valid_entry,
             "i-2": b"\xff\x00",
             "i-3": b'{"service":"desk","address":"10.0.0.1:80","state":"odd"}',
             "i-4": b'{"service":"desk","state":"ready"}',
@@ -116,7 +116,7 @@
             "i-6": b'{"service":"desk","address":"nowhere","state":"ready"}',
             "i-7": b'{"service":"desk","address":"10.0.0.1:99999","state":"ready"}',
             "i-8": b'{"service":"desk","address":"a..b:80","state":"ready"}',
-            "i-9\r\nX: y": good,
+            "i-9\r\nX: y": valid_entry,
         }
         for name, value in entries.items():
             self.platform.put("servers", "", name, value)
