--- a/basilhold/platform/runners.py
+++ b/basilhold/platform/runners.py
@@ -17,11 +17,11 @@
     Admission,
     AdviceService,
     CallOutcome,
-    HoldCall,
-    Registry,
+    RenewLeaseCall,
     RunnerCall,
+    RunnerClient,
     StartCall,
-    TaskRunners,
+    WorkerRegistry,
 )
 from basilhold.workflows.model import QueuePolicy, RunNumber, TaskKey, task_name
 from basilhold.workflows.pool import (
@@ -147,7 +147,7 @@
 _HOLD_REPLY_DECODER = msgspec.json.Decoder(_HoldReply)
 
 
-class PlatformRunners(TaskRunners):
+class PlatformRunners(RunnerClient):
     """Client of the runners.
 
     Parameters
@@ -181,8 +181,8 @@
         body = _PaceBody(_format_task_name(call), call.run, percent, call.epoch)
         return await self._send_command(worker, "/-/pace", body)
 
-    async def hold(
-        self, worker: Worker, call: HoldCall
+    async def renew_lease(
+        self, worker: Worker, call: RenewLeaseCall
     ) -> Result[Listing, CallOutcome]:
         """Renew the lease and return the runs that are running or have ended.
 
@@ -312,7 +312,7 @@
     born: int = 0
 
 
-class PlatformRegistry(Registry):
+class PlatformRegistry(WorkerRegistry):
     """Registrations of runners in the store.
 
     Parameters
