--- a/basilhold/platform/node.py
+++ b/basilhold/platform/node.py
@@ -44,17 +44,17 @@
 from basilhold.platform.store import PlatformStore
 from basilhold.programs.lifecycle import Daemon, ExitCode, run_daemon
 from basilhold.workflows.advice_spread import SpreadAdvice
+from basilhold.workflows.background_tasks import restart_on_error
 from basilhold.workflows.front import WorkflowFront
 from basilhold.workflows.owner import OwnerPorts
-from basilhold.workflows.ownership import SuspendAwareClock
+from basilhold.workflows.owner_lease import SuspendAwareClock
+from basilhold.workflows.ownership_manager import OwnershipManager
 from basilhold.workflows.peer_http import HttpPeers, make_peer_server
 from basilhold.workflows.peers import Member
 from basilhold.workflows.relayed_table import RelayedTable
 from basilhold.workflows.routes import QueueTable
 from basilhold.workflows.rows import Incarnation
 from basilhold.workflows.shared_time import SharedTime
-from basilhold.workflows.stewardship import Stewardship
-from basilhold.workflows.tasks import run_again
 from basilhold.workflows.worker_link import LEASE_MAX_MS, OwnerLimits
 
 __all__ = ["LogMetrics", "NodeDaemon", "main"]
@@ -133,7 +133,7 @@
 
     Attributes
     ----------
-    stewardship : Stewardship
+    ownership_manager : OwnershipManager
         Claims and releases the ownership of services.
     front : WorkflowFront
         Carries out the requests of callers and peers.
@@ -161,7 +161,7 @@
             direct_store,
             direct_store,
             peers,
-            lambda: self.stewardship.members(),
+            lambda: self.ownership_manager.members(),
             region,
             self._clock,
             rng,
@@ -171,7 +171,7 @@
             self._pool, parse_endpoint(settings.advice or settings.platform.address)
         )
         spread_advice = SpreadAdvice(
-            endpoint, advice, peers, lambda: self.stewardship.members(), region
+            endpoint, advice, peers, lambda: self.ownership_manager.members(), region
         )
         ports = OwnerPorts(
             store,
@@ -186,7 +186,7 @@
         lease_ms = min(settings.bounds.hold_max_ms, LEASE_MAX_MS)
         poll_ms = int(min(LEASE_POLL_MAX_MS, lease_ms / 6))
         retention_ms = settings.bounds.status_s * 1000 * STATUS_RETENTION_FACTOR
-        self.stewardship = Stewardship(
+        self.ownership_manager = OwnershipManager(
             ports,
             BootClock(),
             Member(
@@ -209,7 +209,7 @@
             _small_machine_delay_ms(settings),
         )
         self.front = WorkflowFront(
-            store, self.stewardship, peers, advice, self._clock, shared_time
+            store, self.ownership_manager, peers, advice, self._clock, shared_time
         )
         self._caller_server = CallerServer(
             self.front, lambda: self._queue_table, self._clock, settings.row_bytes_max
@@ -255,13 +255,13 @@
         """Run the background loops until cancelled."""
         async with asyncio.TaskGroup() as group:
             group.create_task(
-                run_again(
+                restart_on_error(
                     "configuration watch",
                     self._watch_configuration,
                     CONFIGURATION_RETRY_MS,
                 )
             )
-            group.create_task(self.stewardship.run())
+            group.create_task(self.ownership_manager.run())
             group.create_task(self._adjust_clock())
 
     async def drain(self, abort: asyncio.Event) -> tuple[str, ...]:
@@ -279,7 +279,7 @@
         """
         self._draining = True
         self._caller_server.closing = True
-        await self.stewardship.stop()
+        await self.ownership_manager.stop()
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(DRAIN_SERVING_S):
                 await abort.wait()
@@ -293,13 +293,15 @@
             "node": self.name,
             "configuration": self._queue_table.version if self._queue_table else 0,
             "in_flight": self._caller_server.in_flight,
-            "services": self.stewardship.describe(),
+            "services": self.ownership_manager.describe(),
         }
 
     def _is_ready(self) -> bool:
         if self._draining or self._queue_table is None:
             return False
-        silence_ms = self._clock.monotonic_ms() - self.stewardship.store_answered_ms
+        silence_ms = (
+            self._clock.monotonic_ms() - self.ownership_manager.last_store_reply_ms
+        )
         return silence_ms < READY_STORE_SILENCE_MAX_MS
 
     def _reload(self) -> None:
--- a/basilhold/workflows/relayed_table.py
+++ b/basilhold/workflows/relayed_table.py
@@ -25,6 +25,7 @@
     Transaction,
 )
 from basilhold.workflows import events
+from basilhold.workflows.background_tasks import BackgroundTasks
 from basilhold.workflows.peers import (
     ChangesCall,
     Member,
@@ -34,7 +35,6 @@
     StoreCall,
     TransactCall,
 )
-from basilhold.workflows.tasks import TaskSet
 
 __all__ = ["RelayedTable"]
 
@@ -101,7 +101,7 @@
         self._region = region
         self._clock = clock
         self._rng = rng
-        self._tasks = TaskSet()
+        self._tasks = BackgroundTasks()
         self._answered_ms = -1e9
         self._lost_ms: float | None = None
         self._no_peers_until_ms = -1e9
