Name the platform's clients after the ports that they implement

The ports are RunnerClient, WorkerRegistry and AdviceService; the classes of the platform still had names of their own. Also describe the readiness check, the width of a link and the mapping of replies.

--- a/basilhold/platform/node.py
+++ b/basilhold/platform/node.py
@@ -35,9 +35,9 @@
     SETTINGS_READ,
 )
 from basilhold.platform.runners import (
-    PlatformAdvice,
-    PlatformRegistry,
-    PlatformRunners,
+    PlatformAdviceService,
+    PlatformRunnerClient,
+    PlatformWorkerRegistry,
     parse_endpoint,
 )
 from basilhold.platform.settings import PlatformSettings, read_settings
@@ -83,6 +83,7 @@
 
 STATE_DUMP_BYTES_MAX = 1 << 20
 WIDE_LINK_MBPS_MIN = 100.0
+"""Bandwidth from which a network link counts as wide, in Mbit/s."""
 
 CLAIM_DELAY_PER_RESOURCE_MS = 600.0
 """Delay of ownership claims for a machine that lacks a core or a wide link entirely;
@@ -94,6 +95,7 @@
 
 DRAIN_FINISH_S = 1.5
 """Time for the remaining requests to finish before the process ends."""
+
 CLOCK_ADJUST_INTERVAL_MS = 1_000
 
 
@@ -167,7 +169,7 @@
             rng,
         )
         self._store = store
-        advice = PlatformAdvice(
+        advice = PlatformAdviceService(
             self._pool, parse_endpoint(settings.advice or settings.platform.address)
         )
         spread_advice = SpreadAdvice(
@@ -176,8 +178,8 @@
         ports = OwnerPorts(
             store,
             store,
-            PlatformRunners(self._pool),
-            PlatformRegistry(store),
+            PlatformRunnerClient(self._pool),
+            PlatformWorkerRegistry(store),
             spread_advice,
             self._clock,
             shared_time,
@@ -297,6 +299,7 @@
         }
 
     def _is_ready(self) -> bool:
+        """Return whether the process can serve callers."""
         if self._draining or self._queue_table is None:
             return False
         silence_ms = (
--- a/basilhold/platform/runners.py
+++ b/basilhold/platform/runners.py
@@ -35,7 +35,12 @@
 from basilhold.workflows.progress import EndKind, RunEnd
 from basilhold.workflows.recovery import scan_once
 
-__all__ = ["PlatformAdvice", "PlatformRegistry", "PlatformRunners", "parse_endpoint"]
+__all__ = [
+    "PlatformAdviceService",
+    "PlatformRunnerClient",
+    "PlatformWorkerRegistry",
+    "parse_endpoint",
+]
 
 COMMAND_TIMEOUT_MS = 500
 """Timeout of a start, stop or pace command. A round trip between regions takes 60 ms,
@@ -147,7 +152,7 @@
 _HOLD_REPLY_DECODER = msgspec.json.Decoder(_HoldReply)
 
 
-class PlatformRunners(RunnerClient):
+class PlatformRunnerClient(RunnerClient):
     """Client of the runners.
 
     Parameters
@@ -235,6 +240,7 @@
 
 
 def _decode_outcome(reply: HttpReply) -> CallOutcome:
+    """Map a reply to an outcome; 421 means that another incarnation replied."""
     if reply.status == 200:
         return CallOutcome.DONE
     if reply.status == 409:
@@ -312,7 +318,7 @@
     born: int = 0
 
 
-class PlatformRegistry(WorkerRegistry):
+class PlatformWorkerRegistry(WorkerRegistry):
     """Registrations of runners in the store.
 
     Parameters
@@ -402,7 +408,7 @@
     valid_ms: float = 0.0
 
 
-class PlatformAdvice(AdviceService):
+class PlatformAdviceService(AdviceService):
     """Client of the advice service.
 
     Parameters
--- a/basilhold/platform/tests/test_runners.py
+++ b/basilhold/platform/tests/test_runners.py
@@ -2,7 +2,11 @@
 
 from basilhold.adapters import HttpPool
 from basilhold.core import Epoch, JobId, Resources, WorkerId
-from basilhold.platform.runners import PlatformAdvice, PlatformRunners, parse_endpoint
+from basilhold.platform.runners import (
+    PlatformAdviceService,
+    PlatformRunnerClient,
+    parse_endpoint,
+)
 from basilhold.platform.tests.stub_platform import StubPlatform
 from basilhold.ports.runners import CallOutcome, RenewLeaseCall, RunnerCall, StartCall
 from basilhold.workflows.model import AdvicePolicy, QueuePolicy, RunNumber, TaskKey
@@ -18,14 +22,14 @@
     async def asyncSetUp(self):
         self.platform = self.enterContext(StubPlatform())
         self.pool = await self.enterAsyncContext(HttpPool())
-        self.runners = PlatformRunners(self.pool)
+        self.runner_client = PlatformRunnerClient(self.pool)
         info = WorkerInfo(WorkerId("i-7f"), self.platform.endpoint, 1, Resources())
         self.worker = Worker(info)
 
     async def test_start_command_has_the_wire_format(self):
         self.platform.canned_replies["/-/run-start"] = (200, {"clock_ms": 5})
         call = StartCall(RUN, "text", 486000.7, "00b", "t-1")
-        outcome = await self.runners.start(self.worker, call)
+        outcome = await self.runner_client.start(self.worker, call)
         self.assertIs(outcome, CallOutcome.DONE)
         path, headers, body = self.platform.recorded_posts[0]
         self.assertEqual(path, "/-/run-start")
@@ -45,7 +49,7 @@
         # An exception stopped the owner of the service, then each of its successors.
         for endpoint in ("127.0.0.1:99999", "a..b:80", "\x00:80", "127.0.0.1:-1"):
             info = WorkerInfo(WorkerId("i-7f"), endpoint, 1, Resources())
-            outcome = await self.runners.stop(Worker(info), RUN)
+            outcome = await self.runner_client.stop(Worker(info), RUN)
             self.assertIs(outcome, CallOutcome.UNAVAILABLE)
 
     async def test_statuses_map_to_outcomes(self):
@@ -67,7 +71,7 @@
         for reply, expected in cases:
             with self.subTest(reply=reply):
                 self.platform.canned_replies["/-/run-stop"] = reply
-                outcome = await self.runners.stop(self.worker, RUN)
+                outcome = await self.runner_client.stop(self.worker, RUN)
                 self.assertIs(outcome, expected)
 
     async def test_lease_renewal_returns_listing(self):
@@ -82,7 +86,7 @@
             },
         )
         call = RenewLeaseCall(Epoch(7), 57, 486000.0, 1_000)
-        listing = (await self.runners.renew_lease(self.worker, call)).ok
+        listing = (await self.runner_client.renew_lease(self.worker, call)).ok
         self.assertEqual((listing.clock_ms, listing.born_unix_ms), (482113, 99))
         self.assertEqual(listing.running[0].key.task, TaskKey(0, 1, 17))
         self.assertEqual(listing.running[0].percent, 41)
@@ -94,7 +98,7 @@
     async def test_undecodable_listing_is_an_unknown_outcome(self):
         for body in ({"running": []}, {"clock_ms": 1, "running": [["x", 1]]}):
             self.platform.canned_replies["/-/hold"] = (200, body)
-            result = await self.runners.renew_lease(
+            result = await self.runner_client.renew_lease(
                 self.worker, RenewLeaseCall(Epoch(1), 0)
             )
             self.assertIs(result.error, CallOutcome.UNKNOWN)
@@ -102,7 +106,9 @@
     async def test_advice_request_and_reply(self):
         reply = {"admitted": [["i-7f", "c81e"]], "valid_ms": 3000}
         self.platform.canned_replies["/-/advise"] = (200, reply)
-        advice = PlatformAdvice(self.pool, parse_endpoint(self.platform.endpoint))
+        advice = PlatformAdviceService(
+            self.pool, parse_endpoint(self.platform.endpoint)
+        )
         policy = QueuePolicy("q", "s", advice=AdvicePolicy(1, 1, 1))
         workers = (WorkerId("i-7f"), WorkerId("i-80"))
         result = await advice.ask(JobId("00ff"), 0, 1, workers, policy)
--- a/basilhold/platform/tests/test_store.py
+++ b/basilhold/platform/tests/test_store.py
@@ -2,7 +2,7 @@
 
 from basilhold.adapters import HttpPool
 from basilhold.core import Clock
-from basilhold.platform.runners import PlatformRegistry, parse_endpoint
+from basilhold.platform.runners import PlatformWorkerRegistry, parse_endpoint
 from basilhold.platform.store import PlatformStore
 from basilhold.platform.tests.stub_platform import StubPlatform
 from basilhold.ports import ABSENT, Condition, StoreErrorKind, Transaction, Write
@@ -120,7 +120,7 @@
         }
         for name, value in entries.items():
             self.platform.put("servers", "", name, value)
-        found = (await PlatformRegistry(self.store).read()).ok
+        found = (await PlatformWorkerRegistry(self.store).read()).ok
         self.assertEqual(list(found), ["i-1"])
         service, info = found["i-1"]
         self.assertEqual((service, info.rack, info.born_unix_ms), ("desk", "r1", 7))
