--- a/basilhold/platform/store.py
+++ b/basilhold/platform/store.py
@@ -100,7 +100,7 @@
     ----------
     pool : HttpPool
     address : HttpAddress
-    time : SharedTime
+    shared_time : SharedTime
         Is updated with the store's clock from each reply.
     """
 
