--- a/basilhold/platform/settings.py
+++ b/basilhold/platform/settings.py
@@ -91,7 +91,7 @@
         Listening addresses; time limits; resources of the machine; address and limits
         of the store.
     advice : str
-        ``host:port`` of the advice service; empty if there is none.
+        ``host:port`` of the advice service; if empty, the store's address is used.
     """
 
     node: str
