--- a/basilhold/placement/admission.py
+++ b/basilhold/placement/admission.py
@@ -15,7 +15,7 @@
     WorkClass,
     ZoneName,
 )
-from basilhold.placement.shapes import slots_of
+from basilhold.placement.shapes import count_fitting
 
 __all__ = [
     "GANG_TASKS_MAX",
@@ -79,9 +79,9 @@
         Number of the team's tasks that wait.
     """
     if spec.class_name not in classes:
-        return _reject(RejectionKind.UNKNOWN_CLASS, f"no class {spec.class_name}")
+        return _rejected(RejectionKind.UNKNOWN_CLASS, f"no class {spec.class_name}")
     if classes[spec.class_name].kind is ClassKind.REQUEST:
-        return _reject(
+        return _rejected(
             RejectionKind.INVALID,
             f"class {spec.class_name} is for requests and not for jobs",
         )
@@ -89,7 +89,7 @@
     size_check = _check_size(spec, shapes)
     if size_check.is_error() or queued_tasks + spec.task_count <= bound:
         return size_check
-    return _reject(
+    return _rejected(
         RejectionKind.QUEUE_FULL,
         f"team {spec.team} has {queued_tasks} waiting tasks of at most {bound}",
     )
@@ -100,15 +100,15 @@
 ) -> Result[None, Rejection]:
     size = spec.task_resources
     if spec.task_count < 1 or size.is_negative() or size == Resources():
-        return _reject(
+        return _rejected(
             RejectionKind.INVALID, "a job needs at least one task of a positive size"
         )
     if not any(size.fits_in(shape.capacity) for shape in shapes):
-        return _reject(RejectionKind.TASK_TOO_LARGE, _too_large(size, shapes))
+        return _rejected(RejectionKind.TASK_TOO_LARGE, _too_large_reason(size, shapes))
     if spec.kind is ClassKind.GANG:
         largest = min(GANG_TASKS_MAX, largest_gang(size, shapes))
         if spec.task_count > largest:
-            return _reject(
+            return _rejected(
                 RejectionKind.GANG_TOO_LARGE,
                 f"a gang of {spec.task_count} such tasks is larger than the "
                 f"{largest} that start together in any zone",
@@ -120,7 +120,7 @@
     """Return how many tasks of a size the largest zone runs when it is empty."""
     by_zone: dict[ZoneName, int] = {}
     for shape in shapes:
-        slots = slots_of(shape.capacity, size) * shape.count
+        slots = count_fitting(shape.capacity, size) * shape.count
         by_zone[shape.zone] = by_zone.get(shape.zone, 0) + slots
     return max(by_zone.values(), default=0)
 
@@ -145,11 +145,11 @@
     return {zone: share for zone, share in shares.items() if share}
 
 
-def _reject(kind: RejectionKind, reason: str) -> Result[None, Rejection]:
+def _rejected(kind: RejectionKind, reason: str) -> Result[None, Rejection]:
     return Error(Rejection(kind, reason))
 
 
-def _too_large(size: Resources, shapes: tuple[WorkerShape, ...]) -> str:
+def _too_large_reason(size: Resources, shapes: tuple[WorkerShape, ...]) -> str:
     if not shapes:
         return "the VM list names no worker"
     limits = (
--- a/basilhold/placement/audit.py
+++ b/basilhold/placement/audit.py
@@ -43,7 +43,7 @@
     for bucket in state.queue.buckets.values():
         if lanes.lanes.get(bucket.key.lane) is not bucket.lane:
             raise InvariantError(f"the lane of bucket {bucket.key} is not listed")
-        if not lanes.is_noted(bucket) and bucket.position not in bucket.lane.order:
+        if not lanes.is_changed(bucket) and bucket.position not in bucket.lane.order:
             raise InvariantError(f"bucket {bucket.key} is not in its lane")
 
 
--- a/basilhold/placement/explain.py
+++ b/basilhold/placement/explain.py
@@ -4,7 +4,7 @@
 from basilhold.placement.claims import ClaimBook
 from basilhold.placement.plan import Explanation
 from basilhold.placement.reservation import Reservation
-from basilhold.placement.shapes import slots_of
+from basilhold.placement.shapes import count_fitting
 from basilhold.placement.shard_state import ShardState
 from basilhold.placement.waiting import Entry, JobState
 from basilhold.placement.workers import WorkerState
@@ -113,4 +113,4 @@
 
 
 def _slots(amount: Resources, size: Resources) -> int:
-    return max(0, slots_of(amount, size))
+    return max(0, count_fitting(amount, size))
--- a/basilhold/placement/first_fit.py
+++ b/basilhold/placement/first_fit.py
@@ -33,21 +33,21 @@
         self._workers: dict[WorkerId, WorkerRecord] = {}
         self._schedulable: dict[WorkerId, bool] = {}
         self._free: dict[WorkerId, Resources] = {}
-        self._placed: dict[TaskId, WorkerId] = {}
-        self._planned: dict[TaskId, Placement] = {}
-        self._probes: dict[WorkerId, TaskId] = {}
+        self._committed: dict[TaskId, WorkerId] = {}
+        self._held: dict[TaskId, Placement] = {}
+        self._probe_tasks: dict[WorkerId, TaskId] = {}
         self._now_unix_ms = 0
 
     def upsert_worker(self, record: WorkerRecord, schedulable: bool) -> None:
         """Add or replace a worker."""
-        for task_id in [t for t, w in self._placed.items() if w == record.worker_id]:
-            del self._placed[task_id]
+        for task_id in [t for t, w in self._committed.items() if w == record.worker_id]:
+            del self._committed[task_id]
         for assignment in record.assignments:
-            self._placed[assignment.task_id] = record.worker_id
+            self._committed[assignment.task_id] = record.worker_id
         self._workers[record.worker_id] = record
         self._schedulable[record.worker_id] = schedulable
         free = record.capacity - record.committed()
-        for placement in self._planned.values():
+        for placement in self._held.values():
             if placement.worker_id == record.worker_id:
                 free = free - placement.resources
         self._free[record.worker_id] = free
@@ -57,7 +57,7 @@
         self._workers.pop(worker_id, None)
         self._schedulable.pop(worker_id, None)
         self._free.pop(worker_id, None)
-        self._probes.pop(worker_id, None)
+        self._probe_tasks.pop(worker_id, None)
 
     def upsert_job(self, record: JobRecord) -> None:
         """Add or replace a job."""
@@ -91,25 +91,27 @@
                 if len(placements) == limit:
                     return Plan(tuple(placements))
                 task_id = make_task_id(record.spec.job_id, index)
-                if task.state is not TaskState.PENDING or self._is_taken(task_id):
+                if task.state is not TaskState.PENDING or self._is_placed(task_id):
                     continue
-                worker_id = self._first_fit(record.spec.task_resources)
+                worker_id = self._choose_worker(record.spec.task_resources)
                 if worker_id is None:
                     too_large.add(record.spec.task_resources)
                     break
-                placements.append(self._hold(record, index, task_id, worker_id))
+                placements.append(
+                    self._hold_resources(record, index, task_id, worker_id)
+                )
         return Plan(tuple(placements))
 
     def confirm(self, placements: tuple[Placement, ...]) -> None:
         """Turn planned placements into committed ones."""
         for placement in placements:
-            del self._planned[placement.task_id]
-            self._placed[placement.task_id] = placement.worker_id
+            del self._held[placement.task_id]
+            self._committed[placement.task_id] = placement.worker_id
 
     def abandon(self, placements: tuple[Placement, ...]) -> None:
         """Release planned placements."""
         for placement in placements:
-            del self._planned[placement.task_id]
+            del self._held[placement.task_id]
             if placement.worker_id in self._free:
                 free = self._free[placement.worker_id]
                 self._free[placement.worker_id] = free + placement.resources
@@ -126,33 +128,33 @@
             for index, task in enumerate(record.tasks)
             if task.state is TaskState.PENDING
         )
-        return [task_id for task_id in task_ids if not self._is_taken(task_id)]
+        return [task_id for task_id in task_ids if not self._is_placed(task_id)]
 
-    def _is_taken(self, task_id: TaskId) -> bool:
-        return task_id in self._placed or task_id in self._planned
+    def _is_placed(self, task_id: TaskId) -> bool:
+        return task_id in self._committed or task_id in self._held
 
-    def _first_fit(self, size: Resources) -> WorkerId | None:
+    def _choose_worker(self, size: Resources) -> WorkerId | None:
         for worker_id, free in self._free.items():
-            if self._takes_work(worker_id) and size.fits_in(free):
+            if self._accepts_task(worker_id) and size.fits_in(free):
                 return worker_id
         return None
 
-    def _takes_work(self, worker_id: WorkerId) -> bool:
+    def _accepts_task(self, worker_id: WorkerId) -> bool:
         until_ms = self._workers[worker_id].quarantined_until_unix_ms
         if not self._schedulable[worker_id] or not until_ms:
             return self._schedulable[worker_id]
-        probe = self._probes.get(worker_id)
-        probes = probe is not None and self._is_taken(probe)
+        probe = self._probe_tasks.get(worker_id)
+        probes = probe is not None and self._is_placed(probe)
         return self._now_unix_ms >= until_ms and not probes
 
-    def _hold(
+    def _hold_resources(
         self, record: JobRecord, index: int, task_id: TaskId, worker_id: WorkerId
     ) -> Placement:
         size = record.spec.task_resources
         attempt = Attempt(record.tasks[index].attempt + 1)
         placement = Placement(task_id, attempt, worker_id, size)
-        self._planned[task_id] = placement
+        self._held[task_id] = placement
         if self._workers[worker_id].quarantined_until_unix_ms:
-            self._probes[worker_id] = task_id
+            self._probe_tasks[worker_id] = task_id
         self._free[worker_id] = self._free[worker_id] - size
         return placement
--- a/basilhold/placement/gangs.py
+++ b/basilhold/placement/gangs.py
@@ -5,18 +5,18 @@
 from basilhold.core import Resources
 from basilhold.placement.lanes import LaneKey
 from basilhold.placement.selection import fitting_workers
-from basilhold.placement.shapes import slots_of
+from basilhold.placement.shapes import count_fitting
 from basilhold.placement.shard_state import ShardState
 from basilhold.placement.workers import WorkerState
 
-__all__ = ["gather_gang"]
+__all__ = ["choose_gang_workers"]
 
-_SURPLUS = 4
+_CANDIDATE_SLOTS_RATIO = 4
 """Slots are collected up to this multiple of the gang's size before racks are chosen,
 which bounds the search on an empty shard."""
 
 
-def gather_gang(
+def choose_gang_workers(
     state: ShardState,
     key: LaneKey,
     count: int,
@@ -40,15 +40,17 @@
     racks: dict[str, list[tuple[int, WorkerState]]] = {}
     found = 0
     for worker in _candidates(state, key, reserved, starving):
-        slots = slots_of(_usable(state, worker, key.size, starving), key.size)
+        slots = count_fitting(
+            _usable_resources(state, worker, key.size, starving), key.size
+        )
         if slots > 0:
             racks.setdefault(worker.rack, []).append((slots, worker))
             found += slots
-        if found >= count * _SURPLUS:
+        if found >= count * _CANDIDATE_SLOTS_RATIO:
             break
     if found < count:
         return None
-    return _fill(racks, count)
+    return _assign_to_racks(racks, count)
 
 
 def _candidates(
@@ -63,7 +65,7 @@
     yield from fitting_workers(state, key, starving)
 
 
-def _usable(
+def _usable_resources(
     state: ShardState, worker: WorkerState, size: Resources, starving: bool
 ) -> Resources:
     if size.gpus_milli == 0 and worker.capacity.gpus_milli:
@@ -71,7 +73,7 @@
     return worker.free()
 
 
-def _fill(
+def _assign_to_racks(
     racks: dict[str, list[tuple[int, WorkerState]]], count: int
 ) -> list[WorkerState]:
     """Fill the smallest rack that holds the gang, or else the largest racks first."""
--- a/basilhold/placement/lanes.py
+++ b/basilhold/placement/lanes.py
@@ -40,7 +40,7 @@
     __slots__ = (
         "fits_nowhere",
         "fits_nowhere_starving",
-        "gang_failed_at",
+        "gang_failed_at_release",
         "gang_failed_tasks",
         "gang_pass",
         "gang_round",
@@ -51,7 +51,7 @@
         self.lanes = 0
         self.fits_nowhere = False
         self.fits_nowhere_starving = False
-        self.gang_failed_at = -1
+        self.gang_failed_at_release = -1
         self.gang_failed_tasks = 0
         self.gang_pass = -1
         self.gang_round = -1
@@ -79,8 +79,8 @@
     """
 
     __slots__ = (
-        "backfill_asked_at",
-        "blocked_at",
+        "backfill_tried_version",
+        "blocked_at_release",
         "fit",
         "key",
         "number",
@@ -97,8 +97,8 @@
         self.position: tuple | None = None
         self.urgent = key.wait_target_ms <= URGENT_TARGET_MS
         self.order: SortedList = SortedList()
-        self.blocked_at = -1
-        self.backfill_asked_at = -1
+        self.blocked_at_release = -1
+        self.backfill_tried_version = -1
         self.starves_unix_ms = 0
 
 
@@ -113,7 +113,7 @@
         self.lanes: dict[LaneKey, Lane] = {}
         self.fits: dict[Resources, SizeFit] = {}
         self.by_target: dict[int, SortedList] = {}
-        self._moved: dict[int, Bucket] = {}
+        self._changed: dict[int, Bucket] = {}
         self._count = 0
 
     def add(self, bucket: "Bucket", key: LaneKey) -> None:
@@ -129,19 +129,19 @@
         self._count += 1
         bucket.number = self._count
         bucket.lane = lane
-        self._moved[bucket.number] = bucket
+        self._changed[bucket.number] = bucket
 
-    def note_moved(self, bucket: "Bucket") -> None:
+    def mark_changed(self, bucket: "Bucket") -> None:
         """Note that a bucket's head may have changed."""
-        self._moved[bucket.number] = bucket
+        self._changed[bucket.number] = bucket
 
-    def is_noted(self, bucket: "Bucket") -> bool:
+    def is_changed(self, bucket: "Bucket") -> bool:
         """Return whether a bucket is still to be moved."""
-        return bucket.number in self._moved
+        return bucket.number in self._changed
 
-    def settle(self) -> None:
+    def update_order(self) -> None:
         """Bring the order of the noted buckets up to date."""
-        for bucket in self._moved.values():
+        for bucket in self._changed.values():
             since = bucket.head().since_unix_ms if bucket.count else None
             position = None if since is None else (since, bucket.number, bucket)
             lane = bucket.lane
@@ -152,13 +152,13 @@
                     lane.order.add(position)
                 bucket.position = position
         # A lane goes only once all its buckets have moved: one may empty as one comes.
-        for lane in {id(b.lane): b.lane for b in self._moved.values()}.values():
-            self._place(lane)
+        for lane in {id(b.lane): b.lane for b in self._changed.values()}.values():
+            self._update_position(lane)
             if not lane.order:
                 self._remove(lane)
-        self._moved.clear()
+        self._changed.clear()
 
-    def walk(
+    def iter_buckets(
         self, target_ms: int, is_blocked: Callable[[Lane], bool]
     ) -> Iterator["Bucket"]:
         """Yield the buckets of one target wait by age, without the blocked lanes.
@@ -186,7 +186,7 @@
                 heapq.heapreplace(heap, (*rest, buckets))
             yield bucket
 
-    def _place(self, lane: Lane) -> None:
+    def _update_position(self, lane: Lane) -> None:
         """Bring a lane's position among the lanes of its target up to date."""
         position = (lane.order[0][0], lane.number, lane) if lane.order else None
         if position == lane.position:
--- a/basilhold/placement/newest.py
+++ b/basilhold/placement/newest_tasks.py
@@ -7,10 +7,10 @@
 from basilhold.core import TaskId, TeamName
 from basilhold.placement.workers import LiveTask
 
-__all__ = ["NewestTasks"]
+__all__ = ["NewestReclaimableTasks"]
 
 
-class NewestTasks:
+class NewestReclaimableTasks:
     """Lists per team, the most recently started or checkpointed task first."""
 
     def __init__(self):
--- a/basilhold/placement/planning_pass.py
+++ b/basilhold/placement/planning_pass.py
@@ -6,11 +6,11 @@
 
 from basilhold.core import make_task_id
 from basilhold.placement.claims import ClaimBook
-from basilhold.placement.gang_turns import GangTurns
-from basilhold.placement.gangs import gather_gang
+from basilhold.placement.gang_reservations import GangReservations
+from basilhold.placement.gangs import choose_gang_workers
 from basilhold.placement.lanes import URGENT_TARGET_MS, Lane
 from basilhold.placement.plan import Eviction, Placement, Plan
-from basilhold.placement.selection import choose_worker, open_probe
+from basilhold.placement.selection import choose_probe_worker, choose_worker
 from basilhold.placement.shard_state import ShardState
 from basilhold.placement.waiting import Bucket, Entry
 from basilhold.placement.workers import WorkerState
@@ -21,7 +21,7 @@
 """Above this ratio of wait to target, work is ordered as if its team were within
 quota, so that a team above quota does not starve."""
 
-_STARVING_SHARE = 0.1
+_STARVING_CREDIT_PER_START = 0.1
 _STARVING_CREDIT_MAX = 20.0
 """Starving work above quota gets this many starts per start within quota, and saves up
 at most this many. Without the bound, a backlog that is late as a whole would come
@@ -33,17 +33,17 @@
 _GANG_TRIES_PER_PASS = 16
 """Gangs per pass that are fitted anew, which bounds the pass."""
 
-_PASS_AT_ONCE = float("inf")
+_SKIP_RATIO = float("inf")
 
 _HeapItem = tuple[float, int, Bucket, Iterator | None]
 
 
-class _Group(Enum):
+class _PriorityGroup(Enum):
     """Groups of waiting work, in the order in which a pass serves them."""
 
     URGENT = "urgent and within quota"
-    WITHIN = "within quota or starving"
-    ABOVE = "above quota"
+    WITHIN_QUOTA = "within quota or starving"
+    ABOVE_QUOTA = "above quota"
 
 
 class PlanningPass:
@@ -58,12 +58,12 @@
         self,
         state: ShardState,
         claims: ClaimBook,
-        gangs: GangTurns,
+        gangs: GangReservations,
         limit: int,
     ):
         self._state = state
         self._claims = claims
-        self._gangs = gangs
+        self._gang_reservations = gangs
         self._limit = limit
         self._now = state.now_unix_ms
         self._reclaims_left = _RECLAIMS_PER_PASS
@@ -81,19 +81,19 @@
         targets = list(self._state.queue.lanes.by_target)
         urgent = [target for target in targets if target <= URGENT_TARGET_MS]
         others = [target for target in targets if target > URGENT_TARGET_MS]
-        self._drain(self._walks(urgent), _Group.URGENT)
+        self._serve_in_order(self._oldest_items(urgent), _PriorityGroup.URGENT)
         starving, self._starving = self._starving, []
-        items = [*self._walks(others), *self._items(starving)]
-        self._drain(items, _Group.WITHIN)
+        items = [*self._oldest_items(others), *self._items(starving)]
+        self._serve_in_order(items, _PriorityGroup.WITHIN_QUOTA)
         deferred, self._deferred = self._deferred, []
-        self._drain(self._items(deferred), _Group.ABOVE)
+        self._serve_in_order(self._items(deferred), _PriorityGroup.ABOVE_QUOTA)
         return Plan(tuple(self._placements), tuple(self._evictions))
 
-    def _walks(self, targets: list[int]) -> list[_HeapItem]:
+    def _oldest_items(self, targets: list[int]) -> list[_HeapItem]:
         """Return one heap item per target wait, for its oldest bucket."""
         items = []
         for target in targets:
-            walk = self._state.queue.lanes.walk(target, self._is_blocked)
+            walk = self._state.queue.lanes.iter_buckets(target, self._is_blocked)
             self._push_next(items, walk)
         return items
 
@@ -108,32 +108,32 @@
     def _item(self, bucket: Bucket, walk: Iterator[Bucket] | None) -> _HeapItem:
         self._sequence += 1
         # A bucket that a claim has emptied keeps its place until the walk passes it.
-        ratio = bucket.ratio(self._now) if bucket.count else _PASS_AT_ONCE
+        ratio = bucket.ratio(self._now) if bucket.count else _SKIP_RATIO
         return (-ratio, self._sequence, bucket, walk)
 
-    def _drain(self, heap: list[_HeapItem], group: _Group) -> None:
+    def _serve_in_order(self, heap: list[_HeapItem], group: _PriorityGroup) -> None:
         """Serve buckets in order of relative lateness until the plan is full."""
         heapq.heapify(heap)
         while heap and len(self._placements) < self._limit:
             _, _, bucket, walk = heapq.heappop(heap)
             if bucket.count and self._is_due(bucket, group):
                 ratio = bucket.ratio(self._now)
-                served = self._serve(bucket, group, ratio)
-                if served and group is not _Group.ABOVE:
-                    self._settle_credit(bucket)
+                served = self._serve_bucket(bucket, group, ratio)
+                if served and group is not _PriorityGroup.ABOVE_QUOTA:
+                    self._update_starving_credit(bucket)
                 if served and bucket.count:
                     heapq.heappush(heap, self._item(bucket, None))
             if walk is not None:
                 self._push_next(heap, walk)
 
-    def _is_due(self, bucket: Bucket, group: _Group) -> bool:
+    def _is_due(self, bucket: Bucket, group: _PriorityGroup) -> bool:
         """Return whether to serve a bucket now, and else keep it for a later group."""
-        if group is _Group.ABOVE or self._is_within(bucket):
+        if group is _PriorityGroup.ABOVE_QUOTA or self._is_within_quota(bucket):
             return True
         if bucket.ratio(self._now) <= STARVING_RATIO:
             self._deferred.append(bucket)
             return False
-        if group is _Group.URGENT:
+        if group is _PriorityGroup.URGENT:
             self._starving.append(bucket)
             return False
         if self._state.starving_credit < 1:
@@ -141,16 +141,16 @@
             return False
         return True
 
-    def _settle_credit(self, bucket: Bucket) -> None:
+    def _update_starving_credit(self, bucket: Bucket) -> None:
         """Earn or spend credit for starving work above quota after a start."""
         state = self._state
         if state.teams.is_within(bucket.key.team):
-            credit = state.starving_credit + _STARVING_SHARE
+            credit = state.starving_credit + _STARVING_CREDIT_PER_START
             state.starving_credit = min(_STARVING_CREDIT_MAX, credit)
         else:
             state.starving_credit -= 1
 
-    def _is_within(self, bucket: Bucket) -> bool:
+    def _is_within_quota(self, bucket: Bucket) -> bool:
         return self._state.teams.is_within(bucket.key.team, bucket.demand())
 
     def _is_blocked(self, lane: Lane) -> bool:
@@ -161,15 +161,17 @@
         if lane.urgent or state.probe_is_due:
             return False
         if (
-            self._gangs.reservation is not None
-            and lane.backfill_asked_at != state.backfill_version
+            self._gang_reservations.reservation is not None
+            and lane.backfill_tried_version != state.backfill_version
         ):
             return False
-        if not fit.fits_nowhere and lane.blocked_at != state.releases:
+        if not fit.fits_nowhere and lane.blocked_at_release != state.releases:
             return False
         return fit.fits_nowhere_starving or self._now < lane.starves_unix_ms
 
-    def _serve(self, bucket: Bucket, group: _Group, ratio: float) -> bool:
+    def _serve_bucket(
+        self, bucket: Bucket, group: _PriorityGroup, ratio: float
+    ) -> bool:
         """Place the bucket's next task or gang; return whether to come back to it."""
         if bucket.key.gang is not None:
             return self._serve_gang(bucket, ratio)
@@ -184,15 +186,17 @@
             self._place(entry, index, worker)
             return True
         if lane.urgent:
-            self._reclaim_for(bucket, above_quota=group is _Group.ABOVE)
+            self._reclaim_for_bucket(
+                bucket, above_quota=group is _PriorityGroup.ABOVE_QUOTA
+            )
         else:
-            self._block(lane, starving)
+            self._block_lane(lane, starving)
         return False
 
-    def _block(self, lane: Lane, starving: bool) -> None:
+    def _block_lane(self, lane: Lane, starving: bool) -> None:
         """Skip the lane until resources are released or its oldest task starves."""
-        lane.blocked_at = self._state.releases
-        lane.backfill_asked_at = self._state.backfill_version
+        lane.blocked_at_release = self._state.releases
+        lane.backfill_tried_version = self._state.backfill_version
         lane.starves_unix_ms = 1 << 62
         if not starving:
             oldest = lane.order[0][0]
@@ -204,7 +208,7 @@
     ) -> WorkerState | None:
         state, key = self._state, lane.key
         if state.probe_is_due and not lane.urgent:
-            probe = open_probe(state, key)
+            probe = choose_probe_worker(state, key)
             if probe is not None:
                 return probe
         fit = lane.fit
@@ -214,7 +218,7 @@
                 return worker
             if not key.avoid:
                 fit.block(starving or key.size.gpus_milli > 0)
-        return self._gangs.backfill_worker(key, entry.job, starving)
+        return self._gang_reservations.backfill_worker(key, entry.job, starving)
 
     def _place(self, entry: Entry, index: int, worker: WorkerState) -> None:
         state, job = self._state, entry.job
@@ -233,7 +237,7 @@
             entry = next(e for e in claim.job.entries if claim.index in e.indices)
             self._place(entry, claim.index, worker)
 
-    def _reclaim_for(self, bucket: Bucket, above_quota: bool) -> None:
+    def _reclaim_for_bucket(self, bucket: Bucket, above_quota: bool) -> None:
         """Seek victims for the bucket's tasks until one task finds none."""
         for entry in bucket.ordered():
             for index in reversed(list(entry.indices)):
@@ -252,19 +256,21 @@
     def _serve_gang(self, bucket: Bucket, ratio: float) -> bool:
         state, lane, entry = self._state, bucket.lane, bucket.head()
         indices = list(reversed(entry.indices))
-        reserved = self._gangs.reserved_workers(bucket.key.gang)
-        may_try = reserved or self._gangs.may_try(lane.fit, len(indices))
+        reserved = self._gang_reservations.reserved_workers(bucket.key.gang)
+        may_try = reserved or self._gang_reservations.should_try(lane.fit, len(indices))
         if may_try and self._gang_tries_left > 0:
             self._gang_tries_left -= 1
-            self._gangs.note_try(lane.fit, is_last=self._gang_tries_left == 0)
-            workers = gather_gang(
+            self._gang_reservations.record_try(
+                lane.fit, is_last=self._gang_tries_left == 0
+            )
+            workers = choose_gang_workers(
                 state, lane.key, len(indices), reserved, ratio > STARVING_RATIO
             )
             if workers is not None:
                 return self._start_gang(entry, indices, workers)
             if not reserved and not lane.key.avoid:
-                self._gangs.note_failed(lane.fit, len(indices))
-        self._gangs.consider(bucket)
+                self._gang_reservations.record_failure(lane.fit, len(indices))
+        self._gang_reservations.reserve_if_needed(bucket)
         return False
 
     def _start_gang(
@@ -275,5 +281,5 @@
             return False
         for index, worker in zip(indices, workers, strict=True):
             self._place(entry, index, worker)
-        self._gangs.started(entry.job.spec.job_id)
+        self._gang_reservations.release_started(entry.job.spec.job_id)
         return True
--- a/basilhold/placement/random_fit.py
+++ b/basilhold/placement/random_fit.py
@@ -21,7 +21,7 @@
         super().__init__()
         self._random = random.Random(seed)
 
-    def _first_fit(self, size: Resources) -> WorkerId | None:
+    def _choose_worker(self, size: Resources) -> WorkerId | None:
         feasible = [
             worker_id
             for worker_id, free in self._free.items()
--- a/basilhold/placement/reservation.py
+++ b/basilhold/placement/reservation.py
@@ -6,12 +6,12 @@
 from basilhold.core import JobId, Resources, WorkerId
 from basilhold.placement.estimates import ClassEstimates
 from basilhold.placement.lanes import LaneKey
-from basilhold.placement.shapes import slots_of
+from basilhold.placement.shapes import count_fitting
 from basilhold.placement.workers import LiveTask, WorkerState
 
-__all__ = ["Reservation", "expected_end_unix_ms", "reserve"]
+__all__ = ["Reservation", "expected_end_unix_ms", "compute_reservation"]
 
-_OVERRUN = 0.1
+_OVERRUN_SHARE = 0.1
 """A task past its expected end is expected to run this share of its age longer."""
 
 
@@ -74,7 +74,7 @@
             now_unix_ms + run_time_ms <= self.start_unix_ms
         )
 
-    def use_spare(self, worker_id: WorkerId, size: Resources) -> None:
+    def subtract_spare(self, worker_id: WorkerId, size: Resources) -> None:
         """Subtract a backfilled task that runs past the reserved time."""
         self.spare[worker_id] = self.spare[worker_id] - size
 
@@ -92,11 +92,12 @@
         return None
     age_ms = now_unix_ms - live.started_unix_ms
     return max(
-        live.started_unix_ms + run_time_ms, now_unix_ms + int(age_ms * _OVERRUN) + 1
+        live.started_unix_ms + run_time_ms,
+        now_unix_ms + int(age_ms * _OVERRUN_SHARE) + 1,
     )
 
 
-def reserve(
+def compute_reservation(
     job_id: JobId,
     workers: Iterable[WorkerState],
     key: LaneKey,
@@ -109,7 +110,7 @@
     It is ``None`` if too few of the tasks that run now have a known end.
     """
     events: list[tuple[int, WorkerId, int]] = []
-    states = {w.worker_id: w for w in _most_free(workers, key, count)}
+    states = {w.worker_id: w for w in _most_free_workers(workers, key, count)}
     for worker in states.values():
         events.extend(_slot_events(worker, key.size, estimates, now_unix_ms))
     events.sort()
@@ -121,7 +122,7 @@
         missing -= used
         if missing == 0:
             spare = {
-                wid: _spare(
+                wid: _spare_at_start(
                     states[wid], key.size, n, estimates, now_unix_ms, at_unix_ms
                 )
                 for wid, n in taken.items()
@@ -130,7 +131,7 @@
     return None
 
 
-def _most_free(
+def _most_free_workers(
     workers: Iterable[WorkerState], key: LaneKey, count: int
 ) -> list[WorkerState]:
     """Return the workers that need the least more to run a task of the gang."""
@@ -173,14 +174,14 @@
     ends.sort(key=lambda pair: pair[0])
     for end, released in ends:
         free = free + released
-        slots = slots_of(free, size)
+        slots = count_fitting(free, size)
         if slots > known:
             events.append((end, worker.worker_id, slots - known))
             known = slots
     return events
 
 
-def _spare(
+def _spare_at_start(
     worker: WorkerState,
     size: Resources,
     count: int,
--- a/basilhold/placement/selection.py
+++ b/basilhold/placement/selection.py
@@ -8,7 +8,7 @@
 from basilhold.placement.waiting import JobState
 from basilhold.placement.workers import WorkerState
 
-__all__ = ["choose_worker", "fitting_workers", "open_probe"]
+__all__ = ["choose_worker", "fitting_workers", "choose_probe_worker"]
 
 _CANDIDATES_MAX = 8
 """Feasible workers that are scored per task; more improve packing little."""
@@ -54,7 +54,7 @@
     return best
 
 
-def open_probe(state: ShardState, key: LaneKey) -> WorkerState | None:
+def choose_probe_worker(state: ShardState, key: LaneKey) -> WorkerState | None:
     """Return a quarantined worker that is due for a probe by this task.
 
     Urgent tasks, gangs and tasks that cannot be restarted are not used as probes.
--- a/basilhold/placement/shapes.py
+++ b/basilhold/placement/shapes.py
@@ -4,17 +4,17 @@
 
 from basilhold.core import Resources
 
-__all__ = ["WorkerShapes", "slots_of"]
+__all__ = ["WorkerShapes", "count_fitting"]
 
 _SLOTS_MAX = 1 << 20
 
 
-def slots_of(free: Resources, size: Resources) -> int:
+def count_fitting(free: Resources, size: Resources) -> int:
     """Return how many tasks of a size fit in an amount.
 
     Examples
     --------
-    >>> slots_of(Resources(4000, 8, 0), Resources(1000, 4, 0))
+    >>> count_fitting(Resources(4000, 8, 0), Resources(1000, 4, 0))
     2
     """
     slots = _SLOTS_MAX
--- a/basilhold/placement/shard_state.py
+++ b/basilhold/placement/shard_state.py
@@ -14,10 +14,10 @@
 )
 from basilhold.placement.estimates import ClassEstimates
 from basilhold.placement.gpu_guard import GpuGuard
-from basilhold.placement.newest import NewestTasks
+from basilhold.placement.newest_tasks import NewestReclaimableTasks
 from basilhold.placement.plan import Placement
 from basilhold.placement.quotas import TeamLedger
-from basilhold.placement.shapes import WorkerShapes, slots_of
+from basilhold.placement.shapes import WorkerShapes, count_fitting
 from basilhold.placement.waiting import JobState, WaitingQueue
 from basilhold.placement.worker_index import WorkerIndex
 from basilhold.placement.workers import LiveTask, WorkerState
@@ -42,7 +42,7 @@
         self.free_index = WorkerIndex()
         self.reclaim_index = WorkerIndex()
         self.quarantined: dict[WorkerId, None] = {}
-        self.newest = NewestTasks()
+        self.newest = NewestReclaimableTasks()
         self.shapes = WorkerShapes()
         self.releases = 0
         self.backfill_version = 0
@@ -279,7 +279,7 @@
         """
         for worker in self.workers.values():
             if worker.worker_id not in avoid and not worker.quarantined_until_unix_ms:
-                count -= slots_of(worker.capacity, size)
+                count -= count_fitting(worker.capacity, size)
                 if count <= 0:
                     return True
         return False
--- a/basilhold/placement/target_planner.py
+++ b/basilhold/placement/target_planner.py
@@ -12,7 +12,7 @@
 from basilhold.placement.audit import audit
 from basilhold.placement.claims import ClaimBook
 from basilhold.placement.explain import explain_job
-from basilhold.placement.gang_turns import GangTurns
+from basilhold.placement.gang_reservations import GangReservations
 from basilhold.placement.overuse import EVICTION_TIMEOUT_MS, OveruseWatch
 from basilhold.placement.plan import Explanation, Placement, Plan
 from basilhold.placement.planner import Planner
@@ -42,7 +42,7 @@
     def __init__(self):
         self._state = ShardState()
         self._claims = ClaimBook(self._state)
-        self._gangs = GangTurns(self._state)
+        self._gang_reservations = GangReservations(self._state)
         self._overuse = OveruseWatch(self._state)
 
     def upsert_worker(self, record: WorkerRecord, schedulable: bool) -> None:
@@ -92,11 +92,11 @@
         state.queue.refresh()
         state.wake_quarantined()
         state.update_gpu_wait()
-        self._gangs.begin_pass()
+        self._gang_reservations.begin_pass()
         overuse = self._overuse.take_evictions()
-        run = PlanningPass(state, self._claims, self._gangs, limit)
+        run = PlanningPass(state, self._claims, self._gang_reservations, limit)
         plan = run.run()
-        state.queue.lanes.settle()
+        state.queue.lanes.update_order()
         return Plan(plan.placements, (*overuse, *plan.evictions))
 
     def confirm(self, placements: tuple[Placement, ...]) -> None:
@@ -113,7 +113,11 @@
         """Return why a job's tasks wait."""
         self._state.queue.refresh()
         return explain_job(
-            self._state, self._claims, self._gangs.reservation, job_id, now_unix_ms
+            self._state,
+            self._claims,
+            self._gang_reservations.reservation,
+            job_id,
+            now_unix_ms,
         )
 
     def check_invariants(self) -> None:
--- a/basilhold/placement/tests/builders.py
+++ b/basilhold/placement/tests/builders.py
@@ -59,16 +59,16 @@
     return JobRecord(spec, [TaskRecord() for _ in range(tasks)])
 
 
-class Shard:
+class FakeShardOwner:
     """Keeps the call order of the shard's owner, with commits that succeed."""
 
     def __init__(self, *workers: tuple[str, Resources, str]):
         self.planner = TargetPlanner()
-        self.rows: dict[str, WorkerRecord] = {}
+        self.worker_records: dict[str, WorkerRecord] = {}
         self.jobs: dict[str, JobRecord] = {}
         for name, capacity, rack in workers:
             row = WorkerRecord(WorkerId(name), ZoneName("ruse"), rack, capacity)
-            self.rows[name] = row
+            self.worker_records[name] = row
             self.planner.upsert_worker(row, True)
 
     def submit(self, *records: JobRecord) -> None:
@@ -80,7 +80,7 @@
         """Plan and commit."""
         plan = self.planner.plan(now, limit)
         for p in plan.placements:
-            row = self.rows[p.worker_id]
+            row = self.worker_records[p.worker_id]
             added = Assignment(p.task_id, p.attempt, p.resources)
             row.assignments = (*row.assignments, added)
             job_id, index = split_task_id(p.task_id)
@@ -88,20 +88,20 @@
         self.planner.confirm(plan.placements)
         return plan
 
-    def end(self, task_id: str, state: TaskState = TaskState.SUCCEEDED) -> None:
+    def end_task(self, task_id: str, state: TaskState = TaskState.SUCCEEDED) -> None:
         """Remove a task from its worker's row; ``PENDING`` queues it again."""
         job_id, index = split_task_id(TaskId(task_id))
         self.jobs[job_id].tasks[index].state = state
         self.planner.upsert_job(self.jobs[job_id])
-        for row in self.rows.values():
+        for row in self.worker_records.values():
             kept = tuple(a for a in row.assignments if a.task_id != task_id)
             if len(kept) < len(row.assignments):
                 row.assignments = kept
                 self.planner.upsert_worker(row, True)
 
-    def shrink(self, task_id: str, cores_milli: int) -> None:
+    def throttle_task(self, task_id: str, cores_milli: int) -> None:
         """Commit a throttled task with fewer cores."""
-        for row in self.rows.values():
+        for row in self.worker_records.values():
             row.assignments = tuple(
                 Assignment(
                     a.task_id,
@@ -116,14 +116,16 @@
             )
             self.planner.upsert_worker(row, True)
 
-    def commit(self, worker: str, task_id: str, task_size: Resources) -> None:
+    def commit_assignment(
+        self, worker: str, task_id: str, task_size: Resources
+    ) -> None:
         """Commit a task that the planner did not place."""
-        row = self.rows[worker]
+        row = self.worker_records[worker]
         added = Assignment(TaskId(task_id), Attempt(1), task_size)
         row.assignments = (*row.assignments, added)
         self.planner.upsert_worker(row, True)
 
 
-def placed(plan: Plan) -> dict[str, str]:
+def workers_by_task(plan: Plan) -> dict[str, str]:
     """Return the worker by task."""
     return {p.task_id: p.worker_id for p in plan.placements}
--- a/basilhold/placement/tests/test_health.py
+++ b/basilhold/placement/tests/test_health.py
@@ -2,7 +2,7 @@
 
 from basilhold.core import Attempt, ClassKind, WorkerId
 from basilhold.placement import AttemptOutcome, WorkerHealth
-from basilhold.placement.tests.builders import Shard, placed, size
+from basilhold.placement.tests.builders import FakeShardOwner, size, workers_by_task
 from basilhold.placement.tests.builders import job as make_job
 
 FAILED, SUCCEEDED = AttemptOutcome.FAILED, AttemptOutcome.SUCCEEDED
@@ -95,13 +95,13 @@
     """Guards gangs against waiting for ever after their tasks have failed."""
 
     def plan_after_failures(self, *failed_on):
-        shard = Shard(*((f"w{n}", size(8), "r1") for n in range(3)))
+        shard = FakeShardOwner(*((f"w{n}", size(8), "r1") for n in range(3)))
         gang = make_job("gang", size(1), tasks=len(failed_on), kind=ClassKind.GANG)
         for task, names in zip(gang.tasks, failed_on, strict=True):
             task.failed_on = tuple(WorkerId(name) for name in names)
             task.attempt = Attempt(1)
         shard.submit(gang)
-        return placed(shard.plan(1000))
+        return workers_by_task(shard.plan(1000))
 
     def test_gang_avoids_a_worker_on_which_one_task_failed(self):
         found = self.plan_after_failures(("w0",), ())
--- a/basilhold/placement/tests/test_index_and_estimates.py
+++ b/basilhold/placement/tests/test_index_and_estimates.py
@@ -6,7 +6,7 @@
 
 from basilhold.core import Resources, WorkerId, WorkerRecord, ZoneName
 from basilhold.placement import ClassEstimates, planning_pass
-from basilhold.placement.tests.builders import Shard, job, size
+from basilhold.placement.tests.builders import FakeShardOwner, job, size
 from basilhold.placement.worker_index import WorkerIndex
 from basilhold.placement.workers import WorkerState
 
@@ -39,7 +39,7 @@
     """Guards against decisions whose cost grows with the number of waiting tasks."""
 
     def test_size_that_fits_nowhere_is_asked_for_once(self):
-        shard = Shard(*((f"w{n}", size(4, 16), "r1") for n in range(50)))
+        shard = FakeShardOwner(*((f"w{n}", size(4, 16), "r1") for n in range(50)))
         for number in range(500):
             shard.submit(job(f"j{number}", size(8, 4), tasks=4, team=f"t{number % 9}"))
         with mock.patch.object(
@@ -51,11 +51,11 @@
             self.assertEqual(asked.call_count, 1)
 
     def test_blocked_size_is_asked_for_again_when_room_appears(self):
-        shard = Shard(("w1", size(4, 16), "r1"))
+        shard = FakeShardOwner(("w1", size(4, 16), "r1"))
         shard.submit(job("a", size(4)), job("b", size(4), submitted=1))
         shard.plan(2)
         self.assertEqual(shard.plan(3).placements, ())
-        shard.end("a#0")
+        shard.end_task("a#0")
         self.assertEqual(len(shard.plan(4).placements), 1)
 
 
--- a/basilhold/placement/tests/test_invariants.py
+++ b/basilhold/placement/tests/test_invariants.py
@@ -12,7 +12,7 @@
     split_task_id,
 )
 from basilhold.placement import EvictionAction, Plan
-from basilhold.placement.tests.builders import Shard, job, size
+from basilhold.placement.tests.builders import FakeShardOwner, job, size
 from basilhold.ports import TaskReport
 
 SHAPES = (size(8, 32), size(16, 16), size(16, 64, 4))
@@ -48,7 +48,7 @@
 
     def __init__(self):
         super().__init__()
-        self.shard = Shard()
+        self.shard = FakeShardOwner()
         self.planner = self.shard.planner
         self.in_flight: Plan | None = None
         self.evictions = []
@@ -61,8 +61,10 @@
     @rule(shape=st.sampled_from(SHAPES), rack=st.sampled_from("ab"))
     def add_worker(self, shape, rack):
         self.count += 1
-        added = Shard((f"w{self.count}", shape, rack)).rows[f"w{self.count}"]
-        self.shard.rows[added.worker_id] = added
+        added = FakeShardOwner((f"w{self.count}", shape, rack)).worker_records[
+            f"w{self.count}"
+        ]
+        self.shard.worker_records[added.worker_id] = added
         self.planner.upsert_worker(added, True)
 
     @rule(task_size=st.sampled_from(SIZES), options=OPTIONS)
@@ -76,7 +78,9 @@
     def plan(self, limit, waited):
         self.now += waited
         plan = self.planner.plan(self.now, limit)
-        committed = {a.task_id for r in self.shard.rows.values() for a in r.assignments}
+        committed = {
+            a.task_id for r in self.shard.worker_records.values() for a in r.assignments
+        }
         by_job: dict[str, int] = {}
         for placement in plan.placements:
             assert placement.task_id not in committed
@@ -96,7 +100,7 @@
             if record.spec.kind is ClassKind.GANG:
                 waiting = sum(t.state is TaskState.PENDING for t in record.tasks) - sum(
                     split_task_id(a.task_id)[0] == job_id
-                    for r in self.shard.rows.values()
+                    for r in self.shard.worker_records.values()
                     for a in r.assignments
                 )
                 assert planned == waiting, (planned, waiting)
@@ -105,7 +109,7 @@
     @rule(record_first=st.booleans(), records=st.booleans())
     def commit(self, record_first, records):
         for p in self.in_flight.placements:
-            row = self.shard.rows[p.worker_id]
+            row = self.shard.worker_records[p.worker_id]
             added = Assignment(p.task_id, p.attempt, p.resources)
             row.assignments = (*row.assignments, added)
             job_id, index = split_task_id(p.task_id)
@@ -115,7 +119,7 @@
             self.planner.confirm(self.in_flight.placements)
         if records or record_first:
             for worker_id in sorted(touched):
-                self.planner.upsert_worker(self.shard.rows[worker_id], True)
+                self.planner.upsert_worker(self.shard.worker_records[worker_id], True)
         if record_first:
             self.planner.confirm(self.in_flight.placements)
         self.in_flight = None
@@ -130,28 +134,30 @@
     @rule(lost=st.booleans())
     def carry_out_eviction(self, lost):
         eviction = self.evictions.pop(0)
-        row = self.shard.rows.get(eviction.worker_id)
+        row = self.shard.worker_records.get(eviction.worker_id)
         if lost or row is None:
             return
         if all(a.task_id != eviction.task_id for a in row.assignments):
             return
         if eviction.action is not EvictionAction.THROTTLE:
-            self.shard.end(eviction.task_id, TaskState.PENDING)
+            self.shard.end_task(eviction.task_id, TaskState.PENDING)
         elif eviction.for_task_id:
-            self.shard.shrink(eviction.task_id, eviction.cores_limit_milli)
+            self.shard.throttle_task(eviction.task_id, eviction.cores_limit_milli)
 
     @rule(
         data=st.data(), state=st.sampled_from([TaskState.SUCCEEDED, TaskState.PENDING])
     )
     def end_task(self, data, state):
-        committed = [a.task_id for r in self.shard.rows.values() for a in r.assignments]
+        committed = [
+            a.task_id for r in self.shard.worker_records.values() for a in r.assignments
+        ]
         known = [t for t in committed if split_task_id(t)[0] in self.shard.jobs]
         if known:
-            self.shard.end(data.draw(st.sampled_from(known)), state)
+            self.shard.end_task(data.draw(st.sampled_from(known)), state)
 
     @rule(data=st.data())
     def report_usage(self, data):
-        for row in self.shard.rows.values():
+        for row in self.shard.worker_records.values():
             reports = tuple(
                 TaskReport(
                     a.task_id,
@@ -177,7 +183,7 @@
 
     def forget(self, job_id: str) -> None:
         del self.shard.jobs[job_id]
-        for row in self.shard.rows.values():
+        for row in self.shard.worker_records.values():
             row.assignments = tuple(
                 a for a in row.assignments if split_task_id(a.task_id)[0] != job_id
             )
@@ -185,9 +191,11 @@
 
     @rule(data=st.data())
     def change_worker(self, data):
-        if not self.shard.rows:
+        if not self.shard.worker_records:
             return
-        row = self.shard.rows[data.draw(st.sampled_from(sorted(self.shard.rows)))]
+        row = self.shard.worker_records[
+            data.draw(st.sampled_from(sorted(self.shard.worker_records)))
+        ]
         row.quarantined_until_unix_ms = data.draw(
             st.sampled_from([0, 0, self.now + 5000])
         )
@@ -196,10 +204,10 @@
     @precondition(lambda self: self.in_flight is None)
     @rule(data=st.data())
     def lose_worker(self, data):
-        if self.shard.rows:
-            name = data.draw(st.sampled_from(sorted(self.shard.rows)))
+        if self.shard.worker_records:
+            name = data.draw(st.sampled_from(sorted(self.shard.worker_records)))
             self.planner.remove_worker(name)
-            del self.shard.rows[name]
+            del self.shard.worker_records[name]
 
     @rule()
     def explain(self):
@@ -215,7 +223,7 @@
         planned: dict[str, Resources] = {}
         for p in self.in_flight.placements if self.in_flight else ():
             planned[p.worker_id] = planned.get(p.worker_id, Resources()) + p.resources
-        for worker_id, row in self.shard.rows.items():
+        for worker_id, row in self.shard.worker_records.items():
             total = row.committed() + planned.get(worker_id, Resources())
             assert total.fits_in(row.capacity), worker_id
 
--- a/basilhold/placement/tests/test_reclaim.py
+++ b/basilhold/placement/tests/test_reclaim.py
@@ -2,7 +2,13 @@
 
 from basilhold.core import ClassKind, Resources, RestartPolicy, TaskState, Team
 from basilhold.placement import EvictionAction
-from basilhold.placement.tests.builders import GIB, Shard, job, placed, size
+from basilhold.placement.tests.builders import (
+    GIB,
+    FakeShardOwner,
+    job,
+    size,
+    workers_by_task,
+)
 from basilhold.ports import TaskReport
 
 URGENT_MS = 9_100
@@ -11,14 +17,14 @@
 class ReclaimTest(unittest.TestCase):
     """Guards against urgent work that waits, and against victims that must not be."""
 
-    def full_shard(self, *records, teams=()) -> Shard:
-        shard = Shard(("w1", size(8, 32), "r1"))
+    def full_shard(self, *records, teams=()) -> FakeShardOwner:
+        shard = FakeShardOwner(("w1", size(8, 32), "r1"))
         shard.planner.set_teams(teams, {})
         shard.submit(*records)
         shard.plan(0)
         return shard
 
-    def urgent(self, shard: Shard, task_size=None, **options):
+    def urgent(self, shard: FakeShardOwner, task_size=None, **options):
         options.setdefault("target_ms", URGENT_MS)
         shard.submit(
             job("urgent", task_size or size(4, 16), submitted=59_000, **options)
@@ -30,8 +36,8 @@
         plan = self.urgent(shard)
         self.assertEqual([e.action for e in plan.evictions], [EvictionAction.STOP])
         self.assertEqual(plan.evictions[0].for_task_id, "urgent#0")
-        shard.end(plan.evictions[0].task_id, TaskState.PENDING)
-        self.assertEqual(placed(shard.plan(61_000)), {"urgent#0": "w1"})
+        shard.end_task(plan.evictions[0].task_id, TaskState.PENDING)
+        self.assertEqual(workers_by_task(shard.plan(61_000)), {"urgent#0": "w1"})
 
     def test_one_urgent_task_asks_for_victims_once(self):
         shard = self.full_shard(job("batch", size(4, 16), tasks=2))
@@ -50,8 +56,8 @@
         eviction = plan.evictions[0]
         self.assertEqual(eviction.action, EvictionAction.THROTTLE)
         self.assertEqual(eviction.cores_limit_milli, 6000)
-        shard.shrink("batch#0", 6000)
-        self.assertEqual(placed(shard.plan(60_500)), {"urgent#0": "w1"})
+        shard.throttle_task("batch#0", 6000)
+        self.assertEqual(workers_by_task(shard.plan(60_500)), {"urgent#0": "w1"})
 
     def test_restart_forbidden_is_never_a_victim(self):
         record = job("order", size(8, 32), restart=RestartPolicy.FORBIDDEN)
@@ -107,30 +113,30 @@
         shard = self.full_shard(job("batch", size(4, 16), tasks=2))
         plan = self.urgent(shard)
         shard.planner.remove_job("urgent")
-        shard.end(plan.evictions[0].task_id)
+        shard.end_task(plan.evictions[0].task_id)
         shard.submit(job("next", size(4, 16), submitted=61_000))
-        self.assertEqual(placed(shard.plan(61_000)), {"next#0": "w1"})
+        self.assertEqual(workers_by_task(shard.plan(61_000)), {"next#0": "w1"})
 
     def test_partly_freed_claim_is_not_given_to_others(self):
         shard = self.full_shard(job("batch", size(4, 16), tasks=2))
         plan = self.urgent(shard, size(8, 32))
         self.assertEqual(len(plan.evictions), 2)
-        shard.end(plan.evictions[0].task_id, TaskState.PENDING)
+        shard.end_task(plan.evictions[0].task_id, TaskState.PENDING)
         self.assertEqual(shard.plan(60_500).placements, ())
-        shard.end(plan.evictions[1].task_id, TaskState.PENDING)
-        self.assertEqual(placed(shard.plan(61_000)), {"urgent#0": "w1"})
+        shard.end_task(plan.evictions[1].task_id, TaskState.PENDING)
+        self.assertEqual(workers_by_task(shard.plan(61_000)), {"urgent#0": "w1"})
 
 
 class OveruseTest(unittest.TestCase):
     """Guards against a task that takes its neighbours' cores or memory."""
 
-    def shard_with(self, **options) -> Shard:
-        shard = Shard(("w1", size(8, 32), "r1"))
+    def shard_with(self, **options) -> FakeShardOwner:
+        shard = FakeShardOwner(("w1", size(8, 32), "r1"))
         shard.submit(job("t", size(2, 4), **options))
         shard.plan(0)
         return shard
 
-    def evictions_after(self, shard: Shard, used: Resources):
+    def evictions_after(self, shard: FakeShardOwner, used: Resources):
         report = TaskReport("t#0", 1, True, None, used)
         shard.planner.record_usage("w1", (report,), 20_000)
         return [(e.action, e.cores_limit_milli) for e in shard.plan(20_000).evictions]
@@ -145,7 +151,7 @@
         shard = self.shard_with()
         report = TaskReport("t#0", 1, True, None, size(1, 5))
         shard.planner.record_usage("w1", (report,), 20_000)
-        shard.end("t#0")
+        shard.end_task("t#0")
         self.assertEqual(shard.plan(20_000).evictions, ())
 
     def test_memory_above_the_declaration_is_checkpointed_or_stopped(self):
@@ -161,7 +167,7 @@
         self.assertEqual(found, [(EvictionAction.STOP, 0)])
 
     def test_commitments_stay_at_the_declaration_when_use_is_low(self):
-        shard = Shard(("w1", size(8, 32), "r1"))
+        shard = FakeShardOwner(("w1", size(8, 32), "r1"))
         shard.submit(job("t", size(4, 16), tasks=2))
         shard.plan(0)
         for step in range(20):
@@ -173,14 +179,14 @@
         self.assertEqual(shard.plan(30_000).placements, ())
 
     def test_learned_run_time_replaces_a_declaration_that_is_far_off(self):
-        shard = Shard(("w1", size(4, 16), "r1"), ("w2", size(4, 16), "r1"))
+        shard = FakeShardOwner(("w1", size(4, 16), "r1"), ("w2", size(4, 16), "r1"))
         for number in range(10):
             shard.submit(job(f"b{number}", size(1), run_time_ms=1000))
             shard.plan(number * 100_000)
             report = TaskReport(f"b{number}#0", 1, False, True)
             for worker in ("w1", "w2"):
                 shard.planner.record_usage(worker, (report,), number * 100_000 + 90_000)
-            shard.end(f"b{number}#0")
+            shard.end_task(f"b{number}#0")
         now = 2_000_000
         shard.submit(job("long", size(4), run_time_ms=1000, target_ms=70_000))
         shard.plan(now)
--- a/basilhold/placement/tests/test_target_planner.py
+++ b/basilhold/placement/tests/test_target_planner.py
@@ -1,7 +1,12 @@
 import unittest
 
 from basilhold.core import ClassKind, InvariantError, Resources, TaskState, Team
-from basilhold.placement.tests.builders import Shard, job, placed, size
+from basilhold.placement.tests.builders import (
+    FakeShardOwner,
+    job,
+    size,
+    workers_by_task,
+)
 
 VM = size(32, 128)
 GPU_VM = size(64, 256, 8)
@@ -12,43 +17,43 @@
     """Guards against work that waits although its class's target is closer."""
 
     def test_relative_lateness_decides_and_not_arrival(self):
-        shard = Shard(("w1", size(1, 4), "r1"))
+        shard = FakeShardOwner(("w1", size(1, 4), "r1"))
         shard.submit(job("slow", size(1), target_ms=3600_000, submitted=0))
         shard.submit(job("quick", size(1), target_ms=20_000, submitted=30_000))
-        self.assertEqual(placed(shard.plan(40_000)), {"quick#0": "w1"})
+        self.assertEqual(workers_by_task(shard.plan(40_000)), {"quick#0": "w1"})
 
     def test_task_that_fits_nowhere_does_not_block_smaller_ones(self):
-        shard = Shard(("w1", size(4, 16), "r1"))
+        shard = FakeShardOwner(("w1", size(4, 16), "r1"))
         shard.submit(job("first", size(3)))
         shard.plan(0)
         shard.submit(job("large", size(3), submitted=1))
         shard.submit(job("small", size(1), submitted=2))
-        self.assertEqual(placed(shard.plan(10)), {"small#0": "w1"})
+        self.assertEqual(workers_by_task(shard.plan(10)), {"small#0": "w1"})
 
     def test_first_come_first_served_within_class_and_team(self):
-        shard = Shard(("w1", size(1, 4), "r1"))
+        shard = FakeShardOwner(("w1", size(1, 4), "r1"))
         shard.submit(job("later", size(1), submitted=20))
         shard.submit(job("sooner", size(1), submitted=10))
-        self.assertEqual(placed(shard.plan(30)), {"sooner#0": "w1"})
+        self.assertEqual(workers_by_task(shard.plan(30)), {"sooner#0": "w1"})
 
 
 class RepeatableTest(unittest.TestCase):
     """Guards against runs with one seed that differ by the hashes of job ids."""
 
     def test_equal_work_is_placed_in_the_order_of_the_owners_calls(self):
-        shard = Shard(("w1", size(64, 256), "r1"))
+        shard = FakeShardOwner(("w1", size(64, 256), "r1"))
         records = [job(f"j{n}", size(1), team=f"team-{n}") for n in range(40)]
         shard.submit(*records)
         shard.submit(*reversed(records))
         expected = [f"j{n}#0" for n in reversed(range(40))]
-        self.assertEqual(list(placed(shard.plan(1))), expected)
+        self.assertEqual(list(workers_by_task(shard.plan(1))), expected)
 
 
 class QuotaTest(unittest.TestCase):
     """Guards against a team that takes what another team's quota promises."""
 
-    def shard_with_two_teams(self) -> Shard:
-        shard = Shard(("w1", size(4, 16), "r1"))
+    def shard_with_two_teams(self) -> FakeShardOwner:
+        shard = FakeShardOwner(("w1", size(4, 16), "r1"))
         quota = size(2, 8)
         teams = (Team("greedy", quota), Team("modest", quota))
         shard.planner.set_teams(teams, {})
@@ -58,7 +63,7 @@
         shard = self.shard_with_two_teams()
         shard.submit(job("g", size(1), tasks=4, team="greedy", submitted=0))
         shard.submit(job("m", size(1), tasks=2, team="modest", submitted=30_000))
-        tasks = sorted(placed(shard.plan(MINUTE_MS)))
+        tasks = sorted(workers_by_task(shard.plan(MINUTE_MS)))
         self.assertEqual(tasks, ["g#0", "g#1", "m#0", "m#1"])
 
     def test_idle_quota_is_borrowed(self):
@@ -76,10 +81,10 @@
         )
         started = []
         for step in range(100):
-            tasks = sorted(placed(shard.plan(now + step)))
+            tasks = sorted(workers_by_task(shard.plan(now + step)))
             started.extend(task[0] for task in tasks)
             for task in tasks:
-                shard.end(task)
+                shard.end_task(task)
         self.assertEqual(started[0], "g")
         # One start in eleven, as long as work within quota waits.
         self.assertGreaterEqual(started.count("g"), 400 // 11)
@@ -91,7 +96,7 @@
         shard.planner.set_teams(teams, {"greedy": size(2, 2)})
         shard.submit(job("g", size(1), tasks=4, team="greedy", submitted=0))
         shard.submit(job("m", size(1), tasks=4, team="modest", submitted=30_000))
-        tasks = placed(shard.plan(MINUTE_MS))
+        tasks = workers_by_task(shard.plan(MINUTE_MS))
         self.assertEqual(sorted(tasks), ["m#0", "m#1", "m#2", "m#3"])
 
 
@@ -99,7 +104,7 @@
     """Guards against one team's backlog that makes every team late."""
 
     def test_team_within_quota_meets_its_target_beside_an_endless_backlog(self):
-        shard = Shard(("w1", size(8, 32), "r1"))
+        shard = FakeShardOwner(("w1", size(8, 32), "r1"))
         quota = size(4, 16)
         shard.planner.set_teams((Team("greedy", quota), Team("modest", quota)), {})
         shard.submit(job("flood", size(1), tasks=2000, team="greedy"))
@@ -110,8 +115,8 @@
                 name = f"m{now}"
                 shard.submit(job(name, size(1), team="modest", submitted=now))
             while running and running[0][0] <= now:
-                shard.end(running.pop(0)[1])
-            for task_id in placed(shard.plan(now)):
+                shard.end_task(running.pop(0)[1])
+            for task_id in workers_by_task(shard.plan(now)):
                 running.append((now + 20_000, task_id))
                 if task_id.startswith("m"):
                     waits.append(now - shard.jobs[task_id[:-2]].spec.submitted_unix_ms)
@@ -123,28 +128,28 @@
     """Guards against gangs that start in part, and against idle reserved workers."""
 
     def test_gang_starts_whole_or_not_at_all(self):
-        shard = Shard(("w1", size(2), "r1"), ("w2", size(2), "r1"))
+        shard = FakeShardOwner(("w1", size(2), "r1"), ("w2", size(2), "r1"))
         shard.submit(job("gang", size(1, 0.1), tasks=5, kind=ClassKind.GANG))
         self.assertEqual(shard.plan(0).placements, ())
         shard.submit(job("fits", size(1, 0.1), tasks=4, kind=ClassKind.GANG))
         plan = shard.plan(1)
         self.assertEqual(len(plan.placements), 4)
-        self.assertEqual({t.split("#")[0] for t in placed(plan)}, {"fits"})
+        self.assertEqual({t.split("#")[0] for t in workers_by_task(plan)}, {"fits"})
 
     def test_gang_keeps_to_one_rack_that_holds_it(self):
         workers = [(f"w{i}", size(2, 8), f"r{i // 2}") for i in range(6)]
-        shard = Shard(*workers)
+        shard = FakeShardOwner(*workers)
         shard.submit(job("one", size(2), tasks=1))
         shard.plan(0)
         shard.submit(job("gang", size(2), tasks=2, kind=ClassKind.GANG))
         racks = {
             dict((w[0], w[2]) for w in workers)[w]
-            for w in placed(shard.plan(1)).values()
+            for w in workers_by_task(shard.plan(1)).values()
         }
         self.assertEqual(len(racks), 1)
 
     def test_gangs_that_do_not_fit_never_keep_a_later_one_from_its_turn(self):
-        shard = Shard(("w1", size(8, 32), "r1"), ("w2", size(2, 32), "r1"))
+        shard = FakeShardOwner(("w1", size(8, 32), "r1"), ("w2", size(2, 32), "r1"))
         shard.submit(job("fill", size(4)))
         shard.plan(0)
         for number in range(60):
@@ -157,13 +162,13 @@
         for step in range(6):
             # Something is released before each pass, so nothing stays known to fail.
             shard.submit(job(f"s{step}", size(0.1, 0.1), submitted=10))
-            started.update(placed(shard.plan(10 + step)))
-            shard.end(f"s{step}#0")
+            started.update(workers_by_task(shard.plan(10 + step)))
+            shard.end_task(f"s{step}#0")
         self.assertIn("small#0", started)
 
-    def reserved_shard(self) -> Shard:
+    def reserved_shard(self) -> FakeShardOwner:
         """Return a shard whose gang waits for a task that ends at 100 s."""
-        shard = Shard(("w1", size(4, 16), "r1"), ("w2", size(4, 16), "r1"))
+        shard = FakeShardOwner(("w1", size(4, 16), "r1"), ("w2", size(4, 16), "r1"))
         shard.submit(job("long", size(2), run_time_ms=100_000))
         shard.plan(0)
         shard.submit(job("gang", size(4), tasks=2, kind=ClassKind.GANG))
@@ -175,11 +180,11 @@
         shard.submit(job("short", size(1), run_time_ms=50_000, submitted=2))
         shard.submit(job("endless", size(1), run_time_ms=0, submitted=2))
         shard.submit(job("too-long", size(1), run_time_ms=500_000, submitted=2))
-        self.assertEqual(set(placed(shard.plan(3))), {"short#0"})
+        self.assertEqual(set(workers_by_task(shard.plan(3))), {"short#0"})
 
     def test_gang_starts_when_its_reservation_is_free(self):
         shard = self.reserved_shard()
-        shard.end("long#0")
+        shard.end_task("long#0")
         self.assertEqual(len(shard.plan(99_000).placements), 2)
 
     def test_overdue_reservation_is_dropped_and_another_gang_gets_the_turn(self):
@@ -200,7 +205,7 @@
         self.assertNotIn("holds a reservation", other)
 
     def test_reservation_ignores_room_that_is_kept_for_gpu_work(self):
-        shard = Shard(("w1", size(4, 16), "r1"), ("g1", GPU_VM, "r2"))
+        shard = FakeShardOwner(("w1", size(4, 16), "r1"), ("g1", GPU_VM, "r2"))
         shard.submit(job("train", size(1, 1, 8)), job("train-2", size(1, 1, 8)))
         shard.submit(job("long", size(2), run_time_ms=100_000))
         shard.plan(0)
@@ -213,10 +218,10 @@
     """Guards against a service that one rack's failure stops."""
 
     def test_service_tasks_are_spread_over_racks(self):
-        shard = Shard(*((f"w{i}", VM, f"r{i // 5}") for i in range(20)))
+        shard = FakeShardOwner(*((f"w{i}", VM, f"r{i // 5}") for i in range(20)))
         shard.submit(job("quote", size(1), tasks=8, kind=ClassKind.SERVICE))
         racks: dict[int, int] = {}
-        for worker in placed(shard.plan(0)).values():
+        for worker in workers_by_task(shard.plan(0)).values():
             rack = int(worker[1:]) // 5
             racks[rack] = racks.get(rack, 0) + 1
         self.assertEqual(racks, {0: 2, 1: 2, 2: 2, 3: 2})
@@ -226,12 +231,12 @@
     """Guards against GPU workers that are full of work that needs no GPU."""
 
     def test_fractional_gpus_share_one_worker(self):
-        shard = Shard(("g1", GPU_VM, "r1"))
+        shard = FakeShardOwner(("g1", GPU_VM, "r1"))
         shard.submit(job("half", size(1, 1, 0.5), tasks=17))
         self.assertEqual(len(shard.plan(0).placements), 16)
 
     def test_work_without_gpus_stays_off_while_gpu_work_waits(self):
-        shard = Shard(("g1", GPU_VM, "r1"))
+        shard = FakeShardOwner(("g1", GPU_VM, "r1"))
         shard.submit(job("train", size(8, 32, 8)))
         shard.plan(0)
         shard.submit(job("train-2", size(8, 32, 8)))
@@ -243,7 +248,7 @@
         self.assertEqual(shard.planner.explain("cpu", 2).reason, "no worker has room")
 
     def test_free_gpus_keep_the_cores_that_gpu_work_declares(self):
-        shard = Shard(("g1", GPU_VM, "r1"))
+        shard = FakeShardOwner(("g1", GPU_VM, "r1"))
         shard.submit(job("train", size(4, 16, 1), tasks=4))
         shard.plan(0)
         shard.submit(job("cpu", size(1, 1), tasks=64))
@@ -257,7 +262,7 @@
     """Guards against resources or tasks that are lost between plan and commit."""
 
     def test_abandoned_placements_are_planned_again(self):
-        shard = Shard(("w1", size(2, 8), "r1"))
+        shard = FakeShardOwner(("w1", size(2, 8), "r1"))
         shard.submit(job("a", size(1), tasks=2))
         plan = shard.planner.plan(0, 10)
         self.assertEqual(shard.planner.plan(0, 10).placements, ())
@@ -265,50 +270,50 @@
         self.assertEqual(len(shard.planner.plan(0, 10).placements), 2)
 
     def test_takeover_with_workers_before_jobs_plans_nothing_twice(self):
-        shard = Shard(("w1", size(4, 16), "r1"))
-        shard.commit("w1", "a#0", size(1))
+        shard = FakeShardOwner(("w1", size(4, 16), "r1"))
+        shard.commit_assignment("w1", "a#0", size(1))
         shard.submit(job("a", size(1), tasks=2))
-        self.assertEqual(set(placed(shard.plan(0))), {"a#1"})
+        self.assertEqual(set(workers_by_task(shard.plan(0))), {"a#1"})
 
     def test_hold_survives_a_record_that_does_not_name_it_yet(self):
-        shard = Shard(("w1", size(2, 8), "r1"))
+        shard = FakeShardOwner(("w1", size(2, 8), "r1"))
         shard.submit(job("a", size(2)))
         plan = shard.planner.plan(0, 10)
-        shard.planner.upsert_worker(shard.rows["w1"], True)
+        shard.planner.upsert_worker(shard.worker_records["w1"], True)
         shard.submit(job("b", size(1)))
         self.assertEqual(shard.planner.plan(1, 10).placements, ())
         shard.planner.confirm(plan.placements)
 
     def test_record_beyond_capacity_is_a_broken_invariant(self):
-        shard = Shard(("w1", size(2, 8), "r1"))
+        shard = FakeShardOwner(("w1", size(2, 8), "r1"))
         with self.assertRaises(InvariantError):
-            shard.commit("w1", "a#0", size(3))
+            shard.commit_assignment("w1", "a#0", size(3))
 
     def test_task_on_two_workers_is_a_broken_invariant(self):
-        shard = Shard(("w1", size(2, 8), "r1"), ("w2", size(2, 8), "r1"))
-        shard.commit("w1", "a#0", size(1))
+        shard = FakeShardOwner(("w1", size(2, 8), "r1"), ("w2", size(2, 8), "r1"))
+        shard.commit_assignment("w1", "a#0", size(1))
         with self.assertRaises(InvariantError):
-            shard.commit("w2", "a#0", size(1))
+            shard.commit_assignment("w2", "a#0", size(1))
 
     def test_lost_task_is_queued_again(self):
-        shard = Shard(("w1", size(2, 8), "r1"))
+        shard = FakeShardOwner(("w1", size(2, 8), "r1"))
         shard.submit(job("a", size(1)))
         shard.plan(0)
-        shard.end("a#0", TaskState.PENDING)
+        shard.end_task("a#0", TaskState.PENDING)
         plan = shard.plan(5)
         self.assertEqual([p.attempt for p in plan.placements], [2])
 
     def test_cancelled_jobs_leave_the_queue(self):
-        shard = Shard(("w1", size(2, 8), "r1"))
+        shard = FakeShardOwner(("w1", size(2, 8), "r1"))
         for number in range(2000):
             shard.submit(job(f"j{number}", size(1)))
         for number in range(1999):
             shard.planner.remove_job(f"j{number}")
-        self.assertEqual(set(placed(shard.plan(1))), {"j1999#0"})
+        self.assertEqual(set(workers_by_task(shard.plan(1))), {"j1999#0"})
 
     def test_job_may_be_removed_before_its_placements_are_settled(self):
         """A job that is cancelled or moved while its batch is in flight."""
-        shard = Shard(("w1", size(2, 8), "r1"))
+        shard = FakeShardOwner(("w1", size(2, 8), "r1"))
         for settle in (shard.planner.confirm, shard.planner.abandon):
             shard.submit(job("j", size(2)))
             plan = shard.planner.plan(0, 200)
@@ -317,21 +322,21 @@
             settle(plan.placements)
             shard.planner.check_invariants()
             # The row names the task only if its batch was applied, and then drops it.
-            shard.planner.upsert_worker(shard.rows["w1"], True)
+            shard.planner.upsert_worker(shard.worker_records["w1"], True)
             shard.planner.check_invariants()
         shard.submit(job("other", size(2)))
-        self.assertEqual(placed(shard.plan(1)), {"other#0": "w1"})
+        self.assertEqual(workers_by_task(shard.plan(1)), {"other#0": "w1"})
 
     def test_unschedulable_worker_gets_nothing(self):
-        shard = Shard(("w1", size(2, 8), "r1"))
-        shard.planner.upsert_worker(shard.rows["w1"], False)
+        shard = FakeShardOwner(("w1", size(2, 8), "r1"))
+        shard.planner.upsert_worker(shard.worker_records["w1"], False)
         shard.submit(job("a", size(1)))
         self.assertEqual(shard.plan(0).placements, ())
 
     def test_probe_of_a_quarantined_worker_gets_one_task(self):
-        shard = Shard(("w1", size(8, 32), "r1"))
-        shard.rows["w1"].quarantined_until_unix_ms = 30_000
-        shard.planner.upsert_worker(shard.rows["w1"], True)
+        shard = FakeShardOwner(("w1", size(8, 32), "r1"))
+        shard.worker_records["w1"].quarantined_until_unix_ms = 30_000
+        shard.planner.upsert_worker(shard.worker_records["w1"], True)
         shard.submit(job("a", size(1), tasks=3))
         self.assertEqual(shard.plan(29_000).placements, ())
         self.assertEqual(len(shard.plan(30_000).placements), 1)
@@ -345,38 +350,38 @@
         name, index = task_id.split("#")
         task = shard.jobs[name].tasks[int(index)]
         task.failed_on = (*task.failed_on, worker)
-        shard.end(task_id, TaskState.PENDING)
+        shard.end_task(task_id, TaskState.PENDING)
 
     def test_gang_that_failed_on_all_workers_is_tried_again(self):
-        shard = Shard(("w1", size(2, 8), "r1"), ("w2", size(2, 8), "r1"))
+        shard = FakeShardOwner(("w1", size(2, 8), "r1"), ("w2", size(2, 8), "r1"))
         shard.submit(job("g", size(1), tasks=3, kind=ClassKind.GANG))
-        for task_id, worker in placed(shard.plan(0)).items():
+        for task_id, worker in workers_by_task(shard.plan(0)).items():
             self.fail(shard, task_id, worker)
         self.assertEqual(len(shard.plan(1).placements), 3)
 
     def test_gang_does_not_wait_for_a_quarantined_worker(self):
         """Only a probe ends a quarantine, and a gang is never one."""
-        shard = Shard(("w1", size(2, 8), "r1"), ("w2", size(2, 8), "r1"))
+        shard = FakeShardOwner(("w1", size(2, 8), "r1"), ("w2", size(2, 8), "r1"))
         shard.submit(job("g", size(1), tasks=2, kind=ClassKind.GANG))
-        first = placed(shard.plan(0))
+        first = workers_by_task(shard.plan(0))
         for task_id, worker in first.items():
             self.fail(shard, task_id, worker)
         other = {"w1", "w2"} - set(first.values())
         for worker in other:
-            shard.rows[worker].quarantined_until_unix_ms = 1
-            shard.planner.upsert_worker(shard.rows[worker], True)
+            shard.worker_records[worker].quarantined_until_unix_ms = 1
+            shard.planner.upsert_worker(shard.worker_records[worker], True)
         self.assertEqual(len(shard.plan(10).placements), 2)
 
     def test_worker_is_tried_again_once_the_others_are_gone(self):
-        shard = Shard(("w1", size(2, 8), "r1"), ("w2", size(2, 8), "r1"))
+        shard = FakeShardOwner(("w1", size(2, 8), "r1"), ("w2", size(2, 8), "r1"))
         shard.submit(job("b", size(2)))
-        first = placed(shard.plan(0))["b#0"]
+        first = workers_by_task(shard.plan(0))["b#0"]
         other = "w2" if first == "w1" else "w1"
-        shard.planner.upsert_worker(shard.rows[other], False)
+        shard.planner.upsert_worker(shard.worker_records[other], False)
         self.fail(shard, "b#0", first)
-        self.assertEqual(placed(shard.plan(1)), {})
+        self.assertEqual(workers_by_task(shard.plan(1)), {})
         shard.planner.remove_worker(other)
-        self.assertEqual(placed(shard.plan(2)), {"b#0": first})
+        self.assertEqual(workers_by_task(shard.plan(2)), {"b#0": first})
         shard.planner.check_invariants()
 
 
@@ -384,7 +389,7 @@
     """Guards against a waiting job without a reason."""
 
     def test_lacking_resources_are_counted_by_worker(self):
-        shard = Shard(("w1", size(2, 64), "r1"), ("w2", size(8, 2), "r1"))
+        shard = FakeShardOwner(("w1", size(2, 64), "r1"), ("w2", size(8, 2), "r1"))
         shard.submit(job("a", size(4, 4)))
         shard.plan(0)
         explanation = shard.planner.explain("a", 1)
@@ -392,7 +397,7 @@
         self.assertIn("no worker of the shard could run", explanation.reason)
 
     def test_team_above_quota_is_named(self):
-        shard = Shard(("w1", size(2, 64), "r1"))
+        shard = FakeShardOwner(("w1", size(2, 64), "r1"))
         shard.planner.set_teams((Team("quotes", Resources(1000, 1 << 30)),), {})
         shard.submit(job("a", size(1), tasks=3))
         shard.plan(0)
--- a/basilhold/placement/victims.py
+++ b/basilhold/placement/victims.py
@@ -11,7 +11,7 @@
 
 __all__ = ["VictimSet", "choose_victims", "lost_work"]
 
-_THROTTLED_SHARE_MIN = 0.25
+_THROTTLED_CORES_SHARE_MIN = 0.25
 """A victim keeps at least this share of its cores, so that it still makes progress."""
 
 
@@ -40,25 +40,32 @@
     cost: tuple[float, float, int]
 
 
-_NOTHING = Resources()
+_NO_RESOURCES = Resources()
 
 
-class _Victim:
+class _Candidate:
     """A task that may be chosen, and how it would give way."""
 
-    __slots__ = ("action", "cores_limit_milli", "freed", "live", "lost", "within_quota")
+    __slots__ = (
+        "action",
+        "cores_limit_milli",
+        "freed",
+        "live",
+        "lost_work",
+        "within_quota",
+    )
 
     def __init__(self, live: LiveTask, within_quota: bool, lost: float):
         self.live = live
         self.within_quota = within_quota
-        self.lost = lost
+        self.lost_work = lost
         self.action = EvictionAction.STOP
-        self.freed = _NOTHING
+        self.freed = _NO_RESOURCES
         self.cores_limit_milli = 0
 
     def rank(self) -> tuple[bool, float, int]:
         """Order: above quota, then least lost work, then longest target."""
-        return (self.within_quota, self.lost, -self.live.job.spec.wait_target_ms)
+        return (self.within_quota, self.lost_work, -self.live.job.spec.wait_target_ms)
 
 
 def lost_work(live: LiveTask, estimates: ClassEstimates, now_unix_ms: int) -> float:
@@ -99,31 +106,31 @@
         Whether victims must belong to teams above quota.
     now_unix_ms : int
     """
-    candidates = _ranked(
+    candidates = _ranked_candidates(
         worker, estimates, is_within_quota, only_above_quota, now_unix_ms
     )
-    chosen: list[_Victim] = []
+    chosen: list[_Candidate] = []
     for candidate in candidates:
-        if missing.fits_in(_NOTHING):
+        if missing.fits_in(_NO_RESOURCES):
             break
-        action, freed, limit = _action(candidate.live, missing)
-        if _helps(freed, missing):
+        action, freed, limit = _eviction_action(candidate.live, missing)
+        if _frees_missing(freed, missing):
             candidate.action, candidate.freed = action, freed
             candidate.cores_limit_milli = limit
             chosen.append(candidate)
             missing = missing - freed
-    if not missing.fits_in(_NOTHING):
+    if not missing.fits_in(_NO_RESOURCES):
         return None
-    return _victim_set(worker, _without_surplus(chosen, missing))
+    return _build_victim_set(worker, _drop_unneeded(chosen, missing))
 
 
-def _ranked(
+def _ranked_candidates(
     worker: WorkerState,
     estimates: ClassEstimates,
     is_within_quota: Callable[[LiveTask], bool],
     only_above_quota: bool,
     now_unix_ms: int,
-) -> list[_Victim]:
+) -> list[_Candidate]:
     """Return the tasks that may be victims, the cheapest first."""
     candidates = []
     for live in worker.tasks.values():
@@ -132,15 +139,15 @@
         within = is_within_quota(live)
         if not (within and only_above_quota):
             lost = lost_work(live, estimates, now_unix_ms)
-            candidates.append(_Victim(live, within, lost))
-    candidates.sort(key=_Victim.rank)
+            candidates.append(_Candidate(live, within, lost))
+    candidates.sort(key=_Candidate.rank)
     return candidates
 
 
-def _victim_set(worker: WorkerState, chosen: list[_Victim]) -> VictimSet:
+def _build_victim_set(worker: WorkerState, chosen: list[_Candidate]) -> VictimSet:
     cost = (
-        sum(victim.lost for victim in chosen if victim.within_quota),
-        sum(victim.lost for victim in chosen),
+        sum(victim.lost_work for victim in chosen if victim.within_quota),
+        sum(victim.lost_work for victim in chosen),
         max((-victim.live.job.spec.wait_target_ms for victim in chosen), default=0),
     )
     evictions = [
@@ -157,14 +164,14 @@
     return VictimSet(worker, evictions, [victim.freed for victim in chosen], cost)
 
 
-def _action(
+def _eviction_action(
     live: LiveTask, missing: Resources
 ) -> tuple[EvictionAction, Resources, int]:
     """Return how a victim gives way, what that frees and its limit of cores."""
     if live.job.spec.checkpoint:
         return EvictionAction.CHECKPOINT, live.size, 0
     declared = live.job.spec.task_resources
-    kept = max(1, int(declared.cores_milli * _THROTTLED_SHARE_MIN))
+    kept = max(1, int(declared.cores_milli * _THROTTLED_CORES_SHARE_MIN))
     if (
         missing.memory_bytes <= 0
         and missing.gpus_milli <= 0
@@ -176,7 +183,7 @@
     return EvictionAction.STOP, live.size, 0
 
 
-def _helps(freed: Resources, missing: Resources) -> bool:
+def _frees_missing(freed: Resources, missing: Resources) -> bool:
     return (
         (missing.cores_milli > 0 and freed.cores_milli > 0)
         or (missing.memory_bytes > 0 and freed.memory_bytes > 0)
@@ -184,12 +191,12 @@
     )
 
 
-def _without_surplus(chosen: list[_Victim], missing: Resources) -> list[_Victim]:
+def _drop_unneeded(chosen: list[_Candidate], missing: Resources) -> list[_Candidate]:
     """Drop victims, the dearest first, that the others make unnecessary."""
     kept = list(chosen)
     for candidate in reversed(chosen):
         without = missing + candidate.freed
-        if len(kept) > 1 and without.fits_in(_NOTHING):
+        if len(kept) > 1 and without.fits_in(_NO_RESOURCES):
             kept.remove(candidate)
             missing = without
     return kept
--- a/basilhold/placement/waiting.py
+++ b/basilhold/placement/waiting.py
@@ -220,7 +220,7 @@
                 self._drop_entries(job)
                 self._build_entries(job)
         self._changed.clear()
-        self.lanes.settle()
+        self.lanes.update_order()
 
     def build(self, job: JobState) -> None:
         """Build the entries of a new job."""
@@ -285,7 +285,7 @@
             self.lanes.add(bucket, key.lane)
         entry = Entry(bucket, job, since_unix_ms, indices)
         bucket.add(entry)
-        self.lanes.note_moved(bucket)
+        self.lanes.mark_changed(bucket)
         job.entries.append(entry)
 
     def _drop_entries(self, job: JobState) -> None:
@@ -296,7 +296,7 @@
     def _drop_entry(self, entry: Entry) -> None:
         bucket = entry.bucket
         bucket.drop(entry)
-        self.lanes.note_moved(bucket)
+        self.lanes.mark_changed(bucket)
         if bucket.count == 0:
             del self.buckets[bucket.key]
 
