Reword the admission check, the planner interface and its results

Comments assumed private terms, and doc comments did not name parameters, units and results. Rejections and invariant errors now say what was found and what was expected.

--- a/basilhold/placement/admission.py
+++ b/basilhold/placement/admission.py
@@ -1,4 +1,4 @@
-"""Checks a job at submission, and splits services over zones."""
+"""Admission check of submitted jobs, and distribution of services over zones."""
 
 from collections.abc import Mapping
 from enum import Enum
@@ -27,14 +27,23 @@
 ]
 
 GANG_TASKS_MAX = 200
-"""A gang is committed in one transaction, which holds at most 200 placements."""
+"""Largest number of tasks in a gang. A gang is committed in one transaction, which
+holds at most 200 placements."""
 
 _QUEUED_TASKS_MAX = 10_000
-"""Bound for a team that the configuration does not name."""
+"""Largest number of waiting tasks of a team that the configuration does not name."""
 
 
 class WorkerShape(msgspec.Struct, frozen=True):
-    """Workers of one capacity in one zone, from the VM list."""
+    """Number of workers of one capacity in one zone, from the VM list.
+
+    Parameters
+    ----------
+    zone : ZoneName
+    capacity : Resources
+        Resources that each of the workers offers to tasks.
+    count : int
+    """
 
     zone: ZoneName
     capacity: Resources
@@ -42,7 +51,7 @@
 
 
 class RejectionKind(Enum):
-    """Why a job is refused."""
+    """Reason for which a job is rejected, as reported to the client."""
 
     UNKNOWN_CLASS = "unknown-class"
     INVALID = "invalid"
@@ -52,7 +61,16 @@
 
 
 class Rejection(msgspec.Struct, frozen=True):
-    """A refused job. Nothing of it was run or stored."""
+    """Result of the admission check of a rejected job.
+
+    No task of the job was started and nothing was stored.
+
+    Parameters
+    ----------
+    kind : RejectionKind
+    reason : str
+        Explanation for the person who submitted the job.
+    """
 
     kind: RejectionKind
     reason: str
@@ -65,7 +83,10 @@
     team: Team | None,
     queued_tasks: int,
 ) -> Result[None, Rejection]:
-    """Return whether a job may wait, or why it never should.
+    """Check whether a submitted job may be queued.
+
+    A job is rejected if it could never start on the present workers, or if its team
+    already has too many waiting tasks.
 
     Parameters
     ----------
@@ -73,25 +94,33 @@
     shapes : tuple of WorkerShape
         All live workers, in every zone.
     classes : mapping of ClassName to WorkClass
+        The configured classes.
     team : Team, optional
         The job's team, if the configuration names it.
     queued_tasks : int
-        Number of the team's tasks that wait.
+        Number of the team's tasks that wait already.
+
+    Returns
+    -------
+    Result of None or Rejection
+        ``Ok`` if the job is admitted.
     """
     if spec.class_name not in classes:
-        return _rejected(RejectionKind.UNKNOWN_CLASS, f"no class {spec.class_name}")
+        return _rejected(
+            RejectionKind.UNKNOWN_CLASS, f"class {spec.class_name} is not configured"
+        )
     if classes[spec.class_name].kind is ClassKind.REQUEST:
         return _rejected(
             RejectionKind.INVALID,
-            f"class {spec.class_name} is for requests and not for jobs",
+            f"class {spec.class_name} accepts requests and no jobs",
         )
-    bound = team.queued_tasks_max if team is not None else _QUEUED_TASKS_MAX
+    limit = team.queued_tasks_max if team is not None else _QUEUED_TASKS_MAX
     size_check = _check_size(spec, shapes)
-    if size_check.is_error() or queued_tasks + spec.task_count <= bound:
+    if size_check.is_error() or queued_tasks + spec.task_count <= limit:
         return size_check
     return _rejected(
         RejectionKind.QUEUE_FULL,
-        f"team {spec.team} has {queued_tasks} waiting tasks of at most {bound}",
+        f"team {spec.team} has {queued_tasks} waiting tasks; the limit is {limit}",
     )
 
 
@@ -101,7 +130,8 @@
     size = spec.task_resources
     if spec.task_count < 1 or size.is_negative() or size == Resources():
         return _rejected(
-            RejectionKind.INVALID, "a job needs at least one task of a positive size"
+            RejectionKind.INVALID,
+            "a job needs at least one task, and its tasks must request resources",
         )
     if not any(size.fits_in(shape.capacity) for shape in shapes):
         return _rejected(RejectionKind.TASK_TOO_LARGE, _too_large_reason(size, shapes))
@@ -110,14 +140,14 @@
         if spec.task_count > largest:
             return _rejected(
                 RejectionKind.GANG_TOO_LARGE,
-                f"a gang of {spec.task_count} such tasks is larger than the "
-                f"{largest} that start together in any zone",
+                f"the gang has {spec.task_count} tasks, but no zone can run more "
+                f"than {largest} such tasks at once",
             )
     return Ok(None)
 
 
 def largest_gang(size: Resources, shapes: tuple[WorkerShape, ...]) -> int:
-    """Return how many tasks of a size the largest zone runs when it is empty."""
+    """Return how many tasks of a size the largest zone could run if it were empty."""
     by_zone: dict[ZoneName, int] = {}
     for shape in shapes:
         slots = count_fitting(shape.capacity, size) * shape.count
@@ -128,10 +158,22 @@
 def split_over_zones(
     task_count: int, slots_by_zone: Mapping[ZoneName, int]
 ) -> dict[ZoneName, int]:
-    """Return how many tasks of a service each zone gets.
+    """Distribute the tasks of a service over zones as evenly as possible.
+
+    A zone with too few free slots gets only as many tasks as it has slots, and the
+    others get the rest. Tasks beyond the free slots of all zones are again distributed
+    evenly, and wait there.
+
+    Parameters
+    ----------
+    task_count : int
+    slots_by_zone : mapping of ZoneName to int
+        Number of the service's tasks for which each zone has room now.
 
-    Tasks are spread evenly; a zone without enough free slots passes the rest on to
-    the others, and what fits nowhere now is spread evenly again.
+    Returns
+    -------
+    dict of ZoneName to int
+        Number of tasks per zone, without the zones that get none.
 
     Examples
     --------
@@ -151,7 +193,7 @@
 
 def _too_large_reason(size: Resources, shapes: tuple[WorkerShape, ...]) -> str:
     if not shapes:
-        return "the VM list names no worker"
+        return "the VM list contains no worker"
     limits = (
         ("cores", size.cores_milli, max(s.capacity.cores_milli for s in shapes), 1000),
         ("GPUs", size.gpus_milli, max(s.capacity.gpus_milli for s in shapes), 1000),
@@ -162,11 +204,11 @@
             1 << 30,
         ),
     )
-    over = [
+    exceeded = [
         f"{need / unit:g} {name} (largest worker: {most / unit:g})"
         for name, need, most, unit in limits
         if need > most
     ]
-    if not over:
-        return "no single worker has the cores, memory and GPUs of a task together"
-    return f"a task needs {', '.join(over)}"
+    if not exceeded:
+        return "no single worker has enough cores, memory and GPUs for a task"
+    return f"a task needs {', '.join(exceeded)}"
--- a/basilhold/placement/audit.py
+++ b/basilhold/placement/audit.py
@@ -1,4 +1,4 @@
-"""Full check of a shard's bookkeeping against its live tasks and records."""
+"""Consistency check of a shard's planning state against its live tasks."""
 
 from basilhold.core import (
     InvariantError,
@@ -16,15 +16,20 @@
 
 
 def audit(state: ShardState) -> None:
-    """Recompute every sum and queue of a shard, and compare.
+    """Recompute every sum, queue and index of a shard, and compare.
 
-    The planner checks each change as it makes it. This check takes time in
-    proportion to all tasks; owners run it rarely and tests after every step.
+    The planner checks each change as it makes it. This check takes time proportional
+    to the number of all tasks, so shard owners run it rarely, and tests after every
+    step.
+
+    Parameters
+    ----------
+    state : ShardState
 
     Raises
     ------
     InvariantError
-        If a sum, a queue or an index does not agree with the live tasks.
+        If a sum, a queue or an index disagrees with the live tasks.
     """
     for worker in state.workers.values():
         _audit_worker(state, worker)
@@ -32,9 +37,11 @@
     for job in state.queue.jobs.values():
         _audit_job(state, job)
     entries = sum(bucket.count for bucket in state.queue.buckets.values())
-    known = sum(len(job.entries) for job in state.queue.jobs.values())
-    if entries != known:
-        raise InvariantError(f"{entries} entries in buckets, {known} in jobs")
+    job_entries = sum(len(job.entries) for job in state.queue.jobs.values())
+    if entries != job_entries:
+        raise InvariantError(
+            f"the buckets hold {entries} entries, the jobs {job_entries}"
+        )
     _audit_lanes(state)
 
 
@@ -42,22 +49,25 @@
     lanes = state.queue.lanes
     for bucket in state.queue.buckets.values():
         if lanes.lanes.get(bucket.key.lane) is not bucket.lane:
-            raise InvariantError(f"the lane of bucket {bucket.key} is not listed")
+            raise InvariantError(f"bucket {bucket.key} has an unregistered lane")
         if not lanes.is_changed(bucket) and bucket.position not in bucket.lane.order:
-            raise InvariantError(f"bucket {bucket.key} is not in its lane")
+            raise InvariantError(f"bucket {bucket.key} is missing from its lane")
 
 
 def _audit_worker(state: ShardState, worker: WorkerState) -> None:
     taken, reclaimable = Resources(), Resources()
     for live in worker.tasks.values():
         if state.tasks.get(live.task_id) is not live:
-            raise InvariantError(f"{live.task_id} is not live but on a worker")
+            raise InvariantError(
+                f"worker {worker.worker_id} holds {live.task_id}, which is not live"
+            )
         taken = taken + live.size
         if live.may_be_reclaimed():
             reclaimable = reclaimable + live.size
     if worker.free() != worker.capacity - taken or worker.is_overcommitted():
         raise InvariantError(
-            f"worker {worker.worker_id}: free {worker.free()}, taken {taken}"
+            f"worker {worker.worker_id}: {worker.free()} free and {taken} taken of "
+            f"{worker.capacity}"
         )
     counted = Resources(
         worker.reclaimable_cores_milli,
@@ -66,7 +76,8 @@
     )
     if counted != reclaimable:
         raise InvariantError(
-            f"worker {worker.worker_id}: reclaimable {counted}, not {reclaimable}"
+            f"worker {worker.worker_id}: {counted} counted as reclaimable, expected "
+            f"{reclaimable}"
         )
     _audit_index(state, worker)
 
@@ -76,7 +87,7 @@
     indexed = state.free_index.amounts(worker.worker_id)
     if indexed != expected:
         raise InvariantError(
-            f"worker {worker.worker_id}: indexed {indexed}, not {expected}"
+            f"worker {worker.worker_id}: {indexed} in the index, expected {expected}"
         )
 
 
@@ -88,7 +99,7 @@
             used[team] = used.get(team, Resources()) + live.size
     counted = state.teams.used_here()
     if counted != {team: size for team, size in used.items() if size != Resources()}:
-        raise InvariantError(f"team usage is {counted}, not {used}")
+        raise InvariantError(f"team usage is counted as {counted}, expected {used}")
 
 
 def _audit_job(state: ShardState, job: JobState) -> None:
@@ -100,8 +111,12 @@
     for index, task in enumerate(job.record.tasks):
         is_live = make_task_id(job_id, index) in state.tasks
         if is_live != (index in job.live):
-            raise InvariantError(f"task {index} of {job_id} is live only once")
+            raise InvariantError(
+                f"task {index} of {job_id} is live in only one of shard and job"
+            )
         if task.state is TaskState.PENDING and not is_live and not job.cancelled:
             expected.add(index)
     if waiting != expected or waiting & job.live.keys():
-        raise InvariantError(f"job {job_id}: waiting {waiting}, not {expected}")
+        raise InvariantError(
+            f"job {job_id}: tasks {waiting} are queued, expected {expected}"
+        )
--- a/basilhold/placement/newest_tasks.py
+++ b/basilhold/placement/newest_tasks.py
@@ -1,4 +1,4 @@
-"""Tasks that may be reclaimed, ordered by how little work they would lose."""
+"""Tasks that may be evicted for urgent work, ordered by how little work is lost."""
 
 from collections.abc import Iterator
 
@@ -11,13 +11,16 @@
 
 
 class NewestReclaimableTasks:
-    """Lists per team, the most recently started or checkpointed task first."""
+    """Reclaimable tasks of each team, the most recently started or checkpointed first.
+
+    These lose the least work when they are evicted.
+    """
 
     def __init__(self):
         self._by_team: dict[TeamName, SortedList] = {}
 
     def update(self, live: LiveTask) -> None:
-        """List a task if it may be reclaimed, and remove it otherwise."""
+        """Insert a task if it is reclaimable, and remove it otherwise."""
         if live.reclaimable == (live.newest_key is not None):
             return
         if live.reclaimable:
@@ -26,7 +29,7 @@
             self.remove(live)
 
     def remove(self, live: LiveTask) -> None:
-        """Remove a task if it is listed."""
+        """Remove a task if it is present."""
         if live.newest_key is None:
             return
         tasks = self._by_team[live.newest_team]
@@ -36,7 +39,11 @@
             del self._by_team[live.newest_team]
 
     def by_team(self) -> Iterator[tuple[TeamName, Iterator[tuple[int, TaskId]]]]:
-        """Yield each team with an iterator over its tasks."""
+        """Yield each team with an iterator over its tasks, the newest first.
+
+        Each task is given as the negated time of its start or last checkpoint, in Unix
+        milliseconds, and its id.
+        """
         return ((team, iter(tasks)) for team, tasks in self._by_team.items())
 
     def _add(self, live: LiveTask) -> None:
--- a/basilhold/placement/plan.py
+++ b/basilhold/placement/plan.py
@@ -1,4 +1,4 @@
-"""Results of planning."""
+"""Results of a planning pass: placements, evictions and explanations."""
 
 from enum import Enum
 
@@ -10,7 +10,17 @@
 
 
 class Placement(msgspec.Struct, frozen=True):
-    """An attempt of a task on a worker, not yet committed."""
+    """Decision to run an attempt of a task on a worker, not yet committed.
+
+    Parameters
+    ----------
+    task_id : TaskId
+    attempt : Attempt
+        Number of the attempt, one more than that of the last one.
+    worker_id : WorkerId
+    resources : Resources
+        Amount to reserve on the worker for the task.
+    """
 
     task_id: TaskId
     attempt: Attempt
@@ -19,7 +29,11 @@
 
 
 class EvictionAction(Enum):
-    """How a victim gives up its resources."""
+    """How an evicted task gives up resources.
+
+    ``CHECKPOINT`` stops the task after it has saved its progress, ``THROTTLE`` lowers
+    its limit of cores while it runs on, and ``STOP`` ends it at once.
+    """
 
     CHECKPOINT = "checkpoint"
     THROTTLE = "throttle"
@@ -27,9 +41,22 @@
 
 
 class Eviction(msgspec.Struct, frozen=True):
-    """A victim that must give way to urgent work, or that exceeds its declaration.
+    """Decision to take resources from a running task.
 
-    The urgent task is planned again once the victim's stop is confirmed.
+    The task either makes room for an urgent task or uses more than it declared. An
+    urgent task is planned again once the stop of the evicted task is confirmed.
+
+    Parameters
+    ----------
+    task_id : TaskId
+    attempt : Attempt
+    worker_id : WorkerId
+    action : EvictionAction
+    for_task_id : TaskId, optional
+        The urgent task that needs the resources; ``None`` if the evicted task exceeds
+        its declaration.
+    cores_limit_milli : int
+        New limit for ``THROTTLE``, in thousandths of a core; otherwise 0.
     """
 
     task_id: TaskId
@@ -41,9 +68,14 @@
 
 
 class Plan(msgspec.Struct, frozen=True):
-    """Placements to commit and evictions to carry out.
+    """Placements to commit and evictions to carry out after one planning pass.
 
     All tasks of a gang are in one plan, next to each other.
+
+    Parameters
+    ----------
+    placements : tuple of Placement
+    evictions : tuple of Eviction
     """
 
     placements: tuple[Placement, ...] = ()
@@ -51,15 +83,18 @@
 
 
 class Explanation(msgspec.Struct, frozen=True):
-    """Why a job waits.
+    """Reason why tasks of a job wait.
 
     Parameters
     ----------
     job_id : JobId
     waiting_tasks : int
+        Number of the job's tasks that wait.
     reason : str
+        Explanation for a user.
     lacking_workers : dict of str to int
-        Number of workers by what they lack (cores, memory, GPUs, other).
+        Number of workers by what they lack for a task (cores, memory, GPUs or
+        something else).
     """
 
     job_id: JobId
--- a/basilhold/placement/planner.py
+++ b/basilhold/placement/planner.py
@@ -1,4 +1,4 @@
-"""Interface between placement decisions and their commit."""
+"""Interface of the planners, which a shard's owner calls."""
 
 from abc import ABC, abstractmethod
 
@@ -11,36 +11,36 @@
 
 
 class Planner(ABC):
-    """Plans the placements of one shard.
+    """Decides which waiting tasks of one shard run on which workers.
 
-    The shard's owner keeps the planner informed of workers, jobs and outcomes. The
-    placements of a plan hold their resources in the planner until they are confirmed
-    or abandoned.
+    The shard's owner, which commits the placements, reports workers, jobs and task
+    outcomes to the planner. The placements of a plan hold their resources in the
+    planner until the owner confirms or abandons them.
     """
 
     @abstractmethod
     def upsert_worker(self, record: WorkerRecord, schedulable: bool) -> None:
-        """Add a worker or replace what is known about it.
+        """Add a worker or replace its record.
 
         Parameters
         ----------
         record : WorkerRecord
             As committed, including the assignments.
         schedulable : bool
-            Whether new tasks may go there: false while the worker is leaving or
+            Whether new tasks may be placed on the worker. False while it is leaving or
             unreachable. A quarantine is read from the record.
         """
 
     @abstractmethod
     def remove_worker(self, worker_id: WorkerId) -> None:
-        """Remove a worker that holds no assignments any more."""
+        """Remove a worker to which no task is assigned any more."""
 
     @abstractmethod
     def upsert_job(self, record: JobRecord) -> None:
-        """Add a job or replace what is known about it.
+        """Add a job or replace its record.
 
-        Its pending tasks are those in state ``PENDING`` that no worker's record
-        names.
+        The tasks in state ``PENDING`` wait to be placed, except those that a worker's
+        record lists as assigned.
         """
 
     @abstractmethod
@@ -51,26 +51,46 @@
     def set_teams(
         self, teams: tuple[Team, ...], used_elsewhere: dict[TeamName, Resources]
     ) -> None:
-        """Replace the teams' quotas and their usage in other shards."""
+        """Replace the teams' quotas and their usage in other shards.
+
+        Parameters
+        ----------
+        teams : tuple of Team
+        used_elsewhere : dict of TeamName to Resources
+            What the teams' tasks hold in all other shards together.
+        """
 
     @abstractmethod
     def record_usage(
         self, worker_id: WorkerId, reports: tuple[TaskReport, ...], now_unix_ms: int
     ) -> None:
-        """Take in usage reports, which lag."""
+        """Process a worker's reports on its tasks.
+
+        The reports may be several seconds old.
+        """
 
     @abstractmethod
     def plan(self, now_unix_ms: int, limit: int) -> Plan:
-        """Return up to `limit` placements, and the evictions that are needed."""
+        """Return up to `limit` placements, and the evictions that are needed.
+
+        Parameters
+        ----------
+        now_unix_ms : int
+        limit : int
+            Maximum number of placements.
+        """
 
     @abstractmethod
     def confirm(self, placements: tuple[Placement, ...]) -> None:
-        """Turn planned placements into committed ones."""
+        """Record that placements of a plan have been committed."""
 
     @abstractmethod
     def abandon(self, placements: tuple[Placement, ...]) -> None:
-        """Release planned placements; their tasks are pending again."""
+        """Release the resources of placements that were not committed.
+
+        Their tasks wait again.
+        """
 
     @abstractmethod
     def explain(self, job_id: JobId, now_unix_ms: int) -> Explanation:
-        """Return why a job's tasks wait."""
+        """Return why tasks of a job wait."""
