--- a/basilhold/placement/admission.py
+++ b/basilhold/placement/admission.py
@@ -107,7 +107,7 @@
     """
     if spec.class_name not in classes:
         return _rejected(
-            RejectionKind.UNKNOWN_CLASS, f"class {spec.class_name} is not configured"
+            RejectionKind.UNKNOWN_CLASS, f"there is no class {spec.class_name}"
         )
     if classes[spec.class_name].kind is ClassKind.REQUEST:
         return _rejected(
--- a/basilhold/placement/audit.py
+++ b/basilhold/placement/audit.py
@@ -40,7 +40,7 @@
     job_entries = sum(len(job.entries) for job in state.queue.jobs.values())
     if entries != job_entries:
         raise InvariantError(
-            f"the buckets hold {entries} entries, the jobs {job_entries}"
+            f"{entries} entries in all buckets, but {job_entries} in all jobs"
         )
     _audit_lanes(state)
 
@@ -59,15 +59,15 @@
     for live in worker.tasks.values():
         if state.tasks.get(live.task_id) is not live:
             raise InvariantError(
-                f"worker {worker.worker_id} holds {live.task_id}, which is not live"
+                f"{live.task_id} is on a worker but not among the live tasks"
             )
         taken = taken + live.size
         if live.may_be_reclaimed():
             reclaimable = reclaimable + live.size
     if worker.free() != worker.capacity - taken or worker.is_overcommitted():
         raise InvariantError(
-            f"worker {worker.worker_id}: {worker.free()} free and {taken} taken of "
-            f"{worker.capacity}"
+            f"worker {worker.worker_id}: free resources {worker.free()} do not match "
+            f"the resources taken, {taken}"
         )
     counted = Resources(
         worker.reclaimable_cores_milli,
