Reword the gang reservations, lanes and worker selection of the planner

Doc comments spoke of turns, tries and openings that only the authors could follow. They now define lanes, open workers, rounds and probes, and name parameters, units and results.

--- a/basilhold/placement/gang_reservations.py
+++ b/basilhold/placement/gang_reservations.py
@@ -1,4 +1,4 @@
-"""Decides which gang holds the shard's reservation."""
+"""Management of the reservation that lets a large gang start in a shard."""
 
 from collections.abc import Iterable
 
@@ -12,12 +12,31 @@
 __all__ = ["GangReservations"]
 
 _RECOMPUTE_INTERVAL_MS = 1_000
-"""Pause between computations of a reservation, in milliseconds; each looks at every
-live task."""
+"""Minimum time between computations of a reservation, in milliseconds. Each examines
+all workers and the live tasks of many of them."""
 
 
 class GangReservations:
-    """Holds at most one reservation, so two gangs never wait for each other."""
+    """Reserves workers for one gang at a time.
+
+    A gang that does not fit now gets a reservation: the workers on which it is
+    expected to fit earliest take other tasks only as long as these do not delay it.
+    There is at most one reservation, so that two gangs never wait for workers that
+    the other holds. A reservation that is overdue passes on to another gang.
+
+    The class also limits how often gangs are tried. Passes form rounds. A pass that
+    has used up its number of tries leaves the round unfinished, and the next pass
+    continues it with the task sizes that were not tried.
+
+    Parameters
+    ----------
+    state : ShardState
+
+    Attributes
+    ----------
+    reservation : Reservation or None
+        The present reservation.
+    """
 
     def __init__(self, state: ShardState):
         self._state = state
@@ -30,7 +49,10 @@
         self._round_is_unfinished = False
 
     def reserve_if_needed(self, bucket: Bucket) -> None:
-        """Reserve capacity for a gang that does not fit, if no other gang holds any."""
+        """Reserve workers for a gang that does not fit, unless a reservation exists.
+
+        At most one reservation is computed per pass.
+        """
         state = self._state
         if (
             self.reservation is not None
@@ -46,10 +68,18 @@
         self._set_reservation(found)
 
     def should_try(self, fit: SizeFit, tasks: int) -> bool:
-        """Return whether a gang of some tasks of a size is worth a try in this pass.
+        """Return whether to search workers for a gang in this pass.
+
+        The search is skipped if it failed for a gang of the same task size that is no
+        larger, and no resources have been released since. It is also skipped if the
+        task size was tried in an earlier pass of this round.
 
-        It is not if a gang that is no larger has failed since resources were last
-        released, or if the size had its turn in an earlier pass of this round.
+        Parameters
+        ----------
+        fit : SizeFit
+            State of the gang's task size.
+        tasks : int
+            Number of tasks in the gang.
         """
         if (
             fit.gang_failed_at_release == self._state.releases
@@ -59,26 +89,38 @@
         return fit.gang_round != self._round or fit.gang_pass == self._pass
 
     def record_try(self, fit: SizeFit, is_last: bool) -> None:
-        """Note that a gang of a size is tried; after the last, the pass tries no more.
+        """Record that workers are searched for a gang of this task size.
 
-        The round then goes on in the next pass with the sizes that had no turn, so
-        gangs that do not fit never keep later ones from being tried.
+        After the last try of a pass, the next pass continues the round with the sizes
+        that have not been tried, so gangs that do not fit never keep later ones from
+        being tried.
+
+        Parameters
+        ----------
+        fit : SizeFit
+        is_last : bool
+            Whether the pass tries no more gangs.
         """
         fit.gang_round, fit.gang_pass = self._round, self._pass
         self._round_is_unfinished |= is_last
 
     def record_failure(self, fit: SizeFit, tasks: int) -> None:
-        """Note that a gang of some tasks of a size does not fit now."""
+        """Record that a gang of this number of tasks of a size does not fit now."""
         fit.gang_failed_at_release = self._state.releases
         fit.gang_failed_tasks = tasks
 
     def release_started(self, job_id: JobId) -> None:
-        """Drop the reservation of a gang that has started."""
+        """Drop the reservation if it belongs to this gang, which has started."""
         if self.reservation is not None and self.reservation.job_id == job_id:
             self._drop_reservation()
 
     def begin_pass(self) -> None:
-        """Begin a pass: drop a reservation that is overdue or has lost its gang."""
+        """Start a pass, and drop or refresh the reservation.
+
+        The reservation is dropped if its gang no longer waits, if one of its workers
+        has become unavailable, or if it is overdue: the gang has not started within
+        its target wait after the time that was expected at first.
+        """
         self._computed_in_pass = False
         self._pass += 1
         if not self._round_is_unfinished:
@@ -101,11 +143,11 @@
             bucket.key.gang not in (None, held.job_id)
             for bucket in state.queue.buckets.values()
         ):
-            # Another gang gets the next turn; this one keeps its age.
+            # Another gang may reserve first; this one keeps its place by age.
             job.entries[0].bucket.reserve_unix_ms = state.now_unix_ms + target_ms
 
     def reserved_workers(self, job_id: JobId | None) -> list[WorkerState]:
-        """Return the workers that are reserved for a gang."""
+        """Return the workers reserved for a gang, without those that have claims."""
         held = self.reservation
         if held is None or held.job_id != job_id:
             return []
@@ -115,7 +157,24 @@
     def backfill_worker(
         self, key: LaneKey, job: JobState, starving: bool
     ) -> WorkerState | None:
-        """Return a reserved worker that a task may use without delaying the gang."""
+        """Return a reserved worker on which a task can run without delaying the gang.
+
+        What the task uses beyond the gang's expected start is subtracted from the
+        worker's spare resources.
+
+        Parameters
+        ----------
+        key : LaneKey
+            Lane of the task.
+        job : JobState
+            Job of the task.
+        starving : bool
+            Whether the task has waited longer than `STARVING_RATIO` times its target.
+
+        Returns
+        -------
+        WorkerState or None
+        """
         held, state = self.reservation, self._state
         if held is None:
             return None
@@ -133,11 +192,11 @@
         return worker
 
     def _refresh_reservation(self, bucket: Bucket) -> None:
-        """Compute the reservation anew when estimates or free capacity have changed.
+        """Recompute the reservation, at most once per interval.
 
-        Capacity that became free elsewhere serves the gang at once, and workers whose
-        tasks run longer than expected do not stay idle for it. The time at which the
-        reservation counts as overdue stays.
+        The gang can then use capacity that became free on other workers, and workers
+        whose tasks run longer than expected do not stay idle for it. The time from
+        which the reservation is overdue does not change.
         """
         if self._state.now_unix_ms - self._computed_unix_ms < _RECOMPUTE_INTERVAL_MS:
             return
@@ -151,7 +210,8 @@
         self._computed_in_pass = True
         workers = state.workers.values()
         if not state.shapes.needs_gpu_workers(bucket.lane.key.size):
-            # GPU workers may refuse the gang at any time, however much they have free.
+            # Free resources of GPU workers may at any time be kept for GPU work, so
+            # the gang cannot rely on them.
             workers = [w for w in workers if w.capacity.gpus_milli == 0]
         return compute_reservation(
             bucket.key.gang,
@@ -163,7 +223,7 @@
         )
 
     def _set_reservation(self, found: Reservation) -> None:
-        """Replace the reservation and open the workers that it no longer names."""
+        """Replace the reservation and release the workers that are no longer in it."""
         state, old = self._state, self.reservation
         self.reservation = found
         for worker_id in found.spare:
--- a/basilhold/placement/gangs.py
+++ b/basilhold/placement/gangs.py
@@ -1,4 +1,4 @@
-"""Choice of workers for a whole gang."""
+"""Choice of the workers on which a whole gang starts."""
 
 from collections.abc import Iterable
 
@@ -12,8 +12,8 @@
 __all__ = ["choose_gang_workers"]
 
 _CANDIDATE_SLOTS_RATIO = 4
-"""Slots are collected up to this multiple of the gang's size before racks are chosen,
-which bounds the search on an empty shard."""
+"""The search for workers stops once they have room for this multiple of the gang's
+tasks, and racks are chosen among them. This bounds the search on an empty shard."""
 
 
 def choose_gang_workers(
@@ -23,7 +23,7 @@
     reserved: Iterable[WorkerState],
     starving: bool,
 ) -> list[WorkerState] | None:
-    """Return one worker per task of a gang on few racks, or ``None``.
+    """Choose workers on which all tasks of a gang can start now, on few racks.
 
     Parameters
     ----------
@@ -35,7 +35,13 @@
     reserved : iterable of WorkerState
         Workers that are reserved for this gang.
     starving : bool
-        Whether the gang is past the starvation limit.
+        Whether the gang has waited longer than `STARVING_RATIO` times its target.
+
+    Returns
+    -------
+    list of WorkerState or None
+        One worker per task, in which a worker may occur repeatedly. ``None`` if the
+        gang does not fit.
     """
     racks: dict[str, list[tuple[int, WorkerState]]] = {}
     found = 0
@@ -76,11 +82,15 @@
 def _assign_to_racks(
     racks: dict[str, list[tuple[int, WorkerState]]], count: int
 ) -> list[WorkerState]:
-    """Fill the smallest rack that holds the gang, or else the largest racks first."""
+    """Return one worker per task from candidates, given as slots and worker by rack.
+
+    The whole gang goes to the rack with the fewest slots that suffice for it. If no
+    rack suffices, racks with the most slots are filled first.
+    """
     totals = {rack: sum(s for s, _ in members) for rack, members in racks.items()}
-    enough = [rack for rack, total in totals.items() if total >= count]
-    if enough:
-        order = [min(enough, key=lambda rack: (totals[rack], rack))]
+    sufficient = [rack for rack, total in totals.items() if total >= count]
+    if sufficient:
+        order = [min(sufficient, key=lambda rack: (totals[rack], rack))]
     else:
         order = sorted(totals, key=lambda rack: (-totals[rack], rack))
     chosen: list[WorkerState] = []
--- a/basilhold/placement/lanes.py
+++ b/basilhold/placement/lanes.py
@@ -1,4 +1,9 @@
-"""Buckets that differ only by team or gang, in order of age."""
+"""Lanes: waiting tasks with equal scheduling requirements, in order of age.
+
+A bucket holds the waiting tasks of one team, or of one gang, that have equal
+requirements. A lane holds all buckets whose tasks have equal requirements, so if no
+worker suits the tasks of one bucket, the whole lane can be skipped.
+"""
 
 import heapq
 from collections.abc import Callable, Iterator
@@ -14,11 +19,30 @@
 __all__ = ["URGENT_TARGET_MS", "Lane", "LaneKey", "LaneSet", "SizeFit"]
 
 URGENT_TARGET_MS = 9_100
-"""A class with at most this target wait is urgent, in milliseconds."""
+"""Classes with at most this target wait are urgent, in milliseconds."""
 
 
 class LaneKey(NamedTuple):
-    """What decides where and when a task can run, apart from its team."""
+    """Scheduling requirements of a task, apart from its team.
+
+    Parameters
+    ----------
+    class_name : ClassName
+    wait_target_ms : int
+        Target wait of the class, in milliseconds.
+    size : Resources
+        Resources that the task needs.
+    run_time_ms : int
+        Declared run time in milliseconds, 0 if none is declared.
+    restartable : bool
+        Whether the task may be started again after it may have run.
+    spread : bool
+        Whether the job's tasks are spread over racks.
+    avoid : frozenset of WorkerId
+        Workers on which the task must not run, because it has failed there.
+    gang : bool
+        Whether the job's tasks start together.
+    """
 
     class_name: ClassName
     wait_target_ms: int
@@ -31,10 +55,28 @@
 
 
 class SizeFit:
-    """Whether a task size is known to fit on no open worker.
+    """Result of earlier searches for workers with room for tasks of one size.
+
+    It is shared by all lanes of the size, so that workers for a size that fits nowhere
+    are searched once and not once per task. An open worker is one that takes any work,
+    as opposed to one that is reserved, claimed, quarantined or unschedulable.
 
-    Shared by all lanes of the size, so that a size that fits nowhere is asked for
-    once and not once per task.
+    Attributes
+    ----------
+    lanes : int
+        Number of lanes with this size.
+    fits_nowhere : bool
+        Whether no open worker has room.
+    fits_nowhere_starving : bool
+        Whether no open worker has room even for starving work, which may also use
+        resources that are kept for GPU work.
+    gang_failed_at_release : int
+        Value of `ShardState.releases` when a gang did not fit, -1 if none failed yet.
+    gang_failed_tasks : int
+        Number of tasks in that gang.
+    gang_pass, gang_round : int
+        Pass and round in which a gang of the size was tried last; see
+        `GangReservations`.
     """
 
     __slots__ = (
@@ -57,25 +99,51 @@
         self.gang_round = -1
 
     def block(self, starving: bool) -> None:
-        """Record that no open worker has room; starving work may use more of it."""
+        """Record that no open worker has room.
+
+        Parameters
+        ----------
+        starving : bool
+            Whether there is no room for starving work either.
+        """
         self.fits_nowhere = True
         self.fits_nowhere_starving |= starving
 
     def unblock(self) -> None:
-        """Record that a worker may have room again."""
+        """Record that an open worker may have room again."""
         self.fits_nowhere = self.fits_nowhere_starving = False
 
 
 class Lane:
-    """Buckets of one key, ordered by the age of their heads.
+    """Buckets with equal requirements, ordered by the age of their oldest entry.
 
-    All buckets of a lane share a target wait, so their order by relative lateness is
-    their order by age, which does not change as time passes.
+    All buckets of a lane share a target wait. Their order by relative lateness, which
+    is the time waited divided by the target wait, is therefore their order by age and
+    does not change as time passes.
 
     Parameters
     ----------
     key : LaneKey
     fit : SizeFit
+        Search results for the task size of the lane.
+    number : int
+        Unique number, which orders lanes whose oldest entries have the same age.
+
+    Attributes
+    ----------
+    position : tuple or None
+        Entry of the lane in `LaneSet.by_target`, ``None`` if the lane is empty.
+    urgent : bool
+    order : SortedList
+        The positions of the buckets, the oldest first.
+    blocked_at_release : int
+        Value of `ShardState.releases` when no worker was found, -1 if none failed yet.
+    backfill_tried_version : int
+        Value of `ShardState.backfill_version` when no reserved worker was found, -1 if
+        none failed yet.
+    starves_unix_ms : int
+        When the oldest task of the blocked lane begins to starve, which may give it
+        more room.
     """
 
     __slots__ = (
@@ -103,10 +171,19 @@
 
 
 class LaneSet:
-    """Lanes of a shard.
+    """All lanes of a shard.
 
-    Buckets whose head changed are only noted, and moved by `settle`, so that a pass
-    can walk the lanes while it takes tasks.
+    Changed buckets are only recorded, and reordered by a later call of `update_order`,
+    so that a planning pass can iterate over the lanes while it removes tasks.
+
+    Attributes
+    ----------
+    lanes : dict of LaneKey to Lane
+    fits : dict of Resources to SizeFit
+        Search results by task size.
+    by_target : dict of int to SortedList
+        The positions of the lanes by target wait in milliseconds, the lane with the
+        oldest entry first.
     """
 
     def __init__(self):
@@ -117,7 +194,7 @@
         self._count = 0
 
     def add(self, bucket: "Bucket", key: LaneKey) -> None:
-        """Assign a new bucket to its lane."""
+        """Assign a new bucket to the lane of its key, which is created if needed."""
         lane = self.lanes.get(key)
         if lane is None:
             fit = self.fits.get(key.size)
@@ -132,15 +209,15 @@
         self._changed[bucket.number] = bucket
 
     def mark_changed(self, bucket: "Bucket") -> None:
-        """Note that a bucket's head may have changed."""
+        """Record that the oldest entry of a bucket may have changed."""
         self._changed[bucket.number] = bucket
 
     def is_changed(self, bucket: "Bucket") -> bool:
-        """Return whether a bucket is still to be moved."""
+        """Return whether the position of a bucket is to be updated."""
         return bucket.number in self._changed
 
     def update_order(self) -> None:
-        """Bring the order of the noted buckets up to date."""
+        """Update the positions of the changed buckets, and remove empty lanes."""
         for bucket in self._changed.values():
             since = bucket.head().since_unix_ms if bucket.count else None
             position = None if since is None else (since, bucket.number, bucket)
@@ -151,7 +228,8 @@
                 if position is not None:
                     lane.order.add(position)
                 bucket.position = position
-        # A lane goes only once all its buckets have moved: one may empty as one comes.
+        # Lanes are removed only after all buckets are updated, because one bucket of a
+        # lane may have become empty while another was added.
         for lane in {id(b.lane): b.lane for b in self._changed.values()}.values():
             self._update_position(lane)
             if not lane.order:
@@ -161,10 +239,17 @@
     def iter_buckets(
         self, target_ms: int, is_blocked: Callable[[Lane], bool]
     ) -> Iterator["Bucket"]:
-        """Yield the buckets of one target wait by age, without the blocked lanes.
+        """Yield the buckets of one target wait by age, without those of blocked lanes.
+
+        Lanes are read only as far as the caller iterates. The rest of a lane is skipped
+        when the lane becomes blocked.
 
-        Lanes are opened only as far as the caller gets, and left when they become
-        blocked.
+        Parameters
+        ----------
+        target_ms : int
+            Target wait in milliseconds, a key of `by_target`.
+        is_blocked : callable
+            Whether to skip a lane.
         """
         lanes = iter(self.by_target[target_ms])
         heap: list[tuple] = []
@@ -187,7 +272,7 @@
             yield bucket
 
     def _update_position(self, lane: Lane) -> None:
-        """Bring a lane's position among the lanes of its target up to date."""
+        """Update a lane's position among the lanes of its target wait."""
         position = (lane.order[0][0], lane.number, lane) if lane.order else None
         if position == lane.position:
             return
--- a/basilhold/placement/reservation.py
+++ b/basilhold/placement/reservation.py
@@ -1,4 +1,4 @@
-"""Reservation of capacity for one gang, and backfill around it."""
+"""Reservation of workers for one gang, and backfill on the reserved workers."""
 
 import heapq
 from collections.abc import Iterable
@@ -12,25 +12,30 @@
 __all__ = ["Reservation", "expected_end_unix_ms", "compute_reservation"]
 
 _OVERRUN_SHARE = 0.1
-"""A task past its expected end is expected to run this share of its age longer."""
+"""A task that runs past its expected end is expected to run on for this share of its
+age."""
 
 
 _WORKERS_MIN = 32
 _WORKERS_PER_TASK = 2
-"""Bound on the workers whose live tasks a reservation looks at, which keeps the pass
-short on a large shard: a fixed number, and some more per task of the gang."""
+"""The live tasks of at most this many workers are examined for a reservation: a fixed
+number plus a number per task of the gang. This keeps the pass short on a large
+shard."""
 
 
 class Reservation:
-    """Workers that a gang is expected to start on.
+    """Workers that are reserved for a gang, and when it is expected to start.
 
     Parameters
     ----------
     job_id : JobId
+        Job of the gang.
     start_unix_ms : int
-        Earliest time at which estimates predict enough free capacity.
+        Earliest time at which the run time estimates predict enough free capacity, in
+        Unix milliseconds.
     spare : dict of WorkerId to Resources
-        What the gang leaves free on each reserved worker at that time.
+        The reserved workers, with the resources that remain free on each once the gang
+        has started.
     """
 
     __slots__ = ("job_id", "spare", "start_unix_ms")
@@ -52,7 +57,21 @@
         """Return a reserved worker on which a task does not delay the gang.
 
         The task either ends before the gang starts or uses only what the gang leaves
-        free; in the second case the caller must call `use_spare`.
+        free. In the second case the caller must call `subtract_spare`.
+
+        Parameters
+        ----------
+        workers : dict of WorkerId to WorkerState
+            All workers of the shard.
+        key : LaneKey
+            Lane of the task.
+        now_unix_ms : int
+        run_time_ms : int or None
+            Expected run time of the task in milliseconds, if known.
+
+        Returns
+        -------
+        WorkerState or None
         """
         ends_before = self.ends_before(now_unix_ms, run_time_ms)
         for worker_id, spare in self.spare.items():
@@ -69,20 +88,27 @@
         return None
 
     def ends_before(self, now_unix_ms: int, run_time_ms: int | None) -> bool:
-        """Return whether a task that starts now ends before the reserved time."""
+        """Return whether a task that starts now ends before the gang is to start.
+
+        A task whose run time is unknown is taken to end later.
+        """
         return run_time_ms is not None and (
             now_unix_ms + run_time_ms <= self.start_unix_ms
         )
 
     def subtract_spare(self, worker_id: WorkerId, size: Resources) -> None:
-        """Subtract a backfilled task that runs past the reserved time."""
+        """Subtract a backfilled task that runs on after the gang has started."""
         self.spare[worker_id] = self.spare[worker_id] - size
 
 
 def expected_end_unix_ms(
     live: LiveTask, estimates: ClassEstimates, now_unix_ms: int
 ) -> int | None:
-    """Return when a live task is expected to end, or ``None`` if unknown."""
+    """Return when a live task is expected to end, or ``None`` if that is unknown.
+
+    A task that has ended or has been told to give way counts as ending now. The result
+    is in Unix milliseconds.
+    """
     if live.finished or live.evicted_unix_ms:
         return now_unix_ms
     if live.job is None:
@@ -105,9 +131,27 @@
     estimates: ClassEstimates,
     now_unix_ms: int,
 ) -> Reservation | None:
-    """Return the reservation that starts a gang earliest, or ``None``.
+    """Compute the reservation with which a gang is expected to start earliest.
 
-    It is ``None`` if too few of the tasks that run now have a known end.
+    Parameters
+    ----------
+    job_id : JobId
+        Job of the gang.
+    workers : iterable of WorkerState
+        Workers that may be reserved.
+    key : LaneKey
+        Lane of the gang.
+    count : int
+        Number of tasks in the gang.
+    estimates : ClassEstimates
+        Predicts run times.
+    now_unix_ms : int
+
+    Returns
+    -------
+    Reservation or None
+        ``None`` if the gang does not fit even after all running tasks whose end is
+        known.
     """
     events: list[tuple[int, WorkerId, int]] = []
     states = {w.worker_id: w for w in _most_free_workers(workers, key, count)}
@@ -134,7 +178,10 @@
 def _most_free_workers(
     workers: Iterable[WorkerState], key: LaneKey, count: int
 ) -> list[WorkerState]:
-    """Return the workers that need the least more to run a task of the gang."""
+    """Return the usable workers that have the most free resources for the gang.
+
+    The free amount is measured in tasks of the gang, by the scarcest resource.
+    """
     size = key.size
     usable = [
         worker
@@ -162,7 +209,11 @@
 def _slot_events(
     worker: WorkerState, size: Resources, estimates: ClassEstimates, now_unix_ms: int
 ) -> list[tuple[int, WorkerId, int]]:
-    """Return when slots for a size become free on a worker, and how many."""
+    """Return when room for more tasks of a size becomes free on a worker.
+
+    Each result is a time in Unix milliseconds, the worker's id, and the number of
+    additional tasks that fit from then on.
+    """
     free = worker.free()
     known = 0
     events: list[tuple[int, WorkerId, int]] = []
@@ -189,6 +240,7 @@
     now_unix_ms: int,
     at_unix_ms: int,
 ) -> Resources:
+    """Return what remains free on a worker at a time when it starts `count` tasks."""
     free = worker.free()
     for live in worker.tasks.values():
         end = expected_end_unix_ms(live, estimates, now_unix_ms)
--- a/basilhold/placement/selection.py
+++ b/basilhold/placement/selection.py
@@ -1,4 +1,4 @@
-"""Choice of the worker for one task."""
+"""Choice of the worker for a single task."""
 
 from collections.abc import Iterator
 
@@ -11,24 +11,35 @@
 __all__ = ["choose_worker", "fitting_workers", "choose_probe_worker"]
 
 _CANDIDATES_MAX = 8
-"""Feasible workers that are scored per task; more improve packing little."""
+"""Number of feasible workers that are scored per task. Scoring more improves packing
+only a little."""
 
 _SPREAD_CANDIDATES_MAX = 128
-"""Feasible workers that are looked at to find a rack without tasks of the service."""
+"""Number of feasible workers that are examined per service task to find a rack on which
+no task of the service runs."""
 
 
 def fitting_workers(
     state: ShardState, key: LaneKey, starving: bool
 ) -> Iterator[WorkerState]:
-    """Yield the open workers on which a task of the lane may run."""
+    """Yield the workers that take any work and have room for a task of the lane.
+
+    Parameters
+    ----------
+    state : ShardState
+    key : LaneKey
+    starving : bool
+        Whether the task has waited longer than `STARVING_RATIO` times its target. It
+        may then use resources that GPU workers otherwise keep for GPU work.
+    """
     size = key.size
-    guarded = size.gpus_milli == 0
-    gpu_shapes = not (guarded and state.gpu_guard.gpu_work_waits)
+    gpu_guarded = size.gpus_milli == 0
+    gpu_shapes = not (gpu_guarded and state.gpu_guard.gpu_work_waits)
     for worker in state.free_index.fitting(size, gpu_shapes):
         if worker.worker_id in key.avoid:
             continue
         if (
-            guarded
+            gpu_guarded
             and worker.capacity.gpus_milli
             and not state.gpu_guard.allows(worker, size, starving)
         ):
@@ -39,7 +50,11 @@
 def choose_worker(
     state: ShardState, key: LaneKey, job: JobState, starving: bool
 ) -> WorkerState | None:
-    """Return the best open worker for a task, or ``None``."""
+    """Return the most suitable worker for a task, or ``None`` if none has room.
+
+    A service task goes to a rack with the fewest tasks of its job. Any other task goes
+    to the worker on which it leaves cores and memory in the best balance.
+    """
     candidates = fitting_workers(state, key, starving)
     if key.spread:
         return _least_used_rack(candidates, job)
@@ -55,9 +70,11 @@
 
 
 def choose_probe_worker(state: ShardState, key: LaneKey) -> WorkerState | None:
-    """Return a quarantined worker that is due for a probe by this task.
+    """Return a quarantined worker that is to be probed with a task, or ``None``.
 
-    Urgent tasks, gangs and tasks that cannot be restarted are not used as probes.
+    A probe is a single task that runs on a worker after its quarantine to find out
+    whether the worker works again. Gangs and tasks that must not be restarted are not
+    used as probes. Callers do not pass urgent tasks.
     """
     if key.gang or not key.restartable:
         return None
@@ -90,14 +107,16 @@
 
 
 def _score(worker: WorkerState, size: Resources) -> float:
-    """Return how unevenly a placement would leave cores and memory; less is better.
+    """Return the score of a placement, where the lowest is best.
 
-    A worker whose last report shows it close to its capacity comes after all others.
+    The score measures the imbalance between the shares of cores and memory that stay
+    free, and to a lesser extent the shares themselves. A worker that reported usage
+    close to its capacity comes after all others.
     """
     capacity = worker.capacity
     cores = (worker.free_cores_milli - size.cores_milli) / max(1, capacity.cores_milli)
     memory = (worker.free_memory_bytes - size.memory_bytes) / max(
         1, capacity.memory_bytes
     )
-    uneven = abs(cores - memory) + 0.1 * (cores + memory)
-    return uneven + 10.0 if worker.hot else uneven
+    imbalance = abs(cores - memory) + 0.1 * (cores + memory)
+    return imbalance + 10.0 if worker.hot else imbalance
