Reword the planning pass, the choice of victims and the baseline planners

Doc comments assumed what starving, victims and credit mean. They now define these and name parameters and units. The random planner's comment says that it ignores quarantines.

--- a/basilhold/placement/first_fit.py
+++ b/basilhold/placement/first_fit.py
@@ -1,4 +1,4 @@
-"""Baseline planner: first fit in arrival order."""
+"""Baseline planner that places tasks in arrival order by first fit."""
 
 from basilhold.core import (
     Attempt,
@@ -23,9 +23,9 @@
 class FirstFitPlanner(Planner):
     """Places tasks in the order of their jobs' arrival on the first worker with room.
 
-    Benchmarks compare against it and tests of other packages use it. It knows no
-    targets, quotas, gangs or evictions; a gang is placed task by task. A quarantined
-    worker gets one task at a time once the quarantine has passed.
+    Benchmarks use it as a baseline, and tests of other packages as a simple planner. It
+    ignores target waits and quotas, places the tasks of a gang one by one, and evicts
+    nothing. A quarantined worker gets one task at a time once its quarantine is over.
     """
 
     def __init__(self):
@@ -39,7 +39,7 @@
         self._now_unix_ms = 0
 
     def upsert_worker(self, record: WorkerRecord, schedulable: bool) -> None:
-        """Add or replace a worker."""
+        """Add a worker or replace its record."""
         for task_id in [t for t, w in self._committed.items() if w == record.worker_id]:
             del self._committed[task_id]
         for assignment in record.assignments:
@@ -60,7 +60,7 @@
         self._probe_tasks.pop(worker_id, None)
 
     def upsert_job(self, record: JobRecord) -> None:
-        """Add or replace a job."""
+        """Add a job or replace its record."""
         self._jobs[record.spec.job_id] = record
 
     def remove_job(self, job_id: JobId) -> None:
@@ -70,22 +70,22 @@
     def set_teams(
         self, teams: tuple[Team, ...], used_elsewhere: dict[TeamName, Resources]
     ) -> None:
-        """Ignore quotas."""
+        """Do nothing, as quotas are ignored."""
 
     def record_usage(
         self, worker_id: WorkerId, reports: tuple[TaskReport, ...], now_unix_ms: int
     ) -> None:
-        """Ignore usage."""
+        """Do nothing, as usage is ignored."""
 
     def plan(self, now_unix_ms: int, limit: int) -> Plan:
         """Return up to `limit` placements in arrival order."""
         self._now_unix_ms = now_unix_ms
         placements: list[Placement] = []
-        # Free resources only shrink during a plan, so a size that fitted nowhere is
-        # not tried again.
-        too_large: set[Resources] = set()
+        # Free resources only decrease during a plan, so a size that has not fitted
+        # anywhere is not tried again.
+        unplaceable: set[Resources] = set()
         for record in self._jobs.values():
-            if record.spec.task_resources in too_large:
+            if record.spec.task_resources in unplaceable:
                 continue
             for index, task in enumerate(record.tasks):
                 if len(placements) == limit:
@@ -95,7 +95,7 @@
                     continue
                 worker_id = self._choose_worker(record.spec.task_resources)
                 if worker_id is None:
-                    too_large.add(record.spec.task_resources)
+                    unplaceable.add(record.spec.task_resources)
                     break
                 placements.append(
                     self._hold_resources(record, index, task_id, worker_id)
@@ -103,13 +103,13 @@
         return Plan(tuple(placements))
 
     def confirm(self, placements: tuple[Placement, ...]) -> None:
-        """Turn planned placements into committed ones."""
+        """Record that placements of a plan have been committed."""
         for placement in placements:
             del self._held[placement.task_id]
             self._committed[placement.task_id] = placement.worker_id
 
     def abandon(self, placements: tuple[Placement, ...]) -> None:
-        """Release planned placements."""
+        """Release the resources of placements that were not committed."""
         for placement in placements:
             del self._held[placement.task_id]
             if placement.worker_id in self._free:
@@ -117,7 +117,7 @@
                 self._free[placement.worker_id] = free + placement.resources
 
     def explain(self, job_id: JobId, now_unix_ms: int) -> Explanation:
-        """Return the number of waiting tasks."""
+        """Return the number of waiting tasks of a job, with a fixed reason."""
         record = self._jobs.get(job_id)
         waiting = len(self._waiting(record)) if record else 0
         return Explanation(job_id, waiting, "no worker has room", {})
@@ -144,8 +144,8 @@
         if not self._schedulable[worker_id] or not until_ms:
             return self._schedulable[worker_id]
         probe = self._probe_tasks.get(worker_id)
-        probes = probe is not None and self._is_placed(probe)
-        return self._now_unix_ms >= until_ms and not probes
+        is_probing = probe is not None and self._is_placed(probe)
+        return self._now_unix_ms >= until_ms and not is_probing
 
     def _hold_resources(
         self, record: JobRecord, index: int, task_id: TaskId, worker_id: WorkerId
--- a/basilhold/placement/planning_pass.py
+++ b/basilhold/placement/planning_pass.py
@@ -1,4 +1,4 @@
-"""One pass over the waiting work of a shard."""
+"""One planning pass over the waiting tasks of a shard."""
 
 import heapq
 from collections.abc import Iterator
@@ -18,28 +18,31 @@
 __all__ = ["STARVING_RATIO", "PlanningPass"]
 
 STARVING_RATIO = 4.0
-"""Above this ratio of wait to target, work is ordered as if its team were within
-quota, so that a team above quota does not starve."""
+"""Work that has waited longer than this multiple of its target wait is starving. It is
+ordered as if its team were within quota, so that teams above quota make progress."""
 
 _STARVING_CREDIT_PER_START = 0.1
 _STARVING_CREDIT_MAX = 20.0
-"""Starving work above quota gets this many starts per start within quota, and saves up
-at most this many. Without the bound, a backlog that is late as a whole would come
-before all teams that stay within quota."""
+"""Each start within quota earns this credit for starving work above quota, up to the
+maximum, and each start of such work costs a credit of 1. Without the credit, a backlog
+that is late as a whole would come before all teams that stay within quota."""
 
 _RECLAIMS_PER_PASS = 64
-"""Urgent tasks per pass for which victims are sought, which bounds the pass."""
+"""Number of urgent tasks per pass for which victims are searched. It bounds the time of
+the pass."""
 
 _GANG_TRIES_PER_PASS = 16
-"""Gangs per pass that are fitted anew, which bounds the pass."""
+"""Number of gangs per pass for which workers are searched. It bounds the time of the
+pass."""
 
 _SKIP_RATIO = float("inf")
+"""Ratio of an empty bucket, which is thus passed over first."""
 
 _HeapItem = tuple[float, int, Bucket, Iterator | None]
 
 
 class _PriorityGroup(Enum):
-    """Groups of waiting work, in the order in which a pass serves them."""
+    """Groups of waiting tasks, in the order in which a pass serves them."""
 
     URGENT = "urgent and within quota"
     WITHIN_QUOTA = "within quota or starving"
@@ -47,11 +50,22 @@
 
 
 class PlanningPass:
-    """Takes buckets in order of relative lateness and places their tasks.
-
-    Order of the groups: urgent work within quota, other work within quota or
-    starving, work above quota. Urgent work comes first because it would otherwise
-    reclaim, at a victim's cost, capacity that the same pass has just given away.
+    """Places waiting tasks in order of relative lateness.
+
+    Relative lateness is the time waited divided by the target wait. Three groups of
+    tasks are served one after the other: urgent tasks of teams within quota, other
+    tasks that are within quota or starving, and tasks above quota. Urgent tasks come
+    first because they would otherwise evict victims for capacity that the same pass
+    has just given to other tasks.
+
+    Parameters
+    ----------
+    state : ShardState
+    claims : ClaimBook
+        Claims of urgent tasks on workers with evicted victims.
+    gangs : GangReservations
+    limit : int
+        Maximum number of placements, except for a larger gang, which is placed alone.
     """
 
     def __init__(
@@ -75,7 +89,7 @@
         self._evictions: list[Eviction] = []
 
     def run(self) -> Plan:
-        """Return the placements and evictions of this pass."""
+        """Plan the pass and return its placements and evictions; call it once."""
         self._place_claimed()
         self._state.unblock_sizes()
         targets = list(self._state.queue.lanes.by_target)
@@ -90,7 +104,10 @@
         return Plan(tuple(self._placements), tuple(self._evictions))
 
     def _oldest_items(self, targets: list[int]) -> list[_HeapItem]:
-        """Return one heap item per target wait, for its oldest bucket."""
+        """Return one heap item per target wait, with its oldest bucket.
+
+        An item also holds the iterator over the other buckets of the target wait.
+        """
         items = []
         for target in targets:
             walk = self._state.queue.lanes.iter_buckets(target, self._is_blocked)
@@ -107,12 +124,16 @@
 
     def _item(self, bucket: Bucket, walk: Iterator[Bucket] | None) -> _HeapItem:
         self._sequence += 1
-        # A bucket that a claim has emptied keeps its place until the walk passes it.
+        # A bucket whose last task was placed by a claim stays in its lane until the
+        # lanes are reordered.
         ratio = bucket.ratio(self._now) if bucket.count else _SKIP_RATIO
         return (-ratio, self._sequence, bucket, walk)
 
     def _serve_in_order(self, heap: list[_HeapItem], group: _PriorityGroup) -> None:
-        """Serve buckets in order of relative lateness until the plan is full."""
+        """Serve buckets in order of relative lateness until the plan is full.
+
+        Buckets that belong to a later group are set aside for it.
+        """
         heapq.heapify(heap)
         while heap and len(self._placements) < self._limit:
             _, _, bucket, walk = heapq.heappop(heap)
@@ -127,7 +148,10 @@
                 self._push_next(heap, walk)
 
     def _is_due(self, bucket: Bucket, group: _PriorityGroup) -> bool:
-        """Return whether to serve a bucket now, and else keep it for a later group."""
+        """Return whether to serve a bucket in this group.
+
+        If not, the bucket is kept for a later group.
+        """
         if group is _PriorityGroup.ABOVE_QUOTA or self._is_within_quota(bucket):
             return True
         if bucket.ratio(self._now) <= STARVING_RATIO:
@@ -142,7 +166,10 @@
         return True
 
     def _update_starving_credit(self, bucket: Bucket) -> None:
-        """Earn or spend credit for starving work above quota after a start."""
+        """Update the credit of starving work above quota after a start.
+
+        A start within quota earns credit, and one above quota spends it.
+        """
         state = self._state
         if state.teams.is_within(bucket.key.team):
             credit = state.starving_credit + _STARVING_CREDIT_PER_START
@@ -154,7 +181,11 @@
         return self._state.teams.is_within(bucket.key.team, bucket.demand())
 
     def _is_blocked(self, lane: Lane) -> bool:
-        """Return whether nothing has changed since the lane found no worker."""
+        """Return whether to skip a lane because its tasks cannot be placed now.
+
+        This is so if no worker was found for the lane and nothing has changed since
+        that could help. A lane of gangs is skipped when the pass tries no more gangs.
+        """
         state, fit = self._state, lane.fit
         if lane.key.gang:
             return self._gang_tries_left == 0
@@ -172,7 +203,16 @@
     def _serve_bucket(
         self, bucket: Bucket, group: _PriorityGroup, ratio: float
     ) -> bool:
-        """Place the bucket's next task or gang; return whether to come back to it."""
+        """Place the next task or gang of a bucket.
+
+        If no worker is found, victims are searched for urgent tasks, and other lanes
+        are blocked.
+
+        Returns
+        -------
+        bool
+            Whether something was placed, so that the bucket may be served again.
+        """
         if bucket.key.gang is not None:
             return self._serve_gang(bucket, ratio)
         lane = bucket.lane
@@ -194,7 +234,7 @@
         return False
 
     def _block_lane(self, lane: Lane, starving: bool) -> None:
-        """Skip the lane until resources are released or its oldest task starves."""
+        """Skip a lane until resources are released or its oldest task starves."""
         lane.blocked_at_release = self._state.releases
         lane.backfill_tried_version = self._state.backfill_version
         lane.starves_unix_ms = 1 << 62
@@ -206,6 +246,7 @@
     def _find_worker(
         self, lane: Lane, entry: Entry, starving: bool
     ) -> WorkerState | None:
+        """Return a worker to probe, an open worker or a reserved one to backfill."""
         state, key = self._state, lane.key
         if state.probe_is_due and not lane.urgent:
             probe = choose_probe_worker(state, key)
@@ -231,6 +272,7 @@
             state.update_gpu_wait()
 
     def _place_claimed(self) -> None:
+        """Place the tasks whose victims have made room."""
         for claim, worker in self._claims.ready():
             if len(self._placements) == self._limit:
                 return
@@ -238,7 +280,7 @@
             self._place(entry, claim.index, worker)
 
     def _reclaim_for_bucket(self, bucket: Bucket, above_quota: bool) -> None:
-        """Seek victims for the bucket's tasks until one task finds none."""
+        """Search victims for the tasks of a bucket, up to the first that finds none."""
         for entry in bucket.ordered():
             for index in reversed(list(entry.indices)):
                 if make_task_id(entry.job.spec.job_id, index) in self._claims:
@@ -254,11 +296,14 @@
                 self._evictions.extend(evictions)
 
     def _serve_gang(self, bucket: Bucket, ratio: float) -> bool:
+        """Place a gang, or reserve workers for it; return whether it was placed."""
         state, lane, entry = self._state, bucket.lane, bucket.head()
         indices = list(reversed(entry.indices))
         reserved = self._gang_reservations.reserved_workers(bucket.key.gang)
-        may_try = reserved or self._gang_reservations.should_try(lane.fit, len(indices))
-        if may_try and self._gang_tries_left > 0:
+        should_try = reserved or self._gang_reservations.should_try(
+            lane.fit, len(indices)
+        )
+        if should_try and self._gang_tries_left > 0:
             self._gang_tries_left -= 1
             self._gang_reservations.record_try(
                 lane.fit, is_last=self._gang_tries_left == 0
@@ -276,7 +321,11 @@
     def _start_gang(
         self, entry: Entry, indices: list[int], workers: list[WorkerState]
     ) -> bool:
-        """Place all tasks of a gang, unless the plan has no room for all of them."""
+        """Place all tasks of a gang, and return whether that was done.
+
+        The gang is left for a later pass if it would exceed the limit of a plan that
+        already contains placements.
+        """
         if self._placements and len(self._placements) + len(indices) > self._limit:
             return False
         for index, worker in zip(indices, workers, strict=True):
--- a/basilhold/placement/random_fit.py
+++ b/basilhold/placement/random_fit.py
@@ -1,4 +1,4 @@
-"""Baseline planner: random choice among the workers with room."""
+"""Baseline planner that places tasks on random workers with room."""
 
 import random
 
@@ -9,12 +9,14 @@
 
 
 class RandomFitPlanner(FirstFitPlanner):
-    """Places tasks in arrival order on a random worker with room.
+    """Places tasks in the order of their jobs' arrival on a random worker with room.
+
+    In contrast to its base class it ignores quarantines.
 
     Parameters
     ----------
     seed : int
-        Seed of the random choice.
+        Seed of the random number generator.
     """
 
     def __init__(self, seed: int):
--- a/basilhold/placement/target_planner.py
+++ b/basilhold/placement/target_planner.py
@@ -1,4 +1,4 @@
-"""Planner that orders work by relative lateness."""
+"""Planner that places tasks in order of relative lateness."""
 
 from basilhold.core import (
     JobId,
@@ -27,16 +27,17 @@
 class TargetPlanner(Planner):
     """Places the tasks of one shard so that classes meet their target waits.
 
-    Work is ordered by the time waited divided by the target wait, teams within quota
-    first. Urgent work reclaims what it may, gangs start whole, and small work
-    backfills around the reservation of a gang.
+    Tasks are ordered by the time waited divided by the target wait, those of teams
+    within quota first. Urgent tasks may evict tasks that are not urgent and can be
+    restarted. All tasks of a gang start together, on workers that are reserved for it
+    if necessary. Other tasks use reserved workers only if they do not delay the gang.
 
     Notes
     -----
-    A ``THROTTLE`` eviction with ``for_task_id`` frees cores only once the worker's
-    record names the victim with `cores_limit_milli` as its cores. The record of a
-    quarantined worker carries the time of the next probe; from then on the planner
-    gives the worker one task at a time, until a record without quarantine arrives.
+    A ``THROTTLE`` eviction with `for_task_id` frees cores only once the worker's record
+    lists the throttled task with `cores_limit_milli` as its cores. The record of a
+    quarantined worker contains the time of the next probe. From then on the planner
+    places one task at a time on the worker, until a record without quarantine arrives.
     """
 
     def __init__(self):
@@ -46,15 +47,15 @@
         self._overuse = OveruseWatch(self._state)
 
     def upsert_worker(self, record: WorkerRecord, schedulable: bool) -> None:
-        """Add a worker or replace what is known about it."""
+        """Add a worker or replace its record."""
         self._state.upsert_worker(record, schedulable)
 
     def remove_worker(self, worker_id: WorkerId) -> None:
-        """Remove a worker that holds no assignments any more."""
+        """Remove a worker to which no task is assigned any more."""
         self._state.remove_worker(worker_id)
 
     def upsert_job(self, record: JobRecord) -> None:
-        """Add a job or replace what is known about it."""
+        """Add a job or replace its record."""
         self._state.upsert_job(record)
 
     def remove_job(self, job_id: JobId) -> None:
@@ -70,7 +71,11 @@
     def record_usage(
         self, worker_id: WorkerId, reports: tuple[TaskReport, ...], now_unix_ms: int
     ) -> None:
-        """Learn sizes and run times, and note tasks that outgrow their declaration."""
+        """Update the estimates, and find tasks that use more than they declared.
+
+        Reports of unknown workers, and of attempts that are not committed to the
+        worker, are ignored.
+        """
         state = self._state
         state.now_unix_ms = max(state.now_unix_ms, now_unix_ms)
         worker = state.workers.get(worker_id)
@@ -85,7 +90,7 @@
     def plan(self, now_unix_ms: int, limit: int) -> Plan:
         """Return up to `limit` placements, and the evictions that are needed.
 
-        A gang of more than `limit` tasks is planned alone and whole.
+        A gang of more than `limit` tasks is planned as a whole, with no other tasks.
         """
         state = self._state
         state.now_unix_ms = max(state.now_unix_ms, now_unix_ms)
@@ -100,17 +105,17 @@
         return Plan(plan.placements, (*overuse, *plan.evictions))
 
     def confirm(self, placements: tuple[Placement, ...]) -> None:
-        """Turn planned placements into committed ones."""
+        """Record that placements of a plan have been committed."""
         for placement in placements:
             self._state.confirm(placement)
 
     def abandon(self, placements: tuple[Placement, ...]) -> None:
-        """Release planned placements; their tasks are pending again."""
+        """Release the resources of placements that were not committed."""
         for placement in placements:
             self._state.abandon(placement)
 
     def explain(self, job_id: JobId, now_unix_ms: int) -> Explanation:
-        """Return why a job's tasks wait."""
+        """Return why tasks of a job wait."""
         self._state.queue.refresh()
         return explain_job(
             self._state,
@@ -121,12 +126,12 @@
         )
 
     def check_invariants(self) -> None:
-        """Compare all bookkeeping with the live tasks.
+        """Check all sums, queues and indexes against the live tasks.
 
         Raises
         ------
         InvariantError
-            If anything disagrees.
+            If a sum, a queue or an index disagrees with them.
         """
         audit(self._state)
 
--- a/basilhold/placement/victims.py
+++ b/basilhold/placement/victims.py
@@ -1,4 +1,4 @@
-"""Choice of the victims that give way to urgent work."""
+"""Choice of victims: the tasks that are evicted for an urgent task."""
 
 from collections.abc import Callable
 
@@ -12,26 +12,29 @@
 __all__ = ["VictimSet", "choose_victims", "lost_work"]
 
 _THROTTLED_CORES_SHARE_MIN = 0.25
-"""A victim keeps at least this share of its cores, so that it still makes progress."""
+"""A throttled task keeps at least this share of its declared cores, so that it still
+makes progress."""
 
 
 _CHECKPOINT_COST_MS = 5_000
-"""A victim that is checkpointed when it gives way loses at most this much work, in
-milliseconds."""
+"""Work that a task loses at most if it is checkpointed when it is evicted, in
+milliseconds of its run time."""
 
 
 class VictimSet(msgspec.Struct):
-    """Victims on one worker.
+    """Victims on one worker that together make room for an urgent task.
 
     Parameters
     ----------
     worker : WorkerState
     evictions : list of Eviction
-        Without `for_task_id`.
+        Without `for_task_id`, which the caller adds.
     freed : list of Resources
-        What each eviction gives back.
+        What each eviction frees, in the same order.
     cost : tuple
-        Sets with a lower cost are preferred.
+        Lost work of the victims within quota, lost work of all victims, and the
+        negative of the shortest target wait in milliseconds. Sets that compare lower
+        are preferred.
     """
 
     worker: WorkerState
@@ -44,7 +47,7 @@
 
 
 class _Candidate:
-    """A task that may be chosen, and how it would give way."""
+    """A task that may become a victim, and how it would be evicted."""
 
     __slots__ = (
         "action",
@@ -64,15 +67,29 @@
         self.cores_limit_milli = 0
 
     def rank(self) -> tuple[bool, float, int]:
-        """Order: above quota, then least lost work, then longest target."""
+        """Return the sort key of the candidates, the cheapest first.
+
+        Tasks above quota come first, then those that lose the least work, then those
+        with the longest target wait.
+        """
         return (self.within_quota, self.lost_work, -self.live.job.spec.wait_target_ms)
 
 
 def lost_work(live: LiveTask, estimates: ClassEstimates, now_unix_ms: int) -> float:
-    """Return the work since the last checkpoint, in worker-milliseconds.
+    """Return the work that is lost if a task is evicted.
+
+    This is the time since the start or the last checkpoint in milliseconds, multiplied
+    by the resources that the task is expected to use. These are weighted so that 4 MiB
+    of memory count as much as a thousandth of a core, and a GPU as much as four cores.
+    Evicting one task of a gang loses the work of the whole gang.
 
-    The size is the share of the worker that the class is expected to use. One task of
-    a gang costs the work of the whole gang.
+    Parameters
+    ----------
+    live : LiveTask
+        A task whose job is known.
+    estimates : ClassEstimates
+        Predicts the use of the class.
+    now_unix_ms : int
     """
     job = live.job
     since = max(live.started_unix_ms, live.checkpoint_unix_ms)
@@ -92,19 +109,29 @@
     only_above_quota: bool,
     now_unix_ms: int,
 ) -> VictimSet | None:
-    """Return the cheapest victims on a worker that free what is missing.
+    """Choose victims on a worker that free what is missing at a low cost.
+
+    Victims are taken in order of their cost until they suffice, and those that the
+    others make unnecessary are dropped again.
 
     Parameters
     ----------
     worker : WorkerState
     missing : Resources
-        What the urgent task lacks on the worker; components may be negative.
+        What the urgent task needs beyond the worker's free resources. Components are
+        negative where more is free than needed.
     estimates : ClassEstimates
+        Predicts the use of each class.
     is_within_quota : callable
         Whether the team of a task is within quota.
     only_above_quota : bool
         Whether victims must belong to teams above quota.
     now_unix_ms : int
+
+    Returns
+    -------
+    VictimSet or None
+        ``None`` if the worker has too few tasks that may be evicted.
     """
     candidates = _ranked_candidates(
         worker, estimates, is_within_quota, only_above_quota, now_unix_ms
@@ -131,15 +158,15 @@
     only_above_quota: bool,
     now_unix_ms: int,
 ) -> list[_Candidate]:
-    """Return the tasks that may be victims, the cheapest first."""
+    """Return the tasks that may become victims, the cheapest first."""
     candidates = []
     for live in worker.tasks.values():
         if not live.reclaimable:
             continue
-        within = is_within_quota(live)
-        if not (within and only_above_quota):
+        within_quota = is_within_quota(live)
+        if not (within_quota and only_above_quota):
             lost = lost_work(live, estimates, now_unix_ms)
-            candidates.append(_Candidate(live, within, lost))
+            candidates.append(_Candidate(live, within_quota, lost))
     candidates.sort(key=_Candidate.rank)
     return candidates
 
@@ -167,7 +194,12 @@
 def _eviction_action(
     live: LiveTask, missing: Resources
 ) -> tuple[EvictionAction, Resources, int]:
-    """Return how a victim gives way, what that frees and its limit of cores."""
+    """Return how to evict a task, what that frees, and its new limit of cores.
+
+    A task that can save a checkpoint does so. Otherwise it is throttled if that frees
+    enough, which needs only cores to be missing, and is stopped if not. The limit is in
+    thousandths of a core, and 0 unless the task is throttled.
+    """
     if live.job.spec.checkpoint:
         return EvictionAction.CHECKPOINT, live.size, 0
     declared = live.job.spec.task_resources
@@ -192,7 +224,7 @@
 
 
 def _drop_unneeded(chosen: list[_Candidate], missing: Resources) -> list[_Candidate]:
-    """Drop victims, the dearest first, that the others make unnecessary."""
+    """Drop victims that the others make unnecessary, the most expensive first."""
     kept = list(chosen)
     for candidate in reversed(chosen):
         without = missing + candidate.freed
