--- a/basilhold/workflows/owner.py
+++ b/basilhold/workflows/owner.py
@@ -287,8 +287,8 @@
     def _apply_plan(self, new_plan: Plan) -> None:
         for placement in new_plan.placements:
             self._assign(placement)
-        for question in new_plan.queries:
-            self._request_advice(question)
+        for query in new_plan.queries:
+            self._request_advice(query)
         for preemption in new_plan.preemptions:
             run = preemption.run
             log_event(
@@ -317,17 +317,17 @@
             queued_ms=round(queued_ms),
         )
 
-    def _request_advice(self, question: AdviceQuery) -> None:
-        step = question.step
+    def _request_advice(self, query: AdviceQuery) -> None:
+        step = query.step
         policy = step.workflow.spec.policy
-        if not self._state.ports.advice.is_available(policy, len(question.workers)):
+        if not self._state.ports.advice.is_available(policy, len(query.workers)):
             # The next planning pass retries, in the order that applies then.
             return
-        self._state.admissions.step(step.key).query_sent(question.workers)
-        self._state.spawn(self._await_advice(question))
+        self._state.admissions.step(step.key).query_sent(query.workers)
+        self._state.spawn(self._await_advice(query))
 
-    async def _await_advice(self, question: AdviceQuery) -> None:
-        step = question.step
+    async def _await_advice(self, query: AdviceQuery) -> None:
+        step = query.step
         advice_state = self._state.admissions.step(step.key)
         asked_ms = self._state.clock.monotonic_ms()
         policy = step.workflow.spec.policy
@@ -336,11 +336,11 @@
                 step.workflow.job_id,
                 step.occurrence,
                 step.number,
-                question.workers,
+                query.workers,
                 policy,
             )
         finally:
-            advice_state.query_closed(question.workers)
+            advice_state.query_closed(query.workers)
         now_ms = self._state.clock.monotonic_ms()
         self._state.observe("basilhold_workflow_advice_seconds", now_ms - asked_ms)
         if answer.is_error():
@@ -354,19 +354,19 @@
         else:
             tickets = answer.ok.tickets
             answered = advice_state.admitted | advice_state.refused
-            if answered.isdisjoint(question.workers):
-                asked, admitted = len(question.workers), len(tickets)
+            if answered.isdisjoint(query.workers):
+                asked, admitted = len(query.workers), len(tickets)
                 self._state.admissions.update_admitted_share(
                     policy.name, asked, admitted
                 )
             self._state.admissions.record(
-                step.key, question.workers, tickets, policy.advice.valid_ms, now_ms
+                step.key, query.workers, tickets, policy.advice.valid_ms, now_ms
             )
             log_event(
                 events.ADVICE_RECEIVED,
                 job=step.workflow.job_id,
                 step=step.number,
-                asked=len(question.workers),
+                asked=len(query.workers),
                 admitted=len(tickets),
                 after_ms=round(now_ms - asked_ms),
             )
