--- a/basilhold/placement/lanes.py
+++ b/basilhold/placement/lanes.py
@@ -253,22 +253,26 @@
         """
         lanes = iter(self.by_target[target_ms])
         heap: list[tuple] = []
-        following = next(lanes, None)
-        while heap or following is not None:
-            while following is not None and (not heap or following[0] <= heap[0][0]):
-                lane = following[2]
+        next_lane_position = next(lanes, None)
+        while heap or next_lane_position is not None:
+            while next_lane_position is not None and (
+                not heap or next_lane_position[0] <= heap[0][0]
+            ):
+                lane = next_lane_position[2]
                 if not is_blocked(lane):
                     buckets = iter(lane.order)
                     heapq.heappush(heap, (*next(buckets), buckets))
-                following = next(lanes, None)
+                next_lane_position = next(lanes, None)
             if not heap:
                 return
             _, _, bucket, buckets = heap[0]
-            rest = None if is_blocked(bucket.lane) else next(buckets, None)
-            if rest is None:
+            next_bucket_position = (
+                None if is_blocked(bucket.lane) else next(buckets, None)
+            )
+            if next_bucket_position is None:
                 heapq.heappop(heap)
             else:
-                heapq.heapreplace(heap, (*rest, buckets))
+                heapq.heapreplace(heap, (*next_bucket_position, buckets))
             yield bucket
 
     def _update_position(self, lane: Lane) -> None:
--- a/basilhold/placement/planning_pass.py
+++ b/basilhold/placement/planning_pass.py
@@ -24,7 +24,7 @@
 _STARVING_CREDIT_PER_START = 0.1
 _STARVING_CREDIT_MAX = 20.0
 """Each start within quota earns this credit for starving work above quota, up to the
-maximum, and each start of such work costs a credit of 1. Without the credit, a backlog
+maximum, and each start of such work costs a credit of 1. Without this limit, a backlog
 that is late as a whole would come before all teams that stay within quota."""
 
 _RECLAIMS_PER_PASS = 64
@@ -110,24 +110,30 @@
         """
         items = []
         for target in targets:
-            walk = self._state.queue.lanes.iter_buckets(target, self._is_blocked)
-            self._push_next(items, walk)
+            other_buckets = self._state.queue.lanes.iter_buckets(
+                target, self._is_blocked
+            )
+            self._push_next(items, other_buckets)
         return items
 
-    def _push_next(self, heap: list[_HeapItem], walk: Iterator[Bucket]) -> None:
-        bucket = next(walk, None)
+    def _push_next(
+        self, heap: list[_HeapItem], other_buckets: Iterator[Bucket]
+    ) -> None:
+        bucket = next(other_buckets, None)
         if bucket is not None:
-            heapq.heappush(heap, self._item(bucket, walk))
+            heapq.heappush(heap, self._item(bucket, other_buckets))
 
     def _items(self, buckets: list[Bucket]) -> list[_HeapItem]:
         return [self._item(bucket, None) for bucket in buckets if bucket.count]
 
-    def _item(self, bucket: Bucket, walk: Iterator[Bucket] | None) -> _HeapItem:
+    def _item(
+        self, bucket: Bucket, other_buckets: Iterator[Bucket] | None
+    ) -> _HeapItem:
         self._sequence += 1
         # A bucket whose last task was placed by a claim stays in its lane until the
         # lanes are reordered.
         ratio = bucket.ratio(self._now) if bucket.count else _SKIP_RATIO
-        return (-ratio, self._sequence, bucket, walk)
+        return (-ratio, self._sequence, bucket, other_buckets)
 
     def _serve_in_order(self, heap: list[_HeapItem], group: _PriorityGroup) -> None:
         """Serve buckets in order of relative lateness until the plan is full.
@@ -136,7 +142,7 @@
         """
         heapq.heapify(heap)
         while heap and len(self._placements) < self._limit:
-            _, _, bucket, walk = heapq.heappop(heap)
+            _, _, bucket, other_buckets = heapq.heappop(heap)
             if bucket.count and self._is_due(bucket, group):
                 ratio = bucket.ratio(self._now)
                 served = self._serve_bucket(bucket, group, ratio)
@@ -144,8 +150,8 @@
                     self._update_starving_credit(bucket)
                 if served and bucket.count:
                     heapq.heappush(heap, self._item(bucket, None))
-            if walk is not None:
-                self._push_next(heap, walk)
+            if other_buckets is not None:
+                self._push_next(heap, other_buckets)
 
     def _is_due(self, bucket: Bucket, group: _PriorityGroup) -> bool:
         """Return whether to serve a bucket in this group.
--- a/basilhold/placement/reservation.py
+++ b/basilhold/placement/reservation.py
@@ -215,7 +215,7 @@
     additional tasks that fit from then on.
     """
     free = worker.free()
-    known = 0
+    counted = 0
     events: list[tuple[int, WorkerId, int]] = []
     ends = [(now_unix_ms, Resources())]
     for live in worker.tasks.values():
@@ -226,9 +226,9 @@
     for end, released in ends:
         free = free + released
         slots = count_fitting(free, size)
-        if slots > known:
-            events.append((end, worker.worker_id, slots - known))
-            known = slots
+        if slots > counted:
+            events.append((end, worker.worker_id, slots - counted))
+            counted = slots
     return events
 
 
--- a/basilhold/placement/tests/builders.py
+++ b/basilhold/placement/tests/builders.py
@@ -117,7 +117,7 @@
             self.planner.upsert_job(record)
 
     def plan(self, now: int, limit: int = 200) -> Plan:
-        """Plan at a time in Unix milliseconds, and commit and confirm the placements."""
+        """Plan at a time in Unix milliseconds, then commit and confirm the plan."""
         plan = self.planner.plan(now, limit)
         for p in plan.placements:
             record = self.worker_records[p.worker_id]
--- a/basilhold/placement/tests/test_target_planner.py
+++ b/basilhold/placement/tests/test_target_planner.py
@@ -171,7 +171,7 @@
         self.assertIn("small#0", started)
 
     def owner_with_reservation(self) -> FakeShardOwner:
-        """Return the owner of a shard whose gang waits for a task that ends at 100 s."""
+        """Return an owner whose gang waits for a task that is to end at 100 s."""
         owner = FakeShardOwner(("w1", size(4, 16), "r1"), ("w2", size(4, 16), "r1"))
         owner.submit(job("long", size(2), run_time_ms=100_000))
         owner.plan(0)
