--- a/basilhold/workflows/committer.py
+++ b/basilhold/workflows/committer.py
@@ -165,7 +165,7 @@
         starts = [p for p in self._starts if p.step.workflow.job_id not in unstored]
         self._starts = [p for p in self._starts if p.step.workflow.job_id in unstored]
         processed_by_link = {
-            link: link.worker.processed for link in self._state.links.values()
+            link: link.worker.processed_sequence for link in self._state.links.values()
         }
         begin_ms = self._sent_ms = self._state.clock.monotonic_ms()
         outcome = await self._state.lease.commit(batch.writes)
@@ -174,7 +174,7 @@
             raise LeaseLostError("the lease was lost during a commit")
         took_ms = self._state.clock.monotonic_ms() - begin_ms
         self._state.observe("basilhold_workflow_commit_seconds", took_ms)
-        self._state.admissions.note_commit(took_ms)
+        self._state.admissions.update_commit_time(took_ms)
         self._state.committed_states.update(batch.states)
         for placement in starts:
             self._send_start(placement)
--- a/basilhold/workflows/model.py
+++ b/basilhold/workflows/model.py
@@ -18,7 +18,7 @@
     "task_name",
 ]
 
-WORKERS_PER_ADVICE_REQUEST = 30
+WORKERS_PER_QUERY = 30
 """Number of workers in the advice request that the objective allows for per step."""
 
 QueueName = NewType("QueueName", str)
@@ -238,7 +238,7 @@
     It includes one advice request per step, if the queue requires advice.
     """
     advice = spec.policy.advice
-    advice_ms = advice.answer_ms(WORKERS_PER_ADVICE_REQUEST) if advice else 0.0
+    advice_ms = advice.answer_ms(WORKERS_PER_QUERY) if advice else 0.0
     ends: list[float] = []
     for number, step in enumerate(spec.steps):
         start_ms = max((ends[i] for i in step.after if i < number), default=0.0)
--- a/basilhold/workflows/owner.py
+++ b/basilhold/workflows/owner.py
@@ -16,9 +16,10 @@
 from basilhold.ports import Row
 from basilhold.workflows import events
 from basilhold.workflows.admissions import StepKey
+from basilhold.workflows.advice_queries import AdviceQuery
 from basilhold.workflows.evacuation import find_evacuations
 from basilhold.workflows.model import (
-    WORKERS_PER_ADVICE_REQUEST,
+    WORKERS_PER_QUERY,
     QueueName,
     WorkflowSpec,
     task_name,
@@ -28,8 +29,7 @@
 from basilhold.workflows.planner import Placement, Plan, plan
 from basilhold.workflows.pool import Pool, Run, RunKey, Worker
 from basilhold.workflows.progress import Workflow, WorkflowState
-from basilhold.workflows.questions import Question
-from basilhold.workflows.ready_steps import ready_step
+from basilhold.workflows.ready_steps import make_ready_step
 from basilhold.workflows.recovery import load_workflows, restore_assignments
 from basilhold.workflows.rows import jobs_prefix, parse_jobs_key
 from basilhold.workflows.run_controller import AVOID_FAILING_WORKER_MS, RunController
@@ -115,7 +115,7 @@
         """Return the number of a queue's active workflows without a started task."""
         return sum(
             1
-            for workflow in self._state.backlog.active()
+            for workflow in self._state.backlog.active_workflows()
             if workflow.spec.policy.name == queue and not workflow.has_started()
         )
 
@@ -169,7 +169,7 @@
             "runs": sum(len(w.runs) for w in workers),
             "free_cores_milli": sum(w.free.cores_milli for w in workers),
             "workflows": len(state.workflows),
-            "active_workflows": sum(1 for _ in state.backlog.active()),
+            "active_workflows": sum(1 for _ in state.backlog.active_workflows()),
         }
 
     # Lifecycle.
@@ -235,10 +235,10 @@
         for worker in self._state.pool.workers.values():
             # The previous owner may have renewed the worker's lease until its own lease
             # expired.
-            worker.held_until_ms = (
+            worker.lease_expires_ms = (
                 now_ms + LEASE_VALIDITY_MS + self._state.limits.lease_expiry_ms()
             )
-            worker.gone = True
+            worker.unregistered = True
         await self._worker_tracker.refresh_registrations()
         self.loaded = True
         log_event(
@@ -269,7 +269,7 @@
     def _plan(self) -> Plan:
         now_ms = self._state.clock.monotonic_ms()
         instant = self._state.time.read()
-        steps = self._state.backlog.ready(instant)
+        steps = self._state.backlog.ready_steps(instant)
         state = self._state
         return plan(
             steps,
@@ -281,14 +281,14 @@
             state.limits.stop_ms,
             # While a commit is stalled, nothing can start on capacity that a preemption
             # would free.
-            may_stop=not self._committer.is_stalled(),
+            may_preempt=not self._committer.is_stalled(),
         )
 
     def _apply_plan(self, new_plan: Plan) -> None:
         for placement in new_plan.placements:
             self._assign(placement)
-        for question in new_plan.questions:
-            self._request_advice(question)
+        for query in new_plan.queries:
+            self._request_advice(query)
         for preemption in new_plan.preemptions:
             run = preemption.run
             log_event(
@@ -304,7 +304,7 @@
         workflow, worker = placement.step.workflow, placement.worker
         run = worker.runs[RunKey(workflow.job_id, placement.key)]
         workflow.assign(placement.key, run.number, worker.worker_id)
-        self._state.backlog.taken(workflow, placement.key)
+        self._state.backlog.mark_assigned(workflow, placement.key)
         self._committer.start_after_commit(placement)
         queued_ms = self._state.time.now_ms() - workflow.spec.submitted_ms
         self._state.observe("basilhold_workflow_start_wait_seconds", queued_ms)
@@ -317,17 +317,17 @@
             queued_ms=round(queued_ms),
         )
 
-    def _request_advice(self, question: Question) -> None:
-        step = question.step
+    def _request_advice(self, query: AdviceQuery) -> None:
+        step = query.step
         policy = step.workflow.spec.policy
-        if not self._state.ports.advice.is_available(policy, len(question.workers)):
+        if not self._state.ports.advice.is_available(policy, len(query.workers)):
             # The next planning pass retries, in the order that applies then.
             return
-        self._state.admissions.step(step.key).question_sent(question.workers)
-        self._state.spawn(self._await_advice(question))
+        self._state.admissions.step(step.key).query_sent(query.workers)
+        self._state.spawn(self._await_advice(query))
 
-    async def _await_advice(self, question: Question) -> None:
-        step = question.step
+    async def _await_advice(self, query: AdviceQuery) -> None:
+        step = query.step
         advice_state = self._state.admissions.step(step.key)
         asked_ms = self._state.clock.monotonic_ms()
         policy = step.workflow.spec.policy
@@ -336,11 +336,11 @@
                 step.workflow.job_id,
                 step.occurrence,
                 step.number,
-                question.workers,
+                query.workers,
                 policy,
             )
         finally:
-            advice_state.question_closed(question.workers)
+            advice_state.query_closed(query.workers)
         now_ms = self._state.clock.monotonic_ms()
         self._state.observe("basilhold_workflow_advice_seconds", now_ms - asked_ms)
         if answer.is_error():
@@ -354,17 +354,19 @@
         else:
             tickets = answer.ok.tickets
             answered = advice_state.admitted | advice_state.refused
-            if answered.isdisjoint(question.workers):
-                asked, admitted = len(question.workers), len(tickets)
-                self._state.admissions.note_share(policy.name, asked, admitted)
+            if answered.isdisjoint(query.workers):
+                asked, admitted = len(query.workers), len(tickets)
+                self._state.admissions.update_admitted_share(
+                    policy.name, asked, admitted
+                )
             self._state.admissions.record(
-                step.key, question.workers, tickets, policy.advice.valid_ms, now_ms
+                step.key, query.workers, tickets, policy.advice.valid_ms, now_ms
             )
             log_event(
                 events.ADVICE_RECEIVED,
                 job=step.workflow.job_id,
                 step=step.number,
-                asked=len(question.workers),
+                asked=len(query.workers),
                 admitted=len(tickets),
                 after_ms=round(now_ms - asked_ms),
             )
@@ -432,7 +434,7 @@
             run = straggler.run
             key = run.key.task
             step_key = StepKey(run.key.job_id, key.occurrence, key.step)
-            if self._state.run_times.note_restart(step_key, key.index):
+            if self._state.run_times.count_restart(step_key, key.index):
                 log_event(
                     events.RUN_OVERDUE,
                     task=task_name(run.key.job_id, key),
@@ -463,11 +465,11 @@
                 self._run_controller.stop(worker, run)
                 continue
             key = run.key.task
-            step = ready_step(workflow, key.occurrence, key.step, [key])
+            step = make_ready_step(workflow, key.occurrence, key.step, [key])
             if state.admissions.step(step.key).may_ask(now_ms):
                 names = [w.worker_id for w in evacuation.targets]
-                names = names[:WORKERS_PER_ADVICE_REQUEST]
-                self._request_advice(Question(step, tuple(names)))
+                names = names[:WORKERS_PER_QUERY]
+                self._request_advice(AdviceQuery(step, tuple(names)))
 
     def _avoid_worker_for_task(self, run: Run, worker: Worker) -> None:
         """Prefer other workers for the next run of a task."""
--- a/basilhold/workflows/owner_state.py
+++ b/basilhold/workflows/owner_state.py
@@ -10,7 +10,7 @@
 from basilhold.observability import Metrics, metric
 from basilhold.ports import ChangeFeed, TableService
 from basilhold.ports.runners import AdviceService, RunnerClient, WorkerRegistry
-from basilhold.workflows.admissions import AdmissionBook
+from basilhold.workflows.admissions import AdmissionRecords
 from basilhold.workflows.background_tasks import BackgroundTasks
 from basilhold.workflows.backlog import Backlog
 from basilhold.workflows.owner_lease import Lease
@@ -77,7 +77,7 @@
         States as last committed, which callers may see.
     backlog : Backlog
         Active workflows and their waiting tasks.
-    admissions : AdmissionBook
+    admissions : AdmissionRecords
         Answers of the advice service.
     reservations : Reservations
         Capacity that is kept free for steps.
@@ -102,7 +102,7 @@
         self.workflows: dict[JobId, Workflow] = {}
         self.committed_states: dict[JobId, WorkflowState] = {}
         self.backlog = Backlog()
-        self.admissions = AdmissionBook()
+        self.admissions = AdmissionRecords()
         self.reservations = Reservations()
         self.run_times = RunTimes()
         self.pool = Pool()
--- a/basilhold/workflows/run_controller.py
+++ b/basilhold/workflows/run_controller.py
@@ -9,7 +9,7 @@
 from basilhold.workflows.committer import Committer
 from basilhold.workflows.model import StepSpec, TaskKey, task_name
 from basilhold.workflows.owner_state import LeaseLostError, OwnerState
-from basilhold.workflows.pacing import PaceChange, pace_changes
+from basilhold.workflows.pacing import PaceChange, find_pace_changes
 from basilhold.workflows.planner import Placement
 from basilhold.workflows.pool import Run, RunKey, RunStage, Worker
 from basilhold.workflows.progress import EndKind, RunEnd, TaskStage, Workflow
@@ -58,7 +58,7 @@
             self._return_unstarted(worker, run)
             return
         link = self._state.links.get(worker.worker_id)
-        if not self._state.lease.is_valid() or link is None or worker.gone:
+        if not self._state.lease.is_valid() or link is None or worker.unregistered:
             self._return_unstarted(worker, run)
             return
         now_ms = self._state.clock.monotonic_ms()
@@ -137,7 +137,7 @@
         for other, task in workflow.assigned():
             if not _same_step(other, key.task):
                 continue
-            run = self._state.pool.run_of(task.worker_id, RunKey(key.job_id, other))
+            run = self._state.pool.find_run(task.worker_id, RunKey(key.job_id, other))
             if run is not None and run is not excluded and not run.stop_wanted:
                 self.stop(self._state.pool.workers[task.worker_id], run)
 
@@ -170,7 +170,7 @@
                     run.confirmed_ms = self._state.clock.monotonic_ms()
                     self.refresh_worker(worker)
                     return
-                if outcome is CallOutcome.ABSENT or worker.gone:
+                if outcome is CallOutcome.ABSENT or worker.unregistered:
                     return
                 await asyncio.sleep(STOP_RETRY_INTERVAL_MS / 1000)
         finally:
@@ -178,7 +178,7 @@
 
     def adjust_pace(self, worker: Worker) -> None:
         """Adjust the pace of runs on spare cores to the latency of serving tasks."""
-        for change in pace_changes(worker):
+        for change in find_pace_changes(worker):
             self._state.spawn(self._set_pace(worker, change))
 
     async def _set_pace(self, worker: Worker, change: PaceChange) -> None:
@@ -246,7 +246,7 @@
         if workflow.state.is_final and not was_final:
             self.finalize_workflow(workflow)
         elif workflow.task(key.task).stage is TaskStage.PENDING:
-            self._state.backlog.returned(workflow, key.task)
+            self._state.backlog.mark_waiting(workflow, key.task)
             if end.kind is not EndKind.DONE:
                 self._stop_gang(key, step.gang, None)
         self.committer.mark_dirty(workflow)
@@ -264,7 +264,7 @@
             )
         if end.kind in (EndKind.DONE, EndKind.FAILED):
             failed = end.kind is EndKind.FAILED
-            if worker.note_end(failed, now_ms, AVOID_FAILING_WORKER_MS):
+            if worker.record_outcome(failed, now_ms, AVOID_FAILING_WORKER_MS):
                 log_event(
                     events.WORKER_AVOIDED,
                     worker=worker.worker_id,
@@ -274,11 +274,13 @@
     def finalize_workflow(self, workflow: Workflow) -> None:
         """Stop the remaining runs of a workflow that has ended, and log its end."""
         self._state.backlog.remove(workflow)
-        self._state.admissions.forget_job(workflow.job_id)
-        self._state.reservations.forget_job(workflow.job_id)
-        self._state.run_times.forget_job(workflow.job_id)
+        self._state.admissions.remove_job(workflow.job_id)
+        self._state.reservations.remove_job(workflow.job_id)
+        self._state.run_times.remove_job(workflow.job_id)
         for key, task in workflow.assigned():
-            run = self._state.pool.run_of(task.worker_id, RunKey(workflow.job_id, key))
+            run = self._state.pool.find_run(
+                task.worker_id, RunKey(workflow.job_id, key)
+            )
             if run is not None:
                 self.stop(self._state.pool.workers[task.worker_id], run)
         self.committer.mark_dirty(workflow)
--- a/basilhold/workflows/worker_link.py
+++ b/basilhold/workflows/worker_link.py
@@ -135,12 +135,12 @@
             Lease that the call grants, in milliseconds of the worker's clock.
         """
         until_ms = now_ms + lease_ms * CLOCK_DRIFT_FACTOR + LEASE_MARGIN_MS
-        self.worker.held_until_ms = max(self.worker.held_until_ms, until_ms)
+        self.worker.lease_expires_ms = max(self.worker.lease_expires_ms, until_ms)
 
     def acknowledge(self, processed: int) -> None:
         """Allow the worker to discard run ends up to a number, which are committed."""
-        if processed > self.worker.acknowledged:
-            self.worker.acknowledged = processed
+        if processed > self.worker.acknowledged_sequence:
+            self.worker.acknowledged_sequence = processed
         self._acknowledged.set()
 
     async def refresh(self, clock: Clock) -> None:
@@ -221,18 +221,21 @@
         Returns 0 if there is nothing new to acknowledge, or after a failed poll: the
         next reply may come from a new incarnation, which numbers its run ends from 1.
         """
-        if self._failures or self.worker.acknowledged <= self._sent_acknowledgement:
+        if (
+            self._failures
+            or self.worker.acknowledged_sequence <= self._sent_acknowledgement
+        ):
             return 0
-        return self.worker.acknowledged
+        return self.worker.acknowledged_sequence
 
     def _wait_ms(self) -> int:
-        uncommitted = self.worker.processed > self.worker.acknowledged
+        uncommitted = self.worker.processed_sequence > self.worker.acknowledged_sequence
         if not self.worker.listed or uncommitted:
             return 0
         return self._limits.wait_ms
 
     async def _wait_for_commit(self) -> None:
-        if self.worker.processed <= self.worker.acknowledged:
+        if self.worker.processed_sequence <= self.worker.acknowledged_sequence:
             return
         self._acknowledged.clear()
         try:
@@ -254,6 +257,6 @@
         return self._check_expiry(clock)
 
     def _check_expiry(self, clock: Clock) -> PollResult:
-        if clock.monotonic_ms() > self.worker.held_until_ms and self.worker.runs:
+        if clock.monotonic_ms() > self.worker.lease_expires_ms and self.worker.runs:
             return PollResult(lost="its lease has lapsed")
         return PollResult()
