--- a/basilhold/workflows/frontend.py
+++ b/basilhold/workflows/frontend.py
@@ -384,5 +384,5 @@
         workers: tuple[WorkerId, ...],
         policy: QueuePolicy,
     ) -> Result[Admission, str]:
-        """Request advice from this machine for a peer."""
+        """Query the advice service from this machine for a peer."""
         return await self._advice.ask(job_id, occurrence, step, workers, policy)
--- a/basilhold/workflows/members.py
+++ b/basilhold/workflows/members.py
@@ -1,6 +1,6 @@
 """Membership of a deployment, read from the rows that its processes keep in the store.
 
-A process that owns a service reads all members, because it spreads advice requests
+A process that owns a service reads all members, because it spreads advice queries
 over their machines. The other processes read a small sample, through which they can
 reach the store: if every process read every row, the bytes read would grow with the
 square of the number of processes.
--- a/basilhold/workflows/model.py
+++ b/basilhold/workflows/model.py
@@ -19,7 +19,7 @@
 ]
 
 WORKERS_PER_QUERY = 30
-"""Number of workers in the advice request that the objective allows for per step."""
+"""Number of workers in the advice query that the objective allows for per step."""
 
 QueueName = NewType("QueueName", str)
 RunNumber = NewType("RunNumber", int)
@@ -235,7 +235,7 @@
 def _critical_path_ms(spec: WorkflowSpec) -> float:
     """Return the estimated run time of the critical path, in milliseconds.
 
-    It includes one advice request per step, if the queue requires advice.
+    It includes one advice query per step, if the queue requires advice.
     """
     advice = spec.policy.advice
     advice_ms = advice.answer_ms(WORKERS_PER_QUERY) if advice else 0.0
--- a/basilhold/workflows/peer_http.py
+++ b/basilhold/workflows/peer_http.py
@@ -43,7 +43,7 @@
 service."""
 
 ADVICE_TIMEOUT_MS = 4_000
-"""Timeout of an advice request, which may queue for the advice service."""
+"""Timeout of an advice query, which may wait for its turn at the advice service."""
 
 BODY_BYTES_MAX = 2 << 20
 
@@ -247,7 +247,7 @@
         workers: tuple[WorkerId, ...],
         policy: QueuePolicy,
     ) -> Result[Admission, str]:
-        """Request advice through a peer's machine."""
+        """Query the advice service through a peer's machine."""
         body = _AdviceBody(job_id, occurrence, step, workers, policy)
         result = await self._call(
             endpoint, "advise", body, _AdviceReply, ADVICE_TIMEOUT_MS
--- a/basilhold/workflows/peers.py
+++ b/basilhold/workflows/peers.py
@@ -180,7 +180,7 @@
         workers: tuple[WorkerId, ...],
         policy: QueuePolicy,
     ) -> Result[Admission, str]:
-        """Request advice from this process's machine.
+        """Query the advice service from this process's machine.
 
         Returns
         -------
@@ -247,7 +247,7 @@
         workers: tuple[WorkerId, ...],
         policy: QueuePolicy,
     ) -> Result[Admission, str]:
-        """Request advice through a peer's machine.
+        """Query the advice service through a peer's machine.
 
         Returns
         -------
--- a/basilhold/workflows/worker_link.py
+++ b/basilhold/workflows/worker_link.py
@@ -19,7 +19,7 @@
 LEASE_MARGIN_MS = 100.0
 LEASE_MAX_MS = 6_500.0
 """Maximum lease of a worker. A long-running task has to run again within 9 s after its
-worker has failed without notice, of which the advice request for another worker takes
+worker has failed without notice, of which the advice query for another worker takes
 1 s. Takeovers by another owner end within 4 s."""
 
 RETRY_DELAY_MS = 200.0
