--- a/basilhold/placement/reservation.py
+++ b/basilhold/placement/reservation.py
@@ -106,7 +106,7 @@
 ) -> int | None:
     """Return when a live task is expected to end, or ``None`` if that is unknown.
 
-    A task that has ended or has been told to give way counts as ending now. The result
+    A task that has ended or has been evicted counts as ending now. The result
     is in Unix milliseconds.
     """
     if live.finished or live.evicted_unix_ms:
