--- a/basilhold/platform/node.py
+++ b/basilhold/platform/node.py
@@ -43,7 +43,7 @@
 from basilhold.platform.settings import PlatformSettings, read_settings
 from basilhold.platform.store import PlatformStore
 from basilhold.programs.lifecycle import Daemon, ExitCode, run_daemon
-from basilhold.workflows.advice_spread import SpreadAdvice
+from basilhold.workflows.advice_balancer import AdviceBalancer
 from basilhold.workflows.background_tasks import restart_on_error
 from basilhold.workflows.front import WorkflowFront
 from basilhold.workflows.owner import OwnerPorts
@@ -172,7 +172,7 @@
         advice = PlatformAdviceService(
             self._pool, parse_endpoint(settings.advice or settings.platform.address)
         )
-        spread_advice = SpreadAdvice(
+        spread_advice = AdviceBalancer(
             endpoint, advice, peers, lambda: self.ownership_manager.members(), region
         )
         ports = OwnerPorts(
--- a/basilhold/workflows/tests/test_random_runs.py
+++ b/basilhold/workflows/tests/test_random_runs.py
@@ -103,7 +103,7 @@
 
     def test_outcome_acknowledged_before_it_is_stored(self):
         def acknowledge_immediately(link):
-            link.acknowledge(link.worker.processed)
+            link.acknowledge(link.worker.processed_sequence)
             return original(link)
 
         original = WorkerLink._wait_for_commit
--- a/basilhold/workflows/worker_tracker.py
+++ b/basilhold/workflows/worker_tracker.py
@@ -16,9 +16,9 @@
     RunStage,
     Worker,
     WorkerInfo,
-    carry_over,
     reconcile,
-    remove_lost,
+    remove_lost_runs,
+    transfer_runs,
 )
 from basilhold.workflows.run_controller import RunController
 from basilhold.workflows.worker_link import Look, WorkerLink
@@ -54,7 +54,7 @@
         """Remove workers without a link whose leases have certainly expired."""
         for worker in list(self._state.pool.workers.values()):
             unlinked = worker.worker_id not in self._state.links
-            if unlinked and now_ms > worker.held_until_ms:
+            if unlinked and now_ms > worker.lease_expires_ms:
                 self._handle_worker_loss(worker, "its lease has expired")
 
     async def refresh_registrations(self) -> None:
@@ -71,7 +71,7 @@
             self._update_worker(worker_id, info)
         for worker_id, worker in list(self._state.pool.workers.items()):
             if worker_id not in registered:
-                worker.gone = True
+                worker.unregistered = True
                 if not worker.runs:
                     self._remove_worker(worker)
         self._state.plan_event.set()
@@ -89,7 +89,7 @@
         elif worker.info != info:
             worker.free = worker.free + info.capacity - worker.info.capacity
             worker.info = info
-        worker.gone = False
+        worker.unregistered = False
         if worker_id not in self._state.links:
             self._open_link(worker)
 
@@ -97,7 +97,7 @@
         worker = link.worker
         try:
             while self._apply_poll(link, await link.look(self._state.clock)):
-                if worker.gone and not worker.runs:
+                if worker.unregistered and not worker.runs:
                     self._remove_worker(worker)
                     return
         finally:
@@ -172,7 +172,7 @@
             runs=len(worker.runs),
         )
         self._remove_worker(worker)
-        for ended in remove_lost(worker):
+        for ended in remove_lost_runs(worker):
             self._run_controller.apply_end(worker, ended.key, ended.end)
         self._state.plan_event.set()
 
@@ -187,7 +187,7 @@
 
     def _replace_incarnation(self, worker: Worker, info: WorkerInfo) -> Worker:
         successor = Worker(info)
-        carry_over(worker, successor)
+        transfer_runs(worker, successor)
         self._handle_worker_loss(worker, "it has restarted")
         self._state.pool.workers[info.worker_id] = successor
         self._open_link(successor)
@@ -201,7 +201,7 @@
         self._state.spawn(self._poll_worker(link))
 
     def _remove_worker(self, worker: Worker) -> None:
-        worker.gone = True
+        worker.unregistered = True
         if self._state.pool.workers.get(worker.worker_id) is worker:
             del self._state.pool.workers[worker.worker_id]
         link = self._state.links.get(worker.worker_id)
