--- a/basilhold/workflows/advice_balancer.py
+++ b/basilhold/workflows/advice_balancer.py
@@ -30,7 +30,7 @@
 
 QUICK_MACHINES_SHARE = 0.3
 """Share of the machines, rounded down but at least one, reserved for quick queries. On
-the loaded days, quick queries take half the time of one machine. Long queries occupied
+days of high load, quick queries take half the time of one machine. Long queries occupied
 half of the machines and queued for up to 1.4 s while other machines were idle."""
 
 DELAY_WEIGHT = 0.4
--- a/basilhold/workflows/pool.py
+++ b/basilhold/workflows/pool.py
@@ -196,7 +196,7 @@
     free : Resources
         Capacity that no run occupies.
     listed : bool
-        Whether a listing of this incarnation has been processed.
+        Whether the worker answered the latest request for its listing.
     unregistered : bool
         Whether the worker is no longer registered or has been removed from the pool.
     listed_ms, clock_ms : float
