--- a/basilhold/workflows/advice_balancer.py
+++ b/basilhold/workflows/advice_balancer.py
@@ -29,9 +29,11 @@
 """Queries that take longer leave some machines to the quick queries of urgent work."""
 
 QUICK_MACHINES_SHARE = 0.3
-"""Share of the machines, rounded down but at least one, reserved for quick queries. On
-days of high load, quick queries take half the time of one machine. Long queries occupied
-half of the machines and queued for up to 1.4 s while other machines were idle."""
+"""Share of the machines, rounded down but at least one, reserved for quick queries.
+
+On days of high load, quick queries take half the time of one machine. Long queries
+occupied half of the machines and queued for up to 1.4 s while other machines were idle.
+"""
 
 DELAY_WEIGHT = 0.4
 """Weight of a new measurement in the moving average of a machine's extra delay, which
