Keep the reasons of rejected jobs as they are sent to clients

Cause: they leave the process in problem documents, and texts on the wire stay. Change: seven texts of basilhold/placement/admission.py are those of before.

--- a/basilhold/placement/admission.py
+++ b/basilhold/placement/admission.py
@@ -106,13 +106,11 @@
         ``Ok`` if the job is admitted.
     """
     if spec.class_name not in classes:
-        return _rejected(
-            RejectionKind.UNKNOWN_CLASS, f"there is no class {spec.class_name}"
-        )
+        return _rejected(RejectionKind.UNKNOWN_CLASS, f"no class {spec.class_name}")
     if classes[spec.class_name].kind is ClassKind.REQUEST:
         return _rejected(
             RejectionKind.INVALID,
-            f"class {spec.class_name} accepts requests and no jobs",
+            f"class {spec.class_name} is for requests and not for jobs",
         )
     limit = team.queued_tasks_max if team is not None else _QUEUED_TASKS_MAX
     size_check = _check_size(spec, shapes)
@@ -120,7 +118,7 @@
         return size_check
     return _rejected(
         RejectionKind.QUEUE_FULL,
-        f"team {spec.team} has {queued_tasks} waiting tasks; the limit is {limit}",
+        f"team {spec.team} has {queued_tasks} waiting tasks of at most {limit}",
     )
 
 
@@ -131,7 +129,7 @@
     if spec.task_count < 1 or size.is_negative() or size == Resources():
         return _rejected(
             RejectionKind.INVALID,
-            "a job needs at least one task, and its tasks must request resources",
+            "a job needs at least one task of a positive size",
         )
     if not any(size.fits_in(shape.capacity) for shape in shapes):
         return _rejected(RejectionKind.TASK_TOO_LARGE, _too_large_reason(size, shapes))
@@ -140,8 +138,8 @@
         if spec.task_count > largest:
             return _rejected(
                 RejectionKind.GANG_TOO_LARGE,
-                f"the gang has {spec.task_count} tasks, but no zone can run more "
-                f"than {largest} such tasks at once",
+                f"a gang of {spec.task_count} such tasks is larger than the "
+                f"{largest} that start together in any zone",
             )
     return Ok(None)
 
@@ -193,7 +191,7 @@
 
 def _too_large_reason(size: Resources, shapes: tuple[WorkerShape, ...]) -> str:
     if not shapes:
-        return "the VM list contains no worker"
+        return "the VM list names no worker"
     limits = (
         ("cores", size.cores_milli, max(s.capacity.cores_milli for s in shapes), 1000),
         ("GPUs", size.gpus_milli, max(s.capacity.gpus_milli for s in shapes), 1000),
@@ -210,5 +208,5 @@
         if need > most
     ]
     if not exceeded:
-        return "no single worker has enough cores, memory and GPUs for a task"
+        return "no single worker has the cores, memory and GPUs of a task together"
     return f"a task needs {', '.join(exceeded)}"
