Explain the store outage threshold and counts of unstarted workflows

The comments on the frontend's limits did not say that the delay of polls extends the threshold, and queue lengths count unstarted workflows only.

--- a/basilhold/workflows/frontend.py
+++ b/basilhold/workflows/frontend.py
@@ -1,4 +1,7 @@
-"""Requests of callers: submissions, states, cancellations and queue lengths."""
+"""Requests of callers: submissions, states, cancellations and queue lengths.
+
+The same object serves the calls of peers.
+"""
 
 import asyncio
 from enum import Enum
@@ -39,18 +42,18 @@
 NOT_STORED_RETRY_MS = 250.0
 UNKNOWN_RETRY_MS = 700.0
 """How long a submission is retried if it is certainly not stored, and if it may be. A
-caller that is rejected later than after a quarter of its objective could have been
-served sooner elsewhere."""
+caller that learns of a failure after more than a quarter of its objective could have
+tried elsewhere sooner."""
 
 OUTAGE_POLLS = 2.6
 """Polls of the owners without a reply after which the store is considered down."""
 
 OUTAGE_LATENCIES = 2.0
 OUTAGE_LATENCY_MAX_MS = 600.0
-"""Latencies of a slow store that are added to the time without a reply after which the
-store is considered down, and the maximum of that addition. With a store that is slower
-still, submissions end with an unknown outcome, after which callers cannot retry at
-once."""
+"""Number of calls to a slow store that may delay a poll of the owners, and the maximum
+of that delay. The delay extends the time without a reply after which the store is
+considered down and callers are rejected. With a store that is slower still, submissions
+end with an unknown outcome, after which callers cannot retry at once."""
 
 RETRY_AFTER_MAX_S = 4
 """Maximum delay that callers are asked to wait. Callers make only a few attempts, which
@@ -323,7 +326,7 @@
             await asyncio.sleep(RETRY_DELAY_MS / 1000)
 
     async def queue_length(self, policy: QueuePolicy) -> int | None:
-        """Return the number of queued workflows, or ``None`` if it is unknown."""
+        """Return the number of unstarted workflows, or ``None`` if it is unknown."""
         local = self.local_queue_length(policy.service, policy.name)
         if local is not None:
             return local
@@ -362,7 +365,7 @@
         return StateReply(True, local.workflow_state(job_id))
 
     def local_queue_length(self, service: ServiceName, queue: QueueName) -> int | None:
-        """Return the number of queued workflows, or ``None`` if not the owner."""
+        """Return the number of unstarted workflows, or ``None`` if not the owner."""
         local = self._ownership_manager.local_owner(service)
         if local is None or not local.is_current():
             return None
--- a/basilhold/workflows/peer_http.py
+++ b/basilhold/workflows/peer_http.py
@@ -206,7 +206,7 @@
     async def queue_length(
         self, endpoint: str, service: ServiceName, queue: QueueName
     ) -> int | None:
-        """Request the number of queued workflows; ``None`` if there is no answer."""
+        """Request the number of a queue's unstarted workflows."""
         body = _QueueBody(service, queue)
         result = await self._call(endpoint, "waiting", body, _WaitingReply)
         return result.ok.count if result.is_ok() else None
--- a/basilhold/workflows/peers.py
+++ b/basilhold/workflows/peers.py
@@ -161,7 +161,7 @@
 
     @abstractmethod
     def local_queue_length(self, service: ServiceName, queue: QueueName) -> int | None:
-        """Return the number of queued workflows, or ``None`` if not the owner."""
+        """Return the number of unstarted workflows, or ``None`` if not the owner."""
 
     @abstractmethod
     def shared_ms(self) -> float | None:
@@ -229,7 +229,10 @@
     async def queue_length(
         self, endpoint: str, service: ServiceName, queue: QueueName
     ) -> int | None:
-        """Request the number of queued workflows; ``None`` if there is no answer."""
+        """Request the number of a queue's unstarted workflows.
+
+        Returns ``None`` if there is no answer from the owner.
+        """
 
     @abstractmethod
     async def store_call(
--- a/basilhold/workflows/worker_link.py
+++ b/basilhold/workflows/worker_link.py
@@ -67,7 +67,8 @@
     Parameters
     ----------
     first : bool
-        Whether the worker's run lists were read for the first time.
+        Whether the worker's run lists were read for the first time, or for the first
+        time after a failed poll.
     fenced : bool
         Whether the worker rejected the call because it has seen a higher epoch.
     lost : str
@@ -138,7 +139,13 @@
         self.worker.lease_expires_ms = max(self.worker.lease_expires_ms, until_ms)
 
     def acknowledge(self, processed: int) -> None:
-        """Allow the worker to discard run ends up to a number, which are committed."""
+        """Allow the worker to discard run ends up to a number.
+
+        Parameters
+        ----------
+        processed : int
+            Sequence number of the last run end that is committed.
+        """
         if processed > self.worker.acknowledged_sequence:
             self.worker.acknowledged_sequence = processed
         self._acknowledged.set()
