Name the at-most-once registry and its claims in usual terms

OnceKeeper and its tickets are names private to the project. A registry of claims on keyed requests is the usual term; the methods say what is awaited, recorded or released.

basilhold/gateway/once.py OnceKeeper OnceRegistry basilhold/gateway/once.py OnceKeeper.open claim basilhold/gateway/once.py OnceKeeper.ask wait_for_progress basilhold/gateway/once.py OnceKeeper.settle wait_recorded basilhold/gateway/once.py OnceKeeper.finish record_answer basilhold/gateway/once.py OnceKeeper.not_run release_not_run basilhold/gateway/once.py OnceKeeper.unknown release_unknown basilhold/gateway/once.py records_estimate record_count_estimate basilhold/gateway/once_results.py OnceTicket OnceClaim basilhold/gateway/once_results.py keep_ms retention_ms basilhold/gateway/course.py Course.ticket claim basilhold/gateway/replay.py play_back replay_answer basilhold/gateway/answers.py passed_on forwarding_started basilhold/gateway/front.py bodies_bytes buffered_body_bytes basilhold/gateway/front.py bodies_bytes_max buffered_body_bytes_max basilhold/gateway/drain.py bound_ms timeout_ms basilhold/gateway/drain.py TIME_BOUND TIME_LIMIT basilhold/testing/request_cell.py keeper once_registry basilhold/benchmarks/request_load.py keeper once_registry basilhold/benchmarks/requests.py keeper once_registry basilhold/capacity/once_probe.py keeper registry basilhold/gateway/tests/fixtures.py keepers registries

--- a/basilhold/benchmarks/request_load.py
+++ b/basilhold/benchmarks/request_load.py
@@ -24,7 +24,7 @@
 from basilhold.gateway import (
     CallerSink,
     Count,
-    OnceKeeper,
+    OnceRegistry,
     RequestCounters,
     RequestService,
     ServiceParts,
@@ -255,7 +255,7 @@
         clock = Clock(VIRTUAL_EPOCH_UNIX_MS)
         self.upstreams = MemoryUpstreams(plan.seed)
         identity = GatewayIdentity(ProcessId("gw"), VmId("gw"), *HOME)
-        self.keeper = OnceKeeper(
+        self.once_registry = OnceRegistry(
             identity.process_id,
             clock,
             MemoryTable(),
@@ -273,7 +273,7 @@
                 Router(*HOME, rng),
                 holder,
                 MemoryUpstreamClient(self.upstreams, *HOME, zone_latency_ms=0.0),
-                self.keeper,
+                self.once_registry,
                 rng,
                 counters,
                 retries=_UnlimitedRetries(rng) if plan.unlimited_retries else None,
@@ -333,7 +333,7 @@
     async def run(self) -> LoadResult:
         loop = asyncio.get_running_loop()
         calls = []
-        async with self.keeper:
+        async with self.once_registry:
             for arrival in make_arrivals(self.plan):
                 delay_s = arrival.at_ms / 1000 - loop.time()
                 if delay_s > 0:
--- a/basilhold/benchmarks/requests.py
+++ b/basilhold/benchmarks/requests.py
@@ -39,7 +39,7 @@
 from basilhold.gateway import (
     FrontEnd,
     GatewayServer,
-    OnceKeeper,
+    OnceRegistry,
     RequestCounters,
     RequestService,
     ServiceParts,
@@ -297,7 +297,7 @@
         clock = Clock(int(time.time() * 1000))
         identity = GatewayIdentity(ProcessId("gw"), VmId("gw"), *HOME)
         counters = RequestCounters()
-        keeper = OnceKeeper(
+        once_registry = OnceRegistry(
             identity.process_id,
             clock,
             MemoryTable(),
@@ -317,7 +317,7 @@
                 router,
                 holder,
                 client,
-                keeper,
+                once_registry,
                 rng,
                 counters,
             )
@@ -335,7 +335,7 @@
         server.add_sockets(sockets)
         port = sockets[0].getsockname()[1]
         figures = []
-        async with keeper, client:
+        async with once_registry, client:
             for callers in (1, 8):
                 direct = await _measure(upstream.port, "/q", count, callers)
                 through = await _measure(port, "/call/q", count, callers)
--- a/basilhold/capacity/once_probe.py
+++ b/basilhold/capacity/once_probe.py
@@ -4,8 +4,8 @@
 import random
 
 from basilhold.core import ClassName, Clock, ProcessId, TeamName
-from basilhold.gateway import OnceKeeper, RequestCounters
-from basilhold.gateway.once_results import OnceTicket
+from basilhold.gateway import OnceRegistry, RequestCounters
+from basilhold.gateway.once_results import OnceClaim
 from basilhold.requests import OnceAnswer, RequestPeers
 from basilhold.requests.once import make_request_key
 from basilhold.standins import MemoryObjectStore, MemoryTable
@@ -21,19 +21,19 @@
         raise NotImplementedError
 
 
-async def _request(keeper: OnceKeeper, number: int) -> None:
+async def _request(registry: OnceRegistry, number: int) -> None:
     loop = asyncio.get_running_loop()
     key = make_request_key(TeamName("team"), ClassName("order"), f"key-{number}")
-    opening = await keeper.open(key, "digest", loop.time() * 1000 + 30_000)
-    if not isinstance(opening, OnceTicket):
+    opening = await registry.claim(key, "digest", loop.time() * 1000 + 30_000)
+    if not isinstance(opening, OnceClaim):
         raise RuntimeError(f"request was not opened: {opening}")
-    keeper.finish(opening, OnceAnswer(200, (), b"x" * 256, 256))
+    registry.record_answer(opening, OnceAnswer(200, (), b"x" * 256, 256))
 
 
 async def _run(requests_per_s: int, requests: int) -> float:
     table = MemoryTable()
     table.faults.latency_ms = STORE_LATENCY_MS
-    keeper = OnceKeeper(
+    registry = OnceRegistry(
         ProcessId("gateway"),
         Clock(VIRTUAL_EPOCH_UNIX_MS),
         table,
@@ -43,13 +43,13 @@
         RequestCounters(),
     )
     tasks = []
-    async with keeper:
+    async with registry:
         writes = table.write_count
         for number in range(requests):
-            tasks.append(asyncio.create_task(_request(keeper, number)))
+            tasks.append(asyncio.create_task(_request(registry, number)))
             await asyncio.sleep(1 / requests_per_s)
         await asyncio.gather(*tasks)
-        await keeper.settle()
+        await registry.wait_recorded()
         return (table.write_count - writes) / requests
 
 
--- a/basilhold/cell/tests/test_replacement.py
+++ b/basilhold/cell/tests/test_replacement.py
@@ -97,7 +97,7 @@
             lambda: in_flight.append(nodes.gateway.service.in_flight_count),
             nodes.gateway.slots.return_all,
             grace_ms=GRACE_MS,
-            bound_ms=60_000,
+            timeout_ms=60_000,
         )
         drain.request_stop()
         draining = asyncio.create_task(drain.run())
--- a/basilhold/gateway/__init__.py
+++ b/basilhold/gateway/__init__.py
@@ -5,7 +5,7 @@
 from basilhold.gateway.drain import Drain, DrainEnd, DrainReport
 from basilhold.gateway.front import FrontEnd, StaticCallers
 from basilhold.gateway.handlers import make_application, request_routes
-from basilhold.gateway.once import OnceKeeper
+from basilhold.gateway.once import OnceRegistry
 from basilhold.gateway.once_results import OnceLimits
 from basilhold.gateway.once_sweeper import OnceSweeper
 from basilhold.gateway.server import GatewayServer
@@ -21,7 +21,7 @@
     "DrainReport",
     "FrontEnd",
     "GatewayServer",
-    "OnceKeeper",
+    "OnceRegistry",
     "OnceLimits",
     "OnceSweeper",
     "RequestCounters",
--- a/basilhold/gateway/answers.py
+++ b/basilhold/gateway/answers.py
@@ -127,7 +127,7 @@
         self._recorder = recorder
         self._held = bytearray()
         self.head: ResponseHead | None = None
-        self.passed_on = False
+        self.forwarding_started = False
         self.size_bytes = 0
 
     @property
@@ -151,7 +151,7 @@
         self.size_bytes += len(data)
         if self._recorder is not None:
             await self._recorder.write(data)
-        if self.passed_on:
+        if self.forwarding_started:
             await self._caller.write(data)
             return
         self._held += data
@@ -160,7 +160,7 @@
 
     async def complete(self) -> None:
         """Pass on what is left of a whole answer."""
-        if not self.passed_on:
+        if not self.forwarding_started:
             await self._pass_on()
 
     async def record(self) -> OnceAnswer | None:
@@ -170,7 +170,7 @@
         return await self._recorder.end(self.head)
 
     async def _pass_on(self) -> None:
-        self.passed_on = True
+        self.forwarding_started = True
         self._caller.set_outcome(Outcome.RAN, replayed=False)
         await self._caller.start(self.head)
         if self._held:
--- a/basilhold/gateway/course.py
+++ b/basilhold/gateway/course.py
@@ -4,7 +4,7 @@
 
 from basilhold.core import ClassKind, RestartPolicy, UpstreamId, WorkClass
 from basilhold.gateway.answers import CallerSink
-from basilhold.gateway.once_results import OnceTicket
+from basilhold.gateway.once_results import OnceClaim
 from basilhold.requests import (
     CallerRequest,
     Outcome,
@@ -39,7 +39,7 @@
         self.work_class = work_class
         self.queued = queued
         self.sink = sink
-        self.ticket: OnceTicket | None = None
+        self.claim: OnceClaim | None = None
         self.attempts = 0
         self.was_sent = False
         self.last_reason = ""
--- a/basilhold/gateway/drain.py
+++ b/basilhold/gateway/drain.py
@@ -23,7 +23,7 @@
 
     FINISHED = "finished"
     SECOND_REQUEST = "second stop request"
-    TIME_BOUND = "time bound"
+    TIME_LIMIT = "time bound"
 
 
 class DrainReport(msgspec.Struct, frozen=True):
@@ -57,7 +57,7 @@
     grace_ms : int
         Time until the load balancer has seen that the gateway is not ready, in
         milliseconds. New requests are served in it.
-    bound_ms : int
+    timeout_ms : int
         Time for the requests in flight after the grace period, in milliseconds. It
         should exceed the longest timeout of any class.
     """
@@ -68,13 +68,13 @@
         stop_accepting: Callable[[], None],
         return_slots: Callable[[], Awaitable[None]],
         grace_ms: int = 5000,
-        bound_ms: int = 60_000,
+        timeout_ms: int = 60_000,
     ):
         self._service = service
         self._stop_accepting = stop_accepting
         self._return_slots = return_slots
         self._grace_ms = grace_ms
-        self._bound_ms = bound_ms
+        self._timeout_ms = timeout_ms
         self._requested = asyncio.Event()
         self._hurried = asyncio.Event()
 
@@ -108,10 +108,10 @@
 
     async def _finish_requests(self) -> DrainEnd:
         try:
-            async with asyncio.timeout(self._bound_ms / 1000):
+            async with asyncio.timeout(self._timeout_ms / 1000):
                 hurried = await self._hurried_within(self._service.wait_idle())
         except TimeoutError:
-            return DrainEnd.TIME_BOUND
+            return DrainEnd.TIME_LIMIT
         return DrainEnd.SECOND_REQUEST if hurried else DrainEnd.FINISHED
 
     async def _hurried_within(self, work: Awaitable[object]) -> bool:
--- a/basilhold/gateway/front.py
+++ b/basilhold/gateway/front.py
@@ -47,7 +47,7 @@
         Stops the process after an `InvariantError`.
     body_bytes_max : int
         Largest body of one request, in bytes.
-    bodies_bytes_max : int
+    buffered_body_bytes_max : int
         Sum of the bodies in memory, in bytes.
     body_timeout_ms : int
         Time that a sender has for the body, in milliseconds.
@@ -58,6 +58,6 @@
     is_ready: Callable[[], bool] = lambda: True
     on_invariant_error: Callable[[InvariantError], None] = lambda error: None
     body_bytes_max: int = 1 << 20
-    bodies_bytes_max: int = 8 << 20
+    buffered_body_bytes_max: int = 8 << 20
     body_timeout_ms: int = 10_000
-    bodies_bytes: int = 0
+    buffered_body_bytes: int = 0
--- a/basilhold/gateway/handlers.py
+++ b/basilhold/gateway/handlers.py
@@ -182,11 +182,14 @@
             return
         if len(self._body) + len(chunk) > self._front.body_bytes_max:
             self._refuse(self._too_large())
-        elif self._front.bodies_bytes + len(chunk) > self._front.bodies_bytes_max:
+        elif (
+            self._front.buffered_body_bytes + len(chunk)
+            > self._front.buffered_body_bytes_max
+        ):
             detail = "the gateway holds too many request bodies"
             self._refuse(Problem(ProblemKind.QUEUE_FULL, Outcome.NOT_RUN, detail, 1))
         else:
-            self._front.bodies_bytes += len(chunk)
+            self._front.buffered_body_bytes += len(chunk)
             self._body += chunk
 
     def on_connection_close(self) -> None:
@@ -329,7 +332,7 @@
     def _free_body(self) -> None:
         if self._timer is not None:
             self._timer.cancel()
-        self._front.bodies_bytes -= len(self._body)
+        self._front.buffered_body_bytes -= len(self._body)
         self._body = bytearray()
 
 
--- a/basilhold/gateway/once.py
+++ b/basilhold/gateway/once.py
@@ -12,9 +12,9 @@
 from basilhold.gateway.counters import Count, RequestCounters
 from basilhold.gateway.events import RESULT_NOT_RECORDED
 from basilhold.gateway.once_results import (
+    OnceClaim,
     OnceLimits,
     OnceOpening,
-    OnceTicket,
     Replay,
     not_run_problem,
     store_unavailable_problem,
@@ -37,7 +37,7 @@
 )
 from basilhold.requests.once import record_key
 
-__all__ = ["OnceKeeper"]
+__all__ = ["OnceRegistry"]
 
 FINISH_DELAY_MS_MAX = 2000
 CLEANUP_MAX = 1000
@@ -65,7 +65,7 @@
         self.progress = RequestProgress.RUNNING
 
 
-class OnceKeeper:
+class OnceRegistry:
     """At-most-once records of one gateway.
 
     Parameters
@@ -106,7 +106,7 @@
         self._unrecorded_count = 0
         self._unrecorded_bytes = 0
         self._cleanup_count = 0
-        self.records_estimate = 0
+        self.record_count_estimate = 0
 
     async def __aenter__(self) -> Self:
         await self._writer.__aenter__()
@@ -124,12 +124,12 @@
         """Number of results that wait to be recorded."""
         return self._unrecorded_count
 
-    async def settle(self) -> None:
+    async def wait_recorded(self) -> None:
         """Wait until every result is recorded or dropped."""
         while self._tasks:
             await asyncio.wait(set(self._tasks))
 
-    async def ask(self, key: RequestKey, wait_ms: int) -> RequestProgress:
+    async def wait_for_progress(self, key: RequestKey, wait_ms: int) -> RequestProgress:
         """Answer another gateway that asks about a request."""
         held = self._held.get(key)
         if held is None:
@@ -141,7 +141,7 @@
             return RequestProgress.RUNNING
         return held.progress
 
-    async def open(
+    async def claim(
         self, key: RequestKey, fingerprint: str, deadline_ms: float
     ) -> OnceOpening:
         """Write the record of a request, or return what a repeat of it gets.
@@ -153,7 +153,7 @@
         deadline_ms : float
             The caller's deadline on the loop's clock, in milliseconds.
         """
-        if self.records_estimate >= self._limits.records_max:
+        if self.record_count_estimate >= self._limits.records_max:
             # A repeat of a recorded request still gets its result.
             earlier = await self.look_up(key, fingerprint, deadline_ms)
             if earlier is not None:
@@ -223,7 +223,7 @@
 
     async def _begin(
         self, key: RequestKey, fingerprint: str, deadline_ms: float
-    ) -> Result[OnceTicket, WriteError]:
+    ) -> Result[OnceClaim, WriteError]:
         now_unix_ms = self._clock.unix_ms()
         left_ms = int(deadline_ms - self._clock.monotonic_ms())
         record = OnceRecord(
@@ -231,7 +231,7 @@
             write_id=f"{self._rng.getrandbits(64):016x}",
             fingerprint=fingerprint,
             deadline_unix_ms=now_unix_ms + left_ms,
-            expires_unix_ms=now_unix_ms + self._limits.keep_ms,
+            expires_unix_ms=now_unix_ms + self._limits.retention_ms,
         )
         self._held[key] = _Held()
         begun = False
@@ -240,8 +240,8 @@
             written = await self._writer.write(record_key(key), ABSENT, value)
             if written.is_ok():
                 begun = True
-                self.records_estimate += 1
-                return Ok(OnceTicket(key, written.ok, record))
+                self.record_count_estimate += 1
+                return Ok(OnceClaim(key, written.ok, record))
             if written.error.kind in (
                 WriteErrorKind.UNKNOWN,
                 WriteErrorKind.CONFLICT_UNREAD,
@@ -304,7 +304,7 @@
         left_ms = deadline_ms - self._clock.monotonic_ms()
         wait_ms = max(0, int(left_ms - 2 * ASK_MARGIN_MS))
         if holder == self._process_id:
-            progress = await self.ask(key, wait_ms)
+            progress = await self.wait_for_progress(key, wait_ms)
         else:
             asked = await self._peers.ask(holder, key, wait_ms)
             if asked.is_error():
@@ -321,10 +321,10 @@
             )
         return None
 
-    def finish(self, ticket: OnceTicket, answer: OnceAnswer) -> None:
+    def record_answer(self, claim: OnceClaim, answer: OnceAnswer) -> None:
         """Record the whole answer of a request, in the background."""
         record = msgspec.structs.replace(
-            ticket.record, state=OnceState.FINISHED, answer=answer
+            claim.record, state=OnceState.FINISHED, answer=answer
         )
         size = len(answer.body)
         full = (
@@ -332,35 +332,35 @@
             or self._unrecorded_bytes + size > self._limits.unrecorded_bytes_max
         )
         if full:
-            self._drop_result(ticket, "too many results wait for the store")
+            self._drop_result(claim, "too many results wait for the store")
             return
         self._unrecorded_count += 1
         self._unrecorded_bytes += size
-        self._spawn(self._record_result(ticket, record, size))
+        self._spawn(self._record_result(claim, record, size))
 
-    def not_run(self, ticket: OnceTicket) -> None:
+    def release_not_run(self, claim: OnceClaim) -> None:
         """Remove the record of a request that was certainly not sent."""
-        self._spawn(self._remove(ticket))
+        self._spawn(self._remove(claim))
 
-    def unknown(self, ticket: OnceTicket) -> None:
+    def release_unknown(self, claim: OnceClaim) -> None:
         """Leave the record of a request whose outcome is not known."""
-        self._end(ticket.key, RequestProgress.NOT_HELD)
+        self._end(claim.key, RequestProgress.NOT_HELD)
 
     async def _record_result(
-        self, ticket: OnceTicket, record: OnceRecord, size: int
+        self, claim: OnceClaim, record: OnceRecord, size: int
     ) -> None:
         value = msgspec.json.encode(record)
         delay_ms = 50.0
         try:
             while True:
                 written = await self._writer.write(
-                    record_key(ticket.key), ticket.version, value
+                    record_key(claim.key), claim.version, value
                 )
                 if written.is_ok():
-                    self._end(ticket.key, RequestProgress.FINISHED)
+                    self._end(claim.key, RequestProgress.FINISHED)
                     return
                 if written.error.kind is WriteErrorKind.CONFLICT:
-                    self._drop_result(ticket, "the record was changed or removed")
+                    self._drop_result(claim, "the record was changed or removed")
                     return
                 await asyncio.sleep(delay_ms * self._rng.uniform(0.5, 1.0) / 1000)
                 delay_ms = min(delay_ms * 2, FINISH_DELAY_MS_MAX)
@@ -368,11 +368,11 @@
             self._unrecorded_count -= 1
             self._unrecorded_bytes -= size
 
-    async def _remove(self, ticket: OnceTicket) -> None:
-        written = await self._writer.write(record_key(ticket.key), ticket.version, None)
+    async def _remove(self, claim: OnceClaim) -> None:
+        written = await self._writer.write(record_key(claim.key), claim.version, None)
         if written.is_ok():
-            self.records_estimate -= 1
-        self._end(ticket.key, RequestProgress.NOT_HELD)
+            self.record_count_estimate -= 1
+        self._end(claim.key, RequestProgress.NOT_HELD)
 
     async def remove_expired(self, row: Row) -> bool:
         """Remove an expired record in the next batch; return whether it is gone."""
@@ -402,10 +402,10 @@
         finally:
             self._cleanup_count -= 1
 
-    def _drop_result(self, ticket: OnceTicket, reason: str) -> None:
+    def _drop_result(self, claim: OnceClaim, reason: str) -> None:
         self._counters.counts[Count.RESULTS_NOT_RECORDED] += 1
         log_event(RESULT_NOT_RECORDED, reason=reason)
-        self._end(ticket.key, RequestProgress.NOT_HELD)
+        self._end(claim.key, RequestProgress.NOT_HELD)
 
     def _end(self, key: RequestKey, progress: RequestProgress) -> None:
         held = self._held.pop(key, None)
--- a/basilhold/gateway/once_results.py
+++ b/basilhold/gateway/once_results.py
@@ -8,7 +8,7 @@
 __all__ = [
     "OnceLimits",
     "OnceOpening",
-    "OnceTicket",
+    "OnceClaim",
     "Replay",
     "not_run_problem",
     "store_unavailable_problem",
@@ -23,7 +23,7 @@
 
     Parameters
     ----------
-    keep_ms : int
+    retention_ms : int
         How long a record is kept, in milliseconds.
     records_max : int
         New keyed requests are refused above this number of records in the cell.
@@ -31,13 +31,13 @@
         Results that wait for the store to return.
     """
 
-    keep_ms: int = 24 * 3600 * 1000
+    retention_ms: int = 24 * 3600 * 1000
     records_max: int = 2_000_000
     unrecorded_max: int = 500
     unrecorded_bytes_max: int = 4 << 20
 
 
-class OnceTicket(msgspec.Struct, frozen=True):
+class OnceClaim(msgspec.Struct, frozen=True):
     """The right to run a keyed request."""
 
     key: RequestKey
@@ -53,7 +53,7 @@
     answer: OnceAnswer
 
 
-OnceOpening = OnceTicket | Replay | Problem
+OnceOpening = OnceClaim | Replay | Problem
 
 
 def not_run_problem(kind: ProblemKind, detail: str) -> Problem:
--- a/basilhold/gateway/once_sweeper.py
+++ b/basilhold/gateway/once_sweeper.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from basilhold.core import Clock, RequestKey
-from basilhold.gateway.once import OnceKeeper
+from basilhold.gateway.once import OnceRegistry
 from basilhold.ports import ObjectStore, Row, TableService
 from basilhold.requests import OnceRecord
 from basilhold.requests.once import (
@@ -34,7 +34,7 @@
 
     Parameters
     ----------
-    keeper : OnceKeeper
+    registry : OnceRegistry
     table : TableService
     objects : ObjectStore
     clock : Clock
@@ -43,13 +43,13 @@
 
     def __init__(
         self,
-        keeper: OnceKeeper,
+        registry: OnceRegistry,
         table: TableService,
         objects: ObjectStore,
         clock: Clock,
         rng: random.Random,
     ):
-        self._keeper = keeper
+        self._registry = registry
         self._table = table
         self._objects = objects
         self._clock = clock
@@ -95,7 +95,7 @@
             after = page.ok.next_after
             if not after:
                 break
-        self._keeper.records_estimate = seen * BUCKET_COUNT
+        self._registry.record_count_estimate = seen * BUCKET_COUNT
         return removed
 
     async def _expire(self, row: Row, record: OnceRecord) -> bool:
@@ -108,4 +108,4 @@
             if deleted.is_error():
                 # The record stays until its objects are gone.
                 return False
-        return await self._keeper.remove_expired(row)
+        return await self._registry.remove_expired(row)
--- a/basilhold/gateway/replay.py
+++ b/basilhold/gateway/replay.py
@@ -6,10 +6,10 @@
 from basilhold.requests import Outcome, Problem, ProblemKind, RequestEnd
 from basilhold.requests.once import chunk_name
 
-__all__ = ["play_back"]
+__all__ = ["replay_answer"]
 
 
-async def play_back(
+async def replay_answer(
     replay: Replay, objects: ObjectStore, sink: CallerSink
 ) -> RequestEnd:
     """Pass a stored answer on.
--- a/basilhold/gateway/service.py
+++ b/basilhold/gateway/service.py
@@ -23,9 +23,9 @@
     without_lookup,
 )
 from basilhold.gateway.dispatch import Dispatcher
-from basilhold.gateway.once import OnceKeeper
-from basilhold.gateway.once_results import OnceTicket, Replay
-from basilhold.gateway.replay import play_back
+from basilhold.gateway.once import OnceRegistry
+from basilhold.gateway.once_results import OnceClaim, Replay
+from basilhold.gateway.replay import replay_answer
 from basilhold.ports import UpstreamClient, VmRecord
 from basilhold.requests import (
     CallerRequest,
@@ -71,7 +71,7 @@
     router : Router
     holder : SlotHolder
     client : UpstreamClient
-    once : OnceKeeper
+    once : OnceRegistry
     rng : random.Random
     counters : RequestCounters
     queue_limits : QueueLimits
@@ -84,7 +84,7 @@
     router: Router
     holder: SlotHolder
     client: UpstreamClient
-    once: OnceKeeper
+    once: OnceRegistry
     rng: random.Random
     counters: RequestCounters = msgspec.field(default_factory=RequestCounters)
     queue_limits: QueueLimits = QueueLimits()
@@ -208,7 +208,7 @@
     async def wait_idle(self) -> None:
         """Wait until no request is in flight and all results are recorded."""
         await self._idle.wait()
-        await self._parts.once.settle()
+        await self._parts.once.wait_recorded()
 
     async def cut(self) -> list[str]:
         """Cancel all requests in flight and return a line for each."""
@@ -247,13 +247,13 @@
             return _end(opening)
         if isinstance(opening, Replay):
             return await self._play_back(course, opening)
-        course.ticket = opening
+        course.claim = opening
         self._retries.count_request()
         return await self._run_ticket(course, opening)
 
     async def _open(
         self, course: Course, refusal: ProblemKind | None
-    ) -> OnceTicket | Replay | Problem:
+    ) -> OnceClaim | Replay | Problem:
         request = course.request
         key = make_request_key(
             request.team, request.class_name, request.idempotency_key
@@ -261,7 +261,7 @@
         once = self._parts.once
         deadline_ms = course.queued.deadline_ms
         if refusal is None:
-            return await once.open(key, fingerprint(request), deadline_ms)
+            return await once.claim(key, fingerprint(request), deadline_ms)
         # The refused request may be the repeat of one that has run.
         earlier = await once.look_up(key, fingerprint(request), deadline_ms)
         return self._refused(course, refusal) if earlier is None else earlier
@@ -270,12 +270,14 @@
         left_ms = course.queued.deadline_ms - self._clock.monotonic_ms()
         try:
             async with asyncio.timeout(left_ms / 1000), self._replays:
-                return await play_back(replay, self._parts.once.objects, course.sink)
+                return await replay_answer(
+                    replay, self._parts.once.objects, course.sink
+                )
         except TimeoutError:
             detail = "the request has run, but the deadline of this repeat has passed"
             return _end(Problem(ProblemKind.TIMED_OUT, Outcome.RAN, detail, 1))
 
-    async def _run_ticket(self, course: Course, ticket: OnceTicket) -> RequestEnd:
+    async def _run_ticket(self, course: Course, ticket: OnceClaim) -> RequestEnd:
         outcome = Outcome.UNKNOWN
         try:
             end = await self._run(course)
@@ -286,9 +288,9 @@
             if outcome is Outcome.NOT_RUN or (
                 outcome is Outcome.UNKNOWN and not course.was_sent
             ):
-                self._parts.once.not_run(ticket)
+                self._parts.once.release_not_run(ticket)
             elif outcome is Outcome.UNKNOWN:
-                self._parts.once.unknown(ticket)
+                self._parts.once.release_unknown(ticket)
 
     async def _run(self, course: Course) -> RequestEnd:
         service = course.work_class.service
@@ -307,17 +309,17 @@
         left_ms = course.queued.deadline_ms - self._clock.monotonic_ms()
         if left_ms < SEND_LEAD_MS:
             return False
-        ticket = course.ticket
+        ticket = course.claim
         return ticket is None or may_send(ticket.record, self._clock.unix_ms())
 
     async def _attempt(self, course: Course, granted) -> RequestEnd | None:
         """Send a request once; return ``None`` if it is to be sent again."""
         recorder = None
-        if course.ticket is not None:
+        if course.claim is not None:
             recorder = AnswerRecorder(
                 self._parts.once.objects,
-                course.ticket.key,
-                course.ticket.record.write_id,
+                course.claim.key,
+                course.claim.record.write_id,
                 self.counters,
             )
         sink = AttemptSink(course.sink, recorder)
@@ -352,7 +354,7 @@
     async def _retry(self, course: Course, end: AttemptEnd, sink: AttemptSink) -> bool:
         course.last_reason = end.reason
         failed = not end.whole or sink.is_server_error
-        if not failed or sink.passed_on or course.attempts >= ATTEMPTS_MAX:
+        if not failed or sink.forwarding_started or course.attempts >= ATTEMPTS_MAX:
             return False
         if not (course.is_idempotent or end.not_sent):
             return False
@@ -380,8 +382,8 @@
         if end.whole:
             problem = await self._pass_on(course, sink)
             answer = await sink.record()
-            if course.ticket is not None and answer is not None:
-                self._parts.once.finish(course.ticket, answer)
+            if course.claim is not None and answer is not None:
+                self._parts.once.record_answer(course.claim, answer)
             return RequestEnd(Outcome.RAN, problem)
         outcome = Outcome.UNKNOWN if course.was_sent else Outcome.NOT_RUN
         kind = ProblemKind.TIMED_OUT if end.timed_out else ProblemKind.UPSTREAM_FAILED
--- a/basilhold/gateway/status.py
+++ b/basilhold/gateway/status.py
@@ -7,7 +7,7 @@
 
 from basilhold.core import ServiceName, ZoneName
 from basilhold.gateway.counters import Count
-from basilhold.gateway.once import OnceKeeper
+from basilhold.gateway.once import OnceRegistry
 from basilhold.gateway.service import RequestService
 from basilhold.observability import Metrics, MetricSource, StateSource, metric
 from basilhold.requests import Router, SlotHolder
@@ -23,7 +23,7 @@
     service : RequestService
     router : Router
     holder : SlotHolder
-    once : OnceKeeper
+    once : OnceRegistry
     """
 
     def __init__(
@@ -31,7 +31,7 @@
         service: RequestService,
         router: Router,
         holder: SlotHolder,
-        once: OnceKeeper,
+        once: OnceRegistry,
     ):
         self._service = service
         self._router = router
@@ -50,7 +50,7 @@
                 metric("basilhold_requests_queued"), queued[name], class_name=name
             )
         metrics.set(metric("basilhold_requests_in_flight"), service.in_flight_count)
-        metrics.set(metric("basilhold_once_records"), self._once.records_estimate)
+        metrics.set(metric("basilhold_once_records"), self._once.record_count_estimate)
         for name in self._router.services():
             metrics.set(
                 metric("basilhold_circuits_open"),
--- a/basilhold/gateway/tests/fixtures.py
+++ b/basilhold/gateway/tests/fixtures.py
@@ -23,7 +23,7 @@
 )
 from basilhold.gateway import (
     CallerSink,
-    OnceKeeper,
+    OnceRegistry,
     RequestCounters,
     RequestService,
     ServiceParts,
@@ -78,17 +78,17 @@
 
 
 class FakePeers(RequestPeers):
-    """Asks the keepers of other gateways in the same process."""
+    """Asks the registries of other gateways in the same process."""
 
     def __init__(self):
-        self.keepers = {}
+        self.registries = {}
         self.unreachable = set()
 
     async def ask(self, holder, key, wait_ms):
-        keeper = self.keepers.get(holder)
-        if keeper is None or holder in self.unreachable:
+        registry = self.registries.get(holder)
+        if registry is None or holder in self.unreachable:
             return Error(PeerError("unreachable"))
-        return Ok(await keeper.ask(key, wait_ms))
+        return Ok(await registry.wait_for_progress(key, wait_ms))
 
 
 class RecordingSink(CallerSink):
@@ -171,7 +171,7 @@
         identity = GatewayIdentity(process_id, VmId(name), ZONE, REGION)
         counters = RequestCounters()
         clock = clock or self.clock
-        keeper = OnceKeeper(
+        registry = OnceRegistry(
             process_id,
             clock,
             self.table,
@@ -181,7 +181,7 @@
             counters,
             limits,
         )
-        self.peers.keepers[process_id] = keeper
+        self.peers.registries[process_id] = registry
         holder = SlotHolder(identity)
         parts = ServiceParts(
             identity,
@@ -190,11 +190,11 @@
             Router(ZONE, REGION, rng),
             holder,
             MemoryUpstreamClient(self.upstreams, ZONE, REGION),
-            keeper,
+            registry,
             rng,
             counters,
         )
-        async with keeper:
+        async with registry:
             service = RequestService(parts)
             service.parts = parts
             service.update_upstreams(vm_record(u) for u in self.ids)
--- a/basilhold/gateway/tests/test_http.py
+++ b/basilhold/gateway/tests/test_http.py
@@ -16,7 +16,7 @@
     DrainEnd,
     FrontEnd,
     GatewayServer,
-    OnceKeeper,
+    OnceRegistry,
     RequestCounters,
     RequestService,
     ServiceParts,
@@ -48,7 +48,7 @@
         identity = GatewayIdentity(process_id, VmId("gw"), ZONE, REGION)
         counters = RequestCounters()
         self.table = MemoryTable()
-        keeper = OnceKeeper(
+        registry = OnceRegistry(
             process_id,
             clock,
             self.table,
@@ -66,7 +66,7 @@
             Router(ZONE, REGION, rng),
             holder,
             self.client,
-            keeper,
+            registry,
             rng,
             counters,
         )
@@ -210,7 +210,7 @@
                         self.assertIn("basilhold-outcome: not-run", head)
                 self.assertEqual(front.counters.problems[kind], len(requests))
             self.assertEqual(upstream.state.started_count, 0)
-            self.assertEqual(front.front.bodies_bytes, 0)
+            self.assertEqual(front.front.buffered_body_bytes, 0)
             self.assertEqual((await self.fetch(front)).code, 200)
 
     async def test_smuggled_request_is_not_served(self):
@@ -238,7 +238,7 @@
                 status, _head, body = problem_of(await front.raw(data))
                 self.assertEqual(status, 408)
                 self.assertEqual(body["outcome"], "not-run")
-            self.assertEqual(front.front.bodies_bytes, 0)
+            self.assertEqual(front.front.buffered_body_bytes, 0)
             self.assertEqual(front.counters.problems[ProblemKind.SENDER_TOO_SLOW], 2)
 
     async def test_unknown_class_and_path(self):
@@ -344,5 +344,5 @@
 
     async def test_time_bound_ends_the_stop(self):
         report, _answer = await self.drain(3000, 100)
-        self.assertIs(report.end, DrainEnd.TIME_BOUND)
+        self.assertIs(report.end, DrainEnd.TIME_LIMIT)
         self.assertEqual(len(report.cut), 1)
--- a/basilhold/gateway/tests/test_once.py
+++ b/basilhold/gateway/tests/test_once.py
@@ -228,18 +228,18 @@
 
     async def test_records_expire_and_are_bounded(self):
         cell = Cell(1)
-        limits = OnceLimits(keep_ms=3600_000, records_max=100)
+        limits = OnceLimits(retention_ms=3600_000, records_max=100)
         cell.upstreams.members["up-0"].behaviour.answer_bytes = 600 << 10
         async with cell.gateway(limits=limits) as service:
             end, _sink = await call(service, **ORDER)
             await asyncio.sleep(1)
-            keeper = service.parts.once
+            registry = service.parts.once
             sweeper = OnceSweeper(
-                keeper, cell.table, cell.objects, cell.clock, random.Random(0)
+                registry, cell.table, cell.objects, cell.clock, random.Random(0)
             )
             for bucket in range(256):
                 self.assertEqual(await sweeper.sweep(bucket), 0)
-            keeper.records_estimate = 100
+            registry.record_count_estimate = 100
             end, _sink = await call(
                 service, class_name="order", request_id="o-9", key="o-9"
             )
@@ -248,5 +248,5 @@
             await asyncio.sleep(3700)
             removed = [await sweeper.sweep(bucket) for bucket in range(256)]
             self.assertEqual(sum(removed), 1)
-            self.assertEqual(keeper.records_estimate, 0)
+            self.assertEqual(registry.record_count_estimate, 0)
             self.assertFalse(cell.objects.objects)
--- a/basilhold/nodes/gateway_node.py
+++ b/basilhold/nodes/gateway_node.py
@@ -15,8 +15,8 @@
     UpstreamId,
 )
 from basilhold.gateway import (
-    OnceKeeper,
     OnceLimits,
+    OnceRegistry,
     OnceSweeper,
     RequestCounters,
     RequestMetrics,
@@ -77,7 +77,7 @@
 class _GatewayService(GatewayBase):
     """Tells other gateways about the keyed requests of this one."""
 
-    def __init__(self, process_id: ProcessId, once: OnceKeeper):
+    def __init__(self, process_id: ProcessId, once: OnceRegistry):
         self._process_id = process_id
         self._once = once
 
@@ -90,7 +90,7 @@
         # A gateway that was started again does not hold what its predecessor held.
         if message.holder_id == self._process_id:
             key = RequestKey(message.key)
-            progress = await self._once.ask(key, message.wait_ms)
+            progress = await self._once.wait_for_progress(key, message.wait_ms)
         reply = messages_pb2.AskRequestReply(progress=_PROGRESS[progress])
         await stream.send_message(reply)
 
@@ -113,7 +113,7 @@
     ----------
     service : RequestService
     slots : SlotLoop
-    once : OnceKeeper
+    once : OnceRegistry
     """
 
     def __init__(
@@ -150,9 +150,9 @@
         self._vms_revision = 0
         self._failure: asyncio.Future[None] = asyncio.get_running_loop().create_future()
 
-    def _make_once(self, limits: OnceLimits | None) -> OnceKeeper:
+    def _make_once(self, limits: OnceLimits | None) -> OnceRegistry:
         context, ports = self._context, self._ports
-        return OnceKeeper(
+        return OnceRegistry(
             context.process_id,
             context.clock,
             ports.store,
--- a/basilhold/programs/gateway.py
+++ b/basilhold/programs/gateway.py
@@ -54,7 +54,7 @@
             ),
             self.rng,
             OnceLimits(
-                keep_ms=settings.timeouts.once_record_ms,
+                retention_ms=settings.timeouts.once_record_ms,
                 records_max=settings.limits.once_records,
             ),
         )
@@ -66,7 +66,7 @@
             is_ready=lambda: self.pages.health.readiness().ok,
             on_invariant_error=self._invariant_broken,
             body_bytes_max=settings.limits.request_body_bytes,
-            bodies_bytes_max=settings.limits.queued_request_bytes,
+            buffered_body_bytes_max=settings.limits.queued_request_bytes,
         )
         self._caller_server = GatewayServer(
             make_application(self._front),
--- a/basilhold/programs/local_cell.py
+++ b/basilhold/programs/local_cell.py
@@ -100,7 +100,7 @@
             self._callers.stop,
             self.nodes.gateway.slots.return_all,
             grace_ms=0,
-            bound_ms=timeouts.drain_ms,
+            timeout_ms=timeouts.drain_ms,
         )
 
     def _invariant_broken(self, error: InvariantError) -> None:
--- a/basilhold/soak/tests/test_broken.py
+++ b/basilhold/soak/tests/test_broken.py
@@ -105,7 +105,7 @@
 
     def test_planned_stop_that_does_not_wait(self):
         async def finish(drain):
-            return DrainEnd.TIME_BOUND
+            return DrainEnd.TIME_LIMIT
 
         with mock.patch.object(Drain, "_finish_requests", finish):
             self.assert_found(
--- a/basilhold/testing/request_cell.py
+++ b/basilhold/testing/request_cell.py
@@ -23,7 +23,7 @@
     ZoneName,
 )
 from basilhold.gateway import (
-    OnceKeeper,
+    OnceRegistry,
     RequestCounters,
     RequestService,
     ServiceParts,
@@ -133,7 +133,7 @@
         )
         self.identity = identity
         counters = RequestCounters()
-        self.keeper = OnceKeeper(
+        self.once_registry = OnceRegistry(
             self.process_id,
             self.clock,
             cell.wrap_table(GatedTable(cell.table, self.gate)),
@@ -152,7 +152,7 @@
             router,
             self.holder,
             cell.wrap_client(GatedClient(client, self.gate)),
-            self.keeper,
+            self.once_registry,
             rng,
             counters,
         )
@@ -170,7 +170,7 @@
 
     async def start(self) -> None:
         """Start the gateway with the lists that are in force."""
-        await self.keeper.__aenter__()
+        await self.once_registry.__aenter__()
         self.service.update_upstreams(self.cell.records.values())
         await self.loop.__aenter__()
 
@@ -188,7 +188,7 @@
         """End the gateway's tasks."""
         await self.loop.__aexit__()
         await self.service.cut()
-        await self.keeper.__aexit__()
+        await self.once_registry.__aexit__()
 
 
 class RequestCell:
--- a/basilhold/testing/request_links.py
+++ b/basilhold/testing/request_links.py
@@ -129,7 +129,7 @@
         try:
             async with asyncio.timeout((wait_ms + 100) / 1000):
                 await gateway.gate.passed()
-                return Ok(await gateway.keeper.ask(key, wait_ms))
+                return Ok(await gateway.once_registry.wait_for_progress(key, wait_ms))
         except TimeoutError:
             return Error(PeerError("no answer"))
 
