--- a/basilhold/gateway/once.py
+++ b/basilhold/gateway/once.py
@@ -1,4 +1,4 @@
-"""Runs keyed requests at most once and answers their repeats."""
+"""At-most-once execution of requests that carry an idempotency key."""
 
 import asyncio
 import random
@@ -12,9 +12,9 @@
 from basilhold.gateway.counters import Count, RequestCounters
 from basilhold.gateway.events import RESULT_NOT_RECORDED
 from basilhold.gateway.once_results import (
+    ClaimResult,
     OnceClaim,
     OnceLimits,
-    OnceOpening,
     Replay,
     not_run_problem,
     store_unavailable_problem,
@@ -39,25 +39,36 @@
 
 __all__ = ["OnceRegistry"]
 
-FINISH_DELAY_MS_MAX = 2000
-CLEANUP_MAX = 1000
-ASK_MARGIN_MS = 50
-"""Part of a repeat's time that is left for reading the result and answering."""
+RECORD_RETRY_DELAY_MS_MAX = 2000
+"""Longest delay between attempts to record a result, in milliseconds."""
 
+CLEANUP_TASKS_MAX = 1000
+"""Maximum number of concurrent cleanups of records whose write was not confirmed."""
 
-class _Sighting:
-    """Whether a record of another submission with the same key was seen.
+DEADLINE_MARGIN_MS = 50
+"""Time before a deadline that is kept for reading a record and sending the answer,
+in milliseconds."""
 
-    From then on, a timeout must not be reported as ``not-run``.
+
+class _ClaimState:
+    """Progress of a claim, shared with the code that handles its timeout.
+
+    `other_record_seen` tells whether a record of another submission with the same key
+    was found. From then on, a timeout must not be reported as ``not-run``.
     """
 
-    __slots__ = ("other_seen",)
+    __slots__ = ("other_record_seen",)
 
     def __init__(self):
-        self.other_seen = False
+        self.other_record_seen = False
 
 
-class _Held:
+class _LocalRequest:
+    """A keyed request that this gateway is processing.
+
+    `done` is set when the processing ends; `progress` is its result from then on.
+    """
+
     __slots__ = ("done", "progress")
 
     def __init__(self):
@@ -66,18 +77,31 @@
 
 
 class OnceRegistry:
-    """At-most-once records of one gateway.
+    """Claims the right to run keyed requests and records their answers.
+
+    A request is claimed by creating a row in the table service before it is sent, so
+    that of several submissions with the same key at most one runs. Use as an
+    asynchronous context manager.
 
     Parameters
     ----------
     process_id : ProcessId
+        This gateway; other gateways ask it about the requests that it has claimed.
     clock : Clock
     table : TableService
+        Stores the records.
     objects : ObjectStore
+        Stores answers that are too large for a record.
     peers : RequestPeers
+        Other gateways.
     rng : random.Random
     counters : RequestCounters
     limits : OnceLimits, optional
+
+    Attributes
+    ----------
+    record_count_estimate : int
+        Estimated number of records of the whole cell.
     """
 
     def __init__(
@@ -100,12 +124,12 @@
         self._counters = counters
         self._limits = limits or OnceLimits()
         self._writer = OnceWriter(table, counters)
-        self._held: dict[RequestKey, _Held] = {}
-        self._tasks: set[asyncio.Task[None]] = set()
-        self._cleanups: set[asyncio.Task[None]] = set()
+        self._local_requests: dict[RequestKey, _LocalRequest] = {}
+        self._record_tasks: set[asyncio.Task[None]] = set()
+        self._cleanup_tasks: set[asyncio.Task[None]] = set()
         self._unrecorded_count = 0
         self._unrecorded_bytes = 0
-        self._cleanup_count = 0
+        self._cleanup_task_count = 0
         self.record_count_estimate = 0
 
     async def __aenter__(self) -> Self:
@@ -113,7 +137,7 @@
         return self
 
     async def __aexit__(self, *exc_info: object) -> None:
-        tasks = self._tasks | self._cleanups
+        tasks = self._record_tasks | self._cleanup_tasks
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
@@ -121,125 +145,154 @@
 
     @property
     def unrecorded_count(self) -> int:
-        """Number of results that wait to be recorded."""
+        """Number of results that are not recorded yet."""
         return self._unrecorded_count
 
     async def wait_recorded(self) -> None:
-        """Wait until every result is recorded or dropped."""
-        while self._tasks:
-            await asyncio.wait(set(self._tasks))
+        """Wait until every result is recorded or discarded."""
+        while self._record_tasks:
+            await asyncio.wait(set(self._record_tasks))
 
     async def wait_for_progress(self, key: RequestKey, wait_ms: int) -> RequestProgress:
-        """Answer another gateway that asks about a request."""
-        held = self._held.get(key)
-        if held is None:
+        """Wait until a request of this gateway ends and return its progress.
+
+        Parameters
+        ----------
+        key : RequestKey
+        wait_ms : int
+            Maximum time to wait, in milliseconds.
+
+        Returns
+        -------
+        RequestProgress
+            ``RUNNING`` if the time has passed, ``NOT_HELD`` if this gateway is not
+            processing the request.
+        """
+        local_request = self._local_requests.get(key)
+        if local_request is None:
             return RequestProgress.NOT_HELD
         try:
             async with asyncio.timeout(wait_ms / 1000):
-                await held.done.wait()
+                await local_request.done.wait()
         except TimeoutError:
             return RequestProgress.RUNNING
-        return held.progress
+        return local_request.progress
 
     async def claim(
         self, key: RequestKey, fingerprint: str, deadline_ms: float
-    ) -> OnceOpening:
-        """Write the record of a request, or return what a repeat of it gets.
+    ) -> ClaimResult:
+        """Claim the right to run a request, or return the answer to a repeat.
 
         Parameters
         ----------
         key : RequestKey
         fingerprint : str
+            Digest of the request; a repeat must have the same.
         deadline_ms : float
-            The caller's deadline on the loop's clock, in milliseconds.
+            The caller's deadline on the event loop's clock, in milliseconds.
+
+        Returns
+        -------
+        OnceClaim, Replay or Problem
+            A claim if the caller of this method is to run the request, a replay if
+            the request has finished, or else the reason for neither.
         """
         if self.record_count_estimate >= self._limits.records_max:
-            # A repeat of a recorded request still gets its result.
+            # Repeats of requests that are already recorded are still answered.
             earlier = await self.look_up(key, fingerprint, deadline_ms)
             if earlier is not None:
                 return earlier
             return not_run_problem(
                 ProblemKind.TOO_MANY_RECORDS, "too many keyed requests are recorded"
             )
-        left_ms = deadline_ms - self._clock.monotonic_ms()
-        sighting = _Sighting()
+        remaining_ms = deadline_ms - self._clock.monotonic_ms()
+        state = _ClaimState()
         try:
-            async with asyncio.timeout(max(0.0, left_ms - ASK_MARGIN_MS) / 1000):
-                return await self._open(key, fingerprint, deadline_ms, sighting)
+            async with asyncio.timeout(
+                max(0.0, remaining_ms - DEADLINE_MARGIN_MS) / 1000
+            ):
+                return await self._claim(key, fingerprint, deadline_ms, state)
         except TimeoutError:
-            if sighting.other_seen:
+            if state.other_record_seen:
                 return unknown_problem("the request's record could not be read in time")
             return store_unavailable_problem()
 
     async def look_up(
         self, key: RequestKey, fingerprint: str, deadline_ms: float
     ) -> Replay | Problem | None:
-        """Return what a repeat of a request gets, or ``None`` if it has no record."""
-        left_ms = deadline_ms - self._clock.monotonic_ms()
+        """Return the answer to a repeat, or ``None`` if the request has no record.
+
+        The parameters are those of `claim`; nothing is written.
+        """
+        remaining_ms = deadline_ms - self._clock.monotonic_ms()
         try:
-            async with asyncio.timeout(max(0.0, left_ms - ASK_MARGIN_MS) / 1000):
+            async with asyncio.timeout(
+                max(0.0, remaining_ms - DEADLINE_MARGIN_MS) / 1000
+            ):
                 read = await self._table.read((record_key(key),))
                 if read.is_error():
                     return store_unavailable_problem()
                 row = read.ok.get(record_key(key))
                 if row is None:
                     return None
-                return await self._judge(key, row, fingerprint, deadline_ms)
+                return await self._resolve_repeat(key, row, fingerprint, deadline_ms)
         except TimeoutError:
             return unknown_problem("the request's record could not be read in time")
 
-    async def _open(
+    async def _claim(
         self,
         key: RequestKey,
         fingerprint: str,
         deadline_ms: float,
-        sighting: "_Sighting",
-    ) -> OnceOpening:
+        state: "_ClaimState",
+    ) -> ClaimResult:
         while True:
-            if key in self._held:
-                sighting.other_seen = True
-                waited = await self._wait_for_holder(self._process_id, key, deadline_ms)
-                if waited is not None:
-                    return waited
+            if key in self._local_requests:
+                state.other_record_seen = True
+                problem = await self._wait_for_holder(
+                    self._process_id, key, deadline_ms
+                )
+                if problem is not None:
+                    return problem
                 read = await self._table.read((record_key(key),))
                 if read.is_error():
                     return unknown_problem("the request's record can't be read")
                 row = read.ok.get(record_key(key))
             else:
-                begun = await self._begin(key, fingerprint, deadline_ms)
-                if begun.is_ok():
-                    return begun.ok
-                if begun.error.kind is WriteErrorKind.CONFLICT_UNREAD:
+                created = await self._create_record(key, fingerprint, deadline_ms)
+                if created.is_ok():
+                    return created.ok
+                if created.error.kind is WriteErrorKind.CONFLICT_UNREAD:
                     return unknown_problem("the request's record can't be read")
-                if begun.error.kind is not WriteErrorKind.CONFLICT:
+                if created.error.kind is not WriteErrorKind.CONFLICT:
                     return store_unavailable_problem()
-                row = begun.error.row
-            sighting.other_seen = row is not None
+                row = created.error.row
+            state.other_record_seen = row is not None
             if row is None:
                 continue
-            opening = await self._judge(key, row, fingerprint, deadline_ms)
-            if opening is not None:
-                return opening
+            result = await self._resolve_repeat(key, row, fingerprint, deadline_ms)
+            if result is not None:
+                return result
 
-    async def _begin(
+    async def _create_record(
         self, key: RequestKey, fingerprint: str, deadline_ms: float
     ) -> Result[OnceClaim, WriteError]:
         now_unix_ms = self._clock.unix_ms()
-        left_ms = int(deadline_ms - self._clock.monotonic_ms())
+        remaining_ms = int(deadline_ms - self._clock.monotonic_ms())
         record = OnceRecord(
             holder=self._process_id,
             write_id=f"{self._rng.getrandbits(64):016x}",
             fingerprint=fingerprint,
-            deadline_unix_ms=now_unix_ms + left_ms,
+            deadline_unix_ms=now_unix_ms + remaining_ms,
             expires_unix_ms=now_unix_ms + self._limits.retention_ms,
         )
-        self._held[key] = _Held()
-        begun = False
+        self._local_requests[key] = _LocalRequest()
+        created = False
         try:
             value = msgspec.json.encode(record)
             written = await self._writer.write(record_key(key), ABSENT, value)
             if written.is_ok():
-                begun = True
+                created = True
                 self.record_count_estimate += 1
                 return Ok(OnceClaim(key, written.ok, record))
             if written.error.kind in (
@@ -252,12 +305,12 @@
             self._start_cleanup(key, record)
             raise
         finally:
-            if not begun:
-                self._end(key, RequestProgress.NOT_HELD)
+            if not created:
+                self._finish_local(key, RequestProgress.NOT_HELD)
 
-    async def _judge(
+    async def _resolve_repeat(
         self, key: RequestKey, row: Row, fingerprint: str, deadline_ms: float
-    ) -> OnceOpening | None:
+    ) -> ClaimResult | None:
         record = msgspec.json.decode(row.value, type=OnceRecord)
         action = judge_repeat(record, fingerprint, self._clock.unix_ms())
         if action is RepeatAction.REJECT_REUSE:
@@ -275,18 +328,18 @@
             )
         if action is RepeatAction.REPORT_UNKNOWN:
             return unknown_problem("the request was not confirmed before its deadline")
-        return await self._ask(key, record, fingerprint, deadline_ms)
+        return await self._resolve_running(key, record, fingerprint, deadline_ms)
 
-    async def _ask(
+    async def _resolve_running(
         self,
         key: RequestKey,
         record: OnceRecord,
         fingerprint: str,
         deadline_ms: float,
-    ) -> OnceOpening | None:
-        waited = await self._wait_for_holder(record.holder, key, deadline_ms)
-        if waited is not None:
-            return waited
+    ) -> ClaimResult | None:
+        problem = await self._wait_for_holder(record.holder, key, deadline_ms)
+        if problem is not None:
+            return problem
         read = await self._table.read((record_key(key),))
         if read.is_error():
             return unknown_problem("the request's record can't be read")
@@ -296,22 +349,22 @@
         latest = msgspec.json.decode(row.value, type=OnceRecord)
         if latest.write_id == record.write_id and latest.state is OnceState.RUNNING:
             return unknown_problem("the gateway that held the request does not know it")
-        return await self._judge(key, row, fingerprint, deadline_ms)
+        return await self._resolve_repeat(key, row, fingerprint, deadline_ms)
 
     async def _wait_for_holder(
         self, holder: ProcessId, key: RequestKey, deadline_ms: float
     ) -> Problem | None:
-        left_ms = deadline_ms - self._clock.monotonic_ms()
-        wait_ms = max(0, int(left_ms - 2 * ASK_MARGIN_MS))
+        remaining_ms = deadline_ms - self._clock.monotonic_ms()
+        wait_ms = max(0, int(remaining_ms - 2 * DEADLINE_MARGIN_MS))
         if holder == self._process_id:
             progress = await self.wait_for_progress(key, wait_ms)
         else:
-            asked = await self._peers.ask(holder, key, wait_ms)
-            if asked.is_error():
+            reply = await self._peers.ask(holder, key, wait_ms)
+            if reply.is_error():
                 return unknown_problem(
                     "the gateway that holds the request can't be reached"
                 )
-            progress = asked.ok
+            progress = reply.ok
         if progress is RequestProgress.RUNNING:
             return Problem(
                 ProblemKind.STILL_RUNNING,
@@ -322,7 +375,11 @@
         return None
 
     def record_answer(self, claim: OnceClaim, answer: OnceAnswer) -> None:
-        """Record the whole answer of a request, in the background."""
+        """Record the complete answer of a request, in the background.
+
+        The write is retried until it succeeds. The answer is discarded, with a log
+        event, if the limits of `OnceLimits` are reached or the record has changed.
+        """
         record = msgspec.structs.replace(
             claim.record, state=OnceState.FINISHED, answer=answer
         )
@@ -332,19 +389,25 @@
             or self._unrecorded_bytes + size > self._limits.unrecorded_bytes_max
         )
         if full:
-            self._drop_result(claim, "too many results wait for the store")
+            self._drop_result(claim, "too many results are waiting for the store")
             return
         self._unrecorded_count += 1
         self._unrecorded_bytes += size
         self._spawn(self._record_result(claim, record, size))
 
     def release_not_run(self, claim: OnceClaim) -> None:
-        """Remove the record of a request that was certainly not sent."""
-        self._spawn(self._remove(claim))
+        """Remove the record of a request that was certainly not sent.
+
+        It is removed in the background; a repeat can then run.
+        """
+        self._spawn(self._remove_record(claim))
 
     def release_unknown(self, claim: OnceClaim) -> None:
-        """Leave the record of a request whose outcome is not known."""
-        self._end(claim.key, RequestProgress.NOT_HELD)
+        """Stop processing a request whose outcome is unknown.
+
+        Its record stays, so that a repeat does not run it again.
+        """
+        self._finish_local(claim.key, RequestProgress.NOT_HELD)
 
     async def _record_result(
         self, claim: OnceClaim, record: OnceRecord, size: int
@@ -357,34 +420,37 @@
                     record_key(claim.key), claim.version, value
                 )
                 if written.is_ok():
-                    self._end(claim.key, RequestProgress.FINISHED)
+                    self._finish_local(claim.key, RequestProgress.FINISHED)
                     return
                 if written.error.kind is WriteErrorKind.CONFLICT:
-                    self._drop_result(claim, "the record was changed or removed")
+                    self._drop_result(claim, "the record was modified or removed")
                     return
                 await asyncio.sleep(delay_ms * self._rng.uniform(0.5, 1.0) / 1000)
-                delay_ms = min(delay_ms * 2, FINISH_DELAY_MS_MAX)
+                delay_ms = min(delay_ms * 2, RECORD_RETRY_DELAY_MS_MAX)
         finally:
             self._unrecorded_count -= 1
             self._unrecorded_bytes -= size
 
-    async def _remove(self, claim: OnceClaim) -> None:
+    async def _remove_record(self, claim: OnceClaim) -> None:
         written = await self._writer.write(record_key(claim.key), claim.version, None)
         if written.is_ok():
             self.record_count_estimate -= 1
-        self._end(claim.key, RequestProgress.NOT_HELD)
+        self._finish_local(claim.key, RequestProgress.NOT_HELD)
 
     async def remove_expired(self, row: Row) -> bool:
-        """Remove an expired record in the next batch; return whether it is gone."""
+        """Remove an expired record in the next batch; return whether it was removed."""
         return (await self._writer.write(row.key, row.version, None)).is_ok()
 
     def _start_cleanup(self, key: RequestKey, record: OnceRecord) -> None:
-        if self._cleanup_count < CLEANUP_MAX:
-            self._cleanup_count += 1
-            self._spawn(self._clean_up(key, record), self._cleanups)
+        if self._cleanup_task_count < CLEANUP_TASKS_MAX:
+            self._cleanup_task_count += 1
+            self._spawn(self._clean_up(key, record), self._cleanup_tasks)
 
     async def _clean_up(self, key: RequestKey, record: OnceRecord) -> None:
-        """Remove a record that was perhaps written and certainly not used."""
+        """Remove a record whose write was not confirmed and whose request was not sent.
+
+        Attempts end 60 s after the deadline of the request.
+        """
         try:
             delay_ms = 100.0
             while self._clock.unix_ms() < record.deadline_unix_ms + 60_000:
@@ -400,25 +466,25 @@
                 if written.is_ok():
                     return
         finally:
-            self._cleanup_count -= 1
+            self._cleanup_task_count -= 1
 
     def _drop_result(self, claim: OnceClaim, reason: str) -> None:
         self._counters.counts[Count.RESULTS_NOT_RECORDED] += 1
         log_event(RESULT_NOT_RECORDED, reason=reason)
-        self._end(claim.key, RequestProgress.NOT_HELD)
+        self._finish_local(claim.key, RequestProgress.NOT_HELD)
 
-    def _end(self, key: RequestKey, progress: RequestProgress) -> None:
-        held = self._held.pop(key, None)
-        if held is not None:
-            held.progress = progress
-            held.done.set()
+    def _finish_local(self, key: RequestKey, progress: RequestProgress) -> None:
+        local_request = self._local_requests.pop(key, None)
+        if local_request is not None:
+            local_request.progress = progress
+            local_request.done.set()
 
     def _spawn(
         self,
         coroutine: Coroutine[None, None, None],
         tasks: set[asyncio.Task[None]] | None = None,
     ) -> None:
-        tasks = self._tasks if tasks is None else tasks
+        tasks = self._record_tasks if tasks is None else tasks
         task = asyncio.create_task(coroutine)
         tasks.add(task)
         task.add_done_callback(tasks.discard)
--- a/basilhold/gateway/once_results.py
+++ b/basilhold/gateway/once_results.py
@@ -1,4 +1,4 @@
-"""What becomes of a keyed request when its record is looked at."""
+"""Results of looking up or claiming a keyed request, and the limits of its records."""
 
 import msgspec
 
@@ -7,7 +7,7 @@
 
 __all__ = [
     "OnceLimits",
-    "OnceOpening",
+    "ClaimResult",
     "OnceClaim",
     "Replay",
     "not_run_problem",
@@ -16,19 +16,21 @@
 ]
 
 STORE_RETRY_AFTER_S = 2
+"""Value of ``Retry-After`` while the store is unavailable, in seconds."""
 
 
 class OnceLimits(msgspec.Struct, frozen=True):
-    """Bounds of the at-most-once records.
+    """Limits of the at-most-once records.
 
     Parameters
     ----------
     retention_ms : int
-        How long a record is kept, in milliseconds.
+        Time for which a record is kept, in milliseconds.
     records_max : int
-        New keyed requests are refused above this number of records in the cell.
+        Number of records in the cell at which new keyed requests are rejected.
     unrecorded_max, unrecorded_bytes_max : int
-        Results that wait for the store to return.
+        Maximum number and total size in bytes of the results that a gateway keeps in
+        memory until the store accepts them. Further results are discarded.
     """
 
     retention_ms: int = 24 * 3600 * 1000
@@ -38,7 +40,16 @@
 
 
 class OnceClaim(msgspec.Struct, frozen=True):
-    """The right to run a keyed request."""
+    """The right to run a keyed request.
+
+    Parameters
+    ----------
+    key : RequestKey
+    version : int
+        Version of the record's row; later writes are conditional on it.
+    record : OnceRecord
+        The record as it was written.
+    """
 
     key: RequestKey
     version: int
@@ -46,24 +57,35 @@
 
 
 class Replay(msgspec.Struct, frozen=True):
-    """The stored answer of a finished request."""
+    """The stored answer of a finished request.
+
+    Parameters
+    ----------
+    key : RequestKey
+    write_id : str
+        Identifies the submission that has run; part of the names of its objects.
+    answer : OnceAnswer
+    """
 
     key: RequestKey
     write_id: str
     answer: OnceAnswer
 
 
-OnceOpening = OnceClaim | Replay | Problem
+ClaimResult = OnceClaim | Replay | Problem
 
 
 def not_run_problem(kind: ProblemKind, detail: str) -> Problem:
-    """Return the answer to a submission that was certainly not run."""
+    """Return the problem of a submission that was certainly not run.
+
+    It has a ``Retry-After`` if its status is 503.
+    """
     retry_after_s = STORE_RETRY_AFTER_S if kind.status == 503 else None
     return Problem(kind, Outcome.NOT_RUN, detail, retry_after_s)
 
 
 def store_unavailable_problem() -> Problem:
-    """Return the answer to a submission whose record could not be looked up.
+    """Return the problem of a submission whose record could not be looked up.
 
     The submission itself was not run, but an earlier one with the same key may have
     been, and both are the same request to the caller.
@@ -78,5 +100,5 @@
 
 
 def unknown_problem(detail: str) -> Problem:
-    """Return the answer to a repeat of a request that may have run."""
+    """Return the problem of a repeat whose request may have run."""
     return Problem(ProblemKind.OUTCOME_UNKNOWN, Outcome.UNKNOWN, detail)
--- a/basilhold/gateway/once_sweeper.py
+++ b/basilhold/gateway/once_sweeper.py
@@ -1,4 +1,4 @@
-"""Removes expired at-most-once records and counts the others."""
+"""Periodic removal of expired at-most-once records."""
 
 import asyncio
 import random
@@ -19,18 +19,22 @@
 
 __all__ = ["OnceSweeper"]
 
-INTERVAL_MS = 60_000
-"""Six gateways that sweep one of 256 buckets a minute see each about once in 45 min."""
+SWEEP_INTERVAL_MS = 60_000
+"""Mean time between sweeps, in milliseconds.
+
+Six gateways that each sweep one of 256 buckets a minute visit each bucket about once
+in 45 minutes.
+"""
 
 PAGE_ROWS = 100
-"""A row holds up to 44 KB, so a page of 100 rows stays below 5 MB."""
+"""Rows per scan. A row has up to 44 KB, so a page of 100 rows stays below 5 MB."""
 
 
 class OnceSweeper:
-    """Sweeps one bucket of records after another, in random order.
+    """Removes the expired records of one randomly chosen bucket at a time.
 
-    Run it on gateways in the store's region only: it reads whole records, which must
-    not cross the paid link.
+    It must only run on gateways in the store's region: it reads whole records, and
+    traffic between regions is charged. Use as an asynchronous context manager.
 
     Parameters
     ----------
@@ -67,7 +71,7 @@
 
     async def _run(self) -> None:
         while True:
-            await asyncio.sleep(INTERVAL_MS * self._rng.uniform(0.5, 1.5) / 1000)
+            await asyncio.sleep(SWEEP_INTERVAL_MS * self._rng.uniform(0.5, 1.5) / 1000)
             await self.sweep(self._rng.randrange(BUCKET_COUNT))
 
     async def sweep(self, bucket: int) -> int:
@@ -76,29 +80,30 @@
         Returns
         -------
         int
-            Number of removed records.
+            Number of records that were removed. The registry's estimate is updated
+            only if all scans succeed.
         """
-        removed, seen, after = 0, 0, ""
+        removed_count, unexpired_count, after = 0, 0, ""
         while True:
             page = await self._table.scan(bucket_prefix(bucket), after, PAGE_ROWS)
             if page.is_error():
-                return removed
+                return removed_count
             expired = []
             for row in page.ok.rows:
                 record = msgspec.json.decode(row.value, type=OnceRecord)
                 if is_expired(record, self._clock.unix_ms()):
                     expired.append((row, record))
-            seen += len(page.ok.rows) - len(expired)
-            removed += sum(
-                await asyncio.gather(*(self._expire(*item) for item in expired))
+            unexpired_count += len(page.ok.rows) - len(expired)
+            removed_count += sum(
+                await asyncio.gather(*(self._remove_expired(*item) for item in expired))
             )
             after = page.ok.next_after
             if not after:
                 break
-        self._registry.record_count_estimate = seen * BUCKET_COUNT
-        return removed
+        self._registry.record_count_estimate = unexpired_count * BUCKET_COUNT
+        return removed_count
 
-    async def _expire(self, row: Row, record: OnceRecord) -> bool:
+    async def _remove_expired(self, row: Row, record: OnceRecord) -> bool:
         key = RequestKey(row.key.rpartition("/")[2])
         answer = record.answer
         for index in range(answer.chunk_count if answer is not None else 0):
@@ -106,6 +111,6 @@
                 chunk_name(key, record.write_id, index)
             )
             if deleted.is_error():
-                # The record stays until its objects are gone.
+                # The record is needed to find the remaining objects in the next sweep.
                 return False
         return await self._registry.remove_expired(row)
--- a/basilhold/gateway/once_writer.py
+++ b/basilhold/gateway/once_writer.py
@@ -1,4 +1,4 @@
-"""Writes at-most-once records in batches."""
+"""Batched writes of at-most-once records."""
 
 import asyncio
 from enum import Enum
@@ -22,22 +22,30 @@
 __all__ = ["OnceWriter", "WriteError", "WriteErrorKind"]
 
 BATCH_WINDOW_MS = 5
-"""Short beside the store's latency; longer windows would delay a lone request."""
+"""Time to collect operations for a batch, in milliseconds.
+
+It is short compared with the latency of the store; a longer one would delay a request
+that has a batch of its own.
+"""
 
 BATCH_OPERATIONS_MAX = 250
-"""Each operation has a condition and a write; a transaction holds 512 in all."""
+"""Each operation has a condition and a write, and a transaction is limited to 512 of
+both together."""
 
 BATCH_BYTES_MAX = 900 << 10
 PENDING_OPERATIONS_MAX = 2000
 PENDING_BYTES_MAX = 4 << 20
 ATTEMPTS_MAX = 3
+"""How often a transaction is sent while its outcome is unknown."""
 
 
 class WriteErrorKind(Enum):
     """Why a record was not written.
 
-    ``CONFLICT_UNREAD`` means that another row is in the way, or the own row of an
-    earlier copy of the transaction, and that it can't be read.
+    ``CONFLICT`` means that the row has another version than expected.
+    ``CONFLICT_UNREAD`` means the same, but the row can't be read, so that it may also
+    have been written by an earlier copy of the transaction. ``UNKNOWN`` means that
+    the write may have been applied.
     """
 
     CONFLICT = "conflict"
@@ -47,13 +55,13 @@
 
 
 class WriteError(msgspec.Struct, frozen=True):
-    """A record that was not written, or may not have been.
+    """Failure of a write that was not applied, or whose outcome is unknown.
 
     Parameters
     ----------
     kind : WriteErrorKind
     row : Row, optional
-        The row that is in the way; absent if it was deleted or can't be read.
+        The conflicting row; absent if it was deleted or can't be read.
     """
 
     kind: WriteErrorKind
@@ -61,6 +69,8 @@
 
 
 class _Operation:
+    """A pending write or deletion of one row, and the future of its result."""
+
     __slots__ = ("future", "key", "value", "version")
 
     def __init__(self, key: str, version: int, value: bytes | None):
@@ -82,7 +92,8 @@
 class OnceWriter:
     """Collects operations for `BATCH_WINDOW_MS` and writes them in one transaction.
 
-    At most one transaction is in flight, so batches grow while the store is slow.
+    At most one transaction is in flight, so batches grow while the store is slow. Use
+    as an asynchronous context manager.
 
     Parameters
     ----------
@@ -95,7 +106,7 @@
         self._counters = counters
         self._pending: list[_Operation] = []
         self._pending_bytes = 0
-        self._wake = asyncio.Event()
+        self._has_pending = asyncio.Event()
         self._task: asyncio.Task[None] | None = None
 
     async def __aenter__(self) -> Self:
@@ -112,20 +123,21 @@
     async def write(
         self, key: str, version: int, value: bytes | None
     ) -> Result[int, WriteError]:
-        """Write or delete a row that has a given version.
+        """Write or delete a row if it has the given version.
 
         Parameters
         ----------
         key : str
         version : int
-            `ABSENT` to create the row.
+            Expected version; `ABSENT` to create the row.
         value : bytes, optional
             ``None`` to delete the row.
 
         Returns
         -------
         Result
-            The new version. A cancelled call may still take effect.
+            The new version, or a `WriteError`; ``NOT_APPLIED`` if too many operations
+            are pending. A cancelled call may still take effect.
         """
         operation = _Operation(key, version, value)
         full = (
@@ -137,12 +149,12 @@
         self._pending.append(operation)
         self._pending_bytes += operation.size()
         self._counters.counts[Count.RECORD_OPERATIONS] += 1
-        self._wake.set()
+        self._has_pending.set()
         return await operation.future
 
     async def _run(self) -> None:
         while True:
-            await self._wake.wait()
+            await self._has_pending.wait()
             await asyncio.sleep(BATCH_WINDOW_MS / 1000)
             batch = self._take_batch()
             try:
@@ -153,7 +165,7 @@
 
     def _take_batch(self) -> list[_Operation]:
         batch: list[_Operation] = []
-        kept: list[_Operation] = []
+        remaining: list[_Operation] = []
         keys: set[str] = set()
         size = 0
         for operation in self._pending:
@@ -167,15 +179,15 @@
                 keys.add(operation.key)
                 size += operation.size()
             else:
-                kept.append(operation)
-        self._pending = kept
+                remaining.append(operation)
+        self._pending = remaining
         self._pending_bytes -= size
-        if not kept:
-            self._wake.clear()
+        if not remaining:
+            self._has_pending.clear()
         return batch
 
     async def _write_batch(self, batch: list[_Operation]) -> None:
-        reply_was_lost = False
+        is_outcome_unknown = False
         attempts = 0
         while batch and attempts < ATTEMPTS_MAX:
             result = await self._transact(batch)
@@ -185,15 +197,17 @@
                 return
             error: StoreError = result.error
             if error.kind is StoreErrorKind.CONFLICT:
-                batch = await self._settle_conflicts(batch, error)
+                batch = await self._resolve_conflicts(batch, error)
             elif error.kind is StoreErrorKind.UNKNOWN:
-                # Sending the same transaction again is safe: both copies are
-                # conditional on the same versions, so at most one is applied.
-                reply_was_lost = True
+                # Resending the transaction is safe: both copies are conditional on the
+                # same versions, so at most one of them is applied.
+                is_outcome_unknown = True
                 attempts += 1
             else:
                 attempts = ATTEMPTS_MAX
-        kind = WriteErrorKind.UNKNOWN if reply_was_lost else WriteErrorKind.NOT_APPLIED
+        kind = (
+            WriteErrorKind.UNKNOWN if is_outcome_unknown else WriteErrorKind.NOT_APPLIED
+        )
         for operation in batch:
             operation.resolve(Error(WriteError(kind)))
 
@@ -208,13 +222,13 @@
             )
         )
 
-    async def _settle_conflicts(
+    async def _resolve_conflicts(
         self, batch: list[_Operation], error: StoreError
     ) -> list[_Operation]:
         conflicting = {conflict.key for conflict in error.conflicts}
-        settled = [o for o in batch if o.key in conflicting]
-        read = await self._table.read(tuple(o.key for o in settled))
-        for operation in settled:
+        conflicted = [o for o in batch if o.key in conflicting]
+        read = await self._table.read(tuple(o.key for o in conflicted))
+        for operation in conflicted:
             if read.is_error():
                 operation.resolve(Error(WriteError(WriteErrorKind.CONFLICT_UNREAD)))
                 continue
--- a/basilhold/gateway/replay.py
+++ b/basilhold/gateway/replay.py
@@ -1,4 +1,4 @@
-"""Answers a repeat of a finished request from its record."""
+"""Answers to repeats of finished requests, read from their records."""
 
 from basilhold.gateway.answers import CallerSink
 from basilhold.gateway.once_results import Replay
@@ -12,38 +12,46 @@
 async def replay_answer(
     replay: Replay, objects: ObjectStore, sink: CallerSink
 ) -> RequestEnd:
-    """Pass a stored answer on.
+    """Send a stored answer to the caller.
+
+    Parameters
+    ----------
+    replay : Replay
+    objects : ObjectStore
+        Holds the body of an answer that is too large for a record.
+    sink : CallerSink
 
     Returns
     -------
     RequestEnd
-        With a problem if the answer can't be read to its end.
+        Has a problem if the answer can't be read completely; part of it may have been
+        sent by then.
     """
     answer = replay.answer
     head = ResponseHead(answer.status, answer.headers)
-    first = answer.body
+    first_chunk = answer.body
     if answer.chunk_count:
         read = await objects.get(chunk_name(replay.key, replay.write_id, 0))
         if read.is_error() or read.ok is None:
-            return _unreadable()
-        first = read.ok
+            return _unreadable_answer_end()
+        first_chunk = read.ok
     sink.set_outcome(Outcome.RAN, replayed=True)
     await sink.start(head)
-    if first:
-        await sink.write(first)
-    passed_bytes = len(first)
+    if first_chunk:
+        await sink.write(first_chunk)
+    sent_bytes = len(first_chunk)
     for index in range(1, answer.chunk_count):
         read = await objects.get(chunk_name(replay.key, replay.write_id, index))
         if read.is_error() or read.ok is None:
-            return _unreadable()
-        passed_bytes += len(read.ok)
+            return _unreadable_answer_end()
+        sent_bytes += len(read.ok)
         await sink.write(read.ok)
-    if passed_bytes != answer.length_bytes:
-        return _unreadable()
+    if sent_bytes != answer.length_bytes:
+        return _unreadable_answer_end()
     return RequestEnd(Outcome.RAN, replayed=True)
 
 
-def _unreadable() -> RequestEnd:
+def _unreadable_answer_end() -> RequestEnd:
     problem = Problem(
         ProblemKind.STORE_UNAVAILABLE,
         Outcome.RAN,
