Describe the gateway's HTTP path in plain terms

Comments and names of the handlers, the server, answers and the graceful stop were figurative or restated names.

--- a/basilhold/gateway/__init__.py
+++ b/basilhold/gateway/__init__.py
@@ -1,4 +1,4 @@
-"""HTTP front end for callers and operators."""
+"""HTTP gateway that forwards requests of callers to upstreams."""
 
 from basilhold.gateway.answers import CallerSink
 from basilhold.gateway.counters import Count, RequestCounters
--- a/basilhold/gateway/answers.py
+++ b/basilhold/gateway/answers.py
@@ -1,4 +1,4 @@
-"""Passes answers from upstreams to callers, and keeps those of keyed requests."""
+"""Forwarding of answers from upstreams to callers, and storage of keyed answers."""
 
 from abc import abstractmethod
 
@@ -13,39 +13,57 @@
 __all__ = ["LEAVING_HEADER", "AnswerRecorder", "AttemptSink", "CallerSink"]
 
 LEAVING_HEADER = "basilhold-leaving"
-"""Header of an answer by which an upstream says that it is leaving."""
+"""Header of an answer with which an upstream announces that it will stop."""
 
-HOLD_BYTES_MAX = 64 << 10
-"""An answer up to this size is passed on only once it is whole.
+BUFFERED_ANSWER_BYTES_MAX = 64 << 10
+"""Size up to which an answer is forwarded only once it is complete, in bytes.
 
-A cut answer of this size can still be replaced by a retry or a problem document.
+If such an answer is truncated, it can still be replaced by the answer to a retry or by
+a problem document.
 """
 
 CHUNK_BYTES = 128 << 10
-"""With all 160 slots of 20 upstreams in use by one gateway, parts of this size take
-20 MB, which is what a daemon has for its state."""
+"""Size of the objects that store an answer, in bytes.
+
+If one gateway uses all 160 slots of 20 upstreams, buffers of this size take 20 MB,
+which is the memory budget of a daemon for its state.
+"""
 
 CHUNKS_MAX = 2048
+"""Maximum number of objects of an answer; larger answers are not stored."""
 
 RETRYABLE_STATUSES = frozenset({500, 502, 503, 504})
 
 
 class CallerSink(ResponseSink):
-    """The caller's side of one request."""
+    """Receives the answer to one request on behalf of its caller."""
 
     @abstractmethod
     def set_outcome(self, outcome: Outcome, replayed: bool) -> None:
-        """Set what the answer reports; called before `start`."""
+        """Set the outcome that the answer reports.
+
+        Called before `start`.
+
+        Parameters
+        ----------
+        outcome : Outcome
+        replayed : bool
+            Whether the answer is the stored one of an earlier submission.
+        """
 
 
 class AnswerRecorder:
-    """Keeps the answer of a keyed request for its repeats.
+    """Stores the answer of a keyed request for its repeats.
+
+    Small answers are returned by `end` for the request's record; larger ones are
+    written to the object store in chunks.
 
     Parameters
     ----------
     objects : ObjectStore
     key : RequestKey
     write_id : str
+        Identifies the submission; part of the names of the objects.
     counters : RequestCounters
     """
 
@@ -66,7 +84,7 @@
         self._kept = True
 
     async def write(self, data: bytes) -> None:
-        """Add part of the body."""
+        """Add a part of the body; writes full chunks to the object store."""
         self._length += len(data)
         if not self._kept:
             return
@@ -76,7 +94,10 @@
             del self._buffer[:CHUNK_BYTES]
 
     async def end(self, head: ResponseHead) -> OnceAnswer:
-        """Return the answer after its last part."""
+        """Return the answer for the record, after the last part of the body.
+
+        Its `kept` is false if the body could not be stored.
+        """
         if self._chunk_count == 0 and len(self._buffer) <= INLINE_ANSWER_BYTES_MAX:
             return OnceAnswer(
                 head.status, head.headers, bytes(self._buffer), self._length
@@ -93,16 +114,16 @@
 
     async def _put(self, data: bytes) -> None:
         if self._chunk_count >= CHUNKS_MAX:
-            self._give_up("the answer is too large")
+            self._discard("the answer exceeds the size limit for stored answers")
             return
         name = chunk_name(self._key, self._write_id, self._chunk_count)
         put = await self._objects.put(name, data)
         if put.is_error():
-            self._give_up(put.error.reason)
+            self._discard(put.error.reason)
         else:
             self._chunk_count += 1
 
-    def _give_up(self, reason: str) -> None:
+    def _discard(self, reason: str) -> None:
         self._kept = False
         self._buffer.clear()
         self._counters.counts[Count.ANSWERS_NOT_KEPT] += 1
@@ -110,12 +131,23 @@
 
 
 class AttemptSink(ResponseSink):
-    """Receives the answer of one attempt and passes it on.
+    """Receives the answer of one attempt and forwards it to the caller.
 
     Parameters
     ----------
     caller : CallerSink
     recorder : AnswerRecorder, optional
+        Stores the answer as well; absent for requests without a key.
+
+    Attributes
+    ----------
+    head : ResponseHead or None
+        Status and headers, once they have arrived.
+    forwarding_started : bool
+        Whether the caller may have received part of the answer, so that it can no
+        longer be replaced.
+    size_bytes : int
+        Size of the body received so far.
     """
 
     def __init__(
@@ -125,54 +157,54 @@
     ):
         self._caller = caller
         self._recorder = recorder
-        self._held = bytearray()
+        self._buffer = bytearray()
         self.head: ResponseHead | None = None
         self.forwarding_started = False
         self.size_bytes = 0
 
     @property
     def is_leaving(self) -> bool:
-        """Whether the upstream has said that it is leaving."""
+        """Whether the upstream has announced in this answer that it will stop."""
         return self.head is not None and any(
             name.lower() == LEAVING_HEADER for name, _ in self.head.headers
         )
 
     @property
     def is_server_error(self) -> bool:
-        """Whether the upstream has failed the request."""
+        """Whether the status is a server error after which a retry may succeed."""
         return self.head is not None and self.head.status in RETRYABLE_STATUSES
 
     async def start(self, head: ResponseHead) -> None:
-        """Receive status and headers."""
+        """Receive the status and headers."""
         self.head = head
 
     async def write(self, data: bytes) -> None:
-        """Receive part of the body."""
+        """Receive a part of the body."""
         self.size_bytes += len(data)
         if self._recorder is not None:
             await self._recorder.write(data)
         if self.forwarding_started:
             await self._caller.write(data)
             return
-        self._held += data
-        if len(self._held) > HOLD_BYTES_MAX:
-            await self._pass_on()
+        self._buffer += data
+        if len(self._buffer) > BUFFERED_ANSWER_BYTES_MAX:
+            await self._start_forwarding()
 
     async def complete(self) -> None:
-        """Pass on what is left of a whole answer."""
+        """Forward the rest of an answer that has arrived completely."""
         if not self.forwarding_started:
-            await self._pass_on()
+            await self._start_forwarding()
 
     async def record(self) -> OnceAnswer | None:
-        """Return what is to be recorded of a whole answer, if anything is."""
+        """Return the record of a complete answer; ``None`` without a recorder."""
         if self._recorder is None or self.head is None:
             return None
         return await self._recorder.end(self.head)
 
-    async def _pass_on(self) -> None:
+    async def _start_forwarding(self) -> None:
         self.forwarding_started = True
         self._caller.set_outcome(Outcome.RAN, replayed=False)
         await self._caller.start(self.head)
-        if self._held:
-            await self._caller.write(bytes(self._held))
-            self._held.clear()
+        if self._buffer:
+            await self._caller.write(bytes(self._buffer))
+            self._buffer.clear()
--- a/basilhold/gateway/drain.py
+++ b/basilhold/gateway/drain.py
@@ -1,4 +1,4 @@
-"""Planned stop of a gateway."""
+"""Graceful stop of a gateway."""
 
 import asyncio
 from collections.abc import Awaitable, Callable
@@ -19,7 +19,7 @@
 
 
 class DrainEnd(Enum):
-    """Why a stop has ended."""
+    """Why the wait for requests in flight has ended."""
 
     FINISHED = "finished"
     SECOND_REQUEST = "second stop request"
@@ -27,16 +27,16 @@
 
 
 class DrainReport(msgspec.Struct, frozen=True):
-    """Result of a stop.
+    """Result of a graceful stop.
 
     Parameters
     ----------
     end : DrainEnd
     cut : tuple of str
-        A line for each request that was cut.
+        Description of each request that was cancelled.
     unrecorded_count : int
-        Results of keyed requests that the store did not take; their callers have
-        their answers, and repeats get the outcome unknown.
+        Number of results of keyed requests that were not written to the store. Their
+        callers have received the answers, but repeats get the outcome unknown.
     """
 
     end: DrainEnd
@@ -45,7 +45,7 @@
 
 
 class Drain:
-    """Stops a gateway without interrupting requests.
+    """Stops a gateway after its requests in flight have ended.
 
     Parameters
     ----------
@@ -53,13 +53,14 @@
     stop_accepting : callable
         Closes the listening sockets.
     return_slots : callable
-        Hands the slot tokens back; awaited after the last request.
+        Returns the slot tokens to their owners; awaited after the last request.
     grace_ms : int
-        Time until the load balancer has seen that the gateway is not ready, in
-        milliseconds. New requests are served in it.
+        Time in which the load balancer learns that the gateway is not ready, in
+        milliseconds. New requests are still served during it.
     timeout_ms : int
-        Time for the requests in flight after the grace period, in milliseconds. It
-        should exceed the longest timeout of any class.
+        Time for the requests in flight to end after the grace period, in milliseconds.
+        Requests that take longer are cancelled, so it should exceed the longest timeout
+        of any class.
     """
 
     def __init__(
@@ -76,56 +77,63 @@
         self._grace_ms = grace_ms
         self._timeout_ms = timeout_ms
         self._requested = asyncio.Event()
-        self._hurried = asyncio.Event()
+        self._stop_at_once = asyncio.Event()
 
     @property
     def is_requested(self) -> bool:
-        """Whether a stop was requested, so that the gateway is not ready."""
+        """Whether a stop was requested; the gateway reports not ready from then on."""
         return self._requested.is_set()
 
     def request_stop(self) -> None:
-        """Begin the stop; a second call ends it at once. For signal handlers."""
+        """Begin the stop, or end it at once if it has begun.
+
+        Can be used as a signal handler of the event loop.
+        """
         if self._requested.is_set():
-            self._hurried.set()
+            self._stop_at_once.set()
         self._requested.set()
 
     async def run(self) -> DrainReport:
-        """Wait for a stop request, carry it out and report what was cut."""
+        """Wait for a stop request, stop the gateway and report cancelled requests."""
         await self._requested.wait()
         service = self._service
         log_event(DRAIN_STARTED, count=service.in_flight_count)
         end = DrainEnd.FINISHED
-        if await self._hurried_within(asyncio.sleep(self._grace_ms / 1000)):
+        if await self._is_interrupted_during(asyncio.sleep(self._grace_ms / 1000)):
             end = DrainEnd.SECOND_REQUEST
         self._stop_accepting()
         service.stopping = True
         if end is DrainEnd.FINISHED:
             end = await self._finish_requests()
         unrecorded_count = service.unrecorded_count
-        report = DrainReport(end, await self._cut(end), unrecorded_count)
+        report = DrainReport(end, await self._cancel_requests(end), unrecorded_count)
         await self._return_slots()
         return report
 
     async def _finish_requests(self) -> DrainEnd:
         try:
             async with asyncio.timeout(self._timeout_ms / 1000):
-                hurried = await self._hurried_within(self._service.wait_idle())
+                interrupted = await self._is_interrupted_during(
+                    self._service.wait_idle()
+                )
         except TimeoutError:
             return DrainEnd.TIME_LIMIT
-        return DrainEnd.SECOND_REQUEST if hurried else DrainEnd.FINISHED
+        return DrainEnd.SECOND_REQUEST if interrupted else DrainEnd.FINISHED
 
-    async def _hurried_within(self, work: Awaitable[object]) -> bool:
-        """Wait for work or a second stop request; return whether the latter came."""
-        working = asyncio.ensure_future(work)
-        hurried = asyncio.ensure_future(self._hurried.wait())
+    async def _is_interrupted_during(self, work: Awaitable[object]) -> bool:
+        """Wait until work ends; return whether a second stop request came first."""
+        work_task = asyncio.ensure_future(work)
+        second_request = asyncio.ensure_future(self._stop_at_once.wait())
         try:
-            await asyncio.wait({working, hurried}, return_when=asyncio.FIRST_COMPLETED)
-            return not working.done()
+            await asyncio.wait(
+                {work_task, second_request}, return_when=asyncio.FIRST_COMPLETED
+            )
+            return not work_task.done()
         finally:
-            working.cancel()
-            hurried.cancel()
+            work_task.cancel()
+            second_request.cancel()
 
-    async def _cut(self, end: DrainEnd) -> tuple[str, ...]:
+    async def _cancel_requests(self, end: DrainEnd) -> tuple[str, ...]:
         if end is DrainEnd.FINISHED:
             log_event(DRAIN_ENDED)
             return ()
--- a/basilhold/gateway/front.py
+++ b/basilhold/gateway/front.py
@@ -1,4 +1,4 @@
-"""What the HTTP handlers share, and the callers' tokens."""
+"""State shared by the HTTP handlers, and authentication of callers."""
 
 import hmac
 from collections.abc import Callable, Mapping
@@ -13,7 +13,7 @@
 
 
 class StaticCallers(CallerDirectory):
-    """Callers' tokens from the settings.
+    """Identifies callers by tokens that do not change at run time.
 
     Parameters
     ----------
@@ -25,32 +25,38 @@
         self._teams = [(token.encode(), team) for token, team in teams.items()]
 
     def identify(self, token: str) -> TeamName | None:
-        """Return the team of a token; the time taken does not depend on the token."""
-        given = token.encode("utf-8", "surrogateescape")
-        found = None
-        for known, team in self._teams:
-            if hmac.compare_digest(known, given):
-                found = team
-        return found
+        """Return the team of a token, or ``None`` if the token is unknown.
+
+        Every token is compared, in constant time, so that the duration reveals nothing
+        about the valid ones.
+        """
+        token_bytes = token.encode("utf-8", "surrogateescape")
+        matched_team = None
+        for known_token, team in self._teams:
+            if hmac.compare_digest(known_token, token_bytes):
+                matched_team = team
+        return matched_team
 
 
 class FrontEnd(msgspec.Struct):
-    """What the handlers share.
+    """State and limits shared by the HTTP handlers.
 
     Parameters
     ----------
     service : RequestService
     callers : CallerDirectory
     is_ready : callable
-        Whether the load balancer may send callers here.
+        Returns whether the load balancer may send requests to this gateway.
     on_invariant_error : callable
-        Stops the process after an `InvariantError`.
+        Called with an `InvariantError` that a request has raised; stops the process.
     body_bytes_max : int
-        Largest body of one request, in bytes.
+        Maximum size of the body of one request, in bytes.
     buffered_body_bytes_max : int
-        Sum of the bodies in memory, in bytes.
+        Maximum total size of the request bodies in memory, in bytes.
     body_timeout_ms : int
-        Time that a sender has for the body, in milliseconds.
+        Time in which the body of a request has to arrive, in milliseconds.
+    buffered_body_bytes : int
+        Current total size of the request bodies in memory, in bytes.
     """
 
     service: RequestService
--- a/basilhold/gateway/handlers.py
+++ b/basilhold/gateway/handlers.py
@@ -1,4 +1,4 @@
-"""HTTP handlers for callers."""
+"""HTTP handlers for the requests of callers."""
 
 import asyncio
 import socket
@@ -33,7 +33,7 @@
 CALL_PREFIX = "/call"
 HEADER_COUNT_MAX = 100
 
-_HOP_BY_HOP = frozenset(
+_HOP_BY_HOP_HEADERS = frozenset(
     {
         "connection",
         "expect",
@@ -47,28 +47,43 @@
         "upgrade",
     }
 )
-_NOT_FORWARDED = _HOP_BY_HOP | {"authorization", "content-length", "host"}
+_NOT_FORWARDED_HEADERS = _HOP_BY_HOP_HEADERS | {
+    "authorization",
+    "content-length",
+    "host",
+}
 
 
 class _HttpCallerSink(CallerSink):
-    """Writes an answer to the caller as fast as the caller reads it."""
+    """Writes an answer to the caller's connection.
+
+    `write` returns only when the connection has accepted the data, so that an answer
+    is read from the upstream no faster than the caller reads it.
+
+    Attributes
+    ----------
+    started : bool
+        Whether status and headers are set, so that no other answer can be sent.
+    caller_gone : bool
+        Whether the caller has closed the connection; all data is then discarded.
+    """
 
     def __init__(self, handler: "CallHandler"):
         self._handler = handler
         self.started = False
-        self.gone = False
+        self.caller_gone = False
 
     def set_outcome(self, outcome: Outcome, replayed: bool) -> None:
-        """Set the headers that the gateway adds."""
-        if self.gone:
+        """Set the headers by which the gateway reports the outcome."""
+        if self.caller_gone:
             return
         self._handler.set_header(OUTCOME_HEADER, outcome.value)
         if replayed:
             self._handler.set_header("Basilhold-Replayed", "true")
 
     async def start(self, head: ResponseHead) -> None:
-        """Set status and headers."""
-        if self.gone:
+        """Set the status and the headers that are forwarded."""
+        if self.caller_gone:
             return
         self.started = True
         handler = self._handler
@@ -76,34 +91,37 @@
         handler.clear_header("Content-Type")
         handler.clear_header("Server")
         handler.clear_header("Date")
-        named = _connection_names(head.headers)
+        connection_names = _connection_names(head.headers)
         for name, value in head.headers:
-            lowered = name.lower()
-            if lowered in _HOP_BY_HOP or lowered in named:
+            lowercase_name = name.lower()
+            if (
+                lowercase_name in _HOP_BY_HOP_HEADERS
+                or lowercase_name in connection_names
+            ):
                 continue
-            if not lowered.startswith("basilhold-"):
+            if not lowercase_name.startswith("basilhold-"):
                 handler.add_header(name, value)
 
     async def write(self, data: bytes) -> None:
-        """Write part of the body; a caller that has left reads nothing more."""
-        if self.gone:
+        """Write a part of the body; does nothing if the caller has disconnected."""
+        if self.caller_gone:
             return
         try:
             self._handler.write(data)
             await self._handler.flush()
         except StreamClosedError:
-            self.gone = True
+            self.caller_gone = True
 
 
 class _ProblemHandler(RequestHandler):
-    """Handler whose own answers are problem documents."""
+    """Base of handlers that report errors as problem documents."""
 
     def compute_etag(self) -> None:
-        """Leave entity tags to the upstreams."""
+        """Add no entity tag; only upstreams do."""
         return
 
     def write_problem(self, problem: Problem) -> None:
-        """Answer with a problem document."""
+        """Send a problem document as the response."""
         self.clear()
         self.set_status(problem.kind.status)
         self.set_header("Content-Type", PROBLEM_TYPE)
@@ -115,7 +133,11 @@
         self.finish(encode_problem(problem))
 
     def write_error(self, status_code: int, **kwargs) -> None:
-        """Answer an error that tornado found."""
+        """Send a problem document for an error that tornado has found.
+
+        The outcome is ``not-run`` only for 400 and 405, which are raised before the
+        request is sent to an upstream.
+        """
         if status_code == 405 or status_code == 400:
             kind, outcome = ProblemKind.MALFORMED, Outcome.NOT_RUN
         else:
@@ -124,10 +146,10 @@
 
 
 class UnknownPathHandler(_ProblemHandler):
-    """Answers requests to paths that the gateway does not serve."""
+    """Rejects requests to paths that the gateway does not serve."""
 
     def prepare(self) -> None:
-        """Refuse the request."""
+        """Reject the request."""
         self.write_problem(
             Problem(
                 ProblemKind.UNKNOWN_SERVICE,
@@ -138,14 +160,14 @@
 
 
 class ReadyHandler(RequestHandler):
-    """Answers the load balancer's readiness checks."""
+    """Responds to the readiness checks of the load balancer."""
 
     def initialize(self, front: FrontEnd) -> None:
-        """Set the shared state."""
+        """Set the state shared by the handlers."""
         self._front = front
 
     def get(self) -> None:
-        """Answer 200 if callers may be sent here, and 503 otherwise."""
+        """Respond with 200 if the gateway accepts requests, and with 503 otherwise."""
         ready = self._front.is_ready()
         self.set_status(200 if ready else 503)
         self.finish("ready\n" if ready else "not ready\n")
@@ -153,68 +175,73 @@
 
 @stream_request_body
 class CallHandler(_ProblemHandler):
-    """Serves requests to ``/call/<path>`` by upstreams of the named class."""
+    """Serves requests to ``/call/<path>``.
+
+    The header ``Basilhold-Class`` names the request class, and thereby the service
+    whose upstreams run the request.
+    """
 
     SUPPORTED_METHODS = ("GET", "HEAD", "POST", "DELETE", "PATCH", "PUT", "OPTIONS")
 
     def initialize(self, front: FrontEnd) -> None:
-        """Set the shared state."""
+        """Set the state shared by the handlers."""
         self._front = front
         self._body = bytearray()
         self._team: TeamName | None = None
-        self._timer: asyncio.TimerHandle | None = None
+        self._body_timer: asyncio.TimerHandle | None = None
         self._task: asyncio.Task[RequestEnd] | None = None
         self._sink = _HttpCallerSink(self)
 
     def prepare(self) -> None:
-        """Check what can be checked before the body arrives."""
+        """Check the headers, and start the timer for the body."""
         problem = self._framing_problem() or self._header_problem()
         if problem is not None:
-            self._refuse(problem)
+            self._reject(problem)
             return
         loop = asyncio.get_running_loop()
         timeout_s = self._front.body_timeout_ms / 1000
-        self._timer = loop.call_later(timeout_s, self._refuse_slow_sender)
+        self._body_timer = loop.call_later(timeout_s, self._reject_slow_sender)
 
     def data_received(self, chunk: bytes) -> None:
-        """Take part of the body."""
+        """Receive a part of the body; reject the request if limits are exceeded."""
         if self._finished:
             return
         if len(self._body) + len(chunk) > self._front.body_bytes_max:
-            self._refuse(self._too_large())
+            self._reject(self._body_too_large())
         elif (
             self._front.buffered_body_bytes + len(chunk)
             > self._front.buffered_body_bytes_max
         ):
             detail = "the gateway holds too many request bodies"
-            self._refuse(Problem(ProblemKind.QUEUE_FULL, Outcome.NOT_RUN, detail, 1))
+            self._reject(Problem(ProblemKind.QUEUE_FULL, Outcome.NOT_RUN, detail, 1))
         else:
             self._front.buffered_body_bytes += len(chunk)
             self._body += chunk
 
     def on_connection_close(self) -> None:
-        """Abandon the request of a caller that has left."""
-        self._free_body()
-        self._sink.gone = True
+        """Cancel the request, as its caller has disconnected."""
+        self._release_body()
+        self._sink.caller_gone = True
         if self._task is not None:
             self._task.cancel()
         super().on_connection_close()
 
     def on_finish(self) -> None:
-        """Free the request's memory."""
-        self._free_body()
+        """Release the memory of the body."""
+        self._release_body()
 
-    async def _call(self, path: str) -> None:
-        if self._timer is not None:
-            self._timer.cancel()
+    async def _handle_call(self, path: str) -> None:
+        if self._body_timer is not None:
+            self._body_timer.cancel()
         sink = self._sink
         request = self._make_request(path)
         self._task = asyncio.create_task(self._front.service.handle(request, sink))
         try:
             end = await self._task
         except asyncio.CancelledError:
-            # The caller has left, or the gateway has cut the request at its stop.
-            if sink.gone or sink.started:
+            # The caller has disconnected, or the gateway has cancelled the request
+            # during its stop.
+            if sink.caller_gone or sink.started:
                 self._abort()
             else:
                 detail = "the gateway has stopped before the request ended"
@@ -227,25 +254,26 @@
             self._front.on_invariant_error(error)
             return
         if end.problem is None:
-            self._finish_answer()
+            self._finish_response()
         elif sink.started:
             self._abort()
         else:
             self.write_problem(end.problem)
 
-    get = head = post = delete = patch = put = options = _call
+    get = head = post = delete = patch = put = options = _handle_call
 
-    def _finish_answer(self) -> None:
+    def _finish_response(self) -> None:
         try:
             self.finish()
         except Exception:
-            # Tornado raises if the body does not match the upstream's length.
+            # Tornado raises an exception if the size of the body differs from the
+            # Content-Length of the upstream.
             self._abort()
             raise
 
     def _abort(self) -> None:
-        """Reset the connection, so that a cut answer never looks whole."""
-        self._sink.gone = True
+        """Reset the connection, so that a truncated answer never looks complete."""
+        self._sink.caller_gone = True
         stream = self.request.connection.stream
         if stream is None or stream.closed():
             return
@@ -256,12 +284,12 @@
 
     def _make_request(self, path: str) -> CallerRequest:
         headers = self.request.headers
-        named = _connection_names(tuple(headers.get_all()))
-        passed = tuple(
+        connection_names = _connection_names(tuple(headers.get_all()))
+        forwarded_headers = tuple(
             (name, value)
             for name, value in headers.get_all()
-            if name.lower() not in _NOT_FORWARDED
-            and name.lower() not in named
+            if name.lower() not in _NOT_FORWARDED_HEADERS
+            and name.lower() not in connection_names
             and not name.lower().startswith("basilhold-")
         )
         timeout = headers.get("Basilhold-Timeout-Ms")
@@ -271,7 +299,7 @@
             team=self._team,
             method=self.request.method,
             path=self.request.path.removeprefix(CALL_PREFIX) + query,
-            headers=passed,
+            headers=forwarded_headers,
             body=bytes(self._body),
             timeout_ms=None if timeout is None else int(timeout),
             idempotency_key=headers.get("Idempotency-Key"),
@@ -287,7 +315,7 @@
         if lengths and not (lengths[0].isascii() and lengths[0].isdigit()):
             return _malformed("Content-Length is not a number")
         if lengths and int(lengths[0]) > self._front.body_bytes_max:
-            return self._too_large()
+            return self._body_too_large()
         if sum(1 for _ in headers.get_all()) > HEADER_COUNT_MAX:
             detail = f"the request has more than {HEADER_COUNT_MAX} headers"
             return Problem(ProblemKind.HEADERS_TOO_LARGE, Outcome.NOT_RUN, detail)
@@ -311,16 +339,16 @@
             return _malformed("Basilhold-Timeout-Ms is not a positive number")
         return None
 
-    def _too_large(self) -> Problem:
+    def _body_too_large(self) -> Problem:
         detail = f"the body is longer than {self._front.body_bytes_max} bytes"
         return Problem(ProblemKind.BODY_TOO_LARGE, Outcome.NOT_RUN, detail)
 
-    def _refuse_slow_sender(self) -> None:
+    def _reject_slow_sender(self) -> None:
         if not self._finished:
             detail = "the body did not arrive in time"
-            self._refuse(Problem(ProblemKind.SENDER_TOO_SLOW, Outcome.NOT_RUN, detail))
+            self._reject(Problem(ProblemKind.SENDER_TOO_SLOW, Outcome.NOT_RUN, detail))
 
-    def _refuse(self, problem: Problem) -> None:
+    def _reject(self, problem: Problem) -> None:
         key = self.request.headers.get("Idempotency-Key")
         problem = without_lookup(problem, key)
         counters = self._front.service.counters
@@ -329,9 +357,9 @@
         self.set_header("Connection", "close")
         self.write_problem(problem)
 
-    def _free_body(self) -> None:
-        if self._timer is not None:
-            self._timer.cancel()
+    def _release_body(self) -> None:
+        if self._body_timer is not None:
+            self._body_timer.cancel()
         self._front.buffered_body_bytes -= len(self._body)
         self._body = bytearray()
 
@@ -350,16 +378,16 @@
 
 
 def request_routes(front: FrontEnd) -> list[tuple]:
-    """Return the routes of the request path, for an application with others."""
-    shared = {"front": front}
+    """Return the routes of callers' requests, for an application with further ones."""
+    handler_arguments = {"front": front}
     return [
-        (rf"{CALL_PREFIX}(/.*)", CallHandler, shared),
-        (r"/readyz", ReadyHandler, shared),
+        (rf"{CALL_PREFIX}(/.*)", CallHandler, handler_arguments),
+        (r"/readyz", ReadyHandler, handler_arguments),
     ]
 
 
 def make_application(front: FrontEnd, extra_routes: list[tuple] = ()) -> Application:
-    """Return an application with the request path and further routes."""
+    """Return an application that serves callers' requests and further routes."""
     return Application(
         [*extra_routes, *request_routes(front)],
         default_handler_class=UnknownPathHandler,
--- a/basilhold/gateway/once_results.py
+++ b/basilhold/gateway/once_results.py
@@ -6,9 +6,9 @@
 from basilhold.requests import OnceAnswer, OnceRecord, Outcome, Problem, ProblemKind
 
 __all__ = [
-    "OnceLimits",
     "ClaimResult",
     "OnceClaim",
+    "OnceLimits",
     "Replay",
     "not_run_problem",
     "store_unavailable_problem",
--- a/basilhold/gateway/problems.py
+++ b/basilhold/gateway/problems.py
@@ -1,4 +1,4 @@
-"""Problem documents (RFC 9457)."""
+"""Encoding of problem documents (RFC 9457)."""
 
 import msgspec
 
@@ -17,7 +17,10 @@
 
 
 class ProblemDocument(msgspec.Struct, frozen=True):
-    """Body of an answer that the gateway writes itself."""
+    """Body of an answer that the gateway itself generates.
+
+    The members are those of RFC 9457, and `outcome` as an extension.
+    """
 
     type: str
     title: str
@@ -27,7 +30,7 @@
 
 
 def encode_problem(problem: Problem) -> bytes:
-    """Return the body for a problem.
+    """Return the problem document of a problem, as JSON.
 
     Examples
     --------
@@ -47,7 +50,14 @@
 
 
 def encode_raw_problem(problem: Problem, reason: str) -> bytes:
-    """Return a whole HTTP answer, for a connection without a parsed request."""
+    """Return a complete HTTP/1.1 response, for a connection without a parsed request.
+
+    Parameters
+    ----------
+    problem : Problem
+    reason : str
+        Reason phrase of the status line.
+    """
     body = encode_problem(problem)
     head = (
         f"HTTP/1.1 {problem.kind.status} {reason}\r\n"
