Rename classes and methods of the placement state

Some names were figurative or vague (ledger, watch, hot, note_room). They are renamed to plain terms; the code is otherwise unchanged.

basilhold/placement/claims.py ClaimBook ClaimRegistry basilhold/placement/claims.py drop discard basilhold/placement/quotas.py TeamLedger TeamQuotas basilhold/placement/quotas.py used_here used_in_shard basilhold/placement/quotas.py is_within is_within_quota basilhold/placement/overuse.py OveruseWatch OveruseDetector basilhold/placement/workers.py hot nearly_full basilhold/placement/shard_state.py wake_quarantined update_probe_is_due basilhold/placement/shard_state.py update_gpu_wait update_gpu_work_waits basilhold/placement/shard_state.py note_checkpoint record_checkpoint basilhold/placement/shard_state.py releases release_count basilhold/placement/shard_state.py note_room mark_room_freed basilhold/placement/waiting.py Entry QueueEntry basilhold/placement/waiting.py is_marked is_changed basilhold/placement/waiting.py ratio wait_ratio basilhold/placement/waiting.py ordered sorted_entries basilhold/placement/waiting.py take remove_task basilhold/placement/waiting.py reserve_unix_ms reserve_after_unix_ms basilhold/placement/health.py OUTGREW EXCEEDED_MEMORY

--- a/basilhold/placement/audit.py
+++ b/basilhold/placement/audit.py
@@ -97,14 +97,14 @@
         if live.job is not None:
             team = live.job.spec.team
             used[team] = used.get(team, Resources()) + live.size
-    counted = state.teams.used_here()
+    counted = state.teams.used_in_shard()
     if counted != {team: size for team, size in used.items() if size != Resources()}:
         raise InvariantError(f"team usage is counted as {counted}, expected {used}")
 
 
 def _audit_job(state: ShardState, job: JobState) -> None:
     job_id: JobId = job.spec.job_id
-    if state.queue.is_marked(job_id):
+    if state.queue.is_changed(job_id):
         return
     waiting = {index for entry in job.entries for index in entry.indices}
     expected = set()
--- a/basilhold/placement/claims.py
+++ b/basilhold/placement/claims.py
@@ -11,10 +11,10 @@
 from basilhold.placement.plan import Eviction
 from basilhold.placement.shard_state import ShardState
 from basilhold.placement.victims import VictimSet, choose_victims
-from basilhold.placement.waiting import Entry, JobState
+from basilhold.placement.waiting import JobState, QueueEntry
 from basilhold.placement.workers import LiveTask, WorkerState
 
-__all__ = ["Claim", "ClaimBook"]
+__all__ = ["Claim", "ClaimRegistry"]
 
 _CLAIM_TIMEOUT_MS = 30_000
 """A claim whose victims have not given way by then is dropped, in milliseconds."""
@@ -36,7 +36,7 @@
     deadline_unix_ms: int
 
 
-class ClaimBook:
+class ClaimRegistry:
     """Keeps what victims give back for the urgent task that needs it.
 
     A worker with a claim takes no other work, or the freed resources would go to
@@ -54,7 +54,7 @@
     def __contains__(self, task_id: TaskId) -> bool:
         return task_id in self._by_task
 
-    def drop(self, task_id: TaskId) -> None:
+    def discard(self, task_id: TaskId) -> None:
         """Remove a task's claim if it has one."""
         claim = self._by_task.pop(task_id, None)
         if claim is None:
@@ -66,7 +66,7 @@
         worker = self._state.workers.get(claim.worker_id)
         if worker is not None:
             worker.claims = len(claims)
-            self._state.note_room(worker)
+            self._state.mark_room_freed(worker)
             self._state.reindex(worker)
 
     def ready(self) -> Iterator[tuple[Claim, WorkerState]]:
@@ -74,21 +74,21 @@
         for claim in list(self._by_task.values()):
             worker = self._state.workers.get(claim.worker_id)
             if not _is_waiting(claim) or worker is None or not worker.schedulable:
-                self.drop(claim.task_id)
+                self.discard(claim.task_id)
             elif worker.has_room(claim.size):
                 yield claim, worker
             elif self._is_hopeless(claim, worker):
-                self.drop(claim.task_id)
+                self.discard(claim.task_id)
 
     def reclaim(
-        self, key: LaneKey, entry: Entry, index: int, above_quota: bool
+        self, key: LaneKey, entry: QueueEntry, index: int, above_quota: bool
     ) -> list[Eviction] | None:
         """Choose victims for an urgent task and claim what they give back.
 
         Parameters
         ----------
         key : LaneKey
-        entry : Entry
+        entry : QueueEntry
         index : int
         above_quota : bool
             Whether the urgent task's own team is above quota; its victims must then
@@ -157,7 +157,7 @@
         state = self._state
         above, within = [], []
         for team, tasks in state.newest.by_team():
-            if state.teams.is_within(team):
+            if state.teams.is_within_quota(team):
                 within.append(islice(tasks, _NEWEST_MAX))
             else:
                 above.append(islice(tasks, _NEWEST_MAX))
@@ -175,7 +175,7 @@
         return missing
 
     def _is_within_quota(self, live: LiveTask) -> bool:
-        return self._state.teams.is_within(live.job.spec.team)
+        return self._state.teams.is_within_quota(live.job.spec.team)
 
     def _is_hopeless(self, claim: Claim, worker: WorkerState) -> bool:
         """Return whether the victims are gone or late and the task still lacks room."""
--- a/basilhold/placement/explain.py
+++ b/basilhold/placement/explain.py
@@ -1,12 +1,12 @@
 """Why a job waits."""
 
 from basilhold.core import JobId, Resources, make_task_id
-from basilhold.placement.claims import ClaimBook
+from basilhold.placement.claims import ClaimRegistry
 from basilhold.placement.plan import Explanation
 from basilhold.placement.reservation import Reservation
 from basilhold.placement.shapes import count_fitting
 from basilhold.placement.shard_state import ShardState
-from basilhold.placement.waiting import Entry, JobState
+from basilhold.placement.waiting import JobState, QueueEntry
 from basilhold.placement.workers import WorkerState
 
 __all__ = ["explain_job"]
@@ -14,7 +14,7 @@
 
 def explain_job(
     state: ShardState,
-    claims: ClaimBook,
+    claims: ClaimRegistry,
     reservation: Reservation | None,
     job_id: JobId,
     now_unix_ms: int,
@@ -41,7 +41,7 @@
     return Explanation(job_id, waiting, reason, lacking)
 
 
-def _lacks(state: ShardState, worker: WorkerState, entry: Entry) -> list[str]:
+def _lacks(state: ShardState, worker: WorkerState, entry: QueueEntry) -> list[str]:
     size = entry.job.spec.task_resources
     if not worker.schedulable:
         return ["unavailable"]
@@ -68,7 +68,7 @@
 
 def _reason(
     state: ShardState,
-    claims: ClaimBook,
+    claims: ClaimRegistry,
     reservation: Reservation | None,
     job: JobState,
     now_unix_ms: int,
@@ -88,7 +88,7 @@
         return _gang_reason(state, reservation, job, now_unix_ms)
     if has_room:
         return "a worker has room; waits for its turn"
-    if not state.teams.is_within(spec.team, size):
+    if not state.teams.is_within_quota(spec.team, size):
         return f"team {spec.team} is above its quota and no capacity is idle"
     return "no worker has room"
 
--- a/basilhold/placement/gang_reservations.py
+++ b/basilhold/placement/gang_reservations.py
@@ -57,12 +57,12 @@
         if (
             self.reservation is not None
             or self._computed_in_pass
-            or state.now_unix_ms < bucket.reserve_unix_ms
+            or state.now_unix_ms < bucket.reserve_after_unix_ms
         ):
             return
         found = self._compute_reservation(bucket)
         if found is None:
-            bucket.reserve_unix_ms = state.now_unix_ms + _RECOMPUTE_INTERVAL_MS
+            bucket.reserve_after_unix_ms = state.now_unix_ms + _RECOMPUTE_INTERVAL_MS
             return
         self._expected_start_unix_ms = found.start_unix_ms
         self._set_reservation(found)
@@ -82,7 +82,7 @@
             Number of tasks in the gang.
         """
         if (
-            fit.gang_failed_at_release == self._state.releases
+            fit.gang_failed_at_release == self._state.release_count
             and tasks >= fit.gang_failed_tasks
         ):
             return False
@@ -106,7 +106,7 @@
 
     def record_failure(self, fit: SizeFit, tasks: int) -> None:
         """Record that a gang of this number of tasks of a size does not fit now."""
-        fit.gang_failed_at_release = self._state.releases
+        fit.gang_failed_at_release = self._state.release_count
         fit.gang_failed_tasks = tasks
 
     def release_started(self, job_id: JobId) -> None:
@@ -144,7 +144,7 @@
             for bucket in state.queue.buckets.values()
         ):
             # Another gang may reserve first; this one keeps its place by age.
-            job.entries[0].bucket.reserve_unix_ms = state.now_unix_ms + target_ms
+            job.entries[0].bucket.reserve_after_unix_ms = state.now_unix_ms + target_ms
 
     def reserved_workers(self, job_id: JobId | None) -> list[WorkerState]:
         """Return the workers reserved for a gang, without those that have claims."""
@@ -242,7 +242,7 @@
             worker = self._state.workers.get(worker_id)
             if worker is not None:
                 worker.reserved = False
-                self._state.note_room(worker)
+                self._state.mark_room_freed(worker)
                 self._state.reindex(worker)
 
     def _has_unavailable_worker(self, held: Reservation) -> bool:
--- a/basilhold/placement/health.py
+++ b/basilhold/placement/health.py
@@ -34,7 +34,7 @@
 
     SUCCEEDED = "succeeded"
     FAILED = "failed"
-    OUTGREW = "outgrew"
+    EXCEEDED_MEMORY = "outgrew"
 
 
 class HealthVerdict(msgspec.Struct, frozen=True):
@@ -132,7 +132,7 @@
             until = self.quarantined_until_unix_ms(worker_id)
             reason = f"failed on {len(tried)} different workers"
             return HealthVerdict(until, False, True, reason)
-        if outcome is AttemptOutcome.OUTGREW:
+        if outcome is AttemptOutcome.EXCEEDED_MEMORY:
             return HealthVerdict(self.quarantined_until_unix_ms(worker_id))
         return self._failed(worker_id, task_id, now_unix_ms)
 
--- a/basilhold/placement/lanes.py
+++ b/basilhold/placement/lanes.py
@@ -71,7 +71,8 @@
         Whether no open worker has room even for starving work, which may also use
         resources that are kept for GPU work.
     gang_failed_at_release : int
-        Value of `ShardState.releases` when a gang did not fit, -1 if none failed yet.
+        Value of `ShardState.release_count` when a gang did not fit, -1 if none failed
+        yet.
     gang_failed_tasks : int
         Number of tasks in that gang.
     gang_pass, gang_round : int
@@ -137,7 +138,8 @@
     order : SortedList
         The positions of the buckets, the oldest first.
     blocked_at_release : int
-        Value of `ShardState.releases` when no worker was found, -1 if none failed yet.
+        Value of `ShardState.release_count` when no worker was found, -1 if none failed
+        yet.
     backfill_tried_version : int
         Value of `ShardState.backfill_version` when no reserved worker was found, -1 if
         none failed yet.
--- a/basilhold/placement/overuse.py
+++ b/basilhold/placement/overuse.py
@@ -5,7 +5,7 @@
 from basilhold.placement.shard_state import ShardState
 from basilhold.placement.workers import LiveTask, WorkerState
 
-__all__ = ["EVICTION_TIMEOUT_MS", "OveruseWatch"]
+__all__ = ["EVICTION_TIMEOUT_MS", "OveruseDetector"]
 
 _CORES_TOLERANCE = 1.05
 """Reports average over an interval, so short bursts above the declaration count."""
@@ -19,7 +19,7 @@
 in milliseconds: the message may have been lost."""
 
 
-class OveruseWatch:
+class OveruseDetector:
     """Throttles tasks that exceed their cores and removes those that exceed memory.
 
     A task that must not be restarted is stopped for its memory only when the worker
@@ -38,7 +38,7 @@
                 used = used + live.used
         capacity = worker.capacity
         memory_short = used.memory_bytes > capacity.memory_bytes * _HOT_SHARE
-        worker.hot = memory_short or (
+        worker.nearly_full = memory_short or (
             used.cores_milli > capacity.cores_milli * _HOT_SHARE
         )
         for live in list(worker.tasks.values()):
--- a/basilhold/placement/planning_pass.py
+++ b/basilhold/placement/planning_pass.py
@@ -5,14 +5,14 @@
 from enum import Enum
 
 from basilhold.core import make_task_id
-from basilhold.placement.claims import ClaimBook
+from basilhold.placement.claims import ClaimRegistry
 from basilhold.placement.gang_reservations import GangReservations
 from basilhold.placement.gangs import choose_gang_workers
 from basilhold.placement.lanes import URGENT_TARGET_MS, Lane
 from basilhold.placement.plan import Eviction, Placement, Plan
 from basilhold.placement.selection import choose_probe_worker, choose_worker
 from basilhold.placement.shard_state import ShardState
-from basilhold.placement.waiting import Bucket, Entry
+from basilhold.placement.waiting import Bucket, QueueEntry
 from basilhold.placement.workers import WorkerState
 
 __all__ = ["STARVING_RATIO", "PlanningPass"]
@@ -61,7 +61,7 @@
     Parameters
     ----------
     state : ShardState
-    claims : ClaimBook
+    claims : ClaimRegistry
         Claims of urgent tasks on workers with evicted victims.
     gangs : GangReservations
     limit : int
@@ -71,7 +71,7 @@
     def __init__(
         self,
         state: ShardState,
-        claims: ClaimBook,
+        claims: ClaimRegistry,
         gangs: GangReservations,
         limit: int,
     ):
@@ -132,7 +132,7 @@
         self._sequence += 1
         # A bucket whose last task was placed by a claim stays in its lane until the
         # lanes are reordered.
-        ratio = bucket.ratio(self._now) if bucket.count else _SKIP_RATIO
+        ratio = bucket.wait_ratio(self._now) if bucket.count else _SKIP_RATIO
         return (-ratio, self._sequence, bucket, other_buckets)
 
     def _serve_in_order(self, heap: list[_HeapItem], group: _PriorityGroup) -> None:
@@ -144,7 +144,7 @@
         while heap and len(self._placements) < self._limit:
             _, _, bucket, other_buckets = heapq.heappop(heap)
             if bucket.count and self._is_due(bucket, group):
-                ratio = bucket.ratio(self._now)
+                ratio = bucket.wait_ratio(self._now)
                 served = self._serve_bucket(bucket, group, ratio)
                 if served and group is not _PriorityGroup.ABOVE_QUOTA:
                     self._update_starving_credit(bucket)
@@ -160,7 +160,7 @@
         """
         if group is _PriorityGroup.ABOVE_QUOTA or self._is_within_quota(bucket):
             return True
-        if bucket.ratio(self._now) <= STARVING_RATIO:
+        if bucket.wait_ratio(self._now) <= STARVING_RATIO:
             self._deferred.append(bucket)
             return False
         if group is _PriorityGroup.URGENT:
@@ -177,14 +177,14 @@
         A start within quota earns credit, and one above quota spends it.
         """
         state = self._state
-        if state.teams.is_within(bucket.key.team):
+        if state.teams.is_within_quota(bucket.key.team):
             credit = state.starving_credit + _STARVING_CREDIT_PER_START
             state.starving_credit = min(_STARVING_CREDIT_MAX, credit)
         else:
             state.starving_credit -= 1
 
     def _is_within_quota(self, bucket: Bucket) -> bool:
-        return self._state.teams.is_within(bucket.key.team, bucket.demand())
+        return self._state.teams.is_within_quota(bucket.key.team, bucket.demand())
 
     def _is_blocked(self, lane: Lane) -> bool:
         """Return whether to skip a lane because its tasks cannot be placed now.
@@ -202,7 +202,7 @@
             and lane.backfill_tried_version != state.backfill_version
         ):
             return False
-        if not fit.fits_nowhere and lane.blocked_at_release != state.releases:
+        if not fit.fits_nowhere and lane.blocked_at_release != state.release_count:
             return False
         return fit.fits_nowhere_starving or self._now < lane.starves_unix_ms
 
@@ -241,7 +241,7 @@
 
     def _block_lane(self, lane: Lane, starving: bool) -> None:
         """Skip a lane until resources are released or its oldest task starves."""
-        lane.blocked_at_release = self._state.releases
+        lane.blocked_at_release = self._state.release_count
         lane.backfill_tried_version = self._state.backfill_version
         lane.starves_unix_ms = 1 << 62
         if not starving:
@@ -250,7 +250,7 @@
             lane.starves_unix_ms = oldest + int(target * STARVING_RATIO) + 1
 
     def _find_worker(
-        self, lane: Lane, entry: Entry, starving: bool
+        self, lane: Lane, entry: QueueEntry, starving: bool
     ) -> WorkerState | None:
         """Return a worker to probe, an open worker or a reserved one to backfill."""
         state, key = self._state, lane.key
@@ -267,15 +267,15 @@
                 fit.block(starving or key.size.gpus_milli > 0)
         return self._gang_reservations.backfill_worker(key, entry.job, starving)
 
-    def _place(self, entry: Entry, index: int, worker: WorkerState) -> None:
+    def _place(self, entry: QueueEntry, index: int, worker: WorkerState) -> None:
         state, job = self._state, entry.job
         gpu_bucket = entry.bucket if job.spec.task_resources.gpus_milli else None
-        state.queue.take(entry, index)
+        state.queue.remove_task(entry, index)
         if self._claims:
-            self._claims.drop(make_task_id(job.spec.job_id, index))
+            self._claims.discard(make_task_id(job.spec.job_id, index))
         self._placements.append(state.hold(job, index, worker))
         if gpu_bucket is not None and gpu_bucket.count == 0:
-            state.update_gpu_wait()
+            state.update_gpu_work_waits()
 
     def _place_claimed(self) -> None:
         """Place the tasks whose victims have made room."""
@@ -287,7 +287,7 @@
 
     def _reclaim_for_bucket(self, bucket: Bucket, above_quota: bool) -> None:
         """Search victims for the tasks of a bucket, up to the first that finds none."""
-        for entry in bucket.ordered():
+        for entry in bucket.sorted_entries():
             for index in reversed(list(entry.indices)):
                 if make_task_id(entry.job.spec.job_id, index) in self._claims:
                     continue
@@ -325,7 +325,7 @@
         return False
 
     def _start_gang(
-        self, entry: Entry, indices: list[int], workers: list[WorkerState]
+        self, entry: QueueEntry, indices: list[int], workers: list[WorkerState]
     ) -> bool:
         """Place all tasks of a gang, and return whether that was done.
 
--- a/basilhold/placement/quotas.py
+++ b/basilhold/placement/quotas.py
@@ -2,12 +2,12 @@
 
 from basilhold.core import Resources, Team, TeamName
 
-__all__ = ["TeamLedger"]
+__all__ = ["TeamQuotas"]
 
 _NOTHING = Resources()
 
 
-class TeamLedger:
+class TeamQuotas:
     """Counts what each team holds and what its quota allows."""
 
     def __init__(self):
@@ -34,7 +34,7 @@
         else:
             self._used[team] = rest
 
-    def used_here(self) -> dict[TeamName, Resources]:
+    def used_in_shard(self) -> dict[TeamName, Resources]:
         """Return the usage in this shard by team."""
         return dict(self._used)
 
@@ -44,7 +44,7 @@
         elsewhere = self._elsewhere.get(team)
         return used if elsewhere is None else used + elsewhere
 
-    def is_within(self, team: TeamName, extra: Resources = _NOTHING) -> bool:
+    def is_within_quota(self, team: TeamName, extra: Resources = _NOTHING) -> bool:
         """Return whether a team is within quota once it takes `extra`.
 
         Without any configured team there are no quotas. A team that the
--- a/basilhold/placement/selection.py
+++ b/basilhold/placement/selection.py
@@ -119,4 +119,4 @@
         1, capacity.memory_bytes
     )
     imbalance = abs(cores - memory) + 0.1 * (cores + memory)
-    return imbalance + 10.0 if worker.hot else imbalance
+    return imbalance + 10.0 if worker.nearly_full else imbalance
--- a/basilhold/placement/shard_state.py
+++ b/basilhold/placement/shard_state.py
@@ -16,7 +16,7 @@
 from basilhold.placement.gpu_guard import GpuGuard
 from basilhold.placement.newest_tasks import NewestReclaimableTasks
 from basilhold.placement.plan import Placement
-from basilhold.placement.quotas import TeamLedger
+from basilhold.placement.quotas import TeamQuotas
 from basilhold.placement.shapes import WorkerShapes, count_fitting
 from basilhold.placement.waiting import JobState, WaitingQueue
 from basilhold.placement.worker_index import WorkerIndex
@@ -36,7 +36,7 @@
         self.workers: dict[WorkerId, WorkerState] = {}
         self.tasks: dict[TaskId, LiveTask] = {}
         self.queue = WaitingQueue(self._may_avoid)
-        self.teams = TeamLedger()
+        self.teams = TeamQuotas()
         self.estimates = ClassEstimates()
         self.gpu_guard = GpuGuard()
         self.free_index = WorkerIndex()
@@ -44,7 +44,7 @@
         self.quarantined: dict[WorkerId, None] = {}
         self.newest = NewestReclaimableTasks()
         self.shapes = WorkerShapes()
-        self.releases = 0
+        self.release_count = 0
         self.backfill_version = 0
         self.probe_is_due = False
         self.starving_credit = 1.0
@@ -87,7 +87,7 @@
             if live is None or live.held or not live.matches(assignment):
                 self._commit_assignment(worker, assignment)
         if old_free is None or not worker.free().fits_in(old_free):
-            self.note_room(worker)
+            self.mark_room_freed(worker)
         self.reindex(worker)
 
     def remove_worker(self, worker_id: WorkerId) -> None:
@@ -105,7 +105,7 @@
                 self._unplaced_holds.setdefault(worker_id, []).append(live)
             else:
                 self._forget(live, requeued=True)
-        self.releases += 1
+        self.release_count += 1
 
     def upsert_job(self, record: JobRecord) -> None:
         """Replace a job's record and link its live tasks."""
@@ -149,7 +149,7 @@
             worker.probe_task_id = task_id
         if size.gpus_milli:
             # With fewer free GPUs, the worker keeps less for GPU work.
-            self.note_room(worker)
+            self.mark_room_freed(worker)
         self.reindex(worker)
         return Placement(task_id, attempt, worker.worker_id, size)
 
@@ -185,7 +185,7 @@
         worker.give_back(live.size)
         if worker.probe_task_id == live.task_id:
             worker.probe_task_id = None
-        self.note_room(worker)
+        self.mark_room_freed(worker)
 
     def mark_evicted(self, live: LiveTask, freeing: Resources) -> None:
         """Record that a task was asked to give way and what that will free."""
@@ -200,7 +200,7 @@
         self._recount(live)
         self._reindex_of(live)
 
-    def note_checkpoint(self, live: LiveTask, checkpoint_unix_ms: int) -> None:
+    def record_checkpoint(self, live: LiveTask, checkpoint_unix_ms: int) -> None:
         """Record that work up to a time is safe."""
         self.newest.remove(live)
         live.checkpoint_unix_ms = checkpoint_unix_ms
@@ -236,9 +236,9 @@
             gpus + worker.reclaimable_gpus_milli,
         )
 
-    def note_room(self, worker: WorkerState) -> None:
+    def mark_room_freed(self, worker: WorkerState) -> None:
         """Have blocked work that fits on a worker look at it again."""
-        self.releases += 1
+        self.release_count += 1
         self._grown.add(worker.worker_id)
         if worker.reserved:
             self.backfill_version += 1
@@ -284,7 +284,7 @@
                     return True
         return False
 
-    def wake_quarantined(self) -> None:
+    def update_probe_is_due(self) -> None:
         """Note whether a quarantined worker is due for a probe."""
         self.probe_is_due = False
         for worker_id in self.quarantined:
@@ -294,12 +294,12 @@
                 self.probe_is_due = True
                 return
 
-    def update_gpu_wait(self) -> None:
+    def update_gpu_work_waits(self) -> None:
         """Note whether GPU work waits that some worker could run."""
         waits = any(self.shapes.could_run(size) for size in self.queue.gpu_sizes())
         if waits != self.gpu_guard.gpu_work_waits:
             self.gpu_guard.gpu_work_waits = waits
-            self.releases += 1
+            self.release_count += 1
             for size, fit in self.queue.lanes.fits.items():
                 if size.gpus_milli == 0:
                     fit.unblock()
--- a/basilhold/placement/target_planner.py
+++ b/basilhold/placement/target_planner.py
@@ -10,10 +10,10 @@
     WorkerRecord,
 )
 from basilhold.placement.audit import audit
-from basilhold.placement.claims import ClaimBook
+from basilhold.placement.claims import ClaimRegistry
 from basilhold.placement.explain import explain_job
 from basilhold.placement.gang_reservations import GangReservations
-from basilhold.placement.overuse import EVICTION_TIMEOUT_MS, OveruseWatch
+from basilhold.placement.overuse import EVICTION_TIMEOUT_MS, OveruseDetector
 from basilhold.placement.plan import Explanation, Placement, Plan
 from basilhold.placement.planner import Planner
 from basilhold.placement.planning_pass import PlanningPass
@@ -42,9 +42,9 @@
 
     def __init__(self):
         self._state = ShardState()
-        self._claims = ClaimBook(self._state)
+        self._claims = ClaimRegistry(self._state)
         self._gang_reservations = GangReservations(self._state)
-        self._overuse = OveruseWatch(self._state)
+        self._overuse = OveruseDetector(self._state)
 
     def upsert_worker(self, record: WorkerRecord, schedulable: bool) -> None:
         """Add a worker or replace its record."""
@@ -95,8 +95,8 @@
         state = self._state
         state.now_unix_ms = max(state.now_unix_ms, now_unix_ms)
         state.queue.refresh()
-        state.wake_quarantined()
-        state.update_gpu_wait()
+        state.update_probe_is_due()
+        state.update_gpu_work_waits()
         self._gang_reservations.begin_pass()
         overuse = self._overuse.take_evictions()
         run = PlanningPass(state, self._claims, self._gang_reservations, limit)
@@ -139,7 +139,7 @@
         state, job = self._state, live.job
         age_ms = state.now_unix_ms - live.started_unix_ms
         if report.checkpoint_unix_ms > live.checkpoint_unix_ms:
-            state.note_checkpoint(live, report.checkpoint_unix_ms)
+            state.record_checkpoint(live, report.checkpoint_unix_ms)
         if not report.running:
             if not live.finished:
                 state.mark_finished(live)
--- a/basilhold/placement/tests/test_health.py
+++ b/basilhold/placement/tests/test_health.py
@@ -86,7 +86,7 @@
 
     def test_memory_overuse_stops_the_task_and_spares_the_workers(self):
         health = WorkerHealth()
-        outgrew = AttemptOutcome.OUTGREW
+        outgrew = AttemptOutcome.EXCEEDED_MEMORY
         verdicts = [health.record(w, "a#0", outgrew, 0) for w in ("w1", "w2", "w3")]
         self.assertEqual([v.task_failed for v in verdicts], [False, False, True])
 
--- a/basilhold/placement/waiting.py
+++ b/basilhold/placement/waiting.py
@@ -20,7 +20,7 @@
 if TYPE_CHECKING:
     from basilhold.placement.workers import LiveTask
 
-__all__ = ["Bucket", "Entry", "JobState", "WaitingQueue"]
+__all__ = ["Bucket", "JobState", "QueueEntry", "WaitingQueue"]
 
 _GANG_FAILED_WORKERS_MAX = 3
 """The number of workers on which a task may fail (section 7.6)."""
@@ -56,7 +56,7 @@
         self.cancelled = record.cancel_requested
         self.removed = False
         self.live: dict[int, LiveTask] = {}
-        self.entries: list[Entry] = []
+        self.entries: list[QueueEntry] = []
         self.requeued_unix_ms: dict[int, int] | None = None
         self.rack_counts: dict[str, int] | None = None
 
@@ -91,7 +91,7 @@
             self.rack_counts.pop(rack, None)
 
 
-class Entry:
+class QueueEntry:
     """Waiting tasks of one job in one bucket, the lowest index last."""
 
     __slots__ = ("bucket", "dropped", "indices", "job", "since_unix_ms")
@@ -105,7 +105,7 @@
         self.indices = indices
         self.dropped = False
 
-    def __lt__(self, other: "Entry") -> bool:
+    def __lt__(self, other: "QueueEntry") -> bool:
         """Return whether this entry comes first: first come, first served."""
         if self.since_unix_ms != other.since_unix_ms:
             return self.since_unix_ms < other.since_unix_ms
@@ -122,7 +122,7 @@
         "lane",
         "number",
         "position",
-        "reserve_unix_ms",
+        "reserve_after_unix_ms",
     )
 
     def __init__(self, key: BucketKey):
@@ -131,15 +131,15 @@
         self.lane: Lane | None = None
         self.number = 0
         self.position: tuple | None = None
-        self.reserve_unix_ms = 0
-        self._heap: list[Entry] = []
+        self.reserve_after_unix_ms = 0
+        self._heap: list[QueueEntry] = []
 
-    def add(self, entry: Entry) -> None:
+    def add(self, entry: QueueEntry) -> None:
         """Add an entry."""
         self.count += 1
         heapq.heappush(self._heap, entry)
 
-    def drop(self, entry: Entry) -> None:
+    def drop(self, entry: QueueEntry) -> None:
         """Remove an entry, in constant time unless many have been removed."""
         self.count -= 1
         entry.dropped = True
@@ -147,17 +147,17 @@
             self._heap = [e for e in self._heap if not e.dropped]
             heapq.heapify(self._heap)
 
-    def head(self) -> Entry:
+    def head(self) -> QueueEntry:
         """Return the entry that has waited longest."""
         while self._heap[0].dropped:
             heapq.heappop(self._heap)
         return self._heap[0]
 
-    def ordered(self) -> list[Entry]:
+    def sorted_entries(self) -> list[QueueEntry]:
         """Return all entries, the one that has waited longest first."""
         return sorted(entry for entry in self._heap if not entry.dropped)
 
-    def ratio(self, now_unix_ms: int) -> float:
+    def wait_ratio(self, now_unix_ms: int) -> float:
         """Return the time waited divided by the target wait."""
         waited_ms = now_unix_ms - self.head().since_unix_ms
         return waited_ms / max(1, self.lane.key.wait_target_ms)
@@ -198,7 +198,7 @@
         """Have the jobs with failed tasks rebuilt, as the workers have changed."""
         self._changed.update(self._retried)
 
-    def is_marked(self, job_id: JobId) -> bool:
+    def is_changed(self, job_id: JobId) -> bool:
         """Return whether a job's entries are still to be rebuilt."""
         return job_id in self._changed
 
@@ -226,7 +226,7 @@
         """Build the entries of a new job."""
         self._build_entries(job)
 
-    def take(self, entry: Entry, index: int) -> None:
+    def remove_task(self, entry: QueueEntry, index: int) -> None:
         """Remove one task from the queue."""
         if entry.indices[-1] == index:
             entry.indices.pop()
@@ -283,7 +283,7 @@
         if bucket is None:
             bucket = self.buckets[key] = Bucket(key)
             self.lanes.add(bucket, key.lane)
-        entry = Entry(bucket, job, since_unix_ms, indices)
+        entry = QueueEntry(bucket, job, since_unix_ms, indices)
         bucket.add(entry)
         self.lanes.mark_changed(bucket)
         job.entries.append(entry)
@@ -293,7 +293,7 @@
             self._drop_entry(entry)
         job.entries.clear()
 
-    def _drop_entry(self, entry: Entry) -> None:
+    def _drop_entry(self, entry: QueueEntry) -> None:
         bucket = entry.bucket
         bucket.drop(entry)
         self.lanes.mark_changed(bucket)
--- a/basilhold/placement/workers.py
+++ b/basilhold/placement/workers.py
@@ -110,7 +110,7 @@
         "free_cores_milli",
         "free_gpus_milli",
         "free_memory_bytes",
-        "hot",
+        "nearly_full",
         "probe_task_id",
         "quarantined_until_unix_ms",
         "rack",
@@ -138,7 +138,7 @@
         self.probe_task_id: TaskId | None = None
         self.claims = 0
         self.reserved = False
-        self.hot = False
+        self.nearly_full = False
         self.tasks: dict[TaskId, LiveTask] = {}
 
     def free(self) -> Resources:
--- a/basilhold/sharding/quarantine.py
+++ b/basilhold/sharding/quarantine.py
@@ -65,7 +65,7 @@
         if change.state is TaskState.SUCCEEDED:
             outcome = AttemptOutcome.SUCCEEDED
         elif change.outgrew:
-            outcome = AttemptOutcome.OUTGREW
+            outcome = AttemptOutcome.EXCEEDED_MEMORY
         elif change.failed:
             outcome = AttemptOutcome.FAILED
         else:
