--- a/basilhold/placement/__init__.py
+++ b/basilhold/placement/__init__.py
@@ -1,4 +1,8 @@
-"""Decides which task runs on which worker. Performs no I/O."""
+"""Placement: the decision which task of a shard runs on which worker.
+
+The package performs no I/O. The owner of a shard passes the records of workers and jobs
+to a `Planner`, and commits the plans that it returns.
+"""
 
 from basilhold.placement.admission import (
     GANG_TASKS_MAX,
--- a/basilhold/placement/claims.py
+++ b/basilhold/placement/claims.py
@@ -1,4 +1,7 @@
-"""Claims of urgent tasks on workers whose victims are giving way."""
+"""Claims: capacity that is kept for urgent tasks while their victims stop.
+
+Victims are the tasks that are evicted to make room for an urgent task.
+"""
 
 import heapq
 from collections.abc import Iterator
@@ -17,16 +20,31 @@
 __all__ = ["Claim", "ClaimRegistry"]
 
 _CLAIM_TIMEOUT_MS = 30_000
-"""A claim whose victims have not given way by then is dropped, in milliseconds."""
+"""Time after which a claim is removed if its victims have not stopped, in
+milliseconds."""
 
-_NEWEST_MAX = 16
-_FEASIBLE_MAX = 4
-"""Bounds on the workers that are compared per urgent task. The newest tasks lose the
-least work, so the cheapest victims are among the first of each team's list."""
+_NEWEST_TASKS_MAX = 16
+_FEASIBLE_WORKERS_MAX = 4
+"""Limits of the search for victims: tasks per team among the newest reclaimable ones,
+and workers that have enough reclaimable resources. The newest tasks lose the least
+work, so the cheapest victims are among the first of each team's list."""
 
 
 class Claim(msgspec.Struct):
-    """An urgent task that waits for victims on one worker."""
+    """Urgent task that waits until its victims on one worker have stopped.
+
+    Parameters
+    ----------
+    task_id : TaskId
+    job : JobState
+    index : int
+        Position of the task in its job.
+    worker_id : WorkerId
+    size : Resources
+        Resources that the task needs.
+    deadline_unix_ms : int
+        Time after which the claim is removed if the victims have not stopped.
+    """
 
     task_id: TaskId
     job: JobState
@@ -37,10 +55,14 @@
 
 
 class ClaimRegistry:
-    """Keeps what victims give back for the urgent task that needs it.
+    """Keeps the resources that victims free for the urgent task that needs them.
+
+    A worker with a claim takes no other work. Otherwise, the freed resources would go
+    to the first task in the order of the next pass.
 
-    A worker with a claim takes no other work, or the freed resources would go to
-    whatever is first in the next pass.
+    Parameters
+    ----------
+    state : ShardState
     """
 
     def __init__(self, state: ShardState):
@@ -70,41 +92,48 @@
             self._state.reindex(worker)
 
     def ready(self) -> Iterator[tuple[Claim, WorkerState]]:
-        """Yield the claims whose worker has room, and drop those without hope."""
+        """Yield the claims whose worker has room, and remove those that cannot be met.
+
+        A claim cannot be met if its task no longer waits, its worker takes no work, or
+        its victims are overdue or do not free enough.
+        """
         for claim in list(self._by_task.values()):
             worker = self._state.workers.get(claim.worker_id)
             if not _is_waiting(claim) or worker is None or not worker.schedulable:
                 self.discard(claim.task_id)
             elif worker.has_room(claim.size):
                 yield claim, worker
-            elif self._is_hopeless(claim, worker):
+            elif self._cannot_be_met(claim, worker):
                 self.discard(claim.task_id)
 
     def reclaim(
         self, key: LaneKey, entry: QueueEntry, index: int, above_quota: bool
     ) -> list[Eviction] | None:
-        """Choose victims for an urgent task and claim what they give back.
+        """Choose victims for an urgent task and claim the resources that they free.
 
         Parameters
         ----------
         key : LaneKey
+            Requirements of the urgent task.
         entry : QueueEntry
+            Queue entry that contains the task.
         index : int
+            Position of the task in its job.
         above_quota : bool
-            Whether the urgent task's own team is above quota; its victims must then
+            Whether the team of the urgent task is above quota. The victims must then
             belong to teams above quota too.
 
         Returns
         -------
         list of Eviction or None
-            ``None`` if no worker has enough victims.
+            Evictions of the victims; ``None`` if no examined worker has enough.
         """
         state = self._state
         best: VictimSet | None = None
-        for worker in self._candidates(key):
+        for worker in self._candidate_workers(key):
             found = choose_victims(
                 worker,
-                self._missing(worker, key.size),
+                self._missing_resources(worker, key.size),
                 state.estimates,
                 self._is_within_quota,
                 above_quota,
@@ -114,11 +143,12 @@
                 best = found
         if best is None:
             return None
-        return self._claim(best, entry.job, index, key.size)
+        return self._add_claim(best, entry.job, index, key.size)
 
-    def _claim(
+    def _add_claim(
         self, victims: VictimSet, job: JobState, index: int, size: Resources
     ) -> list[Eviction]:
+        """Record a claim and mark its victims as evicted."""
         state, worker = self._state, victims.worker
         task_id = make_task_id(job.spec.job_id, index)
         deadline = state.now_unix_ms + _CLAIM_TIMEOUT_MS
@@ -134,12 +164,14 @@
             for eviction in victims.evictions
         ]
 
-    def _candidates(self, key: LaneKey) -> Iterator[WorkerState]:
+    def _candidate_workers(self, key: LaneKey) -> Iterator[WorkerState]:
+        """Yield workers on which to look for victims, each once."""
         state, size = self._state, key.size
         gpu_shapes = state.shapes.needs_gpu_workers(size)
         seen: set[WorkerId] = set(key.avoid)
         feasible = islice(
-            state.reclaim_index.fitting(size, gpu_shapes), _FEASIBLE_MAX + len(seen)
+            state.reclaim_index.fitting(size, gpu_shapes),
+            _FEASIBLE_WORKERS_MAX + len(seen),
         )
         for worker in (*self._newest_workers(), *feasible):
             if (
@@ -154,18 +186,26 @@
             yield worker
 
     def _newest_workers(self) -> Iterator[WorkerState]:
+        """Yield the workers of the newest reclaimable tasks.
+
+        Those of teams above quota come first, then those of teams within quota.
+        """
         state = self._state
         above, within = [], []
         for team, tasks in state.newest.by_team():
             if state.teams.is_within_quota(team):
-                within.append(islice(tasks, _NEWEST_MAX))
+                within.append(islice(tasks, _NEWEST_TASKS_MAX))
             else:
-                above.append(islice(tasks, _NEWEST_MAX))
+                above.append(islice(tasks, _NEWEST_TASKS_MAX))
         for group in (above, within):
-            for _, task_id in islice(heapq.merge(*group), _NEWEST_MAX // 2):
+            for _, task_id in islice(heapq.merge(*group), _NEWEST_TASKS_MAX // 2):
                 yield state.workers[state.tasks[task_id].worker_id]
 
-    def _missing(self, worker: WorkerState, size: Resources) -> Resources:
+    def _missing_resources(self, worker: WorkerState, size: Resources) -> Resources:
+        """Return what a task needs beyond the free resources of a worker.
+
+        Resources that are claimed or being freed on the worker are taken into account.
+        """
         claims = self._by_worker.get(worker.worker_id, ())
         missing = size - worker.free()
         if claims:
@@ -177,8 +217,11 @@
     def _is_within_quota(self, live: LiveTask) -> bool:
         return self._state.teams.is_within_quota(live.job.spec.team)
 
-    def _is_hopeless(self, claim: Claim, worker: WorkerState) -> bool:
-        """Return whether the victims are gone or late and the task still lacks room."""
+    def _cannot_be_met(self, claim: Claim, worker: WorkerState) -> bool:
+        """Return whether a claim is overdue or its victims do not free enough.
+
+        If it is overdue, the evicted tasks on the worker are marked as not evicted.
+        """
         if self._state.now_unix_ms > claim.deadline_unix_ms:
             for live in list(worker.tasks.values()):
                 if live.evicted_unix_ms:
--- a/basilhold/placement/explain.py
+++ b/basilhold/placement/explain.py
@@ -1,4 +1,4 @@
-"""Why a job waits."""
+"""Explanation of why the tasks of a job wait."""
 
 from basilhold.core import JobId, Resources, make_task_id
 from basilhold.placement.claims import ClaimRegistry
@@ -19,9 +19,19 @@
     job_id: JobId,
     now_unix_ms: int,
 ) -> Explanation:
-    """Return why a job waits, and what it lacks on how many workers.
+    """Return why a job waits, and the number of workers by what they lack for a task.
 
-    A worker that lacks several resources counts under each.
+    A worker that lacks several resources is counted for each of them. Operators see the
+    texts, and their documentation lists them.
+
+    Parameters
+    ----------
+    state : ShardState
+    claims : ClaimRegistry
+    reservation : Reservation or None
+        The shard's reservation of workers for a gang.
+    job_id : JobId
+    now_unix_ms : int
     """
     job = state.queue.jobs.get(job_id)
     if job is None:
@@ -30,18 +40,21 @@
     if waiting == 0:
         reason = "cancelled" if job.cancelled else "no task waits"
         return Explanation(job_id, 0, reason, {})
-    lacking: dict[str, int] = {}
+    lacking_workers: dict[str, int] = {}
     has_room = False
     for worker in state.workers.values():
-        lacks = _lacks(state, worker, job.entries[0])
-        has_room = has_room or not lacks
-        for lack in lacks:
-            lacking[lack] = lacking.get(lack, 0) + 1
-    reason = _reason(state, claims, reservation, job, now_unix_ms, has_room)
-    return Explanation(job_id, waiting, reason, lacking)
+        missing = _missing_on_worker(state, worker, job.entries[0])
+        has_room = has_room or not missing
+        for name in missing:
+            lacking_workers[name] = lacking_workers.get(name, 0) + 1
+    reason = _waiting_reason(state, claims, reservation, job, now_unix_ms, has_room)
+    return Explanation(job_id, waiting, reason, lacking_workers)
 
 
-def _lacks(state: ShardState, worker: WorkerState, entry: QueueEntry) -> list[str]:
+def _missing_on_worker(
+    state: ShardState, worker: WorkerState, entry: QueueEntry
+) -> list[str]:
+    """Return what prevents a task from starting on a worker, empty if nothing does."""
     size = entry.job.spec.task_resources
     if not worker.schedulable:
         return ["unavailable"]
@@ -50,15 +63,15 @@
     if worker.worker_id in entry.bucket.lane.key.avoid:
         return ["failed here before"]
     free = worker.free()
-    lacks = []
+    missing = []
     if size.cores_milli > free.cores_milli:
-        lacks.append("cores")
+        missing.append("cores")
     if size.memory_bytes > free.memory_bytes:
-        lacks.append("memory")
+        missing.append("memory")
     if size.gpus_milli > free.gpus_milli:
-        lacks.append("GPUs")
-    if lacks:
-        return lacks
+        missing.append("GPUs")
+    if missing:
+        return missing
     if worker.claims or worker.reserved:
         return ["reserved"]
     if size.gpus_milli == 0 and not size.fits_in(state.gpu_guard.spare(worker)):
@@ -66,7 +79,7 @@
     return []
 
 
-def _reason(
+def _waiting_reason(
     state: ShardState,
     claims: ClaimRegistry,
     reservation: Reservation | None,
@@ -85,7 +98,7 @@
     ):
         return "waits for victims to give way"
     if job.is_gang:
-        return _gang_reason(state, reservation, job, now_unix_ms)
+        return _gang_waiting_reason(state, reservation, job, now_unix_ms)
     if has_room:
         return "a worker has room; waits for its turn"
     if not state.teams.is_within_quota(spec.team, size):
@@ -93,7 +106,7 @@
     return "no worker has room"
 
 
-def _gang_reason(
+def _gang_waiting_reason(
     state: ShardState,
     reservation: Reservation | None,
     job: JobState,
@@ -103,14 +116,14 @@
     if reservation is not None and reservation.job_id == job.spec.job_id:
         wait_s = max(0, reservation.start_unix_ms - now_unix_ms) / 1000
         return f"holds a reservation that starts in about {wait_s:.0f} s"
-    largest = sum(_slots(w.capacity, size) for w in state.workers.values())
+    largest = sum(_count_slots(w.capacity, size) for w in state.workers.values())
     if largest < count:
         return f"the gang needs {count} tasks at once and the shard holds {largest}"
     open_slots = sum(
-        _slots(w.free(), size) for w in state.workers.values() if w.is_open()
+        _count_slots(w.free(), size) for w in state.workers.values() if w.is_open()
     )
     return f"the gang needs {count} tasks at once and {open_slots} fit now"
 
 
-def _slots(amount: Resources, size: Resources) -> int:
+def _count_slots(amount: Resources, size: Resources) -> int:
     return max(0, count_fitting(amount, size))
--- a/basilhold/placement/health.py
+++ b/basilhold/placement/health.py
@@ -1,4 +1,4 @@
-"""Faulty workers and tasks that fail everywhere."""
+"""Detection of faulty workers, and of tasks that fail on every worker."""
 
 from enum import Enum
 
@@ -9,28 +9,34 @@
 __all__ = ["AttemptOutcome", "HealthVerdict", "WorkerHealth"]
 
 FAILURES_TO_QUARANTINE = 3
-"""Consecutive failures of as many different jobs that put a worker into quarantine."""
+"""Number of different jobs that fail on a worker, with no success in between, before it
+is quarantined."""
 
-WORKERS_TO_FAIL = 3
-"""Different workers on which a task fails before it fails permanently."""
+FAILED_WORKERS_MAX = 3
+"""Number of different workers on which a task fails before it fails permanently."""
 
 PROBE_DELAY_MIN_MS = 30_000
 PROBE_DELAY_MAX_MS = 1_800_000
-"""Bounds of the doubling delay before a probe, in milliseconds."""
+"""Limits of the delay before a quarantined worker is probed with a task, in
+milliseconds. The delay doubles after each failed probe."""
 
-_SUCCESSES_TO_FORGET = 10
-"""Successes after a quarantine that reset the delay. One alone does not, or a worker
-that fails now and then would never reach the longer delays."""
+_SUCCESSES_TO_RESET_DELAY = 10
+"""Number of successes after a quarantine that reset the probe delay. If one success
+reset it, a worker that fails intermittently would never reach the longer delays."""
 
 _QUARANTINED_SHARE_MAX = 0.25
-"""Share of the workers that may be quarantined at once. When more workers fail, the
-fault is likely in the work or in something shared, and quarantine would only take
-capacity from work that runs. The only worker of a shard is never quarantined: work
-that must not be a probe would wait for ever."""
+"""Share of the workers that may be quarantined at once. If more workers fail, the cause
+is probably the work or a shared dependency, and quarantine would only take capacity
+from work that succeeds. The only worker of a shard is never quarantined, because work
+that must not be used as a probe would then wait for ever."""
 
 
 class AttemptOutcome(Enum):
-    """How an attempt ended."""
+    """How an attempt ended.
+
+    ``EXCEEDED_MEMORY`` is a failure because the task used more memory than it declared,
+    which is not the worker's fault.
+    """
 
     SUCCEEDED = "succeeded"
     FAILED = "failed"
@@ -38,18 +44,18 @@
 
 
 class HealthVerdict(msgspec.Struct, frozen=True):
-    """What follows from one outcome.
+    """Consequences of the outcome of one attempt.
 
     Parameters
     ----------
     quarantined_until_unix_ms : int
-        Value for the worker's record; 0 while the worker is not in quarantine.
+        Value for the worker's record, 0 if the worker is not quarantined.
     quarantine_changed : bool
         Whether the worker's record must be written.
     task_failed : bool
-        Whether the task must not be tried again.
+        Whether the task has failed permanently and must not be tried again.
     reason : str
-        Why the task failed permanently or the worker is in quarantine.
+        Why the task failed permanently or the quarantine changed, otherwise empty.
     """
 
     quarantined_until_unix_ms: int = 0
@@ -58,7 +64,22 @@
     reason: str = ""
 
 
-class _Worker:
+class _WorkerHistory:
+    """Failures and quarantine of one worker.
+
+    Attributes
+    ----------
+    failures : dict of JobId to set of TaskId
+        Tasks that failed since the last success or quarantine, by job.
+    until_unix_ms : int
+        Time of the next probe, 0 if the worker is not quarantined.
+    delay_ms : int
+        Delay before the latest probe in milliseconds, 0 if the next quarantine starts
+        with the shortest delay.
+    successes : int
+        Number of successes since the last quarantine.
+    """
+
     __slots__ = ("delay_ms", "failures", "successes", "until_unix_ms")
 
     def __init__(self):
@@ -69,31 +90,32 @@
 
 
 class WorkerHealth:
-    """Judges workers and tasks by the outcomes of attempts.
+    """Quarantines workers and fails tasks, based on the outcomes of attempts.
 
-    The shard's owner calls `record` once per finished attempt and writes the verdict
-    into the worker's and the job's rows. After a takeover it calls `restore`.
+    The shard's owner calls `record` once per finished attempt and writes the verdict to
+    the rows of the worker and the job. After a takeover, the new owner calls `restore`
+    for each quarantined worker.
     """
 
     def __init__(self):
-        self._workers: dict[WorkerId, _Worker] = {}
+        self._workers: dict[WorkerId, _WorkerHistory] = {}
         self._failed_on: dict[TaskId, set[WorkerId]] = {}
         self._quarantined: set[WorkerId] = set()
         self._worker_count = 0
 
     def set_worker_count(self, count: int) -> None:
-        """Tell how many workers the shard has."""
+        """Set the number of workers of the shard, 0 for no limit on quarantines."""
         self._worker_count = count
 
     def restore(self, worker_id: WorkerId, until_unix_ms: int) -> None:
-        """Take over a quarantine from a worker's record."""
-        worker = self._worker(worker_id)
+        """Restore a worker's quarantine from its record, with the shortest delay."""
+        worker = self._history(worker_id)
         worker.until_unix_ms = until_unix_ms
         worker.delay_ms = PROBE_DELAY_MIN_MS
         self._quarantined.add(worker_id)
 
     def quarantined_until_unix_ms(self, worker_id: WorkerId) -> int:
-        """Return when a worker is probed, or 0 if it is not in quarantine."""
+        """Return the time of a worker's next probe, or 0 if it is not quarantined."""
         worker = self._workers.get(worker_id)
         return worker.until_unix_ms if worker is not None else 0
 
@@ -104,9 +126,9 @@
         outcome: AttemptOutcome,
         now_unix_ms: int,
         failed_on: tuple[WorkerId, ...] = (),
-        eligible_workers: int = WORKERS_TO_FAIL,
+        eligible_workers: int = FAILED_WORKERS_MAX,
     ) -> HealthVerdict:
-        """Take in the outcome of one attempt.
+        """Record the outcome of one attempt and return its consequences.
 
         Parameters
         ----------
@@ -115,50 +137,51 @@
         outcome : AttemptOutcome
         now_unix_ms : int
         failed_on : tuple of WorkerId
-            Workers on which the task's record says that it failed.
+            Workers on which the task failed before, according to its record.
         eligible_workers : int
-            Number of workers that could run the task. A task that fits on fewer
-            workers than the usual bound fails permanently after all of them.
+            Number of workers that could run the task. If it is less than
+            `FAILED_WORKERS_MAX`, the task fails permanently once it has failed on that
+            many workers.
         """
         if outcome is AttemptOutcome.SUCCEEDED:
             self._failed_on.pop(task_id, None)
-            return self._succeeded(worker_id, now_unix_ms)
-        tried = self._failed_on.setdefault(task_id, set())
-        tried.update(failed_on)
-        tried.add(worker_id)
-        bound = max(1, min(WORKERS_TO_FAIL, eligible_workers))
-        if len(tried) >= bound:
-            self._clear_task(task_id, tried)
+            return self._record_success(worker_id, now_unix_ms)
+        failed_workers = self._failed_on.setdefault(task_id, set())
+        failed_workers.update(failed_on)
+        failed_workers.add(worker_id)
+        limit = max(1, min(FAILED_WORKERS_MAX, eligible_workers))
+        if len(failed_workers) >= limit:
+            self._withdraw_failures(task_id, failed_workers)
             until = self.quarantined_until_unix_ms(worker_id)
-            reason = f"failed on {len(tried)} different workers"
+            reason = f"failed on {len(failed_workers)} different workers"
             return HealthVerdict(until, False, True, reason)
         if outcome is AttemptOutcome.EXCEEDED_MEMORY:
             return HealthVerdict(self.quarantined_until_unix_ms(worker_id))
-        return self._failed(worker_id, task_id, now_unix_ms)
+        return self._record_failure(worker_id, task_id, now_unix_ms)
 
     def forget_worker(self, worker_id: WorkerId) -> None:
-        """Drop what is known about a worker that is gone."""
+        """Remove the history of a worker that no longer exists."""
         self._workers.pop(worker_id, None)
         self._quarantined.discard(worker_id)
 
     def forget_task(self, task_id: TaskId) -> None:
-        """Drop what is known about a task that is finished or cancelled."""
+        """Remove the failures of a task that is finished or cancelled."""
         self._failed_on.pop(task_id, None)
 
-    def _worker(self, worker_id: WorkerId) -> _Worker:
+    def _history(self, worker_id: WorkerId) -> _WorkerHistory:
         worker = self._workers.get(worker_id)
         if worker is None:
-            worker = self._workers[worker_id] = _Worker()
+            worker = self._workers[worker_id] = _WorkerHistory()
         return worker
 
-    def _succeeded(self, worker_id: WorkerId, now_unix_ms: int) -> HealthVerdict:
-        worker = self._worker(worker_id)
+    def _record_success(self, worker_id: WorkerId, now_unix_ms: int) -> HealthVerdict:
+        worker = self._history(worker_id)
         if worker.until_unix_ms > now_unix_ms:
-            # The attempt was there before the quarantine and proves nothing now.
+            # The attempt started before the quarantine, so it is not a probe.
             return HealthVerdict(worker.until_unix_ms)
         worker.failures.clear()
         worker.successes += 1
-        if worker.successes >= _SUCCESSES_TO_FORGET:
+        if worker.successes >= _SUCCESSES_TO_RESET_DELAY:
             worker.delay_ms = 0
         if worker.until_unix_ms == 0:
             return HealthVerdict()
@@ -166,23 +189,28 @@
         self._quarantined.discard(worker_id)
         return HealthVerdict(0, True, False, "the probe succeeded")
 
-    def _failed(
+    def _record_failure(
         self, worker_id: WorkerId, task_id: TaskId, now_unix_ms: int
     ) -> HealthVerdict:
-        worker = self._worker(worker_id)
+        worker = self._history(worker_id)
         if worker.until_unix_ms > now_unix_ms:
             return HealthVerdict(worker.until_unix_ms)
         if worker.until_unix_ms:
-            return self._quarantine(worker_id, worker, now_unix_ms, "the probe failed")
+            return self._start_quarantine(
+                worker_id, worker, now_unix_ms, "the probe failed"
+            )
         job_id, _ = split_task_id(task_id)
         worker.failures.setdefault(job_id, set()).add(task_id)
-        if len(worker.failures) < FAILURES_TO_QUARANTINE or self._is_at_bound():
+        if (
+            len(worker.failures) < FAILURES_TO_QUARANTINE
+            or self._is_quarantine_limit_reached()
+        ):
             return HealthVerdict()
         reason = f"{len(worker.failures)} different jobs failed in a row"
-        return self._quarantine(worker_id, worker, now_unix_ms, reason)
+        return self._start_quarantine(worker_id, worker, now_unix_ms, reason)
 
-    def _quarantine(
-        self, worker_id: WorkerId, worker: _Worker, now_unix_ms: int, reason: str
+    def _start_quarantine(
+        self, worker_id: WorkerId, worker: _WorkerHistory, now_unix_ms: int, reason: str
     ) -> HealthVerdict:
         worker.delay_ms = min(
             PROBE_DELAY_MAX_MS, max(PROBE_DELAY_MIN_MS, worker.delay_ms * 2)
@@ -193,17 +221,22 @@
         self._quarantined.add(worker_id)
         return HealthVerdict(worker.until_unix_ms, True, False, reason)
 
-    def _is_at_bound(self) -> bool:
+    def _is_quarantine_limit_reached(self) -> bool:
         if self._worker_count == 0:
             return False
-        bound = max(1, int(self._worker_count * _QUARANTINED_SHARE_MAX))
-        bound = min(bound, self._worker_count - 1)
-        return len(self._quarantined) >= bound
+        limit = max(1, int(self._worker_count * _QUARANTINED_SHARE_MAX))
+        limit = min(limit, self._worker_count - 1)
+        return len(self._quarantined) >= limit
 
-    def _clear_task(self, task_id: TaskId, tried: set[WorkerId]) -> None:
-        """Withdraw a task's failures from the workers on which it failed."""
+    def _withdraw_failures(
+        self, task_id: TaskId, failed_workers: set[WorkerId]
+    ) -> None:
+        """Remove a task's failures from the workers on which it failed.
+
+        A task that fails on every worker is itself at fault.
+        """
         job_id, _ = split_task_id(task_id)
-        for worker_id in tried:
+        for worker_id in failed_workers:
             worker = self._workers.get(worker_id)
             tasks = worker.failures.get(job_id) if worker is not None else None
             if tasks is not None:
--- a/basilhold/placement/shard_state.py
+++ b/basilhold/placement/shard_state.py
@@ -35,7 +35,7 @@
     def __init__(self):
         self.workers: dict[WorkerId, WorkerState] = {}
         self.tasks: dict[TaskId, LiveTask] = {}
-        self.queue = WaitingQueue(self._may_avoid)
+        self.queue = WaitingQueue(self._can_avoid)
         self.teams = TeamQuotas()
         self.estimates = ClassEstimates()
         self.gpu_guard = GpuGuard()
@@ -50,8 +50,8 @@
         self.starving_credit = 1.0
         self.now_unix_ms = 0
         self._orphans: dict[JobId, dict[int, LiveTask]] = {}
-        self._grown: set[WorkerId] = set()
-        self._unplaced_holds: dict[WorkerId, list[LiveTask]] = {}
+        self._workers_with_freed_room: set[WorkerId] = set()
+        self._holds_on_unknown_workers: dict[WorkerId, list[LiveTask]] = {}
 
     def upsert_worker(self, record: WorkerRecord, schedulable: bool) -> None:
         """Replace what is committed to a worker."""
@@ -59,21 +59,21 @@
         if worker is None:
             worker = self.workers[record.worker_id] = WorkerState(record)
             self.shapes.add(record.capacity)
-            self.queue.mark_retried()
-            for live in self._unplaced_holds.pop(record.worker_id, []):
+            self.queue.mark_jobs_with_failures()
+            for live in self._holds_on_unknown_workers.pop(record.worker_id, []):
                 if self.tasks.get(live.task_id) is live:
                     self._attach(live, worker)
         old_free = worker.free() if worker.is_open() else None
         worker.rack = record.rack
         worker.schedulable = schedulable
         if worker.capacity != record.capacity:
-            worker.take(worker.capacity)
-            worker.give_back(record.capacity)
+            worker.allocate(worker.capacity)
+            worker.deallocate(record.capacity)
             self.shapes.remove(worker.capacity)
             self.shapes.add(record.capacity)
             worker.capacity = record.capacity
-            self.queue.mark_retried()
-        self._note_quarantine(worker, record.quarantined_until_unix_ms)
+            self.queue.mark_jobs_with_failures()
+        self._set_quarantine(worker, record.quarantined_until_unix_ms)
         named = {assignment.task_id for assignment in record.assignments}
         gone = [
             live
@@ -96,15 +96,15 @@
         if worker is None:
             return
         self.shapes.remove(worker.capacity)
-        self.queue.mark_retried()
+        self.queue.mark_jobs_with_failures()
         self.quarantined.pop(worker_id, None)
         self.free_index.discard(worker_id)
         self.reclaim_index.discard(worker_id)
         for live in worker.tasks.values():
             if live.held:
-                self._unplaced_holds.setdefault(worker_id, []).append(live)
+                self._holds_on_unknown_workers.setdefault(worker_id, []).append(live)
             else:
-                self._forget(live, requeued=True)
+                self._remove_live(live, requeued=True)
         self.release_count += 1
 
     def upsert_job(self, record: JobRecord) -> None:
@@ -113,15 +113,15 @@
         job = self.queue.jobs.get(job_id)
         if job is None:
             job = self.queue.jobs[job_id] = JobState(record)
-            self.gpu_guard.observe(record.spec.task_resources)
+            self.gpu_guard.record_task_size(record.spec.task_resources)
             for live in self._orphans.pop(job_id, {}).values():
                 self._link(live, job)
-            self.queue.build(job)
+            self.queue.build_entries(job)
             return
         job.record = record
         job.spec = record.spec
         job.cancelled = record.cancel_requested
-        self.queue.mark(job_id)
+        self.queue.mark_changed(job_id)
 
     def remove_job(self, job_id: JobId) -> None:
         """Remove a job; its live tasks stay until their worker's record drops them."""
@@ -129,8 +129,8 @@
         if job is not None and job.live:
             self._orphans[job_id] = dict(job.live)
             for live in job.live.values():
-                self._recount(live)
-                self._reindex_of(live)
+                self._update_reclaimable(live)
+                self._reindex_worker_of(live)
 
     def hold(self, job: JobState, index: int, worker: WorkerState) -> Placement:
         """Take a worker's resources for a task that is about to be committed."""
@@ -162,8 +162,8 @@
         if live.worker_id != placement.worker_id:
             raise InvariantError(f"task {live.task_id} is confirmed on another worker")
         live.held = False
-        self._recount(live)
-        self._reindex_of(live)
+        self._update_reclaimable(live)
+        self._reindex_worker_of(live)
 
     def abandon(self, placement: Placement) -> None:
         """Release a held task."""
@@ -171,18 +171,18 @@
         if live is None or not live.held or live.attempt != placement.attempt:
             return
         self.release(live, requeued=False)
-        self._reindex_of(live)
+        self._reindex_worker_of(live)
 
     def release(self, live: LiveTask, requeued: bool) -> None:
         """Give a live task's resources back to its worker."""
         worker = self.workers.get(live.worker_id)
         live.finished = True
-        self._recount(live)
-        self._forget(live, requeued)
+        self._update_reclaimable(live)
+        self._remove_live(live, requeued)
         if worker is None:
             return
         del worker.tasks[live.task_id]
-        worker.give_back(live.size)
+        worker.deallocate(live.size)
         if worker.probe_task_id == live.task_id:
             worker.probe_task_id = None
         self.mark_room_freed(worker)
@@ -191,26 +191,26 @@
         """Record that a task was asked to give way and what that will free."""
         live.evicted_unix_ms = max(1, self.now_unix_ms)
         live.freeing = freeing
-        self._recount(live)
-        self._reindex_of(live)
+        self._update_reclaimable(live)
+        self._reindex_worker_of(live)
 
     def clear_evicted(self, live: LiveTask) -> None:
         """Record that a task that was asked to give way is still there."""
         live.evicted_unix_ms = 0
-        self._recount(live)
-        self._reindex_of(live)
+        self._update_reclaimable(live)
+        self._reindex_worker_of(live)
 
     def record_checkpoint(self, live: LiveTask, checkpoint_unix_ms: int) -> None:
         """Record that work up to a time is safe."""
         self.newest.remove(live)
         live.checkpoint_unix_ms = checkpoint_unix_ms
-        self._recount(live)
+        self._update_reclaimable(live)
 
     def mark_finished(self, live: LiveTask) -> None:
         """Record that a task does not run any more; its row still names it."""
         live.finished = True
-        self._recount(live)
-        self._reindex_of(live)
+        self._update_reclaimable(live)
+        self._reindex_worker_of(live)
 
     def reindex(self, worker: WorkerState) -> None:
         """Bring both indexes up to date with a worker."""
@@ -239,20 +239,20 @@
     def mark_room_freed(self, worker: WorkerState) -> None:
         """Have blocked work that fits on a worker look at it again."""
         self.release_count += 1
-        self._grown.add(worker.worker_id)
+        self._workers_with_freed_room.add(worker.worker_id)
         if worker.reserved:
             self.backfill_version += 1
 
     def unblock_sizes(self) -> None:
         """Unblock the sizes that fit on a worker whose free resources grew."""
-        if not self._grown:
+        if not self._workers_with_freed_room:
             return
         grown = [
             worker.free()
-            for worker_id in self._grown
+            for worker_id in self._workers_with_freed_room
             if (worker := self.workers.get(worker_id)) is not None and worker.is_open()
         ]
-        self._grown.clear()
+        self._workers_with_freed_room.clear()
         if not grown:
             return
         most = Resources(
@@ -268,7 +268,7 @@
             ):
                 fit.unblock()
 
-    def _may_avoid(
+    def _can_avoid(
         self, size: Resources, count: int, avoid: frozenset[WorkerId]
     ) -> bool:
         """Return whether tasks could run without some workers if the rest were empty.
@@ -304,9 +304,9 @@
                 if size.gpus_milli == 0:
                     fit.unblock()
 
-    def _note_quarantine(self, worker: WorkerState, until_unix_ms: int) -> None:
+    def _set_quarantine(self, worker: WorkerState, until_unix_ms: int) -> None:
         if bool(worker.quarantined_until_unix_ms) != bool(until_unix_ms):
-            self.queue.mark_retried()
+            self.queue.mark_jobs_with_failures()
         worker.quarantined_until_unix_ms = until_unix_ms
         if until_unix_ms:
             self.quarantined[worker.worker_id] = None
@@ -323,22 +323,22 @@
         if live is not None and (
             live.attempt != assignment.attempt or live.size != assignment.resources
         ):
-            self._resize(live, worker, assignment)
+            self._update_assignment(live, worker, assignment)
         elif live is not None:
             live.held = False
         else:
-            live = self._adopt(worker, assignment)
-        self._recount(live)
+            live = self._add_assignment(worker, assignment)
+        self._update_reclaimable(live)
 
-    def _resize(
+    def _update_assignment(
         self, live: LiveTask, worker: WorkerState, assignment: Assignment
     ) -> None:
         """Take over a new attempt or a throttled size of a known task."""
         team = live.job.spec.team if live.job is not None else None
         live.held = True
-        self._recount(live)
-        worker.give_back(live.size)
-        worker.take(assignment.resources)
+        self._update_reclaimable(live)
+        worker.deallocate(live.size)
+        worker.allocate(assignment.resources)
         if team is not None:
             self.teams.subtract(team, live.size)
             self.teams.add(team, assignment.resources)
@@ -352,7 +352,7 @@
         live.size = assignment.resources
         live.held = False
 
-    def _adopt(self, worker: WorkerState, assignment: Assignment) -> LiveTask:
+    def _add_assignment(self, worker: WorkerState, assignment: Assignment) -> LiveTask:
         job_id, index = split_task_id(assignment.task_id)
         live = LiveTask(
             assignment.task_id,
@@ -368,14 +368,14 @@
             self._orphans.setdefault(job_id, {})[index] = live
         else:
             self._link(live, job)
-            self.queue.mark(job_id)
+            self.queue.mark_changed(job_id)
         return live
 
     def _attach(self, live: LiveTask, worker: WorkerState) -> None:
         self.tasks[live.task_id] = live
         worker.tasks[live.task_id] = live
         live.rack = worker.rack
-        worker.take(live.size)
+        worker.allocate(live.size)
 
     def _link(self, live: LiveTask, job: JobState) -> None:
         if live.job is not None:
@@ -385,14 +385,14 @@
         self.teams.add(job.spec.team, live.size)
         if job.is_service:
             job.count_rack(live.rack, 1)
-        self._recount(live)
+        self._update_reclaimable(live)
 
-    def _forget(self, live: LiveTask, requeued: bool) -> None:
+    def _remove_live(self, live: LiveTask, requeued: bool) -> None:
         del self.tasks[live.task_id]
         self.newest.remove(live)
         job = live.job
         if job is None or job.removed:
-            self._forget_orphan(live)
+            self._remove_orphan(live)
         if job is None:
             return
         job.live.pop(live.index, None)
@@ -402,10 +402,10 @@
         live.job = None
         if not job.removed:
             if requeued:
-                job.note_requeued(live.index, self.now_unix_ms)
-            self.queue.mark(job.spec.job_id)
+                job.record_requeued(live.index, self.now_unix_ms)
+            self.queue.mark_changed(job.spec.job_id)
 
-    def _forget_orphan(self, live: LiveTask) -> None:
+    def _remove_orphan(self, live: LiveTask) -> None:
         job_id, index = split_task_id(live.task_id)
         orphans = self._orphans.get(job_id)
         if orphans is not None and orphans.get(index) is live:
@@ -413,14 +413,14 @@
             if not orphans:
                 del self._orphans[job_id]
 
-    def _reindex_of(self, live: LiveTask) -> None:
+    def _reindex_worker_of(self, live: LiveTask) -> None:
         worker = self.workers.get(live.worker_id)
         if worker is not None:
             self.reindex(worker)
 
-    def _recount(self, live: LiveTask) -> None:
+    def _update_reclaimable(self, live: LiveTask) -> None:
         """Bring the lists of tasks that may be reclaimed up to date."""
         worker = self.workers.get(live.worker_id)
         if worker is not None:
-            worker.count_reclaimable(live)
+            worker.update_reclaimable(live)
         self.newest.update(live)
--- a/basilhold/placement/waiting.py
+++ b/basilhold/placement/waiting.py
@@ -74,7 +74,7 @@
         """Return the number of tasks in the queue."""
         return sum(len(entry.indices) for entry in self.entries)
 
-    def note_requeued(self, index: int, now_unix_ms: int) -> None:
+    def record_requeued(self, index: int, now_unix_ms: int) -> None:
         """Let the wait of a task that has run before start now."""
         if self.requeued_unix_ms is None:
             self.requeued_unix_ms = {}
@@ -94,7 +94,7 @@
 class QueueEntry:
     """Waiting tasks of one job in one bucket, the lowest index last."""
 
-    __slots__ = ("bucket", "dropped", "indices", "job", "since_unix_ms")
+    __slots__ = ("bucket", "indices", "job", "removed", "since_unix_ms")
 
     def __init__(
         self, bucket: "Bucket", job: JobState, since_unix_ms: int, indices: list[int]
@@ -103,7 +103,7 @@
         self.job = job
         self.since_unix_ms = since_unix_ms
         self.indices = indices
-        self.dropped = False
+        self.removed = False
 
     def __lt__(self, other: "QueueEntry") -> bool:
         """Return whether this entry comes first: first come, first served."""
@@ -139,23 +139,23 @@
         self.count += 1
         heapq.heappush(self._heap, entry)
 
-    def drop(self, entry: QueueEntry) -> None:
+    def remove(self, entry: QueueEntry) -> None:
         """Remove an entry, in constant time unless many have been removed."""
         self.count -= 1
-        entry.dropped = True
+        entry.removed = True
         if len(self._heap) > 2 * self.count + 8:
-            self._heap = [e for e in self._heap if not e.dropped]
+            self._heap = [e for e in self._heap if not e.removed]
             heapq.heapify(self._heap)
 
     def head(self) -> QueueEntry:
         """Return the entry that has waited longest."""
-        while self._heap[0].dropped:
+        while self._heap[0].removed:
             heapq.heappop(self._heap)
         return self._heap[0]
 
     def sorted_entries(self) -> list[QueueEntry]:
         """Return all entries, the one that has waited longest first."""
-        return sorted(entry for entry in self._heap if not entry.dropped)
+        return sorted(entry for entry in self._heap if not entry.removed)
 
     def wait_ratio(self, now_unix_ms: int) -> float:
         """Return the time waited divided by the target wait."""
@@ -181,22 +181,22 @@
         Whether a number of tasks of one size could run without some workers.
     """
 
-    def __init__(self, may_avoid: Callable[[Resources, int, frozenset], bool]):
+    def __init__(self, can_avoid: Callable[[Resources, int, frozenset], bool]):
         self.jobs: dict[JobId, JobState] = {}
         self.buckets: dict[BucketKey, Bucket] = {}
         self.lanes = LaneSet()
-        self._may_avoid = may_avoid
-        self._retried: dict[JobId, None] = {}
+        self._can_avoid = can_avoid
+        self._jobs_with_failures: dict[JobId, None] = {}
         # A dict keeps the order of the calls, so that runs can be repeated.
         self._changed: dict[JobId, None] = {}
 
-    def mark(self, job_id: JobId) -> None:
+    def mark_changed(self, job_id: JobId) -> None:
         """Have a job's entries rebuilt before the next pass."""
         self._changed[job_id] = None
 
-    def mark_retried(self) -> None:
+    def mark_jobs_with_failures(self) -> None:
         """Have the jobs with failed tasks rebuilt, as the workers have changed."""
-        self._changed.update(self._retried)
+        self._changed.update(self._jobs_with_failures)
 
     def is_changed(self, job_id: JobId) -> bool:
         """Return whether a job's entries are still to be rebuilt."""
@@ -206,10 +206,10 @@
         """Remove a job and its waiting tasks."""
         job = self.jobs.pop(job_id, None)
         self._changed.pop(job_id, None)
-        self._retried.pop(job_id, None)
+        self._jobs_with_failures.pop(job_id, None)
         if job is not None:
             job.removed = True
-            self._drop_entries(job)
+            self._remove_entries(job)
         return job
 
     def refresh(self) -> None:
@@ -217,12 +217,12 @@
         for job_id in self._changed:
             job = self.jobs.get(job_id)
             if job is not None:
-                self._drop_entries(job)
+                self._remove_entries(job)
                 self._build_entries(job)
         self._changed.clear()
         self.lanes.update_order()
 
-    def build(self, job: JobState) -> None:
+    def build_entries(self, job: JobState) -> None:
         """Build the entries of a new job."""
         self._build_entries(job)
 
@@ -233,7 +233,7 @@
         else:
             entry.indices.remove(index)
         if not entry.indices:
-            self._drop_entry(entry)
+            self._remove_entry(entry)
             entry.job.entries.remove(entry)
 
     def gpu_sizes(self) -> Iterator[Resources]:
@@ -259,15 +259,15 @@
                 groups.setdefault((job.spec.submitted_unix_ms, ()), []).append(index)
             else:
                 groups.setdefault((since, task.failed_on), []).append(index)
-        self._retried.pop(job.spec.job_id, None)
+        self._jobs_with_failures.pop(job.spec.job_id, None)
         for (since, failed_on), indices in groups.items():
             avoid = frozenset(failed_on)
             if job.is_gang:
-                avoid = _gang_avoids(gang_failures)
+                avoid = _avoided_by_gang(gang_failures)
             if avoid:
-                self._retried[job.spec.job_id] = None
+                self._jobs_with_failures[job.spec.job_id] = None
                 count = len(indices) if job.is_gang else 1
-                if not self._may_avoid(job.spec.task_resources, count, avoid):
+                if not self._can_avoid(job.spec.task_resources, count, avoid):
                     avoid = frozenset()
             self._add_entry(job, since, avoid, indices)
 
@@ -288,14 +288,14 @@
         self.lanes.mark_changed(bucket)
         job.entries.append(entry)
 
-    def _drop_entries(self, job: JobState) -> None:
+    def _remove_entries(self, job: JobState) -> None:
         for entry in job.entries:
-            self._drop_entry(entry)
+            self._remove_entry(entry)
         job.entries.clear()
 
-    def _drop_entry(self, entry: QueueEntry) -> None:
+    def _remove_entry(self, entry: QueueEntry) -> None:
         bucket = entry.bucket
-        bucket.drop(entry)
+        bucket.remove(entry)
         self.lanes.mark_changed(bucket)
         if bucket.count == 0:
             del self.buckets[bucket.key]
@@ -316,7 +316,7 @@
     return BucketKey(spec.team, lane, spec.job_id if job.is_gang else None)
 
 
-def _gang_avoids(failures: list[frozenset[WorkerId]]) -> frozenset[WorkerId]:
+def _avoided_by_gang(failures: list[frozenset[WorkerId]]) -> frozenset[WorkerId]:
     """Return the workers that a gang avoids, from where each of its tasks failed.
 
     A gang whose tasks failed on several workers is itself at fault, as a task is that
--- a/basilhold/placement/worker_index.py
+++ b/basilhold/placement/worker_index.py
@@ -9,7 +9,7 @@
 
 __all__ = ["WorkerIndex"]
 
-_Cell = dict[WorkerId, tuple[WorkerState, int, int, int]]
+_Group = dict[WorkerId, tuple[WorkerState, int, int, int]]
 
 
 def _level(amount: int) -> int:
@@ -20,24 +20,24 @@
     return (bits << 2) | ((amount >> (bits - 3)) & 3)
 
 
-class _ShapeCells:
+class _ShapeIndex:
     """Workers of one capacity, in cells of similar amounts."""
 
-    __slots__ = ("capacity", "cells", "memory_per_core")
+    __slots__ = ("capacity", "groups", "memory_per_core")
 
     def __init__(self, capacity: Resources):
         self.capacity = capacity
-        self.cells: SortedDict = SortedDict()
+        self.groups: SortedDict = SortedDict()
         self.memory_per_core = capacity.memory_bytes / max(1, capacity.cores_milli)
 
     def fitting(self, size: Resources) -> Iterator[WorkerState]:
         """Yield the workers with room, the fullest first."""
         cores, memory, gpus = size.cores_milli, size.memory_bytes, size.gpus_milli
         low_gpus, low_cores, low_memory = _level(gpus), _level(cores), _level(memory)
-        for key in self.cells.irange(minimum=(low_gpus, low_cores, low_memory)):
+        for key in self.groups.irange(minimum=(low_gpus, low_cores, low_memory)):
             if key[1] < low_cores or key[2] < low_memory:
                 continue
-            cell = self.cells[key]
+            cell = self.groups[key]
             if key[0] > low_gpus and key[1] > low_cores and key[2] > low_memory:
                 for member in cell.values():
                     yield member[0]
@@ -56,9 +56,9 @@
     """
 
     def __init__(self):
-        self._shapes: dict[Resources, _ShapeCells] = {}
-        self._positions: dict[WorkerId, tuple[_ShapeCells, tuple[int, int, int]]] = {}
-        self._shape_order: dict[tuple[bool, int], list[_ShapeCells]] = {}
+        self._shapes: dict[Resources, _ShapeIndex] = {}
+        self._positions: dict[WorkerId, tuple[_ShapeIndex, tuple[int, int, int]]] = {}
+        self._shape_order: dict[tuple[bool, int], list[_ShapeIndex]] = {}
 
     def put(self, worker: WorkerState, cores: int, memory: int, gpus: int) -> None:
         """Insert a worker with its amounts, or move it."""
@@ -67,16 +67,16 @@
         if position is not None:
             shape, old_key = position
             if old_key == key and shape.capacity is worker.capacity:
-                shape.cells[key][worker.worker_id] = (worker, cores, memory, gpus)
+                shape.groups[key][worker.worker_id] = (worker, cores, memory, gpus)
                 return
             self.discard(worker.worker_id)
         shape = self._shapes.get(worker.capacity)
         if shape is None:
-            shape = self._shapes[worker.capacity] = _ShapeCells(worker.capacity)
+            shape = self._shapes[worker.capacity] = _ShapeIndex(worker.capacity)
             self._shape_order.clear()
-        cell: _Cell | None = shape.cells.get(key)
+        cell: _Group | None = shape.groups.get(key)
         if cell is None:
-            cell = shape.cells[key] = {}
+            cell = shape.groups[key] = {}
         cell[worker.worker_id] = (worker, cores, memory, gpus)
         self._positions[worker.worker_id] = (shape, key)
 
@@ -86,10 +86,10 @@
         if position is None:
             return
         shape, key = position
-        cell = shape.cells[key]
+        cell = shape.groups[key]
         del cell[worker_id]
         if not cell:
-            del shape.cells[key]
+            del shape.groups[key]
 
     def amounts(self, worker_id: WorkerId) -> Resources | None:
         """Return a worker's amounts, or ``None`` if it is not present."""
@@ -97,7 +97,7 @@
         if position is None:
             return None
         shape, key = position
-        return Resources(*shape.cells[key][worker_id][1:])
+        return Resources(*shape.groups[key][worker_id][1:])
 
     def fitting(
         self, size: Resources, gpu_shapes: bool = True
@@ -118,7 +118,7 @@
             ):
                 yield from shape.fitting(size)
 
-    def _shapes_for(self, size: Resources) -> list[_ShapeCells]:
+    def _shapes_for(self, size: Resources) -> list[_ShapeIndex]:
         """Return the shapes without unneeded GPUs first, then by memory per core."""
         ratio = size.memory_bytes / max(1, size.cores_milli)
         order_key = (size.gpus_milli > 0, _level(int(ratio)))
--- a/basilhold/placement/workers.py
+++ b/basilhold/placement/workers.py
@@ -155,13 +155,13 @@
             and size.gpus_milli <= self.free_gpus_milli
         )
 
-    def take(self, size: Resources) -> None:
+    def allocate(self, size: Resources) -> None:
         """Subtract from the free resources."""
         self.free_cores_milli -= size.cores_milli
         self.free_memory_bytes -= size.memory_bytes
         self.free_gpus_milli -= size.gpus_milli
 
-    def give_back(self, size: Resources) -> None:
+    def deallocate(self, size: Resources) -> None:
         """Add to the free resources."""
         self.free_cores_milli += size.cores_milli
         self.free_memory_bytes += size.memory_bytes
@@ -175,7 +175,7 @@
             or self.free_gpus_milli < 0
         )
 
-    def count_reclaimable(self, live: LiveTask) -> None:
+    def update_reclaimable(self, live: LiveTask) -> None:
         """Bring the reclaimable sum up to date with one task's state."""
         wanted = live.worker_id == self.worker_id and live.may_be_reclaimed()
         if wanted == live.reclaimable:
