Reword the shard state, queue, workers and worker index

Attributes were undocumented, and several comments used figures of speech such as giving way or giving back. Doc comments now list attributes with their meaning and units, and local variables have plain names.

--- a/basilhold/placement/estimates.py
+++ b/basilhold/placement/estimates.py
@@ -63,7 +63,7 @@
         self._cached: float | None = None
 
     def add(self, sample: float) -> None:
-        """Add a sample. Samples below 0.001 count as 0.001."""
+        """Add a sample. Samples of 0 and others below 0.001 count as 0.001."""
         bucket = math.ceil(math.log(max(sample, 1e-3), _BUCKET_RATIO))
         self._weights[bucket] = self._weights.get(bucket, 0.0) + self._next_weight
         self._total += self._next_weight
--- a/basilhold/placement/overuse.py
+++ b/basilhold/placement/overuse.py
@@ -21,7 +21,7 @@
 
 
 class OveruseDetector:
-    """Throttles tasks that exceed their cores, and evicts those that exceed their memory.
+    """Throttles tasks that exceed their cores, and evicts those that exceed memory.
 
     A task that must not be restarted is stopped only if the whole worker is about to
     run out of memory, because it cannot run again.
@@ -36,7 +36,7 @@
         self._evictions: list[Eviction] = []
 
     def inspect(self, worker: WorkerState) -> None:
-        """Compare the latest usage reports of a worker's tasks with what they declare."""
+        """Compare the latest usage reports of a worker with the declarations."""
         used = Resources()
         for live in worker.tasks.values():
             if live.used is not None and not live.finished:
--- a/basilhold/placement/shard_state.py
+++ b/basilhold/placement/shard_state.py
@@ -1,4 +1,4 @@
-"""Workers, live tasks and waiting jobs of one shard."""
+"""Planning state of one shard: workers, live tasks and waiting jobs."""
 
 from basilhold.core import (
     Assignment,
@@ -26,10 +26,42 @@
 
 
 class ShardState:
-    """Keeps the indexes consistent while workers, jobs and placements change.
-
-    Every method that changes a worker's free resources checks that they do not
-    become negative, and no task is ever live twice.
+    """Keeps workers, jobs, live tasks and indexes consistent while they change.
+
+    A live task is one that is held on a worker (planned but not committed) or committed
+    to it. Methods raise `InvariantError` if the free resources of a worker become
+    negative, or if a task would become live twice.
+
+    Attributes
+    ----------
+    workers : dict of WorkerId to WorkerState
+    tasks : dict of TaskId to LiveTask
+        The live tasks.
+    queue : WaitingQueue
+    teams : TeamQuotas
+    estimates : ClassEstimates
+    gpu_guard : GpuGuard
+    free_index : WorkerIndex
+        Free resources of the workers that take any work.
+    reclaim_index : WorkerIndex
+        Free and reclaimable resources of the workers that are schedulable and not
+        quarantined.
+    quarantined : dict of WorkerId to None
+        Quarantined workers, in a repeatable order.
+    newest : NewestReclaimableTasks
+    shapes : WorkerShapes
+    release_count : int
+        Increased whenever waiting tasks may fit that did not fit before.
+    backfill_version : int
+        Increased whenever a reserved worker may have room for tasks that it had none
+        for.
+    probe_is_due : bool
+        Whether a quarantined worker is due for a probe; see `update_probe_is_due`.
+    starving_credit : float
+        Credit of starving work above quota, of which each start costs 1; see
+        `PlanningPass`.
+    now_unix_ms : int
+        Time of the latest plan or report.
     """
 
     def __init__(self):
@@ -54,7 +86,20 @@
         self._holds_on_unknown_workers: dict[WorkerId, list[LiveTask]] = {}
 
     def upsert_worker(self, record: WorkerRecord, schedulable: bool) -> None:
-        """Replace what is committed to a worker."""
+        """Add a worker, or replace its record and the tasks committed to it.
+
+        Parameters
+        ----------
+        record : WorkerRecord
+        schedulable : bool
+            Whether the worker may be given tasks.
+
+        Raises
+        ------
+        InvariantError
+            If a task is also live on another worker, or the committed and held tasks
+            exceed the worker's capacity.
+        """
         worker = self.workers.get(record.worker_id)
         if worker is None:
             worker = self.workers[record.worker_id] = WorkerState(record)
@@ -74,13 +119,13 @@
             worker.capacity = record.capacity
             self.queue.mark_jobs_with_failures()
         self._set_quarantine(worker, record.quarantined_until_unix_ms)
-        named = {assignment.task_id for assignment in record.assignments}
-        gone = [
+        assigned = {assignment.task_id for assignment in record.assignments}
+        unassigned = [
             live
             for live in worker.tasks.values()
-            if not live.held and live.task_id not in named
+            if not live.held and live.task_id not in assigned
         ]
-        for live in gone:
+        for live in unassigned:
             self.release(live, requeued=True)
         for assignment in record.assignments:
             live = worker.tasks.get(assignment.task_id)
@@ -91,7 +136,10 @@
         self.reindex(worker)
 
     def remove_worker(self, worker_id: WorkerId) -> None:
-        """Remove a worker and what is committed to it."""
+        """Remove a worker and the tasks committed to it.
+
+        Held tasks stay live, and use the worker again if it is added again.
+        """
         worker = self.workers.pop(worker_id, None)
         if worker is None:
             return
@@ -108,7 +156,7 @@
         self.release_count += 1
 
     def upsert_job(self, record: JobRecord) -> None:
-        """Replace a job's record and link its live tasks."""
+        """Add a job or replace its record, and assign its live tasks to it."""
         job_id = record.spec.job_id
         job = self.queue.jobs.get(job_id)
         if job is None:
@@ -124,7 +172,10 @@
         self.queue.mark_changed(job_id)
 
     def remove_job(self, job_id: JobId) -> None:
-        """Remove a job; its live tasks stay until their worker's record drops them."""
+        """Remove a job.
+
+        Its live tasks stay until the records of their workers no longer list them.
+        """
         job = self.queue.remove(job_id)
         if job is not None and job.live:
             self._orphans[job_id] = dict(job.live)
@@ -133,7 +184,7 @@
                 self._reindex_worker_of(live)
 
     def hold(self, job: JobState, index: int, worker: WorkerState) -> Placement:
-        """Take a worker's resources for a task that is about to be committed."""
+        """Allocate a worker's resources to a task that is about to be committed."""
         size = job.spec.task_resources
         task_id = make_task_id(job.spec.job_id, index)
         if task_id in self.tasks:
@@ -148,16 +199,18 @@
         if worker.quarantined_until_unix_ms:
             worker.probe_task_id = task_id
         if size.gpus_milli:
-            # With fewer free GPUs, the worker keeps less for GPU work.
+            # With fewer free GPUs, the worker keeps fewer cores and less memory for GPU
+            # work, so other work may fit now.
             self.mark_room_freed(worker)
         self.reindex(worker)
         return Placement(task_id, attempt, worker.worker_id, size)
 
     def confirm(self, placement: Placement) -> None:
-        """Count a held task as committed."""
+        """Mark a held task as committed."""
         live = self.tasks.get(placement.task_id)
         if live is None or live.attempt != placement.attempt:
-            # The worker's record arrived first and already dropped the task again.
+            # A record of the worker that is newer than this commit has already removed
+            # the task.
             return
         if live.worker_id != placement.worker_id:
             raise InvariantError(f"task {live.task_id} is confirmed on another worker")
@@ -166,7 +219,7 @@
         self._reindex_worker_of(live)
 
     def abandon(self, placement: Placement) -> None:
-        """Release a held task."""
+        """Release a held task that was not committed."""
         live = self.tasks.get(placement.task_id)
         if live is None or not live.held or live.attempt != placement.attempt:
             return
@@ -174,7 +227,15 @@
         self._reindex_worker_of(live)
 
     def release(self, live: LiveTask, requeued: bool) -> None:
-        """Give a live task's resources back to its worker."""
+        """Remove a live task and free its resources on its worker.
+
+        Parameters
+        ----------
+        live : LiveTask
+        requeued : bool
+            Whether the task's wait starts now if it waits again. Otherwise, it keeps
+            its place in the queue.
+        """
         worker = self.workers.get(live.worker_id)
         live.finished = True
         self._update_reclaimable(live)
@@ -188,32 +249,38 @@
         self.mark_room_freed(worker)
 
     def mark_evicted(self, live: LiveTask, freeing: Resources) -> None:
-        """Record that a task was asked to give way and what that will free."""
+        """Record the eviction of a task and the resources that it will free."""
         live.evicted_unix_ms = max(1, self.now_unix_ms)
         live.freeing = freeing
         self._update_reclaimable(live)
         self._reindex_worker_of(live)
 
     def clear_evicted(self, live: LiveTask) -> None:
-        """Record that a task that was asked to give way is still there."""
+        """Record that an evicted task still runs, so it no longer counts as evicted."""
         live.evicted_unix_ms = 0
         self._update_reclaimable(live)
         self._reindex_worker_of(live)
 
     def record_checkpoint(self, live: LiveTask, checkpoint_unix_ms: int) -> None:
-        """Record that work up to a time is safe."""
+        """Record that a task has saved its progress, at a time in Unix milliseconds."""
         self.newest.remove(live)
         live.checkpoint_unix_ms = checkpoint_unix_ms
         self._update_reclaimable(live)
 
     def mark_finished(self, live: LiveTask) -> None:
-        """Record that a task does not run any more; its row still names it."""
+        """Record that a task has ended, although its worker's record still lists it."""
         live.finished = True
         self._update_reclaimable(live)
         self._reindex_worker_of(live)
 
     def reindex(self, worker: WorkerState) -> None:
-        """Bring both indexes up to date with a worker."""
+        """Update both indexes for a worker.
+
+        Raises
+        ------
+        InvariantError
+            If more is committed to the worker than its capacity.
+        """
         if worker.is_overcommitted():
             raise InvariantError(
                 f"worker {worker.worker_id} is committed beyond its capacity: "
@@ -237,45 +304,58 @@
         )
 
     def mark_room_freed(self, worker: WorkerState) -> None:
-        """Have blocked work that fits on a worker look at it again."""
+        """Record that tasks may fit on a worker on which they did not fit before."""
         self.release_count += 1
         self._workers_with_freed_room.add(worker.worker_id)
         if worker.reserved:
             self.backfill_version += 1
 
     def unblock_sizes(self) -> None:
-        """Unblock the sizes that fit on a worker whose free resources grew."""
+        """Unblock the task sizes that fit on a worker whose room was recorded as freed.
+
+        See `mark_room_freed`. A blocked size is one that fits on no worker.
+        """
         if not self._workers_with_freed_room:
             return
-        grown = [
+        free_resources = [
             worker.free()
             for worker_id in self._workers_with_freed_room
             if (worker := self.workers.get(worker_id)) is not None and worker.is_open()
         ]
         self._workers_with_freed_room.clear()
-        if not grown:
+        if not free_resources:
             return
-        most = Resources(
-            max(free.cores_milli for free in grown),
-            max(free.memory_bytes for free in grown),
-            max(free.gpus_milli for free in grown),
+        max_free = Resources(
+            max(free.cores_milli for free in free_resources),
+            max(free.memory_bytes for free in free_resources),
+            max(free.gpus_milli for free in free_resources),
         )
         for size, fit in self.queue.lanes.fits.items():
             if (
                 fit.fits_nowhere
-                and size.fits_in(most)
-                and any(size.fits_in(free) for free in grown)
+                and size.fits_in(max_free)
+                and any(size.fits_in(free) for free in free_resources)
             ):
                 fit.unblock()
 
     def _can_avoid(
         self, size: Resources, count: int, avoid: frozenset[WorkerId]
     ) -> bool:
-        """Return whether tasks could run without some workers if the rest were empty.
-
-        Otherwise tasks that have failed on those would wait for ever: a gang whose
-        tasks failed on different workers, or work whose other workers are gone or
-        quarantined, since a gang never probes a worker.
+        """Return whether tasks would fit on the other workers if those were empty.
+
+        Quarantined workers do not count. If the tasks do not fit, they must not avoid
+        the workers on which they failed, or they would wait for ever. Examples are a
+        gang whose tasks failed on different workers, and work whose other workers are
+        gone or quarantined, since a gang is never placed on a quarantined worker.
+
+        Parameters
+        ----------
+        size : Resources
+            Resources that each task needs.
+        count : int
+            Number of tasks.
+        avoid : frozenset of WorkerId
+            Workers to avoid.
         """
         for worker in self.workers.values():
             if worker.worker_id not in avoid and not worker.quarantined_until_unix_ms:
@@ -285,7 +365,10 @@
         return False
 
     def update_probe_is_due(self) -> None:
-        """Note whether a quarantined worker is due for a probe."""
+        """Update `probe_is_due`.
+
+        A worker is due if the time of its probe has come and no probe runs on it.
+        """
         self.probe_is_due = False
         for worker_id in self.quarantined:
             worker = self.workers[worker_id]
@@ -295,7 +378,10 @@
                 return
 
     def update_gpu_work_waits(self) -> None:
-        """Note whether GPU work waits that some worker could run."""
+        """Update whether GPU work waits that some worker could run.
+
+        A change unblocks the work that needs no GPUs.
+        """
         waits = any(self.shapes.could_run(size) for size in self.queue.gpu_sizes())
         if waits != self.gpu_guard.gpu_work_waits:
             self.gpu_guard.gpu_work_waits = waits
@@ -315,6 +401,7 @@
             worker.probe_task_id = None
 
     def _commit_assignment(self, worker: WorkerState, assignment: Assignment) -> None:
+        """Make a live task match an assignment in its worker's record."""
         live = self.tasks.get(assignment.task_id)
         if live is not None and live.worker_id != worker.worker_id:
             raise InvariantError(
@@ -333,7 +420,7 @@
     def _update_assignment(
         self, live: LiveTask, worker: WorkerState, assignment: Assignment
     ) -> None:
-        """Take over a new attempt or a throttled size of a known task."""
+        """Apply a new attempt or a new size, after a throttle, to a live task."""
         team = live.job.spec.team if live.job is not None else None
         live.held = True
         self._update_reclaimable(live)
@@ -353,6 +440,7 @@
         live.held = False
 
     def _add_assignment(self, worker: WorkerState, assignment: Assignment) -> LiveTask:
+        """Add a committed task that was not live, as after a takeover."""
         job_id, index = split_task_id(assignment.task_id)
         live = LiveTask(
             assignment.task_id,
@@ -372,12 +460,14 @@
         return live
 
     def _attach(self, live: LiveTask, worker: WorkerState) -> None:
+        """Add a live task to a worker and allocate its resources there."""
         self.tasks[live.task_id] = live
         worker.tasks[live.task_id] = live
         live.rack = worker.rack
         worker.allocate(live.size)
 
     def _link(self, live: LiveTask, job: JobState) -> None:
+        """Assign a live task to its job and count its resources for the team."""
         if live.job is not None:
             self.teams.subtract(live.job.spec.team, live.size)
         live.job = job
@@ -388,6 +478,7 @@
         self._update_reclaimable(live)
 
     def _remove_live(self, live: LiveTask, requeued: bool) -> None:
+        """Remove a live task from everything except its worker."""
         del self.tasks[live.task_id]
         self.newest.remove(live)
         job = live.job
@@ -406,6 +497,7 @@
             self.queue.mark_changed(job.spec.job_id)
 
     def _remove_orphan(self, live: LiveTask) -> None:
+        """Remove a task from the live tasks whose job is unknown, if it is one."""
         job_id, index = split_task_id(live.task_id)
         orphans = self._orphans.get(job_id)
         if orphans is not None and orphans.get(index) is live:
@@ -419,7 +511,7 @@
             self.reindex(worker)
 
     def _update_reclaimable(self, live: LiveTask) -> None:
-        """Bring the lists of tasks that may be reclaimed up to date."""
+        """Update the reclaimable resources and tasks after a change of a live task."""
         worker = self.workers.get(live.worker_id)
         if worker is not None:
             worker.update_reclaimable(live)
--- a/basilhold/placement/waiting.py
+++ b/basilhold/placement/waiting.py
@@ -1,4 +1,4 @@
-"""Waiting jobs, grouped into buckets of identical tasks."""
+"""Waiting jobs and buckets, which group interchangeable waiting tasks."""
 
 import heapq
 from collections.abc import Callable, Iterator
@@ -23,11 +23,21 @@
 __all__ = ["Bucket", "JobState", "QueueEntry", "WaitingQueue"]
 
 _GANG_FAILED_WORKERS_MAX = 3
-"""The number of workers on which a task may fail (section 7.6)."""
+"""Number of workers from which on a gang is itself considered at fault. It equals the
+number of workers on which a task may fail (design.md, section 7.6)."""
 
 
 class BucketKey(NamedTuple):
-    """What makes waiting tasks interchangeable."""
+    """Properties that interchangeable waiting tasks have in common.
+
+    Parameters
+    ----------
+    team : TeamName
+    lane : LaneKey
+        Scheduling requirements.
+    gang : JobId or None
+        Job of the tasks if they are a gang, which shares its bucket with no other job.
+    """
 
     team: TeamName
     lane: LaneKey
@@ -35,7 +45,29 @@
 
 
 class JobState:
-    """A job whose record is known."""
+    """Job whose record is known, with its waiting and live tasks.
+
+    Parameters
+    ----------
+    record : JobRecord
+
+    Attributes
+    ----------
+    urgent : bool
+        Whether the target wait is short enough that tasks of other jobs may be evicted.
+    cancelled : bool
+        Whether the job's cancellation was requested.
+    removed : bool
+        Whether the job was removed from the shard.
+    live : dict of int to LiveTask
+        The live tasks by index.
+    entries : list of QueueEntry
+        The waiting tasks.
+    requeued_unix_ms : dict of int to int, or None
+        Start of the wait by index, for tasks that ran before and wait again.
+    rack_counts : dict of str to int, or None
+        Number of live tasks by rack, for services.
+    """
 
     __slots__ = (
         "cancelled",
@@ -62,7 +94,7 @@
 
     @property
     def is_gang(self) -> bool:
-        """Whether the tasks start together."""
+        """Whether the tasks must all start together."""
         return self.spec.kind is ClassKind.GANG
 
     @property
@@ -75,13 +107,13 @@
         return sum(len(entry.indices) for entry in self.entries)
 
     def record_requeued(self, index: int, now_unix_ms: int) -> None:
-        """Let the wait of a task that has run before start now."""
+        """Record that the wait of a task that ran before starts now."""
         if self.requeued_unix_ms is None:
             self.requeued_unix_ms = {}
         self.requeued_unix_ms[index] = now_unix_ms
 
     def count_rack(self, rack: str, change: int) -> None:
-        """Count one task more or less in a rack."""
+        """Add `change` to the number of live tasks in a rack."""
         if self.rack_counts is None:
             self.rack_counts = {}
         count = self.rack_counts.get(rack, 0) + change
@@ -92,7 +124,17 @@
 
 
 class QueueEntry:
-    """Waiting tasks of one job in one bucket, the lowest index last."""
+    """Waiting tasks of one job in one bucket that have waited equally long.
+
+    Parameters
+    ----------
+    bucket : Bucket
+    job : JobState
+    since_unix_ms : int
+        Start of the wait.
+    indices : list of int
+        Positions of the tasks in the job, in descending order.
+    """
 
     __slots__ = ("bucket", "indices", "job", "removed", "since_unix_ms")
 
@@ -106,14 +148,32 @@
         self.removed = False
 
     def __lt__(self, other: "QueueEntry") -> bool:
-        """Return whether this entry comes first: first come, first served."""
+        """Return whether this entry has waited longer; ties are broken by job id."""
         if self.since_unix_ms != other.since_unix_ms:
             return self.since_unix_ms < other.since_unix_ms
         return self.job.spec.job_id < other.job.spec.job_id
 
 
 class Bucket:
-    """Interchangeable waiting tasks, ordered by age."""
+    """Interchangeable waiting tasks, ordered by age.
+
+    Parameters
+    ----------
+    key : BucketKey
+
+    Attributes
+    ----------
+    count : int
+        Number of entries.
+    lane : Lane or None
+        Lane of the bucket, set by `LaneSet.add`.
+    number : int
+        Unique number, which orders buckets whose oldest entries have the same age.
+    position : tuple or None
+        Position of the bucket in its lane, ``None`` if it has none.
+    reserve_after_unix_ms : int
+        Time before which no workers are reserved for the gang.
+    """
 
     __slots__ = (
         "_heap",
@@ -140,7 +200,11 @@
         heapq.heappush(self._heap, entry)
 
     def remove(self, entry: QueueEntry) -> None:
-        """Remove an entry, in constant time unless many have been removed."""
+        """Mark an entry as removed.
+
+        Marked entries stay in the heap until they are most of it, so that a removal
+        takes constant time on average.
+        """
         self.count -= 1
         entry.removed = True
         if len(self._heap) > 2 * self.count + 8:
@@ -148,7 +212,7 @@
             heapq.heapify(self._heap)
 
     def head(self) -> QueueEntry:
-        """Return the entry that has waited longest."""
+        """Return the entry that has waited longest; the bucket must not be empty."""
         while self._heap[0].removed:
             heapq.heappop(self._heap)
         return self._heap[0]
@@ -158,12 +222,15 @@
         return sorted(entry for entry in self._heap if not entry.removed)
 
     def wait_ratio(self, now_unix_ms: int) -> float:
-        """Return the time waited divided by the target wait."""
+        """Return the longest time waited, divided by the target wait."""
         waited_ms = now_unix_ms - self.head().since_unix_ms
         return waited_ms / max(1, self.lane.key.wait_target_ms)
 
     def demand(self) -> Resources:
-        """Return what the next decision about this bucket needs in total."""
+        """Return the resources that the next placement from this bucket needs.
+
+        This is the total of all tasks for a gang, and otherwise the size of one task.
+        """
         if self.key.gang is None:
             return self.lane.key.size
         return self.lane.key.size.scaled(len(self.head().indices))
@@ -172,13 +239,14 @@
 class WaitingQueue:
     """All waiting tasks of a shard.
 
-    Changed jobs are only marked; their entries are rebuilt once, before the next
-    pass, so a burst of cancellations costs one pass.
+    Changed jobs are only recorded. Their entries are rebuilt once, before the next
+    pass, so that many changes of a job cost no more than one.
 
     Parameters
     ----------
-    may_avoid : callable
-        Whether a number of tasks of one size could run without some workers.
+    can_avoid : callable
+        Whether a number of tasks of one size could run without some workers. It is
+        called with the size, the number and the workers.
     """
 
     def __init__(self, can_avoid: Callable[[Resources, int, frozenset], bool]):
@@ -187,19 +255,22 @@
         self.lanes = LaneSet()
         self._can_avoid = can_avoid
         self._jobs_with_failures: dict[JobId, None] = {}
-        # A dict keeps the order of the calls, so that runs can be repeated.
+        # A dict keeps the order of insertion, so that runs are reproducible.
         self._changed: dict[JobId, None] = {}
 
     def mark_changed(self, job_id: JobId) -> None:
-        """Have a job's entries rebuilt before the next pass."""
+        """Record that a job's entries must be rebuilt before the next pass."""
         self._changed[job_id] = None
 
     def mark_jobs_with_failures(self) -> None:
-        """Have the jobs with failed tasks rebuilt, as the workers have changed."""
+        """Record that the jobs with failed tasks must be rebuilt.
+
+        After a change of the workers, their tasks may have to avoid other workers.
+        """
         self._changed.update(self._jobs_with_failures)
 
     def is_changed(self, job_id: JobId) -> bool:
-        """Return whether a job's entries are still to be rebuilt."""
+        """Return whether a job's entries must be rebuilt."""
         return job_id in self._changed
 
     def remove(self, job_id: JobId) -> JobState | None:
@@ -213,7 +284,7 @@
         return job
 
     def refresh(self) -> None:
-        """Rebuild the entries of the jobs that changed, and the order of lanes."""
+        """Rebuild the entries of the changed jobs and update the order of lanes."""
         for job_id in self._changed:
             job = self.jobs.get(job_id)
             if job is not None:
@@ -227,7 +298,7 @@
         self._build_entries(job)
 
     def remove_task(self, entry: QueueEntry, index: int) -> None:
-        """Remove one task from the queue."""
+        """Remove one task of an entry from the queue."""
         if entry.indices[-1] == index:
             entry.indices.pop()
         else:
@@ -237,12 +308,13 @@
             entry.job.entries.remove(entry)
 
     def gpu_sizes(self) -> Iterator[Resources]:
-        """Yield the sizes of waiting tasks that need GPUs."""
+        """Yield the sizes of the waiting tasks that need GPUs."""
         for lane in self.lanes.lanes.values():
             if lane.key.size.gpus_milli and any(b.count for _, _, b in lane.order):
                 yield lane.key.size
 
     def _build_entries(self, job: JobState) -> None:
+        """Queue the tasks of a job that are pending and not live."""
         if job.cancelled:
             return
         groups: dict[tuple, list[int]] = {}
@@ -317,11 +389,12 @@
 
 
 def _avoided_by_gang(failures: list[frozenset[WorkerId]]) -> frozenset[WorkerId]:
-    """Return the workers that a gang avoids, from where each of its tasks failed.
+    """Return the workers that a gang avoids, given where each of its tasks failed.
 
-    A gang whose tasks failed on several workers is itself at fault, as a task is that
-    failed on three. If it kept avoiding all of them, it would soon find no worker and
-    wait for ever, instead of failing.
+    A gang whose tasks failed on three workers is itself considered at fault, like a
+    single task that did. If it avoided all of these workers, it would soon find none
+    and wait for ever instead of failing. It then avoids only those on which all its
+    tasks failed.
     """
     any_failed = frozenset().union(*failures)
     if len(any_failed) < _GANG_FAILED_WORKERS_MAX:
--- a/basilhold/placement/worker_index.py
+++ b/basilhold/placement/worker_index.py
@@ -21,7 +21,10 @@
 
 
 class _ShapeIndex:
-    """Workers of one capacity, in cells of similar amounts."""
+    """Index of the workers of one capacity, grouped by similar amounts.
+
+    The key of a group consists of the levels of GPUs, cores and memory. See `_level`.
+    """
 
     __slots__ = ("capacity", "groups", "memory_per_core")
 
@@ -31,7 +34,7 @@
         self.memory_per_core = capacity.memory_bytes / max(1, capacity.cores_milli)
 
     def fitting(self, size: Resources) -> Iterator[WorkerState]:
-        """Yield the workers with room, the fullest first."""
+        """Yield the workers with room, in ascending order of their group's key."""
         cores, memory, gpus = size.cores_milli, size.memory_bytes, size.gpus_milli
         low_gpus, low_cores, low_memory = _level(gpus), _level(cores), _level(memory)
         for key in self.groups.irange(minimum=(low_gpus, low_cores, low_memory)):
@@ -48,11 +51,11 @@
 
 
 class WorkerIndex:
-    """Finds workers with a given amount of each resource without scanning all.
+    """Index that finds workers with given amounts of resources without a full scan.
 
-    Workers of equal capacity share a shape. Within a shape, workers are grouped
-    into cells by the logarithmic level of each amount, so that a search visits only
-    the cells at or above the levels that it needs.
+    Workers of equal capacity have the same shape. Within a shape, workers are grouped
+    by the logarithmic level of each amount, so that a search visits only the groups at
+    or above the levels that it needs.
     """
 
     def __init__(self):
@@ -61,7 +64,18 @@
         self._shape_order: dict[tuple[bool, int], list[_ShapeIndex]] = {}
 
     def put(self, worker: WorkerState, cores: int, memory: int, gpus: int) -> None:
-        """Insert a worker with its amounts, or move it."""
+        """Insert a worker or update its amounts.
+
+        Parameters
+        ----------
+        worker : WorkerState
+        cores : int
+            Thousandths of a core.
+        memory : int
+            Bytes.
+        gpus : int
+            Thousandths of a GPU.
+        """
         key = (_level(gpus), _level(cores), _level(memory))
         position = self._positions.get(worker.worker_id)
         if position is not None:
@@ -102,13 +116,14 @@
     def fitting(
         self, size: Resources, gpu_shapes: bool = True
     ) -> Iterator[WorkerState]:
-        """Yield the workers with room for a size, the best shapes first.
+        """Yield the workers whose amounts cover a size, the most suitable shapes first.
 
         The index must not change while the iterator is in use.
 
         Parameters
         ----------
         size : Resources
+            Resources that a task needs.
         gpu_shapes : bool
             Whether to include workers with GPUs.
         """
@@ -119,7 +134,11 @@
                 yield from shape.fitting(size)
 
     def _shapes_for(self, size: Resources) -> list[_ShapeIndex]:
-        """Return the shapes without unneeded GPUs first, then by memory per core."""
+        """Return all shapes in the order in which to search them.
+
+        Those with the fewest GPUs come first, then those whose memory per core is
+        closest to that of the size.
+        """
         ratio = size.memory_bytes / max(1, size.cores_milli)
         order_key = (size.gpus_milli > 0, _level(int(ratio)))
         order = self._shape_order.get(order_key)
--- a/basilhold/placement/workers.py
+++ b/basilhold/placement/workers.py
@@ -1,4 +1,4 @@
-"""Workers and live tasks as the planner sees them."""
+"""Planning state of single workers and of the tasks on them."""
 
 from basilhold.core import (
     Assignment,
@@ -16,7 +16,7 @@
 
 
 class LiveTask:
-    """A task that is held on a worker or committed to it.
+    """Task that is held on a worker (planned but not committed) or committed to it.
 
     Parameters
     ----------
@@ -24,13 +24,40 @@
     index : int
         Position of the task in its job.
     attempt : Attempt
+        Number of the attempt.
     worker_id : WorkerId
     size : Resources
-        Amount that the worker's row holds for the task.
+        Resources that are allocated to the task on the worker.
     started_unix_ms : int
-        Time of the plan, or of the first sight after a takeover.
+        Time of the plan, or of the first record that listed the attempt, for example
+        after a takeover.
     job : JobState, optional
         ``None`` until the job's record is known.
+
+    Attributes
+    ----------
+    rack : str
+        Rack of the worker.
+    held : bool
+        Whether the task is planned but not committed.
+    finished : bool
+        Whether the attempt has ended, although the worker's record still lists it.
+    evicted_unix_ms : int
+        Time of the eviction, 0 if the task is not being evicted.
+    freeing : Resources
+        Resources that the eviction will free.
+    newest_team : TeamName or None
+        Team under which `NewestReclaimableTasks` contains the task.
+    newest_key : tuple or None
+        Sort key of the task in `NewestReclaimableTasks`, ``None`` if it is absent.
+    checkpoint_unix_ms : int
+        Time of the last checkpoint, 0 if there is none.
+    throttled : bool
+        Whether the task was throttled because it exceeded its declared cores.
+    reclaimable : bool
+        Whether the task counts towards the reclaimable resources of its worker.
+    used : Resources or None
+        Resources used according to the last report.
     """
 
     __slots__ = (
@@ -84,11 +111,11 @@
         self.used: Resources | None = None
 
     def matches(self, assignment: Assignment) -> bool:
-        """Return whether a worker's row names this attempt with this size."""
+        """Return whether an assignment has the same attempt and size."""
         return self.attempt == assignment.attempt and self.size == assignment.resources
 
     def may_be_reclaimed(self) -> bool:
-        """Return whether urgent work may take this task's resources."""
+        """Return whether the task may be evicted for urgent work."""
         job = self.job
         return (
             job is not None
@@ -102,7 +129,37 @@
 
 
 class WorkerState:
-    """One worker with its free and reclaimable resources."""
+    """Worker with its tasks and its free and reclaimable resources.
+
+    Amounts are in thousandths of a core or a GPU, and in bytes of memory.
+
+    Parameters
+    ----------
+    record : WorkerRecord
+
+    Attributes
+    ----------
+    worker_id : WorkerId
+    rack : str
+    capacity : Resources
+    free_cores_milli, free_memory_bytes, free_gpus_milli : int
+        Resources that are neither held nor committed.
+    reclaimable_cores_milli, reclaimable_memory_bytes, reclaimable_gpus_milli : int
+        Resources of the tasks that may be evicted for urgent work.
+    schedulable : bool
+        Whether the worker may be given tasks.
+    quarantined_until_unix_ms : int
+        Time of the next probe, 0 if the worker is not quarantined.
+    probe_task_id : TaskId or None
+        Task that probes the quarantined worker.
+    claims : int
+        Number of urgent tasks that wait for victims on this worker.
+    reserved : bool
+        Whether the worker is reserved for a gang.
+    nearly_full : bool
+        Whether the tasks were reported to use nearly all cores or memory.
+    tasks : dict of TaskId to LiveTask
+    """
 
     __slots__ = (
         "capacity",
@@ -148,7 +205,7 @@
         )
 
     def has_room(self, size: Resources) -> bool:
-        """Return whether a task of this size fits now."""
+        """Return whether a task of this size fits into the free resources."""
         return (
             size.cores_milli <= self.free_cores_milli
             and size.memory_bytes <= self.free_memory_bytes
@@ -168,7 +225,7 @@
         self.free_gpus_milli += size.gpus_milli
 
     def is_overcommitted(self) -> bool:
-        """Return whether any free component is below zero."""
+        """Return whether the free amount of any resource is negative."""
         return (
             self.free_cores_milli < 0
             or self.free_memory_bytes < 0
@@ -176,18 +233,18 @@
         )
 
     def update_reclaimable(self, live: LiveTask) -> None:
-        """Bring the reclaimable sum up to date with one task's state."""
-        wanted = live.worker_id == self.worker_id and live.may_be_reclaimed()
-        if wanted == live.reclaimable:
+        """Update the reclaimable resources after a change of one task."""
+        reclaimable = live.worker_id == self.worker_id and live.may_be_reclaimed()
+        if reclaimable == live.reclaimable:
             return
-        live.reclaimable = wanted
-        sign = 1 if wanted else -1
+        live.reclaimable = reclaimable
+        sign = 1 if reclaimable else -1
         self.reclaimable_cores_milli += sign * live.size.cores_milli
         self.reclaimable_memory_bytes += sign * live.size.memory_bytes
         self.reclaimable_gpus_milli += sign * live.size.gpus_milli
 
     def freeing(self) -> Resources:
-        """Return what the victims on this worker are about to give back."""
+        """Return the resources that the evictions on this worker will free."""
         amount = Resources()
         for live in self.tasks.values():
             if live.evicted_unix_ms:
@@ -195,7 +252,10 @@
         return amount
 
     def is_open(self) -> bool:
-        """Return whether any work may be placed here."""
+        """Return whether the worker takes any work.
+
+        This excludes workers that are unschedulable, quarantined, claimed or reserved.
+        """
         return (
             self.schedulable
             and self.quarantined_until_unix_ms == 0
