--- a/basilhold/platform/node.py
+++ b/basilhold/platform/node.py
@@ -45,11 +45,11 @@
 from basilhold.programs.lifecycle import Daemon, ExitCode, run_daemon
 from basilhold.workflows.advice_balancer import AdviceBalancer
 from basilhold.workflows.background_tasks import restart_on_error
-from basilhold.workflows.front import WorkflowFront
+from basilhold.workflows.frontend import WorkflowFrontend
 from basilhold.workflows.owner import OwnerPorts
 from basilhold.workflows.owner_lease import SuspendAwareClock
 from basilhold.workflows.ownership_manager import OwnershipManager
-from basilhold.workflows.peer_http import HttpPeers, make_peer_server
+from basilhold.workflows.peer_http import HttpPeerClient, make_peer_server
 from basilhold.workflows.peers import Member
 from basilhold.workflows.relayed_table import RelayedTable
 from basilhold.workflows.routes import QueueTable
@@ -137,7 +137,7 @@
     ----------
     ownership_manager : OwnershipManager
         Claims and releases the ownership of services.
-    front : WorkflowFront
+    front : WorkflowFrontend
         Carries out the requests of callers and peers.
     """
 
@@ -153,7 +153,7 @@
         self._status_pages.metrics.add_source(LogMetrics(log_output))
         self._draining = False
         endpoint = f"{settings.ip}:{settings.port_range[0]}"
-        peers = HttpPeers(self._pool, shared_time)
+        peers = HttpPeerClient(self._pool, shared_time)
         region = RegionName(settings.region)
         direct_store = PlatformStore(
             self._pool, parse_endpoint(settings.platform.address), shared_time
@@ -210,7 +210,7 @@
             peers,
             _small_machine_delay_ms(settings),
         )
-        self.front = WorkflowFront(
+        self.front = WorkflowFrontend(
             store, self.ownership_manager, peers, advice, self._clock, shared_time
         )
         self._caller_server = CallerServer(
--- a/basilhold/platform/tests/test_callers.py
+++ b/basilhold/platform/tests/test_callers.py
@@ -16,7 +16,7 @@
 
 
 class BlockedFront:
-    """A `WorkflowFront` whose submissions block, or raise `error` if it is set."""
+    """A `WorkflowFrontend` whose submissions block, or raise `error` if it is set."""
 
     def __init__(self):
         self.submission_started = asyncio.Event()
--- a/basilhold/workflows/owner.py
+++ b/basilhold/workflows/owner.py
@@ -236,7 +236,7 @@
             # The previous owner may have renewed the worker's lease until its own lease
             # expired.
             worker.lease_expires_ms = (
-                now_ms + LEASE_VALIDITY_MS + self._state.limits.lapse_ms()
+                now_ms + LEASE_VALIDITY_MS + self._state.limits.lease_expiry_ms()
             )
             worker.unregistered = True
         await self._worker_tracker.refresh_registrations()
--- a/basilhold/workflows/tests/test_random_runs.py
+++ b/basilhold/workflows/tests/test_random_runs.py
@@ -8,7 +8,7 @@
 from basilhold.testing.workflow_runs import run_seed
 from basilhold.workflows import owner
 from basilhold.workflows.committer import Committer
-from basilhold.workflows.peers import Presence
+from basilhold.workflows.peers import OwnershipReply
 from basilhold.workflows.worker_link import WorkerLink
 
 SEEDS = range(200)
@@ -62,9 +62,9 @@
         # Claiming a service whose owner is still at work must be safe.
         async def no_reply(peers, endpoint, service):
             await asyncio.sleep(0.3)
-            return Presence.SILENT
+            return OwnershipReply.NO_REPLY
 
-        with patch.object(workflow_cell._CellPeers, "presence", no_reply):
+        with patch.object(workflow_cell._CellPeers, "query_ownership", no_reply):
             for seed in UNRESPONSIVE_OWNER_SEEDS:
                 with self.subTest(seed=seed):
                     self.check(seed, lost_replies=True)
--- a/basilhold/workflows/worker_tracker.py
+++ b/basilhold/workflows/worker_tracker.py
@@ -21,7 +21,7 @@
     transfer_runs,
 )
 from basilhold.workflows.run_controller import RunController
-from basilhold.workflows.worker_link import Look, WorkerLink
+from basilhold.workflows.worker_link import PollResult, WorkerLink
 
 __all__ = ["WorkerTracker"]
 
@@ -96,7 +96,7 @@
     async def _poll_worker(self, link: WorkerLink) -> None:
         worker = link.worker
         try:
-            while self._apply_poll(link, await link.look(self._state.clock)):
+            while self._apply_poll(link, await link.poll(self._state.clock)):
                 if worker.unregistered and not worker.runs:
                     self._remove_worker(worker)
                     return
@@ -104,7 +104,7 @@
             if self._state.links.get(worker.worker_id) is link:
                 del self._state.links[worker.worker_id]
 
-    def _apply_poll(self, link: WorkerLink, look: Look) -> bool:
+    def _apply_poll(self, link: WorkerLink, look: PollResult) -> bool:
         """Apply the result of a poll; return whether to go on polling this incarnation.
 
         Raises
@@ -183,7 +183,7 @@
         now_ms = self._state.clock.monotonic_ms()
         changed = reconcile(successor, listing, now_ms, now_ms)
         link = self._state.links[successor.worker_id]
-        self._apply_poll(link, Look(ends=changed.ends, unknown=changed.unknown))
+        self._apply_poll(link, PollResult(ends=changed.ends, unknown=changed.unknown))
 
     def _replace_incarnation(self, worker: Worker, info: WorkerInfo) -> Worker:
         successor = Worker(info)
@@ -196,7 +196,7 @@
     def _open_link(self, worker: Worker) -> None:
         state = self._state
         link = WorkerLink(worker, state.ports.runners, state.lease, state.limits)
-        link.on_look = lambda look: self._apply_poll(link, look)
+        link.on_poll = lambda look: self._apply_poll(link, look)
         self._state.links[worker.worker_id] = link
         self._state.spawn(self._poll_worker(link))
 
