--- a/basilhold/placement/tests/test_invariants.py
+++ b/basilhold/placement/tests/test_invariants.py
@@ -40,87 +40,91 @@
 
 
 class PlannerMachine(RuleBasedStateMachine):
-    """Calls the planner in random order, with commits that fail or arrive late.
+    """Calls a planner in random order, with commits that fail or are reported late.
 
-    Guards against overcommitted workers, tasks planned twice, gangs in part, and
-    victims that must not be stopped. The rows are an independent account.
+    Guards against overcommitted workers, tasks planned twice, gangs placed only in
+    part, and evictions of tasks that must not be restarted. The worker records of the
+    fake owner are checked independently of the planner's state.
     """
 
     def __init__(self):
         super().__init__()
-        self.shard = FakeShardOwner()
-        self.planner = self.shard.planner
+        self.owner = FakeShardOwner()
+        self.planner = self.owner.planner
         self.in_flight: Plan | None = None
         self.evictions = []
-        self.now = 0
-        self.count = 0
+        self.now_unix_ms = 0
+        self.name_count = 0
         quota = size(12, 48, 2)
         teams = tuple(Team(name, quota) for name in TEAMS[:2])
         self.planner.set_teams(teams, {"survey": size(4, 4)})
 
     @rule(shape=st.sampled_from(SHAPES), rack=st.sampled_from("ab"))
     def add_worker(self, shape, rack):
-        self.count += 1
-        added = FakeShardOwner((f"w{self.count}", shape, rack)).worker_records[
-            f"w{self.count}"
+        self.name_count += 1
+        added = FakeShardOwner((f"w{self.name_count}", shape, rack)).worker_records[
+            f"w{self.name_count}"
         ]
-        self.shard.worker_records[added.worker_id] = added
+        self.owner.worker_records[added.worker_id] = added
         self.planner.upsert_worker(added, True)
 
     @rule(task_size=st.sampled_from(SIZES), options=OPTIONS)
     def submit(self, task_size, options):
-        self.count += 1
-        record = job(f"j{self.count}", task_size, submitted=self.now, **options)
-        self.shard.submit(record)
+        self.name_count += 1
+        record = job(
+            f"j{self.name_count}", task_size, submitted=self.now_unix_ms, **options
+        )
+        self.owner.submit(record)
 
     @precondition(lambda self: self.in_flight is None)
-    @rule(limit=st.sampled_from([1, 4, 200]), waited=st.integers(0, 30_000))
-    def plan(self, limit, waited):
-        self.now += waited
-        plan = self.planner.plan(self.now, limit)
+    @rule(limit=st.sampled_from([1, 4, 200]), waited_ms=st.integers(0, 30_000))
+    def plan(self, limit, waited_ms):
+        self.now_unix_ms += waited_ms
+        plan = self.planner.plan(self.now_unix_ms, limit)
         committed = {
-            a.task_id for r in self.shard.worker_records.values() for a in r.assignments
+            a.task_id for r in self.owner.worker_records.values() for a in r.assignments
         }
-        by_job: dict[str, int] = {}
+        placed_by_job: dict[str, int] = {}
         for placement in plan.placements:
             assert placement.task_id not in committed
             committed.add(placement.task_id)
             job_id, _ = split_task_id(placement.task_id)
-            by_job[job_id] = by_job.get(job_id, 0) + 1
-        self.check_gangs(by_job)
+            placed_by_job[job_id] = placed_by_job.get(job_id, 0) + 1
+        self.check_gangs(placed_by_job)
         for eviction in plan.evictions:
-            spec = self.shard.jobs[split_task_id(eviction.task_id)[0]].spec
+            spec = self.owner.jobs[split_task_id(eviction.task_id)[0]].spec
             assert spec.restart is RestartPolicy.ALLOWED or not eviction.for_task_id
         self.evictions.extend(plan.evictions)
         self.in_flight = plan
 
-    def check_gangs(self, by_job: dict[str, int]) -> None:
-        for job_id, planned in by_job.items():
-            record = self.shard.jobs[job_id]
+    def check_gangs(self, placed_by_job: dict[str, int]) -> None:
+        """Check that all waiting tasks of each placed gang were placed."""
+        for job_id, placed in placed_by_job.items():
+            record = self.owner.jobs[job_id]
             if record.spec.kind is ClassKind.GANG:
                 waiting = sum(t.state is TaskState.PENDING for t in record.tasks) - sum(
                     split_task_id(a.task_id)[0] == job_id
-                    for r in self.shard.worker_records.values()
+                    for r in self.owner.worker_records.values()
                     for a in r.assignments
                 )
-                assert planned == waiting, (planned, waiting)
+                assert placed == waiting, (placed, waiting)
 
     @precondition(lambda self: self.in_flight is not None)
-    @rule(record_first=st.booleans(), records=st.booleans())
-    def commit(self, record_first, records):
+    @rule(upsert_first=st.booleans(), upsert=st.booleans())
+    def commit(self, upsert_first, upsert):
         for p in self.in_flight.placements:
-            row = self.shard.worker_records[p.worker_id]
+            record = self.owner.worker_records[p.worker_id]
             added = Assignment(p.task_id, p.attempt, p.resources)
-            row.assignments = (*row.assignments, added)
+            record.assignments = (*record.assignments, added)
             job_id, index = split_task_id(p.task_id)
-            self.shard.jobs[job_id].tasks[index].attempt = p.attempt
-        touched = {p.worker_id for p in self.in_flight.placements}
-        if not record_first:
+            self.owner.jobs[job_id].tasks[index].attempt = p.attempt
+        changed = {p.worker_id for p in self.in_flight.placements}
+        if not upsert_first:
             self.planner.confirm(self.in_flight.placements)
-        if records or record_first:
-            for worker_id in sorted(touched):
-                self.planner.upsert_worker(self.shard.worker_records[worker_id], True)
-        if record_first:
+        if upsert or upsert_first:
+            for worker_id in sorted(changed):
+                self.planner.upsert_worker(self.owner.worker_records[worker_id], True)
+        if upsert_first:
             self.planner.confirm(self.in_flight.placements)
         self.in_flight = None
 
@@ -134,30 +138,30 @@
     @rule(lost=st.booleans())
     def carry_out_eviction(self, lost):
         eviction = self.evictions.pop(0)
-        row = self.shard.worker_records.get(eviction.worker_id)
-        if lost or row is None:
+        record = self.owner.worker_records.get(eviction.worker_id)
+        if lost or record is None:
             return
-        if all(a.task_id != eviction.task_id for a in row.assignments):
+        if all(a.task_id != eviction.task_id for a in record.assignments):
             return
         if eviction.action is not EvictionAction.THROTTLE:
-            self.shard.end_task(eviction.task_id, TaskState.PENDING)
+            self.owner.end_task(eviction.task_id, TaskState.PENDING)
         elif eviction.for_task_id:
-            self.shard.throttle_task(eviction.task_id, eviction.cores_limit_milli)
+            self.owner.throttle_task(eviction.task_id, eviction.cores_limit_milli)
 
     @rule(
         data=st.data(), state=st.sampled_from([TaskState.SUCCEEDED, TaskState.PENDING])
     )
     def end_task(self, data, state):
         committed = [
-            a.task_id for r in self.shard.worker_records.values() for a in r.assignments
+            a.task_id for r in self.owner.worker_records.values() for a in r.assignments
         ]
-        known = [t for t in committed if split_task_id(t)[0] in self.shard.jobs]
+        known = [t for t in committed if split_task_id(t)[0] in self.owner.jobs]
         if known:
-            self.shard.end_task(data.draw(st.sampled_from(known)), state)
+            self.owner.end_task(data.draw(st.sampled_from(known)), state)
 
     @rule(data=st.data())
     def report_usage(self, data):
-        for row in self.shard.worker_records.values():
+        for record in self.owner.worker_records.values():
             reports = tuple(
                 TaskReport(
                     a.task_id,
@@ -166,66 +170,67 @@
                     None,
                     data.draw(st.sampled_from(SIZES)),
                 )
-                for a in row.assignments[:2]
+                for a in record.assignments[:2]
             )
-            self.planner.record_usage(row.worker_id, reports, self.now)
+            self.planner.record_usage(record.worker_id, reports, self.now_unix_ms)
 
     @precondition(lambda self: self.in_flight is None)
     @rule(data=st.data())
     def cancel_job(self, data):
-        if self.shard.jobs:
-            job_id = data.draw(st.sampled_from(sorted(self.shard.jobs)))
+        if self.owner.jobs:
+            job_id = data.draw(st.sampled_from(sorted(self.owner.jobs)))
             self.planner.remove_job(job_id)
             if data.draw(st.booleans()):
-                self.planner.upsert_job(self.shard.jobs[job_id])
+                self.planner.upsert_job(self.owner.jobs[job_id])
             else:
-                self.forget(job_id)
-
-    def forget(self, job_id: str) -> None:
-        del self.shard.jobs[job_id]
-        for row in self.shard.worker_records.values():
-            row.assignments = tuple(
-                a for a in row.assignments if split_task_id(a.task_id)[0] != job_id
+                self.remove_job(job_id)
+
+    def remove_job(self, job_id: str) -> None:
+        """Remove a job and its tasks from all records."""
+        del self.owner.jobs[job_id]
+        for record in self.owner.worker_records.values():
+            record.assignments = tuple(
+                a for a in record.assignments if split_task_id(a.task_id)[0] != job_id
             )
-            self.planner.upsert_worker(row, True)
+            self.planner.upsert_worker(record, True)
 
     @rule(data=st.data())
     def change_worker(self, data):
-        if not self.shard.worker_records:
+        if not self.owner.worker_records:
             return
-        row = self.shard.worker_records[
-            data.draw(st.sampled_from(sorted(self.shard.worker_records)))
+        record = self.owner.worker_records[
+            data.draw(st.sampled_from(sorted(self.owner.worker_records)))
         ]
-        row.quarantined_until_unix_ms = data.draw(
-            st.sampled_from([0, 0, self.now + 5000])
+        record.quarantined_until_unix_ms = data.draw(
+            st.sampled_from([0, 0, self.now_unix_ms + 5000])
         )
-        self.planner.upsert_worker(row, data.draw(st.booleans()))
+        self.planner.upsert_worker(record, data.draw(st.booleans()))
 
     @precondition(lambda self: self.in_flight is None)
     @rule(data=st.data())
-    def lose_worker(self, data):
-        if self.shard.worker_records:
-            name = data.draw(st.sampled_from(sorted(self.shard.worker_records)))
+    def remove_worker(self, data):
+        if self.owner.worker_records:
+            name = data.draw(st.sampled_from(sorted(self.owner.worker_records)))
             self.planner.remove_worker(name)
-            del self.shard.worker_records[name]
+            del self.owner.worker_records[name]
 
     @rule()
     def explain(self):
-        for job_id in self.shard.jobs:
-            assert self.planner.explain(job_id, self.now).reason
+        for job_id in self.owner.jobs:
+            assert self.planner.explain(job_id, self.now_unix_ms).reason
 
     @invariant()
-    def bookkeeping_agrees(self):
+    def planner_state_is_consistent(self):
         self.planner.check_invariants()
 
     @invariant()
-    def no_row_exceeds_its_worker(self):
+    def no_worker_is_overcommitted(self):
         planned: dict[str, Resources] = {}
         for p in self.in_flight.placements if self.in_flight else ():
             planned[p.worker_id] = planned.get(p.worker_id, Resources()) + p.resources
-        for worker_id, row in self.shard.worker_records.items():
-            total = row.committed() + planned.get(worker_id, Resources())
-            assert total.fits_in(row.capacity), worker_id
+        for worker_id, record in self.owner.worker_records.items():
+            total = record.committed() + planned.get(worker_id, Resources())
+            assert total.fits_in(record.capacity), worker_id
 
 
 InvariantsTest = PlannerMachine.TestCase
