Name the histories in worker health and state when claims are removed

Variables of worker health that hold a worker's history were called worker. Two doc comments of the claims and the queue left out conditions and a reason.

--- a/basilhold/placement/claims.py
+++ b/basilhold/placement/claims.py
@@ -94,8 +94,8 @@
     def ready(self) -> Iterator[tuple[Claim, WorkerState]]:
         """Yield the claims whose worker has room, and remove those that cannot be met.
 
-        A claim cannot be met if its task no longer waits, its worker takes no work, or
-        its victims are overdue or do not free enough.
+        A claim cannot be met if its task no longer waits, its worker is gone or
+        unschedulable, or its victims are overdue or do not free enough.
         """
         for claim in list(self._by_task.values()):
             worker = self._state.workers.get(claim.worker_id)
--- a/basilhold/placement/explain.py
+++ b/basilhold/placement/explain.py
@@ -116,9 +116,9 @@
     if reservation is not None and reservation.job_id == job.spec.job_id:
         wait_s = max(0, reservation.start_unix_ms - now_unix_ms) / 1000
         return f"holds a reservation that starts in about {wait_s:.0f} s"
-    largest = sum(_count_slots(w.capacity, size) for w in state.workers.values())
-    if largest < count:
-        return f"the gang needs {count} tasks at once and the shard holds {largest}"
+    shard_slots = sum(_count_slots(w.capacity, size) for w in state.workers.values())
+    if shard_slots < count:
+        return f"the gang needs {count} tasks at once and the shard holds {shard_slots}"
     open_slots = sum(
         _count_slots(w.free(), size) for w in state.workers.values() if w.is_open()
     )
--- a/basilhold/placement/health.py
+++ b/basilhold/placement/health.py
@@ -8,7 +8,7 @@
 
 __all__ = ["AttemptOutcome", "HealthVerdict", "WorkerHealth"]
 
-FAILURES_TO_QUARANTINE = 3
+FAILED_JOBS_TO_QUARANTINE = 3
 """Number of different jobs that fail on a worker, with no success in between, before it
 is quarantined."""
 
@@ -98,7 +98,7 @@
     """
 
     def __init__(self):
-        self._workers: dict[WorkerId, _WorkerHistory] = {}
+        self._histories: dict[WorkerId, _WorkerHistory] = {}
         self._failed_on: dict[TaskId, set[WorkerId]] = {}
         self._quarantined: set[WorkerId] = set()
         self._worker_count = 0
@@ -109,15 +109,15 @@
 
     def restore(self, worker_id: WorkerId, until_unix_ms: int) -> None:
         """Restore a worker's quarantine from its record, with the shortest delay."""
-        worker = self._history(worker_id)
-        worker.until_unix_ms = until_unix_ms
-        worker.delay_ms = PROBE_DELAY_MIN_MS
+        history = self._history(worker_id)
+        history.until_unix_ms = until_unix_ms
+        history.delay_ms = PROBE_DELAY_MIN_MS
         self._quarantined.add(worker_id)
 
     def quarantined_until_unix_ms(self, worker_id: WorkerId) -> int:
         """Return the time of a worker's next probe, or 0 if it is not quarantined."""
-        worker = self._workers.get(worker_id)
-        return worker.until_unix_ms if worker is not None else 0
+        history = self._histories.get(worker_id)
+        return history.until_unix_ms if history is not None else 0
 
     def record(
         self,
@@ -161,7 +161,7 @@
 
     def forget_worker(self, worker_id: WorkerId) -> None:
         """Remove the history of a worker that no longer exists."""
-        self._workers.pop(worker_id, None)
+        self._histories.pop(worker_id, None)
         self._quarantined.discard(worker_id)
 
     def forget_task(self, task_id: TaskId) -> None:
@@ -169,57 +169,61 @@
         self._failed_on.pop(task_id, None)
 
     def _history(self, worker_id: WorkerId) -> _WorkerHistory:
-        worker = self._workers.get(worker_id)
-        if worker is None:
-            worker = self._workers[worker_id] = _WorkerHistory()
-        return worker
+        history = self._histories.get(worker_id)
+        if history is None:
+            history = self._histories[worker_id] = _WorkerHistory()
+        return history
 
     def _record_success(self, worker_id: WorkerId, now_unix_ms: int) -> HealthVerdict:
-        worker = self._history(worker_id)
-        if worker.until_unix_ms > now_unix_ms:
+        history = self._history(worker_id)
+        if history.until_unix_ms > now_unix_ms:
             # The attempt started before the quarantine, so it is not a probe.
-            return HealthVerdict(worker.until_unix_ms)
-        worker.failures.clear()
-        worker.successes += 1
-        if worker.successes >= _SUCCESSES_TO_RESET_DELAY:
-            worker.delay_ms = 0
-        if worker.until_unix_ms == 0:
+            return HealthVerdict(history.until_unix_ms)
+        history.failures.clear()
+        history.successes += 1
+        if history.successes >= _SUCCESSES_TO_RESET_DELAY:
+            history.delay_ms = 0
+        if history.until_unix_ms == 0:
             return HealthVerdict()
-        worker.until_unix_ms = 0
+        history.until_unix_ms = 0
         self._quarantined.discard(worker_id)
         return HealthVerdict(0, True, False, "the probe succeeded")
 
     def _record_failure(
         self, worker_id: WorkerId, task_id: TaskId, now_unix_ms: int
     ) -> HealthVerdict:
-        worker = self._history(worker_id)
-        if worker.until_unix_ms > now_unix_ms:
-            return HealthVerdict(worker.until_unix_ms)
-        if worker.until_unix_ms:
+        history = self._history(worker_id)
+        if history.until_unix_ms > now_unix_ms:
+            return HealthVerdict(history.until_unix_ms)
+        if history.until_unix_ms:
             return self._start_quarantine(
-                worker_id, worker, now_unix_ms, "the probe failed"
+                worker_id, history, now_unix_ms, "the probe failed"
             )
         job_id, _ = split_task_id(task_id)
-        worker.failures.setdefault(job_id, set()).add(task_id)
+        history.failures.setdefault(job_id, set()).add(task_id)
         if (
-            len(worker.failures) < FAILURES_TO_QUARANTINE
+            len(history.failures) < FAILED_JOBS_TO_QUARANTINE
             or self._is_quarantine_limit_reached()
         ):
             return HealthVerdict()
-        reason = f"{len(worker.failures)} different jobs failed in a row"
-        return self._start_quarantine(worker_id, worker, now_unix_ms, reason)
+        reason = f"{len(history.failures)} different jobs failed in a row"
+        return self._start_quarantine(worker_id, history, now_unix_ms, reason)
 
     def _start_quarantine(
-        self, worker_id: WorkerId, worker: _WorkerHistory, now_unix_ms: int, reason: str
+        self,
+        worker_id: WorkerId,
+        history: _WorkerHistory,
+        now_unix_ms: int,
+        reason: str,
     ) -> HealthVerdict:
-        worker.delay_ms = min(
-            PROBE_DELAY_MAX_MS, max(PROBE_DELAY_MIN_MS, worker.delay_ms * 2)
+        history.delay_ms = min(
+            PROBE_DELAY_MAX_MS, max(PROBE_DELAY_MIN_MS, history.delay_ms * 2)
         )
-        worker.until_unix_ms = now_unix_ms + worker.delay_ms
-        worker.failures.clear()
-        worker.successes = 0
+        history.until_unix_ms = now_unix_ms + history.delay_ms
+        history.failures.clear()
+        history.successes = 0
         self._quarantined.add(worker_id)
-        return HealthVerdict(worker.until_unix_ms, True, False, reason)
+        return HealthVerdict(history.until_unix_ms, True, False, reason)
 
     def _is_quarantine_limit_reached(self) -> bool:
         if self._worker_count == 0:
@@ -237,10 +241,10 @@
         """
         job_id, _ = split_task_id(task_id)
         for worker_id in failed_workers:
-            worker = self._workers.get(worker_id)
-            tasks = worker.failures.get(job_id) if worker is not None else None
+            history = self._histories.get(worker_id)
+            tasks = history.failures.get(job_id) if history is not None else None
             if tasks is not None:
                 tasks.discard(task_id)
                 if not tasks:
-                    del worker.failures[job_id]
+                    del history.failures[job_id]
         del self._failed_on[task_id]
--- a/basilhold/placement/waiting.py
+++ b/basilhold/placement/waiting.py
@@ -133,7 +133,8 @@
     since_unix_ms : int
         Start of the wait.
     indices : list of int
-        Positions of the tasks in the job, in descending order.
+        Positions of the tasks in the job, in descending order, so that removing the
+        lowest takes constant time.
     """
 
     __slots__ = ("bucket", "indices", "job", "removed", "since_unix_ms")
