Give the reply to relayed advice requests a name of its own

Cause: a struct of basilhold/platform/runners.py has the same name, so that one name meant two things, and the list of outer names took the one for the other.

--- a/basilhold/workflows/peer_http.py
+++ b/basilhold/workflows/peer_http.py
@@ -100,7 +100,7 @@
     shared_ms: float | None = None
 
 
-class _AdviceReply(msgspec.Struct):
+class _RelayedAdviceReply(msgspec.Struct):
     admission: Admission | None
     reason: str = ""
 
@@ -250,7 +250,7 @@
         """Query the advice service through a peer's machine."""
         body = _AdviceBody(job_id, occurrence, step, workers, policy)
         result = await self._call(
-            endpoint, "advise", body, _AdviceReply, ADVICE_TIMEOUT_MS
+            endpoint, "advise", body, _RelayedAdviceReply, ADVICE_TIMEOUT_MS
         )
         if result.is_error():
             return Error("peer did not reply")
@@ -317,14 +317,14 @@
         value = msgspec.Raw(msgspec.json.encode(result.ok))
         return _StoreReply(value, shared_ms=self._service.shared_ms())
 
-    async def _serve_advise(self, body: bytes) -> _AdviceReply:
+    async def _serve_advise(self, body: bytes) -> _RelayedAdviceReply:
         call = msgspec.json.decode(body, type=_AdviceBody)
         result = await self._service.advise(
             call.job_id, call.occurrence, call.step, call.workers, call.policy
         )
         if result.is_error():
-            return _AdviceReply(None, result.error)
-        return _AdviceReply(result.ok)
+            return _RelayedAdviceReply(None, result.error)
+        return _RelayedAdviceReply(result.ok)
 
 
 def make_peer_server(service: PeerService) -> HTTPServer:
