--- a/basilhold/placement/shard_state.py
+++ b/basilhold/placement/shard_state.py
@@ -1,4 +1,4 @@
-"""Workers, live tasks and waiting jobs of one shard."""
+"""Planning state of one shard: workers, live tasks and waiting jobs."""
 
 from basilhold.core import (
     Assignment,
@@ -16,7 +16,7 @@
 from basilhold.placement.gpu_guard import GpuGuard
 from basilhold.placement.newest_tasks import NewestReclaimableTasks
 from basilhold.placement.plan import Placement
-from basilhold.placement.quotas import TeamLedger
+from basilhold.placement.quotas import TeamQuotas
 from basilhold.placement.shapes import WorkerShapes, count_fitting
 from basilhold.placement.waiting import JobState, WaitingQueue
 from basilhold.placement.worker_index import WorkerIndex
@@ -26,17 +26,49 @@
 
 
 class ShardState:
-    """Keeps the indexes consistent while workers, jobs and placements change.
-
-    Every method that changes a worker's free resources checks that they do not
-    become negative, and no task is ever live twice.
+    """Keeps workers, jobs, live tasks and indexes consistent while they change.
+
+    A live task is one that is held on a worker (planned but not committed) or committed
+    to it. Methods raise `InvariantError` if the free resources of a worker become
+    negative, or if a task would become live twice.
+
+    Attributes
+    ----------
+    workers : dict of WorkerId to WorkerState
+    tasks : dict of TaskId to LiveTask
+        The live tasks.
+    queue : WaitingQueue
+    teams : TeamQuotas
+    estimates : ClassEstimates
+    gpu_guard : GpuGuard
+    free_index : WorkerIndex
+        Free resources of the workers that take any work.
+    reclaim_index : WorkerIndex
+        Free and reclaimable resources of the workers that are schedulable and not
+        quarantined.
+    quarantined : dict of WorkerId to None
+        Quarantined workers, in a repeatable order.
+    newest : NewestReclaimableTasks
+    shapes : WorkerShapes
+    release_count : int
+        Increased whenever waiting tasks may fit that did not fit before.
+    backfill_version : int
+        Increased whenever a reserved worker may have room for tasks that it had none
+        for.
+    probe_is_due : bool
+        Whether a quarantined worker is due for a probe; see `update_probe_is_due`.
+    starving_credit : float
+        Credit of starving work above quota, of which each start costs 1; see
+        `PlanningPass`.
+    now_unix_ms : int
+        Time of the latest plan or report.
     """
 
     def __init__(self):
         self.workers: dict[WorkerId, WorkerState] = {}
         self.tasks: dict[TaskId, LiveTask] = {}
-        self.queue = WaitingQueue(self._may_avoid)
-        self.teams = TeamLedger()
+        self.queue = WaitingQueue(self._can_avoid)
+        self.teams = TeamQuotas()
         self.estimates = ClassEstimates()
         self.gpu_guard = GpuGuard()
         self.free_index = WorkerIndex()
@@ -44,96 +76,115 @@
         self.quarantined: dict[WorkerId, None] = {}
         self.newest = NewestReclaimableTasks()
         self.shapes = WorkerShapes()
-        self.releases = 0
+        self.release_count = 0
         self.backfill_version = 0
         self.probe_is_due = False
         self.starving_credit = 1.0
         self.now_unix_ms = 0
         self._orphans: dict[JobId, dict[int, LiveTask]] = {}
-        self._grown: set[WorkerId] = set()
-        self._unplaced_holds: dict[WorkerId, list[LiveTask]] = {}
+        self._workers_with_freed_room: set[WorkerId] = set()
+        self._holds_on_unknown_workers: dict[WorkerId, list[LiveTask]] = {}
 
     def upsert_worker(self, record: WorkerRecord, schedulable: bool) -> None:
-        """Replace what is committed to a worker."""
+        """Add a worker, or replace its record and the tasks committed to it.
+
+        Parameters
+        ----------
+        record : WorkerRecord
+        schedulable : bool
+            Whether the worker may be given tasks.
+
+        Raises
+        ------
+        InvariantError
+            If a task is also live on another worker, or the committed and held tasks
+            exceed the worker's capacity.
+        """
         worker = self.workers.get(record.worker_id)
         if worker is None:
             worker = self.workers[record.worker_id] = WorkerState(record)
             self.shapes.add(record.capacity)
-            self.queue.mark_retried()
-            for live in self._unplaced_holds.pop(record.worker_id, []):
+            self.queue.mark_jobs_with_failures()
+            for live in self._holds_on_unknown_workers.pop(record.worker_id, []):
                 if self.tasks.get(live.task_id) is live:
                     self._attach(live, worker)
         old_free = worker.free() if worker.is_open() else None
         worker.rack = record.rack
         worker.schedulable = schedulable
         if worker.capacity != record.capacity:
-            worker.take(worker.capacity)
-            worker.give_back(record.capacity)
+            worker.allocate(worker.capacity)
+            worker.deallocate(record.capacity)
             self.shapes.remove(worker.capacity)
             self.shapes.add(record.capacity)
             worker.capacity = record.capacity
-            self.queue.mark_retried()
-        self._note_quarantine(worker, record.quarantined_until_unix_ms)
-        named = {assignment.task_id for assignment in record.assignments}
-        gone = [
+            self.queue.mark_jobs_with_failures()
+        self._set_quarantine(worker, record.quarantined_until_unix_ms)
+        assigned = {assignment.task_id for assignment in record.assignments}
+        unassigned = [
             live
             for live in worker.tasks.values()
-            if not live.held and live.task_id not in named
+            if not live.held and live.task_id not in assigned
         ]
-        for live in gone:
+        for live in unassigned:
             self.release(live, requeued=True)
         for assignment in record.assignments:
             live = worker.tasks.get(assignment.task_id)
             if live is None or live.held or not live.matches(assignment):
                 self._commit_assignment(worker, assignment)
         if old_free is None or not worker.free().fits_in(old_free):
-            self.note_room(worker)
+            self.mark_room_freed(worker)
         self.reindex(worker)
 
     def remove_worker(self, worker_id: WorkerId) -> None:
-        """Remove a worker and what is committed to it."""
+        """Remove a worker and the tasks committed to it.
+
+        Held tasks stay live, and use the worker again if it is added again.
+        """
         worker = self.workers.pop(worker_id, None)
         if worker is None:
             return
         self.shapes.remove(worker.capacity)
-        self.queue.mark_retried()
+        self.queue.mark_jobs_with_failures()
         self.quarantined.pop(worker_id, None)
         self.free_index.discard(worker_id)
         self.reclaim_index.discard(worker_id)
         for live in worker.tasks.values():
             if live.held:
-                self._unplaced_holds.setdefault(worker_id, []).append(live)
+                self._holds_on_unknown_workers.setdefault(worker_id, []).append(live)
             else:
-                self._forget(live, requeued=True)
-        self.releases += 1
+                self._remove_live(live, requeued=True)
+        self.release_count += 1
 
     def upsert_job(self, record: JobRecord) -> None:
-        """Replace a job's record and link its live tasks."""
+        """Add a job or replace its record, and assign its live tasks to it."""
         job_id = record.spec.job_id
         job = self.queue.jobs.get(job_id)
         if job is None:
             job = self.queue.jobs[job_id] = JobState(record)
-            self.gpu_guard.observe(record.spec.task_resources)
+            self.gpu_guard.record_task_size(record.spec.task_resources)
             for live in self._orphans.pop(job_id, {}).values():
                 self._link(live, job)
-            self.queue.build(job)
+            self.queue.build_entries(job)
             return
         job.record = record
         job.spec = record.spec
         job.cancelled = record.cancel_requested
-        self.queue.mark(job_id)
+        self.queue.mark_changed(job_id)
 
     def remove_job(self, job_id: JobId) -> None:
-        """Remove a job; its live tasks stay until their worker's record drops them."""
+        """Remove a job.
+
+        Its live tasks stay until the records of their workers no longer list them.
+        """
         job = self.queue.remove(job_id)
         if job is not None and job.live:
             self._orphans[job_id] = dict(job.live)
             for live in job.live.values():
-                self._recount(live)
-                self._reindex_of(live)
+                self._update_reclaimable(live)
+                self._reindex_worker_of(live)
 
     def hold(self, job: JobState, index: int, worker: WorkerState) -> Placement:
-        """Take a worker's resources for a task that is about to be committed."""
+        """Allocate a worker's resources to a task that is about to be committed."""
         size = job.spec.task_resources
         task_id = make_task_id(job.spec.job_id, index)
         if task_id in self.tasks:
@@ -148,72 +199,88 @@
         if worker.quarantined_until_unix_ms:
             worker.probe_task_id = task_id
         if size.gpus_milli:
-            # With fewer free GPUs, the worker keeps less for GPU work.
-            self.note_room(worker)
+            # With fewer free GPUs, the worker keeps fewer cores and less memory for GPU
+            # work, so other work may fit now.
+            self.mark_room_freed(worker)
         self.reindex(worker)
         return Placement(task_id, attempt, worker.worker_id, size)
 
     def confirm(self, placement: Placement) -> None:
-        """Count a held task as committed."""
+        """Mark a held task as committed."""
         live = self.tasks.get(placement.task_id)
         if live is None or live.attempt != placement.attempt:
-            # The worker's record arrived first and already dropped the task again.
+            # A record of the worker that is newer than this commit has already removed
+            # the task.
             return
         if live.worker_id != placement.worker_id:
             raise InvariantError(f"task {live.task_id} is confirmed on another worker")
         live.held = False
-        self._recount(live)
-        self._reindex_of(live)
+        self._update_reclaimable(live)
+        self._reindex_worker_of(live)
 
     def abandon(self, placement: Placement) -> None:
-        """Release a held task."""
+        """Release a held task that was not committed."""
         live = self.tasks.get(placement.task_id)
         if live is None or not live.held or live.attempt != placement.attempt:
             return
         self.release(live, requeued=False)
-        self._reindex_of(live)
+        self._reindex_worker_of(live)
 
     def release(self, live: LiveTask, requeued: bool) -> None:
-        """Give a live task's resources back to its worker."""
+        """Remove a live task and free its resources on its worker.
+
+        Parameters
+        ----------
+        live : LiveTask
+        requeued : bool
+            Whether the task's wait starts now if it waits again. Otherwise, it keeps
+            its place in the queue.
+        """
         worker = self.workers.get(live.worker_id)
         live.finished = True
-        self._recount(live)
-        self._forget(live, requeued)
+        self._update_reclaimable(live)
+        self._remove_live(live, requeued)
         if worker is None:
             return
         del worker.tasks[live.task_id]
-        worker.give_back(live.size)
+        worker.deallocate(live.size)
         if worker.probe_task_id == live.task_id:
             worker.probe_task_id = None
-        self.note_room(worker)
+        self.mark_room_freed(worker)
 
     def mark_evicted(self, live: LiveTask, freeing: Resources) -> None:
-        """Record that a task was asked to give way and what that will free."""
+        """Record the eviction of a task and the resources that it will free."""
         live.evicted_unix_ms = max(1, self.now_unix_ms)
         live.freeing = freeing
-        self._recount(live)
-        self._reindex_of(live)
+        self._update_reclaimable(live)
+        self._reindex_worker_of(live)
 
     def clear_evicted(self, live: LiveTask) -> None:
-        """Record that a task that was asked to give way is still there."""
+        """Record that an evicted task still runs, so it no longer counts as evicted."""
         live.evicted_unix_ms = 0
-        self._recount(live)
-        self._reindex_of(live)
+        self._update_reclaimable(live)
+        self._reindex_worker_of(live)
 
-    def note_checkpoint(self, live: LiveTask, checkpoint_unix_ms: int) -> None:
-        """Record that work up to a time is safe."""
+    def record_checkpoint(self, live: LiveTask, checkpoint_unix_ms: int) -> None:
+        """Record that a task has saved its progress, at a time in Unix milliseconds."""
         self.newest.remove(live)
         live.checkpoint_unix_ms = checkpoint_unix_ms
-        self._recount(live)
+        self._update_reclaimable(live)
 
     def mark_finished(self, live: LiveTask) -> None:
-        """Record that a task does not run any more; its row still names it."""
+        """Record that a task has ended, although its worker's record still lists it."""
         live.finished = True
-        self._recount(live)
-        self._reindex_of(live)
+        self._update_reclaimable(live)
+        self._reindex_worker_of(live)
 
     def reindex(self, worker: WorkerState) -> None:
-        """Bring both indexes up to date with a worker."""
+        """Update both indexes for a worker.
+
+        Raises
+        ------
+        InvariantError
+            If more is committed to the worker than its capacity.
+        """
         if worker.is_overcommitted():
             raise InvariantError(
                 f"worker {worker.worker_id} is committed beyond its capacity: "
@@ -236,46 +303,59 @@
             gpus + worker.reclaimable_gpus_milli,
         )
 
-    def note_room(self, worker: WorkerState) -> None:
-        """Have blocked work that fits on a worker look at it again."""
-        self.releases += 1
-        self._grown.add(worker.worker_id)
+    def mark_room_freed(self, worker: WorkerState) -> None:
+        """Record that tasks may fit on a worker on which they did not fit before."""
+        self.release_count += 1
+        self._workers_with_freed_room.add(worker.worker_id)
         if worker.reserved:
             self.backfill_version += 1
 
     def unblock_sizes(self) -> None:
-        """Unblock the sizes that fit on a worker whose free resources grew."""
-        if not self._grown:
+        """Unblock the task sizes that fit on a worker whose room was recorded as freed.
+
+        See `mark_room_freed`. A blocked size is one that fits on no worker.
+        """
+        if not self._workers_with_freed_room:
             return
-        grown = [
+        free_resources = [
             worker.free()
-            for worker_id in self._grown
+            for worker_id in self._workers_with_freed_room
             if (worker := self.workers.get(worker_id)) is not None and worker.is_open()
         ]
-        self._grown.clear()
-        if not grown:
+        self._workers_with_freed_room.clear()
+        if not free_resources:
             return
-        most = Resources(
-            max(free.cores_milli for free in grown),
-            max(free.memory_bytes for free in grown),
-            max(free.gpus_milli for free in grown),
+        max_free = Resources(
+            max(free.cores_milli for free in free_resources),
+            max(free.memory_bytes for free in free_resources),
+            max(free.gpus_milli for free in free_resources),
         )
         for size, fit in self.queue.lanes.fits.items():
             if (
                 fit.fits_nowhere
-                and size.fits_in(most)
-                and any(size.fits_in(free) for free in grown)
+                and size.fits_in(max_free)
+                and any(size.fits_in(free) for free in free_resources)
             ):
                 fit.unblock()
 
-    def _may_avoid(
+    def _can_avoid(
         self, size: Resources, count: int, avoid: frozenset[WorkerId]
     ) -> bool:
-        """Return whether tasks could run without some workers if the rest were empty.
-
-        Otherwise tasks that have failed on those would wait for ever: a gang whose
-        tasks failed on different workers, or work whose other workers are gone or
-        quarantined, since a gang never probes a worker.
+        """Return whether tasks would fit on the other workers if those were empty.
+
+        Quarantined workers do not count. If the tasks do not fit, they must not avoid
+        the workers on which they failed, or they would wait for ever. Examples are a
+        gang whose tasks failed on different workers, and work whose other workers are
+        gone or quarantined, since a gang is never placed on a quarantined worker.
+
+        Parameters
+        ----------
+        size : Resources
+            Resources that each task needs.
+        count : int
+            Number of tasks.
+        avoid : frozenset of WorkerId
+            Workers to avoid.
         """
         for worker in self.workers.values():
             if worker.worker_id not in avoid and not worker.quarantined_until_unix_ms:
@@ -284,8 +364,11 @@
                     return True
         return False
 
-    def wake_quarantined(self) -> None:
-        """Note whether a quarantined worker is due for a probe."""
+    def update_probe_is_due(self) -> None:
+        """Update `probe_is_due`.
+
+        A worker is due if the time of its probe has come and no probe runs on it.
+        """
         self.probe_is_due = False
         for worker_id in self.quarantined:
             worker = self.workers[worker_id]
@@ -294,19 +377,22 @@
                 self.probe_is_due = True
                 return
 
-    def update_gpu_wait(self) -> None:
-        """Note whether GPU work waits that some worker could run."""
+    def update_gpu_work_waits(self) -> None:
+        """Update whether GPU work waits that some worker could run.
+
+        A change unblocks the work that needs no GPUs.
+        """
         waits = any(self.shapes.could_run(size) for size in self.queue.gpu_sizes())
         if waits != self.gpu_guard.gpu_work_waits:
             self.gpu_guard.gpu_work_waits = waits
-            self.releases += 1
+            self.release_count += 1
             for size, fit in self.queue.lanes.fits.items():
                 if size.gpus_milli == 0:
                     fit.unblock()
 
-    def _note_quarantine(self, worker: WorkerState, until_unix_ms: int) -> None:
+    def _set_quarantine(self, worker: WorkerState, until_unix_ms: int) -> None:
         if bool(worker.quarantined_until_unix_ms) != bool(until_unix_ms):
-            self.queue.mark_retried()
+            self.queue.mark_jobs_with_failures()
         worker.quarantined_until_unix_ms = until_unix_ms
         if until_unix_ms:
             self.quarantined[worker.worker_id] = None
@@ -315,6 +401,7 @@
             worker.probe_task_id = None
 
     def _commit_assignment(self, worker: WorkerState, assignment: Assignment) -> None:
+        """Make a live task match an assignment in its worker's record."""
         live = self.tasks.get(assignment.task_id)
         if live is not None and live.worker_id != worker.worker_id:
             raise InvariantError(
@@ -323,22 +410,22 @@
         if live is not None and (
             live.attempt != assignment.attempt or live.size != assignment.resources
         ):
-            self._resize(live, worker, assignment)
+            self._update_assignment(live, worker, assignment)
         elif live is not None:
             live.held = False
         else:
-            live = self._adopt(worker, assignment)
-        self._recount(live)
+            live = self._add_assignment(worker, assignment)
+        self._update_reclaimable(live)
 
-    def _resize(
+    def _update_assignment(
         self, live: LiveTask, worker: WorkerState, assignment: Assignment
     ) -> None:
-        """Take over a new attempt or a throttled size of a known task."""
+        """Apply a new attempt or a new size, after a throttle, to a live task."""
         team = live.job.spec.team if live.job is not None else None
         live.held = True
-        self._recount(live)
-        worker.give_back(live.size)
-        worker.take(assignment.resources)
+        self._update_reclaimable(live)
+        worker.deallocate(live.size)
+        worker.allocate(assignment.resources)
         if team is not None:
             self.teams.subtract(team, live.size)
             self.teams.add(team, assignment.resources)
@@ -352,7 +439,8 @@
         live.size = assignment.resources
         live.held = False
 
-    def _adopt(self, worker: WorkerState, assignment: Assignment) -> LiveTask:
+    def _add_assignment(self, worker: WorkerState, assignment: Assignment) -> LiveTask:
+        """Add a committed task that was not live, as after a takeover."""
         job_id, index = split_task_id(assignment.task_id)
         live = LiveTask(
             assignment.task_id,
@@ -368,16 +456,18 @@
             self._orphans.setdefault(job_id, {})[index] = live
         else:
             self._link(live, job)
-            self.queue.mark(job_id)
+            self.queue.mark_changed(job_id)
         return live
 
     def _attach(self, live: LiveTask, worker: WorkerState) -> None:
+        """Add a live task to a worker and allocate its resources there."""
         self.tasks[live.task_id] = live
         worker.tasks[live.task_id] = live
         live.rack = worker.rack
-        worker.take(live.size)
+        worker.allocate(live.size)
 
     def _link(self, live: LiveTask, job: JobState) -> None:
+        """Assign a live task to its job and count its resources for the team."""
         if live.job is not None:
             self.teams.subtract(live.job.spec.team, live.size)
         live.job = job
@@ -385,14 +475,15 @@
         self.teams.add(job.spec.team, live.size)
         if job.is_service:
             job.count_rack(live.rack, 1)
-        self._recount(live)
+        self._update_reclaimable(live)
 
-    def _forget(self, live: LiveTask, requeued: bool) -> None:
+    def _remove_live(self, live: LiveTask, requeued: bool) -> None:
+        """Remove a live task from everything except its worker."""
         del self.tasks[live.task_id]
         self.newest.remove(live)
         job = live.job
         if job is None or job.removed:
-            self._forget_orphan(live)
+            self._remove_orphan(live)
         if job is None:
             return
         job.live.pop(live.index, None)
@@ -402,10 +493,11 @@
         live.job = None
         if not job.removed:
             if requeued:
-                job.note_requeued(live.index, self.now_unix_ms)
-            self.queue.mark(job.spec.job_id)
+                job.record_requeued(live.index, self.now_unix_ms)
+            self.queue.mark_changed(job.spec.job_id)
 
-    def _forget_orphan(self, live: LiveTask) -> None:
+    def _remove_orphan(self, live: LiveTask) -> None:
+        """Remove a task from the live tasks whose job is unknown, if it is one."""
         job_id, index = split_task_id(live.task_id)
         orphans = self._orphans.get(job_id)
         if orphans is not None and orphans.get(index) is live:
@@ -413,14 +505,14 @@
             if not orphans:
                 del self._orphans[job_id]
 
-    def _reindex_of(self, live: LiveTask) -> None:
+    def _reindex_worker_of(self, live: LiveTask) -> None:
         worker = self.workers.get(live.worker_id)
         if worker is not None:
             self.reindex(worker)
 
-    def _recount(self, live: LiveTask) -> None:
-        """Bring the lists of tasks that may be reclaimed up to date."""
+    def _update_reclaimable(self, live: LiveTask) -> None:
+        """Update the reclaimable resources and tasks after a change of a live task."""
         worker = self.workers.get(live.worker_id)
         if worker is not None:
-            worker.count_reclaimable(live)
+            worker.update_reclaimable(live)
         self.newest.update(live)
--- a/basilhold/placement/worker_index.py
+++ b/basilhold/placement/worker_index.py
@@ -9,7 +9,7 @@
 
 __all__ = ["WorkerIndex"]
 
-_Cell = dict[WorkerId, tuple[WorkerState, int, int, int]]
+_Group = dict[WorkerId, tuple[WorkerState, int, int, int]]
 
 
 def _level(amount: int) -> int:
@@ -20,24 +20,27 @@
     return (bits << 2) | ((amount >> (bits - 3)) & 3)
 
 
-class _ShapeCells:
-    """Workers of one capacity, in cells of similar amounts."""
+class _ShapeIndex:
+    """Index of the workers of one capacity, grouped by similar amounts.
 
-    __slots__ = ("capacity", "cells", "memory_per_core")
+    The key of a group consists of the levels of GPUs, cores and memory. See `_level`.
+    """
+
+    __slots__ = ("capacity", "groups", "memory_per_core")
 
     def __init__(self, capacity: Resources):
         self.capacity = capacity
-        self.cells: SortedDict = SortedDict()
+        self.groups: SortedDict = SortedDict()
         self.memory_per_core = capacity.memory_bytes / max(1, capacity.cores_milli)
 
     def fitting(self, size: Resources) -> Iterator[WorkerState]:
-        """Yield the workers with room, the fullest first."""
+        """Yield the workers with room, in ascending order of their group's key."""
         cores, memory, gpus = size.cores_milli, size.memory_bytes, size.gpus_milli
         low_gpus, low_cores, low_memory = _level(gpus), _level(cores), _level(memory)
-        for key in self.cells.irange(minimum=(low_gpus, low_cores, low_memory)):
+        for key in self.groups.irange(minimum=(low_gpus, low_cores, low_memory)):
             if key[1] < low_cores or key[2] < low_memory:
                 continue
-            cell = self.cells[key]
+            cell = self.groups[key]
             if key[0] > low_gpus and key[1] > low_cores and key[2] > low_memory:
                 for member in cell.values():
                     yield member[0]
@@ -48,35 +51,46 @@
 
 
 class WorkerIndex:
-    """Finds workers with a given amount of each resource without scanning all.
+    """Index that finds workers with given amounts of resources without a full scan.
 
-    Workers of equal capacity share a shape. Within a shape, workers are grouped
-    into cells by the logarithmic level of each amount, so that a search visits only
-    the cells at or above the levels that it needs.
+    Workers of equal capacity have the same shape. Within a shape, workers are grouped
+    by the logarithmic level of each amount, so that a search visits only the groups at
+    or above the levels that it needs.
     """
 
     def __init__(self):
-        self._shapes: dict[Resources, _ShapeCells] = {}
-        self._positions: dict[WorkerId, tuple[_ShapeCells, tuple[int, int, int]]] = {}
-        self._shape_order: dict[tuple[bool, int], list[_ShapeCells]] = {}
+        self._shapes: dict[Resources, _ShapeIndex] = {}
+        self._positions: dict[WorkerId, tuple[_ShapeIndex, tuple[int, int, int]]] = {}
+        self._shape_order: dict[tuple[bool, int], list[_ShapeIndex]] = {}
 
     def put(self, worker: WorkerState, cores: int, memory: int, gpus: int) -> None:
-        """Insert a worker with its amounts, or move it."""
+        """Insert a worker or update its amounts.
+
+        Parameters
+        ----------
+        worker : WorkerState
+        cores : int
+            Thousandths of a core.
+        memory : int
+            Bytes.
+        gpus : int
+            Thousandths of a GPU.
+        """
         key = (_level(gpus), _level(cores), _level(memory))
         position = self._positions.get(worker.worker_id)
         if position is not None:
             shape, old_key = position
             if old_key == key and shape.capacity is worker.capacity:
-                shape.cells[key][worker.worker_id] = (worker, cores, memory, gpus)
+                shape.groups[key][worker.worker_id] = (worker, cores, memory, gpus)
                 return
             self.discard(worker.worker_id)
         shape = self._shapes.get(worker.capacity)
         if shape is None:
-            shape = self._shapes[worker.capacity] = _ShapeCells(worker.capacity)
+            shape = self._shapes[worker.capacity] = _ShapeIndex(worker.capacity)
             self._shape_order.clear()
-        cell: _Cell | None = shape.cells.get(key)
+        cell: _Group | None = shape.groups.get(key)
         if cell is None:
-            cell = shape.cells[key] = {}
+            cell = shape.groups[key] = {}
         cell[worker.worker_id] = (worker, cores, memory, gpus)
         self._positions[worker.worker_id] = (shape, key)
 
@@ -86,10 +100,10 @@
         if position is None:
             return
         shape, key = position
-        cell = shape.cells[key]
+        cell = shape.groups[key]
         del cell[worker_id]
         if not cell:
-            del shape.cells[key]
+            del shape.groups[key]
 
     def amounts(self, worker_id: WorkerId) -> Resources | None:
         """Return a worker's amounts, or ``None`` if it is not present."""
@@ -97,18 +111,19 @@
         if position is None:
             return None
         shape, key = position
-        return Resources(*shape.cells[key][worker_id][1:])
+        return Resources(*shape.groups[key][worker_id][1:])
 
     def fitting(
         self, size: Resources, gpu_shapes: bool = True
     ) -> Iterator[WorkerState]:
-        """Yield the workers with room for a size, the best shapes first.
+        """Yield the workers whose amounts cover a size, the most suitable shapes first.
 
         The index must not change while the iterator is in use.
 
         Parameters
         ----------
         size : Resources
+            Resources that a task needs.
         gpu_shapes : bool
             Whether to include workers with GPUs.
         """
@@ -118,8 +133,12 @@
             ):
                 yield from shape.fitting(size)
 
-    def _shapes_for(self, size: Resources) -> list[_ShapeCells]:
-        """Return the shapes without unneeded GPUs first, then by memory per core."""
+    def _shapes_for(self, size: Resources) -> list[_ShapeIndex]:
+        """Return all shapes in the order in which to search them.
+
+        Those with the fewest GPUs come first, then those whose memory per core is
+        closest to that of the size.
+        """
         ratio = size.memory_bytes / max(1, size.cores_milli)
         order_key = (size.gpus_milli > 0, _level(int(ratio)))
         order = self._shape_order.get(order_key)
