Rename the slot report handler and rules of the request queue

Some names of the requests package were figurative (lender, borrower, refusal) or hid that a method changes state (take, failed).

basilhold/requests/lender.py SlotLender SlotReportHandler basilhold/requests/once.py judge_repeat choose_repeat_action basilhold/requests/routing.py of_service upstreams_of_service basilhold/requests/routing.py open_breakers open_breaker_count basilhold/requests/routing.py set_idle set_idle_count basilhold/requests/routing.py farthest max_distance basilhold/requests/queue.py refusal rejection_reason basilhold/requests/queue.py late_refusal late_rejection_reason basilhold/requests/queue.py whole check_all basilhold/requests/queue.py ratio wait_ratio basilhold/requests/allocator.py refusal rejection_reply basilhold/requests/allocator.py report apply_report basilhold/requests/allocator.py has_news has_pending_changes basilhold/requests/allocator.py gone_ms vm_absence_ms basilhold/requests/allocator.py GONE_MS VM_ABSENCE_MS basilhold/requests/allocator.py current_number last_report_number basilhold/requests/retries.py take try_consume basilhold/requests/borrowers.py Borrower GatewayState basilhold/requests/queue.py ticket decision_future basilhold/requests/health.py succeeded record_success basilhold/requests/health.py failed record_failure basilhold/requests/health.py abandoned record_abandonment basilhold/requests/health.py started record_start basilhold/requests/queue.py started record_start basilhold/requests/queue.py ended record_end basilhold/requests/lender.py lender report_handler basilhold/requests/borrowers.py borrowers gateway_state basilhold/nodes/slot_lending.py lender handler basilhold/nodes/slot_lending.py _lenders _handlers basilhold/nodes/slot_lending.py _current_lender _current_handler basilhold/nodes/slot_lending.py _make_lender _make_handler basilhold/testing/request_cell.py lender handler basilhold/testing/request_links.py lender handler

--- a/basilhold/benchmarks/request_load.py
+++ b/basilhold/benchmarks/request_load.py
@@ -177,7 +177,7 @@
 
 
 class _UnlimitedRetries(RetryBudget):
-    def take(self) -> bool:
+    def try_consume(self) -> bool:
         self.retry_count += 1
         return True
 
--- a/basilhold/benchmarks/requests.py
+++ b/basilhold/benchmarks/requests.py
@@ -113,7 +113,7 @@
     records = [_record(f"up-{n}", 1) for n in range(count)]
     router.update(records)
     for record in records:
-        router.set_idle(UpstreamId(record.vm_id), 8)
+        router.set_idle_count(UpstreamId(record.vm_id), 8)
     return router
 
 
@@ -149,7 +149,7 @@
     costs = {}
     for count in (20, 200, 2000):
         router = make_router(count)
-        upstreams = [router.find(u) for u in router.of_service(SERVICE)]
+        upstreams = [router.find(u) for u in router.upstreams_of_service(SERVICE)]
         cost = _time_us(lambda r=router: r.choose(SERVICE, 0.0), 20_000)
         scan = _time_us(
             lambda us=upstreams: min(us, key=attrgetter("in_flight")),
--- a/basilhold/gateway/attempts.py
+++ b/basilhold/gateway/attempts.py
@@ -106,7 +106,7 @@
             return end
         except asyncio.CancelledError:
             self._counters.counts[Count.CALLERS_GONE] += 1
-            health.abandoned(self._clock.monotonic_ms())
+            health.record_abandonment(self._clock.monotonic_ms())
             raise
         finally:
             self._free(attempt, linger)
@@ -152,17 +152,17 @@
             self._dispatcher.on_shortage()
             return
         if end.whole and not attempt.sink.is_server_error:
-            upstream.health.succeeded(now_ms)
+            upstream.health.record_success(now_ms)
             self._times.record(attempt.service, class_name, duration_ms)
             return
         if not end.whole and attempt.sink.head is not None:
             self._counters.counts[Count.TRUNCATED_ANSWERS] += 1
         mean_ms = self._times.class_ms(attempt.service, class_name)
         if end.timed_out and duration_ms < TIMEOUT_MEANS * mean_ms:
-            upstream.health.abandoned(now_ms)
+            upstream.health.record_abandonment(now_ms)
             return
         was_open = upstream.health.state is BreakerState.OPEN
-        upstream.health.failed(now_ms)
+        upstream.health.record_failure(now_ms)
         if upstream.health.state is BreakerState.OPEN and not was_open:
             log_event(UPSTREAM_BREAKER_OPENED, upstream=upstream.upstream_id)
 
--- a/basilhold/gateway/dispatch.py
+++ b/basilhold/gateway/dispatch.py
@@ -107,7 +107,7 @@
     ) -> ProblemKind | None:
         """Return why a request can't be queued, or ``None``."""
         queue = self._queue(service)
-        kind = queue.refusal(
+        kind = queue.rejection_reason(
             queued,
             self._clock.monotonic_ms(),
             self._expected_wait_ms(service),
@@ -127,7 +127,7 @@
         queue = self._queue(service)
         future: asyncio.Future[Granted | ProblemKind]
         future = asyncio.get_running_loop().create_future()
-        queued.ticket = future
+        queued.decision_future = future
         queue.add(queued, self._clock.monotonic_ms())
         self._dispatch(service)
         if not future.done():
@@ -149,9 +149,9 @@
         health = granted.upstream.health
         if granted.is_probe and health.state is BreakerState.PROBING:
             # The request ended without a result, for example before it was sent.
-            health.abandoned(self._clock.monotonic_ms())
+            health.record_abandonment(self._clock.monotonic_ms())
         granted.upstream.in_flight -= 1
-        self._queue(service).ended(queued.team)
+        self._queue(service).record_end(queued.team)
         self._holder.release(granted.token)
         self._dispatch(service)
 
@@ -276,11 +276,13 @@
         self, service: ServiceName, queue: RequestQueue, head: QueuedRequest
     ) -> bool:
         """Grant a slot to a waiting request, or refuse it, if either can be done."""
-        if head.ticket.done():
+        if head.decision_future.done():
             # Its caller has left.
             return queue.remove(head)
         now_ms = self._clock.monotonic_ms()
-        kind = queue.late_refusal(head, now_ms, self._times.service_ms(service))
+        kind = queue.late_rejection_reason(
+            head, now_ms, self._times.service_ms(service)
+        )
         if kind is not None:
             self._refuse(queue, head, kind)
             return True
@@ -288,10 +290,10 @@
         if granted is None:
             return False
         queue.remove(head)
-        queue.started(head.team)
+        queue.record_start(head.team)
         granted.upstream.in_flight += 1
-        granted.upstream.health.started()
-        head.ticket.set_result(granted)
+        granted.upstream.health.record_start()
+        head.decision_future.set_result(granted)
         return True
 
     def _refuse(
@@ -300,8 +302,8 @@
         queue.remove(queued)
         if kind is ProblemKind.OVERLOADED:
             self._missed(queue.service).add(self._clock.monotonic_ms())
-        if not queued.ticket.done():
-            queued.ticket.set_result(kind)
+        if not queued.decision_future.done():
+            queued.decision_future.set_result(kind)
 
     def _grant(self, service: ServiceName, head: QueuedRequest) -> Granted | None:
         upstream = self._router.choose(
@@ -327,7 +329,7 @@
         self.dispatch_all()
 
     def _slots_of_upstream_changed(self, upstream_id: UpstreamId) -> None:
-        self._router.set_idle(upstream_id, self._holder.idle_count(upstream_id))
+        self._router.set_idle_count(upstream_id, self._holder.idle_count(upstream_id))
         upstream = self._router.find(upstream_id)
         if upstream is None or upstream.distance is Distance.OTHER_REGION:
             return
--- a/basilhold/gateway/once.py
+++ b/basilhold/gateway/once.py
@@ -33,7 +33,7 @@
     RepeatAction,
     RequestPeers,
     RequestProgress,
-    judge_repeat,
+    choose_repeat_action,
 )
 from basilhold.requests.once import record_key
 
@@ -259,7 +259,7 @@
         self, key: RequestKey, row: Row, fingerprint: str, deadline_ms: float
     ) -> OnceOpening | None:
         record = msgspec.json.decode(row.value, type=OnceRecord)
-        action = judge_repeat(record, fingerprint, self._clock.unix_ms())
+        action = choose_repeat_action(record, fingerprint, self._clock.unix_ms())
         if action is RepeatAction.REJECT_REUSE:
             return not_run_problem(
                 ProblemKind.KEY_REUSED,
--- a/basilhold/gateway/service.py
+++ b/basilhold/gateway/service.py
@@ -359,7 +359,10 @@
         delay_ms = self._retries.delay_ms(course.attempts)
         queued = course.queued
         excluded = queued.excluded | {course.upstream_id}
-        if self._parts.router.of_service(course.work_class.service) <= excluded:
+        if (
+            self._parts.router.upstreams_of_service(course.work_class.service)
+            <= excluded
+        ):
             return False
         service_ms = self._times.class_ms(
             course.work_class.service, course.work_class.name
@@ -367,7 +370,7 @@
         now_ms = self._clock.monotonic_ms()
         if now_ms + delay_ms + service_ms > queued.deadline_ms - SEND_LEAD_MS:
             return False
-        if not self._retries.take():
+        if not self._retries.try_consume():
             return False
         self.counters.counts[Count.RETRIES] += 1
         queued.excluded = excluded
--- a/basilhold/gateway/status.py
+++ b/basilhold/gateway/status.py
@@ -54,7 +54,7 @@
         for name in self._router.services():
             metrics.set(
                 metric("basilhold_circuits_open"),
-                self._router.open_breakers(name),
+                self._router.open_breaker_count(name),
                 service=name,
             )
             self._collect_slots(metrics, name)
@@ -86,7 +86,7 @@
             )
 
     def _collect_slots(self, metrics: Metrics, service: ServiceName) -> None:
-        upstream_ids = self._router.of_service(service)
+        upstream_ids = self._router.upstreams_of_service(service)
         idle = sum(self._holder.idle_count(u) for u in upstream_ids)
         held = sum(self._holder.held_count(u) for u in upstream_ids)
         for state, count in (("idle", idle), ("busy", held - idle)):
--- a/basilhold/gateway/tests/test_service.py
+++ b/basilhold/gateway/tests/test_service.py
@@ -93,7 +93,7 @@
         async with cell.gateway() as service:
             health = service.parts.router.find(cell.ids[0]).health
             for _ in range(5):
-                health.failed(0)
+                health.record_failure(0)
             await asyncio.sleep(2)
             queued = QueuedRequest("quote", "desk", 2000, 200, 7000)
             granted = await service.dispatcher.wait(SERVICE, queued)
--- a/basilhold/nodes/slot_lending.py
+++ b/basilhold/nodes/slot_lending.py
@@ -8,8 +8,8 @@
 from basilhold.requests import (
     SlotAllocator,
     SlotGrant,
-    SlotLender,
     SlotReport,
+    SlotReportHandler,
     Takeover,
 )
 from basilhold.sharding import ShardOwner, ShardScheduler
@@ -18,7 +18,7 @@
 
 
 class SlotLending:
-    """Keeps one lender per owned shard.
+    """Keeps one handler per owned shard.
 
     Parameters
     ----------
@@ -40,47 +40,49 @@
         self._directory = directory
         self._clock = clock
         self._longest_deadline_ms = longest_deadline_ms
-        self._lenders: dict[ZoneName, SlotLender] = {}
+        self._handlers: dict[ZoneName, SlotReportHandler] = {}
 
     async def exchange(
         self, zone: ZoneName, report: SlotReport
     ) -> Result[SlotGrant, str]:
         """Answer a gateway's report; an error if this process is not the owner."""
-        lender = self._current_lender(zone)
-        if lender is None:
+        handler = self._current_handler(zone)
+        if handler is None:
             return Error(f"this process does not own zone {zone}")
-        return Ok(await lender.exchange(report))
+        return Ok(await handler.exchange(report))
 
-    def _current_lender(self, zone: ZoneName) -> SlotLender | None:
-        """Return the lender of the epoch that this process owns now.
+    def _current_handler(self, zone: ZoneName) -> SlotReportHandler | None:
+        """Return the handler of the epoch that this process owns now.
 
         A refresh reads the whole VM list, so a report causes one only after a change
         of ownership; other changes arrive by the timer and with each relay update.
         """
         owner = self._scheduler.owner(zone)
-        lender = self._lenders.get(zone)
+        handler = self._handlers.get(zone)
         owned_epoch = owner.epoch if owner else None
-        known_epoch = lender.allocator.epoch if lender else None
+        known_epoch = handler.allocator.epoch if handler else None
         if owned_epoch != known_epoch:
             self.refresh()
-        return self._lenders.get(zone)
+        return self._handlers.get(zone)
 
     def refresh(self) -> None:
         """Follow changes of ownership, upstreams and entry VMs."""
         owned = {
             zone: self._scheduler.owner(zone) for zone in self._scheduler.owned_zones()
         }
-        for zone in [zone for zone in self._lenders if zone not in owned]:
-            del self._lenders[zone]
+        for zone in [zone for zone in self._handlers if zone not in owned]:
+            del self._handlers[zone]
         for zone, owner in owned.items():
-            lender = self._lenders.get(zone)
-            if lender is None or lender.allocator.epoch != owner.epoch:
-                self._lenders[zone] = self._make_lender(zone, owner)
+            handler = self._handlers.get(zone)
+            if handler is None or handler.allocator.epoch != owner.epoch:
+                self._handlers[zone] = self._make_handler(zone, owner)
             self._update(zone, owner)
 
     def frozen_count(self) -> int:
         """Return the number of tokens that nobody may use."""
-        return sum(lender.allocator.frozen_count() for lender in self._lenders.values())
+        return sum(
+            handler.allocator.frozen_count() for handler in self._handlers.values()
+        )
 
     def frozen_by_service(self) -> dict[ServiceName, int]:
         """Return the number of tokens that nobody may use, by service.
@@ -90,14 +92,14 @@
         frozen = {
             record.service: 0
             for record in self._directory.upstreams()
-            if record.zone in self._lenders and record.service
+            if record.zone in self._handlers and record.service
         }
-        for lender in self._lenders.values():
-            for service, count in lender.allocator.frozen_by_service().items():
+        for handler in self._handlers.values():
+            for service, count in handler.allocator.frozen_by_service().items():
                 frozen[service] = frozen.get(service, 0) + count
         return frozen
 
-    def _make_lender(self, zone: ZoneName, owner: ShardOwner) -> SlotLender:
+    def _make_handler(self, zone: ZoneName, owner: ShardOwner) -> SlotReportHandler:
         inherited = owner.inherited
         takeover = None
         if inherited is not None:
@@ -112,13 +114,13 @@
             owner.epoch,
             takeover,
             self._longest_deadline_ms,
-            gone_ms=0,
+            vm_absence_ms=0,
         )
-        return SlotLender(allocator, self._clock)
+        return SlotReportHandler(allocator, self._clock)
 
     def _update(self, zone: ZoneName, owner: ShardOwner) -> None:
-        lender = self._lenders[zone]
-        allocator = lender.allocator
+        handler = self._handlers[zone]
+        allocator = handler.allocator
         allocator.set_horizon(owner.horizon_unix_ms)
         allocator.update_upstreams(
             record
@@ -128,4 +130,4 @@
         allocator.update_entry_vms(
             self._directory.remaining_entry_vms(), self._clock.unix_ms()
         )
-        lender.notify()
+        handler.notify()
--- a/basilhold/requests/__init__.py
+++ b/basilhold/requests/__init__.py
@@ -1,8 +1,8 @@
 """Decisions about callers' requests. Performs no I/O."""
 
 from basilhold.requests.allocator import SlotAllocator
-from basilhold.requests.borrowers import Takeover
 from basilhold.requests.estimates import RateWindow, ServiceTimes
+from basilhold.requests.gateway_state import Takeover
 from basilhold.requests.health import BreakerState, HealthLimits, UpstreamHealth
 from basilhold.requests.holder import SlotHolder
 from basilhold.requests.interfaces import (
@@ -14,7 +14,6 @@
     RequestProgress,
     SlotExchange,
 )
-from basilhold.requests.lender import SlotLender
 from basilhold.requests.model import (
     CallerRequest,
     GatewayIdentity,
@@ -28,10 +27,11 @@
     OnceRecord,
     OnceState,
     RepeatAction,
-    judge_repeat,
+    choose_repeat_action,
     make_request_key,
 )
 from basilhold.requests.queue import QueuedRequest, QueueLimits, RequestQueue
+from basilhold.requests.report_handler import SlotReportHandler
 from basilhold.requests.retries import RetryBudget
 from basilhold.requests.routing import LEAVING_MS, Distance, Router, Upstream
 from basilhold.requests.tokens import (
@@ -78,12 +78,12 @@
     "SlotExchange",
     "SlotGrant",
     "SlotHolder",
-    "SlotLender",
+    "SlotReportHandler",
     "SlotReport",
     "SlotToken",
     "Takeover",
     "Upstream",
     "UpstreamHealth",
-    "judge_repeat",
+    "choose_repeat_action",
     "make_request_key",
 ]
--- a/basilhold/requests/allocator.py
+++ b/basilhold/requests/allocator.py
@@ -15,14 +15,14 @@
     ZoneName,
 )
 from basilhold.ports import VmKind, VmRecord, VmState
-from basilhold.requests.borrowers import Borrower, Takeover
+from basilhold.requests.gateway_state import GatewayState, Takeover
 from basilhold.requests.ledger import SlotLedger, SlotState
 from basilhold.requests.routing import LEAVING_MS
 from basilhold.requests.tokens import HeldToken, SlotGrant, SlotReport, SlotToken
 
 __all__ = ["SlotAllocator"]
 
-GONE_MS = 30_000
+VM_ABSENCE_MS = 30_000
 """A gateway is gone once the VM list has not shown its VM for this long."""
 
 CLAIM_MS = 15_000
@@ -51,7 +51,7 @@
         None if no predecessor can have lent tokens.
     longest_deadline_ms : int
         Longest timeout of any class, in milliseconds.
-    gone_ms : int
+    vm_absence_ms : int
         Absence after which an entry VM is gone, in milliseconds; 0 if the caller of
         `update_entry_vms` leaves out only VMs that are proved gone.
     """
@@ -63,16 +63,16 @@
         epoch: Epoch,
         takeover: Takeover | None = None,
         longest_deadline_ms: int = 60_000,
-        gone_ms: int = GONE_MS,
+        vm_absence_ms: int = VM_ABSENCE_MS,
     ):
         self.zone = zone
         self._region = region
         self.epoch = epoch
         self._takeover = takeover
         self._longest_deadline_ms = longest_deadline_ms
-        self._gone_ms = gone_ms
+        self._gone_ms = vm_absence_ms
         self._ledger = SlotLedger()
-        self._gateways: dict[ProcessId, Borrower] = {}
+        self._gateways: dict[ProcessId, GatewayState] = {}
         self._reported_vms: set[VmId] = set()
         self._newest_starts: dict[VmId, int] = {}
         self._gone_since: dict[VmId, int] = {}
@@ -123,7 +123,7 @@
             else:
                 self._gone_since.setdefault(vm_id, now_unix_ms)
 
-    def report(self, report: SlotReport, now_unix_ms: int) -> bool:
+    def apply_report(self, report: SlotReport, now_unix_ms: int) -> bool:
         """Take a report and return whether it gets a reply from `reply`.
 
         Delayed reports and those with a higher epoch do not.
@@ -153,7 +153,7 @@
         self._plan_recalls()
         return True
 
-    def has_news(self, gateway_id: ProcessId) -> bool:
+    def has_pending_changes(self, gateway_id: ProcessId) -> bool:
         """Return whether a gateway's reply would say anything new."""
         gateway = self._gateways.get(gateway_id)
         if gateway is None:
@@ -177,13 +177,13 @@
             gateway.number, self.epoch, tuple(granted), tuple(gateway.recalled)
         )
 
-    def refusal(self, report: SlotReport) -> SlotGrant:
+    def rejection_reply(self, report: SlotReport) -> SlotGrant:
         """Return the reply to a report that `report` did not take."""
         return SlotGrant(
             report.number, self.epoch, refused_epoch=report.epoch > self.epoch
         )
 
-    def current_number(self, gateway_id: ProcessId) -> int:
+    def last_report_number(self, gateway_id: ProcessId) -> int:
         """Return the number of a gateway's last report."""
         gateway = self._gateways.get(gateway_id)
         return 0 if gateway is None else gateway.number
@@ -197,19 +197,19 @@
         services = (self._ledger.service_of(t) for t in self._ledger.unclaimed())
         return dict(Counter(service for service in services if service is not None))
 
-    def _gateway(self, report: SlotReport, now_unix_ms: int) -> Borrower:
+    def _gateway(self, report: SlotReport, now_unix_ms: int) -> GatewayState:
         gateway = self._gateways.get(report.gateway_id)
         if gateway is None:
             for other in self._gateways.values():
                 # A VM runs one gateway, which binds its port, so the other has ended.
                 if other.vm_id == report.vm_id and other.dead_since_unix_ms is None:
                     other.dead_since_unix_ms = now_unix_ms
-            gateway = Borrower(report)
+            gateway = GatewayState(report)
             self._gateways[report.gateway_id] = gateway
             self._newest_starts[report.vm_id] = report.started_unix_ms
         return gateway
 
-    def _take_holdings(self, gateway: Borrower, report: SlotReport) -> None:
+    def _take_holdings(self, gateway: GatewayState, report: SlotReport) -> None:
         reported = {held.token: held for held in report.held}
         for token in self._ledger.held_by(gateway.gateway_id):
             if token not in reported:
@@ -239,12 +239,12 @@
                 if self._ledger.service_of(token) is None:
                     self._recall(gateway, token)
 
-    def _recall(self, gateway: Borrower, token: SlotToken) -> None:
+    def _recall(self, gateway: GatewayState, token: SlotToken) -> None:
         if token not in gateway.recalled:
             gateway.recalled[token] = None
             gateway.has_recall_news = True
 
-    def _renewals(self, gateway: Borrower) -> list[HeldToken]:
+    def _renewals(self, gateway: GatewayState) -> list[HeldToken]:
         due = self._horizon_unix_ms - RENEW_BEFORE_MS
         renewed = []
         for token in self._ledger.held_by(gateway.gateway_id):
@@ -253,7 +253,7 @@
                 renewed.append(HeldToken(token, self._horizon_unix_ms))
         return renewed
 
-    def _share(self, service: ServiceName, gateway: Borrower) -> int:
+    def _share(self, service: ServiceName, gateway: GatewayState) -> int:
         """Return how many slots of a service a gateway has when nobody is short.
 
         Gateways of other regions have none, so that they exchange no reports over
@@ -265,13 +265,13 @@
             return 0
         return math.ceil(self._ledger.slot_count(service) / len(members))
 
-    def _live(self) -> list[Borrower]:
+    def _live(self) -> list[GatewayState]:
         return [g for g in self._gateways.values() if g.dead_since_unix_ms is None]
 
-    def _demanders(self, service: ServiceName) -> list[Borrower]:
+    def _demanders(self, service: ServiceName) -> list[GatewayState]:
         return [g for g in self._live() if g.demand.get(service)]
 
-    def _grant_count(self, gateway: Borrower, service: ServiceName) -> int:
+    def _grant_count(self, gateway: GatewayState, service: ServiceName) -> int:
         free = self._ledger.free_count(service)
         if not free or not self._may_lend:
             return 0
@@ -284,7 +284,7 @@
         held = self._ledger.held_count(gateway.gateway_id, service)
         return max(0, min(free, self._share(service, gateway) - held))
 
-    def _grant(self, gateway: Borrower, service: ServiceName) -> list[HeldToken]:
+    def _grant(self, gateway: GatewayState, service: ServiceName) -> list[HeldToken]:
         count = self._grant_count(gateway, service)
         if not count:
             return []
@@ -321,7 +321,7 @@
         )
 
     def _recall_idle(
-        self, service: ServiceName, demanders: list[Borrower], unmet: int
+        self, service: ServiceName, demanders: list[GatewayState], unmet: int
     ) -> int:
         others = [g for g in self._live() if g not in demanders]
         others.sort(key=lambda g: -len(g.idle))
@@ -336,7 +336,9 @@
                     unmet -= 1
         return unmet
 
-    def _recall_excess(self, service: ServiceName, demanders: list[Borrower]) -> None:
+    def _recall_excess(
+        self, service: ServiceName, demanders: list[GatewayState]
+    ) -> None:
         """Recall slots in use, so that all gateways with waiting requests get some."""
         total = self._ledger.slot_count(service)
         held = {
--- a/basilhold/requests/borrowers.py
+++ b/basilhold/requests/gateway_state.py
@@ -5,7 +5,7 @@
 from basilhold.core import ServiceName, VmId
 from basilhold.requests.tokens import SlotReport, SlotToken
 
-__all__ = ["Borrower", "Takeover"]
+__all__ = ["GatewayState", "Takeover"]
 
 
 class Takeover(msgspec.Struct, frozen=True):
@@ -26,7 +26,7 @@
     entry_vm_ids: frozenset[VmId]
 
 
-class Borrower:
+class GatewayState:
     """A gateway as an owner knows it from its last report."""
 
     def __init__(self, report: SlotReport):
--- a/basilhold/requests/health.py
+++ b/basilhold/requests/health.py
@@ -60,7 +60,7 @@
         self.open_until_ms = 0.0
         self._recovered_at_ms = float("-inf")
 
-    def succeeded(self, now_ms: float) -> None:
+    def record_success(self, now_ms: float) -> None:
         """Record a request that the upstream answered properly."""
         self._average(0.0)
         self._consecutive = 0
@@ -69,7 +69,7 @@
             self.failure_rate = 0.0
             self._recovered_at_ms = now_ms
 
-    def failed(self, now_ms: float) -> None:
+    def record_failure(self, now_ms: float) -> None:
         """Record a request that the upstream failed or did not answer."""
         self._average(1.0)
         self._consecutive += 1
@@ -86,7 +86,7 @@
                 self._open_ms = min(self._open_ms * 2, self._limits.open_ms_max)
             self._open(now_ms)
 
-    def abandoned(self, now_ms: float) -> None:
+    def record_abandonment(self, now_ms: float) -> None:
         """Record a request whose caller left, which says nothing about the upstream."""
         if self.state is BreakerState.PROBING:
             self._open(now_ms)
@@ -101,7 +101,7 @@
         ramp = min(1.0, max(0.1, age_ms / self._limits.slow_start_ms))
         return ramp * (1.0 - self.failure_rate) ** 2
 
-    def started(self) -> None:
+    def record_start(self) -> None:
         """Record that a request is sent; after an open breaker it is the probe."""
         if self.state is BreakerState.OPEN:
             self.state = BreakerState.PROBING
--- a/basilhold/requests/once.py
+++ b/basilhold/requests/once.py
@@ -18,7 +18,7 @@
     "chunk_name",
     "fingerprint",
     "is_expired",
-    "judge_repeat",
+    "choose_repeat_action",
     "make_request_key",
     "may_send",
     "record_key",
@@ -149,7 +149,7 @@
     return now_unix_ms > record.expires_unix_ms + 2 * CLOCK_ERROR_MS
 
 
-def judge_repeat(
+def choose_repeat_action(
     record: OnceRecord, repeat_fingerprint: str, now_unix_ms: int
 ) -> RepeatAction:
     """Return what to do with a request whose key has a record.
--- a/basilhold/requests/queue.py
+++ b/basilhold/requests/queue.py
@@ -59,11 +59,11 @@
         "arrived_ms",
         "class_name",
         "deadline_ms",
+        "decision_future",
         "excluded",
         "size_bytes",
         "target_ms",
         "team",
-        "ticket",
     )
 
     def __init__(
@@ -83,9 +83,9 @@
         self.deadline_ms = deadline_ms
         self.size_bytes = size_bytes
         self.excluded = excluded
-        self.ticket: object = None
+        self.decision_future: object = None
 
-    def ratio(self, now_ms: float) -> float:
+    def wait_ratio(self, now_ms: float) -> float:
         """Return the waited time divided by the target."""
         return (now_ms - self.arrived_ms) / self.target_ms
 
@@ -129,7 +129,7 @@
         """Sum of the waiting requests' bodies, in bytes."""
         return self._bytes
 
-    def refusal(
+    def rejection_reason(
         self, request: QueuedRequest, now_ms: float, wait_ms: float, service_ms: float
     ) -> ProblemKind | None:
         """Return why a request can't be queued, or ``None``.
@@ -195,7 +195,7 @@
         return heads
 
     def expired(
-        self, now_ms: float, service_ms: float, whole: bool = True
+        self, now_ms: float, service_ms: float, check_all: bool = True
     ) -> list[tuple[QueuedRequest, ProblemKind]]:
         """Return the waiting requests that are to be refused now.
 
@@ -211,20 +211,20 @@
         refused = []
         for lane in self._lanes.values():
             for request in lane:
-                kind = self.late_refusal(request, now_ms, service_ms)
+                kind = self.late_rejection_reason(request, now_ms, service_ms)
                 if kind is not None:
                     refused.append((request, kind))
-                elif not whole:
+                elif not check_all:
                     break
         return refused
 
-    def late_refusal(
+    def late_rejection_reason(
         self, request: QueuedRequest, now_ms: float, service_ms: float
     ) -> ProblemKind | None:
         """Return why a waiting request is to be refused now, or ``None``."""
         if now_ms + service_ms > request.deadline_ms:
             return ProblemKind.DEADLINE_UNREACHABLE
-        if request.ratio(now_ms) > 1 and self._is_standing(request, now_ms):
+        if request.wait_ratio(now_ms) > 1 and self._is_standing(request, now_ms):
             return ProblemKind.OVERLOADED
         return None
 
@@ -245,12 +245,12 @@
             for position, due_ms in enumerate(due)
         )
 
-    def started(self, team: TeamName) -> None:
+    def record_start(self, team: TeamName) -> None:
         """Count a request of a team that was sent."""
         self._in_flight[team] += 1
         self._in_flight_total += 1
 
-    def ended(self, team: TeamName) -> None:
+    def record_end(self, team: TeamName) -> None:
         """Count a request of a team that has ended."""
         self._in_flight[team] -= 1
         self._in_flight_total -= 1
@@ -264,7 +264,7 @@
     def _rank(
         self, head: QueuedRequest, now_ms: float, share: float
     ) -> tuple[bool, float]:
-        ratio = head.ratio(now_ms)
+        ratio = head.wait_ratio(now_ms)
         above_share = (
             self._in_flight[head.team] > share and ratio <= RATIO_BEFORE_QUOTAS
         )
--- a/basilhold/requests/lender.py
+++ b/basilhold/requests/report_handler.py
@@ -6,10 +6,10 @@
 from basilhold.requests.allocator import SlotAllocator
 from basilhold.requests.tokens import SlotGrant, SlotReport
 
-__all__ = ["SlotLender"]
+__all__ = ["SlotReportHandler"]
 
 
-class SlotLender:
+class SlotReportHandler:
     """Serves the slot reports of all gateways for one shard.
 
     A waiting report is how a recall reaches a gateway with idle slots at once.
@@ -38,24 +38,24 @@
         """
         allocator = self.allocator
         gateway_id = report.gateway_id
-        if not allocator.report(report, self._clock.unix_ms()):
+        if not allocator.apply_report(report, self._clock.unix_ms()):
             self.notify()
-            return allocator.refusal(report)
+            return allocator.rejection_reply(report)
         self.notify()
         deadline = asyncio.get_running_loop().time() + report.wait_ms / 1000
         event = self._waiting[gateway_id] = asyncio.Event()
-        while not allocator.has_news(gateway_id):
+        while not allocator.has_pending_changes(gateway_id):
             try:
                 async with asyncio.timeout_at(deadline):
                     await event.wait()
             except TimeoutError:
                 break
             event.clear()
-            if allocator.current_number(gateway_id) != report.number:
+            if allocator.last_report_number(gateway_id) != report.number:
                 break
         if self._waiting.get(gateway_id) is event:
             del self._waiting[gateway_id]
-        if allocator.current_number(gateway_id) != report.number:
+        if allocator.last_report_number(gateway_id) != report.number:
             return SlotGrant(report.number, allocator.epoch)
         return allocator.reply(gateway_id, self._clock.unix_ms())
 
--- a/basilhold/requests/retries.py
+++ b/basilhold/requests/retries.py
@@ -34,7 +34,7 @@
         self.request_count += 1
         self._balance = min(RETRY_BALANCE_MAX, self._balance + RETRY_RATIO_MAX)
 
-    def take(self) -> bool:
+    def try_consume(self) -> bool:
         """Take one repeated attempt from the budget, if it has one."""
         # The tolerance covers the rounding of ten additions of 0.1.
         if self._balance < 1.0 - 1e-9:
--- a/basilhold/requests/routing.py
+++ b/basilhold/requests/routing.py
@@ -128,7 +128,7 @@
         """Return an upstream, or ``None`` if the VM list does not show it."""
         return self._upstreams.get(upstream_id)
 
-    def of_service(self, service: ServiceName) -> frozenset[UpstreamId]:
+    def upstreams_of_service(self, service: ServiceName) -> frozenset[UpstreamId]:
         """Return the upstreams of a service."""
         return frozenset(self._by_service.get(service, ()))
 
@@ -150,7 +150,7 @@
         """Return the services that have or had upstreams."""
         return tuple(self._by_service)
 
-    def open_breakers(self, service: ServiceName) -> int:
+    def open_breaker_count(self, service: ServiceName) -> int:
         """Return how many upstreams of a service have an open circuit breaker."""
         return sum(
             self._upstreams[u].health.state is not BreakerState.CLOSED
@@ -188,7 +188,7 @@
         if upstream is not None:
             upstream.leaving_until_ms = until_ms
 
-    def set_idle(self, upstream_id: UpstreamId, idle_count: int) -> None:
+    def set_idle_count(self, upstream_id: UpstreamId, idle_count: int) -> None:
         """Record how many idle tokens the gateway has for an upstream."""
         upstream = self._upstreams.get(upstream_id)
         if upstream is None:
@@ -207,7 +207,7 @@
         self,
         service: ServiceName,
         now_ms: float,
-        farthest: Distance = Distance.OTHER_REGION,
+        max_distance: Distance = Distance.OTHER_REGION,
         excluded: frozenset[UpstreamId] = frozenset(),
     ) -> Upstream | None:
         """Return the upstream for the next request of a service.
@@ -216,12 +216,12 @@
         ----------
         service : ServiceName
         now_ms : float
-        farthest : Distance
+        max_distance : Distance
         excluded : frozenset of UpstreamId
             Upstreams that have failed the request before.
         """
         for distance in Distance:
-            if distance > farthest:
+            if distance > max_distance:
                 break
             tier = self._usable.get((service, distance))
             if tier:
--- a/basilhold/requests/tests/test_allocator.py
+++ b/basilhold/requests/tests/test_allocator.py
@@ -48,8 +48,12 @@
 
     def exchange(self, allocator, now=0, demand=0):
         report = self.report(demand, now_unix_ms=now)
-        taken = allocator.report(report, now)
-        reply = allocator.reply(self.id, now) if taken else allocator.refusal(report)
+        taken = allocator.apply_report(report, now)
+        reply = (
+            allocator.reply(self.id, now)
+            if taken
+            else allocator.rejection_reply(report)
+        )
         self.holder.apply(ZONE, reply)
         return self.count
 
@@ -76,10 +80,10 @@
         idle, busy = Gateway("g1"), Gateway("g2")
         idle.exchange(allocator)
         busy.exchange(allocator, demand=10)
-        self.assertTrue(allocator.has_news(idle.id))
+        self.assertTrue(allocator.has_pending_changes(idle.id))
         idle.exchange(allocator)
         idle.exchange(allocator)
-        self.assertTrue(allocator.has_news(busy.id))
+        self.assertTrue(allocator.has_pending_changes(busy.id))
         self.assertEqual(busy.exchange(allocator, demand=10), 10)
 
     def test_gateways_of_another_region_get_slots_only_on_demand(self):
@@ -97,14 +101,14 @@
         gateway, other = Gateway("g1"), Gateway("g2")
         old = gateway.report()
         gateway.exchange(allocator)
-        self.assertFalse(allocator.report(old, 0))
+        self.assertFalse(allocator.apply_report(old, 0))
         self.assertEqual(other.exchange(allocator, demand=8), 0)
 
     def test_lost_grant_is_lent_again(self):
         allocator = make_allocator()
         gateway = Gateway("g1")
         report = gateway.report()
-        allocator.report(report, 0)
+        allocator.apply_report(report, 0)
         allocator.reply(gateway.id, 0)
         self.assertEqual(gateway.exchange(allocator), 16)
 
@@ -123,8 +127,8 @@
         old.exchange(allocator)
         new.exchange(allocator, 100)
         self.assertEqual(new.exchange(allocator, 1200), 16)
-        self.assertFalse(allocator.report(late, 1300))
-        self.assertFalse(allocator.report(old.report(), 1300))
+        self.assertFalse(allocator.apply_report(late, 1300))
+        self.assertFalse(allocator.apply_report(old.report(), 1300))
 
     def test_successor_freezes_what_nobody_has_claimed(self):
         first = make_allocator()
@@ -155,8 +159,8 @@
         gateway = Gateway("g1")
         gateway.exchange(new)
         report = gateway.report()
-        self.assertFalse(old.report(report, 0))
-        self.assertTrue(old.refusal(report).refused_epoch)
+        self.assertFalse(old.apply_report(report, 0))
+        self.assertTrue(old.rejection_reply(report).refused_epoch)
 
     def test_leaving_upstreams_slots_are_recalled_from_all(self):
         allocator = make_allocator()
@@ -167,7 +171,7 @@
         one.exchange(allocator)
         two.exchange(allocator, demand=4)
         report = two.report(leaving_upstream_ids=("u0",))
-        allocator.report(report, 0)
+        allocator.apply_report(report, 0)
         two.holder.apply(ZONE, allocator.reply(two.id, 0))
         for gateway in (one, two):
             gateway.exchange(allocator)
@@ -179,13 +183,13 @@
         gateway, other = Gateway("g1"), Gateway("g2")
         gateway.exchange(allocator)
         gateway.holder.return_idle(ZONE)
-        self.assertFalse(allocator.report(gateway.report(leaving=True), 0))
+        self.assertFalse(allocator.apply_report(gateway.report(leaving=True), 0))
         self.assertEqual(other.exchange(allocator), 16)
 
     def test_gateway_that_is_gone_while_its_report_waits_gets_an_empty_reply(self):
         allocator = make_allocator()
         gone, other = Gateway("g1"), Gateway("g2")
-        allocator.report(gone.report(), 0)
+        allocator.apply_report(gone.report(), 0)
         allocator.update_entry_vms(frozenset({"g2"}), 0)
         other.exchange(allocator, 30_001)
         self.assertEqual(allocator.reply(gone.id, 30_001).granted, ())
--- a/basilhold/requests/tests/test_queue.py
+++ b/basilhold/requests/tests/test_queue.py
@@ -43,7 +43,7 @@
             queue.add(queued("c", 0, team="flood"), 0)
         for _ in range(8):
             queue.remove(queue.first(10))
-            queue.started(TeamName("flood"))
+            queue.record_start(TeamName("flood"))
         other = queued("c", 50, team="quiet")
         queue.add(other, 50)
         self.assertIs(queue.first(60), other)
@@ -51,7 +51,7 @@
     def test_team_above_its_share_is_served_when_very_late(self):
         queue = self.make()
         for _ in range(8):
-            queue.started(TeamName("flood"))
+            queue.record_start(TeamName("flood"))
         late = queued("c", 0, 100, team="flood")
         queue.add(late, 0)
         queue.add(queued("c", 400, 100, team="quiet"), 400)
@@ -60,19 +60,19 @@
     def test_bounds_of_count_and_bytes(self):
         queue = self.make(count_max=2, bytes_max=100)
         queue.add(queued("c", 0, size=60), 0)
-        full = queue.refusal(queued("c", 0, size=60), 0, 0, 0)
+        full = queue.rejection_reason(queued("c", 0, size=60), 0, 0, 0)
         self.assertIs(full, ProblemKind.QUEUE_FULL)
         queue.add(queued("c", 0), 0)
-        full = queue.refusal(queued("c", 0), 0, 0, 0)
+        full = queue.rejection_reason(queued("c", 0), 0, 0, 0)
         self.assertIs(full, ProblemKind.QUEUE_FULL)
 
     def test_request_that_cannot_make_its_deadline_is_refused_at_once(self):
         queue = self.make()
         late = queued("c", 0, deadline_ms=1000)
         self.assertIs(
-            queue.refusal(late, 0, 800, 300), ProblemKind.DEADLINE_UNREACHABLE
+            queue.rejection_reason(late, 0, 800, 300), ProblemKind.DEADLINE_UNREACHABLE
         )
-        self.assertIsNone(queue.refusal(late, 0, 600, 300))
+        self.assertIsNone(queue.rejection_reason(late, 0, 600, 300))
 
     def test_burst_is_served_late_and_a_standing_queue_is_shed(self):
         queue = self.make()
--- a/basilhold/requests/tests/test_routing.py
+++ b/basilhold/requests/tests/test_routing.py
@@ -39,16 +39,16 @@
         router = Router(ZoneName("z1"), RegionName("r1"), random.Random(0))
         router.update(records)
         for item in records:
-            router.set_idle(UpstreamId(item.vm_id), 8)
+            router.set_idle_count(UpstreamId(item.vm_id), 8)
         return router
 
     def test_nearest_first(self):
         near, mid, far = record("a"), record("b", "z2"), record("c", "z3", "r2")
         router = self.make(near, mid, far)
         self.assertEqual(router.choose(SERVICE, 0).upstream_id, "a")
-        router.set_idle(UpstreamId("a"), 0)
+        router.set_idle_count(UpstreamId("a"), 0)
         self.assertEqual(router.choose(SERVICE, 0).upstream_id, "b")
-        router.set_idle(UpstreamId("b"), 0)
+        router.set_idle_count(UpstreamId("b"), 0)
         self.assertIsNone(router.choose(SERVICE, 0, Distance.SAME_REGION))
         self.assertEqual(router.choose(SERVICE, 0).upstream_id, "c")
 
@@ -65,16 +65,16 @@
         for now_ms in range(0, 60_000, 10):
             upstream = router.choose(SERVICE, now_ms)
             counts[upstream.upstream_id] = counts.get(upstream.upstream_id, 0) + 1
-            upstream.health.started()
+            upstream.health.record_start()
             if upstream.upstream_id == "u0":
-                upstream.health.failed(now_ms)
+                upstream.health.record_failure(now_ms)
             else:
-                upstream.health.succeeded(now_ms)
+                upstream.health.record_success(now_ms)
         self.assertLess(counts["u0"], 0.01 * sum(counts.values()))
 
     def test_replaced_upstream_starts_anew(self):
         router = self.make(record("a"))
-        router.find(UpstreamId("a")).health.failed(0)
+        router.find(UpstreamId("a")).health.record_failure(0)
         moved = msgspec.structs.replace(record("a"), port=2)
         router.update([moved])
         self.assertEqual(router.find(UpstreamId("a")).health.failure_rate, 0)
@@ -89,25 +89,25 @@
     def test_one_probe_then_slow_start(self):
         health = self.make()
         for _ in range(5):
-            health.failed(0)
+            health.record_failure(0)
         self.assertIs(health.state, BreakerState.OPEN)
         self.assertEqual(health.weight(500), 0)
         self.assertEqual(health.weight(1300), 1)
-        health.started()
+        health.record_start()
         self.assertEqual(health.weight(1300), 0)
-        health.succeeded(1300)
+        health.record_success(1300)
         self.assertLessEqual(health.weight(1300), 0.1)
         self.assertEqual(health.weight(1300 + 10_000), 1)
 
     def test_delay_before_a_probe_doubles_up_to_its_bound(self):
         health = self.make()
         for _ in range(5):
-            health.failed(0)
+            health.record_failure(0)
         delays = []
         for _ in range(8):
             now_ms = health.open_until_ms
-            health.started()
-            health.failed(now_ms)
+            health.record_start()
+            health.record_failure(now_ms)
             delays.append(health.open_until_ms - now_ms)
         self.assertGreater(delays[1], delays[0])
         self.assertLessEqual(max(delays), 30_000 * 1.25)
@@ -115,9 +115,9 @@
     def test_abandoned_probe_does_not_block_the_upstream(self):
         health = self.make()
         for _ in range(5):
-            health.failed(0)
-        health.started()
-        health.abandoned(2000)
+            health.record_failure(0)
+        health.record_start()
+        health.record_abandonment(2000)
         self.assertEqual(health.weight(2000 + 30_000), 1)
 
 
@@ -128,7 +128,7 @@
         budget = RetryBudget(random.Random(0))
         for _ in range(1000):
             budget.count_request()
-            while budget.take():
+            while budget.try_consume():
                 pass
             self.assertLessEqual(budget.retry_count, 0.1 * budget.request_count)
         self.assertEqual(budget.retry_count, 100)
@@ -138,6 +138,6 @@
         for _ in range(10_000):
             budget.count_request()
         taken = 0
-        while budget.take():
+        while budget.try_consume():
             taken += 1
         self.assertEqual(taken, 10)
--- a/basilhold/testing/request_cell.py
+++ b/basilhold/testing/request_cell.py
@@ -42,7 +42,7 @@
     Router,
     SlotAllocator,
     SlotHolder,
-    SlotLender,
+    SlotReportHandler,
     SlotToken,
     Takeover,
 )
@@ -121,7 +121,7 @@
         self.process_id = ProcessId(name)
         self.vm_id = vm_id
         self.gate = Gate()
-        self.owners: dict[ZoneName, SlotLender] = dict(cell.owners)
+        self.owners: dict[ZoneName, SlotReportHandler] = dict(cell.owners)
         self.clock = cell.clock
         rng = random.Random(f"{cell.seed}/{name}")
         identity = GatewayIdentity(
@@ -225,7 +225,7 @@
         self.objects = MemoryObjectStore()
         self.upstreams = MemoryUpstreams(seed)
         self.records: dict[UpstreamId, VmRecord] = {}
-        self.owners: dict[ZoneName, SlotLender] = {}
+        self.owners: dict[ZoneName, SlotReportHandler] = {}
         self.gateways: dict[ProcessId, CellGateway] = {}
         self.entry_vms: set[VmId] = set()
         self.unreachable_owners: set[ZoneName] = set()
@@ -248,7 +248,7 @@
                 Epoch(1),
                 longest_deadline_ms=ORDER.timeout_ms,
             )
-            self.owners[ZoneName(zone)] = SlotLender(allocator, self.clock)
+            self.owners[ZoneName(zone)] = SlotReportHandler(allocator, self.clock)
         self._renew_horizons()
         self.publish_records()
         for index in range(self.shape.gateways):
@@ -312,21 +312,21 @@
             takeover,
             longest_deadline_ms=ORDER.timeout_ms,
         )
-        lender = SlotLender(allocator, self.clock)
-        self.owners[zone] = lender
+        handler = SlotReportHandler(allocator, self.clock)
+        self.owners[zone] = handler
         self._renew_horizons()
         allocator.update_upstreams(self.records.values())
         allocator.update_entry_vms(frozenset(self.entry_vms), now_unix_ms)
         for gateway in self.gateways.values():
-            self.spawn(self._tell_owner(gateway, zone, lender))
+            self.spawn(self._tell_owner(gateway, zone, handler))
 
     async def _tell_owner(
-        self, gateway: CellGateway, zone: ZoneName, lender: SlotLender
+        self, gateway: CellGateway, zone: ZoneName, handler: SlotReportHandler
     ) -> None:
         await asyncio.sleep(self.rng.uniform(0.0, 4.0))
-        if lender.allocator.epoch > gateway.owners[zone].allocator.epoch:
-            gateway.owners[zone] = lender
-            gateway.holder.observe_epoch(zone, lender.allocator.epoch)
+        if handler.allocator.epoch > gateway.owners[zone].allocator.epoch:
+            gateway.owners[zone] = handler
+            gateway.holder.observe_epoch(zone, handler.allocator.epoch)
 
     def mark_leaving(self, upstream_id: UpstreamId, listed: bool) -> None:
         """Let an upstream leave, as seen in the VM list or as it says itself."""
@@ -344,9 +344,9 @@
     def publish_records(self) -> None:
         """Bring the list of upstreams to owners and gateways, up to 1 s later."""
         records = tuple(self.records.values())
-        for lender in self.owners.values():
-            lender.allocator.update_upstreams(records)
-            lender.notify()
+        for handler in self.owners.values():
+            handler.allocator.update_upstreams(records)
+            handler.notify()
         for gateway in self.gateways.values():
             self.spawn(self._tell_records(gateway, records))
 
@@ -359,8 +359,8 @@
 
     def _publish_entry_vms(self) -> None:
         present = frozenset(self.entry_vms)
-        for lender in self.owners.values():
-            lender.allocator.update_entry_vms(present, self.clock.unix_ms())
+        for handler in self.owners.values():
+            handler.allocator.update_entry_vms(present, self.clock.unix_ms())
 
     def _add_upstream(self, index: int) -> None:
         zone, region = self.shape.zones[index % len(self.shape.zones)]
@@ -385,8 +385,8 @@
         )
 
     def _renew_horizons(self) -> None:
-        for lender in self.owners.values():
-            lender.allocator.set_horizon(self.clock.unix_ms() + HORIZON_MS)
+        for handler in self.owners.values():
+            handler.allocator.set_horizon(self.clock.unix_ms() + HORIZON_MS)
 
     async def _watch(self) -> None:
         while True:
--- a/basilhold/testing/request_links.py
+++ b/basilhold/testing/request_links.py
@@ -26,8 +26,8 @@
     RequestProgress,
     SlotExchange,
     SlotGrant,
-    SlotLender,
     SlotReport,
+    SlotReportHandler,
 )
 from basilhold.standins import MemoryTable
 
@@ -147,18 +147,18 @@
         """Send a report."""
         cell = self._cell
         await self._gateway.gate.passed()
-        lender = self._gateway.owners.get(zone)
+        handler = self._gateway.owners.get(zone)
         if dict(cell.shape.zones)[zone] != report.region:
             cell.other_region_reports += 1
         lost = cell.rng.random() < cell.exchange_loss_ratio
-        if cell.rng.random() < cell.exchange_loss_ratio and lender is not None:
+        if cell.rng.random() < cell.exchange_loss_ratio and handler is not None:
             # The report or a copy of it arrives late, and the reply is never seen.
-            cell.spawn(self._deliver_late(lender, report))
-        if lender is None or zone in cell.unreachable_owners or lost:
+            cell.spawn(self._deliver_late(handler, report))
+        if handler is None or zone in cell.unreachable_owners or lost:
             await asyncio.sleep(EXCHANGE_TIMEOUT_MS / 1000)
             return Error(ExchangeError("no reply"))
         await asyncio.sleep(0.001)
-        delivered = cell.spawn(lender.exchange(report))
+        delivered = cell.spawn(handler.exchange(report))
         grant = await asyncio.shield(delivered)
         if cell.rng.random() < cell.exchange_loss_ratio:
             await asyncio.sleep(EXCHANGE_TIMEOUT_MS / 1000)
@@ -167,6 +167,8 @@
         await self._gateway.gate.passed()
         return Ok(grant)
 
-    async def _deliver_late(self, lender: SlotLender, report: SlotReport) -> None:
+    async def _deliver_late(
+        self, handler: SlotReportHandler, report: SlotReport
+    ) -> None:
         await asyncio.sleep(self._cell.rng.uniform(0.0, 3.0))
-        await lender.exchange(report)
+        await handler.exchange(report)
--- a/basilhold/testing/tests/test_request_fuzz.py
+++ b/basilhold/testing/tests/test_request_fuzz.py
@@ -35,11 +35,11 @@
 class ForgetfulAllocator(SlotAllocator):
     """Believes delayed reports."""
 
-    def report(self, report, now_unix_ms):
+    def apply_report(self, report, now_unix_ms):
         gateway = self._gateways.get(report.gateway_id)
         if gateway is not None:
             gateway.number = min(gateway.number, report.number - 1)
-        return super().report(report, now_unix_ms)
+        return super().apply_report(report, now_unix_ms)
 
 
 class HastyAllocator(SlotAllocator):
