Reword the allocation of slot tokens and its messages

Comments and doc comments described tokens as lent and given back and left units and conditions out.

--- a/basilhold/requests/gateway_state.py
+++ b/basilhold/requests/gateway_state.py
@@ -1,4 +1,4 @@
-"""What an owner knows about gateways and about its predecessor."""
+"""State that the owner of a shard keeps about gateways and its predecessor."""
 
 import msgspec
 
@@ -9,16 +9,17 @@
 
 
 class Takeover(msgspec.Struct, frozen=True):
-    """What a successor knows about its predecessor.
+    """What a new owner of a shard knows about the leases of its predecessor.
 
     Parameters
     ----------
     at_unix_ms : int
-        When the successor's epoch was written.
+        Unix time at which the new owner's epoch was written, in milliseconds.
     predecessor_horizon_unix_ms : int
-        Latest expiry that the predecessor can have granted.
+        Latest expiry that the predecessor can have granted, as Unix time in
+        milliseconds.
     entry_vm_ids : frozenset of VmId
-        VMs whose gateways may hold tokens.
+        VMs whose gateways may hold tokens of the predecessor.
     """
 
     at_unix_ms: int
@@ -27,7 +28,29 @@
 
 
 class GatewayState:
-    """A gateway as an owner knows it from its last report."""
+    """State of a gateway according to its last report.
+
+    Parameters
+    ----------
+    report : SlotReport
+        First report of the gateway; identifies it.
+
+    Attributes
+    ----------
+    number : int
+        Number of the last report, 0 before the first one is applied.
+    demand : dict of ServiceName to int
+        Requests that wait for a token, less the tokens granted since the report.
+    idle : list of SlotToken
+        Tokens that the gateway holds and does not use.
+    recalled : dict of SlotToken to None
+        Tokens that the gateway is asked to return, in the order of the recalls.
+    has_new_recalls : bool
+        Whether tokens have been recalled since the last reply.
+    replaced_at_unix_ms : int or None
+        When a newer process on the same VM sent its first report, as Unix time in
+        milliseconds; None while there is none.
+    """
 
     def __init__(self, report: SlotReport):
         self.gateway_id = report.gateway_id
@@ -38,5 +61,5 @@
         self.demand: dict[ServiceName, int] = {}
         self.idle: list[SlotToken] = []
         self.recalled: dict[SlotToken, None] = {}
-        self.has_recall_news = False
-        self.dead_since_unix_ms: int | None = None
+        self.has_new_recalls = False
+        self.replaced_at_unix_ms: int | None = None
--- a/basilhold/requests/holder.py
+++ b/basilhold/requests/holder.py
@@ -1,4 +1,4 @@
-"""Gateway's side of the slot token protocol."""
+"""Slot tokens held by a gateway, and its reports to the owners of shards."""
 
 from collections.abc import Callable, Iterable
 
@@ -25,6 +25,8 @@
 
 
 class _Lease(msgspec.Struct):
+    """Lease of one token; `recalled` is set if the owner wants an in-use token back."""
+
     zone: ZoneName
     expires_unix_ms: int
     in_use: bool = False
@@ -32,16 +34,20 @@
 
 
 class SlotHolder:
-    """Tokens that one gateway holds.
+    """Slot tokens that one gateway holds, idle or in use by a request.
+
+    A token may be used until shortly before its lease ends: the margin is
+    `CLOCK_ERROR_MS`, the bound of the error of the clocks.
 
     Parameters
     ----------
     identity : GatewayIdentity
+        Identifies the gateway in its reports.
     on_change : callable, optional
         Called with an upstream's id after its number of idle tokens has changed.
     on_return : callable, optional
-        Called with a zone after a recalled token was given back, so that a report is
-        due at once.
+        Called with a zone after a recalled token was returned; a report to the owner
+        of the zone is then due at once.
     """
 
     def __init__(
@@ -60,11 +66,11 @@
         self._numbers: dict[ZoneName, int] = {}
 
     def idle_count(self, upstream_id: UpstreamId) -> int:
-        """Return how many tokens of an upstream can be used now."""
+        """Return how many idle tokens of an upstream are held."""
         return len(self._idle.get(upstream_id, ()))
 
     def held_count(self, upstream_id: UpstreamId) -> int:
-        """Return how many tokens of an upstream are held."""
+        """Return how many tokens of an upstream are held, idle or in use."""
         return self._held_counts.get(upstream_id, 0)
 
     def upstream_ids(self) -> tuple[UpstreamId, ...]:
@@ -72,7 +78,7 @@
         return tuple(u for u, count in self._held_counts.items() if count)
 
     def epoch(self, zone: ZoneName) -> Epoch:
-        """Return the highest epoch seen for a zone."""
+        """Return the highest epoch seen for a zone, or 0."""
         return self._epochs.get(zone, Epoch(0))
 
     def held(self, zone: ZoneName) -> tuple[SlotToken, ...]:
@@ -80,11 +86,14 @@
         return tuple(t for t, lease in self._leases.items() if lease.zone == zone)
 
     def observe_epoch(self, zone: ZoneName, epoch: Epoch) -> None:
-        """Take note of an epoch from the shard directory."""
+        """Record the epoch of a zone in the shard directory."""
         self._epochs[zone] = max(self.epoch(zone), epoch)
 
     def acquire(self, upstream_id: UpstreamId, now_unix_ms: int) -> SlotToken | None:
-        """Take an idle token into use, or return ``None`` if there is none."""
+        """Mark an idle token as in use and return it, or ``None`` if there is none.
+
+        Expired tokens are discarded.
+        """
         idle = self._idle.get(upstream_id, [])
         while idle:
             token = idle.pop()
@@ -93,12 +102,14 @@
                 lease.in_use = True
                 self.on_change(upstream_id)
                 return token
-            self._drop(token)
+            self._discard(token)
         self.on_change(upstream_id)
         return None
 
     def release(self, token: SlotToken) -> None:
-        """Return a token to the idle ones after its request has ended.
+        """Mark a token as idle after its request has ended.
+
+        A recalled token is returned to the owner instead.
 
         Raises
         ------
@@ -110,7 +121,7 @@
             raise InvariantError(f"released slot token is not in use: {token}")
         lease.in_use = False
         if lease.recalled:
-            self._drop(token)
+            self._discard(token)
             self.on_return(lease.zone)
         else:
             self._idle.setdefault(token.upstream_id, []).append(token)
@@ -125,11 +136,29 @@
         leaving: bool = False,
         leaving_upstream_ids: tuple[UpstreamId, ...] = (),
     ) -> SlotReport:
-        """Return the next report to the owner of a zone's shard.
+        """Make the next report to the owner of a zone's shard.
+
+        Replies to earlier reports are no longer valid; `apply` ignores them.
+
+        Parameters
+        ----------
+        zone : ZoneName
+        demand : iterable of (ServiceName, int)
+            Number of requests that wait for a token, by service.
+        wait_ms : int
+            How long the owner may delay its reply, in milliseconds.
+        now_unix_ms : int
+            Unix time in milliseconds; idle tokens that have expired are discarded.
+        leaving : bool
+            Whether the gateway is stopping.
+        leaving_upstream_ids : tuple of UpstreamId
+            Upstreams that have announced to the gateway that they are leaving.
 
-        Replies to earlier reports must be discarded from now on; `apply` does so.
+        Returns
+        -------
+        SlotReport
         """
-        self._drop_expired(zone, now_unix_ms)
+        self._discard_expired(zone, now_unix_ms)
         number = self._numbers.get(zone, 0) + 1
         self._numbers[zone] = number
         leases = [(t, lease) for t, lease in self._leases.items() if lease.zone == zone]
@@ -155,8 +184,9 @@
         Returns
         -------
         bool
-            Whether tokens were given back, so that a report is due at once. Replies
-            to earlier reports and of an older epoch are ignored.
+            Whether tokens were returned, so that a report is due at once. False also
+            if the reply was ignored: because it answers an earlier report, comes from
+            an older epoch, or states that the owner refused the epoch of the report.
         """
         if grant.number != self._numbers.get(zone, 0) or grant.refused_epoch:
             return False
@@ -164,7 +194,7 @@
             return False
         self._epochs[zone] = grant.epoch
         for held in grant.granted:
-            self._accept(zone, held)
+            self._add_or_renew(zone, held)
         returned = False
         for token in grant.recalled:
             lease = self._leases.get(token)
@@ -174,25 +204,31 @@
                 lease.recalled = True
             else:
                 self._idle[token.upstream_id].remove(token)
-                self._drop(token)
+                self._discard(token)
                 self.on_change(token.upstream_id)
                 returned = True
         return returned
 
     def return_idle(self, zone: ZoneName) -> bool:
-        """Give back all idle tokens of a zone and mark the others as recalled."""
+        """Return all idle tokens of a zone and mark the others as recalled.
+
+        Returns
+        -------
+        bool
+            Whether tokens were returned.
+        """
         returned = False
         for token in self.held(zone):
             lease = self._leases[token]
             lease.recalled = True
             if not lease.in_use:
                 self._idle[token.upstream_id].remove(token)
-                self._drop(token)
+                self._discard(token)
                 self.on_change(token.upstream_id)
                 returned = True
         return returned
 
-    def _accept(self, zone: ZoneName, held: HeldToken) -> None:
+    def _add_or_renew(self, zone: ZoneName, held: HeldToken) -> None:
         lease = self._leases.get(held.token)
         if lease is not None:
             lease.expires_unix_ms = max(lease.expires_unix_ms, held.expires_unix_ms)
@@ -203,15 +239,15 @@
         self._idle.setdefault(upstream_id, []).append(held.token)
         self.on_change(upstream_id)
 
-    def _drop(self, token: SlotToken) -> None:
+    def _discard(self, token: SlotToken) -> None:
         del self._leases[token]
         self._held_counts[token.upstream_id] -= 1
 
-    def _drop_expired(self, zone: ZoneName, now_unix_ms: int) -> None:
+    def _discard_expired(self, zone: ZoneName, now_unix_ms: int) -> None:
         for token in self.held(zone):
             lease = self._leases[token]
             expired = lease.expires_unix_ms <= now_unix_ms + CLOCK_ERROR_MS
             if expired and not lease.in_use:
                 self._idle[token.upstream_id].remove(token)
-                self._drop(token)
+                self._discard(token)
                 self.on_change(token.upstream_id)
--- a/basilhold/requests/interfaces.py
+++ b/basilhold/requests/interfaces.py
@@ -1,4 +1,4 @@
-"""What the request path needs from other processes."""
+"""Interfaces of the request path to the configuration and to other processes."""
 
 from abc import ABC, abstractmethod
 from enum import Enum
@@ -28,23 +28,23 @@
 
 
 class ClassDirectory(ABC):
-    """Classes that are in force."""
+    """Looks up the classes of the configuration in force."""
 
     @abstractmethod
     def find(self, name: ClassName) -> WorkClass | None:
-        """Return a class, or ``None`` if no office declares it."""
+        """Return a class, or ``None`` if the configuration does not declare it."""
 
 
 class CallerDirectory(ABC):
-    """Callers' tokens."""
+    """Authenticates callers by their tokens."""
 
     @abstractmethod
     def identify(self, token: str) -> TeamName | None:
-        """Return the team that a token stands for, or ``None`` if it is wrong."""
+        """Return the team that a token belongs to, or ``None`` if it is invalid."""
 
 
 class ExchangeError(msgspec.Struct, frozen=True):
-    """The owner of a shard did not answer a slot report."""
+    """Failure of the exchange of a slot report with the owner of a shard."""
 
     reason: str
 
@@ -56,16 +56,19 @@
     async def exchange(
         self, zone: ZoneName, report: SlotReport
     ) -> Result[SlotGrant, ExchangeError]:
-        """Send a report to the owner of a zone's shard.
+        """Send a report to the owner of a zone's shard and return its reply.
 
-        The owner answers at once if it has something to grant or to recall, and
-        otherwise after at most `SlotReport.wait_ms`. A reply that arrives after this
-        method has returned an error must be discarded.
+        The owner replies at once if it has tokens to grant or to recall, and otherwise
+        after at most `SlotReport.wait_ms`. A reply that arrives after this method has
+        returned an error must be discarded.
         """
 
 
 class RequestProgress(Enum):
-    """State of a keyed request at its holder."""
+    """State of a request with an idempotency key at the gateway that holds it.
+
+    ``NOT_HELD`` means that the gateway does not know the request.
+    """
 
     NOT_HELD = "not-held"
     RUNNING = "running"
@@ -73,16 +76,20 @@
 
 
 class PeerError(msgspec.Struct, frozen=True):
-    """Another gateway could not be asked."""
+    """Failure of a query to another gateway."""
 
     reason: str
 
 
 class RequestPeers(ABC):
-    """Asks other gateways about keyed requests."""
+    """Queries other gateways for the state of requests with idempotency keys."""
 
     @abstractmethod
     async def ask(
         self, holder: ProcessId, key: RequestKey, wait_ms: int
     ) -> Result[RequestProgress, PeerError]:
-        """Ask the holder of a request, which waits up to `wait_ms` for its end."""
+        """Return the state of a request at the gateway that holds it.
+
+        The gateway waits up to `wait_ms` milliseconds for the end of the request
+        before it replies.
+        """
--- a/basilhold/requests/ledger.py
+++ b/basilhold/requests/ledger.py
@@ -1,4 +1,4 @@
-"""Which gateway holds which slot token, as far as an owner knows."""
+"""Record of the slot tokens of a zone and of the gateways that hold them."""
 
 from enum import Enum
 
@@ -11,10 +11,10 @@
 
 
 class SlotState(Enum):
-    """What an owner knows about a token.
+    """State of a token as recorded by the owner of the shard.
 
-    ``UNCLAIMED`` tokens may be held by a gateway that has not reported yet; they are
-    frozen.
+    ``UNCLAIMED`` tokens may be held by a gateway that has not reported to this owner
+    yet; they are frozen, that is, not granted.
     """
 
     FREE = "free"
@@ -29,7 +29,10 @@
 
 
 class SlotLedger:
-    """Tokens of one zone's upstreams, indexed by service and by holder."""
+    """Tokens of one zone's upstreams, indexed by service and by holder.
+
+    A holder is a gateway.
+    """
 
     def __init__(self):
         self._services: dict[UpstreamId, ServiceName] = {}
@@ -45,7 +48,17 @@
         slots: int,
         state: SlotState,
     ) -> None:
-        """Add the tokens of an upstream that are not known yet."""
+        """Add those tokens of an upstream that are not recorded yet.
+
+        Parameters
+        ----------
+        upstream_id : UpstreamId
+        service : ServiceName
+        slots : int
+            Number of the upstream's slots.
+        state : SlotState
+            State of the new tokens.
+        """
         is_new = upstream_id not in self._services
         self._services[upstream_id] = service
         for slot in range(slots):
@@ -55,10 +68,13 @@
                 if state is SlotState.FREE:
                     self._free.setdefault(service, {})[token] = None
             elif is_new and self._entries[token].holder is not None:
-                self._recount(self._entries[token].holder)
+                self._recompute_counts(self._entries[token].holder)
 
     def remove_upstream(self, upstream_id: UpstreamId) -> None:
-        """Remove an upstream's free tokens; held ones stay until they are returned."""
+        """Remove an upstream and its free tokens.
+
+        Tokens that are held or unclaimed remain until they are released.
+        """
         self._services.pop(upstream_id, None)
         for token in [t for t in self._entries if t.upstream_id == upstream_id]:
             for free in self._free.values():
@@ -67,18 +83,21 @@
             if entry.state is SlotState.FREE:
                 del self._entries[token]
             elif entry.holder is not None:
-                self._recount(entry.holder)
+                self._recompute_counts(entry.holder)
 
     def upstream_ids(self) -> frozenset[UpstreamId]:
-        """Return the upstreams."""
+        """Return the upstreams that are present."""
         return frozenset(self._services)
 
     def service_of(self, token: SlotToken) -> ServiceName | None:
-        """Return the service of a token, or ``None`` if its upstream is gone."""
+        """Return the service of a token, or ``None`` if its upstream was removed."""
         return self._services.get(token.upstream_id)
 
     def services(self) -> tuple[ServiceName, ...]:
-        """Return the services that have upstreams, in an order that runs repeat."""
+        """Return the services that have upstreams.
+
+        The order is deterministic, so that simulations can be repeated.
+        """
         return tuple(dict.fromkeys(self._services.values()))
 
     def free(self, service: ServiceName) -> list[SlotToken]:
@@ -90,11 +109,11 @@
         return len(self._free.get(service, ()))
 
     def held_by(self, holder: ProcessId) -> tuple[SlotToken, ...]:
-        """Return the tokens of a gateway."""
+        """Return the tokens that a gateway holds."""
         return tuple(self._held.get(holder, ()))
 
     def held_count(self, holder: ProcessId, service: ServiceName) -> int:
-        """Return the number of tokens of a gateway for a service."""
+        """Return how many tokens of a service a gateway holds."""
         return self._held_counts.get((holder, service), 0)
 
     def slot_count(self, service: ServiceName) -> int:
@@ -103,17 +122,17 @@
         return held + self.free_count(service)
 
     def holder(self, token: SlotToken) -> ProcessId | None:
-        """Return the gateway that holds a token."""
+        """Return the gateway that holds a token, or ``None``."""
         entry = self._entries.get(token)
         return None if entry is None else entry.holder
 
     def expiry(self, token: SlotToken) -> int:
-        """Return the end of a token's lease as Unix time in milliseconds."""
+        """Return the end of a token's lease as Unix time in milliseconds, or 0."""
         entry = self._entries.get(token)
         return 0 if entry is None else entry.expires_unix_ms
 
-    def give(self, token: SlotToken, holder: ProcessId, expires_unix_ms: int) -> None:
-        """Record that a gateway holds a token."""
+    def assign(self, token: SlotToken, holder: ProcessId, expires_unix_ms: int) -> None:
+        """Record that a gateway holds a token until the given Unix time."""
         entry = self._entries.setdefault(token, _Entry(SlotState.UNCLAIMED))
         if entry.state is SlotState.FREE:
             self._free[self._services[token.upstream_id]].pop(token, None)
@@ -124,8 +143,11 @@
         entry.expires_unix_ms = expires_unix_ms
         self._held.setdefault(holder, {})[token] = None
 
-    def take_back(self, token: SlotToken) -> None:
-        """Record that nobody holds a token any more."""
+    def release(self, token: SlotToken) -> None:
+        """Record that a token is free.
+
+        The token is removed if its upstream was removed.
+        """
         entry = self._entries[token]
         if entry.holder is not None:
             self._held[entry.holder].pop(token, None)
@@ -139,11 +161,11 @@
         self._free.setdefault(service, {})[token] = None
 
     def unclaimed(self) -> list[SlotToken]:
-        """Return the tokens that may be held by an unknown gateway."""
+        """Return the unclaimed tokens."""
         return [t for t, e in self._entries.items() if e.state is SlotState.UNCLAIMED]
 
     def all_held(self) -> list[SlotToken]:
-        """Return the tokens that known gateways hold."""
+        """Return the tokens that gateways are recorded to hold."""
         return [t for held in self._held.values() for t in held]
 
     def _change_count(self, token: SlotToken, holder: ProcessId, by: int) -> None:
@@ -152,7 +174,7 @@
             key = (holder, service)
             self._held_counts[key] = self._held_counts.get(key, 0) + by
 
-    def _recount(self, holder: ProcessId) -> None:
+    def _recompute_counts(self, holder: ProcessId) -> None:
         for key in [k for k in self._held_counts if k[0] == holder]:
             del self._held_counts[key]
         for token in self._held.get(holder, ()):
--- a/basilhold/requests/tokens.py
+++ b/basilhold/requests/tokens.py
@@ -1,4 +1,4 @@
-"""Messages of the slot token protocol between gateways and owners of shards."""
+"""Messages that gateways and owners of shards exchange about slot tokens."""
 
 import msgspec
 
@@ -18,19 +18,27 @@
 
 
 class SlotToken(msgspec.Struct, frozen=True, gc=False):
-    """The right to one request at a time on an upstream."""
+    """Permission to run one request at a time on an upstream.
+
+    Parameters
+    ----------
+    upstream_id : UpstreamId
+    slot : int
+        Index of the upstream's slot, from 0.
+    """
 
     upstream_id: UpstreamId
     slot: int
 
 
 class HeldToken(msgspec.Struct, frozen=True, gc=False):
-    """A token and the end of its lease.
+    """A slot token and the end of its lease.
 
     Parameters
     ----------
     token : SlotToken
     expires_unix_ms : int
+        Unix time in milliseconds.
     """
 
     token: SlotToken
@@ -38,14 +46,14 @@
 
 
 class ServiceDemand(msgspec.Struct, frozen=True):
-    """Requests of a service that wait for a token."""
+    """Number of requests of a service that wait for a token."""
 
     service: ServiceName
     waiting: int
 
 
 class SlotReport(msgspec.Struct, frozen=True):
-    """What a gateway holds of one zone's upstreams.
+    """Report of a gateway's tokens and demand to the owner of a zone's shard.
 
     Parameters
     ----------
@@ -54,24 +62,26 @@
     vm_id : VmId
     region : RegionName
     started_unix_ms : int
-        When the process started. A report from an earlier process of the same VM is
-        a delayed one.
+        Start of the process as Unix time in milliseconds. A report from an earlier
+        process on the same VM is a delayed one and is ignored.
     number : int
-        Increases with each report to the same zone. An owner ignores a report whose
-        number is not greater than the last: a delayed one could list too few tokens,
-        and their second holder would break the slot limit.
+        Increases with each report for the same zone. An owner ignores a report whose
+        number is not greater than the last one: a delayed report could list too few
+        tokens, and granting the missing ones again would exceed the upstream's slots.
     epoch : Epoch
         Highest epoch of the zone that the gateway has seen.
     held : tuple of HeldToken
-        All tokens held; those not in use last.
+        All tokens held; those not in use are last.
     idle_count : int
+        Number of the tokens that are not in use.
     demand : tuple of ServiceDemand
+        Requests that wait for a token.
     wait_ms : int
-        How long the owner may keep the reply back if it has nothing to say.
+        How long the owner may delay a reply without tokens, in milliseconds.
     leaving : bool
-        The gateway is stopping; it is granted nothing more.
+        Whether the gateway is stopping; it is then granted no further tokens.
     leaving_upstream_ids : tuple of UpstreamId
-        Upstreams that have told the gateway that they are leaving.
+        Upstreams that have announced to the gateway that they are leaving.
     """
 
     gateway_id: ProcessId
@@ -89,19 +99,20 @@
 
 
 class SlotGrant(msgspec.Struct, frozen=True):
-    """Reply to a report.
+    """Reply of the owner of a shard to a report.
 
     Parameters
     ----------
     number : int
-        Number of the report.
+        Number of the report that is answered.
     epoch : Epoch
+        Epoch of the owner.
     granted : tuple of HeldToken
         New tokens, and held tokens with a later expiry.
     recalled : tuple of SlotToken
-        Tokens to give back as soon as they are idle.
+        Tokens to return as soon as they are idle.
     refused_epoch : bool
-        The report named a higher epoch, so this owner has been replaced.
+        Whether the report named a higher epoch, so that this owner has been replaced.
     """
 
     number: int
