--- a/basilhold/workflows/advice_balancer.py
+++ b/basilhold/workflows/advice_balancer.py
@@ -14,7 +14,7 @@
 from basilhold.core import JobId, RegionName, WorkerId
 from basilhold.ports.runners import Admission, AdviceService
 from basilhold.workflows.model import QueuePolicy
-from basilhold.workflows.peers import Member, PeerCalls
+from basilhold.workflows.peers import Member, PeerClient
 
 __all__ = ["AdviceBalancer"]
 
@@ -58,7 +58,7 @@
         Endpoint of this process.
     local : AdviceService
         Sends queries from this machine.
-    peers : PeerCalls
+    peers : PeerClient
         Lets other processes send queries from their machines.
     members : callable
         Returns the live processes, including this one.
@@ -70,7 +70,7 @@
         self,
         own_endpoint: str,
         local: AdviceService,
-        peers: PeerCalls,
+        peers: PeerClient,
         members: Callable[[], list[Member]],
         region: RegionName,
     ):
--- a/basilhold/workflows/ownership_manager.py
+++ b/basilhold/workflows/ownership_manager.py
@@ -22,7 +22,7 @@
     claim_delay_ms,
     try_claim,
 )
-from basilhold.workflows.peers import Member, PeerCalls, Presence
+from basilhold.workflows.peers import Member, OwnershipReply, PeerClient
 from basilhold.workflows.recovery import scan_with_retries
 from basilhold.workflows.rows import OWNERS_PREFIX, Incarnation
 from basilhold.workflows.worker_link import OwnerLimits
@@ -73,7 +73,7 @@
         Returns the services of the newest configuration.
     rng : random.Random
         Source of the jitter of claims.
-    peers : PeerCalls
+    peers : PeerClient
     claim_penalty_ms : float
         Additional delay of this process's claims.
 
@@ -92,7 +92,7 @@
         limits: OwnerLimits,
         services: Callable[[], tuple[ServiceName, ...]],
         rng: random.Random,
-        peers: PeerCalls,
+        peers: PeerClient,
         claim_penalty_ms: float = 0.0,
     ):
         self._ports = ports
@@ -216,7 +216,9 @@
         await asyncio.gather(*releases, return_exceptions=True)
         if releases:
             others = self.members()[1 : RELEASE_NOTICES_MAX + 1]
-            await asyncio.gather(*(self._peers.released(m.endpoint) for m in others))
+            await asyncio.gather(
+                *(self._peers.notify_released(m.endpoint) for m in others)
+            )
 
     async def _poll(self) -> None:
         try:
@@ -324,12 +326,12 @@
             for attempt in range(PROBE_ATTEMPTS):
                 if attempt:
                     await asyncio.sleep(PROBE_RETRY_DELAY_MS / 1000)
-                presence = await self._peers.presence(endpoint, service)
-                if presence is not Presence.SILENT:
+                presence = await self._peers.query_ownership(endpoint, service)
+                if presence is not OwnershipReply.NO_REPLY:
                     break
         finally:
             self._probing.discard(service)
-        if presence is not Presence.OWNER and view.version == version:
+        if presence is not OwnershipReply.OWNER and view.version == version:
             view.is_holder_gone = True
             unchanged_ms = self._ports.clock.monotonic_ms() - view.unchanged_since_ms
             log_event(
--- a/basilhold/workflows/run_controller.py
+++ b/basilhold/workflows/run_controller.py
@@ -64,7 +64,7 @@
         now_ms = self._state.clock.monotonic_ms()
         run.stage = RunStage.STARTING
         run.until_clock_ms = worker.clock_at(now_ms) + START_VALID_MS
-        link.note_lease(now_ms, START_VALID_MS)
+        link.extend_lease_bound(now_ms, START_VALID_MS)
         call = StartCall(
             self._runner_call(run),
             workflow.spec.payload,
