Reword the queue, routing, retries and records of requests

Comments spoke of refused, lost or believed things and left units and conditions out. Doc comments state what is measured, in which unit and when a value is None; tests name the failures that they check for. Private names of the queue, health and estimates follow.

--- a/basilhold/requests/__init__.py
+++ b/basilhold/requests/__init__.py
@@ -1,4 +1,7 @@
-"""Decisions about callers' requests. Performs no I/O."""
+"""Queueing, routing, retries and slot allocation of callers' requests.
+
+The package performs no I/O.
+"""
 
 from basilhold.requests.allocator import SlotAllocator
 from basilhold.requests.estimates import RateWindow, ServiceTimes
--- a/basilhold/requests/estimates.py
+++ b/basilhold/requests/estimates.py
@@ -1,16 +1,18 @@
-"""Estimates of service times and waits."""
+"""Estimates of event rates and service times."""
 
 from basilhold.core import ClassName, ServiceName
 
 __all__ = ["RateWindow", "ServiceTimes"]
 
 AVERAGING_COUNT = 32
-KNOWN_COUNT = 10
-"""No request is refused on an estimate from fewer answers than this."""
+"""The newest answer has at least the weight 1 / `AVERAGING_COUNT` in a mean."""
+
+SAMPLE_COUNT_MIN = 10
+"""No request is rejected on an estimate from fewer answers than this."""
 
 
 class RateWindow:
-    """Counts events of the current and the last second."""
+    """Counts the events of the current and the previous second."""
 
     def __init__(self):
         self._second = 0
@@ -18,12 +20,18 @@
         self._last = 0
 
     def add(self, now_ms: float) -> None:
-        """Count an event."""
+        """Count an event.
+
+        Parameters
+        ----------
+        now_ms : float
+            Time of a monotonic clock, in milliseconds.
+        """
         self._roll(now_ms)
         self._current += 1
 
     def per_second(self, now_ms: float) -> int:
-        """Return the larger count of the two seconds."""
+        """Return the larger of the two counts, in events per second."""
         self._roll(now_ms)
         return max(self._current, self._last)
 
@@ -36,7 +44,10 @@
 
 
 class ServiceTimes:
-    """Decaying means of the time that upstreams take, by class and by service."""
+    """Exponentially decaying means of service times, by class and by service.
+
+    A service time is the time that an upstream takes to answer a request.
+    """
 
     def __init__(self):
         self._means: dict[str, float] = {}
@@ -45,24 +56,24 @@
     def record(
         self, service: ServiceName, class_name: ClassName, duration_ms: float
     ) -> None:
-        """Record the duration of an answered request, in milliseconds."""
-        self._average(f"service/{service}", duration_ms)
-        self._average(f"class/{service}/{class_name}", duration_ms)
+        """Record the service time of an answered request, in milliseconds."""
+        self._update_mean(f"service/{service}", duration_ms)
+        self._update_mean(f"class/{service}/{class_name}", duration_ms)
 
     def class_ms(self, service: ServiceName, class_name: ClassName) -> float:
-        """Return the mean of a class in milliseconds, or 0 while it is not known."""
+        """Return the mean of a class in milliseconds, or 0 with too few answers."""
         return self._mean(f"class/{service}/{class_name}")
 
     def service_ms(self, service: ServiceName) -> float:
-        """Return the mean of a service in milliseconds, or 0 while it is not known."""
+        """Return the mean of a service in milliseconds, or 0 with too few answers."""
         return self._mean(f"service/{service}")
 
     def _mean(self, name: str) -> float:
-        if self._counts.get(name, 0) < KNOWN_COUNT:
+        if self._counts.get(name, 0) < SAMPLE_COUNT_MIN:
             return 0.0
         return self._means[name]
 
-    def _average(self, name: str, value: float) -> None:
+    def _update_mean(self, name: str, value: float) -> None:
         count = self._counts.get(name, 0) + 1
         self._counts[name] = min(count, AVERAGING_COUNT)
         mean = self._means.get(name, 0.0)
--- a/basilhold/requests/interfaces.py
+++ b/basilhold/requests/interfaces.py
@@ -67,7 +67,7 @@
 class RequestProgress(Enum):
     """State of a request with an idempotency key at the gateway that holds it.
 
-    ``NOT_HELD`` means that the gateway does not know the request.
+    ``NOT_HELD`` means that the gateway neither runs the request nor knows its end.
     """
 
     NOT_HELD = "not-held"
--- a/basilhold/requests/model.py
+++ b/basilhold/requests/model.py
@@ -1,4 +1,4 @@
-"""Requests, outcomes and problems."""
+"""Data types of requests, their outcomes and problem documents."""
 
 from enum import Enum
 
@@ -17,7 +17,7 @@
 
 
 class Outcome(Enum):
-    """What a caller may conclude about its request.
+    """Whether an upstream has run a request, as reported to the caller.
 
     ``NOT_RUN`` is certain: no byte of the request was written to an upstream.
     """
@@ -28,7 +28,7 @@
 
 
 class ProblemKind(Enum):
-    """Reason for an answer that the gateway writes itself.
+    """Reason for an error response that the gateway itself generates.
 
     The value is the last part of the problem document's ``type``.
     """
@@ -58,7 +58,7 @@
 
     @property
     def status(self) -> int:
-        """HTTP status of the problem document."""
+        """HTTP status code of the response; 503 unless listed otherwise."""
         return _STATUS.get(self, 503)
 
 
@@ -82,16 +82,17 @@
 
 
 class Problem(msgspec.Struct, frozen=True):
-    """An answer that the gateway writes itself.
+    """Error response that the gateway itself generates.
 
     Parameters
     ----------
     kind : ProblemKind
     outcome : Outcome
+        Whether the request may have run.
     detail : str
-        One sentence for the caller.
+        Explanation for the caller, in one sentence.
     retry_after_s : int, optional
-        Value of ``Retry-After``, in seconds.
+        Value of the header ``Retry-After``, in seconds.
     """
 
     kind: ProblemKind
@@ -101,20 +102,22 @@
 
 
 class CallerRequest(msgspec.Struct, frozen=True):
-    """A whole request of an identified caller.
+    """Complete request of an authenticated caller.
 
     Parameters
     ----------
     class_name : ClassName
     team : TeamName
     method, path : str
-        As sent to the upstream.
+        Method and path that are sent to the upstream.
     headers : tuple of (str, str)
-        End-to-end headers that are passed on.
+        End-to-end headers that are forwarded to the upstream.
     body : bytes
     timeout_ms : int, optional
-        The caller's own deadline, in milliseconds; the class's timeout is the limit.
+        Timeout requested by the caller, in milliseconds. The timeout of the class is
+        the upper limit.
     idempotency_key : str, optional
+        Key by which the gateway recognizes a repeat of the request.
     """
 
     class_name: ClassName
@@ -128,16 +131,17 @@
 
 
 class RequestEnd(msgspec.Struct, frozen=True):
-    """How a request ended.
+    """Result of handling a request.
 
     Parameters
     ----------
     outcome : Outcome
     problem : Problem, optional
-        What is left to write to the caller. If the answer was started already, it
-        is incomplete and the caller's connection must be aborted.
+        Error response that is still to be written to the caller. If an answer has
+        already been started, it is incomplete, and the caller's connection must be
+        aborted.
     replayed : bool
-        Whether the answer came from an at-most-once record.
+        Whether the answer was read from an at-most-once record.
     """
 
     outcome: Outcome
@@ -146,17 +150,18 @@
 
 
 class GatewayIdentity(msgspec.Struct, frozen=True):
-    """Where a gateway runs.
+    """Identity and location of a gateway process.
 
     Parameters
     ----------
     process_id : ProcessId
-        Unique for each start.
+        Unique for each start of a gateway.
     vm_id : VmId
     zone : ZoneName
     region : RegionName
     started_unix_ms : int
-        Orders the processes that have run on a VM.
+        Start of the process as Unix time in milliseconds. Orders the processes that
+        have run on a VM.
     """
 
     process_id: ProcessId
--- a/basilhold/requests/once.py
+++ b/basilhold/requests/once.py
@@ -1,4 +1,4 @@
-"""At-most-once records of keyed requests, and what a repeat of a request gets."""
+"""At-most-once records of requests with idempotency keys, and rules for repeats."""
 
 import hashlib
 from enum import Enum
@@ -25,20 +25,21 @@
 ]
 
 INLINE_ANSWER_BYTES_MAX = 32 << 10
-"""Larger answers are kept in the object store."""
+"""Maximum size of a body in the record; larger ones go to the object store."""
 
 BUCKET_COUNT = 256
+"""Number of key prefixes over which the rows are distributed."""
 
 
 class OnceState(Enum):
-    """Progress of a keyed request."""
+    """State of a request with an idempotency key, as recorded in the table."""
 
     RUNNING = "running"
     FINISHED = "finished"
 
 
 class OnceAnswer(msgspec.Struct, frozen=True, omit_defaults=True):
-    """A whole answer.
+    """Recorded answer to a request.
 
     Parameters
     ----------
@@ -47,6 +48,7 @@
     body : bytes
         The body, if it is not in the object store.
     length_bytes : int
+        Length of the body, in bytes.
     chunk_count : int
         Number of objects that hold the body; 0 if it is in `body`.
     kept : bool
@@ -67,16 +69,19 @@
     Parameters
     ----------
     holder : ProcessId
-        Gateway that may send the request.
+        Gateway that may send the request to an upstream.
     write_id : str
-        Random; tells the holder that a row is its own after a lost reply.
+        Random id by which the holder recognizes its own row if the reply to the write
+        was lost.
     fingerprint : str
+        Digest of the request, see `fingerprint`.
     deadline_unix_ms : int
-        The holder sends nothing from then on.
+        Unix time in milliseconds from which the holder no longer sends the request.
     expires_unix_ms : int
-        The row can be removed from then on.
+        Unix time in milliseconds from which the row may be removed.
     state : OnceState
     answer : OnceAnswer, optional
+        Answer of a finished request.
     """
 
     holder: ProcessId
@@ -89,7 +94,7 @@
 
 
 class RepeatAction(Enum):
-    """What a gateway does with a request whose key has a record."""
+    """Action of a gateway on a request whose key already has a record."""
 
     REJECT_REUSE = "reject-reuse"
     REPLAY = "replay"
@@ -99,9 +104,10 @@
 
 
 def make_request_key(team: TeamName, class_name: ClassName, key: str) -> RequestKey:
-    """Return the id of a keyed request.
+    """Return the id of a request with an idempotency key.
 
-    Keys of different teams and classes never collide, whatever characters they hold.
+    Equal keys of different teams or classes have different ids, whatever characters the
+    names contain.
 
     Examples
     --------
@@ -113,13 +119,13 @@
 
 
 def fingerprint(request: CallerRequest) -> str:
-    """Return a digest of what makes two requests with the same key the same."""
+    """Return a digest of method, path and body, to detect the reuse of a key."""
     parts = msgspec.json.encode((request.method, request.path))
     return hashlib.sha256(parts + request.body).hexdigest()[:32]
 
 
 def bucket_prefix(bucket: int) -> str:
-    """Return the prefix of the rows of one bucket.
+    """Return the prefix of the row keys of one bucket.
 
     Examples
     --------
@@ -130,31 +136,39 @@
 
 
 def record_key(key: RequestKey) -> str:
-    """Return the key of a record's row."""
+    """Return the row key of a record."""
     return f"once/{key[:2]}/{key}"
 
 
 def chunk_name(key: RequestKey, write_id: str, index: int) -> str:
-    """Return the name of the object that holds part of an answer."""
+    """Return the name of the object that holds one chunk of an answer's body."""
     return f"once-answer/{key}/{write_id}/{index}"
 
 
 def may_send(record: OnceRecord, now_unix_ms: int) -> bool:
-    """Return whether the holder may still send the request."""
+    """Return whether the holder may still send the request to an upstream."""
     return now_unix_ms < record.deadline_unix_ms - CLOCK_ERROR_MS
 
 
 def is_expired(record: OnceRecord, now_unix_ms: int) -> bool:
-    """Return whether a record can be removed."""
+    """Return whether a record may be removed."""
     return now_unix_ms > record.expires_unix_ms + 2 * CLOCK_ERROR_MS
 
 
 def choose_repeat_action(
     record: OnceRecord, repeat_fingerprint: str, now_unix_ms: int
 ) -> RepeatAction:
-    """Return what to do with a request whose key has a record.
+    """Return the action on a request whose key already has a record.
 
-    No action ever runs the request again.
+    No action runs the request again.
+
+    Parameters
+    ----------
+    record : OnceRecord
+    repeat_fingerprint : str
+        Fingerprint of the repeated request.
+    now_unix_ms : int
+        Unix time in milliseconds.
     """
     if record.fingerprint != repeat_fingerprint:
         return RepeatAction.REJECT_REUSE
--- a/basilhold/requests/queue.py
+++ b/basilhold/requests/queue.py
@@ -1,4 +1,4 @@
-"""Queue of one service's requests, ordered by waited time relative to the target."""
+"""Queue of one service's requests, ordered by waiting time relative to the target."""
 
 from collections import Counter, deque
 from collections.abc import Iterator
@@ -10,17 +10,18 @@
 
 __all__ = ["QueueLimits", "QueuedRequest", "RequestQueue"]
 
-RATIO_BEFORE_QUOTAS = 4.0
-"""Relative lateness from which a team's share no longer matters (design 7.6)."""
+SHARE_OVERRIDE_RATIO = 4.0
+"""Wait ratio above which a team's share no longer affects the order (design 7.6)."""
 
-STANDING_TARGETS = 4.0
-STANDING_MS = 2000.0
-"""A class whose queue was not empty for this long has a standing queue.
+STANDING_QUEUE_TARGETS = 4.0
+STANDING_QUEUE_MS = 2000.0
+"""Time after which a class whose queue never became empty has a standing queue.
 
-A shorter queue is a burst that will drain, and is served late rather than refused. The
-time is `STANDING_TARGETS` targets, or this constant if that is shorter, but at least
-one target. With four targets for all classes, a class with a target of 10 s kept late
-requests for 40 s, and they outranked those that could still start in time.
+A queue that exists for a shorter time is a burst that will drain; its requests are
+served late rather than rejected. The time is the shorter of `STANDING_QUEUE_TARGETS`
+targets and `STANDING_QUEUE_MS`, but at least one target. If four targets applied to all
+classes, one with a target of 10 s would keep late requests for 40 s, and these would be
+served before requests that can still start in time.
 """
 
 
@@ -30,8 +31,9 @@
     Parameters
     ----------
     count_max : int
+        Maximum number of waiting requests.
     bytes_max : int
-        Sum of the waiting requests' bodies, in bytes.
+        Maximum total size of the waiting requests' bodies, in bytes.
     """
 
     count_max: int = 2000
@@ -39,20 +41,28 @@
 
 
 class QueuedRequest:
-    """A waiting request.
+    """Entry of a request in the queue.
 
     Parameters
     ----------
     class_name : ClassName
     team : TeamName
     arrived_ms : float
-        Time of the loop's clock, in milliseconds.
+        Arrival of the request, in milliseconds of the event loop's clock.
     target_ms : int
+        Target of the waiting time, in milliseconds; at least 1 is used.
     deadline_ms : float
-        Time of the loop's clock at which the answer is due, in milliseconds.
+        Time at which the answer is due, in milliseconds of the event loop's clock.
     size_bytes : int
+        Size of the request's body, in bytes.
     excluded : frozenset of UpstreamId
-        Upstreams that have failed this request.
+        Upstreams at which an earlier attempt of this request failed.
+
+    Attributes
+    ----------
+    decision_future : asyncio.Future or None
+        Receives the granted slot or the reason of the rejection. It is set by the
+        gateway's dispatcher.
     """
 
     __slots__ = (
@@ -86,26 +96,29 @@
         self.decision_future: object = None
 
     def wait_ratio(self, now_ms: float) -> float:
-        """Return the waited time divided by the target."""
+        """Return the waiting time divided by its target."""
         return (now_ms - self.arrived_ms) / self.target_ms
 
 
 class RequestQueue:
     """Waiting requests of one service.
 
-    The order is by relative lateness among teams within their share of the requests in
-    flight, then among the others. Within one class and team it is by arrival.
+    Requests are ordered by descending wait ratio, first those of teams within their
+    share of the requests in flight, then those of the other teams. Requests of one
+    class and team are ordered by arrival. Times are in milliseconds of the event loop's
+    clock.
 
     Parameters
     ----------
     service : ServiceName
     limits : QueueLimits
+        Bounds above which new requests are rejected.
     """
 
     def __init__(self, service: ServiceName, limits: QueueLimits):
         self.service = service
         self._limits = limits
-        self._lanes: dict[tuple[ClassName, TeamName], deque[QueuedRequest]] = {}
+        self._subqueues: dict[tuple[ClassName, TeamName], deque[QueuedRequest]] = {}
         self._class_counts: Counter[ClassName] = Counter()
         self._nonempty_since_ms: dict[ClassName, float] = {}
         self._in_flight: Counter[TeamName] = Counter()
@@ -117,8 +130,8 @@
         return self._count
 
     def __iter__(self) -> Iterator[QueuedRequest]:
-        for lane in self._lanes.values():
-            yield from lane
+        for subqueue in self._subqueues.values():
+            yield from subqueue
 
     def class_counts(self) -> Counter[ClassName]:
         """Return the number of waiting requests by class."""
@@ -126,20 +139,20 @@
 
     @property
     def size_bytes(self) -> int:
-        """Sum of the waiting requests' bodies, in bytes."""
+        """Total size of the waiting requests' bodies, in bytes."""
         return self._bytes
 
     def rejection_reason(
         self, request: QueuedRequest, now_ms: float, wait_ms: float, service_ms: float
     ) -> ProblemKind | None:
-        """Return why a request can't be queued, or ``None``.
+        """Return the reason to reject a new request, or ``None`` to queue it.
 
         Parameters
         ----------
         request : QueuedRequest
         now_ms : float
         wait_ms : float
-            Expected wait, in milliseconds.
+            Expected waiting time, in milliseconds.
         service_ms : float
             Expected service time, in milliseconds.
         """
@@ -154,12 +167,18 @@
         return None
 
     def add(self, request: QueuedRequest, now_ms: float) -> None:
-        """Append a request; a repeated attempt keeps its age and goes to the front."""
-        lane = self._lanes.setdefault((request.class_name, request.team), deque())
-        if lane and lane[0].arrived_ms > request.arrived_ms:
-            lane.appendleft(request)
+        """Add a request behind those of its class and team.
+
+        A retry keeps the arrival time of its request and goes to the front if it arrived
+        before the first of them.
+        """
+        subqueue = self._subqueues.setdefault(
+            (request.class_name, request.team), deque()
+        )
+        if subqueue and subqueue[0].arrived_ms > request.arrived_ms:
+            subqueue.appendleft(request)
         else:
-            lane.append(request)
+            subqueue.append(request)
         if not self._class_counts[request.class_name]:
             self._nonempty_since_ms[request.class_name] = now_ms
         self._class_counts[request.class_name] += 1
@@ -167,13 +186,13 @@
         self._bytes += request.size_bytes
 
     def remove(self, request: QueuedRequest) -> bool:
-        """Remove a waiting request and return whether it was there."""
-        lane = self._lanes.get((request.class_name, request.team))
-        if lane is None or request not in lane:
+        """Remove a request and return whether it was in the queue."""
+        subqueue = self._subqueues.get((request.class_name, request.team))
+        if subqueue is None or request not in subqueue:
             return False
-        lane.remove(request)
-        if not lane:
-            del self._lanes[(request.class_name, request.team)]
+        subqueue.remove(request)
+        if not subqueue:
+            del self._subqueues[(request.class_name, request.team)]
         self._class_counts[request.class_name] -= 1
         if not self._class_counts[request.class_name]:
             self._nonempty_since_ms.pop(request.class_name, None)
@@ -182,46 +201,47 @@
         return True
 
     def first(self, now_ms: float) -> QueuedRequest | None:
-        """Return the request that is next in order, without removing it."""
+        """Return the first request in order without removing it, or ``None``."""
         ordered = self.heads(now_ms)
         return ordered[0] if ordered else None
 
     def heads(self, now_ms: float) -> list[QueuedRequest]:
         """Return the oldest request of each class and team, in order."""
-        heads = [lane[0] for lane in self._lanes.values()]
+        heads = [subqueue[0] for subqueue in self._subqueues.values()]
         if len(heads) > 1:
-            share = self._share()
-            heads.sort(key=lambda head: self._rank(head, now_ms, share))
+            share = self._team_share()
+            heads.sort(key=lambda head: self._sort_key(head, now_ms, share))
         return heads
 
     def expired(
         self, now_ms: float, service_ms: float, check_all: bool = True
     ) -> list[tuple[QueuedRequest, ProblemKind]]:
-        """Return the waiting requests that are to be refused now.
+        """Return the waiting requests that are to be rejected now, with the reasons.
 
         Parameters
         ----------
         now_ms : float
         service_ms : float
             Expected service time, in milliseconds.
-        whole : bool
-            Whether all requests are looked at. Otherwise each class and team is left
-            at its first request in time, which misses only callers' own deadlines.
+        check_all : bool
+            Whether all requests are checked. Otherwise the check of each class and team
+            ends at the first request that is not rejected; this misses only requests
+            whose callers have set shorter deadlines.
         """
-        refused = []
-        for lane in self._lanes.values():
-            for request in lane:
+        rejected = []
+        for subqueue in self._subqueues.values():
+            for request in subqueue:
                 kind = self.late_rejection_reason(request, now_ms, service_ms)
                 if kind is not None:
-                    refused.append((request, kind))
+                    rejected.append((request, kind))
                 elif not check_all:
                     break
-        return refused
+        return rejected
 
     def late_rejection_reason(
         self, request: QueuedRequest, now_ms: float, service_ms: float
     ) -> ProblemKind | None:
-        """Return why a waiting request is to be refused now, or ``None``."""
+        """Return the reason to reject a waiting request now, or ``None``."""
         if now_ms + service_ms > request.deadline_ms:
             return ProblemKind.DEADLINE_UNREACHABLE
         if request.wait_ratio(now_ms) > 1 and self._is_standing(request, now_ms):
@@ -235,10 +255,10 @@
         ----------
         now_ms : float
         slot_ms : float
-            Mean time between two slots that become free, in milliseconds.
+            Mean time between the releases of two slots, in milliseconds.
         """
-        # The order of due times is close to that of the ratios over the whole wait; the
-        # ratios of this moment would put every new request last.
+        # The order of due times approximates the order in which requests will start.
+        # The current wait ratios do not, because they put each new request last.
         due = sorted(q.arrived_ms + q.target_ms for q in self)
         return sum(
             now_ms + (position + 1) * slot_ms > due_ms
@@ -246,32 +266,34 @@
         )
 
     def record_start(self, team: TeamName) -> None:
-        """Count a request of a team that was sent."""
+        """Record that a request of a team is in flight."""
         self._in_flight[team] += 1
         self._in_flight_total += 1
 
     def record_end(self, team: TeamName) -> None:
-        """Count a request of a team that has ended."""
+        """Record that a request of a team is no longer in flight."""
         self._in_flight[team] -= 1
         self._in_flight_total -= 1
         if not self._in_flight[team]:
             del self._in_flight[team]
 
-    def _share(self) -> float:
-        teams = {team for _, team in self._lanes} | self._in_flight.keys()
+    def _team_share(self) -> float:
+        teams = {team for _, team in self._subqueues} | self._in_flight.keys()
         return max(1.0, self._in_flight_total / max(1, len(teams)))
 
-    def _rank(
+    def _sort_key(
         self, head: QueuedRequest, now_ms: float, share: float
     ) -> tuple[bool, float]:
         ratio = head.wait_ratio(now_ms)
         above_share = (
-            self._in_flight[head.team] > share and ratio <= RATIO_BEFORE_QUOTAS
+            self._in_flight[head.team] > share and ratio <= SHARE_OVERRIDE_RATIO
         )
         return (above_share, -ratio)
 
     def _is_standing(self, request: QueuedRequest, now_ms: float) -> bool:
         since_ms = self._nonempty_since_ms.get(request.class_name, now_ms)
         target_ms = request.target_ms
-        limit_ms = min(STANDING_TARGETS * target_ms, max(target_ms, STANDING_MS))
+        limit_ms = min(
+            STANDING_QUEUE_TARGETS * target_ms, max(target_ms, STANDING_QUEUE_MS)
+        )
         return now_ms - since_ms > limit_ms
--- a/basilhold/requests/retries.py
+++ b/basilhold/requests/retries.py
@@ -1,26 +1,29 @@
-"""Budget and delay of repeated attempts."""
+"""Budget and backoff of retries."""
 
 import random
 
 __all__ = ["RetryBudget"]
 
 RETRY_RATIO_MAX = 0.1
-"""Repeated attempts are at most this share of the requests (design section 9)."""
+"""Maximum ratio of retries to requests (design section 9)."""
 
 RETRY_BALANCE_MAX = 10.0
+"""Maximum number of retries that the budget accumulates."""
+
 RETRY_DELAY_MS = 10.0
 
 
 class RetryBudget:
-    """Allows repeated attempts up to a tenth of the requests.
+    """Limits retries to a tenth of the requests.
 
-    Each request adds a tenth of an attempt to the balance, and each repeated attempt
-    takes one away. The balance starts at 0, so the bound holds from the first request
-    on, and is limited, so that a long quiet time does not pay for a burst.
+    Each request adds a tenth of a retry to the balance, and each retry subtracts one.
+    The balance starts at 0, so that the limit holds from the first request on. It is
+    bounded, so that a long time without failures does not permit a burst of retries.
 
     Parameters
     ----------
     rng : random.Random
+        Adds jitter to the delays.
     """
 
     def __init__(self, rng: random.Random):
@@ -30,12 +33,12 @@
         self.retry_count = 0
 
     def count_request(self) -> None:
-        """Count a first attempt."""
+        """Count the first attempt of a request."""
         self.request_count += 1
         self._balance = min(RETRY_BALANCE_MAX, self._balance + RETRY_RATIO_MAX)
 
     def try_consume(self) -> bool:
-        """Take one repeated attempt from the budget, if it has one."""
+        """Subtract one retry from the balance, or return False if it is too low."""
         # The tolerance covers the rounding of ten additions of 0.1.
         if self._balance < 1.0 - 1e-9:
             return False
@@ -44,5 +47,8 @@
         return True
 
     def delay_ms(self, attempt: int) -> float:
-        """Return the jittered delay before attempt number `attempt` (from 1)."""
+        """Return the delay in milliseconds before retry number `attempt` (from 1).
+
+        The delay is random; its upper bound doubles with each retry up to the fifth.
+        """
         return self._rng.uniform(0.0, RETRY_DELAY_MS * 2 ** min(attempt, 5))
--- a/basilhold/requests/routing.py
+++ b/basilhold/requests/routing.py
@@ -1,4 +1,4 @@
-"""Upstreams of each service and the choice among them."""
+"""Choice of upstreams for requests, by distance, health and load."""
 
 import random
 from collections.abc import Iterable
@@ -13,21 +13,22 @@
 __all__ = ["LEAVING_MS", "Distance", "Router", "Upstream"]
 
 LEAVING_MS = 300_000
-"""How long an upstream's own report that it is leaving is believed.
+"""Time for which an upstream's own announcement that it is leaving is valid.
 
-By then the VM list shows it, or the upstream has been restarted in place.
+After it, either the VM list shows that the upstream is leaving, or the upstream has
+been restarted on the same VM.
 """
 
 DRAWS_MAX = 8
-"""Candidates drawn in one choice before the tier counts as having none.
+"""Maximum number of random candidates in one choice among equally distant upstreams.
 
-With half of a tier at weight 0, all draws fail once in 2**8 choices; the request then
-waits for the next event, at most one tick.
+If half of them have weight 0, all draws fail in one of 2**8 choices. The request then
+waits for the next event, which comes after at most one tick of the dispatcher.
 """
 
 
 class Distance(IntEnum):
-    """How far an upstream is from the gateway."""
+    """Distance of an upstream from the gateway, nearest first."""
 
     SAME_ZONE = 0
     SAME_REGION = 1
@@ -35,7 +36,28 @@
 
 
 class Upstream(msgspec.Struct):
-    """An upstream as one gateway sees it."""
+    """State of an upstream at one gateway.
+
+    Parameters
+    ----------
+    upstream_id : UpstreamId
+    service : ServiceName
+    zone : ZoneName
+    region : RegionName
+    host : str
+    port : int
+    slots : int
+        Number of requests that the upstream runs at a time.
+    distance : Distance
+    health : UpstreamHealth
+    listed_leaving : bool
+        Whether the VM list shows the upstream as leaving.
+    leaving_until_ms : float
+        Time until which the upstream's own announcement that it is leaving is valid,
+        in milliseconds of a monotonic clock.
+    in_flight : int
+        Number of requests of this gateway that the upstream handles.
+    """
 
     upstream_id: UpstreamId
     service: ServiceName
@@ -52,7 +74,7 @@
 
 
 class _IndexedSet:
-    """Set with random access, so that a draw does not depend on its size."""
+    """Set from which a random element is drawn in constant time."""
 
     def __init__(self):
         self._items: list[UpstreamId] = []
@@ -82,12 +104,18 @@
 class Router:
     """Chooses upstreams for the requests of one gateway.
 
+    An upstream is usable if the gateway has an idle slot token for it. Times are in
+    milliseconds of a monotonic clock.
+
     Parameters
     ----------
     zone : ZoneName
+        Zone of the gateway.
     region : RegionName
+        Region of the gateway.
     rng : random.Random
     limits : HealthLimits, optional
+        Thresholds and delays of the circuit breakers.
     """
 
     def __init__(
@@ -107,41 +135,48 @@
         self._zone_distances: dict[ServiceName, dict[ZoneName, Distance]] = {}
 
     def update(self, records: Iterable[VmRecord]) -> None:
-        """Replace the list of upstreams by that of the VM list."""
+        """Replace the upstreams by those of a VM list.
+
+        An upstream whose address and service are unchanged keeps its health.
+        """
         listed = {}
         for record in records:
             if record.kind is VmKind.UPSTREAM and record.service is not None:
                 listed[UpstreamId(record.vm_id)] = record
         for upstream_id in self._upstreams.keys() - listed.keys():
-            self._forget(upstream_id)
+            self._remove(upstream_id)
         for upstream_id, record in listed.items():
             self._upsert(upstream_id, record)
-        self._index_services()
+        self._index_zone_distances()
 
-    def _index_services(self) -> None:
+    def _index_zone_distances(self) -> None:
         self._zone_distances = {}
         for service, upstream_ids in self._by_service.items():
             members = (self._upstreams[i] for i in upstream_ids)
             self._zone_distances[service] = {m.zone: m.distance for m in members}
 
     def find(self, upstream_id: UpstreamId) -> Upstream | None:
-        """Return an upstream, or ``None`` if the VM list does not show it."""
+        """Return an upstream, or ``None`` if the VM list does not contain it."""
         return self._upstreams.get(upstream_id)
 
     def upstreams_of_service(self, service: ServiceName) -> frozenset[UpstreamId]:
-        """Return the upstreams of a service."""
+        """Return the ids of the upstreams of a service."""
         return frozenset(self._by_service.get(service, ()))
 
     def knows_service(self, service: ServiceName) -> bool:
-        """Return whether the VM list has shown an upstream of a service."""
+        """Return whether any VM list has contained an upstream of a service."""
         return service in self._by_service
 
     def distance_of(self, service: ServiceName, zone: ZoneName) -> Distance | None:
-        """Return how far a zone is, or ``None`` if the service is not there."""
+        """Return the distance of a zone, or ``None`` if it lacks the service."""
         return self._zone_distances.get(service, {}).get(zone)
 
     def zone_count(self, service: ServiceName, distance: Distance) -> int:
-        """Return how many zones serve a service in this region, or in the others."""
+        """Return the number of zones that serve a service.
+
+        Zones of other regions are counted if `distance` is ``OTHER_REGION``, and zones
+        of the gateway's region otherwise.
+        """
         remote = distance is Distance.OTHER_REGION
         distances = self._zone_distances.get(service, {}).values()
         return sum((d is Distance.OTHER_REGION) == remote for d in distances)
@@ -151,7 +186,7 @@
         return tuple(self._by_service)
 
     def open_breaker_count(self, service: ServiceName) -> int:
-        """Return how many upstreams of a service have an open circuit breaker."""
+        """Return how many upstreams of a service have a circuit breaker not closed."""
         return sum(
             self._upstreams[u].health.state is not BreakerState.CLOSED
             for u in self._by_service.get(service, ())
@@ -162,11 +197,14 @@
         return any(self.usable_count(service, distance) for distance in Distance)
 
     def zones(self) -> dict[ZoneName, RegionName]:
-        """Return the zones that have upstreams."""
+        """Return the zones that have upstreams, with their regions."""
         return {u.zone: u.region for u in self._upstreams.values()}
 
     def is_leaving(self, upstream_id: UpstreamId, now_ms: float) -> bool:
-        """Return whether an upstream must not receive new work."""
+        """Return whether an upstream must not receive new requests.
+
+        True also for an unknown upstream.
+        """
         upstream = self._upstreams.get(upstream_id)
         if upstream is None:
             return True
@@ -175,7 +213,7 @@
     def self_reported_leaving(
         self, zone: ZoneName, now_ms: float
     ) -> tuple[UpstreamId, ...]:
-        """Return the upstreams of a zone that have said that they are leaving."""
+        """Return the upstreams of a zone that have announced that they are leaving."""
         return tuple(
             u.upstream_id
             for u in self._upstreams.values()
@@ -183,13 +221,13 @@
         )
 
     def report_leaving(self, upstream_id: UpstreamId, until_ms: float) -> None:
-        """Record that an upstream itself has said that it is leaving."""
+        """Record the announcement of an upstream that it is leaving."""
         upstream = self._upstreams.get(upstream_id)
         if upstream is not None:
             upstream.leaving_until_ms = until_ms
 
     def set_idle_count(self, upstream_id: UpstreamId, idle_count: int) -> None:
-        """Record how many idle tokens the gateway has for an upstream."""
+        """Record how many idle slot tokens the gateway has for an upstream."""
         upstream = self._upstreams.get(upstream_id)
         if upstream is None:
             return
@@ -200,7 +238,7 @@
             tier.discard(upstream_id)
 
     def usable_count(self, service: ServiceName, distance: Distance) -> int:
-        """Return how many upstreams with idle tokens there are at a distance."""
+        """Return how many usable upstreams of a service are at a distance."""
         return len(self._tier(service, distance))
 
     def choose(
@@ -210,7 +248,10 @@
         max_distance: Distance = Distance.OTHER_REGION,
         excluded: frozenset[UpstreamId] = frozenset(),
     ) -> Upstream | None:
-        """Return the upstream for the next request of a service.
+        """Choose an upstream for the next request of a service.
+
+        The nearest distance with a suitable upstream is used. Of two upstreams drawn
+        there at random, the one with fewer requests in flight is chosen.
 
         Parameters
         ----------
@@ -218,7 +259,12 @@
         now_ms : float
         max_distance : Distance
         excluded : frozenset of UpstreamId
-            Upstreams that have failed the request before.
+            Upstreams at which an earlier attempt of the request failed.
+
+        Returns
+        -------
+        Upstream or None
+            None if no suitable upstream was drawn.
         """
         for distance in Distance:
             if distance > max_distance:
@@ -259,7 +305,7 @@
             known.listed_leaving = leaving
             return
         if known is not None:
-            self._forget(upstream_id)
+            self._remove(upstream_id)
         self._upstreams[upstream_id] = Upstream(
             upstream_id=upstream_id,
             service=record.service,
@@ -274,7 +320,7 @@
         )
         self._by_service.setdefault(record.service, {})[upstream_id] = None
 
-    def _forget(self, upstream_id: UpstreamId) -> None:
+    def _remove(self, upstream_id: UpstreamId) -> None:
         upstream = self._upstreams.pop(upstream_id)
         self._tier(upstream.service, upstream.distance).discard(upstream_id)
         self._by_service[upstream.service].pop(upstream_id, None)
--- a/basilhold/requests/tests/test_routing.py
+++ b/basilhold/requests/tests/test_routing.py
@@ -17,7 +17,7 @@
 SERVICE = ServiceName("s")
 
 
-def record(name, zone="z1", region="r1", state=VmState.LIVE):
+def make_record(name, zone="z1", region="r1", state=VmState.LIVE):
     return VmRecord(
         VmId(name),
         VmKind.UPSTREAM,
@@ -33,18 +33,25 @@
 
 
 class RouterTest(unittest.TestCase):
-    """Guards the paid link, and callers against bad and leaving upstreams."""
+    """Checks that distant, failing and leaving upstreams get few requests or none.
 
-    def make(self, *records):
+    Requests to another region use a paid link.
+    """
+
+    def make_router(self, *records):
         router = Router(ZoneName("z1"), RegionName("r1"), random.Random(0))
         router.update(records)
         for item in records:
             router.set_idle_count(UpstreamId(item.vm_id), 8)
         return router
 
-    def test_nearest_first(self):
-        near, mid, far = record("a"), record("b", "z2"), record("c", "z3", "r2")
-        router = self.make(near, mid, far)
+    def test_nearest_upstream_is_chosen_first(self):
+        near, mid, far = (
+            make_record("a"),
+            make_record("b", "z2"),
+            make_record("c", "z3", "r2"),
+        )
+        router = self.make_router(near, mid, far)
         self.assertEqual(router.choose(SERVICE, 0).upstream_id, "a")
         router.set_idle_count(UpstreamId("a"), 0)
         self.assertEqual(router.choose(SERVICE, 0).upstream_id, "b")
@@ -52,15 +59,15 @@
         self.assertIsNone(router.choose(SERVICE, 0, Distance.SAME_REGION))
         self.assertEqual(router.choose(SERVICE, 0).upstream_id, "c")
 
-    def test_leaving_upstream_gets_no_new_work(self):
-        router = self.make(record("a"), record("b"))
+    def test_leaving_upstream_gets_no_new_requests(self):
+        router = self.make_router(make_record("a"), make_record("b"))
         router.report_leaving(UpstreamId("a"), 1000)
-        router.update([record("a"), record("b", state=VmState.LEAVING)])
+        router.update([make_record("a"), make_record("b", state=VmState.LEAVING)])
         self.assertIsNone(router.choose(SERVICE, 0))
         self.assertEqual(router.choose(SERVICE, 1001).upstream_id, "a")
 
     def test_upstream_that_fails_fast_attracts_no_traffic(self):
-        router = self.make(*(record(f"u{n}") for n in range(4)))
+        router = self.make_router(*(make_record(f"u{n}") for n in range(4)))
         counts = {}
         for now_ms in range(0, 60_000, 10):
             upstream = router.choose(SERVICE, now_ms)
@@ -72,22 +79,25 @@
                 upstream.health.record_success(now_ms)
         self.assertLess(counts["u0"], 0.01 * sum(counts.values()))
 
-    def test_replaced_upstream_starts_anew(self):
-        router = self.make(record("a"))
+    def test_upstream_with_new_address_has_no_failure_history(self):
+        router = self.make_router(make_record("a"))
         router.find(UpstreamId("a")).health.record_failure(0)
-        moved = msgspec.structs.replace(record("a"), port=2)
+        moved = msgspec.structs.replace(make_record("a"), port=2)
         router.update([moved])
         self.assertEqual(router.find(UpstreamId("a")).health.failure_rate, 0)
 
 
 class HealthTest(unittest.TestCase):
-    """Guards recovering upstreams against a rush, and callers against probes."""
+    """Checks that a recovering upstream is not overloaded.
+
+    Only one request at a time is used as a probe, since it is likely to fail.
+    """
 
-    def make(self):
+    def make_health(self):
         return UpstreamHealth(HealthLimits(), random.Random(0))
 
     def test_one_probe_then_slow_start(self):
-        health = self.make()
+        health = self.make_health()
         for _ in range(5):
             health.record_failure(0)
         self.assertIs(health.state, BreakerState.OPEN)
@@ -100,7 +110,7 @@
         self.assertEqual(health.weight(1300 + 10_000), 1)
 
     def test_delay_before_a_probe_doubles_up_to_its_bound(self):
-        health = self.make()
+        health = self.make_health()
         for _ in range(5):
             health.record_failure(0)
         delays = []
@@ -113,7 +123,7 @@
         self.assertLessEqual(max(delays), 30_000 * 1.25)
 
     def test_abandoned_probe_does_not_block_the_upstream(self):
-        health = self.make()
+        health = self.make_health()
         for _ in range(5):
             health.record_failure(0)
         health.record_start()
@@ -122,9 +132,9 @@
 
 
 class RetryBudgetTest(unittest.TestCase):
-    """Guards against retry storms."""
+    """Checks that retries do not multiply the load of a failing service."""
 
-    def test_budget_is_a_tenth_at_any_moment(self):
+    def test_retries_never_exceed_a_tenth_of_requests(self):
         budget = RetryBudget(random.Random(0))
         for _ in range(1000):
             budget.count_request()
@@ -133,7 +143,7 @@
             self.assertLessEqual(budget.retry_count, 0.1 * budget.request_count)
         self.assertEqual(budget.retry_count, 100)
 
-    def test_quiet_time_does_not_pay_for_a_burst(self):
+    def test_time_without_failures_does_not_permit_burst_of_retries(self):
         budget = RetryBudget(random.Random(0))
         for _ in range(10_000):
             budget.count_request()
