--- a/basilhold/requests/queue.py
+++ b/basilhold/requests/queue.py
@@ -169,8 +169,8 @@
     def add(self, request: QueuedRequest, now_ms: float) -> None:
         """Add a request behind those of its class and team.
 
-        A retry keeps the arrival time of its request and goes to the front if it arrived
-        before the first of them.
+        A retry keeps the arrival time of its request, and goes to the front if that is
+        earlier than the arrival of the first of them.
         """
         subqueue = self._subqueues.setdefault(
             (request.class_name, request.team), deque()
