--- a/basilhold/gateway/once.py
+++ b/basilhold/gateway/once.py
@@ -33,7 +33,7 @@
     RepeatAction,
     RequestPeers,
     RequestProgress,
-    judge_repeat,
+    choose_repeat_action,
 )
 from basilhold.requests.once import record_key
 
@@ -312,7 +312,7 @@
         self, key: RequestKey, row: Row, fingerprint: str, deadline_ms: float
     ) -> ClaimResult | None:
         record = msgspec.json.decode(row.value, type=OnceRecord)
-        action = judge_repeat(record, fingerprint, self._clock.unix_ms())
+        action = choose_repeat_action(record, fingerprint, self._clock.unix_ms())
         if action is RepeatAction.REJECT_REUSE:
             return not_run_problem(
                 ProblemKind.KEY_REUSED,
