Send starts early again in the test of a broken owner

Cause: a rename did not reach an untyped parameter, so that the broken variant ended with AttributeError (event 6003) and was detected for that, not for its early start. Change: the variant calls mark_dirty. Every attribute that the code uses and the old build defined was searched for in the new one; no other is undefined.

--- a/basilhold/workflows/tests/test_random_runs.py
+++ b/basilhold/workflows/tests/test_random_runs.py
@@ -89,7 +89,7 @@
 
     def test_start_sent_before_assignment_is_stored(self):
         def start_immediately(committer, placement):
-            committer.mark(placement.step.workflow)
+            committer.mark_dirty(placement.step.workflow)
             committer._send_start(placement)
 
         with patch.object(Committer, "start_after_commit", start_immediately):
