--- a/basilhold/platform/callers.py
+++ b/basilhold/platform/callers.py
@@ -71,13 +71,13 @@
             job_id,
             policy,
             self.request.body,
-            self._server.front.shared_ms() or 0.0,
+            self._server.frontend.shared_ms() or 0.0,
             self._server.row_bytes_max,
         )
         if decoded.is_error():
             self._reply(400, {"error": decoded.error})
             return
-        outcome = await self._server.front.submit(decoded.ok, self._deadline_ms())
+        outcome = await self._server.frontend.submit(decoded.ok, self._deadline_ms())
         if outcome is StoreOutcome.STORED:
             self._reply(200, {})
         elif outcome is StoreOutcome.NOT_STORED:
@@ -87,9 +87,9 @@
 
     async def get(self) -> None:
         """Return a job's state, or the number of waiting jobs of a queue."""
-        front = self._server.front
+        frontend = self._server.frontend
         if self._path_suffix() == "":
-            count = await front.queue_length(self._queue_route.policy)
+            count = await frontend.queue_length(self._queue_route.policy)
             if count is None:
                 self._reply_unavailable(503, "the queue's owner does not answer")
             else:
@@ -98,7 +98,7 @@
         job_id = self._job_id()
         if job_id is None:
             return
-        existence, state = await front.state(self._queue_route.policy, job_id)
+        existence, state = await frontend.state(self._queue_route.policy, job_id)
         if existence is Existence.EXISTS:
             self._reply(200, {"state": _STATE_NAMES[state]})
         elif existence is Existence.ABSENT:
@@ -111,7 +111,7 @@
         job_id = self._job_id()
         if job_id is None:
             return
-        existence = await self._server.front.cancel(
+        existence = await self._server.frontend.cancel(
             self._queue_route.policy, job_id, self._deadline_ms()
         )
         if existence is Existence.EXISTS:
@@ -165,7 +165,7 @@
         )
         timeout_ms = self._timeout_ms()
         self.set_header(
-            "Retry-After", str(self._server.front.retry_after_s(timeout_ms))
+            "Retry-After", str(self._server.frontend.retry_after_s(timeout_ms))
         )
         self._reply(status, {"error": reason})
 
@@ -179,7 +179,7 @@
 
     Parameters
     ----------
-    front : WorkflowFrontend
+    frontend : WorkflowFrontend
         Carries out the requests.
     queue_table : callable
         Returns the newest configuration, or ``None`` before the first one is read.
@@ -199,12 +199,12 @@
 
     def __init__(
         self,
-        front: WorkflowFrontend,
+        frontend: WorkflowFrontend,
         queue_table: Callable[[], QueueTable | None],
         clock: Clock,
         row_bytes_max: int,
     ):
-        self.front = front
+        self.frontend = frontend
         self.row_bytes_max = row_bytes_max
         self.queue_table = queue_table
         self.clock = clock
--- a/basilhold/platform/node.py
+++ b/basilhold/platform/node.py
@@ -137,7 +137,7 @@
     ----------
     ownership_manager : OwnershipManager
         Claims and releases the ownership of services.
-    front : WorkflowFrontend
+    frontend : WorkflowFrontend
         Carries out the requests of callers and peers.
     """
 
@@ -172,7 +172,7 @@
         advice = PlatformAdviceService(
             self._pool, parse_endpoint(settings.advice or settings.platform.address)
         )
-        spread_advice = AdviceBalancer(
+        advice_balancer = AdviceBalancer(
             endpoint, advice, peers, lambda: self.ownership_manager.members(), region
         )
         ports = OwnerPorts(
@@ -180,7 +180,7 @@
             store,
             PlatformRunnerClient(self._pool),
             PlatformWorkerRegistry(store),
-            spread_advice,
+            advice_balancer,
             self._clock,
             shared_time,
             self._status_pages.metrics,
@@ -210,14 +210,17 @@
             peers,
             _small_machine_delay_ms(settings),
         )
-        self.front = WorkflowFrontend(
+        self.frontend = WorkflowFrontend(
             store, self.ownership_manager, peers, advice, self._clock, shared_time
         )
         self._caller_server = CallerServer(
-            self.front, lambda: self._queue_table, self._clock, settings.row_bytes_max
+            self.frontend,
+            lambda: self._queue_table,
+            self._clock,
+            settings.row_bytes_max,
         )
         self._readiness_server = make_readiness_server(self._is_ready)
-        self._peer_server = make_peer_server(self.front)
+        self._peer_server = make_peer_server(self.frontend)
         self._status_server = HTTPServer(status_application(self._status_pages))
 
     @property
@@ -249,7 +252,7 @@
         )
         for server in servers:
             server.stop()
-        await self.front.close()
+        await self.frontend.close()
         await self._store.close()
         self._pool.close()
 
--- a/basilhold/platform/tests/test_callers.py
+++ b/basilhold/platform/tests/test_callers.py
@@ -15,7 +15,7 @@
 JOB = b'{"spec":"x","steps":[{"count":1,"cpu":1}]}'
 
 
-class BlockedFront:
+class BlockedFrontend:
     """A `WorkflowFrontend` whose submissions block, or raise `error` if it is set."""
 
     def __init__(self):
@@ -36,9 +36,9 @@
     """Guards against replies that claim a certain outcome where it is unknown."""
 
     async def asyncSetUp(self):
-        self.front = BlockedFront()
+        self.frontend = BlockedFrontend()
         table = QueueTable(1, (QueueRoute("h", "/q/", POLICY),), 1 << 18, ("desk",))
-        self.callers = CallerServer(self.front, lambda: table, Clock(0), 49_152)
+        self.callers = CallerServer(self.frontend, lambda: table, Clock(0), 49_152)
         listening = socket.create_server(("127.0.0.1", 0))
         listening.setblocking(False)
         self.callers.server.add_socket(listening)
@@ -55,7 +55,7 @@
         # Cancelled handlers replied 500, which callers take neither for a rejection nor
         # for an unknown outcome, after which they retry.
         reader = await self.post()
-        await self.front.submission_started.wait()
+        await self.frontend.submission_started.wait()
         (handler,) = (
             task
             for task in asyncio.all_tasks()
@@ -65,6 +65,6 @@
         self.assertIn(b" 504 ", await reader.readline())
 
     async def test_unexpected_error_gets_504(self):
-        self.front.error = RuntimeError("injected failure")
+        self.frontend.error = RuntimeError("injected failure")
         reader = await self.post()
         self.assertIn(b" 504 ", await reader.readline())
