Name the traffic-counting table service and the closing of channels

StoreTraffic is a table service, which its name did not say, and "forget" did not say that a transport closes the cached channel.

basilhold/accounting/store_traffic.py StoreTraffic TrafficCountingTableService basilhold/rpc/transport.py forget close_channel

--- a/basilhold/accounting/__init__.py
+++ b/basilhold/accounting/__init__.py
@@ -9,7 +9,7 @@
 )
 from basilhold.accounting.channels import CountingTransport, purpose_of_method
 from basilhold.accounting.http import CountingHttpClient
-from basilhold.accounting.store_traffic import StoreTraffic
+from basilhold.accounting.store_traffic import TrafficCountingTableService
 from basilhold.accounting.tables import (
     CountingTableService,
     OperationCounter,
@@ -49,8 +49,8 @@
     "Purpose",
     "StoreBudget",
     "StorePriority",
-    "StoreTraffic",
     "TrafficCounter",
+    "TrafficCountingTableService",
     "TrafficEntry",
     "purpose_of_method",
 ]
--- a/basilhold/accounting/channels.py
+++ b/basilhold/accounting/channels.py
@@ -169,9 +169,9 @@
         distance = self._locator.distance(address.host)
         return _CountingChannel(self._inner.channel(address), self._counter, distance)
 
-    def forget(self, address: Address) -> None:
+    def close_channel(self, address: Address) -> None:
         """Close the inner channel to an address."""
-        self._inner.forget(address)
+        self._inner.close_channel(address)
 
     async def serve(
         self, services: Sequence[Servable], address: Address
--- a/basilhold/accounting/store_traffic.py
+++ b/basilhold/accounting/store_traffic.py
@@ -6,10 +6,10 @@
 from basilhold.accounting.traffic import Distance, Purpose, TrafficCounter
 from basilhold.ports import Row, ScanPage, StoreError, TableService, Transaction
 
-__all__ = ["StoreTraffic"]
+__all__ = ["TrafficCountingTableService"]
 
 
-class StoreTraffic(TableService):
+class TrafficCountingTableService(TableService):
     """Counts requests and responses as HTTP with JSON bodies.
 
     Programs count the bytes of their HTTP client; cells over stand-ins use this. The
--- a/basilhold/cell/entry.py
+++ b/basilhold/cell/entry.py
@@ -14,8 +14,8 @@
     OperationCounter,
     Place,
     StoreBudget,
-    StoreTraffic,
     TrafficCounter,
+    TrafficCountingTableService,
 )
 from basilhold.cell.shape import CellShape
 from basilhold.config import ConfigInForce
@@ -199,7 +199,9 @@
         budget = self.budgets.setdefault(program, StoreBudget(rng=self._rng))
         near = self.entry.region == self._shape.store_region
         distance = Distance.SAME_REGION if near else Distance.OTHER_REGION
-        table = StoreTraffic(self._platform.table, self.traffic, distance)
+        table = TrafficCountingTableService(
+            self._platform.table, self.traffic, distance
+        )
         return ProcessStore(table, budget, self.operations, purpose)
 
     def _context(self, program: str, process_id: ProcessId):
--- a/basilhold/relay/links.py
+++ b/basilhold/relay/links.py
@@ -104,7 +104,7 @@
                 return await self._exchange(stream, reporter, same_region, is_wanted)
         except CALL_ERRORS as error:
             if isinstance(error, TimeoutError):
-                self._transport.forget(address)
+                self._transport.close_channel(address)
             return rpc_error_from(error)
         finally:
             self.address = None
--- a/basilhold/rpc/sockets.py
+++ b/basilhold/rpc/sockets.py
@@ -100,7 +100,7 @@
             self._channels[address] = channel
         return channel
 
-    def forget(self, address: Address) -> None:
+    def close_channel(self, address: Address) -> None:
         """Close the channel to an address, so that the next use connects anew."""
         channel = self._channels.pop(address, None)
         if channel is not None:
--- a/basilhold/rpc/transport.py
+++ b/basilhold/rpc/transport.py
@@ -59,7 +59,7 @@
         """
 
     @abstractmethod
-    def forget(self, address: Address) -> None:
+    def close_channel(self, address: Address) -> None:
         """Close the channel to an address, so that the next use connects anew.
 
         Used after a silence: a connection that was cut can stall for longer than a
--- a/basilhold/standins/network.py
+++ b/basilhold/standins/network.py
@@ -375,7 +375,7 @@
         """Return a channel to an address."""
         return _MemoryChannel(self, address)
 
-    def forget(self, address: Address) -> None:
+    def close_channel(self, address: Address) -> None:
         """Do nothing: each stream has its own connection."""
 
     async def connect(self, address: Address, name: str) -> _Connection:
