Reword the traffic counters and the store budget

Doc comments named parameters without saying what they are, and some names and texts were figurative. They now state meaning, unit and outcome; names private to the folder follow (learn is set_place, add_receipt is add_acknowledgement, taken_ms is duration_ms). Behaviour is unchanged.

--- a/basilhold/accounting/__init__.py
+++ b/basilhold/accounting/__init__.py
@@ -1,4 +1,4 @@
-"""Counts of control traffic and the budget of store operations."""
+"""Counters of control-plane traffic and store operations, and a store rate limit."""
 
 from basilhold.accounting.budget import (
     BudgetedTableService,
--- a/basilhold/accounting/budget.py
+++ b/basilhold/accounting/budget.py
@@ -1,4 +1,4 @@
-"""Budget of store operations of one process."""
+"""Adaptive rate limit for the store operations of one process."""
 
 import asyncio
 import heapq
@@ -28,7 +28,7 @@
 
 
 class StorePriority(IntEnum):
-    """Order in which waiting operations are sent."""
+    """Priority of a waiting operation; lower values are sent first."""
 
     LEASES = 0
     COMMITS = 1
@@ -37,29 +37,31 @@
 
 
 class BudgetSettings(msgspec.Struct, frozen=True):
-    """Bounds of a budget.
+    """Limits and step sizes of a `StoreBudget`.
 
     Parameters
     ----------
     rate_max_per_s, rate_min_per_s : float
-        Bounds of the rate of operations.
+        Upper and lower bound of the rate, in operations per second.
     rate_start_per_s : float
-        Rate of a process that just started.
+        Initial rate, in operations per second.
     increase_per_s : float
-        How much the rate rises in each second of fast operations at the full rate.
+        Additive increase of the rate, in operations per second, for each second in
+        which operations are sent at the current rate and none is slow or fails.
     decrease_ratio : float
-        Factor by which the rate falls after a slow or failed operation.
+        Factor by which the rate is multiplied after a slow or failed operation.
     decrease_interval_ms : int
-        The rate falls at most once in this time, because operations that were sent
-        together fail together.
+        Minimum time between two decreases, in milliseconds. Operations that are in
+        flight together usually fail together and must count as one failure.
     slow_ms : int
-        Operations that take longer are slow.
+        Duration above which an operation counts as slow, in milliseconds.
     in_flight_max : int
-        Operations that are sent at a time.
+        Maximum number of concurrent operations.
     waiting_max : int
-        Operations that wait at a time; more are refused.
+        Maximum number of waiting operations. When it is reached, a new operation
+        replaces a waiting one of lower priority or is rejected.
     wait_max_ms : int
-        Longest wait before an operation is refused.
+        Time after which a waiting operation is rejected, in milliseconds.
     """
 
     rate_max_per_s: float = 200.0
@@ -75,7 +77,19 @@
 
 
 class BudgetSnapshot(msgspec.Struct, frozen=True):
-    """State of a budget, for export as metrics."""
+    """State and counters of a `StoreBudget`, for export as metrics.
+
+    Parameters
+    ----------
+    rate_per_s : float
+        Current rate, in operations per second.
+    in_flight, waiting : int
+        Operations that are in flight and that wait for a permit.
+    granted, refused : dict of str to int
+        Operations permitted and rejected since the start, by name of priority.
+    slow : int
+        Operations that were slow or failed since the start.
+    """
 
     rate_per_s: float
     in_flight: int
@@ -87,22 +101,23 @@
 
 class _Waiter(msgspec.Struct, order=True):
     priority: int
-    number: int
+    sequence_number: int
     granted: asyncio.Future[None]
 
 
 class StoreBudget:
-    """Paces the store operations of a process.
+    """Limits the rate and concurrency of the store operations of a process.
 
-    The rate falls by a factor when the store is slow or fails, and rises by a
-    constant while it is fast. Each pause between operations is jittered, so that
-    processes that were stopped by the same outage do not return in step.
+    The rate follows additive increase and multiplicative decrease: it drops by a
+    factor when the store is slow or fails, and rises by a constant while the store
+    is fast. Intervals between operations are jittered so that processes that were
+    blocked by the same outage do not resume in lockstep.
 
     Parameters
     ----------
     settings : BudgetSettings, optional
     rng : random.Random, optional
-        Source of jitter.
+        Random number generator for the jitter.
     """
 
     def __init__(
@@ -114,75 +129,83 @@
         self.rate_per_s = self.settings.rate_start_per_s
         self._random = rng or random.Random()
         self._waiters: list[_Waiter] = []
-        self._number = 0
+        self._sequence_number = 0
         self._in_flight = 0
-        self._next_at_s = 0.0
-        self._decreased_at_s = float("-inf")
+        self._next_grant_at_s = 0.0
+        self._last_decrease_at_s = float("-inf")
         self._timer: asyncio.TimerHandle | None = None
         self._granted: Counter[StorePriority] = Counter()
         self._refused: Counter[StorePriority] = Counter()
         self._slow = 0
 
     async def acquire(self, priority: StorePriority) -> bool:
-        """Wait for the turn of an operation.
+        """Wait for a permit to send one operation.
+
+        Parameters
+        ----------
+        priority : StorePriority
+            Priority of the operation among those that wait.
 
         Returns
         -------
         bool
-            False if the operation must not be sent; otherwise `release` follows.
+            True if the operation may be sent; the caller must call `release` when
+            it ends. False if the operation was rejected, because too many operations
+            wait or it waited too long, and must not be sent.
         """
-        if len(self._waiters) >= self.settings.waiting_max and not self._make_room(
+        if len(self._waiters) >= self.settings.waiting_max and not self._evict_lower(
             priority
         ):
             self._refused[priority] += 1
             return False
         loop = asyncio.get_running_loop()
-        self._number += 1
-        waiter = _Waiter(int(priority), self._number, loop.create_future())
+        self._sequence_number += 1
+        waiter = _Waiter(int(priority), self._sequence_number, loop.create_future())
         heapq.heappush(self._waiters, waiter)
-        self._grant_due()
+        self._grant_permits()
         try:
             async with asyncio.timeout(self.settings.wait_max_ms / 1000):
                 await waiter.granted
         except TimeoutError:
             is_granted = False
         except asyncio.CancelledError:
-            self._withdraw(waiter)
+            self._cancel_waiter(waiter)
             raise
         else:
             is_granted = waiter.granted.result()
         if is_granted:
             self._granted[priority] += 1
             return True
-        self._withdraw(waiter)
+        self._cancel_waiter(waiter)
         self._refused[priority] += 1
         return False
 
-    def release(self, taken_ms: float, is_available: bool) -> None:
-        """Take note of an operation's end.
+    def release(self, duration_ms: float, is_available: bool) -> None:
+        """Return the permit of a finished operation and adjust the rate.
 
         Parameters
         ----------
-        taken_ms : float
-            Time from sending to the reply, in milliseconds.
+        duration_ms : float
+            Time from sending the operation to its end, in milliseconds.
         is_available : bool
-            Whether the store answered, be it with a conflict.
+            Whether the store replied. A reply that reports a conflict or an invalid
+            request counts.
         """
         self._in_flight -= 1
         settings = self.settings
-        if is_available and taken_ms <= settings.slow_ms:
-            # A rate r gives r operations a second, so the rate rises by
-            # `increase_per_s` in a second at the full rate.
-            raised = self.rate_per_s + settings.increase_per_s / self.rate_per_s
-            step = min(raised, self.rate_per_s + settings.increase_per_s)
-            self.rate_per_s = min(settings.rate_max_per_s, step)
+        if is_available and duration_ms <= settings.slow_ms:
+            # At a rate of r, r operations complete per second. Adding
+            # increase_per_s / r for each one adds `increase_per_s` per second.
+            increased_rate = self.rate_per_s + settings.increase_per_s / self.rate_per_s
+            new_rate = min(increased_rate, self.rate_per_s + settings.increase_per_s)
+            self.rate_per_s = min(settings.rate_max_per_s, new_rate)
         else:
             self._slow += 1
             self._decrease()
-        self._grant_due()
+        self._grant_permits()
 
     def snapshot(self) -> BudgetSnapshot:
-        """Return the state and the counts since the start."""
+        """Return the current state and the counters since the start."""
         return BudgetSnapshot(
             self.rate_per_s,
             self._in_flight,
@@ -194,53 +217,65 @@
 
     def _decrease(self) -> None:
         settings, now_s = self.settings, asyncio.get_running_loop().time()
-        if now_s - self._decreased_at_s < settings.decrease_interval_ms / 1000:
+        if now_s - self._last_decrease_at_s < settings.decrease_interval_ms / 1000:
             return
-        self._decreased_at_s = now_s
-        lowered = self.rate_per_s * settings.decrease_ratio
-        self.rate_per_s = max(settings.rate_min_per_s, lowered)
+        self._last_decrease_at_s = now_s
+        decreased_rate = self.rate_per_s * settings.decrease_ratio
+        self.rate_per_s = max(settings.rate_min_per_s, decreased_rate)
 
-    def _grant_due(self) -> None:
+    def _grant_permits(self) -> None:
         loop = asyncio.get_running_loop()
         while self._waiters and self._in_flight < self.settings.in_flight_max:
-            if loop.time() < self._next_at_s:
-                self._wake_later(loop)
+            if loop.time() < self._next_grant_at_s:
+                self._schedule_grants(loop)
                 return
             waiter = heapq.heappop(self._waiters)
             if waiter.granted.done():
                 continue
             waiter.granted.set_result(True)
             self._in_flight += 1
-            pause_s = (0.5 + self._random.random()) / self.rate_per_s
-            self._next_at_s = loop.time() + pause_s
+            interval_s = (0.5 + self._random.random()) / self.rate_per_s
+            self._next_grant_at_s = loop.time() + interval_s
 
-    def _wake_later(self, loop: asyncio.AbstractEventLoop) -> None:
+    def _schedule_grants(self, loop: asyncio.AbstractEventLoop) -> None:
         if self._timer is not None:
             self._timer.cancel()
-        # A shorter pause can be below the clock's resolution and would spin.
-        wake_at_s = max(self._next_at_s, loop.time() + 0.001)
-        self._timer = loop.call_at(wake_at_s, self._wake)
+        # A delay below the clock resolution would make the timer fire repeatedly
+        # before the next permit is due, a busy loop.
+        fire_at_s = max(self._next_grant_at_s, loop.time() + 0.001)
+        self._timer = loop.call_at(fire_at_s, self._on_timer)
 
-    def _wake(self) -> None:
+    def _on_timer(self) -> None:
         self._timer = None
-        self._grant_due()
+        self._grant_permits()
+
+    def _evict_lower(self, priority: StorePriority) -> bool:
+        """Reject the waiter that is last in order if its priority is lower.
 
-    def _make_room(self, priority: StorePriority) -> bool:
-        """Refuse the least important waiter if it is less important than this."""
-        last = max(self._waiters)
-        if last.priority <= priority:
+        Parameters
+        ----------
+        priority : StorePriority
+            Priority of the operation that needs a place in the queue.
+
+        Returns
+        -------
+        bool
+            Whether a waiter was rejected.
+        """
+        candidate = max(self._waiters)
+        if candidate.priority <= priority:
             return False
-        self._waiters.remove(last)
+        self._waiters.remove(candidate)
         heapq.heapify(self._waiters)
-        if not last.granted.done():
-            last.granted.set_result(False)
+        if not candidate.granted.done():
+            candidate.granted.set_result(False)
         return True
 
-    def _withdraw(self, waiter: _Waiter) -> None:
+    def _cancel_waiter(self, waiter: _Waiter) -> None:
         if waiter.granted.done() and not waiter.granted.cancelled():
             if waiter.granted.result():
                 self._in_flight -= 1
-                self._grant_due()
+                self._grant_permits()
             return
         waiter.granted.cancel()
         if waiter in self._waiters:
@@ -249,15 +284,19 @@
 
 
 class BudgetedTableService(TableService):
-    """Sends the operations of one call site within a process's budget.
+    """Table service whose operations are subject to a `StoreBudget`.
 
-    An operation that gets no turn is refused as ``NOT_APPLIED``: it was never sent.
+    An operation that the budget rejects fails with ``NOT_APPLIED``, because it was
+    never sent.
 
     Parameters
     ----------
     inner : TableService
+        Service that runs the permitted operations.
     budget : StoreBudget
+        Budget of the process.
     priority : StorePriority
+        Priority of all operations of this instance.
     """
 
     def __init__(
@@ -268,13 +307,13 @@
         self._priority = priority
 
     async def read(self, keys: tuple[str, ...]) -> Result[dict[str, Row], StoreError]:
-        """Read rows."""
+        """Read rows by key."""
         return await self._run(lambda: self._inner.read(keys))
 
     async def scan(
         self, prefix: str, after: str = "", limit: int = 500
     ) -> Result[ScanPage, StoreError]:
-        """Read a page of rows."""
+        """Read a page of the rows whose keys have a prefix."""
         return await self._run(lambda: self._inner.scan(prefix, after, limit))
 
     async def transact(
@@ -285,7 +324,7 @@
 
     async def _run(self, operation) -> Result:
         if not await self._budget.acquire(self._priority):
-            reason = "no turn within the store budget"
+            reason = "rejected by the store budget before it was sent"
             return Error(StoreError(StoreErrorKind.NOT_APPLIED, reason))
         loop = asyncio.get_running_loop()
         started_s = loop.time()
--- a/basilhold/accounting/channels.py
+++ b/basilhold/accounting/channels.py
@@ -1,4 +1,4 @@
-"""Transport that counts the messages of calls and streams."""
+"""RPC transport that counts the traffic of calls and streams."""
 
 from collections.abc import Sequence
 from typing import Any
@@ -23,7 +23,7 @@
 
 __all__ = ["CountingTransport", "purpose_of_method"]
 
-_PURPOSES = {
+_PURPOSE_BY_PATH_PREFIX = {
     "/basilhold.rpc.Relay/": Purpose.RELAY,
     "/basilhold.rpc.Scheduler/ExchangeSlots": Purpose.SLOTS,
     "/basilhold.rpc.Scheduler/NotifyJobs": Purpose.JOBS,
@@ -37,44 +37,54 @@
 
 
 def purpose_of_method(path: str) -> Purpose:
-    """Return what a method is for.
+    """Return the purpose under which the traffic of an RPC method is counted.
+
+    Parameters
+    ----------
+    path : str
+        Full path of the method.
+
+    Returns
+    -------
+    Purpose
+        ``OTHER`` for methods that have no purpose of their own.
 
     Examples
     --------
     >>> purpose_of_method("/basilhold.rpc.Relay/Watch")
     <Purpose.RELAY: 'relay'>
     """
-    for prefix, purpose in _PURPOSES.items():
+    for prefix, purpose in _PURPOSE_BY_PATH_PREFIX.items():
         if path.startswith(prefix):
             return purpose
     return Purpose.OTHER
 
 
-class _Tally:
-    """Counts the two directions of one stream for the process at one end."""
+class _StreamCounter:
+    """Counts the messages sent and acknowledgements returned on one stream."""
 
     def __init__(self, counter: TrafficCounter, purpose: Purpose, distance: Distance):
         self._counter = counter
         self._purpose = purpose
         self._distance = distance
 
-    def opened(self) -> None:
+    def count_open(self) -> None:
         self._counter.add_call(self._purpose, self._distance)
 
-    def sent(self, message: Any) -> None:
+    def count_sent(self, message: Any) -> None:
         self._counter.add_message(self._purpose, self._distance, message.ByteSize())
 
-    def received(self, message: Any) -> None:
+    def count_received(self, message: Any) -> None:
         if message is not None:
-            self._counter.add_receipt(self._purpose, self._distance)
+            self._counter.add_acknowledgement(self._purpose, self._distance)
 
 
 class _CountingStream:
-    """Wraps a client's or server's stream of grpclib."""
+    """Wrapper of a grpclib client or server stream that counts its messages."""
 
-    def __init__(self, stream: Any, tally: _Tally):
+    def __init__(self, stream: Any, stream_counter: _StreamCounter):
         self._stream = stream
-        self._tally = tally
+        self._stream_counter = stream_counter
 
     def __getattr__(self, name: str) -> Any:
         return getattr(self._stream, name)
@@ -97,13 +107,13 @@
 
     async def send_message(self, message: Any, **options) -> None:
         """Send a message and count it."""
-        self._tally.sent(message)
+        self._stream_counter.count_sent(message)
         await self._stream.send_message(message, **options)
 
     async def recv_message(self) -> Any:
-        """Receive a message and count its acknowledgement."""
+        """Receive a message and count the TCP acknowledgement that it causes."""
         message = await self._stream.recv_message()
-        self._tally.received(message)
+        self._stream_counter.count_received(message)
         return message
 
 
@@ -114,16 +124,18 @@
         self._distance = distance
 
     def request(self, name: str, *arguments, **options) -> _CountingStream:
-        """Return a counting stream."""
-        tally = _Tally(self._counter, purpose_of_method(name), self._distance)
-        tally.opened()
+        """Open a stream whose messages are counted."""
+        stream_counter = _StreamCounter(
+            self._counter, purpose_of_method(name), self._distance
+        )
+        stream_counter.count_open()
         return _CountingStream(
-            self._channel.request(name, *arguments, **options), tally
+            self._channel.request(name, *arguments, **options), stream_counter
         )
 
 
 class _CountingService:
-    """Wraps the handlers of a grpclib service."""
+    """Wrapper of a grpclib service whose streams are counted."""
 
     def __init__(self, service: Servable, counter: TrafficCounter, locator):
         self._service = service
@@ -139,24 +151,29 @@
     def _wrap(self, path: str, handle: Any) -> Any:
         purpose = purpose_of_method(path)
 
-        async def handle_counted(stream: Any) -> None:
+        async def handle_and_count(stream: Any) -> None:
             address = stream.peer.addr()
             host = address[0] if address else ""
-            tally = _Tally(self._counter, purpose, self._locator.distance(host))
-            tally.opened()
-            await handle(_CountingStream(stream, tally))
+            stream_counter = _StreamCounter(
+                self._counter, purpose, self._locator.distance(host)
+            )
+            stream_counter.count_open()
+            await handle(_CountingStream(stream, stream_counter))
 
-        return handle_counted
+        return handle_and_count
 
 
 class CountingTransport(Transport):
-    """Counts everything that a process sends through another transport.
+    """Wrapper of a transport that counts the traffic sent by this process.
 
     Parameters
     ----------
     inner : Transport
+        Transport that connects and serves.
     counter : TrafficCounter
+        Receives the counts.
     locator : HostLocator
+        Gives the distance to each peer.
     """
 
     def __init__(self, inner: Transport, counter: TrafficCounter, locator: HostLocator):
@@ -165,18 +182,18 @@
         self._locator = locator
 
     def channel(self, address: Address) -> CallChannel:
-        """Return a counting channel to an address."""
+        """Return a channel to an address whose streams are counted."""
         distance = self._locator.distance(address.host)
         return _CountingChannel(self._inner.channel(address), self._counter, distance)
 
     def close_channel(self, address: Address) -> None:
-        """Close the inner channel to an address."""
+        """Close the wrapped transport's channel to an address."""
         self._inner.close_channel(address)
 
     async def serve(
         self, services: Sequence[Servable], address: Address
     ) -> Result[RpcServer, RpcError]:
-        """Serve services whose streams are counted."""
+        """Serve services on an address and count their streams."""
         counted = [
             _CountingService(service, self._counter, self._locator)
             for service in services
@@ -184,5 +201,5 @@
         return await self._inner.serve(counted, address)
 
     async def close(self) -> None:
-        """Close the inner transport."""
+        """Close the wrapped transport."""
         await self._inner.close()
--- a/basilhold/accounting/http.py
+++ b/basilhold/accounting/http.py
@@ -1,4 +1,4 @@
-"""HTTP client that counts what it sends."""
+"""HTTP client that counts the requests it sends."""
 
 from typing import Any
 from urllib.parse import urlsplit
@@ -11,14 +11,18 @@
 
 
 class CountingHttpClient:
-    """Counts the requests of an adapter.
+    """Wrapper of an HTTP client that counts requests and their body sizes.
 
     Parameters
     ----------
     inner : tornado.httpclient.AsyncHTTPClient
+        Client that sends the requests.
     counter : TrafficCounter
+        Receives the counts.
     locator : HostLocator
+        Gives the distance to the host of a URL.
     purpose : Purpose
+        Purpose under which all requests are counted.
     """
 
     def __init__(
@@ -34,7 +38,7 @@
         self._purpose = purpose
 
     async def fetch(self, request: HTTPRequest | str, **options: Any) -> HTTPResponse:
-        """Send a request as ``AsyncHTTPClient.fetch`` does."""
+        """Count a request and send it with ``AsyncHTTPClient.fetch``."""
         if isinstance(request, str):
             url, body = request, options.get("body") or b""
         else:
--- a/basilhold/accounting/store_traffic.py
+++ b/basilhold/accounting/store_traffic.py
@@ -1,4 +1,4 @@
-"""Counts the bytes of a table service that is reached without a real connection."""
+"""Estimated traffic of a table service that is called in process."""
 
 import msgspec
 from expression import Result
@@ -10,17 +10,20 @@
 
 
 class TrafficCountingTableService(TableService):
-    """Counts requests and responses as HTTP with JSON bodies.
+    """Table service that counts its calls as HTTP traffic with JSON bodies.
 
-    Programs count the bytes of their HTTP client; cells over stand-ins use this. The
-    responses are counted too, since both directions of a paid link are paid for.
+    It is used by simulated cells, whose store is an in-memory object. Real programs
+    use `CountingHttpClient` instead. Responses are counted as well as requests,
+    because traffic on a paid link is charged in both directions.
 
     Parameters
     ----------
     inner : TableService
+        Service that runs the operations.
     traffic : TrafficCounter
+        Receives the counts, under ``Purpose.STORE``.
     distance : Distance
-        From the process to the store.
+        Distance from the process to the store.
     """
 
     def __init__(
@@ -31,28 +34,28 @@
         self._distance = distance
 
     async def read(self, keys: tuple[str, ...]) -> Result[dict[str, Row], StoreError]:
-        """Read rows."""
+        """Read rows by key."""
         self._count(keys)
-        return self._counted(await self._inner.read(keys))
+        return self._count_response(await self._inner.read(keys))
 
     async def scan(
         self, prefix: str, after: str = "", limit: int = 500
     ) -> Result[ScanPage, StoreError]:
-        """Scan rows."""
+        """Read a page of the rows whose keys have a prefix."""
         self._count((prefix, after, limit))
-        return self._counted(await self._inner.scan(prefix, after, limit))
+        return self._count_response(await self._inner.scan(prefix, after, limit))
 
     async def transact(
         self, transaction: Transaction
     ) -> Result[dict[str, int], StoreError]:
         """Apply a transaction."""
         self._count(transaction)
-        return self._counted(await self._inner.transact(transaction))
+        return self._count_response(await self._inner.transact(transaction))
 
-    def _counted(self, result: Result) -> Result:
+    def _count_response(self, result: Result) -> Result:
         self._count(result.ok if result.is_ok() else result.error)
         return result
 
-    def _count(self, content: object) -> None:
-        size_bytes = len(msgspec.json.encode(content))
+    def _count(self, body: object) -> None:
+        size_bytes = len(msgspec.json.encode(body))
         self._traffic.add_http(Purpose.STORE, self._distance, size_bytes)
--- a/basilhold/accounting/tables.py
+++ b/basilhold/accounting/tables.py
@@ -1,4 +1,4 @@
-"""Counts of store operations by purpose."""
+"""Counts and durations of store operations by purpose."""
 
 import asyncio
 from collections import Counter, deque
@@ -19,7 +19,7 @@
 
 
 DURATIONS_MAX = 10_000
-"""Durations kept until the metrics are read; older ones are dropped."""
+"""Maximum number of durations kept between exports; the oldest are dropped."""
 
 
 class OperationKind(Enum):
@@ -30,15 +30,18 @@
 
 
 class OperationEntry(msgspec.Struct, frozen=True):
-    """Operations of one purpose and kind.
+    """Operation counts of one purpose and kind.
 
     Parameters
     ----------
     purpose : str
+        Part of the program that issued the operations.
     kind : OperationKind
+        Whether the operations read or write.
     count : int
+        Number of operations, including the failed ones.
     failed_count : int
-        Operations without success, conflicts included.
+        Number of operations that failed, including conflicts.
     """
 
     purpose: str
@@ -48,19 +51,20 @@
 
 
 class OperationDuration(msgspec.Struct, frozen=True):
-    """Duration of one store operation, in seconds."""
+    """Kind and duration, in seconds, of one store operation."""
 
     kind: OperationKind
     duration_s: float
 
 
 class OperationCounter:
-    """Counts the store operations of one process.
+    """Counter of the store operations of one process.
 
     Attributes
     ----------
     durations : deque of OperationDuration
-        Emptied by whoever exports them.
+        Durations of recent operations, oldest first. The exporter of the metrics
+        removes the ones that it has read.
     """
 
     def __init__(self):
@@ -69,33 +73,36 @@
         self.durations: deque[OperationDuration] = deque(maxlen=DURATIONS_MAX)
 
     def add(self, purpose: str, kind: OperationKind, is_ok: bool) -> None:
-        """Count one operation."""
+        """Count one operation as succeeded or failed."""
         self._counts[purpose, kind] += 1
         if not is_ok:
             self._failed[purpose, kind] += 1
 
     def snapshot(self) -> tuple[OperationEntry, ...]:
-        """Return the counts since the start, for export as metrics."""
+        """Return the counts since the start, sorted by purpose and kind."""
         keys = sorted(self._counts, key=lambda key: (key[0], key[1].value))
         return tuple(
             OperationEntry(*key, self._counts[key], self._failed[key]) for key in keys
         )
 
     def total(self, kind: OperationKind | None = None) -> int:
-        """Return the number of operations, optionally of one kind."""
+        """Return the number of operations of one kind, or of all kinds."""
         return sum(
             count for key, count in self._counts.items() if kind in (None, key[1])
         )
 
 
 class CountingTableService(TableService):
-    """Counts the operations of one purpose on any table service.
+    """Table service that counts and times its operations under one purpose.
 
     Parameters
     ----------
     inner : TableService
+        Service that runs the operations.
     counter : OperationCounter
+        Receives the counts and durations.
     purpose : str
+        Purpose under which the operations are counted.
     """
 
     def __init__(self, inner: TableService, counter: OperationCounter, purpose: str):
@@ -104,7 +111,7 @@
         self._purpose = purpose
 
     async def read(self, keys: tuple[str, ...]) -> Result[dict[str, Row], StoreError]:
-        """Read rows."""
+        """Read rows by key."""
         started_s = _now_s()
         result = await self._inner.read(keys)
         return self._count(OperationKind.READ, result, started_s)
@@ -112,7 +119,7 @@
     async def scan(
         self, prefix: str, after: str = "", limit: int = 500
     ) -> Result[ScanPage, StoreError]:
-        """Read a page of rows."""
+        """Read a page of the rows whose keys have a prefix."""
         started_s = _now_s()
         result = await self._inner.scan(prefix, after, limit)
         return self._count(OperationKind.READ, result, started_s)
--- a/basilhold/accounting/tests/test_budget.py
+++ b/basilhold/accounting/tests/test_budget.py
@@ -19,7 +19,7 @@
 
 
 class LimitedTable(TableService):
-    """Serves a bounded number of operations a second, the others queue."""
+    """Table that serves `CAPACITY_PER_S` operations a second and queues the rest."""
 
     def __init__(self):
         self.is_down = False
@@ -53,7 +53,7 @@
 
 
 class Processes:
-    """Processes that always have operations waiting."""
+    """Processes with a budget each, which always have operations waiting."""
 
     def __init__(self, table, count, per_process=12):
         self.budgets = [StoreBudget(rng=random.Random(i)) for i in range(count)]
@@ -80,9 +80,9 @@
 
 
 class StoreBudgetTest(VirtualTimeTestCase):
-    """Guards the store against overload, and leases against waiting behind the rest."""
+    """Overload protection of the store, and priority of lease operations."""
 
-    async def test_returning_store_is_not_swamped(self):
+    async def test_store_is_not_overloaded_after_an_outage(self):
         for count in (7, 40):
             with self.subTest(processes=count):
                 table = LimitedTable()
@@ -91,17 +91,21 @@
                 table.is_down = True
                 await asyncio.sleep(OUTAGE_S)
                 now_s = asyncio.get_running_loop().time()
-                probing = arrivals_between(table, now_s - 10, now_s) / 10
-                self.assertLessEqual(probing, 2 * count, "probes during the outage")
+                rate_per_s = arrivals_between(table, now_s - 10, now_s) / 10
+                self.assertLessEqual(
+                    rate_per_s, 2 * count, "operations per second during the outage"
+                )
                 table.is_down = False
                 backlog_s = 0.0
                 for _ in range(100):
                     await asyncio.sleep(0.1)
                     backlog_s = max(backlog_s, table.backlog_s)
-                self.assertLess(backlog_s, TIMEOUT_S, "the store never queues so long")
+                self.assertLess(
+                    backlog_s, TIMEOUT_S, "the queueing delay stays below the timeout"
+                )
                 await processes.stop()
 
-    async def test_saturated_store_stays_useful_and_answers_in_time(self):
+    async def test_saturated_store_keeps_its_throughput_and_latency(self):
         for count in (7, 40):
             with self.subTest(processes=count):
                 table = LimitedTable()
@@ -111,11 +115,13 @@
                 await asyncio.sleep(PHASE_S)
                 served = table.served - served
                 offered = len(table.arrivals) - offered
-                self.assertGreater(served, 0.95 * offered, "replies come in time")
+                self.assertGreater(
+                    served, 0.95 * offered, "replies arrive before the timeout"
+                )
                 self.assertGreater(served, 0.5 * CAPACITY_PER_S * PHASE_S)
                 await processes.stop()
 
-    async def test_leases_go_first_and_the_rest_is_refused_first(self):
+    async def test_leases_are_sent_first_and_lowest_priority_is_rejected_first(self):
         settings = BudgetSettings(rate_start_per_s=2, waiting_max=6, wait_max_ms=60_000)
         budget = StoreBudget(settings, random.Random(1))
         order = []
@@ -138,7 +144,7 @@
         self.assertEqual(snapshot.refused["rest"], 2)
         self.assertEqual((snapshot.in_flight, snapshot.waiting), (0, 0))
 
-    async def test_operation_without_a_turn_was_certainly_not_sent(self):
+    async def test_rejected_operation_is_not_sent(self):
         table = LimitedTable()
         settings = BudgetSettings(
             rate_start_per_s=0.5, rate_max_per_s=0.5, wait_max_ms=1
@@ -151,7 +157,7 @@
         self.assertIs(refused.error.kind, StoreErrorKind.NOT_APPLIED)
         self.assertEqual(len(table.arrivals), 1)
 
-    async def test_cancelled_waiters_free_their_place(self):
+    async def test_cancelled_waiters_leave_the_queue(self):
         budget = StoreBudget(BudgetSettings(rate_start_per_s=1, in_flight_max=1))
         self.assertTrue(await budget.acquire(StorePriority.REST))
         waiters = [
--- a/basilhold/accounting/tests/test_counters.py
+++ b/basilhold/accounting/tests/test_counters.py
@@ -27,27 +27,27 @@
 
 
 class AskService(GatewayBase):
-    """Answers every question in the same way."""
+    """Service that returns the same reply to every request."""
 
     async def AskRequest(self, stream):  # noqa: N802
         await stream.recv_message()
         await stream.send_message(REPLY)
 
 
-def counting(network, host, zone, region, places):
+def counting_transport(network, host, zone, region, places):
     counter = TrafficCounter()
     locator = HostLocator(Place(zone, region), places)
     return counter, CountingTransport(network.transport(host), counter, locator)
 
 
 class TrafficCounterTest(VirtualTimeTestCase):
-    """Guards the figures of control cost against bytes that are not counted."""
+    """Every byte and message that is sent is counted."""
 
     async def test_both_ends_count_what_they_send(self):
         places = {"a": Place("z1", "r1"), "b": Place("z2", "r1")}
         network = MemoryNetwork()
-        client_counter, client = counting(network, "a", "z1", "r1", places)
-        server_counter, server = counting(network, "b", "z2", "r1", places)
+        client_counter, client = counting_transport(network, "a", "z1", "r1", places)
+        server_counter, server = counting_transport(network, "b", "z2", "r1", places)
         address = Address("b", 1)
         await server.serve([AskService()], address)
         for _ in range(3):
@@ -62,14 +62,14 @@
             self.assertEqual(entry.overhead_bytes, 3 * per_call)
             self.assertEqual(entry.messages, 3)
 
-    async def test_unknown_hosts_count_as_paid(self):
+    async def test_unknown_hosts_count_as_other_region(self):
         locator = HostLocator(Place("z1", "r1"), {"a": Place("z1", "r1")})
         self.assertIs(locator.distance("a"), Distance.SAME_ZONE)
         self.assertIs(locator.distance("b"), Distance.OTHER_REGION)
-        locator.learn("b", Place("z2", "r1"))
+        locator.set_place("b", Place("z2", "r1"))
         self.assertIs(locator.distance("b"), Distance.SAME_REGION)
 
-    async def test_http_requests_of_adapters(self):
+    async def test_http_requests_are_counted(self):
         class Client:
             async def fetch(self, request, **_options):
                 return request
@@ -87,7 +87,7 @@
     async def test_totals_by_distance_and_purpose(self):
         counter = TrafficCounter()
         counter.add_http(Purpose.STORE, Distance.OTHER_REGION, 10)
-        counter.add_receipt(Purpose.RELAY, Distance.SAME_ZONE)
+        counter.add_acknowledgement(Purpose.RELAY, Distance.SAME_ZONE)
         self.assertEqual(counter.total_bytes(Distance.SAME_ZONE), ACK_BYTES)
         self.assertEqual(
             counter.total_bytes(purpose=Purpose.STORE),
@@ -96,7 +96,7 @@
 
 
 class OperationCounterTest(VirtualTimeTestCase):
-    """Guards the count of store operations against missing failures."""
+    """Failed store operations are counted as well as successful ones."""
 
     async def test_reads_writes_and_failures(self):
         counter, table = OperationCounter(), MemoryTable()
--- a/basilhold/accounting/traffic.py
+++ b/basilhold/accounting/traffic.py
@@ -1,4 +1,4 @@
-"""Counts of sent bytes by purpose and distance."""
+"""Counts of bytes sent by a process, by purpose and network distance."""
 
 from collections import Counter
 from collections.abc import Mapping
@@ -22,10 +22,10 @@
 ]
 
 _IP_TCP_BYTES = 52
-"""IPv4 header (20) and TCP header with the timestamp option (32)."""
+"""IPv4 header (20 bytes) and TCP header with the timestamp option (32 bytes)."""
 
 _TLS_RECORD_BYTES = 22
-"""TLS 1.3 record header (5), content type (1) and authentication tag (16)."""
+"""TLS 1.3 record header (5 bytes), content type (1) and authentication tag (16)."""
 
 _HTTP2_FRAME_BYTES = 9
 
@@ -34,23 +34,27 @@
 MESSAGE_OVERHEAD_BYTES = (
     _IP_TCP_BYTES + _TLS_RECORD_BYTES + _HTTP2_FRAME_BYTES + _GRPC_PREFIX_BYTES
 )
-"""Estimated bytes around one protobuf message that is sent in a packet of its own."""
+"""Estimated protocol overhead of one protobuf message in a packet of its own."""
 
 ACK_BYTES = _IP_TCP_BYTES
-"""Bytes of the TCP acknowledgement that the receiver of a message sends.
+"""Size of the TCP acknowledgement that the receiver of a message sends.
 
-Delayed acknowledgements often ride on other packets, so this is an upper estimate.
+This is an upper bound, as delayed acknowledgements are often part of data packets.
 """
 
 CALL_OVERHEAD_BYTES = 100 + _HTTP2_FRAME_BYTES
-"""Estimated HEADERS frame that opens a call; it shares a packet with the message."""
+"""Estimated size of the HEADERS frame of a call, sent in a packet with the message."""
 
 HTTP_OVERHEAD_BYTES = 250 + _TLS_RECORD_BYTES + 2 * _IP_TCP_BYTES
-"""Estimated request line and headers, TLS record, packet and acknowledgement."""
+"""Estimated overhead of one HTTP request or response.
+
+It consists of the first line and headers, a TLS record, the packet headers and the
+acknowledgement.
+"""
 
 
 class Distance(Enum):
-    """How far a message travels."""
+    """Network distance between the sender and the receiver of a message."""
 
     SAME_ZONE = "same-zone"
     SAME_REGION = "same-region"
@@ -58,7 +62,7 @@
 
 
 class Purpose(Enum):
-    """What a message is for."""
+    """Function of the system that a message belongs to."""
 
     RELAY = "relay"
     SLOTS = "slots"
@@ -82,28 +86,29 @@
 
 
 class HostLocator:
-    """Tells the distance from this process to a host.
+    """Determines the network distance from this process to a host.
 
-    A host whose place is not known counts as being in another region, so that
-    traffic on the paid link is never underestimated.
+    A host at an unknown place is taken to be in another region, so that the traffic
+    on the paid link is never underestimated.
 
     Parameters
     ----------
     own : Place
+        Place of this process.
     places : mapping of str to Place, optional
-        Place of each known host.
+        Places of known hosts.
     """
 
     def __init__(self, own: Place, places: Mapping[str, Place] | None = None):
         self._own = own
         self._places = dict(places or {})
 
-    def learn(self, host: str, place: Place) -> None:
-        """Add or replace the place of a host."""
+    def set_place(self, host: str, place: Place) -> None:
+        """Set or replace the place of a host."""
         self._places[host] = place
 
     def distance(self, host: str) -> Distance:
-        """Return the distance to a host."""
+        """Return the distance to a host, ``OTHER_REGION`` if its place is unknown."""
         place = self._places.get(host)
         if place is None or place.region != self._own.region:
             return Distance.OTHER_REGION
@@ -113,7 +118,10 @@
 
 
 class TrafficEntry(msgspec.Struct, frozen=True):
-    """Bytes and messages of one purpose and distance."""
+    """Bytes and messages sent for one purpose over one distance.
+
+    `payload_bytes` are exact and `overhead_bytes` are estimated.
+    """
 
     purpose: Purpose
     distance: Distance
@@ -123,10 +131,10 @@
 
 
 class TrafficCounter:
-    """Counts what one process sends.
+    """Counter of the bytes and messages that one process sends.
 
-    Payload is counted exactly; frames, packets and acknowledgements are estimated by
-    the constants of this module and kept apart from it.
+    Payload is counted exactly. The overhead of frames, packets and acknowledgements
+    is estimated with the constants of this module and counted separately.
     """
 
     def __init__(self):
@@ -137,29 +145,29 @@
     def add_message(
         self, purpose: Purpose, distance: Distance, payload_bytes: int
     ) -> None:
-        """Count one message of a call or stream."""
+        """Count one message sent on a call or stream."""
         key = (purpose, distance)
         self._payload[key] += payload_bytes
         self._overhead[key] += MESSAGE_OVERHEAD_BYTES
         self._messages[key] += 1
 
     def add_call(self, purpose: Purpose, distance: Distance) -> None:
-        """Count the headers that open a call or answer it."""
+        """Count the headers sent as the client or server of a call."""
         self._overhead[purpose, distance] += CALL_OVERHEAD_BYTES
 
-    def add_receipt(self, purpose: Purpose, distance: Distance) -> None:
-        """Count the acknowledgement of a message that was received."""
+    def add_acknowledgement(self, purpose: Purpose, distance: Distance) -> None:
+        """Count the TCP acknowledgement sent for a received message."""
         self._overhead[purpose, distance] += ACK_BYTES
 
     def add_http(self, purpose: Purpose, distance: Distance, body_bytes: int) -> None:
-        """Count one HTTP request or response that this process sent."""
+        """Count one HTTP request or response."""
         key = (purpose, distance)
         self._payload[key] += body_bytes
         self._overhead[key] += HTTP_OVERHEAD_BYTES
         self._messages[key] += 1
 
     def snapshot(self) -> tuple[TrafficEntry, ...]:
-        """Return the counts since the start, for export as metrics."""
+        """Return the counts since the start, sorted by purpose and distance."""
         keys = sorted(
             self._overhead.keys() | self._payload.keys(),
             key=lambda key: (key[0].value, key[1].value),
@@ -174,7 +182,7 @@
     def total_bytes(
         self, distance: Distance | None = None, purpose: Purpose | None = None
     ) -> int:
-        """Return payload and overhead, optionally of one distance or purpose."""
+        """Return the total bytes, optionally of one distance or purpose."""
         return sum(
             entry.payload_bytes + entry.overhead_bytes
             for entry in self.snapshot()
