Reword the RPC transport, its errors and its TLS files

Error kinds, results and parameters were not described, and private and test names were figurative. Doc comments now state what each kind means and what is returned; messages say what to configure.

--- a/basilhold/rpc/__init__.py
+++ b/basilhold/rpc/__init__.py
@@ -1,4 +1,4 @@
-"""Messages, services and transport between basilhold processes."""
+"""Remote procedure calls between basilhold processes, over gRPC."""
 
 from basilhold.rpc.outcomes import (
     CALL_ERRORS,
--- a/basilhold/rpc/outcomes.py
+++ b/basilhold/rpc/outcomes.py
@@ -1,4 +1,4 @@
-"""Outcomes of calls between basilhold processes."""
+"""Calls between basilhold processes and the errors they return."""
 
 import asyncio
 import ssl
@@ -20,21 +20,25 @@
 ]
 
 CALL_ERRORS = (GRPCError, StreamTerminatedError, ProtocolError, OSError, TimeoutError)
-"""Exceptions that a call or a stream raises when the peer or the link fails."""
+"""Exceptions that a call or stream raises when the peer or the network fails."""
 
 
 class Address(msgspec.Struct, frozen=True, order=True):
-    """IP number and port of a process."""
+    """IP address and port of a process."""
 
     host: str
     port: int
 
 
 class RpcErrorKind(Enum):
-    """Why a call has no reply.
-
-    After ``UNREACHABLE`` and ``IDENTITY`` the peer's handler did not run. After the
-    other kinds it may have run.
+    """Reason why a call returned no reply.
+
+    ``UNREACHABLE`` is an operating system error, such as a refused connection.
+    ``IDENTITY`` is a failed TLS handshake, or a server that would have to use plain
+    text outside loopback. ``TIMEOUT`` is a deadline that passed, ``BROKEN`` a lost
+    stream or an unavailable peer, and ``REFUSED`` any other error status from the
+    peer. After the first two the peer's handler did not run; after the others it may
+    have run.
     """
 
     UNREACHABLE = "unreachable"
@@ -45,19 +49,19 @@
 
 
 class RpcError(msgspec.Struct, frozen=True):
-    """A call without a reply."""
+    """Failure of a call: its kind and a description for people."""
 
     kind: RpcErrorKind
     reason: str
 
     @property
     def may_have_run(self) -> bool:
-        """Whether the peer may have handled the call."""
+        """Whether the peer's handler may have run."""
         return self.kind not in (RpcErrorKind.UNREACHABLE, RpcErrorKind.IDENTITY)
 
 
 def rpc_error_from(error: BaseException) -> RpcError:
-    """Return the typed form of an exception that a call or stream raised.
+    """Convert an exception raised by a call or stream to an `RpcError`.
 
     Parameters
     ----------
@@ -91,14 +95,16 @@
     Parameters
     ----------
     method : grpclib.client.UnaryUnaryMethod
+        Method of the stub.
     request : google.protobuf.message.Message
+        Message to send.
     timeout_s : float
-        Deadline from now, including the time to connect, in seconds.
+        Time limit in seconds, including the time to connect.
 
     Returns
     -------
     Result
-        The reply, or why there is none.
+        The reply message, or an `RpcError` for any exception in `CALL_ERRORS`.
     """
     try:
         async with asyncio.timeout(timeout_s):
--- a/basilhold/rpc/sockets.py
+++ b/basilhold/rpc/sockets.py
@@ -1,4 +1,4 @@
-"""Transport over TCP with grpclib."""
+"""Transport over TCP sockets, implemented with grpclib."""
 
 import errno
 import weakref
@@ -16,24 +16,25 @@
 __all__ = ["GrpcTransport"]
 
 
-class _RefusedChannel:
-    """Channel to an address that must not be reached without TLS."""
+class _PlainTextForbiddenChannel:
+    """Channel that rejects all calls, as plain text to its address is not allowed."""
 
     def __init__(self, address: Address):
         self._address = address
 
     def request(self, name, cardinality, request_type, reply_type, **_options):
-        """Refuse the call before anything is sent."""
+        """Raise `PermissionError`, before anything is sent."""
         raise PermissionError(
-            errno.EPERM, f"plain text to {self._address.host} is not allowed"
+            errno.EPERM,
+            f"plain text to {self._address.host} is not allowed without TLS",
         )
 
 
-class _Listener(Server):
-    """Server that ends its connections when it is closed.
+class _ConnectionClosingServer(Server):
+    """Server that closes its open connections when it is closed.
 
-    ``grpclib.server.Server`` only stops to listen, so clients would keep on calling a
-    closed server over connections that are open.
+    ``grpclib.server.Server`` only stops listening, so clients could go on calling a
+    closed server over their open connections.
     """
 
     def __init__(self, services: Sequence[Servable]):
@@ -48,7 +49,7 @@
     def close(self) -> None:
         super().close()
         for protocol in self._protocols:
-            # There is no processor while the TLS handshake lasts.
+            # The attribute is not set until the TLS handshake has completed.
             processor = getattr(protocol, "processor", None)
             if processor is not None:
                 processor.close()
@@ -71,11 +72,13 @@
 class GrpcTransport(Transport):
     """Serves and calls grpclib services over TCP.
 
-    Without TLS contexts only loopback addresses are served and called.
+    Without TLS contexts, only loopback addresses can be served and called, since
+    the traffic is plain text.
 
     Parameters
     ----------
     tls : TlsContexts, optional
+        Contexts for accepting and making connections. The default is plain text.
     """
 
     def __init__(self, tls: TlsContexts | None = None):
@@ -90,9 +93,13 @@
         await self.close()
 
     def channel(self, address: Address) -> CallChannel:
-        """Return the cached channel to an address."""
+        """Return the channel to an address, created at the first use and cached.
+
+        Without TLS, calls on a channel to an address other than loopback raise
+        `PermissionError`.
+        """
         if self._tls is None and not is_loopback(address.host):
-            return _RefusedChannel(address)
+            return _PlainTextForbiddenChannel(address)
         channel = self._channels.get(address)
         if channel is None:
             tls = self._tls.client if self._tls else None
@@ -101,7 +108,7 @@
         return channel
 
     def close_channel(self, address: Address) -> None:
-        """Close the channel to an address, so that the next use connects anew."""
+        """Close the channel to an address; its next use opens a new connection."""
         channel = self._channels.pop(address, None)
         if channel is not None:
             channel.close()
@@ -109,21 +116,29 @@
     async def serve(
         self, services: Sequence[Servable], address: Address
     ) -> Result[RpcServer, RpcError]:
-        """Serve grpclib services on an address."""
+        """Serve grpclib services on an address; port 0 selects a free port.
+
+        Returns
+        -------
+        Result
+            The server, or an `RpcError`: ``IDENTITY`` if plain text is not allowed
+            on the address, ``UNREACHABLE`` if it cannot be listened on.
+        """
         if self._tls is None and not is_loopback(address.host):
-            reason = f"plain text on {address.host} is not allowed, set TLS files"
+            reason = f"plain text on {address.host} is not allowed; configure TLS files"
             return Error(RpcError(RpcErrorKind.IDENTITY, reason))
-        server = _Listener(services)
+        server = _ConnectionClosingServer(services)
         tls = self._tls.server if self._tls else None
         try:
             await server.start(address.host, address.port, ssl=tls)
         except OSError as error:
             return Error(RpcError(RpcErrorKind.UNREACHABLE, str(error)))
-        # grpclib keeps the asyncio server, the only source of a chosen port, private.
+        # grpclib has no public access to the asyncio server, which is the only source
+        # of a port chosen by the system.
         port = server._server.sockets[0].getsockname()[1]
-        served = _GrpcServer(server, Address(address.host, port))
-        self._servers.append(served)
-        return Ok(served)
+        grpc_server = _GrpcServer(server, Address(address.host, port))
+        self._servers.append(grpc_server)
+        return Ok(grpc_server)
 
     async def close(self) -> None:
         """Close all channels and servers."""
--- a/basilhold/rpc/tests/certificates.py
+++ b/basilhold/rpc/tests/certificates.py
@@ -1,4 +1,4 @@
-"""Certificates for tests, made anew for each run."""
+"""Certificate authority for tests, with keys generated in each run."""
 
 import datetime
 import ipaddress
@@ -16,7 +16,7 @@
 
 
 class Authority:
-    """Signs certificates for tests."""
+    """Certificate authority that writes its PEM files to a directory."""
 
     def __init__(self, directory, name):
         self.directory = Path(directory)
@@ -26,10 +26,10 @@
         certificate = self._sign(self._name, self._key.public_key(), NOW + DAY, True)
         self.path = self.write(f"{name}.ca", _pem(certificate))
 
-    def issue(self, name, until=NOW + DAY):
+    def issue(self, name, expires_at=NOW + DAY):
         key = ec.generate_private_key(ec.SECP256R1())
         subject = x509.Name([x509.NameAttribute(NameOID.COMMON_NAME, name)])
-        certificate = self._sign(subject, key.public_key(), until, False)
+        certificate = self._sign(subject, key.public_key(), expires_at, False)
         key_pem = key.private_bytes(
             serialization.Encoding.PEM,
             serialization.PrivateFormat.PKCS8,
@@ -41,7 +41,7 @@
             self.path,
         )
 
-    def _sign(self, subject, public_key, until, is_authority):
+    def _sign(self, subject, public_key, expires_at, is_authority):
         names = x509.SubjectAlternativeName(
             [x509.IPAddress(ipaddress.ip_address("127.0.0.1"))]
         )
@@ -52,7 +52,7 @@
             .public_key(public_key)
             .serial_number(x509.random_serial_number())
             .not_valid_before(NOW - 3 * DAY)
-            .not_valid_after(until)
+            .not_valid_after(expires_at)
             .add_extension(x509.BasicConstraints(is_authority, None), critical=True)
             .add_extension(names, critical=False)
             .sign(self._key, hashes.SHA256())
--- a/basilhold/rpc/tests/test_sockets.py
+++ b/basilhold/rpc/tests/test_sockets.py
@@ -21,7 +21,7 @@
 
 
 class ProbeService(SchedulerBase):
-    """Answers probes; the other methods are not used."""
+    """Scheduler service that implements only ``Probe``."""
 
     async def Probe(self, stream):  # noqa: N802
         request = await stream.recv_message()
@@ -46,9 +46,9 @@
 
 
 class GrpcTransportTest(unittest.IsolatedAsyncioTestCase):
-    """Guards calls over sockets on loopback."""
+    """Calls over loopback sockets: restart, deadline and the ban on plain text."""
 
-    async def test_call_reconnects_after_the_server_was_restarted(self):
+    async def test_call_reconnects_after_server_restart(self):
         async with GrpcTransport() as server, GrpcTransport() as client:
             served = await serve(server)
             self.assertEqual((await probe(client, served.address)).ok.process_id, "b")
@@ -59,14 +59,14 @@
             await serve(server, served.address)
             self.assertTrue((await probe(client, served.address)).is_ok())
 
-    async def test_deadline(self):
+    async def test_call_times_out_at_its_deadline(self):
         async with GrpcTransport() as server, GrpcTransport() as client:
             served = await serve(server)
-            late = (await probe(client, served.address, "slow", 0.05)).error
-            self.assertIs(late.kind, RpcErrorKind.TIMEOUT)
-            self.assertTrue(late.may_have_run)
+            timed_out = (await probe(client, served.address, "slow", 0.05)).error
+            self.assertIs(timed_out.kind, RpcErrorKind.TIMEOUT)
+            self.assertTrue(timed_out.may_have_run)
 
-    async def test_plain_text_leaves_the_loopback_neither_way(self):
+    async def test_plain_text_is_allowed_on_loopback_only(self):
         async with GrpcTransport() as transport:
             served = await transport.serve([ProbeService()], Address("0.0.0.0", 0))
             self.assertIs(served.error.kind, RpcErrorKind.IDENTITY)
@@ -75,29 +75,29 @@
 
 
 class TlsTest(unittest.IsolatedAsyncioTestCase):
-    """Guards the ports of peers against processes without the right certificate."""
+    """Only processes with a certificate of the cell can connect to each other."""
 
     def setUp(self):
         directory = tempfile.TemporaryDirectory()
         self.addCleanup(directory.cleanup)
-        self.cell = Authority(directory.name, "cell")
-        self.stranger = Authority(directory.name, "stranger")
+        self.trusted = Authority(directory.name, "cell")
+        self.foreign = Authority(directory.name, "foreign")
 
-    async def test_peers_with_certificates_of_the_cell_talk(self):
-        server = GrpcTransport(TlsContexts(self.cell.issue("a")))
-        client = GrpcTransport(TlsContexts(self.cell.issue("b")))
+    async def test_peers_with_certificates_of_one_cell_can_connect(self):
+        server = GrpcTransport(TlsContexts(self.trusted.issue("a")))
+        client = GrpcTransport(TlsContexts(self.trusted.issue("b")))
         async with server, client:
             served = await serve(server)
             self.assertTrue((await probe(client, served.address)).is_ok())
 
-    async def test_stranger_and_plain_text_are_refused(self):
+    async def test_foreign_certificate_and_plain_text_are_rejected(self):
         asyncio.get_running_loop().set_exception_handler(lambda *_: None)
-        files = self.stranger.issue("c")
-        trusting = TlsFiles(files.certificate, files.key, self.cell.path)
-        server = GrpcTransport(TlsContexts(self.cell.issue("a")))
+        files = self.foreign.issue("c")
+        mixed_files = TlsFiles(files.certificate, files.key, self.trusted.path)
+        server = GrpcTransport(TlsContexts(self.trusted.issue("a")))
         clients = [
             GrpcTransport(TlsContexts(files)),
-            GrpcTransport(TlsContexts(trusting)),
+            GrpcTransport(TlsContexts(mixed_files)),
             GrpcTransport(),
         ]
         async with server, clients[0], clients[1], clients[2]:
@@ -108,24 +108,24 @@
             self.assertIs(error.kind, RpcErrorKind.IDENTITY)
             self.assertIn("TLS handshake failed", error.reason)
 
-    async def test_certificate_is_replaced_without_a_restart(self):
-        files = self.cell.issue("a", NOW + DAY)
+    async def test_certificate_is_reloaded_without_restart(self):
+        files = self.trusted.issue("a", NOW + DAY)
         contexts = TlsContexts(files)
         self.assertFalse(contexts.reload_if_changed().ok)
-        self.cell.write("a.key", b"not a key")
+        self.trusted.write("a.key", b"not a key")
         self.assertTrue(contexts.reload_if_changed().is_error())
         async with GrpcTransport(contexts) as server:
             served = await serve(server)
-            async with GrpcTransport(TlsContexts(self.cell.issue("b"))) as client:
+            async with GrpcTransport(TlsContexts(self.trusted.issue("b"))) as client:
                 self.assertTrue((await probe(client, served.address)).is_ok())
-            self.cell.issue("a", NOW + 2 * DAY)
+            self.trusted.issue("a", NOW + 2 * DAY)
             self.assertTrue(contexts.reload_if_changed().ok)
-            async with GrpcTransport(TlsContexts(self.cell.issue("c"))) as client:
+            async with GrpcTransport(TlsContexts(self.trusted.issue("c"))) as client:
                 self.assertTrue((await probe(client, served.address)).is_ok())
 
-    def test_files_that_cannot_be_used_are_told_apart(self):
-        good, other = self.cell.issue("good"), self.cell.issue("other")
-        expired = self.cell.issue("expired", NOW - DAY)
+    def test_check_identifies_the_problem_of_unusable_files(self):
+        good, other = self.trusted.issue("good"), self.trusted.issue("other")
+        expired = self.trusted.issue("expired", NOW - DAY)
         broken = Path(good.authority).with_name("broken")
         broken.write_text("no certificate")
         cases = (
@@ -133,7 +133,7 @@
             (str(broken), good.key, good.authority, "UNREADABLE"),
             (good.certificate, other.key, good.authority, "MISMATCH"),
             (expired.certificate, expired.key, good.authority, "EXPIRED"),
-            (good.certificate, good.key, self.stranger.path, "UNTRUSTED"),
+            (good.certificate, good.key, self.foreign.path, "UNTRUSTED"),
         )
         self.assertTrue(check_tls_files(good).is_ok())
         for certificate, key, authority, kind in cases:
--- a/basilhold/rpc/tls.py
+++ b/basilhold/rpc/tls.py
@@ -1,4 +1,4 @@
-"""TLS contexts between peers, with reload of the files."""
+"""TLS contexts for mutual authentication of peers, reloadable from files."""
 
 import ipaddress
 import ssl
@@ -19,14 +19,14 @@
 
 
 class TlsFiles(msgspec.Struct, frozen=True):
-    """Paths of the PEM files of a process.
+    """Paths of the PEM files that a process uses for TLS.
 
     Parameters
     ----------
     certificate, key : str
         Certificate chain and private key of this process.
     authority : str
-        Certificates of the authorities that sign peers.
+        Certificates of the authorities that sign the certificates of peers.
     """
 
     certificate: str
@@ -35,7 +35,12 @@
 
 
 class TlsProblemKind(Enum):
-    """What is wrong with a set of TLS files."""
+    """Reason why a set of TLS files cannot be used.
+
+    ``EXPIRED`` includes a certificate that is not yet valid. ``MISMATCH`` means that
+    the key does not belong to the certificate, and ``UNTRUSTED`` that the handshake
+    failed for another reason, such as a certificate signed by another authority.
+    """
 
     MISSING = "missing"
     UNREADABLE = "unreadable"
@@ -45,7 +50,7 @@
 
 
 class TlsProblem(msgspec.Struct, frozen=True):
-    """A set of TLS files that cannot be used."""
+    """Problem with a set of TLS files: its kind, the file concerned and a reason."""
 
     kind: TlsProblemKind
     path: str
@@ -53,7 +58,7 @@
 
 
 def is_loopback(host: str) -> bool:
-    """Whether a host is a loopback IP number.
+    """Return whether a host is a loopback IP address; names are not resolved.
 
     Examples
     --------
@@ -67,10 +72,16 @@
 
 
 def check_tls_files(files: TlsFiles) -> Result[None, TlsProblem]:
-    """Load the files and run a handshake of the process with itself.
+    """Check TLS files by loading them and running an in-memory handshake.
+
+    The process is both client and server of the handshake. It therefore detects the
+    problems that peers with the same authority would detect: a certificate that has
+    expired, is not yet valid or was signed by another authority.
 
-    The handshake finds what peers with the same authority would find: an expired
-    certificate, one that is not yet valid, or one of another authority.
+    Returns
+    -------
+    Result
+        None, or the `TlsProblem` that was found.
     """
     for path in (files.certificate, files.key, files.authority):
         if not Path(path).is_file():
@@ -82,7 +93,7 @@
     except OSError as error:
         return Error(TlsProblem(TlsProblemKind.UNREADABLE, files.key, str(error)))
     try:
-        _handshake(server, client)
+        _run_handshake(server, client)
     except ssl.SSLCertVerificationError as error:
         reason = error.verify_message
         expired = "expired" in reason or "not yet valid" in reason
@@ -96,39 +107,40 @@
 
 
 class TlsContexts:
-    """Server and client contexts of a process.
+    """TLS contexts of a process for accepting and making connections.
 
-    New handshakes use the reloaded certificate; connections that are open keep the
-    one they were made with. A reload can add authorities; removing one needs a
-    restart, because the ``ssl`` module cannot drop it from a context.
+    After a reload, new handshakes use the new certificate and open connections keep
+    the old one. A reload can add authorities. Removing one requires a restart,
+    because the ``ssl`` module cannot remove an authority from a context.
 
     Parameters
     ----------
     files : TlsFiles
-        Must pass `check_tls_files`.
+        Files that pass `check_tls_files`.
 
     Attributes
     ----------
     server, client : ssl.SSLContext
+        Contexts for accepted connections and for outgoing ones.
     """
 
     def __init__(self, files: TlsFiles):
         self.files = files
         self.server = _server_context(files)
         self.client = _client_context(files)
-        self._stamp = _stamp(files)
+        self._file_versions = _file_versions(files)
 
     def reload_if_changed(self) -> Result[bool, TlsProblem]:
-        """Load the files again if they changed.
+        """Reload the files if the size or modification time of one has changed.
 
         Returns
         -------
         Result
-            Whether anything was loaded. If the new files cannot be used, the old
-            certificate stays in use.
+            Whether the files were reloaded, or the `TlsProblem` of the new files, in
+            which case the old certificate remains in use.
         """
-        stamp = _stamp(self.files)
-        if stamp == self._stamp:
+        versions = _file_versions(self.files)
+        if versions == self._file_versions:
             return Ok(False)
         checked = check_tls_files(self.files)
         if checked.is_error():
@@ -136,7 +148,7 @@
         for context in (self.server, self.client):
             context.load_cert_chain(self.files.certificate, self.files.key)
             context.load_verify_locations(cafile=self.files.authority)
-        self._stamp = stamp
+        self._file_versions = versions
         return Ok(True)
 
 
@@ -148,8 +160,8 @@
 
 def _client_context(files: TlsFiles) -> ssl.SSLContext:
     context = ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT)
-    # Peers are known by the authority that signed them: entry VMs are replaced at
-    # any time, so certificates do not carry their IP numbers.
+    # Peers are authenticated by the authority that signed their certificates. Entry
+    # VMs can be replaced at any time, so certificates do not contain IP addresses.
     context.check_hostname = False
     _configure(context, files)
     return context
@@ -171,28 +183,28 @@
     return TlsProblem(TlsProblemKind.UNREADABLE, files.certificate, str(error))
 
 
-def _handshake(server: ssl.SSLContext, client: ssl.SSLContext) -> None:
+def _run_handshake(server: ssl.SSLContext, client: ssl.SSLContext) -> None:
     to_server, to_client = ssl.MemoryBIO(), ssl.MemoryBIO()
-    ends = [
+    endpoints = [
         client.wrap_bio(to_client, to_server),
         server.wrap_bio(to_server, to_client, server_side=True),
     ]
-    # A TLS handshake needs at most three flights of each side.
+    # A TLS handshake takes at most three flights from each side.
     for _ in range(4):
-        for end in ends:
+        for endpoint in endpoints:
             try:
-                end.do_handshake()
+                endpoint.do_handshake()
             except ssl.SSLWantReadError:
                 continue
 
 
-def _stamp(files: TlsFiles) -> tuple[tuple[int, int], ...]:
-    stamps = []
+def _file_versions(files: TlsFiles) -> tuple[tuple[int, int], ...]:
+    versions = []
     for path in (files.certificate, files.key, files.authority):
         try:
             status = Path(path).stat()
         except OSError:
-            stamps.append((0, 0))
+            versions.append((0, 0))
         else:
-            stamps.append((status.st_mtime_ns, status.st_size))
-    return tuple(stamps)
+            versions.append((status.st_mtime_ns, status.st_size))
+    return tuple(versions)
--- a/basilhold/rpc/transport.py
+++ b/basilhold/rpc/transport.py
@@ -1,4 +1,4 @@
-"""Abstract transport of calls and streams between processes."""
+"""Abstract transport for calls and streams between processes."""
 
 from abc import ABC, abstractmethod
 from collections.abc import Sequence
@@ -12,14 +12,14 @@
 
 
 class Servable(Protocol):
-    """A grpclib service, that is, a subclass of a generated ``*Base`` class."""
+    """A grpclib service: an instance of a subclass of a generated ``*Base`` class."""
 
     def __mapping__(self) -> dict[str, Any]:
-        """Return the handler of each method path."""
+        """Return the handlers of the service by path of the method."""
 
 
 class CallChannel(Protocol):
-    """The part of ``grpclib.client.Channel`` that generated stubs use."""
+    """Subset of ``grpclib.client.Channel`` that generated stubs use."""
 
     def request(
         self,
@@ -32,16 +32,16 @@
         deadline: Any = None,
         metadata: Any = None,
     ) -> Any:
-        """Return a stream, which is an asynchronous context manager."""
+        """Return a stream for one call, to be used as asynchronous context manager."""
 
 
 class RpcServer(ABC):
-    """A listening server; closing it ends its streams."""
+    """A server that accepts connections until it is closed."""
 
     @property
     @abstractmethod
     def address(self) -> Address:
-        """Address that the server listens on."""
+        """Address that the server listens on, with the actual port."""
 
     @abstractmethod
     async def close(self) -> None:
@@ -49,28 +49,34 @@
 
 
 class Transport(ABC):
-    """Connects generated stubs to services, over sockets or in memory."""
+    """Connection of generated stubs to services, over sockets or in memory."""
 
     @abstractmethod
     def channel(self, address: Address) -> CallChannel:
         """Return the channel to an address, for use with a generated stub.
 
-        Channels are cached and connect again by themselves when used after a loss.
+        Channels can be cached. Using one after its connection was lost reconnects.
         """
 
     @abstractmethod
     def close_channel(self, address: Address) -> None:
-        """Close the channel to an address, so that the next use connects anew.
+        """Close the channel to an address, so that its next use reconnects.
 
-        Used after a silence: a connection that was cut can stall for longer than a
-        new one takes.
+        It is called when a peer has not replied in time: a connection whose path was
+        interrupted can stall for longer than it takes to open a new one.
         """
 
     @abstractmethod
     async def serve(
         self, services: Sequence[Servable], address: Address
     ) -> Result[RpcServer, RpcError]:
-        """Serve grpclib services on an address; port 0 chooses a free one."""
+        """Serve grpclib services on an address; port 0 selects a free port.
+
+        Returns
+        -------
+        Result
+            The listening server, or the `RpcError` that prevented it.
+        """
 
     @abstractmethod
     async def close(self) -> None:
