--- a/basilhold/accounting/__init__.py
+++ b/basilhold/accounting/__init__.py
@@ -1,4 +1,4 @@
-"""Counts of control traffic and the budget of store operations."""
+"""Counters of control-plane traffic and store operations, and a store rate limit."""
 
 from basilhold.accounting.budget import (
     BudgetedTableService,
@@ -9,7 +9,7 @@
 )
 from basilhold.accounting.channels import CountingTransport, purpose_of_method
 from basilhold.accounting.http import CountingHttpClient
-from basilhold.accounting.store_traffic import StoreTraffic
+from basilhold.accounting.store_traffic import TrafficCountingTableService
 from basilhold.accounting.tables import (
     CountingTableService,
     OperationCounter,
@@ -49,8 +49,8 @@
     "Purpose",
     "StoreBudget",
     "StorePriority",
-    "StoreTraffic",
     "TrafficCounter",
+    "TrafficCountingTableService",
     "TrafficEntry",
     "purpose_of_method",
 ]
