Rename the gateway's stop, stall and slot operations

The names were figurative or vague, such as cut, course and beat. The module of requests in progress moves with its class.

--- a/basilhold/gateway/__init__.py
+++ b/basilhold/gateway/__init__.py
@@ -10,7 +10,7 @@
 from basilhold.gateway.once_sweeper import OnceSweeper
 from basilhold.gateway.server import GatewayServer
 from basilhold.gateway.service import RequestService, ServiceParts
-from basilhold.gateway.slots import SlotLoop
+from basilhold.gateway.slots import SlotReporter
 from basilhold.gateway.status import RequestMetrics, RequestState
 
 __all__ = [
@@ -29,7 +29,7 @@
     "RequestService",
     "RequestState",
     "ServiceParts",
-    "SlotLoop",
+    "SlotReporter",
     "StaticCallers",
     "make_application",
     "request_routes",
--- a/basilhold/gateway/course.py
+++ b/basilhold/gateway/active_request.py
@@ -15,17 +15,17 @@
 )
 
 __all__ = [
-    "Course",
+    "ActiveRequest",
     "check_request",
-    "make_course",
+    "make_active_request",
     "refusal_detail",
-    "without_lookup",
+    "adjust_outcome_without_lookup",
 ]
 
 IDEMPOTENCY_KEY_LENGTH_MAX = 200
 
 
-class Course:
+class ActiveRequest:
     """One request on its way through the service."""
 
     def __init__(
@@ -88,7 +88,9 @@
     return None
 
 
-def without_lookup(problem: Problem, idempotency_key: str | None) -> Problem:
+def adjust_outcome_without_lookup(
+    problem: Problem, idempotency_key: str | None
+) -> Problem:
     """Return the refusal of a request whose at-most-once record was not looked up.
 
     A keyed submission can be the repeat of one that has run, so that ``not-run`` is
@@ -100,12 +102,12 @@
     return msgspec.structs.replace(problem, outcome=Outcome.UNKNOWN)
 
 
-def make_course(
+def make_active_request(
     request: CallerRequest,
     work_class: WorkClass,
     sink: CallerSink,
     arrived_ms: float,
-) -> Course:
+) -> ActiveRequest:
     """Return a request at its start; its deadline is that of the class at most."""
     timeout_ms = work_class.timeout_ms
     if request.timeout_ms is not None:
@@ -118,7 +120,7 @@
         arrived_ms + timeout_ms,
         len(request.body),
     )
-    return Course(request, work_class, queued, sink)
+    return ActiveRequest(request, work_class, queued, sink)
 
 
 _REFUSAL_DETAILS = {
--- a/basilhold/gateway/attempts.py
+++ b/basilhold/gateway/attempts.py
@@ -168,7 +168,9 @@
 
     def _free(self, attempt: Attempt, linger: bool) -> None:
         def give_back() -> None:
-            self._dispatcher.give_back(attempt.service, attempt.queued, attempt.granted)
+            self._dispatcher.release_slot(
+                attempt.service, attempt.queued, attempt.granted
+            )
 
         if linger:
             loop = asyncio.get_running_loop()
--- a/basilhold/gateway/counters.py
+++ b/basilhold/gateway/counters.py
@@ -50,7 +50,7 @@
         self.class_outcomes: dict[ClassName, Counter[Outcome]] = {}
         self.wait_ratios: deque[WaitRatio] = deque(maxlen=WAIT_RATIOS_MAX)
 
-    def count_end(self, class_name: ClassName, outcome: Outcome) -> None:
+    def record_outcome(self, class_name: ClassName, outcome: Outcome) -> None:
         """Count a request that has ended."""
         self.outcomes[outcome] += 1
         self.class_outcomes.setdefault(class_name, Counter())[outcome] += 1
--- a/basilhold/gateway/dispatch.py
+++ b/basilhold/gateway/dispatch.py
@@ -139,10 +139,10 @@
             if not queue.remove(queued) and not future.cancelled():
                 granted = future.result()
                 if isinstance(granted, Granted):
-                    self.give_back(service, queued, granted)
+                    self.release_slot(service, queued, granted)
             raise
 
-    def give_back(
+    def release_slot(
         self, service: ServiceName, queued: QueuedRequest, granted: Granted
     ) -> None:
         """Free a slot after its request has ended."""
@@ -155,12 +155,12 @@
         self._holder.release(granted.token)
         self._dispatch(service)
 
-    def beat(self) -> None:
+    def record_heartbeat(self) -> None:
         """Note that the loop runs; called several times a second."""
         self._check_pause()
         self._beat_ms = self._clock.monotonic_ms()
 
-    def hold(self) -> None:
+    def suspend(self) -> None:
         """Send nothing until `resume`."""
         self._holding = True
 
@@ -175,7 +175,7 @@
         now_ms = self._clock.monotonic_ms()
         if now_ms - self._beat_ms > PAUSE_MS:
             self._beat_ms = now_ms
-            self.hold()
+            self.suspend()
             self.on_pause()
 
     def dispatch_all(self) -> None:
--- a/basilhold/gateway/drain.py
+++ b/basilhold/gateway/drain.py
@@ -7,10 +7,10 @@
 import msgspec
 
 from basilhold.gateway.events import (
-    DRAIN_CUT,
     DRAIN_ENDED,
+    DRAIN_INCOMPLETE,
     DRAIN_STARTED,
-    REQUEST_CUT,
+    REQUEST_CANCELLED,
 )
 from basilhold.gateway.service import RequestService
 from basilhold.observability import log_event
@@ -129,8 +129,8 @@
         if end is DrainEnd.FINISHED:
             log_event(DRAIN_ENDED)
             return ()
-        cut = tuple(await self._service.cut())
+        cut = tuple(await self._service.cancel_requests())
         for request in cut:
-            log_event(REQUEST_CUT, request=request)
-        log_event(DRAIN_CUT, count=len(cut), reason=end.value)
+            log_event(REQUEST_CANCELLED, request=request)
+        log_event(DRAIN_INCOMPLETE, count=len(cut), reason=end.value)
         return cut
--- a/basilhold/gateway/events.py
+++ b/basilhold/gateway/events.py
@@ -4,10 +4,10 @@
 
 __all__ = [
     "ANSWER_NOT_KEPT",
-    "DRAIN_CUT",
+    "DRAIN_INCOMPLETE",
     "DRAIN_ENDED",
     "DRAIN_STARTED",
-    "REQUEST_CUT",
+    "REQUEST_CANCELLED",
     "RESULT_NOT_RECORDED",
     "SLOTS_NOT_CONFIRMED",
     "SLOT_EXCHANGE_FAILED",
@@ -19,13 +19,13 @@
     1001, EventLevel.INFO, "stop requested, {count} requests in flight"
 )
 DRAIN_ENDED = Event(1002, EventLevel.INFO, "stopped, no request was cut")
-DRAIN_CUT = Event(
+DRAIN_INCOMPLETE = Event(
     1003,
     EventLevel.WARNING,
     "stopped with {count} requests cut, reason: {reason}",
     action="Raise the drain bound, or wait before a second stop request.",
 )
-REQUEST_CUT = Event(
+REQUEST_CANCELLED = Event(
     1004,
     EventLevel.WARNING,
     "request was cut: {request}",
--- a/basilhold/gateway/handlers.py
+++ b/basilhold/gateway/handlers.py
@@ -8,8 +8,8 @@
 from tornado.web import Application, RequestHandler, stream_request_body
 
 from basilhold.core import ClassName, InvariantError, TeamName
+from basilhold.gateway.active_request import adjust_outcome_without_lookup
 from basilhold.gateway.answers import CallerSink
-from basilhold.gateway.course import without_lookup
 from basilhold.gateway.front import FrontEnd
 from basilhold.gateway.problems import OUTCOME_HEADER, PROBLEM_TYPE, encode_problem
 from basilhold.gateway.service import UNKNOWN_CLASS
@@ -319,10 +319,10 @@
 
     def _refuse(self, problem: Problem) -> None:
         key = self.request.headers.get("Idempotency-Key")
-        problem = without_lookup(problem, key)
+        problem = adjust_outcome_without_lookup(problem, key)
         counters = self._front.service.counters
         counters.problems[problem.kind] += 1
-        counters.count_end(UNKNOWN_CLASS, problem.outcome)
+        counters.record_outcome(UNKNOWN_CLASS, problem.outcome)
         self.set_header("Connection", "close")
         self.write_problem(problem)
 
--- a/basilhold/gateway/service.py
+++ b/basilhold/gateway/service.py
@@ -12,16 +12,16 @@
     ServiceName,
     ZoneName,
 )
-from basilhold.gateway.answers import AnswerRecorder, AttemptSink, CallerSink
-from basilhold.gateway.attempts import Attempt, AttemptEnd, AttemptRunner
-from basilhold.gateway.counters import Count, RequestCounters, WaitRatio
-from basilhold.gateway.course import (
-    Course,
+from basilhold.gateway.active_request import (
+    ActiveRequest,
+    adjust_outcome_without_lookup,
     check_request,
-    make_course,
+    make_active_request,
     refusal_detail,
-    without_lookup,
 )
+from basilhold.gateway.answers import AnswerRecorder, AttemptSink, CallerSink
+from basilhold.gateway.attempts import Attempt, AttemptEnd, AttemptRunner
+from basilhold.gateway.counters import Count, RequestCounters, WaitRatio
 from basilhold.gateway.dispatch import Dispatcher
 from basilhold.gateway.once import OnceKeeper
 from basilhold.gateway.once_results import OnceTicket, Replay
@@ -120,7 +120,7 @@
             self._times,
             parts.counters,
         )
-        self._courses: dict[asyncio.Task[RequestEnd], Course] = {}
+        self._courses: dict[asyncio.Task[RequestEnd], ActiveRequest] = {}
         self._idle = asyncio.Event()
         self._idle.set()
         self._replays = asyncio.Semaphore(REPLAYS_MAX)
@@ -193,10 +193,10 @@
         work_class = self._parts.classes.find(request.class_name)
         problem = check_request(request, work_class, self._parts.router, self.stopping)
         if problem is not None:
-            problem = without_lookup(problem, request.idempotency_key)
+            problem = adjust_outcome_without_lookup(problem, request.idempotency_key)
             return self._count_end(UNKNOWN_CLASS, _end(problem))
         self.counters.arrived[work_class.name] += 1
-        course = make_course(request, work_class, sink, arrived_ms)
+        course = make_active_request(request, work_class, sink, arrived_ms)
         task = asyncio.create_task(self._serve(course))
         self._courses[task] = course
         self._idle.clear()
@@ -210,7 +210,7 @@
         await self._idle.wait()
         await self._parts.once.settle()
 
-    async def cut(self) -> list[str]:
+    async def cancel_requests(self) -> list[str]:
         """Cancel all requests in flight and return a line for each."""
         names = self.in_flight_names()
         tasks = list(self._courses)
@@ -227,14 +227,14 @@
             task.exception()
 
     def _count_end(self, class_name: ClassName, end: RequestEnd) -> RequestEnd:
-        self.counters.count_end(class_name, end.outcome)
+        self.counters.record_outcome(class_name, end.outcome)
         if end.problem is not None:
             self.counters.problems[end.problem.kind] += 1
         if end.replayed:
             self.counters.counts[Count.REPLAYS] += 1
         return end
 
-    async def _serve(self, course: Course) -> RequestEnd:
+    async def _serve(self, course: ActiveRequest) -> RequestEnd:
         service = course.work_class.service
         refusal = self._dispatcher.refusal(service, course.queued)
         if course.is_idempotent:
@@ -252,7 +252,7 @@
         return await self._run_ticket(course, opening)
 
     async def _open(
-        self, course: Course, refusal: ProblemKind | None
+        self, course: ActiveRequest, refusal: ProblemKind | None
     ) -> OnceTicket | Replay | Problem:
         request = course.request
         key = make_request_key(
@@ -266,7 +266,7 @@
         earlier = await once.look_up(key, fingerprint(request), deadline_ms)
         return self._refused(course, refusal) if earlier is None else earlier
 
-    async def _play_back(self, course: Course, replay: Replay) -> RequestEnd:
+    async def _play_back(self, course: ActiveRequest, replay: Replay) -> RequestEnd:
         left_ms = course.queued.deadline_ms - self._clock.monotonic_ms()
         try:
             async with asyncio.timeout(left_ms / 1000), self._replays:
@@ -275,7 +275,9 @@
             detail = "the request has run, but the deadline of this repeat has passed"
             return _end(Problem(ProblemKind.TIMED_OUT, Outcome.RAN, detail, 1))
 
-    async def _run_ticket(self, course: Course, ticket: OnceTicket) -> RequestEnd:
+    async def _run_ticket(
+        self, course: ActiveRequest, ticket: OnceTicket
+    ) -> RequestEnd:
         outcome = Outcome.UNKNOWN
         try:
             end = await self._run(course)
@@ -290,27 +292,27 @@
             elif outcome is Outcome.UNKNOWN:
                 self._parts.once.unknown(ticket)
 
-    async def _run(self, course: Course) -> RequestEnd:
+    async def _run(self, course: ActiveRequest) -> RequestEnd:
         service = course.work_class.service
         while True:
             granted = await self._dispatcher.wait(service, course.queued)
             if isinstance(granted, ProblemKind):
                 return _end(self._refused(course, granted))
             if not self._may_send(course):
-                self._dispatcher.give_back(service, course.queued, granted)
+                self._dispatcher.release_slot(service, course.queued, granted)
                 return _end(self._refused(course, ProblemKind.TIMED_OUT))
             end = await self._attempt(course, granted)
             if end is not None:
                 return end
 
-    def _may_send(self, course: Course) -> bool:
+    def _may_send(self, course: ActiveRequest) -> bool:
         left_ms = course.queued.deadline_ms - self._clock.monotonic_ms()
         if left_ms < SEND_LEAD_MS:
             return False
         ticket = course.ticket
         return ticket is None or may_send(ticket.record, self._clock.unix_ms())
 
-    async def _attempt(self, course: Course, granted) -> RequestEnd | None:
+    async def _attempt(self, course: ActiveRequest, granted) -> RequestEnd | None:
         """Send a request once; return ``None`` if it is to be sent again."""
         recorder = None
         if course.ticket is not None:
@@ -349,7 +351,9 @@
             return None
         return await self._finish(course, end, sink)
 
-    async def _retry(self, course: Course, end: AttemptEnd, sink: AttemptSink) -> bool:
+    async def _retry(
+        self, course: ActiveRequest, end: AttemptEnd, sink: AttemptSink
+    ) -> bool:
         course.last_reason = end.reason
         failed = not end.whole or sink.is_server_error
         if not failed or sink.passed_on or course.attempts >= ATTEMPTS_MAX:
@@ -375,7 +379,7 @@
         return True
 
     async def _finish(
-        self, course: Course, end: AttemptEnd, sink: AttemptSink
+        self, course: ActiveRequest, end: AttemptEnd, sink: AttemptSink
     ) -> RequestEnd:
         if end.whole:
             problem = await self._pass_on(course, sink)
@@ -389,7 +393,9 @@
             kind = ProblemKind.NO_UPSTREAM
         return _end(Problem(kind, outcome, end.reason, 1))
 
-    async def _pass_on(self, course: Course, sink: AttemptSink) -> Problem | None:
+    async def _pass_on(
+        self, course: ActiveRequest, sink: AttemptSink
+    ) -> Problem | None:
         """Pass an answer on; a caller that does not read it is not waited for."""
         left_ms = course.queued.deadline_ms - self._clock.monotonic_ms()
         try:
@@ -400,7 +406,7 @@
             return Problem(ProblemKind.TIMED_OUT, Outcome.RAN, detail)
         return None
 
-    def _refused(self, course: Course, kind: ProblemKind) -> Problem:
+    def _refused(self, course: ActiveRequest, kind: ProblemKind) -> Problem:
         outcome = Outcome.UNKNOWN if course.was_sent else Outcome.NOT_RUN
         detail = refusal_detail(kind)
         if course.last_reason:
--- a/basilhold/gateway/slots.py
+++ b/basilhold/gateway/slots.py
@@ -19,7 +19,7 @@
     SlotReport,
 )
 
-__all__ = ["SlotLoop"]
+__all__ = ["SlotReporter"]
 
 REPORT_WAIT_MS = 5000
 DEMAND_WAIT_MS = 1000
@@ -44,7 +44,7 @@
     FAILED = "failed"
 
 
-class SlotLoop:
+class SlotReporter:
     """Keeps a gateway's slots up to date.
 
     Parameters
@@ -89,7 +89,7 @@
         self._beating: asyncio.Task[None] | None = None
         self._resuming: asyncio.Task[None] | None = None
         service.dispatcher.on_shortage = self._wake_all
-        service.dispatcher.on_pause = self.resumed
+        service.dispatcher.on_pause = self.reconfirm_slots
         holder.on_return = self._wake
 
     async def __aenter__(self) -> Self:
@@ -106,17 +106,17 @@
 
     async def _beat(self) -> None:
         while True:
-            self._service.dispatcher.beat()
+            self._service.dispatcher.record_heartbeat()
             await asyncio.sleep(BEAT_MS / 1000)
 
-    def resumed(self) -> None:
+    def reconfirm_slots(self) -> None:
         """Ask the owners which slots are left, after the process stood still.
 
         Nothing is sent until the owners of this region have answered, or for
         `RECONFIRM_MS`.
         """
         self._pause_count += 1
-        self._service.dispatcher.hold()
+        self._service.dispatcher.suspend()
         if self._resuming is not None:
             self._resuming.cancel()
         self._resuming = asyncio.create_task(self._reconfirm(self._pause_count))
--- a/basilhold/gateway/tests/test_service.py
+++ b/basilhold/gateway/tests/test_service.py
@@ -98,7 +98,7 @@
             queued = QueuedRequest("quote", "desk", 2000, 200, 7000)
             granted = await service.dispatcher.wait(SERVICE, queued)
             self.assertIs(health.state, BreakerState.PROBING)
-            service.dispatcher.give_back(SERVICE, queued, granted)
+            service.dispatcher.release_slot(SERVICE, queued, granted)
             self.assertIs(health.state, BreakerState.OPEN)
             await asyncio.sleep(2)
             end, _sink = await call(service)
--- a/basilhold/gateway/tests/test_slots.py
+++ b/basilhold/gateway/tests/test_slots.py
@@ -87,7 +87,7 @@
             gateway = next(iter(cell.gateways.values()))
             dispatcher = gateway.service.dispatcher
             cell.unreachable_owners.update(cell.owners)
-            gateway.loop.resumed()
+            gateway.loop.reconfirm_slots()
             queued = QueuedRequest(QUOTE.name, "desk", 10_000, 5000, 20_000)
             waiting = asyncio.create_task(dispatcher.wait(SERVICE, queued))
             await asyncio.sleep(1.0)
@@ -104,5 +104,5 @@
             pauses = []
             dispatcher.on_pause = lambda: pauses.append(True)
             dispatcher._beat_ms -= 5000
-            dispatcher.beat()
+            dispatcher.record_heartbeat()
             self.assertEqual(pauses, [True])
--- a/basilhold/nodes/gateway_node.py
+++ b/basilhold/nodes/gateway_node.py
@@ -23,7 +23,7 @@
     RequestService,
     RequestState,
     ServiceParts,
-    SlotLoop,
+    SlotReporter,
 )
 from basilhold.nodes.base import NodeContext, NodePart
 from basilhold.nodes.control_metrics import ConfigMetrics
@@ -112,7 +112,7 @@
     Attributes
     ----------
     service : RequestService
-    slots : SlotLoop
+    slots : SlotReporter
     once : OnceKeeper
     """
 
@@ -178,9 +178,9 @@
         )
         return RequestService(parts)
 
-    def _make_slots(self) -> SlotLoop:
+    def _make_slots(self) -> SlotReporter:
         context = self._context
-        return SlotLoop(
+        return SlotReporter(
             self._identity,
             context.clock,
             self._router,
--- a/basilhold/soak/soak_cell.py
+++ b/basilhold/soak/soak_cell.py
@@ -160,7 +160,7 @@
             call.cancel()
         service = vm.nodes.gateway.service
         await vm.gate.create_task(self.cell.kill_entry(vm_id))
-        await vm.gate.create_task(service.cut())
+        await vm.gate.create_task(service.cancel_requests())
 
     async def stop(self, vm_id: VmId) -> None:
         """Stop an entry VM as planned; nothing may be cut (G7)."""
--- a/basilhold/testing/request_cell.py
+++ b/basilhold/testing/request_cell.py
@@ -27,7 +27,7 @@
     RequestCounters,
     RequestService,
     ServiceParts,
-    SlotLoop,
+    SlotReporter,
 )
 from basilhold.ports import (
     TableService,
@@ -157,7 +157,7 @@
             counters,
         )
         self.service = RequestService(parts)
-        self.loop = SlotLoop(
+        self.loop = SlotReporter(
             identity,
             self.clock,
             router,
@@ -177,17 +177,17 @@
     def pause(self) -> None:
         """Hold all messages back, as if the process stood still."""
         self.gate.close()
-        self.service.dispatcher.hold()
+        self.service.dispatcher.suspend()
 
     def resume(self) -> None:
         """Let the process run on."""
-        self.loop.resumed()
+        self.loop.reconfirm_slots()
         self.gate.open()
 
     async def stop(self) -> None:
         """End the gateway's tasks."""
         await self.loop.__aexit__()
-        await self.service.cut()
+        await self.service.cancel_requests()
         await self.keeper.__aexit__()
 
 
