Describe the gateway's request state, counters and log events

Texts and internal names were figurative or left out what a value means. Parameters and attributes are described, log events use the terms shutdown and stall, and internal names of the dispatcher, the attempts and the slot reports say what they hold.

--- a/basilhold/gateway/active_request.py
+++ b/basilhold/gateway/active_request.py
@@ -1,4 +1,4 @@
-"""One request on its way through a gateway, and the checks at its start."""
+"""State of a request while a gateway serves it, and the validation on arrival."""
 
 import msgspec
 
@@ -23,10 +23,35 @@
 ]
 
 IDEMPOTENCY_KEY_LENGTH_MAX = 200
+"""Longest accepted ``Idempotency-Key``, in characters."""
 
 
 class ActiveRequest:
-    """One request on its way through the service."""
+    """State of a request from its arrival until it has ended.
+
+    Parameters
+    ----------
+    request : CallerRequest
+    work_class : WorkClass
+        Work class that the request names.
+    queued : QueuedRequest
+        Entry of the request in the queue of its service; holds the deadline.
+    sink : CallerSink
+        Receives the answer for the caller.
+
+    Attributes
+    ----------
+    ticket : OnceTicket or None
+        At-most-once record of a non-idempotent request, once it is open.
+    attempts : int
+        Number of attempts started so far.
+    was_sent : bool
+        Whether an upstream may have received part of the request.
+    last_reason : str
+        Reason reported for the failure of the last attempt; empty if there is none.
+    upstream_id : UpstreamId or None
+        Upstream of the last attempt.
+    """
 
     def __init__(
         self,
@@ -57,7 +82,23 @@
     router: Router,
     stopping: bool,
 ) -> Problem | None:
-    """Return why a request is refused before it is queued, or ``None``."""
+    """Validate a request on arrival, before it is queued.
+
+    Parameters
+    ----------
+    request : CallerRequest
+    work_class : WorkClass or None
+        Declared class that the request names; ``None`` if no class has that name.
+    router : Router
+        Tells which services have upstreams.
+    stopping : bool
+        Whether the gateway is shutting down.
+
+    Returns
+    -------
+    Problem or None
+        Why the request is refused, or ``None`` if it is valid.
+    """
     if stopping:
         return _refusal(ProblemKind.STOPPING, "this gateway is stopping", 1)
     if work_class is None or work_class.kind is not ClassKind.REQUEST:
@@ -91,10 +132,23 @@
 def adjust_outcome_without_lookup(
     problem: Problem, idempotency_key: str | None
 ) -> Problem:
-    """Return the refusal of a request whose at-most-once record was not looked up.
-
-    A keyed submission can be the repeat of one that has run, so that ``not-run`` is
-    not certain for the request.
+    """Correct the outcome of a refusal made without reading the at-most-once record.
+
+    A submission with an idempotency key may repeat a request that has already run.
+    Without its record the outcome ``not-run`` is not certain, so it is replaced by
+    ``unknown``, except if the key itself is missing or invalid.
+
+    Parameters
+    ----------
+    problem : Problem
+        The refusal.
+    idempotency_key : str or None
+        Key of the refused request.
+
+    Returns
+    -------
+    Problem
+        The refusal with the outcome to report.
     """
     certain_kinds = (ProblemKind.KEY_REQUIRED, ProblemKind.KEY_INVALID)
     if not idempotency_key or problem.kind in certain_kinds:
@@ -108,7 +162,19 @@
     sink: CallerSink,
     arrived_ms: float,
 ) -> ActiveRequest:
-    """Return a request at its start; its deadline is that of the class at most."""
+    """Return the state of a valid request that has just arrived.
+
+    The deadline follows from the timeout of the class, or from that of the request if
+    it is shorter.
+
+    Parameters
+    ----------
+    request : CallerRequest
+    work_class : WorkClass
+    sink : CallerSink
+    arrived_ms : float
+        Monotonic time of arrival, in milliseconds.
+    """
     timeout_ms = work_class.timeout_ms
     if request.timeout_ms is not None:
         timeout_ms = min(timeout_ms, request.timeout_ms)
@@ -138,5 +204,5 @@
 
 
 def refusal_detail(kind: ProblemKind) -> str:
-    """Return a sentence for the caller."""
+    """Return the detail text of a problem document for a refused request."""
     return _REFUSAL_DETAILS.get(kind, "the request can't be served")
--- a/basilhold/gateway/attempts.py
+++ b/basilhold/gateway/attempts.py
@@ -7,7 +7,7 @@
 from basilhold.core import Clock, ServiceName
 from basilhold.gateway.answers import AttemptSink
 from basilhold.gateway.counters import Count, RequestCounters
-from basilhold.gateway.dispatch import Dispatcher, Granted
+from basilhold.gateway.dispatch import Dispatcher, GrantedSlot
 from basilhold.gateway.events import UPSTREAM_BREAKER_OPENED, UPSTREAM_LEAVING
 from basilhold.observability import log_event
 from basilhold.ports import SendError, SendPhase, UpstreamClient, UpstreamRequest
@@ -20,16 +20,16 @@
     ServiceTimes,
 )
 
-__all__ = ["Attempt", "AttemptEnd", "AttemptRunner"]
+__all__ = ["Attempt", "AttemptResult", "AttemptRunner"]
 
-ABANDON_LINGER_MS = 200
+ABANDONED_SLOT_DELAY_MS = 200
 """How long a slot stays taken after a request without a whole answer.
 
 The upstream learns of the closed connection one cross-region latency (30 ms) later;
 until then it still works on the request.
 """
 
-TIMEOUT_MEANS = 3.0
+TIMEOUT_FAILURE_FACTOR = 3.0
 """A timeout counts against the upstream only if it took this many mean times.
 
 Otherwise callers with very short deadlines would open the breaker.
@@ -42,11 +42,11 @@
     request: CallerRequest
     service: ServiceName
     queued: QueuedRequest
-    granted: Granted
+    granted: GrantedSlot
     sink: AttemptSink
 
 
-class AttemptEnd(msgspec.Struct, frozen=True):
+class AttemptResult(msgspec.Struct, frozen=True):
     """How an attempt ended.
 
     Parameters
@@ -59,7 +59,7 @@
     reason : str
     """
 
-    whole: bool
+    complete: bool
     not_sent: bool = False
     timed_out: bool = False
     reason: str = ""
@@ -94,26 +94,26 @@
         self._times = times
         self._counters = counters
 
-    async def run(self, attempt: Attempt) -> AttemptEnd:
+    async def run(self, attempt: Attempt) -> AttemptResult:
         """Send a request and return how that ended; the slot is freed."""
         started_ms = self._clock.monotonic_ms()
         health = attempt.granted.upstream.health
         linger = True
         try:
             end = await self._send(attempt, started_ms)
-            linger = not (end.whole or end.not_sent)
-            self._record(attempt, end, self._clock.monotonic_ms() - started_ms)
+            linger = not (end.complete or end.not_sent)
+            self._record_health(attempt, end, self._clock.monotonic_ms() - started_ms)
             return end
         except asyncio.CancelledError:
             self._counters.counts[Count.CALLERS_GONE] += 1
             health.abandoned(self._clock.monotonic_ms())
             raise
         finally:
-            self._free(attempt, linger)
+            self._release_slot(attempt, linger)
             size = len(attempt.request.body) + attempt.sink.size_bytes
             self._dispatcher.count_attempt(attempt.granted.upstream, size)
 
-    async def _send(self, attempt: Attempt, started_ms: float) -> AttemptEnd:
+    async def _send(self, attempt: Attempt, started_ms: float) -> AttemptResult:
         upstream = attempt.granted.upstream
         request = attempt.request
         left_ms = int(attempt.queued.deadline_ms - started_ms)
@@ -131,34 +131,38 @@
             async with asyncio.timeout(left_ms / 1000):
                 result = await self._client.send(message, attempt.sink)
         except TimeoutError:
-            return AttemptEnd(False, timed_out=True, reason="the deadline has passed")
+            return AttemptResult(
+                False, timed_out=True, reason="the deadline has passed"
+            )
         if result.is_ok():
-            return AttemptEnd(True)
+            return AttemptResult(True)
         error: SendError = result.error
-        return AttemptEnd(
+        return AttemptResult(
             False,
             not_sent=error.phase is SendPhase.NOT_SENT,
             timed_out=error.timed_out,
             reason=error.reason,
         )
 
-    def _record(self, attempt: Attempt, end: AttemptEnd, duration_ms: float) -> None:
+    def _record_health(
+        self, attempt: Attempt, end: AttemptResult, duration_ms: float
+    ) -> None:
         upstream = attempt.granted.upstream
         now_ms = self._clock.monotonic_ms()
         class_name = attempt.queued.class_name
-        if end.whole and attempt.sink.is_leaving:
+        if end.complete and attempt.sink.is_leaving:
             log_event(UPSTREAM_LEAVING, upstream=upstream.upstream_id)
             self._router.report_leaving(upstream.upstream_id, now_ms + LEAVING_MS)
             self._dispatcher.on_shortage()
             return
-        if end.whole and not attempt.sink.is_server_error:
+        if end.complete and not attempt.sink.is_server_error:
             upstream.health.succeeded(now_ms)
             self._times.record(attempt.service, class_name, duration_ms)
             return
-        if not end.whole and attempt.sink.head is not None:
+        if not end.complete and attempt.sink.head is not None:
             self._counters.counts[Count.TRUNCATED_ANSWERS] += 1
         mean_ms = self._times.class_ms(attempt.service, class_name)
-        if end.timed_out and duration_ms < TIMEOUT_MEANS * mean_ms:
+        if end.timed_out and duration_ms < TIMEOUT_FAILURE_FACTOR * mean_ms:
             upstream.health.abandoned(now_ms)
             return
         was_open = upstream.health.state is BreakerState.OPEN
@@ -166,7 +170,7 @@
         if upstream.health.state is BreakerState.OPEN and not was_open:
             log_event(UPSTREAM_BREAKER_OPENED, upstream=upstream.upstream_id)
 
-    def _free(self, attempt: Attempt, linger: bool) -> None:
+    def _release_slot(self, attempt: Attempt, linger: bool) -> None:
         def give_back() -> None:
             self._dispatcher.release_slot(
                 attempt.service, attempt.queued, attempt.granted
@@ -174,6 +178,6 @@
 
         if linger:
             loop = asyncio.get_running_loop()
-            loop.call_later(ABANDON_LINGER_MS / 1000, give_back)
+            loop.call_later(ABANDONED_SLOT_DELAY_MS / 1000, give_back)
         else:
             give_back()
--- a/basilhold/gateway/dispatch.py
+++ b/basilhold/gateway/dispatch.py
@@ -24,12 +24,12 @@
     Upstream,
 )
 
-__all__ = ["Dispatcher", "Granted"]
+__all__ = ["Dispatcher", "GrantedSlot"]
 
 TICK_MS = 10
 """How often waiting requests are checked for expiry and for recovered upstreams."""
 
-WHOLE_TICKS = 10
+FULL_SCAN_TICKS = 10
 """Every tenth tick looks at all waiting requests, the others at the oldest ones.
 
 Looking at 2,000 requests took 0.6 ms, which is 6% of a core at each tick.
@@ -37,7 +37,7 @@
 
 RETRY_AFTER_S_MAX = 30
 
-PAUSE_MS = 1500
+STALL_THRESHOLD_MS = 1500
 """A loop that stood still for this long has missed messages.
 
 An upstream may have left meanwhile, so nothing is sent until the owners were asked.
@@ -45,7 +45,7 @@
 """
 
 
-class Granted(msgspec.Struct, frozen=True):
+class GrantedSlot(msgspec.Struct, frozen=True):
     """A slot for one request.
 
     Parameters
@@ -90,17 +90,17 @@
         self._limits = limits
         self._counters = counters
         self._queues: dict[ServiceName, RequestQueue] = {}
-        self._home_slot_counts: Counter[ServiceName] = Counter()
-        self._counted: Counter[UpstreamId] = Counter()
-        self._tick: asyncio.TimerHandle | None = None
+        self._same_region_slots: Counter[ServiceName] = Counter()
+        self._counted_slots: Counter[UpstreamId] = Counter()
+        self._tick_timer: asyncio.TimerHandle | None = None
         self._tick_count = 0
-        self._missed_targets: dict[ServiceName, RateWindow] = {}
-        self._late_counts: dict[ServiceName, tuple[float, int]] = {}
-        self._beat_ms: float | None = None
-        self._holding = False
+        self._missed_target_rates: dict[ServiceName, RateWindow] = {}
+        self._late_count_cache: dict[ServiceName, tuple[float, int]] = {}
+        self._last_heartbeat_ms: float | None = None
+        self._suspended = False
         self.on_shortage: Callable[[], None] = lambda: None
-        self.on_pause: Callable[[], None] = lambda: None
-        holder.on_change = self._slots_of_upstream_changed
+        self.on_stall: Callable[[], None] = lambda: None
+        holder.on_change = self._update_slot_count
 
     def refusal(
         self, service: ServiceName, queued: QueuedRequest
@@ -114,7 +114,7 @@
             self._times.class_ms(service, queued.class_name),
         )
         if kind is ProblemKind.OVERLOADED:
-            self._missed(service).add(self._clock.monotonic_ms())
+            self._missed_target_rate(service).add(self._clock.monotonic_ms())
             if self._router.usable_count(service, Distance.OTHER_REGION):
                 return None
             self.on_shortage()
@@ -122,10 +122,10 @@
 
     async def wait(
         self, service: ServiceName, queued: QueuedRequest
-    ) -> Granted | ProblemKind:
+    ) -> GrantedSlot | ProblemKind:
         """Wait for a slot, or for the reason why there will be none in time."""
         queue = self._queue(service)
-        future: asyncio.Future[Granted | ProblemKind]
+        future: asyncio.Future[GrantedSlot | ProblemKind]
         future = asyncio.get_running_loop().create_future()
         queued.ticket = future
         queue.add(queued, self._clock.monotonic_ms())
@@ -138,12 +138,12 @@
         except asyncio.CancelledError:
             if not queue.remove(queued) and not future.cancelled():
                 granted = future.result()
-                if isinstance(granted, Granted):
+                if isinstance(granted, GrantedSlot):
                     self.release_slot(service, queued, granted)
             raise
 
     def release_slot(
-        self, service: ServiceName, queued: QueuedRequest, granted: Granted
+        self, service: ServiceName, queued: QueuedRequest, granted: GrantedSlot
     ) -> None:
         """Free a slot after its request has ended."""
         health = granted.upstream.health
@@ -157,26 +157,26 @@
 
     def record_heartbeat(self) -> None:
         """Note that the loop runs; called several times a second."""
-        self._check_pause()
-        self._beat_ms = self._clock.monotonic_ms()
+        self._check_stall()
+        self._last_heartbeat_ms = self._clock.monotonic_ms()
 
     def suspend(self) -> None:
         """Send nothing until `resume`."""
-        self._holding = True
+        self._suspended = True
 
     def resume(self) -> None:
         """Send requests again."""
-        self._holding = False
+        self._suspended = False
         self.dispatch_all()
 
-    def _check_pause(self) -> None:
-        if self._beat_ms is None or self._holding:
+    def _check_stall(self) -> None:
+        if self._last_heartbeat_ms is None or self._suspended:
             return
         now_ms = self._clock.monotonic_ms()
-        if now_ms - self._beat_ms > PAUSE_MS:
-            self._beat_ms = now_ms
+        if now_ms - self._last_heartbeat_ms > STALL_THRESHOLD_MS:
+            self._last_heartbeat_ms = now_ms
             self.suspend()
-            self.on_pause()
+            self.on_stall()
 
     def dispatch_all(self) -> None:
         """Hand out slots of all services."""
@@ -218,30 +218,30 @@
             queue = self._queues[service] = RequestQueue(service, self._limits)
         return queue
 
-    def _home_slots(self, service: ServiceName) -> int:
-        return self._home_slot_counts[service]
+    def _same_region_slot_count(self, service: ServiceName) -> int:
+        return self._same_region_slots[service]
 
     def _expected_wait_ms(self, service: ServiceName) -> float:
         waiting = len(self._queue(service))
-        slots = self._home_slots(service)
+        slots = self._same_region_slot_count(service)
         if not waiting or not slots:
             return 0.0
         return waiting * self._times.service_ms(service) / slots
 
     def _late_count(self, service: ServiceName, queue: RequestQueue) -> int:
         """Return how many waiting requests would miss their target in this region."""
-        slots = self._home_slots(service)
+        slots = self._same_region_slot_count(service)
         if not slots:
             return len(queue)
         now_ms = self._clock.monotonic_ms()
-        counted = self._late_counts.get(service)
+        counted = self._late_count_cache.get(service)
         if counted is None or now_ms - counted[0] >= TICK_MS:
             slot_ms = self._times.service_ms(service) / slots
             counted = (now_ms, queue.late_count(now_ms, slot_ms))
-            self._late_counts[service] = counted
+            self._late_count_cache[service] = counted
         return counted[1]
 
-    def _farthest(self, service: ServiceName) -> Distance:
+    def _max_distance(self, service: ServiceName) -> Distance:
         if not self._router.usable_count(service, Distance.OTHER_REGION):
             return Distance.SAME_REGION
         late = self._late_count(service, self._queue(service))
@@ -249,30 +249,32 @@
             return Distance.OTHER_REGION
         return Distance.SAME_REGION
 
-    def _missed(self, service: ServiceName) -> RateWindow:
-        window = self._missed_targets.get(service)
+    def _missed_target_rate(self, service: ServiceName) -> RateWindow:
+        window = self._missed_target_rates.get(service)
         if window is None:
-            window = self._missed_targets[service] = RateWindow()
+            window = self._missed_target_rates[service] = RateWindow()
         return window
 
     def _missing_slots(self, service: ServiceName) -> int:
         """Return how many more slots would have met the targets just missed."""
-        per_second = self._missed(service).per_second(self._clock.monotonic_ms())
+        per_second = self._missed_target_rate(service).per_second(
+            self._clock.monotonic_ms()
+        )
         return math.ceil(per_second * self._times.service_ms(service) / 1000)
 
     def _dispatch(self, service: ServiceName) -> None:
         queue = self._queue(service)
-        self._check_pause()
-        while len(queue) and not self._holding:
+        self._check_stall()
+        while len(queue) and not self._suspended:
             if not self._router.has_usable(service):
                 return
             if not any(
-                self._settle(service, queue, head)
+                self._grant_or_refuse(service, queue, head)
                 for head in queue.heads(self._clock.monotonic_ms())
             ):
                 return
 
-    def _settle(
+    def _grant_or_refuse(
         self, service: ServiceName, queue: RequestQueue, head: QueuedRequest
     ) -> bool:
         """Grant a slot to a waiting request, or refuse it, if either can be done."""
@@ -299,15 +301,15 @@
     ) -> None:
         queue.remove(queued)
         if kind is ProblemKind.OVERLOADED:
-            self._missed(queue.service).add(self._clock.monotonic_ms())
+            self._missed_target_rate(queue.service).add(self._clock.monotonic_ms())
         if not queued.ticket.done():
             queued.ticket.set_result(kind)
 
-    def _grant(self, service: ServiceName, head: QueuedRequest) -> Granted | None:
+    def _grant(self, service: ServiceName, head: QueuedRequest) -> GrantedSlot | None:
         upstream = self._router.choose(
             service,
             self._clock.monotonic_ms(),
-            self._farthest(service),
+            self._max_distance(service),
             head.excluded,
         )
         if upstream is None:
@@ -316,41 +318,41 @@
         if token is None:
             return None
         is_probe = upstream.health.state is BreakerState.OPEN
-        return Granted(upstream, token, is_probe)
+        return GrantedSlot(upstream, token, is_probe)
 
     def upstreams_changed(self) -> None:
         """Match the held slots with a new list of upstreams."""
-        self._home_slot_counts.clear()
-        self._counted.clear()
+        self._same_region_slots.clear()
+        self._counted_slots.clear()
         for upstream_id in self._holder.upstream_ids():
-            self._slots_of_upstream_changed(upstream_id)
+            self._update_slot_count(upstream_id)
         self.dispatch_all()
 
-    def _slots_of_upstream_changed(self, upstream_id: UpstreamId) -> None:
+    def _update_slot_count(self, upstream_id: UpstreamId) -> None:
         self._router.set_idle(upstream_id, self._holder.idle_count(upstream_id))
         upstream = self._router.find(upstream_id)
         if upstream is None or upstream.distance is Distance.OTHER_REGION:
             return
         held = self._holder.held_count(upstream_id)
-        change = held - self._counted[upstream_id]
-        self._counted[upstream_id] = held
-        self._home_slot_counts[upstream.service] += change
+        change = held - self._counted_slots[upstream_id]
+        self._counted_slots[upstream_id] = held
+        self._same_region_slots[upstream.service] += change
 
     def _start_tick(self) -> None:
-        if self._tick is None:
+        if self._tick_timer is None:
             loop = asyncio.get_running_loop()
-            self._tick = loop.call_later(TICK_MS / 1000, self._run_tick)
+            self._tick_timer = loop.call_later(TICK_MS / 1000, self._run_tick)
 
     def _run_tick(self) -> None:
-        self._tick = None
+        self._tick_timer = None
         now_ms = self._clock.monotonic_ms()
         waiting = 0
         self._tick_count += 1
-        whole = self._tick_count % WHOLE_TICKS == 0
+        full_scan = self._tick_count % FULL_SCAN_TICKS == 0
         for service, queue in self._queues.items():
             self._dispatch(service)
             service_ms = self._times.service_ms(service)
-            for queued, kind in queue.expired(now_ms, service_ms, whole):
+            for queued, kind in queue.expired(now_ms, service_ms, full_scan):
                 self._refuse(queue, queued, kind)
             waiting += len(queue)
         if waiting:
--- a/basilhold/gateway/events.py
+++ b/basilhold/gateway/events.py
@@ -1,4 +1,4 @@
-"""Log events of the request path."""
+"""Log events of a gateway's request processing."""
 
 from basilhold.observability import Event, EventLevel
 
@@ -16,50 +16,50 @@
 ]
 
 DRAIN_STARTED = Event(
-    1001, EventLevel.INFO, "stop requested, {count} requests in flight"
+    1001, EventLevel.INFO, "shutdown requested with {count} requests in flight"
 )
-DRAIN_ENDED = Event(1002, EventLevel.INFO, "stopped, no request was cut")
+DRAIN_ENDED = Event(1002, EventLevel.INFO, "shutdown complete, all requests finished")
 DRAIN_INCOMPLETE = Event(
     1003,
     EventLevel.WARNING,
-    "stopped with {count} requests cut, reason: {reason}",
-    action="Raise the drain bound, or wait before a second stop request.",
+    "shutdown cancelled {count} requests, reason: {reason}",
+    action="Raise the drain time limit, or do not send a second stop request early.",
 )
 REQUEST_CANCELLED = Event(
     1004,
     EventLevel.WARNING,
-    "request was cut: {request}",
+    "request cancelled by shutdown: {request}",
 )
 UPSTREAM_LEAVING = Event(
-    1005, EventLevel.INFO, "upstream {upstream} reports that it is leaving"
+    1005, EventLevel.INFO, "upstream {upstream} announced that it is shutting down"
 )
 UPSTREAM_BREAKER_OPENED = Event(
     1006,
     EventLevel.WARNING,
-    "circuit breaker of upstream {upstream} is open",
-    action="Look at the upstream's own log; the gateway probes it by itself.",
+    "circuit breaker of upstream {upstream} opened",
+    action="Check the upstream's log; the gateway probes it automatically.",
 )
 RESULT_NOT_RECORDED = Event(
     1007,
     EventLevel.ERROR,
     "result of a keyed request was not recorded: {reason}",
-    action="Check the table service; repeats of the request get the outcome unknown.",
+    action="Check the table service; repeated requests get the outcome unknown.",
 )
 ANSWER_NOT_KEPT = Event(
     1008,
     EventLevel.WARNING,
-    "answer of a keyed request was not kept: {reason}",
-    action="Check the object store; repeats of the request get 409.",
+    "answer to a keyed request was not stored: {reason}",
+    action="Check the object store; repeated requests get status 409.",
 )
 SLOT_EXCHANGE_FAILED = Event(
     1009,
     EventLevel.WARNING,
-    "owner of zone {zone} does not answer slot reports",
-    action="Check the zone's scheduler; the gateway goes on with the slots it holds.",
+    "slot report to the owner of zone {zone} failed",
+    action="Check the zone's scheduler; the gateway keeps using its current slots.",
 )
 SLOTS_NOT_CONFIRMED = Event(
     1010,
     EventLevel.WARNING,
-    "owners did not confirm the slots within {wait_ms} ms after a pause",
-    action="Check the schedulers, and why this process stood still.",
+    "zone owners did not confirm the slots within {wait_ms} ms after a stall",
+    action="Check the schedulers, and what stalled this process.",
 )
--- a/basilhold/gateway/service.py
+++ b/basilhold/gateway/service.py
@@ -20,7 +20,7 @@
     refusal_detail,
 )
 from basilhold.gateway.answers import AnswerRecorder, AttemptSink, CallerSink
-from basilhold.gateway.attempts import Attempt, AttemptEnd, AttemptRunner
+from basilhold.gateway.attempts import Attempt, AttemptResult, AttemptRunner
 from basilhold.gateway.counters import Count, RequestCounters, WaitRatio
 from basilhold.gateway.dispatch import Dispatcher
 from basilhold.gateway.once import OnceKeeper
@@ -56,7 +56,7 @@
 REPLAYS_MAX = 16
 """Stored answers that are read at a time; each takes 128 KiB."""
 
-SEND_LEAD_MS = 20
+SEND_MARGIN_MS = 20
 """Nothing is sent when less than this is left until the deadline."""
 
 
@@ -120,10 +120,10 @@
             self._times,
             parts.counters,
         )
-        self._courses: dict[asyncio.Task[RequestEnd], ActiveRequest] = {}
+        self._active_requests: dict[asyncio.Task[RequestEnd], ActiveRequest] = {}
         self._idle = asyncio.Event()
         self._idle.set()
-        self._replays = asyncio.Semaphore(REPLAYS_MAX)
+        self._replay_limit = asyncio.Semaphore(REPLAYS_MAX)
         self.stopping = False
 
     @property
@@ -139,7 +139,7 @@
     @property
     def in_flight_count(self) -> int:
         """Number of requests that have not ended."""
-        return len(self._courses)
+        return len(self._active_requests)
 
     @property
     def unrecorded_count(self) -> int:
@@ -151,7 +151,7 @@
         return [
             f"{c.request.method} {c.request.path} of class {c.work_class.name}, "
             f"upstream {c.upstream_id or 'none'}"
-            for c in self._courses.values()
+            for c in self._active_requests.values()
         ]
 
     @property
@@ -194,16 +194,16 @@
         problem = check_request(request, work_class, self._parts.router, self.stopping)
         if problem is not None:
             problem = adjust_outcome_without_lookup(problem, request.idempotency_key)
-            return self._count_end(UNKNOWN_CLASS, _end(problem))
+            return self._record_end(UNKNOWN_CLASS, _end_with_problem(problem))
         self.counters.arrived[work_class.name] += 1
         course = make_active_request(request, work_class, sink, arrived_ms)
         task = asyncio.create_task(self._serve(course))
-        self._courses[task] = course
+        self._active_requests[task] = course
         self._idle.clear()
-        task.add_done_callback(self._forget)
+        task.add_done_callback(self._remove_finished)
         if course.is_idempotent:
-            return self._count_end(work_class.name, await task)
-        return self._count_end(work_class.name, await asyncio.shield(task))
+            return self._record_end(work_class.name, await task)
+        return self._record_end(work_class.name, await asyncio.shield(task))
 
     async def wait_idle(self) -> None:
         """Wait until no request is in flight and all results are recorded."""
@@ -213,20 +213,20 @@
     async def cancel_requests(self) -> list[str]:
         """Cancel all requests in flight and return a line for each."""
         names = self.in_flight_names()
-        tasks = list(self._courses)
+        tasks = list(self._active_requests)
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
         return names
 
-    def _forget(self, task: asyncio.Task[RequestEnd]) -> None:
-        del self._courses[task]
-        if not self._courses:
+    def _remove_finished(self, task: asyncio.Task[RequestEnd]) -> None:
+        del self._active_requests[task]
+        if not self._active_requests:
             self._idle.set()
         if not task.cancelled():
             task.exception()
 
-    def _count_end(self, class_name: ClassName, end: RequestEnd) -> RequestEnd:
+    def _record_end(self, class_name: ClassName, end: RequestEnd) -> RequestEnd:
         self.counters.record_outcome(class_name, end.outcome)
         if end.problem is not None:
             self.counters.problems[end.problem.kind] += 1
@@ -239,19 +239,19 @@
         refusal = self._dispatcher.refusal(service, course.queued)
         if course.is_idempotent:
             if refusal is not None:
-                return _end(self._refused(course, refusal))
+                return _end_with_problem(self._make_refusal(course, refusal))
             self._retries.count_request()
             return await self._run(course)
-        opening = await self._open(course, refusal)
+        opening = await self._open_record(course, refusal)
         if isinstance(opening, Problem):
-            return _end(opening)
+            return _end_with_problem(opening)
         if isinstance(opening, Replay):
             return await self._play_back(course, opening)
         course.ticket = opening
         self._retries.count_request()
-        return await self._run_ticket(course, opening)
+        return await self._run_non_idempotent(course, opening)
 
-    async def _open(
+    async def _open_record(
         self, course: ActiveRequest, refusal: ProblemKind | None
     ) -> OnceTicket | Replay | Problem:
         request = course.request
@@ -264,18 +264,20 @@
             return await once.open(key, fingerprint(request), deadline_ms)
         # The refused request may be the repeat of one that has run.
         earlier = await once.look_up(key, fingerprint(request), deadline_ms)
-        return self._refused(course, refusal) if earlier is None else earlier
+        return self._make_refusal(course, refusal) if earlier is None else earlier
 
     async def _play_back(self, course: ActiveRequest, replay: Replay) -> RequestEnd:
         left_ms = course.queued.deadline_ms - self._clock.monotonic_ms()
         try:
-            async with asyncio.timeout(left_ms / 1000), self._replays:
+            async with asyncio.timeout(left_ms / 1000), self._replay_limit:
                 return await play_back(replay, self._parts.once.objects, course.sink)
         except TimeoutError:
             detail = "the request has run, but the deadline of this repeat has passed"
-            return _end(Problem(ProblemKind.TIMED_OUT, Outcome.RAN, detail, 1))
+            return _end_with_problem(
+                Problem(ProblemKind.TIMED_OUT, Outcome.RAN, detail, 1)
+            )
 
-    async def _run_ticket(
+    async def _run_non_idempotent(
         self, course: ActiveRequest, ticket: OnceTicket
     ) -> RequestEnd:
         outcome = Outcome.UNKNOWN
@@ -297,17 +299,19 @@
         while True:
             granted = await self._dispatcher.wait(service, course.queued)
             if isinstance(granted, ProblemKind):
-                return _end(self._refused(course, granted))
+                return _end_with_problem(self._make_refusal(course, granted))
             if not self._may_send(course):
                 self._dispatcher.release_slot(service, course.queued, granted)
-                return _end(self._refused(course, ProblemKind.TIMED_OUT))
+                return _end_with_problem(
+                    self._make_refusal(course, ProblemKind.TIMED_OUT)
+                )
             end = await self._attempt(course, granted)
             if end is not None:
                 return end
 
     def _may_send(self, course: ActiveRequest) -> bool:
         left_ms = course.queued.deadline_ms - self._clock.monotonic_ms()
-        if left_ms < SEND_LEAD_MS:
+        if left_ms < SEND_MARGIN_MS:
             return False
         ticket = course.ticket
         return ticket is None or may_send(ticket.record, self._clock.unix_ms())
@@ -347,15 +351,15 @@
         )
         if end.not_sent:
             course.was_sent = was_sent
-        if await self._retry(course, end, sink):
+        if await self._prepare_retry(course, end, sink):
             return None
         return await self._finish(course, end, sink)
 
-    async def _retry(
-        self, course: ActiveRequest, end: AttemptEnd, sink: AttemptSink
+    async def _prepare_retry(
+        self, course: ActiveRequest, end: AttemptResult, sink: AttemptSink
     ) -> bool:
         course.last_reason = end.reason
-        failed = not end.whole or sink.is_server_error
+        failed = not end.complete or sink.is_server_error
         if not failed or sink.passed_on or course.attempts >= ATTEMPTS_MAX:
             return False
         if not (course.is_idempotent or end.not_sent):
@@ -369,7 +373,7 @@
             course.work_class.service, course.work_class.name
         )
         now_ms = self._clock.monotonic_ms()
-        if now_ms + delay_ms + service_ms > queued.deadline_ms - SEND_LEAD_MS:
+        if now_ms + delay_ms + service_ms > queued.deadline_ms - SEND_MARGIN_MS:
             return False
         if not self._retries.take():
             return False
@@ -379,10 +383,10 @@
         return True
 
     async def _finish(
-        self, course: ActiveRequest, end: AttemptEnd, sink: AttemptSink
+        self, course: ActiveRequest, end: AttemptResult, sink: AttemptSink
     ) -> RequestEnd:
-        if end.whole:
-            problem = await self._pass_on(course, sink)
+        if end.complete:
+            problem = await self._forward_answer(course, sink)
             answer = await sink.record()
             if course.ticket is not None and answer is not None:
                 self._parts.once.finish(course.ticket, answer)
@@ -391,9 +395,9 @@
         kind = ProblemKind.TIMED_OUT if end.timed_out else ProblemKind.UPSTREAM_FAILED
         if outcome is Outcome.NOT_RUN:
             kind = ProblemKind.NO_UPSTREAM
-        return _end(Problem(kind, outcome, end.reason, 1))
+        return _end_with_problem(Problem(kind, outcome, end.reason, 1))
 
-    async def _pass_on(
+    async def _forward_answer(
         self, course: ActiveRequest, sink: AttemptSink
     ) -> Problem | None:
         """Pass an answer on; a caller that does not read it is not waited for."""
@@ -406,7 +410,7 @@
             return Problem(ProblemKind.TIMED_OUT, Outcome.RAN, detail)
         return None
 
-    def _refused(self, course: ActiveRequest, kind: ProblemKind) -> Problem:
+    def _make_refusal(self, course: ActiveRequest, kind: ProblemKind) -> Problem:
         outcome = Outcome.UNKNOWN if course.was_sent else Outcome.NOT_RUN
         detail = refusal_detail(kind)
         if course.last_reason:
@@ -417,5 +421,5 @@
         return Problem(kind, outcome, detail, retry_after_s)
 
 
-def _end(problem: Problem) -> RequestEnd:
+def _end_with_problem(problem: Problem) -> RequestEnd:
     return RequestEnd(problem.outcome, problem)
--- a/basilhold/gateway/slots.py
+++ b/basilhold/gateway/slots.py
@@ -28,17 +28,17 @@
 REPORT_INTERVAL_MS = 100
 """Least time between reports to one owner; bounds the traffic under load."""
 
-REMOTE_IDLE_MS = 1000
+REMOTE_SLOT_IDLE_MS = 1000
 """Idle slots of another region are given back after this time."""
 
-RETRY_MS = 500
-BEAT_MS = 250
-RECONFIRM_MS = 1500
+RETRY_INTERVAL_MS = 500
+HEARTBEAT_INTERVAL_MS = 250
+RECONFIRM_TIMEOUT_MS = 1500
 """After a pause, unreachable owners are waited for this long."""
 RETURN_TIMEOUT_MS = 2000
 
 
-class _ReportEnd(Enum):
+class _ReportStatus(Enum):
     ANSWERED = "answered"
     ABANDONED = "abandoned"
     FAILED = "failed"
@@ -79,35 +79,39 @@
         self._service = service
         self._exchange = exchange
         self._rng = rng
-        self._set_limit = set_connection_limit
-        self._tasks: dict[ZoneName, asyncio.Task[None]] = {}
-        self._wakes: dict[ZoneName, asyncio.Event] = {}
-        self._limited: set[UpstreamId] = set()
-        self._pause_count = 0
-        self._confirmed = asyncio.Condition()
-        self._confirmed_pauses: dict[ZoneName, int] = {}
-        self._beating: asyncio.Task[None] | None = None
-        self._resuming: asyncio.Task[None] | None = None
+        self._set_connection_limit = set_connection_limit
+        self._report_tasks: dict[ZoneName, asyncio.Task[None]] = {}
+        self._wake_events: dict[ZoneName, asyncio.Event] = {}
+        self._limited_upstream_ids: set[UpstreamId] = set()
+        self._stall_count = 0
+        self._confirmation = asyncio.Condition()
+        self._confirmed_stalls: dict[ZoneName, int] = {}
+        self._heartbeat_task: asyncio.Task[None] | None = None
+        self._reconfirm_task: asyncio.Task[None] | None = None
         service.dispatcher.on_shortage = self._wake_all
-        service.dispatcher.on_pause = self.reconfirm_slots
+        service.dispatcher.on_stall = self.reconfirm_slots
         holder.on_return = self._wake
 
     async def __aenter__(self) -> Self:
         self.refresh()
-        self._beating = asyncio.create_task(self._beat())
+        self._heartbeat_task = asyncio.create_task(self._record_heartbeats())
         return self
 
     async def __aexit__(self, *exc_info: object) -> None:
-        tasks = [*self._tasks.values(), self._beating, self._resuming]
+        tasks = [
+            *self._report_tasks.values(),
+            self._heartbeat_task,
+            self._reconfirm_task,
+        ]
         running = [task for task in tasks if task is not None]
         for task in running:
             task.cancel()
         await asyncio.gather(*running, return_exceptions=True)
 
-    async def _beat(self) -> None:
+    async def _record_heartbeats(self) -> None:
         while True:
             self._service.dispatcher.record_heartbeat()
-            await asyncio.sleep(BEAT_MS / 1000)
+            await asyncio.sleep(HEARTBEAT_INTERVAL_MS / 1000)
 
     def reconfirm_slots(self) -> None:
         """Ask the owners which slots are left, after the process stood still.
@@ -115,11 +119,11 @@
         Nothing is sent until the owners of this region have answered, or for
         `RECONFIRM_MS`.
         """
-        self._pause_count += 1
+        self._stall_count += 1
         self._service.dispatcher.suspend()
-        if self._resuming is not None:
-            self._resuming.cancel()
-        self._resuming = asyncio.create_task(self._reconfirm(self._pause_count))
+        if self._reconfirm_task is not None:
+            self._reconfirm_task.cancel()
+        self._reconfirm_task = asyncio.create_task(self._reconfirm(self._stall_count))
 
     async def _reconfirm(self, count: int) -> None:
         home = [
@@ -129,41 +133,45 @@
         ]
         self._wake_all()
         try:
-            async with asyncio.timeout(RECONFIRM_MS / 1000), self._confirmed:
-                await self._confirmed.wait_for(
+            async with asyncio.timeout(RECONFIRM_TIMEOUT_MS / 1000), self._confirmation:
+                await self._confirmation.wait_for(
                     lambda: all(
-                        self._confirmed_pauses.get(zone, 0) >= count for zone in home
+                        self._confirmed_stalls.get(zone, 0) >= count for zone in home
                     )
                 )
         except TimeoutError:
-            log_event(SLOTS_NOT_CONFIRMED, wait_ms=RECONFIRM_MS)
+            log_event(SLOTS_NOT_CONFIRMED, wait_ms=RECONFIRM_TIMEOUT_MS)
         self._service.dispatcher.resume()
 
     def refresh(self) -> None:
         """Start exchanges with the owners of new zones; call it after list changes."""
         for zone, region in self._router.zones().items():
-            if zone not in self._tasks:
-                self._wakes[zone] = asyncio.Event()
-                self._tasks[zone] = asyncio.create_task(self._run(zone, region))
+            if zone not in self._report_tasks:
+                self._wake_events[zone] = asyncio.Event()
+                self._report_tasks[zone] = asyncio.create_task(
+                    self._report_repeatedly(zone, region)
+                )
         self._update_limits()
 
     def failures(self) -> list[BaseException]:
         """Return the errors that have ended an exchange; programs stop on one."""
         return [
             task.exception()
-            for task in self._tasks.values()
+            for task in self._report_tasks.values()
             if task.done() and not task.cancelled() and task.exception() is not None
         ]
 
     async def return_all(self) -> None:
         """Hand all slots back and stop; for a planned stop."""
         await self.__aexit__()
-        for zone in self._tasks:
+        for zone in self._report_tasks:
             self._holder.return_idle(zone)
         self._update_limits()
-        await asyncio.gather(*(self._say_goodbye(zone) for zone in self._tasks))
+        await asyncio.gather(
+            *(self._send_leaving_report(zone) for zone in self._report_tasks)
+        )
 
-    async def _say_goodbye(self, zone: ZoneName) -> None:
+    async def _send_leaving_report(self, zone: ZoneName) -> None:
         report = self._holder.next_report(
             zone, now_unix_ms=self._clock.unix_ms(), leaving=True
         )
@@ -174,14 +182,14 @@
             log_event(SLOT_EXCHANGE_FAILED, zone=zone)
 
     def _wake(self, zone: ZoneName) -> None:
-        if zone in self._wakes:
-            self._wakes[zone].set()
+        if zone in self._wake_events:
+            self._wake_events[zone].set()
 
     def _wake_all(self) -> None:
-        for event in self._wakes.values():
+        for event in self._wake_events.values():
             event.set()
 
-    async def _run(self, zone: ZoneName, region: RegionName) -> None:
+    async def _report_repeatedly(self, zone: ZoneName, region: RegionName) -> None:
         home = region == self._identity.region
         failing = False
         while True:
@@ -191,17 +199,17 @@
                 demand = self._service.demand(zone)
                 if not demand and not due:
                     continue
-            pauses = self._pause_count
-            end = await self._report(zone, demand)
-            if end is _ReportEnd.ANSWERED:
-                async with self._confirmed:
-                    self._confirmed_pauses[zone] = pauses
-                    self._confirmed.notify_all()
-            failed = end is _ReportEnd.FAILED
+            pauses = self._stall_count
+            end = await self._exchange_report(zone, demand)
+            if end is _ReportStatus.ANSWERED:
+                async with self._confirmation:
+                    self._confirmed_stalls[zone] = pauses
+                    self._confirmation.notify_all()
+            failed = end is _ReportStatus.FAILED
             if failed and not failing:
                 log_event(SLOT_EXCHANGE_FAILED, zone=zone)
             failing = failed
-            delay_ms = RETRY_MS if failed else REPORT_INTERVAL_MS
+            delay_ms = RETRY_INTERVAL_MS if failed else REPORT_INTERVAL_MS
             await asyncio.sleep(delay_ms * self._rng.uniform(0.5, 1.0) / 1000)
 
     async def _wait_for_demand(self, zone: ZoneName) -> bool:
@@ -209,28 +217,28 @@
 
         Idle slots of another region are given back after a while.
         """
-        wake = self._wakes[zone]
+        wake = self._wake_events[zone]
         wake.clear()
         if not self._holder.held(zone):
             await wake.wait()
             await asyncio.sleep(REPORT_INTERVAL_MS / 1000)
             return False
-        await asyncio.sleep(REMOTE_IDLE_MS / 1000)
+        await asyncio.sleep(REMOTE_SLOT_IDLE_MS / 1000)
         if not self._service.demand(zone):
             self._holder.return_idle(zone)
         return True
 
-    async def _report(
+    async def _exchange_report(
         self, zone: ZoneName, demand: tuple[tuple[ServiceName, int], ...]
-    ) -> "_ReportEnd":
+    ) -> "_ReportStatus":
         """Exchange one report."""
         wait_ms = DEMAND_WAIT_MS if demand else REPORT_WAIT_MS
-        if self._confirmed_pauses.get(zone, 0) < self._pause_count:
+        if self._confirmed_stalls.get(zone, 0) < self._stall_count:
             wait_ms = 0
-        wake = self._wakes[zone]
+        wake = self._wake_events[zone]
         wake.clear()
         sent_ms = self._clock.monotonic_ms()
-        pauses = self._pause_count
+        pauses = self._stall_count
         leaving = self._router.self_reported_leaving(zone, sent_ms)
         # Connections of returned tokens are closed before the owner lends them again.
         self._update_limits()
@@ -260,22 +268,22 @@
                     await asyncio.wait({exchange}, timeout=pause_ms / 1000)
                 if exchange.done():
                     break
-                if pauses != self._pause_count:
-                    return _ReportEnd.ABANDONED
+                if pauses != self._stall_count:
+                    return _ReportStatus.ABANDONED
                 if self._is_outdated(zone, demand, report):
-                    return _ReportEnd.ABANDONED
+                    return _ReportStatus.ABANDONED
         finally:
             # The reply to an abandoned report is ignored, by its number.
             if not exchange.done():
                 exchange.cancel()
         result = exchange.result()
         if result.is_error() or result.ok.refused_epoch:
-            return _ReportEnd.FAILED
+            return _ReportStatus.FAILED
         if self._holder.apply(zone, result.ok):
             wake.set()
         self._update_limits()
         self._service.slots_changed()
-        return _ReportEnd.ANSWERED
+        return _ReportStatus.ANSWERED
 
     def _is_outdated(
         self,
@@ -297,10 +305,10 @@
         )
 
     def _update_limits(self) -> None:
-        if self._set_limit is None:
+        if self._set_connection_limit is None:
             return
         held = set(self._holder.upstream_ids())
-        for upstream_id in held | self._limited:
+        for upstream_id in held | self._limited_upstream_ids:
             count = self._holder.held_count(upstream_id)
-            self._set_limit(upstream_id, count * CONNECTIONS_PER_TOKEN)
-        self._limited = held
+            self._set_connection_limit(upstream_id, count * CONNECTIONS_PER_TOKEN)
+        self._limited_upstream_ids = held
--- a/basilhold/gateway/status.py
+++ b/basilhold/gateway/status.py
@@ -95,7 +95,7 @@
             )
 
 
-class SlotsState(msgspec.Struct, frozen=True):
+class ZoneSlotsState(msgspec.Struct, frozen=True):
     """Slots that a gateway holds for one zone."""
 
     zone: ZoneName
@@ -133,7 +133,7 @@
             "queued": dict(queued),
             "in_flight": self._service.in_flight_names(),
             "slots": [
-                SlotsState(z, self._holder.epoch(z), len(self._holder.held(z)))
+                ZoneSlotsState(z, self._holder.epoch(z), len(self._holder.held(z)))
                 for z in zones
             ],
         }
--- a/basilhold/gateway/tests/fixtures.py
+++ b/basilhold/gateway/tests/fixtures.py
@@ -53,7 +53,7 @@
 SERVICE = ServiceName("order-desk")
 ZONE = ZoneName("plovdiv")
 REGION = RegionName("thrace")
-FAR_UNIX_MS = VIRTUAL_EPOCH_UNIX_MS + 75 * 60_000
+LEASE_EXPIRY_UNIX_MS = VIRTUAL_EPOCH_UNIX_MS + 75 * 60_000
 CLASSES = {
     "quote": WorkClass(
         ClassName("quote"), ClassKind.REQUEST, 200, service=SERVICE, timeout_ms=5000
@@ -145,7 +145,7 @@
 def grant_all(holder, upstream_ids, zone=ZONE, slots=8):
     tokens = [SlotToken(UpstreamId(u), n) for u in upstream_ids for n in range(slots)]
     report = holder.next_report(zone)
-    held = tuple(HeldToken(token, FAR_UNIX_MS) for token in tokens)
+    held = tuple(HeldToken(token, LEASE_EXPIRY_UNIX_MS) for token in tokens)
     holder.apply(zone, SlotGrant(report.number, Epoch(1), held))
 
 
--- a/basilhold/gateway/tests/test_slots.py
+++ b/basilhold/gateway/tests/test_slots.py
@@ -102,7 +102,7 @@
             gateway = next(iter(cell.gateways.values()))
             dispatcher = gateway.service.dispatcher
             pauses = []
-            dispatcher.on_pause = lambda: pauses.append(True)
-            dispatcher._beat_ms -= 5000
+            dispatcher.on_stall = lambda: pauses.append(True)
+            dispatcher._last_heartbeat_ms -= 5000
             dispatcher.record_heartbeat()
             self.assertEqual(pauses, [True])
