Describe request processing, dispatch and attempts of the gateway

The texts spoke of linger, ticks and pauses without saying what is measured. They now state units, errors, what each callback is for and when a request is retried; local names follow.

--- a/basilhold/gateway/attempts.py
+++ b/basilhold/gateway/attempts.py
@@ -1,4 +1,4 @@
-"""Sends one request to one upstream."""
+"""Single attempts to send a request to an upstream."""
 
 import asyncio
 
@@ -23,21 +23,33 @@
 __all__ = ["Attempt", "AttemptResult", "AttemptRunner"]
 
 ABANDONED_SLOT_DELAY_MS = 200
-"""How long a slot stays taken after a request without a whole answer.
+"""Delay before the slot of an attempt without a complete answer is released.
 
-The upstream learns of the closed connection one cross-region latency (30 ms) later;
-until then it still works on the request.
+The upstream sees the closed connection only after the network latency, which is 30 ms
+between regions, and keeps processing the request until then.
 """
 
 TIMEOUT_FAILURE_FACTOR = 3.0
-"""A timeout counts against the upstream only if it took this many mean times.
+"""Multiple of the mean duration from which a timeout counts as an upstream failure.
 
-Otherwise callers with very short deadlines would open the breaker.
+Shorter timeouts are ignored, as callers with very short deadlines would otherwise open
+the circuit breaker.
 """
 
 
 class Attempt(msgspec.Struct, frozen=True):
-    """A request that has a slot."""
+    """A request to be sent with a slot that was granted to it.
+
+    Parameters
+    ----------
+    request : CallerRequest
+    service : ServiceName
+    queued : QueuedRequest
+        Queue entry of the request; holds the deadline.
+    granted : GrantedSlot
+    sink : AttemptSink
+        Receives the upstream's answer.
+    """
 
     request: CallerRequest
     service: ServiceName
@@ -47,16 +59,18 @@
 
 
 class AttemptResult(msgspec.Struct, frozen=True):
-    """How an attempt ended.
+    """Result of an attempt.
 
     Parameters
     ----------
-    whole : bool
-        Whether the whole answer has arrived.
+    complete : bool
+        Whether the complete answer has arrived, whatever its status.
     not_sent : bool
         Whether it is certain that the upstream received no byte.
     timed_out : bool
+        Whether the attempt failed due to a timeout.
     reason : str
+        Description of the failure; empty for a complete answer.
     """
 
     complete: bool
@@ -66,7 +80,7 @@
 
 
 class AttemptRunner:
-    """Sends requests, frees their slots and records the upstreams' health.
+    """Sends requests, releases their slots and records the health of upstreams.
 
     Parameters
     ----------
@@ -75,6 +89,7 @@
     client : UpstreamClient
     dispatcher : Dispatcher
     times : ServiceTimes
+        Receives the durations of successful requests.
     counters : RequestCounters
     """
 
@@ -95,28 +110,47 @@
         self._counters = counters
 
     async def run(self, attempt: Attempt) -> AttemptResult:
-        """Send a request and return how that ended; the slot is freed."""
+        """Send a request once and release its slot.
+
+        The health of the upstream, the durations and the counters are updated.
+
+        Parameters
+        ----------
+        attempt : Attempt
+
+        Returns
+        -------
+        AttemptResult
+
+        Raises
+        ------
+        asyncio.CancelledError
+            If the caller disconnected or the request was cancelled. It is neither a
+            success nor a failure of the upstream.
+        """
         started_ms = self._clock.monotonic_ms()
         health = attempt.granted.upstream.health
-        linger = True
+        delay_release = True
         try:
-            end = await self._send(attempt, started_ms)
-            linger = not (end.complete or end.not_sent)
-            self._record_health(attempt, end, self._clock.monotonic_ms() - started_ms)
-            return end
+            result = await self._send(attempt, started_ms)
+            delay_release = not (result.complete or result.not_sent)
+            self._record_health(
+                attempt, result, self._clock.monotonic_ms() - started_ms
+            )
+            return result
         except asyncio.CancelledError:
             self._counters.counts[Count.CALLERS_GONE] += 1
             health.abandoned(self._clock.monotonic_ms())
             raise
         finally:
-            self._release_slot(attempt, linger)
+            self._release_slot(attempt, delay_release)
             size = len(attempt.request.body) + attempt.sink.size_bytes
             self._dispatcher.count_attempt(attempt.granted.upstream, size)
 
     async def _send(self, attempt: Attempt, started_ms: float) -> AttemptResult:
         upstream = attempt.granted.upstream
         request = attempt.request
-        left_ms = int(attempt.queued.deadline_ms - started_ms)
+        remaining_ms = int(attempt.queued.deadline_ms - started_ms)
         message = UpstreamRequest(
             upstream.upstream_id,
             upstream.host,
@@ -125,10 +159,10 @@
             request.path,
             request.headers,
             request.body,
-            left_ms,
+            remaining_ms,
         )
         try:
-            async with asyncio.timeout(left_ms / 1000):
+            async with asyncio.timeout(remaining_ms / 1000):
                 result = await self._client.send(message, attempt.sink)
         except TimeoutError:
             return AttemptResult(
@@ -145,24 +179,24 @@
         )
 
     def _record_health(
-        self, attempt: Attempt, end: AttemptResult, duration_ms: float
+        self, attempt: Attempt, result: AttemptResult, duration_ms: float
     ) -> None:
         upstream = attempt.granted.upstream
         now_ms = self._clock.monotonic_ms()
         class_name = attempt.queued.class_name
-        if end.complete and attempt.sink.is_leaving:
+        if result.complete and attempt.sink.is_leaving:
             log_event(UPSTREAM_LEAVING, upstream=upstream.upstream_id)
             self._router.report_leaving(upstream.upstream_id, now_ms + LEAVING_MS)
             self._dispatcher.on_shortage()
             return
-        if end.complete and not attempt.sink.is_server_error:
+        if result.complete and not attempt.sink.is_server_error:
             upstream.health.succeeded(now_ms)
             self._times.record(attempt.service, class_name, duration_ms)
             return
-        if not end.complete and attempt.sink.head is not None:
+        if not result.complete and attempt.sink.head is not None:
             self._counters.counts[Count.TRUNCATED_ANSWERS] += 1
         mean_ms = self._times.class_ms(attempt.service, class_name)
-        if end.timed_out and duration_ms < TIMEOUT_FAILURE_FACTOR * mean_ms:
+        if result.timed_out and duration_ms < TIMEOUT_FAILURE_FACTOR * mean_ms:
             upstream.health.abandoned(now_ms)
             return
         was_open = upstream.health.state is BreakerState.OPEN
@@ -170,14 +204,14 @@
         if upstream.health.state is BreakerState.OPEN and not was_open:
             log_event(UPSTREAM_BREAKER_OPENED, upstream=upstream.upstream_id)
 
-    def _release_slot(self, attempt: Attempt, linger: bool) -> None:
-        def give_back() -> None:
+    def _release_slot(self, attempt: Attempt, delay_release: bool) -> None:
+        def release() -> None:
             self._dispatcher.release_slot(
                 attempt.service, attempt.queued, attempt.granted
             )
 
-        if linger:
+        if delay_release:
             loop = asyncio.get_running_loop()
-            loop.call_later(ABANDONED_SLOT_DELAY_MS / 1000, give_back)
+            loop.call_later(ABANDONED_SLOT_DELAY_MS / 1000, release)
         else:
-            give_back()
+            release()
--- a/basilhold/gateway/dispatch.py
+++ b/basilhold/gateway/dispatch.py
@@ -1,4 +1,4 @@
-"""Hands slots to waiting requests."""
+"""Grants slots to queued requests."""
 
 import asyncio
 import math
@@ -27,33 +27,36 @@
 __all__ = ["Dispatcher", "GrantedSlot"]
 
 TICK_MS = 10
-"""How often waiting requests are checked for expiry and for recovered upstreams."""
+"""Interval of the checks for expired requests and recovered upstreams."""
 
 FULL_SCAN_TICKS = 10
-"""Every tenth tick looks at all waiting requests, the others at the oldest ones.
+"""Every tenth check covers all queued requests, the others only the oldest ones.
 
-Looking at 2,000 requests took 0.6 ms, which is 6% of a core at each tick.
+A full scan of 2,000 requests took 0.6 ms, which is 6% of a core if done at each check.
 """
 
 RETRY_AFTER_S_MAX = 30
+"""Longest time after which a refused caller is told to try again."""
 
 STALL_THRESHOLD_MS = 1500
-"""A loop that stood still for this long has missed messages.
+"""An event loop that was blocked for longer than this has missed messages.
 
-An upstream may have left meanwhile, so nothing is sent until the owners were asked.
-Shorter pauses fit into the 3 s in which leaving takes effect.
+An upstream may have shut down meanwhile, so nothing is sent until the zone owners have
+confirmed the slots. Shorter delays are covered by the 3 s that pass before the shutdown
+of an upstream takes effect.
 """
 
 
 class GrantedSlot(msgspec.Struct, frozen=True):
-    """A slot for one request.
+    """Permission to send one request to an upstream.
 
     Parameters
     ----------
     upstream : Upstream
     token : SlotToken
+        Token of the occupied slot.
     is_probe : bool
-        Whether the request tests an upstream whose circuit breaker was open.
+        Whether the request probes an upstream whose circuit breaker was open.
     """
 
     upstream: Upstream
@@ -62,16 +65,27 @@
 
 
 class Dispatcher:
-    """Queues of one gateway and the slots that they wait for.
+    """Queues requests by service and grants slots to them.
 
     Parameters
     ----------
     clock : Clock
     router : Router
+        Chooses the upstream of each request.
     holder : SlotHolder
+        Slots that zone owners have lent to this gateway.
     times : ServiceTimes
+        Mean durations of requests, for estimates of waiting times.
     limits : QueueLimits
     counters : RequestCounters
+
+    Attributes
+    ----------
+    on_shortage : callable
+        Called when requests need more slots than the gateway holds, or when an upstream
+        announces its shutdown.
+    on_stall : callable
+        Called when the event loop was blocked for more than `STALL_THRESHOLD_MS`.
     """
 
     def __init__(
@@ -105,7 +119,11 @@
     def refusal(
         self, service: ServiceName, queued: QueuedRequest
     ) -> ProblemKind | None:
-        """Return why a request can't be queued, or ``None``."""
+        """Return why a request can't be queued, or ``None`` if it can.
+
+        A request is not refused for overload while the service has usable upstreams
+        in another region.
+        """
         queue = self._queue(service)
         kind = queue.refusal(
             queued,
@@ -123,7 +141,25 @@
     async def wait(
         self, service: ServiceName, queued: QueuedRequest
     ) -> GrantedSlot | ProblemKind:
-        """Wait for a slot, or for the reason why there will be none in time."""
+        """Queue a request and wait for a slot.
+
+        Parameters
+        ----------
+        service : ServiceName
+        queued : QueuedRequest
+
+        Returns
+        -------
+        GrantedSlot or ProblemKind
+            The slot, which the caller passes to `release_slot` after use, or why the
+            request was refused.
+
+        Raises
+        ------
+        asyncio.CancelledError
+            If the wait was cancelled. The request is removed from the queue, and a
+            slot that was granted meanwhile is released.
+        """
         queue = self._queue(service)
         future: asyncio.Future[GrantedSlot | ProblemKind]
         future = asyncio.get_running_loop().create_future()
@@ -145,10 +181,10 @@
     def release_slot(
         self, service: ServiceName, queued: QueuedRequest, granted: GrantedSlot
     ) -> None:
-        """Free a slot after its request has ended."""
+        """Release a granted slot after its request has ended."""
         health = granted.upstream.health
         if granted.is_probe and health.state is BreakerState.PROBING:
-            # The request ended without a result, for example before it was sent.
+            # The probe ended without a result, for example before it was sent.
             health.abandoned(self._clock.monotonic_ms())
         granted.upstream.in_flight -= 1
         self._queue(service).ended(queued.team)
@@ -156,16 +192,16 @@
         self._dispatch(service)
 
     def record_heartbeat(self) -> None:
-        """Note that the loop runs; called several times a second."""
+        """Record that the event loop is running; called several times a second."""
         self._check_stall()
         self._last_heartbeat_ms = self._clock.monotonic_ms()
 
     def suspend(self) -> None:
-        """Send nothing until `resume`."""
+        """Stop granting slots until `resume` is called."""
         self._suspended = True
 
     def resume(self) -> None:
-        """Send requests again."""
+        """Grant slots again after `suspend`."""
         self._suspended = False
         self.dispatch_all()
 
@@ -179,13 +215,19 @@
             self.on_stall()
 
     def dispatch_all(self) -> None:
-        """Hand out slots of all services."""
+        """Grant available slots to the queued requests of all services."""
         for service in self._queues:
             self._dispatch(service)
 
     def demand(self, zone: ZoneName) -> tuple[tuple[ServiceName, int], ...]:
-        """Return how many waiting requests could use slots of a zone, by service."""
-        found = []
+        """Return how many queued requests could use slots of a zone, by service.
+
+        Requests are divided evenly among the zones of the service at that distance. For
+        a zone of another region, only those are counted that would miss their wait
+        target with the slots of this region, or the slots that recently missed
+        targets would have needed if these are more.
+        """
+        demands = []
         for service, queue in self._queues.items():
             waiting = len(queue)
             distance = self._router.distance_of(service, zone)
@@ -197,18 +239,18 @@
                 )
             zones = self._router.zone_count(service, distance)
             if waiting:
-                found.append((service, math.ceil(waiting / zones)))
-        return tuple(found)
+                demands.append((service, math.ceil(waiting / zones)))
+        return tuple(demands)
 
     def queued_counts(self) -> Counter[ClassName]:
-        """Return the number of waiting requests by class."""
+        """Return the number of queued requests by class."""
         counts: Counter[ClassName] = Counter()
         for queue in self._queues.values():
             counts.update(queue.class_counts())
         return counts
 
     def retry_after_s(self, service: ServiceName) -> int:
-        """Return after how many seconds a refused request can be tried again."""
+        """Return the ``Retry-After`` of refused requests of a service, in seconds."""
         wait_s = math.ceil(self._expected_wait_ms(service) / 1000)
         return max(1, min(RETRY_AFTER_S_MAX, wait_s))
 
@@ -229,17 +271,17 @@
         return waiting * self._times.service_ms(service) / slots
 
     def _late_count(self, service: ServiceName, queue: RequestQueue) -> int:
-        """Return how many waiting requests would miss their target in this region."""
+        """Count queued requests that would miss their target in this region."""
         slots = self._same_region_slot_count(service)
         if not slots:
             return len(queue)
         now_ms = self._clock.monotonic_ms()
-        counted = self._late_count_cache.get(service)
-        if counted is None or now_ms - counted[0] >= TICK_MS:
+        cached = self._late_count_cache.get(service)
+        if cached is None or now_ms - cached[0] >= TICK_MS:
             slot_ms = self._times.service_ms(service) / slots
-            counted = (now_ms, queue.late_count(now_ms, slot_ms))
-            self._late_count_cache[service] = counted
-        return counted[1]
+            cached = (now_ms, queue.late_count(now_ms, slot_ms))
+            self._late_count_cache[service] = cached
+        return cached[1]
 
     def _max_distance(self, service: ServiceName) -> Distance:
         if not self._router.usable_count(service, Distance.OTHER_REGION):
@@ -256,7 +298,7 @@
         return window
 
     def _missing_slots(self, service: ServiceName) -> int:
-        """Return how many more slots would have met the targets just missed."""
+        """Return how many more slots would have met the recently missed targets."""
         per_second = self._missed_target_rate(service).per_second(
             self._clock.monotonic_ms()
         )
@@ -277,9 +319,12 @@
     def _grant_or_refuse(
         self, service: ServiceName, queue: RequestQueue, head: QueuedRequest
     ) -> bool:
-        """Grant a slot to a waiting request, or refuse it, if either can be done."""
+        """Grant a slot to a queued request or refuse it; return whether it was removed.
+
+        It stays in the queue if no slot is available and nothing requires a refusal.
+        """
         if head.ticket.done():
-            # Its caller has left.
+            # The caller has disconnected.
             return queue.remove(head)
         now_ms = self._clock.monotonic_ms()
         kind = queue.late_refusal(head, now_ms, self._times.service_ms(service))
@@ -321,7 +366,7 @@
         return GrantedSlot(upstream, token, is_probe)
 
     def upstreams_changed(self) -> None:
-        """Match the held slots with a new list of upstreams."""
+        """Recount the slots by service after the list of upstreams has changed."""
         self._same_region_slots.clear()
         self._counted_slots.clear()
         for upstream_id in self._holder.upstream_ids():
@@ -334,9 +379,9 @@
         if upstream is None or upstream.distance is Distance.OTHER_REGION:
             return
         held = self._holder.held_count(upstream_id)
-        change = held - self._counted_slots[upstream_id]
+        difference = held - self._counted_slots[upstream_id]
         self._counted_slots[upstream_id] = held
-        self._same_region_slots[upstream.service] += change
+        self._same_region_slots[upstream.service] += difference
 
     def _start_tick(self) -> None:
         if self._tick_timer is None:
@@ -360,7 +405,14 @@
             self._start_tick()
 
     def count_attempt(self, upstream: Upstream, size_bytes: int) -> None:
-        """Count an attempt, and its bytes if they cross between regions."""
+        """Count an attempt, and the bytes that it sent between regions.
+
+        Parameters
+        ----------
+        upstream : Upstream
+        size_bytes : int
+            Size of the bodies of request and answer, in bytes.
+        """
         self._counters.counts[Count.ATTEMPTS] += 1
         if upstream.distance is Distance.OTHER_REGION:
             self._counters.counts[Count.OTHER_REGION_ATTEMPTS] += 1
--- a/basilhold/gateway/service.py
+++ b/basilhold/gateway/service.py
@@ -1,4 +1,4 @@
-"""Takes a caller's request through queue, record, slot and upstream."""
+"""Processing of callers' requests, from arrival to the end of the answer."""
 
 import asyncio
 import random
@@ -47,21 +47,23 @@
 __all__ = ["RequestService", "ServiceParts"]
 
 ATTEMPTS_MAX = 3
+"""Attempts to send a request, including the first one."""
+
 UNKNOWN_CLASS = ClassName("unknown")
-"""Stands in the counts for class names that no office declares."""
+"""Counts requests refused on arrival, such as those of undeclared classes."""
 
 READ_MS_MIN = 1000
-"""Time that a caller has to read an answer of up to 64 KiB, even at its deadline."""
+"""Least time for a caller to read an answer of up to 64 KiB, even at its deadline."""
 
 REPLAYS_MAX = 16
-"""Stored answers that are read at a time; each takes 128 KiB."""
+"""Stored answers that are read concurrently; each takes 128 KiB of memory."""
 
 SEND_MARGIN_MS = 20
-"""Nothing is sent when less than this is left until the deadline."""
+"""A request is not sent if less time than this remains until its deadline."""
 
 
 class ServiceParts(msgspec.Struct):
-    """What a `RequestService` is made of.
+    """Collaborators of a `RequestService`.
 
     Parameters
     ----------
@@ -76,6 +78,7 @@
     counters : RequestCounters
     queue_limits : QueueLimits
     retries : RetryBudget, optional
+        By default a new budget that uses `rng`.
     """
 
     identity: GatewayIdentity
@@ -92,11 +95,16 @@
 
 
 class RequestService:
-    """Serves the requests of one gateway.
+    """Validates, queues, sends and answers the requests of one gateway.
 
     Parameters
     ----------
     parts : ServiceParts
+
+    Attributes
+    ----------
+    stopping : bool
+        Whether new requests are refused because the gateway is shutting down.
     """
 
     def __init__(self, parts: ServiceParts):
@@ -128,65 +136,72 @@
 
     @property
     def counters(self) -> RequestCounters:
-        """Counts of this gateway."""
+        """Counters of this gateway."""
         return self._parts.counters
 
     @property
     def retries(self) -> RetryBudget:
-        """Budget of repeated attempts."""
+        """Budget that limits retries."""
         return self._retries
 
     @property
     def in_flight_count(self) -> int:
-        """Number of requests that have not ended."""
+        """Number of requests in progress, queued ones included."""
         return len(self._active_requests)
 
     @property
     def unrecorded_count(self) -> int:
-        """Number of results of keyed requests that wait for the store."""
+        """Number of results of keyed requests that are not stored yet."""
         return self._parts.once.unrecorded_count
 
     def in_flight_names(self) -> list[str]:
-        """Return a line for each request that has not ended."""
+        """Return a description of each request in progress, for logs."""
         return [
-            f"{c.request.method} {c.request.path} of class {c.work_class.name}, "
-            f"upstream {c.upstream_id or 'none'}"
-            for c in self._active_requests.values()
+            f"{a.request.method} {a.request.path} of class {a.work_class.name}, "
+            f"upstream {a.upstream_id or 'none'}"
+            for a in self._active_requests.values()
         ]
 
     @property
     def dispatcher(self) -> Dispatcher:
-        """Queues of this gateway."""
+        """Dispatcher that queues the requests of this gateway."""
         return self._dispatcher
 
     def update_upstreams(self, records: Iterable[VmRecord]) -> None:
-        """Replace the list of upstreams by that of the VM list."""
+        """Replace the known upstreams by those of a new VM list."""
         self._parts.router.update(records)
         self._dispatcher.upstreams_changed()
 
     def slots_changed(self) -> None:
-        """Send waiting requests after slots have arrived."""
+        """Send queued requests after the slots of this gateway have changed."""
         self._dispatcher.dispatch_all()
 
     def demand(self, zone: ZoneName) -> tuple[tuple[ServiceName, int], ...]:
-        """Return how many waiting requests could use slots of a zone, by service."""
+        """Return how many queued requests could use slots of a zone, by service."""
         return self._dispatcher.demand(zone)
 
     async def handle(self, request: CallerRequest, sink: CallerSink) -> RequestEnd:
-        """Serve one request.
+        """Process one request and pass the answer to its caller.
 
-        A cancelled call abandons an idempotent request. A non-idempotent one goes on,
-        so that its result is recorded.
+        Cancellation aborts an idempotent request. A non-idempotent one continues in
+        the background, so that its result is recorded.
 
         Parameters
         ----------
         request : CallerRequest
         sink : CallerSink
+            Receives the answer.
 
         Returns
         -------
         RequestEnd
-            If it holds a problem and the answer was started, the answer is cut.
+            If it holds a problem although the answer was started, the answer is
+            truncated.
+
+        Raises
+        ------
+        asyncio.CancelledError
+            If the call or the request itself was cancelled.
         """
         arrived_ms = self._clock.monotonic_ms()
         self.counters.counts[Count.REQUESTS] += 1
@@ -196,22 +211,22 @@
             problem = adjust_outcome_without_lookup(problem, request.idempotency_key)
             return self._record_end(UNKNOWN_CLASS, _end_with_problem(problem))
         self.counters.arrived[work_class.name] += 1
-        course = make_active_request(request, work_class, sink, arrived_ms)
-        task = asyncio.create_task(self._serve(course))
-        self._active_requests[task] = course
+        active = make_active_request(request, work_class, sink, arrived_ms)
+        task = asyncio.create_task(self._serve(active))
+        self._active_requests[task] = active
         self._idle.clear()
         task.add_done_callback(self._remove_finished)
-        if course.is_idempotent:
+        if active.is_idempotent:
             return self._record_end(work_class.name, await task)
         return self._record_end(work_class.name, await asyncio.shield(task))
 
     async def wait_idle(self) -> None:
-        """Wait until no request is in flight and all results are recorded."""
+        """Wait until no request is in progress and all results are recorded."""
         await self._idle.wait()
         await self._parts.once.settle()
 
     async def cancel_requests(self) -> list[str]:
-        """Cancel all requests in flight and return a line for each."""
+        """Cancel all requests in progress and return a description of each."""
         names = self.in_flight_names()
         tasks = list(self._active_requests)
         for task in tasks:
@@ -234,43 +249,43 @@
             self.counters.counts[Count.REPLAYS] += 1
         return end
 
-    async def _serve(self, course: ActiveRequest) -> RequestEnd:
-        service = course.work_class.service
-        refusal = self._dispatcher.refusal(service, course.queued)
-        if course.is_idempotent:
+    async def _serve(self, active: ActiveRequest) -> RequestEnd:
+        service = active.work_class.service
+        refusal = self._dispatcher.refusal(service, active.queued)
+        if active.is_idempotent:
             if refusal is not None:
-                return _end_with_problem(self._make_refusal(course, refusal))
+                return _end_with_problem(self._make_refusal(active, refusal))
             self._retries.count_request()
-            return await self._run(course)
-        opening = await self._open_record(course, refusal)
-        if isinstance(opening, Problem):
-            return _end_with_problem(opening)
-        if isinstance(opening, Replay):
-            return await self._play_back(course, opening)
-        course.ticket = opening
+            return await self._run(active)
+        opened = await self._open_record(active, refusal)
+        if isinstance(opened, Problem):
+            return _end_with_problem(opened)
+        if isinstance(opened, Replay):
+            return await self._play_back(active, opened)
+        active.ticket = opened
         self._retries.count_request()
-        return await self._run_non_idempotent(course, opening)
+        return await self._run_non_idempotent(active, opened)
 
     async def _open_record(
-        self, course: ActiveRequest, refusal: ProblemKind | None
+        self, active: ActiveRequest, refusal: ProblemKind | None
     ) -> OnceTicket | Replay | Problem:
-        request = course.request
+        request = active.request
         key = make_request_key(
             request.team, request.class_name, request.idempotency_key
         )
         once = self._parts.once
-        deadline_ms = course.queued.deadline_ms
+        deadline_ms = active.queued.deadline_ms
         if refusal is None:
             return await once.open(key, fingerprint(request), deadline_ms)
-        # The refused request may be the repeat of one that has run.
+        # The refused request may repeat one that has already run.
         earlier = await once.look_up(key, fingerprint(request), deadline_ms)
-        return self._make_refusal(course, refusal) if earlier is None else earlier
+        return self._make_refusal(active, refusal) if earlier is None else earlier
 
-    async def _play_back(self, course: ActiveRequest, replay: Replay) -> RequestEnd:
-        left_ms = course.queued.deadline_ms - self._clock.monotonic_ms()
+    async def _play_back(self, active: ActiveRequest, replay: Replay) -> RequestEnd:
+        remaining_ms = active.queued.deadline_ms - self._clock.monotonic_ms()
         try:
-            async with asyncio.timeout(left_ms / 1000), self._replay_limit:
-                return await play_back(replay, self._parts.once.objects, course.sink)
+            async with asyncio.timeout(remaining_ms / 1000), self._replay_limit:
+                return await play_back(replay, self._parts.once.objects, active.sink)
         except TimeoutError:
             detail = "the request has run, but the deadline of this repeat has passed"
             return _end_with_problem(
@@ -278,99 +293,105 @@
             )
 
     async def _run_non_idempotent(
-        self, course: ActiveRequest, ticket: OnceTicket
+        self, active: ActiveRequest, ticket: OnceTicket
     ) -> RequestEnd:
         outcome = Outcome.UNKNOWN
         try:
-            end = await self._run(course)
+            end = await self._run(active)
             outcome = end.outcome
             return end
         finally:
-            # A whole answer was recorded by the attempt itself.
+            # The result of a complete answer was recorded in `_finish`.
             if outcome is Outcome.NOT_RUN or (
-                outcome is Outcome.UNKNOWN and not course.was_sent
+                outcome is Outcome.UNKNOWN and not active.was_sent
             ):
                 self._parts.once.not_run(ticket)
             elif outcome is Outcome.UNKNOWN:
                 self._parts.once.unknown(ticket)
 
-    async def _run(self, course: ActiveRequest) -> RequestEnd:
-        service = course.work_class.service
+    async def _run(self, active: ActiveRequest) -> RequestEnd:
+        service = active.work_class.service
         while True:
-            granted = await self._dispatcher.wait(service, course.queued)
+            granted = await self._dispatcher.wait(service, active.queued)
             if isinstance(granted, ProblemKind):
-                return _end_with_problem(self._make_refusal(course, granted))
-            if not self._may_send(course):
-                self._dispatcher.release_slot(service, course.queued, granted)
+                return _end_with_problem(self._make_refusal(active, granted))
+            if not self._may_send(active):
+                self._dispatcher.release_slot(service, active.queued, granted)
                 return _end_with_problem(
-                    self._make_refusal(course, ProblemKind.TIMED_OUT)
+                    self._make_refusal(active, ProblemKind.TIMED_OUT)
                 )
-            end = await self._attempt(course, granted)
+            end = await self._attempt(active, granted)
             if end is not None:
                 return end
 
-    def _may_send(self, course: ActiveRequest) -> bool:
-        left_ms = course.queued.deadline_ms - self._clock.monotonic_ms()
-        if left_ms < SEND_MARGIN_MS:
+    def _may_send(self, active: ActiveRequest) -> bool:
+        remaining_ms = active.queued.deadline_ms - self._clock.monotonic_ms()
+        if remaining_ms < SEND_MARGIN_MS:
             return False
-        ticket = course.ticket
+        ticket = active.ticket
         return ticket is None or may_send(ticket.record, self._clock.unix_ms())
 
-    async def _attempt(self, course: ActiveRequest, granted) -> RequestEnd | None:
-        """Send a request once; return ``None`` if it is to be sent again."""
+    async def _attempt(self, active: ActiveRequest, granted) -> RequestEnd | None:
+        """Send a request once; return ``None`` if it is to be retried."""
         recorder = None
-        if course.ticket is not None:
+        if active.ticket is not None:
             recorder = AnswerRecorder(
                 self._parts.once.objects,
-                course.ticket.key,
-                course.ticket.record.write_id,
+                active.ticket.key,
+                active.ticket.record.write_id,
                 self.counters,
             )
-        sink = AttemptSink(course.sink, recorder)
-        course.attempts += 1
-        course.upstream_id = granted.upstream.upstream_id
-        if course.attempts == 1:
-            waited_ms = self._clock.monotonic_ms() - course.queued.arrived_ms
-            name = course.work_class.name
-            ratio = waited_ms / course.queued.target_ms
+        sink = AttemptSink(active.sink, recorder)
+        active.attempts += 1
+        active.upstream_id = granted.upstream.upstream_id
+        if active.attempts == 1:
+            waited_ms = self._clock.monotonic_ms() - active.queued.arrived_ms
+            name = active.work_class.name
+            ratio = waited_ms / active.queued.target_ms
             self.counters.wait_ratios.append(WaitRatio(name, ratio))
             if ratio <= 1:
-                self.counters.on_target[course.work_class.name] += 1
-        was_sent = course.was_sent
-        # Set before the first byte can be written, so that a cancelled request is
-        # never reported as not run.
-        course.was_sent = True
-        end = await self._runner.run(
+                self.counters.on_target[active.work_class.name] += 1
+        was_sent = active.was_sent
+        # Set before the first byte can be written, as a request that is cancelled while
+        # it is sent must not be reported as not run.
+        active.was_sent = True
+        result = await self._runner.run(
             Attempt(
-                course.request,
-                service=course.work_class.service,
-                queued=course.queued,
+                active.request,
+                service=active.work_class.service,
+                queued=active.queued,
                 granted=granted,
                 sink=sink,
             )
         )
-        if end.not_sent:
-            course.was_sent = was_sent
-        if await self._prepare_retry(course, end, sink):
+        if result.not_sent:
+            active.was_sent = was_sent
+        if await self._prepare_retry(active, result, sink):
             return None
-        return await self._finish(course, end, sink)
+        return await self._finish(active, result, sink)
 
     async def _prepare_retry(
-        self, course: ActiveRequest, end: AttemptResult, sink: AttemptSink
+        self, active: ActiveRequest, result: AttemptResult, sink: AttemptSink
     ) -> bool:
-        course.last_reason = end.reason
-        failed = not end.complete or sink.is_server_error
-        if not failed or sink.passed_on or course.attempts >= ATTEMPTS_MAX:
+        """Return whether to retry a request, after the delay before the retry.
+
+        Only server errors and incomplete answers are retried, while nothing was passed
+        on to the caller, another upstream and budget are left and the deadline allows
+        it. Requests that are not idempotent are retried only if they were not sent.
+        """
+        active.last_reason = result.reason
+        failed = not result.complete or sink.is_server_error
+        if not failed or sink.passed_on or active.attempts >= ATTEMPTS_MAX:
             return False
-        if not (course.is_idempotent or end.not_sent):
+        if not (active.is_idempotent or result.not_sent):
             return False
-        delay_ms = self._retries.delay_ms(course.attempts)
-        queued = course.queued
-        excluded = queued.excluded | {course.upstream_id}
-        if self._parts.router.of_service(course.work_class.service) <= excluded:
+        delay_ms = self._retries.delay_ms(active.attempts)
+        queued = active.queued
+        excluded = queued.excluded | {active.upstream_id}
+        if self._parts.router.of_service(active.work_class.service) <= excluded:
             return False
         service_ms = self._times.class_ms(
-            course.work_class.service, course.work_class.name
+            active.work_class.service, active.work_class.name
         )
         now_ms = self._clock.monotonic_ms()
         if now_ms + delay_ms + service_ms > queued.deadline_ms - SEND_MARGIN_MS:
@@ -383,41 +404,43 @@
         return True
 
     async def _finish(
-        self, course: ActiveRequest, end: AttemptResult, sink: AttemptSink
+        self, active: ActiveRequest, result: AttemptResult, sink: AttemptSink
     ) -> RequestEnd:
-        if end.complete:
-            problem = await self._forward_answer(course, sink)
+        if result.complete:
+            problem = await self._forward_answer(active, sink)
             answer = await sink.record()
-            if course.ticket is not None and answer is not None:
-                self._parts.once.finish(course.ticket, answer)
+            if active.ticket is not None and answer is not None:
+                self._parts.once.finish(active.ticket, answer)
             return RequestEnd(Outcome.RAN, problem)
-        outcome = Outcome.UNKNOWN if course.was_sent else Outcome.NOT_RUN
-        kind = ProblemKind.TIMED_OUT if end.timed_out else ProblemKind.UPSTREAM_FAILED
+        outcome = Outcome.UNKNOWN if active.was_sent else Outcome.NOT_RUN
+        kind = (
+            ProblemKind.TIMED_OUT if result.timed_out else ProblemKind.UPSTREAM_FAILED
+        )
         if outcome is Outcome.NOT_RUN:
             kind = ProblemKind.NO_UPSTREAM
-        return _end_with_problem(Problem(kind, outcome, end.reason, 1))
+        return _end_with_problem(Problem(kind, outcome, result.reason, 1))
 
     async def _forward_answer(
-        self, course: ActiveRequest, sink: AttemptSink
+        self, active: ActiveRequest, sink: AttemptSink
     ) -> Problem | None:
-        """Pass an answer on; a caller that does not read it is not waited for."""
-        left_ms = course.queued.deadline_ms - self._clock.monotonic_ms()
+        """Pass on a complete answer within a time limit for the caller to read it."""
+        remaining_ms = active.queued.deadline_ms - self._clock.monotonic_ms()
         try:
-            async with asyncio.timeout(max(left_ms, READ_MS_MIN) / 1000):
+            async with asyncio.timeout(max(remaining_ms, READ_MS_MIN) / 1000):
                 await sink.complete()
         except TimeoutError:
             detail = "the request has run, but its answer was not read in time"
             return Problem(ProblemKind.TIMED_OUT, Outcome.RAN, detail)
         return None
 
-    def _make_refusal(self, course: ActiveRequest, kind: ProblemKind) -> Problem:
-        outcome = Outcome.UNKNOWN if course.was_sent else Outcome.NOT_RUN
+    def _make_refusal(self, active: ActiveRequest, kind: ProblemKind) -> Problem:
+        outcome = Outcome.UNKNOWN if active.was_sent else Outcome.NOT_RUN
         detail = refusal_detail(kind)
-        if course.last_reason:
-            detail = f"{detail}; the last attempt failed: {course.last_reason}"
+        if active.last_reason:
+            detail = f"{detail}; the last attempt failed: {active.last_reason}"
         if kind is ProblemKind.TIMED_OUT and outcome is Outcome.NOT_RUN:
             kind = ProblemKind.DEADLINE_UNREACHABLE
-        retry_after_s = self._dispatcher.retry_after_s(course.work_class.service)
+        retry_after_s = self._dispatcher.retry_after_s(active.work_class.service)
         return Problem(kind, outcome, detail, retry_after_s)
 
 
