Describe slot reports and the tests of request processing

Slot reports, stalls and state dumps are named and described by the terms of the field. Tests say which failure they guard against and how it comes about.

--- a/basilhold/gateway/slots.py
+++ b/basilhold/gateway/slots.py
@@ -1,4 +1,4 @@
-"""Exchanges slot reports with the owners of all zones that have upstreams."""
+"""Reporting of slots and demand to the owners of all zones that have upstreams."""
 
 import asyncio
 import random
@@ -22,20 +22,34 @@
 __all__ = ["SlotReporter"]
 
 REPORT_WAIT_MS = 5000
+"""Time for which the owner may delay its reply if no requests are queued."""
+
 DEMAND_WAIT_MS = 1000
-"""With open demand, the owner gets a fresh count this often."""
+"""Time for which the owner may delay its reply if requests are queued.
+
+It is also the interval at which the owner gets a new count of them.
+"""
 
 REPORT_INTERVAL_MS = 100
-"""Least time between reports to one owner; bounds the traffic under load."""
+"""Delay between reports to one owner, which limits the traffic under load.
+
+It is shortened at random by up to half.
+"""
 
 REMOTE_SLOT_IDLE_MS = 1000
-"""Idle slots of another region are given back after this time."""
+"""Time after which unused slots of another region are returned."""
 
 RETRY_INTERVAL_MS = 500
+"""Maximum delay before a failed report is repeated."""
+
 HEARTBEAT_INTERVAL_MS = 250
+"""Interval of the heartbeats by which the dispatcher detects stalls."""
+
 RECONFIRM_TIMEOUT_MS = 1500
-"""After a pause, unreachable owners are waited for this long."""
+"""Time to wait for unreachable owners after a stall of the event loop."""
+
 RETURN_TIMEOUT_MS = 2000
+"""Time limit for the report that returns all slots of a zone at shutdown."""
 
 
 class _ReportStatus(Enum):
@@ -45,7 +59,11 @@
 
 
 class SlotReporter:
-    """Keeps a gateway's slots up to date.
+    """Reports to zone owners which slots a gateway holds and how many it needs.
+
+    The owners reply with the slots that the gateway may use. Reports to the owners of
+    the gateway's own region are sent continuously, those to other regions only while
+    there is demand for their slots or slots of theirs are held.
 
     Parameters
     ----------
@@ -56,9 +74,10 @@
     service : RequestService
     exchange : SlotExchange
     rng : random.Random
+        Randomises the delays between reports.
     set_connection_limit : callable, optional
-        Called with an upstream's id and the number of connections that the slots
-        held allow.
+        Called with the id of an upstream and the number of connections that the held
+        slots allow.
     """
 
     def __init__(
@@ -114,10 +133,10 @@
             await asyncio.sleep(HEARTBEAT_INTERVAL_MS / 1000)
 
     def reconfirm_slots(self) -> None:
-        """Ask the owners which slots are left, after the process stood still.
+        """Ask the owners which slots are still valid after a stall of the event loop.
 
-        Nothing is sent until the owners of this region have answered, or for
-        `RECONFIRM_MS`.
+        No requests are sent until all owners of this region have replied, or for
+        `RECONFIRM_TIMEOUT_MS`.
         """
         self._stall_count += 1
         self._service.dispatcher.suspend()
@@ -126,7 +145,7 @@
         self._reconfirm_task = asyncio.create_task(self._reconfirm(self._stall_count))
 
     async def _reconfirm(self, count: int) -> None:
-        home = [
+        local_zones = [
             zone
             for zone, region in self._router.zones().items()
             if region == self._identity.region
@@ -136,7 +155,8 @@
             async with asyncio.timeout(RECONFIRM_TIMEOUT_MS / 1000), self._confirmation:
                 await self._confirmation.wait_for(
                     lambda: all(
-                        self._confirmed_stalls.get(zone, 0) >= count for zone in home
+                        self._confirmed_stalls.get(zone, 0) >= count
+                        for zone in local_zones
                     )
                 )
         except TimeoutError:
@@ -144,7 +164,7 @@
         self._service.dispatcher.resume()
 
     def refresh(self) -> None:
-        """Start exchanges with the owners of new zones; call it after list changes."""
+        """Start reports to owners of new zones; to be called when upstreams change."""
         for zone, region in self._router.zones().items():
             if zone not in self._report_tasks:
                 self._wake_events[zone] = asyncio.Event()
@@ -154,7 +174,7 @@
         self._update_limits()
 
     def failures(self) -> list[BaseException]:
-        """Return the errors that have ended an exchange; programs stop on one."""
+        """Return the errors that have ended a reporting task; programs stop on any."""
         return [
             task.exception()
             for task in self._report_tasks.values()
@@ -162,7 +182,7 @@
         ]
 
     async def return_all(self) -> None:
-        """Hand all slots back and stop; for a planned stop."""
+        """Stop reporting and return all slots; for a planned shutdown."""
         await self.__aexit__()
         for zone in self._report_tasks:
             self._holder.return_idle(zone)
@@ -186,26 +206,26 @@
             self._wake_events[zone].set()
 
     def _wake_all(self) -> None:
-        for event in self._wake_events.values():
-            event.set()
+        for wake_event in self._wake_events.values():
+            wake_event.set()
 
     async def _report_repeatedly(self, zone: ZoneName, region: RegionName) -> None:
-        home = region == self._identity.region
+        is_local = region == self._identity.region
         failing = False
         while True:
             demand = self._service.demand(zone)
-            if not home and not demand:
+            if not is_local and not demand:
                 due = await self._wait_for_demand(zone)
                 demand = self._service.demand(zone)
                 if not demand and not due:
                     continue
-            pauses = self._stall_count
-            end = await self._exchange_report(zone, demand)
-            if end is _ReportStatus.ANSWERED:
+            stall_count = self._stall_count
+            status = await self._exchange_report(zone, demand)
+            if status is _ReportStatus.ANSWERED:
                 async with self._confirmation:
-                    self._confirmed_stalls[zone] = pauses
+                    self._confirmed_stalls[zone] = stall_count
                     self._confirmation.notify_all()
-            failed = end is _ReportStatus.FAILED
+            failed = status is _ReportStatus.FAILED
             if failed and not failing:
                 log_event(SLOT_EXCHANGE_FAILED, zone=zone)
             failing = failed
@@ -213,9 +233,10 @@
             await asyncio.sleep(delay_ms * self._rng.uniform(0.5, 1.0) / 1000)
 
     async def _wait_for_demand(self, zone: ZoneName) -> bool:
-        """Wait for waiting requests and return whether a report is due without them.
+        """Wait for demand in another region; return whether a report is due without it.
 
-        Idle slots of another region are given back after a while.
+        A report is due while slots of that region are held. They are returned if there
+        is still no demand after `REMOTE_SLOT_IDLE_MS`.
         """
         wake = self._wake_events[zone]
         wake.clear()
@@ -231,16 +252,20 @@
     async def _exchange_report(
         self, zone: ZoneName, demand: tuple[tuple[ServiceName, int], ...]
     ) -> "_ReportStatus":
-        """Exchange one report."""
+        """Send one report and apply the reply.
+
+        The exchange is abandoned if the report becomes outdated or the event loop
+        stalls before the owner has replied.
+        """
         wait_ms = DEMAND_WAIT_MS if demand else REPORT_WAIT_MS
         if self._confirmed_stalls.get(zone, 0) < self._stall_count:
             wait_ms = 0
         wake = self._wake_events[zone]
         wake.clear()
         sent_ms = self._clock.monotonic_ms()
-        pauses = self._stall_count
+        stall_count = self._stall_count
         leaving = self._router.self_reported_leaving(zone, sent_ms)
-        # Connections of returned tokens are closed before the owner lends them again.
+        # Close the connections of returned tokens before the owner lends these again.
         self._update_limits()
         report = self._holder.next_report(
             zone,
@@ -252,28 +277,28 @@
         exchange = asyncio.ensure_future(self._exchange.exchange(zone, report))
         try:
             while not exchange.done():
-                waking = asyncio.ensure_future(wake.wait())
+                wake_wait = asyncio.ensure_future(wake.wait())
                 try:
                     await asyncio.wait(
-                        {exchange, waking}, return_when=asyncio.FIRST_COMPLETED
+                        {exchange, wake_wait}, return_when=asyncio.FIRST_COMPLETED
                     )
                 finally:
-                    waking.cancel()
+                    wake_wait.cancel()
                 if exchange.done():
                     break
                 wake.clear()
                 elapsed_ms = self._clock.monotonic_ms() - sent_ms
                 if elapsed_ms < REPORT_INTERVAL_MS:
-                    pause_ms = REPORT_INTERVAL_MS - elapsed_ms
-                    await asyncio.wait({exchange}, timeout=pause_ms / 1000)
+                    remaining_ms = REPORT_INTERVAL_MS - elapsed_ms
+                    await asyncio.wait({exchange}, timeout=remaining_ms / 1000)
                 if exchange.done():
                     break
-                if pauses != self._stall_count:
+                if stall_count != self._stall_count:
                     return _ReportStatus.ABANDONED
                 if self._is_outdated(zone, demand, report):
                     return _ReportStatus.ABANDONED
         finally:
-            # The reply to an abandoned report is ignored, by its number.
+            # The number of an abandoned report tells that its reply is to be ignored.
             if not exchange.done():
                 exchange.cancel()
         result = exchange.result()
@@ -291,16 +316,20 @@
         demand: tuple[tuple[ServiceName, int], ...],
         report: SlotReport,
     ) -> bool:
-        """Return whether the report that is waiting at the owner is outdated."""
+        """Return whether the report that the owner has not answered yet is outdated.
+
+        It is if slots were returned, upstreams announced their shutdown or the demand
+        for a service grew by more than half since then.
+        """
         if len(self._holder.held(zone)) < len(report.held):
             return True
         now_ms = self._clock.monotonic_ms()
         leaving = self._router.self_reported_leaving(zone, now_ms)
         if set(leaving) - set(report.leaving_upstream_ids):
             return True
-        known = dict(demand)
+        reported = dict(demand)
         return any(
-            waiting > 1.5 * known.get(service, 0)
+            waiting > 1.5 * reported.get(service, 0)
             for service, waiting in self._service.demand(zone)
         )
 
--- a/basilhold/gateway/status.py
+++ b/basilhold/gateway/status.py
@@ -1,4 +1,4 @@
-"""Metrics and state of the request path."""
+"""Metrics and state dump of a gateway's request processing."""
 
 from collections import Counter
 from typing import Any
@@ -16,7 +16,7 @@
 
 
 class RequestMetrics(MetricSource):
-    """Sets the metrics of a gateway's requests.
+    """Exports metrics of a gateway's requests, circuit breakers and slots.
 
     Parameters
     ----------
@@ -40,7 +40,7 @@
         self._classes: set[str] = set()
 
     def collect(self, metrics: Metrics) -> None:
-        """Set the current values."""
+        """Set all metrics to the current values."""
         self._collect_counts(metrics)
         service = self._service
         queued = service.dispatcher.queued_counts()
@@ -70,19 +70,19 @@
                     outcome=outcome.value,
                 )
         for kind, count in counters.problems.items():
-            bad = kind.status < 500
-            name = "bad_input" if bad else "requests_rejected"
-            declared = metric(f"basilhold_{name}_total")
-            if bad or kind.status == 503:
-                metrics.set(declared, count, reason=kind.value)
+            is_client_error = kind.status < 500
+            name = "bad_input" if is_client_error else "requests_rejected"
+            counter = metric(f"basilhold_{name}_total")
+            if is_client_error or kind.status == 503:
+                metrics.set(counter, count, reason=kind.value)
         retries = counters.counts[Count.RETRIES]
         metrics.set(metric("basilhold_retries_total"), retries)
         while counters.wait_ratios:
-            waited = counters.wait_ratios.popleft()
+            wait = counters.wait_ratios.popleft()
             metrics.observe(
                 metric("basilhold_request_wait_ratio"),
-                waited.ratio,
-                class_name=waited.class_name,
+                wait.ratio,
+                class_name=wait.class_name,
             )
 
     def _collect_slots(self, metrics: Metrics, service: ServiceName) -> None:
@@ -96,7 +96,16 @@
 
 
 class ZoneSlotsState(msgspec.Struct, frozen=True):
-    """Slots that a gateway holds for one zone."""
+    """Entry of the state dump for the slots that a gateway holds in one zone.
+
+    Parameters
+    ----------
+    zone : ZoneName
+    epoch : int
+        Highest ownership epoch of the zone that is known to the gateway.
+    held : int
+        Number of slots.
+    """
 
     zone: ZoneName
     epoch: int
@@ -104,7 +113,7 @@
 
 
 class RequestState(StateSource):
-    """Dumps the state of a gateway's requests.
+    """Adds the state of a gateway's requests and slots to the state dump.
 
     Parameters
     ----------
@@ -120,11 +129,11 @@
 
     @property
     def name(self) -> str:
-        """Key in the dump."""
+        """Key in the state dump."""
         return "requests"
 
     def state(self) -> Any:
-        """Return counts, requests in flight and slots."""
+        """Return the counters, queued requests, requests in progress and held slots."""
         queued: Counter = self._service.dispatcher.queued_counts()
         zones = sorted(self._router.zones())
         return {
--- a/basilhold/gateway/tests/fixtures.py
+++ b/basilhold/gateway/tests/fixtures.py
@@ -1,4 +1,4 @@
-"""Fakes and builders shared by the tests of the request path."""
+"""Fakes and builders shared by the tests of request processing."""
 
 import asyncio
 import contextlib
@@ -70,6 +70,8 @@
 
 
 class FakeClasses(ClassDirectory):
+    """Directory of a fixed set of classes."""
+
     def __init__(self, classes=CLASSES):
         self.classes = classes
 
@@ -78,7 +80,7 @@
 
 
 class FakePeers(RequestPeers):
-    """Asks the keepers of other gateways in the same process."""
+    """Passes lookups to the at-most-once keepers of other gateways in this process."""
 
     def __init__(self):
         self.keepers = {}
@@ -92,6 +94,8 @@
 
 
 class RecordingSink(CallerSink):
+    """Collects the answer of one request."""
+
     def __init__(self):
         self.outcome = None
         self.replayed = False
@@ -103,7 +107,7 @@
         self.replayed = replayed
 
     async def start(self, head):
-        assert self.head is None, "an answer was started twice"
+        assert self.head is None, "start() was called twice for one answer"
         self.head = head
 
     async def write(self, data):
@@ -111,6 +115,7 @@
 
 
 def vm_record(upstream_id, state=VmState.LIVE, zone=ZONE, region=REGION):
+    """Return the VM list entry of an upstream with 8 slots."""
     return VmRecord(
         VmId(upstream_id),
         VmKind.UPSTREAM,
@@ -127,6 +132,7 @@
 
 
 def make_request(class_name="quote", request_id="r1", key=None, **fields):
+    """Return a request; a key is also sent in the header ``Idempotency-Key``."""
     headers = (("X-Request-Id", request_id),)
     if key is not None:
         headers += (("Idempotency-Key", key),)
@@ -143,6 +149,7 @@
 
 
 def grant_all(holder, upstream_ids, zone=ZONE, slots=8):
+    """Lend all slots of the upstreams to a gateway for 75 minutes of virtual time."""
     tokens = [SlotToken(UpstreamId(u), n) for u in upstream_ids for n in range(slots)]
     report = holder.next_report(zone)
     held = tuple(HeldToken(token, LEASE_EXPIRY_UNIX_MS) for token in tokens)
@@ -150,7 +157,7 @@
 
 
 class Cell:
-    """Store, upstreams and gateways of one test."""
+    """Store, upstreams and gateways of one test, all in memory."""
 
     def __init__(self, upstream_count=2, seed=0):
         self.clock = Clock(VIRTUAL_EPOCH_UNIX_MS)
@@ -165,7 +172,7 @@
 
     @contextlib.asynccontextmanager
     async def gateway(self, name="gw-0", grant=True, clock=None, limits=None):
-        """Run a gateway that holds all slots of all upstreams."""
+        """Run a gateway; with ``grant`` it holds the slots of all upstreams."""
         rng = random.Random(f"{self.seed}/{name}")
         process_id = ProcessId(name)
         identity = GatewayIdentity(process_id, VmId(name), ZONE, REGION)
@@ -204,11 +211,13 @@
 
 
 async def call(service, request=None, **fields):
+    """Send a request and return its end and the sink with the answer."""
     sink = RecordingSink()
     end = await service.handle(request or make_request(**fields), sink)
     return end, sink
 
 
 async def call_later(delay_s, service, **fields):
+    """Send a request after a delay in seconds."""
     await asyncio.sleep(delay_s)
     return await call(service, **fields)
--- a/basilhold/gateway/tests/test_service.py
+++ b/basilhold/gateway/tests/test_service.py
@@ -14,9 +14,9 @@
 
 
 class AnswerTest(VirtualTimeTestCase):
-    """Guards against lost, mixed-up and truncated answers."""
+    """Guards against answers that are lost, truncated or sent to the wrong caller."""
 
-    async def test_each_caller_gets_its_own_answer(self):
+    async def test_each_caller_receives_its_own_answer(self):
         cell = Cell()
         async with cell.gateway() as service:
             calls = [call(service, request_id=f"r{n}") for n in range(100)]
@@ -29,7 +29,7 @@
                 )
         cell.upstreams.check()
 
-    async def test_large_answer_is_streamed_whole(self):
+    async def test_large_answer_is_streamed_completely(self):
         cell = Cell()
         cell.upstreams.members["up-0"].behaviour.answer_bytes = 1 << 20
         cell.upstreams.members["up-1"].behaviour.answer_bytes = 1 << 20
@@ -38,7 +38,7 @@
         self.assertIsNone(end.problem)
         self.assertEqual(len(sink.body), int(dict(sink.head.headers)["Content-Length"]))
 
-    async def test_truncated_answer_is_never_passed_on_as_whole(self):
+    async def test_truncated_answer_is_reported_as_a_failure(self):
         for size in (256, 1 << 20):
             cell = Cell(1)
             cell.upstreams.members["up-0"].behaviour = UpstreamBehaviour(
@@ -49,7 +49,7 @@
             self.assertIs(end.problem.kind, ProblemKind.UPSTREAM_FAILED)
             self.assertIs(end.outcome, Outcome.UNKNOWN)
 
-    async def test_late_answer_ends_at_the_deadline(self):
+    async def test_request_with_late_answer_times_out_at_its_deadline(self):
         cell = Cell(1)
         cell.upstreams.members["up-0"].behaviour.late_ratio = 1.0
         async with cell.gateway() as service:
@@ -68,14 +68,14 @@
         self.assertIs(end.outcome, Outcome.NOT_RUN)
         self.assertEqual(cell.upstreams.run_counts().total(), 0)
 
-    async def test_caller_that_does_not_read_is_not_waited_for(self):
+    async def test_caller_that_does_not_read_the_answer_times_out(self):
         cell = Cell(1)
         sink = RecordingSink()
 
-        async def stall(data):
+        async def block(data):
             await asyncio.sleep(3600)
 
-        sink.write = stall
+        sink.write = block
         async with cell.gateway() as service:
             end = await service.handle(make_request("order", key="k"), sink)
             self.assertIs(end.outcome, Outcome.RAN)
@@ -86,9 +86,9 @@
 
 
 class ProbeTest(VirtualTimeTestCase):
-    """Guards against a circuit breaker that stays open after an unused probe."""
+    """Guards against a circuit breaker that stays open after a probe was not sent."""
 
-    async def test_probe_that_is_not_sent_is_followed_by_another(self):
+    async def test_probe_that_was_not_sent_is_repeated(self):
         cell = Cell(1)
         async with cell.gateway() as service:
             health = service.parts.router.find(cell.ids[0]).health
@@ -105,8 +105,12 @@
             self.assertIs(end.outcome, Outcome.RAN)
 
 
-class LeavingCallerTest(VirtualTimeTestCase):
-    """Guards the queue against callers that leave as they are served or refused."""
+class DisconnectingCallerTest(VirtualTimeTestCase):
+    """Guards the queue against callers that disconnect while served or refused.
+
+    Their wait is cancelled, but its task has not removed the request from the queue yet
+    when slots become available.
+    """
 
     async def test_cancelled_request_is_not_granted_a_slot(self):
         cell = Cell(1)
@@ -114,7 +118,7 @@
             queued = QueuedRequest("quote", "desk", 0, 200, 5000)
             waiting = asyncio.create_task(service.dispatcher.wait(SERVICE, queued))
             await asyncio.sleep(0.1)
-            # The future is cancelled, but the task has not removed the request yet.
+            # Cancels the future; the task removes the request only when it runs next.
             waiting.cancel()
             grant_all(service.parts.holder, cell.ids)
             service.slots_changed()
--- a/basilhold/gateway/tests/test_status.py
+++ b/basilhold/gateway/tests/test_status.py
@@ -5,9 +5,9 @@
 
 
 class StatusTest(VirtualTimeTestCase):
-    """Guards the metrics against names and labels that are not declared."""
+    """Guards against metrics whose names or labels are not declared."""
 
-    async def test_metrics_and_state_show_requests(self):
+    async def test_metrics_and_state_dump_contain_requests(self):
         cell = Cell(1)
         async with cell.gateway() as service:
             await call(service)
