--- a/basilhold/gateway/service.py
+++ b/basilhold/gateway/service.py
@@ -388,7 +388,10 @@
         delay_ms = self._retries.delay_ms(active.attempts)
         queued = active.queued
         excluded = queued.excluded | {active.upstream_id}
-        if self._parts.router.of_service(active.work_class.service) <= excluded:
+        if (
+            self._parts.router.upstreams_of_service(active.work_class.service)
+            <= excluded
+        ):
             return False
         service_ms = self._times.class_ms(
             active.work_class.service, active.work_class.name
@@ -396,7 +399,7 @@
         now_ms = self._clock.monotonic_ms()
         if now_ms + delay_ms + service_ms > queued.deadline_ms - SEND_MARGIN_MS:
             return False
-        if not self._retries.take():
+        if not self._retries.try_consume():
             return False
         self.counters.counts[Count.RETRIES] += 1
         queued.excluded = excluded
