Report not run after sending again in the test of a broken gateway

Change: the variant reads AttemptResult.complete. Members that lost a definition were searched for in all folders; no other use of an old name was found in tests.

--- a/basilhold/soak/tests/test_broken.py
+++ b/basilhold/soak/tests/test_broken.py
@@ -76,7 +76,7 @@
 
     def test_gateway_that_reports_not_run_after_sending(self):
         async def finish(service, course, end, sink):
-            if end.whole:
+            if end.complete:
                 return await right(service, course, end, sink)
             kind = ProblemKind.UPSTREAM_FAILED
             return RequestEnd(
