Log by which version a caller was rejected, and how old it was

The logs could not tell a configuration that was confirmed late from one that was used without being confirmed: ages were not logged, nor rejections with 404. Event 6104 gets the age and is logged with 404 too; event 6106 names the age at which a configuration was confirmed again after 3 s or more; a gauge holds the age. CallerServer takes a ConfigurationSource, which has the age, in place of a function.

--- a/basilhold/observability/metric_catalogue.py
+++ b/basilhold/observability/metric_catalogue.py
@@ -246,6 +246,11 @@
         _COUNTER,
         "Calls without a valid API key",
     ),
+    Metric(
+        "basilhold_configuration_age_seconds",
+        _GAUGE,
+        "Time since the configuration in force was last confirmed by the store",
+    ),
     Metric(
         "basilhold_log_lines_dropped_total",
         _COUNTER,
--- a/basilhold/platform/callers.py
+++ b/basilhold/platform/callers.py
@@ -4,7 +4,7 @@
 import contextlib
 import math
 import re
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 
 from tornado.httpserver import HTTPServer
 from tornado.web import Application, RequestHandler
@@ -15,11 +15,12 @@
 from basilhold.platform.events import CALLER_REJECTED
 from basilhold.tenants import NO_TENANT, Tenant, TenantName
 from basilhold.workflows import events
+from basilhold.workflows.configuration_watch import ConfigurationSource
 from basilhold.workflows.frontend import Existence, WorkflowFrontend
 from basilhold.workflows.model import WorkflowSpec, find_step_above_quota
 from basilhold.workflows.peers import StoreOutcome
 from basilhold.workflows.progress import WorkflowState
-from basilhold.workflows.routes import QueueRoute, QueueTable
+from basilhold.workflows.routes import QueueRoute
 
 __all__ = ["CallerServer", "make_readiness_server"]
 
@@ -51,12 +52,13 @@
         self._server.on_request_start()
         if self._server.closing:
             self.set_header("Connection", "close")
-        table = await self._server.queue_table()
+        table = await self._server.configuration.current()
         if table is None:
             self._reply_unavailable(503, "no configuration yet")
             return
         self._queue_route = table.find(self.request.host, self.request.path)
         if self._queue_route is None:
+            self._log_rejected("no such queue", table.version)
             self._reply(404, {"error": "no such queue"})
             return
         if table.tenants is not None:
@@ -203,14 +205,18 @@
         """Reply 401 to a caller without a key, or whose key no tenant has."""
         self._server.count_rejected()
         reason = "the API key is unknown" if has_key else "an API key is missing"
+        self._log_rejected(reason, version)
+        self.set_header("WWW-Authenticate", "ApiKey")
+        self._reply(401, {"error": reason})
+
+    def _log_rejected(self, reason: str, version: int) -> None:
         log_event(
             CALLER_REJECTED,
-            queue=self._queue_route.policy.name,
+            queue=self._queue_route.policy.name if self._queue_route else "",
             reason=reason,
             version=version,
+            age_ms=round(self._server.configuration.age_ms()),
         )
-        self.set_header("WWW-Authenticate", "ApiKey")
-        self._reply(401, {"error": reason})
 
     def _reply_unavailable(self, status: int, reason: str) -> None:
         """Reply with an error and the delay after which the caller may retry."""
@@ -239,8 +245,8 @@
     ----------
     frontend : WorkflowFrontend
         Carries out the requests.
-    queue_table : callable
-        Returns the newest configuration, or ``None`` before the first one is read.
+    configuration : ConfigurationSource
+        Gives the queues and tenants by which callers are answered.
     clock : Clock
     row_bytes_max : int
         Largest value of a row in the store, in bytes.
@@ -260,7 +266,7 @@
     def __init__(
         self,
         frontend: WorkflowFrontend,
-        queue_table: Callable[[], Awaitable[QueueTable | None]],
+        configuration: ConfigurationSource,
         clock: Clock,
         row_bytes_max: int,
         metrics: Metrics | None = None,
@@ -268,7 +274,7 @@
         self._metrics = metrics
         self.frontend = frontend
         self.row_bytes_max = row_bytes_max
-        self.queue_table = queue_table
+        self.configuration = configuration
         self.clock = clock
         self.in_flight = 0
         self.closing = False
--- a/basilhold/platform/events.py
+++ b/basilhold/platform/events.py
@@ -12,5 +12,6 @@
 CALLER_REJECTED = Event(
     6104,
     EventLevel.INFO,
-    "queue={queue} call rejected: {reason}; configuration version={version}",
+    "queue={queue} call rejected: {reason}; configuration version={version} "
+    "age_ms={age_ms}",
 )
--- a/basilhold/platform/node.py
+++ b/basilhold/platform/node.py
@@ -192,6 +192,7 @@
             CONFIGURATION_KEY,
             decode_configuration,
         )
+        self._status_pages.metrics.add_source(self._configuration)
         lease_ms = min(settings.bounds.hold_max_ms, LEASE_MAX_MS)
         poll_ms = int(min(LEASE_POLL_MAX_MS, lease_ms / 6))
         retention_ms = settings.bounds.status_s * 1000 * STATUS_RETENTION_FACTOR
@@ -222,7 +223,7 @@
         )
         self._caller_server = CallerServer(
             self.frontend,
-            self._configuration.current,
+            self._configuration,
             self._clock,
             settings.row_bytes_max,
             self._status_pages.metrics,
--- a/basilhold/platform/tests/test_callers.py
+++ b/basilhold/platform/tests/test_callers.py
@@ -10,6 +10,7 @@
 from basilhold.platform.callers import CallerServer
 from basilhold.platform.tests.test_bodies import POLICY
 from basilhold.tenants import Tenant, TenantName, TenantRegistry, digest_key
+from basilhold.workflows.configuration_watch import ConfigurationSource
 from basilhold.workflows.frontend import Existence
 from basilhold.workflows.peers import StoreOutcome
 from basilhold.workflows.progress import WorkflowState
@@ -38,7 +39,7 @@
         await asyncio.sleep(60)
 
 
-class CallerServerTest(unittest.IsolatedAsyncioTestCase):
+class CallerServerTest(unittest.IsolatedAsyncioTestCase, ConfigurationSource):
     """Guards against replies that claim a certain outcome where it is unknown."""
 
     async def asyncSetUp(self):
@@ -46,16 +47,19 @@
         self.table = QueueTable(
             1, (QueueRoute("h", "/q/", POLICY),), 1 << 18, ("desk",)
         )
-        self.callers = CallerServer(self.frontend, self.queue_table, Clock(0), 49_152)
+        self.callers = CallerServer(self.frontend, self, Clock(0), 49_152)
         listening = socket.create_server(("127.0.0.1", 0))
         listening.setblocking(False)
         self.callers.server.add_socket(listening)
         self.addCleanup(self.callers.server.stop)
         self.port = listening.getsockname()[1]
 
-    async def queue_table(self):
+    async def current(self):
         return self.table
 
+    def age_ms(self):
+        return 0.0
+
     async def post(self):
         reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
         self.addCleanup(writer.close)
@@ -113,16 +117,14 @@
 NORTH = Tenant(TenantName("north"))
 
 
-class ApiKeyTest(unittest.IsolatedAsyncioTestCase):
+class ApiKeyTest(unittest.IsolatedAsyncioTestCase, ConfigurationSource):
     """Guards against calls that are served without a key of a tenant."""
 
     async def asyncSetUp(self):
         self.frontend = RecordingFrontend()
         self.table = self.make_table(1, "secret-1")
         self.metrics = Metrics(METRICS)
-        self.callers = CallerServer(
-            self.frontend, self.queue_table, Clock(0), 49_152, self.metrics
-        )
+        self.callers = CallerServer(self.frontend, self, Clock(0), 49_152, self.metrics)
         listening = socket.create_server(("127.0.0.1", 0))
         listening.setblocking(False)
         self.callers.server.add_socket(listening)
@@ -138,9 +140,12 @@
         tenants = TenantRegistry([(tenant, map(digest_key, keys))])
         return QueueTable(version, routes, 1 << 18, ("desk",), tenants)
 
-    async def queue_table(self):
+    async def current(self):
         return self.table
 
+    def age_ms(self):
+        return 0.0
+
     async def call(self, method, path, key=None, body=JOB):
         """Return the status of a call."""
         reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
--- a/basilhold/workflows/configuration_watch.py
+++ b/basilhold/workflows/configuration_watch.py
@@ -7,17 +7,18 @@
 
 import asyncio
 import math
+from abc import ABC, abstractmethod
 from collections.abc import Callable
 
 import msgspec
 
-from basilhold.observability import log_event
+from basilhold.observability import Metrics, MetricSource, log_event, metric
 from basilhold.ports import ChangeFeed, Row, TableService
 from basilhold.workflows import events
 from basilhold.workflows.owner_lease import SuspendAwareClock
 from basilhold.workflows.routes import QueueTable
 
-__all__ = ["ConfigurationWatch"]
+__all__ = ["ConfigurationSource", "ConfigurationWatch"]
 
 POLL_WAIT_MS = 1_200
 """Duration of a long poll. A new version has to be applied within 3 s, also if one
@@ -34,7 +35,23 @@
 answer by then, the configuration cannot be confirmed, and is used as it is."""
 
 
-class ConfigurationWatch:
+LATE_CONFIRMATION_MS = 3_000.0
+"""Age of the configuration from which on its next confirmation is logged."""
+
+
+class ConfigurationSource(ABC):
+    """Gives the version of the configuration by which to answer a caller."""
+
+    @abstractmethod
+    async def current(self) -> QueueTable | None:
+        """Return the version in force, or ``None`` if it is not known."""
+
+    @abstractmethod
+    def age_ms(self) -> float:
+        """Return the time since the version was confirmed, in milliseconds."""
+
+
+class ConfigurationWatch(ConfigurationSource, MetricSource):
     """Reads the configuration document and each of its changes.
 
     Parameters
@@ -73,6 +90,11 @@
         """The newest valid version, or ``None`` before the first one is read."""
         return self._newest
 
+    def collect(self, metrics: Metrics) -> None:
+        """Set the age of the configuration."""
+        age_s = self.age_ms() / 1000
+        metrics.set(metric("basilhold_configuration_age_seconds"), age_s)
+
     def age_ms(self) -> float:
         """Return the time since the last answered poll was sent, in milliseconds."""
         return self._clock.now_ms() - self._polled_ms
@@ -130,8 +152,7 @@
             if result.is_error():
                 await asyncio.sleep(RETRY_DELAY_MS / 1000)
                 continue
-            self._polled_ms = max(self._polled_ms, sent_ms)
-            self._apply_rows(result.ok.rows)
+            self._confirm(sent_ms, result.ok.rows)
             version = result.ok.version if result.ok.complete else -1
 
     async def _read(self) -> int:
@@ -146,14 +167,24 @@
         result = await self._table.scan(self._prefix)
         if result.is_error():
             return -1
-        self._polled_ms = max(self._polled_ms, sent_ms)
-        self._apply_rows(result.ok.rows)
+        self._confirm(sent_ms, result.ok.rows)
         return result.ok.version
 
-    def _apply_rows(self, rows: tuple[Row, ...]) -> None:
+    def _confirm(self, sent_ms: float, rows: tuple[Row, ...]) -> None:
+        """Apply the rows of a reply to a call that was sent at `sent_ms`."""
+        age_ms = self.age_ms()
+        previous = self._newest.version if self._newest else 0
         for row in rows:
             if row.key == self._key:
                 self._apply(row.value)
+        self._polled_ms = max(self._polled_ms, sent_ms)
+        if previous and age_ms > LATE_CONFIRMATION_MS:
+            log_event(
+                events.CONFIGURATION_CONFIRMED,
+                version=self._newest.version,
+                age_ms=round(age_ms),
+                previous=previous,
+            )
 
     def _apply(self, value: bytes) -> None:
         """Apply a document if it is valid and newer than the one in force."""
--- a/basilhold/workflows/events.py
+++ b/basilhold/workflows/events.py
@@ -153,3 +153,9 @@
     EventLevel.WARNING,
     "configuration could not be read after a pause; age_ms={age_ms}",
 )
+CONFIGURATION_CONFIRMED = Event(
+    6106,
+    EventLevel.WARNING,
+    "configuration version={version} confirmed after age_ms={age_ms}; before it "
+    "previous={previous}",
+)
--- a/basilhold/workflows/tests/test_configuration_watch.py
+++ b/basilhold/workflows/tests/test_configuration_watch.py
@@ -6,6 +6,7 @@
 import msgspec
 from expression import Error, Ok
 
+from basilhold.observability import METRICS, Metrics
 from basilhold.ports import (
     Changes,
     Row,
@@ -133,6 +134,22 @@
             await asyncio.sleep(1)
             self.assertEqual((await self.watch.current()).version, 2)
 
+    async def test_late_confirmation_is_logged_with_its_age(self):
+        await self.start()
+        await asyncio.sleep(2)
+        metrics = Metrics(METRICS)
+        metrics.add_source(self.watch)
+        self.store.is_down = True
+        await asyncio.sleep(6)
+        text = metrics.render()[0].decode()
+        self.assertRegex(text, r"(?m)^basilhold_configuration_age_seconds\S* [67]")
+        self.store.put(b'{"version":9}')
+        self.store.is_down = False
+        with self.assertLogs(level="WARNING") as logs:
+            await asyncio.sleep(0.5)
+        line = r"BH6106 configuration version=9 confirmed after age_ms=[78]\d{3};"
+        self.assertRegex(logs.output[0], line + ".* previous=3")
+
     async def test_restarted_process_knows_nothing_of_earlier_versions(self):
         # A key table that outlived its process served withdrawn keys.
         await self.start()
