--- /dev/null
+++ b/basilhold/testing/configuration_runs.py
@@ -0,0 +1,443 @@
+"""Randomised runs of configuration watches behind failing links, on the virtual clock.
+
+Machines follow the configuration directly or through each other, while links to the
+store and between machines fail and versions are confirmed around the end of these
+faults. Each version must be in force on every machine in touch within its bound.
+
+Run ``python -m basilhold.testing.configuration_runs --seeds N --first S`` for more
+seeds.
+"""
+
+import asyncio
+import random
+from collections.abc import Callable, Coroutine
+from enum import Enum
+from typing import Any
+
+import click
+import msgspec
+from expression import Error, Result
+
+from basilhold.core import Clock, ProcessId, RegionName
+from basilhold.ports import (
+    ChangeFeed,
+    StoreError,
+    StoreErrorKind,
+    TableService,
+    Transaction,
+    Write,
+)
+from basilhold.standins.feed_table import FeedTable
+from basilhold.testing.virtual_time import run_virtual
+from basilhold.workflows.configuration_watch import ConfigurationWatch
+from basilhold.workflows.owner_lease import SuspendAwareClock
+from basilhold.workflows.peer_http import STORE_TIMEOUT_MS
+from basilhold.workflows.peers import ChangesCall, Member, PeerClient
+from basilhold.workflows.relayed_table import PROBE_KEY, RelayedTable
+from basilhold.workflows.routes import QueueTable
+
+__all__ = ["BOUNDS", "Bounds", "RunReport", "run_seed"]
+
+PREFIX = "op//"
+KEY = "op//config"
+REGIONS = (RegionName("near"), RegionName("far"))
+DIRECT_TIMEOUT_MS = 1_200
+LATENCY_MS = {REGIONS[0]: 3.0, REGIONS[1]: 63.0}
+"""Round-trip times to the store by region of the machine, in milliseconds."""
+
+SAMPLE_INTERVAL_MS = 50
+POLL_INTERVAL_MS = 350
+"""Interval at which each machine reads the owner records, in milliseconds."""
+
+MACHINES = 12
+LOAD_S = 60.0
+FAULTS_MAX = 6
+VERSION_INTERVAL_S = 1.5
+"""Mean time between versions that are confirmed regardless of faults, in seconds."""
+
+AROUND_FAULT_S = (-0.2, 0.0, 0.3, 0.9, 1.6)
+"""Times of further versions relative to the end of each fault, in seconds."""
+
+
+class Bounds(msgspec.Struct, frozen=True):
+    """Bounds of a deployment, in milliseconds.
+
+    Parameters
+    ----------
+    contact_ms : int
+        Time without faults after which a machine counts as in touch.
+    apply_ms : int
+        Time after its confirmation in which a version must be in force.
+    stretch_ms : int
+        Extension of `apply_ms` while the store rejects some machines.
+    """
+
+    contact_ms: int
+    apply_ms: int
+    stretch_ms: int
+
+
+BOUNDS = (Bounds(4_000, 3_000, 6_000), Bounds(5_000, 4_000, 8_000))
+"""Bounds of the users' small and grown deployments."""
+
+
+class FaultKind(Enum):
+    """Fault of a machine's links.
+
+    `CUT` separates a machine from the store and from all machines, `REFUSED` and
+    `IGNORED` make the store reject or not answer its calls, and `DEAD` kills a machine
+    for the rest of the run while its peers still list it.
+    """
+
+    CUT = "cut"
+    REFUSED = "refused"
+    IGNORED = "ignored"
+    DEAD = "dead"
+
+
+class Fault(msgspec.Struct):
+    """A fault of some machines, in seconds of the loop's clock."""
+
+    kind: FaultKind
+    machines: frozenset[int]
+    begin_s: float
+    end_s: float
+
+    def __str__(self) -> str:
+        machines = ",".join(map(str, sorted(self.machines)))
+        return f"{self.kind.value} {machines} {self.begin_s:.2f}-{self.end_s:.2f} s"
+
+
+class RunReport(msgspec.Struct):
+    """Outcome of a run.
+
+    Parameters
+    ----------
+    violations : list of str
+        Calls that were judged by a version that had to be replaced, or could not be
+        judged at all.
+    faults : list of str
+        What was done, for the report of a failure.
+    judged : int
+        Calls on machines in touch.
+    rejected : int
+        Calls on other machines that were not judged.
+    """
+
+    violations: list[str]
+    faults: list[str]
+    judged: int
+    rejected: int
+
+
+class _Document(msgspec.Struct):
+    version: int
+
+
+def _decode(value: bytes) -> QueueTable:
+    return QueueTable(msgspec.json.decode(value, type=_Document).version, (), 0, ())
+
+
+def _now_ms() -> float:
+    return asyncio.get_running_loop().time() * 1000
+
+
+class _LoopClock(SuspendAwareClock):
+    def now_ms(self) -> float:
+        return _now_ms()
+
+
+class _Link:
+    """Connection of a machine to the store or to a peer.
+
+    Parameters
+    ----------
+    faults : callable
+        Returns the kinds of the faults that concern the link now.
+    """
+
+    def __init__(self, faults: Callable[[], set[FaultKind]]):
+        self._faults = faults
+
+    async def run(
+        self, call: Coroutine[Any, Any, Result], latency_ms: float, timeout_ms: float
+    ) -> Result:
+        """Execute a call, or fail after its timeout if the link loses a packet."""
+        end_ms = _now_ms() + timeout_ms
+        task = asyncio.create_task(call)
+        try:
+            # A long poll whose connection is cut meanwhile gets no reply either.
+            while not task.done():
+                kinds = self._faults()
+                if FaultKind.REFUSED in kinds:
+                    await asyncio.sleep(latency_ms / 1000)
+                    return Error(StoreError(StoreErrorKind.NOT_APPLIED, "refused"))
+                if kinds:
+                    await asyncio.sleep(max(0.0, end_ms - _now_ms()) / 1000)
+                    return Error(StoreError(StoreErrorKind.UNKNOWN, "timed out"))
+                await asyncio.wait([task], timeout=0.02)
+            await asyncio.sleep(latency_ms / 1000)
+            return task.result()
+        finally:
+            task.cancel()
+
+
+class _MachineTable(TableService, ChangeFeed):
+    """The store as one machine reaches it."""
+
+    def __init__(self, table: FeedTable, link: _Link, latency_ms: float):
+        self._table = table
+        self._link = link
+        self._latency_ms = latency_ms
+
+    def _run(self, call, wait_ms: int = 0):
+        return self._link.run(call, self._latency_ms, DIRECT_TIMEOUT_MS + wait_ms)
+
+    async def read(self, keys):
+        """Read rows."""
+        return await self._run(self._table.read(keys))
+
+    async def scan(self, prefix, after="", limit=500):
+        """Scan rows."""
+        return await self._run(self._table.scan(prefix, after, limit))
+
+    async def transact(self, transaction):
+        """Apply a transaction."""
+        return await self._run(self._table.transact(transaction))
+
+    async def changes(self, prefix, after, wait_ms):
+        """Read changes."""
+        return await self._run(self._table.changes(prefix, after, wait_ms), wait_ms)
+
+
+class _MachinePeers(PeerClient):
+    """Peers as one machine reaches them; it relays store calls only."""
+
+    def __init__(self, run: "_Run", number: int):
+        self._run = run
+        self._number = number
+
+    async def store_call(self, endpoint, call):
+        """Let a peer call the store."""
+        peer = int(endpoint)
+        wait_ms = call.wait_ms if isinstance(call, ChangesCall) else 0
+        link = _Link(
+            lambda: {
+                kind
+                for kind in self._run.kinds(self._number) | self._run.kinds(peer)
+                if kind in (FaultKind.CUT, FaultKind.DEAD)
+            }
+        )
+        served = self._run.machines[peer].store.serve(call)
+        return await link.run(
+            served, LATENCY_MS[REGIONS[1]], STORE_TIMEOUT_MS + wait_ms
+        )
+
+    notify_submitted = notify_cancelled = notify_released = None
+    query_ownership = state = queue_length = advise = request_quota = None
+
+
+class _Machine:
+    """A machine that follows the configuration."""
+
+    def __init__(self, run: "_Run", number: int):
+        region = REGIONS[number % len(REGIONS)]
+        table = _MachineTable(
+            run.table, _Link(lambda: run.kinds(number)), LATENCY_MS[region]
+        )
+        others = [Member(ProcessId(str(n)), str(n)) for n in range(MACHINES)]
+        members = [others.pop(number), *others]
+        self.store = RelayedTable(
+            table,
+            table,
+            _MachinePeers(run, number),
+            lambda: members,
+            region,
+            Clock(0),
+            random.Random(run.rng.random()),
+        )
+        self.watch = ConfigurationWatch(
+            self.store, self.store, _LoopClock(), PREFIX, KEY, _decode
+        )
+
+    async def run(self) -> None:
+        """Follow the configuration, and read owner records as a process does."""
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self.watch.run())
+            group.create_task(self._poll())
+
+    async def _poll(self) -> None:
+        while True:
+            await self.store.read((PROBE_KEY,))
+            await asyncio.sleep(POLL_INTERVAL_MS / 1000)
+
+
+class _Run:
+    """One run of a seed."""
+
+    def __init__(self, seed: int, bounds: Bounds):
+        self.rng = random.Random(seed)
+        self.table = FeedTable()
+        self.machines: list[_Machine] = []
+        self._bounds = bounds
+        self._faults = self._draw_faults()
+        self._confirmed: list[tuple[float, int]] = []
+        self._report = RunReport([], [str(fault) for fault in self._faults], 0, 0)
+
+    def kinds(self, number: int) -> set[FaultKind]:
+        """Return the kinds of the faults that concern a machine now."""
+        now_s = _now_ms() / 1000
+        return {
+            fault.kind
+            for fault in self._faults
+            if number in fault.machines and fault.begin_s <= now_s < fault.end_s
+        }
+
+    async def run(self) -> RunReport:
+        """Run the load and the faults; return what was seen."""
+        self._confirm(1)
+        self.machines = [_Machine(self, number) for number in range(MACHINES)]
+        background = [asyncio.create_task(m.run()) for m in self.machines]
+        background.append(asyncio.create_task(self._write()))
+        try:
+            async with asyncio.TaskGroup() as group:
+                for number in range(MACHINES):
+                    group.create_task(self._sample(number))
+        finally:
+            for task in background:
+                task.cancel()
+            await asyncio.gather(*background, return_exceptions=True)
+            for machine in self.machines:
+                await machine.store.close()
+        return self._report
+
+    def _draw_faults(self) -> list[Fault]:
+        rng = self.rng
+        faults = []
+        for _ in range(rng.randint(1, FAULTS_MAX)):
+            kind = rng.choice(tuple(FaultKind))
+            count = max(1, round(MACHINES * rng.choice((0.1, 0.35, 0.6))))
+            begin_s = rng.uniform(3.0, LOAD_S - 12.0)
+            end_s = begin_s + rng.choice((0.5, 2.0, 4.0, 6.0, 9.0)) + rng.random()
+            machines = frozenset(rng.sample(range(MACHINES), count))
+            if kind is FaultKind.DEAD:
+                end_s = LOAD_S + 1.0
+            faults.append(Fault(kind, machines, begin_s, end_s))
+        return faults
+
+    def _draw_version_times(self) -> list[float]:
+        times = []
+        at_s = 2.0
+        while at_s < LOAD_S:
+            times.append(at_s)
+            at_s += self.rng.expovariate(1 / VERSION_INTERVAL_S)
+        for fault in self._faults:
+            times.extend(fault.end_s + offset_s for offset_s in AROUND_FAULT_S)
+        return sorted(time for time in times if time < LOAD_S)
+
+    async def _write(self) -> None:
+        version = 1
+        for at_s in self._draw_version_times():
+            await asyncio.sleep(max(0.0, at_s - _now_ms() / 1000))
+            version += self.rng.randint(1, 3)
+            self._confirm(version)
+
+    def _confirm(self, version: int) -> None:
+        value = msgspec.json.encode(_Document(version))
+        self.table.transact_now(Transaction((), (Write(KEY, value),)))
+        self._confirmed.append((_now_ms(), version))
+
+    async def _sample(self, number: int) -> None:
+        """Call a machine repeatedly."""
+        newest = 0
+        await asyncio.sleep(2.0)
+        while _now_ms() < LOAD_S * 1000:
+            sent_ms = _now_ms()
+            table = await self.machines[number].watch.current()
+            version = table.version if table is not None else None
+            self._judge(number, sent_ms, version, newest)
+            newest = max(newest, version or 0)
+            await asyncio.sleep(SAMPLE_INTERVAL_MS / 1000)
+
+    def _judge(
+        self, number: int, sent_ms: float, version: int | None, newest: int
+    ) -> None:
+        if version is not None and version < newest:
+            self._fail(number, sent_ms, f"version {version} after {newest}")
+        is_stable = not self._disturbed(sent_ms, range(MACHINES), _REJECTIONS)
+        if self._disturbed(sent_ms, (number,), _SEPARATIONS):
+            self._report.rejected += version is None
+            return
+        if version is None:
+            if is_stable:
+                self._fail(number, sent_ms, "no version on a machine in touch")
+            return
+        self._report.judged += 1
+        bound_ms = self._bounds.apply_ms
+        if not is_stable:
+            bound_ms += self._bounds.stretch_ms
+        required = self._newest_confirmed(sent_ms - bound_ms)
+        if version < required:
+            self._fail(number, sent_ms, f"version {version} in place of {required}")
+
+    def _disturbed(self, at_ms, machines, kinds) -> bool:
+        """Return whether a fault lies within the contact time before a moment."""
+        begin_s, end_s = (at_ms - self._bounds.contact_ms) / 1000, at_ms / 1000
+        return any(
+            fault.kind in kinds
+            and not fault.machines.isdisjoint(machines)
+            and fault.begin_s <= end_s
+            and fault.end_s >= begin_s
+            for fault in self._faults
+        )
+
+    def _newest_confirmed(self, until_ms: float) -> int:
+        return max(
+            (version for at_ms, version in self._confirmed if at_ms < until_ms),
+            default=0,
+        )
+
+    def _fail(self, number: int, sent_ms: float, reason: str) -> None:
+        self._report.violations.append(
+            f"machine {number} at {sent_ms / 1000:.2f} s: {reason}"
+        )
+
+
+_SEPARATIONS = (FaultKind.CUT, FaultKind.DEAD)
+_REJECTIONS = (FaultKind.REFUSED, FaultKind.IGNORED)
+
+
+def run_seed(seed: int, bounds: Bounds | None = None) -> RunReport:
+    """Run one seed on a new loop with a virtual clock.
+
+    Parameters
+    ----------
+    seed : int
+    bounds : Bounds, optional
+        Chosen by the seed from `BOUNDS` if not given.
+    """
+    return run_virtual(_Run(seed, bounds or BOUNDS[seed % len(BOUNDS)]).run())
+
+
+@click.command()
+@click.option("--seeds", default=20, help="Number of seeds.")
+@click.option("--first", default=0, help="First seed.")
+def main(seeds: int, first: int) -> None:
+    """Run seeds and report those that break a bound."""
+    failed = 0
+    for seed in range(first, first + seeds):
+        report = run_seed(seed)
+        failed += bool(report.violations)
+        click.echo(
+            f"seed {seed}: {report.judged} judged, {report.rejected} rejected, "
+            f"{len(report.violations)} violations"
+        )
+        for line in report.violations[:3]:
+            click.echo(f"  {line}")
+        if report.violations:
+            click.echo("  " + "; ".join(report.faults))
+    click.echo(f"{seeds - failed} passed, {failed} failed")
+
+
+if __name__ == "__main__":
+    main()
