End a relayed read as soon as the store replies directly

What callers saw: a machine answered by a version of the configuration that had been replaced longer ago than the bound, just after a cut had ended.

Cause: a read that began while the store was unreachable tried two peers, the store and two peers again, one after the other, each with its own timeout. Peers that are cut off or dead made the machine wait for seconds after the store could be reached again, and all reads share that path: the poll of the configuration, of owner records and of registrations.

Transactions are not abandoned: a second copy would conflict with the first.

--- a/basilhold/workflows/relayed_table.py
+++ b/basilhold/workflows/relayed_table.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import contextlib
 import random
 from collections.abc import Awaitable, Callable
 from typing import Any
@@ -111,7 +112,8 @@
         self._rng = rng
         self._tasks = BackgroundTasks()
         self._last_reply_ms = -1e9
-        self._unreachable_since_ms: float | None = None
+        self._reachable = asyncio.Event()
+        self._reachable.set()
         self._relay_paused_until_ms = -1e9
         self._relay_endpoint = ""
         self._skip_until_ms: dict[str, float] = {}
@@ -163,12 +165,42 @@
         return await self._direct(call)
 
     async def _run(self, call: StoreCall) -> Result[Any, StoreError]:
-        if self._unreachable_since_ms is not None:
+        if isinstance(call, TransactCall):
+            return await self._transact(call)
+        if self._reachable.is_set():
+            result = await self._direct(call)
+            if not _has_no_reply(result):
+                return result
+            self._mark_unreachable(result.error.reason)
+        return await self._relay_until_reachable(call)
+
+    async def _relay_until_reachable(self, call: StoreCall) -> Result[Any, StoreError]:
+        """Relay a read, or send it directly as soon as the store replies again.
+
+        A relayed call may wait long for a peer that is cut off or dead. Meanwhile
+        `_probe` calls the store, so that such peers delay a read only as long as the
+        store cannot be reached.
+        """
+        relaying = asyncio.create_task(self._relay(call))
+        probing = asyncio.create_task(self._reachable.wait())
+        try:
+            await asyncio.wait((relaying, probing), return_when=asyncio.FIRST_COMPLETED)
+            if relaying.done() and _is_final(call, relaying.result()):
+                return relaying.result()
+            if probing.done():
+                return await self._direct(call)
+            return relaying.result()
+        finally:
+            relaying.cancel()
+            probing.cancel()
+
+    async def _transact(self, call: TransactCall) -> Result[Any, StoreError]:
+        if not self._reachable.is_set():
             relayed = await self._relay(call)
             if _is_final(call, relayed):
                 return relayed
         result = await self._direct(call)
-        if result.is_ok() or result.error.kind not in _NO_REPLY_KINDS:
+        if not _has_no_reply(result):
             return result
         self._mark_unreachable(result.error.reason)
         if _is_final(call, result):
@@ -178,16 +210,12 @@
         relayed = await self._relay(call)
         return relayed if _is_final(call, relayed) else result
 
-    def _direct(self, call: StoreCall) -> Awaitable[Result[Any, StoreError]]:
-        return self._record_reply(call, _call_store(self._table, self._feed, call))
-
-    async def _record_reply(
-        self, call: StoreCall, reply: Awaitable[Result[Any, StoreError]]
-    ) -> Result:
+    async def _direct(self, call: StoreCall) -> Result[Any, StoreError]:
         begin_ms = self._clock.monotonic_ms()
-        result = await reply
-        if result.is_ok() or result.error.kind not in _NO_REPLY_KINDS:
+        result = await _call_store(self._table, self._feed, call)
+        if not _has_no_reply(result):
             self._last_reply_ms = self._clock.monotonic_ms()
+            self._mark_reachable()
             if not (isinstance(call, ChangesCall) and call.wait_ms):
                 self._record_latency(self._last_reply_ms - begin_ms)
         return result
@@ -199,23 +227,32 @@
         self._typical_latency_ms += weight * (latency_ms - self._typical_latency_ms)
 
     def _mark_unreachable(self, reason: str) -> None:
-        if self._unreachable_since_ms is None:
-            self._unreachable_since_ms = self._clock.monotonic_ms()
+        if self._reachable.is_set():
+            self._reachable.clear()
             self._tasks.start(self._probe(reason))
 
+    def _mark_reachable(self) -> None:
+        if not self._reachable.is_set():
+            self._reachable.set()
+            self._relay_endpoint = ""
+
     async def _probe(self, reason: str) -> None:
-        """Call the store directly until it replies."""
+        """Call the store directly until it replies.
+
+        A probe does not wait for the previous one, which may have been lost.
+        """
         begin_ms = self._clock.monotonic_ms()
         logged = False
-        while (await self._direct(ReadCall((PROBE_KEY,)))).is_error():
+        while not self._reachable.is_set():
+            self._tasks.start(self._direct(ReadCall((PROBE_KEY,))))
             if self._relay_endpoint and not logged:
                 log_event(
                     events.STORE_RELAYED, peer=self._relay_endpoint, reason=reason
                 )
                 logged = True
-            await asyncio.sleep(PROBE_INTERVAL_MS / 1000)
-        self._unreachable_since_ms = None
-        self._relay_endpoint = ""
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(PROBE_INTERVAL_MS / 1000):
+                    await self._reachable.wait()
         if logged:
             after_ms = round(self._clock.monotonic_ms() - begin_ms)
             log_event(events.STORE_DIRECT, after_ms=after_ms)
@@ -228,9 +265,7 @@
             begin_ms = self._clock.monotonic_ms()
             result = await self._peers.store_call(endpoint, call)
             if _is_final(call, result):
-                self._relay_endpoint = (
-                    endpoint if self._unreachable_since_ms is not None else ""
-                )
+                self._relay_endpoint = "" if self._reachable.is_set() else endpoint
                 return result
             now_ms = self._clock.monotonic_ms()
             if now_ms - begin_ms > SLOW_PEER_MS:
@@ -275,6 +310,10 @@
     return table.transact(call.transaction)
 
 
+def _has_no_reply(result: Result[Any, StoreError]) -> bool:
+    return result.is_error() and result.error.kind in _NO_REPLY_KINDS
+
+
 def _is_final(call: StoreCall, result: Result[Any, StoreError]) -> bool:
     """Return whether a result is final, so that no other path should be tried."""
     if result.is_ok():
--- a/basilhold/workflows/tests/test_relayed_table.py
+++ b/basilhold/workflows/tests/test_relayed_table.py
@@ -22,7 +22,11 @@
 from basilhold.standins.feed_table import FeedTable
 from basilhold.testing import VirtualTimeTestCase
 from basilhold.testing.workflow_cell import SERVICE, WorkflowCell
-from basilhold.workflows.peer_http import HttpPeerClient, make_peer_server
+from basilhold.workflows.peer_http import (
+    STORE_TIMEOUT_MS,
+    HttpPeerClient,
+    make_peer_server,
+)
 from basilhold.workflows.peers import (
     ChangesCall,
     Member,
@@ -77,12 +81,45 @@
     query_ownership = state = queue_length = advise = request_quota = None
 
 
+class SilentTable(FeedTable):
+    """Store that does not reply to calls that begin before the time `heals_s`."""
+
+    def __init__(self, heals_s):
+        super().__init__()
+        self.heals_s = heals_s
+
+    async def _run(self, operation):
+        if asyncio.get_running_loop().time() < self.heals_s:
+            await asyncio.sleep(1.2)
+            return Error(StoreError(StoreErrorKind.UNKNOWN, "timed out"))
+        return operation()
+
+    async def changes(self, prefix, after, wait_ms):
+        if asyncio.get_running_loop().time() < self.heals_s:
+            await asyncio.sleep(wait_ms / 1000)
+        return await self._run(lambda: self.changes_now(prefix, after))
+
+
+class SilentPeerClient(FakePeerClient):
+    """Client of peers that never reply."""
+
+    async def store_call(self, endpoint, call):
+        wait_ms = call.wait_ms if isinstance(call, ChangesCall) else 0
+        await asyncio.sleep((STORE_TIMEOUT_MS + wait_ms) / 1000)
+        return Error(StoreError(StoreErrorKind.UNKNOWN, "peer did not reply"))
+
+
+IN_TOUCH_AFTER_S = 4.0
+IN_FORCE_AFTER_S = 3.0
+"""A machine is in touch 4 s after a cut; what was confirmed 3 s earlier is in force."""
+
+
 class RelayedTableTest(VirtualTimeTestCase):
     """Guards against an owner that stops because its machine cannot reach the store."""
 
-    def make(self, peer_table):
-        self.direct = FailingTable()
-        self.peers = FakePeerClient(peer_table)
+    def make(self, peer_table, direct=None, peers=None):
+        self.direct = direct or FailingTable()
+        self.peers = peers or FakePeerClient(peer_table)
         members = [Member(ProcessId(n), n, RegionName("r")) for n in ("me", "x", "y")]
         return RelayedTable(
             self.direct,
@@ -105,6 +142,23 @@
         await asyncio.sleep(0.5)
         self.assertEqual((await table.read(("k",))).ok, {})
 
+    async def test_poll_that_began_during_a_cut_does_not_delay_the_next_one(self):
+        for tenths in range(30, 120, 3):
+            with self.subTest(heals_after_s=tenths / 10):
+                loop = asyncio.get_running_loop()
+                heals_s = loop.time() + tenths / 10
+                table = self.make(None, SilentTable(heals_s), SilentPeerClient(None))
+                confirmed_s = heals_s + IN_TOUCH_AFTER_S - IN_FORCE_AFTER_S
+                sent_s = 0.0
+                while sent_s < confirmed_s:
+                    sent_s = loop.time()
+                    result = await table.changes("op//", 0, 1_200)
+                    if result.is_error():
+                        sent_s = 0.0
+                    await asyncio.sleep(0.2)
+                self.assertLess(loop.time(), heals_s + IN_TOUCH_AFTER_S)
+                await table.close()
+
     async def test_transaction_without_a_reply_is_not_sent_twice(self):
         # Only the caller can decide whether to repeat it: a second copy conflicts with
         # the effect of the first, which looks like a write by another owner.
