Answer callers only by a configuration that was confirmed recently

What callers saw: a machine that heard nothing, or whose read after a pause had failed, went on to answer 200, 401 and 404 by the version that it had, however old its confirmation was. So no bound followed from the code.

Now a version is used for the time in which a new one has to be in force, less 250 ms, counted on the clock that runs on during a pause from the moment at which the last answered read was sent. After that callers get 503 with Retry-After, which is true: nothing was run. The document is also read besides the long poll when that is late, or when a caller waits after a pause; once a read has failed, callers are rejected at once. A machine that rejects all callers is not ready. Events 6105 and 6106 mark begin and end.

Two tests of the watch asserted that the old version is used when the store does not answer after a pause; they now assert that it is not, within the same time.

--- a/basilhold/platform/callers.py
+++ b/basilhold/platform/callers.py
@@ -54,7 +54,7 @@
             self.set_header("Connection", "close")
         table = await self._server.configuration.current()
         if table is None:
-            self._reply_unavailable(503, "no configuration yet")
+            self._reply_unavailable(503, "the configuration is not confirmed")
             return
         self._queue_route = table.find(self.request.host, self.request.path)
         if self._queue_route is None:
--- a/basilhold/platform/node.py
+++ b/basilhold/platform/node.py
@@ -66,6 +66,10 @@
 CONFIGURATION_PREFIX = "op//"
 CONFIGURATION_KEY = "op//config"
 CONFIGURATION_RETRY_MS = 200
+CONFIGURATION_MARGIN_MS = 250.0
+"""Part of the time in which a version must be in force that is left for the way of a
+call from the caller to this process."""
+
 LEASE_POLL_MAX_MS = 1_000
 """Longest long poll of a worker, which renews its lease. It is also limited to a sixth
 of the lease, so that several renewals may fail before the lease expires."""
@@ -191,6 +195,7 @@
             CONFIGURATION_PREFIX,
             CONFIGURATION_KEY,
             decode_configuration,
+            settings.bounds.config_apply_ms - CONFIGURATION_MARGIN_MS,
         )
         self._status_pages.metrics.add_source(self._configuration)
         lease_ms = min(settings.bounds.hold_max_ms, LEASE_MAX_MS)
@@ -324,7 +329,7 @@
 
     def _is_ready(self) -> bool:
         """Return whether the process can serve callers."""
-        if self._draining or self._configuration.newest is None:
+        if self._draining or not self._configuration.is_confirmed():
             return False
         silence_ms = (
             self._clock.monotonic_ms() - self.ownership_manager.last_store_reply_ms
--- a/basilhold/platform/settings.py
+++ b/basilhold/platform/settings.py
@@ -31,6 +31,8 @@
         Longest time that a worker takes to stop a run.
     grace_s : float
         Time between SIGTERM and SIGKILL.
+    config_apply_ms : float
+        Time after its confirmation in which a configuration must be in force.
     status_s : float
         Time after its end for which the state of a job can be queried.
     harm_ms : float
@@ -40,6 +42,7 @@
     hold_max_ms: float = 6_000
     stop_ms: float = 400
     grace_s: float = 6.0
+    config_apply_ms: float = 3_000
     status_s: float = 120.0
     harm_ms: float = 4_000
 
--- a/basilhold/testing/configuration_runs.py
+++ b/basilhold/testing/configuration_runs.py
@@ -36,7 +36,7 @@
 from basilhold.workflows.relayed_table import PROBE_KEY, RelayedTable
 from basilhold.workflows.routes import QueueTable
 
-__all__ = ["BOUNDS", "Bounds", "RunReport", "run_seed"]
+__all__ = ["BOUNDS", "MARGIN_MS", "Bounds", "RunReport", "run_seed"]
 
 PREFIX = "op//"
 KEY = "op//config"
@@ -49,6 +49,9 @@
 POLL_INTERVAL_MS = 350
 """Interval at which each machine reads the owner records, in milliseconds."""
 
+MARGIN_MS = 250.0
+"""Part of the bound for which the configuration is not used, in milliseconds."""
+
 MACHINES = 12
 LOAD_S = 60.0
 FAULTS_MAX = 6
@@ -257,7 +260,7 @@
             random.Random(run.rng.random()),
         )
         self.watch = ConfigurationWatch(
-            self.store, self.store, _LoopClock(), PREFIX, KEY, _decode
+            self.store, self.store, _LoopClock(), PREFIX, KEY, _decode, run.usable_ms
         )
 
     async def run(self) -> None:
@@ -280,6 +283,7 @@
         self.table = FeedTable()
         self.machines: list[_Machine] = []
         self._bounds = bounds
+        self.usable_ms = bounds.apply_ms - MARGIN_MS
         self._faults = self._draw_faults()
         self._confirmed: list[tuple[float, int]] = []
         self._report = RunReport([], [str(fault) for fault in self._faults], 0, 0)
--- a/basilhold/workflows/configuration_watch.py
+++ b/basilhold/workflows/configuration_watch.py
@@ -2,11 +2,13 @@
 
 A version that was applied is never replaced by an older one. Each reply of the store
 reflects the store's state after the request was sent, whichever peer relayed it, so the
-time of the last answered request bounds the age of the configuration in force.
+time of the last answered request bounds the age of the configuration in force. Callers
+are answered by it only while that age is within a bound: a process that hears nothing
+cannot know whether a key has been withdrawn.
 """
 
 import asyncio
-import math
+import contextlib
 from abc import ABC, abstractmethod
 from collections.abc import Callable
 
@@ -15,28 +17,23 @@
 from basilhold.observability import Metrics, MetricSource, log_event, metric
 from basilhold.ports import ChangeFeed, Row, TableService
 from basilhold.workflows import events
+from basilhold.workflows.background_tasks import BackgroundTasks
 from basilhold.workflows.owner_lease import SuspendAwareClock
 from basilhold.workflows.routes import QueueTable
 
 __all__ = ["ConfigurationSource", "ConfigurationWatch"]
 
-POLL_WAIT_MS = 1_200
-"""Duration of a long poll. A new version has to be applied within 3 s, also if one
-connection has stopped responding."""
+POLL_WAIT_RATIO = 0.3
+LATE_RATIO = 0.7
+"""Duration of a long poll, and the age from which on the document is read besides it,
+relative to the time for which the configuration is used. While nothing changes, the age
+reaches the duration of two polls and a round trip."""
 
 RETRY_DELAY_MS = 200
+CHECK_INTERVAL_MS = 250
 
-TICK_INTERVAL_MS = 250
-PAUSE_MIN_MS = 1_500.0
-"""Delay of a periodic tick from which on the process counts as having been paused."""
-
-CATCH_UP_MAX_MS = 1_000.0
-"""How long a request waits for the first poll after a pause. If the store does not
-answer by then, the configuration cannot be confirmed, and is used as it is."""
-
-
-LATE_CONFIRMATION_MS = 3_000.0
-"""Age of the configuration from which on its next confirmation is logged."""
+READ_WAIT_MAX_MS = 1_000.0
+"""How long a caller waits for the configuration to be confirmed."""
 
 
 class ConfigurationSource(ABC):
@@ -59,10 +56,14 @@
     table : TableService
     feed : ChangeFeed
     clock : SuspendAwareClock
+        Measures the age of the configuration.
     prefix, key : str
         Prefix of the rows to watch, and key of the row that holds the document.
     decode : callable
         Decodes the document; raises `msgspec.DecodeError` if it is invalid.
+    usable_ms : float
+        Time since its last confirmation for which the configuration is used, in
+        milliseconds.
     """
 
     def __init__(
@@ -73,6 +74,7 @@
         prefix: str,
         key: str,
         decode: Callable[[bytes], QueueTable],
+        usable_ms: float,
     ):
         self._table = table
         self._feed = feed
@@ -80,10 +82,13 @@
         self._prefix = prefix
         self._key = key
         self._decode = decode
+        self._usable_ms = usable_ms
         self._newest: QueueTable | None = None
-        self._polled_ms = -1e9
-        self._ticked_ms = math.inf
-        self._caught_up = asyncio.Event()
+        self._confirmed_ms = -1e9
+        self._reading: asyncio.Task[int] | None = None
+        self._read_failed = False
+        self._rejecting = False
+        self._tasks = BackgroundTasks()
 
     @property
     def newest(self) -> QueueTable | None:
@@ -97,50 +102,58 @@
 
     def age_ms(self) -> float:
         """Return the time since the last answered poll was sent, in milliseconds."""
-        return self._clock.now_ms() - self._polled_ms
+        return self._clock.now_ms() - self._confirmed_ms
+
+    def is_confirmed(self) -> bool:
+        """Return whether callers may be answered by the newest version."""
+        return self.age_ms() <= self._usable_ms
 
     async def current(self) -> QueueTable | None:
-        """Return the newest version; after a pause, read it again first.
+        """Return the version in force, or ``None`` if it cannot be confirmed.
 
-        While the process was paused, a version with fewer keys or routes may have come
-        into force.
+        A caller waits for a read after a pause of the process, but not during an outage
+        in which reads have failed already.
         """
-        self._check_pause()
-        if self._newest is not None and not self._caught_up.is_set():
-            try:
-                async with asyncio.timeout(CATCH_UP_MAX_MS / 1000):
-                    await self._caught_up.wait()
-            except TimeoutError:
-                log_event(events.CONFIGURATION_UNCONFIRMED, age_ms=round(self.age_ms()))
-        return self._newest
-
-    def _check_pause(self) -> bool:
-        """Return whether the process was paused since the last tick."""
-        paused = self._clock.now_ms() - self._ticked_ms > PAUSE_MIN_MS
-        if paused:
-            self._caught_up.clear()
-        return paused
+        if self._newest is None or self.is_confirmed():
+            return self._newest
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(READ_WAIT_MAX_MS / 1000):
+                while not (self.is_confirmed() or self._read_failed):
+                    await asyncio.wait({self._start_read()})
+        if self.is_confirmed():
+            return self._newest
+        if not self._rejecting:
+            self._rejecting = True
+            log_event(events.CONFIGURATION_UNCONFIRMED, age_ms=round(self.age_ms()))
+        return None
 
     async def run(self) -> None:
         """Apply each new version until cancelled."""
-        self._caught_up.set()
-        async with asyncio.TaskGroup() as group:
-            group.create_task(self._poll_loop())
-            group.create_task(self._tick_loop())
-
-    async def _tick_loop(self) -> None:
-        """Read the document after each pause; the pending poll may be an old one."""
+        try:
+            async with asyncio.TaskGroup() as group:
+                group.create_task(self._poll_loop())
+                group.create_task(self._check_loop())
+        finally:
+            await self._tasks.cancel()
+
+    async def _check_loop(self) -> None:
+        """Read the document whenever the poll is late, or the process was paused."""
+        late_ms = LATE_RATIO * self._usable_ms
         while True:
-            paused = self._check_pause()
-            self._ticked_ms = self._clock.now_ms()
-            if paused:
-                await self._read()
-                self._caught_up.set()
-            await asyncio.sleep(TICK_INTERVAL_MS / 1000)
+            if self._newest is not None and self.age_ms() > late_ms:
+                self._start_read()
+            await asyncio.sleep(CHECK_INTERVAL_MS / 1000)
+
+    def _start_read(self) -> asyncio.Task[int]:
+        """Return the read in progress; start one if there is none."""
+        if self._reading is None or self._reading.done():
+            self._reading = self._tasks.start(self._read())
+        return self._reading
 
     async def _poll_loop(self) -> None:
         """Poll for changes; read the document again if history was dropped."""
         version = -1
+        wait_ms = round(POLL_WAIT_RATIO * self._usable_ms)
         while True:
             if version < 0:
                 version = await self._read()
@@ -148,7 +161,7 @@
                     await asyncio.sleep(RETRY_DELAY_MS / 1000)
                 continue
             sent_ms = self._clock.now_ms()
-            result = await self._feed.changes(self._prefix, version, POLL_WAIT_MS)
+            result = await self._feed.changes(self._prefix, version, wait_ms)
             if result.is_error():
                 await asyncio.sleep(RETRY_DELAY_MS / 1000)
                 continue
@@ -166,6 +179,7 @@
         sent_ms = self._clock.now_ms()
         result = await self._table.scan(self._prefix)
         if result.is_error():
+            self._read_failed = True
             return -1
         self._confirm(sent_ms, result.ok.rows)
         return result.ok.version
@@ -177,8 +191,10 @@
         for row in rows:
             if row.key == self._key:
                 self._apply(row.value)
-        self._polled_ms = max(self._polled_ms, sent_ms)
-        if previous and age_ms > LATE_CONFIRMATION_MS:
+        self._confirmed_ms = max(self._confirmed_ms, sent_ms)
+        self._read_failed = False
+        self._rejecting = False
+        if previous and age_ms > self._usable_ms:
             log_event(
                 events.CONFIGURATION_CONFIRMED,
                 version=self._newest.version,
--- a/basilhold/workflows/events.py
+++ b/basilhold/workflows/events.py
@@ -151,7 +151,7 @@
 CONFIGURATION_UNCONFIRMED = Event(
     6105,
     EventLevel.WARNING,
-    "configuration could not be read after a pause; age_ms={age_ms}",
+    "callers are rejected until the configuration is confirmed; age_ms={age_ms}",
 )
 CONFIGURATION_CONFIRMED = Event(
     6106,
--- a/basilhold/workflows/tests/test_configuration_bounds.py
+++ b/basilhold/workflows/tests/test_configuration_bounds.py
@@ -4,7 +4,7 @@
 import unittest
 
 from basilhold.testing import VirtualTimeTestCase
-from basilhold.testing.configuration_runs import BOUNDS, run_seed
+from basilhold.testing.configuration_runs import BOUNDS, MARGIN_MS, run_seed
 from basilhold.workflows.configuration_watch import ConfigurationWatch
 from basilhold.workflows.tests.test_configuration_watch import (
     PausedClock,
@@ -36,7 +36,13 @@
             store, clock = StubStore(), PausedClock()
             store.put(b'{"version":3}')
             watch = ConfigurationWatch(
-                store, store, clock, "op//", "op//config", decode
+                store,
+                store,
+                clock,
+                "op//",
+                "op//config",
+                decode,
+                bounds.apply_ms - MARGIN_MS,
             )
             task = asyncio.create_task(watch.run())
             await asyncio.sleep(2)
--- a/basilhold/workflows/tests/test_configuration_watch.py
+++ b/basilhold/workflows/tests/test_configuration_watch.py
@@ -22,6 +22,8 @@
 from basilhold.workflows.owner_lease import SuspendAwareClock
 from basilhold.workflows.routes import QueueTable
 
+USABLE_MS = 2_750.0
+
 
 class Document(msgspec.Struct):
     version: int
@@ -80,7 +82,7 @@
         self.store, self.clock = StubStore(), PausedClock()
         self.store.put(b'{"version":3}')
         self.watch = ConfigurationWatch(
-            self.store, self.store, self.clock, "op//", "op//config", decode
+            self.store, self.store, self.clock, "op//", "op//config", decode, USABLE_MS
         )
         self.task = asyncio.create_task(self.watch.run())
 
@@ -114,7 +116,13 @@
     async def test_older_version_and_damaged_document_are_ignored(self):
         await self.start()
         await asyncio.sleep(1)
-        for value in (b'{"version":2}', b"", b'{"version":"x"}', b"\xff"):
+        for value in (
+            b'{"version":2}',
+            b"",
+            b'{"version":"x"}',
+            b"\xff",
+            b"[" * 100_000,
+        ):
             self.store.put(value)
             await asyncio.sleep(1)
         self.assertEqual((await self.watch.current()).version, 3)
@@ -157,7 +165,7 @@
         self.task.cancel()
         self.store.is_down = True
         watch = ConfigurationWatch(
-            self.store, self.store, self.clock, "op//", "op//config", decode
+            self.store, self.store, self.clock, "op//", "op//config", decode, USABLE_MS
         )
         self.task = asyncio.create_task(watch.run())
         await asyncio.sleep(3)
@@ -178,7 +186,7 @@
         self.store.is_down = True
         self.clock.suspended_ms += 10_000
         begin_s = asyncio.get_running_loop().time()
-        self.assertEqual((await self.watch.current()).version, 3)
+        self.assertIsNone(await self.watch.current())
         self.assertLess(asyncio.get_running_loop().time() - begin_s, 1.1)
 
     async def test_calls_do_not_wait_during_an_outage_of_the_store(self):
@@ -187,7 +195,7 @@
         self.store.is_down = True
         await asyncio.sleep(10)
         begin_s = asyncio.get_running_loop().time()
-        await self.watch.current()
+        self.assertIsNone(await self.watch.current())
         self.assertEqual(asyncio.get_running_loop().time(), begin_s)
 
     async def test_machine_that_the_store_refuses_learns_of_versions_from_peers(self):
@@ -197,7 +205,13 @@
             await asyncio.sleep(2)
             process = cell.processes["p1"]
             watch = ConfigurationWatch(
-                process.store, process.store, LoopClock(), "op//", "op//config", decode
+                process.store,
+                process.store,
+                LoopClock(),
+                "op//",
+                "op//config",
+                decode,
+                USABLE_MS,
             )
             self.task = asyncio.create_task(watch.run())
             await asyncio.sleep(1)
