Ignore registrations that are nested too deeply or hold too large numbers

It could happen here. msgspec raises RecursionError, not DecodeError, for deeply nested JSON, also within fields that the type does not have, and decodes integers of any length, which later overflow in arithmetic with floats. One such registration made each read of the list raise, so that the owner of a service ended, and each of its successors. Bodies of callers, calls of peers, rows and replies were decoded in the same way.

JsonDecoder and decode_json raise DecodeError for all that cannot be read; numbers of registrations, lists of runs, jobs and quotas have bounds, and rows of these lists have types. Ports out of range were ignored already.

--- a/basilhold/adapters/objects.py
+++ b/basilhold/adapters/objects.py
@@ -2,12 +2,12 @@
 
 from urllib.parse import quote
 
-import msgspec
 from expression import Result
 
 from basilhold.adapters.http import HttpAddress, HttpCall, HttpPool, HttpReply
 from basilhold.adapters.store import run_store_call
 from basilhold.adapters.wire import AbsentReply
+from basilhold.core import decode_json
 from basilhold.ports import ObjectStore, StoreError
 
 __all__ = ["HttpObjectStore"]
@@ -20,7 +20,7 @@
     """
     if reply.status == 200:
         return reply.body
-    msgspec.json.decode(reply.body, type=AbsentReply)
+    decode_json(reply.body, AbsentReply)
     return None
 
 
--- a/basilhold/adapters/store.py
+++ b/basilhold/adapters/store.py
@@ -7,6 +7,7 @@
 from expression import Error, Ok, Result
 
 from basilhold.adapters.http import HttpCall, HttpFailure, HttpPool, HttpReply
+from basilhold.core import decode_json
 from basilhold.ports import StoreError, StoreErrorKind
 
 __all__ = ["STATUS_BY_KIND", "run_store_call"]
@@ -62,7 +63,7 @@
     answer 503 after it has forwarded the request, so that outcome is unknown.
     """
     try:
-        error = msgspec.json.decode(reply.body, type=StoreError)
+        error = decode_json(reply.body, StoreError)
     except msgspec.DecodeError:
         error = None
     if error is None or STATUS_BY_KIND.get(error.kind) != reply.status:
--- a/basilhold/adapters/table.py
+++ b/basilhold/adapters/table.py
@@ -6,22 +6,23 @@
 from basilhold.adapters.http import HttpAddress, HttpCall, HttpPool, HttpReply
 from basilhold.adapters.store import run_store_call
 from basilhold.adapters.wire import ReadBody, ReadReply, ScanBody, TransactReply
+from basilhold.core import decode_json
 from basilhold.ports import Row, ScanPage, StoreError, TableService, Transaction
 
 __all__ = ["HttpTable"]
 
 
 def _decode_read(reply: HttpReply) -> dict[str, Row]:
-    rows = msgspec.json.decode(reply.body, type=ReadReply).rows
+    rows = decode_json(reply.body, ReadReply).rows
     return {row.key: row for row in rows}
 
 
 def _decode_scan(reply: HttpReply) -> ScanPage:
-    return msgspec.json.decode(reply.body, type=ScanPage)
+    return decode_json(reply.body, ScanPage)
 
 
 def _decode_transact(reply: HttpReply) -> dict[str, int]:
-    return msgspec.json.decode(reply.body, type=TransactReply).versions
+    return decode_json(reply.body, TransactReply).versions
 
 
 class HttpTable(TableService):
--- a/basilhold/adapters/vms.py
+++ b/basilhold/adapters/vms.py
@@ -1,17 +1,17 @@
 """HTTP adapter of the VM list."""
 
-import msgspec
 from expression import Result
 
 from basilhold.adapters.http import HttpAddress, HttpCall, HttpPool, HttpReply
 from basilhold.adapters.store import run_store_call
+from basilhold.core import decode_json
 from basilhold.ports import StoreError, VmList, VmSnapshot
 
 __all__ = ["HttpVmList"]
 
 
 def _decode(reply: HttpReply) -> VmSnapshot:
-    return msgspec.json.decode(reply.body, type=VmSnapshot)
+    return decode_json(reply.body, VmSnapshot)
 
 
 class HttpVmList(VmList):
--- a/basilhold/adapters/workers.py
+++ b/basilhold/adapters/workers.py
@@ -9,7 +9,13 @@
 
 from basilhold.adapters.http import HttpAddress, HttpCall, HttpPool
 from basilhold.adapters.wire import ForgetEntry, ReportBody, TaskBody, ThrottleBody
-from basilhold.core import Attempt, Epoch, TaskId, WorkerId
+from basilhold.core import (
+    Attempt,
+    Epoch,
+    TaskId,
+    WorkerId,
+    decode_json,
+)
 from basilhold.ports import (
     AgentError,
     AgentErrorKind,
@@ -123,9 +129,9 @@
     """Read a reply; anything but a valid reply leaves the outcome unknown."""
     try:
         if status == 200:
-            return Ok(msgspec.json.decode(body, type=kind))
+            return Ok(decode_json(body, kind))
         if status == 409:
-            return Error(msgspec.json.decode(body, type=AgentError))
+            return Error(decode_json(body, AgentError))
     except msgspec.DecodeError:
         pass
     return Error(AgentError(AgentErrorKind.UNREACHABLE))
--- a/basilhold/config/documents.py
+++ b/basilhold/config/documents.py
@@ -5,7 +5,11 @@
 import msgspec
 from expression import Error, Ok, Result
 
-from basilhold.core import OfficeDocument, OfficeName
+from basilhold.core import (
+    OfficeDocument,
+    OfficeName,
+    decode_json,
+)
 from basilhold.ports import Row
 
 __all__ = [
@@ -108,7 +112,7 @@
 def decode_document(content: bytes) -> Result[OfficeDocument, Unreadable]:
     """Return the document that JSON bytes hold."""
     try:
-        return Ok(msgspec.json.decode(content, type=OfficeDocument))
+        return Ok(decode_json(content, OfficeDocument))
     except msgspec.MsgspecError as error:
         return Error(Unreadable(str(error)))
 
@@ -116,7 +120,7 @@
 def decode_head(row: Row) -> Result[DocumentHead, Unreadable]:
     """Return the value of a ``config/<office>`` row."""
     try:
-        return Ok(msgspec.json.decode(row.value, type=DocumentHead))
+        return Ok(decode_json(row.value, DocumentHead))
     except msgspec.MsgspecError as error:
         return Error(Unreadable(f"{row.key}: {error}"))
 
@@ -137,7 +141,7 @@
         content = inflater.decompress(row.value, _STORED_BYTES_MAX)
         if inflater.unconsumed_tail:
             return Error(Unreadable(f"{row.key}: document is too long"))
-        stored = msgspec.json.decode(content, type=StoredDocument)
+        stored = decode_json(content, StoredDocument)
     except (msgspec.MsgspecError, zlib.error) as error:
         return Error(Unreadable(f"{row.key}: {error}"))
     return Ok((stored, bytes(stored.document)))
--- a/basilhold/core/__init__.py
+++ b/basilhold/core/__init__.py
@@ -1,6 +1,7 @@
 """Types that all packages share: ids, resources, clock, classes and jobs."""
 
 from basilhold.core.clock import CLOCK_ERROR_MS, Clock
+from basilhold.core.decoding import Count, JsonDecoder, decode_json
 from basilhold.core.errors import InvariantError
 from basilhold.core.ids import (
     Attempt,
@@ -43,11 +44,13 @@
     "ClassKind",
     "ClassName",
     "Clock",
+    "Count",
     "Epoch",
     "InvariantError",
     "JobId",
     "JobRecord",
     "JobSpec",
+    "JsonDecoder",
     "OfficeDocument",
     "OfficeName",
     "ProcessId",
@@ -67,6 +70,7 @@
     "WorkerId",
     "WorkerRecord",
     "ZoneName",
+    "decode_json",
     "make_task_id",
     "split_task_id",
 ]
--- a/basilhold/gateway/once.py
+++ b/basilhold/gateway/once.py
@@ -8,7 +8,12 @@
 import msgspec
 from expression import Error, Ok, Result
 
-from basilhold.core import Clock, ProcessId, RequestKey
+from basilhold.core import (
+    Clock,
+    ProcessId,
+    RequestKey,
+    decode_json,
+)
 from basilhold.gateway.counters import Count, RequestCounters
 from basilhold.gateway.events import RESULT_NOT_RECORDED
 from basilhold.gateway.once_results import (
@@ -311,7 +316,7 @@
     async def _resolve_repeat(
         self, key: RequestKey, row: Row, fingerprint: str, deadline_ms: float
     ) -> ClaimResult | None:
-        record = msgspec.json.decode(row.value, type=OnceRecord)
+        record = decode_json(row.value, OnceRecord)
         action = choose_repeat_action(record, fingerprint, self._clock.unix_ms())
         if action is RepeatAction.REJECT_REUSE:
             return not_run_problem(
@@ -346,7 +351,7 @@
         row = read.ok.get(record_key(key))
         if row is None:
             return None
-        latest = msgspec.json.decode(row.value, type=OnceRecord)
+        latest = decode_json(row.value, OnceRecord)
         if latest.write_id == record.write_id and latest.state is OnceState.RUNNING:
             return unknown_problem("the gateway that held the request does not know it")
         return await self._resolve_repeat(key, row, fingerprint, deadline_ms)
--- a/basilhold/gateway/once_sweeper.py
+++ b/basilhold/gateway/once_sweeper.py
@@ -4,9 +4,11 @@
 import random
 from typing import Self
 
-import msgspec
-
-from basilhold.core import Clock, RequestKey
+from basilhold.core import (
+    Clock,
+    RequestKey,
+    decode_json,
+)
 from basilhold.gateway.once import OnceRegistry
 from basilhold.ports import ObjectStore, Row, TableService
 from basilhold.requests import OnceRecord
@@ -90,7 +92,7 @@
                 return removed_count
             expired = []
             for row in page.ok.rows:
-                record = msgspec.json.decode(row.value, type=OnceRecord)
+                record = decode_json(row.value, OnceRecord)
                 if is_expired(record, self._clock.unix_ms()):
                     expired.append((row, record))
             unexpired_count += len(page.ok.rows) - len(expired)
--- a/basilhold/membership/readers.py
+++ b/basilhold/membership/readers.py
@@ -7,7 +7,11 @@
 
 import msgspec
 
-from basilhold.core import ProcessId, RegionName
+from basilhold.core import (
+    ProcessId,
+    RegionName,
+    decode_json,
+)
 from basilhold.ports import ABSENT, Condition, Row, Transaction, Write
 
 __all__ = ["ReaderLocation", "decode_reader", "make_reader_claim", "reader_key"]
@@ -47,7 +51,7 @@
     if row is None:
         return None
     try:
-        return msgspec.json.decode(row.value, type=ReaderLocation)
+        return decode_json(row.value, ReaderLocation)
     except msgspec.MsgspecError:
         return None
 
--- a/basilhold/nodes/operator_cell.py
+++ b/basilhold/nodes/operator_cell.py
@@ -3,7 +3,13 @@
 import msgspec
 from expression import Error, Ok, Result
 
-from basilhold.core import Clock, WorkerId, WorkerRecord, ZoneName
+from basilhold.core import (
+    Clock,
+    WorkerId,
+    WorkerRecord,
+    ZoneName,
+    decode_json,
+)
 from basilhold.nodes.directory import CellDirectory
 from basilhold.operators_api import (
     Attested,
@@ -57,8 +63,7 @@
             )
             return Error(error)
         views = tuple(
-            self._view(msgspec.json.decode(row.value, type=WorkerRecord))
-            for row in page.ok.rows
+            self._view(decode_json(row.value, WorkerRecord)) for row in page.ok.rows
         )
         return Ok(WorkerPage(views, page.ok.next_after.removeprefix("worker/")))
 
@@ -118,7 +123,7 @@
             )
             return Error(error)
         for row in rows.ok.values():
-            return Ok(msgspec.json.decode(row.value, type=WorkerRecord))
+            return Ok(decode_json(row.value, WorkerRecord))
         detail = f"no worker {worker_id} is known"
         return Error(OperatorError(OperatorErrorKind.NOT_FOUND, detail))
 
--- a/basilhold/nodes/operator_jobs.py
+++ b/basilhold/nodes/operator_jobs.py
@@ -20,6 +20,7 @@
     WorkerId,
     WorkerRecord,
     ZoneName,
+    decode_json,
     make_task_id,
 )
 from basilhold.nodes.directory import CellDirectory
@@ -162,7 +163,7 @@
             if page.is_error():
                 return Error(_unavailable(page.error.reason))
             for row in page.ok.rows:
-                record = msgspec.json.decode(row.value, type=JobRecord)
+                record = decode_json(row.value, JobRecord)
                 if _matches(record, query):
                     zone = ZoneName(row.key.split("/")[1])
                     found.append(_stored_summary(record, zone))
@@ -286,7 +287,7 @@
             stub = SchedulerStub(self._transport.channel(address))
             reply = await call(stub.Explain, request, CALL_TIMEOUT_S)
             if reply.is_ok() and reply.ok.content:
-                return msgspec.json.decode(reply.ok.content, type=PlannerExplanation)
+                return decode_json(reply.ok.content, PlannerExplanation)
         return None
 
     async def _placed_tasks(self, job_ids: set[JobId]) -> dict[TaskId, PlacedTask]:
@@ -297,7 +298,7 @@
             if page.is_error():
                 return placed
             for row in page.ok.rows:
-                record = msgspec.json.decode(row.value, type=WorkerRecord)
+                record = decode_json(row.value, WorkerRecord)
                 for assignment in record.assignments:
                     if assignment.task_id.rpartition("#")[0] in job_ids:
                         placed[assignment.task_id] = PlacedTask(
--- a/basilhold/nodes/relay_node.py
+++ b/basilhold/nodes/relay_node.py
@@ -6,7 +6,11 @@
 
 import msgspec
 
-from basilhold.core import Clock, InvariantError
+from basilhold.core import (
+    Clock,
+    InvariantError,
+    decode_json,
+)
 from basilhold.nodes.base import NodePart
 from basilhold.nodes.control_metrics import RelayMetrics, SpreadWatch
 from basilhold.observability import MetricSource
@@ -24,7 +28,7 @@
 def decode_shard(row: Row) -> ShardLocation | None:
     """Return the location in a ``shard/`` row, or ``None`` if it has none."""
     try:
-        record = msgspec.json.decode(row.value, type=ShardRecord)
+        record = decode_json(row.value, ShardRecord)
     except msgspec.DecodeError:
         return None
     if not record.host:
--- a/basilhold/nodes/scheduler_service.py
+++ b/basilhold/nodes/scheduler_service.py
@@ -6,7 +6,13 @@
 from grpclib.const import Status
 from grpclib.exceptions import GRPCError
 
-from basilhold.core import JobId, ProcessId, WorkerId, ZoneName
+from basilhold.core import (
+    JobId,
+    ProcessId,
+    WorkerId,
+    ZoneName,
+    decode_json,
+)
 from basilhold.nodes.slot_lending import SlotLending
 from basilhold.nodes.slot_messages import decode_report, encode_grant
 from basilhold.rpc import messages_pb2
@@ -76,7 +82,7 @@
         """Take a shard over from an owner that stops."""
         message = await _receive(stream)
         try:
-            state = msgspec.json.decode(message.state, type=HandOverState)
+            state = decode_json(message.state, HandOverState)
         except msgspec.DecodeError as error:
             raise GRPCError(Status.INVALID_ARGUMENT, str(error)) from error
         accepted = await self._scheduler.receive_hand_over(state)
--- a/basilhold/operators_api/base.py
+++ b/basilhold/operators_api/base.py
@@ -13,7 +13,10 @@
     stream_request_body,
 )
 
-from basilhold.core import OfficeName
+from basilhold.core import (
+    OfficeName,
+    decode_json,
+)
 from basilhold.observability import log_event
 from basilhold.operators_api.auth import TokenTable
 from basilhold.operators_api.backend import (
@@ -127,7 +130,7 @@
         if self._too_large:
             self._fail_too_large()
         try:
-            return msgspec.json.decode(bytes(self._body), type=kind)
+            return decode_json(bytes(self._body), kind)
         except msgspec.DecodeError as error:
             self.fail(ProblemKind.INVALID, f"body: {error}")
             raise
--- a/basilhold/platform/bodies.py
+++ b/basilhold/platform/bodies.py
@@ -3,7 +3,13 @@
 import msgspec
 from expression import Error, Ok, Result
 
-from basilhold.core import JobId, Resources, ServiceName
+from basilhold.core import (
+    Count,
+    JobId,
+    JsonDecoder,
+    Resources,
+    ServiceName,
+)
 from basilhold.tenants import NO_TENANT, Tenant, TenantName, TenantRegistry, digest_key
 from basilhold.workflows.model import (
     AdvicePolicy,
@@ -34,24 +40,24 @@
     `may_miss` the number of tasks that may be interrupted at a time.
     """
 
-    count: int
-    cpu: int = 0
-    mem_mb: int = 0
-    gpu: int = 0
+    count: Count
+    cpu: Count = 0
+    mem_mb: Count = 0
+    gpu: Count = 0
     estimate_ms: float = 0.0
     after: tuple[int, ...] = ()
     gang: bool = False
     locality_sensitive: bool = False
     requires: str = ""
     affinity: str = ""
-    anti_affinity: int = 0
+    anti_affinity: Count = 0
     speculative: bool = False
     long_running: bool = False
     checkpointing: bool = False
     image: str = ""
     target_ms: float = 0.0
     fill_count: bool | int = False
-    may_miss: int = 0
+    may_miss: Count = 0
 
 
 class _JobBody(msgspec.Struct):
@@ -61,7 +67,7 @@
     spec: str = ""
     first_ms: float = 0.0
     interval_ms: float = 0.0
-    repeat_count: int = 0
+    repeat_count: Count = 0
 
 
 class _AdviceBody(msgspec.Struct):
@@ -90,9 +96,9 @@
 class _QuotaBody(msgspec.Struct):
     """Resources that a tenant may use; 0 means no limit. Units as in `_StepBody`."""
 
-    cpu: int = 0
-    mem_mb: int = 0
-    gpu: int = 0
+    cpu: Count = 0
+    mem_mb: Count = 0
+    gpu: Count = 0
 
 
 class _TenantBody(msgspec.Struct):
@@ -120,8 +126,8 @@
     tenants: tuple[_TenantBody, ...] | None = None
 
 
-_JOB_DECODER = msgspec.json.Decoder(_JobBody)
-_CONFIGURATION_DECODER = msgspec.json.Decoder(_ConfigurationBody)
+_JOB_DECODER = JsonDecoder(_JobBody)
+_CONFIGURATION_DECODER = JsonDecoder(_ConfigurationBody)
 
 
 def decode_configuration(value: bytes) -> QueueTable:
--- a/basilhold/platform/runners.py
+++ b/basilhold/platform/runners.py
@@ -11,7 +11,14 @@
 from expression import Error, Ok, Result
 
 from basilhold.adapters import HttpAddress, HttpCall, HttpPool, HttpReply
-from basilhold.core import JobId, Resources, WorkerId
+from basilhold.core import (
+    Count,
+    JobId,
+    JsonDecoder,
+    Resources,
+    WorkerId,
+    decode_json,
+)
 from basilhold.ports import TableService
 from basilhold.ports.runners import (
     Admission,
@@ -128,18 +135,36 @@
     wait_ms: int = 0
 
 
+class _RunningRow(msgspec.Struct, array_like=True):
+    """A run in a list of runs; `pace` is in percent of its full speed."""
+
+    task: str
+    run: Count
+    checkpoint: str
+    pace: float
+    usage: float = 0.0
+
+
+class _EndedRow(msgspec.Struct, array_like=True):
+    """The end of a run in a list of ends, which are numbered in order."""
+
+    number: Count
+    task: str
+    run: Count
+    kind: str
+    checkpoint: str
+
+
 class _HoldReply(msgspec.Struct):
     """Runs on a runner, and those that have ended.
 
-    Rows of `running` hold task, run, checkpoint, pace in percent and, optionally, the
-    usage. Rows of `finished` hold number, task, run, kind of end and checkpoint. `born`
-    is the Unix time of the runner's start, in milliseconds.
+    `born` is the Unix time of the runner's start, in milliseconds.
     """
 
     clock_ms: float
-    running: list[list] = []
-    finished: list[list] = []
-    born: int = 0
+    running: list[_RunningRow] = []
+    finished: list[_EndedRow] = []
+    born: Count = 0
 
 
 class _Rejection(msgspec.Struct):
@@ -148,8 +173,8 @@
     reason: str = ""
 
 
-_REJECTION_DECODER = msgspec.json.Decoder(_Rejection)
-_HOLD_REPLY_DECODER = msgspec.json.Decoder(_HoldReply)
+_REJECTION_DECODER = JsonDecoder(_Rejection)
+_HOLD_REPLY_DECODER = JsonDecoder(_HoldReply)
 
 
 class PlatformRunnerClient(RunnerClient):
@@ -209,7 +234,7 @@
             return Error(outcome)
         try:
             return Ok(_make_listing(_HOLD_REPLY_DECODER.decode(result.ok.body)))
-        except (msgspec.DecodeError, ValueError, TypeError, IndexError):
+        except (msgspec.DecodeError, ValueError):
             return Error(CallOutcome.UNKNOWN)
 
     async def _send_command(
@@ -275,35 +300,33 @@
 
 
 def _make_listing(reply: _HoldReply) -> Listing:
-    running = []
-    for name, run, checkpoint, percent, *usage in reply.running:
-        usage_value = float(usage[0]) if usage else 0.0
-        key = _parse_task_name(name)
-        running.append(
-            ListedRun(
-                key,
-                RunNumber(run),
-                _limit_checkpoint(checkpoint),
-                int(percent),
-                usage_value,
-            )
-        )
-    ended = []
-    for number, name, run, kind, checkpoint in reply.finished:
-        key = _parse_task_name(name)
-        end = RunEnd(
-            key.task, RunNumber(run), EndKind(kind), _limit_checkpoint(checkpoint)
+    running = tuple(
+        ListedRun(
+            _parse_task_name(row.task),
+            RunNumber(row.run),
+            _limit_checkpoint(row.checkpoint),
+            int(row.pace),
+            row.usage,
         )
-        ended.append(ListedEnd(number, key, end))
-    return Listing(reply.clock_ms, reply.born, tuple(running), tuple(ended))
+        for row in reply.running
+    )
+    ended = tuple(_make_listed_end(row) for row in reply.finished)
+    return Listing(reply.clock_ms, reply.born, running, ended)
+
+
+def _make_listed_end(row: _EndedRow) -> ListedEnd:
+    key = _parse_task_name(row.task)
+    checkpoint = _limit_checkpoint(row.checkpoint)
+    end = RunEnd(key.task, RunNumber(row.run), EndKind(row.kind), checkpoint)
+    return ListedEnd(row.number, key, end)
 
 
 class _CapacityBody(msgspec.Struct, frozen=True):
     """Thousandths of cores, MiB of memory and whole GPUs of a worker."""
 
-    cpu: int = 0
-    mem_mb: int = 0
-    gpu: int = 0
+    cpu: Count = 0
+    mem_mb: Count = 0
+    gpu: Count = 0
 
 
 class _RegistrationBody(msgspec.Struct):
@@ -315,7 +338,7 @@
     zone: str = ""
     capacity: _CapacityBody = _CapacityBody()
     labels: list[str] = []
-    born: int = 0
+    born: Count = 0
 
 
 class PlatformWorkerRegistry(WorkerRegistry):
@@ -363,7 +386,7 @@
     the address is not usable or the runner is neither ready nor draining.
     """
     try:
-        registration = msgspec.json.decode(value, type=_RegistrationBody)
+        registration = decode_json(value, _RegistrationBody)
         address = parse_endpoint(registration.address)
         ip_address(address.host)
     except (msgspec.DecodeError, ValueError):
@@ -450,7 +473,7 @@
         if result.ok.status != 200:
             return Error(f"status {result.ok.status}")
         try:
-            reply = msgspec.json.decode(result.ok.body, type=_AdviceReply)
+            reply = decode_json(result.ok.body, _AdviceReply)
         except msgspec.DecodeError as error:
             return Error(f"the reply cannot be read: {error}")
         return Ok(Admission({WorkerId(i): ticket for i, ticket in reply.admitted}))
--- a/basilhold/platform/store.py
+++ b/basilhold/platform/store.py
@@ -9,6 +9,7 @@
 from expression import Error, Ok, Result
 
 from basilhold.adapters import HttpAddress, HttpCall, HttpPool, HttpReply
+from basilhold.core import JsonDecoder
 from basilhold.ports import (
     ChangeFeed,
     Changes,
@@ -68,7 +69,7 @@
     body: _WireReply
 
 
-_REPLY_DECODER = msgspec.json.Decoder(_WireReply)
+_REPLY_DECODER = JsonDecoder(_WireReply)
 
 
 def _split_key(key: str) -> tuple[str, str, str]:
--- a/basilhold/platform/tests/test_bodies.py
+++ b/basilhold/platform/tests/test_bodies.py
@@ -26,6 +26,9 @@
 hold_max_ms = 6000
 """
 
+NESTED = b"[" * 100_000 + b"]" * 100_000
+LARGE_NUMBER = b"9" * 400
+
 
 class BodiesTest(unittest.TestCase):
     """Guards against input that is decoded wrongly or raises unexpected exceptions."""
@@ -58,6 +61,10 @@
             b'{"steps":[{"count":1}],"repeat_count":100000}',
             b'{"steps":[{"count":1}],"spec":"' + b"x" * 4_001 + b'"}',
             b"\xff\xfe",
+            b'{"steps":[{"count":1}],"more":' + NESTED + b"}",
+            b'{"steps":[{"count":1,"cpu":' + LARGE_NUMBER + b"}]}",
+            b'{"steps":[{"count":1,"may_miss":' + LARGE_NUMBER + b"}]}",
+            b'{"steps":[{"count":1}],"repeat_count":-' + LARGE_NUMBER + b"}",
         ]
         for body in bodies:
             with self.subTest(body=body[:40]):
--- a/basilhold/platform/tests/test_runners.py
+++ b/basilhold/platform/tests/test_runners.py
@@ -96,7 +96,15 @@
         self.assertEqual(body["wait_ms"], 1_000)
 
     async def test_undecodable_listing_is_an_unknown_outcome(self):
-        for body in ({"running": []}, {"clock_ms": 1, "running": [["x", 1]]}):
+        name, large = "5c0e7a21d94b36f8.0.1.17", 10**400
+        for body in (
+            {"running": []},
+            {"clock_ms": 1, "running": [["x", 1]]},
+            {"clock_ms": 1, "running": [[name, 2, "", 41, large]]},
+            {"clock_ms": 1, "running": [[name, large, "", 41]]},
+            {"clock_ms": 1, "finished": [[large, name, 1, "done", ""]]},
+            {"clock_ms": 1, "born": large},
+        ):
             self.platform.canned_replies["/-/hold"] = (200, body)
             result = await self.runner_client.renew_lease(
                 self.worker, RenewLeaseCall(Epoch(1), 0)
--- a/basilhold/platform/tests/test_store.py
+++ b/basilhold/platform/tests/test_store.py
@@ -15,6 +15,10 @@
     return Transaction((Condition(key, version),), (Write(key, value),))
 
 
+NESTED = b"[" * 100_000 + b"]" * 100_000
+LARGE_NUMBER = b"9" * 400
+
+
 class StoreTest(unittest.IsolatedAsyncioTestCase):
     """Guards against replies of the store that are decoded to a wrong outcome."""
 
@@ -117,6 +121,12 @@
             "i-7": b'{"service":"desk","address":"10.0.0.1:99999","state":"ready"}',
             "i-8": b'{"service":"desk","address":"a..b:80","state":"ready"}',
             "i-9\r\nX: y": valid_entry,
+            "i-a": valid_entry[:-1] + b',"more":' + NESTED + b"}",
+            "i-b": NESTED,
+            "i-c": valid_entry.replace(b"7}", LARGE_NUMBER + b"}"),
+            "i-d": valid_entry.replace(b"4000", LARGE_NUMBER),
+            "i-e": valid_entry.replace(b"1024", b"-1"),
+            "i-f": valid_entry.replace(b":80", b":" + LARGE_NUMBER),
         }
         for name, value in entries.items():
             self.platform.put("servers", "", name, value)
--- a/basilhold/programs/ctl_client.py
+++ b/basilhold/programs/ctl_client.py
@@ -12,6 +12,7 @@
 from tornado.httpclient import HTTPRequest, HTTPResponse
 from tornado.simple_httpclient import SimpleAsyncHTTPClient
 
+from basilhold.core import decode_json
 from basilhold.operators_api import Problem, WhoAmI
 from basilhold.programs.ctl_output import clean_text
 from basilhold.settings import is_loopback
@@ -182,7 +183,7 @@
         if response.code >= 300:
             raise _error_of(response)
         try:
-            return msgspec.json.decode(response.body, type=kind)
+            return decode_json(response.body, kind)
         except msgspec.DecodeError as error:
             message = f"the gateway's reply cannot be read: {error}"
             action = "Use the basilholdctl of the gateways' release."
@@ -235,7 +236,7 @@
 def _error_of(response: HTTPResponse) -> CtlError:
     exit_code = _EXIT_BY_STATUS.get(response.code, ExitCode.FAILED)
     try:
-        problem = msgspec.json.decode(response.body, type=Problem)
+        problem = decode_json(response.body, Problem)
     except msgspec.DecodeError:
         message = f"status {response.code} without a problem document"
         action = "Check that --gateway is the address of the operators' API."
--- a/basilhold/programs/ctl_config.py
+++ b/basilhold/programs/ctl_config.py
@@ -6,7 +6,10 @@
 import click
 import msgspec
 
-from basilhold.core import OfficeDocument
+from basilhold.core import (
+    OfficeDocument,
+    decode_json,
+)
 from basilhold.operators_api import (
     ClassList,
     ClassView,
@@ -261,7 +264,7 @@
     if len(data) > DOCUMENT_BYTES_MAX:
         raise CtlError(f"{file}: over {DOCUMENT_BYTES_MAX} bytes", ExitCode.REJECTED)
     try:
-        return msgspec.json.decode(data, type=OfficeDocument)
+        return decode_json(data, OfficeDocument)
     except msgspec.DecodeError as error:
         action = "Compare with `basilholdctl classes show` or a file in examples/."
         raise CtlError(f"{file}: {error}", ExitCode.REJECTED, action) from None
--- a/basilhold/programs/local_cell.py
+++ b/basilhold/programs/local_cell.py
@@ -13,7 +13,14 @@
 
 from basilhold.adapters.upstreams import TornadoUpstreamClient
 from basilhold.cell import Cell, CellParts, CellShape, EntryNodes, make_shape
-from basilhold.core import Clock, InvariantError, OfficeDocument, UpstreamId, VmId
+from basilhold.core import (
+    Clock,
+    InvariantError,
+    OfficeDocument,
+    UpstreamId,
+    VmId,
+    decode_json,
+)
 from basilhold.gateway import Drain, DrainReport, FrontEnd, GatewayServer
 from basilhold.gateway import make_application as make_caller_application
 from basilhold.nodes.callers import ConfiguredCallers
@@ -32,9 +39,7 @@
     ``trakia-thrace.json`` for ``trakia.toml``.
     """
     paths = sorted(settings_path.parent.glob(f"{settings_path.stem}-*.json"))
-    return tuple(
-        msgspec.json.decode(path.read_bytes(), type=OfficeDocument) for path in paths
-    )
+    return tuple(decode_json(path.read_bytes(), OfficeDocument) for path in paths)
 
 
 class LocalEntry:
--- a/basilhold/relay/vm_copies.py
+++ b/basilhold/relay/vm_copies.py
@@ -6,7 +6,10 @@
 
 import msgspec
 
-from basilhold.core import VmId
+from basilhold.core import (
+    VmId,
+    decode_json,
+)
 from basilhold.ports import VmRecord
 from basilhold.rpc.messages_pb2 import VmDelta
 
@@ -80,7 +83,7 @@
         try:
             inflater = zlib.decompressobj()
             content = inflater.decompress(delta.changed, _LIST_BYTES_MAX)
-            records = msgspec.json.decode(content, type=list[VmRecord])
+            records = decode_json(content, list[VmRecord])
         except (zlib.error, msgspec.MsgspecError):
             return False
         if delta.from_version == 0:
--- a/basilhold/sharding/rows.py
+++ b/basilhold/sharding/rows.py
@@ -4,7 +4,14 @@
 
 import msgspec
 
-from basilhold.core import Epoch, JobId, ProcessId, WorkerId, ZoneName
+from basilhold.core import (
+    Epoch,
+    JobId,
+    ProcessId,
+    WorkerId,
+    ZoneName,
+    decode_json,
+)
 
 __all__ = [
     "CommitRecord",
@@ -117,4 +124,4 @@
 
 def decode(value: bytes, record_type: type[T]) -> T:
     """Return the record in a row's value."""
-    return msgspec.json.decode(value, type=record_type)
+    return decode_json(value, record_type)
--- a/basilhold/standins/http.py
+++ b/basilhold/standins/http.py
@@ -21,7 +21,10 @@
     ThrottleBody,
     TransactReply,
 )
-from basilhold.core import WorkerId
+from basilhold.core import (
+    WorkerId,
+    decode_json,
+)
 from basilhold.ports import (
     AgentErrorKind,
     ObjectStore,
@@ -189,7 +192,7 @@
     def decode(self, kind: Any) -> Any:
         """Return the request's body, or ``None`` after writing an error."""
         try:
-            return msgspec.json.decode(self.request.body, type=kind)
+            return decode_json(self.request.body, kind)
         except msgspec.DecodeError as error:
             self.write_error_body(StoreError(StoreErrorKind.INVALID, str(error)))
             return None
--- a/basilhold/tenants/allotments.py
+++ b/basilhold/tenants/allotments.py
@@ -23,7 +23,11 @@
 import msgspec
 import xxhash
 
-from basilhold.core import Resources, ServiceName
+from basilhold.core import (
+    JsonDecoder,
+    Resources,
+    ServiceName,
+)
 from basilhold.tenants.registry import Tenant, TenantName
 
 __all__ = [
@@ -154,7 +158,7 @@
     quota: Resources = Resources()
 
 
-_ROW_DECODER = msgspec.json.Decoder(dict[TenantName, _Record])
+_ROW_DECODER = JsonDecoder(dict[TenantName, _Record])
 
 Sent = dict[TenantName, Parts]
 """What a service has ever sent to one other service, by tenant."""
--- a/basilhold/workflows/frontend.py
+++ b/basilhold/workflows/frontend.py
@@ -10,7 +10,13 @@
 import msgspec
 from expression import Result
 
-from basilhold.core import Clock, JobId, ServiceName, WorkerId
+from basilhold.core import (
+    Clock,
+    JobId,
+    JsonDecoder,
+    ServiceName,
+    WorkerId,
+)
 from basilhold.observability import log_event
 from basilhold.ports import (
     ABSENT,
@@ -92,7 +98,7 @@
     tenant: TenantName = NO_TENANT
 
 
-_TENANT_DECODER = msgspec.json.Decoder(_StoredTenant)
+_TENANT_DECODER = JsonDecoder(_StoredTenant)
 
 
 class _FinalState(msgspec.Struct, frozen=True):
--- a/basilhold/workflows/members.py
+++ b/basilhold/workflows/members.py
@@ -8,7 +8,11 @@
 
 import msgspec
 
-from basilhold.core import Clock, ProcessId
+from basilhold.core import (
+    Clock,
+    ProcessId,
+    decode_json,
+)
 from basilhold.observability import log_event
 from basilhold.ports import Row, TableService, Transaction, Write
 from basilhold.workflows import events
@@ -154,7 +158,7 @@
         seen: dict[ProcessId, tuple[Member, float]] = {}
         for row in rows:
             try:
-                member = msgspec.json.decode(row.value, type=Member)
+                member = decode_json(row.value, Member)
             except msgspec.DecodeError as error:
                 log_event(events.BAD_ROW, key=row.key, reason=error)
                 continue
--- a/basilhold/workflows/owner.py
+++ b/basilhold/workflows/owner.py
@@ -11,7 +11,11 @@
 
 import msgspec
 
-from basilhold.core import JobId, ServiceName
+from basilhold.core import (
+    JobId,
+    ServiceName,
+    decode_json,
+)
 from basilhold.observability import log_event
 from basilhold.ports import Row
 from basilhold.tenants import NO_TENANT, BlockedDemand, SubmissionRates, TenantName
@@ -448,7 +452,7 @@
             self.cancel(job_id)
             return
         try:
-            spec = msgspec.json.decode(row.value, type=WorkflowSpec)
+            spec = decode_json(row.value, WorkflowSpec)
         except msgspec.DecodeError as error:
             log_event(events.BAD_ROW, key=row.key, reason=error)
             return
--- a/basilhold/workflows/owner_lease.py
+++ b/basilhold/workflows/owner_lease.py
@@ -13,7 +13,12 @@
 import msgspec
 from expression import Error, Ok, Result
 
-from basilhold.core import Epoch, ProcessId, ServiceName
+from basilhold.core import (
+    Epoch,
+    JsonDecoder,
+    ProcessId,
+    ServiceName,
+)
 from basilhold.observability import log_event
 from basilhold.ports import (
     ABSENT,
@@ -63,7 +68,7 @@
 CLAIM_DELAY_PER_OWNED_SERVICE_MS = 400.0
 """Delay of a claim for each service that the process owns already."""
 
-_DECODER = msgspec.json.Decoder(OwnerRecord)
+_DECODER = JsonDecoder(OwnerRecord)
 
 
 class SuspendAwareClock(ABC):
--- a/basilhold/workflows/peer_http.py
+++ b/basilhold/workflows/peer_http.py
@@ -12,7 +12,12 @@
 from tornado.web import Application, RequestHandler
 
 from basilhold.adapters import HttpAddress, HttpCall, HttpPool
-from basilhold.core import JobId, ServiceName, WorkerId
+from basilhold.core import (
+    JobId,
+    ServiceName,
+    WorkerId,
+    decode_json,
+)
 from basilhold.ports import Changes, Row, ScanPage, StoreError, StoreErrorKind
 from basilhold.ports.runners import Admission
 from basilhold.workflows.model import QueueName, QueuePolicy, WorkflowSpec
@@ -163,7 +168,7 @@
             # With a 5xx status, the peer may have executed part of the call.
             return Error(result.ok.status >= 500)
         try:
-            return Ok(msgspec.json.decode(result.ok.body, type=reply_type))
+            return Ok(decode_json(result.ok.body, reply_type))
         except msgspec.DecodeError:
             return Error(True)
 
@@ -238,9 +243,7 @@
         if result.ok.error is not None:
             return Error(result.ok.error)
         try:
-            return Ok(
-                msgspec.json.decode(result.ok.value, type=_REPLY_TYPES[type(call)])
-            )
+            return Ok(decode_json(result.ok.value, _REPLY_TYPES[type(call)]))
         except msgspec.DecodeError as error:
             return Error(StoreError(StoreErrorKind.UNKNOWN, str(error)))
 
@@ -291,11 +294,11 @@
         self.finish(msgspec.json.encode(reply))
 
     async def _serve_submitted(self, body: bytes) -> _Acknowledgement:
-        self._service.on_submitted(msgspec.json.decode(body, type=WorkflowSpec))
+        self._service.on_submitted(decode_json(body, WorkflowSpec))
         return _Acknowledgement()
 
     async def _serve_cancelled(self, body: bytes) -> _Acknowledgement:
-        call = msgspec.json.decode(body, type=_JobBody)
+        call = decode_json(body, _JobBody)
         self._service.on_cancelled(call.service, call.job_id)
         return _Acknowledgement()
 
@@ -304,23 +307,23 @@
         return _Acknowledgement()
 
     async def _serve_owns(self, body: bytes) -> _OwnsReply:
-        call = msgspec.json.decode(body, type=_ServiceBody)
+        call = decode_json(body, _ServiceBody)
         return _OwnsReply(self._service.owns(call.service))
 
     async def _serve_state(self, body: bytes) -> StateReply:
-        call = msgspec.json.decode(body, type=_JobBody)
+        call = decode_json(body, _JobBody)
         return self._service.local_state(call.service, call.job_id)
 
     async def _serve_waiting(self, body: bytes) -> _WaitingReply:
-        call = msgspec.json.decode(body, type=_QueueBody)
+        call = decode_json(body, _QueueBody)
         return _WaitingReply(self._service.local_queue_length(call.service, call.queue))
 
     async def _serve_quota(self, body: bytes) -> QuotaReply:
-        call = msgspec.json.decode(body, type=QuotaRequest)
+        call = decode_json(body, QuotaRequest)
         return await self._service.on_quota_request(call)
 
     async def _serve_table(self, body: bytes) -> _StoreReply:
-        call = msgspec.json.decode(body, type=StoreCall)
+        call = decode_json(body, StoreCall)
         result = await self._service.run_store_call(call)
         if result.is_error():
             return _StoreReply(error=result.error)
@@ -328,7 +331,7 @@
         return _StoreReply(value, shared_ms=self._service.shared_ms())
 
     async def _serve_advise(self, body: bytes) -> _RelayedAdviceReply:
-        call = msgspec.json.decode(body, type=_AdviceBody)
+        call = decode_json(body, _AdviceBody)
         result = await self._service.advise(
             call.job_id, call.occurrence, call.step, call.workers, call.policy
         )
--- a/basilhold/workflows/progress.py
+++ b/basilhold/workflows/progress.py
@@ -8,7 +8,11 @@
 
 import msgspec
 
-from basilhold.core import JobId, WorkerId
+from basilhold.core import (
+    JobId,
+    JsonDecoder,
+    WorkerId,
+)
 from basilhold.workflows.model import RunNumber, TaskKey, WorkflowSpec
 
 __all__ = [
@@ -132,7 +136,7 @@
     ended_ms: float = 0.0
 
 
-_DECODER = msgspec.json.Decoder(_StoredWorkflow)
+_DECODER = JsonDecoder(_StoredWorkflow)
 
 
 class Workflow:
--- a/basilhold/workflows/quota_keeper.py
+++ b/basilhold/workflows/quota_keeper.py
@@ -6,7 +6,10 @@
 
 import msgspec
 
-from basilhold.core import ServiceName
+from basilhold.core import (
+    ServiceName,
+    decode_json,
+)
 from basilhold.observability import log_event, metric
 from basilhold.ports import ABSENT, Condition, Row, TableService, Transaction, Write
 from basilhold.tenants import AllotmentLedger, Parts, TenantName, TenantRequest
@@ -206,7 +209,7 @@
             row = result.ok.get(QUOTA_HOME_KEY)
             if row is not None:
                 try:
-                    return msgspec.json.decode(row.value, type=ServiceName)
+                    return decode_json(row.value, ServiceName)
                 except msgspec.DecodeError as error:
                     log_event(events.BAD_ROW, key=row.key, reason=error)
                     await asyncio.sleep(BAD_ROW_RETRY_S)
--- a/basilhold/workflows/recovery.py
+++ b/basilhold/workflows/recovery.py
@@ -5,7 +5,12 @@
 import msgspec
 from expression import Ok, Result
 
-from basilhold.core import JobId, Resources, ServiceName
+from basilhold.core import (
+    JobId,
+    Resources,
+    ServiceName,
+    decode_json,
+)
 from basilhold.observability import log_event
 from basilhold.ports import Row, StoreError, TableService
 from basilhold.workflows import events
@@ -130,7 +135,7 @@
 
 def _decode_workflow(row: Row, chunks: dict[int, bytes]) -> Workflow | None:
     try:
-        spec = msgspec.json.decode(row.value, type=WorkflowSpec)
+        spec = decode_json(row.value, WorkflowSpec)
         return Workflow.decode(spec, [chunks[chunk] for chunk in sorted(chunks)])
     except msgspec.DecodeError as error:
         log_event(events.BAD_ROW, key=row.key, reason=error)
--- a/basilhold/workflows/tests/test_configuration_watch.py
+++ b/basilhold/workflows/tests/test_configuration_watch.py
@@ -6,6 +6,7 @@
 import msgspec
 from expression import Error, Ok
 
+from basilhold.core import decode_json
 from basilhold.observability import METRICS, Metrics
 from basilhold.ports import (
     Changes,
@@ -30,7 +31,7 @@
 
 
 def decode(value):
-    return QueueTable(msgspec.json.decode(value, type=Document).version, (), 0, ())
+    return QueueTable(decode_json(value, Document).version, (), 0, ())
 
 
 class PausedClock(SuspendAwareClock):
--- a/basilhold/workflows/tests/test_peer_http.py
+++ b/basilhold/workflows/tests/test_peer_http.py
@@ -3,7 +3,7 @@
 import socket
 import unittest
 
-from basilhold.adapters import HttpLimits, HttpPool
+from basilhold.adapters import HttpAddress, HttpCall, HttpLimits, HttpPool
 from basilhold.core import Clock, ServiceName
 from basilhold.tenants import Parts, TenantName, TenantRequest
 from basilhold.tenants.allotment_policy import PartsRequest
@@ -52,6 +52,14 @@
         self.assertEqual(self.service.requests, [request])
         self.assertEqual(reply, REPLY)
 
+    async def test_nested_message_is_rejected_as_undecodable(self):
+        host, port = self.endpoint.split(":")
+        for name in ("owns", "state", "table", "quota", "advise"):
+            call = HttpCall(
+                HttpAddress(host, int(port)), "POST", f"/peer/{name}", b"[" * 100_000
+            )
+            self.assertEqual((await self.pool.run(call)).ok.status, 400)
+
     async def test_reply_of_an_absent_process_is_not_current(self):
         request = QuotaRequest(ServiceName("a"), ServiceName("b"), {})
         reply = await self.client.request_quota("127.0.0.1:1", request)
