Do not count a reply that history is missing as a confirmation

A poll that is told that the store has dropped its history learns nothing of the versions in between. It counted as one that found nothing changed, so if the read that follows failed, the version was used for another 3 s to 4 s although it might have been replaced.

A reply to a call from before a pause is no longer logged as a confirmation either. The random runs drop history too.

--- a/basilhold/testing/configuration_runs.py
+++ b/basilhold/testing/configuration_runs.py
@@ -1,8 +1,8 @@
 """Randomised runs of configuration watches behind failing links, on the virtual clock.
 
 Machines follow the configuration directly or through each other, while links to the
-store and between machines fail and versions are confirmed around the end of these
-faults. Each version must be in force on every machine in touch within its bound.
+store and between machines fail, the store drops its history, and versions are confirmed
+around the end of these faults. Each version must be in force on every machine in touch within its bound.
 
 Run ``python -m basilhold.testing.configuration_runs --seeds N --first S`` for more
 seeds.
@@ -58,6 +58,9 @@
 VERSION_INTERVAL_S = 1.5
 """Mean time between versions that are confirmed regardless of faults, in seconds."""
 
+COMPACTION_RATIO = 0.1
+"""Share of the versions after which the store drops its history."""
+
 AROUND_FAULT_S = (-0.2, 0.0, 0.3, 0.9, 1.6)
 """Times of further versions relative to the end of each fault, in seconds."""
 
@@ -280,6 +283,7 @@
 
     def __init__(self, seed: int, bounds: Bounds):
         self.rng = random.Random(seed)
+        self._compaction_rng = random.Random(seed)
         self.table = FeedTable()
         self.machines: list[_Machine] = []
         self._bounds = bounds
@@ -345,6 +349,8 @@
             await asyncio.sleep(max(0.0, at_s - _now_ms() / 1000))
             version += self.rng.randint(1, 3)
             self._confirm(version)
+            if self._compaction_rng.random() < COMPACTION_RATIO:
+                self.table.compact()
 
     def _confirm(self, version: int) -> None:
         value = msgspec.json.encode(_Document(version))
--- a/basilhold/workflows/configuration_watch.py
+++ b/basilhold/workflows/configuration_watch.py
@@ -41,7 +41,7 @@
 
     @abstractmethod
     async def current(self) -> QueueTable | None:
-        """Return the version in force, or ``None`` if it is not known."""
+        """Return the version in force, or ``None`` if it cannot be confirmed."""
 
     @abstractmethod
     def age_ms(self) -> float:
@@ -165,8 +165,11 @@
             if result.is_error():
                 await asyncio.sleep(RETRY_DELAY_MS / 1000)
                 continue
+            if not result.ok.complete:
+                version = -1
+                continue
             self._confirm(sent_ms, result.ok.rows)
-            version = result.ok.version if result.ok.complete else -1
+            version = result.ok.version
 
     async def _read(self) -> int:
         """Read and apply the document.
@@ -187,14 +190,18 @@
     def _confirm(self, sent_ms: float, rows: tuple[Row, ...]) -> None:
         """Apply the rows of a reply to a call that was sent at `sent_ms`."""
         age_ms = self.age_ms()
+        was_confirmed = self.is_confirmed()
         previous = self._newest.version if self._newest else 0
         for row in rows:
             if row.key == self._key:
                 self._apply(row.value)
-        self._confirmed_ms = max(self._confirmed_ms, sent_ms)
         self._read_failed = False
+        self._confirmed_ms = max(self._confirmed_ms, sent_ms)
+        # The reply may be to a call that was sent before a pause of the process.
+        if was_confirmed or not self.is_confirmed():
+            return
         self._rejecting = False
-        if previous and age_ms > self._usable_ms:
+        if previous:
             log_event(
                 events.CONFIGURATION_CONFIRMED,
                 version=self._newest.version,
--- a/basilhold/workflows/tests/test_configuration_bounds.py
+++ b/basilhold/workflows/tests/test_configuration_bounds.py
@@ -30,23 +30,41 @@
 class UnconfirmedConfigurationTest(VirtualTimeTestCase):
     """Guards against callers that are answered by a version that may be replaced."""
 
+    def start_watch(self, store, clock, bounds):
+        usable_ms = bounds.apply_ms - MARGIN_MS
+        watch = ConfigurationWatch(
+            store, store, clock, "op//", "op//config", decode, usable_ms
+        )
+        self.task = asyncio.create_task(watch.run())
+        return watch
+
     async def test_configuration_older_than_its_bound_is_not_used(self):
         # A machine that heard nothing went on to answer by the version it had.
         for bounds in BOUNDS:
             store, clock = StubStore(), PausedClock()
             store.put(b'{"version":3}')
-            watch = ConfigurationWatch(
-                store,
-                store,
-                clock,
-                "op//",
-                "op//config",
-                decode,
-                bounds.apply_ms - MARGIN_MS,
-            )
-            task = asyncio.create_task(watch.run())
+            watch = self.start_watch(store, clock, bounds)
             await asyncio.sleep(2)
             store.is_down = True
             await asyncio.sleep(bounds.apply_ms / 1000)
             self.assertIsNone(await watch.current())
-            task.cancel()
+
+    async def test_dropped_history_does_not_confirm_the_version_in_force(self):
+        # The reply that history is missing counted as one that nothing has changed.
+        for bounds in BOUNDS:
+            store, clock = StubStore(), PausedClock()
+            store.put(b'{"version":3}')
+            watch = self.start_watch(store, clock, bounds)
+            await asyncio.sleep(2)
+            store.is_down = store.scan_fails = True
+            replaced_s = asyncio.get_running_loop().time()
+            store.put(b'{"version":9}')
+            await asyncio.sleep(1.5)
+            store.first_kept = store.version + 1
+            store.is_down = False
+            while asyncio.get_running_loop().time() < replaced_s + 6:
+                table = await watch.current()
+                age_s = asyncio.get_running_loop().time() - replaced_s
+                if age_s > bounds.apply_ms / 1000:
+                    self.assertIsNone(table)
+                await asyncio.sleep(0.05)
--- a/basilhold/workflows/tests/test_configuration_watch.py
+++ b/basilhold/workflows/tests/test_configuration_watch.py
@@ -45,13 +45,17 @@
 
 
 class StubStore:
-    """A store with one document; `history` can be dropped and the store be down."""
+    """A store with one document, whose history can be dropped.
+
+    It may be down, or fail scans only.
+    """
 
     def __init__(self):
         self.rows = {}
         self.version = 1
         self.first_kept = 0
         self.is_down = False
+        self.scan_fails = False
 
     def put(self, value, key="op//config"):
         self.version += 1
@@ -59,7 +63,7 @@
 
     async def scan(self, prefix, after="", limit=500):
         await asyncio.sleep(0.004)
-        if self.is_down:
+        if self.is_down or self.scan_fails:
             return Error(StoreError(StoreErrorKind.NOT_APPLIED, "down"))
         return Ok(ScanPage(tuple(self.rows.values()), "", self.version))
 
