--- a/basilhold/testing/configuration_runs.py
+++ b/basilhold/testing/configuration_runs.py
@@ -2,7 +2,8 @@
 
 Machines follow the configuration directly or through each other, while links to the
 store and between machines fail, the store drops its history, and versions are confirmed
-around the end of these faults. Each version must be in force on every machine in touch within its bound.
+around the end of these faults. Each version must be in force on every machine in touch
+within its bound.
 
 Run ``python -m basilhold.testing.configuration_runs --seeds N --first S`` for more
 seeds.
