--- a/basilhold/testing/configuration_runs.py
+++ b/basilhold/testing/configuration_runs.py
@@ -3,13 +3,15 @@
 Machines follow the configuration directly or through each other, while links to the
 store and between machines fail, the store drops its history, and versions are confirmed
 around the end of these faults. A machine may answer by a version that was replaced for
-the time of a bound only, and a machine in touch must answer.
+the time of a bound only, and a machine in touch must answer. With a large document,
+replies queue for the bandwidth between the regions and of each machine.
 
-Run ``python -m basilhold.testing.configuration_runs --seeds N --first S`` for more
-seeds.
+Run ``python -m basilhold.testing.configuration_runs --seeds N --first S [--large]`` for
+more seeds.
 """
 
 import asyncio
+import math
 import random
 from collections.abc import Callable, Coroutine
 from enum import Enum
@@ -37,7 +39,18 @@
 from basilhold.workflows.relayed_table import PROBE_KEY, RelayedTable
 from basilhold.workflows.routes import QueueTable
 
-__all__ = ["BOUNDS", "MARGIN_MS", "Bounds", "RunReport", "run_seed"]
+__all__ = [
+    "BOUNDS",
+    "LARGE",
+    "MARGIN_MS",
+    "Bounds",
+    "Deployment",
+    "RunReport",
+    "run_seed",
+]
+
+CHUNK_BYTES = 16_000
+"""Part of a reply; replies on the same link take turns with parts of this size."""
 
 PREFIX = "op//"
 KEY = "op//config"
@@ -53,7 +66,6 @@
 MARGIN_MS = 250.0
 """Part of the bound for which the configuration is not used, in milliseconds."""
 
-MACHINES = 12
 LOAD_S = 60.0
 FAULTS_MAX = 6
 VERSION_INTERVAL_S = 1.5
@@ -85,6 +97,37 @@
 """Bounds of the users' small and grown deployments."""
 
 
+class Deployment(msgspec.Struct, frozen=True):
+    """Machines, their links and the size of the document.
+
+    Parameters
+    ----------
+    machines : int
+    wide_machines : int
+        Machines with the bandwidth `wide_mbps`; those with the lowest numbers.
+    document_bytes : int
+        Size of the document in a reply of the store, in bytes.
+    region_mbps, wide_mbps, narrow_mbps : float
+        Bandwidth between the regions, of a wide machine and of any other machine, in
+        Mbit/s.
+    regions_listed : bool
+        Whether the machines know each other's regions.
+    """
+
+    machines: int = 12
+    wide_machines: int = 0
+    document_bytes: int = 0
+    region_mbps: float = math.inf
+    wide_mbps: float = math.inf
+    narrow_mbps: float = math.inf
+    regions_listed: bool = False
+
+
+SMALL = Deployment()
+LARGE = Deployment(42, 12, 400_000, 30.0, 100.0, 5.0, True)
+"""A configuration of 1,400 routes on machines like those of a grown deployment."""
+
+
 class FaultKind(Enum):
     """Fault of a machine's links.
 
@@ -151,6 +194,20 @@
         return _now_ms()
 
 
+class _Bandwidth:
+    """Bandwidth for which transfers queue, in Mbit/s."""
+
+    def __init__(self, mbps: float):
+        self._mbps = mbps
+        self._free_ms = 0.0
+
+    def reserve(self, size_bytes: int) -> float:
+        """Queue a transfer; return the time at which it ends, in milliseconds."""
+        duration_ms = size_bytes * 8 / (self._mbps * 1_000)
+        self._free_ms = max(self._free_ms, _now_ms()) + duration_ms
+        return self._free_ms
+
+
 class _Link:
     """Connection of a machine to the store or to a peer.
 
@@ -158,10 +215,21 @@
     ----------
     faults : callable
         Returns the kinds of the faults that concern the link now.
+    path : tuple of _Bandwidth
+        What a reply passes.
+    document_bytes : int
+        Size of the document in a reply, in bytes.
     """
 
-    def __init__(self, faults: Callable[[], set[FaultKind]]):
+    def __init__(
+        self,
+        faults: Callable[[], set[FaultKind]],
+        path: tuple[_Bandwidth, ...] = (),
+        document_bytes: int = 0,
+    ):
         self._faults = faults
+        self._path = path
+        self._document_bytes = document_bytes
 
     async def run(
         self, call: Coroutine[Any, Any, Result], latency_ms: float, timeout_ms: float
@@ -181,10 +249,27 @@
                     return Error(StoreError(StoreErrorKind.UNKNOWN, "timed out"))
                 await asyncio.wait([task], timeout=0.02)
             await asyncio.sleep(latency_ms / 1000)
-            return task.result()
+            return await self._transfer(task.result(), end_ms)
         finally:
             task.cancel()
 
+    async def _transfer(self, result: Result, end_ms: float) -> Result:
+        """Wait for the reply to arrive, or until its timeout."""
+        remaining = self._document_bytes if self._path and _has_document(result) else 0
+        while remaining > 0:
+            arrival_ms = max(part.reserve(CHUNK_BYTES) for part in self._path)
+            await asyncio.sleep((min(arrival_ms, end_ms) - _now_ms()) / 1000)
+            if arrival_ms > end_ms or self._faults():
+                await asyncio.sleep(max(0.0, end_ms - _now_ms()) / 1000)
+                return Error(StoreError(StoreErrorKind.UNKNOWN, "timed out"))
+            remaining -= CHUNK_BYTES
+        return result
+
+
+def _has_document(result: Result) -> bool:
+    rows = getattr(result.ok, "rows", ()) if result.is_ok() else ()
+    return any(row.key == KEY for row in rows)
+
 
 class _MachineTable(TableService, ChangeFeed):
     """The store as one machine reaches it."""
@@ -214,8 +299,12 @@
         return await self._run(self._table.changes(prefix, after, wait_ms), wait_ms)
 
 
+def _region_of(number: int) -> RegionName:
+    return REGIONS[number % len(REGIONS)]
+
+
 class _MachinePeers(PeerClient):
-    """Peers as one machine reaches them; it relays store calls only."""
+    """Peers as one machine reaches them."""
 
     def __init__(self, run: "_Run", number: int):
         self._run = run
@@ -225,17 +314,19 @@
         """Let a peer call the store."""
         peer = int(endpoint)
         wait_ms = call.wait_ms if isinstance(call, ChangesCall) else 0
-        link = _Link(
+        served = self._run.machines[peer].store.serve(call)
+        return await self._link(peer).run(
+            served, LATENCY_MS[REGIONS[1]], STORE_TIMEOUT_MS + wait_ms
+        )
+
+    def _link(self, peer: int) -> _Link:
+        return _Link(
             lambda: {
                 kind
                 for kind in self._run.kinds(self._number) | self._run.kinds(peer)
                 if kind in (FaultKind.CUT, FaultKind.DEAD)
             }
         )
-        served = self._run.machines[peer].store.serve(call)
-        return await link.run(
-            served, LATENCY_MS[REGIONS[1]], STORE_TIMEOUT_MS + wait_ms
-        )
 
     notify_submitted = notify_cancelled = notify_released = None
     query_ownership = state = queue_length = advise = request_quota = None
@@ -245,19 +336,23 @@
     """A machine that follows the configuration."""
 
     def __init__(self, run: "_Run", number: int):
-        region = REGIONS[number % len(REGIONS)]
-        table = _MachineTable(
-            run.table, _Link(lambda: run.kinds(number)), LATENCY_MS[region]
+        region = _region_of(number)
+        link = _Link(
+            lambda: run.kinds(number),
+            run.path_to(number),
+            run.deployment.document_bytes,
         )
-        others = [Member(ProcessId(str(n)), str(n)) for n in range(MACHINES)]
-        members = [others.pop(number), *others]
+        table = _MachineTable(run.table, link, LATENCY_MS[region])
+        members = run.deployment_members()
+        members.insert(0, members.pop(number))
+        peers, clock = _MachinePeers(run, number), Clock(0)
         self.store = RelayedTable(
             table,
             table,
-            _MachinePeers(run, number),
+            peers,
             lambda: members,
             region,
-            Clock(0),
+            clock,
             random.Random(run.rng.random()),
         )
         self.watch = ConfigurationWatch(
@@ -279,7 +374,9 @@
 class _Run:
     """One run of a seed."""
 
-    def __init__(self, seed: int, bounds: Bounds):
+    def __init__(self, seed: int, bounds: Bounds, deployment: Deployment):
+        self.deployment = deployment
+        self._between_regions = _Bandwidth(deployment.region_mbps)
         self.rng = random.Random(seed)
         self._compaction_rng = random.Random(seed)
         self.table = FeedTable()
@@ -290,6 +387,30 @@
         self._confirmed: list[tuple[float, int]] = []
         self._report = RunReport([], [str(fault) for fault in self._faults], 0, 0)
 
+    def deployment_members(self) -> list[Member]:
+        """Return all machines as members, in the order of their numbers."""
+        deployment = self.deployment
+        return [
+            Member(
+                ProcessId(str(number)),
+                str(number),
+                _region_of(number) if deployment.regions_listed else RegionName(""),
+                wide_link=number < deployment.wide_machines,
+            )
+            for number in range(deployment.machines)
+        ]
+
+    def path_to(self, number: int) -> tuple[_Bandwidth, ...]:
+        """Return what a reply of the store to a machine passes."""
+        deployment = self.deployment
+        if not deployment.document_bytes:
+            return ()
+        is_wide = number < deployment.wide_machines
+        own = _Bandwidth(deployment.wide_mbps if is_wide else deployment.narrow_mbps)
+        if _region_of(number) == REGIONS[0]:
+            return (own,)
+        return (self._between_regions, own)
+
     def kinds(self, number: int) -> set[FaultKind]:
         """Return the kinds of the faults that concern a machine now."""
         now_s = _now_ms() / 1000
@@ -302,17 +423,19 @@
     async def run(self) -> RunReport:
         """Run the load and the faults; return what was seen."""
         self._confirm(1)
-        self.machines = [_Machine(self, number) for number in range(MACHINES)]
-        background = [asyncio.create_task(m.run()) for m in self.machines]
-        background.append(asyncio.create_task(self._write()))
+        self.machines = [
+            _Machine(self, number) for number in range(self.deployment.machines)
+        ]
+        numbers = range(self.deployment.machines)
         try:
             async with asyncio.TaskGroup() as group:
-                for number in range(MACHINES):
-                    group.create_task(self._sample(number))
+                background = [group.create_task(m.run()) for m in self.machines]
+                background.append(group.create_task(self._write()))
+                samples = [group.create_task(self._sample(n)) for n in numbers]
+                await asyncio.wait(samples)
+                for task in background:
+                    task.cancel()
         finally:
-            for task in background:
-                task.cancel()
-            await asyncio.gather(*background, return_exceptions=True)
             for machine in self.machines:
                 await machine.store.close()
         return self._report
@@ -322,10 +445,12 @@
         faults = []
         for _ in range(rng.randint(1, FAULTS_MAX)):
             kind = rng.choice(tuple(FaultKind))
-            count = max(1, round(MACHINES * rng.choice((0.1, 0.35, 0.6))))
+            count = max(
+                1, round(self.deployment.machines * rng.choice((0.1, 0.35, 0.6)))
+            )
             begin_s = rng.uniform(3.0, LOAD_S - 12.0)
             end_s = begin_s + rng.choice((0.5, 2.0, 4.0, 6.0, 9.0)) + rng.random()
-            machines = frozenset(rng.sample(range(MACHINES), count))
+            machines = frozenset(rng.sample(range(self.deployment.machines), count))
             if kind is FaultKind.DEAD:
                 end_s = LOAD_S + 1.0
             faults.append(Fault(kind, machines, begin_s, end_s))
@@ -385,7 +510,7 @@
     def _is_in_touch(self, number: int, at_ms: float) -> bool:
         return not (
             self._disturbed(at_ms, (number,), _SEPARATIONS)
-            or self._disturbed(at_ms, range(MACHINES), _REJECTIONS)
+            or self._disturbed(at_ms, range(self.deployment.machines), _REJECTIONS)
         )
 
     def _disturbed(self, at_ms, machines, kinds) -> bool:
@@ -415,7 +540,9 @@
 _REJECTIONS = (FaultKind.REFUSED, FaultKind.IGNORED)
 
 
-def run_seed(seed: int, bounds: Bounds | None = None) -> RunReport:
+def run_seed(
+    seed: int, bounds: Bounds | None = None, deployment: Deployment = SMALL
+) -> RunReport:
     """Run one seed on a new loop with a virtual clock.
 
     Parameters
@@ -423,18 +550,21 @@
     seed : int
     bounds : Bounds, optional
         Chosen by the seed from `BOUNDS` if not given.
+    deployment : Deployment
     """
-    return run_virtual(_Run(seed, bounds or BOUNDS[seed % len(BOUNDS)]).run())
+    run = _Run(seed, bounds or BOUNDS[seed % len(BOUNDS)], deployment)
+    return run_virtual(run.run())
 
 
 @click.command()
 @click.option("--seeds", default=20, help="Number of seeds.")
 @click.option("--first", default=0, help="First seed.")
-def main(seeds: int, first: int) -> None:
+@click.option("--large", is_flag=True, help="A large document and narrow links.")
+def main(seeds: int, first: int, large: bool) -> None:
     """Run seeds and report those that break a bound."""
     failed = 0
     for seed in range(first, first + seeds):
-        report = run_seed(seed)
+        report = run_seed(seed, deployment=LARGE if large else SMALL)
         failed += bool(report.violations)
         click.echo(
             f"seed {seed}: {report.judged} judged, {report.rejected} rejected, "
--- a/basilhold/workflows/tests/test_configuration_bounds.py
+++ b/basilhold/workflows/tests/test_configuration_bounds.py
@@ -4,7 +4,7 @@
 import unittest
 
 from basilhold.testing import VirtualTimeTestCase
-from basilhold.testing.configuration_runs import BOUNDS, MARGIN_MS, run_seed
+from basilhold.testing.configuration_runs import BOUNDS, LARGE, MARGIN_MS, run_seed
 from basilhold.workflows.configuration_watch import ConfigurationWatch
 from basilhold.workflows.tests.test_configuration_watch import (
     PausedClock,
@@ -13,6 +13,7 @@
 )
 
 SEEDS = (0, 1, 2, 9, 20, 24, 42, 48)
+LARGE_SEEDS = (0, 1, 2)
 
 
 class ConfigurationBoundsTest(unittest.TestCase):
@@ -26,6 +27,14 @@
                 self.assertEqual(report.violations, [], report.faults)
                 self.assertGreater(report.judged, 1_000)
 
+    def test_large_configuration_is_in_force_in_time_over_narrow_links(self):
+        # Machines that read it all at once got it too late or never.
+        for seed in LARGE_SEEDS:
+            with self.subTest(seed=seed):
+                report = run_seed(seed, deployment=LARGE)
+                self.assertEqual(report.violations[:5], [], report.faults)
+                self.assertGreater(report.judged, 10_000)
+
 
 class UnconfirmedConfigurationTest(VirtualTimeTestCase):
     """Guards against callers that are answered by a version that may be replaced."""
