Let a read go on for as long as its reply keeps arriving

What callers saw: on machines whose link was full, or narrow for the size of the configuration, a version was in force late or never.

Cause: a read was given up 1.2 s after it had been sent, also while its reply arrived, and sent again. What had arrived was thrown away, so replies that together need more than 1.2 s fill a link for good and none completes.

Change: a call may name a time for which it goes on after each part of its response, 10 s at most as a whole. Reads of the store, direct and relayed, use it; transactions end as before. The random runs of configurations treat their links alike.

--- a/basilhold/adapters/http.py
+++ b/basilhold/adapters/http.py
@@ -11,6 +11,7 @@
 import ssl
 from abc import ABC, abstractmethod
 from collections import defaultdict
+from collections.abc import Callable
 from types import TracebackType
 from typing import Self
 from urllib.parse import urlsplit
@@ -69,6 +70,9 @@
     content_type : str
     headers : tuple of (str, str)
         Further header fields.
+    stall_ms : int
+        Time for which the exchange goes on after each part of the response that
+        arrives, beyond `timeout_ms` if need be, in milliseconds.
     """
 
     address: HttpAddress
@@ -79,6 +83,7 @@
     repeatable: bool = False
     content_type: str = "application/json"
     headers: tuple[tuple[str, str], ...] = ()
+    stall_ms: int = 0
 
 
 class HttpReply(msgspec.Struct, frozen=True):
@@ -134,6 +139,8 @@
         are rarely sent on a connection that is being closed.
     body_bytes_max, header_bytes_max : int
         Longest response.
+    transfer_ms : int
+        Bound of an exchange whose response keeps arriving, in milliseconds.
     """
 
     connections: int = 8
@@ -141,6 +148,7 @@
     idle_ms: int = 30_000
     body_bytes_max: int = 16 << 20
     header_bytes_max: int = 16 << 10
+    transfer_ms: int = 10_000
 
 
 class _Kept(msgspec.Struct):
@@ -196,8 +204,10 @@
     async def run(self, call: HttpCall) -> Result[HttpReply, HttpFailure]:
         """Send a request and return the complete response."""
         exchange = _Exchange(call)
+        last_s = asyncio.get_running_loop().time() + self._limits.transfer_ms / 1000
         try:
-            async with asyncio.timeout(call.timeout_ms / 1000), self._slots:
+            async with asyncio.timeout(call.timeout_ms / 1000) as timeout, self._slots:
+                exchange.on_progress = lambda: _postpone(timeout, call.stall_ms, last_s)
                 return await self._run(exchange)
         except TimeoutError:
             return Error(HttpFailure(exchange.sent, "timed out"))
@@ -292,6 +302,7 @@
         self.sent = False
         self.sent_bytes = 0
         self.received_bytes = 0
+        self.on_progress: Callable[[], None] = lambda: None
         self.reset()
 
     def reset(self) -> None:
@@ -379,6 +390,7 @@
             self.close()
             return
         exchange.received_bytes += len(data)
+        exchange.on_progress()
         try:
             self._parser.feed_data(data)
         except HttpParserError:
@@ -431,6 +443,15 @@
             self._done.set_result(finished)
 
 
+def _postpone(timeout: asyncio.Timeout, stall_ms: int, last_s: float) -> None:
+    """Let an exchange go on for `stall_ms`, until `last_s` of the loop's clock."""
+    if not stall_ms or timeout.expired():
+        return
+    until_s = min(asyncio.get_running_loop().time() + stall_ms / 1000, last_s)
+    if until_s > timeout.when():
+        timeout.reschedule(until_s)
+
+
 def _host_header(address: HttpAddress) -> str:
     host = f"[{address.host}]" if ":" in address.host else address.host
     return f"{host}:{address.port}"
--- a/basilhold/platform/store.py
+++ b/basilhold/platform/store.py
@@ -28,7 +28,7 @@
 
 CALL_TIMEOUT_MS = 1_200
 """A slow store takes 280 ms for a transaction. A call without a reply is abandoned
-after this time."""
+after this time, and one whose reply stops arriving."""
 
 ROWS_PER_REPLY_MAX = 500
 """Largest number of rows in a reply."""
@@ -254,7 +254,12 @@
         self, path: str, timeout_ms: int, gone_allowed: bool = False
     ) -> Result[_StoreReply, StoreError]:
         call = HttpCall(
-            self._address, "GET", path, timeout_ms=timeout_ms, repeatable=True
+            self._address,
+            "GET",
+            path,
+            timeout_ms=timeout_ms,
+            stall_ms=CALL_TIMEOUT_MS,
+            repeatable=True,
         )
         result = await self._call(call)
         if result.is_ok() and result.ok.status != 200:
--- a/basilhold/testing/configuration_runs.py
+++ b/basilhold/testing/configuration_runs.py
@@ -254,7 +254,7 @@
             task.cancel()
 
     async def _transfer(self, result: Result, end_ms: float) -> Result:
-        """Wait for the reply to arrive, or until its timeout."""
+        """Wait for the reply to arrive, or until nothing arrives any more."""
         remaining = self._document_bytes if self._path and _has_document(result) else 0
         while remaining > 0:
             arrival_ms = max(part.reserve(CHUNK_BYTES) for part in self._path)
@@ -263,6 +263,7 @@
                 await asyncio.sleep(max(0.0, end_ms - _now_ms()) / 1000)
                 return Error(StoreError(StoreErrorKind.UNKNOWN, "timed out"))
             remaining -= CHUNK_BYTES
+            end_ms = max(end_ms, _now_ms() + DIRECT_TIMEOUT_MS)
         return result
 
 
--- a/basilhold/workflows/peer_http.py
+++ b/basilhold/workflows/peer_http.py
@@ -144,6 +144,7 @@
         reply_type,
         timeout_ms: int = PEER_TIMEOUT_MS,
         repeatable: bool = True,
+        stall_ms: int = 0,
     ) -> Result[msgspec.Struct, bool]:
         """Send a request.
 
@@ -160,6 +161,7 @@
             msgspec.json.encode(body),
             timeout_ms,
             repeatable=repeatable,
+            stall_ms=stall_ms,
         )
         result = await self._pool.run(call)
         if result.is_error():
@@ -233,7 +235,13 @@
         repeatable = not isinstance(call, TransactCall)
         sent_ms = self._time.local_ms()
         result = await self._call(
-            endpoint, "table", call, _StoreReply, timeout_ms, repeatable
+            endpoint,
+            "table",
+            call,
+            _StoreReply,
+            timeout_ms,
+            repeatable,
+            STORE_TIMEOUT_MS if repeatable else 0,
         )
         if result.is_error():
             kind = StoreErrorKind.UNKNOWN if result.error else _NOT_APPLIED
