Follow the configuration through one peer of the region

Cause: each machine read the whole document for each version. 21 machines read 8.4 MB a version over a link of 30 Mbit/s that is shared with all else. The class: a reply whose size grows with the configuration, sent once for each reader over the narrowest path, and repeated the later it comes.

Change: a process follows the peer of its region that ranks first, by the width of the machine's link and a hash of its id, and only processes without such a peer follow the store. A peer hands on the version as a compressed copy, which contains digests of keys only, with the age of its confirmation, so the version expires at the same time everywhere. A late process asks three peers first and then the store; the first of a region do so sooner than the others. A peer that does not confirm is left out for 10 s. Peers of earlier versions of the program answer 404, and are left out likewise.

Ruled out: reads beside a poll that fetch the document once more as the cause; without them the link is as full.

--- a/basilhold/platform/node.py
+++ b/basilhold/platform/node.py
@@ -43,6 +43,7 @@
 from basilhold.tenants import TenantRegistry
 from basilhold.workflows.advice_balancer import AdviceBalancer
 from basilhold.workflows.background_tasks import restart_on_error
+from basilhold.workflows.configuration_relay import RelayChooser
 from basilhold.workflows.configuration_watch import ConfigurationWatch
 from basilhold.workflows.frontend import WorkflowFrontend
 from basilhold.workflows.owner import OwnerPorts
@@ -196,6 +197,8 @@
             CONFIGURATION_KEY,
             decode_configuration,
             settings.bounds.config_apply_ms - CONFIGURATION_MARGIN_MS,
+            peers,
+            RelayChooser(lambda: self.ownership_manager.members(), self._clock),
         )
         self._status_pages.metrics.add_source(self._configuration)
         lease_ms = min(settings.bounds.hold_max_ms, LEASE_MAX_MS)
@@ -224,7 +227,13 @@
             _small_machine_delay_ms(settings),
         )
         self.frontend = WorkflowFrontend(
-            store, self.ownership_manager, peers, advice, self._clock, shared_time
+            store,
+            self.ownership_manager,
+            peers,
+            advice,
+            self._clock,
+            shared_time,
+            self._configuration,
         )
         self._caller_server = CallerServer(
             self.frontend,
--- a/basilhold/tenants/__init__.py
+++ b/basilhold/tenants/__init__.py
@@ -13,6 +13,7 @@
 from basilhold.tenants.quota_book import BlockedDemand, QuotaBook, TenantRequest
 from basilhold.tenants.registry import (
     NO_TENANT,
+    KeyDigest,
     Tenant,
     TenantName,
     TenantRegistry,
@@ -23,6 +24,7 @@
 
 __all__ = [
     "NO_TENANT",
+    "KeyDigest",
     "AllotmentLedger",
     "AllotmentPolicy",
     "BlockedDemand",
--- a/basilhold/tenants/registry.py
+++ b/basilhold/tenants/registry.py
@@ -96,6 +96,14 @@
             for digest in digests:
                 self._by_key[digest] = tenant
 
+    def with_key_digests(self) -> Iterator[tuple[Tenant, tuple[KeyDigest, ...]]]:
+        """Yield each tenant with the digests of its keys."""
+        digests: dict[TenantName, list[KeyDigest]] = {n: [] for n in self._by_name}
+        for digest, tenant in self._by_key.items():
+            digests[tenant.name].append(digest)
+        for name, tenant in self._by_name.items():
+            yield tenant, tuple(digests[name])
+
     def __iter__(self) -> Iterator[Tenant]:
         return iter(self._by_name.values())
 
--- a/basilhold/testing/configuration_runs.py
+++ b/basilhold/testing/configuration_runs.py
@@ -19,7 +19,7 @@
 
 import click
 import msgspec
-from expression import Error, Result
+from expression import Error, Ok, Result
 
 from basilhold.core import Clock, ProcessId, RegionName
 from basilhold.ports import (
@@ -32,9 +32,10 @@
 )
 from basilhold.standins.feed_table import FeedTable
 from basilhold.testing.virtual_time import run_virtual
+from basilhold.workflows.configuration_relay import RelayChooser
 from basilhold.workflows.configuration_watch import ConfigurationWatch
 from basilhold.workflows.owner_lease import SuspendAwareClock
-from basilhold.workflows.peer_http import STORE_TIMEOUT_MS
+from basilhold.workflows.peer_http import PEER_TIMEOUT_MS, STORE_TIMEOUT_MS
 from basilhold.workflows.peers import ChangesCall, Member, PeerClient
 from basilhold.workflows.relayed_table import PROBE_KEY, RelayedTable
 from basilhold.workflows.routes import QueueTable
@@ -320,6 +321,15 @@
             served, LATENCY_MS[REGIONS[1]], STORE_TIMEOUT_MS + wait_ms
         )
 
+    async def request_configuration(self, endpoint, request):
+        """Ask a peer for its version."""
+        peer = int(endpoint)
+        served = _as_result(self._run.machines[peer].watch.serve(request))
+        result = await self._link(peer).run(
+            served, LATENCY_MS[REGIONS[0]], PEER_TIMEOUT_MS + request.wait_ms
+        )
+        return result.ok if result.is_ok() else None
+
     def _link(self, peer: int) -> _Link:
         return _Link(
             lambda: {
@@ -333,6 +343,10 @@
     query_ownership = state = queue_length = advise = request_quota = None
 
 
+async def _as_result(reply: Coroutine[Any, Any, Any]) -> Result:
+    return Ok(await reply)
+
+
 class _Machine:
     """A machine that follows the configuration."""
 
@@ -357,7 +371,15 @@
             random.Random(run.rng.random()),
         )
         self.watch = ConfigurationWatch(
-            self.store, self.store, _LoopClock(), PREFIX, KEY, _decode, run.usable_ms
+            self.store,
+            self.store,
+            _LoopClock(),
+            PREFIX,
+            KEY,
+            _decode,
+            run.usable_ms,
+            peers,
+            RelayChooser(lambda: members, clock),
         )
 
     async def run(self) -> None:
--- a/basilhold/testing/workflow_cell.py
+++ b/basilhold/testing/workflow_cell.py
@@ -192,6 +192,13 @@
         await asyncio.sleep(self.delay_s)
         return msgspec.json.decode(msgspec.json.encode(reply), type=QuotaReply)
 
+    async def request_configuration(self, endpoint, request):
+        """Ask a peer for its version of the configuration."""
+        front = await self._front(endpoint)
+        if front is None:
+            return None
+        return await front.on_configuration_request(request)
+
     async def store_call(self, endpoint, call) -> Result[Any, StoreError]:
         """Let a peer call the store."""
         front = await self._front(endpoint)
--- /dev/null
+++ b/basilhold/workflows/configuration_relay.py
@@ -0,0 +1,86 @@
+"""Chooses the peer from which a process follows the configuration.
+
+If each process read a large document from the store, the replies would fill the link
+between regions. Within a region, a process therefore follows a peer that ranks before
+it, and only processes without such a peer follow the store. The module performs no I/O.
+"""
+
+from collections.abc import Callable
+
+import xxhash
+
+from basilhold.core import Clock
+from basilhold.workflows.peers import Member
+
+__all__ = ["RelayChooser"]
+
+SKIP_MS = 10_000.0
+"""How long a peer is not asked after it failed to confirm the configuration."""
+
+
+class RelayChooser:
+    """Chooses the peer to follow, or none to follow the store.
+
+    Ranks of the same members are equal in all processes, so that processes never follow
+    each other in a circle.
+
+    Parameters
+    ----------
+    members : callable
+        Returns the live members, this process first.
+    clock : Clock
+        Clock of this process.
+    """
+
+    def __init__(self, members: Callable[[], list[Member]], clock: Clock):
+        self._members = members
+        self._clock = clock
+        self._skip_until_ms: dict[str, float] = {}
+
+    def choose(self) -> str:
+        """Return the endpoint of the peer to follow; empty for the store."""
+        return self.candidates()[0] if self.rank() else ""
+
+    def candidates(self) -> list[str]:
+        """Return the endpoints of the peers in the own region in order of rank."""
+        return [member.endpoint for member in self._ranked_peers()]
+
+    def rank(self) -> int:
+        """Return how many candidates rank before this process."""
+        own = _rank(self._members()[0])
+        return sum(_rank(member) < own for member in self._ranked_peers())
+
+    def _ranked_peers(self) -> list[Member]:
+        now_ms = self._clock.monotonic_ms()
+        own, *others = self._members()
+        eligible = (
+            member
+            for member in others
+            if member.region == own.region
+            and self._skip_until_ms.get(member.endpoint, 0.0) <= now_ms
+        )
+        return sorted(eligible, key=_rank)
+
+    def skip(self, endpoint: str) -> None:
+        """Do not choose a peer for `SKIP_MS`."""
+        now_ms = self._clock.monotonic_ms()
+        self._skip_until_ms = {
+            skipped: until_ms
+            for skipped, until_ms in self._skip_until_ms.items()
+            if until_ms > now_ms
+        }
+        self._skip_until_ms[endpoint] = now_ms + SKIP_MS
+
+    def reset(self) -> None:
+        """Choose among all peers again."""
+        self._skip_until_ms.clear()
+
+
+def _rank(member: Member) -> tuple[bool, int, str]:
+    """Return the rank of a member; lower ones are followed by higher ones.
+
+    A process knows only some members. A hash spreads the first ranks over all of them,
+    so that each sample is likely to contain one.
+    """
+    process_id = member.process_id
+    return not member.wide_link, xxhash.xxh32_intdigest(process_id.encode()), process_id
--- a/basilhold/workflows/configuration_watch.py
+++ b/basilhold/workflows/configuration_watch.py
@@ -1,10 +1,11 @@
-"""Follows the configuration document in the store.
+"""Follows the configuration document in the store, or a peer that does.
 
 A version that was applied is never replaced by an older one. Each reply of the store
 reflects the store's state after the request was sent, whichever peer relayed it, so the
-time of the last answered request bounds the age of the configuration in force. Callers
-are answered by it only while that age is within a bound: a process that hears nothing
-cannot know whether a key has been withdrawn.
+time of the last answered request bounds the age of the configuration in force. A peer
+that is followed passes this time on with its version. Callers are answered by a version
+only while its age is within a bound: a process that hears nothing cannot know whether a
+key has been withdrawn.
 """
 
 import asyncio
@@ -18,16 +19,37 @@
 from basilhold.ports import ChangeFeed, Row, TableService
 from basilhold.workflows import events
 from basilhold.workflows.background_tasks import BackgroundTasks
+from basilhold.workflows.configuration_copy import decode_copy, encode_copy
+from basilhold.workflows.configuration_relay import RelayChooser
 from basilhold.workflows.owner_lease import SuspendAwareClock
+from basilhold.workflows.peers import (
+    ConfigurationReply,
+    ConfigurationRequest,
+    PeerClient,
+)
 from basilhold.workflows.routes import QueueTable
 
 __all__ = ["ConfigurationSource", "ConfigurationWatch"]
 
-POLL_WAIT_RATIO = 0.3
+POLL_WAIT_RATIO = 0.15
+PEER_WAIT_RATIO = 0.3
 LATE_RATIO = 0.7
-"""Duration of a long poll, and the age from which on the document is read besides it,
-relative to the time for which the configuration is used. While nothing changes, the age
-reaches the duration of two polls and a round trip."""
+"""Durations of a long poll of the store and of a peer, and the age from which on the
+store is asked besides them, relative to the time for which the configuration is used.
+While nothing changes, the age reaches the duration of two polls of the store. A peer
+replies when its own poll ends, which takes longer if it receives a large document."""
+
+STORE_READERS = 3
+READ_PEERS = 3
+READ_DELAY_MS = 100.0
+READ_DELAY_RATIO = 0.15
+"""A late process asks `READ_PEERS` peers and, after a delay, the store. The delay is
+`READ_DELAY_MS` for a process that ranks among the first `STORE_READERS`, and otherwise
+a share of the time for which the configuration is used: they receive a new document
+first, and hand it on."""
+
+PEER_WAIT_MAX_MS = 5_000
+"""Longest wait that a peer is granted."""
 
 RETRY_DELAY_MS = 200
 CHECK_INTERVAL_MS = 250
@@ -64,6 +86,9 @@
     usable_ms : float
         Time since its last confirmation for which the configuration is used, in
         milliseconds.
+    peers : PeerClient, optional
+    chooser : RelayChooser, optional
+        Chooses among the peers; without it, only the store is followed.
     """
 
     def __init__(
@@ -75,6 +100,8 @@
         key: str,
         decode: Callable[[bytes], QueueTable],
         usable_ms: float,
+        peers: PeerClient | None = None,
+        chooser: RelayChooser | None = None,
     ):
         self._table = table
         self._feed = feed
@@ -83,11 +110,18 @@
         self._key = key
         self._decode = decode
         self._usable_ms = usable_ms
+        self._peers = peers
+        self._chooser = chooser
+        self._source = ""
         self._newest: QueueTable | None = None
         self._confirmed_ms = -1e9
-        self._reading: asyncio.Task[int] | None = None
+        self._store_version = -1
+        self._confirmed_event = asyncio.Event()
+        self._copy: tuple[int, bytes] = (0, b"")
+        self._reading: asyncio.Task[None] | None = None
         self._read_failed = False
         self._rejecting = False
+        self._confirmed_version = 0
         self._tasks = BackgroundTasks()
 
     @property
@@ -136,69 +170,162 @@
         finally:
             await self._tasks.cancel()
 
+    async def serve(self, request: ConfigurationRequest) -> ConfigurationReply:
+        """Return the newest version to a peer that follows this process.
+
+        Waits until there is a version that the peer does not have, or until the newest
+        one is confirmed again.
+        """
+        arrived_ms = self._clock.now_ms()
+        wait_ms = min(request.wait_ms, PEER_WAIT_MAX_MS)
+        if self._newest is None or self._newest.version <= request.version:
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(wait_ms / 1000):
+                    await self._confirmed_event.wait()
+        newest = self._newest
+        if newest is None:
+            return ConfigurationReply()
+        return ConfigurationReply(
+            newest.version,
+            self._store_version,
+            self._confirmed_ms - arrived_ms,
+            self._encode_copy(newest) if newest.version > request.version else b"",
+        )
+
+    def _encode_copy(self, table: QueueTable) -> bytes:
+        if self._copy[0] != table.version:
+            self._copy = (table.version, encode_copy(table))
+        return self._copy[1]
+
     async def _check_loop(self) -> None:
-        """Read the document whenever the poll is late, or the process was paused."""
-        late_ms = LATE_RATIO * self._usable_ms
+        """Ask the store whenever the poll is late, or the process was paused."""
         while True:
-            if self._newest is not None and self.age_ms() > late_ms:
+            if self._newest is not None and self._late_in_ms() < 0:
                 self._start_read()
             await asyncio.sleep(CHECK_INTERVAL_MS / 1000)
 
-    def _start_read(self) -> asyncio.Task[int]:
+    def _late_in_ms(self) -> float:
+        """Return the time until the confirmation is late; negative if it is late."""
+        return LATE_RATIO * self._usable_ms - self.age_ms()
+
+    def _start_read(self) -> asyncio.Task[None]:
         """Return the read in progress; start one if there is none."""
         if self._reading is None or self._reading.done():
             self._reading = self._tasks.start(self._read())
         return self._reading
 
+    async def _read(self) -> None:
+        """Ask several peers and, unless one of them knows more, the store."""
+        if self._chooser is not None and await self._read_from_peers(self._chooser):
+            return
+        self._read_failed = not await self._poll_store(0)
+        if self._read_failed and self._chooser is not None:
+            # The link of this machine has failed, and not that of a peer.
+            self._chooser.reset()
+
+    async def _read_from_peers(self, chooser: RelayChooser) -> bool:
+        """Ask several peers; return whether the version is confirmed now."""
+        wait_ms = READ_DELAY_MS
+        if chooser.rank() >= STORE_READERS:
+            wait_ms = max(wait_ms, READ_DELAY_RATIO * self._usable_ms)
+        asking = {
+            self._tasks.start(self._poll_peer(endpoint, round(wait_ms)))
+            for endpoint in chooser.candidates()[:READ_PEERS]
+        }
+        try:
+            async with asyncio.timeout(wait_ms / 1000):
+                while asking and self._late_in_ms() < 0:
+                    _, asking = await asyncio.wait(
+                        asking, return_when=asyncio.FIRST_COMPLETED
+                    )
+        except TimeoutError:
+            pass
+        finally:
+            for task in asking:
+                task.cancel()
+        return self._late_in_ms() > 0
+
     async def _poll_loop(self) -> None:
-        """Poll for changes; read the document again if history was dropped."""
-        version = -1
-        wait_ms = round(POLL_WAIT_RATIO * self._usable_ms)
+        """Follow the store or a peer."""
         while True:
-            if version < 0:
-                version = await self._read()
-                if version < 0:
-                    await asyncio.sleep(RETRY_DELAY_MS / 1000)
+            endpoint = self._chooser.choose() if self._chooser else ""
+            if endpoint != self._source:
+                log_event(events.CONFIGURATION_FOLLOWED, source=endpoint or "the store")
+                self._source = endpoint
+            if endpoint:
+                wait_ms = round(PEER_WAIT_RATIO * self._usable_ms)
+                if not await self._poll_peer(endpoint, wait_ms):
+                    self._chooser.skip(endpoint)
                 continue
-            sent_ms = self._clock.now_ms()
-            result = await self._feed.changes(self._prefix, version, wait_ms)
-            if result.is_error():
+            # A poll that follows a lost one does not wait for a change.
+            wait_ms = min(POLL_WAIT_RATIO * self._usable_ms, self._late_in_ms())
+            if not await self._poll_store(max(0, round(wait_ms))):
                 await asyncio.sleep(RETRY_DELAY_MS / 1000)
-                continue
-            if not result.ok.complete:
-                version = -1
-                continue
-            self._confirm(sent_ms, result.ok.rows)
-            version = result.ok.version
 
-    async def _read(self) -> int:
-        """Read and apply the document.
+    async def _poll_peer(self, endpoint: str, wait_ms: int) -> bool:
+        """Ask a peer for its version; return whether that was confirmed recently."""
+        sent_ms = self._clock.now_ms()
+        version = self._newest.version if self._newest else 0
+        request = ConfigurationRequest(version, wait_ms)
+        reply = await self._peers.request_configuration(endpoint, request)
+        if reply is None or reply.store_version < 0:
+            return False
+        # The request arrived after it was sent, so this is not too late.
+        confirmed_ms = sent_ms + reply.confirmed_ms
+        if confirmed_ms <= self._confirmed_ms and reply.version <= version:
+            return False
+        if reply.version > version and not self._apply_copy(reply):
+            return False
+        self._confirm(confirmed_ms, reply.store_version)
+        return self._late_in_ms() > 0
+
+    async def _poll_store(self, wait_ms: int) -> bool:
+        """Read the document, or its changes since the last reply.
+
+        Parameters
+        ----------
+        wait_ms : int
+            How long the store waits for a change, in milliseconds.
 
         Returns
         -------
-        int
-            Version of the store from which to watch for changes; -1 on failure.
+        bool
+            Whether the store replied.
         """
         sent_ms = self._clock.now_ms()
-        result = await self._table.scan(self._prefix)
+        after = self._store_version
+        if after < 0:
+            result = await self._table.scan(self._prefix)
+        else:
+            result = await self._feed.changes(self._prefix, after, wait_ms)
+            if result.is_ok() and not result.ok.complete:
+                # The next poll reads the document again.
+                if self._store_version == after:
+                    self._store_version = -1
+                return True
         if result.is_error():
-            self._read_failed = True
-            return -1
-        self._confirm(sent_ms, result.ok.rows)
-        return result.ok.version
+            return False
+        for row in result.ok.rows:
+            if row.key == self._key:
+                self._decode_row(row)
+        self._confirm(sent_ms, result.ok.version)
+        return True
 
-    def _confirm(self, sent_ms: float, rows: tuple[Row, ...]) -> None:
-        """Apply the rows of a reply to a call that was sent at `sent_ms`."""
+    def _confirm(self, confirmed_ms: float, store_version: int) -> None:
+        """Record that the newest version was that of the store at a moment."""
         age_ms = self.age_ms()
         was_confirmed = self.is_confirmed()
-        previous = self._newest.version if self._newest else 0
-        for row in rows:
-            if row.key == self._key:
-                self._apply(row.value)
+        previous = self._confirmed_version
         self._read_failed = False
-        self._confirmed_ms = max(self._confirmed_ms, sent_ms)
+        self._confirmed_ms = max(self._confirmed_ms, confirmed_ms)
+        self._store_version = max(self._store_version, store_version)
+        self._confirmed_event.set()
+        self._confirmed_event = asyncio.Event()
         # The reply may be to a call that was sent before a pause of the process.
-        if was_confirmed or not self.is_confirmed():
+        if self._newest is None or not self.is_confirmed():
+            return
+        self._confirmed_version = self._newest.version
+        if was_confirmed:
             return
         self._rejecting = False
         if previous:
@@ -209,18 +336,29 @@
                 previous=previous,
             )
 
-    def _apply(self, value: bytes) -> None:
-        """Apply a document if it is valid and newer than the one in force."""
+    def _decode_row(self, row: Row) -> None:
         try:
-            queue_table = self._decode(value)
+            self._apply(self._decode(row.value))
         except msgspec.DecodeError as error:
             log_event(events.CONFIGURATION_INVALID, reason=error)
-            return
-        if self._newest is None or queue_table.version > self._newest.version:
-            self._newest = queue_table
-            tenants = queue_table.tenants
+
+    def _apply_copy(self, reply: ConfigurationReply) -> bool:
+        """Apply the version in a reply of a peer; return whether it could be read."""
+        try:
+            table = decode_copy(reply.copy)
+        except msgspec.DecodeError as error:
+            log_event(events.CONFIGURATION_INVALID, reason=error)
+            return False
+        self._apply(table)
+        return table.version == reply.version
+
+    def _apply(self, table: QueueTable) -> None:
+        """Apply a version if it is newer than the one in force."""
+        if self._newest is None or table.version > self._newest.version:
+            self._newest = table
+            tenants = table.tenants
             log_event(
                 events.CONFIGURATION_CHANGED,
-                version=queue_table.version,
+                version=table.version,
                 tenants=len(tenants) if tenants is not None else 0,
             )
--- a/basilhold/workflows/events.py
+++ b/basilhold/workflows/events.py
@@ -148,6 +148,9 @@
     "configuration is invalid: {reason}; keeping the previous one",
     "Correct the configuration document.",
 )
+CONFIGURATION_FOLLOWED = Event(
+    6107, EventLevel.INFO, "the configuration is followed through {source}"
+)
 CONFIGURATION_UNCONFIRMED = Event(
     6105,
     EventLevel.WARNING,
--- a/basilhold/workflows/frontend.py
+++ b/basilhold/workflows/frontend.py
@@ -31,9 +31,12 @@
 from basilhold.tenants import NO_TENANT, TenantName
 from basilhold.workflows import events
 from basilhold.workflows.background_tasks import BackgroundTasks
+from basilhold.workflows.configuration_watch import ConfigurationWatch
 from basilhold.workflows.model import QueueName, QueuePolicy, WorkflowSpec
 from basilhold.workflows.ownership_manager import OwnershipManager
 from basilhold.workflows.peers import (
+    ConfigurationReply,
+    ConfigurationRequest,
     PeerClient,
     PeerService,
     StateReply,
@@ -123,6 +126,8 @@
         Clock of this process.
     time : SharedTime
         Estimate of the store's time.
+    configuration : ConfigurationWatch, optional
+        Serves peers that follow the configuration through this process.
     """
 
     def __init__(
@@ -133,7 +138,9 @@
         advice: AdviceService,
         clock: Clock,
         time: SharedTime,
+        configuration: ConfigurationWatch | None = None,
     ):
+        self._configuration = configuration
         self._table = table
         self._ownership_manager = ownership_manager
         self._peers = peers
@@ -442,6 +449,14 @@
         local = self._ownership_manager.local_owner(request.giver)
         return await local.serve_quota(request) if local else QuotaReply(False)
 
+    async def on_configuration_request(
+        self, request: ConfigurationRequest
+    ) -> ConfigurationReply:
+        """Return the version of the configuration that this process follows."""
+        if self._configuration is None:
+            return ConfigurationReply()
+        return await self._configuration.serve(request)
+
     def shared_ms(self) -> float | None:
         """Return the store's time in milliseconds, or ``None`` if it is not known."""
         return self._time.now_ms() if self._time.is_known else None
--- a/basilhold/workflows/peer_http.py
+++ b/basilhold/workflows/peer_http.py
@@ -23,6 +23,8 @@
 from basilhold.workflows.model import QueueName, QueuePolicy, WorkflowSpec
 from basilhold.workflows.peers import (
     ChangesCall,
+    ConfigurationReply,
+    ConfigurationRequest,
     OwnershipReply,
     PeerClient,
     PeerService,
@@ -224,6 +226,21 @@
         result = await self._call(endpoint, "quota", request, QuotaReply)
         return result.ok if result.is_ok() else QuotaReply(False)
 
+    async def request_configuration(
+        self, endpoint: str, request: ConfigurationRequest
+    ) -> ConfigurationReply | None:
+        """Ask a peer for its version of the configuration."""
+        timeout_ms = PEER_TIMEOUT_MS + request.wait_ms
+        result = await self._call(
+            endpoint,
+            "configuration",
+            request,
+            ConfigurationReply,
+            timeout_ms,
+            stall_ms=PEER_TIMEOUT_MS,
+        )
+        return result.ok if result.is_ok() else None
+
     async def store_call(
         self, endpoint: str, call: StoreCall
     ) -> Result[Any, StoreError]:
@@ -330,6 +347,10 @@
         call = decode_json(body, QuotaRequest)
         return await self._service.on_quota_request(call)
 
+    async def _serve_configuration(self, body: bytes) -> ConfigurationReply:
+        call = decode_json(body, ConfigurationRequest)
+        return await self._service.on_configuration_request(call)
+
     async def _serve_table(self, body: bytes) -> _StoreReply:
         call = decode_json(body, StoreCall)
         result = await self._service.run_store_call(call)
--- a/basilhold/workflows/peers.py
+++ b/basilhold/workflows/peers.py
@@ -17,6 +17,8 @@
 
 __all__ = [
     "ChangesCall",
+    "ConfigurationReply",
+    "ConfigurationRequest",
     "Member",
     "PeerClient",
     "PeerService",
@@ -101,6 +103,43 @@
     tenant: TenantName = NO_TENANT
 
 
+class ConfigurationRequest(msgspec.Struct, frozen=True):
+    """Asks a peer for the version of the configuration that it follows.
+
+    Parameters
+    ----------
+    version : int
+        Version that the asking process has; 0 if none.
+    wait_ms : int
+        Time for which the peer waits for a newer one, in milliseconds.
+    """
+
+    version: int
+    wait_ms: int
+
+
+class ConfigurationReply(msgspec.Struct, frozen=True):
+    """The newest version of the configuration that a process knows.
+
+    Parameters
+    ----------
+    version : int
+        0 if the process knows none.
+    store_version : int
+        Version of the store at which `version` was the newest one; -1 if unknown.
+    confirmed_ms : float
+        Time of that version of the store, in milliseconds from the arrival of the
+        request; negative if it was before.
+    copy : bytes
+        The version for a process with an older one, else empty; see `encode_copy`.
+    """
+
+    version: int = 0
+    store_version: int = -1
+    confirmed_ms: float = 0.0
+    copy: bytes = b""
+
+
 class ReadCall(msgspec.Struct, frozen=True, tag="read"):
     """Reads rows by key."""
 
@@ -178,6 +217,12 @@
     def shared_ms(self) -> float | None:
         """Return the store's time in milliseconds, or ``None`` if it is not known."""
 
+    @abstractmethod
+    async def on_configuration_request(
+        self, request: ConfigurationRequest
+    ) -> ConfigurationReply:
+        """Return the version of the configuration that this process follows."""
+
     @abstractmethod
     async def run_store_call(self, call: StoreCall) -> Result[Any, StoreError]:
         """Execute a store call for a peer that cannot reach the store."""
@@ -252,6 +297,16 @@
         The reply is not `current` if there is none.
         """
 
+    @abstractmethod
+    async def request_configuration(
+        self, endpoint: str, request: ConfigurationRequest
+    ) -> ConfigurationReply | None:
+        """Ask a peer for its version of the configuration.
+
+        Returns ``None`` if there is no reply, also from a peer of an earlier version of
+        the program.
+        """
+
     @abstractmethod
     async def store_call(
         self, endpoint: str, call: StoreCall
--- a/basilhold/workflows/routes.py
+++ b/basilhold/workflows/routes.py
@@ -52,6 +52,7 @@
         tenants: TenantRegistry | None = None,
     ):
         self.version = version
+        self.routes = routes
         self.body_bytes_max = body_bytes_max
         self.services = services
         self.tenants = tenants
--- a/basilhold/workflows/tests/test_relayed_table.py
+++ b/basilhold/workflows/tests/test_relayed_table.py
@@ -79,6 +79,7 @@
 
     notify_submitted = notify_cancelled = notify_released = None
     query_ownership = state = queue_length = advise = request_quota = None
+    request_configuration = None
 
 
 class SilentTable(FeedTable):
