Let the first processes of a region read the store when peers are lost

Where the first peers of a region were lost or cut off, all others gave them up at the same time and read the store at once, each beside a poll that was on its way.

Change: a late process asks three peers for 0.1 s and leaves out those that do not reply. If it then ranks among the first three, it reads the store at once; others repeat that for a third of the time before they do. A read ends as soon as the version is confirmed otherwise. A peer that replies without news is followed until the confirmation is late, as it may be receiving a document. A lost peer is left out for 30 s in place of 10 s, longer than it is listed, and is noticed after 0.3 s in place of 0.6 s beyond its wait. If history was dropped the document is read in the same poll. A deployment that asks for 250 ms or less gets half of it as the time for which a version is used, and not none.

--- a/basilhold/platform/node.py
+++ b/basilhold/platform/node.py
@@ -196,7 +196,10 @@
             CONFIGURATION_PREFIX,
             CONFIGURATION_KEY,
             decode_configuration,
-            settings.bounds.config_apply_ms - CONFIGURATION_MARGIN_MS,
+            max(
+                settings.bounds.config_apply_ms - CONFIGURATION_MARGIN_MS,
+                settings.bounds.config_apply_ms / 2,
+            ),
             peers,
             RelayChooser(lambda: self.ownership_manager.members(), self._clock),
         )
--- a/basilhold/testing/configuration_runs.py
+++ b/basilhold/testing/configuration_runs.py
@@ -35,7 +35,7 @@
 from basilhold.workflows.configuration_relay import RelayChooser
 from basilhold.workflows.configuration_watch import ConfigurationWatch
 from basilhold.workflows.owner_lease import SuspendAwareClock
-from basilhold.workflows.peer_http import PEER_TIMEOUT_MS, STORE_TIMEOUT_MS
+from basilhold.workflows.peer_http import CONFIGURATION_TIMEOUT_MS, STORE_TIMEOUT_MS
 from basilhold.workflows.peers import ChangesCall, Member, PeerClient
 from basilhold.workflows.relayed_table import PROBE_KEY, RelayedTable
 from basilhold.workflows.routes import QueueTable
@@ -326,7 +326,7 @@
         peer = int(endpoint)
         served = _as_result(self._run.machines[peer].watch.serve(request))
         result = await self._link(peer).run(
-            served, LATENCY_MS[REGIONS[0]], PEER_TIMEOUT_MS + request.wait_ms
+            served, LATENCY_MS[REGIONS[0]], CONFIGURATION_TIMEOUT_MS + request.wait_ms
         )
         return result.ok if result.is_ok() else None
 
--- a/basilhold/workflows/configuration_relay.py
+++ b/basilhold/workflows/configuration_relay.py
@@ -14,8 +14,9 @@
 
 __all__ = ["RelayChooser"]
 
-SKIP_MS = 10_000.0
-"""How long a peer is not asked after it failed to confirm the configuration."""
+SKIP_MS = 30_000.0
+"""How long a peer is not asked after it failed to confirm the configuration. A lost
+process stays listed for 25 s."""
 
 
 class RelayChooser:
--- a/basilhold/workflows/configuration_watch.py
+++ b/basilhold/workflows/configuration_watch.py
@@ -41,12 +41,13 @@
 
 STORE_READERS = 3
 READ_PEERS = 3
-READ_DELAY_MS = 100.0
-READ_DELAY_RATIO = 0.15
-"""A late process asks `READ_PEERS` peers and, after a delay, the store. The delay is
-`READ_DELAY_MS` for a process that ranks among the first `STORE_READERS`, and otherwise
-a share of the time for which the configuration is used: they receive a new document
-first, and hand it on."""
+READ_WAIT_MS = 100
+READ_TIMEOUT_MS = 200.0
+READ_DELAY_RATIO = 0.3
+"""A late process asks `READ_PEERS` peers for `READ_WAIT_MS`, and then the store. If it
+does not rank among the first `STORE_READERS`, it repeats that before it asks the store,
+for a share of the time for which the configuration is used: the first ones receive a
+new document sooner if they alone read it, and hand it on."""
 
 PEER_WAIT_MAX_MS = 5_000
 """Longest wait that a peer is granted."""
@@ -114,6 +115,7 @@
         self._chooser = chooser
         self._source = ""
         self._newest: QueueTable | None = None
+        self._started_ms = -1e9
         self._confirmed_ms = -1e9
         self._store_version = -1
         self._confirmed_event = asyncio.Event()
@@ -163,6 +165,7 @@
 
     async def run(self) -> None:
         """Apply each new version until cancelled."""
+        self._started_ms = self._clock.now_ms()
         try:
             async with asyncio.TaskGroup() as group:
                 group.create_task(self._poll_loop())
@@ -200,13 +203,14 @@
     async def _check_loop(self) -> None:
         """Ask the store whenever the poll is late, or the process was paused."""
         while True:
-            if self._newest is not None and self._late_in_ms() < 0:
+            if self._late_in_ms() < 0:
                 self._start_read()
             await asyncio.sleep(CHECK_INTERVAL_MS / 1000)
 
     def _late_in_ms(self) -> float:
-        """Return the time until the confirmation is late; negative if it is late."""
-        return LATE_RATIO * self._usable_ms - self.age_ms()
+        """Return the time until a confirmation is late; negative if it is late."""
+        since_ms = max(self._confirmed_ms, self._started_ms)
+        return LATE_RATIO * self._usable_ms - (self._clock.now_ms() - since_ms)
 
     def _start_read(self) -> asyncio.Task[None]:
         """Return the read in progress; start one if there is none."""
@@ -214,36 +218,38 @@
             self._reading = self._tasks.start(self._read())
         return self._reading
 
+    def _end_read(self) -> None:
+        """End a read whose reply is not needed any more, as it may be large."""
+        if self._reading is not None and self._reading is not asyncio.current_task():
+            self._reading.cancel()
+
     async def _read(self) -> None:
         """Ask several peers and, unless one of them knows more, the store."""
-        if self._chooser is not None and await self._read_from_peers(self._chooser):
-            return
+        if self._chooser is not None:
+            await self._read_from_peers(self._chooser)
+            if self._late_in_ms() > 0:
+                return
         self._read_failed = not await self._poll_store(0)
         if self._read_failed and self._chooser is not None:
             # The link of this machine has failed, and not that of a peer.
             self._chooser.reset()
 
-    async def _read_from_peers(self, chooser: RelayChooser) -> bool:
-        """Ask several peers; return whether the version is confirmed now."""
-        wait_ms = READ_DELAY_MS
-        if chooser.rank() >= STORE_READERS:
-            wait_ms = max(wait_ms, READ_DELAY_RATIO * self._usable_ms)
-        asking = {
-            self._tasks.start(self._poll_peer(endpoint, round(wait_ms)))
-            for endpoint in chooser.candidates()[:READ_PEERS]
-        }
+    async def _read_from_peers(self, chooser: RelayChooser) -> None:
+        """Ask the first peers, again and again if others read the store sooner."""
+        end_ms = self._clock.now_ms() + READ_DELAY_RATIO * self._usable_ms
+        while self._late_in_ms() < 0 and self._clock.now_ms() < end_ms:
+            endpoints = chooser.candidates()[:READ_PEERS]
+            await asyncio.gather(*(self._ask_briefly(e, chooser) for e in endpoints))
+            if chooser.rank() < STORE_READERS:
+                return
+
+    async def _ask_briefly(self, endpoint: str, chooser: RelayChooser) -> None:
+        """Ask a peer for its version; leave it out if it does not reply soon."""
         try:
-            async with asyncio.timeout(wait_ms / 1000):
-                while asking and self._late_in_ms() < 0:
-                    _, asking = await asyncio.wait(
-                        asking, return_when=asyncio.FIRST_COMPLETED
-                    )
+            async with asyncio.timeout(READ_TIMEOUT_MS / 1000):
+                await self._poll_peer(endpoint, READ_WAIT_MS)
         except TimeoutError:
-            pass
-        finally:
-            for task in asking:
-                task.cancel()
-        return self._late_in_ms() > 0
+            chooser.skip(endpoint)
 
     async def _poll_loop(self) -> None:
         """Follow the store or a peer."""
@@ -254,7 +260,9 @@
                 self._source = endpoint
             if endpoint:
                 wait_ms = round(PEER_WAIT_RATIO * self._usable_ms)
-                if not await self._poll_peer(endpoint, wait_ms):
+                is_recent = await self._poll_peer(endpoint, wait_ms)
+                # A peer without news may be receiving a new document.
+                if not is_recent and self._late_in_ms() < 0:
                     self._chooser.skip(endpoint)
                 continue
             # A poll that follows a lost one does not wait for a change.
@@ -263,18 +271,23 @@
                 await asyncio.sleep(RETRY_DELAY_MS / 1000)
 
     async def _poll_peer(self, endpoint: str, wait_ms: int) -> bool:
-        """Ask a peer for its version; return whether that was confirmed recently."""
+        """Ask a peer for its version; return whether that was confirmed recently.
+
+        A peer that does not reply, or follows nothing itself, is left out.
+        """
         sent_ms = self._clock.now_ms()
         version = self._newest.version if self._newest else 0
         request = ConfigurationRequest(version, wait_ms)
         reply = await self._peers.request_configuration(endpoint, request)
         if reply is None or reply.store_version < 0:
+            self._chooser.skip(endpoint)
             return False
         # The request arrived after it was sent, so this is not too late.
         confirmed_ms = sent_ms + reply.confirmed_ms
         if confirmed_ms <= self._confirmed_ms and reply.version <= version:
             return False
         if reply.version > version and not self._apply_copy(reply):
+            self._chooser.skip(endpoint)
             return False
         self._confirm(confirmed_ms, reply.store_version)
         return self._late_in_ms() > 0
@@ -292,17 +305,16 @@
         bool
             Whether the store replied.
         """
+        has_history = self._store_version >= 0
         sent_ms = self._clock.now_ms()
-        after = self._store_version
-        if after < 0:
+        if has_history:
+            result = await self._feed.changes(
+                self._prefix, self._store_version, wait_ms
+            )
+            has_history = result.is_error() or result.ok.complete
+        if not has_history:
+            sent_ms = self._clock.now_ms()
             result = await self._table.scan(self._prefix)
-        else:
-            result = await self._feed.changes(self._prefix, after, wait_ms)
-            if result.is_ok() and not result.ok.complete:
-                # The next poll reads the document again.
-                if self._store_version == after:
-                    self._store_version = -1
-                return True
         if result.is_error():
             return False
         for row in result.ok.rows:
@@ -321,6 +333,8 @@
         self._store_version = max(self._store_version, store_version)
         self._confirmed_event.set()
         self._confirmed_event = asyncio.Event()
+        if self._late_in_ms() > 0:
+            self._end_read()
         # The reply may be to a call that was sent before a pause of the process.
         if self._newest is None or not self.is_confirmed():
             return
--- a/basilhold/workflows/peer_http.py
+++ b/basilhold/workflows/peer_http.py
@@ -42,6 +42,10 @@
 PEER_TIMEOUT_MS = 600
 """Timeout of a call: ten times the round-trip time between regions, 60 ms."""
 
+CONFIGURATION_TIMEOUT_MS = 300
+"""Time beyond its wait that a reply with the configuration may take to begin; it comes
+from a peer in the same region."""
+
 OWNERSHIP_TIMEOUT_MS = 300
 """Timeout of an ownership query; a process that takes longer cannot serve requests."""
 
@@ -230,7 +234,7 @@
         self, endpoint: str, request: ConfigurationRequest
     ) -> ConfigurationReply | None:
         """Ask a peer for its version of the configuration."""
-        timeout_ms = PEER_TIMEOUT_MS + request.wait_ms
+        timeout_ms = CONFIGURATION_TIMEOUT_MS + request.wait_ms
         result = await self._call(
             endpoint,
             "configuration",
