Test withdrawn keys on processes that follow a peer

Three real processes, two of which follow the configuration through the third: a key is withdrawn while the followed process is paused, while only the others reach the store, and before it is killed and started again. No process serves the key once it has answered 401, nor the followed one after its pause. A peer of an earlier build answers the new call with 404 and is left out.

The class of the existing tests takes the number of processes; their checks are unchanged.

--- a/basilhold/platform/tests/test_withdrawn_keys.py
+++ b/basilhold/platform/tests/test_withdrawn_keys.py
@@ -1,6 +1,7 @@
 """Withdrawn keys and removed queues, seen by callers of a real process."""
 
 import asyncio
+import contextlib
 import json
 import signal
 import unittest
@@ -29,66 +30,128 @@
 START_TIMEOUT_S = 30.0
 
 
-class WithdrawnKeysTest(unittest.IsolatedAsyncioTestCase):
-    """Guards against a process that serves a key withdrawn while it heard nothing."""
+class KeysTestCase(unittest.IsolatedAsyncioTestCase):
+    """Real processes of a deployment whose only tenant has the key ``secret``."""
+
+    node_count = 1
 
     async def asyncSetUp(self):
         self.platform = self.enterContext(FakePlatform(1, 1, RunnerFaults()))
-        self.configure(1, "secret")
+        self.version = 0
+        self.configure("secret")
         directory = self.enterContext(scratch_directory())
-        self.proxy = StoreProxy(self.platform.port)
-        await self.proxy.open()
-        self.addAsyncCleanup(self.proxy.close)
-        self.node = NodeProcess("node-0", self.proxy, Path(directory))
         self.client = AsyncHTTPClient(force_instance=True)
         self.addCleanup(self.client.close)
-        self.node.start()
-        self.addCleanup(self.node.kill)
-        await self.wait_for(200)
+        self.nodes = []
+        for number in range(self.node_count):
+            proxy = StoreProxy(self.platform.port)
+            await proxy.open()
+            self.addAsyncCleanup(proxy.close)
+            node = NodeProcess(f"node-{number}", proxy, Path(directory))
+            self.nodes.append(node)
+            node.start()
+            self.addCleanup(node.kill)
+        for node in self.nodes:
+            await self.wait_for(node, 200)
 
-    def configure(self, version, *keys):
+    def configure(self, *keys):
+        """Write a new version, in which the tenant has the given keys."""
+        self.version += 1
         document = {
-            "version": version,
+            "version": self.version,
             "routes": [QUEUE],
             "services": [{"name": SERVICE}],
             "tenants": [{"name": "north", "api_keys": keys}],
         }
         self.platform.put("op", "", "config", json.dumps(document).encode())
 
-    async def count(self):
+    async def count(self, node):
         """Ask for the number of waiting jobs with the key; return the response."""
         headers = {"Host": "desk.example", "X-Api-Key": "secret"}
-        url = f"http://127.0.0.1:{self.node.caller_port}/jobs/"
+        url = f"http://127.0.0.1:{node.caller_port}/jobs/"
         request = HTTPRequest(url, headers=headers, request_timeout=10.0)
         return await self.client.fetch(request, raise_error=False)
 
-    async def wait_for(self, status):
+    async def wait_for(self, node, status):
+        """Call a process until it replies with a status; return the other ones."""
+        seen = set()
         async with asyncio.timeout(START_TIMEOUT_S):
             while True:
-                try:
-                    if (await self.count()).code == status:
-                        return
-                except OSError:
-                    pass
+                with contextlib.suppress(OSError):
+                    code = (await self.count(node)).code
+                    if code == status:
+                        return seen
+                    seen.add(code)
                 await asyncio.sleep(0.1)
 
+
+class WithdrawnKeysTest(KeysTestCase):
+    """Guards against a process that serves a key withdrawn while it heard nothing."""
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        (self.node,) = self.nodes
+
     async def pause_and_withdraw(self):
         self.node.send_signal(signal.SIGSTOP)
-        self.configure(2)
+        self.configure()
         await asyncio.sleep(PAUSE_S)
         self.node.send_signal(signal.SIGCONT)
 
     async def test_key_withdrawn_during_a_pause_is_not_served(self):
         await self.pause_and_withdraw()
-        self.assertIn((await self.count()).code, (401, 503))
-        await self.wait_for(401)
+        self.assertIn((await self.count(self.node)).code, (401, 503))
+        await self.wait_for(self.node, 401)
 
     async def test_key_is_not_served_after_a_pause_without_the_store(self):
-        self.proxy.set_mode(ProxyMode.DROP)
+        self.node.store_proxy.set_mode(ProxyMode.DROP)
         await self.pause_and_withdraw()
         for _ in range(3):
-            response = await self.count()
+            response = await self.count(self.node)
             self.assertEqual(response.code, 503)
             self.assertGreater(int(response.headers["Retry-After"]), 0)
-        self.proxy.set_mode(ProxyMode.FORWARD)
-        await self.wait_for(401)
+        self.node.store_proxy.set_mode(ProxyMode.FORWARD)
+        await self.wait_for(self.node, 401)
+
+
+class FollowedPeerTest(KeysTestCase):
+    """Guards against keys that processes serve because the peer they follow does."""
+
+    node_count = 3
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        async with asyncio.timeout(START_TIMEOUT_S):
+            while sum(self.follows_peer(node) for node in self.nodes) < 2:
+                await asyncio.sleep(0.1)
+        (self.leader,) = (n for n in self.nodes if not self.follows_peer(n))
+        self.followers = [node for node in self.nodes if node is not self.leader]
+
+    def follows_peer(self, node):
+        lines = [line for line in node.log_lines() if "BH6107" in line]
+        return bool(lines) and "the store" not in lines[-1]
+
+    async def test_key_is_withdrawn_while_the_followed_peer_is_paused(self):
+        self.leader.send_signal(signal.SIGSTOP)
+        self.configure()
+        for node in self.followers:
+            self.assertLessEqual(await self.wait_for(node, 401), {200, 503})
+        self.leader.send_signal(signal.SIGCONT)
+        self.assertLessEqual(await self.wait_for(self.leader, 401), {503})
+        for node in self.followers:
+            self.assertEqual((await self.count(node)).code, 401)
+
+    async def test_key_stays_withdrawn_after_a_restart_of_the_followed_peer(self):
+        self.configure()
+        for node in self.nodes:
+            await self.wait_for(node, 401)
+        await self.leader.restart(signal.SIGKILL, 0.5)
+        self.assertLessEqual(await self.wait_for(self.leader, 401), {503, 599})
+        for node in self.followers:
+            self.assertEqual((await self.count(node)).code, 401)
+
+    async def test_key_is_withdrawn_where_only_followers_reach_the_store(self):
+        self.leader.store_proxy.set_mode(ProxyMode.DROP)
+        self.configure()
+        for node in self.nodes:
+            self.assertLessEqual(await self.wait_for(node, 401), {200, 503})
--- a/basilhold/workflows/tests/test_peer_http.py
+++ b/basilhold/workflows/tests/test_peer_http.py
@@ -2,21 +2,25 @@
 
 import socket
 import unittest
+from unittest.mock import patch
 
 from basilhold.adapters import HttpAddress, HttpCall, HttpLimits, HttpPool
 from basilhold.core import Clock, ServiceName
 from basilhold.tenants import Parts, TenantName, TenantRequest
 from basilhold.tenants.allotment_policy import PartsRequest
+from basilhold.workflows import peer_http
 from basilhold.workflows.peer_http import HttpPeerClient, make_peer_server
+from basilhold.workflows.peers import ConfigurationReply, ConfigurationRequest
 from basilhold.workflows.quota_exchange import QuotaReply, QuotaRequest
 from basilhold.workflows.shared_time import SharedTime
 
 NORTH, SOUTH = TenantName("north"), TenantName("south")
+CONFIGURATION = ConfigurationReply(9, 17, -3.5, b"\x00copy\xff")
 REPLY = QuotaReply(True, {NORTH: Parts(1, 2, 3)})
 
 
-class QuotaService:
-    """A `PeerService` that records requests for quota."""
+class RecordingService:
+    """A `PeerService` that records requests."""
 
     def __init__(self):
         self.requests = []
@@ -25,12 +29,16 @@
         self.requests.append(request)
         return REPLY
 
+    async def on_configuration_request(self, request):
+        self.requests.append(request)
+        return CONFIGURATION
+
 
 class PeerHttpTest(unittest.IsolatedAsyncioTestCase):
     """Guards against messages that the other process cannot decode."""
 
     async def asyncSetUp(self):
-        self.service = QuotaService()
+        self.service = RecordingService()
         server = make_peer_server(self.service)
         listening = socket.create_server(("127.0.0.1", 0))
         listening.setblocking(False)
@@ -54,12 +62,27 @@
 
     async def test_nested_message_is_rejected_as_undecodable(self):
         host, port = self.endpoint.split(":")
-        for name in ("owns", "state", "table", "quota", "advise"):
+        for name in ("owns", "state", "table", "quota", "advise", "configuration"):
             call = HttpCall(
                 HttpAddress(host, int(port)), "POST", f"/peer/{name}", b"[" * 100_000
             )
             self.assertEqual((await self.pool.run(call)).ok.status, 400)
 
+    async def test_copies_of_the_configuration_arrive_unchanged(self):
+        request = ConfigurationRequest(3, 100)
+        reply = await self.client.request_configuration(self.endpoint, request)
+        self.assertEqual(self.service.requests, [request])
+        self.assertEqual(reply, CONFIGURATION)
+
+    async def test_peer_of_an_earlier_build_does_not_hand_on_the_configuration(self):
+        # It knows no such call, and answers 404.
+        request = ConfigurationRequest(3, 100)
+        with patch.object(peer_http._PeerHandler, "_serve_configuration", None):
+            reply = await self.client.request_configuration(self.endpoint, request)
+        self.assertIsNone(reply)
+        reply = await self.client.request_configuration("127.0.0.1:1", request)
+        self.assertIsNone(reply)
+
     async def test_reply_of_an_absent_process_is_not_current(self):
         request = QuotaRequest(ServiceName("a"), ServiceName("b"), {})
         reply = await self.client.request_quota("127.0.0.1:1", request)
