Do not let an error in a read of the configuration repeat without a pause

Found by reading: an unexpected error in a read besides the poll was not looked at, and the poll joined the next read at once, without a pause. It ends the watch now, like one in the poll, which is then restarted after a pause and logged. A restart of the watch does not begin the time anew after which a confirmation is late. A process without peers in its region reads at once.

An endpoint of a member that is not host and port raised such an error in every call to it, as rows of members were believed: the call fails now like one to an absent process. The new test fails before with a ValueError.

--- a/basilhold/workflows/configuration_watch.py
+++ b/basilhold/workflows/configuration_watch.py
@@ -120,7 +120,7 @@
         self._store_version = -1
         self._confirmed_event = asyncio.Event()
         self._copy: tuple[int, bytes] = (0, b"")
-        self._reading: asyncio.Task[None] | None = None
+        self._reading: asyncio.Task[bool] | None = None
         self._polling: asyncio.Task[bool] | None = None
         self._read_failed = False
         self._rejecting = False
@@ -166,7 +166,8 @@
 
     async def run(self) -> None:
         """Apply each new version until cancelled."""
-        self._started_ms = self._clock.now_ms()
+        if self._started_ms < 0:
+            self._started_ms = self._clock.now_ms()
         try:
             async with asyncio.TaskGroup() as group:
                 group.create_task(self._poll_loop())
@@ -213,7 +214,7 @@
         since_ms = max(self._confirmed_ms, self._started_ms)
         return LATE_RATIO * self._usable_ms - (self._clock.now_ms() - since_ms)
 
-    def _start_read(self) -> asyncio.Task[None]:
+    def _start_read(self) -> asyncio.Task[bool]:
         """Return the read in progress; start one if there is none."""
         if self._reading is None or self._reading.done():
             self._reading = self._tasks.start(self._read())
@@ -225,14 +226,19 @@
             if task is not None and task is not asyncio.current_task():
                 task.cancel()
 
-    async def _read(self) -> None:
-        """Ask the first peers repeatedly and, in its turn, the store.
+    async def _read(self) -> bool:
+        """Ask the peers repeatedly and, in its turn, the store.
 
         Ends as soon as the version is confirmed.
+
+        Returns
+        -------
+        bool
+            Whether the store replied.
         """
         if self._chooser is None:
             self._read_failed = not await self._poll_store(0)
-            return
+            return not self._read_failed
         async with asyncio.TaskGroup() as group:
             asking = group.create_task(self._ask_peers(self._chooser))
             await self._wait_for_turn(self._chooser)
@@ -241,6 +247,7 @@
         if self._read_failed:
             # The link of this machine has failed, and not that of a peer.
             self._chooser.reset()
+        return not self._read_failed
 
     async def _ask_peers(self, chooser: RelayChooser) -> None:
         """Ask all peers in turn, those left out too: this link may have failed."""
@@ -266,9 +273,9 @@
     async def _wait_for_turn(self, chooser: RelayChooser) -> None:
         """Wait until this process should ask the store."""
         end_ms = self._clock.now_ms() + READ_DELAY_RATIO * self._usable_ms
-        while True:
+        while chooser.peers() and self._clock.now_ms() < end_ms:
             await asyncio.sleep(READ_WAIT_MS / 1000)
-            if chooser.rank() < STORE_READERS or self._clock.now_ms() > end_ms:
+            if chooser.rank() < STORE_READERS:
                 return
 
     async def _poll_loop(self) -> None:
@@ -295,14 +302,12 @@
         """Wait for a change in the store, or read what was missed."""
         late_in_ms = self._late_in_ms()
         if late_in_ms <= 0:
-            await asyncio.wait({self._start_read()})
-            replied = not self._read_failed
+            task = self._start_read()
         else:
             wait_ms = min(POLL_WAIT_RATIO * self._usable_ms, late_in_ms)
-            self._polling = self._tasks.start(self._poll_store(round(wait_ms)))
-            await asyncio.wait({self._polling})
-            replied = self._polling.cancelled() or self._polling.result()
-        if not replied:
+            task = self._polling = self._tasks.start(self._poll_store(round(wait_ms)))
+        await asyncio.wait({task})
+        if not task.cancelled() and not task.result():
             await asyncio.sleep(RETRY_DELAY_MS / 1000)
 
     async def _poll_peer(self, endpoint: str, wait_ms: int) -> bool:
--- a/basilhold/workflows/peer_http.py
+++ b/basilhold/workflows/peer_http.py
@@ -159,9 +159,14 @@
         Result
             The decoded reply, or whether the peer may have processed the request.
         """
-        host, port = endpoint.rsplit(":", 1)
+        try:
+            host, port = endpoint.rsplit(":", 1)
+            address = HttpAddress(host, int(port))
+        except ValueError:
+            # Another program may have written the row of a member.
+            return Error(False)
         call = HttpCall(
-            HttpAddress(host, int(port)),
+            address,
             "POST",
             f"/peer/{name}",
             msgspec.json.encode(body),
--- a/basilhold/workflows/tests/test_peer_http.py
+++ b/basilhold/workflows/tests/test_peer_http.py
@@ -83,6 +83,18 @@
         reply = await self.client.request_configuration("127.0.0.1:1", request)
         self.assertIsNone(reply)
 
+    async def test_call_to_a_malformed_endpoint_fails_like_one_to_an_absent_process(
+        self,
+    ):
+        # The error ended the loop that had read the member's row.
+        for endpoint in ("", "host", "host:", "host:port", "host:99999999"):
+            request = QuotaRequest(ServiceName("a"), ServiceName("b"), {})
+            reply = await self.client.request_quota(endpoint, request)
+            self.assertFalse(reply.current)
+            request = ConfigurationRequest(3, 100)
+            reply = await self.client.request_configuration(endpoint, request)
+            self.assertIsNone(reply)
+
     async def test_reply_of_an_absent_process_is_not_current(self):
         request = QuotaRequest(ServiceName("a"), ServiceName("b"), {})
         reply = await self.client.request_quota("127.0.0.1:1", request)
