--- a/basilhold/testing/configuration_runs.py
+++ b/basilhold/testing/configuration_runs.py
@@ -13,24 +13,26 @@
 import asyncio
 import math
 import random
-from collections.abc import Callable, Coroutine
-from enum import Enum
+from collections.abc import Coroutine
 from typing import Any
 
 import click
 import msgspec
-from expression import Error, Ok, Result
+from expression import Ok, Result
 
 from basilhold.core import Clock, ProcessId, RegionName
 from basilhold.ports import (
-    ChangeFeed,
-    StoreError,
-    StoreErrorKind,
-    TableService,
     Transaction,
     Write,
 )
 from basilhold.standins.feed_table import FeedTable
+from basilhold.testing.configuration_links import (
+    Bandwidth,
+    FaultKind,
+    Link,
+    LinkedTable,
+    now_ms,
+)
 from basilhold.testing.virtual_time import run_virtual
 from basilhold.workflows.configuration_relay import RelayChooser
 from basilhold.workflows.configuration_watch import ConfigurationWatch
@@ -50,13 +52,9 @@
     "run_seed",
 ]
 
-CHUNK_BYTES = 16_000
-"""Part of a reply; replies on the same link take turns with parts of this size."""
-
 PREFIX = "op//"
 KEY = "op//config"
 REGIONS = (RegionName("near"), RegionName("far"))
-DIRECT_TIMEOUT_MS = 1_200
 LATENCY_MS = {REGIONS[0]: 3.0, REGIONS[1]: 63.0}
 """Round-trip times to the store by region of the machine, in milliseconds."""
 
@@ -137,20 +135,6 @@
 """A configuration of 1,400 routes on machines like those of a grown deployment."""
 
 
-class FaultKind(Enum):
-    """Fault of a machine's links.
-
-    `CUT` separates a machine from the store and from all machines, `REFUSED` and
-    `IGNORED` make the store reject or not answer its calls, and `DEAD` kills a machine
-    for the rest of the run while its peers still list it.
-    """
-
-    CUT = "cut"
-    REFUSED = "refused"
-    IGNORED = "ignored"
-    DEAD = "dead"
-
-
 class Fault(msgspec.Struct):
     """A fault of some machines, in seconds of the loop's clock."""
 
@@ -194,125 +178,9 @@
     return QueueTable(msgspec.json.decode(value, type=_Document).version, (), 0, ())
 
 
-def _now_ms() -> float:
-    return asyncio.get_running_loop().time() * 1000
-
-
 class _LoopClock(SuspendAwareClock):
     def now_ms(self) -> float:
-        return _now_ms()
-
-
-class _Bandwidth:
-    """Bandwidth for which transfers queue, in Mbit/s."""
-
-    def __init__(self, mbps: float):
-        self._mbps = mbps
-        self._free_ms = 0.0
-
-    def reserve(self, size_bytes: int) -> float:
-        """Queue a transfer; return the time at which it ends, in milliseconds."""
-        duration_ms = size_bytes * 8 / (self._mbps * 1_000)
-        self._free_ms = max(self._free_ms, _now_ms()) + duration_ms
-        return self._free_ms
-
-
-class _Link:
-    """Connection of a machine to the store or to a peer.
-
-    Parameters
-    ----------
-    faults : callable
-        Returns the kinds of the faults that concern the link now.
-    path : tuple of _Bandwidth
-        What a reply passes.
-    document_bytes : int
-        Size of the document in a reply, in bytes.
-    """
-
-    def __init__(
-        self,
-        faults: Callable[[], set[FaultKind]],
-        path: tuple[_Bandwidth, ...] = (),
-        document_bytes: int = 0,
-    ):
-        self._faults = faults
-        self._path = path
-        self._document_bytes = document_bytes
-
-    async def run(
-        self, call: Coroutine[Any, Any, Result], latency_ms: float, timeout_ms: float
-    ) -> Result:
-        """Execute a call, or fail after its timeout if the link loses a packet."""
-        end_ms = _now_ms() + timeout_ms
-        if self._faults():
-            # The call does not reach the other side.
-            call.close()
-            return await self._fail(latency_ms, end_ms)
-        task = asyncio.create_task(call)
-        try:
-            while not task.done():
-                if self._faults():
-                    # A long poll whose connection is cut gets no reply either.
-                    task.cancel()
-                    return await self._fail(latency_ms, end_ms)
-                await asyncio.wait([task], timeout=0.02)
-            await asyncio.sleep(latency_ms / 1000)
-            return await self._transfer(task.result(), end_ms)
-        finally:
-            task.cancel()
-
-    async def _fail(self, latency_ms: float, end_ms: float) -> Result:
-        if FaultKind.REFUSED in self._faults():
-            await asyncio.sleep(latency_ms / 1000)
-            return Error(StoreError(StoreErrorKind.NOT_APPLIED, "refused"))
-        await asyncio.sleep(max(0.0, end_ms - _now_ms()) / 1000)
-        return Error(StoreError(StoreErrorKind.UNKNOWN, "timed out"))
-
-    async def _transfer(self, result: Result, end_ms: float) -> Result:
-        """Wait for the reply to arrive, or until nothing arrives any more."""
-        remaining = self._document_bytes if self._path and _has_document(result) else 0
-        while remaining > 0:
-            arrival_ms = max(part.reserve(CHUNK_BYTES) for part in self._path)
-            await asyncio.sleep((min(arrival_ms, end_ms) - _now_ms()) / 1000)
-            if arrival_ms > end_ms or self._faults():
-                return await self._fail(0.0, end_ms)
-            remaining -= CHUNK_BYTES
-            end_ms = max(end_ms, _now_ms() + DIRECT_TIMEOUT_MS)
-        return result
-
-
-def _has_document(result: Result) -> bool:
-    rows = getattr(result.ok, "rows", ()) if result.is_ok() else ()
-    return any(row.key == KEY for row in rows)
-
-
-class _MachineTable(TableService, ChangeFeed):
-    """The store as one machine reaches it."""
-
-    def __init__(self, table: FeedTable, link: _Link, latency_ms: float):
-        self._table = table
-        self._link = link
-        self._latency_ms = latency_ms
-
-    def _run(self, call, wait_ms: int = 0):
-        return self._link.run(call, self._latency_ms, DIRECT_TIMEOUT_MS + wait_ms)
-
-    async def read(self, keys):
-        """Read rows."""
-        return await self._run(self._table.read(keys))
-
-    async def scan(self, prefix, after="", limit=500):
-        """Scan rows."""
-        return await self._run(self._table.scan(prefix, after, limit))
-
-    async def transact(self, transaction):
-        """Apply a transaction."""
-        return await self._run(self._table.transact(transaction))
-
-    async def changes(self, prefix, after, wait_ms):
-        """Read changes."""
-        return await self._run(self._table.changes(prefix, after, wait_ms), wait_ms)
+        return now_ms()
 
 
 def _region_of(number: int) -> RegionName:
@@ -344,8 +212,8 @@
         )
         return result.ok if result.is_ok() else None
 
-    def _link(self, peer: int) -> _Link:
-        return _Link(
+    def _link(self, peer: int) -> Link:
+        return Link(
             lambda: {
                 kind
                 for kind in self._run.kinds(self._number) | self._run.kinds(peer)
@@ -366,12 +234,12 @@
 
     def __init__(self, run: "_Run", number: int):
         region = _region_of(number)
-        link = _Link(
+        link = Link(
             lambda: run.kinds(number),
             run.path_to(number),
             run.deployment.document_bytes,
         )
-        table = _MachineTable(run.table, link, LATENCY_MS[region])
+        table = LinkedTable(run.table, link, LATENCY_MS[region])
         members = run.list_members()
         members.insert(0, members.pop(number))
         peers, clock = _MachinePeers(run, number), Clock(0)
@@ -413,7 +281,7 @@
 
     def __init__(self, seed: int, bounds: Bounds, deployment: Deployment):
         self.deployment = deployment
-        self._between_regions = _Bandwidth(deployment.region_mbps)
+        self._between_regions = Bandwidth(deployment.region_mbps)
         self.rng = random.Random(seed)
         self._compaction_rng = random.Random(seed)
         self.table = FeedTable()
@@ -437,20 +305,20 @@
             for number in range(deployment.machines)
         ]
 
-    def path_to(self, number: int) -> tuple[_Bandwidth, ...]:
+    def path_to(self, number: int) -> tuple[Bandwidth, ...]:
         """Return what a reply of the store to a machine passes."""
         deployment = self.deployment
         if not deployment.document_bytes:
             return ()
         is_wide = number < deployment.wide_machines
-        own = _Bandwidth(deployment.wide_mbps if is_wide else deployment.narrow_mbps)
+        own = Bandwidth(deployment.wide_mbps if is_wide else deployment.narrow_mbps)
         if _region_of(number) == REGIONS[0]:
             return (own,)
         return (self._between_regions, own)
 
     def kinds(self, number: int) -> set[FaultKind]:
         """Return the kinds of the faults that concern a machine now."""
-        now_s = _now_ms() / 1000
+        now_s = now_ms() / 1000
         return {
             fault.kind
             for fault in self._faults
@@ -506,7 +374,7 @@
     async def _write(self) -> None:
         version = 1
         for at_s in self._draw_version_times():
-            await asyncio.sleep(max(0.0, at_s - _now_ms() / 1000))
+            await asyncio.sleep(max(0.0, at_s - now_ms() / 1000))
             version += self.rng.randint(1, 3)
             self._confirm(version)
             if self._compaction_rng.random() < COMPACTION_RATIO:
@@ -515,14 +383,14 @@
     def _confirm(self, version: int) -> None:
         value = msgspec.json.encode(_Document(version))
         self.table.transact_now(Transaction((), (Write(KEY, value),)))
-        self._confirmed.append((_now_ms(), version))
+        self._confirmed.append((now_ms(), version))
 
     async def _sample(self, number: int) -> None:
         """Call a machine repeatedly."""
         newest = 0
         await asyncio.sleep(2.0)
-        while _now_ms() < LOAD_S * 1000:
-            sent_ms = _now_ms()
+        while now_ms() < LOAD_S * 1000:
+            sent_ms = now_ms()
             table = await self.machines[number].watch.current()
             version = table.version if table is not None else None
             self._judge(number, sent_ms, version, newest)
