--- a/basilhold/workflows/configuration_relay.py
+++ b/basilhold/workflows/configuration_relay.py
@@ -16,8 +16,8 @@
 
 SKIP_LOST_MS = 30_000.0
 SKIP_STALLED_MS = 2_000.0
-"""How long a peer is not asked after it did not reply, and after it replied without
-news for too long. A lost process stays listed for 25 s."""
+"""How long a peer is left out after it did not reply, and after it replied without news
+for too long. A lost process stays listed for 25 s."""
 
 
 class RelayChooser:
@@ -41,22 +41,19 @@
 
     def choose(self) -> str:
         """Return the endpoint of the peer to follow; empty for the store."""
-        return self.candidates()[0] if self.rank() else ""
+        return self._candidates()[0].endpoint if self.rank() else ""
 
     def peers(self) -> list[str]:
         """Return the endpoints of all peers in the own region in order of rank."""
         return [member.endpoint for member in self._ranked_peers()]
 
-    def candidates(self) -> list[str]:
-        """Return those peers that are not left out."""
-        return [member.endpoint for member in self._candidates()]
-
     def rank(self) -> int:
-        """Return how many candidates rank before this process."""
+        """Return how many peers rank before this process and are not left out."""
         own = _rank(self._members()[0])
         return sum(_rank(member) < own for member in self._candidates())
 
     def _candidates(self) -> list[Member]:
+        """Return the peers that are not left out, in order of rank."""
         now_ms = self._clock.monotonic_ms()
         return [
             member
@@ -69,7 +66,7 @@
         return sorted((m for m in others if m.region == own.region), key=_rank)
 
     def skip(self, endpoint: str, duration_ms: float = SKIP_LOST_MS) -> None:
-        """Do not choose a peer for a time, in milliseconds."""
+        """Leave a peer out of the choice for a time, in milliseconds."""
         now_ms = self._clock.monotonic_ms()
         self._skip_until_ms = {
             skipped: until_ms
