--- a/basilhold/platform/tests/test_withdrawn_keys.py
+++ b/basilhold/platform/tests/test_withdrawn_keys.py
@@ -136,6 +136,8 @@
         self.configure()
         for node in self.followers:
             self.assertLessEqual(await self.wait_for(node, 401), {200, 503})
+        # Until then the paused process may use the version that it had.
+        await asyncio.sleep(PAUSE_S)
         self.leader.send_signal(signal.SIGCONT)
         self.assertLessEqual(await self.wait_for(self.leader, 401), {503})
         for node in self.followers:
--- a/basilhold/workflows/tests/test_configuration_bounds.py
+++ b/basilhold/workflows/tests/test_configuration_bounds.py
@@ -13,7 +13,8 @@
 )
 
 SEEDS = (0, 1, 2, 9, 20, 24, 42, 48)
-LARGE_SEEDS = (0, 7, 118, 128, 310)
+LARGE_SEEDS = (0, 7, 118, 310)
+LOST_MACHINES_SEED = 128
 
 
 class ConfigurationBoundsTest(unittest.TestCase):
@@ -27,13 +28,20 @@
                 self.assertEqual(report.violations, [], report.faults)
                 self.assertGreater(report.judged, 1_000)
 
+    def check_large(self, seed):
+        report = run_seed(seed, deployment=LARGE)
+        self.assertEqual(report.violations[:5], [], report.faults)
+        self.assertGreater(report.judged, 10_000)
+
     def test_large_configuration_is_in_force_in_time_over_narrow_links(self):
         # Machines that read it all at once got it too late or never.
         for seed in LARGE_SEEDS:
             with self.subTest(seed=seed):
-                report = run_seed(seed, deployment=LARGE)
-                self.assertEqual(report.violations[:5], [], report.faults)
-                self.assertGreater(report.judged, 10_000)
+                self.check_large(seed)
+
+    def test_large_configuration_is_in_force_in_time_after_most_machines_are_lost(self):
+        # Two calls were rejected on machines in touch; not traced yet.
+        self.check_large(LOST_MACHINES_SEED)
 
 
 class UnconfirmedConfigurationTest(VirtualTimeTestCase):
