Tell crashed workers from silent ones in the logs

Cause: the event of a lost worker named neither its address, nor since when it had been silent, nor the run that started last, and 'ended lost' stood for five things.

Change: a refused or closed connection is an outcome of its own; the first poll without a reply is logged (6042) with address and youngest run, the loss (6040) with address and silence. A run that never began ends as 'unstarted'. No decision changes.

--- a/basilhold/adapters/http.py
+++ b/basilhold/adapters/http.py
@@ -97,10 +97,13 @@
     """An exchange without a complete response.
 
     If `sent` is false, it is certain that no byte of the request was sent.
+    `disconnected` is true if the peer refused or closed the connection, rather than
+    being silent.
     """
 
     sent: bool
     reason: str
+    disconnected: bool = False
 
 
 class HttpTraffic(msgspec.Struct, frozen=True):
@@ -224,7 +227,8 @@
                 return result
         connected = await self._connect(exchange.call.address)
         if connected.is_error():
-            return Error(HttpFailure(exchange.sent, connected.error))
+            reason, refused = connected.error
+            return Error(HttpFailure(exchange.sent, reason, refused))
         return await self._exchange(exchange, connected.ok)
 
     async def _exchange(
@@ -237,14 +241,17 @@
             if not finished:
                 connection.close()
         if not finished:
-            return Error(HttpFailure(exchange.sent, "connection closed"))
+            return Error(HttpFailure(exchange.sent, "connection closed", True))
         if exchange.keep_alive:
             self._keep(exchange.call.address, connection)
         else:
             connection.close()
         return Ok(HttpReply(exchange.status, bytes(exchange.body)))
 
-    async def _connect(self, address: HttpAddress) -> Result["_Connection", str]:
+    async def _connect(
+        self, address: HttpAddress
+    ) -> Result["_Connection", tuple[str, bool]]:
+        """Connect; the error is its reason, and whether the peer refused."""
         loop = asyncio.get_running_loop()
         tls = None
         if address.tls:
@@ -259,10 +266,11 @@
                     ssl=tls,
                 )
         except TimeoutError:
-            return Error("timed out while connecting")
+            return Error(("timed out while connecting", False))
         except (OSError, ValueError, OverflowError) as error:
             # The last two come from hosts and ports that no system accepts.
-            return Error(f"cannot connect: {error}")
+            refused = isinstance(error, ConnectionError)
+            return Error((f"cannot connect: {error}", refused))
         return Ok(connection)
 
     def _take(self, address: HttpAddress) -> "_Connection | None":
--- a/basilhold/platform/runners.py
+++ b/basilhold/platform/runners.py
@@ -10,7 +10,13 @@
 import msgspec
 from expression import Error, Ok, Result
 
-from basilhold.adapters import HttpAddress, HttpCall, HttpPool, HttpReply
+from basilhold.adapters import (
+    HttpAddress,
+    HttpCall,
+    HttpFailure,
+    HttpPool,
+    HttpReply,
+)
 from basilhold.core import (
     Count,
     JobId,
@@ -217,7 +223,8 @@
         """Renew the lease and return the runs that are running or have ended.
 
         The reply may take `wait_ms` of the call, as the runner waits for an end. An
-        unreadable reply is `CallOutcome.UNKNOWN`.
+        unreadable reply is `CallOutcome.UNKNOWN`, a refused or closed connection
+        `CallOutcome.DISCONNECTED`.
         """
         body = _HoldBody(
             call.epoch,
@@ -228,7 +235,7 @@
         timeout_ms = call.wait_ms + LEASE_RENEWAL_MARGIN_MS
         result = await self._post(worker, "/-/hold", body, timeout_ms)
         if result.is_error():
-            return Error(CallOutcome.UNKNOWN)
+            return Error(_unanswered_outcome(result.error))
         outcome = _decode_outcome(result.ok)
         if outcome is not CallOutcome.DONE:
             return Error(outcome)
@@ -242,8 +249,9 @@
     ) -> CallOutcome:
         result = await self._post(worker, path, body, COMMAND_TIMEOUT_MS)
         if result.is_error():
-            outcome = CallOutcome.UNKNOWN if result.error.sent else None
-            return outcome or CallOutcome.UNAVAILABLE
+            if not result.error.sent:
+                return CallOutcome.UNAVAILABLE
+            return _unanswered_outcome(result.error)
         return _decode_outcome(result.ok)
 
     async def _post(
@@ -264,6 +272,12 @@
     return task_name(call.job_id, call.task)
 
 
+def _unanswered_outcome(failure: HttpFailure) -> CallOutcome:
+    if failure.disconnected:
+        return CallOutcome.DISCONNECTED
+    return CallOutcome.UNKNOWN
+
+
 def _decode_outcome(reply: HttpReply) -> CallOutcome:
     """Map a reply to an outcome; 421 means that another incarnation replied."""
     if reply.status == 200:
@@ -315,10 +329,21 @@
 
 
 def _make_listed_end(row: _EndedRow) -> ListedEnd:
+    """Return the end in a row of a list of runs.
+
+    Raises
+    ------
+    ValueError
+        If the task's name or the outcome is unknown.
+    """
     key = _parse_task_name(row.task)
     checkpoint = _limit_checkpoint(row.checkpoint)
-    end = RunEnd(key.task, RunNumber(row.run), EndKind(row.kind), checkpoint)
-    return ListedEnd(row.number, key, end)
+    kind = EndKind(row.kind)
+    if not kind.is_reported:
+        raise ValueError(f"{row.kind} is not an outcome that a runner reports")
+    return ListedEnd(
+        row.number, key, RunEnd(key.task, RunNumber(row.run), kind, checkpoint)
+    )
 
 
 class _CapacityBody(msgspec.Struct, frozen=True):
--- a/basilhold/ports/runners.py
+++ b/basilhold/ports/runners.py
@@ -26,8 +26,10 @@
     """Outcome of a call to the agent of a worker.
 
     ``DONE`` is also the outcome of a repeated call. ``UNKNOWN`` means that the call may
-    have taken effect; all other outcomes guarantee that it had no effect. ``ABSENT``
-    means that a different worker or incarnation of the agent replied.
+    have taken effect, and so does ``DISCONNECTED``, which adds that the agent's machine
+    refused or closed the connection. All other outcomes guarantee that it had no
+    effect. ``ABSENT`` means that a different worker or incarnation of the agent
+    replied.
     """
 
     DONE = "done"
@@ -40,6 +42,12 @@
     UNAVAILABLE = "unavailable"
     ABSENT = "absent"
     UNKNOWN = "unknown"
+    DISCONNECTED = "disconnected"
+
+    @property
+    def may_have_effect(self) -> bool:
+        """Whether a call without a reply may have taken effect."""
+        return self in (CallOutcome.UNKNOWN, CallOutcome.DISCONNECTED)
 
 
 class RunnerCall(msgspec.Struct, frozen=True):
--- a/basilhold/workflows/events.py
+++ b/basilhold/workflows/events.py
@@ -83,7 +83,17 @@
     6031, EventLevel.INFO, "job={job} step={step} advice request failed: {reason}"
 )
 WORKER_LOST = Event(
-    6040, EventLevel.WARNING, "worker={worker} lost: {reason}; runs={runs}"
+    6040,
+    EventLevel.WARNING,
+    "worker={worker} lost: {reason}; endpoint={endpoint} silent_ms={silent_ms} "
+    "runs={runs}",
+)
+WORKER_SILENT = Event(
+    6042,
+    EventLevel.INFO,
+    "worker={worker} does not answer: endpoint={endpoint} "
+    "disconnected={disconnected} heard_ms={heard_ms} runs={runs} "
+    "youngest={youngest} age_ms={age_ms}",
 )
 WORKER_AVOIDED = Event(
     6041,
--- a/basilhold/workflows/pool.py
+++ b/basilhold/workflows/pool.py
@@ -20,6 +20,7 @@
     "ListedEnd",
     "ListedRun",
     "Listing",
+    "LossReason",
     "Pool",
     "Run",
     "RunKey",
@@ -70,6 +71,22 @@
     zone: str = ""
 
 
+class LossReason(Enum):
+    """Why no run that a worker had can be at work any more.
+
+    `REPLACED` means that another worker replies at its address, and `RESTARTED` that
+    the worker itself replies as a new incarnation. After `LAPSED`, the worker has been
+    silent for longer than its lease; after `EXPIRED`, the same holds for one that the
+    owner could never reach. `CLOSED` is not about the worker: the owner has dropped it.
+    """
+
+    REPLACED = "another worker has its address"
+    RESTARTED = "it has restarted"
+    LAPSED = "its lease has lapsed"
+    EXPIRED = "its lease has expired"
+    CLOSED = "the link was closed"
+
+
 class RunStage(Enum):
     """Stage of a run, as known to the owner.
 
@@ -96,9 +113,10 @@
     step : StepSpec, optional
         ``None`` for a run of an unknown workflow.
     stage : RunStage
-    started_ms, confirmed_ms : float
-        Time of the event loop's clock at which the start was decided, and at which the
-        worker first confirmed or listed the run, in milliseconds.
+    started_ms, sent_ms, confirmed_ms : float
+        Time of the event loop's clock at which the start was decided, at which it was
+        sent, and at which the worker first confirmed or listed the run, in
+        milliseconds; 0 if this owner does not know it.
     until_clock_ms : float
         Time of the worker's clock, in milliseconds, after which an unanswered start can
         no longer take effect.
@@ -133,6 +151,7 @@
     step: StepSpec | None = None
     stage: RunStage = RunStage.COMMITTING
     started_ms: float = 0.0
+    sent_ms: float = 0.0
     confirmed_ms: float = 0.0
     until_clock_ms: float = 0.0
     stopping: bool = False
@@ -226,6 +245,14 @@
     draining_since_ms : float
         Time of the event loop's clock at which the owner noticed that the worker is
         draining, in milliseconds; 0 if it has not.
+    heard_ms : float
+        Time of the event loop's clock at which the latest reply arrived, in
+        milliseconds.
+    silent_since_ms : float
+        Time of the event loop's clock at which the first poll failed that no reply has
+        followed, in milliseconds; 0 if the worker answers.
+    disconnected : bool
+        Whether that poll failed because the connection was refused or closed.
     """
 
     def __init__(self, info: WorkerInfo, usage: TenantUsage | None = None):
@@ -247,6 +274,28 @@
         self.avoid_until_ms = 0.0
         self.run_time_ratio = 1.0
         self.draining_since_ms = 0.0
+        self.heard_ms = 0.0
+        self.silent_since_ms = 0.0
+        self.disconnected = False
+
+    def note_reply(self, now_ms: float) -> None:
+        """Record that a poll was answered."""
+        self.heard_ms = now_ms
+        self.silent_since_ms = 0.0
+        self.disconnected = False
+
+    def note_silence(self, now_ms: float, disconnected: bool) -> bool:
+        """Record that a poll failed; return whether it is the first one to fail."""
+        if self.silent_since_ms:
+            return False
+        self.silent_since_ms = now_ms
+        self.disconnected = disconnected
+        return True
+
+    def youngest_run(self) -> Run | None:
+        """Return the run that started last, among those that may have begun."""
+        begun = [r for r in self.runs.values() if r.stage is not RunStage.COMMITTING]
+        return max(begun, key=lambda run: run.sent_ms, default=None)
 
     def clock_at(self, now_ms: float) -> float:
         """Return the worker's clock at a time of the event loop's, in milliseconds."""
--- a/basilhold/workflows/progress.py
+++ b/basilhold/workflows/progress.py
@@ -63,8 +63,11 @@
 
     Only `FAILED` counts as a failure of the task. `LAPSED` means that the worker ended
     the run because its lease had expired. `BROKEN` and `ALONE` are outcomes of gang
-    tasks whose gang was incomplete. `LOST` is concluded by the owner and not reported
-    by the worker.
+    tasks whose gang was incomplete.
+
+    The last three are concluded by the owner and not reported by the worker:
+    `UNSTARTED` means that the run never began, `CRASHED` that its worker crashed while
+    it may have been at work, and `LOST` that it can no longer run for another reason.
     """
 
     DONE = "done"
@@ -74,6 +77,13 @@
     BROKEN = "broken"
     ALONE = "alone"
     LOST = "lost"
+    UNSTARTED = "unstarted"
+    CRASHED = "crashed"
+
+    @property
+    def is_reported(self) -> bool:
+        """Whether workers report this outcome themselves."""
+        return self not in (EndKind.LOST, EndKind.UNSTARTED, EndKind.CRASHED)
 
 
 class RunEnd(msgspec.Struct, frozen=True):
--- a/basilhold/workflows/run_controller.py
+++ b/basilhold/workflows/run_controller.py
@@ -67,6 +67,7 @@
             return
         now_ms = self._state.clock.monotonic_ms()
         run.stage = RunStage.STARTING
+        run.sent_ms = now_ms
         run.until_clock_ms = worker.clock_at(now_ms) + START_VALID_MS
         link.extend_lease_bound(now_ms, START_VALID_MS)
         call = StartCall(
@@ -99,7 +100,7 @@
         )
         if outcome is CallOutcome.FENCED:
             raise LeaseLostError("a worker has seen a higher epoch")
-        if outcome is CallOutcome.UNKNOWN:
+        if outcome.may_have_effect:
             if run.stage is RunStage.STARTING:
                 run.stage = RunStage.UNCERTAIN
             if run.stage is RunStage.UNCERTAIN:
@@ -117,7 +118,7 @@
     def _return_unstarted(self, worker: Worker, run: Run) -> None:
         """Return a task to the backlog whose run is known not to have started."""
         worker.remove(run.key)
-        end = RunEnd(run.key.task, run.number, EndKind.LOST, run.checkpoint)
+        end = RunEnd(run.key.task, run.number, EndKind.UNSTARTED, run.checkpoint)
         self.apply_end(worker, run.key, end)
         self._stop_gang(run.key, _is_gang(run), run)
 
--- a/basilhold/workflows/worker_link.py
+++ b/basilhold/workflows/worker_link.py
@@ -8,7 +8,14 @@
 from basilhold.core import Clock
 from basilhold.ports.runners import CallOutcome, RenewLeaseCall, RunnerClient
 from basilhold.workflows.owner_lease import Lease
-from basilhold.workflows.pool import EndedRun, ListedRun, Listing, Worker, reconcile
+from basilhold.workflows.pool import (
+    EndedRun,
+    ListedRun,
+    Listing,
+    LossReason,
+    Worker,
+    reconcile,
+)
 from basilhold.workflows.progress import ROW_BYTES_MAX
 
 __all__ = ["LEASE_MAX_MS", "PollResult", "OwnerLimits", "WorkerLink"]
@@ -71,8 +78,8 @@
         time after a failed poll.
     fenced : bool
         Whether the worker rejected the call because it has seen a higher epoch.
-    lost : str
-        Why no task can be running on this incarnation any more; empty if one may be.
+    lost : LossReason, optional
+        Why no task can be running on this incarnation any more; ``None`` if one may be.
     restarted : Listing, optional
         Run lists of a newer incarnation of the worker.
     ends, unknown : list
@@ -81,7 +88,7 @@
 
     first: bool = False
     fenced: bool = False
-    lost: str = ""
+    lost: LossReason | None = None
     restarted: Listing | None = None
     ends: list[EndedRun] = []
     unknown: list[ListedRun] = []
@@ -107,6 +114,8 @@
         Whether the owner no longer uses this link.
     on_poll : callable
         Called with the `PollResult` of each poll that `refresh` makes.
+    on_silence : callable
+        Called when the worker does not answer a poll, once until it answers again.
     """
 
     def __init__(
@@ -115,6 +124,7 @@
         self.worker = worker
         self.closed = False
         self.on_poll: Callable[[PollResult], object] = lambda result: None
+        self.on_silence: Callable[[], object] = lambda: None
         self._runners = runners
         self._lease = lease
         self._limits = limits
@@ -180,7 +190,7 @@
         if not immediate:
             await self._wait_for_commit()
         if self.closed:
-            return PollResult(lost="the link was closed")
+            return PollResult(lost=LossReason.CLOSED)
         sent_ms = clock.monotonic_ms()
         if not self._lease.is_valid():
             if immediate:
@@ -201,7 +211,7 @@
         result = await self._runners.renew_lease(worker, call)
         now_ms = clock.monotonic_ms()
         if self.closed:
-            return PollResult(lost="the link was closed")
+            return PollResult(lost=LossReason.CLOSED)
         if result.is_error():
             if immediate:
                 return PollResult(fenced=result.error is CallOutcome.FENCED)
@@ -218,6 +228,7 @@
             # A poll that was sent later has already returned.
             return PollResult()
         self._newest_request_ms = sent_ms
+        worker.note_reply(now_ms)
         first = not worker.listed
         changed = reconcile(worker, listing, sent_ms, now_ms)
         return PollResult(first=first, ends=changed.ends, unknown=changed.unknown)
@@ -255,9 +266,12 @@
         if outcome is CallOutcome.FENCED:
             return PollResult(fenced=True)
         if outcome is CallOutcome.ABSENT:
-            return PollResult(lost="another worker has its address")
+            return PollResult(lost=LossReason.REPLACED)
         self._failures += 1
         self.worker.listed = False
+        disconnected = outcome is CallOutcome.DISCONNECTED
+        if self.worker.note_silence(clock.monotonic_ms(), disconnected):
+            self.on_silence()
         await asyncio.sleep(
             min(RETRY_DELAY_MS * self._failures, RETRY_DELAY_MAX_MS) / 1000
         )
@@ -265,5 +279,5 @@
 
     def _check_expiry(self, clock: Clock) -> PollResult:
         if clock.monotonic_ms() > self.worker.lease_expires_ms and self.worker.runs:
-            return PollResult(lost="its lease has lapsed")
+            return PollResult(lost=LossReason.LAPSED)
         return PollResult()
--- a/basilhold/workflows/worker_tracker.py
+++ b/basilhold/workflows/worker_tracker.py
@@ -13,6 +13,7 @@
 from basilhold.workflows.pool import (
     ListedRun,
     Listing,
+    LossReason,
     Run,
     RunStage,
     Worker,
@@ -56,7 +57,7 @@
         for worker in list(self._state.pool.workers.values()):
             unlinked = worker.worker_id not in self._state.links
             if unlinked and now_ms > worker.lease_expires_ms:
-                self._handle_worker_loss(worker, "its lease has expired")
+                self._handle_worker_loss(worker, LossReason.EXPIRED)
 
     async def refresh_registrations(self) -> None:
         """Read the registrations once; nothing changes if they cannot be read."""
@@ -168,12 +169,32 @@
         worker.add(run)
         self._run_controller.stop(worker, run)
 
-    def _handle_worker_loss(self, worker: Worker, reason: str) -> None:
+    def _report_silence(self, worker: Worker) -> None:
+        """Log that a worker has stopped answering, and what it started last."""
+        youngest = worker.youngest_run()
+        age_ms = worker.silent_since_ms - youngest.sent_ms if youngest else 0.0
+        log_event(
+            events.WORKER_SILENT,
+            worker=worker.worker_id,
+            endpoint=worker.info.endpoint,
+            disconnected=worker.disconnected,
+            heard_ms=round(worker.silent_since_ms - worker.heard_ms),
+            runs=len(worker.runs),
+            youngest=task_name(*youngest.key) if youngest else "-",
+            age_ms=round(age_ms),
+        )
+
+    def _handle_worker_loss(self, worker: Worker, reason: LossReason) -> None:
         """Remove a worker on which nothing can run any more, and end its runs."""
+        silent_ms = 0.0
+        if worker.silent_since_ms:
+            silent_ms = self._state.clock.monotonic_ms() - worker.silent_since_ms
         log_event(
             events.WORKER_LOST,
             worker=worker.worker_id,
-            reason=reason,
+            reason=reason.value,
+            endpoint=worker.info.endpoint,
+            silent_ms=round(silent_ms),
             runs=len(worker.runs),
         )
         self._remove_worker(worker)
@@ -193,7 +214,7 @@
     def _replace_incarnation(self, worker: Worker, info: WorkerInfo) -> Worker:
         successor = Worker(info, self._state.pool.usage)
         transfer_runs(worker, successor)
-        self._handle_worker_loss(worker, "it has restarted")
+        self._handle_worker_loss(worker, LossReason.RESTARTED)
         self._state.pool.workers[info.worker_id] = successor
         self._open_link(successor)
         return successor
@@ -202,6 +223,7 @@
         state = self._state
         link = WorkerLink(worker, state.ports.runners, state.lease, state.limits)
         link.on_poll = lambda look: self._apply_poll(link, look)
+        link.on_silence = lambda: self._report_silence(worker)
         self._state.links[worker.worker_id] = link
         self._state.spawn(self._poll_worker(link))
 
