Reproduce tasks that crash their workers, and workers that shrink

What callers saw: work lost and late on all workers of a service, as a few tasks crashed one worker every 4 s (BUDGET). The stand-in workers can now be crashed by a task, refuse connections, come back under another id at their address, and change their capacity; they check both rules.

--- a/basilhold/standins/runners.py
+++ b/basilhold/standins/runners.py
@@ -45,6 +45,13 @@
 GANG_MS = 3_000.0
 TRAVEL_MS = 1.0
 NO_REPLY_MS = 500.0
+SHRINK_NOTICE_S = 5.0
+"""How long after a worker's capacity has shrunk starts may still rely on the former
+one: 4 s in which an owner gets in touch, and one heartbeat."""
+
+CRASHES_MAX = 3
+STARTS_AFTER_CRASHES_MAX = 2
+"""How often a task that crashes its workers may start after `CRASHES_MAX` of them."""
 
 
 class RunnerFaults(msgspec.Struct):
@@ -105,6 +112,23 @@
         self._ended_s: dict[int, float] = {}
         self._lapse: asyncio.TimerHandle | None = None
         self._stopped: dict[RunKey, int] = {}
+        self._former_capacities: list[tuple[float, Resources]] = []
+        self.refuses_connections = False
+
+    def change_capacity(self, capacity: Resources) -> None:
+        """Change the capacity, which the registration shows from now on."""
+        now_s = asyncio.get_running_loop().time()
+        self._former_capacities.append((now_s, self.info.capacity))
+        self.info = msgspec.structs.replace(self.info, capacity=capacity)
+
+    def enforced_capacity(self) -> Resources:
+        """Return the capacity that a start must not exceed now."""
+        now_s = asyncio.get_running_loop().time()
+        enforced = self.info.capacity
+        for changed_s, capacity in self._former_capacities:
+            if now_s < changed_s + SHRINK_NOTICE_S:
+                enforced = _larger(enforced, capacity)
+        return enforced
 
     def clock_ms(self) -> float:
         """Return this incarnation's own clock."""
@@ -117,9 +141,19 @@
             total = total + run.size
         return total
 
-    def crash(self) -> None:
-        """End everything at once."""
+    def crash(self, refuses_connections: bool = False) -> None:
+        """End everything at once.
+
+        Parameters
+        ----------
+        refuses_connections : bool
+            Whether only the agent is gone, so that its machine closes and refuses
+            connections, and not the machine with it.
+        """
         self.up = False
+        self.refuses_connections = refuses_connections
+        if refuses_connections:
+            self.has_ended.set()
         if self._lapse is not None:
             self._lapse.cancel()
         runs = dict(self.runs)
@@ -251,6 +285,12 @@
     end_counts : Counter of EndKind
     done_s : dict of RunKey to float
         When tasks have ended as done.
+    crash_delays_s : dict of RunKey to float
+        Tasks that crash each worker that starts them, and how long after the start.
+    crash_counts : Counter of RunKey
+        How many workers have crashed under each of these tasks.
+    on_crash : callable
+        Called with each runner that a task has crashed.
     quota_of : callable
         Returns the quota of a tenant, with 0 for what is not limited.
     """
@@ -268,6 +308,10 @@
         self.violations: list[str] = []
         self.alone_s: list[tuple[float, RunKey]] = []
         self.quota_of: Callable[[TenantName], Resources] = lambda name: Resources()
+        self.crash_delays_s: dict[RunKey, float] = {}
+        self.crash_counts: Counter[RunKey] = Counter()
+        self.on_crash: Callable[[MemoryRunner], None] = lambda runner: None
+        self._starts_after_crashes: Counter[RunKey] = Counter()
         self.start_count = 0
         self.started: set[RunKey] = set()
         self._done: set[RunKey] = set()
@@ -296,8 +340,9 @@
         if key in self._done_acknowledged:
             self.violations.append(f"{key} starts after its end was acknowledged")
         used = runner.used() + step.reserved()
-        if not used.fits_in(runner.info.capacity):
+        if not used.fits_in(runner.enforced_capacity()):
             self.violations.append(f"{runner.info.worker_id} is over its capacity")
+        self._check_crashes(key)
         self._check_quota(spec, step.size)
         for before in step.after:
             for index in range(spec.steps[before].task_count):
@@ -308,6 +353,16 @@
             self.violations.append(f"{key} starts after it was cancelled")
         return step
 
+    def _check_crashes(self, key: RunKey) -> None:
+        if self.crash_counts[key] < CRASHES_MAX:
+            return
+        self._starts_after_crashes[key] += 1
+        if self._starts_after_crashes[key] > STARTS_AFTER_CRASHES_MAX:
+            self.violations.append(
+                f"{key} starts again after {self.crash_counts[key]} workers have "
+                "crashed under it"
+            )
+
     def _check_quota(self, spec: WorkflowSpec, size: Resources) -> None:
         quota = self.quota_of(spec.tenant)
         used = self.used_by(spec.tenant) + size
@@ -361,6 +416,9 @@
         """Let a run work, or wait for its gang."""
         step = self.specs[key.job_id].steps[key.task.step]
         loop = asyncio.get_running_loop()
+        if key in self.crash_delays_s:
+            delay_s = self.crash_delays_s[key]
+            loop.call_later(delay_s, self._crash_under, runner, key, run)
         if not step.gang:
             self._work(runner, key, run, step.estimate_ms)
             return
@@ -378,6 +436,12 @@
         delay_s = step.estimate_ms * self.rng.uniform(0.7, 1.4) / 1000
         loop.call_later(delay_s, self._end_gang, members, run.number)
 
+    def _crash_under(self, runner: MemoryRunner, key: RunKey, run: _Run) -> None:
+        if runner.up and runner.runs.get(key) is run:
+            self.crash_counts[key] += 1
+            runner.crash(refuses_connections=True)
+            self.on_crash(runner)
+
     def _end_gang(self, members: dict[RunKey, MemoryRunner], number: int) -> None:
         """End a whole gang as done, if all of its members still run."""
         present = [
@@ -443,6 +507,8 @@
             await asyncio.sleep(NO_REPLY_MS / 1000)
             return CallOutcome.UNKNOWN
         await asyncio.sleep(TRAVEL_MS / 1000)
+        if runner.refuses_connections:
+            return self._outcome_of_refusal(runner, CallOutcome.UNAVAILABLE)
         drawn = self.rng.random()
         if drawn < self.faults.refused:
             return CallOutcome.UNAVAILABLE
@@ -460,6 +526,17 @@
             await asyncio.sleep(NO_REPLY_MS / 1000)
             return CallOutcome.UNKNOWN
         await asyncio.sleep(TRAVEL_MS / 1000)
+        if runner.refuses_connections:
+            return CallOutcome.DISCONNECTED
+        return outcome
+
+    def _outcome_of_refusal(
+        self, runner: MemoryRunner, outcome: CallOutcome
+    ) -> CallOutcome:
+        """Return the outcome, unless another runner replies at the address by now."""
+        endpoint = runner.info.endpoint
+        if any(r.up and r.info.endpoint == endpoint for r in self.runners.values()):
+            return CallOutcome.ABSENT
         return outcome
 
     async def renew_lease(
@@ -468,6 +545,9 @@
         """Renew the lease and return what runs and has ended."""
         runner = self._find(worker)
         await asyncio.sleep(TRAVEL_MS / 1000)
+        if runner is not None and runner.refuses_connections and not runner.cut:
+            refusal = CallOutcome.DISCONNECTED
+            return Error(self._outcome_of_refusal(runner, refusal))
         if runner is None or runner.cut or not runner.up:
             await asyncio.sleep(NO_REPLY_MS / 1000)
             return Error(CallOutcome.UNKNOWN)
@@ -479,6 +559,8 @@
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(call.wait_ms / 1000):
                     await runner.has_ended.wait()
+        if runner.refuses_connections:
+            return Error(CallOutcome.DISCONNECTED)
         if runner.cut or not runner.up:
             return Error(CallOutcome.UNKNOWN)
         await asyncio.sleep(TRAVEL_MS / 1000)
@@ -492,6 +574,14 @@
         return runner
 
 
+def _larger(one: Resources, other: Resources) -> Resources:
+    """Return the larger of each component."""
+    pairs = zip(
+        msgspec.structs.astuple(one), msgspec.structs.astuple(other), strict=True
+    )
+    return Resources(*(max(pair) for pair in pairs))
+
+
 def _gang_of(key: RunKey, number: int) -> tuple:
     """Return what the members of one run of a gang have in common."""
     return key.job_id, key.task.occurrence, key.task.step, number
--- a/basilhold/testing/workflow_cell.py
+++ b/basilhold/testing/workflow_cell.py
@@ -27,6 +27,7 @@
 from basilhold.standins.runners import (
     MemoryAdvice,
     MemoryRegistry,
+    MemoryRunner,
     MemoryRunners,
     RunnerFaults,
 )
@@ -64,11 +65,18 @@
 POLICY = QueuePolicy(
     QueueName("quotes"), SERVICE, 0, 4, 2.0, 500.0, AdvicePolicy(20.0, 0.2, 2_000.0)
 )
+WORKER_CAPACITY = Resources(16_000, 64 << 30, 4_000)
+SUCCESSOR_STEP = 100
+"""Difference of the numbers of a worker and its successor at the same address."""
+
 UNREACHABLE_MS = 300.0
 SILENCE_MS = 1_200.0
 START_VALID_S = 2.0
 """How long after it was sent a start may be carried out."""
 
+CRASHED_WORKER_DOWN_S = 3.0
+"""Time after which the worker that a task has crashed is back, under another id."""
+
 STORE_EPOCH_MS = 5_000_000.0
 """Time of the store's clock at the begin of a run."""
 
@@ -341,6 +349,7 @@
         self.table = FeedTable(store_faults)
         self.runners = MemoryRunners(random.Random(seed + 1), faults)
         self.advice = advice or MemoryAdvice()
+        self.runners.on_crash = self._replace_crashed
         self.runners.quota_of = lambda name: self.quotas_in_force.get(name, Resources())
         self.processes: dict[str, WorkflowProcess] = {}
         self._process_count = process_count
@@ -367,18 +376,32 @@
         """Kill a process."""
         await self.processes.pop(name).kill()
 
-    def start_worker(self, name: str) -> None:
-        """Start a new incarnation of a worker."""
+    def start_worker(
+        self, name: str, capacity: Resources = WORKER_CAPACITY, endpoint: str = ""
+    ) -> None:
+        """Start a new incarnation of a worker, at its own address by default."""
         self._born += 1
         info = WorkerInfo(
             WorkerId(name),
-            f"{name}:80",
+            endpoint or f"{name}:80",
             self._born,
-            Resources(16_000, 64 << 30, 4_000),
+            capacity,
             f"rack{int(name[1:]) % 2}",
         )
         self.runners.add(info)
 
+    def _replace_crashed(self, runner: MemoryRunner) -> None:
+        """Start a worker with another id at the address of one that has crashed."""
+        name = f"w{int(runner.info.worker_id[1:]) + SUCCESSOR_STEP}"
+        loop = asyncio.get_running_loop()
+        loop.call_later(
+            CRASHED_WORKER_DOWN_S,
+            self.start_worker,
+            name,
+            runner.info.capacity,
+            runner.info.endpoint,
+        )
+
     def change_tenants(self, tenants: TenantRegistry, delay_max_s: float = 0.0) -> None:
         """Change the tenants; each process learns of it after a delay of its own."""
         self.tenants = tenants
--- /dev/null
+++ b/basilhold/workflows/tests/test_crashing_tasks.py
@@ -0,0 +1,156 @@
+"""Tests of tasks that crash each worker that starts them."""
+
+import asyncio
+import random
+
+import msgspec
+
+from basilhold.core import Resources
+from basilhold.testing import VirtualTimeTestCase
+from basilhold.testing.workflow_cell import WorkflowCell, make_spec
+from basilhold.workflows.model import StepSpec, TaskKey
+from basilhold.workflows.pool import RunKey
+from basilhold.workflows.progress import WorkflowState
+
+CRASHES_MAX = 3
+"""Workers that may crash under a task before it is given up."""
+
+
+def make_workflow(number, *steps, **changes):
+    spec = make_spec(number, random.Random(0))
+    policy = msgspec.structs.replace(spec.policy, advice=None)
+    return msgspec.structs.replace(spec, steps=steps, policy=policy, **changes)
+
+
+def make_step(count=1, estimate_ms=800.0, **changes):
+    return StepSpec(count, Resources(1_500, 1 << 20, 0), estimate_ms, **changes)
+
+
+class CrashingTasksTest(VirtualTimeTestCase):
+    """Guards against a task that crashes worker after worker."""
+
+    async def state(self, cell, spec):
+        process = next(iter(cell.processes.values()))
+        return (await process.front.state(spec.policy, spec.job_id))[1]
+
+    async def submit_innocent(self, cell, first, count, **changes):
+        """Submit workflows at a steady rate beside the one that crashes workers."""
+        specs = []
+        for number in range(first, first + count):
+            specs.append(make_workflow(number, make_step(3, **changes)))
+            await cell.submit(specs[-1])
+            await asyncio.sleep(0.1)
+        return specs
+
+    def crash_workers(self, cell, spec, step=0, index=0, delay_s=0.01):
+        key = RunKey(spec.job_id, TaskKey(0, step, index))
+        cell.runners.crash_delays_s[key] = delay_s
+        return key
+
+    async def check_all_completed(self, cell, specs):
+        for spec in specs:
+            with self.subTest(job=spec.job_id):
+                state = await self.state(cell, spec)
+                self.assertIs(state, WorkflowState.COMPLETED)
+
+    async def test_task_that_crashes_its_workers_is_given_up(self):
+        for delay_s in (0.0, 0.01, 0.4):
+            with self.subTest(delay_s=delay_s):
+                async with WorkflowCell(worker_count=8) as cell:
+                    await asyncio.sleep(1)
+                    innocent = await self.submit_innocent(cell, 10, 8)
+                    crashing = make_workflow(1, make_step(3))
+                    key = self.crash_workers(cell, crashing, delay_s=delay_s)
+                    await cell.submit(crashing)
+                    innocent += await self.submit_innocent(cell, 30, 30)
+                    await asyncio.sleep(30)
+                    state = await self.state(cell, crashing)
+                    self.assertIs(state, WorkflowState.FAILED)
+                    self.assertLessEqual(cell.runners.crash_counts[key], CRASHES_MAX)
+                    await self.check_all_completed(cell, innocent)
+                    self.assertEqual(cell.runners.violations, [])
+
+    async def test_crashes_are_remembered_by_the_next_owner(self):
+        async with WorkflowCell(worker_count=8) as cell:
+            await asyncio.sleep(1)
+            crashing = make_workflow(1, make_step(3))
+            key = self.crash_workers(cell, crashing)
+            await cell.submit(crashing)
+            innocent = []
+            for number in range(6):
+                innocent += await self.submit_innocent(cell, 10 * number + 10, 10)
+                await asyncio.sleep(3)
+                owner = cell.owner_name()
+                if owner:
+                    await cell.kill_process(owner)
+                    cell.start_process(owner)
+            await asyncio.sleep(30)
+            self.assertIs(await self.state(cell, crashing), WorkflowState.FAILED)
+            await self.check_all_completed(cell, innocent)
+            # An owner that is killed may take the knowledge of one crash with it.
+            self.assertLessEqual(cell.runners.crash_counts[key], CRASHES_MAX + 1)
+            self.assertEqual(cell.runners.violations, [])
+
+    async def test_gang_that_crashes_its_workers_is_given_up(self):
+        async with WorkflowCell(worker_count=8) as cell:
+            await asyncio.sleep(1)
+            innocent = await self.submit_innocent(cell, 10, 8)
+            crashing = make_workflow(1, make_step(3, gang=True))
+            key = self.crash_workers(cell, crashing, index=1)
+            await cell.submit(crashing)
+            innocent += await self.submit_innocent(cell, 30, 30)
+            await asyncio.sleep(30)
+            self.assertIs(await self.state(cell, crashing), WorkflowState.FAILED)
+            self.assertLessEqual(cell.runners.crash_counts[key], CRASHES_MAX)
+            await self.check_all_completed(cell, innocent)
+            self.assertEqual(cell.runners.violations, [])
+
+    async def test_innocent_tasks_survive_many_crashing_ones(self):
+        # Tasks that only shared a worker with a crashing one were lost again and again.
+        async with WorkflowCell(worker_count=12) as cell:
+            await asyncio.sleep(1)
+            innocent, keys = [], []
+            for number in range(6):
+                crashing = make_workflow(1 + number, make_step(3))
+                keys.append(self.crash_workers(cell, crashing))
+                await cell.submit(crashing)
+                innocent += await self.submit_innocent(cell, 10 * number + 10, 10)
+            await asyncio.sleep(40)
+            await self.check_all_completed(cell, innocent)
+            for key in keys:
+                self.assertLessEqual(cell.runners.crash_counts[key], CRASHES_MAX)
+            self.assertEqual(cell.runners.violations, [])
+
+    async def test_crashes_of_workers_alone_fail_no_workflow(self):
+        # Workers crash for reasons of their own too, several at a time.
+        async with WorkflowCell(worker_count=8) as cell:
+            await asyncio.sleep(1)
+            rng = random.Random(1)
+            specs = []
+            for number in range(5):
+                first = 10 * number + 10
+                specs += await self.submit_innocent(cell, first, 10, estimate_ms=3_000)
+                names = [w for w, r in cell.runners.runners.items() if r.up]
+                for name in rng.sample(sorted(names), 3):
+                    runner = cell.runners.runners[name]
+                    runner.crash(refuses_connections=True)
+                    cell.runners.on_crash(runner)
+                await asyncio.sleep(4)
+            await asyncio.sleep(60)
+            await self.check_all_completed(cell, specs)
+            self.assertEqual(cell.runners.violations, [])
+
+    async def test_lasting_task_that_crashes_its_workers_starts_ever_more_rarely(self):
+        async with WorkflowCell(worker_count=8) as cell:
+            await asyncio.sleep(1)
+            crashing = make_workflow(1, make_step(1, long_running=True))
+            key = self.crash_workers(cell, crashing)
+            await cell.submit(crashing)
+            await asyncio.sleep(60)
+            first_minute = cell.runners.crash_counts[key]
+            await asyncio.sleep(60)
+            second_minute = cell.runners.crash_counts[key] - first_minute
+            self.assertLessEqual(first_minute, 8)
+            self.assertGreaterEqual(second_minute, 1)
+            self.assertLessEqual(second_minute, 3)
+            self.assertIs(await self.state(cell, crashing), WorkflowState.RUNNING)
