Start nothing beyond a capacity that is known to have shrunk

* a start that was being stored while the registration showed less capacity was sent.
It is now returned to the backlog if more is in use than the worker has;
* a new incarnation of a worker was taken to have the capacity and labels of the one before until its registration was read.
It now gets no work until then;
* stops on a worker with negative free GPUs counted as making room for work without GPUs, so runs were stopped in vain.
Nothing fits on such a worker.

A run of an unknown workflow no longer reserves a negative amount.

--- a/basilhold/workflows/preemption.py
+++ b/basilhold/workflows/preemption.py
@@ -182,11 +182,18 @@
     limit : int
         Largest number to return.
 
+    Nothing fits if more is in use than a worker has, which happens when its capacity
+    has shrunk.
+
     Examples
     --------
     >>> count_fitting(Resources(9_000, 4 << 30), Resources(2_000, 1 << 30), 8)
     4
+    >>> count_fitting(Resources(9_000, 4 << 30, -1_000), Resources(2_000), 8)
+    0
     """
+    if available.is_negative():
+        return 0
     count = limit
     for amount, needed in (
         (available.cores_milli, size.cores_milli),
@@ -195,7 +202,7 @@
     ):
         if needed:
             count = min(count, amount // needed)
-    return max(0, count)
+    return count
 
 
 def find_option(
--- a/basilhold/workflows/run_controller.py
+++ b/basilhold/workflows/run_controller.py
@@ -65,6 +65,10 @@
             # The quota was lowered while the assignment was being stored.
             self._return_unstarted(worker, run)
             return
+        if worker.free.is_negative():
+            # The worker's capacity has shrunk while the assignment was being stored.
+            self._return_unstarted(worker, run)
+            return
         now_ms = self._state.clock.monotonic_ms()
         run.stage = RunStage.STARTING
         run.sent_ms = now_ms
--- a/basilhold/workflows/worker_tracker.py
+++ b/basilhold/workflows/worker_tracker.py
@@ -156,10 +156,11 @@
             run=listed.number,
             worker=worker.worker_id,
         )
+        unused = Resources() if worker.free.is_negative() else worker.free
         run = Run(
             listed.key,
             listed.number,
-            step.reserved() if step else worker.free,
+            step.reserved() if step else unused,
             step,
             RunStage.RUNNING,
             confirmed_ms=self._state.clock.monotonic_ms(),
@@ -204,7 +205,14 @@
 
     def _handle_restart(self, worker: Worker, listing: Listing) -> None:
         """Replace a worker by a newer incarnation whose lists have been read."""
-        info = msgspec.structs.replace(worker.info, born_unix_ms=listing.born_unix_ms)
+        # The new incarnation may be of another kind. It gets no work before its own
+        # registration has been read.
+        info = msgspec.structs.replace(
+            worker.info,
+            born_unix_ms=listing.born_unix_ms,
+            capacity=Resources(),
+            labels=frozenset(),
+        )
         successor = self._replace_incarnation(worker, info)
         now_ms = self._state.clock.monotonic_ms()
         changed = reconcile(successor, listing, now_ms, now_ms)
