Find and give up tasks that crash their workers

Cause: the end of a run with its worker was 'lost' like four other ends, none of which was remembered, so that a task that crashes its worker started again for ever.

Change: when a worker is known to have crashed (another one replies at its address, or it replies as a new incarnation), the runs that had begun there are to blame, early ones above all. A suspect starts next on a worker with little work, of which a few are kept for that, and on which nothing else starts. If that worker crashes too, the task is given up, and all others there are exonerated. The count, the age at the crash, the address and the time of the start are stored with the task's progress before its next start, so that the next owner goes on from there; it also polls workers of stored assignments that are not registered any more. A crash that is confirmed only after the lease has lapsed is counted late. Crashes of several workers at once convict nobody. A long-running task is held back for longer and longer. Runs of silent workers no longer count as overdue.

Ruled out: a plain limit.

--- a/basilhold/workflows/events.py
+++ b/basilhold/workflows/events.py
@@ -100,6 +100,12 @@
     EventLevel.WARNING,
     "worker={worker} avoided after {failures} consecutive failed runs",
 )
+TASK_SUSPECTED = Event(
+    6043,
+    EventLevel.WARNING,
+    "task={task} run={run} may have crashed its worker: crashes={crashes} "
+    "age_ms={age_ms} alone={alone} correlated={correlated} guilty={guilty}",
+)
 DEPENDENCY_LOST = Event(6050, EventLevel.WARNING, "{dependency} does not answer")
 DEPENDENCY_BACK = Event(
     6051, EventLevel.INFO, "{dependency} answers again after {after_ms} ms"
--- a/basilhold/workflows/owner.py
+++ b/basilhold/workflows/owner.py
@@ -67,6 +67,10 @@
 250 ms early, never more."""
 
 
+STABLE_RUN_MS = 10_000.0
+"""Time at work after which the crashes under a long-running task are forgotten."""
+
+
 class ServiceOwner:
     """Runs the workflows of one service while its lease is valid.
 
@@ -263,7 +267,9 @@
             self._state.committed_states[workflow.job_id] = workflow.state
             if not workflow.state.is_final:
                 self._state.backlog.add(workflow)
-        assigned = restore_assignments(self._state.pool, loaded.workflows, now_ms)
+        assigned = restore_assignments(
+            self._state.pool, loaded.workflows, now_ms, self._state.time.now_ms()
+        )
         for job_id in loaded.cancelled:
             self.cancel(job_id)
         for worker in self._state.pool.workers.values():
@@ -274,6 +280,7 @@
             )
             worker.unregistered = True
         await self._worker_tracker.refresh_registrations()
+        self._worker_tracker.contact_unregistered_workers()
         self.loaded = True
         log_event(
             events.OWNER_CLAIMED,
@@ -318,6 +325,7 @@
             # would free.
             may_preempt=not self._committer.is_stalled(),
             quotas=state.quotas,
+            isolation=state.isolation,
             order=state.ports.step_order,
         )
 
@@ -354,10 +362,18 @@
     def _assign(self, placement: Placement) -> None:
         workflow, worker = placement.step.workflow, placement.worker
         run = worker.runs[RunKey(workflow.job_id, placement.key)]
-        workflow.assign(placement.key, run.number, worker.worker_id)
+        store_ms = self._state.time.now_ms()
+        workflow.assign(
+            placement.key,
+            run.number,
+            worker.worker_id,
+            worker.info.endpoint,
+            store_ms,
+        )
+        self._state.isolation.note_start(run.key)
         self._state.backlog.mark_not_waiting(workflow, placement.key)
         self._committer.start_after_commit(placement)
-        queued_ms = self._state.time.now_ms() - workflow.spec.submitted_ms
+        queued_ms = store_ms - workflow.spec.submitted_ms
         self._state.observe("basilhold_workflow_start_wait_seconds", queued_ms)
         log_event(
             events.RUN_ASSIGNED,
@@ -467,11 +483,28 @@
             await asyncio.sleep(DUE_CHECK_INTERVAL_MS / 1000)
             now_ms = self._state.clock.monotonic_ms()
             self._worker_tracker.remove_expired_workers(now_ms)
+            self._run_controller.clear_suspects(now_ms)
+            self._forget_crashes(now_ms)
             self._stop_stragglers(now_ms)
             self._evacuate(now_ms)
             if self._state.backlog.has_waiting():
                 self._state.plan_event.set()
 
+    def _forget_crashes(self, now_ms: float) -> None:
+        """Forget the crashes under long-running tasks that have been at work since."""
+        for worker in self._state.pool.workers.values():
+            if worker.silent_since_ms:
+                continue
+            for run in worker.runs.values():
+                if run.step is None or not run.step.long_running:
+                    continue
+                if not run.confirmed_ms or now_ms - run.confirmed_ms < STABLE_RUN_MS:
+                    continue
+                workflow = self._state.workflows.get(run.key.job_id)
+                if workflow and workflow.task(run.key.task).crash is not None:
+                    workflow.forget_crashes(run.key.task)
+                    self._committer.mark_dirty(workflow)
+
     def _stop_stragglers(self, now_ms: float) -> None:
         stragglers, slow_workers = find_stragglers(
             self._state.pool, self._state.run_times, now_ms
--- a/basilhold/workflows/owner_state.py
+++ b/basilhold/workflows/owner_state.py
@@ -14,6 +14,7 @@
 from basilhold.workflows.admissions import AdmissionRecords
 from basilhold.workflows.background_tasks import BackgroundTasks
 from basilhold.workflows.backlog import Backlog
+from basilhold.workflows.isolation import Isolation
 from basilhold.workflows.owner_lease import Lease
 from basilhold.workflows.pool import Pool
 from basilhold.workflows.preemption import Reservations
@@ -99,6 +100,8 @@
         Answers of the advice service.
     reservations : Reservations
         Capacity that is kept free for steps.
+    isolation : Isolation
+        Waiting tasks that may crash their workers.
     run_times : RunTimes
         Observed run times, from which stragglers are found.
     pool : Pool
@@ -126,6 +129,7 @@
         self.backlog = Backlog()
         self.admissions = AdmissionRecords()
         self.reservations = Reservations()
+        self.isolation = Isolation()
         self.run_times = RunTimes()
         self.pool = Pool()
         self.links: dict[WorkerId, WorkerLink] = {}
--- a/basilhold/workflows/planner.py
+++ b/basilhold/workflows/planner.py
@@ -8,6 +8,7 @@
 """
 
 import math
+from collections.abc import Callable
 
 import msgspec
 
@@ -15,6 +16,7 @@
 from basilhold.tenants import BlockedDemand, QuotaBook, TenantName
 from basilhold.workflows.admissions import AdmissionRecords, StepAdmission, StepKey
 from basilhold.workflows.advice_queries import AdviceQuery, make_queries
+from basilhold.workflows.isolation import Isolation, used_cores_ratio
 from basilhold.workflows.model import (
     WORKERS_PER_QUERY,
     AdvicePolicy,
@@ -62,6 +64,9 @@
 
 DEADLINE_ORDER = DeadlineOrder()
 
+WorkerChoice = Callable[[ReadyStep, TaskKey, list[Worker]], Worker | None]
+"""Returns the worker for a task, or ``None`` if none has room."""
+
 
 class Placement(msgspec.Struct):
     """A task and the worker on which it starts.
@@ -98,6 +103,7 @@
     may_preempt: bool = True,
     quotas: QuotaBook | None = None,
     order: StepOrder = DEADLINE_ORDER,
+    isolation: Isolation | None = None,
 ) -> Plan:
     """Plan placements, queries to the advice service and preemptions.
 
@@ -120,13 +126,23 @@
         What each tenant may start; without it, there are no quotas.
     order : StepOrder
         Order in which the steps are placed.
+    isolation : Isolation, optional
+        Waiting tasks that may crash their workers; updated.
 
     Returns
     -------
     Plan
     """
     planning_pass = _PlanningPass(
-        pool, admissions, reservations, now_ms, store_ms, stop_ms, may_preempt, quotas
+        pool,
+        admissions,
+        reservations,
+        now_ms,
+        store_ms,
+        stop_ms,
+        may_preempt,
+        quotas,
+        isolation or Isolation(),
     )
     for step in order.sort(steps, store_ms, pool, quotas):
         planning_pass.plan_step(step)
@@ -148,7 +164,8 @@
         store_ms: float,
         stop_ms: float,
         may_preempt: bool,
-        quotas: QuotaBook | None = None,
+        quotas: QuotaBook | None,
+        isolation: Isolation,
     ):
         self._preemption_allowed = may_preempt
         self._admissions = admissions
@@ -156,7 +173,11 @@
         self._now_ms = now_ms
         self._store_ms = store_ms
         self._stop_ms = stop_ms
-        self._workers = pool.accepting_workers(now_ms)
+        accepting = pool.accepting_workers(now_ms)
+        kept = isolation.choose_workers(accepting)
+        self._accepting = accepting
+        self._workers = [w for w in accepting if w.worker_id not in kept]
+        self._isolation = isolation
         # Capacity claimed by steps that were planned earlier in this pass.
         self._claimed: dict[WorkerId, Resources] = {}
         # Free capacity for which steps without any answer have sent queries.
@@ -173,8 +194,17 @@
 
     def plan_step(self, step: ReadyStep) -> None:
         """Place tasks of a step, send queries, and claim capacity for the rest."""
-        if self._apply_quota(step):
-            self._plan_step(step)
+        step.keys = [
+            key
+            for key in step.keys
+            if not self._isolation.is_held(step.workflow, key, self._now_ms)
+        ]
+        if step.keys and self._apply_quota(step):
+            suspects = self._take_suspects(step)
+            if suspects.keys:
+                self._plan_suspects(suspects)
+            if step.keys:
+                self._plan_step(step)
         else:
             self._reservations.release(step.key)
         if not step.keys:
@@ -215,8 +245,77 @@
         if known is not demand:
             known.add(demand)
 
+    def _take_suspects(self, step: ReadyStep) -> ReadyStep:
+        """Return the tasks to be started apart from other suspects; a gang wholly.
+
+        They are removed from the step.
+        """
+        suspects = [
+            key
+            for key in step.keys
+            if self._isolation.must_isolate(step.workflow, key, self._now_ms)
+        ]
+        if suspects and step.spec.gang:
+            suspects = step.keys
+        step.keys = [key for key in step.keys if key not in suspects]
+        return msgspec.structs.replace(step, keys=suspects)
+
+    def _plan_suspects(self, step: ReadyStep) -> None:
+        """Place suspects, each workflow's on workers without other suspects.
+
+        If such a worker crashes, a task of that workflow is the cause.
+        """
+        suitable = [
+            worker
+            for worker in self._accepting
+            if worker.is_admissible(step.spec) and self._may_isolate(step, worker)
+        ]
+        if step.workflow.spec.policy.advice is None:
+            self._place_on(step, suitable, None, self._choose_isolated_worker)
+            return
+        admission = self._admissions.step(step.key)
+        ticketed = [w for w in suitable if admission.ticket(w.worker_id, self._now_ms)]
+        if ticketed:
+            self._place_on(step, ticketed, admission, self._choose_isolated_worker)
+        if step.keys:
+            possible = [w for w in suitable if w.worker_id not in admission.refused]
+            self._send_queries(step, possible, admission)
+
+    def _may_isolate(self, step: ReadyStep, worker: Worker) -> bool:
+        """Return whether a worker may be used for the suspects of a step."""
+        job_id = step.workflow.job_id
+        if worker.suspects:
+            return all(key.job_id == job_id for key in worker.suspects)
+        if step.spec.gang:
+            return not worker.has_started_recently(self._now_ms)
+        key = RunKey(job_id, step.keys[0])
+        return self._isolation.may_use(worker, key, self._now_ms)
+
+    def _choose_isolated_worker(
+        self, step: ReadyStep, key: TaskKey, workers: list[Worker]
+    ) -> Worker | None:
+        """Return the worker for a suspect, or ``None``.
+
+        Workers with suspects of the same workflow come first, then those with the
+        least other work.
+        """
+        size = step.spec.reserved()
+        fitting = [
+            worker
+            for worker in workers
+            if size.fits_in(self._available(worker, step))
+            and not (step.spec.per_worker_max and self._remaining_on(step, worker) <= 0)
+        ]
+        return min(
+            fitting,
+            key=lambda worker: (not worker.suspects, used_cores_ratio(worker)),
+            default=None,
+        )
+
     def _plan_step(self, step: ReadyStep) -> None:
-        suitable = [w for w in self._workers if w.is_admissible(step.spec)]
+        suitable = [
+            w for w in self._workers if w.is_admissible(step.spec) and not w.suspects
+        ]
         if not suitable:
             return
         if step.workflow.spec.policy.advice is None:
@@ -259,12 +358,17 @@
         return any(self._find_option(step, worker, 1) for worker in workers)
 
     def _place_on(
-        self, step: ReadyStep, workers: list[Worker], admission: StepAdmission | None
+        self,
+        step: ReadyStep,
+        workers: list[Worker],
+        admission: StepAdmission | None,
+        choose: WorkerChoice | None = None,
     ) -> None:
         """Place as many tasks of a step as fit; a gang wholly or not at all."""
+        choose = choose or self._choose_worker
         placed: list[Placement] = []
         for key in step.keys:
-            worker = self._choose_worker(step, key, workers)
+            worker = choose(step, key, workers)
             if worker is None:
                 break
             run = _make_run(step, key, self._now_ms)
@@ -690,6 +794,7 @@
         priority=step.priority,
         tenant=step.tenant,
         size=spec.size,
+        is_suspect=step.workflow.is_suspect(key),
     )
 
 
--- a/basilhold/workflows/pool.py
+++ b/basilhold/workflows/pool.py
@@ -12,6 +12,12 @@
 
 from basilhold.core import JobId, Resources, WorkerId
 from basilhold.tenants import NO_TENANT, TenantName, TenantUsage
+from basilhold.workflows.crash_blame import (
+    EARLY_CRASH_MS,
+    CrashEvidence,
+    CrashLog,
+    RunAge,
+)
 from basilhold.workflows.model import RunNumber, StepSpec, TaskKey
 from basilhold.workflows.progress import EndKind, RunEnd
 
@@ -27,11 +33,17 @@
     "RunStage",
     "Worker",
     "WorkerInfo",
+    "collect_crash_evidence",
+    "record_silence",
     "transfer_runs",
     "reconcile",
     "remove_lost_runs",
 ]
 
+PENDING_POLL_MS = 50.0
+"""Time after which a poll without a reply is pending at its worker. An attempt to
+connect to a worker that is gone is refused sooner."""
+
 FAILED_RUNS_MAX = 3
 """Consecutive failed runs after which a worker temporarily receives no new runs."""
 
@@ -143,6 +155,10 @@
         Tenant of the workflow.
     size : Resources
         Resources that count against the quota of the tenant.
+    is_suspect : bool
+        Whether the run may crash its worker; see `crash_blame`.
+    is_disconnected : bool
+        Whether the connection broke over which the start was sent.
     """
 
     key: RunKey
@@ -165,6 +181,15 @@
     priority: int = 0
     tenant: TenantName = NO_TENANT
     size: Resources = Resources()
+    is_suspect: bool = False
+    is_disconnected: bool = False
+
+    @property
+    def may_have_begun(self) -> bool:
+        """Whether the worker has carried out the start, as far as is known."""
+        if self.stage is RunStage.UNCERTAIN:
+            return self.is_disconnected
+        return self.stage is not RunStage.COMMITTING
 
 
 class ListedRun(msgspec.Struct, frozen=True):
@@ -251,8 +276,13 @@
     silent_since_ms : float
         Time of the event loop's clock at which the first poll failed that no reply has
         followed, in milliseconds; 0 if the worker answers.
+    alive_until_ms : float
+        Time of the event loop's clock until which the worker was certainly up, in
+        milliseconds.
     disconnected : bool
         Whether that poll failed because the connection was refused or closed.
+    suspects : dict of RunKey to Run
+        Runs that may crash the worker. While there are any, no others start here.
     """
 
     def __init__(self, info: WorkerInfo, usage: TenantUsage | None = None):
@@ -276,22 +306,50 @@
         self.draining_since_ms = 0.0
         self.heard_ms = 0.0
         self.silent_since_ms = 0.0
+        self.alive_until_ms = 0.0
         self.disconnected = False
+        self.suspects: dict[RunKey, Run] = {}
 
     def note_reply(self, now_ms: float) -> None:
         """Record that a poll was answered."""
-        self.heard_ms = now_ms
+        self.heard_ms = self.alive_until_ms = now_ms
         self.silent_since_ms = 0.0
         self.disconnected = False
 
-    def note_silence(self, now_ms: float, disconnected: bool) -> bool:
-        """Record that a poll failed; return whether it is the first one to fail."""
+    def note_silence(self, now_ms: float, disconnected: bool, sent_ms: float) -> bool:
+        """Record that a poll failed; return whether it is the first one to fail.
+
+        Parameters
+        ----------
+        now_ms, sent_ms : float
+            Times of the event loop's clock at which the poll failed and was sent, in
+            milliseconds.
+        disconnected : bool
+            Whether the connection was refused or closed.
+        """
         if self.silent_since_ms:
             return False
         self.silent_since_ms = now_ms
         self.disconnected = disconnected
+        if disconnected and now_ms - sent_ms > PENDING_POLL_MS:
+            # The worker had accepted the poll and was up until the connection broke.
+            self.alive_until_ms = now_ms
         return True
 
+    def clear_suspect(self, key: RunKey) -> None:
+        """Record that a run does not crash the worker."""
+        run = self.suspects.pop(key, None)
+        if run is not None:
+            run.is_suspect = False
+
+    def has_started_recently(self, now_ms: float) -> bool:
+        """Return whether a run has just begun, or is about to begin, on this worker."""
+        return any(
+            run.stage in (RunStage.COMMITTING, RunStage.STARTING)
+            or now_ms - run.sent_ms < EARLY_CRASH_MS
+            for run in self.runs.values()
+        )
+
     def youngest_run(self) -> Run | None:
         """Return the run that started last, among those that may have begun."""
         begun = [r for r in self.runs.values() if r.stage is not RunStage.COMMITTING]
@@ -304,12 +362,15 @@
     def add(self, run: Run) -> None:
         """Add a run and allocate its capacity."""
         self.runs[run.key] = run
+        if run.is_suspect:
+            self.suspects[run.key] = run
         self.free = self.free - run.reserved
         self._usage.add(run.tenant, run.size)
 
     def remove(self, key: RunKey) -> Run | None:
         """Remove a run, if there is one, and free its capacity."""
         run = self.runs.pop(key, None)
+        self.suspects.pop(key, None)
         if run is not None:
             self.free = self.free + run.reserved
             self._usage.subtract(run.tenant, run.size)
@@ -379,11 +440,14 @@
     workers : dict of WorkerId to Worker
     usage : TenantUsage
         Resources that the runs of each tenant use on these workers.
+    crash_log : CrashLog
+        When workers stopped answering.
     """
 
     def __init__(self):
         self.workers: dict[WorkerId, Worker] = {}
         self.usage = TenantUsage()
+        self.crash_log = CrashLog()
 
     def capacity(self) -> Resources:
         """Return the capacity of all workers."""
@@ -514,14 +578,77 @@
         new.add(run)
 
 
-def remove_lost_runs(worker: Worker) -> Iterable[EndedRun]:
+def remove_lost_runs(
+    worker: Worker, evidence: dict[RunKey, CrashEvidence]
+) -> Iterable[EndedRun]:
     """Remove and yield the runs of a worker that lost its lease or has restarted.
 
     Runs whose assignment is not stored yet remain.
+
+    Parameters
+    ----------
+    worker : Worker
+    evidence : dict of RunKey to CrashEvidence
+        Runs that may be to blame for the loss; empty if the worker has not crashed.
     """
     for key, run in list(worker.runs.items()):
         if run.stage is RunStage.COMMITTING:
             continue
         worker.remove(key)
         end = RunEnd(key.task, run.number, EndKind.LOST, run.checkpoint)
+        if key in evidence:
+            end = msgspec.structs.replace(
+                end, kind=EndKind.CRASHED, crash=evidence[key]
+            )
         yield EndedRun(key, end)
+
+
+def collect_crash_evidence(
+    worker: Worker, pool: Pool, now_ms: float
+) -> dict[RunKey, CrashEvidence]:
+    """Return the runs that may be to blame for the crash of a worker.
+
+    If any of its runs were suspects, only they are.
+
+    Parameters
+    ----------
+    worker : Worker
+    pool : Pool
+    now_ms : float
+        Time of the event loop's clock, in milliseconds.
+    """
+    begun = [run for run in worker.runs.values() if run.may_have_begun]
+    suspects = [run for run in begun if run.is_suspect]
+    is_one_workflow = len({run.key.job_id for run in suspects}) == 1
+    crashed_by_ms = worker.silent_since_ms or now_ms
+    evidence: dict[RunKey, CrashEvidence] = {}
+    for run in suspects or begun:
+        # The time of a crash before a takeover is not known.
+        is_correlated = worker.heard_ms > 0 and pool.crash_log.is_correlated(
+            worker.worker_id, crashed_by_ms, run.key.job_id, len(pool.workers)
+        )
+        evidence[run.key] = CrashEvidence(
+            _age_at_crash(run, worker, crashed_by_ms), is_one_workflow, is_correlated
+        )
+    return evidence
+
+
+def record_silence(worker: Worker, pool: Pool) -> None:
+    """Record the time of a possible crash, if the owner has observed it."""
+    if not worker.disconnected or not worker.heard_ms:
+        return
+    early_jobs = set()
+    for run in worker.runs.values():
+        age = _age_at_crash(run, worker, worker.silent_since_ms)
+        if run.may_have_begun and age is not None and age.is_early:
+            early_jobs.add(run.key.job_id)
+    pool.crash_log.record(
+        worker.worker_id, worker.silent_since_ms, frozenset(early_jobs)
+    )
+
+
+def _age_at_crash(run: Run, worker: Worker, crashed_by_ms: float) -> RunAge | None:
+    if not run.sent_ms:
+        return None
+    least_ms = max(0.0, min(worker.alive_until_ms, crashed_by_ms) - run.sent_ms)
+    return RunAge(least_ms, max(least_ms, crashed_by_ms - run.sent_ms))
--- a/basilhold/workflows/progress.py
+++ b/basilhold/workflows/progress.py
@@ -13,6 +13,7 @@
     JsonDecoder,
     WorkerId,
 )
+from basilhold.workflows.crash_blame import CrashEvidence, CrashHistory, judge
 from basilhold.workflows.model import RunNumber, TaskKey, WorkflowSpec
 
 __all__ = [
@@ -96,12 +97,15 @@
     kind : EndKind
     checkpoint : str
         Newest checkpoint of the run; empty if there is none.
+    crash : CrashEvidence
+        What the crash says about the run, if the kind is `EndKind.CRASHED`.
     """
 
     key: TaskKey
     run: RunNumber
     kind: EndKind
     checkpoint: str = ""
+    crash: CrashEvidence = CrashEvidence()
 
 
 class TaskProgress(msgspec.Struct, array_like=True):
@@ -122,6 +126,14 @@
         Workers on which runs failed or were too slow; other ones are preferred.
     failed_run : RunNumber
         Last run that was counted as failed; that of a gang is set on its first task.
+    crash : CrashHistory, optional
+        Crashes of workers for which the task may be to blame; ``None`` if there are
+        none.
+    endpoint : str
+        ``host:port`` of the worker to which the task is assigned. The next owner may
+        not find the worker's registration any more.
+    assigned_ms : int
+        Time of the store's clock at which the task was assigned, in milliseconds.
     """
 
     stage: TaskStage = TaskStage.PENDING
@@ -131,6 +143,9 @@
     checkpoint: str = ""
     avoided: list[WorkerId] = []
     failed_run: RunNumber = RunNumber(0)
+    crash: CrashHistory | None = None
+    endpoint: str = ""
+    assigned_ms: int = 0
 
 
 class _StoredTask(msgspec.Struct, array_like=True):
@@ -283,12 +298,32 @@
         """Return whether a run of any task was ever assigned."""
         return any(task.run for task in self._tasks.values())
 
-    def assign(self, key: TaskKey, run: RunNumber, worker_id: WorkerId) -> None:
-        """Assign a task to a worker, on which the given run is about to start."""
+    def assign(
+        self,
+        key: TaskKey,
+        run: RunNumber,
+        worker_id: WorkerId,
+        endpoint: str = "",
+        now_ms: float = 0.0,
+    ) -> None:
+        """Assign a task to a worker, on which the given run is about to start.
+
+        Parameters
+        ----------
+        key : TaskKey
+        run : RunNumber
+        worker_id : WorkerId
+        endpoint : str
+            ``host:port`` of the worker.
+        now_ms : float
+            Time of the store's clock, in milliseconds.
+        """
         task = self.task(key)
         task.stage = TaskStage.ASSIGNED
         task.run = run
         task.worker_id = worker_id
+        task.endpoint = endpoint
+        task.assigned_ms = round(now_ms)
         self._changed.add(self.chunk_of(key))
         if self.state is WorkflowState.QUEUED:
             self.state = WorkflowState.RUNNING
@@ -315,10 +350,53 @@
         worker_id = task.worker_id
         task.stage = TaskStage.PENDING
         task.worker_id = WorkerId("")
+        task.endpoint = ""
         if end.kind is EndKind.FAILED:
+            self.clear_suspicion(end.key)
             self._count_failure(end, worker_id, now_ms)
+        elif end.kind is EndKind.CRASHED:
+            self._count_crash(end, now_ms)
+        return True
+
+    def _count_crash(self, end: RunEnd, now_ms: float) -> None:
+        """Count the crash of a worker for which the task may be to blame."""
+        judgement = judge(self.task(end.key).crash, end.crash)
+        self.task(end.key).crash = judgement.history
+        self._changed.add(self.chunk_of(end.key))
+        if judgement.is_guilty and not self._step(end.key).long_running:
+            self._end(WorkflowState.FAILED, now_ms)
+
+    def count_late_crash(self, end: RunEnd, now_ms: float) -> bool:
+        """Count a crash that was confirmed after its run had been given up.
+
+        Returns
+        -------
+        bool
+            Whether it was counted, which it is not once the task has ended.
+        """
+        task = self.task(end.key)
+        if self.state.is_final or task.stage is TaskStage.DONE or task.run < end.run:
+            return False
+        self._count_crash(end, now_ms)
         return True
 
+    def is_suspect(self, key: TaskKey) -> bool:
+        """Return whether a task has to run apart from others that may crash workers."""
+        task = self._tasks.get(key)
+        return task is not None and task.crash is not None and task.crash.is_suspect
+
+    def clear_suspicion(self, key: TaskKey) -> None:
+        """Record that a run of a task has not crashed its worker."""
+        if self.is_suspect(key):
+            task = self.task(key)
+            task.crash = msgspec.structs.replace(task.crash, is_suspect=False)
+            self._changed.add(self.chunk_of(key))
+
+    def forget_crashes(self, key: TaskKey) -> None:
+        """Forget the crashes under a long-running task that has been at work since."""
+        self.task(key).crash = None
+        self._changed.add(self.chunk_of(key))
+
     def _apply_late_end(self, end: RunEnd, now_ms: float) -> bool:
         """Apply the outcome of a run that had been given up.
 
@@ -347,6 +425,7 @@
             if task.stage is not TaskStage.DONE:
                 task.stage = TaskStage.DONE
                 task.worker_id = WorkerId("")
+                task.endpoint = ""
                 task.checkpoint = ""
                 self._changed.add(self.chunk_of(key))
                 self._unfinished[key.occurrence, key.step] -= 1
--- a/basilhold/workflows/recovery.py
+++ b/basilhold/workflows/recovery.py
@@ -142,7 +142,9 @@
         return None
 
 
-def restore_assignments(pool: Pool, workflows: list[Workflow], now_ms: float) -> int:
+def restore_assignments(
+    pool: Pool, workflows: list[Workflow], now_ms: float, store_ms: float
+) -> int:
     """Reserve capacity for the runs of stored assignments; return their number.
 
     Which of the runs exist is decided later by the lists that the workers return.
@@ -152,15 +154,16 @@
     pool : Pool
         Gets the runs, and the workers that are not registered.
     workflows : list of Workflow
-    now_ms : float
-        Time of the monotonic clock, taken as the start of the runs.
+    now_ms, store_ms : float
+        Times of the event loop's clock, taken as the start of the runs, and of the
+        store's clock, in milliseconds.
     """
     count = 0
     for workflow in workflows:
         for key, task in workflow.assigned():
             worker = pool.workers.get(task.worker_id)
             if worker is None:
-                info = WorkerInfo(task.worker_id, "", 0, Resources())
+                info = WorkerInfo(task.worker_id, task.endpoint, 0, Resources())
                 worker = pool.workers[task.worker_id] = Worker(info, pool.usage)
             step = workflow.spec.steps[key.step]
             run = Run(
@@ -170,12 +173,18 @@
                 step,
                 RunStage.RUNNING,
                 started_ms=now_ms,
+                sent_ms=now_ms - (store_ms - task.assigned_ms)
+                if task.assigned_ms
+                else 0.0,
                 checkpoint=task.checkpoint,
                 priority=workflow.spec.policy.priority,
                 stop_wanted=workflow.state.is_final,
                 tenant=workflow.spec.tenant,
                 size=step.size,
+                is_suspect=workflow.is_suspect(key),
             )
             worker.add(run)
+            # It was up at its last start, at least.
+            worker.alive_until_ms = max(worker.alive_until_ms, run.sent_ms)
             count += 1
     return count
--- a/basilhold/workflows/run_controller.py
+++ b/basilhold/workflows/run_controller.py
@@ -7,12 +7,19 @@
 from basilhold.workflows import events
 from basilhold.workflows.admissions import StepKey
 from basilhold.workflows.committer import Committer
+from basilhold.workflows.crash_blame import clearance_ms
 from basilhold.workflows.model import StepSpec, TaskKey, task_name
 from basilhold.workflows.owner_state import LeaseLostError, OwnerState
 from basilhold.workflows.pacing import PaceChange, find_pace_changes
 from basilhold.workflows.planner import Placement
 from basilhold.workflows.pool import Run, RunKey, RunStage, Worker
-from basilhold.workflows.progress import EndKind, RunEnd, TaskStage, Workflow
+from basilhold.workflows.progress import (
+    EndKind,
+    RunEnd,
+    TaskStage,
+    Workflow,
+    WorkflowState,
+)
 
 __all__ = ["AVOID_FAILING_WORKER_MS", "RunController"]
 
@@ -90,10 +97,13 @@
         self, placement: Placement, run: Run, outcome: CallOutcome
     ) -> None:
         worker = placement.worker
+        run.is_disconnected = outcome is CallOutcome.DISCONNECTED
         if outcome is CallOutcome.DONE:
             if run.stage is RunStage.STARTING:
                 run.stage = RunStage.RUNNING
                 run.confirmed_ms = self._state.clock.monotonic_ms()
+                worker.heard_ms = max(worker.heard_ms, run.confirmed_ms)
+                worker.alive_until_ms = max(worker.alive_until_ms, run.confirmed_ms)
             return
         log_event(
             events.RUN_NOT_STARTED,
@@ -253,6 +263,8 @@
             worker=worker.worker_id,
             kind=end.kind.value,
         )
+        if end.kind is EndKind.CRASHED and not was_final:
+            self._note_crash(workflow, key, end)
         if workflow.task(key.task).stage is TaskStage.DONE:
             self._settle_tasks(workflow, key, is_late)
         if workflow.state.is_final and not was_final:
@@ -264,6 +276,57 @@
         self.committer.mark_dirty(workflow)
         self._state.plan_event.set()
 
+    def apply_late_crash(self, key: RunKey, end: RunEnd) -> None:
+        """Count a crash that was confirmed after its run had been given up."""
+        workflow = self._state.workflows.get(key.job_id)
+        if workflow is None or not workflow.has_task(key.task):
+            return
+        if not workflow.count_late_crash(end, self._state.time.now_ms()):
+            return
+        self._note_crash(workflow, key, end)
+        if workflow.state.is_final:
+            self.finalize_workflow(workflow)
+        self.committer.mark_dirty(workflow)
+        self._state.plan_event.set()
+
+    def _note_crash(self, workflow: Workflow, key: RunKey, end: RunEnd) -> None:
+        """Log a task that may have crashed its worker, and hold it back if need be."""
+        history = workflow.task(key.task).crash
+        now_ms = self._state.clock.monotonic_ms()
+        self._state.isolation.note_crash(workflow, key.task, now_ms)
+        is_guilty = workflow.state is WorkflowState.FAILED
+        if history.is_suspect or is_guilty:
+            log_event(
+                events.TASK_SUSPECTED,
+                task=task_name(key.job_id, key.task),
+                run=end.run,
+                crashes=history.crashes,
+                age_ms=history.age_ms,
+                alone=end.crash.is_only_suspect,
+                correlated=end.crash.is_correlated,
+                guilty=is_guilty,
+            )
+
+    def clear_suspects(self, now_ms: float) -> None:
+        """Clear suspects that have been at work for long enough."""
+        for worker in self._state.pool.workers.values():
+            if worker.silent_since_ms or not worker.listed:
+                continue
+            for run in list(worker.suspects.values()):
+                self._clear_suspect(worker, run, now_ms)
+
+    def _clear_suspect(self, worker: Worker, run: Run, now_ms: float) -> None:
+        workflow = self._state.workflows.get(run.key.job_id)
+        history = workflow.task(run.key.task).crash if workflow else None
+        if history is not None and history.is_suspect:
+            at_work_ms = now_ms - run.confirmed_ms if run.confirmed_ms else 0.0
+            if at_work_ms < clearance_ms(history):
+                return
+            workflow.clear_suspicion(run.key.task)
+            self.committer.mark_dirty(workflow)
+        worker.clear_suspect(run.key)
+        self._state.plan_event.set()
+
     def _settle_tasks(self, workflow: Workflow, key: RunKey, is_late: bool) -> None:
         """Withdraw what still waits or runs of a task that is done, or of its gang.
 
@@ -313,6 +376,7 @@
         self._state.admissions.remove_job(workflow.job_id)
         self._state.reservations.remove_job(workflow.job_id)
         self._state.run_times.remove_job(workflow.job_id)
+        self._state.isolation.remove_job(workflow.job_id)
         for key, task in workflow.assigned():
             run = self._state.pool.find_run(
                 task.worker_id, RunKey(workflow.job_id, key)
--- a/basilhold/workflows/stragglers.py
+++ b/basilhold/workflows/stragglers.py
@@ -121,6 +121,9 @@
     stragglers: list[Straggler] = []
     slow_workers: list[WorkerId] = []
     for worker in pool.workers.values():
+        if worker.silent_since_ms:
+            # Ends of its runs cannot be reported, so none of them is known to be slow.
+            continue
         overdue = [
             run for run in worker.runs.values() if _is_overdue(run, run_times, now_ms)
         ]
--- a/basilhold/workflows/tests/test_crashing_tasks.py
+++ b/basilhold/workflows/tests/test_crashing_tasks.py
@@ -9,6 +9,7 @@
 from basilhold.testing import VirtualTimeTestCase
 from basilhold.testing.workflow_cell import WorkflowCell, make_spec
 from basilhold.workflows.model import StepSpec, TaskKey
+from basilhold.workflows.peers import StoreOutcome
 from basilhold.workflows.pool import RunKey
 from basilhold.workflows.progress import WorkflowState
 
@@ -38,7 +39,8 @@
         specs = []
         for number in range(first, first + count):
             specs.append(make_workflow(number, make_step(3, **changes)))
-            await cell.submit(specs[-1])
+            while await cell.submit(specs[-1]) is not StoreOutcome.STORED:
+                await asyncio.sleep(0.1)
             await asyncio.sleep(0.1)
         return specs
 
--- a/basilhold/workflows/worker_link.py
+++ b/basilhold/workflows/worker_link.py
@@ -215,7 +215,7 @@
         if result.is_error():
             if immediate:
                 return PollResult(fenced=result.error is CallOutcome.FENCED)
-            return await self._after_failure(result.error, clock)
+            return await self._after_failure(result.error, clock, sent_ms)
         self._failures = 0
         listing = result.ok
         if (
@@ -262,7 +262,9 @@
         except TimeoutError:
             pass
 
-    async def _after_failure(self, outcome: CallOutcome, clock: Clock) -> PollResult:
+    async def _after_failure(
+        self, outcome: CallOutcome, clock: Clock, sent_ms: float
+    ) -> PollResult:
         if outcome is CallOutcome.FENCED:
             return PollResult(fenced=True)
         if outcome is CallOutcome.ABSENT:
@@ -270,11 +272,14 @@
         self._failures += 1
         self.worker.listed = False
         disconnected = outcome is CallOutcome.DISCONNECTED
-        if self.worker.note_silence(clock.monotonic_ms(), disconnected):
+        now_ms = clock.monotonic_ms()
+        if self.worker.note_silence(now_ms, disconnected, sent_ms):
             self.on_silence()
-        await asyncio.sleep(
-            min(RETRY_DELAY_MS * self._failures, RETRY_DELAY_MAX_MS) / 1000
-        )
+        delay_ms = min(RETRY_DELAY_MS * self._failures, RETRY_DELAY_MAX_MS)
+        if disconnected:
+            # A worker that has crashed is back soon, and its runs wait for that.
+            delay_ms = RETRY_DELAY_MS
+        await asyncio.sleep(delay_ms / 1000)
         return self._check_expiry(clock)
 
     def _check_expiry(self, clock: Clock) -> PollResult:
--- a/basilhold/workflows/worker_tracker.py
+++ b/basilhold/workflows/worker_tracker.py
@@ -8,20 +8,26 @@
 from basilhold.observability import log_event
 from basilhold.tenants import NO_TENANT
 from basilhold.workflows import events
+from basilhold.workflows.crash_blame import CrashEvidence
 from basilhold.workflows.model import task_name
 from basilhold.workflows.owner_state import LeaseLostError, OwnerState
 from basilhold.workflows.pool import (
+    EndedRun,
     ListedRun,
     Listing,
     LossReason,
     Run,
+    RunKey,
     RunStage,
     Worker,
     WorkerInfo,
+    collect_crash_evidence,
     reconcile,
+    record_silence,
     remove_lost_runs,
     transfer_runs,
 )
+from basilhold.workflows.progress import EndKind, RunEnd
 from basilhold.workflows.run_controller import RunController
 from basilhold.workflows.worker_link import PollResult, WorkerLink
 
@@ -31,6 +37,31 @@
 """Interval at which the registrations are read. A worker that leaves must get no new
 work after 3 s."""
 
+REGISTRY_POLL_INTERVAL_MIN_MS = 100
+"""Shortest interval, used when a worker has been replaced, whose successor is then
+registered already."""
+
+
+REMEMBERED_WORKERS_MAX = 1_024
+"""Number of lost workers about which something is remembered."""
+
+
+class _UnconfirmedCrash(msgspec.Struct, frozen=True):
+    """Runs of a worker that refused connections until its lease had lapsed.
+
+    Parameters
+    ----------
+    worker_id : WorkerId
+    born_unix_ms : int
+        Unix time at which that incarnation of the worker started, in milliseconds.
+    ends : list of EndedRun
+        The runs to blame if the worker has crashed.
+    """
+
+    worker_id: WorkerId
+    born_unix_ms: int
+    ends: list[EndedRun]
+
 
 class WorkerTracker:
     """Tracks the registered workers of a service and the runs that each one lists.
@@ -45,6 +76,9 @@
     def __init__(self, state: OwnerState, run_controller: RunController):
         self._state = state
         self._run_controller = run_controller
+        self._unconfirmed_crashes: dict[str, _UnconfirmedCrash] = {}
+        self._replaced: dict[tuple[WorkerId, int], None] = {}
+        self._successor_replied = asyncio.Event()
 
     async def run(self) -> None:
         """Read the registrations periodically until cancelled."""
@@ -79,6 +113,10 @@
         self._state.plan_event.set()
 
     def _update_worker(self, worker_id: WorkerId, info: WorkerInfo) -> None:
+        self._confirm_crash(info)
+        if (worker_id, info.born_unix_ms) in self._replaced:
+            # Its registration is removed some time after the worker has gone.
+            return
         worker = self._state.pool.workers.get(worker_id)
         if worker is not None and info.born_unix_ms < worker.info.born_unix_ms:
             # The worker itself has already reported a newer incarnation.
@@ -97,6 +135,27 @@
         if worker_id not in self._state.links:
             self._open_link(worker)
 
+    def contact_unregistered_workers(self) -> None:
+        """Poll the workers of stored assignments that are not registered any more.
+
+        One that is only cut off from the store is still at work, and one that has
+        crashed is known to have done so once another replies at its address.
+        """
+        for worker in self._state.pool.workers.values():
+            if worker.worker_id not in self._state.links and worker.info.endpoint:
+                self._open_link(worker)
+
+    def _confirm_crash(self, info: WorkerInfo) -> None:
+        """Count the crash of a worker whose successor has registered at its address."""
+        crash = self._unconfirmed_crashes.pop(info.endpoint, None)
+        if crash is None:
+            return
+        if (crash.worker_id, crash.born_unix_ms) == (info.worker_id, info.born_unix_ms):
+            # It was only unreachable.
+            return
+        for ended in crash.ends:
+            self._run_controller.apply_late_crash(ended.key, ended.end)
+
     async def _poll_worker(self, link: WorkerLink) -> None:
         worker = link.worker
         try:
@@ -172,14 +231,17 @@
 
     def _report_silence(self, worker: Worker) -> None:
         """Log that a worker has stopped answering, and what it started last."""
+        record_silence(worker, self._state.pool)
         youngest = worker.youngest_run()
-        age_ms = worker.silent_since_ms - youngest.sent_ms if youngest else 0.0
+        is_known = youngest is not None and youngest.sent_ms
+        age_ms = worker.silent_since_ms - youngest.sent_ms if is_known else -1
+        heard_ms = worker.silent_since_ms - worker.heard_ms if worker.heard_ms else -1
         log_event(
             events.WORKER_SILENT,
             worker=worker.worker_id,
             endpoint=worker.info.endpoint,
             disconnected=worker.disconnected,
-            heard_ms=round(worker.silent_since_ms - worker.heard_ms),
+            heard_ms=round(heard_ms),
             runs=len(worker.runs),
             youngest=task_name(*youngest.key) if youngest else "-",
             age_ms=round(age_ms),
@@ -187,9 +249,8 @@
 
     def _handle_worker_loss(self, worker: Worker, reason: LossReason) -> None:
         """Remove a worker on which nothing can run any more, and end its runs."""
-        silent_ms = 0.0
-        if worker.silent_since_ms:
-            silent_ms = self._state.clock.monotonic_ms() - worker.silent_since_ms
+        now_ms = self._state.clock.monotonic_ms()
+        silent_ms = now_ms - worker.silent_since_ms if worker.silent_since_ms else 0.0
         log_event(
             events.WORKER_LOST,
             worker=worker.worker_id,
@@ -199,10 +260,42 @@
             runs=len(worker.runs),
         )
         self._remove_worker(worker)
-        for ended in remove_lost_runs(worker):
+        evidence = {}
+        if not worker.info.draining:
+            evidence = collect_crash_evidence(worker, self._state.pool, now_ms)
+        if reason is LossReason.REPLACED:
+            self._successor_replied.set()
+            self._replaced[worker.worker_id, worker.info.born_unix_ms] = None
+            _limit_size(self._replaced)
+        has_crashed = reason in (LossReason.REPLACED, LossReason.RESTARTED)
+        if evidence and reason is LossReason.LAPSED and worker.disconnected:
+            self._remember_unconfirmed(worker, evidence)
+        for ended in remove_lost_runs(worker, evidence if has_crashed else {}):
             self._run_controller.apply_end(worker, ended.key, ended.end)
         self._state.plan_event.set()
 
+    def _remember_unconfirmed(
+        self, worker: Worker, evidence: dict[RunKey, CrashEvidence]
+    ) -> None:
+        """Remember which runs to blame if a silent worker turns out to have crashed."""
+        ends = [
+            EndedRun(
+                key,
+                RunEnd(
+                    key.task,
+                    worker.runs[key].number,
+                    EndKind.CRASHED,
+                    crash=crash,
+                ),
+            )
+            for key, crash in evidence.items()
+        ]
+        crashes = self._unconfirmed_crashes
+        crashes[worker.info.endpoint] = _UnconfirmedCrash(
+            worker.worker_id, worker.info.born_unix_ms, ends
+        )
+        _limit_size(crashes)
+
     def _handle_restart(self, worker: Worker, listing: Listing) -> None:
         """Replace a worker by a newer incarnation whose lists have been read."""
         # The new incarnation may be of another kind. It gets no work before its own
@@ -243,3 +336,9 @@
         if link is not None and link.worker is worker:
             link.closed = True
             del self._state.links[worker.worker_id]
+
+
+def _limit_size(entries: dict) -> None:
+    """Remove the oldest entry of a dictionary that has become too large."""
+    if len(entries) > REMEMBERED_WORKERS_MAX:
+        del entries[next(iter(entries))]
