Set aside a workflow on which the owner of its service fails

What callers would see: one stored workflow that an owner cannot handle stops all work of its service, as each owner in turn loads it and fails.

Work that ends whoever takes it is handed to the next one. Each exception of any task of an owner ended it.

Change: loading, finding ready steps, planning, assigning, committing, starting, the ends of runs and cancellations are guarded for each workflow. One that fails is set aside: logged (6063), stored, shown in the state that it has, and not started again, also not by the next owner, as ends of its runs may have been acknowledged. A submission of a workflow whose rows cannot be read does not begin it anew. An error on a reply of a worker ends no owner either; ends that were not applied are read again.

--- a/basilhold/workflows/backlog.py
+++ b/basilhold/workflows/backlog.py
@@ -57,28 +57,29 @@
         """Return whether any task waits, even if its step may not run yet."""
         return any(any(steps.values()) for steps in self._waiting.values())
 
-    def ready_steps(self, instant: Instant) -> list[ReadyStep]:
-        """Return the steps that may run now and have waiting tasks.
+    def ready_steps(self, workflow: Workflow, instant: Instant) -> list[ReadyStep]:
+        """Return the steps of a workflow that may run now and have waiting tasks.
 
         A gang step is ready only while none of its tasks is assigned.
 
         Parameters
         ----------
+        workflow : Workflow
+            An active workflow.
         instant : Instant
             Current time.
         """
         steps: list[ReadyStep] = []
-        for job_id, workflow in self._active.items():
-            waiting = self._waiting[job_id]
-            for occurrence, number in workflow.ready_steps(instant.unix_ms):
-                indexes = waiting[occurrence, number]
-                spec = workflow.spec.steps[number]
-                if not indexes or (spec.gang and len(indexes) < spec.task_count):
-                    continue
-                keys = [TaskKey(occurrence, number, i) for i in sorted(indexes)]
-                steps.append(
-                    make_ready_step(
-                        workflow, occurrence, number, keys, instant.unix_offset_ms
-                    )
+        waiting = self._waiting[workflow.job_id]
+        for occurrence, number in workflow.ready_steps(instant.unix_ms):
+            indexes = waiting[occurrence, number]
+            spec = workflow.spec.steps[number]
+            if not indexes or (spec.gang and len(indexes) < spec.task_count):
+                continue
+            keys = [TaskKey(occurrence, number, i) for i in sorted(indexes)]
+            steps.append(
+                make_ready_step(
+                    workflow, occurrence, number, keys, instant.unix_offset_ms
                 )
+            )
         return steps
--- a/basilhold/workflows/committer.py
+++ b/basilhold/workflows/committer.py
@@ -91,6 +91,7 @@
         self._sent_ms: float | None = None
         self._lock = asyncio.Lock()
         self._wake = asyncio.Event()
+        state.on_set_aside = self.mark_dirty
 
     def is_stalled(self) -> bool:
         """Return whether the commit in progress exceeds `STALLED_COMMIT_MS`."""
@@ -146,8 +147,13 @@
         batch = _Batch()
         limits = self._state.limits
         size = self._add_ledger_changes(batch)
-        for key, workflow in self._dirty.items():
-            value = workflow.encode(key.chunk, limits.row_bytes_max)
+        for key, workflow in list(self._dirty.items()):
+            try:
+                value = workflow.encode(key.chunk, limits.row_bytes_max)
+            except Exception as error:
+                self._state.set_aside(workflow, "encoding the progress", error)
+                self._drop_dirty(workflow)
+                continue
             size += len(value)
             full = size > BYTES_PER_COMMIT or len(batch.writes) >= ROWS_PER_COMMIT
             if batch.keys and full:
@@ -158,9 +164,14 @@
             if not key.chunk:
                 batch.states[key.job_id] = workflow.state
         for key in batch.keys:
-            del self._dirty[key]
+            self._dirty.pop(key, None)
         return batch
 
+    def _drop_dirty(self, workflow: Workflow) -> None:
+        """Give up storing the progress of a workflow."""
+        for key in [key for key in self._dirty if key.job_id == workflow.job_id]:
+            del self._dirty[key]
+
     def _add_ledger_changes(self, batch: _Batch) -> int:
         """Add the changed rows of allotments; return their size in bytes."""
         ledger = self._state.quotas.ledger
@@ -226,9 +237,11 @@
             ][:EXPIRED_WORKFLOWS_MAX]
             if not expired:
                 continue
-            writes = [
-                Write(key, None) for w in expired for key in self._deletion_keys(w)
-            ]
+            writes = []
+            for workflow in expired:
+                with self._state.guard(workflow, "deleting the rows"):
+                    keys = self._deletion_keys(workflow)
+                    writes.extend(Write(key, None) for key in keys)
             for start in range(0, len(writes), ROWS_PER_COMMIT):
                 batch = tuple(writes[start : start + ROWS_PER_COMMIT])
                 async with self._lock:
--- a/basilhold/workflows/events.py
+++ b/basilhold/workflows/events.py
@@ -130,6 +130,12 @@
     "{loop} failed and is restarted: {error}",
     "Report it with the lines before it.",
 )
+WORKFLOW_SET_ASIDE = Event(
+    6063,
+    EventLevel.ERROR,
+    "job={job} set aside: {action} failed: {error}; none of its tasks starts again",
+    "Report it. The workflow can be cancelled.",
+)
 COMMIT_INVALID = Event(
     6061,
     EventLevel.ERROR,
--- a/basilhold/workflows/owner.py
+++ b/basilhold/workflows/owner.py
@@ -36,7 +36,7 @@
 from basilhold.workflows.progress import Workflow, WorkflowState
 from basilhold.workflows.quota_exchange import QuotaReply, QuotaRequest
 from basilhold.workflows.quota_keeper import QuotaKeeper
-from basilhold.workflows.ready_steps import make_ready_step
+from basilhold.workflows.ready_steps import ReadyStep, make_ready_step
 from basilhold.workflows.recovery import load_workflows, restore_assignments
 from basilhold.workflows.rows import jobs_prefix, parse_jobs_key
 from basilhold.workflows.run_controller import AVOID_FAILING_WORKER_MS, RunController
@@ -141,6 +141,9 @@
         """Add a workflow whose specification is stored; repeated calls are ignored."""
         if spec.job_id in self._state.workflows:
             return
+        if spec.job_id in self._state.unreadable:
+            # It may have progress that this owner cannot read.
+            return
         workflow = Workflow(self._with_submission_time(spec))
         workflow.is_surplus = self._is_surplus(workflow.spec)
         self._state.workflows[spec.job_id] = workflow
@@ -181,8 +184,9 @@
             self._cancel(workflow)
 
     def _cancel(self, workflow: Workflow) -> None:
-        if workflow.cancel(self._state.time.now_ms()):
-            self._run_controller.finalize_workflow(workflow)
+        with self._state.guard(workflow, "cancelling"):
+            if workflow.cancel(self._state.time.now_ms()):
+                self._run_controller.finalize_workflow(workflow)
 
     async def serve_quota(self, request: QuotaRequest) -> QuotaReply:
         """Give parts of tenants' quotas to the owner of another service."""
@@ -258,18 +262,17 @@
     async def _load(self, reason: str) -> None:
         loaded = await load_workflows(self._state.ports.table, self._state.service)
         self._feed_version = loaded.version
+        self._state.unreadable |= loaded.unreadable
         now_ms = self._state.clock.monotonic_ms()
         for workflow in loaded.workflows:
             workflow.spec = self._with_submission_time(workflow.spec)
+        assigned = 0
         for workflow in sorted(loaded.workflows, key=lambda w: w.spec.submitted_ms):
-            workflow.is_surplus = self._is_surplus(workflow.spec)
-            self._state.workflows[workflow.job_id] = workflow
-            self._state.committed_states[workflow.job_id] = workflow.state
-            if not workflow.state.is_final:
-                self._state.backlog.add(workflow)
-        assigned = restore_assignments(
-            self._state.pool, loaded.workflows, now_ms, self._state.time.now_ms()
-        )
+            with self._state.guard(workflow, "loading"):
+                self._add_loaded(workflow)
+                assigned += restore_assignments(
+                    self._state.pool, [workflow], now_ms, self._state.time.now_ms()
+                )
         for job_id in loaded.cancelled:
             self.cancel(job_id)
         for worker in self._state.pool.workers.values():
@@ -292,6 +295,14 @@
         )
         self._state.plan_event.set()
 
+    def _add_loaded(self, workflow: Workflow) -> None:
+        state = self._state
+        state.workflows[workflow.job_id] = workflow
+        state.committed_states[workflow.job_id] = workflow.state
+        workflow.is_surplus = self._is_surplus(workflow.spec)
+        if not workflow.state.is_final and not workflow.is_set_aside:
+            state.backlog.add(workflow)
+
     # Planning.
 
     async def _plan_loop(self) -> None:
@@ -311,8 +322,11 @@
         now_ms = self._state.clock.monotonic_ms()
         instant = self._state.time.read()
         self._quota_keeper.refresh()
-        steps = self._state.backlog.ready_steps(instant)
         state = self._state
+        steps: list[ReadyStep] = []
+        for workflow in list(state.backlog.active_workflows()):
+            with state.guard(workflow, "finding its ready steps"):
+                steps += state.backlog.ready_steps(workflow, instant)
         return plan(
             steps,
             state.pool,
@@ -330,8 +344,15 @@
         )
 
     def _apply_plan(self, new_plan: Plan) -> None:
+        for failure in new_plan.failures:
+            workflow = failure.step.workflow
+            self._state.set_aside(workflow, "planning", failure.error)
         for placement in new_plan.placements:
-            self._assign(placement)
+            workflow = placement.step.workflow
+            with self._state.guard(workflow, "assigning a task"):
+                self._assign(placement)
+            if workflow.is_set_aside:
+                self._run_controller.discard(placement)
         for query in new_plan.queries:
             self._request_advice(query)
         for preemption in new_plan.preemptions:
@@ -391,7 +412,8 @@
             # The next planning pass retries, in the order that applies then.
             return
         self._state.admissions.step(step.key).query_sent(query.workers)
-        self._state.spawn(self._await_advice(query))
+        workflow = query.step.workflow
+        self._state.spawn_for(workflow, "asking for advice", self._await_advice(query))
 
     async def _await_advice(self, query: AdviceQuery) -> None:
         step = query.step
@@ -468,11 +490,12 @@
             self.cancel(job_id)
             return
         try:
-            spec = decode_json(row.value, WorkflowSpec)
-        except msgspec.DecodeError as error:
-            log_event(events.BAD_ROW, key=row.key, reason=error)
-            return
-        self.submit(spec)
+            self.submit(decode_json(row.value, WorkflowSpec))
+        except Exception as error:
+            # Whatever the row contains, it must not keep the owner from the others.
+            log_event(events.BAD_ROW, key=row.key, reason=repr(error))
+            if job_id not in self._state.workflows:
+                self._state.unreadable.add(job_id)
 
     async def _periodic_check_loop(self) -> None:
         """Check periodically for expired workers, stragglers and draining workers.
@@ -501,9 +524,12 @@
                 if not run.confirmed_ms or now_ms - run.confirmed_ms < STABLE_RUN_MS:
                     continue
                 workflow = self._state.workflows.get(run.key.job_id)
-                if workflow and workflow.task(run.key.task).crash is not None:
-                    workflow.forget_crashes(run.key.task)
-                    self._committer.mark_dirty(workflow)
+                if workflow is None:
+                    continue
+                with self._state.guard(workflow, "forgetting crashes"):
+                    if workflow.task(run.key.task).crash is not None:
+                        workflow.forget_crashes(run.key.task)
+                        self._committer.mark_dirty(workflow)
 
     def _stop_stragglers(self, now_ms: float) -> None:
         stragglers, slow_workers = find_stragglers(
--- a/basilhold/workflows/owner_state.py
+++ b/basilhold/workflows/owner_state.py
@@ -1,16 +1,18 @@
 """State that the components of a service's owner share."""
 
 import asyncio
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Iterator
+from contextlib import contextmanager
 from typing import Any
 
 import msgspec
 
 from basilhold.core import Clock, JobId, ServiceName, WorkerId
-from basilhold.observability import Metrics, metric
+from basilhold.observability import Metrics, log_event, metric
 from basilhold.ports import ChangeFeed, TableService
 from basilhold.ports.runners import AdviceService, RunnerClient, WorkerRegistry
 from basilhold.tenants import AllotmentPolicy, DemandPolicy, QuotaBook, TenantRegistry
+from basilhold.workflows import events
 from basilhold.workflows.admissions import AdmissionRecords
 from basilhold.workflows.background_tasks import BackgroundTasks
 from basilhold.workflows.backlog import Backlog
@@ -92,6 +94,8 @@
     ----------
     workflows : dict of JobId to Workflow
         All stored workflows of the service with their newest progress.
+    unreadable : set of JobId
+        Workflows whose rows this owner cannot handle, and which it leaves alone.
     committed_states : dict of JobId to WorkflowState
         States as last committed, which callers may see.
     backlog : Backlog
@@ -114,6 +118,8 @@
         Set after each commit that stored changes of allotments.
     plan_event : asyncio.Event
         Requests a planning pass.
+    on_set_aside : callable
+        Called with each workflow that is set aside.
     failure : asyncio.Future
         Fails with the first exception of a background task, which ends the owner.
     """
@@ -125,6 +131,8 @@
         self.clock = ports.clock
         self.time = ports.time
         self.workflows: dict[JobId, Workflow] = {}
+        self.unreadable: set[JobId] = set()
+        self.on_set_aside: Callable[[Workflow], object] = lambda workflow: None
         self.committed_states: dict[JobId, WorkflowState] = {}
         self.backlog = Backlog()
         self.admissions = AdmissionRecords()
@@ -164,6 +172,60 @@
         """Run a coroutine in the background; an exception in it ends the owner."""
         return self.background_tasks.start(self._run_guarded(coroutine))
 
+    def spawn_for(
+        self, workflow: Workflow, action: str, coroutine: Coroutine[Any, Any, None]
+    ) -> asyncio.Task[Any]:
+        """Run a coroutine in the background that is about one workflow.
+
+        An error in it sets the workflow aside.
+        """
+        return self.spawn(self._run_for(workflow, action, coroutine))
+
+    async def _run_for(
+        self, workflow: Workflow, action: str, coroutine: Coroutine[Any, Any, None]
+    ) -> None:
+        with self.guard(workflow, action):
+            await coroutine
+
+    @contextmanager
+    def guard(self, workflow: Workflow, action: str) -> Iterator[None]:
+        """Set a workflow aside if the body of the ``with`` statement fails.
+
+        The next owner would fail on the same workflow, so ending this one would stop
+        all work of the service.
+
+        Parameters
+        ----------
+        workflow : Workflow
+        action : str
+            What is being done; for the log.
+
+        Raises
+        ------
+        LeaseLostError
+            If the body raises it.
+        """
+        try:
+            yield
+        except LeaseLostError:
+            raise
+        except Exception as error:
+            self.set_aside(workflow, action, error)
+
+    def set_aside(self, workflow: Workflow, action: str, error: Exception) -> None:
+        """Start no further task of a workflow, and leave its state as it is."""
+        if workflow.is_set_aside:
+            return
+        workflow.set_aside()
+        self.backlog.remove(workflow)
+        log_event(
+            events.WORKFLOW_SET_ASIDE,
+            job=workflow.job_id,
+            action=action,
+            error=repr(error),
+        )
+        self.on_set_aside(workflow)
+
     async def _run_guarded(self, coroutine: Coroutine[Any, Any, None]) -> None:
         try:
             await coroutine
--- a/basilhold/workflows/planner.py
+++ b/basilhold/workflows/planner.py
@@ -35,7 +35,7 @@
 from basilhold.workflows.ready_steps import START_BY_TOLERANCE_MS, ReadyStep, rank
 from basilhold.workflows.step_order import DeadlineOrder, StepOrder
 
-__all__ = ["Placement", "Plan", "plan"]
+__all__ = ["Placement", "Plan", "StepFailure", "plan"]
 
 OTHER_RACK_PENALTY = 2.0
 """Score of a worker outside the rack of the step's data; above any packing score."""
@@ -80,6 +80,13 @@
     ticket: str
 
 
+class StepFailure(msgspec.Struct):
+    """A step that could not be planned because of an unexpected error."""
+
+    step: ReadyStep
+    error: Exception
+
+
 class Plan(msgspec.Struct):
     """Decisions of one planning pass.
 
@@ -90,6 +97,7 @@
     queries: list[AdviceQuery]
     preemptions: list[Preemption]
     blocked: dict[TenantName, BlockedDemand]
+    failures: list[StepFailure]
 
 
 def plan(
@@ -145,7 +153,7 @@
         isolation or Isolation(),
     )
     for step in order.sort(steps, store_ms, pool, quotas):
-        planning_pass.plan_step(step)
+        planning_pass.try_step(step)
     return planning_pass.result
 
 
@@ -190,7 +198,21 @@
         self._withheld: dict[WorkerId, list[tuple[int, Resources]]] = {}
         self._quotas = quotas
         self._planned: set[StepKey] = set()
-        self.result = Plan([], [], [], {})
+        # Runs that the current step has added to workers.
+        self._added: list[tuple[Worker, RunKey]] = []
+        self.result = Plan([], [], [], {}, [])
+
+    def try_step(self, step: ReadyStep) -> None:
+        """Plan a step; undo its placements and report it if that fails."""
+        self._added.clear()
+        placed_before = len(self.result.placements)
+        try:
+            self.plan_step(step)
+        except Exception as error:
+            for worker, key in self._added:
+                worker.remove(key)
+            del self.result.placements[placed_before:]
+            self.result.failures.append(StepFailure(step, error))
 
     def plan_step(self, step: ReadyStep) -> None:
         """Place tasks of a step, send queries, and claim capacity for the rest."""
@@ -373,6 +395,7 @@
                 break
             run = _make_run(step, key, self._now_ms)
             worker.add(run)
+            self._added.append((worker, run.key))
             ticket = (
                 admission.ticket(worker.worker_id, self._now_ms) if admission else ""
             )
--- a/basilhold/workflows/progress.py
+++ b/basilhold/workflows/progress.py
@@ -159,6 +159,7 @@
     state: WorkflowState = WorkflowState.QUEUED
     tasks: list[_StoredTask] = []
     ended_ms: float = 0.0
+    is_set_aside: bool = False
 
 
 _DECODER = JsonDecoder(_StoredWorkflow)
@@ -181,11 +182,14 @@
         Time of the store's clock at the end; 0 while the workflow is active.
     is_surplus : bool
         Whether its tenant had submitted more workflows than its rate allows.
+    is_set_aside : bool
+        Whether an owner has failed on it, so that none of its tasks starts again.
     """
 
     def __init__(self, spec: WorkflowSpec):
         self.spec = spec
         self.is_surplus = False
+        self.is_set_aside = False
         self.state = WorkflowState.QUEUED
         self.ended_ms = 0.0
         self._tasks: dict[TaskKey, TaskProgress] = {}
@@ -453,6 +457,11 @@
             self._end(WorkflowState.FAILED, now_ms)
         return True
 
+    def set_aside(self) -> None:
+        """Record that an owner has failed on the workflow."""
+        self.is_set_aside = True
+        self._changed.add(0)
+
     def cancel(self, now_ms: float) -> bool:
         """Cancel the workflow; return false if it had already ended."""
         if self.state.is_final:
@@ -486,6 +495,7 @@
         stored = _StoredWorkflow()
         if not chunk:
             stored.state, stored.ended_ms = self.state, self.ended_ms
+            stored.is_set_aside = self.is_set_aside
         for key in self._chunk_keys.get(chunk, ()):
             task = self._tasks[key]
             # Assignments of an ended workflow are stored too, as the next owner has to
@@ -520,6 +530,7 @@
         workflow = cls(spec)
         for row in rows:
             stored = _DECODER.decode(row)
+            workflow.is_set_aside = workflow.is_set_aside or stored.is_set_aside
             if stored.state is not WorkflowState.QUEUED:
                 workflow.state = stored.state
                 workflow.ended_ms = stored.ended_ms
--- a/basilhold/workflows/recovery.py
+++ b/basilhold/workflows/recovery.py
@@ -44,6 +44,8 @@
     workflows : list of Workflow
     cancelled : set of JobId
         Workflows with a stored cancellation.
+    unreadable : set of JobId
+        Workflows whose rows cannot be decoded.
     version : int
         Version of the store after which the feed's changes of submissions are still to
         be applied.
@@ -51,6 +53,7 @@
 
     workflows: list[Workflow]
     cancelled: set[JobId]
+    unreadable: set[JobId]
     version: int
 
 
@@ -108,14 +111,16 @@
     progress, _ = await scan_with_retries(table, progress_prefix(service))
     submitted = [row for rows, _ in parts for row in rows]
     chunks = _progress_chunks(progress)
-    loaded = StoredWorkflows([], set(), min(version for _, version in parts))
+    loaded = StoredWorkflows([], set(), set(), min(version for _, version in parts))
     for row in submitted:
         job_id, is_cancel = parse_jobs_key(row.key)
         if is_cancel:
             loaded.cancelled.add(job_id)
             continue
         workflow = _decode_workflow(row, chunks.get(job_id, {}))
-        if workflow is not None:
+        if workflow is None:
+            loaded.unreadable.add(job_id)
+        else:
             loaded.workflows.append(workflow)
     return loaded
 
@@ -137,8 +142,9 @@
     try:
         spec = decode_json(row.value, WorkflowSpec)
         return Workflow.decode(spec, [chunks[chunk] for chunk in sorted(chunks)])
-    except msgspec.DecodeError as error:
-        log_event(events.BAD_ROW, key=row.key, reason=error)
+    except Exception as error:
+        # Whatever the row contains, it must not keep the owner from the others.
+        log_event(events.BAD_ROW, key=row.key, reason=repr(error))
         return None
 
 
--- a/basilhold/workflows/run_controller.py
+++ b/basilhold/workflows/run_controller.py
@@ -20,6 +20,7 @@
     Workflow,
     WorkflowState,
 )
+from basilhold.workflows.worker_link import WorkerLink
 
 __all__ = ["AVOID_FAILING_WORKER_MS", "RunController"]
 
@@ -54,14 +55,22 @@
         self.committer = Committer(state, self._send_start)
 
     def _send_start(self, placement: Placement) -> None:
-        self._state.spawn(self._start(placement))
+        workflow = placement.step.workflow
+        self._state.spawn_for(workflow, "starting a run", self._start(placement))
+
+    def discard(self, placement: Placement) -> None:
+        """Free the capacity of a placement that was not recorded."""
+        key = RunKey(placement.step.workflow.job_id, placement.key)
+        run = placement.worker.runs.get(key)
+        if run is not None and run.stage is RunStage.COMMITTING:
+            placement.worker.remove(key)
 
     async def _start(self, placement: Placement) -> None:
         workflow, worker = placement.step.workflow, placement.worker
         run = worker.runs.get(RunKey(workflow.job_id, placement.key))
         if run is None or run.stage is not RunStage.COMMITTING:
             return
-        if run.stop_wanted or workflow.state.is_final:
+        if run.stop_wanted or workflow.state.is_final or workflow.is_set_aside:
             self._return_unstarted(worker, run)
             return
         link = self._state.links.get(worker.worker_id)
@@ -88,7 +97,11 @@
             run.checkpoint,
             placement.ticket,
         )
-        outcome = await self._state.ports.runners.start(worker, call)
+        try:
+            outcome = await self._state.ports.runners.start(worker, call)
+        except Exception:
+            run.stage = RunStage.UNCERTAIN
+            raise
         if run.key not in worker.runs or worker.runs[run.key] is not run:
             return
         self._handle_start_outcome(placement, run, outcome)
@@ -217,7 +230,15 @@
         """Poll a worker at once, as the pending poll may wait until a run ends."""
         link = self._state.links.get(worker.worker_id)
         if link is not None:
-            self._state.spawn(link.refresh(self._state.clock))
+            self._state.spawn(self._refresh(link))
+
+    async def _refresh(self, link: WorkerLink) -> None:
+        try:
+            await link.refresh(self._state.clock)
+        except LeaseLostError:
+            raise
+        except Exception as error:
+            log_event(events.LOOP_FAILED, loop="refresh of a worker", error=repr(error))
 
     def _runner_call(self, run: Run) -> RunnerCall:
         return RunnerCall(
@@ -245,6 +266,17 @@
         workflow = self._state.workflows.get(key.job_id)
         if workflow is None or not workflow.has_task(key.task):
             return
+        with self._state.guard(workflow, "applying the end of a run"):
+            self._apply_end(workflow, worker, key, end, run)
+
+    def _apply_end(
+        self,
+        workflow: Workflow,
+        worker: Worker,
+        key: RunKey,
+        end: RunEnd,
+        run: Run | None,
+    ) -> None:
         step = workflow.spec.steps[key.task.step]
         self._update_worker_statistics(worker, key, step, end, run)
         was_final = workflow.state.is_final
@@ -281,13 +313,14 @@
         workflow = self._state.workflows.get(key.job_id)
         if workflow is None or not workflow.has_task(key.task):
             return
-        if not workflow.count_late_crash(end, self._state.time.now_ms()):
-            return
-        self._note_crash(workflow, key, end)
-        if workflow.state.is_final:
-            self.finalize_workflow(workflow)
-        self.committer.mark_dirty(workflow)
-        self._state.plan_event.set()
+        with self._state.guard(workflow, "counting a crash"):
+            if not workflow.count_late_crash(end, self._state.time.now_ms()):
+                return
+            self._note_crash(workflow, key, end)
+            if workflow.state.is_final:
+                self.finalize_workflow(workflow)
+            self.committer.mark_dirty(workflow)
+            self._state.plan_event.set()
 
     def _note_crash(self, workflow: Workflow, key: RunKey, end: RunEnd) -> None:
         """Log a task that may have crashed its worker, and hold it back if need be."""
@@ -313,11 +346,17 @@
             if worker.silent_since_ms or not worker.listed:
                 continue
             for run in list(worker.suspects.values()):
-                self._clear_suspect(worker, run, now_ms)
-
-    def _clear_suspect(self, worker: Worker, run: Run, now_ms: float) -> None:
-        workflow = self._state.workflows.get(run.key.job_id)
-        history = workflow.task(run.key.task).crash if workflow else None
+                workflow = self._state.workflows.get(run.key.job_id)
+                if workflow is None:
+                    worker.clear_suspect(run.key)
+                    continue
+                with self._state.guard(workflow, "clearing a suspect"):
+                    self._clear_suspect(workflow, worker, run, now_ms)
+
+    def _clear_suspect(
+        self, workflow: Workflow, worker: Worker, run: Run, now_ms: float
+    ) -> None:
+        history = workflow.task(run.key.task).crash
         if history is not None and history.is_suspect:
             at_work_ms = now_ms - run.confirmed_ms if run.confirmed_ms else 0.0
             if at_work_ms < clearance_ms(history):
--- a/basilhold/workflows/worker_tracker.py
+++ b/basilhold/workflows/worker_tracker.py
@@ -42,6 +42,9 @@
 registered already."""
 
 
+FAILED_POLL_DELAY_MS = 1_000
+"""Delay after a poll on whose result the owner has failed."""
+
 REMEMBERED_WORKERS_MAX = 1_024
 """Number of lost workers about which something is remembered."""
 
@@ -159,7 +162,7 @@
     async def _poll_worker(self, link: WorkerLink) -> None:
         worker = link.worker
         try:
-            while self._apply_poll(link, await link.poll(self._state.clock)):
+            while await self._poll_once(link):
                 if worker.unregistered and not worker.runs:
                     self._remove_worker(worker)
                     return
@@ -167,6 +170,20 @@
             if self._state.links.get(worker.worker_id) is link:
                 del self._state.links[worker.worker_id]
 
+    async def _poll_once(self, link: WorkerLink) -> bool:
+        """Poll a worker once; return whether to go on. An error is logged."""
+        try:
+            return self._apply_poll(link, await link.poll(self._state.clock))
+        except LeaseLostError:
+            raise
+        except Exception as error:
+            name = f"polls of {link.worker.worker_id}"
+            log_event(events.LOOP_FAILED, loop=name, error=repr(error))
+            # Ends that may not have been applied are read again.
+            link.worker.processed_sequence = link.worker.acknowledged_sequence
+            await asyncio.sleep(FAILED_POLL_DELAY_MS / 1000)
+            return not link.closed
+
     def _apply_poll(self, link: WorkerLink, look: PollResult) -> bool:
         """Apply the result of a poll; return whether to go on polling this incarnation.
 
@@ -186,10 +203,10 @@
             if not link.closed:
                 self._handle_worker_loss(worker, look.lost)
             return False
-        for listed in look.unknown:
-            self._stop_unknown(worker, listed)
         for ended in look.ends:
             self._run_controller.apply_end(worker, ended.key, ended.end, ended.run)
+        for listed in look.unknown:
+            self._stop_unknown(worker, listed)
         for run in list(worker.runs.values()):
             if run.stop_wanted and not run.stop_confirmed:
                 self._run_controller.stop(worker, run)
