Send no start to a worker that has stopped answering

A run whose worker has not answered the latest poll now returns to the backlog when it would be sent.

Two broken variants are detected: crashes that are not counted, and changes of a capacity that are ignored.

--- a/basilhold/standins/runners.py
+++ b/basilhold/standins/runners.py
@@ -157,6 +157,7 @@
         if self._lapse is not None:
             self._lapse.cancel()
         runs = dict(self.runs)
+        self._monitor.crashes_under.update(runs.keys())
         self.runs.clear()
         for key, run in runs.items():
             if run.timer is not None:
@@ -288,7 +289,9 @@
     crash_delays_s : dict of RunKey to float
         Tasks that crash each worker that starts them, and how long after the start.
     crash_counts : Counter of RunKey
-        How many workers have crashed under each of these tasks.
+        How many workers each of these tasks has crashed.
+    crashes_under : Counter of RunKey
+        How many workers have crashed under each task, for whatever cause.
     on_crash : callable
         Called with each runner that a task has crashed.
     quota_of : callable
@@ -310,6 +313,7 @@
         self.quota_of: Callable[[TenantName], Resources] = lambda name: Resources()
         self.crash_delays_s: dict[RunKey, float] = {}
         self.crash_counts: Counter[RunKey] = Counter()
+        self.crashes_under: Counter[RunKey] = Counter()
         self.on_crash: Callable[[MemoryRunner], None] = lambda runner: None
         self._starts_after_crashes: Counter[RunKey] = Counter()
         self.start_count = 0
--- a/basilhold/testing/workflow_runs.py
+++ b/basilhold/testing/workflow_runs.py
@@ -12,7 +12,7 @@
 
 from basilhold.core import Resources, ServiceName
 from basilhold.standins.faults import StoreFaults
-from basilhold.standins.runners import RunnerFaults
+from basilhold.standins.runners import MemoryRunner, RunnerFaults
 from basilhold.tenants import Tenant, TenantName, TenantRegistry
 from basilhold.testing.virtual_time import run_virtual
 from basilhold.testing.workflow_cell import (
@@ -25,7 +25,7 @@
 from basilhold.workflows.peers import StoreOutcome
 from basilhold.workflows.progress import WorkflowState
 
-__all__ = ["RunReport", "run_seed", "run_tenants_seed"]
+__all__ = ["RandomRun", "RunReport", "run_seed", "run_tenants_seed"]
 
 TENANTS = (TenantName("north"), TenantName("south"), TenantName("west"))
 CONFIGURATION_DELAY_MAX_S = 2.5
@@ -68,7 +68,7 @@
     starts: int
 
 
-class _Run:
+class RandomRun:
     """One run of a seed."""
 
     def __init__(self, cell: WorkflowCell, seed: int):
@@ -110,9 +110,9 @@
         await process.front.cancel(spec.policy, spec.job_id, deadline_ms)
         self.cancelled.add(spec.job_id)
 
-    async def trouble(self) -> None:
-        """Cause faults one after another, some of them overlapping."""
-        kinds: list[Callable[[], Awaitable[None]]] = [
+    def fault_kinds(self) -> list[Callable[[], Awaitable[None]]]:
+        """Return the faults from which `trouble` draws."""
+        return [
             self._kill_owner,
             self._kill_any,
             self._kill_all,
@@ -125,6 +125,10 @@
             self._freeze_worker,
             self._release_owner,
         ]
+
+    async def trouble(self) -> None:
+        """Cause faults one after another, some of them overlapping."""
+        kinds = self.fault_kinds()
         end_s = asyncio.get_running_loop().time() + LOAD_S
         async with asyncio.TaskGroup() as group:
             while asyncio.get_running_loop().time() < end_s:
@@ -217,30 +221,31 @@
     async def _compact(self) -> None:
         self.cell.table.compact()
 
-    def _any_worker(self):
+    def any_worker(self) -> MemoryRunner:
+        """Return the worker that a fault hits."""
         return self.cell.runners.runners[
             self.rng.choice(sorted(self.cell.runners.runners))
         ]
 
     async def _crash_worker(self) -> None:
-        runner = self._any_worker()
+        runner = self.any_worker()
         runner.crash()
         await asyncio.sleep(self.rng.uniform(5.0, 8.0))
-        self.cell.start_worker(runner.info.worker_id)
+        self.cell.start_worker(runner.info.worker_id, endpoint=runner.info.endpoint)
 
     async def _restart_worker(self) -> None:
-        runner = self._any_worker()
+        runner = self.any_worker()
         runner.crash()
-        self.cell.start_worker(runner.info.worker_id)
+        self.cell.start_worker(runner.info.worker_id, endpoint=runner.info.endpoint)
 
     async def _cut_worker(self) -> None:
-        runner = self._any_worker()
+        runner = self.any_worker()
         runner.cut = True
         await asyncio.sleep(self.rng.uniform(1.0, 9.0))
         runner.cut = False
 
     async def _freeze_worker(self) -> None:
-        runner = self._any_worker()
+        runner = self.any_worker()
         runner.frozen = True
         await asyncio.sleep(self.rng.uniform(2.0, 6.0))
         runner.frozen = False
@@ -270,6 +275,10 @@
                 return False
         return True
 
+    def may_fail(self, spec: WorkflowSpec) -> bool:
+        """Return whether a workflow may be shown as failed."""
+        return self.cell.runners.faults.failed > 0
+
     def _is_disturbed(self, time_s: float) -> bool:
         """Return whether lost orders or a fault may have kept a gang apart."""
         if self.cell.runners.faults.lost_reply or self.late_orders:
@@ -287,9 +296,7 @@
                 completed += 1
             elif state is WorkflowState.CANCELLED and spec.job_id in self.cancelled:
                 continue
-            elif (
-                state is not WorkflowState.FAILED or not self.cell.runners.faults.failed
-            ):
+            elif state is not WorkflowState.FAILED or not self.may_fail(spec):
                 violations.append(f"{spec.job_id} is {existence.value}, {state}")
         for runner in self.cell.runners.runners.values():
             violations.extend(
@@ -305,7 +312,7 @@
         return report
 
 
-class _TenantRun(_Run):
+class _TenantRun(RandomRun):
     """A run in which tenants with changing quotas work on two services."""
 
     def __init__(self, cell: WorkflowCell, seed: int):
@@ -396,7 +403,7 @@
     if relays is None:
         relays = rng.random() < RELAYS_RATIO
     async with WorkflowCell(seed, 3, 6, faults, store_faults, relays) as cell:
-        run = _Run(cell, seed)
+        run = RandomRun(cell, seed)
         await asyncio.sleep(2.0)
         async with asyncio.TaskGroup() as group:
             group.create_task(run.load())
--- a/basilhold/workflows/run_controller.py
+++ b/basilhold/workflows/run_controller.py
@@ -81,8 +81,9 @@
             # The quota was lowered while the assignment was being stored.
             self._return_unstarted(worker, run)
             return
-        if worker.free.is_negative():
-            # The worker's capacity has shrunk while the assignment was being stored.
+        if worker.silent_since_ms or worker.free.is_negative():
+            # While the assignment was being stored, the worker has stopped answering,
+            # and may restart with another capacity, or its capacity has shrunk.
             self._return_unstarted(worker, run)
             return
         now_ms = self._state.clock.monotonic_ms()
--- a/basilhold/workflows/tests/test_random_runs.py
+++ b/basilhold/workflows/tests/test_random_runs.py
@@ -4,10 +4,13 @@
 import unittest
 from unittest.mock import patch
 
+import msgspec
+
 from basilhold.tenants import AllotmentLedger
 from basilhold.testing import workflow_cell
+from basilhold.testing.crash_runs import run_crashes_seed
 from basilhold.testing.workflow_runs import run_seed, run_tenants_seed
-from basilhold.workflows import owner
+from basilhold.workflows import owner, worker_tracker
 from basilhold.workflows.committer import Committer
 from basilhold.workflows.peers import OwnershipReply
 from basilhold.workflows.quota_keeper import QuotaKeeper
@@ -27,6 +30,13 @@
 TENANT_SEEDS = range(80_000, 80_030)
 """Seeds of runs in which tenants with changing quotas use two services."""
 
+CRASH_SEEDS = range(40)
+"""Seeds of runs with tasks that crash workers, and workers that shrink."""
+
+CRASH_REGRESSION_SEEDS = {
+    110: "a start that was being stored reached a smaller incarnation of its worker",
+}
+
 TENANT_REGRESSION_SEEDS = {
     2: "a start was sent under a quota that had been lowered since its assignment",
     48: "the same, after an outage of the store",
@@ -53,6 +63,13 @@
         self.assertGreater(report.accepted, 0)
         self.assertGreater(report.starts, 0)
 
+    def test_crashing_tasks_and_shrinking_workers(self):
+        for seed in (*CRASH_SEEDS, *CRASH_REGRESSION_SEEDS):
+            with self.subTest(seed=seed):
+                report = run_crashes_seed(seed)
+                self.assertEqual(report.violations, [], "; ".join(report.faults))
+                self.assertGreater(report.starts, 0)
+
     def test_seeds(self):
         for seed in SEEDS:
             with self.subTest(seed=seed):
@@ -113,10 +130,32 @@
             self.assert_detected()
 
     def test_successor_ignores_stored_assignments(self):
+        with patch.object(owner, "restore_assignments", lambda *args: 0):
+            self.assert_detected()
+
+    def assert_detected_with_crashes(self):
+        for seed in range(40):
+            if run_crashes_seed(seed).violations:
+                return
+        self.fail("no seed detected the broken variant")
+
+    def test_crashes_are_not_counted(self):
+        name = "collect_crash_evidence"
+        with patch.object(worker_tracker, name, lambda *args: {}):
+            self.assert_detected_with_crashes()
+
+    def test_change_of_a_capacity_is_ignored(self):
+        def ignore_change(tracker, worker_id, info):
+            worker = tracker._state.pool.workers.get(worker_id)
+            if worker is not None and worker.info.born_unix_ms == info.born_unix_ms:
+                info = msgspec.structs.replace(info, capacity=worker.info.capacity)
+            original(tracker, worker_id, info)
+
+        original = worker_tracker.WorkerTracker._update_worker
         with patch.object(
-            owner, "restore_assignments", lambda pool, workflows, now_ms: 0
+            worker_tracker.WorkerTracker, "_update_worker", ignore_change
         ):
-            self.assert_detected()
+            self.assert_detected_with_crashes()
 
     def assert_detected_with_tenants(self):
         for seed in range(60):
