Blame a task only for crashes after it has certainly begun

Change: a crash is confirmed if the worker had confirmed or listed the run, if more than a round trip lies between the start and the break of its connection, or if the run was the only suspect. Two confirmed crashes are needed to give a task up, or five in all. A refusal by a distant worker no longer passes for a pending poll, from which the time of the crash was taken.

--- a/basilhold/testing/crash_runs.py
+++ b/basilhold/testing/crash_runs.py
@@ -33,6 +33,9 @@
 CRASHES_TO_GIVE_UP = 2
 """Number of workers that must have crashed under a task that is given up."""
 
+RESTART_MIN_S = 0.2
+"""Shortest time that the restart of a worker takes."""
+
 SMALLER_CAPACITIES = (
     Resources(2_000, 64 << 30, 4_000),
     Resources(8_000, 2 << 30, 4_000),
@@ -83,6 +86,7 @@
         if not runner.up:
             return
         runner.crash(refuses_connections=True)
+        await asyncio.sleep(self._crash_rng.uniform(RESTART_MIN_S, 1.0))
         smaller = self._crash_rng.choice(SMALLER_CAPACITIES)
         name, endpoint = runner.info.worker_id, runner.info.endpoint
         self.cell.start_worker(name, smaller, endpoint)
--- a/basilhold/workflows/crash_blame.py
+++ b/basilhold/workflows/crash_blame.py
@@ -92,11 +92,15 @@
         Whether the run was suspected before, and no run of another workflow was.
     is_correlated : bool
         Whether other workers crashed at the same time, as `CrashLog` tells.
+    is_confirmed : bool
+        Whether the run had certainly begun. A worker may crash while a start is on its
+        way to it.
     """
 
     age: RunAge | None = None
     is_only_suspect: bool = False
     is_correlated: bool = False
+    is_confirmed: bool = True
 
 
 class CrashHistory(msgspec.Struct, frozen=True, array_like=True):
@@ -106,6 +110,8 @@
     ----------
     crashes : int
         Number of these crashes.
+    confirmed : int
+        Number of them before which the run had certainly begun.
     age_ms : int
         Least age of the run at the last of them, in milliseconds; -1 if unknown.
     is_suspect : bool
@@ -113,6 +119,7 @@
     """
 
     crashes: int
+    confirmed: int = 0
     age_ms: int = UNKNOWN_AGE_MS
     is_suspect: bool = False
 
@@ -134,7 +141,8 @@
 def judge(history: CrashHistory | None, evidence: CrashEvidence) -> Judgement:
     """Add a crash to the history of a task and return whether the task caused it.
 
-    A task is never given up for fewer than `CRASHES_TO_CONVICT` crashes.
+    A task is not given up before `CRASHES_TO_CONVICT` workers have certainly crashed
+    under it, unless there are `CRASHES_MAX` that probably have.
 
     Parameters
     ----------
@@ -152,6 +160,7 @@
     True
     """
     crashes = history.crashes + 1 if history else 1
+    confirmed = (history.confirmed if history else 0) + evidence.is_confirmed
     age = evidence.age
     known_ms = history.age_ms if history else UNKNOWN_AGE_MS
     is_comparable = age is not None and known_ms != UNKNOWN_AGE_MS
@@ -160,11 +169,12 @@
     is_guilty = crashes >= CRASHES_MAX
     if not evidence.is_correlated and (is_repeated or not is_comparable):
         least = CRASHES_TO_CONVICT if evidence.is_only_suspect else CRASHES_TO_BLAME
-        is_guilty = is_guilty or crashes >= least
+        is_certain = confirmed >= CRASHES_TO_CONVICT
+        is_guilty = is_guilty or (crashes >= least and is_certain)
     was_suspect = history is not None and history.is_suspect
     age_ms = UNKNOWN_AGE_MS if age is None else round(age.least_ms)
     suspected = was_suspect or is_early or is_repeated
-    return Judgement(CrashHistory(crashes, age_ms, suspected), is_guilty)
+    return Judgement(CrashHistory(crashes, confirmed, age_ms, suspected), is_guilty)
 
 
 def clearance_ms(history: CrashHistory) -> float:
--- a/basilhold/workflows/pool.py
+++ b/basilhold/workflows/pool.py
@@ -41,8 +41,12 @@
 ]
 
 PENDING_POLL_MS = 50.0
-"""Time after which a poll without a reply is pending at its worker. An attempt to
-connect to a worker that is gone is refused sooner."""
+"""Least time after which a poll without a reply is pending at its worker. An attempt
+to connect to a worker that is gone is refused within a round trip."""
+
+DISTANT_ROUND_TRIP_MS = 10.0
+ROUND_TRIP_MARGIN_MS = 5.0
+"""Round trip from which a worker is distant, and allowance for its variation."""
 
 FAILED_RUNS_MAX = 3
 """Consecutive failed runs after which a worker temporarily receives no new runs."""
@@ -157,8 +161,9 @@
         Resources that count against the quota of the tenant.
     is_suspect : bool
         Whether the run may crash its worker; see `crash_blame`.
-    is_disconnected : bool
-        Whether the connection broke over which the start was sent.
+    disconnected_ms : float
+        Time of the event loop's clock at which the connection broke over which the
+        start had been sent, in milliseconds; 0 if it has not.
     """
 
     key: RunKey
@@ -182,13 +187,13 @@
     tenant: TenantName = NO_TENANT
     size: Resources = Resources()
     is_suspect: bool = False
-    is_disconnected: bool = False
+    disconnected_ms: float = 0.0
 
     @property
     def may_have_begun(self) -> bool:
         """Whether the worker has carried out the start, as far as is known."""
         if self.stage is RunStage.UNCERTAIN:
-            return self.is_disconnected
+            return self.disconnected_ms > 0
         return self.stage is not RunStage.COMMITTING
 
 
@@ -281,6 +286,8 @@
         milliseconds.
     disconnected : bool
         Whether that poll failed because the connection was refused or closed.
+    round_trip_ms : float
+        Shortest time from a call to its reply, in milliseconds; 0 if none is known.
     suspects : dict of RunKey to Run
         Runs that may crash the worker. While there are any, no others start here.
     """
@@ -308,6 +315,7 @@
         self.silent_since_ms = 0.0
         self.alive_until_ms = 0.0
         self.disconnected = False
+        self.round_trip_ms = 0.0
         self.suspects: dict[RunKey, Run] = {}
 
     def note_reply(self, now_ms: float) -> None:
@@ -316,6 +324,11 @@
         self.silent_since_ms = 0.0
         self.disconnected = False
 
+    def note_round_trip(self, took_ms: float) -> None:
+        """Record the time from a call to its immediate reply, in milliseconds."""
+        known_ms = self.round_trip_ms or took_ms
+        self.round_trip_ms = min(known_ms, took_ms)
+
     def note_silence(self, now_ms: float, disconnected: bool, sent_ms: float) -> bool:
         """Record that a poll failed; return whether it is the first one to fail.
 
@@ -331,7 +344,8 @@
             return False
         self.silent_since_ms = now_ms
         self.disconnected = disconnected
-        if disconnected and now_ms - sent_ms > PENDING_POLL_MS:
+        refusal_ms = max(PENDING_POLL_MS, 2 * self.round_trip_ms)
+        if disconnected and now_ms - sent_ms > refusal_ms:
             # The worker had accepted the poll and was up until the connection broke.
             self.alive_until_ms = now_ms
         return True
@@ -627,12 +641,31 @@
         is_correlated = worker.heard_ms > 0 and pool.crash_log.is_correlated(
             worker.worker_id, crashed_by_ms, run.key.job_id, len(pool.workers)
         )
+        age = _age_at_crash(run, worker, crashed_by_ms)
+        # Nothing else would have crashed the worker of an only suspect.
+        is_confirmed = is_one_workflow or _has_certainly_begun(run, worker, age)
         evidence[run.key] = CrashEvidence(
-            _age_at_crash(run, worker, crashed_by_ms), is_one_workflow, is_correlated
+            age, is_one_workflow, is_correlated, is_confirmed
         )
     return evidence
 
 
+def _has_certainly_begun(run: Run, worker: Worker, age: RunAge | None) -> bool:
+    """Return whether a run had begun when its worker crashed.
+
+    A reply that was on its way is lost with the connection, so the start of a run on a
+    distant worker has certainly arrived if more than a round trip has passed since.
+    """
+    if run.confirmed_ms or run.listed:
+        return True
+    if age is None or worker.round_trip_ms < DISTANT_ROUND_TRIP_MS:
+        return False
+    passed_ms = age.least_ms
+    if run.disconnected_ms:
+        passed_ms = min(passed_ms, run.disconnected_ms - run.sent_ms)
+    return passed_ms > worker.round_trip_ms + ROUND_TRIP_MARGIN_MS
+
+
 def record_silence(worker: Worker, pool: Pool) -> None:
     """Record the time of a possible crash, if the owner has observed it."""
     if not worker.disconnected or not worker.heard_ms:
--- a/basilhold/workflows/run_controller.py
+++ b/basilhold/workflows/run_controller.py
@@ -67,6 +67,10 @@
 
     async def _start(self, placement: Placement) -> None:
         workflow, worker = placement.step.workflow, placement.worker
+        link = self._state.links.get(worker.worker_id)
+        if link and not link.is_observed(self._state.clock.monotonic_ms()):
+            # The worker may have restarted with another capacity.
+            await self._refresh(link)
         run = worker.runs.get(RunKey(workflow.job_id, placement.key))
         if run is None or run.stage is not RunStage.COMMITTING:
             return
@@ -111,11 +115,13 @@
         self, placement: Placement, run: Run, outcome: CallOutcome
     ) -> None:
         worker = placement.worker
-        run.is_disconnected = outcome is CallOutcome.DISCONNECTED
+        if outcome is CallOutcome.DISCONNECTED:
+            run.disconnected_ms = self._state.clock.monotonic_ms()
         if outcome is CallOutcome.DONE:
             if run.stage is RunStage.STARTING:
                 run.stage = RunStage.RUNNING
                 run.confirmed_ms = self._state.clock.monotonic_ms()
+                worker.note_round_trip(run.confirmed_ms - run.sent_ms)
                 worker.heard_ms = max(worker.heard_ms, run.confirmed_ms)
                 worker.alive_until_ms = max(worker.alive_until_ms, run.confirmed_ms)
             return
--- /dev/null
+++ b/basilhold/workflows/tests/test_crash_blame.py
@@ -0,0 +1,163 @@
+"""Tests of the blame for crashes of workers."""
+
+import unittest
+
+from basilhold.core import Epoch, JobId, Resources, WorkerId
+from basilhold.workflows.crash_blame import (
+    CORRELATION_MS,
+    CRASHES_MAX,
+    CrashEvidence,
+    CrashHistory,
+    CrashLog,
+    RunAge,
+    clearance_ms,
+    judge,
+)
+from basilhold.workflows.model import TaskKey
+from basilhold.workflows.pool import (
+    Pool,
+    Run,
+    RunKey,
+    RunStage,
+    Worker,
+    WorkerInfo,
+    collect_crash_evidence,
+)
+
+FAR_ROUND_TRIP_MS = 60.0
+
+
+def at_age(age_ms, **facts):
+    return CrashEvidence(RunAge(age_ms, age_ms), **facts)
+
+
+class JudgeTest(unittest.TestCase):
+    """Guards against guilty tasks that start again, and innocent ones given up."""
+
+    def judge_all(self, *evidence):
+        history = None
+        for crash in evidence:
+            judgement = judge(history, crash)
+            history = judgement.history
+            if judgement.is_guilty:
+                break
+        return judgement
+
+    def test_only_suspect_is_guilty_at_its_second_crash(self):
+        self.assertFalse(judge(None, at_age(10.0)).is_guilty)
+        judgement = self.judge_all(at_age(10.0), at_age(80.0, is_only_suspect=True))
+        self.assertTrue(judgement.is_guilty)
+        self.assertEqual(judgement.history.crashes, 2)
+
+    def test_one_of_several_is_guilty_at_its_third_crash_at_the_same_age(self):
+        late = at_age(900.0)
+        self.assertFalse(self.judge_all(late, late).is_guilty)
+        self.assertEqual(self.judge_all(late, late, late).history.crashes, 3)
+        self.assertTrue(self.judge_all(late, late, late).is_guilty)
+
+    def test_ages_that_differ_delay_the_verdict(self):
+        ages = [at_age(age_ms) for age_ms in (3_000.0, 900.0, 5_000.0, 400.0, 9_000.0)]
+        self.assertFalse(self.judge_all(*ages[:4]).is_guilty)
+        judgement = self.judge_all(*ages)
+        self.assertTrue(judgement.is_guilty)
+        self.assertEqual(judgement.history.crashes, CRASHES_MAX)
+
+    def test_task_that_ran_for_long_is_no_suspect_at_its_first_crash(self):
+        self.assertTrue(judge(None, at_age(10.0)).history.is_suspect)
+        self.assertFalse(judge(None, at_age(900.0)).history.is_suspect)
+        again = self.judge_all(at_age(900.0), at_age(1_000.0))
+        self.assertTrue(again.history.is_suspect)
+
+    def test_correlated_crashes_convict_and_suspect_nobody(self):
+        crash = at_age(10.0, is_correlated=True)
+        self.assertFalse(judge(None, crash).history.is_suspect)
+        self.assertFalse(self.judge_all(crash, crash, crash).is_guilty)
+
+    def test_runs_that_may_not_have_begun_convict_late(self):
+        unsure = at_age(10.0, is_only_suspect=True, is_confirmed=False)
+        sure = at_age(10.0, is_only_suspect=True)
+        self.assertFalse(self.judge_all(unsure, sure).is_guilty)
+        self.assertTrue(self.judge_all(unsure, sure, sure).is_guilty)
+        self.assertEqual(self.judge_all(*[unsure] * 9).history.crashes, CRASHES_MAX)
+
+    def test_clearance_takes_longer_than_the_crash_did(self):
+        self.assertGreater(clearance_ms(CrashHistory(1, 1, 2_000, True)), 2_000)
+
+
+class CrashLogTest(unittest.TestCase):
+    """Guards against tasks that are blamed for the loss of a rack."""
+
+    def test_crashes_at_the_same_time_are_correlated(self):
+        log = CrashLog()
+        for number in range(3):
+            log.record(WorkerId(f"w{number}"), 100.0 + number, frozenset())
+        job = JobId("1")
+        self.assertTrue(log.is_correlated(WorkerId("w0"), 100.0, job, 10))
+        self.assertFalse(log.is_correlated(WorkerId("w0"), 100.0, job, 100))
+        late_ms = 103.0 + CORRELATION_MS
+        self.assertFalse(log.is_correlated(WorkerId("w9"), late_ms, job, 10))
+
+    def test_crashes_under_one_workflow_are_not_correlated_for_it(self):
+        log = CrashLog()
+        for number in range(3):
+            log.record(WorkerId(f"w{number}"), 100.0, frozenset([JobId("1")]))
+        self.assertFalse(log.is_correlated(WorkerId("w0"), 100.0, JobId("1"), 10))
+        self.assertTrue(log.is_correlated(WorkerId("w0"), 100.0, JobId("2"), 10))
+
+
+class EvidenceTest(unittest.TestCase):
+    """Guards against blame for runs that had not begun when their worker crashed."""
+
+    def crash(self, run, sent_ms, broken_ms, round_trip_ms=FAR_ROUND_TRIP_MS):
+        info = WorkerInfo(WorkerId("w"), "h:1", 1, Resources(16_000))
+        pool = Pool()
+        worker = pool.workers[info.worker_id] = Worker(info)
+        worker.note_round_trip(round_trip_ms)
+        worker.note_reply(sent_ms - 1_000.0)
+        run.sent_ms = sent_ms
+        worker.add(run)
+        worker.note_silence(broken_ms, True, broken_ms - 500.0)
+        return collect_crash_evidence(worker, pool, broken_ms + 3_000.0)
+
+    def run_of(self, index, stage=RunStage.UNCERTAIN, **facts):
+        key = RunKey(JobId("1"), TaskKey(0, 0, index))
+        return Run(key, Epoch(1), Resources(1_000), stage=stage, **facts)
+
+    def test_start_on_its_way_to_a_distant_worker_is_not_confirmed(self):
+        run = self.run_of(0, disconnected_ms=1_012.0)
+        evidence = self.crash(run, 1_000.0, 1_075.0)
+        self.assertFalse(evidence[run.key].is_confirmed)
+
+    def test_start_that_reached_a_distant_worker_is_confirmed(self):
+        run = self.run_of(0, disconnected_ms=1_072.0)
+        evidence = self.crash(run, 1_000.0, 1_073.0)
+        self.assertTrue(evidence[run.key].is_confirmed)
+
+    def test_start_without_a_reply_of_a_near_worker_is_not_confirmed(self):
+        run = self.run_of(0, disconnected_ms=1_030.0)
+        evidence = self.crash(run, 1_000.0, 1_030.0, round_trip_ms=1.0)
+        self.assertFalse(evidence[run.key].is_confirmed)
+
+    def test_start_that_timed_out_is_not_to_blame(self):
+        run = self.run_of(0)
+        self.assertEqual(self.crash(run, 1_000.0, 1_030.0), {})
+
+    def test_suspects_exonerate_the_others(self):
+        info = WorkerInfo(WorkerId("w"), "h:1", 1, Resources(16_000))
+        pool = Pool()
+        worker = pool.workers[info.worker_id] = Worker(info)
+        suspect = self.run_of(0, RunStage.RUNNING, is_suspect=True)
+        other = self.run_of(1, RunStage.RUNNING)
+        for run in (suspect, other):
+            worker.add(run)
+        evidence = collect_crash_evidence(worker, pool, 0.0)
+        self.assertEqual(list(evidence), [suspect.key])
+        self.assertTrue(evidence[suspect.key].is_only_suspect)
+
+    def test_refusal_by_a_distant_worker_is_not_taken_for_a_pending_poll(self):
+        info = WorkerInfo(WorkerId("w"), "h:1", 1, Resources(16_000))
+        worker = Worker(info)
+        worker.note_round_trip(FAR_ROUND_TRIP_MS)
+        worker.note_reply(1_000.0)
+        worker.note_silence(1_100.0, True, 1_100.0 - FAR_ROUND_TRIP_MS)
+        self.assertEqual(worker.alive_until_ms, 1_000.0)
--- a/basilhold/workflows/tests/test_crashing_tasks.py
+++ b/basilhold/workflows/tests/test_crashing_tasks.py
@@ -72,6 +72,22 @@
                     await self.check_all_completed(cell, innocent)
                     self.assertEqual(cell.runners.violations, [])
 
+    async def test_start_that_a_crashed_worker_never_received_does_not_count(self):
+        # A workflow was shown as failed after one worker had crashed under its task: a
+        # second one had crashed while the start was on its way.
+        async with WorkflowCell(worker_count=8) as cell:
+            await asyncio.sleep(1)
+            first = make_workflow(1, make_step(1))
+            self.crash_workers(cell, first, delay_s=0.0)
+            second = make_workflow(2, make_step(1))
+            key = self.crash_workers(cell, second, delay_s=0.01)
+            await cell.submit(first)
+            await cell.submit(second)
+            await asyncio.sleep(30)
+            self.assertIs(await self.state(cell, second), WorkflowState.FAILED)
+            self.assertGreaterEqual(cell.runners.crash_counts[key], 2)
+            self.assertLessEqual(cell.runners.crash_counts[key], CRASHES_MAX)
+
     async def test_crashes_are_remembered_by_the_next_owner(self):
         async with WorkflowCell(worker_count=8) as cell:
             await asyncio.sleep(1)
--- a/basilhold/workflows/tests/test_random_runs.py
+++ b/basilhold/workflows/tests/test_random_runs.py
@@ -34,6 +34,7 @@
 """Seeds of runs with tasks that crash workers, and workers that shrink."""
 
 CRASH_REGRESSION_SEEDS = {
+    1029: "a run that had ended before its worker crashed was blamed for the crash",
     110: "a start that was being stored reached a smaller incarnation of its worker",
 }
 
--- a/basilhold/workflows/worker_link.py
+++ b/basilhold/workflows/worker_link.py
@@ -36,6 +36,10 @@
 renews the lease without acknowledging them."""
 
 
+OBSERVED_MS = 100.0
+"""Time after a reply for which a worker counts as observed without a pending poll."""
+
+
 class OwnerLimits(msgspec.Struct, frozen=True):
     """Time and size limits of an owner.
 
@@ -134,6 +138,17 @@
         self._sent_acknowledgement = 0
         self._refreshing = False
         self._refresh_requested = False
+        self._pending_polls = 0
+
+    def is_observed(self, now_ms: float) -> bool:
+        """Return whether a restart of the worker would have been noticed.
+
+        Parameters
+        ----------
+        now_ms : float
+            Monotonic time of this process, in milliseconds.
+        """
+        return self._pending_polls > 0 or now_ms - self.worker.heard_ms < OBSERVED_MS
 
     def extend_lease_bound(self, now_ms: float, lease_ms: float) -> None:
         """Record that a call sent at `now_ms` may extend the worker's lease.
@@ -208,7 +223,11 @@
         # the same numbers, so a call with an acknowledgement does not wait.
         wait_ms = 0 if immediate or acknowledged else self._wait_ms()
         call = RenewLeaseCall(self._lease.epoch, acknowledged, until_ms, wait_ms)
-        result = await self._runners.renew_lease(worker, call)
+        self._pending_polls += 1
+        try:
+            result = await self._runners.renew_lease(worker, call)
+        finally:
+            self._pending_polls -= 1
         now_ms = clock.monotonic_ms()
         if self.closed:
             return PollResult(lost=LossReason.CLOSED)
@@ -229,6 +248,8 @@
             return PollResult()
         self._newest_request_ms = sent_ms
         worker.note_reply(now_ms)
+        if not wait_ms:
+            worker.note_round_trip(now_ms - sent_ms)
         first = not worker.listed
         changed = reconcile(worker, listing, sent_ms, now_ms)
         return PollResult(first=first, ends=changed.ends, unknown=changed.unknown)
