Keep runs of workers that are only unknown to the store

What callers would see: work started again elsewhere although its worker was at work, reported by operators of similar systems. A worker that could not reach the store was not registered when its service changed owners; the next owner never called it, let its lease lapse and started its tasks elsewhere.

Long-running tasks are only held back if they are suspects, and the check for those at work again looks at those alone, not at all runs every 100 ms. A test shows that builds without the crash accounting read the new rows, and what they drop.

--- a/basilhold/standins/runners.py
+++ b/basilhold/standins/runners.py
@@ -114,6 +114,7 @@
         self._stopped: dict[RunKey, int] = {}
         self._former_capacities: list[tuple[float, Resources]] = []
         self.refuses_connections = False
+        self.is_registered = True
 
     def change_capacity(self, capacity: Resources) -> None:
         """Change the capacity, which the registration shows from now on."""
@@ -614,7 +615,7 @@
             {
                 worker_id: (self._service_of(worker_id), runner.info)
                 for worker_id, runner in self._runners.runners.items()
-                if runner.up
+                if runner.up and runner.is_registered
             }
         )
 
--- a/basilhold/workflows/crash_blame.py
+++ b/basilhold/workflows/crash_blame.py
@@ -187,11 +187,11 @@
 
     Examples
     --------
-    >>> [restart_delay_ms(CrashHistory(crashes)) for crashes in (2, 3, 4, 9)]
+    >>> [restart_delay_ms(CrashHistory(n, n, 10, True)) for n in (2, 3, 4, 9)]
     [0.0, 2000.0, 4000.0, 30000.0]
     """
     further = history.crashes - CRASHES_TO_BLAME
-    if further < 0:
+    if further < 0 or not history.is_suspect:
         return 0.0
     return min(RESTART_DELAY_MS * 2.0 ** min(further, 10), RESTART_DELAY_MAX_MS)
 
--- a/basilhold/workflows/isolation.py
+++ b/basilhold/workflows/isolation.py
@@ -35,6 +35,7 @@
         self._waiting_since_ms: dict[RunKey, float] = {}
         self._held_until_ms: dict[RunKey, float] = {}
         self._kept: list[WorkerId] = []
+        self._unstable: set[RunKey] = set()
 
     def choose_workers(self, accepting: list[Worker]) -> frozenset[WorkerId]:
         """Choose the workers to keep for the waiting suspects of each workflow.
@@ -105,10 +106,25 @@
         if history.is_suspect:
             self._waiting_since_ms[run_key] = now_ms
         if workflow.spec.steps[key.step].long_running:
+            self._unstable.add(run_key)
             delay_ms = restart_delay_ms(history)
             if delay_ms:
                 self._held_until_ms[run_key] = now_ms + delay_ms
 
+    def restore(self, workflow: Workflow) -> None:
+        """Note the long-running tasks of a loaded workflow that may crash workers."""
+        for key, task in workflow.assigned():
+            if task.crash is not None and workflow.spec.steps[key.step].long_running:
+                self._unstable.add(RunKey(workflow.job_id, key))
+
+    def unstable_tasks(self) -> list[RunKey]:
+        """Return the long-running tasks under which workers have crashed."""
+        return list(self._unstable)
+
+    def note_stable(self, key: RunKey) -> None:
+        """Record that a long-running task does not crash its workers."""
+        self._unstable.discard(key)
+
     def note_start(self, key: RunKey) -> None:
         """Record that a task no longer waits."""
         self._waiting_since_ms.pop(key, None)
@@ -119,6 +135,7 @@
         for times in (self._waiting_since_ms, self._held_until_ms):
             for key in [key for key in times if key.job_id == job_id]:
                 del times[key]
+        self._unstable = {key for key in self._unstable if key.job_id != job_id}
 
 
 def used_cores_ratio(worker: Worker) -> float:
--- a/basilhold/workflows/owner.py
+++ b/basilhold/workflows/owner.py
@@ -300,6 +300,7 @@
         state.workflows[workflow.job_id] = workflow
         state.committed_states[workflow.job_id] = workflow.state
         workflow.is_surplus = self._is_surplus(workflow.spec)
+        state.isolation.restore(workflow)
         if not workflow.state.is_final and not workflow.is_set_aside:
             state.backlog.add(workflow)
 
@@ -515,21 +516,22 @@
 
     def _forget_crashes(self, now_ms: float) -> None:
         """Forget the crashes under long-running tasks that have been at work since."""
-        for worker in self._state.pool.workers.values():
-            if worker.silent_since_ms:
+        state = self._state
+        for key in state.isolation.unstable_tasks():
+            workflow = state.workflows.get(key.job_id)
+            if workflow is None:
+                state.isolation.note_stable(key)
                 continue
-            for run in worker.runs.values():
-                if run.step is None or not run.step.long_running:
-                    continue
-                if not run.confirmed_ms or now_ms - run.confirmed_ms < STABLE_RUN_MS:
-                    continue
-                workflow = self._state.workflows.get(run.key.job_id)
-                if workflow is None:
+            with state.guard(workflow, "forgetting crashes"):
+                worker_id = workflow.task(key.task).worker_id
+                run = state.pool.find_run(worker_id, key)
+                if run is None or not run.confirmed_ms:
                     continue
-                with self._state.guard(workflow, "forgetting crashes"):
-                    if workflow.task(run.key.task).crash is not None:
-                        workflow.forget_crashes(run.key.task)
-                        self._committer.mark_dirty(workflow)
+                is_answering = not state.pool.workers[worker_id].silent_since_ms
+                if is_answering and now_ms - run.confirmed_ms > STABLE_RUN_MS:
+                    workflow.forget_crashes(key.task)
+                    state.isolation.note_stable(key)
+                    self._committer.mark_dirty(workflow)
 
     def _stop_stragglers(self, now_ms: float) -> None:
         stragglers, slow_workers = find_stragglers(
--- a/basilhold/workflows/tests/test_owner.py
+++ b/basilhold/workflows/tests/test_owner.py
@@ -123,6 +123,23 @@
             await asyncio.sleep(4)
             self.assertEqual(cell.runners.start_count, 1)
 
+    async def test_run_on_unregistered_worker_survives_a_takeover(self):
+        # A worker that could not reach the store was unknown to the next owner, which
+        # started its tasks elsewhere once their lease had lapsed.
+        spec = make_workflow(1, make_step(estimate_ms=20_000.0))
+        async with WorkflowCell(worker_count=2) as cell:
+            await asyncio.sleep(1)
+            await cell.submit(spec)
+            await asyncio.sleep(1)
+            runner = next(r for r in cell.runners.runners.values() if r.runs)
+            runner.is_registered = False
+            await asyncio.sleep(2)
+            await cell.kill_process(cell.owner_name())
+            await asyncio.sleep(32)
+            self.assertIs(await self.state(cell, spec), WorkflowState.COMPLETED)
+            self.assertEqual(cell.runners.start_count, 1)
+            self.assertEqual(cell.runners.violations, [])
+
     async def test_tasks_of_unreachable_worker_run_elsewhere(self):
         # Guards against lease renewals without a reply that defer the expiry of an
         # unreachable worker's lease forever.
--- a/basilhold/workflows/tests/test_progress.py
+++ b/basilhold/workflows/tests/test_progress.py
@@ -3,12 +3,14 @@
 import random
 import unittest
 
+import msgspec
 from expression import Error, Ok
 
 from basilhold.core import Epoch, ProcessId, Resources, ServiceName, WorkerId
 from basilhold.ports import StoreError, StoreErrorKind, TableService, Write
 from basilhold.testing import VirtualTimeTestCase
 from basilhold.testing.workflow_cell import LoopClock, make_spec
+from basilhold.workflows.crash_blame import CrashHistory
 from basilhold.workflows.model import RunNumber, StepSpec, TaskKey, WorkflowSpec
 from basilhold.workflows.owner_lease import CommitOutcome, Lease
 from basilhold.workflows.progress import (
@@ -90,6 +92,44 @@
                 self.assertEqual(workflow.take_changed_chunks(), [0])
                 self.assertIs(workflow.state, WorkflowState.RUNNING)
 
+    def test_rows_are_read_by_builds_without_crash_accounting(self):
+        # Such builds may run beside newer ones, and drop the fields that they do not
+        # know when they write a row.
+        class FormerTask(msgspec.Struct, array_like=True):
+            stage: int = 0
+            run: int = 0
+            failures: int = 0
+            worker_id: str = ""
+            checkpoint: str = ""
+            avoided: list[str] = []
+            failed_run: int = 0
+
+        class FormerEntry(msgspec.Struct, array_like=True):
+            occurrence: int
+            step: int
+            index: int
+            task: FormerTask
+
+        class FormerWorkflow(msgspec.Struct, omit_defaults=True):
+            state: str = "queued"
+            tasks: list[FormerEntry] = []
+            ended_ms: float = 0.0
+
+        workflow = make_workflow(2)
+        key = TaskKey(0, 0, 1)
+        for number in (1, 2):
+            workflow.assign(key, RunNumber(number), WorkerId("w"), "h:1", 5.0)
+            workflow.apply_end(RunEnd(key, RunNumber(number), EndKind.CRASHED), 0.0)
+        workflow.set_aside()
+        former = msgspec.json.decode(workflow.encode(), type=FormerWorkflow)
+        self.assertEqual([entry.task.run for entry in former.tasks], [2])
+        rewritten = Workflow.decode(workflow.spec, [msgspec.json.encode(former)])
+        self.assertEqual(rewritten.task(key).run, 2)
+        self.assertIsNone(rewritten.task(key).crash)
+        kept = Workflow.decode(workflow.spec, encode_rows(workflow))
+        self.assertEqual(kept.task(key).crash.crashes, 2)
+        self.assertTrue(kept.is_set_aside)
+
     def test_row_with_longest_names_fits_into_the_store(self):
         # The store always rejects a row above its size limit, so retries cannot help.
         workflow = make_workflow(CHUNK_TASKS)
@@ -97,8 +137,12 @@
             key = TaskKey(0, 0, index)
             for number in range(20):
                 workflow.avoid_worker(key, WorkerId(f"{number:0200}"))
-            workflow.assign(key, RunNumber(10**6), WorkerId("w" * 200))
+            endpoint = "255.255.255.255:65535"
+            workflow.assign(
+                key, RunNumber(10**6), WorkerId("w" * 200), endpoint, 10.0**13
+            )
             workflow.task(key).checkpoint = "c" * 256
+            workflow.task(key).crash = CrashHistory(100, 100, 10**6, True)
         self.assertLess(len(workflow.encode()), ROW_BYTES_MAX)
         decoded = Workflow.decode(workflow.spec, encode_rows(workflow))
         self.assertEqual(len(decoded.assigned()), CHUNK_TASKS)
