--- a/basilhold/workflows/crash_blame.py
+++ b/basilhold/workflows/crash_blame.py
@@ -20,6 +20,7 @@
     "CrashEvidence",
     "CrashHistory",
     "CrashLog",
+    "Judgement",
     "RunAge",
     "clearance_ms",
     "judge",
--- a/basilhold/workflows/isolation.py
+++ b/basilhold/workflows/isolation.py
@@ -37,7 +37,9 @@
         self._kept: list[WorkerId] = []
         self._unstable: set[RunKey] = set()
 
-    def choose_workers(self, accepting: list[Worker]) -> frozenset[WorkerId]:
+    def choose_workers(
+        self, accepting: list[Worker], now_ms: float
+    ) -> frozenset[WorkerId]:
         """Choose the workers to keep for the waiting suspects of each workflow.
 
         Those kept before are kept on, and then those with the least work are chosen.
@@ -46,8 +48,14 @@
         ----------
         accepting : list of Worker
             Workers that accept new runs.
+        now_ms : float
+            Time of the event loop's clock, in milliseconds.
         """
-        jobs = {key.job_id for key in self._waiting_since_ms}
+        jobs = {
+            key.job_id
+            for key, since_ms in self._waiting_since_ms.items()
+            if 0.0 <= now_ms - since_ms < ISOLATION_WAIT_MAX_MS
+        }
         count = 0
         if jobs and accepting:
             count = min(len(jobs), max(1, int(KEPT_SHARE_MAX * len(accepting))))
@@ -103,13 +111,14 @@
         if history is None or workflow.state.is_final:
             return
         run_key = RunKey(workflow.job_id, key)
-        if history.is_suspect:
-            self._waiting_since_ms[run_key] = now_ms
+        delay_ms = 0.0
         if workflow.spec.steps[key.step].long_running:
             self._unstable.add(run_key)
             delay_ms = restart_delay_ms(history)
-            if delay_ms:
-                self._held_until_ms[run_key] = now_ms + delay_ms
+        if delay_ms:
+            self._held_until_ms[run_key] = now_ms + delay_ms
+        if history.is_suspect:
+            self._waiting_since_ms[run_key] = now_ms + delay_ms
 
     def restore(self, workflow: Workflow) -> None:
         """Note the long-running tasks of a loaded workflow that may crash workers."""
--- a/basilhold/workflows/planner.py
+++ b/basilhold/workflows/planner.py
@@ -182,7 +182,7 @@
         self._store_ms = store_ms
         self._stop_ms = stop_ms
         accepting = pool.accepting_workers(now_ms)
-        kept = isolation.choose_workers(accepting)
+        kept = isolation.choose_workers(accepting, now_ms)
         self._accepting = accepting
         self._workers = [w for w in accepting if w.worker_id not in kept]
         self._isolation = isolation
--- a/basilhold/workflows/tests/test_crash_blame.py
+++ b/basilhold/workflows/tests/test_crash_blame.py
@@ -1,8 +1,10 @@
 """Tests of the blame for crashes of workers."""
 
+import random
 import unittest
 
-from basilhold.core import Epoch, JobId, Resources, WorkerId
+from basilhold.core import JobId, Resources, WorkerId
+from basilhold.testing.workflow_cell import make_spec
 from basilhold.workflows.crash_blame import (
     CORRELATION_MS,
     CRASHES_MAX,
@@ -13,7 +15,8 @@
     clearance_ms,
     judge,
 )
-from basilhold.workflows.model import TaskKey
+from basilhold.workflows.isolation import Isolation
+from basilhold.workflows.model import RunNumber, StepSpec, TaskKey, WorkflowSpec
 from basilhold.workflows.pool import (
     Pool,
     Run,
@@ -23,6 +26,7 @@
     WorkerInfo,
     collect_crash_evidence,
 )
+from basilhold.workflows.progress import EndKind, RunEnd, Workflow
 
 FAR_ROUND_TRIP_MS = 60.0
 
@@ -105,6 +109,51 @@
         self.assertTrue(log.is_correlated(WorkerId("w0"), 100.0, JobId("2"), 10))
 
 
+class IsolationTest(unittest.TestCase):
+    """Guards against workers that are kept for suspects for too long."""
+
+    def make(self):
+        policy = make_spec(1, random.Random(0)).policy
+        spec = WorkflowSpec("00ff", policy, "", (StepSpec(1, Resources(1_000)),))
+        workflow = Workflow(spec)
+        key = TaskKey(0, 0, 0)
+        workflow.assign(key, RunNumber(1), WorkerId("w"))
+        crashed = RunEnd(key, RunNumber(1), EndKind.CRASHED, crash=at_age(10.0))
+        workflow.apply_end(crashed, 0.0)
+        self.assertTrue(workflow.is_suspect(key))
+        return workflow, key
+
+    def workers(self, count):
+        return [
+            Worker(WorkerInfo(WorkerId(f"w{n}"), f"h:{n}", 1, Resources(16_000)))
+            for n in range(count)
+        ]
+
+    def test_few_workers_are_kept_and_not_for_long(self):
+        workflow, key = self.make()
+        isolation, workers = Isolation(), self.workers(20)
+        self.assertEqual(isolation.choose_workers(workers, 1_000.0), frozenset())
+        isolation.note_crash(workflow, key, 1_000.0)
+        kept = isolation.choose_workers(workers, 1_100.0)
+        self.assertEqual(len(kept), 1)
+        self.assertEqual(isolation.choose_workers(workers, 1_200.0), kept)
+        self.assertTrue(isolation.must_isolate(workflow, key, 1_200.0))
+        # The suspect may wait for quota for minutes.
+        self.assertEqual(isolation.choose_workers(workers, 9_000.0), frozenset())
+        self.assertFalse(isolation.must_isolate(workflow, key, 9_000.0))
+
+    def test_suspect_starts_on_a_kept_worker_with_little_work_at_first(self):
+        workflow, key = self.make()
+        isolation, workers = Isolation(), self.workers(4)
+        isolation.note_crash(workflow, key, 1_000.0)
+        (kept,) = isolation.choose_workers(workers, 1_000.0)
+        run_key = RunKey(workflow.job_id, key)
+        usable = [w for w in workers if isolation.may_use(w, run_key, 1_000.0)]
+        self.assertEqual([w.worker_id for w in usable], [kept])
+        usable = [w for w in workers if isolation.may_use(w, run_key, 2_000.0)]
+        self.assertEqual(len(usable), 4)
+
+
 class EvidenceTest(unittest.TestCase):
     """Guards against blame for runs that had not begun when their worker crashed."""
 
@@ -121,7 +170,7 @@
 
     def run_of(self, index, stage=RunStage.UNCERTAIN, **facts):
         key = RunKey(JobId("1"), TaskKey(0, 0, index))
-        return Run(key, Epoch(1), Resources(1_000), stage=stage, **facts)
+        return Run(key, RunNumber(1), Resources(1_000), stage=stage, **facts)
 
     def test_start_on_its_way_to_a_distant_worker_is_not_confirmed(self):
         run = self.run_of(0, disconnected_ms=1_012.0)
--- a/basilhold/workflows/worker_tracker.py
+++ b/basilhold/workflows/worker_tracker.py
@@ -37,11 +37,6 @@
 """Interval at which the registrations are read. A worker that leaves must get no new
 work after 3 s."""
 
-REGISTRY_POLL_INTERVAL_MIN_MS = 100
-"""Shortest interval, used when a worker has been replaced, whose successor is then
-registered already."""
-
-
 FAILED_POLL_DELAY_MS = 1_000
 """Delay after a poll on whose result the owner has failed."""
 
@@ -81,7 +76,6 @@
         self._run_controller = run_controller
         self._unconfirmed_crashes: dict[str, _UnconfirmedCrash] = {}
         self._replaced: dict[tuple[WorkerId, int], None] = {}
-        self._successor_replied = asyncio.Event()
 
     async def run(self) -> None:
         """Read the registrations periodically until cancelled."""
@@ -281,7 +275,6 @@
         if not worker.info.draining:
             evidence = collect_crash_evidence(worker, self._state.pool, now_ms)
         if reason is LossReason.REPLACED:
-            self._successor_replied.set()
             self._replaced[worker.worker_id, worker.info.born_unix_ms] = None
             _limit_size(self._replaced)
         has_crashed = reason in (LossReason.REPLACED, LossReason.RESTARTED)
