--- a/basilhold/testing/configuration_runs.py
+++ b/basilhold/testing/configuration_runs.py
@@ -55,6 +55,10 @@
 PREFIX = "op//"
 KEY = "op//config"
 REGIONS = (RegionName("near"), RegionName("far"))
+MEMBER_EXPIRY_S = 25.0
+"""Time after which a process that was lost is no longer listed as a member: 3.1
+intervals of 8 s in which members renew their rows."""
+
 LATENCY_MS = {REGIONS[0]: 3.0, REGIONS[1]: 63.0}
 """Round-trip times to the store by region of the machine, in milliseconds."""
 
@@ -240,14 +244,18 @@
             run.deployment.document_bytes,
         )
         table = LinkedTable(run.table, link, LATENCY_MS[region])
-        members = run.list_members()
-        members.insert(0, members.pop(number))
+        own = run.list_members()[number]
+
+        def members() -> list[Member]:
+            listed = run.list_members()
+            return [own, *(m for m in listed if m.process_id != own.process_id)]
+
         peers, clock = _MachinePeers(run, number), Clock(0)
         self.store = RelayedTable(
             table,
             table,
             peers,
-            lambda: members,
+            members,
             region,
             clock,
             random.Random(run.rng.random()),
@@ -261,7 +269,7 @@
             _decode,
             run.usable_ms,
             peers,
-            RelayChooser(lambda: members, clock),
+            RelayChooser(members, clock),
         )
 
     async def run(self) -> None:
@@ -293,8 +301,19 @@
         self._report = RunReport([], [str(fault) for fault in self._faults], 0, 0)
 
     def list_members(self) -> list[Member]:
-        """Return all machines as members, in the order of their numbers."""
+        """Return the machines as members, in the order of their numbers.
+
+        Those that have been dead for `MEMBER_EXPIRY_S` are no longer listed.
+        """
         deployment = self.deployment
+        now_s = now_ms() / 1000
+        expired = {
+            number
+            for fault in self._faults
+            if fault.kind is FaultKind.DEAD
+            and fault.begin_s + MEMBER_EXPIRY_S <= now_s < fault.end_s
+            for number in fault.machines
+        }
         return [
             Member(
                 ProcessId(str(number)),
@@ -303,6 +322,7 @@
                 wide_link=number < deployment.wide_machines,
             )
             for number in range(deployment.machines)
+            if number not in expired
         ]
 
     def path_to(self, number: int) -> tuple[Bandwidth, ...]:
