--- a/basilhold/testing/crash_runs.py
+++ b/basilhold/testing/crash_runs.py
@@ -18,7 +18,7 @@
     WorkflowCell,
     make_spec,
 )
-from basilhold.testing.workflow_runs import RandomRun, RunReport
+from basilhold.testing.workflow_runs import RandomRun, RunReport, report_seeds
 from basilhold.workflows.model import TaskKey, WorkflowSpec
 from basilhold.workflows.pool import RunKey
 from basilhold.workflows.progress import WorkflowState
@@ -160,19 +160,7 @@
 @click.option("--first", default=0, help="First seed.")
 def main(seeds: int, first: int) -> None:
     """Run seeds and report those that break a guarantee."""
-    failed = 0
-    for seed in range(first, first + seeds):
-        report = run_crashes_seed(seed)
-        failed += bool(report.violations)
-        click.echo(
-            f"seed {seed}: {report.accepted} accepted, {report.completed} completed, "
-            f"{report.starts} starts, {len(report.violations)} violations"
-        )
-        for line in report.violations[:5]:
-            click.echo(f"  {line}")
-        if report.violations:
-            click.echo("  " + "; ".join(report.faults))
-    click.echo(f"{seeds - failed} passed, {failed} failed")
+    report_seeds(run_crashes_seed, seeds, first)
 
 
 if __name__ == "__main__":
--- a/basilhold/testing/workflow_runs.py
+++ b/basilhold/testing/workflow_runs.py
@@ -25,7 +25,7 @@
 from basilhold.workflows.peers import StoreOutcome
 from basilhold.workflows.progress import WorkflowState
 
-__all__ = ["RandomRun", "RunReport", "run_seed", "run_tenants_seed"]
+__all__ = ["RandomRun", "RunReport", "report_seeds", "run_seed", "run_tenants_seed"]
 
 TENANTS = (TenantName("north"), TenantName("south"), TenantName("west"))
 CONFIGURATION_DELAY_MAX_S = 2.5
@@ -446,12 +446,27 @@
 )
 def main(seeds: int, first: int, silences: bool, tenants: bool) -> None:
     """Run seeds and report those that break a guarantee."""
+    if tenants:
+        report_seeds(run_tenants_seed, seeds, first)
+    else:
+        report_seeds(lambda seed: run_seed(seed, silences=silences), seeds, first)
+
+
+def report_seeds(run: Callable[[int], RunReport], seeds: int, first: int) -> None:
+    """Run seeds and print what each of them did and broke.
+
+    Parameters
+    ----------
+    run : callable
+        Runs one seed.
+    seeds : int
+        Number of seeds.
+    first : int
+        First seed.
+    """
     failed = 0
     for seed in range(first, first + seeds):
-        if tenants:
-            report = run_tenants_seed(seed)
-        else:
-            report = run_seed(seed, silences=silences)
+        report = run(seed)
         failed += bool(report.violations)
         click.echo(
             f"seed {seed}: {report.accepted} accepted, {report.completed} completed, "
--- /dev/null
+++ b/basilhold/workflows/crash_evidence.py
@@ -0,0 +1,84 @@
+"""What is known of the runs on a worker when it crashes.
+
+The time of a crash is known from broken connections, and so are the ages of the runs
+and whether they had begun. The module performs no I/O.
+"""
+
+from basilhold.workflows.crash_blame import CrashEvidence, RunAge
+from basilhold.workflows.pool import Pool, Run, RunKey, Worker
+
+__all__ = ["collect_crash_evidence", "record_silence"]
+
+DISTANT_ROUND_TRIP_MS = 10.0
+ROUND_TRIP_MARGIN_MS = 5.0
+"""Round trip from which a worker is distant, and allowance for its variation."""
+
+
+def collect_crash_evidence(
+    worker: Worker, pool: Pool, now_ms: float
+) -> dict[RunKey, CrashEvidence]:
+    """Return the runs that may be to blame for the crash of a worker.
+
+    If any of its runs were suspects, only they are.
+
+    Parameters
+    ----------
+    worker : Worker
+    pool : Pool
+    now_ms : float
+        Time of the event loop's clock, in milliseconds.
+    """
+    begun = [run for run in worker.runs.values() if run.may_have_begun]
+    suspects = [run for run in begun if run.is_suspect]
+    is_one_workflow = len({run.key.job_id for run in suspects}) == 1
+    crashed_by_ms = worker.silent_since_ms or now_ms
+    evidence: dict[RunKey, CrashEvidence] = {}
+    for run in suspects or begun:
+        # The time of a crash before a takeover is not known.
+        is_correlated = worker.heard_ms > 0 and pool.crash_log.is_correlated(
+            worker.worker_id, crashed_by_ms, run.key.job_id, len(pool.workers)
+        )
+        age = _age_at_crash(run, worker, crashed_by_ms)
+        # Nothing else would have crashed the worker of an only suspect.
+        is_confirmed = is_one_workflow or _has_certainly_begun(run, worker, age)
+        evidence[run.key] = CrashEvidence(
+            age, is_one_workflow, is_correlated, is_confirmed
+        )
+    return evidence
+
+
+def _has_certainly_begun(run: Run, worker: Worker, age: RunAge | None) -> bool:
+    """Return whether a run had begun when its worker crashed.
+
+    A reply that was on its way is lost with the connection, so the start of a run on a
+    distant worker has certainly arrived if more than a round trip has passed since.
+    """
+    if run.confirmed_ms or run.listed:
+        return True
+    if age is None or worker.round_trip_ms < DISTANT_ROUND_TRIP_MS:
+        return False
+    passed_ms = age.least_ms
+    if run.disconnected_ms:
+        passed_ms = min(passed_ms, run.disconnected_ms - run.sent_ms)
+    return passed_ms > worker.round_trip_ms + ROUND_TRIP_MARGIN_MS
+
+
+def record_silence(worker: Worker, pool: Pool) -> None:
+    """Record the time of a possible crash, if the owner has observed it."""
+    if not worker.disconnected or not worker.heard_ms:
+        return
+    early_jobs = set()
+    for run in worker.runs.values():
+        age = _age_at_crash(run, worker, worker.silent_since_ms)
+        if run.may_have_begun and age is not None and age.is_early:
+            early_jobs.add(run.key.job_id)
+    pool.crash_log.record(
+        worker.worker_id, worker.silent_since_ms, frozenset(early_jobs)
+    )
+
+
+def _age_at_crash(run: Run, worker: Worker, crashed_by_ms: float) -> RunAge | None:
+    if not run.sent_ms:
+        return None
+    least_ms = max(0.0, min(worker.alive_until_ms, crashed_by_ms) - run.sent_ms)
+    return RunAge(least_ms, max(least_ms, crashed_by_ms - run.sent_ms))
--- a/basilhold/workflows/tests/test_crash_blame.py
+++ b/basilhold/workflows/tests/test_crash_blame.py
@@ -15,6 +15,7 @@
     clearance_ms,
     judge,
 )
+from basilhold.workflows.crash_evidence import collect_crash_evidence
 from basilhold.workflows.isolation import Isolation
 from basilhold.workflows.model import RunNumber, StepSpec, TaskKey, WorkflowSpec
 from basilhold.workflows.pool import (
@@ -24,7 +25,6 @@
     RunStage,
     Worker,
     WorkerInfo,
-    collect_crash_evidence,
 )
 from basilhold.workflows.progress import EndKind, RunEnd, Workflow
 
--- a/basilhold/workflows/worker_tracker.py
+++ b/basilhold/workflows/worker_tracker.py
@@ -9,6 +9,7 @@
 from basilhold.tenants import NO_TENANT
 from basilhold.workflows import events
 from basilhold.workflows.crash_blame import CrashEvidence
+from basilhold.workflows.crash_evidence import collect_crash_evidence, record_silence
 from basilhold.workflows.model import task_name
 from basilhold.workflows.owner_state import LeaseLostError, OwnerState
 from basilhold.workflows.pool import (
@@ -21,9 +22,7 @@
     RunStage,
     Worker,
     WorkerInfo,
-    collect_crash_evidence,
     reconcile,
-    record_silence,
     remove_lost_runs,
     transfer_runs,
 )
