--- a/basilhold/testing/crash_runs.py
+++ b/basilhold/testing/crash_runs.py
@@ -33,6 +33,10 @@
 CRASHES_TO_GIVE_UP = 2
 """Number of workers that must have crashed under a task that is given up."""
 
+SHRUNK_S = (4.0, 16.0)
+"""Bounds of the time for which a capacity is smaller. Starts are checked against the
+smaller capacity only after `SHRINK_NOTICE_S`."""
+
 RESTART_MIN_S = 0.2
 """Shortest time that the restart of a worker takes."""
 
@@ -77,7 +81,7 @@
     async def _shrink_worker(self) -> None:
         runner = self.any_worker()
         runner.change_capacity(self._crash_rng.choice(SMALLER_CAPACITIES))
-        await asyncio.sleep(self._crash_rng.uniform(1.0, 9.0))
+        await asyncio.sleep(self._crash_rng.uniform(*SHRUNK_S))
         runner.change_capacity(WORKER_CAPACITY)
 
     async def _restart_smaller(self) -> None:
