Review case 3: ends beyond the first 500 count as lost runs

A runner lists 500 ends at a time. A run whose end is not among them and which is not at work any more is taken for lost and starts again.

--- /dev/null
+++ b/review/3/case.py
@@ -0,0 +1,63 @@
+"""A runner is cut off for seconds while more than 500 short tasks end on it."""
+
+import asyncio
+import json
+
+from cell import Cell, main, queue
+
+CAPACITY = {"cpu": 32_000, "mem_mb": 131_072, "gpu": 0}
+PREFIX = "/desk/"
+RUNNERS = 6
+JOBS = [f"{number:016x}" for number in range(0xC1, 0xC9)]
+TASKS = 80
+FIRST_END_MS, LAST_END_MS = 1_500, 4_000
+CUT_S = 3.5
+ONE_WAY_S = 0.03
+"""Between two regions, as on the sheets; the runners stand in another region."""
+
+
+def job() -> dict:
+    """Return a job of one step of 80 small tasks that end one after the other."""
+    spread_ms = LAST_END_MS - FIRST_END_MS
+    spec = json.dumps({"ms": FIRST_END_MS, "spread_ms": spread_ms, "of": TASKS})
+    step = {"count": TASKS, "cpu": 50, "mem_mb": 64, "estimate_ms": 2800}
+    return {"spec": spec, "steps": [step]}
+
+
+async def case(record, trouble: bool) -> list[str]:
+    async with Cell(record) as cell:
+        for number in range(RUNNERS):
+            runner = await cell.add_runner(f"i-desk-{number}", "order-desk", CAPACITY)
+            runner.server.one_way_s = ONE_WAY_S
+        cell.configure(1, [queue("quotes", PREFIX, "order-desk")], ["order-desk"])
+        await cell.start()
+        await asyncio.gather(
+            *(cell.call(n % 3, "POST", PREFIX + id, job()) for n, id in enumerate(JOBS))
+        )
+        await asyncio.sleep(1.2)
+        if trouble:
+            runner = max(cell.runners.values(), key=lambda r: len(r.runs))
+            record.write(f"{runner.name} is cut off, {len(runner.runs)} tasks are at work there")
+            runner.server.silent = True
+            await asyncio.sleep(CUT_S)
+            record.write(f"{runner.name} is back, {len(runner.finished)} ends to be listed")
+            runner.server.silent = False
+        else:
+            await asyncio.sleep(CUT_S)
+        await asyncio.sleep(12)
+        broken = []
+        done: dict[str, tuple[float, int, str]] = {}
+        for at_s, where, task, run, how in record.ends:
+            if how == "done":
+                done.setdefault(task, (at_s, run, where))
+        for at_s, where, task, run in record.starts:
+            end = done.get(task)
+            if end and end[0] < at_s and (task, end[1], "done") in record.noted_ends:
+                broken.append(
+                    f"TWICE: {task} run {run} starts on {where} {at_s - end[0]:.1f} s after "
+                    f"run {end[1]} was done on {end[2]}"
+                )
+        return broken
+
+
+main(case)
