--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,55 +1,56 @@
-"""One task crashes each runner that starts it; the runner is back under its id."""
+"""A job is handed in again, seconds after its 200, as its queue changes its service."""
 
 import asyncio
 import json
 
 from cell import Cell, main, queue
+from rules import find_repeated_runs
 
 CAPACITY = {"cpu": 32_000, "mem_mb": 131_072, "gpu": 0}
 PREFIX = "/desk/"
-JOB = f"{0xD1:016x}"
-TASK = f"{JOB}.0.0.0"
-CRASH_MS = 10
-WATCH_S = 36
-CRASHES_BEFORE, STARTS_MORE = 3, 3
-"""The rule is broken by so many starts after so many crashes."""
-
-
-def job(trouble: bool) -> dict:
-    """Return a job of one task, which crashes its runner or is done after a while."""
-    spec = json.dumps({"crash_ms": CRASH_MS} if trouble else {"ms": 800})
-    step = {"count": 1, "cpu": 3000, "mem_mb": 1024, "estimate_ms": 800}
+JOBS = [f"{number:016x}" for number in range(0xA1, 0xA9)]
+TASK_MS = 6_000
+
+
+def job() -> dict:
+    """Return a job of one step of two tasks."""
+    spec = json.dumps({"ms": TASK_MS})
+    step = {"count": 2, "cpu": 3000, "mem_mb": 1024, "estimate_ms": TASK_MS}
     return {"spec": spec, "steps": [step]}
 
 
 async def case(record, trouble: bool) -> list[str]:
     """Play the case; return what broke the rule."""
     async with Cell(record) as cell:
-        for number in range(8):
+        for number in range(3):
             await cell.add_runner(f"i-desk-{number}", "order-desk", CAPACITY)
-        cell.configure(1, [queue("quotes", PREFIX, "order-desk")], ["order-desk"])
+            await cell.add_runner(f"i-inspect-{number}", "inspect", CAPACITY)
+        services = ["order-desk", "inspect"]
+        cell.configure(1, [queue("quotes", PREFIX, "order-desk")], services)
         await cell.start()
-        await cell.call(0, "POST", PREFIX + JOB, job(trouble))
-        end_s = record.now_s() + WATCH_S
-        answer = None
-        while record.now_s() < end_s:
-            await asyncio.sleep(1.5)
-            answer = await cell.call(1, "GET", PREFIX + JOB)
-            if answer and answer[1].get("state") in ("failed", "completed"):
-                break
-        crashes = [end[0] for end in record.ends if end[2] == TASK and end[4] == "gone"]
-        starts = [start[0] for start in record.starts if start[2] == TASK]
-        if len(crashes) < CRASHES_BEFORE:
-            return []
-        third_s = sorted(crashes)[CRASHES_BEFORE - 1]
-        later = [at_s for at_s in starts if at_s > third_s]
-        if len(later) < STARTS_MORE:
-            return []
-        return [
-            f"BUDGET: {TASK} was started {len(later)} times more after "
-            f"{CRASHES_BEFORE} runners had crashed under it; {len(crashes)} crashes "
-            f"in {WATCH_S} s, last state {answer}"
+        answers = await asyncio.gather(
+            *(cell.call(n % 3, "POST", PREFIX + id, job()) for n, id in enumerate(JOBS))
+        )
+        accepted = [
+            id for id, a in zip(JOBS, answers, strict=True) if a and a[0] == 200
         ]
+        if trouble:
+            cell.configure(5, [queue("quotes", PREFIX, "inspect")], services)
+        # The new version is in force everywhere 3 s after its confirmation.
+        await asyncio.sleep(3.5)
+        # Not judged, as the rule of the case is TWICE: an answer 410 breaks LOST.
+        for number, id in enumerate(accepted):
+            answer = await cell.call(number % 3, "GET", PREFIX + id)
+            if answer and answer[0] == 410:
+                record.write(f"LOST: GET for the accepted job {id} is answered 410")
+        await asyncio.gather(
+            *(
+                cell.call((n + 1) % 3, "POST", PREFIX + id, job())
+                for n, id in enumerate(JOBS)
+            )
+        )
+        await asyncio.sleep(12)
+        return find_repeated_runs(record, accepted)
 
 
 main(case)
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,55 +1,57 @@
-"""A desired state adds a service whose name begins with that of another and a dot."""
+"""A runner is cut off for seconds while more than 500 short tasks end on it."""
 
 import asyncio
 import json
 
-from cell import Cell, NotRunError, main, queue
+from cell import Cell, main, queue
 from rules import find_repeated_runs
 
 CAPACITY = {"cpu": 32_000, "mem_mb": 131_072, "gpu": 0}
-TASK_MS = 3_000
-FIRST, SECOND = "inspect", "inspect.gpu"
+PREFIX = "/desk/"
+RUNNERS = 6
+JOBS = [f"{number:016x}" for number in range(0xC1, 0xC9)]
+TASKS = 80
+FIRST_END_MS, LAST_END_MS = 2_000, 3_500
+CUT_S = 2.5
+ONE_WAY_S = 0.03
+"""Between two regions, as on the sheets; the runners stand in another region."""
 
 
 def job() -> dict:
-    """Return a job of one step of two tasks."""
-    step = {"count": 2, "cpu": 3000, "mem_mb": 1024, "estimate_ms": TASK_MS}
-    return {"spec": json.dumps({"ms": TASK_MS}), "steps": [step]}
+    """Return a job of one step of 80 small tasks that end one after the other."""
+    spread_ms = LAST_END_MS - FIRST_END_MS
+    spec = json.dumps({"ms": FIRST_END_MS, "spread_ms": spread_ms, "of": TASKS})
+    step = {"count": TASKS, "cpu": 50, "mem_mb": 64, "estimate_ms": 3000}
+    return {"spec": spec, "steps": [step]}
 
 
 async def case(record, trouble: bool) -> list[str]:
     """Play the case; return what broke the rule."""
     async with Cell(record) as cell:
-        # The disruption is the new service; without it, its queue goes to another one.
-        second = SECOND if trouble else "desk"
-        for number in range(3):
-            await cell.add_runner(f"i-first-{number}", FIRST, CAPACITY)
-            await cell.add_runner(f"i-second-{number}", second, CAPACITY)
-        routes = [queue("scan", "/scan/", FIRST)]
-        cell.configure(1, routes, [FIRST])
+        for number in range(RUNNERS):
+            runner = await cell.add_runner(f"i-desk-{number}", "order-desk", CAPACITY)
+            runner.server.one_way_s = ONE_WAY_S
+        cell.configure(1, [queue("quotes", PREFIX, "order-desk")], ["order-desk"])
         await cell.start()
-        routes = [*routes, queue("flag", "/flag/", second)]
-        cell.configure(4, routes, [FIRST, second])
-        await asyncio.sleep(5)
-        accepted = []
-        for number in range(12):
-            id = f"{0xF100 + number:016x}"
-            answer = await cell.call(number % 3, "POST", f"/flag/{id}", job())
-            if answer and answer[0] == 200:
-                accepted.append(id)
-            await asyncio.sleep(0.4)
-        await asyncio.sleep(8)
-        # Not judged, as the rule of the case is TWICE: starts that break ROUTE.
-        for _, runner, task, run in record.starts:
-            if (
-                task.split(".")[0] in accepted
-                and cell.runners[runner].service != second
-            ):
-                record.write(f"ROUTE: {task} run {run} started on {runner} of {FIRST}")
-        broken = find_repeated_runs(record, accepted)
-        if len(accepted) < 6:
-            raise NotRunError(f"only {len(accepted)} of 12 jobs were accepted")
-        return broken
+        for number, id in enumerate(JOBS):
+            await cell.call(number % 3, "POST", PREFIX + id, job())
+            await asyncio.sleep(0.05)
+        await asyncio.sleep(1.2)
+        if trouble:
+            runner = max(cell.runners.values(), key=lambda r: len(r.runs))
+            record.write(
+                f"{runner.name} is cut off, {len(runner.runs)} tasks are at work there"
+            )
+            runner.server.silent = True
+            await asyncio.sleep(CUT_S)
+            record.write(
+                f"{runner.name} is back, {len(runner.finished)} ends to be listed"
+            )
+            runner.server.silent = False
+        else:
+            await asyncio.sleep(CUT_S)
+        await asyncio.sleep(12)
+        return find_repeated_runs(record, JOBS)
 
 
 main(case)
--- a/review/standins/standin_platform.py
+++ b/review/standins/standin_platform.py
@@ -187,6 +187,7 @@
         self.capacity = capacity
         self.server = WebServer(self._handle)
         self.registered = True
+        self.fails_all = False
         self.up = False
         self.rack = "r1"
         self.state = "ready"
@@ -311,6 +312,8 @@
             index = int(task.rsplit(".", 1)[1])
             took_ms = plan["ms"] + plan.get("spread_ms", 0) * index / plan.get("of", 1)
             how = "failed" if number <= plan.get("fails", 0) else "done"
+            if self.fails_all:
+                took_ms, how = 50, "failed"
             loop = asyncio.get_running_loop()
             run.timer = loop.call_later(took_ms / 1000, self._end, task, how)
         return 200, self._clock()
