--- a/basilhold/workflows/pool.py
+++ b/basilhold/workflows/pool.py
@@ -121,7 +121,8 @@
     started_ms, sent_ms, confirmed_ms : float
         Time of the event loop's clock at which the start was decided, at which it was
         sent, and at which the worker first confirmed or listed the run, in
-        milliseconds; 0 if this owner does not know it.
+        milliseconds; 0 if this owner does not know it. The start of a restored run is
+        the time of the takeover.
     until_clock_ms : float
         Time of the worker's clock, in milliseconds, after which an unanswered start can
         no longer take effect.
@@ -153,6 +154,8 @@
     disconnected_ms : float
         Time of the event loop's clock at which the connection broke over which the
         start had been sent, in milliseconds; 0 if it has not.
+    is_restored : bool
+        Whether a previous owner has started the run.
     """
 
     key: RunKey
@@ -177,6 +180,7 @@
     size: Resources = Resources()
     is_suspect: bool = False
     disconnected_ms: float = 0.0
+    is_restored: bool = False
 
     @property
     def may_have_begun(self) -> bool:
@@ -543,7 +547,8 @@
     if run is None or run.number != listed.number:
         result.unknown.append(listed)
         return
-    if run.stage in (RunStage.STARTING, RunStage.UNCERTAIN):
+    is_unconfirmed = run.stage in (RunStage.STARTING, RunStage.UNCERTAIN)
+    if is_unconfirmed or not run.confirmed_ms:
         run.stage = RunStage.RUNNING
         run.confirmed_ms = now_ms
     if listed.checkpoint and listed.checkpoint != run.checkpoint:
--- a/basilhold/workflows/recovery.py
+++ b/basilhold/workflows/recovery.py
@@ -188,6 +188,7 @@
                 tenant=workflow.spec.tenant,
                 size=step.size,
                 is_suspect=workflow.is_suspect(key),
+                is_restored=True,
             )
             worker.add(run)
             # It was up at its last start, at least.
--- a/basilhold/workflows/run_controller.py
+++ b/basilhold/workflows/run_controller.py
@@ -402,7 +402,8 @@
     ) -> None:
         """Update the run times and failure count of a worker from a run's outcome."""
         now_ms = self._state.clock.monotonic_ms()
-        if run is not None and end.kind is EndKind.DONE and run.confirmed_ms:
+        is_timed = run is not None and run.confirmed_ms and not run.is_restored
+        if is_timed and end.kind is EndKind.DONE:
             step_key = StepKey(key.job_id, key.task.occurrence, key.task.step)
             self._state.run_times.record(
                 step_key, step, worker, now_ms - run.started_ms
--- /dev/null
+++ b/basilhold/workflows/tests/test_withheld_workers.py
@@ -0,0 +1,82 @@
+"""Tests of the rules that withhold workers from new work: each of them must end."""
+
+import asyncio
+import random
+
+import msgspec
+
+from basilhold.core import Resources
+from basilhold.testing import VirtualTimeTestCase
+from basilhold.testing.workflow_cell import WorkflowCell, make_spec
+from basilhold.workflows.model import StepSpec
+from basilhold.workflows.progress import WorkflowState
+
+WORKER_COUNT = 8
+START_LIMIT_S = 3.0
+"""Time for which a workflow that fits twice over may wait for its first start."""
+
+
+def make_workflow(number, *steps):
+    spec = make_spec(number, random.Random(0))
+    policy = msgspec.structs.replace(spec.policy, advice=None)
+    return msgspec.structs.replace(spec, steps=steps, policy=policy)
+
+
+def make_step(count=1, estimate_ms=500.0, **changes):
+    return StepSpec(count, Resources(1_500, 1 << 20, 0), estimate_ms, **changes)
+
+
+class WithheldWorkersTest(VirtualTimeTestCase):
+    """Guards against workers that never get new work again although they are idle."""
+
+    async def check_work_starts(self, cell, first):
+        """Check that some small workflows start and end soon."""
+        specs = [make_workflow(first + n, make_step(2)) for n in range(4)]
+        for spec in specs:
+            await cell.submit(spec)
+        await asyncio.sleep(START_LIMIT_S)
+        started = {key.job_id for key in cell.runners.started}
+        self.assertLessEqual({spec.job_id for spec in specs}, started)
+        await asyncio.sleep(3)
+        front = next(iter(cell.processes.values())).front
+        for spec in specs:
+            _, state = await front.state(spec.policy, spec.job_id)
+            self.assertIs(state, WorkflowState.COMPLETED)
+
+    async def submit_lasting(self, cell, count):
+        """Submit workflows of one long-running task each, and wait until all run."""
+        for number in range(count):
+            step = make_step(long_running=True)
+            await cell.submit(make_workflow(1 + number, step))
+        await asyncio.sleep(3)
+
+    async def crash_busiest(self, cell):
+        """Crash the worker with the most runs, which is back after 1 s under its id."""
+        up = [runner for runner in cell.runners.runners.values() if runner.up]
+        runner = max(up, key=lambda runner: len(runner.runs))
+        runner.crash(refuses_connections=True)
+        await asyncio.sleep(1)
+        info = runner.info
+        cell.start_worker(info.worker_id, info.capacity, info.endpoint)
+
+    async def take_over(self, cell):
+        """Replace the owner of the service."""
+        owner = cell.owner_name()
+        await cell.kill_process(owner)
+        cell.start_process(owner)
+        await asyncio.sleep(8)
+
+    async def test_suspects_are_cleared_by_the_next_owner(self):
+        # Suspects that were at work during a takeover were never cleared, and kept all
+        # other work from their workers.
+        async with WorkflowCell(worker_count=WORKER_COUNT) as cell:
+            await asyncio.sleep(1)
+            await self.submit_lasting(cell, WORKER_COUNT)
+            for _ in range(2):
+                await self.crash_busiest(cell)
+                await asyncio.sleep(2.6)
+            occupied = [r for r in cell.runners.runners.values() if r.up and r.runs]
+            self.assertEqual(len(occupied), WORKER_COUNT)
+            await self.take_over(cell)
+            await self.check_work_starts(cell, 100)
+            self.assertEqual(cell.runners.violations, [])
