Bound the time for which a suspect keeps its worker to itself

What callers would have seen: with suspects on all workers, nothing else starts for twice the age that they had at the crash, up to 10 s for a long-running task and without a limit for others.

Cause: the way out of the isolation is the clearance of the suspect, whose time grows with the age at the crash.

Change: a worker is isolated for 3 s after the start of a suspect, or after a takeover. The suspicion lasts as before, so a crash after that still blames the suspect. 3 s covers the clearance of tasks that crash within 1.3 s of their start; LOST allows 3 s after 4 calm ones.

Test: test_suspects_keep_their_workers_for_a_short_time_only, which failed before (four workflows are not started within 3 s).

--- a/basilhold/workflows/planner.py
+++ b/basilhold/workflows/planner.py
@@ -336,7 +336,9 @@
 
     def _plan_step(self, step: ReadyStep) -> None:
         suitable = [
-            w for w in self._workers if w.is_admissible(step.spec) and not w.suspects
+            worker
+            for worker in self._workers
+            if worker.is_admissible(step.spec) and not worker.is_isolated(self._now_ms)
         ]
         if not suitable:
             return
--- a/basilhold/workflows/pool.py
+++ b/basilhold/workflows/pool.py
@@ -41,6 +41,11 @@
 """Consecutive failed runs after which a worker temporarily receives no new runs."""
 
 
+ISOLATED_RUN_MAX_MS = 3_000.0
+"""Time from the start of a suspect, or from a takeover, up to which nothing else starts
+on its worker."""
+
+
 class RunKey(NamedTuple):
     """Identifies a task among all workflows of a service."""
 
@@ -282,7 +287,7 @@
     round_trip_ms : float
         Shortest time from a call to its reply, in milliseconds; 0 if none is known.
     suspects : dict of RunKey to Run
-        Runs that may crash the worker. While there are any, no others start here.
+        Runs that may crash the worker.
     """
 
     def __init__(self, info: WorkerInfo, usage: TenantUsage | None = None):
@@ -349,6 +354,13 @@
         if run is not None:
             run.is_suspect = False
 
+    def is_isolated(self, now_ms: float) -> bool:
+        """Return whether nothing but suspects of one workflow may start here."""
+        return any(
+            now_ms - run.started_ms < ISOLATED_RUN_MAX_MS
+            for run in self.suspects.values()
+        )
+
     def has_started_recently(self, now_ms: float) -> bool:
         """Return whether a run has just begun, or is about to begin, on this worker."""
         return any(
--- a/basilhold/workflows/tests/test_withheld_workers.py
+++ b/basilhold/workflows/tests/test_withheld_workers.py
@@ -48,7 +48,7 @@
         for number in range(count):
             step = make_step(long_running=True)
             await cell.submit(make_workflow(1 + number, step))
-        await asyncio.sleep(3)
+        await asyncio.sleep(0.5)
 
     async def crash_busiest(self, cell):
         """Crash the worker with the most runs, which is back after 1 s under its id."""
@@ -59,6 +59,23 @@
         info = runner.info
         cell.start_worker(info.worker_id, info.capacity, info.endpoint)
 
+    async def spread_suspects(self, cell, age_s):
+        """Let a long-running task that is a suspect run on each worker.
+
+        Parameters
+        ----------
+        cell : WorkflowCell
+        age_s : float
+            Age of the runs at two crashes of their worker, in seconds.
+        """
+        await self.submit_lasting(cell, WORKER_COUNT)
+        for _ in range(2):
+            await asyncio.sleep(age_s)
+            await self.crash_busiest(cell)
+        await asyncio.sleep(2.6)
+        occupied = [r for r in cell.runners.runners.values() if r.up and r.runs]
+        self.assertEqual(len(occupied), WORKER_COUNT)
+
     async def take_over(self, cell):
         """Replace the owner of the service."""
         owner = cell.owner_name()
@@ -71,12 +88,15 @@
         # other work from their workers.
         async with WorkflowCell(worker_count=WORKER_COUNT) as cell:
             await asyncio.sleep(1)
-            await self.submit_lasting(cell, WORKER_COUNT)
-            for _ in range(2):
-                await self.crash_busiest(cell)
-                await asyncio.sleep(2.6)
-            occupied = [r for r in cell.runners.runners.values() if r.up and r.runs]
-            self.assertEqual(len(occupied), WORKER_COUNT)
+            await self.spread_suspects(cell, age_s=2.6)
             await self.take_over(cell)
             await self.check_work_starts(cell, 100)
             self.assertEqual(cell.runners.violations, [])
+
+    async def test_suspects_keep_their_workers_for_a_short_time_only(self):
+        # A suspect kept other work from its worker for twice its age at the crash.
+        async with WorkflowCell(worker_count=WORKER_COUNT) as cell:
+            await asyncio.sleep(1)
+            await self.spread_suspects(cell, age_s=8.0)
+            await self.check_work_starts(cell, 100)
+            self.assertEqual(cell.runners.violations, [])
