--- a/basilhold/workflows/owner.py
+++ b/basilhold/workflows/owner.py
@@ -507,6 +507,7 @@
             await asyncio.sleep(DUE_CHECK_INTERVAL_MS / 1000)
             now_ms = self._state.clock.monotonic_ms()
             self._worker_tracker.remove_expired_workers(now_ms)
+            self._worker_tracker.end_probations(now_ms)
             self._run_controller.clear_suspects(now_ms)
             self._forget_crashes(now_ms)
             self._stop_stragglers(now_ms)
--- a/basilhold/workflows/pool.py
+++ b/basilhold/workflows/pool.py
@@ -22,6 +22,7 @@
     "ListedRun",
     "Listing",
     "LossReason",
+    "PROBE_MS",
     "Pool",
     "Run",
     "RunKey",
@@ -40,6 +41,10 @@
 FAILED_RUNS_MAX = 3
 """Consecutive failed runs after which a worker temporarily receives no new runs."""
 
+PROBE_MS = 2_500.0
+"""Time from the start of a run after which it shows that its worker is sound, although
+it has not ended."""
+
 
 ISOLATED_RUN_MAX_MS = 3_000.0
 """Time from the start of a suspect, or from a takeover, up to which nothing else starts
@@ -265,6 +270,8 @@
         Last ended run that may be acknowledged to the worker, and last one processed.
     failed_runs : int
         Consecutive failed runs.
+    failed_ms : float
+        Time of the event loop's clock at which the last of them ended, in milliseconds.
     avoid_until_ms : float
         Time of the event loop's clock before which no runs are placed here, in
         milliseconds.
@@ -306,6 +313,7 @@
         self.acknowledged_sequence = 0
         self.processed_sequence = 0
         self.failed_runs = 0
+        self.failed_ms = 0.0
         self.avoid_until_ms = 0.0
         self.run_time_ratio = 1.0
         self.draining_since_ms = 0.0
@@ -401,8 +409,23 @@
             return False
         if now_ms < self.avoid_until_ms:
             return False
-        # After repeated failures, a worker gets one run at a time until one succeeds.
-        return self.failed_runs < FAILED_RUNS_MAX or not self.runs
+        # After repeated failures, a worker gets the runs of one planning pass at a time
+        # as probes until one succeeds.
+        return self.failed_runs < FAILED_RUNS_MAX or not self._probes()
+
+    def _probes(self) -> list[Run]:
+        """Return the runs that have been placed here since the last failure."""
+        return [run for run in self.runs.values() if run.started_ms >= self.failed_ms]
+
+    def end_probation(self, now_ms: float) -> None:
+        """Accept new runs again if a probe has been at work for long enough.
+
+        The next failure makes the worker avoided again.
+        """
+        if self.failed_runs < FAILED_RUNS_MAX:
+            return
+        if any(now_ms - run.started_ms >= PROBE_MS for run in self._probes()):
+            self.failed_runs = FAILED_RUNS_MAX - 1
 
     def has_room(self, step: StepSpec) -> bool:
         """Return whether one task of a step fits into the free capacity."""
@@ -445,6 +468,7 @@
             self.avoid_until_ms = 0.0
             return False
         self.failed_runs += 1
+        self.failed_ms = now_ms
         if self.failed_runs < FAILED_RUNS_MAX:
             return False
         self.avoid_until_ms = now_ms + avoid_ms
--- a/basilhold/workflows/tests/test_withheld_workers.py
+++ b/basilhold/workflows/tests/test_withheld_workers.py
@@ -9,7 +9,9 @@
 from basilhold.testing import VirtualTimeTestCase
 from basilhold.testing.workflow_cell import WorkflowCell, make_spec
 from basilhold.workflows.model import StepSpec
-from basilhold.workflows.progress import WorkflowState
+from basilhold.workflows.pool import PROBE_MS
+from basilhold.workflows.progress import EndKind, WorkflowState
+from basilhold.workflows.run_controller import AVOID_FAILING_WORKER_MS
 
 WORKER_COUNT = 8
 START_LIMIT_S = 3.0
@@ -100,3 +102,36 @@
             await self.spread_suspects(cell, age_s=8.0)
             await self.check_work_starts(cell, 100)
             self.assertEqual(cell.runners.violations, [])
+
+    async def fail_three_runs(self, cell, number):
+        """Submit a workflow of three tasks, and let the only worker fail them."""
+        spec = make_workflow(number, make_step(3, estimate_ms=9_000.0))
+        await cell.submit(spec)
+        await asyncio.sleep(1)
+        (runner,) = cell.runners.runners.values()
+        failing = [key for key in runner.runs if key.job_id == spec.job_id]
+        self.assertEqual(len(failing), 3)
+        for key in failing:
+            runner.end(key, EndKind.FAILED)
+        await asyncio.sleep(AVOID_FAILING_WORKER_MS / 1000)
+
+    async def test_failing_worker_with_a_long_running_task_gets_work_again(self):
+        # A worker with three failed runs in a row had to be idle for the next one. One
+        # with a long-running task never is, and got no work any more.
+        async with WorkflowCell(worker_count=1) as cell:
+            await asyncio.sleep(1)
+            await self.submit_lasting(cell, 1)
+            await self.fail_three_runs(cell, 50)
+            await self.check_work_starts(cell, 100)
+            self.assertEqual(cell.runners.violations, [])
+
+    async def test_probe_that_lasts_ends_the_probation(self):
+        # The run that a failing worker gets as a probe may last itself, or take long.
+        async with WorkflowCell(worker_count=1) as cell:
+            await asyncio.sleep(1)
+            await cell.submit(make_workflow(49, make_step(1, estimate_ms=60_000.0)))
+            await self.fail_three_runs(cell, 50)
+            await self.submit_lasting(cell, 1)
+            await asyncio.sleep(PROBE_MS / 1000)
+            await self.check_work_starts(cell, 100)
+            self.assertEqual(cell.runners.violations, [])
--- a/basilhold/workflows/worker_tracker.py
+++ b/basilhold/workflows/worker_tracker.py
@@ -89,6 +89,12 @@
             if unlinked and now_ms > worker.lease_expires_ms:
                 self._handle_worker_loss(worker, LossReason.EXPIRED)
 
+    def end_probations(self, now_ms: float) -> None:
+        """Let workers get more work whose probes have been at work for long enough."""
+        for worker in self._state.pool.workers.values():
+            if not worker.silent_since_ms:
+                worker.end_probation(now_ms)
+
     async def refresh_registrations(self) -> None:
         """Read the registrations once; nothing changes if they cannot be read."""
         result = await self._state.ports.registry.read()
