Do not avoid workers because of tasks that are slow on every worker

What callers would have seen: nothing new starts while tasks whose estimates are far too low run on all workers, however much room is free.

Cause: a worker with two overdue runs is avoided for 2.5 s more at each check. Runs whose tasks have used up their restarts stay overdue until they end, and so does the avoidance.

Change: only runs that are about to be restarted count. The limit of restarts moves into find_stragglers, which therefore returns just these.

--- a/basilhold/workflows/owner.py
+++ b/basilhold/workflows/owner.py
@@ -547,16 +547,16 @@
             run = straggler.run
             key = run.key.task
             step_key = StepKey(run.key.job_id, key.occurrence, key.step)
-            if self._state.run_times.count_restart(step_key, key.index):
-                log_event(
-                    events.RUN_OVERDUE,
-                    task=task_name(run.key.job_id, key),
-                    run=run.number,
-                    worker=straggler.worker.worker_id,
-                    after_ms=round(now_ms - run.started_ms),
-                )
-                self._avoid_worker_for_task(run, straggler.worker)
-                self._run_controller.stop(straggler.worker, run)
+            self._state.run_times.count_restart(step_key, key.index)
+            log_event(
+                events.RUN_OVERDUE,
+                task=task_name(run.key.job_id, key),
+                run=run.number,
+                worker=straggler.worker.worker_id,
+                after_ms=round(now_ms - run.started_ms),
+            )
+            self._avoid_worker_for_task(run, straggler.worker)
+            self._run_controller.stop(straggler.worker, run)
 
     def _evacuate(self, now_ms: float) -> None:
         """Move long-running tasks off draining workers."""
--- a/basilhold/workflows/stragglers.py
+++ b/basilhold/workflows/stragglers.py
@@ -72,8 +72,8 @@
             expected_ms *= ESTIMATE_FACTOR
         return OVERDUE_FACTOR * expected_ms + OVERDUE_MARGIN_MS
 
-    def count_restart(self, key: StepKey, index: int) -> bool:
-        """Count a restart of a task and return whether it is allowed.
+    def may_restart(self, key: StepKey, index: int) -> bool:
+        """Return whether an overdue run of a task may be restarted.
 
         Parameters
         ----------
@@ -81,9 +81,11 @@
         index : int
             Index of the task in its step.
         """
-        count = self._restarts.get((key, index), 0)
-        self._restarts[key, index] = count + 1
-        return count < RESTARTS_MAX
+        return self._restarts.get((key, index), 0) < RESTARTS_MAX
+
+    def count_restart(self, key: StepKey, index: int) -> None:
+        """Count a restart of a task."""
+        self._restarts[key, index] = self._restarts.get((key, index), 0) + 1
 
     def remove_job(self, job_id: JobId) -> None:
         """Discard the records of a workflow that has ended."""
@@ -103,7 +105,7 @@
 def find_stragglers(
     pool: Pool, run_times: RunTimes, now_ms: float
 ) -> tuple[list[Straggler], list[WorkerId]]:
-    """Return the overdue runs and the slow workers.
+    """Return the overdue runs that may be restarted, and the slow workers.
 
     Parameters
     ----------
@@ -116,7 +118,8 @@
     -------
     stragglers : list of Straggler
     slow_workers : list of WorkerId
-        Workers on which at least two runs are overdue.
+        Workers on which at least two of these runs are overdue. Tasks that have been
+        slow on several workers say nothing about the next one.
     """
     stragglers: list[Straggler] = []
     slow_workers: list[WorkerId] = []
@@ -134,10 +137,13 @@
 
 
 def _is_overdue(run: Run, run_times: RunTimes, now_ms: float) -> bool:
+    """Return whether a run is overdue and its task may be restarted."""
     step = run.step
     if step is None or step.long_running or step.gang or step.uses_spare_cores:
         return False
     if run.stop_wanted or run.stage is not RunStage.RUNNING or not run.confirmed_ms:
         return False
     key = StepKey(run.key.job_id, run.key.task.occurrence, run.key.task.step)
-    return now_ms - run.started_ms > run_times.limit_ms(key, step)
+    if now_ms - run.started_ms <= run_times.limit_ms(key, step):
+        return False
+    return run_times.may_restart(key, run.key.task.index)
--- a/basilhold/workflows/tests/test_withheld_workers.py
+++ b/basilhold/workflows/tests/test_withheld_workers.py
@@ -135,3 +135,18 @@
             await asyncio.sleep(PROBE_MS / 1000)
             await self.check_work_starts(cell, 100)
             self.assertEqual(cell.runners.violations, [])
+
+    async def test_tasks_that_take_long_everywhere_do_not_keep_their_workers(self):
+        # Two overdue runs kept all new work from their worker for as long as they took,
+        # also those that were not restarted any more as they are slow on each worker.
+        async with WorkflowCell(worker_count=2) as cell:
+            await asyncio.sleep(1)
+            step = make_step(4, estimate_ms=500.0, per_worker_max=2)
+            spec = make_workflow(50, step)
+            slow = msgspec.structs.replace(step, estimate_ms=90_000.0)
+            await cell.submit(spec, make_workflow(50, slow))
+            await asyncio.sleep(20)
+            counts = [len(runner.runs) for runner in cell.runners.runners.values()]
+            self.assertEqual(counts, [2, 2])
+            await self.check_work_starts(cell, 100)
+            self.assertEqual(cell.runners.violations, [])
