--- a/basilhold/workflows/committer.py
+++ b/basilhold/workflows/committer.py
@@ -14,7 +14,13 @@
 from basilhold.workflows.owner_state import LeaseLostError, OwnerState
 from basilhold.workflows.planner import Placement
 from basilhold.workflows.progress import Workflow, WorkflowState
-from basilhold.workflows.rows import allotments_key, cancel_key, progress_key, spec_key
+from basilhold.workflows.rows import (
+    allotments_key,
+    cancel_key,
+    location_key,
+    progress_key,
+    spec_key,
+)
 
 __all__ = ["Committer"]
 
@@ -261,4 +267,5 @@
         service, job_id = self._state.service, workflow.job_id
         chunks = range(workflow.chunk_count - 1, -1, -1)
         keys = [progress_key(service, job_id, chunk) for chunk in chunks]
-        return [*keys, cancel_key(service, job_id), spec_key(service, job_id)]
+        last = [spec_key(service, job_id), location_key(job_id)]
+        return [*keys, cancel_key(service, job_id), *last]
--- a/basilhold/workflows/frontend.py
+++ b/basilhold/workflows/frontend.py
@@ -19,8 +19,6 @@
 )
 from basilhold.observability import log_event
 from basilhold.ports import (
-    ABSENT,
-    Condition,
     Row,
     StoreError,
     StoreErrorKind,
@@ -32,6 +30,7 @@
 from basilhold.workflows import events
 from basilhold.workflows.background_tasks import BackgroundTasks
 from basilhold.workflows.configuration_watch import ConfigurationWatch
+from basilhold.workflows.job_locations import JobLocator, make_submission
 from basilhold.workflows.model import QueueName, QueuePolicy, WorkflowSpec
 from basilhold.workflows.ownership_manager import OwnershipManager
 from basilhold.workflows.peers import (
@@ -81,6 +80,10 @@
 
 STATE_ATTEMPTS = 3
 
+LENGTH_ELSEWHERE_MAX_AGE_MS = 1_000.0
+"""Age up to which the number of a queue's workflows at other services is used again.
+Callers may be told a length that is 2 s old."""
+
 SLOW_OWNER_MS = 400.0
 SLOW_OWNER_PAUSE_MS = 2_000.0
 """An owner that took more than `SLOW_OWNER_MS` to reply, or did not reply, is skipped
@@ -109,6 +112,23 @@
     tenant: TenantName
 
 
+class _LengthElsewhere(msgspec.Struct, frozen=True):
+    """Unstarted workflows of a queue at all services but one.
+
+    Parameters
+    ----------
+    service : ServiceName
+        The one that is left out.
+    asked_ms : float
+        Monotonic time at which the owners were asked, in milliseconds.
+    length : int
+    """
+
+    service: ServiceName
+    asked_ms: float
+    length: int
+
+
 class WorkflowFrontend(PeerService):
     """Serves requests of callers and calls of peers in one process.
 
@@ -150,6 +170,8 @@
         self._final_states: dict[JobId, _FinalState] = {}
         self._skip_until_ms: dict[str, float] = {}
         self._tasks = BackgroundTasks()
+        self._locator = JobLocator(table, ownership_manager.known_services)
+        self._lengths_elsewhere: dict[QueueName, _LengthElsewhere] = {}
 
     async def close(self) -> None:
         """Cancel pending notices to owners."""
@@ -167,23 +189,8 @@
         deadline_ms : float
             Monotonic time in milliseconds after which the submission is not retried.
         """
-        outcome = await self._store(spec, deadline_ms)
-        if outcome is StoreOutcome.STORED:
-            log_event(
-                events.WORKFLOW_ACCEPTED,
-                job=spec.job_id,
-                queue=spec.policy.name,
-                service=spec.policy.service,
-                tenant=spec.tenant,
-            )
-            self._announce(spec)
-        return outcome
-
-    async def _store(self, spec: WorkflowSpec, deadline_ms: float) -> StoreOutcome:
-        key = spec_key(spec.policy.service, spec.job_id)
-        transaction = Transaction(
-            (Condition(key, ABSENT),), (Write(key, msgspec.json.encode(spec)),)
-        )
+        services = self._ownership_manager.known_services()
+        transaction = make_submission(spec, services)
         begin_ms = self._clock.monotonic_ms()
         if self._outage_ms():
             return StoreOutcome.NOT_STORED
@@ -191,9 +198,10 @@
         while True:
             result = await self._table.transact(transaction)
             if result.is_ok():
+                self._on_stored(spec)
                 return StoreOutcome.STORED
             if result.error.kind is StoreErrorKind.CONFLICT:
-                return await self._check_tenant(spec)
+                return await self._handle_conflict(spec, result.error)
             unknown = unknown or result.error.kind is StoreErrorKind.UNKNOWN
             retry_ms = UNKNOWN_RETRY_MS if unknown else NOT_STORED_RETRY_MS
             limit_ms = min(deadline_ms, begin_ms + retry_ms)
@@ -201,6 +209,29 @@
                 return StoreOutcome.UNKNOWN if unknown else StoreOutcome.NOT_STORED
             await asyncio.sleep(RETRY_DELAY_MS / 1000)
 
+    def _on_stored(self, spec: WorkflowSpec) -> None:
+        """Log a workflow that is stored under its present service; tell the owner."""
+        log_event(
+            events.WORKFLOW_ACCEPTED,
+            job=spec.job_id,
+            queue=spec.policy.name,
+            service=spec.policy.service,
+            tenant=spec.tenant,
+        )
+        self._announce(spec)
+
+    async def _handle_conflict(
+        self, spec: WorkflowSpec, error: StoreError
+    ) -> StoreOutcome:
+        """Return the outcome of a submission whose id is stored already."""
+        outcome = await self._check_tenant(spec)
+        key = spec_key(spec.policy.service, spec.job_id)
+        # The owner of this service must not learn of a workflow of another one.
+        is_stored_here = any(conflict.key == key for conflict in error.conflicts)
+        if outcome is StoreOutcome.STORED and is_stored_here:
+            self._on_stored(spec)
+        return outcome
+
     async def _check_tenant(self, spec: WorkflowSpec) -> StoreOutcome:
         """Return the outcome of a submission whose id is stored already."""
         if not spec.tenant:
@@ -283,16 +314,35 @@
         if final is not None:
             return _visible_state(final.state, final.tenant, tenant)
         for _ in range(STATE_ATTEMPTS):
-            reply = await self._request_state(policy.service, job_id)
-            if reply.current and reply.state is not None:
-                self._cache_final_state(job_id, reply.state, reply.tenant)
-                return _visible_state(reply.state, reply.tenant, tenant)
-            existence, state = await self._read_state(policy.service, job_id, tenant)
+            existence, state = await self._state_at(policy.service, job_id, tenant)
+            if existence is Existence.ABSENT:
+                existence, state = await self._state_elsewhere(policy, job_id, tenant)
             if existence is not Existence.UNKNOWN:
                 return existence, state
             await asyncio.sleep(RETRY_DELAY_MS / 1000)
         return Existence.UNKNOWN, None
 
+    async def _state_at(
+        self, service: ServiceName, job_id: JobId, asking: TenantName | None
+    ) -> tuple[Existence, WorkflowState | None]:
+        """Return the state of a workflow of a service, from its owner or the store."""
+        reply = await self._request_state(service, job_id)
+        if reply.current and reply.state is not None:
+            self._cache_final_state(job_id, reply.state, reply.tenant)
+            return _visible_state(reply.state, reply.tenant, asking)
+        return await self._read_state(service, job_id, asking)
+
+    async def _state_elsewhere(
+        self, policy: QueuePolicy, job_id: JobId, asking: TenantName | None
+    ) -> tuple[Existence, WorkflowState | None]:
+        """Return the state of a workflow submitted before its queue has moved."""
+        found = await self._locator.find_elsewhere(policy.service, job_id)
+        if found.is_error():
+            return Existence.UNKNOWN, None
+        if found.ok is None:
+            return Existence.ABSENT, None
+        return await self._state_at(found.ok, job_id, asking)
+
     async def _request_state(self, service: ServiceName, job_id: JobId) -> StateReply:
         local = self._ownership_manager.local_owner(service)
         if local is not None:
@@ -364,22 +414,37 @@
             `EXISTS` if the cancellation is stored, `ABSENT` if there is no such
             workflow, `UNKNOWN` if the store did not confirm it in time.
         """
-        service = policy.service
-        key = cancel_key(service, job_id)
-        write = Transaction((), (Write(key, b"{}"),))
         while True:
-            read = await self._table.read((spec_key(service, job_id),))
-            if read.is_ok():
-                if not read.ok:
-                    return Existence.ABSENT
-                owning = _decode_tenant(next(iter(read.ok.values())))
-                if owning is not None and not _is_visible(owning, tenant):
-                    return Existence.ABSENT
-                if owning is not None and (await self._table.transact(write)).is_ok():
-                    break
+            existence = await self._cancel_at(policy.service, job_id, tenant)
+            if existence is Existence.ABSENT:
+                found = await self._locator.find_elsewhere(policy.service, job_id)
+                if found.is_error():
+                    existence = Existence.UNKNOWN
+                elif found.ok is not None:
+                    existence = await self._cancel_at(found.ok, job_id, tenant)
+            if existence is not Existence.UNKNOWN:
+                return existence
             if self._clock.monotonic_ms() + RETRY_DELAY_MS > deadline_ms:
                 return Existence.UNKNOWN
             await asyncio.sleep(RETRY_DELAY_MS / 1000)
+
+    async def _cancel_at(
+        self, service: ServiceName, job_id: JobId, asking: TenantName | None
+    ) -> Existence:
+        """Try once to store the cancellation of a workflow of a service."""
+        read = await self._table.read((spec_key(service, job_id),))
+        if read.is_error():
+            return Existence.UNKNOWN
+        if not read.ok:
+            return Existence.ABSENT
+        owning = _decode_tenant(next(iter(read.ok.values())))
+        if owning is None:
+            return Existence.UNKNOWN
+        if not _is_visible(owning, asking):
+            return Existence.ABSENT
+        write = Write(cancel_key(service, job_id), b"{}")
+        if (await self._table.transact(Transaction((), (write,)))).is_error():
+            return Existence.UNKNOWN
         self._tasks.start(self._announce_cancelled(service, job_id))
         return Existence.EXISTS
 
@@ -397,14 +462,53 @@
             await asyncio.sleep(RETRY_DELAY_MS / 1000)
 
     async def queue_length(self, policy: QueuePolicy) -> int | None:
-        """Return the number of unstarted workflows, or ``None`` if it is unknown."""
-        local = self.local_queue_length(policy.service, policy.name)
+        """Return the number of unstarted workflows, or ``None`` if it is unknown.
+
+        Workflows that were submitted before the queue was sent to its present service
+        count too.
+        """
+        length, elsewhere = await asyncio.gather(
+            self._queue_length_at(policy.service, policy.name),
+            self._queue_length_elsewhere(policy),
+        )
+        return None if length is None else length + elsewhere
+
+    async def _queue_length_at(
+        self, service: ServiceName, queue: QueueName
+    ) -> int | None:
+        local = self.local_queue_length(service, queue)
         if local is not None:
             return local
-        endpoint = self._ownership_manager.remote_owner_endpoint(policy.service)
+        endpoint = self._ownership_manager.remote_owner_endpoint(service)
         if not endpoint:
             return None
-        return await self._peers.queue_length(endpoint, policy.service, policy.name)
+        return await self._peers.queue_length(endpoint, service, queue)
+
+    async def _queue_length_elsewhere(self, policy: QueuePolicy) -> int:
+        """Return the number of unstarted workflows at other services than the present.
+
+        Their owners are asked at most every `LENGTH_ELSEWHERE_MAX_AGE_MS`.
+        """
+        now_ms = self._clock.monotonic_ms()
+        known = self._lengths_elsewhere.get(policy.name)
+        if (
+            known is not None
+            and known.service == policy.service
+            and now_ms - known.asked_ms < LENGTH_ELSEWHERE_MAX_AGE_MS
+        ):
+            return known.length
+        services = self._ownership_manager.known_services()
+        lengths = await asyncio.gather(
+            *(
+                self._queue_length_at(service, policy.name)
+                for service in services
+                if service != policy.service
+            )
+        )
+        length = sum(count or 0 for count in lengths)
+        entry = _LengthElsewhere(policy.service, now_ms, length)
+        self._lengths_elsewhere[policy.name] = entry
+        return length
 
     # Calls of peers.
 
--- a/basilhold/workflows/ownership_manager.py
+++ b/basilhold/workflows/ownership_manager.py
@@ -147,6 +147,18 @@
         lease = self._leases.get(service)
         return lease is not None and not lease.is_lost
 
+    def known_services(self) -> tuple[ServiceName, ...]:
+        """Return the services of the newest configuration, and those with an owner.
+
+        A service that a version of the configuration has dropped may still have
+        workflows. Returns nothing before a configuration is known.
+        """
+        configured = self._services()
+        if not configured:
+            return ()
+        owned = (name for name, view in self._views.items() if view.record is not None)
+        return tuple(dict.fromkeys((*configured, *owned)))
+
     def members(self) -> list[Member]:
         """Return the processes that are believed to be alive, this one first."""
         return self._members.alive()
--- a/basilhold/workflows/rows.py
+++ b/basilhold/workflows/rows.py
@@ -9,12 +9,14 @@
 __all__ = [
     "QUOTA_HOME_KEY",
     "Incarnation",
+    "JobLocation",
     "OwnerRecord",
     "allotments_key",
     "allotments_prefix",
     "cancel_key",
     "jobs_prefix",
     "jobs_prefixes",
+    "location_key",
     "owner_key",
     "parse_allotments_key",
     "parse_progress_key",
@@ -28,6 +30,7 @@
 
 OWNERS_PREFIX = "owners/"
 JOBS_PREFIX = "jobs/"
+LOCATIONS_PREFIX = "locations/"
 JOB_SHARDS = 16
 """Number of shards over which a service's submissions are spread."""
 
@@ -67,6 +70,18 @@
     member_count: int = 0
 
 
+class JobLocation(msgspec.Struct, frozen=True):
+    """Where the rows of a workflow are.
+
+    Parameters
+    ----------
+    service : ServiceName
+        Service that the workflow's queue had when the workflow was submitted.
+    """
+
+    service: ServiceName
+
+
 def owner_key(service: ServiceName) -> str:
     """Return the key of a service's owner record."""
     return f"{OWNERS_PREFIX}{service}/owner"
@@ -88,8 +103,22 @@
 
 def spec_key(service: ServiceName, job_id: JobId) -> str:
     """Return the key of a workflow's stored specification."""
-    shard = int(job_id[-1], 16) % JOB_SHARDS
-    return f"{jobs_prefix(service)}{shard:x}/{job_id}"
+    return f"{jobs_prefix(service)}{_shard_of(job_id)}/{job_id}"
+
+
+def location_key(job_id: JobId) -> str:
+    """Return the key of a workflow's location, which is the same for all services.
+
+    Examples
+    --------
+    >>> location_key("00fc")
+    'locations/c/00fc'
+    """
+    return f"{LOCATIONS_PREFIX}{_shard_of(job_id)}/{job_id}"
+
+
+def _shard_of(job_id: JobId) -> str:
+    return f"{int(job_id[-1], 16) % JOB_SHARDS:x}"
 
 
 def cancel_key(service: ServiceName, job_id: JobId) -> str:
