Ignore the feed's rows of services with longer names

What callers would have seen: tasks of a service `inspect.gpu` that also run on workers of `inspect`.

Cause: the feed of a service asks for the prefix `jobs/inspect.`, which matches `jobs/inspect.gpu.f/...` too. Scans at a takeover name the shard and were right.

Change: the owner takes only rows whose shard follows the service's name.

--- a/basilhold/workflows/owner.py
+++ b/basilhold/workflows/owner.py
@@ -38,7 +38,7 @@
 from basilhold.workflows.quota_keeper import QuotaKeeper
 from basilhold.workflows.ready_steps import ReadyStep, make_ready_step
 from basilhold.workflows.recovery import load_workflows, restore_assignments
-from basilhold.workflows.rows import jobs_prefix, parse_jobs_key
+from basilhold.workflows.rows import is_jobs_key, jobs_prefix, parse_jobs_key
 from basilhold.workflows.run_controller import AVOID_FAILING_WORKER_MS, RunController
 from basilhold.workflows.stragglers import find_stragglers
 from basilhold.workflows.worker_link import OwnerLimits
@@ -483,7 +483,8 @@
                 continue
             self._feed_version = result.ok.version
             for row in result.ok.rows:
-                self._apply_feed_row(row)
+                if is_jobs_key(self._state.service, row.key):
+                    self._apply_feed_row(row)
 
     def _apply_feed_row(self, row: Row) -> None:
         job_id, is_cancel = parse_jobs_key(row.key)
--- a/basilhold/workflows/rows.py
+++ b/basilhold/workflows/rows.py
@@ -14,6 +14,7 @@
     "allotments_key",
     "allotments_prefix",
     "cancel_key",
+    "is_jobs_key",
     "jobs_prefix",
     "jobs_prefixes",
     "location_key",
@@ -101,6 +102,22 @@
     return [f"{jobs_prefix(service)}{shard:x}/" for shard in range(JOB_SHARDS)]
 
 
+def is_jobs_key(service: ServiceName, key: str) -> bool:
+    """Return whether a key under `jobs_prefix` is one of the service.
+
+    The prefix also matches services whose names continue with a dot.
+
+    Examples
+    --------
+    >>> is_jobs_key("inspect", "jobs/inspect.f/00ff")
+    True
+    >>> is_jobs_key("inspect", "jobs/inspect.gpu.f/00ff")
+    False
+    """
+    shard = key.removeprefix(jobs_prefix(service)).split("/", 1)[0]
+    return len(shard) == 1 and key.startswith(jobs_prefix(service))
+
+
 def spec_key(service: ServiceName, job_id: JobId) -> str:
     """Return the key of a workflow's stored specification."""
     return f"{jobs_prefix(service)}{_shard_of(job_id)}/{job_id}"
