Delete the state of a workflow together with its submission

What callers would have seen: tasks of a job that was done long ago run again after a takeover.

Change: the row with the state, the cancellation, the submission and the location go in one commit; further rows of progress go before. The next owner then finds a workflow that has ended, and deletes the rest.

--- a/basilhold/workflows/committer.py
+++ b/basilhold/workflows/committer.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import contextlib
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from typing import NamedTuple
 
 import msgspec
@@ -243,13 +243,12 @@
             ][:EXPIRED_WORKFLOWS_MAX]
             if not expired:
                 continue
-            writes = []
+            groups: list[list[str]] = []
             for workflow in expired:
                 with self._state.guard(workflow, "deleting the rows"):
-                    keys = self._deletion_keys(workflow)
-                    writes.extend(Write(key, None) for key in keys)
-            for start in range(0, len(writes), ROWS_PER_COMMIT):
-                batch = tuple(writes[start : start + ROWS_PER_COMMIT])
+                    groups += self._deletion_groups(workflow)
+            for keys in _pack(groups, ROWS_PER_COMMIT):
+                batch = tuple(Write(key, None) for key in keys)
                 async with self._lock:
                     outcome = await self._state.lease.commit(batch)
                 if outcome is CommitOutcome.LOST:
@@ -258,14 +257,31 @@
                 del self._state.workflows[workflow.job_id]
                 self._state.committed_states.pop(workflow.job_id, None)
 
-    def _deletion_keys(self, workflow: Workflow) -> list[str]:
+    def _deletion_groups(self, workflow: Workflow) -> list[list[str]]:
         """Return the keys of a workflow's rows in the order of deletion.
 
-        The submission comes last, as the other rows are found through it. The next
-        owner can therefore resume an interrupted deletion.
+        The keys of a group are deleted with one commit. Until the last one, the next
+        owner finds the state that the workflow has ended with, and deletes the rest.
         """
         service, job_id = self._state.service, workflow.job_id
-        chunks = range(workflow.chunk_count - 1, -1, -1)
-        keys = [progress_key(service, job_id, chunk) for chunk in chunks]
-        last = [spec_key(service, job_id), location_key(job_id)]
-        return [*keys, cancel_key(service, job_id), *last]
+        chunks = range(workflow.chunk_count - 1, 0, -1)
+        groups = [[progress_key(service, job_id, chunk)] for chunk in chunks]
+        last = [
+            progress_key(service, job_id),
+            cancel_key(service, job_id),
+            spec_key(service, job_id),
+            location_key(job_id),
+        ]
+        return [*groups, last]
+
+
+def _pack(groups: list[list[str]], count_max: int) -> Iterator[list[str]]:
+    """Yield the keys of consecutive groups, at most so many unless one has more."""
+    packed: list[str] = []
+    for group in groups:
+        if packed and len(packed) + len(group) > count_max:
+            yield packed
+            packed = []
+        packed = packed + group
+    if packed:
+        yield packed
--- a/basilhold/workflows/tests/test_stored_rows.py
+++ b/basilhold/workflows/tests/test_stored_rows.py
@@ -2,13 +2,17 @@
 
 import asyncio
 import random
+from unittest.mock import patch
 
 import msgspec
 
 from basilhold.core import Resources, ServiceName
 from basilhold.testing import VirtualTimeTestCase
 from basilhold.testing.workflow_cell import SERVICE, WorkflowCell, make_spec
+from basilhold.workflows import committer
 from basilhold.workflows.model import StepSpec
+from basilhold.workflows.owner_lease import CommitOutcome, Lease
+from basilhold.workflows.progress import CHUNK_TASKS
 
 GPU_SERVICE = ServiceName(f"{SERVICE}.gpu")
 
@@ -33,3 +37,38 @@
             await asyncio.sleep(5)
             self.assertEqual(cell.runners.start_count, spec.steps[0].task_count)
             self.assertEqual(cell.runners.violations, [])
+
+    async def test_interrupted_deletion_does_not_run_a_workflow_again(self):
+        # The rows of a workflow were deleted with several commits, its progress first.
+        # After a takeover between two of them, the next owner ran it again.
+        retention_ms = 3_000.0
+        async with WorkflowCell() as cell:
+            await asyncio.sleep(1)
+            with patch.object(committer, "ROWS_PER_COMMIT", 7):
+                specs = [make_workflow(n, 2 * CHUNK_TASKS) for n in range(3)]
+                for spec in specs:
+                    await cell.submit(spec)
+                await asyncio.sleep(4)
+                started = cell.runners.start_count
+                self.assertEqual(started, 3 * 2 * CHUNK_TASKS)
+                commits = 0
+                original = Lease.commit
+
+                async def commit(lease, writes, released=False):
+                    """Lose the lease after the first commit that deletes rows."""
+                    nonlocal commits
+                    if any(write.value is None for write in writes):
+                        commits += 1
+                        if commits > 1:
+                            return CommitOutcome.LOST
+                    return await original(lease, writes, released)
+
+                owner = cell.processes[cell.owner_name()]
+                limits = owner.ownership_manager.local_owner(SERVICE)._state.limits
+                shorter = msgspec.structs.replace(limits, retention_ms=retention_ms)
+                owner.ownership_manager.local_owner(SERVICE)._state.limits = shorter
+                with patch.object(Lease, "commit", commit):
+                    await asyncio.sleep(5)
+                self.assertGreater(commits, 1)
+                await asyncio.sleep(10)
+            self.assertEqual(cell.runners.start_count, started)
