Claim services that the configuration has dropped with their workflows

What callers would have seen: jobs of a service that a version has dropped do not end once its owner has stopped or been lost, and their state stays `running`.

Cause: only the services of the newest configuration were claimed.

Change: services with an owner record are claimed too, once a configuration is known (before that, quotas are not).

Test: test_workflows_of_a_dropped_service_survive_a_takeover, which failed before (still running after 25 s).

--- a/basilhold/workflows/ownership_manager.py
+++ b/basilhold/workflows/ownership_manager.py
@@ -261,7 +261,7 @@
         self._round_trip_ms = min(self._round_trip_ms, round_trip_ms)
         for row in rows:
             self._apply_owner_row(row, now_ms)
-        for service in self._services():
+        for service in self.known_services():
             view = self._views.setdefault(service, OwnerView(unchanged_since_ms=now_ms))
             self._check_own_lease(service, view)
             self._probe_suspect(service, view, now_ms)
--- a/basilhold/workflows/tests/test_moved_queues.py
+++ b/basilhold/workflows/tests/test_moved_queues.py
@@ -136,3 +136,24 @@
             for front in self.fronts(cell):
                 length = await front.queue_length(make_workflow(1).policy)
                 self.assertEqual(length, 8 - len(started))
+
+    async def test_workflows_of_a_dropped_service_survive_a_takeover(self):
+        # Nobody claimed a service again that a version of the configuration had
+        # dropped while it had workflows.
+        async with self.cell() as cell:
+            await asyncio.sleep(2)
+            spec = make_workflow(1)
+            await cell.submit(spec)
+            await asyncio.sleep(1)
+            # The workers keep their services.
+            services = {name: cell.service_of(name) for name in cell.runners.runners}
+            cell.service_of = services.get
+            cell.services = (OTHER_SERVICE,)
+            for name in sorted(cell.processes):
+                await cell.kill_process(name)
+                cell.start_process(name)
+            await asyncio.sleep(25)
+            front = self.fronts(cell)[0]
+            state = await front.state(move(spec).policy, spec.job_id)
+            self.assertEqual(state, (Existence.EXISTS, WorkflowState.COMPLETED))
+            self.assertEqual(cell.runners.violations, [])
