--- a/basilhold/testing/workflow_cell.py
+++ b/basilhold/testing/workflow_cell.py
@@ -75,7 +75,7 @@
 """How long after it was sent a start may be carried out."""
 
 CRASHED_WORKER_DOWN_S = 3.0
-"""Time after which the worker that a task has crashed is back, under another id."""
+"""Time after which the worker that a task has crashed is back."""
 
 STORE_EPOCH_MS = 5_000_000.0
 """Time of the store's clock at the begin of a run."""
@@ -324,6 +324,8 @@
     ----------
     quotas_in_force : dict of TenantName to Resources
         Highest quotas that processes may still know.
+    keeps_worker_ids : bool
+        Whether workers that a task has crashed are back under their ids.
     """
 
     def __init__(
@@ -355,6 +357,7 @@
         self._process_count = process_count
         self._worker_count = worker_count
         self._born = 1
+        self.keeps_worker_ids = False
 
     async def __aenter__(self) -> "WorkflowCell":
         for number in range(self._worker_count):
@@ -391,8 +394,10 @@
         self.runners.add(info)
 
     def _replace_crashed(self, runner: MemoryRunner) -> None:
-        """Start a worker with another id at the address of one that has crashed."""
-        name = f"w{int(runner.info.worker_id[1:]) + SUCCESSOR_STEP}"
+        """Start a worker at the address of one that has crashed."""
+        name = runner.info.worker_id
+        if not self.keeps_worker_ids:
+            name = f"w{int(name[1:]) + SUCCESSOR_STEP}"
         loop = asyncio.get_running_loop()
         loop.call_later(
             CRASHED_WORKER_DOWN_S,
--- a/basilhold/workflows/pool.py
+++ b/basilhold/workflows/pool.py
@@ -166,6 +166,9 @@
         start had been sent, in milliseconds; 0 if it has not.
     is_restored : bool
         Whether a previous owner has started the run.
+    crash : CrashEvidence, optional
+        What the crash of the worker's previous incarnation says about the run, which
+        may have been at work there.
     """
 
     key: RunKey
@@ -191,10 +194,27 @@
     is_suspect: bool = False
     disconnected_ms: float = 0.0
     is_restored: bool = False
+    crash: CrashEvidence | None = None
+
+    def lost_end(self, crash: CrashEvidence | None = None) -> RunEnd:
+        """Return the end of the run if it can no longer be at work.
+
+        Parameters
+        ----------
+        crash : CrashEvidence, optional
+            What the crash of the worker says about the run, if there was one.
+        """
+        crash = crash or self.crash
+        end = RunEnd(self.key.task, self.number, EndKind.LOST, self.checkpoint)
+        if crash is None:
+            return end
+        return msgspec.structs.replace(end, kind=EndKind.CRASHED, crash=crash)
 
     @property
     def may_have_begun(self) -> bool:
-        """Whether the worker has carried out the start, as far as is known."""
+        """Whether this incarnation has carried out the start, as far as is known."""
+        if self.crash is not None:
+            return False
         if self.stage is RunStage.UNCERTAIN:
             return self.disconnected_ms > 0
         return self.stage is not RunStage.COMMITTING
@@ -571,8 +591,7 @@
     for key, run in list(worker.runs.items()):
         if key not in listed_keys and _is_lost(run, listing, asked_ms):
             worker.remove(key)
-            end = RunEnd(key.task, run.number, EndKind.LOST, run.checkpoint)
-            result.ends.append(EndedRun(key, end))
+            result.ends.append(EndedRun(key, run.lost_end()))
     return result
 
 
@@ -583,6 +602,7 @@
     if run is None or run.number != listed.number:
         result.unknown.append(listed)
         return
+    run.crash = None
     is_unconfirmed = run.stage in (RunStage.STARTING, RunStage.UNCERTAIN)
     if is_unconfirmed or not run.confirmed_ms:
         run.stage = RunStage.RUNNING
@@ -604,12 +624,21 @@
     return run.confirmed_ms < asked_ms
 
 
-def transfer_runs(old: Worker, new: Worker) -> None:
+def transfer_runs(
+    old: Worker, new: Worker, evidence: dict[RunKey, CrashEvidence]
+) -> None:
     """Transfer runs that may exist on a new incarnation of a worker to it.
 
     A new incarnation has the address of the previous one, so a start call in transit
     may have reached either of the two. The transferred runs are marked to be stopped;
     once the new incarnation has confirmed the stop, they can no longer start there.
+
+    Parameters
+    ----------
+    old, new : Worker
+    evidence : dict of RunKey to CrashEvidence
+        Runs that may be to blame for the crash of the previous incarnation. They count
+        as crashed unless the new one turns out to have them.
     """
     for key, run in list(old.runs.items()):
         if run.listed or run.stage is RunStage.COMMITTING:
@@ -619,6 +648,7 @@
         run.until_clock_ms = math.inf
         run.stop_wanted = True
         run.stop_confirmed = False
+        run.crash = evidence.get(key, run.crash)
         new.add(run)
 
 
@@ -639,9 +669,4 @@
         if run.stage is RunStage.COMMITTING:
             continue
         worker.remove(key)
-        end = RunEnd(key.task, run.number, EndKind.LOST, run.checkpoint)
-        if key in evidence:
-            end = msgspec.structs.replace(
-                end, kind=EndKind.CRASHED, crash=evidence[key]
-            )
-        yield EndedRun(key, end)
+        yield EndedRun(key, run.lost_end(evidence.get(key)))
--- a/basilhold/workflows/tests/test_crashing_tasks.py
+++ b/basilhold/workflows/tests/test_crashing_tasks.py
@@ -72,6 +72,26 @@
                     await self.check_all_completed(cell, innocent)
                     self.assertEqual(cell.runners.violations, [])
 
+    async def test_task_is_given_up_if_its_workers_return_under_their_ids(self):
+        # A run that crashed its worker before any listing went over to the worker's
+        # next incarnation, was lost there, and counted as nothing.
+        for delay_s in (0.0, 0.005, 0.01, 0.05, 0.4, 1.2, 3.0):
+            with self.subTest(delay_s=delay_s):
+                async with WorkflowCell(worker_count=8) as cell:
+                    cell.keeps_worker_ids = True
+                    await asyncio.sleep(1)
+                    innocent = await self.submit_innocent(cell, 10, 8)
+                    crashing = make_workflow(1, make_step(1, estimate_ms=6_000.0))
+                    key = self.crash_workers(cell, crashing, delay_s=delay_s)
+                    await cell.submit(crashing)
+                    innocent += await self.submit_innocent(cell, 30, 30)
+                    await asyncio.sleep(40)
+                    state = await self.state(cell, crashing)
+                    self.assertIs(state, WorkflowState.FAILED)
+                    self.assertLessEqual(cell.runners.crash_counts[key], CRASHES_MAX)
+                    await self.check_all_completed(cell, innocent)
+                    self.assertEqual(cell.runners.violations, [])
+
     async def test_start_that_a_crashed_worker_never_received_does_not_count(self):
         # A workflow was shown as failed after one worker had crashed under its task: a
         # second one had crashed while the start was on its way.
--- a/basilhold/workflows/worker_tracker.py
+++ b/basilhold/workflows/worker_tracker.py
@@ -263,8 +263,28 @@
             age_ms=round(age_ms),
         )
 
-    def _handle_worker_loss(self, worker: Worker, reason: LossReason) -> None:
-        """Remove a worker on which nothing can run any more, and end its runs."""
+    def _collect_evidence(self, worker: Worker) -> dict[RunKey, CrashEvidence]:
+        """Return the runs that may be to blame for a crash of a worker."""
+        if worker.info.draining:
+            return {}
+        now_ms = self._state.clock.monotonic_ms()
+        return collect_crash_evidence(worker, self._state.pool, now_ms)
+
+    def _handle_worker_loss(
+        self,
+        worker: Worker,
+        reason: LossReason,
+        evidence: dict[RunKey, CrashEvidence] | None = None,
+    ) -> None:
+        """Remove a worker on which nothing can run any more, and end its runs.
+
+        Parameters
+        ----------
+        worker : Worker
+        reason : LossReason
+        evidence : dict of RunKey to CrashEvidence, optional
+            Runs that may be to blame, if that is known already.
+        """
         now_ms = self._state.clock.monotonic_ms()
         silent_ms = now_ms - worker.silent_since_ms if worker.silent_since_ms else 0.0
         log_event(
@@ -276,9 +296,8 @@
             runs=len(worker.runs),
         )
         self._remove_worker(worker)
-        evidence = {}
-        if not worker.info.draining:
-            evidence = collect_crash_evidence(worker, self._state.pool, now_ms)
+        if evidence is None:
+            evidence = self._collect_evidence(worker)
         if reason is LossReason.REPLACED:
             self._replaced[worker.worker_id, worker.info.born_unix_ms] = None
             _limit_size(self._replaced)
@@ -329,8 +348,10 @@
 
     def _replace_incarnation(self, worker: Worker, info: WorkerInfo) -> Worker:
         successor = Worker(info, self._state.pool.usage)
-        transfer_runs(worker, successor)
-        self._handle_worker_loss(worker, LossReason.RESTARTED)
+        # Among the runs that are transferred may be the one that caused the crash.
+        evidence = self._collect_evidence(worker)
+        transfer_runs(worker, successor, evidence)
+        self._handle_worker_loss(worker, LossReason.RESTARTED, evidence)
         self._state.pool.workers[info.worker_id] = successor
         self._open_link(successor)
         return successor
