Count crashes of workers that restart under their id before a takeover

What callers would have seen: more starts of a task that crashes its workers than are allowed, if owners are replaced while a worker is down.

Cause: an assignment does not tell to which incarnation of its worker it went. The next owner took the first one that it met for that, found the run missing there, and counted it as lost. With another id at the address it counted already.

Change: assignments store the start time of the worker's incarnation (13 digits a task; the largest chunk grows by less than 1 KB). A worker found in a later one has restarted, and its restored runs go the way of any others.

--- a/basilhold/workflows/owner.py
+++ b/basilhold/workflows/owner.py
@@ -391,6 +391,7 @@
             worker.worker_id,
             worker.info.endpoint,
             store_ms,
+            worker.info.born_unix_ms,
         )
         self._state.isolation.note_start(run.key)
         self._state.backlog.mark_not_waiting(workflow, placement.key)
--- a/basilhold/workflows/progress.py
+++ b/basilhold/workflows/progress.py
@@ -134,6 +134,9 @@
         not find the worker's registration any more.
     assigned_ms : int
         Time of the store's clock at which the task was assigned, in milliseconds.
+    born_unix_ms : int
+        Unix time at which the worker's incarnation started to which the task is
+        assigned, in milliseconds; 0 if unknown.
     """
 
     stage: TaskStage = TaskStage.PENDING
@@ -146,6 +149,7 @@
     crash: CrashHistory | None = None
     endpoint: str = ""
     assigned_ms: int = 0
+    born_unix_ms: int = 0
 
 
 class _StoredTask(msgspec.Struct, array_like=True):
@@ -309,6 +313,7 @@
         worker_id: WorkerId,
         endpoint: str = "",
         now_ms: float = 0.0,
+        born_unix_ms: int = 0,
     ) -> None:
         """Assign a task to a worker, on which the given run is about to start.
 
@@ -321,6 +326,8 @@
             ``host:port`` of the worker.
         now_ms : float
             Time of the store's clock, in milliseconds.
+        born_unix_ms : int
+            Unix time at which the worker's incarnation started, in milliseconds.
         """
         task = self.task(key)
         task.stage = TaskStage.ASSIGNED
@@ -328,6 +335,7 @@
         task.worker_id = worker_id
         task.endpoint = endpoint
         task.assigned_ms = round(now_ms)
+        task.born_unix_ms = born_unix_ms
         self._changed.add(self.chunk_of(key))
         if self.state is WorkflowState.QUEUED:
             self.state = WorkflowState.RUNNING
--- a/basilhold/workflows/recovery.py
+++ b/basilhold/workflows/recovery.py
@@ -16,7 +16,7 @@
 from basilhold.workflows import events
 from basilhold.workflows.model import WorkflowSpec
 from basilhold.workflows.pool import Pool, Run, RunKey, RunStage, Worker, WorkerInfo
-from basilhold.workflows.progress import Workflow
+from basilhold.workflows.progress import TaskProgress, Workflow
 from basilhold.workflows.rows import (
     jobs_prefixes,
     parse_jobs_key,
@@ -167,10 +167,7 @@
     count = 0
     for workflow in workflows:
         for key, task in workflow.assigned():
-            worker = pool.workers.get(task.worker_id)
-            if worker is None:
-                info = WorkerInfo(task.worker_id, task.endpoint, 0, Resources())
-                worker = pool.workers[task.worker_id] = Worker(info, pool.usage)
+            worker = _restore_worker(pool, task)
             step = workflow.spec.steps[key.step]
             run = Run(
                 RunKey(workflow.job_id, key),
@@ -195,3 +192,17 @@
             worker.alive_until_ms = max(worker.alive_until_ms, run.sent_ms)
             count += 1
     return count
+
+
+def _restore_worker(pool: Pool, task: TaskProgress) -> Worker:
+    """Return the worker to which a task is assigned, in that incarnation at least.
+
+    If it has restarted since, its runs are found to have crashed.
+    """
+    worker = pool.workers.get(task.worker_id)
+    if worker is None or worker.info.born_unix_ms < task.born_unix_ms:
+        info = WorkerInfo(task.worker_id, task.endpoint, task.born_unix_ms, Resources())
+        if worker is None:
+            worker = pool.workers[task.worker_id] = Worker(info, pool.usage)
+        worker.info = info
+    return worker
--- a/basilhold/workflows/tests/test_crashing_tasks.py
+++ b/basilhold/workflows/tests/test_crashing_tasks.py
@@ -8,6 +8,7 @@
 from basilhold.core import Resources
 from basilhold.testing import VirtualTimeTestCase
 from basilhold.testing.workflow_cell import WorkflowCell, make_spec
+from basilhold.workflows.crash_blame import CRASHES_MAX as CRASHES_TO_GIVE_UP
 from basilhold.workflows.model import StepSpec, TaskKey
 from basilhold.workflows.peers import StoreOutcome
 from basilhold.workflows.pool import RunKey
@@ -92,6 +93,28 @@
                     await self.check_all_completed(cell, innocent)
                     self.assertEqual(cell.runners.violations, [])
 
+    async def test_crash_is_counted_if_the_owner_is_replaced_meanwhile(self):
+        # The next owner took the runs on a worker that had returned under its id for
+        # lost ones, which count as nothing.
+        async with WorkflowCell(worker_count=8) as cell:
+            cell.keeps_worker_ids = True
+            await asyncio.sleep(1)
+            crashing = make_workflow(1, make_step(1, estimate_ms=6_000.0))
+            key = self.crash_workers(cell, crashing)
+            await cell.submit(crashing)
+            replaced_after = 0
+            for _ in range(900):
+                await asyncio.sleep(0.1)
+                if cell.runners.crash_counts[key] > replaced_after:
+                    replaced_after = cell.runners.crash_counts[key]
+                    owner = cell.owner_name()
+                    await cell.kill_process(owner)
+                    cell.start_process(owner)
+            # Without the reply to a start, a crash counts as an uncertain one.
+            self.assertLessEqual(cell.runners.crash_counts[key], CRASHES_TO_GIVE_UP)
+            self.assertIs(await self.state(cell, crashing), WorkflowState.FAILED)
+            self.assertEqual(cell.runners.violations, [])
+
     async def test_start_that_a_crashed_worker_never_received_does_not_count(self):
         # A workflow was shown as failed after one worker had crashed under its task: a
         # second one had crashed while the start was on its way.
