Blame starts without a reply that may have arrived before the crash

What callers would have seen: a task that crashes its workers while the replies to its starts are lost is started without end.

Cause: a start call that timed out was never to blame, whenever it was sent. The case it was meant for is one that cannot have arrived before the crash: sent 30 ms before the connection broke, at a round trip of 60 ms.

Change: such a run counts, as an uncertain cause, if a round trip had passed when the crash was noticed.

Test: test_start_without_a_reply_is_an_uncertain_cause_if_it_may_have_arrived, which failed before (no evidence). test_start_that_timed_out_is_not_to_blame is unchanged and passes.

--- a/basilhold/workflows/crash_evidence.py
+++ b/basilhold/workflows/crash_evidence.py
@@ -5,7 +5,7 @@
 """
 
 from basilhold.workflows.crash_blame import CrashEvidence, RunAge
-from basilhold.workflows.pool import Pool, Run, RunKey, Worker
+from basilhold.workflows.pool import Pool, Run, RunKey, RunStage, Worker
 
 __all__ = ["collect_crash_evidence", "record_silence"]
 
@@ -28,10 +28,14 @@
     now_ms : float
         Time of the event loop's clock, in milliseconds.
     """
-    begun = [run for run in worker.runs.values() if run.may_have_begun]
+    crashed_by_ms = worker.silent_since_ms or now_ms
+    begun = [
+        run
+        for run in worker.runs.values()
+        if run.may_have_begun or _may_have_arrived(run, worker, crashed_by_ms)
+    ]
     suspects = [run for run in begun if run.is_suspect]
     is_one_workflow = len({run.key.job_id for run in suspects}) == 1
-    crashed_by_ms = worker.silent_since_ms or now_ms
     evidence: dict[RunKey, CrashEvidence] = {}
     for run in suspects or begun:
         # The time of a crash before a takeover is not known.
@@ -47,6 +51,18 @@
     return evidence
 
 
+def _may_have_arrived(run: Run, worker: Worker, crashed_by_ms: float) -> bool:
+    """Return whether a start without a reply may have arrived before the crash.
+
+    The crash is noticed one way later than it happens, and the start takes the other
+    way.
+    """
+    if run.stage is not RunStage.UNCERTAIN or run.crash is not None:
+        return False
+    passed_ms = crashed_by_ms - run.sent_ms
+    return passed_ms + ROUND_TRIP_MARGIN_MS >= worker.round_trip_ms
+
+
 def _has_certainly_begun(run: Run, worker: Worker, age: RunAge | None) -> bool:
     """Return whether a run had begun when its worker crashed.
 
@@ -57,6 +73,8 @@
         return True
     if age is None or worker.round_trip_ms < DISTANT_ROUND_TRIP_MS:
         return False
+    if not run.may_have_begun:
+        return False
     passed_ms = age.least_ms
     if run.disconnected_ms:
         passed_ms = min(passed_ms, run.disconnected_ms - run.sent_ms)
--- a/basilhold/workflows/tests/test_crash_blame.py
+++ b/basilhold/workflows/tests/test_crash_blame.py
@@ -191,6 +191,15 @@
         run = self.run_of(0)
         self.assertEqual(self.crash(run, 1_000.0, 1_030.0), {})
 
+    def test_start_without_a_reply_is_an_uncertain_cause_if_it_may_have_arrived(self):
+        # A task whose starts got no reply crashed worker after worker, and no crash
+        # counted.
+        for round_trip_ms in (2.0, FAR_ROUND_TRIP_MS):
+            run = self.run_of(0)
+            broken_ms = 1_001.0 + round_trip_ms
+            evidence = self.crash(run, 1_000.0, broken_ms, round_trip_ms)
+            self.assertFalse(evidence[run.key].is_confirmed)
+
     def test_suspects_exonerate_the_others(self):
         info = WorkerInfo(WorkerId("w"), "h:1", 1, Resources(16_000))
         pool = Pool()
