Tell restored runs of earlier incarnations of workers apart

Cause: of the assignments to one worker id, the next owner took the latest incarnation for that of all. A run on an earlier one, whose crash the last owner had not stored, was found missing there and counted as lost.

Change: such a run is restored with the evidence of a crash at an unknown time. Test: test_runs_of_an_earlier_incarnation_have_crashed, which failed before (none has crashed).

--- a/basilhold/workflows/recovery.py
+++ b/basilhold/workflows/recovery.py
@@ -14,6 +14,7 @@
 from basilhold.observability import log_event
 from basilhold.ports import Row, StoreError, TableService
 from basilhold.workflows import events
+from basilhold.workflows.crash_blame import CrashEvidence
 from basilhold.workflows.model import WorkflowSpec
 from basilhold.workflows.pool import Pool, Run, RunKey, RunStage, Worker, WorkerInfo
 from basilhold.workflows.progress import TaskProgress, Workflow
@@ -36,6 +37,10 @@
 """Delay before a failed scan is repeated."""
 
 
+RESTORED_CRASH = CrashEvidence(is_confirmed=False)
+"""Evidence of a run whose worker has crashed before a takeover, at an unknown time."""
+
+
 class StoredWorkflows(msgspec.Struct):
     """The stored workflows of a service.
 
@@ -186,6 +191,7 @@
                 size=step.size,
                 is_suspect=workflow.is_suspect(key),
                 is_restored=True,
+                crash=_restored_crash(worker, task),
             )
             worker.add(run)
             # It was up at its last start, at least.
@@ -200,9 +206,22 @@
     If it has restarted since, its runs are found to have crashed.
     """
     worker = pool.workers.get(task.worker_id)
-    if worker is None or worker.info.born_unix_ms < task.born_unix_ms:
-        info = WorkerInfo(task.worker_id, task.endpoint, task.born_unix_ms, Resources())
-        if worker is None:
-            worker = pool.workers[task.worker_id] = Worker(info, pool.usage)
-        worker.info = info
+    if worker is not None and worker.info.born_unix_ms >= task.born_unix_ms:
+        return worker
+    info = WorkerInfo(task.worker_id, task.endpoint, task.born_unix_ms, Resources())
+    if worker is None:
+        worker = pool.workers[task.worker_id] = Worker(info, pool.usage)
+    elif worker.info.born_unix_ms:
+        for run in worker.runs.values():
+            run.crash = RESTORED_CRASH
+    worker.info = info
     return worker
+
+
+def _restored_crash(worker: Worker, task: TaskProgress) -> CrashEvidence | None:
+    """Return the evidence of a task assigned to an earlier incarnation of its worker.
+
+    The previous owner has not stored that the run has ended with it.
+    """
+    is_earlier = 0 < task.born_unix_ms < worker.info.born_unix_ms
+    return RESTORED_CRASH if is_earlier else None
--- a/basilhold/workflows/tests/test_crash_blame.py
+++ b/basilhold/workflows/tests/test_crash_blame.py
@@ -27,6 +27,7 @@
     WorkerInfo,
 )
 from basilhold.workflows.progress import EndKind, RunEnd, Workflow
+from basilhold.workflows.recovery import restore_assignments
 
 FAR_ROUND_TRIP_MS = 60.0
 
@@ -219,3 +220,30 @@
         worker.note_reply(1_000.0)
         worker.note_silence(1_100.0, True, 1_100.0 - FAR_ROUND_TRIP_MS)
         self.assertEqual(worker.alive_until_ms, 1_000.0)
+
+
+class RestoredRunsTest(unittest.TestCase):
+    """Guards against crashes that a takeover hides."""
+
+    def test_runs_of_an_earlier_incarnation_have_crashed(self):
+        # An assignment to a worker's later incarnation was stored, and the end of one
+        # on the earlier incarnation was not.
+        policy = make_spec(1, random.Random(0)).policy
+        step = StepSpec(2, Resources(1_000))
+        for born in ((1, 2), (2, 1)):
+            with self.subTest(born=born):
+                workflow = Workflow(WorkflowSpec("00ff", policy, "", (step,)))
+                for index, born_unix_ms in enumerate(born):
+                    key = TaskKey(0, 0, index)
+                    worker_id = WorkerId("w")
+                    workflow.assign(
+                        key, RunNumber(1), worker_id, "h:1", 5.0, born_unix_ms
+                    )
+                pool = Pool()
+                restore_assignments(pool, [workflow], 1_000.0, 6.0)
+                crashed = {
+                    key.task.index
+                    for key, run in pool.workers[WorkerId("w")].runs.items()
+                    if run.lost_end().kind is EndKind.CRASHED
+                }
+                self.assertEqual(crashed, {born.index(1)})
