Random runs that look for work which waits although there is room

Long-running tasks, workers that fail all they start, one or all in turn, workers that are back under their ids, and all faults of the crash runs. The check is that of LOST: for 3 s, after 4 calm ones, nothing of a workflow runs, it fits twice over, and under half of the cores is in use; for a long-running task each, from 6 s after its last run.

--- a/basilhold/standins/runners.py
+++ b/basilhold/standins/runners.py
@@ -43,6 +43,8 @@
 LEASE_MAX_MS = 6_000.0
 STOP_MS = 200.0
 GANG_MS = 3_000.0
+FAILING_RUN_S = (0.05, 0.5)
+"""Bounds of the time after which a failing worker fails a run."""
 TRAVEL_MS = 1.0
 NO_REPLY_MS = 500.0
 SHRINK_NOTICE_S = 5.0
@@ -93,11 +95,17 @@
     ----------
     info : WorkerInfo
     monitor : MemoryRunners
+
+    Attributes
+    ----------
+    is_failing : bool
+        Whether all runs fail that start here now.
     """
 
     def __init__(self, info: WorkerInfo, monitor: "MemoryRunners"):
         self.info = info
         self.up = True
+        self.is_failing = False
         self.cut = False
         self.frozen = False
         self.runs: dict[RunKey, _Run] = {}
@@ -293,6 +301,8 @@
         How many workers each of these tasks has crashed.
     crashes_under : Counter of RunKey
         How many workers have crashed under each task, for whatever cause.
+    failures : Counter of RunKey
+        How many runs of each task have failed.
     on_crash : callable
         Called with each runner that a task has crashed.
     quota_of : callable
@@ -315,6 +325,7 @@
         self.crash_delays_s: dict[RunKey, float] = {}
         self.crash_counts: Counter[RunKey] = Counter()
         self.crashes_under: Counter[RunKey] = Counter()
+        self.failures: Counter[RunKey] = Counter()
         self.on_crash: Callable[[MemoryRunner], None] = lambda runner: None
         self._starts_after_crashes: Counter[RunKey] = Counter()
         self.start_count = 0
@@ -395,6 +406,8 @@
     def note_end(self, key: RunKey, kind: EndKind) -> None:
         """Note how a run ended."""
         self.end_counts[kind] += 1
+        if kind is EndKind.FAILED:
+            self.failures[key] += 1
         if kind is EndKind.DONE:
             self._done.add(key)
             self.done_s.setdefault(key, asyncio.get_running_loop().time())
@@ -472,13 +485,19 @@
     def _work(
         self, runner: MemoryRunner, key: RunKey, run: _Run, estimate_ms: float
     ) -> None:
+        loop = asyncio.get_running_loop()
+        if runner.is_failing:
+            delay_s = self.rng.uniform(*FAILING_RUN_S)
+            run.timer = loop.call_later(
+                delay_s, self._end_work, runner, key, run, EndKind.FAILED
+            )
+            return
         if self.specs[key.job_id].steps[key.task.step].long_running:
             return
         failed = self.rng.random() < self.faults.failed
         kind = EndKind.FAILED if failed else EndKind.DONE
         run.takes_s = estimate_ms * self.rng.uniform(0.7, 1.4) / 1000
         delay_s = run.takes_s * (1.0 - run.done_share)
-        loop = asyncio.get_running_loop()
         run.timer = loop.call_later(delay_s, self._end_work, runner, key, run, kind)
 
     def _end_work(
--- a/basilhold/testing/crash_runs.py
+++ b/basilhold/testing/crash_runs.py
@@ -23,7 +23,7 @@
 from basilhold.workflows.pool import RunKey
 from basilhold.workflows.progress import WorkflowState
 
-__all__ = ["run_crashes_seed"]
+__all__ = ["CrashRun", "run_crashes_seed"]
 
 CRASHING_RATIO = 0.08
 """Share of the workflows with a task that crashes its workers."""
@@ -47,7 +47,7 @@
 )
 
 
-class _CrashRun(RandomRun):
+class CrashRun(RandomRun):
     """A run in which a few tasks crash their workers, beside all other faults."""
 
     def __init__(self, cell: WorkflowCell, seed: int):
@@ -145,7 +145,7 @@
     store_faults.latency_ms = rng.choice((1.0, 4.0, 60.0))
     store_faults.lost_reply_ratio = rng.choice((0.0, 0.02))
     async with WorkflowCell(seed, 3, 8, faults, store_faults) as cell:
-        run = _CrashRun(cell, seed)
+        run = CrashRun(cell, seed)
         await asyncio.sleep(2.0)
         async with asyncio.TaskGroup() as group:
             group.create_task(run.load())
--- /dev/null
+++ b/basilhold/workflows/tests/test_standing_runs.py
@@ -0,0 +1,70 @@
+"""Randomized tests that no work waits for long although there is room for it."""
+
+import unittest
+from unittest.mock import patch
+
+from basilhold.testing.standing_runs import run_standing_seed
+from basilhold.workflows import pool, worker_tracker
+from basilhold.workflows.pool import Worker
+
+SEEDS = range(40)
+
+REGRESSION_SEEDS = {
+    1021: "crashes after starts without a reply, and before a takeover, did not count",
+}
+
+
+class StandingRunsTest(unittest.TestCase):
+    """Guards against workers that are withheld from work for good."""
+
+    def test_seeds(self):
+        for seed in (*SEEDS, *REGRESSION_SEEDS):
+            with self.subTest(seed=seed):
+                report = run_standing_seed(seed)
+                self.assertEqual(report.violations, [], "; ".join(report.faults))
+                self.assertGreater(report.starts, 0)
+
+
+class BrokenVariantTest(unittest.TestCase):
+    """Guards against checks that do not detect a worker that is withheld.
+
+    Each test breaks one rule of the owner on purpose.
+    """
+
+    def assert_detected(self, text):
+        for seed in SEEDS:
+            if any(text in line for line in run_standing_seed(seed).violations):
+                return
+        self.fail("no seed detected the broken variant")
+
+    def test_failing_worker_has_to_be_idle_for_a_probe(self):
+        with (
+            patch.object(Worker, "_probes", lambda worker: list(worker.runs)),
+            patch.object(Worker, "end_probation", lambda worker, now_ms: None),
+        ):
+            self.assert_detected("although there is room")
+
+    def test_restored_suspects_are_never_cleared(self):
+        def apply_listed_run(worker, listed, now_ms, result):
+            original(worker, listed, now_ms, result)
+            run = worker.runs.get(listed.key)
+            if run is not None and run.is_restored:
+                run.confirmed_ms = 0.0
+
+        def is_isolated(worker, now_ms):
+            return bool(worker.suspects)
+
+        original = pool._apply_listed_run
+        with (
+            patch.object(pool, "_apply_listed_run", apply_listed_run),
+            patch.object(Worker, "is_isolated", is_isolated),
+        ):
+            self.assert_detected("although there is room")
+
+    def test_runs_go_over_to_the_next_incarnation_without_blame(self):
+        def transfer(old, new, evidence):
+            original(old, new, {})
+
+        original = worker_tracker.transfer_runs
+        with patch.object(worker_tracker, "transfer_runs", transfer):
+            self.assert_detected("crashed under it")
