--- a/basilhold/platform/runners.py
+++ b/basilhold/platform/runners.py
@@ -55,6 +55,9 @@
     "parse_endpoint",
 ]
 
+ENDS_PER_LISTING = 500
+"""Largest number of ended runs in one reply of a runner."""
+
 COMMAND_TIMEOUT_MS = 500
 """Timeout of a start, stop or pace command. A round trip between regions takes 60 ms,
 so a later reply is unlikely."""
@@ -325,7 +328,8 @@
         for row in reply.running
     )
     ended = tuple(_make_listed_end(row) for row in reply.finished)
-    return Listing(reply.clock_ms, reply.born, running, ended)
+    is_complete = len(ended) < ENDS_PER_LISTING
+    return Listing(reply.clock_ms, reply.born, running, ended, is_complete)
 
 
 def _make_listed_end(row: _EndedRow) -> ListedEnd:
--- a/basilhold/platform/tests/test_runners.py
+++ b/basilhold/platform/tests/test_runners.py
@@ -121,6 +121,17 @@
         self.assertEqual(body["acked_through"], 57)
         self.assertEqual(body["wait_ms"], 1_000)
 
+    async def test_listing_with_as_many_ends_as_fit_is_not_complete(self):
+        name = "5c0e7a21d94b36f8.0.1.17"
+        for count, is_complete in ((499, True), (500, False)):
+            rows = [[number + 1, name, 1, "done", ""] for number in range(count)]
+            body = {"clock_ms": 1, "born": 99, "finished": rows}
+            self.platform.canned_replies["/-/hold"] = (200, body)
+            call = RenewLeaseCall(Epoch(7), 57, 486000.0, 1_000)
+            listing = (await self.runner_client.renew_lease(self.worker, call)).ok
+            self.assertEqual(len(listing.ended), count)
+            self.assertIs(listing.is_complete, is_complete)
+
     async def test_undecodable_listing_is_an_unknown_outcome(self):
         name, large = "5c0e7a21d94b36f8.0.1.17", 10**400
         for body in (
--- a/basilhold/standins/runners.py
+++ b/basilhold/standins/runners.py
@@ -43,6 +43,7 @@
 LEASE_MAX_MS = 6_000.0
 STOP_MS = 200.0
 GANG_MS = 3_000.0
+ENDS_PER_LISTING = 500
 FAILING_RUN_S = (0.05, 0.5)
 """Bounds of the time after which a failing worker fails a run."""
 TRAVEL_MS = 1.0
@@ -271,8 +272,15 @@
         running = tuple(
             ListedRun(key, run.number, "", 100, 0.0) for key, run in self.runs.items()
         )
-        born = self.info.born_unix_ms
-        return Ok(Listing(self.clock_ms(), born, running, tuple(self.ended[:500])))
+        return Ok(
+            Listing(
+                self.clock_ms(),
+                self.info.born_unix_ms,
+                running,
+                tuple(self.ended[:ENDS_PER_LISTING]),
+                len(self.ended) < ENDS_PER_LISTING,
+            )
+        )
 
 
 class MemoryRunners(RunnerClient):
--- a/basilhold/workflows/pool.py
+++ b/basilhold/workflows/pool.py
@@ -253,12 +253,16 @@
     running : tuple of ListedRun
     ended : tuple of ListedEnd
         Ended runs that the owner has not acknowledged yet.
+    is_complete : bool
+        Whether these are all of them. The next ones are listed after an
+        acknowledgement.
     """
 
     clock_ms: float
     born_unix_ms: int
     running: tuple[ListedRun, ...]
     ended: tuple[ListedEnd, ...]
+    is_complete: bool = True
 
 
 class Worker:
@@ -619,6 +623,9 @@
     """Return whether a run that is missing from a listing can no longer run."""
     if run.stage is RunStage.COMMITTING or run.stage is RunStage.STARTING:
         return False
+    if not listing.is_complete:
+        # Its end may be among those that are listed later.
+        return False
     if run.stage is RunStage.UNCERTAIN:
         return listing.clock_ms > run.until_clock_ms
     return run.confirmed_ms < asked_ms
--- a/basilhold/workflows/tests/test_owner.py
+++ b/basilhold/workflows/tests/test_owner.py
@@ -8,6 +8,7 @@
 from expression import Ok
 
 from basilhold.core import Resources
+from basilhold.standins import runners
 from basilhold.standins.faults import StoreFaults
 from basilhold.standins.runners import MemoryRegistry, RunnerFaults
 from basilhold.testing import VirtualTimeTestCase
@@ -498,3 +499,23 @@
                 [job_id for job_id in expected if job_id not in accepted], []
             )
             self.assertGreater(len(expected), 10)
+
+    async def test_ends_beyond_the_first_listing_are_not_lost_runs(self):
+        # A worker lists 500 ends at a time. The tasks of the others, which were neither
+        # running nor among these ends, started again although they were done.
+        tasks, size = 640, Resources(20, 1 << 20, 0)
+        spec = make_workflow(1, StepSpec(tasks, size, 2_000.0))
+        with patch.object(runners, "TRAVEL_MS", 30.0):
+            async with WorkflowCell(worker_count=2) as cell:
+                await asyncio.sleep(1)
+                await cell.submit(spec)
+                await asyncio.sleep(1)
+                busy = max(cell.runners.runners.values(), key=lambda r: len(r.runs))
+                busy.cut = True
+                await asyncio.sleep(3)
+                self.assertEqual(len(busy.ended), tasks)
+                busy.cut = False
+                await asyncio.sleep(5)
+                self.assertIs(await self.state(cell, spec), WorkflowState.COMPLETED)
+                self.assertEqual(cell.runners.start_count, tasks)
+                self.assertEqual(cell.runners.violations, [])
