Withhold workers for a gang only while that can help it

What callers would have seen: accepted jobs of lower priority stay queued on a pool that is 9% in use, while a gang of higher priority waits for whole workers, up to its objective, which is minutes for long gangs.

Cause: workers are withheld from lower priorities for a gang that does not fit and cannot stop enough. It was withheld what they hold in all, though long-running tasks stay there for good, and for as long as other work takes.

Change: the gang has to fit beside the long-running tasks that it may not stop, on all workers together, or none is withheld.

--- a/basilhold/testing/standing_runs.py
+++ b/basilhold/testing/standing_runs.py
@@ -31,6 +31,9 @@
 LASTING_RATIO = 0.2
 """Share of the workflows whose tasks last."""
 
+WIDE_GANG_RATIO = 0.15
+"""Share of the workflows with a gang that takes all workers, if there are any."""
+
 CHECK_INTERVAL_S = 0.25
 STANDING_S = 3.0
 CALM_S = 4.0
@@ -52,12 +55,22 @@
 
 
 class _StandingRun(CrashRun):
-    """A run that also has long-running tasks and workers that fail for some time."""
+    """A run that also has long-running tasks and workers that fail for some time.
+
+    Parameters
+    ----------
+    cell : WorkflowCell
+    seed : int
+    has_wide_gangs : bool
+        Whether there are priorities, and gangs that may have to wait for good.
+    """
 
-    def __init__(self, cell: WorkflowCell, seed: int):
+    def __init__(self, cell: WorkflowCell, seed: int, has_wide_gangs: bool):
         super().__init__(cell, seed)
+        self._has_wide_gangs = has_wide_gangs
+        self._gang_rng = random.Random(f"{seed} wide gangs")
         self._standing_rng = random.Random(f"{seed} standing work")
-        self._lasting: list[WorkflowSpec] = []
+        self._to_cancel: list[WorkflowSpec] = []
         self._active_faults = 0
         self._disturbed_s = 0.0
         self._standing_since_s: dict[RunKey | JobId, float] = {}
@@ -68,6 +81,24 @@
         cell.runners.on_crash = self._on_crash
 
     def make_spec(self, number: int) -> WorkflowSpec:
+        """Return the next workflow to submit, perhaps a wide gang."""
+        spec = self._make_spec(number)
+        if not self._has_wide_gangs:
+            return spec
+        rng = self._gang_rng
+        policy = msgspec.structs.replace(spec.policy, priority=rng.choice((0, 1, 2)))
+        if rng.random() < WIDE_GANG_RATIO:
+            size = Resources(rng.choice((9_000, 13_000, 16_000)), 1 << 30, 0)
+            estimate_ms = rng.uniform(2_000.0, 20_000.0)
+            step = StepSpec(WORKER_COUNT, size, estimate_ms, gang=True)
+            spec = msgspec.structs.replace(spec, steps=(step,))
+            self._to_cancel.append(spec)
+            for key in [key for key in self.crashing if key.job_id == spec.job_id]:
+                self.crashing.discard(key)
+                del self.cell.runners.crash_delays_s[key]
+        return msgspec.structs.replace(spec, policy=policy)
+
+    def _make_spec(self, number: int) -> WorkflowSpec:
         """Return the next workflow to submit, perhaps of long-running tasks."""
         rng = self._standing_rng
         if rng.random() >= LASTING_RATIO:
@@ -84,7 +115,7 @@
         )
         policy = msgspec.structs.replace(spec.policy, advice=None)
         spec = msgspec.structs.replace(spec, steps=(step,), policy=policy)
-        self._lasting.append(spec)
+        self._to_cancel.append(spec)
         return spec
 
     def fault_kinds(self) -> list[Callable[[], Awaitable[None]]]:
@@ -225,7 +256,7 @@
         for process in self.cell.processes.values():
             process.table.cut = False
         # One whose submission got no reply may be stored all the same.
-        for spec in self._lasting:
+        for spec in self._to_cancel:
             await self._cancel_surely(spec)
         await super().settle()
 
@@ -253,7 +284,7 @@
         return report
 
 
-async def _run(seed: int) -> RunReport:
+async def _run(seed: int, has_wide_gangs: bool) -> RunReport:
     rng = random.Random(f"{seed} cell of standing work")
     faults = RunnerFaults(
         lost_reply=rng.choice((0.0, 0.03)), refused=rng.choice((0.0, 0.02))
@@ -263,7 +294,7 @@
     store_faults.lost_reply_ratio = rng.choice((0.0, 0.02))
     async with WorkflowCell(seed, 3, WORKER_COUNT, faults, store_faults) as cell:
         cell.keeps_worker_ids = rng.random() < 0.5
-        run = _StandingRun(cell, seed)
+        run = _StandingRun(cell, seed, has_wide_gangs)
         await asyncio.sleep(2.0)
         watching = asyncio.create_task(run.watch())
         async with asyncio.TaskGroup() as group:
@@ -274,17 +305,25 @@
         return await run.check()
 
 
-def run_standing_seed(seed: int) -> RunReport:
-    """Run one seed on a new loop with a virtual clock."""
-    return run_virtual(_run(seed))
+def run_standing_seed(seed: int, has_wide_gangs: bool = False) -> RunReport:
+    """Run one seed on a new loop with a virtual clock.
+
+    Parameters
+    ----------
+    seed : int
+    has_wide_gangs : bool
+        Whether there are priorities, and gangs that may have to wait for good.
+    """
+    return run_virtual(_run(seed, has_wide_gangs))
 
 
 @click.command()
 @click.option("--seeds", default=20, help="Number of seeds.")
 @click.option("--first", default=0, help="First seed.")
-def main(seeds: int, first: int) -> None:
+@click.option("--gangs", is_flag=True, help="Submit gangs that take all workers.")
+def main(seeds: int, first: int, gangs: bool) -> None:
     """Run seeds and report those in which work waits although there is room."""
-    report_seeds(run_standing_seed, seeds, first)
+    report_seeds(lambda seed: run_standing_seed(seed, gangs), seeds, first)
 
 
 if __name__ == "__main__":
--- a/basilhold/workflows/planner.py
+++ b/basilhold/workflows/planner.py
@@ -62,6 +62,11 @@
 normal work and for work of priority 0."""
 
 
+WITHHOLD_UNUSED_MAX_MS = 1_500.0
+HALF_USED_RATIO = 0.5
+"""Longest time for which workers are withheld for a gang while less than this share of
+the cores is in use."""
+
 DEADLINE_ORDER = DeadlineOrder()
 
 WorkerChoice = Callable[[ReadyStep, TaskKey, list[Worker]], Worker | None]
@@ -182,6 +187,7 @@
         self._store_ms = store_ms
         self._stop_ms = stop_ms
         accepting = pool.accepting_workers(now_ms)
+        self._is_half_used = pool.used_cores_ratio() >= HALF_USED_RATIO
         kept = isolation.choose_workers(accepting, now_ms)
         self._accepting = accepting
         self._workers = [w for w in accepting if w.worker_id not in kept]
@@ -230,7 +236,7 @@
         else:
             self._reservations.release(step.key)
         if not step.keys:
-            self._reservations.release(step.key)
+            self._reservations.remove_step(step.key)
         self._planned.add(step.key)
 
     def _apply_quota(self, step: ReadyStep) -> bool:
@@ -738,7 +744,8 @@
         )
         if step.spec.gang and sum(option.task_count for option in chosen) < missing:
             self._reservations.release(step.key)
-            self._withhold_workers(step, workers)
+            if self._may_withhold(step):
+                self._withhold_workers(step, workers)
             return {}
         size = step.spec.reserved()
         preempted: dict[WorkerId, Resources] = {}
@@ -761,25 +768,40 @@
         self._reservations.replace(step, reserved)
         return preempted
 
+    def _may_withhold(self, step: ReadyStep) -> bool:
+        """Return whether workers may be withheld for a gang.
+
+        The work that it waits for may take long. While much of the pool is unused,
+        other work does not wait for that.
+        """
+        since_ms = self._reservations.withheld_since_ms(step.key, self._now_ms)
+        if self._now_ms - since_ms < WITHHOLD_UNUSED_MAX_MS:
+            return True
+        return self._is_half_used
+
     def _withhold_workers(self, step: ReadyStep, workers: list[Worker]) -> None:
         """Withhold the workers that a gang will get from work of lower priority.
 
         Work of the same priority may still use them, so that a gang that waits for a
-        whole worker does not block smaller gangs from parts of it.
+        whole worker does not block smaller gangs from parts of it. None is withheld
+        if the gang does not fit beside the tasks that are at work for good.
         """
         size = step.spec.reserved()
         missing = len(step.keys)
+        counts: list[tuple[Worker, int]] = []
         for worker in sorted(workers, key=lambda w: -w.free.cores_milli):
             if missing <= 0:
-                return
-            capacity = worker.info.capacity
-            count = count_fitting(
-                capacity, size, min(missing, self._remaining_on(step, worker))
-            )
+                break
+            limit = min(missing, self._remaining_on(step, worker))
+            count = count_fitting(_freeable_capacity(worker, step), size, limit)
+            counts.append((worker, count))
+            missing -= count
+        if missing > 0:
+            return
+        for worker, count in counts:
             if count:
                 withheld = self._withheld.setdefault(worker.worker_id, [])
                 withheld.append((step.priority, size.scaled(count)))
-                missing -= count
 
     def _find_option(
         self, step: ReadyStep, worker: Worker, limit: int
@@ -791,6 +813,19 @@
         )
 
 
+def _freeable_capacity(worker: Worker, step: ReadyStep) -> Resources:
+    """Return the capacity of a worker that a gang can get in the course of time.
+
+    That is all but what long-running tasks occupy that it may not stop.
+    """
+    capacity = worker.info.capacity
+    for run in worker.runs.values():
+        is_lasting = run.step is not None and run.step.long_running
+        if is_lasting and run.priority <= step.priority:
+            capacity = capacity - run.reserved
+    return capacity
+
+
 def _early_end_ms(run: Run, worker: Worker) -> float:
     """Return the earliest expected end of a run.
 
--- a/basilhold/workflows/pool.py
+++ b/basilhold/workflows/pool.py
@@ -523,6 +523,12 @@
             total = total + worker.info.capacity
         return total
 
+    def used_cores_ratio(self) -> float:
+        """Return the share of all cores that runs occupy."""
+        capacity = sum(w.info.capacity.cores_milli for w in self.workers.values())
+        free = sum(w.free.cores_milli for w in self.workers.values())
+        return (capacity - free) / max(1, capacity)
+
     def accepting_workers(self, now_ms: float) -> list[Worker]:
         """Return the workers that accept new runs."""
         return [w for w in self.workers.values() if w.accepts_runs(now_ms)]
--- a/basilhold/workflows/preemption.py
+++ b/basilhold/workflows/preemption.py
@@ -80,6 +80,7 @@
     def __init__(self):
         self._steps: dict[StepKey, set[WorkerId]] = {}
         self._workers: dict[WorkerId, dict[StepKey, _Reservation]] = {}
+        self._withheld_since_ms: dict[StepKey, float] = {}
 
     def replace(self, step: ReadyStep, task_counts: dict[WorkerId, int]) -> None:
         """Replace the reservations of a step.
@@ -106,10 +107,27 @@
             if not reservations:
                 del self._workers[worker_id]
 
+    def withheld_since_ms(self, key: StepKey, now_ms: float) -> float:
+        """Return when workers were first withheld for a waiting step; now if never.
+
+        Parameters
+        ----------
+        key : StepKey
+        now_ms : float
+            Time of the event loop's clock, in milliseconds.
+        """
+        return self._withheld_since_ms.setdefault(key, now_ms)
+
+    def remove_step(self, key: StepKey) -> None:
+        """Release all capacity reserved for a step of which no task waits."""
+        self.release(key)
+        self._withheld_since_ms.pop(key, None)
+
     def remove_job(self, job_id: JobId) -> None:
         """Release all capacity reserved for a workflow that has ended."""
-        for key in [key for key in self._steps if key.job_id == job_id]:
-            self.release(key)
+        for key in {*self._steps, *self._withheld_since_ms}:
+            if key.job_id == job_id:
+                self.remove_step(key)
 
     def has(self, key: StepKey) -> bool:
         """Return whether any capacity is reserved for a step."""
--- a/basilhold/workflows/tests/test_standing_runs.py
+++ b/basilhold/workflows/tests/test_standing_runs.py
@@ -4,11 +4,14 @@
 from unittest.mock import patch
 
 from basilhold.testing.standing_runs import run_standing_seed
-from basilhold.workflows import pool, worker_tracker
+from basilhold.workflows import planner, pool, worker_tracker
 from basilhold.workflows.pool import Worker
 
 SEEDS = range(40)
 
+GANG_SEEDS = range(20)
+"""Seeds of runs with priorities, and gangs that may have to wait for good."""
+
 REGRESSION_SEEDS = {
     1021: "crashes after starts without a reply, and before a takeover, did not count",
 }
@@ -24,6 +27,13 @@
                 self.assertEqual(report.violations, [], "; ".join(report.faults))
                 self.assertGreater(report.starts, 0)
 
+    def test_seeds_with_wide_gangs(self):
+        for seed in GANG_SEEDS:
+            with self.subTest(seed=seed):
+                report = run_standing_seed(seed, has_wide_gangs=True)
+                self.assertEqual(report.violations, [], "; ".join(report.faults))
+                self.assertGreater(report.starts, 0)
+
 
 class BrokenVariantTest(unittest.TestCase):
     """Guards against checks that do not detect a worker that is withheld.
@@ -31,9 +41,10 @@
     Each test breaks one rule of the owner on purpose.
     """
 
-    def assert_detected(self, text):
+    def assert_detected(self, text, has_wide_gangs=False):
         for seed in SEEDS:
-            if any(text in line for line in run_standing_seed(seed).violations):
+            report = run_standing_seed(seed, has_wide_gangs)
+            if any(text in line for line in report.violations):
                 return
         self.fail("no seed detected the broken variant")
 
@@ -44,6 +55,19 @@
         ):
             self.assert_detected("although there is room")
 
+    def test_workers_are_withheld_for_gangs_for_any_time(self):
+        def freeable_capacity(worker, step):
+            return worker.info.capacity
+
+        def may_withhold(planning_pass, step):
+            return True
+
+        with (
+            patch.object(planner._PlanningPass, "_may_withhold", may_withhold),
+            patch.object(planner, "_freeable_capacity", freeable_capacity),
+        ):
+            self.assert_detected("although there is room", has_wide_gangs=True)
+
     def test_restored_suspects_are_never_cleared(self):
         def apply_listed_run(worker, listed, now_ms, result):
             original(worker, listed, now_ms, result)
--- a/basilhold/workflows/tests/test_withheld_workers.py
+++ b/basilhold/workflows/tests/test_withheld_workers.py
@@ -18,9 +18,9 @@
 """Time for which a workflow that fits twice over may wait for its first start."""
 
 
-def make_workflow(number, *steps):
+def make_workflow(number, *steps, priority=0):
     spec = make_spec(number, random.Random(0))
-    policy = msgspec.structs.replace(spec.policy, advice=None)
+    policy = msgspec.structs.replace(spec.policy, advice=None, priority=priority)
     return msgspec.structs.replace(spec, steps=steps, policy=policy)
 
 
@@ -31,9 +31,11 @@
 class WithheldWorkersTest(VirtualTimeTestCase):
     """Guards against workers that never get new work again although they are idle."""
 
-    async def check_work_starts(self, cell, first):
+    async def check_work_starts(self, cell, first, priority=0):
         """Check that some small workflows start and end soon."""
-        specs = [make_workflow(first + n, make_step(2)) for n in range(4)]
+        specs = [
+            make_workflow(first + n, make_step(2), priority=priority) for n in range(4)
+        ]
         for spec in specs:
             await cell.submit(spec)
         await asyncio.sleep(START_LIMIT_S)
@@ -150,3 +152,34 @@
             self.assertEqual(counts, [2, 2])
             await self.check_work_starts(cell, 100)
             self.assertEqual(cell.runners.violations, [])
+
+    async def test_gang_that_cannot_start_leaves_room_to_other_work(self):
+        # A gang that has to wait withheld workers from work of lower priority, although
+        # the tasks that keep it from them are at work for good.
+        async with WorkflowCell(worker_count=WORKER_COUNT) as cell:
+            await asyncio.sleep(1)
+            lasting = make_step(WORKER_COUNT, per_worker_max=1, long_running=True)
+            await cell.submit(make_workflow(1, lasting))
+            await asyncio.sleep(1)
+            size = Resources(16_000, 1 << 20, 0)
+            await cell.submit(
+                make_workflow(2, StepSpec(WORKER_COUNT, size, 20_000.0, gang=True))
+            )
+            await asyncio.sleep(1)
+            await self.check_work_starts(cell, 100, priority=1)
+            self.assertEqual(cell.runners.violations, [])
+
+    async def test_gang_withholds_half_used_workers_for_a_short_time_only(self):
+        # The same, with tasks that take long.
+        async with WorkflowCell(worker_count=WORKER_COUNT) as cell:
+            await asyncio.sleep(1)
+            slow = make_step(WORKER_COUNT, 60_000.0, per_worker_max=1)
+            await cell.submit(make_workflow(1, slow))
+            await asyncio.sleep(1)
+            size = Resources(16_000, 1 << 20, 0)
+            await cell.submit(
+                make_workflow(2, StepSpec(WORKER_COUNT, size, 20_000.0, gang=True))
+            )
+            await asyncio.sleep(1)
+            await self.check_work_starts(cell, 100, priority=1)
+            self.assertEqual(cell.runners.violations, [])
