Count a listing that is requested as soon as a call is confirmed

Cause: a run is lost if a listing does not contain it that was requested after the run, or its stop, was confirmed. The listing is requested at once, and the loop's clock shows the same time for both, so it did not count. The poll that followed waits for up to a second, and was already the second one.

Change: the same time counts. The worker has carried out the call before it replied, so a listing requested from then on contains the run.

Test: test_task_starts_again_soon_after_its_worker_is_back, which failed before (2.0 s after the return, at most 0.5 s now).

--- a/basilhold/workflows/pool.py
+++ b/basilhold/workflows/pool.py
@@ -634,7 +634,9 @@
         return False
     if run.stage is RunStage.UNCERTAIN:
         return listing.clock_ms > run.until_clock_ms
-    return run.confirmed_ms < asked_ms
+    # The worker had carried out the call before it replied. The loop's clock stands
+    # still within one iteration, so a listing may be requested at that same time.
+    return run.confirmed_ms <= asked_ms
 
 
 def transfer_runs(
--- a/basilhold/workflows/tests/test_crashing_tasks.py
+++ b/basilhold/workflows/tests/test_crashing_tasks.py
@@ -7,7 +7,11 @@
 
 from basilhold.core import Resources
 from basilhold.testing import VirtualTimeTestCase
-from basilhold.testing.workflow_cell import WorkflowCell, make_spec
+from basilhold.testing.workflow_cell import (
+    CRASHED_WORKER_DOWN_S,
+    WorkflowCell,
+    make_spec,
+)
 from basilhold.workflows.crash_blame import CRASHES_MAX as CRASHES_TO_GIVE_UP
 from basilhold.workflows.model import StepSpec, TaskKey
 from basilhold.workflows.peers import StoreOutcome
@@ -93,6 +97,24 @@
                     await self.check_all_completed(cell, innocent)
                     self.assertEqual(cell.runners.violations, [])
 
+    async def test_task_starts_again_soon_after_its_worker_is_back(self):
+        # The listing that was requested once the new incarnation had confirmed the stop
+        # did not count, as the loop's clock showed the same time; the next took 2 s.
+        async with WorkflowCell(worker_count=8) as cell:
+            cell.keeps_worker_ids = True
+            await asyncio.sleep(1)
+            crashing = make_workflow(1, make_step(1))
+            key = self.crash_workers(cell, crashing, delay_s=0.0)
+            await cell.submit(crashing)
+            loop = asyncio.get_running_loop()
+            crashed_s = []
+            while len(crashed_s) < 2:
+                await asyncio.sleep(0.05)
+                if cell.runners.crash_counts[key] > len(crashed_s):
+                    crashed_s.append(loop.time())
+            waited_s = crashed_s[1] - crashed_s[0] - CRASHED_WORKER_DOWN_S
+            self.assertLess(waited_s, 0.5)
+
     async def test_crash_is_counted_if_the_owner_is_replaced_meanwhile(self):
         # The next owner took the runs on a worker that had returned under its id for
         # lost ones, which count as nothing.
