Do not trust a restored start to a worker that is back under its id

Cause: an only suspect counts as having begun.

Change: such a crash counts as an uncertain one. If another worker has the address, the owner judges as before: test_crashes_are_remembered_by_the_next_owner allows one crash more than without takeovers, which needs that certainty.

--- a/basilhold/workflows/crash_evidence.py
+++ b/basilhold/workflows/crash_evidence.py
@@ -15,7 +15,7 @@
 
 
 def collect_crash_evidence(
-    worker: Worker, pool: Pool, now_ms: float
+    worker: Worker, pool: Pool, now_ms: float, trusts_restored: bool = True
 ) -> dict[RunKey, CrashEvidence]:
     """Return the runs that may be to blame for the crash of a worker.
 
@@ -27,6 +27,9 @@
     pool : Pool
     now_ms : float
         Time of the event loop's clock, in milliseconds.
+    trusts_restored : bool
+        Whether an only suspect has certainly begun if a previous owner has started it.
+        The worker may have been down already.
     """
     crashed_by_ms = worker.silent_since_ms or now_ms
     begun = [
@@ -44,7 +47,11 @@
         )
         age = _age_at_crash(run, worker, crashed_by_ms)
         # Nothing else would have crashed the worker of an only suspect.
-        is_confirmed = is_one_workflow or _has_certainly_begun(run, worker, age)
+        is_confirmed = _has_certainly_begun(run, worker, age) or (
+            is_one_workflow
+            and run.may_have_begun
+            and (trusts_restored or not run.is_restored)
+        )
         evidence[run.key] = CrashEvidence(
             age, is_one_workflow, is_correlated, is_confirmed
         )
--- a/basilhold/workflows/tests/test_random_runs.py
+++ b/basilhold/workflows/tests/test_random_runs.py
@@ -35,6 +35,8 @@
 
 CRASH_REGRESSION_SEEDS = {
     1029: "a run that had ended before its worker crashed was blamed for the crash",
+    2100: "a start to a worker that was down counted as a run that had crashed it",
+    2149: "the same",
     110: "a start that was being stored reached a smaller incarnation of its worker",
 }
 
--- a/basilhold/workflows/worker_tracker.py
+++ b/basilhold/workflows/worker_tracker.py
@@ -263,12 +263,15 @@
             age_ms=round(age_ms),
         )
 
-    def _collect_evidence(self, worker: Worker) -> dict[RunKey, CrashEvidence]:
+    def _collect_evidence(
+        self, worker: Worker, trusts_restored: bool = True
+    ) -> dict[RunKey, CrashEvidence]:
         """Return the runs that may be to blame for a crash of a worker."""
         if worker.info.draining:
             return {}
         now_ms = self._state.clock.monotonic_ms()
-        return collect_crash_evidence(worker, self._state.pool, now_ms)
+        pool = self._state.pool
+        return collect_crash_evidence(worker, pool, now_ms, trusts_restored)
 
     def _handle_worker_loss(
         self,
@@ -349,7 +352,7 @@
     def _replace_incarnation(self, worker: Worker, info: WorkerInfo) -> Worker:
         successor = Worker(info, self._state.pool.usage)
         # Among the runs that are transferred may be the one that caused the crash.
-        evidence = self._collect_evidence(worker)
+        evidence = self._collect_evidence(worker, trusts_restored=False)
         transfer_runs(worker, successor, evidence)
         self._handle_worker_loss(worker, LossReason.RESTARTED, evidence)
         self._state.pool.workers[info.worker_id] = successor
