Release what is reserved for a workflow that is set aside

What callers would have seen: nothing of the same or a lower priority starts on the room that was reserved for a workflow on which the owner had failed.

Cause: reservations end with the workflow, or with a planning pass over its step, and a workflow that is set aside has neither.

Test: test_workflow_that_is_set_aside_keeps_no_room, which failed before (the other workflow stays queued).

--- a/basilhold/workflows/owner_state.py
+++ b/basilhold/workflows/owner_state.py
@@ -218,6 +218,8 @@
             return
         workflow.set_aside()
         self.backlog.remove(workflow)
+        self.reservations.remove_job(workflow.job_id)
+        self.isolation.remove_job(workflow.job_id)
         log_event(
             events.WORKFLOW_SET_ASIDE,
             job=workflow.job_id,
--- a/basilhold/workflows/tests/test_faulty_workflows.py
+++ b/basilhold/workflows/tests/test_faulty_workflows.py
@@ -9,21 +9,22 @@
 from basilhold.core import Resources
 from basilhold.standins.runners import MemoryRunners
 from basilhold.testing import VirtualTimeTestCase
-from basilhold.testing.workflow_cell import WorkflowCell, make_spec
+from basilhold.testing.workflow_cell import SERVICE, WorkflowCell, make_spec
 from basilhold.workflows import backlog, planner, run_controller, worker_link
 from basilhold.workflows.model import StepSpec
 from basilhold.workflows.peers import StoreOutcome
 from basilhold.workflows.progress import Workflow, WorkflowState
+from basilhold.workflows.ready_steps import make_ready_step
 
 FAULTY = 1
 UNENDED = (WorkflowState.QUEUED, WorkflowState.RUNNING)
 WRONG = (WorkflowState.FAILED, WorkflowState.CANCELLED, None)
 
 
-def make_workflow(number):
+def make_workflow(number, estimate_ms=400.0):
     spec = make_spec(number, random.Random(0))
     policy = msgspec.structs.replace(spec.policy, advice=None)
-    steps = (StepSpec(2, Resources(1_000, 1 << 20, 0), 400.0),)
+    steps = (StepSpec(2, Resources(1_000, 1 << 20, 0), estimate_ms),)
     return msgspec.structs.replace(spec, steps=steps, policy=policy)
 
 
@@ -122,6 +123,24 @@
                 reports = [line for line in logged.output if "BH6063" in line]
                 self.assertLessEqual(len(reports), 4)
 
+    async def test_workflow_that_is_set_aside_keeps_no_room(self):
+        # What was reserved for it stayed reserved for as long as the owner lived.
+        async with WorkflowCell(worker_count=1) as cell:
+            await asyncio.sleep(1)
+            faulty = make_workflow(FAULTY, estimate_ms=60_000.0)
+            await cell.submit(faulty)
+            await asyncio.sleep(0.1)
+            process = cell.processes[cell.owner_name()]
+            state = process.ownership_manager.local_owner(SERVICE)._state
+            workflow = state.workflows[faulty.job_id]
+            (worker_id,) = state.pool.workers
+            step = make_ready_step(workflow, 0, 0, workflow.task_keys(0, 0))
+            state.reservations.replace(step, {worker_id: 16})
+            state.set_aside(workflow, "planning", KeyError("a fault of the program"))
+            small = await self.submit(cell, 2)
+            await asyncio.sleep(4)
+            self.assertIs(await self.state(cell, small), WorkflowState.COMPLETED)
+
     async def check(self, cancel):
         async with WorkflowCell(worker_count=3) as cell:
             await asyncio.sleep(1)
