Move reconciliation and queue lengths to modules of their own

`pool` keeps the state of workers, `reconciliation` what their listings, restarts and losses do to it; the functions are unchanged. `frontend` had grown by the lengths at former services.

--- a/basilhold/workflows/frontend.py
+++ b/basilhold/workflows/frontend.py
@@ -43,6 +43,7 @@
     StoreOutcome,
 )
 from basilhold.workflows.progress import WorkflowState, decode_state
+from basilhold.workflows.queue_lengths import QueueLengths
 from basilhold.workflows.quota_exchange import QuotaReply, QuotaRequest
 from basilhold.workflows.relayed_table import RelayedTable
 from basilhold.workflows.rows import cancel_key, progress_key, spec_key
@@ -80,10 +81,6 @@
 
 STATE_ATTEMPTS = 3
 
-LENGTH_ELSEWHERE_MAX_AGE_MS = 1_000.0
-"""Age up to which the number of a queue's workflows at other services is used again.
-Callers may be told a length that is 2 s old."""
-
 SLOW_OWNER_MS = 400.0
 SLOW_OWNER_PAUSE_MS = 2_000.0
 """An owner that took more than `SLOW_OWNER_MS` to reply, or did not reply, is skipped
@@ -112,23 +109,6 @@
     tenant: TenantName
 
 
-class _LengthElsewhere(msgspec.Struct, frozen=True):
-    """Unstarted workflows of a queue at all services but one.
-
-    Parameters
-    ----------
-    service : ServiceName
-        The one that is left out.
-    asked_ms : float
-        Monotonic time at which the owners were asked, in milliseconds.
-    length : int
-    """
-
-    service: ServiceName
-    asked_ms: float
-    length: int
-
-
 class WorkflowFrontend(PeerService):
     """Serves requests of callers and calls of peers in one process.
 
@@ -171,7 +151,7 @@
         self._skip_until_ms: dict[str, float] = {}
         self._tasks = BackgroundTasks()
         self._locator = JobLocator(table, ownership_manager.known_services)
-        self._lengths_elsewhere: dict[QueueName, _LengthElsewhere] = {}
+        self._queue_lengths = QueueLengths(ownership_manager, peers, clock)
 
     async def close(self) -> None:
         """Cancel pending notices to owners."""
@@ -462,53 +442,8 @@
             await asyncio.sleep(RETRY_DELAY_MS / 1000)
 
     async def queue_length(self, policy: QueuePolicy) -> int | None:
-        """Return the number of unstarted workflows, or ``None`` if it is unknown.
-
-        Workflows that were submitted before the queue was sent to its present service
-        count too.
-        """
-        length, elsewhere = await asyncio.gather(
-            self._queue_length_at(policy.service, policy.name),
-            self._queue_length_elsewhere(policy),
-        )
-        return None if length is None else length + elsewhere
-
-    async def _queue_length_at(
-        self, service: ServiceName, queue: QueueName
-    ) -> int | None:
-        local = self.local_queue_length(service, queue)
-        if local is not None:
-            return local
-        endpoint = self._ownership_manager.remote_owner_endpoint(service)
-        if not endpoint:
-            return None
-        return await self._peers.queue_length(endpoint, service, queue)
-
-    async def _queue_length_elsewhere(self, policy: QueuePolicy) -> int:
-        """Return the number of unstarted workflows at other services than the present.
-
-        Their owners are asked at most every `LENGTH_ELSEWHERE_MAX_AGE_MS`.
-        """
-        now_ms = self._clock.monotonic_ms()
-        known = self._lengths_elsewhere.get(policy.name)
-        if (
-            known is not None
-            and known.service == policy.service
-            and now_ms - known.asked_ms < LENGTH_ELSEWHERE_MAX_AGE_MS
-        ):
-            return known.length
-        services = self._ownership_manager.known_services()
-        lengths = await asyncio.gather(
-            *(
-                self._queue_length_at(service, policy.name)
-                for service in services
-                if service != policy.service
-            )
-        )
-        length = sum(count or 0 for count in lengths)
-        entry = _LengthElsewhere(policy.service, now_ms, length)
-        self._lengths_elsewhere[policy.name] = entry
-        return length
+        """Return the number of unstarted workflows, or ``None`` if it is unknown."""
+        return await self._queue_lengths.total(policy.service, policy.name)
 
     # Calls of peers.
 
@@ -543,10 +478,7 @@
 
     def local_queue_length(self, service: ServiceName, queue: QueueName) -> int | None:
         """Return the number of unstarted workflows, or ``None`` if not the owner."""
-        local = self._ownership_manager.local_owner(service)
-        if local is None or not local.is_current():
-            return None
-        return local.unstarted_count(queue)
+        return self._queue_lengths.local(service, queue)
 
     async def on_quota_request(self, request: QuotaRequest) -> QuotaReply:
         """Give parts of quotas of a service that this process owns."""
--- a/basilhold/workflows/pool.py
+++ b/basilhold/workflows/pool.py
@@ -3,8 +3,6 @@
 The module performs no I/O.
 """
 
-import math
-from collections.abc import Iterable
 from enum import Enum
 from typing import NamedTuple
 
@@ -17,7 +15,6 @@
 from basilhold.workflows.progress import EndKind, RunEnd
 
 __all__ = [
-    "EndedRun",
     "ListedEnd",
     "ListedRun",
     "Listing",
@@ -29,9 +26,6 @@
     "RunStage",
     "Worker",
     "WorkerInfo",
-    "transfer_runs",
-    "reconcile",
-    "remove_lost_runs",
 ]
 
 PENDING_POLL_MS = 50.0
@@ -537,151 +531,3 @@
         """Return a task's run on a worker, or ``None``."""
         worker = self.workers.get(worker_id)
         return worker.runs.get(key) if worker else None
-
-
-class EndedRun(msgspec.Struct):
-    """End of a run; `run` is ``None`` if the owner no longer tracked that run."""
-
-    key: RunKey
-    end: RunEnd
-    run: Run | None = None
-
-
-class Reconciled(msgspec.Struct):
-    """Changes found in a listing.
-
-    Parameters
-    ----------
-    ends : list of EndedRun
-        Ends to apply to the workflows, in this order.
-    unknown : list of ListedRun
-        Runs that the owner does not track; the caller has to stop or adopt them.
-    """
-
-    ends: list[EndedRun]
-    unknown: list[ListedRun]
-
-
-def reconcile(
-    worker: Worker, listing: Listing, asked_ms: float, now_ms: float
-) -> Reconciled:
-    """Update a worker's runs from its own listing.
-
-    Parameters
-    ----------
-    worker : Worker
-        Updated.
-    listing : Listing
-    asked_ms, now_ms : float
-        Times of the event loop's clock at which the listing was requested and at which
-        it arrived, in milliseconds.
-
-    Returns
-    -------
-    Reconciled
-    """
-    result = Reconciled([], [])
-    worker.listed = True
-    worker.listed_ms = now_ms
-    worker.clock_ms = listing.clock_ms
-    listed_keys = set()
-    for listed in listing.running:
-        listed_keys.add(listed.key)
-        _apply_listed_run(worker, listed, now_ms, result)
-    for ended in listing.ended:
-        if ended.sequence <= worker.processed_sequence:
-            continue
-        worker.processed_sequence = ended.sequence
-        run = worker.runs.get(ended.key)
-        if run is not None and run.number <= ended.end.run:
-            worker.remove(ended.key)
-            listed_keys.discard(ended.key)
-        same = run is not None and run.number == ended.end.run
-        result.ends.append(EndedRun(ended.key, ended.end, run if same else None))
-    for key, run in list(worker.runs.items()):
-        if key not in listed_keys and _is_lost(run, listing, asked_ms):
-            worker.remove(key)
-            result.ends.append(EndedRun(key, run.lost_end()))
-    return result
-
-
-def _apply_listed_run(
-    worker: Worker, listed: ListedRun, now_ms: float, result: Reconciled
-) -> None:
-    run = worker.runs.get(listed.key)
-    if run is None or run.number != listed.number:
-        result.unknown.append(listed)
-        return
-    run.crash = None
-    is_unconfirmed = run.stage in (RunStage.STARTING, RunStage.UNCERTAIN)
-    if is_unconfirmed or not run.confirmed_ms:
-        run.stage = RunStage.RUNNING
-        run.confirmed_ms = now_ms
-    if listed.checkpoint and listed.checkpoint != run.checkpoint:
-        run.checkpoint = listed.checkpoint
-        run.checkpoint_ms = now_ms
-    run.listed = True
-    run.percent = listed.percent
-    run.usage = listed.usage
-
-
-def _is_lost(run: Run, listing: Listing, asked_ms: float) -> bool:
-    """Return whether a run that is missing from a listing can no longer run."""
-    if run.stage is RunStage.COMMITTING or run.stage is RunStage.STARTING:
-        return False
-    if not listing.is_complete:
-        # Its end may be among those that are listed later.
-        return False
-    if run.stage is RunStage.UNCERTAIN:
-        return listing.clock_ms > run.until_clock_ms
-    # The worker had carried out the call before it replied. The loop's clock stands
-    # still within one iteration, so a listing may be requested at that same time.
-    return run.confirmed_ms <= asked_ms
-
-
-def transfer_runs(
-    old: Worker, new: Worker, evidence: dict[RunKey, CrashEvidence]
-) -> None:
-    """Transfer runs that may exist on a new incarnation of a worker to it.
-
-    A new incarnation has the address of the previous one, so a start call in transit
-    may have reached either of the two. The transferred runs are marked to be stopped;
-    once the new incarnation has confirmed the stop, they can no longer start there.
-
-    Parameters
-    ----------
-    old, new : Worker
-    evidence : dict of RunKey to CrashEvidence
-        Runs that may be to blame for the crash of the previous incarnation. They count
-        as crashed unless the new one turns out to have them.
-    """
-    for key, run in list(old.runs.items()):
-        if run.listed or run.stage is RunStage.COMMITTING:
-            continue
-        old.remove(key)
-        run.stage = RunStage.UNCERTAIN
-        run.until_clock_ms = math.inf
-        run.stop_wanted = True
-        run.stop_confirmed = False
-        run.crash = evidence.get(key, run.crash)
-        new.add(run)
-
-
-def remove_lost_runs(
-    worker: Worker, evidence: dict[RunKey, CrashEvidence]
-) -> Iterable[EndedRun]:
-    """Remove and yield the runs of a worker that lost its lease or has restarted.
-
-    Runs whose assignment is not stored yet remain.
-
-    Parameters
-    ----------
-    worker : Worker
-    evidence : dict of RunKey to CrashEvidence
-        Runs that may be to blame for the loss; empty if the worker has not crashed.
-    """
-    for key, run in list(worker.runs.items()):
-        if run.stage is RunStage.COMMITTING:
-            continue
-        worker.remove(key)
-        yield EndedRun(key, run.lost_end(evidence.get(key)))
--- a/basilhold/workflows/tests/test_standing_runs.py
+++ b/basilhold/workflows/tests/test_standing_runs.py
@@ -4,7 +4,7 @@
 from unittest.mock import patch
 
 from basilhold.testing.standing_runs import run_standing_seed
-from basilhold.workflows import planner, pool, worker_tracker
+from basilhold.workflows import planner, reconciliation, worker_tracker
 from basilhold.workflows.pool import Worker
 
 SEEDS = range(40)
@@ -78,9 +78,9 @@
         def is_isolated(worker, now_ms):
             return bool(worker.suspects)
 
-        original = pool._apply_listed_run
+        original = reconciliation._apply_listed_run
         with (
-            patch.object(pool, "_apply_listed_run", apply_listed_run),
+            patch.object(reconciliation, "_apply_listed_run", apply_listed_run),
             patch.object(Worker, "is_isolated", is_isolated),
         ):
             self.assert_detected("although there is room")
--- a/basilhold/workflows/worker_link.py
+++ b/basilhold/workflows/worker_link.py
@@ -9,14 +9,16 @@
 from basilhold.ports.runners import CallOutcome, RenewLeaseCall, RunnerClient
 from basilhold.workflows.owner_lease import Lease
 from basilhold.workflows.pool import (
-    EndedRun,
     ListedRun,
     Listing,
     LossReason,
     Worker,
-    reconcile,
 )
 from basilhold.workflows.progress import ROW_BYTES_MAX
+from basilhold.workflows.reconciliation import (
+    EndedRun,
+    reconcile,
+)
 
 __all__ = ["LEASE_MAX_MS", "PollResult", "OwnerLimits", "WorkerLink"]
 
--- a/basilhold/workflows/worker_tracker.py
+++ b/basilhold/workflows/worker_tracker.py
@@ -13,7 +13,6 @@
 from basilhold.workflows.model import task_name
 from basilhold.workflows.owner_state import LeaseLostError, OwnerState
 from basilhold.workflows.pool import (
-    EndedRun,
     ListedRun,
     Listing,
     LossReason,
@@ -22,11 +21,14 @@
     RunStage,
     Worker,
     WorkerInfo,
+)
+from basilhold.workflows.progress import EndKind, RunEnd
+from basilhold.workflows.reconciliation import (
+    EndedRun,
     reconcile,
     remove_lost_runs,
     transfer_runs,
 )
-from basilhold.workflows.progress import EndKind, RunEnd
 from basilhold.workflows.run_controller import RunController
 from basilhold.workflows.worker_link import PollResult, WorkerLink
 
