Accept no submission because of a location alone

What callers would have seen: 200 for a job that is not stored, if an owner of the build before has deleted an earlier job with its id. It knows nothing of locations and leaves them behind.

Change: if only the location conflicts, the workflow is looked up; without it the submission is refused, which is true.

Test: test_location_without_a_submission_is_not_taken_for_one, which failed before (stored).

--- a/basilhold/workflows/frontend.py
+++ b/basilhold/workflows/frontend.py
@@ -204,24 +204,27 @@
         self, spec: WorkflowSpec, error: StoreError
     ) -> StoreOutcome:
         """Return the outcome of a submission whose id is stored already."""
-        outcome = await self._check_tenant(spec)
         key = spec_key(spec.policy.service, spec.job_id)
         # The owner of this service must not learn of a workflow of another one.
         is_stored_here = any(conflict.key == key for conflict in error.conflicts)
-        if outcome is StoreOutcome.STORED and is_stored_here:
+        if spec.tenant or not is_stored_here:
+            outcome = await self._check_existing(spec)
+            if outcome is not StoreOutcome.STORED:
+                return outcome
+        if is_stored_here:
             self._on_stored(spec)
-        return outcome
+        return StoreOutcome.STORED
 
-    async def _check_tenant(self, spec: WorkflowSpec) -> StoreOutcome:
-        """Return the outcome of a submission whose id is stored already."""
-        if not spec.tenant:
+    async def _check_existing(self, spec: WorkflowSpec) -> StoreOutcome:
+        """Return the outcome of a submission by what is stored under its id."""
+        asking = spec.tenant or None
+        existence, _ = await self.state(spec.policy, spec.job_id, asking)
+        if existence is Existence.EXISTS:
             return StoreOutcome.STORED
-        existence, _ = await self.state(spec.policy, spec.job_id, spec.tenant)
-        if existence is Existence.ABSENT:
-            return StoreOutcome.ID_TAKEN
         if existence is Existence.UNKNOWN:
             return StoreOutcome.UNKNOWN
-        return StoreOutcome.STORED
+        # Only its location may be left of a workflow without a tenant.
+        return StoreOutcome.ID_TAKEN if spec.tenant else StoreOutcome.NOT_STORED
 
     def _outage_ms(self) -> float:
         """Return how long the store has been down, in milliseconds.
--- a/basilhold/workflows/tests/test_moved_queues.py
+++ b/basilhold/workflows/tests/test_moved_queues.py
@@ -13,7 +13,7 @@
 from basilhold.workflows.model import StepSpec
 from basilhold.workflows.peers import StoreOutcome
 from basilhold.workflows.progress import WorkflowState
-from basilhold.workflows.rows import spec_key
+from basilhold.workflows.rows import JobLocation, location_key, spec_key
 
 OTHER_SERVICE = ServiceName("inspect")
 SERVICES = (SERVICE, OTHER_SERVICE)
@@ -122,6 +122,18 @@
             await asyncio.sleep(15)
             await self.check_completed_once(cell, spec)
 
+    async def test_location_without_a_submission_is_not_taken_for_one(self):
+        # An owner of the previous build deletes a workflow without its location. A
+        # submission with the same id was accepted then, and nothing was stored.
+        async with self.cell() as cell:
+            await asyncio.sleep(2)
+            spec = make_workflow(1)
+            value = msgspec.json.encode(JobLocation(SERVICE))
+            write = Write(location_key(spec.job_id), value)
+            await cell.table.transact(Transaction((), (write,)))
+            self.assertIs(await cell.submit(spec), StoreOutcome.NOT_STORED)
+            self.assertIs(await cell.submit(move(spec)), StoreOutcome.NOT_STORED)
+
     async def test_queue_length_counts_the_workflows_of_both_services(self):
         # Workflows that wait at the former service of their queue were not counted.
         async with self.cell() as cell:
