--- a/basilhold/platform/tests/node_processes.py
+++ b/basilhold/platform/tests/node_processes.py
@@ -173,7 +173,9 @@
         return self._process is not None and self._process.poll() is None
 
     def start(self) -> None:
-        """Start the process."""
+        """Start the process, unless an overlapping restart has done so."""
+        if self.is_running:
+            return
         environment = {**os.environ, "BASILHOLD_CONFIG": str(self._settings)}
         with self._log.open("ab") as log:
             self._process = subprocess.Popen(
