Count the tasks that a worker has of a step in the check for room

Traced: the seven other workers have a task of the step, and the eighth has shrunk to 2 GiB, which two others use. The check took each of the seven for one with room, so the case is allowed, and is told apart now by the tasks that are there.

--- a/basilhold/testing/standing_runs.py
+++ b/basilhold/testing/standing_runs.py
@@ -195,7 +195,7 @@
         for spec in self.accepted:
             for number, step in enumerate(spec.steps):
                 waiting = self._waiting_tasks(spec, number, running)
-                if not waiting or not self._has_room(step, len(waiting), up):
+                if not waiting or not self._has_room(step, waiting, up):
                     continue
                 if step.long_running:
                     standing |= {
@@ -228,13 +228,15 @@
         ]
         return [key for key in keys if key not in running and key not in done]
 
-    def _has_room(self, step: StepSpec, count: int, up: list[MemoryRunner]) -> bool:
-        needed = ROOM_FACTOR * count
+    def _has_room(
+        self, step: StepSpec, waiting: list[RunKey], up: list[MemoryRunner]
+    ) -> bool:
+        needed = ROOM_FACTOR * len(waiting)
         for runner in up:
             free = runner.info.capacity - runner.used()
             limit = needed
             if step.per_worker_max:
-                limit = min(needed, step.per_worker_max)
+                limit = min(needed, step.per_worker_max - _count(runner, waiting[0]))
             needed -= count_fitting(free, step.reserved(), limit)
         return needed <= 0
 
@@ -284,6 +286,14 @@
         return report
 
 
+def _count(runner: MemoryRunner, key: RunKey) -> int:
+    """Return how many tasks of the same step a runner runs."""
+    return sum(
+        (other.job_id, other.task.step) == (key.job_id, key.task.step)
+        for other in runner.runs
+    )
+
+
 async def _run(seed: int, has_wide_gangs: bool) -> RunReport:
     rng = random.Random(f"{seed} cell of standing work")
     faults = RunnerFaults(
