--- a/basilhold/workflows/tests/test_withheld_workers.py
+++ b/basilhold/workflows/tests/test_withheld_workers.py
@@ -153,33 +153,34 @@
             await self.check_work_starts(cell, 100)
             self.assertEqual(cell.runners.violations, [])
 
-    async def test_gang_that_cannot_start_leaves_room_to_other_work(self):
-        # A gang that has to wait withheld workers from work of lower priority, although
-        # the tasks that keep it from them are at work for good.
+    async def check_gang_leaves_room(self, step):
+        """Check that a gang which waits for other tasks leaves room to lower work.
+
+        Parameters
+        ----------
+        step : StepSpec
+            The other tasks, of which each worker gets one.
+        """
         async with WorkflowCell(worker_count=WORKER_COUNT) as cell:
             await asyncio.sleep(1)
-            lasting = make_step(WORKER_COUNT, per_worker_max=1, long_running=True)
-            await cell.submit(make_workflow(1, lasting))
+            await cell.submit(make_workflow(1, step))
             await asyncio.sleep(1)
             size = Resources(16_000, 1 << 20, 0)
-            await cell.submit(
-                make_workflow(2, StepSpec(WORKER_COUNT, size, 20_000.0, gang=True))
-            )
+            gang = StepSpec(WORKER_COUNT, size, 20_000.0, gang=True)
+            await cell.submit(make_workflow(2, gang))
             await asyncio.sleep(1)
             await self.check_work_starts(cell, 100, priority=1)
             self.assertEqual(cell.runners.violations, [])
 
+    async def test_gang_that_cannot_start_leaves_room_to_other_work(self):
+        # A gang that has to wait withheld workers from work of lower priority, although
+        # the tasks that keep it from them are at work for good.
+        await self.check_gang_leaves_room(
+            make_step(WORKER_COUNT, per_worker_max=1, long_running=True)
+        )
+
     async def test_gang_withholds_half_used_workers_for_a_short_time_only(self):
         # The same, with tasks that take long.
-        async with WorkflowCell(worker_count=WORKER_COUNT) as cell:
-            await asyncio.sleep(1)
-            slow = make_step(WORKER_COUNT, 60_000.0, per_worker_max=1)
-            await cell.submit(make_workflow(1, slow))
-            await asyncio.sleep(1)
-            size = Resources(16_000, 1 << 20, 0)
-            await cell.submit(
-                make_workflow(2, StepSpec(WORKER_COUNT, size, 20_000.0, gang=True))
-            )
-            await asyncio.sleep(1)
-            await self.check_work_starts(cell, 100, priority=1)
-            self.assertEqual(cell.runners.violations, [])
+        await self.check_gang_leaves_room(
+            make_step(WORKER_COUNT, 60_000.0, per_worker_max=1)
+        )
