Isolate only suspects that are placed apart

What callers would have seen: after crashes under many long-running tasks, nothing else starts for several times 4 s on a small pool.

Cause: a suspect that has waited 2.5 s starts like any other task, and yet kept all else from its worker for 4 s; the next one followed when that time was over.

Change: only suspects that the planner has placed apart isolate their workers, so that the last isolation ends 6.5 s after the crash is known. Suspects restored at a takeover isolate nothing; they stay suspects.

--- a/basilhold/workflows/planner.py
+++ b/basilhold/workflows/planner.py
@@ -402,6 +402,7 @@
             if worker is None:
                 break
             run = _make_run(step, key, self._now_ms)
+            run.is_isolated = choose == self._choose_isolated_worker
             worker.add(run)
             self._added.append((worker, run.key))
             ticket = (
--- a/basilhold/workflows/pool.py
+++ b/basilhold/workflows/pool.py
@@ -41,8 +41,8 @@
 
 
 ISOLATED_RUN_MAX_MS = 4_000.0
-"""Time from the start of a suspect, or from a takeover, up to which nothing else starts
-on its worker."""
+"""Time from the start of an isolated suspect up to which nothing else starts on its
+worker."""
 
 
 class RunKey(NamedTuple):
@@ -155,6 +155,8 @@
         Resources that count against the quota of the tenant.
     is_suspect : bool
         Whether the run may crash its worker; see `crash_blame`.
+    is_isolated : bool
+        Whether nothing else starts on the worker at first.
     disconnected_ms : float
         Time of the event loop's clock at which the connection broke over which the
         start had been sent, in milliseconds; 0 if it has not.
@@ -186,6 +188,7 @@
     tenant: TenantName = NO_TENANT
     size: Resources = Resources()
     is_suspect: bool = False
+    is_isolated: bool = False
     disconnected_ms: float = 0.0
     is_restored: bool = False
     crash: CrashEvidence | None = None
@@ -383,7 +386,7 @@
     def is_isolated(self, now_ms: float) -> bool:
         """Return whether nothing but suspects of one workflow may start here."""
         return any(
-            now_ms - run.started_ms < ISOLATED_RUN_MAX_MS
+            run.is_isolated and now_ms - run.started_ms < ISOLATED_RUN_MAX_MS
             for run in self.suspects.values()
         )
 
--- a/basilhold/workflows/tests/test_withheld_workers.py
+++ b/basilhold/workflows/tests/test_withheld_workers.py
@@ -8,8 +8,9 @@
 from basilhold.core import Resources
 from basilhold.testing import VirtualTimeTestCase
 from basilhold.testing.workflow_cell import WorkflowCell, make_spec
+from basilhold.workflows.isolation import ISOLATION_WAIT_MAX_MS
 from basilhold.workflows.model import StepSpec
-from basilhold.workflows.pool import PROBE_MS
+from basilhold.workflows.pool import ISOLATED_RUN_MAX_MS, PROBE_MS
 from basilhold.workflows.progress import EndKind, WorkflowState
 from basilhold.workflows.run_controller import AVOID_FAILING_WORKER_MS
 
@@ -117,6 +118,20 @@
             runner.end(key, EndKind.FAILED)
         await asyncio.sleep(AVOID_FAILING_WORKER_MS / 1000)
 
+    async def test_many_suspects_do_not_keep_the_workers_one_after_the_other(self):
+        # Suspects that had waited too long for a worker of their own started like other
+        # tasks, and yet kept all else from their worker, each for its time.
+        async with WorkflowCell(worker_count=2) as cell:
+            await asyncio.sleep(1)
+            await self.submit_lasting(cell, 10)
+            for _ in range(2):
+                await asyncio.sleep(2.6)
+                await self.crash_busiest(cell)
+            isolated_ms = ISOLATION_WAIT_MAX_MS + ISOLATED_RUN_MAX_MS
+            await asyncio.sleep(isolated_ms / 1000)
+            await self.check_work_starts(cell, 100)
+            self.assertEqual(cell.runners.violations, [])
+
     async def test_failing_worker_with_a_long_running_task_gets_work_again(self):
         # A worker with three failed runs in a row had to be idle for the next one. One
         # with a long-running task never is, and got no work any more.
