Let the random runs for standing work find what they are for

Now all workers fail some workflows as the last fault, further ones are submitted when it is calm, and cells of two workers are played too.

--- a/basilhold/testing/standing_runs.py
+++ b/basilhold/testing/standing_runs.py
@@ -22,6 +22,7 @@
 from basilhold.testing.workflow_runs import RunReport, report_seeds
 from basilhold.workflows.frontend import Existence
 from basilhold.workflows.model import StepSpec, TaskKey, WorkflowSpec
+from basilhold.workflows.peers import StoreOutcome
 from basilhold.workflows.pool import RunKey
 from basilhold.workflows.preemption import count_fitting
 
@@ -49,9 +50,15 @@
 """Share of the cores above which work may wait."""
 
 CANCEL_MS = 2_500.0
+LAST_FAILING_S = 3.0
 FAILING_S = (1.0, 5.0)
-WATCH_S = 20.0
-"""Time after the last fault in which no work may wait."""
+QUIET_S = 8.0
+WATCH_S = 14.0
+"""Times after the last fault up to the submission of further work, and for which that
+is watched."""
+
+SMALL_NUMBER = 1_000
+"""First number of the workflows that are submitted after the faults."""
 
 
 class _StandingRun(CrashRun):
@@ -251,9 +258,10 @@
 
     async def settle(self) -> None:
         """End all faults and watch on; then end the tasks that last."""
+        await self._fail_all()
         self._note_disturbance()
-        for runner in self.cell.runners.runners.values():
-            runner.is_failing = False
+        await asyncio.sleep(QUIET_S)
+        await self._submit_small(SMALL_NUMBER + WORKER_COUNT)
         await asyncio.sleep(WATCH_S)
         for process in self.cell.processes.values():
             process.table.cut = False
@@ -262,6 +270,26 @@
             await self._cancel_surely(spec)
         await super().settle()
 
+    async def _fail_all(self) -> None:
+        """Let all workers fail some small workflows, as the last fault."""
+        runners = list(self.cell.runners.runners.values())
+        for runner in runners:
+            runner.is_failing = True
+        await self._submit_small(SMALL_NUMBER)
+        await asyncio.sleep(LAST_FAILING_S)
+        for runner in runners:
+            runner.is_failing = False
+
+    async def _submit_small(self, first: int) -> None:
+        """Submit small workflows, which start wherever room is."""
+        for number in range(WORKER_COUNT):
+            spec = make_spec(first + number, self._standing_rng)
+            policy = msgspec.structs.replace(spec.policy, advice=None, priority=2)
+            step = StepSpec(2, Resources(500, 1 << 20, 0), 500.0)
+            spec = msgspec.structs.replace(spec, steps=(step,), policy=policy)
+            if await self.cell.submit(spec) is StoreOutcome.STORED:
+                self.accepted.append(spec)
+
     async def _cancel_surely(self, spec: WorkflowSpec) -> None:
         front = next(iter(self.cell.processes.values())).front
         existence = Existence.UNKNOWN
@@ -294,7 +322,7 @@
     )
 
 
-async def _run(seed: int, has_wide_gangs: bool) -> RunReport:
+async def _run(seed: int, has_wide_gangs: bool, worker_count: int) -> RunReport:
     rng = random.Random(f"{seed} cell of standing work")
     faults = RunnerFaults(
         lost_reply=rng.choice((0.0, 0.03)), refused=rng.choice((0.0, 0.02))
@@ -302,7 +330,7 @@
     store_faults = StoreFaults(seed)
     store_faults.latency_ms = rng.choice((1.0, 4.0))
     store_faults.lost_reply_ratio = rng.choice((0.0, 0.02))
-    async with WorkflowCell(seed, 3, WORKER_COUNT, faults, store_faults) as cell:
+    async with WorkflowCell(seed, 3, worker_count, faults, store_faults) as cell:
         cell.keeps_worker_ids = rng.random() < 0.5
         run = _StandingRun(cell, seed, has_wide_gangs)
         await asyncio.sleep(2.0)
@@ -315,7 +343,9 @@
         return await run.check()
 
 
-def run_standing_seed(seed: int, has_wide_gangs: bool = False) -> RunReport:
+def run_standing_seed(
+    seed: int, has_wide_gangs: bool = False, worker_count: int = WORKER_COUNT
+) -> RunReport:
     """Run one seed on a new loop with a virtual clock.
 
     Parameters
@@ -323,17 +353,20 @@
     seed : int
     has_wide_gangs : bool
         Whether there are priorities, and gangs that may have to wait for good.
+    worker_count : int
+        With few workers, all of them may be withheld at a time.
     """
-    return run_virtual(_run(seed, has_wide_gangs))
+    return run_virtual(_run(seed, has_wide_gangs, worker_count))
 
 
 @click.command()
 @click.option("--seeds", default=20, help="Number of seeds.")
 @click.option("--first", default=0, help="First seed.")
 @click.option("--gangs", is_flag=True, help="Submit gangs that take all workers.")
-def main(seeds: int, first: int, gangs: bool) -> None:
+@click.option("--workers", default=WORKER_COUNT, help="Number of workers.")
+def main(seeds: int, first: int, gangs: bool, workers: int) -> None:
     """Run seeds and report those in which work waits although there is room."""
-    report_seeds(lambda seed: run_standing_seed(seed, gangs), seeds, first)
+    report_seeds(lambda seed: run_standing_seed(seed, gangs, workers), seeds, first)
 
 
 if __name__ == "__main__":
--- a/basilhold/workflows/tests/test_standing_runs.py
+++ b/basilhold/workflows/tests/test_standing_runs.py
@@ -9,6 +9,10 @@
 
 SEEDS = range(40)
 
+FEW_WORKERS = 2
+FEW_WORKERS_SEEDS = range(20)
+"""Seeds of runs with so few workers that all of them may be withheld at a time."""
+
 GANG_SEEDS = range(20)
 """Seeds of runs with priorities, and gangs that may have to wait for good."""
 
@@ -27,6 +31,13 @@
                 self.assertEqual(report.violations, [], "; ".join(report.faults))
                 self.assertGreater(report.starts, 0)
 
+    def test_seeds_with_few_workers(self):
+        for seed in FEW_WORKERS_SEEDS:
+            with self.subTest(seed=seed):
+                report = run_standing_seed(seed, worker_count=FEW_WORKERS)
+                self.assertEqual(report.violations, [], "; ".join(report.faults))
+                self.assertGreater(report.starts, 0)
+
     def test_seeds_with_wide_gangs(self):
         for seed in GANG_SEEDS:
             with self.subTest(seed=seed):
@@ -41,9 +52,9 @@
     Each test breaks one rule of the owner on purpose.
     """
 
-    def assert_detected(self, text, has_wide_gangs=False):
+    def assert_detected(self, text, **options):
         for seed in SEEDS:
-            report = run_standing_seed(seed, has_wide_gangs)
+            report = run_standing_seed(seed, **options)
             if any(text in line for line in report.violations):
                 return
         self.fail("no seed detected the broken variant")
@@ -53,7 +64,7 @@
             patch.object(Worker, "_probes", lambda worker: list(worker.runs)),
             patch.object(Worker, "end_probation", lambda worker, now_ms: None),
         ):
-            self.assert_detected("although there is room")
+            self.assert_detected("although there is room", worker_count=FEW_WORKERS)
 
     def test_workers_are_withheld_for_gangs_for_any_time(self):
         def freeable_capacity(worker, step):
@@ -83,7 +94,7 @@
             patch.object(reconciliation, "_apply_listed_run", apply_listed_run),
             patch.object(Worker, "is_isolated", is_isolated),
         ):
-            self.assert_detected("although there is room")
+            self.assert_detected("although there is room", worker_count=FEW_WORKERS)
 
     def test_runs_go_over_to_the_next_incarnation_without_blame(self):
         def transfer(old, new, evidence):
