Blame a suspect alone only if nothing has started after it

What callers would have seen: a job given up after one crash under its task, and a task that crashes workers not counted, if it started beside a suspect.

Cause: suspects exonerate the other runs of their worker, which rests on nothing else starting there.

Change: if any other run has started after the first suspect, all runs that had begun share the crash, as without suspects.

Test: test_suspect_does_not_exonerate_what_has_started_after_it, which failed before (only the suspect is blamed).

--- a/basilhold/workflows/crash_evidence.py
+++ b/basilhold/workflows/crash_evidence.py
@@ -4,6 +4,8 @@
 and whether they had begun. The module performs no I/O.
 """
 
+import math
+
 from basilhold.workflows.crash_blame import CrashEvidence, RunAge
 from basilhold.workflows.pool import Pool, Run, RunKey, RunStage, Worker
 
@@ -19,7 +21,8 @@
 ) -> dict[RunKey, CrashEvidence]:
     """Return the runs that may be to blame for the crash of a worker.
 
-    If any of its runs were suspects, only they are.
+    If any of its runs were suspects, and nothing else has started there since, only
+    they are.
 
     Parameters
     ----------
@@ -38,6 +41,8 @@
         if run.may_have_begun or _may_have_arrived(run, worker, crashed_by_ms)
     ]
     suspects = [run for run in begun if run.is_suspect]
+    if _has_started_since(begun, suspects):
+        suspects = []
     is_one_workflow = len({run.key.job_id for run in suspects}) == 1
     evidence: dict[RunKey, CrashEvidence] = {}
     for run in suspects or begun:
@@ -58,6 +63,12 @@
     return evidence
 
 
+def _has_started_since(begun: list[Run], suspects: list[Run]) -> bool:
+    """Return whether other runs have started on a worker after its suspects."""
+    since_ms = min((run.started_ms for run in suspects), default=math.inf)
+    return any(run.started_ms > since_ms and not run.is_suspect for run in begun)
+
+
 def _may_have_arrived(run: Run, worker: Worker, crashed_by_ms: float) -> bool:
     """Return whether a start without a reply may have arrived before the crash.
 
--- a/basilhold/workflows/tests/test_crash_blame.py
+++ b/basilhold/workflows/tests/test_crash_blame.py
@@ -213,6 +213,21 @@
         self.assertEqual(list(evidence), [suspect.key])
         self.assertTrue(evidence[suspect.key].is_only_suspect)
 
+    def test_suspect_does_not_exonerate_what_has_started_after_it(self):
+        # A task that crashed a worker beside a suspect was not blamed, and the suspect
+        # was given up.
+        info = WorkerInfo(WorkerId("w"), "h:1", 1, Resources(16_000))
+        pool = Pool()
+        worker = pool.workers[info.worker_id] = Worker(info)
+        facts = {"stage": RunStage.RUNNING, "confirmed_ms": 1.0}
+        suspect = self.run_of(0, is_suspect=True, started_ms=1_000.0, **facts)
+        other = self.run_of(1, started_ms=2_000.0, **facts)
+        for run in (suspect, other):
+            worker.add(run)
+        evidence = collect_crash_evidence(worker, pool, 0.0)
+        self.assertEqual(set(evidence), {suspect.key, other.key})
+        self.assertFalse(any(crash.is_only_suspect for crash in evidence.values()))
+
     def test_refusal_by_a_distant_worker_is_not_taken_for_a_pending_poll(self):
         info = WorkerInfo(WorkerId("w"), "h:1", 1, Resources(16_000))
         worker = Worker(info)
