Read all pages when a whole table is scanned

What callers would have seen: nothing yet. Tables read as a whole are `owners` alone, with one part and one row for each service, so neither limit is in reach of the deployments known. A larger table would have been read in part.

Cause: the names of a table's parts come 1,000 to a reply, the rows of a part 500 or 1 MB to a reply, and `_scan_table` read one reply of each and returned an empty `next_after`.

Change: all replies are read. A page that only repeats the row it continues from, because that row fills a reply, is read again from behind that row; before, such a scan never ended.

Tests, which failed before: test_scan_of_a_table_returns_all_parts (1000 of 1001 rows), test_scan_of_a_table_returns_all_rows_of_a_part (500 of 501, and 15 of 30 large ones), test_pages_of_large_rows_are_all_read (did not end). The stub of the platform now limits its replies as the protocol says.

--- a/basilhold/platform/store.py
+++ b/basilhold/platform/store.py
@@ -33,6 +33,13 @@
 ROWS_PER_REPLY_MAX = 500
 """Largest number of rows in a reply."""
 
+PARTS_PER_REPLY_MAX = 1_000
+"""Largest number of parts of a table in a reply."""
+
+FIRST_CHARACTER = " "
+"""Lowest character in keys. No key lies between another key and that key followed by
+this character."""
+
 _STATUS_CONFLICT = 412
 _STATUS_GONE = 410
 
@@ -143,12 +150,22 @@
         table, part, _ = _split_key(prefix)
         if prefix.count("/") < 2:
             return await self._scan_table(table)
+        return await self._read_page(table, part, after, limit)
+
+    async def _read_page(
+        self, table: str, part: str, after: str, limit: int
+    ) -> Result[ScanPage, StoreError]:
+        """Return the rows of a part whose keys follow `after`, if it is not empty."""
         # The store's range includes `after`; request one more row, and drop that one.
         row_limit = min(limit + 1, ROWS_PER_REPLY_MAX) if after else limit
-        result = await self._read_range(table, part, _split_key(after)[2], row_limit)
+        name = _split_key(after)[2]
+        result = await self._read_range(table, part, name, row_limit)
         if result.is_error() or not after:
             return result
         rows = tuple(row for row in result.ok.rows if row.key != after)
+        if not rows and result.ok.next_after:
+            # The dropped row has filled the reply.
+            return await self._read_range(table, part, name + FIRST_CHARACTER, limit)
         return Ok(ScanPage(rows, result.ok.next_after, result.ok.version))
 
     async def _scan_table(self, table: str) -> Result[ScanPage, StoreError]:
@@ -157,21 +174,44 @@
         The version is the oldest one of the replies, so that a feed from there misses
         no change made in the meantime.
         """
-        query = urlencode({"table": table})
-        result = await self._get(f"/-/rows-parts?{query}", CALL_TIMEOUT_MS)
-        if result.is_error():
-            return result
-        parts_reply = result.ok.body
+        listed = await self._list_parts(table)
+        if listed.is_error():
+            return listed
+        parts, version = listed.ok
         rows: list[Row] = []
-        version = parts_reply.ver
-        for part in parts_reply.parts:
-            page = await self._read_range(table, part, "", ROWS_PER_REPLY_MAX)
-            if page.is_error():
-                return page
-            version = min(version or page.ok.version, page.ok.version)
-            rows.extend(page.ok.rows)
+        for part in parts:
+            after = ""
+            while True:
+                page = await self._read_page(table, part, after, ROWS_PER_REPLY_MAX)
+                if page.is_error():
+                    return page
+                version = min(version or page.ok.version, page.ok.version)
+                rows.extend(page.ok.rows)
+                after = page.ok.next_after
+                if not after:
+                    break
         return Ok(ScanPage(tuple(rows), "", version))
 
+    async def _list_parts(
+        self, table: str
+    ) -> Result[tuple[list[str], int], StoreError]:
+        """Return the parts of a table, and the version of the first reply."""
+        parts: list[str] = []
+        version = 0
+        while True:
+            query = {"table": table}
+            if parts:
+                query["after"] = parts[-1]
+            path = f"/-/rows-parts?{urlencode(query)}"
+            result = await self._get(path, CALL_TIMEOUT_MS)
+            if result.is_error():
+                return result
+            reply = result.ok.body
+            version = version or reply.ver
+            parts.extend(reply.parts)
+            if len(reply.parts) < PARTS_PER_REPLY_MAX:
+                return Ok((parts, version))
+
     async def _read_range(
         self, table: str, part: str, first_key: str, limit: int
     ) -> Result[ScanPage, StoreError]:
--- a/basilhold/platform/tests/stub_platform.py
+++ b/basilhold/platform/tests/stub_platform.py
@@ -15,6 +15,10 @@
 STORE_CLOCK_OFFSET_MS = 5_000_000_000.0
 """Offset of the store's clock, far from any clock of the machine."""
 
+ROWS_PER_REPLY = 500
+ROW_BYTES_PER_REPLY = 1_000_000
+PARTS_PER_REPLY = 1_000
+
 
 class StubPlatform:
     """Store, one runner and the advice service on one port; a context manager.
@@ -126,27 +130,32 @@
 
     def rows_get(self, query: Callable[[str], str]) -> tuple[int, dict]:
         """Return a range of rows."""
-        limit = int(query("limit") or 500)
+        limit = min(int(query("limit") or ROWS_PER_REPLY), ROWS_PER_REPLY)
         matching_rows = []
-        for table, part, key in sorted(self.rows):
-            in_part = table == query("table") and part == query("part")
-            at_or_after_start = key >= query("from")
-            below_end = not query("target") or key < query("target")
-            if in_part and at_or_after_start and below_end:
-                matching_rows.append(self._encode_row((table, part, key)))
-        has_more = len(matching_rows) > limit
+        row_part = (query("table"), query("part"))
+        first, end = query("from"), query("target")
+        for row_key in sorted(key for key in self.rows if key[:2] == row_part):
+            if row_key[2] >= first and (not end or row_key[2] < end):
+                matching_rows.append(self._encode_row(row_key))
+        count = limit
+        while count > 1 and _value_bytes(matching_rows[:count]) > ROW_BYTES_PER_REPLY:
+            count -= 1
         return 200, {
-            "rows": matching_rows[:limit],
-            "has_more": has_more,
+            "rows": matching_rows[:count],
+            "has_more": len(matching_rows) > count,
             **self._version_fields(),
         }
 
     def rows_parts(self, query: Callable[[str], str]) -> tuple[int, dict]:
         """Return the parts of a table."""
         parts = sorted(
-            {part for table, part, _ in self.rows if table == query("table")}
+            {
+                part
+                for table, part, _ in self.rows
+                if table == query("table") and part > query("after")
+            }
         )
-        return 200, {"parts": parts, **self._version_fields()}
+        return 200, {"parts": parts[:PARTS_PER_REPLY], **self._version_fields()}
 
     def rows_feed(self, query: Callable[[str], str]) -> tuple[int, dict]:
         """Return the changes of a table."""
@@ -163,12 +172,17 @@
         return 200, {"rows": rows, **self._version_fields()}
 
 
+def _value_bytes(rows: list[dict]) -> int:
+    """Return the size of the values of encoded rows, in bytes."""
+    return sum(len(row["value"]) for row in rows)
+
+
 class _PlatformHandler(RequestHandler):
     def initialize(self, platform: StubPlatform) -> None:
         self._platform = platform
 
     def _query_argument(self, argument: str) -> str:
-        return self.get_argument(argument, "")
+        return self.get_argument(argument, "", strip=False)
 
     def get(self) -> None:
         """Reply to a read."""
--- a/basilhold/platform/tests/test_store.py
+++ b/basilhold/platform/tests/test_store.py
@@ -4,8 +4,14 @@
 from basilhold.core import Clock
 from basilhold.platform.runners import PlatformWorkerRegistry, parse_endpoint
 from basilhold.platform.store import PlatformStore
-from basilhold.platform.tests.stub_platform import StubPlatform
+from basilhold.platform.tests.stub_platform import (
+    PARTS_PER_REPLY,
+    ROW_BYTES_PER_REPLY,
+    ROWS_PER_REPLY,
+    StubPlatform,
+)
 from basilhold.ports import ABSENT, Condition, StoreErrorKind, Transaction, Write
+from basilhold.workflows.recovery import scan_with_retries
 from basilhold.workflows.shared_time import SharedTime
 
 KEY = "jobs/desk.0/00f0"
@@ -44,6 +50,31 @@
         whole = (await self.store.scan("jobs/")).ok
         self.assertEqual(len(whole.rows), 3)
 
+    async def test_scan_of_a_table_returns_all_parts(self):
+        # A reply names 1,000 parts. The rows of the others did not exist for readers.
+        parts = PARTS_PER_REPLY + 1
+        for number in range(parts):
+            self.platform.put("owners", f"s{number:04}", "owner", b"{}")
+        rows = (await self.store.scan("owners/")).ok.rows
+        self.assertEqual(len(rows), parts)
+
+    async def test_scan_of_a_table_returns_all_rows_of_a_part(self):
+        # A reply holds 500 rows or 1 MB, and the rows after these were left out.
+        for count, size in ((ROWS_PER_REPLY + 1, 1), (30, 48_000)):
+            with self.subTest(count=count):
+                for number in range(count):
+                    self.platform.put(f"t{count}", "p", f"{number:04}", b"x" * size)
+                rows = (await self.store.scan(f"t{count}/")).ok.rows
+                self.assertEqual(len(rows), count)
+
+    async def test_pages_of_large_rows_are_all_read(self):
+        # Guards against a scan that ends, or repeats a page, if one row fills a reply.
+        for number in range(3):
+            size = ROW_BYTES_PER_REPLY if number else 1
+            self.platform.put("op", "", f"{number}", b"x" * size)
+        rows, _ = await scan_with_retries(self.store, "op//")
+        self.assertEqual([row.key for row in rows], ["op//0", "op//1", "op//2"])
+
     async def test_conflict_reports_the_actual_version(self):
         await self.store.transact(make_put(KEY, b"one"))
         error = (await self.store.transact(make_put(KEY, b"two"))).error
