Follow the pages of a scan up to the configuration document

What callers would have seen: 503 from a process that has just started, or answers by an old version after the store has dropped its history, while the age of the configuration seems to be low.

Cause: without a history the watch read one page of the table of the operator's documents, and took the reply for a confirmation even if the document was not on that page. It stands behind 500 rows, or 1 MB, of rows with lower keys only if the operator writes so many; no deployment known does.

Change: pages are followed up to the document. The version is that of the first page, so that the feed repeats what changed meanwhile.

Tests, which failed before: test_document_behind_other_rows_is_found (no configuration), test_version_behind_other_rows_is_in_force_after_lost_history (version 3 instead of 9).

--- a/basilhold/workflows/configuration_watch.py
+++ b/basilhold/workflows/configuration_watch.py
@@ -14,9 +14,10 @@
 from collections.abc import Callable
 
 import msgspec
+from expression import Ok, Result
 
 from basilhold.observability import Metrics, MetricSource, log_event, metric
-from basilhold.ports import ChangeFeed, Row, TableService
+from basilhold.ports import ChangeFeed, Row, ScanPage, StoreError, TableService
 from basilhold.workflows import events
 from basilhold.workflows.background_tasks import BackgroundTasks
 from basilhold.workflows.configuration_copy import decode_copy, encode_copy
@@ -354,7 +355,7 @@
             has_history = result.is_error() or result.ok.complete
         if not has_history:
             sent_ms = self._clock.now_ms()
-            result = await self._table.scan(self._prefix)
+            result = await self._scan_document()
         if result.is_error():
             return False
         for row in result.ok.rows:
@@ -363,6 +364,24 @@
         self._confirm(sent_ms, result.ok.version)
         return True
 
+    async def _scan_document(self) -> Result[ScanPage, StoreError]:
+        """Read as many pages of the prefix as it takes to reach the document.
+
+        The version is that of the first page, so that the feed continues from there.
+        """
+        version = -1
+        after = ""
+        while True:
+            result = await self._table.scan(self._prefix, after)
+            if result.is_error():
+                return result
+            page = result.ok
+            if version < 0:
+                version = page.version
+            after = page.next_after
+            if not after or any(row.key == self._key for row in page.rows):
+                return Ok(ScanPage(page.rows, "", version))
+
     def _confirm(self, confirmed_ms: float, store_version: int) -> None:
         """Record that the newest version was that of the store at a moment."""
         age_ms = self.age_ms()
--- a/basilhold/workflows/tests/test_configuration_watch.py
+++ b/basilhold/workflows/tests/test_configuration_watch.py
@@ -48,9 +48,11 @@
 class StubStore:
     """A store with one document, whose history can be dropped.
 
-    It may be down, or fail scans only.
+    It may be down, or fail scans only. A page of a scan has `page_rows` rows.
     """
 
+    page_rows = 500
+
     def __init__(self):
         self.rows = {}
         self.version = 1
@@ -66,7 +68,10 @@
         await asyncio.sleep(0.004)
         if self.is_down or self.scan_fails:
             return Error(StoreError(StoreErrorKind.NOT_APPLIED, "down"))
-        return Ok(ScanPage(tuple(self.rows.values()), "", self.version))
+        rows = sorted(r for r in self.rows.items() if r[0] > after)
+        page = tuple(row for _, row in rows[: self.page_rows])
+        next_after = page[-1].key if len(rows) > self.page_rows else ""
+        return Ok(ScanPage(page, next_after, self.version))
 
     async def changes(self, prefix, after, wait_ms):
         end_s = asyncio.get_running_loop().time() + wait_ms / 1000
@@ -101,6 +106,29 @@
         await asyncio.sleep(0.5)
         self.assertEqual((await self.watch.current()).version, 3)
 
+    async def test_document_behind_other_rows_is_found(self):
+        # Only the first page was read. A process that had started after 500 other
+        # documents had been written had no configuration, and confirmed that one.
+        await self.start()
+        for number in range(StubStore.page_rows):
+            self.store.put(b"{}", f"op//a{number:04}")
+        await asyncio.sleep(1)
+        self.assertEqual((await self.watch.current()).version, 3)
+
+    async def test_version_behind_other_rows_is_in_force_after_lost_history(self):
+        # The old version was confirmed after a scan that had not reached the new one.
+        await self.start()
+        await asyncio.sleep(2)
+        self.store.is_down = True
+        for number in range(StubStore.page_rows):
+            self.store.put(b"{}", f"op//a{number:04}")
+        self.store.put(b'{"version":9}')
+        self.store.first_kept = self.store.version + 1
+        await asyncio.sleep(1)
+        self.store.is_down = False
+        await asyncio.sleep(1)
+        self.assertEqual((await self.watch.current()).version, 9)
+
     async def test_new_version_is_applied_soon(self):
         await self.start()
         await asyncio.sleep(2)
