Do not blame runs for a crash whose ends are not listed yet

What callers would have seen: a job delayed as a suspect, and in a long series of crashes given up, though its tasks had ended before their worker crashed.

Change: `Run.is_absent` records that such a listing contained neither the run nor its end, under the same conditions as for a lost run. Absent runs keep their room until the end is listed, are not to blame for crashes, are not slow, and do not end a probation.

Further tests passed before and guard the same path: 499, 500 and 501 ends, an end between two listings, a takeover by SIGTERM and by a kill between them, commits that fail meanwhile, and a worker that ends runs faster than they are acknowledged.

--- a/basilhold/standins/runners.py
+++ b/basilhold/standins/runners.py
@@ -277,8 +277,8 @@
                 self.clock_ms(),
                 self.info.born_unix_ms,
                 running,
-                tuple(self.ended[:ENDS_PER_LISTING]),
-                len(self.ended) < ENDS_PER_LISTING,
+                tuple(self.ended[: self._monitor.ends_per_listing]),
+                len(self.ended) < self._monitor.ends_per_listing,
             )
         )
 
@@ -298,6 +298,8 @@
     ----------
     saves_work : bool
         Whether runs with checkpoints go on where they were stopped.
+    ends_per_listing : int
+        Largest number of ends in a listing.
     lost_core_s : float
         Work of runs that ended early and was not saved, in core-seconds.
     end_counts : Counter of EndKind
@@ -321,6 +323,7 @@
         self.rng = rng
         self.faults = faults or RunnerFaults()
         self.saves_work = False
+        self.ends_per_listing = ENDS_PER_LISTING
         self.lost_core_s = 0.0
         self.end_counts: Counter[EndKind] = Counter()
         self.done_s: dict[RunKey, float] = {}
--- a/basilhold/workflows/crash_evidence.py
+++ b/basilhold/workflows/crash_evidence.py
@@ -37,7 +37,7 @@
     crashed_by_ms = worker.silent_since_ms or now_ms
     begun = [
         run
-        for run in worker.runs.values()
+        for run in _present_runs(worker)
         if run.may_have_begun or _may_have_arrived(run, worker, crashed_by_ms)
     ]
     suspects = [run for run in begun if run.is_suspect]
@@ -63,6 +63,11 @@
     return evidence
 
 
+def _present_runs(worker: Worker) -> list[Run]:
+    """Return the runs that may be at work; others cannot have crashed the worker."""
+    return [run for run in worker.runs.values() if not run.is_absent]
+
+
 def _has_started_since(begun: list[Run], suspects: list[Run]) -> bool:
     """Return whether other runs have started on a worker after its suspects."""
     since_ms = min((run.started_ms for run in suspects), default=math.inf)
@@ -104,7 +109,7 @@
     if not worker.disconnected or not worker.heard_ms:
         return
     early_jobs = set()
-    for run in worker.runs.values():
+    for run in _present_runs(worker):
         age = _age_at_crash(run, worker, worker.silent_since_ms)
         if run.may_have_begun and age is not None and age.is_early:
             early_jobs.add(run.key.job_id)
--- a/basilhold/workflows/pool.py
+++ b/basilhold/workflows/pool.py
@@ -165,6 +165,9 @@
     crash : CrashEvidence, optional
         What the crash of the worker's previous incarnation says about the run, which
         may have been at work there.
+    is_absent : bool
+        Whether the run is no longer at work, although its end is not listed yet: a
+        listing that was not complete has contained neither.
     """
 
     key: RunKey
@@ -192,6 +195,7 @@
     disconnected_ms: float = 0.0
     is_restored: bool = False
     crash: CrashEvidence | None = None
+    is_absent: bool = False
 
     def lost_end(self, crash: CrashEvidence | None = None) -> RunEnd:
         """Return the end of the run if it can no longer be at work.
@@ -445,7 +449,8 @@
         """
         if self.failed_runs < FAILED_RUNS_MAX:
             return
-        if any(now_ms - run.started_ms >= PROBE_MS for run in self._probes()):
+        at_work = [run for run in self._probes() if not run.is_absent]
+        if any(now_ms - run.started_ms >= PROBE_MS for run in at_work):
             self.failed_runs = FAILED_RUNS_MAX - 1
 
     def has_room(self, step: StepSpec) -> bool:
--- a/basilhold/workflows/reconciliation.py
+++ b/basilhold/workflows/reconciliation.py
@@ -81,9 +81,14 @@
         same = run is not None and run.number == ended.end.run
         result.ends.append(EndedRun(ended.key, ended.end, run if same else None))
     for key, run in list(worker.runs.items()):
-        if key not in listed_keys and _is_lost(run, listing, asked_ms):
+        if key in listed_keys or not _is_absent(run, listing, asked_ms):
+            continue
+        if listing.is_complete:
             worker.remove(key)
             result.ends.append(EndedRun(key, run.lost_end()))
+        else:
+            # Its end may be among those that are listed later.
+            run.is_absent = True
     return result
 
 
@@ -95,6 +100,7 @@
         result.unknown.append(listed)
         return
     run.crash = None
+    run.is_absent = False
     is_unconfirmed = run.stage in (RunStage.STARTING, RunStage.UNCERTAIN)
     if is_unconfirmed or not run.confirmed_ms:
         run.stage = RunStage.RUNNING
@@ -107,13 +113,10 @@
     run.usage = listed.usage
 
 
-def _is_lost(run: Run, listing: Listing, asked_ms: float) -> bool:
+def _is_absent(run: Run, listing: Listing, asked_ms: float) -> bool:
     """Return whether a run that is missing from a listing can no longer run."""
     if run.stage is RunStage.COMMITTING or run.stage is RunStage.STARTING:
         return False
-    if not listing.is_complete:
-        # Its end may be among those that are listed later.
-        return False
     if run.stage is RunStage.UNCERTAIN:
         return listing.clock_ms > run.until_clock_ms
     # The worker had carried out the call before it replied. The loop's clock stands
@@ -145,6 +148,7 @@
         run.until_clock_ms = math.inf
         run.stop_wanted = True
         run.stop_confirmed = False
+        run.is_absent = False
         run.crash = evidence.get(key, run.crash)
         new.add(run)
 
--- a/basilhold/workflows/stragglers.py
+++ b/basilhold/workflows/stragglers.py
@@ -143,6 +143,8 @@
         return False
     if run.stop_wanted or run.stage is not RunStage.RUNNING or not run.confirmed_ms:
         return False
+    if run.is_absent:
+        return False
     key = StepKey(run.key.job_id, run.key.task.occurrence, run.key.task.step)
     if now_ms - run.started_ms <= run_times.limit_ms(key, step):
         return False
--- a/basilhold/workflows/tests/test_crashing_tasks.py
+++ b/basilhold/workflows/tests/test_crashing_tasks.py
@@ -9,6 +9,7 @@
 from basilhold.testing import VirtualTimeTestCase
 from basilhold.testing.workflow_cell import (
     CRASHED_WORKER_DOWN_S,
+    SERVICE,
     WorkflowCell,
     make_spec,
 )
@@ -237,3 +238,48 @@
             self.assertGreaterEqual(second_minute, 1)
             self.assertLessEqual(second_minute, 3)
             self.assertIs(await self.state(cell, crashing), WorkflowState.RUNNING)
+
+    async def test_ends_that_are_not_listed_yet_are_not_to_blame_for_a_crash(self):
+        # A run that had ended, but whose end did not fit into the listing, counted as
+        # crashed with its worker. Its task was a suspect after two such crashes.
+        async with WorkflowCell(worker_count=1) as cell:
+            cell.keeps_worker_ids = True
+            cell.runners.ends_per_listing = 5
+            await asyncio.sleep(1)
+            spec = make_workflow(1, make_step(1, estimate_ms=1_500.0))
+            await cell.submit(spec)
+            key = RunKey(spec.job_id, TaskKey(0, 0, 0))
+            for number in range(3):
+                await cell.submit(make_workflow(10 + number, make_step(5)))
+                runner = cell.runners.runners["w0"]
+                while len(runner.runs) < 6:
+                    await asyncio.sleep(0.01)
+                await self.crash_between_listings(cell, runner)
+                self.assertNotIn(key, cell.runners.crashes_under)
+                await asyncio.sleep(CRASHED_WORKER_DOWN_S)
+                while len(cell.runners.runners["w0"].runs) < 1:
+                    await asyncio.sleep(0.01)
+                self.assertIsNone(self.crash_history(cell, key))
+            await asyncio.sleep(10)
+            self.assertIs(await self.state(cell, spec), WorkflowState.COMPLETED)
+            self.assertEqual(cell.runners.violations, [])
+
+    def find_owner(self, cell):
+        process = cell.processes[cell.owner_name()]
+        return process.ownership_manager.local_owner(SERVICE)
+
+    def crash_history(self, cell, key):
+        workflow = self.find_owner(cell)._state.workflows[key.job_id]
+        return workflow.task(key.task).crash
+
+    async def crash_between_listings(self, cell, runner):
+        """Crash a worker that was cut off, once its first listing has been read."""
+        runner.cut = True
+        while runner.runs:
+            await asyncio.sleep(0.01)
+        runner.cut = False
+        worker = self.find_owner(cell).pool.workers[runner.info.worker_id]
+        while worker.processed_sequence < cell.runners.ends_per_listing:
+            await asyncio.sleep(0.001)
+        runner.crash(refuses_connections=True)
+        cell.runners.on_crash(runner)
--- a/basilhold/workflows/tests/test_owner.py
+++ b/basilhold/workflows/tests/test_owner.py
@@ -17,6 +17,8 @@
 from basilhold.workflows.peers import StoreOutcome
 from basilhold.workflows.progress import EndKind, WorkflowState
 
+SMALL_TASK = Resources(20, 1 << 20, 0)
+
 
 def make_workflow(number, *steps, **changes):
     spec = make_spec(number, random.Random(0))
@@ -519,3 +521,101 @@
                 self.assertIs(await self.state(cell, spec), WorkflowState.COMPLETED)
                 self.assertEqual(cell.runners.start_count, tasks)
                 self.assertEqual(cell.runners.violations, [])
+
+    async def end_while_cut(self, cell, spec):
+        """Submit a workflow, and let all of it end while its worker is cut off."""
+        await asyncio.sleep(1)
+        await cell.submit(spec)
+        await asyncio.sleep(1)
+        busy = max(cell.runners.runners.values(), key=lambda r: len(r.runs))
+        busy.cut = True
+        await asyncio.sleep(3)
+        self.assertEqual(len(busy.ended), spec.steps[0].task_count)
+        return busy
+
+    async def wait_for_first_listing(self, cell, runner):
+        process = cell.processes[cell.owner_name()]
+        owner = process.ownership_manager.local_owner(SERVICE)
+        worker = owner.pool.workers[runner.info.worker_id]
+        while worker.processed_sequence < cell.runners.ends_per_listing:
+            await asyncio.sleep(0.001)
+
+    async def check_completed_in(self, cell, spec, start_count):
+        self.assertIs(await self.state(cell, spec), WorkflowState.COMPLETED)
+        self.assertEqual(cell.runners.start_count, start_count)
+        self.assertEqual(cell.runners.violations, [])
+
+    async def test_about_as_many_ends_as_fit_into_a_listing_are_all_read(self):
+        # Guards against an end that is forgotten if the listing is just full.
+        for tasks in (499, 500, 501):
+            with self.subTest(tasks=tasks), patch.object(runners, "TRAVEL_MS", 30.0):
+                spec = make_workflow(1, StepSpec(tasks, SMALL_TASK, 2_000.0))
+                async with WorkflowCell(worker_count=2) as cell:
+                    busy = await self.end_while_cut(cell, spec)
+                    busy.cut = False
+                    await asyncio.sleep(5)
+                    await self.check_completed_in(cell, spec, tasks)
+                    self.assertEqual(busy.ended, [])
+
+    async def test_run_that_ends_between_two_listings_is_not_lost(self):
+        for tasks in (499, 500, 501):
+            with self.subTest(tasks=tasks), patch.object(runners, "TRAVEL_MS", 30.0):
+                spec = make_workflow(1, StepSpec(tasks, SMALL_TASK, 2_000.0))
+                async with WorkflowCell(worker_count=2) as cell:
+                    busy = await self.end_while_cut(cell, spec)
+                    # It ends at the worker once the first listing has left that.
+                    cell.runners.ends_per_listing = tasks
+                    late = make_workflow(2, StepSpec(1, SMALL_TASK, 60_000.0))
+                    await cell.submit(late)
+                    busy.cut = False
+                    await self.wait_for_first_listing(cell, busy)
+                    for runner in cell.runners.runners.values():
+                        for key in list(runner.runs):
+                            runner.end(key, EndKind.DONE)
+                    await asyncio.sleep(5)
+                    await self.check_completed_in(cell, late, tasks + 1)
+                    await self.check_completed_in(cell, spec, tasks + 1)
+
+    async def test_ends_are_not_lost_by_a_takeover_between_two_listings(self):
+        # Guards against a new owner that takes unlisted ends for lost runs.
+        for is_planned in (False, True):
+            with (
+                self.subTest(is_planned=is_planned),
+                patch.object(runners, "TRAVEL_MS", 30.0),
+            ):
+                spec = make_workflow(1, StepSpec(640, SMALL_TASK, 2_000.0))
+                async with WorkflowCell(worker_count=2) as cell:
+                    busy = await self.end_while_cut(cell, spec)
+                    busy.cut = False
+                    await self.wait_for_first_listing(cell, busy)
+                    owner = cell.processes.pop(cell.owner_name())
+                    await (owner.stop() if is_planned else owner.kill())
+                    await asyncio.sleep(12)
+                    await self.check_completed_in(cell, spec, 640)
+
+    async def test_no_run_is_lost_while_ends_cannot_be_acknowledged(self):
+        # Listings are as long as fit again and again while the commits fail.
+        spec = make_workflow(1, StepSpec(640, SMALL_TASK, 2_000.0))
+        async with WorkflowCell(worker_count=2) as cell:
+            busy = await self.end_while_cut(cell, spec)
+            cell.table.faults.down = True
+            busy.cut = False
+            await self.wait_for_first_listing(cell, busy)
+            await asyncio.sleep(10)
+            cell.table.faults.down = False
+            await asyncio.sleep(8)
+            await self.check_completed_in(cell, spec, 640)
+
+    async def test_worker_that_ends_runs_faster_than_they_are_acknowledged(self):
+        # Guards against a run that is lost, or a worker that gets no new work, if each
+        # listing is full for some time.
+        specs = [make_workflow(n, make_step(15, 100.0)) for n in range(1, 13)]
+        with patch.object(runners, "TRAVEL_MS", 30.0):
+            async with WorkflowCell(worker_count=1) as cell:
+                cell.runners.ends_per_listing = 2
+                await asyncio.sleep(1)
+                for spec in specs:
+                    await cell.submit(spec)
+                await asyncio.sleep(30)
+                for spec in specs:
+                    await self.check_completed_in(cell, spec, 15 * len(specs))
