Let half of the random runs list few ends at a time

No worker of the random runs had as many ends as fit into a listing, so they never met an incomplete one. The stand-in now lists 1, 3 or 500 ends at a time, drawn by the seed.

--- a/basilhold/testing/workflow_runs.py
+++ b/basilhold/testing/workflow_runs.py
@@ -42,6 +42,9 @@
 
 SETTLE_CHECK_S = 2.0
 
+ENDS_PER_LISTING = (1, 3, 500, 500)
+"""Largest number of ends in a listing; each run draws one."""
+
 RELAYS_RATIO = 0.5
 """Share of the runs in which processes that lose the store reach their peers."""
 
@@ -81,6 +84,8 @@
         self.accepted: list = []
         self.refused: list = []
         self.cancelled: set = set()
+        listing_rng = random.Random(f"{seed} ends in a listing")
+        cell.runners.ends_per_listing = listing_rng.choice(ENDS_PER_LISTING)
 
     def make_spec(self, number: int) -> WorkflowSpec:
         """Return the next workflow to submit."""
