Compare polls and confirmations by their order, not by time

What callers would have seen: a task that runs twice on one worker, which is then over its capacity.

Cause: when a commit ends, the acknowledgement of run ends and the next starts go to the same worker at once. A near worker may handle the poll first, whose listing does not contain the run, while the reply to the start arrives first. Since a run counts as lost that is confirmed at or before the time of the poll. The loop's clock counts whole milliseconds, so a confirmation that arrives 0.5 ms after the poll was sent has the same time.

No lease lapsed, nothing crashed.

Change: each poll of a worker has a number. A run is lost, or absent, by a listing only if its poll was sent after the confirmation was handled, however little time has passed between them. In the same way the reply to an older poll of the same millisecond is dropped. A stop that is confirmed after its run has gone over to the next incarnation is requested from that one again.

--- a/basilhold/workflows/pool.py
+++ b/basilhold/workflows/pool.py
@@ -127,6 +127,9 @@
         sent, and at which the worker first confirmed or listed the run, in
         milliseconds; 0 if this owner does not know it. The start of a restored run is
         the time of the takeover.
+    polls_before : int
+        Number of polls of the worker that had been sent when it confirmed or listed the
+        run; only the listings of later ones certainly contain the run.
     until_clock_ms : float
         Time of the worker's clock, in milliseconds, after which an unanswered start can
         no longer take effect.
@@ -178,6 +181,7 @@
     started_ms: float = 0.0
     sent_ms: float = 0.0
     confirmed_ms: float = 0.0
+    polls_before: int = 0
     until_clock_ms: float = 0.0
     stopping: bool = False
     stop_wanted: bool = False
@@ -320,6 +324,8 @@
         Shortest time from a call to its reply, in milliseconds; 0 if none is known.
     suspects : dict of RunKey to Run
         Runs that may crash the worker.
+    poll_count : int
+        Number of polls sent to this incarnation.
     """
 
     def __init__(self, info: WorkerInfo, usage: TenantUsage | None = None):
@@ -348,6 +354,7 @@
         self.disconnected = False
         self.round_trip_ms = 0.0
         self.suspects: dict[RunKey, Run] = {}
+        self.poll_count = 0
 
     def note_reply(self, now_ms: float) -> None:
         """Record that a poll was answered."""
--- a/basilhold/workflows/reconciliation.py
+++ b/basilhold/workflows/reconciliation.py
@@ -44,9 +44,7 @@
     unknown: list[ListedRun]
 
 
-def reconcile(
-    worker: Worker, listing: Listing, asked_ms: float, now_ms: float
-) -> Reconciled:
+def reconcile(worker: Worker, listing: Listing, poll: int, now_ms: float) -> Reconciled:
     """Update a worker's runs from its own listing.
 
     Parameters
@@ -54,9 +52,10 @@
     worker : Worker
         Updated.
     listing : Listing
-    asked_ms, now_ms : float
-        Times of the event loop's clock at which the listing was requested and at which
-        it arrived, in milliseconds.
+    poll : int
+        Number of the poll with which the listing was requested.
+    now_ms : float
+        Time of the event loop's clock at which the listing arrived, in milliseconds.
 
     Returns
     -------
@@ -81,7 +80,7 @@
         same = run is not None and run.number == ended.end.run
         result.ends.append(EndedRun(ended.key, ended.end, run if same else None))
     for key, run in list(worker.runs.items()):
-        if key in listed_keys or not _is_absent(run, listing, asked_ms):
+        if key in listed_keys or not _is_absent(run, listing, poll):
             continue
         if listing.is_complete:
             worker.remove(key)
@@ -105,6 +104,7 @@
     if is_unconfirmed or not run.confirmed_ms:
         run.stage = RunStage.RUNNING
         run.confirmed_ms = now_ms
+        run.polls_before = worker.poll_count
     if listed.checkpoint and listed.checkpoint != run.checkpoint:
         run.checkpoint = listed.checkpoint
         run.checkpoint_ms = now_ms
@@ -113,15 +113,15 @@
     run.usage = listed.usage
 
 
-def _is_absent(run: Run, listing: Listing, asked_ms: float) -> bool:
+def _is_absent(run: Run, listing: Listing, poll: int) -> bool:
     """Return whether a run that is missing from a listing can no longer run."""
     if run.stage is RunStage.COMMITTING or run.stage is RunStage.STARTING:
         return False
     if run.stage is RunStage.UNCERTAIN:
         return listing.clock_ms > run.until_clock_ms
-    # The worker had carried out the call before it replied. The loop's clock stands
-    # still within one iteration, so a listing may be requested at that same time.
-    return run.confirmed_ms <= asked_ms
+    # The worker had carried out the call before it replied. Times cannot tell whether
+    # the poll was sent after that reply, as the loop's clock counts whole milliseconds.
+    return poll > run.polls_before
 
 
 def transfer_runs(
@@ -149,6 +149,7 @@
         run.stop_wanted = True
         run.stop_confirmed = False
         run.is_absent = False
+        run.polls_before = 0
         run.crash = evidence.get(key, run.crash)
         new.add(run)
 
--- a/basilhold/workflows/run_controller.py
+++ b/basilhold/workflows/run_controller.py
@@ -121,6 +121,7 @@
             if run.stage is RunStage.STARTING:
                 run.stage = RunStage.RUNNING
                 run.confirmed_ms = self._state.clock.monotonic_ms()
+                run.polls_before = worker.poll_count
                 worker.note_round_trip(run.confirmed_ms - run.sent_ms)
                 worker.heard_ms = max(worker.heard_ms, run.confirmed_ms)
                 worker.alive_until_ms = max(worker.alive_until_ms, run.confirmed_ms)
@@ -195,25 +196,38 @@
 
     async def _stop_until_confirmed(self, worker: Worker, run: Run) -> None:
         try:
-            while worker.runs.get(run.key) is run and self._state.lease.is_valid():
-                outcome = await self._state.ports.runners.stop(
-                    worker, self._runner_call(run)
-                )
-                if outcome is CallOutcome.FENCED:
-                    raise LeaseLostError("a worker has seen a higher epoch")
-                if outcome is CallOutcome.DONE:
-                    # A list that is requested from now on contains the run or its
-                    # outcome, or else the run never started and never will.
-                    run.stop_confirmed = True
-                    run.stage = RunStage.RUNNING
-                    run.confirmed_ms = self._state.clock.monotonic_ms()
-                    self.refresh_worker(worker)
-                    return
-                if outcome is CallOutcome.ABSENT or worker.unregistered:
-                    return
-                await asyncio.sleep(STOP_RETRY_INTERVAL_MS / 1000)
+            await self._request_stop(worker, run)
         finally:
             run.stopping = False
+        successor = self._state.pool.workers.get(worker.worker_id)
+        if successor in (None, worker):
+            return
+        if successor.runs.get(run.key) is run:
+            # The reply may be that of the previous incarnation.
+            self.stop(successor, run)
+
+    async def _request_stop(self, worker: Worker, run: Run) -> None:
+        """Request a stop until it is confirmed, or the run is gone from the worker."""
+        while worker.runs.get(run.key) is run and self._state.lease.is_valid():
+            outcome = await self._state.ports.runners.stop(
+                worker, self._runner_call(run)
+            )
+            if outcome is CallOutcome.FENCED:
+                raise LeaseLostError("a worker has seen a higher epoch")
+            if worker.runs.get(run.key) is not run:
+                return
+            if outcome is CallOutcome.DONE:
+                # A list that is requested from now on contains the run or its
+                # outcome, or else the run never started and never will.
+                run.stop_confirmed = True
+                run.stage = RunStage.RUNNING
+                run.confirmed_ms = self._state.clock.monotonic_ms()
+                run.polls_before = worker.poll_count
+                self.refresh_worker(worker)
+                return
+            if outcome is CallOutcome.ABSENT or worker.unregistered:
+                return
+            await asyncio.sleep(STOP_RETRY_INTERVAL_MS / 1000)
 
     def adjust_pace(self, worker: Worker) -> None:
         """Adjust the pace of runs on spare cores to the latency of serving tasks."""
--- a/basilhold/workflows/tests/test_owner.py
+++ b/basilhold/workflows/tests/test_owner.py
@@ -1,6 +1,7 @@
 """Tests of an owner and its workers under single faults."""
 
 import asyncio
+import contextlib
 import random
 from unittest.mock import patch
 
@@ -10,7 +11,7 @@
 from basilhold.core import Resources
 from basilhold.standins import runners
 from basilhold.standins.faults import StoreFaults
-from basilhold.standins.runners import MemoryRegistry, RunnerFaults
+from basilhold.standins.runners import MemoryRegistry, MemoryRunners, RunnerFaults
 from basilhold.testing import VirtualTimeTestCase
 from basilhold.testing.workflow_cell import SERVICE, WorkflowCell, make_spec
 from basilhold.workflows.model import AdvicePolicy, StepSpec
@@ -19,6 +20,9 @@
 
 SMALL_TASK = Resources(20, 1 << 20, 0)
 
+REPLY_STEPS = 20
+"""Iterations of the loop that a reply takes, within which the clock stands still."""
+
 
 def make_workflow(number, *steps, **changes):
     spec = make_spec(number, random.Random(0))
@@ -619,3 +623,36 @@
                 await asyncio.sleep(30)
                 for spec in specs:
                     await self.check_completed_in(cell, spec, 15 * len(specs))
+
+    async def test_run_is_not_lost_by_a_listing_requested_just_before_its_start(self):
+        # A poll and a start were sent within a millisecond to a near worker, which
+        # handled the poll first. The start's reply arrived within that millisecond too,
+        # so the run counted as confirmed before the poll, and ran twice.
+        async def renew_lease(client, worker, call):
+            runner = client.runners[worker.worker_id]
+            result = runner.hold(call)
+            if call.wait_ms and not runner.ended:
+                runner.has_ended.clear()
+                with contextlib.suppress(TimeoutError):
+                    async with asyncio.timeout(call.wait_ms / 1000):
+                        await runner.has_ended.wait()
+                result = runner.hold(call)
+            for _ in range(REPLY_STEPS):
+                await asyncio.sleep(0)
+            return result
+
+        specs = [
+            make_workflow(number, make_step(30, 300.0), make_step(30, 300.0))
+            for number in range(1, 5)
+        ]
+        with (
+            patch.object(runners, "TRAVEL_MS", 0.0),
+            patch.object(MemoryRunners, "renew_lease", renew_lease),
+        ):
+            async with WorkflowCell(worker_count=2) as cell:
+                await asyncio.sleep(1)
+                for spec in specs:
+                    await cell.submit(spec)
+                await asyncio.sleep(30)
+                for spec in specs:
+                    await self.check_completed_in(cell, spec, 240)
--- a/basilhold/workflows/tests/test_reconciliation.py
+++ b/basilhold/workflows/tests/test_reconciliation.py
@@ -25,7 +25,8 @@
 BORN_UNIX_MS = 5
 CLOCK_MS = 10_000.0
 STARTED_MS = 1_000.0
-ASKED_MS = 3_000.0
+LISTED_MS = 3_000.0
+POLL = 5
 STEP = StepSpec(4, Resources(1_000, 1 << 20, 0), 100.0)
 
 
@@ -80,11 +81,11 @@
 class IncompleteListingTest(unittest.TestCase):
     """Guards against conclusions from the absence of an end that did not fit."""
 
-    def apply(self, worker, listing, asked_ms=ASKED_MS):
-        return reconcile(worker, listing, asked_ms, asked_ms + 1.0)
+    def apply(self, worker, listing, poll=POLL):
+        return reconcile(worker, listing, poll, LISTED_MS)
 
     def blamed(self, worker):
-        evidence = collect_crash_evidence(worker, Pool(), ASKED_MS + 10.0)
+        evidence = collect_crash_evidence(worker, Pool(), LISTED_MS + 10.0)
         return sorted(key.task.index for key in evidence)
 
     def test_absent_run_keeps_its_room_until_its_end_is_listed(self):
@@ -117,9 +118,13 @@
                 self.assertEqual(self.blamed(worker), blamed)
 
     def test_run_that_began_after_the_request_is_not_absent(self):
-        worker = make_worker(make_run(0), make_run(1))
-        self.apply(worker, make_listing(ended=(0,)), asked_ms=STARTED_MS - 1.0)
+        worker = make_worker(make_run(0), make_run(1, polls_before=POLL))
+        self.apply(worker, make_listing(ended=(0,)))
         self.assertEqual(self.blamed(worker), [1])
+        changed = self.apply(worker, make_listing(is_complete=True))
+        self.assertEqual(changed.ends, [])
+        changed = self.apply(worker, make_listing(is_complete=True), POLL + 1)
+        self.assertEqual([end.end.kind for end in changed.ends], [EndKind.LOST])
 
     def test_run_that_is_listed_later_is_not_absent(self):
         worker = make_worker(make_run(0), make_run(1))
--- a/basilhold/workflows/tests/test_worker_link.py
+++ b/basilhold/workflows/tests/test_worker_link.py
@@ -31,6 +31,16 @@
     start = stop = pace = None
 
 
+class OvertakingRunners(RecordingRunners):
+    """Replies to the second poll before the first."""
+
+    async def renew_lease(self, worker, call):
+        self.calls.append(call)
+        number = len(self.calls)
+        await asyncio.sleep(0.3 / number)
+        return Ok(Listing(1_000.0 * number, INFO.born_unix_ms, (), ()))
+
+
 class WorkerLinkTest(VirtualTimeTestCase):
     """Guards against run ends that a worker discards before they are read."""
 
@@ -64,3 +74,12 @@
         clock = Clock(0)
         await asyncio.gather(*(link.refresh(clock) for _ in range(6)))
         self.assertEqual(len(runners.calls), 2)
+
+    async def test_reply_to_an_older_poll_of_the_same_millisecond_is_dropped(self):
+        # The older listing was applied after the newer one, as if it were the newest.
+        runners = OvertakingRunners()
+        link = self.make(runners)
+        clock = Clock(0)
+        await asyncio.gather(link.poll(clock), link.poll(clock, immediate=True))
+        self.assertEqual(len(runners.calls), 2)
+        self.assertEqual(link.worker.clock_ms, 2_000.0)
--- a/basilhold/workflows/worker_link.py
+++ b/basilhold/workflows/worker_link.py
@@ -136,7 +136,7 @@
         self._limits = limits
         self._acknowledged = asyncio.Event()
         self._failures = 0
-        self._newest_request_ms = 0.0
+        self._newest_poll = 0
         self._sent_acknowledgement = 0
         self._refreshing = False
         self._refresh_requested = False
@@ -225,6 +225,8 @@
         # the same numbers, so a call with an acknowledgement does not wait.
         wait_ms = 0 if immediate or acknowledged else self._wait_ms()
         call = RenewLeaseCall(self._lease.epoch, acknowledged, until_ms, wait_ms)
+        worker.poll_count += 1
+        number = worker.poll_count
         self._pending_polls += 1
         try:
             result = await self._runners.renew_lease(worker, call)
@@ -245,15 +247,15 @@
         ):
             return PollResult(restarted=listing)
         self._sent_acknowledgement = max(self._sent_acknowledgement, acknowledged)
-        if sent_ms < self._newest_request_ms:
+        if number < self._newest_poll:
             # A poll that was sent later has already returned.
             return PollResult()
-        self._newest_request_ms = sent_ms
+        self._newest_poll = number
         worker.note_reply(now_ms)
         if not wait_ms:
             worker.note_round_trip(now_ms - sent_ms)
         first = not worker.listed
-        changed = reconcile(worker, listing, sent_ms, now_ms)
+        changed = reconcile(worker, listing, number, now_ms)
         return PollResult(first=first, ends=changed.ends, unknown=changed.unknown)
 
     def _new_acknowledgement(self) -> int:
--- a/basilhold/workflows/worker_tracker.py
+++ b/basilhold/workflows/worker_tracker.py
@@ -241,6 +241,7 @@
             step,
             RunStage.RUNNING,
             confirmed_ms=self._state.clock.monotonic_ms(),
+            polls_before=worker.poll_count,
             tenant=workflow.spec.tenant if step else NO_TENANT,
             size=step.size if step else Resources(),
         )
@@ -347,7 +348,7 @@
         )
         successor = self._replace_incarnation(worker, info)
         now_ms = self._state.clock.monotonic_ms()
-        changed = reconcile(successor, listing, now_ms, now_ms)
+        changed = reconcile(successor, listing, successor.poll_count, now_ms)
         link = self._state.links[successor.worker_id]
         self._apply_poll(link, PollResult(ends=changed.ends, unknown=changed.unknown))
 
