Play random runs whose clocks count in steps

The fault of polls and starts needs a poll, a start and its reply within one step of the clock, which no random run had: calls take 2 ms, virtual time is exact, and a listing showed the runs at its arrival. Processes may now have a clock that counts in steps, with listings that arrive up to 4 ms late. Seeds 0 to 29 with steps of 6 ms hold, and detect a variant that counts the polls before a confirmation.

--- a/basilhold/testing/workflow_cell.py
+++ b/basilhold/testing/workflow_cell.py
@@ -77,6 +77,9 @@
 CRASHED_WORKER_DOWN_S = 3.0
 """Time after which the worker that a task has crashed is back."""
 
+LISTING_DELAY_MAX_MS = 4.0
+"""Longest delay of a listing in cells with a coarse clock; a start takes 2 ms."""
+
 STORE_EPOCH_MS = 5_000_000.0
 """Time of the store's clock at the begin of a run."""
 
@@ -89,6 +92,34 @@
         return asyncio.get_running_loop().time() * 1000
 
 
+class _CoarseClock(Clock):
+    """Clock that counts in steps, like that of a loop which counts milliseconds.
+
+    Parameters
+    ----------
+    anchor_unix_ms : int
+    step_ms : float
+    """
+
+    def __init__(self, anchor_unix_ms: int, step_ms: float):
+        super().__init__(anchor_unix_ms)
+        self._step_ms = step_ms
+
+    def monotonic_ms(self) -> float:
+        """Return the time of the last step, in milliseconds."""
+        return super().monotonic_ms() // self._step_ms * self._step_ms
+
+
+class _OvertakenRunners(MemoryRunners):
+    """Agents whose listings may be overtaken by replies to later calls."""
+
+    async def renew_lease(self, worker, call):
+        """Renew the lease and return what runs and has ended, a little later."""
+        result = await super().renew_lease(worker, call)
+        await asyncio.sleep(self.rng.uniform(0.0, LISTING_DELAY_MAX_MS) / 1000)
+        return result
+
+
 class _ProcessTable(TableService, ChangeFeed):
     """The table as one process reaches it.
 
@@ -237,10 +268,7 @@
         self.name = name
         self.tenants = cell.tenants
         self._tenants_version = 0
-        clock = Clock(
-            VIRTUAL_EPOCH_UNIX_MS + int(asyncio.get_running_loop().time() * 1000)
-        )
-        self.clock = clock
+        clock = self.clock = cell.make_clock()
         shared_time = SharedTime(clock)
         self.table = _ProcessTable(cell.table, shared_time)
         peers = _CellPeers(cell)
@@ -319,6 +347,9 @@
         Services, over which the workers are dealt in turn.
     tenants : TenantRegistry, optional
         Tenants, whose quotas the runners watch.
+    clock_step_ms : float
+        Step in which the clocks of processes count, in milliseconds; 0 for an exact
+        clock. Replies to a poll and to a start may then arrive within one step.
 
     Attributes
     ----------
@@ -340,6 +371,7 @@
         services: tuple[ServiceName, ...] = (SERVICE,),
         tenants: TenantRegistry | None = None,
         allotment_policy: AllotmentPolicy | None = None,
+        clock_step_ms: float = 0.0,
     ):
         self.services = services
         self.tenants = tenants
@@ -349,7 +381,9 @@
         self.relays = relays
         self.rng = random.Random(seed)
         self.table = FeedTable(store_faults)
-        self.runners = MemoryRunners(random.Random(seed + 1), faults)
+        self._clock_step_ms = clock_step_ms
+        make_runners = _OvertakenRunners if clock_step_ms else MemoryRunners
+        self.runners = make_runners(random.Random(seed + 1), faults)
         self.advice = advice or MemoryAdvice()
         self.runners.on_crash = self._replace_crashed
         self.runners.quota_of = lambda name: self.quotas_in_force.get(name, Resources())
@@ -359,6 +393,13 @@
         self._born = 1
         self.keeps_worker_ids = False
 
+    def make_clock(self) -> Clock:
+        """Return the clock of a process that starts now."""
+        now_ms = int(asyncio.get_running_loop().time() * 1000)
+        if self._clock_step_ms:
+            return _CoarseClock(VIRTUAL_EPOCH_UNIX_MS + now_ms, self._clock_step_ms)
+        return Clock(VIRTUAL_EPOCH_UNIX_MS + now_ms)
+
     async def __aenter__(self) -> "WorkflowCell":
         for number in range(self._worker_count):
             self.start_worker(f"w{number}")
--- a/basilhold/testing/workflow_runs.py
+++ b/basilhold/testing/workflow_runs.py
@@ -393,7 +393,9 @@
         return await run.check()
 
 
-async def _run(seed: int, relays: bool | None, silences: bool) -> RunReport:
+async def _run(
+    seed: int, relays: bool | None, silences: bool, clock_step_ms: float
+) -> RunReport:
     rng = random.Random(seed)
     store_faults = StoreFaults(seed)
     store_faults.latency_ms = rng.choice((1.0, 4.0, 60.0))
@@ -407,7 +409,9 @@
     )
     if relays is None:
         relays = rng.random() < RELAYS_RATIO
-    async with WorkflowCell(seed, 3, 6, faults, store_faults, relays) as cell:
+    async with WorkflowCell(
+        seed, 3, 6, faults, store_faults, relays, clock_step_ms=clock_step_ms
+    ) as cell:
         run = RandomRun(cell, seed)
         await asyncio.sleep(2.0)
         async with asyncio.TaskGroup() as group:
@@ -420,7 +424,10 @@
 
 
 def run_seed(
-    seed: int, relays: bool | None = None, silences: bool = False
+    seed: int,
+    relays: bool | None = None,
+    silences: bool = False,
+    clock_step_ms: float = 0.0,
 ) -> RunReport:
     """Run one seed on a new loop with a virtual clock.
 
@@ -431,8 +438,10 @@
         Whether processes reach the store through their peers; drawn if not given.
     silences : bool
         Whether clocks jump and ways to the store fall silent, beside other faults.
+    clock_step_ms : float
+        Step in which the clocks of processes count, in milliseconds; 0 for exact ones.
     """
-    return run_virtual(_run(seed, relays, silences))
+    return run_virtual(_run(seed, relays, silences, clock_step_ms))
 
 
 def run_tenants_seed(seed: int) -> RunReport:
@@ -449,12 +458,16 @@
 @click.option(
     "--tenants", is_flag=True, help="Let tenants with changing quotas use two services."
 )
-def main(seeds: int, first: int, silences: bool, tenants: bool) -> None:
+@click.option("--clock-step-ms", default=0.0, help="Step in which clocks count.")
+def main(
+    seeds: int, first: int, silences: bool, tenants: bool, clock_step_ms: float
+) -> None:
     """Run seeds and report those that break a guarantee."""
-    if tenants:
-        report_seeds(run_tenants_seed, seeds, first)
-    else:
-        report_seeds(lambda seed: run_seed(seed, silences=silences), seeds, first)
+
+    def run(seed: int) -> RunReport:
+        return run_seed(seed, silences=silences, clock_step_ms=clock_step_ms)
+
+    report_seeds(run_tenants_seed if tenants else run, seeds, first)
 
 
 def report_seeds(run: Callable[[int], RunReport], seeds: int, first: int) -> None:
--- a/basilhold/workflows/tests/test_random_runs.py
+++ b/basilhold/workflows/tests/test_random_runs.py
@@ -7,10 +7,10 @@
 import msgspec
 
 from basilhold.tenants import AllotmentLedger
-from basilhold.testing import workflow_cell
+from basilhold.testing import workflow_cell, workflow_runs
 from basilhold.testing.crash_runs import run_crashes_seed
 from basilhold.testing.workflow_runs import run_seed, run_tenants_seed
-from basilhold.workflows import owner, worker_tracker
+from basilhold.workflows import owner, reconciliation, worker_tracker
 from basilhold.workflows.committer import Committer
 from basilhold.workflows.peers import OwnershipReply
 from basilhold.workflows.quota_keeper import QuotaKeeper
@@ -45,6 +45,10 @@
     48: "the same, after an outage of the store",
 }
 
+COARSE_CLOCK_SEEDS = range(30)
+CLOCK_STEP_MS = 6.0
+"""Runs in which a poll and the reply to a start often have the same time."""
+
 REGRESSION_SEEDS = {
     11: "after a lease expired, an owner is not bound by an outcome it cannot know",
     22: "a start request reached a restarted worker beside the replacement run",
@@ -57,6 +61,11 @@
 }
 
 
+def with_full_listings():
+    """Let all ends fit into a listing, as when the past failures were found."""
+    return patch.object(workflow_runs, "ENDS_PER_LISTING", (500,))
+
+
 class RandomRunsTest(unittest.TestCase):
     """Guards against tasks that run twice, too early, too often or not at all."""
 
@@ -67,11 +76,16 @@
         self.assertGreater(report.starts, 0)
 
     def test_crashing_tasks_and_shrinking_workers(self):
-        for seed in (*CRASH_SEEDS, *CRASH_REGRESSION_SEEDS):
+        for seed in CRASH_SEEDS:
             with self.subTest(seed=seed):
-                report = run_crashes_seed(seed)
-                self.assertEqual(report.violations, [], "; ".join(report.faults))
-                self.assertGreater(report.starts, 0)
+                self.check_report(run_crashes_seed(seed))
+        for seed in CRASH_REGRESSION_SEEDS:
+            with self.subTest(seed=seed), with_full_listings():
+                self.check_report(run_crashes_seed(seed))
+
+    def check_report(self, report):
+        self.assertEqual(report.violations, [], "; ".join(report.faults))
+        self.assertGreater(report.starts, 0)
 
     def test_seeds(self):
         for seed in SEEDS:
@@ -80,9 +94,15 @@
 
     def test_seeds_of_past_failures(self):
         for seed, cause in REGRESSION_SEEDS.items():
-            with self.subTest(seed=seed, cause=cause):
+            with self.subTest(seed=seed, cause=cause), with_full_listings():
                 self.check(seed, relays=False)
 
+    def test_seeds_with_coarse_clocks(self):
+        # A poll and the reply to a start had the same time, and the run was lost.
+        for seed in COARSE_CLOCK_SEEDS:
+            with self.subTest(seed=seed):
+                self.check_report(run_seed(seed, clock_step_ms=CLOCK_STEP_MS))
+
     def test_seeds_with_lost_replies(self):
         for seed in LOST_REPLY_SEEDS:
             with self.subTest(seed=seed):
@@ -100,11 +120,12 @@
                     self.check(seed, lost_replies=True)
 
     def test_seeds_with_tenants(self):
-        for seed in (*TENANT_SEEDS, *TENANT_REGRESSION_SEEDS):
+        for seed in TENANT_SEEDS:
             with self.subTest(seed=seed):
-                report = run_tenants_seed(seed)
-                self.assertEqual(report.violations, [], "; ".join(report.faults))
-                self.assertGreater(report.starts, 0)
+                self.check_report(run_tenants_seed(seed))
+        for seed in TENANT_REGRESSION_SEEDS:
+            with self.subTest(seed=seed), with_full_listings():
+                self.check_report(run_tenants_seed(seed))
 
     def test_seeds_without_relays(self):
         for seed in NO_RELAY_SEEDS:
@@ -136,6 +157,17 @@
         with patch.object(owner, "restore_assignments", lambda *args: 0):
             self.assert_detected()
 
+    def test_listings_of_polls_before_the_confirmation_count(self):
+        def is_absent(run, listing, poll):
+            return original(run, listing, poll + 1)
+
+        original = reconciliation._is_absent
+        with patch.object(reconciliation, "_is_absent", is_absent):
+            for seed in COARSE_CLOCK_SEEDS:
+                if run_seed(seed, clock_step_ms=CLOCK_STEP_MS).violations:
+                    return
+        self.fail("no seed detected the broken variant")
+
     def assert_detected_with_crashes(self):
         for seed in range(40):
             if run_crashes_seed(seed).violations:
--- a/basilhold/workflows/tests/test_standing_runs.py
+++ b/basilhold/workflows/tests/test_standing_runs.py
@@ -3,6 +3,7 @@
 import unittest
 from unittest.mock import patch
 
+from basilhold.testing import workflow_runs
 from basilhold.testing.standing_runs import _StandingRun, run_standing_seed
 from basilhold.workflows import planner, reconciliation, worker_tracker
 from basilhold.workflows.pool import Worker
@@ -28,11 +29,18 @@
     """Guards against workers that are withheld from work for good."""
 
     def test_seeds(self):
-        for seed in (*SEEDS, *REGRESSION_SEEDS):
+        for seed in SEEDS:
             with self.subTest(seed=seed):
-                report = run_standing_seed(seed)
-                self.assertEqual(report.violations, [], "; ".join(report.faults))
-                self.assertGreater(report.starts, 0)
+                self.check_seed(seed)
+        for seed in REGRESSION_SEEDS:
+            full_listings = patch.object(workflow_runs, "ENDS_PER_LISTING", (500,))
+            with self.subTest(seed=seed), full_listings:
+                self.check_seed(seed)
+
+    def check_seed(self, seed):
+        report = run_standing_seed(seed)
+        self.assertEqual(report.violations, [], "; ".join(report.faults))
+        self.assertGreater(report.starts, 0)
 
     def test_seeds_with_few_workers(self):
         for seed in FEW_WORKERS_SEEDS:
