Let a task be given up after two crashes in all random runs

Trace: the same worker is restarted at 11.3009 s and at 12.3616 s, each time with the four tasks of 0b at work, 216 and 218 ms after their starts. Their rule applies to all runs now: with fewer than two crashes under a task, a workflow shown as failed still breaks the check.

--- a/basilhold/testing/workflow_runs.py
+++ b/basilhold/testing/workflow_runs.py
@@ -42,6 +42,9 @@
 
 SETTLE_CHECK_S = 2.0
 
+CRASHES_TO_GIVE_UP = 2
+"""Number of workers that must have crashed under a task that is given up."""
+
 ENDS_PER_LISTING = (1, 3, 500, 500)
 """Largest number of ends in a listing; each run draws one."""
 
@@ -281,8 +284,16 @@
         return True
 
     def may_fail(self, spec: WorkflowSpec) -> bool:
-        """Return whether a workflow may be shown as failed."""
-        return self.cell.runners.faults.failed > 0
+        """Return whether a workflow may be shown as failed.
+
+        A task may be given up if workers have crashed under it, for whatever cause.
+        """
+        if self.cell.runners.faults.failed > 0:
+            return True
+        return any(
+            key.job_id == spec.job_id and count >= CRASHES_TO_GIVE_UP
+            for key, count in self.cell.runners.crashes_under.items()
+        )
 
     def _is_disturbed(self, time_s: float) -> bool:
         """Return whether lost orders or a fault may have kept a gang apart."""
