Review: a lasting task stays down for over 15 s after a takeover

A new owner waits 10.3 s for the lease of a runner that was lost before, so a task that lasts on it is down for 16 s, most of that without a disruption.

--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -368,6 +368,10 @@
         job, _, step, _ = task.split(".")
         return self.jobs[job]["steps"][int(step)]
 
+    def is_running(self, task):
+        """Return whether a run of a task is on a runner that is up."""
+        return any(runner.runs(task) for runner in self.by_id.values())
+
     def note_start(self, runner, call):
         """Record a start that a runner has begun."""
         self.starts.append((self.record.now_s(), runner.id, call))
@@ -465,6 +469,10 @@
             self._beat_task.cancel()
             self._server.close()
 
+    def runs(self, task):
+        """Return whether the runner is up and runs a task."""
+        return self.up and task in self._runs
+
     def _clock_ms(self):
         return (time.monotonic() - self._born_s) * 1000 + 1000
 
