--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -153,12 +153,19 @@
         self._handle = handle
         self._server = None
         self._writers = set()
+        self.resets = False
 
     async def open(self, host, port=0):
         """Listen; return the port."""
         self._server = await asyncio.start_server(self._serve, host, port)
         return self._server.sockets[0].getsockname()[1]
 
+    def reset(self, resets):
+        """Abort all connections, and new ones at once while `resets` is true."""
+        self.resets = resets
+        for writer in list(self._writers):
+            writer.transport.abort()
+
     def close(self):
         """Stop listening and abort all connections."""
         if self._server is not None:
@@ -167,6 +174,9 @@
             writer.transport.abort()
 
     async def _serve(self, reader, writer):
+        if self.resets:
+            writer.transport.abort()
+            return
         self._writers.add(writer)
         try:
             while True:
@@ -398,6 +408,7 @@
         self.state = "ready"
         self.unhealthy = False
         self.up = False
+        self._is_cut = False
         self._server = None
         self._port = 0
         self._sequence = 0
@@ -415,6 +426,7 @@
         self._end_number = 0
         self._has_ended = asyncio.Event()
         self._server = HttpServer(self._handle)
+        self._server.reset(self._is_cut)
         self._port = await self._server.open("127.0.0.1", self._port)
         self.up = True
         self._beat_task = asyncio.create_task(self._beat())
@@ -469,6 +481,11 @@
             self._beat_task.cancel()
             self._server.close()
 
+    def cut(self, is_cut):
+        """Reset all connections from now on, or accept them again."""
+        self._is_cut = is_cut
+        self._server.reset(is_cut)
+
     def runs(self, task):
         """Return whether the runner is up and runs a task."""
         return self.up and task in self._runs
@@ -857,6 +874,14 @@
         self.record.write(f"GET {route['path_prefix']}{job} at {node.name}: {answer}")
         return answer
 
+    async def wait_for_start(self, task, number):
+        """Wait until a run of a task has begun; return its runner."""
+        while True:
+            for _, runner_id, start in self.runners.starts:
+                if (start["task"], start["run"]) == (task, number):
+                    return self.runners.by_id[runner_id]
+            await asyncio.sleep(0.005)
+
     async def check_waiting(self, node, route, accepted):
         """Compare the number of waiting jobs that a machine gives with the true one.
 
