Log polls that a later incarnation of the worker answers

The logs could not tell whether a worker's lease was extended by a call for its former incarnation or by one for the present one. Event 6044 names the worker, the age of the poll, the worker's clock and the lease it asked for.

--- a/basilhold/workflows/events.py
+++ b/basilhold/workflows/events.py
@@ -106,6 +106,12 @@
     "task={task} run={run} may have crashed its worker: crashes={crashes} "
     "age_ms={age_ms} alone={alone} correlated={correlated} guilty={guilty}",
 )
+RENEWAL_REACHED_SUCCESSOR = Event(
+    6044,
+    EventLevel.INFO,
+    "worker={worker} a later incarnation answered a poll sent {age_ms} ms ago: "
+    "clock_ms={clock_ms} until_clock_ms={until_clock_ms} acknowledged={acknowledged}",
+)
 DEPENDENCY_LOST = Event(6050, EventLevel.WARNING, "{dependency} does not answer")
 DEPENDENCY_BACK = Event(
     6051, EventLevel.INFO, "{dependency} answers again after {after_ms} ms"
--- a/basilhold/workflows/worker_link.py
+++ b/basilhold/workflows/worker_link.py
@@ -6,7 +6,9 @@
 import msgspec
 
 from basilhold.core import Clock
+from basilhold.observability import log_event
 from basilhold.ports.runners import CallOutcome, RenewLeaseCall, RunnerClient
+from basilhold.workflows import events
 from basilhold.workflows.owner_lease import Lease
 from basilhold.workflows.pool import (
     ListedRun,
@@ -233,6 +235,9 @@
         finally:
             self._pending_polls -= 1
         now_ms = clock.monotonic_ms()
+        is_successor = result.is_ok() and self._is_from_successor(result.ok)
+        if is_successor:
+            self._report_successor(result.ok, call, now_ms - sent_ms)
         if self.closed:
             return PollResult(lost=LossReason.CLOSED)
         if result.is_error():
@@ -241,10 +246,7 @@
             return await self._after_failure(result.error, clock, sent_ms)
         self._failures = 0
         listing = result.ok
-        if (
-            worker.info.born_unix_ms
-            and listing.born_unix_ms != worker.info.born_unix_ms
-        ):
+        if is_successor:
             return PollResult(restarted=listing)
         self._sent_acknowledgement = max(self._sent_acknowledgement, acknowledged)
         if number < self._newest_poll:
@@ -258,6 +260,23 @@
         changed = reconcile(worker, listing, number, now_ms)
         return PollResult(first=first, ends=changed.ends, unknown=changed.unknown)
 
+    def _is_from_successor(self, listing: Listing) -> bool:
+        """Return whether another incarnation of the worker has answered."""
+        known_unix_ms = self.worker.info.born_unix_ms
+        return known_unix_ms > 0 and listing.born_unix_ms != known_unix_ms
+
+    def _report_successor(
+        self, listing: Listing, call: RenewLeaseCall, age_ms: float
+    ) -> None:
+        log_event(
+            events.RENEWAL_REACHED_SUCCESSOR,
+            worker=self.worker.worker_id,
+            age_ms=round(age_ms),
+            clock_ms=round(listing.clock_ms),
+            until_clock_ms=round(call.until_clock_ms),
+            acknowledged=call.acknowledged,
+        )
+
     def _new_acknowledgement(self) -> int:
         """Return the number up to which the worker may discard run ends.
 
