Add failing tests of renewals for a worker's former incarnation

A worker that starts again under its id takes calls that were meant for its former incarnation. The stand-in of the workers accepts leases of a length that a test sets, as some deployments accept longer ones than the owner asks for. Both tests fail: the task of a worker that is cut off starts elsewhere while its lease still lasts (one violation each).

--- a/basilhold/standins/runners.py
+++ b/basilhold/standins/runners.py
@@ -182,7 +182,7 @@
 
     def extend(self, until_ms: float) -> None:
         """Extend the lease of everything that runs here."""
-        until_ms = min(until_ms, self.clock_ms() + LEASE_MAX_MS)
+        until_ms = min(until_ms, self.clock_ms() + self._monitor.lease_limit_ms)
         if until_ms <= self._until_ms:
             return
         self._until_ms = until_ms
@@ -300,6 +300,8 @@
         Whether runs with checkpoints go on where they were stopped.
     ends_per_listing : int
         Largest number of ends in a listing.
+    lease_limit_ms : float
+        Longest lease that an agent accepts, in milliseconds.
     lost_core_s : float
         Work of runs that ended early and was not saved, in core-seconds.
     end_counts : Counter of EndKind
@@ -324,6 +326,7 @@
         self.faults = faults or RunnerFaults()
         self.saves_work = False
         self.ends_per_listing = ENDS_PER_LISTING
+        self.lease_limit_ms = LEASE_MAX_MS
         self.lost_core_s = 0.0
         self.end_counts: Counter[EndKind] = Counter()
         self.done_s: dict[RunKey, float] = {}
--- /dev/null
+++ b/basilhold/workflows/tests/test_restarted_workers.py
@@ -0,0 +1,86 @@
+"""Tests of workers that start again under their ids and get calls sent before."""
+
+import asyncio
+import random
+
+import msgspec
+
+from basilhold.core import Resources, WorkerId
+from basilhold.testing import VirtualTimeTestCase
+from basilhold.testing.workflow_cell import WorkflowCell, make_spec
+from basilhold.workflows.model import StepSpec
+
+WORKER = WorkerId("w0")
+UPTIME_S = 20.0
+"""Age of the former incarnation, whose clock is that far ahead of its successor's."""
+
+WORKER_COUNT = 2
+DOWN_S = 0.6
+LEASE_LIMIT_MS = 10_000.0
+
+
+def make_workflow(number, task_count):
+    """Return a workflow whose tasks take a worker each and do not end."""
+    spec = make_spec(number, random.Random(0))
+    policy = msgspec.structs.replace(spec.policy, advice=None)
+    step = StepSpec(task_count, Resources(12_000, 1 << 20, 0), 60_000.0)
+    return msgspec.structs.replace(spec, steps=(step,), policy=policy)
+
+
+class RestartedWorkersTest(VirtualTimeTestCase):
+    """Guards against effects of a call on a later incarnation of its worker."""
+
+    def record_renewals(self, cell):
+        """Return a list that collects the renewals sent to the worker from now on."""
+        renew_lease, calls = cell.runners.renew_lease, []
+
+        async def record(worker, call):
+            if worker.worker_id == WORKER and call.until_clock_ms:
+                calls.append(call)
+            return await renew_lease(worker, call)
+
+        cell.runners.renew_lease = record
+        return calls
+
+    async def restart(self, cell):
+        cell.runners.runners[WORKER].crash()
+        await asyncio.sleep(DOWN_S)
+        cell.start_worker(WORKER)
+
+    async def fill_and_cut(self, cell, delay_s=0.0):
+        """Let a task run on the restarted worker, and cut it off some time later."""
+        await cell.submit(make_workflow(1, WORKER_COUNT))
+        await asyncio.sleep(2)
+        self.assertTrue(cell.runners.runners[WORKER].runs)
+        await asyncio.sleep(delay_s)
+        cell.runners.runners[WORKER].cut = True
+        cell.start_worker("w9")
+        await asyncio.sleep(LEASE_LIMIT_MS / 1000 + 5)
+
+    async def test_renewal_for_the_former_incarnation_extends_the_lease(self):
+        # The new incarnation took the time of its predecessor's clock for one far
+        # ahead, and its runs started elsewhere before that lease had ended.
+        async with WorkflowCell(process_count=1, worker_count=WORKER_COUNT) as cell:
+            cell.runners.lease_limit_ms = LEASE_LIMIT_MS
+            renewals = self.record_renewals(cell)
+            await asyncio.sleep(UPTIME_S)
+            await self.restart(cell)
+            cell.runners.runners[WORKER].hold(renewals[-1])
+            await self.fill_and_cut(cell)
+            self.assertEqual(cell.runners.start_count, WORKER_COUNT + 1)
+            self.assertEqual(cell.runners.violations, [])
+
+    async def test_renewal_for_the_former_incarnation_arrives_late(self):
+        # It was carried out seconds after the new incarnation had answered.
+        async with WorkflowCell(process_count=1, worker_count=WORKER_COUNT) as cell:
+            cell.runners.lease_limit_ms = LEASE_LIMIT_MS
+            renewals = self.record_renewals(cell)
+            await asyncio.sleep(UPTIME_S)
+            late = renewals[-1]
+            await self.restart(cell)
+            await asyncio.sleep(3)
+            loop = asyncio.get_running_loop()
+            loop.call_later(2.4, cell.runners.runners[WORKER].hold, late)
+            await self.fill_and_cut(cell, 0.5)
+            self.assertEqual(cell.runners.start_count, WORKER_COUNT + 1)
+            self.assertEqual(cell.runners.violations, [])
