Give each link to a worker a fencing token of its own

Cause: a worker that is back under its id carries out calls that were meant for its former incarnation, as its id is the same. The expiry that a renewal or a start asks for is a time of the former incarnation's clock, so the next one may grant its longest lease (10 s), at any time up to seconds after its restart. The owner counted its own request (6.5 s) for the former incarnation only, and started the runs elsewhere before that lease ended.

Now an owner reserves 2^20 fencing tokens with a claim and uses a higher one for each link that it opens to a worker. Once the new incarnation has carried out a call of its link, it rejects all earlier ones; before that, they can extend the lease by its limit at most, which bounds it. An owner that takes over is above them in any case, and so is a process of an earlier version, which adds one to the stored epoch, the highest token. The rejection of an owner's own earlier call does not end its ownership.

A wider bound without tokens has no end, as late calls arrive "seconds later".

--- a/basilhold/platform/node.py
+++ b/basilhold/platform/node.py
@@ -223,6 +223,7 @@
                 retention_ms,
                 settings.row_bytes_max,
                 settings.bounds.stop_ms,
+                settings.bounds.hold_max_ms,
             ),
             self._services,
             rng,
--- a/basilhold/testing/workflow_cell.py
+++ b/basilhold/testing/workflow_cell.py
@@ -69,6 +69,9 @@
 SUCCESSOR_STEP = 100
 """Difference of the numbers of a worker and its successor at the same address."""
 
+LEASE_MS = 6_000.0
+"""Lease that the owners request."""
+
 UNREACHABLE_MS = 300.0
 SILENCE_MS = 1_200.0
 START_VALID_S = 2.0
@@ -302,7 +305,7 @@
             LoopClock(),
             Member(ProcessId(name), name, region),
             Incarnation(f"{name}-{cell.rng.random()}"),
-            OwnerLimits(6_000, 1_000),
+            OwnerLimits(LEASE_MS, 1_000, lease_limit_ms=cell.runners.lease_limit_ms),
             lambda: cell.services,
             random.Random(cell.rng.random()),
             peers,
@@ -350,6 +353,8 @@
     clock_step_ms : float
         Step in which the clocks of processes count, in milliseconds; 0 for an exact
         clock. Replies to a poll and to a start may then arrive within one step.
+    lease_limit_ms : float
+        Longest lease that a worker grants, in milliseconds.
 
     Attributes
     ----------
@@ -372,6 +377,7 @@
         tenants: TenantRegistry | None = None,
         allotment_policy: AllotmentPolicy | None = None,
         clock_step_ms: float = 0.0,
+        lease_limit_ms: float = LEASE_MS,
     ):
         self.services = services
         self.tenants = tenants
@@ -384,6 +390,7 @@
         self._clock_step_ms = clock_step_ms
         make_runners = _OvertakenRunners if clock_step_ms else MemoryRunners
         self.runners = make_runners(random.Random(seed + 1), faults)
+        self.runners.lease_limit_ms = lease_limit_ms
         self.advice = advice or MemoryAdvice()
         self.runners.on_crash = self._replace_crashed
         self.runners.quota_of = lambda name: self.quotas_in_force.get(name, Resources())
--- a/basilhold/workflows/owner_lease.py
+++ b/basilhold/workflows/owner_lease.py
@@ -68,6 +68,10 @@
 CLAIM_DELAY_PER_OWNED_SERVICE_MS = 400.0
 """Delay of a claim for each service that the process owns already."""
 
+FENCES_PER_EPOCH = 1 << 20
+"""Number of fencing tokens that a claim reserves. An owner uses one for each link that
+it opens to a worker."""
+
 _DECODER = JsonDecoder(OwnerRecord)
 
 
@@ -226,15 +230,28 @@
         self._version = version
         self._renewed_ms = claimed_ms
         self._lost = False
+        self._next_fence = max(1, record.epoch - FENCES_PER_EPOCH + 1)
         self.service = service
         self.record = record
         self.member_count = 0
 
     @property
     def epoch(self) -> Epoch:
-        """Fencing token of this lease."""
+        """Epoch of this lease, which is its highest fencing token."""
         return self.record.epoch
 
+    def take_fence(self) -> Epoch:
+        """Return a fencing token above all earlier ones.
+
+        The lease is lost once it has none left; a new claim reserves more.
+        """
+        fence = self._next_fence
+        if fence > self.epoch:
+            self._lost = True
+            return self.epoch
+        self._next_fence += 1
+        return Epoch(fence)
+
     def is_valid(self) -> bool:
         """Return whether the lease is neither lost nor expired."""
         return (
@@ -369,7 +386,10 @@
         The lease, or the reason of the failure.
     """
     key = owner_key(service)
-    epoch = Epoch(view.record.epoch + 1 if view.record else 1)
+    # All tokens of the claim are stored before one is used, so a process that only adds
+    # one to the stored epoch is above them too.
+    last_epoch = view.record.epoch if view.record else 0
+    epoch = Epoch(last_epoch + FENCES_PER_EPOCH)
     record = OwnerRecord(holder, endpoint, epoch, 0, incarnation)
     transaction = Transaction(
         (Condition(key, view.version),), (Write(key, msgspec.json.encode(record)),)
--- a/basilhold/workflows/owner_state.py
+++ b/basilhold/workflows/owner_state.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from basilhold.core import Clock, JobId, ServiceName, WorkerId
+from basilhold.core import Clock, Epoch, JobId, ServiceName, WorkerId
 from basilhold.observability import Metrics, log_event, metric
 from basilhold.ports import ChangeFeed, TableService
 from basilhold.ports.runners import AdviceService, RunnerClient, WorkerRegistry
@@ -18,7 +18,7 @@
 from basilhold.workflows.backlog import Backlog
 from basilhold.workflows.isolation import Isolation
 from basilhold.workflows.owner_lease import Lease
-from basilhold.workflows.pool import Pool
+from basilhold.workflows.pool import Pool, Worker
 from basilhold.workflows.preemption import Reservations
 from basilhold.workflows.progress import Workflow, WorkflowState
 from basilhold.workflows.quota_exchange import NoQuotaExchange, QuotaExchange
@@ -235,6 +235,20 @@
             if not self.failure.done():
                 self.failure.set_exception(error)
 
+    def check_fenced(self, worker: Worker, fence: Epoch) -> None:
+        """Check why a worker has rejected a call because of its fencing token.
+
+        Nothing happens if this owner has opened another link to the worker since.
+
+        Raises
+        ------
+        LeaseLostError
+            If another owner has called the worker.
+        """
+        is_known = self.pool.workers.get(worker.worker_id) is worker
+        if is_known and worker.fence == fence:
+            raise LeaseLostError("a worker has seen a higher epoch")
+
     def fail_lease_lost(self, reason: str) -> None:
         """End the owner because the lease is lost."""
         if not self.failure.done():
--- a/basilhold/workflows/pool.py
+++ b/basilhold/workflows/pool.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from basilhold.core import JobId, Resources, WorkerId
+from basilhold.core import Epoch, JobId, Resources, WorkerId
 from basilhold.tenants import NO_TENANT, TenantName, TenantUsage
 from basilhold.workflows.crash_blame import EARLY_CRASH_MS, CrashEvidence, CrashLog
 from basilhold.workflows.model import RunNumber, StepSpec, TaskKey
@@ -292,6 +292,8 @@
     listed_ms, clock_ms : float
         Time of the event loop's clock at the last listing, and time of the worker's
         clock in that listing, in milliseconds.
+    fence : Epoch
+        Fencing token of calls to the worker.
     lease_expires_ms : float
         Time of the event loop's clock up to which the lease on the worker may last, in
         milliseconds.
@@ -340,6 +342,7 @@
         self.unregistered = False
         self.listed_ms = 0.0
         self.clock_ms = 0.0
+        self.fence = Epoch(0)
         self.lease_expires_ms = 0.0
         self.acknowledged_sequence = 0
         self.processed_sequence = 0
@@ -356,6 +359,10 @@
         self.suspects: dict[RunKey, Run] = {}
         self.poll_count = 0
 
+    def note_lease(self, until_ms: float) -> None:
+        """Record that the lease may last up to a time of the event loop's clock."""
+        self.lease_expires_ms = max(self.lease_expires_ms, until_ms)
+
     def note_reply(self, now_ms: float) -> None:
         """Record that a poll was answered."""
         self.heard_ms = self.alive_until_ms = now_ms
--- a/basilhold/workflows/rows.py
+++ b/basilhold/workflows/rows.py
@@ -51,7 +51,7 @@
     endpoint : str
         ``host:port`` at which the holder serves its peers.
     epoch : Epoch
-        Fencing token, which increases with each claim.
+        Highest fencing token of the holder, which increases with each claim.
     sequence : int
         Number of the holder's last commit.
     incarnation : Incarnation
--- a/basilhold/workflows/run_controller.py
+++ b/basilhold/workflows/run_controller.py
@@ -94,9 +94,9 @@
         run.stage = RunStage.STARTING
         run.sent_ms = now_ms
         run.until_clock_ms = worker.clock_at(now_ms) + START_VALID_MS
-        link.extend_lease_bound(now_ms, START_VALID_MS)
+        link.note_start(now_ms, START_VALID_MS)
         call = StartCall(
-            self._runner_call(run),
+            _make_call(worker, run),
             workflow.spec.payload,
             run.until_clock_ms,
             run.checkpoint,
@@ -109,10 +109,10 @@
             raise
         if run.key not in worker.runs or worker.runs[run.key] is not run:
             return
-        self._handle_start_outcome(placement, run, outcome)
+        self._handle_start_outcome(placement, run, call, outcome)
 
     def _handle_start_outcome(
-        self, placement: Placement, run: Run, outcome: CallOutcome
+        self, placement: Placement, run: Run, call: StartCall, outcome: CallOutcome
     ) -> None:
         worker = placement.worker
         if outcome is CallOutcome.DISCONNECTED:
@@ -134,7 +134,7 @@
             outcome=outcome.value,
         )
         if outcome is CallOutcome.FENCED:
-            raise LeaseLostError("a worker has seen a higher epoch")
+            self._state.check_fenced(worker, call.run.epoch)
         if outcome.may_have_effect:
             if run.stage is RunStage.STARTING:
                 run.stage = RunStage.UNCERTAIN
@@ -209,11 +209,10 @@
     async def _request_stop(self, worker: Worker, run: Run) -> None:
         """Request a stop until it is confirmed, or the run is gone from the worker."""
         while worker.runs.get(run.key) is run and self._state.lease.is_valid():
-            outcome = await self._state.ports.runners.stop(
-                worker, self._runner_call(run)
-            )
+            call = _make_call(worker, run)
+            outcome = await self._state.ports.runners.stop(worker, call)
             if outcome is CallOutcome.FENCED:
-                raise LeaseLostError("a worker has seen a higher epoch")
+                self._state.check_fenced(worker, call.epoch)
             if worker.runs.get(run.key) is not run:
                 return
             if outcome is CallOutcome.DONE:
@@ -237,7 +236,7 @@
     async def _set_pace(self, worker: Worker, change: PaceChange) -> None:
         # A request without a reply is not retried here: the next list shows the pace
         # in effect, and a new request is made if that is not the wanted one.
-        call = self._runner_call(change.run)
+        call = _make_call(worker, change.run)
         outcome = await self._state.ports.runners.pace(worker, call, change.percent)
         log_event(
             events.RUN_PACED,
@@ -261,11 +260,6 @@
         except Exception as error:
             log_event(events.LOOP_FAILED, loop="refresh of a worker", error=repr(error))
 
-    def _runner_call(self, run: Run) -> RunnerCall:
-        return RunnerCall(
-            run.key.job_id, run.key.task, run.number, self._state.lease.epoch
-        )
-
     def apply_end(
         self, worker: Worker, key: RunKey, end: RunEnd, run: Run | None = None
     ) -> None:
@@ -457,6 +451,11 @@
         )
 
 
+def _make_call(worker: Worker, run: Run) -> RunnerCall:
+    """Return what identifies a run in a call to its worker."""
+    return RunnerCall(run.key.job_id, run.key.task, run.number, worker.fence)
+
+
 def _same_step(one: TaskKey, other: TaskKey) -> bool:
     return (one.occurrence, one.step) == (other.occurrence, other.step)
 
--- a/basilhold/workflows/tests/test_restarted_workers.py
+++ b/basilhold/workflows/tests/test_restarted_workers.py
@@ -6,9 +6,11 @@
 import msgspec
 
 from basilhold.core import Resources, WorkerId
+from basilhold.ports.runners import CallOutcome
 from basilhold.testing import VirtualTimeTestCase
-from basilhold.testing.workflow_cell import WorkflowCell, make_spec
+from basilhold.testing.workflow_cell import SERVICE, WorkflowCell, make_spec
 from basilhold.workflows.model import StepSpec
+from basilhold.workflows.owner_lease import FENCES_PER_EPOCH
 
 WORKER = WorkerId("w0")
 UPTIME_S = 20.0
@@ -27,6 +29,13 @@
     return msgspec.structs.replace(spec, steps=(step,), policy=policy)
 
 
+def make_cell():
+    """Return a cell whose workers grant longer leases than the owner requests."""
+    return WorkflowCell(
+        process_count=1, worker_count=WORKER_COUNT, lease_limit_ms=LEASE_LIMIT_MS
+    )
+
+
 class RestartedWorkersTest(VirtualTimeTestCase):
     """Guards against effects of a call on a later incarnation of its worker."""
 
@@ -60,8 +69,7 @@
     async def test_renewal_for_the_former_incarnation_extends_the_lease(self):
         # The new incarnation took the time of its predecessor's clock for one far
         # ahead, and its runs started elsewhere before that lease had ended.
-        async with WorkflowCell(process_count=1, worker_count=WORKER_COUNT) as cell:
-            cell.runners.lease_limit_ms = LEASE_LIMIT_MS
+        async with make_cell() as cell:
             renewals = self.record_renewals(cell)
             await asyncio.sleep(UPTIME_S)
             await self.restart(cell)
@@ -72,8 +80,7 @@
 
     async def test_renewal_for_the_former_incarnation_arrives_late(self):
         # It was carried out seconds after the new incarnation had answered.
-        async with WorkflowCell(process_count=1, worker_count=WORKER_COUNT) as cell:
-            cell.runners.lease_limit_ms = LEASE_LIMIT_MS
+        async with make_cell() as cell:
             renewals = self.record_renewals(cell)
             await asyncio.sleep(UPTIME_S)
             late = renewals[-1]
@@ -84,3 +91,17 @@
             await self.fill_and_cut(cell, 0.5)
             self.assertEqual(cell.runners.start_count, WORKER_COUNT + 1)
             self.assertEqual(cell.runners.violations, [])
+
+    async def test_rejected_call_of_an_earlier_link_does_not_end_the_owner(self):
+        # An owner took the rejection of its own earlier call for another owner's work.
+        async with make_cell() as cell:
+            renewals = self.record_renewals(cell)
+            await asyncio.sleep(UPTIME_S)
+            await self.restart(cell)
+            await asyncio.sleep(3)
+            reply = cell.runners.runners[WORKER].hold(renewals[0])
+            self.assertIs(reply.error, CallOutcome.FENCED)
+            await self.fill_and_cut(cell)
+            (process,) = cell.processes.values()
+            owner = process.ownership_manager.local_owner(SERVICE)
+            self.assertEqual(owner.describe()["epoch"], FENCES_PER_EPOCH)
--- a/basilhold/workflows/worker_link.py
+++ b/basilhold/workflows/worker_link.py
@@ -60,6 +60,9 @@
         Maximum size of a row's value in the store, in bytes.
     stop_ms : float
         Maximum time that a worker takes to stop a run, in milliseconds.
+    lease_limit_ms : float
+        Longest lease that a worker grants, whatever is requested, in milliseconds of
+        the worker's clock.
     """
 
     lease_ms: float
@@ -67,13 +70,26 @@
     retention_ms: float = 150_000.0
     row_bytes_max: int = ROW_BYTES_MAX
     stop_ms: float = 400.0
+    lease_limit_ms: float = 10_000.0
 
     def lease_expiry_ms(self) -> float:
         """Return the time after which a lease requested now has certainly expired.
 
         In milliseconds of the owner's clock.
         """
-        return self.lease_ms * CLOCK_DRIFT_FACTOR + LEASE_MARGIN_MS
+        return _expiry_ms(self.lease_ms)
+
+    def any_lease_expiry_ms(self) -> float:
+        """Return the time after which any lease granted now has certainly expired.
+
+        In milliseconds of the owner's clock.
+        """
+        return _expiry_ms(self.lease_limit_ms)
+
+
+def _expiry_ms(lease_ms: float) -> float:
+    """Return the longest time that a lease can last by the owner's clock."""
+    return lease_ms * CLOCK_DRIFT_FACTOR + LEASE_MARGIN_MS
 
 
 class PollResult(msgspec.Struct):
@@ -137,6 +153,7 @@
         self._lease = lease
         self._limits = limits
         self._acknowledged = asyncio.Event()
+        self._has_answered = False
         self._failures = 0
         self._newest_poll = 0
         self._sent_acknowledgement = 0
@@ -164,8 +181,35 @@
         lease_ms : float
             Lease that the call grants, in milliseconds of the worker's clock.
         """
-        until_ms = now_ms + lease_ms * CLOCK_DRIFT_FACTOR + LEASE_MARGIN_MS
-        self.worker.lease_expires_ms = max(self.worker.lease_expires_ms, until_ms)
+        self.worker.note_lease(now_ms + _expiry_ms(lease_ms))
+
+    def note_start(self, now_ms: float, valid_ms: float) -> None:
+        """Record that a start sent at `now_ms` may extend the worker's lease.
+
+        Parameters
+        ----------
+        now_ms : float
+            Monotonic time of this process, in milliseconds.
+        valid_ms : float
+            Time for which the start is valid, in milliseconds of the worker's clock.
+        """
+        self.extend_lease_bound(now_ms, valid_ms)
+        if not self._has_answered:
+            self._note_foreign_calls(now_ms + _expiry_ms(valid_ms))
+
+    def _note_answer(self, now_ms: float) -> None:
+        """Record that the worker has carried out a call of this link."""
+        if not self._has_answered:
+            self._has_answered = True
+            self._note_foreign_calls(now_ms)
+
+    def _note_foreign_calls(self, until_ms: float) -> None:
+        """Record that calls of earlier links may have been carried out up to a time.
+
+        The expiry that a call for a former incarnation requests is a time of that
+        one's clock, so the present incarnation may grant its longest lease.
+        """
+        self.worker.note_lease(until_ms + self._limits.any_lease_expiry_ms())
 
     def acknowledge(self, processed: int) -> None:
         """Allow the worker to discard run ends up to a number.
@@ -226,7 +270,7 @@
         # While a call waits at the worker, a new incarnation could list run ends with
         # the same numbers, so a call with an acknowledgement does not wait.
         wait_ms = 0 if immediate or acknowledged else self._wait_ms()
-        call = RenewLeaseCall(self._lease.epoch, acknowledged, until_ms, wait_ms)
+        call = RenewLeaseCall(worker.fence, acknowledged, until_ms, wait_ms)
         worker.poll_count += 1
         number = worker.poll_count
         self._pending_polls += 1
@@ -248,6 +292,7 @@
         listing = result.ok
         if is_successor:
             return PollResult(restarted=listing)
+        self._note_answer(now_ms)
         self._sent_acknowledgement = max(self._sent_acknowledgement, acknowledged)
         if number < self._newest_poll:
             # A poll that was sent later has already returned.
--- a/basilhold/workflows/worker_tracker.py
+++ b/basilhold/workflows/worker_tracker.py
@@ -195,7 +195,8 @@
         """
         worker = link.worker
         if look.fenced:
-            raise LeaseLostError("a worker has seen a higher epoch")
+            self._state.check_fenced(worker, worker.fence)
+            return False
         if look.restarted is not None:
             if not link.closed:
                 self._handle_restart(worker, look.restarted)
@@ -364,6 +365,8 @@
 
     def _open_link(self, worker: Worker) -> None:
         state = self._state
+        # The worker rejects what is left of earlier links once this one has reached it.
+        worker.fence = state.lease.take_fence()
         link = WorkerLink(worker, state.ports.runners, state.lease, state.limits)
         link.on_poll = lambda look: self._apply_poll(link, look)
         link.on_silence = lambda: self._report_silence(worker)
