Wait for late starts on a worker that has restarted and is silent

A start without a reply may be carried out seconds later, also by the next incarnation of its worker, and goes over to it in the owner's books. If the first poll of that incarnation failed, its lease counted as expired after 0.2 s, since nothing had been requested of it, and the task started elsewhere. The late start then ran it a second time.

A start that went over now holds the task until it can no longer be carried out (12 s after it was sent) and the longest lease from then on has ended, unless the new incarnation answers before, which settles it.

--- a/basilhold/workflows/tests/test_restarted_workers.py
+++ b/basilhold/workflows/tests/test_restarted_workers.py
@@ -51,6 +51,18 @@
         cell.runners.renew_lease = record
         return calls
 
+    def record_starts(self, cell):
+        """Return a list that collects the starts sent to the worker from now on."""
+        start, calls = cell.runners.start, []
+
+        async def record(worker, call):
+            if worker.worker_id == WORKER:
+                calls.append(call)
+            return await start(worker, call)
+
+        cell.runners.start = record
+        return calls
+
     async def restart(self, cell):
         cell.runners.runners[WORKER].crash()
         await asyncio.sleep(DOWN_S)
@@ -92,6 +104,26 @@
             self.assertEqual(cell.runners.start_count, WORKER_COUNT + 1)
             self.assertEqual(cell.runners.violations, [])
 
+    async def test_start_for_the_former_incarnation_arrives_late(self):
+        # The run was given up when a poll of the new incarnation failed, and began
+        # there seconds after it had started elsewhere.
+        async with make_cell() as cell:
+            starts = self.record_starts(cell)
+            await asyncio.sleep(UPTIME_S)
+            runners = cell.runners.runners
+            runners[WORKER].crash()
+            await cell.submit(make_workflow(1, WORKER_COUNT))
+            await asyncio.sleep(DOWN_S)
+            cell.start_worker(WORKER)
+            cell.start_worker("w9")
+            runners[WORKER].cut = True
+            await asyncio.sleep(5)
+            self.assertEqual(len(starts), 1)
+            runners[WORKER].start(starts[0])
+            await asyncio.sleep(LEASE_LIMIT_MS / 1000 + 15)
+            self.assertEqual(cell.runners.start_count, WORKER_COUNT + 1)
+            self.assertEqual(cell.runners.violations, [])
+
     async def test_rejected_call_of_an_earlier_link_does_not_end_the_owner(self):
         # An owner took the rejection of its own earlier call for another owner's work.
         async with make_cell() as cell:
--- a/basilhold/workflows/worker_link.py
+++ b/basilhold/workflows/worker_link.py
@@ -33,6 +33,9 @@
 worker has failed without notice, of which the advice query for another worker takes
 1 s. Takeovers by another owner end within 4 s."""
 
+CALL_DELAY_MAX_MS = 12_000.0
+"""Longest time after which a worker may carry out a call that got no reply."""
+
 RETRY_DELAY_MS = 200.0
 RETRY_DELAY_MAX_MS = 1_000.0
 COMMIT_WAIT_MS = 800.0
@@ -197,6 +200,16 @@
         if not self._has_answered:
             self._note_foreign_calls(now_ms + _expiry_ms(valid_ms))
 
+    def note_former_start(self, sent_ms: float) -> None:
+        """Record that a start sent to a former incarnation may still be carried out.
+
+        Parameters
+        ----------
+        sent_ms : float
+            Monotonic time at which the start was sent, in milliseconds.
+        """
+        self._note_foreign_calls(sent_ms + CALL_DELAY_MAX_MS)
+
     def _note_answer(self, now_ms: float) -> None:
         """Record that the worker has carried out a call of this link."""
         if not self._has_answered:
--- a/basilhold/workflows/worker_tracker.py
+++ b/basilhold/workflows/worker_tracker.py
@@ -360,10 +360,13 @@
         transfer_runs(worker, successor, evidence)
         self._handle_worker_loss(worker, LossReason.RESTARTED, evidence)
         self._state.pool.workers[info.worker_id] = successor
-        self._open_link(successor)
+        link = self._open_link(successor)
+        now_ms = self._state.clock.monotonic_ms()
+        for run in successor.runs.values():
+            link.note_former_start(run.sent_ms or now_ms)
         return successor
 
-    def _open_link(self, worker: Worker) -> None:
+    def _open_link(self, worker: Worker) -> WorkerLink:
         state = self._state
         # The worker rejects what is left of earlier links once this one has reached it.
         worker.fence = state.lease.take_fence()
@@ -372,6 +375,7 @@
         link.on_silence = lambda: self._report_silence(worker)
         self._state.links[worker.worker_id] = link
         self._state.spawn(self._poll_worker(link))
+        return link
 
     def _remove_worker(self, worker: Worker) -> None:
         worker.unregistered = True
