Do not trust an only suspect's start to a crashed worker

Run 2 was sent 0.9 s after its worker had crashed without a word, and counted as the second crash, with an age of 0 ms.

Cause: the run of an only suspect counted as begun once its start had been sent, since nothing else would have crashed the worker. That needs a worker that was up at that time, and the time at which the owner notices a crash does not show it.

Change: without a reply, such a run counts as begun only if a connection broke, a reply or an accepted poll shows that the worker was up when the start was sent, and the break came within 50 ms or two round trips of it. A start that is unanswered for longer shows that the worker was silent, whose connections break when it is back.

Test: test_start_to_a_worker_that_had_crashed_unnoticed_is_not_confirmed failed before in its three cases.

--- a/basilhold/workflows/crash_evidence.py
+++ b/basilhold/workflows/crash_evidence.py
@@ -15,6 +15,9 @@
 ROUND_TRIP_MARGIN_MS = 5.0
 """Round trip from which a worker is distant, and allowance for its variation."""
 
+UNANSWERED_START_MS = 50.0
+"""Least time after which a start without a reply shows that its worker was silent."""
+
 
 def collect_crash_evidence(
     worker: Worker, pool: Pool, now_ms: float, trusts_restored: bool = True
@@ -54,6 +57,7 @@
         # Nothing else would have crashed the worker of an only suspect.
         is_confirmed = _has_certainly_begun(run, worker, age) or (
             is_one_workflow
+            and _has_broken_connection(run, worker)
             and run.may_have_begun
             and (trusts_restored or not run.is_restored)
         )
@@ -104,6 +108,20 @@
     return passed_ms > worker.round_trip_ms + ROUND_TRIP_MARGIN_MS
 
 
+def _has_broken_connection(run: Run, worker: Worker) -> bool:
+    """Return whether the connection to a worker broke as a start arrived there.
+
+    A worker that had crashed unnoticed before does not receive the start. Its
+    connections may be silent until it is back, and break then.
+    """
+    if not worker.disconnected or worker.alive_until_ms < run.sent_ms:
+        return False
+    if run.is_restored:
+        return True
+    reply_max_ms = max(UNANSWERED_START_MS, 2 * worker.round_trip_ms)
+    return worker.silent_since_ms - run.sent_ms <= reply_max_ms
+
+
 def record_silence(worker: Worker, pool: Pool) -> None:
     """Record the time of a possible crash, if the owner has observed it."""
     if not worker.disconnected or not worker.heard_ms:
--- a/basilhold/workflows/tests/test_crash_blame.py
+++ b/basilhold/workflows/tests/test_crash_blame.py
@@ -201,6 +201,24 @@
             evidence = self.crash(run, 1_000.0, broken_ms, round_trip_ms)
             self.assertFalse(evidence[run.key].is_confirmed)
 
+    def test_start_to_a_worker_that_had_crashed_unnoticed_is_not_confirmed(self):
+        # A workflow was shown as failed though the second run of its task never began.
+        for poll_sent_ms in (950.0, 1_399.0, None):
+            with self.subTest(poll_sent_ms=poll_sent_ms):
+                info = WorkerInfo(WorkerId("w"), "h:1", 1, Resources(16_000))
+                pool = Pool()
+                worker = pool.workers[info.worker_id] = Worker(info)
+                worker.note_round_trip(1.0)
+                worker.note_reply(900.0)
+                stage = RunStage.STARTING
+                run = self.run_of(0, stage, sent_ms=1_000.0, is_suspect=True)
+                worker.add(run)
+                if poll_sent_ms is not None:
+                    worker.note_silence(1_400.0, True, poll_sent_ms)
+                evidence = collect_crash_evidence(worker, pool, 1_410.0)
+                self.assertTrue(evidence[run.key].is_only_suspect)
+                self.assertFalse(evidence[run.key].is_confirmed)
+
     def test_suspects_exonerate_the_others(self):
         info = WorkerInfo(WorkerId("w"), "h:1", 1, Resources(16_000))
         pool = Pool()
