Weigh crashes less before which a run may have ended

Cause: the moment at which a connection broke, or at which a restart was noticed, was taken for that of the crash. A worker that is cut off works on, ends its runs, and may crash later; a reply may be on its way when it crashes. Two such crashes at like ages convicted an only suspect.

Change: the crash is taken to be possible at any time up to the first reply of the next incarnation. It is certain for a run that has begun and of whose estimate less than a quarter had passed by then, and two of these convict an only suspect as before. If the run may have ended, a broken connection confirms the crash, which needs a third; a crash that broke no connection is uncertain. The fifth crash that is counted still gives a task up, two starts after the third.

--- a/basilhold/workflows/crash_blame.py
+++ b/basilhold/workflows/crash_blame.py
@@ -39,7 +39,8 @@
 CRASHES_TO_BLAME = 3
 CRASHES_MAX = 5
 """Number of crashes after which a task is given up: if it was the only suspect, if it
-was one of several and the ages agree, and in any case."""
+was one of several or its runs may have ended before and the ages agree, and in any
+case."""
 
 CORRELATION_MS = 60.0
 CORRELATED_WORKERS_MIN = 2
@@ -94,14 +95,19 @@
     is_correlated : bool
         Whether other workers crashed at the same time, as `CrashLog` tells.
     is_confirmed : bool
-        Whether the run had certainly begun. A worker may crash while a start is on its
-        way to it.
+        Whether the run had certainly begun, and was at work when the connection broke
+        or when the worker crashed. A worker may crash while a start is on its way to
+        it, or unnoticed.
+    may_have_ended : bool
+        Whether the run may have ended before the crash. The connection to a worker
+        also breaks when it is cut off, and it may crash later.
     """
 
     age: RunAge | None = None
     is_only_suspect: bool = False
     is_correlated: bool = False
     is_confirmed: bool = True
+    may_have_ended: bool = False
 
 
 class CrashHistory(msgspec.Struct, frozen=True, array_like=True):
@@ -112,17 +118,20 @@
     crashes : int
         Number of these crashes.
     confirmed : int
-        Number of them before which the run had certainly begun.
+        Number of them that were confirmed; see `CrashEvidence`.
     age_ms : int
         Least age of the run at the last of them, in milliseconds; -1 if unknown.
     is_suspect : bool
         Whether the task has to run apart from other suspects.
+    certain : int
+        Number of confirmed crashes before which the run cannot have ended.
     """
 
     crashes: int
     confirmed: int = 0
     age_ms: int = UNKNOWN_AGE_MS
     is_suspect: bool = False
+    certain: int = 0
 
 
 class Judgement(msgspec.Struct, frozen=True):
@@ -143,7 +152,8 @@
     """Add a crash to the history of a task and return whether the task caused it.
 
     A task is not given up before `CRASHES_TO_CONVICT` workers have certainly crashed
-    under it, unless there are `CRASHES_MAX` that probably have.
+    under it as the only suspect, or `CRASHES_TO_BLAME` have probably done so, of which
+    `CRASHES_TO_CONVICT` are confirmed, or there are `CRASHES_MAX` in all.
 
     Parameters
     ----------
@@ -162,6 +172,8 @@
     """
     crashes = history.crashes + 1 if history else 1
     confirmed = (history.confirmed if history else 0) + evidence.is_confirmed
+    is_certain = evidence.is_confirmed and not evidence.may_have_ended
+    certain = (history.certain if history else 0) + is_certain
     age = evidence.age
     known_ms = history.age_ms if history else UNKNOWN_AGE_MS
     is_comparable = age is not None and known_ms != UNKNOWN_AGE_MS
@@ -169,13 +181,14 @@
     is_early = age is not None and age.is_early and not evidence.is_correlated
     is_guilty = crashes >= CRASHES_MAX
     if not evidence.is_correlated and (is_repeated or not is_comparable):
-        least = CRASHES_TO_CONVICT if evidence.is_only_suspect else CRASHES_TO_BLAME
-        is_certain = confirmed >= CRASHES_TO_CONVICT
-        is_guilty = is_guilty or (crashes >= least and is_certain)
+        is_shown = evidence.is_only_suspect and certain >= CRASHES_TO_CONVICT
+        is_probable = crashes >= CRASHES_TO_BLAME and confirmed >= CRASHES_TO_CONVICT
+        is_guilty = is_guilty or is_shown or is_probable
     was_suspect = history is not None and history.is_suspect
     age_ms = UNKNOWN_AGE_MS if age is None else round(age.least_ms)
     suspected = was_suspect or is_early or is_repeated
-    return Judgement(CrashHistory(crashes, confirmed, age_ms, suspected), is_guilty)
+    result = CrashHistory(crashes, confirmed, age_ms, suspected, certain)
+    return Judgement(result, is_guilty)
 
 
 def clearance_ms(history: CrashHistory) -> float:
--- a/basilhold/workflows/crash_evidence.py
+++ b/basilhold/workflows/crash_evidence.py
@@ -1,7 +1,9 @@
 """What is known of the runs on a worker when it crashes.
 
-The time of a crash is known from broken connections, and so are the ages of the runs
-and whether they had begun. The module performs no I/O.
+A crash is noticed some time after it happened. A broken connection suggests when that
+was, and so the ages of the runs and whether they had begun. But a worker that is cut
+off works on, and may crash at any time up to the first reply of its successor. A run
+that may have ended in the meantime is a less certain cause. The module performs no I/O.
 """
 
 import math
@@ -18,6 +20,10 @@
 UNANSWERED_START_MS = 50.0
 """Least time after which a start without a reply shows that its worker was silent."""
 
+LEAST_RUN_TIME_RATIO = 0.25
+"""Share of its estimate up to which a run is taken not to have ended. Estimates are
+rough."""
+
 
 def collect_crash_evidence(
     worker: Worker, pool: Pool, now_ms: float, trusts_restored: bool = True
@@ -55,14 +61,16 @@
         )
         age = _age_at_crash(run, worker, crashed_by_ms)
         # Nothing else would have crashed the worker of an only suspect.
-        is_confirmed = _has_certainly_begun(run, worker, age) or (
+        has_begun = _has_certainly_begun(run, worker, age) or (
             is_one_workflow
             and _has_broken_connection(run, worker)
             and run.may_have_begun
             and (trusts_restored or not run.is_restored)
         )
+        may_have_ended = _may_have_ended(run, now_ms)
+        is_confirmed = has_begun and (worker.disconnected or not may_have_ended)
         evidence[run.key] = CrashEvidence(
-            age, is_one_workflow, is_correlated, is_confirmed
+            age, is_one_workflow, is_correlated, is_confirmed, may_have_ended
         )
     return evidence
 
@@ -108,6 +116,24 @@
     return passed_ms > worker.round_trip_ms + ROUND_TRIP_MARGIN_MS
 
 
+def _may_have_ended(run: Run, crashed_by_ms: float) -> bool:
+    """Return whether a run may have ended before its worker crashed.
+
+    Parameters
+    ----------
+    run : Run
+    crashed_by_ms : float
+        Time of the event loop's clock by which the worker has certainly crashed, in
+        milliseconds. The worker's own clocks do not tell it, as they may jump.
+    """
+    if run.step is None or not run.sent_ms:
+        return True
+    if run.step.long_running:
+        return False
+    least_ms = LEAST_RUN_TIME_RATIO * run.step.estimate_ms
+    return crashed_by_ms - run.sent_ms > least_ms
+
+
 def _has_broken_connection(run: Run, worker: Worker) -> bool:
     """Return whether the connection to a worker broke as a start arrived there.
 
--- a/basilhold/workflows/tests/test_crash_blame.py
+++ b/basilhold/workflows/tests/test_crash_blame.py
@@ -85,6 +85,18 @@
         self.assertTrue(self.judge_all(unsure, sure, sure).is_guilty)
         self.assertEqual(self.judge_all(*[unsure] * 9).history.crashes, CRASHES_MAX)
 
+    def test_runs_that_may_have_ended_before_convict_at_the_third_crash(self):
+        broken = at_age(10.0, is_only_suspect=True, may_have_ended=True)
+        certain = at_age(10.0, is_only_suspect=True)
+        self.assertFalse(self.judge_all(broken, broken).is_guilty)
+        self.assertFalse(self.judge_all(certain, broken).is_guilty)
+        self.assertFalse(self.judge_all(broken, certain).is_guilty)
+        self.assertEqual(self.judge_all(*[broken] * 9).history.crashes, 3)
+        unseen = at_age(
+            10.0, is_only_suspect=True, is_confirmed=False, may_have_ended=True
+        )
+        self.assertEqual(self.judge_all(*[unseen] * 9).history.crashes, CRASHES_MAX)
+
     def test_clearance_takes_longer_than_the_crash_did(self):
         self.assertGreater(clearance_ms(CrashHistory(1, 1, 2_000, True)), 2_000)
 
@@ -219,6 +231,27 @@
                 self.assertTrue(evidence[run.key].is_only_suspect)
                 self.assertFalse(evidence[run.key].is_confirmed)
 
+    def test_run_that_may_have_ended_behind_a_cut_is_a_less_certain_cause(self):
+        # Workflows were shown as failed whose runs had ended 2 s before their workers
+        # crashed, as the connections had broken before that.
+        facts = {"stage": RunStage.RUNNING, "confirmed_ms": 1_010.0}
+        for estimate_ms, may_have_ended in ((1_200.0, True), (60_000.0, False)):
+            step = StepSpec(1, Resources(1_000), estimate_ms)
+            run = self.run_of(0, step=step, **facts)
+            evidence = self.crash(run, 1_000.0, 1_150.0)
+            self.assertTrue(evidence[run.key].is_confirmed)
+            self.assertIs(evidence[run.key].may_have_ended, may_have_ended)
+
+    def test_run_that_may_have_ended_unseen_is_an_uncertain_cause(self):
+        step = StepSpec(1, Resources(1_000), 1_200.0)
+        facts = {"stage": RunStage.RUNNING, "confirmed_ms": 1_010.0, "sent_ms": 1_000.0}
+        worker = Worker(WorkerInfo(WorkerId("w"), "h:1", 1, Resources(16_000)))
+        worker.note_reply(1_010.0)
+        run = self.run_of(0, step=step, **facts)
+        worker.add(run)
+        evidence = collect_crash_evidence(worker, Pool(), 2_400.0)
+        self.assertFalse(evidence[run.key].is_confirmed)
+
     def test_suspects_exonerate_the_others(self):
         info = WorkerInfo(WorkerId("w"), "h:1", 1, Resources(16_000))
         pool = Pool()
--- a/basilhold/workflows/tests/test_crashing_tasks.py
+++ b/basilhold/workflows/tests/test_crashing_tasks.py
@@ -264,6 +264,43 @@
             self.assertIs(await self.state(cell, spec), WorkflowState.COMPLETED)
             self.assertEqual(cell.runners.violations, [])
 
+    async def test_runs_that_end_before_their_workers_crash_fail_no_workflow(self):
+        # A workflow was shown as failed after two of its runs had ended on workers that
+        # were cut off, which crashed behind the cut.
+        async with WorkflowCell(worker_count=8) as cell:
+            cell.keeps_worker_ids = True
+            await asyncio.sleep(1)
+            spec = make_workflow(1, make_step(1))
+            await cell.submit(spec)
+            key = RunKey(spec.job_id, TaskKey(0, 0, 0))
+            known = set()
+            for _ in range(2):
+                known.add(await self.restart_behind_cut(cell, key, known))
+            await asyncio.sleep(10)
+            self.assertEqual(len(known), 2)
+            self.assertNotIn(key, cell.runners.crashes_under)
+            self.assertIs(await self.state(cell, spec), WorkflowState.COMPLETED)
+            self.assertEqual(cell.runners.violations, [])
+
+    async def restart_behind_cut(self, cell, key, known):
+        """Cut off a worker of a task, and restart it after the task has ended there."""
+        name = None
+        while name is None:
+            await asyncio.sleep(0.01)
+            at_work = [w for w, r in cell.runners.runners.items() if key in r.runs]
+            name = next((w for w in at_work if w not in known), None)
+        await asyncio.sleep(0.1)
+        runner = cell.runners.runners[name]
+        runner.cut = runner.refuses_connections = True
+        runner.has_ended.set()
+        while runner.runs:
+            await asyncio.sleep(0.01)
+        await asyncio.sleep(1)
+        runner.crash()
+        await asyncio.sleep(1)
+        cell.start_worker(name, runner.info.capacity)
+        return name
+
     def find_owner(self, cell):
         process = cell.processes[cell.owner_name()]
         return process.ownership_manager.local_owner(SERVICE)
--- a/basilhold/workflows/tests/test_standing_runs.py
+++ b/basilhold/workflows/tests/test_standing_runs.py
@@ -24,6 +24,9 @@
     1021: "crashes after starts without a reply, and before a takeover, did not count",
 }
 
+ENDED_SEED = 3194
+"""Seed in which a suspect's run ends 0.4 ms before its worker crashes."""
+
 
 class StandingRunsTest(unittest.TestCase):
     """Guards against workers that are withheld from work for good."""
@@ -37,6 +40,9 @@
             with self.subTest(seed=seed), full_listings:
                 self.check_seed(seed)
 
+    def test_run_that_ends_as_its_worker_crashes_fails_no_workflow(self):
+        self.check_seed(ENDED_SEED)
+
     def check_seed(self, seed):
         report = run_standing_seed(seed)
         self.assertEqual(report.violations, [], "; ".join(report.faults))
--- a/basilhold/workflows/worker_tracker.py
+++ b/basilhold/workflows/worker_tracker.py
@@ -317,7 +317,10 @@
     def _remember_unconfirmed(
         self, worker: Worker, evidence: dict[RunKey, CrashEvidence]
     ) -> None:
-        """Remember which runs to blame if a silent worker turns out to have crashed."""
+        """Remember which runs to blame if a silent worker turns out to have crashed.
+
+        When it has crashed is known only once its successor has registered.
+        """
         ends = [
             EndedRun(
                 key,
@@ -325,7 +328,7 @@
                     key.task,
                     worker.runs[key].number,
                     EndKind.CRASHED,
-                    crash=crash,
+                    crash=msgspec.structs.replace(crash, may_have_ended=True),
                 ),
             )
             for key, crash in evidence.items()
