Notice starts that a worker's next incarnation has carried out

A worker that restarts while a poll is pending is not known to have done so, and carries out a start by its predecessor's clock: its lease lasts for its limit. A start names the least time of the worker's clock now. A reply that shows an earlier one is that of another incarnation; its lease then counts as up to the limit, no renewal is sent, and the worker is polled at once.

The wait for late starts after a restart went on after the new incarnation had answered, and held runs that began there later for up to 22 s (the task started elsewhere 19.5 s after the worker was silent).

A poll's rejection names the token of the call that was rejected.

--- a/basilhold/platform/runners.py
+++ b/basilhold/platform/runners.py
@@ -176,12 +176,19 @@
     born: Count = 0
 
 
+class _CommandReply(msgspec.Struct):
+    """Reply to a command that was carried out."""
+
+    clock_ms: float = math.inf
+
+
 class _Rejection(msgspec.Struct):
     """Body of a reply with status 409."""
 
     reason: str = ""
 
 
+_COMMAND_REPLY_DECODER = JsonDecoder(_CommandReply)
 _REJECTION_DECODER = JsonDecoder(_Rejection)
 _HOLD_REPLY_DECODER = JsonDecoder(_HoldReply)
 
@@ -208,7 +215,15 @@
             call.checkpoint,
             call.ticket,
         )
-        return await self._send_command(worker, "/-/run-start", body)
+        result = await self._send(worker, "/-/run-start", body)
+        outcome = _command_outcome(result)
+        if outcome is not CallOutcome.DONE:
+            return outcome
+        try:
+            reply = _COMMAND_REPLY_DECODER.decode(result.ok.body)
+        except msgspec.DecodeError:
+            return CallOutcome.UNKNOWN
+        return call.outcome_at(reply.clock_ms)
 
     async def stop(self, worker: Worker, call: RunnerCall) -> CallOutcome:
         """Stop a run."""
@@ -250,12 +265,12 @@
     async def _send_command(
         self, worker: Worker, path: str, body: msgspec.Struct
     ) -> CallOutcome:
-        result = await self._post(worker, path, body, COMMAND_TIMEOUT_MS)
-        if result.is_error():
-            if not result.error.sent:
-                return CallOutcome.UNAVAILABLE
-            return _unanswered_outcome(result.error)
-        return _decode_outcome(result.ok)
+        return _command_outcome(await self._send(worker, path, body))
+
+    async def _send(
+        self, worker: Worker, path: str, body: msgspec.Struct
+    ) -> Result[HttpReply, HttpFailure]:
+        return await self._post(worker, path, body, COMMAND_TIMEOUT_MS)
 
     async def _post(
         self, worker: Worker, path: str, body: msgspec.Struct, timeout_ms: int
@@ -281,6 +296,15 @@
     return CallOutcome.UNKNOWN
 
 
+def _command_outcome(result: Result[HttpReply, HttpFailure]) -> CallOutcome:
+    """Return the outcome of a command from its reply or failure."""
+    if result.is_ok():
+        return _decode_outcome(result.ok)
+    if not result.error.sent:
+        return CallOutcome.UNAVAILABLE
+    return _unanswered_outcome(result.error)
+
+
 def _decode_outcome(reply: HttpReply) -> CallOutcome:
     """Map a reply to an outcome; 421 means that another incarnation replied."""
     if reply.status == 200:
--- a/basilhold/ports/runners.py
+++ b/basilhold/ports/runners.py
@@ -29,7 +29,7 @@
     have taken effect, and so does ``DISCONNECTED``, which adds that the agent's machine
     refused or closed the connection. All other outcomes guarantee that it had no
     effect. ``ABSENT`` means that a different worker or incarnation of the agent
-    replied.
+    replied, and ``RESTARTED`` that a later incarnation has carried out the call.
     """
 
     DONE = "done"
@@ -43,11 +43,16 @@
     ABSENT = "absent"
     UNKNOWN = "unknown"
     DISCONNECTED = "disconnected"
+    RESTARTED = "restarted"
 
     @property
     def may_have_effect(self) -> bool:
-        """Whether a call without a reply may have taken effect."""
-        return self in (CallOutcome.UNKNOWN, CallOutcome.DISCONNECTED)
+        """Whether the call may have taken effect, also on another incarnation."""
+        return self in (
+            CallOutcome.UNKNOWN,
+            CallOutcome.DISCONNECTED,
+            CallOutcome.RESTARTED,
+        )
 
 
 class RunnerCall(msgspec.Struct, frozen=True):
@@ -84,6 +89,10 @@
         Checkpoint from which the run resumes; empty if there is none.
     ticket : str
         Permission of the advice service; empty if there is none.
+    sent_clock_ms : float
+        Least time of the worker's clock at which the call may be carried out, in
+        milliseconds. A later incarnation, whose clock starts anywhere, has carried it
+        out if it reports an earlier one.
     """
 
     run: RunnerCall
@@ -91,6 +100,13 @@
     until_clock_ms: float
     checkpoint: str = ""
     ticket: str = ""
+    sent_clock_ms: float = 0.0
+
+    def outcome_at(self, clock_ms: float) -> CallOutcome:
+        """Return the outcome if it was carried out at a time of the agent's clock."""
+        if clock_ms < self.sent_clock_ms:
+            return CallOutcome.RESTARTED
+        return CallOutcome.DONE
 
 
 class RenewLeaseCall(msgspec.Struct, frozen=True):
--- a/basilhold/standins/runners.py
+++ b/basilhold/standins/runners.py
@@ -219,7 +219,7 @@
         run.done_share = float(call.checkpoint or 0.0)
         self.extend(call.until_clock_ms)
         self._monitor.begin(self, key, run)
-        return CallOutcome.DONE
+        return call.outcome_at(self.clock_ms())
 
     def stop(self, call: RunnerCall) -> CallOutcome:
         """Carry out a stop."""
--- a/basilhold/workflows/owner.py
+++ b/basilhold/workflows/owner.py
@@ -278,7 +278,7 @@
         for worker in self._state.pool.workers.values():
             # The previous owner may have renewed the worker's lease until its own lease
             # expired.
-            worker.lease_expires_ms = (
+            worker.note_lease(
                 now_ms + LEASE_VALIDITY_MS + self._state.limits.lease_expiry_ms()
             )
             worker.unregistered = True
--- a/basilhold/workflows/pool.py
+++ b/basilhold/workflows/pool.py
@@ -294,9 +294,6 @@
         clock in that listing, in milliseconds.
     fence : Epoch
         Fencing token of calls to the worker.
-    lease_expires_ms : float
-        Time of the event loop's clock up to which the lease on the worker may last, in
-        milliseconds.
     acknowledged_sequence, processed_sequence : int
         Last ended run that may be acknowledged to the worker, and last one processed.
     failed_runs : int
@@ -343,7 +340,8 @@
         self.listed_ms = 0.0
         self.clock_ms = 0.0
         self.fence = Epoch(0)
-        self.lease_expires_ms = 0.0
+        self._own_lease_ms = 0.0
+        self._foreign_lease_ms = 0.0
         self.acknowledged_sequence = 0
         self.processed_sequence = 0
         self.failed_runs = 0
@@ -359,9 +357,25 @@
         self.suspects: dict[RunKey, Run] = {}
         self.poll_count = 0
 
+    @property
+    def lease_expires_ms(self) -> float:
+        """Time of the event loop's clock up to which the lease on the worker may last.
+
+        In milliseconds.
+        """
+        return max(self._own_lease_ms, self._foreign_lease_ms)
+
     def note_lease(self, until_ms: float) -> None:
         """Record that the lease may last up to a time of the event loop's clock."""
-        self.lease_expires_ms = max(self.lease_expires_ms, until_ms)
+        self._own_lease_ms = max(self._own_lease_ms, until_ms)
+
+    def note_foreign_lease(self, until_ms: float) -> None:
+        """Record how long a call for a former incarnation may extend the lease."""
+        self._foreign_lease_ms = max(self._foreign_lease_ms, until_ms)
+
+    def limit_foreign_lease(self, until_ms: float) -> None:
+        """Record that such calls have no effect any more, and how long it may last."""
+        self._foreign_lease_ms = until_ms
 
     def note_reply(self, now_ms: float) -> None:
         """Record that a poll was answered."""
--- a/basilhold/workflows/run_controller.py
+++ b/basilhold/workflows/run_controller.py
@@ -1,6 +1,7 @@
 """Starts and stops runs on workers, and applies the outcomes of runs."""
 
 import asyncio
+import math
 
 from basilhold.observability import log_event, metric
 from basilhold.ports.runners import CallOutcome, RunnerCall, StartCall
@@ -27,6 +28,9 @@
 START_VALID_MS = 1_900
 """How long a start request is valid; the worker rejects one that arrives later."""
 
+CLOCK_TOLERANCE_MS = 250.0
+"""Allowance for the rate of a worker's clock since its last listing."""
+
 STOP_RETRY_INTERVAL_MS = 150
 """Delay before an unconfirmed stop request is repeated."""
 
@@ -101,6 +105,7 @@
             run.until_clock_ms,
             run.checkpoint,
             placement.ticket,
+            worker.clock_at(now_ms) - CLOCK_TOLERANCE_MS,
         )
         try:
             outcome = await self._state.ports.runners.start(worker, call)
@@ -135,6 +140,8 @@
         )
         if outcome is CallOutcome.FENCED:
             self._state.check_fenced(worker, call.run.epoch)
+        if outcome is CallOutcome.RESTARTED:
+            self._note_restart(worker, run)
         if outcome.may_have_effect:
             if run.stage is RunStage.STARTING:
                 run.stage = RunStage.UNCERTAIN
@@ -150,6 +157,17 @@
             )
         self._return_unstarted(worker, run)
 
+    def _note_restart(self, worker: Worker, run: Run) -> None:
+        """Record that a later incarnation of a worker has carried out a start.
+
+        The next poll shows that incarnation, if it still answers.
+        """
+        run.until_clock_ms = math.inf
+        link = self._state.links.get(worker.worker_id)
+        if link is not None:
+            link.note_restart(self._state.clock.monotonic_ms())
+            self.refresh_worker(worker)
+
     def _return_unstarted(self, worker: Worker, run: Run) -> None:
         """Return a task to the backlog whose run is known not to have started."""
         worker.remove(run.key)
--- a/basilhold/workflows/worker_link.py
+++ b/basilhold/workflows/worker_link.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from basilhold.core import Clock
+from basilhold.core import Clock, Epoch
 from basilhold.observability import log_event
 from basilhold.ports.runners import CallOutcome, RenewLeaseCall, RunnerClient
 from basilhold.workflows import events
@@ -34,7 +34,8 @@
 1 s. Takeovers by another owner end within 4 s."""
 
 CALL_DELAY_MAX_MS = 12_000.0
-"""Longest time after which a worker may carry out a call that got no reply."""
+"""How late a call for a former incarnation is expected to be carried out at most. Once
+the present one has answered, its fencing token rules such calls out for good."""
 
 RETRY_DELAY_MS = 200.0
 RETRY_DELAY_MAX_MS = 1_000.0
@@ -103,8 +104,8 @@
     first : bool
         Whether the worker's run lists were read for the first time, or for the first
         time after a failed poll.
-    fenced : bool
-        Whether the worker rejected the call because it has seen a higher epoch.
+    fenced : Epoch, optional
+        Fencing token of the call, if the worker rejected it for a higher one.
     lost : LossReason, optional
         Why no task can be running on this incarnation any more; ``None`` if one may be.
     restarted : Listing, optional
@@ -114,7 +115,7 @@
     """
 
     first: bool = False
-    fenced: bool = False
+    fenced: Epoch | None = None
     lost: LossReason | None = None
     restarted: Listing | None = None
     ends: list[EndedRun] = []
@@ -198,31 +199,32 @@
         """
         self.extend_lease_bound(now_ms, valid_ms)
         if not self._has_answered:
-            self._note_foreign_calls(now_ms + _expiry_ms(valid_ms))
+            until_ms = now_ms + _expiry_ms(valid_ms)
+            self.worker.note_foreign_lease(self._foreign_expiry_ms(until_ms))
 
-    def note_former_start(self, sent_ms: float) -> None:
-        """Record that a start sent to a former incarnation may still be carried out.
+    def note_restart(self, now_ms: float) -> None:
+        """Record that calls for a former incarnation may still be carried out.
 
-        Parameters
-        ----------
-        sent_ms : float
-            Monotonic time at which the start was sent, in milliseconds.
+        The lease is not renewed before the worker has answered a poll.
         """
-        self._note_foreign_calls(sent_ms + CALL_DELAY_MAX_MS)
+        self._has_answered = False
+        self._failures = max(1, self._failures)
+        until_ms = now_ms + CALL_DELAY_MAX_MS
+        self.worker.note_foreign_lease(self._foreign_expiry_ms(until_ms))
 
     def _note_answer(self, now_ms: float) -> None:
         """Record that the worker has carried out a call of this link."""
         if not self._has_answered:
             self._has_answered = True
-            self._note_foreign_calls(now_ms)
+            self.worker.limit_foreign_lease(self._foreign_expiry_ms(now_ms))
 
-    def _note_foreign_calls(self, until_ms: float) -> None:
-        """Record that calls of earlier links may have been carried out up to a time.
+    def _foreign_expiry_ms(self, until_ms: float) -> float:
+        """Return until when a lease may last if foreign calls arrive up to a time.
 
         The expiry that a call for a former incarnation requests is a time of that
         one's clock, so the present incarnation may grant its longest lease.
         """
-        self.worker.note_lease(until_ms + self._limits.any_lease_expiry_ms())
+        return until_ms + self._limits.any_lease_expiry_ms()
 
     def acknowledge(self, processed: int) -> None:
         """Allow the worker to discard run ends up to a number.
@@ -298,8 +300,10 @@
         if self.closed:
             return PollResult(lost=LossReason.CLOSED)
         if result.is_error():
+            if result.error is CallOutcome.FENCED:
+                return PollResult(fenced=call.epoch)
             if immediate:
-                return PollResult(fenced=result.error is CallOutcome.FENCED)
+                return PollResult()
             return await self._after_failure(result.error, clock, sent_ms)
         self._failures = 0
         listing = result.ok
@@ -367,8 +371,6 @@
     async def _after_failure(
         self, outcome: CallOutcome, clock: Clock, sent_ms: float
     ) -> PollResult:
-        if outcome is CallOutcome.FENCED:
-            return PollResult(fenced=True)
         if outcome is CallOutcome.ABSENT:
             return PollResult(lost=LossReason.REPLACED)
         self._failures += 1
--- a/basilhold/workflows/worker_tracker.py
+++ b/basilhold/workflows/worker_tracker.py
@@ -194,8 +194,8 @@
             If the worker has seen a higher epoch.
         """
         worker = link.worker
-        if look.fenced:
-            self._state.check_fenced(worker, worker.fence)
+        if look.fenced is not None:
+            self._state.check_fenced(worker, look.fenced)
             return False
         if look.restarted is not None:
             if not link.closed:
@@ -364,9 +364,8 @@
         self._handle_worker_loss(worker, LossReason.RESTARTED, evidence)
         self._state.pool.workers[info.worker_id] = successor
         link = self._open_link(successor)
-        now_ms = self._state.clock.monotonic_ms()
-        for run in successor.runs.values():
-            link.note_former_start(run.sent_ms or now_ms)
+        if successor.runs:
+            link.note_restart(self._state.clock.monotonic_ms())
         return successor
 
     def _open_link(self, worker: Worker) -> WorkerLink:
