Count jobs as waiting until a run of theirs has begun

A job counted as started once a task had a run number, which rises when the task is assigned, and stays when the start is refused, is not sent, or the assignment waits for a store that is down.

A job has now started once a start was confirmed, a listing contained a run, or a worker reported an end. The rows of the progress say so with their next change, so no commit is added. The next owner takes a stored assignment for a start until its run is found not to exist, as all jobs at work would count as waiting after a takeover otherwise. In rows of earlier builds, a task that is done, has failed or has a checkpoint shows a start.

--- a/basilhold/workflows/progress.py
+++ b/basilhold/workflows/progress.py
@@ -164,6 +164,7 @@
     tasks: list[_StoredTask] = []
     ended_ms: float = 0.0
     is_set_aside: bool = False
+    has_begun: bool = False
 
 
 _DECODER = JsonDecoder(_StoredWorkflow)
@@ -196,6 +197,8 @@
         self.is_set_aside = False
         self.state = WorkflowState.QUEUED
         self.ended_ms = 0.0
+        self._has_begun = False
+        self._restored_runs: dict[TaskKey, RunNumber] = {}
         self._tasks: dict[TaskKey, TaskProgress] = {}
         self._chunk_keys: dict[int, list[TaskKey]] = {}
         self._changed: set[int] = set()
@@ -303,8 +306,24 @@
         ]
 
     def has_started(self) -> bool:
-        """Return whether a run of any task was ever assigned."""
-        return any(task.run for task in self._tasks.values())
+        """Return whether a run of any task has begun, as far as is known.
+
+        An assignment alone is no start: the worker may refuse it, or its commit may
+        stall. Only an assignment that an earlier owner has stored counts as one until
+        its run ends, as the start request is sent right after the commit.
+        """
+        return self._has_begun or any(
+            self._tasks[key].stage is TaskStage.ASSIGNED and self._tasks[key].run == run
+            for key, run in self._restored_runs.items()
+        )
+
+    def note_begun(self) -> None:
+        """Record that a run of one of the tasks has begun on its worker.
+
+        It is stored with the next change of the progress. Until then the next owner
+        finds the assignment of the run.
+        """
+        self._has_begun = True
 
     def assign(
         self,
@@ -347,6 +366,8 @@
 
     def apply_end(self, end: RunEnd, now_ms: float) -> bool:
         """Apply the outcome of a run; return whether anything changed."""
+        if end.kind.is_reported:
+            self.note_begun()
         task = self.task(end.key)
         if task.stage is not TaskStage.ASSIGNED or task.run != end.run:
             return self._apply_late_end(end, now_ms)
@@ -500,7 +521,7 @@
         bytes
             May still exceed `bytes_max` without these lists.
         """
-        stored = _StoredWorkflow()
+        stored = _StoredWorkflow(has_begun=self._has_begun)
         if not chunk:
             stored.state, stored.ended_ms = self.state, self.ended_ms
             stored.is_set_aside = self.is_set_aside
@@ -539,6 +560,7 @@
         for row in rows:
             stored = _DECODER.decode(row)
             workflow.is_set_aside = workflow.is_set_aside or stored.is_set_aside
+            workflow._has_begun = workflow._has_begun or stored.has_begun
             if stored.state is not WorkflowState.QUEUED:
                 workflow.state = stored.state
                 workflow.ended_ms = stored.ended_ms
@@ -547,10 +569,21 @@
                 if not workflow.has_task(key):
                     continue
                 workflow._add_task(key, entry.task)
+                workflow._restore_start(key, entry.task)
                 if entry.task.stage is TaskStage.DONE:
                     workflow._unfinished[key.occurrence, key.step] -= 1
         return workflow
 
+    def _restore_start(self, key: TaskKey, task: TaskProgress) -> None:
+        """Conclude from the stored progress of a task whether a run has begun.
+
+        Rows that an earlier build has written do not say so themselves.
+        """
+        if task.stage is TaskStage.ASSIGNED:
+            self._restored_runs[key] = task.run
+        elif task.stage is TaskStage.DONE or task.failures or task.checkpoint:
+            self._has_begun = True
+
 
 def decode_state(row: bytes) -> WorkflowState:
     """Return the state stored in the row of chunk 0.
--- a/basilhold/workflows/reconciliation.py
+++ b/basilhold/workflows/reconciliation.py
@@ -38,10 +38,13 @@
         Ends to apply to the workflows, in this order.
     unknown : list of ListedRun
         Runs that the owner does not track; the caller has to stop or adopt them.
+    begun : list of RunKey
+        Tasks with a run that has begun, as the listing shows for the first time.
     """
 
     ends: list[EndedRun]
     unknown: list[ListedRun]
+    begun: list[RunKey]
 
 
 def reconcile(worker: Worker, listing: Listing, poll: int, now_ms: float) -> Reconciled:
@@ -61,7 +64,7 @@
     -------
     Reconciled
     """
-    result = Reconciled([], [])
+    result = Reconciled([], [], [])
     worker.listed = True
     worker.listed_ms = now_ms
     worker.clock_ms = listing.clock_ms
@@ -97,7 +100,10 @@
     run = worker.runs.get(listed.key)
     if run is None or run.number != listed.number:
         result.unknown.append(listed)
+        result.begun.append(listed.key)
         return
+    if not run.listed:
+        result.begun.append(listed.key)
     run.crash = None
     run.is_absent = False
     is_unconfirmed = run.stage in (RunStage.STARTING, RunStage.UNCERTAIN)
--- a/basilhold/workflows/run_controller.py
+++ b/basilhold/workflows/run_controller.py
@@ -107,6 +107,8 @@
         except Exception:
             run.stage = RunStage.UNCERTAIN
             raise
+        if outcome is CallOutcome.DONE:
+            workflow.note_begun()
         if run.key not in worker.runs or worker.runs[run.key] is not run:
             return
         self._handle_start_outcome(placement, run, outcome)
--- a/basilhold/workflows/tests/test_progress.py
+++ b/basilhold/workflows/tests/test_progress.py
@@ -130,6 +130,63 @@
         self.assertEqual(kept.task(key).crash.crashes, 2)
         self.assertTrue(kept.is_set_aside)
 
+    def test_start_is_known_to_the_next_owner(self):
+        # Workflows counted as started, and no longer as waiting, once a run had been
+        # assigned, although it had never begun.
+        key = TaskKey(0, 0, 0)
+        has_started = {
+            EndKind.UNSTARTED: False,
+            EndKind.LOST: False,
+            EndKind.CRASHED: False,
+            EndKind.STOPPED: True,
+            EndKind.FAILED: True,
+        }
+        for kind, expected in has_started.items():
+            for begun in (False, True):
+                with self.subTest(kind=kind, begun=begun):
+                    workflow = make_workflow(2)
+                    workflow.assign(key, RunNumber(1), WorkerId("w"))
+                    self.assertFalse(workflow.has_started())
+                    if begun:
+                        workflow.note_begun()
+                    workflow.apply_end(RunEnd(key, RunNumber(1), kind), 0.0)
+                    decoded = Workflow.decode(workflow.spec, encode_rows(workflow))
+                    for known in (workflow, decoded):
+                        self.assertIs(known.has_started(), expected or begun)
+
+    def test_stored_assignment_counts_as_a_start_until_its_run_ends(self):
+        # Guards against waiting workflows that are not counted, and the reverse, where
+        # the next owner does not know yet whether the stored runs exist.
+        key = TaskKey(0, 0, 0)
+        workflow = make_workflow(2)
+        workflow.assign(key, RunNumber(1), WorkerId("w"))
+        decoded = Workflow.decode(workflow.spec, encode_rows(workflow))
+        self.assertTrue(decoded.has_started())
+        decoded.apply_end(RunEnd(key, RunNumber(1), EndKind.LOST), 0.0)
+        self.assertFalse(decoded.has_started())
+        decoded.assign(key, RunNumber(2), WorkerId("v"))
+        self.assertFalse(decoded.has_started())
+
+    def test_start_is_concluded_from_rows_of_an_earlier_build(self):
+        # Such rows do not say whether a run has begun.
+        key = TaskKey(0, 0, 0)
+        ends = {
+            RunEnd(key, RunNumber(1), EndKind.DONE): True,
+            RunEnd(key, RunNumber(1), EndKind.FAILED): True,
+            RunEnd(key, RunNumber(1), EndKind.LAPSED, "00000bb8"): True,
+            RunEnd(key, RunNumber(1), EndKind.UNSTARTED): False,
+        }
+        for end, expected in ends.items():
+            with self.subTest(kind=end.kind):
+                workflow = make_workflow(2)
+                workflow.assign(key, RunNumber(1), WorkerId("w"))
+                workflow.apply_end(end, 0.0)
+                row = msgspec.json.decode(workflow.encode())
+                row.pop("has_begun", None)
+                rows = [msgspec.json.encode(row)]
+                decoded = Workflow.decode(workflow.spec, rows)
+                self.assertIs(decoded.has_started(), expected)
+
     def test_row_with_longest_names_fits_into_the_store(self):
         # The store always rejects a row above its size limit, so retries cannot help.
         workflow = make_workflow(CHUNK_TASKS)
--- a/basilhold/workflows/worker_link.py
+++ b/basilhold/workflows/worker_link.py
@@ -14,6 +14,7 @@
     ListedRun,
     Listing,
     LossReason,
+    RunKey,
     Worker,
 )
 from basilhold.workflows.progress import ROW_BYTES_MAX
@@ -90,8 +91,8 @@
         Why no task can be running on this incarnation any more; ``None`` if one may be.
     restarted : Listing, optional
         Run lists of a newer incarnation of the worker.
-    ends, unknown : list
-        Ended and unknown runs; see `Reconciled`.
+    ends, unknown, begun : list
+        Ended, unknown and begun runs; see `Reconciled`.
     """
 
     first: bool = False
@@ -100,6 +101,7 @@
     restarted: Listing | None = None
     ends: list[EndedRun] = []
     unknown: list[ListedRun] = []
+    begun: list[RunKey] = []
 
 
 class WorkerLink:
@@ -258,7 +260,12 @@
             worker.note_round_trip(now_ms - sent_ms)
         first = not worker.listed
         changed = reconcile(worker, listing, number, now_ms)
-        return PollResult(first=first, ends=changed.ends, unknown=changed.unknown)
+        return PollResult(
+            first=first,
+            ends=changed.ends,
+            unknown=changed.unknown,
+            begun=changed.begun,
+        )
 
     def _is_from_successor(self, listing: Listing) -> bool:
         """Return whether another incarnation of the worker has answered."""
--- a/basilhold/workflows/worker_tracker.py
+++ b/basilhold/workflows/worker_tracker.py
@@ -204,6 +204,10 @@
             if not link.closed:
                 self._handle_worker_loss(worker, look.lost)
             return False
+        for key in look.begun:
+            workflow = self._state.workflows.get(key.job_id)
+            if workflow is not None:
+                workflow.note_begun()
         for ended in look.ends:
             self._run_controller.apply_end(worker, ended.key, ended.end, ended.run)
         for listed in look.unknown:
@@ -350,7 +354,10 @@
         now_ms = self._state.clock.monotonic_ms()
         changed = reconcile(successor, listing, successor.poll_count, now_ms)
         link = self._state.links[successor.worker_id]
-        self._apply_poll(link, PollResult(ends=changed.ends, unknown=changed.unknown))
+        self._apply_poll(
+            link,
+            PollResult(ends=changed.ends, unknown=changed.unknown, begun=changed.begun),
+        )
 
     def _replace_incarnation(self, worker: Worker, info: WorkerInfo) -> Worker:
         successor = Worker(info, self._state.pool.usage)
