Do not count a silent owner as one without waiting jobs

The shares of the other services were added up, with 0 for an owner that did not answer, and the sum was used again for 1 s.

Each share is now kept with the time at which it was asked for. It is used for 2 s while its owner is silent, as old as callers may be told it, and then the answer is 503, as for the present service. A service that nobody has claimed yet counts as empty.

--- a/basilhold/platform/callers.py
+++ b/basilhold/platform/callers.py
@@ -124,7 +124,7 @@
         if self._path_suffix() == "":
             count = await frontend.queue_length(self._queue_route.policy)
             if count is None:
-                self._reply_unavailable(503, "the queue's owner does not answer")
+                self._reply_unavailable(503, "an owner of jobs does not answer")
             else:
                 self._reply(200, {"waiting": count})
             return
--- a/basilhold/workflows/ownership_manager.py
+++ b/basilhold/workflows/ownership_manager.py
@@ -10,7 +10,7 @@
 
 from basilhold.core import ServiceName
 from basilhold.observability import log_event
-from basilhold.ports import Row
+from basilhold.ports import ABSENT, Row
 from basilhold.workflows import events
 from basilhold.workflows.background_tasks import BackgroundTasks, restart_on_error
 from basilhold.workflows.members import MemberList
@@ -138,6 +138,11 @@
             return ""
         return view.record.endpoint
 
+    def is_unowned(self, service: ServiceName) -> bool:
+        """Return whether no process had claimed a service at the last poll."""
+        view = self._views.get(service)
+        return view is None or view.version == ABSENT
+
     def owns(self, service: ServiceName) -> bool:
         """Return whether this process holds a service's lease or may still renew it.
 
--- a/basilhold/workflows/queue_lengths.py
+++ b/basilhold/workflows/queue_lengths.py
@@ -11,32 +11,28 @@
 
 __all__ = ["QueueLengths"]
 
-LENGTH_ELSEWHERE_MAX_AGE_MS = 1_000.0
-"""Age up to which the number of a queue's workflows at other services is used again.
-Callers may be told a length that is 2 s old."""
+LENGTH_REUSE_MS = 1_000.0
+"""Age up to which the number of a queue's workflows at another service is used again
+without asking its owner."""
 
+LENGTH_MAX_AGE_MS = 2_000.0
+"""Age up to which that number may be used while the owner does not answer. Callers may
+be told a length that is 2 s old."""
 
-class _LengthElsewhere(msgspec.Struct, frozen=True):
-    """Unstarted workflows of a queue at all services but one.
+
+class _Reading(msgspec.Struct, frozen=True):
+    """Unstarted workflows of a queue at one service.
 
     Parameters
     ----------
-    service : ServiceName
-        The one that is left out.
     asked_ms : float
-        Monotonic time at which the owners were asked, in milliseconds.
+        Monotonic time at which the owner was asked, in milliseconds.
     length : int
     """
 
-    service: ServiceName
     asked_ms: float
     length: int
 
-    def is_usable(self, service: ServiceName, now_ms: float) -> bool:
-        """Return whether the length is recent, and leaves out the given service."""
-        is_recent = now_ms - self.asked_ms < LENGTH_ELSEWHERE_MAX_AGE_MS
-        return is_recent and self.service == service
-
 
 class QueueLengths:
     """Asks the owners of services how many workflows of a queue wait there.
@@ -57,7 +53,7 @@
         self._ownership_manager = ownership_manager
         self._peers = peers
         self._clock = clock
-        self._elsewhere: dict[QueueName, _LengthElsewhere] = {}
+        self._readings: dict[QueueName, dict[ServiceName, _Reading]] = {}
 
     async def total(self, service: ServiceName, queue: QueueName) -> int | None:
         """Return the number of a queue's unstarted workflows at all services.
@@ -71,12 +67,14 @@
         Returns
         -------
         int or None
-            ``None`` if the owner of the present service does not answer.
+            ``None`` if the owner of one of them does not answer.
         """
         length, elsewhere = await asyncio.gather(
             self._length_at(service, queue), self._length_elsewhere(service, queue)
         )
-        return None if length is None else length + elsewhere
+        if length is None or elsewhere is None:
+            return None
+        return length + elsewhere
 
     def local(self, service: ServiceName, queue: QueueName) -> int | None:
         """Return the number at a service, or ``None`` if this process is no owner."""
@@ -94,19 +92,48 @@
             return None
         return await self._peers.queue_length(endpoint, service, queue)
 
-    async def _length_elsewhere(self, service: ServiceName, queue: QueueName) -> int:
-        """Return the number at other services, of whose owners any may be silent.
+    async def _length_elsewhere(
+        self, service: ServiceName, queue: QueueName
+    ) -> int | None:
+        """Return the number at other services, or ``None`` if one is unknown.
 
-        They are asked at most every `LENGTH_ELSEWHERE_MAX_AGE_MS`.
+        Each owner is asked at most every `LENGTH_REUSE_MS`.
         """
-        now_ms = self._clock.monotonic_ms()
-        known = self._elsewhere.get(queue)
-        if known is not None and known.is_usable(service, now_ms):
-            return known.length
-        others = self._ownership_manager.known_services()
-        lengths = await asyncio.gather(
-            *(self._length_at(other, queue) for other in others if other != service)
+        others = [
+            other
+            for other in self._ownership_manager.known_services()
+            if other != service
+        ]
+        readings = self._readings.setdefault(queue, {})
+        for former in readings.keys() - set(others):
+            del readings[former]
+        await asyncio.gather(
+            *(self._refresh(readings, other, queue) for other in others)
         )
-        length = sum(count or 0 for count in lengths)
-        self._elsewhere[queue] = _LengthElsewhere(service, now_ms, length)
-        return length
+        oldest_ms = self._clock.monotonic_ms() - LENGTH_MAX_AGE_MS
+        total = 0
+        for other in others:
+            reading = readings.get(other)
+            if reading is None or reading.asked_ms < oldest_ms:
+                return None
+            total += reading.length
+        return total
+
+    async def _refresh(
+        self,
+        readings: dict[ServiceName, _Reading],
+        service: ServiceName,
+        queue: QueueName,
+    ) -> None:
+        """Ask the owner of a service, unless its number was read a moment ago."""
+        now_ms = self._clock.monotonic_ms()
+        reading = readings.get(service)
+        if reading is not None and now_ms - reading.asked_ms < LENGTH_REUSE_MS:
+            return
+        if self._ownership_manager.is_unowned(service):
+            # Nothing has been scheduled there yet.
+            readings[service] = _Reading(now_ms, 0)
+            return
+        length = await self._length_at(service, queue)
+        if length is not None:
+            readings[service] = _Reading(now_ms, length)
--- a/basilhold/workflows/tests/test_queue_lengths.py
+++ b/basilhold/workflows/tests/test_queue_lengths.py
@@ -1,17 +1,19 @@
 """Tests of the number of a queue's workflows that wait, as callers are told it."""
 
 import asyncio
+import contextlib
 import random
 
 import msgspec
 
-from basilhold.core import Resources
+from basilhold.core import Resources, ServiceName
 from basilhold.standins.runners import RunnerFaults
 from basilhold.testing import VirtualTimeTestCase
-from basilhold.testing.workflow_cell import WorkflowCell, make_spec
+from basilhold.testing.workflow_cell import SERVICE, WorkflowCell, make_spec
 from basilhold.workflows.model import StepSpec
 
 JOBS = 6
+OTHER_SERVICE = ServiceName("inspect")
 
 
 def make_workflow(number, estimate_ms=800.0):
@@ -92,3 +94,53 @@
                         runner.cut = cut
                     await self.replace_owner(cell)
                     await self.check_lengths(cell, 0)
+
+
+class FormerServiceTest(VirtualTimeTestCase):
+    """Guards against workflows at a queue's former service that go missing."""
+
+    @contextlib.asynccontextmanager
+    async def moved_queue(self):
+        """Yield a cell, the policy of a queue since its move, and who serves it."""
+        services = (SERVICE, OTHER_SERVICE)
+        faults = RunnerFaults(refused=1.0)
+        async with WorkflowCell(faults=faults, services=services) as cell:
+            await asyncio.sleep(2)
+            for number in range(JOBS):
+                await cell.submit(make_workflow(number))
+            await asyncio.sleep(2)
+            policy = make_workflow(1).policy
+            policy = msgspec.structs.replace(policy, service=OTHER_SERVICE)
+            owner = cell.owner_name(OTHER_SERVICE)
+            self.assertNotEqual(owner, cell.owner_name())
+            yield cell, policy, cell.processes[owner].front
+
+    async def test_workflows_are_not_left_out_while_the_owner_is_replaced(self):
+        # An owner that did not answer counted as one without waiting workflows.
+        async with self.moved_queue() as (cell, policy, front):
+            await cell.kill_process(cell.owner_name())
+            lengths = []
+            for _ in range(40):
+                lengths.append(await front.queue_length(policy))
+                await asyncio.sleep(0.1)
+            self.assertEqual(set(lengths), {None, JOBS})
+            self.assertEqual(lengths[-1], JOBS)
+
+    async def test_number_is_used_for_two_seconds_without_the_owner(self):
+        # Guards against a number that is unknown at once, and one that is kept for
+        # longer than callers allow.
+        async with self.moved_queue() as (cell, policy, front):
+            self.assertEqual(await front.queue_length(policy), JOBS)
+            former = cell.processes[cell.owner_name()]
+            former.front.local_queue_length = lambda service, queue: None
+            lengths = []
+            for _ in range(5):
+                await asyncio.sleep(0.6)
+                lengths.append(await front.queue_length(policy))
+            self.assertEqual(lengths, [JOBS, JOBS, JOBS, None, None])
+
+    async def test_service_without_an_owner_so_far_hides_no_number(self):
+        # Guards against queues without a number while a new service is being claimed.
+        async with self.moved_queue() as (cell, policy, front):
+            cell.services = (*cell.services, ServiceName("new"))
+            self.assertEqual(await front.queue_length(policy), JOBS)
