Show the state of a node in its state dump

/state of a process on the users' platform was an empty object, although the page for operators sends them there for configuration_age_ms. The daemon collected its state, but was never added to the dump; its state was only logged when an invariant broke.

The test failed before (KeyError, as the dump was empty) and passes now.

--- a/basilhold/platform/node.py
+++ b/basilhold/platform/node.py
@@ -18,6 +18,7 @@
     BoundedOutput,
     Metrics,
     MetricSource,
+    StateSource,
     log_event,
     make_status_pages,
     metric,
@@ -126,7 +127,7 @@
         metrics.set(dropped, self._log_output.dropped_count)
 
 
-class NodeDaemon(Daemon):
+class NodeDaemon(Daemon, StateSource):
     """Serves callers, and schedules the services whose ownership lease it holds.
 
     Parameters
@@ -152,6 +153,7 @@
         )
         self._status_pages = make_status_pages(settings.node, STATE_DUMP_BYTES_MAX, ())
         self._status_pages.metrics.add_source(LogMetrics(log_output))
+        self._status_pages.state.add_source(self)
         self._draining = False
         endpoint = f"{settings.ip}:{settings.port_range[0]}"
         peers = HttpPeerClient(self._pool, shared_time)
--- a/basilhold/platform/tests/node_processes.py
+++ b/basilhold/platform/tests/node_processes.py
@@ -151,7 +151,7 @@
     def __init__(self, name: str, store_proxy: StoreProxy, directory: Path):
         self.name = name
         self.store_proxy = store_proxy
-        self.caller_port, self.ready_port, peer_port, status_port = free_ports(4)
+        self.caller_port, self.ready_port, peer_port, self.status_port = free_ports(4)
         self._settings = directory / f"{name}.toml"
         self._log = directory / f"{name}.log"
         self._process: subprocess.Popen | None = None
@@ -162,7 +162,7 @@
                 caller_port=self.caller_port,
                 ready_port=self.ready_port,
                 peer_port=peer_port,
-                status_port=status_port,
+                status_port=self.status_port,
                 store_port=store_proxy.port,
             )
         )
--- a/basilhold/platform/tests/test_withdrawn_keys.py
+++ b/basilhold/platform/tests/test_withdrawn_keys.py
@@ -84,6 +84,12 @@
                     seen.add(code)
                 await asyncio.sleep(0.1)
 
+    async def state(self, node):
+        """Return the state dump of a process."""
+        url = f"http://127.0.0.1:{node.status_port}/state"
+        response = await self.client.fetch(url)
+        return json.loads(response.body)[node.name]
+
 
 class WithdrawnKeysTest(KeysTestCase):
     """Guards against a process that serves a key withdrawn while it heard nothing."""
@@ -98,6 +104,14 @@
         await asyncio.sleep(PAUSE_S)
         self.node.send_signal(signal.SIGCONT)
 
+    async def test_state_dump_tells_which_version_is_in_force(self):
+        # The dump of a process was empty, so that operators could not tell why it
+        # serves a key or rejects it.
+        state = await self.state(self.node)
+        self.assertEqual(state["configuration"], self.version)
+        self.assertLess(state["configuration_age_ms"], PAUSE_S * 1000)
+        self.assertEqual(len(state["services"]["members"]), 1)
+
     async def test_key_withdrawn_during_a_pause_is_not_served(self):
         await self.pause_and_withdraw()
         self.assertIn((await self.count(self.node)).code, (401, 503))
