Cut a process off in a test only once it knows its peers

test_key_is_withdrawn_where_only_followers_reach_the_store timed out once in a full run beside load. It cut the followed process off from the store as soon as the others followed it. They know it then, but a process that started before them reads the members each 3 s, so it may know none, and has nobody through whom to reach the store: it rejects callers with 503, rightly, until the test ends. Neither the limit of 30 s nor the product's answers are at fault, so the test waits for the members in the state dump of the process; what it asserts and its limits are the same.

Before, on a busy machine: 1 of 11 runs timed out; in a trial that read the dump at the cut, 1 of 16, the only one in which the process knew nobody. After: 7 of 7 beside four busy processes, load average 17.

--- a/basilhold/platform/tests/test_withdrawn_keys.py
+++ b/basilhold/platform/tests/test_withdrawn_keys.py
@@ -145,6 +145,15 @@
         lines = [line for line in node.log_lines() if "BH6107" in line]
         return bool(lines) and "the store" not in lines[-1]
 
+    async def wait_for_members(self, node):
+        """Wait until a process knows all others, which it learns from the store."""
+        async with asyncio.timeout(START_TIMEOUT_S):
+            while True:
+                state = await self.state(node)
+                if len(state["services"]["members"]) == self.node_count:
+                    return
+                await asyncio.sleep(0.1)
+
     async def test_key_is_withdrawn_while_the_followed_peer_is_paused(self):
         self.leader.send_signal(signal.SIGSTOP)
         self.configure()
@@ -167,6 +176,7 @@
             self.assertEqual((await self.count(node)).code, 401)
 
     async def test_key_is_withdrawn_where_only_followers_reach_the_store(self):
+        await self.wait_for_members(self.leader)
         self.leader.store_proxy.set_mode(ProxyMode.DROP)
         self.configure()
         for node in self.nodes:
