--- a/basilhold/platform/tests/test_withdrawn_keys.py
+++ b/basilhold/platform/tests/test_withdrawn_keys.py
@@ -84,6 +84,12 @@
                     seen.add(code)
                 await asyncio.sleep(0.1)
 
+    async def state(self, node):
+        """Return the state dump of a process."""
+        url = f"http://127.0.0.1:{node.status_port}/state"
+        response = await self.client.fetch(url)
+        return json.loads(response.body)[node.name]
+
 
 class WithdrawnKeysTest(KeysTestCase):
     """Guards against a process that serves a key withdrawn while it heard nothing."""
@@ -98,6 +104,14 @@
         await asyncio.sleep(PAUSE_S)
         self.node.send_signal(signal.SIGCONT)
 
+    async def test_state_dump_tells_which_version_is_in_force(self):
+        # The dump of a process was empty, so that operators could not tell why it
+        # serves a key or rejects it.
+        state = await self.state(self.node)
+        self.assertEqual(state["configuration"], self.version)
+        self.assertLess(state["configuration_age_ms"], PAUSE_S * 1000)
+        self.assertEqual(len(state["services"]["members"]), 1)
+
     async def test_key_withdrawn_during_a_pause_is_not_served(self):
         await self.pause_and_withdraw()
         self.assertIn((await self.count(self.node)).code, (401, 503))
@@ -131,6 +145,15 @@
         lines = [line for line in node.log_lines() if "BH6107" in line]
         return bool(lines) and "the store" not in lines[-1]
 
+    async def wait_for_members(self, node):
+        """Wait until a process knows all others, which it learns from the store."""
+        async with asyncio.timeout(START_TIMEOUT_S):
+            while True:
+                state = await self.state(node)
+                if len(state["services"]["members"]) == self.node_count:
+                    return
+                await asyncio.sleep(0.1)
+
     async def test_key_is_withdrawn_while_the_followed_peer_is_paused(self):
         self.leader.send_signal(signal.SIGSTOP)
         self.configure()
@@ -153,6 +176,7 @@
             self.assertEqual((await self.count(node)).code, 401)
 
     async def test_key_is_withdrawn_where_only_followers_reach_the_store(self):
+        await self.wait_for_members(self.leader)
         self.leader.store_proxy.set_mode(ProxyMode.DROP)
         self.configure()
         for node in self.nodes:
