Store the leases of silent workers for the next owner

Cause: ServiceOwner._load let the lease of each worker with a stored assignment last for 10.3 s from the takeover, although the previous owner had not renewed it since the worker was silent. Each further takeover began that time anew.

Each commit now stores how long the leases of workers may last that have been silent for 0.5 s, and the owner extends none of them before a record without the worker is stored. A release stores the longest time for any worker. A successor counts these durations, and the wait for the others, from when it first read the record that it replaces. So they end no earlier than the leases, whatever the clocks show and whatever the previous owner did after its last commit. Builds without the fields ignore them, and their records mean the former wait.

The stand-in took a worker that refused connections for its own successor if it was up. It now looks for another worker at the address, so that such workers can be tested.

--- a/basilhold/standins/runners.py
+++ b/basilhold/standins/runners.py
@@ -570,7 +570,8 @@
     ) -> CallOutcome:
         """Return the outcome, unless another runner replies at the address by now."""
         endpoint = runner.info.endpoint
-        if any(r.up and r.info.endpoint == endpoint for r in self.runners.values()):
+        others = (r for r in self.runners.values() if r is not runner)
+        if any(r.up and r.info.endpoint == endpoint for r in others):
             return CallOutcome.ABSENT
         return outcome
 
--- a/basilhold/workflows/owner.py
+++ b/basilhold/workflows/owner.py
@@ -276,12 +276,9 @@
         for job_id in loaded.cancelled:
             self.cancel(job_id)
         for worker in self._state.pool.workers.values():
-            # The previous owner may have renewed the worker's lease until its own lease
-            # expired.
-            worker.lease_expires_ms = (
-                now_ms + LEASE_VALIDITY_MS + self._state.limits.lease_expiry_ms()
-            )
+            worker.lease_expires_ms = self._inherited_lease_ms(worker, now_ms)
             worker.unregistered = True
+        self._state.has_all_workers = True
         await self._worker_tracker.refresh_registrations()
         self._worker_tracker.contact_unregistered_workers()
         self.loaded = True
@@ -295,6 +292,14 @@
         )
         self._state.plan_event.set()
 
+    def _inherited_lease_ms(self, worker: Worker, now_ms: float) -> float:
+        """Return until when a lease may last that a previous owner has granted."""
+        predecessor = self._state.lease.predecessor
+        expiry_ms = self._state.limits.lease_expiry_ms()
+        if predecessor is None:
+            return now_ms + LEASE_VALIDITY_MS + expiry_ms
+        return predecessor.lease_bound_ms(worker.worker_id, expiry_ms)
+
     def _add_loaded(self, workflow: Workflow) -> None:
         state = self._state
         state.workflows[workflow.job_id] = workflow
--- a/basilhold/workflows/owner_lease.py
+++ b/basilhold/workflows/owner_lease.py
@@ -8,6 +8,7 @@
 
 import asyncio
 from abc import ABC, abstractmethod
+from collections.abc import Callable
 from enum import Enum
 
 import msgspec
@@ -18,6 +19,7 @@
     JsonDecoder,
     ProcessId,
     ServiceName,
+    WorkerId,
 )
 from basilhold.observability import log_event
 from basilhold.ports import (
@@ -31,11 +33,13 @@
 )
 from basilhold.workflows import events
 from basilhold.workflows.rows import Incarnation, OwnerRecord, owner_key
+from basilhold.workflows.shared_time import CLOCK_DRIFT_MAX
 
 __all__ = [
     "CommitOutcome",
     "Lease",
     "OwnerView",
+    "Predecessor",
     "SuspendAwareClock",
     "claim_delay_ms",
     "try_claim",
@@ -54,7 +58,8 @@
 LEASE_VALIDITY_MS = 4_000
 """How long a lease is valid after its last renewal, by a clock that advances while the
 machine is suspended. A successor that cannot reach a worker waits for this time plus
-one lease of the worker."""
+one lease of the worker, unless the record that it replaces says that the worker was
+silent."""
 
 RETRY_DELAY_MS = 60
 """Delay before the first retry of a commit; it doubles with each further one."""
@@ -100,12 +105,15 @@
         answered.
     is_holder_gone : bool
         Whether the holder was probed since then and does not own the service any more.
+    is_readable : bool
+        Whether `record` is from this version of the row.
     """
 
     record: OwnerRecord | None = None
     version: int = ABSENT
     unchanged_since_ms: float = 0.0
     is_holder_gone: bool = False
+    is_readable: bool = True
 
     def update(self, row: Row | None, now_ms: float) -> None:
         """Update the view from the row as read from the store.
@@ -118,9 +126,11 @@
         self.version = version
         self.unchanged_since_ms = now_ms
         self.is_holder_gone = False
+        self.is_readable = True
         try:
             self.record = _DECODER.decode(row.value) if row else None
         except msgspec.DecodeError as error:
+            self.is_readable = False
             log_event(events.BAD_ROW, key=row.key, reason=error)
 
     def is_claimable(self, holder: ProcessId, now_ms: float) -> bool:
@@ -156,6 +166,51 @@
         return now_ms - self.unchanged_since_ms >= SUSPECT_AFTER_MS
 
 
+class Predecessor(msgspec.Struct, frozen=True):
+    """The owner whose record a claim has replaced.
+
+    Parameters
+    ----------
+    record : OwnerRecord
+        Its last record; the claim is conditional on it.
+    stored_ms : float
+        Time of the successor's monotonic clock by which the record was stored.
+    """
+
+    record: OwnerRecord
+    stored_ms: float
+
+    def lease_bound_ms(self, worker_id: WorkerId, lease_expiry_ms: float) -> float:
+        """Return until when a lease granted by the owner, or one before it, may last.
+
+        All times that the record implies are counted from `stored_ms`, which is later
+        than the time at which the owner measured them, and allow for the drift of the
+        two clocks. System clocks and the store's time are not needed.
+
+        Parameters
+        ----------
+        worker_id : WorkerId
+            Worker that has not answered this process.
+        lease_expiry_ms : float
+            Time after which a lease requested now has certainly expired.
+
+        Returns
+        -------
+        float
+            Time of the successor's monotonic clock, in milliseconds.
+        """
+        bound_ms = self._after(LEASE_VALIDITY_MS) + lease_expiry_ms
+        if self.record.leases_left_ms is not None:
+            bound_ms = min(bound_ms, self._after(self.record.leases_left_ms))
+        left_ms = self.record.silent_workers.get(worker_id)
+        if left_ms is not None:
+            bound_ms = min(bound_ms, self._after(left_ms))
+        return bound_ms
+
+    def _after(self, duration_ms: float) -> float:
+        return self.stored_ms + duration_ms * (1 + CLOCK_DRIFT_MAX)
+
+
 def claim_delay_ms(
     round_trip_ms: float,
     owned_services: int,
@@ -204,11 +259,16 @@
         Version of the row that holds `record`.
     claimed_ms : float
         Time of `clock` at which the claim was sent.
+    predecessor : Predecessor, optional
+        ``None`` if there was no owner before, or its last record cannot be decoded.
 
     Attributes
     ----------
     member_count : int
         Number of processes of the deployment, which is stored with each commit.
+    find_silent_workers : callable
+        Returns the workers that do not answer, and for how long their leases may last,
+        which is stored with each commit.
     """
 
     def __init__(
@@ -219,6 +279,7 @@
         record: OwnerRecord,
         version: int,
         claimed_ms: float,
+        predecessor: Predecessor | None = None,
     ):
         self._table = table
         self._clock = clock
@@ -229,6 +290,9 @@
         self.service = service
         self.record = record
         self.member_count = 0
+        self.predecessor = predecessor
+        self.find_silent_workers: Callable[[], dict[WorkerId, int]] = dict
+        self._stored_silent: set[WorkerId] = set()
 
     @property
     def epoch(self) -> Epoch:
@@ -255,8 +319,19 @@
         """Mark the lease as lost, so that the process stops acting as the owner."""
         self._lost = True
 
+    def may_extend(self, worker_id: WorkerId) -> bool:
+        """Return whether the lease of a worker may be extended.
+
+        A successor gives up the runs of a worker that is stored as silent when the
+        stored time has passed, so a record without the worker must be stored first.
+        """
+        return worker_id not in self._stored_silent
+
     async def commit(
-        self, writes: tuple[Write, ...], released: bool = False
+        self,
+        writes: tuple[Write, ...],
+        released: bool = False,
+        leases_left_ms: int | None = None,
     ) -> CommitOutcome:
         """Store writes and renew the lease in one transaction.
 
@@ -269,6 +344,9 @@
         writes : tuple of Write
         released : bool
             Mark the lease as released, so that it can be claimed at once.
+        leases_left_ms : int, optional
+            Longest time for which the lease of any worker may last after a release, in
+            milliseconds; nothing may extend one any more.
 
         Returns
         -------
@@ -279,7 +357,11 @@
             sequence=self.record.sequence + 1,
             released=released,
             member_count=self.member_count,
+            silent_workers=self.find_silent_workers(),
+            leases_left_ms=leases_left_ms,
         )
+        # Until the outcome is known, this record or the one before it may be the last.
+        self._stored_silent.update(record.silent_workers)
         transaction = Transaction(
             (Condition(self._key, self._version),),
             (Write(self._key, msgspec.json.encode(record)), *writes),
@@ -321,6 +403,7 @@
         self.record = record
         self._version = version
         self._renewed_ms = sent_ms
+        self._stored_silent = set(record.silent_workers)
 
     async def _was_applied(self, record: OwnerRecord, sent_ms: float) -> bool:
         """Return whether an earlier attempt without a reply took effect."""
@@ -378,5 +461,8 @@
     result = await table.transact(transaction)
     if result.is_error():
         return Error(f"{result.error.kind.value}: {result.error.reason}")
-    lease = Lease(table, clock, service, record, result.ok[key], sent_ms)
-    return Ok(lease)
+    predecessor = None
+    if view.record is not None and view.is_readable:
+        predecessor = Predecessor(view.record, view.unchanged_since_ms)
+    version = result.ok[key]
+    return Ok(Lease(table, clock, service, record, version, sent_ms, predecessor))
--- a/basilhold/workflows/owner_state.py
+++ b/basilhold/workflows/owner_state.py
@@ -23,6 +23,7 @@
 from basilhold.workflows.progress import Workflow, WorkflowState
 from basilhold.workflows.quota_exchange import NoQuotaExchange, QuotaExchange
 from basilhold.workflows.shared_time import SharedTime
+from basilhold.workflows.silent_workers import find_silent_workers, longest_lease_ms
 from basilhold.workflows.step_order import DeadlineOrder, StepOrder
 from basilhold.workflows.stragglers import RunTimes
 from basilhold.workflows.worker_link import OwnerLimits, WorkerLink
@@ -110,6 +111,8 @@
         Observed run times, from which stragglers are found.
     pool : Pool
         Workers of the service and their runs.
+    has_all_workers : bool
+        Whether the pool contains the workers of all stored assignments.
     links : dict of WorkerId to WorkerLink
         Links to the registered workers.
     quotas : QuotaBook
@@ -140,18 +143,35 @@
         self.isolation = Isolation()
         self.run_times = RunTimes()
         self.pool = Pool()
+        self.has_all_workers = False
         self.links: dict[WorkerId, WorkerLink] = {}
         self.quotas = QuotaBook(self.pool.usage, ports.allotment_policy)
         self.ledger_stored = asyncio.Event()
         self.plan_event = asyncio.Event()
         self.background_tasks = BackgroundTasks()
         self.failure: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        lease.find_silent_workers = self._find_silent_workers
 
     @property
     def service(self) -> ServiceName:
         """Name of the service."""
         return self.lease.service
 
+    def _find_silent_workers(self) -> dict[WorkerId, int]:
+        """Return the silent workers, and for how long their leases may last."""
+        if not self.has_all_workers:
+            return {}
+        return find_silent_workers(self.pool, self.clock.monotonic_ms())
+
+    def leases_left_ms(self) -> int | None:
+        """Return for how long the lease of any worker may last, if that is known.
+
+        In milliseconds, from the present on.
+        """
+        if not self.has_all_workers:
+            return None
+        return longest_lease_ms(self.pool, self.clock.monotonic_ms())
+
     def observe(self, name: str, milliseconds: float, **labels: str) -> None:
         """Add a duration to a histogram of the service.
 
--- a/basilhold/workflows/rows.py
+++ b/basilhold/workflows/rows.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from basilhold.core import Epoch, JobId, ProcessId, ServiceName
+from basilhold.core import Epoch, JobId, ProcessId, ServiceName, WorkerId
 
 __all__ = [
     "QUOTA_HOME_KEY",
@@ -60,6 +60,13 @@
         The holder has released the lease and sends no further requests.
     member_count : int
         Number of processes of the deployment that the holder knows.
+    silent_workers : dict of WorkerId to int
+        Workers that do not answer, and for how long their leases may last from this
+        commit on, in milliseconds. The holder extends no lease of these workers before
+        it has stored a record without them.
+    leases_left_ms : int, optional
+        Longest time for which the lease of any worker may last after a release, in
+        milliseconds; ``None`` if that is not known.
     """
 
     holder: ProcessId
@@ -69,6 +76,8 @@
     incarnation: Incarnation
     released: bool = False
     member_count: int = 0
+    silent_workers: dict[WorkerId, int] = {}
+    leases_left_ms: int | None = None
 
 
 class JobLocation(msgspec.Struct, frozen=True):
--- a/basilhold/workflows/worker_link.py
+++ b/basilhold/workflows/worker_link.py
@@ -1,6 +1,7 @@
 """Link of an owner to one worker: renews the worker's lease and reads its run lists."""
 
 import asyncio
+import contextlib
 from collections.abc import Callable
 
 import msgspec
@@ -37,7 +38,8 @@
 RETRY_DELAY_MAX_MS = 1_000.0
 COMMIT_WAIT_MS = 800.0
 """How long a link waits for the commit of the run ends that it has read, before it
-renews the lease without acknowledging them."""
+renews the lease without acknowledging them, and for the commit after which it may
+renew the lease of a worker that was silent."""
 
 
 OBSERVED_MS = 100.0
@@ -219,7 +221,7 @@
         until_ms = 0.0
         # A renewal without a reply may have taken effect. Repeating it would delay the
         # time after which no task can be running on the worker.
-        if worker.clock_ms and not self._failures:
+        if worker.clock_ms and not self._failures and self._may_extend():
             until_ms = worker.clock_at(sent_ms) + self._limits.lease_ms
             self.extend_lease_bound(sent_ms, self._limits.lease_ms)
         acknowledged = self._new_acknowledgement()
@@ -292,19 +294,27 @@
 
     def _wait_ms(self) -> int:
         uncommitted = self.worker.processed_sequence > self.worker.acknowledged_sequence
-        if not self.worker.listed or uncommitted:
+        if not self.worker.listed or uncommitted or not self._may_extend():
             return 0
         return self._limits.wait_ms
 
     async def _wait_for_commit(self) -> None:
-        if self.worker.processed_sequence <= self.worker.acknowledged_sequence:
+        uncommitted = self.worker.processed_sequence > self.worker.acknowledged_sequence
+        if not uncommitted and not self._awaits_extension():
             return
-        self._acknowledged.clear()
-        try:
+        with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(COMMIT_WAIT_MS / 1000):
-                await self._acknowledged.wait()
-        except TimeoutError:
-            pass
+                while uncommitted or self._awaits_extension():
+                    self._acknowledged.clear()
+                    await self._acknowledged.wait()
+                    uncommitted = False
+
+    def _may_extend(self) -> bool:
+        return self._lease.may_extend(self.worker.worker_id)
+
+    def _awaits_extension(self) -> bool:
+        """Return whether a worker that answers again is still stored as silent."""
+        return not self._failures and not self._may_extend()
 
     async def _after_failure(
         self, outcome: CallOutcome, clock: Clock, sent_ms: float
--- a/basilhold/workflows/worker_tracker.py
+++ b/basilhold/workflows/worker_tracker.py
@@ -214,7 +214,8 @@
         self._run_controller.adjust_pace(worker)
         if look.first or look.ends:
             self._state.plan_event.set()
-        if look.ends:
+        may_extend = self._state.lease.may_extend(worker.worker_id)
+        if look.ends or (look.first and not may_extend):
             self._run_controller.committer.request_commit()
         return True
 
