--- a/basilhold/workflows/owner.py
+++ b/basilhold/workflows/owner.py
@@ -295,7 +295,7 @@
     def _inherited_lease_ms(self, worker: Worker, now_ms: float) -> float:
         """Return until when a lease may last that a previous owner has granted."""
         predecessor = self._state.lease.predecessor
-        expiry_ms = self._state.limits.lease_expiry_ms()
+        expiry_ms = self._state.limits.any_lease_expiry_ms()
         if predecessor is None:
             return now_ms + LEASE_VALIDITY_MS + expiry_ms
         return predecessor.lease_bound_ms(worker.worker_id, expiry_ms)
--- /dev/null
+++ b/basilhold/workflows/tests/test_restarted_workers.py
@@ -0,0 +1,139 @@
+"""Tests of workers that start again under their ids and get calls sent before."""
+
+import asyncio
+import random
+
+import msgspec
+
+from basilhold.core import Resources, WorkerId
+from basilhold.ports.runners import CallOutcome
+from basilhold.testing import VirtualTimeTestCase
+from basilhold.testing.workflow_cell import SERVICE, WorkflowCell, make_spec
+from basilhold.workflows.model import StepSpec
+from basilhold.workflows.owner_lease import FENCES_PER_EPOCH
+
+WORKER = WorkerId("w0")
+UPTIME_S = 20.0
+"""Age of the former incarnation, whose clock is that far ahead of its successor's."""
+
+WORKER_COUNT = 2
+DOWN_S = 0.6
+LEASE_LIMIT_MS = 10_000.0
+
+
+def make_workflow(number, task_count):
+    """Return a workflow whose tasks take a worker each and do not end."""
+    spec = make_spec(number, random.Random(0))
+    policy = msgspec.structs.replace(spec.policy, advice=None)
+    step = StepSpec(task_count, Resources(12_000, 1 << 20, 0), 60_000.0)
+    return msgspec.structs.replace(spec, steps=(step,), policy=policy)
+
+
+def make_cell():
+    """Return a cell whose workers grant longer leases than the owner requests."""
+    return WorkflowCell(
+        process_count=1, worker_count=WORKER_COUNT, lease_limit_ms=LEASE_LIMIT_MS
+    )
+
+
+class RestartedWorkersTest(VirtualTimeTestCase):
+    """Guards against effects of a call on a later incarnation of its worker."""
+
+    def record_renewals(self, cell):
+        """Return a list that collects the renewals sent to the worker from now on."""
+        renew_lease, calls = cell.runners.renew_lease, []
+
+        async def record(worker, call):
+            if worker.worker_id == WORKER and call.until_clock_ms:
+                calls.append(call)
+            return await renew_lease(worker, call)
+
+        cell.runners.renew_lease = record
+        return calls
+
+    def record_starts(self, cell):
+        """Return a list that collects the starts sent to the worker from now on."""
+        start, calls = cell.runners.start, []
+
+        async def record(worker, call):
+            if worker.worker_id == WORKER:
+                calls.append(call)
+            return await start(worker, call)
+
+        cell.runners.start = record
+        return calls
+
+    async def restart(self, cell):
+        cell.runners.runners[WORKER].crash()
+        await asyncio.sleep(DOWN_S)
+        cell.start_worker(WORKER)
+
+    async def fill_and_cut(self, cell, delay_s=0.0):
+        """Let a task run on the restarted worker, and cut it off some time later."""
+        await cell.submit(make_workflow(1, WORKER_COUNT))
+        await asyncio.sleep(2)
+        self.assertTrue(cell.runners.runners[WORKER].runs)
+        await asyncio.sleep(delay_s)
+        cell.runners.runners[WORKER].cut = True
+        cell.start_worker("w9")
+        await asyncio.sleep(LEASE_LIMIT_MS / 1000 + 5)
+
+    async def test_renewal_for_the_former_incarnation_extends_the_lease(self):
+        # The new incarnation took the time of its predecessor's clock for one far
+        # ahead, and its runs started elsewhere before that lease had ended.
+        async with make_cell() as cell:
+            renewals = self.record_renewals(cell)
+            await asyncio.sleep(UPTIME_S)
+            await self.restart(cell)
+            cell.runners.runners[WORKER].hold(renewals[-1])
+            await self.fill_and_cut(cell)
+            self.assertEqual(cell.runners.start_count, WORKER_COUNT + 1)
+            self.assertEqual(cell.runners.violations, [])
+
+    async def test_renewal_for_the_former_incarnation_arrives_late(self):
+        # It was carried out seconds after the new incarnation had answered.
+        async with make_cell() as cell:
+            renewals = self.record_renewals(cell)
+            await asyncio.sleep(UPTIME_S)
+            late = renewals[-1]
+            await self.restart(cell)
+            await asyncio.sleep(3)
+            loop = asyncio.get_running_loop()
+            loop.call_later(2.4, cell.runners.runners[WORKER].hold, late)
+            await self.fill_and_cut(cell, 0.5)
+            self.assertEqual(cell.runners.start_count, WORKER_COUNT + 1)
+            self.assertEqual(cell.runners.violations, [])
+
+    async def test_start_for_the_former_incarnation_arrives_late(self):
+        # The run was given up when a poll of the new incarnation failed, and began
+        # there seconds after it had started elsewhere.
+        async with make_cell() as cell:
+            starts = self.record_starts(cell)
+            await asyncio.sleep(UPTIME_S)
+            runners = cell.runners.runners
+            runners[WORKER].crash()
+            await cell.submit(make_workflow(1, WORKER_COUNT))
+            await asyncio.sleep(DOWN_S)
+            cell.start_worker(WORKER)
+            cell.start_worker("w9")
+            runners[WORKER].cut = True
+            await asyncio.sleep(5)
+            self.assertEqual(len(starts), 1)
+            runners[WORKER].start(starts[0])
+            await asyncio.sleep(LEASE_LIMIT_MS / 1000 + 15)
+            self.assertEqual(cell.runners.start_count, WORKER_COUNT + 1)
+            self.assertEqual(cell.runners.violations, [])
+
+    async def test_rejected_call_of_an_earlier_link_does_not_end_the_owner(self):
+        # An owner took the rejection of its own earlier call for another owner's work.
+        async with make_cell() as cell:
+            renewals = self.record_renewals(cell)
+            await asyncio.sleep(UPTIME_S)
+            await self.restart(cell)
+            await asyncio.sleep(3)
+            reply = cell.runners.runners[WORKER].hold(renewals[0])
+            self.assertIs(reply.error, CallOutcome.FENCED)
+            await self.fill_and_cut(cell)
+            (process,) = cell.processes.values()
+            owner = process.ownership_manager.local_owner(SERVICE)
+            self.assertEqual(owner.describe()["epoch"], FENCES_PER_EPOCH)
