Tell the next owner of leases that last longer than it allows for

A late start for a worker's former incarnation may extend the lease of the present one by 12 s and the longest lease. The owner allows for that, but its successor waited for 4 s and the longest lease only, so a task of a worker that is cut off could have run twice after a takeover.

An owner now stores the longest time that the lease of any worker with runs may last also before a release, if it exceeds what a successor allows for.

--- a/basilhold/workflows/committer.py
+++ b/basilhold/workflows/committer.py
@@ -145,8 +145,7 @@
         async with self._lock:
             await self._state.background_tasks.cancel()
             batch = self._collect_batch()
-            left_ms = self._state.leases_left_ms()
-            outcome = await self._state.lease.commit(batch.writes, True, left_ms)
+            outcome = await self._state.lease.commit(batch.writes, released=True)
         return outcome is CommitOutcome.DONE
 
     def _collect_batch(self) -> "_Batch":
--- a/basilhold/workflows/owner_lease.py
+++ b/basilhold/workflows/owner_lease.py
@@ -41,6 +41,7 @@
     "OwnerView",
     "Predecessor",
     "SuspendAwareClock",
+    "WorkerLeases",
     "claim_delay_ms",
     "try_claim",
 ]
@@ -170,6 +171,21 @@
         return now_ms - self.unchanged_since_ms >= SUSPECT_AFTER_MS
 
 
+class WorkerLeases(msgspec.Struct, frozen=True):
+    """What an owner stores about the leases of its workers.
+
+    Parameters
+    ----------
+    silent_workers : dict of WorkerId to int
+        See `OwnerRecord`.
+    longest_ms : int, optional
+        See ``leases_left_ms`` of `OwnerRecord`.
+    """
+
+    silent_workers: dict[WorkerId, int] = {}
+    longest_ms: int | None = None
+
+
 class Predecessor(msgspec.Struct, frozen=True):
     """The owner whose record a claim has replaced.
 
@@ -203,13 +219,14 @@
         float
             Time of the successor's monotonic clock, in milliseconds.
         """
-        bound_ms = self._after(LEASE_VALIDITY_MS) + lease_expiry_ms
-        if self.record.leases_left_ms is not None:
-            bound_ms = min(bound_ms, self._after(self.record.leases_left_ms))
-        left_ms = self.record.silent_workers.get(worker_id)
-        if left_ms is not None:
-            bound_ms = min(bound_ms, self._after(left_ms))
-        return bound_ms
+        record = self.record
+        if worker_id in record.silent_workers:
+            return self._after(record.silent_workers[worker_id])
+        left_ms = record.leases_left_ms
+        if record.released and left_ms is not None:
+            return self._after(left_ms)
+        usual_ms = self._after(LEASE_VALIDITY_MS) + lease_expiry_ms
+        return max(self._after(left_ms or 0), usual_ms)
 
     def _after(self, duration_ms: float) -> float:
         return self.stored_ms + duration_ms * (1 + CLOCK_DRIFT_MAX)
@@ -270,9 +287,9 @@
     ----------
     member_count : int
         Number of processes of the deployment, which is stored with each commit.
-    find_silent_workers : callable
-        Returns the workers that do not answer, and for how long their leases may last,
-        which is stored with each commit.
+    describe_leases : callable
+        Returns what each commit stores about the leases of workers. Called with
+        whether the commit releases the lease.
     """
 
     def __init__(
@@ -296,7 +313,9 @@
         self.record = record
         self.member_count = 0
         self.predecessor = predecessor
-        self.find_silent_workers: Callable[[], dict[WorkerId, int]] = dict
+        self.describe_leases: Callable[[bool], WorkerLeases] = lambda released: (
+            WorkerLeases()
+        )
         self._stored_silent: set[WorkerId] = set()
 
     @property
@@ -348,7 +367,6 @@
         self,
         writes: tuple[Write, ...],
         released: bool = False,
-        leases_left_ms: int | None = None,
     ) -> CommitOutcome:
         """Store writes and renew the lease in one transaction.
 
@@ -360,22 +378,21 @@
         ----------
         writes : tuple of Write
         released : bool
-            Mark the lease as released, so that it can be claimed at once.
-        leases_left_ms : int, optional
-            Longest time for which the lease of any worker may last after a release, in
-            milliseconds; nothing may extend one any more.
+            Mark the lease as released, so that it can be claimed at once. Nothing may
+            extend the lease of a worker any more.
 
         Returns
         -------
         CommitOutcome
         """
+        leases = self.describe_leases(released)
         record = msgspec.structs.replace(
             self.record,
             sequence=self.record.sequence + 1,
             released=released,
             member_count=self.member_count,
-            silent_workers=self.find_silent_workers(),
-            leases_left_ms=leases_left_ms,
+            silent_workers=leases.silent_workers,
+            leases_left_ms=leases.longest_ms,
         )
         # Until the outcome is known, this record or the one before it may be the last.
         self._stored_silent.update(record.silent_workers)
--- a/basilhold/workflows/owner_state.py
+++ b/basilhold/workflows/owner_state.py
@@ -17,7 +17,7 @@
 from basilhold.workflows.background_tasks import BackgroundTasks
 from basilhold.workflows.backlog import Backlog
 from basilhold.workflows.isolation import Isolation
-from basilhold.workflows.owner_lease import Lease
+from basilhold.workflows.owner_lease import LEASE_VALIDITY_MS, Lease, WorkerLeases
 from basilhold.workflows.pool import Pool, Worker
 from basilhold.workflows.preemption import Reservations
 from basilhold.workflows.progress import Workflow, WorkflowState
@@ -150,27 +150,25 @@
         self.plan_event = asyncio.Event()
         self.background_tasks = BackgroundTasks()
         self.failure: asyncio.Future[None] = asyncio.get_running_loop().create_future()
-        lease.find_silent_workers = self._find_silent_workers
+        lease.describe_leases = self._describe_leases
 
     @property
     def service(self) -> ServiceName:
         """Name of the service."""
         return self.lease.service
 
-    def _find_silent_workers(self) -> dict[WorkerId, int]:
-        """Return the silent workers, and for how long their leases may last."""
+    def _describe_leases(self, released: bool) -> WorkerLeases:
+        """Return what a commit stores about the leases of workers."""
         if not self.has_all_workers:
-            return {}
-        return find_silent_workers(self.pool, self.clock.monotonic_ms())
-
-    def leases_left_ms(self) -> int | None:
-        """Return for how long the lease of any worker may last, if that is known.
-
-        In milliseconds, from the present on.
-        """
-        if not self.has_all_workers:
-            return None
-        return longest_lease_ms(self.pool, self.clock.monotonic_ms())
+            return WorkerLeases()
+        now_ms = self.clock.monotonic_ms()
+        longest_ms = longest_lease_ms(self.pool, now_ms)
+        # A successor allows for this much in any case.
+        allowed_ms = LEASE_VALIDITY_MS + self.limits.any_lease_expiry_ms()
+        return WorkerLeases(
+            find_silent_workers(self.pool, now_ms),
+            longest_ms if released or longest_ms > allowed_ms else None,
+        )
 
     def observe(self, name: str, milliseconds: float, **labels: str) -> None:
         """Add a duration to a histogram of the service.
--- a/basilhold/workflows/rows.py
+++ b/basilhold/workflows/rows.py
@@ -65,8 +65,9 @@
         commit on, in milliseconds. The holder extends no lease of these workers before
         it has stored a record without them.
     leases_left_ms : int, optional
-        Longest time for which the lease of any worker may last after a release, in
-        milliseconds; ``None`` if that is not known.
+        Longest time for which the lease of any other worker may last from this commit
+        on, in milliseconds. Before a release only given if it is longer than leases
+        that the holder may still extend.
     """
 
     holder: ProcessId
--- a/basilhold/workflows/silent_workers.py
+++ b/basilhold/workflows/silent_workers.py
@@ -40,7 +40,9 @@
 
 
 def longest_lease_ms(pool: Pool, now_ms: float) -> int:
-    """Return for how long the lease of any worker may last, in milliseconds.
+    """Return for how long the lease of any worker with runs may last.
+
+    In milliseconds, from `now_ms` on.
 
     Parameters
     ----------
@@ -48,7 +50,7 @@
     now_ms : float
         Time of the event loop's clock, in milliseconds.
     """
-    left_ms = (_lease_left_ms(w, now_ms) for w in pool.workers.values())
+    left_ms = (_lease_left_ms(w, now_ms) for w in pool.workers.values() if w.runs)
     return max(left_ms, default=0)
 
 
--- a/basilhold/workflows/tests/test_silent_workers.py
+++ b/basilhold/workflows/tests/test_silent_workers.py
@@ -27,6 +27,7 @@
     Lease,
     OwnerView,
     Predecessor,
+    WorkerLeases,
     try_claim,
 )
 from basilhold.workflows.pool import Pool, Run, RunKey, RunStage, Worker, WorkerInfo
@@ -157,6 +158,32 @@
                 self.assertEqual(cell.runners.violations, [], releases)
                 self.assertLess(took_s, 12.0, releases)
 
+    async def test_successor_waits_for_a_lease_that_a_foreign_call_may_have_extended(
+        self,
+    ):
+        # Guards against a successor that allows only for leases which the previous
+        # owner has requested, and not for a late start of a former incarnation.
+        for answers in (False, True):
+            async with WorkflowCell(process_count=4, worker_count=3) as cell:
+                busy, idle = await start_lasting(cell)
+                owner = cell.processes[cell.owner_name()]
+                state = owner.ownership_manager.local_owner(DESK)._state
+                worker = state.pool.workers[busy.info.worker_id]
+                begin_s = now_s()
+                worker.note_lease(state.clock.monotonic_ms() + 18_000)
+                await asyncio.sleep(0.7)
+                busy.crash()
+                if not answers:
+                    await asyncio.sleep(3.0)
+                await cell.kill_process(owner.name)
+                while not (name := cell.owner_name()):
+                    await asyncio.sleep(0.01)
+                await asyncio.sleep(1.0)
+                await cell.kill_process(name)
+                took_s = await time_restart(idle, begin_s)
+                self.assertGreater(took_s, 18.0, answers)
+                self.assertLess(took_s, 20.5, answers)
+
     async def test_lease_of_returning_worker_is_not_extended_before_it_is_stored(self):
         # Guards against a renewal that the last stored record does not allow for: the
         # owner is cut from the store when the worker answers again for a while.
@@ -260,7 +287,9 @@
         former = Predecessor(record, 50_000.0)
         self.assertAlmostEqual(former.lease_bound_ms(LOST, 6_280.0), 52_020.0)
         self.assertAlmostEqual(former.lease_bound_ms(OTHER, 6_280.0), 60_320.0)
-        record = make_record(silent_workers={LOST: 2_000}, leases_left_ms=5_000)
+        record = make_record(
+            silent_workers={LOST: 2_000}, leases_left_ms=5_000, released=True
+        )
         former = Predecessor(record, 50_000.0)
         self.assertAlmostEqual(former.lease_bound_ms(LOST, 6_280.0), 52_020.0)
         self.assertAlmostEqual(former.lease_bound_ms(OTHER, 6_280.0), 55_050.0)
@@ -293,7 +322,7 @@
         claim = (table, clock, DESK, view, ProcessId("q"), "h:2", Incarnation("j"))
         first = (await try_claim(*claim)).ok
         self.assertIsNone(first.predecessor)
-        first.find_silent_workers = lambda: {LOST: 10}
+        first.describe_leases = lambda released: WorkerLeases({LOST: 10})
         await first.commit(())
         rows = (await table.read((owner_key(DESK),))).ok
         view.update(rows[owner_key(DESK)], 7.0)
@@ -313,11 +342,11 @@
         # Guards against a renewal while a record with the worker may be the last.
         table = FeedTable(StoreFaults())
         lease = Lease(table, LoopClock(), DESK, make_record(), 0, 0.0)
-        lease.find_silent_workers = lambda: {LOST: 10}
+        lease.describe_leases = lambda released: WorkerLeases({LOST: 10})
         self.assertIs(await lease.commit(()), CommitOutcome.DONE)
         self.assertFalse(lease.may_extend(LOST))
         self.assertTrue(lease.may_extend(OTHER))
-        lease.find_silent_workers = lambda: {OTHER: 10}
+        lease.describe_leases = lambda released: WorkerLeases({OTHER: 10})
         table.faults.down = True
         commit = asyncio.create_task(lease.commit(()))
         await asyncio.sleep(0.5)
