--- a/basilhold/workflows/owner_state.py
+++ b/basilhold/workflows/owner_state.py
@@ -17,12 +17,13 @@
 from basilhold.workflows.background_tasks import BackgroundTasks
 from basilhold.workflows.backlog import Backlog
 from basilhold.workflows.isolation import Isolation
-from basilhold.workflows.owner_lease import Lease
+from basilhold.workflows.owner_lease import LEASE_VALIDITY_MS, Lease, WorkerLeases
 from basilhold.workflows.pool import Pool, Worker
 from basilhold.workflows.preemption import Reservations
 from basilhold.workflows.progress import Workflow, WorkflowState
 from basilhold.workflows.quota_exchange import NoQuotaExchange, QuotaExchange
 from basilhold.workflows.shared_time import SharedTime
+from basilhold.workflows.silent_workers import find_silent_workers, longest_lease_ms
 from basilhold.workflows.step_order import DeadlineOrder, StepOrder
 from basilhold.workflows.stragglers import RunTimes
 from basilhold.workflows.worker_link import OwnerLimits, WorkerLink
@@ -110,6 +111,8 @@
         Observed run times, from which stragglers are found.
     pool : Pool
         Workers of the service and their runs.
+    has_all_workers : bool
+        Whether the pool contains the workers of all stored assignments.
     links : dict of WorkerId to WorkerLink
         Links to the registered workers.
     quotas : QuotaBook
@@ -140,18 +143,33 @@
         self.isolation = Isolation()
         self.run_times = RunTimes()
         self.pool = Pool()
+        self.has_all_workers = False
         self.links: dict[WorkerId, WorkerLink] = {}
         self.quotas = QuotaBook(self.pool.usage, ports.allotment_policy)
         self.ledger_stored = asyncio.Event()
         self.plan_event = asyncio.Event()
         self.background_tasks = BackgroundTasks()
         self.failure: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        lease.describe_leases = self._describe_leases
 
     @property
     def service(self) -> ServiceName:
         """Name of the service."""
         return self.lease.service
 
+    def _describe_leases(self, released: bool) -> WorkerLeases:
+        """Return what a commit stores about the leases of workers."""
+        if not self.has_all_workers:
+            return WorkerLeases()
+        now_ms = self.clock.monotonic_ms()
+        longest_ms = longest_lease_ms(self.pool, now_ms)
+        # A successor allows for this much in any case.
+        allowed_ms = LEASE_VALIDITY_MS + self.limits.any_lease_expiry_ms()
+        return WorkerLeases(
+            find_silent_workers(self.pool, now_ms),
+            longest_ms if released or longest_ms > allowed_ms else None,
+        )
+
     def observe(self, name: str, milliseconds: float, **labels: str) -> None:
         """Add a duration to a histogram of the service.
 
