Drop the tickets of a worker that has restarted

A ticket of the advice service is valid during one life of a worker, but the owner kept it by the worker's id. After a restart under that id, starts were sent with tickets for the former incarnation and rejected, after their assignments had been stored; a gang returned to the backlog as a whole.

The tickets of a worker that is lost or has restarted are dropped now. So is one that the service was asked for before a restart, as it may be for the former incarnation. The decision to admit the worker stays.

--- a/basilhold/workflows/admissions.py
+++ b/basilhold/workflows/admissions.py
@@ -165,6 +165,11 @@
         """Discard a ticket that a worker has rejected."""
         self.step(key).tickets.pop(worker_id, None)
 
+    def drop_tickets(self, worker_id: WorkerId) -> None:
+        """Discard all tickets of a worker; they are valid for one incarnation only."""
+        for admission in self._steps.values():
+            admission.tickets.pop(worker_id, None)
+
     def remove_job(self, job_id: JobId) -> None:
         """Discard the answers about a workflow that has ended."""
         for key in [key for key in self._steps if key.job_id == job_id]:
--- a/basilhold/workflows/owner.py
+++ b/basilhold/workflows/owner.py
@@ -423,6 +423,7 @@
         advice_state = self._state.admissions.step(step.key)
         asked_ms = self._state.clock.monotonic_ms()
         policy = step.workflow.spec.policy
+        born_unix_ms = self._state.pool.birth_times(query.workers)
         try:
             answer = await self._state.ports.advice.ask(
                 step.workflow.job_id,
@@ -454,6 +455,11 @@
             self._state.admissions.record(
                 step.key, query.workers, tickets, policy.advice.valid_ms, now_ms
             )
+            now_born_unix_ms = self._state.pool.birth_times(query.workers)
+            for worker_id in query.workers:
+                if now_born_unix_ms.get(worker_id) != born_unix_ms.get(worker_id):
+                    # The ticket may be for its former incarnation.
+                    self._state.admissions.drop_ticket(step.key, worker_id)
             log_event(
                 events.ADVICE_RECEIVED,
                 job=step.workflow.job_id,
--- a/basilhold/workflows/pool.py
+++ b/basilhold/workflows/pool.py
@@ -3,6 +3,7 @@
 The module performs no I/O.
 """
 
+from collections.abc import Iterable
 from enum import Enum
 from typing import NamedTuple
 
@@ -559,6 +560,11 @@
         """Return the workers that accept new runs."""
         return [w for w in self.workers.values() if w.accepts_runs(now_ms)]
 
+    def birth_times(self, worker_ids: Iterable[WorkerId]) -> dict[WorkerId, int]:
+        """Return when the known ones of some workers started, as Unix milliseconds."""
+        known = {w: self.workers[w] for w in worker_ids if w in self.workers}
+        return {name: worker.info.born_unix_ms for name, worker in known.items()}
+
     def unassigned_keys(self) -> set[RunKey]:
         """Return the tasks with runs at work that are not assigned."""
         return {key for worker in self.workers.values() for key in worker.unassigned}
--- a/basilhold/workflows/worker_tracker.py
+++ b/basilhold/workflows/worker_tracker.py
@@ -304,6 +304,7 @@
             runs=len(worker.runs),
         )
         self._remove_worker(worker)
+        self._state.admissions.drop_tickets(worker.worker_id)
         if evidence is None:
             evidence = self._collect_evidence(worker)
         if reason is LossReason.REPLACED:
