--- a/basilhold/workflows/owner.py
+++ b/basilhold/workflows/owner.py
@@ -330,9 +330,10 @@
         self._quota_keeper.refresh()
         state = self._state
         steps: list[ReadyStep] = []
+        unassigned = state.pool.unassigned_keys()
         for workflow in list(state.backlog.active_workflows()):
             with state.guard(workflow, "finding its ready steps"):
-                steps += state.backlog.ready_steps(workflow, instant)
+                steps += state.backlog.ready_steps(workflow, instant, unassigned)
         return plan(
             steps,
             state.pool,
@@ -427,6 +428,7 @@
         advice_state = self._state.admissions.step(step.key)
         asked_ms = self._state.clock.monotonic_ms()
         policy = step.workflow.spec.policy
+        born_unix_ms = self._state.pool.birth_times(query.workers)
         try:
             answer = await self._state.ports.advice.ask(
                 step.workflow.job_id,
@@ -458,6 +460,11 @@
             self._state.admissions.record(
                 step.key, query.workers, tickets, policy.advice.valid_ms, now_ms
             )
+            now_born_unix_ms = self._state.pool.birth_times(query.workers)
+            for worker_id in query.workers:
+                if now_born_unix_ms.get(worker_id) != born_unix_ms.get(worker_id):
+                    # The ticket may be for its former incarnation.
+                    self._state.admissions.drop_ticket(step.key, worker_id)
             log_event(
                 events.ADVICE_RECEIVED,
                 job=step.workflow.job_id,
--- a/basilhold/workflows/tests/test_random_runs.py
+++ b/basilhold/workflows/tests/test_random_runs.py
@@ -12,7 +12,9 @@
 from basilhold.testing.workflow_runs import run_seed, run_tenants_seed
 from basilhold.workflows import owner, reconciliation, worker_tracker
 from basilhold.workflows.committer import Committer
+from basilhold.workflows.owner_lease import Lease
 from basilhold.workflows.peers import OwnershipReply
+from basilhold.workflows.pool import Pool
 from basilhold.workflows.quota_keeper import QuotaKeeper
 from basilhold.workflows.worker_link import WorkerLink
 
@@ -45,6 +47,10 @@
     48: "the same, after an outage of the store",
 }
 
+RESTART_SEEDS = range(20)
+CRASH_RESTART_SEEDS = range(5)
+"""Seeds of runs in which workers restart under their ids and get calls late."""
+
 COARSE_CLOCK_SEEDS = range(30)
 CLOCK_STEP_MS = 6.0
 """Runs in which a poll and the reply to a start often have the same time."""
@@ -108,6 +114,15 @@
             with self.subTest(seed=seed):
                 self.check(seed, lost_replies=True)
 
+    def test_seeds_with_restarting_workers(self):
+        # Calls for a worker's former incarnation had effects on the next one.
+        for seed in RESTART_SEEDS:
+            with self.subTest(seed=seed):
+                self.check_report(run_seed(seed, restarts=True))
+        for seed in CRASH_RESTART_SEEDS:
+            with self.subTest(seed=seed, crashes=True):
+                self.check_report(run_crashes_seed(seed, restarts=True))
+
     def test_seeds_with_unresponsive_owners(self):
         # Claiming a service whose owner is still at work must be safe.
         async def no_reply(peers, endpoint, service):
@@ -153,6 +168,13 @@
         with patch.object(Committer, "start_after_commit", start_immediately):
             self.assert_detected()
 
+    def test_links_share_a_fencing_token(self):
+        with patch.object(Lease, "take_fence", lambda lease: lease.epoch):
+            for seed in RESTART_SEEDS:
+                if run_seed(seed, restarts=True).violations:
+                    return
+        self.fail("no seed detected the broken variant")
+
     def test_successor_ignores_stored_assignments(self):
         with patch.object(owner, "restore_assignments", lambda *args: 0):
             self.assert_detected()
@@ -162,7 +184,10 @@
             return original(run, listing, poll + 1)
 
         original = reconciliation._is_absent
-        with patch.object(reconciliation, "_is_absent", is_absent):
+        # A task whose run is listed after it was taken for absent does not start again,
+        # which hides the broken variant in most runs.
+        starts_again = patch.object(Pool, "unassigned_keys", lambda pool: set())
+        with patch.object(reconciliation, "_is_absent", is_absent), starts_again:
             for seed in COARSE_CLOCK_SEEDS:
                 if run_seed(seed, clock_step_ms=CLOCK_STEP_MS).violations:
                     return
--- a/basilhold/workflows/worker_tracker.py
+++ b/basilhold/workflows/worker_tracker.py
@@ -250,6 +250,7 @@
             polls_before=worker.poll_count,
             tenant=workflow.spec.tenant if step else NO_TENANT,
             size=step.size if step else Resources(),
+            is_unassigned=True,
         )
         worker.add(run)
         self._run_controller.stop(worker, run)
@@ -308,6 +309,7 @@
             runs=len(worker.runs),
         )
         self._remove_worker(worker)
+        self._state.admissions.drop_tickets(worker.worker_id)
         if evidence is None:
             evidence = self._collect_evidence(worker)
         if reason is LossReason.REPLACED:
