--- a/basilhold/workflows/tests/test_restarted_workers.py
+++ b/basilhold/workflows/tests/test_restarted_workers.py
@@ -29,10 +29,12 @@
     return msgspec.structs.replace(spec, steps=(step,), policy=policy)
 
 
-def make_cell():
+def make_cell(process_count=1):
     """Return a cell whose workers grant longer leases than the owner requests."""
     cell = WorkflowCell(
-        process_count=1, worker_count=WORKER_COUNT, lease_limit_ms=LEASE_LIMIT_MS
+        process_count=process_count,
+        worker_count=WORKER_COUNT,
+        lease_limit_ms=LEASE_LIMIT_MS,
     )
     # The clock of a former incarnation is ahead of its successor's.
     cell.runners.clock_offsets_ms = (1_000.0, 1_000.0)
@@ -71,6 +73,36 @@
         await asyncio.sleep(DOWN_S)
         cell.start_worker(WORKER)
 
+    async def lose_start(self, cell):
+        """Crash the worker and send it a start; return the list of its starts."""
+        starts = self.record_starts(cell)
+        await asyncio.sleep(UPTIME_S)
+        cell.runners.runners[WORKER].crash()
+        await cell.submit(make_workflow(1, WORKER_COUNT))
+        return starts
+
+    def return_cut_off(self, cell, is_registered):
+        """Start the worker behind a cut, and another one that may take its tasks."""
+        cell.start_worker(WORKER)
+        cell.start_worker("w9")
+        runner = cell.runners.runners[WORKER]
+        runner.cut = True
+        runner.is_registered = is_registered
+
+    async def carry_out_late(self, cell, starts):
+        """Let the worker carry out its start, and check that no task runs twice."""
+        (start,) = starts
+        runner = cell.runners.runners[WORKER]
+        runner.start(start)
+        self.assertTrue(runner.runs)
+        await self.check_after_lease(cell)
+
+    async def check_after_lease(self, cell):
+        """Check once the longest lease has ended that the lost task runs elsewhere."""
+        await asyncio.sleep(LEASE_LIMIT_MS / 1000 + 15)
+        self.assertEqual(cell.runners.start_count, WORKER_COUNT + 1)
+        self.assertEqual(cell.runners.violations, [])
+
     async def fill_and_cut(self, cell, delay_s=0.0):
         """Let a task run on the restarted worker, and cut it off some time later."""
         await cell.submit(make_workflow(1, WORKER_COUNT))
@@ -111,21 +143,11 @@
         # The run was given up when a poll of the new incarnation failed, and began
         # there seconds after it had started elsewhere.
         async with make_cell() as cell:
-            starts = self.record_starts(cell)
-            await asyncio.sleep(UPTIME_S)
-            runners = cell.runners.runners
-            runners[WORKER].crash()
-            await cell.submit(make_workflow(1, WORKER_COUNT))
+            starts = await self.lose_start(cell)
             await asyncio.sleep(DOWN_S)
-            cell.start_worker(WORKER)
-            cell.start_worker("w9")
-            runners[WORKER].cut = True
+            self.return_cut_off(cell, is_registered=True)
             await asyncio.sleep(5)
-            self.assertEqual(len(starts), 1)
-            runners[WORKER].start(starts[0])
-            await asyncio.sleep(LEASE_LIMIT_MS / 1000 + 15)
-            self.assertEqual(cell.runners.start_count, WORKER_COUNT + 1)
-            self.assertEqual(cell.runners.violations, [])
+            await self.carry_out_late(cell, starts)
 
     async def test_rejected_call_of_an_earlier_link_does_not_end_the_owner(self):
         # An owner took the rejection of its own earlier call for another owner's work.
@@ -164,66 +186,38 @@
             self.assertEqual(len(starts), 1)
             self.assertTrue(runners[WORKER].runs)
             cell.start_worker("w9")
-            await asyncio.sleep(LEASE_LIMIT_MS / 1000 + 15)
-            self.assertEqual(cell.runners.violations, [])
+            await self.check_after_lease(cell)
 
     async def test_late_start_reaches_an_unnoticed_incarnation(self):
-        # The run was given up as lapsed, and began 8 s after its start had been sent.
+        # The run was given up as lapsed, and began 7 s after its start had been sent.
         async with make_cell() as cell:
-            starts = self.record_starts(cell)
-            await asyncio.sleep(UPTIME_S)
-            runners = cell.runners.runners
-            runners[WORKER].crash()
-            await cell.submit(make_workflow(1, WORKER_COUNT))
-            await asyncio.sleep(0.6)
-            cell.start_worker(WORKER)
-            runners[WORKER].is_registered = False
-            runners[WORKER].cut = True
-            cell.start_worker("w9")
+            starts = await self.lose_start(cell)
+            await asyncio.sleep(DOWN_S)
+            self.return_cut_off(cell, is_registered=False)
             await asyncio.sleep(6)
-            self.assertEqual(len(starts), 1)
-            runners[WORKER].start(starts[0])
-            self.assertTrue(runners[WORKER].runs)
-            await asyncio.sleep(LEASE_LIMIT_MS / 1000 + 15)
-            self.assertEqual(cell.runners.violations, [])
+            await self.carry_out_late(cell, starts)
 
     async def test_late_start_of_the_former_owner(self):
         # The next owner knew neither that the start was unconfirmed nor that the
         # worker had restarted, and gave the run up before the longest lease had ended.
-        cell = WorkflowCell(
-            process_count=2, worker_count=WORKER_COUNT, lease_limit_ms=LEASE_LIMIT_MS
-        )
-        async with cell:
-            starts = self.record_starts(cell)
-            await asyncio.sleep(UPTIME_S)
-            runners = cell.runners.runners
-            runners[WORKER].crash()
-            await cell.submit(make_workflow(1, WORKER_COUNT))
-            await asyncio.sleep(0.3)
-            self.assertEqual(len(starts), 1)
+        async with make_cell(process_count=2) as cell:
+            starts = await self.lose_start(cell)
+            await asyncio.sleep(DOWN_S / 2)
             await cell.kill_process(cell.owner_name())
-            await asyncio.sleep(0.3)
-            cell.start_worker(WORKER)
-            runners[WORKER].is_registered = False
-            runners[WORKER].cut = True
-            cell.start_worker("w9")
+            await asyncio.sleep(DOWN_S / 2)
+            self.return_cut_off(cell, is_registered=False)
             await asyncio.sleep(8.4)
-            runners[WORKER].start(starts[0])
-            self.assertTrue(runners[WORKER].runs)
-            await asyncio.sleep(LEASE_LIMIT_MS / 1000 + 15)
-            self.assertEqual(cell.runners.violations, [])
+            await self.carry_out_late(cell, starts)
 
     async def test_answer_settles_the_wait_for_late_starts(self):
         # The wait for a start to the former incarnation went on although the next one
         # had answered, and held the runs that began there later.
         async with make_cell() as cell:
-            await asyncio.sleep(UPTIME_S)
-            runners = cell.runners.runners
-            runners[WORKER].crash()
-            await cell.submit(make_workflow(1, WORKER_COUNT))
+            await self.lose_start(cell)
             await asyncio.sleep(DOWN_S)
             cell.start_worker(WORKER)
             await asyncio.sleep(2.5)
+            runners = cell.runners.runners
             self.assertTrue(runners[WORKER].runs)
             runners[WORKER].crash()
             cell.start_worker("w9")
