Probe a holder early and with overlapping probes

Objectives of urgent jobs are 1.4 s to 2 s. Ruled out: a shorter time without renewal (an idle owner renews every 600 ms), and probes of all machines for each record (34 machines would probe an idle owner). Change: machines that would claim first probe once for each record after 320 ms, and the second probe does not wait for the first. A claim still needs 650 ms without a renewal.

--- a/basilhold/testing/workflow_cell.py
+++ b/basilhold/testing/workflow_cell.py
@@ -208,6 +208,7 @@
         """Ask a process whether it owns a service."""
         front = await self._front(endpoint)
         if front is None:
+            await asyncio.sleep(self._cell.probe_timeout_s)
             return OwnershipReply.NO_REPLY
         return OwnershipReply.OWNER if front.owns(service) else OwnershipReply.NOT_OWNER
 
@@ -362,6 +363,9 @@
         Highest quotas that processes may still know.
     keeps_worker_ids : bool
         Whether workers that a task has crashed are back under their ids.
+    probe_timeout_s : float
+        How long a probe of a process that is gone takes, in seconds: 0 if its machine
+        refuses the connection, and the time limit of the probe if the machine is lost.
     """
 
     def __init__(
@@ -399,6 +403,7 @@
         self._worker_count = worker_count
         self._born = 1
         self.keeps_worker_ids = False
+        self.probe_timeout_s = 0.0
 
     def make_clock(self) -> Clock:
         """Return the clock of a process that starts now."""
--- a/basilhold/workflows/owner_lease.py
+++ b/basilhold/workflows/owner_lease.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import math
 from abc import ABC, abstractmethod
 from collections.abc import Callable
 from enum import Enum
@@ -56,6 +57,11 @@
 between two renewals. Safety does not depend on it: it comes from the claim's condition
 and from the epoch."""
 
+EARLY_PROBE_AFTER_MS = 320
+"""How long an owner record must be unchanged before the processes that would claim it
+first probe its holder. The value is just below the interval of polls. A machine that is
+lost does not answer, so its probes have timed out when the record may be claimed."""
+
 LEASE_VALIDITY_MS = 4_000
 """How long a lease is valid after its last renewal, by a clock that advances while the
 machine is suspended. A successor that cannot reach a worker waits for this time plus
@@ -110,6 +116,8 @@
         answered.
     is_holder_gone : bool
         Whether the holder was probed since then and does not own the service any more.
+    is_holder_confirmed : bool
+        Whether the holder was probed since then and still owned the service.
     is_readable : bool
         Whether `record` is from this version of the row.
     """
@@ -118,6 +126,7 @@
     version: int = ABSENT
     unchanged_since_ms: float = 0.0
     is_holder_gone: bool = False
+    is_holder_confirmed: bool = False
     is_readable: bool = True
 
     def update(self, row: Row | None, now_ms: float) -> None:
@@ -131,6 +140,7 @@
         self.version = version
         self.unchanged_since_ms = now_ms
         self.is_holder_gone = False
+        self.is_holder_confirmed = False
         self.is_readable = True
         try:
             self.record = _DECODER.decode(row.value) if row else None
@@ -163,12 +173,35 @@
             SUSPECT_AFTER_MS if self.is_holder_gone else TAKEOVER_AFTER_MS
         )
 
-    def is_suspect(self, now_ms: float) -> bool:
-        """Return whether to ask the holder if it still owns the service."""
+    def should_probe(self, now_ms: float, is_candidate: bool) -> bool:
+        """Return whether to ask the holder if it still owns the service.
+
+        A holder that has just confirmed that it owns the service is only probed again
+        once its lease should have been renewed.
+
+        Parameters
+        ----------
+        now_ms : float
+            Time of the monotonic clock.
+        is_candidate : bool
+            Whether this process would claim the service without much delay.
+        """
         record = self.record
         if record is None or record.released or self.is_holder_gone:
             return False
-        return now_ms - self.unchanged_since_ms >= SUSPECT_AFTER_MS
+        is_early = is_candidate and not self.is_holder_confirmed
+        after_ms = EARLY_PROBE_AFTER_MS if is_early else SUSPECT_AFTER_MS
+        return now_ms - self.unchanged_since_ms >= after_ms
+
+    def claimable_at_ms(self) -> float:
+        """Return when the lease of a holder that is gone may be claimed.
+
+        It is a time of the monotonic clock, infinite while the holder is not known to
+        be gone.
+        """
+        if not self.is_holder_gone:
+            return math.inf
+        return self.unchanged_since_ms + SUSPECT_AFTER_MS
 
 
 class WorkerLeases(msgspec.Struct, frozen=True):
--- a/basilhold/workflows/ownership_manager.py
+++ b/basilhold/workflows/ownership_manager.py
@@ -43,8 +43,13 @@
 PROBE_ATTEMPTS = 2
 """A holder that does not answer is probed twice, as one reply may be lost or late."""
 
-PROBE_RETRY_DELAY_MS = 100
-"""Delay before the second probe."""
+PROBE_INTERVAL_MS = 100
+"""Time between the first probe and the second one, which does not wait for its end: a
+lost machine answers neither, and each one takes 300 ms to time out."""
+
+CANDIDATE_DELAY_MAX_MS = 250.0
+"""Delay of claims up to which a process probes holders early: machines near the store,
+with a core and a wide link."""
 
 RELEASE_TIMEOUT_MS = 1_500
 """How long a process that stops waits for the release of its services."""
@@ -214,6 +219,10 @@
         wait_ms = float(self.poll_interval_ms())
         for claim_at_ms in self._claim_at_ms.values():
             wait_ms = min(wait_ms, max(claim_at_ms - now_ms, 1.0))
+        for service, view in self._views.items():
+            claimable_in_ms = view.claimable_at_ms() - now_ms
+            if service not in self._owners and claimable_in_ms > 0.0:
+                wait_ms = min(wait_ms, max(claimable_in_ms, 1.0))
         try:
             async with asyncio.timeout(wait_ms / 1000):
                 await self._wake_event.wait()
@@ -256,6 +265,7 @@
             for view in self._views.values():
                 view.unchanged_since_ms = now_ms
                 view.is_holder_gone = False
+                view.is_holder_confirmed = False
             self._claim_at_ms.clear()
             return
         self._note_store_recovery(now_ms)
@@ -331,35 +341,67 @@
         """Probe the holder of a lease that is not being renewed."""
         if service in self._owners or service in self._probing:
             return
-        if view.is_suspect(now_ms):
+        if view.should_probe(now_ms, self._is_candidate()):
             self._probing.add(service)
             self._tasks.start(self._probe_holder(service, view, view.record.endpoint))
 
+    def _is_candidate(self) -> bool:
+        """Return whether this process would be among the first to claim a service."""
+        delay_ms = claim_delay_ms(
+            self._round_trip_ms, len(self._owners), self._claim_penalty_ms, False, 0.0
+        )
+        return delay_ms <= CANDIDATE_DELAY_MAX_MS
+
     async def _probe_holder(
         self, service: ServiceName, view: OwnerView, endpoint: str
     ) -> None:
         version = view.version
         try:
-            for attempt in range(PROBE_ATTEMPTS):
-                if attempt:
-                    await asyncio.sleep(PROBE_RETRY_DELAY_MS / 1000)
-                presence = await self._peers.query_ownership(endpoint, service)
-                if presence is not OwnershipReply.NO_REPLY:
-                    break
+            presence = await self._query_holder(service, endpoint)
         finally:
             self._probing.discard(service)
-        if presence is not OwnershipReply.OWNER and view.version == version:
-            view.is_holder_gone = True
-            unchanged_ms = self._ports.clock.monotonic_ms() - view.unchanged_since_ms
-            log_event(
-                events.HOLDER_GONE,
-                service=service,
-                epoch=view.record.epoch,
-                endpoint=endpoint,
-                presence=presence.value,
-                unchanged_ms=round(unchanged_ms),
+        if view.version != version:
+            return
+        if presence is OwnershipReply.OWNER:
+            view.is_holder_confirmed = True
+            return
+        view.is_holder_gone = True
+        unchanged_ms = self._ports.clock.monotonic_ms() - view.unchanged_since_ms
+        log_event(
+            events.HOLDER_GONE,
+            service=service,
+            epoch=view.record.epoch,
+            endpoint=endpoint,
+            presence=presence.value,
+            unchanged_ms=round(unchanged_ms),
+        )
+        self._wake_event.set()
+
+    async def _query_holder(
+        self, service: ServiceName, endpoint: str
+    ) -> OwnershipReply:
+        """Return the first reply to overlapping probes, or that there was none."""
+        probes = [
+            asyncio.create_task(
+                self._query_after(attempt * PROBE_INTERVAL_MS, service, endpoint)
             )
-            self._wake_event.set()
+            for attempt in range(PROBE_ATTEMPTS)
+        ]
+        try:
+            for probe in asyncio.as_completed(probes):
+                presence = await probe
+                if presence is not OwnershipReply.NO_REPLY:
+                    return presence
+            return OwnershipReply.NO_REPLY
+        finally:
+            for probe in probes:
+                probe.cancel()
+
+    async def _query_after(
+        self, delay_ms: float, service: ServiceName, endpoint: str
+    ) -> OwnershipReply:
+        await asyncio.sleep(delay_ms / 1000)
+        return await self._peers.query_ownership(endpoint, service)
 
     async def _claim_if_due(
         self, service: ServiceName, view: OwnerView, now_ms: float
--- a/basilhold/workflows/tests/test_owner.py
+++ b/basilhold/workflows/tests/test_owner.py
@@ -341,6 +341,35 @@
                 await asyncio.sleep(0.01)
             self.assertLess(asyncio.get_running_loop().time() - begin_s, 1.5)
 
+    async def test_owner_on_a_lost_machine_is_replaced_soon(self):
+        # A machine that is gone answers no probe. Two probes of 300 ms in sequence
+        # began once the record was unchanged for 650 ms, and the service had no owner
+        # for 1.8 s, longer than the objective of an urgent job.
+        async with WorkflowCell() as cell:
+            cell.probe_timeout_s = 0.3
+            for _ in range(8):
+                await asyncio.sleep(3.05)
+                name = cell.owner_name()
+                await cell.kill_process(name)
+                begin_s = asyncio.get_running_loop().time()
+                while not cell.owner_name():
+                    await asyncio.sleep(0.01)
+                took_s = asyncio.get_running_loop().time() - begin_s
+                self.assertLess(took_s, 1.3)
+                cell.start_process(name)
+
+    async def test_early_probes_do_not_replace_an_owner_that_answers(self):
+        # Guards against claims after one failed probe of an owner that is only slow.
+        async with WorkflowCell() as cell:
+            await asyncio.sleep(3)
+            owner = cell.owner_name()
+            lease = cell.processes[owner].ownership_manager.local_owner(SERVICE)
+            for process in cell.processes.values():
+                process.front._peers.delay_s = 0.12
+            await asyncio.sleep(10)
+            manager = cell.processes[owner].ownership_manager
+            self.assertIs(manager.local_owner(SERVICE), lease)
+
     async def test_owner_that_answers_its_peers_keeps_its_lease(self):
         # Guards against replacing a working owner whose connection to the store is
         # interrupted for a short time.
