Treat status 429 of a slow store as a reply

A partition with more than 1 s of waiting transactions answers 429. The process took that for a store that cannot be reached: it relayed the transaction through two peers, marked the store as unreachable, and sent it again after 50 ms, about 200 calls a second into the same queues.

A store error now says whether the service was busy (an optional field, which earlier builds ignore). If the store is slow and answers reads, a busy transaction is not relayed, and repeated after 1 s, then 1.5 times later each time, within the deadline of the caller. If reads are rejected too, the store rejects this machine, and the relay is used as before.

--- a/basilhold/platform/store.py
+++ b/basilhold/platform/store.py
@@ -42,6 +42,7 @@
 
 _STATUS_CONFLICT = 412
 _STATUS_GONE = 410
+_STATUS_BUSY = 429
 
 
 class _WireRow(msgspec.Struct, omit_defaults=True):
@@ -331,13 +332,14 @@
         if status in (200, _STATUS_CONFLICT):
             return self._decode_reply(result.ok, sent_ms)
         # With these statuses, for overload or an outage, nothing has been applied.
-        if status in (429, 503, 507):
+        if status in (_STATUS_BUSY, 503, 507):
             kind = StoreErrorKind.NOT_APPLIED
         elif status >= 500:
             kind = StoreErrorKind.UNKNOWN
         else:
             kind = StoreErrorKind.INVALID
-        return Error(StoreError(kind, f"status {status}"))
+        busy = status == _STATUS_BUSY
+        return Error(StoreError(kind, f"status {status}", busy=busy))
 
     def _decode_reply(
         self, reply: HttpReply, sent_ms: float
--- a/basilhold/platform/tests/test_store.py
+++ b/basilhold/platform/tests/test_store.py
@@ -91,6 +91,7 @@
             self.platform.canned_replies["/-/rows-tx"] = (status, {})
             error = (await self.store.transact(make_put(KEY, b"one"))).error
             self.assertIs(error.kind, StoreErrorKind.NOT_APPLIED)
+            self.assertEqual(error.busy, status == 429)
         self.platform.canned_replies["/-/rows-tx"] = (0, {})
         error = (await self.store.transact(make_put(KEY, b"one"))).error
         self.assertIs(error.kind, StoreErrorKind.UNKNOWN)
--- a/basilhold/ports/table.py
+++ b/basilhold/ports/table.py
@@ -108,11 +108,23 @@
 
 
 class StoreError(msgspec.Struct, frozen=True):
-    """A failed operation on the table service or the object store."""
+    """A failed operation on the table service or the object store.
+
+    Parameters
+    ----------
+    kind : StoreErrorKind
+    reason : str
+    conflicts : tuple of Conflict
+        Violated conditions, for `StoreErrorKind.CONFLICT`.
+    busy : bool
+        Whether the service replied that it has too much to do, so that the operation
+        was not applied.
+    """
 
     kind: StoreErrorKind
     reason: str = ""
     conflicts: tuple[Conflict, ...] = ()
+    busy: bool = False
 
 
 class ScanPage(msgspec.Struct, frozen=True, omit_defaults=True):
--- a/basilhold/standins/partitioned_table.py
+++ b/basilhold/standins/partitioned_table.py
@@ -107,4 +107,4 @@
 
 
 def _rejection() -> Result:
-    return Error(StoreError(StoreErrorKind.NOT_APPLIED, "status 429"))
+    return Error(StoreError(StoreErrorKind.NOT_APPLIED, "status 429", busy=True))
--- a/basilhold/workflows/frontend.py
+++ b/basilhold/workflows/frontend.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import itertools
 from enum import Enum
 from typing import Any
 
@@ -80,6 +81,9 @@
 """Delay of a retry in a slow store. A partition rejects transactions while others wait
 in it for more than 1 s, and one without a reply may still wait for as long."""
 
+SLOW_RETRY_GROWTH = 1.5
+"""Factor between the delays of successive retries in a slow store."""
+
 NOTIFY_ATTEMPTS = 2
 FINAL_STATES_MAX = 20_000
 """Maximum number of cached final states, of about 100 bytes each."""
@@ -181,7 +185,7 @@
         if self._outage_ms():
             return StoreOutcome.NOT_STORED
         unknown = False
-        while True:
+        for attempt in itertools.count():
             result = await self._transact(transaction, deadline_ms)
             if result.is_ok():
                 self._on_stored(spec)
@@ -190,8 +194,10 @@
                 return await self._handle_conflict(spec, result.error)
             unknown = unknown or result.error.kind is StoreErrorKind.UNKNOWN
             retry_ms = UNKNOWN_RETRY_MS if unknown else NOT_STORED_RETRY_MS
-            if not await self._wait_to_retry(deadline_ms, begin_ms + retry_ms):
-                return StoreOutcome.UNKNOWN if unknown else StoreOutcome.NOT_STORED
+            retry_until_ms = begin_ms + retry_ms
+            if not await self._wait_to_retry(deadline_ms, attempt, retry_until_ms):
+                break
+        return StoreOutcome.UNKNOWN if unknown else StoreOutcome.NOT_STORED
 
     async def _transact(
         self, transaction: Transaction, deadline_ms: float
@@ -201,7 +207,7 @@
         return await self._table.transact_within(transaction, max(0, int(left_ms)))
 
     async def _wait_to_retry(
-        self, deadline_ms: float, retry_until_ms: float | None = None
+        self, deadline_ms: float, attempt: int, retry_until_ms: float | None = None
     ) -> bool:
         """Wait before a retry; return whether there is time for one.
 
@@ -210,7 +216,7 @@
         """
         now_ms = self._clock.monotonic_ms()
         if self._table.is_slow:
-            delay_ms = SLOW_RETRY_DELAY_MS
+            delay_ms = SLOW_RETRY_DELAY_MS * SLOW_RETRY_GROWTH**attempt
             # Without time for the reply, the outcome would be unknown.
             limit_ms = deadline_ms - self._table.typical_latency_ms
         else:
@@ -429,7 +435,7 @@
             `EXISTS` if the cancellation is stored, `ABSENT` if there is no such
             workflow, `UNKNOWN` if the store did not confirm it in time.
         """
-        while True:
+        for attempt in itertools.count():
             existence = await self._cancel_at(
                 policy.service, job_id, tenant, deadline_ms
             )
@@ -443,8 +449,9 @@
                     )
             if existence is not Existence.UNKNOWN:
                 return existence
-            if not await self._wait_to_retry(deadline_ms):
-                return Existence.UNKNOWN
+            if not await self._wait_to_retry(deadline_ms, attempt):
+                break
+        return Existence.UNKNOWN
 
     async def _cancel_at(
         self,
--- a/basilhold/workflows/relayed_table.py
+++ b/basilhold/workflows/relayed_table.py
@@ -12,6 +12,7 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
+import msgspec
 from expression import Error, Result
 
 from basilhold.core import Clock, RegionName
@@ -134,6 +135,7 @@
         self._skip_until_ms: dict[str, float] = {}
         self._typical_latency_ms = 0.0
         self._read_times_ms: deque[float] = deque(maxlen=SLOW_READS_MIN)
+        self._rejects_reads = False
 
     @property
     def is_slow(self) -> bool:
@@ -238,7 +240,7 @@
                 return relayed
         sent_ms = self._clock.monotonic_ms()
         result = await self._transact_directly(call, timeout_ms)
-        if not _has_no_reply(result):
+        if not _has_no_reply(result) or _is_busy(result):
             return result
         if not self._has_slow_replies_since(sent_ms):
             self._mark_unreachable(result.error.reason)
@@ -275,6 +277,8 @@
     ) -> Result[Any, StoreError]:
         begin_ms = self._clock.monotonic_ms()
         result = await _call_store(self._table, self._feed, call, timeout_ms)
+        if _is_busy(result):
+            return self._classify_busy(call, result)
         if not _has_no_reply(result):
             self._last_reply_ms = self._clock.monotonic_ms()
             self._mark_reachable()
@@ -282,10 +286,26 @@
                 self._record_latency(call, self._last_reply_ms - begin_ms)
         return result
 
+    def _classify_busy(
+        self, call: StoreCall, result: Result[Any, StoreError]
+    ) -> Result[Any, StoreError]:
+        """Return the result of a rejected call, `busy` only if no other path helps.
+
+        In a slow store that answers reads, the queue of a partition is full for all
+        machines. Otherwise the store may reject this machine's calls only.
+        """
+        is_transaction = isinstance(call, TransactCall)
+        if not is_transaction:
+            self._rejects_reads = True
+        if is_transaction and self.is_slow and not self._rejects_reads:
+            return result
+        return Error(msgspec.structs.replace(result.error, busy=False))
+
     def _record_latency(self, call: StoreCall, latency_ms: float) -> None:
         # A scan is several reads, one after another.
         if isinstance(call, ReadCall | ChangesCall):
             self._read_times_ms.append(latency_ms)
+            self._rejects_reads = False
         # The wait in the queue of a partition says nothing about other calls.
         latency_ms = min(latency_ms, TRANSACTION_WAIT_MS)
         weight = (
@@ -386,10 +406,17 @@
     return result.is_error() and result.error.kind in _NO_REPLY_KINDS
 
 
+def _is_busy(result: Result[Any, StoreError]) -> bool:
+    return result.is_error() and result.error.busy
+
+
 def _is_final(call: StoreCall, result: Result[Any, StoreError]) -> bool:
     """Return whether a result is final, so that no other path should be tried."""
     if result.is_ok():
         return True
+    if result.error.busy:
+        # Every machine's transactions wait in the same queue.
+        return True
     if result.error.kind is StoreErrorKind.UNKNOWN:
         return isinstance(call, TransactCall)
     return result.error.kind is not StoreErrorKind.NOT_APPLIED
--- a/basilhold/workflows/tests/test_slow_store.py
+++ b/basilhold/workflows/tests/test_slow_store.py
@@ -4,7 +4,10 @@
 import random
 from collections import Counter
 
+from expression import Error
+
 from basilhold.core import Resources, ServiceName
+from basilhold.ports import StoreError, StoreErrorKind
 from basilhold.standins.partitioned_table import PartitionedTable
 from basilhold.testing import VirtualTimeTestCase
 from basilhold.testing.workflow_cell import POLICY, SERVICE, WorkflowCell
@@ -121,3 +124,34 @@
             begin_s = asyncio.get_running_loop().time()
             self.assertIs(await cell.submit(make_job(7)), StoreOutcome.UNKNOWN)
             self.assertLess(asyncio.get_running_loop().time() - begin_s, 1.5)
+
+    async def test_full_queue_is_neither_relayed_nor_retried_at_once(self):
+        # Each rejected submission took up to 20 further calls through two peers.
+        async with SlowStoreCell() as cell:
+            await cell.begin()
+            calls = []
+            for process in cell.processes.values():
+                process.store._peers.store_call = lambda *call: calls.append(call)
+            before = cell.table.transact_calls
+            counts = await cell.offer(45, 4)
+            self.assertEqual(calls, [])
+            sent = cell.table.transact_calls - before
+            self.assertLess(sent, 2 * counts.total())
+            await cell.check(self)
+
+    async def test_machine_whose_reads_are_rejected_too_uses_the_relay(self):
+        async with SlowStoreCell() as cell:
+            await cell.begin()
+            process = cell.processes["p0"]
+
+            async def reject(*arguments):
+                await asyncio.sleep(0.35)
+                error = StoreError(StoreErrorKind.NOT_APPLIED, "429", busy=True)
+                return Error(error)
+
+            for name in ("read", "scan", "changes", "transact", "transact_within"):
+                setattr(process.table, name, reject)
+            await asyncio.sleep(1)
+            deadline_ms = process.clock.monotonic_ms() + DEADLINE_MS
+            outcome = await process.front.submit(make_job(7), deadline_ms)
+            self.assertIs(outcome, StoreOutcome.STORED)
