Judge whether the store is down by each of its replies

A poll of all owner records is three reads in sequence. In a store that takes 350 ms for each it was abandoned after 1 s, every time, and callers were refused with "the store does not answer" while each read was answered. Polls also waited for the renewal of the membership row, whose partition answers 429 then, and started it again with each poll.

The client of the store now reports each single read that is answered; these, conflicts, and rejections by a full queue show that the store is not down. A poll that times out is given twice the time, up to 4 s, and lets the time for which records were unchanged start anew. A poll waits for the membership rows for 100 ms at most. A renewal that a full queue has rejected is repeated after 1 s, and a slow one is waited for.

--- a/basilhold/platform/node.py
+++ b/basilhold/platform/node.py
@@ -170,7 +170,9 @@
             region,
             self._clock,
             rng,
+            reports_reads=True,
         )
+        direct_store.on_read = store.on_read_reply
         self._store = store
         advice = PlatformAdviceService(
             self._pool, parse_endpoint(settings.advice or settings.platform.address)
--- a/basilhold/platform/store.py
+++ b/basilhold/platform/store.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import base64
+from collections.abc import Callable
 from typing import Any
 from urllib.parse import urlencode
 
@@ -111,12 +112,19 @@
     address : HttpAddress
     shared_time : SharedTime
         Is updated with the store's clock from each reply.
+
+    Attributes
+    ----------
+    on_read : callable or None
+        Called with the round trip of each read that is answered, in milliseconds, or
+        ``None`` after a long poll. A scan consists of several reads.
     """
 
     def __init__(self, pool: HttpPool, address: HttpAddress, shared_time: SharedTime):
         self._pool = pool
         self._address = address
         self._shared_time = shared_time
+        self.on_read: Callable[[float | None], None] | None = None
 
     async def read(self, keys: tuple[str, ...]) -> Result[dict[str, Row], StoreError]:
         """Return those rows of `keys` that exist; each is read in a separate call."""
@@ -249,7 +257,9 @@
         table = _split_key(prefix)[0]
         query = urlencode({"table": table, "after": after, "wait_ms": wait_ms})
         timeout_ms = wait_ms + CALL_TIMEOUT_MS
-        result = await self._get(f"/-/rows-feed?{query}", timeout_ms, gone_allowed=True)
+        result = await self._get(
+            f"/-/rows-feed?{query}", timeout_ms, gone_allowed=True, is_poll=wait_ms > 0
+        )
         if result.is_error():
             return result
         if result.ok.status == _STATUS_GONE:
@@ -301,7 +311,11 @@
         )
 
     async def _get(
-        self, path: str, timeout_ms: int, gone_allowed: bool = False
+        self,
+        path: str,
+        timeout_ms: int,
+        gone_allowed: bool = False,
+        is_poll: bool = False,
     ) -> Result[_StoreReply, StoreError]:
         call = HttpCall(
             self._address,
@@ -311,7 +325,10 @@
             stall_ms=CALL_TIMEOUT_MS,
             repeatable=True,
         )
+        sent_ms = self._shared_time.local_ms()
         result = await self._call(call)
+        if result.is_ok() and self.on_read is not None:
+            self.on_read(None if is_poll else self._shared_time.local_ms() - sent_ms)
         if result.is_ok() and result.ok.status != 200:
             if gone_allowed and result.ok.status == _STATUS_GONE:
                 return result
--- a/basilhold/platform/tests/test_store.py
+++ b/basilhold/platform/tests/test_store.py
@@ -68,6 +68,17 @@
                 rows = (await self.store.scan(f"t{count}/")).ok.rows
                 self.assertEqual(len(rows), count)
 
+    async def test_each_read_of_a_scan_is_reported(self):
+        # A store that answered the first reads of each scan was considered down.
+        for part in ("a", "b"):
+            self.platform.put("owners", part, "owner", b"{}")
+        reported = []
+        self.store.on_read = reported.append
+        await self.store.scan("owners/")
+        self.assertEqual(len(reported), 3)
+        await self.store.changes("owners/", 0, 1)
+        self.assertIsNone(reported[-1])
+
     async def test_pages_of_large_rows_are_all_read(self):
         # Guards against a scan that ends, or repeats a page, if one row fills a reply.
         for number in range(3):
--- a/basilhold/standins/partitioned_table.py
+++ b/basilhold/standins/partitioned_table.py
@@ -101,6 +101,11 @@
         await asyncio.sleep(self.call_ms / 2000)
         return result
 
+    def fill_queue(self, partition: str) -> None:
+        """Let a partition reject transactions for about a second."""
+        now_s = asyncio.get_running_loop().time()
+        self._free_at_s[partition] = now_s + 2 * QUEUE_MAX_MS / 1000
+
     def find(self, key: str) -> Row | None:
         """Return a row without latency."""
         return self.read_now((key,)).ok.get(key)
--- a/basilhold/workflows/frontend.py
+++ b/basilhold/workflows/frontend.py
@@ -59,7 +59,8 @@
 tried elsewhere sooner."""
 
 OUTAGE_POLLS = 2.6
-"""Polls of the owners without a reply after which the store is considered down."""
+"""Polls of the owners without any reply of the store, also to other calls, after which
+it is considered down."""
 
 OUTAGE_LATENCIES = 2.0
 OUTAGE_LATENCY_MAX_MS = 600.0
@@ -270,7 +271,8 @@
         Returns 0 if the store replies, however slowly.
         """
         last_reply_ms = max(
-            self._ownership_manager.last_store_reply_ms, self._table.last_reply_ms
+            self._ownership_manager.last_store_reply_ms,
+            self._table.last_sign_of_life_ms,
         )
         age_ms = self._clock.monotonic_ms() - last_reply_ms
         limit_ms = OUTAGE_POLLS * self._ownership_manager.poll_interval_ms()
--- a/basilhold/workflows/members.py
+++ b/basilhold/workflows/members.py
@@ -27,6 +27,13 @@
 """Each process renews its row every 8 s, or every 10 ms times the number of members if
 that is longer, so that all of them together write at most 100 rows per second."""
 
+RENEWAL_TIMEOUT_MS = 2_500
+"""How long a slow store may take for a renewal: 1 s in the queue of the partition, and
+0.7 s for the call."""
+
+BUSY_PAUSE_MS = 1_000.0
+"""Pause after a renewal that a full queue has rejected."""
+
 EXPIRY_RENEWALS = 3.1
 """Renewal intervals after which a member whose row has not changed is considered dead;
 it has then missed three renewals."""
@@ -69,6 +76,7 @@
         self._member = member
         self._seen: dict[ProcessId, tuple[Member, float]] = {}
         self._last_renewed_ms = -1e9
+        self._renew_from_ms = -1e9
         self._last_read_ms = -1e9
         self._knows_all = False
         self.published_count = 0
@@ -102,7 +110,8 @@
             Whether to read the rows of all members instead of a sample.
         """
         now_ms = self._clock.monotonic_ms()
-        if now_ms - self._last_renewed_ms >= self._renew_interval_ms(self.count):
+        is_due = now_ms - self._last_renewed_ms >= self._renew_interval_ms(self.count)
+        if is_due and now_ms >= self._renew_from_ms:
             await self._renew(now_ms)
         # Processes that start together have not all written their rows at the first
         # read, so the short interval applies until enough rows have been found.
@@ -126,8 +135,12 @@
         )
         key = f"{_PREFIX}{member.process_id}"
         write = Write(key, msgspec.json.encode(member))
-        if (await self._table.transact(Transaction((), (write,)))).is_ok():
+        transaction = Transaction((), (write,))
+        result = await self._table.transact_within(transaction, RENEWAL_TIMEOUT_MS)
+        if result.is_ok():
             self._last_renewed_ms = now_ms
+        elif result.error.busy:
+            self._renew_from_ms = self._clock.monotonic_ms() + BUSY_PAUSE_MS
 
     async def _read_all(self) -> None:
         scanned = await scan_once(self._table, _PREFIX)
--- a/basilhold/workflows/ownership_manager.py
+++ b/basilhold/workflows/ownership_manager.py
@@ -40,6 +40,16 @@
 """Number of processes that poll at the short interval in a larger deployment, and that
 therefore take over. Each poll is a read of the store, which all processes share."""
 
+SCAN_TIMEOUT_MS = 1_000.0
+SCAN_TIMEOUT_MAX_MS = 4_000.0
+"""How long a poll of all owner records may take; doubled after each one that takes
+longer. A scan is three reads in sequence, of 350 ms each in a slow store."""
+
+MEMBERS_WAIT_MS = 100.0
+"""How long a poll waits for the membership rows. They usually arrive sooner, so that
+processes which start together know each other; a slow store must not delay the next
+poll."""
+
 PROBE_ATTEMPTS = 2
 """A holder that does not answer is probed twice, as one reply may be lost or late."""
 
@@ -112,6 +122,8 @@
         self._leases: dict[ServiceName, Lease] = {}
         self._members = MemberList(ports.table, ports.clock, member, ports.time)
         self._version = -1
+        self._refreshing: asyncio.Task[None] | None = None
+        self._scan_timeout_ms = SCAN_TIMEOUT_MS
         self._round_trip_ms = math.inf
         self._tasks = BackgroundTasks()
         self._stopping = False
@@ -251,12 +263,7 @@
         now_ms = self._ports.clock.monotonic_ms()
         if rows is None:
             self._note_store_failure(sent_ms)
-            # Without an answer nothing is known about renewals, so the time for which a
-            # record was unchanged starts anew.
-            for view in self._views.values():
-                view.unchanged_since_ms = now_ms
-                view.is_holder_gone = False
-            self._claim_at_ms.clear()
+            self._restart_observation(now_ms)
             return
         self._note_store_recovery(now_ms)
         self.last_store_reply_ms = now_ms
@@ -271,10 +278,32 @@
             self._check_own_lease(service, view)
             self._probe_suspect(service, view, now_ms)
             await self._claim_if_due(service, view, now_ms)
-        await self._members.refresh(bool(self._owners))
+        await self._refresh_members()
         for lease in self._leases.values():
             lease.member_count = self._members.count
 
+    async def _refresh_members(self) -> None:
+        """Renew the membership row and read others, and wait a little for the end."""
+        is_new = self._refreshing is None
+        if is_new:
+            refresh = self._members.refresh(bool(self._owners))
+            self._refreshing = self._tasks.start(refresh)
+        timeout_s = MEMBERS_WAIT_MS / 1000 if is_new else 0.0
+        await asyncio.wait({self._refreshing}, timeout=timeout_s)
+        if self._refreshing.done():
+            refreshed, self._refreshing = self._refreshing, None
+            refreshed.result()
+
+    def _restart_observation(self, now_ms: float) -> None:
+        """Let the time for which records were unchanged start anew.
+
+        Without an answer of the store, nothing is known about renewals.
+        """
+        for view in self._views.values():
+            view.unchanged_since_ms = now_ms
+            view.is_holder_gone = False
+        self._claim_at_ms.clear()
+
     def _note_store_failure(self, sent_ms: float) -> None:
         if self._store_failed_ms is None:
             self._store_failed_ms = sent_ms
@@ -293,14 +322,7 @@
         the store does not answer.
         """
         if self._version < 0:
-            try:
-                async with asyncio.timeout(1.0):
-                    rows, self._version = await scan_with_retries(
-                        self._ports.table, OWNERS_PREFIX
-                    )
-            except TimeoutError:
-                return None
-            return rows
+            return await self._scan_rows()
         result = await self._ports.feed.changes(OWNERS_PREFIX, self._version, 0)
         if result.is_error():
             return None
@@ -310,6 +332,24 @@
         self._version = result.ok.version
         return list(result.ok.rows)
 
+    async def _scan_rows(self) -> list[Row] | None:
+        """Return all owner records, or ``None`` if that takes too long."""
+        begin_ms = self._ports.clock.monotonic_ms()
+        try:
+            async with asyncio.timeout(self._scan_timeout_ms / 1000):
+                rows, self._version = await scan_with_retries(
+                    self._ports.table, OWNERS_PREFIX
+                )
+        except TimeoutError:
+            longer_ms = 2 * self._scan_timeout_ms
+            self._scan_timeout_ms = min(longer_ms, SCAN_TIMEOUT_MAX_MS)
+            return None
+        self._scan_timeout_ms = SCAN_TIMEOUT_MS
+        now_ms = self._ports.clock.monotonic_ms()
+        if now_ms - begin_ms > SCAN_TIMEOUT_MS:
+            self._restart_observation(now_ms)
+        return rows
+
     def _apply_owner_row(self, row: Row, now_ms: float) -> None:
         service = ServiceName(row.key.split("/")[1])
         view = self._views.setdefault(service, OwnerView())
--- a/basilhold/workflows/relayed_table.py
+++ b/basilhold/workflows/relayed_table.py
@@ -107,6 +107,9 @@
         Clock of this process.
     rng : random.Random
         Shuffles the peers.
+    reports_reads : bool
+        Whether `table` calls `on_read_reply` for each of its reads. If not, calls that
+        are a single read are measured here.
     """
 
     def __init__(
@@ -118,7 +121,9 @@
         region: RegionName,
         clock: Clock,
         rng: random.Random,
+        reports_reads: bool = False,
     ):
+        self._reports_reads = reports_reads
         self._table = table
         self._feed = feed
         self._peers = peers
@@ -128,6 +133,7 @@
         self._rng = rng
         self._tasks = BackgroundTasks()
         self._last_reply_ms = -1e9
+        self._last_rejection_ms = -1e9
         self._reachable = asyncio.Event()
         self._reachable.set()
         self._relay_paused_until_ms = -1e9
@@ -152,11 +158,32 @@
         """Monotonic time of the store's last direct reply, in milliseconds."""
         return self._last_reply_ms
 
+    @property
+    def last_sign_of_life_ms(self) -> float:
+        """Monotonic time of the last reply, or of the last rejection by a full queue.
+
+        It shows that the store works, though perhaps not that it applies transactions.
+        """
+        return max(self._last_reply_ms, self._last_rejection_ms)
+
     @property
     def typical_latency_ms(self) -> float:
         """Running average of the latency of direct calls, in milliseconds."""
         return self._typical_latency_ms
 
+    def on_read_reply(self, latency_ms: float | None) -> None:
+        """Note that the store has answered a single read of this process.
+
+        Parameters
+        ----------
+        latency_ms : float, optional
+            Round trip in milliseconds; ``None`` for a long poll.
+        """
+        self._last_reply_ms = self._clock.monotonic_ms()
+        self._rejects_reads = False
+        if latency_ms is not None:
+            self._read_times_ms.append(latency_ms)
+
     async def close(self) -> None:
         """Stop probing the store."""
         await self._tasks.cancel()
@@ -298,14 +325,14 @@
         if not is_transaction:
             self._rejects_reads = True
         if is_transaction and self.is_slow and not self._rejects_reads:
+            self._last_rejection_ms = self._clock.monotonic_ms()
             return result
         return Error(msgspec.structs.replace(result.error, busy=False))
 
     def _record_latency(self, call: StoreCall, latency_ms: float) -> None:
-        # A scan is several reads, one after another.
-        if isinstance(call, ReadCall | ChangesCall):
-            self._read_times_ms.append(latency_ms)
-            self._rejects_reads = False
+        # A scan may be several reads, one after another.
+        if not self._reports_reads and isinstance(call, ReadCall | ChangesCall):
+            self.on_read_reply(latency_ms)
         # The wait in the queue of a partition says nothing about other calls.
         latency_ms = min(latency_ms, TRANSACTION_WAIT_MS)
         weight = (
--- a/basilhold/workflows/tests/test_slow_store.py
+++ b/basilhold/workflows/tests/test_slow_store.py
@@ -155,3 +155,72 @@
             deadline_ms = process.clock.monotonic_ms() + DEADLINE_MS
             outcome = await process.front.submit(make_job(7), deadline_ms)
             self.assertIs(outcome, StoreOutcome.STORED)
+
+    async def test_polls_do_not_wait_for_the_membership_row(self):
+        # The partition of the membership rows rejected renewals, and each poll of the
+        # owners first waited for one.
+        async with SlowStoreCell() as cell:
+            await cell.begin()
+            manager = cell.processes["p0"].ownership_manager
+            renewal = asyncio.Event()
+            manager._members._last_renewed_ms = -1e9
+            manager._members._renew = lambda now_ms: renewal.wait()
+            for _ in range(10):
+                await asyncio.sleep(0.2)
+                age_ms = manager._ports.clock.monotonic_ms()
+                age_ms -= manager.last_store_reply_ms
+                self.assertLess(age_ms, 1_000.0)
+
+    async def test_rejected_renewal_is_not_repeated_with_each_poll(self):
+        async with SlowStoreCell() as cell:
+            await cell.begin()
+            members = cell.processes["p0"].ownership_manager._members
+            loop, renew, times_s = asyncio.get_running_loop(), members._renew, []
+
+            async def record(now_ms):
+                times_s.append(loop.time())
+                await renew(now_ms)
+                times_s.append(loop.time())
+
+            members._renew = record
+            members._last_renewed_ms = -1e9
+            for _ in range(50):
+                cell.table.fill_queue("all")
+                await asyncio.sleep(0.1)
+            pauses_s = [
+                b - a for a, b in zip(times_s[1::2], times_s[2::2], strict=False)
+            ]
+            self.assertGreaterEqual(len(pauses_s), 2)
+            self.assertGreaterEqual(min(pauses_s), 1.0)
+
+    async def test_scan_that_takes_longer_than_a_poll_succeeds(self):
+        # Three reads in sequence took 1,050 ms, and each scan was abandoned after 1 s:
+        # the store seemed to be down although it answered each read.
+        async with SlowStoreCell() as cell:
+            await cell.begin()
+            manager = cell.processes["p0"].ownership_manager
+            scan = cell.table.scan
+
+            async def scan_slowly(*arguments, **options):
+                await asyncio.sleep(0.7)
+                return await scan(*arguments, **options)
+
+            cell.table.scan = scan_slowly
+            for _ in range(10):
+                # A poll in flight sets the version again.
+                manager._version = -1
+                await asyncio.sleep(0.1)
+            await asyncio.sleep(4)
+            self.assertGreaterEqual(manager._version, 0)
+
+    async def test_single_replies_show_that_the_store_is_not_down(self):
+        # Callers were refused, "the store does not answer", while each read and each
+        # rejection was answered.
+        async with SlowStoreCell() as cell:
+            await cell.begin()
+            process = cell.processes["p0"]
+            process.ownership_manager.last_store_reply_ms = -1e9
+            process.store._last_reply_ms = -1e9
+            self.assertTrue(process.front._outage_ms())
+            process.store.on_read_reply(350.0)
+            self.assertFalse(process.front._outage_ms())
