--- a/basilhold/platform/node.py
+++ b/basilhold/platform/node.py
@@ -170,7 +170,9 @@
             region,
             self._clock,
             rng,
+            reports_reads=True,
         )
+        direct_store.on_read = store.on_read_reply
         self._store = store
         advice = PlatformAdviceService(
             self._pool, parse_endpoint(settings.advice or settings.platform.address)
@@ -240,6 +242,7 @@
             self._clock,
             shared_time,
             self._configuration,
+            self._status_pages.metrics,
         )
         self._caller_server = CallerServer(
             self.frontend,
--- a/basilhold/platform/tests/test_store.py
+++ b/basilhold/platform/tests/test_store.py
@@ -1,9 +1,10 @@
+import asyncio
 import unittest
 
 from basilhold.adapters import HttpPool
 from basilhold.core import Clock
 from basilhold.platform.runners import PlatformWorkerRegistry, parse_endpoint
-from basilhold.platform.store import PlatformStore
+from basilhold.platform.store import CALL_TIMEOUT_MS, PlatformStore
 from basilhold.platform.tests.stub_platform import (
     PARTS_PER_REPLY,
     ROW_BYTES_PER_REPLY,
@@ -67,6 +68,17 @@
                 rows = (await self.store.scan(f"t{count}/")).ok.rows
                 self.assertEqual(len(rows), count)
 
+    async def test_each_read_of_a_scan_is_reported(self):
+        # A store that answered the first reads of each scan was considered down.
+        for part in ("a", "b"):
+            self.platform.put("owners", part, "owner", b"{}")
+        reported = []
+        self.store.on_read = reported.append
+        await self.store.scan("owners/")
+        self.assertEqual(len(reported), 3)
+        await self.store.changes("owners/", 0, 1)
+        self.assertIsNone(reported[-1])
+
     async def test_pages_of_large_rows_are_all_read(self):
         # Guards against a scan that ends, or repeats a page, if one row fills a reply.
         for number in range(3):
@@ -90,10 +102,29 @@
             self.platform.canned_replies["/-/rows-tx"] = (status, {})
             error = (await self.store.transact(make_put(KEY, b"one"))).error
             self.assertIs(error.kind, StoreErrorKind.NOT_APPLIED)
+            self.assertEqual(error.busy, status == 429)
         self.platform.canned_replies["/-/rows-tx"] = (0, {})
         error = (await self.store.transact(make_put(KEY, b"one"))).error
         self.assertIs(error.kind, StoreErrorKind.UNKNOWN)
 
+    async def test_transaction_is_waited_for_as_long_as_its_caller_waits(self):
+        # In a slow store, transactions that were applied after 1.2 s had an unknown
+        # outcome.
+        async def serve(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            await asyncio.sleep((CALL_TIMEOUT_MS + 200) / 1000)
+            writer.write(b'HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n{"ver":7}')
+            writer.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        self.addCleanup(server.close)
+        port = server.sockets[0].getsockname()[1]
+        pool = await self.enterAsyncContext(HttpPool())
+        address = parse_endpoint(f"127.0.0.1:{port}")
+        store = PlatformStore(pool, address, self.shared_time)
+        result = await store.transact_within(make_put(KEY, b"one"), 5_000)
+        self.assertEqual(result.ok, {KEY: 7})
+
     async def test_undecodable_reply_is_an_unknown_outcome(self):
         # An exception ended the loop that watches the owners, and so the process.
         for reply in (b"", b"<html>", b"[1]", {"ver": "x"}, {"rows": [{"value": 7}]}):
--- a/basilhold/ports/table.py
+++ b/basilhold/ports/table.py
@@ -108,11 +108,23 @@
 
 
 class StoreError(msgspec.Struct, frozen=True):
-    """A failed operation on the table service or the object store."""
+    """A failed operation on the table service or the object store.
+
+    Parameters
+    ----------
+    kind : StoreErrorKind
+    reason : str
+    conflicts : tuple of Conflict
+        Violated conditions, for `StoreErrorKind.CONFLICT`.
+    busy : bool
+        Whether the service replied that it has too much to do, so that the operation
+        was not applied.
+    """
 
     kind: StoreErrorKind
     reason: str = ""
     conflicts: tuple[Conflict, ...] = ()
+    busy: bool = False
 
 
 class ScanPage(msgspec.Struct, frozen=True, omit_defaults=True):
@@ -206,3 +218,12 @@
         self, transaction: Transaction
     ) -> Result[dict[str, int], StoreError]:
         """Apply a transaction and return the new version of each written row."""
+
+    async def transact_within(
+        self, transaction: Transaction, timeout_ms: int
+    ) -> Result[dict[str, int], StoreError]:
+        """Apply a transaction, and wait for the reply up to `timeout_ms` milliseconds.
+
+        A service whose timeout is fixed waits as long as `transact` does.
+        """
+        return await self.transact(transaction)
--- a/basilhold/testing/workflow_cell.py
+++ b/basilhold/testing/workflow_cell.py
@@ -9,7 +9,7 @@
 from typing import Any
 
 import msgspec
-from expression import Error, Result
+from expression import Error, Ok, Result
 
 from basilhold.core import (
     Clock,
@@ -51,6 +51,8 @@
     PeerClient,
     StateReply,
     StoreOutcome,
+    SubmitReply,
+    SubmitRequest,
 )
 from basilhold.workflows.pool import WorkerInfo
 from basilhold.workflows.quota_exchange import QuotaReply, QuotaRequest
@@ -166,6 +168,10 @@
         """Apply a transaction."""
         return await self._guard(self._table.transact(transaction))
 
+    async def transact_within(self, transaction, timeout_ms):
+        """Apply a transaction."""
+        return await self._guard(self._table.transact_within(transaction, timeout_ms))
+
     async def changes(self, prefix, after, wait_ms):
         """Read changes."""
         return await self._guard(self._table.changes(prefix, after, wait_ms))
@@ -235,6 +241,17 @@
         await asyncio.sleep(self.delay_s)
         return msgspec.json.decode(msgspec.json.encode(reply), type=QuotaReply)
 
+    async def submit(self, endpoint, request) -> Result[SubmitReply, bool]:
+        """Ask an owner to store a write."""
+        front = await self._front(endpoint)
+        if front is None:
+            return Error(False)
+        body = msgspec.json.encode(request)
+        request = msgspec.json.decode(body, type=SubmitRequest)
+        reply = await front.on_submit_request(request)
+        await asyncio.sleep(self.delay_s)
+        return Ok(msgspec.json.decode(msgspec.json.encode(reply), type=SubmitReply))
+
     async def request_configuration(self, endpoint, request):
         """Ask a peer for its version of the configuration."""
         front = await self._front(endpoint)
@@ -312,7 +329,13 @@
             peers,
         )
         self.front = WorkflowFrontend(
-            self.store, self.ownership_manager, peers, cell.advice, clock, shared_time
+            self.store,
+            self.ownership_manager,
+            peers,
+            cell.advice,
+            clock,
+            shared_time,
+            metrics=self.metrics,
         )
         self._task = asyncio.create_task(self.ownership_manager.run())
 
@@ -356,6 +379,8 @@
         clock. Replies to a poll and to a start may then arrive within one step.
     lease_limit_ms : float
         Longest lease that a worker grants, in milliseconds.
+    table : FeedTable, optional
+        The store; by default one with `store_faults`.
 
     Attributes
     ----------
@@ -382,6 +407,7 @@
         allotment_policy: AllotmentPolicy | None = None,
         clock_step_ms: float = 0.0,
         lease_limit_ms: float = LEASE_MS,
+        table: FeedTable | None = None,
     ):
         self.services = services
         self.tenants = tenants
@@ -390,7 +416,7 @@
         self.quotas_in_force = {tenant.name: tenant.quota for tenant in tenants or ()}
         self.relays = relays
         self.rng = random.Random(seed)
-        self.table = FeedTable(store_faults)
+        self.table = table or FeedTable(store_faults)
         self._clock_step_ms = clock_step_ms
         make_runners = _OvertakenRunners if clock_step_ms else MemoryRunners
         self.runners = make_runners(random.Random(seed + 1), faults)
--- a/basilhold/workflows/frontend.py
+++ b/basilhold/workflows/frontend.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import itertools
 from enum import Enum
 from typing import Any
 
@@ -17,7 +18,7 @@
     ServiceName,
     WorkerId,
 )
-from basilhold.observability import log_event
+from basilhold.observability import Metrics, log_event
 from basilhold.ports import (
     Row,
     StoreError,
@@ -41,6 +42,9 @@
     StateReply,
     StoreCall,
     StoreOutcome,
+    SubmitAnswer,
+    SubmitReply,
+    SubmitRequest,
 )
 from basilhold.workflows.progress import WorkflowState, decode_state
 from basilhold.workflows.queue_lengths import QueueLengths
@@ -48,6 +52,7 @@
 from basilhold.workflows.relayed_table import RelayedTable
 from basilhold.workflows.rows import cancel_key, progress_key, spec_key
 from basilhold.workflows.shared_time import SharedTime
+from basilhold.workflows.submission_collector import SubmissionCollector
 
 __all__ = ["Existence", "WorkflowFrontend"]
 
@@ -58,7 +63,8 @@
 tried elsewhere sooner."""
 
 OUTAGE_POLLS = 2.6
-"""Polls of the owners without a reply after which the store is considered down."""
+"""Polls of the owners without any reply of the store, also to other calls, after which
+it is considered down."""
 
 OUTAGE_LATENCIES = 2.0
 OUTAGE_LATENCY_MAX_MS = 600.0
@@ -75,6 +81,21 @@
 """Attempts that should fit into the time after which a caller gives up."""
 
 RETRY_DELAY_MS = 50.0
+
+SLOW_RETRY_DELAY_MS = 1_000.0
+"""Delay of a retry in a slow store. A partition rejects transactions while others wait
+in it for more than 1 s, and one without a reply may still wait for as long."""
+
+SLOW_RETRY_GROWTH = 1.5
+"""Factor between the delays of successive retries in a slow store."""
+
+ASK_OWNER_PAUSE_MS = 3_000.0
+"""How long an owner is not asked to store submissions after it has not answered, or
+does not know the call."""
+
+OWNER_REPLY_MS = 100.0
+"""Time reserved for the reply of the owner: the round trip between regions is 60 ms."""
+
 NOTIFY_ATTEMPTS = 2
 FINAL_STATES_MAX = 20_000
 """Maximum number of cached final states, of about 100 bytes each."""
@@ -128,6 +149,8 @@
         Estimate of the store's time.
     configuration : ConfigurationWatch, optional
         Serves peers that follow the configuration through this process.
+    metrics : Metrics, optional
+        Counts groups of submissions.
     """
 
     def __init__(
@@ -139,7 +162,11 @@
         clock: Clock,
         time: SharedTime,
         configuration: ConfigurationWatch | None = None,
+        metrics: Metrics | None = None,
     ):
+        self._metrics = metrics
+        self._collectors: dict[ServiceName, SubmissionCollector] = {}
+        self._ask_from_ms: dict[str, float] = {}
         self._configuration = configuration
         self._table = table
         self._ownership_manager = ownership_manager
@@ -154,7 +181,9 @@
         self._queue_lengths = QueueLengths(ownership_manager, peers, clock)
 
     async def close(self) -> None:
-        """Cancel pending notices to owners."""
+        """Answer submissions that wait for a group, and cancel notices to owners."""
+        for collector in self._collectors.values():
+            await collector.close()
         await self._tasks.cancel()
 
     # Requests of callers.
@@ -167,7 +196,8 @@
         spec : WorkflowSpec
             Workflow to store.
         deadline_ms : float
-            Monotonic time in milliseconds after which the submission is not retried.
+            Monotonic time in milliseconds after which the submission is not retried,
+            and until which a slow store is waited for.
         """
         services = self._ownership_manager.known_services()
         transaction = make_submission(spec, services)
@@ -175,8 +205,17 @@
         if self._outage_ms():
             return StoreOutcome.NOT_STORED
         unknown = False
-        while True:
-            result = await self._table.transact(transaction)
+        request = SubmitRequest(spec.policy.service, spec.job_id, spec=spec)
+        for attempt in itertools.count():
+            answer = await self._ask_owner(request, deadline_ms)
+            unknown = unknown or answer is SubmitAnswer.UNKNOWN
+            if answer is SubmitAnswer.NOT_STORED and not unknown:
+                return StoreOutcome.NOT_STORED
+            if answer in (SubmitAnswer.STORED, SubmitAnswer.ID_TAKEN):
+                return StoreOutcome(answer.value)
+            if answer is not SubmitAnswer.DIRECT and not self._has_time(deadline_ms):
+                break
+            result = await self._transact(transaction, deadline_ms)
             if result.is_ok():
                 self._on_stored(spec)
                 return StoreOutcome.STORED
@@ -184,10 +223,101 @@
                 return await self._handle_conflict(spec, result.error)
             unknown = unknown or result.error.kind is StoreErrorKind.UNKNOWN
             retry_ms = UNKNOWN_RETRY_MS if unknown else NOT_STORED_RETRY_MS
-            limit_ms = min(deadline_ms, begin_ms + retry_ms)
-            if self._clock.monotonic_ms() + RETRY_DELAY_MS > limit_ms:
-                return StoreOutcome.UNKNOWN if unknown else StoreOutcome.NOT_STORED
-            await asyncio.sleep(RETRY_DELAY_MS / 1000)
+            retry_until_ms = begin_ms + retry_ms
+            if not await self._wait_to_retry(deadline_ms, attempt, retry_until_ms):
+                break
+        return StoreOutcome.UNKNOWN if unknown else StoreOutcome.NOT_STORED
+
+    def _has_time(self, deadline_ms: float) -> bool:
+        """Return whether the store may reply to a transaction before the deadline."""
+        now_ms = self._clock.monotonic_ms()
+        return now_ms + self._table.typical_latency_ms <= deadline_ms
+
+    async def _ask_owner(
+        self, request: SubmitRequest, deadline_ms: float
+    ) -> SubmitAnswer:
+        """Let the owner store a write in a group, if the store is slow.
+
+        Without an answer, the outcome is unknown. The write may then be stored
+        directly, as its conditions are the same.
+        """
+        now_ms = self._clock.monotonic_ms()
+        left_ms = deadline_ms - OWNER_REPLY_MS - now_ms
+        if not self._table.is_slow or left_ms <= 0:
+            return SubmitAnswer.DIRECT
+        if self._ownership_manager.local_owner(request.service) is not None:
+            return await self._collect(request, deadline_ms)
+        endpoint = self._ownership_manager.remote_owner_endpoint(request.service)
+        if not endpoint or now_ms < self._ask_from_ms.get(endpoint, 0.0):
+            return SubmitAnswer.DIRECT
+        request = msgspec.structs.replace(request, time_left_ms=int(left_ms))
+        reply = await self._peers.submit(endpoint, request)
+        if reply.is_ok():
+            return reply.ok.answer
+        from_ms = self._clock.monotonic_ms() + ASK_OWNER_PAUSE_MS
+        self._ask_from_ms = {endpoint: from_ms}
+        return SubmitAnswer.UNKNOWN if reply.error else SubmitAnswer.DIRECT
+
+    async def _collect(
+        self, request: SubmitRequest, deadline_ms: float
+    ) -> SubmitAnswer:
+        """Store a write in a group of a service that this process owns."""
+        service, manager = request.service, self._ownership_manager
+        if manager.is_stopping or manager.local_owner(service) is None:
+            return SubmitAnswer.DIRECT
+        collector = self._collectors.get(service)
+        if collector is None:
+            collector = self._collectors[service] = SubmissionCollector(
+                service, self._table, self._clock, self._metrics
+            )
+        if not collector.is_grouping():
+            return SubmitAnswer.DIRECT
+        if request.spec is None:
+            transaction = _make_cancellation(service, request.job_id)
+        else:
+            transaction = make_submission(request.spec, manager.known_services())
+        has_conflict = False
+
+        async def resolve_conflict(error: StoreError) -> StoreOutcome:
+            nonlocal has_conflict
+            has_conflict = True
+            return await self._handle_conflict(request.spec, error)
+
+        outcome = await collector.store(transaction, deadline_ms, resolve_conflict)
+        if outcome is StoreOutcome.STORED:
+            if request.spec is None:
+                self._tasks.start(self._announce_cancelled(service, request.job_id))
+            elif not has_conflict:
+                self._on_stored(request.spec)
+        return SubmitAnswer(outcome.value) if outcome else SubmitAnswer.DIRECT
+
+    async def _transact(
+        self, transaction: Transaction, deadline_ms: float
+    ) -> Result[dict[str, int], StoreError]:
+        """Apply a transaction; a slow store is waited for until the deadline."""
+        left_ms = deadline_ms - self._clock.monotonic_ms()
+        return await self._table.transact_within(transaction, max(0, int(left_ms)))
+
+    async def _wait_to_retry(
+        self, deadline_ms: float, attempt: int, retry_until_ms: float | None = None
+    ) -> bool:
+        """Wait before a retry; return whether there is time for one.
+
+        A slow store may still apply a transaction whose reply is missing, so the next
+        one is sent later, but no longer has to begin before `retry_until_ms`.
+        """
+        now_ms = self._clock.monotonic_ms()
+        if self._table.is_slow:
+            delay_ms = SLOW_RETRY_DELAY_MS * SLOW_RETRY_GROWTH**attempt
+            # Without time for the reply, the outcome would be unknown.
+            limit_ms = deadline_ms - self._table.typical_latency_ms
+        else:
+            delay_ms = RETRY_DELAY_MS
+            limit_ms = min(deadline_ms, retry_until_ms or deadline_ms)
+        if now_ms + delay_ms > limit_ms:
+            return False
+        await asyncio.sleep(delay_ms / 1000)
+        return True
 
     def _on_stored(self, spec: WorkflowSpec) -> None:
         """Log a workflow that is stored under its present service; tell the owner."""
@@ -232,7 +362,8 @@
         Returns 0 if the store replies, however slowly.
         """
         last_reply_ms = max(
-            self._ownership_manager.last_store_reply_ms, self._table.last_reply_ms
+            self._ownership_manager.last_store_reply_ms,
+            self._table.last_sign_of_life_ms,
         )
         age_ms = self._clock.monotonic_ms() - last_reply_ms
         limit_ms = OUTAGE_POLLS * self._ownership_manager.poll_interval_ms()
@@ -397,22 +528,30 @@
             `EXISTS` if the cancellation is stored, `ABSENT` if there is no such
             workflow, `UNKNOWN` if the store did not confirm it in time.
         """
-        while True:
-            existence = await self._cancel_at(policy.service, job_id, tenant)
+        for attempt in itertools.count():
+            existence = await self._cancel_at(
+                policy.service, job_id, tenant, deadline_ms
+            )
             if existence is Existence.ABSENT:
                 found = await self._locator.find_elsewhere(policy.service, job_id)
                 if found.is_error():
                     existence = Existence.UNKNOWN
                 elif found.ok is not None:
-                    existence = await self._cancel_at(found.ok, job_id, tenant)
+                    existence = await self._cancel_at(
+                        found.ok, job_id, tenant, deadline_ms
+                    )
             if existence is not Existence.UNKNOWN:
                 return existence
-            if self._clock.monotonic_ms() + RETRY_DELAY_MS > deadline_ms:
-                return Existence.UNKNOWN
-            await asyncio.sleep(RETRY_DELAY_MS / 1000)
+            if not await self._wait_to_retry(deadline_ms, attempt):
+                break
+        return Existence.UNKNOWN
 
     async def _cancel_at(
-        self, service: ServiceName, job_id: JobId, asking: TenantName | None
+        self,
+        service: ServiceName,
+        job_id: JobId,
+        asking: TenantName | None,
+        deadline_ms: float,
     ) -> Existence:
         """Try once to store the cancellation of a workflow of a service."""
         read = await self._table.read((spec_key(service, job_id),))
@@ -425,8 +564,14 @@
             return Existence.UNKNOWN
         if not _is_visible(owning, asking):
             return Existence.ABSENT
-        write = Write(cancel_key(service, job_id), b"{}")
-        if (await self._table.transact(Transaction((), (write,)))).is_error():
+        request = SubmitRequest(service, job_id)
+        answer = await self._ask_owner(request, deadline_ms)
+        if answer is SubmitAnswer.STORED:
+            return Existence.EXISTS
+        if answer is not SubmitAnswer.DIRECT and not self._has_time(deadline_ms):
+            return Existence.UNKNOWN
+        transaction = _make_cancellation(service, job_id)
+        if (await self._transact(transaction, deadline_ms)).is_error():
             return Existence.UNKNOWN
         self._tasks.start(self._announce_cancelled(service, job_id))
         return Existence.EXISTS
@@ -496,6 +641,11 @@
             return ConfigurationReply()
         return await self._configuration.serve(request)
 
+    async def on_submit_request(self, request: SubmitRequest) -> SubmitReply:
+        """Store a submission or a cancellation of a service that this process owns."""
+        deadline_ms = self._clock.monotonic_ms() + request.time_left_ms
+        return SubmitReply(await self._collect(request, deadline_ms))
+
     def shared_ms(self) -> float | None:
         """Return the store's time in milliseconds, or ``None`` if it is not known."""
         return self._time.now_ms() if self._time.is_known else None
@@ -516,6 +666,10 @@
         return await self._advice.ask(job_id, occurrence, step, workers, policy)
 
 
+def _make_cancellation(service: ServiceName, job_id: JobId) -> Transaction:
+    return Transaction((), (Write(cancel_key(service, job_id), b"{}"),))
+
+
 def _is_visible(owning: TenantName, asking: TenantName | None) -> bool:
     """Return whether a tenant may see a workflow.
 
--- a/basilhold/workflows/relayed_table.py
+++ b/basilhold/workflows/relayed_table.py
@@ -8,9 +8,11 @@
 import asyncio
 import contextlib
 import random
+from collections import deque
 from collections.abc import Awaitable, Callable
 from typing import Any
 
+import msgspec
 from expression import Error, Result
 
 from basilhold.core import Clock, RegionName
@@ -57,6 +59,20 @@
 """Weight of a new latency below the running average; a higher latency replaces the
 average at once."""
 
+SLOW_READ_MS = 150.0
+"""Round trip of reads above which the store is considered slow. Reads between regions
+take 60 ms."""
+
+SLOW_READS_MIN = 2
+"""Consecutive slow reads that make a store slow; a single one may have been delayed on
+its way."""
+
+TRANSACTION_WAIT_MS = 1_200
+"""How long a transaction is waited for, unless a slow store still answers other calls:
+then it probably waits in the queue of its partition."""
+
+TRANSACTION_CHECK_MS = 100
+
 OUTAGE_PAUSE_MS = 500.0
 """How long no peer is tried after all attempts through peers have failed."""
 
@@ -91,6 +107,9 @@
         Clock of this process.
     rng : random.Random
         Shuffles the peers.
+    reports_reads : bool
+        Whether `table` calls `on_read_reply` for each of its reads. If not, calls that
+        are a single read are measured here.
     """
 
     def __init__(
@@ -102,7 +121,9 @@
         region: RegionName,
         clock: Clock,
         rng: random.Random,
+        reports_reads: bool = False,
     ):
+        self._reports_reads = reports_reads
         self._table = table
         self._feed = feed
         self._peers = peers
@@ -112,23 +133,71 @@
         self._rng = rng
         self._tasks = BackgroundTasks()
         self._last_reply_ms = -1e9
+        self._last_rejection_ms = -1e9
         self._reachable = asyncio.Event()
         self._reachable.set()
         self._relay_paused_until_ms = -1e9
         self._relay_endpoint = ""
         self._skip_until_ms: dict[str, float] = {}
         self._typical_latency_ms = 0.0
+        self._read_times_ms: deque[float] = deque(maxlen=SLOW_READS_MIN)
+        self._rejects_reads = False
+        self._transaction_ms = 0.0
+
+    @property
+    def is_slow(self) -> bool:
+        """Whether the store answers this machine's reads, but slowly."""
+        silent_ms = self._clock.monotonic_ms() - self._last_reply_ms
+        return (
+            silent_ms <= REPLY_AGE_MAX_MS
+            and len(self._read_times_ms) == SLOW_READS_MIN
+            and min(self._read_times_ms) > SLOW_READ_MS
+        )
 
     @property
     def last_reply_ms(self) -> float:
         """Monotonic time of the store's last direct reply, in milliseconds."""
         return self._last_reply_ms
 
+    @property
+    def last_sign_of_life_ms(self) -> float:
+        """Monotonic time of the last reply, or of the last rejection by a full queue.
+
+        It shows that the store works, though perhaps not that it applies transactions.
+        """
+        return max(self._last_reply_ms, self._last_rejection_ms)
+
     @property
     def typical_latency_ms(self) -> float:
         """Running average of the latency of direct calls, in milliseconds."""
         return self._typical_latency_ms
 
+    def on_read_reply(self, latency_ms: float | None) -> None:
+        """Note that the store has answered a single read of this process.
+
+        Parameters
+        ----------
+        latency_ms : float, optional
+            Round trip in milliseconds; ``None`` for a long poll.
+        """
+        self._last_reply_ms = self._clock.monotonic_ms()
+        self._rejects_reads = False
+        if latency_ms is not None:
+            self._read_times_ms.append(latency_ms)
+
+    @property
+    def read_ms(self) -> float:
+        """Shortest round trip of the last reads; 0 before the first one."""
+        return min(self._read_times_ms, default=0.0)
+
+    @property
+    def transaction_ms(self) -> float:
+        """Running average of the time of this process's own commits, in milliseconds.
+
+        Writes of callers are not counted, as they wait for each other.
+        """
+        return self._transaction_ms
+
     async def close(self) -> None:
         """Stop probing the store."""
         await self._tasks.cancel()
@@ -156,7 +225,18 @@
         self, transaction: Transaction
     ) -> Result[dict[str, int], StoreError]:
         """Apply a transaction."""
-        return await self._run(TransactCall(transaction))
+        return await self._transact(TransactCall(transaction), TRANSACTION_WAIT_MS)
+
+    async def transact_within(
+        self, transaction: Transaction, timeout_ms: int
+    ) -> Result[dict[str, int], StoreError]:
+        """Apply a transaction.
+
+        Its reply is waited for up to `timeout_ms` milliseconds while the store is slow,
+        and as long as in `transact` otherwise: without replies to other calls, the
+        store is probably cut off.
+        """
+        return await self._transact(TransactCall(transaction), timeout_ms)
 
     async def serve(self, call: StoreCall) -> Result[Any, StoreError]:
         """Execute a peer's call, unless the store has not replied here recently."""
@@ -165,8 +245,6 @@
         return await self._direct(call)
 
     async def _run(self, call: StoreCall) -> Result[Any, StoreError]:
-        if isinstance(call, TransactCall):
-            return await self._transact(call)
         if self._reachable.is_set():
             result = await self._direct(call)
             if not _has_no_reply(result):
@@ -194,15 +272,19 @@
             relaying.cancel()
             probing.cancel()
 
-    async def _transact(self, call: TransactCall) -> Result[Any, StoreError]:
+    async def _transact(
+        self, call: TransactCall, timeout_ms: int
+    ) -> Result[Any, StoreError]:
         if not self._reachable.is_set():
             relayed = await self._relay(call)
             if _is_final(call, relayed):
                 return relayed
-        result = await self._direct(call)
-        if not _has_no_reply(result):
+        sent_ms = self._clock.monotonic_ms()
+        result = await self._transact_directly(call, timeout_ms)
+        if not _has_no_reply(result) or _is_busy(result):
             return result
-        self._mark_unreachable(result.error.reason)
+        if not self._has_slow_replies_since(sent_ms):
+            self._mark_unreachable(result.error.reason)
         if _is_final(call, result):
             # The caller has to find out whether a transaction without a reply was
             # applied.
@@ -210,21 +292,68 @@
         relayed = await self._relay(call)
         return relayed if _is_final(call, relayed) else result
 
-    async def _direct(self, call: StoreCall) -> Result[Any, StoreError]:
+    def _has_slow_replies_since(self, sent_ms: float) -> bool:
+        """Return whether a slow store has answered other calls since a time."""
+        return self.is_slow and self._last_reply_ms > sent_ms
+
+    async def _transact_directly(
+        self, call: TransactCall, timeout_ms: int
+    ) -> Result[Any, StoreError]:
+        """Apply a transaction, and wait as long as the store seems to process it."""
+        if timeout_ms <= TRANSACTION_WAIT_MS:
+            return await self._direct(call)
+        sending = asyncio.create_task(self._direct(call, timeout_ms))
+        try:
+            await asyncio.wait({sending}, timeout=TRANSACTION_WAIT_MS / 1000)
+            while not sending.done() and self.is_slow:
+                await asyncio.wait({sending}, timeout=TRANSACTION_CHECK_MS / 1000)
+            if sending.done():
+                return sending.result()
+        finally:
+            sending.cancel()
+        return Error(StoreError(StoreErrorKind.UNKNOWN, "no reply"))
+
+    async def _direct(
+        self, call: StoreCall, timeout_ms: int | None = None
+    ) -> Result[Any, StoreError]:
         begin_ms = self._clock.monotonic_ms()
-        result = await _call_store(self._table, self._feed, call)
+        result = await _call_store(self._table, self._feed, call, timeout_ms)
+        if _is_busy(result):
+            return self._classify_busy(call, result)
         if not _has_no_reply(result):
             self._last_reply_ms = self._clock.monotonic_ms()
             self._mark_reachable()
             if not (isinstance(call, ChangesCall) and call.wait_ms):
-                self._record_latency(self._last_reply_ms - begin_ms)
+                self._record_latency(call, self._last_reply_ms - begin_ms)
+            if isinstance(call, TransactCall) and timeout_ms is None:
+                self._transaction_ms = _raise_or_decay(
+                    self._transaction_ms, self._last_reply_ms - begin_ms
+                )
         return result
 
-    def _record_latency(self, latency_ms: float) -> None:
-        weight = (
-            1.0 if latency_ms > self._typical_latency_ms else LATENCY_DECREASE_WEIGHT
-        )
-        self._typical_latency_ms += weight * (latency_ms - self._typical_latency_ms)
+    def _classify_busy(
+        self, call: StoreCall, result: Result[Any, StoreError]
+    ) -> Result[Any, StoreError]:
+        """Return the result of a rejected call, `busy` only if no other path helps.
+
+        In a slow store that answers reads, the queue of a partition is full for all
+        machines. Otherwise the store may reject this machine's calls only.
+        """
+        is_transaction = isinstance(call, TransactCall)
+        if not is_transaction:
+            self._rejects_reads = True
+        if is_transaction and self.is_slow and not self._rejects_reads:
+            self._last_rejection_ms = self._clock.monotonic_ms()
+            return result
+        return Error(msgspec.structs.replace(result.error, busy=False))
+
+    def _record_latency(self, call: StoreCall, latency_ms: float) -> None:
+        # A scan may be several reads, one after another.
+        if not self._reports_reads and isinstance(call, ReadCall | ChangesCall):
+            self.on_read_reply(latency_ms)
+        # The wait in the queue of a partition says nothing about other calls.
+        latency_ms = min(latency_ms, TRANSACTION_WAIT_MS)
+        self._typical_latency_ms = _raise_or_decay(self._typical_latency_ms, latency_ms)
 
     def _mark_unreachable(self, reason: str) -> None:
         if self._reachable.is_set():
@@ -299,7 +428,10 @@
 
 
 def _call_store(
-    table: TableService, feed: ChangeFeed, call: StoreCall
+    table: TableService,
+    feed: ChangeFeed,
+    call: StoreCall,
+    timeout_ms: int | None = None,
 ) -> Awaitable[Result[Any, StoreError]]:
     if isinstance(call, ReadCall):
         return table.read(call.keys)
@@ -307,17 +439,32 @@
         return table.scan(call.prefix, call.after, call.limit)
     if isinstance(call, ChangesCall):
         return feed.changes(call.prefix, call.after, call.wait_ms)
-    return table.transact(call.transaction)
+    if timeout_ms is None:
+        return table.transact(call.transaction)
+    return table.transact_within(call.transaction, timeout_ms)
+
+
+def _raise_or_decay(average_ms: float, value_ms: float) -> float:
+    """Return a running average that follows a higher value at once."""
+    weight = 1.0 if value_ms > average_ms else LATENCY_DECREASE_WEIGHT
+    return average_ms + weight * (value_ms - average_ms)
 
 
 def _has_no_reply(result: Result[Any, StoreError]) -> bool:
     return result.is_error() and result.error.kind in _NO_REPLY_KINDS
 
 
+def _is_busy(result: Result[Any, StoreError]) -> bool:
+    return result.is_error() and result.error.busy
+
+
 def _is_final(call: StoreCall, result: Result[Any, StoreError]) -> bool:
     """Return whether a result is final, so that no other path should be tried."""
     if result.is_ok():
         return True
+    if result.error.busy:
+        # Every machine's transactions wait in the same queue.
+        return True
     if result.error.kind is StoreErrorKind.UNKNOWN:
         return isinstance(call, TransactCall)
     return result.error.kind is not StoreErrorKind.NOT_APPLIED
