Give each kind of outgoing call a connection limit of its own

The long polls of 721 workers of a service take up all 600 exchanges of the single pool, so that starts, commits and calls to peers wait behind them, and starts lapse.

ConnectionLimits divides the descriptors of the machine (max_fds, default 4,100, or the process's limit of open files if that is lower) among polls, commands, store, peers and advice; each has a pool of its own. Unused connections count towards the limit of a pool; a pool could open twice its limit before. The oldest one is found without a search of all addresses. A process with fewer than 500 poll connections logs event 6045 and claims later; machines with 1,638 descriptors or more are not affected.

--- a/basilhold/adapters/http.py
+++ b/basilhold/adapters/http.py
@@ -10,7 +10,7 @@
 import asyncio
 import ssl
 from abc import ABC, abstractmethod
-from collections import defaultdict
+from collections import OrderedDict, defaultdict
 from collections.abc import Callable
 from types import TracebackType
 from typing import Self
@@ -134,7 +134,8 @@
     Parameters
     ----------
     connections : int
-        Most exchanges at a time; also bounds the connections.
+        Most exchanges at a time, and most open connections: an unused one is closed
+        before one more is opened.
     connect_timeout_ms : int
     idle_ms : int
         Kept connections are closed after this time without use. It is below the
@@ -154,9 +155,10 @@
     transfer_ms: int = 10_000
 
 
-class _Kept(msgspec.Struct):
+class _Kept(msgspec.Struct, eq=False):
     """A connection that is open and unused since a time of the loop's clock."""
 
+    address: HttpAddress
     connection: "_Connection"
     since: float
 
@@ -183,7 +185,10 @@
         self._traffic = traffic or _NoTraffic()
         self._slots = asyncio.Semaphore(self._limits.connections)
         self._kept: dict[HttpAddress, list[_Kept]] = defaultdict(list)
-        self._kept_count = 0
+        # All of `_kept`, in the order in which they were last used. A search of the
+        # addresses for the oldest took 0.1 ms a call with 3,000 of them.
+        self._by_age: OrderedDict[_Kept, None] = OrderedDict()
+        self._active = 0
 
     async def __aenter__(self) -> Self:
         return self
@@ -198,11 +203,10 @@
 
     def close(self) -> None:
         """Close all kept connections."""
-        for kept in self._kept.values():
-            for entry in kept:
-                entry.connection.close()
+        for entry in self._by_age:
+            entry.connection.close()
         self._kept.clear()
-        self._kept_count = 0
+        self._by_age.clear()
 
     async def run(self, call: HttpCall) -> Result[HttpReply, HttpFailure]:
         """Send a request and return the complete response."""
@@ -211,7 +215,11 @@
         try:
             async with asyncio.timeout(call.timeout_ms / 1000) as timeout, self._slots:
                 exchange.on_progress = lambda: _postpone(timeout, call.stall_ms, last_s)
-                return await self._run(exchange)
+                self._active += 1
+                try:
+                    return await self._run(exchange)
+                finally:
+                    self._active -= 1
         except TimeoutError:
             return Error(HttpFailure(exchange.sent, "timed out"))
         finally:
@@ -225,6 +233,7 @@
             closed_unread = result.is_error() and not exchange.received_bytes
             if not (closed_unread and exchange.call.repeatable):
                 return result
+        self._close_oldest(self._limits.connections - self._active)
         connected = await self._connect(exchange.call.address)
         if connected.is_error():
             reason, refused = connected.error
@@ -278,11 +287,12 @@
         kept = self._kept[address]
         oldest = asyncio.get_running_loop().time() - self._limits.idle_ms / 1000
         while kept and (kept[0].since < oldest or kept[0].connection.closed):
-            kept.pop(0).connection.close()
-            self._kept_count -= 1
+            entry = kept.pop(0)
+            del self._by_age[entry]
+            entry.connection.close()
         while kept:
             entry = kept.pop()
-            self._kept_count -= 1
+            del self._by_age[entry]
             if not entry.connection.closed:
                 return entry.connection
         del self._kept[address]
@@ -290,16 +300,23 @@
 
     def _keep(self, address: HttpAddress, connection: "_Connection") -> None:
         """Keep a connection, within the limit over all addresses."""
-        if self._kept_count >= self._limits.connections:
-            oldest = min(
-                (kept for kept in self._kept.values() if kept),
-                key=lambda kept: kept[0].since,
-            )
-            oldest.pop(0).connection.close()
-            self._kept_count -= 1
+        # The exchange that has used it is still counted as active.
+        self._close_oldest(self._limits.connections - self._active)
         now = asyncio.get_running_loop().time()
-        self._kept[address].append(_Kept(connection, now))
-        self._kept_count += 1
+        entry = _Kept(address, connection, now)
+        self._kept[address].append(entry)
+        self._by_age[entry] = None
+
+    def _close_oldest(self, count_max: int) -> None:
+        """Close the unused connections beyond a number, oldest first."""
+        while len(self._by_age) > max(0, count_max):
+            entry, _ = self._by_age.popitem(last=False)
+            entry.connection.close()
+            kept = self._kept[entry.address]
+            # Connections of one address are kept in order of their age too.
+            kept.pop(0)
+            if not kept:
+                del self._kept[entry.address]
 
 
 class _Exchange:
--- /dev/null
+++ b/basilhold/platform/connection_limits.py
@@ -0,0 +1,86 @@
+"""Division of a process's file descriptors among the kinds of calls it makes."""
+
+import msgspec
+
+__all__ = ["DESCRIPTORS_DEFAULT", "ConnectionLimits"]
+
+DESCRIPTORS_DEFAULT = 4_100
+"""Descriptors of a machine whose settings do not name a number."""
+
+DESCRIPTORS_RESERVED = 200
+"""Descriptors for files, listening sockets and name resolution."""
+
+OUTGOING_SHARE = 0.75
+"""Share of the other descriptors for connections that this process opens. The rest is
+for those of callers, peers and probes."""
+
+COMMANDS_SHARE = 0.2
+STORE_SHARE = 0.12
+PEERS_SHARE = 0.12
+"""Shares of the outgoing connections. Starts come in bursts, one per commit; calls to
+the store and to peers return within a second. Polls get what is left."""
+
+ADVICE_CONNECTIONS = 32
+"""The advice service handles one query of each machine at a time."""
+
+WAITING_SHARE = 0.85
+"""Share of the poll connections for polls that wait. Acknowledgements and the polls of
+workers that take turns use the rest."""
+
+MINIMUM = 8
+"""Least number of connections of a kind, whatever the settings say."""
+
+POLLS_WANTED = 500
+"""Poll connections below which a process counts as short of descriptors. The smallest
+machines that are in service have 1,638 descriptors, which leave 573."""
+
+
+class ConnectionLimits(msgspec.Struct, frozen=True):
+    """Most open connections of each kind.
+
+    Parameters
+    ----------
+    polls : int
+        To workers, for polls.
+    waiting_polls : int
+        Most of the polls that may wait at their workers at a time.
+    commands : int
+        To workers, for starts, stops and changes of pace.
+    store, peers, advice : int
+    """
+
+    polls: int
+    waiting_polls: int
+    commands: int
+    store: int
+    peers: int
+    advice: int
+
+    @classmethod
+    def for_descriptors(cls, descriptors: int) -> "ConnectionLimits":
+        """Return the limits for a number of descriptors of the process.
+
+        Examples
+        --------
+        >>> limits = ConnectionLimits.for_descriptors(4_100)
+        >>> limits.polls, limits.waiting_polls, limits.commands, limits.store
+        (1606, 1365, 585, 351)
+        """
+        outgoing = int(OUTGOING_SHARE * max(0, descriptors - DESCRIPTORS_RESERVED))
+        commands = max(MINIMUM, int(COMMANDS_SHARE * outgoing))
+        store = max(MINIMUM, int(STORE_SHARE * outgoing))
+        peers = max(MINIMUM, int(PEERS_SHARE * outgoing))
+        advice = min(ADVICE_CONNECTIONS, max(MINIMUM, outgoing // 20))
+        polls = max(MINIMUM, outgoing - commands - store - peers - advice)
+        waiting = int(WAITING_SHARE * polls)
+        return cls(polls, waiting, commands, store, peers, advice)
+
+    @property
+    def total(self) -> int:
+        """Most connections of all kinds together."""
+        return self.polls + self.commands + self.store + self.peers + self.advice
+
+    @property
+    def is_short(self) -> bool:
+        """Whether an owner on this machine would serve its workers more slowly."""
+        return self.polls < POLLS_WANTED
--- a/basilhold/platform/events.py
+++ b/basilhold/platform/events.py
@@ -15,3 +15,10 @@
     "queue={queue} call rejected: {reason}; configuration version={version} "
     "age_ms={age_ms}",
 )
+DESCRIPTORS_SHORT = Event(
+    6045,
+    EventLevel.WARNING,
+    "descriptors={descriptors} allow connections={connections} for polls of workers; "
+    "this process claims services later than others",
+    "Raise the limit of open files of the process.",
+)
--- a/basilhold/platform/node.py
+++ b/basilhold/platform/node.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import random
+import resource
 import secrets
 import signal
 import sys
@@ -28,7 +29,9 @@
 )
 from basilhold.platform.bodies import decode_configuration
 from basilhold.platform.callers import CallerServer, make_readiness_server
+from basilhold.platform.connection_limits import ConnectionLimits
 from basilhold.platform.events import (
+    DESCRIPTORS_SHORT,
     SETTINGS_INVALID,
     SETTINGS_READ,
 )
@@ -53,6 +56,7 @@
 from basilhold.workflows.peer_http import HttpPeerClient, make_peer_server
 from basilhold.workflows.peer_quota_exchange import PeerQuotaExchange
 from basilhold.workflows.peers import Member
+from basilhold.workflows.poll_turns import PollTurns
 from basilhold.workflows.relayed_table import RelayedTable
 from basilhold.workflows.rows import Incarnation
 from basilhold.workflows.shared_time import SharedTime
@@ -60,11 +64,8 @@
 
 __all__ = ["LogMetrics", "NodeDaemon", "main"]
 
-EXCHANGES_MAX = 600
-"""Limit of concurrent HTTP exchanges. Each worker takes up one, a long poll that waits
-for the end of a run."""
-
 CONNECT_TIMEOUT_MS = 500
+CONNECTION_IDLE_MS = 20_000
 CONFIGURATION_PREFIX = "op//"
 CONFIGURATION_KEY = "op//config"
 CONFIGURATION_RETRY_MS = 200
@@ -89,8 +90,8 @@
 """Bandwidth from which a network link counts as wide, in Mbit/s."""
 
 CLAIM_DELAY_PER_RESOURCE_MS = 600.0
-"""Delay of ownership claims for a machine that lacks a core or a wide link entirely;
-proportionally less for a part of it."""
+"""Delay of ownership claims for a machine that lacks a core or a wide link entirely, or
+is short of descriptors; proportionally less for a part of a core or link."""
 
 DRAIN_SERVING_S = 2.4
 """The platform probes once a second and stops sending callers to a process after two
@@ -148,18 +149,24 @@
         self._settings = settings
         self._clock = Clock(int(time.time() * 1000))
         shared_time = SharedTime(self._clock)
-        self._pool = HttpPool(
-            HttpLimits(EXCHANGES_MAX, CONNECT_TIMEOUT_MS, idle_ms=20_000)
-        )
+        descriptors = _usable_descriptors(settings)
+        limits = ConnectionLimits.for_descriptors(descriptors)
+        if limits.is_short:
+            log_event(
+                DESCRIPTORS_SHORT, descriptors=descriptors, connections=limits.polls
+            )
+        self._pools: list[HttpPool] = []
         self._status_pages = make_status_pages(settings.node, STATE_DUMP_BYTES_MAX, ())
         self._status_pages.metrics.add_source(LogMetrics(log_output))
         self._status_pages.state.add_source(self)
         self._draining = False
         endpoint = f"{settings.ip}:{settings.port_range[0]}"
-        peers = HttpPeerClient(self._pool, shared_time)
+        peers = HttpPeerClient(self._make_pool(limits.peers), shared_time)
         region = RegionName(settings.region)
         direct_store = PlatformStore(
-            self._pool, parse_endpoint(settings.platform.address), shared_time
+            self._make_pool(limits.store),
+            parse_endpoint(settings.platform.address),
+            shared_time,
         )
         rng = random.Random(secrets.randbits(64))
         store = RelayedTable(
@@ -173,7 +180,8 @@
         )
         self._store = store
         advice = PlatformAdviceService(
-            self._pool, parse_endpoint(settings.advice or settings.platform.address)
+            self._make_pool(limits.advice),
+            parse_endpoint(settings.advice or settings.platform.address),
         )
         advice_balancer = AdviceBalancer(
             endpoint, advice, peers, lambda: self.ownership_manager.members(), region
@@ -181,7 +189,9 @@
         ports = OwnerPorts(
             store,
             store,
-            PlatformRunnerClient(self._pool),
+            PlatformRunnerClient(
+                self._make_pool(limits.commands), self._make_pool(limits.polls)
+            ),
             PlatformWorkerRegistry(store),
             advice_balancer,
             self._clock,
@@ -190,6 +200,7 @@
             self._tenants,
             self._services,
             PeerQuotaExchange(lambda: self.ownership_manager, peers),
+            poll_turns=PollTurns(limits.waiting_polls),
         )
         self._configuration = ConfigurationWatch(
             store,
@@ -230,7 +241,7 @@
             self._services,
             rng,
             peers,
-            _small_machine_delay_ms(settings),
+            _small_machine_delay_ms(settings, limits),
         )
         self.frontend = WorkflowFrontend(
             store,
@@ -252,6 +263,14 @@
         self._peer_server = make_peer_server(self.frontend)
         self._status_server = HTTPServer(status_application(self._status_pages))
 
+    def _make_pool(self, connections: int) -> HttpPool:
+        """Return a pool for one kind of call, which is closed with the daemon."""
+        pool = HttpPool(
+            HttpLimits(connections, CONNECT_TIMEOUT_MS, idle_ms=CONNECTION_IDLE_MS)
+        )
+        self._pools.append(pool)
+        return pool
+
     @property
     def name(self) -> str:
         """Name of the machine."""
@@ -283,7 +302,8 @@
             server.stop()
         await self.frontend.close()
         await self._store.close()
-        self._pool.close()
+        for pool in self._pools:
+            pool.close()
 
     async def run(self) -> None:
         """Run the background loops until cancelled."""
@@ -366,16 +386,27 @@
             self._clock.adjust(int(time.time() * 1000))
 
 
-def _small_machine_delay_ms(settings: PlatformSettings) -> float:
+def _usable_descriptors(settings: PlatformSettings) -> int:
+    """Return how many descriptors the process may open."""
+    soft_limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if soft_limit == resource.RLIM_INFINITY:
+        return settings.limits.max_fds
+    return min(settings.limits.max_fds, soft_limit)
+
+
+def _small_machine_delay_ms(
+    settings: PlatformSettings, connection_limits: ConnectionLimits
+) -> float:
     """Return how long a small machine delays its claims of ownership, in milliseconds.
 
     An owner reads all rows at a takeover and exchanges messages with every worker, so
-    machines with more cores and bandwidth should claim first.
+    machines with more cores, bandwidth and descriptors should claim first.
     """
     limits = settings.limits
     core_ratio = min(1.0, limits.cpu_share * limits.cores)
     link_ratio = min(1.0, limits.link_mbps / WIDE_LINK_MBPS_MIN)
-    return CLAIM_DELAY_PER_RESOURCE_MS * (2.0 - core_ratio - link_ratio)
+    lacking = 2.0 - core_ratio - link_ratio + connection_limits.is_short
+    return CLAIM_DELAY_PER_RESOURCE_MS * lacking
 
 
 def main() -> int:
--- a/basilhold/platform/runners.py
+++ b/basilhold/platform/runners.py
@@ -199,10 +199,15 @@
     Parameters
     ----------
     pool : HttpPool
+        Connections for starts, stops and changes of pace.
+    poll_pool : HttpPool, optional
+        Connections for lease renewals, most of which wait for the end of a run; `pool`
+        by default.
     """
 
-    def __init__(self, pool: HttpPool):
+    def __init__(self, pool: HttpPool, poll_pool: HttpPool | None = None):
         self._pool = pool
+        self._poll_pool = poll_pool or pool
 
     async def start(self, worker: Worker, call: StartCall) -> CallOutcome:
         """Start a run."""
@@ -251,7 +256,7 @@
             call.wait_ms,
         )
         timeout_ms = call.wait_ms + LEASE_RENEWAL_MARGIN_MS
-        result = await self._post(worker, "/-/hold", body, timeout_ms)
+        result = await self._post(self._poll_pool, worker, "/-/hold", body, timeout_ms)
         if result.is_error():
             return Error(_unanswered_outcome(result.error))
         outcome = _decode_outcome(result.ok)
@@ -270,11 +275,16 @@
     async def _send(
         self, worker: Worker, path: str, body: msgspec.Struct
     ) -> Result[HttpReply, HttpFailure]:
-        return await self._post(worker, path, body, COMMAND_TIMEOUT_MS)
+        return await self._post(self._pool, worker, path, body, COMMAND_TIMEOUT_MS)
 
     async def _post(
-        self, worker: Worker, path: str, body: msgspec.Struct, timeout_ms: int
-    ):
+        self,
+        pool: HttpPool,
+        worker: Worker,
+        path: str,
+        body: msgspec.Struct,
+        timeout_ms: int,
+    ) -> Result[HttpReply, HttpFailure]:
         call = HttpCall(
             parse_endpoint(worker.info.endpoint),
             "POST",
@@ -283,7 +293,7 @@
             timeout_ms,
             headers=(("X-Expect-Instance", worker.worker_id),),
         )
-        return await self._pool.run(call)
+        return await pool.run(call)
 
 
 def _format_task_name(call: RunnerCall) -> str:
--- a/basilhold/platform/settings.py
+++ b/basilhold/platform/settings.py
@@ -7,6 +7,8 @@
 import msgspec
 from expression import Error, Ok, Result
 
+from basilhold.platform.connection_limits import DESCRIPTORS_DEFAULT
+
 __all__ = ["SETTINGS_VARIABLE", "PlatformSettings", "read_settings"]
 
 SETTINGS_VARIABLE = "BASILHOLD_CONFIG"
@@ -58,11 +60,14 @@
         Speed of the processor, in cores.
     link_mbps : float
         Bandwidth of the network link, in Mbit/s.
+    max_fds : int
+        Most file descriptors that the process may have open.
     """
 
     cpu_share: float = 1.0
     cores: float = 1.0
     link_mbps: float = 1_000.0
+    max_fds: int = DESCRIPTORS_DEFAULT
 
 
 class _Store(msgspec.Struct):
--- a/basilhold/testing/workflow_cell.py
+++ b/basilhold/testing/workflow_cell.py
@@ -52,6 +52,7 @@
     StateReply,
     StoreOutcome,
 )
+from basilhold.workflows.poll_turns import PollTurns
 from basilhold.workflows.pool import WorkerInfo
 from basilhold.workflows.quota_exchange import QuotaReply, QuotaRequest
 from basilhold.workflows.relayed_table import RelayedTable
@@ -299,6 +300,7 @@
             lambda: cell.services,
             PeerQuotaExchange(lambda: self.ownership_manager, peers),
             cell.allotment_policy,
+            poll_turns=PollTurns(cell.waiting_polls_max),
         )
         self.ownership_manager = OwnershipManager(
             ports,
@@ -355,6 +357,8 @@
         clock. Replies to a poll and to a start may then arrive within one step.
     lease_limit_ms : float
         Longest lease that a worker grants, in milliseconds.
+    waiting_polls_max : int, optional
+        Most polls of a process that wait at workers; no limit by default.
 
     Attributes
     ----------
@@ -378,7 +382,9 @@
         allotment_policy: AllotmentPolicy | None = None,
         clock_step_ms: float = 0.0,
         lease_limit_ms: float = LEASE_MS,
+        waiting_polls_max: int | None = None,
     ):
+        self.waiting_polls_max = waiting_polls_max
         self.services = services
         self.tenants = tenants
         self.allotment_policy = allotment_policy or DemandPolicy()
--- a/basilhold/workflows/owner_state.py
+++ b/basilhold/workflows/owner_state.py
@@ -18,6 +18,7 @@
 from basilhold.workflows.backlog import Backlog
 from basilhold.workflows.isolation import Isolation
 from basilhold.workflows.owner_lease import LEASE_VALIDITY_MS, Lease, WorkerLeases
+from basilhold.workflows.poll_turns import PollTurns
 from basilhold.workflows.pool import Pool, Worker
 from basilhold.workflows.preemption import Reservations
 from basilhold.workflows.progress import Workflow, WorkflowState
@@ -65,6 +66,8 @@
         Divides the quotas of tenants among the services.
     step_order : StepOrder
         Order in which steps get capacity.
+    poll_turns : PollTurns
+        Bounds the polls of workers that the process has open.
     """
 
     table: TableService
@@ -80,6 +83,7 @@
     quota_exchange: QuotaExchange = NoQuotaExchange()
     allotment_policy: AllotmentPolicy = DemandPolicy()
     step_order: StepOrder = DeadlineOrder()
+    poll_turns: PollTurns = msgspec.field(default_factory=PollTurns)
 
 
 class OwnerState:
--- a/basilhold/workflows/worker_link.py
+++ b/basilhold/workflows/worker_link.py
@@ -11,6 +11,7 @@
 from basilhold.ports.runners import CallOutcome, RenewLeaseCall, RunnerClient
 from basilhold.workflows import events
 from basilhold.workflows.owner_lease import Lease
+from basilhold.workflows.poll_turns import PollTurns
 from basilhold.workflows.pool import (
     ListedRun,
     Listing,
@@ -139,6 +140,8 @@
         Lease of the service's owner.
     limits : OwnerLimits
         Limits of the owner.
+    turns : PollTurns, optional
+        Bounds the polls of the process; there is no bound by default.
 
     Attributes
     ----------
@@ -151,7 +154,12 @@
     """
 
     def __init__(
-        self, worker: Worker, runners: RunnerClient, lease: Lease, limits: OwnerLimits
+        self,
+        worker: Worker,
+        runners: RunnerClient,
+        lease: Lease,
+        limits: OwnerLimits,
+        turns: PollTurns | None = None,
     ):
         self.worker = worker
         self.closed = False
@@ -160,6 +168,9 @@
         self._runners = runners
         self._lease = lease
         self._limits = limits
+        self._turns = turns or PollTurns()
+        self._had_turn = False
+        self._must_pause = False
         self._acknowledged = asyncio.Event()
         self._has_answered = False
         self._failures = 0
@@ -268,9 +279,15 @@
             Whether to poll in addition to the regular polls, without waiting for a
             commit or for the end of a run.
         """
+        if immediate:
+            return await self._poll(clock, immediate)
+        await self._wait_for_commit()
+        await self._pause()
+        async with self._limit_contacts():
+            return await self._poll(clock, immediate)
+
+    async def _poll(self, clock: Clock, immediate: bool) -> PollResult:
         worker = self.worker
-        if not immediate:
-            await self._wait_for_commit()
         if self.closed:
             return PollResult(lost=LossReason.CLOSED)
         sent_ms = clock.monotonic_ms()
@@ -289,6 +306,9 @@
         # While a call waits at the worker, a new incarnation could list run ends with
         # the same numbers, so a call with an acknowledgement does not wait.
         wait_ms = 0 if immediate or acknowledged else self._wait_ms()
+        has_turn = wait_ms > 0 and self._take_turn()
+        if not has_turn:
+            wait_ms = 0
         call = RenewLeaseCall(worker.fence, acknowledged, until_ms, wait_ms)
         worker.poll_count += 1
         number = worker.poll_count
@@ -297,6 +317,8 @@
             result = await self._runners.renew_lease(worker, call)
         finally:
             self._pending_polls -= 1
+            if has_turn:
+                self._turns.give_back()
         now_ms = clock.monotonic_ms()
         is_successor = result.is_ok() and self._is_from_successor(result.ok)
         if is_successor:
@@ -367,6 +389,29 @@
             return 0
         return self._limits.wait_ms
 
+    def _take_turn(self) -> bool:
+        """Return whether a poll that would wait for the end of a run may do so."""
+        self._had_turn = self._turns.take(bool(self.worker.runs), self._had_turn)
+        self._must_pause = not self._had_turn
+        return self._had_turn
+
+    async def _pause(self) -> None:
+        """Wait after a poll that was not allowed to wait at the worker."""
+        if not self._must_pause or self.closed:
+            return
+        self._must_pause = False
+        if not self._new_acknowledgement():
+            pause_ms = self._turns.pause_ms(bool(self.worker.runs))
+            await asyncio.sleep(pause_ms / 1000)
+
+    def _limit_contacts(self) -> contextlib.AbstractAsyncContextManager:
+        """Return what bounds the polls at a time that may get no prompt reply."""
+        if self._failures:
+            return self._turns.retries
+        if not self.worker.listed:
+            return self._turns.first_polls
+        return contextlib.nullcontext()
+
     async def _wait_for_commit(self) -> None:
         uncommitted = self.worker.processed_sequence > self.worker.acknowledged_sequence
         if not uncommitted and not self._awaits_extension():
--- a/basilhold/workflows/worker_tracker.py
+++ b/basilhold/workflows/worker_tracker.py
@@ -382,7 +382,10 @@
         state = self._state
         # The worker rejects what is left of earlier links once this one has reached it.
         worker.fence = state.lease.take_fence()
-        link = WorkerLink(worker, state.ports.runners, state.lease, state.limits)
+        ports = state.ports
+        link = WorkerLink(
+            worker, ports.runners, state.lease, state.limits, ports.poll_turns
+        )
         link.on_poll = lambda look: self._apply_poll(link, look)
         link.on_silence = lambda: self._report_silence(worker)
         self._state.links[worker.worker_id] = link
