Acknowledge run ends whose changes are stored while others wait

A commit holds at most 90 rows. Ends of runs were acknowledged only after a commit that left no change to be stored. Under a steady load of more rows than that none was: each link then waited 800 ms for a commit, polled without an acknowledgement and without waiting for an end, and waited again, so that ends were noticed up to 800 ms late and leases were renewed less often.

Each change gets a number when it is marked. Changes are stored in that order, so the ends that were read by the time of a change can be acknowledged once no change up to that number waits. A commit notes only the links that have something to acknowledge or wait for a commit, in place of all of them.

--- a/basilhold/workflows/committer.py
+++ b/basilhold/workflows/committer.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import contextlib
+import math
+from collections import deque
 from collections.abc import Callable, Iterator
 from typing import NamedTuple
 
@@ -21,6 +23,7 @@
     progress_key,
     spec_key,
 )
+from basilhold.workflows.worker_link import WorkerLink
 
 __all__ = ["Committer"]
 
@@ -56,6 +59,23 @@
     chunk: int
 
 
+class _DirtyChunk(NamedTuple):
+    """A row of progress to be stored; `mark` numbers the changes in their order."""
+
+    workflow: Workflow
+    mark: int
+
+
+class _ProcessedEnds(NamedTuple):
+    """Last run end that each link has read by the time of a change of progress.
+
+    The effects of these ends are stored once all changes up to `mark` are.
+    """
+
+    mark: int
+    by_link: dict[WorkerLink, int]
+
+
 class _Batch(msgspec.Struct):
     """Contents of one commit.
 
@@ -92,7 +112,9 @@
     def __init__(self, state: OwnerState, send_start: Callable[[Placement], None]):
         self._state = state
         self._send_start = send_start
-        self._dirty: dict[_ProgressChunk, Workflow] = {}
+        self._dirty: dict[_ProgressChunk, _DirtyChunk] = {}
+        self._last_mark = 0
+        self._unacknowledged: deque[_ProcessedEnds] = deque()
         self._starts: list[Placement] = []
         self._sent_ms: float | None = None
         self._lock = asyncio.Lock()
@@ -108,7 +130,10 @@
     def mark_dirty(self, workflow: Workflow) -> None:
         """Mark a workflow's changed progress to be stored with the next commit."""
         for chunk in workflow.take_changed_chunks():
-            self._dirty[_ProgressChunk(workflow.job_id, chunk)] = workflow
+            key = _ProgressChunk(workflow.job_id, chunk)
+            if key not in self._dirty:
+                self._last_mark += 1
+                self._dirty[key] = _DirtyChunk(workflow, self._last_mark)
         self._wake.set()
 
     def start_after_commit(self, placement: Placement) -> None:
@@ -153,7 +178,8 @@
         batch = _Batch()
         limits = self._state.limits
         size = self._add_ledger_changes(batch)
-        for key, workflow in list(self._dirty.items()):
+        for key, dirty in list(self._dirty.items()):
+            workflow = dirty.workflow
             try:
                 value = workflow.encode(key.chunk, limits.row_bytes_max)
             except Exception as error:
@@ -194,13 +220,11 @@
     async def _commit_batch(self) -> None:
         self._wake.clear()
         batch = self._collect_batch()
-        is_complete = not self._dirty
         unstored = {key.job_id for key in self._dirty}
         starts = [p for p in self._starts if p.step.workflow.job_id not in unstored]
         self._starts = [p for p in self._starts if p.step.workflow.job_id in unstored]
-        processed_by_link = {
-            link: link.worker.processed_sequence for link in self._state.links.values()
-        }
+        self._note_processed_ends()
+        first_unstored = self._first_unstored()
         begin_ms = self._sent_ms = self._state.clock.monotonic_ms()
         outcome = await self._state.lease.commit(batch.writes)
         self._sent_ms = None
@@ -215,12 +239,31 @@
             self._state.ledger_stored.set()
         for placement in starts:
             self._send_start(placement)
-        if is_complete:
-            for link, processed in processed_by_link.items():
-                link.acknowledge(processed)
+        self._acknowledge_stored_ends(first_unstored)
         if self._dirty:
             self._wake.set()
 
+    def _note_processed_ends(self) -> None:
+        """Note up to which end each link has read, with the last change until now."""
+        processed = {
+            link: link.worker.processed_sequence
+            for link in self._state.links.values()
+            if link.awaits_acknowledgement()
+        }
+        self._unacknowledged.append(_ProcessedEnds(self._last_mark, processed))
+
+    def _first_unstored(self) -> float:
+        """Return the mark of the oldest change that no commit contains so far."""
+        # Chunks are stored in the order in which they were marked.
+        dirty = next(iter(self._dirty.values()), None)
+        return dirty.mark if dirty is not None else math.inf
+
+    def _acknowledge_stored_ends(self, first_unstored: float) -> None:
+        """Acknowledge the ends whose effects were stored by the last commit."""
+        while self._unacknowledged and self._unacknowledged[0].mark < first_unstored:
+            for link, processed in self._unacknowledged.popleft().by_link.items():
+                link.acknowledge(processed)
+
     async def delete_expired(self) -> None:
         """Delete the rows of workflows that ended long ago, until cancelled.
 
--- a/basilhold/workflows/worker_link.py
+++ b/basilhold/workflows/worker_link.py
@@ -241,6 +241,17 @@
         """
         return until_ms + self._limits.any_lease_expiry_ms()
 
+    def awaits_acknowledgement(self) -> bool:
+        """Return whether ends were read that may not be discarded, or the link waits.
+
+        It may wait for a commit without the worker among the silent ones.
+        """
+        worker = self.worker
+        return (
+            worker.processed_sequence > worker.acknowledged_sequence
+            or not self._may_extend()
+        )
+
     def acknowledge(self, processed: int) -> None:
         """Allow the worker to discard run ends up to a number.
 
