Read many registrations from the feed, and bound polls of silent workers

An owner reads the registrations of all services every 700 ms: 4,320 of them are nine pages in sequence, each row is decoded again, and 1,002 are three pages. Beyond 500 registrations, which fill more than a page, three of four reads now get the changes from the feed. Every fourth scans all rows, should the feed have left out a change, as does one after a gap or when a row was both deleted and written. Rows of unchanged version are not decoded again. Up to 500 registrations, each read scans as before.

The choice of the machine for a query of advice sorts all members by a hash, which is computed once for each member now. Polls that wait get 0.75 of the poll connections, and polls of silent workers at most 0.6 of the rest, up to 200: on a machine with 1,638 descriptors they could hold all connections that acknowledgements need.

--- a/basilhold/platform/connection_limits.py
+++ b/basilhold/platform/connection_limits.py
@@ -23,9 +23,17 @@
 ADVICE_CONNECTIONS = 32
 """The advice service handles one query of each machine at a time."""
 
-WAITING_SHARE = 0.85
-"""Share of the poll connections for polls that wait. Acknowledgements and the polls of
-workers that take turns use the rest."""
+WAITING_SHARE = 0.75
+"""Share of the poll connections for polls that wait. Acknowledgements, first polls, the
+polls of silent workers and those of workers that take turns use the rest."""
+
+UNANSWERED_SHARE = 0.6
+"""Share of that rest for polls of silent workers. Each of them holds a connection until
+its timeout."""
+
+UNANSWERED_MAX = 200
+"""Most polls of silent workers at a time on any machine. A deployment of 176 workers
+that are all silent needs no more."""
 
 MINIMUM = 8
 """Least number of connections of a kind, whatever the settings say."""
@@ -44,6 +52,8 @@
         To workers, for polls.
     waiting_polls : int
         Most of the polls that may wait at their workers at a time.
+    unanswered_polls : int
+        Most of the polls of silent workers at a time.
     commands : int
         To workers, for starts, stops and changes of pace.
     store, peers, advice : int
@@ -51,6 +61,7 @@
 
     polls: int
     waiting_polls: int
+    unanswered_polls: int
     commands: int
     store: int
     peers: int
@@ -64,7 +75,7 @@
         --------
         >>> limits = ConnectionLimits.for_descriptors(4_100)
         >>> limits.polls, limits.waiting_polls, limits.commands, limits.store
-        (1606, 1365, 585, 351)
+        (1606, 1204, 585, 351)
         """
         outgoing = int(OUTGOING_SHARE * max(0, descriptors - DESCRIPTORS_RESERVED))
         commands = max(MINIMUM, int(COMMANDS_SHARE * outgoing))
@@ -73,7 +84,9 @@
         advice = min(ADVICE_CONNECTIONS, max(MINIMUM, outgoing // 20))
         polls = max(MINIMUM, outgoing - commands - store - peers - advice)
         waiting = int(WAITING_SHARE * polls)
-        return cls(polls, waiting, commands, store, peers, advice)
+        unanswered = int(UNANSWERED_SHARE * (polls - waiting))
+        unanswered = max(1, min(UNANSWERED_MAX, unanswered))
+        return cls(polls, waiting, unanswered, commands, store, peers, advice)
 
     @property
     def total(self) -> int:
--- a/basilhold/platform/node.py
+++ b/basilhold/platform/node.py
@@ -192,7 +192,7 @@
             PlatformRunnerClient(
                 self._make_pool(limits.commands), self._make_pool(limits.polls)
             ),
-            PlatformWorkerRegistry(store),
+            PlatformWorkerRegistry(store, store),
             advice_balancer,
             self._clock,
             shared_time,
@@ -200,7 +200,7 @@
             self._tenants,
             self._services,
             PeerQuotaExchange(lambda: self.ownership_manager, peers),
-            poll_turns=PollTurns(limits.waiting_polls),
+            poll_turns=PollTurns(limits.waiting_polls, limits.unanswered_polls),
         )
         self._configuration = ConfigurationWatch(
             store,
--- a/basilhold/platform/runners.py
+++ b/basilhold/platform/runners.py
@@ -3,6 +3,7 @@
 A runner is the agent on a worker that executes tasks.
 """
 
+import asyncio
 import math
 import re
 from ipaddress import ip_address
@@ -25,7 +26,7 @@
     WorkerId,
     decode_json,
 )
-from basilhold.ports import TableService
+from basilhold.ports import ChangeFeed, Row, TableService
 from basilhold.ports.runners import (
     Admission,
     AdviceService,
@@ -71,6 +72,16 @@
 ADVICE_TIMEOUT_MS = 3_500
 """The advice service handles one request of each machine at a time; others queue."""
 
+REGISTRATIONS_PREFIX = "servers//"
+
+SCAN_ROWS_MAX = 500
+"""Registrations up to which each read scans them, in one page. 4,320 of them take nine
+pages and 1.7 MB, which an owner reads every 700 ms."""
+
+SCAN_EVERY_READS = 4
+"""Every so many reads of more registrations scan them, should the feed have left out a
+change: a worker that leaves must get no new work after 3 s."""
+
 BYTES_PER_MIB = 1 << 20
 PORT_MAX = 65_535
 MILLI_GPUS_PER_GPU = 1_000
@@ -404,17 +415,36 @@
     born: Count = 0
 
 
+class _Registered(msgspec.Struct, frozen=True):
+    """A decoded registration; `info` is ``None`` if the row cannot be used."""
+
+    version: int
+    service: str
+    info: WorkerInfo | None
+
+
 class PlatformWorkerRegistry(WorkerRegistry):
     """Registrations of runners in the store.
 
+    If they fill more than a page, the rows are scanned at every few reads only, and the
+    reads in between get the changes from the feed.
+
     Parameters
     ----------
     table : TableService
         Table service of the store.
+    feed : ChangeFeed
+        Change feed of the store.
     """
 
-    def __init__(self, table: TableService):
+    def __init__(self, table: TableService, feed: ChangeFeed):
         self._table = table
+        self._feed = feed
+        self._rows: dict[str, Row] = {}
+        self._decoded: dict[str, _Registered] = {}
+        self._version = 0
+        self._reads_since_scan = 0
+        self._lock = asyncio.Lock()
 
     async def read(self) -> Result[dict[WorkerId, tuple[str, WorkerInfo]], str]:
         """Return the service and the registration of each usable runner.
@@ -426,20 +456,65 @@
         Result of (dict, str)
             Service name and `WorkerInfo` by worker id, or why the scan failed.
         """
-        scanned = await scan_once(self._table, "servers//")
-        if scanned.is_error():
-            return Error(scanned.error.reason)
-        registrations = {}
-        for row in scanned.ok[0]:
-            worker_id = WorkerId(row.key.split("/", 2)[2])
-            registration = _decode_registration(row.value)
-            # The id is sent as a header of each call, so it must be printable ASCII.
-            if registration is not None and _WORKER_ID.fullmatch(worker_id):
-                registrations[worker_id] = (
-                    registration.service,
-                    _make_worker_info(worker_id, registration),
-                )
-        return Ok(registrations)
+        # Owners of several services in this process share the rows.
+        async with self._lock:
+            if not await self._apply_changes():
+                scanned = await scan_once(self._table, REGISTRATIONS_PREFIX)
+                if scanned.is_error():
+                    return Error(scanned.error.reason)
+                rows, self._version = scanned.ok
+                self._rows = {row.key: row for row in rows}
+                self._reads_since_scan = 0
+            self._decode_rows()
+        return Ok(
+            {
+                entry.info.worker_id: (entry.service, entry.info)
+                for entry in self._decoded.values()
+                if entry.info is not None
+            }
+        )
+
+    async def _apply_changes(self) -> bool:
+        """Apply the changes since the last read; return false if a scan is due."""
+        self._reads_since_scan += 1
+        is_due = self._reads_since_scan >= SCAN_EVERY_READS
+        if is_due or len(self._rows) <= SCAN_ROWS_MAX or self._version <= 0:
+            return False
+        result = await self._feed.changes(REGISTRATIONS_PREFIX, self._version, 0)
+        if result.is_error() or not result.ok.complete:
+            return False
+        changes = result.ok
+        if not {row.key for row in changes.rows}.isdisjoint(changes.deleted):
+            # Whether a row was deleted first or last is not known.
+            return False
+        self._version = changes.version
+        for row in changes.rows:
+            known = self._rows.get(row.key)
+            if known is None or row.version > known.version:
+                self._rows[row.key] = row
+        for key in changes.deleted:
+            self._rows.pop(key, None)
+        return True
+
+    def _decode_rows(self) -> None:
+        """Decode the rows whose versions have changed."""
+        decoded: dict[str, _Registered] = {}
+        for key, row in self._rows.items():
+            known = self._decoded.get(key)
+            if known is None or known.version != row.version:
+                known = _decode_row(row)
+            decoded[key] = known
+        self._decoded = decoded
+
+
+def _decode_row(row: Row) -> _Registered:
+    worker_id = WorkerId(row.key.split("/", 2)[2])
+    registration = _decode_registration(row.value)
+    # The id is sent as a header of each call, so it must be printable ASCII.
+    if registration is None or not _WORKER_ID.fullmatch(worker_id):
+        return _Registered(row.version, "", None)
+    info = _make_worker_info(worker_id, registration)
+    return _Registered(row.version, registration.service, info)
 
 
 def _decode_registration(value: bytes) -> _RegistrationBody | None:
--- a/basilhold/workflows/advice_balancer.py
+++ b/basilhold/workflows/advice_balancer.py
@@ -82,6 +82,7 @@
         self._idle_at_ms: dict[str, float] = {}
         self._paused_until_ms: dict[str, float] = {}
         self._extra_delay_ms: dict[str, float] = {}
+        self._tie_breaks: dict[str, int] = {}
 
     def is_available(self, policy: QueuePolicy, worker_count: int) -> bool:
         """Return whether a query sent now would queue for at most `BACKLOG_MAX_MS`."""
@@ -153,11 +154,12 @@
         is_long = answer_ms > LONG_QUERY_MS
         shared, quick_only = members[:split], members[split:]
         best, best_ms = self._own_endpoint, float("inf")
+        shared_endpoints = {member.endpoint for member in shared}
         for member in sorted(shared if is_long else members, key=self._tie_break):
             expected_ms = max(now_ms, self._idle_at_ms.get(member.endpoint, 0.0))
             expected_ms += self._round_trip_ms(member)
             expected_ms += self._decayed_delay_ms(member.endpoint, now_ms)
-            if quick_only and not is_long and member in shared:
+            if quick_only and not is_long and member.endpoint in shared_endpoints:
                 # Quick queries avoid machines that may process other owners' long ones.
                 expected_ms += OTHER_REGION_PENALTY_MS
             if expected_ms < best_ms:
@@ -166,9 +168,13 @@
 
     def _tie_break(self, member: Member) -> int:
         """Return a sort key of equally fast machines that differs between owners."""
-        return xxhash.xxh32_intdigest(
-            f"{self._own_endpoint} {member.endpoint}".encode()
-        )
+        endpoint = member.endpoint
+        digest = self._tie_breaks.get(endpoint)
+        if digest is None:
+            name = f"{self._own_endpoint} {endpoint}"
+            digest = xxhash.xxh32_intdigest(name.encode())
+            self._tie_breaks[endpoint] = digest
+        return digest
 
     def _decayed_delay_ms(self, endpoint: str, now_ms: float) -> float:
         """Return a machine's extra delay, which decays while it is not used."""
--- a/basilhold/workflows/poll_turns.py
+++ b/basilhold/workflows/poll_turns.py
@@ -25,9 +25,9 @@
 """First polls at a time. Each one opens a connection. When an owner of 2,160 workers
 opened all at once, the polls timed out before their replies were handled."""
 
-RETRIES_MAX = 100
-"""Polls of workers without a reply to the last one at a time, apart from other polls.
-They usually last until their timeout."""
+UNANSWERED_MAX = 200
+"""Polls of workers without a reply to the last one at a time, by default. They usually
+last until their timeout."""
 
 
 class PollTurns:
@@ -37,6 +37,8 @@
     ----------
     waiting_max : int, optional
         Most polls that wait at a time; no limit by default.
+    unanswered_max : int
+        Most polls at a time of workers that did not reply to the last one.
 
     Attributes
     ----------
@@ -48,13 +50,15 @@
         To be held by the first poll of a worker, and by one after a failed poll.
     """
 
-    def __init__(self, waiting_max: int | None = None):
+    def __init__(
+        self, waiting_max: int | None = None, unanswered_max: int = UNANSWERED_MAX
+    ):
         self._waiting_max = waiting_max
         self._passed_over = 0
         self.waiting = 0
         self.refused = 0
         self.first_polls = asyncio.Semaphore(FIRST_POLLS_MAX)
-        self.retries = asyncio.Semaphore(RETRIES_MAX)
+        self.retries = asyncio.Semaphore(unanswered_max)
 
     def take(self, is_busy: bool, had_turn: bool) -> bool:
         """Return whether a poll may wait; `give_back` has to be called after it.
