--- a/basilhold/testing/workflow_cell.py
+++ b/basilhold/testing/workflow_cell.py
@@ -54,6 +54,7 @@
     SubmitReply,
     SubmitRequest,
 )
+from basilhold.workflows.poll_turns import PollTurns
 from basilhold.workflows.pool import WorkerInfo
 from basilhold.workflows.quota_exchange import QuotaReply, QuotaRequest
 from basilhold.workflows.relayed_table import RelayedTable
@@ -317,6 +318,7 @@
             lambda: cell.services,
             PeerQuotaExchange(lambda: self.ownership_manager, peers),
             cell.allotment_policy,
+            poll_turns=PollTurns(cell.waiting_polls_max),
         )
         self.ownership_manager = OwnershipManager(
             ports,
@@ -381,6 +383,8 @@
         Longest lease that a worker grants, in milliseconds.
     table : FeedTable, optional
         The store; by default one with `store_faults`.
+    waiting_polls_max : int, optional
+        Most polls of a process that wait at workers; no limit by default.
 
     Attributes
     ----------
@@ -408,7 +412,9 @@
         clock_step_ms: float = 0.0,
         lease_limit_ms: float = LEASE_MS,
         table: FeedTable | None = None,
+        waiting_polls_max: int | None = None,
     ):
+        self.waiting_polls_max = waiting_polls_max
         self.services = services
         self.tenants = tenants
         self.allotment_policy = allotment_policy or DemandPolicy()
