Order steps by the tenants' due shares while capacity is short

Change: `TenantShareOrder` keeps the order by latest start while all steps are expected to start in time. Otherwise it puts the work of tenants below their due share first (weighted max-min fairness of dominant shares; use is charged now and, with decay, after its end) and work that is expected to be late last within its rank. It applies where the settings list `pressure` among their `contracts`; all others keep `DeadlineOrder`. Weights that are not positive numbers, and missing quotas, no longer invalidate a configuration: they get a default and one log line (6075).

--- a/basilhold/platform/bodies.py
+++ b/basilhold/platform/bodies.py
@@ -1,5 +1,7 @@
 """Decoders of submitted jobs and of the operator's configuration document."""
 
+import math
+
 import msgspec
 from expression import Error, Ok, Result
 
@@ -102,12 +104,15 @@
 
 
 class _TenantBody(msgspec.Struct):
-    """A tenant with its API keys; `max_count` is its quota."""
+    """A tenant with its API keys; `max_count` is its quota.
+
+    A weight that is not a number and a missing quota do not invalidate the document.
+    """
 
     name: str
     api_keys: tuple[str, ...] = ()
-    weight: float = 1.0
-    max_count: _QuotaBody = msgspec.field(default_factory=_QuotaBody)
+    weight: object = 1.0
+    max_count: _QuotaBody | None = None
 
 
 class _ServiceBody(msgspec.Struct):
@@ -168,14 +173,24 @@
 
 
 def _make_tenant(body: _TenantBody) -> Tenant:
-    quota = body.max_count
+    quota = body.max_count or _QuotaBody()
     return Tenant(
         TenantName(body.name),
-        body.weight,
+        _make_weight(body.weight),
         _make_size(quota.cpu, quota.mem_mb, quota.gpu),
     )
 
 
+def _make_weight(weight: object) -> float:
+    """Return a weight; NaN for what is not a number."""
+    if isinstance(weight, bool) or not isinstance(weight, int | float):
+        return math.nan
+    try:
+        return float(weight)
+    except OverflowError:
+        return math.inf
+
+
 def _make_size(cpu: int, mem_mb: int, gpu: int) -> Resources:
     return Resources(cpu, mem_mb * BYTES_PER_MIB, gpu * MILLI_GPUS_PER_GPU)
 
--- a/basilhold/platform/node.py
+++ b/basilhold/platform/node.py
@@ -56,9 +56,14 @@
 from basilhold.workflows.relayed_table import RelayedTable
 from basilhold.workflows.rows import Incarnation
 from basilhold.workflows.shared_time import SharedTime
+from basilhold.workflows.step_order import (
+    DeadlineOrder,
+    StepOrder,
+    TenantShareOrder,
+)
 from basilhold.workflows.worker_link import LEASE_MAX_MS, OwnerLimits
 
-__all__ = ["LogMetrics", "NodeDaemon", "main"]
+__all__ = ["LogMetrics", "NodeDaemon", "choose_step_order", "main"]
 
 EXCHANGES_MAX = 600
 """Limit of concurrent HTTP exchanges. Each worker takes up one, a long poll that waits
@@ -101,6 +106,9 @@
 
 CLOCK_ADJUST_INTERVAL_MS = 1_000
 
+PRESSURE_CONTRACT = "pressure"
+"""Name of the contract under which tenants share capacity that is too small."""
+
 
 class BootClock(SuspendAwareClock):
     """The kernel's boot-time clock, which includes the time of suspension."""
@@ -190,6 +198,7 @@
             self._tenants,
             self._services,
             PeerQuotaExchange(lambda: self.ownership_manager, peers),
+            step_order=choose_step_order(settings),
         )
         self._configuration = ConfigurationWatch(
             store,
@@ -366,6 +375,13 @@
             self._clock.adjust(int(time.time() * 1000))
 
 
+def choose_step_order(settings: PlatformSettings) -> StepOrder:
+    """Return the order in which steps get capacity."""
+    if PRESSURE_CONTRACT in settings.contracts:
+        return TenantShareOrder()
+    return DeadlineOrder()
+
+
 def _small_machine_delay_ms(settings: PlatformSettings) -> float:
     """Return how long a small machine delays its claims of ownership, in milliseconds.
 
--- a/basilhold/platform/settings.py
+++ b/basilhold/platform/settings.py
@@ -95,6 +95,8 @@
         of the store.
     advice : str
         ``host:port`` of the advice service; if empty, the store's address is used.
+    contracts : tuple of str
+        Names of agreements that the deployment is run under; unknown ones are ignored.
     """
 
     node: str
@@ -107,6 +109,7 @@
     limits: _Limits = msgspec.field(default_factory=_Limits)
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
     advice: str = ""
+    contracts: tuple[str, ...] = ()
 
     @property
     def row_bytes_max(self) -> int:
--- a/basilhold/platform/tests/test_bodies.py
+++ b/basilhold/platform/tests/test_bodies.py
@@ -6,8 +6,11 @@
 
 from basilhold.core import Resources
 from basilhold.platform.bodies import decode_configuration, decode_workflow
+from basilhold.platform.node import choose_step_order
 from basilhold.platform.settings import read_settings
+from basilhold.tenants import is_valid_weight
 from basilhold.workflows.model import QueuePolicy
+from basilhold.workflows.step_order import DeadlineOrder, TenantShareOrder
 
 POLICY = QueuePolicy("q", "desk")
 
@@ -106,6 +109,21 @@
         self.assertEqual(table.tenants.get("south").quota, Resources())
         self.assertEqual(len(table.tenants), 2)
 
+    def test_tenants_with_damaged_weights_or_without_quota_are_decoded(self):
+        # Such a version must not keep the corrections beside it from being applied.
+        weights = [b"null", b'"much"', b"[]", b"true", b"-3", b"0", b"1" * 400]
+        tenants = b",".join(
+            b'{"name":"t%d","weight":%b,"max_count":null}' % (number, weight)
+            for number, weight in enumerate(weights)
+        )
+        table = decode_configuration(
+            b'{"version":7,"routes":[],"services":[],"tenants":[' + tenants + b"]}"
+        )
+        self.assertEqual(len(table.tenants), len(weights))
+        for tenant in table.tenants:
+            self.assertFalse(is_valid_weight(tenant.weight), tenant)
+            self.assertEqual(tenant.quota, Resources())
+
     def test_error_about_damaged_tenants_contains_no_key(self):
         value = (
             b'{"version":7,"routes":[],"services":[],"tenants":[{"name":"north",'
@@ -122,6 +140,10 @@
             settings = read_settings(str(path)).ok
             self.assertEqual(settings.port_range, (7380, 7395))
             self.assertEqual(settings.bounds.hold_max_ms, 6_000)
+            self.assertIsInstance(choose_step_order(settings), DeadlineOrder)
+            path.write_text('contracts = ["other", "pressure"]\n' + SETTINGS)
+            settings = read_settings(str(path)).ok
+            self.assertIsInstance(choose_step_order(settings), TenantShareOrder)
             path.write_text('node = "x"\n')
             self.assertIn("missing required field", read_settings(str(path)).error)
             self.assertTrue(read_settings(str(path.with_name("none"))).error)
--- a/basilhold/tenants/__init__.py
+++ b/basilhold/tenants/__init__.py
@@ -19,10 +19,30 @@
     TenantRegistry,
     digest_key,
 )
+from basilhold.tenants.shares import (
+    DEFAULT_WEIGHT,
+    Amounts,
+    TenantDemand,
+    TenantShares,
+    amounts_of,
+    dominant_share,
+    due_level,
+    is_valid_weight,
+    share_weights,
+)
 from basilhold.tenants.submission_rate import SubmissionRates
 from basilhold.tenants.usage import TenantUsage
 
 __all__ = [
+    "DEFAULT_WEIGHT",
+    "Amounts",
+    "TenantDemand",
+    "TenantShares",
+    "amounts_of",
+    "dominant_share",
+    "due_level",
+    "is_valid_weight",
+    "share_weights",
     "NO_TENANT",
     "KeyDigest",
     "AllotmentLedger",
--- a/basilhold/tenants/quota_book.py
+++ b/basilhold/tenants/quota_book.py
@@ -18,6 +18,7 @@
 )
 from basilhold.tenants.allotments import NOTHING, WHOLE, AllotmentLedger, Parts
 from basilhold.tenants.registry import NO_TENANT, TenantName, TenantRegistry
+from basilhold.tenants.shares import DEFAULT_WEIGHT, TenantShares, share_weights
 from basilhold.tenants.usage import TenantUsage
 
 __all__ = ["BlockedDemand", "QuotaBook", "TenantRequest"]
@@ -96,6 +97,8 @@
         ``None`` until it has been read from the store. Nothing may start until then.
     blocked : dict of TenantName to BlockedDemand
         What the last planning pass could not start for lack of quota.
+    shares : TenantShares
+        What each tenant uses, now and in the last seconds.
     """
 
     def __init__(self, usage: TenantUsage, policy: AllotmentPolicy):
@@ -104,17 +107,23 @@
         self._peaks: dict[TenantName, _Peak] = {}
         self._blocked_since_ms: dict[TenantName, float] = {}
         self._reported_ms: dict[TenantName, float] = {}
+        self.shares = TenantShares(usage)
+        self._weights: dict[TenantName, float] = {}
+        self._default_weight = DEFAULT_WEIGHT
         self.registry: TenantRegistry | None = None
         self.ledger: AllotmentLedger | None = None
         self.blocked: dict[TenantName, BlockedDemand] = {}
 
-    def update_registry(self, registry: TenantRegistry | None) -> None:
-        """Apply the tenants of the newest configuration."""
+    def update_registry(self, registry: TenantRegistry | None) -> bool:
+        """Apply the tenants of the newest configuration; return whether it is new."""
         if registry is self.registry:
-            return
+            return False
         self.registry = registry
+        self._weights = share_weights(registry)
+        self._default_weight = min([DEFAULT_WEIGHT, *self._weights.values()])
         if self.ledger is not None:
             self._note_quotas()
+        return True
 
     def open(self, ledger: AllotmentLedger) -> None:
         """Set the ledger that was read from the store."""
@@ -136,6 +145,14 @@
             return tenant.quota
         return self.ledger.last_quota(name) if self.ledger else Resources()
 
+    def weight(self, name: TenantName) -> float:
+        """Return a valid weight of a tenant.
+
+        A tenant that was removed, or has no valid weight, gets a default that is at
+        most the lowest one.
+        """
+        return self._weights.get(name, self._default_weight)
+
     def used(self, name: TenantName) -> Resources:
         """Return what the tenant's runs in this service use."""
         return self._usage.used(name)
--- /dev/null
+++ b/basilhold/tenants/shares.py
@@ -0,0 +1,224 @@
+"""What each tenant uses of the capacity, and what it is due while there is too little.
+
+`TenantShares` keeps the use of each tenant, decayed over the last seconds. `due_level`
+divides capacity among the tenants by weighted max-min fairness of dominant shares.
+"""
+
+import math
+from collections.abc import Iterable
+
+import msgspec
+
+from basilhold.core import Resources
+from basilhold.tenants.registry import NO_TENANT, TenantName, TenantRegistry
+from basilhold.tenants.usage import TenantUsage
+
+__all__ = [
+    "DEFAULT_WEIGHT",
+    "Amounts",
+    "TenantDemand",
+    "TenantShares",
+    "amounts_of",
+    "dominant_share",
+    "due_level",
+    "is_valid_weight",
+    "share_weights",
+]
+
+DEFAULT_WEIGHT = 1.0
+"""Weight of a tenant whose configured weight cannot be used."""
+
+WEIGHT_MIN, WEIGHT_MAX = 1e-6, 1e6
+"""Bounds of a weight in the division, which keep quotients finite."""
+
+USE_DECAY_MS = 4_000.0
+"""Time in which the recorded use of a tenant decays to 1/e. It spans several quick
+jobs, and a tenant that has ended a burst is charged for it for some seconds only."""
+
+NEGLIGIBLE = 0.01
+"""Recent use below this is forgotten: thousandths of cores or GPUs, or bytes."""
+
+Amounts = tuple[float, float, float]
+"""Thousandths of cores, bytes of memory, and thousandths of GPUs."""
+
+NO_AMOUNTS: Amounts = (0.0, 0.0, 0.0)
+
+
+def amounts_of(size: Resources) -> Amounts:
+    """Return the components of a size."""
+    return (
+        float(size.cores_milli),
+        float(size.memory_bytes),
+        float(size.gpus_milli),
+    )
+
+
+def dominant_share(amounts: Amounts, capacity: Amounts) -> float:
+    """Return the largest share of any resource that there is any of.
+
+    Examples
+    --------
+    >>> dominant_share((500.0, 10.0, 0.0), (1_000.0, 100.0, 0.0))
+    0.5
+    """
+    return max(
+        (a / c for a, c in zip(amounts, capacity, strict=True) if c > 0), default=0.0
+    )
+
+
+def is_valid_weight(weight: float) -> bool:
+    """Return whether a configured weight can be used."""
+    return math.isfinite(weight) and weight > 0
+
+
+def share_weights(registry: TenantRegistry | None) -> dict[TenantName, float]:
+    """Return the weight of each tenant, with a default for those that are not valid.
+
+    The default is `DEFAULT_WEIGHT`, and at most the lowest valid weight, so that a
+    mistake in the configuration takes nothing from the other tenants.
+
+    Examples
+    --------
+    >>> from basilhold.tenants.registry import Tenant
+    >>> tenants = [Tenant(TenantName("a"), 0.5), Tenant(TenantName("b"), -1.0)]
+    >>> share_weights(TenantRegistry((tenant, ()) for tenant in tenants))
+    {'a': 0.5, 'b': 0.5}
+    """
+    weights = {tenant.name: tenant.weight for tenant in registry or ()}
+    valid = {
+        name: min(max(weight, WEIGHT_MIN), WEIGHT_MAX)
+        for name, weight in weights.items()
+        if is_valid_weight(weight)
+    }
+    default = min(DEFAULT_WEIGHT, *valid.values()) if valid else DEFAULT_WEIGHT
+    return {name: valid.get(name, default) for name in weights}
+
+
+class TenantDemand(msgspec.Struct, frozen=True):
+    """What a tenant could use of the capacity now.
+
+    Parameters
+    ----------
+    weight : float
+    amounts : tuple of float
+        Resources of its runs and of its waiting tasks.
+    share : float
+        Dominant share of `amounts`.
+    elsewhere : float
+        Share that it uses in other services.
+    """
+
+    weight: float
+    amounts: Amounts
+    share: float
+    elsewhere: float = 0.0
+
+
+def due_level(demands: Iterable[TenantDemand], capacity: Amounts) -> float:
+    """Return the dominant share for each unit of weight up to which tenants are served.
+
+    A tenant whose demand is below its weight times this level gets its demand. What it
+    leaves is divided among the others. The level is infinite if all get their demand.
+
+    Examples
+    --------
+    >>> small = TenantDemand(1.0, (100.0, 0.0, 0.0), 0.1)
+    >>> large = TenantDemand(1.0, (5_000.0, 0.0, 0.0), 5.0)
+    >>> round(due_level([small, large], (1_000.0, 0.0, 0.0)), 6)
+    0.9
+    >>> due_level([small], (1_000.0, 0.0, 0.0))
+    inf
+    """
+    events: list[tuple[float, Amounts]] = []
+    for demand in demands:
+        if demand.share <= 0:
+            continue
+        cores, memory, gpus = demand.amounts
+        rate = demand.weight / demand.share
+        slope = (cores * rate, memory * rate, gpus * rate)
+        begin = demand.elsewhere / demand.weight
+        events.append((begin, slope))
+        end = begin + demand.share / demand.weight
+        events.append((end, (-slope[0], -slope[1], -slope[2])))
+    events.sort()
+    level, used, slopes = 0.0, [0.0] * 3, [0.0] * 3
+    for at, change in events:
+        full = min(
+            (
+                level + max(0.0, capacity[i] - used[i]) / slopes[i]
+                for i in range(3)
+                if capacity[i] > 0 and slopes[i] > 1e-9 * capacity[i]
+            ),
+            default=math.inf,
+        )
+        if full < at:
+            return full
+        for i in range(3):
+            used[i] += slopes[i] * (at - level)
+            slopes[i] += change[i]
+        level = at
+    return math.inf
+
+
+class TenantShares:
+    """Use of the tenants in one service, now and in the last seconds.
+
+    Parameters
+    ----------
+    usage : TenantUsage
+        What the runs of the service use.
+    """
+
+    def __init__(self, usage: TenantUsage):
+        self._usage = usage
+        self._recent: dict[TenantName, Amounts] = {}
+        self._held: dict[TenantName, Amounts] = {}
+        self._updated_ms: float | None = None
+
+    def observe(self, now_ms: float) -> None:
+        """Update the recent use; called regularly and before each planning pass.
+
+        Parameters
+        ----------
+        now_ms : float
+            Time of the store's clock, in milliseconds. Nothing decays while it stands
+            or is set back.
+        """
+        if self._updated_ms is not None:
+            kept = math.exp(-max(0.0, now_ms - self._updated_ms) / USE_DECAY_MS)
+            for name in {*self._recent, *self._held}:
+                recent = self._recent.get(name, NO_AMOUNTS)
+                held = self._held.get(name, NO_AMOUNTS)
+                self._set_recent(name, _mixed(recent, held, kept))
+        self._updated_ms = now_ms
+        self._held = {
+            name: amounts_of(self._usage.used(name)) for name in self._usage.tenants()
+        }
+
+    def _set_recent(self, name: TenantName, amounts: Amounts) -> None:
+        if max(amounts) < NEGLIGIBLE:
+            self._recent.pop(name, None)
+        else:
+            self._recent[name] = amounts
+
+    def tenants(self) -> set[TenantName]:
+        """Return the tenants that use anything or did so in the last seconds."""
+        return {*self._recent, *self._usage.tenants()}
+
+    def charged(self, name: TenantName) -> Amounts:
+        """Return what a tenant is charged: its use now, or its recent use if higher."""
+        if name == NO_TENANT:
+            return NO_AMOUNTS
+        cores, memory, gpus = amounts_of(self._usage.used(name))
+        recent = self._recent.get(name, NO_AMOUNTS)
+        return (max(cores, recent[0]), max(memory, recent[1]), max(gpus, recent[2]))
+
+
+def _mixed(first: Amounts, second: Amounts, weight: float) -> Amounts:
+    """Return the mean of two amounts with a weight of the first one."""
+    other = 1.0 - weight
+    return (
+        first[0] * weight + second[0] * other,
+        first[1] * weight + second[1] * other,
+        first[2] * weight + second[2] * other,
+    )
--- a/basilhold/testing/workflow_cell.py
+++ b/basilhold/testing/workflow_cell.py
@@ -57,6 +57,7 @@
 from basilhold.workflows.relayed_table import RelayedTable
 from basilhold.workflows.rows import Incarnation
 from basilhold.workflows.shared_time import SharedTime
+from basilhold.workflows.step_order import DeadlineOrder, StepOrder
 from basilhold.workflows.worker_link import OwnerLimits
 
 __all__ = ["SERVICE", "WorkflowCell", "WorkflowProcess", "make_spec"]
@@ -299,6 +300,7 @@
             lambda: cell.services,
             PeerQuotaExchange(lambda: self.ownership_manager, peers),
             cell.allotment_policy,
+            cell.step_order,
         )
         self.ownership_manager = OwnershipManager(
             ports,
@@ -355,6 +357,8 @@
         clock. Replies to a poll and to a start may then arrive within one step.
     lease_limit_ms : float
         Longest lease that a worker grants, in milliseconds.
+    step_order : StepOrder, optional
+        By default that of deadlines.
 
     Attributes
     ----------
@@ -378,10 +382,12 @@
         allotment_policy: AllotmentPolicy | None = None,
         clock_step_ms: float = 0.0,
         lease_limit_ms: float = LEASE_MS,
+        step_order: StepOrder | None = None,
     ):
         self.services = services
         self.tenants = tenants
         self.allotment_policy = allotment_policy or DemandPolicy()
+        self.step_order = step_order or DeadlineOrder()
         self._tenants_version = 0
         self.quotas_in_force = {tenant.name: tenant.quota for tenant in tenants or ()}
         self.relays = relays
--- a/basilhold/workflow_trials/variants.py
+++ b/basilhold/workflow_trials/variants.py
@@ -4,7 +4,11 @@
 from contextlib import contextmanager
 from unittest.mock import patch
 
-from basilhold.workflows.step_order import DeadlineOrder, DominantShareOrder
+from basilhold.workflows.step_order import (
+    DeadlineOrder,
+    DominantShareOrder,
+    TenantShareOrder,
+)
 
 __all__ = ["VARIANTS"]
 
@@ -117,6 +121,15 @@
         yield
 
 
+@contextmanager
+def tenant_share() -> Iterator[None]:
+    """Order steps by what the tenants are due while capacity is short."""
+    with patch.object(
+        DeadlineOrder, "sort", lambda order, *args: TenantShareOrder().sort(*args)
+    ):
+        yield
+
+
 @contextmanager
 def no_surplus() -> Iterator[None]:
     """Let submissions beyond a tenant's rate keep their rank."""
@@ -131,10 +144,19 @@
         yield
 
 
+@contextmanager
+def tenant_share_alone() -> Iterator[None]:
+    """Order by due shares, without the mark of submissions beyond the rate."""
+    with tenant_share(), no_surplus():
+        yield
+
+
 VARIANTS: dict[str, Variant] = {
     "dominant-share": dominant_share,
     "no-surplus": no_surplus,
     "dominant-alone": dominant_share_alone,
+    "tenant-share": tenant_share,
+    "tenant-share-alone": tenant_share_alone,
     "as-built": as_built,
     "one-question": one_question_at_a_time,
     "half-choice": half_the_choice,
--- a/basilhold/workflows/events.py
+++ b/basilhold/workflows/events.py
@@ -165,6 +165,13 @@
     "service={service} tenant={tenant} job={job} waits for quota: used={used} "
     "allotment={allotment} quota={quota} version={version}",
 )
+TENANT_WEIGHT_INVALID = Event(
+    6075,
+    EventLevel.WARNING,
+    "service={service} version={version}: the weights of {count} tenants are not "
+    "positive numbers: {tenants}; they get the default",
+    "Correct the weights in the configuration document.",
+)
 CONFIGURATION_CHANGED = Event(
     6100,
     EventLevel.INFO,
--- a/basilhold/workflows/owner.py
+++ b/basilhold/workflows/owner.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import math
 from typing import Any
 
 import msgspec
@@ -18,7 +19,14 @@
 )
 from basilhold.observability import log_event
 from basilhold.ports import Row
-from basilhold.tenants import NO_TENANT, BlockedDemand, SubmissionRates, TenantName
+from basilhold.tenants import (
+    DEFAULT_WEIGHT,
+    NO_TENANT,
+    BlockedDemand,
+    SubmissionRates,
+    TenantName,
+    is_valid_weight,
+)
 from basilhold.workflows import events
 from basilhold.workflows.admissions import StepKey
 from basilhold.workflows.advice_queries import AdviceQuery
@@ -161,9 +169,11 @@
         tenant = registry.get(spec.tenant) if registry is not None else None
         if tenant is None:
             return False
-        return not self._submission_rates.take(
-            tenant.name, tenant.weight, spec.submitted_ms
-        )
+        weight = tenant.weight
+        is_replaced = self._state.ports.step_order.divides_capacity
+        if not is_valid_weight(weight) and (is_replaced or not math.isfinite(weight)):
+            weight = DEFAULT_WEIGHT
+        return not self._submission_rates.take(tenant.name, weight, spec.submitted_ms)
 
     def _with_submission_time(self, spec: WorkflowSpec) -> WorkflowSpec:
         """Return the specification with a submission time, which is at most now."""
@@ -329,6 +339,7 @@
         instant = self._state.time.read()
         self._quota_keeper.refresh()
         state = self._state
+        state.quotas.shares.observe(instant.now_ms)
         steps: list[ReadyStep] = []
         unassigned = state.pool.unassigned_keys()
         for workflow in list(state.backlog.active_workflows()):
--- a/basilhold/workflows/quota_keeper.py
+++ b/basilhold/workflows/quota_keeper.py
@@ -12,7 +12,13 @@
 )
 from basilhold.observability import log_event, metric
 from basilhold.ports import ABSENT, Condition, Row, TableService, Transaction, Write
-from basilhold.tenants import AllotmentLedger, Parts, TenantName, TenantRequest
+from basilhold.tenants import (
+    AllotmentLedger,
+    Parts,
+    TenantName,
+    TenantRequest,
+    is_valid_weight,
+)
 from basilhold.workflows import events
 from basilhold.workflows.owner_state import OwnerState
 from basilhold.workflows.quota_exchange import QuotaReply, QuotaRequest
@@ -38,6 +44,9 @@
 """How long a request waits until what was given is stored. Without an answer, the
 service that asks repeats its request and then learns of it."""
 
+REPORTED_MAX = 20
+"""Most names in a log line."""
+
 
 class QuotaKeeper:
     """Quotas of one owner.
@@ -63,7 +72,20 @@
 
     def refresh(self) -> None:
         """Apply the tenants of the newest configuration."""
-        self._book.update_registry(self._state.ports.tenants())
+        if self._book.update_registry(self._state.ports.tenants()):
+            self._report_weights()
+
+    def _report_weights(self) -> None:
+        registry = self._book.registry
+        invalid = [t.name for t in registry or () if not is_valid_weight(t.weight)]
+        if invalid:
+            log_event(
+                events.TENANT_WEIGHT_INVALID,
+                service=self._state.service,
+                version=registry.version,
+                tenants=",".join(sorted(invalid)[:REPORTED_MAX]),
+                count=len(invalid),
+            )
 
     def wake(self) -> None:
         """Ask the other services soon, as work waits for quota."""
--- a/basilhold/workflows/ready_steps.py
+++ b/basilhold/workflows/ready_steps.py
@@ -3,6 +3,8 @@
 The module performs no I/O.
 """
 
+import math
+
 import msgspec
 
 from basilhold.tenants import TenantName
@@ -10,7 +12,15 @@
 from basilhold.workflows.model import StepSpec, TaskKey, objective_ms
 from basilhold.workflows.progress import Workflow
 
-__all__ = ["START_BY_TOLERANCE_MS", "ReadyStep", "rank", "make_ready_step"]
+__all__ = [
+    "SURPLUS_RANK",
+    "START_BY_TOLERANCE_MS",
+    "ReadyStep",
+    "is_in_time",
+    "late_after_ms",
+    "make_ready_step",
+    "rank",
+]
 
 START_BY_TOLERANCE_MS = 250.0
 """Delay after its latest start time up to which a step still counts as on time."""
@@ -135,13 +145,26 @@
     return step.priority + surplus_rank + _lateness_rank(step, now_ms)
 
 
-def _lateness_rank(step: ReadyStep, now_ms: float) -> float:
+def late_after_ms(step: ReadyStep) -> float:
+    """Return the time after which a start of the step is late.
+
+    It is a time of the store's clock in milliseconds, infinite for a long-running task,
+    which has a value for as long as it runs, whenever it starts.
+    """
     if step.spec.long_running:
-        # It has a value for as long as it runs, whenever it starts.
-        return 0.0
+        return math.inf
     critical_path_ms = step.due_ms - step.start_by_ms
     tolerance_ms = START_BY_TOLERANCE_MS + ESTIMATE_ERROR * critical_path_ms
-    if now_ms <= step.start_by_ms + tolerance_ms:
+    return step.start_by_ms + tolerance_ms
+
+
+def is_in_time(step: ReadyStep, now_ms: float) -> bool:
+    """Return whether a step that starts now can end in time."""
+    return now_ms <= late_after_ms(step)
+
+
+def _lateness_rank(step: ReadyStep, now_ms: float) -> float:
+    if is_in_time(step, now_ms):
         return 0.0
     objective_time_ms = step.due_ms - step.begin_ms
     worthless_after_ms = step.start_by_ms + (LATE_FACTOR - 1) * objective_time_ms
--- a/basilhold/workflows/step_order.py
+++ b/basilhold/workflows/step_order.py
@@ -5,16 +5,42 @@
 
 from abc import ABC, abstractmethod
 
+import msgspec
+
 from basilhold.core import Resources
-from basilhold.tenants import NO_TENANT, QuotaBook, TenantName
+from basilhold.tenants import (
+    NO_TENANT,
+    Amounts,
+    QuotaBook,
+    TenantDemand,
+    TenantName,
+    amounts_of,
+    dominant_share,
+    due_level,
+)
 from basilhold.workflows.pool import Pool
-from basilhold.workflows.ready_steps import ReadyStep, rank
+from basilhold.workflows.preemption import count_fitting
+from basilhold.workflows.ready_steps import (
+    SURPLUS_RANK,
+    ReadyStep,
+    is_in_time,
+    late_after_ms,
+    rank,
+)
 
-__all__ = ["DeadlineOrder", "DominantShareOrder", "StepOrder"]
+__all__ = ["DeadlineOrder", "DominantShareOrder", "StepOrder", "TenantShareOrder"]
 
 
 class StepOrder(ABC):
-    """Orders the ready steps of a planning pass."""
+    """Orders the ready steps of a planning pass.
+
+    Attributes
+    ----------
+    divides_capacity : bool
+        Whether the order divides capacity that is short by the weights of the tenants.
+    """
+
+    divides_capacity = False
 
     @abstractmethod
     def sort(
@@ -96,3 +122,188 @@
         used.gpus_milli / max(1, total.gpus_milli),
     )
     return share / weight
+
+
+DUE_SHARE_MIN = 1e-6
+"""Least due share, as a part of the capacity, which keeps quotients finite."""
+
+DUE_SHARES_MAX = 1_000
+"""Bound of the due shares that are told apart."""
+
+
+class _Candidate(msgspec.Struct):
+    """A step with its place in the order.
+
+    Parameters
+    ----------
+    step : ReadyStep
+    rank : float
+    count : int
+        Number of its waiting tasks that the quota of its tenant allows now.
+    due_shares : int
+        How many times the due share its tenant has without the step, rounded down; 0
+        if it is below its share.
+    is_behind : bool
+        Whether capacity is expected only when the step is late.
+    """
+
+    step: ReadyStep
+    rank: float
+    count: int
+    due_shares: int = 0
+    is_behind: bool = False
+
+
+class TenantShareOrder(StepOrder):
+    """By rank, and by what the tenants are due within a rank, if capacity is short.
+
+    While all steps are expected to start in time, the order is that of `DeadlineOrder`.
+    Otherwise the steps of one rank are ordered as follows, and each group by its latest
+    start: steps of tenants below their due share that are expected to start in time;
+    such steps of other tenants, those with fewer due shares first; steps that are
+    expected to be late. A step that is late already has a higher rank.
+    """
+
+    divides_capacity = True
+
+    def sort(
+        self,
+        steps: list[ReadyStep],
+        store_ms: float,
+        pool: Pool,
+        quotas: QuotaBook | None,
+    ) -> list[ReadyStep]:
+        """Return the steps in the order in which they are placed."""
+        candidates = _make_candidates(steps, store_ms, quotas)
+        if quotas is None or quotas.registry is None:
+            return [candidate.step for candidate in candidates]
+        total = amounts_of(pool.capacity())
+        free = _free_amounts(pool)
+        if _mark_behind(candidates, free, total, store_ms):
+            _count_due_shares(candidates, total, quotas)
+            candidates.sort(key=lambda c: (c.rank, c.due_shares, c.step.start_by_ms))
+            _mark_behind(candidates, free, total, store_ms)
+            candidates.sort(
+                key=lambda c: (c.rank, c.is_behind, c.due_shares, c.step.start_by_ms)
+            )
+        return [candidate.step for candidate in candidates]
+
+
+def _make_candidates(
+    steps: list[ReadyStep], store_ms: float, quotas: QuotaBook | None
+) -> list[_Candidate]:
+    """Return the steps by rank and latest start, within the quotas of their tenants."""
+    ordered = sorted(
+        (rank(step, store_ms), step.start_by_ms, number)
+        for number, step in enumerate(steps)
+    )
+    rooms: dict[TenantName, Resources | None] = {}
+    candidates: list[_Candidate] = []
+    for step_rank, _, number in ordered:
+        step = steps[number]
+        count = len(step.keys)
+        if quotas is not None:
+            if step.tenant not in rooms:
+                rooms[step.tenant] = quotas.room(step.tenant)
+            room = rooms[step.tenant]
+            if room is not None:
+                count = count_fitting(room, step.spec.size, count)
+                if step.spec.gang and count < len(step.keys):
+                    count = 0
+                rooms[step.tenant] = room - step.spec.size.scaled(count)
+        candidates.append(_Candidate(step, step_rank, count))
+    return candidates
+
+
+def _free_amounts(pool: Pool) -> Amounts:
+    free = Resources()
+    for worker in pool.workers.values():
+        if not worker.info.draining and not worker.free.is_negative():
+            free = free + worker.free
+    return amounts_of(free)
+
+
+def _mark_behind(
+    candidates: list[_Candidate], free: Amounts, total: Amounts, store_ms: float
+) -> bool:
+    """Mark the steps that would start late if they are placed in this order.
+
+    What does not fit into the free capacity starts as fast as a full pool works it off.
+    A step that is expected to be late delays no other one.
+
+    Returns
+    -------
+    bool
+        Whether capacity is short: a step is expected to be late, or is late already.
+    """
+    taken = [0.0, 0.0, 0.0]
+    work_ms = [0.0, 0.0, 0.0]
+    is_short = False
+    for candidate in candidates:
+        step, count = candidate.step, candidate.count
+        candidate.is_behind = False
+        if not count or candidate.rank >= SURPLUS_RANK:
+            continue
+        size = amounts_of(step.spec.reserved())
+        needed = [amount * count for amount in size]
+        delay_ms = 0.0
+        delays: list[float] = []
+        for i in range(3):
+            excess = min(needed[i], max(0.0, taken[i] + needed[i] - free[i]))
+            delays.append(excess * step.spec.estimate_ms)
+            if excess and total[i] > 0:
+                # The last task starts when the first ones of a full pool have ended.
+                delay_ms = max(delay_ms, (work_ms[i] + delays[i]) / total[i])
+        if store_ms + delay_ms > late_after_ms(step):
+            is_short = True
+            if is_in_time(step, store_ms):
+                candidate.is_behind = True
+                continue
+        for i in range(3):
+            taken[i] += needed[i]
+            work_ms[i] += delays[i]
+    return is_short
+
+
+def _count_due_shares(
+    candidates: list[_Candidate], total: Amounts, quotas: QuotaBook
+) -> None:
+    """Count the due shares that the tenant of each step has without it."""
+    demands: dict[TenantName, Amounts] = {}
+    for candidate in candidates:
+        if candidate.count and candidate.rank < SURPLUS_RANK:
+            name = candidate.step.tenant
+            known = demands.get(name) or amounts_of(quotas.used(name))
+            demands[name] = _sum(known, _size_of(candidate))
+    for name in quotas.shares.tenants() - demands.keys():
+        demands[name] = amounts_of(quotas.used(name))
+    level = due_level(
+        (
+            TenantDemand(
+                quotas.weight(name),
+                amounts,
+                dominant_share(amounts, total),
+            )
+            for name, amounts in demands.items()
+        ),
+        total,
+    )
+    projected: dict[TenantName, Amounts] = {}
+    for candidate in candidates:
+        name = candidate.step.tenant
+        amounts = projected.get(name) or quotas.shares.charged(name)
+        due_share = level * quotas.weight(name)
+        shares = dominant_share(amounts, total) / max(due_share, DUE_SHARE_MIN)
+        candidate.due_shares = int(min(shares, DUE_SHARES_MAX))
+        projected[name] = _sum(amounts, _size_of(candidate))
+
+
+def _size_of(candidate: _Candidate) -> Amounts:
+    """Return the capacity that the allowed tasks of a step take."""
+    cores, memory, gpus = amounts_of(candidate.step.spec.reserved())
+    count = candidate.count
+    return (cores * count, memory * count, gpus * count)
+
+
+def _sum(first: Amounts, second: Amounts) -> Amounts:
+    return (first[0] + second[0], first[1] + second[1], first[2] + second[2])
--- a/basilhold/workflows/tests/test_quotas.py
+++ b/basilhold/workflows/tests/test_quotas.py
@@ -1,6 +1,7 @@
 """Quotas of tenants that work on two services, each with an owner of its own."""
 
 import asyncio
+import math
 import random
 from unittest.mock import patch
 
@@ -16,6 +17,7 @@
 from basilhold.workflows.peers import StoreOutcome
 from basilhold.workflows.progress import WorkflowState
 from basilhold.workflows.rows import QUOTA_HOME_KEY
+from basilhold.workflows.step_order import TenantShareOrder
 
 INSPECT = ServiceName("inspect")
 BUCKET = 15
@@ -278,3 +280,26 @@
         self.assertEqual(dump[NORTH]["waiting"]["cores_milli"], 22_000)
         self.assertIn('basilhold_tenants_waiting_for_quota{service="desk"} 1', text)
         self.assertIn('basilhold_tenant_quota_used_ratio{service="desk"} 1', text)
+
+    async def test_version_with_invalid_weights_is_reported_once_and_loses_nothing(
+        self,
+    ):
+        weights = {NORTH: math.nan, SOUTH: -1.0}
+        registry = TenantRegistry(
+            [(Tenant(name, weight), ()) for name, weight in weights.items()], 2
+        )
+        specs = [make_workflow(n, 8, tenant=t) for n, t in enumerate(weights)]
+        async with self.make_cell(cores_milli=0, step_order=TenantShareOrder()) as cell:
+            await asyncio.sleep(3)
+            with self.assertLogs("absl", "WARNING") as logged:
+                for process in cell.processes.values():
+                    process.learn_tenants(registry, 2)
+                for spec in specs:
+                    await cell.submit(spec)
+                await asyncio.sleep(5)
+            for spec in specs:
+                state = await self.state(cell, spec)
+                self.assertIs(state, WorkflowState.COMPLETED)
+            self.assertEqual(cell.runners.violations, [])
+        lines = [line for line in logged.output if "BH6075" in line]
+        self.assertEqual(len(lines), 2, "one of each service")
