Show the shares of tenants, and report work that waits behind others

Cause: with the order by due shares, an operator has to see who is above its share, and whose work waits for it.

Change: three metrics by tenant (share, due share, steps behind others), the same in the state dump of an owner, and event 6076 if a tenant's work has waited behind that of others for more than 2 s (at most every 10 s for each tenant). Nothing of this is set where capacity is not divided by shares.

--- a/basilhold/observability/metric_catalogue.py
+++ b/basilhold/observability/metric_catalogue.py
@@ -241,6 +241,24 @@
         "Largest share of a tenant's allotment in the service that its runs use",
         ("service",),
     ),
+    Metric(
+        "basilhold_tenant_share",
+        _GAUGE,
+        "Largest share of a resource that a tenant uses, or used in the last seconds",
+        ("service", "tenant"),
+    ),
+    Metric(
+        "basilhold_tenant_due_share",
+        _GAUGE,
+        "Share of the service that a tenant is due; 1 while there is enough capacity",
+        ("service", "tenant"),
+    ),
+    Metric(
+        "basilhold_tenant_steps_behind",
+        _GAUGE,
+        "Steps of a tenant that wait behind those of others, as capacity is short",
+        ("service", "tenant"),
+    ),
     Metric(
         "basilhold_callers_rejected_total",
         _COUNTER,
--- a/basilhold/tenants/__init__.py
+++ b/basilhold/tenants/__init__.py
@@ -22,6 +22,8 @@
 from basilhold.tenants.shares import (
     DEFAULT_WEIGHT,
     Amounts,
+    ShareStanding,
+    Starvation,
     TenantDemand,
     TenantShares,
     amounts_of,
@@ -36,6 +38,8 @@
 __all__ = [
     "DEFAULT_WEIGHT",
     "Amounts",
+    "ShareStanding",
+    "Starvation",
     "TenantDemand",
     "TenantShares",
     "amounts_of",
--- a/basilhold/tenants/quota_book.py
+++ b/basilhold/tenants/quota_book.py
@@ -18,7 +18,13 @@
 )
 from basilhold.tenants.allotments import NOTHING, WHOLE, AllotmentLedger, Parts
 from basilhold.tenants.registry import NO_TENANT, TenantName, TenantRegistry
-from basilhold.tenants.shares import DEFAULT_WEIGHT, TenantShares, share_weights
+from basilhold.tenants.shares import (
+    DEFAULT_WEIGHT,
+    Amounts,
+    TenantShares,
+    dominant_share,
+    share_weights,
+)
 from basilhold.tenants.usage import TenantUsage
 
 __all__ = ["BlockedDemand", "QuotaBook", "TenantRequest"]
@@ -212,14 +218,39 @@
             "version": self.registry.version if self.registry is not None else 0,
         }
 
-    def describe(self) -> dict[str, Any]:
+    def describe(self, capacity: Amounts | None = None) -> dict[str, Any]:
         """Return use, allotment and waiting work, for the state dump.
 
         Only tenants that use or wait for something are included, at most
         `DESCRIBED_MAX`.
+
+        Parameters
+        ----------
+        capacity : tuple of float, optional
+            Capacity of the service, if it is divided by shares; these are included
+            then.
         """
-        names = sorted({*self._usage.tenants(), *self.blocked})[:DESCRIBED_MAX]
-        return {name: self._describe_tenant(name) for name in names}
+        names = {*self._usage.tenants(), *self.blocked}
+        if capacity is None:
+            return {name: self._describe_tenant(name) for name in _first(names)}
+        names |= self.shares.tenants() | self.shares.behind_counts().keys()
+        return {
+            name: self._describe_tenant(name) | self.describe_share(name, capacity)
+            for name in _first(names)
+        }
+
+    def describe_share(self, name: TenantName, capacity: Amounts) -> dict[str, float]:
+        """Return the share of a tenant, what it is due, and its work behind others.
+
+        The share of recent use is included in `share`. While there is enough capacity,
+        everything is due.
+        """
+        share = dominant_share(self.shares.charged(name), capacity)
+        return {
+            "share": round(share, 4),
+            "due_share": round(self.shares.due_share(self.weight(name)), 4),
+            "steps_behind": self.shares.behind_counts()[name],
+        }
 
     def _describe_tenant(self, name: TenantName) -> dict[str, Any]:
         held = self.ledger.held(name) if self.ledger else NOTHING
@@ -343,3 +374,7 @@
         if request.claim is not None and own > (request.claim, receiver):
             return False
         return now_ms - self._blocked_since_ms[name] < PROTECTED_MAX_MS
+
+
+def _first(names: Iterable[TenantName]) -> list[TenantName]:
+    return sorted(names)[:DESCRIBED_MAX]
--- a/basilhold/tenants/shares.py
+++ b/basilhold/tenants/shares.py
@@ -5,7 +5,8 @@
 """
 
 import math
-from collections.abc import Iterable
+from collections import Counter
+from collections.abc import Hashable, Iterable
 
 import msgspec
 
@@ -16,6 +17,8 @@
 __all__ = [
     "DEFAULT_WEIGHT",
     "Amounts",
+    "ShareStanding",
+    "Starvation",
     "TenantDemand",
     "TenantShares",
     "amounts_of",
@@ -38,6 +41,12 @@
 NEGLIGIBLE = 0.01
 """Recent use below this is forgotten: thousandths of cores or GPUs, or bytes."""
 
+STARVATION_MS = 2_000.0
+"""Time for which work may wait behind that of others before it is reported."""
+
+REPORT_INTERVAL_MS = 10_000.0
+"""Shortest time between two reports about one tenant."""
+
 Amounts = tuple[float, float, float]
 """Thousandths of cores, bytes of memory, and thousandths of GPUs."""
 
@@ -160,6 +169,38 @@
     return math.inf
 
 
+class ShareStanding(msgspec.Struct):
+    """What the last planning pass found about the shares of the tenants.
+
+    Parameters
+    ----------
+    level : float
+        As returned by `due_level`; infinite while there is enough capacity.
+    behind : dict of Hashable to TenantName
+        Work that has a value and was placed after that of other tenants, because
+        capacity is short, by its key.
+    """
+
+    level: float = math.inf
+    behind: dict[Hashable, TenantName] = {}
+
+
+class Starvation(msgspec.Struct, frozen=True):
+    """Work of a tenant that has waited behind that of others for long.
+
+    Parameters
+    ----------
+    tenant : TenantName
+    waited_ms : float
+    count : int
+        Number of its steps that wait behind others, whenever they began to.
+    """
+
+    tenant: TenantName
+    waited_ms: float
+    count: int
+
+
 class TenantShares:
     """Use of the tenants in one service, now and in the last seconds.
 
@@ -167,10 +208,18 @@
     ----------
     usage : TenantUsage
         What the runs of the service use.
+
+    Attributes
+    ----------
+    standing : ShareStanding
+        Set by the order of steps in each planning pass.
     """
 
     def __init__(self, usage: TenantUsage):
         self._usage = usage
+        self.standing = ShareStanding()
+        self._behind_since_ms: dict[Hashable, float] = {}
+        self._reported_ms: dict[TenantName, float] = {}
         self._recent: dict[TenantName, Amounts] = {}
         self._held: dict[TenantName, Amounts] = {}
         self._updated_ms: float | None = None
@@ -213,6 +262,50 @@
         recent = self._recent.get(name, NO_AMOUNTS)
         return (max(cores, recent[0]), max(memory, recent[1]), max(gpus, recent[2]))
 
+    def due_share(self, weight: float) -> float:
+        """Return the share of the capacity that is due for a weight now."""
+        return min(1.0, self.standing.level * weight)
+
+    def behind_counts(self) -> Counter[TenantName]:
+        """Return the number of steps that wait behind those of others, by tenant."""
+        return Counter(self.standing.behind.values())
+
+    def note_waiting(self, waiting: set[Hashable], now_ms: float) -> list[Starvation]:
+        """Record what still waits after a planning pass.
+
+        Parameters
+        ----------
+        waiting : set of Hashable
+            Keys of the work that the pass did not start.
+        now_ms : float
+            Time of the monotonic clock, in milliseconds.
+
+        Returns
+        -------
+        list of Starvation
+            Tenants to report: those with work that has waited behind that of others for
+            more than `STARVATION_MS`, each at most once in `REPORT_INTERVAL_MS`.
+        """
+        behind = self.standing.behind
+        self.standing.behind = {k: name for k, name in behind.items() if k in waiting}
+        since_ms = self._behind_since_ms
+        self._behind_since_ms = {
+            key: since_ms.get(key, now_ms) for key in self.standing.behind
+        }
+        longest_ms: dict[TenantName, float] = {}
+        for key, name in self.standing.behind.items():
+            waited_ms = now_ms - self._behind_since_ms[key]
+            longest_ms[name] = max(longest_ms.get(name, 0.0), waited_ms)
+        due = [
+            name
+            for name, waited_ms in longest_ms.items()
+            if waited_ms > STARVATION_MS
+            and now_ms - self._reported_ms.get(name, -math.inf) > REPORT_INTERVAL_MS
+        ]
+        self._reported_ms.update((name, now_ms) for name in due)
+        counts = self.behind_counts() if due else Counter()
+        return [Starvation(name, longest_ms[name], counts[name]) for name in due]
+
 
 def _mixed(first: Amounts, second: Amounts, weight: float) -> Amounts:
     """Return the mean of two amounts with a weight of the first one."""
--- a/basilhold/workflows/events.py
+++ b/basilhold/workflows/events.py
@@ -172,6 +172,14 @@
     "positive numbers: {tenants}; they get the default",
     "Correct the weights in the configuration document.",
 )
+TENANT_STARVED = Event(
+    6076,
+    EventLevel.WARNING,
+    "service={service} tenant={tenant} work has waited behind that of other tenants "
+    "for {waited_ms} ms: steps={steps} share={share} due_share={due_share}",
+    "Compare share and due_share; if the tenant is above its share, its load exceeds "
+    "what it is due, else add workers.",
+)
 CONFIGURATION_CHANGED = Event(
     6100,
     EventLevel.INFO,
--- a/basilhold/workflows/owner.py
+++ b/basilhold/workflows/owner.py
@@ -25,6 +25,7 @@
     BlockedDemand,
     SubmissionRates,
     TenantName,
+    amounts_of,
     is_valid_weight,
 )
 from basilhold.workflows import events
@@ -217,9 +218,15 @@
             "free_cores_milli": sum(w.free.cores_milli for w in workers),
             "workflows": len(state.workflows),
             "active_workflows": sum(1 for _ in state.backlog.active_workflows()),
-            "tenants": state.quotas.describe(),
+            "tenants": self._describe_tenants(),
         }
 
+    def _describe_tenants(self) -> dict[str, Any]:
+        state = self._state
+        if not state.ports.step_order.divides_capacity:
+            return state.quotas.describe()
+        return state.quotas.describe(amounts_of(state.pool.capacity()))
+
     # Lifecycle.
 
     async def run(self, reason: str) -> None:
@@ -345,7 +352,7 @@
         for workflow in list(state.backlog.active_workflows()):
             with state.guard(workflow, "finding its ready steps"):
                 steps += state.backlog.ready_steps(workflow, instant, unassigned)
-        return plan(
+        new_plan = plan(
             steps,
             state.pool,
             state.admissions,
@@ -360,6 +367,26 @@
             isolation=state.isolation,
             order=state.ports.step_order,
         )
+        if state.ports.step_order.divides_capacity:
+            self._report_starvation(steps, now_ms)
+        return new_plan
+
+    def _report_starvation(self, steps: list[ReadyStep], now_ms: float) -> None:
+        """Log which tenants have work that waits behind that of others for long."""
+        quotas = self._state.quotas
+        waiting = {step.key for step in steps if step.keys}
+        for starvation in quotas.shares.note_waiting(waiting, now_ms):
+            total = amounts_of(self._state.pool.capacity())
+            standing = quotas.describe_share(starvation.tenant, total)
+            log_event(
+                events.TENANT_STARVED,
+                service=self._state.service,
+                tenant=starvation.tenant,
+                waited_ms=round(starvation.waited_ms),
+                steps=starvation.count,
+                share=standing["share"],
+                due_share=standing["due_share"],
+            )
 
     def _apply_plan(self, new_plan: Plan) -> None:
         for failure in new_plan.failures:
--- a/basilhold/workflows/quota_keeper.py
+++ b/basilhold/workflows/quota_keeper.py
@@ -17,6 +17,7 @@
     Parts,
     TenantName,
     TenantRequest,
+    amounts_of,
     is_valid_weight,
 )
 from basilhold.workflows import events
@@ -47,6 +48,13 @@
 REPORTED_MAX = 20
 """Most names in a log line."""
 
+SHARE_METRICS = {
+    "share": "basilhold_tenant_share",
+    "due_share": "basilhold_tenant_due_share",
+    "steps_behind": "basilhold_tenant_steps_behind",
+}
+"""Metrics of what `QuotaBook.describe_share` returns."""
+
 
 class QuotaKeeper:
     """Quotas of one owner.
@@ -68,6 +76,7 @@
         self._request_commit = request_commit
         self._home = ServiceName("")
         self._heard: set[ServiceName] = set()
+        self._shown: set[TenantName] = set()
         self._blocked_event = asyncio.Event()
 
     def refresh(self) -> None:
@@ -142,6 +151,22 @@
         metrics.set(waiting, len(self._book.blocked), service=service)
         ratio = metric("basilhold_tenant_quota_used_ratio")
         metrics.set(ratio, self._book.used_ratio(), service=service)
+        if self._state.ports.step_order.divides_capacity:
+            self._update_share_metrics()
+
+    def _update_share_metrics(self) -> None:
+        """Set the metrics of shares; tenants that use nothing any more are set to 0."""
+        metrics, service = self._state.ports.metrics, self._state.service
+        book, shares = self._book, self._book.shares
+        shares.observe(self._state.time.now_ms())
+        total = amounts_of(self._state.pool.capacity())
+        names = shares.tenants() | shares.behind_counts().keys()
+        for name in {*names, *self._shown}:
+            standing = book.describe_share(name, total)
+            for key, metric_name in SHARE_METRICS.items():
+                declared = metric(metric_name)
+                metrics.set(declared, standing[key], service=service, tenant=name)
+        self._shown = names
 
     def _others(self) -> list[ServiceName]:
         names = {*self._state.ports.services(), self._home}
--- a/basilhold/workflows/ready_steps.py
+++ b/basilhold/workflows/ready_steps.py
@@ -15,6 +15,7 @@
 __all__ = [
     "SURPLUS_RANK",
     "START_BY_TOLERANCE_MS",
+    "WORTHLESS_RANK",
     "ReadyStep",
     "is_in_time",
     "late_after_ms",
--- a/basilhold/workflows/step_order.py
+++ b/basilhold/workflows/step_order.py
@@ -4,6 +4,7 @@
 """
 
 from abc import ABC, abstractmethod
+from collections.abc import Hashable
 
 import msgspec
 
@@ -12,6 +13,7 @@
     NO_TENANT,
     Amounts,
     QuotaBook,
+    ShareStanding,
     TenantDemand,
     TenantName,
     amounts_of,
@@ -22,6 +24,7 @@
 from basilhold.workflows.preemption import count_fitting
 from basilhold.workflows.ready_steps import (
     SURPLUS_RANK,
+    WORTHLESS_RANK,
     ReadyStep,
     is_in_time,
     late_after_ms,
@@ -179,13 +182,16 @@
             return [candidate.step for candidate in candidates]
         total = amounts_of(pool.capacity())
         free = _free_amounts(pool)
+        quotas.shares.standing = ShareStanding()
         if _mark_behind(candidates, free, total, store_ms):
-            _count_due_shares(candidates, total, quotas)
+            level = _count_due_shares(candidates, total, quotas)
             candidates.sort(key=lambda c: (c.rank, c.due_shares, c.step.start_by_ms))
             _mark_behind(candidates, free, total, store_ms)
             candidates.sort(
                 key=lambda c: (c.rank, c.is_behind, c.due_shares, c.step.start_by_ms)
             )
+            behind = _find_behind_others(candidates, store_ms)
+            quotas.shares.standing = ShareStanding(level, behind)
         return [candidate.step for candidate in candidates]
 
 
@@ -267,8 +273,14 @@
 
 def _count_due_shares(
     candidates: list[_Candidate], total: Amounts, quotas: QuotaBook
-) -> None:
-    """Count the due shares that the tenant of each step has without it."""
+) -> float:
+    """Count the due shares that the tenant of each step has without it.
+
+    Returns
+    -------
+    float
+        Due share for each unit of weight.
+    """
     demands: dict[TenantName, Amounts] = {}
     for candidate in candidates:
         if candidate.count and candidate.rank < SURPLUS_RANK:
@@ -296,6 +308,28 @@
         shares = dominant_share(amounts, total) / max(due_share, DUE_SHARE_MIN)
         candidate.due_shares = int(min(shares, DUE_SHARES_MAX))
         projected[name] = _sum(amounts, _size_of(candidate))
+    return level
+
+
+def _find_behind_others(
+    candidates: list[_Candidate], store_ms: float
+) -> dict[Hashable, TenantName]:
+    """Return the tenants of the steps that shares put behind those of others."""
+    before: set[TenantName] = set()
+    behind: dict[Hashable, TenantName] = {}
+    for candidate in candidates:
+        step, name = candidate.step, candidate.step.tenant
+        if not candidate.count or candidate.rank >= WORTHLESS_RANK:
+            continue
+        is_put_back = (
+            candidate.is_behind
+            or candidate.due_shares > 0
+            or not is_in_time(step, store_ms)
+        )
+        if is_put_back and before - {name}:
+            behind[step.key] = name
+        before.add(name)
+    return behind
 
 
 def _size_of(candidate: _Candidate) -> Amounts:
