Stop the runs of tenants above their share first

Cause: where runs are stopped for work of a higher priority, the ones that lose the least were stopped, also those of tenants below their share.

Change: while capacity is short and divided by shares, runs of tenants that are more than 5% above their due share are stopped first among those of the lowest priority, and workers where only such runs have to stop are chosen first. The rule which runs may be stopped is unchanged: never one of the same priority. The order of steps is computed before the pass, so that the pass uses the shares of the same moment.

--- a/basilhold/tenants/shares.py
+++ b/basilhold/tenants/shares.py
@@ -179,10 +179,13 @@
     behind : dict of Hashable to TenantName
         Work that has a value and was placed after that of other tenants, because
         capacity is short, by its key.
+    above : set of TenantName
+        Tenants that are charged more than their due share.
     """
 
     level: float = math.inf
     behind: dict[Hashable, TenantName] = {}
+    above: set[TenantName] = set()
 
 
 class Starvation(msgspec.Struct, frozen=True):
--- a/basilhold/workflows/planner.py
+++ b/basilhold/workflows/planner.py
@@ -146,6 +146,8 @@
     -------
     Plan
     """
+    # The order also finds which tenants are above their share.
+    ordered = order.sort(steps, store_ms, pool, quotas)
     planning_pass = _PlanningPass(
         pool,
         admissions,
@@ -157,7 +159,7 @@
         quotas,
         isolation or Isolation(),
     )
-    for step in order.sort(steps, store_ms, pool, quotas):
+    for step in ordered:
         planning_pass.try_step(step)
     return planning_pass.result
 
@@ -203,6 +205,8 @@
         # Capacity withheld from steps of lower priority than the one given with it.
         self._withheld: dict[WorkerId, list[tuple[int, Resources]]] = {}
         self._quotas = quotas
+        # Empty while there is enough capacity, or if it is not divided by shares.
+        self._above_share = quotas.shares.standing.above if quotas else set()
         self._planned: set[StepKey] = set()
         # Runs that the current step has added to workers.
         self._added: list[tuple[Worker, RunKey]] = []
@@ -810,7 +814,12 @@
         """Return how a worker can make capacity for up to `limit` tasks by stops."""
         limit = min(limit, self._remaining_on(step, worker))
         return find_option(
-            step, worker, self._available(worker, step), limit, self._now_ms
+            step,
+            worker,
+            self._available(worker, step),
+            limit,
+            self._now_ms,
+            self._above_share,
         )
 
 
--- a/basilhold/workflows/preemption.py
+++ b/basilhold/workflows/preemption.py
@@ -6,11 +6,12 @@
 step. The module performs no I/O.
 """
 
-from collections.abc import Container, Iterable
+from collections.abc import Collection, Container, Iterable
 
 import msgspec
 
 from basilhold.core import JobId, Resources, WorkerId
+from basilhold.tenants import TenantName
 from basilhold.workflows.admissions import StepKey
 from basilhold.workflows.pool import Run, Worker
 from basilhold.workflows.ready_steps import ReadyStep
@@ -54,12 +55,15 @@
         Runs that still have to be stopped; empty if enough are being stopped already.
     cost : float
         Work that the stops lose, in core-seconds.
+    stops_others : bool
+        Whether a victim is of a tenant that is not above its share, while others are.
     """
 
     worker: Worker
     task_count: int
     victims: list[Run]
     cost: float
+    stops_others: bool = False
 
 
 class _Reservation(msgspec.Struct):
@@ -224,7 +228,12 @@
 
 
 def find_option(
-    step: ReadyStep, worker: Worker, available: Resources, limit: int, now_ms: float
+    step: ReadyStep,
+    worker: Worker,
+    available: Resources,
+    limit: int,
+    now_ms: float,
+    above_share: Collection[TenantName] = (),
 ) -> PreemptionOption | None:
     """Return how a worker can make capacity for a step.
 
@@ -238,6 +247,9 @@
         Maximum number of the step's tasks that may start there.
     now_ms : float
         Time of the event loop's clock, in milliseconds.
+    above_share : collection of TenantName
+        Tenants above their due share, whose runs are stopped first among those of the
+        same priority.
 
     Returns
     -------
@@ -250,7 +262,11 @@
             available = available + run.reserved
     candidates = sorted(
         (run for run in worker.runs.values() if _may_stop(run, step)),
-        key=lambda run: (-run.priority, _lost_ms(run, now_ms)),
+        key=lambda run: (
+            -run.priority,
+            run.tenant not in above_share,
+            _lost_ms(run, now_ms),
+        ),
     )
     victims: list[Run] = []
     count = count_fitting(available, size, limit)
@@ -269,7 +285,10 @@
     if not count:
         return None
     cost = sum(_stop_cost(run, now_ms) for run in victims)
-    return PreemptionOption(worker, count, victims, cost)
+    stops_others = bool(above_share) and any(
+        run.tenant not in above_share for run in victims
+    )
+    return PreemptionOption(worker, count, victims, cost, stops_others)
 
 
 def choose_options(
@@ -281,7 +300,7 @@
     """Return the options with the lowest cost per task that together fit the tasks.
 
     Workers with reservations for the step come first, so that later passes choose the
-    same workers.
+    same workers, and then those that stop only runs of tenants above their share.
 
     Parameters
     ----------
@@ -301,6 +320,7 @@
         options,
         key=lambda option: (
             not reservations.includes(step, option.worker.worker_id),
+            option.stops_others,
             option.cost / min(option.task_count, needed),
             -option.worker.free.cores_milli,
         ),
--- a/basilhold/workflows/step_order.py
+++ b/basilhold/workflows/step_order.py
@@ -130,6 +130,9 @@
 DUE_SHARE_MIN = 1e-6
 """Least due share, as a part of the capacity, which keeps quotients finite."""
 
+SHARE_TOLERANCE = 0.05
+"""Part by which a tenant has to exceed its due share to count as above it."""
+
 DUE_SHARES_MAX = 1_000
 """Bound of the due shares that are told apart."""
 
@@ -184,14 +187,14 @@
         free = _free_amounts(pool)
         quotas.shares.standing = ShareStanding()
         if _mark_behind(candidates, free, total, store_ms):
-            level = _count_due_shares(candidates, total, quotas)
+            standing = _count_due_shares(candidates, total, quotas)
             candidates.sort(key=lambda c: (c.rank, c.due_shares, c.step.start_by_ms))
             _mark_behind(candidates, free, total, store_ms)
             candidates.sort(
                 key=lambda c: (c.rank, c.is_behind, c.due_shares, c.step.start_by_ms)
             )
-            behind = _find_behind_others(candidates, store_ms)
-            quotas.shares.standing = ShareStanding(level, behind)
+            standing.behind = _find_behind_others(candidates, store_ms)
+            quotas.shares.standing = standing
         return [candidate.step for candidate in candidates]
 
 
@@ -273,14 +276,8 @@
 
 def _count_due_shares(
     candidates: list[_Candidate], total: Amounts, quotas: QuotaBook
-) -> float:
-    """Count the due shares that the tenant of each step has without it.
-
-    Returns
-    -------
-    float
-        Due share for each unit of weight.
-    """
+) -> ShareStanding:
+    """Count the due shares that the tenant of each step has without it."""
     demands: dict[TenantName, Amounts] = {}
     for candidate in candidates:
         if candidate.count and candidate.rank < SURPLUS_RANK:
@@ -308,7 +305,13 @@
         shares = dominant_share(amounts, total) / max(due_share, DUE_SHARE_MIN)
         candidate.due_shares = int(min(shares, DUE_SHARES_MAX))
         projected[name] = _sum(amounts, _size_of(candidate))
-    return level
+    above = {
+        name
+        for name in quotas.shares.tenants()
+        if dominant_share(quotas.shares.charged(name), total)
+        > (1 + SHARE_TOLERANCE) * level * quotas.weight(name)
+    }
+    return ShareStanding(level, above=above)
 
 
 def _find_behind_others(
--- a/basilhold/workflows/tests/test_step_order.py
+++ b/basilhold/workflows/tests/test_step_order.py
@@ -12,8 +12,11 @@
     TenantRegistry,
 )
 from basilhold.tenants.allotments import AllotmentLedger
-from basilhold.workflows.model import QueuePolicy, StepSpec, WorkflowSpec
-from basilhold.workflows.pool import Pool, Run, RunKey, Worker, WorkerInfo
+from basilhold.workflows.admissions import AdmissionRecords
+from basilhold.workflows.model import QueuePolicy, StepSpec, TaskKey, WorkflowSpec
+from basilhold.workflows.planner import plan
+from basilhold.workflows.pool import Pool, Run, RunKey, RunStage, Worker, WorkerInfo
+from basilhold.workflows.preemption import Reservations, find_option
 from basilhold.workflows.progress import Workflow
 from basilhold.workflows.ready_steps import make_ready_step
 from basilhold.workflows.step_order import DeadlineOrder, TenantShareOrder
@@ -22,8 +25,8 @@
 HOG, SMALL = TenantName("hog"), TenantName("small")
 
 
-class TenantShareOrderTest(unittest.TestCase):
-    """Guards the order of steps while capacity is short."""
+class ShareTestCase(unittest.TestCase):
+    """Two workers and two tenants."""
 
     def setUp(self):
         self.pool = Pool()
@@ -51,6 +54,10 @@
         workflow = Workflow(spec)
         return make_ready_step(workflow, 0, 0, workflow.task_keys(0, 0))
 
+
+class TenantShareOrderTest(ShareTestCase):
+    """Guards the order of steps while capacity is short."""
+
     def fill(self, tenant):
         for worker in self.pool.workers.values():
             key = RunKey(JobId("f" * 16), worker.worker_id)
@@ -128,3 +135,76 @@
                 result = self.sort(steps)
                 self.assertEqual(len(result), 22)
                 self.assertEqual(self.tenants_of(result[:4]).count(SMALL), 2)
+
+
+class PreemptionTest(ShareTestCase):
+    """Guards against stops that hit tenants below their share first."""
+
+    def add_run(self, worker, tenant, priority, started_ms):
+        self.count += 1
+        spec = StepSpec(1, Resources(8_000, 1 << 30), 60_000.0)
+        key = RunKey(JobId(f"{self.count:016x}"), TaskKey(0, 0, 0))
+        run = Run(
+            key,
+            1,
+            spec.size,
+            spec,
+            RunStage.RUNNING,
+            started_ms,
+            priority=priority,
+            tenant=tenant,
+            size=spec.size,
+        )
+        worker.add(run)
+        return run
+
+    def plan(self, steps, order):
+        return plan(
+            steps,
+            self.pool,
+            AdmissionRecords(),
+            Reservations(),
+            NOW_MS,
+            NOW_MS,
+            400.0,
+            quotas=self.quotas,
+            order=order,
+        )
+
+    def stopped_tenants(self, order, priorities=(2, 2)):
+        """Fill the workers, each with runs of both tenants, and let a step stop some.
+
+        The runs of `SMALL` have just begun, so a stop of them loses less.
+        """
+        for worker in self.pool.workers.values():
+            for run in list(worker.runs.values()):
+                worker.remove(run.key)
+        first, second = self.pool.workers.values()
+        hog_priority, small_priority = priorities
+        for worker in (first, first, second):
+            self.add_run(worker, HOG, hog_priority, NOW_MS - 20_000)
+        self.add_run(second, SMALL, small_priority, NOW_MS - 100)
+        self.quotas.shares.observe(NOW_MS)
+        urgent = self.make_step(SMALL, age_ms=400.0, tasks=8)
+        rest = [self.make_step(SMALL, tasks=8) for _ in range(9)]
+        stops = self.plan([urgent, *rest], order).preemptions
+        return {stop.run.tenant for stop in stops if stop.step is urgent}
+
+    def test_tenant_above_its_share_is_stopped_first(self):
+        self.assertEqual(self.stopped_tenants(DeadlineOrder()), {SMALL})
+        self.assertEqual(self.stopped_tenants(TenantShareOrder()), {HOG})
+
+    def test_nothing_of_the_same_priority_is_stopped(self):
+        self.assertEqual(self.stopped_tenants(TenantShareOrder(), (0, 0)), set())
+
+    def test_lowest_priority_is_stopped_before_a_tenant_above_its_share(self):
+        second = self.pool.workers[WorkerId("b")]
+        hog = self.add_run(second, HOG, 1, NOW_MS)
+        small = self.add_run(second, SMALL, 2, NOW_MS)
+        step = self.make_step(SMALL, tasks=8)
+        option = find_option(step, second, second.free, 8, NOW_MS, {HOG})
+        self.assertEqual(option.victims, [small])
+        self.assertTrue(option.stops_others)
+        hog.priority = 2
+        option = find_option(step, second, second.free, 8, NOW_MS, {HOG})
+        self.assertEqual((option.victims, option.stops_others), ([hog], False))
