Count the use of tenants over both services

Cause: a tenant may use its share of one service and a multiple of it in the other one; each owner saw the use of its own service only, and a successor started with no recent use.

Change: where capacity is divided by shares, owners send each other the use of the tenants and their capacity once a second with the exchange of quota. A report is used for 2 s, and decays after that. Recent use is stored with the allotments (at most 8 tenants every 2 s, in a regular commit), so a successor continues with it. Earlier versions ignore the new fields, and rows and calls without them are read as before; late, repeated and future reports change nothing.

--- a/basilhold/tenants/allotments.py
+++ b/basilhold/tenants/allotments.py
@@ -37,6 +37,7 @@
     "AllotmentLedger",
     "LedgerChanges",
     "Parts",
+    "RecordedUse",
     "Sent",
 ]
 
@@ -142,6 +143,22 @@
     return quota * ppm // WHOLE_PPM if quota else UNLIMITED
 
 
+class RecordedUse(msgspec.Struct, frozen=True, array_like=True):
+    """Recent use of a tenant, which the next owner continues.
+
+    Parameters
+    ----------
+    cores_milli, memory_bytes, gpus_milli : int
+    at_ms : int
+        Time of the store's clock, in milliseconds.
+    """
+
+    cores_milli: int
+    memory_bytes: int
+    gpus_milli: int
+    at_ms: int
+
+
 class _Record(msgspec.Struct, omit_defaults=True):
     """Stored state of one tenant.
 
@@ -151,11 +168,15 @@
         Everything ever sent to and received from each other service.
     quota : Resources
         Quota in the newest configuration that contained the tenant.
+    use : RecordedUse, optional
+        Recent use of the tenant in this service. Earlier versions ignore it, and leave
+        it out when they write the row.
     """
 
     sent: dict[ServiceName, Parts] = {}
     received: dict[ServiceName, Parts] = {}
     quota: Resources = Resources()
+    use: RecordedUse | None = None
 
 
 _ROW_DECODER = JsonDecoder(dict[TenantName, _Record])
@@ -252,6 +273,15 @@
             self._record(tenant.name).quota = tenant.quota
             self._changed.add(_bucket_of(tenant.name))
 
+    def recorded_uses(self) -> dict[TenantName, RecordedUse]:
+        """Return the recent use of each tenant as last recorded."""
+        return {n: r.use for n, r in self._records.items() if r.use is not None}
+
+    def record_use(self, tenant: TenantName, use: RecordedUse | None) -> None:
+        """Record the recent use of a tenant, to be stored with its allotment."""
+        self._record(tenant).use = use
+        self._changed.add(_bucket_of(tenant))
+
     def send(self, tenant: TenantName, receiver: ServiceName, parts: Parts) -> None:
         """Give a part of an allotment to another service.
 
--- a/basilhold/tenants/quota_book.py
+++ b/basilhold/tenants/quota_book.py
@@ -16,7 +16,13 @@
     AllotmentView,
     PartsRequest,
 )
-from basilhold.tenants.allotments import NOTHING, WHOLE, AllotmentLedger, Parts
+from basilhold.tenants.allotments import (
+    NOTHING,
+    WHOLE,
+    AllotmentLedger,
+    Parts,
+    RecordedUse,
+)
 from basilhold.tenants.registry import NO_TENANT, TenantName, TenantRegistry
 from basilhold.tenants.shares import (
     DEFAULT_WEIGHT,
@@ -38,6 +44,13 @@
 DESCRIBED_MAX = 100
 """Most tenants in a state dump."""
 
+RECORDED_CHANGE_MIN = 0.02
+"""Least recorded change of a tenant's recent use, as a share of the capacity."""
+
+RECORDED_MAX = 8
+"""Most tenants whose recent use is recorded at a time. Each changes a row, and a
+transaction holds at most 100 entries."""
+
 PROTECTED_MAX_MS = 2_000.0
 """How long waiting work keeps unused quota from work of another service that comes
 after it. Work whose tenant uses less than half of its quota has to start within 3 s."""
@@ -233,7 +246,7 @@
         names = {*self._usage.tenants(), *self.blocked}
         if capacity is None:
             return {name: self._describe_tenant(name) for name in _first(names)}
-        names |= self.shares.tenants() | self.shares.behind_counts().keys()
+        names |= self.shares.tenants_everywhere() | self.shares.behind_counts().keys()
         return {
             name: self._describe_tenant(name) | self.describe_share(name, capacity)
             for name in _first(names)
@@ -242,10 +255,11 @@
     def describe_share(self, name: TenantName, capacity: Amounts) -> dict[str, float]:
         """Return the share of a tenant, what it is due, and its work behind others.
 
-        The share of recent use is included in `share`. While there is enough capacity,
-        everything is due.
+        Shares are of all services that have reported. Recent use is included in
+        `share`. While there is enough capacity, everything is due.
         """
-        share = dominant_share(self.shares.charged(name), capacity)
+        total = self.shares.total_capacity(capacity)
+        share = dominant_share(self.shares.charged_everywhere(name), total)
         return {
             "share": round(share, 4),
             "due_share": round(self.shares.due_share(self.weight(name)), 4),
@@ -310,6 +324,46 @@
         peak = self._peak(name, now_ms).at_least(used)
         return AllotmentView(held, used, peak, missing, protected)
 
+    def restore_shares(self) -> None:
+        """Continue with the recent use that a previous owner has recorded."""
+        for name, use in self.ledger.recorded_uses().items():
+            amounts = (use.cores_milli, use.memory_bytes, use.gpus_milli)
+            self.shares.restore(name, amounts, use.at_ms)
+
+    def record_shares(self, capacity: Amounts, now_ms: float) -> None:
+        """Record the recent use of the tenants in the ledger; called regularly.
+
+        Only changes that matter are recorded, `RECORDED_MAX` at a time.
+
+        Parameters
+        ----------
+        capacity : tuple of float
+            Capacity of the service.
+        now_ms : float
+            Time of the store's clock, in milliseconds.
+        """
+        recorded, recent = self.ledger.recorded_uses(), self.shares.recent()
+        changes: list[tuple[float, TenantName]] = []
+        for name in {*recorded, *recent}:
+            use = recorded.get(name)
+            known = (
+                (use.cores_milli, use.memory_bytes, use.gpus_milli)
+                if use is not None
+                else (0, 0, 0)
+            )
+            amounts = recent.get(name, (0.0, 0.0, 0.0))
+            change = abs(
+                dominant_share(amounts, capacity) - dominant_share(known, capacity)
+            )
+            if change > RECORDED_CHANGE_MIN or (use is not None and name not in recent):
+                changes.append((change, name))
+        for _, name in sorted(changes, reverse=True)[:RECORDED_MAX]:
+            amounts = recent.get(name)
+            use = None
+            if amounts is not None:
+                use = RecordedUse(*map(round, amounts), round(now_ms))
+            self.ledger.record_use(name, use)
+
     def requests(
         self, names: Iterable[TenantName], service_count: int, now_ms: float
     ) -> dict[TenantName, TenantRequest]:
--- a/basilhold/tenants/shares.py
+++ b/basilhold/tenants/shares.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from basilhold.core import Resources
+from basilhold.core import Resources, ServiceName
 from basilhold.tenants.registry import NO_TENANT, TenantName, TenantRegistry
 from basilhold.tenants.usage import TenantUsage
 
@@ -21,6 +21,7 @@
     "Starvation",
     "TenantDemand",
     "TenantShares",
+    "UseReport",
     "amounts_of",
     "dominant_share",
     "due_level",
@@ -47,6 +48,16 @@
 REPORT_INTERVAL_MS = 10_000.0
 """Shortest time between two reports about one tenant."""
 
+REPORT_VALID_MS = 2_000.0
+"""Age up to which a report of another service is used as it is. Reports are exchanged
+once a second."""
+
+REPORTED_MAX = 500
+"""Most tenants in a report; those with the largest shares are named."""
+
+FORGOTTEN_RATIO = 0.01
+"""A service whose last report has decayed to this part no longer counts."""
+
 Amounts = tuple[float, float, float]
 """Thousandths of cores, bytes of memory, and thousandths of GPUs."""
 
@@ -169,6 +180,24 @@
     return math.inf
 
 
+class UseReport(msgspec.Struct, frozen=True):
+    """Use of the tenants in one service, for the owners of other services.
+
+    Parameters
+    ----------
+    at_ms : float
+        Time of the store's clock at which it was measured, in milliseconds.
+    capacity : tuple of float
+        Capacity of the service.
+    charged : dict of TenantName to tuple of float
+        As returned by `TenantShares.charged`, at most `REPORTED_MAX` tenants.
+    """
+
+    at_ms: float
+    capacity: Amounts
+    charged: dict[TenantName, Amounts]
+
+
 class ShareStanding(msgspec.Struct):
     """What the last planning pass found about the shares of the tenants.
 
@@ -221,6 +250,7 @@
     def __init__(self, usage: TenantUsage):
         self._usage = usage
         self.standing = ShareStanding()
+        self._elsewhere: dict[ServiceName, UseReport] = {}
         self._behind_since_ms: dict[Hashable, float] = {}
         self._reported_ms: dict[TenantName, float] = {}
         self._recent: dict[TenantName, Amounts] = {}
@@ -253,12 +283,79 @@
         else:
             self._recent[name] = amounts
 
+    def restore(self, name: TenantName, recent: Amounts, at_ms: float) -> None:
+        """Restore the recent use that a previous owner has stored at a time."""
+        kept = math.exp(-max(0.0, (self._updated_ms or at_ms) - at_ms) / USE_DECAY_MS)
+        self._set_recent(name, _mixed(recent, NO_AMOUNTS, kept))
+
+    def recent(self) -> dict[TenantName, Amounts]:
+        """Return the recent use of each tenant, to be stored for the next owner."""
+        return dict(self._recent)
+
+    def report(self, capacity: Amounts) -> UseReport:
+        """Return the use of this service for the owners of other services."""
+        charged = {name: self.charged(name) for name in self.tenants()}
+        largest = sorted(charged, key=lambda n: dominant_share(charged[n], capacity))
+        names = largest[-REPORTED_MAX:]
+        return UseReport(
+            self._updated_ms or 0.0, capacity, {name: charged[name] for name in names}
+        )
+
+    def receive(self, service: ServiceName, report: UseReport) -> None:
+        """Accept a report, unless a newer one of that service is known."""
+        now_ms = self._updated_ms
+        known = self._elsewhere.get(service)
+        if now_ms is None or (known is not None and report.at_ms <= known.at_ms):
+            return
+        # A time in the future would keep all later reports from being accepted.
+        at_ms = min(report.at_ms, now_ms)
+        self._elsewhere[service] = msgspec.structs.replace(report, at_ms=at_ms)
+
+    def _kept_of(self, report: UseReport) -> float:
+        age_ms = (self._updated_ms or report.at_ms) - report.at_ms
+        return math.exp(-max(0.0, age_ms - REPORT_VALID_MS) / USE_DECAY_MS)
+
+    def elsewhere(self, name: TenantName) -> Amounts:
+        """Return what a tenant is charged in other services.
+
+        Without new reports, the last ones decay.
+        """
+        total = NO_AMOUNTS
+        for report in self._elsewhere.values():
+            charged = report.charged.get(name)
+            if charged is not None:
+                kept = _mixed(charged, NO_AMOUNTS, self._kept_of(report))
+                total = _sum(total, kept)
+        return total
+
+    def total_capacity(self, capacity: Amounts) -> Amounts:
+        """Return the capacity of this service and of those that have reported."""
+        for report in self._elsewhere.values():
+            if self._kept_of(report) > FORGOTTEN_RATIO:
+                capacity = _sum(capacity, report.capacity)
+        return capacity
+
+    def charged_everywhere(self, name: TenantName) -> Amounts:
+        """Return what a tenant is charged in all services."""
+        return _sum(self.charged(name), self.elsewhere(name))
+
     def tenants(self) -> set[TenantName]:
-        """Return the tenants that use anything or did so in the last seconds."""
+        """Return the tenants that use anything here or did so in the last seconds."""
         return {*self._recent, *self._usage.tenants()}
 
+    def tenants_everywhere(self) -> set[TenantName]:
+        """Return the tenants that are charged here or in other services."""
+        names = self.tenants()
+        for report in self._elsewhere.values():
+            if self._kept_of(report) > FORGOTTEN_RATIO:
+                names.update(report.charged)
+        return names
+
     def charged(self, name: TenantName) -> Amounts:
-        """Return what a tenant is charged: its use now, or its recent use if higher."""
+        """Return what a tenant is charged in this service.
+
+        That is its use now, or its recent use if it is higher.
+        """
         if name == NO_TENANT:
             return NO_AMOUNTS
         cores, memory, gpus = amounts_of(self._usage.used(name))
@@ -310,6 +407,10 @@
         return [Starvation(name, longest_ms[name], counts[name]) for name in due]
 
 
+def _sum(first: Amounts, second: Amounts) -> Amounts:
+    return (first[0] + second[0], first[1] + second[1], first[2] + second[2])
+
+
 def _mixed(first: Amounts, second: Amounts, weight: float) -> Amounts:
     """Return the mean of two amounts with a weight of the first one."""
     other = 1.0 - weight
--- a/basilhold/workflows/quota_exchange.py
+++ b/basilhold/workflows/quota_exchange.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from basilhold.core import ServiceName
-from basilhold.tenants import Parts, TenantName, TenantRequest
+from basilhold.tenants import Parts, TenantName, TenantRequest, UseReport
 
 __all__ = ["NoQuotaExchange", "QuotaExchange", "QuotaReply", "QuotaRequest"]
 
@@ -19,12 +19,16 @@
     tenants : dict of TenantName to TenantRequest
     all_tenants : bool
         Whether the reply should name everything that was ever given.
+    use : UseReport, optional
+        Use of the tenants in the service that asks, where capacity is divided by
+        shares. Earlier versions neither send nor read it; the same holds for a reply.
     """
 
     giver: ServiceName
     receiver: ServiceName
     tenants: dict[TenantName, TenantRequest]
     all_tenants: bool = False
+    use: UseReport | None = None
 
 
 class QuotaReply(msgspec.Struct, frozen=True):
@@ -36,10 +40,13 @@
         Whether the process owns the service and knows its allotments.
     sent : dict of TenantName to Parts
         Stored counters of everything that was ever given to the service that asks.
+    use : UseReport, optional
+        Use of the tenants in the service that replies.
     """
 
     current: bool
     sent: dict[TenantName, Parts] = {}
+    use: UseReport | None = None
 
 
 class QuotaExchange(ABC):
--- a/basilhold/workflows/quota_keeper.py
+++ b/basilhold/workflows/quota_keeper.py
@@ -14,9 +14,11 @@
 from basilhold.ports import ABSENT, Condition, Row, TableService, Transaction, Write
 from basilhold.tenants import (
     AllotmentLedger,
+    Amounts,
     Parts,
     TenantName,
     TenantRequest,
+    UseReport,
     amounts_of,
     is_valid_weight,
 )
@@ -48,6 +50,9 @@
 REPORTED_MAX = 20
 """Most names in a log line."""
 
+RECORD_INTERVAL_MS = 2_000.0
+"""Shortest time between two records of the use of the tenants for a successor."""
+
 SHARE_METRICS = {
     "share": "basilhold_tenant_share",
     "due_share": "basilhold_tenant_due_share",
@@ -77,6 +82,7 @@
         self._home = ServiceName("")
         self._heard: set[ServiceName] = set()
         self._shown: set[TenantName] = set()
+        self._record_ms = 0.0
         self._blocked_event = asyncio.Event()
 
     def refresh(self) -> None:
@@ -113,6 +119,9 @@
             key = f"{allotments_prefix(service)}{bucket}"
             log_event(events.BAD_ROW, key=key, reason="allotments are lost")
         self._book.open(ledger)
+        if self._state.ports.step_order.divides_capacity:
+            self._book.shares.observe(self._state.time.now_ms())
+            self._book.restore_shares()
         self._state.plan_event.set()
 
     async def run(self) -> None:
@@ -125,12 +134,36 @@
             await self._load()
             now_ms = self._state.clock.monotonic_ms()
             self._book.observe_use(now_ms)
+            self._update_shares(now_ms)
             self._update_metrics()
             await self._ask_others([t.name for t in self._book.registry or ()])
             end_ms = now_ms + EXCHANGE_INTERVAL_MS
             while await self._wait_blocked(end_ms):
                 await self._ask_others(list(self._book.blocked))
 
+    def _update_shares(self, now_ms: float) -> None:
+        """Update the use of the tenants, and record it from time to time."""
+        if not self._state.ports.step_order.divides_capacity:
+            return
+        store_ms = self._state.time.now_ms()
+        self._book.shares.observe(store_ms)
+        if self._book.ledger is not None and now_ms >= self._record_ms:
+            self._record_ms = now_ms + RECORD_INTERVAL_MS
+            self._book.record_shares(self._capacity(), store_ms)
+
+    def _capacity(self) -> Amounts:
+        return amounts_of(self._state.pool.capacity())
+
+    def _report_use(self) -> UseReport | None:
+        """Return what other owners have to know about the use of the tenants."""
+        if not self._state.ports.step_order.divides_capacity:
+            return None
+        return self._book.shares.report(self._capacity())
+
+    def _receive_use(self, service: ServiceName, use: UseReport | None) -> None:
+        if use is not None and self._state.ports.step_order.divides_capacity:
+            self._book.shares.receive(service, use)
+
     async def _wait_blocked(self, end_ms: float) -> bool:
         """Wait until work waits for quota; return false once `end_ms` has passed."""
         await asyncio.sleep(RETRY_INTERVAL_MS / 1000)
@@ -158,9 +191,8 @@
         """Set the metrics of shares; tenants that use nothing any more are set to 0."""
         metrics, service = self._state.ports.metrics, self._state.service
         book, shares = self._book, self._book.shares
-        shares.observe(self._state.time.now_ms())
-        total = amounts_of(self._state.pool.capacity())
-        names = shares.tenants() | shares.behind_counts().keys()
+        total = self._capacity()
+        names = shares.tenants_everywhere() | shares.behind_counts().keys()
         for name in {*names, *self._shown}:
             standing = book.describe_share(name, total)
             for key, metric_name in SHARE_METRICS.items():
@@ -184,15 +216,17 @@
         self, giver: ServiceName, requests: dict[TenantName, TenantRequest]
     ) -> None:
         first = giver not in self._heard
-        if not requests and not first:
+        use = self._report_use()
+        if not requests and not first and use is None:
             return
-        request = QuotaRequest(giver, self._state.service, requests, first)
+        request = QuotaRequest(giver, self._state.service, requests, first, use)
         reply = await self._state.ports.quota_exchange.request(request)
         if not reply.current:
             # The reply may have named something that was given.
             self._heard.discard(giver)
             return
         self._heard.add(giver)
+        self._receive_use(giver, reply.use)
         grown = [
             name
             for name, total in reply.sent.items()
@@ -217,6 +251,7 @@
         if ledger is None or not self._state.lease.is_valid():
             return QuotaReply(False)
         self.refresh()
+        self._receive_use(request.receiver, request.use)
         now_ms = self._state.clock.monotonic_ms()
         count = len(self._others()) + 1
         given = self._book.grant(request.receiver, request.tenants, count, now_ms)
@@ -231,7 +266,7 @@
         sent = ledger.stored_sent(request.receiver)
         if not request.all_tenants:
             sent = {name: sent[name] for name in request.tenants if name in sent}
-        return QuotaReply(not self._state.lease.is_lost, sent)
+        return QuotaReply(not self._state.lease.is_lost, sent, self._report_use())
 
     async def _wait_until_stored(
         self, receiver: ServiceName, given: dict[TenantName, Parts]
--- a/basilhold/workflows/step_order.py
+++ b/basilhold/workflows/step_order.py
@@ -278,20 +278,23 @@
     candidates: list[_Candidate], total: Amounts, quotas: QuotaBook
 ) -> ShareStanding:
     """Count the due shares that the tenant of each step has without it."""
+    shares = quotas.shares
     demands: dict[TenantName, Amounts] = {}
     for candidate in candidates:
         if candidate.count and candidate.rank < SURPLUS_RANK:
             name = candidate.step.tenant
             known = demands.get(name) or amounts_of(quotas.used(name))
             demands[name] = _sum(known, _size_of(candidate))
-    for name in quotas.shares.tenants() - demands.keys():
+    for name in shares.tenants() - demands.keys():
         demands[name] = amounts_of(quotas.used(name))
+    everywhere = shares.total_capacity(total)
     level = due_level(
         (
             TenantDemand(
                 quotas.weight(name),
                 amounts,
-                dominant_share(amounts, total),
+                dominant_share(amounts, everywhere),
+                dominant_share(shares.elsewhere(name), everywhere),
             )
             for name, amounts in demands.items()
         ),
@@ -300,15 +303,15 @@
     projected: dict[TenantName, Amounts] = {}
     for candidate in candidates:
         name = candidate.step.tenant
-        amounts = projected.get(name) or quotas.shares.charged(name)
-        due_share = level * quotas.weight(name)
-        shares = dominant_share(amounts, total) / max(due_share, DUE_SHARE_MIN)
-        candidate.due_shares = int(min(shares, DUE_SHARES_MAX))
+        amounts = projected.get(name) or shares.charged_everywhere(name)
+        due_share = max(level * quotas.weight(name), DUE_SHARE_MIN)
+        due_shares = dominant_share(amounts, everywhere) / due_share
+        candidate.due_shares = int(min(due_shares, DUE_SHARES_MAX))
         projected[name] = _sum(amounts, _size_of(candidate))
     above = {
         name
-        for name in quotas.shares.tenants()
-        if dominant_share(quotas.shares.charged(name), total)
+        for name in shares.tenants()
+        if dominant_share(shares.charged_everywhere(name), everywhere)
         > (1 + SHARE_TOLERANCE) * level * quotas.weight(name)
     }
     return ShareStanding(level, above=above)
--- a/basilhold/workflows/tests/test_tenant_shares.py
+++ b/basilhold/workflows/tests/test_tenant_shares.py
@@ -2,17 +2,21 @@
 
 import asyncio
 import random
+from unittest.mock import patch
 
 import msgspec
 
-from basilhold.core import Resources
+from basilhold.core import Resources, ServiceName
 from basilhold.tenants import Tenant, TenantName, TenantRegistry
 from basilhold.testing import VirtualTimeTestCase
 from basilhold.testing.workflow_cell import SERVICE, WorkflowCell, make_spec
 from basilhold.workflows.model import StepSpec
+from basilhold.workflows.quota_exchange import QuotaReply
+from basilhold.workflows.quota_keeper import QuotaKeeper
 from basilhold.workflows.step_order import DeadlineOrder, TenantShareOrder
 
 HOG, SMALL = TenantName("hog"), TenantName("small")
+INSPECT = ServiceName("inspect")
 RUN_TIME_MS = 500.0
 
 
@@ -22,15 +26,20 @@
     return msgspec.structs.replace(spec, steps=(step,), tenant=tenant)
 
 
+async def no_reply(keeper, request):
+    return QuotaReply(False)
+
+
 class TenantSharesTest(VirtualTimeTestCase):
     """Guards against a tenant whose burst makes the work of others late."""
 
-    def make_cell(self, order, small_weight=100.0):
+    def make_cell(self, order, small_weight=100.0, **options):
         tenants = (Tenant(HOG, 100.0), Tenant(SMALL, small_weight))
         return WorkflowCell(
             worker_count=4,
             tenants=TenantRegistry((tenant, ()) for tenant in tenants),
             step_order=order,
+            **options,
         )
 
     async def play_burst(self, cell, small_interval=8):
@@ -82,3 +91,27 @@
             self.assertIn(
                 f'basilhold_tenant_{name}{{service="{SERVICE}",tenant="hog"}}', text
             )
+
+    async def test_use_of_both_services_counts_through_takeovers_and_cuts(self):
+        def share(cell):
+            process = cell.processes[cell.owner_name()]
+            owned = process.ownership_manager.describe()["owned"][SERVICE]
+            return owned["tenants"].get(HOG, {}).get("share", 0.0)
+
+        spec = make_workflow(1, HOG)
+        step = StepSpec(8, Resources(4_000, 1 << 20), 6_000.0)
+        policy = msgspec.structs.replace(spec.policy, service=INSPECT)
+        spec = msgspec.structs.replace(spec, policy=policy, steps=(step,))
+        cell = self.make_cell(TenantShareOrder(), services=(SERVICE, INSPECT))
+        async with cell:
+            await asyncio.sleep(3)
+            await cell.submit(spec)
+            await asyncio.sleep(5)
+            self.assertAlmostEqual(share(cell), 0.5, delta=0.05)
+            await cell.kill_process(cell.owner_name())
+            await asyncio.sleep(8)
+            self.assertGreater(share(cell), 0.02)
+            with patch.object(QuotaKeeper, "serve", no_reply):
+                await asyncio.sleep(30)
+                self.assertLess(share(cell), 0.01)
+            self.assertEqual(cell.runners.violations, [])
