--- a/basilhold/workflow_trials/variants.py
+++ b/basilhold/workflow_trials/variants.py
@@ -122,14 +122,21 @@
 
 
 @contextmanager
-def tenant_share() -> Iterator[None]:
-    """Order steps by what the tenants are due while capacity is short."""
+def tenant_share_apart() -> Iterator[None]:
+    """Order steps by due shares, with the use of each service counted by itself."""
     with patch.object(
         DeadlineOrder, "sort", lambda order, *args: TenantShareOrder().sort(*args)
     ):
         yield
 
 
+@contextmanager
+def tenant_share() -> Iterator[None]:
+    """Order steps by what the tenants are due while capacity is short."""
+    with tenant_share_apart(), patch.object(DeadlineOrder, "divides_capacity", True):
+        yield
+
+
 @contextmanager
 def no_surplus() -> Iterator[None]:
     """Let submissions beyond a tenant's rate keep their rank."""
@@ -156,6 +163,7 @@
     "no-surplus": no_surplus,
     "dominant-alone": dominant_share_alone,
     "tenant-share": tenant_share,
+    "tenant-share-apart": tenant_share_apart,
     "tenant-share-alone": tenant_share_alone,
     "as-built": as_built,
     "one-question": one_question_at_a_time,
--- a/basilhold/workflows/step_order.py
+++ b/basilhold/workflows/step_order.py
@@ -130,6 +130,10 @@
 DUE_SHARE_MIN = 1e-6
 """Least due share, as a part of the capacity, which keeps quotients finite."""
 
+SHARE_QUANTUM = 0.0
+"""Part of the capacity that a tenant may use above its due share. One wide step or gang
+is a multiple of the due share of a small tenant."""
+
 SHARE_TOLERANCE = 0.05
 """Part by which a tenant has to exceed its due share to count as above it."""
 
@@ -305,7 +309,8 @@
         name = candidate.step.tenant
         amounts = projected.get(name) or shares.charged_everywhere(name)
         due_share = max(level * quotas.weight(name), DUE_SHARE_MIN)
-        due_shares = dominant_share(amounts, everywhere) / due_share
+        share = dominant_share(amounts, everywhere) - SHARE_QUANTUM
+        due_shares = max(0.0, share) / due_share
         candidate.due_shares = int(min(due_shares, DUE_SHARES_MAX))
         projected[name] = _sum(amounts, _size_of(candidate))
     above = {
--- a/basilhold/workflows/tests/test_withheld_workers.py
+++ b/basilhold/workflows/tests/test_withheld_workers.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from basilhold.core import Resources
+from basilhold.tenants import Tenant, TenantName, TenantRegistry
 from basilhold.testing import VirtualTimeTestCase
 from basilhold.testing.workflow_cell import WorkflowCell, make_spec
 from basilhold.workflows.isolation import ISOLATION_WAIT_MAX_MS
@@ -13,6 +14,7 @@
 from basilhold.workflows.pool import ISOLATED_RUN_MAX_MS, PROBE_MS
 from basilhold.workflows.progress import EndKind, WorkflowState
 from basilhold.workflows.run_controller import AVOID_FAILING_WORKER_MS
+from basilhold.workflows.step_order import TenantShareOrder
 
 WORKER_COUNT = 8
 START_LIMIT_S = 3.0
@@ -199,3 +201,22 @@
         await self.check_gang_leaves_room(
             make_step(WORKER_COUNT, 60_000.0, per_worker_max=1)
         )
+
+    async def test_tenant_above_its_share_uses_what_nobody_else_wants(self):
+        hog, other = (Tenant(TenantName(name), 100.0) for name in ("hog", "other"))
+        registry = TenantRegistry([(hog, ()), (other, ())])
+        async with WorkflowCell(
+            tenants=registry, step_order=TenantShareOrder()
+        ) as cell:
+            await asyncio.sleep(3)
+            specs = []
+            for number in range(60):
+                tenant = other.name if number < 20 else hog.name
+                spec = make_workflow(number, make_step(20, 400.0))
+                specs.append(msgspec.structs.replace(spec, tenant=tenant))
+                await cell.submit(specs[-1])
+            await asyncio.sleep(14)
+            front = next(iter(cell.processes.values())).front
+            for spec in specs:
+                _, state = await front.state(spec.policy, spec.job_id)
+                self.assertIs(state, WorkflowState.COMPLETED)
