--- a/basilhold/observability/metric_catalogue.py
+++ b/basilhold/observability/metric_catalogue.py
@@ -260,6 +260,24 @@
         "is deadline (too late from the start) or late (not sent in time)",
         ("service", "reason"),
     ),
+    Metric(
+        "basilhold_tenant_share",
+        _GAUGE,
+        "Largest share of a resource that a tenant uses, or used in the last seconds",
+        ("service", "tenant"),
+    ),
+    Metric(
+        "basilhold_tenant_due_share",
+        _GAUGE,
+        "Share of the service that a tenant is due; 1 while there is enough capacity",
+        ("service", "tenant"),
+    ),
+    Metric(
+        "basilhold_tenant_steps_behind",
+        _GAUGE,
+        "Steps of a tenant that wait behind those of others, as capacity is short",
+        ("service", "tenant"),
+    ),
     Metric(
         "basilhold_callers_rejected_total",
         _COUNTER,
--- a/basilhold/platform/node.py
+++ b/basilhold/platform/node.py
@@ -60,9 +60,14 @@
 from basilhold.workflows.relayed_table import RelayedTable
 from basilhold.workflows.rows import Incarnation
 from basilhold.workflows.shared_time import SharedTime
+from basilhold.workflows.step_order import (
+    DeadlineOrder,
+    StepOrder,
+    TenantShareOrder,
+)
 from basilhold.workflows.worker_link import LEASE_MAX_MS, OwnerLimits
 
-__all__ = ["LogMetrics", "NodeDaemon", "main"]
+__all__ = ["LogMetrics", "NodeDaemon", "choose_step_order", "main"]
 
 CONNECT_TIMEOUT_MS = 500
 CONNECTION_IDLE_MS = 20_000
@@ -102,6 +107,9 @@
 
 CLOCK_ADJUST_INTERVAL_MS = 1_000
 
+PRESSURE_CONTRACT = "pressure"
+"""Name of the contract under which tenants share capacity that is too small."""
+
 
 class BootClock(SuspendAwareClock):
     """The kernel's boot-time clock, which includes the time of suspension."""
@@ -203,6 +211,7 @@
             self._services,
             PeerQuotaExchange(lambda: self.ownership_manager, peers),
             poll_turns=PollTurns(limits.waiting_polls, limits.unanswered_polls),
+            step_order=choose_step_order(settings),
         )
         self._configuration = ConfigurationWatch(
             store,
@@ -389,6 +398,13 @@
             self._clock.adjust(int(time.time() * 1000))
 
 
+def choose_step_order(settings: PlatformSettings) -> StepOrder:
+    """Return the order in which steps get capacity."""
+    if PRESSURE_CONTRACT in settings.contracts:
+        return TenantShareOrder()
+    return DeadlineOrder()
+
+
 def _usable_descriptors(settings: PlatformSettings) -> int:
     """Return how many descriptors the process may open."""
     soft_limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
--- a/basilhold/tenants/quota_book.py
+++ b/basilhold/tenants/quota_book.py
@@ -16,8 +16,21 @@
     AllotmentView,
     PartsRequest,
 )
-from basilhold.tenants.allotments import NOTHING, WHOLE, AllotmentLedger, Parts
+from basilhold.tenants.allotments import (
+    NOTHING,
+    WHOLE,
+    AllotmentLedger,
+    Parts,
+    RecordedUse,
+)
 from basilhold.tenants.registry import NO_TENANT, TenantName, TenantRegistry
+from basilhold.tenants.shares import (
+    DEFAULT_WEIGHT,
+    Amounts,
+    TenantShares,
+    dominant_share,
+    share_weights,
+)
 from basilhold.tenants.usage import TenantUsage
 
 __all__ = ["BlockedDemand", "QuotaBook", "TenantRequest"]
@@ -31,6 +44,13 @@
 DESCRIBED_MAX = 100
 """Most tenants in a state dump."""
 
+RECORDED_CHANGE_MIN = 0.02
+"""Least recorded change of a tenant's recent use, as a share of the capacity."""
+
+RECORDED_MAX = 8
+"""Most tenants whose recent use is recorded at a time. Each changes a row, and a
+transaction holds at most 100 entries."""
+
 PROTECTED_MAX_MS = 2_000.0
 """How long waiting work keeps unused quota from work of another service that comes
 after it. Work whose tenant uses less than half of its quota has to start within 3 s."""
@@ -96,6 +116,8 @@
         ``None`` until it has been read from the store. Nothing may start until then.
     blocked : dict of TenantName to BlockedDemand
         What the last planning pass could not start for lack of quota.
+    shares : TenantShares
+        What each tenant uses, now and in the last seconds.
     """
 
     def __init__(self, usage: TenantUsage, policy: AllotmentPolicy):
@@ -104,17 +126,23 @@
         self._peaks: dict[TenantName, _Peak] = {}
         self._blocked_since_ms: dict[TenantName, float] = {}
         self._reported_ms: dict[TenantName, float] = {}
+        self.shares = TenantShares(usage)
+        self._weights: dict[TenantName, float] = {}
+        self._default_weight = DEFAULT_WEIGHT
         self.registry: TenantRegistry | None = None
         self.ledger: AllotmentLedger | None = None
         self.blocked: dict[TenantName, BlockedDemand] = {}
 
-    def update_registry(self, registry: TenantRegistry | None) -> None:
-        """Apply the tenants of the newest configuration."""
+    def update_registry(self, registry: TenantRegistry | None) -> bool:
+        """Apply the tenants of the newest configuration; return whether it is new."""
         if registry is self.registry:
-            return
+            return False
         self.registry = registry
+        self._weights = share_weights(registry)
+        self._default_weight = min([DEFAULT_WEIGHT, *self._weights.values()])
         if self.ledger is not None:
             self._note_quotas()
+        return True
 
     def open(self, ledger: AllotmentLedger) -> None:
         """Set the ledger that was read from the store."""
@@ -136,6 +164,14 @@
             return tenant.quota
         return self.ledger.last_quota(name) if self.ledger else Resources()
 
+    def weight(self, name: TenantName) -> float:
+        """Return a valid weight of a tenant.
+
+        A tenant that was removed, or has no valid weight, gets a default that is at
+        most the lowest one.
+        """
+        return self._weights.get(name, self._default_weight)
+
     def used(self, name: TenantName) -> Resources:
         """Return what the tenant's runs in this service use."""
         return self._usage.used(name)
@@ -195,14 +231,40 @@
             "version": self.registry.version if self.registry is not None else 0,
         }
 
-    def describe(self) -> dict[str, Any]:
+    def describe(self, capacity: Amounts | None = None) -> dict[str, Any]:
         """Return use, allotment and waiting work, for the state dump.
 
         Only tenants that use or wait for something are included, at most
         `DESCRIBED_MAX`.
+
+        Parameters
+        ----------
+        capacity : tuple of float, optional
+            Capacity of the service, if it is divided by shares; these are included
+            then.
+        """
+        names = {*self._usage.tenants(), *self.blocked}
+        if capacity is None:
+            return {name: self._describe_tenant(name) for name in _first(names)}
+        names |= self.shares.tenants_everywhere() | self.shares.behind_counts().keys()
+        return {
+            name: self._describe_tenant(name) | self.describe_share(name, capacity)
+            for name in _first(names)
+        }
+
+    def describe_share(self, name: TenantName, capacity: Amounts) -> dict[str, float]:
+        """Return the share of a tenant, what it is due, and its work behind others.
+
+        Shares are of all services that have reported. Recent use is included in
+        `share`. While there is enough capacity, everything is due.
         """
-        names = sorted({*self._usage.tenants(), *self.blocked})[:DESCRIBED_MAX]
-        return {name: self._describe_tenant(name) for name in names}
+        total = self.shares.total_capacity(capacity)
+        share = dominant_share(self.shares.charged_everywhere(name), total)
+        return {
+            "share": round(share, 4),
+            "due_share": round(self.shares.due_share(self.weight(name)), 4),
+            "steps_behind": self.shares.behind_counts()[name],
+        }
 
     def _describe_tenant(self, name: TenantName) -> dict[str, Any]:
         held = self.ledger.held(name) if self.ledger else NOTHING
@@ -262,6 +324,46 @@
         peak = self._peak(name, now_ms).at_least(used)
         return AllotmentView(held, used, peak, missing, protected)
 
+    def restore_shares(self) -> None:
+        """Continue with the recent use that a previous owner has recorded."""
+        for name, use in self.ledger.recorded_uses().items():
+            amounts = (use.cores_milli, use.memory_bytes, use.gpus_milli)
+            self.shares.restore(name, amounts, use.at_ms)
+
+    def record_shares(self, capacity: Amounts, now_ms: float) -> None:
+        """Record the recent use of the tenants in the ledger; called regularly.
+
+        Only changes that matter are recorded, `RECORDED_MAX` at a time.
+
+        Parameters
+        ----------
+        capacity : tuple of float
+            Capacity of the service.
+        now_ms : float
+            Time of the store's clock, in milliseconds.
+        """
+        recorded, recent = self.ledger.recorded_uses(), self.shares.recent()
+        changes: list[tuple[float, TenantName]] = []
+        for name in {*recorded, *recent}:
+            use = recorded.get(name)
+            known = (
+                (use.cores_milli, use.memory_bytes, use.gpus_milli)
+                if use is not None
+                else (0, 0, 0)
+            )
+            amounts = recent.get(name, (0.0, 0.0, 0.0))
+            change = abs(
+                dominant_share(amounts, capacity) - dominant_share(known, capacity)
+            )
+            if change > RECORDED_CHANGE_MIN or (use is not None and name not in recent):
+                changes.append((change, name))
+        for _, name in sorted(changes, reverse=True)[:RECORDED_MAX]:
+            amounts = recent.get(name)
+            use = None
+            if amounts is not None:
+                use = RecordedUse(*map(round, amounts), round(now_ms))
+            self.ledger.record_use(name, use)
+
     def requests(
         self, names: Iterable[TenantName], service_count: int, now_ms: float
     ) -> dict[TenantName, TenantRequest]:
@@ -326,3 +428,7 @@
         if request.claim is not None and own > (request.claim, receiver):
             return False
         return now_ms - self._blocked_since_ms[name] < PROTECTED_MAX_MS
+
+
+def _first(names: Iterable[TenantName]) -> list[TenantName]:
+    return sorted(names)[:DESCRIBED_MAX]
--- a/basilhold/testing/workflow_cell.py
+++ b/basilhold/testing/workflow_cell.py
@@ -60,6 +60,7 @@
 from basilhold.workflows.relayed_table import RelayedTable
 from basilhold.workflows.rows import Incarnation
 from basilhold.workflows.shared_time import SharedTime
+from basilhold.workflows.step_order import DeadlineOrder, StepOrder
 from basilhold.workflows.worker_link import OwnerLimits
 
 __all__ = ["SERVICE", "WorkflowCell", "WorkflowProcess", "make_spec"]
@@ -318,6 +319,7 @@
             lambda: cell.services,
             PeerQuotaExchange(lambda: self.ownership_manager, peers),
             cell.allotment_policy,
+            step_order=cell.step_order,
             poll_turns=PollTurns(cell.waiting_polls_max),
         )
         self.ownership_manager = OwnershipManager(
@@ -385,6 +387,8 @@
         The store; by default one with `store_faults`.
     waiting_polls_max : int, optional
         Most polls of a process that wait at workers; no limit by default.
+    step_order : StepOrder, optional
+        By default that of deadlines.
 
     Attributes
     ----------
@@ -413,11 +417,13 @@
         lease_limit_ms: float = LEASE_MS,
         table: FeedTable | None = None,
         waiting_polls_max: int | None = None,
+        step_order: StepOrder | None = None,
     ):
         self.waiting_polls_max = waiting_polls_max
         self.services = services
         self.tenants = tenants
         self.allotment_policy = allotment_policy or DemandPolicy()
+        self.step_order = step_order or DeadlineOrder()
         self._tenants_version = 0
         self.quotas_in_force = {tenant.name: tenant.quota for tenant in tenants or ()}
         self.relays = relays
--- a/basilhold/workflows/events.py
+++ b/basilhold/workflows/events.py
@@ -165,6 +165,21 @@
     "service={service} tenant={tenant} job={job} waits for quota: used={used} "
     "allotment={allotment} quota={quota} version={version}",
 )
+TENANT_WEIGHT_INVALID = Event(
+    6075,
+    EventLevel.WARNING,
+    "service={service} version={version}: the weights of {count} tenants are not "
+    "positive numbers: {tenants}; they get the default",
+    "Correct the weights in the configuration document.",
+)
+TENANT_STARVED = Event(
+    6076,
+    EventLevel.WARNING,
+    "service={service} tenant={tenant} work has waited behind that of other tenants "
+    "for {waited_ms} ms: steps={steps} share={share} due_share={due_share}",
+    "Compare share and due_share; if the tenant is above its share, its load exceeds "
+    "what it is due, else add workers.",
+)
 GROUPING_BEGUN = Event(
     6080,
     EventLevel.INFO,
