Count the time of a run from its confirmation

The age of a run counted from the decision to start it.

`Run.begun_ms` is the time at which the worker confirmed the run, and of the decision until then. It is used for overdue runs, recorded run times, the cost of a stop and the earliest expected end. Ends of runs whose stop was wanted record no run time, as the confirmation of a stop replaces the time of the confirmation.

--- a/basilhold/workflows/owner.py
+++ b/basilhold/workflows/owner.py
@@ -567,7 +567,7 @@
                 task=task_name(run.key.job_id, key),
                 run=run.number,
                 worker=straggler.worker.worker_id,
-                after_ms=round(now_ms - run.started_ms),
+                after_ms=round(now_ms - run.begun_ms),
             )
             self._avoid_worker_for_task(run, straggler.worker)
             self._run_controller.stop(straggler.worker, run)
--- a/basilhold/workflows/planner.py
+++ b/basilhold/workflows/planner.py
@@ -836,7 +836,7 @@
     if run.step is None or run.step.long_running:
         return math.inf
     expected_ms = run.step.estimate_ms * worker.run_time_ratio
-    return run.started_ms + EARLY_END_FRACTION * expected_ms
+    return run.begun_ms + EARLY_END_FRACTION * expected_ms
 
 
 def _make_run(step: ReadyStep, key: TaskKey, now_ms: float) -> Run:
--- a/basilhold/workflows/pool.py
+++ b/basilhold/workflows/pool.py
@@ -206,6 +206,15 @@
     is_unassigned: bool = False
     is_absent: bool = False
 
+    @property
+    def begun_ms(self) -> float:
+        """When the run began, as a time of the event loop's clock in milliseconds.
+
+        A run begins once its worker has confirmed it. A slow store delays the start,
+        which is no fault of the worker. Until then, it is the time of the decision.
+        """
+        return max(self.started_ms, self.confirmed_ms)
+
     def lost_end(self, crash: CrashEvidence | None = None) -> RunEnd:
         """Return the end of the run if it can no longer be at work.
 
--- a/basilhold/workflows/preemption.py
+++ b/basilhold/workflows/preemption.py
@@ -332,7 +332,7 @@
     """
     if run.step is not None and run.step.checkpointing:
         return 0.0
-    return max(0.0, now_ms - run.started_ms)
+    return max(0.0, now_ms - run.begun_ms)
 
 
 def _stop_cost(run: Run, now_ms: float) -> float:
--- a/basilhold/workflows/run_controller.py
+++ b/basilhold/workflows/run_controller.py
@@ -435,12 +435,11 @@
     ) -> None:
         """Update the run times and failure count of a worker from a run's outcome."""
         now_ms = self._state.clock.monotonic_ms()
-        is_timed = run is not None and run.confirmed_ms and not run.is_restored
-        if is_timed and end.kind is EndKind.DONE:
+        # A confirmed stop replaces the time of the confirmation.
+        is_timed = run is not None and run.confirmed_ms and not run.stop_wanted
+        if is_timed and not run.is_restored and end.kind is EndKind.DONE:
             step_key = StepKey(key.job_id, key.task.occurrence, key.task.step)
-            self._state.run_times.record(
-                step_key, step, worker, now_ms - run.started_ms
-            )
+            self._state.run_times.record(step_key, step, worker, now_ms - run.begun_ms)
         if end.kind in (EndKind.DONE, EndKind.FAILED):
             failed = end.kind is EndKind.FAILED
             if worker.record_outcome(failed, now_ms, AVOID_FAILING_WORKER_MS):
--- a/basilhold/workflows/stragglers.py
+++ b/basilhold/workflows/stragglers.py
@@ -146,6 +146,6 @@
     if run.is_absent:
         return False
     key = StepKey(run.key.job_id, run.key.task.occurrence, run.key.task.step)
-    if now_ms - run.started_ms <= run_times.limit_ms(key, step):
+    if now_ms - run.begun_ms <= run_times.limit_ms(key, step):
         return False
     return run_times.may_restart(key, run.key.task.index)
