Leave overdue runs alone where restarts do not help

An overdue run is left alone if most tasks of its step take as long on at least two other workers, counted with the present age of those that still run. It is also left alone if the queue's record of restarts shows that tasks are long by nature, and its worker has ended an ordinary run since this one should have ended. Runs are left alone up to 12 times their estimates, so that workers that hang together are noticed. Event 6090 tells which runs those are.

--- a/basilhold/workflows/events.py
+++ b/basilhold/workflows/events.py
@@ -165,6 +165,12 @@
     "service={service} tenant={tenant} job={job} waits for quota: used={used} "
     "allotment={allotment} quota={quota} version={version}",
 )
+RUN_SPARED = Event(
+    6090,
+    EventLevel.INFO,
+    "task={task} run={run} worker={worker} overdue after_ms={after_ms}, not restarted: "
+    "{reason}",
+)
 CONFIGURATION_CHANGED = Event(
     6100,
     EventLevel.INFO,
--- a/basilhold/workflows/owner.py
+++ b/basilhold/workflows/owner.py
@@ -20,7 +20,6 @@
 from basilhold.ports import Row
 from basilhold.tenants import NO_TENANT, BlockedDemand, SubmissionRates, TenantName
 from basilhold.workflows import events
-from basilhold.workflows.admissions import StepKey
 from basilhold.workflows.advice_queries import AdviceQuery
 from basilhold.workflows.evacuation import find_evacuations
 from basilhold.workflows.model import (
@@ -557,11 +556,19 @@
             worker.avoid_until_ms = max(
                 worker.avoid_until_ms, now_ms + AVOID_FAILING_WORKER_MS
             )
+        for spared in self._state.run_times.take_spared():
+            log_event(
+                events.RUN_SPARED,
+                task=task_name(spared.run.key.job_id, spared.run.key.task),
+                run=spared.run.number,
+                worker=spared.worker.worker_id,
+                after_ms=round(now_ms - spared.run.begun_ms),
+                reason=spared.reason.value,
+            )
         for straggler in stragglers:
             run = straggler.run
             key = run.key.task
-            step_key = StepKey(run.key.job_id, key.occurrence, key.step)
-            self._state.run_times.count_restart(step_key, key.index)
+            self._state.run_times.count_restart(run, now_ms)
             log_event(
                 events.RUN_OVERDUE,
                 task=task_name(run.key.job_id, key),
--- a/basilhold/workflows/planner.py
+++ b/basilhold/workflows/planner.py
@@ -856,6 +856,7 @@
         tenant=step.tenant,
         size=spec.size,
         is_suspect=step.workflow.is_suspect(key),
+        queue=step.workflow.spec.policy.name,
     )
 
 
--- a/basilhold/workflows/pool.py
+++ b/basilhold/workflows/pool.py
@@ -3,6 +3,7 @@
 The module performs no I/O.
 """
 
+import math
 from collections.abc import Iterable
 from enum import Enum
 from typing import NamedTuple
@@ -12,7 +13,7 @@
 from basilhold.core import Epoch, JobId, Resources, WorkerId
 from basilhold.tenants import NO_TENANT, TenantName, TenantUsage
 from basilhold.workflows.crash_blame import EARLY_CRASH_MS, CrashEvidence, CrashLog
-from basilhold.workflows.model import RunNumber, StepSpec, TaskKey
+from basilhold.workflows.model import QueueName, RunNumber, StepSpec, TaskKey
 from basilhold.workflows.progress import EndKind, RunEnd
 
 __all__ = [
@@ -175,6 +176,8 @@
     is_absent : bool
         Whether the run is no longer at work, although its end is not listed yet: a
         listing that was not complete has contained neither.
+    queue : QueueName
+        Queue of the workflow; empty for a run of an unknown workflow.
     """
 
     key: RunKey
@@ -205,6 +208,7 @@
     crash: CrashEvidence | None = None
     is_unassigned: bool = False
     is_absent: bool = False
+    queue: QueueName = QueueName("")
 
     @property
     def begun_ms(self) -> float:
@@ -319,6 +323,9 @@
         milliseconds.
     run_time_ratio : float
         Moving average of actual to expected run times; above 1 for a slow worker.
+    sound_ms : float
+        Time of the event loop's clock at which a run of ordinary length last ended, in
+        milliseconds.
     draining_since_ms : float
         Time of the event loop's clock at which the owner noticed that the worker is
         draining, in milliseconds; 0 if it has not.
@@ -364,6 +371,7 @@
         self.failed_ms = 0.0
         self.avoid_until_ms = 0.0
         self.run_time_ratio = 1.0
+        self.sound_ms = -math.inf
         self.draining_since_ms = 0.0
         self.heard_ms = 0.0
         self.silent_since_ms = 0.0
--- a/basilhold/workflows/recovery.py
+++ b/basilhold/workflows/recovery.py
@@ -192,6 +192,7 @@
                 is_suspect=workflow.is_suspect(key),
                 is_restored=True,
                 crash=_restored_crash(worker, task),
+                queue=workflow.spec.policy.name,
             )
             worker.add(run)
             # It was up at its last start, at least.
--- a/basilhold/workflows/run_controller.py
+++ b/basilhold/workflows/run_controller.py
@@ -6,10 +6,9 @@
 from basilhold.observability import log_event, metric
 from basilhold.ports.runners import CallOutcome, RunnerCall, StartCall
 from basilhold.workflows import events
-from basilhold.workflows.admissions import StepKey
 from basilhold.workflows.committer import Committer
 from basilhold.workflows.crash_blame import clearance_ms
-from basilhold.workflows.model import StepSpec, TaskKey, task_name
+from basilhold.workflows.model import TaskKey, task_name
 from basilhold.workflows.owner_state import LeaseLostError, OwnerState
 from basilhold.workflows.pacing import PaceChange, find_pace_changes
 from basilhold.workflows.planner import Placement
@@ -318,7 +317,7 @@
         run: Run | None,
     ) -> None:
         step = workflow.spec.steps[key.task.step]
-        self._update_worker_statistics(worker, key, step, end, run)
+        self._update_worker_statistics(worker, end, run)
         was_final = workflow.state.is_final
         is_late = workflow.task(key.task).run != end.run
         if not workflow.apply_end(end, self._state.time.now_ms()):
@@ -431,15 +430,14 @@
                 self.stop(worker, worker.runs[key])
 
     def _update_worker_statistics(
-        self, worker: Worker, key: RunKey, step: StepSpec, end: RunEnd, run: Run | None
+        self, worker: Worker, end: RunEnd, run: Run | None
     ) -> None:
         """Update the run times and failure count of a worker from a run's outcome."""
         now_ms = self._state.clock.monotonic_ms()
         # A confirmed stop replaces the time of the confirmation.
         is_timed = run is not None and run.confirmed_ms and not run.stop_wanted
         if is_timed and not run.is_restored and end.kind is EndKind.DONE:
-            step_key = StepKey(key.job_id, key.task.occurrence, key.task.step)
-            self._state.run_times.record(step_key, step, worker, now_ms - run.begun_ms)
+            self._state.run_times.record(run, worker, now_ms)
         if end.kind in (EndKind.DONE, EndKind.FAILED):
             failed = end.kind is EndKind.FAILED
             if worker.record_outcome(failed, now_ms, AVOID_FAILING_WORKER_MS):
--- a/basilhold/workflows/stragglers.py
+++ b/basilhold/workflows/stragglers.py
@@ -2,10 +2,13 @@
 
 A worker that has become slow or hangs keeps its leases and reports no ends. Its runs
 are stopped and restarted on other workers while their workflows can still end in time.
+A run is left alone if its step or its task takes long on any worker.
 The module performs no I/O.
 """
 
 import statistics
+from enum import Enum
+from typing import NamedTuple
 
 import msgspec
 
@@ -13,8 +16,9 @@
 from basilhold.workflows.admissions import StepKey
 from basilhold.workflows.model import StepSpec
 from basilhold.workflows.pool import Pool, Run, RunStage, Worker
+from basilhold.workflows.run_time_model import RunTimeModel
 
-__all__ = ["RunTimes", "Straggler", "find_stragglers"]
+__all__ = ["RunTimes", "SpareReason", "SparedRun", "Straggler", "find_stragglers"]
 
 OVERDUE_FACTOR = 2.2
 """Multiple of the expected run time after which a run is overdue. Sizes of the tasks of
@@ -40,29 +44,117 @@
 """Bounds of the ratio that one run time contributes."""
 
 
+SIBLING_AGE_SHARE = 0.5
+"""Share of an overdue run's age from which on the age of another run of its step shows
+how long the step takes."""
+
+SIBLING_WORKERS_MIN = 2
+"""Number of other workers on which tasks of the step have to be equally long. Two slow
+workers at a time are common, three with tasks of one step are not."""
+
+SPARED_FACTOR = 12.0
+"""Multiple of the estimate up to which a run is left alone. Long tasks take seven times
+the estimate, on slow workers nearly twelve times. A worker that hangs together with
+those of most other tasks of a step is noticed after this time."""
+
+LONG_AGAIN_SHARE = 0.6
+"""Share of the time after which a run was overdue from which on a second run has taken
+as long again."""
+
+LONG_SHARE_SOUND = 0.25
+"""Share of long tasks among a queue's overdue ones from which on a run on a sound
+worker is left alone."""
+
+LONG_SHARE_ANY = 0.7
+"""Share of long tasks among a queue's overdue ones from which on a run is left alone on
+any worker, unless another run there is overdue."""
+
+SOUND_FACTOR = 1.6
+"""Multiple of the expected run time up to which a run shows a worker to be sound."""
+
+
+class SpareReason(Enum):
+    """Why an overdue run is left alone."""
+
+    STEP_LONG = "tasks of its step take as long on other workers"
+    TASK_LONG = "restarts of its queue's tasks do not help"
+
+
+class SparedRun(NamedTuple):
+    """An overdue run that is left alone."""
+
+    worker: Worker
+    run: Run
+    reason: SpareReason
+
+
+class _Sibling(NamedTuple):
+    """Time that a task of a step has taken, or takes so far, in milliseconds."""
+
+    worker_id: WorkerId
+    run_time_ms: float
+    is_ended: bool = False
+
+
+class _Restart(msgspec.Struct):
+    """Restarts of a task, and the age at which its latest run was stopped."""
+
+    count: int = 0
+    stopped_age_ms: float = 0.0
+
+
 class RunTimes:
-    """Run times of completed tasks and number of restarts, by step."""
+    """Run times of completed tasks and number of restarts, by step.
+
+    Parameters
+    ----------
+    model : RunTimeModel, optional
+        Learns from the outcomes of restarts.
+    """
 
-    def __init__(self):
-        self._steps: dict[StepKey, list[float]] = {}
-        self._restarts: dict[tuple[StepKey, int], int] = {}
+    def __init__(self, model: RunTimeModel | None = None):
+        self.model = model or RunTimeModel()
+        self._steps: dict[StepKey, list[_Sibling]] = {}
+        self._restarts: dict[tuple[StepKey, int], _Restart] = {}
+        self._spared: dict[tuple[StepKey, int], SpareReason] = {}
+        self._new_spared: list[SparedRun] = []
 
-    def record(
-        self, key: StepKey, step: StepSpec, worker: Worker, run_time_ms: float
-    ) -> None:
-        """Record the run time of a completed task and update its worker's ratio."""
+    def record(self, run: Run, worker: Worker, now_ms: float) -> None:
+        """Record the run time of a completed task and update its worker.
+
+        Parameters
+        ----------
+        run : Run
+            A confirmed run whose task is done.
+        worker : Worker
+        now_ms : float
+            Time of the event loop's clock, in milliseconds.
+        """
+        if run.step is None:
+            return
+        key = _step_key(run)
         times = self._steps.setdefault(key, [])
-        expected_ms = self.expected_ms(key, step)
-        times.append(run_time_ms)
+        run_time_ms = now_ms - run.begun_ms
+        expected_ms = self.expected_ms(key, run.step)
+        times.append(_Sibling(worker.worker_id, run_time_ms, is_ended=True))
         if expected_ms > 0:
             ratio = min(max(run_time_ms / expected_ms, RATIO_MIN), RATIO_MAX)
             worker.run_time_ratio += RATIO_WEIGHT * (ratio - worker.run_time_ratio)
+        if run_time_ms <= SOUND_FACTOR * expected_ms:
+            worker.sound_ms = now_ms
+        task = (key, run.key.task.index)
+        restart = self._restarts.get(task)
+        if self._spared.get(task) is SpareReason.TASK_LONG:
+            self.model.record_restart(run.queue, is_long=True)
+        elif restart is not None:
+            is_long = run_time_ms >= LONG_AGAIN_SHARE * restart.stopped_age_ms
+            self.model.record_restart(run.queue, is_long)
 
     def expected_ms(self, key: StepKey, step: StepSpec) -> float:
         """Return the expected run time of a step's tasks, in milliseconds."""
         times = self._steps.get(key, ())
         if len(times) >= SIBLINGS_MIN:
-            return statistics.median(times)
+            return statistics.median(each.run_time_ms for each in times)
         return step.estimate_ms
 
     def limit_ms(self, key: StepKey, step: StepSpec) -> float:
@@ -72,6 +164,10 @@
             expected_ms *= ESTIMATE_FACTOR
         return OVERDUE_FACTOR * expected_ms + OVERDUE_MARGIN_MS
 
+    def ended_siblings(self, key: StepKey) -> list[_Sibling]:
+        """Return the tasks of a step that have ended."""
+        return self._steps.get(key, [])
+
     def may_restart(self, key: StepKey, index: int) -> bool:
         """Return whether an overdue run of a task may be restarted.
 
@@ -81,18 +177,38 @@
         index : int
             Index of the task in its step.
         """
-        return self._restarts.get((key, index), 0) < RESTARTS_MAX
+        restart = self._restarts.get((key, index))
+        return restart is None or restart.count < RESTARTS_MAX
+
+    def count_restart(self, run: Run, now_ms: float) -> None:
+        """Count a restart of a task whose run is overdue now."""
+        task = (_step_key(run), run.key.task.index)
+        restart = self._restarts.setdefault(task, _Restart())
+        if restart.count:
+            self.model.record_restart(run.queue, is_long=True)
+        restart.count += 1
+        restart.stopped_age_ms = now_ms - run.begun_ms
+        self._spared.pop(task, None)
+
+    def spare(self, worker: Worker, run: Run, reason: SpareReason) -> None:
+        """Note that an overdue run is left alone."""
+        task = (_step_key(run), run.key.task.index)
+        if task not in self._spared:
+            self._new_spared.append(SparedRun(worker, run, reason))
+        self._spared[task] = reason
 
-    def count_restart(self, key: StepKey, index: int) -> None:
-        """Count a restart of a task."""
-        self._restarts[key, index] = self._restarts.get((key, index), 0) + 1
+    def take_spared(self) -> list[SparedRun]:
+        """Return the runs that have been left alone since the last call."""
+        spared, self._new_spared = self._new_spared, []
+        return spared
 
     def remove_job(self, job_id: JobId) -> None:
         """Discard the records of a workflow that has ended."""
         for key in [key for key in self._steps if key.job_id == job_id]:
             del self._steps[key]
-        for key in [key for key in self._restarts if key[0].job_id == job_id]:
-            del self._restarts[key]
+        for tasks in (self._restarts, self._spared):
+            for key in [key for key in tasks if key[0].job_id == job_id]:
+                del tasks[key]
 
 
 class Straggler(msgspec.Struct):
@@ -107,6 +223,8 @@
 ) -> tuple[list[Straggler], list[WorkerId]]:
     """Return the overdue runs that may be restarted, and the slow workers.
 
+    Overdue runs that are left alone are noted in `run_times`.
+
     Parameters
     ----------
     pool : Pool
@@ -121,8 +239,7 @@
         Workers on which at least two of these runs are overdue. Tasks that have been
         slow on several workers say nothing about the next one.
     """
-    stragglers: list[Straggler] = []
-    slow_workers: list[WorkerId] = []
+    overdue_runs: list[tuple[Worker, list[Run]]] = []
     for worker in pool.workers.values():
         if worker.silent_since_ms:
             # Ends of its runs cannot be reported, so none of them is known to be slow.
@@ -130,22 +247,113 @@
         overdue = [
             run for run in worker.runs.values() if _is_overdue(run, run_times, now_ms)
         ]
-        stragglers.extend(Straggler(worker, run) for run in overdue)
-        if len(overdue) >= 2:
+        if overdue:
+            overdue_runs.append((worker, overdue))
+    if not overdue_runs:
+        return [], []
+    steps = {_step_key(run) for _, overdue in overdue_runs for run in overdue}
+    siblings = _collect_siblings(pool, run_times, steps, now_ms)
+    stragglers: list[Straggler] = []
+    slow_workers: list[WorkerId] = []
+    for worker, overdue in overdue_runs:
+        stopped: list[Run] = []
+        for run in overdue:
+            reason = None
+            if _may_spare(run, now_ms):
+                if _is_step_long(run, worker, siblings[_step_key(run)], now_ms):
+                    reason = SpareReason.STEP_LONG
+                elif _is_task_long(run, worker, len(overdue), run_times):
+                    reason = SpareReason.TASK_LONG
+            if reason is None:
+                stopped.append(run)
+            else:
+                run_times.spare(worker, run, reason)
+        stragglers.extend(Straggler(worker, run) for run in stopped)
+        if len(stopped) >= 2:
             slow_workers.append(worker.worker_id)
     return stragglers, slow_workers
 
 
+def _step_key(run: Run) -> StepKey:
+    return StepKey(run.key.job_id, run.key.task.occurrence, run.key.task.step)
+
+
 def _is_overdue(run: Run, run_times: RunTimes, now_ms: float) -> bool:
     """Return whether a run is overdue and its task may be restarted."""
     step = run.step
     if step is None or step.long_running or step.gang or step.uses_spare_cores:
         return False
-    if run.stop_wanted or run.stage is not RunStage.RUNNING or not run.confirmed_ms:
-        return False
-    if run.is_absent:
+    if not _is_at_work(run):
         return False
-    key = StepKey(run.key.job_id, run.key.task.occurrence, run.key.task.step)
+    key = _step_key(run)
     if now_ms - run.begun_ms <= run_times.limit_ms(key, step):
         return False
     return run_times.may_restart(key, run.key.task.index)
+
+
+def _is_at_work(run: Run) -> bool:
+    if run.stop_wanted or run.stage is not RunStage.RUNNING or not run.confirmed_ms:
+        return False
+    return not run.is_absent
+
+
+def _collect_siblings(
+    pool: Pool, run_times: RunTimes, steps: set[StepKey], now_ms: float
+) -> dict[StepKey, list[_Sibling]]:
+    """Return the ended and running tasks of some steps."""
+    siblings = {key: list(run_times.ended_siblings(key)) for key in steps}
+    for worker in pool.workers.values():
+        if worker.silent_since_ms:
+            continue
+        for run in worker.runs.values():
+            if _is_at_work(run) and (found := siblings.get(_step_key(run))) is not None:
+                found.append(_Sibling(worker.worker_id, now_ms - run.begun_ms))
+    return siblings
+
+
+def _may_spare(run: Run, now_ms: float) -> bool:
+    return now_ms - run.begun_ms <= SPARED_FACTOR * run.step.estimate_ms
+
+
+def _is_step_long(
+    run: Run, worker: Worker, siblings: list[_Sibling], now_ms: float
+) -> bool:
+    """Return whether most tasks of a step take as long on other workers.
+
+    Tasks that began much later than the run do not show anything yet.
+    """
+    age_ms = now_ms - run.begun_ms
+    others = [
+        each
+        for each in siblings
+        if each.worker_id != worker.worker_id
+        and (each.is_ended or each.run_time_ms >= SIBLING_AGE_SHARE * age_ms)
+    ]
+    if len({each.worker_id for each in others}) < SIBLING_WORKERS_MIN:
+        return False
+    if len(others) < SIBLINGS_MIN:
+        return False
+    median_ms = statistics.median(each.run_time_ms for each in others)
+    return age_ms <= OVERDUE_FACTOR * median_ms + OVERDUE_MARGIN_MS
+
+
+def _is_task_long(
+    run: Run, worker: Worker, overdue_count: int, run_times: RunTimes
+) -> bool:
+    """Return whether a run is overdue because of its task, not because of its worker.
+
+    Parameters
+    ----------
+    run : Run
+    worker : Worker
+    overdue_count : int
+        Number of overdue runs on the worker.
+    run_times : RunTimes
+    """
+    long_share = run_times.model.long_share(run.queue)
+    if long_share >= LONG_SHARE_SOUND:
+        # The worker has ended another run when this one should have ended already.
+        expected_ms = run_times.expected_ms(_step_key(run), run.step)
+        if worker.sound_ms >= run.begun_ms + expected_ms:
+            return True
+    return long_share >= LONG_SHARE_ANY and overdue_count == 1
--- a/basilhold/workflows/tests/test_stragglers.py
+++ b/basilhold/workflows/tests/test_stragglers.py
@@ -58,6 +58,106 @@
         self.assertEqual(_lost_ms(self.run_, 12_000.0), 1_000.0)
 
 
+class SparedRunTest(TestCase):
+    """Guards against restarts of tasks that take as long again."""
+
+    def setUp(self):
+        self.pool = Pool()
+        self.workers = [make_worker(self.pool, number) for number in range(4)]
+        self.step = StepSpec(12, Resources(1_000), 870.0)
+        self.times = RunTimes()
+
+    def stopped(self, now_ms):
+        stragglers, _ = find_stragglers(self.pool, self.times, now_ms)
+        return {(s.worker.worker_id, s.run.key.task.index) for s in stragglers}
+
+    def spread_step(self):
+        runs = []
+        for index in range(12):
+            worker = self.workers[index % 4]
+            runs.append(add_run(worker, index, self.step, 1_000.0 + 20 * index))
+        return runs
+
+    def end_run(self, worker, run, now_ms):
+        self.times.record(run, worker, now_ms)
+        worker.remove(run.key)
+
+    def test_step_that_is_long_on_all_workers_is_left_alone(self):
+        # A step of 12 tasks of 4 s with an estimate of 0.87 s began anew after 3.5 s.
+        runs = self.spread_step()
+        for now_ms in range(4_000, 5_000, 100):
+            self.assertEqual(self.stopped(float(now_ms)), set())
+        self.assertEqual(len(self.times.take_spared()), 12)
+        self.assertEqual(self.times.take_spared(), [])
+        for run in runs[:9]:
+            self.end_run(self.workers[run.key.task.index % 4], run, 5_200.0)
+        self.assertEqual(self.stopped(6_000.0), set())
+
+    def test_step_on_a_worker_that_hangs_is_restarted(self):
+        runs = self.spread_step()
+        for run in runs:
+            if run.key.task.index % 4:
+                self.end_run(self.workers[run.key.task.index % 4], run, 2_000.0)
+        self.assertEqual(self.stopped(4_000.0), {("w0", 0), ("w0", 4), ("w0", 8)})
+
+    def test_long_step_is_restarted_if_it_never_ends(self):
+        # Guards against waiting forever for workers that hang together.
+        self.spread_step()
+        self.assertEqual(self.stopped(8_000.0), set())
+        self.assertEqual(len(self.stopped(12_000.0)), 12)
+
+    def test_two_workers_with_one_step_are_not_enough(self):
+        for index in range(6):
+            add_run(self.workers[index % 2], index, self.step, 1_000.0)
+        self.assertEqual(len(self.stopped(5_000.0)), 6)
+
+    def learn_restarts(self, long_count, fast_count):
+        for index in range(long_count + fast_count):
+            is_long = index * long_count % (long_count + fast_count) < long_count
+            self.times.model.record_restart("quick", is_long)
+
+    def add_single(self, worker, job, confirmed_ms):
+        step = StepSpec(1, Resources(1_000), 560.0)
+        return add_run(worker, 0, step, confirmed_ms, job_id=job, queue="quick")
+
+    def test_long_task_on_a_sound_worker_is_left_alone(self):
+        # Of 27 restarted tasks, 11 took as long again.
+        self.add_single(self.workers[0], JobId("01"), 1_000.0)
+        other = self.add_single(self.workers[0], JobId("02"), 2_000.0)
+        self.end_run(self.workers[0], other, 2_600.0)
+        self.assertEqual(self.stopped(4_000.0), {("w0", 0)})
+        self.learn_restarts(11, 16)
+        self.assertEqual(self.stopped(4_000.0), set())
+        self.assertEqual(self.stopped(9_000.0), {("w0", 0)})
+
+    def test_worker_without_a_recent_end_is_not_sound(self):
+        self.learn_restarts(11, 16)
+        self.add_single(self.workers[0], JobId("01"), 1_000.0)
+        other = self.add_single(self.workers[0], JobId("02"), 700.0)
+        self.end_run(self.workers[0], other, 1_300.0)
+        self.assertEqual(self.stopped(4_000.0), {("w0", 0)})
+
+    def test_worker_with_slow_runs_is_not_sound(self):
+        self.learn_restarts(11, 16)
+        self.add_single(self.workers[0], JobId("01"), 1_000.0)
+        other = self.add_single(self.workers[0], JobId("02"), 1_000.0)
+        self.end_run(self.workers[0], other, 3_000.0)
+        self.assertEqual(self.stopped(4_000.0), {("w0", 0)})
+
+    def test_outcomes_of_restarts_are_learned(self):
+        for number in range(10):
+            job = JobId(f"{number:02x}")
+            run = self.add_single(self.workers[0], job, 1_000.0)
+            self.assertEqual(self.stopped(4_000.0), {("w0", 0)})
+            self.times.count_restart(run, 4_000.0)
+            self.workers[0].remove(run.key)
+            second = self.add_single(self.workers[1], job, 4_000.0)
+            took_ms = 3_900.0 if number % 2 else 600.0
+            self.end_run(self.workers[1], second, 4_000.0 + took_ms)
+        self.assertAlmostEqual(self.times.model.long_share("quick"), 0.5, delta=0.05)
+        self.assertEqual(self.times.model.long_share("other"), 0.0)
+
+
 class SlowStoreTest(VirtualTimeTestCase):
     """Guards against restarts of sound runs while the store is slow."""
 
