Learn run times of queues, images and workers

Estimates of a queue can be off by a constant factor, which restarted the tasks of steps with too few tasks to show it. Workers lost what was known of their speed with a restart.

`RunTimeModel` (no I/O) learns the median and the 95% quantile of run time over estimate by queue and by image, at the speed of the worker, and the speeds of workers from whole steps. Limits for overdue runs use them, and a worker keeps its speed when it restarts under its id. The two metrics join the list of those that are set on the users' platform, and the test of all workflow metrics plays a worker that hangs, as one of them counts overdue runs.

Tasks of a worker that hangs still run elsewhere within 6 s.

--- a/basilhold/cell/tests/test_metrics.py
+++ b/basilhold/cell/tests/test_metrics.py
@@ -34,6 +34,8 @@
     "basilhold_tenants_waiting_for_quota",
     "basilhold_workflow_advice_seconds",
     "basilhold_workflow_commit_seconds",
+    "basilhold_workflow_overdue_runs_total",
+    "basilhold_workflow_run_time_ratio",
     "basilhold_workflow_runs_total",
     "basilhold_workflow_seconds",
     "basilhold_workflow_start_wait_seconds",
--- a/basilhold/observability/metric_catalogue.py
+++ b/basilhold/observability/metric_catalogue.py
@@ -215,6 +215,19 @@
         "or lost",
         ("service", "outcome"),
     ),
+    Metric(
+        "basilhold_workflow_overdue_runs_total",
+        _COUNTER,
+        "Runs that took far longer than expected; decision is restarted, step_long or "
+        "task_long, of which the last two were left alone",
+        ("service", "decision"),
+    ),
+    Metric(
+        "basilhold_workflow_run_time_ratio",
+        _GAUGE,
+        "Run time over estimate of a queue's tasks; quantile is median or high (95%)",
+        ("service", "queue", "quantile"),
+    ),
     Metric(
         "basilhold_workflow_advice_seconds",
         _HISTOGRAM,
--- a/basilhold/workflows/owner.py
+++ b/basilhold/workflows/owner.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import math
 from typing import Any
 
 import msgspec
@@ -16,7 +17,7 @@
     ServiceName,
     decode_json,
 )
-from basilhold.observability import log_event
+from basilhold.observability import log_event, metric
 from basilhold.ports import Row
 from basilhold.tenants import NO_TENANT, BlockedDemand, SubmissionRates, TenantName
 from basilhold.workflows import events
@@ -65,6 +66,8 @@
 """Interval of the periodic checks. Occurrences of repeated workflows may start up to
 250 ms early, never more."""
 
+EXPORT_INTERVAL_MS = 5_000.0
+"""Interval at which the gauges of run times are set."""
 
 STABLE_RUN_MS = 10_000.0
 """Time at work after which the crashes under a long-running task are forgotten."""
@@ -97,6 +100,7 @@
         self._submission_rates = SubmissionRates()
         self._early_cancels: set[JobId] = set()
         self._feed_version = 0
+        self._exported_ms = -math.inf
         self.loaded = False
 
     # Requests from callers and peers.
@@ -207,6 +211,7 @@
             "workflows": len(state.workflows),
             "active_workflows": sum(1 for _ in state.backlog.active_workflows()),
             "tenants": state.quotas.describe(),
+            "run_times": state.run_times.model.describe(),
         }
 
     # Lifecycle.
@@ -524,6 +529,7 @@
             self._run_controller.clear_suspects(now_ms)
             self._forget_crashes(now_ms)
             self._stop_stragglers(now_ms)
+            self._export_run_times(now_ms)
             self._evacuate(now_ms)
             if self._state.backlog.has_waiting():
                 self._state.plan_event.set()
@@ -557,6 +563,7 @@
                 worker.avoid_until_ms, now_ms + AVOID_FAILING_WORKER_MS
             )
         for spared in self._state.run_times.take_spared():
+            self._count_overdue(spared.reason.name.lower())
             log_event(
                 events.RUN_SPARED,
                 task=task_name(spared.run.key.job_id, spared.run.key.task),
@@ -569,6 +576,7 @@
             run = straggler.run
             key = run.key.task
             self._state.run_times.count_restart(run, now_ms)
+            self._count_overdue("restarted")
             log_event(
                 events.RUN_OVERDUE,
                 task=task_name(run.key.job_id, key),
@@ -579,6 +587,29 @@
             self._avoid_worker_for_task(run, straggler.worker)
             self._run_controller.stop(straggler.worker, run)
 
+    def _count_overdue(self, decision: str) -> None:
+        self._state.ports.metrics.add(
+            metric("basilhold_workflow_overdue_runs_total"),
+            service=self._state.service,
+            decision=decision,
+        )
+
+    def _export_run_times(self, now_ms: float) -> None:
+        """Set the gauges of run times, at intervals."""
+        if now_ms - self._exported_ms < EXPORT_INTERVAL_MS:
+            return
+        self._exported_ms = now_ms
+        declared = metric("basilhold_workflow_run_time_ratio")
+        for queue, described in self._state.run_times.model.describe().items():
+            for quantile in ("median", "high"):
+                self._state.ports.metrics.set(
+                    declared,
+                    described[quantile],
+                    service=self._state.service,
+                    queue=queue,
+                    quantile=quantile,
+                )
+
     def _evacuate(self, now_ms: float) -> None:
         """Move long-running tasks off draining workers."""
         state = self._state
--- a/basilhold/workflows/stragglers.py
+++ b/basilhold/workflows/stragglers.py
@@ -14,9 +14,8 @@
 
 from basilhold.core import JobId, WorkerId
 from basilhold.workflows.admissions import StepKey
-from basilhold.workflows.model import StepSpec
 from basilhold.workflows.pool import Pool, Run, RunStage, Worker
-from basilhold.workflows.run_time_model import RunTimeModel
+from basilhold.workflows.run_time_model import RunTimeModel, TimedTask
 
 __all__ = ["RunTimes", "SpareReason", "SparedRun", "Straggler", "find_stragglers"]
 
@@ -27,6 +26,10 @@
 OVERDUE_MARGIN_MS = 500.0
 """Time added to the multiple of the expected run time."""
 
+HIGH_FACTOR = 1.25
+"""Multiple of the queue's high quantile of run times up to which no run is overdue, as
+long as its own step does not show how long it takes."""
+
 ESTIMATE_FACTOR = 1.6
 """Additional factor for the declared estimate, which is used until enough tasks of the
 step have ended."""
@@ -88,14 +91,6 @@
     reason: SpareReason
 
 
-class _Sibling(NamedTuple):
-    """Time that a task of a step has taken, or takes so far, in milliseconds."""
-
-    worker_id: WorkerId
-    run_time_ms: float
-    is_ended: bool = False
-
-
 class _Restart(msgspec.Struct):
     """Restarts of a task, and the age at which its latest run was stopped."""
 
@@ -109,12 +104,12 @@
     Parameters
     ----------
     model : RunTimeModel, optional
-        Learns from the outcomes of restarts.
+        Learns from the ends of runs and the outcomes of restarts.
     """
 
     def __init__(self, model: RunTimeModel | None = None):
         self.model = model or RunTimeModel()
-        self._steps: dict[StepKey, list[_Sibling]] = {}
+        self._steps: dict[StepKey, list[TimedTask]] = {}
         self._restarts: dict[tuple[StepKey, int], _Restart] = {}
         self._spared: dict[tuple[StepKey, int], SpareReason] = {}
         self._new_spared: list[SparedRun] = []
@@ -135,13 +130,17 @@
         key = _step_key(run)
         times = self._steps.setdefault(key, [])
         run_time_ms = now_ms - run.begun_ms
-        expected_ms = self.expected_ms(key, run.step)
-        times.append(_Sibling(worker.worker_id, run_time_ms, is_ended=True))
+        expected_ms = self.expected_ms(run)
+        times.append(TimedTask(worker.worker_id, run_time_ms, is_ended=True))
         if expected_ms > 0:
             ratio = min(max(run_time_ms / expected_ms, RATIO_MIN), RATIO_MAX)
             worker.run_time_ratio += RATIO_WEIGHT * (ratio - worker.run_time_ratio)
         if run_time_ms <= SOUND_FACTOR * expected_ms:
             worker.sound_ms = now_ms
+        if _shows_run_time(run):
+            self.model.record_run(run.queue, run.step, worker.worker_id, run_time_ms)
+            if len(times) == run.step.task_count:
+                self.model.record_step(times)
         task = (key, run.key.task.index)
         restart = self._restarts.get(task)
         if self._spared.get(task) is SpareReason.TASK_LONG:
@@ -150,21 +149,33 @@
             is_long = run_time_ms >= LONG_AGAIN_SHARE * restart.stopped_age_ms
             self.model.record_restart(run.queue, is_long)
 
-    def expected_ms(self, key: StepKey, step: StepSpec) -> float:
-        """Return the expected run time of a step's tasks, in milliseconds."""
-        times = self._steps.get(key, ())
+    def expected_ms(self, run: Run) -> float:
+        """Return the expected run time of a run's task, in milliseconds."""
+        times = self._steps.get(_step_key(run), ())
         if len(times) >= SIBLINGS_MIN:
             return statistics.median(each.run_time_ms for each in times)
-        return step.estimate_ms
+        factor = self.model.factor(run.queue, run.step)
+        return run.step.estimate_ms * (factor.median if factor else 1.0)
 
-    def limit_ms(self, key: StepKey, step: StepSpec) -> float:
+    def limit_ms(self, run: Run) -> float:
         """Return the run time after which a run is overdue, in milliseconds."""
-        expected_ms = self.expected_ms(key, step)
-        if len(self._steps.get(key, ())) < SIBLINGS_MIN:
-            expected_ms *= ESTIMATE_FACTOR
-        return OVERDUE_FACTOR * expected_ms + OVERDUE_MARGIN_MS
-
-    def ended_siblings(self, key: StepKey) -> list[_Sibling]:
+        expected_ms = self.expected_ms(run)
+        if len(self._steps.get(_step_key(run), ())) >= SIBLINGS_MIN:
+            return OVERDUE_FACTOR * expected_ms + OVERDUE_MARGIN_MS
+        longest_ms = OVERDUE_FACTOR * ESTIMATE_FACTOR * expected_ms
+        factor = self.model.factor(run.queue, run.step)
+        if factor is not None:
+            high_ms = HIGH_FACTOR * factor.high * run.step.estimate_ms
+            longest_ms = max(longest_ms, high_ms)
+        return longest_ms + OVERDUE_MARGIN_MS
+
+    def spared_until_ms(self, run: Run) -> float:
+        """Return the run time up to which a run may be left alone, in milliseconds."""
+        factor = self.model.factor(run.queue, run.step)
+        multiple = max(1.0, factor.median) if factor else 1.0
+        return SPARED_FACTOR * multiple * run.step.estimate_ms
+
+    def ended_siblings(self, key: StepKey) -> list[TimedTask]:
         """Return the tasks of a step that have ended."""
         return self._steps.get(key, [])
 
@@ -259,7 +270,7 @@
         stopped: list[Run] = []
         for run in overdue:
             reason = None
-            if _may_spare(run, now_ms):
+            if now_ms - run.begun_ms <= run_times.spared_until_ms(run):
                 if _is_step_long(run, worker, siblings[_step_key(run)], now_ms):
                     reason = SpareReason.STEP_LONG
                 elif _is_task_long(run, worker, len(overdue), run_times):
@@ -286,11 +297,22 @@
     if not _is_at_work(run):
         return False
     key = _step_key(run)
-    if now_ms - run.begun_ms <= run_times.limit_ms(key, step):
+    if now_ms - run.begun_ms <= run_times.limit_ms(run):
         return False
     return run_times.may_restart(key, run.key.task.index)
 
 
+def _shows_run_time(run: Run) -> bool:
+    """Return whether the run time of a task that is done is that of the whole task.
+
+    Members of a gang wait for each other, and later runs continue from checkpoints.
+    """
+    step = run.step
+    if step.gang or step.long_running or step.uses_spare_cores:
+        return False
+    return run.number == 1 or not step.checkpointing
+
+
 def _is_at_work(run: Run) -> bool:
     if run.stop_wanted or run.stage is not RunStage.RUNNING or not run.confirmed_ms:
         return False
@@ -299,7 +321,7 @@
 
 def _collect_siblings(
     pool: Pool, run_times: RunTimes, steps: set[StepKey], now_ms: float
-) -> dict[StepKey, list[_Sibling]]:
+) -> dict[StepKey, list[TimedTask]]:
     """Return the ended and running tasks of some steps."""
     siblings = {key: list(run_times.ended_siblings(key)) for key in steps}
     for worker in pool.workers.values():
@@ -307,16 +329,12 @@
             continue
         for run in worker.runs.values():
             if _is_at_work(run) and (found := siblings.get(_step_key(run))) is not None:
-                found.append(_Sibling(worker.worker_id, now_ms - run.begun_ms))
+                found.append(TimedTask(worker.worker_id, now_ms - run.begun_ms))
     return siblings
 
 
-def _may_spare(run: Run, now_ms: float) -> bool:
-    return now_ms - run.begun_ms <= SPARED_FACTOR * run.step.estimate_ms
-
-
 def _is_step_long(
-    run: Run, worker: Worker, siblings: list[_Sibling], now_ms: float
+    run: Run, worker: Worker, siblings: list[TimedTask], now_ms: float
 ) -> bool:
     """Return whether most tasks of a step take as long on other workers.
 
@@ -353,7 +371,7 @@
     long_share = run_times.model.long_share(run.queue)
     if long_share >= LONG_SHARE_SOUND:
         # The worker has ended another run when this one should have ended already.
-        expected_ms = run_times.expected_ms(_step_key(run), run.step)
+        expected_ms = run_times.expected_ms(run)
         if worker.sound_ms >= run.begun_ms + expected_ms:
             return True
     return long_share >= LONG_SHARE_ANY and overdue_count == 1
--- a/basilhold/workflows/tests/test_metrics.py
+++ b/basilhold/workflows/tests/test_metrics.py
@@ -12,8 +12,13 @@
     async def test_owner_updates_every_workflow_metric(self):
         async with WorkflowCell() as cell:
             await asyncio.sleep(1)
-            await cell.submit(make_spec(1, random.Random(1)))
-            await asyncio.sleep(12)
+            for number in range(1, 7):
+                await cell.submit(make_spec(number, random.Random(number)))
+            await asyncio.sleep(0.1)
+            # Its runs become overdue.
+            busy = next(r for r in cell.runners.runners.values() if r.runs)
+            busy.frozen = True
+            await asyncio.sleep(20)
             process = cell.processes[cell.owner_name()]
             text = process.metrics.render()[0].decode()
         for declared in METRICS:
--- a/basilhold/workflows/tests/test_stragglers.py
+++ b/basilhold/workflows/tests/test_stragglers.py
@@ -147,6 +147,9 @@
     def test_outcomes_of_restarts_are_learned(self):
         for number in range(10):
             job = JobId(f"{number:02x}")
+            for ordinary in range(3):
+                run = self.add_single(self.workers[2], JobId(f"f{ordinary}"), 1_000.0)
+                self.end_run(self.workers[2], run, 1_600.0)
             run = self.add_single(self.workers[0], job, 1_000.0)
             self.assertEqual(self.stopped(4_000.0), {("w0", 0)})
             self.times.count_restart(run, 4_000.0)
@@ -157,6 +160,24 @@
         self.assertAlmostEqual(self.times.model.long_share("quick"), 0.5, delta=0.05)
         self.assertEqual(self.times.model.long_share("other"), 0.0)
 
+    def test_learned_estimates_move_the_limit(self):
+        # Tasks of a queue whose estimates are a fifth of the truth were restarted
+        # where a step has too few tasks to show it.
+        for number in range(10):
+            run = self.add_single(self.workers[0], JobId(f"{number:02x}"), 1_000.0)
+            self.end_run(self.workers[0], run, 1_000.0 + 2_800.0)
+        run = self.add_single(self.workers[0], JobId("ff"), 1_000.0)
+        self.assertEqual(self.stopped(4_000.0), set())
+        self.assertEqual(self.stopped(13_000.0), {("w0", 0)})
+        # Where the estimates are five times the truth, a hang is noticed earlier.
+        for number in range(10):
+            run = self.add_single(self.workers[0], JobId(f"{number:02x}"), 1_000.0)
+            run.queue = "padded"
+            self.end_run(self.workers[0], run, 1_112.0)
+        run = self.add_single(self.workers[1], JobId("fe"), 1_000.0)
+        run.queue = "padded"
+        self.assertEqual(self.stopped(2_200.0), {("w1", 0)})
+
 
 class SlowStoreTest(VirtualTimeTestCase):
     """Guards against restarts of sound runs while the store is slow."""
@@ -175,3 +196,36 @@
             self.assertGreaterEqual(stored, 3)
             self.assertEqual(cell.runners.end_counts[EndKind.STOPPED], 0)
             self.assertEqual(cell.runners.end_counts[EndKind.DONE], 4 * stored)
+
+
+class WrongEstimateTest(VirtualTimeTestCase):
+    """Guards against restarts of what takes long, and against hangs that last."""
+
+    def make_workflow(self, number, count, estimate_ms):
+        spec = make_spec(number, random.Random(0))
+        step = StepSpec(count, Resources(500, 1 << 20, 0), estimate_ms)
+        return msgspec.structs.replace(spec, steps=(step,))
+
+    async def test_steps_with_a_fifth_of_the_true_time_run_once(self):
+        async with WorkflowCell() as cell:
+            await asyncio.sleep(1)
+            for number in range(1, 9):
+                spec = self.make_workflow(number, 9, 870.0)
+                actual = self.make_workflow(number, 9, 4_300.0)
+                await cell.submit(spec, actual)
+            await asyncio.sleep(12)
+            self.assertEqual(cell.runners.end_counts[EndKind.STOPPED], 0)
+            self.assertEqual(cell.runners.end_counts[EndKind.DONE], 72)
+
+    async def test_tasks_of_a_worker_that_hangs_run_elsewhere_soon(self):
+        async with WorkflowCell() as cell:
+            await asyncio.sleep(1)
+            for number in range(1, 9):
+                await cell.submit(self.make_workflow(number, 9, 870.0))
+            await asyncio.sleep(0.5)
+            frozen = next(r for r in cell.runners.runners.values() if r.runs)
+            hanging = len(frozen.runs)
+            frozen.frozen = True
+            await asyncio.sleep(6)
+            self.assertGreaterEqual(cell.runners.end_counts[EndKind.STOPPED], hanging)
+            self.assertEqual(cell.runners.end_counts[EndKind.DONE], 72)
--- a/basilhold/workflows/worker_tracker.py
+++ b/basilhold/workflows/worker_tracker.py
@@ -129,9 +129,7 @@
             self._replace_incarnation(worker, info)
             return
         if worker is None:
-            worker = self._state.pool.workers[worker_id] = Worker(
-                info, self._state.pool.usage
-            )
+            worker = self._state.pool.workers[worker_id] = self._make_worker(info)
         elif worker.info != info:
             worker.free = worker.free + info.capacity - worker.info.capacity
             worker.info = info
@@ -367,7 +365,7 @@
         )
 
     def _replace_incarnation(self, worker: Worker, info: WorkerInfo) -> Worker:
-        successor = Worker(info, self._state.pool.usage)
+        successor = self._make_worker(info)
         # Among the runs that are transferred may be the one that caused the crash.
         evidence = self._collect_evidence(worker, trusts_restored=False)
         transfer_runs(worker, successor, evidence)
@@ -378,6 +376,12 @@
             link.note_restart(self._state.clock.monotonic_ms())
         return successor
 
+    def _make_worker(self, info: WorkerInfo) -> Worker:
+        """Return a worker, with the speed that it had under its id before."""
+        worker = Worker(info, self._state.pool.usage)
+        worker.run_time_ratio = self._state.run_times.model.speed(info.worker_id)
+        return worker
+
     def _open_link(self, worker: Worker) -> WorkerLink:
         state = self._state
         # The worker rejects what is left of earlier links once this one has reached it.
