Keep learned run times over a takeover

A new owner knew nothing of run times and repeated what its predecessor had stopped doing.

The model is stored in one row for each service, `run_times/SERVICE/model`, with a commit that takes place anyway, at most every 5 s and with at most 60,000 bytes. A new owner reads the row in the background, so that no takeover waits for it, and stores nothing before it has read it. A row that cannot be decoded or has a figure out of its bounds is dropped with event 6060. Earlier builds do not read the row.

--- a/basilhold/workflows/committer.py
+++ b/basilhold/workflows/committer.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import math
 from collections.abc import Callable, Iterator
 from typing import NamedTuple
 
@@ -19,6 +20,7 @@
     cancel_key,
     location_key,
     progress_key,
+    run_times_key,
     spec_key,
 )
 
@@ -42,6 +44,12 @@
 """Most bytes in one commit; the store accepts 1 MB in a transaction, with values
 encoded as base64."""
 
+RUN_TIMES_INTERVAL_MS = 5_000.0
+"""Shortest time between two commits that store the learned run times."""
+
+RUN_TIMES_BYTES_MAX = 60_000
+"""Longest row of learned run times, in bytes."""
+
 EXPIRY_INTERVAL_MS = 2_000
 """Interval at which the rows of expired workflows are deleted."""
 
@@ -95,6 +103,7 @@
         self._dirty: dict[_ProgressChunk, Workflow] = {}
         self._starts: list[Placement] = []
         self._sent_ms: float | None = None
+        self._run_times_ms = -math.inf
         self._lock = asyncio.Lock()
         self._wake = asyncio.Event()
         state.on_set_aside = self.mark_dirty
@@ -152,7 +161,7 @@
         """Return a batch of pending changes that fits into one commit."""
         batch = _Batch()
         limits = self._state.limits
-        size = self._add_ledger_changes(batch)
+        size = self._add_ledger_changes(batch) + self._add_run_times(batch)
         for key, workflow in list(self._dirty.items()):
             try:
                 value = workflow.encode(key.chunk, limits.row_bytes_max)
@@ -191,6 +200,19 @@
         )
         return sum(len(value) for value in rows.values())
 
+    def _add_run_times(self, batch: _Batch) -> int:
+        """Add the learned run times if it is time; return their size in bytes."""
+        model = self._state.run_times.model
+        now_ms = self._state.clock.monotonic_ms()
+        if not self._state.has_run_times or not model.has_changed:
+            return 0
+        if now_ms - self._run_times_ms < RUN_TIMES_INTERVAL_MS:
+            return 0
+        self._run_times_ms = now_ms
+        value = model.encode(min(RUN_TIMES_BYTES_MAX, self._state.limits.row_bytes_max))
+        batch.writes += (Write(run_times_key(self._state.service), value),)
+        return len(value)
+
     async def _commit_batch(self) -> None:
         self._wake.clear()
         batch = self._collect_batch()
--- a/basilhold/workflows/owner.py
+++ b/basilhold/workflows/owner.py
@@ -37,8 +37,17 @@
 from basilhold.workflows.quota_exchange import QuotaReply, QuotaRequest
 from basilhold.workflows.quota_keeper import QuotaKeeper
 from basilhold.workflows.ready_steps import ReadyStep, make_ready_step
-from basilhold.workflows.recovery import load_workflows, restore_assignments
-from basilhold.workflows.rows import is_jobs_key, jobs_prefix, parse_jobs_key
+from basilhold.workflows.recovery import (
+    load_workflows,
+    read_run_times,
+    restore_assignments,
+)
+from basilhold.workflows.rows import (
+    is_jobs_key,
+    jobs_prefix,
+    parse_jobs_key,
+    run_times_key,
+)
 from basilhold.workflows.run_controller import AVOID_FAILING_WORKER_MS, RunController
 from basilhold.workflows.stragglers import find_stragglers
 from basilhold.workflows.worker_link import OwnerLimits
@@ -234,6 +243,7 @@
             # The committer renews the lease while the rows are read, which may take
             # longer than the lease is valid.
             state.spawn(self._committer.run())
+            state.spawn(self._load_run_times())
             loading = state.spawn(self._load(reason))
             await asyncio.wait(
                 {loading, state.failure}, return_when=asyncio.FIRST_COMPLETED
@@ -296,6 +306,26 @@
         )
         self._state.plan_event.set()
 
+    async def _load_run_times(self) -> None:
+        """Read what previous owners have learned; the takeover does not wait for it.
+
+        Nothing is stored before it has been read.
+        """
+        state = self._state
+        value = await read_run_times(state.ports.table, state.service)
+        model = state.run_times.model
+        if value is not None:
+            try:
+                model.restore(value)
+            except Exception as error:
+                # Whatever the row contains, work goes on without it.
+                key = run_times_key(state.service)
+                log_event(events.BAD_ROW, key=key, reason=repr(error))
+        for worker in state.pool.workers.values():
+            if worker.run_time_ratio == 1.0:
+                worker.run_time_ratio = model.speed(worker.worker_id)
+        state.has_run_times = True
+
     def _inherited_lease_ms(self, worker: Worker, now_ms: float) -> float:
         """Return until when a lease may last that a previous owner has granted."""
         predecessor = self._state.lease.predecessor
--- a/basilhold/workflows/owner_state.py
+++ b/basilhold/workflows/owner_state.py
@@ -109,6 +109,8 @@
         Waiting tasks that may crash their workers.
     run_times : RunTimes
         Observed run times, from which stragglers are found.
+    has_run_times : bool
+        Whether what previous owners have learned of run times has been read.
     pool : Pool
         Workers of the service and their runs.
     has_all_workers : bool
@@ -142,6 +144,7 @@
         self.reservations = Reservations()
         self.isolation = Isolation()
         self.run_times = RunTimes()
+        self.has_run_times = False
         self.pool = Pool()
         self.has_all_workers = False
         self.links: dict[WorkerId, WorkerLink] = {}
--- a/basilhold/workflows/recovery.py
+++ b/basilhold/workflows/recovery.py
@@ -23,11 +23,13 @@
     parse_jobs_key,
     parse_progress_key,
     progress_prefix,
+    run_times_key,
 )
 
 __all__ = [
     "StoredWorkflows",
     "load_workflows",
+    "read_run_times",
     "restore_assignments",
     "scan_with_retries",
     "scan_once",
@@ -130,6 +132,20 @@
     return loaded
 
 
+async def read_run_times(table: TableService, service: ServiceName) -> bytes | None:
+    """Return the row of learned run times, or ``None`` if there is none.
+
+    Retries until the store answers.
+    """
+    key = run_times_key(service)
+    while True:
+        result = await table.read((key,))
+        if result.is_ok():
+            row = result.ok.get(key)
+            return row.value if row is not None else None
+        await asyncio.sleep(SCAN_RETRY_INTERVAL_MS / 1000)
+
+
 def _progress_chunks(rows: list[Row]) -> dict[JobId, dict[int, bytes]]:
     """Return the rows of progress by workflow and number of the chunk."""
     chunks: dict[JobId, dict[int, bytes]] = {}
--- a/basilhold/workflows/rows.py
+++ b/basilhold/workflows/rows.py
@@ -23,6 +23,7 @@
     "parse_progress_key",
     "progress_key",
     "progress_prefix",
+    "run_times_key",
     "spec_key",
 ]
 
@@ -174,6 +175,11 @@
     return int(key.rsplit("/", 1)[1])
 
 
+def run_times_key(service: ServiceName) -> str:
+    """Return the key of the row with what owners of a service learn of run times."""
+    return f"run_times/{service}/model"
+
+
 def progress_prefix(service: ServiceName) -> str:
     """Return the common prefix of a service's progress rows."""
     return f"progress/{service}/"
--- a/basilhold/workflows/run_time_model.py
+++ b/basilhold/workflows/run_time_model.py
@@ -13,7 +13,7 @@
 
 import msgspec
 
-from basilhold.core import WorkerId
+from basilhold.core import WorkerId, decode_json
 from basilhold.workflows.model import QueueName, StepSpec
 
 __all__ = [
@@ -42,6 +42,9 @@
 BUCKET_RATIO = 1.1
 """Ratio of neighbouring buckets of samples; the error of a factor is half of it."""
 
+_BUCKET_MIN = round(math.log(FACTOR_MIN, BUCKET_RATIO))
+_BUCKET_MAX = round(math.log(FACTOR_MAX, BUCKET_RATIO))
+
 FACTOR_HALF_LIFE = 200
 """Number of later samples after which the weight of a sample has halved."""
 
@@ -184,6 +187,28 @@
         return self.long_weight / self.weight
 
 
+class _StoredModel(msgspec.Struct, frozen=True):
+    """What is stored of a model; later builds may add fields with defaults."""
+
+    queues: dict[QueueName, FactorSamples] = {}
+    images: dict[str, FactorSamples] = {}
+    speeds: dict[WorkerId, WorkerSpeed] = {}
+    restarts: dict[QueueName, RestartRecord] = {}
+
+    def check(self) -> None:
+        """Raise `ValueError` if a figure is out of its bounds."""
+        for samples in (*self.queues.values(), *self.images.values()):
+            for bucket, weight in samples.weights.items():
+                if not _BUCKET_MIN <= bucket <= _BUCKET_MAX or not 0 <= weight <= 1e6:
+                    raise ValueError(f"bucket {bucket} has the weight {weight}")
+        for worker_id, speed in self.speeds.items():
+            if not FACTOR_MIN <= speed.ratio <= FACTOR_MAX:
+                raise ValueError(f"worker {worker_id} has the speed {speed.ratio}")
+        for queue, record in self.restarts.items():
+            if not 0 <= record.long_weight <= record.weight <= 1e6:
+                raise ValueError(f"queue {queue} has the restarts {record}")
+
+
 class RunTimeModel:
     """Learns from the run times of a service.
 
@@ -196,9 +221,12 @@
         Kept when a worker restarts under its id.
     restarts : dict of QueueName to RestartRecord
         Outcomes of restarts of overdue tasks.
+    has_changed : bool
+        Whether something has been learned since the model was last encoded.
     """
 
     def __init__(self):
+        self.has_changed = False
         self.queues: dict[QueueName, FactorSamples] = {}
         self.images: dict[str, FactorSamples] = {}
         self.speeds: dict[WorkerId, WorkerSpeed] = {}
@@ -225,6 +253,7 @@
         if step.image:
             _entry(self.images, step.image, FactorSamples, IMAGES_MAX).add(ratio)
         self._factors.clear()
+        self.has_changed = True
 
     def record_step(self, tasks: Sequence[TimedTask]) -> None:
         """Learn the speeds of workers from the ended tasks of a whole step.
@@ -247,11 +276,13 @@
                 continue
             speed = _entry(self.speeds, task.worker_id, WorkerSpeed, WORKERS_MAX)
             speed.add(task.run_time_ms / median_ms)
+            self.has_changed = True
 
     def record_restart(self, queue: QueueName, is_long: bool) -> None:
         """Record whether an overdue task takes long on other workers too."""
         if queue:
             _entry(self.restarts, queue, RestartRecord, QUEUES_MAX).add(is_long)
+            self.has_changed = True
 
     def factor(self, queue: QueueName, step: StepSpec) -> RunTimeFactor | None:
         """Return how run times differ from the estimates of a step's tasks.
@@ -286,6 +317,47 @@
         record = self.restarts.get(queue)
         return record.long_share() if record is not None else 0.0
 
+    def encode(self, bytes_max: int) -> bytes:
+        """Return the model as a row, without the oldest entries if it is too long.
+
+        Parameters
+        ----------
+        bytes_max : int
+            Longest row, in bytes.
+        """
+        self.has_changed = False
+        count_max = max(QUEUES_MAX, IMAGES_MAX, WORKERS_MAX)
+        while True:
+            stored = _StoredModel(
+                _newest(self.queues, count_max),
+                _newest(self.images, count_max),
+                _newest(self.speeds, count_max),
+                _newest(self.restarts, count_max),
+            )
+            value = msgspec.json.encode(_rounded(stored))
+            if len(value) <= bytes_max or not count_max:
+                return value
+            count_max //= 2
+
+    def restore(self, value: bytes) -> None:
+        """Add what a previous owner has learned.
+
+        Figures of this owner that rest on enough samples are kept.
+
+        Raises
+        ------
+        ValueError
+            If the row cannot be decoded, or has a figure out of its bounds. The model
+            is unchanged then.
+        """
+        stored = decode_json(value, _StoredModel)
+        stored.check()
+        _merge(self.queues, stored.queues)
+        _merge(self.images, stored.images)
+        _merge(self.speeds, stored.speeds)
+        _merge(self.restarts, stored.restarts)
+        self._factors.clear()
+
     def describe(self) -> dict[str, dict[str, float]]:
         """Return what is known of each queue, for the operator's state dump."""
         described: dict[str, dict[str, float]] = {}
@@ -301,6 +373,42 @@
         return described
 
 
+def _newest(entries: dict, count_max: int) -> dict:
+    """Return the entries that were updated last."""
+    return dict(list(entries.items())[max(0, len(entries) - count_max) :])
+
+
+def _rounded(stored: _StoredModel) -> _StoredModel:
+    """Return a copy with fewer digits, and without samples of almost no weight."""
+
+    def samples(entries: dict[str, FactorSamples]) -> dict[str, FactorSamples]:
+        return {
+            key: FactorSamples(
+                entry.count,
+                {b: round(w, 3) for b, w in entry.weights.items() if w >= 0.001},
+            )
+            for key, entry in entries.items()
+        }
+
+    speeds = {
+        key: WorkerSpeed(speed.count, round(speed.ratio, 3))
+        for key, speed in stored.speeds.items()
+    }
+    return _StoredModel(
+        samples(stored.queues), samples(stored.images), speeds, stored.restarts
+    )
+
+
+def _merge(entries: dict, stored: dict) -> None:
+    own = dict(entries)
+    entries.clear()
+    entries.update(stored)
+    for key, entry in own.items():
+        if key not in entries or entry.count >= SAMPLES_MIN:
+            entries.pop(key, None)
+            entries[key] = entry
+
+
 def _entry(entries: dict, key: Hashable, make, count_max: int):
     """Return the entry of a key, which is created if need be.
 
