--- a/basilhold/workflows/events.py
+++ b/basilhold/workflows/events.py
@@ -192,6 +192,12 @@
     "service={service} submissions are stored one by one again: arrivals={arrivals} a "
     "second read_ms={read_ms} transaction_ms={transaction_ms}",
 )
+RUN_SPARED = Event(
+    6090,
+    EventLevel.INFO,
+    "task={task} run={run} worker={worker} overdue after_ms={after_ms}, not restarted: "
+    "{reason}",
+)
 CONFIGURATION_CHANGED = Event(
     6100,
     EventLevel.INFO,
--- a/basilhold/workflows/owner.py
+++ b/basilhold/workflows/owner.py
@@ -17,7 +17,7 @@
     ServiceName,
     decode_json,
 )
-from basilhold.observability import log_event
+from basilhold.observability import log_event, metric
 from basilhold.ports import Row
 from basilhold.tenants import (
     DEFAULT_WEIGHT,
@@ -29,7 +29,6 @@
     is_valid_weight,
 )
 from basilhold.workflows import events
-from basilhold.workflows.admissions import StepKey
 from basilhold.workflows.advice_queries import AdviceQuery
 from basilhold.workflows.evacuation import find_evacuations
 from basilhold.workflows.model import (
@@ -46,8 +45,17 @@
 from basilhold.workflows.quota_exchange import QuotaReply, QuotaRequest
 from basilhold.workflows.quota_keeper import QuotaKeeper
 from basilhold.workflows.ready_steps import ReadyStep, make_ready_step
-from basilhold.workflows.recovery import load_workflows, restore_assignments
-from basilhold.workflows.rows import is_jobs_key, jobs_prefix, parse_jobs_key
+from basilhold.workflows.recovery import (
+    load_workflows,
+    read_run_times,
+    restore_assignments,
+)
+from basilhold.workflows.rows import (
+    is_jobs_key,
+    jobs_prefix,
+    parse_jobs_key,
+    run_times_key,
+)
 from basilhold.workflows.run_controller import AVOID_FAILING_WORKER_MS, RunController
 from basilhold.workflows.stragglers import find_stragglers
 from basilhold.workflows.worker_link import OwnerLimits
@@ -75,6 +83,8 @@
 """Interval of the periodic checks. Occurrences of repeated workflows may start up to
 250 ms early, never more."""
 
+EXPORT_INTERVAL_MS = 5_000.0
+"""Interval at which the gauges of run times are set."""
 
 STABLE_RUN_MS = 10_000.0
 """Time at work after which the crashes under a long-running task are forgotten."""
@@ -107,6 +117,7 @@
         self._submission_rates = SubmissionRates()
         self._early_cancels: set[JobId] = set()
         self._feed_version = 0
+        self._exported_ms = -math.inf
         self.loaded = False
 
     # Requests from callers and peers.
@@ -219,6 +230,7 @@
             "workflows": len(state.workflows),
             "active_workflows": sum(1 for _ in state.backlog.active_workflows()),
             "tenants": self._describe_tenants(),
+            "run_times": state.run_times.model.describe(),
         }
 
     def _describe_tenants(self) -> dict[str, Any]:
@@ -247,6 +259,7 @@
             # The committer renews the lease while the rows are read, which may take
             # longer than the lease is valid.
             state.spawn(self._committer.run())
+            state.spawn(self._load_run_times())
             loading = state.spawn(self._load(reason))
             await asyncio.wait(
                 {loading, state.failure}, return_when=asyncio.FIRST_COMPLETED
@@ -309,6 +322,26 @@
         )
         self._state.plan_event.set()
 
+    async def _load_run_times(self) -> None:
+        """Read what previous owners have learned; the takeover does not wait for it.
+
+        Nothing is stored before it has been read.
+        """
+        state = self._state
+        value = await read_run_times(state.ports.table, state.service)
+        model = state.run_times.model
+        if value is not None:
+            try:
+                model.restore(value)
+            except Exception as error:
+                # Whatever the row contains, work goes on without it.
+                key = run_times_key(state.service)
+                log_event(events.BAD_ROW, key=key, reason=repr(error))
+        for worker in state.pool.workers.values():
+            if worker.run_time_ratio == 1.0:
+                worker.run_time_ratio = model.speed(worker.worker_id)
+        state.has_run_times = True
+
     def _inherited_lease_ms(self, worker: Worker, now_ms: float) -> float:
         """Return until when a lease may last that a previous owner has granted."""
         predecessor = self._state.lease.predecessor
@@ -563,6 +596,7 @@
             self._run_controller.clear_suspects(now_ms)
             self._forget_crashes(now_ms)
             self._stop_stragglers(now_ms)
+            self._export_run_times(now_ms)
             self._evacuate(now_ms)
             if self._state.backlog.has_waiting():
                 self._state.plan_event.set()
@@ -595,21 +629,54 @@
             worker.avoid_until_ms = max(
                 worker.avoid_until_ms, now_ms + AVOID_FAILING_WORKER_MS
             )
+        for spared in self._state.run_times.take_spared():
+            self._count_overdue(spared.reason.name.lower())
+            log_event(
+                events.RUN_SPARED,
+                task=task_name(spared.run.key.job_id, spared.run.key.task),
+                run=spared.run.number,
+                worker=spared.worker.worker_id,
+                after_ms=round(now_ms - spared.run.begun_ms),
+                reason=spared.reason.value,
+            )
         for straggler in stragglers:
             run = straggler.run
             key = run.key.task
-            step_key = StepKey(run.key.job_id, key.occurrence, key.step)
-            self._state.run_times.count_restart(step_key, key.index)
+            self._state.run_times.count_restart(run, now_ms)
+            self._count_overdue("restarted")
             log_event(
                 events.RUN_OVERDUE,
                 task=task_name(run.key.job_id, key),
                 run=run.number,
                 worker=straggler.worker.worker_id,
-                after_ms=round(now_ms - run.started_ms),
+                after_ms=round(now_ms - run.begun_ms),
             )
             self._avoid_worker_for_task(run, straggler.worker)
             self._run_controller.stop(straggler.worker, run)
 
+    def _count_overdue(self, decision: str) -> None:
+        self._state.ports.metrics.add(
+            metric("basilhold_workflow_overdue_runs_total"),
+            service=self._state.service,
+            decision=decision,
+        )
+
+    def _export_run_times(self, now_ms: float) -> None:
+        """Set the gauges of run times, at intervals."""
+        if now_ms - self._exported_ms < EXPORT_INTERVAL_MS:
+            return
+        self._exported_ms = now_ms
+        declared = metric("basilhold_workflow_run_time_ratio")
+        for queue, described in self._state.run_times.model.describe().items():
+            for quantile in ("median", "high"):
+                self._state.ports.metrics.set(
+                    declared,
+                    described[quantile],
+                    service=self._state.service,
+                    queue=queue,
+                    quantile=quantile,
+                )
+
     def _evacuate(self, now_ms: float) -> None:
         """Move long-running tasks off draining workers."""
         state = self._state
