--- a/basilhold/platform/tests/node_processes.py
+++ b/basilhold/platform/tests/node_processes.py
@@ -141,6 +141,8 @@
     store_proxy : StoreProxy
     directory : Path
         Directory of the settings file and the log.
+    more_settings : str
+        Further sections of the settings file.
 
     Attributes
     ----------
@@ -148,10 +150,17 @@
         How often the process exited unexpectedly, or did not exit in time.
     """
 
-    def __init__(self, name: str, store_proxy: StoreProxy, directory: Path):
+    def __init__(
+        self,
+        name: str,
+        store_proxy: StoreProxy,
+        directory: Path,
+        more_settings: str = "",
+    ):
         self.name = name
         self.store_proxy = store_proxy
-        self.caller_port, self.ready_port, peer_port, self.status_port = free_ports(4)
+        ports = free_ports(4)
+        self.caller_port, self.ready_port, self.peer_port, self.status_port = ports
         self._settings = directory / f"{name}.toml"
         self._log = directory / f"{name}.log"
         self._process: subprocess.Popen | None = None
@@ -161,10 +170,11 @@
                 name=name,
                 caller_port=self.caller_port,
                 ready_port=self.ready_port,
-                peer_port=peer_port,
+                peer_port=self.peer_port,
                 status_port=self.status_port,
                 store_port=store_proxy.port,
             )
+            + more_settings
         )
 
     @property
@@ -172,6 +182,11 @@
         """Whether the process runs, paused or not."""
         return self._process is not None and self._process.poll() is None
 
+    @property
+    def pid(self) -> int:
+        """Id of the process that was started last."""
+        return self._process.pid
+
     def start(self) -> None:
         """Start the process, unless an overlapping restart has done so."""
         if self.is_running:
