Bound what clients may hold of a process on the users' platform

Cause: nothing bounded the memory, descriptors and time that clients take who never finish their requests or do not read replies. tornado's server bounds single connections only, and spends several coroutine steps on each chunk.

Change: a decision module (connection_account) keeps one account of the process's four servers: connections, heads, unfinished bodies, requests being handled, unread replies. An HTTP server on httptools carries out what it decides and runs tornado's applications through tornado's own interface, so that all handlers stay as they are. Heads decide before bodies are read; bad input gets 4xx. Settings [callers], event 4910, metrics basilhold_clients_*. Numbers of connections derive from max_fds, memory from memory_mb.

--- a/basilhold/cell/tests/test_metrics.py
+++ b/basilhold/cell/tests/test_metrics.py
@@ -28,6 +28,9 @@
 
 SET_ON_THE_USERS_PLATFORM = {
     "basilhold_callers_rejected_total",
+    "basilhold_clients_connections",
+    "basilhold_clients_held_bytes",
+    "basilhold_clients_limited_total",
     "basilhold_configuration_age_seconds",
     "basilhold_log_lines_dropped_total",
     "basilhold_tenant_quota_used_ratio",
--- a/basilhold/observability/metric_catalogue.py
+++ b/basilhold/observability/metric_catalogue.py
@@ -246,6 +246,23 @@
         _COUNTER,
         "Calls without a valid API key",
     ),
+    Metric(
+        "basilhold_clients_limited_total",
+        _COUNTER,
+        "Connections closed and requests refused by a limit, by server and reason",
+        ("server", "reason"),
+    ),
+    Metric(
+        "basilhold_clients_held_bytes",
+        _GAUGE,
+        "Memory that the clients of all servers hold",
+    ),
+    Metric(
+        "basilhold_clients_connections",
+        _GAUGE,
+        "Open incoming connections",
+        ("server",),
+    ),
     Metric(
         "basilhold_configuration_age_seconds",
         _GAUGE,
--- a/basilhold/platform/callers.py
+++ b/basilhold/platform/callers.py
@@ -6,10 +6,17 @@
 import re
 from collections.abc import Callable
 
-from tornado.httpserver import HTTPServer
 from tornado.web import Application, RequestHandler
 
+from basilhold.adapters.http_server import (
+    HeadCheck,
+    HttpServer,
+    Refusal,
+    RequestHead,
+    ServerResources,
+)
 from basilhold.core import Clock, JobId
+from basilhold.core.connection_account import ServerLimits
 from basilhold.observability import Metrics, log_event, metric
 from basilhold.platform.bodies import decode_workflow
 from basilhold.platform.events import CALLER_REJECTED
@@ -30,10 +37,6 @@
 RESPONSE_MARGIN_MS = 250.0
 """Time reserved for the response to reach the caller, over a link of up to 60 ms."""
 
-BODY_BYTES_MAX = 1 << 18
-BODY_TIMEOUT_S = 5.0
-IDLE_TIMEOUT_S = 30.0
-
 _JOB_ID = re.compile(r"[0-9a-f]{16}")
 _STATE_NAMES = {state: state.value for state in WorkflowState}
 
@@ -58,7 +61,7 @@
             return
         self._queue_route = table.find(self.request.host, self.request.path)
         if self._queue_route is None:
-            self._log_rejected("no such queue", table.version)
+            self._server.log_rejected("", "no such queue", table.version)
             self._reply(404, {"error": "no such queue"})
             return
         if table.tenants is not None:
@@ -203,21 +206,12 @@
 
     def _reply_unauthorized(self, version: int, has_key: bool) -> None:
         """Reply 401 to a caller without a key, or whose key no tenant has."""
-        self._server.count_rejected()
-        reason = "the API key is unknown" if has_key else "an API key is missing"
-        self._log_rejected(reason, version)
+        reason = self._server.reject_key(
+            self._queue_route.policy.name, has_key, version
+        )
         self.set_header("WWW-Authenticate", "ApiKey")
         self._reply(401, {"error": reason})
 
-    def _log_rejected(self, reason: str, version: int) -> None:
-        log_event(
-            CALLER_REJECTED,
-            queue=self._queue_route.policy.name if self._queue_route else "",
-            reason=reason,
-            version=version,
-            age_ms=round(self._server.configuration.age_ms()),
-        )
-
     def _reply_unavailable(self, status: int, reason: str) -> None:
         """Reply with an error and the delay after which the caller may retry."""
         log_event(
@@ -238,7 +232,7 @@
         self.finish(body)
 
 
-class CallerServer:
+class CallerServer(HeadCheck):
     """HTTP server through which callers submit, query and cancel jobs.
 
     Parameters
@@ -252,6 +246,9 @@
         Largest value of a row in the store, in bytes.
     metrics : Metrics, optional
         Counts rejected calls.
+    limits : ServerLimits, optional
+    resources : ServerResources, optional
+        Shared with other servers of the process.
 
     Attributes
     ----------
@@ -259,7 +256,7 @@
         Number of requests that are being handled.
     closing : bool
         If true, each response asks its caller to close the connection.
-    server : HTTPServer
+    server : HttpServer
         Does not listen yet.
     """
 
@@ -270,6 +267,8 @@
         clock: Clock,
         row_bytes_max: int,
         metrics: Metrics | None = None,
+        limits: ServerLimits | None = None,
+        resources: ServerResources | None = None,
     ):
         self._metrics = metrics
         self.frontend = frontend
@@ -284,11 +283,44 @@
             [(r".*", _JobHandler, {"server": self})],
             log_function=lambda handler: None,
         )
-        self.server = HTTPServer(
-            application,
-            max_body_size=BODY_BYTES_MAX,
-            body_timeout=BODY_TIMEOUT_S,
-            idle_connection_timeout=IDLE_TIMEOUT_S,
+        self.server = HttpServer("callers", application, limits, resources, self)
+
+    async def check(self, head: RequestHead) -> Refusal | None:
+        """Refuse a request for an unknown queue or without a key before its body."""
+        table = await self.configuration.current()
+        if table is None:
+            retry_after_s = self.frontend.retry_after_s(DEFAULT_TIMEOUT_MS)
+            return Refusal(
+                503,
+                "the configuration is not confirmed",
+                (("Retry-After", str(retry_after_s)),),
+            )
+        route = table.find(head.host, head.path)
+        if route is None:
+            self.log_rejected("", "no such queue", table.version)
+            return Refusal(404, "no such queue")
+        if table.tenants is not None:
+            key = head.headers.get(KEY_HEADER, "")
+            if not table.admits(route, table.tenants.find(key)):
+                reason = self.reject_key(route.policy.name, bool(key), table.version)
+                return Refusal(401, reason, (("WWW-Authenticate", "ApiKey"),))
+        return None
+
+    def reject_key(self, queue: str, has_key: bool, version: int) -> str:
+        """Count and log a call without a valid key; return the reason."""
+        self.count_rejected()
+        reason = "the API key is unknown" if has_key else "an API key is missing"
+        self.log_rejected(queue, reason, version)
+        return reason
+
+    def log_rejected(self, queue: str, reason: str, version: int) -> None:
+        """Log a call that is rejected by the configuration."""
+        log_event(
+            CALLER_REJECTED,
+            queue=queue,
+            reason=reason,
+            version=version,
+            age_ms=round(self.configuration.age_ms()),
         )
 
     def on_request_start(self) -> None:
@@ -336,18 +368,26 @@
         self.set_status(200 if self._is_ready() else 503)
 
 
-def make_readiness_server(is_ready: Callable[[], bool]) -> HTTPServer:
+def make_readiness_server(
+    is_ready: Callable[[], bool],
+    limits: ServerLimits | None = None,
+    resources: ServerResources | None = None,
+) -> HttpServer:
     """Create the server that answers readiness probes.
 
     Parameters
     ----------
     is_ready : callable
         Returns whether the process can serve callers.
+    limits : ServerLimits, optional
+    resources : ServerResources, optional
+        Shared with other servers of the process.
 
     Returns
     -------
-    HTTPServer
+    HttpServer
         Does not listen yet.
     """
     routes = [(r"/-/ready", _ReadinessHandler, {"is_ready": is_ready})]
-    return HTTPServer(Application(routes, log_function=lambda handler: None))
+    application = Application(routes, log_function=lambda handler: None)
+    return HttpServer("readiness", application, limits, resources)
--- a/basilhold/platform/events.py
+++ b/basilhold/platform/events.py
@@ -15,3 +15,11 @@
     "queue={queue} call rejected: {reason}; configuration version={version} "
     "age_ms={age_ms}",
 )
+CLIENTS_LIMITED = Event(
+    4910,
+    EventLevel.WARNING,
+    "server={server} limit={reason} ended {count} connections or requests since the "
+    "last such line; held_bytes={held_bytes} of {limit_bytes} "
+    "connections={connections}",
+    "Look for clients that send slowly, or for too many of them; see OPERATIONS.md.",
+)
--- a/basilhold/platform/node.py
+++ b/basilhold/platform/node.py
@@ -10,9 +10,9 @@
 from typing import Any
 
 import uvloop
-from tornado.httpserver import HTTPServer
 
 from basilhold.adapters import HttpLimits, HttpPool
+from basilhold.adapters.http_server import HttpServer
 from basilhold.core import Clock, ProcessId, RegionName, ServiceName
 from basilhold.observability import (
     BoundedOutput,
@@ -28,6 +28,7 @@
 )
 from basilhold.platform.bodies import decode_configuration
 from basilhold.platform.callers import CallerServer, make_readiness_server
+from basilhold.platform.client_limits import ClientLimits
 from basilhold.platform.events import (
     SETTINGS_INVALID,
     SETTINGS_READ,
@@ -241,16 +242,30 @@
             shared_time,
             self._configuration,
         )
+        client_limits = ClientLimits(settings, self._clock, self._status_pages.metrics)
+        self._status_pages.metrics.add_source(client_limits)
+        resources = client_limits.resources
         self._caller_server = CallerServer(
             self.frontend,
             self._configuration,
             self._clock,
             settings.row_bytes_max,
             self._status_pages.metrics,
+            client_limits.callers,
+            resources,
+        )
+        self._readiness_server = make_readiness_server(
+            self._is_ready, client_limits.readiness, resources
+        )
+        self._peer_server = make_peer_server(
+            self.frontend, client_limits.peers, resources
+        )
+        self._status_server = HttpServer(
+            "status",
+            status_application(self._status_pages),
+            client_limits.status,
+            resources,
         )
-        self._readiness_server = make_readiness_server(self._is_ready)
-        self._peer_server = make_peer_server(self.frontend)
-        self._status_server = HTTPServer(status_application(self._status_pages))
 
     @property
     def name(self) -> str:
--- a/basilhold/platform/settings.py
+++ b/basilhold/platform/settings.py
@@ -7,6 +7,8 @@
 import msgspec
 from expression import Error, Ok, Result
 
+from basilhold.settings.caller_limits import CallerLimits
+
 __all__ = ["SETTINGS_VARIABLE", "PlatformSettings", "read_settings"]
 
 SETTINGS_VARIABLE = "BASILHOLD_CONFIG"
@@ -47,6 +49,24 @@
     harm_ms: float = 4_000
 
 
+HELD_MEMORY_RATIO = 0.25
+"""Part of the machine's memory that clients may hold by default. Of 160 MB, an idle
+process takes 37 MB, and 83 MB are left for an owner's state and fragmentation."""
+
+FDS_FOR_FILES = 200
+"""Descriptors that are kept for files, listening sockets and the event loop."""
+
+INCOMING_RATIO = 0.5
+"""Part of the other descriptors for incoming connections; the rest is for calls to
+workers, peers, the store and the advice service."""
+
+HELD_MEMORY_MB_MIN = 2
+INCOMING_MIN = 32
+"""A process starts with these also if the platform's figures leave less."""
+
+MIB = 1 << 20
+
+
 class _Limits(msgspec.Struct):
     """Resources of the machine.
 
@@ -58,11 +78,17 @@
         Speed of the processor, in cores.
     link_mbps : float
         Bandwidth of the network link, in Mbit/s.
+    memory_mb : float
+        Memory of the machine, in MiB.
+    max_fds : int
+        Most file descriptors of the process.
     """
 
     cpu_share: float = 1.0
     cores: float = 1.0
     link_mbps: float = 1_000.0
+    memory_mb: float = 512.0
+    max_fds: float = 4_100
 
 
 class _Store(msgspec.Struct):
@@ -95,6 +121,8 @@
         of the store.
     advice : str
         ``host:port`` of the advice service; if empty, the store's address is used.
+    callers : CallerLimits
+        What clients may send and hold.
     """
 
     node: str
@@ -107,6 +135,22 @@
     limits: _Limits = msgspec.field(default_factory=_Limits)
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
     advice: str = ""
+    callers: CallerLimits = msgspec.field(default_factory=CallerLimits)
+
+    @property
+    def held_bytes_max(self) -> int:
+        """Memory that the clients of all servers may hold, in bytes."""
+        held_mb = self.callers.held_memory_mb
+        if held_mb is None:
+            held_mb = self.limits.memory_mb * HELD_MEMORY_RATIO
+        return int(max(held_mb, HELD_MEMORY_MB_MIN) * MIB)
+
+    @property
+    def incoming_connections_max(self) -> int:
+        """Incoming connections of all servers together."""
+        by_descriptors = int((self.limits.max_fds - FDS_FOR_FILES) * INCOMING_RATIO)
+        by_descriptors = max(by_descriptors, INCOMING_MIN)
+        return min(self.callers.max_connections or by_descriptors, by_descriptors)
 
     @property
     def row_bytes_max(self) -> int:
--- a/basilhold/settings/reference.py
+++ b/basilhold/settings/reference.py
@@ -8,6 +8,7 @@
 import msgspec
 from msgspec import inspect
 
+from basilhold.settings.caller_limits import CallerLimits
 from basilhold.settings.model import Settings
 
 __all__ = ["REFERENCE_PATH", "main", "render_reference"]
@@ -25,9 +26,24 @@
 """
 
 
+_USERS_PLATFORM = """## The program on the users' platform
+
+`python -m basilhold.platform.node` reads another file, which the platform writes; its
+path is in `BASILHOLD_CONFIG`. Unknown keys are ignored there. The table `[callers]` may
+be added to it. Its defaults come from two keys of the platform's `[limits]`:
+`memory_mb`, the memory of the machine in MiB (512 if absent), and `max_fds`, the most
+file descriptors of the process (4100 if absent).
+"""
+
+
 def render_reference() -> str:
     """Return the text of ``docs/settings.md``."""
-    sections = [_HEAD, *_render_struct("", "Top level", inspect.type_info(Settings))]
+    sections = [
+        _HEAD,
+        *_render_struct("", "Top level", inspect.type_info(Settings)),
+        _USERS_PLATFORM,
+        *_render_struct("", "`[callers]`", inspect.type_info(CallerLimits)),
+    ]
     return "\n".join(sections)
 
 
--- a/basilhold/workflows/peer_http.py
+++ b/basilhold/workflows/peer_http.py
@@ -8,16 +8,17 @@
 
 import msgspec
 from expression import Error, Ok, Result
-from tornado.httpserver import HTTPServer
 from tornado.web import Application, RequestHandler
 
 from basilhold.adapters import HttpAddress, HttpCall, HttpPool
+from basilhold.adapters.http_server import HttpServer, ServerResources
 from basilhold.core import (
     JobId,
     ServiceName,
     WorkerId,
     decode_json,
 )
+from basilhold.core.connection_account import ServerLimits
 from basilhold.ports import Changes, Row, ScanPage, StoreError, StoreErrorKind
 from basilhold.ports.runners import Admission
 from basilhold.workflows.model import QueueName, QueuePolicy, WorkflowSpec
@@ -378,8 +379,25 @@
         return _RelayedAdviceReply(result.ok)
 
 
-def make_peer_server(service: PeerService) -> HTTPServer:
-    """Return an HTTP server for calls of peers; it has no listening socket yet."""
+def make_peer_server(
+    service: PeerService,
+    limits: ServerLimits | None = None,
+    resources: ServerResources | None = None,
+) -> HttpServer:
+    """Return an HTTP server for calls of peers; it has no listening socket yet.
+
+    Parameters
+    ----------
+    service : PeerService
+        Executes the calls.
+    limits : ServerLimits, optional
+        The length of bodies is always `BODY_BYTES_MAX`.
+    resources : ServerResources, optional
+        Shared with other servers of the process.
+    """
     routes = [(r"/peer/([a-z]+)", _PeerHandler, {"service": service})]
     application = Application(routes, log_function=lambda handler: None)
-    return HTTPServer(application, max_body_size=BODY_BYTES_MAX)
+    limits = msgspec.structs.replace(
+        limits or ServerLimits(), body_bytes_max=BODY_BYTES_MAX
+    )
+    return HttpServer("peers", application, limits, resources)
