--- a/basilhold/platform/connection_limits.py
+++ b/basilhold/platform/connection_limits.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-__all__ = ["DESCRIPTORS_DEFAULT", "ConnectionLimits"]
+__all__ = ["DESCRIPTORS_DEFAULT", "ConnectionLimits", "incoming_connections"]
 
 DESCRIPTORS_DEFAULT = 4_100
 """Descriptors of a machine whose settings do not name a number."""
@@ -43,6 +43,22 @@
 machines that are in service have 1,638 descriptors, which leave 573."""
 
 
+INCOMING_MIN = 32
+"""Least number of incoming connections, whatever the settings say."""
+
+
+def incoming_connections(descriptors: int) -> int:
+    """Return how many connections of callers, peers and probes a process may accept.
+
+    Examples
+    --------
+    >>> incoming_connections(1_638)
+    359
+    """
+    share = 1.0 - OUTGOING_SHARE
+    return max(INCOMING_MIN, int(share * (descriptors - DESCRIPTORS_RESERVED)))
+
+
 class ConnectionLimits(msgspec.Struct, frozen=True):
     """Most open connections of each kind.
 
--- a/basilhold/platform/settings.py
+++ b/basilhold/platform/settings.py
@@ -7,7 +7,11 @@
 import msgspec
 from expression import Error, Ok, Result
 
-from basilhold.platform.connection_limits import DESCRIPTORS_DEFAULT
+from basilhold.platform.connection_limits import (
+    DESCRIPTORS_DEFAULT,
+    incoming_connections,
+)
+from basilhold.settings.caller_limits import CallerLimits
 
 __all__ = ["SETTINGS_VARIABLE", "PlatformSettings", "read_settings"]
 
@@ -49,6 +53,16 @@
     harm_ms: float = 4_000
 
 
+HELD_MEMORY_RATIO = 0.25
+"""Part of the machine's memory that clients may hold by default. Of 160 MB, an idle
+process takes 37 MB, and 83 MB are left for an owner's state and fragmentation."""
+
+HELD_MEMORY_MB_MIN = 2
+"""A process starts with this also if the machine has less."""
+
+MIB = 1 << 20
+
+
 class _Limits(msgspec.Struct):
     """Resources of the machine.
 
@@ -60,13 +74,16 @@
         Speed of the processor, in cores.
     link_mbps : float
         Bandwidth of the network link, in Mbit/s.
+    memory_mb : float
+        Memory of the machine, in MiB.
     max_fds : int
-        Most file descriptors that the process may have open.
+        Most file descriptors of the process.
     """
 
     cpu_share: float = 1.0
     cores: float = 1.0
     link_mbps: float = 1_000.0
+    memory_mb: float = 512.0
     max_fds: int = DESCRIPTORS_DEFAULT
 
 
@@ -102,6 +119,8 @@
         ``host:port`` of the advice service; if empty, the store's address is used.
     contracts : tuple of str
         Names of agreements that the deployment is run under; unknown ones are ignored.
+    callers : CallerLimits
+        What clients may send and hold.
     """
 
     node: str
@@ -115,6 +134,21 @@
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
     advice: str = ""
     contracts: tuple[str, ...] = ()
+    callers: CallerLimits = msgspec.field(default_factory=CallerLimits)
+
+    @property
+    def held_bytes_max(self) -> int:
+        """Memory that the clients of all servers may hold, in bytes."""
+        held_mb = self.callers.held_memory_mb
+        if held_mb is None:
+            held_mb = self.limits.memory_mb * HELD_MEMORY_RATIO
+        return int(max(held_mb, HELD_MEMORY_MB_MIN) * MIB)
+
+    @property
+    def incoming_connections_max(self) -> int:
+        """Incoming connections of all servers together."""
+        by_descriptors = incoming_connections(self.limits.max_fds)
+        return min(self.callers.max_connections or by_descriptors, by_descriptors)
 
     @property
     def row_bytes_max(self) -> int:
