Wait for transactions beyond the end of the slowness

When the store becomes fast again, its first fast read ended the waits for transactions that had waited in the slow store for more than 1.2 s, shortly before their replies arrived: they ended as unknown. A transaction during which the store was slow is now waited for until its deadline while the store answers.

The test of this commit fails without the change.

--- a/basilhold/workflows/relayed_table.py
+++ b/basilhold/workflows/relayed_table.py
@@ -141,18 +141,29 @@
         self._skip_until_ms: dict[str, float] = {}
         self._typical_latency_ms = 0.0
         self._read_times_ms: deque[float] = deque(maxlen=SLOW_READS_MIN)
+        self._last_slow_ms = -1e9
         self._rejects_reads = False
         self._transaction_ms = 0.0
 
     @property
     def is_slow(self) -> bool:
         """Whether the store answers this machine's reads, but slowly."""
+        return self._has_replied_recently() and self._had_slow_reads()
+
+    def was_slow_since(self, begin_ms: float) -> bool:
+        """Return whether the store answers, and slowly at some time since `begin_ms`.
+
+        What has waited in a slow store may be answered after it has become fast again.
+        """
+        return self._has_replied_recently() and self._last_slow_ms >= begin_ms
+
+    def _has_replied_recently(self) -> bool:
         silent_ms = self._clock.monotonic_ms() - self._last_reply_ms
-        return (
-            silent_ms <= REPLY_AGE_MAX_MS
-            and len(self._read_times_ms) == SLOW_READS_MIN
-            and min(self._read_times_ms) > SLOW_READ_MS
-        )
+        return silent_ms <= REPLY_AGE_MAX_MS
+
+    def _had_slow_reads(self) -> bool:
+        is_complete = len(self._read_times_ms) == SLOW_READS_MIN
+        return is_complete and min(self._read_times_ms) > SLOW_READ_MS
 
     @property
     def last_reply_ms(self) -> float:
@@ -184,6 +195,8 @@
         self._rejects_reads = False
         if latency_ms is not None:
             self._read_times_ms.append(latency_ms)
+            if self._had_slow_reads():
+                self._last_slow_ms = self._last_reply_ms
 
     @property
     def read_ms(self) -> float:
@@ -225,7 +238,7 @@
         self, transaction: Transaction
     ) -> Result[dict[str, int], StoreError]:
         """Apply a transaction."""
-        return await self._transact(TransactCall(transaction), TRANSACTION_WAIT_MS)
+        return await self._transact(TransactCall(transaction), None)
 
     async def transact_within(
         self, transaction: Transaction, timeout_ms: int
@@ -236,6 +249,7 @@
         and as long as in `transact` otherwise: without replies to other calls, the
         store is probably cut off.
         """
+        timeout_ms = max(timeout_ms, TRANSACTION_WAIT_MS)
         return await self._transact(TransactCall(transaction), timeout_ms)
 
     async def serve(self, call: StoreCall) -> Result[Any, StoreError]:
@@ -273,7 +287,7 @@
             probing.cancel()
 
     async def _transact(
-        self, call: TransactCall, timeout_ms: int
+        self, call: TransactCall, timeout_ms: int | None
     ) -> Result[Any, StoreError]:
         if not self._reachable.is_set():
             relayed = await self._relay(call)
@@ -283,7 +297,7 @@
         result = await self._transact_directly(call, timeout_ms)
         if not _has_no_reply(result) or _is_busy(result):
             return result
-        if not self._has_slow_replies_since(sent_ms):
+        if not (self.was_slow_since(sent_ms) and self._last_reply_ms > sent_ms):
             self._mark_unreachable(result.error.reason)
         if _is_final(call, result):
             # The caller has to find out whether a transaction without a reply was
@@ -292,20 +306,17 @@
         relayed = await self._relay(call)
         return relayed if _is_final(call, relayed) else result
 
-    def _has_slow_replies_since(self, sent_ms: float) -> bool:
-        """Return whether a slow store has answered other calls since a time."""
-        return self.is_slow and self._last_reply_ms > sent_ms
-
     async def _transact_directly(
-        self, call: TransactCall, timeout_ms: int
+        self, call: TransactCall, timeout_ms: int | None
     ) -> Result[Any, StoreError]:
         """Apply a transaction, and wait as long as the store seems to process it."""
-        if timeout_ms <= TRANSACTION_WAIT_MS:
+        if timeout_ms is None:
             return await self._direct(call)
+        sent_ms = self._clock.monotonic_ms()
         sending = asyncio.create_task(self._direct(call, timeout_ms))
         try:
             await asyncio.wait({sending}, timeout=TRANSACTION_WAIT_MS / 1000)
-            while not sending.done() and self.is_slow:
+            while not sending.done() and self.was_slow_since(sent_ms):
                 await asyncio.wait({sending}, timeout=TRANSACTION_CHECK_MS / 1000)
             if sending.done():
                 return sending.result()
--- a/basilhold/workflows/tests/test_slow_store.py
+++ b/basilhold/workflows/tests/test_slow_store.py
@@ -103,6 +103,16 @@
             key = spec_key(SERVICE, f"{7:016x}")
             self.assertEqual(sum(t.writes[0].key == key for t in sent), 1)
 
+    async def test_transaction_is_waited_for_beyond_the_end_of_the_slowness(self):
+        # Its reply is on its way when the first fast reads are answered.
+        async with SlowStoreCell() as cell:
+            await cell.begin()
+            cell.table.slow_down(tx_ms=900.0)
+            submission = asyncio.create_task(cell.submit(make_job(7)))
+            await asyncio.sleep(1.3)
+            cell.table.recover()
+            self.assertIs(await submission, StoreOutcome.STORED)
+
     async def test_cancellation_is_waited_for(self):
         async with SlowStoreCell() as cell:
             await asyncio.sleep(SETTLED_S)
