Search room once for a step whose queries of advice are open

In each pass, the room for every step that waits for its first answer was searched anew, only to count it as taken for later steps: 2.4 ms for each step with 2,160 workers. With more than 600 workers, the room found when the queries were sent counts as taken until they are answered. Checks for overdue runs and silent workers skip idle and answering workers early.

--- a/basilhold/workflows/admissions.py
+++ b/basilhold/workflows/admissions.py
@@ -49,6 +49,9 @@
         Queries that have not been answered yet.
     unanswered : set of WorkerId
         Workers in open queries that are neither admitted nor refused so far.
+    wanted_slots : dict of WorkerId to int
+        Number of the step's tasks for which each worker had room when the first
+        queries were sent.
     retry_ms : float
         Time of the event loop's clock before which no query is sent, in milliseconds;
         set after a failed query.
@@ -59,6 +62,7 @@
     tickets: dict[WorkerId, tuple[str, float]] = msgspec.field(default_factory=dict)
     open_queries: int = 0
     unanswered: set[WorkerId] = msgspec.field(default_factory=set)
+    wanted_slots: dict[WorkerId, int] = msgspec.field(default_factory=dict)
     retry_ms: float = 0.0
 
     @property
--- a/basilhold/workflows/planner.py
+++ b/basilhold/workflows/planner.py
@@ -68,6 +68,10 @@
 """Longest time for which workers are withheld for a gang while less than this share of
 the cores is in use."""
 
+LARGE_POOL = 600
+"""Workers beyond which the room for a step whose first queries are open is not searched
+for again in each pass. With 2,160 workers that took 2.4 ms for each such step."""
+
 DEADLINE_ORDER = DeadlineOrder()
 
 WorkerChoice = Callable[[ReadyStep, TaskKey, list[Worker]], Worker | None]
@@ -374,7 +378,7 @@
         if not step.keys:
             return
         if admission.is_unknown:
-            if self._may_use_answer(step, suitable):
+            if self._may_use_answer(step, suitable, admission):
                 self._send_queries(step, suitable, admission)
             return
         possible = [w for w in suitable if w.worker_id not in admission.refused]
@@ -414,14 +418,20 @@
             return workers
         return [w for w in workers if not (w.suspects and w.is_isolated(self._now_ms))]
 
-    def _may_use_answer(self, step: ReadyStep, workers: list[Worker]) -> bool:
+    def _may_use_answer(
+        self, step: ReadyStep, workers: list[Worker], admission: StepAdmission
+    ) -> bool:
         """Return whether an answer could be used before its tickets expire.
 
         Capacity about which earlier steps have sent queries counts as taken here,
         although they will be refused some of it. Placements ignore these queries.
         """
         needed = len(step.keys)
-        slots = self._free_slots(step, workers, needed, self._queried)
+        if admission.open_queries and len(workers) > LARGE_POOL:
+            slots = admission.wanted_slots
+        else:
+            slots = self._free_slots(step, workers, needed, self._queried)
+            admission.wanted_slots = slots
         count = sum(slots.values())
         if count >= needed or (count and not step.spec.gang):
             size = step.spec.reserved()
--- a/basilhold/workflows/silent_workers.py
+++ b/basilhold/workflows/silent_workers.py
@@ -34,7 +34,8 @@
     dict of WorkerId to int
         Milliseconds from `now_ms` on.
     """
-    silent = [w for w in pool.workers.values() if _is_silent(w, now_ms)]
+    unheard = [w for w in pool.workers.values() if w.silent_since_ms]
+    silent = [w for w in unheard if _is_silent(w, now_ms)]
     silent.sort(key=lambda worker: worker.silent_since_ms)
     return {w.worker_id: _lease_left_ms(w, now_ms) for w in silent[:SILENT_WORKERS_MAX]}
 
--- a/basilhold/workflows/stragglers.py
+++ b/basilhold/workflows/stragglers.py
@@ -124,6 +124,8 @@
     stragglers: list[Straggler] = []
     slow_workers: list[WorkerId] = []
     for worker in pool.workers.values():
+        if not worker.runs:
+            continue
         if worker.silent_since_ms:
             # Ends of its runs cannot be reported, so none of them is known to be slow.
             continue
--- a/basilhold/workflows/tests/test_large_pools.py
+++ b/basilhold/workflows/tests/test_large_pools.py
@@ -5,7 +5,7 @@
 
 from basilhold.core import JobId, Resources, WorkerId
 from basilhold.workflows.admissions import AdmissionRecords
-from basilhold.workflows.model import QueuePolicy, StepSpec, WorkflowSpec
+from basilhold.workflows.model import AdvicePolicy, QueuePolicy, StepSpec, WorkflowSpec
 from basilhold.workflows.planner import plan
 from basilhold.workflows.pool import Pool, Worker, WorkerInfo
 from basilhold.workflows.preemption import Reservations
@@ -104,3 +104,31 @@
         CountingWorker.reads = 0
         self.assertEqual(len(run_plan(pool, [step]).placements), 100)
         self.assertLess(CountingWorker.reads, 5 * WORKER_COUNT)
+
+    def test_room_of_steps_with_open_queries_is_not_searched_again(self):
+        # With 20 steps that waited for answers, a pass over 2,160 workers took 50 ms.
+        pool = make_pool(random.Random(1), WORKER_COUNT, CountingWorker)
+        policy = QueuePolicy(
+            "q", "s", 0, 3, 2.0, 1_000.0, AdvicePolicy(500.0, 0.2, 2_000.0)
+        )
+        spec = StepSpec(40, Resources(8_000), 500.0)
+        admissions, reservations = AdmissionRecords(), Reservations()
+
+        def run_pass():
+            steps = []
+            for number in range(300):
+                job_id = JobId(f"{number:016x}")
+                workflow = Workflow(WorkflowSpec(job_id, policy, "", (spec,), NOW_MS))
+                keys = workflow.task_keys(0, 0)
+                steps.append(make_ready_step(workflow, 0, 0, keys))
+            CountingWorker.reads = 0
+            return plan(steps, pool, admissions, reservations, NOW_MS, NOW_MS, 400.0)
+
+        queries = run_pass().queries
+        for query in queries:
+            admissions.step(query.step.key).query_sent(query.workers)
+        asked = {query.step.key for query in queries}
+        self.assertLess(len(asked), 200)
+        # Steps beyond the room send no queries, in the next pass neither.
+        self.assertEqual(run_pass().queries, [])
+        self.assertLess(CountingWorker.reads, (302 - len(asked)) * WORKER_COUNT)
