Load workflows in batches, and find unassigned runs without a search

A new owner decoded and added all stored workflows in one turn of the event loop, at 0.1 ms each for decoding in memory. With thousands of them it neither renewed its lease nor answered probes meanwhile, and after 0.65 s another process may count it as gone. It now gives way to other tasks after each 100 workflows.

Each start looked for unassigned runs on all workers. The pool now remembers the workers that have had any.

--- a/basilhold/workflows/owner.py
+++ b/basilhold/workflows/owner.py
@@ -37,7 +37,11 @@
 from basilhold.workflows.quota_exchange import QuotaReply, QuotaRequest
 from basilhold.workflows.quota_keeper import QuotaKeeper
 from basilhold.workflows.ready_steps import ReadyStep, make_ready_step
-from basilhold.workflows.recovery import load_workflows, restore_assignments
+from basilhold.workflows.recovery import (
+    LOAD_BATCH,
+    load_workflows,
+    restore_assignments,
+)
 from basilhold.workflows.rows import is_jobs_key, jobs_prefix, parse_jobs_key
 from basilhold.workflows.run_controller import AVOID_FAILING_WORKER_MS, RunController
 from basilhold.workflows.stragglers import find_stragglers
@@ -267,11 +271,17 @@
         for workflow in loaded.workflows:
             workflow.spec = self._with_submission_time(workflow.spec)
         assigned = 0
-        for workflow in sorted(loaded.workflows, key=lambda w: w.spec.submitted_ms):
+        ordered = sorted(loaded.workflows, key=lambda w: w.spec.submitted_ms)
+        for number, workflow in enumerate(ordered, 1):
+            if number % LOAD_BATCH == 0:
+                await asyncio.sleep(0)
             with self._state.guard(workflow, "loading"):
                 self._add_loaded(workflow)
                 assigned += restore_assignments(
-                    self._state.pool, [workflow], now_ms, self._state.time.now_ms()
+                    self._state.pool,
+                    [workflow],
+                    self._state.clock.monotonic_ms(),
+                    self._state.time.now_ms(),
                 )
         for job_id in loaded.cancelled:
             self.cancel(job_id)
--- a/basilhold/workflows/pool.py
+++ b/basilhold/workflows/pool.py
@@ -556,6 +556,8 @@
         self.workers: dict[WorkerId, Worker] = {}
         self.usage = TenantUsage()
         self.crash_log = CrashLog()
+        # Each start looks for unassigned runs, which few workers ever have.
+        self._unassigned_holders: set[WorkerId] = set()
 
     def capacity(self) -> Resources:
         """Return the capacity of all workers."""
@@ -581,8 +583,20 @@
 
     def unassigned_keys(self) -> set[RunKey]:
         """Return the tasks with runs at work that are not assigned."""
-        lists = [w.unassigned for w in self.workers.values() if w.unassigned]
-        return {key for unassigned in lists for key in unassigned}
+        keys: set[RunKey] = set()
+        for worker_id in list(self._unassigned_holders):
+            worker = self.workers.get(worker_id)
+            if worker is not None and worker.unassigned:
+                keys.update(worker.unassigned)
+            else:
+                self._unassigned_holders.discard(worker_id)
+        return keys
+
+    def add_unassigned(self, worker: Worker, run: Run) -> None:
+        """Add a run that a worker has listed although it is not assigned to it."""
+        run.is_unassigned = True
+        worker.add(run)
+        self._unassigned_holders.add(worker.worker_id)
 
     def find_run(self, worker_id: WorkerId, key: RunKey) -> Run | None:
         """Return a task's run on a worker, or ``None``."""
--- a/basilhold/workflows/recovery.py
+++ b/basilhold/workflows/recovery.py
@@ -26,6 +26,7 @@
 )
 
 __all__ = [
+    "LOAD_BATCH",
     "StoredWorkflows",
     "load_workflows",
     "restore_assignments",
@@ -36,6 +37,11 @@
 SCAN_RETRY_INTERVAL_MS = 150
 """Delay before a failed scan is repeated."""
 
+LOAD_BATCH = 100
+"""Workflows that are loaded in one turn of the event loop. Decoding one takes 0.1 ms in
+memory. While thousands are loaded in one turn, the owner neither renews its lease nor
+answers probes, and another process claims the service."""
+
 
 RESTORED_CRASH = CrashEvidence(is_confirmed=False)
 """Evidence of a run whose worker has crashed before a takeover, at an unknown time."""
@@ -117,7 +123,9 @@
     submitted = [row for rows, _ in parts for row in rows]
     chunks = _progress_chunks(progress)
     loaded = StoredWorkflows([], set(), set(), min(version for _, version in parts))
-    for row in submitted:
+    for number, row in enumerate(submitted, 1):
+        if number % LOAD_BATCH == 0:
+            await asyncio.sleep(0)
         job_id, is_cancel = parse_jobs_key(row.key)
         if is_cancel:
             loaded.cancelled.add(job_id)
--- a/basilhold/workflows/tests/test_large_pools.py
+++ b/basilhold/workflows/tests/test_large_pools.py
@@ -5,9 +5,16 @@
 
 from basilhold.core import JobId, Resources, WorkerId
 from basilhold.workflows.admissions import AdmissionRecords
-from basilhold.workflows.model import AdvicePolicy, QueuePolicy, StepSpec, WorkflowSpec
+from basilhold.workflows.model import (
+    AdvicePolicy,
+    QueuePolicy,
+    RunNumber,
+    StepSpec,
+    TaskKey,
+    WorkflowSpec,
+)
 from basilhold.workflows.planner import plan
-from basilhold.workflows.pool import Pool, Worker, WorkerInfo
+from basilhold.workflows.pool import Pool, Run, RunKey, Worker, WorkerInfo
 from basilhold.workflows.preemption import Reservations
 from basilhold.workflows.progress import Workflow
 from basilhold.workflows.ready_steps import make_ready_step
@@ -132,3 +139,17 @@
         # Steps beyond the room send no queries, in the next pass neither.
         self.assertEqual(run_pass().queries, [])
         self.assertLess(CountingWorker.reads, (302 - len(asked)) * WORKER_COUNT)
+
+    def test_unassigned_runs_are_found_on_their_workers(self):
+        # Each start looked for them on all workers. They may not be lost when a worker
+        # is replaced under its id.
+        pool = make_pool(random.Random(1), 5)
+        key = RunKey(JobId("0" * 16), TaskKey(0, 0, 0))
+        worker = pool.workers["w3"]
+        pool.add_unassigned(worker, Run(key, RunNumber(1), Resources(1_000)))
+        self.assertEqual(pool.unassigned_keys(), {key})
+        successor = pool.workers["w3"] = Worker(worker.info, pool.usage)
+        successor.add(worker.runs[key])
+        self.assertEqual(pool.unassigned_keys(), {key})
+        successor.remove(key)
+        self.assertEqual(pool.unassigned_keys(), set())
--- a/basilhold/workflows/worker_tracker.py
+++ b/basilhold/workflows/worker_tracker.py
@@ -250,9 +250,8 @@
             polls_before=worker.poll_count,
             tenant=workflow.spec.tenant if step else NO_TENANT,
             size=step.size if step else Resources(),
-            is_unassigned=True,
         )
-        worker.add(run)
+        self._state.pool.add_unassigned(worker, run)
         self._run_controller.stop(worker, run)
 
     def _report_silence(self, worker: Worker) -> None:
