--- a/basilhold/cell/tests/test_metrics.py
+++ b/basilhold/cell/tests/test_metrics.py
@@ -32,6 +32,8 @@
     "basilhold_log_lines_dropped_total",
     "basilhold_tenant_quota_used_ratio",
     "basilhold_tenants_waiting_for_quota",
+    "basilhold_worker_polls_refused_total",
+    "basilhold_worker_polls_waiting",
     "basilhold_workflow_advice_seconds",
     "basilhold_workflow_commit_seconds",
     "basilhold_workflow_runs_total",
--- a/basilhold/observability/metric_catalogue.py
+++ b/basilhold/observability/metric_catalogue.py
@@ -229,6 +229,16 @@
         ("service",),
         _SECONDS_BUCKETS,
     ),
+    Metric(
+        "basilhold_worker_polls_waiting",
+        _GAUGE,
+        "Polls that wait at workers for the ends of runs",
+    ),
+    Metric(
+        "basilhold_worker_polls_refused_total",
+        _COUNTER,
+        "Polls that could not wait at workers for want of connections",
+    ),
     Metric(
         "basilhold_tenants_waiting_for_quota",
         _GAUGE,
--- a/basilhold/platform/node.py
+++ b/basilhold/platform/node.py
@@ -62,7 +62,7 @@
 from basilhold.workflows.shared_time import SharedTime
 from basilhold.workflows.worker_link import LEASE_MAX_MS, OwnerLimits
 
-__all__ = ["LogMetrics", "NodeDaemon", "main"]
+__all__ = ["LogMetrics", "NodeDaemon", "PollMetrics", "main"]
 
 CONNECT_TIMEOUT_MS = 500
 CONNECTION_IDLE_MS = 20_000
@@ -128,6 +128,24 @@
         metrics.set(dropped, self._log_output.dropped_count)
 
 
+class PollMetrics(MetricSource):
+    """Metrics of the polls of workers.
+
+    Parameters
+    ----------
+    turns : PollTurns
+    """
+
+    def __init__(self, turns: PollTurns):
+        self._turns = turns
+
+    def collect(self, metrics: Metrics) -> None:
+        """Set the current numbers of polls."""
+        metrics.set(metric("basilhold_worker_polls_waiting"), self._turns.waiting)
+        refused = metric("basilhold_worker_polls_refused_total")
+        metrics.set(refused, self._turns.refused)
+
+
 class NodeDaemon(Daemon, StateSource):
     """Serves callers, and schedules the services whose ownership lease it holds.
 
@@ -186,6 +204,8 @@
         advice_balancer = AdviceBalancer(
             endpoint, advice, peers, lambda: self.ownership_manager.members(), region
         )
+        poll_turns = PollTurns(limits.waiting_polls, limits.unanswered_polls)
+        self._status_pages.metrics.add_source(PollMetrics(poll_turns))
         ports = OwnerPorts(
             store,
             store,
@@ -200,7 +220,7 @@
             self._tenants,
             self._services,
             PeerQuotaExchange(lambda: self.ownership_manager, peers),
-            poll_turns=PollTurns(limits.waiting_polls, limits.unanswered_polls),
+            poll_turns=poll_turns,
         )
         self._configuration = ConfigurationWatch(
             store,
