--- a/basilhold/cell/tests/test_metrics.py
+++ b/basilhold/cell/tests/test_metrics.py
@@ -38,6 +38,8 @@
     "basilhold_tenant_share",
     "basilhold_tenant_steps_behind",
     "basilhold_tenants_waiting_for_quota",
+    "basilhold_worker_polls_refused_total",
+    "basilhold_worker_polls_waiting",
     "basilhold_workflow_advice_seconds",
     "basilhold_workflow_commit_seconds",
     "basilhold_workflow_overdue_runs_total",
--- a/basilhold/platform/connection_limits.py
+++ b/basilhold/platform/connection_limits.py
@@ -43,7 +43,7 @@
 machines that are in service have 1,638 descriptors, which leave 573."""
 
 
-INCOMING_MIN = 32
+INCOMING_MIN = 16
 """Least number of incoming connections, whatever the settings say."""
 
 
--- a/basilhold/workflows/stragglers.py
+++ b/basilhold/workflows/stragglers.py
@@ -252,6 +252,8 @@
     """
     overdue_runs: list[tuple[Worker, list[Run]]] = []
     for worker in pool.workers.values():
+        if not worker.runs:
+            continue
         if worker.silent_since_ms:
             # Ends of its runs cannot be reported, so none of them is known to be slow.
             continue
