--- a/basilhold/platform/client_limits.py
+++ b/basilhold/platform/client_limits.py
@@ -123,7 +123,7 @@
     ratio, small_ratio = memory_ratios
     return msgspec.structs.replace(
         limits,
-        connections=max(2, int(connections)),
+        connections=max(1, int(connections)),
         memory_ratio=ratio,
         small_memory_ratio=small_ratio,
     )
