--- a/basilhold/platform/tests/test_connection_limits.py
+++ b/basilhold/platform/tests/test_connection_limits.py
@@ -1,10 +1,17 @@
 import asyncio
 import unittest
 
+import msgspec
+
 from basilhold.adapters import HttpAddress, HttpCall, HttpLimits, HttpPool
 from basilhold.core import Epoch, JobId, Resources, WorkerId
 from basilhold.platform.connection_limits import ConnectionLimits
+from basilhold.platform.node import (
+    CLAIM_DELAY_PER_RESOURCE_MS,
+    _small_machine_delay_ms,
+)
 from basilhold.platform.runners import PlatformRunnerClient
+from basilhold.platform.settings import PlatformSettings
 from basilhold.ports.runners import CallOutcome, RenewLeaseCall, RunnerCall, StartCall
 from basilhold.workflows.model import RunNumber, TaskKey
 from basilhold.workflows.pool import Worker, WorkerInfo
@@ -87,3 +94,22 @@
         self.assertGreaterEqual(ConnectionLimits.for_descriptors(1_638).polls, 500)
         self.assertTrue(ConnectionLimits.for_descriptors(1_024).is_short)
         self.assertGreaterEqual(ConnectionLimits.for_descriptors(0).polls, 8)
+
+    def test_process_short_of_descriptors_claims_later(self):
+        # It would serve its workers more slowly than any other process.
+        settings = msgspec.convert(
+            {
+                "node": "n",
+                "ip": "127.0.0.1",
+                "zone": "z",
+                "port_range": (1, 2),
+                "listen": {"front": "h:1", "ready": "h:2"},
+                "platform": {},
+            },
+            PlatformSettings,
+        )
+        delays_ms = [
+            _small_machine_delay_ms(settings, ConnectionLimits.for_descriptors(count))
+            for count in (1_024, 1_638, 4_100)
+        ]
+        self.assertEqual(delays_ms, [CLAIM_DELAY_PER_RESOURCE_MS, 0.0, 0.0])
--- a/basilhold/workflows/tests/test_poll_turns.py
+++ b/basilhold/workflows/tests/test_poll_turns.py
@@ -10,7 +10,11 @@
 from basilhold.testing import VirtualTimeTestCase
 from basilhold.testing.workflow_cell import WorkflowCell, make_spec
 from basilhold.workflows.model import StepSpec
-from basilhold.workflows.poll_turns import IDLE_WORKERS_SHARE, PollTurns
+from basilhold.workflows.poll_turns import (
+    FIRST_POLLS_MAX,
+    IDLE_WORKERS_SHARE,
+    PollTurns,
+)
 
 WORKER_COUNT = 40
 WAITING_MAX = 6
@@ -66,3 +70,28 @@
             pass
         self.assertEqual(turns.waiting, int(IDLE_WORKERS_SHARE * 10))
         self.assertTrue(turns.take(is_busy=True, had_turn=False))
+
+    async def test_first_polls_are_bounded(self):
+        # A new owner opened a connection to each worker at once, and polls timed out
+        # before their replies were handled.
+        async with WorkflowCell(3, 1, FIRST_POLLS_MAX + 50) as cell:
+            pending = highest = 0
+            renew_lease = cell.runners.renew_lease
+
+            async def count(worker, call):
+                nonlocal pending, highest
+                is_first = not worker.heard_ms
+                pending += is_first
+                highest = max(highest, pending)
+                try:
+                    return await renew_lease(worker, call)
+                finally:
+                    pending -= is_first
+
+            cell.runners.renew_lease = count
+            await asyncio.sleep(4)
+            process = next(iter(cell.processes.values()))
+            owner = process.ownership_manager.local_owner(cell.services[0])
+            heard = [worker.heard_ms > 0 for worker in owner.pool.workers.values()]
+        self.assertEqual(heard, [True] * (FIRST_POLLS_MAX + 50))
+        self.assertEqual(highest, FIRST_POLLS_MAX)
