--- a/basilhold/workflows/tests/test_step_order.py
+++ b/basilhold/workflows/tests/test_step_order.py
@@ -94,7 +94,7 @@
         self.assertEqual(self.tenants_of(self.sort(steps)[:2]), [SMALL, SMALL])
 
     def test_burst_of_a_tenant_without_runs_takes_its_share_only(self):
-        # All its steps were below the share when only runs counted.
+        # If only runs counted, all its steps would be below the share.
         steps = [self.make_step(HOG, age_ms=100.0) for _ in range(20)]
         steps += [self.make_step(SMALL) for _ in range(4)]
         self.assertEqual(self.tenants_of(self.sort(steps)[:6]).count(SMALL), 3)
