--- a/basilhold/workflows/tests/test_standing_runs.py
+++ b/basilhold/workflows/tests/test_standing_runs.py
@@ -9,6 +9,9 @@
 from basilhold.workflows.pool import Worker
 
 SEEDS = range(40)
+BUDGET_SEED = 33
+"""Seed of `SEEDS` in which a task starts again after five workers have crashed."""
+
 
 FEW_WORKERS = 2
 FEW_WORKERS_SEEDS = range(20)
@@ -36,6 +39,8 @@
 
     def test_seeds(self):
         for seed in SEEDS:
+            if seed == BUDGET_SEED:
+                continue
             with self.subTest(seed=seed):
                 self.check_seed(seed)
         for seed in REGRESSION_SEEDS:
@@ -43,6 +48,9 @@
             with self.subTest(seed=seed), full_listings:
                 self.check_seed(seed)
 
+    def test_task_is_given_up_after_the_crashes_of_five_workers(self):
+        self.check_seed(BUDGET_SEED)
+
     def test_run_that_ends_as_its_worker_crashes_fails_no_workflow(self):
         self.check_seed(ENDED_SEED)
 
--- a/basilhold/workflows/tests/test_submission_groups.py
+++ b/basilhold/workflows/tests/test_submission_groups.py
@@ -13,6 +13,7 @@
 from basilhold.testing import VirtualTimeTestCase
 from basilhold.testing.workflow_cell import POLICY, SERVICE
 from basilhold.workflows.frontend import Existence
+from basilhold.workflows.job_locations import make_submission
 from basilhold.workflows.peers import StoreOutcome
 from basilhold.workflows.rows import cancel_key, spec_key
 from basilhold.workflows.submission_collector import SubmissionCollector
@@ -213,6 +214,24 @@
                     counts = await cell.offer(rate, duration_s)
                     self.assertGreaterEqual(counts[StoreOutcome.STORED], stored_min)
                     await cell.check(self)
+                    owner = cell.processes[cell.owner_name()]
+                    text = owner.metrics.render()[0].decode()
+                    for name in ("groups", "group_writes"):
+                        self.assertIn(f"basilhold_submission_{name}_total{{", text)
+
+    async def test_refusals_of_the_owner_are_counted(self):
+        async with SlowStoreCell() as cell:
+            await cell.begin()
+            await cell.offer(45, 2)
+            owner = cell.processes[cell.owner_name()]
+            collector = owner.front._collectors[SERVICE]
+            now_ms = owner.clock.monotonic_ms()
+            outcome = await collector.store(
+                make_submission(make_job(1), ()), now_ms + 10.0, None
+            )
+            self.assertIs(outcome, StoreOutcome.NOT_STORED)
+            text = owner.metrics.render()[0].decode()
+            self.assertIn("basilhold_submissions_refused_total{", text)
 
     async def test_small_load_is_stored_directly(self):
         async with SlowStoreCell() as cell:
