--- a/basilhold/platform/tests/test_caller_limits.py
+++ b/basilhold/platform/tests/test_caller_limits.py
@@ -65,6 +65,8 @@
 class CallerLimitsTestCase(unittest.IsolatedAsyncioTestCase):
     """A real process with lowered limits, and a tenant with the key ``secret``."""
 
+    settings = SETTINGS
+
     async def asyncSetUp(self):
         self.platform = self.enterContext(FakePlatform(1, 1, RunnerFaults()))
         document = {
@@ -75,10 +77,10 @@
         }
         self.platform.put("op", "", "config", json.dumps(document).encode())
         directory = self.enterContext(scratch_directory())
-        proxy = StoreProxy(self.platform.port)
-        await proxy.open()
-        self.addAsyncCleanup(proxy.close)
-        self.node = NodeProcess("node-0", proxy, Path(directory), SETTINGS)
+        self.proxy = StoreProxy(self.platform.port)
+        await self.proxy.open()
+        self.addAsyncCleanup(self.proxy.close)
+        self.node = NodeProcess("node-0", self.proxy, Path(directory), self.settings)
         self.node.start()
         self.addCleanup(self.node.kill)
         self.job = 0
