Split the HTTP server by its parts

Connections, requests and replies now have modules of their own, and an abstract base class says what a connection needs of its server. No behaviour changes.

--- /dev/null
+++ b/basilhold/adapters/http_connection.py
@@ -0,0 +1,556 @@
+"""One connection of an HTTP server: its parser, its requests and what it holds."""
+
+import asyncio
+from abc import ABC, abstractmethod
+from collections import deque
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+from httptools import (
+    HttpParserCallbackError,
+    HttpParserError,
+    HttpParserUpgrade,
+    HttpRequestParser,
+)
+from tornado.httputil import HTTPHeaders, HTTPInputError, RequestStartLine
+from tornado.web import Application
+
+from basilhold.adapters.http_replies import Exchange, ReplyWriter, RequestContext
+from basilhold.adapters.http_requests import (
+    HeadCheck,
+    IncomingRequest,
+    Refusal,
+    RequestHead,
+    encode_refusal,
+)
+from basilhold.core.connection_account import (
+    CONNECTION_BYTES,
+    ConnectionAccount,
+    ConnectionEnd,
+    Holding,
+    Phase,
+    ServerLimits,
+    WorkBudget,
+)
+
+__all__ = ["ConnectionServer", "ServerConnection"]
+
+WIRE_BYTES_PER_BODY_BYTE = 16
+WIRE_BYTES_MIN = 65_536
+"""Bytes of chunk headers that a body may take; a one-byte chunk takes six bytes."""
+
+RETRY_AFTER_S = 1
+
+
+class ConnectionServer(ABC):
+    """What a connection needs of its server.
+
+    Attributes
+    ----------
+    application : Application
+        Handles complete requests.
+    limits : ServerLimits
+    account : ConnectionAccount
+    budget : WorkBudget
+    head_check : HeadCheck or None
+        Asked while a body is not complete.
+    read_buffer : memoryview
+        Buffer for reads, which all connections of the server share.
+    """
+
+    application: Application
+    limits: ServerLimits
+    account: ConnectionAccount
+    budget: WorkBudget
+    head_check: HeadCheck | None
+    read_buffer: memoryview
+
+    @abstractmethod
+    def now_ms(self) -> float:
+        """Return the time of the loop's clock, in milliseconds."""
+
+    @abstractmethod
+    def report(self, end: ConnectionEnd) -> None:
+        """Report that a limit has ended a connection or refused a request."""
+
+    @abstractmethod
+    def end_connections(self, victims: list[Holding]) -> None:
+        """End the connections that the account has chosen; any server may own them."""
+
+    @abstractmethod
+    def throttle(self, connection: "ServerConnection") -> None:
+        """Let a connection wait until the budget allows it to be read again."""
+
+    @abstractmethod
+    def add_task(self, coroutine: Coroutine[Any, Any, None]) -> None:
+        """Run a coroutine."""
+
+    @abstractmethod
+    def call_soon(self, callback: Callable[[], None]) -> None:
+        """Call back in the next turn of the event loop."""
+
+
+class ServerConnection(asyncio.BufferedProtocol, ReplyWriter):
+    """One connection: its parser, its requests in turn, and what it holds."""
+
+    def __init__(self, server: ConnectionServer):
+        self._server = server
+        self.holding: Holding | None = None
+        self._transport: asyncio.Transport | None = None
+        self._context = RequestContext("")
+        self._parser: HttpRequestParser | None = HttpRequestParser(self)
+        self._request: IncomingRequest | None = None
+        self._complete: deque[IncomingRequest] = deque()
+        self._exchange: Exchange | None = None
+        self._handled_bytes = 0
+        self._refusal: Refusal | None = None
+        self._is_checking = False
+        self._is_throttled = False
+        self._is_paused = False
+        self._is_closing = False
+        self._is_lost = False
+        self._is_input_over = False
+        self._has_to_close = False
+        self.last_pieces = 0
+
+    # Callbacks of the transport.
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Note the transport; asyncio calls this once."""
+        self._transport = transport
+        if self._is_lost:
+            transport.abort()
+            return
+        peer = transport.get_extra_info("peername")
+        self._context.remote_ip = peer[0] if peer else ""
+        transport.set_write_buffer_limits(0)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Release what the connection holds; a request being handled runs on."""
+        if self._is_lost:
+            return
+        self._is_lost = True
+        account = self._server.account
+        account.close(self.holding)
+        if self._exchange is None:
+            account.release(self.holding)
+        self._complete.clear()
+        self._request = None
+        # The parser refers to the connection, and would delay its release.
+        self._parser = None
+        if self._exchange is not None:
+            self._exchange.on_connection_lost()
+
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return the buffer for a read, which all connections of a server share."""
+        return self._server.read_buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Parse what has been read."""
+        if self._is_lost or self._is_closing or self._refusal is not None:
+            return
+        now_ms = self._server.now_ms()
+        self._feed(self._server.read_buffer[:nbytes], now_ms)
+        budget = self._server.budget
+        budget.charge(self.last_pieces, now_ms)
+        if self._exchange is None:
+            self._note_phase(now_ms)
+        self._update_account(now_ms)
+        self._check_head()
+        if self._exchange is None and (self._complete or self._refusal is not None):
+            self._advance()
+        elif (
+            self._request is not None
+            and self._request.pieces > budget.free_pieces
+            and budget.available(now_ms) <= 0
+        ):
+            self._is_throttled = True
+            self._server.throttle(self)
+        self._update_reading()
+
+    def eof_received(self) -> bool:
+        """Keep the connection until the requests that have arrived are answered."""
+        if self._is_closing or self._is_lost:
+            return False
+        self._is_input_over = True
+        if self._request is not None:
+            self._refuse(400, "the request is not complete", ConnectionEnd.BAD_REQUEST)
+        if self._exchange is None and not self._is_checking:
+            self._advance()
+        return not self._is_lost
+
+    def pause_writing(self) -> None:
+        """Do nothing: the size of the transport's buffer is asked for."""
+
+    def resume_writing(self) -> None:
+        """Go on once the client has taken all replies."""
+        if self.holding.phase is Phase.REPLY:
+            self._advance()
+
+    # Callbacks of the parser.
+
+    def on_message_begin(self) -> None:
+        """Begin a request."""
+        if self._refusal is None:
+            self._request = IncomingRequest()
+
+    def on_url(self, url: bytes) -> None:
+        """Add a part of the target."""
+        request = self._request
+        if request is not None:
+            request.target += url
+            request.head_bytes += len(url)
+            self._check_head_bytes(request.head_bytes)
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Add a header field; those after the body count, but are not kept."""
+        request = self._request
+        if request is None:
+            return
+        self.last_pieces += 1
+        request.head_bytes += len(name) + len(value) + 4
+        if request.head is None:
+            request.headers.append((name, value))
+        self._check_head_bytes(request.head_bytes)
+
+    def on_headers_complete(self) -> None:
+        """Build the head."""
+        request = self._request
+        if request is None:
+            return
+        headers = HTTPHeaders()
+        try:
+            for name, value in request.headers:
+                headers.add(name.decode("latin-1"), value.decode("latin-1"))
+        except HTTPInputError as error:
+            self._refuse(400, str(error), ConnectionEnd.BAD_REQUEST)
+            return
+        method = self._parser.get_method().decode("latin-1")
+        request.head = RequestHead(method, request.target.decode("latin-1"), headers)
+        request.version = f"HTTP/{self._parser.get_http_version()}"
+        request.keep_alive = self._parser.should_keep_alive()
+        if request.declared_bytes() > self._server.limits.body_bytes_max:
+            self._refuse_body()
+
+    def on_body(self, body: bytes) -> None:
+        """Add a part of the body."""
+        request = self._request
+        if request is None:
+            return
+        self.last_pieces += 1
+        if len(request.body) + len(body) > self._server.limits.body_bytes_max:
+            self._refuse_body()
+        else:
+            request.body += body
+
+    def on_message_complete(self) -> None:
+        """Note that a request is complete."""
+        request = self._request
+        if request is None:
+            return
+        request.is_complete = True
+        self._request = None
+        self._complete.append(request)
+
+    # Reading.
+
+    def _feed(self, data: memoryview, now_ms: float) -> None:
+        self.last_pieces = 1
+        before = self._request
+        size_before = len(before.body) if before is not None else 0
+        complete_before = len(self._complete)
+        try:
+            self._parser.feed_data(data)
+        except HttpParserUpgrade:
+            # Requests for other protocols are answered as if they did not ask.
+            self._is_input_over = True
+        except (HttpParserError, HttpParserCallbackError) as error:
+            self._refuse(400, f"bad request: {error}", ConnectionEnd.BAD_REQUEST)
+        request = self._request
+        if request is None:
+            return
+        request.pieces += self.last_pieces
+        if len(self._complete) == complete_before:
+            request.wire_bytes += len(data)
+        if request.head is None:
+            self._server.account.note_progress(self.holding, 0, now_ms)
+            self._check_head_bytes(request.wire_bytes)
+            return
+        grown_bytes = len(request.body) - (size_before if request is before else 0)
+        if grown_bytes:
+            self._server.account.note_progress(self.holding, grown_bytes, now_ms)
+        wire_bytes_max = (
+            WIRE_BYTES_MIN
+            + WIRE_BYTES_PER_BODY_BYTE * self._server.limits.body_bytes_max
+        )
+        if request.wire_bytes > wire_bytes_max:
+            self._refuse_body()
+
+    def _check_head_bytes(self, head_bytes: int) -> None:
+        if head_bytes > self._server.limits.header_bytes_max:
+            self._refuse(431, "the head is too long", ConnectionEnd.TOO_LARGE)
+
+    def _refuse_body(self) -> None:
+        limit = self._server.limits.body_bytes_max
+        reason = f"a body has at most {limit} bytes"
+        self._refuse(413, reason, ConnectionEnd.TOO_LARGE)
+
+    def _refuse(
+        self,
+        status: int,
+        reason: str,
+        end: ConnectionEnd,
+        headers: tuple[tuple[str, str], ...] = (),
+    ) -> None:
+        """Refuse the request that is not complete, after replies to those before it."""
+        if self._refusal is None:
+            self._refusal = Refusal(status, reason, headers)
+            self._request = None
+            self._server.report(end)
+
+    def _refuse_capacity(self) -> None:
+        """Refuse a request that has not run and never will."""
+        headers = (("Retry-After", str(RETRY_AFTER_S)),)
+        self._refuse(503, "the process is overloaded", ConnectionEnd.MEMORY, headers)
+
+    def _note_phase(self, now_ms: float) -> None:
+        phase = Phase.IDLE
+        if self._request is not None:
+            phase = Phase.BODY if self._request.head is not None else Phase.HEAD
+        if phase is not self.holding.phase:
+            received_bytes = len(self._request.body) if self._request else 0
+            self._server.account.set_phase(self.holding, phase, now_ms)
+            self._server.account.note_progress(self.holding, received_bytes, now_ms)
+
+    def _update_account(self, now_ms: float) -> None:
+        """Tell the account what is held now; refuse what there is no capacity for."""
+        if self._is_lost:
+            return
+        account = self._server.account
+        victims = account.resize(self.holding, self._held_bytes(), now_ms)
+        if victims is None:
+            self._complete.clear()
+            self._refuse_capacity()
+            victims = account.resize(self.holding, self._held_bytes(), now_ms)
+            if victims is None:
+                # Unread replies are what is held.
+                self.abort()
+                return
+        self._server.end_connections(victims)
+
+    def _held_bytes(self) -> int:
+        held = CONNECTION_BYTES + self._handled_bytes + self._unwritten_bytes()
+        held += sum(request.held_bytes() for request in self._complete)
+        if self._request is not None:
+            held += self._request.held_bytes()
+        return held
+
+    def _unwritten_bytes(self) -> int:
+        if self._transport is None or self._transport.is_closing():
+            return 0
+        return self._transport.get_write_buffer_size()
+
+    def _check_head(self) -> None:
+        """Decide on a request whose body is not complete, once."""
+        request = self._request
+        if (
+            request is None
+            or request.head is None
+            or request.is_checked
+            or self._exchange is not None
+            or self._complete
+        ):
+            return
+        request.is_checked = True
+        held_bytes = CONNECTION_BYTES + request.declared_bytes()
+        now_ms = self._server.now_ms()
+        if not self._server.account.admits(self.holding, held_bytes, now_ms):
+            self._refuse_capacity()
+        elif self._server.head_check is None:
+            self._continue(request)
+        else:
+            self._is_checking = True
+            self._server.add_task(self._run_head_check(request))
+
+    async def _run_head_check(self, request: IncomingRequest) -> None:
+        refusal = await self._server.head_check.check(request.head)
+        self._is_checking = False
+        if self._is_lost or self._is_closing:
+            return
+        if refusal is not None and self._request is request:
+            self._refuse(
+                refusal.status,
+                refusal.reason,
+                ConnectionEnd.HEAD_DECISION,
+                refusal.headers,
+            )
+        if self._refusal is not None or self._is_input_over:
+            self._advance()
+        else:
+            self._continue(request)
+        self._update_reading()
+
+    def _continue(self, request: IncomingRequest) -> None:
+        """Ask the client for the body if it waits to be asked."""
+        if request.head.headers.get("Expect", "").lower() == "100-continue":
+            self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    def _update_reading(self) -> None:
+        """Read only while a request can be taken, or to discard after a refusal."""
+        if self._is_lost or self._transport is None or self._transport.is_closing():
+            return
+        is_paused = not self._is_closing and (
+            self._exchange is not None
+            or bool(self._complete)
+            or self._refusal is not None
+            or self._is_checking
+            or self._is_throttled
+            or self._is_input_over
+            or self.holding.phase is Phase.REPLY
+        )
+        if is_paused == self._is_paused:
+            return
+        self._is_paused = is_paused
+        if is_paused:
+            self._transport.pause_reading()
+        else:
+            self._transport.resume_reading()
+
+    def resume_throttled(self) -> None:
+        """Read again after a wait for the budget."""
+        self._is_throttled = False
+        self._update_reading()
+
+    # Replies.
+
+    def write(self, data: bytes) -> None:
+        """Send a part of a reply, unless the client is gone."""
+        if data and not self._is_lost and not self._transport.is_closing():
+            self._transport.write(data)
+
+    def on_reply(self, exchange: Exchange) -> None:
+        """Note that a request has been answered."""
+        if exchange is not self._exchange:
+            return
+        self._exchange = None
+        self._handled_bytes = 0
+        self._has_to_close = self._has_to_close or not exchange.keep_alive
+        if self._is_lost:
+            self._server.account.release(self.holding)
+            return
+        # Once the event loop has sent what fits into the socket.
+        self._server.call_soon(self._advance)
+
+    def _advance(self) -> None:
+        """Take the next step after a reply or a refusal."""
+        if self._is_lost or self._is_closing or self._exchange is not None:
+            return
+        now_ms = self._server.now_ms()
+        if self._unwritten_bytes():
+            if self.holding.phase is not Phase.REPLY:
+                self._server.account.set_phase(self.holding, Phase.REPLY, now_ms)
+            self._update_account(now_ms)
+        elif self._has_to_close:
+            self._close()
+        elif self._complete:
+            self._handle(self._complete.popleft(), now_ms)
+        elif self._refusal is not None:
+            self._send_refusal(self._refusal, now_ms)
+        elif self._is_input_over:
+            self._close()
+        else:
+            self._note_phase(now_ms)
+            self._update_account(now_ms)
+            self._check_head()
+            if self._refusal is not None:
+                self._server.call_soon(self._advance)
+        self._update_reading()
+
+    def _handle(self, request: IncomingRequest, now_ms: float) -> None:
+        """Pass a complete request to the application."""
+        self._handled_bytes = request.held_bytes()
+        self._server.account.set_phase(self.holding, Phase.HANDLING, now_ms)
+        self._update_account(now_ms)
+        exchange = self._exchange = Exchange(self, request, self._context)
+        head = request.head
+        try:
+            delegate = self._server.application.start_request(self, exchange)
+            start_line = RequestStartLine(head.method, head.target, request.version)
+            delegate.headers_received(start_line, head.headers)
+            if request.body:
+                delegate.data_received(request.body)
+                request.body = bytearray()
+            delegate.finish()
+        except HTTPInputError as error:
+            self._exchange = None
+            self._handled_bytes = 0
+            self._complete.clear()
+            self._refuse(400, str(error), ConnectionEnd.BAD_REQUEST)
+            self._server.call_soon(self._advance)
+        except Exception:
+            # The event loop logs it and closes the connection.
+            self._exchange = None
+            raise
+
+    def _send_refusal(self, refusal: Refusal, now_ms: float) -> None:
+        """Answer with a refusal, and let the client read it.
+
+        A socket that is closed while bytes arrive would reset the connection, and the
+        client could lose the answer. What arrives is discarded for a short time.
+        """
+        self._is_closing = True
+        self._request = None
+        self.write(encode_refusal(refusal))
+        account = self._server.account
+        account.set_phase(self.holding, Phase.CLOSING, now_ms)
+        account.resize(self.holding, CONNECTION_BYTES, now_ms)
+        if self._is_input_over:
+            self._transport.close()
+        else:
+            self._transport.write_eof()
+
+    def _close(self) -> None:
+        self._is_closing = True
+        account = self._server.account
+        account.set_phase(self.holding, Phase.CLOSING, self._server.now_ms())
+        self._transport.close()
+
+    # Decisions of the account.
+
+    def abort(self) -> None:
+        """Close the connection without waiting for its client."""
+        if self._transport is not None:
+            self._transport.abort()
+        self.connection_lost(None)
+
+    def end_without_capacity(self) -> None:
+        """Close the connection because others need what it held."""
+        self._server.report(ConnectionEnd.MEMORY)
+        if self.holding.phase in (Phase.HEAD, Phase.BODY) and not self._is_lost:
+            headers = (("Retry-After", str(RETRY_AFTER_S)),)
+            refusal = Refusal(503, "the process is overloaded", headers)
+            self.write(encode_refusal(refusal))
+            self._transport.close()
+            self._is_closing = True
+            self.connection_lost(None)
+        else:
+            self.abort()
+
+    def end_overdue(self, end: ConnectionEnd) -> None:
+        """Close the connection because its time is over, unless replies are read."""
+        phase = self.holding.phase
+        if phase in (Phase.HEAD, Phase.BODY):
+            self._is_checking = False
+            self._refuse(408, "the request did not arrive in time", end)
+            self._advance()
+            return
+        if phase is Phase.REPLY or not self.holding.has_served:
+            self._server.report(end)
+        self.abort()
+
+    def note_read_replies(self, now_ms: float) -> None:
+        """Note that the client reads a long reply."""
+        held_bytes = self._held_bytes()
+        if held_bytes < self.holding.held_bytes:
+            self._server.account.resize(self.holding, held_bytes, now_ms)
+            self._server.account.note_progress(self.holding, 0, now_ms)
--- a/basilhold/platform/callers.py
+++ b/basilhold/platform/callers.py
@@ -8,13 +8,8 @@
 
 from tornado.web import Application, RequestHandler
 
-from basilhold.adapters.http_server import (
-    HeadCheck,
-    HttpServer,
-    Refusal,
-    RequestHead,
-    ServerResources,
-)
+from basilhold.adapters.http_requests import HeadCheck, Refusal, RequestHead
+from basilhold.adapters.http_server import HttpServer, ServerResources
 from basilhold.core import Clock, JobId
 from basilhold.core.connection_account import ServerLimits
 from basilhold.observability import Metrics, log_event, metric
