Close connections on which an exception was raised

Seen by callers: after 55 requests (with 600 descriptors) nobody got an answer any more, until the process was restarted.

Cause: Python reads no number of more than 4,300 digits, so tornado raises ValueError for a Host field with such a port. For a request behind another one the exception left a callback of the event loop, which only logs it. The connection then counted as being handled: it is in no list of waiting ones, so no timeout ended it, and it is never replaced. Ruled out: a request that comes first on its connection, as the transport closes it then.

Change: such a request gets 400.

--- a/basilhold/adapters/http_connection.py
+++ b/basilhold/adapters/http_connection.py
@@ -1,6 +1,7 @@
 """One connection of an HTTP server: its parser, its requests and what it holds."""
 
 import asyncio
+import functools
 from abc import ABC, abstractmethod
 from collections import deque
 from collections.abc import Callable, Coroutine
@@ -73,6 +74,10 @@
     def report(self, end: ConnectionEnd) -> None:
         """Report that a limit has ended a connection or refused a request."""
 
+    @abstractmethod
+    def report_exception(self, error: Exception) -> None:
+        """Report an exception that nothing expects."""
+
     @abstractmethod
     def end_connections(self, victims: list[Holding]) -> None:
         """End the connections that the account has chosen; any server may own them."""
@@ -90,6 +95,23 @@
         """Call back in the next turn of the event loop."""
 
 
+def _closes_on_error(method: Callable) -> Callable:
+    """Let an exception in a step of a connection close this connection only.
+
+    The event loop would log the exception and go on, and nothing would end a connection
+    whose request counts as being handled.
+    """
+
+    @functools.wraps(method)
+    def run(self: "ServerConnection", *args):
+        try:
+            return method(self, *args)
+        except Exception as error:
+            self.fail(error)
+
+    return run
+
+
 class ServerConnection(asyncio.BufferedProtocol, ReplyWriter):
     """One connection: its parser, its requests in turn, and what it holds."""
 
@@ -145,6 +167,7 @@
         """Return the buffer for a read, which all connections of a server share."""
         return self._server.read_buffer
 
+    @_closes_on_error
     def buffer_updated(self, nbytes: int) -> None:
         """Parse what has been read."""
         if self._is_lost or self._is_closing or self._refusal is not None:
@@ -182,6 +205,7 @@
     def pause_writing(self) -> None:
         """Do nothing: the size of the transport's buffer is asked for."""
 
+    @_closes_on_error
     def resume_writing(self) -> None:
         """Go on once the client has taken all replies."""
         if self.holding.phase is Phase.REPLY:
@@ -310,8 +334,10 @@
 
     def _refuse_capacity(self) -> None:
         """Refuse a request that has not run and never will."""
-        headers = (("Retry-After", str(RETRY_AFTER_S)),)
-        self._refuse(503, "the process is overloaded", ConnectionEnd.MEMORY, headers)
+        refusal = _make_overload_refusal()
+        self._refuse(
+            refusal.status, refusal.reason, ConnectionEnd.MEMORY, refusal.headers
+        )
 
     def _note_phase(self, now_ms: float) -> None:
         phase = Phase.IDLE
@@ -373,7 +399,11 @@
             self._server.add_task(self._run_head_check(request))
 
     async def _run_head_check(self, request: IncomingRequest) -> None:
-        refusal = await self._server.head_check.check(request.head)
+        try:
+            refusal = await self._server.head_check.check(request.head)
+        except Exception as error:
+            self._server.report_exception(error)
+            refusal = _make_overload_refusal()
         self._is_checking = False
         if self._is_lost or self._is_closing:
             return
@@ -416,6 +446,7 @@
         else:
             self._transport.resume_reading()
 
+    @_closes_on_error
     def resume_throttled(self) -> None:
         """Read again after a wait for the budget."""
         self._is_throttled = False
@@ -441,6 +472,7 @@
         # Once the event loop has sent what fits into the socket.
         self._server.call_soon(self._advance)
 
+    @_closes_on_error
     def _advance(self) -> None:
         """Take the next step after a reply or a refusal."""
         if self._is_lost or self._is_closing or self._exchange is not None:
@@ -472,25 +504,26 @@
         self._server.account.set_phase(self.holding, Phase.HANDLING, now_ms)
         self._update_account(now_ms)
         exchange = self._exchange = Exchange(self, request, self._context)
-        head = request.head
         try:
-            delegate = self._server.application.start_request(self, exchange)
-            start_line = RequestStartLine(head.method, head.target, request.version)
-            delegate.headers_received(start_line, head.headers)
-            if request.body:
-                delegate.data_received(request.body)
-                request.body = bytearray()
-            delegate.finish()
-        except HTTPInputError as error:
+            self._start(request, exchange)
+        except (HTTPInputError, ValueError) as error:
+            # The latter comes from a Host field whose port has thousands of digits.
             self._exchange = None
             self._handled_bytes = 0
             self._complete.clear()
             self._refuse(400, str(error), ConnectionEnd.BAD_REQUEST)
             self._server.call_soon(self._advance)
-        except Exception:
-            # The event loop logs it and closes the connection.
-            self._exchange = None
-            raise
+
+    def _start(self, request: IncomingRequest, exchange: Exchange) -> None:
+        """Start the handler of a request; an exception means that it has not begun."""
+        head = request.head
+        delegate = self._server.application.start_request(self, exchange)
+        start_line = RequestStartLine(head.method, head.target, request.version)
+        delegate.headers_received(start_line, head.headers)
+        if request.body:
+            delegate.data_received(request.body)
+            request.body = bytearray()
+        delegate.finish()
 
     def _send_refusal(self, refusal: Refusal, now_ms: float) -> None:
         """Answer with a refusal, and let the client read it.
@@ -515,6 +548,12 @@
         account.set_phase(self.holding, Phase.CLOSING, self._server.now_ms())
         self._transport.close()
 
+    def fail(self, error: Exception) -> None:
+        """Close the connection after an exception in one of its steps."""
+        self._server.report_exception(error)
+        self._exchange = None
+        self.abort()
+
     # Decisions of the account.
 
     def abort(self) -> None:
@@ -527,15 +566,14 @@
         """Close the connection because others need what it held."""
         self._server.report(ConnectionEnd.MEMORY)
         if self.holding.phase in (Phase.HEAD, Phase.BODY) and not self._is_lost:
-            headers = (("Retry-After", str(RETRY_AFTER_S)),)
-            refusal = Refusal(503, "the process is overloaded", headers)
-            self.write(encode_refusal(refusal))
+            self.write(encode_refusal(_make_overload_refusal()))
             self._transport.close()
             self._is_closing = True
             self.connection_lost(None)
         else:
             self.abort()
 
+    @_closes_on_error
     def end_overdue(self, end: ConnectionEnd) -> None:
         """Close the connection because its time is over, unless replies are read."""
         phase = self.holding.phase
@@ -548,9 +586,16 @@
             self._server.report(end)
         self.abort()
 
+    @_closes_on_error
     def note_read_replies(self, now_ms: float) -> None:
         """Note that the client reads a long reply."""
         held_bytes = self._held_bytes()
         if held_bytes < self.holding.held_bytes:
             self._server.account.resize(self.holding, held_bytes, now_ms)
             self._server.account.note_progress(self.holding, 0, now_ms)
+
+
+def _make_overload_refusal() -> Refusal:
+    """Return the refusal of a request that has not run and never will."""
+    headers = (("Retry-After", str(RETRY_AFTER_S)),)
+    return Refusal(503, "the process is overloaded", headers)
--- a/basilhold/adapters/http_server.py
+++ b/basilhold/adapters/http_server.py
@@ -132,6 +132,12 @@
         """Report that a limit has ended a connection or refused a request."""
         self.resources.on_end(self.name, end)
 
+    def report_exception(self, error: Exception) -> None:
+        """Let the event loop log an exception that nothing expects."""
+        message = f"error in a connection of the server {self.name}"
+        context = {"message": message, "exception": error}
+        self._loop.call_exception_handler(context)
+
     def throttle(self, connection: "ServerConnection") -> None:
         """Let a connection wait until the budget allows it to be read again."""
         self._throttled.append(connection)
@@ -213,11 +219,13 @@
 
     def _sweep(self) -> None:
         """Close the connections whose time is over."""
-        now_ms = self.now_ms()
-        for holding in self.account.find_in_phase(self.name, Phase.REPLY):
-            holding.connection.note_read_replies(now_ms)
-        for holding, end in self.account.find_overdue(self.name, now_ms):
-            holding.connection.end_overdue(end)
-        self._sweep_timer = None
-        if self._sockets or self.account.open_count(self.name):
-            self._sweep_timer = self._loop.call_later(SWEEP_INTERVAL_S, self._sweep)
+        try:
+            now_ms = self.now_ms()
+            for holding in self.account.find_in_phase(self.name, Phase.REPLY):
+                holding.connection.note_read_replies(now_ms)
+            for holding, end in self.account.find_overdue(self.name, now_ms):
+                holding.connection.end_overdue(end)
+        finally:
+            self._sweep_timer = None
+            if self._sockets or self.account.open_count(self.name):
+                self._sweep_timer = self._loop.call_later(SWEEP_INTERVAL_S, self._sweep)
--- /dev/null
+++ b/basilhold/adapters/tests/test_http_server.py
@@ -0,0 +1,105 @@
+import asyncio
+import unittest
+from unittest.mock import patch
+
+from tornado.netutil import bind_sockets
+from tornado.web import Application, RequestHandler
+
+from basilhold.adapters.http_requests import HeadCheck
+from basilhold.adapters.http_server import HttpServer
+from basilhold.core.connection_account import ServerLimits
+
+END_TIMEOUT_S = 20.0
+GET = b"GET %s HTTP/1.1\r\nHost: h\r\n\r\n"
+UNFINISHED = b"POST /ok HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\n"
+
+
+class _Handler(RequestHandler):
+    def initialize(self, broken):
+        if broken:
+            raise RuntimeError("injected failure")
+
+    def get(self):
+        self.finish(b"fine")
+
+
+class _BrokenCheck(HeadCheck):
+    async def check(self, head):
+        raise RuntimeError("injected failure")
+
+
+class HttpServerTestCase(unittest.IsolatedAsyncioTestCase):
+    """A server on loopback whose handlers may raise."""
+
+    limits = ServerLimits(idle_timeout_ms=300.0, keep_alive_ms=300.0)
+
+    async def asyncSetUp(self):
+        self.errors = []
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda _, context: self.errors.append(context))
+        routes = [
+            ("/ok", _Handler, {"broken": False}),
+            ("/broken", _Handler, {"broken": True}),
+        ]
+        application = Application(routes, log_function=lambda handler: None)
+        self.server = HttpServer(
+            "s", application, self.limits, head_check=_BrokenCheck()
+        )
+        (listening,) = bind_sockets(0, "127.0.0.1")
+        self.port = listening.getsockname()[1]
+        self.server.add_socket(listening)
+        self.addCleanup(self.server.stop)
+
+    async def connect(self, request):
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+        self.addCleanup(writer.close)
+        writer.write(request)
+        return reader
+
+    async def exchange(self, request):
+        """Return all that the server sends until it closes the connection."""
+        reader = await self.connect(request)
+        async with asyncio.timeout(END_TIMEOUT_S):
+            return await reader.read()
+
+    async def wait_for_no_connection(self):
+        async with asyncio.timeout(END_TIMEOUT_S):
+            while self.server.account.open_count("s"):
+                await asyncio.sleep(0.01)
+
+
+class ExceptionTest(HttpServerTestCase):
+    """Guards against exceptions after which nothing ends a connection any more."""
+
+    async def test_handler_that_cannot_be_made_closes_its_connection_only(self):
+        other = await self.connect(b"")
+        self.assertEqual(await self.exchange(GET % b"/broken"), b"")
+        reply = await self.exchange(GET % b"/ok" + GET % b"/broken")
+        self.assertEqual(reply.count(b"200 OK"), 1)
+        self.assertFalse(other.at_eof())
+        self.assertIn(b"200 OK", await self.exchange(GET % b"/ok"))
+        await self.wait_for_no_connection()
+        self.assertEqual(len(self.errors), 2)
+        self.assertEqual(self.server.account.held_bytes, 0)
+
+    async def test_port_of_a_host_that_is_no_number(self):
+        bad = (GET % b"/ok").replace(b"Host: h", b"Host: h:" + b"1" * 5_000)
+        for request in (bad, GET % b"/ok" + bad):
+            self.assertIn(b"400 Bad Request", await self.exchange(request))
+        await self.wait_for_no_connection()
+        self.assertEqual(self.errors, [])
+
+    async def test_head_check_that_fails_refuses_the_request(self):
+        reply = await self.exchange(UNFINISHED)
+        self.assertIn(b"503 Service Unavailable", reply)
+        self.assertIn(b"Retry-After: ", reply)
+        self.assertEqual(len(self.errors), 1)
+
+    async def test_sweeps_go_on_after_an_exception(self):
+        await self.connect(b"")
+        account = self.server.account
+        with patch.object(account, "find_overdue", side_effect=RuntimeError) as find:
+            async with asyncio.timeout(END_TIMEOUT_S):
+                while not find.called:
+                    await asyncio.sleep(0.01)
+        await self.wait_for_no_connection()
