Count requests with unknown methods only once

Seen: the state dump of a process showed -1 requests in flight after a TRACE request. A shutdown waits until none is in flight, so with the count too low by one it may cut a request that is being handled.

Cause: tornado replies 405 to a method that it does not know before it calls prepare, which counted the request, and calls on_finish, which takes it off again.

Change: a request is counted when its handler is made.

--- a/basilhold/platform/callers.py
+++ b/basilhold/platform/callers.py
@@ -40,14 +40,18 @@
     """Handles one request of a caller: submit, query or cancel a job."""
 
     def initialize(self, server: "CallerServer") -> None:
-        """Store the server; tornado calls this for each request."""
+        """Store the server and count the request; tornado calls this for each one.
+
+        `on_finish` follows in any case, but `prepare` only for methods that tornado
+        knows.
+        """
         self._server = server
         self._queue_route: QueueRoute | None = None
         self._tenant: Tenant | None = None
+        server.on_request_start()
 
     async def prepare(self) -> None:
         """Look up the queue and the tenant of the request, or reply with an error."""
-        self._server.on_request_start()
         if self._server.closing:
             self.set_header("Connection", "close")
         table = await self._server.configuration.current()
