Bound what the kernel receives for a connection

Seen: bytes that are received and not read count toward the memory of a machine. 50 clients and 30 peers that send large bodies and then one-byte chunks left 38 MB there, a paused process with a crowd 32 to 40 MB, while the process itself had 39 and 49 MB.

Cause: the kernel enlarges the receive buffer of a connection that is read fast, up to tens of MB, and such a connection keeps it when its reading is throttled. Connections that wait to be accepted receive, too. Nothing counted these bytes.

Change: listening sockets have a fixed receive buffer, which accepted connections inherit: 32 KB for callers, 64 KB for peers and 8 KB for probes. The account counts it for each open connection. Replies of the store, peers and workers have bounds by the kind of call, which are scaled down to 0.3 of the memory of the machine. Half a buffer is under way at a time, so the longest body of a caller takes 1 s over 62 ms.

--- a/basilhold/adapters/http.py
+++ b/basilhold/adapters/http.py
@@ -8,6 +8,7 @@
 """
 
 import asyncio
+import socket
 import ssl
 from abc import ABC, abstractmethod
 from collections import OrderedDict, defaultdict
@@ -20,6 +21,8 @@
 from expression import Error, Ok, Result
 from httptools import HttpParserError, HttpResponseParser
 
+from basilhold.adapters.receive_buffers import set_receive_bytes
+
 __all__ = [
     "HttpAddress",
     "HttpCall",
@@ -145,6 +148,9 @@
         Longest response.
     transfer_ms : int
         Bound of an exchange whose response keeps arriving, in milliseconds.
+    receive_bytes : int
+        Bytes of a response that the kernel keeps until they are read; 0 for the
+        system's choice. Only addresses with IP numbers are bounded.
     """
 
     connections: int = 8
@@ -153,6 +159,7 @@
     body_bytes_max: int = 16 << 20
     header_bytes_max: int = 16 << 10
     transfer_ms: int = 10_000
+    receive_bytes: int = 0
 
 
 class _Kept(msgspec.Struct, eq=False):
@@ -268,12 +275,18 @@
             tls = self._tls
         try:
             async with asyncio.timeout(self._limits.connect_timeout_ms / 1000):
-                _, connection = await loop.create_connection(
-                    lambda: _Connection(self._limits),
-                    address.host,
-                    address.port,
-                    ssl=tls,
+                family = (
+                    _ip_family(address.host) if self._limits.receive_bytes else None
                 )
+                if family is None:
+                    _, connection = await loop.create_connection(
+                        lambda: _Connection(self._limits),
+                        address.host,
+                        address.port,
+                        ssl=tls,
+                    )
+                else:
+                    connection = await self._connect_bounded(address, family, tls)
         except TimeoutError:
             return Error(("timed out while connecting", False))
         except (OSError, ValueError, OverflowError) as error:
@@ -282,6 +295,30 @@
             return Error((f"cannot connect: {error}", refused))
         return Ok(connection)
 
+    async def _connect_bounded(
+        self,
+        address: HttpAddress,
+        family: socket.AddressFamily,
+        tls: ssl.SSLContext | None,
+    ) -> "_Connection":
+        """Connect with a bounded receive buffer."""
+        loop = asyncio.get_running_loop()
+        connected = socket.socket(family, socket.SOCK_STREAM)
+        try:
+            connected.setblocking(False)
+            set_receive_bytes(connected, self._limits.receive_bytes)
+            await loop.sock_connect(connected, (address.host, address.port))
+            _, connection = await loop.create_connection(
+                lambda: _Connection(self._limits),
+                sock=connected,
+                ssl=tls,
+                server_hostname=address.host if tls else None,
+            )
+        except BaseException:
+            connected.close()
+            raise
+        return connection
+
     def _take(self, address: HttpAddress) -> "_Connection | None":
         """Return the connection used last; close those unused for too long."""
         kept = self._kept[address]
@@ -468,6 +505,23 @@
             self._done.set_result(finished)
 
 
+def _ip_family(host: str) -> socket.AddressFamily | None:
+    """Return the family of an IP address; ``None`` for a name.
+
+    Examples
+    --------
+    >>> _ip_family("10.0.0.1").name, _ip_family("::1").name, _ip_family("store")
+    ('AF_INET', 'AF_INET6', None)
+    """
+    for family in (socket.AF_INET, socket.AF_INET6):
+        try:
+            socket.inet_pton(family, host)
+        except OSError:
+            continue
+        return family
+    return None
+
+
 def _postpone(timeout: asyncio.Timeout, stall_ms: int, last_s: float) -> None:
     """Let an exchange go on for `stall_ms`, until `last_s` of the loop's clock."""
     if not stall_ms or timeout.expired():
--- a/basilhold/adapters/http_connection.py
+++ b/basilhold/adapters/http_connection.py
@@ -25,7 +25,6 @@
     encode_refusal,
 )
 from basilhold.core.connection_account import (
-    CONNECTION_BYTES,
     ConnectionAccount,
     ConnectionEnd,
     Holding,
@@ -365,7 +364,8 @@
         self._server.end_connections(victims)
 
     def _held_bytes(self) -> int:
-        held = CONNECTION_BYTES + self._handled_bytes + self._unwritten_bytes()
+        held = self._server.limits.connection_bytes + self._unwritten_bytes()
+        held += self._handled_bytes
         held += sum(request.held_bytes() for request in self._complete)
         if self._request is not None:
             held += self._request.held_bytes()
@@ -388,7 +388,7 @@
         ):
             return
         request.is_checked = True
-        held_bytes = CONNECTION_BYTES + request.declared_bytes()
+        held_bytes = self._server.limits.connection_bytes + request.declared_bytes()
         now_ms = self._server.now_ms()
         if not self._server.account.admits(self.holding, held_bytes, now_ms):
             self._refuse_capacity()
@@ -536,7 +536,7 @@
         self.write(encode_refusal(refusal))
         account = self._server.account
         account.set_phase(self.holding, Phase.CLOSING, now_ms)
-        account.resize(self.holding, CONNECTION_BYTES, now_ms)
+        account.resize(self.holding, self._server.limits.connection_bytes, now_ms)
         if self._is_input_over:
             self._transport.close()
         else:
--- a/basilhold/adapters/http_server.py
+++ b/basilhold/adapters/http_server.py
@@ -19,6 +19,7 @@
 
 from basilhold.adapters.http_connection import ConnectionServer, ServerConnection
 from basilhold.adapters.http_requests import HeadCheck
+from basilhold.adapters.receive_buffers import set_receive_bytes
 from basilhold.core.connection_account import (
     ConnectionAccount,
     ConnectionEnd,
@@ -107,6 +108,9 @@
     def add_socket(self, listening: socket.socket) -> None:
         """Accept connections from a listening socket that does not block."""
         self._loop = asyncio.get_running_loop()
+        if self.limits.receive_bytes:
+            # Accepted connections inherit it, also those that wait to be accepted.
+            set_receive_bytes(listening, self.limits.receive_bytes)
         self._sockets.append(listening)
         self._loop.add_reader(listening.fileno(), self._accept, listening)
         if self._sweep_timer is None:
--- a/basilhold/core/connection_account.py
+++ b/basilhold/core/connection_account.py
@@ -20,7 +20,7 @@
 ]
 
 CONNECTION_BYTES = 6_144
-"""Memory of an open connection without a request: transport, parser and objects."""
+"""Memory of a connection's transport, parser and objects."""
 
 STALL_MS = 250.0
 """A client that sends or reads nothing for this long makes no progress. The longest
@@ -87,7 +87,11 @@
     small_memory_ratio : float
         The same for connections and small requests.
     small_bytes : int
-        Memory up to which a request is small, in bytes.
+        Memory up to which a request is small, without that of its connection, in bytes.
+    receive_bytes : int
+        Bytes that the kernel keeps for a connection until they are read; 0 for the
+        system's choice, which grows to megabytes. Each connection holds as much, as it
+        may arrive at any time.
     unsent_bytes : int
         Bytes of replies that the kernel keeps for a client beyond what it has room for;
         0 for the system's choice, which may be megabytes. A busy process sends no more
@@ -103,8 +107,14 @@
     memory_ratio: float = 0.65
     small_memory_ratio: float = 0.8
     small_bytes: int = 64 << 10
+    receive_bytes: int = 0
     unsent_bytes: int = 0
 
+    @property
+    def connection_bytes(self) -> int:
+        """Memory of an open connection without a request."""
+        return CONNECTION_BYTES + self.receive_bytes
+
 
 class Holding:
     """What one connection holds.
@@ -231,7 +241,7 @@
         holding = Holding(server, connection, now_ms)
         self._open_count[server] += 1
         self._waiting[server][holding] = None
-        closed = self.resize(holding, CONNECTION_BYTES, now_ms)
+        closed = self.resize(holding, self._limits[server].connection_bytes, now_ms)
         if closed is None:
             self.close(holding)
             return None, victims
@@ -248,14 +258,11 @@
             Connections to close, which hold nothing any more; ``None`` if there is no
             capacity, in which case nothing has changed.
         """
-        limits = self._limits[holding.server]
         growth = held_bytes - holding.held_bytes
         if growth <= 0:
             self._set_bytes(holding, held_bytes)
             return []
-        is_small = held_bytes <= limits.small_bytes
-        ratio = limits.small_memory_ratio if is_small else limits.memory_ratio
-        excess = self.held_bytes + growth - int(ratio * self.limit_bytes)
+        excess = self._excess_bytes(holding, held_bytes)
         victims: list[Holding] = []
         if excess > 0:
             found = self._find_victims(holding, excess, now_ms)
@@ -269,12 +276,16 @@
 
     def admits(self, holding: Holding, held_bytes: int, now_ms: float) -> bool:
         """Return whether a connection could hold that much now; changes nothing."""
+        excess = self._excess_bytes(holding, held_bytes)
+        return excess <= 0 or self._find_victims(holding, excess, now_ms) is not None
+
+    def _excess_bytes(self, holding: Holding, held_bytes: int) -> int:
+        """Return what others have to release before a connection holds that much."""
         limits = self._limits[holding.server]
-        is_small = held_bytes <= limits.small_bytes
+        is_small = held_bytes <= limits.connection_bytes + limits.small_bytes
         ratio = limits.small_memory_ratio if is_small else limits.memory_ratio
         growth = max(0, held_bytes - holding.held_bytes)
-        excess = self.held_bytes + growth - int(ratio * self.limit_bytes)
-        return excess <= 0 or self._find_victims(holding, excess, now_ms) is not None
+        return self.held_bytes + growth - int(ratio * self.limit_bytes)
 
     def _find_victims(
         self, holding: Holding, excess: int, now_ms: float
--- a/basilhold/platform/client_limits.py
+++ b/basilhold/platform/client_limits.py
@@ -29,6 +29,13 @@
 CALLERS_UNSENT_BYTES = 8_192
 """Replies to callers have some hundred bytes."""
 
+CALLERS_RECEIVE_BYTES = 32_768
+PEERS_RECEIVE_BYTES = 65_536
+PROBES_RECEIVE_BYTES = 8_192
+"""Bytes of requests that the kernel keeps for a connection. With half of it under way,
+the longest body of a caller takes 1 s over a round trip of 62 ms, and a body of a peer
+as long as over the link between regions."""
+
 KEEP_ALIVE_RATIO = 4.0
 """Connections without a request between two requests stay open longer than idle ones
 by this factor: longer than the 20 s for which other processes keep theirs, as a call
@@ -79,11 +86,16 @@
         )
         self.callers = msgspec.structs.replace(
             _limit(limits, total * CALLERS_RATIO, CALLERS_MEMORY),
+            receive_bytes=CALLERS_RECEIVE_BYTES,
             unsent_bytes=CALLERS_UNSENT_BYTES,
         )
-        self.peers = _limit(limits, total * PEERS_RATIO, PEERS_MEMORY)
-        self.readiness = _limit(limits, total * READINESS_RATIO, READINESS_MEMORY)
-        self.status = _limit(limits, total * STATUS_RATIO, STATUS_MEMORY)
+        self.peers = msgspec.structs.replace(
+            _limit(limits, total * PEERS_RATIO, PEERS_MEMORY),
+            receive_bytes=PEERS_RECEIVE_BYTES,
+        )
+        probes = msgspec.structs.replace(limits, receive_bytes=PROBES_RECEIVE_BYTES)
+        self.readiness = _limit(probes, total * READINESS_RATIO, READINESS_MEMORY)
+        self.status = _limit(probes, total * STATUS_RATIO, STATUS_MEMORY)
         self._counts: dict[tuple[str, ConnectionEnd], int] = {}
         self._logged_ms: dict[tuple[str, ConnectionEnd], float] = {}
 
--- a/basilhold/platform/connection_limits.py
+++ b/basilhold/platform/connection_limits.py
@@ -2,7 +2,12 @@
 
 import msgspec
 
-__all__ = ["DESCRIPTORS_DEFAULT", "ConnectionLimits", "incoming_connections"]
+__all__ = [
+    "DESCRIPTORS_DEFAULT",
+    "ConnectionLimits",
+    "ReceiveLimits",
+    "incoming_connections",
+]
 
 DESCRIPTORS_DEFAULT = 4_100
 """Descriptors of a machine whose settings do not name a number."""
@@ -42,6 +47,20 @@
 """Poll connections below which a process counts as short of descriptors. The smallest
 machines that are in service have 1,638 descriptors, which leave 573."""
 
+RECEIVED_MEMORY_RATIO = 0.3
+"""Most of the machine's memory that replies which are not read yet may take."""
+
+STORE_RECEIVE_BYTES = 131_072
+PEERS_RECEIVE_BYTES = 65_536
+POLLS_RECEIVE_BYTES = 32_768
+COMMANDS_RECEIVE_BYTES = 8_192
+ADVICE_RECEIVE_BYTES = 16_384
+"""Bytes of replies that the kernel keeps for a connection. The store and peers send up
+to 1 MB; half of this for each round trip of 60 ms is what the link between regions
+carries. Replies of workers have up to 40 KB, and those to starts less than 1 KB."""
+
+RECEIVE_BYTES_MIN = 4_096
+"""Least bytes for a connection, whatever the memory of the machine."""
 
 INCOMING_MIN = 16
 """Least number of incoming connections, whatever the settings say."""
@@ -113,3 +132,58 @@
     def is_short(self) -> bool:
         """Whether an owner on this machine would serve its workers more slowly."""
         return self.polls < POLLS_WANTED
+
+
+class ReceiveLimits(msgspec.Struct, frozen=True):
+    """Bytes of replies that the kernel keeps for each connection until they are read.
+
+    Parameters
+    ----------
+    polls, commands, store, peers, advice : int
+        By kind of connection, as in `ConnectionLimits`.
+    """
+
+    polls: int
+    commands: int
+    store: int
+    peers: int
+    advice: int
+
+    @classmethod
+    def for_memory(
+        cls, connections: ConnectionLimits, memory_bytes: float
+    ) -> "ReceiveLimits":
+        """Return the limits for the memory of a machine.
+
+        Examples
+        --------
+        >>> connections = ConnectionLimits.for_descriptors(1_638)
+        >>> ReceiveLimits.for_memory(connections, 160 << 20).store
+        131072
+        >>> ReceiveLimits.for_memory(connections, 80 << 20).store
+        73440
+        """
+        limits = cls(
+            POLLS_RECEIVE_BYTES,
+            COMMANDS_RECEIVE_BYTES,
+            STORE_RECEIVE_BYTES,
+            PEERS_RECEIVE_BYTES,
+            ADVICE_RECEIVE_BYTES,
+        )
+        total = limits.total_bytes(connections)
+        scale = min(1.0, RECEIVED_MEMORY_RATIO * memory_bytes / total)
+        scaled = (
+            max(RECEIVE_BYTES_MIN, int(scale * size))
+            for size in msgspec.structs.astuple(limits)
+        )
+        return cls(*scaled)
+
+    def total_bytes(self, connections: ConnectionLimits) -> int:
+        """Return the most bytes for all connections together."""
+        return (
+            self.polls * connections.polls
+            + self.commands * connections.commands
+            + self.store * connections.store
+            + self.peers * connections.peers
+            + self.advice * connections.advice
+        )
--- a/basilhold/platform/node.py
+++ b/basilhold/platform/node.py
@@ -30,7 +30,7 @@
 from basilhold.platform.bodies import decode_configuration
 from basilhold.platform.callers import CallerServer, make_readiness_server
 from basilhold.platform.client_limits import ClientLimits
-from basilhold.platform.connection_limits import ConnectionLimits
+from basilhold.platform.connection_limits import ConnectionLimits, ReceiveLimits
 from basilhold.platform.events import (
     DESCRIPTORS_SHORT,
     SETTINGS_INVALID,
@@ -97,7 +97,8 @@
 """A process without a reply from the store for this long fails its readiness probe, so
 that the platform sends callers to other machines."""
 
-STATE_DUMP_BYTES_MAX = 1 << 20
+MIB = 1 << 20
+STATE_DUMP_BYTES_MAX = MIB
 WIDE_LINK_MBPS_MIN = 100.0
 """Bandwidth from which a network link counts as wide, in Mbit/s."""
 
@@ -188,16 +189,19 @@
             log_event(
                 DESCRIPTORS_SHORT, descriptors=descriptors, connections=limits.polls
             )
+        receive = ReceiveLimits.for_memory(limits, settings.limits.memory_mb * MIB)
         self._pools: list[HttpPool] = []
         self._status_pages = make_status_pages(settings.node, STATE_DUMP_BYTES_MAX, ())
         self._status_pages.metrics.add_source(LogMetrics(log_output))
         self._status_pages.state.add_source(self)
         self._draining = False
         endpoint = f"{settings.ip}:{settings.port_range[0]}"
-        peers = HttpPeerClient(self._make_pool(limits.peers), shared_time)
+        peers = HttpPeerClient(
+            self._make_pool(limits.peers, receive.peers), shared_time
+        )
         region = RegionName(settings.region)
         direct_store = PlatformStore(
-            self._make_pool(limits.store),
+            self._make_pool(limits.store, receive.store),
             parse_endpoint(settings.platform.address),
             shared_time,
         )
@@ -215,7 +219,7 @@
         direct_store.on_read = store.on_read_reply
         self._store = store
         advice = PlatformAdviceService(
-            self._make_pool(limits.advice),
+            self._make_pool(limits.advice, receive.advice),
             parse_endpoint(settings.advice or settings.platform.address),
         )
         advice_balancer = AdviceBalancer(
@@ -227,7 +231,8 @@
             store,
             store,
             PlatformRunnerClient(
-                self._make_pool(limits.commands), self._make_pool(limits.polls)
+                self._make_pool(limits.commands, receive.commands),
+                self._make_pool(limits.polls, receive.polls),
             ),
             PlatformWorkerRegistry(store, store),
             advice_balancer,
@@ -316,10 +321,15 @@
             resources,
         )
 
-    def _make_pool(self, connections: int) -> HttpPool:
+    def _make_pool(self, connections: int, receive_bytes: int) -> HttpPool:
         """Return a pool for one kind of call, which is closed with the daemon."""
         pool = HttpPool(
-            HttpLimits(connections, CONNECT_TIMEOUT_MS, idle_ms=CONNECTION_IDLE_MS)
+            HttpLimits(
+                connections,
+                CONNECT_TIMEOUT_MS,
+                idle_ms=CONNECTION_IDLE_MS,
+                receive_bytes=receive_bytes,
+            )
         )
         self._pools.append(pool)
         return pool
--- a/basilhold/platform/tests/test_client_limits.py
+++ b/basilhold/platform/tests/test_client_limits.py
@@ -9,7 +9,9 @@
 from basilhold.platform.client_limits import ClientLimits
 from basilhold.platform.connection_limits import (
     DESCRIPTORS_RESERVED,
+    RECEIVED_MEMORY_RATIO,
     ConnectionLimits,
+    ReceiveLimits,
 )
 from basilhold.platform.settings import read_settings
 from basilhold.platform.tests.node_processes import SETTINGS, scratch_directory
@@ -50,6 +52,23 @@
             self.assertLessEqual(connections + outgoing, fds - DESCRIPTORS_RESERVED)
             self.assertEqual(limits.resources.account.limit_bytes, 40 * MIB)
 
+    async def test_receive_buffers_fit_into_the_memory_of_the_machine(self):
+        # Requests count as held by clients, and replies have a part of their own.
+        for fds, memory_mb in ((1_638, 160), (4_100, 300), (1_638, 80)):
+            limits = self.limits(
+                f"[limits]\nmax_fds = {fds}\nmemory_mb = {memory_mb}\n"
+            )
+            callers, account = limits.callers, limits.resources.account
+            open_bytes = callers.connections * callers.connection_bytes
+            if memory_mb > 80:
+                # The longest bodies have capacity beside all connections.
+                most = callers.memory_ratio * account.limit_bytes
+                self.assertLess(open_bytes + 4 * callers.body_bytes_max, most)
+            connections = ConnectionLimits.for_descriptors(fds)
+            receive = ReceiveLimits.for_memory(connections, memory_mb * MIB)
+            most = RECEIVED_MEMORY_RATIO * memory_mb * MIB
+            self.assertLessEqual(receive.total_bytes(connections), most)
+
     async def test_invalid_limits_are_reported(self):
         for line in (
             "max_body_bytes = 0",
