Limit the time for a body

Seen: 50 clients that sent one-byte chunks kept their connections, and 5 MB of receive buffers, for more than 20 s after they had gone.

Cause: chunks beyond 256 of a request wait in turn, and a connection that waits is not read. What the kernel of a client that has gone still sends is progress, so the time without progress never passed. Closed connections that are not read could be asked for by poll(2); that does not help, since the end of the stream is behind unread data.

Change: a body has 30 s from the end of its head (body_timeout_ms), then its request gets 408. Callers of the platform give up after 3 s, and the slowest link carries the longest body in 0.5 s.

--- a/basilhold/core/connection_account.py
+++ b/basilhold/core/connection_account.py
@@ -66,6 +66,7 @@
     CONNECTIONS = "connections"
     REQUESTS = "requests"
     HEAD_TIMEOUT = "head-timeout"
+    BODY_TIMEOUT = "body-timeout"
     IDLE = "idle"
     BAD_REQUEST = "bad-request"
     TOO_LARGE = "too-large"
@@ -83,6 +84,10 @@
         Longest body, and longest head of a request, in bytes.
     header_timeout_ms : float
         Time for a head from its first byte to its end, in milliseconds.
+    body_timeout_ms : float
+        Time for a body from the end of its head, in milliseconds. It also bounds the
+        wait of a body in small pieces for its turn, during which nobody notices that
+        its client has gone.
     idle_timeout_ms : float
         Time without any progress after which a connection is closed, in milliseconds.
     keep_alive_ms : float
@@ -111,6 +116,7 @@
     body_bytes_max: int = 1 << 18
     header_bytes_max: int = 16_384
     header_timeout_ms: float = 3_000.0
+    body_timeout_ms: float = 30_000.0
     idle_timeout_ms: float = 15_000.0
     keep_alive_ms: float = 60_000.0
     memory_ratio: float = 0.65
@@ -436,6 +442,8 @@
             timeout_ms = limits.keep_alive_ms if is_kept else limits.idle_timeout_ms
             if holding.phase is Phase.HEAD and age_ms >= limits.header_timeout_ms:
                 overdue.append((holding, ConnectionEnd.HEAD_TIMEOUT))
+            elif holding.phase is Phase.BODY and age_ms >= limits.body_timeout_ms:
+                overdue.append((holding, ConnectionEnd.BODY_TIMEOUT))
             elif idle_ms >= timeout_ms or (
                 holding.phase is Phase.CLOSING and age_ms >= CLOSING_MS
             ):
--- a/basilhold/core/tests/test_connection_account.py
+++ b/basilhold/core/tests/test_connection_account.py
@@ -131,6 +131,14 @@
         self.assertEqual(set(overdue(20_000.0)), {silent, body})
         self.assertEqual(set(overdue(60_000.0)), {silent, body, kept})
 
+    def test_body_that_progresses_has_a_time_limit(self):
+        body = self.open(0)
+        for at_ms in range(0, 30_000, 1_000):
+            self.account.note_progress(body, 10, float(at_ms))
+        self.assertEqual(self.account.find_overdue("callers", 29_999.0), [])
+        overdue = self.account.find_overdue("callers", 30_000.0)
+        self.assertEqual(overdue, [(body, ConnectionEnd.BODY_TIMEOUT)])
+
 
 class ReserveTest(unittest.TestCase):
     """Guards against clients of one server that take what another one needs."""
--- a/basilhold/platform/client_limits.py
+++ b/basilhold/platform/client_limits.py
@@ -95,6 +95,7 @@
             body_bytes_max=settings.callers.max_body_bytes,
             header_bytes_max=settings.callers.max_header_bytes,
             header_timeout_ms=settings.callers.header_timeout_ms,
+            body_timeout_ms=settings.callers.body_timeout_ms,
             idle_timeout_ms=settings.callers.idle_timeout_ms,
             keep_alive_ms=settings.callers.idle_timeout_ms * KEEP_ALIVE_RATIO,
         )
--- a/basilhold/platform/tests/test_client_limits.py
+++ b/basilhold/platform/tests/test_client_limits.py
@@ -41,6 +41,7 @@
         self.assertEqual(limits.body_bytes_max, 262_144)
         self.assertEqual(limits.header_bytes_max, 16_384)
         self.assertEqual(limits.header_timeout_ms, 3_000)
+        self.assertEqual(limits.body_timeout_ms, 30_000)
         self.assertEqual(limits.idle_timeout_ms, 15_000)
 
     async def test_limits_stay_below_those_of_the_machine(self):
@@ -74,6 +75,7 @@
             "max_body_bytes = 0",
             "max_header_bytes = -1",
             "header_timeout_ms = 0",
+            "body_timeout_ms = 0",
             'idle_timeout_ms = "soon"',
             "held_memory_mb = 0",
             "max_connections = 1",
--- a/basilhold/settings/caller_limits.py
+++ b/basilhold/settings/caller_limits.py
@@ -24,6 +24,9 @@
     header_timeout_ms: Annotated[
         int, _integer("Time for a head from its first byte on, in ms.", 1, 3_600_000)
     ] = 3_000
+    body_timeout_ms: Annotated[
+        int, _integer("Time for a body from the end of its head, in ms.", 1, 3_600_000)
+    ] = 30_000
     idle_timeout_ms: Annotated[
         int,
         _integer(
