Limit the unfinished tasks of a service

Seen: 60 requests of 70 bytes that submit 10,000 tasks each took 298 MB of their owner, and 20 schedules of 10,000 occurrences 230 MB, on a machine of 160 MB. Such a machine is killed, the next owner loads the same workflows, and so on for all processes.

Cause: only the tasks of one workflow were limited. An owner holds all unfinished workflows, at 430 bytes a waiting task and 1.2 KB an occurrence of a step.

Change: each service has a part of max_task_units, by default a quarter of the memory. The owner stores its number with each commit, processes add what they have accepted since, and refuse further submissions with 503 and Retry-After.

--- a/basilhold/platform/callers.py
+++ b/basilhold/platform/callers.py
@@ -100,6 +100,8 @@
             self._reply(200, {})
         elif outcome is StoreOutcome.NOT_STORED:
             self._reply_unavailable(503, "the store does not answer")
+        elif outcome is StoreOutcome.TOO_MANY_TASKS:
+            self._reply_unavailable(503, "the service has too many unfinished tasks")
         elif outcome is StoreOutcome.ID_TAKEN:
             self._reply(409, {"error": "another tenant has a job with this id"})
         else:
--- a/basilhold/platform/node.py
+++ b/basilhold/platform/node.py
@@ -66,6 +66,7 @@
     StepOrder,
     TenantShareOrder,
 )
+from basilhold.workflows.task_limit import TaskLimit
 from basilhold.workflows.worker_link import LEASE_MAX_MS, OwnerLimits
 
 __all__ = [
@@ -295,6 +296,7 @@
             shared_time,
             self._configuration,
             self._status_pages.metrics,
+            TaskLimit(settings.task_units_max),
         )
         client_limits = ClientLimits(settings, self._clock, self._status_pages.metrics)
         self._status_pages.metrics.add_source(client_limits)
--- a/basilhold/platform/settings.py
+++ b/basilhold/platform/settings.py
@@ -12,6 +12,7 @@
     incoming_connections,
 )
 from basilhold.settings.caller_limits import CallerLimits
+from basilhold.workflows.task_limit import TASK_BYTES
 
 __all__ = ["SETTINGS_VARIABLE", "PlatformSettings", "read_settings"]
 
@@ -57,6 +58,9 @@
 """Part of the machine's memory that clients may hold by default. Of 160 MB, an idle
 process takes 37 MB, and 83 MB are left for an owner's state and fragmentation."""
 
+TASK_MEMORY_RATIO = 0.25
+"""Part of the machine's memory that the unfinished tasks of an owner take at most."""
+
 HELD_MEMORY_MB_MIN = 2
 """A process starts with this also if the machine has less."""
 
@@ -144,6 +148,15 @@
             held_mb = self.limits.memory_mb * HELD_MEMORY_RATIO
         return int(max(held_mb, HELD_MEMORY_MB_MIN) * MIB)
 
+    @property
+    def task_units_max(self) -> int:
+        """Most units of unfinished tasks of all services, see `task_units`."""
+        units = self.callers.max_task_units
+        if units is None:
+            memory_bytes = self.limits.memory_mb * MIB
+            units = int(TASK_MEMORY_RATIO * memory_bytes / TASK_BYTES)
+        return units
+
     @property
     def incoming_connections_max(self) -> int:
         """Incoming connections of all servers together."""
--- a/basilhold/settings/caller_limits.py
+++ b/basilhold/settings/caller_limits.py
@@ -60,6 +60,19 @@
         ]
         | None
     ) = None
+    max_task_units: (
+        Annotated[
+            int,
+            _integer(
+                "Most unfinished tasks of all services, each step of an occurrence"
+                " counting as two more; by default a quarter of `memory_mb` at 512"
+                " bytes each.",
+                1_000,
+                1 << 40,
+            ),
+        ]
+        | None
+    ) = None
     pieces_per_s: Annotated[
         int,
         _integer(
--- a/basilhold/testing/workflow_cell.py
+++ b/basilhold/testing/workflow_cell.py
@@ -61,6 +61,7 @@
 from basilhold.workflows.rows import Incarnation
 from basilhold.workflows.shared_time import SharedTime
 from basilhold.workflows.step_order import DeadlineOrder, StepOrder
+from basilhold.workflows.task_limit import TaskLimit
 from basilhold.workflows.worker_link import OwnerLimits
 
 __all__ = ["SERVICE", "WorkflowCell", "WorkflowProcess", "make_spec"]
@@ -340,6 +341,7 @@
             clock,
             shared_time,
             metrics=self.metrics,
+            task_limit=cell.make_task_limit(),
         )
         self._task = asyncio.create_task(self.ownership_manager.run())
 
@@ -389,6 +391,8 @@
         Most polls of a process that wait at workers; no limit by default.
     step_order : StepOrder, optional
         By default that of deadlines.
+    task_units_max : int, optional
+        Limit of the unfinished tasks; none by default.
 
     Attributes
     ----------
@@ -418,6 +422,7 @@
         table: FeedTable | None = None,
         waiting_polls_max: int | None = None,
         step_order: StepOrder | None = None,
+        task_units_max: int | None = None,
     ):
         self.waiting_polls_max = waiting_polls_max
         self.services = services
@@ -437,6 +442,7 @@
         self.runners.on_crash = self._replace_crashed
         self.runners.quota_of = lambda name: self.quotas_in_force.get(name, Resources())
         self.processes: dict[str, WorkflowProcess] = {}
+        self._task_units_max = task_units_max
         self._process_count = process_count
         self._worker_count = worker_count
         self._born = 1
@@ -532,6 +538,12 @@
                 return name
         return ""
 
+    def make_task_limit(self) -> TaskLimit | None:
+        """Return the limit of the unfinished tasks for one process."""
+        if self._task_units_max is None:
+            return None
+        return TaskLimit(self._task_units_max)
+
     async def submit(
         self, spec: WorkflowSpec, actual: WorkflowSpec | None = None
     ) -> StoreOutcome:
--- a/basilhold/workflows/backlog.py
+++ b/basilhold/workflows/backlog.py
@@ -12,19 +12,29 @@
 from basilhold.workflows.progress import Workflow
 from basilhold.workflows.ready_steps import ReadyStep, make_ready_step
 from basilhold.workflows.shared_time import Instant
+from basilhold.workflows.task_limit import task_units
 
 __all__ = ["Backlog"]
 
 
 class Backlog:
-    """Active workflows and the tasks of them that wait for a worker."""
+    """Active workflows and the tasks of them that wait for a worker.
+
+    Attributes
+    ----------
+    units : int
+        What the active workflows count against the limit of tasks.
+    """
 
     def __init__(self):
+        self.units = 0
         self._active: dict[JobId, Workflow] = {}
         self._waiting: dict[JobId, dict[tuple[int, int], set[int]]] = {}
 
     def add(self, workflow: Workflow) -> None:
         """Add an active workflow with its pending tasks."""
+        if workflow.job_id not in self._active:
+            self.units += task_units(workflow.spec)
         self._active[workflow.job_id] = workflow
         self._waiting[workflow.job_id] = {
             (occurrence, number): {
@@ -36,7 +46,8 @@
 
     def remove(self, workflow: Workflow) -> None:
         """Remove a workflow that has ended."""
-        self._active.pop(workflow.job_id, None)
+        if self._active.pop(workflow.job_id, None) is not None:
+            self.units -= task_units(workflow.spec)
         self._waiting.pop(workflow.job_id, None)
 
     def mark_not_waiting(self, workflow: Workflow, key: TaskKey) -> None:
--- a/basilhold/workflows/frontend.py
+++ b/basilhold/workflows/frontend.py
@@ -53,6 +53,7 @@
 from basilhold.workflows.rows import cancel_key, progress_key, spec_key
 from basilhold.workflows.shared_time import SharedTime
 from basilhold.workflows.submission_collector import SubmissionCollector
+from basilhold.workflows.task_limit import TaskLimit, task_units
 
 __all__ = ["Existence", "WorkflowFrontend"]
 
@@ -151,6 +152,8 @@
         Serves peers that follow the configuration through this process.
     metrics : Metrics, optional
         Counts groups of submissions.
+    task_limit : TaskLimit, optional
+        Limits the tasks that the owners of services have to hold.
     """
 
     def __init__(
@@ -163,8 +166,10 @@
         time: SharedTime,
         configuration: ConfigurationWatch | None = None,
         metrics: Metrics | None = None,
+        task_limit: TaskLimit | None = None,
     ):
         self._metrics = metrics
+        self._task_limit = task_limit
         self._collectors: dict[ServiceName, SubmissionCollector] = {}
         self._ask_from_ms: dict[str, float] = {}
         self._configuration = configuration
@@ -204,6 +209,8 @@
         begin_ms = self._clock.monotonic_ms()
         if self._outage_ms():
             return StoreOutcome.NOT_STORED
+        if not self._reserve_tasks(spec):
+            return await self._refuse_tasks(spec)
         unknown = False
         request = SubmitRequest(spec.policy.service, spec.job_id, spec=spec)
         for attempt in itertools.count():
@@ -228,6 +235,34 @@
                 break
         return StoreOutcome.UNKNOWN if unknown else StoreOutcome.NOT_STORED
 
+    def _reserve_tasks(self, spec: WorkflowSpec) -> bool:
+        """Count a workflow against the limit of its service; return if it is below."""
+        if self._task_limit is None:
+            return True
+        manager, service = self._ownership_manager, spec.policy.service
+        units, now_ms = task_units(spec), self._clock.monotonic_ms()
+        if not self._task_limit.admits(
+            service,
+            units,
+            manager.task_units(service),
+            len(manager.members()),
+            now_ms,
+            len(manager.known_services()),
+        ):
+            return False
+        self._task_limit.note_accepted(service, units, now_ms)
+        return True
+
+    async def _refuse_tasks(self, spec: WorkflowSpec) -> StoreOutcome:
+        """Refuse a workflow for which there is no capacity, unless it is stored."""
+        asking = spec.tenant or None
+        existence, _ = await self.state(spec.policy, spec.job_id, asking)
+        if existence is Existence.EXISTS:
+            return StoreOutcome.STORED
+        if existence is Existence.UNKNOWN:
+            return StoreOutcome.UNKNOWN
+        return StoreOutcome.TOO_MANY_TASKS
+
     def _has_time(self, deadline_ms: float) -> bool:
         """Return whether the store may reply to a transaction before the deadline."""
         now_ms = self._clock.monotonic_ms()
--- a/basilhold/workflows/owner.py
+++ b/basilhold/workflows/owner.py
@@ -215,6 +215,11 @@
         """Give parts of tenants' quotas to the owner of another service."""
         return await self._quota_keeper.serve(request)
 
+    @property
+    def task_units(self) -> int:
+        """What the active workflows count against the limit of tasks."""
+        return self._state.backlog.units
+
     def describe(self) -> dict[str, Any]:
         """Return a summary of the owner's state for the operator's state dump."""
         state = self._state
@@ -230,6 +235,7 @@
             "free_cores_milli": sum(w.free.cores_milli for w in workers),
             "workflows": len(state.workflows),
             "active_workflows": sum(1 for _ in state.backlog.active_workflows()),
+            "task_units": state.backlog.units,
             "tenants": self._describe_tenants(),
             "run_times": state.run_times.model.describe(),
         }
--- a/basilhold/workflows/owner_lease.py
+++ b/basilhold/workflows/owner_lease.py
@@ -323,6 +323,8 @@
     describe_leases : callable
         Returns what each commit stores about the leases of workers. Called with
         whether the commit releases the lease.
+    count_task_units : callable
+        Returns the units of the active workflows, which each commit stores.
     """
 
     def __init__(
@@ -349,6 +351,7 @@
         self.describe_leases: Callable[[bool], WorkerLeases] = lambda released: (
             WorkerLeases()
         )
+        self.count_task_units: Callable[[], int] = lambda: 0
         self._stored_silent: set[WorkerId] = set()
 
     @property
@@ -426,6 +429,7 @@
             member_count=self.member_count,
             silent_workers=leases.silent_workers,
             leases_left_ms=leases.longest_ms,
+            task_units=self.count_task_units(),
         )
         # Until the outcome is known, this record or the one before it may be the last.
         self._stored_silent.update(record.silent_workers)
--- a/basilhold/workflows/owner_state.py
+++ b/basilhold/workflows/owner_state.py
@@ -158,6 +158,7 @@
         self.background_tasks = BackgroundTasks()
         self.failure: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         lease.describe_leases = self._describe_leases
+        lease.count_task_units = lambda: self.backlog.units
 
     @property
     def service(self) -> ServiceName:
--- a/basilhold/workflows/ownership_manager.py
+++ b/basilhold/workflows/ownership_manager.py
@@ -160,6 +160,17 @@
             return ""
         return view.record.endpoint
 
+    def task_units(self, service: ServiceName) -> int:
+        """Return what the active workflows of a service count against its limit.
+
+        It is the number that the owner has stored last; 0 if there is no owner.
+        """
+        owner = self.local_owner(service)
+        if owner is not None:
+            return owner.task_units
+        view = self._views.get(service)
+        return view.record.task_units if view and view.record else 0
+
     def is_unowned(self, service: ServiceName) -> bool:
         """Return whether no process had claimed a service at the last poll."""
         view = self._views.get(service)
--- a/basilhold/workflows/peers.py
+++ b/basilhold/workflows/peers.py
@@ -40,13 +40,15 @@
 
     `NOT_STORED` means that it was certainly not stored. After `UNKNOWN` it may have
     been stored already, or may still be. `ID_TAKEN` means that another tenant has a
-    workflow with the same id.
+    workflow with the same id. `TOO_MANY_TASKS` is `NOT_STORED` because the owner of the
+    service could not hold it.
     """
 
     STORED = "stored"
     NOT_STORED = "not-stored"
     UNKNOWN = "unknown"
     ID_TAKEN = "id-taken"
+    TOO_MANY_TASKS = "too-many-tasks"
 
 
 class OwnershipReply(Enum):
--- a/basilhold/workflows/rows.py
+++ b/basilhold/workflows/rows.py
@@ -69,6 +69,8 @@
         Longest time for which the lease of any other worker may last from this commit
         on, in milliseconds. Before a release only given if it is longer than leases
         that the holder may still extend.
+    task_units : int
+        What the active workflows count against the limit of tasks.
     """
 
     holder: ProcessId
@@ -80,6 +82,7 @@
     member_count: int = 0
     silent_workers: dict[WorkerId, int] = {}
     leases_left_ms: int | None = None
+    task_units: int = 0
 
 
 class JobLocation(msgspec.Struct, frozen=True):
