Count runs without sizes in the usage of tenants

Seen: a job of three tasks without cpu, mem_mb and gpu (25 bytes) never ended, and the polls of the worker that ran it failed again and again with KeyError('north'), so that ends of other jobs on that worker were not noted either. A thousand such tasks also set their job aside.

Cause: the usage of a tenant is dropped when it becomes nothing, so subtracting the second run that uses nothing looked for an entry that was gone. Only deployments with tenants have such entries.

Change: runs that use nothing are neither added nor subtracted.

--- a/basilhold/platform/tests/test_client_crowds.py
+++ b/basilhold/platform/tests/test_client_crowds.py
@@ -13,7 +13,10 @@
 import socket
 from pathlib import Path
 
+from basilhold.core import JobId, ServiceName
+from basilhold.platform.bodies import decode_workflow
 from basilhold.platform.tests.client_crowd import ClientCrowd
+from basilhold.platform.tests.fake_platform import SERVICE
 from basilhold.platform.tests.node_processes import ProxyMode
 from basilhold.platform.tests.test_caller_limits import (
     BODY_BYTES_MAX,
@@ -30,6 +33,9 @@
     LISTENING,
     CallerLimitsTestCase,
 )
+from basilhold.workflows.model import QueueName, QueuePolicy
+
+POLICY = QueuePolicy(QueueName("quotes"), ServiceName(SERVICE))
 
 MEMORY_MB = 64
 """An idle process takes 40 MB, and its clients 8 MB more."""
@@ -318,6 +324,69 @@
         self.assertEqual(self.node.exit_violations, 0)
 
 
+HUGE = 2**53 - 1
+ODD_JOBS = [
+    {"steps": [{"count": 1}]},
+    {"steps": [{"count": 3, "gang": True}]},
+    {"steps": [{"count": 1, "cpu": HUGE, "mem_mb": HUGE, "gpu": HUGE}]},
+    {"steps": [{"count": 1, "cpu": 1, "estimate_ms": 1e308}]},
+    {"steps": [{"count": 1, "cpu": 1, "estimate_ms": -1e308}]},
+    {"steps": [{"count": 1, "cpu": 1, "long_running": True, "target_ms": -1e308}]},
+    {"steps": [{"count": 1, "cpu": 1, "long_running": True, "may_miss": HUGE}]},
+    {"steps": [{"count": 1, "cpu": 1, "requires": "\0\ud7ff", "image": "i" * 30_000}]},
+    {"steps": [{"count": 1, "cpu": 1, "anti_affinity": HUGE, "speculative": True}]},
+    {
+        "steps": [{"count": 1, "cpu": 1}],
+        "first_ms": 1e308,
+        "interval_ms": 1e308,
+        "repeat_count": 9,
+    },
+    {
+        "steps": [{"count": 1, "cpu": 1}],
+        "first_ms": -1e308,
+        "interval_ms": -1e308,
+        "repeat_count": 9,
+    },
+    {"spec": "\0\u2028" * 600, "steps": [{"count": 1, "cpu": 1}]},
+]
+"""Jobs that are accepted although no caller of the platform sends them."""
+
+
+class OddJobsTest(CrowdTestCase):
+    """Guards against jobs after which the work of others stands still."""
+
+    async def test_ordinary_job_is_completed_beside_odd_ones(self):
+        for job in ODD_JOBS:
+            self.assertEqual(await self.submit_job(job), 200)
+        await self.assert_job_is_completed({"steps": [{"count": 2, "cpu": 1}]})
+
+    async def test_job_without_sizes(self):
+        await self.assert_job_is_completed({"steps": [{"count": 3}]})
+
+    async def assert_job_is_completed(self, job):
+        self.assertEqual(await self.submit_job(job), 200)
+        framing = LENGTH % 0 + b"\r\nConnection: close"
+        query = (HEAD % (self.job, framing)).replace(b"POST", b"GET", 1)
+        reply = b""
+        async with asyncio.timeout(END_TIMEOUT_S):
+            while b"completed" not in reply:
+                await asyncio.sleep(0.2)
+                _, reply = await self.exchange(query)
+        errors = [line for line in self.node.log_lines() if " ERROR " in line]
+        self.assertEqual(errors, [])
+
+    async def submit_job(self, job):
+        """Submit a job that the runners know; return the status."""
+        body = json.dumps(job).encode()
+        request = self.next_head(LENGTH % len(body) + b"\r\nConnection: close") + body
+        job_id = JobId(f"{self.job:016x}")
+        spec = decode_workflow(job_id, POLICY, body, 0.0).ok
+        self.platform.runners.specs[job_id] = spec
+        async with asyncio.timeout(END_TIMEOUT_S):
+            status, _ = await self.exchange(request)
+        return status
+
+
 class LargeJobsTest(CrowdTestCase):
     """Guards against small bodies whose jobs take the memory of their owner."""
 
--- a/basilhold/tenants/usage.py
+++ b/basilhold/tenants/usage.py
@@ -25,13 +25,13 @@
         self._used: dict[TenantName, Resources] = {}
 
     def add(self, tenant: TenantName, size: Resources) -> None:
-        """Add a run of a tenant."""
-        if tenant != NO_TENANT:
+        """Add a run of a tenant; one may also use nothing."""
+        if tenant != NO_TENANT and size != _NOTHING:
             self._used[tenant] = self.used(tenant) + size
 
     def subtract(self, tenant: TenantName, size: Resources) -> None:
         """Remove a run of a tenant."""
-        if tenant == NO_TENANT:
+        if tenant == NO_TENANT or size == _NOTHING:
             return
         remaining = self.used(tenant) - size
         if remaining == _NOTHING:
