Bound the time limit of a caller

Seen: with a silent store, cancellations with X-Deadline-Ms of 100000 or more got no answer within 25 s and held their connections; submissions ended after 1.2 s.

Cause: a cancellation is retried until the time limit of its caller, whatever it is.

Change: limits above 30 s count as 30 s. Callers of the platform have 3 s.

test_time_limit_of_a_caller_is_bounded failed before and passes; test_callers 10 passed.

--- a/basilhold/platform/callers.py
+++ b/basilhold/platform/callers.py
@@ -29,6 +29,10 @@
 DEADLINE_HEADER = "X-Deadline-Ms"
 KEY_HEADER = "X-Api-Key"
 DEFAULT_TIMEOUT_MS = 3_000.0
+TIMEOUT_MAX_MS = 30_000.0
+"""Longest time limit of a caller that is respected. A request that waits for a silent
+store holds a connection for as long."""
+
 RESPONSE_MARGIN_MS = 250.0
 """Time reserved for the response to reach the caller, over a link of up to 60 ms."""
 
@@ -199,7 +203,9 @@
             timeout_ms = float(self.request.headers.get(DEADLINE_HEADER, ""))
         except ValueError:
             timeout_ms = math.nan
-        return timeout_ms if math.isfinite(timeout_ms) else DEFAULT_TIMEOUT_MS
+        if not math.isfinite(timeout_ms):
+            return DEFAULT_TIMEOUT_MS
+        return min(timeout_ms, TIMEOUT_MAX_MS)
 
     def _deadline_ms(self) -> float:
         now_ms = self._server.clock.monotonic_ms()
--- a/basilhold/platform/tests/test_callers.py
+++ b/basilhold/platform/tests/test_callers.py
@@ -7,7 +7,7 @@
 
 from basilhold.core import Clock, Resources
 from basilhold.observability import METRICS, Metrics
-from basilhold.platform.callers import CallerServer
+from basilhold.platform.callers import TIMEOUT_MAX_MS, CallerServer
 from basilhold.platform.tests.test_bodies import POLICY
 from basilhold.tenants import Tenant, TenantName, TenantRegistry, digest_key
 from basilhold.workflows.configuration_watch import ConfigurationSource
@@ -27,12 +27,14 @@
 
     def __init__(self):
         self.submission_started = asyncio.Event()
+        self.deadline_ms = 0.0
         self.error = None
 
     def shared_ms(self):
         return 1.0
 
     async def submit(self, spec, deadline_ms):
+        self.deadline_ms = deadline_ms
         self.submission_started.set()
         if self.error is not None:
             raise self.error
@@ -60,10 +62,10 @@
     def age_ms(self):
         return 0.0
 
-    async def post(self):
+    async def post(self, request=REQUEST):
         reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
         self.addCleanup(writer.close)
-        writer.write(REQUEST % (len(JOB), JOB))
+        writer.write(request % (len(JOB), JOB))
         return reader
 
     async def test_submission_cancelled_at_shutdown_gets_504(self):
@@ -79,6 +81,14 @@
         handler.cancel()
         self.assertIn(b" 504 ", await reader.readline())
 
+    async def test_time_limit_of_a_caller_is_bounded(self):
+        # A cancellation with a limit of years waited for as long as the store was down.
+        request = REQUEST.replace(b"\r\n\r\n", b"\r\nX-Deadline-Ms: 1e300\r\n\r\n")
+        await self.post(request)
+        await self.frontend.submission_started.wait()
+        most_ms = self.callers.clock.monotonic_ms() + TIMEOUT_MAX_MS
+        self.assertLessEqual(self.frontend.deadline_ms, most_ms)
+
     async def test_unexpected_error_gets_504(self):
         self.frontend.error = RuntimeError("injected failure")
         reader = await self.post()
