Tell an overloaded peer from a lost one

Found by reading; no takeover was seen.

Change: such a probe counts as answered by the owner; its lease still tells whether it is lost. Failures of calls to peers are named.

test_overloaded_owner_is_not_taken_for_lost fails without the change.

--- a/basilhold/platform/tests/test_caller_limits.py
+++ b/basilhold/platform/tests/test_caller_limits.py
@@ -105,20 +105,20 @@
         finally:
             writer.close()
 
-    async def submit(self):
+    async def submit(self, port=None):
         """Submit a job once; return the status, 0 if there is no answer."""
         framing = LENGTH % len(JOB) + b"\r\nConnection: close"
         request = self.next_head(framing) + JOB
         with contextlib.suppress(OSError, IndexError, ValueError, TimeoutError):
             async with asyncio.timeout(CALLER_TIMEOUT_S):
-                return (await self.exchange(request))[0]
+                return (await self.exchange(request, port))[0]
         return 0
 
-    async def assert_caller_is_served(self):
+    async def assert_caller_is_served(self, port=None):
         """Submit as callers do, who try again without an answer or after a 503."""
         statuses = []
         for _ in range(CALLER_TRIES):
-            statuses.append(await self.submit())
+            statuses.append(await self.submit(port))
             if statuses[-1] == 200:
                 return
             await asyncio.sleep(0.2)
--- a/basilhold/platform/tests/test_client_crowds.py
+++ b/basilhold/platform/tests/test_client_crowds.py
@@ -17,7 +17,12 @@
 from basilhold.platform.bodies import decode_workflow
 from basilhold.platform.tests.client_crowd import ClientCrowd
 from basilhold.platform.tests.fake_platform import SERVICE
-from basilhold.platform.tests.node_processes import ProxyMode
+from basilhold.platform.tests.node_processes import (
+    NodeProcess,
+    ProxyMode,
+    StoreProxy,
+    scratch_directory,
+)
 from basilhold.platform.tests.test_caller_limits import (
     BODY_BYTES_MAX,
     CALLER_TIMEOUT_S,
@@ -31,6 +36,7 @@
     JOB,
     LENGTH,
     LISTENING,
+    START_TIMEOUT_S,
     CallerLimitsTestCase,
 )
 from basilhold.workflows.model import QueueName, QueuePolicy
@@ -66,6 +72,7 @@
 LARGE_BODIES = 8
 ONE_BYTE_CHUNKS = b"1\r\na\r\n" * 250_000
 STOP_TIMEOUT_S = 15.0
+SLOW_STORE_S = 0.3
 PEER_HEAD = b"POST /peer/table HTTP/1.1\r\nHost: p\r\n%s\r\n\r\n"
 
 
@@ -155,6 +162,34 @@
                     return
         self.fail("two probes without a reply of 200")
 
+    async def state(self):
+        """Return what the process says of itself in its state dump."""
+        request = b"GET /state HTTP/1.1\r\nHost: s\r\nConnection: close\r\n\r\n"
+        async with asyncio.timeout(END_TIMEOUT_S):
+            status, rest = await self.exchange(request, self.node.status_port)
+        self.assertEqual(status, 200)
+        return json.loads(rest.partition(b"\r\n\r\n")[2])["node-0"]
+
+    def call(self, request, port=None):
+        """Send a request as soon as the connection is open; return the socket."""
+        address = "127.0.0.1", port or self.node.caller_port
+        client = socket.create_connection(address)
+        self.addCleanup(client.close)
+        client.sendall(request)
+        return client
+
+    def read_replies(self, clients):
+        """Return all that each client receives."""
+        replies = []
+        for client in clients:
+            client.settimeout(END_TIMEOUT_S)
+            reply = b""
+            with contextlib.suppress(ConnectionError):
+                while data := client.recv(1 << 16):
+                    reply += data
+            replies.append(reply)
+        return replies
+
     async def assert_connections_end(self, port):
         async with asyncio.timeout(END_TIMEOUT_S):
             while self.connections(port):
@@ -261,14 +296,6 @@
 class HandledRequestsTest(CrowdTestCase):
     """Guards against wrong counts and missing replies while requests are handled."""
 
-    async def in_flight(self):
-        """Return the number of requests being handled, by the state dump."""
-        request = b"GET /state HTTP/1.1\r\nHost: s\r\nConnection: close\r\n\r\n"
-        async with asyncio.timeout(END_TIMEOUT_S):
-            status, rest = await self.exchange(request, self.node.status_port)
-        self.assertEqual(status, 200)
-        return json.loads(rest.partition(b"\r\n\r\n")[2])["node-0"]["in_flight"]
-
     async def test_methods_that_no_caller_uses(self):
         for method in (b"TRACE", b"PROPFIND", b"CONNECT"):
             head = self.next_head(LENGTH % 0 + b"\r\nConnection: close")
@@ -276,28 +303,9 @@
             async with asyncio.timeout(END_TIMEOUT_S):
                 status, _ = await self.exchange(head)
             self.assertEqual(status // 100, 4, method)
-            self.assertEqual(await self.in_flight(), 0, method)
+            self.assertEqual((await self.state())["in_flight"], 0, method)
         await self.assert_caller_is_served()
 
-    def call(self, request):
-        """Send a request as soon as the connection is open; return the socket."""
-        client = socket.create_connection(("127.0.0.1", self.node.caller_port))
-        self.addCleanup(client.close)
-        client.sendall(request)
-        return client
-
-    def read_replies(self, clients):
-        """Return all that each client receives."""
-        replies = []
-        for client in clients:
-            client.settimeout(END_TIMEOUT_S)
-            reply = b""
-            with contextlib.suppress(ConnectionError):
-                while data := client.recv(1 << 16):
-                    reply += data
-            replies.append(reply)
-        return replies
-
     async def test_connections_beyond_the_limit_while_the_store_is_silent(self):
         # Each answer says when to come back; a request without one has an unknown
         # outcome.
@@ -324,6 +332,53 @@
         self.assertEqual(self.node.exit_violations, 0)
 
 
+class EntryTest(CrowdTestCase):
+    """Guards against crowds of one process that harm the owner behind it."""
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        directory = Path(self.enterContext(scratch_directory()))
+        self.entries = []
+        for number in (1, 2):
+            proxy = StoreProxy(self.platform.port)
+            await proxy.open()
+            self.addAsyncCleanup(proxy.close)
+            entry = NodeProcess(f"node-{number}", proxy, directory, SETTINGS)
+            entry.start()
+            self.addCleanup(entry.kill)
+            self.entries.append(entry)
+        async with asyncio.timeout(START_TIMEOUT_S):
+            for entry in self.entries:
+                while await self.submit(entry.caller_port) != 200:
+                    await asyncio.sleep(0.1)
+
+    async def test_owner_is_kept_while_entries_are_crowded_in_a_slow_store(self):
+        owners = await self.owners()
+        self.platform.store_faults.delay_s = SLOW_STORE_S
+        framing = LENGTH % len(JOB) + b"\r\nConnection: close"
+        clients = []
+        for number in range(2 * CROWD):
+            request = self.next_head(framing) + JOB
+            port = self.entries[number % 2].caller_port
+            clients.append(await asyncio.to_thread(self.call, request, port))
+        replies = await asyncio.to_thread(self.read_replies, clients)
+        self.assertEqual(replies.count(b""), 0)
+        self.sample()
+        self.assert_within_limits()
+        self.platform.store_faults.delay_s = 0.0
+        for entry in self.entries:
+            self.assertTrue(entry.is_running)
+            await self.assert_caller_is_served(entry.caller_port)
+        self.assertEqual(await self.owners(), owners)
+
+    async def owners(self):
+        """Return the owners of services, once there is one."""
+        async with asyncio.timeout(START_TIMEOUT_S):
+            while not (owners := (await self.state())["services"]["owners"]):
+                await asyncio.sleep(0.1)
+        return owners
+
+
 HUGE = 2**53 - 1
 ODD_JOBS = [
     {"steps": [{"count": 1}]},
--- a/basilhold/workflows/peer_http.py
+++ b/basilhold/workflows/peer_http.py
@@ -4,6 +4,7 @@
 start needs several calls.
 """
 
+from enum import Enum
 from typing import Any
 
 import msgspec
@@ -70,6 +71,17 @@
 BODY_BYTES_MAX = 2 << 20
 
 
+class _CallFailure(Enum):
+    """Why a call has no reply that can be used.
+
+    `NOT_EXECUTED` and `OVERLOADED` mean that the peer has certainly not executed it.
+    """
+
+    NOT_EXECUTED = "not-executed"
+    OVERLOADED = "overloaded"
+    UNKNOWN = "unknown"
+
+
 class _JobBody(msgspec.Struct):
     service: ServiceName
     job_id: JobId
@@ -137,6 +149,11 @@
 }
 
 
+def _failure(may_be_executed: bool) -> _CallFailure:
+    """Return the failure of a call that the peer may have executed, or not."""
+    return _CallFailure.UNKNOWN if may_be_executed else _CallFailure.NOT_EXECUTED
+
+
 class HttpPeerClient(PeerClient):
     """Client for calls to peers over HTTP.
 
@@ -161,20 +178,14 @@
         timeout_ms: int = PEER_TIMEOUT_MS,
         repeatable: bool = True,
         stall_ms: int = 0,
-    ) -> Result[msgspec.Struct, bool]:
-        """Send a request.
-
-        Returns
-        -------
-        Result
-            The decoded reply, or whether the peer may have processed the request.
-        """
+    ) -> Result[msgspec.Struct, _CallFailure]:
+        """Send a request; return the decoded reply."""
         try:
             host, port = endpoint.rsplit(":", 1)
             address = HttpAddress(host, int(port))
         except ValueError:
             # Another program may have written the row of a member.
-            return Error(False)
+            return Error(_CallFailure.NOT_EXECUTED)
         call = HttpCall(
             address,
             "POST",
@@ -186,16 +197,16 @@
         )
         result = await self._pool.run(call)
         if result.is_error():
-            return Error(result.error.sent)
+            return Error(_failure(result.error.sent))
         if result.ok.status == OVERLOADED_STATUS:
-            return Error(False)
+            return Error(_CallFailure.OVERLOADED)
         if result.ok.status != 200:
             # With another 5xx status, the peer may have executed part of the call.
-            return Error(result.ok.status >= 500)
+            return Error(_failure(result.ok.status >= 500))
         try:
             return Ok(decode_json(result.ok.body, reply_type))
         except msgspec.DecodeError:
-            return Error(True)
+            return Error(_CallFailure.UNKNOWN)
 
     async def notify_submitted(self, endpoint: str, spec: WorkflowSpec) -> bool:
         """Notify an owner of a stored workflow; return whether it acknowledged."""
@@ -223,7 +234,9 @@
             endpoint, "owns", body, _OwnsReply, OWNERSHIP_TIMEOUT_MS
         )
         if result.is_error():
-            return OwnershipReply.NO_REPLY
+            # An overloaded process is there, and its lease tells whether it is lost.
+            is_there = result.error is _CallFailure.OVERLOADED
+            return OwnershipReply.OWNER if is_there else OwnershipReply.NO_REPLY
         return OwnershipReply.OWNER if result.ok.owns else OwnershipReply.NOT_OWNER
 
     async def state(
@@ -252,9 +265,10 @@
     ) -> Result[SubmitReply, bool]:
         """Ask the owner of a service to store a submission or a cancellation."""
         timeout_ms = request.time_left_ms + SUBMIT_MARGIN_MS
-        return await self._call(
+        result = await self._call(
             endpoint, "submit", request, SubmitReply, timeout_ms, repeatable=False
         )
+        return result.map_error(lambda failure: failure is _CallFailure.UNKNOWN)
 
     async def request_configuration(
         self, endpoint: str, request: ConfigurationRequest
@@ -291,7 +305,8 @@
             STORE_TIMEOUT_MS if repeatable else 0,
         )
         if result.is_error():
-            kind = StoreErrorKind.UNKNOWN if result.error else _NOT_APPLIED
+            is_unknown = result.error is _CallFailure.UNKNOWN
+            kind = StoreErrorKind.UNKNOWN if is_unknown else _NOT_APPLIED
             return Error(StoreError(kind, "peer did not reply"))
         if result.ok.shared_ms is not None:
             self._time.observe(result.ok.shared_ms, sent_ms, self._time.local_ms())
--- a/basilhold/workflows/tests/test_peer_http.py
+++ b/basilhold/workflows/tests/test_peer_http.py
@@ -13,6 +13,7 @@
 from basilhold.workflows.peers import (
     ConfigurationReply,
     ConfigurationRequest,
+    OwnershipReply,
     SubmitAnswer,
     SubmitReply,
     SubmitRequest,
@@ -110,6 +111,13 @@
         self.assertEqual(reply.error, False)
         self.assertEqual(self.service.requests, [])
 
+    async def test_overloaded_owner_is_not_taken_for_lost(self):
+        with patch.object(self.server.account, "can_handle", return_value=False):
+            reply = await self.client.query_ownership(self.endpoint, ServiceName("a"))
+        self.assertIs(reply, OwnershipReply.OWNER)
+        reply = await self.client.query_ownership("127.0.0.1:1", ServiceName("a"))
+        self.assertIs(reply, OwnershipReply.NO_REPLY)
+
     async def test_owner_of_an_earlier_build_has_certainly_not_stored(self):
         # It knows no such call, and answers 404.
         request = SubmitRequest(ServiceName("a"), JobId("0"), 900)
