--- a/basilhold/platform/tests/process_soak.py
+++ b/basilhold/platform/tests/process_soak.py
@@ -18,6 +18,7 @@
 
 from basilhold.core import JobId, ServiceName
 from basilhold.platform.bodies import decode_workflow
+from basilhold.platform.tests.client_crowd import ClientCrowd
 from basilhold.platform.tests.fake_platform import SERVICE, FakePlatform
 from basilhold.platform.tests.node_processes import (
     NodeProcess,
@@ -31,7 +32,6 @@
 
 __all__ = ["SoakReport", "run_soak"]
 
-NODE_COUNT = 3
 RUNNER_COUNT = 5
 JOBS_PER_S = 3.0
 CRASHING_RATIO = 0.04
@@ -39,6 +39,21 @@
 
 CRASH_DELAYS_S = (0.0, 0.01, 0.03)
 CRASHES_TO_GIVE_UP = 2
+CROWD_CLIENTS = 60
+CROWD_WEIGHT = 4
+"""Crowds among the kinds of faults; each other kind counts as one."""
+
+_HEAD = b"POST /jobs/%016x HTTP/1.1\r\nHost: desk.example\r\n%s\r\n\r\n"
+UNFINISHED_REQUESTS = (
+    b"",
+    _HEAD[:30] % 1,
+    _HEAD % (2, b"Content-Length: 262144") + bytes(262_143),
+    _HEAD % (3, b"Transfer-Encoding: chunked") + b"1\r\na\r\n" * 100_000,
+    _HEAD % (4, b"Transfer-Encoding: chunked") + b"4000\r\n" + bytes(0x4000),
+    (_HEAD % (5, b"Content-Length: 0")).replace(b"POST", b"GET") * 500,
+    (_HEAD % (6, b"X-More: 1")).replace(b"example", b"example:" + b"1" * 5_000),
+)
+
 START_TIMEOUT_S = 30.0
 """Limit for the processes to become ready. On an idle machine they start within 1 s."""
 
@@ -78,7 +93,11 @@
 class _ProcessSoak:
     """Nodes, callers and faults of one soak test."""
 
-    def __init__(self, seed: int, directory: Path):
+    def __init__(
+        self, seed: int, directory: Path, crowds: bool = False, node_count: int = 3
+    ):
+        self._crowds = crowds
+        self._node_count = node_count
         self.rng = random.Random(seed)
         self._crash_rng = random.Random(f"{seed} crashing tasks")
         faults = RunnerFaults(
@@ -97,7 +116,7 @@
         self.violations: list[str] = []
 
     async def open(self) -> None:
-        for number in range(NODE_COUNT):
+        for number in range(self._node_count):
             proxy = StoreProxy(self.platform.port)
             await proxy.open()
             node = NodeProcess(f"node-{number}", proxy, self.directory)
@@ -205,6 +224,8 @@
             self._disconnect_runner,
             self._kill_all_nodes,
         ]
+        if self._crowds:
+            fault_kinds += [self._crowd_node] * CROWD_WEIGHT
         loop = asyncio.get_running_loop()
         start_s = loop.time()
         async with asyncio.TaskGroup() as group:
@@ -239,6 +260,30 @@
         await asyncio.sleep(self.rng.uniform(0.5, 5.0))
         node.send_signal(signal.SIGCONT) if node.is_running else None
 
+    async def _crowd_node(self) -> None:
+        """Let clients that never finish their requests use a port of a process.
+
+        They stay connected while the process is paused or stopped, and connect to its
+        successor.
+        """
+        node = self.rng.choice(self.nodes)
+        ports = (
+            node.caller_port,
+            node.peer_port,
+            node.ready_port,
+            node.status_port,
+        )
+        request = self.rng.choice(UNFINISHED_REQUESTS)
+        seconds = self.rng.uniform(1.0, 5.0)
+        with ClientCrowd(
+            self.rng.choice(ports),
+            [request] * CROWD_CLIENTS,
+            self.rng.choice((50, 1_500, 1 << 16)),
+            self.rng.random() < 0.5,
+            self.rng.random() < 0.5,
+        ) as crowd:
+            await asyncio.to_thread(crowd.run, seconds, lambda: None)
+
     async def _disturb_store_proxy(self) -> None:
         node = self.rng.choice(self.nodes)
         node.store_proxy.set_mode(self.rng.choice(list(ProxyMode)))
@@ -342,8 +387,10 @@
         )
 
 
-async def _run(seed: int, seconds: float, directory: Path) -> SoakReport:
-    soak = _ProcessSoak(seed, directory)
+async def _run(
+    seed: int, seconds: float, directory: Path, crowds: bool, node_count: int
+) -> SoakReport:
+    soak = _ProcessSoak(seed, directory, crowds, node_count)
     with soak.platform:
         try:
             await soak.open()
@@ -356,7 +403,13 @@
             await soak.close()
 
 
-def run_soak(seed: int, seconds: float, directory: Path | None = None) -> SoakReport:
+def run_soak(
+    seed: int,
+    seconds: float,
+    directory: Path | None = None,
+    crowds: bool = False,
+    node_count: int = 3,
+) -> SoakReport:
     """Run the soak test with one seed.
 
     Parameters
@@ -366,11 +419,15 @@
         Duration of the load and the faults.
     directory : Path, optional
         Where to keep settings and logs; by default they are deleted.
+    crowds : bool
+        Whether clients that never finish their requests are among the faults.
+    node_count : int
+        Number of processes.
     """
     if directory is not None:
-        return asyncio.run(_run(seed, seconds, directory))
+        return asyncio.run(_run(seed, seconds, directory, crowds, node_count))
     with scratch_directory() as scratch:
-        return asyncio.run(_run(seed, seconds, Path(scratch)))
+        return asyncio.run(_run(seed, seconds, Path(scratch), crowds, node_count))
 
 
 @click.command()
@@ -380,7 +437,16 @@
     "--seconds", default=15.0, help="Duration of the load of each seed, in seconds."
 )
 @click.option("--out", type=click.Path(path_type=Path), help="Directory for logs.")
-def main(seeds: int, first: int | None, seconds: float, out: Path | None) -> None:
+@click.option("--crowds", is_flag=True, help="Add clients that do not behave.")
+@click.option("--nodes", default=3, help="Number of processes.")
+def main(
+    seeds: int,
+    first: int | None,
+    seconds: float,
+    out: Path | None,
+    crowds: bool,
+    nodes: int,
+) -> None:
     """Run seeds and report those that violate a guarantee."""
     failed = 0
     first = random.SystemRandom().randrange(1 << 30) if first is None else first
@@ -389,7 +455,7 @@
         if out is not None:
             directory = out / str(seed)
             directory.mkdir(parents=True, exist_ok=True)
-        report = run_soak(seed, seconds, directory)
+        report = run_soak(seed, seconds, directory, crowds, nodes)
         failed += bool(report.violations)
         click.echo(
             f"seed {seed}: {report.accepted} accepted, {report.cancelled} cancelled, "
--- a/basilhold/platform/tests/test_process_soak.py
+++ b/basilhold/platform/tests/test_process_soak.py
@@ -6,6 +6,8 @@
 
 SECONDS = 6.0
 SEED = 7
+CROWDS_S = 12.0
+CROWDS_SEED = 1
 
 
 class ProcessSoakTest(unittest.TestCase):
@@ -16,7 +18,12 @@
     """
 
     def test_guarantees_hold_under_faults(self):
-        report = run_soak(SEED, SECONDS)
+        self.check(run_soak(SEED, SECONDS))
+
+    def test_guarantees_hold_beside_clients_that_do_not_behave(self):
+        self.check(run_soak(CROWDS_SEED, CROWDS_S, crowds=True))
+
+    def check(self, report):
         self.assertEqual(report.violations, [], "; ".join(report.faults))
         self.assertGreater(report.accepted, 0)
         self.assertGreater(report.run_starts, 0)
