Parse the requests of a connection in a module of their own

The parser with its callbacks and the requests that have arrived is a class of its own now, which tells the connection what it refuses. No behaviour changes.

--- a/basilhold/adapters/http_connection.py
+++ b/basilhold/adapters/http_connection.py
@@ -3,25 +3,18 @@
 import asyncio
 import functools
 from abc import ABC, abstractmethod
-from collections import deque
 from collections.abc import Callable, Coroutine
 from typing import Any
 
-from httptools import (
-    HttpParserCallbackError,
-    HttpParserError,
-    HttpParserUpgrade,
-    HttpRequestParser,
-)
-from tornado.httputil import HTTPHeaders, HTTPInputError, RequestStartLine
+from tornado.httputil import HTTPInputError, RequestStartLine
 from tornado.web import Application
 
+from basilhold.adapters.http_parsing import RefusalSink, RequestParser
 from basilhold.adapters.http_replies import Exchange, ReplyWriter, RequestContext
 from basilhold.adapters.http_requests import (
     HeadCheck,
     IncomingRequest,
     Refusal,
-    RequestHead,
     encode_refusal,
 )
 from basilhold.core.connection_account import (
@@ -35,10 +28,6 @@
 
 __all__ = ["ConnectionServer", "ServerConnection"]
 
-WIRE_BYTES_PER_BODY_BYTE = 16
-WIRE_BYTES_MIN = 65_536
-"""Bytes of chunk headers that a body may take; a one-byte chunk takes six bytes."""
-
 RETRY_AFTER_S = 1
 
 
@@ -111,7 +100,7 @@
     return run
 
 
-class ServerConnection(asyncio.BufferedProtocol, ReplyWriter):
+class ServerConnection(asyncio.BufferedProtocol, ReplyWriter, RefusalSink):
     """One connection: its parser, its requests in turn, and what it holds."""
 
     def __init__(self, server: ConnectionServer):
@@ -119,9 +108,7 @@
         self.holding: Holding | None = None
         self._transport: asyncio.Transport | None = None
         self._context = RequestContext("")
-        self._parser: HttpRequestParser | None = HttpRequestParser(self)
-        self._request: IncomingRequest | None = None
-        self._complete: deque[IncomingRequest] = deque()
+        self._parser = RequestParser(server.limits, self)
         self._exchange: Exchange | None = None
         self._handled_bytes = 0
         self._refusal: Refusal | None = None
@@ -130,9 +117,12 @@
         self._is_paused = False
         self._is_closing = False
         self._is_lost = False
-        self._is_input_over = False
         self._has_to_close = False
-        self.last_pieces = 0
+
+    @property
+    def last_pieces(self) -> int:
+        """Pieces in the last read, which tells what the next one will cost."""
+        return self._parser.last_pieces
 
     # Callbacks of the transport.
 
@@ -155,10 +145,7 @@
         account.close(self.holding)
         if self._exchange is None:
             account.release(self.holding)
-        self._complete.clear()
-        self._request = None
-        # The parser refers to the connection, and would delay its release.
-        self._parser = None
+        self._parser.close()
         if self._exchange is not None:
             self._exchange.on_connection_lost()
 
@@ -174,16 +161,18 @@
         now_ms = self._server.now_ms()
         self._feed(self._server.read_buffer[:nbytes], now_ms)
         budget = self._server.budget
-        budget.charge(self.last_pieces, now_ms)
+        budget.charge(self._parser.last_pieces, now_ms)
         if self._exchange is None:
             self._note_phase(now_ms)
         self._update_account(now_ms)
         self._check_head()
-        if self._exchange is None and (self._complete or self._refusal is not None):
+        request = self._parser.request
+        has_reply = self._parser.complete or self._refusal is not None
+        if self._exchange is None and has_reply:
             self._advance()
         elif (
-            self._request is not None
-            and self._request.pieces > budget.free_pieces
+            request is not None
+            and request.pieces > budget.free_pieces
             and budget.available(now_ms) <= 0
         ):
             self._is_throttled = True
@@ -194,8 +183,8 @@
         """Keep the connection until the requests that have arrived are answered."""
         if self._is_closing or self._is_lost:
             return False
-        self._is_input_over = True
-        if self._request is not None:
+        self._parser.is_input_over = True
+        if self._parser.request is not None:
             self._refuse(400, "the request is not complete", ConnectionEnd.BAD_REQUEST)
         if self._exchange is None and not self._is_checking:
             self._advance()
@@ -210,113 +199,24 @@
         if self.holding.phase is Phase.REPLY:
             self._advance()
 
-    # Callbacks of the parser.
-
-    def on_message_begin(self) -> None:
-        """Begin a request."""
-        if self._refusal is None:
-            self._request = IncomingRequest()
-
-    def on_url(self, url: bytes) -> None:
-        """Add a part of the target."""
-        request = self._request
-        if request is not None:
-            request.target += url
-            request.head_bytes += len(url)
-            self._check_head_bytes(request.head_bytes)
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        """Add a header field; those after the body count, but are not kept."""
-        request = self._request
-        if request is None:
-            return
-        self.last_pieces += 1
-        request.head_bytes += len(name) + len(value) + 4
-        if request.head is None:
-            request.headers.append((name, value))
-        self._check_head_bytes(request.head_bytes)
-
-    def on_headers_complete(self) -> None:
-        """Build the head."""
-        request = self._request
-        if request is None:
-            return
-        headers = HTTPHeaders()
-        try:
-            for name, value in request.headers:
-                headers.add(name.decode("latin-1"), value.decode("latin-1"))
-        except HTTPInputError as error:
-            self._refuse(400, str(error), ConnectionEnd.BAD_REQUEST)
-            return
-        method = self._parser.get_method().decode("latin-1")
-        request.head = RequestHead(method, request.target.decode("latin-1"), headers)
-        request.version = f"HTTP/{self._parser.get_http_version()}"
-        request.keep_alive = self._parser.should_keep_alive()
-        if request.declared_bytes() > self._server.limits.body_bytes_max:
-            self._refuse_body()
-
-    def on_body(self, body: bytes) -> None:
-        """Add a part of the body."""
-        request = self._request
-        if request is None:
-            return
-        self.last_pieces += 1
-        if len(request.body) + len(body) > self._server.limits.body_bytes_max:
-            self._refuse_body()
-        else:
-            request.body += body
-
-    def on_message_complete(self) -> None:
-        """Note that a request is complete."""
-        request = self._request
-        if request is None:
-            return
-        request.is_complete = True
-        self._request = None
-        self._complete.append(request)
-
     # Reading.
 
     def _feed(self, data: memoryview, now_ms: float) -> None:
-        self.last_pieces = 1
-        before = self._request
+        """Parse what has been read, and note the progress of the client."""
+        parser = self._parser
+        before = parser.request
         size_before = len(before.body) if before is not None else 0
-        complete_before = len(self._complete)
-        try:
-            self._parser.feed_data(data)
-        except HttpParserUpgrade:
-            # Requests for other protocols are answered as if they did not ask.
-            self._is_input_over = True
-        except (HttpParserError, HttpParserCallbackError) as error:
-            self._refuse(400, f"bad request: {error}", ConnectionEnd.BAD_REQUEST)
-        request = self._request
+        parser.feed(data)
+        request = parser.request
         if request is None:
             return
-        request.pieces += self.last_pieces
-        if len(self._complete) == complete_before:
-            request.wire_bytes += len(data)
-        if request.head is None:
-            self._server.account.note_progress(self.holding, 0, now_ms)
-            self._check_head_bytes(request.wire_bytes)
-            return
         grown_bytes = len(request.body) - (size_before if request is before else 0)
-        if grown_bytes:
+        if grown_bytes or request.head is None:
             self._server.account.note_progress(self.holding, grown_bytes, now_ms)
-        wire_bytes_max = (
-            WIRE_BYTES_MIN
-            + WIRE_BYTES_PER_BODY_BYTE * self._server.limits.body_bytes_max
-        )
-        if request.wire_bytes > wire_bytes_max:
-            self._refuse_body()
-
-    def _check_head_bytes(self, head_bytes: int) -> None:
-        if head_bytes > self._server.limits.header_bytes_max:
-            self._refuse(431, "the head is too long", ConnectionEnd.TOO_LARGE)
 
-    def _refuse_body(self) -> None:
-        limit = self._server.limits.body_bytes_max
-        reason = f"a body has at most {limit} bytes"
-        self._refuse(413, reason, ConnectionEnd.TOO_LARGE)
+    def on_refused(self, status: int, reason: str, end: ConnectionEnd) -> None:
+        """Refuse the request that arrives, as the parser found it to be invalid."""
+        self._refuse(status, reason, end)
 
     def _refuse(
         self,
@@ -328,7 +228,7 @@
         """Refuse the request that is not complete, after replies to those before it."""
         if self._refusal is None:
             self._refusal = Refusal(status, reason, headers)
-            self._request = None
+            self._parser.stop()
             self._server.report(end)
 
     def _refuse_capacity(self, end: ConnectionEnd = ConnectionEnd.MEMORY) -> None:
@@ -337,11 +237,13 @@
         self._refuse(refusal.status, refusal.reason, end, refusal.headers)
 
     def _note_phase(self, now_ms: float) -> None:
-        phase = Phase.IDLE
-        if self._request is not None:
-            phase = Phase.BODY if self._request.head is not None else Phase.HEAD
+        """Tell the account what the connection waits for."""
+        request = self._parser.request
+        phase, received_bytes = Phase.IDLE, 0
+        if request is not None:
+            phase = Phase.BODY if request.head is not None else Phase.HEAD
+            received_bytes = len(request.body)
         if phase is not self.holding.phase:
-            received_bytes = len(self._request.body) if self._request else 0
             self._server.account.set_phase(self.holding, phase, now_ms)
             self._server.account.note_progress(self.holding, received_bytes, now_ms)
 
@@ -352,7 +254,7 @@
         account = self._server.account
         victims = account.resize(self.holding, self._held_bytes(), now_ms)
         if victims is None:
-            self._complete.clear()
+            self._parser.complete.clear()
             self._refuse_capacity()
             victims = account.resize(self.holding, self._held_bytes(), now_ms)
             if victims is None:
@@ -364,10 +266,7 @@
     def _held_bytes(self) -> int:
         held = self._server.limits.connection_bytes + self._unwritten_bytes()
         held += self._handled_bytes
-        held += sum(request.held_bytes() for request in self._complete)
-        if self._request is not None:
-            held += self._request.held_bytes()
-        return held
+        return held + self._parser.held_bytes()
 
     def _unwritten_bytes(self) -> int:
         if self._transport is None or self._transport.is_closing():
@@ -376,13 +275,13 @@
 
     def _check_head(self) -> None:
         """Decide on a request whose body is not complete, once."""
-        request = self._request
+        request = self._parser.request
         if (
             request is None
             or request.head is None
             or request.is_checked
             or self._exchange is not None
-            or self._complete
+            or self._parser.complete
         ):
             return
         request.is_checked = True
@@ -407,14 +306,14 @@
         self._is_checking = False
         if self._is_lost or self._is_closing:
             return
-        if refusal is not None and self._request is request:
+        if refusal is not None and self._parser.request is request:
             self._refuse(
                 refusal.status,
                 refusal.reason,
                 ConnectionEnd.HEAD_DECISION,
                 refusal.headers,
             )
-        if self._refusal is not None or self._is_input_over:
+        if self._refusal is not None or self._parser.is_input_over:
             self._advance()
         else:
             self._continue(request)
@@ -431,11 +330,11 @@
             return
         is_paused = not self._is_closing and (
             self._exchange is not None
-            or bool(self._complete)
+            or bool(self._parser.complete)
             or self._refusal is not None
             or self._is_checking
             or self._is_throttled
-            or self._is_input_over
+            or self._parser.is_input_over
             or self.holding.phase is Phase.REPLY
         )
         if is_paused == self._is_paused:
@@ -484,11 +383,11 @@
             self._update_account(now_ms)
         elif self._has_to_close:
             self._close()
-        elif self._complete:
-            self._handle(self._complete.popleft(), now_ms)
+        elif self._parser.complete:
+            self._handle(self._parser.complete.popleft(), now_ms)
         elif self._refusal is not None:
             self._send_refusal(self._refusal, now_ms)
-        elif self._is_input_over:
+        elif self._parser.is_input_over:
             self._close()
         else:
             self._note_phase(now_ms)
@@ -501,7 +400,7 @@
     def _handle(self, request: IncomingRequest, now_ms: float) -> None:
         """Pass a complete request to the application, or refuse it."""
         if not self._server.account.can_handle(self.holding.server):
-            self._complete.clear()
+            self._parser.complete.clear()
             self._refuse_capacity(ConnectionEnd.REQUESTS)
             self._send_refusal(self._refusal, now_ms)
             return
@@ -515,7 +414,7 @@
             # The latter comes from a Host field whose port has thousands of digits.
             self._exchange = None
             self._handled_bytes = 0
-            self._complete.clear()
+            self._parser.complete.clear()
             self._refuse(400, str(error), ConnectionEnd.BAD_REQUEST)
             self._server.call_soon(self._advance)
 
@@ -537,12 +436,12 @@
         client could lose the answer. What arrives is discarded for a short time.
         """
         self._is_closing = True
-        self._request = None
+        self._parser.request = None
         self.write(encode_refusal(refusal))
         account = self._server.account
         account.set_phase(self.holding, Phase.CLOSING, now_ms)
         account.resize(self.holding, self._server.limits.connection_bytes, now_ms)
-        if self._is_input_over:
+        if self._parser.is_input_over:
             self._transport.close()
         else:
             self._transport.write_eof()
