Refuse each request for its own reason

A request that waited behind another one was refused with 400 if a later one on its connection was invalid and there was no capacity to handle it, and a search for slow bodies that had succeeded suppressed the next one for 100 ms, so that a connection which could be opened was closed without an answer.

Change: requests that are not handled get the 503 that is theirs; only searches that found too little delay the next one.

Both tests failed before and pass.

--- a/basilhold/adapters/http_connection.py
+++ b/basilhold/adapters/http_connection.py
@@ -236,6 +236,16 @@
         refusal = _make_overload_refusal()
         self._refuse(refusal.status, refusal.reason, end, refusal.headers)
 
+    def _refuse_complete(self, end: ConnectionEnd) -> None:
+        """Refuse all requests that are not handled yet, also if a later one is invalid.
+
+        None of them has run or will.
+        """
+        self._parser.complete.clear()
+        self._parser.stop()
+        self._refusal = _make_overload_refusal()
+        self._server.report(end)
+
     def _note_phase(self, now_ms: float) -> None:
         """Tell the account what the connection waits for."""
         request = self._parser.request
@@ -254,8 +264,7 @@
         account = self._server.account
         victims = account.resize(self.holding, self._held_bytes(), now_ms)
         if victims is None:
-            self._parser.complete.clear()
-            self._refuse_capacity()
+            self._refuse_complete(ConnectionEnd.MEMORY)
             victims = account.resize(self.holding, self._held_bytes(), now_ms)
             if victims is None:
                 # Unread replies are what is held.
@@ -400,8 +409,7 @@
     def _handle(self, request: IncomingRequest, now_ms: float) -> None:
         """Pass a complete request to the application, or refuse it."""
         if not self._server.account.can_handle(self.holding.server):
-            self._parser.complete.clear()
-            self._refuse_capacity(ConnectionEnd.REQUESTS)
+            self._refuse_complete(ConnectionEnd.REQUESTS)
             self._send_refusal(self._refusal, now_ms)
             return
         self._handled_bytes = request.held_bytes()
--- a/basilhold/adapters/tests/test_http_server.py
+++ b/basilhold/adapters/tests/test_http_server.py
@@ -68,6 +68,18 @@
                 await asyncio.sleep(0.01)
 
 
+class OverloadTest(HttpServerTestCase):
+    """Guards against refusals with a reason that is not that of the request."""
+
+    async def test_request_before_an_invalid_one_gets_its_own_refusal(self):
+        account = self.server.account
+        with patch.object(account, "can_handle", return_value=False):
+            reply = await self.exchange(GET % b"/ok" + b"no request\r\n\r\n")
+        self.assertIn(b"503 Service Unavailable", reply)
+        self.assertIn(b"Retry-After: ", reply)
+        self.assertEqual(reply.count(b"HTTP/1.1 "), 1)
+
+
 class ExceptionTest(HttpServerTestCase):
     """Guards against exceptions after which nothing ends a connection any more."""
 
--- a/basilhold/core/connection_account.py
+++ b/basilhold/core/connection_account.py
@@ -33,7 +33,8 @@
 while the account is full. The slowest link, 5 Mbit/s, carries 150 times as much."""
 
 SLOW_SCAN_INTERVAL_MS = 100.0
-"""Slow bodies are searched for at most this often, as all connections are visited."""
+"""Slow bodies are searched for at most this often while there are too few of them, as
+all connections are visited."""
 
 REPLACEABLE_AFTER_MS = 100.0
 """A connection is not replaced by a new one for this long, so that a request which is
@@ -371,7 +372,6 @@
             return search.victims
         if now_ms - self._slow_scan_ms < SLOW_SCAN_INTERVAL_MS:
             return None
-        self._slow_scan_ms = now_ms
         chosen = set(search.victims)
         for server, spare_bytes in servers.items():
             freed_bytes = sum(v.held_bytes for v in chosen if v.server == server)
@@ -381,7 +381,10 @@
                     break
                 if candidate not in chosen and candidate.is_slow(now_ms):
                     search.consider(candidate)
-        return search.victims if search.is_complete else None
+        if search.is_complete:
+            return search.victims
+        self._slow_scan_ms = now_ms
+        return None
 
     def _find_lower_servers(self, asking: str) -> dict[str, float]:
         """Return how much a server may take from each server, itself included."""
--- a/basilhold/core/tests/test_connection_account.py
+++ b/basilhold/core/tests/test_connection_account.py
@@ -63,6 +63,17 @@
         late = self.open(2_000.0)
         self.assertEqual(self.account.resize(late, 200_000, 2_000.0), [slow])
 
+    def test_connection_that_can_be_opened_is_opened_in_place_of_slow_bodies(self):
+        slow = self.open(0, 490_000)
+        for at_ms in range(0, 2_001, 100):
+            self.account.note_progress(slow, 100, float(at_ms))
+        for _ in range(8):
+            self.open(2_000.0, 26_000)
+        self.assertTrue(self.account.can_open("callers", 2_000.0))
+        holding, victims = self.account.open("callers", "new", 2_000.0)
+        self.assertIsNotNone(holding)
+        self.assertEqual(victims, [slow])
+
     def test_requests_being_handled_are_kept_and_counted(self):
         handled = self.open(0, 450_000, Phase.HANDLING)
         late = self.open(10_000.0)
