--- a/basilhold/adapters/http.py
+++ b/basilhold/adapters/http.py
@@ -268,25 +268,13 @@
         self, address: HttpAddress
     ) -> Result["_Connection", tuple[str, bool]]:
         """Connect; the error is its reason, and whether the peer refused."""
-        loop = asyncio.get_running_loop()
         tls = None
         if address.tls:
             self._tls = self._tls or ssl.create_default_context()
             tls = self._tls
         try:
             async with asyncio.timeout(self._limits.connect_timeout_ms / 1000):
-                family = (
-                    _ip_family(address.host) if self._limits.receive_bytes else None
-                )
-                if family is None:
-                    _, connection = await loop.create_connection(
-                        lambda: _Connection(self._limits),
-                        address.host,
-                        address.port,
-                        ssl=tls,
-                    )
-                else:
-                    connection = await self._connect_bounded(address, family, tls)
+                connection = await self._open(address, tls)
         except TimeoutError:
             return Error(("timed out while connecting", False))
         except (OSError, ValueError, OverflowError) as error:
@@ -295,14 +283,17 @@
             return Error((f"cannot connect: {error}", refused))
         return Ok(connection)
 
-    async def _connect_bounded(
-        self,
-        address: HttpAddress,
-        family: socket.AddressFamily,
-        tls: ssl.SSLContext | None,
+    async def _open(
+        self, address: HttpAddress, tls: ssl.SSLContext | None
     ) -> "_Connection":
-        """Connect with a bounded receive buffer."""
+        """Connect, with a bounded receive buffer if the limits have one."""
         loop = asyncio.get_running_loop()
+        family = _ip_family(address.host)
+        if not self._limits.receive_bytes or family is None:
+            _, connection = await loop.create_connection(
+                lambda: _Connection(self._limits), address.host, address.port, ssl=tls
+            )
+            return connection
         connected = socket.socket(family, socket.SOCK_STREAM)
         try:
             connected.setblocking(False)
--- a/basilhold/core/connection_account.py
+++ b/basilhold/core/connection_account.py
@@ -219,7 +219,7 @@
     >>> first, victims = account.open("callers", "first", 0.0)
     >>> victims
     []
-    >>> second, victims = account.open("callers", "second", 5.0)
+    >>> second, victims = account.open("callers", "second", 500.0)
     >>> [victim.connection for victim in victims]
     ['first']
     """
--- a/basilhold/platform/connection_limits.py
+++ b/basilhold/platform/connection_limits.py
@@ -47,7 +47,7 @@
 """Poll connections below which a process counts as short of descriptors. The smallest
 machines that are in service have 1,638 descriptors, which leave 573."""
 
-RECEIVED_MEMORY_RATIO = 0.3
+RECEIVED_MEMORY_RATIO = 0.2
 """Most of the machine's memory that replies which are not read yet may take."""
 
 STORE_RECEIVE_BYTES = 131_072
@@ -59,8 +59,8 @@
 to 1 MB; half of this for each round trip of 60 ms is what the link between regions
 carries. Replies of workers have up to 40 KB, and those to starts less than 1 KB."""
 
-RECEIVE_BYTES_MIN = 4_096
-"""Least bytes for a connection, whatever the memory of the machine."""
+RECEIVE_BYTES_MIN = 2_304
+"""Least bytes for a connection, below which Linux does not go."""
 
 INCOMING_MIN = 16
 """Least number of incoming connections, whatever the settings say."""
@@ -159,9 +159,9 @@
         --------
         >>> connections = ConnectionLimits.for_descriptors(1_638)
         >>> ReceiveLimits.for_memory(connections, 160 << 20).store
+        94736
+        >>> ReceiveLimits.for_memory(connections, 300 << 20).store
         131072
-        >>> ReceiveLimits.for_memory(connections, 80 << 20).store
-        73440
         """
         limits = cls(
             POLLS_RECEIVE_BYTES,
--- a/basilhold/platform/settings.py
+++ b/basilhold/platform/settings.py
@@ -58,7 +58,7 @@
 """Part of the machine's memory that clients may hold by default. Of 160 MB, an idle
 process takes 37 MB, and 83 MB are left for an owner's state and fragmentation."""
 
-TASK_MEMORY_RATIO = 0.25
+TASK_MEMORY_RATIO = 0.2
 """Part of the machine's memory that the unfinished tasks of an owner take at most."""
 
 HELD_MEMORY_MB_MIN = 2
--- a/basilhold/settings/caller_limits.py
+++ b/basilhold/settings/caller_limits.py
@@ -65,7 +65,7 @@
             int,
             _integer(
                 "Most unfinished tasks of all services, each step of an occurrence"
-                " counting as two more; by default a quarter of `memory_mb` at 512"
+                " counting as two more; by default a fifth of `memory_mb` at 512"
                 " bytes each.",
                 1_000,
                 1 << 40,
