Handle the requests of a crowd in several turns

Seen: while 150 clients sent whole bodies of 250 KB that are decoded and rejected, calls of peers to the same process took 0.64 to 0.95 s, above the 0.3 s after which a probe of an owner counts as unanswered, and two of four submissions got no answer (12 s, beside other load; memory_mb 160).

Cause: all requests that are complete in one turn of the event loop were handled in it, at up to 9 ms each. New connections were accepted in between and replaced as unused after 100 ms, before they had been read once.

Change: a server handles 512 KB of bodies in one turn, a request counting as 16 KB; further requests wait for later turns.

Three new tests of turns.

--- a/basilhold/adapters/http_connection.py
+++ b/basilhold/adapters/http_connection.py
@@ -70,6 +70,13 @@
     def end_connections(self, victims: list[Holding]) -> None:
         """End the connections that the account has chosen; any server may own them."""
 
+    @abstractmethod
+    def may_handle(self, connection: "ServerConnection", body_bytes: int) -> bool:
+        """Return whether a request may be handled in this turn of the event loop.
+
+        If not, `ServerConnection.handle_deferred` is called in a later one.
+        """
+
     @abstractmethod
     def throttle(self, connection: "ServerConnection") -> None:
         """Let a connection wait until the budget allows it to be read again."""
@@ -109,6 +116,7 @@
         self._transport: asyncio.Transport | None = None
         self._context = RequestContext("")
         self._parser = RequestParser(server.limits, self)
+        self._deferred: IncomingRequest | None = None
         self._exchange: Exchange | None = None
         self._handled_bytes = 0
         self._refusal: Refusal | None = None
@@ -124,6 +132,11 @@
         """Pieces in the last read, which tells what the next one will cost."""
         return self._parser.last_pieces
 
+    @property
+    def _is_handling(self) -> bool:
+        """Whether a request is being handled, or waits for its turn."""
+        return self._exchange is not None or self._deferred is not None
+
     # Callbacks of the transport.
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -162,13 +175,13 @@
         self._feed(self._server.read_buffer[:nbytes], now_ms)
         budget = self._server.budget
         budget.charge(self._parser.last_pieces, now_ms)
-        if self._exchange is None:
+        if not self._is_handling:
             self._note_phase(now_ms)
         self._update_account(now_ms)
         self._check_head()
         request = self._parser.request
         has_reply = self._parser.complete or self._refusal is not None
-        if self._exchange is None and has_reply:
+        if not self._is_handling and has_reply:
             self._advance()
         elif (
             request is not None
@@ -186,7 +199,7 @@
         self._parser.is_input_over = True
         if self._parser.request is not None:
             self._refuse(400, "the request is not complete", ConnectionEnd.BAD_REQUEST)
-        if self._exchange is None and not self._is_checking:
+        if not self._is_handling and not self._is_checking:
             self._advance()
         return not self._is_lost
 
@@ -289,7 +302,7 @@
             request is None
             or request.head is None
             or request.is_checked
-            or self._exchange is not None
+            or self._is_handling
             or self._parser.complete
         ):
             return
@@ -338,7 +351,7 @@
         if self._is_lost or self._transport is None or self._transport.is_closing():
             return
         is_paused = not self._is_closing and (
-            self._exchange is not None
+            self._is_handling
             or bool(self._parser.complete)
             or self._refusal is not None
             or self._is_checking
@@ -383,7 +396,7 @@
     @_closes_on_error
     def _advance(self) -> None:
         """Take the next step after a reply or a refusal."""
-        if self._is_lost or self._is_closing or self._exchange is not None:
+        if self._is_lost or self._is_closing or self._is_handling:
             return
         now_ms = self._server.now_ms()
         if self._unwritten_bytes():
@@ -415,6 +428,23 @@
         self._handled_bytes = request.held_bytes()
         self._server.account.set_phase(self.holding, Phase.HANDLING, now_ms)
         self._update_account(now_ms)
+        if self._server.may_handle(self, len(request.body)):
+            self._start_handler(request)
+        else:
+            self._deferred = request
+
+    @_closes_on_error
+    def handle_deferred(self) -> int:
+        """Handle the request that waits for its turn; return the bytes of its body."""
+        request, self._deferred = self._deferred, None
+        if request is None or self._is_lost:
+            return 0
+        body_bytes = len(request.body)
+        self._start_handler(request)
+        self._update_reading()
+        return body_bytes
+
+    def _start_handler(self, request: IncomingRequest) -> None:
         exchange = self._exchange = Exchange(self, request, self._context)
         try:
             self._start(request, exchange)
--- a/basilhold/adapters/http_server.py
+++ b/basilhold/adapters/http_server.py
@@ -34,6 +34,12 @@
 READ_BYTES = 16_384
 """Size of a read. One-byte chunks of one read take about a millisecond to parse."""
 
+TURN_BYTES = 524_288
+REQUEST_COST_BYTES = 16_384
+"""Bodies that a server passes to handlers in one turn of the event loop, so that other
+servers, timers and replies do not wait for a crowd. A request costs as much as
+`REQUEST_COST_BYTES` beside its body."""
+
 BACKLOG = 128
 ACCEPTS_PER_TURN = 16
 ACCEPT_PAUSE_S = 0.1
@@ -101,6 +107,9 @@
         self.tasks: set[asyncio.Task] = set()
         self._loop: asyncio.AbstractEventLoop | None = None
         self._sockets: list[socket.socket] = []
+        self._deferred: deque[ServerConnection] = deque()
+        self._turn_bytes = 0
+        self._is_turn_scheduled = False
         self._throttled: deque[ServerConnection] = deque()
         self._resume_timer: asyncio.TimerHandle | None = None
         self._sweep_timer: asyncio.TimerHandle | None = None
@@ -147,6 +156,27 @@
         context = {"message": message, "exception": error}
         self._loop.call_exception_handler(context)
 
+    def may_handle(self, connection: ServerConnection, body_bytes: int) -> bool:
+        """Return whether a request may be handled in this turn of the event loop."""
+        if not self._is_turn_scheduled:
+            self._is_turn_scheduled = True
+            self._loop.call_soon(self._begin_turn)
+        if self._deferred or self._turn_bytes >= TURN_BYTES:
+            self._deferred.append(connection)
+            return False
+        self._turn_bytes += REQUEST_COST_BYTES + body_bytes
+        return True
+
+    def _begin_turn(self) -> None:
+        """Handle requests that have waited for this turn of the event loop."""
+        self._turn_bytes = 0
+        while self._deferred and self._turn_bytes < TURN_BYTES:
+            body_bytes = self._deferred.popleft().handle_deferred() or 0
+            self._turn_bytes += REQUEST_COST_BYTES + body_bytes
+        self._is_turn_scheduled = bool(self._deferred)
+        if self._deferred:
+            self._loop.call_soon(self._begin_turn)
+
     def throttle(self, connection: "ServerConnection") -> None:
         """Let a connection wait until the budget allows it to be read again."""
         self._throttled.append(connection)
--- a/basilhold/adapters/tests/test_http_server.py
+++ b/basilhold/adapters/tests/test_http_server.py
@@ -1,10 +1,12 @@
 import asyncio
+import re
 import unittest
 from unittest.mock import patch
 
 from tornado.netutil import bind_sockets
 from tornado.web import Application, RequestHandler
 
+from basilhold.adapters import http_server
 from basilhold.adapters.http_requests import HeadCheck
 from basilhold.adapters.http_server import HttpServer
 from basilhold.core.connection_account import ServerLimits
@@ -45,6 +47,14 @@
         self.server = HttpServer(
             "s", application, self.limits, head_check=_BrokenCheck()
         )
+        self.connections = []
+        original = self.server.account.open
+
+        def open_connection(server, connection, now_ms):
+            self.connections.append(connection)
+            return original(server, connection, now_ms)
+
+        self.server.account.open = open_connection
         (listening,) = bind_sockets(0, "127.0.0.1")
         self.port = listening.getsockname()[1]
         self.server.add_socket(listening)
@@ -68,6 +78,61 @@
                 await asyncio.sleep(0.01)
 
 
+class _WaitingConnection:
+    """A connection whose request waits for its turn."""
+
+    def __init__(self, body_bytes):
+        self.body_bytes = body_bytes
+        self.is_handled = False
+
+    def handle_deferred(self):
+        self.is_handled = True
+        return self.body_bytes
+
+
+class TurnTest(HttpServerTestCase):
+    """Guards against crowds that keep the event loop from everything else."""
+
+    async def test_large_bodies_are_handled_in_several_turns(self):
+        size = http_server.TURN_BYTES // 2
+        waiting = [_WaitingConnection(size) for _ in range(6)]
+        admitted = [self.server.may_handle(c, size) for c in waiting]
+        self.assertEqual(admitted, [True, True, False, False, False, False])
+        for handled in (2, 4):
+            await asyncio.sleep(0)
+            self.assertEqual(sum(c.is_handled for c in waiting), handled)
+        self.assertFalse(waiting[0].is_handled or waiting[1].is_handled)
+
+    async def test_requests_that_wait_are_answered_in_their_order(self):
+        with patch.object(http_server, "TURN_BYTES", 1):
+            requests = GET % b"/ok" * 5 + GET % b"/missing"
+            replies = await asyncio.gather(
+                *(self.exchange(requests) for _ in range(10))
+            )
+        for reply in replies:
+            statuses = re.findall(rb"HTTP/1.1 (\d+)", reply)
+            self.assertEqual(statuses, [b"200"] * 5 + [b"404"])
+        await self.wait_for_no_connection()
+        self.assertEqual(self.server.account.held_bytes, 0)
+
+    async def test_clients_that_leave_before_their_turn(self):
+        with patch.object(self.server, "may_handle", return_value=False):
+            _, writer = await asyncio.open_connection("127.0.0.1", self.port)
+            writer.write(GET % b"/ok")
+            async with asyncio.timeout(END_TIMEOUT_S):
+                while not self.handling():
+                    await asyncio.sleep(0.01)
+            writer.transport.abort()
+            (connection,) = self.handling()
+        self.server.end_connections([connection.holding])
+        self.assertEqual(connection.handle_deferred(), 0)
+        self.assertEqual(self.server.account.held_bytes, 0)
+
+    def handling(self):
+        """Return the connections whose requests wait for their turn."""
+        return [c for c in self.connections if c._deferred is not None]
+
+
 class OverloadTest(HttpServerTestCase):
     """Guards against refusals with a reason that is not that of the request."""
 
