--- a/review/13/case.py
+++ b/review/13/case.py
@@ -1,4 +1,8 @@
-"""A task makes each runner that starts it fall silent; the runner is back 8 s later."""
+"""A runner leaves a start unanswered, and is cut off; it crashes and starts again there.
+
+Its next life, of which nobody can know, carries the start out late, when the task already
+runs elsewhere.
+"""
 
 import asyncio
 import os
@@ -12,46 +16,64 @@
 from platform_standin import Runner  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-JOB = "00000000000000dd"
+JOB = "00000000000000ee"
 RUNNERS = 6
-CRASH_AFTER_S = 0.1
-DARK_S = 8.0
-WATCH_S = 75.0
-CRASHES = 3
-MORE_STARTS = 3
-
-
-async def crash_runners(runners, crashes, record):
-    """Let each runner crash that starts the task, until cancelled."""
-    seen = set()
-    async with asyncio.TaskGroup() as group:
-        while True:
-            for runner in runners:
-                for run in list(runner.history):
-                    if run.task.startswith(JOB) and run not in seen:
-                        seen.add(run)
-                        group.create_task(crash(runner, run, crashes, record))
-            await asyncio.sleep(0.01)
+WARM_UP_S = 8.0
+CUT_AFTER_S = 0.1
+CRASH_AFTER_S = 0.5
+DARK_S = 0.6
+LATE_S = 6.0
+CUT_S = 9.0
+WORK_S = 4.0
+
+
+class LateStart:
+    """Notes the first start of one job, which its runner leaves unanswered."""
 
+    def __init__(self, record):
+        self._record = record
+        self.runner = None
+        self.order = None
+        self.was_left = asyncio.Event()
+
+    def on_order(self, runner, path, order):
+        """Return whether an order is carried out now."""
+        if self.order or path != "/-/run-start" or not order["task"].startswith(JOB):
+            return True
+        self.runner, self.order = runner, order
+        self.was_left.set()
+        self._record.write(f"{runner.name} leaves the start of {order['task']} unanswered")
+        return False
+
+
+def overlaps(runners, now):
+    """Return pairs of runs of one task that were at work at the same time."""
+    runs = [run for runner in runners for run in runner.history if run.task.startswith(JOB)]
+    pairs = []
+    for index, one in enumerate(runs):
+        for other in runs[index + 1 :]:
+            begin = max(one.begin, other.begin)
+            end = min(one.end or now, other.end or now)
+            if one.task == other.task and end > begin:
+                pairs.append((one, other, begin, end))
+    return pairs
 
-async def crash(runner, run, crashes, record):
-    """Let a runner fall silent under a run, and start again."""
+
+async def disturb(late):
+    """Cut off the runner, let it crash behind the cut, and carry the start out late."""
+    await late.was_left.wait()
+    runner = late.runner
+    await asyncio.sleep(CUT_AFTER_S)
+    runner.cut_off(is_silent=True)
     await asyncio.sleep(CRASH_AFTER_S)
-    if run.end is not None:
-        return
     runner.go_dark()
-    crashes.append(record.now())
     await asyncio.sleep(DARK_S)
     runner.boot(0.0)
-
-
-def starts_after(runners, crashes):
-    """Return the starts of the task after three runners have crashed under it."""
-    if len(crashes) < CRASHES:
-        return []
-    since = crashes[CRASHES - 1]
-    runs = [run for runner in runners for run in runner.history if run.task.startswith(JOB)]
-    return [run for run in runs if run.begin > since]
+    await asyncio.sleep(LATE_S - CUT_AFTER_S - CRASH_AFTER_S - DARK_S)
+    runner.record.write(f"{runner.name} carries out the start of {late.order['task']} now")
+    await runner.carry_out("/-/run-start", late.order)
+    await asyncio.sleep(CUT_S - LATE_S + CUT_AFTER_S)
+    runner.end_cut()
 
 
 async def main():
@@ -64,37 +86,37 @@
         ]
         for runner in runners:
             await runner.open()
-        crashes = []
-        crashing = None
         try:
             if not await deployment.start_nodes():
                 return 2
+            step = {"count": RUNNERS, "cpu": 20000, "mem_mb": 512, "estimate_ms": 300}
+            if not await deployment.submit("0000000000000001", [step], 0.3):
+                return 2
+            if not await deployment.wait_completed("0000000000000001", 15.0):
+                return 2
+            await asyncio.sleep(WARM_UP_S)
+            late, disturbance = LateStart(record), None
             if TROUBLE:
-                crashing = asyncio.create_task(crash_runners(runners, crashes, record))
-            step = {"count": 1, "cpu": 4000, "mem_mb": 512, "estimate_ms": 2000}
-            if not await deployment.submit(JOB, [step], 2.0):
+                for runner in runners:
+                    runner.on_order = late.on_order
+                disturbance = asyncio.create_task(disturb(late))
+            step = {"count": RUNNERS, "cpu": 20000, "mem_mb": 512, "estimate_ms": 4000}
+            if not await deployment.submit(JOB, [step], WORK_S):
+                return 2
+            if not await deployment.wait_completed(JOB, 50.0):
+                record.write("the job is not completed")
                 return 2
-            end = record.now() + WATCH_S
-            state = ""
-            while record.now() < end and state not in ("completed", "failed"):
-                state = await deployment.state(JOB)
-                if len(starts_after(runners, crashes)) > MORE_STARTS:
-                    break
-                await asyncio.sleep(0.5)
-            more = starts_after(runners, crashes)
-            record.write(f"{len(crashes)} runners have crashed; the job is {state}")
-            if len(more) >= MORE_STARTS:
+            if disturbance is not None:
+                await disturbance
+            pairs = overlaps(runners, record.now())
+            for one, other, begin, end in pairs:
                 record.write(
-                    f"BUDGET: {JOB}.0.0.0 was started {len(more)} times more after "
-                    f"{CRASHES} runners had crashed under it"
+                    f"TWICE: {one.task} runs {one.number} and {other.number} were at work "
+                    f"together from {begin:.3f} s to {end:.3f} s"
                 )
-                record.write("the rule was broken")
-                return 1
-            record.write("the rule held")
-            return 0 if state in ("completed", "failed") else 2
+            record.write("the rule was broken" if pairs else "the rule held")
+            return 1 if pairs else 0
         finally:
-            if crashing is not None:
-                crashing.cancel()
             for runner in runners:
                 runner.close()
 
--- a/review/standins-3/platform_standin.py
+++ b/review/standins-3/platform_standin.py
@@ -300,10 +300,10 @@
         self._runs = {}
         self.record.write(f"{self.name} is dark: its life {self.life} has ended")
 
-    def cut_off(self):
-        """Reset the connections; until it ends, nothing comes in or goes out."""
+    def cut_off(self, is_silent=False):
+        """Until it ends, nothing comes in or goes out; unless silent, reset the connections."""
         self.is_cut = True
-        for connection in list(self.connections):
+        for connection in list(self.connections) if not is_silent else ():
             connection.abort()
         self.record.write(f"{self.name} is cut off and runs on")
 
