--- a/review/11/case.py
+++ b/review/11/case.py
@@ -1,4 +1,4 @@
-"""Owners freeze and wake, one after another, beside runners that serve 64 channels each.
+"""Owners freeze and wake in turn, beside runners that serve 64 channels each.
 
 In the end an accepted job has to run, as both runners are idle.
 """
@@ -38,7 +38,8 @@
     """Record how many channels each runner has."""
     for runner in runners:
         record.write(
-            f"{runner.name} has {runner.open_count} open channels, {runner.reset_count} were reset"
+            f"{runner.name} has {runner.open_count} open channels, "
+            f"{runner.reset_count} were reset"
         )
 
 
@@ -47,7 +48,8 @@
     async with Deployment(FOLDER / "record.txt", node_count=6) as deployment:
         store, record = deployment.store, deployment.record
         runners = [
-            Runner(store, record, name, SERVICE, "large", 32_000) for name in ("i-aa01", "i-aa02")
+            Runner(store, record, name, SERVICE, "large", 32_000)
+            for name in ("i-aa01", "i-aa02")
         ]
         for runner in runners:
             runner.connections_max = CHANNELS_MAX
@@ -88,7 +90,9 @@
                 record.write("the rule held")
                 return 0
             starts = sum(run.task.startswith(job) for r in runners for run in r.history)
-            record.write(f"LOST: {job} was accepted, has {starts} starts and is not completed")
+            record.write(
+                f"LOST: {job} was accepted, has {starts} starts and is not completed"
+            )
             record.write("the rule was broken")
             return 1
         finally:
--- a/review/12/case.py
+++ b/review/12/case.py
@@ -16,9 +16,10 @@
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 JOB = "00000000000000bb"
+RUNNERS = 8
 CRASH_AFTER_S = 2.0
 DARK_S = 0.6
-LATE_AFTER_BOOT_S = 0.02
+LATE_AFTER_BOOT_S = 0.1
 
 
 class LateOrders:
@@ -38,7 +39,8 @@
             self.runner = runner
             self.orders.append(order)
             self._record.write(
-                f"{runner.name} leaves the start of {order['task']} run {order['run']} unanswered"
+                f"{runner.name} leaves the start of {order['task']} run {order['run']} "
+                "unanswered"
             )
             return False
         if runner is not self.runner:
@@ -48,7 +50,9 @@
 
 def overlaps(runners, now):
     """Return pairs of runs of one task that were at work at the same time."""
-    runs = [run for runner in runners for run in runner.history if run.task.startswith(JOB)]
+    runs = [
+        run for runner in runners for run in runner.history if run.task.startswith(JOB)
+    ]
     pairs = []
     for index, one in enumerate(runs):
         for other in runs[index + 1 :]:
@@ -64,7 +68,8 @@
     async with Deployment(FOLDER / "record.txt") as deployment:
         store, record = deployment.store, deployment.record
         runners = [
-            Runner(store, record, name, SERVICE, "large", 32_000) for name in ("i-aa01", "i-aa02")
+            Runner(store, record, f"i-aa0{number}", SERVICE, "large", 32_000)
+            for number in range(1, RUNNERS + 1)
         ]
         for runner in runners:
             await runner.open()
@@ -81,8 +86,8 @@
             if TROUBLE:
                 for runner in runners:
                     runner.on_order = late.on_order
-            # A task needs most of a runner, so the two jobs begin on different ones. The
-            # first one ends early, and its runner is then preferred.
+            # A task needs most of a runner, so the two jobs begin on different ones.
+            # The first one ends early, and its runner is then preferred.
             step = {"count": 1, "cpu": 20000, "mem_mb": 512, "estimate_ms": 2000}
             if not await deployment.submit("0000000000000002", [step], 0.4):
                 return 2
@@ -92,7 +97,7 @@
             if TROUBLE:
                 try:
                     await asyncio.wait_for(late.other_started.wait(), 10.0)
-                except asyncio.TimeoutError:
+                except TimeoutError:
                     record.write("the task did not start on another runner")
                     return 2
                 await asyncio.sleep(CRASH_AFTER_S)
@@ -101,7 +106,9 @@
                 late.runner.boot(0.0)
                 await asyncio.sleep(LATE_AFTER_BOOT_S)
                 order = late.orders[-1]
-                record.write(f"{late.runner.name} carries out the unanswered start of {JOB} now")
+                record.write(
+                    f"{late.runner.name} carries out the unanswered start of {JOB} now"
+                )
                 await late.runner.carry_out("/-/run-start", order)
             if not await deployment.wait_completed(JOB, 40.0):
                 record.write("the job is not completed")
@@ -109,8 +116,8 @@
             pairs = overlaps(runners, record.now())
             for one, other, begin, end in pairs:
                 record.write(
-                    f"TWICE: {one.task} runs {one.number} and {other.number} were at work "
-                    f"together from {begin:.3f} s to {end:.3f} s"
+                    f"TWICE: {one.task} runs {one.number} and {other.number} were at "
+                    f"work together from {begin:.3f} s to {end:.3f} s"
                 )
             record.write("the rule was broken" if pairs else "the rule held")
             return 1 if pairs else 0
--- a/review/13/case.py
+++ b/review/13/case.py
@@ -1,7 +1,7 @@
-"""A runner leaves a start unanswered, and is cut off; it crashes and starts again there.
+"""A runner leaves a start unanswered, is cut off, and crashes and starts again there.
 
-Its next life, of which nobody can know, carries the start out late, when the task already
-runs elsewhere.
+Its next life, of which nobody can know, carries the start out late, when the task
+already runs elsewhere.
 """
 
 import asyncio
@@ -42,13 +42,17 @@
             return True
         self.runner, self.order = runner, order
         self.was_left.set()
-        self._record.write(f"{runner.name} leaves the start of {order['task']} unanswered")
+        self._record.write(
+            f"{runner.name} leaves the start of {order['task']} unanswered"
+        )
         return False
 
 
 def overlaps(runners, now):
     """Return pairs of runs of one task that were at work at the same time."""
-    runs = [run for runner in runners for run in runner.history if run.task.startswith(JOB)]
+    runs = [
+        run for runner in runners for run in runner.history if run.task.startswith(JOB)
+    ]
     pairs = []
     for index, one in enumerate(runs):
         for other in runs[index + 1 :]:
@@ -70,7 +74,9 @@
     await asyncio.sleep(DARK_S)
     runner.boot(0.0)
     await asyncio.sleep(LATE_S - CUT_AFTER_S - CRASH_AFTER_S - DARK_S)
-    runner.record.write(f"{runner.name} carries out the start of {late.order['task']} now")
+    runner.record.write(
+        f"{runner.name} carries out the start of {late.order['task']} now"
+    )
     await runner.carry_out("/-/run-start", late.order)
     await asyncio.sleep(CUT_S - LATE_S + CUT_AFTER_S)
     runner.end_cut()
@@ -111,8 +117,8 @@
             pairs = overlaps(runners, record.now())
             for one, other, begin, end in pairs:
                 record.write(
-                    f"TWICE: {one.task} runs {one.number} and {other.number} were at work "
-                    f"together from {begin:.3f} s to {end:.3f} s"
+                    f"TWICE: {one.task} runs {one.number} and {other.number} were at "
+                    f"work together from {begin:.3f} s to {end:.3f} s"
                 )
             record.write("the rule was broken" if pairs else "the rule held")
             return 1 if pairs else 0
--- a/review/standins-3/deployment.py
+++ b/review/standins-3/deployment.py
@@ -2,8 +2,10 @@
 
 import asyncio
 import base64
+import contextlib
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -17,6 +19,7 @@
 ROOT = Path(__file__).resolve().parents[2]
 SERVICE, QUEUE_HOST, PREFIX = "desk", "desk.example", "/jobs/"
 READY_TIMEOUT_S = 20.0
+PORTS = (12_000, 30_000)
 CASE_TIMEOUT_S = 115.0
 COULD_NOT_RUN = 2
 
@@ -79,26 +82,24 @@
 
 
 def _free_ports(count):
-    sockets = [socket.socket() for _ in range(count)]
-    for each in sockets:
-        each.bind((HOST, 0))
-    ports = [each.getsockname()[1] for each in sockets]
-    for each in sockets:
-        each.close()
-    return ports
+    """Return consecutive ports outside the range of outgoing connections."""
+    while True:
+        first = random.randrange(*PORTS)
+        with contextlib.ExitStack() as stack:
+            try:
+                for port in range(first, first + count):
+                    stack.enter_context(socket.socket()).bind((HOST, port))
+            except OSError:
+                continue
+        return range(first, first + count)
 
 
-def _consecutive_ports():
-    """Return two ports that follow each other, for the processes among themselves."""
+async def _until_ready(port):
     while True:
-        first = _free_ports(1)[0]
-        try:
-            with socket.socket() as one, socket.socket() as other:
-                one.bind((HOST, first))
-                other.bind((HOST, first + 1))
-            return first, first + 1
-        except (OSError, OverflowError):
-            continue
+        answer = await call(port, "GET", "/-/ready", "ready")
+        if answer is not None and answer[0] == 200:
+            return
+        await asyncio.sleep(0.1)
 
 
 class Deployment:
@@ -127,12 +128,17 @@
             "target_latency_ms": 1000,
         }
         service = {"name": SERVICE, "enforces_capacity": False}
-        document = {"version": 1, "routes": [route], "services": [service], "limits": {}}
+        document = {
+            "version": 1,
+            "routes": [route],
+            "services": [service],
+            "limits": {},
+        }
         self.store.put("op", "", "config", document)
         return self
 
     async def start_nodes(self):
-        """Start the nodes with the deploy file's command; return whether all are ready."""
+        """Start the nodes with the deploy file's command; return if all are ready."""
         deploy = tomllib.loads((ROOT / "deploy/system.toml").read_text())
         command = deploy["roles"]["node"]["run"].split()
         dependencies = ROOT / "target/deps"
@@ -140,8 +146,7 @@
         environment["PYTHONPATH"] = str(dependencies)
         directory = Path(self._directory.name)
         for number in range(self._node_count):
-            front, ready = _free_ports(2)
-            peer, status = _consecutive_ports()
+            peer, status, front, ready = _free_ports(4)
             path = directory / f"node-{number}.toml"
             path.write_text(
                 SETTINGS.format(
@@ -154,26 +159,26 @@
                 )
             )
             with (directory / f"node-{number}.log").open("wb") as log:
-                process = subprocess.Popen(
-                    command,
-                    cwd=ROOT,
-                    env=environment | {"BASILHOLD_CONFIG": str(path)},
-                    stdout=log,
-                    stderr=log,
+                self._start_process(
+                    command, environment | {"BASILHOLD_CONFIG": str(path)}, log
                 )
-            self._processes.append(process)
             self.fronts.append(front)
             self._readies.append(ready)
         try:
             async with asyncio.timeout(READY_TIMEOUT_S):
                 for port in self._readies:
-                    while (await call(port, "GET", "/-/ready", "ready") or [0])[0] != 200:
-                        await asyncio.sleep(0.1)
+                    await _until_ready(port)
         except TimeoutError:
             self.print_logs()
             return False
         return True
 
+    def _start_process(self, command, environment, log):
+        process = subprocess.Popen(
+            command, cwd=ROOT, env=environment, stdout=log, stderr=log
+        )
+        self._processes.append(process)
+
     def holder(self):
         """Return the number of the node that last wrote as the owner of the service."""
         for (table, _, key), (value, _) in self.store.rows.items():
@@ -195,7 +200,7 @@
                     print(line, file=sys.stderr)
 
     async def submit(self, job_id, steps, work_s, front=0):
-        """Hand a job in, with the retries of a requester; return whether it was accepted."""
+        """Hand a job in, with a requester's retries; return whether it was accepted."""
         document = {"spec": json.dumps({"work_s": work_s}), "steps": steps}
         for attempt in range(4):
             port = self.fronts[(front + attempt) % len(self.fronts)]
@@ -219,11 +224,12 @@
         """Wait until a job is shown as completed; return whether it is."""
         try:
             async with asyncio.timeout(timeout_s):
-                while await self.state(job_id) != "completed":
+                while True:
+                    if await self.state(job_id) == "completed":
+                        return True
                     await asyncio.sleep(0.5)
         except TimeoutError:
             return False
-        return True
 
     async def __aexit__(self, *exc_info):
         for process in self._processes:
--- a/review/standins-3/platform_standin.py
+++ b/review/standins-3/platform_standin.py
@@ -1,13 +1,14 @@
 """A small platform on loopback addresses: the store, runners, and a client.
 
-It needs the standard library only. The store keeps rows and never fails. A runner has one
-port for all its lives; what it does on the wire is what the platform's pages say. It can
-fall silent like a machine without power, come back under its id, and carry out an order
-late.
+It needs the standard library only. The store keeps rows and never fails. A runner has
+one port for all its lives; what it does on the wire is what the platform's pages say.
+It can fall silent like a machine without power, come back under its id, and carry out
+an order late.
 """
 
 import asyncio
 import base64
+import contextlib
 import json
 import time
 from urllib.parse import parse_qs, urlsplit
@@ -24,7 +25,8 @@
     """Writes what was sent, answered and run, with the time since the beginning."""
 
     def __init__(self, path):
-        self._file = open(path, "w")
+        self._stack = contextlib.ExitStack()
+        self._file = self._stack.enter_context(path.open("w"))
         self._begin = time.monotonic()
 
     def now(self):
@@ -38,7 +40,7 @@
 
     def close(self):
         """Close the file."""
-        self._file.close()
+        self._stack.close()
 
 
 class Connection:
@@ -103,7 +105,8 @@
                 data = json.dumps(content).encode()
                 writer.write(
                     f"HTTP/1.1 {status} X\r\nContent-Type: application/json\r\n"
-                    f"Content-Length: {len(data)}\r\n\r\n".encode() + data
+                    f"Content-Length: {len(data)}\r\n\r\n".encode()
+                    + data
                 )
                 await writer.drain()
         except (asyncio.IncompleteReadError, OSError, asyncio.LimitOverrunError):
@@ -153,7 +156,13 @@
     def _row(self, name):
         value, version = self.rows[name]
         table, part, key = name
-        return {"table": table, "part": part, "key": key, "value": value, "ver": version}
+        return {
+            "table": table,
+            "part": part,
+            "key": key,
+            "value": value,
+            "ver": version,
+        }
 
     def _reply(self, **fields):
         return {"ver": self.version, "now_ms": self.now_ms(), **fields}
@@ -161,7 +170,9 @@
     async def handle(self, connection, method, path, headers, body):
         """Carry out a call."""
         parts = urlsplit(path)
-        query = {k: v[0] for k, v in parse_qs(parts.query, keep_blank_values=True).items()}
+        query = {
+            k: v[0] for k, v in parse_qs(parts.query, keep_blank_values=True).items()
+        }
         if parts.path == "/-/rows-tx":
             await asyncio.sleep(0.004)
             return self._transact(json.loads(body))
@@ -176,15 +187,29 @@
         return 404, {}
 
     def _transact(self, body):
-        entries = [*body.get("expected", ()), *body.get("puts", ()), *body.get("remove", ())]
+        entries = [
+            *body.get("expected", ()),
+            *body.get("puts", ()),
+            *body.get("remove", ()),
+        ]
         if len({e["part"] for e in entries}) > 1 and not body.get("cross_shard"):
             return 400, {}
-        expected = [((e["table"], e["part"], e["key"]), e["ver"]) for e in body.get("expected", ())]
-        if any(self.rows.get(name, ("", 0))[1] != version for name, version in expected):
+        expected = [
+            ((e["table"], e["part"], e["key"]), e["ver"])
+            for e in body.get("expected", ())
+        ]
+        if any(
+            self.rows.get(name, ("", 0))[1] != version for name, version in expected
+        ):
             rows = [self._row(name) for name, _ in expected if name in self.rows]
             return 412, self._reply(rows=rows)
-        changes = [((e["table"], e["part"], e["key"]), e["value"]) for e in body.get("puts", ())]
-        changes += [((e["table"], e["part"], e["key"]), None) for e in body.get("remove", ())]
+        changes = [
+            ((e["table"], e["part"], e["key"]), e["value"])
+            for e in body.get("puts", ())
+        ]
+        changes += [
+            ((e["table"], e["part"], e["key"]), None) for e in body.get("remove", ())
+        ]
         self._apply(changes)
         return 200, self._reply()
 
@@ -212,14 +237,16 @@
             left = end - time.monotonic()
             if newest or left <= 0:
                 break
-            try:
+            with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(self._changed.wait(), left)
-            except asyncio.TimeoutError:
-                pass
         rows = []
-        for name, (version, value) in sorted(newest.items(), key=lambda item: item[1][0]):
+        for name, (version, value) in sorted(
+            newest.items(), key=lambda item: item[1][0]
+        ):
             row = {"table": name[0], "part": name[1], "key": name[2], "ver": version}
-            rows.append(row | ({"deleted": True} if value is None else {"value": value}))
+            rows.append(
+                row | ({"deleted": True} if value is None else {"value": value})
+            )
         return 200, self._reply(rows=rows)
 
 
@@ -234,7 +261,7 @@
 
 
 class Runner(HttpServer):
-    """A runner with one id and one port. A crash ends its life; a start begins the next.
+    """A runner with one id and port. A crash ends its life; a start begins the next.
 
     Parameters
     ----------
@@ -301,7 +328,7 @@
         self.record.write(f"{self.name} is dark: its life {self.life} has ended")
 
     def cut_off(self, is_silent=False):
-        """Until it ends, nothing comes in or goes out; unless silent, reset the connections."""
+        """Let nothing in or out until it ends; unless silent, reset the connections."""
         self.is_cut = True
         for connection in list(self.connections) if not is_silent else ():
             connection.abort()
@@ -326,9 +353,12 @@
                 self._beat_at = now + HEARTBEAT_S
                 self._sequence += 1
                 self.store.put("servers", "", self.name, self._entry())
-            elif not self.is_up and now - self._silent_since > 3 * HEARTBEAT_S:
-                if ("servers", "", self.name) in self.store.rows:
-                    self.store.remove("servers", "", self.name)
+            elif (
+                not self.is_up
+                and now - self._silent_since > 3 * HEARTBEAT_S
+                and ("servers", "", self.name) in self.store.rows
+            ):
+                self.store.remove("servers", "", self.name)
 
     def _entry(self):
         return {
@@ -366,12 +396,14 @@
         self._barred[run.task] = max(self._barred.get(run.task, 0), run.number)
         self._last_end += 1
         self._finished.append([self._last_end, run.task, run.number, how, ""])
-        self.record.write(f"{self.name} life {self.life}: {run.task} run {run.number} ends {how}")
+        self.record.write(
+            f"{self.name} life {self.life}: {run.task} run {run.number} ends {how}"
+        )
         self._ended.set()
         self._ended = asyncio.Event()
 
     async def handle(self, connection, method, path, headers, body):
-        """Carry out an order, unless the runner is dark or the connection is of before."""
+        """Carry out an order, unless dark or on a connection of a former life."""
         if not self.is_up or self.is_cut:
             return None
         if connection.life != self.life:
@@ -401,8 +433,9 @@
 
     def _answer(self, path, order, status, **fields):
         self.record.write(
-            f"{self.name} life {self.life}: {path[3:]} {order.get('task')} run {order.get('run')} "
-            f"fence {order.get('fence')} is answered {status} {fields.get('reason', '')}"
+            f"{self.name} life {self.life}: {path[3:]} {order.get('task')} "
+            f"run {order.get('run')} fence {order.get('fence')} is answered {status} "
+            f"{fields.get('reason', '')}"
         )
         return status, {"clock_ms": self.clock_ms(), **fields}
 
@@ -443,10 +476,8 @@
         self._finished = [end for end in self._finished if end[0] > acked]
         life, wait_s = self.life, order.get("wait_ms", 0) / 1000
         if wait_s and not self._finished:
-            try:
+            with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(self._ended.wait(), wait_s)
-            except asyncio.TimeoutError:
-                pass
         if not self.is_up or self.is_cut or self.life != life:
             return None
         running = [[run.task, run.number, "", 100, 0] for run in self._runs.values()]
@@ -459,10 +490,11 @@
 
 
 async def call(port, method, path, host, document=None, timeout_s=3.0):
-    """Send one request on a connection of its own; return status and body, or ``None``."""
+    """Send a request on its own connection; return status and body, or ``None``."""
     body = b"" if document is None else json.dumps(document).encode()
     request = (
-        f"{method} {path} HTTP/1.1\r\nHost: {host}\r\nContent-Type: application/json\r\n"
+        f"{method} {path} HTTP/1.1\r\nHost: {host}\r\n"
+        "Content-Type: application/json\r\n"
         f"X-Deadline-Ms: {int(timeout_s * 1000)}\r\nContent-Length: {len(body)}\r\n"
         "Connection: close\r\n\r\n"
     ).encode() + body
