Bound the connections of an owner to each worker

What callers saw: after several processes had owned a service in turn, accepted jobs did not start although the workers were idle (LOST), and cancelled ones went on (UNASKED).

Cause: each start of a commit opened a connection of its own, and HttpPool bounded the connections of a process only, not those to one address. Kept connections were closed when the same process next called the address, which one that has lost the service does not do. A worker accepts 64 connections, keeps those of owners that have lost power, and resets those of the next owner.

Ruled out: workers that are avoided as crashed (the worker counts attempts that it resets), and a service without an owner (its assignments are stored).

Change: at most 4 connections for commands and 3 for polls to one worker, a timer that closes unused ones (after 0.5 s while there is another one to the worker, else after 20 s), and owners that end close theirs. Metrics basilhold_outgoing_connections* tell workers that reset connections from crashed ones.

--- a/basilhold/adapters/__init__.py
+++ b/basilhold/adapters/__init__.py
@@ -3,6 +3,7 @@
 from basilhold.adapters.http import (
     HttpAddress,
     HttpCall,
+    HttpCounts,
     HttpFailure,
     HttpLimits,
     HttpPool,
@@ -18,6 +19,7 @@
 __all__ = [
     "HttpAddress",
     "HttpCall",
+    "HttpCounts",
     "HttpFailure",
     "HttpLimits",
     "HttpObjectStore",
--- a/basilhold/adapters/http.py
+++ b/basilhold/adapters/http.py
@@ -8,11 +8,12 @@
 """
 
 import asyncio
+import contextlib
 import socket
 import ssl
 from abc import ABC, abstractmethod
 from collections import OrderedDict, defaultdict
-from collections.abc import Callable
+from collections.abc import AsyncIterator, Callable
 from types import TracebackType
 from typing import Self
 from urllib.parse import urlsplit
@@ -26,6 +27,7 @@
 __all__ = [
     "HttpAddress",
     "HttpCall",
+    "HttpCounts",
     "HttpFailure",
     "HttpLimits",
     "HttpPool",
@@ -35,6 +37,10 @@
 ]
 
 
+SWEEP_INTERVAL_MIN_MS = 100.0
+"""Least time between two searches for connections that were unused for too long."""
+
+
 class HttpAddress(msgspec.Struct, frozen=True):
     """Where a server listens."""
 
@@ -144,6 +150,12 @@
         Kept connections are closed after this time without use. It is below the
         time after which servers usually close idle connections, so that requests
         are rarely sent on a connection that is being closed.
+    connections_per_address : int
+        Most exchanges at a time, and most open connections, with one address; further
+        exchanges wait. 0 for no bound of its own.
+    surplus_idle_ms : int
+        Kept connections to an address with another open connection are closed after
+        this time without use; 0 for `idle_ms`.
     body_bytes_max, header_bytes_max : int
         Longest response.
     transfer_ms : int
@@ -156,12 +168,33 @@
     connections: int = 8
     connect_timeout_ms: int = 1_000
     idle_ms: int = 30_000
+    connections_per_address: int = 0
+    surplus_idle_ms: int = 0
     body_bytes_max: int = 16 << 20
     header_bytes_max: int = 16 << 10
     transfer_ms: int = 10_000
     receive_bytes: int = 0
 
 
+class HttpCounts(msgspec.Struct, frozen=True):
+    """Connections of a pool.
+
+    Parameters
+    ----------
+    open : int
+        Connections that are open now.
+    opened : int
+        Connections that were opened so far.
+    reset : int
+        Connections among those that the peer closed before it sent a byte. A server
+        that has accepted as many connections as it can does so.
+    """
+
+    open: int
+    opened: int
+    reset: int
+
+
 class _Kept(msgspec.Struct, eq=False):
     """A connection that is open and unused since a time of the loop's clock."""
 
@@ -170,6 +203,24 @@
     since: float
 
 
+class _AddressUse(msgspec.Struct):
+    """Exchanges with one address.
+
+    Parameters
+    ----------
+    slots : asyncio.Semaphore
+        Held by each exchange under way.
+    users : int
+        Exchanges that hold a slot or wait for one.
+    active : int
+        Exchanges that hold a slot.
+    """
+
+    slots: asyncio.Semaphore
+    users: int = 0
+    active: int = 0
+
+
 class HttpPool:
     """Runs HTTP exchanges over kept connections; an asynchronous context manager.
 
@@ -195,7 +246,13 @@
         # All of `_kept`, in the order in which they were last used. A search of the
         # addresses for the oldest took 0.1 ms a call with 3,000 of them.
         self._by_age: OrderedDict[_Kept, None] = OrderedDict()
+        # Those that may be surplus, in the same order.
+        self._young: OrderedDict[_Kept, None] = OrderedDict()
+        self._uses: dict[HttpAddress, _AddressUse] = {}
         self._active = 0
+        self._opened = 0
+        self._reset = 0
+        self._sweep_timer: asyncio.TimerHandle | None = None
 
     async def __aenter__(self) -> Self:
         return self
@@ -210,17 +267,35 @@
 
     def close(self) -> None:
         """Close all kept connections."""
+        if self._sweep_timer is not None:
+            self._sweep_timer.cancel()
+            self._sweep_timer = None
         for entry in self._by_age:
             entry.connection.close()
         self._kept.clear()
         self._by_age.clear()
+        self._young.clear()
+
+    def close_unused(self, address: HttpAddress) -> None:
+        """Close the kept connections to one address."""
+        for entry in list(self._kept.get(address, ())):
+            self._close_kept(entry)
+
+    @property
+    def counts(self) -> HttpCounts:
+        """Connections that are open and that were opened."""
+        return HttpCounts(len(self._by_age) + self._active, self._opened, self._reset)
 
     async def run(self, call: HttpCall) -> Result[HttpReply, HttpFailure]:
         """Send a request and return the complete response."""
         exchange = _Exchange(call)
         last_s = asyncio.get_running_loop().time() + self._limits.transfer_ms / 1000
         try:
-            async with asyncio.timeout(call.timeout_ms / 1000) as timeout, self._slots:
+            async with (
+                asyncio.timeout(call.timeout_ms / 1000) as timeout,
+                self._address_slot(call.address),
+                self._slots,
+            ):
                 exchange.on_progress = lambda: _postpone(timeout, call.stall_ms, last_s)
                 self._active += 1
                 try:
@@ -233,6 +308,28 @@
             if exchange.sent_bytes:
                 self._traffic.count(exchange.traffic())
 
+    @contextlib.asynccontextmanager
+    async def _address_slot(self, address: HttpAddress) -> AsyncIterator[None]:
+        """Wait until one more exchange with an address may begin."""
+        use = self._uses.get(address)
+        if use is None:
+            slots = asyncio.Semaphore(
+                self._limits.connections_per_address or self._limits.connections
+            )
+            use = self._uses[address] = _AddressUse(slots)
+        use.users += 1
+        try:
+            async with use.slots:
+                use.active += 1
+                try:
+                    yield
+                finally:
+                    use.active -= 1
+        finally:
+            use.users -= 1
+            if not use.users:
+                del self._uses[address]
+
     async def _run(self, exchange: "_Exchange") -> Result[HttpReply, HttpFailure]:
         connection = self._take(exchange.call.address)
         if connection:
@@ -245,7 +342,12 @@
         if connected.is_error():
             reason, refused = connected.error
             return Error(HttpFailure(exchange.sent, reason, refused))
-        return await self._exchange(exchange, connected.ok)
+        self._opened += 1
+        received_bytes = exchange.received_bytes
+        result = await self._exchange(exchange, connected.ok)
+        if result.is_error() and exchange.received_bytes == received_bytes:
+            self._reset += 1
+        return result
 
     async def _exchange(
         self, exchange: "_Exchange", connection: "_Connection"
@@ -311,40 +413,84 @@
         return connection
 
     def _take(self, address: HttpAddress) -> "_Connection | None":
-        """Return the connection used last; close those unused for too long."""
-        kept = self._kept[address]
-        oldest = asyncio.get_running_loop().time() - self._limits.idle_ms / 1000
-        while kept and (kept[0].since < oldest or kept[0].connection.closed):
-            entry = kept.pop(0)
-            del self._by_age[entry]
-            entry.connection.close()
-        while kept:
-            entry = kept.pop()
-            del self._by_age[entry]
-            if not entry.connection.closed:
+        """Return the connection to an address that was used last."""
+        # The sweep is late if the process was suspended.
+        oldest_s = asyncio.get_running_loop().time() - self._limits.idle_ms / 1000
+        while kept := self._kept.get(address):
+            entry = kept[-1]
+            self._forget(entry)
+            if not entry.connection.closed and entry.since >= oldest_s:
                 return entry.connection
-        del self._kept[address]
+            entry.connection.close()
         return None
 
     def _keep(self, address: HttpAddress, connection: "_Connection") -> None:
         """Keep a connection, within the limit over all addresses."""
         # The exchange that has used it is still counted as active.
         self._close_oldest(self._limits.connections - self._active)
-        now = asyncio.get_running_loop().time()
-        entry = _Kept(address, connection, now)
+        now_s = asyncio.get_running_loop().time()
+        entry = _Kept(address, connection, now_s)
         self._kept[address].append(entry)
         self._by_age[entry] = None
+        if self._limits.surplus_idle_ms:
+            self._young[entry] = None
+        if self._sweep_timer is None:
+            self._schedule_sweep(now_s)
+
+    def _forget(self, entry: _Kept) -> None:
+        """Remove a connection from those that are kept."""
+        kept = self._kept[entry.address]
+        kept.remove(entry)
+        if not kept:
+            del self._kept[entry.address]
+        del self._by_age[entry]
+        self._young.pop(entry, None)
+
+    def _close_kept(self, entry: _Kept) -> None:
+        self._forget(entry)
+        entry.connection.close()
 
     def _close_oldest(self, count_max: int) -> None:
         """Close the unused connections beyond a number, oldest first."""
         while len(self._by_age) > max(0, count_max):
-            entry, _ = self._by_age.popitem(last=False)
-            entry.connection.close()
-            kept = self._kept[entry.address]
-            # Connections of one address are kept in order of their age too.
-            kept.pop(0)
-            if not kept:
-                del self._kept[entry.address]
+            self._close_kept(next(iter(self._by_age)))
+
+    def _schedule_sweep(self, now_s: float) -> None:
+        """Schedule the next sweep; none while no connection is kept."""
+        self._sweep_timer = None
+        if not self._by_age:
+            return
+        loop = asyncio.get_running_loop()
+        due_s = next(iter(self._by_age)).since + self._limits.idle_ms / 1000
+        if self._young:
+            surplus_s = self._limits.surplus_idle_ms / 1000
+            due_s = min(due_s, next(iter(self._young)).since + surplus_s)
+        due_s = max(due_s, now_s + SWEEP_INTERVAL_MIN_MS / 1000)
+        self._sweep_timer = loop.call_at(due_s, self._sweep)
+
+    def _sweep(self) -> None:
+        """Close the connections that were unused for too long.
+
+        Connections of addresses that are never called again would otherwise stay open
+        and take up a share of what their servers accept.
+        """
+        now_s = asyncio.get_running_loop().time()
+        oldest_s = now_s - self._limits.idle_ms / 1000
+        while self._by_age and (entry := next(iter(self._by_age))).since <= oldest_s:
+            self._close_kept(entry)
+        oldest_s = now_s - self._limits.surplus_idle_ms / 1000
+        while self._young and (entry := next(iter(self._young))).since <= oldest_s:
+            del self._young[entry]
+            if self._is_surplus(entry):
+                self._close_kept(entry)
+        self._schedule_sweep(now_s)
+
+    def _is_surplus(self, entry: _Kept) -> bool:
+        """Return whether another connection to the same address is open."""
+        use = self._uses.get(entry.address)
+        return len(self._kept[entry.address]) > 1 or (
+            use is not None and use.active > 0
+        )
 
 
 class _Exchange:
--- a/basilhold/observability/metric_catalogue.py
+++ b/basilhold/observability/metric_catalogue.py
@@ -242,6 +242,24 @@
         ("service",),
         _SECONDS_BUCKETS,
     ),
+    Metric(
+        "basilhold_outgoing_connections",
+        _GAUGE,
+        "Connections that the process has opened and not closed, by kind of call",
+        ("kind",),
+    ),
+    Metric(
+        "basilhold_outgoing_connections_opened_total",
+        _COUNTER,
+        "Connections that the process has opened",
+        ("kind",),
+    ),
+    Metric(
+        "basilhold_outgoing_connections_reset_total",
+        _COUNTER,
+        "Connections that the peer closed before its first byte, as a full one does",
+        ("kind",),
+    ),
     Metric(
         "basilhold_worker_polls_waiting",
         _GAUGE,
--- a/basilhold/platform/connection_limits.py
+++ b/basilhold/platform/connection_limits.py
@@ -1,8 +1,11 @@
 """Division of a process's file descriptors among the kinds of calls it makes."""
 
+from enum import Enum
+
 import msgspec
 
 __all__ = [
+    "CallKind",
     "DESCRIPTORS_DEFAULT",
     "ConnectionLimits",
     "ReceiveLimits",
@@ -78,6 +81,16 @@
     return max(INCOMING_MIN, int(share * (descriptors - DESCRIPTORS_RESERVED)))
 
 
+class CallKind(Enum):
+    """Kind of the calls that share a pool of connections."""
+
+    COMMANDS = "commands"
+    POLLS = "polls"
+    STORE = "store"
+    PEERS = "peers"
+    ADVICE = "advice"
+
+
 class ConnectionLimits(msgspec.Struct, frozen=True):
     """Most open connections of each kind.
 
--- a/basilhold/platform/node.py
+++ b/basilhold/platform/node.py
@@ -12,7 +12,6 @@
 
 import uvloop
 
-from basilhold.adapters import HttpLimits, HttpPool
 from basilhold.adapters.http_server import HttpServer
 from basilhold.core import Clock, ProcessId, RegionName, ServiceName
 from basilhold.observability import (
@@ -30,15 +29,19 @@
 from basilhold.platform.bodies import decode_configuration
 from basilhold.platform.callers import CallerServer, make_readiness_server
 from basilhold.platform.client_limits import ClientLimits
-from basilhold.platform.connection_limits import ConnectionLimits, ReceiveLimits
+from basilhold.platform.connection_limits import (
+    CallKind,
+    ConnectionLimits,
+    ReceiveLimits,
+)
 from basilhold.platform.events import (
     DESCRIPTORS_SHORT,
     SETTINGS_INVALID,
     SETTINGS_READ,
 )
+from basilhold.platform.outgoing_pools import OutgoingPools
 from basilhold.platform.runners import (
     PlatformAdviceService,
-    PlatformRunnerClient,
     PlatformWorkerRegistry,
     parse_endpoint,
 )
@@ -77,8 +80,6 @@
     "main",
 ]
 
-CONNECT_TIMEOUT_MS = 500
-CONNECTION_IDLE_MS = 20_000
 CONFIGURATION_PREFIX = "op//"
 CONFIGURATION_KEY = "op//config"
 CONFIGURATION_RETRY_MS = 200
@@ -191,18 +192,17 @@
                 DESCRIPTORS_SHORT, descriptors=descriptors, connections=limits.polls
             )
         receive = ReceiveLimits.for_memory(limits, settings.limits.memory_mb * MIB)
-        self._pools: list[HttpPool] = []
+        self._pools = OutgoingPools(limits, receive)
         self._status_pages = make_status_pages(settings.node, STATE_DUMP_BYTES_MAX, ())
         self._status_pages.metrics.add_source(LogMetrics(log_output))
+        self._status_pages.metrics.add_source(self._pools)
         self._status_pages.state.add_source(self)
         self._draining = False
         endpoint = f"{settings.ip}:{settings.port_range[0]}"
-        peers = HttpPeerClient(
-            self._make_pool(limits.peers, receive.peers), shared_time
-        )
+        peers = HttpPeerClient(self._pools[CallKind.PEERS], shared_time)
         region = RegionName(settings.region)
         direct_store = PlatformStore(
-            self._make_pool(limits.store, receive.store),
+            self._pools[CallKind.STORE],
             parse_endpoint(settings.platform.address),
             shared_time,
         )
@@ -220,7 +220,7 @@
         direct_store.on_read = store.on_read_reply
         self._store = store
         advice = PlatformAdviceService(
-            self._make_pool(limits.advice, receive.advice),
+            self._pools[CallKind.ADVICE],
             parse_endpoint(settings.advice or settings.platform.address),
         )
         advice_balancer = AdviceBalancer(
@@ -231,10 +231,7 @@
         ports = OwnerPorts(
             store,
             store,
-            PlatformRunnerClient(
-                self._make_pool(limits.commands, receive.commands),
-                self._make_pool(limits.polls, receive.polls),
-            ),
+            self._pools.make_runner_client(),
             PlatformWorkerRegistry(store, store),
             advice_balancer,
             self._clock,
@@ -323,19 +320,6 @@
             resources,
         )
 
-    def _make_pool(self, connections: int, receive_bytes: int) -> HttpPool:
-        """Return a pool for one kind of call, which is closed with the daemon."""
-        pool = HttpPool(
-            HttpLimits(
-                connections,
-                CONNECT_TIMEOUT_MS,
-                idle_ms=CONNECTION_IDLE_MS,
-                receive_bytes=receive_bytes,
-            )
-        )
-        self._pools.append(pool)
-        return pool
-
     @property
     def name(self) -> str:
         """Name of the machine."""
@@ -367,8 +351,7 @@
             server.stop()
         await self.frontend.close()
         await self._store.close()
-        for pool in self._pools:
-            pool.close()
+        self._pools.close()
 
     async def run(self) -> None:
         """Run the background loops until cancelled."""
--- a/basilhold/platform/runners.py
+++ b/basilhold/platform/runners.py
@@ -278,6 +278,16 @@
         except (msgspec.DecodeError, ValueError):
             return Error(CallOutcome.UNKNOWN)
 
+    def close_connections(self, worker: Worker) -> None:
+        """Close the unused connections to a worker."""
+        try:
+            address = parse_endpoint(worker.info.endpoint)
+        except ValueError:
+            # The endpoint of a stored assignment may be empty.
+            return
+        self._pool.close_unused(address)
+        self._poll_pool.close_unused(address)
+
     async def _send_command(
         self, worker: Worker, path: str, body: msgspec.Struct
     ) -> CallOutcome:
--- a/basilhold/ports/runners.py
+++ b/basilhold/ports/runners.py
@@ -153,6 +153,10 @@
     ) -> Result[Listing, CallOutcome]:
         """Renew the lease on a worker; return its running and ended runs."""
 
+    @abstractmethod
+    def close_connections(self, worker: Worker) -> None:
+        """Close the unused connections to a worker, for which no calls are planned."""
+
 
 class WorkerRegistry(ABC):
     """Access to the registrations of workers."""
--- a/basilhold/standins/runners.py
+++ b/basilhold/standins/runners.py
@@ -356,6 +356,8 @@
         How many runs of each task have failed.
     stray_count : int
         How many runs were started by calls to former incarnations of their workers.
+    released : set of WorkerId
+        Workers to which owners have closed their connections.
     on_crash : callable
         Called with each runner that a task has crashed.
     quota_of : callable
@@ -387,6 +389,7 @@
         self._starts_after_crashes: Counter[RunKey] = Counter()
         self.start_count = 0
         self.stray_count = 0
+        self.released: set[WorkerId] = set()
         self.started: set[RunKey] = set()
         self._done: set[RunKey] = set()
         self._done_acknowledged: set[RunKey] = set()
@@ -688,6 +691,10 @@
         runner.note_listing_received()
         return result
 
+    def close_connections(self, worker: Worker) -> None:
+        """Record that an owner has no further calls for a worker."""
+        self.released.add(worker.worker_id)
+
     def _find(self, worker: Worker) -> MemoryRunner | None:
         runner = self.runners.get(worker.worker_id)
         if runner is None or runner.info.endpoint != worker.info.endpoint:
--- a/basilhold/workflows/owner.py
+++ b/basilhold/workflows/owner.py
@@ -287,6 +287,10 @@
         finally:
             state.lease.invalidate()
             await state.background_tasks.cancel()
+            # A worker accepts a limited number of connections, and the next owner needs
+            # some of them.
+            for worker in state.pool.workers.values():
+                state.ports.runners.close_connections(worker)
 
     async def release(self) -> None:
         """Release the service with a last commit, so that it can be claimed at once."""
--- a/basilhold/workflows/tests/test_owner.py
+++ b/basilhold/workflows/tests/test_owner.py
@@ -104,6 +104,14 @@
             other = next(p for n, p in cell.processes.items() if n != owner)
             self.assertEqual(other.ownership_manager.describe()["owned"], {})
 
+    async def test_owner_that_ends_closes_its_connections_to_workers(self):
+        # They stayed open, and the workers reset those of the next owners.
+        async with WorkflowCell() as cell:
+            await asyncio.sleep(2)
+            self.assertEqual(cell.runners.released, set())
+            await cell.processes[cell.owner_name()].stop()
+            self.assertEqual(cell.runners.released, set(cell.runners.runners))
+
     async def test_released_service_is_claimed_soon_in_a_slow_store(self):
         # A slow store was mistaken for a distant one: all candidates delayed their
         # claims by 1.2 s in favour of nearer ones, and a machine in the other region
--- a/basilhold/workflows/tests/test_silent_workers.py
+++ b/basilhold/workflows/tests/test_silent_workers.py
@@ -257,6 +257,9 @@
             return CallOutcome.UNKNOWN
         return await self._runners.stop(worker, call)
 
+    def close_connections(self, worker):
+        self._runners.close_connections(worker)
+
     async def pace(self, worker, call, percent):
         if await self._is_cut(worker):
             return CallOutcome.UNKNOWN
--- a/basilhold/workflows/tests/test_worker_link.py
+++ b/basilhold/workflows/tests/test_worker_link.py
@@ -28,7 +28,7 @@
         await asyncio.sleep(0.1)
         return Ok(Listing(1_000.0, INFO.born_unix_ms, (), ()))
 
-    start = stop = pace = None
+    start = stop = pace = close_connections = None
 
 
 class OvertakingRunners(RecordingRunners):
