Rule out unanswered starts for later incarnations

What callers saw: a task ran twice at the same time after its first start had got no reply, its stop had been confirmed, and its worker had crashed and come back under its id (TWICE).

Cause: a confirmed stop binds the incarnation that has confirmed it. The next one accepts any call for its predecessor until the first call of the owner reaches it, which took 0.4 s, and the owner no longer knew that a start could be under way.

Change: a start without a reply makes the link take a new fencing token, which the stop and all later calls carry. For 12 s the worker is polled every 200 ms, and every 50 ms and two round trips while it is silent. Polls with an earlier token no longer end the polling.

Tests: test_late_start_after_its_stop_was_confirmed fails before, at four moments of the crash; test_watched_worker_that_stays_silent_is_given_up_in_time guards the time of the lapse.

--- a/basilhold/platform/runners.py
+++ b/basilhold/platform/runners.py
@@ -266,7 +266,7 @@
             math.floor(call.until_clock_ms),
             call.wait_ms,
         )
-        timeout_ms = call.wait_ms + LEASE_RENEWAL_MARGIN_MS
+        timeout_ms = call.timeout_ms or call.wait_ms + LEASE_RENEWAL_MARGIN_MS
         result = await self._post(self._poll_pool, worker, "/-/hold", body, timeout_ms)
         if result.is_error():
             return Error(_unanswered_outcome(result.error))
--- a/basilhold/ports/runners.py
+++ b/basilhold/ports/runners.py
@@ -124,12 +124,15 @@
     wait_ms : int
         Longest time that the worker may wait for the end of a run before it replies,
         in milliseconds.
+    timeout_ms : int
+        Time after which the call is given up, in milliseconds; 0 for the client's own.
     """
 
     epoch: Epoch
     acknowledged: int
     until_clock_ms: float = 0.0
     wait_ms: int = 0
+    timeout_ms: int = 0
 
 
 class RunnerClient(ABC):
--- a/basilhold/standins/runners.py
+++ b/basilhold/standins/runners.py
@@ -656,22 +656,23 @@
     ) -> Result[Listing, CallOutcome]:
         """Renew the lease and return what runs and has ended."""
         runner = self._find(worker)
+        no_reply_s = (call.timeout_ms or NO_REPLY_MS) / 1000
         await asyncio.sleep(TRAVEL_MS / 1000)
         if runner is not None and runner.refuses_connections and not runner.cut:
             refusal = CallOutcome.DISCONNECTED
             return Error(self._outcome_of_refusal(runner, refusal))
         if runner is None or runner.cut:
-            await asyncio.sleep(NO_REPLY_MS / 1000)
+            await asyncio.sleep(no_reply_s)
             return Error(CallOutcome.UNKNOWN)
         runner = self._find(worker)
         if not runner.up:
             self._hold_while_down(worker, lambda successor: successor.hold(call))
-            await asyncio.sleep(NO_REPLY_MS / 1000)
+            await asyncio.sleep(no_reply_s)
             return Error(CallOutcome.UNKNOWN)
         if self._call_rng.random() < self.faults.late_renewal:
             delay_s = self._call_rng.uniform(0.0, LATE_MAX_S)
             self._carry_out_later(worker, lambda r: r.hold(call), delay_s)
-            await asyncio.sleep(NO_REPLY_MS / 1000)
+            await asyncio.sleep(no_reply_s)
             return Error(CallOutcome.UNKNOWN)
         result = runner.hold(call)
         if result.is_error():
--- a/basilhold/workflows/pool.py
+++ b/basilhold/workflows/pool.py
@@ -348,6 +348,9 @@
         Runs that the worker has listed although they are not assigned to it.
     poll_count : int
         Number of polls sent to this incarnation.
+    late_calls_until_ms : float
+        Time of the event loop's clock until which a start without a reply may still be
+        carried out, in milliseconds. Its fencing token is below `fence`.
     """
 
     def __init__(self, info: WorkerInfo, usage: TenantUsage | None = None):
@@ -381,6 +384,7 @@
         self.suspects: dict[RunKey, Run] = {}
         self.unassigned: dict[RunKey, Run] = {}
         self.poll_count = 0
+        self.late_calls_until_ms = 0.0
 
     @property
     def lease_expires_ms(self) -> float:
--- a/basilhold/workflows/run_controller.py
+++ b/basilhold/workflows/run_controller.py
@@ -1,7 +1,9 @@
 """Starts and stops runs on workers, and applies the outcomes of runs."""
 
 import asyncio
+import contextlib
 import math
+from collections.abc import Iterator
 
 from basilhold.observability import log_event, metric
 from basilhold.ports.runners import CallOutcome, RunnerCall, StartCall
@@ -20,7 +22,7 @@
     Workflow,
     WorkflowState,
 )
-from basilhold.workflows.worker_link import WorkerLink
+from basilhold.workflows.worker_link import WATCHED_SILENT_MAX, WorkerLink
 
 __all__ = ["AVOID_FAILING_WORKER_MS", "RunController"]
 
@@ -56,6 +58,7 @@
     def __init__(self, state: OwnerState):
         self._state = state
         self.committer = Committer(state, self._send_start)
+        self._silent_watches = asyncio.Semaphore(WATCHED_SILENT_MAX)
 
     def _send_start(self, placement: Placement) -> None:
         workflow = placement.step.workflow
@@ -149,6 +152,7 @@
         if outcome is CallOutcome.RESTARTED:
             self._note_restart(worker, run)
         if outcome.may_have_effect:
+            self._note_unanswered_start(worker, run)
             if run.stage is RunStage.STARTING:
                 run.stage = RunStage.UNCERTAIN
             if run.stage is RunStage.UNCERTAIN:
@@ -174,6 +178,13 @@
             link.note_restart(self._state.clock.monotonic_ms())
             self.refresh_worker(worker)
 
+    def _note_unanswered_start(self, worker: Worker, run: Run) -> None:
+        """Record that a start may still be carried out, also by a later incarnation."""
+        link = self._state.links.get(worker.worker_id)
+        if link is not None and link.worker is worker:
+            link.note_unanswered_start(run.sent_ms)
+            self.watch_worker(link)
+
     def _return_unstarted(self, worker: Worker, run: Run) -> None:
         """Return a task to the backlog whose run is known not to have started."""
         worker.remove(run.key)
@@ -277,12 +288,17 @@
             self._state.spawn(self._refresh(link))
 
     async def _refresh(self, link: WorkerLink) -> None:
-        try:
+        with _log_errors("refresh of a worker"):
             await link.refresh(self._state.clock)
-        except LeaseLostError:
-            raise
-        except Exception as error:
-            log_event(events.LOOP_FAILED, loop="refresh of a worker", error=repr(error))
+
+    def watch_worker(self, link: WorkerLink) -> None:
+        """Poll a worker often while a start without a reply may be carried out."""
+        if link.worker.late_calls_until_ms > self._state.clock.monotonic_ms():
+            self._state.spawn(self._watch(link))
+
+    async def _watch(self, link: WorkerLink) -> None:
+        with _log_errors("watch of a worker"):
+            await link.watch(self._state.clock, self._silent_watches)
 
     def apply_end(
         self, worker: Worker, key: RunKey, end: RunEnd, run: Run | None = None
@@ -473,6 +489,23 @@
         )
 
 
+@contextlib.contextmanager
+def _log_errors(loop: str) -> Iterator[None]:
+    """Log an exception in the body of the ``with`` statement.
+
+    Raises
+    ------
+    LeaseLostError
+        If the body raises it.
+    """
+    try:
+        yield
+    except LeaseLostError:
+        raise
+    except Exception as error:
+        log_event(events.LOOP_FAILED, loop=loop, error=repr(error))
+
+
 def _make_call(worker: Worker, run: Run) -> RunnerCall:
     """Return what identifies a run in a call to its worker."""
     return RunnerCall(run.key.job_id, run.key.task, run.number, worker.fence)
--- a/basilhold/workflows/tests/test_restarted_workers.py
+++ b/basilhold/workflows/tests/test_restarted_workers.py
@@ -68,6 +68,20 @@
         cell.runners.start = record
         return calls
 
+    def withhold_first_start(self, cell):
+        """Leave the first start unanswered; return a list that gets it, by worker."""
+        start, withheld = cell.runners.start, []
+
+        async def withhold(worker, call):
+            if withheld:
+                return await start(worker, call)
+            withheld.append((worker.worker_id, call))
+            await asyncio.sleep(0.5)
+            return CallOutcome.UNKNOWN
+
+        cell.runners.start = withhold
+        return withheld
+
     async def restart(self, cell):
         cell.runners.runners[WORKER].crash()
         await asyncio.sleep(DOWN_S)
@@ -188,6 +202,47 @@
             cell.start_worker("w9")
             await self.check_after_lease(cell)
 
+    async def test_late_start_after_its_stop_was_confirmed(self):
+        # The incarnation that had confirmed the stop crashed, and the next one carried
+        # the start out while the task was at work elsewhere.
+        for crash_after_s, silent_s, boot_age_s in (
+            (2.0, DOWN_S, 0.1),
+            (0.1, DOWN_S, 0.1),
+            (5.0, 2.0, 0.1),
+            (9.0, DOWN_S, 0.1),
+        ):
+            with self.subTest(crash_after_s=crash_after_s, silent_s=silent_s):
+                async with make_cell() as cell:
+                    late = self.withhold_first_start(cell)
+                    await asyncio.sleep(UPTIME_S)
+                    await cell.submit(make_workflow(1, 1))
+                    await asyncio.sleep(1.5)
+                    self.assertEqual(len(late), 1)
+                    self.assertEqual(cell.runners.start_count, 1)
+                    worker_id, call = late[0]
+                    await asyncio.sleep(crash_after_s)
+                    cell.runners.runners[worker_id].crash()
+                    await asyncio.sleep(silent_s)
+                    cell.start_worker(worker_id)
+                    await asyncio.sleep(boot_age_s)
+                    runner = cell.runners.runners[worker_id]
+                    self.assertIs(runner.start(call), CallOutcome.FENCED)
+
+    async def test_watched_worker_that_stays_silent_is_given_up_in_time(self):
+        # Polls without a reply would have extended the time by which its lease ends.
+        async with make_cell() as cell:
+            late = self.withhold_first_start(cell)
+            await asyncio.sleep(UPTIME_S)
+            await cell.submit(make_workflow(1, WORKER_COUNT + 1))
+            await asyncio.sleep(2)
+            ((worker_id, _),) = late
+            self.assertTrue(cell.runners.runners[worker_id].runs)
+            cell.runners.runners[worker_id].crash()
+            cell.start_worker("w9")
+            await asyncio.sleep(9)
+            self.assertEqual(len(cell.runners.runners["w9"].runs), 1)
+            self.assertEqual(cell.runners.violations, [])
+
     async def test_late_start_reaches_an_unnoticed_incarnation(self):
         # The run was given up as lapsed, and began 7 s after its start had been sent.
         async with make_cell() as cell:
--- a/basilhold/workflows/worker_link.py
+++ b/basilhold/workflows/worker_link.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import math
 from collections.abc import Callable
 
 import msgspec
@@ -25,7 +26,13 @@
     reconcile,
 )
 
-__all__ = ["LEASE_MAX_MS", "PollResult", "OwnerLimits", "WorkerLink"]
+__all__ = [
+    "LEASE_MAX_MS",
+    "WATCHED_SILENT_MAX",
+    "OwnerLimits",
+    "PollResult",
+    "WorkerLink",
+]
 
 CLOCK_DRIFT_FACTOR = 1.03
 """Allowance for the rate of a worker's clock, which may be 2% slow."""
@@ -40,6 +47,16 @@
 """How late a call for a former incarnation is expected to be carried out at most. Once
 the present one has answered, its fencing token rules such calls out for good."""
 
+WATCH_INTERVAL_MS = 200.0
+"""Time between two polls of a worker that is being watched."""
+
+WATCH_TIMEOUT_MS = 50.0
+"""Time, beside two round trips, after which such a poll is given up and sent again. A
+poll that was sent while the worker was down never gets a reply."""
+
+WATCHED_SILENT_MAX = 32
+"""Most watched workers without a reply that an owner polls at a time."""
+
 RETRY_DELAY_MS = 200.0
 RETRY_DELAY_MAX_MS = 1_000.0
 COMMIT_WAIT_MS = 800.0
@@ -179,6 +196,7 @@
         self._refreshing = False
         self._refresh_requested = False
         self._pending_polls = 0
+        self._watching = False
 
     def is_observed(self, now_ms: float) -> bool:
         """Return whether a restart of the worker would have been noticed.
@@ -227,6 +245,58 @@
         until_ms = now_ms + CALL_DELAY_MAX_MS
         self.worker.note_foreign_lease(self._foreign_expiry_ms(until_ms))
 
+    def note_unanswered_start(self, sent_ms: float) -> None:
+        """Record that a start sent at `sent_ms` may still be carried out.
+
+        Any further call has a higher fencing token, which rules the start out for each
+        incarnation that it reaches.
+        """
+        worker = self.worker
+        worker.fence = self._lease.take_fence()
+        until_ms = sent_ms + CALL_DELAY_MAX_MS
+        worker.late_calls_until_ms = max(worker.late_calls_until_ms, until_ms)
+
+    async def watch(self, clock: Clock, silent_polls: asyncio.Semaphore) -> None:
+        """Poll the worker often while a start may still be carried out.
+
+        A later incarnation would carry it out, as it knows no fencing token until the
+        first call reaches it.
+
+        Parameters
+        ----------
+        clock : Clock
+            Clock of this process.
+        silent_polls : asyncio.Semaphore
+            Held by each poll that follows one without a reply.
+        """
+        if self._watching:
+            return
+        self._watching = True
+        is_silent = False
+        try:
+            while not self.closed and (
+                clock.monotonic_ms() < self.worker.late_calls_until_ms
+            ):
+                async with silent_polls if is_silent else contextlib.nullcontext():
+                    is_silent = not await self._reach(clock)
+                if not is_silent:
+                    await asyncio.sleep(WATCH_INTERVAL_MS / 1000)
+        finally:
+            self._watching = False
+
+    async def _reach(self, clock: Clock) -> bool:
+        """Poll the worker once with a short timeout; return whether it has replied."""
+        sent_ms = clock.monotonic_ms()
+        timeout_ms = WATCH_TIMEOUT_MS + 2 * self.worker.round_trip_ms
+        result = await self._poll(clock, immediate=True, timeout_ms=timeout_ms)
+        now_ms = clock.monotonic_ms()
+        is_reached = self.worker.heard_ms >= sent_ms or result != PollResult()
+        self.on_poll(result)
+        if not is_reached:
+            # A refused connection ends the poll at once.
+            await asyncio.sleep(max(0.0, sent_ms + timeout_ms - now_ms) / 1000)
+        return is_reached
+
     def _note_answer(self, now_ms: float) -> None:
         """Record that the worker has carried out a call of this link."""
         if not self._has_answered:
@@ -297,7 +367,20 @@
         async with self._limit_contacts():
             return await self._poll(clock, immediate)
 
-    async def _poll(self, clock: Clock, immediate: bool) -> PollResult:
+    async def _poll(
+        self, clock: Clock, immediate: bool, timeout_ms: float = 0.0
+    ) -> PollResult:
+        """Poll the worker.
+
+        Parameters
+        ----------
+        clock : Clock
+        immediate : bool
+        timeout_ms : float
+            Time after which the poll is given up, in milliseconds; 0 for that of the
+            client. A poll with a timeout of its own does not renew the lease, as the
+            time by which that has expired would depend on polls without a reply.
+        """
         worker = self.worker
         if self.closed:
             return PollResult(lost=LossReason.CLOSED)
@@ -310,7 +393,8 @@
         until_ms = 0.0
         # A renewal without a reply may have taken effect. Repeating it would delay the
         # time after which no task can be running on the worker.
-        if worker.clock_ms and not self._failures and self._may_extend():
+        renews = worker.clock_ms > 0 and not self._failures and not timeout_ms
+        if renews and self._may_extend():
             until_ms = worker.clock_at(sent_ms) + self._limits.lease_ms
             self.extend_lease_bound(sent_ms, self._limits.lease_ms)
         acknowledged = self._new_acknowledgement()
@@ -320,7 +404,9 @@
         has_turn = wait_ms > 0 and self._take_turn()
         if not has_turn:
             wait_ms = 0
-        call = RenewLeaseCall(worker.fence, acknowledged, until_ms, wait_ms)
+        call = RenewLeaseCall(
+            worker.fence, acknowledged, until_ms, wait_ms, math.ceil(timeout_ms)
+        )
         worker.poll_count += 1
         number = worker.poll_count
         self._pending_polls += 1
--- a/basilhold/workflows/worker_tracker.py
+++ b/basilhold/workflows/worker_tracker.py
@@ -194,7 +194,8 @@
         worker = link.worker
         if look.fenced is not None:
             self._state.check_fenced(worker, look.fenced)
-            return False
+            # A call with a higher token of this link may have overtaken the poll.
+            return not link.closed
         if look.restarted is not None:
             if not link.closed:
                 self._handle_restart(worker, look.restarted)
@@ -365,6 +366,7 @@
 
     def _replace_incarnation(self, worker: Worker, info: WorkerInfo) -> Worker:
         successor = self._make_worker(info)
+        successor.late_calls_until_ms = worker.late_calls_until_ms
         # Among the runs that are transferred may be the one that caused the crash.
         evidence = self._collect_evidence(worker, trusts_restored=False)
         transfer_runs(worker, successor, evidence)
@@ -393,6 +395,7 @@
         link.on_silence = lambda: self._report_silence(worker)
         self._state.links[worker.worker_id] = link
         self._state.spawn(self._poll_worker(link))
+        self._run_controller.watch_worker(link)
         return link
 
     def _remove_worker(self, worker: Worker) -> None:
