Vary the pauses of polls that may not wait

What operators saw: with more busy workers than polls that may wait, some workers never got a turn in 20 s, and the ends of their runs were noticed later than those of others.

Workers whose pauses ended just after those of others found all turns taken each time.

Evidence: test_leases_are_renewed_in_turns held with one of few moments of the first start only.

Change: a pause lasts 0.5 to 1.5 times as long, drawn anew each time.

--- a/basilhold/workflows/poll_turns.py
+++ b/basilhold/workflows/poll_turns.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import random
 
 __all__ = ["PollTurns"]
 
@@ -21,6 +22,9 @@
 IDLE_PAUSE_MS = 1_000.0
 """The same for a worker without runs."""
 
+PAUSE_RATIOS = (0.5, 1.5)
+"""Bounds of the ratio of a pause to these."""
+
 FIRST_POLLS_MAX = 200
 """First polls at a time. Each one opens a connection. When an owner of 2,160 workers
 opened all at once, the polls timed out before their replies were handled."""
@@ -54,6 +58,7 @@
         self, waiting_max: int | None = None, unanswered_max: int = UNANSWERED_MAX
     ):
         self._waiting_max = waiting_max
+        self._rng = random.Random(0)
         self._passed_over = 0
         self.waiting = 0
         self.refused = 0
@@ -106,5 +111,10 @@
         self.waiting -= 1
 
     def pause_ms(self, is_busy: bool) -> float:
-        """Return the pause after a poll that was not allowed to wait."""
-        return BUSY_PAUSE_MS if is_busy else IDLE_PAUSE_MS
+        """Return the pause after a poll that was not allowed to wait.
+
+        In milliseconds. It varies, as a worker whose polls always came just after those
+        of others would be refused each time.
+        """
+        pause_ms = BUSY_PAUSE_MS if is_busy else IDLE_PAUSE_MS
+        return pause_ms * self._rng.uniform(*PAUSE_RATIOS)
--- a/basilhold/workflows/tests/test_poll_turns.py
+++ b/basilhold/workflows/tests/test_poll_turns.py
@@ -25,6 +25,15 @@
 
     async def test_leases_are_renewed_in_turns(self):
         # With more workers than waiting polls, long-running tasks lapsed.
+        await self.check_turns(2)
+
+    async def test_each_busy_worker_gets_a_turn_whenever_its_polls_began(self):
+        # Pauses of equal length kept some workers in step with others that went first.
+        for begin_s in (2.005, 2.1, 2.3, 2.5, 2.85):
+            with self.subTest(begin_s=begin_s):
+                await self.check_turns(begin_s)
+
+    async def check_turns(self, begin_s):
         step = StepSpec(30, Resources(9_000, 1 << 20, 0), 500.0, long_running=True)
         spec = make_spec(1, random.Random(0))
         policy = msgspec.structs.replace(spec.policy, advice=None)
@@ -32,7 +41,7 @@
         async with WorkflowCell(
             3, 1, WORKER_COUNT, waiting_polls_max=WAITING_MAX
         ) as cell:
-            await asyncio.sleep(2)
+            await asyncio.sleep(begin_s)
             self.count_waiting(cell.runners)
             await cell.submit(spec)
             await asyncio.sleep(20)
