Hold runs without a reply on silent workers

What callers saw: a task ran twice at the same time after its first start had got no reply and its worker had been cut off, crashed behind the cut and come back there (TWICE).

Cause: the owner counted the lease of the incarnation that it knew. An incarnation that nobody has noticed may carry the start out up to 12 s after it was sent, and grant its longest lease. The owner allowed for that only after a restart that it had noticed.

Change: a run whose start got no reply is not ended by a lapsed lease before that time; an answer ends the wait. The worker's other runs end as before. A new owner does the same by the time of the assignment, unless the stored progress has the confirmation, which is stored at once for tasks that last. Those start only on workers that have just answered.

--- a/basilhold/workflows/events.py
+++ b/basilhold/workflows/events.py
@@ -112,6 +112,13 @@
     "worker={worker} a later incarnation answered a poll sent {age_ms} ms ago: "
     "clock_ms={clock_ms} until_clock_ms={until_clock_ms} acknowledged={acknowledged}",
 )
+RUNS_HELD = Event(
+    6046,
+    EventLevel.WARNING,
+    "worker={worker} silent for longer than its lease: ended={ended} runs; held={held} "
+    "whose starts may still be carried out, for up to {held_ms} ms",
+    "None. Look at the worker if there are many.",
+)
 DEPENDENCY_LOST = Event(6050, EventLevel.WARNING, "{dependency} does not answer")
 DEPENDENCY_BACK = Event(
     6051, EventLevel.INFO, "{dependency} answers again after {after_ms} ms"
--- a/basilhold/workflows/owner.py
+++ b/basilhold/workflows/owner.py
@@ -59,7 +59,7 @@
 )
 from basilhold.workflows.run_controller import AVOID_FAILING_WORKER_MS, RunController
 from basilhold.workflows.stragglers import find_stragglers
-from basilhold.workflows.worker_link import OwnerLimits
+from basilhold.workflows.worker_link import OwnerLimits, late_run_bound_ms
 from basilhold.workflows.worker_tracker import WorkerTracker
 
 __all__ = ["LeaseLostError", "OwnerPorts", "ServiceOwner"]
@@ -87,6 +87,10 @@
 EXPORT_INTERVAL_MS = 5_000.0
 """Interval at which the gauges of run times are set."""
 
+START_DELAY_MAX_MS = 2_000.0
+"""Time from the assignment of a task up to which its start is sent. A commit that takes
+longer is rare."""
+
 STABLE_RUN_MS = 10_000.0
 """Time at work after which the crashes under a long-running task are forgotten."""
 
@@ -324,6 +328,12 @@
             self.cancel(job_id)
         for worker in self._state.pool.workers.values():
             worker.note_lease(self._inherited_lease_ms(worker, now_ms))
+            for run in worker.runs.values():
+                workflow = self._state.workflows[run.key.job_id]
+                if not workflow.task(run.key.task).is_confirmed:
+                    # The previous owner may not have got a reply to the start.
+                    sent_ms = (run.sent_ms or now_ms) + START_DELAY_MAX_MS
+                    run.held_until_ms = late_run_bound_ms(sent_ms, self._state.limits)
             worker.unregistered = True
         self._state.has_all_workers = True
         await self._worker_tracker.refresh_registrations()
--- a/basilhold/workflows/pool.py
+++ b/basilhold/workflows/pool.py
@@ -178,6 +178,10 @@
         listing that was not complete has contained neither.
     queue : QueueName
         Queue of the workflow; empty for a run of an unknown workflow.
+    held_until_ms : float
+        Time of the event loop's clock up to which the run counts as possibly at work
+        even if the lease of its worker has expired, in milliseconds: its start got no
+        reply, and a later incarnation may carry it out.
     """
 
     key: RunKey
@@ -209,6 +213,7 @@
     is_unassigned: bool = False
     is_absent: bool = False
     queue: QueueName = QueueName("")
+    held_until_ms: float = 0.0
 
     @property
     def begun_ms(self) -> float:
@@ -406,6 +411,23 @@
         """Record that such calls have no effect any more, and how long it may last."""
         self._foreign_lease_ms = until_ms
 
+    def lapsed_runs(self, now_ms: float) -> list[Run]:
+        """Return the runs that cannot be at work any more, as the lease has expired.
+
+        Runs whose starts may still be carried out are not among them.
+        """
+        if now_ms <= self.lease_expires_ms:
+            return []
+        return [
+            run
+            for run in self.runs.values()
+            if run.stage is not RunStage.COMMITTING and now_ms > run.held_until_ms
+        ]
+
+    def has_held_runs(self, now_ms: float) -> bool:
+        """Return whether runs are held beyond the lease."""
+        return any(run.held_until_ms >= now_ms for run in self.runs.values())
+
     def note_reply(self, now_ms: float) -> None:
         """Record that a poll was answered."""
         self.heard_ms = self.alive_until_ms = now_ms
--- a/basilhold/workflows/progress.py
+++ b/basilhold/workflows/progress.py
@@ -137,6 +137,8 @@
     born_unix_ms : int
         Unix time at which the worker's incarnation started to which the task is
         assigned, in milliseconds; 0 if unknown.
+    confirmed_run : RunNumber
+        Last run that its worker has confirmed or listed, as far as it was stored.
     """
 
     stage: TaskStage = TaskStage.PENDING
@@ -150,6 +152,12 @@
     endpoint: str = ""
     assigned_ms: int = 0
     born_unix_ms: int = 0
+    confirmed_run: RunNumber = RunNumber(0)
+
+    @property
+    def is_confirmed(self) -> bool:
+        """Whether the worker of the current run has confirmed it."""
+        return self.confirmed_run == self.run
 
 
 class _StoredTask(msgspec.Struct, array_like=True):
@@ -325,6 +333,25 @@
         """
         self._has_begun = True
 
+    def confirm_run(self, key: TaskKey, run: RunNumber) -> bool:
+        """Record that a worker has confirmed or listed a run of a task.
+
+        Returns
+        -------
+        bool
+            Whether it is to be stored at once. A task that lasts has to run again soon
+            after its worker is lost, also if the next owner finds that out; other tasks
+            are stored with the next change of the progress.
+        """
+        task = self.task(key)
+        if task.run != run or task.is_confirmed:
+            return False
+        task.confirmed_run = run
+        if not self.spec.steps[key.step].long_running:
+            return False
+        self._changed.add(self.chunk_of(key))
+        return True
+
     def assign(
         self,
         key: TaskKey,
--- a/basilhold/workflows/reconciliation.py
+++ b/basilhold/workflows/reconciliation.py
@@ -106,6 +106,7 @@
         result.begun.append(listed.key)
     run.crash = None
     run.is_absent = False
+    run.held_until_ms = 0.0
     is_unconfirmed = run.stage in (RunStage.STARTING, RunStage.UNCERTAIN)
     if is_unconfirmed or not run.confirmed_ms:
         run.stage = RunStage.RUNNING
@@ -161,20 +162,22 @@
 
 
 def remove_lost_runs(
-    worker: Worker, evidence: dict[RunKey, CrashEvidence]
+    worker: Worker, runs: Iterable[Run], evidence: dict[RunKey, CrashEvidence]
 ) -> Iterable[EndedRun]:
-    """Remove and yield the runs of a worker that lost its lease or has restarted.
+    """Remove and yield runs of a worker that lost its lease or has restarted.
 
     Runs whose assignment is not stored yet remain.
 
     Parameters
     ----------
     worker : Worker
+    runs : iterable of Run
+        Runs that cannot be at work any more.
     evidence : dict of RunKey to CrashEvidence
         Runs that may be to blame for the loss; empty if the worker has not crashed.
     """
-    for key, run in list(worker.runs.items()):
+    for run in list(runs):
         if run.stage is RunStage.COMMITTING:
             continue
-        worker.remove(key)
-        yield EndedRun(key, run.lost_end(evidence.get(key)))
+        worker.remove(run.key)
+        yield EndedRun(run.key, run.lost_end(evidence.get(run.key)))
--- a/basilhold/workflows/run_controller.py
+++ b/basilhold/workflows/run_controller.py
@@ -74,7 +74,9 @@
     async def _start(self, placement: Placement) -> None:
         workflow, worker = placement.step.workflow, placement.worker
         link = self._state.links.get(worker.worker_id)
-        if link and not link.is_observed(self._state.clock.monotonic_ms()):
+        asked_ms = self._state.clock.monotonic_ms()
+        must_answer = placement.step.spec.long_running
+        if link and (must_answer or not link.is_observed(asked_ms)):
             # The worker may have restarted with another capacity.
             await self._refresh(link)
         run = worker.runs.get(RunKey(workflow.job_id, placement.key))
@@ -96,6 +98,10 @@
             # the task.
             self._return_unstarted(worker, run)
             return
+        if must_answer and worker.heard_ms < asked_ms:
+            # A task that lasts would be held for long if the start got no reply.
+            self._return_unstarted(worker, run)
+            return
         if worker.silent_since_ms or worker.free.is_negative():
             # While the assignment was being stored, the worker has stopped answering,
             # and may restart with another capacity, or its capacity has shrunk.
@@ -120,11 +126,27 @@
             run.stage = RunStage.UNCERTAIN
             raise
         if outcome is CallOutcome.DONE:
-            workflow.note_begun()
+            self.note_begun(run.key, run)
         if run.key not in worker.runs or worker.runs[run.key] is not run:
             return
         self._handle_start_outcome(placement, run, call, outcome)
 
+    def note_begun(self, key: RunKey, run: Run | None) -> None:
+        """Record that a run of a task has begun.
+
+        Parameters
+        ----------
+        key : RunKey
+        run : Run, optional
+            The run, if it is one that the owner expects on its worker.
+        """
+        workflow = self._state.workflows.get(key.job_id)
+        if workflow is None:
+            return
+        workflow.note_begun()
+        if run is not None and workflow.confirm_run(key.task, run.number):
+            self.committer.mark_dirty(workflow)
+
     def _handle_start_outcome(
         self, placement: Placement, run: Run, call: StartCall, outcome: CallOutcome
     ) -> None:
@@ -182,7 +204,7 @@
         """Record that a start may still be carried out, also by a later incarnation."""
         link = self._state.links.get(worker.worker_id)
         if link is not None and link.worker is worker:
-            link.note_unanswered_start(run.sent_ms)
+            link.note_unanswered_start(run)
             self.watch_worker(link)
 
     def _return_unstarted(self, worker: Worker, run: Run) -> None:
--- a/basilhold/workflows/tests/test_restarted_workers.py
+++ b/basilhold/workflows/tests/test_restarted_workers.py
@@ -21,11 +21,12 @@
 LEASE_LIMIT_MS = 10_000.0
 
 
-def make_workflow(number, task_count):
-    """Return a workflow whose tasks take a worker each and do not end."""
+def make_workflow(number, task_count, cores_milli=12_000, **changes):
+    """Return a workflow whose tasks do not end and take a worker each by default."""
     spec = make_spec(number, random.Random(0))
     policy = msgspec.structs.replace(spec.policy, advice=None)
-    step = StepSpec(task_count, Resources(12_000, 1 << 20, 0), 60_000.0)
+    size = Resources(cores_milli, 1 << 20, 0)
+    step = StepSpec(task_count, size, 60_000.0, **changes)
     return msgspec.structs.replace(spec, steps=(step,), policy=policy)
 
 
@@ -264,6 +265,35 @@
             await asyncio.sleep(8.4)
             await self.carry_out_late(cell, starts)
 
+    async def test_only_runs_without_a_reply_are_held_on_a_silent_worker(self):
+        # Guards against tasks of a silent worker that wait for a late start of another.
+        async with make_cell() as cell:
+            await asyncio.sleep(1)
+            await cell.submit(make_workflow(1, WORKER_COUNT, 9_000))
+            await asyncio.sleep(UPTIME_S)
+            cell.runners.runners[WORKER].cut = True
+            await cell.submit(make_workflow(2, WORKER_COUNT, 5_000))
+            cell.start_worker("w9")
+            await asyncio.sleep(8)
+            # One task of the first workflow has started again.
+            self.assertEqual(cell.runners.start_count, 2 * WORKER_COUNT)
+            await asyncio.sleep(LEASE_LIMIT_MS / 1000 + 6)
+            self.assertEqual(cell.runners.start_count, 2 * WORKER_COUNT + 1)
+            self.assertEqual(cell.runners.violations, [])
+
+    async def test_task_that_lasts_starts_on_a_worker_that_has_just_answered(self):
+        # Its start went to a worker that had crashed unnoticed, and it was held after
+        # that for longer than such a task may be down.
+        async with make_cell() as cell:
+            await asyncio.sleep(UPTIME_S)
+            cell.runners.runners[WORKER].crash()
+            cell.start_worker("w9")
+            starts = self.record_starts(cell)
+            await cell.submit(make_workflow(1, WORKER_COUNT, long_running=True))
+            await asyncio.sleep(4)
+            self.assertEqual(starts, [])
+            self.assertEqual(cell.runners.start_count, WORKER_COUNT)
+
     async def test_answer_settles_the_wait_for_late_starts(self):
         # The wait for a start to the former incarnation went on although the next one
         # had answered, and held the runs that began there later.
--- a/basilhold/workflows/worker_link.py
+++ b/basilhold/workflows/worker_link.py
@@ -17,6 +17,7 @@
     ListedRun,
     Listing,
     LossReason,
+    Run,
     RunKey,
     Worker,
 )
@@ -32,6 +33,7 @@
     "OwnerLimits",
     "PollResult",
     "WorkerLink",
+    "late_run_bound_ms",
 ]
 
 CLOCK_DRIFT_FACTOR = 1.03
@@ -117,6 +119,26 @@
     return lease_ms * CLOCK_DRIFT_FACTOR + LEASE_MARGIN_MS
 
 
+def late_run_bound_ms(sent_ms: float, limits: OwnerLimits) -> float:
+    """Return until when a run may be at work whose start got no reply.
+
+    An incarnation that nobody has noticed may carry the start out and grant its longest
+    lease.
+
+    Parameters
+    ----------
+    sent_ms : float
+        Time of the event loop's clock at which the start was sent, in milliseconds.
+    limits : OwnerLimits
+
+    Returns
+    -------
+    float
+        Time of the event loop's clock, in milliseconds.
+    """
+    return sent_ms + CALL_DELAY_MAX_MS + limits.any_lease_expiry_ms()
+
+
 class PollResult(msgspec.Struct):
     """Result of one poll of a worker.
 
@@ -245,16 +267,17 @@
         until_ms = now_ms + CALL_DELAY_MAX_MS
         self.worker.note_foreign_lease(self._foreign_expiry_ms(until_ms))
 
-    def note_unanswered_start(self, sent_ms: float) -> None:
-        """Record that a start sent at `sent_ms` may still be carried out.
+    def note_unanswered_start(self, run: Run) -> None:
+        """Record that a start may still be carried out, also by a later incarnation.
 
         Any further call has a higher fencing token, which rules the start out for each
         incarnation that it reaches.
         """
         worker = self.worker
         worker.fence = self._lease.take_fence()
-        until_ms = sent_ms + CALL_DELAY_MAX_MS
+        until_ms = run.sent_ms + CALL_DELAY_MAX_MS
         worker.late_calls_until_ms = max(worker.late_calls_until_ms, until_ms)
+        run.held_until_ms = late_run_bound_ms(run.sent_ms, self._limits)
 
     async def watch(self, clock: Clock, silent_polls: asyncio.Semaphore) -> None:
         """Poll the worker often while a start may still be carried out.
@@ -546,6 +569,11 @@
         return self._check_expiry(clock)
 
     def _check_expiry(self, clock: Clock) -> PollResult:
-        if clock.monotonic_ms() > self.worker.lease_expires_ms and self.worker.runs:
+        now_ms = clock.monotonic_ms()
+        worker = self.worker
+        is_expired = now_ms > worker.lease_expires_ms and worker.runs
+        if is_expired and (
+            worker.lapsed_runs(now_ms) or not worker.has_held_runs(now_ms)
+        ):
             return PollResult(lost=LossReason.LAPSED)
         return PollResult()
--- a/basilhold/workflows/worker_tracker.py
+++ b/basilhold/workflows/worker_tracker.py
@@ -88,7 +88,9 @@
         """Remove workers without a link whose leases have certainly expired."""
         for worker in list(self._state.pool.workers.values()):
             unlinked = worker.worker_id not in self._state.links
-            if unlinked and now_ms > worker.lease_expires_ms:
+            if not unlinked or now_ms <= worker.lease_expires_ms:
+                continue
+            if worker.lapsed_runs(now_ms) or not worker.has_held_runs(now_ms):
                 self._handle_worker_loss(worker, LossReason.EXPIRED)
 
     def end_probations(self, now_ms: float) -> None:
@@ -203,11 +205,12 @@
         if look.lost:
             if not link.closed:
                 self._handle_worker_loss(worker, look.lost)
-            return False
+            # The link of a worker with held runs stays open.
+            return not link.closed
         for key in look.begun:
-            workflow = self._state.workflows.get(key.job_id)
-            if workflow is not None:
-                workflow.note_begun()
+            run = worker.runs.get(key)
+            is_expected = run is not None and run.listed
+            self._run_controller.note_begun(key, run if is_expected else None)
         for ended in look.ends:
             self._run_controller.apply_end(worker, ended.key, ended.end, ended.run)
         for listed in look.unknown:
@@ -298,6 +301,10 @@
         """
         now_ms = self._state.clock.monotonic_ms()
         silent_ms = now_ms - worker.silent_since_ms if worker.silent_since_ms else 0.0
+        has_lapsed = reason in (LossReason.LAPSED, LossReason.EXPIRED)
+        if has_lapsed and worker.has_held_runs(now_ms):
+            self._end_lapsed_runs(worker, now_ms)
+            return
         log_event(
             events.WORKER_LOST,
             worker=worker.worker_id,
@@ -316,7 +323,31 @@
         has_crashed = reason in (LossReason.REPLACED, LossReason.RESTARTED)
         if evidence and reason is LossReason.LAPSED and worker.disconnected:
             self._remember_unconfirmed(worker, evidence)
-        for ended in remove_lost_runs(worker, evidence if has_crashed else {}):
+        blamed = evidence if has_crashed else {}
+        for ended in remove_lost_runs(worker, worker.runs.values(), blamed):
+            self._run_controller.apply_end(worker, ended.key, ended.end)
+        self._state.plan_event.set()
+
+    def _end_lapsed_runs(self, worker: Worker, now_ms: float) -> None:
+        """End the runs of a silent worker, but those whose starts may be carried out.
+
+        The others wait until the worker answers, or until they are not held any more.
+        """
+        lapsed = worker.lapsed_runs(now_ms)
+        log_event(
+            events.RUNS_HELD,
+            worker=worker.worker_id,
+            ended=len(lapsed),
+            held=len(worker.runs) - len(lapsed),
+            held_ms=round(max(r.held_until_ms for r in worker.runs.values()) - now_ms),
+        )
+        if worker.disconnected:
+            keys = {run.key for run in lapsed}
+            evidence = self._collect_evidence(worker)
+            evidence = {key: e for key, e in evidence.items() if key in keys}
+            if evidence:
+                self._remember_unconfirmed(worker, evidence)
+        for ended in remove_lost_runs(worker, lapsed, {}):
             self._run_controller.apply_end(worker, ended.key, ended.end)
         self._state.plan_event.set()
 
@@ -340,6 +371,10 @@
             for key, crash in evidence.items()
         ]
         crashes = self._unconfirmed_crashes
+        known = crashes.get(worker.info.endpoint)
+        incarnation = worker.worker_id, worker.info.born_unix_ms
+        if known is not None and (known.worker_id, known.born_unix_ms) == incarnation:
+            ends = known.ends + ends
         crashes[worker.info.endpoint] = _UnconfirmedCrash(
             worker.worker_id, worker.info.born_unix_ms, ends
         )
