Name the check for lapsed leases

Cause: the same two conditions decided in two places whether a lapsed lease ends runs, and the queue of connections that are not searched for surplus ones yet had an unclear name.

Change: Worker.has_lapsed; no change of behaviour.

Measured: the tests of restarted and silent workers and of the pool pass.

--- a/basilhold/adapters/http.py
+++ b/basilhold/adapters/http.py
@@ -246,8 +246,8 @@
         # All of `_kept`, in the order in which they were last used. A search of the
         # addresses for the oldest took 0.1 ms a call with 3,000 of them.
         self._by_age: OrderedDict[_Kept, None] = OrderedDict()
-        # Those that may be surplus, in the same order.
-        self._young: OrderedDict[_Kept, None] = OrderedDict()
+        # Those not yet searched for surplus ones, in the same order.
+        self._unchecked: OrderedDict[_Kept, None] = OrderedDict()
         self._uses: dict[HttpAddress, _AddressUse] = {}
         self._active = 0
         self._opened = 0
@@ -274,7 +274,7 @@
             entry.connection.close()
         self._kept.clear()
         self._by_age.clear()
-        self._young.clear()
+        self._unchecked.clear()
 
     def close_unused(self, address: HttpAddress) -> None:
         """Close the kept connections to one address."""
@@ -433,7 +433,7 @@
         self._kept[address].append(entry)
         self._by_age[entry] = None
         if self._limits.surplus_idle_ms:
-            self._young[entry] = None
+            self._unchecked[entry] = None
         if self._sweep_timer is None:
             self._schedule_sweep(now_s)
 
@@ -444,7 +444,7 @@
         if not kept:
             del self._kept[entry.address]
         del self._by_age[entry]
-        self._young.pop(entry, None)
+        self._unchecked.pop(entry, None)
 
     def _close_kept(self, entry: _Kept) -> None:
         self._forget(entry)
@@ -462,9 +462,9 @@
             return
         loop = asyncio.get_running_loop()
         due_s = next(iter(self._by_age)).since + self._limits.idle_ms / 1000
-        if self._young:
+        if self._unchecked:
             surplus_s = self._limits.surplus_idle_ms / 1000
-            due_s = min(due_s, next(iter(self._young)).since + surplus_s)
+            due_s = min(due_s, next(iter(self._unchecked)).since + surplus_s)
         due_s = max(due_s, now_s + SWEEP_INTERVAL_MIN_MS / 1000)
         self._sweep_timer = loop.call_at(due_s, self._sweep)
 
@@ -479,8 +479,10 @@
         while self._by_age and (entry := next(iter(self._by_age))).since <= oldest_s:
             self._close_kept(entry)
         oldest_s = now_s - self._limits.surplus_idle_ms / 1000
-        while self._young and (entry := next(iter(self._young))).since <= oldest_s:
-            del self._young[entry]
+        while (
+            self._unchecked and (entry := next(iter(self._unchecked))).since <= oldest_s
+        ):
+            del self._unchecked[entry]
             if self._is_surplus(entry):
                 self._close_kept(entry)
         self._schedule_sweep(now_s)
--- a/basilhold/workflows/pool.py
+++ b/basilhold/workflows/pool.py
@@ -424,6 +424,15 @@
             if run.stage is not RunStage.COMMITTING and now_ms > run.held_until_ms
         ]
 
+    def has_lapsed(self, now_ms: float) -> bool:
+        """Return whether the lease has expired and runs are to be ended for it.
+
+        That is so without any runs too, but not if all of them are held.
+        """
+        if now_ms <= self.lease_expires_ms:
+            return False
+        return bool(self.lapsed_runs(now_ms)) or not self.has_held_runs(now_ms)
+
     def has_held_runs(self, now_ms: float) -> bool:
         """Return whether runs are held beyond the lease."""
         return any(run.held_until_ms >= now_ms for run in self.runs.values())
--- a/basilhold/workflows/worker_link.py
+++ b/basilhold/workflows/worker_link.py
@@ -569,11 +569,6 @@
         return self._check_expiry(clock)
 
     def _check_expiry(self, clock: Clock) -> PollResult:
-        now_ms = clock.monotonic_ms()
-        worker = self.worker
-        is_expired = now_ms > worker.lease_expires_ms and worker.runs
-        if is_expired and (
-            worker.lapsed_runs(now_ms) or not worker.has_held_runs(now_ms)
-        ):
+        if self.worker.runs and self.worker.has_lapsed(clock.monotonic_ms()):
             return PollResult(lost=LossReason.LAPSED)
         return PollResult()
--- a/basilhold/workflows/worker_tracker.py
+++ b/basilhold/workflows/worker_tracker.py
@@ -88,9 +88,7 @@
         """Remove workers without a link whose leases have certainly expired."""
         for worker in list(self._state.pool.workers.values()):
             unlinked = worker.worker_id not in self._state.links
-            if not unlinked or now_ms <= worker.lease_expires_ms:
-                continue
-            if worker.lapsed_runs(now_ms) or not worker.has_held_runs(now_ms):
+            if unlinked and worker.has_lapsed(now_ms):
                 self._handle_worker_loss(worker, LossReason.EXPIRED)
 
     def end_probations(self, now_ms: float) -> None:
