--- a/basilhold/platform/tests/test_worker_connections.py
+++ b/basilhold/platform/tests/test_worker_connections.py
@@ -4,6 +4,7 @@
 import contextlib
 
 from basilhold.core import Epoch, JobId, Resources, WorkerId
+from basilhold.observability import METRICS, Metrics
 from basilhold.platform.connection_limits import (
     CallKind,
     ConnectionLimits,
@@ -157,3 +158,18 @@
                 self.assertEqual(agent.open_count, 1)
 
         await self.run_beside_agent(check)
+
+    async def test_reset_connections_are_counted(self):
+        # A full worker looked like one that had crashed.
+        async def check(agent, worker):
+            agent.accepted_max = 1
+            async with self.own(worker) as (client, pools):
+                await self.start_all(client, worker)
+                metrics = Metrics(METRICS)
+                pools.collect(metrics)
+                page = metrics.render()[0].decode()
+            name = "basilhold_outgoing_connections_reset_total"
+            count = page.split(f'{name}{{kind="commands"}} ')[1].split()[0]
+            self.assertGreater(int(count), 0)
+
+        await self.run_beside_agent(check)
